Lay down the contract between rooms: schemas, sans-io events, errors, framing

Cause: the rooms are built side by side and need one fixed boundary. Change: protobuf schemas with committed generated code, the sans-io contract, the closed list of error kinds, numbered events, frames. One core a process was taken over several cores with callbacks, so that the simulator hosts what ships; the publisher and the subscriber are rooms of their own since source, relay, proxy and agent share them. Conclusion: rooms can start.

--- /dev/null
+++ b/src/limelever/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution and fair request routing for a service mesh."""
--- /dev/null
+++ b/src/limelever/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside a back end: registration, slots and fair shares."""
--- /dev/null
+++ b/src/limelever/common/events.py
@@ -0,0 +1,61 @@
+"""Numbered log events: each has a code, a name, a level and a text, and stands in docs/EVENTS.md.
+
+Each room defines its own in its ``events`` module with :func:`define`; the ranges are
+1000 common and transport, 2000 source, 3000 relay, publisher and subscriber, 4000 proxy,
+5000 agent, 6000 keeper, 7000 command line. Codes are never reused.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Level(StrEnum):
+    """Log level, named as loguru names it."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+@dataclass(frozen=True, slots=True)
+class EventKind:
+    """One kind of log event; ``fields`` names what each occurrence carries."""
+
+    code: int
+    name: str
+    level: Level
+    text: str
+    fields: tuple[str, ...]
+
+
+CATALOGUE: dict[int, EventKind] = {}
+
+
+def define(code: int, name: str, level: Level, text: str, *fields: str) -> int:
+    """Add an event kind to the catalogue and return its code."""
+    if code in CATALOGUE:
+        raise ValueError(f"event code {code} is taken by {CATALOGUE[code].name}")
+    CATALOGUE[code] = EventKind(code, name, level, text, fields)
+    return code
+
+
+PROCESS_STARTED = define(1000, "process-started", Level.INFO, "process started", "role", "name")
+PROCESS_READY = define(1001, "process-ready", Level.INFO, "process is ready", "role", "name")
+PROCESS_STOPPING = define(1002, "process-stopping", Level.INFO, "planned stop began", "reason")
+PROCESS_STOPPED = define(1003, "process-stopped", Level.INFO, "process stopped", "status")
+LINK_OPENED = define(1010, "link-opened", Level.DEBUG, "link opened", "peer", "purpose")
+LINK_CLOSED = define(1011, "link-closed", Level.INFO, "link closed", "peer", "purpose", "reason")
+LINK_REFUSED = define(
+    1012, "link-refused", Level.WARNING, "link refused at hello", "peer", "kind", "reason"
+)
+DIAL_FAILED = define(1013, "dial-failed", Level.INFO, "dial failed", "address", "reason")
+FRAME_REFUSED = define(
+    1014, "frame-refused", Level.WARNING, "frame refused", "peer", "kind", "reason"
+)
+SEND_QUEUE_FULL = define(
+    1015, "send-queue-full", Level.WARNING, "peer reads too slowly, link closed", "peer", "limit"
+)
+DISK_FAILED = define(1020, "disk-failed", Level.ERROR, "disk write failed", "kind", "reason")
--- /dev/null
+++ b/src/limelever/common/framing.py
@@ -0,0 +1,105 @@
+"""Frames between the system's own processes: a 4-byte big-endian length, then a ``Frame``.
+
+A frame over the compression threshold travels as a zstandard-compressed frame inside a frame.
+Sizes are in bytes.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+
+import zstandard
+from google.protobuf.message import DecodeError, Message
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.link_pb2 import Frame
+
+LENGTH_PREFIX = struct.Struct(">I")
+DEFAULT_FRAME_LIMIT = 16 * 1024 * 1024
+NO_COMPRESSION = 0
+_COMPRESSION_LEVEL = 3
+
+_BODY_FIELD = {
+    field.message_type.full_name: field.name
+    for field in Frame.DESCRIPTOR.fields
+    if field.message_type is not None
+}
+
+
+def encode_frame(message: Message, compress_from: int = NO_COMPRESSION) -> bytes:
+    """Return the bytes of a frame around ``message``.
+
+    ``compress_from`` is the size from which a frame is compressed; ``NO_COMPRESSION`` turns
+    compression off.
+    """
+    frame = Frame()
+    getattr(frame, _BODY_FIELD[message.DESCRIPTOR.full_name]).CopyFrom(message)
+    payload = frame.SerializeToString()
+    if compress_from and len(payload) >= compress_from:
+        packed = zstandard.ZstdCompressor(level=_COMPRESSION_LEVEL).compress(payload)
+        payload = Frame(compressed=packed).SerializeToString()
+    return LENGTH_PREFIX.pack(len(payload)) + payload
+
+
+def decode_payload(payload: bytes, limit: int = DEFAULT_FRAME_LIMIT) -> Message | Failure:
+    """Return the message within a frame's payload, or a failure for anything malformed."""
+    frame = _parse(payload)
+    if isinstance(frame, Failure):
+        return frame
+    if frame.WhichOneof("body") == "compressed":
+        inflated = _decompress(frame.compressed, limit)
+        if isinstance(inflated, Failure):
+            return inflated
+        frame = _parse(inflated)
+        if isinstance(frame, Failure):
+            return frame
+    name = frame.WhichOneof("body")
+    if name is None or name == "compressed":
+        return Failure(ErrorKind.PROTOCOL_VIOLATION, "frame without a known body")
+    body: Message = getattr(frame, name)
+    return body
+
+
+def _parse(payload: bytes) -> Frame | Failure:
+    try:
+        return Frame.FromString(payload)
+    except DecodeError as error:
+        return Failure(ErrorKind.PROTOCOL_VIOLATION, f"frame does not parse: {error}")
+
+
+def _decompress(packed: bytes, limit: int) -> bytes | Failure:
+    try:
+        size = zstandard.frame_content_size(packed)
+        if size < 0 or size > limit:
+            return Failure(ErrorKind.MESSAGE_TOO_LARGE, f"compressed frame of {size} bytes")
+        return zstandard.ZstdDecompressor().decompress(packed, max_output_size=limit)
+    except zstandard.ZstdError as error:
+        return Failure(ErrorKind.PROTOCOL_VIOLATION, f"frame does not decompress: {error}")
+
+
+@dataclass(slots=True)
+class FrameReader:
+    """Cuts a byte stream into payloads; holds at most one frame's worth of bytes."""
+
+    limit: int = DEFAULT_FRAME_LIMIT
+    _buffer: bytearray | None = None
+
+    def feed(self, data: bytes) -> list[bytes] | Failure:
+        """Take bytes and return the payloads completed by them, or a failure."""
+        if self._buffer is None:
+            self._buffer = bytearray()
+        self._buffer += data
+        payloads: list[bytes] = []
+        while len(self._buffer) >= LENGTH_PREFIX.size:
+            (size,) = LENGTH_PREFIX.unpack_from(self._buffer)
+            if size > self.limit:
+                return Failure(
+                    ErrorKind.MESSAGE_TOO_LARGE, f"frame of {size} bytes, limit {self.limit}"
+                )
+            end = LENGTH_PREFIX.size + size
+            if len(self._buffer) < end:
+                break
+            payloads.append(bytes(self._buffer[LENGTH_PREFIX.size : end]))
+            del self._buffer[:end]
+        return payloads
--- /dev/null
+++ b/src/limelever/common/sansio.py
@@ -0,0 +1,240 @@
+"""The contract between sans-io cores and the shells that run them.
+
+A core takes one event with the time and returns outputs. It never reads a clock, a socket,
+a file or a global random number, so that the simulator runs the shipped code under virtual
+time. The trio shell in ``limelever.transport.runner`` and the simulator's host both carry
+out the outputs defined here.
+
+Times are seconds of a monotonic clock, as ``float``. Connection identifiers are unique
+within a core: those of accepted connections are odd and drawn by the shell, those of dialled
+connections are even and drawn by the core (see :class:`DialledConnections`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol, runtime_checkable
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import Failure
+
+ConnectionId = int
+
+
+class Role(StrEnum):
+    """Role of a process in the system."""
+
+    SOURCE = "source"
+    RELAY = "relay"
+    PROXY = "proxy"
+    AGENT = "agent"
+    OPERATOR = "operator"
+
+
+class Purpose(StrEnum):
+    """What a link between two processes carries; named in the dialling side's hello."""
+
+    REPLICATION = "replication"
+    SUBSCRIPTION = "subscription"
+    ENDPOINTS = "endpoints"
+    REGISTRATION = "registration"
+    CALLS = "calls"
+    KEEPER = "keeper"
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A TCP address: IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """The other end of a link, as its hello (or answer to ours) states it."""
+
+    role: Role
+    name: str
+    zone: str
+    purpose: Purpose
+    identity: str = ""
+    incarnation: int = 0
+
+
+# --- events: what a core is told -----------------------------------------------------------
+
+
+class Event:
+    """Base of everything a core is told."""
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Started(Event):
+    """First event of every core; dials and timers begin here."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionOpened(Event):
+    """A link is up and its credentials were accepted."""
+
+    connection: ConnectionId
+    peer: Peer
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionFailed(Event):
+    """A dial failed; the identifier is spent."""
+
+    connection: ConnectionId
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionClosed(Event):
+    """A link that was open is gone; also follows the core's own ``CloseConnection``."""
+
+    connection: ConnectionId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class MessageReceived(Event):
+    """A message (the body of one frame) arrived on a link."""
+
+    connection: ConnectionId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class WriteCompleted(Event):
+    """The disk write with this token is synced, and so are all earlier ones."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlineReached(Event):
+    """The time returned by ``next_deadline`` has come."""
+
+
+# --- outputs: what a core asks for ----------------------------------------------------------
+
+
+class Output:
+    """Base of everything a core asks its shell to do."""
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection(Output):
+    """Dial an address; answered by ``ConnectionOpened`` or ``ConnectionFailed``."""
+
+    connection: ConnectionId
+    address: Address
+    purpose: Purpose
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage(Output):
+    """Send a message on a link; dropped silently when the link is already gone."""
+
+    connection: ConnectionId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class CloseConnection(Output):
+    """Close a link after what was sent on it before; answered by ``ConnectionClosed``."""
+
+    connection: ConnectionId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendLog(Output):
+    """Append records to the core's log and sync; answered by ``WriteCompleted``."""
+
+    token: int
+    records: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TruncateLog(Output):
+    """Keep only the first ``keep_records`` records of the log; answered by ``WriteCompleted``."""
+
+    token: int
+    keep_records: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResetLog(Output):
+    """Replace the whole log by these records, atomically; answered by ``WriteCompleted``."""
+
+    token: int
+    records: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceFile(Output):
+    """Replace a named file atomically and sync; answered by ``WriteCompleted``."""
+
+    token: int
+    name: str
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent(Output):
+    """Write a numbered event of ``limelever.common.events`` to the log."""
+
+    code: int
+    fields: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class StopProcess(Output):
+    """The core cannot go on safely: stop the process with this failure."""
+
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a disk gave back at start: the log's records in order, and the named files."""
+
+    records: tuple[bytes, ...] = ()
+    files: dict[str, bytes] = field(default_factory=dict)
+
+
+@runtime_checkable
+class Core(Protocol):
+    """A sans-io protocol core."""
+
+    def handle(self, event: Event, now: float) -> Sequence[Output]:
+        """Take one event at time ``now`` (seconds, monotonic) and return what is to be done."""
+
+    def next_deadline(self) -> float | None:
+        """Return the time at which ``DeadlineReached`` is wanted, or ``None``."""
+
+
+class DialledConnections:
+    """Draws identifiers for dialled connections: even, never reused."""
+
+    def __init__(self) -> None:
+        self._last = 0
+
+    def draw(self) -> ConnectionId:
+        """Return a fresh identifier."""
+        self._last += 2
+        return self._last
--- /dev/null
+++ b/src/limelever/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""Keepers of claims on idempotency keys, on machines with disks."""
--- /dev/null
+++ b/src/limelever/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf schemas and the committed code generated from them."""
--- /dev/null
+++ b/src/limelever/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy: request routing, limits and retries."""
--- /dev/null
+++ b/src/limelever/publisher/__init__.py
@@ -0,0 +1,1 @@
+"""The publishing end of configuration distribution, shared by source and relay."""
--- /dev/null
+++ b/src/limelever/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays: configuration and endpoint distribution within a zone."""
--- /dev/null
+++ b/src/limelever/source/__init__.py
@@ -0,0 +1,1 @@
+"""The source of configuration: replicated log, state machine and operators' service."""
--- /dev/null
+++ b/src/limelever/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable storage: checksummed log and atomically replaced files."""
--- /dev/null
+++ b/src/limelever_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fleet launcher, load generator, simulator, experiments and model checker."""
