--- /dev/null
+++ b/src/limelever/publisher/settings.py
@@ -0,0 +1,28 @@
+"""Settings of the publisher; durations are in seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PublisherSettings:
+    """Bounds and intervals of a publisher.
+
+    ``batch_delay`` is how long changes are gathered before they are sent as one delta: it
+    trades convergence time for control bytes. ``window`` is the number of versions kept for
+    deltas. ``outstanding`` bounds the deltas sent to one subscriber and not yet acknowledged.
+    ``admission_rate`` (a second) and ``admission_burst`` bound the subscriptions answered
+    with configuration; those turned away are spread over at most ``retry_after_limit``.
+    """
+
+    batch_delay: float = 0.05
+    heartbeat_interval: float = 3.0
+    window: int = 1024
+    outstanding: int = 4
+    admission_rate: float = 400.0
+    admission_burst: float = 800.0
+    retry_after_limit: float = 30.0
+    proof_timeout: float = 2.0
+    report_interval: float = 1.0
+    proves_itself: bool = True
--- /dev/null
+++ b/src/limelever/subscriber/notices.py
@@ -0,0 +1,45 @@
+"""Outputs of the subscriber that are meant for the core around it, not for the shell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.sansio import Output
+from limelever.protocol.config_pb2 import VersionedResource
+from limelever.protocol.endpoints_pb2 import EndpointUpdate
+from limelever.protocol.keys import Key
+from limelever.subscriber.configuration import ConfigurationSet
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationInstalled(Output):
+    """A version is in force from now on: swap ``configuration`` in by one assignment.
+
+    ``put`` and ``removed`` are what differs from the set installed before.
+    """
+
+    version: int
+    configuration: ConfigurationSet
+    put: tuple[VersionedResource, ...] = ()
+    removed: tuple[Key, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VersionConfirmed(Output):
+    """The set installed is also right at this later version: nothing in scope changed."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class FreshnessProved(Output):
+    """The set installed was current at time ``at`` (seconds, monotonic)."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsReceived(Output):
+    """The publisher, a relay, sent endpoints on the subscription link."""
+
+    update: EndpointUpdate
--- /dev/null
+++ b/src/limelever/subscriber/settings.py
@@ -0,0 +1,29 @@
+"""Settings of the subscriber; durations are in seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.backoff import BackoffSettings
+from limelever.common.sansio import Address
+
+
+@dataclass(frozen=True, slots=True)
+class SubscriberSettings:
+    """Where a subscriber gets its configuration from, and which part of it.
+
+    ``services`` is the scope; ``everything`` is for relays and replaces it. ``stale_after`` is
+    the age of the publisher's last proof from which another publisher is sought. With
+    ``persist_snapshot`` the configuration is also kept on disk, at most every
+    ``snapshot_delay``.
+    """
+
+    publishers: tuple[Address, ...]
+    services: tuple[str, ...] = ()
+    everything: bool = False
+    stale_after: float = 8.0
+    probe_interval: float = 2.0
+    answer_timeout: float = 5.0
+    backoff: BackoffSettings = BackoffSettings()
+    persist_snapshot: bool = False
+    snapshot_delay: float = 2.0
