Keep records and files on a checked disk

Cause: votes and entries count only once synced, so every role with a disk needs a log and files that either check out or refuse to start. Conclusion: roles build on storage.folder.open_folder.

--- a/src/limelever/storage/__init__.py
+++ b/src/limelever/storage/__init__.py
@@ -1,1 +1,1 @@
-"""Durable storage: checksummed log and atomically replaced files."""
+"""Checksummed log, atomic files, data folder lock."""
--- /dev/null
+++ b/src/limelever/storage/folder.py
@@ -0,0 +1,193 @@
+"""A disk in a data folder: one checksummed log, files replaced atomically, and a lock.
+
+All functions block; the shell calls them in a worker thread.
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+from collections.abc import Sequence
+from pathlib import Path
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import (
+    AppendLog,
+    Output,
+    Recovered,
+    ReplaceFile,
+    ResetLog,
+    TruncateLog,
+)
+from limelever.storage.atomic import replace_file, sync_folder, write_all
+from limelever.storage.disk import DISK_WRITES, DiskWrite
+from limelever.storage.records import Scan, encode_record, scan_records
+
+LOG_NAME = "log"
+FILES_NAME = "files"
+LOCK_NAME = "lock"
+_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
+
+def open_folder(path: Path | str) -> FolderDisk | Failure:
+    """Lock the data folder at ``path`` (made when missing), check it and return its disk.
+
+    Fails with DATA_FOLDER_IN_USE when another process holds it, and with DATA_DAMAGED when
+    synced bytes do not check out; a torn tail of the log is cut.
+    """
+    folder = Path(path)
+    try:
+        (folder / FILES_NAME).mkdir(parents=True, exist_ok=True)
+        lock = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    except OSError as error:
+        return _failure_of(error)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return Failure(ErrorKind.DATA_FOLDER_IN_USE, f"{folder} is held by another process")
+    opened = _open_locked(folder, lock)
+    if isinstance(opened, Failure):
+        os.close(lock)
+    return opened
+
+
+def _open_locked(folder: Path, lock: int) -> FolderDisk | Failure:
+    try:
+        files = _read_files(folder / FILES_NAME)
+        if isinstance(files, Failure):
+            return files
+        scan = _read_log(folder, bool(files))
+        if isinstance(scan, Failure):
+            return scan
+        return FolderDisk(folder, lock, scan, files)
+    except OSError as error:
+        return _failure_of(error)
+
+
+def _read_files(folder: Path) -> dict[str, bytes] | Failure:
+    """Return the named files' contents; leftovers of replacements cut short are removed."""
+    files: dict[str, bytes] = {}
+    for entry in sorted(folder.iterdir()):
+        if entry.suffix == ".tmp":
+            entry.unlink()
+            continue
+        data = entry.read_bytes()
+        scan = scan_records(data)
+        if isinstance(scan, Failure) or len(scan.records) != 1 or scan.end != len(data):
+            return Failure(ErrorKind.DATA_DAMAGED, f"file {entry.name} does not check out")
+        files[entry.name] = scan.records[0]
+    return files
+
+
+def _read_log(folder: Path, has_files: bool) -> Scan | Failure:
+    log = folder / LOG_NAME
+    if not log.exists():
+        if has_files:
+            return Failure(ErrorKind.DATA_DAMAGED, "the log is missing beside files that exist")
+        return Scan((), (), 0)
+    data = log.read_bytes()
+    return scan_records(data)
+
+
+def _failure_of(error: OSError) -> Failure:
+    kind = ErrorKind.DISK_FULL if error.errno in _FULL_ERRORS else ErrorKind.DATA_DAMAGED
+    return Failure(kind, f"disk: {error.strerror or error}")
+
+
+class FolderDisk:
+    """A :class:`~limelever.storage.disk.Disk` in a locked folder; made by ``open_folder``."""
+
+    def __init__(self, folder: Path, lock: int, scan: Scan, files: dict[str, bytes]) -> None:
+        self._folder = folder
+        self._lock = lock
+        self._recovered = Recovered(scan.records, files)
+        self._offsets = list(scan.offsets)
+        self._end = scan.end
+        self._dirty = False
+        self._failure: Failure | None = None
+        self._log = self._open_log()
+        os.ftruncate(self._log, self._end)
+        os.fsync(self._log)
+        sync_folder(folder)
+
+    @property
+    def recovered(self) -> Recovered:
+        """Return the records and files that the folder held when it was opened."""
+        return self._recovered
+
+    def close(self) -> None:
+        """Release the folder; the disk is not used afterwards."""
+        os.close(self._log)
+        os.close(self._lock)
+
+    def perform(self, outputs: Sequence[Output]) -> Failure | None:
+        """Carry out the disk writes among ``outputs`` in order, with one sync for all appends.
+
+        A write that fails is undone; those before it in the batch stay and are synced.
+        """
+        if self._failure is not None:
+            return self._failure
+        try:
+            for write in outputs:
+                if isinstance(write, DISK_WRITES):
+                    self._carry_out(write)
+            self._sync_log()
+        except OSError as error:
+            self._failure = _failure_of(error)
+        return self._failure
+
+    def _carry_out(self, write: DiskWrite) -> None:
+        match write:
+            case AppendLog():
+                self._append(write.records)
+            case TruncateLog():
+                self._truncate(write.keep_records)
+            case ResetLog():
+                self._reset(write.records)
+            case ReplaceFile():
+                self._sync_log()  # a later write must not survive an earlier one
+                replace_file(self._folder / FILES_NAME, write.name, encode_record(write.content))
+
+    def _append(self, records: Sequence[bytes]) -> None:
+        encoded = [encode_record(record) for record in records]
+        try:
+            write_all(self._log, self._end, b"".join(encoded))
+        except OSError:
+            os.ftruncate(self._log, self._end)
+            self._sync_log()
+            raise
+        self._note(encoded)
+        self._dirty = True
+
+    def _truncate(self, keep_records: int) -> None:
+        if keep_records >= len(self._offsets):
+            return
+        self._end = self._offsets[keep_records]
+        del self._offsets[keep_records:]
+        os.ftruncate(self._log, self._end)
+        self._dirty = True
+
+    def _reset(self, records: Sequence[bytes]) -> None:
+        self._sync_log()
+        encoded = [encode_record(record) for record in records]
+        replace_file(self._folder, LOG_NAME, b"".join(encoded))
+        os.close(self._log)
+        self._log = self._open_log()
+        self._offsets.clear()
+        self._end = 0
+        self._note(encoded)
+
+    def _note(self, encoded: Sequence[bytes]) -> None:
+        for record in encoded:
+            self._offsets.append(self._end)
+            self._end += len(record)
+
+    def _sync_log(self) -> None:
+        if self._dirty:
+            os.fsync(self._log)
+            self._dirty = False
+
+    def _open_log(self) -> int:
+        return os.open(self._folder / LOG_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
