--- /dev/null
+++ b/src/limelever/source/state.py
@@ -0,0 +1,253 @@
+"""The replicated state machine: resources, and the answers to the requests that changed them.
+
+Pure: the same batches at the same log indices give the same state on every replica. A batch is
+checked against the state it lands on and takes effect whole or not at all. The shape of a batch
+is checked at the leader's door by :mod:`limelever.source.validation`, where secrets are sealed
+too, so that a later rule cannot make replicas of two releases disagree about an old entry.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.config_pb2 import Batch, Resource, VersionedResource
+from limelever.protocol.keys import Key, parse_key
+from limelever.protocol.operators_pb2 import (
+    CHANGE_ACTION_CREATE,
+    CHANGE_ACTION_DELETE,
+    CHANGE_ACTION_UNCHANGED,
+    CHANGE_ACTION_UPDATE,
+    ApplyResponse,
+    Change,
+    ChangeAction,
+)
+from limelever.protocol.replication_pb2 import RequestRecord, SourceSnapshot
+from limelever.source.references import Edge, ReferenceIndex, dangling, still_referenced
+from limelever.source.request_records import DEFAULT_RECORD_LIMIT, RecordMiss, RequestRecords
+
+MAX_NAMED = 20
+_FINGERPRINT_BYTES = 16
+_MISS_REASONS = {
+    RecordMiss.MALFORMED: "request id is not UNIQUE@POSITION",
+    RecordMiss.FROM_THE_FUTURE: "request id has a position that the log has not reached",
+    RecordMiss.MAYBE_DROPPED: (
+        "request id is older than the kept answers: this sending was not run, and whether an "
+        "earlier one was is no longer known; look at the state and draw a new id"
+    ),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedBatch:
+    """What an accepted batch changed: the resources put and the keys removed."""
+
+    version: int
+    put: tuple[VersionedResource, ...]
+    removed: tuple[Key, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyOutcome:
+    """What became of a batch.
+
+    ``answer`` goes to the operator; ``applied`` is ``None`` when nothing changed (refused,
+    repeated, or every resource already so).
+    """
+
+    record: RequestRecord
+    answer: ApplyResponse | Failure
+    applied: AppliedBatch | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    put: dict[Key, Resource]
+    deleted: tuple[Key, ...]
+    changes: tuple[Change, ...]
+
+
+class StateMachine:
+    """Services, routes, shares and secrets with the version that last changed each."""
+
+    def __init__(self, record_limit: int = DEFAULT_RECORD_LIMIT) -> None:
+        """``record_limit`` is the number of request answers kept; equal on all replicas."""
+        self._version = 0
+        self._resources: dict[Key, VersionedResource] = {}
+        self._references = ReferenceIndex()
+        self._records = RequestRecords(record_limit)
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version: the log index of the last batch that changed it."""
+        return self._version
+
+    def get(self, key: Key) -> VersionedResource | None:
+        """Return the resource with ``key``; a secret's value is sealed."""
+        return self._resources.get(key)
+
+    def resources(self) -> list[VersionedResource]:
+        """Return all resources in the order of their keys; secret values are sealed."""
+        return [self._resources[key] for key in sorted(self._resources)]
+
+    def apply(self, version: int, batch: Batch) -> ApplyOutcome:
+        """Apply the committed ``batch`` whose log index is ``version``."""
+        found = self._records.find(batch.request_id, version)
+        if isinstance(found, RequestRecord):
+            return self._repeat(found, batch)
+        if found is not RecordMiss.NEW:
+            conflict = found is RecordMiss.MAYBE_DROPPED
+            kind = ErrorKind.CONFLICT if conflict else ErrorKind.INVALID_REQUEST
+            return self._refuse(batch, self._failure(kind, _MISS_REASONS[found]))
+        plan = self._plan(batch)
+        if isinstance(plan, Failure):
+            outcome = self._refuse(batch, plan)
+        else:
+            outcome = self._accept(version, batch, plan)
+        self._records.add(outcome.record)
+        return outcome
+
+    def dry_run(self, batch: Batch) -> ApplyResponse | Failure:
+        """Return what ``batch`` would change now, or why it would be refused."""
+        plan = self._plan(batch)
+        if isinstance(plan, Failure):
+            return plan
+        return ApplyResponse(version=self._version, changes=plan.changes)
+
+    def snapshot(self) -> SourceSnapshot:
+        """Return the state in a snapshot; position and members are left to the caller."""
+        return SourceSnapshot(
+            version=self._version,
+            resources=self.resources(),
+            requests=self._records.oldest_first(),
+            removed_requests_through=self._records.removed_through,
+        )
+
+    def restore(self, snapshot: SourceSnapshot) -> None:
+        """Replace the state by that of ``snapshot``."""
+        self._version = snapshot.version
+        self._resources = {Key.of(item.resource): item for item in snapshot.resources}
+        self._references = ReferenceIndex()
+        for item in snapshot.resources:
+            self._references.add(item.resource)
+        self._records.restore(snapshot.requests, snapshot.removed_requests_through)
+
+    def _failure(self, kind: ErrorKind, reason: str, keys: Sequence[Key] = ()) -> Failure:
+        named = tuple(str(key) for key in keys[:MAX_NAMED])
+        current = self._version if kind is ErrorKind.CONFLICT else 0
+        return Failure(kind, reason, named, current_version=current)
+
+    def _repeat(self, record: RequestRecord, batch: Batch) -> ApplyOutcome:
+        if record.fingerprint != fingerprint(batch):
+            reason = "request id was used before with other content; this sending was not run"
+            return self._refuse(batch, self._failure(ErrorKind.CONFLICT, reason))
+        return ApplyOutcome(record, answer_of(record), None)
+
+    def _refuse(self, batch: Batch, failure: Failure) -> ApplyOutcome:
+        parsed = (parse_key(text) for text in failure.resources)
+        record = RequestRecord(
+            request_id=batch.request_id,
+            version=self._version,
+            error_kind=failure.kind.value,
+            error_reason=failure.reason,
+            fingerprint=fingerprint(batch),
+            resources=[key.to_message() for key in parsed if isinstance(key, Key)],
+        )
+        return ApplyOutcome(record, failure, None)
+
+    def _accept(self, version: int, batch: Batch, plan: _Plan) -> ApplyOutcome:
+        applied = self._take(version, plan)
+        record = RequestRecord(
+            request_id=batch.request_id, version=self._version, fingerprint=fingerprint(batch)
+        )
+        answer = ApplyResponse(version=self._version, changes=plan.changes)
+        return ApplyOutcome(record, answer, applied)
+
+    def _take(self, version: int, plan: _Plan) -> AppliedBatch | None:
+        put = tuple(
+            VersionedResource(resource=resource, version=version)
+            for key, resource in sorted(plan.put.items())
+            if not self._holds(key, resource)
+        )
+        if not put and not plan.deleted:
+            return None
+        for item in put:
+            self._forget(Key.of(item.resource))
+            self._resources[Key.of(item.resource)] = item
+            self._references.add(item.resource)
+        for key in plan.deleted:
+            self._forget(key)
+        self._version = version
+        return AppliedBatch(version, put, plan.deleted)
+
+    def _forget(self, key: Key) -> None:
+        earlier = self._resources.pop(key, None)
+        if earlier is not None:
+            self._references.remove(earlier.resource)
+
+    def _holds(self, key: Key, resource: Resource) -> bool:
+        held = self._resources.get(key)
+        return held is not None and held.resource == resource
+
+    def _plan(self, batch: Batch) -> _Plan | Failure:
+        put = {Key.of(resource): resource for resource in batch.put}
+        deleted = tuple(sorted({Key.from_message(key) for key in batch.delete}))
+        failure = self._check(batch, put, deleted)
+        if failure is not None:
+            return failure
+        changes = [Change(action=self._action(key, put[key]), key=key.to_message()) for key in put]
+        changes += [Change(action=CHANGE_ACTION_DELETE, key=key.to_message()) for key in deleted]
+        return _Plan(put, deleted, tuple(changes))
+
+    def _action(self, key: Key, resource: Resource) -> ChangeAction.ValueType:
+        if key not in self._resources:
+            return CHANGE_ACTION_CREATE
+        if self._holds(key, resource):
+            return CHANGE_ACTION_UNCHANGED
+        return CHANGE_ACTION_UPDATE
+
+    def _check(
+        self, batch: Batch, put: dict[Key, Resource], deleted: tuple[Key, ...]
+    ) -> Failure | None:
+        if batch.HasField("expected_version") and batch.expected_version != self._version:
+            return self._failure(
+                ErrorKind.CONFLICT,
+                f"expected version {batch.expected_version}, current version is {self._version}",
+            )
+        absent = [key for key in deleted if key not in self._resources]
+        if absent:
+            return self._failure(ErrorKind.NOT_FOUND, "nothing to delete", absent)
+        used = still_referenced(deleted, put, self._references)
+        if used:
+            return self._reference_failure(ErrorKind.STILL_REFERENCED, "is still used by", used)
+        missing = dangling(put, (self._resources.keys() | put.keys()) - set(deleted))
+        if missing:
+            return self._reference_failure(ErrorKind.DANGLING_REFERENCE, "is missing for", missing)
+        return None
+
+    def _reference_failure(self, kind: ErrorKind, verb: str, edges: list[Edge]) -> Failure:
+        texts = [f"{target} {verb} {referrer}" for referrer, target in edges[:MAX_NAMED]]
+        if len(edges) > MAX_NAMED:
+            texts.append(f"and {len(edges) - MAX_NAMED} more")
+        return self._failure(kind, "; ".join(texts), sorted({target for _, target in edges}))
+
+
+def fingerprint(batch: Batch) -> bytes:
+    """Return a digest of what ``batch`` asks for, without its request id."""
+    content = Batch()
+    content.CopyFrom(batch)
+    content.ClearField("request_id")
+    data = content.SerializeToString(deterministic=True)
+    return hashlib.blake2b(data, digest_size=_FINGERPRINT_BYTES).digest()
+
+
+def answer_of(record: RequestRecord) -> ApplyResponse | Failure:
+    """Return the first answer to a request, from its record; the changes are not kept."""
+    if not record.error_kind:
+        return ApplyResponse(version=record.version, repeated_answer=True)
+    kind = ErrorKind(record.error_kind)
+    names = tuple(str(Key.from_message(key)) for key in record.resources)
+    current = record.version if kind is ErrorKind.CONFLICT else 0
+    return Failure(kind, record.error_reason, names, current_version=current)
--- /dev/null
+++ b/src/limelever/source/validation.py
@@ -0,0 +1,204 @@
+"""Checks the shape of a batch before it is proposed: names, sizes, ranges.
+
+Every problem is found in one pass. Whether references hold depends on the state and is checked
+by the state machine. Durations are in milliseconds, sizes in bytes.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.config_pb2 import (
+    CALL_KIND_AT_MOST_ONCE,
+    CALL_KIND_REPEATABLE,
+    Batch,
+    Resource,
+    Route,
+    Secret,
+    Service,
+    Share,
+)
+from limelever.protocol.keys import KIND_TEXT, SEPARATOR, Key
+from limelever.source.request_records import position_of
+
+MAX_BATCH_BYTES = 1 << 20
+MAX_BATCH_RESOURCES = 1000
+MAX_WEIGHT = 10_000
+MAX_DURATION_MS = 3_600_000
+MAX_BODY_BYTES = 1 << 30
+MAX_PATH_PREFIX = 512
+MAX_METHODS = 16
+MAX_ROUTE_SECRETS = 16
+MAX_SECRET_VALUE_BYTES = 4096
+MAX_PERCENT = 100
+BATCH_SUBJECT = "batch"
+
+_NAME = re.compile(r"[a-z0-9](?:[a-z0-9._-]{0,61}[a-z0-9])?")
+_PATH_PREFIX = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
+_METHOD = re.compile(r"[A-Z]{1,16}")
+_HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
+_HEADER_VALUE = re.compile(rb"[\x21-\x7e](?:[\t\x20-\x7e]*[\x21-\x7e])?")
+_RESERVED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_NAME_REASON = "must be 1 to 63 of a-z 0-9 . _ - and begin and end with a letter or digit"
+
+
+@dataclass(frozen=True, slots=True)
+class FieldProblem:
+    """One thing wrong with a batch: which resource, which field, and why."""
+
+    resource: str
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return ``resource: field: reason``."""
+        return f"{self.resource}: {self.field}: {self.reason}"
+
+
+Finding = tuple[str, str]
+
+
+def validate_batch(batch: Batch) -> tuple[FieldProblem, ...]:
+    """Return all that is wrong with ``batch``, its request id included; empty = sound."""
+    problems = [FieldProblem(BATCH_SUBJECT, field, reason) for field, reason in _batch(batch)]
+    if position_of(batch.request_id) is None:
+        reason = "must be UNIQUE@POSITION, the position a committed log index"
+        problems.insert(0, FieldProblem(BATCH_SUBJECT, "request_id", reason))
+    return (*problems, *validate_resources(batch))
+
+
+def validate_resources(batch: Batch) -> tuple[FieldProblem, ...]:
+    """Return what is wrong with the resources and keys of ``batch``."""
+    problems: list[FieldProblem] = []
+    for index, resource in enumerate(batch.put):
+        subject = str(Key.of(resource)) if resource.WhichOneof("body") else f"put[{index}]"
+        problems += [FieldProblem(subject, *finding) for finding in _resource(resource)]
+    for index, key in enumerate(batch.delete):
+        if key.kind not in KIND_TEXT or not key.name:
+            problems.append(FieldProblem(f"delete[{index}]", "key", "needs a kind and a name"))
+    return (*problems, *_duplicates(batch))
+
+
+def failure_of(problems: tuple[FieldProblem, ...]) -> Failure:
+    """Return ``INVALID_REQUEST`` with every problem in its reason."""
+    resources = dict.fromkeys(problem.resource for problem in problems)
+    return Failure(
+        ErrorKind.INVALID_REQUEST, "; ".join(str(problem) for problem in problems), tuple(resources)
+    )
+
+
+def _batch(batch: Batch) -> Iterator[Finding]:
+    count = len(batch.put) + len(batch.delete)
+    if not count:
+        yield "put", "batch changes nothing"
+    if count > MAX_BATCH_RESOURCES:
+        yield "put", f"{count} resources, at most {MAX_BATCH_RESOURCES}"
+    if batch.ByteSize() > MAX_BATCH_BYTES:
+        yield "put", f"{batch.ByteSize()} bytes, at most {MAX_BATCH_BYTES}"
+
+
+def _duplicates(batch: Batch) -> Iterator[FieldProblem]:
+    keys = [Key.of(resource) for resource in batch.put]
+    keys += [Key.from_message(key) for key in batch.delete]
+    for key, count in Counter(keys).items():
+        if count > 1 and key.name:
+            yield FieldProblem(str(key), "name", f"stands {count} times in the batch")
+
+
+def _resource(resource: Resource) -> Iterator[Finding]:
+    match resource.WhichOneof("body"):
+        case "service":
+            yield from _service(resource.service)
+        case "route":
+            yield from _route(resource.route)
+        case "share":
+            yield from _share(resource.share)
+        case "secret":
+            yield from _secret(resource.secret)
+        case _:
+            yield "body", "must be a service, a route, a share or a secret"
+
+
+def _service(service: Service) -> Iterator[Finding]:
+    yield from _name("name", service.name)
+    yield from _at_most("drain_limit_ms", service.drain_limit_ms, MAX_DURATION_MS)
+    yield from _at_most("max_body_bytes", service.max_body_bytes, MAX_BODY_BYTES)
+    yield from _at_most("slow_start_ms", service.slow_start_ms, MAX_DURATION_MS)
+
+
+def _route(route: Route) -> Iterator[Finding]:
+    yield from _name("name", route.name)
+    yield from _name("service", route.service)
+    yield from _path_prefix(route.path_prefix)
+    yield from _methods(list(route.methods))
+    if route.call_kind not in (CALL_KIND_REPEATABLE, CALL_KIND_AT_MOST_ONCE):
+        yield "call_kind", "must be repeatable or at_most_once"
+    yield from _at_most("timeout_ms", route.timeout_ms, MAX_DURATION_MS)
+    yield from _at_most("retry_budget_percent", route.retry_budget_percent, MAX_PERCENT)
+    yield from _at_most("secrets", len(route.secrets), MAX_ROUTE_SECRETS)
+    if len(set(route.secrets)) != len(route.secrets):
+        yield "secrets", "names a secret twice"
+    for name in route.secrets:
+        yield from _name("secrets", name)
+
+
+def _share(share: Share) -> Iterator[Finding]:
+    yield from _name("service", share.service)
+    yield from _name("group", share.group)
+    if not 1 <= share.weight <= MAX_WEIGHT:
+        yield "weight", f"must be 1 to {MAX_WEIGHT}, is {share.weight}"
+
+
+def _secret(secret: Secret) -> Iterator[Finding]:
+    yield from _name("name", secret.name)
+    if not _HEADER_NAME.fullmatch(secret.header):
+        yield "header", "must be an HTTP header name of 1 to 64 characters"
+    if secret.header.lower() in _RESERVED_HEADERS:
+        yield "header", "is a header that the proxy itself sets"
+    if not 1 <= len(secret.value) <= MAX_SECRET_VALUE_BYTES:
+        yield "value", f"must be 1 to {MAX_SECRET_VALUE_BYTES} bytes"
+    elif not _HEADER_VALUE.fullmatch(secret.value):
+        yield "value", "must be visible ASCII, with spaces or tabs only inside"
+
+
+def _name(field: str, name: str) -> Iterator[Finding]:
+    if not _NAME.fullmatch(name):
+        yield field, _NAME_REASON
+
+
+def _at_most(field: str, value: int, limit: int) -> Iterator[Finding]:
+    if value > limit:
+        yield field, f"must be at most {limit}, is {value}"
+
+
+def _path_prefix(prefix: str) -> Iterator[Finding]:
+    if not _PATH_PREFIX.fullmatch(prefix) or len(prefix) > MAX_PATH_PREFIX:
+        yield "path_prefix", f"must begin with / and be a path of at most {MAX_PATH_PREFIX}"
+        return
+    parts = prefix.split(SEPARATOR)[1:]
+    if any(part in (".", "..") for part in parts) or "" in parts[:-1]:
+        yield "path_prefix", "must not hold empty, . or .. segments"
+
+
+def _methods(methods: list[str]) -> Iterator[Finding]:
+    yield from _at_most("methods", len(methods), MAX_METHODS)
+    if len(set(methods)) != len(methods):
+        yield "methods", "names a method twice"
+    if not all(_METHOD.fullmatch(method) for method in methods):
+        yield "methods", "must be upper-case HTTP methods"
