Add the trio shells: links with hello, core runner, listener, admin, life cycle

Cause: every core needs the same thin I/O around it, and the simulator its contract. Change: one runner carries out a core's outputs; hellos are judged before a core sees a link; send queues are bounded in bytes; a planned stop stops the listener and leaves links open. Ruled out: one task a message (a queue drained by one loop keeps order and costs no checkpoint).

--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -46,6 +46,10 @@
 PROCESS_READY = define(1001, "process-ready", Level.INFO, "process is ready", "role", "name")
 PROCESS_STOPPING = define(1002, "process-stopping", Level.INFO, "planned stop began", "reason")
 PROCESS_STOPPED = define(1003, "process-stopped", Level.INFO, "process stopped", "status")
+PROCESS_FAILED = define(1004, "process-failed", Level.ERROR, "process cannot go on", "reason")
+STOP_LIMIT_PASSED = define(
+    1005, "stop-limit-passed", Level.WARNING, "planned stop took too long", "limit_ms"
+)
 LINK_OPENED = define(1010, "link-opened", Level.DEBUG, "link opened", "peer", "purpose")
 LINK_CLOSED = define(1011, "link-closed", Level.INFO, "link closed", "peer", "purpose", "reason")
 LINK_REFUSED = define(
--- a/src/limelever/common/framing.py
+++ b/src/limelever/common/framing.py
@@ -85,7 +85,7 @@
     limit: int = DEFAULT_FRAME_LIMIT
     _buffer: bytearray | None = None
 
-    def feed(self, data: bytes) -> list[bytes] | Failure:
+    def feed(self, data: bytes | bytearray) -> list[bytes] | Failure:
         """Take bytes and return the payloads completed by them, or a failure."""
         if self._buffer is None:
             self._buffer = bytearray()
--- /dev/null
+++ b/src/limelever/transport/listener.py
@@ -0,0 +1,110 @@
+"""Listens for links and gives each to the core that serves its purpose."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass, field
+
+import trio
+
+from limelever.common import events
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Address, Purpose
+from limelever.common.settings import AcceptedCredential, LinkSettings
+from limelever.transport.links import LinkIdentity, accept
+from limelever.transport.log import write_event
+from limelever.transport.runner import CoreRunner
+
+_BACKLOG = 1024
+
+
+@dataclass(slots=True)
+class LinkListener:
+    """Accepts links on one address, for one or more cores."""
+
+    identity: LinkIdentity
+    settings: LinkSettings
+    accepted: tuple[AcceptedCredential, ...]
+    context: ssl.SSLContext | None
+    runners: dict[Purpose, CoreRunner] = field(default_factory=dict)
+    _open: int = 0
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def serve(
+        self,
+        address: Address,
+        nursery: trio.Nursery,
+        task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listen until :meth:`stop`; reports the bound address, or why it could not bind.
+
+        Links run in ``nursery``, so that they outlive the listener at a planned stop.
+        """
+        try:
+            listeners = await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=_BACKLOG
+            )
+        except OSError as error:
+            reason = f"cannot listen on {address}: {error}"
+            task_status.started(Failure(ErrorKind.INVALID_SETTINGS, reason))
+            return
+        port = listeners[0].socket.getsockname()[1]
+        with self._scope:
+            await trio.serve_listeners(
+                self._handle,
+                listeners,
+                handler_nursery=nursery,
+                task_status=_Reported(task_status, Address(address.host, port)),
+            )
+
+    def stop(self) -> None:
+        """Stop accepting; open links go on."""
+        self._scope.cancel()
+
+    async def _handle(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self.settings.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            if self.context is not None:
+                stream = trio.SSLStream(
+                    stream,
+                    self.context,
+                    server_side=True,
+                    https_compatible=True,
+                )
+            await self._serve(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            _refused("(unknown)", Failure(ErrorKind.CONNECTION_LOST, str(error)))
+        finally:
+            self._open -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        purposes = frozenset(self.runners)
+        link = await accept(stream, self.identity, self.settings, self.accepted, purposes)
+        if isinstance(link, Failure):
+            _refused("(unknown)", link)
+            return
+        assert link.peer is not None
+        await self.runners[link.peer.purpose].serve(link)
+
+
+class _Reported(trio.TaskStatus[object]):
+    """Passes the bound address on in place of trio's list of listeners."""
+
+    def __init__(self, status: trio.TaskStatus[Address | Failure], address: Address) -> None:
+        self._status = status
+        self._address = address
+
+    def started(self, value: object = None) -> None:
+        """Report the address."""
+        self._status.started(self._address)
+
+
+def _refused(peer: str, failure: Failure) -> None:
+    write_event(
+        events.LINK_REFUSED,
+        {"peer": peer, "kind": failure.kind.value, "reason": failure.reason},
+    )
--- /dev/null
+++ b/src/limelever/transport/log.py
@@ -0,0 +1,64 @@
+"""Structured logs: loguru sinks, and the writer of numbered events."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+from loguru import logger
+
+from limelever.common.events import CATALOGUE
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+    from limelever.common.settings import LogSettings
+
+_TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {extra[code]} {message} {extra[text]}"
+
+
+def configure_logging(settings: LogSettings, role: str, name: str) -> None:
+    """Send log events where the settings say, stamped with the process's role and name."""
+    logger.remove()
+    logger.configure(extra={"role": role, "process": name, "code": 0, "fields": {}, "text": ""})
+    target = settings.file or sys.stderr
+    if settings.format == "text":
+        logger.add(target, level=settings.level, format=_TEXT_FORMAT)
+        return
+    stream: TextIO = sys.stderr
+    if settings.file:
+        stream = open(settings.file, "a", buffering=1, encoding="utf-8")  # noqa: SIM115
+
+    def write_line(message: Message) -> None:
+        stream.write(_json_line(message))
+
+    logger.add(write_line, level=settings.level)
+
+
+def write_event(code: int, fields: dict[str, object]) -> None:
+    """Write one numbered event; ``code`` stands in the catalogue."""
+    kind = CATALOGUE[code]
+    text = " ".join(f"{key}={value}" for key, value in fields.items())
+    bound = logger.bind(code=code, event=kind.name, fields=fields, text=text)
+    bound.log(kind.level.value, kind.text)
+
+
+def _json_line(message: Message) -> str:
+    record = message.record
+    extra = record["extra"]
+    line: dict[str, object] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "role": extra.get("role", ""),
+        "process": extra.get("process", ""),
+        "code": extra.get("code", 0),
+        "event": extra.get("event", "message"),
+        "message": record["message"],
+    }
+    fields = extra.get("fields")
+    if fields:
+        line["fields"] = fields
+    if record["exception"] is not None:
+        line["exception"] = str(record["exception"].value)
+    return json.dumps(line, default=str) + "\n"
--- /dev/null
+++ b/src/limelever/transport/process.py
@@ -0,0 +1,200 @@
+"""Life cycle of a long-running process: start, readiness, planned stop, failure."""
+
+from __future__ import annotations
+
+import signal
+import ssl
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+
+from limelever.common import events
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Address, Core, Output, Purpose
+from limelever.common.settings import ProcessSettings, seconds
+from limelever.transport.admin import serve_admin
+from limelever.transport.links import LinkIdentity
+from limelever.transport.listener import LinkListener
+from limelever.transport.log import configure_logging, write_event
+from limelever.transport.runner import CoreRunner, Disk
+from limelever.transport.tls import client_context, server_context
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class ProcessFailedError(Exception):
+    """Ends the process; carries the failure that is its reason."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(str(failure))
+        self.failure = failure
+
+
+def required(value: ssl.SSLContext | None | Failure) -> ssl.SSLContext | None:
+    """Return a context, or end the process with the reason there is none."""
+    if isinstance(value, Failure):
+        raise ProcessFailedError(value)
+    return value
+
+
+class ProcessShell:
+    """What a role's main function works with: cores, listeners, stop and readiness."""
+
+    def __init__(
+        self, settings: ProcessSettings, nursery: trio.Nursery, incarnation: int, identity: str
+    ) -> None:
+        self.settings = settings
+        self.nursery = nursery
+        self.stop_requested = trio.Event()
+        self.ready = False
+        self.incarnation = incarnation
+        self.link_identity = LinkIdentity(
+            role=settings.role,
+            name=settings.name,
+            zone=settings.zone,
+            credential=settings.credentials.own,
+            identity=identity,
+            incarnation=incarnation,
+        )
+        self.client_context = required(client_context(settings.tls))
+        self._failure: Failure | None = None
+        self._failed = trio.Event()
+        self.listener = LinkListener(
+            identity=self.link_identity,
+            settings=settings.links,
+            accepted=settings.credentials.accepted,
+            context=required(server_context(settings.tls)),
+        )
+
+    def add_core(
+        self,
+        core: Core,
+        on_output: Callable[[Output], None],
+        *,
+        accepts: Iterable[Purpose] = (),
+        disk: Disk | None = None,
+    ) -> CoreRunner:
+        """Make the runner of a core; the caller starts its ``run`` in a nursery."""
+        runner = CoreRunner(
+            core,
+            identity=self.link_identity,
+            settings=self.settings.links,
+            context=self.client_context,
+            on_output=on_output,
+            on_failure=self.fail,
+            disk=disk,
+        )
+        for purpose in accepts:
+            self.listener.runners[purpose] = runner
+        return runner
+
+    async def listen(self, address: Address) -> Address:
+        """Start accepting links; returns the bound address."""
+        bound = await self.nursery.start(self.listener.serve, address, self.nursery)
+        if isinstance(bound, Failure):
+            raise ProcessFailedError(bound)
+        assert isinstance(bound, Address)
+        return bound
+
+    def set_ready(self) -> None:
+        """Say that the process serves."""
+        if not self.ready:
+            self.ready = True
+            fields: dict[str, object] = {
+                "role": self.settings.role.value,
+                "name": self.settings.name,
+            }
+            write_event(events.PROCESS_READY, fields)
+
+    def fail(self, failure: Failure) -> None:
+        """End the process with a failure; the first one given is reported."""
+        if self._failure is None:
+            self._failure = failure
+            self._failed.set()
+
+    async def wait_failed(self) -> None:
+        """Raise ``ProcessFailedError`` once :meth:`fail` was called."""
+        await self._failed.wait()
+        assert self._failure is not None
+        raise ProcessFailedError(self._failure)
+
+
+RoleMain = Callable[[ProcessShell], Awaitable[None]]
+
+
+def run_role(
+    settings: ProcessSettings, main: RoleMain, *, incarnation: int = 0, identity: str = ""
+) -> int:
+    """Run a role to its end and return the exit status.
+
+    ``main`` builds its cores, serves, waits for ``stop_requested``, finishes what is in
+    flight and returns. SIGTERM and SIGINT request the stop; a second signal ends at once.
+    """
+    configure_logging(settings.log, settings.role.value, settings.name)
+    fields: dict[str, object] = {"role": settings.role.value, "name": settings.name}
+    write_event(events.PROCESS_STARTED, fields)
+    status = EXIT_OK
+    try:
+        trio.run(_run, settings, main, incarnation, identity)
+    except BaseExceptionGroup as group:
+        status = _report_failure(group)
+    write_event(events.PROCESS_STOPPED, {"status": status})
+    return status
+
+
+def _report_failure(group: BaseExceptionGroup[BaseException]) -> int:
+    failed, others = group.split(ProcessFailedError)
+    if others is not None:
+        raise others
+    assert failed is not None
+    for error in _leaves(failed):
+        write_event(events.PROCESS_FAILED, {"reason": str(error)})
+    return EXIT_FAILED
+
+
+def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found.extend(_leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return found
+
+
+async def _run(settings: ProcessSettings, main: RoleMain, incarnation: int, identity: str) -> None:
+    async with trio.open_nursery() as nursery:
+        shell = ProcessShell(settings, nursery, incarnation, identity)
+        nursery.start_soon(shell.wait_failed)
+        await nursery.start(_watch_signals, shell)
+        if settings.admin is not None:
+            nursery.start_soon(_serve_admin, shell, settings.admin)
+        await main(shell)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_admin(shell: ProcessShell, address: Address) -> None:
+    try:
+        await serve_admin(address, lambda: shell.ready)
+    except* OSError as group:
+        reason = f"cannot listen on {address}: {group.exceptions[0]}"
+        shell.fail(Failure(ErrorKind.INVALID_SETTINGS, reason))
+
+
+async def _watch_signals(
+    shell: ProcessShell, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        task_status.started()
+        async for number in received:
+            if shell.stop_requested.is_set():
+                shell.nursery.cancel_scope.cancel()
+                return
+            write_event(events.PROCESS_STOPPING, {"reason": signal.Signals(number).name})
+            shell.ready = False
+            shell.stop_requested.set()
+            shell.nursery.start_soon(_enforce_stop_limit, shell)
+
+
+async def _enforce_stop_limit(shell: ProcessShell) -> None:
+    await trio.sleep(seconds(shell.settings.stop_limit_ms))
+    write_event(events.STOP_LIMIT_PASSED, {"limit_ms": shell.settings.stop_limit_ms})
+    shell.nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/limelever/transport/runner.py
@@ -0,0 +1,293 @@
+"""Runs one sans-io core in trio: links, timers and disk writes around ``handle``."""
+
+from __future__ import annotations
+
+import contextlib
+import ssl
+from collections import deque
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Protocol
+
+import trio
+from google.protobuf.message import Message
+
+from limelever.common import events
+from limelever.common.errors import Failure
+from limelever.common.sansio import (
+    AppendLog,
+    CloseConnection,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionId,
+    ConnectionOpened,
+    Core,
+    DeadlineReached,
+    Event,
+    LogEvent,
+    MessageReceived,
+    OpenConnection,
+    Output,
+    ReplaceFile,
+    ResetLog,
+    SendMessage,
+    Started,
+    StopProcess,
+    TruncateLog,
+    WriteCompleted,
+)
+from limelever.common.settings import LinkSettings
+from limelever.transport.links import Link, LinkIdentity, dial
+from limelever.transport.log import write_event
+
+DiskWrite = AppendLog | TruncateLog | ResetLog | ReplaceFile
+
+
+class Disk(Protocol):
+    """What the runner needs of ``limelever.storage``; its calls block."""
+
+    def perform(self, outputs: Sequence[Output]) -> Failure | None:
+        """Carry out the writes in order and sync them, or say why not."""
+
+
+class CoreRunner:
+    """Runs one core. ``on_output`` gets every output that is not of the common contract."""
+
+    def __init__(
+        self,
+        core: Core,
+        *,
+        identity: LinkIdentity,
+        settings: LinkSettings,
+        context: ssl.SSLContext | None,
+        on_output: Callable[[Output], None],
+        on_failure: Callable[[Failure], None],
+        disk: Disk | None = None,
+    ) -> None:
+        self._core = core
+        self._identity = identity
+        self._settings = settings
+        self._context = context
+        self._on_output = on_output
+        self._on_failure = on_failure
+        self._disk = disk
+        self._links: dict[ConnectionId, Link] = {}
+        self._dials: dict[ConnectionId, trio.CancelScope] = {}
+        self._last_accepted = -1
+        self._events: deque[Event] = deque()
+        self._handling = False
+        self._writes: list[DiskWrite] = []
+        self._writes_wake = trio.Event()
+        self._timer_wake = trio.Event()
+        self._armed: float | None = None
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; started once the core has seen ``Started``."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._write_to_disk)
+            nursery.start_soon(self._keep_time)
+            self.post(Started())
+            task_status.started()
+
+    def post(self, event: Event) -> None:
+        """Give the core an event; safe to call from within ``on_output``."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._handling = False
+        self._arm_timer()
+
+    def _step(self, event: Event) -> None:
+        for output in self._core.handle(event, trio.current_time()):
+            self._perform(output)
+
+    def _perform(self, output: Output) -> None:
+        match output:
+            case SendMessage(connection, message):
+                self._send(connection, message)
+            case OpenConnection():
+                self._start_dial(output)
+            case CloseConnection(connection, reason):
+                self._close(connection, reason)
+            case AppendLog() | TruncateLog() | ResetLog() | ReplaceFile():
+                self._queue_write(output)
+            case LogEvent(code, fields):
+                write_event(code, fields)
+            case StopProcess(failure):
+                self._on_failure(failure)
+            case _:
+                self._on_output(output)
+
+    # --- links ------------------------------------------------------------------------------
+
+    async def serve(self, link: Link) -> None:
+        """Run an accepted link until it ends."""
+        self._last_accepted += 2
+        await self._run_link(self._last_accepted, link)
+
+    def _send(self, connection: ConnectionId, message: Message) -> None:
+        link = self._links.get(connection)
+        if link is None:
+            return
+        if not link.send(message):
+            limit = self._settings.send_queue_bytes
+            write_event(events.SEND_QUEUE_FULL, {"peer": _name(link), "limit": limit})
+            self._abort(connection, "send queue full")
+
+    def _close(self, connection: ConnectionId, reason: str) -> None:
+        dialling = self._dials.get(connection)
+        if dialling is not None:
+            dialling.cancel()
+        link = self._links.pop(connection, None)
+        if link is not None:
+            self._report_closed(connection, link, reason)
+            link.finish()
+
+    def _abort(self, connection: ConnectionId, reason: str) -> None:
+        link = self._links.pop(connection, None)
+        if link is not None:
+            self._report_closed(connection, link, reason)
+            link.abort()
+
+    def _report_closed(self, connection: ConnectionId, link: Link, reason: str) -> None:
+        fields: dict[str, object] = {
+            "peer": _name(link),
+            "purpose": link.purpose,
+            "reason": reason,
+        }
+        write_event(events.LINK_CLOSED, fields)
+        self.post(ConnectionClosed(connection, reason))
+
+    def _start_dial(self, output: OpenConnection) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self._dial, output)
+
+    async def _dial(self, output: OpenConnection) -> None:
+        with trio.CancelScope() as scope:
+            self._dials[output.connection] = scope
+            result = await dial(
+                output.address, output.purpose, self._identity, self._settings, self._context
+            )
+        self._dials.pop(output.connection, None)
+        if scope.cancelled_caught:
+            self.post(ConnectionClosed(output.connection, "dial given up"))
+            return
+        if isinstance(result, Failure):
+            fields: dict[str, object] = {"address": str(output.address), "reason": result.reason}
+            write_event(events.DIAL_FAILED, fields)
+            self.post(ConnectionFailed(output.connection, result))
+            return
+        await self._run_link(output.connection, result)
+
+    async def _run_link(self, connection: ConnectionId, link: Link) -> None:
+        peer = link.peer
+        assert peer is not None
+        link.opened()
+        write_event(events.LINK_OPENED, {"peer": peer.name, "purpose": link.purpose})
+        self._links[connection] = link
+        self.post(ConnectionOpened(connection, peer))
+        reason = "process is stopping"
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_write_then_cancel, link, nursery.cancel_scope)
+                reason = await self._read(connection, link)
+                nursery.cancel_scope.cancel()
+        finally:
+            link.closed()
+            if self._links.pop(connection, None) is not None:
+                self._report_closed(connection, link, reason)
+            await link.flush_and_close()
+
+    async def _read(self, connection: ConnectionId, link: Link) -> str:
+        while True:
+            try:
+                message = await link.receive()
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+                return f"broken: {error}"
+            while message is not None:
+                if connection not in self._links:
+                    return "closed here"
+                if isinstance(message, Failure):
+                    return self._refuse_frame(link, message)
+                self.post(MessageReceived(connection, message))
+                message = link.receive_nowait()
+                if message is None:
+                    break
+            else:
+                return "closed by the peer"
+
+    def _refuse_frame(self, link: Link, failure: Failure) -> str:
+        fields: dict[str, object] = {
+            "peer": _name(link),
+            "kind": failure.kind.value,
+            "reason": failure.reason,
+        }
+        write_event(events.FRAME_REFUSED, fields)
+        return str(failure)
+
+    # --- disk -------------------------------------------------------------------------------
+
+    def _queue_write(self, write: DiskWrite) -> None:
+        if self._disk is None:
+            self._events.append(WriteCompleted(write.token))
+            return
+        self._writes.append(write)
+        self._writes_wake.set()
+
+    async def _write_to_disk(self) -> None:
+        while True:
+            await self._writes_wake.wait()
+            self._writes_wake = trio.Event()
+            writes, self._writes = self._writes, []
+            if not writes:
+                continue
+            assert self._disk is not None
+            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
+            if failure is not None:
+                fields: dict[str, object] = {"kind": failure.kind.value, "reason": failure.reason}
+                write_event(events.DISK_FAILED, fields)
+                self._on_failure(failure)
+                return
+            for write in writes:
+                self.post(WriteCompleted(write.token))
+
+    # --- time -------------------------------------------------------------------------------
+
+    def _arm_timer(self) -> None:
+        deadline = self._core.next_deadline()
+        if deadline is None:
+            return
+        if self._armed is None or deadline < self._armed:
+            self._timer_wake.set()
+
+    async def _keep_time(self) -> None:
+        while True:
+            self._timer_wake = trio.Event()
+            self._armed = self._core.next_deadline()
+            if self._armed is None:
+                await self._timer_wake.wait()
+                continue
+            with trio.move_on_at(self._armed):
+                await self._timer_wake.wait()
+                continue
+            deadline = self._core.next_deadline()
+            if deadline is not None and deadline <= trio.current_time():
+                self.post(DeadlineReached())
+            await trio.lowlevel.checkpoint()
+
+
+async def _write_then_cancel(link: Link, scope: trio.CancelScope) -> None:
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+        await link.write_queued()
+    scope.cancel()
+
+
+def _name(link: Link) -> str:
+    return link.peer.name if link.peer is not None else "(unknown)"
