Add the agent's core: registration, fair queue, calls and drain

Cause: the agent room was empty. Conclusion: the interface (AgentCore, agent/interface.py, AgentSettings) is there to build on.

--- /dev/null
+++ b/src/limelever/agent/calls.py
@@ -0,0 +1,126 @@
+"""The calls an agent has taken in and not yet ended, and the attempts it has seen before."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from limelever.common.sansio import ConnectionId
+from limelever.protocol.calls_pb2 import CallStart
+from limelever.protocol.config_pb2 import CALL_KIND_REPEATABLE
+
+ATTEMPT_GENERATION_SECONDS = 30.0
+"""An attempt's identifier is remembered for one to two generations."""
+
+ATTEMPTS_PER_GENERATION = 50_000
+"""Bound of the memory for identifiers; past it, calls are refused rather than forgotten."""
+
+
+class CallStage(Enum):
+    """How far a call has come."""
+
+    ASSEMBLING = auto()
+    QUEUED = auto()
+    RUNNING = auto()
+
+
+@dataclass(slots=True)
+class Call:
+    """One call: ``settled`` once the proxy has its last message or is gone."""
+
+    number: int
+    connection: ConnectionId
+    start: CallStart
+    deadline: float
+    body: bytearray = field(default_factory=bytearray)
+    stage: CallStage = CallStage.ASSEMBLING
+    settled: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the call may run more than once."""
+        return bool(self.start.call_kind == CALL_KIND_REPEATABLE)
+
+
+class CallTable:
+    """Calls by number and by link and stream."""
+
+    def __init__(self) -> None:
+        self._last_number = 0
+        self._calls: dict[int, Call] = {}
+        self._streams: dict[tuple[ConnectionId, int], int] = {}
+
+    def add(self, connection: ConnectionId, start: CallStart, deadline: float) -> Call:
+        """Take in a call whose stream is free."""
+        self._last_number += 1
+        kept = CallStart()
+        kept.CopyFrom(start)
+        kept.ClearField("body")
+        call = Call(self._last_number, connection, kept, deadline, bytearray(start.body))
+        self._calls[call.number] = call
+        self._streams[(connection, start.stream)] = call.number
+        return call
+
+    def by_number(self, number: int) -> Call | None:
+        """Return the call with this number."""
+        return self._calls.get(number)
+
+    def by_stream(self, connection: ConnectionId, stream: int) -> Call | None:
+        """Return the call that the proxy knows by this stream."""
+        number = self._streams.get((connection, stream))
+        return None if number is None else self._calls[number]
+
+    def settle(self, call: Call) -> None:
+        """Free the call's stream: the proxy hears no more of it."""
+        call.settled = True
+        self._streams.pop((call.connection, call.start.stream), None)
+
+    def remove(self, call: Call) -> None:
+        """Forget a call that has ended."""
+        self.settle(call)
+        self._calls.pop(call.number, None)
+
+    def of_connection(self, connection: ConnectionId) -> tuple[Call, ...]:
+        """Return the unsettled calls of a link."""
+        calls = self._calls.values()
+        return tuple(c for c in calls if c.connection == connection and not c.settled)
+
+    def attempt_ids(self) -> list[bytes]:
+        """Return the attempt identifiers of all calls."""
+        return [call.start.attempt_id for call in self._calls.values()]
+
+    def in_stage(self, stage: CallStage) -> tuple[Call, ...]:
+        """Return the calls that have come this far."""
+        return tuple(call for call in self._calls.values() if call.stage is stage)
+
+
+class RecentAttempts:
+    """Attempt identifiers seen within the last one to two generations."""
+
+    def __init__(self) -> None:
+        self._current: set[bytes] = set()
+        self._previous: set[bytes] = set()
+        self._rotate_at = 0.0
+
+    def __contains__(self, attempt_id: bytes) -> bool:
+        return attempt_id in self._current or attempt_id in self._previous
+
+    @property
+    def full(self) -> bool:
+        """Return whether no further identifier can be remembered for now."""
+        return len(self._current) >= ATTEMPTS_PER_GENERATION
+
+    def due(self, now: float) -> bool:
+        """Return whether the older generation is to be dropped."""
+        return now >= self._rotate_at
+
+    def rotate(self, now: float, in_flight: Iterable[bytes]) -> None:
+        """Drop the older generation; attempts in flight stay remembered."""
+        self._previous = self._current
+        self._current = set(in_flight)
+        self._rotate_at = now + ATTEMPT_GENERATION_SECONDS
+
+    def add(self, attempt_id: bytes) -> None:
+        """Remember an identifier."""
+        self._current.add(attempt_id)
--- /dev/null
+++ b/src/limelever/agent/core.py
@@ -0,0 +1,270 @@
+"""The agent core: registration, configuration, calls and drain of one back end instance."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from limelever.agent import events
+from limelever.agent.call_service import CallLimits, CallService
+from limelever.agent.drain import Drain, DrainLimits, DrainStep
+from limelever.agent.interface import (
+    AttemptAnswered,
+    AttemptFailed,
+    BackendProbed,
+    DrainFinished,
+    DrainRequested,
+)
+from limelever.agent.registration import Registration, RegistrationSettings
+from limelever.common.sansio import (
+    CloseConnection,
+    ConnectionClosed,
+    ConnectionId,
+    ConnectionOpened,
+    DeadlineReached,
+    DialledConnections,
+    Event,
+    LogEvent,
+    MessageReceived,
+    Output,
+    Peer,
+    Purpose,
+    Recovered,
+    Started,
+)
+from limelever.common.settings import seconds
+from limelever.protocol.calls_pb2 import CallBody, CallCancel, CallStart
+from limelever.protocol.endpoints_pb2 import ENDPOINT_STATE_DRAINING
+from limelever.subscriber.configuration import ConfigurationSet
+from limelever.subscriber.core import SubscriberCore
+from limelever.subscriber.notices import (
+    ConfigurationInstalled,
+    EndpointsReceived,
+    FreshnessProved,
+    VersionConfirmed,
+)
+from limelever.subscriber.sealing import Sealer
+from limelever.subscriber.settings import SubscriberSettings
+
+_NOTICES = (ConfigurationInstalled, EndpointsReceived, FreshnessProved, VersionConfirmed)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentOptions:
+    """Settings of the agent core; ``cold_start_limit`` in seconds.
+
+    The endpoint is registered once a health probe has passed, or after the cold start limit:
+    probes lag and mislead, so they may delay the registration and never prevent it.
+    """
+
+    registration: RegistrationSettings
+    subscriber: SubscriberSettings
+    calls: CallLimits = CallLimits()
+    drain: DrainLimits = DrainLimits()
+    cold_start_limit: float = 30.0
+
+
+class AgentCore:
+    """Sans-io core of one agent process.
+
+    ``incarnation`` must be higher than that of any earlier run of the instance.
+    """
+
+    def __init__(
+        self,
+        options: AgentOptions,
+        incarnation: int,
+        generator: random.Random,
+        recovered: Recovered | None = None,
+        sealer: Sealer | None = None,
+    ) -> None:
+        connections = DialledConnections()
+        self._options = options
+        self._service = options.registration.service
+        self._registration = Registration(options.registration, incarnation, connections, generator)
+        self._subscriber = SubscriberCore(
+            options.subscriber,
+            connections,
+            itertools.count(1),
+            generator,
+            recovered or Recovered(),
+            sealer,
+        )
+        self._calls = CallService(self._service, incarnation, options.calls)
+        self._drain_limit = options.drain.limit
+        self._proxies: dict[ConnectionId, Peer] = {}
+        self._drain: Drain | None = None
+        self._finished = False
+        self._cold_start_ends: float | None = None
+        self._healthy: bool | None = None
+
+    @property
+    def registered(self) -> bool:
+        """Return whether a relay holds the endpoint's lease."""
+        return self._registration.leased
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version in force; 0 when there is none."""
+        return self._subscriber.version
+
+    @property
+    def running(self) -> int:
+        """Return the attempts at the back end now."""
+        return self._calls.running
+
+    @property
+    def waiting(self) -> int:
+        """Return the calls taken in and not yet started."""
+        return self._calls.waiting
+
+    def handle(self, event: Event, now: float) -> Sequence[Output]:
+        """Take one event at ``now`` (seconds, monotonic)."""
+        if self._finished:
+            return []
+        outputs = self._own_event(event, now)
+        outputs.extend(self._registration.handle(event, now))
+        outputs.extend(self._subscribed(event, now))
+        self._registration.report_load(self._calls.running)
+        outputs.extend(self._advance_drain(now))
+        return outputs
+
+    def next_deadline(self) -> float | None:
+        """Return when ``DeadlineReached`` is wanted."""
+        if self._finished:
+            return None
+        deadlines = [
+            self._calls.next_deadline(),
+            self._registration.next_deadline(),
+            self._subscriber.next_deadline(),
+            self._cold_start_ends,
+        ]
+        if self._drain is not None:
+            deadlines.append(self._drain.next_deadline(self._calls.running, self._calls.waiting))
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def _own_event(self, event: Event, now: float) -> list[Output]:
+        match event:
+            case Started():
+                self._cold_start_ends = now + self._options.cold_start_limit
+            case MessageReceived(connection, message) if connection in self._proxies:
+                return self._proxy_message(connection, message, now)
+            case AttemptAnswered():
+                return self._calls.answered(event, now)
+            case AttemptFailed():
+                return self._calls.failed(event, now)
+            case DeadlineReached():
+                return [*self._calls.expire(now), *self._cold_start(now)]
+            case ConnectionOpened(connection, peer) if _is_accepted(connection):
+                return self._proxy_opened(connection, peer)
+            case ConnectionClosed(connection) if connection in self._proxies:
+                peer = self._proxies.pop(connection)
+                return self._calls.proxy_gone(connection, peer.name, now)
+            case BackendProbed(healthy):
+                return self._probed(healthy, now)
+            case DrainRequested():
+                return self._begin_drain(now)
+        return []
+
+    def _proxy_opened(self, connection: ConnectionId, peer: Peer) -> list[Output]:
+        if peer.purpose is not Purpose.CALLS:
+            return [CloseConnection(connection, f"{peer.purpose.value} is not served here")]
+        self._proxies[connection] = peer
+        return []
+
+    def _proxy_message(self, connection: ConnectionId, message: object, now: float) -> list[Output]:
+        match message:
+            case CallStart():
+                if self._drain is not None:
+                    self._drain.call_refused(now)
+                return self._calls.start(connection, self._proxies[connection].name, message, now)
+            case CallBody():
+                return self._calls.body(connection, message, now)
+            case CallCancel():
+                return self._calls.cancel(connection, message.stream, now)
+        return []
+
+    def _subscribed(self, event: Event, now: float) -> list[Output]:
+        outputs: list[Output] = []
+        for output in self._subscriber.handle(event, now):
+            if isinstance(output, ConfigurationInstalled):
+                outputs.extend(self._install(output.version, output.configuration))
+            elif not isinstance(output, _NOTICES):
+                outputs.append(output)
+        return outputs
+
+    def _install(self, version: int, configuration: ConfigurationSet) -> list[Output]:
+        service = configuration.services.get(self._service)
+        self._calls.set_max_body(service.max_body_bytes if service else 0)
+        own_limit = self._options.drain.limit
+        wanted = seconds(service.drain_limit_ms) if service else 0.0
+        self._drain_limit = min(own_limit, wanted) if wanted else own_limit
+        shares = configuration.shares.get(self._service, ())
+        self._calls.set_weights({share.group: share.weight for share in shares})
+        fields: dict[str, object] = {"version": version, "groups": len(shares)}
+        return [LogEvent(events.SHARES_CHANGED, fields)]
+
+    # --- cold start -------------------------------------------------------------------------
+
+    def _probed(self, healthy: bool, now: float) -> list[Output]:
+        previous, self._healthy = self._healthy, healthy
+        if self._cold_start_ends is not None:
+            return self._leave_cold_start(now, LogEvent(events.BACKEND_READY)) if healthy else []
+        if previous is healthy:
+            return []
+        return [LogEvent(events.BACKEND_PROBE_CHANGED, {"healthy": healthy})]
+
+    def _cold_start(self, now: float) -> list[Output]:
+        if self._cold_start_ends is None or now < self._cold_start_ends:
+            return []
+        fields: dict[str, object] = {"seconds": self._options.cold_start_limit}
+        return self._leave_cold_start(now, LogEvent(events.COLD_START_LIMIT, fields))
+
+    def _leave_cold_start(self, now: float, log: LogEvent) -> list[Output]:
+        self._cold_start_ends = None
+        if self._drain is not None:
+            return []
+        return [log, *self._registration.begin(now)]
+
+    # --- drain ------------------------------------------------------------------------------
+
+    def _begin_drain(self, now: float) -> list[Output]:
+        if self._drain is not None:
+            return []
+        limits = self._options.drain
+        self._drain = Drain(DrainLimits(self._drain_limit, limits.queue, limits.linger), now)
+        self._calls.draining = True
+        fields: dict[str, object] = {
+            "running": self._calls.running,
+            "queued": self._calls.waiting,
+            "limit_seconds": self._drain_limit,
+        }
+        told = self._registration.change_state(ENDPOINT_STATE_DRAINING, now)
+        return [LogEvent(events.DRAIN_STARTED, fields), *told]
+
+    def _advance_drain(self, now: float) -> list[Output]:
+        if self._drain is None:
+            return []
+        step = self._drain.next_step(now, self._calls.running, self._calls.waiting)
+        if step is DrainStep.REFUSE_QUEUED:
+            return [*self._calls.refuse_waiting(), *self._advance_drain(now)]
+        if step is DrainStep.FINISH:
+            return self._finish(now)
+        return []
+
+    def _finish(self, now: float) -> list[Output]:
+        self._finished = True
+        cut_off = self._calls.running
+        outputs = [*self._calls.refuse_waiting(), *self._calls.cut_off()]
+        outputs.extend(self._registration.end(now))
+        outputs.extend(self._subscriber.stop(now))
+        outputs.extend(CloseConnection(each, "the agent stops") for each in self._proxies)
+        outputs.append(LogEvent(events.DRAIN_FINISHED, {"cut_off": cut_off}))
+        outputs.append(DrainFinished(cut_off))
+        return outputs
+
+
+def _is_accepted(connection: ConnectionId) -> bool:
+    return connection % 2 == 1
--- /dev/null
+++ b/src/limelever/agent/events.py
@@ -0,0 +1,55 @@
+"""Numbered log events of the agent, 5000 to 5999."""
+
+from __future__ import annotations
+
+from limelever.common.events import Level, define
+
+LEASE_GRANTED = define(
+    5000, "lease-granted", Level.INFO, "registration lease granted", "relay", "lease_ms"
+)
+LEASE_LOST = define(5001, "lease-lost", Level.WARNING, "registration lease lost", "relay", "reason")
+REGISTRATION_MOVED = define(
+    5002, "registration-moved", Level.INFO, "registration moves to another relay", "relay", "reason"
+)
+REGISTRATION_DEFERRED = define(
+    5003, "registration-deferred", Level.INFO, "relay asked to come back later", "relay", "seconds"
+)
+SHARES_CHANGED = define(
+    5010, "shares-changed", Level.INFO, "weights of the groups changed", "version", "groups"
+)
+BACKEND_READY = define(5020, "backend-ready", Level.INFO, "back end passed its first probe")
+BACKEND_PROBE_CHANGED = define(
+    5021, "backend-probe-changed", Level.WARNING, "health probe changed its answer", "healthy"
+)
+COLD_START_LIMIT = define(
+    5022,
+    "cold-start-limit",
+    Level.WARNING,
+    "registered although no health probe passed within the cold start limit",
+    "seconds",
+)
+DUPLICATE_ATTEMPT = define(
+    5030, "duplicate-attempt", Level.WARNING, "attempt arrived twice and ran at most once", "peer"
+)
+WRONG_INCARNATION = define(
+    5031,
+    "wrong-incarnation",
+    Level.INFO,
+    "call meant for another incarnation refused",
+    "peer",
+    "incarnation",
+)
+ORPHANED_ATTEMPTS = define(
+    5032,
+    "orphaned-attempts",
+    Level.INFO,
+    "a proxy's link closed with calls in flight",
+    "peer",
+    "dropped",
+    "cancelled",
+    "left_running",
+)
+DRAIN_STARTED = define(
+    5040, "drain-started", Level.INFO, "drain began", "running", "queued", "limit_seconds"
+)
+DRAIN_FINISHED = define(5041, "drain-finished", Level.INFO, "drain finished", "cut_off")
--- /dev/null
+++ b/src/limelever/agent/process.py
@@ -0,0 +1,125 @@
+"""The agent process: a thin shell around the agent core and the back end's client."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import partial
+
+import trio
+
+from limelever.agent.backend import Backend
+from limelever.agent.call_service import CallLimits
+from limelever.agent.core import AgentCore, AgentOptions
+from limelever.agent.drain import DrainLimits
+from limelever.agent.fair_queue import QueueLimits
+from limelever.agent.interface import (
+    BackendProbed,
+    CancelAttempt,
+    DrainFinished,
+    DrainRequested,
+    StartAttempt,
+)
+from limelever.agent.registration import RegistrationSettings
+from limelever.agent.settings import AgentSettings, ProbeSettings
+from limelever.common.errors import Failure
+from limelever.common.sansio import Address, Output, Purpose, Recovered
+from limelever.common.settings import seconds
+from limelever.storage.folder import FolderDisk, open_folder
+from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.runner import CoreRunner
+
+_FLUSH_SECONDS = 0.2
+"""Time that last answers have to leave after the core has finished."""
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+def run(settings: AgentSettings) -> int:
+    """Run the agent until a planned stop or a failure; return the exit status."""
+    incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+    return run_role(settings, partial(_main, settings), incarnation=incarnation)
+
+
+def options_from(settings: AgentSettings, address: Address) -> AgentOptions:
+    """Return the core's options; ``address`` is where proxies reach the agent."""
+    queue, drain = settings.queue, settings.drain
+    return AgentOptions(
+        registration=RegistrationSettings(
+            relays=settings.relays,
+            service=settings.service,
+            instance=settings.name,
+            zone=settings.zone,
+            address=address,
+            slots=settings.backend.slots,
+        ),
+        subscriber=SubscriberSettings(publishers=settings.relays, services=(settings.service,)),
+        calls=CallLimits(
+            queue=QueueLimits(
+                slots=settings.backend.slots,
+                group_calls=queue.group_calls,
+                total_bytes=queue.total_bytes,
+                default_weight=queue.default_weight,
+                unlisted_groups=queue.unlisted_groups,
+            ),
+            max_body_bytes=queue.max_body_bytes,
+            assembling_bytes=queue.total_bytes,
+        ),
+        drain=DrainLimits(
+            limit=seconds(drain.limit_ms),
+            queue=seconds(drain.queue_ms),
+            linger=seconds(drain.linger_ms),
+        ),
+        cold_start_limit=seconds(settings.probe.cold_start_limit_ms),
+    )
+
+
+async def _main(settings: AgentSettings, shell: ProcessShell) -> None:
+    disk = _open_disk(settings.data_folder)
+    bound = await shell.listen(settings.listen)
+    core = AgentCore(
+        options_from(settings, settings.advertise or bound),
+        shell.incarnation,
+        random.Random(),
+        disk.recovered if disk is not None else Recovered(),
+    )
+    finished = trio.Event()
+    async with trio.open_nursery() as nursery:
+
+        def on_output(output: Output) -> None:
+            match output:
+                case StartAttempt():
+                    backend.start(output)
+                case CancelAttempt(attempt):
+                    backend.cancel(attempt)
+                case DrainFinished():
+                    finished.set()
+
+        runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
+        backend = Backend(settings.backend, nursery, runner.post)
+        await nursery.start(runner.run)
+        nursery.start_soon(_probe, backend, settings.probe, runner)
+        shell.set_ready()
+        await shell.stop_requested.wait()
+        runner.post(DrainRequested())
+        await finished.wait()
+        await trio.sleep(_FLUSH_SECONDS)
+        await backend.aclose()
+        nursery.cancel_scope.cancel()
+
+
+def _open_disk(data_folder: str) -> FolderDisk | None:
+    if not data_folder:
+        return None
+    opened = open_folder(data_folder)
+    if isinstance(opened, Failure):
+        raise ProcessFailedError(opened)
+    return opened
+
+
+async def _probe(backend: Backend, settings: ProbeSettings, runner: CoreRunner) -> None:
+    while True:
+        healthy = await backend.probe(settings.path, seconds(settings.timeout_ms))
+        runner.post(BackendProbed(healthy))
+        await trio.sleep(seconds(settings.interval_ms))
--- /dev/null
+++ b/src/limelever/agent/registration.py
@@ -0,0 +1,264 @@
+"""Registration of the back end at a relay of its zone, under a lease that is renewed.
+
+The component dials one relay at a time. A relay that cannot be dialled, closes the link or
+leaves renewals unanswered is left for the next one of the list, after a full-jitter delay so
+that the agents of a dead relay do not arrive at the next one in a herd.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from limelever.agent import events
+from limelever.common.backoff import Backoff, BackoffSettings
+from limelever.common.sansio import (
+    Address,
+    CloseConnection,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionId,
+    ConnectionOpened,
+    DeadlineReached,
+    DialledConnections,
+    Event,
+    LogEvent,
+    MessageReceived,
+    OpenConnection,
+    Output,
+    Purpose,
+    SendMessage,
+)
+from limelever.protocol.distribution_pb2 import RetryLater
+from limelever.protocol.endpoints_pb2 import (
+    ENDPOINT_STATE_GONE,
+    ENDPOINT_STATE_READY,
+    Endpoint,
+    EndpointState,
+    LeaseGranted,
+    LeaseLost,
+    LeaseRenew,
+    Register,
+)
+
+RENEWALS_PER_LEASE = 3
+"""Two renewals may be lost before the lease ends."""
+
+_MILLISECONDS = 1000.0
+_SHORTEST_LEASE = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationSettings:
+    """What is registered and where; ``answer_timeout`` in seconds."""
+
+    relays: tuple[Address, ...]
+    service: str
+    instance: str
+    zone: str
+    address: Address
+    slots: int
+    answer_timeout: float = 3.0
+    backoff: BackoffSettings = BackoffSettings()
+
+
+class _Phase(Enum):
+    HELD_BACK = auto()
+    WAITING = auto()
+    DIALLING = auto()
+    REGISTERING = auto()
+    LEASED = auto()
+    ENDED = auto()
+
+
+class Registration:
+    """Keeps one endpoint registered; sans-io component of the agent core.
+
+    ``incarnation`` must be higher than that of any earlier run of the same instance.
+    """
+
+    def __init__(
+        self,
+        settings: RegistrationSettings,
+        incarnation: int,
+        connections: DialledConnections,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._connections = connections
+        self._backoff = Backoff(settings.backoff, generator)
+        self._relay = generator.randrange(len(settings.relays))
+        self._phase = _Phase.HELD_BACK
+        self._state: EndpointState.ValueType = ENDPOINT_STATE_READY
+        self._sequence = 0
+        self._in_flight = 0
+        self._connection: ConnectionId | None = None
+        self._due: float | None = None
+        self._lease = 0.0
+        self._heard_at = 0.0
+
+    @property
+    def leased(self) -> bool:
+        """Return whether a relay holds the endpoint now."""
+        return self._phase is _Phase.LEASED
+
+    @property
+    def relay(self) -> Address:
+        """Return the relay used or tried now."""
+        return self._settings.relays[self._relay]
+
+    def owns(self, connection: ConnectionId) -> bool:
+        """Return whether the link is the one to the relay."""
+        return connection == self._connection
+
+    def next_deadline(self) -> float | None:
+        """Return when ``DeadlineReached`` is wanted (seconds, monotonic)."""
+        return self._due
+
+    def begin(self, now: float) -> list[Output]:
+        """Register from now on; no effect when that has begun already."""
+        if self._phase is not _Phase.HELD_BACK:
+            return []
+        return self._dial(now)
+
+    def report_load(self, in_flight: int) -> None:
+        """Take the load that the next renewal carries."""
+        self._in_flight = in_flight
+
+    def change_state(self, state: EndpointState.ValueType, now: float) -> list[Output]:
+        """Take a new state and tell the relay at once."""
+        self._state = state
+        if self._phase is _Phase.LEASED:
+            return self._renew(now)
+        if self._phase is _Phase.REGISTERING:
+            return [self._register()]
+        return []
+
+    def end(self, now: float) -> list[Output]:
+        """Tell the relay that the endpoint is gone, close the link and dial no more."""
+        outputs = self.change_state(ENDPOINT_STATE_GONE, now)
+        if self._connection is not None:
+            outputs.append(CloseConnection(self._connection, "the agent stops"))
+        self._phase = _Phase.ENDED
+        self._connection = None
+        self._due = None
+        return outputs
+
+    def handle(self, event: Event, now: float) -> list[Output]:
+        """Take one event; those of foreign links are ignored."""
+        match event:
+            case ConnectionOpened(connection) if self.owns(connection):
+                return self._opened(now)
+            case ConnectionFailed(connection, failure) if self.owns(connection):
+                return self._move(now, str(failure))
+            case ConnectionClosed(connection, reason) if self.owns(connection):
+                return self._move(now, reason)
+            case MessageReceived(connection, message) if self.owns(connection):
+                return self._received(message, now)
+            case DeadlineReached() if self._due is not None and now >= self._due:
+                return self._timed(now)
+        return []
+
+    def _opened(self, now: float) -> list[Output]:
+        self._phase = _Phase.REGISTERING
+        self._due = now + self._settings.answer_timeout
+        return [self._register()]
+
+    def _received(self, message: object, now: float) -> list[Output]:
+        match message:
+            case LeaseGranted():
+                return self._granted(message, now)
+            case LeaseLost():
+                return self._lost(message, now)
+            case RetryLater():
+                return self._defer(message, now)
+        return []
+
+    def _granted(self, message: LeaseGranted, now: float) -> list[Output]:
+        if message.incarnation != self._incarnation:
+            return []
+        first = self._phase is not _Phase.LEASED
+        self._phase = _Phase.LEASED
+        self._lease = max(message.lease_ms / _MILLISECONDS, _SHORTEST_LEASE)
+        self._heard_at = now
+        self._backoff.reset()
+        if not first:
+            return []
+        self._due = now + self._lease / RENEWALS_PER_LEASE
+        fields: dict[str, object] = {"relay": str(self.relay), "lease_ms": message.lease_ms}
+        return [LogEvent(events.LEASE_GRANTED, fields)]
+
+    def _lost(self, message: LeaseLost, now: float) -> list[Output]:
+        if message.incarnation != self._incarnation:
+            return []
+        fields: dict[str, object] = {"relay": str(self.relay), "reason": message.reason}
+        return [LogEvent(events.LEASE_LOST, fields), *self._opened(now)]
+
+    def _defer(self, message: RetryLater, now: float) -> list[Output]:
+        delay = self._backoff.next_delay(message.retry_after_ms / _MILLISECONDS)
+        fields: dict[str, object] = {"relay": str(self.relay), "seconds": delay}
+        outputs: list[Output] = [LogEvent(events.REGISTRATION_DEFERRED, fields)]
+        outputs.extend(self._hang_up("told to come back later"))
+        self._wait(now + delay)
+        return outputs
+
+    def _timed(self, now: float) -> list[Output]:
+        if self._phase is _Phase.WAITING:
+            return self._dial(now)
+        if self._phase is _Phase.LEASED and now < self._heard_at + self._lease:
+            return self._renew(now)
+        reason = "the relay does not answer"
+        return [*self._hang_up(reason), *self._move(now, reason)]
+
+    def _dial(self, now: float) -> list[Output]:
+        self._phase = _Phase.DIALLING
+        self._connection = self._connections.draw()
+        self._due = now + 2 * self._settings.answer_timeout
+        return [OpenConnection(self._connection, self.relay, Purpose.REGISTRATION)]
+
+    def _move(self, now: float, reason: str) -> list[Output]:
+        fields: dict[str, object] = {"relay": str(self.relay), "reason": reason}
+        self._relay = (self._relay + 1) % len(self._settings.relays)
+        self._wait(now + self._backoff.next_delay())
+        return [LogEvent(events.REGISTRATION_MOVED, fields)]
+
+    def _wait(self, until: float) -> None:
+        self._phase = _Phase.WAITING
+        self._connection = None
+        self._due = until
+
+    def _hang_up(self, reason: str) -> list[Output]:
+        if self._connection is None:
+            return []
+        return [CloseConnection(self._connection, reason)]
+
+    def _register(self) -> Output:
+        assert self._connection is not None
+        self._sequence += 1
+        endpoint = Endpoint(
+            service=self._settings.service,
+            instance=self._settings.instance,
+            zone=self._settings.zone,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            host=self._settings.address.host,
+            port=self._settings.address.port,
+            slots=self._settings.slots,
+            state=self._state,
+            in_flight=self._in_flight,
+        )
+        return SendMessage(self._connection, Register(endpoint=endpoint))
+
+    def _renew(self, now: float) -> list[Output]:
+        assert self._connection is not None
+        self._sequence += 1
+        self._due = now + self._lease / RENEWALS_PER_LEASE
+        renewal = LeaseRenew(
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            state=self._state,
+            in_flight=self._in_flight,
+        )
+        return [SendMessage(self._connection, renewal)]
--- /dev/null
+++ b/src/limelever/agent/settings.py
@@ -0,0 +1,79 @@
+"""Settings of the agent process."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+
+
+@attrs.frozen(kw_only=True)
+class BackendSettings:
+    """The back end beside the agent and how it is reached."""
+
+    address: Address
+    slots: int = attrs.field(default=6, validator=between(1, 1024))
+    connections: int = attrs.field(default=130, validator=between(1, 4096))
+    connect_timeout_ms: int = attrs.field(default=1000, validator=between(10, 60000))
+    keepalive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
+    max_response_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 256 << 20))
+
+
+@attrs.frozen(kw_only=True)
+class ProbeSettings:
+    """The health probe; it only holds back the first registration."""
+
+    path: str = attrs.field(default="/healthz", validator=not_empty)
+    interval_ms: int = attrs.field(default=1000, validator=between(50, 60000))
+    timeout_ms: int = attrs.field(default=1000, validator=between(10, 60000))
+    cold_start_limit_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
+
+
+@attrs.frozen(kw_only=True)
+class QueueSettings:
+    """Bounds of what waits for a slot and of single bodies."""
+
+    group_calls: int = attrs.field(default=64, validator=between(1, 10000))
+    total_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 1 << 30))
+    max_body_bytes: int = attrs.field(default=4 << 20, validator=between(0, 256 << 20))
+    default_weight: int = attrs.field(default=1, validator=between(1, 10000))
+    unlisted_groups: int = attrs.field(default=32, validator=between(1, 10000))
+
+
+@attrs.frozen(kw_only=True)
+class DrainSettings:
+    """A planned stop: ``queue_ms`` and ``linger_ms`` count from its beginning."""
+
+    limit_ms: int = attrs.field(default=25000, validator=between(0, 3600000))
+    queue_ms: int = attrs.field(default=2000, validator=between(0, 60000))
+    linger_ms: int = attrs.field(default=1000, validator=between(0, 60000))
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings(ProcessSettings):
+    """Settings of one agent, which stands beside one instance of one service."""
+
+    ROLE: ClassVar[Role] = Role.AGENT
+
+    service: str = attrs.field(validator=not_empty)
+    listen: Address
+    advertise: Address | None = None
+    relays: tuple[Address, ...] = attrs.field(validator=not_empty)
+    backend: BackendSettings
+    probe: ProbeSettings = ProbeSettings()
+    queue: QueueSettings = QueueSettings()
+    drain: DrainSettings = DrainSettings()
+
+    def clashes(self) -> list[SettingsProblem]:
+        """Return what is wrong between keys."""
+        problems = super().clashes()
+        if self.queue.max_body_bytes > self.queue.total_bytes:
+            problems.append(
+                SettingsProblem("", "queue.max_body_bytes", "must not exceed queue.total_bytes")
+            )
+        if self.drain.limit_ms > self.stop_limit_ms:
+            problems.append(SettingsProblem("", "drain.limit_ms", "must not exceed stop_limit_ms"))
+        return problems
