Simulator: host, links, disks, faults and checkers under virtual time

Change: simpy as event queue; a node carries out a core's outputs as the trio runner does (one group of writes in flight, ordered links, no re-entrant handling); cuts hold back what is sent, as TCP does; checkers are told what is seen at the edges and know nothing of the cores. Conclusion: the host stands; the product's cores are wired next.

--- /dev/null
+++ b/features/simulator/checkers.feature
@@ -0,0 +1,40 @@
+Feature: The checkers see each kind of broken rule
+
+  Scenario Outline: A holder that breaks a rule is found
+    Given the history of a service, a secret and a route that needs both
+    When a proxy holds <what>
+    Then the findings are "<rule>"
+
+    Examples:
+      | what                               | rule                                |
+      | the latest version                 |                                     |
+      | an older version after a newer one | version-order                       |
+      | a route without its service        | dangling-reference,partial-version  |
+      | a secret that no route of it needs | secret-out-of-scope                 |
+      | half of a version                  | partial-version                     |
+
+  Scenario: Two winners of one race are found
+    Given the history of a service, a secret and a route that needs both
+    When two batches with expected version 1 are accepted
+    Then the findings are "two-winners"
+
+  Scenario: A proxy that stays behind is found
+    Given the history of a service, a secret and a route that needs both
+    When a proxy holds nothing
+    Then the findings are "not-in-force"
+
+  Scenario Outline: A call that breaks a rule is found
+    When a call <what>
+    Then the findings are "<rule>"
+
+    Examples:
+      | what                                      | rule               |
+      | runs once and is answered                 |                    |
+      | is answered with another call's payload   | wrong-answer       |
+      | is answered twice                         | second-answer      |
+      | is never answered                         | no-answer          |
+      | runs twice under one key                  | second-run         |
+      | is answered without having run            | lost-run           |
+      | runs and is refused as not run            | ran-after-refusal  |
+      | is refused as not run and runs afterwards | ran-after-refusal  |
+      | begins long after its back end left       | work-after-leaving |
--- /dev/null
+++ b/src/limelever_lab/simulator/configuration_checker.py
@@ -0,0 +1,135 @@
+"""Checks of what operators are answered and of what every holder holds."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from limelever.protocol.config_pb2 import Batch, VersionedResource
+from limelever_lab.simulator.checkers import Findings, Rule
+from limelever_lab.simulator.reference import (
+    Held,
+    History,
+    Key,
+    dangling_references,
+    restrict,
+    set_of,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """A process that holds configuration: its scope, or everything when ``None``."""
+
+    name: str
+    services: frozenset[str] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What a holder held from a time (virtual seconds) on."""
+
+    at: float
+    holder: Holder
+    version: int
+    resources: dict[Key, Held]
+
+
+@dataclass(slots=True)
+class ConfigurationChecker:
+    """Collects answers and observations; the whole is judged at the end of a run."""
+
+    findings: Findings
+    history: History = field(default_factory=History)
+    observations: list[Observation] = field(default_factory=list)
+    held: dict[str, int] = field(default_factory=dict)
+    accepted_at: dict[int, float] = field(default_factory=dict)
+    _expected: dict[int, str] = field(default_factory=dict)
+
+    def accepted(self, at: float, batch: Batch, version: int) -> None:
+        """Take an operator's positive answer."""
+        complaint = self.history.accept(version, batch)
+        if complaint:
+            self.findings.add(Rule.TWO_WINNERS, at, "operator", complaint)
+        self.accepted_at.setdefault(version, at)
+        if batch.HasField("expected_version"):
+            self._check_race(at, batch)
+
+    def _check_race(self, at: float, batch: Batch) -> None:
+        winner = self._expected.setdefault(batch.expected_version, batch.request_id)
+        if winner != batch.request_id:
+            detail = f"{winner} and {batch.request_id} both expected {batch.expected_version}"
+            self.findings.add(Rule.TWO_WINNERS, at, "operator", detail)
+
+    def observe(
+        self, at: float, holder: Holder, version: int, resources: Iterable[VersionedResource]
+    ) -> None:
+        """Take what a holder holds now; call it on every change."""
+        before = self.held.get(holder.name, 0)
+        if version < before:
+            detail = f"went from version {before} back to {version}"
+            self.findings.add(Rule.VERSION_ORDER, at, holder.name, detail)
+        self.held[holder.name] = max(version, before)
+        held = set_of(resources)
+        for line in dangling_references(held):
+            self.findings.add(Rule.DANGLING_REFERENCE, at, holder.name, line)
+        self.observations.append(Observation(at, holder, version, held))
+
+    def judge_observations(self) -> None:
+        """Compare every observation with the reference; call once all answers are in."""
+        states = self.history.states()
+        versions = sorted(states)
+        cache: dict[tuple[int, frozenset[str] | None], dict[Key, Held]] = {}
+        for seen in self.observations:
+            base = max(version for version in versions if version <= seen.version)
+            scope = seen.holder.services
+            expected = cache.get((base, scope))
+            if expected is None:
+                whole = states[base]
+                expected = whole if scope is None else restrict(whole, scope)
+                cache[(base, scope)] = expected
+            if expected != seen.resources:
+                self._report_difference(seen, expected)
+
+    def judge_liveness(self, at: float, live: Iterable[Holder]) -> None:
+        """Check that the latest accepted state is in force on every live holder."""
+        whole = self.history.states()[self.history.latest]
+        last = {seen.holder.name: seen for seen in self.observations}
+        for holder in live:
+            expected = whole if holder.services is None else restrict(whole, holder.services)
+            seen = last.get(holder.name)
+            resources = seen.resources if seen is not None else {}
+            if resources != expected:
+                version = seen.version if seen is not None else 0
+                detail = f"holds {version}, accepted {self.history.latest}: " + _difference(
+                    resources, expected
+                )
+                self.findings.add(Rule.NOT_IN_FORCE, at, holder.name, detail)
+
+    def convergence_times(self) -> list[float]:
+        """Return, for each accepted version, seconds until every holder had held it."""
+        times = []
+        names = {seen.holder.name for seen in self.observations}
+        for version, began in self.accepted_at.items():
+            reached: dict[str, float] = {}
+            for seen in self.observations:
+                if seen.version >= version:
+                    reached.setdefault(seen.holder.name, seen.at)
+            if len(reached) == len(names):
+                times.append(max(0.0, max(reached.values(), default=began) - began))
+        return times
+
+    def _report_difference(self, seen: Observation, expected: dict[Key, Held]) -> None:
+        extra = {key for key in seen.resources if key not in expected}
+        rule = Rule.PARTIAL_VERSION
+        if any(key.kind == "secret" for key in extra):
+            rule = Rule.SECRET_OUT_OF_SCOPE
+        detail = f"version {seen.version}: " + _difference(seen.resources, expected)
+        self.findings.add(rule, seen.at, seen.holder.name, detail)
+
+
+def _difference(seen: dict[Key, Held], expected: dict[Key, Held]) -> str:
+    lacks = sorted(str(key) for key in expected if key not in seen)
+    extra = sorted(str(key) for key in seen if key not in expected)
+    other = sorted(str(key) for key in expected if key in seen and seen[key] != expected[key])
+    return f"lacks {lacks[:3]}, has besides {extra[:3]}, differs in {other[:3]}"
--- /dev/null
+++ b/src/limelever_lab/simulator/injector.py
@@ -0,0 +1,138 @@
+"""Brings drawn faults about, and undoes them when their time is over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from limelever_lab.simulator.environment import Environment
+from limelever_lab.simulator.faults import LEADER, Fault, FaultKind
+from limelever_lab.simulator.network import Network
+from limelever_lab.simulator.process import Process
+
+TORN_WRITE_STEP = 0.0003
+TORN_WRITE_TRIES = 20000
+"""How often, and at what spacing in seconds, a torn write looks for a write under way."""
+
+
+@dataclass(slots=True)
+class WorldActions:
+    """Faults that only the world can bring about; each takes the fault.
+
+    ``leader`` names the source process that leads now, or returns ``None``.
+    """
+
+    leader: Callable[[], str | None] = lambda: None
+    is_voter: Callable[[str], bool] = lambda _name: True
+    begin: Callable[[Fault], None] = lambda _fault: None
+    end: Callable[[Fault], None] = lambda _fault: None
+
+
+@dataclass(slots=True)
+class Injector:
+    """Schedules faults on the processes of a world."""
+
+    environment: Environment
+    network: Network
+    processes: Mapping[str, Process]
+    actions: WorldActions = field(default_factory=WorldActions)
+
+    def schedule(self, faults: Iterable[Fault]) -> None:
+        """Let each fault strike at its time."""
+        for fault in faults:
+            self.environment.at(fault.at, self._striker(fault))
+
+    def _striker(self, fault: Fault) -> Callable[[], None]:
+        return lambda: self._strike(fault)
+
+    def _strike(self, fault: Fault) -> None:
+        names = tuple(name for name in map(self._resolve, fault.targets) if name)
+        self.environment.trace.add(self.environment.now, "fault", f"{fault} on {names}")
+        match fault.kind:
+            case FaultKind.HERD_DEATH | FaultKind.RECONNECT_STORM | FaultKind.SOURCE_OUTAGE:
+                self._kill_together(fault, names)
+            case FaultKind.ONE_WAY_CUT | FaultKind.LATE_ANSWERS:
+                self._cut_for(fault, [(names[0], names[1])])
+            case FaultKind.CUT_OFF_CONTROL:
+                self._cut_off(fault, names)
+            case FaultKind.FROZEN_CONTROL:
+                self._freeze(fault, names)
+            case FaultKind.LOST_DISK:
+                self._lose_disk(fault, names[0])
+            case FaultKind.SECOND_LOSS:
+                self._lose_two(fault, names)
+            case FaultKind.TORN_WRITE:
+                self._tear(fault, names, TORN_WRITE_TRIES)
+            case _:
+                self.actions.begin(fault)
+                self.environment.after(fault.duration, lambda: self.actions.end(fault))
+
+    def _resolve(self, target: str) -> str | None:
+        if target != LEADER:
+            return target
+        return self.actions.leader() or next(iter(self.processes))
+
+    def _kill_together(self, fault: Fault, names: tuple[str, ...]) -> None:
+        source = self.environment.random
+        for name in names:
+            self.hold_down(name, fault.duration * source.uniform(0.3, 1.0), source.random() < 0.5)
+
+    def hold_down(self, name: str, duration: float, silent: bool = False) -> None:
+        """Kill a process and start it again after ``duration`` seconds."""
+        process = self.processes[name]
+        process.kill(silent)
+        process.held_down += 1
+        self.environment.after(duration, lambda: self._release(process))
+
+    def _release(self, process: Process) -> None:
+        process.held_down -= 1
+        process.start()
+
+    def _cut_for(self, fault: Fault, pairs: list[tuple[str, str]]) -> None:
+        for origin, target in pairs:
+            self.network.cut(origin, target)
+        self.environment.after(fault.duration, lambda: self._heal(pairs))
+
+    def _heal(self, pairs: list[tuple[str, str]]) -> None:
+        for origin, target in pairs:
+            self.network.heal(origin, target)
+
+    def _cut_off(self, fault: Fault, names: tuple[str, ...]) -> None:
+        pairs = []
+        for name in names:
+            for other in self.processes:
+                if other != name:
+                    pairs += [(name, other), (other, name)]
+        self._cut_for(fault, pairs)
+
+    def _freeze(self, fault: Fault, names: tuple[str, ...]) -> None:
+        for name in names:
+            process = self.processes[name]
+            process.freeze()
+            self.environment.after(fault.duration, process.thaw)
+
+    def _lose_disk(self, fault: Fault, name: str) -> None:
+        self.hold_down(name, fault.duration)
+        self.processes[name].lose_disk()
+
+    def _lose_two(self, fault: Fault, names: tuple[str, ...]) -> None:
+        """Lose a disk, and a second machine as soon as the first is back.
+
+        The second machine comes back with its disk: with it gone for good before the first
+        has caught up, two of three disks are gone and nothing could keep what only they held.
+        """
+        first, second = names
+        repair = fault.duration * 0.25
+        self._lose_disk(Fault(fault.kind, fault.at, repair), first)
+        pause = self.environment.random.uniform(0.0, 0.6)
+        self.environment.after(
+            repair + pause, lambda: self.hold_down(second, fault.duration * 0.6 - pause, True)
+        )
+
+    def _tear(self, fault: Fault, names: tuple[str, ...], tries: int) -> None:
+        """Kill a process in the middle of its next disk write."""
+        process = self.processes[names[0]]
+        if any(node.writing for node in process.nodes):
+            self.hold_down(process.name, fault.duration)
+        elif tries:
+            self.environment.after(TORN_WRITE_STEP, lambda: self._tear(fault, names, tries - 1))
