--- /dev/null
+++ b/src/limelever/source/events.py
@@ -0,0 +1,34 @@
+"""Numbered log events of the source: 2000 to 2499."""
+
+from __future__ import annotations
+
+from limelever.common.events import Level, define
+
+DISK_FORMATTED = define(
+    2000, "disk-formatted", Level.INFO, "empty disk formatted", "identity", "bootstrap"
+)
+JOIN_WAITING = define(
+    2001, "join-waiting", Level.INFO, "empty disk, asking the peers what they hold", "name"
+)
+ELECTION_STARTED = define(2010, "election-started", Level.INFO, "election started", "term")
+LEADER_ELECTED = define(2011, "leader-elected", Level.INFO, "this replica leads", "term")
+LEADER_STEPPED_DOWN = define(
+    2012, "leader-stepped-down", Level.WARNING, "this replica leads no more", "term", "reason"
+)
+LEADER_FOLLOWED = define(2013, "leader-followed", Level.INFO, "following", "leader", "term")
+LOG_CUT = define(
+    2014, "log-cut", Level.INFO, "entries that were never committed cut", "from_index", "term"
+)
+SNAPSHOT_TAKEN = define(2020, "snapshot-taken", Level.INFO, "snapshot taken", "index")
+SNAPSHOT_INSTALLED = define(
+    2021, "snapshot-installed", Level.INFO, "snapshot of the leader installed", "index", "leader"
+)
+MEMBERS_CHANGED = define(
+    2030, "members-changed", Level.INFO, "member set committed", "index", "voters", "learners"
+)
+REPLICA_REMOVED = define(
+    2031, "replica-removed", Level.WARNING, "this identity is no member any more", "identity"
+)
+JOIN_REFUSED = define(
+    2032, "join-refused", Level.WARNING, "join from a name outside the settings", "name"
+)
--- /dev/null
+++ b/src/limelever/source/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replication of the source's log by majority: sans-io, one module a duty."""
--- /dev/null
+++ b/src/limelever/source/replication/changes.py
@@ -0,0 +1,125 @@
+"""Changes of the member set: one at a time, each through the log.
+
+A replica that joins under the name of a voter replaces it without an operator: it is admitted as
+a learner, caught up, promoted, and then the spent identity is removed. It is promoted first, so
+that the group is never smaller than it was; each step waits for the commit of the one before.
+"""
+
+from __future__ import annotations
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.operators_pb2 import ChangeMembersRequest
+from limelever.protocol.replication_pb2 import JoinRequest, Member, MemberSet
+from limelever.source import events
+from limelever.source.replication.context import ReplicaContext
+from limelever.source.replication.leading import Leadership
+from limelever.source.replication.members import (
+    is_majority,
+    is_member,
+    learners,
+    replaces_a_voter,
+    superseded_voter,
+    voters,
+    with_learner,
+    with_promoted,
+    without,
+)
+
+
+class MembershipChanges:
+    """Carries out replacements and operators' changes while this replica leads."""
+
+    def __init__(self, context: ReplicaContext, leadership: Leadership) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._joining: dict[str, Member] = {}
+
+    def take_join(self, request: JoinRequest) -> None:
+        """Note that a replica asks to be admitted."""
+        context = self._context
+        if request.name not in context.settings.peers:
+            context.record(events.JOIN_REFUSED, name=request.name)
+            return
+        if not request.identity:
+            return
+        self._joining[request.name] = Member(
+            identity=request.identity,
+            name=request.name,
+            operator_address=request.operator_address,
+        )
+
+    def advance(self) -> None:
+        """Take the next step of a replacement, when there is one and none is under way."""
+        if not self._leadership.may_change_members:
+            return
+        changed = self._next_set()
+        if changed is not None:
+            self._leadership.change_members(changed)
+
+    def _next_set(self) -> MemberSet | None:
+        members = self._context.members
+        spent = superseded_voter(members)
+        if spent is not None:
+            return self._removal(spent)
+        for member in members.members:
+            if not member.voter and replaces_a_voter(members, member.name):
+                promoted = self._promotion(member.identity)
+                if promoted is not None:
+                    return promoted
+        for joining in self._joining.values():
+            known = is_member(members, joining.identity)
+            if not known and replaces_a_voter(members, joining.name):
+                return with_learner(members, joining)
+        return None
+
+    def _promotion(self, identity: str) -> MemberSet | None:
+        """Return the set with a learner promoted, unless it lags or could halt the group."""
+        if self._leadership.matched_index(identity) < self._context.commit_index:
+            return None
+        changed = with_promoted(self._context.members, identity)
+        return changed if self._is_healthy(changed) else None
+
+    def _removal(self, identity: str) -> MemberSet | None:
+        changed = without(self._context.members, identity)
+        return changed if self._is_healthy(changed) else None
+
+    def _is_healthy(self, members: MemberSet) -> bool:
+        """Return whether a majority of ``members`` answers now: it must commit the change."""
+        heard = [name for name in voters(members) if self._leadership.heard_lately(name)]
+        return is_majority(members, heard)
+
+    def request(self, request: ChangeMembersRequest) -> int | Failure:
+        """Begin an operator's change; returns the index whose commit completes it.
+
+        Fails with NOT_FOUND for an unknown name or identity and with OVERLOADED (try again)
+        while another change is under way, the learner lags, or a majority would not answer.
+        """
+        if not self._leadership.may_change_members:
+            return self._later("another change is under way")
+        members = self._context.members
+        match request.WhichOneof("change"):
+            case "add_learner":
+                changed = self._added(request.add_learner)
+            case "promote" if request.promote in learners(members):
+                changed = self._promotion(request.promote) or self._later("not ready to vote")
+            case "remove" if is_member(members, request.remove):
+                changed = self._removal(request.remove) or self._later("no majority would answer")
+            case None:
+                return Failure(ErrorKind.INVALID_REQUEST, "no change named")
+            case _:
+                return Failure(ErrorKind.NOT_FOUND, "no such member")
+        if isinstance(changed, Failure):
+            return changed
+        return self._leadership.change_members(changed)
+
+    def _added(self, name: str) -> MemberSet | Failure:
+        joining = self._joining.get(name)
+        if joining is None:
+            return Failure(ErrorKind.NOT_FOUND, f"no replica called {name} asks to join")
+        if is_member(self._context.members, joining.identity):
+            return self._context.members
+        return with_learner(self._context.members, joining)
+
+    def _later(self, reason: str) -> Failure:
+        delay = self._context.settings.election_timeout
+        return Failure(ErrorKind.OVERLOADED, reason, retry_after=delay)
--- /dev/null
+++ b/src/limelever/source/replication/context.py
@@ -0,0 +1,246 @@
+"""State that the duties of one replica share, and the writes that keep it durable."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+from random import Random
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import (
+    AppendLog,
+    ConnectionId,
+    LogEvent,
+    Output,
+    ReplaceFile,
+    ResetLog,
+    SendMessage,
+    StopProcess,
+    TruncateLog,
+)
+from limelever.protocol.replication_pb2 import (
+    Formatted,
+    HardState,
+    LogEntry,
+    MemberSet,
+    SourceSnapshot,
+)
+from limelever.source import events
+from limelever.source.replication.application import Application
+from limelever.source.replication.links import PeerLinks
+from limelever.source.replication.log import ReplicatedLog
+from limelever.source.replication.members import is_member, learners, voters
+from limelever.source.replication.persistence import (
+    FORMATTED_FILE,
+    HARD_STATE_FILE,
+    SNAPSHOT_FILE,
+    RecoveredReplica,
+)
+from limelever.source.replication.settings import ReplicationSettings
+from limelever.source.replication.writes import PendingWrites
+
+
+class ReplicaRole(StrEnum):
+    """What a replica is doing in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class ReplicaContext:
+    """Durable and volatile state of one replica; ``now`` is the time of the current event."""
+
+    def __init__(
+        self,
+        settings: ReplicationSettings,
+        recovered: RecoveredReplica,
+        random: Random,
+        application: Application,
+    ) -> None:
+        self.settings = settings
+        self.random = random
+        self.application = application
+        self.writes = PendingWrites()
+        self.links = PeerLinks(settings, random)
+        self.formatted = recovered.formatted
+        self.term = recovered.hard_state.term
+        self.voted_for = recovered.hard_state.voted_for
+        self.snapshot = recovered.snapshot
+        self.log = _recovered_log(recovered)
+        self.commit_index = self.log.base_index
+        self.role = ReplicaRole.FOLLOWER
+        self.leader = ""
+        self.leader_address = ""
+        self.heard_leader_at = float("-inf")
+        self.election_deadline = float("inf")
+        self.now = 0.0
+        self.outputs: list[Output] = []
+        self.on_leadership_lost: Callable[[], None] = lambda: None
+
+    @property
+    def identity(self) -> str:
+        """Return this replica's identity; empty while the disk is not formatted."""
+        return self.formatted.identity if self.formatted is not None else ""
+
+    @property
+    def members(self) -> MemberSet:
+        """Return the member set in effect: the latest in the log, committed or not."""
+        return self.log.members
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this replica's identity votes."""
+        return self.identity in voters(self.members)
+
+    def send(self, connection: ConnectionId, message: Message) -> None:
+        """Send a message on a link."""
+        self.outputs.append(SendMessage(connection, message))
+
+    def record(self, code: int, **fields: object) -> None:
+        """Write a log event."""
+        self.outputs.append(LogEvent(code, fields))
+
+    def restart_election_timer(self) -> None:
+        """Draw the time at which this replica will stand for election unless it hears more."""
+        timeout = self.settings.election_timeout
+        self.election_deadline = self.now + self.random.uniform(timeout, 2 * timeout)
+
+    # --- terms ------------------------------------------------------------------------------
+
+    def adopt_term(self, term: int) -> None:
+        """Move on to a higher term, in which this replica has not voted."""
+        if term <= self.term:
+            return
+        self.step_down(f"term {term} was seen")
+        self.term = term
+        self.voted_for = ""
+        self.role = ReplicaRole.FOLLOWER
+        self.leader, self.leader_address = "", ""
+        self.save_hard_state()
+
+    def step_down(self, reason: str) -> None:
+        """Stop leading, if this replica leads."""
+        if self.role is not ReplicaRole.LEADER:
+            return
+        self.record(events.LEADER_STEPPED_DOWN, term=self.term, reason=reason)
+        self.role = ReplicaRole.FOLLOWER
+        self.leader, self.leader_address = "", ""
+        self.restart_election_timer()
+        self.on_leadership_lost()
+
+    def follow(self, leader: str, address: str) -> None:
+        """Note that the leader of the current term was heard."""
+        if self.leader != leader:
+            self.record(events.LEADER_FOLLOWED, leader=leader, term=self.term)
+        self.role = ReplicaRole.FOLLOWER
+        self.leader, self.leader_address = leader, address
+        self.heard_leader_at = self.now
+        self.restart_election_timer()
+
+    # --- disk -------------------------------------------------------------------------------
+
+    def save_hard_state(self) -> None:
+        """Write term and vote; what depends on them waits for ``writes.when_synced``."""
+        state = HardState(term=self.term, voted_for=self.voted_for)
+        self._replace(HARD_STATE_FILE, state)
+
+    def save_formatted(self, formatted: Formatted) -> None:
+        """Write the replica's identity."""
+        self.formatted = formatted
+        self._replace(FORMATTED_FILE, formatted)
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries to the log."""
+        self.log.append(entries)
+        records = tuple(entry.SerializeToString() for entry in entries)
+        self.outputs.append(AppendLog(self.writes.draw(), records))
+
+    def cut_from(self, index: int) -> None:
+        """Drop entries that were never committed, from ``index`` on."""
+        self.record(events.LOG_CUT, from_index=index, term=self.term)
+        self.log.cut_from(index)
+        keep = self.log.last_index - self.log.base_index
+        self.outputs.append(TruncateLog(self.writes.draw(), keep))
+
+    def reset_disk_log(self) -> None:
+        """Let the disk's log hold just the entries after the snapshot."""
+        entries = self.log.suffix(self.log.base_index)
+        records = tuple(entry.SerializeToString() for entry in entries)
+        self.outputs.append(ResetLog(self.writes.draw(), records))
+
+    def save_snapshot(self, snapshot: SourceSnapshot) -> None:
+        """Write a snapshot, then drop the entries that it covers (in this order)."""
+        self.snapshot = snapshot
+        self._replace(SNAPSHOT_FILE, snapshot)
+        self.log.rebase(snapshot.last_index, snapshot.last_term, snapshot.members)
+        self.reset_disk_log()
+
+    def _replace(self, name: str, content: Message) -> None:
+        data = content.SerializeToString()
+        self.outputs.append(ReplaceFile(self.writes.draw(), name, data))
+
+    # --- commit -----------------------------------------------------------------------------
+
+    def commit_to(self, index: int) -> None:
+        """Apply entries up to ``index``, which a majority has synced."""
+        while self.commit_index < index:
+            self.commit_index += 1
+            entry = self.log.entry(self.commit_index)
+            if entry.WhichOneof("body") == "members":
+                self._note_members(entry.members, entry.index)
+            self.application.apply(entry)
+        if self.commit_index - self.log.base_index >= self.settings.snapshot_every:
+            self._take_snapshot()
+
+    def install(self, snapshot: SourceSnapshot) -> None:
+        """Replace state and log by a leader's snapshot, which is newer than what is committed."""
+        self.save_snapshot(snapshot)
+        self.commit_index = snapshot.last_index
+        self.application.restore(snapshot)
+        self.record(events.SNAPSHOT_INSTALLED, index=snapshot.last_index, leader=self.leader)
+        self._note_members(snapshot.members, snapshot.last_index)
+
+    def refuse_to_go_on(self, reason: str) -> None:
+        """Stop the process: durable state contradicts what a leader committed."""
+        self.outputs.append(StopProcess(Failure(ErrorKind.DATA_DAMAGED, reason)))
+
+    def _take_snapshot(self) -> None:
+        snapshot = self.application.snapshot()
+        snapshot.last_index = self.commit_index
+        snapshot.last_term = self.log.term_at(self.commit_index) or 0
+        snapshot.members.CopyFrom(self.log.members_at(self.commit_index))
+        self.save_snapshot(snapshot)
+        self.record(events.SNAPSHOT_TAKEN, index=snapshot.last_index)
+
+    def _note_members(self, members: MemberSet, index: int) -> None:
+        self.record(
+            events.MEMBERS_CHANGED,
+            index=index,
+            voters=sorted(voters(members)),
+            learners=learners(members),
+        )
+        if self.formatted is None:
+            return
+        if is_member(members, self.identity):
+            self._note_admitted(self.formatted)
+        elif self.formatted.admitted:
+            self.record(events.REPLICA_REMOVED, identity=self.identity)
+
+    def _note_admitted(self, formatted: Formatted) -> None:
+        if formatted.admitted:
+            return
+        admitted = Formatted()
+        admitted.CopyFrom(formatted)
+        admitted.admitted = True
+        self.save_formatted(admitted)
+
+
+def _recovered_log(recovered: RecoveredReplica) -> ReplicatedLog:
+    snapshot = recovered.snapshot
+    members = snapshot.members
+    if snapshot.last_index == 0 and recovered.formatted is not None:
+        members = recovered.formatted.first_members
+    return ReplicatedLog(snapshot.last_index, snapshot.last_term, members, recovered.entries)
--- /dev/null
+++ b/src/limelever/source/replication/follower.py
@@ -0,0 +1,96 @@
+"""A follower's duties: take the leader's entries and snapshots, answer once they are synced."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from functools import partial
+
+from limelever.common.sansio import ConnectionId
+from limelever.protocol.replication_pb2 import (
+    AppendAnswer,
+    AppendRequest,
+    InstallSnapshot,
+    LogEntry,
+)
+from limelever.source.replication.context import ReplicaContext, ReplicaRole
+
+
+class Follower:
+    """Takes appends and snapshots of the leader of the current term."""
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+
+    def take_append(self, connection: ConnectionId, request: AppendRequest) -> None:
+        """Take entries that follow what this log holds, or say from where to try."""
+        if not self._accepts(request.term, request.leader, request.leader_operator_address):
+            self._answer(connection, request.round, False, 0)
+            return
+        log = self._context.log
+        matches = request.previous_index < log.base_index or (
+            log.term_at(request.previous_index) == request.previous_term
+        )
+        if not matches:
+            hint = min(request.previous_index - 1, log.last_index)
+            self._answer_synced(connection, request.round, False, max(hint, 0))
+            return
+        if not self._take_entries(request.entries):
+            return
+        match = max(request.previous_index + len(request.entries), log.base_index)
+        self._context.commit_to(min(request.commit_index, match))
+        self._answer_synced(connection, request.round, True, match)
+
+    def take_snapshot(self, connection: ConnectionId, request: InstallSnapshot) -> None:
+        """Take a snapshot unless as much is committed here already."""
+        if not self._accepts(request.term, request.leader, ""):
+            self._answer(connection, request.round, False, 0)
+            return
+        if request.snapshot.last_index > self._context.commit_index:
+            self._context.install(request.snapshot)
+        self._answer_synced(connection, request.round, True, request.snapshot.last_index)
+
+    def _accepts(self, term: int, leader: str, address: str) -> bool:
+        context = self._context
+        if term < context.term:
+            return False
+        context.adopt_term(term)
+        if context.role is ReplicaRole.LEADER:
+            context.refuse_to_go_on(f"two leaders, {leader} and this one, in term {term}")
+            return False
+        context.follow(leader, address or context.leader_address)
+        return True
+
+    def _take_entries(self, entries: Sequence[LogEntry]) -> bool:
+        """Append what is new, cutting what conflicts; return whether the log is sound."""
+        context = self._context
+        for position, entry in enumerate(entries):
+            held = context.log.term_at(entry.index)
+            if entry.index <= context.log.base_index or held == entry.term:
+                continue
+            if held is not None:
+                if entry.index <= context.commit_index:
+                    context.refuse_to_go_on(f"committed entry {entry.index} differs")
+                    return False
+                context.cut_from(entry.index)
+            context.append(entries[position:])
+            break
+        return True
+
+    def _answer_synced(
+        self, connection: ConnectionId, round_number: int, success: bool, match: int
+    ) -> None:
+        answer = partial(self._answer, connection, round_number, success, match)
+        self._context.writes.when_synced(answer)
+
+    def _answer(
+        self, connection: ConnectionId, round_number: int, success: bool, match: int
+    ) -> None:
+        context = self._context
+        message = AppendAnswer(
+            term=context.term,
+            follower=context.identity,
+            success=success,
+            match_index=match,
+            round=round_number,
+        )
+        context.send(connection, message)
--- /dev/null
+++ b/src/limelever/source/replication/leading.py
@@ -0,0 +1,280 @@
+"""A leader's duties: send the log, count what is synced, commit, prove that it leads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import partial
+
+from limelever.common.sansio import ConnectionId
+from limelever.protocol.config_pb2 import Batch
+from limelever.protocol.replication_pb2 import (
+    AppendAnswer,
+    AppendRequest,
+    InstallSnapshot,
+    LogEntry,
+    Member,
+    MemberSet,
+    NoOperation,
+    ReadIndexAnswer,
+    ReadIndexRequest,
+)
+from limelever.source import events
+from limelever.source.replication.context import ReplicaContext, ReplicaRole
+from limelever.source.replication.members import is_member, majority_value
+from limelever.source.replication.progress import Progress, Rounds
+from limelever.source.replication.reads import LeaderReads, ReadAnswer
+
+
+class Leadership:
+    """Leads while the context's role is leader; all else is dropped."""
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+        self._progress: dict[str, Progress] = {}
+        self._rounds = Rounds(0.0)
+        self._reads = LeaderReads()
+        self._own_match = 0
+        self._first_index = 0
+        self._heartbeat_due = 0.0
+
+    @property
+    def leading(self) -> bool:
+        """Return whether this replica leads."""
+        return self._context.role is ReplicaRole.LEADER
+
+    @property
+    def may_change_members(self) -> bool:
+        """Return whether an entry of this term and the last member set are committed.
+
+        Without the first, two leaders' single changes could take effect side by side and their
+        majorities miss each other.
+        """
+        committed = self._context.commit_index
+        return (
+            self.leading
+            and committed >= self._first_index
+            and committed >= self._context.log.members_index
+        )
+
+    def begin(self) -> None:
+        """Lead from now on: an entry of the new term lets earlier ones commit."""
+        context = self._context
+        context.role = ReplicaRole.LEADER
+        context.leader = context.identity
+        context.leader_address = context.settings.operator_address
+        context.election_deadline = float("inf")
+        context.record(events.LEADER_ELECTED, term=context.term)
+        self._progress = {}
+        self._rounds = Rounds(context.now)
+        self._own_match = 0
+        self._first_index = context.log.last_index + 1
+        self._append(LogEntry(no_operation=NoOperation()))
+        self._begin_round()
+
+    def lost(self) -> None:
+        """Drop what only a leader may answer."""
+        self._progress = {}
+        self._reads.fail_all()
+
+    # --- entries ----------------------------------------------------------------------------
+
+    def propose(self, batch: Batch) -> int:
+        """Append a batch and return its index."""
+        return self._append(LogEntry(batch=batch))
+
+    def change_members(self, members: MemberSet) -> int:
+        """Append a member set, in effect at once, and return its index."""
+        return self._append(LogEntry(members=members))
+
+    def _append(self, entry: LogEntry) -> int:
+        context = self._context
+        entry.index = context.log.last_index + 1
+        entry.term = context.term
+        context.append([entry])
+        context.writes.when_synced(partial(self._own_synced, entry.term, entry.index))
+        for member in self._followers():
+            self._send_entries(member)
+        return entry.index
+
+    def _own_synced(self, term: int, index: int) -> None:
+        if self.leading and self._context.term == term:
+            self._own_match = max(self._own_match, index)
+            self._commit()
+
+    def _commit(self) -> None:
+        """Commit up to the newest entry of this term that a majority has synced."""
+        context = self._context
+        matches = {name: progress.match_index for name, progress in self._progress.items()}
+        matches[context.identity] = self._own_match
+        index = majority_value(context.members, matches)
+        if index <= context.commit_index or context.log.term_at(index) != context.term:
+            return
+        context.commit_to(index)
+        self._check_rounds()
+        for member in self._followers():
+            self._send_entries(member)
+        if not is_member(context.members, context.identity) and (
+            context.commit_index >= context.log.members_index
+        ):
+            context.step_down("this replica was removed")
+
+    # --- followers --------------------------------------------------------------------------
+
+    def _followers(self) -> Iterator[Member]:
+        """Yield the members to send to: of two with one name, the newer, whose disk is in use."""
+        newest = {member.name: member for member in self._context.members.members}
+        for member in newest.values():
+            if member.identity != self._context.identity:
+                yield member
+
+    def progress_of(self, identity: str) -> Progress:
+        """Return what is known of a follower."""
+        known = self._progress.get(identity)
+        if known is None:
+            known = Progress(next_index=self._context.log.last_index + 1)
+            self._progress[identity] = known
+        return known
+
+    def heard_lately(self, identity: str) -> bool:
+        """Return whether a member answered within the lease; this replica always did."""
+        if identity == self._context.identity:
+            return True
+        heard_at = self.progress_of(identity).heard_at
+        return self._context.now - heard_at < self._context.settings.lease
+
+    def matched_index(self, identity: str) -> int:
+        """Return up to which index a member has synced the log, as far as is known."""
+        if identity == self._context.identity:
+            return self._own_match
+        known = self._progress.get(identity)
+        return known.match_index if known is not None else 0
+
+    def _send_entries(self, member: Member) -> None:
+        context = self._context
+        connection = context.links.connection_to(member.name)
+        if connection is None:
+            return
+        progress = self.progress_of(member.identity)
+        if progress.next_index <= context.log.base_index:
+            self._send_snapshot(connection, progress)
+            return
+        previous = progress.next_index - 1
+        entries = context.log.entries_from(progress.next_index, context.settings.append_bytes)
+        context.send(connection, self._append_request(previous, entries))
+        progress.next_index += len(entries)
+
+    def _send_snapshot(self, connection: ConnectionId, progress: Progress) -> None:
+        """Send the snapshot, or only a heartbeat while one is under way."""
+        context = self._context
+        if context.now < progress.snapshot_due:
+            context.send(connection, self._append_request(context.log.base_index, []))
+            return
+        progress.snapshot_due = context.now + context.settings.election_timeout
+        message = InstallSnapshot(
+            term=context.term,
+            leader=context.identity,
+            snapshot=context.snapshot,
+            round=self._rounds.current,
+        )
+        context.send(connection, message)
+
+    def _append_request(self, previous: int, entries: list[LogEntry]) -> AppendRequest:
+        context = self._context
+        return AppendRequest(
+            term=context.term,
+            leader=context.identity,
+            previous_index=previous,
+            previous_term=context.log.term_at(previous) or 0,
+            entries=entries,
+            commit_index=context.commit_index,
+            round=self._rounds.current,
+            leader_operator_address=context.settings.operator_address,
+        )
+
+    def take_answer(self, answer: AppendAnswer) -> None:
+        """Take a follower's answer; one of another term proves nothing."""
+        context = self._context
+        context.adopt_term(answer.term)
+        member = self._member(answer.follower)
+        if not self.leading or answer.term != context.term or member is None:
+            return
+        progress = self.progress_of(answer.follower)
+        progress.heard_at = context.now
+        progress.acked_round = max(progress.acked_round, answer.round)
+        if answer.success:
+            progress.take_success(answer.match_index)
+            self._commit()
+        else:
+            progress.take_refusal(answer.match_index)
+        if self.leading and self._has_more_for(progress, answer.success):
+            self._send_entries(member)
+        self._check_rounds()
+
+    def _has_more_for(self, progress: Progress, accepted: bool) -> bool:
+        """Return whether to send at once; a snapshot under way is left to arrive."""
+        log = self._context.log
+        if progress.next_index <= log.base_index:
+            return self._context.now >= progress.snapshot_due
+        return not accepted or progress.next_index <= log.last_index
+
+    def _member(self, identity: str) -> Member | None:
+        members = self._context.members.members
+        return next((member for member in members if member.identity == identity), None)
+
+    # --- rounds and reads -------------------------------------------------------------------
+
+    def on_time(self) -> None:
+        """Send heartbeats when due; step down when no majority was heard within the lease."""
+        context = self._context
+        if not self.leading:
+            return
+        if context.now >= self._rounds.proved_at + context.settings.lease:
+            context.step_down("no majority heard within the lease")
+        elif context.now >= self._heartbeat_due:
+            self._begin_round()
+
+    def next_deadline(self) -> float | None:
+        """Return when a heartbeat is due or the lease ends."""
+        if not self.leading:
+            return None
+        lease_end = self._rounds.proved_at + self._context.settings.lease
+        return min(self._heartbeat_due, lease_end)
+
+    def _begin_round(self) -> None:
+        context = self._context
+        self._heartbeat_due = context.now + context.settings.heartbeat_interval
+        self._reads.round_began(self._rounds.begin(context.now))
+        for member in self._followers():
+            self._send_entries(member)
+        self._check_rounds()
+
+    def _check_rounds(self) -> None:
+        """Prove the newest round that a majority echoed, and answer the reads it proves."""
+        if not self.leading:
+            return
+        context = self._context
+        echoed = {name: progress.acked_round for name, progress in self._progress.items()}
+        echoed[context.identity] = self._rounds.current
+        self._rounds.prove(majority_value(context.members, echoed))
+        if context.commit_index >= self._first_index:
+            self._reads.round_proved(self._rounds.proved, context.commit_index)
+        if self._reads.wants_round:
+            self._begin_round()
+
+    def read(self, answer: ReadAnswer) -> None:
+        """Prove a read: ``answer`` gets an index that covers all committed before now."""
+        self._reads.add(answer)
+        if self._reads.wants_round:
+            self._begin_round()
+
+    def take_read_request(self, connection: ConnectionId, request: ReadIndexRequest) -> None:
+        """Prove a follower's read."""
+        answer = partial(self._answer_read, connection, request.token)
+        if self.leading:
+            self.read(answer)
+        else:
+            answer(None)
+
+    def _answer_read(self, connection: ConnectionId, token: int, index: int | None) -> None:
+        message = ReadIndexAnswer(token=token, ok=index is not None, index=index or 0)
+        self._context.send(connection, message)
--- /dev/null
+++ b/src/limelever/source/replication/members.py
@@ -0,0 +1,86 @@
+"""Member sets: who votes, what a majority is, and which single change comes next.
+
+Sets change through the log by at most one voter at a time, so that majorities of neighbouring
+sets overlap. A set is in effect for a replica as soon as it is in its log, committed or not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from limelever.protocol.replication_pb2 import Member, MemberSet
+
+BOOTSTRAP_SUFFIX = "-first"
+
+
+def bootstrap_members(names: Collection[str]) -> MemberSet:
+    """Return the members of a new group; their identities follow from their names."""
+    members = [
+        Member(identity=name + BOOTSTRAP_SUFFIX, name=name, voter=True) for name in sorted(names)
+    ]
+    return MemberSet(members=members)
+
+
+def voters(members: MemberSet) -> frozenset[str]:
+    """Return the identities that vote."""
+    return frozenset(member.identity for member in members.members if member.voter)
+
+
+def learners(members: MemberSet) -> tuple[str, ...]:
+    """Return the identities that hold the log but don't vote."""
+    return tuple(member.identity for member in members.members if not member.voter)
+
+
+def is_member(members: MemberSet, identity: str) -> bool:
+    """Return whether ``identity`` is a voter or a learner."""
+    return any(member.identity == identity for member in members.members)
+
+
+def is_majority(members: MemberSet, identities: Collection[str]) -> bool:
+    """Return whether ``identities`` include a majority of the voters."""
+    voting = voters(members)
+    return 2 * len(voting.intersection(identities)) > len(voting)
+
+
+def majority_value(members: MemberSet, values: Mapping[str, int]) -> int:
+    """Return the highest value that a majority of the voters has reached (0 when unknown)."""
+    reached = sorted((values.get(identity, 0) for identity in voters(members)), reverse=True)
+    return reached[len(reached) // 2] if reached else 0
+
+
+def with_learner(members: MemberSet, joining: Member) -> MemberSet:
+    """Return the set with a learner added; an older learner of the same name gives way."""
+    kept = [m for m in members.members if m.voter or m.name != joining.name]
+    learner = Member(
+        identity=joining.identity, name=joining.name, operator_address=joining.operator_address
+    )
+    return MemberSet(members=[*kept, learner])
+
+
+def with_promoted(members: MemberSet, identity: str) -> MemberSet:
+    """Return the set with the learner ``identity`` made a voter."""
+    changed = MemberSet()
+    changed.CopyFrom(members)
+    for member in changed.members:
+        if member.identity == identity:
+            member.voter = True
+    return changed
+
+
+def without(members: MemberSet, identity: str) -> MemberSet:
+    """Return the set without ``identity``."""
+    return MemberSet(members=[m for m in members.members if m.identity != identity])
+
+
+def superseded_voter(members: MemberSet) -> str | None:
+    """Return a voter whose name a later voter bears: its disk is lost, its identity spent."""
+    newest = {member.name: member.identity for member in members.members if member.voter}
+    for member in members.members:
+        if member.voter and newest[member.name] != member.identity:
+            return member.identity
+    return None
+
+
+def replaces_a_voter(members: MemberSet, name: str) -> bool:
+    """Return whether a replica called ``name`` votes already, maybe under another identity."""
+    return any(member.voter and member.name == name for member in members.members)
--- /dev/null
+++ b/src/limelever/source/replication/progress.py
@@ -0,0 +1,62 @@
+"""What a leader knows of each follower, and what majorities follow from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class Progress:
+    """One follower as its leader sees it.
+
+    ``match_index`` is synced at the follower; ``next_index`` is sent next, ahead of the answers;
+    ``acked_round`` is the newest round it echoed; ``heard_at`` is when it last answered;
+    ``snapshot_due`` is when a snapshot may be sent (again). Times in seconds, monotonic.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acked_round: int = 0
+    heard_at: float = NEVER
+    snapshot_due: float = NEVER
+
+    def take_success(self, match_index: int) -> None:
+        """Note what the follower has synced."""
+        self.match_index = max(self.match_index, match_index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+
+    def take_refusal(self, hint: int) -> None:
+        """Go back to the last index worth trying, never behind what is synced there."""
+        self.next_index = max(self.match_index, min(hint, self.next_index - 1)) + 1
+
+
+class Rounds:
+    """Numbers the leader's rounds of messages and remembers when each began.
+
+    A majority that echoed round *r* heard this leader after round *r* began: that proves it was
+    still the leader at that time, without comparing clocks.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.current = 0
+        self.proved = 0
+        self.proved_at = now
+        self._began: dict[int, float] = {}
+
+    def begin(self, now: float) -> int:
+        """Begin the next round and return its number."""
+        self.current += 1
+        self._began[self.current] = now
+        return self.current
+
+    def prove(self, round_number: int) -> bool:
+        """Note that a majority echoed ``round_number``; return whether that is news."""
+        if round_number <= self.proved:
+            return False
+        self.proved_at = self._began[round_number]
+        for spent in range(self.proved + 1, round_number + 1):
+            del self._began[spent]
+        self.proved = round_number
+        return True
--- /dev/null
+++ b/src/limelever/source/replication/replica.py
@@ -0,0 +1,244 @@
+"""One replica: passes each event to the duty that it concerns."""
+
+from __future__ import annotations
+
+from random import Random
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import (
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionId,
+    ConnectionOpened,
+    DeadlineReached,
+    Event,
+    MessageReceived,
+    Output,
+    Started,
+    WriteCompleted,
+)
+from limelever.protocol.config_pb2 import Batch
+from limelever.protocol.operators_pb2 import ChangeMembersRequest, MemberStatus, StatusResponse
+from limelever.protocol.replication_pb2 import (
+    AppendAnswer,
+    AppendRequest,
+    InstallSnapshot,
+    JoinRequest,
+    LogEntry,
+    Member,
+    ReadIndexAnswer,
+    ReadIndexRequest,
+    VoteAnswer,
+    VoteRequest,
+)
+from limelever.source.replication.application import Application
+from limelever.source.replication.changes import MembershipChanges
+from limelever.source.replication.context import ReplicaContext
+from limelever.source.replication.elections import Elections
+from limelever.source.replication.follower import Follower
+from limelever.source.replication.forwarded_reads import ForwardedReads
+from limelever.source.replication.joining import Joining
+from limelever.source.replication.leading import Leadership
+from limelever.source.replication.persistence import RecoveredReplica
+from limelever.source.replication.settings import ReplicationSettings
+
+LEARNER_ROLE = "learner"
+
+
+class Replica:
+    """A replica of the source's log; sans-io, composed into the source's core."""
+
+    def __init__(
+        self,
+        settings: ReplicationSettings,
+        recovered: RecoveredReplica,
+        random: Random,
+        application: Application,
+    ) -> None:
+        self._context = ReplicaContext(settings, recovered, random, application)
+        self._log_is_stale = recovered.log_is_stale
+        self._leadership = Leadership(self._context)
+        self._elections = Elections(self._context, self._leadership.begin)
+        self._follower = Follower(self._context)
+        self._reads = ForwardedReads(self._context)
+        self._joining = Joining(self._context)
+        self._changes = MembershipChanges(self._context, self._leadership)
+        self._context.on_leadership_lost = self._leadership_lost
+
+    def _leadership_lost(self) -> None:
+        self._leadership.lost()
+        self._context.application.leadership_lost()
+
+    # --- state ------------------------------------------------------------------------------
+
+    @property
+    def leading(self) -> bool:
+        """Return whether this replica leads."""
+        return self._leadership.leading
+
+    @property
+    def identity(self) -> str:
+        """Return this replica's identity; empty while its disk is not formatted."""
+        return self._context.identity
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._context.term
+
+    @property
+    def leader(self) -> str:
+        """Return the identity of the current leader; empty when none is known."""
+        return self._context.leader
+
+    @property
+    def leader_address(self) -> str:
+        """Return where the leader serves operators; empty when none is known."""
+        return self._context.leader_address
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which entries are committed and applied here."""
+        return self._context.commit_index
+
+    @property
+    def uncommitted(self) -> list[LogEntry]:
+        """Return the entries whose fate is open."""
+        return self._context.log.suffix(self._context.commit_index)
+
+    def status(self) -> StatusResponse:
+        """Return what operators see of this replica; the configuration version is the host's."""
+        context = self._context
+        learning = not context.is_voter
+        return StatusResponse(
+            name=context.settings.name,
+            role=LEARNER_ROLE if learning else context.role.value,
+            leader=context.leader,
+            leader_operator_address=context.leader_address,
+            term=context.term,
+            commit_index=context.commit_index,
+            members=[self._member_status(member) for member in context.members.members],
+        )
+
+    def _member_status(self, member: Member) -> MemberStatus:
+        return MemberStatus(
+            identity=member.identity,
+            name=member.name,
+            address=member.operator_address,
+            voter=member.voter,
+            matched_index=self._leadership.matched_index(member.identity),
+        )
+
+    # --- requests of the host ---------------------------------------------------------------
+
+    def propose(self, batch: Batch) -> int:
+        """Append a batch at the leader and return its index; fate is told through ``apply``."""
+        return self._leadership.propose(batch)
+
+    def read(self, token: int) -> None:
+        """Prove a read; the application is told through ``read_proved``."""
+        application = self._context.application
+        if self.leading:
+            self._leadership.read(lambda index: application.read_proved(token, index is not None))
+        else:
+            self._reads.forward(token)
+
+    def change_members(self, request: ChangeMembersRequest) -> int | Failure:
+        """Begin an operator's change of the member set at the leader."""
+        return self._changes.request(request)
+
+    # --- events -----------------------------------------------------------------------------
+
+    def handle(self, event: Event, now: float) -> list[Output]:
+        """Take an event of a replication link, the disk or the clock."""
+        self._context.now = now
+        match event:
+            case Started():
+                self._start()
+            case ConnectionOpened():
+                self._opened(event.connection)
+            case ConnectionClosed() | ConnectionFailed():
+                self._context.links.closed(event.connection, now)
+            case WriteCompleted():
+                self._context.writes.completed(event.token)
+            case MessageReceived():
+                self._take(event.connection, event.message)
+            case DeadlineReached():
+                self._on_time()
+        self._changes.advance()
+        return self.drain()
+
+    def drain(self) -> list[Output]:
+        """Return the outputs gathered since the last call."""
+        outputs, self._context.outputs = self._context.outputs, []
+        return outputs
+
+    def next_deadline(self) -> float | None:
+        """Return when ``DeadlineReached`` is wanted."""
+        context = self._context
+        times = (
+            context.links.next_deadline(),
+            self._joining.next_deadline(),
+            self._leadership.next_deadline(),
+            self._reads.next_deadline(),
+            context.election_deadline if context.formatted is not None else None,
+        )
+        return min((time for time in times if time is not None), default=None)
+
+    def _start(self) -> None:
+        context = self._context
+        context.links.start(context.now)
+        context.outputs.extend(context.links.dial_due(context.now))
+        context.restart_election_timer()
+        if self._log_is_stale:
+            context.reset_disk_log()
+        if context.snapshot.last_index > 0:
+            context.application.restore(context.snapshot)
+        self._joining.start()
+
+    def _opened(self, connection: ConnectionId) -> None:
+        if self._context.links.opened(connection) is not None:
+            self._joining.link_opened(connection)
+
+    def _on_time(self) -> None:
+        context = self._context
+        context.outputs.extend(context.links.dial_due(context.now))
+        self._joining.on_time()
+        self._reads.on_time()
+        self._leadership.on_time()
+        if context.formatted is not None:
+            self._elections.on_time()
+
+    def _take(self, connection: ConnectionId, message: Message) -> None:
+        if isinstance(message, JoinRequest):
+            self._take_join(connection, message)
+        elif self._context.formatted is not None:
+            self._take_formatted(connection, message)
+
+    def _take_join(self, connection: ConnectionId, message: JoinRequest) -> None:
+        if message.answer:
+            self._joining.take_answer(message)
+            return
+        self._joining.answer(connection)
+        self._changes.take_join(message)
+
+    def _take_formatted(self, connection: ConnectionId, message: Message) -> None:
+        match message:
+            case VoteRequest():
+                self._elections.take_request(connection, message)
+            case VoteAnswer():
+                self._elections.take_answer(message)
+            case AppendRequest():
+                self._follower.take_append(connection, message)
+                self._reads.on_commit()
+            case AppendAnswer():
+                self._leadership.take_answer(message)
+            case InstallSnapshot():
+                self._follower.take_snapshot(connection, message)
+                self._reads.on_commit()
+            case ReadIndexRequest():
+                self._leadership.take_read_request(connection, message)
+            case ReadIndexAnswer():
+                self._reads.take_answer(message)
