--- /dev/null
+++ b/src/limelever/keeper/client.py
@@ -0,0 +1,295 @@
+"""The client of the keepers: claims, releases and completions by majority.
+
+A component of the proxy core: the host passes it the events of KEEPER links and the time, and
+takes ``ClaimSettled`` and ``CompletionSettled`` out of the outputs.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from google.protobuf.message import Message
+
+from limelever.common.backoff import Backoff
+from limelever.common.sansio import (
+    Address,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionId,
+    ConnectionOpened,
+    DialledConnections,
+    Event,
+    MessageReceived,
+    OpenConnection,
+    Output,
+    Purpose,
+    SendMessage,
+)
+from limelever.keeper.settings import KeeperClientSettings
+from limelever.keeper.tally import ClaimGranted, ClaimOutcome, ClaimTally
+from limelever.protocol.keeper_pb2 import (
+    Claim,
+    ClaimAnswer,
+    Complete,
+    KeeperDone,
+    RecordedAnswer,
+    Release,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettled(Output):
+    """The outcome of a claim; exactly one follows each ``claim``."""
+
+    token: bytes
+    outcome: ClaimOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionSettled(Output):
+    """Whether a majority has recorded an answer; exactly one follows each ``complete``."""
+
+    token: bytes
+    ok: bool
+
+
+@dataclass(slots=True)
+class KeeperLink:
+    """The link to one keeper."""
+
+    address: Address
+    backoff: Backoff
+    connection: ConnectionId | None = None
+    open: bool = False
+    dial_at: float = 0.0
+
+
+@dataclass(slots=True)
+class PendingClaim:
+    """A claim on its way to a majority."""
+
+    message: Claim
+    tally: ClaimTally
+    give_up_at: float
+
+
+@dataclass(slots=True)
+class PendingSettlement:
+    """A release or completion repeated until the keepers have it, or its window ends."""
+
+    message: Release | Complete
+    give_up_at: float
+    resend_at: float
+    done: set[Address] = field(default_factory=set)
+    announce_at: float | None = None
+
+
+class KeeperClientCore:
+    """Claims, releases and completions of one process."""
+
+    def __init__(
+        self,
+        settings: KeeperClientSettings,
+        connections: DialledConnections,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._connections = connections
+        self._links = {
+            address: KeeperLink(address, Backoff(settings.backoff, random_source))
+            for address in settings.keepers
+        }
+        self._by_connection: dict[ConnectionId, KeeperLink] = {}
+        self._claims: dict[bytes, PendingClaim] = {}
+        self._keys: dict[bytes, Claim] = {}
+        self._settlements: dict[bytes, PendingSettlement] = {}
+        self._requests: dict[int, bytes] = {}
+        self._last_request = 0
+
+    # --- what the host asks -----------------------------------------------------------------
+
+    def claim(self, token: bytes, key: bytes, fingerprint: bytes, now: float) -> list[Output]:
+        """Ask all keepers for a claim; a ``ClaimSettled`` follows within the claim window."""
+        message = Claim(
+            request=self._draw_request(token), key=key, token=token, fingerprint=fingerprint
+        )
+        tally = ClaimTally(self._settings.quorum, frozenset(self._links), fingerprint)
+        self._claims[token] = PendingClaim(message, tally, now + self._settings.claim_window)
+        self._keys[token] = message
+        return self._broadcast(message)
+
+    def release(self, token: bytes, now: float) -> list[Output]:
+        """Give a claim up whose call was not run; repeated until the keepers have it."""
+        claim = self._keys.pop(token, None)
+        if claim is None:
+            return []
+        message = Release(request=self._draw_request(token), key=claim.key, token=token)
+        return self._settle(token, message, now, announce_at=None)
+
+    def complete(self, token: bytes, answer: RecordedAnswer, now: float) -> list[Output]:
+        """Record an answer; a ``CompletionSettled`` follows within ``completion_wait``."""
+        claim = self._keys.pop(token)
+        message = Complete(
+            request=self._draw_request(token),
+            key=claim.key,
+            token=token,
+            answer=answer,
+            fingerprint=claim.fingerprint,
+        )
+        return self._settle(token, message, now, announce_at=now + self._settings.completion_wait)
+
+    def forget(self, token: bytes) -> None:
+        """Leave a claim as it is: the call's outcome is not known."""
+        self._keys.pop(token, None)
+
+    # --- events and time --------------------------------------------------------------------
+
+    def start(self, now: float) -> list[Output]:
+        """Dial the keepers."""
+        return self._dial_due(now)
+
+    def owns(self, connection: ConnectionId) -> bool:
+        """Return whether a connection is a link to a keeper."""
+        return connection in self._by_connection
+
+    def handle(self, event: Event, now: float) -> list[Output]:
+        """Take an event of a keeper's link."""
+        match event:
+            case ConnectionOpened(connection, _):
+                return self._opened(self._by_connection[connection])
+            case ConnectionClosed(connection, _) | ConnectionFailed(connection, _):
+                return self._lost(connection, now)
+            case MessageReceived(connection, message):
+                return self._received(self._by_connection[connection], message, now)
+        return []
+
+    def next_deadline(self) -> float | None:
+        """Return when a claim is given up, a message repeated or a keeper dialled."""
+        times = [link.dial_at for link in self._links.values() if link.connection is None]
+        times.extend(claim.give_up_at for claim in self._claims.values())
+        for pending in self._settlements.values():
+            times.append(min(pending.resend_at, pending.give_up_at))
+            if pending.announce_at is not None:
+                times.append(pending.announce_at)
+        return min(times, default=None)
+
+    def tick(self, now: float) -> list[Output]:
+        """Do what is due."""
+        outputs = self._dial_due(now)
+        for token, claim in list(self._claims.items()):
+            if now >= claim.give_up_at:
+                outputs.extend(self._settle_claim(token, claim.tally.given_up(), now))
+        for token, pending in list(self._settlements.items()):
+            outputs.extend(self._tend(token, pending, now))
+        return outputs
+
+    # --- links ------------------------------------------------------------------------------
+
+    def _dial_due(self, now: float) -> list[Output]:
+        outputs: list[Output] = []
+        for link in self._links.values():
+            if link.connection is None and now >= link.dial_at:
+                link.connection = self._connections.draw()
+                self._by_connection[link.connection] = link
+                outputs.append(OpenConnection(link.connection, link.address, Purpose.KEEPER))
+        return outputs
+
+    def _opened(self, link: KeeperLink) -> list[Output]:
+        assert link.connection is not None
+        link.open = True
+        link.backoff.reset()
+        waiting: list[Message] = [
+            claim.message
+            for claim in self._claims.values()
+            if not claim.tally.has_answer_of(link.address)
+        ]
+        waiting.extend(
+            pending.message
+            for pending in self._settlements.values()
+            if link.address not in pending.done
+        )
+        return [SendMessage(link.connection, message) for message in waiting]
+
+    def _lost(self, connection: ConnectionId, now: float) -> list[Output]:
+        link = self._by_connection.pop(connection)
+        link.connection = None
+        link.open = False
+        link.dial_at = now + link.backoff.next_delay()
+        return []
+
+    def _broadcast(
+        self, message: Message, besides: frozenset[Address] = frozenset()
+    ) -> list[Output]:
+        return [
+            SendMessage(link.connection, message)
+            for link in self._links.values()
+            if link.open and link.connection is not None and link.address not in besides
+        ]
+
+    # --- answers ----------------------------------------------------------------------------
+
+    def _received(self, link: KeeperLink, message: Message, now: float) -> list[Output]:
+        if isinstance(message, ClaimAnswer):
+            token = self._requests.get(message.request, b"")
+            claim = self._claims.get(token)
+            if claim is None or claim.message.request != message.request:
+                return []
+            outcome = claim.tally.take(link.address, message)
+            return [] if outcome is None else self._settle_claim(token, outcome, now)
+        if isinstance(message, KeeperDone):
+            token = self._requests.get(message.request, b"")
+            pending = self._settlements.get(token)
+            if pending is not None and pending.message.request == message.request:
+                pending.done.add(link.address)
+                return self._tend(token, pending, now)
+        return []
+
+    def _settle_claim(self, token: bytes, outcome: ClaimOutcome, now: float) -> list[Output]:
+        claim = self._claims.pop(token)
+        outputs: list[Output] = []
+        if isinstance(outcome, ClaimGranted):
+            self._forget_request(claim.message.request)
+            if now >= claim.give_up_at:
+                outcome = claim.tally.given_up()
+        if not isinstance(outcome, ClaimGranted):
+            self._forget_request(claim.message.request)
+            outputs.extend(self.release(token, now))
+        outputs.append(ClaimSettled(token, outcome))
+        return outputs
+
+    # --- releases and completions -----------------------------------------------------------
+
+    def _settle(
+        self, token: bytes, message: Release | Complete, now: float, announce_at: float | None
+    ) -> list[Output]:
+        self._settlements[token] = PendingSettlement(
+            message,
+            give_up_at=now + self._settings.settle_window,
+            resend_at=now + self._settings.resend_interval,
+            announce_at=announce_at,
+        )
+        return self._broadcast(message)
+
+    def _tend(self, token: bytes, pending: PendingSettlement, now: float) -> list[Output]:
+        outputs: list[Output] = []
+        recorded = len(pending.done) >= self._settings.quorum
+        if pending.announce_at is not None and (recorded or now >= pending.announce_at):
+            pending.announce_at = None
+            outputs.append(CompletionSettled(token, recorded))
+        if len(pending.done) == len(self._links) or now >= pending.give_up_at:
+            del self._settlements[token]
+            self._forget_request(pending.message.request)
+            return outputs
+        if now >= pending.resend_at:
+            pending.resend_at = now + self._settings.resend_interval
+            outputs.extend(self._broadcast(pending.message, frozenset(pending.done)))
+        return outputs
+
+    def _draw_request(self, token: bytes) -> int:
+        self._last_request += 1
+        self._requests[self._last_request] = token
+        return self._last_request
+
+    def _forget_request(self, request: int) -> None:
+        self._requests.pop(request, None)
--- /dev/null
+++ b/src/limelever/keeper/settings.py
@@ -0,0 +1,63 @@
+"""Settings of the keeper core and of its clients. Durations are in seconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.backoff import BackoffSettings
+from limelever.common.sansio import Address
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperSettings:
+    """One keeper of a fixed set.
+
+    ``others`` are the other keepers' addresses. ``claim_lifetime`` is how long a claim or its
+    recorded answer is kept; ``rejoin_wait`` must exceed every client's ``claim_window``.
+    """
+
+    name: str
+    others: tuple[Address, ...]
+    claim_lifetime: float = 86400.0
+    rejoin_wait: float = 10.0
+    poll_interval: float = 0.5
+    largest_answer: int = 65536
+    claims_limit: int = 1_000_000
+    bytes_limit: int = 256 * 1024 * 1024
+    compact_from: int = 10_000
+
+    @property
+    def quorum(self) -> int:
+        """Return how many keepers are a majority of the set."""
+        return (len(self.others) + 1) // 2 + 1
+
+    @property
+    def copies_needed(self) -> int:
+        """Return how many other keepers must be copied from after a lost disk.
+
+        Every majority that this keeper may have completed with its forgotten vote has
+        ``quorum - 1`` members among the others; the copies must meet each such set.
+        """
+        return len(self.others) - self.quorum + 2
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperClientSettings:
+    """A client's view of the keepers.
+
+    A claim that has no majority within ``claim_window`` of its start is given up: the safety
+    of a keeper's rejoin rests on this bound. ``settle_window`` bounds releases and
+    completions, ``resend_interval`` their repetition.
+    """
+
+    keepers: tuple[Address, ...]
+    claim_window: float = 2.0
+    settle_window: float = 10.0
+    completion_wait: float = 1.0
+    resend_interval: float = 0.25
+    backoff: BackoffSettings = BackoffSettings(base=0.1, maximum=2.0)
+
+    @property
+    def quorum(self) -> int:
+        """Return how many keepers are a majority of the set."""
+        return len(self.keepers) // 2 + 1
