Lay down the proxy's request path as sans-io parts

Cause: the proxy room was empty. Own load lives beside the health counters, not in the endpoint entries, so that an answer does not rebuild the list of usable endpoints.

--- /dev/null
+++ b/src/limelever/proxy/admission.py
@@ -0,0 +1,77 @@
+"""Admits a call or says at once why not: route, body size, idempotency key, time and limits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.proxy.call_state import Call
+from limelever.proxy.call_types import (
+    GROUP_LENGTH_LIMIT,
+    IDEMPOTENCY_KEY_LENGTH_LIMIT,
+    CallRequest,
+)
+from limelever.proxy.group_limits import GroupLimits, ShareKey
+from limelever.proxy.router import RouteEntry, RouteTable
+
+NO_CONFIGURATION_RETRY_AFTER = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """``default_timeout`` (seconds) is of routes that name none."""
+
+    default_timeout: float = 10.0
+
+
+def admit(
+    number: int,
+    request: CallRequest,
+    table: RouteTable | None,
+    limits: GroupLimits,
+    settings: AdmissionSettings,
+    now: float,
+) -> Call | Failure:
+    """Return the admitted call, counted in ``limits``, or the refusal to answer at once."""
+    if table is None:
+        return Failure(
+            ErrorKind.NO_CONFIGURATION,
+            "no configuration is held yet",
+            retry_after=NO_CONFIGURATION_RETRY_AFTER,
+        )
+    route = table.match(request.method, request.target)
+    if isinstance(route, Failure):
+        return route
+    refusal = _check(request, route)
+    if refusal is not None:
+        return refusal
+    share = ShareKey(route.service, request.group)
+    refusal = limits.admit(share, table.weight(route.service, request.group))
+    if refusal is not None:
+        return refusal
+    deadline = now + call_timeout(request, route, settings)
+    return Call(number, request, route, share, deadline)
+
+
+def call_timeout(request: CallRequest, route: RouteEntry, settings: AdmissionSettings) -> float:
+    """Return the seconds the call has: the caller's wish, capped by the route's."""
+    longest = route.timeout or settings.default_timeout
+    return min(request.timeout, longest) if request.timeout > 0 else longest
+
+
+def _check(request: CallRequest, route: RouteEntry) -> Failure | None:
+    if route.max_body_bytes and len(request.body) > route.max_body_bytes:
+        reason = f"body of {len(request.body)} bytes, limit {route.max_body_bytes}"
+        return Failure(ErrorKind.BODY_TOO_LARGE, reason)
+    if not 0 < len(request.group) <= GROUP_LENGTH_LIMIT:
+        reason = f"group name must have 1 to {GROUP_LENGTH_LIMIT} characters"
+        return Failure(ErrorKind.INVALID_REQUEST, reason)
+    if not route.at_most_once:
+        return None
+    if not request.idempotency_key:
+        reason = "calls on this route need the header idempotency-key"
+        return Failure(ErrorKind.IDEMPOTENCY_KEY_MISSING, reason)
+    if len(request.idempotency_key) > IDEMPOTENCY_KEY_LENGTH_LIMIT:
+        reason = f"idempotency-key is over {IDEMPOTENCY_KEY_LENGTH_LIMIT} bytes"
+        return Failure(ErrorKind.INVALID_REQUEST, reason)
+    return None
--- /dev/null
+++ b/src/limelever/proxy/answers.py
@@ -0,0 +1,59 @@
+"""How failures and answers look to the caller: status, headers and a JSON body."""
+
+from __future__ import annotations
+
+import json
+import math
+
+from limelever.common.errors import Failure, Outcome
+from limelever.proxy.call_types import ERROR_HEADER, OUTCOME_HEADER, CallAnswer, Headers
+
+RETRY_AFTER_HEADER = b"retry-after"
+CONTENT_LENGTH_HEADER = b"content-length"
+_MILLISECONDS = 1000
+_JSON = (b"content-type", b"application/json")
+_RAN = (OUTCOME_HEADER, Outcome.RAN.value.encode())
+
+
+def render_answer(answer: CallAnswer | Failure) -> CallAnswer:
+    """Return what goes to the caller for a back end's answer or a failure."""
+    return render_failure(answer) if isinstance(answer, Failure) else render_success(answer)
+
+
+def render_success(answer: CallAnswer) -> CallAnswer:
+    """Return the back end's answer with its outcome and length stated."""
+    headers = [
+        (name, value)
+        for name, value in answer.headers
+        if name not in (CONTENT_LENGTH_HEADER, OUTCOME_HEADER, ERROR_HEADER)
+    ]
+    headers += [_RAN, *_length(answer)]
+    return CallAnswer(answer.status, tuple(headers), answer.body)
+
+
+def render_failure(failure: Failure) -> CallAnswer:
+    """Return the HTTP answer of a failure, by the row of its kind in the error table."""
+    content = {
+        "kind": failure.kind.value,
+        "reason": failure.reason,
+        "outcome": failure.outcome.value,
+        "retry_after_ms": round(failure.retry_after * _MILLISECONDS),
+    }
+    body = json.dumps(content).encode()
+    headers: Headers = (
+        _JSON,
+        (CONTENT_LENGTH_HEADER, str(len(body)).encode()),
+        (OUTCOME_HEADER, failure.outcome.value.encode()),
+        (ERROR_HEADER, failure.kind.value.encode()),
+    )
+    if failure.retry_after > 0:
+        whole_seconds = max(1, math.ceil(failure.retry_after))
+        headers += ((RETRY_AFTER_HEADER, str(whole_seconds).encode()),)
+    return CallAnswer(failure.answer.http_status, headers, body)
+
+
+def _length(answer: CallAnswer) -> Headers:
+    """Return the body's length; an answer to HEAD or without a body keeps what it stated."""
+    if not answer.body:
+        return tuple(h for h in answer.headers if h[0] == CONTENT_LENGTH_HEADER)
+    return ((CONTENT_LENGTH_HEADER, str(len(answer.body)).encode()),)
--- /dev/null
+++ b/src/limelever/proxy/balancer.py
@@ -0,0 +1,165 @@
+"""Picks the endpoint for an attempt: two random choices, the less loaded one wins.
+
+Own calls in flight count in full, the reported load of others fades with its age, and a cold
+endpoint counts with a part of its slots. The proxy's own zone comes first and spills over when
+it is short. Ejection leaves a floor: when too few would be left, the ejected endpoints that
+return soonest are used all the same.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Container, Sequence
+from dataclasses import dataclass
+from statistics import median
+
+from limelever.proxy.endpoints import EndpointEntry, EndpointKey
+from limelever.proxy.health import EndpointHealth, HealthSettings, Verdict
+
+_NOTHING_EXCLUDED: frozenset[EndpointKey] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerSettings:
+    """How endpoints are compared; times in seconds.
+
+    ``spill_load`` is the load per slot from which a local endpoint counts as full,
+    ``ejection_floor`` the part of a set that is never ejected, ``cold_part`` the part of its
+    slots with which a cold endpoint begins, and ``foreign_load_limit`` the most that a report
+    may claim, in times of the slots.
+    """
+
+    zone: str = ""
+    spill_load: float = 1.0
+    ejection_floor: float = 0.5
+    slow_start: float = 10.0
+    cold_part: float = 0.1
+    load_half_life: float = 2.0
+    foreign_load_limit: float = 2.0
+
+
+class Balancer:
+    """Chooses endpoints and keeps the proxy's own health view of them."""
+
+    def __init__(
+        self,
+        settings: BalancerSettings,
+        health_settings: HealthSettings,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._health_settings = health_settings
+        self._random = random_source
+        self._health: dict[EndpointKey, EndpointHealth] = {}
+
+    def pick(
+        self,
+        usable: Sequence[EndpointEntry],
+        now: float,
+        excluded: Container[EndpointKey] = _NOTHING_EXCLUDED,
+        slow_start: float = 0.0,
+    ) -> EndpointEntry | None:
+        """Return the endpoint for a new attempt, or ``None`` when no usable one is left.
+
+        ``slow_start`` is the service's ramp in seconds; 0 stands for the default.
+        """
+        ramp = slow_start or self._settings.slow_start
+        candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
+        if not candidates:
+            return None
+        local = [entry for entry in candidates if entry.zone == self._settings.zone]
+        spill_load = self._settings.spill_load
+        if local and any(self._load(entry, ramp, now) < spill_load for entry in local):
+            candidates = local
+        return self._less_loaded_of_two(candidates, ramp, now)
+
+    def attempt_started(self, key: EndpointKey) -> None:
+        """Count one more own call at the endpoint."""
+        self._health_of(key).in_flight += 1
+
+    def attempt_ended(
+        self,
+        key: EndpointKey,
+        verdict: Verdict,
+        latency: float,
+        peers: Sequence[EndpointEntry],
+        now: float,
+    ) -> float:
+        """Take the end of an attempt; return the seconds of an ejection it caused, or 0.
+
+        ``peers`` is the set the endpoint belongs to: slowness is measured against it.
+        """
+        health = self._health_of(key)
+        health.in_flight -= 1
+        usual = 0.0
+        if latency > self._health_settings.slow_minimum:
+            usual = self._usual_latency(peers)
+        return health.record(verdict, latency, usual, now, self._health_settings)
+
+    def observe_load(self, key: EndpointKey, reported: int, now: float) -> None:
+        """Take the load that came with an answer at ``now``; own calls are not counted twice."""
+        health = self._health_of(key)
+        health.foreign_load = max(0, reported - health.in_flight)
+        health.load_at = now
+
+    def in_flight(self, key: EndpointKey) -> int:
+        """Return own calls in flight at the endpoint."""
+        health = self._health.get(key)
+        return health.in_flight if health else 0
+
+    def keep_only(self, keys: frozenset[EndpointKey]) -> None:
+        """Forget endpoints that are gone and have no call in flight."""
+        for key in self._health.keys() - keys:
+            if not self._health[key].in_flight:
+                del self._health[key]
+
+    def _health_of(self, key: EndpointKey) -> EndpointHealth:
+        health = self._health.get(key)
+        if health is None:
+            health = self._health[key] = EndpointHealth()
+        return health
+
+    def _healthy(self, usable: Sequence[EndpointEntry], now: float) -> list[EndpointEntry]:
+        healthy = [e for e in usable if not self._health_of(e.key).is_ejected(now)]
+        floor = math.ceil(len(usable) * self._settings.ejection_floor)
+        if len(healthy) >= floor:
+            return healthy
+        ejected = [e for e in usable if self._health_of(e.key).is_ejected(now)]
+        ejected.sort(key=lambda entry: self._health_of(entry.key).ejected_until)
+        return healthy + ejected[: floor - len(healthy)]
+
+    def _less_loaded_of_two(
+        self, candidates: list[EndpointEntry], ramp: float, now: float
+    ) -> EndpointEntry:
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self._random.sample(candidates, 2)
+        if self._load(second, ramp, now, 1) < self._load(first, ramp, now, 1):
+            return second
+        return first
+
+    def _load(self, entry: EndpointEntry, ramp: float, now: float, added: int = 0) -> float:
+        health = self._health_of(entry.key)
+        own = health.in_flight + added
+        return (own + self._foreign_load(entry, health, now)) / self._capacity(entry, ramp, now)
+
+    def _foreign_load(self, entry: EndpointEntry, health: EndpointHealth, now: float) -> float:
+        claimed, at = health.foreign_load, health.load_at
+        if entry.reported_at > at:
+            claimed, at = max(0, entry.reported_load - health.in_flight), entry.reported_at
+        if not claimed:
+            return 0.0
+        believed = min(claimed, entry.slots * self._settings.foreign_load_limit)
+        age = max(0.0, now - at)
+        return float(believed * 0.5 ** (age / self._settings.load_half_life))
+
+    def _capacity(self, entry: EndpointEntry, ramp: float, now: float) -> float:
+        age = now - entry.cold_since
+        if age >= ramp:
+            return float(entry.slots)
+        return entry.slots * max(self._settings.cold_part, age / ramp)
+
+    def _usual_latency(self, peers: Sequence[EndpointEntry]) -> float:
+        latencies = [h.latency for h in (self._health_of(e.key) for e in peers) if h.latency]
+        return median(latencies) if len(latencies) > 1 else 0.0
--- /dev/null
+++ b/src/limelever/proxy/call_types.py
@@ -0,0 +1,78 @@
+"""What the edge and the proxy core say to each other, besides the shared sans-io contract."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import Event, Output
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+GROUP_HEADER = b"x-limelever-group"
+TIMEOUT_HEADER = b"x-limelever-timeout-ms"
+OUTCOME_HEADER = b"x-limelever-outcome"
+ERROR_HEADER = b"x-limelever-error"
+IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+
+DEFAULT_GROUP = "default"
+GROUP_LENGTH_LIMIT = 64
+IDEMPOTENCY_KEY_LENGTH_LIMIT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class CallRequest:
+    """One caller's whole request; header names are in lower case.
+
+    ``timeout`` is in seconds, 0 when the caller named none.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    group: str = DEFAULT_GROUP
+    idempotency_key: bytes = b""
+    timeout: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """The back end's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallArrived(Event):
+    """A caller's request has been read whole; ``call`` is drawn by the edge, never reused."""
+
+    call: int
+    request: CallRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone(Event):
+    """The caller left before its answer; no ``AnswerCall`` follows."""
+
+    call: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested(Event):
+    """A planned stop began: the edge has stopped listening."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerCall(Output):
+    """The one final answer of a call."""
+
+    call: int
+    answer: CallAnswer | Failure
+
+
+@dataclass(frozen=True, slots=True)
+class StopFinished(Output):
+    """No call is in flight any more: the process may end."""
--- /dev/null
+++ b/src/limelever/proxy/calls.py
@@ -0,0 +1,256 @@
+"""The request path: each call from its arrival to its one final answer.
+
+admission -> claim (at most once only) -> attempt, perhaps others -> completion of the claim ->
+answer. The proxy is the only layer that retries; the agents never do.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import ErrorKind, Failure, Outcome
+from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer
+from limelever.protocol.keeper_pb2 import RecordedAnswer
+from limelever.proxy import claims, events
+from limelever.proxy.admission import AdmissionSettings, admit, call_timeout
+from limelever.proxy.attempts import Attempts
+from limelever.proxy.call_state import AttemptEnded, Call, CallTable, Phase
+from limelever.proxy.call_types import AnswerCall, CallAnswer, CallRequest
+from limelever.proxy.group_limits import GroupLimits
+from limelever.proxy.health import Verdict
+from limelever.proxy.retry_budget import RetryBudgets
+from limelever.proxy.retry_rules import (
+    NextStep,
+    RetrySettings,
+    final_failure,
+    next_step,
+    with_retry_after,
+)
+from limelever.proxy.router import RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class CallSettings:
+    """Settings of the request path; ``completion_wait`` (seconds) bounds the recording."""
+
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    retry: RetrySettings = field(default_factory=RetrySettings)
+    completion_wait: float = 1.0
+
+
+class CallEngine:
+    """Runs the calls in flight; what is to be done is appended to ``outputs``."""
+
+    def __init__(
+        self,
+        settings: CallSettings,
+        calls: CallTable,
+        attempts: Attempts,
+        limits: GroupLimits,
+        keepers: claims.KeeperClient,
+        random_source: random.Random,
+        outputs: list[Output],
+    ) -> None:
+        self._settings = settings
+        self._calls = calls
+        self._attempts = attempts
+        self._limits = limits
+        self._keepers = keepers
+        self._random = random_source
+        self._outputs = outputs
+        self._budgets = RetryBudgets()
+        self._table: RouteTable | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls not yet ended."""
+        return len(self._calls)
+
+    def set_table(self, table: RouteTable) -> None:
+        """Route new calls by this table; those in flight keep their route."""
+        self._table = table
+        self._attempts.set_secret_names(table.secret_names)
+        self._budgets.keep_only(table.route_names())
+
+    # --- events of the edge -------------------------------------------------------------------
+
+    def arrived(self, number: int, request: CallRequest, now: float) -> None:
+        """Admit a call and begin it, or refuse it at once."""
+        admitted = admit(number, request, self._table, self._limits, self._settings.admission, now)
+        if isinstance(admitted, Failure):
+            self._outputs.append(AnswerCall(number, with_retry_after(admitted)))
+            return
+        self._calls.add(admitted)
+        route = admitted.route
+        self._budgets.of(route.name, route.retry_budget_percent).record_fresh_call()
+        if route.at_most_once:
+            self._claim(admitted, now)
+        else:
+            self._attempt(admitted, now)
+
+    def caller_gone(self, number: int, now: float) -> None:
+        """Cancel a call that nobody waits for, unless it may not be repeated and is under way.
+
+        A call under way that may not be repeated runs on, so that its answer is recorded for the
+        caller's resend.
+        """
+        call = self._calls.by_number(number)
+        if call is None:
+            return
+        call.caller_gone = True
+        if call.route.at_most_once and call.phase in (Phase.HANDED_ON, Phase.COMPLETING):
+            return
+        self._attempts.abandon(call, Verdict.NEUTRAL, now)
+        self._finish(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller has gone"), now)
+
+    # --- events of the agents' links ----------------------------------------------------------
+
+    def link_opened(self, connection: ConnectionId, peer: Peer, now: float) -> None:
+        """Send what waited for a link."""
+        self._attempts.link_opened(connection, peer, now)
+
+    def link_lost(self, connection: ConnectionId, reason: str, now: float) -> None:
+        """End or move the attempts of a link that failed or closed."""
+        for ended in self._attempts.link_lost(connection, reason, now):
+            self._attempt_ended(ended, now)
+
+    def received(self, connection: ConnectionId, message: Message, now: float) -> None:
+        """Take a message of an agent."""
+        ended = self._attempts.received(connection, message, now)
+        if ended is not None:
+            self._attempt_ended(ended, now)
+
+    # --- events of the keepers' client --------------------------------------------------------
+
+    def claim_granted(self, token: bytes, now: float) -> None:
+        """Hand the call on: its claim is held by a majority of the keepers."""
+        call = self._calls.by_token(token)
+        if call is None or call.phase is not Phase.CLAIMING:
+            self._outputs.extend(self._keepers.release(token, now))
+            return
+        self._attempt(call, now)
+
+    def claim_answered(self, token: bytes, record: RecordedAnswer, now: float) -> None:
+        """Answer a resend with what was recorded for the first sending."""
+        call = self._calls.by_token(token)
+        if call is not None and call.phase is Phase.CLAIMING:
+            self._end(call, claims.replayed(record))
+
+    def claim_refused(self, token: bytes, failure: Failure, now: float) -> None:
+        """Answer a call whose claim was not granted; what a minority granted is given back."""
+        call = self._calls.by_token(token)
+        if call is not None and call.phase is Phase.CLAIMING:
+            self._outputs.extend(self._keepers.release(token, now))
+            self._end(call, with_retry_after(failure))
+
+    def completion_settled(self, token: bytes, recorded: bool) -> None:
+        """Answer a call whose answer the keepers recorded, or could not."""
+        call = self._calls.by_token(token)
+        if call is not None and call.phase is Phase.COMPLETING:
+            self._answer_completed(call, recorded)
+
+    # --- time ---------------------------------------------------------------------------------
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`wake` is wanted (seconds)."""
+        return self._calls.next_wake()
+
+    def wake(self, now: float) -> None:
+        """Look at the calls whose time has come."""
+        while (call := self._calls.take_due(now)) is not None:
+            if call.phase is Phase.COMPLETING:
+                self._answer_completed(call, recorded=False)
+            elif now < call.deadline:
+                self._dial_waited(call, now)
+            else:
+                self._deadline_passed(call, now)
+
+    # --- steps --------------------------------------------------------------------------------
+
+    def _claim(self, call: Call, now: float) -> None:
+        call.phase = Phase.CLAIMING
+        token = self._random.randbytes(claims.TOKEN_BYTES)
+        self._calls.set_token(call, token)
+        key = claims.claim_key(call.route, call.request)
+        fingerprint = claims.fingerprint(call.request)
+        self._outputs.extend(self._keepers.claim(token, key, fingerprint, now))
+
+    def _attempt(self, call: Call, now: float) -> None:
+        failure = self._attempts.start(call, now)
+        if failure is not None:
+            self._finish(call, failure, now)
+
+    def _attempt_ended(self, ended: AttemptEnded, now: float) -> None:
+        call, result = ended.call, ended.result
+        if isinstance(result, CallAnswer):
+            self._backend_answered(call, result, now)
+            return
+        if result.outcome is not Outcome.NOT_RUN and call.may_have_run is None:
+            call.may_have_run = result
+        if self._may_go_on(call, result, now):
+            failure = self._attempts.start(call, now)
+            if failure is None:
+                return
+        self._finish(call, result, now)
+
+    def _may_go_on(self, call: Call, failure: Failure, now: float) -> bool:
+        if now >= call.deadline:
+            return False
+        step = next_step(call, failure, self._settings.retry)
+        if step is NextStep.REDIRECT:
+            call.redirects += 1
+            return True
+        if step is NextStep.GIVE_UP:
+            return False
+        return self._budgets.of(call.route.name, call.route.retry_budget_percent).try_take()
+
+    def _backend_answered(self, call: Call, answer: CallAnswer, now: float) -> None:
+        if not call.route.at_most_once:
+            self._end(call, answer)
+            return
+        call.phase = Phase.COMPLETING
+        call.answer = answer
+        self._calls.wake(call, now + self._settings.completion_wait)
+        record = claims.recorded(answer)
+        self._outputs.extend(self._keepers.complete(call.token, record, now))
+
+    def _answer_completed(self, call: Call, recorded: bool) -> None:
+        assert call.answer is not None
+        if not recorded:
+            self._outputs.append(LogEvent(events.ANSWER_NOT_RECORDED, {"route": call.route.name}))
+        self._end(call, call.answer)
+
+    def _dial_waited(self, call: Call, now: float) -> None:
+        self._attempts.abandon(call, Verdict.FAILED, now)
+        failure = Failure(ErrorKind.CONNECTION_FAILED, "the agent's link did not come up in time")
+        self._attempt_ended(AttemptEnded(call, failure), now)
+
+    def _deadline_passed(self, call: Call, now: float) -> None:
+        handed_on = call.phase is Phase.HANDED_ON
+        longest = call.route.timeout or self._settings.admission.default_timeout
+        cut_short = call_timeout(call.request, call.route, self._settings.admission) < longest
+        verdict = Verdict.NEUTRAL if cut_short or not handed_on else Verdict.FAILED
+        self._attempts.abandon(call, verdict, now)
+        if handed_on or call.may_have_run is not None:
+            failure = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
+        elif call.phase is Phase.CLAIMING:
+            failure = Failure(ErrorKind.KEEPERS_UNAVAILABLE, "no claim within the deadline")
+        else:
+            failure = Failure(ErrorKind.DEADLINE_TOO_SHORT, "deadline passed before hand-on")
+        self._finish(call, failure, now)
+
+    def _finish(self, call: Call, failure: Failure, now: float) -> None:
+        """End a call with a failure; a claim is given back only if no attempt may have run."""
+        failure = final_failure(call, failure)
+        if call.token and failure.outcome is Outcome.NOT_RUN:
+            self._outputs.extend(self._keepers.release(call.token, now))
+        self._end(call, failure)
+
+    def _end(self, call: Call, answer: CallAnswer | Failure) -> None:
+        self._calls.remove(call)
+        self._limits.release(call.share)
+        if not call.caller_gone:
+            self._outputs.append(AnswerCall(call.number, answer))
--- /dev/null
+++ b/src/limelever/proxy/edge.py
@@ -0,0 +1,246 @@
+"""The HTTP edge towards callers: an ASGI application that hypercorn serves.
+
+A thin shell: it reads a request whole within its bounds, gives it to the core, and sends the
+core's one answer. HTTP/1.1 and HTTP/2, cleartext or TLS, are hypercorn's work.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Event
+from limelever.common.settings import seconds
+from limelever.proxy.answers import render_answer
+from limelever.proxy.call_types import (
+    AnswerCall,
+    CallAnswer,
+    CallArrived,
+    CallerGone,
+    CallRequest,
+    Headers,
+)
+from limelever.proxy.requests import declared_length, headers_size, parse_request
+from limelever.proxy.settings import EdgeSettings
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+BODY_TIMEOUT = 30.0
+"""Seconds a caller has to send its body."""
+
+DISCARD_TIMEOUT = 1.0
+"""Seconds for which the rest of a refused body is read, so that the caller sees the refusal."""
+
+OVERLOAD_RETRY_AFTER = 1.0
+HTTP_1 = "1"
+_CLOSE = (b"connection", b"close")
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A request whose answer is awaited; cancelling the scope wakes its task."""
+
+    scope: trio.CancelScope
+    answer: CallAnswer | Failure | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _CallerLeft:
+    """Sentinel: the caller left before its request was read whole."""
+
+
+class Edge:
+    """Accepts callers' requests; ``post`` gives events to the core."""
+
+    def __init__(self, settings: EdgeSettings, post: Callable[[Event], None]) -> None:
+        self._settings = settings
+        self._post = post
+        self._waiting: dict[int, _Waiting] = {}
+        self._last_call = 0
+        self._buffered = 0
+        self._stopping = trio.Event()
+
+    def answer(self, output: AnswerCall) -> None:
+        """Pass the core's answer to the request that waits for it."""
+        waiting = self._waiting.get(output.call)
+        if waiting is not None:
+            waiting.answer = output.answer
+            waiting.scope.cancel()
+
+    def stop(self) -> None:
+        """Stop listening; requests already in are answered."""
+        self._stopping.set()
+
+    async def serve(
+        self, stop_limit: float, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until :meth:`stop` and until what was in is answered, ``stop_limit`` s at most."""
+        config = _server_config(self._settings, stop_limit)
+        await serve(
+            self.application,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=self._stopping.wait,
+            task_status=task_status,
+            mode="asgi",
+        )
+
+    async def application(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "http":
+            await self._serve_request(scope, receive, send)
+        elif scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        else:
+            await send({"type": "websocket.close", "code": 1003})
+
+    async def _serve_request(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        headers: Headers = tuple((name, value) for name, value in scope["headers"])
+        reserved = _Reservation(self)
+        try:
+            body = await self._read_body(headers, receive, reserved)
+            if isinstance(body, _CallerLeft):
+                return
+            if isinstance(body, Failure):
+                await self._refuse(scope, body, receive, send)
+                return
+            request = parse_request(scope, headers, body)
+            answer = request if isinstance(request, Failure) else await self._call(request, receive)
+        finally:
+            reserved.release()
+        if answer is not None:
+            await self._send(scope, render_answer(answer), send, more=False)
+
+    async def _call(self, request: CallRequest, receive: Receive) -> CallAnswer | Failure | None:
+        """Return the core's answer, or ``None`` when the caller left before."""
+        self._last_call += 1
+        number = self._last_call
+        waiting = self._waiting[number] = _Waiting(trio.CancelScope())
+        try:
+            self._post(CallArrived(number, request))
+            while waiting.answer is None:
+                with waiting.scope:
+                    message = await receive()
+                    if message["type"] == "http.disconnect" and waiting.answer is None:
+                        self._post(CallerGone(number))
+                        return None
+            return waiting.answer
+        finally:
+            del self._waiting[number]
+
+    async def _read_body(
+        self, headers: Headers, receive: Receive, reserved: _Reservation
+    ) -> bytes | Failure | _CallerLeft:
+        refusal = self._check_size(headers)
+        if refusal is not None:
+            return refusal
+        chunks: list[bytes] = []
+        with trio.move_on_after(BODY_TIMEOUT):
+            while True:
+                message = await receive()
+                if message["type"] != "http.request":
+                    return _CallerLeft()
+                data: bytes = message.get("body", b"")
+                if data:
+                    refusal = reserved.add(len(data))
+                    if refusal is not None:
+                        return refusal
+                    chunks.append(data)
+                if not message.get("more_body", False):
+                    return b"".join(chunks) if len(chunks) != 1 else chunks[0]
+        return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the body did not arrive in time")
+
+    def _check_size(self, headers: Headers) -> Failure | None:
+        if headers_size(headers) > self._settings.max_headers_bytes:
+            limit = self._settings.max_headers_bytes
+            return Failure(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
+        return self.check_body(declared_length(headers), declared_length(headers))
+
+    def check_body(self, size: int, added: int) -> Failure | None:
+        """Return why a body of ``size`` bytes, ``added`` of them new, finds no room."""
+        if size > self._settings.max_body_bytes:
+            limit = self._settings.max_body_bytes
+            return Failure(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes")
+        if self._buffered + added > self._settings.buffered_bytes:
+            reason = "the bodies of other calls fill this proxy's buffers"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_AFTER)
+        return None
+
+    def count_buffered(self, added: int) -> None:
+        """Count bytes of bodies that are held, or no longer held when negative."""
+        self._buffered += added
+
+    async def _refuse(
+        self, scope: dict[str, Any], failure: Failure, receive: Receive, send: Send
+    ) -> None:
+        """Answer at once, then read on for a moment: a reset would destroy the answer."""
+        await self._send(scope, render_answer(failure), send, more=True)
+        with trio.move_on_after(DISCARD_TIMEOUT):
+            while (message := await receive())["type"] == "http.request":
+                if not message.get("more_body", False):
+                    break
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def _send(
+        self, scope: dict[str, Any], answer: CallAnswer, send: Send, *, more: bool
+    ) -> None:
+        headers = answer.headers
+        if self._stopping.is_set() and scope["http_version"].startswith(HTTP_1):
+            headers = (*headers, _CLOSE)
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": answer.body, "more_body": more})
+
+
+class _Reservation:
+    """The bytes of one request's body that count against the edge's bound."""
+
+    def __init__(self, edge: Edge) -> None:
+        self._edge = edge
+        self._bytes = 0
+
+    def add(self, size: int) -> Failure | None:
+        """Count ``size`` more bytes, or return why they find no room."""
+        refusal = self._edge.check_body(self._bytes + size, size)
+        if refusal is None:
+            self._bytes += size
+            self._edge.count_buffered(size)
+        return refusal
+
+    def release(self) -> None:
+        """Give the bytes back."""
+        self._edge.count_buffered(-self._bytes)
+        self._bytes = 0
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+def _server_config(settings: EdgeSettings, stop_limit: float) -> Config:
+    config = Config()
+    config.bind = [str(settings.listen)]
+    config.backlog = settings.backlog
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    config.graceful_timeout = stop_limit
+    config.keep_alive_timeout = seconds(settings.keep_alive_ms)
+    config.keep_alive_max_requests = 1_000_000_000
+    config.h11_max_incomplete_size = settings.max_headers_bytes
+    config.h2_max_header_list_size = settings.max_headers_bytes
+    if settings.certificate:
+        config.certfile = settings.certificate
+        config.keyfile = settings.key
+    return config
--- /dev/null
+++ b/src/limelever/proxy/requests.py
@@ -0,0 +1,69 @@
+"""Reads what a call needs from an HTTP request: target, group, key and timeout."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.proxy.call_types import (
+    DEFAULT_GROUP,
+    GROUP_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    TIMEOUT_HEADER,
+    CallRequest,
+    Headers,
+)
+
+_MILLISECONDS = 1000
+_LONGEST_TIMEOUT_DIGITS = 9
+_HEADER_OVERHEAD = 4
+_CONTENT_LENGTH = b"content-length"
+
+
+def headers_size(headers: Headers) -> int:
+    """Return the bytes the headers took on the wire, as HTTP/1.1 counts them."""
+    return sum(len(name) + len(value) + _HEADER_OVERHEAD for name, value in headers)
+
+
+def declared_length(headers: Headers) -> int:
+    """Return the stated length of the body, 0 when none is stated."""
+    for name, value in headers:
+        if name == _CONTENT_LENGTH and value.isdigit():
+            return int(value)
+    return 0
+
+
+def parse_request(scope: Mapping[str, Any], headers: Headers, body: bytes) -> CallRequest | Failure:
+    """Return the call of an ASGI scope and its body, or ``INVALID_REQUEST``."""
+    query: bytes = scope["query_string"]
+    path: bytes = scope["raw_path"]
+    group = DEFAULT_GROUP
+    key = b""
+    timeout: float | Failure = 0.0
+    for name, value in headers:
+        if name == GROUP_HEADER:
+            group = value.decode("utf-8", "replace")
+        elif name == IDEMPOTENCY_KEY_HEADER:
+            key = value
+        elif name == TIMEOUT_HEADER:
+            timeout = _parse_timeout(value)
+    if isinstance(timeout, Failure):
+        return timeout
+    return CallRequest(
+        method=scope["method"].encode(),
+        target=path + b"?" + query if query else path,
+        headers=headers,
+        body=body,
+        group=group,
+        idempotency_key=key,
+        timeout=timeout,
+    )
+
+
+def _parse_timeout(value: bytes) -> float | Failure:
+    """Return the seconds of a timeout header."""
+    if value.isdigit() and len(value) <= _LONGEST_TIMEOUT_DIGITS and int(value) > 0:
+        return int(value) / _MILLISECONDS
+    reason = f"{TIMEOUT_HEADER.decode()} must be a whole number of milliseconds above 0"
+    return Failure(ErrorKind.INVALID_REQUEST, reason)
--- /dev/null
+++ b/src/limelever/proxy/retry_rules.py
@@ -0,0 +1,78 @@
+"""Which failed attempts may be followed by another one, and what a caller is told at the end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+
+from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
+from limelever.proxy.call_state import Call
+
+DEFAULT_RETRY_AFTER = 1.0
+"""Seconds a caller is asked to wait when the refusal named no time."""
+
+REDIRECT_KINDS = frozenset(
+    {ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION, ErrorKind.CONNECTION_FAILED}
+)
+"""The back end got no work: going elsewhere adds no load, so the retry budget is not asked."""
+
+RETRY_KINDS = frozenset(
+    {
+        ErrorKind.OVERLOADED,
+        ErrorKind.SHARE_EXHAUSTED,
+        ErrorKind.DEADLINE_TOO_SHORT,
+        ErrorKind.CONNECTION_LOST,
+        ErrorKind.BACKEND_FAILED,
+    }
+)
+"""Another endpoint may do better; each retry is paid from the route's budget."""
+
+_ADVICE_WITH_DELAY = frozenset(
+    {RetryAdvice.AFTER_DELAY, RetryAdvice.ELSEWHERE, RetryAdvice.SAME_REQUEST_ID}
+)
+
+
+class NextStep(Enum):
+    """What follows a failed attempt."""
+
+    GIVE_UP = auto()
+    REDIRECT = auto()
+    RETRY_WITHIN_BUDGET = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """Bounds for one call."""
+
+    attempts: int = 3
+    redirects: int = 3
+
+
+def next_step(call: Call, failure: Failure, settings: RetrySettings) -> NextStep:
+    """Return what may follow a failed attempt; whether time and budget are left is asked later.
+
+    A call that may not be repeated goes on only after an outcome of NOT RUN.
+    """
+    if call.caller_gone:
+        return NextStep.GIVE_UP
+    if call.route.at_most_once and failure.outcome is not Outcome.NOT_RUN:
+        return NextStep.GIVE_UP
+    if failure.kind in REDIRECT_KINDS and call.redirects < settings.redirects:
+        return NextStep.REDIRECT
+    if failure.kind in RETRY_KINDS and call.attempts - call.redirects < settings.attempts:
+        return NextStep.RETRY_WITHIN_BUDGET
+    return NextStep.GIVE_UP
+
+
+def final_failure(call: Call, failure: Failure) -> Failure:
+    """Return what the caller is told: never NOT RUN when an earlier attempt may have run."""
+    if call.may_have_run is not None and failure.outcome is Outcome.NOT_RUN:
+        failure = call.may_have_run
+    return with_retry_after(failure)
+
+
+def with_retry_after(failure: Failure) -> Failure:
+    """Return the failure with a delay wherever its kind advises one."""
+    if failure.retry_after > 0 or failure.answer.advice not in _ADVICE_WITH_DELAY:
+        return failure
+    return replace(failure, retry_after=DEFAULT_RETRY_AFTER)
--- /dev/null
+++ b/src/limelever/proxy/settings.py
@@ -0,0 +1,94 @@
+"""Settings of the proxy process."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+
+
+@attrs.frozen(kw_only=True)
+class EdgeSettings:
+    """The listener for callers; TLS needs both files, or none for cleartext."""
+
+    listen: Address
+    certificate: str = ""
+    key: str = ""
+    max_body_bytes: int = attrs.field(default=4 << 20, validator=between(0, 256 << 20))
+    max_headers_bytes: int = attrs.field(default=32 << 10, validator=between(1024, 1 << 20))
+    buffered_bytes: int = attrs.field(default=8 << 20, validator=between(65536, 1 << 30))
+    backlog: int = attrs.field(default=512, validator=between(1, 65535))
+    keep_alive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
+
+
+@attrs.frozen(kw_only=True)
+class CallLimitSettings:
+    """Bounds of the calls in flight, of their time and of their retries."""
+
+    in_flight: int = attrs.field(default=1024, validator=between(1, 100000))
+    share_from_percent: int = attrs.field(default=80, validator=between(0, 100))
+    retry_after_ms: int = attrs.field(default=500, validator=between(1, 60000))
+    default_timeout_ms: int = attrs.field(default=10000, validator=between(10, 3600000))
+    attempts: int = attrs.field(default=3, validator=between(1, 10))
+    redirects: int = attrs.field(default=3, validator=between(0, 10))
+    dial_wait_ms: int = attrs.field(default=250, validator=between(10, 60000))
+    completion_wait_ms: int = attrs.field(default=1000, validator=between(10, 60000))
+    max_answer_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 256 << 20))
+    assembly_bytes: int = attrs.field(default=8 << 20, validator=between(65536, 1 << 30))
+
+
+@attrs.frozen(kw_only=True)
+class BalancingSettings:
+    """How endpoints are chosen, ejected and ramped up."""
+
+    spill_load_percent: int = attrs.field(default=100, validator=between(1, 1000))
+    ejection_floor_percent: int = attrs.field(default=50, validator=between(0, 100))
+    slow_start_ms: int = attrs.field(default=10000, validator=between(1, 600000))
+    failures_to_eject: int = attrs.field(default=5, validator=between(1, 1000))
+    first_ejection_ms: int = attrs.field(default=1000, validator=between(10, 600000))
+    longest_ejection_ms: int = attrs.field(default=60000, validator=between(10, 3600000))
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationSettings:
+    """How the proxy keeps its configuration current."""
+
+    stale_after_ms: int = attrs.field(default=8000, validator=between(100, 3600000))
+    probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 600000))
+    answer_timeout_ms: int = attrs.field(default=5000, validator=between(50, 600000))
+
+
+@attrs.frozen(kw_only=True)
+class ProxySettings(ProcessSettings):
+    """Settings of one proxy; ``services`` is the scope of its configuration."""
+
+    ROLE: ClassVar[Role] = Role.PROXY
+
+    services: tuple[str, ...] = attrs.field(validator=not_empty)
+    relays: tuple[Address, ...] = attrs.field(validator=not_empty)
+    keepers: tuple[Address, ...] = ()
+    edge: EdgeSettings
+    calls: CallLimitSettings = CallLimitSettings()
+    balancing: BalancingSettings = BalancingSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
+
+    def clashes(self) -> list[SettingsProblem]:
+        """Return what is wrong between keys."""
+        problems = super().clashes()
+        if bool(self.edge.certificate) != bool(self.edge.key):
+            problems.append(SettingsProblem("", "edge", "TLS needs certificate and key, or none"))
+        if self.edge.max_body_bytes > self.edge.buffered_bytes:
+            reason = "must not exceed edge.buffered_bytes"
+            problems.append(SettingsProblem("", "edge.max_body_bytes", reason))
+        if self.calls.max_answer_bytes > self.calls.assembly_bytes:
+            reason = "must not exceed calls.assembly_bytes"
+            problems.append(SettingsProblem("", "calls.max_answer_bytes", reason))
+        if self.balancing.first_ejection_ms > self.balancing.longest_ejection_ms:
+            reason = "must not exceed balancing.longest_ejection_ms"
+            problems.append(SettingsProblem("", "balancing.first_ejection_ms", reason))
+        if len(self.keepers) % 2 == 0 and self.keepers:
+            problems.append(SettingsProblem("", "keepers", "must be an odd number of keepers"))
+        return problems
