Publisher and subscriber: shared scope views, merged deltas, floors and echoes

Subscribers that named the same services share a view, whose delta is built once. Earlier closures follow from the window's former values, so no view keeps a history of its own. A version comes into force only after its floor is synced, also one that a heartbeat confirmed: a set may be the same at two versions and another between them.

--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -2,14 +2,49 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from limelever.common.sansio import ConnectionId, Event, Output
+from google.protobuf.message import Message
+
+from limelever.common.sansio import (
+    CloseConnection,
+    ConnectionClosed,
+    ConnectionId,
+    ConnectionOpened,
+    DeadlineReached,
+    Event,
+    LogEvent,
+    MessageReceived,
+    Output,
+    Purpose,
+    SendMessage,
+)
 from limelever.protocol.config_pb2 import VersionedResource
+from limelever.protocol.distribution_pb2 import (
+    Ack,
+    FreshnessProbe,
+    Inventory,
+    Reject,
+    RetryLater,
+    RolloutReport,
+    Subscribe,
+)
 from limelever.protocol.keys import Key
-from limelever.publisher.rollout import ZoneHolders
+from limelever.publisher import events, rollout
+from limelever.publisher.admission import Admission
+from limelever.publisher.freshness import FreshnessProofs, WaitingProbe
+from limelever.publisher.heartbeats import Heartbeats, freshness_answer
+from limelever.publisher.resources import ResourceTable, Step
 from limelever.publisher.scope import Scope
+from limelever.publisher.sender import Sender
+from limelever.publisher.session import Session, SessionState
+from limelever.publisher.sessions import Sessions
 from limelever.publisher.settings import PublisherSettings
+from limelever.publisher.subscribing import Subscribing
+from limelever.publisher.views import ScopeViews
+
+PLANNED_STOP = "planned stop"
+_Handler = Callable[[Session, Message, float], list[Output]]
 
 
 class PublisherCore:
@@ -20,38 +55,175 @@
     """
 
     def __init__(self, settings: PublisherSettings) -> None:
-        raise NotImplementedError
+        self._settings = settings
+        self._table = ResourceTable(settings.window)
+        self._views = ScopeViews(self._table)
+        self._sessions = Sessions(self._views)
+        self._proofs = FreshnessProofs(settings.proof_timeout)
+        self._sender = Sender(self._table, self._sessions, self._views, settings.outstanding)
+        self._heartbeats = Heartbeats(settings.heartbeat_interval)
+        self._subscribing = Subscribing(
+            self._table,
+            self._sessions,
+            self._sender,
+            Admission(
+                settings.admission_rate, settings.admission_burst, settings.retry_after_limit
+            ),
+        )
+        self._flush_at: float | None = None
+        self._handlers: dict[type[Message], _Handler] = {
+            Subscribe: self._on_subscribe,
+            Inventory: self._on_inventory,
+            Ack: self._on_ack,
+            Reject: self._on_reject,
+            FreshnessProbe: self._on_probe,
+            RolloutReport: self._on_report,
+        }
 
-    def load(self, version: int, resources: Iterable[VersionedResource], now: float) -> None:
+    @property
+    def version(self) -> int:
+        """The publisher's configuration version."""
+        return self._table.version
+
+    def load(
+        self, version: int, resources: Iterable[VersionedResource], now: float
+    ) -> list[Output]:
         """Hold a whole set at ``version``; until then every subscriber is told to come back."""
-        raise NotImplementedError
+        self._subscribing.loaded = True
+        return self._moved(self._table.load(version, resources), now)
 
     def advance(
         self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key], now: float
     ) -> list[Output]:
         """Move on to ``version``, which must be higher; gathered for ``batch_delay``."""
-        raise NotImplementedError
+        if version <= self._table.version:
+            raise ValueError(f"version {version} does not follow {self._table.version}")
+        return self._moved(self._table.advance(version, put, removed), now)
 
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take a link event, a message or ``DeadlineReached``; others are ignored."""
-        raise NotImplementedError
+        match event:
+            case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
+                self._sessions.open(connection, peer)
+                self._heartbeats.start(now)
+            case MessageReceived(connection, message):
+                return self._on_message(connection, message, now)
+            case ConnectionClosed(connection):
+                self._sessions.remove(connection)
+                self._proofs.forget(connection)
+            case DeadlineReached():
+                return self._on_deadline(now)
+        return []
 
     def proved_fresh(self, began: float, now: float) -> list[Output]:
         """Note that the set held was current at time ``began``; answers those who asked."""
-        raise NotImplementedError
+        outputs: list[Output] = []
+        for probe in self._proofs.proved(began):
+            session = self._sessions.get(probe.connection)
+            if session is not None:
+                outputs.extend(self._heartbeats.tell_version(session, self._views, self.version))
+                answer = freshness_answer(probe.nonce, self.version, 0.0)
+                outputs.append(SendMessage(probe.connection, answer))
+        needed = self._proofs.begin_if_waited_for(now)
+        return [*outputs, needed] if needed else outputs
 
-    def rollout(self, version: int) -> tuple[ZoneHolders, ...]:
+    def rollout(self, version: int) -> tuple[rollout.ZoneHolders, ...]:
         """Return by zone how many proxies and agents hold ``version`` or lag behind it."""
-        raise NotImplementedError
+        return rollout.by_zone(self._sessions.holders(self.version), version)
+
+    def rollout_report(self) -> RolloutReport:
+        """Return the counts of all subscribers below, for the publisher above."""
+        return rollout.to_report(self._sessions.holders(self.version))
+
+    def relays(self) -> tuple[str, ...]:
+        """Return the names of the subscribers that are publishers themselves, sorted."""
+        found = {s.peer.name for s in self._sessions if not s.counts_in_rollout}
+        return tuple(sorted(found))
 
     def scope_of(self, connection: ConnectionId) -> Scope | None:
         """Return the scope of an admitted subscriber, or ``None``."""
-        raise NotImplementedError
+        session = self._sessions.get(connection)
+        if session is None or session.state is SessionState.OPENED:
+            return None
+        return session.scope
 
     def shut_down(self, now: float) -> list[Output]:
         """Tell every subscriber to move to another publisher at once, and close its link."""
-        raise NotImplementedError
+        outputs: list[Output] = []
+        for session in self._sessions:
+            outputs.append(SendMessage(session.connection, RetryLater(reason=PLANNED_STOP)))
+            outputs.append(CloseConnection(session.connection, PLANNED_STOP))
+        return outputs
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic), or ``None``."""
-        raise NotImplementedError
+        heartbeat = self._heartbeats.next_at if len(self._sessions) else None
+        deadlines = (self._flush_at, heartbeat, self._proofs.next_deadline())
+        return min((at for at in deadlines if at is not None), default=None)
+
+    def _moved(self, step: Step, now: float) -> list[Output]:
+        self._views.mark(step)
+        if self._flush_at is None:
+            self._flush_at = now + self._settings.batch_delay
+        return self._flush() if self._flush_at <= now else []
+
+    def _flush(self) -> list[Output]:
+        self._flush_at = None
+        return self._sender.flush()
+
+    def _on_deadline(self, now: float) -> list[Output]:
+        outputs: list[Output] = []
+        if self._flush_at is not None and self._flush_at <= now:
+            outputs.extend(self._flush())
+        if self._heartbeats.due(now) and len(self._sessions):
+            age = self._proofs.age(now)
+            outputs.extend(
+                self._heartbeats.beat(self._sessions, self._views, self.version, age, now)
+            )
+            needed = self._proofs.begin(now) if self._settings.proves_itself else None
+            outputs.extend([needed] if needed else [])
+        needed = self._proofs.begin_if_waited_for(now)
+        return [*outputs, needed] if needed else outputs
+
+    def _on_message(self, connection: ConnectionId, message: Message, now: float) -> list[Output]:
+        session = self._sessions.get(connection)
+        handler = self._handlers.get(type(message))
+        if session is None or handler is None:
+            return []
+        return handler(session, message, now)
+
+    def _on_subscribe(self, session: Session, message: Message, now: float) -> list[Output]:
+        assert isinstance(message, Subscribe)
+        return self._subscribing.subscribe(session, message, now)
+
+    def _on_inventory(self, session: Session, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, Inventory)
+        return self._subscribing.compare(session, message)
+
+    def _on_ack(self, session: Session, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, Ack)
+        session.acknowledge(message.version)
+        return self._sender.catch_up(session)
+
+    def _on_reject(self, session: Session, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, Reject)
+        if session.state is not SessionState.FOLLOWING:
+            return []
+        fields: dict[str, object] = {"peer": session.peer.name, "reason": message.reason}
+        return [LogEvent(events.VERSION_REJECTED, fields), *self._sender.rejected(session)]
+
+    def _on_probe(self, session: Session, message: Message, now: float) -> list[Output]:
+        assert isinstance(message, FreshnessProbe)
+        if message.to_source or self._settings.proves_itself:
+            self._proofs.wait(WaitingProbe(session.connection, message.nonce, now))
+            needed = self._proofs.begin(now)
+            return [needed] if needed else []
+        answer = freshness_answer(message.nonce, self.version, self._proofs.age(now))
+        told = self._heartbeats.tell_version(session, self._views, self.version)
+        return [*told, SendMessage(session.connection, answer)]
+
+    def _on_report(self, session: Session, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, RolloutReport)
+        if not session.counts_in_rollout:
+            session.reported = rollout.from_report(message)
+        return []
--- /dev/null
+++ b/src/limelever/publisher/resources.py
@@ -0,0 +1,153 @@
+"""The publisher's full set of resources, its indexes, and the window of its last versions."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_ROUTE,
+    RESOURCE_KIND_SHARE,
+    VersionedResource,
+)
+from limelever.protocol.digest import SetDigest, resource_hash
+from limelever.protocol.keys import Key, secret_key
+
+Overlay = Mapping[Key, VersionedResource | None]
+"""What resources were at an earlier version: ``None`` stands for absent, a missing key for
+unchanged since."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One move of the table, with what it changed as it was before."""
+
+    from_version: int
+    to_version: int
+    before: Overlay
+
+
+class ResourceTable:
+    """Every resource at the current version; can tell what an earlier version held.
+
+    The window keeps the former values of what changed, not whole sets: its cost is the changes
+    alone, and any scope's earlier closure follows from it.
+    """
+
+    def __init__(self, window: int) -> None:
+        self.version = 0
+        self.digest = SetDigest()
+        self._resources: dict[Key, VersionedResource] = {}
+        self._steps: deque[Step] = deque(maxlen=window)
+        self._by_service: dict[str, set[Key]] = {}
+        self._by_secret: dict[str, set[Key]] = {}
+
+    @property
+    def resources(self) -> Mapping[Key, VersionedResource]:
+        """Every resource by its key."""
+        return self._resources
+
+    def get(self, key: Key) -> VersionedResource | None:
+        """Return the resource with ``key``, or ``None``."""
+        return self._resources.get(key)
+
+    def dependents_of_service(self, service: str) -> Iterable[Key]:
+        """Return the keys of the routes to ``service`` and of its shares."""
+        return self._by_service.get(service, ())
+
+    def routes_with_secret(self, secret: str) -> Iterable[Key]:
+        """Return the keys of the routes that need ``secret``."""
+        return self._by_secret.get(secret, ())
+
+    def load(self, version: int, resources: Iterable[VersionedResource]) -> Step:
+        """Replace the whole set; the step holds just what differs."""
+        incoming = {Key.of(versioned.resource): versioned for versioned in resources}
+        removed = [key for key in self._resources if key not in incoming]
+        return self.advance(version, incoming.values(), removed)
+
+    def advance(
+        self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key]
+    ) -> Step:
+        """Move on to ``version`` and return the step."""
+        before: dict[Key, VersionedResource | None] = {}
+        for key in removed:
+            self._note(before, key, None)
+        for versioned in put:
+            self._note(before, Key.of(versioned.resource), versioned)
+        step = Step(self.version, version, before)
+        self._steps.append(step)
+        self.version = version
+        return step
+
+    def overlay_at(self, version: int) -> Overlay | None:
+        """Return what was different at ``version``, or ``None`` when the window is too short.
+
+        For a version within a step (a relay may have skipped it) the overlay is that of the
+        step's start; the caller compares digests before it relies on the result.
+        """
+        if version >= self.version:
+            return {}
+        overlay: dict[Key, VersionedResource | None] = {}
+        for step in reversed(self._steps):
+            overlay.update(step.before)
+            if step.from_version <= version:
+                return overlay
+        return None
+
+    def _note(
+        self,
+        before: dict[Key, VersionedResource | None],
+        key: Key,
+        versioned: VersionedResource | None,
+    ) -> None:
+        held = self._resources.get(key)
+        if held == versioned:
+            return
+        before.setdefault(key, held)
+        if held is not None:
+            self.digest.remove(resource_hash(held))
+            self._unindex(key, held)
+            del self._resources[key]
+        if versioned is not None:
+            self.digest.add(resource_hash(versioned))
+            self._resources[key] = versioned
+            self._index(key, versioned)
+
+    def _index(self, key: Key, versioned: VersionedResource) -> None:
+        service = service_of(versioned)
+        if service is not None:
+            self._by_service.setdefault(service, set()).add(key)
+        for secret in secrets_of(versioned):
+            self._by_secret.setdefault(secret.name, set()).add(key)
+
+    def _unindex(self, key: Key, versioned: VersionedResource) -> None:
+        service = service_of(versioned)
+        if service is not None:
+            _discard(self._by_service, service, key)
+        for secret in secrets_of(versioned):
+            _discard(self._by_secret, secret.name, key)
+
+
+def service_of(versioned: VersionedResource) -> str | None:
+    """Return the service that a route or a share belongs to, or ``None`` for other kinds."""
+    kind = Key.of(versioned.resource).kind
+    if kind == RESOURCE_KIND_ROUTE:
+        return versioned.resource.route.service
+    if kind == RESOURCE_KIND_SHARE:
+        return versioned.resource.share.service
+    return None
+
+
+def secrets_of(versioned: VersionedResource) -> frozenset[Key]:
+    """Return the keys of the secrets that a route needs; empty for other kinds."""
+    return frozenset(secret_key(name) for name in versioned.resource.route.secrets)
+
+
+def _discard(index: dict[str, set[Key]], name: str, key: Key) -> None:
+    keys = index.get(name)
+    if keys is None:
+        return
+    keys.discard(key)
+    if not keys:
+        del index[name]
--- a/src/limelever/publisher/scope.py
+++ b/src/limelever/publisher/scope.py
@@ -2,9 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_SECRET,
+    RESOURCE_KIND_SERVICE,
+    VersionedResource,
+)
 from limelever.protocol.distribution_pb2 import Subscribe
+from limelever.protocol.keys import Key, service_key
+from limelever.publisher.resources import (
+    Overlay,
+    ResourceTable,
+    Step,
+    secrets_of,
+    service_of,
+)
+
+Closure = Mapping[Key, VersionedResource]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,3 +36,109 @@
         if subscribe.everything:
             return cls(everything=True)
         return cls(frozenset(subscribe.services))
+
+
+@dataclass(frozen=True, slots=True)
+class ScopeDifference:
+    """What separates a scope's earlier closure from its current one.
+
+    ``put`` entered or changed, ``removed`` left, ``former`` are the earlier values of both.
+    """
+
+    put: tuple[VersionedResource, ...]
+    removed: tuple[Key, ...]
+    former: tuple[VersionedResource, ...]
+
+
+def closure_now(scope: Scope, table: ResourceTable) -> Closure:
+    """Return the scope's resources at the table's version.
+
+    These are the services named, the routes to them, their shares, and the secrets those
+    routes need: nothing else.
+    """
+    if scope.everything:
+        return table.resources
+    keys = [service_key(name) for name in scope.services]
+    for name in scope.services:
+        keys.extend(table.dependents_of_service(name))
+    found = {key: held for key in keys if (held := table.get(key)) is not None}
+    for versioned in list(found.values()):
+        for secret in secrets_of(versioned):
+            held = table.get(secret)
+            if held is not None:
+                found[secret] = held
+    return found
+
+
+def closure_before(
+    scope: Scope, table: ResourceTable, current: Closure, overlay: Overlay
+) -> Closure:
+    """Return the scope's resources at the earlier version that ``overlay`` describes.
+
+    A route or share whose value did not change since was in the scope then as it is now, so
+    only the current closure and the overlay need to be looked at.
+    """
+    found = {
+        key: held
+        for key, held in current.items()
+        if key not in overlay and key.kind != RESOURCE_KIND_SECRET
+    }
+    for key, earlier in overlay.items():
+        if earlier is not None and _belongs(key, earlier, scope):
+            found[key] = earlier
+    for versioned in list(found.values()):
+        for secret in secrets_of(versioned):
+            held = overlay[secret] if secret in overlay else table.get(secret)
+            if held is not None:
+                found[secret] = held
+    return found
+
+
+def difference(
+    scope: Scope, table: ResourceTable, current: Closure, overlay: Overlay
+) -> ScopeDifference:
+    """Return what separates the earlier version of ``overlay`` from the current closure."""
+    if scope.everything:
+        return _difference_of_everything(current, overlay)
+    earlier = closure_before(scope, table, current, overlay)
+    return ScopeDifference(
+        put=tuple(held for key, held in current.items() if earlier.get(key) is not held),
+        removed=tuple(key for key in earlier if key not in current),
+        former=tuple(held for key, held in earlier.items() if current.get(key) is not held),
+    )
+
+
+def touched_services(step: Step, table: ResourceTable) -> set[str]:
+    """Return the services whose scopes a step may have changed."""
+    services: set[str] = set()
+    for key, earlier in step.before.items():
+        if key.kind == RESOURCE_KIND_SERVICE:
+            services.add(key.name)
+        elif key.kind == RESOURCE_KIND_SECRET:
+            services.update(_services_of(table.routes_with_secret(key.name), table))
+        for versioned in (earlier, table.get(key)):
+            service = service_of(versioned) if versioned is not None else None
+            if service is not None:
+                services.add(service)
+    return services
+
+
+def _services_of(routes: Iterable[Key], table: ResourceTable) -> set[str]:
+    held = [table.get(route) for route in routes]
+    return {route.resource.route.service for route in held if route is not None}
+
+
+def _belongs(key: Key, versioned: VersionedResource, scope: Scope) -> bool:
+    if key.kind == RESOURCE_KIND_SERVICE:
+        return key.name in scope.services
+    return service_of(versioned) in scope.services
+
+
+def _difference_of_everything(current: Closure, overlay: Overlay) -> ScopeDifference:
+    return ScopeDifference(
+        put=tuple(current[key] for key in overlay if key in current),
+        removed=tuple(
+            key for key, held in overlay.items() if held is not None and key not in current
+        ),
+        former=tuple(held for held in overlay.values() if held is not None),
+    )
--- /dev/null
+++ b/src/limelever/publisher/session.py
@@ -0,0 +1,60 @@
+"""What the publisher knows of one subscriber."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from limelever.common.sansio import ConnectionId, Peer, Role
+from limelever.publisher.rollout import VersionHolders
+from limelever.publisher.scope import Scope
+
+
+class SessionState(Enum):
+    """How far a subscription has come."""
+
+    OPENED = auto()
+    COMPARING = auto()
+    FOLLOWING = auto()
+
+
+@dataclass(slots=True)
+class Session:
+    """One subscriber.
+
+    ``sent_version`` is the version whose closure it was last sent, ``told_version`` the last
+    one it was told of by any message, ``in_force`` the last one known to be in force there.
+    ``unacknowledged`` are the versions sent and not yet acknowledged.
+    """
+
+    connection: ConnectionId
+    peer: Peer
+    state: SessionState = SessionState.OPENED
+    scope: Scope = Scope()
+    held_version: int = 0
+    sent_version: int = 0
+    told_version: int = 0
+    in_force: int = 0
+    rejections: int = 0
+    unacknowledged: deque[int] = field(default_factory=deque)
+    reported: tuple[VersionHolders, ...] = ()
+
+    @property
+    def counts_in_rollout(self) -> bool:
+        """Whether the subscriber is one that a rollout is about, not a publisher itself."""
+        return self.peer.role in (Role.PROXY, Role.AGENT)
+
+    def sent(self, version: int) -> None:
+        """Note that a delta or snapshot to ``version`` was sent."""
+        self.state = SessionState.FOLLOWING
+        self.sent_version = version
+        self.told_version = version
+        self.unacknowledged.append(version)
+
+    def acknowledge(self, version: int) -> None:
+        """Note that ``version`` is in force at the subscriber."""
+        while self.unacknowledged and self.unacknowledged[0] <= version:
+            self.unacknowledged.popleft()
+        self.in_force = max(self.in_force, min(version, self.sent_version))
+        self.rejections = 0
--- /dev/null
+++ b/src/limelever/publisher/view.py
@@ -0,0 +1,154 @@
+"""Shared scope views: what one scope holds, and the messages that bring subscribers there.
+
+All subscribers that named the same services share one view: a version's delta is worked out
+and built once, however many of them there are.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.protocol.digest import SetDigest, resource_hash, short_hash
+from limelever.protocol.distribution_pb2 import ConfigDelta, ConfigSnapshot, Inventory
+from limelever.protocol.keys import Key
+from limelever.publisher.resources import ResourceTable
+from limelever.publisher.scope import (
+    Closure,
+    Scope,
+    ScopeDifference,
+    closure_now,
+    difference,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Refreshed:
+    """What a refresh brought: for subscribers at ``from_version`` or later, ``delta``.
+
+    Without a delta nothing in scope changed, unless ``changed`` is set: then the window did
+    not reach back, and a snapshot is due.
+    """
+
+    from_version: int
+    changed: bool
+    delta: ConfigDelta | None = None
+
+
+class ScopeView:
+    """One scope at the table's version, unless ``dirty``: then ``refresh`` brings it there.
+
+    ``changed_version`` is the version from which the closure has been what it is (for a new
+    view the version at which it was made), ``unchanged_through`` the last one at which it
+    still was, once the view is dirty.
+    """
+
+    def __init__(self, scope: Scope, table: ResourceTable) -> None:
+        self.scope = scope
+        self.dirty = False
+        self.changed_version = table.version
+        self.unchanged_through = table.version
+        self._table = table
+        self._members: Closure = closure_now(scope, table)
+        self._digest = self._whole_digest()
+        self._messages_version = table.version
+        self._deltas: dict[int, ConfigDelta | None] = {}
+        self._snapshot: ConfigSnapshot | None = None
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of the closure."""
+        return self._digest.to_bytes()
+
+    def mark_dirty(self, unchanged_through: int) -> None:
+        """Note that a later version touches the scope."""
+        if not self.dirty:
+            self.dirty = True
+            self.unchanged_through = unchanged_through
+
+    def refresh(self) -> Refreshed:
+        """Bring a dirty view to the table's version."""
+        from_version = self.changed_version
+        before = self._digest
+        self._members = closure_now(self.scope, self._table)
+        self._digest = self._whole_digest()
+        self.dirty = False
+        if self._digest == before:
+            return Refreshed(from_version, changed=False)
+        self.changed_version = self._table.version
+        self._forget_messages()
+        overlay = self._table.overlay_at(self.unchanged_through)
+        if overlay is None:
+            return Refreshed(from_version, changed=True)
+        found = difference(self.scope, self._table, self._members, overlay)
+        return Refreshed(from_version, changed=True, delta=self._build(from_version, found))
+
+    def delta_since(self, version: int) -> ConfigDelta | None:
+        """Return the merged delta from ``version``, or ``None`` beyond the window."""
+        self._expire_messages()
+        if version not in self._deltas:
+            self._deltas[version] = self._merged(version)
+        return self._deltas[version]
+
+    def digest_at(self, version: int) -> bytes | None:
+        """Return the digest the scope had at ``version``, or ``None`` beyond the window."""
+        overlay = self._table.overlay_at(version)
+        if overlay is None:
+            return None
+        found = difference(self.scope, self._table, self._members, overlay)
+        digest = self._digest.copy()
+        for versioned in found.put:
+            digest.remove(resource_hash(versioned))
+        for versioned in found.former:
+            digest.add(resource_hash(versioned))
+        return digest.to_bytes()
+
+    def snapshot(self) -> ConfigSnapshot:
+        """Return the whole closure."""
+        self._expire_messages()
+        if self._snapshot is None:
+            self._snapshot = ConfigSnapshot(
+                version=self._table.version,
+                resources=self._members.values(),
+                digest=self.digest,
+            )
+        return self._snapshot
+
+    def delta_over(self, inventory: Inventory, held_version: int) -> ConfigDelta:
+        """Return only what differs from what a subscriber says it holds."""
+        held = {Key.from_message(entry.key): entry.hash for entry in inventory.entries}
+        put = tuple(
+            versioned
+            for key, versioned in self._members.items()
+            if held.get(key) != short_hash(versioned)
+        )
+        removed = tuple(key for key in held if key not in self._members)
+        return self._build(held_version, ScopeDifference(put, removed, ()))
+
+    def _merged(self, version: int) -> ConfigDelta | None:
+        overlay = self._table.overlay_at(version)
+        if overlay is None:
+            return None
+        return self._build(version, difference(self.scope, self._table, self._members, overlay))
+
+    def _build(self, from_version: int, found: ScopeDifference) -> ConfigDelta:
+        return ConfigDelta(
+            from_version=from_version,
+            to_version=self._table.version,
+            put=found.put,
+            remove=[key.to_message() for key in found.removed],
+            digest=self.digest,
+        )
+
+    def _whole_digest(self) -> SetDigest:
+        if self.scope.everything:
+            return self._table.digest.copy()
+        return SetDigest.of(self._members.values())
+
+    def _expire_messages(self) -> None:
+        if self._messages_version != self._table.version:
+            self._forget_messages()
+
+    def _forget_messages(self) -> None:
+        self._messages_version = self._table.version
+        self._deltas.clear()
+        self._snapshot = None
--- /dev/null
+++ b/src/limelever/publisher/views.py
@@ -0,0 +1,76 @@
+"""All scope views of a publisher, found by scope and by the services they name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from limelever.publisher.resources import ResourceTable, Step
+from limelever.publisher.scope import Scope, touched_services
+from limelever.publisher.view import ScopeView
+
+
+class ScopeViews:
+    """Makes a view for the first subscriber of a scope and drops it after the last."""
+
+    def __init__(self, table: ResourceTable) -> None:
+        self._table = table
+        self._views: dict[Scope, ScopeView] = {}
+        self._subscribers: dict[Scope, int] = {}
+        self._by_service: dict[str, set[Scope]] = {}
+        self._dirty: dict[Scope, ScopeView] = {}
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    def get(self, scope: Scope) -> ScopeView:
+        """Return the view of a scope that has subscribers."""
+        return self._views[scope]
+
+    def join(self, scope: Scope) -> ScopeView:
+        """Count one more subscriber of ``scope`` and return its view."""
+        view = self._views.get(scope)
+        if view is None:
+            view = ScopeView(scope, self._table)
+            self._views[scope] = view
+            for service in scope.services:
+                self._by_service.setdefault(service, set()).add(scope)
+        self._subscribers[scope] = self._subscribers.get(scope, 0) + 1
+        return view
+
+    def leave(self, scope: Scope) -> None:
+        """Count one subscriber of ``scope`` less."""
+        self._subscribers[scope] -= 1
+        if self._subscribers[scope]:
+            return
+        del self._subscribers[scope]
+        del self._views[scope]
+        self._dirty.pop(scope, None)
+        for service in scope.services:
+            self._by_service[service].discard(scope)
+            if not self._by_service[service]:
+                del self._by_service[service]
+
+    def mark(self, step: Step) -> None:
+        """Mark the views that a step may have changed."""
+        if not step.before:
+            return
+        self._mark(Scope(everything=True), step.from_version)
+        for service in touched_services(step, self._table):
+            for scope in self._by_service.get(service, ()):
+                self._mark(scope, step.from_version)
+
+    def take_dirty(self) -> Iterable[ScopeView]:
+        """Return the marked views, which the caller refreshes."""
+        dirty = tuple(self._dirty.values())
+        self._dirty.clear()
+        return dirty
+
+    def clean(self, scope: Scope) -> None:
+        """Forget the mark of one scope, whose view the caller refreshes."""
+        self._dirty.pop(scope, None)
+
+    def _mark(self, scope: Scope, unchanged_through: int) -> None:
+        view = self._views.get(scope)
+        if view is not None:
+            view.mark_dirty(unchanged_through)
+            self._dirty[scope] = view
--- /dev/null
+++ b/src/limelever/subscriber/held.py
@@ -0,0 +1,94 @@
+"""Sets as a subscriber holds them, and the building of a new one aside, checked as a whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.config_pb2 import VersionedResource
+from limelever.protocol.digest import SetDigest, resource_hash, short_hash
+from limelever.protocol.distribution_pb2 import (
+    ConfigDelta,
+    ConfigSnapshot,
+    Inventory,
+    InventoryEntry,
+)
+from limelever.protocol.keys import Key, key_texts
+from limelever.subscriber.configuration import EMPTY_CONFIGURATION, ConfigurationSet
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSet:
+    """A configuration, the version at which it is right, and its digest."""
+
+    version: int
+    configuration: ConfigurationSet
+    digest: SetDigest
+
+    def at(self, version: int) -> HeldSet:
+        """Return the same set, known to be right at a later version too."""
+        return replace(self, version=version)
+
+
+NOTHING_HELD = HeldSet(0, EMPTY_CONFIGURATION, SetDigest())
+
+
+def from_snapshot(snapshot: ConfigSnapshot) -> HeldSet | Failure:
+    """Build the set of a snapshot, or say why it does not check out."""
+    resources = {Key.of(versioned.resource): versioned for versioned in snapshot.resources}
+    digest = SetDigest.of(resources.values())
+    return _checked(HeldSet(snapshot.version, ConfigurationSet(resources), digest), snapshot.digest)
+
+
+def from_delta(held: HeldSet, delta: ConfigDelta) -> HeldSet | Failure:
+    """Build the set that ``delta`` makes of ``held``, or say why it does not check out."""
+    if delta.from_version > held.version:
+        reason = f"delta from version {delta.from_version}, held is {held.version}"
+        return Failure(ErrorKind.PROTOCOL_VIOLATION, reason)
+    resources = dict(held.configuration.resources)
+    digest = held.digest.copy()
+    for message in delta.remove:
+        _take_out(resources, digest, Key.from_message(message))
+    for versioned in delta.put:
+        key = Key.of(versioned.resource)
+        _take_out(resources, digest, key)
+        resources[key] = versioned
+        digest.add(resource_hash(versioned))
+    built = HeldSet(delta.to_version, ConfigurationSet(resources), digest)
+    return _checked(built, delta.digest)
+
+
+def inventory_of(held: HeldSet) -> Inventory:
+    """Return what a subscriber tells a publisher that asks what it holds."""
+    return Inventory(
+        entries=[
+            InventoryEntry(key=key.to_message(), hash=short_hash(versioned))
+            for key, versioned in held.configuration.resources.items()
+        ]
+    )
+
+
+def to_snapshot(held: HeldSet) -> ConfigSnapshot:
+    """Return the message form of a set."""
+    return ConfigSnapshot(
+        version=held.version,
+        resources=held.configuration.resources.values(),
+        digest=held.digest.to_bytes(),
+    )
+
+
+def _take_out(resources: dict[Key, VersionedResource], digest: SetDigest, key: Key) -> None:
+    former = resources.pop(key, None)
+    if former is not None:
+        digest.remove(resource_hash(former))
+
+
+def _checked(built: HeldSet, digest: bytes) -> HeldSet | Failure:
+    if built.digest != SetDigest.from_bytes(digest):
+        return Failure(ErrorKind.DATA_DAMAGED, "digest of the set does not match")
+    dangling = built.configuration.dangling()
+    if dangling:
+        return Failure(
+            ErrorKind.DANGLING_REFERENCE, "the set refers to what it lacks", key_texts(dangling)
+        )
+    return built
--- /dev/null
+++ b/src/limelever/subscriber/holder.py
@@ -0,0 +1,168 @@
+"""What the subscriber holds: the floor on disk, versions accepted, the version in force.
+
+A version is accepted when it checks out, is not below the floor and, where no floor is known,
+was proved current. Its number is then written to the floor file, and only when that write is
+synced does the version come into force: after a restart nothing lower is accepted.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import LogEvent, Output, Recovered, ReplaceFile
+from limelever.protocol.distribution_pb2 import ConfigDelta, ConfigSnapshot
+from limelever.subscriber import events
+from limelever.subscriber.floor_file import FLOOR_FILE, decode_floor, encode_floor
+from limelever.subscriber.held import NOTHING_HELD, HeldSet, from_delta, from_snapshot
+from limelever.subscriber.notices import ConfigurationInstalled, VersionConfirmed
+from limelever.subscriber.sealing import Sealer
+from limelever.subscriber.snapshot_file import SNAPSHOT_FILE, decode_snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitingFloor:
+    """An accepted set that comes into force once the write of its floor is synced."""
+
+    token: int
+    held: HeldSet
+
+
+class Holder:
+    """Keeps the sets of one subscriber; knows nothing of links and times."""
+
+    def __init__(self, tokens: Iterator[int], recovered: Recovered, sealer: Sealer | None) -> None:
+        self._tokens = tokens
+        floor = decode_floor(recovered.files.get(FLOOR_FILE))
+        self.floor_known = floor is not None
+        self.floor = floor or 0
+        self._synced_floor = self.floor
+        self._trouble: Failure | None = None
+        self._settled = self._recover(recovered.files.get(SNAPSHOT_FILE), sealer)
+        self._accepted = False
+        self.latest = self._settled
+        self.in_force: HeldSet | None = None
+        self._awaiting: deque[AwaitingFloor] = deque()
+
+    @property
+    def awaits_floor(self) -> bool:
+        """Whether an accepted set waits for its floor to be synced."""
+        return bool(self._awaiting)
+
+    @property
+    def version(self) -> int:
+        """The version at which the set in force is known to be right; 0 for none."""
+        return self.in_force.version if self.in_force is not None else 0
+
+    def start(self) -> list[Output]:
+        """Bring the set found on disk into force where that is safe."""
+        outputs: list[Output] = []
+        if not self.floor_known:
+            outputs.append(LogEvent(events.FLOOR_MISSING))
+        if self._trouble is not None:
+            fields: dict[str, object] = {"reason": str(self._trouble)}
+            outputs.append(LogEvent(events.SNAPSHOT_UNUSABLE, fields))
+        return [*outputs, *self.settle(None)]
+
+    def take_delta(self, delta: ConfigDelta) -> Failure | None:
+        """Build the set a delta leads to; a failure leaves everything as it was."""
+        refusal = self._refuse_lower(delta.to_version)
+        return refusal or self._take(from_delta(self.latest, delta))
+
+    def take_snapshot(self, snapshot: ConfigSnapshot) -> Failure | None:
+        """Build the set of a snapshot; a failure leaves everything as it was."""
+        refusal = self._refuse_lower(snapshot.version)
+        return refusal or self._take(from_snapshot(snapshot))
+
+    def confirm(self, version: int) -> None:
+        """Note that the latest set is also right at ``version``.
+
+        The floor follows on disk: a set may be the same at two versions and another between
+        them, so that a restart with the lower floor could bring back what was gone.
+        """
+        if version > self.latest.version:
+            self.latest = self.latest.at(version)
+            self._accepted = False
+
+    def settle(self, proved_version: int | None) -> list[Output]:
+        """Accept the latest set if it may be.
+
+        ``proved_version`` is a version that the publisher held when it was proved current
+        after the link opened, or ``None``: it stands in for a floor that is not known.
+        """
+        if self._accepted or not self._acceptable(proved_version):
+            return []
+        return self._accept()
+
+    def write_completed(self, token: int) -> list[Output]:
+        """Bring into force the last accepted set whose floor is synced by this write."""
+        ready: HeldSet | None = None
+        while self._awaiting and self._awaiting[0].token <= token:
+            ready = self._awaiting.popleft().held
+        if ready is None:
+            return []
+        self._synced_floor = ready.version
+        return self._install(ready)
+
+    def forget_unaccepted(self) -> None:
+        """Go back to the last settled set when a link is gone before the latest was accepted."""
+        if not self._accepted:
+            self.latest = self._settled
+
+    def _recover(self, content: bytes | None, sealer: Sealer | None) -> HeldSet:
+        if content is None or sealer is None:
+            return NOTHING_HELD
+        held = decode_snapshot(content, sealer)
+        if isinstance(held, Failure):
+            self._trouble = held
+            return NOTHING_HELD
+        return held
+
+    def _refuse_lower(self, version: int) -> Failure | None:
+        lowest = max(self.floor, self.latest.version)
+        if version >= lowest:
+            return None
+        reason = f"version {version} is below {lowest}, which was held"
+        return Failure(ErrorKind.VERSION_TOO_OLD, reason, current_version=lowest)
+
+    def _take(self, built: HeldSet | Failure) -> Failure | None:
+        if isinstance(built, Failure):
+            return built
+        self.latest = built
+        self._accepted = False
+        return None
+
+    def _acceptable(self, proved_version: int | None) -> bool:
+        if self.latest.version == 0 or self.latest.version < self.floor:
+            return False
+        if self.floor_known:
+            return True
+        return proved_version is not None and proved_version <= self.latest.version
+
+    def _accept(self) -> list[Output]:
+        self._accepted = True
+        self._settled = self.latest
+        self.floor_known = True
+        self.floor = self.latest.version
+        if self.floor <= self._synced_floor:
+            return self._install(self.latest)
+        token = next(self._tokens)
+        self._awaiting.append(AwaitingFloor(token, self.latest))
+        return [ReplaceFile(token, FLOOR_FILE, encode_floor(self.floor))]
+
+    def _install(self, held: HeldSet) -> list[Output]:
+        former, self.in_force = self.in_force, held
+        if former is not None and former.configuration is held.configuration:
+            return [VersionConfirmed(held.version)]
+        before = former.configuration.resources if former is not None else {}
+        current = held.configuration.resources
+        installed = ConfigurationInstalled(
+            version=held.version,
+            configuration=held.configuration,
+            put=tuple(r for key, r in current.items() if before.get(key) is not r),
+            removed=tuple(key for key in before if key not in current),
+        )
+        fields: dict[str, object] = {"version": held.version, "resources": len(current)}
+        return [installed, LogEvent(events.CONFIGURATION_INSTALLED, fields)]
--- /dev/null
+++ b/src/limelever/subscriber/link.py
@@ -0,0 +1,168 @@
+"""The subscriber's link to a publisher: dialling, silence, staleness, moving on.
+
+Whatever happens here, the set held stays in force. Times are seconds.
+"""
+
+from __future__ import annotations
+
+import random
+
+from google.protobuf.message import Message
+
+from limelever.common.sansio import (
+    CloseConnection,
+    ConnectionId,
+    DialledConnections,
+    LogEvent,
+    OpenConnection,
+    Output,
+    Purpose,
+    SendMessage,
+)
+from limelever.protocol.distribution_pb2 import FreshnessAnswer, Subscribe
+from limelever.subscriber import events
+from limelever.subscriber.probes import Probes
+from limelever.subscriber.publisher_choice import PublisherChoice
+from limelever.subscriber.settings import SubscriberSettings
+from limelever.subscriber.timers import Timers, reached
+
+STALE = "publisher is stale"
+SILENT = "publisher does not answer"
+STOPPING = "planned stop"
+
+
+class PublisherLink:
+    """At most one link at a time, to one of the publishers."""
+
+    def __init__(
+        self,
+        settings: SubscriberSettings,
+        connections: DialledConnections,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._connections = connections
+        self._choice = PublisherChoice(settings.publishers, settings.backoff, generator)
+        self._timers = Timers()
+        self._connection: ConnectionId | None = None
+        self._opened_at: float | None = None
+        self.probes = Probes()
+        self.subscribed = False
+        self.awaits_snapshot = False
+
+    @property
+    def opened_at(self) -> float | None:
+        """When the link opened, or ``None`` while it is not open."""
+        return self._opened_at
+
+    def owns(self, connection: ConnectionId) -> bool:
+        """Return whether ``connection`` is the current link."""
+        return connection == self._connection
+
+    def start(self, now: float) -> None:
+        """Dial at the next deadline."""
+        self._timers.dial = now
+
+    def opened(self, now: float) -> None:
+        """Note that the link is up."""
+        self._opened_at = now
+        self._timers.answer = now + self._settings.answer_timeout
+        self._timers.stale = now + self._settings.stale_after
+
+    def heard(self) -> None:
+        """Note that the publisher has answered."""
+        self._timers.answer = None
+
+    def send(self, message: Message) -> list[Output]:
+        """Send a message, once the subscription has been sent."""
+        if self._connection is None or not self.subscribed:
+            return []
+        return [SendMessage(self._connection, message)]
+
+    def subscribe(self, message: Subscribe, now: float, to_source: bool) -> list[Output]:
+        """Send the subscription and the first probe."""
+        self.subscribed = True
+        return [*self.send(message), *self.probe(now, to_source)]
+
+    def probe(self, now: float, to_source: bool) -> list[Output]:
+        """Ask the publisher how current it is."""
+        if not self.subscribed:
+            return []
+        self._timers.probe = now + self._settings.probe_interval
+        return self.send(self.probes.send(now, to_source))
+
+    def answered(self, answer: FreshnessAnswer, now: float) -> None:
+        """Take the answer to a probe; a publisher that is not stale is kept."""
+        self.probes.answered(answer)
+        proved_at = self.probes.publisher_fresh_at
+        if proved_at is None:
+            return
+        if now - proved_at < self._settings.stale_after:
+            self._timers.leave = None
+            self._choice.succeeded()
+        if self._timers.leave is None:
+            self._timers.stale = proved_at + self._settings.stale_after
+
+    def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
+        """Give the link up and dial the next publisher after a delay."""
+        connection, publisher = self._connection, self._choice.current
+        self._forget()
+        self._choice.move_on()
+        self._timers.dial = now + self._choice.delay(retry_after)
+        fields: dict[str, object] = {"publisher": str(publisher), "reason": reason}
+        outputs: list[Output] = [LogEvent(events.PUBLISHER_LEFT, fields)]
+        if connection is not None:
+            outputs.append(CloseConnection(connection, reason))
+        return outputs
+
+    def stop(self) -> list[Output]:
+        """Close the link and dial no more."""
+        connection = self._connection
+        self._forget()
+        self._timers.dial = None
+        return [CloseConnection(connection, STOPPING)] if connection is not None else []
+
+    def on_deadline(self, now: float, to_source: bool) -> list[Output]:
+        """Do what is due at ``now``."""
+        outputs: list[Output] = []
+        if reached(self._timers.probe, now):
+            outputs.extend(self.probe(now, to_source))
+        if reached(self._timers.stale, now):
+            outputs.append(self._plan_to_leave(now))
+        if reached(self._timers.answer, now):
+            outputs.extend(self.leave(SILENT, now))
+        elif reached(self._timers.leave, now):
+            outputs.extend(self.leave(STALE, now))
+        if reached(self._timers.dial, now):
+            outputs.append(self._dial())
+        return outputs
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest time at which something is due, or ``None``."""
+        return self._timers.next_deadline()
+
+    def _dial(self) -> OpenConnection:
+        self._timers.dial = None
+        self._connection = self._connections.draw()
+        return OpenConnection(self._connection, self._choice.current, Purpose.SUBSCRIPTION)
+
+    def _plan_to_leave(self, now: float) -> LogEvent:
+        """Plan to leave; what a stale publisher sends is still taken until then."""
+        self._timers.stale = None
+        self._timers.leave = now + self._choice.delay()
+        proved_at = self.probes.publisher_fresh_at
+        reference = proved_at if proved_at is not None else self._opened_at
+        age = now - reference if reference is not None else 0.0
+        fields: dict[str, object] = {
+            "publisher": str(self._choice.current),
+            "age_seconds": round(age, 3),
+        }
+        return LogEvent(events.PUBLISHER_STALE, fields)
+
+    def _forget(self) -> None:
+        self._connection = None
+        self._opened_at = None
+        self.subscribed = False
+        self.awaits_snapshot = False
+        self.probes.forget_link()
+        self._timers.forget_link()
--- /dev/null
+++ b/src/limelever/subscriber/probes.py
@@ -0,0 +1,62 @@
+"""Freshness by echo: how old the publisher's proof is, by this process's clock alone.
+
+An answer's age counts from the moment its probe was *sent*, so that a delay on the way can
+only make the publisher look older, never fresher. Times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe
+
+_MILLISECONDS = 1000.0
+_KEPT_PROOFS = 8
+_KEPT_PROBES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """The publisher was current at ``at``, and its version was then ``version``."""
+
+    at: float
+    version: int
+
+
+class Probes:
+    """Probes sent on the current link, and the proofs that came back."""
+
+    def __init__(self) -> None:
+        self._nonce = 0
+        self._sent: dict[int, float] = {}
+        self._proofs: list[Proof] = []
+        self.publisher_fresh_at: float | None = None
+
+    def forget_link(self) -> None:
+        """Drop what belongs to a link that is gone; nonces are never reused."""
+        self._sent.clear()
+        self._proofs.clear()
+        self.publisher_fresh_at = None
+
+    def send(self, now: float, to_source: bool) -> FreshnessProbe:
+        """Return a new probe."""
+        self._nonce += 1
+        self._sent[self._nonce] = now
+        while len(self._sent) > _KEPT_PROBES:
+            del self._sent[next(iter(self._sent))]
+        return FreshnessProbe(nonce=self._nonce, to_source=to_source)
+
+    def answered(self, answer: FreshnessAnswer) -> None:
+        """Take an answer; those to unknown probes count for nothing."""
+        sent = self._sent.pop(answer.nonce, None)
+        if sent is None or answer.unproved:
+            return
+        at = sent - answer.age_ms / _MILLISECONDS
+        if self.publisher_fresh_at is None or at > self.publisher_fresh_at:
+            self.publisher_fresh_at = at
+        self._proofs.append(Proof(at, answer.version))
+        del self._proofs[:-_KEPT_PROOFS]
+
+    def proved_at(self, version: int) -> float | None:
+        """Return the latest time at which a holder of ``version`` was current, or ``None``."""
+        return max((p.at for p in self._proofs if p.version <= version), default=None)
--- /dev/null
+++ b/src/limelever/subscriber/timers.py
@@ -0,0 +1,30 @@
+"""The timers of a subscriber's link: each a time or unset, in seconds of the monotonic clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Timers:
+    """When to dial, probe, give up on an answer, look at staleness, leave."""
+
+    dial: float | None = None
+    probe: float | None = None
+    answer: float | None = None
+    stale: float | None = None
+    leave: float | None = None
+
+    def forget_link(self) -> None:
+        """Unset the timers that belong to a link."""
+        self.probe = self.answer = self.stale = self.leave = None
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest of them, or ``None``."""
+        times = (self.dial, self.probe, self.answer, self.stale, self.leave)
+        return min((at for at in times if at is not None), default=None)
+
+
+def reached(at: float | None, now: float) -> bool:
+    """Return whether a timer is set and its time has come."""
+    return at is not None and at <= now
