--- /dev/null
+++ b/src/limelever/source/messages.py
@@ -0,0 +1,35 @@
+"""What the operators' service and the source's core tell each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import Event, Output
+from limelever.protocol.operators_pb2 import (
+    ApplyRequest,
+    ChangeMembersRequest,
+    GetRequest,
+    RolloutRequest,
+    StatusRequest,
+)
+
+OperatorMessage = ApplyRequest | GetRequest | RolloutRequest | StatusRequest | ChangeMembersRequest
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorRequest(Event):
+    """A checked request of an operator, its secrets sealed; ``token`` names it in the answer."""
+
+    token: int
+    request: OperatorMessage
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer(Output):
+    """The answer to the request ``token``; each request gets one."""
+
+    token: int
+    answer: Message | Failure
--- a/src/limelever/source/replication/changes.py
+++ b/src/limelever/source/replication/changes.py
@@ -74,7 +74,8 @@
 
     def _promotion(self, identity: str) -> MemberSet | None:
         """Return the set with a learner promoted, unless it lags or could halt the group."""
-        if self._leadership.matched_index(identity) < self._context.commit_index:
+        lags = self._leadership.matched_index(identity) < self._context.commit_index
+        if lags or not self._leadership.heard_lately(identity):
             return None
         changed = with_promoted(self._context.members, identity)
         return changed if self._is_healthy(changed) else None
--- a/src/limelever/source/replication/forwarded_reads.py
+++ b/src/limelever/source/replication/forwarded_reads.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from limelever.common.sansio import ConnectionId
 from limelever.protocol.replication_pb2 import ReadIndexAnswer, ReadIndexRequest
 from limelever.source.replication.context import ReplicaContext
 
@@ -26,7 +27,7 @@
     def forward(self, token: int) -> None:
         """Ask the leader to prove a read; fails at once when none can be asked."""
         context = self._context
-        connection = self._connection_to_leader()
+        connection = self.connection_to_leader()
         if connection is None:
             context.application.read_proved(token, False)
             return
@@ -35,7 +36,8 @@
         self._reads[self._last] = _Forwarded(token, deadline)
         context.send(connection, ReadIndexRequest(token=self._last))
 
-    def _connection_to_leader(self) -> int | None:
+    def connection_to_leader(self) -> ConnectionId | None:
+        """Return the dialled link to the leader, or ``None``."""
         context = self._context
         for member in context.members.members:
             if member.identity == context.leader:
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -98,6 +98,10 @@
         """Return where the leader serves operators; empty when none is known."""
         return self._context.leader_address
 
+    def connection_to_leader(self) -> ConnectionId | None:
+        """Return the link on which this replica asks its leader; ``None`` without one."""
+        return self._reads.connection_to_leader()
+
     @property
     def commit_index(self) -> int:
         """Return the index up to which entries are committed and applied here."""
@@ -133,20 +137,23 @@
 
     # --- requests of the host ---------------------------------------------------------------
 
-    def propose(self, batch: Batch) -> int:
+    def propose(self, batch: Batch, now: float) -> int:
         """Append a batch at the leader and return its index; fate is told through ``apply``."""
+        self._context.now = now
         return self._leadership.propose(batch)
 
-    def read(self, token: int) -> None:
+    def read(self, token: int, now: float) -> None:
         """Prove a read; the application is told through ``read_proved``."""
+        self._context.now = now
         application = self._context.application
         if self.leading:
             self._leadership.read(lambda index: application.read_proved(token, index is not None))
         else:
             self._reads.forward(token)
 
-    def change_members(self, request: ChangeMembersRequest) -> int | Failure:
-        """Begin an operator's change of the member set at the leader."""
+    def change_members(self, request: ChangeMembersRequest, now: float) -> int | Failure:
+        """Begin an operator's change of the member set at the leader; returns its index."""
+        self._context.now = now
         return self._changes.request(request)
 
     # --- events -----------------------------------------------------------------------------
