--- /dev/null
+++ b/src/limelever/cli/client.py
@@ -0,0 +1,181 @@
+"""Client of the operators' RPCs: finds the leader, and resends what is safe to resend.
+
+Every write carries a request id, under which the source runs it at most once, so a write whose
+fate is unknown is sent again under the same id until it is settled or time is up.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import grpc
+from google.protobuf.message import Message
+from grpc_status import rpc_status
+
+from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
+from limelever.protocol.keys import key_text
+from limelever.protocol.operators_pb2 import DESCRIPTOR, ErrorDetail
+
+ResponseT = TypeVar("ResponseT", bound=Message)
+
+CONNECT_SECONDS = 2.0
+ATTEMPT_SECONDS = 5.0
+PAUSE_SECONDS = 0.2
+_MAX_METADATA_BYTES = 64 * 1024
+_MILLISECONDS = 1000.0
+_SERVICE_NAME = DESCRIPTOR.services_by_name["Operator"].full_name
+
+
+@dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """How to reach the source: ``endpoints`` are ``host:port``, ``timeout`` is in seconds."""
+
+    endpoints: tuple[str, ...]
+    token: str
+    timeout: float
+    authority: bytes | None = None
+
+
+class OperatorClient:
+    """Calls one of the source's replicas after another until one answers."""
+
+    def __init__(self, options: ClientOptions) -> None:
+        self._options = options
+        self._channels: dict[str, grpc.Channel] = {}
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+
+    def call(
+        self, method: str, request: Message, response: type[ResponseT], *, is_write: bool = False
+    ) -> ResponseT | Failure:
+        """Call ``method`` within the timeout and return its answer or the last failure.
+
+        When time is up and some sending of a write may have run, the answer is
+        ``WRITE_UNKNOWN``, whatever the last sending met.
+        """
+        deadline = time.monotonic() + self._options.timeout
+        turns = _Turns(self._options.endpoints)
+        failure = Failure(ErrorKind.CONNECTION_FAILED, "no endpoint was tried")
+        unknown = False
+        while (left := deadline - time.monotonic()) > 0:
+            answer = self._attempt(turns.current, method, request, response, left)
+            if not isinstance(answer, Failure):
+                return answer
+            failure = answer
+            unknown = unknown or (is_write and failure.outcome is Outcome.UNKNOWN)
+            if not _is_retried(failure, is_write):
+                return failure
+            pause = 0.0 if turns.advance(failure) else max(PAUSE_SECONDS, failure.retry_after)
+            time.sleep(max(0.0, min(pause, deadline - time.monotonic())))
+        if unknown and failure.outcome is not Outcome.UNKNOWN:
+            reason = f"some sending was not answered, and the last one met {failure}"
+            return Failure(ErrorKind.WRITE_UNKNOWN, reason)
+        return failure
+
+    def _attempt(
+        self, endpoint: str, method: str, request: Message, response: type[ResponseT], left: float
+    ) -> ResponseT | Failure:
+        channel = self._channel(endpoint)
+        try:
+            grpc.channel_ready_future(channel).result(timeout=min(left, CONNECT_SECONDS))
+        except grpc.FutureTimeoutError:
+            self._channels.pop(endpoint).close()
+            return Failure(ErrorKind.CONNECTION_FAILED, f"{endpoint} does not answer")
+        call: Any = channel.unary_unary(
+            f"/{_SERVICE_NAME}/{method}",
+            request_serializer=type(request).SerializeToString,
+            response_deserializer=response.FromString,
+        )
+        metadata = (("authorization", f"Bearer {self._options.token}"),)
+        try:
+            answer: ResponseT = call(request, metadata=metadata, timeout=min(left, ATTEMPT_SECONDS))
+        except grpc.RpcError as error:
+            return failure_of(error, endpoint)
+        return answer
+
+    def _channel(self, endpoint: str) -> grpc.Channel:
+        channel = self._channels.get(endpoint)
+        if channel is None:
+            channel = self._open(endpoint)
+            self._channels[endpoint] = channel
+        return channel
+
+    def _open(self, endpoint: str) -> grpc.Channel:
+        options = [
+            ("grpc.max_metadata_size", _MAX_METADATA_BYTES),
+            ("grpc.enable_http_proxy", 0),
+        ]
+        if self._options.authority is None:
+            return grpc.insecure_channel(endpoint, options)
+        credentials = grpc.ssl_channel_credentials(self._options.authority)
+        return grpc.secure_channel(endpoint, credentials, options)
+
+
+class _Turns:
+    """Whose turn it is: the leader that a refusal named, else the next endpoint."""
+
+    def __init__(self, endpoints: Sequence[str]) -> None:
+        self._endpoints = endpoints
+        self._index = 0
+        self._named_leaders: set[str] = set()
+        self.current = endpoints[0]
+
+    def advance(self, failure: Failure) -> bool:
+        """Choose the endpoint to try after ``failure``; return whether to try it at once.
+
+        Replicas that name each other as leader must not be asked in a tight loop, so only the
+        first naming of a leader is followed at once.
+        """
+        leader = failure.leader_address
+        if leader and leader != self.current:
+            first = leader not in self._named_leaders
+            self._named_leaders.add(leader)
+            self.current = leader
+            return first
+        self._index = (self._index + 1) % len(self._endpoints)
+        self.current = self._endpoints[self._index]
+        return False
+
+
+def _is_retried(failure: Failure, is_write: bool) -> bool:
+    advice = failure.answer.advice
+    if advice in (RetryAdvice.ELSEWHERE, RetryAdvice.AFTER_DELAY):
+        return True
+    return is_write and failure.outcome is Outcome.UNKNOWN
+
+
+def failure_of(error: grpc.RpcError, endpoint: str) -> Failure:
+    """Return the failure that a refused or broken call carries."""
+    call: Any = error
+    status = rpc_status.from_call(call)
+    for packed in status.details if status is not None else ():
+        detail = ErrorDetail()
+        if packed.Unpack(detail):
+            return _from_detail(detail)
+    kind = (
+        ErrorKind.DEADLINE_EXCEEDED
+        if call.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+        else ErrorKind.CONNECTION_LOST
+    )
+    return Failure(kind, f"{endpoint}: {call.code().name}: {call.details()}")
+
+
+def _from_detail(detail: ErrorDetail) -> Failure:
+    try:
+        kind = ErrorKind(detail.kind)
+    except ValueError:
+        return Failure(ErrorKind.INTERNAL, f"unknown error kind {detail.kind}: {detail.reason}")
+    return Failure(
+        kind,
+        detail.reason,
+        tuple(key_text(key) for key in detail.resources),
+        retry_after=detail.retry_after_ms / _MILLISECONDS,
+        current_version=detail.current_version,
+        leader_address=detail.leader_operator_address,
+    )
--- /dev/null
+++ b/src/limelever/cli/operator_commands.py
@@ -0,0 +1,111 @@
+"""What the operators' commands do, apart from parsing their command line."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from dataclasses import dataclass
+from functools import partial
+
+from google.protobuf.message import Message
+
+from limelever.cli import output
+from limelever.cli.client import OperatorClient
+from limelever.cli.roles import EXIT_OK, EXIT_REFUSED
+from limelever.common.errors import Failure
+from limelever.protocol.config_pb2 import Batch
+from limelever.protocol.keys import Key
+from limelever.protocol.operators_pb2 import (
+    ApplyRequest,
+    ApplyResponse,
+    GetRequest,
+    GetResponse,
+    RolloutRequest,
+    RolloutResponse,
+    StatusRequest,
+    StatusResponse,
+)
+from limelever.source.request_records import make_request_id
+
+ROLLOUT_POLL_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyOptions:
+    """How a batch is to be applied; an empty ``request_id`` has one drawn."""
+
+    dry_run: bool = False
+    expected_version: int | None = None
+    request_id: str = ""
+    as_json: bool = False
+
+
+def apply_batch(client: OperatorClient, batch: Batch, options: ApplyOptions) -> int:
+    """Apply ``batch``, print the answer and return the exit status."""
+    if options.expected_version is not None:
+        batch.expected_version = options.expected_version
+    batch.request_id = options.request_id
+    if not options.request_id and not options.dry_run:
+        drawn = draw_request_id(client)
+        if isinstance(drawn, Failure):
+            return _refused(drawn, "", options.as_json)
+        batch.request_id = drawn
+    request = ApplyRequest(batch=batch, dry_run=options.dry_run)
+    answer = client.call("Apply", request, ApplyResponse, is_write=not options.dry_run)
+    if isinstance(answer, Failure):
+        return _refused(answer, batch.request_id, options.as_json)
+    if options.as_json:
+        output.print_json(answer)
+    else:
+        output.print_apply(answer, options.dry_run)
+    return EXIT_OK
+
+
+def draw_request_id(client: OperatorClient) -> str | Failure:
+    """Return a fresh request id, whose position is the log index that a replica committed."""
+    status = client.call("Status", StatusRequest(), StatusResponse)
+    if isinstance(status, Failure):
+        return status
+    return make_request_id(uuid.uuid4().hex, status.commit_index)
+
+
+def get(client: OperatorClient, keys: list[Key], as_json: bool) -> int:
+    """Print the resources with ``keys`` (all when empty); refused when one does not exist."""
+    request = GetRequest(keys=[key.to_message() for key in keys])
+    answer = client.call("Get", request, GetResponse)
+    if isinstance(answer, Failure):
+        return _refused(answer, "", as_json)
+    output.print_json(answer) if as_json else output.print_get(answer)
+    return EXIT_REFUSED if answer.missing else EXIT_OK
+
+
+def rollout(client: OperatorClient, version: int, wait: float | None, as_json: bool) -> int:
+    """Print how far ``version`` has come; with ``wait`` (seconds) refused when not complete."""
+    call = partial(client.call, "Rollout", RolloutRequest(version=version), RolloutResponse)
+    deadline = time.monotonic() + (wait or 0.0)
+    answer = call()
+    while not _is_settled(answer) and time.monotonic() < deadline:
+        time.sleep(min(ROLLOUT_POLL_SECONDS, max(0.0, deadline - time.monotonic())))
+        answer = call()
+    if isinstance(answer, Failure):
+        return _refused(answer, "", as_json)
+    output.print_json(answer) if as_json else output.print_rollout(answer)
+    return EXIT_OK if answer.complete or wait is None else EXIT_REFUSED
+
+
+def status(client: OperatorClient, as_json: bool) -> int:
+    """Print the state of the replica that answers."""
+    answer = client.call("Status", StatusRequest(), StatusResponse)
+    if isinstance(answer, Failure):
+        return _refused(answer, "", as_json)
+    output.print_json(answer) if as_json else output.print_status(answer)
+    return EXIT_OK
+
+
+def _is_settled(answer: Message | Failure) -> bool:
+    return isinstance(answer, Failure) or (isinstance(answer, RolloutResponse) and answer.complete)
+
+
+def _refused(failure: Failure, request_id: str, as_json: bool) -> int:
+    output.print_failure(failure, request_id, as_json)
+    return EXIT_REFUSED
--- /dev/null
+++ b/src/limelever/cli/output.py
@@ -0,0 +1,145 @@
+"""What the operators' commands print: lines of text, or JSON. Secret values never appear."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+from google.protobuf.message import Message
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.config_pb2 import CallKind, ResourceKind, VersionedResource
+from limelever.protocol.keys import KIND_TEXT, Key, key_text
+from limelever.protocol.operators_pb2 import (
+    ApplyResponse,
+    ChangeAction,
+    GetResponse,
+    RolloutResponse,
+    StatusResponse,
+)
+from limelever.protocol.redaction import redacted
+
+_ENUM_TEXT = {
+    "CallKind": lambda number: CallKind.Name(number).removeprefix("CALL_KIND_").lower(),
+    "ChangeAction": lambda number: ChangeAction.Name(number).removeprefix("CHANGE_ACTION_").lower(),
+    "ResourceKind": lambda number: KIND_TEXT.get(number, ResourceKind.Name(number)),
+}
+
+
+def message_value(message: Message) -> dict[str, Any]:
+    """Return a message as JSON values: every field, whole numbers as numbers, keys as text."""
+    values: dict[str, Any] = {}
+    for field in message.DESCRIPTOR.fields:
+        if field.containing_oneof is not None and not message.HasField(field.name):
+            continue
+        value = getattr(message, field.name)
+        if field.is_repeated:
+            values[field.name] = [_value(field, item) for item in value]
+        else:
+            values[field.name] = _value(field, value)
+    return values
+
+
+def _value(field: Any, value: Any) -> Any:
+    if isinstance(value, VersionedResource):
+        return resource_value(value)
+    if isinstance(value, Message):
+        if value.DESCRIPTOR.name == "ResourceKey":
+            return key_text(value)  # type: ignore[arg-type]
+        return message_value(value)
+    if field.enum_type is not None:
+        return _ENUM_TEXT[field.enum_type.name](value)
+    return value
+
+
+def resource_value(versioned: VersionedResource) -> dict[str, Any]:
+    """Return a resource as JSON values, without a secret's value."""
+    safe = redacted(versioned)
+    body: Message = getattr(safe.resource, safe.resource.WhichOneof("body") or "service")
+    values = message_value(body)
+    values.pop("value", None)
+    key = Key.of(safe.resource)
+    return {"key": str(key), "version": safe.version, **values}
+
+
+def print_json(message: Message) -> None:
+    """Print a message as one JSON document."""
+    print(json.dumps(message_value(message), indent=2))
+
+
+def print_failure(failure: Failure, request_id: str, as_json: bool) -> None:
+    """Print why a command was refused, and what settles an unknown outcome."""
+    if as_json:
+        print(json.dumps(_failure_value(failure, request_id), indent=2))
+        return
+    print(f"refused: {failure}", file=sys.stderr)
+    print(f"outcome: {failure.outcome.value}", file=sys.stderr)
+    if failure.kind is ErrorKind.CONFLICT:
+        print(f"current version: {failure.current_version}", file=sys.stderr)
+    if request_id and failure.outcome.value == "unknown":
+        hint = f"send the same again with --request-id {request_id} to settle it"
+        print(hint, file=sys.stderr)
+
+
+def _failure_value(failure: Failure, request_id: str) -> dict[str, Any]:
+    return {
+        "error": failure.kind.value,
+        "reason": failure.reason,
+        "resources": list(failure.resources),
+        "outcome": failure.outcome.value,
+        "advice": failure.answer.advice.value,
+        "current_version": failure.current_version,
+        "request_id": request_id,
+    }
+
+
+def print_apply(answer: ApplyResponse, dry_run: bool) -> None:
+    """Print what a batch changed, or would change."""
+    for change in answer.changes:
+        action = ChangeAction.Name(change.action).removeprefix("CHANGE_ACTION_").lower()
+        print(f"{action:<10}{key_text(change.key)}")
+    if dry_run:
+        print(f"dry run against version {answer.version}: nothing was changed")
+    elif answer.repeated_answer:
+        print(f"applied before: version {answer.version}")
+    else:
+        print(f"applied: version {answer.version}")
+
+
+def print_get(answer: GetResponse) -> None:
+    """Print resources, one a line."""
+    print(f"version {answer.version}")
+    for versioned in answer.resources:
+        values = resource_value(versioned)
+        key, version = values.pop("key"), values.pop("version")
+        shown = " ".join(f"{name}={_shown(value)}" for name, value in values.items() if value)
+        print(f"{key}@{version} {shown}")
+    for missing in answer.missing:
+        print(f"{key_text(missing)} does not exist", file=sys.stderr)
+
+
+def _shown(value: Any) -> str:
+    return ",".join(value) if isinstance(value, list) else str(value)
+
+
+def print_rollout(answer: RolloutResponse) -> None:
+    """Print how far a version has come, zone by zone."""
+    print(f"version {answer.version}: {'in force' if answer.complete else 'lagging'}")
+    print(f"{'zone':<24}{'in force':>10}{'lagging':>10}{'lowest':>10}")
+    for zone in answer.zones:
+        lowest = zone.lowest_version
+        print(f"{zone.zone:<24}{zone.in_force:>10}{zone.lagging:>10}{lowest:>10}")
+
+
+def print_status(answer: StatusResponse) -> None:
+    """Print the state of the replica that answered."""
+    print(f"{answer.name}: {answer.role}, term {answer.term}, version {answer.version}")
+    print(f"leader: {answer.leader or 'none'} {answer.leader_operator_address}".rstrip())
+    print(f"committed through {answer.commit_index}")
+    for member in answer.members:
+        standing = "voter" if member.voter else "learner"
+        where = f"matched {member.matched_index} {member.address}".rstrip()
+        print(f"member {member.name} ({member.identity}): {standing}, {where}")
+    for relay in answer.relays:
+        print(f"relay {relay}")
