Compose the proxy core and its process

Cause: the parts of the request path were not wired together. Change: ProxyCore routes events to subscriber, agents' links, keepers' client and edge, and takes the outputs meant for itself out of the stream; the process shell serves the HTTP edge.

--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -76,3 +76,8 @@
 @dataclass(frozen=True, slots=True)
 class StopFinished(Output):
     """No call is in flight any more: the process may end."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyReady(Output):
+    """The first configuration is in force: calls can be routed from now on."""
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -247,6 +247,8 @@
         failure = final_failure(call, failure)
         if call.token and failure.outcome is Outcome.NOT_RUN:
             self._outputs.extend(self._keepers.release(call.token, now))
+        elif call.token:
+            self._keepers.forget(call.token)
         self._end(call, failure)
 
     def _end(self, call: Call, answer: CallAnswer | Failure) -> None:
--- a/src/limelever/proxy/claims.py
+++ b/src/limelever/proxy/claims.py
@@ -32,6 +32,9 @@
     def release(self, token: bytes, now: float) -> Sequence[Output]:
         """Give the claim back: the call was not run. A token not known is ignored."""
 
+    def forget(self, token: bytes) -> None:
+        """Leave the claim as it is: the outcome of the call is not known."""
+
     def complete(self, token: bytes, answer: RecordedAnswer, now: float) -> Sequence[Output]:
         """Record the call's answer; ends in one ``CompletionSettled`` with this token."""
 
--- /dev/null
+++ b/src/limelever/proxy/core.py
@@ -0,0 +1,251 @@
+"""The proxy core: configuration, endpoints, calls and claims of one proxy, sans-io."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import (
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionId,
+    ConnectionOpened,
+    DeadlineReached,
+    DialledConnections,
+    Event,
+    LogEvent,
+    MessageReceived,
+    Output,
+    Recovered,
+    Started,
+)
+from limelever.keeper.client import ClaimSettled, CompletionSettled, KeeperClientCore
+from limelever.keeper.settings import KeeperClientSettings
+from limelever.keeper.tally import AnswerRecorded, ClaimGranted
+from limelever.proxy import events
+from limelever.proxy.attempts import Attempts, AttemptSettings
+from limelever.proxy.balancer import Balancer, BalancerSettings
+from limelever.proxy.call_state import CallTable
+from limelever.proxy.call_types import (
+    CallArrived,
+    CallerGone,
+    ProxyReady,
+    StopFinished,
+    StopRequested,
+)
+from limelever.proxy.calls import CallEngine, CallSettings
+from limelever.proxy.endpoints import EndpointView
+from limelever.proxy.group_limits import GroupLimits, LimitSettings
+from limelever.proxy.health import HealthSettings
+from limelever.proxy.links import AgentLinks
+from limelever.proxy.router import build_route_table
+from limelever.subscriber.core import SubscriberCore
+from limelever.subscriber.notices import ConfigurationInstalled, EndpointsReceived
+from limelever.subscriber.sealing import Sealer
+from limelever.subscriber.settings import SubscriberSettings
+
+SWEEP_INTERVAL = 5.0
+"""Seconds between looks for links and health records that are no longer used."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyCoreSettings:
+    """Settings of all parts of the core."""
+
+    subscriber: SubscriberSettings
+    keepers: KeeperClientSettings
+    calls: CallSettings = field(default_factory=CallSettings)
+    attempts: AttemptSettings = field(default_factory=AttemptSettings)
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    balancer: BalancerSettings = field(default_factory=BalancerSettings)
+    health: HealthSettings = field(default_factory=HealthSettings)
+
+
+class ProxyCore:
+    """Composes the parts of a proxy; a ``Core`` of the sans-io contract.
+
+    ``random_source`` must be seeded from the system's entropy outside of simulations: the tokens
+    of claims and the identifiers of attempts are drawn from it.
+    """
+
+    def __init__(
+        self,
+        settings: ProxyCoreSettings,
+        random_source: random.Random,
+        recovered: Recovered,
+        sealer: Sealer | None = None,
+    ) -> None:
+        self._outputs: list[Output] = []
+        connections = DialledConnections()
+        self._subscriber = SubscriberCore(
+            settings.subscriber,
+            connections,
+            itertools.count(1),
+            random_source,
+            recovered,
+            sealer,
+        )
+        self._keepers = KeeperClientCore(settings.keepers, connections, random_source)
+        self._view = EndpointView()
+        self._balancer = Balancer(settings.balancer, settings.health, random_source)
+        self._links = AgentLinks(connections, random_source)
+        self._calls = CallTable()
+        attempts = Attempts(
+            settings.attempts,
+            self._calls,
+            self._view,
+            self._balancer,
+            self._links,
+            random_source,
+            self._outputs,
+        )
+        self._engine = CallEngine(
+            settings.calls,
+            self._calls,
+            attempts,
+            GroupLimits(settings.limits),
+            self._keepers,
+            random_source,
+            self._outputs,
+        )
+        self._routed = False
+        self._stopping = False
+        self._sweep_at = 0.0
+        self._interceptors: dict[type[Output], Callable[[Any, float], None]] = {
+            ConfigurationInstalled: self._install,
+            EndpointsReceived: self._merge_endpoints,
+            ClaimSettled: self._settle_claim,
+            CompletionSettled: self._settle_completion,
+        }
+
+    @property
+    def in_flight(self) -> int:
+        """Return the calls not yet ended."""
+        return self._engine.in_flight
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version held, 0 for none."""
+        return self._subscriber.version
+
+    def handle(self, event: Event, now: float) -> list[Output]:
+        """Take one event at ``now`` (seconds, monotonic)."""
+        match event:
+            case CallArrived(call, request):
+                self._engine.arrived(call, request, now)
+            case MessageReceived(connection, message) if self._links.owns(connection):
+                self._engine.received(connection, message, now)
+            case CallerGone(call):
+                self._engine.caller_gone(call, now)
+            case StopRequested():
+                self._stopping = True
+            case DeadlineReached():
+                self._deadline_reached(event, now)
+            case _:
+                self._link_event(event, now)
+        return self._take_outputs(now)
+
+    def next_deadline(self) -> float | None:
+        """Return when ``DeadlineReached`` is wanted (seconds, monotonic)."""
+        times = (
+            self._engine.next_deadline(),
+            self._subscriber.next_deadline(),
+            self._keepers.next_deadline(),
+            self._sweep_at,
+        )
+        return min(time for time in times if time is not None)
+
+    def _link_event(self, event: Event, now: float) -> None:
+        connection = _connection_of(event)
+        if connection is not None and self._links.owns(connection):
+            self._agent_link_event(event, now)
+        elif connection is not None and self._keepers.owns(connection):
+            self._outputs.extend(self._keepers.handle(event, now))
+        else:
+            self._outputs.extend(self._subscriber.handle(event, now))
+        if isinstance(event, Started):
+            self._sweep_at = now + SWEEP_INTERVAL
+            self._outputs.extend(self._keepers.start(now))
+
+    def _agent_link_event(self, event: Event, now: float) -> None:
+        match event:
+            case ConnectionOpened(connection, peer):
+                self._engine.link_opened(connection, peer, now)
+            case ConnectionFailed(connection, failure):
+                self._engine.link_lost(connection, failure.reason, now)
+            case ConnectionClosed(connection, reason):
+                self._engine.link_lost(connection, reason, now)
+
+    def _deadline_reached(self, event: Event, now: float) -> None:
+        self._engine.wake(now)
+        self._outputs.extend(self._keepers.tick(now))
+        self._outputs.extend(self._subscriber.handle(event, now))
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_INTERVAL
+            busy = self._calls.busy_connections()
+            self._links.close_unused(self._view.addresses(), busy, self._outputs)
+            self._balancer.keep_only(self._view.keys())
+
+    def _take_outputs(self, now: float) -> list[Output]:
+        """Act on the outputs meant for this core, and return the others in their order."""
+        taken: list[Output] = []
+        position = 0
+        while position < len(self._outputs):
+            output = self._outputs[position]
+            position += 1
+            intercept = self._interceptors.get(type(output))
+            if intercept is None:
+                taken.append(output)
+            else:
+                intercept(output, now)
+        self._outputs.clear()
+        if self._stopping and not self._engine.in_flight:
+            self._stopping = False
+            taken.append(StopFinished())
+        return taken
+
+    def _install(self, installed: ConfigurationInstalled, now: float) -> None:
+        table = build_route_table(installed.configuration, installed.version)
+        if isinstance(table, Failure):
+            self._outputs.append(LogEvent(events.ROUTES_REFUSED, {"reason": str(table)}))
+            return
+        self._engine.set_table(table)
+        fields: dict[str, object] = {
+            "version": installed.version,
+            "routes": len(table.route_names()),
+        }
+        self._outputs.append(LogEvent(events.ROUTES_IN_FORCE, fields))
+        if not self._routed:
+            self._routed = True
+            self._outputs.append(ProxyReady())
+
+    def _merge_endpoints(self, received: EndpointsReceived, now: float) -> None:
+        self._view.apply(received.update, now)
+
+    def _settle_claim(self, settled: ClaimSettled, now: float) -> None:
+        match settled.outcome:
+            case ClaimGranted():
+                self._engine.claim_granted(settled.token, now)
+            case AnswerRecorded(answer):
+                self._engine.claim_answered(settled.token, answer, now)
+            case Failure() as failure:
+                self._engine.claim_refused(settled.token, failure, now)
+
+    def _settle_completion(self, settled: CompletionSettled, now: float) -> None:
+        self._engine.completion_settled(settled.token, settled.ok)
+
+
+def _connection_of(event: Event) -> ConnectionId | None:
+    match event:
+        case (
+            ConnectionOpened(connection, _)
+            | ConnectionFailed(connection, _)
+            | ConnectionClosed(connection, _)
+            | MessageReceived(connection, _)
+        ):
+            return connection
+    return None
--- /dev/null
+++ b/src/limelever/proxy/process.py
@@ -0,0 +1,149 @@
+"""The proxy process: a thin shell around the proxy core and the HTTP edge."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import trio
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Output, Recovered
+from limelever.common.settings import seconds
+from limelever.keeper.settings import KeeperClientSettings
+from limelever.proxy import events
+from limelever.proxy.admission import AdmissionSettings
+from limelever.proxy.attempts import AttemptSettings
+from limelever.proxy.balancer import BalancerSettings
+from limelever.proxy.call_types import AnswerCall, ProxyReady, StopFinished, StopRequested
+from limelever.proxy.calls import CallSettings
+from limelever.proxy.core import ProxyCore, ProxyCoreSettings
+from limelever.proxy.edge import Edge
+from limelever.proxy.group_limits import LimitSettings
+from limelever.proxy.health import HealthSettings
+from limelever.proxy.metrics import count_answer
+from limelever.proxy.retry_rules import RetrySettings
+from limelever.proxy.settings import BalancingSettings, CallLimitSettings, ProxySettings
+from limelever.storage.folder import FolderDisk, open_folder
+from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.log import write_event
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+
+_PERCENT = 100.0
+
+
+def run(settings: ProxySettings) -> int:
+    """Run the proxy until a planned stop or a failure; return the exit status."""
+    return run_role(settings, partial(_main, settings))
+
+
+def core_settings(settings: ProxySettings) -> ProxyCoreSettings:
+    """Return the core's settings, in seconds and parts of one."""
+    configuration = settings.configuration
+    return ProxyCoreSettings(
+        subscriber=SubscriberSettings(
+            publishers=settings.relays,
+            services=settings.services,
+            stale_after=seconds(configuration.stale_after_ms),
+            probe_interval=seconds(configuration.probe_interval_ms),
+            answer_timeout=seconds(configuration.answer_timeout_ms),
+        ),
+        keepers=KeeperClientSettings(
+            keepers=settings.keepers,
+            completion_wait=seconds(settings.calls.completion_wait_ms),
+        ),
+        calls=_call_settings(settings.calls),
+        attempts=AttemptSettings(
+            answer_limit_bytes=settings.calls.max_answer_bytes,
+            assembly_limit_bytes=settings.calls.assembly_bytes,
+            dial_wait=seconds(settings.calls.dial_wait_ms),
+        ),
+        limits=LimitSettings(
+            total=settings.calls.in_flight,
+            near=settings.calls.share_from_percent / _PERCENT,
+            retry_after=seconds(settings.calls.retry_after_ms),
+        ),
+        balancer=_balancer_settings(settings.zone, settings.balancing),
+        health=HealthSettings(
+            failures_to_eject=settings.balancing.failures_to_eject,
+            first_ejection=seconds(settings.balancing.first_ejection_ms),
+            longest_ejection=seconds(settings.balancing.longest_ejection_ms),
+        ),
+    )
+
+
+def _call_settings(settings: CallLimitSettings) -> CallSettings:
+    return CallSettings(
+        admission=AdmissionSettings(default_timeout=seconds(settings.default_timeout_ms)),
+        retry=RetrySettings(attempts=settings.attempts, redirects=settings.redirects),
+        completion_wait=seconds(settings.completion_wait_ms),
+    )
+
+
+def _balancer_settings(zone: str, settings: BalancingSettings) -> BalancerSettings:
+    return BalancerSettings(
+        zone=zone,
+        spill_load=settings.spill_load_percent / _PERCENT,
+        ejection_floor=settings.ejection_floor_percent / _PERCENT,
+        slow_start=seconds(settings.slow_start_ms),
+    )
+
+
+async def _main(settings: ProxySettings, shell: ProcessShell) -> None:
+    disk = _open_disk(settings.data_folder)
+    recovered = disk.recovered if disk is not None else Recovered()
+    core = ProxyCore(core_settings(settings), random.Random(), recovered)
+    finished = trio.Event()
+
+    def on_output(output: Output) -> None:
+        match output:
+            case AnswerCall():
+                count_answer(output.answer)
+                edge.answer(output)
+            case ProxyReady():
+                shell.set_ready()
+            case StopFinished():
+                finished.set()
+
+    runner = shell.add_core(core, on_output, disk=disk)
+    edge = Edge(settings.edge, runner.post)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(runner.run)
+        edge_ended = await _start_edge(edge, settings, nursery)
+        await shell.stop_requested.wait()
+        edge.stop()
+        await edge_ended.wait()
+        runner.post(StopRequested())
+        await finished.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def _start_edge(edge: Edge, settings: ProxySettings, nursery: trio.Nursery) -> trio.Event:
+    """Listen for callers; the event returned is set once the last of them was answered."""
+    ended = trio.Event()
+
+    async def serve(task_status: trio.TaskStatus[list[str]]) -> None:
+        await edge.serve(seconds(settings.stop_limit_ms), task_status=task_status)
+        ended.set()
+
+    try:
+        bound = await nursery.start(serve)
+    except OSError as error:
+        reason = f"cannot listen on {settings.edge.listen}: {error}"
+        raise ProcessFailedError(Failure(ErrorKind.INVALID_SETTINGS, reason)) from error
+    fields: dict[str, object] = {
+        "address": ", ".join(bound),
+        "tls": bool(settings.edge.certificate),
+    }
+    write_event(events.EDGE_LISTENING, fields)
+    return ended
+
+
+def _open_disk(data_folder: str) -> FolderDisk | None:
+    """Return the disk on which the highest version held outlives a restart, if there is one."""
+    if not data_folder:
+        return None
+    opened = open_folder(data_folder)
+    if isinstance(opened, Failure):
+        raise ProcessFailedError(opened)
+    return opened
