--- /dev/null
+++ b/features/source/replication.feature
@@ -0,0 +1,61 @@
+Feature: The source's log is replicated by majority
+
+  Scenario: A first start needs every replica of three and then elects a leader
+    Given a replica group of 3 with empty disks of which 2 start
+    When a replica group runs for 5 seconds
+    Then a replica group has no leader
+    When the rest of a replica group starts
+    Then a replica group elects a leader
+
+  Scenario: A write is applied by every replica
+    Given a replica group of 3
+    When a replica group accepts 20 writes
+    Then a replica group holds the last version on every replica
+
+  Scenario: A group of five goes on with two replicas down
+    Given a replica group of 5
+    When a replica group loses a follower's process
+    And a replica group loses the disk of a follower
+    And a replica group accepts 5 writes
+    Then a replica group holds the last version on every replica
+
+  Scenario: Two leaders never commit in one term and no accepted write is lost
+    Then a replica group of 3 keeps its promises under 20 seeds of disorder
+    And a replica group of 5 keeps its promises under 6 seeds of disorder
+
+  Scenario: A leader that is cut off steps down and its open write settles by a resend
+    Given a replica group of 3
+    When a replica group cuts off its leader
+    Then a replica group answers a write at the cut-off leader as unknown
+    When a replica group heals
+    Then a replica group settles the write by one version however often it is resent
+
+  Scenario: A leader that is cut off serves no read
+    Given a replica group of 3
+    When a replica group cuts off its leader
+    Then a replica group refuses a read at the cut-off leader
+
+  Scenario: Followers name the leader
+    Given a replica group of 3
+    And a replica group accepts 1 writes
+    Then a replica group sends operators of a follower to the leader
+
+  Scenario: Operators race and resend
+    Given a replica group of 3
+    When a replica group accepts 1 writes
+    Then a replica group lets one of two racing writes with equal expected versions win
+    And a replica group gives a resend of an open write the answer of the same entry
+
+  Scenario: A replica far behind is caught up by a snapshot
+    Given a replica group of 3 that takes a snapshot every 10 entries
+    When a replica group loses a follower's process
+    And a replica group accepts 35 writes
+    And a replica group gets the follower's process back
+    Then a replica group holds the last version on every replica
+    And a replica group has sent a snapshot
+
+  Scenario: A follower proves its freshness through the leader
+    Given a replica group of 3
+    When a replica group has a relay that probes a follower
+    Then a replica group proves the follower fresh
+    And a replica group does not prove the follower fresh once it is cut off
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -106,6 +106,7 @@
         self._offsets = list(scan.offsets)
         self._end = scan.end
         self._dirty = False
+        self._closed = False
         self._failure: Failure | None = None
         self._log = self._open_log()
         os.ftruncate(self._log, self._end)
@@ -118,7 +119,10 @@
         return self._recovered
 
     def close(self) -> None:
-        """Release the folder; the disk is not used afterwards."""
+        """Release the folder; the disk takes no write afterwards."""
+        if self._closed:
+            return
+        self._closed = True
         os.close(self._log)
         os.close(self._lock)
 
