Check the agent: fairness, one answer a call, drain, registration, back end client

Cause: the agent's core stood without a run. Change: behave features with hypothesis under virtual time, and the back end's client against a live socket; checks of a starting call moved into a module of their own, to keep the call service small. Ruled out: charging the estimated slot time only, which lets a group whose calls never count as representative hold more than its share. Conclusion: the parts hold their promises alone; a run between real processes is still owed.

--- /dev/null
+++ b/features/agent/calls.feature
@@ -0,0 +1,75 @@
+Feature: The agent answers every call once and says truly whether it ran
+
+  Scenario: One answer a call, no attempt twice, and NOT RUN is true
+    Then any course of calls at the agent keeps its promises
+
+  Scenario: A queued call whose deadline passes is refused at once
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent gets a call on agent stream 2 with 1 seconds left
+    And the agent's clock moves to its next call deadline
+    Then agent stream 2 has failed with deadline-too-short
+    And the agent's back end was asked once
+
+  Scenario: A call for another incarnation is not run
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 for incarnation 6
+    Then agent stream 1 has failed with wrong-incarnation
+    And the agent's back end was never asked
+
+  Scenario: An attempt that arrives twice runs once
+    Given an agent of incarnation 7 with 2 slots and a proxy
+    When the agent gets the same attempt on agent streams 1 and 2
+    Then the agent's back end was asked once
+    And agent stream 2 has failed with outcome-unknown
+
+  Scenario: A cancelled call that waits leaves the queue
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent gets a call on agent stream 2 with 10 seconds left
+    And the agent hears a cancel of agent stream 2
+    And the agent's back end answers agent stream 1
+    Then the agent's back end was asked once
+
+  Scenario: A cancelled call that runs is cancelled at the back end
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent hears a cancel of agent stream 1
+    Then the attempt of agent stream 1 is cancelled at the back end
+    And its slot is busy until the back end's request has ended
+    And agent stream 1 has failed with cancelled
+
+  Scenario: A lost proxy leaves only at-most-once attempts running
+    Given an agent of incarnation 7 with 2 slots and a proxy
+    When the agent gets a repeatable call on agent stream 1 and an at-most-once call on agent stream 2
+    And the agent gets a call on agent stream 3 with 10 seconds left
+    And the agent loses its proxy
+    Then only the attempt of agent stream 1 is cancelled
+    And no call waits at the agent
+
+  Scenario Outline: A failed attempt tells what is known
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And its attempt fails with <failure> and <sent> byte sent
+    Then agent stream 1 has failed with <answer>
+
+    Examples:
+      | failure           | sent | answer            |
+      | backend-failed    | no   | connection-failed |
+      | deadline-exceeded | no   | connection-failed |
+      | backend-failed    | some | backend-failed    |
+      | connection-failed | some | backend-failed    |
+      | deadline-exceeded | some | deadline-exceeded |
+
+  Scenario: A body in parts is put together, and one over the limit is refused
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a body of 3 parts of 100000 bytes on agent stream 1
+    Then the attempt of agent stream 1 carries 300000 bytes
+    When the agent gets a body of 50 parts of 100000 bytes on agent stream 2
+    Then agent stream 2 has failed with body-too-large
+
+  Scenario: A large answer arrives whole
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent's back end answers agent stream 1 with 700000 bytes
+    Then agent stream 1 has received 700000 bytes in order
--- /dev/null
+++ b/features/agent/drain.feature
@@ -0,0 +1,32 @@
+Feature: A planned stop of an agent takes no new work and cuts off none in flight
+
+  Scenario: Draining refuses new calls and finishes old ones
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent is asked to drain
+    Then the relay hears that the agent is draining
+    When the agent gets a call on agent stream 2 with 10 seconds left
+    Then agent stream 2 has failed with draining
+    And the agent's back end was asked once
+    When the agent's back end answers agent stream 1
+    Then agent stream 1 has its answer
+    When 1.5 seconds pass at the agent
+    Then the drain has finished with 0 calls cut off
+    And the relay hears that the agent is gone
+
+  Scenario: Queued calls go back to the proxy after a short while
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 20 seconds left
+    And the agent gets a call on agent stream 2 with 20 seconds left
+    And the agent is asked to drain
+    And 2.5 seconds pass at the agent
+    Then agent stream 2 has failed with draining
+    And the agent's back end was asked once
+
+  Scenario: The drain limit ends what still runs
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 90 seconds left
+    And the agent is asked to drain
+    And 26 seconds pass at the agent
+    Then the drain has finished with 1 calls cut off
+    And agent stream 1 has failed with backend-failed
--- /dev/null
+++ b/features/agent/fair_shares.feature
@@ -0,0 +1,31 @@
+Feature: The agent divides the back end's slots by weight
+  A group that floods the back end gets what others leave, and no more than its share
+  when they want theirs.
+
+  Scenario: Backlogged groups are served by their weights
+    Then backlogged agent groups are served within the bound of their weights
+
+  Scenario: No slot stays free while a call waits
+    Then the agent queue never leaves a slot free while a call waits
+
+  Scenario: A flooding group cannot take another's share
+    Given an agent queue with 2 slots and weights flood=1, steady=1
+    When group flood offers 500 calls at once and group steady keeps 2 calls waiting for 100 rounds
+    Then group steady was given at least 45 percent of the starts
+    And some calls of group flood were refused with share-exhausted
+
+  Scenario: A flood of bytes gives way to a group below its share
+    Given an agent queue of 1000 bytes with 1 slot and weights flood=1, steady=1
+    When group flood fills the bytes of the queue and group steady offers a call of 300 bytes
+    Then the call of group steady waits and calls of group flood were given back
+
+  Scenario: New weights count at once
+    Given an agent queue with 1 slots and weights flood=100, steady=1
+    When the weights become flood=1, steady=3 while both groups are backlogged
+    Then group steady gets about 3 of 4 starts
+
+  Scenario: What cannot make its deadline is refused at once
+    Given an agent queue with 1 slots and weights flood=1, steady=1
+    When calls take 1 second each and 5 calls wait
+    Then a call with 2 seconds left is refused with deadline-too-short and advice
+    And a call with 20 seconds left is queued
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -2,6 +2,9 @@
 
 A refusal that says NOT RUN is only ever sent for a call whose attempt was not handed to the
 back end, and an attempt identifier that was seen before is never handed over again.
+
+Bodies in parts: a proxy may send 256 KiB of ``CallBody`` on a stream at once and as much again
+as ``CallCredit`` gives back. Answers are sent whole, bounded by the back end's client.
 """
 
 from __future__ import annotations
@@ -16,17 +19,13 @@
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt, StartAttempt
+from limelever.agent.start_checks import check_attempt, check_body, check_start
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCredit, CallStart
 
-ATTEMPT_ID_BYTES = 16
-FIRST_CREDIT_BYTES = 256 * 1024
-"""Bytes of ``CallBody`` a proxy may send on a stream before it is given credit."""
-
 _MILLISECONDS = 1000.0
 _SHED_STATUS = 503
-_OVERLOAD_RETRY_AFTER = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,22 +233,14 @@
     # --- parts ------------------------------------------------------------------------------
 
     def _check(self, connection: ConnectionId, start: CallStart) -> Failure | None:
-        if len(start.attempt_id) != ATTEMPT_ID_BYTES:
-            return Failure(ErrorKind.PROTOCOL_VIOLATION, "attempt_id must have 16 bytes")
-        if self._recent.full:
-            return Failure(
-                ErrorKind.OVERLOADED, "too many recent attempts", retry_after=_OVERLOAD_RETRY_AFTER
-            )
+        failure = check_attempt(start, self._recent)
+        if failure is not None:
+            return failure
         self._recent.add(start.attempt_id)
         if self.draining:
             return Failure(ErrorKind.DRAINING, "the back end is leaving")
-        if start.service != self._service:
-            return Failure(ErrorKind.NO_ENDPOINT, f"this agent serves {self._service} only")
-        if self._calls.by_stream(connection, start.stream) is not None:
-            return Failure(ErrorKind.PROTOCOL_VIOLATION, "the stream is in use")
-        if len(start.body) > self._max_body_bytes:
-            return Failure(ErrorKind.BODY_TOO_LARGE, f"limit {self._max_body_bytes} bytes")
-        return None
+        stream_in_use = self._calls.by_stream(connection, start.stream) is not None
+        return check_start(start, self._service, stream_in_use, self._max_body_bytes)
 
     def _wrong_incarnation(
         self, connection: ConnectionId, peer: str, start: CallStart
@@ -268,15 +259,13 @@
         return [self._failed(connection, start, failure), log]
 
     def _bound_body(self, call: Call) -> list[Output]:
-        if len(call.body) > self._max_body_bytes:
-            failure = Failure(ErrorKind.BODY_TOO_LARGE, f"limit {self._max_body_bytes} bytes")
-            return self._refuse(call, failure)
-        if self._assembling_bytes > self._limits.assembling_bytes:
-            failure = Failure(
-                ErrorKind.OVERLOADED, "too many bodies", retry_after=_OVERLOAD_RETRY_AFTER
-            )
-            return self._refuse(call, failure)
-        return []
+        failure = check_body(
+            len(call.body),
+            self._max_body_bytes,
+            self._assembling_bytes,
+            self._limits.assembling_bytes,
+        )
+        return [] if failure is None else self._refuse(call, failure)
 
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._assembling_bytes -= len(call.body)
