Prove the request path with features and properties

Cause: the proxy's promises stood untested. Change: features drive ProxyCore under virtual time with agents that answer, refuse, cross and vanish; hypothesis explores retries, claims, crossed answers, ejection, endpoint news and bounds; the HTTP edge is asked over loopback.

--- /dev/null
+++ b/features/proxy/balancing.feature
@@ -0,0 +1,31 @@
+Feature: A proxy spreads calls by what it sees itself
+
+  Scenario: The own zone comes first and spills over when it is full
+    Given endpoints with 2 slots in zones "here, there"
+    When the balancer starts 2 calls
+    Then all of the balancer's calls are in zone "here"
+    When the balancer starts 2 calls
+    Then some of the balancer's calls are in zone "there"
+
+  Scenario: A cold endpoint is ramped up
+    Given a warm endpoint and one that has just appeared
+    Then the cold endpoint gets less than a third of the calls at first
+    And the cold endpoint gets about half of the calls after its ramp
+
+  Scenario: Ejection keeps a floor
+    Given any outcomes of calls, the balancer keeps half of the endpoints in use
+
+  Scenario: Reported load cannot hide failures
+    Given an endpoint that reports no load and fails every call
+    Then the balancer leaves the failing endpoint out, and tries it again later
+
+  Scenario: Endpoint news in any order gives one view
+    Given any order of endpoint news, the newest wins and a drained incarnation stays out
+
+  Scenario: A relay that has just restarted does not empty the view
+    Given a view of 3 endpoints
+    When a full update names 1 of them
+    Then the view keeps the others for a grace period
+
+  Scenario: Groups are bounded by their share when the proxy is nearly full
+    Given any calls of three groups, the bounds hold and a group under its share finds room
--- /dev/null
+++ b/features/proxy/request_path.feature
@@ -0,0 +1,83 @@
+Feature: A proxy answers every call once, with the answer to that call
+
+  Scenario: A call before any configuration is refused at once
+    Given a proxy that holds no configuration
+    When a caller asks the proxy for "/orders/1"
+    Then the proxy refused call 1 as "no-configuration" with a retry time
+
+  Scenario: The closest path prefix wins, on whole segments
+    Given any routes and paths, the proxy's table agrees with a search through all prefixes
+
+  Scenario: Paths that a back end may read as another path are refused
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/../admin"
+    And a caller asks the proxy for "/orders/%2e%2e/admin"
+    Then the proxy refused call 1 as "invalid-request"
+    And the proxy refused call 2 as "invalid-request"
+
+  Scenario: A route's secrets replace whatever a caller sends under their headers
+    Given a proxy with one endpoint
+    When a caller sends header "x-order-key" as "forged" to "/orders/1"
+    Then the handed on call carries header "x-order-key" only as "order-secret"
+
+  Scenario: A secret's header never passes on a route without that secret
+    Given a proxy with one endpoint
+    When a caller sends header "x-order-key" as "forged" to "/baskets/1"
+    Then the handed on call does not carry header "x-order-key"
+
+  Scenario: Late and crossed answers never reach another caller
+    Given any order of true, late and crossed answers, every caller gets its own answer
+
+  Scenario: The deadline answers at once and cancels the attempt
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 2.1 seconds pass at the proxy
+    Then the caller of call 1 was told "deadline-exceeded" and outcome "unknown"
+    And the agent was told to cancel
+
+  Scenario: A deadline that passes before the call is handed on says not run
+    Given a proxy with one endpoint whose agent accepts no link
+    When a caller that waits 100 ms asks for "/orders/1"
+    And 0.2 seconds pass at the proxy
+    Then the caller of call 1 was told "deadline-too-short" and outcome "not-run"
+
+  Scenario: A refusal by the agent is answered at once
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the agent refuses the call as "share-exhausted"
+    Then the proxy refused call 1 as "share-exhausted" with a retry time
+
+  Scenario: A failure after an attempt that may have run never says not run
+    Given a proxy with 2 endpoints and retries for every call
+    When a caller asks the proxy for "/baskets/1"
+    And the agent's link is lost
+    And the agent refuses the call as "overloaded"
+    Then the caller of call 1 was told "connection-lost" and outcome "unknown"
+
+  Scenario: Retries stay within the budget while every agent is overloaded
+    Given any number of calls to overloaded agents, retries stay within the budget
+
+  Scenario: The retry budget is never passed
+    Given any order of fresh calls and retries, the retry budget holds
+
+  Scenario: A leaving agent costs its callers nothing
+    Given a proxy with 2 endpoints
+    When a caller asks the proxy for "/baskets/1"
+    And the agent refuses the call as "draining"
+    And the agent answers the call
+    Then call 1 got the answer of its agent
+    And the leaving agent gets no further call
+
+  Scenario: A planned stop waits for what is in flight
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the proxy is asked to stop
+    Then the proxy has not finished stopping
+    When the agent answers the call
+    Then call 1 got the answer of its agent
+    And the proxy has finished stopping
+
+  Scenario: The edge bounds bodies and finishes what is in flight at a stop
+    Given an HTTP edge on loopback
+    Then a body over the limit is refused with 413
+    And a request in flight when the edge stops is answered whole
