Prove the operators' side: state machine, gRPC service, command line

The client tells 'nobody listens' from 'lost after sending' by a plain connection first; grpcio's channel_ready_future was ruled out, as its polling thread printed a traceback when the channel was closed. Conclusion: the operators' side works against a state machine in one process; the replicated source is still to be put behind it.

--- /dev/null
+++ b/features/cli/cli.feature
@@ -0,0 +1,70 @@
+Feature: The command line of operators
+
+  Scenario: An operator's session
+    Given a source that the command line reaches
+    When the operator applies a file of resources
+    Then the command ends with 0 and prints "applied: version 6"
+    When the operator runs "get"
+    Then the command ends with 0 and prints "route/orders@6"
+    And the secret's value was never printed
+    When the operator runs "delete service/orders"
+    Then the command ends with 1 and prints "still-referenced"
+    When the operator runs "rollout 6 --json"
+    Then the command ends with 0 and prints ""lagging": 1"
+    When the operator runs "rollout 6 --wait 0.1"
+    Then the command ends with 1 and prints "lagging"
+    When the operator runs "status --json"
+    Then the command ends with 0 and prints ""role": "leader""
+
+  Scenario: A dry run and an expected version
+    Given a source that the command line reaches
+    When the operator applies a file of resources with "--dry-run"
+    Then the command ends with 0 and prints "create    route/orders"
+    And the source applied 0 batches
+    When the operator applies a file of resources with "--expected-version 99"
+    Then the command ends with 1 and prints "current version: 0"
+
+  Scenario: A lost answer is settled by a resend under the same request id
+    Given a source that runs the first write and never answers it
+    When the operator applies a file of resources
+    Then the command ends with 0 and prints "applied before: version 6"
+    And the source applied 1 batches
+
+  Scenario: A follower names the leader
+    Given a source whose follower names the leader
+    When the operator applies a file of resources
+    Then the command ends with 0 and prints "applied: version 6"
+
+  Scenario: An outcome that stays unknown is said so, with the request id
+    Given a source that never answers a write
+    When the operator applies a file of resources with "--request-id abcdefgh@5 --timeout 1"
+    Then the command ends with 1 and prints "--request-id abcdefgh@5"
+
+  Scenario: No source at all was surely not run
+    Given no source at all
+    When the operator applies a file of resources with "--timeout 0.5 --request-id abcdefgh@5"
+    Then the command ends with 1 and prints "outcome: not-run"
+
+  Scenario: All problems of a resource file are listed at once
+    When the operator applies a file with wrong resources
+    Then the command ends with 1 and prints "service[0].colour: unknown key"
+    And the command also prints "route[0].call_kind"
+    And the command also prints "share[0].weight: missing key"
+
+  Scenario Outline: Wrong usage
+    When the operator runs "<arguments>"
+    Then the command ends with 2 and prints "<text>"
+
+    Examples:
+      | arguments                   | text         |
+      | get                         | LIMELEVER    |
+      | get nonsense --endpoint x:1 | KIND/NAME    |
+      | apply                       | Missing      |
+      | relay                       | --settings   |
+
+  Scenario: A settings file of no role
+    When the operator checks settings of the role "cook"
+    Then the command ends with 1 and prints "must be one of source, relay, proxy, agent"
+
+  Scenario: Long-running roles don't pay for the operators' libraries
+    Then starting a role imports neither grpc, typer nor rich
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -81,12 +82,9 @@
     def _attempt(
         self, endpoint: str, method: str, request: Message, response: type[ResponseT], left: float
     ) -> ResponseT | Failure:
-        channel = self._channel(endpoint)
-        try:
-            grpc.channel_ready_future(channel).result(timeout=min(left, CONNECT_SECONDS))
-        except grpc.FutureTimeoutError:
-            self._channels.pop(endpoint).close()
-            return Failure(ErrorKind.CONNECTION_FAILED, f"{endpoint} does not answer")
+        channel = self._channel(endpoint, min(left, CONNECT_SECONDS))
+        if isinstance(channel, Failure):
+            return channel
         call: Any = channel.unary_unary(
             f"/{_SERVICE_NAME}/{method}",
             request_serializer=type(request).SerializeToString,
@@ -96,12 +94,25 @@
         try:
             answer: ResponseT = call(request, metadata=metadata, timeout=min(left, ATTEMPT_SECONDS))
         except grpc.RpcError as error:
-            return failure_of(error, endpoint)
+            failure = failure_of(error, endpoint)
+            if failure.kind is ErrorKind.CONNECTION_LOST:
+                self._channels.pop(endpoint).close()
+            return failure
         return answer
 
-    def _channel(self, endpoint: str) -> grpc.Channel:
+    def _channel(self, endpoint: str, limit: float) -> grpc.Channel | Failure:
+        """Return a channel; an endpoint that nobody listens at was surely not given the call.
+
+        grpcio answers ``UNAVAILABLE`` for that and for a connection lost after the call was
+        sent, so a plain connection is tried first to tell the two apart.
+        """
         channel = self._channels.get(endpoint)
         if channel is None:
+            host, _, port = endpoint.rpartition(":")
+            try:
+                socket.create_connection((host, int(port)), timeout=limit).close()
+            except OSError as error:
+                return Failure(ErrorKind.CONNECTION_FAILED, f"{endpoint}: {error}")
             channel = self._open(endpoint)
             self._channels[endpoint] = channel
         return channel
