--- /dev/null
+++ b/src/limelever_lab/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration behind ``make demo``."""
--- /dev/null
+++ b/src/limelever_lab/fleet/metrics.py
@@ -0,0 +1,44 @@
+"""Reads the metrics that processes of the system publish on their admin listeners."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from prometheus_client.parser import text_string_to_metric_families
+
+LINK_BYTES = "limelever_link_bytes_total"
+CONFIGURATION_VERSION = "limelever_configuration_version"
+CALLS_PURPOSE = "calls"
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One sample: its name, its labels as sorted pairs, its value."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...]
+    value: float
+
+
+def parse_metrics(text: str) -> list[Sample]:
+    """Parse the text format of Prometheus."""
+    return [
+        Sample(sample.name, tuple(sorted(sample.labels.items())), sample.value)
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+
+
+def control_bytes(samples: Iterable[Sample]) -> float:
+    """Return the bytes, both ways, on all links but those that carry calls."""
+    return sum(
+        sample.value
+        for sample in samples
+        if sample.name == LINK_BYTES and ("purpose", CALLS_PURPOSE) not in sample.labels
+    )
+
+
+def configuration_version(samples: Iterable[Sample]) -> int:
+    """Return the configuration version in force, 0 when none is."""
+    return max((int(s.value) for s in samples if s.name == CONFIGURATION_VERSION), default=0)
--- a/src/limelever_lab/load/caller.py
+++ b/src/limelever_lab/load/caller.py
@@ -44,12 +44,15 @@
 class CallerSettings:
     """A caller's patience with its call and with one attempt, in seconds.
 
-    ``refusal_patience`` is how long it resends a call that was refused as not run.
+    ``refusal_patience`` is how long it resends a call that was refused as not run, and
+    ``unknown_patience`` how long it asks again under the same key once it was told that the
+    outcome is unknown.
     """
 
     patience: float = 20.0
     attempt_timeout: float = 5.0
     refusal_patience: float = 0.0
+    unknown_patience: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,13 +85,16 @@
             target = (call.first_target + len(attempts)) % len(self._targets)
             attempts.append(await self._attempt(call, target, first=not attempts))
             waited = trio.current_time() - started
-            if self._ended(attempts, waited):
+            if self._ended(call, attempts, waited):
                 return _record(call, attempts, started, waited)
             await trio.sleep(RESEND_PAUSE_SECONDS)
 
-    def _ended(self, attempts: Sequence[Attempt], waited: float) -> bool:
-        if attempts[-1].outcome in _FINAL:
+    def _ended(self, call: Call, attempts: Sequence[Attempt], waited: float) -> bool:
+        last = attempts[-1].outcome
+        if last in _FINAL:
             return True
+        if last is AttemptOutcome.UNKNOWN and call.call_class.at_most_once:
+            return waited >= self._settings.unknown_patience
         if all(attempt.outcome is AttemptOutcome.NOT_RUN for attempt in attempts):
             return waited >= self._settings.refusal_patience
         return waited >= self._settings.patience
