--- a/src/limelever/keeper/store.py
+++ b/src/limelever/keeper/store.py
@@ -78,7 +78,7 @@
                 answer=record.answer,
                 fingerprint=record.fingerprint,
             )
-        same = record.token == claim.token and not record.copied
+        same = record.token == claim.token
         state = ClaimState.CLAIM_STATE_GRANTED if same else ClaimState.CLAIM_STATE_HELD
         return ClaimAnswer(state=state, fingerprint=record.fingerprint)
 
@@ -148,10 +148,9 @@
     def merge(self, records: Iterable[KeeperRecord]) -> None:
         """Take another keeper's records after a lost disk.
 
-        What is copied is held but is no vote: this keeper may have voted for another token
-        before its disk was lost. Where two keepers hold different tokens, either may have had
-        that forgotten vote, so the claim is contested: nobody is granted it, and no release
-        of one token frees it.
+        Where two keepers hold different tokens, either may have had this one's forgotten
+        vote, so the claim is contested: nobody is granted it, and no release of one token
+        frees it.
         """
         for record in records:
             if record.released or record.completed:
@@ -161,18 +160,18 @@
 
     def _copy(self, record: KeeperRecord) -> None:
         held = self._claims.get(record.key)
-        copy = KeeperRecord()
-        copy.CopyFrom(record)
-        copy.copied = True
         if held is not None and held.record.completed:
             return
         if record.token in self._released:
             return
-        if held is not None and held.record.token != record.token:
-            copy.contested = True
-        if copy.contested:
-            copy.token = b""
-        self.apply(copy)
+        if held is None or held.record.token == record.token:
+            self.apply(record)
+            return
+        contested = KeeperRecord()
+        contested.CopyFrom(record)
+        contested.contested = True
+        contested.token = b""
+        self.apply(contested)
 
     def expire(self, wall: float) -> None:
         """Forget what has outlived its time."""
--- /dev/null
+++ b/src/limelever/source/settings.py
@@ -0,0 +1,162 @@
+"""Settings of the source process."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Any, ClassVar
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import (
+    ProcessSettings,
+    SettingsProblem,
+    between,
+    not_empty,
+    seconds,
+)
+from limelever.keeper.settings import KeeperSettings
+from limelever.publisher.settings import PublisherSettings
+from limelever.source.at_rest import KEY_BYTES
+from limelever.source.operator_service import OperatorToken
+from limelever.source.replication.settings import ReplicationSettings
+
+
+def sealing_key(_instance: Any, _attribute: Any, value: tuple[str, ...]) -> None:
+    """Check that keys are base64 of the right length, without showing them."""
+    for position, text in enumerate(value):
+        try:
+            length = len(base64.b64decode(text, validate=True))
+        except (binascii.Error, ValueError):
+            raise ValueError(f"key {position} is not base64") from None
+        if length != KEY_BYTES:
+            raise ValueError(f"key {position} must hold {KEY_BYTES} bytes, holds {length}")
+
+
+@attrs.frozen(kw_only=True)
+class PeerSettings:
+    """Another replica of the source, by name and by the address of its links."""
+
+    name: str = attrs.field(validator=not_empty)
+    address: Address
+
+
+@attrs.frozen(kw_only=True)
+class ReplicationTimes:
+    """Timing of the group of replicas."""
+
+    election_timeout_ms: int = attrs.field(default=1000, validator=between(50, 60000))
+    heartbeat_interval_ms: int = attrs.field(default=200, validator=between(5, 30000))
+    lease_ms: int = attrs.field(default=1000, validator=between(20, 60000))
+    snapshot_every: int = attrs.field(default=4096, validator=between(16, 1 << 24))
+
+
+@attrs.frozen(kw_only=True)
+class PublishingSettings:
+    """How changes go out to the relays."""
+
+    batch_delay_ms: int = attrs.field(default=20, validator=between(0, 60000))
+    heartbeat_interval_ms: int = attrs.field(default=1000, validator=between(50, 60000))
+    window: int = attrs.field(default=4096, validator=between(1, 1 << 20))
+    admission_rate: float = attrs.field(default=100.0, validator=between(0.1, 100000.0))
+    admission_burst: float = attrs.field(default=200.0, validator=between(1.0, 100000.0))
+
+
+@attrs.frozen(kw_only=True)
+class KeepingSettings:
+    """The keeper beside the replica; its set is the set of replicas."""
+
+    claim_lifetime_ms: int = attrs.field(default=86_400_000, validator=between(1000, 1 << 40))
+    rejoin_wait_ms: int = attrs.field(default=10_000, validator=between(100, 3_600_000))
+    largest_answer_bytes: int = attrs.field(default=65_536, validator=between(0, 4 << 20))
+    claims: int = attrs.field(default=1_000_000, validator=between(1, 1 << 30))
+    bytes: int = attrs.field(default=256 << 20, validator=between(1 << 16, 1 << 40))
+
+
+@attrs.frozen(kw_only=True)
+class SecretSettings:
+    """Keys that seal secrets at rest: the first seals, any opens."""
+
+    keys: tuple[str, ...] = attrs.field(validator=[not_empty, sealing_key], repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class SourceSettings(ProcessSettings):
+    """Settings of one replica of the source."""
+
+    ROLE: ClassVar[Role] = Role.SOURCE
+
+    listen: Address
+    operator_listen: Address
+    bootstrap: bool = False
+    peers: tuple[PeerSettings, ...] = ()
+    operators: tuple[OperatorToken, ...] = attrs.field(validator=not_empty)
+    secrets: SecretSettings
+    replication: ReplicationTimes = ReplicationTimes()
+    publishing: PublishingSettings = PublishingSettings()
+    keeping: KeepingSettings = KeepingSettings()
+
+    def clashes(self) -> list[SettingsProblem]:
+        """Return what is wrong between keys."""
+        problems = super().clashes()
+        names = [peer.name for peer in self.peers]
+        if not self.data_folder:
+            problems.append(SettingsProblem("", "data_folder", "a source needs a data folder"))
+        if self.name in names:
+            problems.append(SettingsProblem("", "peers", "must not name the replica itself"))
+        if len(set(names)) != len(names):
+            problems.append(SettingsProblem("", "peers", "names a replica twice"))
+        if len(names) % 2:
+            problems.append(SettingsProblem("", "peers", "the group must have an odd size"))
+        times = self.replication
+        if times.lease_ms > times.election_timeout_ms:
+            reason = "must not exceed replication.election_timeout_ms"
+            problems.append(SettingsProblem("", "replication.lease_ms", reason))
+        if times.heartbeat_interval_ms * 2 > times.lease_ms:
+            reason = "must be at most half of replication.lease_ms"
+            problems.append(SettingsProblem("", "replication.heartbeat_interval_ms", reason))
+        return problems
+
+
+def replication_settings(
+    settings: SourceSettings, operator_address: Address
+) -> ReplicationSettings:
+    """Return what the replication core is told."""
+    times = settings.replication
+    return ReplicationSettings(
+        name=settings.name,
+        peers={peer.name: peer.address for peer in settings.peers},
+        operator_address=str(operator_address),
+        bootstrap=settings.bootstrap,
+        election_timeout=seconds(times.election_timeout_ms),
+        heartbeat_interval=seconds(times.heartbeat_interval_ms),
+        lease=seconds(times.lease_ms),
+        snapshot_every=times.snapshot_every,
+    )
+
+
+def publisher_settings(settings: SourceSettings) -> PublisherSettings:
+    """Return what the publisher is told."""
+    publishing = settings.publishing
+    return PublisherSettings(
+        batch_delay=seconds(publishing.batch_delay_ms),
+        heartbeat_interval=seconds(publishing.heartbeat_interval_ms),
+        window=publishing.window,
+        admission_rate=publishing.admission_rate,
+        admission_burst=publishing.admission_burst,
+    )
+
+
+def keeper_settings(settings: SourceSettings) -> KeeperSettings:
+    """Return what the keeper core is told."""
+    keeping = settings.keeping
+    return KeeperSettings(
+        name=settings.name,
+        others=tuple(peer.address for peer in settings.peers),
+        claim_lifetime=seconds(keeping.claim_lifetime_ms),
+        rejoin_wait=seconds(keeping.rejoin_wait_ms),
+        largest_answer=keeping.largest_answer_bytes,
+        claims_limit=keeping.claims,
+        bytes_limit=keeping.bytes,
+    )
