Add the relay: leases, endpoint table, exchange between relays, and its process

A relay joins a subscriber for everything, a publisher and the endpoint table. The newer (incarnation, sequence) wins whoever tells of it; draining is sticky for an incarnation; a lost relay's endpoints stay for a grace.

--- /dev/null
+++ b/src/limelever/relay/endpoints.py
@@ -0,0 +1,154 @@
+"""The relay's endpoint side: table, leases, other relays, and the feed to proxies."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from google.protobuf.message import Message
+
+from limelever.common.backoff import BackoffSettings
+from limelever.common.sansio import (
+    Address,
+    ConnectionId,
+    DialledConnections,
+    Event,
+    LogEvent,
+    Output,
+)
+from limelever.protocol.endpoints_pb2 import EndpointSyncRequest, MachineNotice
+from limelever.publisher.scope import Scope
+from limelever.relay import events
+from limelever.relay.endpoint_entry import EndpointName
+from limelever.relay.endpoint_feed import EndpointFeed
+from limelever.relay.endpoint_sync import EndpointSyncServer
+from limelever.relay.endpoint_table import EndpointTable, TableSettings
+from limelever.relay.leases import Leases
+from limelever.relay.peer_relay import PeerRelay
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsSettings:
+    """Durations in seconds. ``batch`` is how long changes are gathered before they go out."""
+
+    peers: tuple[Address, ...] = ()
+    lease: float = 6.0
+    batch: float = 0.05
+    heartbeat: float = 2.0
+    silent_after: float = 6.0
+    table: TableSettings = TableSettings()
+    backoff: BackoffSettings = BackoffSettings()
+
+
+class Endpoints:
+    """Takes endpoint news from all sides and sends it on in batches."""
+
+    def __init__(
+        self,
+        settings: EndpointsSettings,
+        relay: str,
+        incarnation: int,
+        connections: DialledConnections,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self.table = EndpointTable(settings.table)
+        self._leases = Leases(self.table, settings.lease)
+        self._feed = EndpointFeed(self.table)
+        self._sync = EndpointSyncServer(self.table, relay, incarnation, settings.heartbeat)
+        self._peers = [
+            PeerRelay(
+                address,
+                self.table,
+                connections,
+                settings.backoff,
+                generator,
+                settings.silent_after,
+            )
+            for address in settings.peers
+        ]
+        self._changed: set[EndpointName] = set()
+        self._flush_at: float | None = None
+
+    def start(self, now: float) -> None:
+        """Begin to dial the other relays."""
+        for peer in self._peers:
+            peer.start(now)
+
+    def stop(self) -> list[Output]:
+        """Close the links to the other relays."""
+        return [output for peer in self._peers for output in peer.stop()]
+
+    def owns(self, connection: ConnectionId) -> bool:
+        """Return whether a dialled link is one to another relay."""
+        return any(peer.owns(connection) for peer in self._peers)
+
+    def handle_peer(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
+        """Take an event of a link to another relay."""
+        peer = next(peer for peer in self._peers if peer.owns(connection))
+        outputs = peer.handle(event, now)
+        self._note(peer.take_changed(), now)
+        return outputs
+
+    def from_agent(self, connection: ConnectionId, message: Message, now: float) -> list[Output]:
+        """Take a message of a registration link."""
+        result = self._leases.handle(connection, message, now)
+        self._note(result.changed, now)
+        return result.outputs
+
+    def sync_requested(
+        self, connection: ConnectionId, request: EndpointSyncRequest, now: float
+    ) -> list[Output]:
+        """Answer another relay that asks for this one's endpoints."""
+        return self._sync.requested(connection, request, now)
+
+    def proxy_joined(self, connection: ConnectionId, scope: Scope) -> list[Output]:
+        """Send a proxy the endpoints of its scope, and changes from now on."""
+        return self._feed.join(connection, scope)
+
+    def closed(self, connection: ConnectionId) -> None:
+        """Forget an accepted link that is gone."""
+        self._leases.closed(connection)
+        self._feed.leave(connection)
+        self._sync.closed(connection)
+
+    def take_notices(self, notices: Iterable[MachineNotice], now: float) -> None:
+        """Take the platform list."""
+        self._note(self.table.take_notices(notices, now), now)
+
+    def on_deadline(self, now: float) -> list[Output]:
+        """Do what is due at ``now``."""
+        outputs: list[Output] = []
+        gone = self.table.expire(now)
+        for name in gone:
+            fields: dict[str, object] = {"service": name.service, "instance": name.instance}
+            outputs.append(LogEvent(events.ENDPOINT_GONE, fields))
+        self._note(gone, now)
+        for peer in self._peers:
+            outputs.extend(peer.on_deadline(now))
+        outputs.extend(self._sync.on_deadline(now))
+        if self._flush_at is not None and self._flush_at <= now:
+            outputs.extend(self._flush())
+        return outputs
+
+    def next_deadline(self) -> float | None:
+        """Return when ``on_deadline`` is to be called (seconds, monotonic), or ``None``."""
+        deadlines = [self._flush_at, self.table.next_deadline(), self._sync.next_deadline()]
+        deadlines.extend(peer.next_deadline() for peer in self._peers)
+        return min((at for at in deadlines if at is not None), default=None)
+
+    def _note(self, changed: Iterable[EndpointName], now: float) -> None:
+        self._changed.update(changed)
+        if self._changed and self._flush_at is None:
+            self._flush_at = now + self._settings.batch
+
+    def _flush(self) -> list[Output]:
+        changed, self._changed = self._changed, set()
+        self._flush_at = None
+        fields: dict[str, object] = {"endpoints": len(changed)}
+        return [
+            *self._feed.publish(changed),
+            *self._sync.publish(changed),
+            LogEvent(events.ENDPOINTS_CHANGED, fields),
+        ]
--- /dev/null
+++ b/src/limelever/relay/process.py
@@ -0,0 +1,146 @@
+"""The relay process: a thin shell around the relay core."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import partial
+
+import trio
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import Output, Purpose, Recovered
+from limelever.common.settings import seconds
+from limelever.publisher.settings import PublisherSettings
+from limelever.relay.core import RelayCore, RelayOptions
+from limelever.relay.endpoint_table import TableSettings
+from limelever.relay.endpoints import EndpointsSettings
+from limelever.relay.interface import PlatformListRead, RelayReady, StopRequested
+from limelever.relay.platform_list import poll_machines
+from limelever.relay.sealing import SnapshotSealer
+from limelever.relay.settings import RelaySettings
+from limelever.storage.folder import FolderDisk, open_folder
+from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.runner import CoreRunner
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+_FLUSH_SECONDS = 0.2
+"""Time that the last messages of a planned stop have to leave."""
+
+ACCEPTED = (Purpose.SUBSCRIPTION, Purpose.REGISTRATION, Purpose.ENDPOINTS)
+
+
+def run(settings: RelaySettings) -> int:
+    """Run the relay until a planned stop or a failure; return the exit status."""
+    incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+    return run_role(settings, partial(_main, settings), incarnation=incarnation)
+
+
+def options_from(settings: RelaySettings, incarnation: int) -> RelayOptions:
+    """Return the core's options."""
+    return RelayOptions(
+        name=settings.name,
+        incarnation=incarnation,
+        subscriber=_subscriber_settings(settings),
+        publisher=_publisher_settings(settings),
+        endpoints=_endpoints_settings(settings),
+    )
+
+
+def _subscriber_settings(settings: RelaySettings) -> SubscriberSettings:
+    subscription = settings.subscription
+    return SubscriberSettings(
+        publishers=settings.sources,
+        everything=True,
+        stale_after=seconds(subscription.stale_after_ms),
+        probe_interval=seconds(subscription.probe_interval_ms),
+        persist_snapshot=bool(settings.snapshot_keys and settings.data_folder),
+        snapshot_delay=seconds(subscription.snapshot_delay_ms),
+    )
+
+
+def _publisher_settings(settings: RelaySettings) -> PublisherSettings:
+    distribution = settings.distribution
+    return PublisherSettings(
+        batch_delay=seconds(distribution.batch_delay_ms),
+        heartbeat_interval=seconds(distribution.heartbeat_ms),
+        window=distribution.window_versions,
+        outstanding=distribution.outstanding_deltas,
+        admission_rate=distribution.admission_rate,
+        admission_burst=distribution.admission_burst,
+        retry_after_limit=seconds(distribution.retry_after_limit_ms),
+        report_interval=seconds(distribution.report_interval_ms),
+        proves_itself=False,
+    )
+
+
+def _endpoints_settings(settings: RelaySettings) -> EndpointsSettings:
+    endpoints = settings.endpoints
+    return EndpointsSettings(
+        peers=settings.peers,
+        lease=seconds(endpoints.lease_ms),
+        batch=seconds(endpoints.batch_ms),
+        heartbeat=seconds(endpoints.heartbeat_ms),
+        silent_after=seconds(endpoints.silent_after_ms),
+        table=TableSettings(
+            tombstone=seconds(endpoints.tombstone_ms),
+            relay_grace=seconds(endpoints.relay_grace_ms),
+        ),
+    )
+
+
+async def _main(settings: RelaySettings, shell: ProcessShell) -> None:
+    disk = _open_disk(settings.data_folder)
+    core = RelayCore(
+        options_from(settings, shell.incarnation),
+        random.Random(),
+        disk.recovered if disk is not None else Recovered(),
+        _sealer(settings),
+    )
+
+    def on_output(output: Output) -> None:
+        if isinstance(output, RelayReady):
+            shell.set_ready()
+
+    async with trio.open_nursery() as nursery:
+        runner = shell.add_core(core, on_output, accepts=ACCEPTED, disk=disk)
+        await nursery.start(runner.run)
+        await shell.listen(settings.listen)
+        _start_polling(settings, runner, nursery)
+        await shell.stop_requested.wait()
+        runner.post(StopRequested())
+        await trio.sleep(_FLUSH_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+def _start_polling(settings: RelaySettings, runner: CoreRunner, nursery: trio.Nursery) -> None:
+    platform = settings.platform_list
+    if platform.address is None:
+        return
+    nursery.start_soon(
+        poll_machines,
+        platform.address,
+        platform.path,
+        seconds(platform.interval_ms),
+        seconds(platform.timeout_ms),
+        lambda notices: runner.post(PlatformListRead(notices)),
+    )
+
+
+def _sealer(settings: RelaySettings) -> SnapshotSealer | None:
+    if not settings.snapshot_keys:
+        return None
+    sealer = SnapshotSealer.from_texts(settings.snapshot_keys)
+    if isinstance(sealer, Failure):
+        raise ProcessFailedError(sealer)
+    return sealer
+
+
+def _open_disk(data_folder: str) -> FolderDisk | None:
+    if not data_folder:
+        return None
+    opened = open_folder(data_folder)
+    if isinstance(opened, Failure):
+        raise ProcessFailedError(opened)
+    return opened
--- /dev/null
+++ b/src/limelever/relay/settings.py
@@ -0,0 +1,89 @@
+"""Settings of the relay process."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+from limelever.relay.sealing import SnapshotSealer
+
+
+@attrs.frozen(kw_only=True)
+class SubscriptionSettings:
+    """How the relay keeps itself current."""
+
+    stale_after_ms: int = attrs.field(default=8000, validator=between(100, 600000))
+    probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 60000))
+    snapshot_delay_ms: int = attrs.field(default=2000, validator=between(0, 600000))
+
+
+@attrs.frozen(kw_only=True)
+class DistributionSettings:
+    """How the relay sends configuration to its subscribers."""
+
+    batch_delay_ms: int = attrs.field(default=50, validator=between(0, 60000))
+    heartbeat_ms: int = attrs.field(default=3000, validator=between(50, 60000))
+    window_versions: int = attrs.field(default=1024, validator=between(1, 1 << 20))
+    outstanding_deltas: int = attrs.field(default=4, validator=between(1, 1024))
+    admission_rate: int = attrs.field(default=400, validator=between(1, 100000))
+    admission_burst: int = attrs.field(default=800, validator=between(1, 100000))
+    retry_after_limit_ms: int = attrs.field(default=30000, validator=between(100, 600000))
+    report_interval_ms: int = attrs.field(default=1000, validator=between(50, 60000))
+
+
+@attrs.frozen(kw_only=True)
+class EndpointSettings:
+    """Leases, and the exchange of endpoints with other relays."""
+
+    lease_ms: int = attrs.field(default=6000, validator=between(300, 600000))
+    batch_ms: int = attrs.field(default=50, validator=between(0, 60000))
+    heartbeat_ms: int = attrs.field(default=2000, validator=between(50, 60000))
+    silent_after_ms: int = attrs.field(default=6000, validator=between(100, 600000))
+    tombstone_ms: int = attrs.field(default=60000, validator=between(1000, 3600000))
+    relay_grace_ms: int = attrs.field(default=20000, validator=between(0, 3600000))
+
+
+@attrs.frozen(kw_only=True)
+class PlatformListSettings:
+    """Where the platform's list of machines is read; an empty host turns it off."""
+
+    address: Address | None = None
+    path: str = attrs.field(default="/machines", validator=not_empty)
+    interval_ms: int = attrs.field(default=3000, validator=between(100, 600000))
+    timeout_ms: int = attrs.field(default=2000, validator=between(10, 60000))
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings(ProcessSettings):
+    """Settings of one relay."""
+
+    ROLE: ClassVar[Role] = Role.RELAY
+
+    listen: Address
+    sources: tuple[Address, ...] = attrs.field(validator=not_empty)
+    peers: tuple[Address, ...] = ()
+    snapshot_keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    subscription: SubscriptionSettings = SubscriptionSettings()
+    distribution: DistributionSettings = DistributionSettings()
+    endpoints: EndpointSettings = EndpointSettings()
+    platform_list: PlatformListSettings = PlatformListSettings()
+
+    def clashes(self) -> list[SettingsProblem]:
+        """Return what is wrong between keys."""
+        problems = super().clashes()
+        if self.snapshot_keys and not isinstance(
+            SnapshotSealer.from_texts(self.snapshot_keys), SnapshotSealer
+        ):
+            problems.append(SettingsProblem("", "snapshot_keys", "must be base64 of 32 bytes each"))
+        if self.endpoints.silent_after_ms <= self.endpoints.heartbeat_ms:
+            problems.append(
+                SettingsProblem("", "endpoints.silent_after_ms", "must exceed heartbeat_ms")
+            )
+        if self.subscription.stale_after_ms <= self.subscription.probe_interval_ms:
+            problems.append(
+                SettingsProblem("", "subscription.stale_after_ms", "must exceed probe_interval_ms")
+            )
+        return problems
