--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -28,7 +28,7 @@
 from limelever.publisher.notices import FreshnessNeeded
 from limelever.publisher.settings import PublisherSettings
 from limelever.source.at_rest import SecretSealer
-from limelever.source.messages import OperatorAnswer, OperatorRequest
+from limelever.source.messages import OperatorAnswer, OperatorRequest, StopRequested
 from limelever.source.operator_requests import OperatorRequests
 from limelever.source.replication.persistence import RecoveredReplica, recover_replica
 from limelever.source.replication.replica import Replica
@@ -99,6 +99,8 @@
         match event:
             case OperatorRequest():
                 self._operators.take(event, now)
+            case StopRequested():
+                self._publish(self._publisher.shut_down(now))
             case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
                 self._subscribers.add(connection)
                 self._publish(self._publisher.handle(event, now))
@@ -124,10 +126,6 @@
         )
         return min(time for time in times if time is not None)
 
-    def shut_down(self, now: float) -> list[Output]:
-        """Begin a planned stop: subscribers are told to move to another replica at once."""
-        return self._publisher.shut_down(now)
-
     def _replicate(self, event: Event) -> None:
         if isinstance(event, ConnectionClosed):
             self._operators.reports.forget(event.connection)
--- a/src/limelever/source/messages.py
+++ b/src/limelever/source/messages.py
@@ -33,3 +33,8 @@
 
     token: int
     answer: Message | Failure
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested(Event):
+    """A planned stop began: subscribers are sent to another replica."""
--- /dev/null
+++ b/src/limelever/source/process.py
@@ -0,0 +1,152 @@
+"""The source process: a replica with its publisher, a keeper, and the operators' service."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import partial
+from pathlib import Path
+from typing import TypeVar
+
+import trio
+from google.protobuf.message import Message
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Address, Output, Purpose
+from limelever.keeper.core import KeeperCore
+from limelever.source.at_rest import SecretSealer
+from limelever.source.core import SourceCore
+from limelever.source.messages import (
+    OperatorAnswer,
+    OperatorMessage,
+    OperatorRequest,
+    StopRequested,
+)
+from limelever.source.operator_service import operator_application, serve_operators
+from limelever.source.settings import (
+    SourceSettings,
+    keeper_settings,
+    publisher_settings,
+    replication_settings,
+)
+from limelever.storage.folder import FolderDisk, open_folder
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.runner import CoreRunner
+
+T = TypeVar("T")
+REPLICA_FOLDER = "replica"
+KEEPER_FOLDER = "keeper"
+_READY_POLL_SECONDS = 0.05
+_FLUSH_SECONDS = 0.2
+"""Time that the last messages of a planned stop have to leave."""
+
+
+def run(settings: SourceSettings) -> int:
+    """Run the source until a planned stop or a failure; return the exit status."""
+    return run_role(settings, partial(_main, settings))
+
+
+class OperatorDesk:
+    """Passes operators' requests to the core and its answers back."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, trio.Event] = {}
+        self._answers: dict[int, Message | Failure] = {}
+        self._last_token = 0
+        self.runner: CoreRunner | None = None
+
+    async def ask(self, request: Message) -> Message | Failure:
+        """Give the core a request and wait for its answer."""
+        assert self.runner is not None
+        if not isinstance(request, OperatorMessage):
+            return Failure(ErrorKind.INVALID_REQUEST, f"no request: {request.DESCRIPTOR.name}")
+        self._last_token += 1
+        token = self._last_token
+        answered = self._waiting[token] = trio.Event()
+        try:
+            self.runner.post(OperatorRequest(token, request))
+            await answered.wait()
+            return self._answers[token]
+        finally:
+            del self._waiting[token]
+            self._answers.pop(token, None)
+
+    def take(self, answer: OperatorAnswer) -> None:
+        """Wake the one who waits for this answer, if it still does."""
+        answered = self._waiting.get(answer.token)
+        if answered is not None:
+            self._answers[answer.token] = answer.answer
+            answered.set()
+
+
+async def _main(settings: SourceSettings, shell: ProcessShell) -> None:
+    replica_disk = _open_disk(settings, REPLICA_FOLDER)
+    keeper_disk = _open_disk(settings, KEEPER_FOLDER)
+    sealer = _required(SecretSealer.from_texts(settings.secrets.keys))
+    core = _required(
+        SourceCore.open(
+            replication_settings(settings, settings.operator_listen),
+            publisher_settings(settings),
+            replica_disk.recovered,
+            random.Random(),
+            sealer,
+        )
+    )
+    wall_offset = time.time() - trio.current_time()
+    keeper = KeeperCore(keeper_settings(settings), keeper_disk.recovered, wall_offset)
+    desk = OperatorDesk()
+
+    def on_output(output: Output) -> None:
+        if isinstance(output, OperatorAnswer):
+            desk.take(output)
+
+    purposes = (Purpose.REPLICATION, Purpose.SUBSCRIPTION)
+    async with trio.open_nursery() as nursery:
+        runner = shell.add_core(core, on_output, accepts=purposes, disk=replica_disk)
+        keeper_runner = shell.add_core(
+            keeper, lambda _: None, accepts=(Purpose.KEEPER,), disk=keeper_disk
+        )
+        desk.runner = runner
+        await nursery.start(runner.run)
+        await nursery.start(keeper_runner.run)
+        await shell.listen(settings.listen)
+        async with trio.open_nursery() as serving:
+            await _serve_operators(settings, shell, desk, sealer, serving)
+            serving.start_soon(_watch_ready, core, shell)
+            await shell.stop_requested.wait()
+        runner.post(StopRequested())
+        await trio.sleep(_FLUSH_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_operators(
+    settings: SourceSettings,
+    shell: ProcessShell,
+    desk: OperatorDesk,
+    sealer: SecretSealer,
+    nursery: trio.Nursery,
+) -> Address:
+    application = operator_application(desk.ask, settings.operators, sealer=sealer)
+    serve = partial(
+        serve_operators, application, settings.operator_listen, settings.tls, shell.stop_requested
+    )
+    bound: Address | Failure = await nursery.start(serve)
+    return _required(bound)
+
+
+async def _watch_ready(core: SourceCore, shell: ProcessShell) -> None:
+    """Ready once a leader is known; stays so until the planned stop."""
+    while not core.replica.leader and not shell.stop_requested.is_set():
+        await trio.sleep(_READY_POLL_SECONDS)
+    if not shell.stop_requested.is_set():
+        shell.set_ready()
+
+
+def _open_disk(settings: SourceSettings, name: str) -> FolderDisk:
+    return _required(open_folder(Path(settings.data_folder) / name))
+
+
+def _required(value: T | Failure) -> T:
+    if isinstance(value, Failure):
+        raise ProcessFailedError(value)
+    return value
