--- a/src/limelever_lab/simulator/call_checker.py
+++ b/src/limelever_lab/simulator/call_checker.py
@@ -85,6 +85,10 @@
             detail = f"{send_id} was answered {status} but key {call.key} never ran"
             self.findings.add(Rule.LOST_RUN, at, call.proxy, detail)
 
+    def shed(self, at: float, send_id: str) -> None:
+        """Take a back end's own refusal as a caller received it."""
+        self._count(at, send_id)
+
     def failed(self, at: float, send_id: str, outcome: Outcome, reason: str) -> None:
         """Take a refusal or error as a caller received it."""
         call = self._count(at, send_id)
--- a/src/limelever_lab/simulator/faults.py
+++ b/src/limelever_lab/simulator/faults.py
@@ -12,6 +12,8 @@
 LAST_FAULT_AT = 24.0
 """Seconds of virtual time between which faults begin."""
 SINGLE_FAULT_CHANCE = 0.4
+WHOLE_SITE_CHANCE = 0.6
+"""How often a torn write is a power cut of all sources, not of one."""
 
 
 class FaultKind(StrEnum):
@@ -152,6 +154,8 @@
         return population.relays
     if kind is FaultKind.SOURCE_OUTAGE:
         return population.sources
+    if kind is FaultKind.TORN_WRITE and source.random() < WHOLE_SITE_CHANCE:
+        return population.sources
     if kind in _PAIR_OF_ANY:
         return _sample(source, population.everyone, 2)
     if kind in _PAIR_OF_SOURCES:
