--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -406,7 +406,7 @@
 
 @when("the gRPC client applies a batch with {count:d} malformed routes")
 def when_many_malformed(context, count):
-    routes = [route(f"BAD{index}", "orders") for index in range(count)]
+    routes = [route(f"BAD{index}" + "x" * 300, "orders") for index in range(count)]
     call(context, "Apply", apply_request(*routes), ApplyResponse)
 
 
--- a/src/limelever/cli/application.py
+++ b/src/limelever/cli/application.py
@@ -32,6 +32,7 @@
 TOKEN_FILE_VARIABLE = "LIMELEVER_TOKEN_FILE"
 CA_FILE_VARIABLE = "LIMELEVER_CA_FILE"
 DEFAULT_TIMEOUT_SECONDS = 15.0
+_ARTICLES = {Role.AGENT: "an"}
 
 app = typer.Typer(
     help="Configuration distribution and fair request routing for a service mesh.",
@@ -82,7 +83,7 @@
     str,
     typer.Option(metavar="ID", help="Id of an earlier sending whose answer was lost."),
 ]
-KeysArgument = Annotated[list[str] | None, typer.Argument(metavar="[KEY]...")]
+KeysArgument = Annotated[list[str] | None, typer.Argument(metavar="KEY...")]
 
 
 def _role_command(role: Role) -> Callable[..., None]:
@@ -90,7 +91,7 @@
         raise typer.Exit(run_role(RoleArguments(role, settings, tuple(overrides or ()))))
 
     run.__doc__ = (
-        f"Run a {role.value} until it is stopped.\n\n"
+        f"Run {_ARTICLES.get(role, 'a')} {role.value} until it is stopped.\n\n"
         f"Example: limelever {role.value} --settings {role.value}.toml --set zone=lodz-a"
     )
     return run
@@ -111,7 +112,7 @@
         print_problems(found)
         raise typer.Exit(EXIT_REFUSED)
     role, _ = found
-    print(f"{file}: sound settings of a {role.value}")
+    print(f"{file}: sound, role {role.value}")
 
 
 @app.command()
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -126,7 +126,8 @@
         )
 
     def restore(self, snapshot: SourceSnapshot) -> None:
-        """Replace the state by that of ``snapshot``."""
+        """Replace the state by that of ``snapshot``, which stays the caller's own."""
+        snapshot = SourceSnapshot.FromString(snapshot.SerializeToString())
         self._version = snapshot.version
         self._resources = {Key.of(item.resource): item for item in snapshot.resources}
         self._references = ReferenceIndex()
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -35,6 +35,7 @@
 MAX_ROUTE_SECRETS = 16
 MAX_SECRET_VALUE_BYTES = 4096
 MAX_PERCENT = 100
+MAX_KEY_NAME = 127
 BATCH_SUBJECT = "batch"
 
 _NAME = re.compile(r"[a-z0-9](?:[a-z0-9._-]{0,61}[a-z0-9])?")
@@ -87,11 +88,12 @@
     """Return what is wrong with the resources and keys of ``batch``."""
     problems: list[FieldProblem] = []
     for index, resource in enumerate(batch.put):
-        subject = str(Key.of(resource)) if resource.WhichOneof("body") else f"put[{index}]"
+        subject = _subject(Key.of(resource), f"put[{index}]")
         problems += [FieldProblem(subject, *finding) for finding in _resource(resource)]
     for index, key in enumerate(batch.delete):
-        if key.kind not in KIND_TEXT or not key.name:
-            problems.append(FieldProblem(f"delete[{index}]", "key", "needs a kind and a name"))
+        if key.kind not in KIND_TEXT or not 1 <= len(key.name) <= MAX_KEY_NAME:
+            reason = f"needs a kind and a name of at most {MAX_KEY_NAME} characters"
+            problems.append(FieldProblem(f"delete[{index}]", "key", reason))
     return (*problems, *_duplicates(batch))
 
 
@@ -103,6 +105,11 @@
     )
 
 
+def _subject(key: Key, fallback: str) -> str:
+    """Return the key's text, or where it stands when its name is not fit to be repeated."""
+    return str(key) if 1 <= len(key.name) <= MAX_KEY_NAME else fallback
+
+
 def _batch(batch: Batch) -> Iterator[Finding]:
     count = len(batch.put) + len(batch.delete)
     if not count:
@@ -118,7 +125,9 @@
     keys += [Key.from_message(key) for key in batch.delete]
     for key, count in Counter(keys).items():
         if count > 1 and key.name:
-            yield FieldProblem(str(key), "name", f"stands {count} times in the batch")
+            yield FieldProblem(
+                _subject(key, BATCH_SUBJECT), "name", f"stands {count} times in the batch"
+            )
 
 
 def _resource(resource: Resource) -> Iterator[Finding]:
