Keep the agent's incarnation on disk, leave cancelled calls unanswered

Cause: a clock set back would give a restarted agent an incarnation below its last one, which the relays refuse; and the proxy forgets a stream once it has cancelled it, so that each answer to a cancel was a late one to drop and log. Change: with a data folder the incarnation is above the last one kept there; a cancelled call hears no more. Ruled out: a random incarnation, which has no order.

--- a/features/agent/calls.feature
+++ b/features/agent/calls.feature
@@ -37,7 +37,7 @@
     And the agent hears a cancel of agent stream 1
     Then the attempt of agent stream 1 is cancelled at the back end
     And its slot is busy until the back end's request has ended
-    And agent stream 1 has failed with cancelled
+    And agent stream 1 has had no answer
 
   Scenario: A lost proxy leaves only at-most-once attempts running
     Given an agent of incarnation 7 with 2 slots and a proxy
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -116,19 +116,18 @@
         credit = CallCredit(stream=message.stream, bytes=len(message.data))
         return [SendMessage(connection, credit)]
 
-    def cancel(self, connection: ConnectionId, stream: int, now: float) -> list[Output]:
-        """End a call that its proxy no longer wants; answered once, with CANCELLED."""
+    def cancel(self, connection: ConnectionId, stream: int) -> list[Output]:
+        """End a call that its proxy no longer wants; the proxy hears no more of it."""
         call = self._calls.by_stream(connection, stream)
         if call is None:
             return []
-        failure = Failure(ErrorKind.CANCELLED, "cancelled by the proxy")
         if call.stage is not CallStage.RUNNING:
-            return self._refuse(call, failure)
-        outputs: list[Output] = [self._failed(connection, call.start, failure)]
+            self._withdraw(call)
+            return []
         self._calls.settle(call)
-        return [*outputs, CancelAttempt(call.number)]
+        return [CancelAttempt(call.number)]
 
-    def proxy_gone(self, connection: ConnectionId, peer: str, now: float) -> list[Output]:
+    def proxy_gone(self, connection: ConnectionId, peer: str) -> list[Output]:
         """Drop what the proxy has waiting; cancel what may be repeated, let the rest finish."""
         dropped = left_running = 0
         outputs: list[Output] = []
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -161,7 +161,7 @@
                 return self._proxy_opened(connection, peer)
             case ConnectionClosed(connection) if connection in self._proxies:
                 peer = self._proxies.pop(connection)
-                return self._calls.proxy_gone(connection, peer.name, now)
+                return self._calls.proxy_gone(connection, peer.name)
             case BackendProbed(healthy):
                 return self._probed(healthy, now)
             case DrainRequested():
@@ -183,7 +183,7 @@
             case CallBody():
                 return self._calls.body(connection, message, now)
             case CallCancel():
-                return self._calls.cancel(connection, message.stream, now)
+                return self._calls.cancel(connection, message.stream)
         return []
 
     def _subscribed(self, event: Event, now: float) -> list[Output]:
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -23,7 +23,7 @@
 from limelever.agent.registration import RegistrationSettings
 from limelever.agent.settings import AgentSettings, ProbeSettings
 from limelever.common.errors import Failure
-from limelever.common.sansio import Address, Output, Purpose, Recovered
+from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
@@ -33,13 +33,36 @@
 _FLUSH_SECONDS = 0.2
 """Time that last answers have to leave after the core has finished."""
 
+_INCARNATION_FILE = "incarnation"
+_INCARNATION_BYTES = 8
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
 def run(settings: AgentSettings) -> int:
     """Run the agent until a planned stop or a failure; return the exit status."""
-    incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
-    return run_role(settings, partial(_main, settings), incarnation=incarnation)
+    disk = open_folder(settings.data_folder) if settings.data_folder else None
+    incarnation = draw_incarnation(disk) if not isinstance(disk, Failure) else disk
+    main = partial(_main, settings, disk, incarnation)
+    if isinstance(incarnation, Failure):
+        return run_role(settings, main)
+    return run_role(settings, main, incarnation=incarnation)
+
+
+def draw_incarnation(disk: FolderDisk | None) -> int | Failure:
+    """Return an incarnation above that of earlier runs: the time in Unix milliseconds.
+
+    With a data folder it is also above the last one kept there, should the clock have been
+    set back. Without one a clock set back keeps a restarted agent out until the relays have
+    forgotten its earlier run.
+    """
+    now = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+    if disk is None:
+        return now
+    last = int.from_bytes(disk.recovered.files.get(_INCARNATION_FILE, b""), "big")
+    incarnation = max(now, last + 1)
+    content = incarnation.to_bytes(_INCARNATION_BYTES, "big")
+    failure = disk.perform([ReplaceFile(0, _INCARNATION_FILE, content)])
+    return incarnation if failure is None else failure
 
 
 def options_from(settings: AgentSettings, address: Address) -> AgentOptions:
@@ -75,12 +98,20 @@
     )
 
 
-async def _main(settings: AgentSettings, shell: ProcessShell) -> None:
-    disk = _open_disk(settings.data_folder)
+async def _main(
+    settings: AgentSettings,
+    disk: FolderDisk | Failure | None,
+    incarnation: int | Failure,
+    shell: ProcessShell,
+) -> None:
+    if isinstance(disk, Failure):
+        raise ProcessFailedError(disk)
+    if isinstance(incarnation, Failure):
+        raise ProcessFailedError(incarnation)
     bound = await shell.listen(settings.listen)
     core = AgentCore(
         options_from(settings, settings.advertise or bound),
-        shell.incarnation,
+        incarnation,
         random.Random(),
         disk.recovered if disk is not None else Recovered(),
     )
@@ -109,15 +140,6 @@
         nursery.cancel_scope.cancel()
 
 
-def _open_disk(data_folder: str) -> FolderDisk | None:
-    if not data_folder:
-        return None
-    opened = open_folder(data_folder)
-    if isinstance(opened, Failure):
-        raise ProcessFailedError(opened)
-    return opened
-
-
 async def _probe(backend: Backend, settings: ProbeSettings, runner: CoreRunner) -> None:
     while True:
         healthy = await backend.probe(settings.path, seconds(settings.timeout_ms))
