--- /dev/null
+++ b/src/limelever_lab/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, checked exhaustively for small sizes."""
