Prove distribution by features; leave a publisher that names versions and sends none

A feature with lost deltas on a link that came back found a reader at its old version for good: the publisher had its four deltas outstanding, the probes were answered, nothing looked stale. A timer now compares the version named in answers with the one held.

--- /dev/null
+++ b/features/distribution/scope.feature
@@ -0,0 +1,51 @@
+Feature: A subscriber is sent the closure of the services it names, and nothing else
+
+  Background:
+    Given a source of configuration
+    And the source holds
+      | resource            | service | secrets |
+      | service/orders      |         |         |
+      | service/catalogue   |         |         |
+      | secret/till         |         |         |
+      | secret/photos       |         |         |
+      | route/place         | orders  | till    |
+      | route/upload        | catalogue | photos |
+      | share/orders/north  |         |         |
+      | share/catalogue/south |       |         |
+    And a reader "proxy-1" of the services "orders"
+
+  Scenario: The closure holds the services, their routes and shares, and the secrets of those routes
+    When 1 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "route/place, secret/till, service/orders, share/orders/north"
+
+  Scenario: A route that moves between services takes its secret along
+    Given a reader "proxy-2" of the services "catalogue"
+    When 1 seconds pass in the distribution
+    And the source puts "route/place" to "catalogue" with the secrets "till"
+    And 1 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "service/orders, share/orders/north"
+    And the reader "proxy-2" holds just "route/place, route/upload, secret/photos, secret/till, service/catalogue, share/catalogue/south"
+
+  Scenario: A secret added to a route enters the scope, and leaves with it
+    When 1 seconds pass in the distribution
+    And the source puts "route/place" to "orders" with the secrets "till, photos"
+    And 1 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "route/place, secret/photos, secret/till, service/orders, share/orders/north"
+    When the source puts "route/place" to "orders" with the secrets "photos"
+    And 1 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "route/place, secret/photos, service/orders, share/orders/north"
+
+  Scenario: A version that does not touch a scope costs no delta
+    When 1 seconds pass in the distribution
+    And the source puts "route/upload" to "catalogue" with the secrets "photos"
+    And 5 seconds pass in the distribution
+    Then the reader "proxy-1" was sent 1 sets or deltas
+    And the reader "proxy-1" holds the source's version
+
+  Scenario: Subscribers of one scope are sent one message that was built once
+    Given a publisher with 50 subscribers of the services "orders"
+    When the publisher moves on to a new version of "route/place"
+    Then all 50 subscribers are sent the very same message
+
+  Scenario: From any version to any other the delta equals the snapshot
+    Then random histories reach the same scope by delta as by snapshot
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -24,7 +24,7 @@
 class DistributionSettings:
     """How the relay sends configuration to its subscribers."""
 
-    batch_delay_ms: int = attrs.field(default=50, validator=between(0, 60000))
+    batch_delay_ms: int = attrs.field(default=50, validator=between(0, 10000))
     heartbeat_ms: int = attrs.field(default=3000, validator=between(50, 60000))
     window_versions: int = attrs.field(default=1024, validator=between(1, 1 << 20))
     outstanding_deltas: int = attrs.field(default=4, validator=between(1, 1024))
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -28,6 +28,7 @@
 
 STALE = "publisher is stale"
 SILENT = "publisher does not answer"
+BEHIND = "publisher names newer versions and sends none"
 STOPPING = "planned stop"
 
 
@@ -46,6 +47,7 @@
         self._timers = Timers()
         self._connection: ConnectionId | None = None
         self._opened_at: float | None = None
+        self._held_version = 0
         self.probes = Probes()
         self.subscribed = False
         self.awaits_snapshot = False
@@ -103,6 +105,18 @@
         if self._timers.leave is None:
             self._timers.stale = proved_at + self._settings.stale_after
 
+    def compare(self, publisher_version: int, held_version: int, now: float) -> None:
+        """Watch that the publisher sends what it says it has.
+
+        It may believe that versions are on their way which were lost with their link's state.
+        """
+        progressed = held_version > self._held_version
+        self._held_version = held_version
+        if publisher_version <= held_version:
+            self._timers.behind = None
+        elif progressed or self._timers.behind is None:
+            self._timers.behind = now + self._settings.behind_after
+
     def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
         """Give the link up and dial the next publisher after a delay."""
         connection, publisher = self._connection, self._choice.current
@@ -131,6 +145,8 @@
             outputs.append(self._plan_to_leave(now))
         if reached(self._timers.answer, now):
             outputs.extend(self.leave(SILENT, now))
+        elif reached(self._timers.behind, now):
+            outputs.extend(self.leave(BEHIND, now))
         elif reached(self._timers.leave, now):
             outputs.extend(self.leave(STALE, now))
         if reached(self._timers.dial, now):
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -13,7 +13,9 @@
     """Where a subscriber gets its configuration from, and which part of it.
 
     ``services`` is the scope; ``everything`` is for relays and replaces it. ``stale_after`` is
-    the age of the publisher's last proof from which another publisher is sought. With
+    the age of the publisher's last proof from which another publisher is sought, and
+    ``behind_after`` the time for which a publisher may name newer versions without sending
+    any: longer than any publisher's batch delay. With
     ``persist_snapshot`` the configuration is also kept on disk, at most every
     ``snapshot_delay``.
     """
@@ -22,6 +24,7 @@
     services: tuple[str, ...] = ()
     everything: bool = False
     stale_after: float = 8.0
+    behind_after: float = 20.0
     probe_interval: float = 2.0
     answer_timeout: float = 5.0
     backoff: BackoffSettings = BackoffSettings()
