--- a/features/agent/fair_shares.feature
+++ b/features/agent/fair_shares.feature
@@ -29,3 +29,11 @@
     When calls take 1 second each and 5 calls wait
     Then a call with 2 seconds left is refused with deadline-too-short and advice
     And a call with 20 seconds left is queued
+
+  Scenario: Shares and limits of the configuration reach the agent
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When configuration gives group web weight 3 and bodies 1000 bytes
+    And groups web and batch keep 10 calls waiting for 40 answers
+    Then group web had about 3 of 4 attempts
+    When the agent gets a body of 2 parts of 600 bytes on agent stream 900
+    Then agent stream 900 has failed with body-too-large
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -42,9 +42,11 @@
     Output,
     Peer,
     Purpose,
+    ReplaceFile,
     Role,
     SendMessage,
     Started,
+    WriteCompleted,
 )
 from limelever.protocol.calls_pb2 import (
     CallBody,
@@ -54,8 +56,21 @@
     ResponseBody,
     ResponseStart,
 )
-from limelever.protocol.config_pb2 import CALL_KIND_AT_MOST_ONCE, CALL_KIND_REPEATABLE
-from limelever.protocol.distribution_pb2 import RetryLater
+from limelever.protocol.config_pb2 import (
+    CALL_KIND_AT_MOST_ONCE,
+    CALL_KIND_REPEATABLE,
+    Resource,
+    Service,
+    Share,
+    VersionedResource,
+)
+from limelever.protocol.digest import SetDigest
+from limelever.protocol.distribution_pb2 import (
+    ConfigSnapshot,
+    FreshnessAnswer,
+    FreshnessProbe,
+    RetryLater,
+)
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -578,6 +593,47 @@
     return ERROR_TABLE[ErrorKind(message.kind)].outcome is Outcome.NOT_RUN
 
 
+@when("configuration gives group {group:S} weight {weight:d} and bodies {size:d} bytes")
+def install(context: Context, group: str, weight: int, size: int) -> None:
+    agent = context.agent
+    (dial,) = (o for o in agent.of(OpenConnection) if o.purpose is Purpose.SUBSCRIPTION)
+    share = Share(service="orders", group=group, weight=weight)
+    service = Service(name="orders", max_body_bytes=size)
+    resources = [
+        VersionedResource(resource=resource, version=3)
+        for resource in (Resource(share=share), Resource(service=service))
+    ]
+    digest = SetDigest.of(resources).to_bytes()
+    snapshot = ConfigSnapshot(version=3, resources=resources, digest=digest)
+    agent.tell(ConnectionOpened(dial.connection, RELAY))
+    agent.tell(MessageReceived(dial.connection, snapshot))
+    while agent.core.version == 0:
+        for probe in agent.sent(dial.connection, FreshnessProbe):
+            answer = FreshnessAnswer(nonce=probe.nonce, version=3)
+            agent.tell(MessageReceived(dial.connection, answer))
+        for write in agent.of(ReplaceFile):
+            agent.tell(WriteCompleted(write.token))
+
+
+@when("groups {first:S} and {second:S} keep {count:d} calls waiting for {rounds:d} answers")
+def keep_waiting(context: Context, first: str, second: str, count: int, rounds: int) -> None:
+    agent = context.agent
+    for stream in range(1, 2 * count + rounds):
+        group = (first, second)[stream % 2]
+        agent.send(call_start(stream, group=group, deadline_left_ms=900_000))
+    for index in range(rounds):
+        agent.now += 0.02
+        agent.tell(AttemptAnswered(agent.attempt_of(index + 1), 200, (), b""))
+
+
+@then("group {group:S} had about {part:d} of {whole:d} attempts")
+def check_part(context: Context, group: str, part: int, whole: int) -> None:
+    starts = context.agent.of(StartAttempt)
+    parity = ("web", "batch").index(group)
+    had = sum(1 for start in starts if int(start.target) % 2 == parity)
+    assert abs(had - len(starts) * part / whole) <= 2, (had, len(starts))
+
+
 # --- drain ----------------------------------------------------------------------------------
 
 
