Publish the configuration version in force as a metric of every process

limelever_configuration_version was declared and never set, so every process showed 0 while version 2 was in force 20 ms after it was applied (the logs of a fleet of 23). The gauge now reads the core's version when it is asked; setting it from outputs was ruled out, since a version confirmed without a change in scope gives no output.

--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -27,6 +27,7 @@
 from limelever.common.settings import seconds
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -115,6 +116,7 @@
         random.Random(),
         disk.recovered if disk is not None else Recovered(),
     )
+    CONFIGURATION_VERSION.set_function(lambda: core.version)
     finished = trio.Event()
     async with trio.open_nursery() as nursery:
 
@@ -129,6 +131,7 @@
 
         runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
         backend = Backend(settings.backend, nursery, runner.post)
+        shell.report_version(lambda: core.version)
         await nursery.start(runner.run)
         nursery.start_soon(_probe, backend, settings.probe, runner)
         shell.set_ready()
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -27,6 +27,7 @@
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
+from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 
 _PERCENT = 100.0
@@ -93,6 +94,7 @@
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
     core = ProxyCore(core_settings(settings), random.Random(), recovered)
+    CONFIGURATION_VERSION.set_function(lambda: core.version)
     finished = trio.Event()
 
     def on_output(output: Output) -> None:
@@ -108,6 +110,7 @@
     runner = shell.add_core(core, on_output, disk=disk)
     edge = Edge(settings.edge, runner.post)
     async with trio.open_nursery() as nursery:
+        shell.report_version(lambda: core.version)
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -30,6 +30,7 @@
     replication_settings,
 )
 from limelever.storage.folder import FolderDisk, open_folder
+from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -92,6 +93,7 @@
             sealer,
         )
     )
+    CONFIGURATION_VERSION.set_function(lambda: core.state.version)
     wall_offset = time.time() - trio.current_time()
     keeper = KeeperCore(keeper_settings(settings), keeper_disk.recovered, wall_offset)
     desk = OperatorDesk()
@@ -107,6 +109,7 @@
             keeper, lambda _: None, accepts=(Purpose.KEEPER,), disk=keeper_disk
         )
         desk.runner = runner
+        shell.report_version(lambda: core.state.version)
         await nursery.start(runner.run)
         await nursery.start(keeper_runner.run)
         await shell.listen(settings.listen)
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -16,6 +16,7 @@
 from limelever.transport.links import LinkIdentity
 from limelever.transport.listener import LinkListener
 from limelever.transport.log import configure_logging, write_event
+from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.runner import CoreRunner, Disk
 from limelever.transport.tls import client_context, server_context
 
@@ -89,6 +90,10 @@
             self.listener.runners[purpose] = runner
         return runner
 
+    def report_version(self, version: Callable[[], int]) -> None:
+        """Give /metrics the configuration version in force in this process."""
+        CONFIGURATION_VERSION.set_function(version)
+
     async def listen(self, address: Address) -> Address:
         """Start accepting links; returns the bound address."""
         bound = await self.nursery.start(self.listener.serve, address, self.nursery)
