Prove the relay by features: leases, sticky drain, lagging list, lost relays, own disk

A property (news of one endpoint in any order ends the same) found that a drain heard after a newer renewal was dropped; it is sticky now whatever came before it.

--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -32,8 +32,11 @@
 from limelever.publisher.core import PublisherCore
 from limelever.publisher.notices import FreshnessNeeded
 from limelever.publisher.settings import PublisherSettings
+from limelever.relay.core import RelayCore, RelayOptions
+from limelever.relay.endpoints import EndpointsSettings
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import ConfigurationInstalled, EndpointsReceived
+from limelever.subscriber.settings import SubscriberSettings
 
 DELAY = 0.001
 
@@ -47,6 +50,16 @@
     return Resource(**{kind: {"name": name, **fields}})
 
 
+def names(text):
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+def build(text, service="", secrets=""):
+    if text.startswith("route/"):
+        return resource(text, service=service, secrets=names(secrets))
+    return resource(text)
+
+
 class SourceHost:
     """A publisher whose freshness is proved at once, unless it is cut off from its majority."""
 
@@ -281,6 +294,8 @@
 
 
 class DeadCore:
+    """Stands for a process that is down, or one whose messages a step sends by hand."""
+
     def handle(self, event, now):
         return []
 
@@ -298,6 +313,7 @@
         self.truth = {}
         self.changes = []
         self.sources = []
+        self.incarnation = 0
         self.readers = {}
 
     def add_source(self, name, isolated=False):
@@ -331,6 +347,29 @@
         self.readers.setdefault(name, []).append(host)
         return host
 
+    def add_relay(self, name, zone="zone-a", peers=(), sealer=None, **endpoints):
+        """Add a relay, or start it again with what its disk holds."""
+        node = self.network.nodes.get(name)
+        files = dict(node.files) if node is not None else {}
+        self.incarnation += 1
+        options = RelayOptions(
+            name=name,
+            incarnation=self.incarnation,
+            subscriber=SubscriberSettings(
+                publishers=tuple(self.network.address(source) for source in self.sources),
+                everything=True,
+                persist_snapshot=True,
+            ),
+            publisher=PublisherSettings(batch_delay=0.0, proves_itself=False),
+            endpoints=EndpointsSettings(
+                peers=tuple(self.network.address(peer) for peer in peers), **endpoints
+            ),
+        )
+        core = RelayCore(options, random.Random(name), Recovered(files=files), sealer)
+        self.network.dark.discard(name)
+        self.network.add(name, core, Role.RELAY, zone)
+        return core
+
     def scope_of(self, services):
         found = {}
         for key, versioned in self.truth.items():
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -7,7 +7,9 @@
 from distribution_harness import (
     Mesh,
     SourceHost,
+    build,
     configuration_messages,
+    names,
     resource,
 )
 from hypothesis import given as examples
@@ -46,16 +48,6 @@
 from limelever.subscriber.settings import SubscriberSettings
 
 
-def names(text):
-    return [part.strip() for part in text.split(",") if part.strip()]
-
-
-def build(text, service="", secrets=""):
-    if text.startswith("route/"):
-        return resource(text, service=service, secrets=names(secrets))
-    return resource(text)
-
-
 def reader_settings(mesh, services, publishers):
     addresses = tuple(mesh.network.address(name) for name in names(publishers))
     return SubscriberSettings(publishers=addresses, services=tuple(names(services)))
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,415 @@
+"""Steps for the relay: whole relay cores in a small network under virtual time."""
+
+import itertools
+import json
+
+from behave import given, then, when
+from distribution_harness import DeadCore, Mesh, build, endpoint_updates, resource
+from hypothesis import given as examples
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import OpenConnection, Purpose, Role, SendMessage
+from limelever.protocol.endpoints_pb2 import (
+    ENDPOINT_STATE_DRAINING,
+    ENDPOINT_STATE_GONE,
+    ENDPOINT_STATE_READY,
+    Endpoint,
+    LeaseLost,
+    LeaseRenew,
+    Register,
+)
+from limelever.relay.endpoint_entry import EndpointName
+from limelever.relay.endpoint_table import EndpointTable, TableSettings
+from limelever.relay.interface import PlatformListRead, StopRequested
+from limelever.relay.platform_list import parse_machines
+from limelever.relay.sealing import SnapshotSealer
+from limelever.subscriber.settings import SubscriberSettings
+
+STATES = {
+    "ready": ENDPOINT_STATE_READY,
+    "draining": ENDPOINT_STATE_DRAINING,
+    "gone": ENDPOINT_STATE_GONE,
+}
+ZONES = {"relay-1": "zone-a", "relay-2": "zone-b"}
+SECRET = b"a value that must not stand on a disk"
+KEY, OTHER_KEY = b"k" * 32, b"o" * 32
+RENEWAL_INTERVAL = 2.0
+
+
+class Agent:
+    """An agent whose messages the steps send."""
+
+    def __init__(self, mesh, name, incarnation):
+        self.mesh, self.name, self.incarnation = mesh, name, incarnation
+        self.sequence = 0
+        self.connections = itertools.count(2, 2)
+        self.connection = 0
+        mesh.network.add(name, DeadCore(), Role.AGENT)
+
+    def register(self, relay, incarnation):
+        network = self.mesh.network
+        self.incarnation, self.connection = incarnation, next(self.connections)
+        address = network.address(relay)
+        dial = OpenConnection(self.connection, address, Purpose.REGISTRATION)
+        network.carry_out(self.name, [dial])
+        network.run(0.01)
+        self.sequence += 1
+        endpoint = Endpoint(
+            service="orders",
+            instance=self.name,
+            zone=ZONES[relay],
+            incarnation=incarnation,
+            sequence=self.sequence,
+            host="127.0.0.1",
+            port=1,
+            slots=6,
+            state=ENDPOINT_STATE_READY,
+        )
+        self._send(Register(endpoint=endpoint))
+
+    def renew(self, state, in_flight=0):
+        self.sequence += 1
+        renewal = LeaseRenew(
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            state=STATES[state],
+            in_flight=in_flight,
+        )
+        self._send(renewal)
+
+    def _send(self, message):
+        self.mesh.network.carry_out(self.name, [SendMessage(self.connection, message)])
+
+
+def start_proxy(context, name, *relays, zone=None):
+    addresses = tuple(context.mesh.network.address(relay) for relay in relays)
+    reader = SubscriberSettings(publishers=addresses, services=("orders",))
+    context.proxies[name] = relays
+    return context.mesh.add_reader(name, reader, zone or ZONES[relays[0]])
+
+
+def start_relay(context, name, key=KEY):
+    peers = [relay for relay in ZONES if relay != name]
+    context.mesh.add_relay(name, ZONES[name], peers, SnapshotSealer([key]))
+
+
+def agent(context, name):
+    if name not in context.agents:
+        context.agents[name] = Agent(context.mesh, name, 0)
+    return context.agents[name]
+
+
+def proxy(context, name):
+    return context.mesh.network.nodes[name].core
+
+
+def relay_followed(context, name):
+    return next(other for other, _ in context.mesh.network.nodes[name].links.values())
+
+
+# --- the set-up ----------------------------------------------------------------------------
+
+
+@given('a mesh of the relays "relay-1" and "relay-2"')
+def step_mesh(context):
+    context.mesh = Mesh()
+    context.agents, context.proxies = {}, {}
+    context.mesh.add_source("source")
+    secret = resource("secret/till", value=SECRET)
+    route = build("route/place", "orders", "till")
+    context.mesh.apply([build("service/orders"), secret, route])
+    for name in ZONES:
+        start_relay(context, name)
+
+
+@given('a proxy "{one}" at "{relay}" and a proxy "{other}" at "{other_relay}"')
+def step_proxies(context, one, relay, other, other_relay):
+    context.mesh.network.run(1.0)
+    start_proxy(context, one, relay)
+    start_proxy(context, other, other_relay)
+    context.mesh.network.run(4.0)
+
+
+@given('a proxy "{name}" that may choose between "{one}" and "{other}"')
+def step_proxy_choice(context, name, one, other):
+    start_proxy(context, name, one, other)
+
+
+@given('{count:d} more proxies at "{relay}"')
+def step_more_proxies(context, count, relay):
+    for number in range(count):
+        start_proxy(context, f"more-{number}", relay)
+
+
+@given('an agent\'s subscription "{name}" at "{relay}"')
+def step_agent_subscription(context, name, relay):
+    host = start_proxy(context, name, relay)
+    context.mesh.network.kill(name)
+    context.mesh.network.dark.discard(name)
+    context.mesh.network.add(name, host, Role.AGENT)
+
+
+@given('the agent "{name}" registers at "{relay}" with incarnation {incarnation:d}')
+@when('the agent "{name}" registers at "{relay}" with incarnation {incarnation:d}')
+@when('the agent "{name}" registers again at "{relay}" with incarnation {incarnation:d}')
+def step_register(context, name, relay, incarnation):
+    agent(context, name).register(relay, incarnation)
+
+
+# --- what happens --------------------------------------------------------------------------
+
+
+@when("{duration:g} seconds pass at the relays")
+def step_pass(context, duration):
+    context.mesh.network.run(duration)
+
+
+@when('the agent "{name}" renews as "{state}"')
+def step_renew(context, name, state):
+    agent(context, name).renew(state)
+
+
+@when('the agent "{name}" renews for {duration:d} seconds')
+def step_renew_for(context, name, duration):
+    end = context.mesh.network.now + duration
+    while context.mesh.network.now < end:
+        agent(context, name).renew("ready")
+        context.mesh.network.run(min(RENEWAL_INTERVAL, end - context.mesh.network.now))
+
+
+@when('the agent "{name}" renews {count:d} times with changing load')
+def step_renew_load(context, name, count):
+    for number in range(count):
+        agent(context, name).renew("ready", in_flight=number)
+
+
+@when('the agent "{name}" registers at the next relay "{relay}"')
+def step_move(context, name, relay):
+    moved = agent(context, name)
+    moved.register(relay, moved.incarnation)
+
+
+@when('{count:d} agents register at "{relay}" at once')
+def step_many_agents(context, count, relay):
+    moved = [Agent(context.mesh, f"many-{number}", 1) for number in range(count)]
+    for one in moved:
+        dial = OpenConnection(2, context.mesh.network.address(relay), Purpose.REGISTRATION)
+        context.mesh.network.carry_out(one.name, [dial])
+    context.mesh.network.run(0.2)
+    for number, one in enumerate(moved):
+        endpoint = Endpoint(service="orders", instance=one.name, incarnation=1, sequence=1)
+        endpoint.state, endpoint.port = ENDPOINT_STATE_READY, number
+        message = SendMessage(2, Register(endpoint=endpoint))
+        context.mesh.network.carry_out(one.name, [message])
+
+
+@when('"{one}" and "{other}" read that "{name}" of incarnation {incarnation:d} is "{state}"')
+def step_platform_list(context, one, other, name, incarnation, state):
+    machines = [{"instance": name, "state": state, "incarnation": incarnation}]
+    notices = parse_machines(json.dumps(machines).encode())
+    for relay in {one, other}:
+        context.mesh.network.tell(relay, PlatformListRead(notices))
+
+
+@when('the relay "{name}" is killed')
+def step_kill(context, name):
+    context.mesh.network.kill(name)
+
+
+@when("the mesh's source is killed")
+def step_kill_source(context):
+    context.mesh.network.kill("source")
+
+
+@when('the relay "{name}" starts again')
+def step_start_relay(context, name):
+    start_relay(context, name)
+
+
+@when('the relay "{name}" starts again with another key')
+def step_start_relay_key(context, name):
+    start_relay(context, name, OTHER_KEY)
+
+
+@when('the proxy "{name}" restarts with its disk')
+def step_restart_proxy(context, name):
+    context.mesh.network.kill(name)
+    start_proxy(context, name, *context.proxies[name])
+
+
+@when('the proxy "{name}" restarts with an empty disk')
+def step_restart_proxy_empty(context, name):
+    context.mesh.network.kill(name)
+    context.mesh.network.nodes[name].files.clear()
+    start_proxy(context, name, *context.proxies[name])
+
+
+@when('the link between "{one}" and "{other}" is cut without a word')
+def step_cut_relays(context, one, other):
+    context.mesh.network.cuts.add(frozenset((one, other)))
+
+
+@when("the links between relays are mended")
+def step_mend_relays(context):
+    context.mesh.network.cuts.clear()
+
+
+@when('the relay that "{name}" follows is cut off silently from the source')
+def step_cut_relay(context, name):
+    relay = relay_followed(context, name).name
+    context.mesh.network.cuts.add(frozenset((relay, "source")))
+
+
+@when('the relay that "{name}" follows stops as planned')
+def step_stop_relay(context, name):
+    relay = relay_followed(context, name).name
+    context.mesh.network.tell(relay, StopRequested())
+    context.mesh.network.dark.add(relay)
+
+
+@when('the mesh changes the route "{name}"')
+def step_change_route(context, name):
+    context.mesh.apply([build(f"route/{name}", "orders")])
+
+
+@when('the disk of the proxy "{name}" stalls')
+def step_stall(context, name):
+    context.mesh.network.nodes[name].disk_stalled = True
+
+
+@when('the disk of the proxy "{name}" goes on again')
+def step_unstall(context, name):
+    context.mesh.network.sync(name)
+
+
+@when('the proxy "{name}" counts its endpoint updates from here')
+def step_count_updates(context, name):
+    context.updates = len(endpoint_updates(context.mesh.network.nodes[name]))
+
+
+# --- what is so ----------------------------------------------------------------------------
+
+
+@then('the proxies "{names}" see "{instance}" as "{state}"')
+def step_see(context, names, instance, state):
+    for name in names.split(", "):
+        endpoint = proxy(context, name).endpoints[instance]
+        assert endpoint.state == STATES[state], (name, endpoint)
+
+
+@then('the proxies "{names}" see incarnation {incarnation:d} of "{instance}"')
+def step_see_incarnation(context, names, incarnation, instance):
+    for name in names.split(", "):
+        assert proxy(context, name).endpoints[instance].incarnation == incarnation
+
+
+@then('the proxy "{name}" has seen "{instance}" as "{state}" all along')
+def step_seen_all_along(context, name, instance, state):
+    updates = endpoint_updates(context.mesh.network.nodes[name])
+    seen = [e.state for update in updates for e in update.endpoints if e.instance == instance]
+    assert seen and set(seen) == {STATES[state]}, seen
+    assert proxy(context, name).endpoints[instance].state == STATES[state]
+
+
+@then('the agent "{name}" is told that its lease is lost')
+def step_lease_lost(context, name):
+    received = context.mesh.network.nodes[name].received
+    assert any(isinstance(message, LeaseLost) for message in received)
+
+
+@then('the proxy "{name}" got {count:d} more endpoint updates')
+def step_more_updates(context, name, count):
+    updates = len(endpoint_updates(context.mesh.network.nodes[name]))
+    assert updates - context.updates == count, updates - context.updates
+
+
+@then('the subscription "{name}" holds configuration and got no endpoints')
+def step_agent_config(context, name):
+    node = context.mesh.network.nodes[name]
+    assert node.core.subscriber.version == context.mesh.version
+    assert endpoint_updates(node) == []
+
+
+@then('the source counts "{expected}" in force')
+def step_source_counts(context, expected):
+    publisher = context.mesh.network.nodes["source"].core.publisher
+    zones = publisher.rollout(context.mesh.version)
+    counted = ", ".join(f"{z.zone}: {z.in_force} of {z.in_force + z.lagging}" for z in zones)
+    assert counted == expected, counted
+
+
+@then('the proxy "{name}" holds the mesh\'s version')
+def step_proxy_holds(context, name):
+    host = proxy(context, name)
+    assert host.subscriber.version == context.mesh.version, host.subscriber.version
+    assert dict(host.held) == context.mesh.scope_of(["orders"])
+
+
+@then('the proxy "{name}" holds no configuration')
+def step_proxy_holds_nothing(context, name):
+    assert not proxy(context, name).held
+
+
+@then('the relay "{name}" holds the mesh\'s version')
+def step_relay_holds(context, name):
+    assert context.mesh.network.nodes[name].core.version == context.mesh.version
+
+
+@then('no secret stands open on the disk of "{name}"')
+def step_no_secret(context, name):
+    files = context.mesh.network.nodes[name].files
+    assert "snapshot" in files
+    assert not any(SECRET in content for content in files.values())
+
+
+@then("all proxies hold the mesh's version")
+def step_all_hold(context):
+    for name in context.proxies:
+        step_proxy_holds(context, name)
+
+
+@then("the source has {count:d} subscribers")
+def step_source_subscribers(context, count):
+    assert len(context.mesh.network.nodes["source"].links) == count
+
+
+@then("random news of an endpoint ends the same in any order")
+def step_any_order(context):
+    news = st.tuples(st.integers(1, 3), st.integers(1, 4), st.sampled_from([1, 2, 3]))
+
+    @settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    @examples(st.lists(news, min_size=1, max_size=6), st.randoms(use_true_random=False))
+    def check(told, generator):
+        shuffled = list(told)
+        generator.shuffle(shuffled)
+        assert outcome(told) == outcome(shuffled), (told, shuffled)
+
+    check()
+
+
+def outcome(told):
+    table = EndpointTable(TableSettings())
+    for incarnation, sequence, state in told:
+        endpoint = Endpoint(service="orders", instance="one")
+        endpoint.incarnation, endpoint.sequence, endpoint.state = incarnation, sequence, state
+        table.offer(endpoint, "relay-1", None, 0.0)
+    found = table.get(EndpointName("orders", "one")).endpoint
+    return (found.incarnation, found.sequence, found.state)
+
+
+@then("platform lists are read into notices of leaving and dead machines only")
+def step_parse_list(context):
+    machines = [
+        {"instance": "a", "state": "live", "incarnation": 1},
+        {"instance": "b", "state": "leaving", "incarnation": 2},
+        {"instance": "c", "state": "dead", "incarnation": 3},
+    ]
+    notices = parse_machines(json.dumps(machines).encode())
+    assert [(n.instance, n.state, n.observed_incarnation) for n in notices] == [
+        ("b", ENDPOINT_STATE_DRAINING, 2),
+        ("c", ENDPOINT_STATE_GONE, 3),
+    ]
+    for body in (b"", b"{", b"[1]", b'[{"instance": "a"}]', b'[{"state": "dead"}]', b"5"):
+        assert isinstance(parse_machines(body), Failure), body
--- a/src/limelever/relay/endpoint_table.py
+++ b/src/limelever/relay/endpoint_table.py
@@ -87,7 +87,7 @@
         held = self._entries.get(name)
         if held is not None and Rank.of(endpoint) <= Rank.of(held.endpoint):
             self._refresh(name, held, origin, expires_at)
-            return []
+            return self._drain_late(name, endpoint)
         same_incarnation = held is not None and held.endpoint.incarnation == endpoint.incarnation
         drained = held is not None and same_incarnation and held.drained
         drained = drained or self._noticed(endpoint) or endpoint.state == ENDPOINT_STATE_DRAINING
@@ -148,6 +148,19 @@
         """Return when ``expire`` is to be called (seconds, monotonic), or ``None``."""
         return self._expiry.next_deadline()
 
+    def _drain_late(self, name: EndpointName, late: Endpoint) -> list[EndpointName]:
+        """Heed old news of a drain, which is sticky whatever came before it."""
+        held = self._entries[name]
+        same_incarnation = held.endpoint.incarnation == late.incarnation
+        if held.drained or not same_incarnation or late.state != ENDPOINT_STATE_DRAINING:
+            return []
+        return self._drain(name, held)
+
+    def _drain(self, name: EndpointName, entry: Entry) -> list[EndpointName]:
+        state = held_back(entry.endpoint.state, drained=True)
+        endpoint = as_stored(entry.endpoint, state)
+        return self._store(name, replace(entry, endpoint=endpoint, drained=True))
+
     def _mark(self, name: EndpointName, notice: MachineNotice, now: float) -> list[EndpointName]:
         entry = self._entries[name]
         if entry.gone or entry.endpoint.incarnation > notice.observed_incarnation:
@@ -156,8 +169,7 @@
             return self._bury(name, entry, now)
         if entry.endpoint.state != ENDPOINT_STATE_READY:
             return []
-        draining = as_stored(entry.endpoint, ENDPOINT_STATE_DRAINING)
-        return self._store(name, replace(entry, endpoint=draining, drained=True))
+        return self._drain(name, entry)
 
     def _noticed(self, endpoint: Endpoint) -> bool:
         notice = self._notices.get(endpoint.instance)
