--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -27,7 +27,6 @@
 from limelever.common.settings import seconds
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
-from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -116,7 +115,6 @@
         random.Random(),
         disk.recovered if disk is not None else Recovered(),
     )
-    CONFIGURATION_VERSION.set_function(lambda: core.version)
     finished = trio.Event()
     async with trio.open_nursery() as nursery:
 
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -27,7 +27,6 @@
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
-from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 
 _PERCENT = 100.0
@@ -94,7 +93,6 @@
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
     core = ProxyCore(core_settings(settings), random.Random(), recovered)
-    CONFIGURATION_VERSION.set_function(lambda: core.version)
     finished = trio.Event()
 
     def on_output(output: Output) -> None:
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -21,7 +21,6 @@
 from limelever.relay.settings import RelaySettings
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
-from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -100,8 +99,6 @@
         _sealer(settings),
     )
 
-    CONFIGURATION_VERSION.set_function(lambda: core.version)
-
     def on_output(output: Output) -> None:
         if isinstance(output, RelayReady):
             shell.set_ready()
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -30,7 +30,6 @@
     replication_settings,
 )
 from limelever.storage.folder import FolderDisk, open_folder
-from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -93,7 +92,6 @@
             sealer,
         )
     )
-    CONFIGURATION_VERSION.set_function(lambda: core.state.version)
     wall_offset = time.time() - trio.current_time()
     keeper = KeeperCore(keeper_settings(settings), keeper_disk.recovered, wall_offset)
     desk = OperatorDesk()
