--- a/features/environment.py
+++ b/features/environment.py
@@ -1,10 +1,12 @@
-"""Hooks of behave: known failures are passed over, and what a scenario started is ended."""
+"""Hooks of behave: known failures are passed over, and features of a fleet get one."""
 
 from pathlib import Path
 
 from limelever_lab.known_red import read_known_red
 
 ROOT = Path(__file__).resolve().parents[1]
+FLEET_TAG = "fleet"
+PROBED_DEPLOYMENT = "koszyk"
 
 
 def before_all(context):
@@ -14,6 +16,15 @@
     context.known_red = {known.test: known for known in known_red}
 
 
+def before_feature(context, feature):
+    if FLEET_TAG in feature.tags:
+        from limelever_lab.fleet.probe import ProbedFleet
+
+        context.probed_fleet = ProbedFleet(PROBED_DEPLOYMENT)
+        context.add_cleanup(context.probed_fleet.close)
+        context.probed_fleet.start()
+
+
 def before_scenario(context, scenario):
     known = context.known_red.get(scenario.name)
     if known is not None:
--- a/src/limelever_lab/fleet/fleet.py
+++ b/src/limelever_lab/fleet/fleet.py
@@ -52,6 +52,9 @@
         self.agents = [self._member(self._builder.agent(a), a.admin_port) for a in layout.agents]
         self.backends = [self._backend(agent) for agent in layout.agents]
         self._links = [self._link(link) for link in layout.links]
+        self._platform_list = self._stand_in(
+            "platform-list", "platform-list", {"--port": layout.platform_port}
+        )
         endpoints = tuple(f"{LOOPBACK}:{source.operator_port}" for source in layout.sources)
         self.operator = Operator(endpoints, secrets.operator_token, folder)
 
@@ -80,7 +83,7 @@
         A proxy is ready once it holds a configuration, so it is waited for after the first
         change was applied.
         """
-        for process in (*self._links, *self.backends):
+        for process in (*self._links, self._platform_list, *self.backends):
             process.start()
         for place in self.layout.links:
             wait_until_listening(place.listen_port)
@@ -194,6 +197,7 @@
         yield from (member.process for member in self.members)
         yield from self.backends
         yield from self._links
+        yield self._platform_list
 
 
 def _wait_all(members: Iterable[Member]) -> None:
--- a/src/limelever_lab/fleet/settings_files.py
+++ b/src/limelever_lab/fleet/settings_files.py
@@ -11,7 +11,11 @@
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import AcceptedCredential, CredentialSettings, LinkSettings
 from limelever.proxy.settings import EdgeSettings, ProxySettings
-from limelever.relay.settings import RelaySettings
+from limelever.relay.settings import (
+    DistributionSettings,
+    PlatformListSettings,
+    RelaySettings,
+)
 from limelever.source.at_rest import KEY_BYTES
 from limelever.source.operator_service import OperatorToken
 from limelever.source.settings import (
@@ -113,6 +117,16 @@
             links=self._links(),
             listen=loopback(place.link_port),
             sources=tuple(loopback(port) for port in place.source_ports),
+            peers=tuple(
+                loopback(other.link_port)
+                for other in self.layout.relays
+                if other.name != place.name
+            ),
+            snapshot_keys=(self.secrets.sealing_key,),
+            distribution=DistributionSettings(
+                batch_delay_ms=self.layout.deployment.distribution.batch_delay_ms
+            ),
+            platform_list=PlatformListSettings(address=loopback(self.layout.platform_port)),
         )
 
     def proxy(self, place: ProxyLayout) -> ProxySettings:
