--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -1,6 +1,7 @@
 """Steps for the feature on model checking."""
 
 import json
+import sys
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 from unittest import mock
@@ -55,6 +56,11 @@
     return next(model for model in MODELS if model.name == name)
 
 
+def print_past_capture(line: str) -> None:
+    """Print a figure that is to be seen in a passing run, which captures the standard output."""
+    print(f"      {line}", file=sys.__stdout__, flush=True)
+
+
 def application() -> typer.Typer:
     application = typer.Typer()
     application.command()(command.check_model)
@@ -74,7 +80,7 @@
 @then("it holds in every state explored")
 def holds(context: Any) -> None:
     result = context.result
-    print(f"{result.model}: {result.states} states in {result.cpu_seconds:.1f} s of CPU")
+    print_past_capture(f"{result.model}: {result.states} states, {result.cpu_seconds:.1f} s of CPU")
     assert result.verdict is Verdict.HOLDS, result
 
 
@@ -86,7 +92,7 @@
 @then('the invariant "{invariant}" is refuted by a counterexample')
 def refuted(context: Any, invariant: str) -> None:
     result = context.result
-    print(f"{result.model} {result.variant}: " + ", ".join(result.counterexample))
+    print_past_capture(f"{result.model}, {result.variant}: " + ", ".join(result.counterexample))
     assert result.verdict is Verdict.VIOLATED, result
     assert result.invariant == invariant, result
     assert result.counterexample, result
