Keep rollout counts until something changes them; refuse lower versions in a feature

Measured over 3,556 subscribers: a report took 33 ms of processor time every second, whether or not anything had changed. The counts are now kept until an event other than a probe or a timer.

--- a/features/distribution/holding.feature
+++ b/features/distribution/holding.feature
@@ -50,6 +50,17 @@
     Then the reader "proxy-1" has never gone backward
     And the reader "proxy-1" holds the source's version
 
+  Scenario: A publisher that sends a lower version all the same is refused and left
+    Given a reader "proxy-1" of the services "orders"
+    When 1 seconds pass in the distribution
+    And the source puts "route/refund" to "orders" with the secrets "till"
+    And 1 seconds pass in the distribution
+    And a snapshot of version 1 reaches "proxy-1"
+    And 1 seconds pass in the distribution
+    Then the reader "proxy-1" has refused 1 version
+    And the reader "proxy-1" has never gone backward
+    And the reader "proxy-1" holds the source's version
+
   Scenario: A version that a heartbeat confirmed binds a restarted reader too
     Given a reader "proxy-1" of the services "orders"
     And a lagging source "source-old" that hears no change any more
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -173,6 +173,17 @@
     context.mesh.network.damages[name] = DAMAGES[damage]
 
 
+@when('a snapshot of version {version:d} reaches "{name}"')
+def step_old_snapshot(context, version, name):
+    network = context.mesh.network
+    (connection,) = network.nodes[name].links
+    bodies = [build("service/orders"), build("route/place", "orders")]
+    put = [VersionedResource(resource=body, version=version) for body in bodies]
+    digest = SetDigest.of(put).to_bytes()
+    snapshot = ConfigSnapshot(version=version, resources=put, digest=digest)
+    network.tell(name, MessageReceived(connection, snapshot))
+
+
 @when('the disk of "{name}" stalls')
 def step_disk_stalls(context, name):
     context.mesh.network.nodes[name].disk_stalled = True
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -35,6 +35,7 @@
 from limelever.publisher.freshness import FreshnessProofs, WaitingProbe
 from limelever.publisher.heartbeats import Heartbeats, freshness_answer
 from limelever.publisher.resources import ResourceTable, Step
+from limelever.publisher.rollout import VersionHolders, ZoneHolders
 from limelever.publisher.scope import Scope
 from limelever.publisher.sender import Sender
 from limelever.publisher.session import Session, SessionState
@@ -71,6 +72,7 @@
             ),
         )
         self._flush_at: float | None = None
+        self._holders: tuple[VersionHolders, ...] | None = None
         self._handlers: dict[type[Message], _Handler] = {
             Subscribe: self._on_subscribe,
             Inventory: self._on_inventory,
@@ -102,6 +104,8 @@
 
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take a link event, a message or ``DeadlineReached``; others are ignored."""
+        if not _leaves_counts(event):
+            self._holders = None
         match event:
             case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
                 self._sessions.open(connection, peer)
@@ -127,13 +131,13 @@
         needed = self._proofs.begin_if_waited_for(now)
         return [*outputs, needed] if needed else outputs
 
-    def rollout(self, version: int) -> tuple[rollout.ZoneHolders, ...]:
+    def rollout(self, version: int) -> tuple[ZoneHolders, ...]:
         """Return by zone how many proxies and agents hold ``version`` or lag behind it."""
-        return rollout.by_zone(self._sessions.holders(self.version), version)
+        return rollout.by_zone(self._counts(), version)
 
     def rollout_report(self) -> RolloutReport:
         """Return the counts of all subscribers below, for the publisher above."""
-        return rollout.to_report(self._sessions.holders(self.version))
+        return rollout.to_report(self._counts())
 
     def relays(self) -> tuple[str, ...]:
         """Return the names of the subscribers that are publishers themselves, sorted."""
@@ -161,7 +165,13 @@
         deadlines = (self._flush_at, heartbeat, self._proofs.next_deadline())
         return min((at for at in deadlines if at is not None), default=None)
 
+    def _counts(self) -> tuple[VersionHolders, ...]:
+        if self._holders is None:
+            self._holders = self._sessions.holders(self.version)
+        return self._holders
+
     def _moved(self, step: Step, now: float) -> list[Output]:
+        self._holders = None
         self._views.mark(step)
         if self._flush_at is None:
             self._flush_at = now + self._settings.batch_delay
@@ -169,6 +179,7 @@
 
     def _flush(self) -> list[Output]:
         self._flush_at = None
+        self._holders = None
         return self._sender.flush()
 
     def _on_deadline(self, now: float) -> list[Output]:
@@ -227,3 +238,10 @@
         if not session.counts_in_rollout:
             session.reported = rollout.from_report(message)
         return []
+
+
+def _leaves_counts(event: Event) -> bool:
+    """Return whether rollout counts stay as they are; probes are most of the traffic."""
+    if isinstance(event, MessageReceived):
+        return isinstance(event.message, FreshnessProbe)
+    return isinstance(event, DeadlineReached)
