--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -110,6 +110,7 @@
         await shell.listen(settings.listen)
         _start_polling(settings, runner, nursery)
         await shell.stop_requested.wait()
+        shell.listener.stop()
         runner.post(StopRequested())
         await trio.sleep(_FLUSH_SECONDS)
         nursery.cancel_scope.cancel()
