--- a/src/limelever/common/backoff.py
+++ b/src/limelever/common/backoff.py
@@ -13,7 +13,7 @@
     """Bounds of the delays, in seconds."""
 
     base: float = 0.2
-    maximum: float = 20.0
+    maximum: float = 8.0
 
 
 class Backoff:
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -123,7 +123,7 @@
                 return [*self._follow_up(self._holder.start(), now), *self._on_deadline(now)]
             case ConnectionOpened(connection) if self.owns(connection):
                 self._link.opened(now)
-                return self._subscribe(now)
+                return self._subscribe()
             case ConnectionFailed(connection, failure) if self.owns(connection):
                 return self._leave(failure.reason, now)
             case ConnectionClosed(connection, reason) if self.owns(connection):
@@ -132,7 +132,7 @@
                 return self._on_message(message, now)
             case WriteCompleted(token):
                 outputs = self._follow_up(self._holder.write_completed(token), now)
-                return [*outputs, *self._subscribe(now)]
+                return [*outputs, *self._subscribe()]
             case DeadlineReached():
                 return self._on_deadline(now)
         return []
@@ -159,7 +159,7 @@
     def _probes_to_source(self) -> bool:
         return self._settings.everything or not self._holder.floor_known
 
-    def _subscribe(self, now: float) -> list[Output]:
+    def _subscribe(self) -> list[Output]:
         """Subscribe, unless a floor is being written: what is held is not yet in force then."""
         if self._link.opened_at is None or self._link.subscribed or self._holder.awaits_floor:
             return []
@@ -171,7 +171,7 @@
             digest=held.digest.to_bytes() if held.version else b"",
             version_floor=self._holder.floor,
         )
-        return self._link.subscribe(message, now, self._probes_to_source)
+        return self._link.subscribe(message)
 
     def _leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
         self._holder.forget_unaccepted()
@@ -181,9 +181,9 @@
         handler = self._handlers.get(type(message))
         if handler is None:
             return []
-        if not isinstance(message, FreshnessAnswer):
-            self._link.heard()
-        return handler(message, now)
+        first = self._link.heard()
+        outputs = handler(message, now)
+        return [*outputs, *self.probe(now)] if first else outputs
 
     def _on_delta(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, ConfigDelta)
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -71,9 +71,11 @@
         self._timers.answer = now + self._settings.answer_timeout
         self._timers.stale = now + self._settings.stale_after
 
-    def heard(self) -> None:
-        """Note that the publisher has answered."""
+    def heard(self) -> bool:
+        """Note that the publisher has answered; return whether this is its first answer."""
+        first = self._timers.answer is not None
         self._timers.answer = None
+        return first
 
     def send(self, message: Message) -> list[Output]:
         """Send a message, once the subscription has been sent."""
@@ -81,10 +83,14 @@
             return []
         return [SendMessage(self._connection, message)]
 
-    def subscribe(self, message: Subscribe, now: float, to_source: bool) -> list[Output]:
-        """Send the subscription and the first probe."""
+    def subscribe(self, message: Subscribe) -> list[Output]:
+        """Send the subscription. The first probe follows the first answer.
+
+        A publisher that turns the subscriber away closes the link; anything it had not read by
+        then would make the system reset the link and lose the advice when to come back.
+        """
         self.subscribed = True
-        return [*self.send(message), *self.probe(now, to_source)]
+        return self.send(message)
 
     def probe(self, now: float, to_source: bool) -> list[Output]:
         """Ask the publisher how current it is."""
