Send again at once only when a refusal leads back

Cause: in a trial where a lost disk kept its identity, leader and follower exchanged the same refused append without end. Change: a refusal that moves next_index no further back waits for the next heartbeat. Conclusion: late and doubled refusals cost one message each.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -23,6 +23,15 @@
     Then a replica group of 3 keeps its promises under 20 seeds of disorder
     And a replica group of 5 keeps its promises under 6 seeds of disorder
 
+  Scenario: An entry counts only once it is synced
+    Given a replica group of 3
+    Then a replica group accepts no write while the disks of both followers hang
+
+  Scenario: Entries of earlier terms commit only behind one of the leader's own
+    When a replica group starts a replica alone that holds 2 entries of term 1
+    Then a replica group commits up to 0 once a follower holds entry 2
+    And a replica group commits up to 3 once a follower holds entry 3
+
   Scenario: A leader that is cut off steps down and its open write settles by a resend
     Given a replica group of 3
     When a replica group cuts off its leader
--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -61,6 +61,7 @@
         self.accepted = -1
         self.writing = []
         self.queued = []
+        self.hung = False
 
 
 class Group:
@@ -191,7 +192,7 @@
             self.stopped.append((node.name, output.failure))
 
     def begin_write(self, node):
-        if node.writing or not node.queued:
+        if node.writing or node.hung or not node.queued:
             return
         node.writing, node.queued = node.queued, []
         assert node.disk.begin(node.writing) is None
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -6,7 +6,7 @@
 from replication_group import Group, events, service_batch
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import MessageReceived
+from limelever.common.sansio import AppendLog, MessageReceived, ReplaceFile
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe, Subscribe
 from limelever.protocol.operators_pb2 import (
     ApplyResponse,
@@ -15,6 +15,14 @@
     RolloutRequest,
     StatusRequest,
 )
+from limelever.protocol.replication_pb2 import (
+    AppendAnswer,
+    Formatted,
+    HardState,
+    LogEntry,
+    VoteAnswer,
+)
+from limelever.source.replication.members import bootstrap_members
 
 
 def _others(context):
@@ -225,6 +233,56 @@
     assert len(entries) == 1, entries
 
 
+@then("a replica group accepts no write while the disks of both followers hang")
+def _(context):
+    group = context.group
+    for name in _others(context):
+        group.nodes[name].hung = True
+    token = group.ask(context.leader, service_batch("hung", "hung"))
+    group.run(5)
+    answer = group.answers.get(token)
+    assert answer is None or answer.kind is ErrorKind.WRITE_UNKNOWN, answer
+
+
+@when("a replica group starts a replica alone that holds {count:d} entries of term {term:d}")
+def _(context, count, term):
+    group = context.group = Group(3)
+    node = group.nodes["a"]
+    members = bootstrap_members(group.nodes)
+    formatted = Formatted(identity="a-first", name="a", admitted=True, first_members=members)
+    entries = [LogEntry(index=n, term=term, no_operation={}) for n in range(1, count + 1)]
+    records = tuple(entry.SerializeToString() for entry in entries)
+    state = HardState(term=term).SerializeToString()
+    node.disk.perform(
+        [
+            ReplaceFile(1, "formatted", formatted.SerializeToString()),
+            ReplaceFile(2, "hard-state", state),
+            AppendLog(3, records),
+        ]
+    )
+    group.start("a")
+    replica = node.core.replica
+    while not replica.leading:
+        group.run(0.05)
+        for pre_vote in (True, False):
+            vote = VoteAnswer(granted=True, pre_vote=pre_vote, voter="b-first")
+            vote.term = replica.term + pre_vote
+            group.deliver(node, node.life, MessageReceived(9, vote))
+    group.run(0.02)
+    assert replica.leading and replica.term == term + 1
+
+
+@then("a replica group commits up to {commit:d} once a follower holds entry {match:d}")
+def _(context, commit, match):
+    node = context.group.nodes["a"]
+    replica = node.core.replica
+    answer = AppendAnswer(
+        term=replica.term, follower="b-first", success=True, match_index=match, round=1
+    )
+    context.group.deliver(node, node.life, MessageReceived(9, answer))
+    assert replica.commit_index == commit, replica.commit_index
+
+
 @when("a replica group loses a follower's process")
 def _(context):
     context.down = _others(context)[0]
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -204,18 +204,19 @@
         if answer.success:
             progress.take_success(answer.match_index)
             self._commit()
+            worth_sending = True
         else:
-            progress.take_refusal(answer.match_index)
-        if self.leading and self._has_more_for(progress, answer.success):
+            worth_sending = progress.take_refusal(answer.match_index)
+        if self.leading and worth_sending and self._has_more_for(progress):
             self._send_entries(member)
         self._check_rounds()
 
-    def _has_more_for(self, progress: Progress, accepted: bool) -> bool:
-        """Return whether to send at once; a snapshot under way is left to arrive."""
+    def _has_more_for(self, progress: Progress) -> bool:
+        """Return whether something is left to send; a snapshot under way is left to arrive."""
         log = self._context.log
         if progress.next_index <= log.base_index:
             return self._context.now >= progress.snapshot_due
-        return not accepted or progress.next_index <= log.last_index
+        return progress.next_index <= log.last_index
 
     def _member(self, identity: str) -> Member | None:
         members = self._context.members.members
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -27,9 +27,16 @@
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
 
-    def take_refusal(self, hint: int) -> None:
-        """Go back to the last index worth trying, never behind what is synced there."""
-        self.next_index = max(self.match_index, min(hint, self.next_index - 1)) + 1
+    def take_refusal(self, hint: int) -> bool:
+        """Go back to the last index worth trying, never behind what is synced there.
+
+        Returns whether that is further back: only then is it worth sending again at once. A
+        late or doubled refusal, or a follower that lost what it had synced, waits for the next
+        heartbeat instead, or it would keep both sides busy without end.
+        """
+        earlier = self.next_index
+        self.next_index = max(self.match_index, min(hint, earlier - 1)) + 1
+        return self.next_index < earlier
 
 
 class Rounds:
