Let join requests expire at the leader

Cause: a leader kept the request of an identity whose disk was lost again under another leader, and admitted it when it led once more; appends then followed the dead learner's progress in place of the replica's in use. Change: a request stands for four join intervals. Clearing on election was ruled out: followers hear requests too, and a new leader needs them. Measured: the new scenario fails with the expiry taken out and passes with it. Conclusion: only a replica that asks now is admitted.

--- a/features/source/membership.feature
+++ b/features/source/membership.feature
@@ -21,6 +21,19 @@
     When a replica group gets the lost replica back with an empty disk
     Then a replica group replaces the lost identity by a new one of the same name
 
+  Scenario: A former leader admits no identity that was lost meanwhile
+    Given a replica group of 3
+    When a replica group loses the disk of a follower
+    And a replica group gets the lost replica back with an empty disk
+    Then a replica group replaces the lost identity by a new one of the same name
+    When a replica group moves its leadership to the replica never lost
+    And a replica group loses the disk of the replica lost before
+    And a replica group cuts its former leader off from the replica lost before
+    And a replica group gets the lost replica back with an empty disk
+    Then a replica group replaces the lost identity by a new one of the same name
+    When a replica group gets its former leader back
+    Then a replica group has no member but its 3 voters
+
   Scenario: A removed replica stays out
     Given a replica group of 3
     When a replica group is asked to remove a follower
--- a/src/limelever/source/replication/changes.py
+++ b/src/limelever/source/replication/changes.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.operators_pb2 import ChangeMembersRequest
 from limelever.protocol.replication_pb2 import JoinRequest, Member, MemberSet
@@ -25,6 +27,16 @@
     without,
 )
 
+JOIN_INTERVALS_KEPT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Join:
+    """A replica that asks for admission, and until when its request stands."""
+
+    member: Member
+    expires: float
+
 
 class MembershipChanges:
     """Carries out replacements and operators' changes while this replica leads."""
@@ -32,21 +44,32 @@
     def __init__(self, context: ReplicaContext, leadership: Leadership) -> None:
         self._context = context
         self._leadership = leadership
-        self._joining: dict[str, Member] = {}
+        self._joins: dict[str, _Join] = {}
 
     def take_join(self, request: JoinRequest) -> None:
-        """Note that a replica asks to be admitted."""
+        """Note that a replica asks to be admitted; it repeats this until it is.
+
+        Requests expire: a leader that kept an old one would admit an identity whose disk has
+        been lost since, ahead of the one in use.
+        """
         context = self._context
         if request.name not in context.settings.peers:
             context.record(events.JOIN_REFUSED, name=request.name)
             return
         if not request.identity:
             return
-        self._joining[request.name] = Member(
+        member = Member(
             identity=request.identity,
             name=request.name,
             operator_address=request.operator_address,
         )
+        kept = JOIN_INTERVALS_KEPT * context.settings.join_interval
+        self._joins[request.name] = _Join(member, context.now + kept)
+
+    def _joining(self) -> list[Member]:
+        """Return the replicas that ask for admission now."""
+        now = self._context.now
+        return [join.member for join in self._joins.values() if now < join.expires]
 
     def advance(self) -> None:
         """Take the next step of a replacement, when there is one and none is under way."""
@@ -66,7 +89,7 @@
                 promoted = self._promotion(member.identity)
                 if promoted is not None:
                     return promoted
-        for joining in self._joining.values():
+        for joining in self._joining():
             known = is_member(members, joining.identity)
             if not known and replaces_a_voter(members, joining.name):
                 return with_learner(members, joining)
@@ -114,7 +137,7 @@
         return self._leadership.change_members(changed)
 
     def _added(self, name: str) -> MemberSet | Failure:
-        joining = self._joining.get(name)
+        joining = next((member for member in self._joining() if member.name == name), None)
         if joining is None:
             return Failure(ErrorKind.NOT_FOUND, f"no replica called {name} asks to join")
         if is_member(self._context.members, joining.identity):
