Make the ejection floor's property find a missing floor

Cause: a mutant without the floor passed the property: its examples hardly ever ejected a whole set. Change: outcomes come in bursts that eject, 300 examples. Before: the mutant passed; after: it fails, the code passes (7 scenarios, 2 s). Conclusion: the property now holds the mechanism.

--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -755,9 +755,9 @@
 
 @given("any outcomes of calls, the balancer keeps half of the endpoints in use")
 def ejection_floor(context: Context) -> None:
-    outcomes = st.lists(st.tuples(st.integers(0, 9), st.integers(-3, 8)), max_size=40)
+    outcomes = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([-3, 1, 5, 8])), max_size=40)
 
-    @derandomized
+    @hypothesis_settings(derandomized, max_examples=300)
     @examples(st.integers(1, 10), outcomes, st.integers(0, 5))
     def check(count: int, plan: list[tuple[int, int]], seed: int) -> None:
         usable = view_of(agents(count)).usable(SERVICE, 0.0)
