--- /dev/null
+++ b/src/limelever_lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: convergence, control bytes, reconnect storms and recovery, beside a baseline."""
