Prove by scenario the publisher's floor check, proof ages, skipped versions and secrets' reach

Cause: five rules of distribution and endpoints had code and no scenario that fails without it.

Change: scenarios for each, and a check that a publisher below a reader's floor sends nothing.

--- a/features/distribution/holding.feature
+++ b/features/distribution/holding.feature
@@ -45,6 +45,7 @@
     And the reader "proxy-1" is killed and starts again with only "source-old"
     And 10 seconds pass in the distribution
     Then the reader "proxy-1" holds nothing
+    And the reader "proxy-1" was sent 0 sets or deltas
     When the reader "proxy-1" is killed and starts again with only "source"
     And 1 seconds pass in the distribution
     Then the reader "proxy-1" has never gone backward
@@ -93,6 +94,16 @@
     Then the reader "proxy-1" holds the source's version
     And the reader "proxy-1" has dialled at most 60 times
 
+  Scenario: An answer's age counts, not its arrival
+    Given a publisher that passes on what it heard from others
+    When it was proved current at 10 seconds and is probed at 14 seconds
+    Then the prober knows it to have been current at 10 seconds
+    When it is probed for a proof up to the source at 15 seconds
+    And it is proved current at 12 seconds again
+    Then the probe up to the source is not answered
+    When it is proved current at 16 seconds again
+    Then the probe up to the source is answered
+
   Scenario: A silently cut link counts as a stale publisher
     Given a reader "proxy-1" that may choose of "source, source-2" and uses "orders"
     When 1 seconds pass in the distribution
--- a/features/distribution/reconnect.feature
+++ b/features/distribution/reconnect.feature
@@ -36,6 +36,11 @@
     Then the reader "proxy-3" holds the source's version
     And the reader "proxy-3" was asked for its inventory and sent no second snapshot
 
+  Scenario: A reader at a version that the publisher skipped is asked what it holds
+    Given a publisher that went from version 1 to 5 by two changes at once
+    When a reader that saw the first of them at version 3 subscribes
+    Then it is asked for its inventory
+
   Scenario: A storm is answered in turns
     Given a publisher that admits 100 subscribers a second with a burst of 50
     When 1000 subscribers with nothing held come at once and return when told
--- a/features/distribution/scope.feature
+++ b/features/distribution/scope.feature
@@ -35,6 +35,15 @@
     And 1 seconds pass in the distribution
     Then the reader "proxy-1" holds just "route/place, secret/photos, service/orders, share/orders/north"
 
+  Scenario: A secret's new value reaches those whose routes need it, and nobody else
+    Given a reader "proxy-2" of the services "catalogue"
+    When 1 seconds pass in the distribution
+    And the source puts "secret/till" alone
+    And 5 seconds pass in the distribution
+    Then the reader "proxy-1" holds the source's version
+    And the reader "proxy-1" was sent 2 sets or deltas
+    And the reader "proxy-2" was sent 1 sets or deltas
+
   Scenario: A version that does not touch a scope costs no delta
     When 1 seconds pass in the distribution
     And the source puts "route/upload" to "catalogue" with the secrets "photos"
--- a/features/relay/endpoints.feature
+++ b/features/relay/endpoints.feature
@@ -124,3 +124,6 @@
 
   Scenario: The platform's list is read, and what does not parse is refused
     Then platform lists are read into notices of leaving and dead machines only
+
+  Scenario: Changes whose tombstones were dropped cannot be told one by one
+    Then a table that dropped a tombstone says so to those who had not heard of it
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -31,12 +31,14 @@
 from limelever.protocol.distribution_pb2 import (
     ConfigDelta,
     ConfigSnapshot,
+    FreshnessAnswer,
     InventoryRequest,
     RetryLater,
     Subscribe,
 )
 from limelever.protocol.keys import Key
 from limelever.publisher.core import PublisherCore
+from limelever.publisher.notices import FreshnessNeeded
 from limelever.publisher.resources import ResourceTable
 from limelever.publisher.scope import Scope, closure_now
 from limelever.publisher.settings import PublisherSettings
@@ -45,6 +47,7 @@
 from limelever.subscriber.configuration import ConfigurationSet
 from limelever.subscriber.floor_file import decode_floor, encode_floor
 from limelever.subscriber.held import HeldSet, from_delta
+from limelever.subscriber.probes import Probes
 from limelever.subscriber.settings import SubscriberSettings
 
 
@@ -402,6 +405,78 @@
         assert served <= count, (start, served)
 
 
+@given("a publisher that went from version 1 to 5 by two changes at once")
+def step_skipping_publisher(context):
+    context.publisher = bare_publisher()
+    first = VersionedResource(resource=build("route/first", "orders"), version=3)
+    second = VersionedResource(resource=build("route/second", "orders"), version=5)
+    context.publisher.advance(5, [first, second], (), 1.0)
+    held = [build("service/orders"), build("route/place", "orders")]
+    context.held = [first, *(VersionedResource(resource=body, version=1) for body in held)]
+
+
+@when("a reader that saw the first of them at version 3 subscribes")
+def step_subscribe_between(context):
+    digest = SetDigest.of(context.held).to_bytes()
+    message = Subscribe(services=["orders"], held_version=3, digest=digest, version_floor=3)
+    context.outputs = subscribe(context.publisher, 1, 2.0, message)
+
+
+@then("it is asked for its inventory")
+def step_asked_inventory(context):
+    (message,) = [o.message for o in context.outputs if isinstance(o, SendMessage)]
+    assert isinstance(message, InventoryRequest)
+
+
+@given("a publisher that passes on what it heard from others")
+def step_relaying_publisher(context):
+    context.publisher = bare_publisher(proves_itself=False)
+    subscribe(context.publisher, 1, 0.0, Subscribe(services=["orders"]))
+    context.probes = Probes()
+
+
+def answers(outputs):
+    messages = [output.message for output in outputs if isinstance(output, SendMessage)]
+    return [message for message in messages if isinstance(message, FreshnessAnswer)]
+
+
+@when("it was proved current at {proved:g} seconds and is probed at {probed:g} seconds")
+def step_probed(context, proved, probed):
+    context.publisher.proved_fresh(proved, probed)
+    probe = context.probes.send(probed, to_source=False)
+    outputs = context.publisher.handle(MessageReceived(1, probe), probed)
+    (answer,) = answers(outputs)
+    context.probes.answered(answer)
+
+
+@then("the prober knows it to have been current at {at:g} seconds")
+def step_known_current(context, at):
+    assert abs(context.probes.publisher_fresh_at - at) < 0.01
+
+
+@when("it is probed for a proof up to the source at {at:g} seconds")
+def step_probed_to_source(context, at):
+    probe = context.probes.send(at, to_source=True)
+    outputs = context.publisher.handle(MessageReceived(1, probe), at)
+    assert answers(outputs) == []
+    assert any(isinstance(output, FreshnessNeeded) for output in outputs)
+
+
+@when("it is proved current at {at:g} seconds again")
+def step_proved_again(context, at):
+    context.outputs = context.publisher.proved_fresh(at, at + 1.0)
+
+
+@then("the probe up to the source is not answered")
+def step_not_answered(context):
+    assert answers(context.outputs) == []
+
+
+@then("the probe up to the source is answered")
+def step_answered(context):
+    assert len(answers(context.outputs)) == 1
+
+
 # --- properties ----------------------------------------------------------------------------
 
 SERVICES = ("s0", "s1", "s2")
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -20,7 +20,7 @@
     LeaseRenew,
     Register,
 )
-from limelever.relay.endpoint_entry import EndpointName
+from limelever.relay.endpoint_entry import OWN, EndpointName
 from limelever.relay.endpoint_table import EndpointTable, TableSettings
 from limelever.relay.interface import PlatformListRead, StopRequested
 from limelever.relay.platform_list import parse_machines
@@ -413,3 +413,17 @@
     ]
     for body in (b"", b"{", b"[1]", b'[{"instance": "a"}]', b'[{"state": "dead"}]', b"5"):
         assert isinstance(parse_machines(body), Failure), body
+
+
+@then("a table that dropped a tombstone says so to those who had not heard of it")
+def step_dropped_tombstone(context):
+    table = EndpointTable(TableSettings(tombstone=10.0))
+    endpoint = Endpoint(service="orders", instance="one", incarnation=1, sequence=1)
+    endpoint.state = ENDPOINT_STATE_READY
+    table.offer(endpoint, OWN, 5.0, 0.0)
+    heard = table.own_changes
+    table.expire(6.0)
+    assert [e.state for e in table.own_since(heard)] == [ENDPOINT_STATE_GONE]
+    table.expire(20.0)
+    assert table.own_since(heard) is None
+    assert table.own_since(table.own_changes) == []
