Stop a rolled-back follower from keeping its leader busy

Cause: a follower that lost synced entries refuses every append from behind what its leader counts as synced there. Each refusal moved the optimistic next index back, which passed for progress, so the next append was sent at once, without end. On top, a source that cannot load its publisher yet began a new read proof each heartbeat though the last one was still out, and each proof costs the group a round.

Change: a refusal from behind the synced index waits for the next heartbeat; one proof for the load is out at a time. A new scenario rolls a follower's log back and counts messages when idle (at most 40 a second). "A leader that is cut off serves no read" writes once before the cut, so that its publisher has loaded and the only read is the operator's.

Conclusion: the follower stays behind until its leader changes, cheaply. That a disk which lost synced entries still votes is not detected.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -41,6 +41,7 @@
 
   Scenario: A leader that is cut off serves no read
     Given a replica group of 3
+    And a replica group accepts 1 writes
     When a replica group cuts off its leader
     Then a replica group refuses a read at the cut-off leader
 
@@ -63,6 +64,13 @@
     Then a replica group holds the last version on every replica
     And a replica group has sent a snapshot
 
+  Scenario: A follower whose log was rolled back does not keep its leader busy
+    Given a replica group of 3
+    And a replica group accepts 5 writes
+    When a replica group rolls a follower's log back
+    And a replica group accepts 5 writes
+    Then a replica group sends at most 40 messages a second when idle
+
   Scenario: A follower proves its freshness through the leader
     Given a replica group of 3
     When a replica group has a relay that probes a follower
--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -83,6 +83,7 @@
         self.received = []
         self.stopped = []
         self.last_token = 0
+        self.sent = 0
 
     # --- time ---------------------------------------------------------------------------------
 
@@ -240,6 +241,7 @@
         if link is None:
             self.received.append(output)
             return
+        self.sent += 1
         other, connection = link
         copies = 2 if self.random.random() < self.loss else 1
         for _ in range(copies):
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -6,7 +6,7 @@
 from replication_group import Group, events, service_batch
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import AppendLog, MessageReceived, ReplaceFile
+from limelever.common.sansio import AppendLog, MessageReceived, ReplaceFile, TruncateLog
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe, Subscribe
 from limelever.protocol.operators_pb2 import (
     ApplyResponse,
@@ -339,6 +339,22 @@
     context.group.start(context.down)
 
 
+@when("a replica group rolls a follower's log back")
+def _(context):
+    group, name = context.group, _others(context)[0]
+    group.run(1)
+    group.crash(name)
+    group.nodes[name].disk.perform([TruncateLog(1, 0)])
+    group.start(name)
+
+
+@then("a replica group sends at most {limit:d} messages a second when idle")
+def _(context, limit):
+    before, seconds = context.group.sent, 5
+    context.group.run(seconds)
+    assert context.group.sent - before <= limit * seconds, context.group.sent - before
+
+
 @then("a replica group has sent a snapshot")
 def _(context):
     assert context.group.has_logged(events.SNAPSHOT_INSTALLED)
--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -61,6 +61,7 @@
         self._reads: dict[int, Callable[[bool], None]] = {}
         self._last_read = 0
         self._loaded = False
+        self._load_under_way = False
         self._now = 0.0
         self._outputs: list[Output] = []
 
@@ -221,7 +222,7 @@
             return
         if not self._loaded:
             self._periodic_due = self._now + self._settings.heartbeat_interval
-            self.prove_read(self._load_when_proved, self._now)
+            self._begin_load()
             return
         self._periodic_due = self._now + self._report_interval
         connection = self._replica.connection_to_leader()
@@ -229,7 +230,14 @@
             report = self._publisher.rollout_report()
             self._outputs.append(SendMessage(connection, report))
 
+    def _begin_load(self) -> None:
+        """Ask to be proved current, unless that is under way: each proof costs all a round."""
+        if not self._load_under_way:
+            self._load_under_way = True
+            self.prove_read(self._load_when_proved, self._now)
+
     def _load_when_proved(self, proved: bool) -> None:
         """Load once current: a replica that replays its log must not publish old versions."""
+        self._load_under_way = False
         if proved and not self._loaded:
             self._load()
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -30,13 +30,12 @@
     def take_refusal(self, hint: int) -> bool:
         """Go back to the last index worth trying, never behind what is synced there.
 
-        Returns whether that is further back: only then is it worth sending again at once. A
-        late or doubled refusal, or a follower that lost what it had synced, waits for the next
-        heartbeat instead, or it would keep both sides busy without end.
+        Returns whether it is worth sending again at once. It is not for a refusal from behind
+        what is synced there: that is a late one, or comes from a follower that lost what it had
+        synced, and answering each with another append would keep both sides busy without end.
         """
-        earlier = self.next_index
-        self.next_index = max(self.match_index, min(hint, earlier - 1)) + 1
-        return self.next_index < earlier
+        self.next_index = max(self.match_index, min(hint, self.next_index - 1)) + 1
+        return hint >= self.match_index
 
 
 class Rounds:
