Answer a request past the kept records as expired, with the outcome unknown

Cause: a resend older than the kept answers was refused as "conflict", whose outcome is not-run, though the first sending may have run. The command line had the same fault in another place: a refusal at the door (credential withdrawn, say) after an unanswered sending was printed as not-run.

After an unanswered sending only the state machine's own refusals, which are the same for every sending of an id, settle a write; any other is reported as write-unknown.

Tests: the scenario that asserted "conflict" past the bound now asserts the new kind, that the first sending ran, and that the refusal does not say not-run: the old expectation was the fault. Two scenarios of the command line are new.

Ruled out: outcome not-run with a warning in the reason, as it was: scripts read the outcome.

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -40,6 +40,20 @@
     When the operator applies a file of resources with "--request-id abcdefgh@5 --timeout 1"
     Then the command ends with 1 and prints "--request-id abcdefgh@5"
 
+  Scenario: A refusal at the door after a lost answer does not pass for not run
+    Given a source that loses the first answer and then withdraws the credential
+    When the operator applies a file of resources with "--request-id abcdefgh@5"
+    Then the command ends with 1 and prints "outcome: unknown"
+    And the command also prints "permission-denied"
+    And the source applied 1 batches
+
+  Scenario: A resend older than the kept answers is not sent on and on
+    Given a source that no longer keeps the answer to a write
+    When the operator applies a file of resources with "--request-id abcdefgh@5"
+    Then the command ends with 1 and prints "outcome: unknown"
+    And the command does not print "--request-id"
+    And the source was asked for 1 writes
+
   Scenario: No source at all was surely not run
     Given no source at all
     When the operator applies a file of resources with "--timeout 0.5 --request-id abcdefgh@5"
--- a/features/operators/state_machine.feature
+++ b/features/operators/state_machine.feature
@@ -62,9 +62,10 @@
     When a batch has a request id from beyond the log
     Then the batch is refused as "invalid-request" naming nothing
 
-  Scenario: A resend past the bound is a conflict, and fresh ids still work
-    When as many requests as are kept follow a batch and then it is resent
-    Then the batch is refused as "conflict" naming nothing
+  Scenario: A resend past the bound does not claim that nothing ran, and fresh ids still work
+    When as many requests as are kept follow a batch that ran and then it is resent
+    Then the batch is refused as "request-expired" naming nothing
+    And the refusal does not say that the request was not run
     And a fresh request is accepted
 
   Scenario: Random batches keep all references whole on replicas that agree
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -102,6 +102,31 @@
     reach(context, context.source.address)
 
 
+@given("a source that loses the first answer and then withdraws the credential")
+def given_withdrawn(context):
+    answers = [ErrorKind.WRITE_UNKNOWN, ErrorKind.PERMISSION_DENIED]
+    start_scripted(context, [Failure(kind, "scripted") for kind in answers])
+
+
+@given("a source that no longer keeps the answer to a write")
+def given_expired(context):
+    start_scripted(context, [Failure(ErrorKind.REQUEST_EXPIRED, "scripted")])
+
+
+def start_scripted(context, answers):
+    """Start a source that gives these answers to writes, the last one again and again."""
+    context.writes = []
+
+    def script(request):
+        if not isinstance(request, ApplyRequest):
+            return None
+        context.writes.append(request)
+        return answers[min(len(context.writes), len(answers)) - 1]
+
+    context.source = start_source(context, script)
+    reach(context, context.source.address)
+
+
 @given("a source whose follower names the leader")
 def given_follower(context):
     context.source = start_source(context)
@@ -168,6 +193,16 @@
     assert text in context.result.output, context.result.output
 
 
+@then('the command does not print "{text}"')
+def then_does_not_print(context, text):
+    assert text not in context.result.output, context.result.output
+
+
+@then("the source was asked for {count:d} writes")
+def then_asked_writes(context, count):
+    assert len(context.writes) == count, len(context.writes)
+
+
 @then("the secret's value was never printed")
 def then_never_printed(context):
     assert CLI_SECRET_VALUE not in context.printed
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -16,7 +16,7 @@
 from operator_server import READ_ONLY_TOKEN, TOKEN, OperatorServer
 
 from limelever.cli.error_page import render
-from limelever.common.errors import Failure
+from limelever.common.errors import Failure, Outcome
 from limelever.protocol.config_pb2 import Batch, Resource, Route, Secret, Service, Share
 from limelever.protocol.keys import Key, parse_key, references_of
 from limelever.protocol.operators_pb2 import (
@@ -195,15 +195,20 @@
     assert context.log.state.snapshot().removed_requests_through == 0
 
 
-@when("as many requests as are kept follow a batch and then it is resent")
+@when("as many requests as are kept follow a batch that ran and then it is resent")
 def when_past_the_bound(context):
     request_id = context.log.fresh_id()
-    context.log.apply([service("one")], request_id=request_id)
+    assert context.log.apply([service("one")], request_id=request_id).applied is not None
     for _ in range(RECORD_LIMIT):
         context.log.apply(delete=["route/none"])
     context.log.apply([service("one")], request_id=request_id)
 
 
+@then("the refusal does not say that the request was not run")
+def then_outcome_unknown(context):
+    assert context.log.outcome.answer.outcome is Outcome.UNKNOWN
+
+
 @then("a fresh request is accepted")
 def then_fresh_accepted(context):
     assert context.log.apply([service("fresh")]).applied is not None
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -27,6 +27,15 @@
 PAUSE_SECONDS = 0.2
 _MAX_METADATA_BYTES = 64 * 1024
 _MILLISECONDS = 1000.0
+_STATE_REFUSALS = frozenset(
+    {
+        ErrorKind.CONFLICT,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.DANGLING_REFERENCE,
+        ErrorKind.STILL_REFERENCED,
+    }
+)
+"""Refusals by the state machine, which gives every sending of a request id the same answer."""
 _SERVICE_NAME = DESCRIPTOR.services_by_name["Operator"].full_name
 
 
@@ -57,8 +66,9 @@
     ) -> ResponseT | Failure:
         """Call ``method`` within the timeout and return its answer or the last failure.
 
-        When time is up and some sending of a write may have run, the answer is
-        ``WRITE_UNKNOWN``, whatever the last sending met.
+        When some sending of a write may have run, the answer is ``WRITE_UNKNOWN`` whatever a
+        later sending met, unless that settles it: a refusal at the door (a credential withdrawn
+        meanwhile, say) tells nothing about the sending before.
         """
         deadline = time.monotonic() + self._options.timeout
         turns = _Turns(self._options.endpoints)
@@ -71,13 +81,10 @@
             failure = answer
             unknown = unknown or (is_write and failure.outcome is Outcome.UNKNOWN)
             if not _is_retried(failure, is_write):
-                return failure
+                break
             pause = 0.0 if turns.advance(failure) else max(PAUSE_SECONDS, failure.retry_after)
             time.sleep(max(0.0, min(pause, deadline - time.monotonic())))
-        if unknown and failure.outcome is not Outcome.UNKNOWN:
-            reason = f"some sending was not answered, and the last one met {failure}"
-            return Failure(ErrorKind.WRITE_UNKNOWN, reason)
-        return failure
+        return _after_unknown(failure) if unknown else failure
 
     def _attempt(
         self, endpoint: str, method: str, request: Message, response: type[ResponseT], left: float
@@ -154,8 +161,18 @@
         return False
 
 
+def _after_unknown(failure: Failure) -> Failure:
+    """Return what is known when a sending before the one that met ``failure`` may have run."""
+    if failure.outcome is Outcome.UNKNOWN or failure.kind in _STATE_REFUSALS:
+        return failure
+    reason = f"some sending was not answered, and the last one met {failure}"
+    return Failure(ErrorKind.WRITE_UNKNOWN, reason)
+
+
 def _is_retried(failure: Failure, is_write: bool) -> bool:
     advice = failure.answer.advice
+    if failure.kind is ErrorKind.REQUEST_EXPIRED:
+        return False
     if advice in (RetryAdvice.ELSEWHERE, RetryAdvice.AFTER_DELAY):
         return True
     return is_write and failure.outcome is Outcome.UNKNOWN
--- a/src/limelever/cli/output.py
+++ b/src/limelever/cli/output.py
@@ -8,7 +8,7 @@
 
 from google.protobuf.message import Message
 
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.protocol.config_pb2 import CallKind, ResourceKind, VersionedResource
 from limelever.protocol.keys import KIND_TEXT, Key, key_text
 from limelever.protocol.operators_pb2 import (
@@ -77,11 +77,15 @@
     print(f"outcome: {failure.outcome.value}", file=sys.stderr)
     if failure.kind is ErrorKind.CONFLICT:
         print(f"current version: {failure.current_version}", file=sys.stderr)
-    if request_id and failure.outcome.value == "unknown":
+    if request_id and _is_settled_by_resend(failure):
         hint = f"send the same again with --request-id {request_id} to settle it"
         print(hint, file=sys.stderr)
 
 
+def _is_settled_by_resend(failure: Failure) -> bool:
+    return failure.outcome is Outcome.UNKNOWN and failure.kind is not ErrorKind.REQUEST_EXPIRED
+
+
 def _failure_value(failure: Failure, request_id: str) -> dict[str, Any]:
     return {
         "error": failure.kind.value,
--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -63,6 +63,7 @@
     NO_ROUTE = "no-route"
     METHOD_NOT_ALLOWED = "method-not-allowed"
     CONFLICT = "conflict"
+    REQUEST_EXPIRED = "request-expired"
     DANGLING_REFERENCE = "dangling-reference"
     STILL_REFERENCED = "still-referenced"
     NOT_LEADER = "not-leader"
@@ -127,6 +128,7 @@
     _K.NO_ROUTE: _answer(404, _G.NOT_FOUND, _O.NOT_RUN, _R.AFTER_CHANGE),
     _K.METHOD_NOT_ALLOWED: _answer(405, _G.UNIMPLEMENTED, _O.NOT_RUN, _R.NEVER),
     _K.CONFLICT: _answer(409, _G.ABORTED, _O.NOT_RUN, _R.AFTER_CHANGE),
+    _K.REQUEST_EXPIRED: _answer(409, _G.ABORTED, _O.UNKNOWN, _R.AFTER_CHANGE),
     _K.DANGLING_REFERENCE: _answer(409, _G.FAILED_PRECONDITION, _O.NOT_RUN, _R.AFTER_CHANGE),
     _K.STILL_REFERENCED: _answer(409, _G.FAILED_PRECONDITION, _O.NOT_RUN, _R.AFTER_CHANGE),
     _K.NOT_LEADER: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
--- a/src/limelever/source/request_records.py
+++ b/src/limelever/source/request_records.py
@@ -3,7 +3,7 @@
 A request id is ``UNIQUE@POSITION``, where POSITION is a log index that was committed when the
 id was drawn. The records are bounded, oldest dropped first. An id by itself says nothing about
 its age, so the position does: an unknown id at or below the highest position of a dropped
-record may be a dropped one and is refused as a conflict. An id drawn afresh always lies above,
+record may be a dropped one and is refused as expired. An id drawn afresh always lies above,
 because its position is read after the dropped requests were committed.
 """
 
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -35,7 +35,7 @@
     RecordMiss.FROM_THE_FUTURE: "request id has a position that the log has not reached",
     RecordMiss.MAYBE_DROPPED: (
         "request id is older than the kept answers: this sending was not run, and whether an "
-        "earlier one was is no longer known; look at the state and draw a new id"
+        "earlier one was is no longer known; read the state, then send anew without the id"
     ),
 }
 
@@ -98,8 +98,8 @@
         if isinstance(found, RequestRecord):
             return self._repeat(found, batch)
         if found is not RecordMiss.NEW:
-            conflict = found is RecordMiss.MAYBE_DROPPED
-            kind = ErrorKind.CONFLICT if conflict else ErrorKind.INVALID_REQUEST
+            expired = found is RecordMiss.MAYBE_DROPPED
+            kind = ErrorKind.REQUEST_EXPIRED if expired else ErrorKind.INVALID_REQUEST
             return self._refuse(batch, self._failure(kind, _MISS_REASONS[found]))
         plan = self._plan(batch)
         if isinstance(plan, Failure):
