Keep bad clients from ending a process or locking its monitors out

Cause: (1) FrameReader cut a whole chunk into payloads and all were inflated together; frames of 16 MiB were read before the hello was accepted; a compressed frame of unstated size counted as too large. (2) hypercorn's serve runs all connections in one nursery: a DATA frame on an answered HTTP/2 stream ended the process through the admin listener, as once through the operators'. (4) hypercorn sends without a time limit, shielded from cancellation: a client that reads nothing kept the process from stopping. (5) An exception in a core left a raw traceback, or was swallowed where a library guards the task.

--- /dev/null
+++ b/features/steps/faulty_role.py
@@ -0,0 +1,81 @@
+"""A role with a fault in a chosen place, run as a process of its own by the steps."""
+
+from __future__ import annotations
+
+import sys
+from functools import partial
+from typing import Any
+
+import httpcore
+import trio
+from hypercorn.config import Config
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import CredentialSettings, ProcessSettings
+from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
+from limelever.transport.http_guard import (
+    GuardOptions,
+    bound_address,
+    open_listeners,
+    serve_guarded,
+)
+from limelever.transport.process import ProcessShell, run_role
+
+SETTINGS = ProcessSettings(
+    role=Role.RELAY, name="faulty", zone="zone-a", credentials=CredentialSettings(own="unused")
+)
+OPTIONS = GuardOptions(
+    connection_limit=4,
+    stop_limit=1.0,
+    failed_event=ADMIN_CONNECTION_FAILED,
+    limit_event=ADMIN_CONNECTION_LIMIT,
+)
+
+
+class FaultyCore:
+    """Fails at the event ``fault``, of whatever type it is."""
+
+    def __init__(self, fault: str) -> None:
+        self._fault = fault
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        if event == self._fault or type(event).__name__ == self._fault:
+            raise KeyError("the fault of this test")
+        return []
+
+    def next_deadline(self) -> None:
+        return None
+
+
+async def fault_in_core(shell: ProcessShell) -> None:
+    runner = shell.add_core(FaultyCore("Started"), lambda output: None)
+    await runner.run()
+
+
+async def fault_in_main(shell: ProcessShell) -> None:
+    raise KeyError("the fault of this test")
+
+
+async def fault_in_http_caller(shell: ProcessShell) -> None:
+    """Post the event that the core fails at from within a request, which hypercorn guards."""
+    runner = shell.add_core(FaultyCore("request"), lambda output: None)
+
+    async def application(scope: Any, receive: Any, send: Any) -> None:
+        runner.post("request")
+        await trio.sleep_forever()
+
+    listeners = await open_listeners(Address("127.0.0.1", 0), None, "test listener")
+    address = bound_address(listeners)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(runner.run)
+        nursery.start_soon(
+            partial(serve_guarded, application, listeners, Config(), OPTIONS, trio.Event())
+        )
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("GET", f"http://{address}/")
+
+
+PLACES = {"core": fault_in_core, "main": fault_in_main, "HTTP caller": fault_in_http_caller}
+
+if __name__ == "__main__":
+    sys.exit(run_role(SETTINGS, PLACES[sys.argv[1]]))
--- /dev/null
+++ b/features/steps/http_server.py
@@ -0,0 +1,147 @@
+"""An admin listener over loopback in a thread, and blocking clients that may break its rules."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import threading
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import h2.connection
+import h2.events
+import trio
+from transport_server import PATIENCE, EventLog
+
+from limelever.common.sansio import Address
+from limelever.transport.admin import serve_admin
+
+HEADERS_OF_1_MIB = b"GET / HTTP/1.1\r\nhost: a\r\n" + b"x-long: " + b"x" * (1 << 20) + b"\r\n\r\n"
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+BROKEN_HTTP2_FRAME = HTTP2_PREFACE + b"\x00\x00\x04\x04\x00\x00\x00\x00\x00\xff\xff\xff\xff"
+
+
+class AdminServer:
+    """The shipped admin listener of a process that is not ready."""
+
+    def __init__(self, **options: Any) -> None:
+        self.log = EventLog()
+        self._options = options
+        self._ready = threading.Event()
+        self._resumed = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
+        self._thread.start()
+        assert self._ready.wait(PATIENCE), "the admin listener did not start"
+
+    def stop(self) -> None:
+        if not self._thread.is_alive():
+            return
+        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
+        self._thread.join(PATIENCE)
+        assert not self._thread.is_alive(), "the admin listener did not stop"
+        self.log.close()
+
+    def suspend(self) -> None:
+        """Keep the event loop from running, as SIGSTOP would."""
+        self._resumed.clear()
+        self._token.run_sync_soon(self._resumed.wait, PATIENCE)
+
+    def resume(self) -> None:
+        self._resumed.set()
+
+    async def _serve(self) -> None:
+        self._token = trio.lowlevel.current_trio_token()
+        serve = partial(serve_admin, Address("127.0.0.1", 0), lambda: False, **self._options)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            bound = await nursery.start(serve)
+            assert isinstance(bound, Address), bound
+            self.address = bound
+            self._ready.set()
+
+
+class HttpClient:
+    """One blocking HTTP/1.1 connection."""
+
+    def __init__(self, address: Address) -> None:
+        self.socket = socket.create_connection((address.host, address.port))
+        self.socket.settimeout(PATIENCE)
+
+    def send(self, data: bytes) -> None:
+        # A server that refuses early may close while the rest is still being sent.
+        with contextlib.suppress(ConnectionError):
+            self.socket.sendall(data)
+
+    def ask(self, method: str, path: str) -> None:
+        self.send(f"{method} {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode())
+
+    def status(self) -> int | None:
+        """Read one answer whole and return its status, ``None`` when the server closed."""
+        with contextlib.suppress(ConnectionError):
+            head, _, body = self._read_until(lambda data: b"\r\n\r\n" in data).partition(
+                b"\r\n\r\n"
+            )
+            if not head:
+                return None
+            lines = head.decode().lower().splitlines()
+            lengths = [line.split(":")[1] for line in lines if line.startswith("content-length:")]
+            missing = int(lengths[0]) - len(body) if lengths else 0
+            while missing > 0:
+                missing -= len(self.socket.recv(missing))
+            return int(lines[0].split()[1])
+        return None
+
+    def is_closed_by_server(self) -> bool:
+        """Return whether the server has closed, without waiting for it."""
+        readable, _, _ = select.select([self.socket], [], [], 0)
+        if not readable:
+            return False
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) == b""
+        except ConnectionError:
+            return True
+
+    def wait_closed(self) -> None:
+        """Read until the server closes; raises ``TimeoutError`` when it does not."""
+        with contextlib.suppress(ConnectionError):
+            while self.socket.recv(65536):
+                pass
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def _read_until(self, enough: Callable[[bytes], bool]) -> bytes:
+        data = b""
+        while not enough(data):
+            more = self.socket.recv(1)
+            if not more:
+                return b""
+            data += more
+        return data
+
+
+def send_data_on_answered_stream(client: HttpClient) -> None:
+    """Ask over HTTP/2, await the whole answer, and only then send a body."""
+    protocol = h2.connection.H2Connection()
+    protocol.initiate_connection()
+    headers = [(":method", "GET"), (":path", "/healthz"), (":scheme", "http"), (":authority", "a")]
+    protocol.send_headers(1, headers)
+    client.send(protocol.data_to_send())
+    while not _ends_stream(protocol.receive_data(client.socket.recv(65536))):
+        client.send(protocol.data_to_send())
+    protocol.send_data(1, b"late")
+    client.send(protocol.data_to_send())
+
+
+def _ends_stream(events: list[h2.events.Event]) -> bool:
+    return any(isinstance(event, h2.events.StreamEnded) for event in events)
+
+
+SENDINGS: dict[str, Callable[[HttpClient], None]] = {
+    "data on an answered HTTP/2 stream": send_data_on_answered_stream,
+    "bytes that are not HTTP": lambda client: client.send(b"\x00\x01\x02 not HTTP\r\n\r\n"),
+    "headers of 1 MiB": lambda client: client.send(HEADERS_OF_1_MIB),
+    "a broken HTTP/2 frame": lambda client: client.send(BROKEN_HTTP2_FRAME),
+}
--- /dev/null
+++ b/features/transport/process.feature
@@ -0,0 +1,40 @@
+Feature: A process that cannot go on says why and exits with 1
+
+  Scenario Outline: An address in use ends the process with the address and the reason
+    Given a relay's settings whose <listener> is in use
+    When that relay is run
+    Then that process exits with 1
+    And that process logs 1004 naming the address in use
+    And that process prints no traceback
+
+    Examples:
+      | listener       |
+      | admin listener |
+      | link listener  |
+
+  Scenario: A settings file of another role is refused before the process starts
+    Given a relay's settings whose link listener is in use
+    When that relay's settings are given to an agent
+    Then that process exits with 1
+    And that process prints that the settings are of role "relay", this process is "agent"
+    And that process prints no traceback
+
+  Scenario: A log file that cannot be written is named
+    Given a relay's settings whose log file cannot be opened
+    When that relay is run
+    Then that process exits with 1
+    And that process prints that log.file cannot be written
+    And that process prints no traceback
+
+  Scenario Outline: An internal fault is a numbered event with the end of its traceback
+    When a role with a fault in its <place> is run
+    Then that process exits with 1
+    And that process logs 1040 with the line at fault
+    And that process logs 1004 as internal
+    And that process prints no traceback
+
+    Examples:
+      | place       |
+      | core        |
+      | main        |
+      | HTTP caller |
--- a/src/limelever/common/framing.py
+++ b/src/limelever/common/framing.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import zstandard
 from google.protobuf.message import DecodeError, Message
@@ -71,8 +71,12 @@
 def _decompress(packed: bytes, limit: int) -> bytes | Failure:
     try:
         size = zstandard.frame_content_size(packed)
-        if size < 0 or size > limit:
-            return Failure(ErrorKind.MESSAGE_TOO_LARGE, f"compressed frame of {size} bytes")
+        if size < 0:
+            reason = "compressed frame does not state its size"
+            return Failure(ErrorKind.PROTOCOL_VIOLATION, reason)
+        if size > limit:
+            reason = f"compressed frame of {size} bytes, limit {limit}"
+            return Failure(ErrorKind.MESSAGE_TOO_LARGE, reason)
         return zstandard.ZstdDecompressor().decompress(packed, max_output_size=limit)
     except zstandard.ZstdError as error:
         return Failure(ErrorKind.PROTOCOL_VIOLATION, f"frame does not decompress: {error}")
@@ -80,26 +84,31 @@
 
 @dataclass(slots=True)
 class FrameReader:
-    """Cuts a byte stream into payloads; holds at most one frame's worth of bytes."""
+    """Cuts a byte stream into payloads, one at a time.
+
+    It holds one frame of at most ``limit`` bytes and what was fed with its end. A frame over
+    the limit is a failure as soon as its length is read, before its bytes are kept.
+    """
 
     limit: int = DEFAULT_FRAME_LIMIT
-    _buffer: bytearray | None = None
+    _buffer: bytearray = field(default_factory=bytearray)
 
-    def feed(self, data: bytes | bytearray) -> list[bytes] | Failure:
-        """Take bytes and return the payloads completed by them, or a failure."""
-        if self._buffer is None:
-            self._buffer = bytearray()
+    def feed(self, data: bytes | bytearray) -> None:
+        """Take bytes of the stream."""
         self._buffer += data
-        payloads: list[bytes] = []
-        while len(self._buffer) >= LENGTH_PREFIX.size:
-            (size,) = LENGTH_PREFIX.unpack_from(self._buffer)
-            if size > self.limit:
-                return Failure(
-                    ErrorKind.MESSAGE_TOO_LARGE, f"frame of {size} bytes, limit {self.limit}"
-                )
-            end = LENGTH_PREFIX.size + size
-            if len(self._buffer) < end:
-                break
-            payloads.append(bytes(self._buffer[LENGTH_PREFIX.size : end]))
-            del self._buffer[:end]
-        return payloads
+
+    def next_payload(self) -> bytes | Failure | None:
+        """Return the next whole payload, ``None`` while bytes are missing, or a failure."""
+        buffer = self._buffer
+        if len(buffer) < LENGTH_PREFIX.size:
+            return None
+        (size,) = LENGTH_PREFIX.unpack_from(buffer)
+        if size > self.limit:
+            reason = f"frame of {size} bytes, limit {self.limit}"
+            return Failure(ErrorKind.MESSAGE_TOO_LARGE, reason)
+        end = LENGTH_PREFIX.size + size
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[LENGTH_PREFIX.size : end])
+        del buffer[:end]
+        return payload
--- a/src/limelever/transport/admin.py
+++ b/src/limelever/transport/admin.py
@@ -1,32 +1,50 @@
-"""The admin listener of every process: /metrics, /healthz and /readyz."""
+"""The admin listener of every process: /metrics, /healthz and /readyz.
+
+It speaks cleartext and asks for no credential: bind it to an address that only the monitoring
+reaches.
+"""
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
+from limelever.common.errors import Failure
 from limelever.common.sansio import Address
+from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
+from limelever.transport.http_guard import (
+    AsgiApplication,
+    GuardOptions,
+    bound_address,
+    open_listeners,
+    serve_guarded,
+)
 from limelever.transport.metrics import exposition
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
+CONNECTION_LIMIT = 32
+IDLE_SECONDS = 5.0
+"""A poller needs no longer keep-alive, and each idle connection takes one place of the limit."""
+
+_HEADER_LIST_BYTES = 16 * 1024
+_STOP_LIMIT = 1.0
 _TEXT = b"text/plain; version=0.0.4; charset=utf-8"
+_READ_METHODS = ("GET", "HEAD")
 
 
-def admin_application(is_ready: Callable[[], bool]) -> Callable[..., Awaitable[None]]:
+def admin_application(is_ready: Callable[[], bool]) -> AsgiApplication:
     """Return the ASGI application; ``is_ready`` decides /readyz."""
 
     async def application(scope: dict[str, Any], receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await answer_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close", "code": 1003})
             return
-        status, body = _answer(scope["path"], is_ready)
+        status, body = _answer(scope["method"], scope["path"], is_ready)
         headers = [(b"content-type", _TEXT), (b"content-length", str(len(body)).encode())]
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
@@ -34,7 +52,9 @@
     return application
 
 
-def _answer(path: str, is_ready: Callable[[], bool]) -> tuple[int, bytes]:
+def _answer(method: str, path: str, is_ready: Callable[[], bool]) -> tuple[int, bytes]:
+    if method not in _READ_METHODS:
+        return 405, b"only GET\n"
     if path == "/metrics":
         return 200, exposition()
     if path == "/healthz":
@@ -44,30 +64,38 @@
     return 404, b"not found\n"
 
 
-async def answer_lifespan(receive: Receive, send: Send) -> None:
-    """Answer hypercorn's lifespan events; an application that ignores them cannot start."""
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def serve_admin(address: Address, is_ready: Callable[[], bool]) -> None:
-    """Serve the admin listener until cancelled; an address in use raises ``OSError``."""
-    await serve(
-        admin_application(is_ready),
-        quiet_config(address),
-        shutdown_trigger=trio.Event().wait,
-        mode="asgi",
+async def serve_admin(
+    address: Address,
+    is_ready: Callable[[], bool],
+    idle_seconds: float = IDLE_SECONDS,
+    task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the admin listener until cancelled; reports the bound address, or why it has none.
+
+    A connection ends after ``idle_seconds`` without a request.
+    """
+    listeners = await open_listeners(address, None, "admin listener")
+    if isinstance(listeners, Failure):
+        task_status.started(listeners)
+        return
+    task_status.started(bound_address(listeners))
+    options = GuardOptions(
+        connection_limit=CONNECTION_LIMIT,
+        stop_limit=_STOP_LIMIT,
+        failed_event=ADMIN_CONNECTION_FAILED,
+        limit_event=ADMIN_CONNECTION_LIMIT,
     )
+    config = _hypercorn_config(idle_seconds)
+    await serve_guarded(admin_application(is_ready), listeners, config, options, trio.Event())
 
 
-def quiet_config(address: Address) -> Config:
-    """Return a hypercorn configuration bound to one address, without its own logs."""
+def _hypercorn_config(idle_seconds: float) -> Config:
     config = Config()
-    config.bind = [str(address)]
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
+    config.keep_alive_timeout = idle_seconds
+    config.read_timeout = math.ceil(idle_seconds)
+    config.h11_max_incomplete_size = _HEADER_LIST_BYTES
+    config.h2_max_header_list_size = _HEADER_LIST_BYTES
     return config
--- /dev/null
+++ b/src/limelever/transport/events.py
@@ -0,0 +1,33 @@
+"""Log events of connections and faults (1030 to 1099); the others are in ``common.events``."""
+
+from __future__ import annotations
+
+from limelever.common.events import Level, define
+
+LINK_LIMIT = define(
+    1030, "link-limit", Level.WARNING, "link closed, limit reached", "client", "limit"
+)
+ADMIN_CONNECTION_FAILED = define(
+    1031,
+    "admin-connection-failed",
+    Level.WARNING,
+    "connection to the admin listener broke the protocol and was closed",
+    "client",
+    "reason",
+)
+ADMIN_CONNECTION_LIMIT = define(
+    1032,
+    "admin-connection-limit",
+    Level.WARNING,
+    "connection to the admin listener closed, limit reached",
+    "client",
+    "limit",
+)
+INTERNAL_FAULT = define(
+    1040,
+    "internal-fault",
+    Level.ERROR,
+    "fault of the program itself, the process ends",
+    "error",
+    "traceback",
+)
--- /dev/null
+++ b/src/limelever/transport/http_guard.py
@@ -0,0 +1,146 @@
+"""Serves HTTP by hypercorn on trio, guarded connection by connection.
+
+hypercorn's own ``serve`` runs all connections in one nursery, and a DATA frame for a stream that
+is already answered raises ``KeyError`` there: any client could end the process. So each
+connection is run by hypercorn's connection class inside a guard that closes only that one. The
+guard bounds the number of connections too, which ``serve`` does not: at the limit the connection
+that is idle longest makes room, so that nobody's idle connections lock others out. The price is
+that it uses classes that hypercorn does not list as its interface, so its version is pinned.
+"""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.worker_context import WorkerContext
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Address
+from limelever.transport.http_connection import HttpConnection
+from limelever.transport.links import client_name
+from limelever.transport.log import write_event
+
+AsgiApplication = Callable[..., Awaitable[None]]
+Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
+Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
+
+
+@dataclass(frozen=True, slots=True)
+class GuardOptions:
+    """Bounds of a guarded listener, and the events it writes.
+
+    ``failed_event`` carries ``client`` and ``reason``, ``limit_event`` ``client`` and ``limit``.
+    ``stop_limit`` is how many seconds the connections have at a stop.
+    """
+
+    connection_limit: int
+    stop_limit: float
+    failed_event: int
+    limit_event: int
+
+
+async def open_listeners(
+    listen: Address, context: ssl.SSLContext | None, what: str
+) -> list[Listener] | Failure:
+    """Bind an address; ``what`` names the listener in the failure's reason."""
+    try:
+        plain = await trio.open_tcp_listeners(listen.port, host=listen.host)
+    except OSError as error:
+        reason = f"{what} at {listen}: {error.strerror or error}"
+        return Failure(ErrorKind.INVALID_SETTINGS, reason)
+    if context is None:
+        return list(plain)
+    return [trio.SSLListener(listener, context, https_compatible=True) for listener in plain]
+
+
+def bound_address(listeners: Sequence[Listener]) -> Address:
+    """Return the address of the first listener, with the port that was drawn for port 0."""
+    listener: Any = listeners[0]
+    while isinstance(listener, trio.SSLListener):
+        listener = listener.transport_listener
+    host, port = listener.socket.getsockname()[:2]
+    return Address(host, port)
+
+
+async def serve_guarded(
+    application: AsgiApplication,
+    listeners: Sequence[Listener],
+    config: Config,
+    options: GuardOptions,
+    shutdown: trio.Event,
+) -> None:
+    """Serve until ``shutdown``, then finish what is in flight within ``options.stop_limit``."""
+    guard = _Guard(application, config, options)
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            serve = partial(trio.serve_listeners, handler_nursery=connections)
+            accepting.start_soon(serve, guard.run, list(listeners))
+            await shutdown.wait()
+            accepting.cancel_scope.cancel()
+        await guard.context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + options.stop_limit
+
+
+class _Guard:
+    """Runs hypercorn's side of each connection and keeps its faults to that connection."""
+
+    def __init__(self, application: AsgiApplication, config: Config, options: GuardOptions) -> None:
+        self.context = WorkerContext(None)
+        self._application = ASGIWrapper(application)
+        self._config = config
+        self._options = options
+        self._open: set[HttpConnection] = set()
+
+    async def run(self, stream: Stream) -> None:
+        """Serve one connection to its end."""
+        if len(self._open) >= self._options.connection_limit and not await self._make_room():
+            self._report_limit(stream)
+            await trio.aclose_forcefully(stream)
+            return
+        connection = HttpConnection(self._application, self._config, self.context, stream)
+        self._open.add(connection)
+        try:
+            await self._serve(connection)
+        finally:
+            self._open.discard(connection)
+
+    async def _make_room(self) -> bool:
+        """Close the connection that is idle longest; return whether there was one."""
+        idle = [(c.idle_since, c) for c in self._open if c.idle_since is not None]
+        if not idle:
+            return False
+        _, longest = min(idle, key=lambda pair: pair[0])
+        self._open.discard(longest)
+        self._report_limit(longest.stream)
+        await trio.aclose_forcefully(longest.stream)
+        return True
+
+    def _report_limit(self, stream: Stream) -> None:
+        fields: dict[str, object] = {
+            "client": client_name(stream),
+            "limit": self._options.connection_limit,
+        }
+        write_event(self._options.limit_event, fields)
+
+    async def _serve(self, connection: HttpConnection) -> None:
+        client = client_name(connection.stream)
+        try:
+            await connection.run()
+        except* Exception as group:
+            await trio.aclose_forcefully(connection.stream)
+            fields: dict[str, object] = {"client": client, "reason": _first_reason(group)}
+            write_event(self._options.failed_event, fields)
+
+
+def _first_reason(group: BaseExceptionGroup[BaseException]) -> str:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return f"{type(error).__name__}: {error}"
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -1,11 +1,10 @@
-"""Links: framed protobuf over a trio stream, with the hello that opens each of them."""
+"""Links: framed protobuf over a trio stream, and how they are dialled."""
 
 from __future__ import annotations
 
-import hmac
 import ssl
-from collections import deque
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 from google.protobuf.message import Message
@@ -13,11 +12,14 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.framing import FrameReader, decode_payload, encode_frame
 from limelever.common.sansio import Address, Peer, Purpose, Role
-from limelever.common.settings import AcceptedCredential, LinkSettings, seconds
+from limelever.common.settings import LinkSettings, seconds
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
 from limelever.transport.metrics import LINK_BYTES, LINK_FRAMES, LINKS_OPEN
 
 PROTOCOL_VERSION = 1
+HELLO_LIMIT_BYTES = 16 * 1024
+"""Largest frame before the hello is accepted: an unknown peer costs no more memory than this."""
+
 _RECEIVE_CHUNK = 65536
 _CLOSE_GRACE = 2.0
 
@@ -42,8 +44,7 @@
         self.purpose = ""
         self._stream = stream
         self._settings = settings
-        self._reader = FrameReader(settings.frame_limit_bytes)
-        self._received: deque[Message] = deque()
+        self._reader = FrameReader(min(HELLO_LIMIT_BYTES, settings.frame_limit_bytes))
         self._outgoing: list[bytes] = []
         self._queued_bytes = 0
         self._wake = trio.Event()
@@ -58,6 +59,10 @@
         self._frames_in = LINK_FRAMES.labels(purpose, "in")
         self._frames_out = LINK_FRAMES.labels(purpose, "out")
 
+    def lift_limit(self) -> None:
+        """Allow frames of the size in the settings, once the peer's hello is accepted."""
+        self._reader.limit = self._settings.frame_limit_bytes
+
     def send(self, message: Message) -> bool:
         """Queue a message; return ``False`` when the peer reads too slowly for the bound."""
         frame = encode_frame(message, self._settings.compress_from_bytes)
@@ -101,25 +106,27 @@
 
     async def receive(self) -> Message | Failure | None:
         """Return the next message, a failure for a malformed one, ``None`` at the end."""
-        while not self._received:
+        while True:
+            message = self.receive_nowait()
+            if message is not None:
+                return message
             data = await self._stream.receive_some(_RECEIVE_CHUNK)
             if not data:
                 return None
             self._bytes_in.inc(len(data))
-            payloads = self._reader.feed(data)
-            if isinstance(payloads, Failure):
-                return payloads
-            for payload in payloads:
-                message = decode_payload(payload, self._settings.frame_limit_bytes)
-                if isinstance(message, Failure):
-                    return message
-                self._received.append(message)
-            self._frames_in.inc(len(payloads))
-        return self._received.popleft()
-
-    def receive_nowait(self) -> Message | None:
-        """Return a message that is already here, or ``None``."""
-        return self._received.popleft() if self._received else None
+            self._reader.feed(data)
+
+    def receive_nowait(self) -> Message | Failure | None:
+        """Return a message whose bytes are already here, a failure, or ``None``.
+
+        Frames are parsed one at a time: many small compressed ones in a chunk would otherwise
+        take many times the limit of one when inflated together.
+        """
+        payload = self._reader.next_payload()
+        if payload is None or isinstance(payload, Failure):
+            return payload
+        self._frames_in.inc()
+        return decode_payload(payload, self._reader.limit)
 
     async def flush_and_close(self) -> None:
         """Send what is queued within a short grace, then close."""
@@ -143,6 +150,24 @@
         LINKS_OPEN.labels(self.purpose).dec()
 
 
+def reason_of(error: BaseException) -> str:
+    """Return why a stream broke; trio keeps TLS's own words in the cause."""
+    cause = error.__cause__
+    if isinstance(error, trio.BrokenResourceError) and cause is not None:
+        return str(cause) or type(cause).__name__
+    return str(error) or type(error).__name__
+
+
+def client_name(stream: trio.abc.Stream) -> str:
+    """Return ``host:port`` of a stream's other end, ``gone`` when it has none any more."""
+    inner: Any = stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
+    try:
+        host, port = inner.socket.getpeername()[:2]
+    except (OSError, AttributeError):
+        return "gone"
+    return f"{host}:{port}"
+
+
 async def dial(
     address: Address,
     purpose: Purpose,
@@ -166,7 +191,7 @@
             await link.flush_and_close()
             return answer
         except (OSError, trio.BrokenResourceError, ssl.SSLError) as error:
-            reason = str(error) or type(error).__name__
+            reason = reason_of(error)
         except BaseException:
             if stream is not None:
                 with trio.CancelScope(shield=True):
@@ -205,6 +230,7 @@
         return Failure(ErrorKind.PROTOCOL_VIOLATION, "answered the hello with another message")
     if not answer.accepted:
         return Failure(_kind(answer.kind), answer.reason)
+    link.lift_limit()
     role = Role(answer.role) if answer.role in set(Role) else Role.SOURCE
     link.peer = Peer(role, answer.name, answer.zone, purpose, answer.identity, answer.incarnation)
     return link
@@ -215,66 +241,3 @@
         return ErrorKind(name)
     except ValueError:
         return ErrorKind.PROTOCOL_VIOLATION
-
-
-async def accept(
-    stream: trio.abc.Stream,
-    identity: LinkIdentity,
-    settings: LinkSettings,
-    accepted: tuple[AcceptedCredential, ...],
-    purposes: frozenset[Purpose],
-) -> Link | Failure:
-    """Read and answer a hello; return the link with its peer, or why it was refused."""
-    link = Link(stream, settings)
-    link.count_as("hello")
-    verdict: Peer | Failure = Failure(ErrorKind.PROTOCOL_VIOLATION, "no hello in time")
-    with trio.move_on_after(seconds(settings.hello_timeout_ms)):
-        verdict = judge_hello(await link.receive(), accepted, purposes)
-    if isinstance(verdict, Failure):
-        link.send(HelloAnswer(accepted=False, kind=verdict.kind.value, reason=verdict.reason))
-        await link.flush_and_close()
-        return verdict
-    link.peer = verdict
-    link.count_as(verdict.purpose.value)
-    link.send(
-        HelloAnswer(
-            accepted=True,
-            name=identity.name,
-            zone=identity.zone,
-            incarnation=identity.incarnation,
-            role=identity.role.value,
-            identity=identity.identity,
-        )
-    )
-    return link
-
-
-def judge_hello(
-    message: Message | Failure | None,
-    accepted: tuple[AcceptedCredential, ...],
-    purposes: frozenset[Purpose],
-) -> Peer | Failure:
-    """Check protocol, credential and purpose of a hello, in constant time per credential."""
-    if isinstance(message, Failure):
-        return message
-    if not isinstance(message, Hello):
-        return Failure(ErrorKind.PROTOCOL_VIOLATION, "the first message must be a hello")
-    if message.protocol != PROTOCOL_VERSION:
-        return Failure(
-            ErrorKind.PROTOCOL_VIOLATION, f"protocol {message.protocol} is not spoken here"
-        )
-    known = [
-        entry
-        for entry in accepted
-        if entry.role.value == message.role
-        and hmac.compare_digest(entry.credential.encode(), message.credential.encode())
-    ]
-    if not known:
-        return Failure(ErrorKind.UNAUTHENTICATED, f"unknown credential for role {message.role!r}")
-    if message.purpose not in {purpose.value for purpose in purposes}:
-        return Failure(
-            ErrorKind.PERMISSION_DENIED, f"purpose {message.purpose!r} is not served here"
-        )
-    return Peer(
-        known[0].role, message.name, message.zone, Purpose(message.purpose), message.identity
-    )
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -11,7 +11,9 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Purpose
 from limelever.common.settings import AcceptedCredential, LinkSettings
-from limelever.transport.links import LinkIdentity, accept
+from limelever.transport.events import LINK_LIMIT
+from limelever.transport.hello import accept
+from limelever.transport.links import LinkIdentity, client_name, reason_of
 from limelever.transport.log import write_event
 from limelever.transport.runner import CoreRunner
 
@@ -62,7 +64,10 @@
         self._scope.cancel()
 
     async def _handle(self, stream: trio.abc.Stream) -> None:
+        client = client_name(stream)
         if self._open >= self.settings.connections:
+            fields: dict[str, object] = {"client": client, "limit": self.settings.connections}
+            write_event(LINK_LIMIT, fields)
             await trio.aclose_forcefully(stream)
             return
         self._open += 1
@@ -74,18 +79,18 @@
                     server_side=True,
                     https_compatible=True,
                 )
-            await self._serve(stream)
+            await self._serve(stream, client)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            _refused("(unknown)", Failure(ErrorKind.CONNECTION_LOST, str(error)))
+            _refused(client, Failure(ErrorKind.CONNECTION_LOST, reason_of(error)))
         finally:
             self._open -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve(self, stream: trio.abc.Stream) -> None:
+    async def _serve(self, stream: trio.abc.Stream, client: str) -> None:
         purposes = frozenset(self.runners)
         link = await accept(stream, self.identity, self.settings, self.accepted, purposes)
         if isinstance(link, Failure):
-            _refused("(unknown)", link)
+            _refused(client, link)
             return
         assert link.peer is not None
         await self.runners[link.peer.purpose].serve(link)
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -4,15 +4,18 @@
 
 import signal
 import ssl
+import sys
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import trio
 
 from limelever.common import events
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Core, Output, Purpose
 from limelever.common.settings import ProcessSettings, seconds
 from limelever.transport.admin import serve_admin
+from limelever.transport.faults import report_fault
 from limelever.transport.links import LinkIdentity
 from limelever.transport.listener import LinkListener
 from limelever.transport.log import configure_logging, write_event
@@ -136,33 +139,36 @@
     ``main`` builds its cores, serves, waits for ``stop_requested``, finishes what is in
     flight and returns. SIGTERM and SIGINT request the stop; a second signal ends at once.
     """
-    configure_logging(settings.log, settings.role.value, settings.name)
+    try:
+        configure_logging(settings.log, settings.role.value, settings.name)
+    except OSError as error:
+        print(f"log.file: {settings.log.file}: {error.strerror or error}", file=sys.stderr)
+        return EXIT_FAILED
     fields: dict[str, object] = {"role": settings.role.value, "name": settings.name}
     write_event(events.PROCESS_STARTED, fields)
     status = EXIT_OK
     try:
         trio.run(_run, settings, main, incarnation, identity)
-    except BaseExceptionGroup as group:
-        status = _report_failure(group)
+    except BaseException as error:
+        status = _report_failure(error)
     write_event(events.PROCESS_STOPPED, {"status": status})
     return status
 
 
-def _report_failure(group: BaseExceptionGroup[BaseException]) -> int:
-    failed, others = group.split(ProcessFailedError)
-    if others is not None:
-        raise others
-    assert failed is not None
-    for error in _leaves(failed):
-        write_event(events.PROCESS_FAILED, {"reason": str(error)})
+def _report_failure(error: BaseException) -> int:
+    """Write why the process ends; whatever is not a failure is a fault of the program."""
+    for leaf in _leaves(error):
+        if isinstance(leaf, ProcessFailedError):
+            write_event(events.PROCESS_FAILED, {"reason": str(leaf)})
+        elif not isinstance(leaf, trio.Cancelled):
+            write_event(events.PROCESS_FAILED, {"reason": str(report_fault(leaf))})
     return EXIT_FAILED
 
 
-def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
-    found: list[BaseException] = []
-    for error in group.exceptions:
-        found.extend(_leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
-    return found
+def _leaves(error: BaseException) -> list[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for child in error.exceptions for leaf in _leaves(child)]
 
 
 async def _run(settings: ProcessSettings, main: RoleMain, incarnation: int, identity: str) -> None:
@@ -171,17 +177,16 @@
         nursery.start_soon(shell.wait_failed)
         await nursery.start(_watch_signals, shell)
         if settings.admin is not None:
-            nursery.start_soon(_serve_admin, shell, settings.admin)
+            await _start_admin(shell, settings.admin)
         await main(shell)
         nursery.cancel_scope.cancel()
 
 
-async def _serve_admin(shell: ProcessShell, address: Address) -> None:
-    try:
-        await serve_admin(address, lambda: shell.ready)
-    except* OSError as group:
-        reason = f"cannot listen on {address}: {group.exceptions[0]}"
-        shell.fail(Failure(ErrorKind.INVALID_SETTINGS, reason))
+async def _start_admin(shell: ProcessShell, address: Address) -> None:
+    serve = partial(serve_admin, address, lambda: shell.ready)
+    bound: Address | Failure = await shell.nursery.start(serve)
+    if isinstance(bound, Failure):
+        raise ProcessFailedError(bound)
 
 
 async def _watch_signals(
--- a/src/limelever/transport/runner.py
+++ b/src/limelever/transport/runner.py
@@ -37,7 +37,8 @@
     WriteCompleted,
 )
 from limelever.common.settings import LinkSettings
-from limelever.transport.links import Link, LinkIdentity, dial
+from limelever.transport.faults import report_fault
+from limelever.transport.links import Link, LinkIdentity, dial, reason_of
 from limelever.transport.log import write_event
 
 DiskWrite = AppendLog | TruncateLog | ResetLog | ReplaceFile
@@ -76,6 +77,7 @@
         self._last_accepted = -1
         self._events: deque[Event] = deque()
         self._handling = False
+        self._stopped = False
         self._writes: list[DiskWrite] = []
         self._writes_wake = trio.Event()
         self._timer_wake = trio.Event()
@@ -92,21 +94,36 @@
             task_status.started()
 
     def post(self, event: Event) -> None:
-        """Give the core an event; safe to call from within ``on_output``."""
+        """Give the core an event; safe to call from within ``on_output``.
+
+        After a fault in the core events are dropped: its state can no longer be trusted.
+        """
         self._events.append(event)
         if self._handling:
             return
         self._handling = True
         try:
-            while self._events:
+            while self._events and not self._stopped:
                 self._step(self._events.popleft())
         finally:
             self._handling = False
+        if self._stopped:
+            self._events.clear()
+            return
         self._arm_timer()
 
     def _step(self, event: Event) -> None:
-        for output in self._core.handle(event, trio.current_time()):
-            self._perform(output)
+        """Let the core handle one event; a fault in it stops the core and the process.
+
+        The event may come from a task that a library guards, such as a request of a caller.
+        The fault is caught here so that it cannot be swallowed there.
+        """
+        try:
+            for output in self._core.handle(event, trio.current_time()):
+                self._perform(output)
+        except Exception as error:
+            self._stopped = True
+            self._on_failure(report_fault(error))
 
     def _perform(self, output: Output) -> None:
         match output:
@@ -210,7 +227,7 @@
             try:
                 message = await link.receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-                return f"broken: {error}"
+                return f"broken: {reason_of(error)}"
             while message is not None:
                 if connection not in self._links:
                     return "closed here"
