Let the experiments run against today's source, and name the code and the disk bytes

Cause: the source now refuses secrets that are not visible ASCII, so every experiment failed in its first batch (run: bench convergence, RuntimeError invalid-request). A result did not say which code gave it. The baseline was driven at the pace of scoped deltas and its pushes piled up in the hollow processes (trial at 100 nodes: p50 453 ms, max 2,683 ms).

Change: secrets in hexadecimal; commit and count of changed files in each result; disk bytes by role; lines for scoped changes, the leader and disk; the baseline gets a change each 3 s, and processor time is compared a change, not a second.

--- a/src/limelever_lab/bench/control_bytes.py
+++ b/src/limelever_lab/bench/control_bytes.py
@@ -9,11 +9,11 @@
 from limelever_lab.bench.hollow_fleet import HollowFleet, relay_addresses
 from limelever_lab.bench.ladder import (
     CHANGES,
-    PAUSE_SECONDS,
     QUIET_SECONDS,
     SETTLE_SECONDS,
     Step,
     climb,
+    processor_per_change,
     slopes,
 )
 from limelever_lab.bench.linear_fit import LinearFit
@@ -25,6 +25,9 @@
 """Nodes beyond which the baseline is not run: it decodes the whole set on every node."""
 
 MISSED_CHANGES = 30
+BASELINE_CHANGES = 4
+BASELINE_PAUSE_SECONDS = 3.0
+"""Longer than between scoped changes, so that pushes do not pile up in the hollow processes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,13 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BaselineFigures:
-    """The full push at ``nodes``: quiet, and changes to one common resource."""
+    """The full push at ``nodes``: quiet, and changes to one common resource.
+
+    ``publisher_processor_per_change`` is a publisher's core seconds, less those in quiet.
+    """
 
     nodes: int
     quiet: Usage
     changing: Usage
     convergence: ConvergenceFigures
-    publisher_processor_each: float
+    publisher_processor_per_change: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,14 +132,19 @@
         wait_for(SETTLE_SECONDS)
         meter = UsageMeter(testbed.fleet, hollow)
         meter.start()
+        idle = publishers.processor_seconds()
         wait_for(QUIET_SECONDS)
         quiet = meter.stop()
-        before = sum(member.process.processor_seconds() for member in publishers.members)
+        idle = publishers.processor_seconds() - idle
+        before = publishers.processor_seconds()
         meter.start()
-        figures = measure_changes(hollow, testbed.change_common, CHANGES, PAUSE_SECONDS)
+        figures = measure_changes(
+            hollow, testbed.change_common, BASELINE_CHANGES, BASELINE_PAUSE_SECONDS
+        )
         changing = meter.stop()
-        after = sum(member.process.processor_seconds() for member in publishers.members)
-        each = (after - before) / len(publishers.members) / changing.seconds
+        spent = publishers.processor_seconds() - before
+        spent -= idle / quiet.seconds * changing.seconds
+        each = spent / len(publishers.members) / BASELINE_CHANGES
         return BaselineFigures(nodes, quiet, changing, figures, each)
 
 
@@ -151,7 +162,7 @@
     if baseline is None or not matching:
         return ()
     step = matching[0]
-    pushed = bytes_per_change(baseline.changing, baseline.quiet)
+    pushed = bytes_per_change(baseline.changing, baseline.quiet, BASELINE_CHANGES)
     at = f"at {step.nodes} nodes"
     return (
         Ratio(
@@ -175,8 +186,8 @@
             pushed,
         ),
         Ratio(
-            f"processor of a publisher {at}, cores while changes go out",
-            step.common_use.role("relay").processor_each,
-            baseline.publisher_processor_each,
+            f"core seconds of a publisher for a change that reaches all {at}",
+            processor_per_change(step.common_use, step, "relay"),
+            baseline.publisher_processor_per_change,
         ),
     )
--- a/src/limelever_lab/bench/ladder.py
+++ b/src/limelever_lab/bench/ladder.py
@@ -72,7 +72,28 @@
             "relay processor for a change that reaches all",
             "core seconds",
             each,
-            [_per_change(use, quiet) for use, quiet in zip(changing, steps, strict=True)],
+            [
+                processor_per_change(use, step, "relay")
+                for use, step in zip(changing, steps, strict=True)
+            ],
+        ),
+        fit(
+            "relay processor for a change that reaches few",
+            "core seconds",
+            each,
+            [processor_per_change(step.scoped_use, step, "relay") for step in steps],
+        ),
+        fit(
+            "source leader processor for a change",
+            "core seconds",
+            nodes,
+            [_leader_per_change(step.scoped_use, step) for step in steps],
+        ),
+        fit(
+            "source disk bytes written for a change, each replica",
+            "B",
+            nodes,
+            [step.scoped_use.role("source").written_bytes_each / CHANGES for step in steps],
         ),
         fit(
             "hollow processor in quiet",
@@ -95,7 +116,13 @@
     )
 
 
-def _per_change(use: Usage, step: Step) -> float:
-    """Return a relay's processor seconds for one change, less what it uses in quiet."""
-    extra = use.role("relay").processor_each - step.quiet.role("relay").processor_each
+def processor_per_change(use: Usage, step: Step, role: str) -> float:
+    """Return a process's processor seconds for one change, less what it uses in quiet."""
+    extra = use.role(role).processor_each - step.quiet.role(role).processor_each
+    return extra * use.seconds / CHANGES
+
+
+def _leader_per_change(use: Usage, step: Step) -> float:
+    """Return the busiest replica's processor seconds for one change, less those in quiet."""
+    extra = use.role("source").largest_processor - step.quiet.role("source").largest_processor
     return extra * use.seconds / CHANGES
--- a/src/limelever_lab/bench/machine.py
+++ b/src/limelever_lab/bench/machine.py
@@ -4,6 +4,7 @@
 
 import os
 import platform
+import subprocess
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -25,9 +26,26 @@
         return cls(round(one, 2), round(five, 2), available_bytes())
 
 
+@dataclass(frozen=True, slots=True)
+class CodeState:
+    """The commit that was run, and how many tracked files differed from it; ``-`` if unknown."""
+
+    commit: str
+    changed_files: int
+
+    @classmethod
+    def now(cls) -> CodeState:
+        """Ask git about the folder that this module stands in."""
+        commit = _git("rev-parse", "HEAD").strip()
+        changes = _git("status", "--porcelain", "--untracked-files=no")
+        return cls(commit or "-", len(changes.splitlines()))
+
+
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """What the run had: processors, interpreter, and the load before and after it."""
+    """What the run had: code, processors, interpreter, and the load before and after it."""
+
+    code: CodeState
 
     processors: int
     interpreter: str
@@ -38,6 +56,7 @@
 def machine_since(before: MachineLoad) -> Machine:
     """Describe the machine at the end of a run that began with ``before``."""
     return Machine(
+        code=CodeState.now(),
         processors=os.cpu_count() or 1,
         interpreter=f"{platform.python_implementation()} {platform.python_version()}",
         before=before,
@@ -51,3 +70,15 @@
         if line.startswith("MemAvailable:"):
             return int(line.split()[1]) * KIBIBYTE
     return 0
+
+
+def _git(*arguments: str) -> str:
+    """Return what git prints; nothing where there is no git or no repository."""
+    folder = Path(__file__).parent
+    try:
+        done = subprocess.run(
+            ["git", "-C", str(folder), *arguments], capture_output=True, text=True
+        )
+    except FileNotFoundError:
+        return ""
+    return done.stdout
--- a/src/limelever_lab/bench/resources.py
+++ b/src/limelever_lab/bench/resources.py
@@ -16,7 +16,9 @@
 )
 
 GROUPS = ("north", "south", "night")
-SECRET_BYTES = 32
+SECRET_BYTES = 16
+"""Random bytes of a secret's value, which is written in hexadecimal: a header's value is text."""
+
 LARGEST_WEIGHT = 1000
 
 
@@ -29,7 +31,7 @@
     """Return a service with two routes, three shares and a secret, secret and service first."""
     name = service_name(number)
     secret = f"{name}-token"
-    value = generator.randbytes(SECRET_BYTES)
+    value = generator.randbytes(SECRET_BYTES).hex().encode()
     yield Resource(secret=Secret(name=secret, header=f"x-{name}", value=value))
     yield Resource(service=Service(name=name, drain_limit_ms=10000, max_body_bytes=1 << 16))
     yield route_resource(number, 3000)
--- a/src/limelever_lab/bench/usage.py
+++ b/src/limelever_lab/bench/usage.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 
 from limelever_lab.bench.hollow_fleet import HollowFleet, HollowTotals, total
 from limelever_lab.fleet.fleet import Fleet
@@ -13,7 +14,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RoleUsage:
-    """Use of one role's processes; processor as a part of a core, memory and bytes of each."""
+    """Use of one role's processes, of each: part of a core, memory, control and disk bytes.
+
+    ``largest_processor`` is the busiest process's: for the source, mostly the leader's.
+    ``data_folder_growth_each`` counts what the files grew by and may be negative after a
+    compaction; ``written_bytes_each`` is what the kernel was made to write to storage, in pages.
+    """
 
     role: str
     processes: int
@@ -21,6 +27,8 @@
     largest_processor: float
     resident_bytes_each: float
     control_bytes_per_second_each: float
+    data_folder_growth_each: float
+    written_bytes_each: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +64,8 @@
 class _MemberState:
     processor: float
     control_bytes: float
+    data_folder_bytes: int
+    written_bytes: int
 
 
 class UsageMeter:
@@ -93,9 +103,11 @@
         parts = [
             (after[m.name].processor - self._before[m.name].processor) / seconds for m in members
         ]
-        moved = sum(after[m.name].control_bytes for m in members) - sum(
-            self._before[m.name].control_bytes for m in members
-        )
+        before = [self._before[member.name] for member in members]
+        pairs = list(zip(before, (after[member.name] for member in members), strict=True))
+        moved = sum(now.control_bytes - then.control_bytes for then, now in pairs)
+        grown = sum(now.data_folder_bytes - then.data_folder_bytes for then, now in pairs)
+        written = sum(now.written_bytes - then.written_bytes for then, now in pairs)
         count = len(members)
         return RoleUsage(
             role=role,
@@ -104,6 +116,8 @@
             largest_processor=max(parts),
             resident_bytes_each=sum(m.process.resident_bytes() for m in members) / count,
             control_bytes_per_second_each=moved / seconds / count,
+            data_folder_growth_each=grown / count,
+            written_bytes_each=written / count,
         )
 
     def _hollow_usage(self, after: HollowTotals, seconds: float) -> HollowUsage:
@@ -124,4 +138,20 @@
 
 
 def _state(member: Member) -> _MemberState:
-    return _MemberState(member.process.processor_seconds(), member.control_bytes())
+    return _MemberState(
+        processor=member.process.processor_seconds(),
+        control_bytes=member.control_bytes(),
+        data_folder_bytes=_folder_bytes(member.data_folder),
+        written_bytes=member.process.written_bytes(),
+    )
+
+
+def _folder_bytes(folder: Path) -> int:
+    """Return the bytes of all files; one that goes away meanwhile counts as nothing."""
+    sizes = 0
+    for path in folder.rglob("*"):
+        try:
+            sizes += path.stat().st_size if path.is_file() else 0
+        except FileNotFoundError:
+            continue
+    return sizes
--- a/src/limelever_lab/fleet/processes.py
+++ b/src/limelever_lab/fleet/processes.py
@@ -94,6 +94,13 @@
         fields = text.rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    def written_bytes(self) -> int:
+        """Return the bytes that the process caused to be written to storage."""
+        if self._process is None or not self.running:
+            return 0
+        text = Path(f"/proc/{self._process.pid}/io").read_text()
+        return int(text.partition("\nwrite_bytes:")[2].split()[0])
+
     def log_tail(self, lines: int = 20) -> str:
         """Return the last lines of the log."""
         if not self.log_file.exists():
