Check settings whole: clashes beside wrong keys, lists, repeated addresses

Change: a package, a module a job: problems, checks of values, sections of every role, structure (cattrs), clashes, reader. Rules between keys are data (Clash: keys, reason, holds) and are asked whenever the keys they name are sound. New rules: addresses, services and peers named twice, port 0 where an address is dialled, stale_after against the probe interval in the proxy, operators' names. The catalogue of events takes *events modules in, so that the operators' ones (2500 to 2504) are on the page.

Ruled out: a validator of our own in place of cattrs.

--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import operator
 from typing import ClassVar
 
 import attrs
 
 from limelever.common.sansio import Address, Role
-from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+from limelever.common.settings import (
+    Clash,
+    ProcessSettings,
+    between,
+    dialled,
+    distinct,
+    not_empty,
+)
 
 
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The back end beside the agent and how it is reached."""
 
-    address: Address
+    address: Address = attrs.field(validator=dialled)
     slots: int = attrs.field(default=6, validator=between(1, 1024))
     connections: int = attrs.field(default=130, validator=between(1, 4096))
     connect_timeout_ms: int = attrs.field(default=1000, validator=between(10, 60000))
@@ -57,23 +65,21 @@
     """Settings of one agent, which stands beside one instance of one service."""
 
     ROLE: ClassVar[Role] = Role.AGENT
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(
+            ("queue.max_body_bytes", "queue.total_bytes"),
+            "must not exceed queue.total_bytes",
+            operator.le,
+        ),
+        Clash(("drain.limit_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
+    )
 
     service: str = attrs.field(validator=not_empty)
     listen: Address
-    advertise: Address | None = None
-    relays: tuple[Address, ...] = attrs.field(validator=not_empty)
+    advertise: Address | None = attrs.field(default=None, validator=dialled)
+    relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
     backend: BackendSettings
     probe: ProbeSettings = ProbeSettings()
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
-
-    def clashes(self) -> list[SettingsProblem]:
-        """Return what is wrong between keys."""
-        problems = super().clashes()
-        if self.queue.max_body_bytes > self.queue.total_bytes:
-            problems.append(
-                SettingsProblem("", "queue.max_body_bytes", "must not exceed queue.total_bytes")
-            )
-        if self.drain.limit_ms > self.stop_limit_ms:
-            problems.append(SettingsProblem("", "drain.limit_ms", "must not exceed stop_limit_ms"))
-        return problems
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -70,7 +70,8 @@
     known = {role.value: role for role in PROCESS_ROLES}
     role = known.get(str(table.get("role")))
     if role is None:
-        reason = f"must be one of {', '.join(known)}, is {table.get('role')!r}"
+        shown = "missing" if "role" not in table else f'"{table["role"]}"'
+        reason = f"must be one of {', '.join(known)}, is {shown}"
         return SettingsProblems((SettingsProblem(str(path), "role", reason),))
     settings = load_settings(path, settings_class(role), overrides)
     return settings if isinstance(settings, SettingsProblems) else (role, settings)
--- /dev/null
+++ b/src/limelever/common/settings/sections.py
@@ -0,0 +1,97 @@
+"""The sections of settings that every role has."""
+
+from __future__ import annotations
+
+from typing import ClassVar, Literal
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings.checks import between, not_empty
+from limelever.common.settings.problems import Clash
+
+MILLISECONDS = 1000.0
+
+
+def seconds(milliseconds: float) -> float:
+    """Convert milliseconds to seconds."""
+    return milliseconds / MILLISECONDS
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """TLS of every link and listener; all three files, or none for cleartext."""
+
+    certificate: str = ""
+    key: str = ""
+    authority: str = ""
+
+    @property
+    def enabled(self) -> bool:
+        """Return whether links are to be encrypted."""
+        return bool(self.certificate)
+
+
+@attrs.frozen(kw_only=True)
+class LogSettings:
+    """Where log events go; an empty file means standard error."""
+
+    format: Literal["json", "text"] = "json"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    file: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class AcceptedCredential:
+    """A credential with which processes of one role may open links to this one."""
+
+    role: Role
+    credential: str = attrs.field(validator=not_empty, repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class CredentialSettings:
+    """The credential this process presents, and those it accepts."""
+
+    own: str = attrs.field(default="", repr=False)
+    accepted: tuple[AcceptedCredential, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class LinkSettings:
+    """Bounds of links between the system's own processes."""
+
+    frame_limit_bytes: int = attrs.field(default=16 << 20, validator=between(4096, 256 << 20))
+    send_queue_bytes: int = attrs.field(default=32 << 20, validator=between(65536, 1 << 30))
+    hello_timeout_ms: int = attrs.field(default=3000, validator=between(10, 60000))
+    dial_timeout_ms: int = attrs.field(default=3000, validator=between(10, 60000))
+    compress_from_bytes: int = attrs.field(default=0, validator=between(0, 1 << 30))
+    connections: int = attrs.field(default=4096, validator=between(1, 65536))
+
+
+def _all_or_none(*files: str) -> bool:
+    return all(files) or not any(files)
+
+
+@attrs.frozen(kw_only=True)
+class ProcessSettings:
+    """Settings every role has; ``CLASHES`` are the rules between keys, subclasses add theirs."""
+
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        Clash(
+            ("tls", "tls.certificate", "tls.key", "tls.authority"),
+            "needs certificate, key and authority, or none",
+            lambda _tls, *files: _all_or_none(*files),
+        ),
+    )
+
+    role: Role
+    name: str = attrs.field(validator=not_empty)
+    zone: str = attrs.field(validator=not_empty)
+    data_folder: str = ""
+    admin: Address | None = None
+    stop_limit_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
+    tls: TlsSettings = TlsSettings()
+    log: LogSettings = LogSettings()
+    credentials: CredentialSettings = CredentialSettings()
+    links: LinkSettings = LinkSettings()
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import operator
 from typing import ClassVar
 
 import attrs
 
 from limelever.common.sansio import Address, Role
-from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+from limelever.common.settings import (
+    Clash,
+    ProcessSettings,
+    between,
+    dialled,
+    distinct,
+    not_empty,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -66,29 +74,44 @@
     """Settings of one proxy; ``services`` is the scope of its configuration."""
 
     ROLE: ClassVar[Role] = Role.PROXY
-
-    services: tuple[str, ...] = attrs.field(validator=not_empty)
-    relays: tuple[Address, ...] = attrs.field(validator=not_empty)
-    keepers: tuple[Address, ...] = ()
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(
+            ("edge.certificate", "edge.key"),
+            "TLS needs certificate and key, or none",
+            lambda certificate, key: bool(certificate) == bool(key),
+        ),
+        Clash(
+            ("edge.max_body_bytes", "edge.buffered_bytes"),
+            "must not exceed edge.buffered_bytes",
+            operator.le,
+        ),
+        Clash(
+            ("calls.max_answer_bytes", "calls.assembly_bytes"),
+            "must not exceed calls.assembly_bytes",
+            operator.le,
+        ),
+        Clash(
+            ("balancing.first_ejection_ms", "balancing.longest_ejection_ms"),
+            "must not exceed balancing.longest_ejection_ms",
+            operator.le,
+        ),
+        Clash(
+            ("configuration.stale_after_ms", "configuration.probe_interval_ms"),
+            "must exceed configuration.probe_interval_ms",
+            operator.gt,
+        ),
+        Clash(
+            ("keepers",),
+            "must be an odd number of keepers",
+            lambda keepers: not keepers or len(keepers) % 2 == 1,
+        ),
+    )
+
+    services: tuple[str, ...] = attrs.field(validator=[not_empty, distinct])
+    relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
+    keepers: tuple[Address, ...] = attrs.field(default=(), validator=[distinct, dialled])
     edge: EdgeSettings
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
-
-    def clashes(self) -> list[SettingsProblem]:
-        """Return what is wrong between keys."""
-        problems = super().clashes()
-        if bool(self.edge.certificate) != bool(self.edge.key):
-            problems.append(SettingsProblem("", "edge", "TLS needs certificate and key, or none"))
-        if self.edge.max_body_bytes > self.edge.buffered_bytes:
-            reason = "must not exceed edge.buffered_bytes"
-            problems.append(SettingsProblem("", "edge.max_body_bytes", reason))
-        if self.calls.max_answer_bytes > self.calls.assembly_bytes:
-            reason = "must not exceed calls.assembly_bytes"
-            problems.append(SettingsProblem("", "calls.max_answer_bytes", reason))
-        if self.balancing.first_ejection_ms > self.balancing.longest_ejection_ms:
-            reason = "must not exceed balancing.longest_ejection_ms"
-            problems.append(SettingsProblem("", "balancing.first_ejection_ms", reason))
-        if len(self.keepers) % 2 == 0 and self.keepers:
-            problems.append(SettingsProblem("", "keepers", "must be an odd number of keepers"))
-        return problems
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -2,13 +2,27 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
+import operator
+from typing import Any, ClassVar
 
 import attrs
 
 from limelever.common.sansio import Address, Role
-from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
-from limelever.relay.sealing import SnapshotSealer
+from limelever.common.settings import (
+    Clash,
+    ProcessSettings,
+    between,
+    dialled,
+    distinct,
+    not_empty,
+)
+from limelever.relay.sealing import KEY_BYTES, SnapshotSealer
+
+
+def sealing_keys(_instance: Any, _attribute: Any, value: tuple[str, ...]) -> None:
+    """Check that keys are base64 of the right length, without showing them."""
+    if value and not isinstance(SnapshotSealer.from_texts(value), SnapshotSealer):
+        raise ValueError(f"must be base64 of {KEY_BYTES} bytes each")
 
 
 @attrs.frozen(kw_only=True)
@@ -48,9 +62,9 @@
 
 @attrs.frozen(kw_only=True)
 class PlatformListSettings:
-    """Where the platform's list of machines is read; an empty host turns it off."""
+    """Where the platform's list of machines is read; without an address it is not read."""
 
-    address: Address | None = None
+    address: Address | None = attrs.field(default=None, validator=dialled)
     path: str = attrs.field(default="/machines", validator=not_empty)
     interval_ms: int = attrs.field(default=3000, validator=between(100, 600000))
     timeout_ms: int = attrs.field(default=2000, validator=between(10, 60000))
@@ -61,29 +75,25 @@
     """Settings of one relay."""
 
     ROLE: ClassVar[Role] = Role.RELAY
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(
+            ("endpoints.silent_after_ms", "endpoints.heartbeat_ms"),
+            "must exceed endpoints.heartbeat_ms",
+            operator.gt,
+        ),
+        Clash(
+            ("subscription.stale_after_ms", "subscription.probe_interval_ms"),
+            "must exceed subscription.probe_interval_ms",
+            operator.gt,
+        ),
+    )
 
     listen: Address
-    sources: tuple[Address, ...] = attrs.field(validator=not_empty)
-    peers: tuple[Address, ...] = ()
-    snapshot_keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    sources: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
+    peers: tuple[Address, ...] = attrs.field(default=(), validator=[distinct, dialled])
+    snapshot_keys: tuple[str, ...] = attrs.field(default=(), validator=sealing_keys, repr=False)
     subscription: SubscriptionSettings = SubscriptionSettings()
     distribution: DistributionSettings = DistributionSettings()
     endpoints: EndpointSettings = EndpointSettings()
     platform_list: PlatformListSettings = PlatformListSettings()
-
-    def clashes(self) -> list[SettingsProblem]:
-        """Return what is wrong between keys."""
-        problems = super().clashes()
-        if self.snapshot_keys and not isinstance(
-            SnapshotSealer.from_texts(self.snapshot_keys), SnapshotSealer
-        ):
-            problems.append(SettingsProblem("", "snapshot_keys", "must be base64 of 32 bytes each"))
-        if self.endpoints.silent_after_ms <= self.endpoints.heartbeat_ms:
-            problems.append(
-                SettingsProblem("", "endpoints.silent_after_ms", "must exceed heartbeat_ms")
-            )
-        if self.subscription.stale_after_ms <= self.subscription.probe_interval_ms:
-            problems.append(
-                SettingsProblem("", "subscription.stale_after_ms", "must exceed probe_interval_ms")
-            )
-        return problems
--- a/src/limelever/source/settings.py
+++ b/src/limelever/source/settings.py
@@ -4,15 +4,18 @@
 
 import base64
 import binascii
+import operator
+from collections.abc import Sequence
 from typing import Any, ClassVar
 
 import attrs
 
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
+    Clash,
     ProcessSettings,
-    SettingsProblem,
     between,
+    dialled,
     not_empty,
     seconds,
 )
@@ -39,7 +42,7 @@
     """Another replica of the source, by name and by the address of its links."""
 
     name: str = attrs.field(validator=not_empty)
-    address: Address
+    address: Address = attrs.field(validator=dialled)
 
 
 @attrs.frozen(kw_only=True)
@@ -81,11 +84,43 @@
     keys: tuple[str, ...] = attrs.field(validator=[not_empty, sealing_key], repr=False)
 
 
+def _are_distinct(peers: Sequence[PeerSettings]) -> bool:
+    names = {peer.name for peer in peers}
+    addresses = {peer.address for peer in peers}
+    return len(names) == len(addresses) == len(peers)
+
+
 @attrs.frozen(kw_only=True)
 class SourceSettings(ProcessSettings):
     """Settings of one replica of the source."""
 
     ROLE: ClassVar[Role] = Role.SOURCE
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(("data_folder",), "a source needs a data folder", bool),
+        Clash(
+            ("peers", "name"),
+            "must not name the replica itself",
+            lambda peers, name: name not in [peer.name for peer in peers],
+        ),
+        Clash(("peers",), "must not name a replica or an address twice", _are_distinct),
+        Clash(("peers",), "the group must have an odd size", lambda peers: len(peers) % 2 == 0),
+        Clash(
+            ("operators",),
+            "must not give an operator's name twice",
+            lambda operators: len({item.name for item in operators}) == len(operators),
+        ),
+        Clash(
+            ("replication.lease_ms", "replication.election_timeout_ms"),
+            "must not exceed replication.election_timeout_ms",
+            operator.le,
+        ),
+        Clash(
+            ("replication.heartbeat_interval_ms", "replication.lease_ms"),
+            "must be at most half of replication.lease_ms",
+            lambda heartbeat, lease: heartbeat * 2 <= lease,
+        ),
+    )
 
     listen: Address
     operator_listen: Address
@@ -97,27 +132,6 @@
     publishing: PublishingSettings = PublishingSettings()
     keeping: KeepingSettings = KeepingSettings()
 
-    def clashes(self) -> list[SettingsProblem]:
-        """Return what is wrong between keys."""
-        problems = super().clashes()
-        names = [peer.name for peer in self.peers]
-        if not self.data_folder:
-            problems.append(SettingsProblem("", "data_folder", "a source needs a data folder"))
-        if self.name in names:
-            problems.append(SettingsProblem("", "peers", "must not name the replica itself"))
-        if len(set(names)) != len(names):
-            problems.append(SettingsProblem("", "peers", "names a replica twice"))
-        if len(names) % 2:
-            problems.append(SettingsProblem("", "peers", "the group must have an odd size"))
-        times = self.replication
-        if times.lease_ms > times.election_timeout_ms:
-            reason = "must not exceed replication.election_timeout_ms"
-            problems.append(SettingsProblem("", "replication.lease_ms", reason))
-        if times.heartbeat_interval_ms * 2 > times.lease_ms:
-            reason = "must be at most half of replication.lease_ms"
-            problems.append(SettingsProblem("", "replication.heartbeat_interval_ms", reason))
-        return problems
-
 
 def replication_settings(
     settings: SourceSettings, operator_address: Address
--- a/src/limelever_lab/event_catalogue.py
+++ b/src/limelever_lab/event_catalogue.py
@@ -11,6 +11,7 @@
 import limelever
 from limelever.common.events import CATALOGUE, EventKind
 
+EVENT_MODULE_SUFFIX = "events"
 HEADING = """# Log events
 
 Every event that a process logs has a number, which is never reused. This page is printed by
@@ -22,9 +23,9 @@
 
 
 def import_event_modules() -> None:
-    """Import every ``limelever.*.events`` module, which fills the catalogue."""
+    """Import every ``limelever.*events`` module, which fills the catalogue."""
     for package in pkgutil.walk_packages(limelever.__path__, "limelever."):
-        if package.name.endswith(".events"):
+        if package.name.endswith(EVENT_MODULE_SUFFIX):
             importlib.import_module(package.name)
 
 
--- a/src/limelever_lab/hollow/settings.py
+++ b/src/limelever_lab/hollow/settings.py
@@ -7,7 +7,7 @@
 import attrs
 
 from limelever.common.sansio import Address, Role
-from limelever.common.settings import ProcessSettings, SettingsProblem, between, not_empty
+from limelever.common.settings import Clash, ProcessSettings, between, not_empty
 
 
 @attrs.frozen(kw_only=True)
@@ -21,6 +21,14 @@
     """
 
     ROLE: ClassVar[Role] = Role.PROXY
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(
+            ("scope_services", "services"),
+            "must not exceed the number of services",
+            lambda drawn, services: drawn <= len(services),
+        ),
+    )
 
     nodes: int = attrs.field(validator=between(1, 4000))
     first_node: int = attrs.field(default=0, validator=between(0, 1 << 24))
@@ -34,11 +42,3 @@
     agents: bool = True
     agent_credential: str = attrs.field(default="", repr=False)
     seed: int = 1
-
-    def clashes(self) -> list[SettingsProblem]:
-        """Return what is wrong between keys."""
-        problems = super().clashes()
-        if self.scope_services > len(self.services):
-            reason = "must not exceed the number of services"
-            problems.append(SettingsProblem("", "scope_services", reason))
-        return problems
