--- a/src/limelever_lab/simulator/command.py
+++ b/src/limelever_lab/simulator/command.py
@@ -6,7 +6,8 @@
 
 import typer
 
-from limelever_lab.simulator.breaks import BREAKS, first_failures
+from limelever_lab.simulator.break_table import first_failures
+from limelever_lab.simulator.breaks import BREAKS
 from limelever_lab.simulator.deployments import DEPLOYMENTS
 from limelever_lab.simulator.pool import DEFAULT_WORKERS, run_all
 from limelever_lab.simulator.result import RunOrder, RunResult, describe_failure, summary
--- a/src/limelever_lab/simulator/configuration_checker.py
+++ b/src/limelever_lab/simulator/configuration_checker.py
@@ -117,6 +117,32 @@
                 )
                 self.findings.add(Rule.NOT_IN_FORCE, at, holder.name, detail)
 
+    def judge_staleness(self, readers: Iterable[Holder], limit: float) -> None:
+        """Check that no change took a reader longer than ``limit`` seconds.
+
+        For runs in which a way to a current publisher stayed open all the time.
+        """
+        states = self.history.states()
+        for reader in readers:
+            scope = reader.services or frozenset()
+            seen = [item for item in self.observations if item.holder.name == reader.name]
+            before = restrict(states[0], scope)
+            for version in self.history.versions:
+                after = restrict(states[version], scope)
+                if after != before:
+                    self._check_delay(reader, version, seen, limit)
+                before = after
+
+    def _check_delay(
+        self, reader: Holder, version: int, seen: list[Observation], limit: float
+    ) -> None:
+        accepted = self.accepted_at[version]
+        reached = min((item.at for item in seen if item.version >= version), default=None)
+        if reached is None or reached - accepted > limit:
+            delay = "never" if reached is None else f"after {reached - accepted:.2f} s"
+            detail = f"version {version} accepted at {accepted:.2f} s came {delay}"
+            self.findings.add(Rule.STALE_TOO_LONG, accepted, reader.name, detail)
+
     def convergence_times(self) -> list[float]:
         """Return, for each accepted version, seconds until every holder had held it."""
         times = []
--- a/src/limelever_lab/simulator/faults.py
+++ b/src/limelever_lab/simulator/faults.py
@@ -58,6 +58,25 @@
         return f"{self.kind.value} at {self.at:.2f} s for {self.duration:.2f} s on {names}"
 
 
+CONTAINED_KINDS = frozenset(
+    {
+        FaultKind.FROZEN_CONTROL,
+        FaultKind.CUT_OFF_CONTROL,
+        FaultKind.RACING_OPERATORS,
+        FaultKind.LYING_LOAD,
+        FaultKind.LAGGING_LIST,
+    }
+)
+"""Faults under which every proxy keeps a way to some current publisher, when one strikes alone."""
+
+
+def is_contained(faults: tuple[Fault, ...]) -> bool:
+    """Return whether every proxy could stay current all the time under these faults."""
+    control = (FaultKind.FROZEN_CONTROL, FaultKind.CUT_OFF_CONTROL)
+    striking = [fault for fault in faults if fault.kind in control]
+    return len(striking) <= 1 and all(fault.kind in CONTAINED_KINDS for fault in faults)
+
+
 @dataclass(frozen=True, slots=True)
 class Population:
     """Names of the processes of a deployment, by role."""
--- a/src/limelever_lab/simulator/injector.py
+++ b/src/limelever_lab/simulator/injector.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from limelever.common.sansio import Role
 from limelever_lab.simulator.environment import Environment
 from limelever_lab.simulator.faults import LEADER, Fault, FaultKind
 from limelever_lab.simulator.network import Network
@@ -13,6 +14,9 @@
 TORN_WRITE_STEP = 0.0003
 TORN_WRITE_TRIES = 20000
 """How often, and at what spacing in seconds, a torn write looks for a write under way."""
+ONLY_FROM_SOURCES_CHANCE = 0.6
+RESTARTED_MEANWHILE = 2
+RESTART_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -121,12 +125,23 @@
             self.network.heal(origin, target)
 
     def _cut_off(self, fault: Fault, names: tuple[str, ...]) -> None:
+        """Cut a control process off, from everyone or only from the other sources.
+
+        In the second case its readers still hear it. Two proxies die and come back meanwhile,
+        so that they may meet it while it is behind.
+        """
+        name = names[0]
+        source = self.environment.random
+        only_sources = source.random() < ONLY_FROM_SOURCES_CHANCE
         pairs = []
-        for name in names:
-            for other in self.processes:
-                if other != name:
-                    pairs += [(name, other), (other, name)]
-        self._cut_for(fault, pairs)
+        for other, process in self.processes.items():
+            if other != name and (process.role is Role.SOURCE or not only_sources):
+                pairs += [(name, other), (other, name)]
+        self.cut_pairs(pairs, fault.duration)
+        proxies = [item.name for item in self.processes.values() if item.role is Role.PROXY]
+        for proxy in source.sample(proxies, min(len(proxies), RESTARTED_MEANWHILE)):
+            delay = fault.duration * source.uniform(0.5, 0.9)
+            self.environment.after(delay, self._power_cut(proxy, RESTART_SECONDS))
 
     def _freeze(self, fault: Fault, names: tuple[str, ...]) -> None:
         for name in names:
--- a/src/limelever_lab/simulator/observer.py
+++ b/src/limelever_lab/simulator/observer.py
@@ -73,9 +73,7 @@
         """Look at what the node holds now."""
         core = node.core
         if isinstance(core, SourceCore):
-            opened = (SEALER.open_versioned(item) for item in core.state.resources())
-            held = (item for item in opened if not isinstance(item, Failure))
-            self._observe(node, core.state.version, held)
+            self._observe_source(node, core)
         elif isinstance(core, RelayCore | ProxyCore | AgentCore):
             self._observe_subscriber(node, core._subscriber)
         if isinstance(core, AgentCore) and isinstance(event, Started):
@@ -84,17 +82,26 @@
                 probed = BackendProbed(healthy=True)
                 self.environment.after(FIRST_PROBE_AFTER, lambda: life.deliver(probed))
 
+    def _observe_source(self, node: Node, core: SourceCore) -> None:
+        if self._is_news(node, core.state.version):
+            opened = (SEALER.open_versioned(item) for item in core.state.resources())
+            held = (item for item in opened if not isinstance(item, Failure))
+            self._observe(node, core.state.version, held)
+
     def _observe_subscriber(self, node: Node, subscriber: SubscriberCore) -> None:
         configuration = subscriber.configuration
-        if configuration is not None:
+        if configuration is not None and self._is_news(node, subscriber.version):
             self._observe(node, subscriber.version, configuration.resources.values())
 
-    def _observe(self, node: Node, version: int, held: Iterable[VersionedResource]) -> None:
-        name = node.names.name
+    def _is_news(self, node: Node, version: int) -> bool:
         seen = (node.lives, version)
-        if self._seen.get(name) != seen:
-            self._seen[name] = seen
-            self.configuration.observe(self.environment.now, self.holders[name], version, held)
+        news = self._seen.get(node.names.name) != seen
+        self._seen[node.names.name] = seen
+        return news
+
+    def _observe(self, node: Node, version: int, held: Iterable[VersionedResource]) -> None:
+        holder = self.holders[node.names.name]
+        self.configuration.observe(self.environment.now, holder, version, held)
 
     def on_log(self, node: Node, event: LogEvent) -> None:
         """Take a log event into the trace, and look for secrets in it."""
--- a/src/limelever_lab/simulator/world.py
+++ b/src/limelever_lab/simulator/world.py
@@ -17,7 +17,7 @@
 from limelever_lab.simulator.configuration_checker import ConfigurationChecker, Holder
 from limelever_lab.simulator.deployments import SimulatedDeployment
 from limelever_lab.simulator.environment import Environment
-from limelever_lab.simulator.faults import Fault
+from limelever_lab.simulator.faults import Fault, is_contained
 from limelever_lab.simulator.injector import Injector
 from limelever_lab.simulator.network import Network
 from limelever_lab.simulator.node import Hooks
@@ -35,6 +35,9 @@
 WORK_UNTIL = 30.0
 QUIET_SECONDS = 15.0
 """How long after the last fault everything must be in force."""
+STALE_LIMIT = 15.0
+"""How long a reader may stay behind while some publisher is current: it notices a stale one
+after 8 s, and needs time to find another."""
 CALLS_END_BEFORE_JUDGEMENT = 8.0
 
 
@@ -134,6 +137,9 @@
         self.injector.schedule(struck)
         self.environment.run_until(end)
         self._judge()
+        if is_contained(struck):
+            proxies = [self._holders[place.name] for place in self.plan.proxies]
+            self.configuration.judge_staleness(proxies, STALE_LIMIT)
 
     def leader(self) -> str | None:
         """Return the name of a source process that leads."""
