Refuse queued calls past their deadline when a slot frees

Cause: an agent under a flood ended with an internal fault. Its timer fires late when the process is busy, so a slot that freed went to a call whose deadline had passed, and the back end's client was given a negative time. The proxies then found every endpoint gone.

A guard in the client alone was ruled out: the back end would still get work that nobody waits for.

Test: the new scenario in features/agent/calls.feature failed without the change (the back end was asked twice). The property of the call service no longer expires calls before every step and refuses attempts without time.

--- a/features/agent/calls.feature
+++ b/features/agent/calls.feature
@@ -11,6 +11,14 @@
     Then agent stream 2 has failed with deadline-too-short
     And the agent's back end was asked once
 
+  Scenario: A slot that frees after a queued call's deadline is not given to that call
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent gets a call on agent stream 2 with 1 seconds left
+    And the agent hears of the answer to agent stream 1 before its timer, 2 seconds later
+    Then agent stream 2 has failed with deadline-too-short
+    And the agent's back end was asked once
+
   Scenario: A call for another incarnation is not run
     Given an agent of incarnation 7 with 1 slots and a proxy
     When the agent gets a call on agent stream 1 for incarnation 6
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -426,6 +426,15 @@
     answer_bytes(context, stream, 2)
 
 
+@when(
+    "the agent hears of the answer to agent stream {stream:d} before its timer, "
+    "{seconds:d} seconds later"
+)
+def answer_before_timer(context: Context, stream: int, seconds: int) -> None:
+    context.agent.now += seconds
+    answer(context, stream)
+
+
 @when("the agent's back end answers agent stream {stream:d} with {size:d} bytes")
 def answer_bytes(context: Context, stream: int, size: int) -> None:
     attempt = context.agent.attempt_of(stream)
@@ -528,7 +537,8 @@
         self.cancelled: set[int] = set()
 
     def step(self, name: str, number: int, flag: bool) -> None:
-        self.take(self.service.expire(self.now))
+        if flag:
+            self.take(self.service.expire(self.now))
         match name:
             case "call":
                 self.streams += 1
@@ -565,6 +575,7 @@
     def take(self, outputs: list[Output]) -> None:
         for output in outputs:
             if isinstance(output, StartAttempt):
+                assert output.timeout > 0
                 self.running[output.attempt] = int(output.target)
                 self.started.append(int(output.target))
             elif isinstance(output, SendMessage):
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -220,8 +220,11 @@
         return outputs
 
     def start_waiting(self, now: float) -> list[Output]:
-        """Hand calls to the back end while slots are free."""
-        outputs: list[Output] = []
+        """Hand calls to the back end while slots are free.
+
+        The timer of a busy process fires late: a call past its deadline is refused here first.
+        """
+        outputs = self.expire(now)
         while (queued := self._queue.start_next(now)) is not None:
             call = self._calls.by_number(queued.call)
             assert call is not None
