Guard the proxy's edge: a caller's broken frame ended the process

Cause: the edge ran under hypercorn's serve, where all connections share one nursery. A DATA frame on an answered HTTP/2 stream raised KeyError there and ended the edge, and with it the proxy; bytes that are not HTTP, headers of 1 MiB and a broken HTTP/2 frame did not. Connections had no bound, and a caller that reads nothing of its answer kept a planned stop from ending.

Change: the edge runs under transport/http_guard.py with 1024 connections; the one idle longest makes room at the limit, a call in flight is never cut. Events 4031 and 4032. A fault of the application in a request, which hypercorn answers with 500 in silence, is event 1041. The edge reports its address or a failure, as the other listeners do; the steps of features/proxy that used the list of addresses follow, their checks are as they were.

--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -1,4 +1,4 @@
-"""An admin listener over loopback in a thread, and blocking clients that may break its rules."""
+"""HTTP listeners over loopback in a thread, and blocking clients that may break their rules."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import select
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
@@ -23,26 +23,34 @@
 BROKEN_HTTP2_FRAME = HTTP2_PREFACE + b"\x00\x00\x04\x04\x00\x00\x00\x00\x00\xff\xff\xff\xff"
 
 
-class AdminServer:
-    """The shipped admin listener of a process that is not ready."""
+class HttpServer:
+    """A listener in a thread of its own; ``serve`` reports the bound address."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, serve: Callable[..., Awaitable[None]]) -> None:
         self.log = EventLog()
-        self._options = options
+        self._serve = serve
         self._ready = threading.Event()
         self._resumed = threading.Event()
-        self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
+        self._thread = threading.Thread(target=trio.run, args=(self._run,), daemon=True)
         self._thread.start()
-        assert self._ready.wait(PATIENCE), "the admin listener did not start"
+        assert self._ready.wait(PATIENCE), "the listener did not start"
 
     def stop(self) -> None:
+        """Cancel the listener and wait until it has ended."""
         if not self._thread.is_alive():
             return
-        trio.from_thread.run_sync(self._nursery.cancel_scope.cancel, trio_token=self._token)
-        self._thread.join(PATIENCE)
-        assert not self._thread.is_alive(), "the admin listener did not stop"
+        self.in_loop(self._nursery.cancel_scope.cancel)
+        self.wait_ended()
         self.log.close()
 
+    def wait_ended(self) -> None:
+        self._thread.join(PATIENCE)
+        assert not self._thread.is_alive(), "the listener did not stop"
+
+    def in_loop(self, function: Callable[[], None]) -> None:
+        """Run a function in the listener's event loop."""
+        trio.from_thread.run_sync(function, trio_token=self._token)
+
     def suspend(self) -> None:
         """Keep the event loop from running, as SIGSTOP would."""
         self._resumed.clear()
@@ -51,17 +59,21 @@
     def resume(self) -> None:
         self._resumed.set()
 
-    async def _serve(self) -> None:
+    async def _run(self) -> None:
         self._token = trio.lowlevel.current_trio_token()
-        serve = partial(serve_admin, Address("127.0.0.1", 0), lambda: False, **self._options)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            bound = await nursery.start(serve)
+            bound = await nursery.start(self._serve)
             assert isinstance(bound, Address), bound
             self.address = bound
             self._ready.set()
 
 
+def admin_server(**options: Any) -> HttpServer:
+    """Return the shipped admin listener of a process that is not ready."""
+    return HttpServer(partial(serve_admin, Address("127.0.0.1", 0), lambda: False, **options))
+
+
 class HttpClient:
     """One blocking HTTP/1.1 connection."""
 
@@ -126,7 +138,8 @@
     """Ask over HTTP/2, await the whole answer, and only then send a body."""
     protocol = h2.connection.H2Connection()
     protocol.initiate_connection()
-    headers = [(":method", "GET"), (":path", "/healthz"), (":scheme", "http"), (":authority", "a")]
+    names = {":method": "GET", ":path": "/healthz", ":scheme": "http", ":authority": "a"}
+    headers = [*names.items(), ("content-length", str(1 << 30))]
     protocol.send_headers(1, headers)
     client.send(protocol.data_to_send())
     while not _ends_stream(protocol.receive_data(client.socket.recv(65536))):
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -903,9 +903,9 @@
                     nursery.start_soon(answer_later, event)
 
             edge = Edge(context.edge_settings, post)
-            binds = await nursery.start(partial(edge.serve, 5.0))
+            bound = await nursery.start(partial(edge.serve, 5.0))
             with trio.fail_after(10):
-                await use(edge, binds[0], arrived)  # type: ignore[operator]
+                await use(edge, f"http://{bound}", arrived)  # type: ignore[operator]
             edge.stop()
 
     trio.run(main)
--- a/features/steps/transport_admin_steps.py
+++ b/features/steps/transport_admin_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from http_server import SENDINGS, AdminServer, HttpClient
+from http_server import SENDINGS, HttpClient, admin_server
 from transport_server import wait_for
 
 
@@ -22,7 +22,7 @@
 
 
 def start_admin(context, **options):
-    context.admin = AdminServer(**options)
+    context.admin = admin_server(**options)
     context.add_cleanup(context.admin.stop)
 
 
--- /dev/null
+++ b/features/steps/transport_edge_steps.py
@@ -0,0 +1,167 @@
+"""Steps for the proxy's edge towards callers that break rules, idle, or read nothing."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from behave import given, then, when
+from http_server import SENDINGS, HttpClient, HttpServer
+from transport_server import wait_for
+
+from limelever.common.sansio import Address
+from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived
+from limelever.proxy.edge import CONNECTION_LIMIT, Edge
+from limelever.proxy.settings import EdgeSettings
+
+MEBIBYTE = 1 << 20
+STOP_SECONDS = 0.2
+HELD = b"/held"
+LARGE = b"/large"
+
+
+class EdgeServer:
+    """The shipped edge before a core that answers at once, late or with a fault."""
+
+    def __init__(self, connections: int = CONNECTION_LIMIT, faulty: bool = False) -> None:
+        self.held: list[int] = []
+        self.answer_bytes = 0
+        self._faulty = faulty
+        self._edge = Edge(EdgeSettings(listen=Address("127.0.0.1", 0)), self._post)
+        self.server = HttpServer(partial(self._edge.serve, STOP_SECONDS, connections))
+
+    def release(self) -> None:
+        def answer_held() -> None:
+            for call in self.held:
+                self._edge.answer(AnswerCall(call, CallAnswer(200, (), b"")))
+
+        self.server.in_loop(answer_held)
+
+    def planned_stop(self) -> None:
+        self.server.in_loop(self._edge.stop)
+
+    def _post(self, event) -> None:
+        if self._faulty:
+            raise KeyError("the fault of this test")
+        if not isinstance(event, CallArrived):
+            return
+        if event.request.target == HELD:
+            self.held.append(event.call)
+            return
+        body = bytes(self.answer_bytes) if event.request.target == LARGE else b"answer"
+        headers = ((b"content-length", b"%d" % len(body)),)
+        self._edge.answer(AnswerCall(event.call, CallAnswer(200, headers, body)))
+
+
+def start_edge(context, **options):
+    context.edge = EdgeServer(**options)
+    context.add_cleanup(context.edge.server.stop)
+
+
+def connect(context):
+    client = HttpClient(context.edge.server.address)
+    context.add_cleanup(client.close)
+    return client
+
+
+def ask(context, target="/orders"):
+    client = connect(context)
+    client.ask("GET", target)
+    return client
+
+
+@given("a callers' listener")
+def given_edge(context):
+    start_edge(context)
+
+
+@given("a callers' listener with {count:d} connections")
+def given_edge_bounded(context, count):
+    start_edge(context, connections=count)
+
+
+@given("a callers' listener whose core has a fault")
+def given_edge_faulty(context):
+    start_edge(context, faulty=True)
+
+
+@when("a caller's connection sends {what}")
+def when_caller_sends(context, what):
+    context.caller = connect(context)
+    SENDINGS[what](context.caller)
+
+
+@when("{count:d} callers are each answered and keep their connections")
+def when_callers_keep(context, count):
+    context.callers = []
+    for _ in range(count):
+        client = ask(context)
+        assert client.status() == 200
+        context.callers.append(client)
+
+
+@when("{count:d} callers have a call in flight")
+def when_calls_in_flight(context, count):
+    context.callers = [ask(context, HELD.decode()) for _ in range(count)]
+    assert wait_for(lambda: len(context.edge.held) == count), context.edge.held
+
+
+@when("one caller too many connects")
+def when_caller_too_many(context):
+    context.caller = connect(context)
+
+
+@when("a caller reads nothing of an answer of {size:d} MiB")
+def when_caller_reads_nothing(context, size):
+    context.edge.answer_bytes = size * MEBIBYTE
+    context.caller = ask(context, LARGE.decode())
+    assert context.caller.socket.recv(1)
+
+
+@when("the callers' listener makes a planned stop within 0.2 seconds")
+def when_edge_stops(context):
+    context.edge.planned_stop()
+
+
+@when("a caller asks the callers' listener")
+def when_caller_asks(context):
+    context.caller = ask(context)
+
+
+@then("the callers' listener ends that caller's connection")
+def then_edge_ends(context):
+    context.caller.wait_closed()
+
+
+@then("the callers' listener answers another caller")
+def then_edge_answers(context):
+    assert ask(context).status() == 200
+
+
+@then("that caller is answered with {status:d}")
+def then_caller_status(context, status):
+    assert context.caller.status() == status
+
+
+@then("the callers' listener logs {code:d}")
+def then_edge_logs(context, code):
+    assert wait_for(lambda: context.edge.server.log.of(code)), code
+
+
+@then("only the first of these callers has lost its connection")
+def then_first_lost(context):
+    first, *others = context.callers
+    first.wait_closed()
+    for client in others:
+        client.ask("GET", "/orders")
+        assert client.status() == 200
+
+
+@then("the calls in flight are answered")
+def then_in_flight_answered(context):
+    context.edge.release()
+    assert [client.status() for client in context.callers] == [200, 200]
+
+
+@then("the callers' listener has ended")
+def then_edge_ended(context):
+    context.edge.server.wait_ended()
--- /dev/null
+++ b/features/transport/edge.feature
@@ -0,0 +1,45 @@
+Feature: No caller can end a proxy, hold its memory or keep it from stopping
+
+  Scenario Outline: A caller that breaks the protocol loses its own connection only
+    Given a callers' listener
+    When a caller's connection sends <bytes>
+    Then the callers' listener ends that caller's connection
+    And the callers' listener answers another caller
+
+    Examples:
+      | bytes                             |
+      | data on an answered HTTP/2 stream |
+      | bytes that are not HTTP           |
+      | headers of 1 MiB                  |
+      | a broken HTTP/2 frame             |
+
+  Scenario: The protocol's breach is a numbered event
+    Given a callers' listener
+    When a caller's connection sends data on an answered HTTP/2 stream
+    Then the callers' listener logs 4031
+
+  Scenario: At the limit the connection that is idle longest makes room
+    Given a callers' listener with 8 connections
+    When 8 callers are each answered and keep their connections
+    Then the callers' listener answers another caller
+    And the callers' listener logs 4032
+    And only the first of these callers has lost its connection
+
+  Scenario: A call in flight is never cut to make room
+    Given a callers' listener with 2 connections
+    When 2 callers have a call in flight
+    And one caller too many connects
+    Then the callers' listener ends that caller's connection
+    And the calls in flight are answered
+
+  Scenario: A caller that reads nothing does not hold up a planned stop
+    Given a callers' listener
+    When a caller reads nothing of an answer of 32 MiB
+    And the callers' listener makes a planned stop within 0.2 seconds
+    Then the callers' listener has ended
+
+  Scenario: A fault while a request is served is a numbered event
+    Given a callers' listener whose core has a fault
+    When a caller asks the callers' listener
+    Then that caller is answered with 500
+    And the callers' listener logs 1041
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -1,22 +1,24 @@
 """The HTTP edge towards callers: an ASGI application that hypercorn serves.
 
 A thin shell: it reads a request whole within its bounds, gives it to the core, and sends the
-core's one answer. HTTP/1.1 and HTTP/2, cleartext or TLS, are hypercorn's work.
+core's one answer. HTTP/1.1 and HTTP/2, cleartext or TLS, are hypercorn's work, under the guard
+of ``transport.http_guard``: no caller can end the process or hold a connection for nothing.
 """
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import Event
+from limelever.common.sansio import Address, Event
 from limelever.common.settings import seconds
+from limelever.proxy import events
 from limelever.proxy.answers import render_answer
 from limelever.proxy.call_types import (
     AnswerCall,
@@ -28,6 +30,12 @@
 )
 from limelever.proxy.requests import declared_length, headers_size, parse_request
 from limelever.proxy.settings import EdgeSettings
+from limelever.transport.http_guard import (
+    GuardOptions,
+    bound_address,
+    open_listeners,
+    serve_guarded,
+)
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -39,6 +47,9 @@
 """Seconds for which the rest of a refused body is read, so that the caller sees the refusal."""
 
 OVERLOAD_RETRY_AFTER = 1.0
+CONNECTION_LIMIT = 1024
+"""Connections of callers; at the limit the one idle longest makes room for a new one."""
+
 HTTP_1 = "1"
 _CLOSE = (b"connection", b"close")
 
@@ -79,24 +90,40 @@
         self._stopping.set()
 
     async def serve(
-        self, stop_limit: float, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
+        self,
+        stop_limit: float,
+        connection_limit: int = CONNECTION_LIMIT,
+        task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until :meth:`stop` and until what was in is answered, ``stop_limit`` s at most."""
-        config = _server_config(self._settings, stop_limit)
-        await serve(
-            self.application,  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=self._stopping.wait,
-            task_status=task_status,
-            mode="asgi",
+        """Serve until :meth:`stop` and until what was in is answered, ``stop_limit`` s at most.
+
+        Reports the bound address, or why there is none, to ``task_status``.
+        """
+        config = _server_config(self._settings)
+        context = _tls_context(config)
+        listeners = (
+            context
+            if isinstance(context, Failure)
+            else await open_listeners(
+                self._settings.listen, context, "edge", backlog=self._settings.backlog
+            )
         )
+        if isinstance(listeners, Failure):
+            task_status.started(listeners)
+            return
+        task_status.started(bound_address(listeners))
+        options = GuardOptions(
+            connection_limit=connection_limit,
+            stop_limit=stop_limit,
+            failed_event=events.EDGE_CONNECTION_FAILED,
+            limit_event=events.EDGE_CONNECTION_LIMIT,
+        )
+        await serve_guarded(self.application, listeners, config, options, self._stopping)
 
     async def application(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "http":
             await self._serve_request(scope, receive, send)
-        elif scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
         else:
             await send({"type": "websocket.close", "code": 1003})
 
@@ -219,23 +246,12 @@
         self._bytes = 0
 
 
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-def _server_config(settings: EdgeSettings, stop_limit: float) -> Config:
+def _server_config(settings: EdgeSettings) -> Config:
     config = Config()
-    config.bind = [str(settings.listen)]
-    config.backlog = settings.backlog
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
     config.include_date_header = False
-    config.graceful_timeout = stop_limit
     config.keep_alive_timeout = seconds(settings.keep_alive_ms)
     config.keep_alive_max_requests = 1_000_000_000
     config.h11_max_incomplete_size = settings.max_headers_bytes
@@ -244,3 +260,11 @@
         config.certfile = settings.certificate
         config.keyfile = settings.key
     return config
+
+
+def _tls_context(config: Config) -> ssl.SSLContext | None | Failure:
+    """Return the context of the edge's certificate, ``None`` for cleartext."""
+    try:
+        return config.create_ssl_context()
+    except OSError as error:
+        return Failure(ErrorKind.INVALID_SETTINGS, f"edge's certificate: {error}")
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -35,3 +35,19 @@
 EDGE_LISTENING = define(
     4030, "edge-listening", Level.INFO, "listening for callers", "address", "tls"
 )
+EDGE_CONNECTION_FAILED = define(
+    4031,
+    "edge-connection-failed",
+    Level.WARNING,
+    "caller's connection broke the protocol and was closed",
+    "client",
+    "reason",
+)
+EDGE_CONNECTION_LIMIT = define(
+    4032,
+    "edge-connection-limit",
+    Level.WARNING,
+    "caller's connection closed, limit reached",
+    "client",
+    "limit",
+)
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import Output, Recovered
+from limelever.common.errors import Failure
+from limelever.common.sansio import Address, Output, Recovered
 from limelever.common.settings import seconds
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.proxy import events
@@ -123,19 +123,14 @@
     """Listen for callers; the event returned is set once the last of them was answered."""
     ended = trio.Event()
 
-    async def serve(task_status: trio.TaskStatus[list[str]]) -> None:
+    async def serve(task_status: trio.TaskStatus[Address | Failure]) -> None:
         await edge.serve(seconds(settings.stop_limit_ms), task_status=task_status)
         ended.set()
 
-    try:
-        bound = await nursery.start(serve)
-    except OSError as error:
-        reason = f"cannot listen on {settings.edge.listen}: {error}"
-        raise ProcessFailedError(Failure(ErrorKind.INVALID_SETTINGS, reason)) from error
-    fields: dict[str, object] = {
-        "address": ", ".join(bound),
-        "tls": bool(settings.edge.certificate),
-    }
+    bound: Address | Failure = await nursery.start(serve)
+    if isinstance(bound, Failure):
+        raise ProcessFailedError(bound)
+    fields: dict[str, object] = {"address": str(bound), "tls": bool(settings.edge.certificate)}
     write_event(events.EDGE_LISTENING, fields)
     return ended
 
--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -31,3 +31,11 @@
     "error",
     "traceback",
 )
+REQUEST_FAULT = define(
+    1041,
+    "request-fault",
+    Level.ERROR,
+    "fault of the program itself while it served a request, that request is answered with 500",
+    "error",
+    "traceback",
+)
--- a/src/limelever/transport/faults.py
+++ b/src/limelever/transport/faults.py
@@ -14,8 +14,13 @@
 
 def report_fault(error: BaseException) -> Failure:
     """Write the numbered event of a fault with its traceback's last lines; return the failure."""
+    fields = fault_fields(error)
+    write_event(INTERNAL_FAULT, fields)
+    return Failure(ErrorKind.INTERNAL, str(fields["error"]))
+
+
+def fault_fields(error: BaseException) -> dict[str, object]:
+    """Return the fields of a fault's event: the error, and its traceback's last lines."""
     text = f"{type(error).__name__}: {error}"[:_LONGEST_ERROR]
     lines = "".join(traceback.format_exception(error)).splitlines()
-    fields: dict[str, object] = {"error": text, "traceback": lines[-TRACEBACK_LINES:]}
-    write_event(INTERNAL_FAULT, fields)
-    return Failure(ErrorKind.INTERNAL, text)
+    return {"error": text, "traceback": lines[-TRACEBACK_LINES:]}
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -23,6 +23,8 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
+from limelever.transport.events import REQUEST_FAULT
+from limelever.transport.faults import fault_fields
 from limelever.transport.http_connection import HttpConnection
 from limelever.transport.links import client_name
 from limelever.transport.log import write_event
@@ -47,11 +49,14 @@
 
 
 async def open_listeners(
-    listen: Address, context: ssl.SSLContext | None, what: str
+    listen: Address, context: ssl.SSLContext | None, what: str, backlog: int | None = None
 ) -> list[Listener] | Failure:
-    """Bind an address; ``what`` names the listener in the failure's reason."""
+    """Bind an address; ``what`` names the listener in the failure's reason.
+
+    ``backlog`` is how many connections may wait to be accepted, by default all that may.
+    """
     try:
-        plain = await trio.open_tcp_listeners(listen.port, host=listen.host)
+        plain = await trio.open_tcp_listeners(listen.port, host=listen.host, backlog=backlog)
     except OSError as error:
         reason = f"{what} at {listen}: {error.strerror or error}"
         return Failure(ErrorKind.INVALID_SETTINGS, reason)
@@ -93,7 +98,7 @@
 
     def __init__(self, application: AsgiApplication, config: Config, options: GuardOptions) -> None:
         self.context = WorkerContext(None)
-        self._application = ASGIWrapper(application)
+        self._application = ASGIWrapper(_reporting(application))
         self._config = config
         self._options = options
         self._open: set[HttpConnection] = set()
@@ -139,6 +144,19 @@
             write_event(self._options.failed_event, fields)
 
 
+def _reporting(application: AsgiApplication) -> AsgiApplication:
+    """Return the application with its faults reported; hypercorn answers 500 in silence."""
+
+    async def guarded(*arguments: Any) -> None:
+        try:
+            await application(*arguments)
+        except Exception as error:
+            write_event(REQUEST_FAULT, fault_fields(error))
+            raise
+
+    return guarded
+
+
 def _first_reason(group: BaseExceptionGroup[BaseException]) -> str:
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
