Send a lone change at once and gather only those that follow

Cause: a publisher waited batch_delay from the first change on. Change: batch_delay is now the least time between two batches (BatchTimer). Ruled out: no delay at the relay only, as a relay follows another source after a move and must bound its own batches. Test: 'Changes within the batch delay travel as one delta' demanded that the first change waits too. Its place is taken by a scenario that demands the lone change in force after 20 ms, and the 10 that follow as one delta, not before the delay is over. It fails when the first change waits (1 set), and when nothing waits (7 sets).

--- a/features/distribution/reconnect.feature
+++ b/features/distribution/reconnect.feature
@@ -57,13 +57,19 @@
     And 1 seconds pass in the distribution
     Then the reader "proxy-1" holds the source's version
 
-  Scenario: Changes within the batch delay travel as one delta
+  Scenario: A change alone goes out at once, those within the batch delay after it as one delta
     Given a batch delay of 0.5 seconds at the source
     And a reader "proxy-3" of the services "orders"
     When 1 seconds pass in the distribution
-    And the source makes 10 changes to the route "place" and its neighbours
-    And 2 seconds pass in the distribution
+    And the source puts "route/first" to "orders" with the secrets "till"
+    And 0.02 seconds pass in the distribution
+    Then the reader "proxy-3" holds the source's version
+    And the reader "proxy-3" was sent 2 sets or deltas
+    When the source makes 10 changes to the route "place" and its neighbours
+    And 0.45 seconds pass in the distribution
     Then the reader "proxy-3" was sent 2 sets or deltas
+    When 0.1 seconds pass in the distribution
+    Then the reader "proxy-3" was sent 3 sets or deltas
     And the reader "proxy-3" holds the source's version
 
   Scenario: A planned stop moves subscribers at once
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -32,6 +32,7 @@
 from limelever.protocol.keys import Key
 from limelever.publisher import events, rollout
 from limelever.publisher.admission import Admission
+from limelever.publisher.batching import BatchTimer
 from limelever.publisher.freshness import FreshnessProofs, WaitingProbe
 from limelever.publisher.heartbeats import Heartbeats, freshness_answer
 from limelever.publisher.resources import ResourceTable, Step
@@ -71,7 +72,7 @@
                 settings.admission_rate, settings.admission_burst, settings.retry_after_limit
             ),
         )
-        self._flush_at: float | None = None
+        self._batch = BatchTimer(settings.batch_delay)
         self._holders: tuple[VersionHolders, ...] | None = None
         self._handlers: dict[type[Message], _Handler] = {
             Subscribe: self._on_subscribe,
@@ -97,7 +98,7 @@
     def advance(
         self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key], now: float
     ) -> list[Output]:
-        """Move on to ``version``, which must be higher; gathered for ``batch_delay``."""
+        """Move on to ``version``, which must be higher; at most one batch a ``batch_delay``."""
         if version <= self._table.version:
             raise ValueError(f"version {version} does not follow {self._table.version}")
         return self._moved(self._table.advance(version, put, removed), now)
@@ -141,8 +142,7 @@
 
     def relays(self) -> tuple[str, ...]:
         """Return the names of the subscribers that are publishers themselves, sorted."""
-        found = {s.peer.name for s in self._sessions if not s.counts_in_rollout}
-        return tuple(sorted(found))
+        return tuple(sorted({s.peer.name for s in self._sessions if not s.counts_in_rollout}))
 
     def scope_of(self, connection: ConnectionId) -> Scope | None:
         """Return the scope of an admitted subscriber, or ``None``."""
@@ -162,7 +162,7 @@
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic), or ``None``."""
         heartbeat = self._heartbeats.next_at if len(self._sessions) else None
-        deadlines = (self._flush_at, heartbeat, self._proofs.next_deadline())
+        deadlines = (self._batch.due_at, heartbeat, self._proofs.next_deadline())
         return min((at for at in deadlines if at is not None), default=None)
 
     def _counts(self) -> tuple[VersionHolders, ...]:
@@ -173,19 +173,21 @@
     def _moved(self, step: Step, now: float) -> list[Output]:
         self._holders = None
         self._views.mark(step)
-        if self._flush_at is None:
-            self._flush_at = now + self._settings.batch_delay
-        return self._flush() if self._flush_at <= now else []
+        self._batch.note(now)
+        return self._flush(now) if self._batch.due(now) else []
 
-    def _flush(self) -> list[Output]:
-        self._flush_at = None
+    def _flush(self, now: float) -> list[Output]:
         self._holders = None
-        return self._sender.flush()
+        self._batch.taken()
+        outputs = self._sender.flush()
+        if outputs:
+            self._batch.sent(now)
+        return outputs
 
     def _on_deadline(self, now: float) -> list[Output]:
         outputs: list[Output] = []
-        if self._flush_at is not None and self._flush_at <= now:
-            outputs.extend(self._flush())
+        if self._batch.due(now):
+            outputs.extend(self._flush(now))
         if self._heartbeats.due(now) and len(self._sessions):
             age = self._proofs.age(now)
             outputs.extend(
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -9,11 +9,12 @@
 class PublisherSettings:
     """Bounds and intervals of a publisher.
 
-    ``batch_delay`` is how long changes are gathered before they are sent as one delta: it
-    trades convergence time for control bytes. ``window`` is the number of versions kept for
-    deltas. ``outstanding`` bounds the deltas sent to one subscriber and not yet acknowledged.
-    ``admission_rate`` (a second) and ``admission_burst`` bound the subscriptions answered
-    with configuration; those turned away are spread over at most ``retry_after_limit``.
+    ``batch_delay`` is the least time between two batches of changes: one alone goes out at
+    once, those that follow are gathered. It trades convergence time for control bytes.
+    ``window`` is the number of versions kept for deltas. ``outstanding`` bounds the deltas sent
+    to one subscriber and not yet acknowledged. ``admission_rate`` (a second) and
+    ``admission_burst`` bound the subscriptions answered with configuration; those turned away
+    are spread over at most ``retry_after_limit``.
     """
 
     batch_delay: float = 0.05
