Send a lone endpoint change at once and gather only those that follow

Cause: each relay held a change for endpoints.batch, twice on the way to another zone's proxies. Change: the batch is the least time between two sends (BatchTimer, as for configuration). Endpoints that register in one instant still go out as one update.

--- a/features/relay/endpoints.feature
+++ b/features/relay/endpoints.feature
@@ -119,6 +119,18 @@
     When 1 seconds pass at the relays
     Then the subscription "agent-config" holds configuration and got no endpoints
 
+  Scenario: A change alone goes out at once, those that follow it closely as one batch
+    When 1 seconds pass at the relays
+    And the proxy "proxy-2" counts its endpoint updates from here
+    And the agent "orders-1" renews as "draining"
+    And 0.02 seconds pass at the relays
+    Then the proxies "proxy-1, proxy-2" see "orders-1" as "draining"
+    When the agent "orders-2" registers at "relay-1" with incarnation 1
+    And the agent "orders-3" registers at "relay-1" with incarnation 1
+    And 0.1 seconds pass at the relays
+    Then the proxies "proxy-1, proxy-2" see "orders-3" as "ready"
+    And the proxy "proxy-2" got 2 more endpoint updates
+
   Scenario: News of one endpoint may come in any order
     Then random news of an endpoint ends the same in any order
 
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -18,6 +18,7 @@
     Output,
 )
 from limelever.protocol.endpoints_pb2 import EndpointSyncRequest, MachineNotice
+from limelever.publisher.batching import BatchTimer
 from limelever.publisher.scope import Scope
 from limelever.relay import events
 from limelever.relay.endpoint_entry import EndpointName
@@ -30,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointsSettings:
-    """Durations in seconds. ``batch`` is how long changes are gathered before they go out."""
+    """Durations in seconds. ``batch`` is the least time between two batches of changes."""
 
     peers: tuple[Address, ...] = ()
     lease: float = 6.0
@@ -52,7 +53,6 @@
         connections: DialledConnections,
         generator: random.Random,
     ) -> None:
-        self._settings = settings
         self.table = EndpointTable(settings.table)
         self._leases = Leases(self.table, settings.lease)
         self._feed = EndpointFeed(self.table)
@@ -69,7 +69,7 @@
             for address in settings.peers
         ]
         self._changed: set[EndpointName] = set()
-        self._flush_at: float | None = None
+        self._batch = BatchTimer(settings.batch)
 
     def start(self, now: float) -> None:
         """Begin to dial the other relays."""
@@ -128,24 +128,25 @@
         for peer in self._peers:
             outputs.extend(peer.on_deadline(now))
         outputs.extend(self._sync.on_deadline(now))
-        if self._flush_at is not None and self._flush_at <= now:
-            outputs.extend(self._flush())
+        if self._batch.due(now):
+            outputs.extend(self._flush(now))
         return outputs
 
     def next_deadline(self) -> float | None:
         """Return when ``on_deadline`` is to be called (seconds, monotonic), or ``None``."""
-        deadlines = [self._flush_at, self.table.next_deadline(), self._sync.next_deadline()]
+        deadlines = [self._batch.due_at, self.table.next_deadline(), self._sync.next_deadline()]
         deadlines.extend(peer.next_deadline() for peer in self._peers)
         return min((at for at in deadlines if at is not None), default=None)
 
     def _note(self, changed: Iterable[EndpointName], now: float) -> None:
         self._changed.update(changed)
-        if self._changed and self._flush_at is None:
-            self._flush_at = now + self._settings.batch
+        if self._changed:
+            self._batch.note(now)
 
-    def _flush(self) -> list[Output]:
+    def _flush(self, now: float) -> list[Output]:
         changed, self._changed = self._changed, set()
-        self._flush_at = None
+        self._batch.taken()
+        self._batch.sent(now)
         fields: dict[str, object] = {"endpoints": len(changed)}
         return [
             *self._feed.publish(changed),
