Add the experiments of reconnect storms and recovery

Cause: the bench command named both and ran neither.

Change: storm takes all readers of one relay, all readers, all relays, and all relays with their disks off at once, makes a change as they come back and measures when each reader has it in force and what the source spent. Recovery loses a replica with its disk, repairs it, and loses the leader right after, under a write each 0.1 s; then readers come back 401 versions behind. A full push of the whole state runs beside both. Ruled out: killing hollow processes for a storm, since their start would be measured in place of the reconnects.

--- a/src/limelever_lab/bench/hollow_fleet.py
+++ b/src/limelever_lab/bench/hollow_fleet.py
@@ -34,6 +34,7 @@
     process: LabProcess
     client: HollowClient
     nodes: int
+    zone: str
 
 
 class HollowFleet:
@@ -127,7 +128,7 @@
         write_settings(path, settings)
         process = self._launch(settings.name, path)
         client = HollowClient(settings.control)
-        self.processes.append(HollowProcess(process, client, nodes))
+        self.processes.append(HollowProcess(process, client, nodes, zone))
         wait_until_listening(settings.control.port)
 
     def _launch(self, name: str, path: Path) -> LabProcess:
--- a/src/limelever_lab/bench/run.py
+++ b/src/limelever_lab/bench/run.py
@@ -8,7 +8,9 @@
 
 from limelever_lab.bench.control_bytes import run_scale, scale_ratios
 from limelever_lab.bench.convergence import convergence_ratios, run_convergence
+from limelever_lab.bench.recovery import recovery_ratios, run_recovery
 from limelever_lab.bench.results import BenchSettings, Experiment, Ratio
+from limelever_lab.bench.storm import run_storm, storm_ratios
 from limelever_lab.bench.testbed import Testbed, TestbedSettings
 from limelever_lab.fleet.deployment import load_deployment
 
@@ -37,4 +39,10 @@
         case Experiment.BYTES:
             scale, left_out = run_scale(testbed, settings.nodes, with_reconnects=True)
             return Outcome(scale, scale_ratios(scale), tuple(left_out))
+        case Experiment.STORM:
+            storm, left_out = run_storm(testbed, settings.nodes)
+            return Outcome(storm, storm_ratios(storm), tuple(left_out))
+        case Experiment.RECOVERY:
+            recovery, left_out = run_recovery(testbed)
+            return Outcome(recovery, recovery_ratios(recovery), tuple(left_out))
     raise ValueError(f"{experiment} is not an experiment of distribution")
--- a/src/limelever_lab/bench/testbed.py
+++ b/src/limelever_lab/bench/testbed.py
@@ -78,9 +78,14 @@
 
     def change_common(self) -> AcceptedChange:
         """Change a share that is in the scope of every proxy."""
+        return _accepted(self.try_change_common())
+
+    def try_change_common(self) -> AcceptedChange | Failure:
+        """Change a share that is in the scope of every proxy, or return why that failed."""
         call_class = self.fleet.layout.deployment.calls[0]
         weight = self._generator.randint(1, LARGEST_WEIGHT)
-        return self.put(share_resource(call_class.service, call_class.group, weight))
+        share = share_resource(call_class.service, call_class.group, weight)
+        return self.fleet.operator.put(share)
 
     def change_scoped(self) -> AcceptedChange:
         """Change a route of one of the added services."""
@@ -90,10 +95,7 @@
 
     def put(self, *resources: Resource) -> AcceptedChange:
         """Apply resources in one batch; raises ``RuntimeError`` when that is refused."""
-        accepted = self.fleet.operator.put(*resources)
-        if isinstance(accepted, Failure):
-            raise RuntimeError(f"change was refused: {accepted}")
-        return accepted
+        return _accepted(self.fleet.operator.put(*resources))
 
     def wait_real(self, version: int) -> None:
         """Wait until the real relays, proxies and agents hold a version."""
@@ -114,6 +116,12 @@
         self.wait_real(version)
 
 
+def _accepted(answer: AcceptedChange | Failure) -> AcceptedChange:
+    if isinstance(answer, Failure):
+        raise RuntimeError(f"change was refused: {answer}")
+    return answer
+
+
 def wait_for(seconds: float) -> None:
     """Let the fleet run for a while."""
     time.sleep(seconds)
--- a/src/limelever_lab/fleet/metrics.py
+++ b/src/limelever_lab/fleet/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 LINK_BYTES = "limelever_link_bytes_total"
+LINK_FRAMES = "limelever_link_frames_total"
 CONFIGURATION_VERSION = "limelever_configuration_version"
 CALLS_PURPOSE = "calls"
 
@@ -32,10 +33,19 @@
 
 def control_bytes(samples: Iterable[Sample]) -> float:
     """Return the bytes, both ways, on all links but those that carry calls."""
+    return _control_total(LINK_BYTES, samples)
+
+
+def control_frames(samples: Iterable[Sample]) -> float:
+    """Return the frames, both ways, on all links but those that carry calls."""
+    return _control_total(LINK_FRAMES, samples)
+
+
+def _control_total(name: str, samples: Iterable[Sample]) -> float:
     return sum(
         sample.value
         for sample in samples
-        if sample.name == LINK_BYTES and ("purpose", CALLS_PURPOSE) not in sample.labels
+        if sample.name == name and ("purpose", CALLS_PURPOSE) not in sample.labels
     )
 
 
