Keep the agent's connections in a stack, and send a request at once

Cause: a profile of the agent under calls without bodies spent most of its time outside of poll in httpcore's connection pool. For each request it goes through all connections for each of them, asks the kernel whether each idle one is readable, and opens two cancel scopes a read.

Change: the agent keeps httpcore's HTTP/1.1 connections itself; an attempt takes the newest idle one. One cancel scope carries the attempt's deadline, and whether bytes left is known from the connection instead of from traces: after it opened, bytes count as sent. A request that is cancelled in that moment now says UNKNOWN where it said NOT RUN before, never the other way round.

Tests: three scenarios; each failed with its mechanism taken out (the look for closed connections, the keeping, the bound).

--- a/features/agent/backend.feature
+++ b/features/agent/backend.feature
@@ -13,3 +13,15 @@
       | /drop      | backend-failed after bytes           |
       | /big       | backend-failed after bytes           |
       | /refused   | backend-failed before any byte       |
+
+  Scenario: Attempts one after another share a connection
+    When 3 attempts in turn meet a back end that keeps its connections
+    Then the agent's client was answered 3 times over 1 connection
+
+  Scenario: A kept connection that the back end closed is not used again
+    When 3 attempts in turn meet a back end that closes after each answer
+    Then the agent's client was answered 3 times over 3 connections
+
+  Scenario: No more connections than allowed are open at once
+    When 5 attempts at once meet a back end, and the agent may open 2 connections
+    Then the agent's client was answered 5 times over 2 connections
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -842,7 +842,7 @@
             await trio.sleep(0.1)
             backend.cancel(1)
         await ended.wait()
-        await backend.aclose()
+        backend.close()
         nursery.cancel_scope.cancel()
     (event,) = received
     return event
@@ -861,3 +861,70 @@
         return
     sent = "after bytes" if event.sent_any_byte else "before any byte"
     assert end == f"{event.failure.kind.value} {sent}", event
+
+
+@dataclass
+class KeepingServer:
+    """Answers requests without bodies, some on each connection; counts connections."""
+
+    requests_each: int
+    connections: int = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        for _ in range(self.requests_each):
+            if not await stream.receive_some(65536):
+                return
+            await trio.sleep(0.01)
+            await stream.send_all(ANSWERS[b"/ok"])
+        await stream.aclose()
+
+
+async def ask_repeatedly(server: KeepingServer, count: int, at_once: int, allowed: int) -> int:
+    answers = 0
+    room = trio.Semaphore(at_once)
+
+    def post(event: Event) -> None:
+        nonlocal answers
+        assert isinstance(event, AttemptAnswered), event
+        answers += 1
+        room.release()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = Address("127.0.0.1", listener.socket.getsockname()[1])
+        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+        backend = Backend(BackendSettings(address=address, connections=allowed), nursery, post)
+        for number in range(count):
+            await room.acquire()
+            await trio.sleep(0.02 if at_once == 1 else 0.0)
+            backend.start(StartAttempt(number, "orders", b"GET", b"/ok", (), b"", 10.0))
+        while answers < count:
+            await trio.sleep(0.001)
+        backend.close()
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+@when("{count:d} attempts in turn meet a back end that keeps its connections")
+def ask_keeping(context: Context, count: int) -> None:
+    context.server = KeepingServer(requests_each=100)
+    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
+
+
+@when("{count:d} attempts in turn meet a back end that closes after each answer")
+def ask_closing(context: Context, count: int) -> None:
+    context.server = KeepingServer(requests_each=1)
+    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
+
+
+@when("{count:d} attempts at once meet a back end, and the agent may open {allowed:d} connections")
+def ask_at_once(context: Context, count: int, allowed: int) -> None:
+    context.server = KeepingServer(requests_each=100)
+    context.answers = trio.run(ask_repeatedly, context.server, count, count, allowed)
+
+
+@then("the agent's client was answered {count:d} times over {connections:d} connection")
+@then("the agent's client was answered {count:d} times over {connections:d} connections")
+def check_connections(context: Context, count: int, connections: int) -> None:
+    assert (context.answers, context.server.connections) == (count, connections)
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -4,19 +4,17 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 import httpcore
 import trio
 
+from limelever.agent.connections import BackendConnection, BackendConnections
 from limelever.agent.headers import end_to_end, request_headers
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Event
-from limelever.common.settings import seconds
 
-_FIRST_BYTES = "http11.send_request_headers.started"
 _CLIENT_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -28,14 +26,12 @@
 
 @dataclass(slots=True)
 class _Attempt:
+    """A request under way; its scope ends at the attempt's deadline."""
+
     scope: trio.CancelScope
+    cancelled: bool = False
     sent_any_byte: bool = False
 
-    async def trace(self, name: str, _info: dict[str, Any]) -> None:
-        """Note the moment from which bytes of the request may have left."""
-        if name == _FIRST_BYTES:
-            self.sent_any_byte = True
-
 
 class Backend:
     """Carries attempts out; ``post`` gets exactly one event for each of them.
@@ -52,18 +48,12 @@
         self._post = post
         self._host = str(settings.address).encode()
         self._attempts: dict[int, _Attempt] = {}
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=settings.connections,
-            max_keepalive_connections=settings.connections,
-            keepalive_expiry=seconds(settings.keepalive_ms),
-            http1=True,
-            http2=False,
-            retries=0,
-        )
+        self._connections = BackendConnections(settings)
 
     def start(self, output: StartAttempt) -> None:
         """Begin an attempt in the background."""
-        attempt = _Attempt(trio.CancelScope())
+        deadline = trio.current_time() + output.timeout
+        attempt = _Attempt(trio.CancelScope(deadline=deadline))
         self._attempts[output.attempt] = attempt
         self._nursery.start_soon(self._run, output, attempt)
 
@@ -71,93 +61,83 @@
         """Close an attempt's request; its event still follows. Unknown numbers are ignored."""
         running = self._attempts.get(attempt)
         if running is not None:
+            running.cancelled = True
             running.scope.cancel()
 
     async def probe(self, path: str, timeout: float) -> bool:
         """Return whether a health probe is answered with a 2xx status within ``timeout``."""
         with trio.move_on_after(timeout):
+            connection = await self._connections.acquire()
+            if isinstance(connection, Failure):
+                return False
+            request = self._request(path.encode(), b"GET", [(b"host", self._host)], b"")
             try:
-                answer = await self._pool.handle_async_request(self._request(path.encode()))
-                try:
-                    await self._read(answer)
-                finally:
-                    await answer.aclose()
-                return bool(200 <= answer.status < 300)
+                answer = await connection.http.handle_async_request(request)
+                await self._read(answer)
             except _CLIENT_ERRORS:
                 return False
+            finally:
+                self._connections.release(connection)
+            return bool(200 <= answer.status < 300)
         return False
 
-    async def aclose(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
+    def close(self) -> None:
+        """Close the connections that no attempt uses."""
+        self._connections.close()
 
     async def _run(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
-        with attempt.scope, trio.move_on_after(output.timeout) as timer:
-            event = await self._exchange(output, attempt)
+        with attempt.scope:
+            event = await self._attempt(output, attempt)
         if event is None:
-            if timer.cancelled_caught:
-                failure = Failure(ErrorKind.DEADLINE_EXCEEDED, "the back end did not answer")
-            else:
-                failure = Failure(ErrorKind.CANCELLED, "cancelled")
-            event = AttemptFailed(output.attempt, failure, attempt.sent_any_byte)
+            event = AttemptFailed(output.attempt, _ended(attempt), attempt.sent_any_byte)
         del self._attempts[output.attempt]
         self._post(event)
 
-    async def _exchange(self, output: StartAttempt, attempt: _Attempt) -> Event:
+    async def _attempt(self, output: StartAttempt, attempt: _Attempt) -> Event:
+        connection = await self._connections.acquire()
+        if isinstance(connection, Failure):
+            return AttemptFailed(output.attempt, connection, sent_any_byte=False)
+        attempt.sent_any_byte = True
         try:
-            request = self._attempt_request(output, attempt)
-            answer = await self._pool.handle_async_request(request)
-            try:
-                body = await self._read(answer)
-            finally:
-                await answer.aclose()
+            return await self._exchange(output, connection)
         except _CLIENT_ERRORS as error:
-            kind = ErrorKind.BACKEND_FAILED
-            reason = str(error) or type(error).__name__
-            return AttemptFailed(output.attempt, Failure(kind, reason), attempt.sent_any_byte)
+            failure = Failure(ErrorKind.BACKEND_FAILED, str(error) or type(error).__name__)
+            return AttemptFailed(output.attempt, failure, sent_any_byte=True)
+        finally:
+            self._connections.release(connection)
+
+    async def _exchange(self, output: StartAttempt, connection: BackendConnection) -> Event:
+        headers = request_headers(output.headers, self._host, output.body)
+        request = self._request(output.target, output.method, headers, output.body)
+        answer = await connection.http.handle_async_request(request)
+        body = await self._read(answer)
         if isinstance(body, Failure):
             return AttemptFailed(output.attempt, body, sent_any_byte=True)
         return AttemptAnswered(output.attempt, answer.status, end_to_end(answer.headers), body)
 
     async def _read(self, answer: httpcore.Response) -> bytes | Failure:
+        """Return the whole body; only then may the connection carry another request."""
         body = bytearray()
         limit = self._settings.max_response_bytes
         async for part in answer.aiter_stream():
             body += part
             if len(body) > limit:
                 return Failure(ErrorKind.BACKEND_FAILED, f"answer over {limit} bytes")
+        await answer.aclose()
         return bytes(body)
 
-    def _attempt_request(self, output: StartAttempt, attempt: _Attempt) -> httpcore.Request:
-        return self._request(
-            output.target,
-            output.method,
-            request_headers(output.headers, self._host, output.body),
-            output.body,
-            attempt,
-        )
-
     def _request(
-        self,
-        target: bytes,
-        method: bytes = b"GET",
-        headers: list[tuple[bytes, bytes]] | None = None,
-        body: bytes = b"",
-        attempt: _Attempt | None = None,
+        self, target: bytes, method: bytes, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> httpcore.Request:
         address = self._settings.address
-        extensions: dict[str, Any] = {
-            "timeout": {"connect": seconds(self._settings.connect_timeout_ms)}
-        }
-        if attempt is not None:
-            extensions["trace"] = attempt.trace
-        return httpcore.Request(
-            method,
-            httpcore.URL(
-                scheme=b"http", host=address.host.encode(), port=address.port, target=target
-            ),
-            headers=headers if headers is not None else [(b"host", self._host)],
-            content=body,
-            extensions=extensions,
+        url = httpcore.URL(
+            scheme=b"http", host=address.host.encode(), port=address.port, target=target
         )
+        return httpcore.Request(method, url, headers=headers, content=body)
+
+
+def _ended(attempt: _Attempt) -> Failure:
+    if attempt.cancelled:
+        return Failure(ErrorKind.CANCELLED, "cancelled")
+    return Failure(ErrorKind.DEADLINE_EXCEEDED, "the back end did not answer")
--- /dev/null
+++ b/src/limelever/agent/connections.py
@@ -0,0 +1,102 @@
+"""Kept connections to the back end, the last one used first.
+
+httpcore's own pool looks at every connection and every waiting request for each request; its
+time grows with the square of their number. Here a request takes the newest idle connection.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httpcore
+import trio
+
+from limelever.agent.backend_stream import BackendStream
+from limelever.agent.settings import BackendSettings
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.settings import seconds
+
+
+@dataclass(frozen=True, slots=True)
+class BackendConnection:
+    """An HTTP/1.1 connection and the stream under it."""
+
+    http: httpcore.AsyncHTTP11Connection
+    stream: BackendStream
+
+
+@dataclass(frozen=True, slots=True)
+class _Idle:
+    connection: BackendConnection
+    since: float
+
+
+class BackendConnections:
+    """Connections to one back end, at most as many as the settings allow."""
+
+    def __init__(self, settings: BackendSettings) -> None:
+        self._settings = settings
+        self._keep = seconds(settings.keepalive_ms)
+        self._origin = httpcore.Origin(b"http", settings.address.host.encode(), self._port)
+        self._room = trio.Semaphore(settings.connections)
+        self._idle: list[_Idle] = []
+
+    @property
+    def _port(self) -> int:
+        return self._settings.address.port
+
+    async def acquire(self) -> BackendConnection | Failure:
+        """Return a connection for one request; ``BACKEND_FAILED`` when none can be opened.
+
+        It waits while all connections that the settings allow are in use.
+        """
+        try:
+            self._room.acquire_nowait()
+        except trio.WouldBlock:
+            await self._room.acquire()
+        kept = self._take_idle()
+        if kept is not None:
+            return kept
+        opened: BackendConnection | Failure | None = None
+        try:
+            opened = await self._open()
+        finally:
+            if not isinstance(opened, BackendConnection):
+                self._room.release()
+        return opened
+
+    def release(self, connection: BackendConnection) -> None:
+        """Keep a connection whose answer was read whole; close any other."""
+        self._room.release()
+        now = trio.current_time()
+        while self._idle and now - self._idle[0].since > self._keep:
+            self._idle.pop(0).connection.stream.close()
+        if connection.http.is_idle():
+            self._idle.append(_Idle(connection, now))
+        else:
+            connection.stream.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().connection.stream.close()
+
+    def _take_idle(self) -> BackendConnection | None:
+        """Return the newest idle connection that the back end has not closed."""
+        now = trio.current_time()
+        while self._idle:
+            idle = self._idle.pop()
+            if now - idle.since <= self._keep and not idle.connection.http.has_expired():
+                return idle.connection
+            idle.connection.stream.close()
+        return None
+
+    async def _open(self) -> BackendConnection | Failure:
+        try:
+            with trio.fail_after(seconds(self._settings.connect_timeout_ms)):
+                tcp = await trio.open_tcp_stream(self._settings.address.host, self._port)
+        except (OSError, trio.TooSlowError) as error:
+            reason = str(error) or "timed out"
+            return Failure(ErrorKind.BACKEND_FAILED, f"connection did not open: {reason}")
+        stream = BackendStream(tcp)
+        return BackendConnection(httpcore.AsyncHTTP11Connection(self._origin, stream), stream)
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -137,7 +137,7 @@
         runner.post(DrainRequested())
         await finished.wait()
         await trio.sleep(_FLUSH_SECONDS)
-        await backend.aclose()
+        backend.close()
         nursery.cancel_scope.cancel()
 
 
