Let operators list, add, promote and remove replicas from the command line

Cause: ChangeMembers had no command and no test through the RPC, and the page told operators to call it by hand. Its request id was ignored: a resend after a lost answer met "no such member", printed as not-run though the first sending had run. IPv6 endpoints lost their brackets on the way to gRPC and to the socket.

Change: limelever members list|add|promote|remove. A member set in the log carries the request id that asked for it, so a resend of the last change gets its answer, before and after the commit; after another change it is reported as unknown. A malformed request id is refused at the door.

Ruled out: a table of answers for changes of members (rare, one at a time); accepting the removal of an identity that is not a member (hides a mistyped one).

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -35,6 +35,12 @@
     When the operator applies a file of resources
     Then the command ends with 0 and prints "applied: version 6"
 
+  Scenario: A replica is reached at its IPv6 address
+    Given a source that the command line reaches
+    When the operator asks the source at "[::1]:9000" for its status
+    Then the command ends with 0 and prints "role"
+    And the connection went to the host "::1" and the calls to "[::1]:9000"
+
   Scenario: An outcome that stays unknown is said so, with the request id
     Given a source that never answers a write
     When the operator applies a file of resources with "--request-id abcdefgh@5 --timeout 1"
--- a/features/source/membership.feature
+++ b/features/source/membership.feature
@@ -34,6 +34,16 @@
     When a replica group gets its former leader back
     Then a replica group has no member but its 3 voters
 
+  Scenario: Changes of members come one at a time
+    Given a replica group of 3
+    When a replica group is asked for two removals at once
+    Then a replica group carries out the first and has the second try again
+
+  Scenario: A change that is sent again gets the answer of the first sending
+    Given a replica group of 3
+    When a replica group is asked for a removal, and again before and after its commit
+    Then a replica group answers all three alike and has changed its members once
+
   Scenario: A removed replica stays out
     Given a replica group of 3
     When a replica group is asked to remove a follower
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -1,38 +1,16 @@
 import shlex
 import subprocess
 import sys
-import tempfile
-from pathlib import Path
+from unittest import mock
 
+import grpc
 from behave import given, then, when
-from operator_server import TOKEN, OperatorServer
-from typer.testing import CliRunner
+from cli_session import CLI_SECRET_VALUE, UNUSED_ADDRESS, folder_of, reach, run_command
+from operator_server import OperatorServer
 
-from limelever.cli.application import app
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.operators_pb2 import ApplyRequest
 
-CLI_SECRET_VALUE = "not-for-any-screen"
-UNUSED_ADDRESS = "127.0.0.1:9"
-RESOURCES = """
-[[service]]
-name = "orders"
-[[route]]
-name = "orders"
-service = "orders"
-path_prefix = "/orders"
-call_kind = "at_most_once"
-methods = ["POST"]
-secrets = ["key"]
-[[share]]
-service = "orders"
-group = "stores"
-weight = 3
-[[secret]]
-name = "key"
-header = "X-Key"
-value_file = "value"
-"""
 WRONG_RESOURCES = """
 [[service]]
 name = "orders"
@@ -48,32 +26,12 @@
 """
 
 
-def folder_of(context):
-    if not hasattr(context, "folder"):
-        temporary = tempfile.TemporaryDirectory()
-        context.add_cleanup(temporary.cleanup)
-        context.folder = Path(temporary.name)
-        (context.folder / "value").write_text(f"{CLI_SECRET_VALUE}\n")
-        (context.folder / "token").write_text(f"{TOKEN}\n")
-        (context.folder / "mesh.toml").write_text(RESOURCES)
-        context.printed = ""
-    return context.folder
-
-
 def start_source(context, script=None):
     server = OperatorServer(script)
     context.add_cleanup(server.stop)
     return server
 
 
-def reach(context, server_address):
-    folder = folder_of(context)
-    context.environment = {
-        "LIMELEVER_ENDPOINTS": str(server_address),
-        "LIMELEVER_TOKEN_FILE": str(folder / "token"),
-    }
-
-
 @given("a source that the command line reaches")
 def given_reachable(context):
     context.source = start_source(context)
@@ -143,14 +101,6 @@
     reach(context, UNUSED_ADDRESS)
 
 
-def run_command(context, arguments):
-    folder_of(context)
-    environment = {"LIMELEVER_ENDPOINTS": "", "LIMELEVER_TOKEN_FILE": ""}
-    environment.update(getattr(context, "environment", {}))
-    context.result = CliRunner().invoke(app, arguments, env=environment)
-    context.printed += context.result.output
-
-
 @when('the operator runs "{arguments}"')
 def when_runs(context, arguments):
     run_command(context, shlex.split(arguments))
@@ -167,6 +117,25 @@
     run_command(context, ["apply", path, *shlex.split(arguments)])
 
 
+@when('the operator asks the source at "{endpoint}" for its status')
+def when_asks_at(context, endpoint):
+    """Stand in for the network of a machine that may have no IPv6."""
+    open_channel = grpc.insecure_channel
+    served = str(context.source.address)
+    with (
+        mock.patch("limelever.cli.client.socket.create_connection") as context.connect,
+        mock.patch("limelever.cli.client.grpc.insecure_channel") as context.open,
+    ):
+        context.open.side_effect = lambda target, options: open_channel(served, options)
+        run_command(context, ["status", "--json", "--endpoint", endpoint])
+
+
+@then('the connection went to the host "{host}" and the calls to "{target}"')
+def then_reached(context, host, target):
+    assert context.connect.call_args.args[0] == (host, 9000), context.connect.call_args
+    assert context.open.call_args.args[0] == target, context.open.call_args
+
+
 @when("the operator applies a file with wrong resources")
 def when_applies_wrong(context):
     reach(context, UNUSED_ADDRESS)
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -13,7 +13,8 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
-from operator_server import READ_ONLY_TOKEN, TOKEN, OperatorServer
+from operator_client import call, open_channel
+from operator_server import READ_ONLY_TOKEN, OperatorServer
 
 from limelever.cli.error_page import render
 from limelever.common.errors import Failure, Outcome
@@ -357,23 +358,8 @@
 def serve(context, script=None):
     server = OperatorServer(script)
     context.add_cleanup(server.stop)
-    channel = grpc.insecure_channel(str(server.address), [("grpc.enable_http_proxy", 0)])
-    context.add_cleanup(channel.close)
-    context.server, context.channel = server, channel
-
-
-def call(context, method, request, response, *, token=TOKEN, timeout=5, **options):
-    rpc = context.channel.unary_unary(
-        f"/limelever.v1.Operator/{method}",
-        request_serializer=lambda m: m if isinstance(m, bytes) else m.SerializeToString(),
-        response_deserializer=response.FromString,
-    )
-    metadata = [("authorization", f"Bearer {token}")] if token else []
-    try:
-        return rpc(request, metadata=metadata, timeout=timeout, **options)
-    except grpc.RpcError as error:
-        context.error = error
-        return None
+    context.server = server
+    open_channel(context, server.address)
 
 
 def apply_request(*put):
--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -73,6 +73,7 @@
         self.loss = loss
         self.snapshot_every = snapshot_every
         self.nodes = {name: Node(name) for name in "abcdefg"[:size]}
+        self.operator_addresses = {}
         self.cut = set()
         self.queue = []
         self.sequence = 0
@@ -114,7 +115,7 @@
         return ReplicationSettings(
             name,
             others,
-            operator_address=f"{name}:2",
+            operator_address=self.operator_addresses.get(name, f"{name}:2"),
             bootstrap=True,
             snapshot_every=self.snapshot_every,
         )
@@ -143,6 +144,17 @@
         for connection in list(node.links):
             self.drop_link(node, connection)
 
+    def replace_machine(self, lost, name):
+        """Take a lost machine out of the settings, put a new one in, restart the others in turn."""
+        del self.nodes[lost]
+        self.nodes[name] = Node(name)
+        for other in self.nodes:
+            if other != name:
+                self.crash(other, torn=False)
+                self.start(other)
+                self.wait_for_leader()
+        self.start(name)
+
     def drop_link(self, node, connection):
         other, other_connection = node.links.pop(connection)
         other.links.pop(other_connection, None)
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -371,6 +371,44 @@
     assert identity not in [member.identity for member in answer.members], answer
 
 
+def _removal(context, name, request_id):
+    identity = context.group.voters(context.group.leader())[name]
+    return ChangeMembersRequest(request_id=request_id, remove=identity)
+
+
+@when("a replica group is asked for two removals at once")
+def _(context):
+    context.group.run(1)
+    requests = [_removal(context, name, f"remove-{name}") for name in _others(context)]
+    context.tokens = [context.group.ask(context.leader, request) for request in requests]
+
+
+@then("a replica group carries out the first and has the second try again")
+def _(context):
+    first, second = (context.group.answer(token) for token in context.tokens)
+    assert len(first.members) == 2, first
+    assert second.kind is ErrorKind.OVERLOADED and second.retry_after > 0, second
+    assert len(context.group.voters(context.group.leader())) == 2
+
+
+@when("a replica group is asked for a removal, and again before and after its commit")
+def _(context):
+    context.group.run(1)
+    removal = _removal(context, _others(context)[0], "remove-once")
+    context.tokens = [context.group.ask(context.leader, removal) for _ in range(2)]
+    context.group.answer(context.tokens[0])
+    context.tokens.append(context.group.ask(context.leader, removal))
+
+
+@then("a replica group answers all three alike and has changed its members once")
+def _(context):
+    answers = [context.group.answer(token) for token in context.tokens]
+    identities = [[member.identity for member in answer.members] for answer in answers]
+    assert identities[0] == identities[1] == identities[2] and len(identities[0]) == 2, answers
+    changes = [e for e in context.group.ledger.values() if e.WhichOneof("body") == "members"]
+    assert len(changes) == 1, changes
+
+
 @then("a replica group goes on with {size:d} voters and does not take the removed one back")
 def _(context, size):
     context.group.run(5)
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -17,8 +17,15 @@
 from grpc_status import rpc_status
 
 from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
+from limelever.common.sansio import Address
+from limelever.common.settings import parse_address
 from limelever.protocol.keys import key_text
-from limelever.protocol.operators_pb2 import DESCRIPTOR, ErrorDetail
+from limelever.protocol.operators_pb2 import (
+    DESCRIPTOR,
+    ErrorDetail,
+    StatusRequest,
+    StatusResponse,
+)
 
 ResponseT = TypeVar("ResponseT", bound=Message)
 
@@ -27,7 +34,7 @@
 PAUSE_SECONDS = 0.2
 _MAX_METADATA_BYTES = 64 * 1024
 _MILLISECONDS = 1000.0
-_STATE_REFUSALS = frozenset(
+STATE_REFUSALS = frozenset(
     {
         ErrorKind.CONFLICT,
         ErrorKind.NOT_FOUND,
@@ -42,9 +49,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientOptions:
-    """How to reach the source: ``endpoints`` are ``host:port``, ``timeout`` is in seconds."""
+    """How to reach the source; ``timeout`` is in seconds."""
 
-    endpoints: tuple[str, ...]
+    endpoints: tuple[Address, ...]
     token: str
     timeout: float
     authority: bytes | None = None
@@ -55,7 +62,7 @@
 
     def __init__(self, options: ClientOptions) -> None:
         self._options = options
-        self._channels: dict[str, grpc.Channel] = {}
+        self._channels: dict[Address, grpc.Channel] = {}
 
     def close(self) -> None:
         """Close all connections."""
@@ -63,13 +70,19 @@
             channel.close()
 
     def call(
-        self, method: str, request: Message, response: type[ResponseT], *, is_write: bool = False
+        self,
+        method: str,
+        request: Message,
+        response: type[ResponseT],
+        *,
+        is_write: bool = False,
+        settled_by: frozenset[ErrorKind] = frozenset(),
     ) -> ResponseT | Failure:
         """Call ``method`` within the timeout and return its answer or the last failure.
 
         When some sending of a write may have run, the answer is ``WRITE_UNKNOWN`` whatever a
-        later sending met, unless that settles it: a refusal at the door (a credential withdrawn
-        meanwhile, say) tells nothing about the sending before.
+        later sending met, unless that is a refusal in ``settled_by``: one at the door (a credential
+        withdrawn meanwhile, say) tells nothing about the sending before.
         """
         deadline = time.monotonic() + self._options.timeout
         turns = _Turns(self._options.endpoints)
@@ -85,10 +98,26 @@
                 break
             pause = 0.0 if turns.advance(failure) else max(PAUSE_SECONDS, failure.retry_after)
             time.sleep(max(0.0, min(pause, deadline - time.monotonic())))
-        return _after_unknown(failure) if unknown else failure
+        if unknown and failure.outcome is not Outcome.UNKNOWN and failure.kind not in settled_by:
+            reason = f"some sending was not answered, and the last one met {failure}"
+            return Failure(ErrorKind.WRITE_UNKNOWN, reason)
+        return failure
+
+    def ask_leader(self, status: StatusResponse) -> StatusResponse | Failure:
+        """Return the status of the leader that ``status`` names, or ``status`` without one."""
+        leader = leader_address(status.leader_operator_address)
+        if leader is None:
+            return status
+        limit = self._options.timeout
+        return self._attempt(leader, "Status", StatusRequest(), StatusResponse, limit)
 
     def _attempt(
-        self, endpoint: str, method: str, request: Message, response: type[ResponseT], left: float
+        self,
+        endpoint: Address,
+        method: str,
+        request: Message,
+        response: type[ResponseT],
+        left: float,
     ) -> ResponseT | Failure:
         channel = self._channel(endpoint, min(left, CONNECT_SECONDS))
         if isinstance(channel, Failure):
@@ -108,7 +137,7 @@
             return failure
         return answer
 
-    def _channel(self, endpoint: str, limit: float) -> grpc.Channel | Failure:
+    def _channel(self, endpoint: Address, limit: float) -> grpc.Channel | Failure:
         """Return a channel; an endpoint that nobody listens at was surely not given the call.
 
         grpcio answers ``UNAVAILABLE`` for that and for a connection lost after the call was
@@ -116,33 +145,41 @@
         """
         channel = self._channels.get(endpoint)
         if channel is None:
-            host, _, port = endpoint.rpartition(":")
             try:
-                socket.create_connection((host, int(port)), timeout=limit).close()
+                reached = (endpoint.host, endpoint.port)
+                socket.create_connection(reached, timeout=limit).close()
             except OSError as error:
                 return Failure(ErrorKind.CONNECTION_FAILED, f"{endpoint}: {error}")
             channel = self._open(endpoint)
             self._channels[endpoint] = channel
         return channel
 
-    def _open(self, endpoint: str) -> grpc.Channel:
+    def _open(self, endpoint: Address) -> grpc.Channel:
         options = [
             ("grpc.max_metadata_size", _MAX_METADATA_BYTES),
             ("grpc.enable_http_proxy", 0),
         ]
         if self._options.authority is None:
-            return grpc.insecure_channel(endpoint, options)
+            return grpc.insecure_channel(str(endpoint), options)
         credentials = grpc.ssl_channel_credentials(self._options.authority)
-        return grpc.secure_channel(endpoint, credentials, options)
+        return grpc.secure_channel(str(endpoint), credentials, options)
+
+
+def leader_address(text: str) -> Address | None:
+    """Return the address that a replica gave of its leader; ``None`` when it gave none."""
+    try:
+        return parse_address(text)
+    except ValueError:
+        return None
 
 
 class _Turns:
     """Whose turn it is: the leader that a refusal named, else the next endpoint."""
 
-    def __init__(self, endpoints: Sequence[str]) -> None:
+    def __init__(self, endpoints: Sequence[Address]) -> None:
         self._endpoints = endpoints
         self._index = 0
-        self._named_leaders: set[str] = set()
+        self._named_leaders: set[Address] = set()
         self.current = endpoints[0]
 
     def advance(self, failure: Failure) -> bool:
@@ -151,8 +188,8 @@
         Replicas that name each other as leader must not be asked in a tight loop, so only the
         first naming of a leader is followed at once.
         """
-        leader = failure.leader_address
-        if leader and leader != self.current:
+        leader = leader_address(failure.leader_address)
+        if leader is not None and leader != self.current:
             first = leader not in self._named_leaders
             self._named_leaders.add(leader)
             self.current = leader
@@ -162,14 +199,6 @@
         return False
 
 
-def _after_unknown(failure: Failure) -> Failure:
-    """Return what is known when a sending before the one that met ``failure`` may have run."""
-    if failure.outcome is Outcome.UNKNOWN or failure.kind in _STATE_REFUSALS:
-        return failure
-    reason = f"some sending was not answered, and the last one met {failure}"
-    return Failure(ErrorKind.WRITE_UNKNOWN, reason)
-
-
 def _is_retried(failure: Failure, is_write: bool) -> bool:
     advice = failure.answer.advice
     if failure.kind is ErrorKind.REQUEST_EXPIRED:
@@ -179,7 +208,7 @@
     return is_write and failure.outcome is Outcome.UNKNOWN
 
 
-def failure_of(error: grpc.RpcError, endpoint: str) -> Failure:
+def failure_of(error: grpc.RpcError, endpoint: Address) -> Failure:
     """Return the failure that a refused or broken call carries."""
     call: Any = error
     status = rpc_status.from_call(call)
--- a/src/limelever/cli/operator_commands.py
+++ b/src/limelever/cli/operator_commands.py
@@ -10,7 +10,7 @@
 from google.protobuf.message import Message
 
 from limelever.cli import output
-from limelever.cli.client import OperatorClient
+from limelever.cli.client import STATE_REFUSALS, OperatorClient
 from limelever.cli.roles import EXIT_OK, EXIT_REFUSED
 from limelever.common.errors import Failure
 from limelever.protocol.config_pb2 import Batch
@@ -18,6 +18,8 @@
 from limelever.protocol.operators_pb2 import (
     ApplyRequest,
     ApplyResponse,
+    ChangeMembersRequest,
+    ChangeMembersResponse,
     GetRequest,
     GetResponse,
     RolloutRequest,
@@ -28,6 +30,7 @@
 from limelever.source.request_records import make_request_id
 
 ROLLOUT_POLL_SECONDS = 0.5
+LEADER_ROLE = "leader"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +54,10 @@
             return _refused(drawn, "", options.as_json)
         batch.request_id = drawn
     request = ApplyRequest(batch=batch, dry_run=options.dry_run)
-    answer = client.call("Apply", request, ApplyResponse, is_write=not options.dry_run)
+    is_write = not options.dry_run
+    answer = client.call(
+        "Apply", request, ApplyResponse, is_write=is_write, settled_by=STATE_REFUSALS
+    )
     if isinstance(answer, Failure):
         return _refused(answer, batch.request_id, options.as_json)
     if options.as_json:
@@ -102,6 +108,35 @@
     return EXIT_OK
 
 
+def list_members(client: OperatorClient, as_json: bool) -> int:
+    """Print the members as the leader sees them, else as the replica does that answers."""
+    answer = client.call("Status", StatusRequest(), StatusResponse)
+    if isinstance(answer, Failure):
+        return _refused(answer, "", as_json)
+    if answer.role != LEADER_ROLE:
+        told = client.ask_leader(answer)
+        answer = answer if isinstance(told, Failure) else told
+    output.print_json(answer) if as_json else output.print_told_members(answer)
+    return EXIT_OK
+
+
+def change_members(client: OperatorClient, change: ChangeMembersRequest, as_json: bool) -> int:
+    """Carry out one change of the member set; draws a request id unless there is one.
+
+    Only the last change is remembered, so no refusal settles a sending that was not answered.
+    """
+    if not change.request_id:
+        drawn = draw_request_id(client)
+        if isinstance(drawn, Failure):
+            return _refused(drawn, "", as_json)
+        change.request_id = drawn
+    answer = client.call("ChangeMembers", change, ChangeMembersResponse, is_write=True)
+    if isinstance(answer, Failure):
+        return _refused(answer, change.request_id, as_json)
+    output.print_json(answer) if as_json else output.print_members(answer.members)
+    return EXIT_OK
+
+
 def _is_settled(answer: Message | Failure) -> bool:
     return isinstance(answer, Failure) or (isinstance(answer, RolloutResponse) and answer.complete)
 
--- a/src/limelever/cli/output.py
+++ b/src/limelever/cli/output.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from collections.abc import Iterable
 from typing import Any
 
 from google.protobuf.message import Message
@@ -15,6 +16,7 @@
     ApplyResponse,
     ChangeAction,
     GetResponse,
+    MemberStatus,
     RolloutResponse,
     StatusResponse,
 )
@@ -136,14 +138,25 @@
         print(f"{zone.zone:<24}{zone.in_force:>10}{zone.lagging:>10}{lowest:>10}")
 
 
+def print_members(members: Iterable[MemberStatus]) -> None:
+    """Print the members of the source, one a line."""
+    for member in members:
+        standing = "voter" if member.voter else "learner"
+        where = f"matched {member.matched_index} {member.address}".rstrip()
+        print(f"member {member.name} ({member.identity}): {standing}, {where}")
+
+
+def print_told_members(answer: StatusResponse) -> None:
+    """Print the members and who tells: only a leader knows how far the others are."""
+    print(f"as told by {answer.name}: {answer.role}, committed through {answer.commit_index}")
+    print_members(answer.members)
+
+
 def print_status(answer: StatusResponse) -> None:
     """Print the state of the replica that answered."""
     print(f"{answer.name}: {answer.role}, term {answer.term}, version {answer.version}")
     print(f"leader: {answer.leader or 'none'} {answer.leader_operator_address}".rstrip())
     print(f"committed through {answer.commit_index}")
-    for member in answer.members:
-        standing = "voter" if member.voter else "learner"
-        where = f"matched {member.matched_index} {member.address}".rstrip()
-        print(f"member {member.name} ({member.identity}): {standing}, {where}")
+    print_members(answer.members)
     for relay in answer.relays:
         print(f"relay {relay}")
--- a/src/limelever/common/sansio.py
+++ b/src/limelever/common/sansio.py
@@ -53,8 +53,9 @@
     port: int
 
     def __str__(self) -> str:
-        """Return ``host:port``."""
-        return f"{self.host}:{self.port}"
+        """Return ``host:port``, an IPv6 host in brackets."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/limelever/source/operator_door.py
@@ -0,0 +1,119 @@
+"""The door of the operators' service: who may call, and which requests are sound.
+
+Nothing here looks at the state: an earlier sending of a write may be in the log already, and a
+refusal by the state would say "not run" of it.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Mapping, Sequence
+
+import attrs
+from google.protobuf.message import Message
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.settings import not_empty
+from limelever.protocol.operators_pb2 import (
+    DESCRIPTOR,
+    ApplyRequest,
+    ChangeMembersRequest,
+    GetRequest,
+    RolloutRequest,
+    StatusRequest,
+)
+from limelever.source import grpc_wire
+from limelever.source.at_rest import SecretSealer
+from limelever.source.grpc_asgi import Refusal
+from limelever.source.validation import (
+    failure_of,
+    validate_batch,
+    validate_request_id,
+    validate_resources,
+)
+
+Headers = Mapping[bytes, bytes]
+
+_BEARER = b"bearer "
+_SERVICE = DESCRIPTOR.services_by_name["Operator"]
+_REQUESTS: dict[str, type[Message]] = {
+    f"/{_SERVICE.full_name}/Apply": ApplyRequest,
+    f"/{_SERVICE.full_name}/Get": GetRequest,
+    f"/{_SERVICE.full_name}/Rollout": RolloutRequest,
+    f"/{_SERVICE.full_name}/Status": StatusRequest,
+    f"/{_SERVICE.full_name}/ChangeMembers": ChangeMembersRequest,
+}
+
+
+@attrs.frozen(kw_only=True)
+class OperatorToken:
+    """A credential that an operator presents, and what it may do."""
+
+    name: str = attrs.field(validator=not_empty)
+    token: str = attrs.field(validator=not_empty, repr=False)
+    read_only: bool = False
+
+
+def authenticate(headers: Headers, tokens: Sequence[OperatorToken]) -> OperatorToken | Failure:
+    """Return whose credential the call presents, or UNAUTHENTICATED; in constant time."""
+    presented = headers.get(b"authorization", b"")
+    found: OperatorToken | None = None
+    for token in tokens:
+        if hmac.compare_digest(presented[len(_BEARER) :], token.token.encode()):
+            found = token
+    if found is None or presented[: len(_BEARER)].lower() != _BEARER:
+        return Failure(ErrorKind.UNAUTHENTICATED, "credential is missing or unknown")
+    return found
+
+
+def is_write(request: Message) -> bool:
+    """Return whether a request changes anything."""
+    if isinstance(request, ApplyRequest):
+        return not request.dry_run
+    return isinstance(request, ChangeMembersRequest)
+
+
+class RequestChecks:
+    """Turns a call's body into a checked request whose secrets are sealed."""
+
+    def __init__(self, sealer: SecretSealer) -> None:
+        self._sealer = sealer
+
+    def request(
+        self, method: str, headers: Headers, body: bytes | Failure, operator: OperatorToken
+    ) -> Message | Refusal:
+        """Return the request that ``body`` holds, or why it is refused."""
+        request = _parsed(method, headers, body)
+        if isinstance(request, Failure):
+            return Refusal(request)
+        if operator.read_only and is_write(request):
+            reason = f"operator {operator.name} may only read"
+            return Refusal(Failure(ErrorKind.PERMISSION_DENIED, reason))
+        return self._checked(request)
+
+    def _checked(self, request: Message) -> Message | Refusal:
+        match request:
+            case ApplyRequest(dry_run=True):
+                problems = validate_resources(request.batch)
+            case ApplyRequest():
+                problems = validate_batch(request.batch)
+            case ChangeMembersRequest():
+                problems = validate_request_id("members", request.request_id)
+            case _:
+                return request
+        if problems:
+            return Refusal(failure_of(problems), problems)
+        if not isinstance(request, ApplyRequest):
+            return request
+        return ApplyRequest(batch=self._sealer.seal_batch(request.batch), dry_run=request.dry_run)
+
+
+def _parsed(method: str, headers: Headers, body: bytes | Failure) -> Message | Failure:
+    kind = _REQUESTS.get(method)
+    if kind is None:
+        return Failure(ErrorKind.METHOD_NOT_ALLOWED, f"no method {method!r}")
+    encoding = headers.get(b"grpc-encoding", grpc_wire.IDENTITY_ENCODING)
+    if encoding != grpc_wire.IDENTITY_ENCODING:
+        return Failure(ErrorKind.METHOD_NOT_ALLOWED, "compressed messages are not taken")
+    payload = body if isinstance(body, Failure) else grpc_wire.unwrap_message(body)
+    return payload if isinstance(payload, Failure) else grpc_wire.parse_message(payload, kind)
--- a/src/limelever/source/operator_requests.py
+++ b/src/limelever/source/operator_requests.py
@@ -116,14 +116,18 @@
         index = self._replica.change_members(request, now)
         if isinstance(index, Failure):
             self._host.answer(token, index)
+        elif index <= self._replica.commit_index:
+            self._host.answer(token, self._members())
         else:
             self._waiters.add(index, token)
 
     def applied(self, entry: LogEntry, answer: Message | Failure | None) -> None:
         """Answer those who waited for ``entry``; ``answer`` is the state machine's."""
         for token in self._waiters.take(entry.index):
-            members = ChangeMembersResponse(members=self._replica.status().members)
-            self._host.answer(token, members if answer is None else answer)
+            self._host.answer(token, self._members() if answer is None else answer)
+
+    def _members(self) -> ChangeMembersResponse:
+        return ChangeMembersResponse(members=self._replica.status().members)
 
     def leadership_lost(self) -> None:
         """Answer the open writes that their fate is unknown: another leader may commit them."""
--- a/src/limelever/source/operator_service.py
+++ b/src/limelever/source/operator_service.py
@@ -8,25 +8,14 @@
 
 from __future__ import annotations
 
-import hmac
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
-import attrs
 import trio
 from google.protobuf.message import Message
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
-from limelever.common.settings import not_empty
-from limelever.protocol.operators_pb2 import (
-    DESCRIPTOR,
-    ApplyRequest,
-    ChangeMembersRequest,
-    GetRequest,
-    GetResponse,
-    RolloutRequest,
-    StatusRequest,
-)
+from limelever.protocol.operators_pb2 import ApplyRequest, GetResponse
 from limelever.protocol.redaction import redacted
 from limelever.source import grpc_wire
 from limelever.source.at_rest import SecretSealer
@@ -40,18 +29,19 @@
     send_plain,
 )
 from limelever.source.grpc_errors import shortened
+from limelever.source.operator_door import (
+    OperatorToken,
+    RequestChecks,
+    authenticate,
+    is_write,
+)
 from limelever.source.operator_events import (
     OPERATOR_CALL_FAILED,
     OPERATOR_REFUSED,
     OPERATOR_WRITE,
 )
 from limelever.source.operator_listener import serve_operators
-from limelever.source.validation import (
-    MAX_BATCH_BYTES,
-    failure_of,
-    validate_batch,
-    validate_resources,
-)
+from limelever.source.validation import MAX_BATCH_BYTES
 from limelever.transport.log import write_event
 
 __all__ = ["Ask", "OperatorToken", "operator_application", "serve_operators"]
@@ -64,27 +54,8 @@
 OVERLOAD_RETRY_SECONDS = 1.0
 ANSWER_MARGIN_SECONDS = 0.1
 ANSWER_MARGIN_PART = 0.2
-_BEARER = b"bearer "
 _HTTP_UNSUPPORTED_MEDIA_TYPE = 415
 
-_SERVICE = DESCRIPTOR.services_by_name["Operator"]
-_REQUESTS: dict[str, type[Message]] = {
-    f"/{_SERVICE.full_name}/Apply": ApplyRequest,
-    f"/{_SERVICE.full_name}/Get": GetRequest,
-    f"/{_SERVICE.full_name}/Rollout": RolloutRequest,
-    f"/{_SERVICE.full_name}/Status": StatusRequest,
-    f"/{_SERVICE.full_name}/ChangeMembers": ChangeMembersRequest,
-}
-
-
-@attrs.frozen(kw_only=True)
-class OperatorToken:
-    """A credential that an operator presents, and what it may do."""
-
-    name: str = attrs.field(validator=not_empty)
-    token: str = attrs.field(validator=not_empty, repr=False)
-    read_only: bool = False
-
 
 @dataclass(frozen=True, slots=True)
 class _Call:
@@ -108,7 +79,7 @@
     def __init__(self, ask: Ask, tokens: Sequence[OperatorToken], sealer: SecretSealer) -> None:
         self._ask = ask
         self._tokens = tuple(tokens)
-        self._sealer = sealer
+        self._checks = RequestChecks(sealer)
         self._in_flight = 0
 
     async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -146,54 +117,19 @@
         body = await read_body(receive, MAX_BODY_BYTES)
         if body is None:
             return None
-        request = self._request(call, body, operator)
+        request = self._checks.request(call.method, call.headers, body, operator)
         if isinstance(request, Refusal):
             return _refused(call, request)
         return await self._run(call, operator, request, receive)
 
     def _admit(self, call: _Call) -> OperatorToken | Failure:
-        presented = call.headers.get(b"authorization", b"")
-        found: OperatorToken | None = None
-        for token in self._tokens:
-            expected = token.token.encode()
-            if hmac.compare_digest(presented[len(_BEARER) :], expected):
-                found = token
-        if found is None or presented[: len(_BEARER)].lower() != _BEARER:
-            return Failure(ErrorKind.UNAUTHENTICATED, "credential is missing or unknown")
+        operator = authenticate(call.headers, self._tokens)
+        if isinstance(operator, Failure):
+            return operator
         if self._in_flight >= MAX_CALLS_IN_FLIGHT:
             reason = f"{MAX_CALLS_IN_FLIGHT} calls in flight"
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_SECONDS)
-        return found
-
-    def _request(
-        self, call: _Call, body: bytes | Failure, operator: OperatorToken
-    ) -> Message | Refusal:
-        kind = _REQUESTS.get(call.method)
-        if kind is None:
-            return Refusal(Failure(ErrorKind.METHOD_NOT_ALLOWED, f"no method {call.method!r}"))
-        encoding = call.headers.get(b"grpc-encoding", grpc_wire.IDENTITY_ENCODING)
-        if encoding != grpc_wire.IDENTITY_ENCODING:
-            reason = "compressed messages are not taken"
-            return Refusal(Failure(ErrorKind.METHOD_NOT_ALLOWED, reason))
-        payload = body if isinstance(body, Failure) else grpc_wire.unwrap_message(body)
-        if isinstance(payload, Failure):
-            return Refusal(payload)
-        request = grpc_wire.parse_message(payload, kind)
-        if isinstance(request, Failure):
-            return Refusal(request)
-        if operator.read_only and _is_write(request):
-            reason = f"operator {operator.name} may only read"
-            return Refusal(Failure(ErrorKind.PERMISSION_DENIED, reason))
-        return self._checked(request)
-
-    def _checked(self, request: Message) -> Message | Refusal:
-        if not isinstance(request, ApplyRequest):
-            return request
-        check = validate_resources if request.dry_run else validate_batch
-        problems = check(request.batch)
-        if problems:
-            return Refusal(failure_of(problems), problems)
-        return ApplyRequest(batch=self._sealer.seal_batch(request.batch), dry_run=request.dry_run)
+        return operator
 
     async def _run(
         self, call: _Call, operator: OperatorToken, request: Message, receive: Receive
@@ -207,7 +143,7 @@
             fault = f"{type(error).__name__}: {error}"
             write_event(OPERATOR_CALL_FAILED, {"method": call.method, "fault": fault})
             answer = Failure(ErrorKind.INTERNAL, "a fault in the source; its log has more")
-        if _is_write(request):
+        if is_write(request):
             _log_write(call, operator, request, answer)
         return Refusal(answer) if isinstance(answer, Failure) else _redacted(answer)
 
@@ -231,14 +167,8 @@
     return bounded - min(ANSWER_MARGIN_SECONDS, bounded * ANSWER_MARGIN_PART)
 
 
-def _is_write(request: Message) -> bool:
-    if isinstance(request, ApplyRequest):
-        return not request.dry_run
-    return isinstance(request, ChangeMembersRequest)
-
-
 def _past_deadline(request: Message, limit: float) -> Failure:
-    if _is_write(request):
+    if is_write(request):
         reason = f"no answer within {limit:g} s: the write may or may not have run"
         return Failure(ErrorKind.WRITE_UNKNOWN, reason)
     reason = f"no answer within {limit:g} s; a read changes nothing"
--- a/src/limelever/source/replication/changes.py
+++ b/src/limelever/source/replication/changes.py
@@ -21,6 +21,7 @@
     learners,
     replaces_a_voter,
     superseded_voter,
+    unchanged,
     voters,
     with_learner,
     with_promoted,
@@ -115,34 +116,44 @@
     def request(self, request: ChangeMembersRequest) -> int | Failure:
         """Begin an operator's change; returns the index whose commit completes it.
 
-        Fails with NOT_FOUND for an unknown name or identity and with OVERLOADED (try again)
-        while another change is under way, the learner lags, or a majority would not answer.
+        A resend of the last change gets that change's index. Fails with NOT_FOUND for an unknown
+        name or identity and with OVERLOADED (try again) while another change is under way, the
+        learner lags, or a majority would not answer.
         """
+        if request.request_id and request.request_id == self._context.members.request_id:
+            return self._context.log.members_index
         if not self._leadership.may_change_members:
             return self._later("another change is under way")
+        changed = self._requested(request)
+        if isinstance(changed, Failure):
+            return changed
+        changed.request_id = request.request_id
+        return self._leadership.change_members(changed)
+
+    def _requested(self, request: ChangeMembersRequest) -> MemberSet | Failure:
         members = self._context.members
         match request.WhichOneof("change"):
             case "add_learner":
-                changed = self._added(request.add_learner)
+                return self._added(request.add_learner)
+            case "promote" if request.promote in voters(members):
+                return unchanged(members)
             case "promote" if request.promote in learners(members):
-                changed = self._promotion(request.promote) or self._later("not ready to vote")
+                return self._promotion(request.promote) or self._later("not ready to vote")
             case "remove" if is_member(members, request.remove):
-                changed = self._removal(request.remove) or self._later("no majority would answer")
+                return self._removal(request.remove) or self._later("no majority would answer")
             case None:
                 return Failure(ErrorKind.INVALID_REQUEST, "no change named")
             case _:
                 return Failure(ErrorKind.NOT_FOUND, "no such member")
-        if isinstance(changed, Failure):
-            return changed
-        return self._leadership.change_members(changed)
 
     def _added(self, name: str) -> MemberSet | Failure:
+        members = self._context.members
         joining = next((member for member in self._joining() if member.name == name), None)
-        if joining is None:
-            return Failure(ErrorKind.NOT_FOUND, f"no replica called {name} asks to join")
-        if is_member(self._context.members, joining.identity):
-            return self._context.members
-        return with_learner(self._context.members, joining)
+        if joining is not None and not is_member(members, joining.identity):
+            return with_learner(members, joining)
+        if any(member.name == name for member in members.members):
+            return unchanged(members)
+        return Failure(ErrorKind.NOT_FOUND, f"no replica called {name} asks to join")
 
     def _later(self, reason: str) -> Failure:
         delay = self._context.settings.election_timeout
--- a/src/limelever/source/replication/members.py
+++ b/src/limelever/source/replication/members.py
@@ -57,10 +57,14 @@
     return MemberSet(members=[*kept, learner])
 
 
+def unchanged(members: MemberSet) -> MemberSet:
+    """Return the set as it is, for a change that finds its work done."""
+    return MemberSet(members=members.members)
+
+
 def with_promoted(members: MemberSet, identity: str) -> MemberSet:
     """Return the set with the learner ``identity`` made a voter."""
-    changed = MemberSet()
-    changed.CopyFrom(members)
+    changed = unchanged(members)
     for member in changed.members:
         if member.identity == identity:
             member.voter = True
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -80,10 +80,16 @@
 def validate_batch(batch: Batch) -> tuple[FieldProblem, ...]:
     """Return all that is wrong with ``batch``, its request id included; empty = sound."""
     problems = [FieldProblem(BATCH_SUBJECT, field, reason) for field, reason in _batch(batch)]
-    if position_of(batch.request_id) is None:
-        reason = "must be UNIQUE@POSITION, the position a committed log index"
-        problems.insert(0, FieldProblem(BATCH_SUBJECT, "request_id", reason))
-    return (*problems, *validate_resources(batch))
+    wrong_id = validate_request_id(BATCH_SUBJECT, batch.request_id)
+    return (*wrong_id, *problems, *validate_resources(batch))
+
+
+def validate_request_id(subject: str, request_id: str) -> tuple[FieldProblem, ...]:
+    """Return what is wrong with the request id of ``subject``; empty = sound."""
+    if position_of(request_id) is not None:
+        return ()
+    reason = "must be UNIQUE@POSITION, the position a committed log index"
+    return (FieldProblem(subject, "request_id", reason),)
 
 
 def validate_resources(batch: Batch) -> tuple[FieldProblem, ...]:
