--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -82,6 +82,10 @@
       | apply                       | Missing      |
       | relay                       | --settings   |
 
+  Scenario: The sample of a source's settings is sound
+    When the operator checks the sample "source.toml-sample"
+    Then the command ends with 0 and prints "sound, role source"
+
   Scenario: A settings file of no role
     When the operator checks settings of the role "cook"
     Then the command ends with 1 and prints "must be one of source, relay, proxy, agent"
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -1,6 +1,7 @@
 import shlex
 import subprocess
 import sys
+from pathlib import Path
 from unittest import mock
 
 import grpc
@@ -151,6 +152,12 @@
     run_command(context, ["settings", "check", str(path)])
 
 
+@when('the operator checks the sample "{name}"')
+def when_checks_sample(context, name):
+    path = Path(__file__).resolve().parents[2] / "etc" / name
+    run_command(context, ["settings", "check", str(path)])
+
+
 @then('the command ends with {status:d} and prints "{text}"')
 def then_ends_with(context, status, text):
     assert context.result.exit_code == status, (context.result, context.result.output)
