Add the batch delay experiment, the report command and the experiments' features

Cause: 'limelever-lab report' named a module that was not there; no experiment showed what batch_delay trades; fit, quantiles, records and baseline were not tested.

Change: batching runs a fleet for each of 0, 50, 250 and 1,000 ms under changes in quick succession; report draws batching, recovery and shares as SVG, the same bytes for the same results.

--- a/src/limelever_lab/bench/results.py
+++ b/src/limelever_lab/bench/results.py
@@ -19,6 +19,7 @@
     BYTES = "bytes"
     STORM = "storm"
     RECOVERY = "recovery"
+    BATCHING = "batching"
     CALLS = "calls"
     SHARES = "shares"
 
--- a/src/limelever_lab/bench/run.py
+++ b/src/limelever_lab/bench/run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from limelever_lab.bench.batching import batching_ratios, run_batching
 from limelever_lab.bench.control_bytes import run_scale, scale_ratios
 from limelever_lab.bench.convergence import convergence_ratios, run_convergence
 from limelever_lab.bench.recovery import recovery_ratios, run_recovery
@@ -27,7 +28,11 @@
 def run_experiment(experiment: Experiment, settings: BenchSettings, folder: Path) -> Outcome:
     """Run one of the experiments of distribution in ``folder``."""
     sizes = TestbedSettings(seed=settings.seed, batch_delay_ms=settings.batch_delay_ms)
-    with Testbed(load_deployment(settings.deployment), folder, sizes) as testbed:
+    deployment = load_deployment(settings.deployment)
+    if experiment is Experiment.BATCHING:
+        batching = run_batching(deployment, folder, sizes)
+        return Outcome(batching, batching_ratios(batching))
+    with Testbed(deployment, folder, sizes) as testbed:
         return _run(experiment, testbed, settings)
 
 
--- a/src/limelever_lab/cli.py
+++ b/src/limelever_lab/cli.py
@@ -36,7 +36,7 @@
         "Check the specification of the core protocol.",
     ),
     LabCommand("bench", "limelever_lab.bench.command:bench", "Run an experiment."),
-    LabCommand("report", "limelever_lab.bench.report:report", "Draw kept results."),
+    LabCommand("report", "limelever_lab.reports.command:report", "Draw kept results."),
     LabCommand("docs-events", "limelever_lab.event_catalogue:docs_events", "Print docs/EVENTS.md."),
     LabCommand("backend", "limelever_lab.standins.commands:backend", "Run a back-end stand-in."),
     LabCommand(
@@ -44,7 +44,9 @@
         "limelever_lab.standins.commands:platform_list",
         "Run the platform's machine list.",
     ),
-    LabCommand("delay-link", "limelever_lab.standins.commands:delay_link", "Run a slow TCP link."),
+    LabCommand(
+        "network", "limelever_lab.standins.commands:network", "Run slow TCP links that break."
+    ),
     LabCommand("callers", "limelever_lab.load.commands:callers", "Run callers against addresses."),
 )
 
--- /dev/null
+++ b/src/limelever_lab/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Drawings of the results that experiments keep as JSON."""
