Prove TLS by wrong certificates, renew them while running, end dead links

Cause: TLS had no test. A refused handshake on an HTTP listener was silent; a file that was missing was not named; a refused certificate read "Connection reset by peer" on the dialling side; a renewal needed a restart. A machine that is gone without a word left its idle links open for ever, each counting against the limit of links. A full disk of a whole source, a second process on a data folder and fields of a later version were tested in part or not.

Change: tls.py names the file at fault, watches certificate and key and gives renewed ones to the contexts in use (events 1050, 1051), after trying them in a context of their own, since a key that does not match would leave half of each. HTTP listeners do the handshake under the guard, so that its failure is an event. The dialling side says where the reason stands: trio closes without sending TLS's alert, and taking it out of trio's private buffer was ruled out.

--- /dev/null
+++ b/features/steps/transport_peer_steps.py
@@ -0,0 +1,61 @@
+"""Steps for peers of a later version, and for peers whose machine is gone."""
+
+from __future__ import annotations
+
+import socket
+
+import trio
+from behave import then, when
+from transport_server import CREDENTIAL, PlainClient, hello
+
+from limelever.common.framing import encode_frame
+from limelever.common.sansio import Purpose, Role
+from limelever.common.settings import LinkSettings
+from limelever.protocol.calls_pb2 import CallBody
+from limelever.protocol.link_pb2 import HelloAnswer
+from limelever.transport.links import Link, LinkIdentity, dial
+from limelever.transport.streams import KEEP_ALIVE_SECONDS
+
+LATER_FIELD = b"\xfa\x7f\x05later"
+"""Field 2047 of type bytes, which no message has today."""
+
+
+def of_a_later_version(message):
+    later = type(message).FromString(message.SerializeToString() + LATER_FIELD)
+    frame = encode_frame(later)
+    assert LATER_FIELD in frame
+    return frame
+
+
+@when("a member of a later version opens a link and sends {count:d} messages")
+def when_later_version(context, count):
+    client = PlainClient(context.link_server.address)
+    context.add_cleanup(client.close)
+    client.send(of_a_later_version(hello("other")))
+    answer = client.receive()
+    assert isinstance(answer, HelloAnswer) and answer.accepted, answer
+    for _ in range(count):
+        client.send(of_a_later_version(CallBody(stream=1)))
+
+
+def seconds_of_silence(stream: trio.SocketStream) -> int:
+    """Return after how many seconds of silence the other machine is asked, 0 for never."""
+    if not stream.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+        return 0
+    return stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+
+
+@then("both ends of a link ask a silent machine for a sign of life")
+def then_keep_alive(context):
+    server = context.link_server
+    accepted = server.link_of("member")
+    assert seconds_of_silence(accepted._stream) == KEEP_ALIVE_SECONDS
+
+    async def main():
+        identity = LinkIdentity(Role.AGENT, "dialling", "zone-a", CREDENTIAL)
+        link = await dial(server.address, Purpose.REGISTRATION, identity, LinkSettings(), None)
+        assert isinstance(link, Link), link
+        assert seconds_of_silence(link._stream) == KEEP_ALIVE_SECONDS
+        await link.flush_and_close()
+
+    trio.run(main)
--- a/features/steps/transport_process_steps.py
+++ b/features/steps/transport_process_steps.py
@@ -12,6 +12,8 @@
 
 from behave import given, then, when
 
+from limelever.storage.folder import FolderDisk, open_folder
+
 PATIENCE = 30
 LIMELEVER = Path(sys.executable).parent / "limelever"
 FAULTY_ROLE = Path(__file__).parent / "faulty_role.py"
@@ -48,6 +50,11 @@
     return taken.getsockname()[1]
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
 def write_relay_settings(context, *, listen=0, admin=0, log=""):
     context.folder = folder_of(context)
     context.settings = context.folder / "relay.toml"
@@ -79,6 +86,16 @@
     write_relay_settings(context, log='log = { file = "/dev/null/no-folder.log" }\n')
 
 
+@given("a relay's settings whose data folder another process holds")
+def given_folder_held(context):
+    write_relay_settings(context)
+    held = open_folder(context.folder / "data")
+    assert isinstance(held, FolderDisk), held
+    context.add_cleanup(held.close)
+    with context.settings.open("a") as settings:
+        settings.write(f'data_folder = "{context.folder}/data"\n')
+
+
 @when("that relay is run")
 def when_relay_run(context):
     context.ended = run(LIMELEVER, "relay", "--settings", context.settings)
@@ -106,6 +123,13 @@
     assert f"127.0.0.1:{context.port}" in reason and "in use" in reason, reason
 
 
+@then("that process logs 1004 naming the data folder in use")
+def then_names_folder(context):
+    (event,) = context.ended.events(1004)
+    reason = event["fields"]["reason"]
+    assert reason == f"data-folder-in-use: {context.folder}/data is held by another process", reason
+
+
 @then("that process logs 1040 with the line at fault")
 def then_line_at_fault(context):
     (event,) = context.ended.events(1040)
--- a/features/steps/transport_server.py
+++ b/features/steps/transport_server.py
@@ -26,7 +26,7 @@
 )
 from limelever.common.settings import AcceptedCredential, LinkSettings, TlsSettings
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
-from limelever.transport.links import PROTOCOL_VERSION, LinkIdentity
+from limelever.transport.links import PROTOCOL_VERSION, Link, LinkIdentity
 from limelever.transport.listener import LinkListener
 from limelever.transport.runner import CoreRunner
 from limelever.transport.tls import server_context
@@ -127,6 +127,10 @@
         self._thread.join(PATIENCE)
         self.log.close()
 
+    def link_of(self, name: str) -> Link:
+        assert wait_for(lambda: name in self.core.opened.values())
+        return self._runner._links[self.core.connection_of(name)]
+
     def send(self, name: str, message: Message, times: int) -> None:
         def post() -> None:
             number = self.core.connection_of(name)
--- a/features/transport/bad_input.feature
+++ b/features/transport/bad_input.feature
@@ -46,6 +46,16 @@
       | a bomb of unstated size | protocol-violation |
       | a bomb in a bomb        | protocol-violation |
 
+  Scenario: Fields of a later version are passed over
+    Given a link server
+    When a member of a later version opens a link and sends 5 messages
+    Then the link server's core has the other member's 5 messages
+
+  Scenario: A machine that is gone without a word does not hold its link for ever
+    Given a link server
+    And a member's link to the link server
+    Then both ends of a link ask a silent machine for a sign of life
+
   Scenario: What came before a malformed frame is not lost
     Given a link server
     When another member sends 5 messages and then bytes that do not parse
--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -19,6 +19,13 @@
     And that process prints that the settings are of role "relay", this process is "agent"
     And that process prints no traceback
 
+  Scenario: A second process on the same data folder is refused
+    Given a relay's settings whose data folder another process holds
+    When that relay is run
+    Then that process exits with 1
+    And that process logs 1004 naming the data folder in use
+    And that process prints no traceback
+
   Scenario: A log file that cannot be written is named
     Given a relay's settings whose log file cannot be opened
     When that relay is run
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -36,6 +35,7 @@
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.tls import CertificateFiles, certificate_kept_current, one_sided_context
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -100,13 +100,13 @@
         Reports the bound address, or why there is none, to ``task_status``.
         """
         config = _server_config(self._settings)
-        context = _tls_context(config)
-        listeners = (
-            context
-            if isinstance(context, Failure)
-            else await open_listeners(
-                self._settings.listen, context, "edge", backlog=self._settings.backlog
-            )
+        files = CertificateFiles(self._settings.certificate, self._settings.key)
+        context = one_sided_context(files, ("h2", "http/1.1"))
+        if isinstance(context, Failure):
+            task_status.started(context)
+            return
+        listeners = await open_listeners(
+            self._settings.listen, context, "edge", backlog=self._settings.backlog
         )
         if isinstance(listeners, Failure):
             task_status.started(listeners)
@@ -118,7 +118,8 @@
             failed_event=events.EDGE_CONNECTION_FAILED,
             limit_event=events.EDGE_CONNECTION_LIMIT,
         )
-        await serve_guarded(self.application, listeners, config, options, self._stopping)
+        async with certificate_kept_current([context] if context else [], files):
+            await serve_guarded(self.application, listeners, config, options, self._stopping)
 
     async def application(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -256,15 +257,4 @@
     config.keep_alive_max_requests = 1_000_000_000
     config.h11_max_incomplete_size = settings.max_headers_bytes
     config.h2_max_header_list_size = settings.max_headers_bytes
-    if settings.certificate:
-        config.certfile = settings.certificate
-        config.keyfile = settings.key
     return config
-
-
-def _tls_context(config: Config) -> ssl.SSLContext | None | Failure:
-    """Return the context of the edge's certificate, ``None`` for cleartext."""
-    try:
-        return config.create_ssl_context()
-    except OSError as error:
-        return Failure(ErrorKind.INVALID_SETTINGS, f"edge's certificate: {error}")
--- a/src/limelever/source/operator_listener.py
+++ b/src/limelever/source/operator_listener.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import ssl
-
 import trio
 from hypercorn.config import Config
 
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import Failure
 from limelever.common.sansio import Address
 from limelever.common.settings import TlsSettings
 from limelever.source.operator_events import (
@@ -21,6 +19,7 @@
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.tls import certificate_kept_current, files_of, one_sided_context
 
 DEFAULT_CONNECTION_LIMIT = 128
 DEFAULT_STOP_LIMIT = 10.0
@@ -44,12 +43,12 @@
     ``stop_limit`` is in seconds. Reports the bound address, or the failure, to ``task_status``;
     returns the failure when it could not listen.
     """
-    context = _tls_context(tls)
-    listeners = (
-        context
-        if isinstance(context, Failure)
-        else await open_listeners(listen, context, "operators' listener")
-    )
+    files = files_of(tls)
+    context = one_sided_context(files, ("h2",))
+    if isinstance(context, Failure):
+        task_status.started(context)
+        return context
+    listeners = await open_listeners(listen, context, "operators' listener")
     if isinstance(listeners, Failure):
         task_status.started(listeners)
         return listeners
@@ -60,7 +59,8 @@
         failed_event=OPERATOR_CONNECTION_FAILED,
         limit_event=OPERATOR_CONNECTION_LIMIT,
     )
-    await serve_guarded(application, listeners, _hypercorn_config(), options, shutdown)
+    async with certificate_kept_current([context] if context else [], files):
+        await serve_guarded(application, listeners, _hypercorn_config(), options, shutdown)
     return None
 
 
@@ -74,17 +74,3 @@
     config.h2_max_header_list_size = _HEADER_LIST_BYTES
     config.include_server_header = False
     return config
-
-
-def _tls_context(tls: TlsSettings) -> ssl.SSLContext | None | Failure:
-    """Operators show a token, not a certificate, so none is asked of them."""
-    if not tls.enabled:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.set_alpn_protocols(["h2"])
-    try:
-        context.load_cert_chain(tls.certificate, tls.key)
-    except OSError as error:
-        return Failure(ErrorKind.INVALID_SETTINGS, f"tls: {error}")
-    return context
--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -39,3 +39,17 @@
     "error",
     "traceback",
 )
+CERTIFICATE_LOADED = define(
+    1050,
+    "certificate-loaded",
+    Level.INFO,
+    "renewed certificate is used by new connections",
+    "certificate",
+)
+CERTIFICATE_REFUSED = define(
+    1051,
+    "certificate-refused",
+    Level.ERROR,
+    "changed certificate files do not fit, the former ones stay in use",
+    "reason",
+)
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -26,13 +26,15 @@
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http_connection import HttpConnection
-from limelever.transport.links import client_name
 from limelever.transport.log import write_event
+from limelever.transport.streams import client_name, reason_of
 
 AsgiApplication = Callable[..., Awaitable[None]]
 Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 
+HANDSHAKE_SECONDS = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class GuardOptions:
@@ -137,12 +139,19 @@
     async def _serve(self, connection: HttpConnection) -> None:
         client = client_name(connection.stream)
         try:
+            await self._shake_hands(connection.stream)
             await connection.run()
         except* Exception as group:
             await trio.aclose_forcefully(connection.stream)
             fields: dict[str, object] = {"client": client, "reason": _first_reason(group)}
             write_event(self._options.failed_event, fields)
 
+    async def _shake_hands(self, stream: Any) -> None:
+        """Do TLS's handshake, if there is one; hypercorn would keep its failure to itself."""
+        if isinstance(stream, trio.SSLStream):
+            with trio.fail_after(HANDSHAKE_SECONDS):
+                await stream.do_handshake()
+
 
 def _reporting(application: AsgiApplication) -> AsgiApplication:
     """Return the application with its faults reported; hypercorn answers 500 in silence."""
@@ -161,4 +170,6 @@
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
+    if isinstance(error, trio.BrokenResourceError):
+        return reason_of(error)
     return f"{type(error).__name__}: {error}"
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -4,7 +4,6 @@
 
 import ssl
 from dataclasses import dataclass
-from typing import Any
 
 import trio
 from google.protobuf.message import Message
@@ -15,6 +14,7 @@
 from limelever.common.settings import LinkSettings, seconds
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
 from limelever.transport.metrics import LINK_BYTES, LINK_FRAMES, LINKS_OPEN
+from limelever.transport.streams import detect_dead_machine, reason_of
 
 PROTOCOL_VERSION = 1
 HELLO_LIMIT_BYTES = 16 * 1024
@@ -150,24 +150,6 @@
         LINKS_OPEN.labels(self.purpose).dec()
 
 
-def reason_of(error: BaseException) -> str:
-    """Return why a stream broke; trio keeps TLS's own words in the cause."""
-    cause = error.__cause__
-    if isinstance(error, trio.BrokenResourceError) and cause is not None:
-        return str(cause) or type(cause).__name__
-    return str(error) or type(error).__name__
-
-
-def client_name(stream: trio.abc.Stream) -> str:
-    """Return ``host:port`` of a stream's other end, ``gone`` when it has none any more."""
-    inner: Any = stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
-    try:
-        host, port = inner.socket.getpeername()[:2]
-    except (OSError, AttributeError):
-        return "gone"
-    return f"{host}:{port}"
-
-
 async def dial(
     address: Address,
     purpose: Purpose,
@@ -184,14 +166,15 @@
             stream = await _connect(address, context)
             link = Link(stream, settings)
             link.count_as(purpose.value)
-            answer = await _say_hello(link, purpose, identity)
+            answer = await _say_hello(link, purpose, identity, context)
             if isinstance(answer, Link):
                 return answer
-            reason = answer.reason
             await link.flush_and_close()
             return answer
         except (OSError, trio.BrokenResourceError, ssl.SSLError) as error:
             reason = reason_of(error)
+            if isinstance(error.__cause__, ConnectionError):
+                reason += _tls_hint(context)
         except BaseException:
             if stream is not None:
                 with trio.CancelScope(shield=True):
@@ -204,12 +187,23 @@
 
 async def _connect(address: Address, context: ssl.SSLContext | None) -> trio.abc.Stream:
     stream = await trio.open_tcp_stream(address.host, address.port)
+    detect_dead_machine(stream)
     if context is None:
         return stream
     return trio.SSLStream(stream, context, server_hostname=address.host, https_compatible=True)
 
 
-async def _say_hello(link: Link, purpose: Purpose, identity: LinkIdentity) -> Link | Failure:
+def _tls_hint(context: ssl.SSLContext | None) -> str:
+    """Say where to look: in TLS 1.3 a certificate is refused after the dialling side is done.
+
+    trio closes then without sending TLS's alert, so only the other side knows the reason.
+    """
+    return "; if it refused this certificate, its event 1012 says why" if context else ""
+
+
+async def _say_hello(
+    link: Link, purpose: Purpose, identity: LinkIdentity, context: ssl.SSLContext | None
+) -> Link | Failure:
     hello = Hello(
         protocol=PROTOCOL_VERSION,
         role=identity.role.value,
@@ -223,7 +217,8 @@
     await link.send_pending()
     answer = await link.receive()
     if answer is None:
-        return Failure(ErrorKind.CONNECTION_FAILED, "closed before it answered the hello")
+        reason = f"closed before it answered the hello{_tls_hint(context)}"
+        return Failure(ErrorKind.CONNECTION_FAILED, reason)
     if isinstance(answer, Failure):
         return answer
     if not isinstance(answer, HelloAnswer):
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -13,9 +13,10 @@
 from limelever.common.settings import AcceptedCredential, LinkSettings
 from limelever.transport.events import LINK_LIMIT
 from limelever.transport.hello import accept
-from limelever.transport.links import LinkIdentity, client_name, reason_of
+from limelever.transport.links import LinkIdentity
 from limelever.transport.log import write_event
 from limelever.transport.runner import CoreRunner
+from limelever.transport.streams import client_name, detect_dead_machine, reason_of
 
 _BACKLOG = 1024
 
@@ -63,7 +64,8 @@
         """Stop accepting; open links go on."""
         self._scope.cancel()
 
-    async def _handle(self, stream: trio.abc.Stream) -> None:
+    async def _handle(self, accepted: trio.SocketStream) -> None:
+        stream: trio.abc.Stream = accepted
         client = client_name(stream)
         if self._open >= self.settings.connections:
             fields: dict[str, object] = {"client": client, "limit": self.settings.connections}
@@ -72,12 +74,10 @@
             return
         self._open += 1
         try:
+            detect_dead_machine(accepted)
             if self.context is not None:
                 stream = trio.SSLStream(
-                    stream,
-                    self.context,
-                    server_side=True,
-                    https_compatible=True,
+                    accepted, self.context, server_side=True, https_compatible=True
                 )
             await self._serve(stream, client)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -21,7 +21,12 @@
 from limelever.transport.log import configure_logging, write_event
 from limelever.transport.metrics import CONFIGURATION_VERSION
 from limelever.transport.runner import CoreRunner, Disk
-from limelever.transport.tls import client_context, server_context
+from limelever.transport.tls import (
+    certificate_kept_current,
+    client_context,
+    files_of,
+    server_context,
+)
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -178,7 +183,10 @@
         await nursery.start(_watch_signals, shell)
         if settings.admin is not None:
             await _start_admin(shell, settings.admin)
-        await main(shell)
+        contexts = [shell.client_context, shell.listener.context]
+        used = [context for context in contexts if context is not None]
+        async with certificate_kept_current(used, files_of(settings.tls)):
+            await main(shell)
         nursery.cancel_scope.cancel()
 
 
--- a/src/limelever/transport/runner.py
+++ b/src/limelever/transport/runner.py
@@ -38,8 +38,9 @@
 )
 from limelever.common.settings import LinkSettings
 from limelever.transport.faults import report_fault
-from limelever.transport.links import Link, LinkIdentity, dial, reason_of
+from limelever.transport.links import Link, LinkIdentity, dial
 from limelever.transport.log import write_event
+from limelever.transport.streams import reason_of
 
 DiskWrite = AppendLog | TruncateLog | ResetLog | ReplaceFile
 
--- /dev/null
+++ b/src/limelever/transport/streams.py
@@ -0,0 +1,47 @@
+"""What listeners and links need of trio's streams: who is there, why it broke, is it alive."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import trio
+
+KEEP_ALIVE_SECONDS = 30
+"""Silence after which the other end's machine is asked for a sign of life."""
+
+_KEEP_ALIVE_INTERVAL_SECONDS = 5
+_KEEP_ALIVE_PROBES = 3
+_UNACKNOWLEDGED_MS = 30_000
+
+
+def detect_dead_machine(stream: trio.SocketStream) -> None:
+    """Let the system close a connection whose other machine is gone without a word.
+
+    A machine that lost its power or its cable closes nothing: an idle link to it would stand,
+    and count against the limit of links, for ever. A process that is only suspended is not
+    meant; its machine goes on answering.
+    """
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+
+
+def reason_of(error: BaseException) -> str:
+    """Return why a stream broke; trio keeps TLS's own words in the cause."""
+    cause = error.__cause__
+    if isinstance(error, trio.BrokenResourceError) and cause is not None:
+        return str(cause) or type(cause).__name__
+    return str(error) or type(error).__name__
+
+
+def client_name(stream: trio.abc.Stream) -> str:
+    """Return ``host:port`` of a stream's other end, ``gone`` when it has none any more."""
+    inner: Any = stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
+    try:
+        host, port = inner.socket.getpeername()[:2]
+    except (OSError, AttributeError):
+        return "gone"
+    return f"{host}:{port}"
