Tell of versions outside of a scope at once, and send no heartbeat without news

Cause: a subscriber whose scope a version does not touch learned of it by the next heartbeat or probe only, up to 2 s later; and heartbeats went out each 3 s also when there was nothing to tell. Their age was read by nobody (it may be held up on the way), nor were the source's proofs for it. Change: heartbeats go out when a version is news to a subscriber, at once after a pause and then at most one each heartbeat_interval; a keep-alive each 30 s lets vanished machines be found. The message loses its age. Ruled out: no keep-alive at all, as a publisher that never writes never learns that a machine is gone. Tests: 'costs no delta' waited 5 s for the version, now 0.05 s, and counts one heartbeat; new ones for many versions and for quiet.

--- a/features/distribution/scope.feature
+++ b/features/distribution/scope.feature
@@ -39,17 +39,30 @@
     Given a reader "proxy-2" of the services "catalogue"
     When 1 seconds pass in the distribution
     And the source puts "secret/till" alone
-    And 5 seconds pass in the distribution
+    And 0.05 seconds pass in the distribution
     Then the reader "proxy-1" holds the source's version
     And the reader "proxy-1" was sent 2 sets or deltas
     And the reader "proxy-2" was sent 1 sets or deltas
 
-  Scenario: A version that does not touch a scope costs no delta
+  Scenario: A version that does not touch a scope costs no delta, and is known there at once
     When 1 seconds pass in the distribution
     And the source puts "route/upload" to "catalogue" with the secrets "photos"
-    And 5 seconds pass in the distribution
+    And 0.05 seconds pass in the distribution
     Then the reader "proxy-1" was sent 1 sets or deltas
     And the reader "proxy-1" holds the source's version
+    And the reader "proxy-1" was sent 1 heartbeats
+
+  Scenario: Many versions that do not touch a scope cost a few heartbeats
+    When 1 seconds pass in the distribution
+    And the source puts "route/upload" to "catalogue" with the secrets "photos" 100 times, 0.05 seconds apart
+    And 3 seconds pass in the distribution
+    Then the reader "proxy-1" was sent 1 sets or deltas
+    And the reader "proxy-1" holds the source's version
+    And the reader "proxy-1" was sent 4 heartbeats
+
+  Scenario: In quiet a link carries probes, and one keep-alive in half a minute
+    When 70 seconds pass in the distribution
+    Then the reader "proxy-1" was sent 2 heartbeats
 
   Scenario: Subscribers of one scope are sent one message that was built once
     Given a publisher with 50 subscribers of the services "orders"
--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -213,7 +213,8 @@
 
     def _times(self):
         deadlines = [n.core.next_deadline() for n in self.nodes.values()]
-        return [at for at in (*deadlines, self.queue[0][0] if self.queue else None) if at]
+        queued = self.queue[0][0] if self.queue else None
+        return [at for at in (*deadlines, queued) if at is not None]
 
     def _due(self, end):
         return any(at < end for at in self._times())
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -32,6 +32,7 @@
     ConfigDelta,
     ConfigSnapshot,
     FreshnessAnswer,
+    Heartbeat,
     InventoryRequest,
     RetryLater,
     Subscribe,
@@ -135,6 +136,18 @@
     context.mesh.apply([build(text, service, secrets)])
 
 
+@when(
+    'the source puts "{text}" to "{service}" with the secrets "{secrets}" '
+    "{count:d} times, {gap:g} seconds apart"
+)
+def step_put_often(context, text, service, secrets, count, gap):
+    for number in range(count):
+        body = build(text, service, secrets)
+        body.route.timeout_ms = number + 1
+        context.mesh.apply([body])
+        context.mesh.network.run(gap)
+
+
 @when('the source puts "{text}" alone')
 def step_put(context, text):
     context.mesh.apply([build(text)])
@@ -282,6 +295,13 @@
     assert len(sent) == count, len(sent)
 
 
+@then('the reader "{name}" was sent {count:d} heartbeats')
+def step_sent_heartbeats(context, name, count):
+    received = context.mesh.network.nodes[name].received
+    heartbeats = [message for message in received if isinstance(message, Heartbeat)]
+    assert len(heartbeats) == count, len(heartbeats)
+
+
 @then('the reader "{name}" has refused {count:d} version')
 def step_has_refused(context, name, count):
     log = context.mesh.network.nodes[name].log
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -63,7 +63,9 @@
         self._sessions = Sessions(self._views)
         self._proofs = FreshnessProofs(settings.proof_timeout)
         self._sender = Sender(self._table, self._sessions, self._views, settings.outstanding)
-        self._heartbeats = Heartbeats(settings.heartbeat_interval)
+        self._heartbeats = Heartbeats(
+            self._sessions, settings.heartbeat_interval, settings.keep_alive_interval
+        )
         self._subscribing = Subscribing(
             self._table,
             self._sessions,
@@ -126,7 +128,7 @@
         for probe in self._proofs.proved(began):
             session = self._sessions.get(probe.connection)
             if session is not None:
-                outputs.extend(self._heartbeats.tell_version(session, self._views, self.version))
+                outputs.extend(self._heartbeats.tell(session, self.version))
                 answer = freshness_answer(probe.nonce, self.version, 0.0)
                 outputs.append(SendMessage(probe.connection, answer))
         needed = self._proofs.begin_if_waited_for(now)
@@ -161,8 +163,11 @@
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic), or ``None``."""
-        heartbeat = self._heartbeats.next_at if len(self._sessions) else None
-        deadlines = (self._batch.due_at, heartbeat, self._proofs.next_deadline())
+        deadlines = (
+            self._batch.due_at,
+            self._heartbeats.next_deadline(),
+            self._proofs.next_deadline(),
+        )
         return min((at for at in deadlines if at is not None), default=None)
 
     def _counts(self) -> tuple[VersionHolders, ...]:
@@ -174,6 +179,7 @@
         self._holders = None
         self._views.mark(step)
         self._batch.note(now)
+        self._heartbeats.version_moved(now)
         return self._flush(now) if self._batch.due(now) else []
 
     def _flush(self, now: float) -> list[Output]:
@@ -182,19 +188,14 @@
         outputs = self._sender.flush()
         if outputs:
             self._batch.sent(now)
+            self._heartbeats.version_moved(now)
         return outputs
 
     def _on_deadline(self, now: float) -> list[Output]:
         outputs: list[Output] = []
         if self._batch.due(now):
             outputs.extend(self._flush(now))
-        if self._heartbeats.due(now) and len(self._sessions):
-            age = self._proofs.age(now)
-            outputs.extend(
-                self._heartbeats.beat(self._sessions, self._views, self.version, age, now)
-            )
-            needed = self._proofs.begin(now) if self._settings.proves_itself else None
-            outputs.extend([needed] if needed else [])
+        outputs.extend(self._heartbeats.on_deadline(self.version, now))
         needed = self._proofs.begin_if_waited_for(now)
         return [*outputs, needed] if needed else outputs
 
@@ -232,7 +233,7 @@
             needed = self._proofs.begin(now)
             return [needed] if needed else []
         answer = freshness_answer(message.nonce, self.version, self._proofs.age(now))
-        told = self._heartbeats.tell_version(session, self._views, self.version)
+        told = self._heartbeats.tell(session, self.version)
         return [*told, SendMessage(session.connection, answer)]
 
     def _on_report(self, session: Session, message: Message, _now: float) -> list[Output]:
--- a/src/limelever/publisher/heartbeats.py
+++ b/src/limelever/publisher/heartbeats.py
@@ -1,64 +1,84 @@
-"""Heartbeats: the publisher's version and age, for subscribers whose scope did not change."""
+"""Heartbeats: at which version a subscriber's scope is right, when that is news to it.
+
+Quiet links carry the subscribers' probes and their answers; from here they get one keep-alive
+in a long while, by which a machine that vanished without a word is found out.
+"""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 from limelever.common.sansio import Output, SendMessage
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, Heartbeat
+from limelever.publisher.batching import BatchTimer
 from limelever.publisher.session import Session, SessionState
-from limelever.publisher.views import ScopeViews
+from limelever.publisher.sessions import Sessions
 
 _MILLISECONDS = 1000
 _LARGEST_AGE_MS = 0xFFFFFFFF
 
 
 class Heartbeats:
-    """Tells subscribers at an interval which version their scope is right at."""
+    """Tells of a new version at once after a pause, then at most once an ``interval``.
+
+    Both durations and all times are in seconds.
+    """
 
-    def __init__(self, interval: float) -> None:
-        self._interval = interval
-        self.next_at: float | None = None
+    def __init__(self, sessions: Sessions, interval: float, keep_alive: float) -> None:
+        self._sessions = sessions
+        self._news = BatchTimer(interval)
+        self._keep_alive = keep_alive
+        self._keep_alive_at: float | None = None
 
     def start(self, now: float) -> None:
-        """Begin the interval, unless it has begun."""
-        if self.next_at is None:
-            self.next_at = now + self._interval
-
-    def due(self, now: float) -> bool:
-        """Return whether the next heartbeat's time has come."""
-        return self.next_at is not None and self.next_at <= now
-
-    def beat(
-        self,
-        sessions: Iterable[Session],
-        views: ScopeViews,
-        version: int,
-        age: float | None,
-        now: float,
-    ) -> list[Output]:
-        """Send one heartbeat to each subscriber; ``age`` in seconds, ``None`` when unproved."""
-        self.next_at = now + self._interval
-        in_step = _heartbeat(version, age)
-        out_of_step = _heartbeat(0, age)
-        outputs: list[Output] = []
-        for session in sessions:
-            if session.state is not SessionState.FOLLOWING:
-                continue
-            if _in_step(session, views):
-                session.told_version = version
-                outputs.append(SendMessage(session.connection, in_step))
-            else:
-                outputs.append(SendMessage(session.connection, out_of_step))
+        """Begin the interval of keep-alives, unless it has begun."""
+        if self._keep_alive_at is None:
+            self._keep_alive_at = now + self._keep_alive
+
+    def version_moved(self, now: float) -> None:
+        """Note that subscribers may have to be told of a version."""
+        self._news.note(now)
+
+    def next_deadline(self) -> float | None:
+        """Return when ``on_deadline`` is to be called, or ``None`` without subscribers."""
+        if not len(self._sessions):
+            return None
+        times = (self._news.due_at, self._keep_alive_at)
+        return min((at for at in times if at is not None), default=None)
+
+    def on_deadline(self, version: int, now: float) -> list[Output]:
+        """Send the heartbeats that are due, at the publisher's ``version``."""
+        if self._keep_alive_at is not None and self._keep_alive_at <= now:
+            return self._keep_all_alive(version, now)
+        if not self._news.due(now):
+            return []
+        self._news.taken()
+        outputs = [told for session in self._sessions for told in self.tell(session, version)]
+        if outputs:
+            self._news.sent(now)
         return outputs
 
-    def tell_version(self, session: Session, views: ScopeViews, version: int) -> list[Output]:
-        """Tell one subscriber at once that its scope is right at ``version``, if it is."""
-        if session.told_version == version or not _in_step(session, views):
+    def tell(self, session: Session, version: int) -> list[Output]:
+        """Tell one subscriber at once that its scope is right at ``version``, if that is news."""
+        if session.told_version == version or not self._in_step(session):
             return []
-        session.told_version = version
-        return [SendMessage(session.connection, _heartbeat(version, None))]
+        return [self._heartbeat(session, version)]
+
+    def _keep_all_alive(self, version: int, now: float) -> list[Output]:
+        self._keep_alive_at = now + self._keep_alive
+        self._news.taken()
+        following = [s for s in self._sessions if s.state is SessionState.FOLLOWING]
+        return [self._heartbeat(s, version if self._in_step(s) else 0) for s in following]
+
+    def _heartbeat(self, session: Session, version: int) -> SendMessage:
+        session.told_version = max(session.told_version, version)
+        return SendMessage(session.connection, Heartbeat(version=version))
+
+    def _in_step(self, session: Session) -> bool:
+        if session.state is not SessionState.FOLLOWING:
+            return False
+        view = self._sessions.view_of(session)
+        return not view.dirty and session.sent_version >= view.changed_version
 
 
 def freshness_answer(nonce: int, version: int, age: float | None) -> FreshnessAnswer:
@@ -68,18 +88,5 @@
     return FreshnessAnswer(nonce=nonce, version=version, age_ms=_age_ms(age))
 
 
-def _in_step(session: Session, views: ScopeViews) -> bool:
-    if session.state is not SessionState.FOLLOWING:
-        return False
-    view = views.get(session.scope)
-    return not view.dirty and session.sent_version >= view.changed_version
-
-
-def _heartbeat(version: int, age: float | None) -> Heartbeat:
-    if age is None:
-        return Heartbeat(version=version)
-    return Heartbeat(version=version, age_ms=_age_ms(age), fresh_known=True)
-
-
 def _age_ms(age: float) -> int:
     return min(_LARGEST_AGE_MS, math.ceil(age * _MILLISECONDS))
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -14,11 +14,14 @@
     ``window`` is the number of versions kept for deltas. ``outstanding`` bounds the deltas sent
     to one subscriber and not yet acknowledged. ``admission_rate`` (a second) and
     ``admission_burst`` bound the subscriptions answered with configuration; those turned away
-    are spread over at most ``retry_after_limit``.
+    are spread over at most ``retry_after_limit``. ``heartbeat_interval`` is the least time
+    between two heartbeats that tell of new versions; in quiet one goes out each
+    ``keep_alive_interval``.
     """
 
     batch_delay: float = 0.05
     heartbeat_interval: float = 3.0
+    keep_alive_interval: float = 30.0
     window: int = 1024
     outstanding: int = 4
     admission_rate: float = 400.0
