Let the method decide which refusals settle an unanswered write

Cause: the list of settling refusals was an argument, so every caller of Apply had to know it.

Change: the client keeps it by method. A scenario for the other direction is new: a conflict after a lost answer is not-run. It fails when Apply's list is empty; before, nothing did.

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -53,6 +53,12 @@
     And the command also prints "permission-denied"
     And the source applied 1 batches
 
+  Scenario: The state machine's refusal settles a write whose first answer was lost
+    Given a source that loses the first answer and then refuses as a conflict
+    When the operator applies a file of resources with "--request-id abcdefgh@5"
+    Then the command ends with 1 and prints "outcome: not-run"
+    And the source was asked for 2 writes
+
   Scenario: A resend older than the kept answers is not sent on and on
     Given a source that no longer keeps the answer to a write
     When the operator applies a file of resources with "--request-id abcdefgh@5"
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -63,17 +63,22 @@
 
 @given("a source that loses the first answer and then withdraws the credential")
 def given_withdrawn(context):
-    answers = [ErrorKind.WRITE_UNKNOWN, ErrorKind.PERMISSION_DENIED]
-    start_scripted(context, [Failure(kind, "scripted") for kind in answers])
+    start_scripted(context, ErrorKind.WRITE_UNKNOWN, ErrorKind.PERMISSION_DENIED)
+
+
+@given("a source that loses the first answer and then refuses as a conflict")
+def given_lost_conflict(context):
+    start_scripted(context, ErrorKind.WRITE_UNKNOWN, ErrorKind.CONFLICT)
 
 
 @given("a source that no longer keeps the answer to a write")
 def given_expired(context):
-    start_scripted(context, [Failure(ErrorKind.REQUEST_EXPIRED, "scripted")])
+    start_scripted(context, ErrorKind.REQUEST_EXPIRED)
 
 
-def start_scripted(context, answers):
-    """Start a source that gives these answers to writes, the last one again and again."""
+def start_scripted(context, *kinds):
+    """Start a source that answers writes by these failures, the last one again and again."""
+    answers = [Failure(kind, "scripted") for kind in kinds]
     context.writes = []
 
     def script(request):
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -34,16 +34,22 @@
 PAUSE_SECONDS = 0.2
 _MAX_METADATA_BYTES = 64 * 1024
 _MILLISECONDS = 1000.0
-STATE_REFUSALS = frozenset(
-    {
-        ErrorKind.CONFLICT,
-        ErrorKind.NOT_FOUND,
-        ErrorKind.DANGLING_REFERENCE,
-        ErrorKind.STILL_REFERENCED,
-        ErrorKind.OVERLAPPING,
-    }
-)
-"""Refusals by the state machine, which gives every sending of a request id the same answer."""
+_SETTLED_BY = {
+    "Apply": frozenset(
+        {
+            ErrorKind.CONFLICT,
+            ErrorKind.NOT_FOUND,
+            ErrorKind.DANGLING_REFERENCE,
+            ErrorKind.STILL_REFERENCED,
+            ErrorKind.OVERLAPPING,
+        }
+    )
+}
+"""Refusals that settle a write whatever became of the sendings before, by method.
+
+The state machine gives every sending of a batch the same answer. Of the changes of members only
+the last is remembered, so there no refusal settles a sending that was not answered.
+"""
 _SERVICE_NAME = DESCRIPTOR.services_by_name["Operator"].full_name
 
 
@@ -76,12 +82,11 @@
         response: type[ResponseT],
         *,
         is_write: bool = False,
-        settled_by: frozenset[ErrorKind] = frozenset(),
     ) -> ResponseT | Failure:
         """Call ``method`` within the timeout and return its answer or the last failure.
 
         When some sending of a write may have run, the answer is ``WRITE_UNKNOWN`` whatever a
-        later sending met, unless that is a refusal in ``settled_by``: one at the door (a credential
+        later sending met, unless that is a refusal that settles it: one at the door (a credential
         withdrawn meanwhile, say) tells nothing about the sending before.
         """
         deadline = time.monotonic() + self._options.timeout
@@ -98,7 +103,8 @@
                 break
             pause = 0.0 if turns.advance(failure) else max(PAUSE_SECONDS, failure.retry_after)
             time.sleep(max(0.0, min(pause, deadline - time.monotonic())))
-        if unknown and failure.outcome is not Outcome.UNKNOWN and failure.kind not in settled_by:
+        settled = failure.kind in _SETTLED_BY.get(method, ())
+        if unknown and not settled and failure.outcome is not Outcome.UNKNOWN:
             reason = f"some sending was not answered, and the last one met {failure}"
             return Failure(ErrorKind.WRITE_UNKNOWN, reason)
         return failure
--- a/src/limelever/cli/operator_commands.py
+++ b/src/limelever/cli/operator_commands.py
@@ -10,7 +10,7 @@
 from google.protobuf.message import Message
 
 from limelever.cli import output
-from limelever.cli.client import STATE_REFUSALS, OperatorClient
+from limelever.cli.client import OperatorClient
 from limelever.cli.roles import EXIT_OK, EXIT_REFUSED
 from limelever.common.errors import Failure
 from limelever.protocol.config_pb2 import Batch
@@ -54,10 +54,7 @@
             return _refused(drawn, "", options.as_json)
         batch.request_id = drawn
     request = ApplyRequest(batch=batch, dry_run=options.dry_run)
-    is_write = not options.dry_run
-    answer = client.call(
-        "Apply", request, ApplyResponse, is_write=is_write, settled_by=STATE_REFUSALS
-    )
+    answer = client.call("Apply", request, ApplyResponse, is_write=not options.dry_run)
     if isinstance(answer, Failure):
         return _refused(answer, batch.request_id, options.as_json)
     if options.as_json:
@@ -121,10 +118,7 @@
 
 
 def change_members(client: OperatorClient, change: ChangeMembersRequest, as_json: bool) -> int:
-    """Carry out one change of the member set; draws a request id unless there is one.
-
-    Only the last change is remembered, so no refusal settles a sending that was not answered.
-    """
+    """Carry out one change of the member set; draws a request id unless there is one."""
     if not change.request_id:
         drawn = draw_request_id(client)
         if isinstance(drawn, Failure):
