--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
 from random import Random
 
+from replication_node import Node, RecordingCore, service_batch
+
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import (
     Address,
@@ -24,46 +25,18 @@
     StopProcess,
     WriteCompleted,
 )
-from limelever.protocol.config_pb2 import Batch, Resource, Service
-from limelever.protocol.operators_pb2 import ApplyRequest
+from limelever.protocol.operators_pb2 import ApplyResponse
 from limelever.publisher.settings import PublisherSettings
 from limelever.source import events
 from limelever.source.at_rest import SecretSealer
-from limelever.source.core import SourceCore
 from limelever.source.messages import OperatorAnswer, OperatorRequest
 from limelever.source.replication.settings import ReplicationSettings
 from limelever.storage.disk import DISK_WRITES
-from limelever.storage.memory import MemoryDisk
 
 SEALER = SecretSealer([bytes(32)])
 RUNNING_TIMEOUT = 30.0
 
 
-class RecordingCore(SourceCore):
-    """Notes each entry in the group's ledger as it is applied."""
-
-    note_applied: Callable = staticmethod(lambda entry: None)
-
-    def apply(self, entry):
-        self.note_applied(entry)
-        super().apply(entry)
-
-
-class Node:
-    """One replica's place: its disk outlives its lives."""
-
-    def __init__(self, name):
-        self.name = name
-        self.disk = MemoryDisk()
-        self.core = None
-        self.life = 0
-        self.links = {}
-        self.accepted = -1
-        self.writing = []
-        self.queued = []
-        self.hung = False
-
-
 class Group:
     """Replicas a, b, c ... with everything between them drawn from one seed."""
 
@@ -108,6 +81,18 @@
             assert self.queue and self.queue[0][0] <= end, f"waited in vain until {what}"
             self.step()
 
+    def found(self):
+        """Start all replicas and wait until all vote."""
+        for name in self.nodes:
+            self.start(name)
+        leader = self.wait_for_leader()
+        names = set(self.nodes)
+        self.run_until(
+            lambda: self.leader() and set(self.voters(self.leader())) == names,
+            "all replicas vote",
+        )
+        return leader
+
     # --- lives --------------------------------------------------------------------------------
 
     def settings(self, name):
@@ -137,7 +122,7 @@
 
     def crash(self, name, torn=True):
         node = self.nodes[name]
-        node.core = None
+        node.core, node.frozen = None, None
         node.life += 1
         node.writing, node.queued = [], []
         node.disk.crash(self.random, torn)
@@ -168,6 +153,9 @@
     def deliver(self, node, life, event):
         if node.core is None or node.life != life:
             return
+        if node.frozen is not None:
+            node.frozen.append((life, event))
+            return
         for output in node.core.handle(event, self.now):
             self.carry_out(node, output)
         self.check_leader(node)
@@ -274,6 +262,23 @@
             known = self.leaders.setdefault(replica.term, replica.identity)
             assert known == replica.identity, f"two leaders in term {replica.term}"
 
+    # --- disorder -----------------------------------------------------------------------------
+
+    def isolate(self, name):
+        """Cut a replica off from the others, silently."""
+        self.cut |= {frozenset((name, other)) for other in self.nodes if other != name}
+
+    def freeze(self, name):
+        """Stop a replica where it is: what reaches it waits, and it does not notice."""
+        self.nodes[name].frozen = []
+
+    def thaw(self, name):
+        """Let a frozen replica go on with what has waited."""
+        node = self.nodes[name]
+        waited, node.frozen = node.frozen or [], None
+        for life, event in waited:
+            self.deliver(node, life, event)
+
     # --- questions ----------------------------------------------------------------------------
 
     def leader(self):
@@ -291,6 +296,19 @@
         self.deliver(node, node.life, OperatorRequest(self.last_token, request))
         return self.last_token
 
+    def others(self, name):
+        """Return the names of all replicas but this one."""
+        return [other for other in self.nodes if other != name]
+
+    def accept(self, request):
+        """Write at whoever leads until the write is accepted, resending as an operator does."""
+        for _ in range(30):
+            answer = self.answer(self.ask(self.wait_for_leader(), request))
+            if isinstance(answer, ApplyResponse):
+                return answer
+            self.run(0.5)
+        raise AssertionError(f"never accepted, last answer {answer}")
+
     def answer(self, token):
         self.run_until(lambda: token in self.answers, f"request {token} is answered")
         return self.answers[token]
@@ -311,12 +329,4 @@
         return any(logged == code for _, logged, _ in self.logged)
 
 
-def service_batch(request, service, expected=None):
-    batch = Batch(request_id=f"{request}-request@0")
-    batch.put.append(Resource(service=Service(name=service)))
-    if expected is not None:
-        batch.expected_version = expected
-    return ApplyRequest(batch=batch)
-
-
 __all__ = ["Group", "events", "service_batch"]
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -5,15 +5,11 @@
 from behave import given, then, when
 from replication_group import Group, events, service_batch
 
-from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import AppendLog, MessageReceived, ReplaceFile, TruncateLog
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe, Subscribe
 from limelever.protocol.operators_pb2 import (
     ApplyResponse,
-    ChangeMembersRequest,
     GetRequest,
-    RolloutRequest,
-    StatusRequest,
 )
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
@@ -25,46 +21,16 @@
 from limelever.source.replication.members import bootstrap_members
 
 
-def _others(context):
-    return [name for name in context.group.nodes if name != context.leader]
-
-
-def _isolate(group, name):
-    group.cut |= {frozenset((name, other)) for other in group.nodes if other != name}
-
-
-def _accept(group, request):
-    """Write at whoever leads until the write is accepted, resending as an operator does."""
-    for _ in range(30):
-        answer = group.answer(group.ask(group.wait_for_leader(), request))
-        if isinstance(answer, ApplyResponse):
-            return answer
-        group.run(0.5)
-    raise AssertionError(f"never accepted, last answer {answer}")
-
-
-def _found(group):
-    for name in group.nodes:
-        group.start(name)
-    leader = group.wait_for_leader()
-    names = set(group.nodes)
-    group.run_until(
-        lambda: group.leader() and set(group.voters(group.leader())) == names,
-        "all replicas vote",
-    )
-    return leader
-
-
 @given("a replica group of {size:d}")
 def _(context, size):
     context.group = Group(size)
-    context.leader = _found(context.group)
+    context.leader = context.group.found()
 
 
 @given("a replica group of {size:d} that takes a snapshot every {entries:d} entries")
 def _(context, size, entries):
     context.group = Group(size, snapshot_every=entries)
-    context.leader = _found(context.group)
+    context.leader = context.group.found()
 
 
 @given("a replica group of {size:d} with empty disks of which {started:d} start")
@@ -101,7 +67,7 @@
 def _(context, count):
     first = len(context.group.ledger)
     for number in range(first, first + count):
-        context.version = _accept(context.group, service_batch(f"w{number}", f"s{number}")).version
+        context.version = context.group.accept(service_batch(f"w{number}", f"s{number}")).version
     context.leader = context.group.leader()
 
 
@@ -114,174 +80,10 @@
     )
 
 
-@when("a replica group loses the disk of a follower")
-def _(context):
-    context.lost = _others(context)[-1]
-    context.lost_identity = context.group.voters(context.leader)[context.lost]
-    context.group.crash(context.lost)
-    context.group.nodes[context.lost].disk.lose()
-
-
-@when("a replica group loses the disk of the replica lost before")
-def _(context):
-    context.lost_identity = context.group.voters(context.group.leader())[context.lost]
-    context.group.crash(context.lost)
-    context.group.nodes[context.lost].disk.lose()
-
-
-@when("a replica group gets the lost replica back with an empty disk")
-def _(context):
-    context.group.start(context.lost)
-
-
-@then("a replica group replaces the lost identity by a new one of the same name")
-def _(context):
-    group, name = context.group, context.lost
-
-    def replaced():
-        leader = group.leader()
-        if leader is None:
-            return False
-        identities = [m.identity for m in group.nodes[leader].core.replica.status().members]
-        new = group.voters(leader).get(name, context.lost_identity)
-        return new != context.lost_identity and context.lost_identity not in identities
-
-    group.run_until(replaced, "the lost identity is replaced")
-    group.run_until(
-        lambda: group.version(name) == group.version(group.leader()), "the new one caught up"
-    )
-
-
-@when("a replica group loses the disk of another voter at once")
-def _(context):
-    group = context.group
-    other = next(name for name in group.nodes if name not in (context.lost, group.leader()))
-    context.leader = group.leader()
-    group.crash(other)
-    group.nodes[other].disk.lose()
-    context.lost, context.lost_identity = other, group.voters(context.leader)[other]
-
-
-@when("a replica group moves its leadership to the replica never lost")
-def _(context):
-    group = context.group
-    context.former = group.leader()
-    third = next(name for name in group.nodes if name not in (context.former, context.lost))
-    _lead_by(group, lambda: group.leader() == third)
-
-
-@when("a replica group cuts its former leader off from the replica lost before")
-def _(context):
-    context.group.cut.add(frozenset((context.former, context.lost)))
-
-
-@when("a replica group gets its former leader back")
-def _(context):
-    _lead_by(context.group, lambda: context.group.leader() == context.former)
-
-
-def _lead_by(group, wanted):
-    for _ in range(20):
-        group.cut.clear()
-        group.wait_for_leader()
-        _isolate(group, group.leader())
-        group.run(4)
-        group.cut.clear()
-        group.run(4)
-        if wanted():
-            return
-    raise AssertionError("leadership did not move")
-
-
-@then("a replica group has no member but its {size:d} voters")
-def _(context, size):
-    context.group.run(3)
-    members = context.group.nodes[context.group.leader()].core.replica.status().members
-    assert len(members) == size and all(member.voter for member in members), members
-
-
-@then("a replica group still holds every write after its leader restarts")
-def _(context):
-    group = context.group
-    before = group.version(group.leader())
-    leader = group.leader()
-    group.crash(leader)
-    group.start(leader)
-    group.wait_for_leader()
-    _accept(group, service_batch("after", "after"))
-    answer = group.answer(group.ask(group.leader(), GetRequest()))
-    versions = [item.version for item in answer.resources]
-    assert before in versions, (before, versions)
-
-
-@when("a replica group cuts off its leader")
-def _(context):
-    _isolate(context.group, context.leader)
-
-
-@when("a replica group heals")
-def _(context):
-    context.group.cut.clear()
-
-
-@then("a replica group answers a write at the cut-off leader as unknown")
-def _(context):
-    context.request = service_batch("unknown", "unknown")
-    answer = context.group.answer(context.group.ask(context.leader, context.request))
-    assert isinstance(answer, Failure) and answer.kind is ErrorKind.WRITE_UNKNOWN, answer
-
-
-@then("a replica group settles the write by one version however often it is resent")
-def _(context):
-    first = _accept(context.group, context.request)
-    again = _accept(context.group, context.request)
-    assert first.version == again.version, (first, again)
-
-
-@then("a replica group refuses a read at the cut-off leader")
-def _(context):
-    answer = context.group.answer(context.group.ask(context.leader, GetRequest()))
-    assert isinstance(answer, Failure) and answer.kind is ErrorKind.NO_QUORUM, answer
-
-
-@then("a replica group sends operators of a follower to the leader")
-def _(context):
-    follower = _others(context)[0]
-    for request in (service_batch("w", "w"), GetRequest(), RolloutRequest()):
-        answer = context.group.answer(context.group.ask(follower, request))
-        assert answer.kind is ErrorKind.NOT_LEADER, answer
-        assert answer.leader_address == f"{context.leader}:2", answer
-    status = context.group.answer(context.group.ask(follower, StatusRequest()))
-    assert status.role == "follower" and len(status.members) == 3, status
-
-
-@then("a replica group lets one of two racing writes with equal expected versions win")
-def _(context):
-    group = context.group
-    version = group.version(context.leader)
-    tokens = [
-        group.ask(context.leader, service_batch(f"race{n}", f"race{n}", version)) for n in (1, 2)
-    ]
-    won, lost = (group.answer(token) for token in tokens)
-    assert isinstance(won, ApplyResponse), won
-    assert lost.kind is ErrorKind.CONFLICT and lost.current_version == won.version, lost
-
-
-@then("a replica group gives a resend of an open write the answer of the same entry")
-def _(context):
-    group = context.group
-    request = service_batch("twice", "twice")
-    tokens = [group.ask(context.leader, request) for _ in range(2)]
-    answers = [group.answer(token) for token in tokens]
-    assert answers[0] == answers[1], answers
-    entries = [e for e in group.ledger.values() if e.batch.request_id == "twice-request@0"]
-    assert len(entries) == 1, entries
-
-
 @then("a replica group accepts no write while the disks of both followers hang")
 def _(context):
     group = context.group
-    for name in _others(context):
+    for name in context.group.others(context.leader):
         group.nodes[name].hung = True
     token = group.ask(context.leader, service_batch("hung", "hung"))
     group.run(5)
@@ -330,7 +132,7 @@
 
 @when("a replica group loses a follower's process")
 def _(context):
-    context.down = _others(context)[0]
+    context.down = context.group.others(context.leader)[0]
     context.group.crash(context.down)
 
 
@@ -341,7 +143,7 @@
 
 @when("a replica group rolls a follower's log back")
 def _(context):
-    group, name = context.group, _others(context)[0]
+    group, name = context.group, context.group.others(context.leader)[0]
     group.run(1)
     group.crash(name)
     group.nodes[name].disk.perform([TruncateLog(1, 0)])
@@ -360,65 +162,9 @@
     assert context.group.has_logged(events.SNAPSHOT_INSTALLED)
 
 
-@when("a replica group is asked to remove a follower")
-def _(context):
-    context.removed = _others(context)[0]
-    identity = context.group.voters(context.leader)[context.removed]
-    request = ChangeMembersRequest(request_id="remove", remove=identity)
-    context.group.run(1)
-    answer = context.group.answer(context.group.ask(context.group.leader(), request))
-    assert not isinstance(answer, Failure), answer
-    assert identity not in [member.identity for member in answer.members], answer
-
-
-def _removal(context, name, request_id):
-    identity = context.group.voters(context.group.leader())[name]
-    return ChangeMembersRequest(request_id=request_id, remove=identity)
-
-
-@when("a replica group is asked for two removals at once")
-def _(context):
-    context.group.run(1)
-    requests = [_removal(context, name, f"remove-{name}") for name in _others(context)]
-    context.tokens = [context.group.ask(context.leader, request) for request in requests]
-
-
-@then("a replica group carries out the first and has the second try again")
-def _(context):
-    first, second = (context.group.answer(token) for token in context.tokens)
-    assert len(first.members) == 2, first
-    assert second.kind is ErrorKind.OVERLOADED and second.retry_after > 0, second
-    assert len(context.group.voters(context.group.leader())) == 2
-
-
-@when("a replica group is asked for a removal, and again before and after its commit")
-def _(context):
-    context.group.run(1)
-    removal = _removal(context, _others(context)[0], "remove-once")
-    context.tokens = [context.group.ask(context.leader, removal) for _ in range(2)]
-    context.group.answer(context.tokens[0])
-    context.tokens.append(context.group.ask(context.leader, removal))
-
-
-@then("a replica group answers all three alike and has changed its members once")
-def _(context):
-    answers = [context.group.answer(token) for token in context.tokens]
-    identities = [[member.identity for member in answer.members] for answer in answers]
-    assert identities[0] == identities[1] == identities[2] and len(identities[0]) == 2, answers
-    changes = [e for e in context.group.ledger.values() if e.WhichOneof("body") == "members"]
-    assert len(changes) == 1, changes
-
-
-@then("a replica group goes on with {size:d} voters and does not take the removed one back")
-def _(context, size):
-    context.group.run(5)
-    assert len(context.group.voters(context.group.leader())) == size
-    _accept(context.group, service_batch("smaller", "smaller"))
-
-
 @when("a replica group has a relay that probes a follower")
 def _(context):
-    context.follower = _others(context)[0]
+    context.follower = context.group.others(context.leader)[0]
     context.group.run(2)
     context.group.subscribe(context.follower)
     _send_to_publisher(context, Subscribe(everything=True))
@@ -442,7 +188,7 @@
 
 @then("a replica group does not prove the follower fresh once it is cut off")
 def _(context):
-    _isolate(context.group, context.follower)
+    context.group.isolate(context.follower)
     _send_to_publisher(context, FreshnessProbe(nonce=2))
     context.group.run(5)
     assert not _fresh(context, 2)
@@ -457,7 +203,7 @@
         group.crash(name)
         group.after(random.uniform(0.1, 2), lambda: node.core or group.start(name))
     elif choice < 0.8:
-        _isolate(group, name)
+        group.isolate(name)
         group.after(random.uniform(0.1, 3), group.cut.clear)
     elif may_lose:
         group.crash(name)
@@ -489,7 +235,7 @@
 def _(context, size, seeds):
     for seed in range(seeds):
         group = Group(size, seed=seed, loss=0.05, snapshot_every=30)
-        _found(group)
+        group.found()
         for number in range(40):
             _disturb(group, group.random, may_lose=_whole(group))
             for part in range(3):
@@ -498,7 +244,7 @@
         accepted = [a.version for a in group.answers.values() if isinstance(a, ApplyResponse)]
         group.loss = 0.0
         group.run_until(lambda group=group: _whole(group), f"seed {seed} is whole", 60)
-        last = _accept(group, service_batch("last", "last"))
+        last = group.accept(service_batch("last", "last"))
         assert accepted and last.version > max(accepted), (seed, accepted, last)
         held = group.answer(group.ask(group.leader(), GetRequest())).resources
         assert set(accepted) <= {item.version for item in held}, seed
