--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -394,7 +394,11 @@
 def step_publisher_moves(context, text):
     version = context.publisher.version + 1
     put = [VersionedResource(resource=build(text, "orders"), version=version)]
-    with mock.patch("limelever.publisher.view.resource_hash", wraps=resource_hash) as hashes:
+    hashes = mock.Mock(wraps=resource_hash)
+    with (
+        mock.patch("limelever.publisher.view.resource_hash", hashes),
+        mock.patch("limelever.protocol.digest.resource_hash", hashes),
+    ):
         context.outputs = context.publisher.advance(version, put, (), 1.0)
     context.hashes = hashes.call_count
 
