Publish what operators must watch, and a page that the code is held against

Cause: /metrics had the links, the version and the proxy's calls. Nothing told a monitor that a process is cut off, does not serve, refuses strangers or reaches a limit, nor what it costs.

Change: limelever_configuration_age_seconds (time since a majority last proved the configuration current; relay, proxy and agent, whose cores and processes pass it on in a few lines), limelever_ready, limelever_events_total by event number, limelever_http_connections_open by listener, and the process's own processor time, memory and descriptors. The age of a source is left out: it would read 0 also when the source is cut off. The creation times of counters are no longer sent. docs/operators/metrics.md gives each metric and what to alert on.

Tests: features/transport/metrics.feature holds the page against the registered metrics of all roles. On a scratch copy its scenarios failed without: a row of the page, counting of events, of connections, and with an age that stands still.

--- a/features/steps/faulty_role.py
+++ b/features/steps/faulty_role.py
@@ -25,6 +25,7 @@
     role=Role.RELAY, name="faulty", zone="zone-a", credentials=CredentialSettings(own="unused")
 )
 OPTIONS = GuardOptions(
+    listener="test",
     connection_limit=4,
     stop_limit=1.0,
     failed_event=ADMIN_CONNECTION_FAILED,
--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -91,18 +91,26 @@
 
     def status(self) -> int | None:
         """Read one answer whole and return its status, ``None`` when the server closed."""
+        answer = self._read_answer()
+        return None if answer is None else answer[0]
+
+    def body(self) -> str:
+        """Read one answer whole and return its body."""
+        answer = self._read_answer()
+        assert answer is not None, "the server closed"
+        return answer[1].decode()
+
+    def _read_answer(self) -> tuple[int, bytes] | None:
         with contextlib.suppress(ConnectionError):
-            head, _, body = self._read_until(lambda data: b"\r\n\r\n" in data).partition(
-                b"\r\n\r\n"
-            )
+            head = self._read_head()
             if not head:
                 return None
             lines = head.decode().lower().splitlines()
             lengths = [line.split(":")[1] for line in lines if line.startswith("content-length:")]
-            missing = int(lengths[0]) - len(body) if lengths else 0
-            while missing > 0:
-                missing -= len(self.socket.recv(missing))
-            return int(lines[0].split()[1])
+            body = b""
+            while lengths and len(body) < int(lengths[0]):
+                body += self.socket.recv(65536)
+            return int(lines[0].split()[1]), body
         return None
 
     def is_closed_by_server(self) -> bool:
@@ -124,9 +132,9 @@
     def close(self) -> None:
         self.socket.close()
 
-    def _read_until(self, enough: Callable[[bytes], bool]) -> bytes:
+    def _read_head(self) -> bytes:
         data = b""
-        while not enough(data):
+        while not data.endswith(b"\r\n\r\n"):
             more = self.socket.recv(1)
             if not more:
                 return b""
--- /dev/null
+++ b/features/transport/metrics.feature
@@ -0,0 +1,27 @@
+Feature: Metrics say what the page for operators says
+
+  Scenario: The page lists every metric of every role, and no other
+    Then docs/operators/metrics.md lists exactly the metrics that the roles publish
+
+  Scenario: Every event is counted under its number
+    Given an admin listener
+    And the count of event 1031 so far
+    When an admin client sends data on an answered HTTP/2 stream
+    Then the admin listener logs 1031
+    And /metrics counts one more event 1031
+
+  Scenario: Connections at an HTTP listener are counted while they are open
+    Given an admin listener
+    When 3 admin clients are each answered and keep their connections
+    Then /metrics shows 4 connections open at "admin"
+    When the admin clients leave
+    Then /metrics shows 1 connections open at "admin"
+
+  Scenario Outline: The age of the configuration is the time since it was proved current
+    Given a process whose configuration was proved current <proof>
+    Then its metric of the configuration's age is <age>
+
+    Examples:
+      | proof          | age  |
+      | 12 seconds ago | 12.0 |
+      | never          | inf  |
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -110,6 +110,11 @@
         """Return the configuration version in force; 0 when there is none."""
         return self._subscriber.version
 
+    @property
+    def fresh_at(self) -> float | None:
+        """When the configuration was last known to be current (seconds, monotonic), or ``None``."""
+        return self._subscriber.fresh_at
+
     @property
     def running(self) -> int:
         """Return the attempts at the back end now."""
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -130,6 +130,7 @@
         runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
         backend = Backend(settings.backend, nursery, runner.post)
         shell.report_version(lambda: core.version)
+        shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
         nursery.start_soon(_probe, backend, settings.probe, runner)
         shell.set_ready()
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -132,6 +132,11 @@
         """Return the configuration version held, 0 for none."""
         return self._subscriber.version
 
+    @property
+    def fresh_at(self) -> float | None:
+        """When the configuration was last known to be current (seconds, monotonic), or ``None``."""
+        return self._subscriber.fresh_at
+
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take one event at ``now`` (seconds, monotonic)."""
         match event:
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -113,6 +113,7 @@
             return
         task_status.started(bound_address(listeners))
         options = GuardOptions(
+            listener="callers",
             connection_limit=connection_limit,
             stop_limit=stop_limit,
             failed_event=events.EDGE_CONNECTION_FAILED,
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -109,6 +109,7 @@
     edge = Edge(settings.edge, runner.post)
     async with trio.open_nursery() as nursery:
         shell.report_version(lambda: core.version)
+        shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -106,6 +106,7 @@
     async with trio.open_nursery() as nursery:
         runner = shell.add_core(core, on_output, accepts=ACCEPTED, disk=disk)
         shell.report_version(lambda: core.version)
+        shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
         await shell.listen(settings.listen)
         _start_polling(settings, runner, nursery)
--- a/src/limelever/source/operator_listener.py
+++ b/src/limelever/source/operator_listener.py
@@ -54,6 +54,7 @@
         return listeners
     task_status.started(bound_address(listeners))
     options = GuardOptions(
+        listener="operators",
         connection_limit=connection_limit,
         stop_limit=stop_limit,
         failed_event=OPERATOR_CONNECTION_FAILED,
--- a/src/limelever/transport/admin.py
+++ b/src/limelever/transport/admin.py
@@ -80,6 +80,7 @@
         return
     task_status.started(bound_address(listeners))
     options = GuardOptions(
+        listener="admin",
         connection_limit=CONNECTION_LIMIT,
         stop_limit=_STOP_LIMIT,
         failed_event=ADMIN_CONNECTION_FAILED,
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -27,6 +27,7 @@
 from limelever.transport.faults import fault_fields
 from limelever.transport.http_connection import HttpConnection
 from limelever.transport.log import write_event
+from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.streams import client_name, reason_of
 
 AsgiApplication = Callable[..., Awaitable[None]]
@@ -40,10 +41,12 @@
 class GuardOptions:
     """Bounds of a guarded listener, and the events it writes.
 
-    ``failed_event`` carries ``client`` and ``reason``, ``limit_event`` ``client`` and ``limit``.
-    ``stop_limit`` is how many seconds the connections have at a stop.
+    ``listener`` names it in the metrics. ``failed_event`` carries ``client`` and ``reason``,
+    ``limit_event`` ``client`` and ``limit``. ``stop_limit`` is how many seconds the connections
+    have at a stop.
     """
 
+    listener: str
     connection_limit: int
     stop_limit: float
     failed_event: int
@@ -104,6 +107,8 @@
         self._config = config
         self._options = options
         self._open: set[HttpConnection] = set()
+        open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
+        open_now.set_function(lambda: float(len(self._open)))
 
     async def run(self, stream: Stream) -> None:
         """Serve one connection to its end."""
--- a/src/limelever/transport/log.py
+++ b/src/limelever/transport/log.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from limelever.common.events import CATALOGUE
+from limelever.transport.metrics import EVENTS
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -37,11 +38,12 @@
 
 
 def write_event(code: int, fields: dict[str, object]) -> None:
-    """Write one numbered event; ``code`` stands in the catalogue."""
+    """Write one numbered event and count it; ``code`` stands in the catalogue."""
     kind = CATALOGUE[code]
     text = " ".join(f"{key}={value}" for key, value in fields.items())
     bound = logger.bind(code=code, event=kind.name, fields=fields, text=text)
     bound.log(kind.level.value, kind.text)
+    EVENTS.labels(str(code)).inc()
 
 
 def _json_line(message: Message) -> str:
--- a/src/limelever/transport/metrics.py
+++ b/src/limelever/transport/metrics.py
@@ -1,10 +1,23 @@
-"""Metrics that every process keeps about its links and its core."""
+"""Metrics that every process keeps; docs/operators/metrics.md tells operators of each."""
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
+
+# A creation time for each sample of each counter would nearly double the answer to a scrape.
+disable_created_metrics()  # type: ignore[no-untyped-call]
 
 REGISTRY = CollectorRegistry()
+ProcessCollector(registry=REGISTRY)
 
 LINK_BYTES = Counter(
     "limelever_link_bytes",
@@ -19,9 +32,32 @@
     registry=REGISTRY,
 )
 LINKS_OPEN = Gauge("limelever_links_open", "Links open now", ("purpose",), registry=REGISTRY)
+HTTP_CONNECTIONS_OPEN = Gauge(
+    "limelever_http_connections_open",
+    "Connections open now at an HTTP listener",
+    ("listener",),
+    registry=REGISTRY,
+)
+EVENTS = Counter("limelever_events", "Log events by their number", ("code",), registry=REGISTRY)
+READY = Gauge("limelever_ready", "1 when the process serves, as /readyz says", registry=REGISTRY)
 CONFIGURATION_VERSION = Gauge(
     "limelever_configuration_version", "Configuration version in force here", registry=REGISTRY
 )
+CONFIGURATION_AGE = Gauge(
+    "limelever_configuration_age_seconds",
+    "Seconds since the configuration in force was last proved current",
+    registry=None,
+)
+
+
+def publish_configuration_age(age: Callable[[], float]) -> None:
+    """Publish how many seconds ago the configuration in force was last proved current.
+
+    Only processes that take a configuration from others publish it: at a source it would read
+    0 for ever, also when the source is cut off. Infinity says that nothing was proved yet.
+    """
+    CONFIGURATION_AGE.set_function(age)
+    REGISTRY.register(CONFIGURATION_AGE)
 
 
 def exposition() -> bytes:
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import ssl
 import sys
@@ -19,7 +20,11 @@
 from limelever.transport.links import LinkIdentity
 from limelever.transport.listener import LinkListener
 from limelever.transport.log import configure_logging, write_event
-from limelever.transport.metrics import CONFIGURATION_VERSION
+from limelever.transport.metrics import (
+    CONFIGURATION_VERSION,
+    READY,
+    publish_configuration_age,
+)
 from limelever.transport.runner import CoreRunner, Disk
 from limelever.transport.tls import (
     certificate_kept_current,
@@ -57,6 +62,7 @@
         self.nursery = nursery
         self.stop_requested = trio.Event()
         self.ready = False
+        READY.set_function(lambda: float(self.ready))
         self.incarnation = incarnation
         self.link_identity = LinkIdentity(
             role=settings.role,
@@ -102,6 +108,18 @@
         """Give /metrics the configuration version in force in this process."""
         CONFIGURATION_VERSION.set_function(version)
 
+    def report_freshness(self, fresh_at: Callable[[], float | None]) -> None:
+        """Give /metrics the age of the configuration in force.
+
+        ``fresh_at`` returns when it was last proved current (seconds, monotonic), or ``None``.
+        """
+
+        def age() -> float:
+            proved = fresh_at()
+            return math.inf if proved is None else trio.current_time() - proved
+
+        publish_configuration_age(age)
+
     async def listen(self, address: Address) -> Address:
         """Start accepting links; returns the bound address."""
         bound = await self.nursery.start(self.listener.serve, address, self.nursery)
