--- a/src/limelever_lab/bench/resources.py
+++ b/src/limelever_lab/bench/resources.py
@@ -16,6 +16,7 @@
 )
 
 GROUPS = ("north", "south", "night")
+RESOURCES_PER_SERVICE = 4 + len(GROUPS)
 SECRET_BYTES = 16
 """Random bytes of a secret's value, which is written in hexadecimal: a header's value is text."""
 
--- a/src/limelever_lab/bench/results.py
+++ b/src/limelever_lab/bench/results.py
@@ -20,6 +20,7 @@
     STORM = "storm"
     RECOVERY = "recovery"
     BATCHING = "batching"
+    STATE = "state"
     CALLS = "calls"
     SHARES = "shares"
 
--- a/src/limelever_lab/bench/run.py
+++ b/src/limelever_lab/bench/run.py
@@ -11,6 +11,7 @@
 from limelever_lab.bench.convergence import convergence_ratios, run_convergence
 from limelever_lab.bench.recovery import recovery_ratios, run_recovery
 from limelever_lab.bench.results import BenchSettings, Experiment, Ratio
+from limelever_lab.bench.state_size import run_state
 from limelever_lab.bench.storm import run_storm, storm_ratios
 from limelever_lab.bench.testbed import Testbed, TestbedSettings
 from limelever_lab.fleet.deployment import load_deployment
@@ -32,6 +33,8 @@
     if experiment is Experiment.BATCHING:
         batching = run_batching(deployment, folder, sizes)
         return Outcome(batching, batching_ratios(batching))
+    if experiment is Experiment.STATE:
+        return Outcome(run_state(deployment, folder, sizes), ())
     with Testbed(deployment, folder, sizes) as testbed:
         return _run(experiment, testbed, settings)
 
--- a/src/limelever_lab/bench/summary.py
+++ b/src/limelever_lab/bench/summary.py
@@ -26,4 +26,4 @@
 
 def _line_of(line: LinearFit) -> str:
     error = "" if line.slope_error is None else f" +- {line.slope_error:.2g}"
-    return f"  {line.quantity}: {line.intercept:.4g} + {line.slope:.4g}{error} {line.unit} a node"
+    return f"  {line.quantity}: {line.intercept:.4g} + {line.slope:.4g}{error} {line.unit} a size"
--- a/src/limelever_lab/fleet/processes.py
+++ b/src/limelever_lab/fleet/processes.py
@@ -16,6 +16,7 @@
 START_LIMIT_SECONDS = 30.0
 STOP_LIMIT_SECONDS = 40.0
 POLL_SECONDS = 0.05
+KIBIBYTE = 1024
 
 
 class LabProcess:
@@ -74,6 +75,18 @@
         if self._process is not None:
             self._process.wait()
 
+    def suspend(self) -> None:
+        """Stop the process from running (SIGSTOP): its peers see silence, not a closed link."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a suspended process run on (SIGCONT)."""
+        self.send(signal.SIGCONT)
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop (SIGTERM)."""
+        self.send(signal.SIGTERM)
+
     def end(self) -> None:
         """Kill the process if it still runs, also when it was suspended."""
         if self.running:
@@ -86,6 +99,13 @@
         pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
         return pages * os.sysconf("SC_PAGE_SIZE")
 
+    def proportional_bytes(self) -> int:
+        """Return the resident memory with each shared page counted in parts."""
+        if self._process is None or not self.running:
+            return 0
+        text = Path(f"/proc/{self._process.pid}/smaps_rollup").read_text()
+        return int(text.partition("\nPss:")[2].split()[0]) * KIBIBYTE
+
     def processor_seconds(self) -> float:
         """Return the user and system time that the process has used."""
         if self._process is None or not self.running:
