--- a/features/agent/calls.feature
+++ b/features/agent/calls.feature
@@ -36,7 +36,9 @@
     When the agent gets a call on agent stream 1 with 10 seconds left
     And the agent gets a call on agent stream 2 with 10 seconds left
     And the agent hears a cancel of agent stream 2
-    And the agent's back end answers agent stream 1
+    Then agent stream 2 has failed with deadline-too-short
+    And the proxy of agent stream 2 was told when to come back
+    When the agent's back end answers agent stream 1
     Then the agent's back end was asked once
 
   Scenario: A cancelled call that runs is cancelled at the back end
@@ -45,7 +47,7 @@
     And the agent hears a cancel of agent stream 1
     Then the attempt of agent stream 1 is cancelled at the back end
     And its slot is busy until the back end's request has ended
-    And agent stream 1 has had no answer
+    And agent stream 1 has failed with cancelled
 
   Scenario: A lost proxy leaves only at-most-once attempts running
     Given an agent of incarnation 7 with 2 slots and a proxy
@@ -76,8 +78,23 @@
     When the agent gets a body of 50 parts of 100000 bytes on agent stream 2
     Then agent stream 2 has failed with body-too-large
 
-  Scenario: A large answer arrives whole
+  Scenario: A large answer arrives whole, as the proxy gives credit
     Given an agent of incarnation 7 with 1 slots and a proxy
     When the agent gets a call on agent stream 1 with 10 seconds left
     And the agent's back end answers agent stream 1 with 700000 bytes
+    Then agent stream 1 has received 524288 of these bytes
+    When the proxy gives the agent credit for 100000 bytes on agent stream 1
+    Then agent stream 1 has received 624288 of these bytes
+    When the proxy gives the agent credit for 100000 bytes on agent stream 1
     Then agent stream 1 has received 700000 bytes in order
+
+  Scenario: Answers that a proxy does not take in are bounded, and dropped at the deadline
+    Given an agent of incarnation 7 with 3 slots and a proxy
+    When the agent gets 3 calls with 10 seconds left and answers of 8000000 bytes
+    Then agent stream 3 has failed with backend-failed
+    When the agent is asked to drain
+    And 5 seconds pass at the agent
+    Then the agent's drain has not finished
+    When 6 seconds pass at the agent
+    Then agent stream 1 has failed with deadline-exceeded
+    And the drain has finished with 0 calls cut off
--- a/features/proxy/at_most_once.feature
+++ b/features/proxy/at_most_once.feature
@@ -22,6 +22,16 @@
     Then the caller of call 2 was told "outcome-unknown" and outcome "unknown"
     And 1 call was handed on
 
+  Scenario: A call that only waited in the agent's queue gives its claim back
+    Given a proxy with one endpoint
+    When a caller places an order with key "k1"
+    And 2.0 seconds pass at the proxy
+    And the agent refuses the call as "deadline-too-short"
+    Then the caller of call 1 was told "deadline-too-short" and outcome "not-run"
+    When a caller places an order with key "k1"
+    And the agent answers the call
+    Then call 2 got the answer of its agent
+
   Scenario: An attempt that was not run moves to another agent
     Given a proxy with 2 endpoints
     When a caller places an order with key "k1"
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -28,12 +28,42 @@
   Scenario: Late and crossed answers never reach another caller
     Given any order of true, late and crossed answers, every caller gets its own answer
 
-  Scenario: The deadline answers at once and cancels the attempt
+  Scenario: The deadline cancels the attempt, and the proxy waits for a silent agent no longer
     Given a proxy with one endpoint
     When a caller asks the proxy for "/orders/1"
-    And 2.1 seconds pass at the proxy
+    And 2.0 seconds pass at the proxy
+    Then the agent was told to cancel
+    When 0.1 seconds pass at the proxy
     Then the caller of call 1 was told "deadline-exceeded" and outcome "unknown"
-    And the agent was told to cancel
+
+  Scenario: A call that only waited in the agent's queue until its deadline says not run
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 2.0 seconds pass at the proxy
+    And the agent refuses the call as "deadline-too-short"
+    Then the proxy refused call 1 as "deadline-too-short" with a retry time
+    And the caller of call 1 was told "deadline-too-short" and outcome "not-run"
+
+  Scenario: A call that ran into its deadline says that the outcome is unknown
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 2.0 seconds pass at the proxy
+    And the agent refuses the call as "cancelled"
+    Then the caller of call 1 was told "deadline-exceeded" and outcome "unknown"
+
+  Scenario: An answer that crosses the cancel reaches its caller
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 2.0 seconds pass at the proxy
+    And the agent answers the call
+    Then call 1 got the answer of its agent
+
+  Scenario: The proxy gives credit for the parts of a long answer
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the agent answers with parts of 200000, 65536 and 65536 bytes and one more
+    Then the proxy gave the agent credit for 131072 bytes
+    And call 1 got an answer of 331082 bytes
 
   Scenario: A deadline that passes before the call is handed on says not run
     Given a proxy with one endpoint whose agent accepts no link
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -51,6 +51,7 @@
 from limelever.protocol.calls_pb2 import (
     CallBody,
     CallCancel,
+    CallCredit,
     CallFailed,
     CallStart,
     ResponseBody,
@@ -454,11 +455,6 @@
     assert [message.kind for message in failed] == [kind], failed
 
 
-@then("agent stream {stream:d} has had no answer")
-def check_unanswered(context: Context, stream: int) -> None:
-    assert not [m for m in context.agent.sent(PROXY_LINK, CallFailed) if m.stream == stream]
-
-
 @then("the agent's back end was asked once")
 def check_asked_once(context: Context) -> None:
     assert len(context.agent.of(StartAttempt)) == 1
@@ -495,15 +491,53 @@
     assert len(context.agent.of(StartAttempt)[stream - 1].body) == size
 
 
+def answer_parts(context: Context) -> list[ResponseStart | ResponseBody]:
+    (first,) = context.agent.sent(PROXY_LINK, ResponseStart)
+    return [first, *context.agent.sent(PROXY_LINK, ResponseBody)]
+
+
+def answer_bytes_of(parts: list[ResponseStart | ResponseBody]) -> bytes:
+    return b"".join(p.body if isinstance(p, ResponseStart) else p.data for p in parts)
+
+
 @then("agent stream {stream:d} has received {size:d} bytes in order")
 def check_answer(context: Context, stream: int, size: int) -> None:
-    (first,) = context.agent.sent(PROXY_LINK, ResponseStart)
-    parts = [first, *context.agent.sent(PROXY_LINK, ResponseBody)]
+    parts = answer_parts(context)
     assert [part.end for part in parts] == [False] * (len(parts) - 1) + [True]
-    received = first.body + b"".join(part.data for part in parts[1:])
+    received = answer_bytes_of(parts)
     assert received == context.body and len(received) == size
 
 
+@then("agent stream {stream:d} has received {size:d} of these bytes")
+def check_answer_so_far(context: Context, stream: int, size: int) -> None:
+    parts = answer_parts(context)
+    assert not any(part.end for part in parts)
+    assert answer_bytes_of(parts) == context.body[:size]
+
+
+@when("the proxy gives the agent credit for {size:d} bytes on agent stream {stream:d}")
+def give_credit(context: Context, size: int, stream: int) -> None:
+    context.agent.send(CallCredit(stream=stream, bytes=size))
+
+
+@when("the agent gets {count:d} calls with {left:d} seconds left and answers of {size:d} bytes")
+def answer_large(context: Context, count: int, left: int, size: int) -> None:
+    for stream in range(1, count + 1):
+        send_call(context, stream, left)
+        answer_bytes(context, stream, size)
+
+
+@then("the agent's drain has not finished")
+def check_not_drained(context: Context) -> None:
+    assert not context.agent.of(DrainFinished)
+
+
+@then("the proxy of agent stream {stream:d} was told when to come back")
+def check_advice(context: Context, stream: int) -> None:
+    failed = [m for m in context.agent.sent(PROXY_LINK, CallFailed) if m.stream == stream]
+    assert failed[0].retry_after_ms > 0
+
+
 @then("any course of calls at the agent keeps its promises")
 def check_promises(_context: Context) -> None:
     operation = st.tuples(
@@ -534,7 +568,6 @@
         self.running: dict[int, int] = {}
         self.started: list[int] = []
         self.final: dict[int, list[object]] = {}
-        self.cancelled: set[int] = set()
 
     def step(self, name: str, number: int, flag: bool) -> None:
         if flag:
@@ -551,8 +584,6 @@
                 self.call(again)
             case "cancel":
                 stream = next(iter(self.running.values()), 0) if flag else number
-                if stream <= self.streams and stream not in self.final:
-                    self.cancelled.add(stream)
                 self.take(self.service.cancel(PROXY_LINK, stream))
             case "answer" if self.running:
                 attempt = self.end_one(number)
@@ -589,7 +620,7 @@
         self.take(self.service.expire(self.now + FAR))
         for stream in range(1, self.streams + 1):
             messages = [m for m in self.final.get(stream, []) if not is_resend_answer(m)]
-            assert len(messages) == (0 if stream in self.cancelled else 1), (stream, messages)
+            assert len(messages) == 1, (stream, messages)
             assert self.started.count(stream) <= (0 if any(map(is_not_run, messages)) else 1)
         assert self.service.running == 0 and self.service.waiting == 0
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -185,6 +185,7 @@
         self.open: list[tuple[int, CallStart]] = []
         self.links: dict[int, OpenConnection] = {}
         self.cancels = 0
+        self.credit = 0
         self.uploaded = bytearray()
         self.stopped = False
         self.last_call = 0
@@ -307,6 +308,8 @@
                 self.uploaded += data
             case CallCancel():
                 self.cancels += 1
+            case CallCredit(bytes=size):
+                self.credit += size
 
 
 def agents(count: int, zone: str = "here", slots: int = 6, first: int = 0) -> list[Endpoint]:
@@ -404,6 +407,28 @@
     context.proxy.answer(*context.proxy.open[-1])
 
 
+@when("the agent answers with parts of {first:d}, {second:d} and {third:d} bytes and one more")
+def agent_answers_in_parts(context: Context, first: int, second: int, third: int) -> None:
+    proxy = context.proxy
+    connection, start = proxy.open[-1]
+    head = ResponseStart(stream=start.stream, attempt_id=start.attempt_id, status=200)
+    head.body = bytes(first)
+    rest = [ResponseBody(stream=start.stream, data=bytes(size)) for size in (second, third)]
+    last = ResponseBody(stream=start.stream, data=b"0123456789", end=True)
+    for message in (head, *rest, last):
+        proxy.post(MessageReceived(connection, message))
+
+
+@then("the proxy gave the agent credit for {size:d} bytes")
+def proxy_gave_credit(context: Context, size: int) -> None:
+    assert context.proxy.credit == size, context.proxy.credit
+
+
+@then("call {call:d} got an answer of {size:d} bytes")
+def answered_with_bytes(context: Context, call: int, size: int) -> None:
+    assert len(context.proxy.final(call).body) == size
+
+
 @when('the agent refuses the call as "{kind}"')
 def agent_refuses(context: Context, kind: str) -> None:
     context.proxy.refuse(*context.proxy.open[-1], ErrorKind(kind))
@@ -679,7 +704,12 @@
         elif action == "fail":
             proxy.refuse(connection, start, ErrorKind.BACKEND_FAILED)
         elif action == "refuse":
-            kinds = [ErrorKind.DRAINING, ErrorKind.OVERLOADED, ErrorKind.WRONG_INCARNATION]
+            kinds = [
+                ErrorKind.DRAINING,
+                ErrorKind.OVERLOADED,
+                ErrorKind.WRONG_INCARNATION,
+                ErrorKind.DEADLINE_TOO_SHORT,
+            ]
             proxy.refuse(connection, start, kinds[number % len(kinds)])
             return 1
     return 0
--- /dev/null
+++ b/src/limelever/agent/answer_sender.py
@@ -0,0 +1,121 @@
+"""Sends answers to proxies, the long ones no faster than the proxies read them.
+
+The first 256 KiB of an answer travel in its first message, the next 256 KiB follow at once, and
+the rest as ``CallCredit`` gives room. What waits for credit is bounded in all: a proxy that
+stops reading costs the agent neither its memory nor the link that other calls use.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from google.protobuf.message import Message
+
+from limelever.agent import answers
+from limelever.agent.calls import Call
+from limelever.agent.interface import AttemptAnswered
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import ConnectionId, Output, SendMessage
+from limelever.protocol.calls_pb2 import AgentLoad, CallStart, ResponseBody
+
+WINDOW_BYTES = 256 * 1024
+"""Bytes that may follow the first message before the proxy has given any credit."""
+
+PART_BYTES = 64 * 1024
+"""Largest part of a long answer; other calls' messages go in between."""
+
+PENDING_LIMIT_BYTES = 16 * 1024 * 1024
+"""Bytes of all answers that wait for credit; past it an answer is lost, which its proxy hears."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    """The rest of an answer; ``deadline`` is its call's, in monotonic seconds."""
+
+    connection: ConnectionId
+    start: CallStart
+    rest: memoryview
+    deadline: float
+    credit: int = WINDOW_BYTES
+
+
+class AnswerSender:
+    """Answers that proxies have not yet taken whole."""
+
+    def __init__(self, limit_bytes: int = PENDING_LIMIT_BYTES) -> None:
+        self._limit = limit_bytes
+        self._pending: dict[tuple[ConnectionId, int], _Pending] = {}
+        self._pending_bytes = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of answers that wait for credit."""
+        return len(self._pending)
+
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes that wait for credit."""
+        return self._pending_bytes
+
+    def send(self, call: Call, answer: AttemptAnswered, load: AgentLoad) -> list[Output]:
+        """Return what may be sent of an answer now, and keep the rest."""
+        rest = memoryview(answer.body)[answers.FIRST_PART_BYTES :]
+        if self._pending_bytes + len(rest) > self._limit:
+            failure = Failure(ErrorKind.BACKEND_FAILED, "answers that proxies do not take in")
+            return [SendMessage(call.connection, answers.call_failed(call.start, failure, load))]
+        first = SendMessage(call.connection, answers.first_part(call.start, answer, load))
+        if not rest:
+            return [first]
+        pending = _Pending(call.connection, call.start, rest, call.deadline)
+        self._pending[(call.connection, call.start.stream)] = pending
+        self._pending_bytes += len(rest)
+        return [first, *self._parts(pending)]
+
+    def credit(self, connection: ConnectionId, stream: int, size: int) -> list[Output]:
+        """Return what a proxy's credit of ``size`` bytes allows to be sent."""
+        pending = self._pending.get((connection, stream))
+        if pending is None:
+            return []
+        pending.credit += size
+        return self._parts(pending)
+
+    def drop(self, connection: ConnectionId, stream: int) -> None:
+        """Drop the rest of an answer that its proxy no longer wants."""
+        pending = self._pending.pop((connection, stream), None)
+        if pending is not None:
+            self._pending_bytes -= len(pending.rest)
+
+    def drop_connection(self, connection: ConnectionId) -> None:
+        """Drop the answers for a proxy that is gone."""
+        for at, stream in tuple(self._pending):
+            if at == connection:
+                self.drop(at, stream)
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of a call whose answer waits for credit."""
+        return min((pending.deadline for pending in self._pending.values()), default=None)
+
+    def expire(self, now: float, load: AgentLoad) -> list[Output]:
+        """Give up answers that were not taken by their call's deadline."""
+        failure = Failure(ErrorKind.DEADLINE_EXCEEDED, "the answer was not taken in time")
+        late = [pending for pending in self._pending.values() if pending.deadline <= now]
+        for pending in late:
+            self.drop(pending.connection, pending.start.stream)
+        return [
+            SendMessage(each.connection, answers.call_failed(each.start, failure, load))
+            for each in late
+        ]
+
+    def _parts(self, pending: _Pending) -> list[Output]:
+        outputs: list[Output] = []
+        while pending.rest and pending.credit > 0:
+            size = min(PART_BYTES, pending.credit, len(pending.rest))
+            data, pending.rest = bytes(pending.rest[:size]), pending.rest[size:]
+            pending.credit -= size
+            self._pending_bytes -= size
+            end = not pending.rest
+            message: Message = ResponseBody(stream=pending.start.stream, data=data, end=end)
+            outputs.append(SendMessage(pending.connection, message))
+        if not pending.rest:
+            self._pending.pop((pending.connection, pending.start.stream), None)
+        return outputs
--- a/src/limelever/agent/answers.py
+++ b/src/limelever/agent/answers.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
-from google.protobuf.message import Message
-
 from limelever.agent.interface import AttemptAnswered, AttemptFailed
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.protocol.calls_pb2 import (
@@ -13,11 +9,10 @@
     CallFailed,
     CallStart,
     Header,
-    ResponseBody,
     ResponseStart,
 )
 
-RESPONSE_CHUNK_BYTES = 256 * 1024
+FIRST_PART_BYTES = 256 * 1024
 """Bodies up to this size travel within the first message."""
 
 _MILLISECONDS = 1000
@@ -35,25 +30,17 @@
     )
 
 
-def response(start: CallStart, answer: AttemptAnswered, load: AgentLoad) -> Sequence[Message]:
-    """Return the messages that carry a back end's whole answer, in order."""
-    body = memoryview(answer.body)
-    whole = len(body) <= RESPONSE_CHUNK_BYTES
-    first = ResponseStart(
+def first_part(start: CallStart, answer: AttemptAnswered, load: AgentLoad) -> ResponseStart:
+    """Return the first message of a back end's whole answer; a short one is within it."""
+    return ResponseStart(
         stream=start.stream,
         attempt_id=start.attempt_id,
         status=answer.status,
         headers=[Header(name=name, value=value) for name, value in answer.headers],
-        body=bytes(body[:RESPONSE_CHUNK_BYTES]),
-        end=whole,
+        body=answer.body[:FIRST_PART_BYTES],
+        end=len(answer.body) <= FIRST_PART_BYTES,
         load=load,
     )
-    messages: list[Message] = [first]
-    for begin in range(RESPONSE_CHUNK_BYTES, len(body), RESPONSE_CHUNK_BYTES):
-        end = begin + RESPONSE_CHUNK_BYTES
-        chunk = bytes(body[begin:end])
-        messages.append(ResponseBody(stream=start.stream, data=chunk, end=end >= len(body)))
-    return messages
 
 
 def attempt_failure(event: AttemptFailed) -> Failure:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -1,31 +1,35 @@
 """Takes calls from proxies, gives them slots by fair shares and answers each exactly once.
 
 A refusal that says NOT RUN is only ever sent for a call whose attempt was not handed to the
-back end, and an attempt identifier that was seen before is never handed over again.
+back end, and an attempt identifier that was seen before is never handed over again. A call that
+its proxy cancels is answered as well: the proxy learns whether it had begun.
 
 Bodies in parts: a proxy may send 256 KiB of ``CallBody`` on a stream at once and as much again
-as ``CallCredit`` gives back. Answers are sent whole, bounded by the back end's client.
+as ``CallCredit`` gives back; long answers go the other way alike, see ``answer_sender``.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
-
-from google.protobuf.message import Message
+from dataclasses import dataclass, replace
 
 from limelever.agent import answers, events
-from limelever.agent.calls import Call, CallStage, CallTable, RecentAttempts
+from limelever.agent.answer_sender import AnswerSender
+from limelever.agent.calls import Call, CallStage, CallTable
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
+from limelever.agent.intake import BodyLimits, CallIntake, Refusal
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt, StartAttempt
-from limelever.agent.start_checks import check_attempt, check_body, check_start
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCredit, CallStart
 
-_MILLISECONDS = 1000.0
 _SHED_STATUS = 503
+_LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
+_CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
+_CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
+_GIVEN_UP = Failure(ErrorKind.DEADLINE_TOO_SHORT, "given up before it was run")
+_TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed before it was run")
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,14 +45,12 @@
     """Calls of all proxies at one incarnation of one instance; sans-io component."""
 
     def __init__(self, service: str, incarnation: int, limits: CallLimits) -> None:
-        self._service = service
-        self._incarnation = incarnation
         self._limits = limits
-        self._max_body_bytes = limits.max_body_bytes
         self._calls = CallTable()
-        self._recent = RecentAttempts()
+        bodies = BodyLimits(limits.max_body_bytes, limits.assembling_bytes)
+        self._intake = CallIntake(service, incarnation, bodies, self._calls)
         self._queue = FairQueue(limits.queue)
-        self._assembling_bytes = 0
+        self._answers = AnswerSender()
         self.draining = False
 
     @property
@@ -59,7 +61,12 @@
     @property
     def waiting(self) -> int:
         """Return the calls taken in and not yet started."""
-        return self._queue.queued + len(self._calls.in_stage(CallStage.ASSEMBLING))
+        return self._queue.queued + self._intake.count
+
+    @property
+    def unfinished(self) -> int:
+        """Return the attempts at the back end and the answers not yet taken whole."""
+        return self._queue.running + self._answers.count
 
     def load(self) -> AgentLoad:
         """Return the load as sent with every answer."""
@@ -76,8 +83,7 @@
 
     def set_max_body(self, service_limit: int) -> None:
         """Take the service's own body limit in bytes; 0 leaves the process's limit."""
-        own = self._limits.max_body_bytes
-        self._max_body_bytes = min(own, service_limit) if service_limit else own
+        self._intake.set_max_body(service_limit)
 
     # --- from proxies -----------------------------------------------------------------------
 
@@ -85,52 +91,48 @@
         self, connection: ConnectionId, peer: str, start: CallStart, now: float
     ) -> list[Output]:
         """Take a call in, or refuse it."""
-        if start.agent_incarnation != self._incarnation:
-            return self._wrong_incarnation(connection, peer, start)
-        if self._recent.due(now):
-            self._recent.rotate(now, self._calls.attempt_ids())
-        if start.attempt_id in self._recent:
-            return self._duplicate(connection, peer, start)
-        failure = self._check(connection, start)
-        if failure is not None:
-            return [self._failed(connection, start, failure)]
-        deadline = now + start.deadline_left_ms / _MILLISECONDS
-        call = self._calls.add(connection, start, deadline)
-        self._assembling_bytes += len(call.body)
+        call = self._intake.open(connection, peer, start, now, self.draining)
+        if isinstance(call, Refusal):
+            return self._refused_at_once(connection, start, call)
         if start.end:
             return self._admit(call, now)
-        return self._bound_body(call)
+        failure = self._intake.check_body(call)
+        return [] if failure is None else self._refuse(call, failure)
 
     def body(self, connection: ConnectionId, message: CallBody, now: float) -> list[Output]:
         """Take a part of a body; parts for unknown streams are late and dropped."""
         call = self._calls.by_stream(connection, message.stream)
-        if call is None or call.stage is not CallStage.ASSEMBLING:
+        if call is None or not self._intake.holds(call):
             return []
-        call.body += message.data
-        self._assembling_bytes += len(message.data)
-        outputs = self._bound_body(call)
-        if outputs:
-            return outputs
+        failure = self._intake.add(call, message)
+        if failure is not None:
+            return self._refuse(call, failure)
         if message.end:
             return self._admit(call, now)
         credit = CallCredit(stream=message.stream, bytes=len(message.data))
         return [SendMessage(connection, credit)]
 
+    def credit(self, connection: ConnectionId, message: CallCredit) -> list[Output]:
+        """Send more of a long answer."""
+        return self._answers.credit(connection, message.stream, message.bytes)
+
     def cancel(self, connection: ConnectionId, stream: int) -> list[Output]:
-        """End a call that its proxy no longer wants; the proxy hears no more of it."""
+        """End a call that its proxy no longer wants, and say whether it had begun."""
         call = self._calls.by_stream(connection, stream)
         if call is None:
+            self._answers.drop(connection, stream)
             return []
         if call.stage is not CallStage.RUNNING:
-            self._withdraw(call)
-            return []
+            return self._refuse(call, self._with_advice(_GIVEN_UP, call))
+        answer = self._failed(connection, call.start, _CANCELLED)
         self._calls.settle(call)
-        return [CancelAttempt(call.number)]
+        return [answer, CancelAttempt(call.number)]
 
     def proxy_gone(self, connection: ConnectionId, peer: str) -> list[Output]:
         """Drop what the proxy has waiting; cancel what may be repeated, let the rest finish."""
         dropped = left_running = 0
         outputs: list[Output] = []
+        self._answers.drop_connection(connection)
         for call in self._calls.of_connection(connection):
             if call.stage is not CallStage.RUNNING:
                 self._withdraw(call)
@@ -159,11 +161,9 @@
         if call is None:
             return []
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
-        messages: list[Message] = []
-        if not call.settled:
-            messages.extend(answers.response(call.start, event, self.load()))
+        settled = call.settled
         self._calls.remove(call)
-        outputs: list[Output] = [SendMessage(call.connection, message) for message in messages]
+        outputs = [] if settled else self._answers.send(call, event, self.load())
         return [*outputs, *self.start_waiting(now)]
 
     def failed(self, event: AttemptFailed, now: float) -> list[Output]:
@@ -182,39 +182,36 @@
     # --- time and drain ---------------------------------------------------------------------
 
     def next_deadline(self) -> float | None:
-        """Return the earliest deadline of a call that waits."""
-        deadlines = [call.deadline for call in self._calls.in_stage(CallStage.ASSEMBLING)]
-        queued = self._queue.next_deadline()
-        if queued is not None:
-            deadlines.append(queued)
-        return min(deadlines, default=None)
+        """Return the earliest deadline of a call or answer that waits."""
+        waiting = (
+            self._intake.next_deadline(),
+            self._queue.next_deadline(),
+            self._answers.next_deadline(),
+        )
+        return min((each for each in waiting if each is not None), default=None)
 
     def expire(self, now: float) -> list[Output]:
-        """Refuse the calls whose deadline passed while they waited."""
-        failure = Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed in the queue")
-        late = [self._calls.by_number(number) for number in self._queue.take_expired(now)]
-        outputs = [output for call in late if call for output in self._refuse(call, failure)]
-        for call in self._calls.in_stage(CallStage.ASSEMBLING):
-            if call.deadline <= now:
-                outputs.extend(self._refuse(call, failure))
+        """Refuse the calls whose deadline passed while they waited, and drop late answers."""
+        queued = [self._calls.by_number(number) for number in self._queue.take_expired(now)]
+        late = [call for call in queued if call is not None] + self._intake.expired(now)
+        outputs: list[Output] = []
+        for call in late:
+            outputs.extend(self._refuse(call, self._with_advice(_TOO_LATE, call)))
+        if self._answers.count:
+            outputs.extend(self._answers.expire(now, self.load()))
         return outputs
 
     def refuse_waiting(self) -> list[Output]:
         """Give every call that has not started back to its proxy."""
-        failure = Failure(ErrorKind.DRAINING, "the back end is leaving")
-        waiting = (
-            *self._calls.in_stage(CallStage.QUEUED),
-            *self._calls.in_stage(CallStage.ASSEMBLING),
-        )
-        return [output for call in waiting for output in self._refuse(call, failure)]
+        waiting = (*self._calls.in_stage(CallStage.QUEUED), *self._intake.assembling)
+        return [output for call in waiting for output in self._refuse(call, _LEAVING)]
 
     def cut_off(self) -> list[Output]:
         """Cancel every running attempt at the end of the drain limit."""
-        failure = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if not call.settled:
-                outputs.append(self._failed(call.connection, call.start, failure))
+                outputs.append(self._failed(call.connection, call.start, _CUT_OFF))
                 self._calls.settle(call)
             outputs.append(CancelAttempt(call.number))
         return outputs
@@ -234,43 +231,21 @@
 
     # --- parts ------------------------------------------------------------------------------
 
-    def _check(self, connection: ConnectionId, start: CallStart) -> Failure | None:
-        failure = check_attempt(start, self._recent)
-        if failure is not None:
-            return failure
-        self._recent.add(start.attempt_id)
-        if self.draining:
-            return Failure(ErrorKind.DRAINING, "the back end is leaving")
-        stream_in_use = self._calls.by_stream(connection, start.stream) is not None
-        return check_start(start, self._service, stream_in_use, self._max_body_bytes)
-
-    def _wrong_incarnation(
-        self, connection: ConnectionId, peer: str, start: CallStart
+    def _refused_at_once(
+        self, connection: ConnectionId, start: CallStart, refusal: Refusal
     ) -> list[Output]:
-        failure = Failure(ErrorKind.WRONG_INCARNATION, f"this is incarnation {self._incarnation}")
-        fields: dict[str, object] = {"peer": peer, "incarnation": start.agent_incarnation}
-        log = LogEvent(events.WRONG_INCARNATION, fields)
-        return [self._failed(connection, start, failure), log]
-
-    def _duplicate(self, connection: ConnectionId, peer: str, start: CallStart) -> list[Output]:
-        log = LogEvent(events.DUPLICATE_ATTEMPT, {"peer": peer})
-        current = self._calls.by_stream(connection, start.stream)
-        if current is not None and current.start.attempt_id == start.attempt_id:
-            return [log]
-        failure = Failure(ErrorKind.OUTCOME_UNKNOWN, "this attempt arrived before")
-        return [self._failed(connection, start, failure), log]
-
-    def _bound_body(self, call: Call) -> list[Output]:
-        failure = check_body(
-            len(call.body),
-            self._max_body_bytes,
-            self._assembling_bytes,
-            self._limits.assembling_bytes,
-        )
-        return [] if failure is None else self._refuse(call, failure)
+        outputs: list[Output] = []
+        if refusal.failure is not None:
+            outputs.append(self._failed(connection, start, refusal.failure))
+        if refusal.log is not None:
+            outputs.append(refusal.log)
+        return outputs
+
+    def _with_advice(self, failure: Failure, call: Call) -> Failure:
+        return replace(failure, retry_after=self._queue.advice(call.start.group))
 
     def _admit(self, call: Call, now: float) -> list[Output]:
-        self._assembling_bytes -= len(call.body)
+        self._intake.close(call)
         queued = QueuedCall(call.number, call.start.group, call.deadline, len(call.body))
         offered = self._queue.offer(queued, now)
         if isinstance(offered, Failure):
@@ -292,10 +267,8 @@
         return [self._failed(call.connection, call.start, failure)]
 
     def _withdraw(self, call: Call) -> None:
-        if call.stage is CallStage.ASSEMBLING:
-            self._assembling_bytes -= len(call.body)
-        else:
-            self._queue.remove(call.number)
+        self._intake.close(call)
+        self._queue.remove(call.number)
         self._calls.remove(call)
 
     def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> Output:
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -35,7 +35,7 @@
     Started,
 )
 from limelever.common.settings import seconds
-from limelever.protocol.calls_pb2 import CallBody, CallCancel, CallStart
+from limelever.protocol.calls_pb2 import CallBody, CallCancel, CallCredit, CallStart
 from limelever.protocol.endpoints_pb2 import ENDPOINT_STATE_DRAINING
 from limelever.subscriber.configuration import ConfigurationSet
 from limelever.subscriber.core import SubscriberCore
@@ -147,7 +147,8 @@
             self._cold_start_ends,
         ]
         if self._drain is not None:
-            deadlines.append(self._drain.next_deadline(self._calls.running, self._calls.waiting))
+            drain = self._drain
+            deadlines.append(drain.next_deadline(self._calls.unfinished, self._calls.waiting))
         return min((each for each in deadlines if each is not None), default=None)
 
     def _own_event(self, event: Event, now: float) -> list[Output]:
@@ -187,6 +188,8 @@
                 return self._calls.start(connection, self._proxies[connection].name, message, now)
             case CallBody():
                 return self._calls.body(connection, message, now)
+            case CallCredit():
+                return self._calls.credit(connection, message)
             case CallCancel():
                 return self._calls.cancel(connection, message.stream)
         return []
@@ -252,7 +255,7 @@
     def _advance_drain(self, now: float) -> list[Output]:
         if self._drain is None:
             return []
-        step = self._drain.next_step(now, self._calls.running, self._calls.waiting)
+        step = self._drain.next_step(now, self._calls.unfinished, self._calls.waiting)
         if step is DrainStep.REFUSE_QUEUED:
             return [*self._calls.refuse_waiting(), *self._advance_drain(now)]
         if step is DrainStep.FINISH:
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -168,6 +168,12 @@
             self.remove(call)
         return calls
 
+    def advice(self, name: str) -> float:
+        """Return after how many seconds a refused caller of a group may find room."""
+        group = self._groups.get(name)
+        wait = 0.0 if group is None else self._expected_wait(group)
+        return max(wait, MINIMUM_RETRY_AFTER)
+
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call."""
         return self._deadlines.earliest()
--- /dev/null
+++ b/src/limelever/proxy/attempt_ends.py
@@ -0,0 +1,78 @@
+"""How attempts end: what the balancer and the endpoint view are told, and what is let go."""
+
+from __future__ import annotations
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import LogEvent, Output
+from limelever.protocol.calls_pb2 import AgentLoad
+from limelever.proxy import events
+from limelever.proxy.answer_assembly import AnswerAssembly
+from limelever.proxy.balancer import Balancer
+from limelever.proxy.call_state import NOT_SENT, Attempt, AttemptEnded, Call, CallTable
+from limelever.proxy.call_types import CallAnswer
+from limelever.proxy.endpoints import EndpointView
+from limelever.proxy.health import Verdict
+
+_FAILED_STATUSES = frozenset({500, 502, 504})
+
+
+class AttemptEnds:
+    """Ends attempts and tells the proxy's view of endpoints what they showed."""
+
+    def __init__(
+        self,
+        calls: CallTable,
+        view: EndpointView,
+        balancer: Balancer,
+        assembly: AnswerAssembly,
+        outputs: list[Output],
+    ) -> None:
+        self._calls = calls
+        self._view = view
+        self._balancer = balancer
+        self._assembly = assembly
+        self._outputs = outputs
+
+    def succeed(self, call: Call, attempt: Attempt, body: bytes, now: float) -> AttemptEnded:
+        """End an attempt with the back end's whole answer."""
+        answer = CallAnswer(attempt.status, attempt.headers, body)
+        failed = attempt.status in _FAILED_STATUSES
+        self.close(call, attempt, Verdict.FAILED if failed else Verdict.SUCCEEDED, now)
+        return AttemptEnded(call, answer)
+
+    def fail(self, call: Call, kind: ErrorKind, reason: str, now: float) -> AttemptEnded:
+        """End an attempt with a failure that counts against its endpoint."""
+        assert call.attempt is not None
+        self.close(call, call.attempt, Verdict.FAILED, now)
+        return AttemptEnded(call, Failure(kind, reason))
+
+    def close(self, call: Call, attempt: Attempt, verdict: Verdict, now: float) -> None:
+        """End an attempt: its stream is free, and the balancer hears the verdict."""
+        call.attempt = None
+        self._assembly.release(attempt)
+        if attempt.stream != NOT_SENT:
+            self._calls.unbind_stream(attempt)
+        key = attempt.entry.key
+        peers = self._view.usable(key.service, now)
+        latency = now - attempt.started_at
+        ejected = self._balancer.attempt_ended(key, verdict, latency, peers, now)
+        if ejected:
+            fields: dict[str, object] = {
+                "service": key.service,
+                "instance": key.instance,
+                "seconds": ejected,
+            }
+            self._outputs.append(LogEvent(events.ENDPOINT_EJECTED, fields))
+
+    def observe(self, attempt: Attempt, load: AgentLoad, now: float) -> None:
+        """Take the load that an agent reported."""
+        self._balancer.observe_load(attempt.entry.key, load.in_flight + load.queued, now)
+        if load.draining:
+            self.retire(attempt)
+
+    def retire(self, attempt: Attempt) -> None:
+        """Give no more work to the incarnation of an attempt."""
+        key = attempt.entry.key
+        if self._view.retire(key, attempt.entry.incarnation):
+            fields: dict[str, object] = {"service": key.service, "instance": key.instance}
+            self._outputs.append(LogEvent(events.ENDPOINT_DRAINING, fields))
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -1,8 +1,4 @@
-"""Carries attempts to agents over the multiplexed links, and matches what comes back.
-
-An answer counts only when connection, stream and attempt identifier are those of a call's
-current attempt. Everything else is late, crossed or of an older connection, and is dropped.
-"""
+"""Carries attempts to agents over the multiplexed links: begins, moves and cancels them."""
 
 from __future__ import annotations
 
@@ -11,40 +7,22 @@
 
 from google.protobuf.message import Message
 
-from limelever.common.errors import ErrorKind, Failure, Outcome
-from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer, SendMessage
-from limelever.protocol.calls_pb2 import (
-    AgentLoad,
-    CallCancel,
-    CallCredit,
-    CallFailed,
-    ResponseBody,
-    ResponseStart,
-)
-from limelever.proxy import events
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import ConnectionId, Output, Peer, SendMessage
+from limelever.protocol.calls_pb2 import CallCancel
+from limelever.proxy.agent_messages import AgentMessages
+from limelever.proxy.answer_assembly import AnswerAssembly, AssemblyLimits
+from limelever.proxy.attempt_ends import AttemptEnds
 from limelever.proxy.balancer import Balancer
 from limelever.proxy.call_state import NOT_SENT, Attempt, AttemptEnded, Call, CallTable, Phase
-from limelever.proxy.call_types import CallAnswer
 from limelever.proxy.endpoints import EndpointKey, EndpointView
-from limelever.proxy.headers import towards_caller
 from limelever.proxy.health import Verdict
 from limelever.proxy.links import AgentLink, AgentLinks, LinkStage
 from limelever.proxy.outgoing import next_parts, start_message
 
 NO_ENDPOINT_RETRY_AFTER = 1.0
 
-_MILLISECONDS = 1000
 _ID_HALF_BYTES = 8
-_FAILED_STATUSES = frozenset({500, 502, 504})
-_FAILED_KINDS = frozenset(
-    {
-        ErrorKind.BACKEND_FAILED,
-        ErrorKind.CONNECTION_FAILED,
-        ErrorKind.CONNECTION_LOST,
-        ErrorKind.DEADLINE_EXCEEDED,
-        ErrorKind.INTERNAL,
-    }
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +35,7 @@
 
 
 class Attempts:
-    """Starts attempts, assembles their answers and tells the balancer how they ended."""
+    """Starts attempts, and moves or ends them as links and deadlines ask."""
 
     def __init__(
         self,
@@ -77,7 +55,10 @@
         self._outputs = outputs
         self._id_prefix = random_source.randbytes(_ID_HALF_BYTES)
         self._last_id = 0
-        self._assembling_bytes = 0
+        limits = AssemblyLimits(settings.answer_limit_bytes, settings.assembly_limit_bytes)
+        assembly = AnswerAssembly(limits)
+        self._ends = AttemptEnds(calls, view, balancer, assembly, outputs)
+        self._messages = AgentMessages(calls, self._ends, assembly, outputs)
         self._secret_names: frozenset[bytes] = frozenset()
 
     def set_secret_names(self, names: frozenset[bytes]) -> None:
@@ -117,7 +98,17 @@
         if attempt.stream != NOT_SENT:
             message = CallCancel(stream=attempt.stream)
             self._outputs.append(SendMessage(attempt.connection, message))
-        self._close(call, attempt, verdict, now)
+        self._ends.close(call, attempt, verdict, now)
+
+    def request_cancel(self, call: Call, verdict: Verdict) -> None:
+        """Ask the agent to cancel the call's attempt and to say whether it had begun.
+
+        ``verdict`` is what the attempt says of its endpoint in case it had.
+        """
+        assert call.attempt is not None
+        call.attempt.verdict_if_run = verdict
+        message = CallCancel(stream=call.attempt.stream)
+        self._outputs.append(SendMessage(call.attempt.connection, message))
 
     def link_opened(self, connection: ConnectionId, peer: Peer, now: float) -> None:
         """Send the calls that waited for this link."""
@@ -134,39 +125,16 @@
         for number in self._links.lost(connection, now):
             call = self._calls.by_number(number)
             if call is not None and self._waits_for(call, connection):
-                ended.append(self._fail(call, ErrorKind.CONNECTION_FAILED, reason, now))
+                ended.append(self._ends.fail(call, ErrorKind.CONNECTION_FAILED, reason, now))
         for call in self._calls.on_connection(connection):
-            ended.append(self._fail(call, ErrorKind.CONNECTION_LOST, reason, now))
+            ended.append(self._ends.fail(call, ErrorKind.CONNECTION_LOST, reason, now))
         return ended
 
     def received(
         self, connection: ConnectionId, message: Message, now: float
     ) -> AttemptEnded | None:
         """Take a message of an agent; return the end of an attempt if it brought one."""
-        if isinstance(message, CallCredit):
-            self._take_credit(connection, message)
-            return None
-        if not isinstance(message, ResponseStart | ResponseBody | CallFailed):
-            return None
-        call = self._calls.by_stream(connection, message.stream)
-        if call is None or call.attempt is None or _crossed(message, call.attempt):
-            self._outputs.append(LogEvent(events.LATE_ANSWER_DROPPED, {"stream": message.stream}))
-            return None
-        if isinstance(message, ResponseBody):
-            return self._add_body(call, call.attempt, message.data, message.end, now)
-        if message.HasField("load"):
-            self._observe(call.attempt, message.load, now)
-        if isinstance(message, CallFailed):
-            return self._take_failure(call, call.attempt, message, now)
-        call.attempt.status = message.status
-        call.attempt.headers = towards_caller((h.name, h.value) for h in message.headers)
-        return self._add_body(call, call.attempt, message.body, message.end, now)
-
-    def _take_credit(self, connection: ConnectionId, message: CallCredit) -> None:
-        call = self._calls.by_stream(connection, message.stream)
-        if call is not None and call.attempt is not None:
-            call.attempt.credit_bytes += message.bytes
-            self._send_parts(call, call.attempt)
+        return self._messages.received(connection, message, now)
 
     def _draw_id(self) -> bytes:
         self._last_id += 1
@@ -193,88 +161,3 @@
     def _send_parts(self, call: Call, attempt: Attempt) -> None:
         for part in next_parts(call, attempt):
             self._outputs.append(SendMessage(attempt.connection, part))
-
-    def _add_body(
-        self, call: Call, attempt: Attempt, data: bytes, end: bool, now: float
-    ) -> AttemptEnded | None:
-        if end and not attempt.body:
-            return self._succeed(call, attempt, data, now)
-        size = len(attempt.body) + len(data)
-        over = size > self._settings.answer_limit_bytes
-        if over or self._assembling_bytes + len(data) > self._settings.assembly_limit_bytes:
-            message = CallCancel(stream=attempt.stream)
-            self._outputs.append(SendMessage(attempt.connection, message))
-            reason = f"answer of over {size} bytes finds no room"
-            return self._fail(call, ErrorKind.BACKEND_FAILED, reason, now)
-        attempt.body += data
-        self._assembling_bytes += len(data)
-        return self._succeed(call, attempt, bytes(attempt.body), now) if end else None
-
-    def _succeed(self, call: Call, attempt: Attempt, body: bytes, now: float) -> AttemptEnded:
-        answer = CallAnswer(attempt.status, attempt.headers, body)
-        failed = attempt.status in _FAILED_STATUSES
-        self._close(call, attempt, Verdict.FAILED if failed else Verdict.SUCCEEDED, now)
-        return AttemptEnded(call, answer)
-
-    def _take_failure(
-        self, call: Call, attempt: Attempt, message: CallFailed, now: float
-    ) -> AttemptEnded:
-        failure = Failure(
-            _kind(message.kind), message.reason, retry_after=message.retry_after_ms / _MILLISECONDS
-        )
-        if failure.kind in (ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION):
-            self._retire(attempt)
-        if attempt.status and failure.outcome is Outcome.NOT_RUN:
-            failure = Failure(ErrorKind.BACKEND_FAILED, f"answer broken off: {failure.reason}")
-        verdict = Verdict.FAILED if failure.kind in _FAILED_KINDS else Verdict.NEUTRAL
-        self._close(call, attempt, verdict, now)
-        return AttemptEnded(call, failure)
-
-    def _fail(self, call: Call, kind: ErrorKind, reason: str, now: float) -> AttemptEnded:
-        assert call.attempt is not None
-        self._close(call, call.attempt, Verdict.FAILED, now)
-        return AttemptEnded(call, Failure(kind, reason))
-
-    def _close(self, call: Call, attempt: Attempt, verdict: Verdict, now: float) -> None:
-        call.attempt = None
-        self._assembling_bytes -= len(attempt.body)
-        if attempt.stream != NOT_SENT:
-            self._calls.unbind_stream(attempt)
-        key = attempt.entry.key
-        peers = self._view.usable(key.service, now)
-        latency = now - attempt.started_at
-        ejected = self._balancer.attempt_ended(key, verdict, latency, peers, now)
-        if ejected:
-            fields: dict[str, object] = {
-                "service": key.service,
-                "instance": key.instance,
-                "seconds": ejected,
-            }
-            self._outputs.append(LogEvent(events.ENDPOINT_EJECTED, fields))
-
-    def _observe(self, attempt: Attempt, load: AgentLoad, now: float) -> None:
-        self._balancer.observe_load(attempt.entry.key, load.in_flight + load.queued, now)
-        if load.draining:
-            self._retire(attempt)
-
-    def _retire(self, attempt: Attempt) -> None:
-        key = attempt.entry.key
-        if self._view.retire(key, attempt.entry.incarnation):
-            fields: dict[str, object] = {"service": key.service, "instance": key.instance}
-            self._outputs.append(LogEvent(events.ENDPOINT_DRAINING, fields))
-
-
-def _crossed(message: ResponseStart | ResponseBody | CallFailed, attempt: Attempt) -> bool:
-    if isinstance(message, ResponseBody):
-        return not attempt.status
-    if message.attempt_id != attempt.attempt_id:
-        return True
-    return isinstance(message, ResponseStart) and bool(attempt.status)
-
-
-def _kind(name: str) -> ErrorKind:
-    """Return the kind an agent named; one not known here leaves the outcome unknown."""
-    try:
-        return ErrorKind(name)
-    except ValueError:
-        return ErrorKind.INTERNAL
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -11,6 +11,7 @@
 from limelever.proxy.call_types import CallAnswer, CallRequest, Headers
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.group_limits import ShareKey
+from limelever.proxy.health import Verdict
 from limelever.proxy.router import RouteEntry
 
 NOT_SENT = 0
@@ -26,12 +27,17 @@
     CLAIMING = auto()
     DIALLING = auto()
     HANDED_ON = auto()
+    CANCELLING = auto()
     COMPLETING = auto()
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt at one incarnation of one endpoint; ``started_at`` in seconds."""
+    """One attempt at one incarnation of one endpoint; ``started_at`` in seconds.
+
+    ``verdict_if_run`` is set once the agent was asked to cancel: what the attempt says of its
+    endpoint if it had begun.
+    """
 
     entry: EndpointEntry
     attempt_id: bytes
@@ -43,6 +49,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytearray = field(default_factory=bytearray)
+    verdict_if_run: Verdict | None = None
 
 
 @dataclass(slots=True)
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -31,14 +31,22 @@
 )
 from limelever.proxy.router import RouteTable
 
+_NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
+_UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
+
 
 @dataclass(frozen=True, slots=True)
 class CallSettings:
-    """Settings of the request path; ``completion_wait`` (seconds) bounds the recording."""
+    """Settings of the request path, in seconds.
+
+    ``completion_wait`` bounds the recording of an answer; ``cancel_wait`` is how long past its
+    deadline a call waits for the agent to say whether it had begun.
+    """
 
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     retry: RetrySettings = field(default_factory=RetrySettings)
     completion_wait: float = 1.0
+    cancel_wait: float = 0.1
 
 
 class CallEngine:
@@ -58,8 +66,7 @@
         self._calls = calls
         self._attempts = attempts
         self._limits = limits
-        self._keepers = keepers
-        self._random = random_source
+        self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._outputs = outputs
         self._budgets = RetryBudgets()
         self._table: RouteTable | None = None
@@ -87,7 +94,7 @@
         route = admitted.route
         self._budgets.of(route.name, route.retry_budget_percent).record_fresh_call()
         if route.at_most_once:
-            self._claim(admitted, now)
+            self._claims.begin(admitted, now)
         else:
             self._attempt(admitted, now)
 
@@ -101,7 +108,7 @@
         if call is None:
             return
         call.caller_gone = True
-        if call.route.at_most_once and call.phase in (Phase.HANDED_ON, Phase.COMPLETING):
+        if call.route.at_most_once and call.phase in _UNDER_WAY:
             return
         self._attempts.abandon(call, Verdict.NEUTRAL, now)
         self._finish(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller has gone"), now)
@@ -127,29 +134,29 @@
 
     def claim_granted(self, token: bytes, now: float) -> None:
         """Hand the call on: its claim is held by a majority of the keepers."""
-        call = self._calls.by_token(token)
-        if call is None or call.phase is not Phase.CLAIMING:
-            self._outputs.extend(self._keepers.release(token, now))
-            return
-        self._attempt(call, now)
+        call = self._claims.claiming(token)
+        if call is None:
+            self._claims.release(token, now)
+        else:
+            self._attempt(call, now)
 
     def claim_answered(self, token: bytes, record: RecordedAnswer, now: float) -> None:
         """Answer a resend with what was recorded for the first sending."""
-        call = self._calls.by_token(token)
-        if call is not None and call.phase is Phase.CLAIMING:
+        call = self._claims.claiming(token)
+        if call is not None:
             self._end(call, claims.replayed(record))
 
     def claim_refused(self, token: bytes, failure: Failure, now: float) -> None:
         """Answer a call whose claim was not granted; what a minority granted is given back."""
-        call = self._calls.by_token(token)
-        if call is not None and call.phase is Phase.CLAIMING:
-            self._outputs.extend(self._keepers.release(token, now))
+        call = self._claims.claiming(token)
+        if call is not None:
+            self._claims.release(token, now)
             self._end(call, with_retry_after(failure))
 
     def completion_settled(self, token: bytes, recorded: bool) -> None:
         """Answer a call whose answer the keepers recorded, or could not."""
-        call = self._calls.by_token(token)
-        if call is not None and call.phase is Phase.COMPLETING:
+        call = self._claims.completing(token)
+        if call is not None:
             self._answer_completed(call, recorded)
 
     # --- time ---------------------------------------------------------------------------------
@@ -163,6 +170,9 @@
         while (call := self._calls.take_due(now)) is not None:
             if call.phase is Phase.COMPLETING:
                 self._answer_completed(call, recorded=False)
+            elif call.phase is Phase.CANCELLING:
+                self._attempts.abandon(call, self._verdict_of_lateness(call), now)
+                self._finish(call, _NO_ANSWER, now)
             elif now < call.deadline:
                 self._dial_waited(call, now)
             else:
@@ -170,14 +180,6 @@
 
     # --- steps --------------------------------------------------------------------------------
 
-    def _claim(self, call: Call, now: float) -> None:
-        call.phase = Phase.CLAIMING
-        token = self._random.randbytes(claims.TOKEN_BYTES)
-        self._calls.set_token(call, token)
-        key = claims.claim_key(call.route, call.request)
-        fingerprint = claims.fingerprint(call.request)
-        self._outputs.extend(self._keepers.claim(token, key, fingerprint, now))
-
     def _attempt(self, call: Call, now: float) -> None:
         failure = self._attempts.start(call, now)
         if failure is not None:
@@ -211,11 +213,8 @@
         if not call.route.at_most_once:
             self._end(call, answer)
             return
-        call.phase = Phase.COMPLETING
-        call.answer = answer
         self._calls.wake(call, now + self._settings.completion_wait)
-        record = claims.recorded(answer)
-        self._outputs.extend(self._keepers.complete(call.token, record, now))
+        self._claims.complete(call, answer, now)
 
     def _answer_completed(self, call: Call, recorded: bool) -> None:
         assert call.answer is not None
@@ -229,26 +228,31 @@
         self._attempt_ended(AttemptEnded(call, failure), now)
 
     def _deadline_passed(self, call: Call, now: float) -> None:
-        handed_on = call.phase is Phase.HANDED_ON
-        longest = call.route.timeout or self._settings.admission.default_timeout
-        cut_short = call_timeout(call.request, call.route, self._settings.admission) < longest
-        verdict = Verdict.NEUTRAL if cut_short or not handed_on else Verdict.FAILED
-        self._attempts.abandon(call, verdict, now)
-        if handed_on or call.may_have_run is not None:
-            failure = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
+        """Give a call up; one that was handed on may still turn out not to have begun."""
+        if call.phase is Phase.HANDED_ON:
+            self._attempts.request_cancel(call, self._verdict_of_lateness(call))
+            call.phase = Phase.CANCELLING
+            self._calls.wake(call, now + self._settings.cancel_wait)
+            return
+        self._attempts.abandon(call, Verdict.NEUTRAL, now)
+        if call.may_have_run is not None:
+            failure = _NO_ANSWER
         elif call.phase is Phase.CLAIMING:
             failure = Failure(ErrorKind.KEEPERS_UNAVAILABLE, "no claim within the deadline")
         else:
             failure = Failure(ErrorKind.DEADLINE_TOO_SHORT, "deadline passed before hand-on")
         self._finish(call, failure, now)
 
+    def _verdict_of_lateness(self, call: Call) -> Verdict:
+        """A deadline that the caller cut short says nothing about the endpoint."""
+        longest = call.route.timeout or self._settings.admission.default_timeout
+        cut_short = call_timeout(call.request, call.route, self._settings.admission) < longest
+        return Verdict.NEUTRAL if cut_short else Verdict.FAILED
+
     def _finish(self, call: Call, failure: Failure, now: float) -> None:
-        """End a call with a failure; a claim is given back only if no attempt may have run."""
+        """End a call with a failure, and its claim."""
         failure = final_failure(call, failure)
-        if call.token and failure.outcome is Outcome.NOT_RUN:
-            self._outputs.extend(self._keepers.release(call.token, now))
-        elif call.token:
-            self._keepers.forget(call.token)
+        self._claims.failed(call, failure, now)
         self._end(call, failure)
 
     def _end(self, call: Call, answer: CallAnswer | Failure) -> None:
--- a/src/limelever/proxy/claims.py
+++ b/src/limelever/proxy/claims.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import hashlib
+import random
 from collections.abc import Sequence
 from typing import Protocol
 
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.sansio import Output
 from limelever.protocol.calls_pb2 import Header
 from limelever.protocol.keeper_pb2 import RecordedAnswer
+from limelever.proxy.call_state import Call, CallTable, Phase
 from limelever.proxy.call_types import CallAnswer, CallRequest
 from limelever.proxy.router import RouteEntry
 
@@ -39,6 +41,60 @@
         """Record the call's answer; ends in one ``CompletionSettled`` with this token."""
 
 
+class CallClaims:
+    """The claims of the calls in flight that may not be repeated."""
+
+    def __init__(
+        self,
+        keepers: KeeperClient,
+        calls: CallTable,
+        random_source: random.Random,
+        outputs: list[Output],
+    ) -> None:
+        self._keepers = keepers
+        self._calls = calls
+        self._random = random_source
+        self._outputs = outputs
+
+    def begin(self, call: Call, now: float) -> None:
+        """Ask for the claim on a call's idempotency key."""
+        call.phase = Phase.CLAIMING
+        token = self._random.randbytes(TOKEN_BYTES)
+        self._calls.set_token(call, token)
+        key = claim_key(call.route, call.request)
+        print_of_call = fingerprint(call.request)
+        self._outputs.extend(self._keepers.claim(token, key, print_of_call, now))
+
+    def claiming(self, token: bytes) -> Call | None:
+        """Return the call that waits for the claim with this token."""
+        return self._in_phase(token, Phase.CLAIMING)
+
+    def completing(self, token: bytes) -> Call | None:
+        """Return the call whose answer is being recorded under this token."""
+        return self._in_phase(token, Phase.COMPLETING)
+
+    def complete(self, call: Call, answer: CallAnswer, now: float) -> None:
+        """Record a call's answer."""
+        call.phase = Phase.COMPLETING
+        call.answer = answer
+        self._outputs.extend(self._keepers.complete(call.token, recorded(answer), now))
+
+    def release(self, token: bytes, now: float) -> None:
+        """Give a claim back: nothing was run under it."""
+        self._outputs.extend(self._keepers.release(token, now))
+
+    def failed(self, call: Call, failure: Failure, now: float) -> None:
+        """End the claim of a failed call: it is given back only if no attempt may have run."""
+        if call.token and failure.outcome is Outcome.NOT_RUN:
+            self.release(call.token, now)
+        elif call.token:
+            self._keepers.forget(call.token)
+
+    def _in_phase(self, token: bytes, phase: Phase) -> Call | None:
+        call = self._calls.by_token(token)
+        return call if call is not None and call.phase is phase else None
+
+
 def claim_key(route: RouteEntry, request: CallRequest) -> bytes:
     """Return the digest under which calls with the same idempotency key exclude each other."""
     return _digest(route.name.encode(), request.group.encode(), request.idempotency_key)
--- a/src/limelever_lab/simulator/breaks.py
+++ b/src/limelever_lab/simulator/breaks.py
@@ -172,7 +172,7 @@
 
     def released(self: CallEngine, call: Call, failure: Failure, now: float) -> None:
         if call.token:
-            self._outputs.extend(self._keepers.release(call.token, now))
+            self._claims.release(call.token, now)
         original(self, call, failure, now)
 
     _replace(stack, CallEngine, "_finish", released)
