--- a/src/limelever_lab/reports/command.py
+++ b/src/limelever_lab/reports/command.py
@@ -9,6 +9,7 @@
 
 from limelever_lab.reports.drawings import draw_batching, draw_recovery, draw_shares
 from limelever_lab.reports.kept_results import batch_curves, recovery_courses, share_phases
+from limelever_lab.reports.target import target_table, work_out
 
 NOTHING_STATUS = 1
 
@@ -19,12 +20,14 @@
         Path | None, typer.Option(help="Folder of the drawings; RESULTS/plots.")
     ] = None,
 ) -> None:
-    """Draw kept results as SVG files, and say which there are."""
+    """Draw kept results as SVG files, and print the measured lines at the target's sizes."""
     drawn = draw_all(results, plots or results / "plots")
     for path in drawn:
         typer.echo(path)
-    if not drawn:
-        typer.echo(f"no results of batching, recovery or shares in {results}", err=True)
+    if rows := work_out(results):
+        typer.echo(target_table(rows))
+    if not drawn and not rows:
+        typer.echo(f"no results in {results}", err=True)
         raise typer.Exit(NOTHING_STATUS)
 
 
