Keep the hop-by-hop headers in one place

The list and the rule for headers that Connection names stood in agent/headers.py and in proxy/headers.py; both now use common/http_headers.py, in lower case at both ends.

--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -9,10 +9,11 @@
 import trio
 
 from limelever.agent.connections import BackendConnection, BackendConnections
-from limelever.agent.headers import end_to_end, request_headers
+from limelever.agent.headers import request_headers
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_headers import end_to_end
 from limelever.common.sansio import Event
 
 _CLIENT_ERRORS = (
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -9,10 +9,9 @@
 from dataclasses import dataclass
 
 from limelever.common.errors import Failure
+from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt(Output):
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -9,6 +9,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
+from limelever.common.http_headers import end_to_end
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import (
     CallCancel,
@@ -21,7 +22,6 @@
 from limelever.proxy.answer_assembly import AnswerAssembly
 from limelever.proxy.attempt_ends import AttemptEnds
 from limelever.proxy.call_state import Attempt, AttemptEnded, Call, CallTable
-from limelever.proxy.headers import towards_caller
 from limelever.proxy.health import Verdict
 from limelever.proxy.outgoing import next_parts
 
@@ -72,7 +72,7 @@
         if isinstance(message, CallFailed):
             return self._take_failure(call, call.attempt, message, now)
         call.attempt.status = message.status
-        call.attempt.headers = towards_caller((h.name, h.value) for h in message.headers)
+        call.attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
         return self._add_body(call, call.attempt, message.body, message.end, now)
 
     def _take_part(
--- a/src/limelever/proxy/answers.py
+++ b/src/limelever/proxy/answers.py
@@ -6,7 +6,8 @@
 import math
 
 from limelever.common.errors import Failure, Outcome
-from limelever.proxy.call_types import ERROR_HEADER, OUTCOME_HEADER, CallAnswer, Headers
+from limelever.common.http_headers import Headers
+from limelever.proxy.call_types import ERROR_HEADER, OUTCOME_HEADER, CallAnswer
 
 RETRY_AFTER_HEADER = b"retry-after"
 CONTENT_LENGTH_HEADER = b"content-length"
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -7,8 +7,9 @@
 from enum import Enum, auto
 
 from limelever.common.errors import Failure
+from limelever.common.http_headers import Headers
 from limelever.common.sansio import ConnectionId
-from limelever.proxy.call_types import CallAnswer, CallRequest, Headers
+from limelever.proxy.call_types import CallAnswer, CallRequest
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.group_limits import ShareKey
 from limelever.proxy.health import Verdict
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass
 
 from limelever.common.errors import Failure
+from limelever.common.http_headers import Headers as Headers
 from limelever.common.sansio import Event, Output
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
 GROUP_HEADER = b"x-limelever-group"
 TIMEOUT_HEADER = b"x-limelever-timeout-ms"
 OUTCOME_HEADER = b"x-limelever-outcome"
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -11,8 +11,8 @@
 from urllib.parse import unquote_to_bytes
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_headers import Headers
 from limelever.protocol.config_pb2 import CALL_KIND_AT_MOST_ONCE, Route, Service
-from limelever.proxy.call_types import Headers
 from limelever.proxy.group_limits import DEFAULT_WEIGHT
 from limelever.subscriber.configuration import ConfigurationSet
 
