Split the agent's larger modules by job

fair_queue.py keeps the virtual time and leaves groups and weights to group_table.py; registration.py keeps the lease and leaves the endpoint's messages to own_endpoint.py; core.py leaves the cold start to cold_start.py. An unused method (take_all) is gone.

--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -13,15 +13,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from limelever.agent import answers, events
+from limelever.agent import answers
 from limelever.agent.answer_sender import AnswerSender
-from limelever.agent.calls import Call, CallStage, CallTable
+from limelever.agent.calls import Call, CallStage, CallTable, Orphaned
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.intake import BodyLimits, CallIntake, Refusal
-from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt, StartAttempt
+from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
+from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCredit, CallStart
 
 _SHED_STATUS = 503
@@ -93,7 +93,10 @@
         """Take a call in, or refuse it."""
         call = self._intake.open(connection, peer, start, now, self.draining)
         if isinstance(call, Refusal):
-            return self._refused_at_once(connection, start, call)
+            logs: list[Output] = [call.log] if call.log is not None else []
+            if call.failure is None:
+                return logs
+            return [self._failed(connection, start, call.failure), *logs]
         if start.end:
             return self._admit(call, now)
         failure = self._intake.check_body(call)
@@ -143,15 +146,8 @@
                 outputs.append(CancelAttempt(call.number))
             else:
                 left_running += 1
-        if not outputs and not dropped and not left_running:
-            return []
-        fields: dict[str, object] = {
-            "peer": peer,
-            "dropped": dropped,
-            "cancelled": len(outputs),
-            "left_running": left_running,
-        }
-        return [*outputs, LogEvent(events.ORPHANED_ATTEMPTS, fields)]
+        orphaned = Orphaned(dropped, len(outputs), left_running)
+        return [*outputs, orphaned.log(peer)] if orphaned.any else []
 
     # --- from the back end ------------------------------------------------------------------
 
@@ -225,22 +221,11 @@
         while (queued := self._queue.start_next(now)) is not None:
             call = self._calls.by_number(queued.call)
             assert call is not None
-            call.stage = CallStage.RUNNING
-            outputs.append(self._attempt(call, now))
+            outputs.append(call.begin(now))
         return outputs
 
     # --- parts ------------------------------------------------------------------------------
 
-    def _refused_at_once(
-        self, connection: ConnectionId, start: CallStart, refusal: Refusal
-    ) -> list[Output]:
-        outputs: list[Output] = []
-        if refusal.failure is not None:
-            outputs.append(self._failed(connection, start, refusal.failure))
-        if refusal.log is not None:
-            outputs.append(refusal.log)
-        return outputs
-
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
         return replace(failure, retry_after=self._queue.advice(call.start.group))
 
@@ -273,17 +258,3 @@
 
     def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> Output:
         return SendMessage(connection, answers.call_failed(start, failure, self.load()))
-
-    def _attempt(self, call: Call, now: float) -> Output:
-        start = call.start
-        body = bytes(call.body)
-        call.body.clear()
-        return StartAttempt(
-            attempt=call.number,
-            service=start.service,
-            method=start.method,
-            target=start.target,
-            headers=tuple((header.name, header.value) for header in start.headers),
-            body=body,
-            timeout=call.deadline - now,
-        )
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from enum import Enum, auto
 
-from limelever.common.sansio import ConnectionId
+from limelever.agent import events
+from limelever.agent.interface import StartAttempt
+from limelever.common.sansio import ConnectionId, LogEvent
 from limelever.protocol.calls_pb2 import CallStart
 from limelever.protocol.config_pb2 import CALL_KIND_REPEATABLE
 
@@ -42,6 +44,39 @@
         """Return whether the call may run more than once."""
         return bool(self.start.call_kind == CALL_KIND_REPEATABLE)
 
+    def begin(self, now: float) -> StartAttempt:
+        """Hand the call to the back end: its body goes along and is kept no longer."""
+        self.stage = CallStage.RUNNING
+        start, body = self.start, bytes(self.body)
+        self.body.clear()
+        return StartAttempt(
+            attempt=self.number,
+            service=start.service,
+            method=start.method,
+            target=start.target,
+            headers=tuple((header.name, header.value) for header in start.headers),
+            body=body,
+            timeout=self.deadline - now,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Orphaned:
+    """What became of the calls of a proxy that is gone."""
+
+    dropped: int
+    cancelled: int
+    left_running: int
+
+    @property
+    def any(self) -> bool:
+        """Return whether the proxy had calls in flight."""
+        return bool(self.dropped or self.cancelled or self.left_running)
+
+    def log(self, peer: str) -> LogEvent:
+        """Return the event to be logged."""
+        return LogEvent(events.ORPHANED_ATTEMPTS, {"peer": peer, **asdict(self)})
+
 
 class CallTable:
     """Calls by number and by link and stream."""
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -9,6 +9,7 @@
 
 from limelever.agent import events
 from limelever.agent.call_service import CallLimits, CallService
+from limelever.agent.cold_start import ColdStart
 from limelever.agent.drain import Drain, DrainLimits, DrainStep
 from limelever.agent.interface import (
     AttemptAnswered,
@@ -97,8 +98,7 @@
         self._proxies: dict[ConnectionId, Peer] = {}
         self._drain: Drain | None = None
         self._finished = False
-        self._cold_start_ends: float | None = None
-        self._healthy: bool | None = None
+        self._cold_start = ColdStart(options.cold_start_limit)
 
     @property
     def registered(self) -> bool:
@@ -144,7 +144,7 @@
             self._calls.next_deadline(),
             self._registration.next_deadline(),
             self._subscriber.next_deadline(),
-            self._cold_start_ends,
+            self._cold_start.next_deadline(),
         ]
         if self._drain is not None:
             drain = self._drain
@@ -154,7 +154,7 @@
     def _own_event(self, event: Event, now: float) -> list[Output]:
         match event:
             case Started():
-                self._cold_start_ends = now + self._options.cold_start_limit
+                self._cold_start.begin(now)
             case MessageReceived(connection, message) if connection in self._proxies:
                 return self._proxy_message(connection, message, now)
             case AttemptAnswered():
@@ -162,14 +162,14 @@
             case AttemptFailed():
                 return self._calls.failed(event, now)
             case DeadlineReached():
-                return [*self._calls.expire(now), *self._cold_start(now)]
+                return [*self._calls.expire(now), *self._warm(self._cold_start.expire(now), now)]
             case ConnectionOpened(connection, peer) if _is_accepted(connection):
                 return self._proxy_opened(connection, peer)
             case ConnectionClosed(connection) if connection in self._proxies:
                 peer = self._proxies.pop(connection)
                 return self._calls.proxy_gone(connection, peer.name)
             case BackendProbed(healthy):
-                return self._probed(healthy, now)
+                return self._warm(self._cold_start.probed(healthy), now)
             case DrainRequested():
                 return self._begin_drain(now)
         return []
@@ -214,26 +214,12 @@
         fields: dict[str, object] = {"version": version, "groups": len(shares)}
         return [LogEvent(events.SHARES_CHANGED, fields)]
 
-    # --- cold start -------------------------------------------------------------------------
-
-    def _probed(self, healthy: bool, now: float) -> list[Output]:
-        previous, self._healthy = self._healthy, healthy
-        if self._cold_start_ends is not None:
-            return self._leave_cold_start(now, LogEvent(events.BACKEND_READY)) if healthy else []
-        if previous is healthy:
-            return []
-        return [LogEvent(events.BACKEND_PROBE_CHANGED, {"healthy": healthy})]
-
-    def _cold_start(self, now: float) -> list[Output]:
-        if self._cold_start_ends is None or now < self._cold_start_ends:
+    def _warm(self, log: LogEvent | None, now: float) -> list[Output]:
+        """Register once the cold start is over; ``log`` tells what ended it or changed since."""
+        if log is None:
             return []
-        fields: dict[str, object] = {"seconds": self._options.cold_start_limit}
-        return self._leave_cold_start(now, LogEvent(events.COLD_START_LIMIT, fields))
-
-    def _leave_cold_start(self, now: float, log: LogEvent) -> list[Output]:
-        self._cold_start_ends = None
         if self._drain is not None:
-            return []
+            return [log]
         return [log, *self._registration.begin(now)]
 
     # --- drain ------------------------------------------------------------------------------
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
+from limelever.agent.group_table import GroupTable
 from limelever.agent.service_time import ServiceTime
 from limelever.common.errors import ErrorKind, Failure
 
@@ -27,9 +27,6 @@
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
-POOLED_GROUP = ""
-"""Queue that groups without a share use together once too many of them are active."""
-
 
 @dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -62,8 +59,7 @@
 
     def __init__(self, limits: QueueLimits) -> None:
         self._limits = limits
-        self._weights: dict[str, int] = {}
-        self._groups: dict[str, GroupQueue] = {}
+        self._groups = GroupTable(limits.default_weight, limits.unlisted_groups)
         self._group_of: dict[int, str] = {}
         self._running: dict[int, _RunningCall] = {}
         self._deadlines = DeadlineHeap()
@@ -88,16 +84,14 @@
 
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Take the weights of all groups that have a share; others get the default weight."""
-        self._weights = dict(weights)
-        for group in self._groups.values():
-            group.change_weight(self._weight(group.name), self._virtual_time)
+        self._groups.set_weights(weights, self._virtual_time)
 
     def offer(self, call: QueuedCall, now: float) -> Failure | tuple[Eviction, ...]:
         """Queue a call, or refuse it at once (NOT RUN) when it cannot make its deadline.
 
         Returns the calls of other groups that lost their place for it.
         """
-        group = self._group(call.group)
+        group = self._groups.open(call.group, self._virtual_time)
         failure = self._refusal(group, call, now)
         if failure is None:
             evictions = self._make_room(group, call.size)
@@ -105,7 +99,7 @@
                 self._append(group, call)
                 return evictions
             failure = evictions
-        self._forget_if_idle(group)
+        self._groups.forget_if_idle(group, self._virtual_time)
         return failure
 
     def start_next(self, now: float) -> QueuedCall | None:
@@ -113,7 +107,7 @@
         if self.running >= self._limits.slots or not self._group_of:
             return None
         group = min(
-            (group for group in self._groups.values() if group.calls),
+            (group for group in self._groups if group.calls),
             key=lambda candidate: (candidate.tag, candidate.name),
         )
         call = group.pop_oldest()
@@ -132,14 +126,14 @@
         say nothing about how long a call takes.
         """
         running = self._running.pop(call)
-        group = self._groups[running.group]
+        group = self._groups.get(running.group)
         seconds = max(now - running.started_at, MINIMUM_CHARGE)
         group.running -= 1
         group.charge(seconds - running.charged)
         if representative:
             group.service_time.observe(seconds)
             self._service_time.observe(seconds)
-        self._forget_if_idle(group)
+        self._groups.forget_if_idle(group, self._virtual_time)
         self._restart_virtual_time_when_idle()
 
     def remove(self, call: int) -> bool:
@@ -147,11 +141,11 @@
         name = self._group_of.get(call)
         if name is None:
             return False
-        group = self._groups[name]
+        group = self._groups.get(name)
         queued = group.calls[call]
         group.remove(call)
         self._dequeued(queued)
-        self._forget_if_idle(group)
+        self._groups.forget_if_idle(group, self._virtual_time)
         return True
 
     def take_expired(self, now: float) -> tuple[int, ...]:
@@ -161,16 +155,9 @@
             self.remove(call)
         return expired
 
-    def take_all(self) -> tuple[int, ...]:
-        """Take out every waiting call."""
-        calls = tuple(self._group_of)
-        for call in calls:
-            self.remove(call)
-        return calls
-
     def advice(self, name: str) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
-        group = self._groups.get(name)
+        group = self._groups.find(name)
         wait = 0.0 if group is None else self._expected_wait(group)
         return max(wait, MINIMUM_RETRY_AFTER)
 
@@ -196,7 +183,7 @@
         return None
 
     def _share_failure(self, group: GroupQueue, reason: str, wait: float) -> Failure:
-        alone = all(other is group or not other.active for other in self._groups.values())
+        alone = self._groups.only_active(group)
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
         return Failure(kind, reason, retry_after=max(wait, MINIMUM_RETRY_AFTER))
 
@@ -204,12 +191,7 @@
         return not self._group_of and self.running < self._limits.slots
 
     def _expected_wait(self, group: GroupQueue) -> float:
-        position = len(group.calls) + 1
-        ahead = position
-        for other in self._groups.values():
-            if other is not group:
-                turns = math.ceil(position * other.weight / group.weight)
-                ahead += min(len(other.calls), turns)
+        ahead = self._groups.calls_ahead_of_next(group)
         return ahead * (self._service_time.mean or 0.0) / self._limits.slots
 
     def _make_room(self, group: GroupQueue, size: int) -> Failure | tuple[Eviction, ...]:
@@ -227,21 +209,22 @@
 
     def _evict(self) -> Eviction:
         victim = max(
-            (group for group in self._groups.values() if group.calls),
-            key=lambda group: (group.queued_bytes / self._byte_part(group), group.name),
+            (group for group in self._groups if group.calls),
+            key=lambda group: (
+                group.queued_bytes / self._byte_part(group),
+                group.name,
+            ),
         )
         failure = self._share_failure(
             victim, "gave way to a group below its share", self._expected_wait(victim)
         )
         call = victim.pop_newest()
         self._dequeued(call)
-        self._forget_if_idle(victim)
+        self._groups.forget_if_idle(victim, self._virtual_time)
         return Eviction(call.call, failure)
 
     def _byte_part(self, group: GroupQueue) -> float:
-        waiting = {other.name: other.weight for other in self._groups.values() if other.calls}
-        waiting[group.name] = group.weight
-        return self._limits.total_bytes * group.weight / sum(waiting.values())
+        return self._groups.part_of(group, self._limits.total_bytes)
 
     def _append(self, group: GroupQueue, call: QueuedCall) -> None:
         if not group.calls:
@@ -262,26 +245,6 @@
     def _known_service_time(self, group: GroupQueue) -> float:
         return group.service_time.mean or self._service_time.mean or 0.0
 
-    def _weight(self, name: str) -> int:
-        return self._weights.get(name, self._limits.default_weight)
-
-    def _group(self, name: str) -> GroupQueue:
-        if name not in self._groups and name not in self._weights and self._unlisted_full():
-            name = POOLED_GROUP
-        group = self._groups.get(name)
-        if group is None:
-            group = GroupQueue(name, self._weight(name), self._virtual_time)
-            self._groups[name] = group
-        return group
-
-    def _unlisted_full(self) -> bool:
-        unlisted = sum(1 for name in self._groups if name not in self._weights)
-        return unlisted >= self._limits.unlisted_groups
-
-    def _forget_if_idle(self, group: GroupQueue) -> None:
-        if not group.active and group.tag <= self._virtual_time:
-            self._groups.pop(group.name, None)
-
     def _restart_virtual_time_when_idle(self) -> None:
         if not self._running and not self._group_of:
             self._groups.clear()
--- /dev/null
+++ b/src/limelever/agent/group_table.py
@@ -0,0 +1,84 @@
+"""The groups that have calls waiting or running, and their weights."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator, Mapping
+
+from limelever.agent.group_queue import GroupQueue
+
+POOLED_GROUP = ""
+"""Queue that groups without a share use together once too many of them are active."""
+
+
+class GroupTable:
+    """Group queues by name; one that is idle and owes no slot time is forgotten."""
+
+    def __init__(self, default_weight: int, unlisted_groups: int) -> None:
+        self._default_weight = default_weight
+        self._unlisted_limit = unlisted_groups
+        self._weights: dict[str, int] = {}
+        self._groups: dict[str, GroupQueue] = {}
+
+    def __iter__(self) -> Iterator[GroupQueue]:
+        return iter(self._groups.values())
+
+    def set_weights(self, weights: Mapping[str, int], virtual_time: float) -> None:
+        """Take the weights of all groups that have a share; others get the default weight."""
+        self._weights = dict(weights)
+        for group in self._groups.values():
+            group.change_weight(self._weight(group.name), virtual_time)
+
+    def get(self, name: str) -> GroupQueue:
+        """Return a group that has calls; raises ``KeyError`` for any other."""
+        return self._groups[name]
+
+    def find(self, name: str) -> GroupQueue | None:
+        """Return the queue of a group, if it has calls."""
+        return self._groups.get(name)
+
+    def open(self, name: str, virtual_time: float) -> GroupQueue:
+        """Return the queue for a group's next call: its own, or the pooled one."""
+        if name not in self._groups and name not in self._weights and self._unlisted_full():
+            name = POOLED_GROUP
+        group = self._groups.get(name)
+        if group is None:
+            group = GroupQueue(name, self._weight(name), virtual_time)
+            self._groups[name] = group
+        return group
+
+    def forget_if_idle(self, group: GroupQueue, virtual_time: float) -> None:
+        """Forget a group without calls, unless it has been charged ahead of virtual time."""
+        if not group.active and group.tag <= virtual_time:
+            self._groups.pop(group.name, None)
+
+    def clear(self) -> None:
+        """Forget all groups."""
+        self._groups.clear()
+
+    def only_active(self, group: GroupQueue) -> bool:
+        """Return whether no other group has a call waiting or running."""
+        return all(other is group or not other.active for other in self._groups.values())
+
+    def calls_ahead_of_next(self, group: GroupQueue) -> int:
+        """Return how many calls start before a further call of the group would, it included."""
+        position = len(group.calls) + 1
+        ahead = position
+        for other in self._groups.values():
+            if other is not group:
+                turns = math.ceil(position * other.weight / group.weight)
+                ahead += min(len(other.calls), turns)
+        return ahead
+
+    def part_of(self, group: GroupQueue, whole: int) -> float:
+        """Return the group's part of ``whole`` by weight among the groups that wait."""
+        waiting = {other.name: other.weight for other in self._groups.values() if other.calls}
+        waiting[group.name] = group.weight
+        return whole * group.weight / sum(waiting.values())
+
+    def _weight(self, name: str) -> int:
+        return self._weights.get(name, self._default_weight)
+
+    def _unlisted_full(self) -> bool:
+        unlisted = sum(1 for name in self._groups if name not in self._weights)
+        return unlisted >= self._unlisted_limit
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -12,6 +12,7 @@
 from enum import Enum, auto
 
 from limelever.agent import events
+from limelever.agent.own_endpoint import OwnEndpoint
 from limelever.common.backoff import Backoff, BackoffSettings
 from limelever.common.sansio import (
     Address,
@@ -33,13 +34,10 @@
 from limelever.protocol.distribution_pb2 import RetryLater
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_GONE,
-    ENDPOINT_STATE_READY,
     Endpoint,
     EndpointState,
     LeaseGranted,
     LeaseLost,
-    LeaseRenew,
-    Register,
 )
 
 RENEWALS_PER_LEASE = 3
@@ -91,8 +89,7 @@
         self._backoff = Backoff(settings.backoff, generator)
         self._relay = generator.randrange(len(settings.relays))
         self._phase = _Phase.HELD_BACK
-        self._state: EndpointState.ValueType = ENDPOINT_STATE_READY
-        self._sequence = 0
+        self._endpoint = OwnEndpoint(_endpoint_of(settings, incarnation))
         self._in_flight = 0
         self._connection: ConnectionId | None = None
         self._due: float | None = None
@@ -129,7 +126,7 @@
 
     def change_state(self, state: EndpointState.ValueType, now: float) -> list[Output]:
         """Take a new state and tell the relay at once."""
-        self._state = state
+        self._endpoint.state = state
         if self._phase is _Phase.LEASED:
             return self._renew(now)
         if self._phase is _Phase.REGISTERING:
@@ -236,29 +233,21 @@
 
     def _register(self) -> Output:
         assert self._connection is not None
-        self._sequence += 1
-        endpoint = Endpoint(
-            service=self._settings.service,
-            instance=self._settings.instance,
-            zone=self._settings.zone,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            host=self._settings.address.host,
-            port=self._settings.address.port,
-            slots=self._settings.slots,
-            state=self._state,
-            in_flight=self._in_flight,
-        )
-        return SendMessage(self._connection, Register(endpoint=endpoint))
+        return SendMessage(self._connection, self._endpoint.register(self._in_flight))
 
     def _renew(self, now: float) -> list[Output]:
         assert self._connection is not None
-        self._sequence += 1
         self._due = now + self._lease / RENEWALS_PER_LEASE
-        renewal = LeaseRenew(
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            state=self._state,
-            in_flight=self._in_flight,
-        )
-        return [SendMessage(self._connection, renewal)]
+        return [SendMessage(self._connection, self._endpoint.renew(self._in_flight))]
+
+
+def _endpoint_of(settings: RegistrationSettings, incarnation: int) -> Endpoint:
+    return Endpoint(
+        service=settings.service,
+        instance=settings.instance,
+        zone=settings.zone,
+        incarnation=incarnation,
+        host=settings.address.host,
+        port=settings.address.port,
+        slots=settings.slots,
+    )
