--- a/features/lab/bench.feature
+++ b/features/lab/bench.feature
@@ -57,3 +57,13 @@
     Given a bench full push that holds version 5
     When two readers subscribe to the bench full push
     Then each is sent the whole set at version 5
+
+  Scenario: A line is read at the target's size, its slope's error with it
+    Given a kept bench line "relay memory" of 50 + 0.05 a node, with an error of 0.002
+    When bench lines are read at 1000 nodes
+    Then the bench value at the target is 100, with an error of 2
+
+  Scenario: A line that was not measured is left out, not guessed
+    Given a kept bench line "relay memory" of 50 + 0.05 a node, with an error of 0.002
+    When bench lines of runs that are not kept are read at 1000 nodes
+    Then there is no bench value at the target
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -44,6 +44,7 @@
 from limelever_lab.hollow.scopes import scope_of
 from limelever_lab.reports.command import draw_all
 from limelever_lab.reports.kept_results import batch_curves
+from limelever_lab.reports.target import TargetSize, work_out
 
 NOW = 100.0
 READERS = (11, 12)
@@ -291,3 +292,40 @@
     for output in context.sent:
         assert output.message.version == version
         assert list(output.message.resources) == context.resources
+
+
+@given(
+    'a kept bench line "{quantity}" of {intercept:g} + {slope:g} a node, with an error of {error:g}'
+)
+def step_kept_line(context, quantity, intercept, slope, error):
+    context.folder = scratch(context)
+    context.quantity = quantity
+    line = {"quantity": quantity, "unit": "MiB", "intercept": intercept, "slope": slope}
+    details = {"fits": [line | {"slope_error": error}]}
+    (context.folder / "bytes-koszyk.json").write_text(json.dumps({"details": details}))
+
+
+@when("bench lines are read at {size:g} nodes")
+def step_read_lines(context, size):
+    sizes = [TargetSize("bytes-koszyk", context.quantity, size, "all nodes")]
+    context.worked = work_out(context.folder, sizes)
+
+
+@when("bench lines of runs that are not kept are read at {size:g} nodes")
+def step_read_missing_lines(context, size):
+    sizes = [
+        TargetSize("bytes-results", context.quantity, size, "all nodes"),
+        TargetSize("bytes-koszyk", "agent memory", size, "all nodes"),
+    ]
+    context.worked = work_out(context.folder, sizes)
+
+
+@then("the bench value at the target is {value:g}, with an error of {error:g}")
+def step_worked_out(context, value, error):
+    (worked,) = context.worked
+    assert (worked.value, worked.error) == (value, error), worked
+
+
+@then("there is no bench value at the target")
+def step_nothing_worked_out(context):
+    assert context.worked == []
