--- a/features/steps/faulty_role.py
+++ b/features/steps/faulty_role.py
@@ -34,18 +34,22 @@
 
 
 class FaultyCore:
-    """Fails at the event ``fault``, of whatever type it is."""
+    """Fails at the event ``fault``, at once or when it is asked for its next deadline."""
 
-    def __init__(self, fault: str) -> None:
+    def __init__(self, fault: str, at_once: bool = True) -> None:
         self._fault = fault
+        self._at_once = at_once
+        self._met = False
 
     def handle(self, event: Any, now: float) -> list[Any]:
-        if event == self._fault or type(event).__name__ == self._fault:
+        self._met = event == self._fault or type(event).__name__ == self._fault
+        if self._met and self._at_once:
             raise KeyError("the fault of this test")
         return []
 
     def next_deadline(self) -> None:
-        return None
+        if self._met:
+            raise KeyError("the fault of this test")
 
 
 async def fault_in_core(shell: ProcessShell) -> None:
@@ -57,9 +61,9 @@
     raise KeyError("the fault of this test")
 
 
-async def fault_in_http_caller(shell: ProcessShell) -> None:
+async def fault_in_http_caller(shell: ProcessShell, at_once: bool = True) -> None:
     """Post the event that the core fails at from within a request, which hypercorn guards."""
-    runner = shell.add_core(FaultyCore("request"), lambda output: None)
+    runner = shell.add_core(FaultyCore("request", at_once), lambda output: None)
 
     async def application(scope: Any, receive: Any, send: Any) -> None:
         runner.post("request")
@@ -76,7 +80,12 @@
             await pool.request("GET", f"http://{address}/")
 
 
-PLACES = {"core": fault_in_core, "main": fault_in_main, "HTTP caller": fault_in_http_caller}
+PLACES = {
+    "core": fault_in_core,
+    "main": fault_in_main,
+    "HTTP caller": fault_in_http_caller,
+    "deadline after an HTTP caller": partial(fault_in_http_caller, at_once=False),
+}
 
 if __name__ == "__main__":
     sys.exit(run_role(SETTINGS, PLACES[sys.argv[1]]))
--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -41,7 +41,8 @@
     And that process prints no traceback
 
     Examples:
-      | place       |
-      | core        |
-      | main        |
-      | HTTP caller |
+      | place                         |
+      | core                          |
+      | main                          |
+      | HTTP caller                   |
+      | deadline after an HTTP caller |
--- /dev/null
+++ b/src/limelever/transport/disk_writer.py
@@ -0,0 +1,70 @@
+"""Carries out a core's disk writes in a worker thread, in order, many to one sync."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Protocol
+
+import trio
+
+from limelever.common import events
+from limelever.common.errors import Failure
+from limelever.common.sansio import (
+    AppendLog,
+    Output,
+    ReplaceFile,
+    ResetLog,
+    TruncateLog,
+    WriteCompleted,
+)
+from limelever.transport.log import write_event
+
+DiskWrite = AppendLog | TruncateLog | ResetLog | ReplaceFile
+
+
+class Disk(Protocol):
+    """What the writer needs of ``limelever.storage``; its calls block."""
+
+    def perform(self, outputs: Sequence[Output]) -> Failure | None:
+        """Carry out the writes in order and sync them, or say why not."""
+
+
+class DiskWriter:
+    """Writes what is queued while the last writes are synced, all with the next sync.
+
+    ``on_completed`` is told of each write once it is synced. After a failure nothing more is
+    written: what the disk holds may differ from what the core believes.
+    """
+
+    def __init__(
+        self,
+        disk: Disk,
+        on_completed: Callable[[WriteCompleted], None],
+        on_failure: Callable[[Failure], None],
+    ) -> None:
+        self._disk = disk
+        self._on_completed = on_completed
+        self._on_failure = on_failure
+        self._queue: list[DiskWrite] = []
+        self._wake = trio.Event()
+
+    def queue(self, write: DiskWrite) -> None:
+        """Let a write follow those that are queued already."""
+        self._queue.append(write)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled, or until the disk fails."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            writes, self._queue = self._queue, []
+            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
+            if failure is not None:
+                fields: dict[str, object] = {"kind": failure.kind.value, "reason": failure.reason}
+                write_event(events.DISK_FAILED, fields)
+                self._on_failure(failure)
+                return
+            for write in writes:
+                self._on_completed(WriteCompleted(write.token))
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -51,6 +51,11 @@
         self._closing = False
         self._writing_scope = trio.CancelScope()
 
+    @property
+    def peer_name(self) -> str:
+        """The peer's name for logs."""
+        return self.peer.name if self.peer is not None else "(unknown)"
+
     def count_as(self, purpose: str) -> None:
         """Name the purpose under which this link's bytes are counted."""
         self.purpose = purpose
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -16,6 +16,7 @@
 from limelever.common.sansio import Address, Core, Output, Purpose
 from limelever.common.settings import ProcessSettings, seconds
 from limelever.transport.admin import serve_admin
+from limelever.transport.disk_writer import Disk
 from limelever.transport.faults import report_fault
 from limelever.transport.links import LinkIdentity
 from limelever.transport.listener import LinkListener
@@ -25,7 +26,7 @@
     READY,
     publish_configuration_age,
 )
-from limelever.transport.runner import CoreRunner, Disk
+from limelever.transport.runner import CoreRunner
 from limelever.transport.tls import (
     certificate_kept_current,
     client_context,
--- a/src/limelever/transport/runner.py
+++ b/src/limelever/transport/runner.py
@@ -5,9 +5,7 @@
 import contextlib
 import ssl
 from collections import deque
-from collections.abc import Callable, Sequence
-from functools import partial
-from typing import Protocol
+from collections.abc import Callable
 
 import trio
 from google.protobuf.message import Message
@@ -37,19 +35,12 @@
     WriteCompleted,
 )
 from limelever.common.settings import LinkSettings
+from limelever.transport.disk_writer import Disk, DiskWrite, DiskWriter
 from limelever.transport.faults import report_fault
 from limelever.transport.links import Link, LinkIdentity, dial
 from limelever.transport.log import write_event
 from limelever.transport.streams import reason_of
-
-DiskWrite = AppendLog | TruncateLog | ResetLog | ReplaceFile
-
-
-class Disk(Protocol):
-    """What the runner needs of ``limelever.storage``; its calls block."""
-
-    def perform(self, outputs: Sequence[Output]) -> Failure | None:
-        """Carry out the writes in order and sync them, or say why not."""
+from limelever.transport.timer import DeadlineTimer
 
 
 class CoreRunner:
@@ -72,25 +63,23 @@
         self._context = context
         self._on_output = on_output
         self._on_failure = on_failure
-        self._disk = disk
+        self._disk = None if disk is None else DiskWriter(disk, self.post, on_failure)
         self._links: dict[ConnectionId, Link] = {}
         self._dials: dict[ConnectionId, trio.CancelScope] = {}
         self._last_accepted = -1
         self._events: deque[Event] = deque()
         self._handling = False
         self._stopped = False
-        self._writes: list[DiskWrite] = []
-        self._writes_wake = trio.Event()
-        self._timer_wake = trio.Event()
-        self._armed: float | None = None
+        self._timer = DeadlineTimer(core.next_deadline, lambda: self.post(DeadlineReached()))
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; started once the core has seen ``Started``."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._write_to_disk)
-            nursery.start_soon(self._keep_time)
+            if self._disk is not None:
+                nursery.start_soon(self._disk.run)
+            nursery.start_soon(self._timer.run)
             self.post(Started())
             task_status.started()
 
@@ -99,39 +88,41 @@
 
         After a fault in the core events are dropped: its state can no longer be trusted.
         """
+        if self._stopped:
+            return
         self._events.append(event)
         if self._handling:
             return
         self._handling = True
         try:
-            while self._events and not self._stopped:
-                self._step(self._events.popleft())
+            self._handle_queued()
+        except Exception as error:
+            self._stopped = True
+            self._timer.stop()
+            self._events.clear()
+            self._on_failure(report_fault(error))
         finally:
             self._handling = False
-        if self._stopped:
-            self._events.clear()
-            return
-        self._arm_timer()
 
-    def _step(self, event: Event) -> None:
-        """Let the core handle one event; a fault in it stops the core and the process.
+    def _handle_queued(self) -> None:
+        """Let the core handle what is queued; a fault in it stops the core and the process.
 
         The event may come from a task that a library guards, such as a request of a caller.
-        The fault is caught here so that it cannot be swallowed there.
+        The fault is caught by :meth:`post` so that it cannot be swallowed there.
         """
-        try:
+        while self._events:
+            event = self._events.popleft()
             for output in self._core.handle(event, trio.current_time()):
                 self._perform(output)
-        except Exception as error:
-            self._stopped = True
-            self._on_failure(report_fault(error))
+        self._timer.arm()
 
     def _perform(self, output: Output) -> None:
         match output:
             case SendMessage(connection, message):
                 self._send(connection, message)
             case OpenConnection():
-                self._start_dial(output)
+                assert self._nursery is not None
+                self._nursery.start_soon(self._dial, output)
             case CloseConnection(connection, reason):
                 self._close(connection, reason)
             case AppendLog() | TruncateLog() | ResetLog() | ReplaceFile():
@@ -143,8 +134,6 @@
             case _:
                 self._on_output(output)
 
-    # --- links ------------------------------------------------------------------------------
-
     async def serve(self, link: Link) -> None:
         """Run an accepted link until it ends."""
         self._last_accepted += 2
@@ -156,7 +145,7 @@
             return
         if not link.send(message):
             limit = self._settings.send_queue_bytes
-            write_event(events.SEND_QUEUE_FULL, {"peer": _name(link), "limit": limit})
+            write_event(events.SEND_QUEUE_FULL, {"peer": link.peer_name, "limit": limit})
             self._abort(connection, "send queue full")
 
     def _close(self, connection: ConnectionId, reason: str) -> None:
@@ -176,17 +165,13 @@
 
     def _report_closed(self, connection: ConnectionId, link: Link, reason: str) -> None:
         fields: dict[str, object] = {
-            "peer": _name(link),
+            "peer": link.peer_name,
             "purpose": link.purpose,
             "reason": reason,
         }
         write_event(events.LINK_CLOSED, fields)
         self.post(ConnectionClosed(connection, reason))
 
-    def _start_dial(self, output: OpenConnection) -> None:
-        assert self._nursery is not None
-        self._nursery.start_soon(self._dial, output)
-
     async def _dial(self, output: OpenConnection) -> None:
         with trio.CancelScope() as scope:
             self._dials[output.connection] = scope
@@ -243,69 +228,21 @@
 
     def _refuse_frame(self, link: Link, failure: Failure) -> str:
         fields: dict[str, object] = {
-            "peer": _name(link),
+            "peer": link.peer_name,
             "kind": failure.kind.value,
             "reason": failure.reason,
         }
         write_event(events.FRAME_REFUSED, fields)
         return str(failure)
 
-    # --- disk -------------------------------------------------------------------------------
-
     def _queue_write(self, write: DiskWrite) -> None:
         if self._disk is None:
             self._events.append(WriteCompleted(write.token))
             return
-        self._writes.append(write)
-        self._writes_wake.set()
-
-    async def _write_to_disk(self) -> None:
-        while True:
-            await self._writes_wake.wait()
-            self._writes_wake = trio.Event()
-            writes, self._writes = self._writes, []
-            if not writes:
-                continue
-            assert self._disk is not None
-            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
-            if failure is not None:
-                fields: dict[str, object] = {"kind": failure.kind.value, "reason": failure.reason}
-                write_event(events.DISK_FAILED, fields)
-                self._on_failure(failure)
-                return
-            for write in writes:
-                self.post(WriteCompleted(write.token))
-
-    # --- time -------------------------------------------------------------------------------
-
-    def _arm_timer(self) -> None:
-        deadline = self._core.next_deadline()
-        if deadline is None:
-            return
-        if self._armed is None or deadline < self._armed:
-            self._timer_wake.set()
-
-    async def _keep_time(self) -> None:
-        while True:
-            self._timer_wake = trio.Event()
-            self._armed = self._core.next_deadline()
-            if self._armed is None:
-                await self._timer_wake.wait()
-                continue
-            with trio.move_on_at(self._armed):
-                await self._timer_wake.wait()
-                continue
-            deadline = self._core.next_deadline()
-            if deadline is not None and deadline <= trio.current_time():
-                self.post(DeadlineReached())
-            await trio.lowlevel.checkpoint()
+        self._disk.queue(write)
 
 
 async def _write_then_cancel(link: Link, scope: trio.CancelScope) -> None:
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError, OSError):
         await link.write_queued()
     scope.cancel()
-
-
-def _name(link: Link) -> str:
-    return link.peer.name if link.peer is not None else "(unknown)"
