--- a/src/limelever_lab/bench/control_bytes.py
+++ b/src/limelever_lab/bench/control_bytes.py
@@ -6,7 +6,7 @@
 
 from limelever_lab.bench.baseline_fleet import BaselineFleet
 from limelever_lab.bench.changes import ConvergenceFigures, measure_changes
-from limelever_lab.bench.hollow_fleet import HollowFleet, relay_addresses
+from limelever_lab.bench.hollow_fleet import HollowFleet, ReconnectMeter, relay_addresses
 from limelever_lab.bench.ladder import (
     CHANGES,
     QUIET_SECONDS,
@@ -107,12 +107,11 @@
         process.client.detach()
     for _ in range(missed):
         version = testbed.change_scoped().version
-    meter = UsageMeter(testbed.fleet, hollow)
-    meter.start()
+    meter = ReconnectMeter(hollow.processes)
     for process in hollow.processes:
         process.client.attach()
     hollow.wait_settled(version)
-    return meter.stop().hollow.subscription_bytes_each
+    return meter.stop()
 
 
 def run_baseline(testbed: Testbed, nodes: int) -> BaselineFigures:
--- a/src/limelever_lab/bench/hollow_fleet.py
+++ b/src/limelever_lab/bench/hollow_fleet.py
@@ -163,6 +163,31 @@
         )
 
 
+TABLES_SECONDS = 3.0
+"""Endpoint tables follow the configuration; by then they have arrived."""
+
+
+class ReconnectMeter:
+    """Subscription bytes of some processes from its making, without those of quiet time."""
+
+    def __init__(self, processes: Sequence[HollowProcess]) -> None:
+        self._processes = processes
+        self._nodes = sum(process.nodes for process in processes)
+        self._before = self._bytes()
+
+    def stop(self) -> float:
+        """Wait until the tables have arrived and the link is quiet; return the bytes a node."""
+        time.sleep(TABLES_SECONDS)
+        moved = self._bytes() - self._before
+        began = self._bytes()
+        time.sleep(TABLES_SECONDS)
+        quiet = self._bytes() - began
+        return (moved - quiet) / self._nodes
+
+    def _bytes(self) -> float:
+        return total([process.client.sample() for process in self._processes]).subscription_bytes
+
+
 def relay_addresses(testbed: Testbed) -> dict[str, tuple[Address, ...]]:
     """Return the relays' addresses by zone, the zone's own first, as a real proxy is given."""
     layout = testbed.fleet.layout
--- a/src/limelever_lab/bench/recovery.py
+++ b/src/limelever_lab/bench/recovery.py
@@ -8,7 +8,7 @@
 
 from limelever.common.errors import Failure
 from limelever_lab.bench.baseline_fleet import BaselineFleet
-from limelever_lab.bench.hollow_fleet import HollowFleet, relay_addresses, total
+from limelever_lab.bench.hollow_fleet import HollowFleet, ReconnectMeter, relay_addresses
 from limelever_lab.bench.quantiles import MILLISECONDS, Quantiles
 from limelever_lab.bench.results import Ratio
 from limelever_lab.bench.testbed import Testbed, durations, wait_for
@@ -203,20 +203,19 @@
         publisher.kill()
         publisher.restart()
     wait_for(REST_SECONDS)
-    before = total(hollow.samples())
+    meter = ReconnectMeter(hollow.processes)
     began = time.monotonic()
     for process in hollow.processes:
         process.client.attach()
     times = hollow.wait_times(version, CATCH_UP_LIMIT_SECONDS)
     taken = durations(began, times)
-    moved = total(hollow.samples()).subscription_bytes - before.subscription_bytes
     return CatchUp(
         what=what,
         behind=MISSED_CHANGES + 1,
         readers=hollow.nodes,
         back=Quantiles.of(taken),
         missing=len(times) - len(taken),
-        reader_bytes=moved / hollow.nodes,
+        reader_bytes=meter.stop(),
     )
 
 
--- a/src/limelever_lab/bench/storm.py
+++ b/src/limelever_lab/bench/storm.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 
 from limelever_lab.bench.baseline_fleet import BaselineFleet
-from limelever_lab.bench.hollow_fleet import HollowFleet, HollowProcess, relay_addresses, total
+from limelever_lab.bench.hollow_fleet import (
+    HollowFleet,
+    HollowProcess,
+    ReconnectMeter,
+    relay_addresses,
+)
 from limelever_lab.bench.quantiles import Quantiles
 from limelever_lab.bench.results import Ratio
 from limelever_lab.bench.source_meter import SourceMeter, SourceUse, quiet_use
@@ -27,7 +32,7 @@
     """One storm: a change is made as it begins, and is in force on the readers after ``back``.
 
     ``missing`` counts readers without it after ``STORM_LIMIT_SECONDS``. ``reader_bytes`` are
-    subscription bytes a reader, both ways. ``source`` covers the time until the last reader.
+    subscription bytes a reader, both ways, tables included. ``source`` covers the time until the last reader.
     """
 
     what: str
@@ -123,23 +128,20 @@
     begin: Callable[[], None],
 ) -> StormFigures:
     """Begin a storm, make a change at once, and wait until the change is in force."""
-    before = total([process.client.sample() for process in processes])
+    readers = ReconnectMeter(processes)
     meter = SourceMeter(testbed.fleet)
     begin()
     change = testbed.change_common()
     hollow.wait_times(change.version, STORM_LIMIT_SECONDS)
     times = [at for process in processes for at in process.client.times(change.version)]
     source = meter.stop()
-    after = total([process.client.sample() for process in processes])
     taken = durations(change.accepted_at, times)
-    readers = sum(process.nodes for process in processes)
-    moved = after.subscription_bytes - before.subscription_bytes
     return StormFigures(
         what=what,
-        readers=readers,
+        readers=sum(process.nodes for process in processes),
         back=Quantiles.of(taken),
         missing=len(times) - len(taken),
-        reader_bytes=moved / readers,
+        reader_bytes=readers.stop(),
         source=source,
     )
 
