Prefer the first publisher listed, and go back to it when it returns, without a herd

Cause: proxies and agents drew their relay at random, though their lists say 'own zone first'; and nobody went back to a relay that had returned, so that it stood idle and another had double. Change: subscribers start at the first publisher (relays still draw a source). One that follows another dials the preferred at a jittered time (bound 30 s, doubling to 240 s), probes it, and only changes over when it is current and not behind; the link in use is kept until then. One turned away right after goes back at once. Rollout counts are told again when the publisher changes. Ruled out by trial: to change over when the link opens. Tests: six scenarios; seen to fail without the plan to return, without jitter (100 in one second for 10), without the check of age, without the answer's time limit, with the turn waited for, and with counts not told again. The harness now lets a closed dial be cancelled, as the shell does.

--- a/features/relay/configuration.feature
+++ b/features/relay/configuration.feature
@@ -59,6 +59,67 @@
     And 0.5 seconds pass at the relays
     Then the proxy "proxy-3" holds the mesh's version
 
+  Scenario: A relay that returns gets its readers back, spread over half a minute
+    Given 100 more proxies that prefer "relay-1" to "relay-2"
+    When 4 seconds pass at the relays
+    And the relay "relay-1" is killed
+    And 3 seconds pass at the relays
+    Then 100 proxies follow "relay-2"
+    When the relay "relay-1" starts again
+    Then over 30 seconds at most 10 proxies a second change over to "relay-1"
+    When 60 seconds pass at the relays
+    Then 100 proxies follow "relay-1"
+    And each of them has left a relay 2 times
+    And the source counts "zone-a: 101 of 101, zone-b: 1 of 1" in force
+
+  Scenario: A preferred relay that stays away costs its readers no link
+    Given 10 more proxies that prefer "relay-1" to "relay-2"
+    When 4 seconds pass at the relays
+    And the relay "relay-1" is killed
+    And 600 seconds pass at the relays
+    Then 10 proxies follow "relay-2"
+    And each of them has left a relay 1 times
+
+  Scenario: A preferred relay that is cut off from the source is not returned to
+    Given 10 more proxies that prefer "relay-1" to "relay-2"
+    When 4 seconds pass at the relays
+    And the link between "relay-1" and "source" is cut without a word
+    And 120 seconds pass at the relays
+    Then 10 proxies follow "relay-2"
+    And each of them has left a relay 1 times
+    When the mesh changes the route "place"
+    And 1 seconds pass at the relays
+    Then 10 proxies follow "relay-2"
+    And the proxies that follow "relay-2" hold the mesh's version
+    When the links between relays are mended
+    And 300 seconds pass at the relays
+    Then 10 proxies follow "relay-1"
+
+  Scenario: A preferred relay that does not answer is given up, the link in use kept
+    Given 10 more proxies that prefer "relay-1" to "relay-2"
+    When 4 seconds pass at the relays
+    And the relay "relay-1" is killed
+    And a relay "relay-1" comes up that accepts links and says nothing
+    And 120 seconds pass at the relays
+    Then 10 proxies follow "relay-2"
+    And each of them has left a relay at most 3 times
+    And each of them has dialled "relay-1" 2 times or more
+
+  Scenario: A preferred relay that turns its readers away is left to the one they came from
+    Given 10 more proxies that prefer "relay-1" to "relay-2"
+    When 4 seconds pass at the relays
+    And the relay "relay-1" is killed
+    And 3 seconds pass at the relays
+    And the relay "relay-1" starts again and admits nobody
+    And 40 seconds pass at the relays
+    And the mesh changes the route "place"
+    And 1 seconds pass at the relays
+    Then 10 proxies follow "relay-2"
+    And the proxies that follow "relay-2" hold the mesh's version
+
+  Scenario: Rollout counts are told again to another publisher, and else only when they change
+    Then the same rollout counts are reported once to each publisher in turn
+
   Scenario: Hundreds of proxies that come back to a restarted relay cost the source one subscription
     Given 100 more proxies at "relay-1"
     When 4 seconds pass at the relays
--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.framing import encode_frame
@@ -134,6 +134,8 @@
         self.name, self.core, self.role, self.zone = name, core, role, zone
         self.links = {}
         self.accepted = itertools.count(1, 2)
+        self.cancelled = set()
+        self.callers = Counter()
         self.files = {}
         self.log = []
         self.received = []
@@ -230,7 +232,7 @@
                 self.tell(name, DeadlineReached())
 
     def _dial(self, node, output):
-        if self.nodes.get(node.name) is not node:
+        if self.nodes.get(node.name) is not node or output.connection in node.cancelled:
             return
         target = next((n for n, port in self.ports.items() if port == output.address.port), None)
         if target not in self.nodes or target in self.dark or self._cut(node.name, target):
@@ -239,6 +241,7 @@
             return
         other = self.nodes[target]
         accepted = next(other.accepted)
+        other.callers[node.name] += 1
         node.links[output.connection] = (other, accepted)
         other.links[accepted] = (node, output.connection)
         self.tell(target, ConnectionOpened(accepted, self._peer(node, output.purpose)))
@@ -267,6 +270,7 @@
     def _close(self, node, connection, reason):
         other, accepted = node.links.pop(connection, (None, None))
         if other is None:
+            node.cancelled.add(connection)
             return
         self.queue.append((self.now + DELAY, self._closed, (other, accepted, reason)))
         self.queue.append((self.now + DELAY, self._told_closed, (node, connection, reason)))
@@ -348,7 +352,9 @@
         self.readers.setdefault(name, []).append(host)
         return host
 
-    def add_relay(self, name, zone="zone-a", peers=(), sealer=None, **endpoints):
+    def add_relay(
+        self, name, zone="zone-a", peers=(), sealer=None, admission_burst=800.0, **endpoints
+    ):
         """Add a relay, or start it again with what its disk holds."""
         node = self.network.nodes.get(name)
         files = dict(node.files) if node is not None else {}
@@ -361,7 +367,12 @@
                 everything=True,
                 persist_snapshot=True,
             ),
-            publisher=PublisherSettings(batch_delay=0.0, proves_itself=False),
+            publisher=PublisherSettings(
+                batch_delay=0.0,
+                proves_itself=False,
+                admission_rate=admission_burst / 2 or 0.001,
+                admission_burst=admission_burst,
+            ),
             endpoints=EndpointsSettings(
                 peers=tuple(self.network.address(peer) for peer in peers), **endpoints
             ),
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -11,6 +11,7 @@
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import OpenConnection, Purpose, Role, SendMessage
+from limelever.protocol.distribution_pb2 import RolloutEntry, RolloutReport
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -24,7 +25,9 @@
 from limelever.relay.endpoint_table import EndpointTable, TableSettings
 from limelever.relay.interface import PlatformListRead, StopRequested
 from limelever.relay.platform_list import parse_machines
+from limelever.relay.rollout_reporter import RolloutReporter
 from limelever.relay.sealing import SnapshotSealer
+from limelever.subscriber.events import PUBLISHER_LEFT
 from limelever.subscriber.settings import SubscriberSettings
 
 STATES = {
@@ -90,9 +93,9 @@
     return context.mesh.add_reader(name, reader, zone or ZONES[relays[0]])
 
 
-def start_relay(context, name, key=KEY):
+def start_relay(context, name, key=KEY, **options):
     peers = [relay for relay in ZONES if relay != name]
-    context.mesh.add_relay(name, ZONES[name], peers, SnapshotSealer([key]))
+    context.mesh.add_relay(name, ZONES[name], peers, SnapshotSealer([key]), **options)
 
 
 def agent(context, name):
@@ -143,6 +146,13 @@
         start_proxy(context, f"more-{number}", relay)
 
 
+@given('{count:d} more proxies that prefer "{relay}" to "{other}"')
+def step_preferring_proxies(context, count, relay, other):
+    context.preferring = [f"preferring-{number}" for number in range(count)]
+    for name in context.preferring:
+        start_proxy(context, name, relay, other)
+
+
 @given('an agent\'s subscription "{name}" at "{relay}"')
 def step_agent_subscription(context, name, relay):
     host = start_proxy(context, name, relay)
@@ -228,6 +238,16 @@
     start_relay(context, name)
 
 
+@when('the relay "{name}" starts again and admits nobody')
+def step_start_full_relay(context, name):
+    start_relay(context, name, admission_burst=0.0)
+
+
+@when('a relay "{name}" comes up that accepts links and says nothing')
+def step_start_mute_relay(context, name):
+    context.mesh.network.dark.discard(name)
+
+
 @when('the relay "{name}" starts again with another key')
 def step_start_relay_key(context, name):
     start_relay(context, name, OTHER_KEY)
@@ -370,6 +390,64 @@
         step_proxy_holds(context, name)
 
 
+def followers(context, relay):
+    return [n for n in context.preferring if relay_followed(context, n).name == relay]
+
+
+@then('{count:d} proxies follow "{relay}"')
+def step_follow(context, count, relay):
+    assert len(followers(context, relay)) == count, len(followers(context, relay))
+
+
+@then('the proxies that follow "{relay}" hold the mesh\'s version')
+def step_followers_hold(context, relay):
+    for name in followers(context, relay):
+        step_proxy_holds(context, name)
+
+
+@then('over {seconds:d} seconds at most {count:d} proxies a second change over to "{relay}"')
+def step_change_over(context, seconds, count, relay):
+    before = len(followers(context, relay))
+    for _ in range(seconds):
+        context.mesh.network.run(1.0)
+        after = len(followers(context, relay))
+        assert after - before <= count, after - before
+        before = after
+
+
+def times_left(context, name):
+    log = context.mesh.network.nodes[name].log
+    return sum(code == PUBLISHER_LEFT for code, _ in log)
+
+
+@then("each of them has left a relay {count:d} times")
+def step_left(context, count):
+    found = {times_left(context, name) for name in context.preferring}
+    assert found == {count}, found
+
+
+@then("each of them has left a relay at most {count:d} times")
+def step_left_at_most(context, count):
+    assert max(times_left(context, name) for name in context.preferring) <= count
+
+
+@then('each of them has dialled "{relay}" {count:d} times or more')
+def step_dialled_often(context, relay, count):
+    callers = context.mesh.network.nodes[relay].callers
+    assert min(callers[name] for name in context.preferring) >= count, callers
+
+
+@then("the same rollout counts are reported once to each publisher in turn")
+def step_reported_once(context):
+    reporter = RolloutReporter(1.0)
+    report = RolloutReport(entries=[RolloutEntry(zone="zone-a", version=1, holders=2)])
+    assert reporter.changed(report, 1) == report
+    assert reporter.changed(report, 1) is None
+    assert reporter.changed(report, 3) == report
+    assert reporter.changed(report, 3) is None
+    assert reporter.changed(RolloutReport(), 3) == RolloutReport()
+
+
 @then("the source has {count:d} subscribers")
 def step_source_subscribers(context, count):
     assert len(context.mesh.network.nodes["source"].links) == count
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -139,7 +139,6 @@
         self, connection: ConnectionId, peer: Peer, event: Event, now: float
     ) -> list[Output]:
         if self._subscriber.owns(connection):
-            self._reporter.forget()
             return self._carried_out(self._subscriber.handle(event, now), now)
         if self._endpoints.owns(connection):
             return self._endpoints.handle_peer(connection, event, now)
@@ -188,7 +187,8 @@
         outputs.extend(self._carried_out(self._publisher.handle(event, now), now))
         outputs.extend(self._endpoints.on_deadline(now))
         if self._reporter.due(now) and self._subscriber.subscribed:
-            report = self._reporter.changed(self._publisher.rollout_report())
+            counts = self._publisher.rollout_report()
+            report = self._reporter.changed(counts, self._subscriber.connection)
             outputs.extend(self._subscriber.send_up(report) if report is not None else [])
         return outputs
 
--- a/src/limelever/relay/rollout_reporter.py
+++ b/src/limelever/relay/rollout_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limelever.common.sansio import ConnectionId
 from limelever.protocol.distribution_pb2 import RolloutReport
 
 
@@ -11,6 +12,7 @@
     def __init__(self, interval: float) -> None:
         self._interval = interval
         self._last: RolloutReport | None = None
+        self._told: ConnectionId | None = None
         self.next_at: float | None = None
 
     def start(self, now: float) -> None:
@@ -24,13 +26,11 @@
         self.next_at = now + self._interval
         return True
 
-    def changed(self, report: RolloutReport) -> RolloutReport | None:
-        """Return the report if it differs from the last one."""
-        if report == self._last:
+    def changed(
+        self, report: RolloutReport, publisher: ConnectionId | None
+    ) -> RolloutReport | None:
+        """Return the report if it is news to the publisher on the link ``publisher``."""
+        if report == self._last and publisher == self._told:
             return None
-        self._last = report
+        self._last, self._told = report, publisher
         return report
-
-    def forget(self) -> None:
-        """Report again whatever is so: the publisher above is another one."""
-        self._last = None
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -7,7 +7,6 @@
 
 from google.protobuf.message import Message
 
-from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import (
     ConnectionClosed,
     ConnectionFailed,
@@ -16,40 +15,22 @@
     DeadlineReached,
     DialledConnections,
     Event,
-    LogEvent,
     MessageReceived,
     Output,
     Recovered,
-    ReplaceFile,
     Started,
     WriteCompleted,
 )
 from limelever.protocol.distribution_pb2 import (
-    Ack,
-    ConfigDelta,
-    ConfigSnapshot,
-    FreshnessAnswer,
-    Heartbeat,
-    InventoryRequest,
-    Reject,
-    RetryLater,
     Subscribe,
 )
-from limelever.protocol.endpoints_pb2 import EndpointUpdate
-from limelever.subscriber import events
 from limelever.subscriber.configuration import ConfigurationSet
-from limelever.subscriber.held import inventory_of
+from limelever.subscriber.exchange import Exchange
 from limelever.subscriber.holder import Holder
 from limelever.subscriber.link import PublisherLink
-from limelever.subscriber.notices import (
-    ConfigurationInstalled,
-    EndpointsReceived,
-    FreshnessProved,
-)
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.settings import SubscriberSettings
-from limelever.subscriber.snapshot_file import SNAPSHOT_FILE, encode_snapshot
-from limelever.subscriber.timers import reached
+from limelever.subscriber.snapshot_writer import SnapshotWriter
 
 _MILLISECONDS = 1000.0
 _Handler = Callable[[Message, float], list[Output]]
@@ -74,21 +55,12 @@
         sealer: Sealer | None = None,
     ) -> None:
         self._settings = settings
-        self._tokens = tokens
-        self._sealer = sealer
         self._link = PublisherLink(settings, connections, generator)
         self._holder = Holder(tokens, recovered, sealer)
-        self._snapshot_at: float | None = None
-        self._fresh_at: float | None = None
-        self._handlers: dict[type[Message], _Handler] = {
-            ConfigDelta: self._on_delta,
-            ConfigSnapshot: self._on_snapshot,
-            Heartbeat: self._on_heartbeat,
-            InventoryRequest: self._on_inventory_request,
-            FreshnessAnswer: self._on_freshness_answer,
-            RetryLater: self._on_retry_later,
-            EndpointUpdate: self._on_endpoints,
-        }
+        self._snapshots = SnapshotWriter(
+            settings.snapshot_delay, sealer if settings.persist_snapshot else None, tokens
+        )
+        self._exchange = Exchange(self._link, self._holder, self._snapshots)
 
     @property
     def version(self) -> int:
@@ -104,34 +76,49 @@
     @property
     def fresh_at(self) -> float | None:
         """The latest time at which the installed set is known to have been current."""
-        return self._fresh_at
+        return self._exchange.fresh_at
 
     @property
     def subscribed(self) -> bool:
         """Whether a link to a publisher is up and the subscription has been sent."""
         return self._link.subscribed
 
+    @property
+    def connection(self) -> ConnectionId | None:
+        """The link to the publisher that is followed, or ``None``."""
+        return self._link.connection
+
     def owns(self, connection: ConnectionId) -> bool:
-        """Return whether a dialled link is this subscriber's."""
+        """Return whether a dialled link is this subscriber's, also one that is being dialled."""
         return self._link.owns(connection)
 
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take one event at ``now`` (seconds, monotonic)."""
         match event:
+            case (
+                ConnectionOpened(connection)
+                | ConnectionFailed(connection)
+                | ConnectionClosed(connection)
+                | MessageReceived(connection)
+            ) if self._link.home_return.owns(connection):
+                return self._on_return(connection, event, now)
             case Started():
                 self._link.start(now)
-                return [*self._follow_up(self._holder.start(), now), *self._on_deadline(now)]
+                return [
+                    *self._exchange.follow_up(self._holder.start(), now),
+                    *self._on_deadline(now),
+                ]
             case ConnectionOpened(connection) if self.owns(connection):
                 self._link.opened(now)
                 return self._subscribe()
             case ConnectionFailed(connection, failure) if self.owns(connection):
-                return self._leave(failure.reason, now)
+                return self._exchange.leave(failure.reason, now)
             case ConnectionClosed(connection, reason) if self.owns(connection):
-                return self._leave(reason, now)
+                return self._exchange.leave(reason, now)
             case MessageReceived(connection, message) if self.owns(connection):
                 return self._on_message(message, now)
             case WriteCompleted(token):
-                outputs = self._follow_up(self._holder.write_completed(token), now)
+                outputs = self._exchange.follow_up(self._holder.write_completed(token), now)
                 return [*outputs, *self._subscribe()]
             case DeadlineReached():
                 return self._on_deadline(now)
@@ -152,7 +139,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic), or ``None``."""
-        times = (self._link.next_deadline(), self._snapshot_at)
+        times = (self._link.next_deadline(), self._snapshots.due_at)
         return min((at for at in times if at is not None), default=None)
 
     @property
@@ -173,107 +160,26 @@
         )
         return self._link.subscribe(message)
 
-    def _leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
-        self._holder.forget_unaccepted()
-        return self._link.leave(reason, now, retry_after)
+    def _on_return(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
+        """Take an event of the link to the preferred publisher, which is not yet followed."""
+        if isinstance(event, ConnectionOpened):
+            return self._link.home_return.opened(connection, now)
+        if isinstance(event, MessageReceived):
+            held_version = self._holder.latest.version
+            if self._link.home_return.is_current(event.message, held_version, now):
+                self._holder.forget_unaccepted()
+                return [*self._link.change_over(now), *self._subscribe()]
+        return self._link.home_return.failed(now)
 
     def _on_message(self, message: Message, now: float) -> list[Output]:
-        handler = self._handlers.get(type(message))
-        if handler is None:
+        if not self._exchange.knows(message):
             return []
         first = self._link.heard()
-        outputs = handler(message, now)
+        outputs = self._exchange.take(message, now)
         return [*outputs, *self.probe(now)] if first else outputs
 
-    def _on_delta(self, message: Message, now: float) -> list[Output]:
-        assert isinstance(message, ConfigDelta)
-        if self._link.awaits_snapshot:
-            return []
-        return self._taken(message.to_version, self._holder.take_delta(message), now)
-
-    def _on_snapshot(self, message: Message, now: float) -> list[Output]:
-        assert isinstance(message, ConfigSnapshot)
-        return self._taken(message.version, self._holder.take_snapshot(message), now)
-
-    def _taken(self, version: int, failure: Failure | None, now: float) -> list[Output]:
-        """Go on with a version that checked out, or refuse it whole."""
-        if failure is None:
-            self._link.awaits_snapshot = False
-            return self._settle(now)
-        fields: dict[str, object] = {"version": version, "reason": str(failure)}
-        refused = LogEvent(events.VERSION_REFUSED, fields)
-        if failure.kind is ErrorKind.VERSION_TOO_OLD:
-            return [refused, *self._leave(failure.reason, now)]
-        self._link.awaits_snapshot = True
-        return [refused, *self.send_up(Reject(version=version, reason=str(failure)))]
-
-    def _on_heartbeat(self, message: Message, now: float) -> list[Output]:
-        assert isinstance(message, Heartbeat)
-        if self._link.awaits_snapshot:
-            return []
-        self._holder.confirm(message.version)
-        return self._settle(now)
-
-    def _on_inventory_request(self, _message: Message, _now: float) -> list[Output]:
-        return self.send_up(inventory_of(self._holder.latest))
-
-    def _on_freshness_answer(self, message: Message, now: float) -> list[Output]:
-        assert isinstance(message, FreshnessAnswer)
-        self._link.answered(message, now)
-        self._link.compare(message.version, self._holder.latest.version, now)
-        return self._settle(now)
-
-    def _on_retry_later(self, message: Message, now: float) -> list[Output]:
-        assert isinstance(message, RetryLater)
-        return self._leave(message.reason, now, message.retry_after_ms / _MILLISECONDS)
-
-    def _on_endpoints(self, message: Message, _now: float) -> list[Output]:
-        assert isinstance(message, EndpointUpdate)
-        return [EndpointsReceived(message)]
-
-    def _settle(self, now: float) -> list[Output]:
-        return self._follow_up(self._holder.settle(self._proved_version()), now)
-
-    def _proved_version(self) -> int | None:
-        """Return the latest version, if a proof begun on this link shows that it is current."""
-        version = self._holder.latest.version
-        at = self._link.probes.proved_at(version)
-        opened_at = self._link.opened_at
-        if at is None or opened_at is None or at < opened_at:
-            return None
-        return version
-
-    def _follow_up(self, outputs: list[Output], now: float) -> list[Output]:
-        """Add what follows from outputs of the holder: acknowledgement, snapshot, freshness."""
-        followed = list(outputs)
-        for output in outputs:
-            if isinstance(output, ConfigurationInstalled):
-                followed.extend(self.send_up(Ack(version=output.version)))
-                self._plan_snapshot(now)
-        return [*followed, *self._freshness()]
-
-    def _freshness(self) -> list[Output]:
-        at = self._link.probes.proved_at(self.version) if self.version else None
-        if at is None or (self._fresh_at is not None and at <= self._fresh_at):
-            return []
-        self._fresh_at = at
-        return [FreshnessProved(at)]
-
-    def _plan_snapshot(self, now: float) -> None:
-        wanted = self._settings.persist_snapshot and self._sealer is not None
-        if wanted and self._snapshot_at is None:
-            self._snapshot_at = now + self._settings.snapshot_delay
-
-    def _write_snapshot(self) -> list[Output]:
-        self._snapshot_at = None
-        held = self._holder.in_force
-        if held is None or self._sealer is None:
-            return []
-        content = encode_snapshot(held, self._sealer)
-        return [ReplaceFile(next(self._tokens), SNAPSHOT_FILE, content)]
-
     def _on_deadline(self, now: float) -> list[Output]:
-        snapshot = self._write_snapshot() if reached(self._snapshot_at, now) else []
+        snapshot = self._snapshots.on_deadline(self._holder.in_force, now)
         linked = self._link.opened_at is not None
         outputs = self._link.on_deadline(now, self._probes_to_source)
         if linked and self._link.opened_at is None:
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -21,6 +21,7 @@
 )
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, Subscribe
 from limelever.subscriber import events
+from limelever.subscriber.home_return import HomeReturn
 from limelever.subscriber.probes import Probes
 from limelever.subscriber.publisher_choice import PublisherChoice
 from limelever.subscriber.settings import SubscriberSettings
@@ -30,6 +31,7 @@
 SILENT = "publisher does not answer"
 BEHIND = "publisher names newer versions and sends none"
 STOPPING = "planned stop"
+PREFERRED_IS_BACK = "the preferred publisher is back"
 
 
 class PublisherLink:
@@ -43,7 +45,10 @@
     ) -> None:
         self._settings = settings
         self._connections = connections
-        self._choice = PublisherChoice(settings.publishers, settings.backoff, generator)
+        self._choice = PublisherChoice(
+            settings.publishers, settings.backoff, generator, spread=settings.everything
+        )
+        self.home_return = HomeReturn(settings, self._choice.preferred, connections, generator)
         self._timers = Timers()
         self._connection: ConnectionId | None = None
         self._opened_at: float | None = None
@@ -57,9 +62,14 @@
         """When the link opened, or ``None`` while it is not open."""
         return self._opened_at
 
+    @property
+    def connection(self) -> ConnectionId | None:
+        """The link in use, open or being dialled."""
+        return self._connection
+
     def owns(self, connection: ConnectionId) -> bool:
-        """Return whether ``connection`` is the current link."""
-        return connection == self._connection
+        """Return whether ``connection`` is the current link or the one that may replace it."""
+        return connection == self._connection or self.home_return.owns(connection)
 
     def start(self, now: float) -> None:
         """Dial at the next deadline."""
@@ -107,7 +117,7 @@
             return
         if now - proved_at < self._settings.stale_after:
             self._timers.leave = None
-            self._choice.succeeded()
+            self._kept(now)
         if self._timers.leave is None:
             self._timers.stale = proved_at + self._settings.stale_after
 
@@ -125,22 +135,25 @@
 
     def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
         """Give the link up and dial the next publisher after a delay."""
-        connection, publisher = self._connection, self._choice.current
-        self._forget()
+        advice = 0.0 if self._choice.on_trial else retry_after
+        outputs = [self._left(reason), *self._close_all(reason)]
         self._choice.move_on()
-        self._timers.dial = now + self._choice.delay(retry_after)
-        fields: dict[str, object] = {"publisher": str(publisher), "reason": reason}
-        outputs: list[Output] = [LogEvent(events.PUBLISHER_LEFT, fields)]
-        if connection is not None:
-            outputs.append(CloseConnection(connection, reason))
+        self._timers.dial = now + self._choice.delay(advice)
+        return outputs
+
+    def change_over(self, now: float) -> list[Output]:
+        """Change over to the preferred publisher, whose link is up."""
+        connection = self.home_return.take()
+        outputs = [self._left(PREFERRED_IS_BACK), *self._close_all(PREFERRED_IS_BACK)]
+        self._choice.return_to_preferred()
+        self._connection = connection
+        self.opened(now)
         return outputs
 
     def stop(self) -> list[Output]:
         """Close the link and dial no more."""
-        connection = self._connection
-        self._forget()
         self._timers.dial = None
-        return [CloseConnection(connection, STOPPING)] if connection is not None else []
+        return self._close_all(STOPPING)
 
     def on_deadline(self, now: float, to_source: bool) -> list[Output]:
         """Do what is due at ``now``."""
@@ -157,17 +170,36 @@
             outputs.extend(self.leave(STALE, now))
         if reached(self._timers.dial, now):
             outputs.append(self._dial())
+        outputs.extend(self.home_return.on_deadline(now))
         return outputs
 
     def next_deadline(self) -> float | None:
         """Return the earliest time at which something is due, or ``None``."""
-        return self._timers.next_deadline()
+        times = (self._timers.next_deadline(), self.home_return.next_deadline())
+        return min((at for at in times if at is not None), default=None)
 
     def _dial(self) -> OpenConnection:
         self._timers.dial = None
         self._connection = self._connections.draw()
         return OpenConnection(self._connection, self._choice.current, Purpose.SUBSCRIPTION)
 
+    def _kept(self, now: float) -> None:
+        """Note that the publisher is current; a way back to the preferred one is sought."""
+        self._choice.succeeded()
+        if self._choice.away:
+            self.home_return.plan(now)
+        else:
+            self.home_return.arrived()
+
+    def _left(self, reason: str) -> LogEvent:
+        fields: dict[str, object] = {"publisher": str(self._choice.current), "reason": reason}
+        return LogEvent(events.PUBLISHER_LEFT, fields)
+
+    def _close_all(self, reason: str) -> list[Output]:
+        links = (self._connection, self.home_return.take())
+        self._forget()
+        return [CloseConnection(link, reason) for link in links if link is not None]
+
     def _plan_to_leave(self, now: float) -> LogEvent:
         """Plan to leave; what a stale publisher sends is still taken until then."""
         self._timers.stale = None
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -15,7 +15,9 @@
     ``services`` is the scope; ``everything`` is for relays and replaces it. ``stale_after`` is
     the age of the publisher's last proof from which another publisher is sought, and
     ``behind_after`` the time for which a publisher may name newer versions without sending
-    any: longer than any publisher's batch delay. With
+    any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
+    relays one drawn at random): a subscriber of another goes back to it in the times of
+    ``return_backoff``. With
     ``persist_snapshot`` the configuration is also kept on disk, at most every
     ``snapshot_delay``.
     """
@@ -28,5 +30,6 @@
     probe_interval: float = 2.0
     answer_timeout: float = 5.0
     backoff: BackoffSettings = BackoffSettings()
+    return_backoff: BackoffSettings = BackoffSettings(base=30.0, maximum=240.0)
     persist_snapshot: bool = False
     snapshot_delay: float = 2.0
