Test operators who race across two leaders at once

Cause: racing writes were tested at one leader, and a cut-off leader only by its own silence. What a deposed leader answers while another one leads already was not tested.

Change: a leader is frozen until another one leads, and takes a write as it goes on: both lead for a moment. The write is answered as unknown; its resend is a conflict where it expected a version that the new leader's write has taken, and runs once otherwise. A write that one follower held before the partition commits under that follower and keeps its outcome. A storm of operators races with equal expected versions and resends over frozen leaders, partitions, loss and restarts: one winner a version, one outcome a request, and a refusal at the door means that nothing is in the log. No fault of the product was found.

--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -272,12 +272,17 @@
         """Stop a replica where it is: what reaches it waits, and it does not notice."""
         self.nodes[name].frozen = []
 
-    def thaw(self, name):
-        """Let a frozen replica go on with what has waited."""
+    def thaw(self, name, request=None):
+        """Let a frozen replica go on, with an operator's request before what has waited.
+
+        Returns the request's token.
+        """
         node = self.nodes[name]
         waited, node.frozen = node.frozen or [], None
+        token = None if request is None else self.ask(name, request)
         for life, event in waited:
             self.deliver(node, life, event)
+        return token
 
     # --- questions ----------------------------------------------------------------------------
 
