Refuse at once what would wait too long, also when a zone is lost at full load

Cause: an agent queued a call as long as its expected answer just made the deadline. Under overload every answer then came as late as it could, calls estimated a little too well were started and cut off at their deadline, and their slots were wasted.

Change: a call may be expected to wait half of its spare time at most, and one that waited too long to finish when its turn comes is refused (NOT RUN) instead of begun. A call that did not wait is always begun, so an estimate that has become too high is put right. Ruled out: a shorter queue by number, which depends on the service time.

--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from limelever.agent import answers
@@ -29,7 +29,7 @@
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
 _GIVEN_UP = Failure(ErrorKind.DEADLINE_TOO_SHORT, "given up before it was run")
-_TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline passed before it was run")
+_TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "too late to finish in time")
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,11 +188,8 @@
 
     def expire(self, now: float) -> list[Output]:
         """Refuse the calls whose deadline passed while they waited, and drop late answers."""
-        queued = [self._calls.by_number(number) for number in self._queue.take_expired(now)]
-        late = [call for call in queued if call is not None] + self._intake.expired(now)
-        outputs: list[Output] = []
-        for call in late:
-            outputs.extend(self._refuse(call, self._with_advice(_TOO_LATE, call)))
+        assembling = [call.number for call in self._intake.expired(now)]
+        outputs = self._refuse_late([*self._queue.take_expired(now), *assembling])
         if self._answers.count:
             outputs.extend(self._answers.expire(now, self.load()))
         return outputs
@@ -218,20 +215,30 @@
         The timer of a busy process fires late: a call past its deadline is refused here first.
         """
         outputs = self.expire(now)
+        outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         while (queued := self._queue.start_next(now)) is not None:
             call = self._calls.by_number(queued.call)
             assert call is not None
             outputs.append(call.begin(now))
+            outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         return outputs
 
     # --- parts ------------------------------------------------------------------------------
 
+    def _refuse_late(self, numbers: Sequence[int]) -> list[Output]:
+        outputs: list[Output] = []
+        for number in numbers:
+            call = self._calls.by_number(number)
+            assert call is not None
+            outputs.extend(self._refuse(call, self._with_advice(_TOO_LATE, call)))
+        return outputs
+
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
         return replace(failure, retry_after=self._queue.advice(call.start.group))
 
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
-        queued = QueuedCall(call.number, call.start.group, call.deadline, len(call.body))
+        queued = QueuedCall(call.number, call.start.group, call.deadline, len(call.body), now)
         offered = self._queue.offer(queued, now)
         if isinstance(offered, Failure):
             self._calls.remove(call)
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -24,6 +24,13 @@
 FIRST_CHARGE = 0.01
 """Slot time charged before any call was observed, in seconds; put right when it ends."""
 
+LONGEST_WAIT_PART = 0.5
+"""Part of a call's spare time that it may be expected to wait.
+
+Calls that would use all of it are answered as late as they can be under overload, and those
+that were estimated too well start too late to finish.
+"""
+
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
@@ -155,6 +162,21 @@
             self.remove(call)
         return expired
 
+    def take_hopeless(self, now: float) -> tuple[int, ...]:
+        """Take out the calls that are next in their groups and waited too long to finish in time.
+
+        Without a free slot there is nothing to decide. A call that did not wait is never taken
+        out: it is what puts an estimate right that has become too high.
+        """
+        if self.running >= self._limits.slots:
+            return ()
+        hopeless: list[int] = []
+        for group in tuple(self._groups):
+            while group.calls and self._is_hopeless(group, group.oldest, now):
+                hopeless.append(group.oldest.call)
+                self.remove(group.oldest.call)
+        return tuple(hopeless)
+
     def advice(self, name: str) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
         group = self._groups.find(name)
@@ -174,7 +196,7 @@
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", wait)
         service_time = self._known_service_time(group)
-        if now + wait + service_time > call.deadline:
+        if wait > (call.deadline - now - service_time) * LONGEST_WAIT_PART:
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
@@ -182,6 +204,10 @@
             )
         return None
 
+    def _is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
+        waited = now > call.arrived_at
+        return waited and now + self._known_service_time(group) > call.deadline
+
     def _share_failure(self, group: GroupQueue, reason: str, wait: float) -> Failure:
         alone = self._groups.only_active(group)
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
--- a/src/limelever/agent/group_queue.py
+++ b/src/limelever/agent/group_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -10,12 +11,13 @@
 
 @dataclass(frozen=True, slots=True)
 class QueuedCall:
-    """A call that waits for a slot: ``deadline`` in monotonic seconds, ``size`` in bytes."""
+    """A call that waits for a slot; times in monotonic seconds, ``size`` in bytes."""
 
     call: int
     group: str
     deadline: float
     size: int
+    arrived_at: float = math.inf
 
 
 @dataclass(slots=True)
@@ -39,6 +41,11 @@
         """Return whether the group has a call waiting or running."""
         return bool(self.calls) or self.running > 0
 
+    @property
+    def oldest(self) -> QueuedCall:
+        """Return the call that waited longest; raises ``StopIteration`` without any."""
+        return next(iter(self.calls.values()))
+
     def append(self, call: QueuedCall) -> None:
         """Put a call at the end."""
         self.calls[call.call] = call
