--- a/src/limelever_lab/bench/storm.py
+++ b/src/limelever_lab/bench/storm.py
@@ -32,7 +32,8 @@
     """One storm: a change is made as it begins, and is in force on the readers after ``back``.
 
     ``missing`` counts readers without it after ``STORM_LIMIT_SECONDS``. ``reader_bytes`` are
-    subscription bytes a reader, both ways, tables included. ``source`` covers the time until the last reader.
+    subscription bytes a reader, both ways, tables included. ``source`` covers the time until
+    the last reader.
     """
 
     what: str
