--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -71,6 +71,11 @@
     And a replica group accepts 5 writes
     Then a replica group sends at most 40 messages a second when idle
 
+  Scenario: What ends is told twice and ends once
+    Given a replica group of 3
+    When a replica group tells a follower twice of a stop and of the end of a link
+    Then a replica group sends its subscriber away once and dials the link once
+
   Scenario: A follower proves its freshness through the leader
     Given a replica group of 3
     When a replica group has a relay that probes a follower
--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -56,6 +56,7 @@
         self.logged = []
         self.received = []
         self.stopped = []
+        self.dialled = []
         self.last_token = 0
         self.sent = 0
 
@@ -215,6 +216,7 @@
 
     def dial(self, node, output):
         target = self.nodes[output.address.host]
+        self.dialled.append(target.name)
         life = node.life
 
         def arrive():
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -5,7 +5,13 @@
 from behave import given, then, when
 from replication_group import Group, events, service_batch
 
-from limelever.common.sansio import AppendLog, MessageReceived, ReplaceFile, TruncateLog
+from limelever.common.sansio import (
+    AppendLog,
+    ConnectionClosed,
+    MessageReceived,
+    ReplaceFile,
+    TruncateLog,
+)
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe, Subscribe
 from limelever.protocol.operators_pb2 import (
     ApplyResponse,
@@ -18,6 +24,7 @@
     LogEntry,
     VoteAnswer,
 )
+from limelever.source.messages import StopRequested
 from limelever.source.replication.members import bootstrap_members
 
 
@@ -171,6 +178,27 @@
     _send_to_publisher(context, FreshnessProbe(nonce=1))
 
 
+@when("a replica group tells a follower twice of a stop and of the end of a link")
+def _(context):
+    group, name = context.group, context.group.others(context.leader)[0]
+    group.run(2)
+    group.subscribe(name)
+    node = group.nodes[name]
+    leader_link = node.core.replica.connection_to_leader()
+    events = (StopRequested(), ConnectionClosed(leader_link, "ended"))
+    outputs = [[node.core.handle(event, group.now) for event in events] for _ in range(2)]
+    context.told_first, context.told_again = outputs
+    node.links.pop(leader_link)
+    group.dialled.clear()
+    group.run(3)
+
+
+@then("a replica group sends its subscriber away once and dials the link once")
+def _(context):
+    assert context.told_first[0] and context.told_again == [[], []], context.told_again
+    assert context.group.dialled == [context.leader], context.group.dialled
+
+
 def _send_to_publisher(context, message):
     node = context.group.nodes[context.follower]
     context.group.deliver(node, node.life, MessageReceived(1001, message))
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -71,8 +71,9 @@
         self._channels: dict[Address, grpc.Channel] = {}
 
     def close(self) -> None:
-        """Close all connections."""
-        for channel in self._channels.values():
+        """Close all connections; a second time does nothing."""
+        while self._channels:
+            _, channel = self._channels.popitem()
             channel.close()
 
     def call(
--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -62,6 +62,7 @@
         self._last_read = 0
         self._loaded = False
         self._load_under_way = False
+        self._stopping = False
         self._now = 0.0
         self._outputs: list[Output] = []
 
@@ -101,7 +102,7 @@
             case OperatorRequest():
                 self._operators.take(event, now)
             case StopRequested():
-                self._publish(self._publisher.shut_down(now))
+                self._stop()
             case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
                 self._subscribers.add(connection)
                 self._publish(self._publisher.handle(event, now))
@@ -118,6 +119,12 @@
         outputs, self._outputs = self._outputs, []
         return outputs
 
+    def _stop(self) -> None:
+        """Send the subscribers elsewhere, once."""
+        if not self._stopping:
+            self._stopping = True
+            self._publish(self._publisher.shut_down(self._now))
+
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted."""
         times = (
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -1,16 +1,13 @@
-"""A leader's duties: send the log, count what is synced, commit, prove that it leads."""
+"""A leader's duties: append, count what is synced, commit, prove that it leads."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from functools import partial
 
 from limelever.common.sansio import ConnectionId
 from limelever.protocol.config_pb2 import Batch
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
-    AppendRequest,
-    InstallSnapshot,
     LogEntry,
     Member,
     MemberSet,
@@ -21,8 +18,9 @@
 from limelever.source import events
 from limelever.source.replication.context import ReplicaContext, ReplicaRole
 from limelever.source.replication.members import is_member, majority_value
-from limelever.source.replication.progress import Progress, Rounds
+from limelever.source.replication.progress import Rounds
 from limelever.source.replication.reads import LeaderReads, ReadAnswer
+from limelever.source.replication.sending import LogSender
 
 
 class Leadership:
@@ -30,7 +28,7 @@
 
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
-        self._progress: dict[str, Progress] = {}
+        self._sender = LogSender(context)
         self._rounds = Rounds(0.0)
         self._reads = LeaderReads()
         self._own_match = 0
@@ -64,7 +62,7 @@
         context.leader_address = context.settings.operator_address
         context.election_deadline = float("inf")
         context.record(events.LEADER_ELECTED, term=context.term)
-        self._progress = {}
+        self._sender = LogSender(context)
         self._rounds = Rounds(context.now)
         self._own_match = 0
         self._first_index = context.log.last_index + 1
@@ -73,7 +71,7 @@
 
     def lost(self) -> None:
         """Drop what only a leader may answer."""
-        self._progress = {}
+        self._sender = LogSender(self._context)
         self._reads.fail_all()
 
     # --- entries ----------------------------------------------------------------------------
@@ -92,8 +90,7 @@
         entry.term = context.term
         context.append([entry])
         context.writes.when_synced(partial(self._own_synced, entry.term, entry.index))
-        for member in self._followers():
-            self._send_entries(member)
+        self._sender.send_to_all()
         return entry.index
 
     def _own_synced(self, term: int, index: int) -> None:
@@ -104,15 +101,14 @@
     def _commit(self) -> None:
         """Commit up to the newest entry of this term that a majority has synced."""
         context = self._context
-        matches = {name: progress.match_index for name, progress in self._progress.items()}
+        matches = {name: progress.match_index for name, progress in self._sender.progress.items()}
         matches[context.identity] = self._own_match
         index = majority_value(context.members, matches)
         if index <= context.commit_index or context.log.term_at(index) != context.term:
             return
         context.commit_to(index)
         self._check_rounds()
-        for member in self._followers():
-            self._send_entries(member)
+        self._sender.send_to_all()
         if not is_member(context.members, context.identity) and (
             context.commit_index >= context.log.members_index
         ):
@@ -120,77 +116,20 @@
 
     # --- followers --------------------------------------------------------------------------
 
-    def _followers(self) -> Iterator[Member]:
-        """Yield the members to send to: of two with one name, the newer, whose disk is in use."""
-        newest = {member.name: member for member in self._context.members.members}
-        for member in newest.values():
-            if member.identity != self._context.identity:
-                yield member
-
-    def progress_of(self, identity: str) -> Progress:
-        """Return what is known of a follower."""
-        known = self._progress.get(identity)
-        if known is None:
-            known = Progress(next_index=self._context.log.last_index + 1)
-            self._progress[identity] = known
-        return known
-
     def heard_lately(self, identity: str) -> bool:
         """Return whether a member answered within the lease; this replica always did."""
         if identity == self._context.identity:
             return True
-        heard_at = self.progress_of(identity).heard_at
+        heard_at = self._sender.progress_of(identity).heard_at
         return self._context.now - heard_at < self._context.settings.lease
 
     def matched_index(self, identity: str) -> int:
         """Return up to which index a member has synced the log, as far as is known."""
         if identity == self._context.identity:
             return self._own_match
-        known = self._progress.get(identity)
+        known = self._sender.progress.get(identity)
         return known.match_index if known is not None else 0
 
-    def _send_entries(self, member: Member) -> None:
-        context = self._context
-        connection = context.links.connection_to(member.name)
-        if connection is None:
-            return
-        progress = self.progress_of(member.identity)
-        if progress.next_index <= context.log.base_index:
-            self._send_snapshot(connection, progress)
-            return
-        previous = progress.next_index - 1
-        entries = context.log.entries_from(progress.next_index, context.settings.append_bytes)
-        context.send(connection, self._append_request(previous, entries))
-        progress.next_index += len(entries)
-
-    def _send_snapshot(self, connection: ConnectionId, progress: Progress) -> None:
-        """Send the snapshot, or only a heartbeat while one is under way."""
-        context = self._context
-        if context.now < progress.snapshot_due:
-            context.send(connection, self._append_request(context.log.base_index, []))
-            return
-        progress.snapshot_due = context.now + context.settings.election_timeout
-        message = InstallSnapshot(
-            term=context.term,
-            leader=context.identity,
-            snapshot=context.snapshot,
-            round=self._rounds.current,
-        )
-        context.send(connection, message)
-
-    def _append_request(self, previous: int, entries: list[LogEntry]) -> AppendRequest:
-        context = self._context
-        return AppendRequest(
-            term=context.term,
-            leader=context.identity,
-            previous_index=previous,
-            previous_term=context.log.term_at(previous) or 0,
-            entries=entries,
-            commit_index=context.commit_index,
-            round=self._rounds.current,
-            leader_operator_address=context.settings.operator_address,
-        )
-
     def take_answer(self, answer: AppendAnswer) -> None:
         """Take a follower's answer; one of another term proves nothing."""
         context = self._context
@@ -198,7 +137,7 @@
         member = self._member(answer.follower)
         if not self.leading or answer.term != context.term or member is None:
             return
-        progress = self.progress_of(answer.follower)
+        progress = self._sender.progress_of(answer.follower)
         progress.heard_at = context.now
         progress.acked_round = max(progress.acked_round, answer.round)
         if answer.success:
@@ -207,17 +146,10 @@
             worth_sending = True
         else:
             worth_sending = progress.take_refusal(answer.match_index)
-        if self.leading and worth_sending and self._has_more_for(progress):
-            self._send_entries(member)
+        if self.leading and worth_sending and self._sender.has_more_for(progress):
+            self._sender.send(member)
         self._check_rounds()
 
-    def _has_more_for(self, progress: Progress) -> bool:
-        """Return whether something is left to send; a snapshot under way is left to arrive."""
-        log = self._context.log
-        if progress.next_index <= log.base_index:
-            return self._context.now >= progress.snapshot_due
-        return progress.next_index <= log.last_index
-
     def _member(self, identity: str) -> Member | None:
         members = self._context.members.members
         return next((member for member in members if member.identity == identity), None)
@@ -244,9 +176,9 @@
     def _begin_round(self) -> None:
         context = self._context
         self._heartbeat_due = context.now + context.settings.heartbeat_interval
-        self._reads.round_began(self._rounds.begin(context.now))
-        for member in self._followers():
-            self._send_entries(member)
+        self._sender.round_number = self._rounds.begin(context.now)
+        self._reads.round_began(self._sender.round_number)
+        self._sender.send_to_all()
         self._check_rounds()
 
     def _check_rounds(self) -> None:
@@ -254,7 +186,7 @@
         if not self.leading:
             return
         context = self._context
-        echoed = {name: progress.acked_round for name, progress in self._progress.items()}
+        echoed = {name: progress.acked_round for name, progress in self._sender.progress.items()}
         echoed[context.identity] = self._rounds.current
         self._rounds.prove(majority_value(context.members, echoed))
         if context.commit_index >= self._first_index:
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -20,14 +20,13 @@
     WriteCompleted,
 )
 from limelever.protocol.config_pb2 import Batch
-from limelever.protocol.operators_pb2 import ChangeMembersRequest, MemberStatus, StatusResponse
+from limelever.protocol.operators_pb2 import ChangeMembersRequest, StatusResponse
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
     AppendRequest,
     InstallSnapshot,
     JoinRequest,
     LogEntry,
-    Member,
     ReadIndexAnswer,
     ReadIndexRequest,
     VoteAnswer,
@@ -43,8 +42,7 @@
 from limelever.source.replication.leading import Leadership
 from limelever.source.replication.persistence import RecoveredReplica
 from limelever.source.replication.settings import ReplicationSettings
-
-LEARNER_ROLE = "learner"
+from limelever.source.replication.status import replica_status
 
 
 class Replica:
@@ -114,26 +112,7 @@
 
     def status(self) -> StatusResponse:
         """Return what operators see of this replica; the configuration version is the host's."""
-        context = self._context
-        learning = not context.is_voter
-        return StatusResponse(
-            name=context.settings.name,
-            role=LEARNER_ROLE if learning else context.role.value,
-            leader=context.leader,
-            leader_operator_address=context.leader_address,
-            term=context.term,
-            commit_index=context.commit_index,
-            members=[self._member_status(member) for member in context.members.members],
-        )
-
-    def _member_status(self, member: Member) -> MemberStatus:
-        return MemberStatus(
-            identity=member.identity,
-            name=member.name,
-            address=member.operator_address,
-            voter=member.voter,
-            matched_index=self._leadership.matched_index(member.identity),
-        )
+        return replica_status(self._context, self._leadership.matched_index)
 
     # --- requests of the host ---------------------------------------------------------------
 
