--- a/src/limelever_lab/simulator/back_end.py
+++ b/src/limelever_lab/simulator/back_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from limelever.agent.interface import (
@@ -24,6 +25,11 @@
 FAST_SECONDS = 0.02
 SLOW_SECONDS = 1.5
 SLOW_CHANCE = 0.03
+LEAVING_SLOW_CHANCE = 0.9
+LEAVING_SLOW_SECONDS = 3.0
+"""A back end that leaves is slow to finish, so that its agent stays."""
+FAILING_CHANCE = 0.4
+"""How often a failing back end refuses a connection, and how often it breaks a call off."""
 REFUSED_CHANCE = 0.01
 BROKEN_CHANCE = 0.01
 
@@ -41,8 +47,16 @@
     checker: CallChecker
     name: str
     slots: int = 6
+    leaving: bool = False
+    failing: bool = False
+    on_once_only: Callable[[str], None] = lambda _send_id: None
     _running: dict[tuple[int, int], Life] = field(default_factory=dict)
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a call runs."""
+        return bool(self._running)
+
     def take(self, node: Node, output: Output) -> bool:
         """Carry out an agent's output for its back end; return whether it was one."""
         if node.life is None:
@@ -57,7 +71,7 @@
 
     def _start(self, life: Life, attempt: StartAttempt) -> None:
         source = self.environment.random
-        if source.random() < REFUSED_CHANCE:
+        if source.random() < (FAILING_CHANCE if self.failing else REFUSED_CHANCE):
             failure = Failure(ErrorKind.CONNECTION_FAILED, "back end refused the connection")
             self._later(life, 0.001, AttemptFailed(attempt.attempt, failure, False))
             return
@@ -69,13 +83,21 @@
         send_id = headers.get(SEND_HEADER, b"").decode()
         key = headers.get(KEY_HEADER, b"").decode()
         self.checker.run_began(self.environment.now, self.name, send_id, key)
+        if key:
+            self.on_once_only(send_id)
         identity = (life.number, attempt.attempt)
         self._running[identity] = life
-        slow = source.random() < SLOW_CHANCE
-        delay = source.expovariate(1.0 / (SLOW_SECONDS if slow else FAST_SECONDS))
-        broken = source.random() < BROKEN_CHANCE
+        delay = self._draw_duration()
+        broken = source.random() < (FAILING_CHANCE if self.failing else BROKEN_CHANCE)
         self.environment.after(delay, lambda: self._finish(identity, attempt, broken))
 
+    def _draw_duration(self) -> float:
+        source = self.environment.random
+        chance = LEAVING_SLOW_CHANCE if self.leaving else SLOW_CHANCE
+        if source.random() >= chance:
+            return source.expovariate(1.0 / FAST_SECONDS)
+        return source.expovariate(1.0 / (LEAVING_SLOW_SECONDS if self.leaving else SLOW_SECONDS))
+
     def _finish(self, identity: tuple[int, int], attempt: StartAttempt, broken: bool) -> None:
         life = self._running.pop(identity, None)
         if life is None:
--- a/src/limelever_lab/simulator/callers.py
+++ b/src/limelever_lab/simulator/callers.py
@@ -18,6 +18,9 @@
 RESEND_AFTER = 0.7
 IMPATIENT_AFTER = 0.05
 IMPATIENT_CHANCE = 0.1
+ANSWER_LOST_CHANCE = 0.25
+ANSWER_LOST_LONGEST = 6.0
+"""Some callers lose the answer on their side and send again, at most so many seconds later."""
 """Some callers send again under the same key, through another proxy, before an answer came."""
 
 
@@ -132,11 +135,20 @@
             again = True
         else:
             self.checker.answered(now, send_id, answer.status, answer.body)
-            intent.settled = True
             again = False
+            self._lose_answer(intent)
         if again and intent.key:
             self._resend(intent)
 
+    def _lose_answer(self, intent: Intent) -> None:
+        """Settle an answered request, or let its caller send it again under the same key."""
+        source = self.environment.random
+        if intent.key and intent.sends < RESENDS and source.random() < ANSWER_LOST_CHANCE:
+            delay = source.uniform(RESEND_AFTER, ANSWER_LOST_LONGEST)
+            self.environment.after(delay, lambda: self._send(intent))
+        else:
+            intent.settled = True
+
     def proxy_died(self, name: str) -> None:
         """Let callers whose proxy died send again."""
         owed = set(self.checker.open_calls(name))
--- a/src/limelever_lab/simulator/checkers.py
+++ b/src/limelever_lab/simulator/checkers.py
@@ -32,6 +32,7 @@
     CUT_OFF_BY_STOP = "cut-off-by-stop"
     SECRET_IN_LOG = "secret-in-log"
     SECRET_OUT_OF_SCOPE = "secret-out-of-scope"
+    FALSE_FRESHNESS = "false-freshness"
     STALE_TOO_LONG = "stale-too-long"
     STOPPED = "stopped"
 
--- a/src/limelever_lab/simulator/command.py
+++ b/src/limelever_lab/simulator/command.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from limelever_lab.simulator.break_table import first_failures
+from limelever_lab.simulator.break_table import first_failures, table_lines
 from limelever_lab.simulator.breaks import BREAKS
 from limelever_lab.simulator.deployments import DEPLOYMENTS
 from limelever_lab.simulator.pool import DEFAULT_WORKERS, run_all
@@ -85,10 +85,7 @@
 
 def _print_breaks(seeds: int, first: int, deployment: str, workers: int) -> int:
     """Print the table; the status is 1 when a broken mechanism was not noticed."""
-    status = 0
-    typer.echo(f"{'mechanism':26} {'first failing seed':>18}  rule")
-    for row in first_failures(range(first, first + seeds), deployment, workers):
-        seed = "NOT CAUGHT" if row.seed is None else str(row.seed)
-        status = max(status, int(row.seed is None))
-        typer.echo(f"{row.name:26} {seed:>18}  {row.rule}")
-    return status
+    rows = first_failures(range(first, first + seeds), deployment, workers)
+    for line in table_lines(rows):
+        typer.echo(line)
+    return int(any(row.seed is None for row in rows))
--- a/src/limelever_lab/simulator/configuration_checker.py
+++ b/src/limelever_lab/simulator/configuration_checker.py
@@ -48,6 +48,7 @@
     observations: list[Observation] = field(default_factory=list)
     held: dict[str, int] = field(default_factory=dict)
     accepted_at: dict[int, float] = field(default_factory=dict)
+    beliefs: dict[tuple[Holder, int], float] = field(default_factory=dict)
     _expected: dict[int, str] = field(default_factory=dict)
 
     def accepted(self, at: float, batch: Batch, version: int) -> None:
@@ -83,6 +84,29 @@
             self.findings.add(Rule.DANGLING_REFERENCE, at, holder.name, line)
         self.observations.append(Observation(at, holder, version, held))
 
+    def believes(self, holder: Holder, fresh_at: float, version: int) -> None:
+        """Take a holder's belief that ``version`` was current at ``fresh_at``."""
+        key = (holder, version)
+        if fresh_at > self.beliefs.get(key, 0.0):
+            self.beliefs[key] = fresh_at
+
+    def judge_beliefs(self) -> None:
+        """Check that nothing accepted before a holder's freshness is missing from its scope."""
+        states = self.history.states()
+        for (holder, version), fresh_at in self.beliefs.items():
+            before = [item for item, at in self.accepted_at.items() if at < fresh_at]
+            latest = max(before, default=0)
+            held = max(item for item in states if item <= version)
+            if latest <= held:
+                continue
+            scope = holder.services
+            missing = states[latest] != states[held]
+            if scope is not None:
+                missing = restrict(states[latest], scope) != restrict(states[held], scope)
+            if missing:
+                detail = f"held {version} to be current at {fresh_at:.3f} s; accepted: {latest}"
+                self.findings.add(Rule.FALSE_FRESHNESS, fresh_at, holder.name, detail)
+
     def judge_observations(self) -> None:
         """Compare every observation with the reference; call once all answers are in."""
         states = self.history.states()
--- a/src/limelever_lab/simulator/faults.py
+++ b/src/limelever_lab/simulator/faults.py
@@ -8,12 +8,13 @@
 
 LEADER = "@leader"
 """Target resolved when the fault strikes: the source process that leads then."""
+SERVING = "@serving"
+"""Target resolved when the fault strikes: the source process with the most subscribers."""
+SERVING_WEIGHT = 8
 FIRST_FAULT_AT = 8.0
 LAST_FAULT_AT = 24.0
 """Seconds of virtual time between which faults begin."""
 SINGLE_FAULT_CHANCE = 0.4
-WHOLE_SITE_CHANCE = 0.6
-"""How often a torn write is a power cut of all sources, not of one."""
 
 
 class FaultKind(StrEnum):
@@ -31,10 +32,12 @@
     LOST_DISK = "lost-disk"
     SECOND_LOSS = "second-loss"
     TORN_WRITE = "torn-write"
+    POWER_CUT = "power-cut"
     FAR_BEHIND = "far-behind"
     LYING_LOAD = "lying-load"
     LAGGING_LIST = "lagging-list"
     LEAVING_BACK_END = "leaving-back-end"
+    FAILING_BACK_END = "failing-back-end"
     PLANNED_STOP = "planned-stop"
 
 
@@ -112,16 +115,18 @@
     FaultKind.ONE_WAY_CUT: DurationRange(1.0, 15.0),
     FaultKind.LATE_ANSWERS: DurationRange(0.05, 1.0),
     FaultKind.FROZEN_CONTROL: DurationRange(1.0, 15.0),
-    FaultKind.CUT_OFF_CONTROL: DurationRange(10.0, 25.0),
+    FaultKind.CUT_OFF_CONTROL: DurationRange(18.0, 28.0),
     FaultKind.RACING_OPERATORS: DurationRange(2.0, 6.0),
     FaultKind.LOST_ANSWERS: DurationRange(3.0, 8.0),
-    FaultKind.LOST_DISK: DurationRange(0.3, 3.0),
-    FaultKind.SECOND_LOSS: DurationRange(4.0, 10.0),
+    FaultKind.LOST_DISK: DurationRange(2.0, 5.0),
+    FaultKind.SECOND_LOSS: DurationRange(6.0, 12.0),
     FaultKind.TORN_WRITE: DurationRange(0.5, 4.0),
+    FaultKind.POWER_CUT: DurationRange(6.0, 10.0),
     FaultKind.FAR_BEHIND: DurationRange(6.0, 12.0),
     FaultKind.LYING_LOAD: DurationRange(5.0, 15.0),
     FaultKind.LAGGING_LIST: DurationRange(5.0, 15.0),
     FaultKind.LEAVING_BACK_END: DurationRange(8.0, 12.0),
+    FaultKind.FAILING_BACK_END: DurationRange(5.0, 10.0),
     FaultKind.PLANNED_STOP: DurationRange(4.0, 8.0),
 }
 
@@ -129,12 +134,15 @@
 def draw_faults(seed: int, population: Population) -> tuple[Fault, ...]:
     """Return the faults of a seed: one, or a pair that may overlap.
 
-    The draw has a random source of its own, so that dropping one fault changes no other.
+    The first kind goes round with the seed, so that every run of seeds holds each kind. The
+    draw has a random source of its own, so that dropping one fault changes no other.
     """
     source = random.Random(f"faults-{seed}")
     kinds = [kind for kind in FaultKind if _applies(kind, population)]
-    count = 1 if source.random() < SINGLE_FAULT_CHANCE else 2
-    faults = [_draw(source, source.choice(kinds), population) for _ in range(count)]
+    drawn = [kinds[seed % len(kinds)]]
+    if source.random() >= SINGLE_FAULT_CHANCE:
+        drawn.append(source.choice(kinds))
+    faults = [_draw(source, kind, population) for kind in drawn]
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -143,7 +151,7 @@
         return bool(population.relays)
     if kind is FaultKind.FAR_BEHIND:
         return bool(population.relays or population.proxies)
-    if kind in (FaultKind.LYING_LOAD, FaultKind.LAGGING_LIST, FaultKind.LEAVING_BACK_END):
+    if kind in _ONE_AGENT:
         return bool(population.agents)
     if kind is FaultKind.PLANNED_STOP:
         return bool(population.proxies or population.agents)
@@ -157,10 +165,16 @@
     return Fault(kind, at, duration, _draw_targets(source, kind, population))
 
 
-_LEADER_OR_CONTROL = frozenset({FaultKind.FROZEN_CONTROL, FaultKind.CUT_OFF_CONTROL})
 _PAIR_OF_ANY = frozenset({FaultKind.ONE_WAY_CUT, FaultKind.LATE_ANSWERS})
 _PAIR_OF_SOURCES = frozenset({FaultKind.LOST_DISK, FaultKind.SECOND_LOSS})
-_ONE_AGENT = frozenset({FaultKind.LYING_LOAD, FaultKind.LAGGING_LIST, FaultKind.LEAVING_BACK_END})
+_ONE_AGENT = frozenset(
+    {
+        FaultKind.LYING_LOAD,
+        FaultKind.LAGGING_LIST,
+        FaultKind.LEAVING_BACK_END,
+        FaultKind.FAILING_BACK_END,
+    }
+)
 
 
 def _draw_targets(
@@ -171,9 +185,7 @@
         return _sample(source, everyone, source.randint(1, max(1, len(everyone) // 2)))
     if kind is FaultKind.RECONNECT_STORM:
         return population.relays
-    if kind is FaultKind.SOURCE_OUTAGE:
-        return population.sources
-    if kind is FaultKind.TORN_WRITE and source.random() < WHOLE_SITE_CHANCE:
+    if kind in (FaultKind.SOURCE_OUTAGE, FaultKind.POWER_CUT):
         return population.sources
     if kind in _PAIR_OF_ANY:
         return _sample(source, population.everyone, 2)
@@ -184,8 +196,10 @@
 
 
 def _single_candidates(kind: FaultKind, population: Population) -> tuple[str, ...]:
-    if kind in _LEADER_OR_CONTROL:
-        return (LEADER, *population.control)
+    if kind is FaultKind.CUT_OFF_CONTROL:
+        return (LEADER, *[SERVING] * SERVING_WEIGHT, *population.relays)
+    if kind is FaultKind.FROZEN_CONTROL:
+        return (LEADER, SERVING, *population.control)
     if kind is FaultKind.TORN_WRITE:
         return (LEADER, *population.sources)
     if kind is FaultKind.FAR_BEHIND:
--- a/src/limelever_lab/simulator/injector.py
+++ b/src/limelever_lab/simulator/injector.py
@@ -4,30 +4,68 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from limelever.common.sansio import Role
 from limelever_lab.simulator.environment import Environment
-from limelever_lab.simulator.faults import LEADER, Fault, FaultKind
+from limelever_lab.simulator.faults import LEADER, SERVING, Fault, FaultKind
 from limelever_lab.simulator.network import Network
 from limelever_lab.simulator.process import Process
 
 TORN_WRITE_STEP = 0.0003
 TORN_WRITE_TRIES = 20000
 """How often, and at what spacing in seconds, a torn write looks for a write under way."""
-ONLY_FROM_SOURCES_CHANCE = 0.6
+ONLY_FROM_SOURCES_CHANCE = 0.85
+ABSENCE_CHANCE = 0.7
+ABSENCE_SHARE = 0.4
+LOSS_SHARE = 0.1
+SECOND_LOSS_SHARE = 0.4
+"""Parts of a lost disk's duration: the other source away, the machine down, the second down."""
+WHOLE_STEP = 0.02
+WHOLE_TRIES = 250
+"""How often, and at what spacing in seconds, a lost disk waits for all sources to be whole."""
+SHORTEST_DARK = 0.3
+LONGEST_DARK = 0.9
+"""Seconds that a process is down after a power cut."""
+SLOW_DISK_FACTOR = 5.0
+"""How much slower disks sync while power cuts are due, so that these meet writes under way."""
 RESTARTED_MEANWHILE = 2
 RESTART_SECONDS = 0.5
 
 
+class WorstMoment(StrEnum):
+    """When an armed power cut strikes."""
+
+    CHANGE_ACCEPTED = "change-accepted"
+    CALL_BEGAN = "call-began"
+
+    @property
+    def other(self) -> WorstMoment:
+        """Return the other moment."""
+        if self is WorstMoment.CALL_BEGAN:
+            return WorstMoment.CHANGE_ACCEPTED
+        return WorstMoment.CALL_BEGAN
+
+
+@dataclass(slots=True)
+class ArmedCut:
+    """A power cut that strikes at one moment and the other in turn, until its fault is over."""
+
+    fault: Fault
+    moment: WorstMoment
+
+
 @dataclass(slots=True)
 class WorldActions:
     """Faults that only the world can bring about; each takes the fault.
 
-    ``leader`` names the source process that leads now, or returns ``None``; ``disks_whole``
+    ``leader`` names the source process that leads now and ``serving`` the one with the most
+    subscribers, or they return ``None``; ``disks_whole``
     tells whether a disk may be lost without losing the last copy of anything.
     """
 
     leader: Callable[[], str | None] = lambda: None
+    serving: Callable[[], str | None] = lambda: None
     disks_whole: Callable[[], bool] = lambda: True
     begin: Callable[[Fault], None] = lambda _fault: None
     end: Callable[[Fault], None] = lambda _fault: None
@@ -41,7 +79,7 @@
     network: Network
     processes: Mapping[str, Process]
     actions: WorldActions = field(default_factory=WorldActions)
-    _armed: list[Fault] = field(default_factory=list)
+    _armed: list[ArmedCut] = field(default_factory=list)
 
     def schedule(self, faults: Iterable[Fault]) -> None:
         """Let each fault strike at its time."""
@@ -63,24 +101,24 @@
                 self._cut_off(fault, names)
             case FaultKind.FROZEN_CONTROL:
                 self._freeze(fault, names)
-            case FaultKind.LOST_DISK | FaultKind.SECOND_LOSS if not self.actions.disks_whole():
-                pass
             case FaultKind.LOST_DISK:
-                self._lose_disk(fault, names[0])
+                self._after_absence(fault, names, lambda: self._lose_disk(fault, names[0]))
             case FaultKind.SECOND_LOSS:
-                self._lose_two(fault, names)
-            case FaultKind.TORN_WRITE if len(names) == 1:
-                self._tear(fault, names, TORN_WRITE_TRIES)
+                self._after_absence(fault, names, lambda: self._lose_two(fault, names))
             case FaultKind.TORN_WRITE:
-                self._armed.append(fault)
+                self._tear(fault, names, TORN_WRITE_TRIES)
+            case FaultKind.POWER_CUT:
+                self._arm(fault)
             case _:
                 self.actions.begin(fault)
                 self.environment.after(fault.duration, lambda: self.actions.end(fault))
 
     def _resolve(self, target: str) -> str:
-        if target != LEADER:
-            return target
-        return self.actions.leader() or next(iter(self.processes))
+        if target == SERVING:
+            return self.actions.serving() or next(iter(self.processes))
+        if target == LEADER:
+            return self.actions.leader() or next(iter(self.processes))
+        return target
 
     def _kill_together(self, fault: Fault, names: tuple[str, ...]) -> None:
         source = self.environment.random
@@ -98,15 +136,44 @@
         process.held_down -= 1
         process.start()
 
+    def _arm(self, fault: Fault) -> None:
+        """Wait for the worst moments, right after an answer and after a once-only call began."""
+        moment = self.environment.random.choice(list(WorstMoment))
+        for name in fault.targets:
+            self._slow_disks(name, SLOW_DISK_FACTOR)
+            self.environment.after(fault.duration, self._slowing(name, 1.0))
+        self._armed.append(ArmedCut(fault, moment))
+
+    def _slowing(self, name: str, factor: float) -> Callable[[], None]:
+        return lambda: self._slow_disks(name, factor)
+
+    def _slow_disks(self, name: str, factor: float) -> None:
+        for node in self.processes[name].nodes:
+            node.sync_factor = factor
+
     def change_accepted(self) -> None:
-        """Cut the power of an armed fault's processes: an answer has just been given.
+        """Cut the power of armed sources: an operator has just been answered.
 
         What was answered must be on the disks now; what a disk is still writing is torn.
         """
-        armed, self._armed = self._armed, []
-        for fault in armed:
-            for name in fault.targets:
-                self.environment.after(0.0, self._power_cut(name, fault.duration))
+        self._cut_power(WorstMoment.CHANGE_ACCEPTED, ())
+
+    def once_only_call_began(self, proxy: str) -> None:
+        """Cut the power of armed sources and of the proxy that had the call claimed.
+
+        The claim must be on the disks now, and the caller, left without an answer, sends again.
+        """
+        self._cut_power(WorstMoment.CALL_BEGAN, (proxy,))
+
+    def _cut_power(self, moment: WorstMoment, besides: tuple[str, ...]) -> None:
+        now = self.environment.now
+        self._armed = [item for item in self._armed if now < item.fault.end]
+        for armed in self._armed:
+            if armed.moment is moment and all(self.processes[n].alive for n in armed.fault.targets):
+                armed.moment = moment.other
+                for name in (*armed.fault.targets, *besides):
+                    dark = self.environment.random.uniform(SHORTEST_DARK, LONGEST_DARK)
+                    self.environment.after(0.0, self._power_cut(name, dark))
 
     def _power_cut(self, name: str, duration: float) -> Callable[[], None]:
         return lambda: self.hold_down(name, duration)
@@ -149,8 +216,37 @@
             process.freeze()
             self.environment.after(fault.duration, process.thaw)
 
+    def _after_absence(
+        self, fault: Fault, names: tuple[str, ...], action: Callable[[], None]
+    ) -> None:
+        """Let the source that keeps its disk be away first, often, so that it missed something.
+
+        The disk is lost once all sources hold what is committed, or never.
+        """
+        absent = [item.name for item in self.processes.values() if item.role is Role.SOURCE]
+        away = 0.0
+        if self.environment.random.random() < ABSENCE_CHANCE:
+            away = fault.duration * ABSENCE_SHARE
+            for name in absent:
+                if name not in names:
+                    self.hold_down(name, away)
+            self.environment.after(away - SHORTEST_DARK / 2, self._kill_proxies)
+        self.environment.after(away, lambda: self._once_whole(action, WHOLE_TRIES))
+
+    def _kill_proxies(self) -> None:
+        """End all proxies, so that none tells the source that was away what it missed."""
+        for process in self.processes.values():
+            if process.role is Role.PROXY:
+                self.hold_down(process.name, SHORTEST_DARK)
+
+    def _once_whole(self, action: Callable[[], None], tries: int) -> None:
+        if self.actions.disks_whole():
+            action()
+        elif tries:
+            self.environment.after(WHOLE_STEP, lambda: self._once_whole(action, tries - 1))
+
     def _lose_disk(self, fault: Fault, name: str) -> None:
-        self.hold_down(name, fault.duration)
+        self.hold_down(name, fault.duration * LOSS_SHARE)
         self.processes[name].lose_disk()
 
     def _lose_two(self, fault: Fault, names: tuple[str, ...]) -> None:
@@ -160,12 +256,10 @@
         has caught up, two of three disks are gone and nothing could keep what only they held.
         """
         first, second = names
-        repair = fault.duration * 0.25
-        self._lose_disk(Fault(fault.kind, fault.at, repair), first)
-        pause = self.environment.random.uniform(0.0, 0.6)
-        self.environment.after(
-            repair + pause, lambda: self.hold_down(second, fault.duration * 0.6 - pause, True)
-        )
+        self._lose_disk(fault, first)
+        repaired = fault.duration * LOSS_SHARE + self.environment.random.uniform(0.0, 0.6)
+        gone = fault.duration * SECOND_LOSS_SHARE
+        self.environment.after(repaired, lambda: self.hold_down(second, gone, True))
 
     def _tear(self, fault: Fault, names: tuple[str, ...], tries: int) -> None:
         """Kill a process in the middle of its next disk write."""
--- a/src/limelever_lab/simulator/node.py
+++ b/src/limelever_lab/simulator/node.py
@@ -125,6 +125,7 @@
     life: Life | None = None
     lives: int = 0
     frozen: bool = False
+    sync_factor: float = 1.0
     _previous: Life | None = None
     _inbox: deque[Event] = field(default_factory=deque)
     _timer: float | None = None
@@ -269,7 +270,7 @@
         if not group:
             return
         self.disk.begin(group)
-        delay = self.environment.random.uniform(MINIMUM_SYNC, MAXIMUM_SYNC)
+        delay = self.environment.random.uniform(MINIMUM_SYNC, MAXIMUM_SYNC) * self.sync_factor
         self.environment.after(delay, lambda: self._finish_writes(life, group))
 
     def _finish_writes(self, life: Life, group: list[DiskWrite]) -> None:
--- a/src/limelever_lab/simulator/observer.py
+++ b/src/limelever_lab/simulator/observer.py
@@ -90,6 +90,9 @@
 
     def _observe_subscriber(self, node: Node, subscriber: SubscriberCore) -> None:
         configuration = subscriber.configuration
+        if subscriber.fresh_at is not None:
+            holder = self.holders[node.names.name]
+            self.configuration.believes(holder, subscriber.fresh_at, subscriber.version)
         if configuration is not None and self._is_news(node, subscriber.version):
             self._observe(node, subscriber.version, configuration.resources.values())
 
--- a/src/limelever_lab/simulator/world.py
+++ b/src/limelever_lab/simulator/world.py
@@ -88,6 +88,9 @@
             self._holders[place.name] = Holder(place.name, frozenset({place.service}))
             self._back_ends[place.name] = BackEnd(self.environment, self.calls, place.name)
 
+    def _once_only_began(self, send_id: str) -> None:
+        self.injector.once_only_call_began(self.calls.calls[send_id].proxy)
+
     def _connect(self) -> None:
         faults = WorldFaults(
             self.environment,
@@ -97,12 +100,16 @@
             self.operators,
             self.callers,
             self.calls,
+            self._back_ends,
         )
         actions = self.injector.actions
         actions.leader = self.leader
+        actions.serving = self.serving
         actions.disks_whole = self.disks_whole
         actions.begin = faults.begin
         actions.end = faults.end
+        for back_end in self._back_ends.values():
+            back_end.on_once_only = self._once_only_began
         observer = Observer(
             self.environment,
             self.findings,
@@ -149,6 +156,15 @@
                 return name
         return None
 
+    def serving(self) -> str | None:
+        """Return the name of the running source process with the most subscribers."""
+        counts = {
+            name: len(core._subscribers)
+            for name in self.plan.population.sources
+            if isinstance(core := self.processes[name].nodes[0].core, SourceCore)
+        }
+        return max(counts, key=lambda name: counts[name], default=None)
+
     def disks_whole(self) -> bool:
         """Return whether every source holds all that is committed, so that a disk may be lost.
 
@@ -199,6 +215,7 @@
         for request_id in sorted(self.operators.unsettled):
             self.findings.add(Rule.UNSETTLED_WRITE, now, "operator", request_id)
         self.configuration.judge_observations()
+        self.configuration.judge_beliefs()
         self.configuration.judge_liveness(now, self._holders.values())
         self.calls.judge_answers(now)
         for name, process in self.processes.items():
--- a/src/limelever_lab/simulator/world_faults.py
+++ b/src/limelever_lab/simulator/world_faults.py
@@ -14,6 +14,7 @@
 )
 from limelever.proxy.call_types import StopRequested
 from limelever.relay.interface import PlatformListRead
+from limelever_lab.simulator.back_end import BackEnd
 from limelever_lab.simulator.call_checker import CallChecker
 from limelever_lab.simulator.callers import Callers
 from limelever_lab.simulator.environment import Environment
@@ -28,7 +29,10 @@
 CHANGES_MISSED = 200
 LIE_INTERVAL = 0.5
 LIST_INTERVAL = 3.0
-CUT_FROM_CONTROL_CHANCE = 0.6
+BUSY_STEP = 0.01
+BUSY_TRIES = 100
+"""How often, and at what spacing in seconds, a planned stop waits for calls in flight."""
+CUT_FROM_CONTROL_CHANCE = 0.8
 """How often the news of a leaving back end does not get through."""
 
 
@@ -43,6 +47,7 @@
     operators: Operators
     callers: Callers
     calls: CallChecker
+    back_ends: Mapping[str, BackEnd]
 
     def begin(self, fault: Fault) -> None:
         """Let a fault strike."""
@@ -61,22 +66,43 @@
             case FaultKind.LAGGING_LIST:
                 self._lag(fault)
             case FaultKind.LEAVING_BACK_END:
-                self._leave(fault)
+                self._when_busy(fault.targets[0], lambda: self._leave(fault), BUSY_TRIES)
+            case FaultKind.FAILING_BACK_END:
+                self._fail_service(fault.targets[0], True)
             case FaultKind.PLANNED_STOP:
-                self._stop(fault.targets[0])
+                name = fault.targets[0]
+                self._when_busy(name, lambda: self._stop(name), BUSY_TRIES)
 
     def end(self, fault: Fault) -> None:
         """Let a fault be over."""
         if fault.kind is FaultKind.LOST_ANSWERS:
             self.operators.losing_answers = False
+        if fault.kind is FaultKind.FAILING_BACK_END:
+            self._fail_service(fault.targets[0], False)
         if fault.kind in (FaultKind.LEAVING_BACK_END, FaultKind.PLANNED_STOP):
             self._bring_back(fault.targets[0])
 
+    def _when_busy(self, name: str, action: Callable[[], None], tries: int) -> None:
+        """Wait a little for a moment at which the process has calls in flight."""
+        back_end = self.back_ends.get(name)
+        busy = back_end.busy if back_end is not None else bool(self.calls.open_calls(name))
+        if busy or not tries:
+            action()
+        else:
+            self.environment.after(BUSY_STEP, lambda: self._when_busy(name, action, tries - 1))
+
     def _repeat(self, fault: Fault, interval: float, action: Callable[[], None]) -> None:
         count = int(fault.duration / interval)
         for number in range(count):
             self.environment.after(number * interval, action)
 
+    def _fail_service(self, name: str, failing: bool) -> None:
+        """Let every back end of a service fail most calls, or go on as before."""
+        service = name.rpartition("-")[0]
+        for other, back_end in self.back_ends.items():
+            if other.rpartition("-")[0] == service:
+                back_end.failing = failing
+
     def _lie(self, name: str) -> None:
         healthy = self.environment.random.random() < 0.5
         self.processes[name].nodes[0].deliver(BackendProbed(healthy=healthy))
@@ -101,6 +127,7 @@
         process = self.processes[name]
         if not process.alive or process.nodes[0].frozen:
             return
+        self.back_ends[name].leaving = True
         if self.environment.random.random() < CUT_FROM_CONTROL_CHANCE:
             relays = [item.name for item in self.processes.values() if item.role is Role.RELAY]
             pairs = [(name, relay) for relay in relays]
@@ -125,6 +152,8 @@
         process = self.processes[name]
         process.kill()
         process.held_down = 0
+        if name in self.back_ends:
+            self.back_ends[name].leaving = False
         self.callers.closed.discard(name)
         self.calls.leaving_since.pop(name, None)
         process.start()
