Free what a caller leaves behind when it takes no answer over HTTP/2

Cause: hypercorn lets the application wait for HTTP/2's flow control without a limit, also when the client has left. Each such caller kept its connection's place and its answer's bytes for ever; a thousand would have locked the edge.

Change: a part of an answer has 30 s and a second for each 64 KiB to be taken; a client that left ends the wait at once. A connection that breaks under an answer is no fault (1041).

--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -142,14 +142,21 @@
         return data
 
 
-def send_data_on_answered_stream(client: HttpClient) -> None:
-    """Ask over HTTP/2, await the whole answer, and only then send a body."""
+def ask_over_http2(
+    client: HttpClient, path: str, *headers: tuple[str, str]
+) -> h2.connection.H2Connection:
+    """Send a request whose body may follow; the answer is left unread."""
     protocol = h2.connection.H2Connection()
     protocol.initiate_connection()
-    names = {":method": "GET", ":path": "/healthz", ":scheme": "http", ":authority": "a"}
-    headers = [*names.items(), ("content-length", str(1 << 30))]
-    protocol.send_headers(1, headers)
+    names = {":method": "GET", ":path": path, ":scheme": "http", ":authority": "a"}
+    protocol.send_headers(1, [*names.items(), *headers], end_stream=not headers)
     client.send(protocol.data_to_send())
+    return protocol
+
+
+def send_data_on_answered_stream(client: HttpClient) -> None:
+    """Ask over HTTP/2, await the whole answer, and only then send a body."""
+    protocol = ask_over_http2(client, "/healthz", ("content-length", str(1 << 30)))
     while not _ends_stream(protocol.receive_data(client.socket.recv(65536))):
         client.send(protocol.data_to_send())
     protocol.send_data(1, b"late")
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from functools import partial
+from unittest import mock
 
 from behave import given, then, when
-from http_server import SENDINGS, HttpClient, HttpServer
+from http_server import SENDINGS, HttpClient, HttpServer, ask_over_http2
 from transport_server import wait_for
 
 from limelever.common.sansio import Address
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived
 from limelever.proxy.edge import CONNECTION_LIMIT, Edge
 from limelever.proxy.settings import EdgeSettings
+from limelever.transport import http_connection, metrics
 
 MEBIBYTE = 1 << 20
 STOP_SECONDS = 0.2
@@ -84,6 +86,30 @@
     start_edge(context, faulty=True)
 
 
+@given("a callers' listener whose callers have {limit:g} seconds to take an answer")
+def given_edge_impatient(context, limit):
+    for name, value in (("SEND_SECONDS", limit), ("SLOWEST_BYTES_PER_SECOND", 1 << 40)):
+        patch = mock.patch.object(http_connection, name, value)
+        patch.start()
+        context.add_cleanup(patch.stop)
+    start_edge(context)
+
+
+@when("{count:d} callers over HTTP/2 take nothing of an answer of {size:d} MiB")
+def when_callers_take_nothing(context, count, size):
+    context.edge.answer_bytes = size * MEBIBYTE
+    context.callers = [connect(context) for _ in range(count)]
+    for client in context.callers:
+        ask_over_http2(client, LARGE.decode())
+    context.caller = context.callers[-1]
+
+
+@when("these callers leave")
+def when_callers_leave(context):
+    for client in context.callers:
+        client.close()
+
+
 @when("a caller's connection sends {what}")
 def when_caller_sends(context, what):
     context.caller = connect(context)
@@ -127,6 +153,17 @@
     context.caller = ask(context)
 
 
+@then("the callers' listener holds {count:d} connections")
+def then_edge_holds(context, count):
+    held = metrics.HTTP_CONNECTIONS_OPEN.labels("callers")
+    assert wait_for(lambda: held.collect()[0].samples[0].value == count), held.collect()
+
+
+@then("the callers' listener has not logged {code:d}")
+def then_edge_not_logged(context, code):
+    assert not context.edge.server.log.of(code), context.edge.server.log.of(code)
+
+
 @then("the callers' listener ends that caller's connection")
 def then_edge_ends(context):
     context.caller.wait_closed()
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -38,6 +38,20 @@
     And the callers' listener makes a planned stop within 0.2 seconds
     Then the callers' listener has ended
 
+  Scenario: Callers that leave their answers untaken leave nothing behind
+    Given a callers' listener
+    When 5 callers over HTTP/2 take nothing of an answer of 1 MiB
+    Then the callers' listener holds 5 connections
+    When these callers leave
+    Then the callers' listener holds 0 connections
+
+  Scenario: A caller that takes its answer too slowly is cut off
+    Given a callers' listener whose callers have 0.2 seconds to take an answer
+    When 1 callers over HTTP/2 take nothing of an answer of 1 MiB
+    Then the callers' listener ends that caller's connection
+    And the callers' listener holds 0 connections
+    And the callers' listener has not logged 1041
+
   Scenario: A fault while a request is served is a numbered event
     Given a callers' listener whose core has a fault
     When a caller asks the callers' listener
--- a/src/limelever/source/operator_listener.py
+++ b/src/limelever/source/operator_listener.py
@@ -12,8 +12,8 @@
     OPERATOR_CONNECTION_FAILED,
     OPERATOR_CONNECTION_LIMIT,
 )
+from limelever.transport.http_connection import AsgiApplication
 from limelever.transport.http_guard import (
-    AsgiApplication,
     GuardOptions,
     bound_address,
     open_listeners,
--- a/src/limelever/transport/admin.py
+++ b/src/limelever/transport/admin.py
@@ -16,8 +16,8 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
 from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
+from limelever.transport.http_connection import AsgiApplication
 from limelever.transport.http_guard import (
-    AsgiApplication,
     GuardOptions,
     bound_address,
     open_listeners,
--- a/src/limelever/transport/http_connection.py
+++ b/src/limelever/transport/http_connection.py
@@ -1,12 +1,14 @@
 """One HTTP connection: hypercorn's, mended where a client could hold it open for nothing.
 
-hypercorn keeps a connection whose client has left until its keep-alive time is over, and sends
-without a time limit, shielded from cancellation: a client that reads nothing would keep its
-connection for ever, and the process from stopping.
+hypercorn keeps a connection whose client has left until its keep-alive time is over, and for
+ever when HTTP/2's flow control holds an answer back. It sends without a time limit, shielded
+from cancellation: a client that reads nothing would keep its connection and the answer's memory
+for ever, and the process from stopping.
 """
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
@@ -17,6 +19,10 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
+AsgiApplication = Callable[..., Awaitable[None]]
+AsgiMessage = dict[str, Any]
+Send = Callable[[AsgiMessage], Awaitable[None]]
+
 SEND_SECONDS = 30.0
 SLOWEST_BYTES_PER_SECOND = 64 * 1024
 """A client that takes what it is sent more slowly, after ``SEND_SECONDS``, is cut off."""
@@ -31,11 +37,13 @@
     """
 
     def __init__(
-        self, application: ASGIWrapper, config: Config, context: WorkerContext, stream: Any
+        self, application: AsgiApplication, config: Config, context: WorkerContext, stream: Any
     ) -> None:
-        super().__init__(application, config, context, ConnectionState({}), stream)
+        wrapped = ASGIWrapper(self._bounded(application))
+        super().__init__(wrapped, config, context, ConnectionState({}), stream)
         self.idle_since: float | None = trio.current_time()
         self._client_left = False
+        self._sending: set[trio.CancelScope] = set()
 
     async def protocol_send(self, event: Event) -> None:
         """Carry out what hypercorn's protocol class asks for."""
@@ -49,7 +57,7 @@
         await super().protocol_send(event)
 
     async def _send(self, data: bytes) -> None:
-        limit = SEND_SECONDS + len(data) / SLOWEST_BYTES_PER_SECOND
+        limit = _time_to_send(data)
         async with self.send_lock:
             try:
                 with trio.fail_after(limit):
@@ -65,8 +73,42 @@
         await super()._read_data()
         self._client_left = True
         await self.idle_task.stop()
+        for scope in self._sending:
+            scope.cancel()
+
+    def _bounded(self, application: AsgiApplication) -> AsgiApplication:
+        """Return the application with a bound on the time in which its answers are taken."""
+
+        async def bounded(scope: dict[str, Any], receive: Any, send: Send) -> None:
+            async def send_in_time(message: AsgiMessage) -> None:
+                await self._send_in_time(send, message)
+
+            await application(scope, receive, send_in_time)
+
+        return bounded
+
+    async def _send_in_time(self, send: Send, message: AsgiMessage) -> None:
+        """Pass a part of an answer to hypercorn, which waits there for HTTP/2's flow control.
+
+        Raises ``trio.BrokenResourceError`` once the client has left or takes it too slowly.
+        """
+        with trio.move_on_after(_time_to_send(message.get("body", b""))) as scope:
+            self._sending.add(scope)
+            try:
+                await send(message)
+            finally:
+                self._sending.discard(scope)
+        if scope.cancelled_caught:
+            await trio.aclose_forcefully(self.stream)
+            await self.protocol.handle(Closed())
+            raise trio.BrokenResourceError("the client does not take its answer")
 
     async def _close(self) -> None:
         """Close; TLS says goodbye to the client, which need not listen."""
         with trio.move_on_after(_CLOSE_SECONDS):
             await super()._close()
+
+
+def _time_to_send(data: bytes) -> float:
+    """Return how many seconds a client has to take ``data``."""
+    return SEND_SECONDS + len(data) / SLOWEST_BYTES_PER_SECOND
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -11,13 +11,12 @@
 from __future__ import annotations
 
 import ssl
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 import trio
-from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
 from hypercorn.trio.worker_context import WorkerContext
 
@@ -25,12 +24,11 @@
 from limelever.common.sansio import Address
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
-from limelever.transport.http_connection import HttpConnection
+from limelever.transport.http_connection import AsgiApplication, HttpConnection
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.streams import client_name, reason_of
 
-AsgiApplication = Callable[..., Awaitable[None]]
 Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 
@@ -103,7 +101,7 @@
 
     def __init__(self, application: AsgiApplication, config: Config, options: GuardOptions) -> None:
         self.context = WorkerContext(None)
-        self._application = ASGIWrapper(_reporting(application))
+        self._application = _reporting(application)
         self._config = config
         self._options = options
         self._open: set[HttpConnection] = set()
@@ -159,11 +157,16 @@
 
 
 def _reporting(application: AsgiApplication) -> AsgiApplication:
-    """Return the application with its faults reported; hypercorn answers 500 in silence."""
+    """Return the application with its faults reported; hypercorn answers 500 in silence.
+
+    A connection that breaks under an answer is its client's matter, not a fault.
+    """
 
     async def guarded(*arguments: Any) -> None:
         try:
             await application(*arguments)
+        except trio.BrokenResourceError:
+            return
         except Exception as error:
             write_event(REQUEST_FAULT, fault_fields(error))
             raise
