--- a/src/limelever_lab/bench/control_bytes.py
+++ b/src/limelever_lab/bench/control_bytes.py
@@ -79,7 +79,8 @@
                 break
         if with_reconnects and not unfinished:
             reconnect = measure_reconnects(testbed, hollow)
-    baseline = run_baseline(testbed, min(max(sizes), LARGEST_BASELINE))
+    matched = [nodes for nodes in sizes if nodes <= LARGEST_BASELINE]
+    baseline = run_baseline(testbed, max(matched)) if matched else None
     details = ScaleDetails(
         batch_delay_ms=testbed.fleet.layout.deployment.distribution.batch_delay_ms,
         resources_services=testbed.settings.services,
--- a/src/limelever_lab/reports/drawings.py
+++ b/src/limelever_lab/reports/drawings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import textwrap
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 HEIGHT_INCHES = 4.5
 PHASE_HEIGHT_INCHES = 0.7
 BAR_HEIGHT = 0.4
+LEGEND_CHARACTERS = 100
 
 
 def draw_batching(curves: Sequence[BatchCurve], path: Path) -> None:
@@ -54,7 +56,7 @@
         axes.axvline(moment.at, linewidth=0.7, color="gray")
         axes.annotate(f"{number}", (moment.at, 1), xycoords=("data", "axes fraction"))
     legend = "; ".join(f"{n} {moment.what}" for n, moment in enumerate(course.moments, start=1))
-    axes.set_xlabel(f"seconds. {legend}", fontsize="x-small")
+    axes.set_xlabel(textwrap.fill(f"seconds. {legend}", LEGEND_CHARACTERS), fontsize="small")
     axes.set_ylabel("ms")
     axes.set_yscale("log")
     axes.set_title(f"Recovery of the source, {course.deployment}", pad=16)
