--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -11,7 +11,7 @@
 
 from limelever.common.sansio import Address
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived
-from limelever.proxy.edge import CONNECTION_LIMIT, Edge
+from limelever.proxy.edge import Edge
 from limelever.proxy.settings import EdgeSettings
 from limelever.transport import http_connection, metrics
 
@@ -24,12 +24,13 @@
 class EdgeServer:
     """The shipped edge before a core that answers at once, late or with a fault."""
 
-    def __init__(self, connections: int = CONNECTION_LIMIT, faulty: bool = False) -> None:
+    def __init__(self, connections: int = 1024, faulty: bool = False) -> None:
         self.held: list[int] = []
         self.answer_bytes = 0
         self._faulty = faulty
-        self._edge = Edge(EdgeSettings(listen=Address("127.0.0.1", 0)), self._post)
-        self.server = HttpServer(partial(self._edge.serve, STOP_SECONDS, connections))
+        settings = EdgeSettings(listen=Address("127.0.0.1", 0), connections=connections)
+        self._edge = Edge(settings, self._post)
+        self.server = HttpServer(partial(self._edge.serve, STOP_SECONDS))
 
     def release(self) -> None:
         def answer_held() -> None:
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -12,12 +12,9 @@
 from typing import Any
 
 import trio
-from hypercorn.config import Config
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Event
-from limelever.common.settings import seconds
-from limelever.proxy import events
 from limelever.proxy.answers import render_answer
 from limelever.proxy.call_types import (
     AnswerCall,
@@ -27,15 +24,9 @@
     CallRequest,
     Headers,
 )
+from limelever.proxy.edge_listener import serve_callers
 from limelever.proxy.requests import declared_length, headers_size, parse_request
 from limelever.proxy.settings import EdgeSettings
-from limelever.transport.http_guard import (
-    GuardOptions,
-    bound_address,
-    open_listeners,
-    serve_guarded,
-)
-from limelever.transport.tls import CertificateFiles, certificate_kept_current, one_sided_context
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -47,9 +38,6 @@
 """Seconds for which the rest of a refused body is read, so that the caller sees the refusal."""
 
 OVERLOAD_RETRY_AFTER = 1.0
-CONNECTION_LIMIT = 1024
-"""Connections of callers; at the limit the one idle longest makes room for a new one."""
-
 HTTP_1 = "1"
 _CLOSE = (b"connection", b"close")
 
@@ -92,35 +80,15 @@
     async def serve(
         self,
         stop_limit: float,
-        connection_limit: int = CONNECTION_LIMIT,
         task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until :meth:`stop` and until what was in is answered, ``stop_limit`` s at most.
 
         Reports the bound address, or why there is none, to ``task_status``.
         """
-        config = _server_config(self._settings)
-        files = CertificateFiles(self._settings.certificate, self._settings.key)
-        context = one_sided_context(files, ("h2", "http/1.1"))
-        if isinstance(context, Failure):
-            task_status.started(context)
-            return
-        listeners = await open_listeners(
-            self._settings.listen, context, "edge", backlog=self._settings.backlog
-        )
-        if isinstance(listeners, Failure):
-            task_status.started(listeners)
-            return
-        task_status.started(bound_address(listeners))
-        options = GuardOptions(
-            listener="callers",
-            connection_limit=connection_limit,
-            stop_limit=stop_limit,
-            failed_event=events.EDGE_CONNECTION_FAILED,
-            limit_event=events.EDGE_CONNECTION_LIMIT,
+        await serve_callers(
+            self.application, self._settings, self._stopping, stop_limit, task_status
         )
-        async with certificate_kept_current([context] if context else [], files):
-            await serve_guarded(self.application, listeners, config, options, self._stopping)
 
     async def application(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -246,16 +214,3 @@
         """Give the bytes back."""
         self._edge.count_buffered(-self._bytes)
         self._bytes = 0
-
-
-def _server_config(settings: EdgeSettings) -> Config:
-    config = Config()
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.include_date_header = False
-    config.keep_alive_timeout = seconds(settings.keep_alive_ms)
-    config.keep_alive_max_requests = 1_000_000_000
-    config.h11_max_incomplete_size = settings.max_headers_bytes
-    config.h2_max_header_list_size = settings.max_headers_bytes
-    return config
--- /dev/null
+++ b/src/limelever/proxy/edge_listener.py
@@ -0,0 +1,72 @@
+"""Listens for callers: HTTP/1.1 and HTTP/2, cleartext or TLS, by the guarded listener."""
+
+from __future__ import annotations
+
+import trio
+from hypercorn.config import Config
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import Address
+from limelever.common.settings import seconds
+from limelever.proxy import events
+from limelever.proxy.settings import EdgeSettings
+from limelever.transport.http_connection import AsgiApplication
+from limelever.transport.http_guard import (
+    GuardOptions,
+    bound_address,
+    open_listeners,
+    serve_guarded,
+)
+from limelever.transport.tls import (
+    CertificateFiles,
+    certificate_kept_current,
+    one_sided_context,
+)
+
+_HTTP_PROTOCOLS = ("h2", "http/1.1")
+_NO_LIMIT_ON_REQUESTS = 1_000_000_000
+
+
+async def serve_callers(
+    application: AsgiApplication,
+    settings: EdgeSettings,
+    stopping: trio.Event,
+    stop_limit: float,
+    task_status: trio.TaskStatus[Address | Failure],
+) -> None:
+    """Serve until ``stopping`` and until what was in is answered, ``stop_limit`` s at most.
+
+    Reports the bound address, or why there is none, to ``task_status``.
+    """
+    files = CertificateFiles(settings.certificate, settings.key)
+    context = one_sided_context(files, _HTTP_PROTOCOLS)
+    if isinstance(context, Failure):
+        task_status.started(context)
+        return
+    listeners = await open_listeners(settings.listen, context, "edge", backlog=settings.backlog)
+    if isinstance(listeners, Failure):
+        task_status.started(listeners)
+        return
+    task_status.started(bound_address(listeners))
+    options = GuardOptions(
+        listener="callers",
+        connection_limit=settings.connections,
+        stop_limit=stop_limit,
+        failed_event=events.EDGE_CONNECTION_FAILED,
+        limit_event=events.EDGE_CONNECTION_LIMIT,
+    )
+    async with certificate_kept_current([context] if context else [], files):
+        await serve_guarded(application, listeners, _server_config(settings), options, stopping)
+
+
+def _server_config(settings: EdgeSettings) -> Config:
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = seconds(settings.keep_alive_ms)
+    config.keep_alive_max_requests = _NO_LIMIT_ON_REQUESTS
+    config.h11_max_incomplete_size = settings.max_headers_bytes
+    config.h2_max_header_list_size = settings.max_headers_bytes
+    return config
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -29,6 +29,7 @@
     max_headers_bytes: int = attrs.field(default=32 << 10, validator=between(1024, 1 << 20))
     buffered_bytes: int = attrs.field(default=8 << 20, validator=between(65536, 1 << 30))
     backlog: int = attrs.field(default=512, validator=between(1, 65535))
+    connections: int = attrs.field(default=1024, validator=between(1, 65535))
     keep_alive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
 
 
