Import the admin listener only when settings name one

Cause: an agent imported hypercorn, wsproto and wsgiref for an admin listener that its settings did not have.

Change: transport/process.py imports it where it is started. (The proxy needs hypercorn for its edge, so nothing changes there.)

--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -15,7 +15,6 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Core, Output, Purpose
 from limelever.common.settings import ProcessSettings, seconds
-from limelever.transport.admin import serve_admin
 from limelever.transport.disk_writer import Disk
 from limelever.transport.faults import report_fault
 from limelever.transport.links import LinkIdentity
@@ -210,6 +209,9 @@
 
 
 async def _start_admin(shell: ProcessShell, address: Address) -> None:
+    # Imported here: the HTTP server is memory that a process without a monitor need not spend.
+    from limelever.transport.admin import serve_admin
+
     serve = partial(serve_admin, address, lambda: shell.ready)
     bound: Address | Failure = await shell.nursery.start(serve)
     if isinstance(bound, Failure):
