Import zstandard with the first compressed frame; hold what a role imports

Cause: every process imported zstandard, also where links are not compressed.

Change: framing imports zstandard where it packs or unpacks; the first such frame pays for the import once. features/settings/process_imports.feature starts an interpreter for each role and lists modules it must not import (a list, no megabytes).

--- /dev/null
+++ b/features/settings/process_imports.feature
@@ -0,0 +1,15 @@
+Feature: A role's process imports what it needs, and nothing else
+
+  A node's memory is bounded, and most of it is imported modules.
+
+  Scenario Outline: Modules that a role must not import
+    When a process imports what <role> needs to run without an admin listener
+    Then the process has imported none of <modules>
+    And the process has imported none of the modules that no role needs
+
+    Examples:
+      | role   | modules                                                                                                                        |
+      | agent  | hypercorn, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.proxy, limelever.publisher, limelever.keeper, limelever.protocol.operators_pb2 |
+      | proxy  | httpcore, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
+      | relay  | hypercorn, wsproto, zstandard, limelever.source, limelever.proxy, limelever.agent, limelever.keeper, limelever.protocol.operators_pb2 |
+      | source | httpcore, zstandard, limelever.relay, limelever.proxy, limelever.agent                                                          |
--- /dev/null
+++ b/features/steps/settings_import_steps.py
@@ -0,0 +1,55 @@
+"""Steps of the feature on what a role's process imports."""
+
+import subprocess
+import sys
+
+from behave import then, when
+
+UNNEEDED = (
+    "behave",
+    "click",
+    "grpc",
+    "hypothesis",
+    "limelever.cli.application",
+    "limelever_lab",
+    "matplotlib",
+    "numpy",
+    "pydantic",
+    "rich",
+    "simpy",
+    "typer",
+)
+# In a process of its own: this one has imported nearly everything.
+PROGRAM = """
+import importlib, sys
+import limelever.cli.main
+from limelever.cli.roles import settings_class
+from limelever.common.sansio import Role
+settings_class(Role(sys.argv[1]))
+importlib.import_module(f"limelever.{sys.argv[1]}.process")
+print("\\n".join(sys.modules))
+"""
+
+
+def imported_below(modules, names):
+    """Return the names of which a module, or one below it, was imported."""
+    return [n for n in names if any(m == n or m.startswith(f"{n}.") for m in modules)]
+
+
+@when("a process imports what {role} needs to run without an admin listener")
+def step_settings_imports(context, role):
+    command = [sys.executable, "-c", PROGRAM, role]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    context.settings_modules = set(done.stdout.split())
+    assert f"limelever.{role}.process" in context.settings_modules
+
+
+@then("the process has imported none of the modules that no role needs")
+def step_settings_imports_unneeded(context):
+    assert not imported_below(context.settings_modules, UNNEEDED)
+
+
+@then("the process has imported none of {modules}")
+def step_settings_imports_none(context, modules):
+    found = imported_below(context.settings_modules, modules.split(", "))
+    assert not found, found
--- a/src/limelever/common/framing.py
+++ b/src/limelever/common/framing.py
@@ -9,7 +9,6 @@
 import struct
 from dataclasses import dataclass, field
 
-import zstandard
 from google.protobuf.message import DecodeError, Message
 
 from limelever.common.errors import ErrorKind, Failure
@@ -37,8 +36,7 @@
     getattr(frame, _BODY_FIELD[message.DESCRIPTOR.full_name]).CopyFrom(message)
     payload = frame.SerializeToString()
     if compress_from and len(payload) >= compress_from:
-        packed = zstandard.ZstdCompressor(level=_COMPRESSION_LEVEL).compress(payload)
-        payload = Frame(compressed=packed).SerializeToString()
+        payload = Frame(compressed=_compress(payload)).SerializeToString()
     return LENGTH_PREFIX.pack(len(payload)) + payload
 
 
@@ -68,7 +66,16 @@
         return Failure(ErrorKind.PROTOCOL_VIOLATION, f"frame does not parse: {error}")
 
 
+def _compress(payload: bytes) -> bytes:
+    # Imported here and below: a process whose links are not compressed need not spend its memory.
+    import zstandard
+
+    return zstandard.ZstdCompressor(level=_COMPRESSION_LEVEL).compress(payload)
+
+
 def _decompress(packed: bytes, limit: int) -> bytes | Failure:
+    import zstandard
+
     try:
         size = zstandard.frame_content_size(packed)
         if size < 0:
