--- a/features/lab/stand_ins.feature
+++ b/features/lab/stand_ins.feature
@@ -33,6 +33,18 @@
     Then a call through the link is cut or not sent
     When the link is healed
     Then a call through the link is answered
+    When the link is silenced
+    Then a call through the link is cut or not sent
+    When the link is healed
+    Then a call through the link is answered
+
+  Scenario: A connection that lost bytes is closed when its link is healed
+    When a link swallows bytes of a connection and is healed
+    Then the connection was closed, with nothing after the gap
+
+  Scenario: A link that is silent in one direction carries the other
+    When a link swallows the echo of what is sent on it
+    Then the target received all that was sent
 
   Scenario: The platform list lags
     Given a platform list with a lag of 500 ms
--- a/features/lab/test_run.feature
+++ b/features/lab/test_run.feature
@@ -27,6 +27,30 @@
     When the report is counted
     Then 1 passed and 1 failed
 
+  Scenario: Of a room that fails only the failing scenarios are shown
+    Given a report with a scenario that is "passed"
+    And a report with a scenario "broken" that is "failed", with the error "reason"
+    And a run that printed "Scenario: scenario"
+    When the report is counted
+    Then "broken: failed" is shown, and "Scenario: scenario" is not
+    And 1 passed and 1 failed
+
+  Scenario: A run that ends badly without a reason shows the end of its output
+    Given a report without scenarios
+    And a run that printed "Traceback"
+    When the report is counted
+    Then "Traceback" is shown, and "broken" is not
+    And 0 passed and 1 failed
+
+  Scenario: The last line gives the counts, after the known failures
+    When rooms with 3 passed and 1 failed scenarios are printed
+    Then the last lines are "KNOWN-RED.txt:", the known failure and "3 passed, 1 failed"
+    And each room stands there with its seconds
+
+  Scenario: A room that takes too long is ended with all that it started
+    When a command that started another one runs too long
+    Then it counts as late, and no process of it is left
+
   Scenario: The known red list holds three lines at most
     Given a known red file of 4 lines
     Then reading it gives a reason
--- a/features/steps/lab_steps.py
+++ b/features/steps/lab_steps.py
@@ -1,6 +1,8 @@
 """Steps that prove the laboratory's own parts: stand-ins, load generator and test run."""
 
 import signal
+from contextlib import suppress
+from functools import partial
 from itertools import islice
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -9,8 +11,18 @@
 from behave import given, then, when
 
 from limelever.common.events import CATALOGUE
-from limelever_lab.event_catalogue import import_event_modules, render
+from limelever_lab.event_catalogue import import_event_modules
+from limelever_lab.event_catalogue import render as render_events
+from limelever_lab.feature_report import (
+    CommandResult,
+    JobResult,
+    ScenarioResult,
+    check_known_red,
+    count_scenarios,
+    render,
+)
 from limelever_lab.fleet.deployment import load_deployment
+from limelever_lab.fleet.fleet import wait_until
 from limelever_lab.fleet.http import get_json, post_json
 from limelever_lab.fleet.ports import free_ports
 from limelever_lab.fleet.processes import LabProcess, wait_until_listening
@@ -19,17 +31,13 @@
 from limelever_lab.load.calls import ArrivalSettings, draw_calls
 from limelever_lab.load.generator import LoadSettings, run_for
 from limelever_lab.load.outcomes import Fate, summarise
-from limelever_lab.standins.delay_link import send_command
+from limelever_lab.standins.delay_link import DelayLink, Direction
+from limelever_lab.standins.network import NetworkLink, send_command, write_links
 from limelever_lab.standins.runs import RunCounts
-from limelever_lab.testrun import (
-    ROOT,
-    CommandResult,
-    ScenarioResult,
-    check_known_red,
-    count_scenarios,
-)
+from limelever_lab.testrun import LATE_STATUS, ROOT, run_command
 
 SEED = 1
+LINK_LIMIT_SECONDS = 30
 
 
 def _scratch(context):
@@ -170,20 +178,10 @@
     context.classes = tuple(
         c for c in load_deployment("koszyk").calls if c.service == context.service
     )
-    _start(
-        context,
-        "link",
-        "delay-link",
-        "--listen-port",
-        str(context.link_port),
-        "--target-port",
-        str(context.ports[0]),
-        "--control-port",
-        str(context.control_port),
-        "--delay-ms",
-        str(delay),
-        port=context.control_port,
-    )
+    links = _scratch(context) / "links.json"
+    write_links(links, [NetworkLink("caller", "backend", context.link_port, context.ports[0])])
+    arguments = ("--links", links, "--control-port", context.control_port, "--delay-ms", delay)
+    _start(context, "network", "network", *map(str, arguments), port=context.control_port)
 
 
 @when("one call is made through the link")
@@ -199,8 +197,95 @@
 
 @when("the link is {command}")
 def step_link_command(context, command):
-    name = {"cut": "cut", "healed": "heal"}[command]
-    assert trio.run(send_command, "127.0.0.1", context.control_port, name)
+    line = {"cut": "cut backend", "healed": "heal", "silenced": "isolate backend caller"}[command]
+    assert trio.run(send_command, context.control_port, line)
+
+
+@when("a link swallows bytes of a connection and is healed")
+def step_swallow_and_heal(context):
+    context.received = trio.run(_swallow_and_heal)
+
+
+async def _swallow_and_heal():
+    """Send through a link before, while and after it is silent; return what comes back."""
+    with trio.fail_after(LINK_LIMIT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            link = DelayLink("127.0.0.1", await _serve(nursery, _echo), 0.0)
+            port = await _serve(nursery, link.forward)
+            received = await _send_around_silence(link, port)
+            nursery.cancel_scope.cancel()
+    return received
+
+
+async def _serve(nursery, handler):
+    (listener,) = await nursery.start(partial(trio.serve_tcp, handler, 0, host="127.0.0.1"))
+    return listener.socket.getsockname()[1]
+
+
+async def _send_around_silence(link, port):
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        await stream.send_all(b"before")
+        received = await stream.receive_some()
+        link.silence(Direction.FORWARD)
+        await stream.send_all(b"swallowed")
+        while not link.swallowed_bytes:
+            await trio.sleep(0.001)
+        link.heal()
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(b"after")
+            received += await stream.receive_some()
+    return received
+
+
+async def _echo(stream):
+    async for data in stream:
+        await stream.send_all(data)
+
+
+@when("a link swallows the echo of what is sent on it")
+def step_swallow_echo(context):
+    context.sent = (b"first", b"second", b"third")
+    context.received = trio.run(_send_with_silent_echo, context.sent)
+
+
+async def _send_with_silent_echo(parts):
+    """Send parts over a link whose way back is silent; return what its target got."""
+    received = []
+
+    async def note_and_echo(stream):
+        async for data in stream:
+            received.append(data)
+            await stream.send_all(data)
+
+    with trio.fail_after(LINK_LIMIT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            link = DelayLink("127.0.0.1", await _serve(nursery, note_and_echo), 0.0)
+            link.silence(Direction.BACKWARD)
+            stream = await trio.open_tcp_stream("127.0.0.1", await _serve(nursery, link.forward))
+            async with stream:
+                await _send_each_swallowed(stream, link, parts)
+            nursery.cancel_scope.cancel()
+    return b"".join(received)
+
+
+async def _send_each_swallowed(stream, link, parts):
+    sent = 0
+    for part in parts:
+        await stream.send_all(part)
+        sent += len(part)
+        while link.swallowed_bytes < sent:
+            await trio.sleep(0.001)
+
+
+@then("the target received all that was sent")
+def step_received_all(context):
+    assert context.received == b"".join(context.sent), context.received
+
+
+@then("the connection was closed, with nothing after the gap")
+def step_nothing_after_gap(context):
+    assert context.received == b"before", context.received
 
 
 @then("a call through the link is cut or not sent")
@@ -319,4 +404,62 @@
 def step_events_page(context):
     import_event_modules()
     page = (ROOT / "docs" / "EVENTS.md").read_text()
-    assert page == render(CATALOGUE.values()), "run `limelever-lab docs-events > docs/EVENTS.md`"
+    assert page == render_events(CATALOGUE.values()), (
+        "run `limelever-lab docs-events > docs/EVENTS.md`"
+    )
+
+
+@given('a report with a scenario "{name}" that is "{status}", with the error "{error}"')
+def step_named_scenario(context, name, status, error):
+    context.scenarios.append(ScenarioResult(name, status, error))
+
+
+@given('a run that printed "{output}"')
+def step_run_output(context, output):
+    context.run = CommandResult(1, output)
+
+
+@then('"{text}" is shown, and "{other}" is not')
+def step_shown(context, text, other):
+    assert text in context.counted.details, context.counted
+    assert other not in context.counted.details, context.counted
+
+
+@when("rooms with {passed:d} passed and {failed:d} failed scenarios are printed")
+def step_print_rooms(context, passed, failed):
+    rooms = [JobResult("one", passed, 0, seconds=1.0), JobResult("two", 0, failed, seconds=2.5)]
+    context.printed = render(rooms, [KnownRed("scenario", "cause", "#1")]).splitlines()
+
+
+@then('the last lines are "{heading}", the known failure and "{counts}"')
+def step_last_lines(context, heading, counts):
+    *_, first, second, last = context.printed
+    assert (first, last) == (heading, counts), context.printed
+    assert "scenario | cause | #1" in second, second
+
+
+@then("each room stands there with its seconds")
+def step_room_table(context):
+    rows = [line.split() for line in context.printed]
+    assert ["two", "0", "1", "2.5"] in rows, rows
+
+
+@when("a command that started another one runs too long")
+def step_late_command(context):
+    code = "import subprocess; c = subprocess.Popen(['sleep', '300']); print(c.pid); c.wait()"
+    context.late = run_command(["python", "-u", "-c", code], limit=2)
+
+
+@then("it counts as late, and no process of it is left")
+def step_late(context):
+    assert context.late.status == LATE_STATUS, context.late
+    child = int(context.late.output.split()[0])
+    wait_until(lambda: not _is_running(child), LINK_LIMIT_SECONDS, f"process {child} ends")
+
+
+def _is_running(identifier):
+    try:
+        state = Path(f"/proc/{identifier}/stat").read_text().rpartition(")")[2].split()[0]
+    except FileNotFoundError:
+        return False
+    return state != "Z"
--- a/src/limelever_lab/fleet/fleet.py
+++ b/src/limelever_lab/fleet/fleet.py
@@ -7,20 +7,26 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from pathlib import Path
 
-import trio
-
 from limelever.common.errors import Failure
 from limelever.common.settings import ProcessSettings
 from limelever_lab.fleet.deployment import Deployment
-from limelever_lab.fleet.layout import AgentLayout, FleetLayout, FleetSize, LinkLayout, plan_fleet
+from limelever_lab.fleet.layout import (
+    OPERATOR,
+    AgentLayout,
+    FleetLayout,
+    FleetSize,
+    backend_name,
+    plan_fleet,
+)
 from limelever_lab.fleet.member import Member
+from limelever_lab.fleet.network import FleetNetwork
 from limelever_lab.fleet.operator import Operator
 from limelever_lab.fleet.ports import LOOPBACK
 from limelever_lab.fleet.processes import LabProcess, wait_until_listening
 from limelever_lab.fleet.settings_files import SettingsBuilder, draw_secrets
 from limelever_lab.fleet.toml_writer import write_settings
 from limelever_lab.load.audit import merge_counts
-from limelever_lab.standins.delay_link import send_command
+from limelever_lab.standins.network import write_links
 from limelever_lab.standins.runs import RunCounts, read_journal
 
 LEADER_LIMIT_SECONDS = 30.0
@@ -51,11 +57,14 @@
         self.proxies = [self._member(self._builder.proxy(p), p.admin_port) for p in layout.proxies]
         self.agents = [self._member(self._builder.agent(a), a.admin_port) for a in layout.agents]
         self.backends = [self._backend(agent) for agent in layout.agents]
-        self._links = [self._link(link) for link in layout.links]
+        self.network = self._network(layout)
+        lag = (size or FleetSize()).platform_lag_ms
         self._platform_list = self._stand_in(
-            "platform-list", "platform-list", {"--port": layout.platform_port}
+            "platform-list", "platform-list", {"--port": layout.platform_port, "--lag-ms": lag}
         )
-        endpoints = tuple(f"{LOOPBACK}:{source.operator_port}" for source in layout.sources)
+        endpoints = {
+            source.name: layout.reach(OPERATOR, source.operator_port) for source in layout.sources
+        }
         self.operator = Operator(endpoints, secrets.operator_token, folder)
 
     def __enter__(self) -> Fleet:
@@ -63,6 +72,10 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        """Close the fleet."""
+        self.close()
+
+    def close(self) -> None:
         """Kill every process of the fleet that still runs."""
         for process in self._processes():
             process.end()
@@ -83,10 +96,10 @@
         A proxy is ready once it holds a configuration, so it is waited for after the first
         change was applied.
         """
-        for process in (*self._links, self._platform_list, *self.backends):
+        if self.network is not None:
+            self.network.start()
+        for process in (self._platform_list, *self.backends):
             process.start()
-        for place in self.layout.links:
-            wait_until_listening(place.listen_port)
         for agent in self.layout.agents:
             wait_until_listening(agent.backend_port)
         for member in self.members:
@@ -124,24 +137,21 @@
             time.sleep(POLL_SECONDS)
         return list(times.values())
 
-    def command_links(self, relay: int, command: str) -> None:
-        """Send a command (see ``delay_link``) to all links of one linked relay."""
-        count = len(self.layout.sources)
-        for link in self.layout.links[relay * count : (relay + 1) * count]:
-            if not trio.run(send_command, LOOPBACK, link.control_port, command):
-                raise RuntimeError(f"{link.name} did not understand {command}")
-
     def run_counts(self) -> RunCounts:
         """Return what all back ends ran, also those that are down."""
         return merge_counts(read_journal(self._journal(agent)) for agent in self.layout.agents)
 
+    def runs_of(self, agent: AgentLayout) -> int:
+        """Return how many calls the back end beside an agent ran, also when it is down."""
+        return sum(read_journal(self._journal(agent)).by_call.values())
+
     def stop(self) -> dict[str, int]:
         """Make a planned stop of everything, readers first; return the exit status of each."""
         statuses: dict[str, int] = {}
         for group in (self.proxies, self.agents, self.relays, self.sources):
             running = [member for member in group if member.process.running]
             for member in running:
-                member.request_stop()
+                member.process.request_stop()
             statuses.update({member.name: member.process.wait() for member in running})
         return statuses
 
@@ -178,16 +188,20 @@
             "--cold-ms": service.cold_ms,
             "--journal": self._journal(agent),
         }
-        return self._stand_in(f"backend-{agent.name}", "backend", options)
+        return self._stand_in(backend_name(agent), "backend", options)
 
-    def _link(self, link: LinkLayout) -> LabProcess:
+    def _network(self, layout: FleetLayout) -> FleetNetwork | None:
+        if not layout.links:
+            return None
+        path = self.folder / "links.json"
+        write_links(path, layout.links)
         options = {
-            "--listen-port": link.listen_port,
-            "--target-port": link.target_port,
-            "--control-port": link.control_port,
-            "--delay-ms": self.layout.deployment.delays.between_zones_ms,
+            "--links": path,
+            "--control-port": layout.network_port,
+            "--delay-ms": layout.deployment.delays.between_zones_ms,
         }
-        return self._stand_in(link.name, "delay-link", options)
+        process = self._stand_in("network", "network", options)
+        return FleetNetwork(process, layout.network_port)
 
     def _stand_in(self, name: str, command: str, options: Mapping[str, object]) -> LabProcess:
         words = [word for option, value in options.items() for word in (option, str(value))]
@@ -196,7 +210,8 @@
     def _processes(self) -> Iterable[LabProcess]:
         yield from (member.process for member in self.members)
         yield from self.backends
-        yield from self._links
+        if self.network is not None:
+            yield self.network.process
         yield self._platform_list
 
 
--- a/src/limelever_lab/fleet/member.py
+++ b/src/limelever_lab/fleet/member.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import shutil
-import signal
 import time
 from pathlib import Path
 
@@ -83,21 +82,9 @@
         self.process.start()
         self.wait_ready()
 
-    def suspend(self) -> None:
-        """Stop the process from running (SIGSTOP): its peers see silence, not a closed link."""
-        self.process.send(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Let a suspended process run on (SIGCONT)."""
-        self.process.send(signal.SIGCONT)
-
-    def request_stop(self) -> None:
-        """Ask for a planned stop (SIGTERM)."""
-        self.process.send(signal.SIGTERM)
-
     def stop(self) -> int:
         """Make a planned stop and return the exit status."""
-        self.request_stop()
+        self.process.request_stop()
         return self.process.wait()
 
     def remove_data(self) -> None:
--- a/src/limelever_lab/fleet/metrics.py
+++ b/src/limelever_lab/fleet/metrics.py
@@ -10,7 +10,9 @@
 LINK_BYTES = "limelever_link_bytes_total"
 LINK_FRAMES = "limelever_link_frames_total"
 CONFIGURATION_VERSION = "limelever_configuration_version"
+LINKS_OPEN = "limelever_links_open"
 CALLS_PURPOSE = "calls"
+SUBSCRIPTION_PURPOSE = "subscription"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,3 +54,12 @@
 def configuration_version(samples: Iterable[Sample]) -> int:
     """Return the configuration version in force, 0 when none is."""
     return max((int(s.value) for s in samples if s.name == CONFIGURATION_VERSION), default=0)
+
+
+def subscription_links(samples: Iterable[Sample]) -> int:
+    """Return how many subscription links are open, in both directions."""
+    return sum(
+        int(sample.value)
+        for sample in samples
+        if sample.name == LINKS_OPEN and ("purpose", SUBSCRIPTION_PURPOSE) in sample.labels
+    )
--- a/src/limelever_lab/fleet/operator.py
+++ b/src/limelever_lab/fleet/operator.py
@@ -7,6 +7,7 @@
 import sys
 import time
 import uuid
+from collections.abc import Callable, Mapping
 from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,10 +17,13 @@
 
 from limelever.cli.client import ClientOptions, OperatorClient
 from limelever.common.errors import Failure
+from limelever.common.sansio import Address
 from limelever.protocol.config_pb2 import Batch, Resource
 from limelever.protocol.operators_pb2 import (
     ApplyRequest,
     ApplyResponse,
+    GetRequest,
+    GetResponse,
     RolloutRequest,
     RolloutResponse,
     StatusRequest,
@@ -29,6 +33,7 @@
 
 ResponseT = TypeVar("ResponseT", bound=Message)
 CALL_LIMIT_SECONDS = 20.0
+UNHEARD_LIMIT_SECONDS = 3.0
 COMMAND_LIMIT_SECONDS = 60.0
 
 
@@ -49,14 +54,22 @@
 
 
 class Operator:
-    """Talks to the source's replicas at ``endpoints`` with the token in ``token_file``."""
+    """Talks to the source's replicas, whose ``endpoints`` are keyed by their names.
 
-    def __init__(self, endpoints: tuple[str, ...], token: str, folder: Path) -> None:
-        self._endpoints = endpoints
+    The replica that answered last is asked first, so that a silent one costs one wait only.
+    """
+
+    def __init__(self, endpoints: Mapping[str, Address], token: str, folder: Path) -> None:
+        self._by_name = endpoints
+        self._endpoints = tuple(endpoints.values())
         self._token = token
         self._token_file = folder / "operator.token"
         self._token_file.write_text(token + "\n")
 
+    def endpoint_of(self, name: str) -> Address:
+        """Return where operators reach a replica."""
+        return self._by_name[name]
+
     def run(self, *arguments: str) -> CommandOutput:
         """Run ``limelever ARGUMENTS`` as an operator would."""
         done = subprocess.run(
@@ -67,7 +80,7 @@
             timeout=COMMAND_LIMIT_SECONDS,
             env={
                 **os.environ,
-                "LIMELEVER_ENDPOINTS": ",".join(self._endpoints),
+                "LIMELEVER_ENDPOINTS": ",".join(map(str, self._endpoints)),
                 "LIMELEVER_TOKEN_FILE": str(self._token_file),
             },
         )
@@ -75,19 +88,45 @@
 
     def put(self, *resources: Resource) -> AcceptedChange | Failure:
         """Apply some resources in one batch."""
+        batch = self.draw_batch(*resources)
+        answer = batch if isinstance(batch, Failure) else self.apply(batch)
+        if isinstance(answer, Failure):
+            return answer
+        return AcceptedChange(answer.version, time.monotonic())
+
+    def draw_batch(self, *resources: Resource) -> Batch | Failure:
+        """Return a batch under a fresh request id; sent twice, it runs once."""
         status = self.status()
         if isinstance(status, Failure):
             return status
         request_id = make_request_id(uuid.uuid4().hex, status.commit_index)
-        batch = Batch(request_id=request_id, put=resources)
-        answer = self._call("Apply", ApplyRequest(batch=batch), ApplyResponse, is_write=True)
-        if isinstance(answer, Failure):
-            return answer
-        return AcceptedChange(answer.version, time.monotonic())
+        return Batch(request_id=request_id, put=resources)
+
+    def apply(self, batch: Batch) -> ApplyResponse | Failure:
+        """Send a batch until its fate is known."""
+        return self._call("Apply", ApplyRequest(batch=batch), ApplyResponse, is_write=True)
 
-    def status(self, endpoint: str = "") -> StatusResponse | Failure:
+    def apply_unheard(
+        self, batch: Batch, endpoint: Address, before_sending: Callable[[], None]
+    ) -> ApplyResponse | Failure:
+        """Send a batch to one replica over a connection that stands before ``before_sending``."""
+        options = ClientOptions((endpoint,), self._token, UNHEARD_LIMIT_SECONDS)
+        with closing(OperatorClient(options)) as client:
+            client.call("Status", StatusRequest(), StatusResponse)
+            before_sending()
+            return client.call("Apply", ApplyRequest(batch=batch), ApplyResponse, is_write=True)
+
+    def status(self, endpoint: Address | None = None) -> StatusResponse | Failure:
         """Return the status of a replica (the first that answers by default)."""
-        return self._call("Status", StatusRequest(), StatusResponse, endpoint=endpoint)
+        answer = self._call("Status", StatusRequest(), StatusResponse, endpoint=endpoint)
+        if not isinstance(answer, Failure):
+            first = self._by_name[answer.name]
+            self._endpoints = (first, *(other for other in self._endpoints if other != first))
+        return answer
+
+    def get(self) -> GetResponse | Failure:
+        """Return all resources, as the source holds them."""
+        return self._call("Get", GetRequest(), GetResponse)
 
     def rollout(self, version: int) -> RolloutResponse | Failure:
         """Return how far a version has come."""
@@ -99,7 +138,7 @@
         request: Message,
         response: type[ResponseT],
         is_write: bool = False,
-        endpoint: str = "",
+        endpoint: Address | None = None,
     ) -> ResponseT | Failure:
         endpoints = (endpoint,) if endpoint else self._endpoints
         options = ClientOptions(endpoints, self._token, CALL_LIMIT_SECONDS)
--- a/src/limelever_lab/fleet/probe.py
+++ b/src/limelever_lab/fleet/probe.py
@@ -4,28 +4,39 @@
 
 import tempfile
 import time
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from limelever.common.errors import Failure
-from limelever.protocol.config_pb2 import Resource, Share
+from limelever.keeper.events import KEEPER_FORMED
 from limelever_lab.fleet.deployment import load_deployment
-from limelever_lab.fleet.fleet import Fleet
+from limelever_lab.fleet.faults import Target, count_events
+from limelever_lab.fleet.fleet import Fleet, wait_until
 from limelever_lab.fleet.layout import FleetSize
 from limelever_lab.fleet.member import Member
+from limelever_lab.fleet.metrics import subscription_links
+from limelever_lab.fleet.network import FleetNetwork
+from limelever_lab.fleet.probe_changes import ProbeChanges
+from limelever_lab.fleet.probe_outcome import ProbeOutcome
 from limelever_lab.fleet.processes import LabProcess, wait_until_listening
-from limelever_lab.fleet.version_watch import Reversion, VersionWatch
-from limelever_lab.load.audit import Audit, audit
+from limelever_lab.fleet.version_watch import VersionWatch
+from limelever_lab.load.audit import audit
 from limelever_lab.load.background import BackgroundLoad
 from limelever_lab.load.caller import CallerSettings
 from limelever_lab.load.calls import ArrivalSettings
 from limelever_lab.load.generator import LoadSettings
-from limelever_lab.load.outcomes import AttemptOutcome, CallRecord, Fate
+from limelever_lab.load.outcomes import AttemptOutcome, CallRecord
 
-PROBE_SIZE = FleetSize(zones=2, instances=2, linked_relays=1)
+PROBE_SIZE = FleetSize(zones=2, instances=2, network=True, platform_lag_ms=2000)
 CALLS_A_SECOND = 40.0
 ABANDON_PERCENT = 5.0
-PATIENCE_SECONDS = 30.0
-WARM_UP_SECONDS = 1.0
+PATIENCE_SECONDS = 60.0
+WARM_UP_SECONDS = 0.5
+LIVENESS_LIMIT_SECONDS = 60.0
+"""How long anything that must come about may take; no verdict but that it came about."""
+QUIET_SECONDS = 2.0
+EVERY = "every"
 
 
 class ProbedFleet:
@@ -34,11 +45,19 @@
     def __init__(self, deployment: str) -> None:
         self._scratch = tempfile.TemporaryDirectory(prefix="limelever-probe-")
         self.fleet = Fleet(load_deployment(deployment), Path(self._scratch.name), PROBE_SIZE)
-        self._changes = 0
+        operator, classes = self.fleet.operator, self.fleet.layout.deployment.calls
+        self.changes = ProbeChanges(operator, classes[0])
         self._seed = 0
         self._load: BackgroundLoad | None = None
         self._watch: VersionWatch | None = None
 
+    @property
+    def network(self) -> FleetNetwork:
+        """Return the stand-in network between the processes."""
+        if self.fleet.network is None:
+            raise RuntimeError("the fleet was planned without a network")
+        return self.fleet.network
+
     def start(self) -> None:
         """Start the fleet and apply the deployment's resources."""
         self.fleet.start()
@@ -47,25 +66,61 @@
             raise RuntimeError(f"apply was refused: {output.text}")
         for proxy in self.fleet.proxies:
             proxy.wait_ready()
+        self.changes.apply()
 
     def close(self) -> None:
         """Kill the fleet and remove its files."""
-        self.fleet.__exit__()
+        self.fleet.close()
         self._scratch.cleanup()
 
     def mend(self) -> None:
         """Bring back what a scenario left broken."""
-        for relay in range(PROBE_SIZE.linked_relays):
-            self.fleet.command_links(relay, "heal")
-        for place, backend in zip(self.fleet.layout.agents, self.fleet.backends, strict=True):
-            if not backend.running:
-                self.restart_backend(backend, place.backend_port)
-        for member in self.fleet.members:
-            member.resume()
-            if not member.process.running:
-                member.process.start()
-        for member in self.fleet.members:
-            member.wait_ready()
+        targets = self.targets()
+        for target in targets:
+            target.process.resume()
+            if not target.process.running:
+                target.process.start()
+        for target in targets:
+            target.recover(self.network)
+        self.wait_whole()
+
+    def targets(self) -> list[Target]:
+        """Return everything that can be struck."""
+        backends = zip(self.fleet.backends, self.fleet.layout.agents, strict=True)
+        return [
+            *(_member_target(member) for member in self.fleet.members),
+            *(_backend_target(process, place.backend_port) for process, place in backends),
+        ]
+
+    def find(self, name: str) -> list[Target]:
+        """Return what a scenario names: "the leader", "a follower", "proxy 1", "every relay".
+
+        "the busiest relay" is the one with most subscribers: a fault of another one says little.
+        """
+        if name == "the leader":
+            return [_member_target(self.fleet.leader())]
+        if name == "a follower":
+            leader = self.fleet.leader()
+            return [_member_target(next(m for m in self.fleet.sources if m is not leader))]
+        if name == "the busiest relay":
+            relays = self.fleet.relays
+            return [_member_target(max(relays, key=lambda r: subscription_links(r.samples())))]
+        first, _, last = name.rpartition(" ")
+        if first == EVERY:
+            return self._group(last)
+        return [self._group(first)[int(last) - 1]]
+
+    def _group(self, role: str) -> list[Target]:
+        """Return all of one role."""
+        groups = {
+            "source": self.fleet.sources,
+            "relay": self.fleet.relays,
+            "proxy": self.fleet.proxies,
+            "agent": self.fleet.agents,
+        }
+        if role == "back end":
+            return self.targets()[len(self.fleet.members) :]
+        return [_member_target(member) for member in groups[role]]
 
     def begin_calls(self) -> None:
         """Start calls and the watch on versions; calls under way are there on return."""
@@ -93,53 +148,56 @@
         found = audit(records, self.fleet.run_counts())
         return ProbeOutcome(tuple(records), found, tuple(reversions))
 
+    @property
+    def finished_calls(self) -> tuple[CallRecord, ...]:
+        """Return the calls that have met their fate so far."""
+        return tuple(self._load.records) if self._load else ()
+
     def cut_calls(self) -> tuple[CallRecord, ...]:
         """Return the finished calls of which an attempt lost its connection so far."""
-        records = self._load.records if self._load else []
-        return tuple(r for r in records if AttemptOutcome.CUT in r.attempts)
-
-    def change(self) -> int:
-        """Apply a change and return its version; raises ``RuntimeError`` when it is refused."""
-        self._changes += 1
-        call_class = self.fleet.layout.deployment.calls[0]
-        weight = 100 + self._changes
-        share = Share(service=call_class.service, group=call_class.group, weight=weight)
-        accepted = self.fleet.operator.put(Resource(share=share))
-        if isinstance(accepted, Failure):
-            raise RuntimeError(f"change was refused: {accepted}")
-        return accepted.version
-
-    def find(self, role: str, number: int) -> Member:
-        """Return a member by role and number, from 1."""
-        groups = {
-            "relay": self.fleet.relays,
-            "proxy": self.fleet.proxies,
-            "agent": self.fleet.agents,
-        }
-        return groups[role][number - 1]
+        return tuple(r for r in self.finished_calls if AttemptOutcome.CUT in r.attempts)
+
+    def wait_whole(self) -> None:
+        """Wait until the source counts all its replicas as voters again."""
+        names = sorted(member.name for member in self.fleet.sources)
+        wait_until(
+            lambda: self._voters() == names, LIVENESS_LIMIT_SECONDS, "all replicas are voters"
+        )
 
-    def restart_backend(self, backend: LabProcess, port: int) -> None:
-        """Start a back end again and wait until it listens."""
-        backend.start()
-        wait_until_listening(port)
+    def wait_keeper_formed(self, process: LabProcess, formed_before: int) -> None:
+        """Wait until the keeper of a replica whose disk was lost votes again."""
+        wait_until(
+            lambda: count_events(process, KEEPER_FORMED) > formed_before,
+            LIVENESS_LIMIT_SECONDS,
+            f"the keeper of {process.name} votes",
+        )
 
+    def _voters(self) -> list[str]:
+        status = self.fleet.operator.status()
+        if isinstance(status, Failure):
+            return []
+        return sorted(member.name for member in status.members if member.voter)
 
-class ProbeOutcome:
-    """What a scenario's calls came to."""
+    def runs_of(self, number: int) -> int:
+        """Return how many calls a back end has run, from 1."""
+        return self.fleet.runs_of(self.fleet.layout.agents[number - 1])
 
-    def __init__(
-        self, records: tuple[CallRecord, ...], found: Audit, reversions: tuple[Reversion, ...]
-    ) -> None:
-        self.records = records
-        self.audit = found
-        self.reversions = reversions
+    def wait_quiet(self, count: Callable[[], int]) -> None:
+        """Wait until a count has not changed for a while."""
+        end = time.monotonic() + LIVENESS_LIMIT_SECONDS
+        seen, since = count(), time.monotonic()
+        while time.monotonic() - since < QUIET_SECONDS:
+            time.sleep(0.1)
+            now = count()
+            if now != seen:
+                seen, since = now, time.monotonic()
+            if time.monotonic() > end:
+                raise TimeoutError(f"still changing after {LIVENESS_LIMIT_SECONDS} s")
 
-    @property
-    def answered(self) -> int:
-        """Return how many calls were answered."""
-        return sum(record.fate is Fate.ANSWERED for record in self.records)
 
-    @property
-    def failed(self) -> tuple[CallRecord, ...]:
-        """Return the calls that were not answered, for the report of a failure."""
-        return tuple(record for record in self.records if record.fate is not Fate.ANSWERED)
+def _member_target(member: Member) -> Target:
+    return Target(member.process, member.wait_ready, member.remove_data)
+
+
+def _backend_target(process: LabProcess, port: int) -> Target:
+    return Target(process, partial(wait_until_listening, port))
--- a/src/limelever_lab/fleet/settings_files.py
+++ b/src/limelever_lab/fleet/settings_files.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from limelever.agent.settings import AgentSettings, BackendSettings, DrainSettings
 from limelever.common.sansio import Address, Role
@@ -25,6 +26,7 @@
     SourceSettings,
 )
 from limelever_lab.fleet.layout import (
+    ANY_PROXY,
     AgentLayout,
     FleetLayout,
     ProxyLayout,
@@ -33,6 +35,7 @@
     loopback,
 )
 
+Place = SourceLayout | RelayLayout | ProxyLayout | AgentLayout
 MEMBER_ROLES = (Role.SOURCE, Role.RELAY, Role.PROXY, Role.AGENT)
 TOKEN_BYTES = 18
 DRAIN_LIMIT_MS = 20000
@@ -83,19 +86,14 @@
         """Return a replica's settings; ``bootstrap`` lets an empty disk found the group."""
         distribution = self.layout.deployment.distribution
         return SourceSettings(
-            role=Role.SOURCE,
-            name=place.name,
-            zone=place.zone,
-            data_folder=str(self.data_folder(place.name)),
-            admin=loopback(place.admin_port),
-            stop_limit_ms=STOP_LIMIT_MS,
-            credentials=self.secrets.of(Role.SOURCE),
-            links=self._links(),
+            **self._common(Role.SOURCE, place),
             listen=loopback(place.link_port),
             operator_listen=loopback(place.operator_port),
             bootstrap=bootstrap,
             peers=tuple(
-                PeerSettings(name=other.name, address=loopback(other.link_port))
+                PeerSettings(
+                    name=other.name, address=self.layout.reach(place.name, other.link_port)
+                )
                 for other in self.layout.sources
                 if other.name != place.name
             ),
@@ -107,18 +105,11 @@
     def relay(self, place: RelayLayout) -> RelaySettings:
         """Return a relay's settings."""
         return RelaySettings(
-            role=Role.RELAY,
-            name=place.name,
-            zone=place.zone,
-            data_folder=str(self.data_folder(place.name)),
-            admin=loopback(place.admin_port),
-            stop_limit_ms=STOP_LIMIT_MS,
-            credentials=self.secrets.of(Role.RELAY),
-            links=self._links(),
+            **self._common(Role.RELAY, place),
             listen=loopback(place.link_port),
-            sources=tuple(loopback(port) for port in place.source_ports),
+            sources=tuple(self.layout.reach(place.name, port) for port in place.source_ports),
             peers=tuple(
-                loopback(other.link_port)
+                self.layout.reach(place.name, other.link_port)
                 for other in self.layout.relays
                 if other.name != place.name
             ),
@@ -132,46 +123,46 @@
     def proxy(self, place: ProxyLayout) -> ProxySettings:
         """Return a proxy's settings; its scope is all services of the deployment."""
         return ProxySettings(
-            role=Role.PROXY,
-            name=place.name,
-            zone=place.zone,
-            data_folder=str(self.data_folder(place.name)),
-            admin=loopback(place.admin_port),
-            stop_limit_ms=STOP_LIMIT_MS,
-            credentials=self.secrets.of(Role.PROXY),
-            links=self._links(),
+            **self._common(Role.PROXY, place),
             services=tuple(service.name for service in self.layout.deployment.services),
-            relays=self._relays_from(place.zone),
-            keepers=tuple(loopback(source.link_port) for source in self.layout.sources),
+            relays=self._relays_from(place.name, place.zone),
+            keepers=tuple(
+                self.layout.reach(place.name, source.link_port) for source in self.layout.sources
+            ),
             edge=EdgeSettings(listen=loopback(place.edge_port)),
         )
 
     def agent(self, place: AgentLayout) -> AgentSettings:
         """Return an agent's settings."""
         return AgentSettings(
-            role=Role.AGENT,
-            name=place.name,
-            zone=place.zone,
-            admin=loopback(place.admin_port),
-            stop_limit_ms=STOP_LIMIT_MS,
-            credentials=self.secrets.of(Role.AGENT),
-            links=self._links(),
+            **self._common(Role.AGENT, place),
             service=place.service.name,
             listen=loopback(place.link_port),
-            relays=self._relays_from(place.zone),
+            advertise=self.layout.reach(ANY_PROXY, place.link_port),
+            relays=self._relays_from(place.name, place.zone),
             backend=BackendSettings(
-                address=loopback(place.backend_port),
+                address=self.layout.reach(place.name, place.backend_port),
                 slots=place.service.slots,
                 connections=place.service.connections,
             ),
             drain=DrainSettings(limit_ms=DRAIN_LIMIT_MS),
         )
 
-    def _links(self) -> LinkSettings:
+    def _common(self, role: Role, place: Place) -> dict[str, Any]:
+        """Return the arguments that the settings of every role take."""
         distribution = self.layout.deployment.distribution
-        return LinkSettings(compress_from_bytes=distribution.compress_from_bytes)
-
-    def _relays_from(self, zone: str) -> tuple[Address, ...]:
-        """Return all relays, the zone's own first."""
+        return {
+            "role": role,
+            "name": place.name,
+            "zone": place.zone,
+            "data_folder": str(self.data_folder(place.name)),
+            "admin": loopback(place.admin_port),
+            "stop_limit_ms": STOP_LIMIT_MS,
+            "credentials": self.secrets.of(role),
+            "links": LinkSettings(compress_from_bytes=distribution.compress_from_bytes),
+        }
+
+    def _relays_from(self, dialler: str, zone: str) -> tuple[Address, ...]:
+        """Return all relays as a process reaches them, its zone's own first."""
         ordered = sorted(self.layout.relays, key=lambda relay: relay.zone != zone)
-        return tuple(loopback(relay.link_port) for relay in ordered)
+        return tuple(self.layout.reach(dialler, relay.link_port) for relay in ordered)
--- a/src/limelever_lab/standins/asgi.py
+++ b/src/limelever_lab/standins/asgi.py
@@ -51,6 +51,16 @@
     return Request(scope["method"], scope["path"], headers, bytes(body))
 
 
+async def take_request(scope: Scope, receive: Receive, send: Send) -> Request | None:
+    """Return the request of an HTTP scope; serve lifespans, and return ``None`` for the rest.
+
+    Raises :class:`ClientGoneError` when the caller leaves early.
+    """
+    if scope["type"] == "lifespan":
+        await accept_lifespan(receive, send)
+    return await read_request(scope, receive) if scope["type"] == "http" else None
+
+
 async def wait_for_disconnect(receive: Receive) -> None:
     """Return once the caller's connection is gone."""
     while True:
--- a/src/limelever_lab/standins/backend.py
+++ b/src/limelever_lab/standins/backend.py
@@ -28,6 +28,7 @@
 CALL_ID_HEADER = "x-call-id"
 BODY_DIGEST_HEADER = "x-body-digest"
 INSTANCE_HEADER = "x-backend-instance"
+WORK_SECONDS_HEADER = "x-backend-seconds"
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 REPORT_PERIOD_SECONDS = 0.05
 REPORTS_KEPT = 1200
@@ -75,17 +76,12 @@
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await asgi.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
         try:
-            request = await asgi.read_request(scope, receive)
+            request = await asgi.take_request(scope, receive, send)
         except asgi.ClientGoneError:
             self._cancelled += 1
             return
-        if await self._serve_report(request, send):
+        if request is None or await self._serve_report(request, send):
             return
         operation = find_operation(self._settings.service, request.method, request.path)
         if operation is None:
@@ -118,6 +114,7 @@
         self, operation: Operation, request: asgi.Request, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         outcome = WorkOutcome.CANCELLED
+        started = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_when_gone, receive, nursery.cancel_scope)
             outcome = await self._work(operation, request)
@@ -129,7 +126,7 @@
             retry_after = str(self._settings.retry_after_seconds).encode()
             await asgi.send_json(send, 503, {"error": "shed"}, [(b"retry-after", retry_after)])
         else:
-            await self._send_result(operation, request, send)
+            await self._send_result(operation, request, send, trio.current_time() - started)
 
     async def _cancel_when_gone(self, receive: asgi.Receive, scope: trio.CancelScope) -> None:
         await asgi.wait_for_disconnect(receive)
@@ -149,7 +146,7 @@
         self._journal.record(call_id, request.headers.get(IDEMPOTENCY_KEY_HEADER, ""))
 
     async def _send_result(
-        self, operation: Operation, request: asgi.Request, send: asgi.Send
+        self, operation: Operation, request: asgi.Request, send: asgi.Send, seconds: float
     ) -> None:
         call_id = request.headers.get(CALL_ID_HEADER, "")
         digest = body_digest(request.body)
@@ -157,6 +154,7 @@
             (CALL_ID_HEADER.encode(), call_id.encode()),
             (BODY_DIGEST_HEADER.encode(), digest.encode()),
             (INSTANCE_HEADER.encode(), self._settings.instance.encode()),
+            (WORK_SECONDS_HEADER.encode(), f"{seconds:.6f}".encode()),
         ]
         result = {"operation": operation.name, "call": call_id, "path": request.path}
         await asgi.send_json(send, 200, result, headers)
--- a/src/limelever_lab/standins/commands.py
+++ b/src/limelever_lab/standins/commands.py
@@ -10,7 +10,7 @@
 
 from limelever_lab.standins.backend import serve_backend
 from limelever_lab.standins.behaviour import OPERATIONS, BackendSettings, Deception
-from limelever_lab.standins.delay_link import DelayLinkSettings, serve_delay_link
+from limelever_lab.standins.network import NetworkSettings, read_links, serve_network
 from limelever_lab.standins.platform_list import PlatformListSettings, serve_platform_list
 from limelever_lab.standins.process import run_until_signal
 
@@ -57,15 +57,11 @@
     run_until_signal(partial(serve_platform_list, settings))
 
 
-def delay_link(
-    listen_port: Port,
-    target_port: Port,
+def network(
+    links: Annotated[Path, typer.Option(help="JSON file of links, see standins.network.")],
     control_port: Port,
     delay_ms: Milliseconds = 0.0,
-    host: str = "127.0.0.1",
 ) -> None:
-    """Run a TCP link with a one-way delay; its control port cuts and heals it."""
-    settings = DelayLinkSettings(
-        listen_port, target_port, control_port, delay_ms / MILLISECONDS, host, host
-    )
-    run_until_signal(partial(serve_delay_link, settings))
+    """Run TCP links with a one-way delay; the control port breaks and heals them."""
+    settings = NetworkSettings(read_links(links), control_port, delay_ms / MILLISECONDS)
+    run_until_signal(partial(serve_network, settings))
--- a/src/limelever_lab/standins/delay_link.py
+++ b/src/limelever_lab/standins/delay_link.py
@@ -1,21 +1,18 @@
 """A TCP link with one-way delay that can be cut, or go silent in one direction.
 
-The control port takes one command a line and answers ``ok`` or ``error``: ``delay SECONDS``,
-``cut`` (drop open connections and refuse new ones), ``blackhole forward``, ``blackhole backward``
-(bytes of that direction are swallowed, connections stay open), ``heal`` (undo both).
+A connection on which bytes were swallowed is never carried on: TCP loses no bytes in the middle
+of a stream, so healing the link closes such a connection.
 """
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 import trio
 
 CHUNK_BYTES = 65536
 CHUNKS_IN_FLIGHT = 1024
-COMMAND_BYTES = 4096
 STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -25,17 +22,10 @@
     FORWARD = "forward"
     BACKWARD = "backward"
 
-
-@dataclass(frozen=True, slots=True)
-class DelayLinkSettings:
-    """Ports of one link; ``delay`` is one way, in seconds."""
-
-    listen_port: int
-    target_port: int
-    control_port: int
-    delay: float = 0.0
-    host: str = "127.0.0.1"
-    target_host: str = "127.0.0.1"
+    @property
+    def opposite(self) -> Direction:
+        """Return the other direction."""
+        return Direction.BACKWARD if self is Direction.FORWARD else Direction.FORWARD
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,42 +34,74 @@
     data: bytes
 
 
+@dataclass(eq=False, slots=True)
+class _Connection:
+    """One connection; ``broken`` are the directions in which a byte of it was swallowed."""
+
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    broken: set[Direction] = field(default_factory=set)
+
+
 class DelayLink:
-    """Forwards connections through its present delay, cuts and black holes."""
+    """Forwards connections to a target through its delay (seconds), cuts and silences."""
 
-    def __init__(self, settings: DelayLinkSettings) -> None:
-        self._settings = settings
-        self._delay = settings.delay
+    def __init__(self, target_host: str, target_port: int, delay: float) -> None:
+        self._target_host = target_host
+        self._target_port = target_port
+        self._delay = delay
         self._cut = False
         self._silent: set[Direction] = set()
-        self._open: set[trio.CancelScope] = set()
+        self._open: set[_Connection] = set()
+        self.swallowed_bytes = 0
+
+    def cut(self) -> None:
+        """Drop open connections, and close new ones at once."""
+        self._cut = True
+        for connection in self._open:
+            connection.scope.cancel()
+
+    def silence(self, direction: Direction) -> None:
+        """Swallow the bytes of one direction; connections stay open."""
+        self._silent.add(direction)
+
+    def heal(self) -> None:
+        """Undo cuts and silence."""
+        self._cut = False
+        self._silent.clear()
+        for connection in self._open:
+            if connection.broken:
+                connection.scope.cancel()
 
     async def forward(self, client: trio.SocketStream) -> None:
         """Carry one connection until either side ends or the link is cut."""
         if self._cut:
             return
-        with trio.CancelScope() as scope:
-            self._open.add(scope)
-            try:
-                await self._join(client)
-            except* STREAM_ERRORS:
-                pass
-            finally:
-                self._open.discard(scope)
-
-    async def _join(self, client: trio.SocketStream) -> None:
-        settings = self._settings
-        target = await trio.open_tcp_stream(settings.target_host, settings.target_port)
+        connection = _Connection()
+        self._open.add(connection)
+        try:
+            with connection.scope:
+                await self._join(client, connection)
+        except* STREAM_ERRORS:
+            pass
+        finally:
+            self._open.discard(connection)
+
+    async def _join(self, client: trio.SocketStream, connection: _Connection) -> None:
+        target = await trio.open_tcp_stream(self._target_host, self._target_port)
         async with target, trio.open_nursery() as nursery:
-            nursery.start_soon(self._pump, client, target, Direction.FORWARD)
-            nursery.start_soon(self._pump, target, client, Direction.BACKWARD)
+            nursery.start_soon(self._pump, client, target, Direction.FORWARD, connection)
+            nursery.start_soon(self._pump, target, client, Direction.BACKWARD, connection)
 
     async def _pump(
-        self, source: trio.SocketStream, sink: trio.SocketStream, direction: Direction
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        direction: Direction,
+        connection: _Connection,
     ) -> None:
         sender, receiver = trio.open_memory_channel[_Chunk](CHUNKS_IN_FLIGHT)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._deliver, receiver, sink, direction)
+            nursery.start_soon(self._deliver, receiver, sink, direction, connection)
             async with sender:
                 await self._collect(source, sender)
 
@@ -97,82 +119,16 @@
         receiver: trio.MemoryReceiveChannel[_Chunk],
         sink: trio.SocketStream,
         direction: Direction,
+        connection: _Connection,
     ) -> None:
         async for chunk in receiver:
             await trio.sleep_until(chunk.due)
-            if direction not in self._silent:
+            if direction in self._silent:
+                connection.broken.add(direction)
+                self.swallowed_bytes += len(chunk.data)
+            elif direction not in connection.broken:
                 await sink.send_all(chunk.data)
-        if direction not in self._silent:
+        if direction in self._silent:
+            connection.broken.add(direction)
+        else:
             await sink.send_eof()
-
-    def command(self, line: str) -> bool:
-        """Carry out one control command; return whether it was understood."""
-        words = line.split()
-        match words:
-            case ["delay", seconds]:
-                return self._set_delay(seconds)
-            case ["cut"]:
-                self._cut = True
-                for scope in tuple(self._open):
-                    scope.cancel()
-            case ["blackhole", ("forward" | "backward") as name]:
-                self._silent.add(Direction(name))
-            case ["heal"]:
-                self._cut = False
-                self._silent.clear()
-            case _:
-                return False
-        return True
-
-    def _set_delay(self, seconds: str) -> bool:
-        try:
-            self._delay = float(seconds)
-        except ValueError:
-            return False
-        return True
-
-    async def control(self, stream: trio.SocketStream) -> None:
-        """Serve one control connection, a command a line."""
-        pending = b""
-        while len(pending) < COMMAND_BYTES:
-            data = await stream.receive_some(COMMAND_BYTES)
-            if not data:
-                return
-            pending += data
-            *lines, pending = pending.split(b"\n")
-            for line in lines:
-                understood = self.command(line.decode(errors="replace"))
-                await stream.send_all(b"ok\n" if understood else b"error\n")
-
-
-def _guarded(
-    handler: Callable[[trio.SocketStream], Awaitable[None]],
-) -> Callable[[trio.SocketStream], Awaitable[None]]:
-    async def handle(stream: trio.SocketStream) -> None:
-        try:
-            await handler(stream)
-        except* STREAM_ERRORS:
-            pass
-
-    return handle
-
-
-async def serve_delay_link(settings: DelayLinkSettings, stop: trio.Event) -> None:
-    """Run the link and its control port until ``stop`` is set."""
-    link = DelayLink(settings)
-    forwarding = await trio.open_tcp_listeners(settings.listen_port, host=settings.host)
-    control = await trio.open_tcp_listeners(settings.control_port, host=settings.host)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, _guarded(link.forward), forwarding)
-        nursery.start_soon(trio.serve_listeners, _guarded(link.control), control)
-        await stop.wait()
-        nursery.cancel_scope.cancel()
-
-
-async def send_command(host: str, control_port: int, command: str) -> bool:
-    """Send one command to a link's control port; return whether it was understood."""
-    stream = await trio.open_tcp_stream(host, control_port)
-    async with stream:
-        await stream.send_all(command.encode() + b"\n")
-        answer = await stream.receive_some(COMMAND_BYTES)
-    return answer == b"ok\n"
--- a/src/limelever_lab/standins/platform_list.py
+++ b/src/limelever_lab/standins/platform_list.py
@@ -56,12 +56,9 @@
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await asgi.accept_lifespan(receive, send)
+        request = await asgi.take_request(scope, receive, send)
+        if request is None:
             return
-        if scope["type"] != "http":
-            return
-        request = await asgi.read_request(scope, receive)
         if request.path != "/machines":
             await asgi.send_json(send, 404, {"error": "unknown path"})
         elif request.method == "POST":
--- a/src/limelever_lab/standins/runs.py
+++ b/src/limelever_lab/standins/runs.py
@@ -29,7 +29,7 @@
         self._by_key: Counter[str] = Counter()
         self._descriptor: int | None = None
         if path is not None:
-            self._load(path)
+            self.load(path)
             self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
     def record(self, call_id: str, key: str) -> None:
@@ -42,7 +42,8 @@
         """Return the counts so far."""
         return RunCounts(dict(self._by_call), dict(self._by_key))
 
-    def _load(self, path: Path) -> None:
+    def load(self, path: Path) -> None:
+        """Add the runs kept in a journal file; a missing one holds none."""
         if not path.exists():
             return
         for line in path.read_text().splitlines():
@@ -59,5 +60,5 @@
 def read_journal(path: Path) -> RunCounts:
     """Return the counts kept in a journal file, also of a back end that is down."""
     journal = RunJournal()
-    journal._load(path)
+    journal.load(path)
     return journal.counts()
--- a/src/limelever_lab/testrun.py
+++ b/src/limelever_lab/testrun.py
@@ -1,31 +1,42 @@
 """Runs every check of the repository: formatter, linter, types and all features.
 
-Called by ``make test``, and so by CI. At most four jobs run at once; their outputs are printed in
-a fixed order. The last line is ``N passed, N failed``: each of formatter, linter and type checker
-counts as one, and so does each scenario. Scenarios named in ``KNOWN-RED.txt`` are passed over and
-printed; one that is skipped in any other way counts as failed.
+Called by ``make test``, and so by CI. At most four jobs run at once, two of them with a fleet of
+processes, so that they fit on four cores; what they print comes in a fixed order. The last line
+is ``N passed, N failed``: each of formatter, linter and type checker counts as one, and so does
+each scenario. Scenarios named in ``KNOWN-RED.txt`` are passed over and printed; one that is
+skipped in any other way counts as failed.
 """
 
 from __future__ import annotations
 
-import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterable, Sequence
+import time
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from limelever_lab.known_red import KNOWN_RED_FILE, KnownRed, read_known_red
+from limelever_lab.feature_report import (
+    CommandResult,
+    JobResult,
+    check_known_red,
+    count_scenarios,
+    last_lines,
+    read_report,
+    render,
+)
+from limelever_lab.known_red import KnownRed, read_known_red
 
 ROOT = Path(__file__).resolve().parents[2]
-JOBS_AT_ONCE = 4
+FLEET_JOBS_AT_ONCE = 2
+OTHER_JOBS_AT_ONCE = 2
 JOB_LIMIT_SECONDS = 400
 LATE_STATUS = 124
-FIRST_FOLDERS = ("probes",)
+FLEET_TAG = "@fleet"
 CHECKS = (
     ("ruff format", ("ruff", "format", "--check", ".")),
     ("ruff check", ("ruff", "check", ".")),
@@ -34,142 +45,87 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CommandResult:
-    """Exit status and output of a finished command."""
-
-    status: int
-    output: str
-
-
-@dataclass(frozen=True, slots=True)
-class JobResult:
-    """Counts of one job, the names of scenarios passed over, and what to print of failures."""
+class Room:
+    """Features that run as one job: a folder's, or one feature that has a fleet of its own."""
 
     name: str
-    passed: int
-    failed: int
-    passed_over: tuple[str, ...] = ()
-    details: str = ""
+    features: tuple[Path, ...]
+    has_fleet: bool
 
 
-def run_command(arguments: Sequence[str]) -> CommandResult:
-    """Run one of the environment's programs in the repository; late ones are killed."""
+def run_command(arguments: Sequence[str], limit: float = JOB_LIMIT_SECONDS) -> CommandResult:
+    """Run one of the environment's programs; after ``limit`` seconds it is killed.
+
+    It leads a process group, so that the processes it started are killed with it.
+    """
     program = Path(sys.executable).parent / arguments[0]
+    started = time.monotonic()
+    process = subprocess.Popen(
+        [str(program), *arguments[1:]],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
     try:
-        done = subprocess.run(
-            [str(program), *arguments[1:]],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            timeout=JOB_LIMIT_SECONDS,
-        )
-    except subprocess.TimeoutExpired as error:
-        text = error.stdout.decode(errors="replace") if isinstance(error.stdout, bytes) else ""
-        return CommandResult(LATE_STATUS, f"{text}\nkilled after {JOB_LIMIT_SECONDS} s")
-    return CommandResult(done.returncode, done.stdout)
+        output, _ = process.communicate(timeout=limit)
+    except subprocess.TimeoutExpired:
+        os.killpg(process.pid, signal.SIGKILL)
+        output, _ = process.communicate()
+        late = f"{output}\nkilled after {limit} s"
+        return CommandResult(LATE_STATUS, late, time.monotonic() - started)
+    return CommandResult(process.returncode, output, time.monotonic() - started)
 
 
 def run_check(name: str, arguments: Sequence[str]) -> JobResult:
     """Run a formatter, linter or type check; it counts as one."""
     result = run_command(arguments)
     if result.status == 0:
-        return JobResult(name, passed=1, failed=0)
-    return JobResult(name, passed=0, failed=1, details=result.output)
+        return JobResult(name, passed=1, failed=0, seconds=result.seconds)
+    details = f"{last_lines(result.output)}\n"
+    return JobResult(name, passed=0, failed=1, details=details, seconds=result.seconds)
 
 
-def feature_folders() -> list[Path]:
-    """Return the folders that hold features, the slowest first, the others by name."""
+def find_rooms() -> list[Room]:
+    """Return all rooms by name; each feature with a fleet is one by itself."""
+    rooms: list[Room] = []
     folders = {path.parent for path in (ROOT / "features").rglob("*.feature")}
-    return sorted(folders, key=lambda folder: (folder.name not in FIRST_FOLDERS, folder))
-
-
-def run_folder(folder: Path, known_red: Sequence[KnownRed]) -> JobResult:
-    """Run the features of one folder."""
-    name = str(folder.relative_to(ROOT))
+    for folder in sorted(folders):
+        features = sorted(folder.glob("*.feature"))
+        with_fleet = [path for path in features if FLEET_TAG in path.read_text().split()]
+        without = tuple(path for path in features if path not in with_fleet)
+        name = str(folder.relative_to(ROOT))
+        if without:
+            rooms.append(Room(name, without, has_fleet=False))
+        rooms += [Room(f"{name}/{path.stem}", (path,), has_fleet=True) for path in with_fleet]
+    return rooms
+
+
+def run_room(room: Room, known_red: Sequence[KnownRed]) -> JobResult:
+    """Run the features of one room."""
     with tempfile.TemporaryDirectory() as scratch:
         report = Path(scratch) / "report.json"
-        paths = [str(path) for path in sorted(folder.glob("*.feature"))]
+        paths = [str(path) for path in room.features]
         command = ["behave", "--no-color", "-f", "json", "-o", str(report), "-f", "plain", *paths]
         result = run_command(command)
         scenarios = read_report(report)
-    if scenarios is None:
-        return JobResult(name, passed=0, failed=1, details=result.output)
-    return count_scenarios(name, scenarios, result, known_red)
-
-
-@dataclass(frozen=True, slots=True)
-class ScenarioResult:
-    """Name, behave's status and the error messages of one scenario."""
-
-    name: str
-    status: str
-    errors: str
-
-
-def read_report(path: Path) -> list[ScenarioResult] | None:
-    """Return the scenarios of behave's JSON report, or ``None`` when it is not whole."""
-    try:
-        features = json.loads(path.read_text())
-    except (OSError, ValueError):
-        return None
-    return [
-        _scenario(element, feature)
-        for feature in features
-        for element in feature.get("elements", ())
-        if element.get("type") != "background"
-    ]
-
-
-def _scenario(element: dict[str, Any], feature: dict[str, Any]) -> ScenarioResult:
-    errors: list[str] = []
-    for step in element.get("steps", ()):
-        result = step.get("result", {})
-        if result.get("status") not in (None, "passed", "skipped", "untested"):
-            message = result.get("error_message", "")
-            text = "\n".join(message) if isinstance(message, list) else str(message)
-            errors.append(f"{step['keyword']} {step['name']}\n{text}")
-    name = f"{element['name']}"
-    return ScenarioResult(name, element.get("status", "untested"), "\n".join(errors))
-
-
-def count_scenarios(
-    name: str,
-    scenarios: Sequence[ScenarioResult],
-    result: CommandResult,
-    known_red: Sequence[KnownRed],
-) -> JobResult:
-    """Count passed, failed and passed-over scenarios of one folder."""
-    red = {known.test for known in known_red}
-    passed_over = [s.name for s in scenarios if s.status == "skipped" and s.name in red]
-    passed = [s for s in scenarios if s.status == "passed"]
-    failed = [s for s in scenarios if s.status != "passed" and s.name not in passed_over]
-    details = "".join(f"--- {s.name}: {s.status}\n{s.errors}\n" for s in failed)
-    broken = result.status != 0 and not failed
-    empty = not scenarios
-    if failed or broken or empty:
-        details += f"--- output of {name} (status {result.status})\n{result.output}\n"
-    return JobResult(
-        name, len(passed), len(failed) + int(broken or empty), tuple(passed_over), details
-    )
-
-
-def check_known_red(known_red: Sequence[KnownRed], results: Iterable[JobResult]) -> JobResult:
-    """Check that the list of known failures is short and names scenarios that exist."""
-    found = {name for result in results for name in result.passed_over}
-    unknown = [known.test for known in known_red if known.test not in found]
-    if not unknown:
-        return JobResult(KNOWN_RED_FILE, passed=0, failed=0)
-    details = f"{KNOWN_RED_FILE} names scenarios that were not met: {', '.join(unknown)}\n"
-    return JobResult(KNOWN_RED_FILE, passed=0, failed=1, details=details)
+    return count_scenarios(room.name, scenarios or (), result, known_red)
 
 
 def run_all(known_red: Sequence[KnownRed]) -> list[JobResult]:
     """Run all jobs and return their results in a fixed order."""
-    with ThreadPoolExecutor(JOBS_AT_ONCE) as executor:
-        folders = [executor.submit(run_folder, f, known_red) for f in feature_folders()]
-        checks = [executor.submit(run_check, name, command) for name, command in CHECKS]
-        results = [job.result() for job in (*checks, *folders)]
+    with (
+        ThreadPoolExecutor(FLEET_JOBS_AT_ONCE) as with_fleet,
+        ThreadPoolExecutor(OTHER_JOBS_AT_ONCE) as without,
+    ):
+        rooms = [
+            (with_fleet if room.has_fleet else without).submit(run_room, room, known_red)
+            for room in find_rooms()
+        ]
+        checks = [without.submit(run_check, name, command) for name, command in CHECKS]
+        results = [job.result() for job in (*checks, *rooms)]
     return [*results, check_known_red(known_red, results)]
 
 
@@ -178,18 +134,12 @@
     os.environ.setdefault("PYTHONDONTWRITEBYTECODE", "1")
     known_red = read_known_red(ROOT)
     if isinstance(known_red, str):
-        print(known_red)
-        print("0 passed, 1 failed")
+        print(f"{known_red}\n0 passed, 1 failed")
         return 1
     results = run_all(known_red)
-    for result in results:
-        print(f"{result.name}: {result.passed} passed, {result.failed} failed")
-        print(result.details, end="")
-    for known in known_red:
-        print(f"passed over (known red): {known.test} | {known.cause} | {known.issue}")
+    print(render(results, known_red), flush=True)
     passed = sum(result.passed for result in results)
     failed = sum(result.failed for result in results)
-    print(f"{passed} passed, {failed} failed")
     return 0 if passed and not failed else 1
 
 
