Prove TLS between whole processes, and the statuses of what is too large

Cause: TLS was proved at the shells; that a process's settings reach them was not. Headers over the limit were only seen to end the connection.

Change: a source and a relay with [tls] in processes of their own, and an operator's gRPC client that trusts the authority: the relay gets ready with the version just applied. Headers of 40 KiB are answered 431, a body of 5 MiB 413.

--- a/features/steps/transport_disk_steps.py
+++ b/features/steps/transport_disk_steps.py
@@ -2,98 +2,12 @@
 
 from __future__ import annotations
 
-import base64
-import subprocess
-import sys
 import tempfile
 from pathlib import Path
 
 import grpc
 from behave import given, then, when
-from transport_process_steps import Ended, free_port
-from transport_server import wait_for
-
-from limelever.protocol.config_pb2 import Batch, Resource, Service
-from limelever.protocol.operators_pb2 import (
-    ApplyRequest,
-    ApplyResponse,
-    GetRequest,
-    GetResponse,
-    StatusRequest,
-    StatusResponse,
-)
-
-PATIENCE = 30
-ROLE = Path(__file__).parent / "full_disk_role.py"
-TOKEN = "operator-token-of-the-test"
-RPC_SECONDS = 5.0
-
-
-class SourceProcess:
-    """A source of one replica, with its data in ``folder``."""
-
-    def __init__(self, folder: Path) -> None:
-        self.full = folder / "disk-is-full"
-        self._folder = folder
-        self._settings = folder / "source.toml"
-        self._port = free_port()
-        key = base64.b64encode(bytes(32)).decode()
-        self._settings.write_text(
-            'role = "source"\n'
-            'name = "source-1"\n'
-            'zone = "zone-a"\n'
-            f'listen = "127.0.0.1:{free_port()}"\n'
-            f'operator_listen = "127.0.0.1:{self._port}"\n'
-            "bootstrap = true\n"
-            f'data_folder = "{folder}/data"\n'
-            f'operators = [{{ name = "writer", token = "{TOKEN}" }}]\n'
-            f'secrets = {{ keys = ["{key}"] }}\n'
-            'credentials = { own = "source-credential-of-the-test" }\n'
-        )
-
-    def start(self) -> None:
-        self._log = (self._folder / "source.log").open("w")
-        command = [sys.executable, ROLE, self.full, "source", "--settings", self._settings]
-        self.process = subprocess.Popen([str(word) for word in command], stderr=self._log)
-        assert wait_for(self._leads, PATIENCE), self._lines()
-
-    def wait_ended(self) -> Ended:
-        status = self.process.wait(PATIENCE)
-        self._log.close()
-        return Ended(status, self._lines())
-
-    def end(self) -> None:
-        self.process.kill()
-        self.process.wait()
-        self._log.close()
-
-    def call(self, method, request, response_class):
-        with grpc.insecure_channel(f"127.0.0.1:{self._port}") as channel:
-            rpc = channel.unary_unary(
-                f"/limelever.v1.Operator/{method}",
-                request_serializer=type(request).SerializeToString,
-                response_deserializer=response_class.FromString,
-            )
-            metadata = [("authorization", f"Bearer {TOKEN}")]
-            return rpc(request, timeout=RPC_SECONDS, metadata=metadata)
-
-    def apply(self, name) -> ApplyResponse:
-        batch = Batch(request_id=f"{name}-request@1", put=[Resource(service=Service(name=name))])
-        return self.call("Apply", ApplyRequest(batch=batch), ApplyResponse)
-
-    def services(self) -> tuple[int, list[str]]:
-        """Return the version and the names of all services."""
-        answer = self.call("Get", GetRequest(), GetResponse)
-        return answer.version, [item.resource.service.name for item in answer.resources]
-
-    def _leads(self) -> bool:
-        try:
-            return bool(self.call("Status", StatusRequest(), StatusResponse).leader)
-        except grpc.RpcError:
-            return False
-
-    def _lines(self) -> list[str]:
-        return (self._folder / "source.log").read_text().splitlines()
+from source_process import SourceProcess
 
 
 @given("a source of one replica in a process of its own")
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -117,6 +117,21 @@
     SENDINGS[what](context.caller)
 
 
+@when("a caller asks with headers of {size:d} KiB")
+def when_large_headers(context, size):
+    context.caller = connect(context)
+    long = "x" * (size * 1024)
+    context.caller.send(f"GET /orders HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\n\r\n".encode())
+
+
+@when("a caller asks with a body of {size:d} MiB")
+def when_large_body(context, size):
+    context.caller = connect(context)
+    body = bytes(size * MEBIBYTE)
+    head = f"POST /orders HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}\r\n\r\n"
+    context.caller.send(head.encode() + body)
+
+
 @when("{count:d} callers are each answered and keep their connections")
 def when_callers_keep(context, count):
     context.callers = []
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -13,6 +13,17 @@
       | headers of 1 MiB                  |
       | a broken HTTP/2 frame             |
 
+  Scenario Outline: What is too large is refused with the status that says so
+    Given a callers' listener
+    When a caller asks with <what>
+    Then that caller is answered with <status>
+    And the callers' listener answers another caller
+
+    Examples:
+      | what              | status |
+      | headers of 40 KiB | 431    |
+      | a body of 5 MiB   | 413    |
+
   Scenario: The protocol's breach is a numbered event
     Given a callers' listener
     When a caller's connection sends data on an answered HTTP/2 stream
--- a/features/transport/tls.feature
+++ b/features/transport/tls.feature
@@ -5,6 +5,12 @@
     When an agent dials the TLS link server with a good certificate
     Then that agent's messages reach the link server's core
 
+  Scenario: Processes with TLS settings reach one another
+    Given a source of one replica with TLS in a process of its own
+    When an operator gives that TLS source a service
+    And a relay with TLS dials that source
+    Then that relay is ready with the service's version
+
   Scenario Outline: A wrong certificate is refused with its reason on both sides
     Given a TLS link server
     When an agent dials the TLS link server with <certificate>
