--- a/src/limelever_lab/bench/storm.py
+++ b/src/limelever_lab/bench/storm.py
@@ -11,6 +11,7 @@
     HollowProcess,
     ReconnectMeter,
     relay_addresses,
+    total,
 )
 from limelever_lab.bench.quantiles import Quantiles
 from limelever_lab.bench.results import Ratio
@@ -33,7 +34,9 @@
 
     ``missing`` counts readers without it after ``STORM_LIMIT_SECONDS``. ``reader_bytes`` are
     subscription bytes a reader, both ways, tables included. ``source`` covers the time until
-    the last reader.
+    the last reader, and so do the core seconds: ``reader_processor`` of each hollow proxy with
+    its part of the process, ``publisher_processor`` of the busiest relay or full-push
+    publisher, from its start if it was killed.
     """
 
     what: str
@@ -41,6 +44,8 @@
     back: Quantiles
     missing: int
     reader_bytes: float
+    reader_processor: float
+    publisher_processor: float
     source: SourceUse
 
 
@@ -96,7 +101,8 @@
         for process in processes:
             process.client.attach()
 
-    return _storm(testbed, hollow, what, processes, attach)
+    storm = Storm(what, processes, testbed.fleet.relays, publishers_restart=False)
+    return _measure(testbed, hollow, storm, attach)
 
 
 def _publishers_back(
@@ -115,33 +121,60 @@
                 publisher.remove_data()
             publisher.process.start()
 
-    figures = _storm(testbed, hollow, what, hollow.processes, restart)
+    storm = Storm(what, hollow.processes, publishers, publishers_restart=True)
+    figures = _measure(testbed, hollow, storm, restart)
     for publisher in publishers:
         publisher.wait_ready()
     return figures
 
 
-def _storm(
-    testbed: Testbed,
-    hollow: HollowFleet,
-    what: str,
-    processes: Sequence[HollowProcess],
-    begin: Callable[[], None],
+@dataclass(frozen=True, slots=True)
+class Storm:
+    """Who comes back, and from whom; the clocks of restarted publishers begin at zero."""
+
+    what: str
+    processes: Sequence[HollowProcess]
+    publishers: Sequence[Member]
+    publishers_restart: bool
+
+    @property
+    def readers(self) -> int:
+        """How many readers come back."""
+        return sum(process.nodes for process in self.processes)
+
+    def reader_processor(self) -> float:
+        """Return the core seconds that the readers' processes have used."""
+        return total([process.client.sample() for process in self.processes]).processor
+
+    def publisher_processors(self) -> list[float]:
+        """Return the core seconds that each publisher has used."""
+        return [publisher.process.processor_seconds() for publisher in self.publishers]
+
+
+def _measure(
+    testbed: Testbed, hollow: HollowFleet, storm: Storm, begin: Callable[[], None]
 ) -> StormFigures:
     """Begin a storm, make a change at once, and wait until the change is in force."""
-    readers = ReconnectMeter(processes)
+    reader_processor = storm.reader_processor()
+    spent_before = storm.publisher_processors()
+    if storm.publishers_restart:
+        spent_before = [0.0] * len(spent_before)
+    readers = ReconnectMeter(storm.processes)
     meter = SourceMeter(testbed.fleet)
     begin()
     change = testbed.change_common()
     hollow.wait_times(change.version, STORM_LIMIT_SECONDS)
-    times = [at for process in processes for at in process.client.times(change.version)]
+    times = [at for process in storm.processes for at in process.client.times(change.version)]
     source = meter.stop()
+    spent = zip(storm.publisher_processors(), spent_before, strict=True)
     taken = durations(change.accepted_at, times)
     return StormFigures(
-        what=what,
-        readers=sum(process.nodes for process in processes),
+        what=storm.what,
+        readers=storm.readers,
         back=Quantiles.of(taken),
         missing=len(times) - len(taken),
+        reader_processor=(storm.reader_processor() - reader_processor) / storm.readers,
+        publisher_processor=max(after - before for after, before in spent),
         reader_bytes=readers.stop(),
         source=source,
     )
