Let an endpoint whose lease ended come back to the proxy's view

Cause: news that an endpoint is gone retired its incarnation for ever, like a drain. A relay that hears nothing, while it is heard, ends the leases of agents that are alive and have moved to another relay; so does a lease that ends while its agent is suspended. A proxy that heard such news never used those agents again, until each was restarted.

Change: only a drain retires an incarnation. For a gone endpoint the age of that news is kept, so that news as old does not bring it back and newer news does. The memory is bounded as before. Ruled out: to trust a relay's word on its own agents less; the relay's table orders news by the same age already, only the proxy's view did not.

Conclusion: the proxy's view follows the same order as the relay's table.

--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -22,6 +22,11 @@
   Scenario: Endpoint news in any order gives one view
     Given any order of endpoint news, the newest wins and a drained incarnation stays out
 
+  Scenario: An endpoint whose lease ended comes back with newer news
+    Given an endpoint whose lease ended at a relay that hears nothing
+    Then news as old as its end does not bring it back
+    And its newer registration at another relay brings it back
+
   Scenario: A relay that has just restarted does not empty the view
     Given a view of 3 endpoints
     When a full update names 1 of them
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -2,9 +2,10 @@
 
 Relays tell of endpoints with updates that may be late, doubled or incomplete. The newer
 (incarnation, sequence) wins, an incarnation that once drained never takes work again, and the
-view is kept when no relay answers. An endpoint that a full update no longer names stays usable
-for a grace period, because a relay that just restarted knows only the agents that have come
-back to it so far.
+view is kept when no relay answers. That an endpoint is gone is not for ever: a relay that hears
+nothing ends leases of agents that live on at another relay, whose newer news brings them back.
+An endpoint that a full update no longer names stays usable for a grace period, because a relay
+that just restarted knows only the agents that have come back to it so far.
 """
 
 from __future__ import annotations
@@ -13,21 +14,29 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from limelever.common.sansio import Address
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
-    ENDPOINT_STATE_READY,
     Endpoint,
     EndpointUpdate,
 )
 
+ValueT = TypeVar("ValueT")
+
 UNLISTED_GRACE = 10.0
 """Seconds for which an endpoint missing from a full update is still used."""
 
 RETIRED_LIMIT = 4096
-"""Retired incarnations remembered, so that late news cannot revive them; the oldest go first."""
+"""Retired incarnations remembered, so that late news cannot revive them; the oldest go first.
+
+As many endpoints that are gone are remembered, with the age of that news.
+"""
+
+NEVER = (-1, -1)
+"""An age older than all news."""
 
 ALWAYS_WARM = -math.inf
 """``cold_since`` of an endpoint that was there before this proxy knew its table."""
@@ -77,6 +86,7 @@
     def __init__(self) -> None:
         self._services: dict[str, dict[str, EndpointEntry]] = {}
         self._retired: OrderedDict[EndpointKey, int] = OrderedDict()
+        self._gone: OrderedDict[EndpointKey, tuple[int, int]] = OrderedDict()
         self._usable: dict[str, _Usable] = {}
         self._seeded = False
 
@@ -103,10 +113,7 @@
         """Take no more work to this incarnation; return whether that is news."""
         if self._retired.get(key, -1) >= incarnation:
             return False
-        self._retired[key] = incarnation
-        self._retired.move_to_end(key)
-        while len(self._retired) > RETIRED_LIMIT:
-            self._retired.popitem(last=False)
+        _remember(self._retired, key, incarnation)
         entry = self._services.get(key.service, {}).get(key.instance)
         if entry is not None and entry.incarnation <= incarnation:
             self._store(replace(entry, draining=True))
@@ -130,11 +137,15 @@
         age = (endpoint.incarnation, endpoint.sequence)
         if held is not None and age < (held.incarnation, held.sequence):
             return
-        if endpoint.state != ENDPOINT_STATE_READY:
+        if endpoint.state == ENDPOINT_STATE_DRAINING:
             self.retire(key, endpoint.incarnation)
+        gone_at = self._gone.get(key, NEVER)
         if endpoint.state == ENDPOINT_STATE_GONE:
+            _remember(self._gone, key, max(gone_at, age))
             self._remove(key)
             return
+        if age <= gone_at:
+            return
         self._store(self._entry(endpoint, key, held, now))
 
     def _entry(
@@ -180,6 +191,14 @@
         self._usable.pop(key.service, None)
 
 
+def _remember(memory: OrderedDict[EndpointKey, ValueT], key: EndpointKey, value: ValueT) -> None:
+    """Note a value for ``key`` and drop the oldest past the limit."""
+    memory[key] = value
+    memory.move_to_end(key)
+    while len(memory) > RETIRED_LIMIT:
+        memory.popitem(last=False)
+
+
 def _grace_end(entry: EndpointEntry) -> float:
     if entry.unlisted_since is None:
         return math.inf
