Keep the bound of HTTP connections exact while one makes room

Cause: the place of the connection that makes room was free while it was being closed, so that another new one could take it as well, one over the limit. Found by reading; the scenarios never showed it. Change: the new connection takes the place before the old one is closed.

--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -110,27 +110,27 @@
 
     async def run(self, stream: Stream) -> None:
         """Serve one connection to its end."""
-        if len(self._open) >= self._options.connection_limit and not await self._make_room():
-            self._report_limit(stream)
-            await trio.aclose_forcefully(stream)
-            return
+        replaced = None
+        if len(self._open) >= self._options.connection_limit:
+            replaced = self._longest_idle()
+            self._report_limit(stream if replaced is None else replaced.stream)
+            if replaced is None:
+                await trio.aclose_forcefully(stream)
+                return
+            self._open.discard(replaced)
         connection = HttpConnection(self._application, self._config, self.context, stream)
         self._open.add(connection)
         try:
+            if replaced is not None:
+                await trio.aclose_forcefully(replaced.stream)
             await self._serve(connection)
         finally:
             self._open.discard(connection)
 
-    async def _make_room(self) -> bool:
-        """Close the connection that is idle longest; return whether there was one."""
+    def _longest_idle(self) -> HttpConnection | None:
+        """Return the connection that is idle longest, if any is."""
         idle = [(c.idle_since, c) for c in self._open if c.idle_since is not None]
-        if not idle:
-            return False
-        _, longest = min(idle, key=lambda pair: pair[0])
-        self._open.discard(longest)
-        self._report_limit(longest.stream)
-        await trio.aclose_forcefully(longest.stream)
-        return True
+        return min(idle, key=lambda pair: pair[0])[1] if idle else None
 
     def _report_limit(self, stream: Stream) -> None:
         fields: dict[str, object] = {
