Take the publication out of the source's core

The simulator counted subscribers through a private field; it uses a property now (world.py, one line).

--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
 
 from google.protobuf.message import Message
@@ -10,30 +10,25 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import (
     ConnectionClosed,
-    ConnectionId,
-    ConnectionOpened,
     DeadlineReached,
     Event,
     MessageReceived,
     Output,
-    Purpose,
     Recovered,
     SendMessage,
-    StopProcess,
 )
-from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.distribution_pb2 import RolloutReport
 from limelever.protocol.replication_pb2 import LogEntry, SourceSnapshot
 from limelever.publisher.core import PublisherCore
-from limelever.publisher.notices import FreshnessNeeded
 from limelever.publisher.settings import PublisherSettings
 from limelever.source.at_rest import SecretSealer
 from limelever.source.messages import OperatorAnswer, OperatorRequest, StopRequested
 from limelever.source.operator_requests import OperatorRequests
+from limelever.source.publication import Publication
 from limelever.source.replication.persistence import RecoveredReplica, recover_replica
 from limelever.source.replication.replica import Replica
 from limelever.source.replication.settings import ReplicationSettings
-from limelever.source.state import AppliedBatch, StateMachine
+from limelever.source.state import StateMachine
 
 
 class SourceCore:
@@ -48,21 +43,17 @@
         sealer: SecretSealer,
     ) -> None:
         self._settings = settings
-        self._sealer = sealer
         self._state = StateMachine()
         self._publisher = PublisherCore(publisher_settings)
+        self._publication = Publication(self, self._publisher, self._state, sealer)
         self._replica = Replica(settings, recovered, random, self)
         self._operators = OperatorRequests(
             self, settings, self._replica, self._state, self._publisher
         )
         self._report_interval = publisher_settings.report_interval
         self._periodic_due = 0.0
-        self._subscribers: set[ConnectionId] = set()
         self._reads: dict[int, Callable[[bool], None]] = {}
         self._last_read = 0
-        self._loaded = False
-        self._load_under_way = False
-        self._stopping = False
         self._now = 0.0
         self._outputs: list[Output] = []
 
@@ -95,6 +86,16 @@
         """Return the state machine, for its state."""
         return self._state
 
+    @property
+    def subscriber_count(self) -> int:
+        """Return how many subscribers' links are open."""
+        return self._publication.subscriber_count
+
+    @property
+    def now(self) -> float:
+        """Return the time of the current event (seconds, monotonic)."""
+        return self._now
+
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take one event at time ``now`` (seconds, monotonic) and return what is to be done."""
         self._now = now
@@ -102,15 +103,9 @@
             case OperatorRequest():
                 self._operators.take(event, now)
             case StopRequested():
-                self._stop()
-            case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
-                self._subscribers.add(connection)
-                self._publish(self._publisher.handle(event, now))
-            case ConnectionClosed(connection) if connection in self._subscribers:
-                self._subscribers.discard(connection)
-                self._publish(self._publisher.handle(event, now))
-            case MessageReceived(connection) if connection in self._subscribers:
-                self._publish(self._publisher.handle(event, now))
+                self._publication.stop()
+            case _ if self._publication.concerns(event):
+                self._publication.handle(event)
             case MessageReceived(connection, RolloutReport() as report):
                 self._operators.reports.take(connection, report)
             case _:
@@ -119,12 +114,6 @@
         outputs, self._outputs = self._outputs, []
         return outputs
 
-    def _stop(self) -> None:
-        """Send the subscribers elsewhere, once."""
-        if not self._stopping:
-            self._stopping = True
-            self._publish(self._publisher.shut_down(self._now))
-
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted."""
         times = (
@@ -139,7 +128,7 @@
             self._operators.reports.forget(event.connection)
         self._outputs.extend(self._replica.handle(event, self._now))
         if isinstance(event, DeadlineReached):
-            self._publish(self._publisher.handle(event, self._now))
+            self._publication.handle(event)
             self._do_periodic()
 
     # --- what replication asks of its application ---------------------------------------------
@@ -150,8 +139,8 @@
             self._operators.applied(entry, None)
             return
         outcome = self._state.apply(entry.index, entry.batch, entry.rules)
-        if outcome.applied is not None and self._loaded:
-            self._advance(outcome.applied)
+        if outcome.applied is not None:
+            self._publication.advance(outcome.applied)
         self._operators.applied(entry, outcome.answer)
 
     def snapshot(self) -> SourceSnapshot:
@@ -161,8 +150,7 @@
     def restore(self, snapshot: SourceSnapshot) -> None:
         """Replace the state by a snapshot's."""
         self._state.restore(snapshot)
-        if self._loaded:
-            self._load()
+        self._publication.restored()
 
     def leadership_lost(self) -> None:
         """Answer open writes that their fate is unknown."""
@@ -172,79 +160,32 @@
         """Finish a read."""
         self._reads.pop(token)(proved)
 
-    # --- what operators' requests ask of their host -------------------------------------------
+    # --- what operators' requests and the publication ask of their host -----------------------
 
     def answer(self, token: int, answer: Message | Failure) -> None:
         """Give an operator the answer."""
         self._outputs.append(OperatorAnswer(token, answer))
 
+    def emit(self, output: Output) -> None:
+        """Have an output carried out."""
+        self._outputs.append(output)
+
     def prove_read(self, done: Callable[[bool], None], now: float) -> None:
         """Call ``done`` once all committed before ``now`` is applied, or the proof has failed."""
         self._last_read += 1
         self._reads[self._last_read] = done
         self._replica.read(self._last_read, now)
 
-    # --- publisher ----------------------------------------------------------------------------
-
-    def _publish(self, outputs: Iterable[Output]) -> None:
-        for output in outputs:
-            if isinstance(output, FreshnessNeeded):
-                self._prove_fresh(output.began)
-            else:
-                self._outputs.append(output)
-
-    def _prove_fresh(self, began: float) -> None:
-        def proved(is_proved: bool) -> None:
-            if is_proved:
-                self._publish(self._publisher.proved_fresh(began, self._now))
-
-        self.prove_read(proved, self._now)
-
-    def _advance(self, applied: AppliedBatch) -> None:
-        put = self._opened(applied.put)
-        if put is not None:
-            removed = applied.removed
-            self._publish(self._publisher.advance(applied.version, put, removed, self._now))
-
-    def _load(self) -> None:
-        resources = self._opened(self._state.resources())
-        if resources is not None:
-            self._loaded = True
-            self._publish(self._publisher.load(self._state.version, resources, self._now))
-
-    def _opened(self, sealed: Iterable[VersionedResource]) -> list[VersionedResource] | None:
-        """Return the resources with secrets opened; stop the process where one doesn't open."""
-        opened: list[VersionedResource] = []
-        for item in sealed:
-            resource = self._sealer.open_versioned(item)
-            if isinstance(resource, Failure):
-                self._outputs.append(StopProcess(resource))
-                return None
-            opened.append(resource)
-        return opened
-
     def _do_periodic(self) -> None:
         """Report rollout counts to the leader, and load the publisher until it is loaded."""
         if self._now < self._periodic_due:
             return
-        if not self._loaded:
+        if not self._publication.loaded:
             self._periodic_due = self._now + self._settings.heartbeat_interval
-            self._begin_load()
+            self._publication.begin_load()
             return
         self._periodic_due = self._now + self._report_interval
         connection = self._replica.connection_to_leader()
         if connection is not None:
             report = self._publisher.rollout_report()
             self._outputs.append(SendMessage(connection, report))
-
-    def _begin_load(self) -> None:
-        """Ask to be proved current, unless that is under way: each proof costs all a round."""
-        if not self._load_under_way:
-            self._load_under_way = True
-            self.prove_read(self._load_when_proved, self._now)
-
-    def _load_when_proved(self, proved: bool) -> None:
-        """Load once current: a replica that replays its log must not publish old versions."""
-        self._load_under_way = False
-        if proved and not self._loaded:
-            self._load()
--- a/src/limelever_lab/simulator/world.py
+++ b/src/limelever_lab/simulator/world.py
@@ -159,7 +159,7 @@
     def serving(self) -> str | None:
         """Return the name of the running source process with the most subscribers."""
         counts = {
-            name: len(core._subscribers)
+            name: core.subscriber_count
             for name in self.plan.population.sources
             if isinstance(core := self.processes[name].nodes[0].core, SourceCore)
         }
