Ask another relay for everything after a cut longer than the grace

Cause: found by the feature of an hour's cut. What a lost relay had told ends after relay_grace; on return only its changes were asked for, so an endpoint that had not changed meanwhile was gone to the other region for ever, while its agent went on renewing. Change: once the grace has passed since the loss, the relay asks for the whole list.

--- a/src/limelever/relay/endpoint_table.py
+++ b/src/limelever/relay/endpoint_table.py
@@ -72,6 +72,11 @@
         """Return the endpoints leased here that are not gone, sorted by name."""
         return self._living(self._by_origin.get(OWN, ()))
 
+    @property
+    def relay_grace(self) -> float:
+        """How long a lost relay's endpoints are kept, in seconds."""
+        return self._settings.relay_grace
+
     def own_since(self, change: int) -> list[Endpoint] | None:
         """Return own endpoints changed after ``change``, or ``None`` when some are forgotten."""
         if change < self._forgotten_changes:
--- a/src/limelever/relay/peer_relay.py
+++ b/src/limelever/relay/peer_relay.py
@@ -59,6 +59,7 @@
         self._incarnation = 0
         self._sequence = 0
         self._resuming = False
+        self._lost_at: float | None = None
         self._unlisted: set[EndpointName] = set()
         self.changed: list[EndpointName] = []
 
@@ -87,6 +88,7 @@
             case ConnectionOpened(connection, _):
                 self._silent_at = now + self._silent_after
                 self._resuming = True
+                self._forget_what_expired(now)
                 return [self._request(connection)]
             case ConnectionFailed(_, failure):
                 return self._lost(failure.reason, now)
@@ -130,6 +132,7 @@
 
     def _apply(self, message: EndpointSync, now: float) -> None:
         self._relay = message.relay
+        self._lost_at = None
         self._incarnation = message.relay_incarnation
         listed = {EndpointName.of(endpoint) for endpoint in message.endpoints}
         self._unlisted -= listed
@@ -144,6 +147,11 @@
                 self._table.confirm_origin(self._relay, self._unlisted)
         self._resuming = False
 
+    def _forget_what_expired(self, now: float) -> None:
+        """Ask for everything after the grace: what had ended here may live on unchanged there."""
+        if self._lost_at is not None and now >= self._lost_at + self._table.relay_grace:
+            self._incarnation = self._sequence = 0
+
     def _request(self, connection: ConnectionId) -> SendMessage:
         request = EndpointSyncRequest(
             relay_incarnation=self._incarnation, have_sequence=self._sequence
@@ -157,6 +165,8 @@
         self._dial_at = now + self._backoff.next_delay()
         if not was_open:
             return []
+        if self._lost_at is None:
+            self._lost_at = now
         if self._relay:
             self._table.doubt_origin(self._relay, (), now)
         fields: dict[str, object] = {"peer": self._relay or str(self._address), "reason": reason}
