Seek a current publisher beside the link to a stale one

Cause: a stale publisher was left before another was found. In an outage of the source or a cut of regions every reader then hopped from relay to relay, among them ones it could not reach, and had no endpoints meanwhile. Change: the way back to the preferred publisher becomes PublisherSearch with two goals: the preferred one, or any that is current. The link in use is kept until a candidate has proved current and not behind. Ruled out: to keep a stale link and seek nothing, as a relay may be cut off alone.

--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -1,8 +1,9 @@
 """A small network of sans-io cores under virtual time, for the features of distribution."""
 
+import heapq
 import itertools
 import random
-from collections import Counter, deque
+from collections import Counter
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.framing import encode_frame
@@ -39,6 +40,7 @@
 from limelever.subscriber.settings import SubscriberSettings
 
 DELAY = 0.001
+DIAL_TIMEOUT = 3.0
 
 
 def resource(text, **fields):
@@ -150,7 +152,8 @@
         self.now = 0.0
         self.nodes = {}
         self.ports = {}
-        self.queue = deque()
+        self.queue = []
+        self.numbers = itertools.count()
         self.cuts = set()
         self.dark = set()
         self.bytes = {}
@@ -169,6 +172,9 @@
     def address(self, name):
         return Address("127.0.0.1", self.ports.setdefault(name, len(self.ports) + 1))
 
+    def later(self, delay, action, *arguments):
+        heapq.heappush(self.queue, (self.now + delay, next(self.numbers), action, arguments))
+
     def tell(self, name, event):
         node = self.nodes[name]
         self.carry_out(name, node.core.handle(event, self.now))
@@ -178,7 +184,7 @@
         for output in outputs:
             match output:
                 case OpenConnection():
-                    self.queue.append((self.now + DELAY, self._dial, (node, output)))
+                    self.later(DELAY, self._dial, node, output)
                 case SendMessage(connection, message):
                     self._send(node, connection, message)
                 case CloseConnection(connection, reason):
@@ -223,7 +229,7 @@
 
     def _step(self):
         if self.queue and self.queue[0][0] <= self.now:
-            _, action, arguments = self.queue.popleft()
+            _, _, action, arguments = heapq.heappop(self.queue)
             action(*arguments)
             return
         for name, node in tuple(self.nodes.items()):
@@ -235,9 +241,11 @@
         if self.nodes.get(node.name) is not node or output.connection in node.cancelled:
             return
         target = next((n for n, port in self.ports.items() if port == output.address.port), None)
-        if target not in self.nodes or target in self.dark or self._cut(node.name, target):
-            failure = Failure(ErrorKind.CONNECTION_FAILED, "refused")
-            self.tell(node.name, ConnectionFailed(output.connection, failure))
+        if target in self.nodes and self._cut(node.name, target):
+            self.later(DIAL_TIMEOUT, self._fail_dial, node, output.connection, "timed out")
+            return
+        if target not in self.nodes or target in self.dark:
+            self._fail_dial(node, output.connection, "refused")
             return
         other = self.nodes[target]
         accepted = next(other.accepted)
@@ -247,6 +255,11 @@
         self.tell(target, ConnectionOpened(accepted, self._peer(node, output.purpose)))
         self.tell(node.name, ConnectionOpened(output.connection, self._peer(other, output.purpose)))
 
+    def _fail_dial(self, node, connection, reason):
+        if self.nodes.get(node.name) is node and connection not in node.cancelled:
+            failure = Failure(ErrorKind.CONNECTION_FAILED, reason)
+            self.tell(node.name, ConnectionFailed(connection, failure))
+
     def _peer(self, node, purpose):
         return Peer(node.role, node.name, node.zone, purpose)
 
@@ -258,7 +271,7 @@
             return
         self.bytes[node.name] = self.bytes.get(node.name, 0) + len(encode_frame(message))
         copy = type(message).FromString(message.SerializeToString())
-        self.queue.append((self.now + DELAY, self._deliver, (other, accepted, copy)))
+        self.later(DELAY, self._deliver, other, accepted, copy)
 
     def _deliver(self, node, connection, message):
         if connection in node.links and self.nodes.get(node.name) is node:
@@ -272,8 +285,8 @@
         if other is None:
             node.cancelled.add(connection)
             return
-        self.queue.append((self.now + DELAY, self._closed, (other, accepted, reason)))
-        self.queue.append((self.now + DELAY, self._told_closed, (node, connection, reason)))
+        self.later(DELAY, self._closed, other, accepted, reason)
+        self.later(DELAY, self._told_closed, node, connection, reason)
 
     def _closed(self, node, connection, reason):
         if node.links.pop(connection, None) is not None:
@@ -288,7 +301,7 @@
             node.stalled_writes.append(output)
             return
         node.files[output.name] = output.content
-        self.queue.append((self.now + DELAY, self._synced, (node, output.token)))
+        self.later(DELAY, self._synced, node, output.token)
 
     def _synced(self, node, token):
         if self.nodes.get(node.name) is node:
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,13 +1,13 @@
 """Steps for the relay: whole relay cores in a small network under virtual time."""
 
-import itertools
 import json
 
 from behave import given, then, when
-from distribution_harness import DeadCore, Mesh, build, endpoint_updates, resource
+from distribution_harness import Mesh, build, endpoint_updates, resource
 from hypothesis import given as examples
 from hypothesis import settings
 from hypothesis import strategies as st
+from registered_agent import RENEWAL_INTERVAL, STATES, Agent
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import OpenConnection, Purpose, Role, SendMessage
@@ -18,7 +18,6 @@
     ENDPOINT_STATE_READY,
     Endpoint,
     LeaseLost,
-    LeaseRenew,
     Register,
 )
 from limelever.relay.endpoint_entry import OWN, EndpointName
@@ -30,60 +29,9 @@
 from limelever.subscriber.events import PUBLISHER_LEFT
 from limelever.subscriber.settings import SubscriberSettings
 
-STATES = {
-    "ready": ENDPOINT_STATE_READY,
-    "draining": ENDPOINT_STATE_DRAINING,
-    "gone": ENDPOINT_STATE_GONE,
-}
 ZONES = {"relay-1": "zone-a", "relay-2": "zone-b"}
 SECRET = b"a value that must not stand on a disk"
 KEY, OTHER_KEY = b"k" * 32, b"o" * 32
-RENEWAL_INTERVAL = 2.0
-
-
-class Agent:
-    """An agent whose messages the steps send."""
-
-    def __init__(self, mesh, name, incarnation):
-        self.mesh, self.name, self.incarnation = mesh, name, incarnation
-        self.sequence = 0
-        self.connections = itertools.count(2, 2)
-        self.connection = 0
-        mesh.network.add(name, DeadCore(), Role.AGENT)
-
-    def register(self, relay, incarnation):
-        network = self.mesh.network
-        self.incarnation, self.connection = incarnation, next(self.connections)
-        address = network.address(relay)
-        dial = OpenConnection(self.connection, address, Purpose.REGISTRATION)
-        network.carry_out(self.name, [dial])
-        network.run(0.01)
-        self.sequence += 1
-        endpoint = Endpoint(
-            service="orders",
-            instance=self.name,
-            zone=ZONES[relay],
-            incarnation=incarnation,
-            sequence=self.sequence,
-            host="127.0.0.1",
-            port=1,
-            slots=6,
-            state=ENDPOINT_STATE_READY,
-        )
-        self._send(Register(endpoint=endpoint))
-
-    def renew(self, state, in_flight=0):
-        self.sequence += 1
-        renewal = LeaseRenew(
-            incarnation=self.incarnation,
-            sequence=self.sequence,
-            state=STATES[state],
-            in_flight=in_flight,
-        )
-        self._send(renewal)
-
-    def _send(self, message):
-        self.mesh.network.carry_out(self.name, [SendMessage(self.connection, message)])
 
 
 def start_proxy(context, name, *relays, zone=None):
@@ -165,7 +113,7 @@
 @when('the agent "{name}" registers at "{relay}" with incarnation {incarnation:d}')
 @when('the agent "{name}" registers again at "{relay}" with incarnation {incarnation:d}')
 def step_register(context, name, relay, incarnation):
-    agent(context, name).register(relay, incarnation)
+    agent(context, name).register(relay, ZONES[relay], incarnation)
 
 
 # --- what happens --------------------------------------------------------------------------
@@ -198,7 +146,7 @@
 @when('the agent "{name}" registers at the next relay "{relay}"')
 def step_move(context, name, relay):
     moved = agent(context, name)
-    moved.register(relay, moved.incarnation)
+    moved.register(relay, ZONES[relay], moved.incarnation)
 
 
 @when('{count:d} agents register at "{relay}" at once')
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -100,8 +100,8 @@
                 | ConnectionFailed(connection)
                 | ConnectionClosed(connection)
                 | MessageReceived(connection)
-            ) if self._link.home_return.owns(connection):
-                return self._on_return(connection, event, now)
+            ) if self._link.search.owns(connection):
+                return self._on_candidate(connection, event, now)
             case Started():
                 self._link.start(now)
                 return [
@@ -160,16 +160,16 @@
         )
         return self._link.subscribe(message)
 
-    def _on_return(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
-        """Take an event of the link to the preferred publisher, which is not yet followed."""
+    def _on_candidate(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
+        """Take an event of the link to a candidate, which is not yet followed."""
         if isinstance(event, ConnectionOpened):
-            return self._link.home_return.opened(connection, now)
+            return self._link.search.opened(connection, now)
         if isinstance(event, MessageReceived):
             held_version = self._holder.latest.version
-            if self._link.home_return.is_current(event.message, held_version, now):
+            if self._link.search.is_better(event.message, held_version, now):
                 self._holder.forget_unaccepted()
                 return [*self._link.change_over(now), *self._subscribe()]
-        return self._link.home_return.failed(now)
+        return self._link.search.failed(now)
 
     def _on_message(self, message: Message, now: float) -> list[Output]:
         if not self._exchange.knows(message):
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -108,9 +108,9 @@
 
     def _on_freshness_answer(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, FreshnessAnswer)
-        self._link.answered(message, now)
+        outputs = self._link.answered(message, now)
         self._link.compare(message.version, self._holder.latest.version, now)
-        return self._settle(now)
+        return [*outputs, *self._settle(now)]
 
     def _on_retry_later(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, RetryLater)
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -21,17 +21,16 @@
 )
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, Subscribe
 from limelever.subscriber import events
-from limelever.subscriber.home_return import HomeReturn
 from limelever.subscriber.probes import Probes
 from limelever.subscriber.publisher_choice import PublisherChoice
+from limelever.subscriber.search import Goal, PublisherSearch
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.subscriber.timers import Timers, reached
 
-STALE = "publisher is stale"
 SILENT = "publisher does not answer"
 BEHIND = "publisher names newer versions and sends none"
 STOPPING = "planned stop"
-PREFERRED_IS_BACK = "the preferred publisher is back"
+BETTER_FOUND = "a better publisher was found"
 
 
 class PublisherLink:
@@ -48,7 +47,7 @@
         self._choice = PublisherChoice(
             settings.publishers, settings.backoff, generator, spread=settings.everything
         )
-        self.home_return = HomeReturn(settings, self._choice.preferred, connections, generator)
+        self.search = PublisherSearch(settings, self._choice, connections, generator)
         self._timers = Timers()
         self._connection: ConnectionId | None = None
         self._opened_at: float | None = None
@@ -69,7 +68,7 @@
 
     def owns(self, connection: ConnectionId) -> bool:
         """Return whether ``connection`` is the current link or the one that may replace it."""
-        return connection == self._connection or self.home_return.owns(connection)
+        return connection == self._connection or self.search.owns(connection)
 
     def start(self, now: float) -> None:
         """Dial at the next deadline."""
@@ -109,17 +108,15 @@
         self._timers.probe = now + self._settings.probe_interval
         return self.send(self.probes.send(now, to_source))
 
-    def answered(self, answer: FreshnessAnswer, now: float) -> None:
-        """Take the answer to a probe; a publisher that is not stale is kept."""
+    def answered(self, answer: FreshnessAnswer, now: float) -> list[Output]:
+        """Take the answer to a probe; in place of a stale publisher another is sought."""
         self.probes.answered(answer)
         proved_at = self.probes.publisher_fresh_at
-        if proved_at is None:
-            return
-        if now - proved_at < self._settings.stale_after:
-            self._timers.leave = None
-            self._kept(now)
-        if self._timers.leave is None:
-            self._timers.stale = proved_at + self._settings.stale_after
+        if proved_at is None or now - proved_at >= self._settings.stale_after:
+            return []
+        self._timers.stale = proved_at + self._settings.stale_after
+        self._choice.succeeded()
+        return self.search.followed_is_current(now)
 
     def compare(self, publisher_version: int, held_version: int, now: float) -> None:
         """Watch that the publisher sends what it says it has.
@@ -142,10 +139,10 @@
         return outputs
 
     def change_over(self, now: float) -> list[Output]:
-        """Change over to the preferred publisher, whose link is up."""
-        connection = self.home_return.take()
-        outputs = [self._left(PREFERRED_IS_BACK), *self._close_all(PREFERRED_IS_BACK)]
-        self._choice.return_to_preferred()
+        """Follow the candidate that has proved current, by the link on which it did."""
+        candidate, connection = self.search.candidate, self.search.take()
+        outputs = [self._left(BETTER_FOUND), *self._close_all(BETTER_FOUND)]
+        self._choice.change_over(candidate)
         self._connection = connection
         self.opened(now)
         return outputs
@@ -161,21 +158,19 @@
         if reached(self._timers.probe, now):
             outputs.extend(self.probe(now, to_source))
         if reached(self._timers.stale, now):
-            outputs.append(self._plan_to_leave(now))
+            outputs.extend(self._stale(now))
         if reached(self._timers.answer, now):
             outputs.extend(self.leave(SILENT, now))
         elif reached(self._timers.behind, now):
             outputs.extend(self.leave(BEHIND, now))
-        elif reached(self._timers.leave, now):
-            outputs.extend(self.leave(STALE, now))
         if reached(self._timers.dial, now):
             outputs.append(self._dial())
-        outputs.extend(self.home_return.on_deadline(now))
+        outputs.extend(self.search.on_deadline(now))
         return outputs
 
     def next_deadline(self) -> float | None:
         """Return the earliest time at which something is due, or ``None``."""
-        times = (self._timers.next_deadline(), self.home_return.next_deadline())
+        times = (self._timers.next_deadline(), self.search.next_deadline())
         return min((at for at in times if at is not None), default=None)
 
     def _dial(self) -> OpenConnection:
@@ -183,27 +178,21 @@
         self._connection = self._connections.draw()
         return OpenConnection(self._connection, self._choice.current, Purpose.SUBSCRIPTION)
 
-    def _kept(self, now: float) -> None:
-        """Note that the publisher is current; a way back to the preferred one is sought."""
-        self._choice.succeeded()
-        if self._choice.away:
-            self.home_return.plan(now)
-        else:
-            self.home_return.arrived()
-
     def _left(self, reason: str) -> LogEvent:
         fields: dict[str, object] = {"publisher": str(self._choice.current), "reason": reason}
         return LogEvent(events.PUBLISHER_LEFT, fields)
 
     def _close_all(self, reason: str) -> list[Output]:
-        links = (self._connection, self.home_return.take())
+        connection = self._connection
         self._forget()
-        return [CloseConnection(link, reason) for link in links if link is not None]
+        closed = self.search.end()
+        if connection is not None:
+            closed.append(CloseConnection(connection, reason))
+        return closed
 
-    def _plan_to_leave(self, now: float) -> LogEvent:
-        """Plan to leave; what a stale publisher sends is still taken until then."""
+    def _stale(self, now: float) -> list[Output]:
+        """Seek a publisher that is current; what the stale one sends is taken until then."""
         self._timers.stale = None
-        self._timers.leave = now + self._choice.delay()
         proved_at = self.probes.publisher_fresh_at
         reference = proved_at if proved_at is not None else self._opened_at
         age = now - reference if reference is not None else 0.0
@@ -211,7 +200,8 @@
             "publisher": str(self._choice.current),
             "age_seconds": round(age, 3),
         }
-        return LogEvent(events.PUBLISHER_STALE, fields)
+        stale = LogEvent(events.PUBLISHER_STALE, fields)
+        return [stale, *self.search.begin(Goal.CURRENT, now)]
 
     def _forget(self) -> None:
         self._connection = None
--- a/src/limelever/subscriber/publisher_choice.py
+++ b/src/limelever/subscriber/publisher_choice.py
@@ -23,43 +23,43 @@
         spread: bool,
     ) -> None:
         self._publishers = publishers
-        self._preferred = generator.randrange(len(publishers)) if spread else 0
-        self._index = self._preferred
-        self._left_for_preferred: int | None = None
+        self.preferred = generator.randrange(len(publishers)) if spread else 0
+        self.index = self.preferred
+        self._former: int | None = None
         self._backoff = Backoff(backoff, generator)
 
     @property
     def current(self) -> Address:
-        """The publisher to dial."""
-        return self._publishers[self._index]
-
-    @property
-    def preferred(self) -> Address:
-        """The publisher to follow whenever it is there."""
-        return self._publishers[self._preferred]
+        """The publisher that is followed or to be dialled."""
+        return self.address(self.index)
 
     @property
     def away(self) -> bool:
         """Whether another than the preferred publisher is followed."""
-        return self._index != self._preferred
+        return self.index != self.preferred
 
     @property
     def on_trial(self) -> bool:
-        """Whether the preferred publisher was returned to and has not yet proved of use."""
-        return self._left_for_preferred is not None
+        """Whether the publisher was changed over to and has not yet proved of use."""
+        return self._former is not None
+
+    def address(self, index: int) -> Address:
+        """Return the address of a publisher by its place in the list."""
+        return self._publishers[index]
+
+    def after(self, index: int) -> int:
+        """Return the place after ``index``; the first follows on the last."""
+        return (index + 1) % len(self._publishers)
 
-    def return_to_preferred(self) -> None:
-        """Follow the preferred publisher again; until it proves of use the way back is kept."""
-        self._left_for_preferred = self._index
-        self._index = self._preferred
+    def change_over(self, index: int) -> None:
+        """Follow another publisher; until it proves of use the way back is kept."""
+        self._former = self.index
+        self.index = index
 
     def move_on(self) -> None:
-        """Go on to the next publisher, or back to the one left for the preferred."""
-        if self._left_for_preferred is not None:
-            self._index = self._left_for_preferred
-            self._left_for_preferred = None
-        else:
-            self._index = (self._index + 1) % len(self._publishers)
+        """Go on to the next publisher, or back to the one left for this one."""
+        self.index = self.after(self.index) if self._former is None else self._former
+        self._former = None
 
     def delay(self, retry_after: float = 0.0) -> float:
         """Return how long to wait before the next attempt, in seconds."""
@@ -67,5 +67,5 @@
 
     def succeeded(self) -> None:
         """Note that the current publisher is of use."""
-        self._left_for_preferred = None
+        self._former = None
         self._backoff.reset()
--- /dev/null
+++ b/src/limelever/subscriber/search.py
@@ -0,0 +1,153 @@
+"""The search for a better publisher, beside the link in use."""
+
+from __future__ import annotations
+
+import random
+from enum import Enum, auto
+
+from google.protobuf.message import Message
+
+from limelever.common.backoff import Backoff, BackoffSettings
+from limelever.common.sansio import (
+    CloseConnection,
+    ConnectionId,
+    DialledConnections,
+    OpenConnection,
+    Output,
+    Purpose,
+    SendMessage,
+)
+from limelever.protocol.distribution_pb2 import FreshnessAnswer
+from limelever.subscriber.probes import Probes
+from limelever.subscriber.publisher_choice import PublisherChoice
+from limelever.subscriber.settings import SubscriberSettings
+from limelever.subscriber.timers import reached
+
+NO_BETTER = "no better publisher"
+
+
+class Goal(Enum):
+    """What is sought: the preferred publisher, or any that is current in place of a stale one."""
+
+    PREFERRED = auto()
+    CURRENT = auto()
+
+
+class PublisherSearch:
+    """Dials one candidate at a time and asks it how current it is.
+
+    The link in use is kept until a candidate has proved that it is neither stale nor behind:
+    in an outage of the source a reader goes on with what its publisher has, endpoints
+    included. Full jitter spreads a herd with one aim over the whole bound, which doubles with
+    every attempt. Times are seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        settings: SubscriberSettings,
+        choice: PublisherChoice,
+        connections: DialledConnections,
+        generator: random.Random,
+    ) -> None:
+        slowest = settings.return_backoff.maximum
+        urgent = BackoffSettings(base=settings.backoff.base, maximum=slowest)
+        self._backoffs = {
+            Goal.PREFERRED: Backoff(settings.return_backoff, generator),
+            Goal.CURRENT: Backoff(urgent, generator),
+        }
+        self._choice = choice
+        self._connections = connections
+        self._oldest = settings.stale_after / 2
+        self._answer_timeout = settings.answer_timeout
+        self._probes = Probes()
+        self._goal: Goal | None = None
+        self._dial_at: float | None = None
+        self._answer_by: float | None = None
+        self._connection: ConnectionId | None = None
+        self.candidate = 0
+
+    def owns(self, connection: ConnectionId) -> bool:
+        """Return whether ``connection`` was dialled to a candidate."""
+        return connection == self._connection
+
+    def begin(self, goal: Goal, now: float) -> list[Output]:
+        """Seek ``goal``, unless that is under way; another goal is given up for it."""
+        if goal is self._goal:
+            return []
+        outputs = self.end()
+        self._goal = goal
+        self.candidate = self._choice.index
+        self._plan(now)
+        return outputs
+
+    def end(self) -> list[Output]:
+        """Seek nothing any more."""
+        self._goal = None
+        return self._drop()
+
+    def followed_is_current(self, now: float) -> list[Output]:
+        """Note that the publisher followed is current; only the preferred one is better."""
+        self._backoffs[Goal.CURRENT].reset()
+        if self._choice.away:
+            return self.begin(Goal.PREFERRED, now)
+        self._backoffs[Goal.PREFERRED].reset()
+        return self.end()
+
+    def next_deadline(self) -> float | None:
+        """Return when something is due, or ``None``."""
+        times = (self._dial_at, self._answer_by)
+        return min((at for at in times if at is not None), default=None)
+
+    def on_deadline(self, now: float) -> list[Output]:
+        """Dial the next candidate, or give up on an answer, when it is time."""
+        if reached(self._answer_by, now):
+            return self.failed(now)
+        if not reached(self._dial_at, now):
+            return []
+        self._dial_at = None
+        self.candidate = self._next_candidate()
+        self._connection = self._connections.draw()
+        address = self._choice.address(self.candidate)
+        return [OpenConnection(self._connection, address, Purpose.SUBSCRIPTION)]
+
+    def opened(self, connection: ConnectionId, now: float) -> list[Output]:
+        """Ask the candidate how current it is, before anything is given up for it."""
+        self._answer_by = now + self._answer_timeout
+        return [SendMessage(connection, self._probes.send(now, to_source=False))]
+
+    def failed(self, now: float) -> list[Output]:
+        """Give this candidate up and plan the next attempt."""
+        outputs = self._drop()
+        self._plan(now)
+        return outputs
+
+    def is_better(self, message: Message, held_version: int, now: float) -> bool:
+        """Return whether a message shows a candidate that is current and not behind."""
+        if not isinstance(message, FreshnessAnswer):
+            return False
+        self._probes.answered(message)
+        proved_at = self._probes.publisher_fresh_at
+        if proved_at is None or now - proved_at > self._oldest:
+            return False
+        return message.version >= held_version
+
+    def take(self) -> ConnectionId | None:
+        """End the search; return the candidate's link, which is the caller's from now on."""
+        connection, self._connection = self._connection, None
+        self.end()
+        return connection
+
+    def _next_candidate(self) -> int:
+        if self._goal is Goal.PREFERRED:
+            return self._choice.preferred
+        return self._choice.after(self.candidate)
+
+    def _plan(self, now: float) -> None:
+        if self._goal is not None:
+            self._dial_at = now + self._backoffs[self._goal].next_delay()
+
+    def _drop(self) -> list[Output]:
+        connection, self._connection = self._connection, None
+        self._dial_at = self._answer_by = None
+        self._probes.forget_link()
+        return [CloseConnection(connection, NO_BETTER)] if connection is not None else []
--- a/src/limelever/subscriber/timers.py
+++ b/src/limelever/subscriber/timers.py
@@ -7,7 +7,7 @@
 
 @dataclass(slots=True)
 class Timers:
-    """When to dial, probe, give up on an answer, look at staleness, leave.
+    """When to dial, probe, give up on an answer, look at staleness.
 
     ``behind`` is when a publisher that names newer versions and sends none is left.
     """
@@ -16,16 +16,15 @@
     probe: float | None = None
     answer: float | None = None
     stale: float | None = None
-    leave: float | None = None
     behind: float | None = None
 
     def forget_link(self) -> None:
         """Unset the timers that belong to a link."""
-        self.probe = self.answer = self.stale = self.leave = self.behind = None
+        self.probe = self.answer = self.stale = self.behind = None
 
     def next_deadline(self) -> float | None:
         """Return the earliest of them, or ``None``."""
-        times = (self.dial, self.probe, self.answer, self.stale, self.leave, self.behind)
+        times = (self.dial, self.probe, self.answer, self.stale, self.behind)
         return min((at for at in times if at is not None), default=None)
 
 
