Name a time in every answer that says to come back later

Cause: the edge's own refusals (a body that came too slowly) and some failures reached callers without Retry-After, because only the core put the default in. Change: the rendering does it, for every kind whose row of the error table advises a delay. The new scenario goes through the whole table; without the change it failed at the first kind with such advice.

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -77,6 +77,9 @@
     And the agent refuses the call as "share-exhausted"
     Then the proxy refused call 1 as "share-exhausted" with a retry time
 
+  Scenario: Every answer that says to come back later names a time
+    Then any failure that the proxy renders has a Retry-After if its kind advises a delay
+
   Scenario: A failure after an attempt that may have run never says not run
     Given a proxy with 2 endpoints and retries for every call
     When a caller asks the proxy for "/baskets/1"
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -16,7 +16,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from limelever.common.errors import ErrorKind, Failure, Outcome
+from limelever.common.errors import ERROR_TABLE, ErrorKind, Failure, Outcome, RetryAdvice
 from limelever.common.sansio import (
     Address,
     CloseConnection,
@@ -82,6 +82,7 @@
     Release,
 )
 from limelever.protocol.keys import Key
+from limelever.proxy.answers import render_failure
 from limelever.proxy.balancer import Balancer, BalancerSettings
 from limelever.proxy.call_types import (
     AnswerCall,
@@ -626,6 +627,14 @@
     )
 
 
+@then("any failure that the proxy renders has a Retry-After if its kind advises a delay")
+def rendered_with_retry_after(_context: Context) -> None:
+    later = {RetryAdvice.AFTER_DELAY, RetryAdvice.ELSEWHERE, RetryAdvice.SAME_REQUEST_ID}
+    for kind, row in ERROR_TABLE.items():
+        headers = dict(render_failure(Failure(kind, "for a test")).headers)
+        assert (b"retry-after" in headers) == (row.advice in later), kind
+
+
 @given("any number of calls to overloaded agents, retries stay within the budget")
 def overload(context: Context) -> None:
     @derandomized
--- a/src/limelever/proxy/answers.py
+++ b/src/limelever/proxy/answers.py
@@ -8,6 +8,7 @@
 from limelever.common.errors import Failure, Outcome
 from limelever.common.http_headers import Headers
 from limelever.proxy.call_types import ERROR_HEADER, OUTCOME_HEADER, CallAnswer
+from limelever.proxy.retry_rules import with_retry_after
 
 RETRY_AFTER_HEADER = b"retry-after"
 CONTENT_LENGTH_HEADER = b"content-length"
@@ -33,7 +34,11 @@
 
 
 def render_failure(failure: Failure) -> CallAnswer:
-    """Return the HTTP answer of a failure, by the row of its kind in the error table."""
+    """Return the HTTP answer of a failure, by the row of its kind in the error table.
+
+    Wherever the table says to come back later, the answer names a time.
+    """
+    failure = with_retry_after(failure)
     content = {
         "kind": failure.kind.value,
         "reason": failure.reason,
