Don't say not-run to a resend across a change of the sealing key

Cause: a secret sealed under another first key has other bytes, so the resend of a batch that ran had another fingerprint and was refused as a conflict, whose outcome is not-run.

Change: a record keeps a second fingerprint without the secrets' values. Where only that one matches, the refusal is request-expired with the outcome unknown. The price: a reused id whose only difference is a secret's value gets that too, in place of a conflict.

The scenario fails without the check ("conflict"); with the check always on, the scenario of other content fails.

Ruled out: a digest of the open value in the record: it could be guessed at from a stolen disk.

--- a/features/operators/state_machine.feature
+++ b/features/operators/state_machine.feature
@@ -58,6 +58,11 @@
     When a request id comes back with other content
     Then the batch is refused as "conflict" naming nothing
 
+  Scenario: A resend across a change of the sealing key does not claim that nothing ran
+    When a batch with a secret ran and is resent after the sealing key was changed
+    Then the batch is refused as "request-expired" naming nothing
+    And the refusal does not say that the request was not run
+
   Scenario: A request id from beyond the log is refused and leaves no record
     When a batch has a request id from beyond the log
     Then the batch is refused as "invalid-request" naming nothing
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -225,6 +225,16 @@
     context.log.apply([service("two")], request_id=request_id)
 
 
+@when("a batch with a secret ran and is resent after the sealing key was changed")
+def when_resealed(context):
+    request_id = context.log.fresh_id()
+    for keys in ([b"o" * 32], [b"n" * 32, b"o" * 32]):
+        batch = SecretSealer(keys).seal_batch(Batch(put=[secret("till", header="x-till")]))
+        outcome = context.log.apply(batch.put, request_id=request_id)
+        context.first = getattr(context, "first", outcome)
+    assert context.first.applied is not None
+
+
 @when("a batch has a request id from beyond the log")
 def when_from_beyond(context):
     for _ in range(RECORD_LIMIT + 1):
--- a/src/limelever/source/request_answers.py
+++ b/src/limelever/source/request_answers.py
@@ -22,6 +22,26 @@
     return hashlib.blake2b(data, digest_size=_FINGERPRINT_BYTES).digest()
 
 
+def outline(batch: Batch) -> bytes:
+    """Return the fingerprint of ``batch`` without its secrets' values.
+
+    A value sealed anew under another key has other bytes, so they can't tell a resend across a
+    change of that key from other content.
+    """
+    content = Batch()
+    content.CopyFrom(batch)
+    for resource in content.put:
+        if resource.HasField("secret"):
+            resource.secret.ClearField("value")
+    return fingerprint(content)
+
+
+def may_be_resent(record: RequestRecord, batch: Batch) -> bool:
+    """Return whether ``batch``, of another fingerprint, may still be the recorded request."""
+    has_secrets = any(resource.HasField("secret") for resource in batch.put)
+    return has_secrets and record.outline == outline(batch)
+
+
 def changed_keys(batch: Batch) -> list[ResourceKey]:
     """Return the keys that ``batch`` names, once each, in the order of an answer's changes."""
     put = dict.fromkeys(Key.of(resource) for resource in batch.put)
@@ -38,6 +58,7 @@
         request_id=batch.request_id,
         version=answer.version,
         fingerprint=fingerprint(batch),
+        outline=outline(batch),
         actions=bytes(change.action for change in answer.changes),
     )
 
@@ -51,6 +72,7 @@
         error_kind=failure.kind.value,
         error_reason=failure.reason,
         fingerprint=fingerprint(batch),
+        outline=outline(batch),
         resources=[key.to_message() for key in parsed if isinstance(key, Key)],
     )
 
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -30,6 +30,7 @@
     acceptance_record,
     answer_of,
     fingerprint,
+    may_be_resent,
     refusal_record,
 )
 from limelever.source.request_records import DEFAULT_RECORD_LIMIT, RecordMiss, RequestRecords
@@ -48,6 +49,10 @@
         "earlier one was is no longer known; read the state, then send anew without the id"
     ),
 }
+_RESEALED = (
+    "request id was used before, with other secret values or before the sealing key was changed: "
+    "this sending was not run, and whether it is the earlier one can't be told; read the state"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,10 +152,12 @@
         return Failure(kind, reason, named, current_version=current)
 
     def _repeat(self, record: RequestRecord, batch: Batch) -> ApplyOutcome:
-        if record.fingerprint != fingerprint(batch):
-            reason = "request id was used before with other content; this sending was not run"
-            return self._refuse(batch, self._failure(ErrorKind.CONFLICT, reason))
-        return ApplyOutcome(record, answer_of(record, batch), None)
+        if record.fingerprint == fingerprint(batch):
+            return ApplyOutcome(record, answer_of(record, batch), None)
+        if may_be_resent(record, batch):
+            return self._refuse(batch, self._failure(ErrorKind.REQUEST_EXPIRED, _RESEALED))
+        reason = "request id was used before with other content; this sending was not run"
+        return self._refuse(batch, self._failure(ErrorKind.CONFLICT, reason))
 
     def _refuse(self, batch: Batch, failure: Failure) -> ApplyOutcome:
         return ApplyOutcome(refusal_record(batch, self._version, failure), failure, None)
