--- /dev/null
+++ b/features/steps/agent_backend_steps.py
@@ -0,0 +1,145 @@
+"""Steps for the agent's client of the back end, on loopback."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+from behave import then, when
+from behave.runner import Context
+
+from limelever.agent.backend import Backend
+from limelever.agent.interface import (
+    AttemptAnswered,
+    StartAttempt,
+)
+from limelever.agent.settings import BackendSettings
+from limelever.common.sansio import (
+    Address,
+    Event,
+)
+
+ANSWERS = {
+    b"/ok": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    b"/shed": b"HTTP/1.1 503 Busy\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n",
+    b"/big": b"HTTP/1.1 200 OK\r\ncontent-length: 3000\r\n\r\n" + bytes(3000),
+}
+
+
+async def serve_one(stream: trio.SocketStream) -> None:
+    request = await stream.receive_some(65536)
+    target = request.split()[1]
+    if target in ANSWERS:
+        await stream.send_all(ANSWERS[target])
+    elif target != b"/drop":
+        await stream.receive_some(1)
+
+
+async def attempt_at(target: str) -> Event:
+    received: list[Event] = []
+    ended = trio.Event()
+
+    def post(event: Event) -> None:
+        received.append(event)
+        ended.set()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        if target == "/refused":
+            await listener.aclose()
+        else:
+            nursery.start_soon(trio.serve_listeners, serve_one, [listener])
+        address = Address("127.0.0.1", port)
+        backend = Backend(BackendSettings(address=address, max_response_bytes=1024), nursery, post)
+        backend.start(StartAttempt(1, "orders", b"GET", target.encode(), (), b"", 0.3))
+        if target == "/cancelled":
+            await trio.sleep(0.1)
+            backend.cancel(1)
+        await ended.wait()
+        backend.close()
+        nursery.cancel_scope.cancel()
+    (event,) = received
+    return event
+
+
+@when("an attempt at a live back end asks for {target:S}")
+def run_attempt(context: Context, target: str) -> None:
+    context.event = trio.run(attempt_at, target)
+
+
+@then("the attempt has ended as {end}")
+def check_end(context: Context, end: str) -> None:
+    event = context.event
+    if isinstance(event, AttemptAnswered):
+        assert end == f"answered {event.status}"
+        return
+    sent = "after bytes" if event.sent_any_byte else "before any byte"
+    assert end == f"{event.failure.kind.value} {sent}", event
+
+
+@dataclass
+class KeepingServer:
+    """Answers requests without bodies, some on each connection; counts connections."""
+
+    requests_each: int
+    connections: int = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        for _ in range(self.requests_each):
+            if not await stream.receive_some(65536):
+                return
+            await trio.sleep(0.01)
+            await stream.send_all(ANSWERS[b"/ok"])
+        await stream.aclose()
+
+
+async def ask_repeatedly(server: KeepingServer, count: int, at_once: int, allowed: int) -> int:
+    answers = 0
+    room = trio.Semaphore(at_once)
+
+    def post(event: Event) -> None:
+        nonlocal answers
+        assert isinstance(event, AttemptAnswered), event
+        answers += 1
+        room.release()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = Address("127.0.0.1", listener.socket.getsockname()[1])
+        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+        backend = Backend(BackendSettings(address=address, connections=allowed), nursery, post)
+        for number in range(count):
+            await room.acquire()
+            await trio.sleep(0.02 if at_once == 1 else 0.0)
+            backend.start(StartAttempt(number, "orders", b"GET", b"/ok", (), b"", 10.0))
+        while answers < count:
+            await trio.sleep(0.001)
+        backend.close()
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+@when("{count:d} attempts in turn meet a back end that keeps its connections")
+def ask_keeping(context: Context, count: int) -> None:
+    context.server = KeepingServer(requests_each=100)
+    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
+
+
+@when("{count:d} attempts in turn meet a back end that closes after each answer")
+def ask_closing(context: Context, count: int) -> None:
+    context.server = KeepingServer(requests_each=1)
+    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
+
+
+@when("{count:d} attempts at once meet a back end, and the agent may open {allowed:d} connections")
+def ask_at_once(context: Context, count: int, allowed: int) -> None:
+    context.server = KeepingServer(requests_each=100)
+    context.answers = trio.run(ask_repeatedly, context.server, count, count, allowed)
+
+
+@then("the agent's client was answered {count:d} times over {connections:d} connection")
+@then("the agent's client was answered {count:d} times over {connections:d} connections")
+def check_connections(context: Context, count: int, connections: int) -> None:
+    assert (context.answers, context.server.connections) == (count, connections)
--- /dev/null
+++ b/features/steps/agent_bench.py
@@ -0,0 +1,121 @@
+"""An agent core under virtual time, with its shell, relay and proxy played by the test."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import settings
+
+from limelever.agent.call_service import CallLimits
+from limelever.agent.core import AgentCore, AgentOptions
+from limelever.agent.fair_queue import QueueLimits
+from limelever.agent.interface import (
+    BackendProbed,
+    StartAttempt,
+)
+from limelever.agent.registration import RegistrationSettings
+from limelever.common.sansio import (
+    Address,
+    ConnectionOpened,
+    DeadlineReached,
+    Event,
+    MessageReceived,
+    OpenConnection,
+    Output,
+    Peer,
+    Purpose,
+    Role,
+    SendMessage,
+    Started,
+)
+from limelever.protocol.calls_pb2 import (
+    CallStart,
+)
+from limelever.protocol.config_pb2 import (
+    CALL_KIND_REPEATABLE,
+)
+from limelever.protocol.endpoints_pb2 import (
+    LeaseGranted,
+)
+from limelever.subscriber.settings import SubscriberSettings
+
+CASES = settings(derandomize=True, max_examples=60, deadline=None, database=None)
+FAR = 1e9
+RELAYS = (Address("10.0.0.1", 1), Address("10.0.0.2", 1))
+PROXY_LINK = 1
+SHED_GROUP = "g0"
+PROXY = Peer(Role.PROXY, "proxy-1", "lodz-a", Purpose.CALLS)
+RELAY = Peer(Role.RELAY, "relay-1", "lodz-a", Purpose.REGISTRATION)
+REGISTRATION = RegistrationSettings(
+    RELAYS, "orders", "orders-1", "lodz-a", Address("10.0.0.9", 5), 1
+)
+
+
+def call_start(stream: int, **fields: object) -> CallStart:
+    start = CallStart(
+        stream=stream,
+        attempt_id=stream.to_bytes(16, "big"),
+        agent_incarnation=7,
+        service="orders",
+        group="web",
+        call_kind=CALL_KIND_REPEATABLE,
+        deadline_left_ms=10_000,
+        method=b"GET",
+        target=str(stream).encode(),
+        end=True,
+    )
+    for name, value in fields.items():
+        setattr(start, name, value)
+    return start
+
+
+class AgentBench:
+    """An agent core with its shell's part played by the test."""
+
+    def __init__(self, slots: int) -> None:
+        options = AgentOptions(
+            REGISTRATION,
+            SubscriberSettings(RELAYS, ("orders",)),
+            CallLimits(QueueLimits(slots=slots)),
+        )
+        self.core = AgentCore(options, 7, random.Random(1))
+        self.now = 100.0
+        self.outputs: list[Output] = []
+        self.tell(Started())
+
+    def tell(self, event: Event) -> None:
+        self.outputs.extend(self.core.handle(event, self.now))
+
+    def advance(self, seconds: float) -> None:
+        until = self.now + seconds
+        while (due := self.core.next_deadline()) is not None and due <= until:
+            self.now = max(self.now, due)
+            self.tell(DeadlineReached())
+        self.now = until
+
+    def add_proxy(self) -> None:
+        self.tell(ConnectionOpened(PROXY_LINK, PROXY))
+
+    def send(self, message: object) -> None:
+        self.tell(MessageReceived(PROXY_LINK, message))  # type: ignore[arg-type]
+
+    def register(self) -> None:
+        self.tell(BackendProbed(True))
+        self.relay_link = next(
+            output.connection
+            for output in self.outputs
+            if isinstance(output, OpenConnection) and output.purpose is Purpose.REGISTRATION
+        )
+        self.tell(ConnectionOpened(self.relay_link, RELAY))
+        grant = LeaseGranted(lease_ms=6000, incarnation=7)
+        self.tell(MessageReceived(self.relay_link, grant))
+
+    def of(self, kind: type[Output]) -> list[Output]:
+        return [output for output in self.outputs if isinstance(output, kind)]
+
+    def sent(self, link: int, kind: type) -> list[object]:
+        sent = (o for o in self.outputs if isinstance(o, SendMessage) and o.connection == link)
+        return [output.message for output in sent if isinstance(output.message, kind)]
+
+    def attempt_of(self, stream: int) -> int:
+        return self.of(StartAttempt)[stream - 1].attempt  # type: ignore[attr-defined]
--- /dev/null
+++ b/features/steps/agent_queue_steps.py
@@ -0,0 +1,207 @@
+"""Steps for the fair queue of an agent."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from agent_bench import (
+    CASES,
+    FAR,
+    SHED_GROUP,
+)
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as examples
+from hypothesis import strategies as st
+
+from limelever.agent.fair_queue import FIRST_CHARGE, FairQueue, QueueLimits
+from limelever.agent.group_queue import QueuedCall
+from limelever.common.errors import Failure, Outcome
+
+
+def parse_weights(text: str) -> dict[str, int]:
+    pairs = (pair.split("=") for pair in text.split(", "))
+    return {name: int(weight) for name, weight in pairs}
+
+
+def make_queue(weights: dict[str, int], **limits: int) -> FairQueue:
+    queue = FairQueue(QueueLimits(**limits))
+    queue.set_weights(weights)
+    return queue
+
+
+@dataclass
+class Course:
+    """Serves a fair queue in virtual time; counts slot time and starts by group."""
+
+    queue: FairQueue
+    slots: int
+    now: float = 0.0
+    last: int = 0
+    busy: list[tuple[float, int, str, float]] = field(default_factory=list)
+    served: dict[str, float] = field(default_factory=dict)
+    starts: list[str] = field(default_factory=list)
+
+    def offer(self, group: str, left: float = FAR, size: int = 0) -> object:
+        self.last += 1
+        return self.queue.offer(QueuedCall(self.last, group, self.now + left, size), self.now)
+
+    def start(self, duration: dict[str, float]) -> None:
+        while (call := self.queue.start_next(self.now)) is not None:
+            taken = duration[call.group]
+            heapq.heappush(self.busy, (self.now + taken, call.call, call.group, taken))
+            self.starts.append(call.group)
+
+    def finish_one(self) -> str:
+        self.now, call, group, taken = heapq.heappop(self.busy)
+        self.queue.finish(call, self.now, representative=group != SHED_GROUP)
+        self.served[group] = self.served.get(group, 0.0) + taken
+        return group
+
+
+@then("backlogged agent groups are served within the bound of their weights")
+def check_fairness(_context: Context) -> None:
+    groups = st.lists(st.tuples(st.integers(1, 20), st.floats(0.001, 0.05)), min_size=2, max_size=5)
+
+    @CASES
+    @examples(groups, st.integers(1, 6))
+    def serve(drawn: list[tuple[int, float]], slots: int) -> None:
+        weights = {f"g{index}": weight for index, (weight, _) in enumerate(drawn)}
+        duration = {f"g{index}": taken for index, (_, taken) in enumerate(drawn)}
+        course = Course(make_queue(weights, slots=slots, group_calls=1000), slots)
+        for group in weights:
+            for _ in range(20):
+                course.offer(group)
+        course.start(duration)
+        longest = max(FIRST_CHARGE, *duration.values())
+        for _ in range(400):
+            course.offer(course.finish_one())
+            course.start(duration)
+            parts = [(course.served.get(g, 0.0) / w, w) for g, w in weights.items()]
+            for part, weight in parts:
+                for other, other_weight in parts:
+                    bound = 2 * slots * longest * (1 / weight + 1 / other_weight)
+                    assert abs(part - other) <= bound + 1e-9
+
+    serve()
+
+
+@then("the agent queue never leaves a slot free while a call waits")
+def check_work_conserving(_context: Context) -> None:
+    step = st.tuples(st.sampled_from("abc"), st.booleans(), st.floats(0.0, 0.1))
+
+    @CASES
+    @examples(st.lists(step, max_size=200), st.integers(1, 6))
+    def serve(steps: list[tuple[str, bool, float]], slots: int) -> None:
+        course = Course(make_queue({"a": 1, "b": 50}, slots=slots), slots)
+        for group, arrives, taken in steps:
+            if arrives:
+                course.offer(group)
+            elif course.busy:
+                course.finish_one()
+            course.start(dict.fromkeys("abc", taken))
+            assert course.queue.queued == 0 or course.queue.running == slots
+
+    serve()
+
+
+@given("an agent queue with {slots:d} slots and weights {weights}")
+def given_queue(context: Context, slots: int, weights: str) -> None:
+    context.course = Course(make_queue(parse_weights(weights), slots=slots), slots)
+
+
+@given("an agent queue of {size:d} bytes with {slots:d} slot and weights {weights}")
+def given_byte_queue(context: Context, size: int, slots: int, weights: str) -> None:
+    queue = make_queue(parse_weights(weights), slots=slots, total_bytes=size)
+    context.course = Course(queue, slots)
+
+
+@when(
+    "group flood offers {count:d} calls at once and group steady keeps {kept:d} calls waiting "
+    "for {rounds:d} rounds"
+)
+def flood(context: Context, count: int, kept: int, rounds: int) -> None:
+    course, duration = context.course, {"flood": 0.02, "steady": 0.02}
+    context.refused = [course.offer("flood") for _ in range(count // 2)]
+    course.start(duration)
+    for _ in range(kept):
+        course.offer("steady")
+    context.refused += [course.offer("flood") for _ in range(count // 2)]
+    course.starts.clear()
+    for _ in range(rounds):
+        course.offer(course.finish_one())
+        course.start(duration)
+
+
+@then("group steady was given at least {percent:d} percent of the starts")
+def check_steady(context: Context, percent: int) -> None:
+    starts = context.course.starts
+    assert starts.count("steady") * 100 >= percent * len(starts), starts.count("steady")
+
+
+@then("some calls of group flood were refused with {kind:S}")
+def check_refused(context: Context, kind: str) -> None:
+    kinds = {each.kind.value for each in context.refused if isinstance(each, Failure)}
+    assert kind in kinds, kinds
+
+
+@when("group flood fills the bytes of the queue and group steady offers a call of {size:d} bytes")
+def flood_bytes(context: Context, size: int) -> None:
+    course = context.course
+    course.offer("flood")
+    course.start({"flood": 1.0})
+    for _ in range(10):
+        course.offer("flood", size=100)
+    context.offered = course.offer("steady", size=size)
+
+
+@then("the call of group steady waits and calls of group flood were given back")
+def check_eviction(context: Context) -> None:
+    assert not isinstance(context.offered, Failure)
+    assert len(context.offered) == 3
+    assert {each.failure.outcome for each in context.offered} == {Outcome.NOT_RUN}
+    assert context.course.queue.queued_bytes == 1000
+
+
+@when("the weights become {weights} while both groups are backlogged")
+def change_weights(context: Context, weights: str) -> None:
+    course, duration = context.course, {"flood": 0.02, "steady": 0.02}
+    for group in ["flood", "steady"] * 20:
+        course.offer(group)
+    course.start(duration)
+    for index in range(200):
+        if index == 100:
+            course.queue.set_weights(parse_weights(weights))
+            course.starts.clear()
+        course.offer(course.finish_one())
+        course.start(duration)
+
+
+@then("group steady gets about 3 of 4 starts")
+def check_new_weights(context: Context) -> None:
+    assert 70 <= context.course.starts.count("steady") <= 80, context.course.starts
+
+
+@when("calls take 1 second each and 5 calls wait")
+def fill_slowly(context: Context) -> None:
+    course = context.course
+    course.offer("steady")
+    course.start({"steady": 1.0})
+    course.finish_one()
+    for _ in range(6):
+        course.offer("steady")
+        course.start({"steady": 1.0})
+
+
+@then("a call with {left:d} seconds left is refused with {kind:S} and advice")
+def check_short(context: Context, left: int, kind: str) -> None:
+    offered = context.course.offer("steady", left=left)
+    assert isinstance(offered, Failure)
+    assert offered.kind.value == kind
+    assert offered.retry_after > 0
+
+
+@then("a call with {left:d} seconds left is queued")
+def check_long(context: Context, left: int) -> None:
+    assert context.course.offer("steady", left=left) == ()
--- /dev/null
+++ b/features/steps/agent_registration_steps.py
@@ -0,0 +1,163 @@
+"""Steps for cold starts and the registration of an agent."""
+
+from __future__ import annotations
+
+import random
+
+from agent_bench import (
+    REGISTRATION,
+    RELAY,
+    RELAYS,
+    AgentBench,
+)
+from behave import given, then, when
+from behave.runner import Context
+
+from limelever.agent.interface import (
+    BackendProbed,
+)
+from limelever.agent.registration import Registration
+from limelever.common.sansio import (
+    ConnectionClosed,
+    ConnectionOpened,
+    DeadlineReached,
+    DialledConnections,
+    Event,
+    MessageReceived,
+    OpenConnection,
+    Output,
+    Purpose,
+    SendMessage,
+)
+from limelever.protocol.distribution_pb2 import (
+    RetryLater,
+)
+from limelever.protocol.endpoints_pb2 import (
+    LeaseGranted,
+    LeaseLost,
+    LeaseRenew,
+    Register,
+)
+
+
+@given("an agent beside a cold back end")
+def given_cold(context: Context) -> None:
+    context.agent = AgentBench(1)
+
+
+def registrations_dialled(context: Context) -> int:
+    dials = context.agent.of(OpenConnection)
+    return sum(1 for dial in dials if dial.purpose is Purpose.REGISTRATION)
+
+
+@then("no relay has been dialled by the agent")
+def check_not_dialled(context: Context) -> None:
+    assert registrations_dialled(context) == 0
+
+
+@then("a relay has been dialled by the agent")
+def check_dialled(context: Context) -> None:
+    assert registrations_dialled(context) == 1
+
+
+@when("a health probe passes")
+def probe_passes(context: Context) -> None:
+    context.agent.tell(BackendProbed(True))
+
+
+class RegistrationBench:
+    """A registration that holds a lease; the test plays its relay."""
+
+    def __init__(self, lease_ms: int) -> None:
+        self.part = Registration(REGISTRATION, 7, DialledConnections(), random.Random(3))
+        self.now = 0.0
+        self.outputs: list[Output] = self.part.begin(self.now)
+        self.tell(ConnectionOpened(self.link, RELAY))
+        self.receive(LeaseGranted(lease_ms=lease_ms, incarnation=7))
+        self.relay = self.part.relay
+
+    @property
+    def dials(self) -> list[OpenConnection]:
+        return [output for output in self.outputs if isinstance(output, OpenConnection)]
+
+    @property
+    def link(self) -> int:
+        return self.dials[-1].connection
+
+    def messages(self, kind: type) -> list[object]:
+        sent = (output for output in self.outputs if isinstance(output, SendMessage))
+        return [output.message for output in sent if isinstance(output.message, kind)]
+
+    def tell(self, event: Event) -> None:
+        self.outputs.extend(self.part.handle(event, self.now))
+
+    def receive(self, message: object) -> None:
+        self.tell(MessageReceived(self.link, message))  # type: ignore[arg-type]
+
+    def next(self) -> None:
+        due = self.part.next_deadline()
+        assert due is not None
+        self.now = due
+        self.tell(DeadlineReached())
+
+
+@given("a registration with relays A and B that holds a lease of {seconds:d} seconds")
+def given_lease(context: Context, seconds: int) -> None:
+    context.registration = RegistrationBench(seconds * 1000)
+
+
+@when("its next deadline comes")
+def next_deadline(context: Context) -> None:
+    context.registration.next()
+
+
+@then("{seconds:d} seconds have passed and the lease was renewed")
+def check_renewed(context: Context, seconds: int) -> None:
+    assert context.registration.now == seconds
+    assert len(context.registration.messages(LeaseRenew)) == 1
+
+
+@when("the link to its relay closes and its next deadline comes")
+def relay_closes(context: Context) -> None:
+    bench = context.registration
+    bench.tell(ConnectionClosed(bench.link, "lost"))
+    bench.next()
+
+
+@when("no renewal is answered for {seconds:d} seconds")
+def relay_silent(context: Context, seconds: int) -> None:
+    bench = context.registration
+    while len(bench.dials) == 1 and bench.part.next_deadline() <= seconds:
+        bench.next()
+
+
+@then("the other relay is dialled")
+def check_other(context: Context) -> None:
+    bench = context.registration
+    assert [dial.address for dial in bench.dials][1:] == [
+        relay for relay in RELAYS if relay != bench.relay
+    ]
+
+
+@when("the relay says that the lease is lost")
+def lease_lost(context: Context) -> None:
+    context.registration.receive(LeaseLost(incarnation=7, reason="expired"))
+
+
+@then("the endpoint is registered again with a higher sequence")
+def check_registered_again(context: Context) -> None:
+    first, second = context.registration.messages(Register)
+    assert second.endpoint.sequence > first.endpoint.sequence
+
+
+@when("the relay says to come back in {seconds:d} seconds")
+def retry_later(context: Context, seconds: int) -> None:
+    context.registration.receive(RetryLater(retry_after_ms=seconds * 1000))
+
+
+@then("no relay is dialled within {seconds:d} seconds and one is dialled later")
+def check_deferred(context: Context, seconds: int) -> None:
+    bench = context.registration
+    assert len(bench.dials) == 1
+    bench.next()
+    assert bench.now >= seconds and len(bench.dials) == 2
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,51 +1,42 @@
-"""Steps for the agent: fair queue, calls, drain and registration, all under virtual time."""
+"""Steps for the calls and the drain of an agent."""
 
 from __future__ import annotations
 
-import heapq
 import random
-from dataclasses import dataclass, field
 
-import trio
+from agent_bench import (
+    CASES,
+    FAR,
+    PROXY_LINK,
+    RELAY,
+    AgentBench,
+    call_start,
+)
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import given as examples
-from hypothesis import settings
 from hypothesis import strategies as st
 
-from limelever.agent.backend import Backend
 from limelever.agent.call_service import CallLimits, CallService
-from limelever.agent.core import AgentCore, AgentOptions
-from limelever.agent.fair_queue import FIRST_CHARGE, FairQueue, QueueLimits
-from limelever.agent.group_queue import QueuedCall
+from limelever.agent.fair_queue import QueueLimits
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
-    BackendProbed,
     CancelAttempt,
     DrainFinished,
     DrainRequested,
     StartAttempt,
 )
-from limelever.agent.registration import Registration, RegistrationSettings
-from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from limelever.common.sansio import (
-    Address,
     ConnectionClosed,
     ConnectionOpened,
-    DeadlineReached,
-    DialledConnections,
-    Event,
     MessageReceived,
     OpenConnection,
     Output,
-    Peer,
     Purpose,
     ReplaceFile,
-    Role,
     SendMessage,
-    Started,
     WriteCompleted,
 )
 from limelever.protocol.calls_pb2 import (
@@ -59,7 +50,6 @@
 )
 from limelever.protocol.config_pb2 import (
     CALL_KIND_AT_MOST_ONCE,
-    CALL_KIND_REPEATABLE,
     Resource,
     Service,
     Share,
@@ -70,293 +60,14 @@
     ConfigSnapshot,
     FreshnessAnswer,
     FreshnessProbe,
-    RetryLater,
 )
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
-    LeaseGranted,
-    LeaseLost,
     LeaseRenew,
-    Register,
-)
-from limelever.subscriber.settings import SubscriberSettings
-
-CASES = settings(derandomize=True, max_examples=60, deadline=None, database=None)
-FAR = 1e9
-RELAYS = (Address("10.0.0.1", 1), Address("10.0.0.2", 1))
-PROXY_LINK = 1
-SHED_GROUP = "g0"
-PROXY = Peer(Role.PROXY, "proxy-1", "lodz-a", Purpose.CALLS)
-RELAY = Peer(Role.RELAY, "relay-1", "lodz-a", Purpose.REGISTRATION)
-REGISTRATION = RegistrationSettings(
-    RELAYS, "orders", "orders-1", "lodz-a", Address("10.0.0.9", 5), 1
 )
 
 
-# --- fair queue -----------------------------------------------------------------------------
-
-
-def parse_weights(text: str) -> dict[str, int]:
-    pairs = (pair.split("=") for pair in text.split(", "))
-    return {name: int(weight) for name, weight in pairs}
-
-
-def make_queue(weights: dict[str, int], **limits: int) -> FairQueue:
-    queue = FairQueue(QueueLimits(**limits))
-    queue.set_weights(weights)
-    return queue
-
-
-@dataclass
-class Course:
-    """Serves a fair queue in virtual time; counts slot time and starts by group."""
-
-    queue: FairQueue
-    slots: int
-    now: float = 0.0
-    last: int = 0
-    busy: list[tuple[float, int, str, float]] = field(default_factory=list)
-    served: dict[str, float] = field(default_factory=dict)
-    starts: list[str] = field(default_factory=list)
-
-    def offer(self, group: str, left: float = FAR, size: int = 0) -> object:
-        self.last += 1
-        return self.queue.offer(QueuedCall(self.last, group, self.now + left, size), self.now)
-
-    def start(self, duration: dict[str, float]) -> None:
-        while (call := self.queue.start_next(self.now)) is not None:
-            taken = duration[call.group]
-            heapq.heappush(self.busy, (self.now + taken, call.call, call.group, taken))
-            self.starts.append(call.group)
-
-    def finish_one(self) -> str:
-        self.now, call, group, taken = heapq.heappop(self.busy)
-        self.queue.finish(call, self.now, representative=group != SHED_GROUP)
-        self.served[group] = self.served.get(group, 0.0) + taken
-        return group
-
-
-@then("backlogged agent groups are served within the bound of their weights")
-def check_fairness(_context: Context) -> None:
-    groups = st.lists(st.tuples(st.integers(1, 20), st.floats(0.001, 0.05)), min_size=2, max_size=5)
-
-    @CASES
-    @examples(groups, st.integers(1, 6))
-    def serve(drawn: list[tuple[int, float]], slots: int) -> None:
-        weights = {f"g{index}": weight for index, (weight, _) in enumerate(drawn)}
-        duration = {f"g{index}": taken for index, (_, taken) in enumerate(drawn)}
-        course = Course(make_queue(weights, slots=slots, group_calls=1000), slots)
-        for group in weights:
-            for _ in range(20):
-                course.offer(group)
-        course.start(duration)
-        longest = max(FIRST_CHARGE, *duration.values())
-        for _ in range(400):
-            course.offer(course.finish_one())
-            course.start(duration)
-            parts = [(course.served.get(g, 0.0) / w, w) for g, w in weights.items()]
-            for part, weight in parts:
-                for other, other_weight in parts:
-                    bound = 2 * slots * longest * (1 / weight + 1 / other_weight)
-                    assert abs(part - other) <= bound + 1e-9
-
-    serve()
-
-
-@then("the agent queue never leaves a slot free while a call waits")
-def check_work_conserving(_context: Context) -> None:
-    step = st.tuples(st.sampled_from("abc"), st.booleans(), st.floats(0.0, 0.1))
-
-    @CASES
-    @examples(st.lists(step, max_size=200), st.integers(1, 6))
-    def serve(steps: list[tuple[str, bool, float]], slots: int) -> None:
-        course = Course(make_queue({"a": 1, "b": 50}, slots=slots), slots)
-        for group, arrives, taken in steps:
-            if arrives:
-                course.offer(group)
-            elif course.busy:
-                course.finish_one()
-            course.start(dict.fromkeys("abc", taken))
-            assert course.queue.queued == 0 or course.queue.running == slots
-
-    serve()
-
-
-@given("an agent queue with {slots:d} slots and weights {weights}")
-def given_queue(context: Context, slots: int, weights: str) -> None:
-    context.course = Course(make_queue(parse_weights(weights), slots=slots), slots)
-
-
-@given("an agent queue of {size:d} bytes with {slots:d} slot and weights {weights}")
-def given_byte_queue(context: Context, size: int, slots: int, weights: str) -> None:
-    queue = make_queue(parse_weights(weights), slots=slots, total_bytes=size)
-    context.course = Course(queue, slots)
-
-
-@when(
-    "group flood offers {count:d} calls at once and group steady keeps {kept:d} calls waiting "
-    "for {rounds:d} rounds"
-)
-def flood(context: Context, count: int, kept: int, rounds: int) -> None:
-    course, duration = context.course, {"flood": 0.02, "steady": 0.02}
-    context.refused = [course.offer("flood") for _ in range(count // 2)]
-    course.start(duration)
-    for _ in range(kept):
-        course.offer("steady")
-    context.refused += [course.offer("flood") for _ in range(count // 2)]
-    course.starts.clear()
-    for _ in range(rounds):
-        course.offer(course.finish_one())
-        course.start(duration)
-
-
-@then("group steady was given at least {percent:d} percent of the starts")
-def check_steady(context: Context, percent: int) -> None:
-    starts = context.course.starts
-    assert starts.count("steady") * 100 >= percent * len(starts), starts.count("steady")
-
-
-@then("some calls of group flood were refused with {kind:S}")
-def check_refused(context: Context, kind: str) -> None:
-    kinds = {each.kind.value for each in context.refused if isinstance(each, Failure)}
-    assert kind in kinds, kinds
-
-
-@when("group flood fills the bytes of the queue and group steady offers a call of {size:d} bytes")
-def flood_bytes(context: Context, size: int) -> None:
-    course = context.course
-    course.offer("flood")
-    course.start({"flood": 1.0})
-    for _ in range(10):
-        course.offer("flood", size=100)
-    context.offered = course.offer("steady", size=size)
-
-
-@then("the call of group steady waits and calls of group flood were given back")
-def check_eviction(context: Context) -> None:
-    assert not isinstance(context.offered, Failure)
-    assert len(context.offered) == 3
-    assert {each.failure.outcome for each in context.offered} == {Outcome.NOT_RUN}
-    assert context.course.queue.queued_bytes == 1000
-
-
-@when("the weights become {weights} while both groups are backlogged")
-def change_weights(context: Context, weights: str) -> None:
-    course, duration = context.course, {"flood": 0.02, "steady": 0.02}
-    for group in ["flood", "steady"] * 20:
-        course.offer(group)
-    course.start(duration)
-    for index in range(200):
-        if index == 100:
-            course.queue.set_weights(parse_weights(weights))
-            course.starts.clear()
-        course.offer(course.finish_one())
-        course.start(duration)
-
-
-@then("group steady gets about 3 of 4 starts")
-def check_new_weights(context: Context) -> None:
-    assert 70 <= context.course.starts.count("steady") <= 80, context.course.starts
-
-
-@when("calls take 1 second each and 5 calls wait")
-def fill_slowly(context: Context) -> None:
-    course = context.course
-    course.offer("steady")
-    course.start({"steady": 1.0})
-    course.finish_one()
-    for _ in range(6):
-        course.offer("steady")
-        course.start({"steady": 1.0})
-
-
-@then("a call with {left:d} seconds left is refused with {kind:S} and advice")
-def check_short(context: Context, left: int, kind: str) -> None:
-    offered = context.course.offer("steady", left=left)
-    assert isinstance(offered, Failure)
-    assert offered.kind.value == kind
-    assert offered.retry_after > 0
-
-
-@then("a call with {left:d} seconds left is queued")
-def check_long(context: Context, left: int) -> None:
-    assert context.course.offer("steady", left=left) == ()
-
-
-# --- calls ----------------------------------------------------------------------------------
-
-
-def call_start(stream: int, **fields: object) -> CallStart:
-    start = CallStart(
-        stream=stream,
-        attempt_id=stream.to_bytes(16, "big"),
-        agent_incarnation=7,
-        service="orders",
-        group="web",
-        call_kind=CALL_KIND_REPEATABLE,
-        deadline_left_ms=10_000,
-        method=b"GET",
-        target=str(stream).encode(),
-        end=True,
-    )
-    for name, value in fields.items():
-        setattr(start, name, value)
-    return start
-
-
-class AgentBench:
-    """An agent core with its shell's part played by the test."""
-
-    def __init__(self, slots: int) -> None:
-        options = AgentOptions(
-            REGISTRATION,
-            SubscriberSettings(RELAYS, ("orders",)),
-            CallLimits(QueueLimits(slots=slots)),
-        )
-        self.core = AgentCore(options, 7, random.Random(1))
-        self.now = 100.0
-        self.outputs: list[Output] = []
-        self.tell(Started())
-
-    def tell(self, event: Event) -> None:
-        self.outputs.extend(self.core.handle(event, self.now))
-
-    def advance(self, seconds: float) -> None:
-        until = self.now + seconds
-        while (due := self.core.next_deadline()) is not None and due <= until:
-            self.now = max(self.now, due)
-            self.tell(DeadlineReached())
-        self.now = until
-
-    def add_proxy(self) -> None:
-        self.tell(ConnectionOpened(PROXY_LINK, PROXY))
-
-    def send(self, message: object) -> None:
-        self.tell(MessageReceived(PROXY_LINK, message))  # type: ignore[arg-type]
-
-    def register(self) -> None:
-        self.tell(BackendProbed(True))
-        self.relay_link = next(
-            output.connection
-            for output in self.outputs
-            if isinstance(output, OpenConnection) and output.purpose is Purpose.REGISTRATION
-        )
-        self.tell(ConnectionOpened(self.relay_link, RELAY))
-        grant = LeaseGranted(lease_ms=6000, incarnation=7)
-        self.tell(MessageReceived(self.relay_link, grant))
-
-    def of(self, kind: type[Output]) -> list[Output]:
-        return [output for output in self.outputs if isinstance(output, kind)]
-
-    def sent(self, link: int, kind: type) -> list[object]:
-        sent = (o for o in self.outputs if isinstance(o, SendMessage) and o.connection == link)
-        return [output.message for output in sent if isinstance(output.message, kind)]
-
-    def attempt_of(self, stream: int) -> int:
-        return self.of(StartAttempt)[stream - 1].attempt  # type: ignore[attr-defined]
-
-
 @given("an agent of incarnation 7 with {slots:d} slots and a proxy")
 def given_agent(context: Context, slots: int) -> None:
     context.agent = AgentBench(slots)
@@ -676,9 +387,6 @@
     assert abs(had - len(starts) * part / whole) <= 2, (had, len(starts))
 
 
-# --- drain ----------------------------------------------------------------------------------
-
-
 @when("the agent is asked to drain")
 def ask_drain(context: Context) -> None:
     context.agent.tell(DrainRequested())
@@ -705,257 +413,3 @@
 @then("the drain has finished with {count:d} calls cut off")
 def check_drained(context: Context, count: int) -> None:
     assert [output.cut_off for output in context.agent.of(DrainFinished)] == [count]
-
-
-# --- registration ---------------------------------------------------------------------------
-
-
-@given("an agent beside a cold back end")
-def given_cold(context: Context) -> None:
-    context.agent = AgentBench(1)
-
-
-def registrations_dialled(context: Context) -> int:
-    dials = context.agent.of(OpenConnection)
-    return sum(1 for dial in dials if dial.purpose is Purpose.REGISTRATION)
-
-
-@then("no relay has been dialled by the agent")
-def check_not_dialled(context: Context) -> None:
-    assert registrations_dialled(context) == 0
-
-
-@then("a relay has been dialled by the agent")
-def check_dialled(context: Context) -> None:
-    assert registrations_dialled(context) == 1
-
-
-@when("a health probe passes")
-def probe_passes(context: Context) -> None:
-    context.agent.tell(BackendProbed(True))
-
-
-class RegistrationBench:
-    """A registration that holds a lease; the test plays its relay."""
-
-    def __init__(self, lease_ms: int) -> None:
-        self.part = Registration(REGISTRATION, 7, DialledConnections(), random.Random(3))
-        self.now = 0.0
-        self.outputs: list[Output] = self.part.begin(self.now)
-        self.tell(ConnectionOpened(self.link, RELAY))
-        self.receive(LeaseGranted(lease_ms=lease_ms, incarnation=7))
-        self.relay = self.part.relay
-
-    @property
-    def dials(self) -> list[OpenConnection]:
-        return [output for output in self.outputs if isinstance(output, OpenConnection)]
-
-    @property
-    def link(self) -> int:
-        return self.dials[-1].connection
-
-    def messages(self, kind: type) -> list[object]:
-        sent = (output for output in self.outputs if isinstance(output, SendMessage))
-        return [output.message for output in sent if isinstance(output.message, kind)]
-
-    def tell(self, event: Event) -> None:
-        self.outputs.extend(self.part.handle(event, self.now))
-
-    def receive(self, message: object) -> None:
-        self.tell(MessageReceived(self.link, message))  # type: ignore[arg-type]
-
-    def next(self) -> None:
-        due = self.part.next_deadline()
-        assert due is not None
-        self.now = due
-        self.tell(DeadlineReached())
-
-
-@given("a registration with relays A and B that holds a lease of {seconds:d} seconds")
-def given_lease(context: Context, seconds: int) -> None:
-    context.registration = RegistrationBench(seconds * 1000)
-
-
-@when("its next deadline comes")
-def next_deadline(context: Context) -> None:
-    context.registration.next()
-
-
-@then("{seconds:d} seconds have passed and the lease was renewed")
-def check_renewed(context: Context, seconds: int) -> None:
-    assert context.registration.now == seconds
-    assert len(context.registration.messages(LeaseRenew)) == 1
-
-
-@when("the link to its relay closes and its next deadline comes")
-def relay_closes(context: Context) -> None:
-    bench = context.registration
-    bench.tell(ConnectionClosed(bench.link, "lost"))
-    bench.next()
-
-
-@when("no renewal is answered for {seconds:d} seconds")
-def relay_silent(context: Context, seconds: int) -> None:
-    bench = context.registration
-    while len(bench.dials) == 1 and bench.part.next_deadline() <= seconds:
-        bench.next()
-
-
-@then("the other relay is dialled")
-def check_other(context: Context) -> None:
-    bench = context.registration
-    assert [dial.address for dial in bench.dials][1:] == [
-        relay for relay in RELAYS if relay != bench.relay
-    ]
-
-
-@when("the relay says that the lease is lost")
-def lease_lost(context: Context) -> None:
-    context.registration.receive(LeaseLost(incarnation=7, reason="expired"))
-
-
-@then("the endpoint is registered again with a higher sequence")
-def check_registered_again(context: Context) -> None:
-    first, second = context.registration.messages(Register)
-    assert second.endpoint.sequence > first.endpoint.sequence
-
-
-@when("the relay says to come back in {seconds:d} seconds")
-def retry_later(context: Context, seconds: int) -> None:
-    context.registration.receive(RetryLater(retry_after_ms=seconds * 1000))
-
-
-@then("no relay is dialled within {seconds:d} seconds and one is dialled later")
-def check_deferred(context: Context, seconds: int) -> None:
-    bench = context.registration
-    assert len(bench.dials) == 1
-    bench.next()
-    assert bench.now >= seconds and len(bench.dials) == 2
-
-
-# --- back end's client ----------------------------------------------------------------------
-
-ANSWERS = {
-    b"/ok": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
-    b"/shed": b"HTTP/1.1 503 Busy\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n",
-    b"/big": b"HTTP/1.1 200 OK\r\ncontent-length: 3000\r\n\r\n" + bytes(3000),
-}
-
-
-async def serve_one(stream: trio.SocketStream) -> None:
-    request = await stream.receive_some(65536)
-    target = request.split()[1]
-    if target in ANSWERS:
-        await stream.send_all(ANSWERS[target])
-    elif target != b"/drop":
-        await stream.receive_some(1)
-
-
-async def attempt_at(target: str) -> Event:
-    received: list[Event] = []
-    ended = trio.Event()
-
-    def post(event: Event) -> None:
-        received.append(event)
-        ended.set()
-
-    async with trio.open_nursery() as nursery:
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listener.socket.getsockname()[1]
-        if target == "/refused":
-            await listener.aclose()
-        else:
-            nursery.start_soon(trio.serve_listeners, serve_one, [listener])
-        address = Address("127.0.0.1", port)
-        backend = Backend(BackendSettings(address=address, max_response_bytes=1024), nursery, post)
-        backend.start(StartAttempt(1, "orders", b"GET", target.encode(), (), b"", 0.3))
-        if target == "/cancelled":
-            await trio.sleep(0.1)
-            backend.cancel(1)
-        await ended.wait()
-        backend.close()
-        nursery.cancel_scope.cancel()
-    (event,) = received
-    return event
-
-
-@when("an attempt at a live back end asks for {target:S}")
-def run_attempt(context: Context, target: str) -> None:
-    context.event = trio.run(attempt_at, target)
-
-
-@then("the attempt has ended as {end}")
-def check_end(context: Context, end: str) -> None:
-    event = context.event
-    if isinstance(event, AttemptAnswered):
-        assert end == f"answered {event.status}"
-        return
-    sent = "after bytes" if event.sent_any_byte else "before any byte"
-    assert end == f"{event.failure.kind.value} {sent}", event
-
-
-@dataclass
-class KeepingServer:
-    """Answers requests without bodies, some on each connection; counts connections."""
-
-    requests_each: int
-    connections: int = 0
-
-    async def serve(self, stream: trio.SocketStream) -> None:
-        self.connections += 1
-        for _ in range(self.requests_each):
-            if not await stream.receive_some(65536):
-                return
-            await trio.sleep(0.01)
-            await stream.send_all(ANSWERS[b"/ok"])
-        await stream.aclose()
-
-
-async def ask_repeatedly(server: KeepingServer, count: int, at_once: int, allowed: int) -> int:
-    answers = 0
-    room = trio.Semaphore(at_once)
-
-    def post(event: Event) -> None:
-        nonlocal answers
-        assert isinstance(event, AttemptAnswered), event
-        answers += 1
-        room.release()
-
-    async with trio.open_nursery() as nursery:
-        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        address = Address("127.0.0.1", listener.socket.getsockname()[1])
-        nursery.start_soon(trio.serve_listeners, server.serve, [listener])
-        backend = Backend(BackendSettings(address=address, connections=allowed), nursery, post)
-        for number in range(count):
-            await room.acquire()
-            await trio.sleep(0.02 if at_once == 1 else 0.0)
-            backend.start(StartAttempt(number, "orders", b"GET", b"/ok", (), b"", 10.0))
-        while answers < count:
-            await trio.sleep(0.001)
-        backend.close()
-        nursery.cancel_scope.cancel()
-    return answers
-
-
-@when("{count:d} attempts in turn meet a back end that keeps its connections")
-def ask_keeping(context: Context, count: int) -> None:
-    context.server = KeepingServer(requests_each=100)
-    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
-
-
-@when("{count:d} attempts in turn meet a back end that closes after each answer")
-def ask_closing(context: Context, count: int) -> None:
-    context.server = KeepingServer(requests_each=1)
-    context.answers = trio.run(ask_repeatedly, context.server, count, 1, 10)
-
-
-@when("{count:d} attempts at once meet a back end, and the agent may open {allowed:d} connections")
-def ask_at_once(context: Context, count: int, allowed: int) -> None:
-    context.server = KeepingServer(requests_each=100)
-    context.answers = trio.run(ask_repeatedly, context.server, count, count, allowed)
-
-
-@then("the agent's client was answered {count:d} times over {connections:d} connection")
-@then("the agent's client was answered {count:d} times over {connections:d} connections")
-def check_connections(context: Context, count: int, connections: int) -> None:
-    assert (context.answers, context.server.connections) == (count, connections)
--- /dev/null
+++ b/features/steps/balancing_steps.py
@@ -0,0 +1,242 @@
+"""Steps for the choice of endpoints: load, zones, cold starts, ejection, endpoint news, limits."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as examples
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from proxy_host import (
+    SERVICE,
+    agents,
+    derandomized,
+)
+
+from limelever.protocol.endpoints_pb2 import (
+    ENDPOINT_STATE_DRAINING,
+    ENDPOINT_STATE_GONE,
+    ENDPOINT_STATE_READY,
+    Endpoint,
+    EndpointUpdate,
+)
+from limelever.proxy.balancer import Balancer, BalancerSettings
+from limelever.proxy.endpoints import UNLISTED_GRACE, EndpointView
+from limelever.proxy.group_limits import GroupLimits, LimitSettings, ShareKey
+from limelever.proxy.health import HealthSettings, Verdict
+
+
+def view_of(endpoints: list[Endpoint], now: float = 0.0) -> EndpointView:
+    view = EndpointView()
+    view.apply(EndpointUpdate(full=True, endpoints=endpoints), now)
+    return view
+
+
+def balancer_of(seed: int = 1, **fields: float) -> Balancer:
+    settings = BalancerSettings(zone="here", **fields)  # type: ignore[arg-type]
+    return Balancer(settings, HealthSettings(), random.Random(seed))
+
+
+@given('endpoints with {slots:d} slots in zones "{zones}"')
+def endpoints_in_zones(context: Context, slots: int, zones: str) -> None:
+    endpoints = [agents(1, z, slots, i)[0] for i, z in enumerate(zones.split(", "))]
+    context.usable = view_of(endpoints).usable(SERVICE, 0.0)
+    context.balancer = balancer_of()
+    context.zones = []
+
+
+@when("the balancer starts {count:d} calls")
+def balancer_starts(context: Context, count: int) -> None:
+    for _ in range(count):
+        entry = context.balancer.pick(context.usable, 0.0)
+        context.balancer.attempt_started(entry.key)
+        context.zones.append(entry.zone)
+
+
+@then('all of the balancer\'s calls are in zone "{zone}"')
+def all_in_zone(context: Context, zone: str) -> None:
+    assert set(context.zones) == {zone}, context.zones
+
+
+@then('some of the balancer\'s calls are in zone "{zone}"')
+def some_in_zone(context: Context, zone: str) -> None:
+    assert zone in context.zones, context.zones
+
+
+@given("a warm endpoint and one that has just appeared")
+def warm_and_cold(context: Context) -> None:
+    context.view = view_of(agents(1, slots=40))
+    context.view.apply(EndpointUpdate(endpoints=agents(1, slots=40, first=1)), 50.0)
+
+
+def share_of_cold(context: Context, now: float) -> float:
+    balancer = balancer_of(spill_load=1000.0)
+    usable = context.view.usable(SERVICE, now)
+    picked = Counter()
+    for _ in range(40):
+        entry = balancer.pick(usable, now)
+        assert entry is not None
+        balancer.attempt_started(entry.key)
+        picked[entry.key.instance] += 1
+    return picked["instance-1"] / 40
+
+
+@then("the cold endpoint gets less than a third of the calls at first")
+def cold_gets_little(context: Context) -> None:
+    assert share_of_cold(context, 50.5) < 1 / 3
+
+
+@then("the cold endpoint gets about half of the calls after its ramp")
+def warm_gets_half(context: Context) -> None:
+    assert 0.4 <= share_of_cold(context, 61.0) <= 0.6
+
+
+@given("any outcomes of calls, the balancer keeps half of the endpoints in use")
+def ejection_floor(context: Context) -> None:
+    outcomes = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([-3, 1, 5, 8])), max_size=40)
+
+    @hypothesis_settings(derandomized, max_examples=300)
+    @examples(st.integers(1, 10), outcomes, st.integers(0, 5))
+    def check(count: int, plan: list[tuple[int, int]], seed: int) -> None:
+        usable = view_of(agents(count)).usable(SERVICE, 0.0)
+        balancer = balancer_of(seed)
+        for number, failures in plan:
+            key = usable[number % count].key
+            verdict = Verdict.FAILED if failures > 0 else Verdict.SUCCEEDED
+            for _ in range(abs(failures)):
+                balancer.attempt_started(key)
+                balancer.attempt_ended(key, verdict, 0.01, usable, 1.0)
+        left = set()
+        while (entry := balancer.pick(usable, 1.0, left)) is not None:
+            left.add(entry.key)
+        assert len(left) >= math.ceil(count / 2)
+
+    check()
+
+
+@given("an endpoint that reports no load and fails every call")
+def failing_endpoint(context: Context) -> None:
+    context.usable = view_of(agents(4)).usable(SERVICE, 0.0)
+    context.balancer = balancer_of()
+
+
+@then("the balancer leaves the failing endpoint out, and tries it again later")
+def left_out_then_tried(context: Context) -> None:
+    balancer, usable = context.balancer, context.usable
+    failing = usable[0].key
+    for _ in range(HealthSettings().failures_to_eject):
+        balancer.attempt_started(failing)
+        ejected = balancer.attempt_ended(failing, Verdict.FAILED, 0.01, usable, 1.0)
+        balancer.observe_load(failing, 0, 1.0)
+    assert ejected > 0
+    assert all(balancer.pick(usable, 1.1).key != failing for _ in range(50))
+    assert any(balancer.pick(usable, 1.1 + ejected).key == failing for _ in range(50))
+    balancer.attempt_started(failing)
+    again = balancer.attempt_ended(failing, Verdict.FAILED, 0.01, usable, 1.1 + ejected)
+    assert again > ejected
+
+
+NEWS_STATES = (ENDPOINT_STATE_READY, ENDPOINT_STATE_DRAINING, ENDPOINT_STATE_GONE)
+
+
+@given("any order of endpoint news, the newest wins and a drained incarnation stays out")
+def endpoint_news(context: Context) -> None:
+    news = st.tuples(st.integers(1, 3), st.integers(1, 3), st.sampled_from(NEWS_STATES))
+
+    @derandomized
+    @examples(st.lists(news, min_size=1, max_size=12), st.randoms(use_true_random=False))
+    def check(plan: list[tuple[int, int, int]], shuffler: random.Random) -> None:
+        states: dict[tuple[int, int], int] = {}
+        for incarnation, sequence, state in plan:
+            states.setdefault((incarnation, sequence), state)
+        messages = [news_of(*age, state) for age, state in states.items()] * 2
+        shuffler.shuffle(messages)
+        view = EndpointView()
+        for message in messages:
+            view.apply(EndpointUpdate(endpoints=[message]), 1.0)
+        newest = max(states)
+        usable = view.usable(SERVICE, 1.0)
+        assert all((e.incarnation, e.sequence) == newest for e in usable)
+        assert not (usable and states[newest] != ENDPOINT_STATE_READY)
+        own = {state for age, state in states.items() if age[0] == newest[0]}
+        if states[newest] == ENDPOINT_STATE_READY and ENDPOINT_STATE_DRAINING not in own:
+            assert len(usable) == 1, states
+
+    check()
+
+
+@given("an endpoint whose lease ended at a relay that hears nothing")
+def ended_lease(context: Context) -> None:
+    context.view = view_of([news_of(1, 5, ENDPOINT_STATE_READY)])
+    context.view.apply(EndpointUpdate(endpoints=[news_of(1, 5, ENDPOINT_STATE_GONE)]), 1.0)
+
+
+@then("news as old as its end does not bring it back")
+def not_brought_back(context: Context) -> None:
+    context.view.apply(EndpointUpdate(endpoints=[news_of(1, 5, ENDPOINT_STATE_READY)]), 2.0)
+    assert context.view.usable(SERVICE, 2.0) == ()
+
+
+@then("its newer registration at another relay brings it back")
+def brought_back(context: Context) -> None:
+    context.view.apply(EndpointUpdate(endpoints=[news_of(1, 6, ENDPOINT_STATE_READY)]), 3.0)
+    assert len(context.view.usable(SERVICE, 3.0)) == 1
+
+
+def news_of(incarnation: int, sequence: int, state: int) -> Endpoint:
+    endpoint = agents(1)[0]
+    endpoint.incarnation, endpoint.sequence = incarnation, sequence
+    endpoint.state = state
+    return endpoint
+
+
+@given("a view of {count:d} endpoints")
+def view_of_many(context: Context, count: int) -> None:
+    context.view = view_of(agents(count))
+
+
+@when("a full update names {count:d} of them")
+def full_update(context: Context, count: int) -> None:
+    context.view.apply(EndpointUpdate(full=True, endpoints=agents(count)), 5.0)
+
+
+@then("the view keeps the others for a grace period")
+def keeps_others(context: Context) -> None:
+    assert len(context.view.usable(SERVICE, 5.0)) == 3
+    assert len(context.view.usable(SERVICE, 5.0 + UNLISTED_GRACE)) == 1
+
+
+@given("any calls of three groups, the bounds hold and a group under its share finds room")
+def group_bounds(context: Context) -> None:
+    steps = st.lists(st.tuples(st.integers(0, 2), st.integers(-5, 20)), max_size=30)
+
+    @derandomized
+    @examples(steps)
+    def check(plan: list[tuple[int, int]]) -> None:
+        limits = GroupLimits(LimitSettings(total=20, near=0.8))
+        held: Counter[int] = Counter()
+        for group, change in plan:
+            key = ShareKey(SERVICE, str(group))
+            for _ in range(min(-change, held[group])):
+                limits.release(key)
+                held[group] -= 1
+            for _ in range(change):
+                check_admission(limits, key, held, group)
+            assert sum(held.values()) == limits.total <= 20
+
+    check()
+
+
+def check_admission(limits: GroupLimits, key: ShareKey, held: Counter[int], group: int) -> None:
+    """Near the bound, exactly the groups that hold their share of those active are refused."""
+    total = sum(held.values())
+    active = sum(1 for count in held.values() if count)
+    over_share = held[group] and held[group] >= 20 // active
+    refusal = limits.admit(key, weight=1)
+    held[group] += refusal is None
+    expected = total >= 20 or bool(total >= 16 and over_share)
+    assert (refusal is not None) == expected, (held, group)
--- /dev/null
+++ b/features/steps/edge_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the proxy's HTTP edge, on loopback."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import httpcore
+import trio
+from behave import given, then
+from behave.runner import Context
+
+from limelever.common.errors import Outcome
+from limelever.common.sansio import (
+    Address,
+    Event,
+)
+from limelever.proxy.call_types import (
+    AnswerCall,
+    CallAnswer,
+    CallArrived,
+)
+from limelever.proxy.edge import Edge
+from limelever.proxy.settings import EdgeSettings
+
+
+@given("an HTTP edge on loopback")
+def http_edge(context: Context) -> None:
+    context.edge_settings = EdgeSettings(listen=Address("127.0.0.1", 0), max_body_bytes=1000)
+
+
+def run_edge(context: Context, use: object) -> None:
+    """Serve an edge whose core answers after 0.2 s, and run ``use(edge, url, arrived)``."""
+
+    async def main() -> None:
+        arrived = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def answer_later(event: CallArrived) -> None:
+                await trio.sleep(0.2)
+                edge.answer(AnswerCall(event.call, CallAnswer(200, (), event.request.body)))
+
+            def post(event: Event) -> None:
+                if isinstance(event, CallArrived):
+                    arrived.set()
+                    nursery.start_soon(answer_later, event)
+
+            edge = Edge(context.edge_settings, post)
+            bound = await nursery.start(partial(edge.serve, 5.0))
+            with trio.fail_after(10):
+                await use(edge, f"http://{bound}", arrived)  # type: ignore[operator]
+            edge.stop()
+
+    trio.run(main)
+
+
+@then("a body over the limit is refused with {status:d}")
+def body_refused(context: Context, status: int) -> None:
+    async def use(edge: Edge, url: str, arrived: trio.Event) -> None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request("POST", url + "/orders", content=b"x" * 200_000)
+            assert response.status == status
+            headers = dict(response.headers)
+            assert headers[b"x-limelever-outcome"] == Outcome.NOT_RUN.value.encode()
+        assert not arrived.is_set()
+
+    run_edge(context, use)
+
+
+@then("a request in flight when the edge stops is answered whole")
+def answered_at_stop(context: Context) -> None:
+    bodies: list[bytes] = []
+
+    async def use(edge: Edge, url: str, arrived: trio.Event) -> None:
+        async with trio.open_nursery() as nursery, httpcore.AsyncConnectionPool() as pool:
+
+            async def ask() -> None:
+                response = await pool.request("POST", url + "/orders", content=b"whole")
+                bodies.append(response.content)
+
+            nursery.start_soon(ask)
+            await arrived.wait()
+            edge.stop()
+            while not bodies:
+                await trio.sleep(0.01)
+
+    run_edge(context, use)
+    assert bodies == [b"whole"]
