--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -132,7 +132,10 @@
     assert set(shown) == set(expected), set(shown) ^ set(expected)
     for name, keys in expected.items():
         wanted = [[f"`{key.path}`", key.kind, key.default_text, key.range_text] for key in keys]
-        assert [row[:4] for row in shown[name]] == wanted, name
+        cells = [row[:4] for row in shown[name]]
+        missing = [row for row in wanted if row not in cells]
+        unknown = [row for row in cells if row not in wanted]
+        assert cells == wanted, f"{name}: missing {missing}, unknown {unknown}, or out of order"
         assert all(OWN_WORDS.search(row[4]) for row in shown[name]), name
 
 
