--- a/features/simulator/checkers.feature
+++ b/features/simulator/checkers.feature
@@ -23,6 +23,33 @@
     When a proxy holds nothing
     Then the findings are "not-in-force"
 
+  Scenario Outline: A holder that takes itself for current is found when it is not
+    Given the history of a service, a secret and a route that needs both
+    When a proxy at version <version> believes itself current at second <second>
+    Then the findings are "<rule>"
+
+    Examples:
+      | version | second | rule            |
+      | 1       | 1.5    |                 |
+      | 1       | 2.5    | false-freshness |
+      | 4       | 2.5    |                 |
+      | 5       | 2.5    |                 |
+
+  Scenario Outline: A proxy that a change reaches late is found
+    Given the history of a service, a secret and a route that needs both
+    When both versions reach a proxy <delay> seconds late with a limit of 5 seconds
+    Then the findings are "<rule>"
+
+    Examples:
+      | delay | rule           |
+      | 4     |                |
+      | 6     | stale-too-long |
+
+  Scenario: A proxy that a change never reaches is found
+    Given the history of a service, a secret and a route that needs both
+    When no version reaches a proxy within a limit of 5 seconds
+    Then the findings are "stale-too-long"
+
   Scenario Outline: A call that breaks a rule is found
     When a call <what>
     Then the findings are "<rule>"
--- a/features/steps/simulator_steps.py
+++ b/features/steps/simulator_steps.py
@@ -323,6 +323,25 @@
         context.checker.judge_liveness(9.0, [proxy])
 
 
+@when("a proxy at version {version:d} believes itself current at second {second:g}")
+def proxy_believes(context: Context, version: int, second: float) -> None:
+    context.checker.believes(Holder("proxy", SCOPE), second, version)
+    context.checker.judge_beliefs()
+
+
+@when("both versions reach a proxy {delay:g} seconds late with a limit of {limit:g} seconds")
+def versions_reach_late(context: Context, delay: float, limit: float) -> None:
+    proxy = Holder("proxy", SCOPE)
+    context.checker.observe(1.0 + delay, proxy, 1, context.holdings["first"])
+    context.checker.observe(2.0 + delay, proxy, 4, context.holdings["second"])
+    context.checker.judge_staleness([proxy], limit)
+
+
+@when("no version reaches a proxy within a limit of {limit:g} seconds")
+def no_version_reaches(context: Context, limit: float) -> None:
+    context.checker.judge_staleness([Holder("proxy", SCOPE)], limit)
+
+
 @when("two batches with expected version 1 are accepted")
 def two_winners(context: Context) -> None:
     for number in (5, 6):
--- a/src/limelever_lab/simulator/command.py
+++ b/src/limelever_lab/simulator/command.py
@@ -9,9 +9,9 @@
 from limelever_lab.simulator.break_table import first_failures, table_lines
 from limelever_lab.simulator.breaks import BREAKS
 from limelever_lab.simulator.deployments import DEPLOYMENTS
-from limelever_lab.simulator.pool import DEFAULT_WORKERS, run_all
+from limelever_lab.simulator.pool import DEFAULT_WORKERS, run_all, run_one
 from limelever_lab.simulator.result import RunOrder, RunResult, describe_failure, summary
-from limelever_lab.simulator.run import faults_of, run_order
+from limelever_lab.simulator.run import faults_of
 from limelever_lab.simulator.shrink import shrink
 
 DEFAULT_SEEDS = 100
@@ -68,7 +68,7 @@
 
 
 def _print_failure(result: RunResult) -> None:
-    smallest = shrink(result, len(faults_of(result.order)), run_order)
+    smallest = shrink(result, len(faults_of(result.order)), run_one)
     for line in describe_failure(result, smallest):
         typer.echo(line)
 
--- a/src/limelever_lab/simulator/pool.py
+++ b/src/limelever_lab/simulator/pool.py
@@ -1,25 +1,40 @@
-"""Runs many orders over a few worker processes; results come in the order asked."""
+"""Runs many orders over a few worker processes; results come in the order asked.
+
+Some cores put members of sets of strings into messages, in an order that follows Python's
+string hashes. These differ from process to process unless their seed is fixed, and a seed
+would not name a run; so orders run in processes whose hash seed is fixed.
+"""
 
 from __future__ import annotations
 
 import multiprocessing
+import os
+import sys
 from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import TypeVar
 
 from limelever_lab.simulator.result import RunOrder, RunResult
 from limelever_lab.simulator.run import run_order
 
 DEFAULT_WORKERS = 4
+HASH_SEED_VARIABLE = "PYTHONHASHSEED"
+HASH_SEED = "0"
 
 Work = TypeVar("Work")
 Answer = TypeVar("Answer")
 
 
 def run_all(orders: Sequence[RunOrder], workers: int = DEFAULT_WORKERS) -> Iterator[RunResult]:
-    """Yield the result of each order; one worker runs them in this process."""
+    """Yield the result of each order."""
     yield from _spread(run_order, orders, workers)
 
 
+def run_one(order: RunOrder) -> RunResult:
+    """Return the result of one order."""
+    return next(run_all([order], workers=1))
+
+
 def run_until_failure(
     series: Sequence[Sequence[RunOrder]], workers: int = DEFAULT_WORKERS
 ) -> Iterator[RunResult | None]:
@@ -38,9 +53,25 @@
 def _spread(
     function: Callable[[Work], Answer], items: Sequence[Work], workers: int
 ) -> Iterator[Answer]:
-    if workers <= 1 or len(items) <= 1:
+    if workers == 1 and not sys.flags.hash_randomization:
         yield from map(function, items)
         return
     context = multiprocessing.get_context("spawn")
-    with context.Pool(min(workers, len(items))) as pool:
+    with _fixed_hash_seed():
+        pool = context.Pool(min(workers, len(items)))
+    with pool:
         yield from pool.imap(function, items)
+
+
+@contextmanager
+def _fixed_hash_seed() -> Iterator[None]:
+    """Let processes that are started meanwhile hash strings in the same way each time."""
+    before = os.environ.get(HASH_SEED_VARIABLE)
+    os.environ[HASH_SEED_VARIABLE] = HASH_SEED
+    try:
+        yield
+    finally:
+        if before is None:
+            del os.environ[HASH_SEED_VARIABLE]
+        else:
+            os.environ[HASH_SEED_VARIABLE] = before
