--- /dev/null
+++ b/features/steps/replication_disorder_steps.py
@@ -0,0 +1,68 @@
+"""Steps for replication under disorder of every kind, seed by seed."""
+
+from __future__ import annotations
+
+from behave import then
+from replication_group import Group, service_batch
+
+from limelever.protocol.operators_pb2 import (
+    ApplyResponse,
+    GetRequest,
+)
+
+
+def _disturb(group, random, may_lose):
+    """Do one thing that fails in the field; a lost disk only while nothing else is wrong."""
+    name = random.choice(list(group.nodes))
+    node = group.nodes[name]
+    choice = random.random()
+    if choice < 0.4:
+        group.crash(name)
+        group.after(random.uniform(0.1, 2), lambda: node.core or group.start(name))
+    elif choice < 0.8:
+        group.isolate(name)
+        group.after(random.uniform(0.1, 3), group.cut.clear)
+    elif may_lose:
+        group.crash(name)
+        node.disk.lose()
+        group.start(name)
+
+
+def _write_somewhere(group, random, number):
+    running = [name for name, node in group.nodes.items() if node.core]
+    if running:
+        group.ask(random.choice(running), service_batch(f"chaos{number}", f"s{number}"))
+
+
+def _whole(group):
+    """Return whether all replicas run, are voters by the leader's account and are caught up."""
+    leader = group.leader()
+    if leader is None or group.cut or any(node.core is None for node in group.nodes.values()):
+        return False
+    replica = group.nodes[leader].core.replica
+    identities = group.voters(leader)
+    return all(
+        identities.get(name) == node.core.replica.identity
+        and node.core.replica.commit_index == replica.commit_index
+        for name, node in group.nodes.items()
+    )
+
+
+@then("a replica group of {size:d} keeps its promises under {seeds:d} seeds of disorder")
+def _(context, size, seeds):
+    for seed in range(seeds):
+        group = Group(size, seed=seed, loss=0.05, snapshot_every=30)
+        group.found()
+        for number in range(40):
+            _disturb(group, group.random, may_lose=_whole(group))
+            for part in range(3):
+                _write_somewhere(group, group.random, number * 3 + part)
+                group.run(group.random.uniform(0.05, 0.8))
+        accepted = [a.version for a in group.answers.values() if isinstance(a, ApplyResponse)]
+        group.loss = 0.0
+        group.run_until(lambda group=group: _whole(group), f"seed {seed} is whole", 60)
+        last = group.accept(service_batch("last", "last"))
+        assert accepted and last.version > max(accepted), (seed, accepted, last)
+        held = group.answer(group.ask(group.leader(), GetRequest())).resources
+        assert set(accepted) <= {item.version for item in held}, seed
+        assert not group.stopped, (seed, group.stopped)
