Prove that callers' half-open requests end

Cause: nothing showed that headers or a body that never end cost no more than their connection. Change: two scenarios; the mechanisms were there (keep-alive time, time for a body). Measured: edge.feature 15 scenarios passed twice over. On a scratch copy one scenario failed without the time for a body, and one without the keep-alive time.

--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -169,6 +169,10 @@
 
 SENDINGS: dict[str, Callable[[HttpClient], None]] = {
     "data on an answered HTTP/2 stream": send_data_on_answered_stream,
+    "half of its headers": lambda client: client.send(b"GET / HTTP/1.1\r\nhost: a\r\nx-"),
+    "half of its body": lambda client: client.send(
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nhalf"
+    ),
     "bytes that are not HTTP": lambda client: client.send(b"\x00\x01\x02 not HTTP\r\n\r\n"),
     "headers of 1 MiB": lambda client: client.send(HEADERS_OF_1_MIB),
     "a broken HTTP/2 frame": lambda client: client.send(BROKEN_HTTP2_FRAME),
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -10,8 +10,8 @@
 from transport_server import wait_for
 
 from limelever.common.sansio import Address
+from limelever.proxy import edge
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived
-from limelever.proxy.edge import Edge
 from limelever.proxy.settings import EdgeSettings
 from limelever.transport import http_connection, metrics
 
@@ -24,12 +24,13 @@
 class EdgeServer:
     """The shipped edge before a core that answers at once, late or with a fault."""
 
-    def __init__(self, connections: int = 1024, faulty: bool = False) -> None:
+    def __init__(self, faulty: bool = False, **settings: int) -> None:
         self.held: list[int] = []
+        self.run = 0
         self.answer_bytes = 0
         self._faulty = faulty
-        settings = EdgeSettings(listen=Address("127.0.0.1", 0), connections=connections)
-        self._edge = Edge(settings, self._post)
+        listen = Address("127.0.0.1", 0)
+        self._edge = edge.Edge(EdgeSettings(listen=listen, **settings), self._post)
         self.server = HttpServer(partial(self._edge.serve, STOP_SECONDS))
 
     def release(self) -> None:
@@ -47,6 +48,7 @@
             raise KeyError("the fault of this test")
         if not isinstance(event, CallArrived):
             return
+        self.run += 1
         if event.request.target == HELD:
             self.held.append(event.call)
             return
@@ -87,6 +89,19 @@
     start_edge(context, faulty=True)
 
 
+@given("a callers' listener that ends idle connections after {idle:d} ms")
+def given_edge_idle(context, idle):
+    start_edge(context, keep_alive_ms=idle)
+
+
+@given("a callers' listener whose callers have {limit:g} seconds to send a body")
+def given_edge_short_of_time(context, limit):
+    patch = mock.patch.object(edge, "BODY_TIMEOUT", limit)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    start_edge(context)
+
+
 @given("a callers' listener whose callers have {limit:g} seconds to take an answer")
 def given_edge_impatient(context, limit):
     for name, value in (("SEND_SECONDS", limit), ("SLOWEST_BYTES_PER_SECOND", 1 << 40)):
@@ -169,6 +184,11 @@
     context.caller = ask(context)
 
 
+@then("the callers' listener has run nothing")
+def then_edge_ran_nothing(context):
+    assert context.edge.run == 0, context.edge.run
+
+
 @then("the callers' listener holds {count:d} connections")
 def then_edge_holds(context, count):
     held = metrics.HTTP_CONNECTIONS_OPEN.labels("callers")
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -24,6 +24,18 @@
       | headers of 40 KiB | 431    |
       | a body of 5 MiB   | 413    |
 
+  Scenario: Headers that never end cost their connection
+    Given a callers' listener that ends idle connections after 200 ms
+    When a caller's connection sends half of its headers
+    Then the callers' listener ends that caller's connection
+
+  Scenario: A body that never ends is refused, with nothing run
+    Given a callers' listener whose callers have 0.2 seconds to send a body
+    When a caller's connection sends half of its body
+    Then that caller is answered with 503
+    And the callers' listener has run nothing
+    And the callers' listener answers another caller
+
   Scenario: The protocol's breach is a numbered event
     Given a callers' listener
     When a caller's connection sends data on an answered HTTP/2 stream
