Give up an at-most-once call whose caller left while it only waited

Cause: such a call kept its place in the agent's queue and its claim, and later took a slot for nobody. Change: the proxy asks the agent to cancel unless the call has begun (a new field of CallCancel); NOT RUN gives the claim back, and a call that has begun runs on as before, so that its answer is recorded. Ruled out: a plain cancel, which would cut off what has begun and leave its outcome unknown.

--- a/features/agent/calls.feature
+++ b/features/agent/calls.feature
@@ -49,6 +49,16 @@
     And its slot is busy until the back end's request has ended
     And agent stream 1 has failed with cancelled
 
+  Scenario: A cancel that spares what has begun
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent gets a call on agent stream 2 with 10 seconds left
+    And the agent hears a cancel unless begun of agent stream 1
+    And the agent hears a cancel unless begun of agent stream 2
+    Then agent stream 2 has failed with deadline-too-short
+    When the agent's back end answers agent stream 1
+    Then agent stream 1 has its answer
+
   Scenario: A lost proxy leaves only at-most-once attempts running
     Given an agent of incarnation 7 with 2 slots and a proxy
     When the agent gets a repeatable call on agent stream 1 and an at-most-once call on agent stream 2
--- a/features/proxy/at_most_once.feature
+++ b/features/proxy/at_most_once.feature
@@ -48,5 +48,16 @@
     Then call 2 got the answer of its agent
     And 1 call was handed on
 
+  Scenario: A caller that leaves while its call only waits gives its claim back
+    Given a proxy with one endpoint
+    When a caller places an order with key "k1"
+    And the caller of call 1 leaves
+    Then the agent was told to cancel unless the call had begun
+    When the agent refuses the call as "deadline-too-short"
+    And a caller places an order with key "k1"
+    And the agent answers the call
+    Then call 2 got the answer of its agent
+    And 2 calls were handed on
+
   Scenario: Whatever agents, links and callers do, no key runs twice
     Given any outcomes, losses and resends through two proxies, no key runs twice
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -118,6 +118,11 @@
     context.agent.send(CallCancel(stream=stream))
 
 
+@when("the agent hears a cancel unless begun of agent stream {stream:d}")
+def send_cancel_unless_begun(context: Context, stream: int) -> None:
+    context.agent.send(CallCancel(stream=stream, unless_begun=True))
+
+
 @when("the agent loses its proxy")
 def lose_proxy(context: Context) -> None:
     context.agent.tell(ConnectionClosed(PROXY_LINK, "lost"))
@@ -295,7 +300,7 @@
                 self.call(again)
             case "cancel":
                 stream = next(iter(self.running.values()), 0) if flag else number
-                self.take(self.service.cancel(PROXY_LINK, stream))
+                self.take(self.service.cancel(PROXY_LINK, CallCancel(stream=stream)))
             case "answer" if self.running:
                 attempt = self.end_one(number)
                 self.take(self.service.answered(AttemptAnswered(attempt, 200, (), b""), self.now))
--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -163,6 +163,7 @@
         self.open: list[tuple[int, CallStart]] = []
         self.links: dict[int, OpenConnection] = {}
         self.cancels = 0
+        self.cancels_unless_begun = 0
         self.credit = 0
         self.uploaded = bytearray()
         self.stopped = False
@@ -284,8 +285,9 @@
                 self.uploaded += message.body
             case CallBody(data=data):
                 self.uploaded += data
-            case CallCancel():
-                self.cancels += 1
+            case CallCancel(unless_begun=unless_begun):
+                self.cancels += not unless_begun
+                self.cancels_unless_begun += unless_begun
             case CallCredit(bytes=size):
                 self.credit += size
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -142,6 +142,11 @@
     context.proxy.refuse(*context.proxy.open[-1], ErrorKind(kind))
 
 
+@then("the agent was told to cancel unless the call had begun")
+def told_to_cancel_unless_begun(context: Context) -> None:
+    assert context.proxy.cancels == 0 and context.proxy.cancels_unless_begun == 1
+
+
 @when("the agent's link is lost")
 def agent_link_lost(context: Context) -> None:
     context.proxy.lose(context.proxy.open[-1][0])
@@ -219,6 +224,7 @@
 
 
 @then("{count:d} call was handed on")
+@then("{count:d} calls were handed on")
 def handed_on_count(context: Context, count: int) -> None:
     assert len(context.proxy.handed_on) == count
 
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -22,7 +22,7 @@
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, Output, SendMessage
-from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCredit, CallStart
+from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
 
 _SHED_STATUS = 503
 _LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
@@ -119,11 +119,14 @@
         """Send more of a long answer."""
         return self._answers.credit(connection, message.stream, message.bytes)
 
-    def cancel(self, connection: ConnectionId, stream: int) -> list[Output]:
+    def cancel(self, connection: ConnectionId, message: CallCancel) -> list[Output]:
         """End a call that its proxy no longer wants, and say whether it had begun."""
-        call = self._calls.by_stream(connection, stream)
+        call = self._calls.by_stream(connection, message.stream)
+        begun = call is None or call.stage is CallStage.RUNNING
+        if begun and message.unless_begun:
+            return []
         if call is None:
-            self._answers.drop(connection, stream)
+            self._answers.drop(connection, message.stream)
             return []
         if call.stage is not CallStage.RUNNING:
             return self._refuse(call, self._with_advice(_GIVEN_UP, call))
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -191,7 +191,7 @@
             case CallCredit():
                 return self._calls.credit(connection, message)
             case CallCancel():
-                return self._calls.cancel(connection, message.stream)
+                return self._calls.cancel(connection, message)
         return []
 
     def _subscribed(self, event: Event, now: float) -> list[Output]:
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -110,6 +110,12 @@
         message = CallCancel(stream=call.attempt.stream)
         self._outputs.append(SendMessage(call.attempt.connection, message))
 
+    def cancel_unless_begun(self, call: Call) -> None:
+        """Ask the agent to give the call up if it only waits; otherwise its answer still comes."""
+        assert call.attempt is not None
+        message = CallCancel(stream=call.attempt.stream, unless_begun=True)
+        self._outputs.append(SendMessage(call.attempt.connection, message))
+
     def link_opened(self, connection: ConnectionId, peer: Peer, now: float) -> None:
         """Send the calls that waited for this link."""
         link = self._links.opened(connection, peer.incarnation)
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -102,13 +102,15 @@
         """Cancel a call that nobody waits for, unless it may not be repeated and is under way.
 
         A call under way that may not be repeated runs on, so that its answer is recorded for the
-        caller's resend.
+        caller's resend. If it only waits at its agent it is given up, and its claim with it.
         """
         call = self._calls.by_number(number)
         if call is None:
             return
         call.caller_gone = True
         if call.route.at_most_once and call.phase in _UNDER_WAY:
+            if call.phase is Phase.HANDED_ON:
+                self._attempts.cancel_unless_begun(call)
             return
         self._attempts.abandon(call, Verdict.NEUTRAL, now)
         self._finish(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller has gone"), now)
