Catch up a follower whose disk was rolled back, and say so

Cause: a follower that lost synced entries stayed behind until its leader changed, and its leader went on counting those entries for majorities.

Change: a refusal from behind what is synced, of a later round than the answer that told so, lowers the count, and the entries are sent again; an older one is dropped. The leader logs follower-rolled-back (2015, ERROR).

Tests: the scenario on a rolled-back follower requires the event and the catching up as well as the limit on messages; one of five replicas requires that the lost entries don't count.

What stays: the replica may have voted with the log that it lost.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -64,12 +64,20 @@
     Then a replica group holds the last version on every replica
     And a replica group has sent a snapshot
 
-  Scenario: A follower whose log was rolled back does not keep its leader busy
+  Scenario: A follower whose log was rolled back is told of, caught up and keeps nobody busy
     Given a replica group of 3
     And a replica group accepts 5 writes
     When a replica group rolls a follower's log back
     And a replica group accepts 5 writes
     Then a replica group sends at most 40 messages a second when idle
+    And a replica group has reported the follower that was rolled back
+    And a replica group holds the last version on every replica
+
+  Scenario: What a follower lost counts for no majority
+    Given a replica group of 5
+    And a replica group accepts 5 writes
+    When a replica group rolls a follower's log back
+    Then a replica group's leader counts the follower as behind
 
   Scenario: What ends is told twice and ends once
     Given a replica group of 3
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -150,12 +150,31 @@
 @when("a replica group rolls a follower's log back")
 def _(context):
     group, name = context.group, context.group.others(context.leader)[0]
+    context.rolled_back = name
     group.run(1)
     group.crash(name)
     group.nodes[name].disk.perform([TruncateLog(1, 0)])
     group.start(name)
 
 
+@then("a replica group has reported the follower that was rolled back")
+def _(context):
+    assert context.group.has_logged(events.FOLLOWER_ROLLED_BACK)
+
+
+@then("a replica group's leader counts the follower as behind")
+def _(context):
+    group, name = context.group, context.rolled_back
+    replica = group.nodes[group.leader()].core.replica
+
+    def matched():
+        members = replica.status().members
+        return next(member.matched_index for member in members if member.name == name)
+
+    assert matched() == replica.commit_index
+    group.run_until(lambda: matched() < replica.commit_index, "the loss is seen", 2)
+
+
 @then("a replica group sends at most {limit:d} messages a second when idle")
 def _(context, limit):
     before, seconds = context.group.sent, 5
--- a/src/limelever/source/events.py
+++ b/src/limelever/source/events.py
@@ -19,6 +19,15 @@
 LOG_CUT = define(
     2014, "log-cut", Level.INFO, "entries that were never committed cut", "from_index", "term"
 )
+FOLLOWER_ROLLED_BACK = define(
+    2015,
+    "follower-rolled-back",
+    Level.ERROR,
+    "a follower lost entries that it had synced; they are sent again",
+    "identity",
+    "synced",
+    "held",
+)
 SNAPSHOT_TAKEN = define(2020, "snapshot-taken", Level.INFO, "snapshot taken", "index")
 SNAPSHOT_INSTALLED = define(
     2021, "snapshot-installed", Level.INFO, "snapshot of the leader installed", "index", "leader"
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -18,7 +18,7 @@
 from limelever.source import events
 from limelever.source.replication.context import ReplicaContext, ReplicaRole
 from limelever.source.replication.members import is_member, majority_value
-from limelever.source.replication.progress import Rounds
+from limelever.source.replication.progress import Progress, Rounds
 from limelever.source.replication.reads import LeaderReads, ReadAnswer
 from limelever.source.replication.sending import LogSender
 
@@ -141,15 +141,20 @@
         progress.heard_at = context.now
         progress.acked_round = max(progress.acked_round, answer.round)
         if answer.success:
-            progress.take_success(answer.match_index)
+            progress.take_success(answer.match_index, answer.round)
             self._commit()
-            worth_sending = True
         else:
-            worth_sending = progress.take_refusal(answer.match_index)
-        if self.leading and worth_sending and self._sender.has_more_for(progress):
+            self._take_refusal(answer, progress)
+        if self.leading and self._sender.has_more_for(progress):
             self._sender.send(member)
         self._check_rounds()
 
+    def _take_refusal(self, answer: AppendAnswer, progress: Progress) -> None:
+        synced = progress.match_index
+        if progress.take_refusal(answer.match_index, answer.round):
+            fields = {"identity": answer.follower, "synced": synced, "held": answer.match_index}
+            self._context.record(events.FOLLOWER_ROLLED_BACK, **fields)
+
     def _member(self, identity: str) -> Member | None:
         members = self._context.members.members
         return next((member for member in members if member.identity == identity), None)
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -11,31 +11,39 @@
 class Progress:
     """One follower as its leader sees it.
 
-    ``match_index`` is synced at the follower; ``next_index`` is sent next, ahead of the answers;
-    ``acked_round`` is the newest round it echoed; ``heard_at`` is when it last answered;
-    ``snapshot_due`` is when a snapshot may be sent (again). Times in seconds, monotonic.
+    ``match_index`` is synced at the follower, by its answer in ``match_round``; ``next_index`` is
+    sent next, ahead of the answers; ``acked_round`` is the newest round it echoed; ``heard_at`` is
+    when it last answered; ``snapshot_due`` is when a snapshot may be sent (again). Times in
+    seconds, monotonic.
     """
 
     next_index: int
     match_index: int = 0
+    match_round: int = 0
     acked_round: int = 0
     heard_at: float = NEVER
     snapshot_due: float = NEVER
 
-    def take_success(self, match_index: int) -> None:
-        """Note what the follower has synced."""
-        self.match_index = max(self.match_index, match_index)
+    def take_success(self, match_index: int, round_number: int) -> None:
+        """Note what the follower has synced, by its answer in a round."""
+        if match_index >= self.match_index:
+            self.match_index = match_index
+            self.match_round = max(self.match_round, round_number)
         self.next_index = max(self.next_index, self.match_index + 1)
 
-    def take_refusal(self, hint: int) -> bool:
-        """Go back to the last index worth trying, never behind what is synced there.
+    def take_refusal(self, hint: int, round_number: int) -> bool:
+        """Go back to the last index worth trying; return whether that is behind what was synced.
 
-        Returns whether it is worth sending again at once. It is not for a refusal from behind
-        what is synced there: that is a late one, or comes from a follower that lost what it had
-        synced, and answering each with another append would keep both sides busy without end.
+        Behind it, a refusal of no later round is an old one and is dropped. One of a later round
+        says that the follower's disk was rolled back. Its entries must not count for a majority
+        any more, and are sent again: with the old count kept, each refusal would bring another.
         """
-        self.next_index = max(self.match_index, min(hint, self.next_index - 1)) + 1
-        return hint >= self.match_index
+        behind = hint < self.match_index
+        if behind and round_number <= self.match_round:
+            return False
+        self.match_index = min(self.match_index, hint)
+        self.next_index = min(hint, self.next_index - 1) + 1
+        return behind
 
 
 class Rounds:
