Refuse new calls while callers leave too many answers untaken

Cause: answers being sent to slow callers counted against no bound; a few hundred callers that read nothing could hold answers of 8 MiB each. Change: while more than 32 MiB of answers wait to be taken, the edge refuses new calls (NOT RUN, Retry-After); the listener already cuts off a caller that takes nothing. Counting them against edge.buffered_bytes was ruled out: one slow caller with one large answer would have closed the proxy to all.

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -123,3 +123,9 @@
     Given an HTTP edge on loopback
     Then a body over the limit is refused with 413
     And a request in flight when the edge stops is answered whole
+
+  Scenario: Answers that callers do not take bound the calls that are let in
+    Given an HTTP edge on loopback that may hold 100000 bytes of answers
+    When a caller of the edge does not take its answer of 50000000 bytes
+    Then the edge refuses further calls with 503, NOT RUN and a Retry-After
+    And the edge lets calls in again once that caller has left
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from functools import partial
+from unittest import mock
 
 import httpcore
 import trio
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
 
 from limelever.common.errors import Outcome
@@ -14,6 +15,7 @@
     Address,
     Event,
 )
+from limelever.proxy import edge as edge_module
 from limelever.proxy.call_types import (
     AnswerCall,
     CallAnswer,
@@ -22,6 +24,9 @@
 from limelever.proxy.edge import Edge
 from limelever.proxy.settings import EdgeSettings
 
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
 
 @given("an HTTP edge on loopback")
 def http_edge(context: Context) -> None:
@@ -85,3 +90,54 @@
 
     run_edge(context, use)
     assert bodies == [b"whole"]
+
+
+@given("an HTTP edge on loopback that may hold {size:d} bytes of answers")
+def http_edge_with_bound(context: Context, size: int) -> None:
+    http_edge(context)
+    context.held_bytes = size
+
+
+@when("a caller of the edge does not take its answer of {size:d} bytes")
+def caller_takes_nothing(context: Context, size: int) -> None:
+    with mock.patch.object(edge_module, "ANSWERS_LIMIT_BYTES", context.held_bytes):
+        context.statuses = trio.run(ask_beside_slow_caller, context.edge_settings, bytes(size))
+
+
+async def ask_beside_slow_caller(settings: EdgeSettings, answer: bytes) -> list[httpcore.Response]:
+    """Return the first refusal beside a caller that reads nothing, and the answer after it left."""
+
+    def post(event: Event) -> None:
+        if isinstance(event, CallArrived):
+            body = answer if event.request.target == b"/slow" else b""
+            edge.answer(AnswerCall(event.call, CallAnswer(200, (), body)))
+
+    edge = Edge(settings, post)
+    async with trio.open_nursery() as nursery, httpcore.AsyncConnectionPool() as pool:
+        bound = await nursery.start(partial(edge.serve, 5.0))
+        slow = await trio.open_tcp_stream(bound.host, bound.port)
+        await slow.send_all(b"GET /slow HTTP/1.1\r\nhost: test\r\n\r\n")
+        with trio.fail_after(30):
+            refused = await ask_until(pool, f"http://{bound}/", HTTP_UNAVAILABLE)
+            await slow.aclose()
+            allowed = await ask_until(pool, f"http://{bound}/", HTTP_OK)
+        edge.stop()
+    return [refused, allowed]
+
+
+async def ask_until(pool: httpcore.AsyncConnectionPool, url: str, status: int) -> httpcore.Response:
+    while (response := await pool.request("GET", url)).status != status:
+        await trio.sleep(0.01)
+    return response
+
+
+@then("the edge refuses further calls with 503, NOT RUN and a Retry-After")
+def check_refused(context: Context) -> None:
+    headers = dict(context.statuses[0].headers)
+    assert headers[b"x-limelever-outcome"] == Outcome.NOT_RUN.value.encode()
+    assert int(headers[b"retry-after"]) > 0
+
+
+@then("the edge lets calls in again once that caller has left")
+def check_let_in(context: Context) -> None:
+    assert context.statuses[1].status == HTTP_OK
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from limelever.common.errors import Failure
-from limelever.common.http_headers import Headers as Headers
+from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
 
 GROUP_HEADER = b"x-limelever-group"
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -14,6 +14,7 @@
 import trio
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_headers import Headers
 from limelever.common.sansio import Address, Event
 from limelever.proxy.answers import render_answer
 from limelever.proxy.call_types import (
@@ -22,7 +23,6 @@
     CallArrived,
     CallerGone,
     CallRequest,
-    Headers,
 )
 from limelever.proxy.edge_listener import serve_callers
 from limelever.proxy.requests import declared_length, headers_size, parse_request
@@ -37,6 +37,12 @@
 DISCARD_TIMEOUT = 1.0
 """Seconds for which the rest of a refused body is read, so that the caller sees the refusal."""
 
+ANSWERS_LIMIT_BYTES = 32 * 1024 * 1024
+"""Bytes of answers that callers have not yet taken; while more wait, new calls are refused.
+
+A caller that takes nothing at all is cut off by the listener in the end.
+"""
+
 OVERLOAD_RETRY_AFTER = 1.0
 HTTP_1 = "1"
 _CLOSE = (b"connection", b"close")
@@ -64,6 +70,7 @@
         self._waiting: dict[int, _Waiting] = {}
         self._last_call = 0
         self._buffered = 0
+        self._untaken = 0
         self._stopping = trio.Event()
 
     def answer(self, output: AnswerCall) -> None:
@@ -157,6 +164,9 @@
         if headers_size(headers) > self._settings.max_headers_bytes:
             limit = self._settings.max_headers_bytes
             return Failure(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
+        if self._untaken > ANSWERS_LIMIT_BYTES:
+            reason = "callers are slow to take the answers that this proxy holds"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_AFTER)
         return self.check_body(declared_length(headers), declared_length(headers))
 
     def check_body(self, size: int, added: int) -> Failure | None:
@@ -191,8 +201,12 @@
         if self._stopping.is_set() and scope["http_version"].startswith(HTTP_1):
             headers = (*headers, _CLOSE)
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
-        await send(start)
-        await send({"type": "http.response.body", "body": answer.body, "more_body": more})
+        self._untaken += len(answer.body)
+        try:
+            await send(start)
+            await send({"type": "http.response.body", "body": answer.body, "more_body": more})
+        finally:
+            self._untaken -= len(answer.body)
 
 
 class _Reservation:
