Tell back ends how long the caller still waits

Cause: the proxy takes the callers' timeout header away and nothing put it back, so a back end that makes calls of its own could not keep them from outliving the call they serve; at 28 levels that is work for callers long gone. Change: the agent sends x-limelever-timeout-ms with the time left when the request goes out; proxies already cap by it.

Tests: the header's scenario fails without it; the scenario that a back end's 503 is passed on unretried holds what was there.

--- a/features/agent/backend.feature
+++ b/features/agent/backend.feature
@@ -25,3 +25,7 @@
   Scenario: No more connections than allowed are open at once
     When 5 attempts at once meet a back end, and the agent may open 2 connections
     Then the agent's client was answered 5 times over 2 connections
+
+  Scenario: A back end hears how long its caller still waits
+    When 1 attempts in turn meet a back end that keeps its connections
+    Then the agent's client told the back end a time left between 1 and 10000 ms
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -71,6 +71,13 @@
     And 0.2 seconds pass at the proxy
     Then the caller of call 1 was told "deadline-too-short" and outcome "not-run"
 
+  Scenario: A failure that a back end answers with is passed on, not retried
+    Given a proxy with 2 endpoints and retries for every call
+    When a caller asks the proxy for "/baskets/1"
+    And the agent answers the call with status 503
+    Then call 1 got an answer with status 503
+    And 1 call was handed on
+
   Scenario: A refusal by the agent is answered at once
     Given a proxy with one endpoint
     When a caller asks the proxy for "/orders/1"
--- a/features/steps/agent_backend_steps.py
+++ b/features/steps/agent_backend_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 from behave import then, when
@@ -84,12 +84,15 @@
 
     requests_each: int
     connections: int = 0
+    requests: list[bytes] = field(default_factory=list)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         for _ in range(self.requests_each):
-            if not await stream.receive_some(65536):
+            request = await stream.receive_some(65536)
+            if not request:
                 return
+            self.requests.append(request)
             await trio.sleep(0.01)
             await stream.send_all(ANSWERS[b"/ok"])
         await stream.aclose()
@@ -143,3 +146,10 @@
 @then("the agent's client was answered {count:d} times over {connections:d} connections")
 def check_connections(context: Context, count: int, connections: int) -> None:
     assert (context.answers, context.server.connections) == (count, connections)
+
+
+@then("the agent's client told the back end a time left between {low:d} and {high:d} ms")
+def check_time_left(context: Context, low: int, high: int) -> None:
+    lines = context.server.requests[0].lower().split(b"\r\n")
+    [left] = [line.split(b": ")[1] for line in lines if line.startswith(b"x-limelever-timeout-ms")]
+    assert low <= int(left) <= high, left
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -137,6 +137,20 @@
     assert len(context.proxy.final(call).body) == size
 
 
+@when("the agent answers the call with status {status:d}")
+def agent_answers_with(context: Context, status: int) -> None:
+    connection, start = context.proxy.open[-1]
+    answer = ResponseStart(
+        stream=start.stream, attempt_id=start.attempt_id, status=status, end=True
+    )
+    context.proxy.reply(connection, answer)
+
+
+@then("call {call:d} got an answer with status {status:d}")
+def answered_with(context: Context, call: int, status: int) -> None:
+    assert context.proxy.final(call).status == status
+
+
 @when('the agent refuses the call as "{kind}"')
 def agent_refuses(context: Context, kind: str) -> None:
     context.proxy.refuse(*context.proxy.open[-1], ErrorKind(kind))
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -16,6 +16,7 @@
 from limelever.common.http_headers import end_to_end
 from limelever.common.sansio import Event
 
+_MILLISECONDS = 1000
 _CLIENT_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -101,15 +102,17 @@
             return AttemptFailed(output.attempt, connection, sent_any_byte=False)
         attempt.sent_any_byte = True
         try:
-            return await self._exchange(output, connection)
+            return await self._exchange(output, connection, _left_ms(attempt))
         except _CLIENT_ERRORS as error:
             failure = Failure(ErrorKind.BACKEND_FAILED, str(error) or type(error).__name__)
             return AttemptFailed(output.attempt, failure, sent_any_byte=True)
         finally:
             self._connections.release(connection)
 
-    async def _exchange(self, output: StartAttempt, connection: BackendConnection) -> Event:
-        headers = request_headers(output.headers, self._host, output.body)
+    async def _exchange(
+        self, output: StartAttempt, connection: BackendConnection, left_ms: int
+    ) -> Event:
+        headers = request_headers(output.headers, self._host, output.body, left_ms)
         request = self._request(output.target, output.method, headers, output.body)
         answer = await connection.http.handle_async_request(request)
         body = await self._read(answer)
@@ -138,6 +141,11 @@
         return httpcore.Request(method, url, headers=headers, content=body)
 
 
+def _left_ms(attempt: _Attempt) -> int:
+    left = attempt.scope.deadline - trio.current_time()
+    return max(1, int(left * _MILLISECONDS))
+
+
 def _ended(attempt: _Attempt) -> Failure:
     if attempt.cancelled:
         return Failure(ErrorKind.CANCELLED, "cancelled")
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -7,6 +7,9 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 CONNECTION = b"connection"
+TIMEOUT_HEADER = b"x-limelever-timeout-ms"
+"""How long the sender waits: from callers to proxies, and from agents to back ends."""
+
 HOP_BY_HOP = frozenset(
     {
         CONNECTION,
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -9,7 +9,6 @@
 from limelever.common.sansio import Event, Output
 
 GROUP_HEADER = b"x-limelever-group"
-TIMEOUT_HEADER = b"x-limelever-timeout-ms"
 OUTCOME_HEADER = b"x-limelever-outcome"
 ERROR_HEADER = b"x-limelever-error"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
--- a/src/limelever/proxy/requests.py
+++ b/src/limelever/proxy/requests.py
@@ -6,12 +6,11 @@
 from typing import Any
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import Headers
+from limelever.common.http_headers import TIMEOUT_HEADER, Headers
 from limelever.proxy.call_types import (
     DEFAULT_GROUP,
     GROUP_HEADER,
     IDEMPOTENCY_KEY_HEADER,
-    TIMEOUT_HEADER,
     CallRequest,
 )
 
