Describe the machine of call experiments as the other experiments do

bench_calls kept a second description of machine, load and commit; it now uses bench/machine.py. The results kept before have the former fields under conditions.

--- a/src/limelever_lab/bench_calls/command.py
+++ b/src/limelever_lab/bench_calls/command.py
@@ -10,6 +10,7 @@
 
 import typer
 
+from limelever_lab.bench.machine import MachineLoad
 from limelever_lab.bench_calls import calls_experiment, shares_experiment
 from limelever_lab.bench_calls.calls_experiment import CallsExperiment, CallsResult
 from limelever_lab.bench_calls.deployment import (
@@ -17,7 +18,7 @@
     open_echo_fleet,
     start_echo_fleet,
 )
-from limelever_lab.bench_calls.results import machine_state, run_conditions, write_result
+from limelever_lab.bench_calls.results import run_conditions, write_result
 from limelever_lab.bench_calls.shares_experiment import SharesResult, run_shares
 from limelever_lab.bench_calls.tables import render_calls, render_shares
 from limelever_lab.fleet.deployment import Deployment, load_deployment
@@ -70,7 +71,7 @@
     start_echo_fleet(fleet, calls_experiment.CALL_TIMEOUT_MS)
     experiment = CallsExperiment(fleet, seed)
     experiment.warm_up()
-    before = machine_state()
+    before = MachineLoad.now()
     stages = tuple(experiment.stages(size) for size in STAGE_BODIES)
     cases = tuple(experiment.measure(case) for case in calls_experiment.call_cases())
     costs = experiment.processor_costs()
@@ -81,7 +82,7 @@
 def _measure_shares(fleet: Fleet, deployment: Deployment, seed: int) -> SharesResult:
     shares = shares_experiment.SHARES
     start_echo_fleet(fleet, shares_experiment.CALL_TIMEOUT_MS, shares)
-    before = machine_state()
+    before = MachineLoad.now()
     phases = run_shares(fleet, shares, seed)
     conditions = run_conditions(SHARES, deployment.name, seed, before)
     return SharesResult(conditions, shares_experiment.FLEET_SIZE, shares, phases)
--- a/src/limelever_lab/bench_calls/tables.py
+++ b/src/limelever_lab/bench_calls/tables.py
@@ -67,10 +67,11 @@
 
 
 def _conditions(conditions: RunConditions) -> str:
-    before, after = conditions.before, conditions.after
+    machine = conditions.machine
     return (
         f"{conditions.experiment} on {conditions.deployment}, seed {conditions.seed}; load of "
-        f"{before.processors} processors {before.load[0]:.1f} before, {after.load[0]:.1f} after"
+        f"{machine.processors} processors {machine.before.one_minute:.1f} before, "
+        f"{machine.after.one_minute:.1f} after"
     )
 
 
