Count calls that a planned stop left with an unknown fate as cut

Cause: the probes' "no attempt was cut" looked for lost connections only; a call that an agent cuts off at its drain limit is answered "backend-failed", outcome unknown, and was not seen. Change: such attempts count as cut, unless the caller itself had dropped an earlier one.

--- a/src/limelever_lab/fleet/probe.py
+++ b/src/limelever_lab/fleet/probe.py
@@ -154,8 +154,8 @@
         return tuple(self._load.records) if self._load else ()
 
     def cut_calls(self) -> tuple[CallRecord, ...]:
-        """Return the finished calls of which an attempt lost its connection so far."""
-        return tuple(r for r in self.finished_calls if AttemptOutcome.CUT in r.attempts)
+        """Return the finished calls of which an attempt was cut off so far."""
+        return tuple(record for record in self.finished_calls if _was_cut(record))
 
     def wait_whole(self) -> None:
         """Wait until the source counts all its replicas as voters again."""
@@ -195,6 +195,16 @@
                 raise TimeoutError(f"still changing after {LIVENESS_LIMIT_SECONDS} s")
 
 
+def _was_cut(record: CallRecord) -> bool:
+    """Return whether an attempt lost its connection, or was answered that its fate is unknown.
+
+    A call whose caller itself dropped an attempt may be told the latter rightly.
+    """
+    unknown = AttemptOutcome.UNKNOWN in record.attempts
+    dropped = AttemptOutcome.ABANDONED in record.attempts
+    return AttemptOutcome.CUT in record.attempts or (unknown and not dropped)
+
+
 def _member_target(member: Member) -> Target:
     return Target(member.process, member.wait_ready, member.remove_data)
 
