Prove a storm of 20,000 at one relay paced and without leftovers

Cause: the storm's scenario had 1,000 readers and looked at the pace alone. The publisher tells how many subscribers it has.

--- a/features/distribution/reconnect.feature
+++ b/features/distribution/reconnect.feature
@@ -47,6 +47,15 @@
     Then all 1000 have been served after at most 20 seconds
     And no second saw more than 155 of them served
 
+  Scenario: A storm of thousands at one relay is paced, and those turned away leave nothing behind
+    Given a publisher that admits 400 subscribers a second with a burst of 800
+    When 20000 subscribers with nothing held come at once and return when told
+    Then all 20000 have been served after at most 60 seconds
+    And no second saw more than 1210 of them served
+    And nobody had to come more than 4 times
+    And the publisher never kept a subscriber that it had turned away
+    And all 20000 were served one and the same snapshot
+
   Scenario: A subscriber that does not acknowledge is not sent more and more
     When 1 seconds pass in the distribution
     And the disk of "proxy-1" stalls
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import Counter
 from unittest import mock
 
 from behave import given, then, when
@@ -19,6 +20,7 @@
 
 from limelever.common.backoff import Backoff, BackoffSettings
 from limelever.common.sansio import (
+    CloseConnection,
     ConnectionClosed,
     ConnectionOpened,
     MessageReceived,
@@ -424,16 +426,20 @@
 @when("{count:d} subscribers with nothing held come at once and return when told")
 def step_storm(context, count):
     arrivals = [(0.0, connection) for connection in range(count)]
-    context.served = []
+    context.served, context.comings, context.kept, context.snapshots = [], Counter(), set(), set()
     while arrivals:
         now, connection = heapq.heappop(arrivals)
+        context.comings[connection] += 1
         outputs = subscribe(context.publisher, connection, now, Subscribe(services=["orders"]))
         answer = next(o.message for o in outputs if isinstance(o, SendMessage))
         if isinstance(answer, RetryLater):
+            assert any(isinstance(output, CloseConnection) for output in outputs)
             context.publisher.handle(ConnectionClosed(connection, "told"), now)
             heapq.heappush(arrivals, (now + answer.retry_after_ms / 1000, connection))
         else:
             context.served.append(now)
+            context.snapshots.add(id(answer))
+        context.kept.add(len(context.publisher) - len(context.served))
 
 
 @then("all {count:d} have been served after at most {limit:g} seconds")
@@ -449,6 +455,22 @@
         assert served <= count, (start, served)
 
 
+@then("nobody had to come more than {count:d} times")
+def step_comings(context, count):
+    assert max(context.comings.values()) <= count, max(context.comings.values())
+
+
+@then("the publisher never kept a subscriber that it had turned away")
+def step_kept_none(context):
+    assert context.kept == {0}, context.kept
+
+
+@then("all {count:d} were served one and the same snapshot")
+def step_one_snapshot(context, count):
+    assert len(context.served) == count
+    assert len(context.snapshots) == 1, len(context.snapshots)
+
+
 @given("a publisher that went from version 1 to 5 by two changes at once")
 def step_skipping_publisher(context):
     context.publisher = bare_publisher()
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -36,7 +36,7 @@
 from limelever.publisher.freshness import FreshnessProofs, WaitingProbe
 from limelever.publisher.heartbeats import Heartbeats, freshness_answer
 from limelever.publisher.resources import ResourceTable, Step
-from limelever.publisher.rollout import VersionHolders, ZoneHolders
+from limelever.publisher.rollout import ZoneHolders
 from limelever.publisher.scope import Scope
 from limelever.publisher.sender import Sender
 from limelever.publisher.session import Session, SessionState
@@ -75,7 +75,6 @@
             ),
         )
         self._batch = BatchTimer(settings.batch_delay)
-        self._holders: tuple[VersionHolders, ...] | None = None
         self._handlers: dict[type[Message], _Handler] = {
             Subscribe: self._on_subscribe,
             Inventory: self._on_inventory,
@@ -85,6 +84,10 @@
             RolloutReport: self._on_report,
         }
 
+    def __len__(self) -> int:
+        """Return how many subscribers have an open link."""
+        return len(self._sessions)
+
     @property
     def version(self) -> int:
         """The publisher's configuration version."""
@@ -108,7 +111,7 @@
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take a link event, a message or ``DeadlineReached``; others are ignored."""
         if not _leaves_counts(event):
-            self._holders = None
+            self._sessions.counts_changed()
         match event:
             case ConnectionOpened(connection, peer) if peer.purpose is Purpose.SUBSCRIPTION:
                 self._sessions.open(connection, peer)
@@ -136,11 +139,11 @@
 
     def rollout(self, version: int) -> tuple[ZoneHolders, ...]:
         """Return by zone how many proxies and agents hold ``version`` or lag behind it."""
-        return rollout.by_zone(self._counts(), version)
+        return rollout.by_zone(self._sessions.holders(self.version), version)
 
     def rollout_report(self) -> RolloutReport:
         """Return the counts of all subscribers below, for the publisher above."""
-        return rollout.to_report(self._counts())
+        return rollout.to_report(self._sessions.holders(self.version))
 
     def relays(self) -> tuple[str, ...]:
         """Return the names of the subscribers that are publishers themselves, sorted."""
@@ -170,20 +173,15 @@
         )
         return min((at for at in deadlines if at is not None), default=None)
 
-    def _counts(self) -> tuple[VersionHolders, ...]:
-        if self._holders is None:
-            self._holders = self._sessions.holders(self.version)
-        return self._holders
-
     def _moved(self, step: Step, now: float) -> list[Output]:
-        self._holders = None
+        self._sessions.counts_changed()
         self._views.mark(step)
         self._batch.note(now)
         self._heartbeats.version_moved(now)
         return self._flush(now) if self._batch.due(now) else []
 
     def _flush(self, now: float) -> list[Output]:
-        self._holders = None
+        self._sessions.counts_changed()
         self._batch.taken()
         outputs = self._sender.flush()
         if outputs:
--- a/src/limelever/publisher/sessions.py
+++ b/src/limelever/publisher/sessions.py
@@ -19,6 +19,7 @@
         self._views = views
         self._sessions: dict[ConnectionId, Session] = {}
         self._by_scope: dict[Scope, dict[ConnectionId, Session]] = {}
+        self._holders: tuple[VersionHolders, ...] | None = None
 
     def __iter__(self) -> Iterator[Session]:
         return iter(tuple(self._sessions.values()))
@@ -66,8 +67,17 @@
         """Return the counts of this publisher's own subscribers and those relays reported.
 
         ``version`` is the publisher's own: a subscriber that acknowledged the last change of
-        its scope holds that, whatever else has changed since.
+        its scope holds that, whatever else has changed since. Kept until ``counts_changed``.
         """
+        if self._holders is None:
+            self._holders = self._count_holders(version)
+        return self._holders
+
+    def counts_changed(self) -> None:
+        """Note that the holders are to be counted anew."""
+        self._holders = None
+
+    def _count_holders(self, version: int) -> tuple[VersionHolders, ...]:
         counts: list[VersionHolders] = []
         for session in self._sessions.values():
             counts.extend(session.reported)
