Let the agent's client tests wait for the request in place of the clock

Cause: on a busy machine the scenario of a cancelled attempt failed once: it cancelled 0.1 s after the start, and the connection had not been opened yet. Change: the cancel, and the end of the attempt's time (0.3 s of real time before), come once the back end has the request, the latter by a jump of trio's clock; other targets have 30 s. As strict: the same ends are asked for.

--- a/features/steps/agent_backend_steps.py
+++ b/features/steps/agent_backend_steps.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
+import trio.testing
 from behave import then, when
 from behave.runner import Context
 
@@ -26,8 +28,9 @@
 }
 
 
-async def serve_one(stream: trio.SocketStream) -> None:
+async def serve_one(arrived: trio.Event, stream: trio.SocketStream) -> None:
     request = await stream.receive_some(65536)
+    arrived.set()
     target = request.split()[1]
     if target in ANSWERS:
         await stream.send_all(ANSWERS[target])
@@ -35,9 +38,10 @@
         await stream.receive_some(1)
 
 
-async def attempt_at(target: str) -> Event:
+async def attempt_at(target: str, clock: trio.testing.MockClock) -> Event:
+    """Make an attempt; it is cancelled, or its time is up, once the request has arrived."""
     received: list[Event] = []
-    ended = trio.Event()
+    arrived, ended = trio.Event(), trio.Event()
 
     def post(event: Event) -> None:
         received.append(event)
@@ -49,13 +53,18 @@
         if target == "/refused":
             await listener.aclose()
         else:
-            nursery.start_soon(trio.serve_listeners, serve_one, [listener])
+            serve = partial(serve_one, arrived)
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
         address = Address("127.0.0.1", port)
         backend = Backend(BackendSettings(address=address, max_response_bytes=1024), nursery, post)
-        backend.start(StartAttempt(1, "orders", b"GET", target.encode(), (), b"", 0.3))
+        timeout = 30.0
+        backend.start(StartAttempt(1, "orders", b"GET", target.encode(), (), b"", timeout))
+        if target in ("/cancelled", "/slow"):
+            await arrived.wait()
         if target == "/cancelled":
-            await trio.sleep(0.1)
             backend.cancel(1)
+        elif target == "/slow":
+            clock.jump(timeout)
         await ended.wait()
         backend.close()
         nursery.cancel_scope.cancel()
@@ -65,7 +74,8 @@
 
 @when("an attempt at a live back end asks for {target:S}")
 def run_attempt(context: Context, target: str) -> None:
-    context.event = trio.run(attempt_at, target)
+    clock = trio.testing.MockClock(rate=1.0)
+    context.event = trio.run(attempt_at, target, clock, clock=clock)
 
 
 @then("the attempt has ended as {end}")
