--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -15,7 +15,7 @@
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
-from limelever.agent.service_time import ServiceTime
+from limelever.agent.wait_estimate import MINIMUM_RETRY_AFTER, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
 
 MINIMUM_CHARGE = 0.0005
@@ -24,16 +24,6 @@
 FIRST_CHARGE = 0.01
 """Slot time charged before any call was observed, in seconds; put right when it ends."""
 
-LONGEST_WAIT_PART = 0.5
-"""Part of a call's spare time that it may be expected to wait.
-
-Calls that would use all of it are answered as late as they can be under overload, and those
-that were estimated too well start too late to finish.
-"""
-
-MINIMUM_RETRY_AFTER = 0.1
-"""Least advice in seconds to a refused caller."""
-
 
 @dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -70,7 +60,7 @@
         self._group_of: dict[int, str] = {}
         self._running: dict[int, _RunningCall] = {}
         self._deadlines = DeadlineHeap()
-        self._service_time = ServiceTime()
+        self._estimate = WaitEstimate(limits.slots, self._groups)
         self._virtual_time = 0.0
         self._queued_bytes = 0
 
@@ -138,8 +128,7 @@
         group.running -= 1
         group.charge(seconds - running.charged)
         if representative:
-            group.service_time.observe(seconds)
-            self._service_time.observe(seconds)
+            self._estimate.observe(group, seconds)
         self._groups.forget_if_idle(group, self._virtual_time)
         self._restart_virtual_time_when_idle()
 
@@ -165,23 +154,20 @@
     def take_hopeless(self, now: float) -> tuple[int, ...]:
         """Take out the calls that are next in their groups and waited too long to finish in time.
 
-        Without a free slot there is nothing to decide. A call that did not wait is never taken
-        out: it is what puts an estimate right that has become too high.
+        Without a free slot there is nothing to decide.
         """
         if self.running >= self._limits.slots:
             return ()
         hopeless: list[int] = []
         for group in tuple(self._groups):
-            while group.calls and self._is_hopeless(group, group.oldest, now):
+            while group.calls and self._estimate.is_hopeless(group, group.oldest, now):
                 hopeless.append(group.oldest.call)
                 self.remove(group.oldest.call)
         return tuple(hopeless)
 
     def advice(self, name: str) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
-        group = self._groups.find(name)
-        wait = 0.0 if group is None else self._expected_wait(group)
-        return max(wait, MINIMUM_RETRY_AFTER)
+        return self._estimate.advice(name)
 
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call."""
@@ -192,11 +178,11 @@
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
         if self._starts_at_once():
             return None
-        wait = self._expected_wait(group)
+        wait = self._estimate.wait(group)
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", wait)
-        service_time = self._known_service_time(group)
-        if wait > (call.deadline - now - service_time) * LONGEST_WAIT_PART:
+        service_time = self._estimate.service_time(group)
+        if self._estimate.is_too_long(group, call, now):
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
@@ -204,10 +190,6 @@
             )
         return None
 
-    def _is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
-        waited = now > call.arrived_at
-        return waited and now + self._known_service_time(group) > call.deadline
-
     def _share_failure(self, group: GroupQueue, reason: str, wait: float) -> Failure:
         alone = self._groups.only_active(group)
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
@@ -216,17 +198,13 @@
     def _starts_at_once(self) -> bool:
         return not self._group_of and self.running < self._limits.slots
 
-    def _expected_wait(self, group: GroupQueue) -> float:
-        ahead = self._groups.calls_ahead_of_next(group)
-        return ahead * (self._service_time.mean or 0.0) / self._limits.slots
-
     def _make_room(self, group: GroupQueue, size: int) -> Failure | tuple[Eviction, ...]:
         limit = self._limits.total_bytes
         if self._queued_bytes + size <= limit:
             return ()
         if group.queued_bytes + size > self._byte_part(group):
             return self._share_failure(
-                group, "the group's part of the queue's bytes is full", self._expected_wait(group)
+                group, "the group's part of the queue's bytes is full", self._estimate.wait(group)
             )
         evictions: list[Eviction] = []
         while self._queued_bytes + size > limit:
@@ -242,7 +220,7 @@
             ),
         )
         failure = self._share_failure(
-            victim, "gave way to a group below its share", self._expected_wait(victim)
+            victim, "gave way to a group below its share", self._estimate.wait(victim)
         )
         call = victim.pop_newest()
         self._dequeued(call)
@@ -266,10 +244,7 @@
         self._deadlines.remove(call.call)
 
     def _expected_cost(self, group: GroupQueue) -> float:
-        return max(self._known_service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
-
-    def _known_service_time(self, group: GroupQueue) -> float:
-        return group.service_time.mean or self._service_time.mean or 0.0
+        return max(self._estimate.service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
 
     def _restart_virtual_time_when_idle(self) -> None:
         if not self._running and not self._group_of:
