Split the keeper and its client by job

Change: links.py (a client's links to the keepers), other_keepers.py (polling and copying until a keeper votes), transfers.py (pictures served to others); the log's records are replayed and written by the store.

--- a/src/limelever/keeper/client.py
+++ b/src/limelever/keeper/client.py
@@ -11,7 +11,6 @@
 
 from google.protobuf.message import Message
 
-from limelever.common.backoff import Backoff
 from limelever.common.sansio import (
     Address,
     ConnectionClosed,
@@ -21,11 +20,9 @@
     DialledConnections,
     Event,
     MessageReceived,
-    OpenConnection,
     Output,
-    Purpose,
-    SendMessage,
 )
+from limelever.keeper.links import KeeperLinks
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.keeper.tally import ClaimGranted, ClaimOutcome, ClaimTally
 from limelever.protocol.keeper_pb2 import (
@@ -54,17 +51,6 @@
     ok: bool
 
 
-@dataclass(slots=True)
-class KeeperLink:
-    """The link to one keeper."""
-
-    address: Address
-    backoff: Backoff
-    connection: ConnectionId | None = None
-    open: bool = False
-    dial_at: float = 0.0
-
-
 @dataclass(slots=True)
 class PendingClaim:
     """A claim on its way to a majority."""
@@ -95,12 +81,7 @@
         random_source: random.Random,
     ) -> None:
         self._settings = settings
-        self._connections = connections
-        self._links = {
-            address: KeeperLink(address, Backoff(settings.backoff, random_source))
-            for address in settings.keepers
-        }
-        self._by_connection: dict[ConnectionId, KeeperLink] = {}
+        self._links = KeeperLinks(settings, connections, random_source)
         self._claims: dict[bytes, PendingClaim] = {}
         self._keys: dict[bytes, Claim] = {}
         self._settlements: dict[bytes, PendingSettlement] = {}
@@ -114,10 +95,10 @@
         message = Claim(
             request=self._draw_request(token), key=key, token=token, fingerprint=fingerprint
         )
-        tally = ClaimTally(self._settings.quorum, frozenset(self._links), fingerprint)
+        tally = ClaimTally(self._settings.quorum, self._links.addresses, fingerprint)
         self._claims[token] = PendingClaim(message, tally, now + self._settings.claim_window)
         self._keys[token] = message
-        return self._broadcast(message)
+        return self._links.broadcast(message)
 
     def release(self, token: bytes, now: float) -> list[Output]:
         """Give a claim up whose call was not run; repeated until the keepers have it."""
@@ -147,26 +128,26 @@
 
     def start(self, now: float) -> list[Output]:
         """Dial the keepers."""
-        return self._dial_due(now)
+        return self._links.dial_due(now)
 
     def owns(self, connection: ConnectionId) -> bool:
         """Return whether a connection is a link to a keeper."""
-        return connection in self._by_connection
+        return self._links.owns(connection)
 
     def handle(self, event: Event, now: float) -> list[Output]:
         """Take an event of a keeper's link."""
         match event:
             case ConnectionOpened(connection, _):
-                return self._opened(self._by_connection[connection])
+                return self._links.opened(connection, self._waiting(connection))
             case ConnectionClosed(connection, _) | ConnectionFailed(connection, _):
-                return self._lost(connection, now)
+                self._links.lost(connection, now)
             case MessageReceived(connection, message):
-                return self._received(self._by_connection[connection], message, now)
+                return self._received(self._links.address_of(connection), message, now)
         return []
 
     def next_deadline(self) -> float | None:
         """Return when a claim is given up, a message repeated or a keeper dialled."""
-        times = [link.dial_at for link in self._links.values() if link.connection is None]
+        times = self._links.dial_times()
         times.extend(claim.give_up_at for claim in self._claims.values())
         for pending in self._settlements.values():
             times.append(min(pending.resend_at, pending.give_up_at))
@@ -176,7 +157,7 @@
 
     def tick(self, now: float) -> list[Output]:
         """Do what is due."""
-        outputs = self._dial_due(now)
+        outputs = self._links.dial_due(now)
         for token, claim in list(self._claims.items()):
             if now >= claim.give_up_at:
                 outputs.extend(self._settle_claim(token, claim.tally.given_up(), now))
@@ -184,64 +165,29 @@
             outputs.extend(self._tend(token, pending, now))
         return outputs
 
-    # --- links ------------------------------------------------------------------------------
-
-    def _dial_due(self, now: float) -> list[Output]:
-        outputs: list[Output] = []
-        for link in self._links.values():
-            if link.connection is None and now >= link.dial_at:
-                link.connection = self._connections.draw()
-                self._by_connection[link.connection] = link
-                outputs.append(OpenConnection(link.connection, link.address, Purpose.KEEPER))
-        return outputs
-
-    def _opened(self, link: KeeperLink) -> list[Output]:
-        assert link.connection is not None
-        link.open = True
-        link.backoff.reset()
-        waiting: list[Message] = [
-            claim.message
-            for claim in self._claims.values()
-            if not claim.tally.has_answer_of(link.address)
-        ]
-        waiting.extend(
-            pending.message
-            for pending in self._settlements.values()
-            if link.address not in pending.done
-        )
-        return [SendMessage(link.connection, message) for message in waiting]
-
-    def _lost(self, connection: ConnectionId, now: float) -> list[Output]:
-        link = self._by_connection.pop(connection)
-        link.connection = None
-        link.open = False
-        link.dial_at = now + link.backoff.next_delay()
-        return []
-
-    def _broadcast(
-        self, message: Message, besides: frozenset[Address] = frozenset()
-    ) -> list[Output]:
-        return [
-            SendMessage(link.connection, message)
-            for link in self._links.values()
-            if link.open and link.connection is not None and link.address not in besides
-        ]
+    def _waiting(self, connection: ConnectionId) -> list[Message]:
+        """Return what the keeper at the other end of a link has not answered."""
+        keeper = self._links.address_of(connection)
+        claims = self._claims.values()
+        waiting: list[Message] = [c.message for c in claims if not c.tally.has_answer_of(keeper)]
+        settlements = self._settlements.values()
+        return [*waiting, *(p.message for p in settlements if keeper not in p.done)]
 
     # --- answers ----------------------------------------------------------------------------
 
-    def _received(self, link: KeeperLink, message: Message, now: float) -> list[Output]:
+    def _received(self, keeper: Address, message: Message, now: float) -> list[Output]:
         if isinstance(message, ClaimAnswer):
             token = self._requests.get(message.request, b"")
             claim = self._claims.get(token)
             if claim is None or claim.message.request != message.request:
                 return []
-            outcome = claim.tally.take(link.address, message)
+            outcome = claim.tally.take(keeper, message)
             return [] if outcome is None else self._settle_claim(token, outcome, now)
         if isinstance(message, KeeperDone):
             token = self._requests.get(message.request, b"")
             pending = self._settlements.get(token)
             if pending is not None and pending.message.request == message.request:
-                pending.done.add(link.address)
+                pending.done.add(keeper)
                 return self._tend(token, pending, now)
         return []
 
@@ -269,7 +215,7 @@
             resend_at=now + self._settings.resend_interval,
             announce_at=announce_at,
         )
-        return self._broadcast(message)
+        return self._links.broadcast(message)
 
     def _tend(self, token: bytes, pending: PendingSettlement, now: float) -> list[Output]:
         outputs: list[Output] = []
@@ -283,7 +229,7 @@
             return outputs
         if now >= pending.resend_at:
             pending.resend_at = now + self._settings.resend_interval
-            outputs.extend(self._broadcast(pending.message, frozenset(pending.done)))
+            outputs.extend(self._links.broadcast(pending.message, frozenset(pending.done)))
         return outputs
 
     def _draw_request(self, token: bytes) -> int:
--- a/src/limelever/keeper/core.py
+++ b/src/limelever/keeper/core.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
-from google.protobuf.message import DecodeError, Message
+from google.protobuf.message import Message
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import (
@@ -20,13 +19,10 @@
     ConnectionId,
     ConnectionOpened,
     DeadlineReached,
-    DialledConnections,
     Event,
     LogEvent,
     MessageReceived,
-    OpenConnection,
     Output,
-    Purpose,
     Recovered,
     ReplaceFile,
     ResetLog,
@@ -36,9 +32,11 @@
     WriteCompleted,
 )
 from limelever.keeper import events
+from limelever.keeper.other_keepers import OtherKeepers
 from limelever.keeper.rejoin import EMPTY, FORMED, Rejoin
 from limelever.keeper.settings import KeeperSettings
 from limelever.keeper.store import ClaimStore
+from limelever.keeper.transfers import Transfers
 from limelever.protocol.keeper_pb2 import (
     Claim,
     ClaimAnswer,
@@ -53,19 +51,9 @@
 )
 
 STATE_FILE = "keeper-state"
-TRANSFER_PART = 500
 EXPIRE_INTERVAL = 60.0
 
 
-@dataclass(slots=True)
-class OtherKeeper:
-    """The link to another keeper, used only until this one votes."""
-
-    connection: ConnectionId | None = None
-    open: bool = False
-    copying: bool = False
-
-
 class KeeperCore:
     """One keeper. ``wall_offset`` turns the monotonic time of events into Unix time."""
 
@@ -74,15 +62,14 @@
         self._wall_offset = wall_offset
         self._store = ClaimStore(settings)
         self._records_on_disk = len(recovered.records)
-        self._damaged = self._replay(recovered.records)
+        self._damaged = self._store.replay(recovered.records)
         self._rejoin = Rejoin(settings, self._recovered_state(recovered))
         self._target_state = self._rejoin.state
-        self._connections = DialledConnections()
-        self._others = {address: OtherKeeper() for address in settings.others}
+        self._others = OtherKeepers(settings.others, self._rejoin, settings.rejoin_wait)
+        self._transfers = Transfers(self._store)
         self._token = 0
         self._after_write: dict[int, list[Output]] = {}
         self._state_writes: dict[int, KeeperState.ValueType] = {}
-        self._pictures: dict[ConnectionId, list[KeeperRecord]] = {}
         self._poll_at: float | None = None
         self._expire_at: float | None = None
         self._full_reported = False
@@ -107,9 +94,10 @@
             case WriteCompleted(token):
                 return self._written(token)
             case ConnectionOpened(connection, _):
-                return self._opened(connection)
+                return self._others.opened(connection)
             case ConnectionClosed(connection, _) | ConnectionFailed(connection, _):
-                self._lost(connection)
+                self._transfers.forget(connection)
+                self._others.lost(connection)
                 return []
             case MessageReceived(connection, message):
                 return self._received(connection, message, now)
@@ -117,14 +105,6 @@
 
     # --- start and time ---------------------------------------------------------------------
 
-    def _replay(self, records: Sequence[bytes]) -> int | None:
-        for index, data in enumerate(records):
-            try:
-                self._store.apply(KeeperRecord.FromString(data))
-            except DecodeError:
-                return index
-        return None
-
     def _recovered_state(self, recovered: Recovered) -> KeeperState.ValueType:
         content = recovered.files.get(STATE_FILE, b"")
         if not content:
@@ -152,7 +132,7 @@
             outputs.extend(self._compact())
         if self._poll_at is not None and now >= self._poll_at:
             self._poll_at = None if self.voting else now + self._settings.poll_interval
-            outputs.extend(self._poll(now))
+            outputs.extend([] if self.voting else self._others.poll(now))
         return outputs
 
     def _wall(self, now: float) -> float:
@@ -160,53 +140,6 @@
 
     # --- the other keepers ------------------------------------------------------------------
 
-    def _poll(self, now: float) -> list[Output]:
-        outputs: list[Output] = []
-        if self.voting:
-            return outputs
-        for address, other in self._others.items():
-            if other.connection is None:
-                other.connection = self._connections.draw()
-                outputs.append(OpenConnection(other.connection, address, Purpose.KEEPER))
-            elif other.open and not other.copying:
-                other.copying = self._rejoin.wants_copy(address, now)
-                request = TransferRequest(state_only=not other.copying)
-                outputs.append(SendMessage(other.connection, request))
-        return outputs
-
-    def _opened(self, connection: ConnectionId) -> list[Output]:
-        for other in self._others.values():
-            if other.connection == connection:
-                other.open = True
-                return [SendMessage(connection, TransferRequest(state_only=True))]
-        return []
-
-    def _lost(self, connection: ConnectionId) -> None:
-        self._pictures.pop(connection, None)
-        for address, other in self._others.items():
-            if other.connection == connection:
-                other.connection = None
-                other.open = False
-                other.copying = False
-                self._rejoin.abandon(address)
-
-    def _transferred(
-        self, connection: ConnectionId, answer: TransferAnswer, now: float
-    ) -> list[Output]:
-        outputs: list[Output] = []
-        for address, other in self._others.items():
-            if other.connection != connection:
-                continue
-            if self._rejoin.saw(address, answer.state, now):
-                wait = self._settings.rejoin_wait
-                outputs.append(LogEvent(events.KEEPER_REJOINING, {"wait_seconds": wait}))
-            if other.copying and answer.picture:
-                self._rejoin.copied(address, list(answer.records), answer.last)
-                other.copying = not answer.last
-                if not answer.last:
-                    outputs.append(SendMessage(connection, TransferRequest(after=answer.next)))
-        return outputs + self._advance(now)
-
     def _advance(self, now: float) -> list[Output]:
         copied = self._rejoin.finished()
         if copied is not None and self._target_state != FORMED:
@@ -221,7 +154,7 @@
         self._target_state = state
         outputs: list[Output] = []
         if rewrite:
-            outputs.append(ResetLog(self._draw_token(), self._serialized()))
+            outputs.append(ResetLog(self._draw_token(), self._store.serialized()))
         token = self._draw_token()
         self._state_writes[token] = state
         outputs.append(ReplaceFile(token, STATE_FILE, KeeperState.Name(state).encode()))
@@ -242,7 +175,8 @@
             case TransferRequest():
                 return [SendMessage(connection, self._transfer(connection, message))]
             case TransferAnswer():
-                return self._transferred(connection, message, now)
+                outputs = self._others.answered(connection, message, now)
+                return [*outputs, *self._advance(now)]
         name = message.DESCRIPTOR.name
         return [CloseConnection(connection, f"a keeper does not take {name}")]
 
@@ -301,35 +235,21 @@
     # --- transfer and compaction ------------------------------------------------------------
 
     def _transfer(self, connection: ConnectionId, request: TransferRequest) -> TransferAnswer:
-        answer = TransferAnswer(state=self._rejoin.state)
         if request.state_only or not self.voting:
-            return answer
-        if request.after == 0:
-            self._pictures[connection] = list(self._store.records())
-        picture = self._pictures.get(connection, [])
-        part = picture[request.after : request.after + TRANSFER_PART]
-        answer.picture = True
-        answer.records.extend(part)
-        answer.next = request.after + len(part)
-        answer.last = answer.next >= len(picture)
-        if answer.last:
-            self._pictures.pop(connection, None)
-        return answer
+            return TransferAnswer(state=self._rejoin.state)
+        return self._transfers.answer(connection, request, self._rejoin.state)
 
     def _compact(self) -> list[Output]:
         live = len(self._store)
         if self._records_on_disk < self._settings.compact_from + 2 * live:
             return []
-        records = self._serialized()
+        records = self._store.serialized()
         self._records_on_disk = len(records)
         return [
             ResetLog(self._draw_token(), records),
             LogEvent(events.KEEPER_COMPACTED, {"records": len(records)}),
         ]
 
-    def _serialized(self) -> tuple[bytes, ...]:
-        return tuple(record.SerializeToString() for record in self._store.records())
-
     def _draw_token(self) -> int:
         self._token += 1
         return self._token
--- a/src/limelever/keeper/store.py
+++ b/src/limelever/keeper/store.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from google.protobuf.message import DecodeError
+
 from limelever.keeper.settings import KeeperSettings
 from limelever.protocol.keeper_pb2 import (
     Claim,
@@ -181,6 +183,19 @@
         for token in [t for t, r in self._released.items() if r.expires_unix_ms <= now]:
             del self._released[token]
 
+    def replay(self, records: Sequence[bytes]) -> int | None:
+        """Apply the records of a log; return the place of one that does not parse."""
+        for index, data in enumerate(records):
+            try:
+                self.apply(KeeperRecord.FromString(data))
+            except DecodeError:
+                return index
+        return None
+
+    def serialized(self) -> tuple[bytes, ...]:
+        """Return the records of all claims as they go to the log."""
+        return tuple(record.SerializeToString() for record in self.records())
+
     def records(self) -> Iterator[KeeperRecord]:
         """Return everything held, as records."""
         yield from self._released.values()
