--- a/src/limelever/keeper/core.py
+++ b/src/limelever/keeper/core.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Sequence
 
 from google.protobuf.message import Message
@@ -67,7 +68,7 @@
         self._target_state = self._rejoin.state
         self._others = OtherKeepers(settings.others, self._rejoin, settings.rejoin_wait)
         self._transfers = Transfers(self._store)
-        self._token = 0
+        self._tokens = itertools.count(1)
         self._after_write: dict[int, list[Output]] = {}
         self._state_writes: dict[int, KeeperState.ValueType] = {}
         self._poll_at: float | None = None
@@ -154,8 +155,8 @@
         self._target_state = state
         outputs: list[Output] = []
         if rewrite:
-            outputs.append(ResetLog(self._draw_token(), self._store.serialized()))
-        token = self._draw_token()
+            outputs.append(ResetLog(next(self._tokens), self._store.serialized()))
+        token = next(self._tokens)
         self._state_writes[token] = state
         outputs.append(ReplaceFile(token, STATE_FILE, KeeperState.Name(state).encode()))
         return outputs
@@ -213,7 +214,7 @@
         return self._sync(record, SendMessage(connection, done))
 
     def _sync(self, record: KeeperRecord | None, then: Output) -> list[Output]:
-        token = self._draw_token()
+        token = next(self._tokens)
         self._after_write[token] = [then]
         records = () if record is None else (record.SerializeToString(),)
         self._records_on_disk += len(records)
@@ -229,8 +230,7 @@
         self._rejoin.state = state
         if state != FORMED:
             return []
-        outputs: list[Output] = [LogEvent(events.KEEPER_FORMED, {"records": len(self._store)})]
-        return outputs
+        return [LogEvent(events.KEEPER_FORMED, {"records": len(self._store)})]
 
     # --- transfer and compaction ------------------------------------------------------------
 
@@ -246,10 +246,6 @@
         records = self._store.serialized()
         self._records_on_disk = len(records)
         return [
-            ResetLog(self._draw_token(), records),
+            ResetLog(next(self._tokens), records),
             LogEvent(events.KEEPER_COMPACTED, {"records": len(records)}),
         ]
-
-    def _draw_token(self) -> int:
-        self._token += 1
-        return self._token
