--- a/features/lab/bench.feature
+++ b/features/lab/bench.feature
@@ -53,6 +53,11 @@
     Then node 3 and node 11 have one bench scope, and the 8 classes differ
     And each bench scope holds the common services
 
+  Scenario: Hollow agents are spread over all services
+    Given bench scopes of 4 services of 50 in 8 classes
+    When the bench agents of 102 nodes choose their services
+    Then each of 51 services has 2 bench agents
+
   Scenario: The baseline pushes the whole set on every change to every subscriber
     Given a bench full push that holds version 5
     When two readers subscribe to the bench full push
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -6,6 +6,7 @@
 import random
 import statistics
 import tempfile
+from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -41,7 +42,7 @@
 from limelever_lab.bench.quantiles import Quantiles
 from limelever_lab.bench.results import BenchResult, BenchSettings, Experiment, Ratio
 from limelever_lab.bench.testbed import durations
-from limelever_lab.hollow.scopes import scope_of
+from limelever_lab.hollow.scopes import scope_of, service_of
 from limelever_lab.reports.command import draw_all
 from limelever_lab.reports.kept_results import batch_curves
 from limelever_lab.reports.target import TargetSize, work_out
@@ -218,7 +219,7 @@
         scope_services=drawn,
         common_services=("common",),
     )
-    context.classes = classes
+    context.settings = settings
     context.scopes = [scope_of(settings, node) for node in range(2 * classes)]
 
 
@@ -233,6 +234,17 @@
     assert all("common" in scope for scope in context.scopes)
 
 
+@when("the bench agents of {nodes:d} nodes choose their services")
+def step_agents_choose(context, nodes):
+    context.chosen = Counter(service_of(context.settings, node) for node in range(nodes))
+
+
+@then("each of {services:d} services has {count:d} bench agents")
+def step_agents_spread(context, services, count):
+    assert len(context.chosen) == services
+    assert set(context.chosen.values()) == {count}
+
+
 @given("a bench full push that holds version {version:d}")
 def step_full_push(context, version):
     settings = SubscriberSettings(publishers=(Address("127.0.0.1", 1),), everything=True)
--- a/src/limelever_lab/hollow/scopes.py
+++ b/src/limelever_lab/hollow/scopes.py
@@ -19,6 +19,10 @@
 
 
 def service_of(settings: HollowSettings, node: int) -> str:
-    """Return the service whose instance the node's agent stands beside."""
-    names = settings.common_services
+    """Return the service whose instance the node's agent stands beside.
+
+    Agents are spread over all services. Beside the common ones alone, every start of an agent
+    would concern every proxy, and the endpoints in a scope would grow as fast as the nodes.
+    """
+    names = (*settings.common_services, *settings.services)
     return names[node % len(names)]
