--- a/src/limelever/keeper/core.py
+++ b/src/limelever/keeper/core.py
@@ -139,8 +139,6 @@
     def _wall(self, now: float) -> float:
         return now + self._wall_offset
 
-    # --- the other keepers ------------------------------------------------------------------
-
     def _advance(self, now: float) -> list[Output]:
         copied = self._rejoin.finished()
         if copied is not None and self._target_state != FORMED:
