--- a/src/limelever_lab/reports/drawings.py
+++ b/src/limelever_lab/reports/drawings.py
@@ -13,6 +13,7 @@
 from limelever_lab.reports.kept_results import BatchCurve, RecoveryCourse, SharePhase
 
 mpl.rcParams["svg.hashsalt"] = "limelever"
+mpl.rcParams["svg.fonttype"] = "none"
 WIDTH_INCHES = 8.0
 HEIGHT_INCHES = 4.5
 PHASE_HEIGHT_INCHES = 0.7
