Let a rollout ask for a number of readers; tell no matched index that is not known

A follower's status showed the others at 'matched 0', which it can't know, and a refusal in JSON gave current_version 0 where no version was met.

Members told of by a follower read 'matched unknown'; current_version is null except at a conflict. Ruled out: a count from the platform's list, which lags and knows no proxies.

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -16,6 +16,30 @@
     When the operator runs "status --json"
     Then the command ends with 0 and prints ""role": "leader""
 
+  Scenario Outline: A rollout counts connected readers, and those missing from an expected number
+    Given a source whose <readers> connected readers all hold the version
+    When the operator runs "rollout 6 --wait 0.1 --readers <expected>"
+    Then the command ends with <status> and prints "<text>"
+
+    Examples:
+      | readers | expected | status | text                                 |
+      | 3       | 0        | 0      | version 6: in force                  |
+      | 3       | 3        | 0      | version 6: in force                  |
+      | 3       | 4        | 1      | in force at 3 readers, 4 expected    |
+
+  Scenario: A follower does not tell how far other members are
+    Given a source whose follower is asked for its status
+    When the operator runs "status"
+    Then the command ends with 0 and prints "matched unknown"
+
+  Scenario: Only a conflict names the version it met
+    Given a source that the command line reaches
+    When the operator applies a file of resources with "--expected-version 99 --json"
+    Then the command ends with 1 and prints ""current_version": 0"
+    When the operator applies a file of resources
+    And the operator runs "delete service/orders --json"
+    Then the command ends with 1 and prints ""current_version": null"
+
   Scenario: A dry run and an expected version
     Given a source that the command line reaches
     When the operator applies a file of resources with "--dry-run"
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -10,7 +10,15 @@
 from operator_server import OperatorServer
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.protocol.operators_pb2 import ApplyRequest
+from limelever.protocol.operators_pb2 import (
+    ApplyRequest,
+    MemberStatus,
+    RolloutRequest,
+    RolloutResponse,
+    StatusRequest,
+    StatusResponse,
+    ZoneRollout,
+)
 
 WRONG_RESOURCES = """
 [[service]]
@@ -91,6 +99,26 @@
     reach(context, context.source.address)
 
 
+@given("a source whose {count:d} connected readers all hold the version")
+def given_in_force(context, count):
+    zone = ZoneRollout(zone="lodz-a", in_force=count, lowest_version=6)
+    answer = RolloutResponse(version=6, complete=True, zones=[zone])
+    context.source = start_source(
+        context, lambda request: answer if isinstance(request, RolloutRequest) else None
+    )
+    reach(context, context.source.address)
+
+
+@given("a source whose follower is asked for its status")
+def given_follower_status(context):
+    members = [MemberStatus(name=f"source-{number}", voter=True) for number in (1, 2, 3)]
+    answer = StatusResponse(name="source-2", role="follower", members=members)
+    context.source = start_source(
+        context, lambda request: answer if isinstance(request, StatusRequest) else None
+    )
+    reach(context, context.source.address)
+
+
 @given("a source whose follower names the leader")
 def given_follower(context):
     context.source = start_source(context)
--- a/src/limelever/cli/application.py
+++ b/src/limelever/cli/application.py
@@ -151,14 +151,18 @@
         float | None,
         typer.Option(min=0, metavar="SECONDS", help="Wait; refused when it is not in force then."),
     ] = None,
+    readers: Annotated[
+        int,
+        typer.Option(min=0, help="Proxies and agents that must hold it; 0 asks those connected."),
+    ] = 0,
     as_json: JsonOption = False,
 ) -> int:
     """Show where a version is in force, by zone.
 
-    Example: limelever rollout 42 --wait 10
+    Example: limelever rollout 42 --wait 10 --readers 16
     """
     with connection.open() as client:
-        return operator_commands.rollout(client, version, wait, as_json)
+        return operator_commands.rollout(client, version, wait, readers, as_json)
 
 
 @app.command()
--- a/src/limelever/cli/operator_commands.py
+++ b/src/limelever/cli/operator_commands.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from functools import partial
 
-from google.protobuf.message import Message
-
 from limelever.cli import output
 from limelever.cli.client import OperatorClient
 from limelever.cli.roles import EXIT_OK, EXIT_REFUSED
@@ -30,7 +28,6 @@
 from limelever.source.request_records import make_request_id
 
 ROLLOUT_POLL_SECONDS = 0.5
-LEADER_ROLE = "leader"
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,18 +79,24 @@
     return EXIT_REFUSED if answer.missing else EXIT_OK
 
 
-def rollout(client: OperatorClient, version: int, wait: float | None, as_json: bool) -> int:
-    """Print how far ``version`` has come; with ``wait`` (seconds) refused when not complete."""
+def rollout(
+    client: OperatorClient, version: int, wait: float | None, readers: int, as_json: bool
+) -> int:
+    """Print how far ``version`` has come; with ``wait`` (seconds) refused when not complete.
+
+    A source counts connected readers alone, so those that are down would pass for done; it is
+    complete only when at least ``readers`` of them hold the version.
+    """
     call = partial(client.call, "Rollout", RolloutRequest(version=version), RolloutResponse)
     deadline = time.monotonic() + (wait or 0.0)
     answer = call()
-    while not _is_settled(answer) and time.monotonic() < deadline:
+    while not _is_settled(answer, readers) and time.monotonic() < deadline:
         time.sleep(min(ROLLOUT_POLL_SECONDS, max(0.0, deadline - time.monotonic())))
         answer = call()
     if isinstance(answer, Failure):
         return _refused(answer, "", as_json)
-    output.print_json(answer) if as_json else output.print_rollout(answer)
-    return EXIT_OK if answer.complete or wait is None else EXIT_REFUSED
+    output.print_json(answer) if as_json else output.print_rollout(answer, readers)
+    return EXIT_OK if wait is None or output.is_in_force(answer, readers) else EXIT_REFUSED
 
 
 def status(client: OperatorClient, as_json: bool) -> int:
@@ -110,7 +113,7 @@
     answer = client.call("Status", StatusRequest(), StatusResponse)
     if isinstance(answer, Failure):
         return _refused(answer, "", as_json)
-    if answer.role != LEADER_ROLE:
+    if answer.role != output.LEADER_ROLE:
         told = client.ask_leader(answer)
         answer = answer if isinstance(told, Failure) else told
     output.print_json(answer) if as_json else output.print_told_members(answer)
@@ -127,12 +130,14 @@
     answer = client.call("ChangeMembers", change, ChangeMembersResponse, is_write=True)
     if isinstance(answer, Failure):
         return _refused(answer, change.request_id, as_json)
-    output.print_json(answer) if as_json else output.print_members(answer.members)
+    output.print_json(answer) if as_json else output.print_members(
+        answer.members, told_by_leader=True
+    )
     return EXIT_OK
 
 
-def _is_settled(answer: Message | Failure) -> bool:
-    return isinstance(answer, Failure) or (isinstance(answer, RolloutResponse) and answer.complete)
+def _is_settled(answer: RolloutResponse | Failure, readers: int) -> bool:
+    return isinstance(answer, Failure) or output.is_in_force(answer, readers)
 
 
 def _refused(failure: Failure, request_id: str, as_json: bool) -> int:
--- a/src/limelever/cli/output.py
+++ b/src/limelever/cli/output.py
@@ -22,6 +22,8 @@
 )
 from limelever.protocol.redaction import redacted
 
+LEADER_ROLE = "leader"
+
 _ENUM_TEXT = {
     "CallKind": lambda number: CallKind.Name(number).removeprefix("CALL_KIND_").lower(),
     "ChangeAction": lambda number: ChangeAction.Name(number).removeprefix("CHANGE_ACTION_").lower(),
@@ -95,11 +97,16 @@
         "resources": list(failure.resources),
         "outcome": failure.outcome.value,
         "advice": failure.answer.advice.value,
-        "current_version": failure.current_version,
+        "current_version": _met_version(failure),
         "request_id": request_id,
     }
 
 
+def _met_version(failure: Failure) -> int | None:
+    """Return the version that a conflict met; no other refusal tells of one."""
+    return failure.current_version if failure.kind is ErrorKind.CONFLICT else None
+
+
 def print_apply(answer: ApplyResponse, dry_run: bool) -> None:
     """Print what a batch changed, or would change."""
     for change in answer.changes:
@@ -129,27 +136,41 @@
     return ",".join(value) if isinstance(value, list) else str(value)
 
 
-def print_rollout(answer: RolloutResponse) -> None:
-    """Print how far a version has come, zone by zone."""
-    print(f"version {answer.version}: {'in force' if answer.complete else 'lagging'}")
+def print_rollout(answer: RolloutResponse, expected_readers: int) -> None:
+    """Print how far a version has come, zone by zone, and how many readers are missing."""
+    state = "in force" if is_in_force(answer, expected_readers) else "lagging"
+    print(f"version {answer.version}: {state}")
+    in_force = _readers_in_force(answer)
+    if in_force < expected_readers:
+        print(f"in force at {in_force} readers, {expected_readers} expected")
     print(f"{'zone':<24}{'in force':>10}{'lagging':>10}{'lowest':>10}")
     for zone in answer.zones:
         lowest = zone.lowest_version
         print(f"{zone.zone:<24}{zone.in_force:>10}{zone.lagging:>10}{lowest:>10}")
 
 
-def print_members(members: Iterable[MemberStatus]) -> None:
-    """Print the members of the source, one a line."""
+def is_in_force(answer: RolloutResponse, expected_readers: int) -> bool:
+    """Return whether no connected reader lags, and as many as expected hold the version."""
+    return answer.complete and _readers_in_force(answer) >= expected_readers
+
+
+def _readers_in_force(answer: RolloutResponse) -> int:
+    return sum(zone.in_force for zone in answer.zones)
+
+
+def print_members(members: Iterable[MemberStatus], *, told_by_leader: bool) -> None:
+    """Print the members of the source, one a line; only a leader knows how far others are."""
     for member in members:
         standing = "voter" if member.voter else "learner"
-        where = f"matched {member.matched_index} {member.address}".rstrip()
+        matched = member.matched_index if told_by_leader else "unknown"
+        where = f"matched {matched} {member.address}".rstrip()
         print(f"member {member.name} ({member.identity}): {standing}, {where}")
 
 
 def print_told_members(answer: StatusResponse) -> None:
-    """Print the members and who tells: only a leader knows how far the others are."""
+    """Print the members and which replica tells of them."""
     print(f"as told by {answer.name}: {answer.role}, committed through {answer.commit_index}")
-    print_members(answer.members)
+    print_members(answer.members, told_by_leader=answer.role == LEADER_ROLE)
 
 
 def print_status(answer: StatusResponse) -> None:
@@ -157,6 +178,6 @@
     print(f"{answer.name}: {answer.role}, term {answer.term}, version {answer.version}")
     print(f"leader: {answer.leader or 'none'} {answer.leader_operator_address}".rstrip())
     print(f"committed through {answer.commit_index}")
-    print_members(answer.members)
+    print_members(answer.members, told_by_leader=answer.role == LEADER_ROLE)
     for relay in answer.relays:
         print(f"relay {relay}")
