Tell a disk that fails from contents that are damaged

Change: a kind of its own, disk-failed (outcome unknown, elsewhere), for all errors of the system but a full disk; data-damaged is left to bytes that don't check out.

--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -128,6 +128,19 @@
         context.refusal = context.disk.perform([ReplaceFile(99, "vote", b"second")])
 
 
+@when("a data folder's disk fails a sync by {name}")
+def _(context, name):
+    with mock.patch("os.fsync", side_effect=OSError(getattr(errno, name), name)):
+        context.refusal = context.disk.perform([AppendLog(99, (b"x",))])
+
+
+@then("a data folder that can't be read for {name} refuses to open as {kind}")
+def _(context, name, kind):
+    with mock.patch("pathlib.Path.read_bytes", side_effect=OSError(getattr(errno, name), name)):
+        opened = open_folder(context.folder)
+    assert isinstance(opened, Failure) and opened.kind is ErrorKind(kind), opened
+
+
 @then("a data folder's write is refused as {kind} and every later one too")
 def _(context, kind):
     assert context.refusal.kind is ErrorKind(kind), context.refusal
--- a/features/storage/data_folder.feature
+++ b/features/storage/data_folder.feature
@@ -59,6 +59,20 @@
     Given a data folder's process is gone
     Then a data folder gives back 2 records and the file
 
+  Scenario Outline: A disk that fails does not pass for damaged contents
+    Given a data folder with 5 records and a file
+    And a data folder's process is gone
+    Then a data folder that can't be read for <error> refuses to open as disk-failed
+    And a data folder gives back 5 records and the file
+    Given a data folder with 5 records and a file
+    When a data folder's disk fails a sync by <error>
+    Then a data folder's write is refused as disk-failed and every later one too
+
+    Examples:
+      | error  |
+      | EIO    |
+      | EACCES |
+
   Scenario: A log is cut, appended to and reset
     Given a data folder with 5 records and a file
     When a data folder's log is cut to 2 records, appended to and reset
--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -94,6 +94,7 @@
     DATA_FOLDER_IN_USE = "data-folder-in-use"
     DATA_DAMAGED = "data-damaged"
     DISK_FULL = "disk-full"
+    DISK_FAILED = "disk-failed"
     VERSION_TOO_OLD = "version-too-old"
     INTERNAL = "internal"
 
@@ -160,6 +161,7 @@
     _K.DATA_FOLDER_IN_USE: _answer(500, _G.FAILED_PRECONDITION, _O.NOT_RUN, _R.NEVER),
     _K.DATA_DAMAGED: _answer(500, _G.DATA_LOSS, _O.NOT_RUN, _R.NEVER),
     _K.DISK_FULL: _answer(507, _G.RESOURCE_EXHAUSTED, _O.NOT_RUN, _R.AFTER_DELAY),
+    _K.DISK_FAILED: _answer(500, _G.INTERNAL, _O.UNKNOWN, _R.ELSEWHERE),
     _K.VERSION_TOO_OLD: _answer(409, _G.OUT_OF_RANGE, _O.NOT_RUN, _R.AFTER_CHANGE),
     _K.INTERNAL: _answer(500, _G.INTERNAL, _O.UNKNOWN, _R.NEVER),
 }
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -33,8 +33,9 @@
 def open_folder(path: Path | str) -> FolderDisk | Failure:
     """Lock the data folder at ``path`` (made when missing), check it and return its disk.
 
-    Fails with DATA_FOLDER_IN_USE when another process holds it, and with DATA_DAMAGED when
-    synced bytes do not check out; a torn tail of the log is cut.
+    Fails with DATA_FOLDER_IN_USE when another process holds it, with DATA_DAMAGED when synced
+    bytes do not check out, and with DISK_FAILED when the folder can't be read or written, of
+    which nothing follows for its contents; a torn tail of the log is cut.
     """
     folder = Path(path)
     try:
@@ -92,7 +93,7 @@
 
 
 def _failure_of(error: OSError) -> Failure:
-    kind = ErrorKind.DISK_FULL if error.errno in _FULL_ERRORS else ErrorKind.DATA_DAMAGED
+    kind = ErrorKind.DISK_FULL if error.errno in _FULL_ERRORS else ErrorKind.DISK_FAILED
     return Failure(kind, f"disk: {error.strerror or error}")
 
 
