--- a/src/limelever_lab/simulator/checkers.py
+++ b/src/limelever_lab/simulator/checkers.py
@@ -16,7 +16,6 @@
     VERSION_ORDER = "version-order"
     DANGLING_REFERENCE = "dangling-reference"
     PARTIAL_VERSION = "partial-version"
-    LOST_CHANGE = "lost-change"
     CONTRADICTED_ANSWER = "contradicted-answer"
     UNSETTLED_WRITE = "unsettled-write"
     DANGLING_ACCEPTED = "dangling-accepted"
