Count keepers' links apart from the cost of distribution

Cause: the demonstration counted all links but those of calls as control bytes, so claims and recorded answers of at-most-once calls stood in the figure that is to say what distribution costs.

Change: control bytes are those of subscription, registration, endpoints and hellos; what proxies exchange with keepers has a row of its own.

--- a/src/limelever_lab/demo/result.py
+++ b/src/limelever_lab/demo/result.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlBytes:
-    """Control bytes of a proxy, the mean of all: over the whole run, and a second."""
+    """Control bytes of a proxy, the mean of all: over the whole run, and a second.
+
+    ``claims_per_second`` are the bytes that at-most-once calls cost besides, at the keepers.
+    """
 
     total: float
     per_second: float
+    claims_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limelever_lab/demo/scenario.py
+++ b/src/limelever_lab/demo/scenario.py
@@ -92,7 +92,9 @@
     def _control_bytes(self) -> ControlBytes:
         proxies = self._fleet.proxies
         mean = sum(proxy.control_bytes() for proxy in proxies) / len(proxies)
-        return ControlBytes(mean, mean / (time.monotonic() - self._started))
+        claims = sum(proxy.claim_bytes() for proxy in proxies) / len(proxies)
+        seconds = time.monotonic() - self._started
+        return ControlBytes(mean, mean / seconds, claims / seconds)
 
     def _start_and_apply(self) -> None:
         fleet = self._fleet
--- a/src/limelever_lab/demo/table.py
+++ b/src/limelever_lab/demo/table.py
@@ -48,6 +48,10 @@
             "control bytes per proxy and second",
             [f"{r.control_bytes.per_second:.0f}" for r in results],
         ),
+        (
+            "claim bytes per proxy and second",
+            [f"{r.control_bytes.claims_per_second:.0f}" for r in results],
+        ),
         ("processes", [str(r.processes) for r in results]),
         ("seconds", [f"{r.seconds:.1f}" for r in results]),
         ("what must hold", ["held" if r.holds else "FAILED" for r in results]),
--- a/src/limelever_lab/fleet/member.py
+++ b/src/limelever_lab/fleet/member.py
@@ -11,6 +11,7 @@
 from limelever_lab.fleet.http import get_text
 from limelever_lab.fleet.metrics import (
     Sample,
+    claim_bytes,
     configuration_version,
     control_bytes,
     parse_metrics,
@@ -73,6 +74,10 @@
         """Return the control bytes, both ways, since the process started."""
         return control_bytes(self.samples())
 
+    def claim_bytes(self) -> float:
+        """Return the bytes exchanged with keepers, both ways, since the process started."""
+        return claim_bytes(self.samples())
+
     def kill(self) -> None:
         """Kill the process as a crash would (SIGKILL)."""
         self.process.kill()
--- a/src/limelever_lab/fleet/metrics.py
+++ b/src/limelever_lab/fleet/metrics.py
@@ -11,8 +11,10 @@
 LINK_FRAMES = "limelever_link_frames_total"
 CONFIGURATION_VERSION = "limelever_configuration_version"
 LINKS_OPEN = "limelever_links_open"
-CALLS_PURPOSE = "calls"
+KEEPER_PURPOSE = "keeper"
 SUBSCRIPTION_PURPOSE = "subscription"
+PER_CALL_PURPOSES = frozenset({"calls", KEEPER_PURPOSE})
+"""Links whose bytes follow the calls, and would not change with another way to distribute."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +36,17 @@
 
 
 def control_bytes(samples: Iterable[Sample]) -> float:
-    """Return the bytes, both ways, on all links but those that carry calls."""
+    """Return the bytes, both ways, that configuration and endpoints cost."""
     return _control_total(LINK_BYTES, samples)
 
 
+def claim_bytes(samples: Iterable[Sample]) -> float:
+    """Return the bytes, both ways, between a proxy and the keepers of at-most-once calls."""
+    return sum(s.value for s in samples if s.name == LINK_BYTES and _purpose(s) == KEEPER_PURPOSE)
+
+
 def control_frames(samples: Iterable[Sample]) -> float:
-    """Return the frames, both ways, on all links but those that carry calls."""
+    """Return the frames, both ways, that configuration and endpoints cost."""
     return _control_total(LINK_FRAMES, samples)
 
 
@@ -47,10 +54,14 @@
     return sum(
         sample.value
         for sample in samples
-        if sample.name == name and ("purpose", CALLS_PURPOSE) not in sample.labels
+        if sample.name == name and _purpose(sample) not in PER_CALL_PURPOSES
     )
 
 
+def _purpose(sample: Sample) -> str:
+    return dict(sample.labels).get("purpose", "")
+
+
 def configuration_version(samples: Iterable[Sample]) -> int:
     """Return the configuration version in force, 0 when none is."""
     return max((int(s.value) for s in samples if s.name == CONFIGURATION_VERSION), default=0)
@@ -61,5 +72,5 @@
     return sum(
         int(sample.value)
         for sample in samples
-        if sample.name == LINKS_OPEN and ("purpose", SUBSCRIPTION_PURPOSE) in sample.labels
+        if sample.name == LINKS_OPEN and _purpose(sample) == SUBSCRIPTION_PURPOSE
     )
