Register at the relay of the own zone first

Cause: the settings list the own zone's relay first, as subscribers take it, but an agent's registration began at one drawn at random: leases and endpoint news crossed zones for nothing.

Change: the first listed is tried first, the next after a failure. There is no way back yet after a failure; that needs a lease at both for a while, or an endpoint could lapse on the way.

--- a/features/agent/registration.feature
+++ b/features/agent/registration.feature
@@ -11,6 +11,9 @@
     When 31 seconds pass at the agent
     Then a relay has been dialled by the agent
 
+  Scenario: The relay that is listed first is tried first
+    Then agents of any seed dial the first relay listed
+
   Scenario: The lease is renewed at a third of its length
     Given a registration with relays A and B that holds a lease of 6 seconds
     When its next deadline comes
--- a/features/steps/agent_registration_steps.py
+++ b/features/steps/agent_registration_steps.py
@@ -101,6 +101,14 @@
         self.tell(DeadlineReached())
 
 
+@then("agents of any seed dial the first relay listed")
+def check_first_listed(context: Context) -> None:
+    for seed in range(20):
+        part = Registration(REGISTRATION, 7, DialledConnections(), random.Random(seed))
+        [dial] = part.begin(0.0)
+        assert isinstance(dial, OpenConnection) and dial.address == RELAYS[0], dial
+
+
 @given("a registration with relays A and B that holds a lease of {seconds:d} seconds")
 def given_lease(context: Context, seconds: int) -> None:
     context.registration = RegistrationBench(seconds * 1000)
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistrationSettings:
-    """What is registered and where; ``answer_timeout`` in seconds."""
+    """What is registered and where; ``answer_timeout`` in seconds.
+
+    The first of ``relays`` is tried first: it is listed first because its zone is the agent's.
+    """
 
     relays: tuple[Address, ...]
     service: str
@@ -87,7 +90,7 @@
         self._incarnation = incarnation
         self._connections = connections
         self._backoff = Backoff(settings.backoff, generator)
-        self._relay = generator.randrange(len(settings.relays))
+        self._relay = 0
         self._phase = _Phase.HELD_BACK
         self._endpoint = OwnEndpoint(_endpoint_of(settings, incarnation))
         self._in_flight = 0
