Hold the time left that a back end is told to the millisecond

Cause: the scenario of the timeout header passed with any time from 1 to 10000 ms, the whole timeout included, which would hide an agent that does not count its own waiting. Change: replaced by a stricter one: on a virtual clock an attempt of 10 s waits 4 s for the one connection and must tell 6000 ms. The server of the other scenarios no longer keeps requests, as nothing reads them.

Seen to fail on a scratch copy with the whole timeout sent (10000) and without the header.

--- a/features/agent/backend.feature
+++ b/features/agent/backend.feature
@@ -27,5 +27,5 @@
     Then the agent's client was answered 5 times over 2 connections
 
   Scenario: A back end hears how long its caller still waits
-    When 1 attempts in turn meet a back end that keeps its connections
-    Then the agent's client told the back end a time left between 1 and 10000 ms
+    When an attempt whose caller waits 10 seconds gets its connection after 4
+    Then the agent's client told the back end that 6000 ms are left
--- a/features/steps/agent_backend_steps.py
+++ b/features/steps/agent_backend_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -94,15 +94,12 @@
 
     requests_each: int
     connections: int = 0
-    requests: list[bytes] = field(default_factory=list)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         for _ in range(self.requests_each):
-            request = await stream.receive_some(65536)
-            if not request:
+            if not await stream.receive_some(65536):
                 return
-            self.requests.append(request)
             await trio.sleep(0.01)
             await stream.send_all(ANSWERS[b"/ok"])
         await stream.aclose()
@@ -158,8 +155,47 @@
     assert (context.answers, context.server.connections) == (count, connections)
 
 
-@then("the agent's client told the back end a time left between {low:d} and {high:d} ms")
-def check_time_left(context: Context, low: int, high: int) -> None:
-    lines = context.server.requests[0].lower().split(b"\r\n")
-    [left] = [line.split(b": ")[1] for line in lines if line.startswith(b"x-limelever-timeout-ms")]
-    assert low <= int(left) <= high, left
+async def ask_behind(held: int, patience: int, heard: list[bytes]) -> None:
+    """Hold the one connection for some seconds of the clock while a second attempt waits for it."""
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, trio.testing.MockClock)
+    arrived, answer = trio.Event(), trio.Event()
+    both_ended = trio.Semaphore(0)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        for _ in range(2):
+            heard.append(await stream.receive_some(65536))
+            arrived.set()
+            await answer.wait()
+            await stream.send_all(ANSWERS[b"/ok"])
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = Address("127.0.0.1", listener.socket.getsockname()[1])
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        settings = BackendSettings(address=address, connections=1)
+        backend = Backend(settings, nursery, lambda event: both_ended.release())
+        for number in range(2):
+            attempt = StartAttempt(number, "orders", b"GET", b"/ok", (), b"", float(patience))
+            backend.start(attempt)
+        await arrived.wait()
+        clock.jump(held)
+        answer.set()
+        for _ in range(2):
+            await both_ended.acquire()
+        backend.close()
+        nursery.cancel_scope.cancel()
+
+
+@when("an attempt whose caller waits {patience:d} seconds gets its connection after {held:d}")
+def ask_after_waiting(context: Context, patience: int, held: int) -> None:
+    context.heard = []
+    clock = trio.testing.MockClock()
+    trio.run(ask_behind, held, patience, context.heard, clock=clock)
+
+
+@then("the agent's client told the back end that {left:d} ms are left")
+def check_time_left(context: Context, left: int) -> None:
+    lines = context.heard[-1].lower().split(b"\r\n")
+    told = [line for line in lines if line.startswith(b"x-limelever-timeout-ms")]
+    assert told == [b"x-limelever-timeout-ms: %d" % left], told
