Test that a link's messages stay whole, in order and bounded under a slow reader

Cause: the bound of what waits was tested only with a link server and 40 MiB; nothing held the order of messages under partial sends. Change: three scenarios over a pair of sockets with a send buffer of 4 KiB, messages of 16 KiB and a reader that makes room between two messages: order, the bound to within a message, and the end of the writing task when the peer has left. No product code changed.

Seen to fail on a scratch copy: a queue that takes messages at its front, one that is cleared after the send instead of before, and bytes not counted towards the bound.

--- /dev/null
+++ b/features/steps/transport_link_steps.py
@@ -0,0 +1,148 @@
+"""Steps for what a link sends, over a pair of sockets with small buffers."""
+
+from __future__ import annotations
+
+import os
+import socket
+from dataclasses import dataclass, field
+
+import trio
+import trio.testing
+from behave import then, when
+
+from limelever.common.framing import FrameReader, decode_payload, encode_frame
+from limelever.common.settings import LinkSettings
+from limelever.protocol.calls_pb2 import CallBody
+from limelever.transport.links import Link
+
+SEND_BUFFER_BYTES = 4096
+BODY_BYTES = 16384
+BOUND_BYTES = 1 << 20
+MESSAGES_A_TURN = 7
+
+
+@dataclass
+class Sending:
+    """What became of a link's messages, by the numbers of their streams."""
+
+    received: list[int] = field(default_factory=list)
+    waiting_bytes: int = 0
+    broken: bool = False
+
+
+def body(number: int) -> CallBody:
+    return CallBody(stream=number, data=bytes([number % 256]) * BODY_BYTES)
+
+
+def open_link(buffer: int = 0) -> tuple[Link, trio.SocketStream]:
+    """Return a link and its peer's stream; a buffer of 0 bytes is the system's own."""
+    ours, theirs = trio.socket.socketpair()
+    if buffer:
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer)
+    link = Link(trio.SocketStream(ours), LinkSettings(send_queue_bytes=BOUND_BYTES))
+    link.count_as("test")
+    return link, trio.SocketStream(theirs)
+
+
+def bytes_here(stream: trio.SocketStream) -> bytes:
+    """Return what has arrived, without waiting and without running another task."""
+    data = bytearray()
+    try:
+        while part := os.read(stream.socket.fileno(), 1 << 20):
+            data += part
+    except BlockingIOError:
+        pass
+    return bytes(data)
+
+
+def numbers_in(reader: FrameReader) -> list[int]:
+    numbers = []
+    while isinstance(payload := reader.next_payload(), bytes):
+        message = decode_payload(payload)
+        assert message == body(message.stream), "a message is not whole"
+        numbers.append(message.stream)
+    return numbers
+
+
+async def send_to_slow_reader(count: int) -> Sending:
+    """Make room in the system's buffer before each message, while bytes of others still wait.
+
+    They wait in the link's queue, and after each turn of the writing task within its sending.
+    """
+    link, peer = open_link(buffer=SEND_BUFFER_BYTES)
+    reader, sending, written = FrameReader(), Sending(), trio.Event()
+
+    def take() -> None:
+        reader.feed(bytes_here(peer))
+        sending.received += numbers_in(reader)
+
+    async def write() -> None:
+        await link.write_queued()
+        written.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write)
+        for number in range(count):
+            link.send(body(number))
+            if number % MESSAGES_A_TURN == 0:
+                await trio.testing.wait_all_tasks_blocked()
+            take()
+        link.finish()
+        while not written.is_set():
+            take()
+            await trio.lowlevel.checkpoint()
+    take()
+    return sending
+
+
+async def send_until_refused() -> Sending:
+    link, peer = open_link(buffer=SEND_BUFFER_BYTES)
+    sent, accepted = 0, True
+    while accepted:
+        accepted = link.send(body(0))
+        sent += len(encode_frame(body(0)))
+    return Sending(waiting_bytes=sent - len(bytes_here(peer)))
+
+
+async def send_to_nobody(count: int) -> Sending:
+    link, peer = open_link()
+    await peer.aclose()
+    for number in range(count):
+        assert link.send(body(number))
+    link.finish()
+    try:
+        await link.write_queued()
+    except trio.BrokenResourceError:
+        return Sending(broken=True)
+    return Sending()
+
+
+@when("a link sends {count:d} messages while its peer reads slowly")
+def when_peer_reads_slowly(context, count):
+    context.sending = trio.run(send_to_slow_reader, count)
+
+
+@when("a link sends to a peer that reads nothing until a message is one too many")
+def when_link_sends_until_refused(context):
+    context.sending = trio.run(send_until_refused)
+
+
+@when("a link sends {count:d} messages to a peer that has left")
+def when_peer_has_left(context, count):
+    context.sending = trio.run(send_to_nobody, count)
+
+
+@then("the link's peer has {count:d} messages in order")
+def then_peer_has(context, count):
+    assert context.sending.received == list(range(count)), context.sending.received
+
+
+@then("the bytes that wait in the link are over its bound by less than a message")
+def then_bounded(context):
+    over = context.sending.waiting_bytes - BOUND_BYTES
+    assert 0 < over <= len(encode_frame(body(0))), over
+
+
+@then("the link's writing task has ended as broken")
+def then_broken(context):
+    assert context.sending.broken
--- /dev/null
+++ b/features/transport/link_sending.feature
@@ -0,0 +1,13 @@
+Feature: What a link sends is whole, in order and bounded
+
+  Scenario: A peer that reads slowly gets every message whole and in order
+    When a link sends 300 messages while its peer reads slowly
+    Then the link's peer has 300 messages in order
+
+  Scenario: What is waiting for a peer that reads nothing is bounded in bytes
+    When a link sends to a peer that reads nothing until a message is one too many
+    Then the bytes that wait in the link are over its bound by less than a message
+
+  Scenario: A peer that has left ends the writing task, and only that
+    When a link sends 3 messages to a peer that has left
+    Then the link's writing task has ended as broken
