Check a delta by what it touches

Cause: a subscriber rebuilt its set on every delta: it rehashed every key, looked up every reference and, at the installation, compared every resource.

Change: an index counts the references by the key they lead to. After a delta only keys that came, went or are newly referred to, and those that dangled before, are looked at. The set is still built aside, so a refused delta leaves the old one as it was. The tables are copied as they are for that: a copy is linear, but looks at no resource. Ruled out: one shared index with an undo log (a link that is lost goes back to an older set), and a map by hash trie (iterates in the order of the hashes, which depends on the hash seed).

Test: a property compares random deltas upon random sets, damaged and dangling ones too, with a full check, and the old set before and after. On a scratch copy it failed with each of three faults: removed keys not looked at, the index shared with the old set, earlier dangling keys forgotten.

--- a/features/distribution/holding.feature
+++ b/features/distribution/holding.feature
@@ -116,3 +116,6 @@
 
   Scenario: Random cuts, restarts and lagging publishers never break what must hold
     Then in random runs no reader goes backward, dangles, or fails to catch up
+
+  Scenario: A delta is checked by what it touches, with the result of a full check
+    Then any deltas upon any set are taken or refused as a full check would
--- a/src/limelever/subscriber/configuration.py
+++ b/src/limelever/subscriber/configuration.py
@@ -17,7 +17,8 @@
     Share,
     VersionedResource,
 )
-from limelever.protocol.keys import Key, references_of
+from limelever.protocol.keys import Key
+from limelever.subscriber.reference_index import ReferenceIndex
 
 
 class ConfigurationSet:
@@ -28,12 +29,40 @@
     """
 
     def __init__(self, resources: Mapping[Key, VersionedResource]) -> None:
-        self._resources = MappingProxyType(dict(resources))
+        self._resources = dict(resources)
+
+    @classmethod
+    def _owning(
+        cls, resources: dict[Key, VersionedResource], references: ReferenceIndex
+    ) -> ConfigurationSet:
+        """Return a set that keeps ``resources`` itself, which nobody else may change."""
+        built = cls.__new__(cls)
+        built._resources = resources
+        built._references = references
+        return built
+
+    def changed(self, removed: Iterable[Key], put: Iterable[VersionedResource]) -> ConfigurationSet:
+        """Return the set without ``removed`` and then with ``put``; this one stays as it is.
+
+        The tables are copied as they are, without a look at what is in them; beyond that the
+        cost goes by the change alone.
+        """
+        resources = self._resources.copy()
+        references = self._references.copy()
+        for key in removed:
+            former = resources.pop(key, None)
+            references.replace(key, former, None)
+        for versioned in put:
+            key = Key.of(versioned.resource)
+            references.replace(key, resources.get(key), versioned)
+            resources[key] = versioned
+        references.settle(resources)
+        return ConfigurationSet._owning(resources, references)
 
     @property
     def resources(self) -> Mapping[Key, VersionedResource]:
         """Every resource by its key."""
-        return self._resources
+        return MappingProxyType(self._resources)
 
     def __len__(self) -> int:
         return len(self._resources)
@@ -75,21 +104,12 @@
         }
 
     def dangling(self) -> tuple[Key, ...]:
-        """Return the keys that resources of the set refer to and that the set lacks."""
-        return dangling_references(self._resources.values(), self._resources)
+        """Return the keys that resources of the set refer to and that the set lacks, sorted."""
+        return self._references.dangling
 
-
-EMPTY_CONFIGURATION = ConfigurationSet({})
+    @cached_property
+    def _references(self) -> ReferenceIndex:
+        return ReferenceIndex.of(self._resources)
 
 
-def dangling_references(
-    resources: Iterable[VersionedResource], held: Mapping[Key, VersionedResource]
-) -> tuple[Key, ...]:
-    """Return the keys that ``resources`` refer to and that ``held`` lacks, sorted."""
-    missing = {
-        reference
-        for versioned in resources
-        for reference in references_of(versioned.resource)
-        if reference not in held
-    }
-    return tuple(sorted(missing))
+EMPTY_CONFIGURATION = ConfigurationSet({})
--- a/src/limelever/subscriber/held.py
+++ b/src/limelever/subscriber/held.py
@@ -45,19 +45,22 @@
     if delta.from_version > held.version:
         reason = f"delta from version {delta.from_version}, held is {held.version}"
         return Failure(ErrorKind.PROTOCOL_VIOLATION, reason)
-    resources = dict(held.configuration.resources)
+    removed = tuple(Key.from_message(message) for message in delta.remove)
+    configuration = held.configuration.changed(removed, delta.put)
     digest = held.digest.copy()
-    for message in delta.remove:
-        _take_out(resources, digest, Key.from_message(message))
-    for versioned in delta.put:
-        key = Key.of(versioned.resource)
-        _take_out(resources, digest, key)
-        resources[key] = versioned
-        digest.add(resource_hash(versioned))
-    built = HeldSet(delta.to_version, ConfigurationSet(resources), digest)
+    for key in touched_keys(delta):
+        _exchange(digest, held.configuration.resources.get(key), configuration.resources.get(key))
+    built = HeldSet(delta.to_version, configuration, digest)
     return _checked(built, delta.digest)
 
 
+def touched_keys(delta: ConfigDelta) -> dict[Key, None]:
+    """Return the keys that ``delta`` may change, in its order and each once."""
+    removed = (Key.from_message(message) for message in delta.remove)
+    put = (Key.of(versioned.resource) for versioned in delta.put)
+    return dict.fromkeys((*removed, *put))
+
+
 def inventory_of(held: HeldSet) -> Inventory:
     """Return what a subscriber tells a publisher that asks what it holds."""
     return Inventory(
@@ -77,10 +80,15 @@
     )
 
 
-def _take_out(resources: dict[Key, VersionedResource], digest: SetDigest, key: Key) -> None:
-    former = resources.pop(key, None)
+def _exchange(
+    digest: SetDigest, former: VersionedResource | None, current: VersionedResource | None
+) -> None:
+    if former is current:
+        return
     if former is not None:
         digest.remove(resource_hash(former))
+    if current is not None:
+        digest.add(resource_hash(current))
 
 
 def _checked(built: HeldSet, digest: bytes) -> HeldSet | Failure:
--- a/src/limelever/subscriber/holder.py
+++ b/src/limelever/subscriber/holder.py
@@ -8,15 +8,23 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import LogEvent, Output, Recovered, ReplaceFile
+from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.distribution_pb2 import ConfigDelta, ConfigSnapshot
+from limelever.protocol.keys import Key
 from limelever.subscriber import events
 from limelever.subscriber.floor_file import FLOOR_FILE, decode_floor, encode_floor
-from limelever.subscriber.held import NOTHING_HELD, HeldSet, from_delta, from_snapshot
+from limelever.subscriber.held import (
+    NOTHING_HELD,
+    HeldSet,
+    from_delta,
+    from_snapshot,
+    touched_keys,
+)
 from limelever.subscriber.notices import ConfigurationInstalled, VersionConfirmed
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.snapshot_file import SNAPSHOT_FILE, decode_snapshot
@@ -45,6 +53,7 @@
         self.latest = self._settled
         self.in_force: HeldSet | None = None
         self._awaiting: deque[AwaitingFloor] = deque()
+        self._touched: dict[Key, None] | None = None
 
     @property
     def awaits_floor(self) -> bool:
@@ -69,12 +78,18 @@
     def take_delta(self, delta: ConfigDelta) -> Failure | None:
         """Build the set a delta leads to; a failure leaves everything as it was."""
         refusal = self._refuse_lower(delta.to_version)
-        return refusal or self._take(from_delta(self.latest, delta))
+        failure = refusal or self._take(from_delta(self.latest, delta))
+        if failure is None and self._touched is not None:
+            self._touched.update(touched_keys(delta))
+        return failure
 
     def take_snapshot(self, snapshot: ConfigSnapshot) -> Failure | None:
         """Build the set of a snapshot; a failure leaves everything as it was."""
         refusal = self._refuse_lower(snapshot.version)
-        return refusal or self._take(from_snapshot(snapshot))
+        failure = refusal or self._take(from_snapshot(snapshot))
+        if failure is None:
+            self._touched = None
+        return failure
 
     def confirm(self, version: int) -> None:
         """Note that the latest set is also right at ``version``.
@@ -158,11 +173,31 @@
             return [VersionConfirmed(held.version)]
         before = former.configuration.resources if former is not None else {}
         current = held.configuration.resources
+        touched = self._take_touched(held, before)
         installed = ConfigurationInstalled(
             version=held.version,
             configuration=held.configuration,
-            put=tuple(r for key, r in current.items() if before.get(key) is not r),
-            removed=tuple(key for key in before if key not in current),
+            put=tuple(
+                current[key]
+                for key in touched
+                if key in current and before.get(key) is not current[key]
+            ),
+            removed=tuple(key for key in touched if key in before and key not in current),
         )
         fields: dict[str, object] = {"version": held.version, "resources": len(current)}
         return [installed, LogEvent(events.CONFIGURATION_INSTALLED, fields)]
+
+    def _take_touched(
+        self, held: HeldSet, before: Mapping[Key, VersionedResource]
+    ) -> Iterable[Key]:
+        """Return every key in which ``held`` may differ from the set in force until now.
+
+        Deltas beyond ``held`` may have been taken already, or been forgotten since: the keys
+        are dropped only when the latest set comes into force, so that none is missed.
+        """
+        touched = self._touched
+        if held.configuration is self.latest.configuration:
+            self._touched = {}
+        if touched is not None:
+            return tuple(touched)
+        return {**before, **held.configuration.resources}
