Give a run the same messages whatever the hash seed

Cause: the publisher and the relay's endpoint feed kept keys, services and scopes in sets of strings and iterated over them into messages, so the order of a message's parts, and with it a run, followed PYTHONHASHSEED. The simulator's pool hid it by a fixed hash seed.

Change: the indexes are dicts used as ordered sets, a scope's services are sorted, a route's secrets come in the order of the route. Subscriber and endpoint table needed nothing: their sets are sorted before any output. The source's sets were not gone through beyond what the digests show.

Test: seeds 1 to 6 of both deployments in two processes of the hash seeds 1 and 2, past the pool, must give equal digests, and different seeds different ones. The pool still fixes the hash seed.

--- a/features/simulator/seeds.feature
+++ b/features/simulator/seeds.feature
@@ -20,6 +20,15 @@
       | koszyk     |
       | results    |
 
+  Scenario Outline: A seed of <deployment> names one run, however Python hashes strings
+    When seeds 1 to 6 of "<deployment>" run in processes of the hash seeds 1 and 2
+    Then both processes give the same digests
+
+    Examples:
+      | deployment |
+      | koszyk     |
+      | results    |
+
   Scenario: A failing seed prints its faults, shrunk, and the command that repeats it
     When the simulator command runs with "--first 1 --seeds 1 --break whole-batch"
     Then its exit status is 1
--- a/features/steps/simulator_seed_steps.py
+++ b/features/steps/simulator_seed_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import os
 import sys
+from unittest import mock
 
 import typer
 from behave import given, then, when
@@ -14,7 +16,7 @@
 from limelever_lab.simulator.break_table import first_failures, table_lines
 from limelever_lab.simulator.checkers import Finding, Rule
 from limelever_lab.simulator.faults import Fault, FaultKind
-from limelever_lab.simulator.pool import run_all
+from limelever_lab.simulator.pool import HASH_SEED_VARIABLE, run_all
 from limelever_lab.simulator.result import (
     RunFigures,
     RunOrder,
@@ -22,6 +24,7 @@
     describe_failure,
     summary,
 )
+from limelever_lab.simulator.run import run_order
 from limelever_lab.simulator.shrink import shrink
 
 WORKERS = max(1, min(3, os.cpu_count() or 1))
@@ -65,6 +68,32 @@
     assert again == before
 
 
+def digests_under(hash_seed: int, orders: list[RunOrder]) -> list[str]:
+    """Run ``orders`` in one process of its own, past the pool, which fixes the hash seed."""
+    with mock.patch.dict(os.environ, {HASH_SEED_VARIABLE: str(hash_seed)}):
+        pool = multiprocessing.get_context("spawn").Pool(1)
+    with pool:
+        return [result.digest for result in pool.map(run_order, orders)]
+
+
+@when(
+    'seeds {first:d} to {last:d} of "{deployment}" run in processes '
+    "of the hash seeds {one:d} and {other:d}"
+)
+def run_under_hash_seeds(
+    context: Context, first: int, last: int, deployment: str, one: int, other: int
+) -> None:
+    orders = [RunOrder(seed, deployment) for seed in range(first, last + 1)]
+    context.digests = [digests_under(hash_seed, orders) for hash_seed in (one, other)]
+
+
+@then("both processes give the same digests")
+def same_under_hash_seeds(context: Context) -> None:
+    one, other = context.digests
+    assert len(set(one)) == len(one) > 1, "different seeds share a digest"
+    assert one == other
+
+
 @when('each mechanism of "{deployment}" is switched off over seeds {first:d} to {last:d}')
 def switch_off_each(context: Context, deployment: str, first: int, last: int) -> None:
     context.rows = first_failures(range(first, last + 1), deployment, WORKERS)
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -40,8 +40,8 @@
         self.digest = SetDigest()
         self._resources: dict[Key, VersionedResource] = {}
         self._steps: deque[Step] = deque(maxlen=window)
-        self._by_service: dict[str, set[Key]] = {}
-        self._by_secret: dict[str, set[Key]] = {}
+        self._by_service: dict[str, dict[Key, None]] = {}
+        self._by_secret: dict[str, dict[Key, None]] = {}
 
     @property
     def resources(self) -> Mapping[Key, VersionedResource]:
@@ -117,9 +117,9 @@
     def _index(self, key: Key, versioned: VersionedResource) -> None:
         service = service_of(versioned)
         if service is not None:
-            self._by_service.setdefault(service, set()).add(key)
+            self._by_service.setdefault(service, {})[key] = None
         for secret in secrets_of(versioned):
-            self._by_secret.setdefault(secret.name, set()).add(key)
+            self._by_secret.setdefault(secret.name, {})[key] = None
 
     def _unindex(self, key: Key, versioned: VersionedResource) -> None:
         service = service_of(versioned)
@@ -139,15 +139,15 @@
     return None
 
 
-def secrets_of(versioned: VersionedResource) -> frozenset[Key]:
+def secrets_of(versioned: VersionedResource) -> tuple[Key, ...]:
     """Return the keys of the secrets that a route needs; empty for other kinds."""
-    return frozenset(secret_key(name) for name in versioned.resource.route.secrets)
+    return tuple(secret_key(name) for name in dict.fromkeys(versioned.resource.route.secrets))
 
 
-def _discard(index: dict[str, set[Key]], name: str, key: Key) -> None:
+def _discard(index: dict[str, dict[Key, None]], name: str, key: Key) -> None:
     keys = index.get(name)
     if keys is None:
         return
-    keys.discard(key)
+    keys.pop(key, None)
     if not keys:
         del index[name]
--- a/src/limelever/publisher/scope.py
+++ b/src/limelever/publisher/scope.py
@@ -58,8 +58,9 @@
     """
     if scope.everything:
         return table.resources
-    keys = [service_key(name) for name in scope.services]
-    for name in scope.services:
+    services = sorted(scope.services)
+    keys = [service_key(name) for name in services]
+    for name in services:
         keys.extend(table.dependents_of_service(name))
     found = {key: held for key in keys if (held := table.get(key)) is not None}
     for versioned in list(found.values()):
@@ -112,24 +113,24 @@
     )
 
 
-def touched_services(step: Step, table: ResourceTable) -> set[str]:
-    """Return the services whose scopes a step may have changed."""
-    services: set[str] = set()
+def touched_services(step: Step, table: ResourceTable) -> dict[str, None]:
+    """Return the services whose scopes a step may have changed, each once, in its order."""
+    services: dict[str, None] = {}
     for key, earlier in step.before.items():
         if key.kind == RESOURCE_KIND_SERVICE:
-            services.add(key.name)
+            services[key.name] = None
         elif key.kind == RESOURCE_KIND_SECRET:
             services.update(_services_of(table.routes_with_secret(key.name), table))
         for versioned in (earlier, table.get(key)):
             service = service_of(versioned) if versioned is not None else None
             if service is not None:
-                services.add(service)
+                services[service] = None
     return services
 
 
-def _services_of(routes: Iterable[Key], table: ResourceTable) -> set[str]:
+def _services_of(routes: Iterable[Key], table: ResourceTable) -> dict[str, None]:
     held = [table.get(route) for route in routes]
-    return {route.resource.route.service for route in held if route is not None}
+    return {route.resource.route.service: None for route in held if route is not None}
 
 
 def _belongs(key: Key, versioned: VersionedResource, scope: Scope) -> bool:
--- a/src/limelever/publisher/views.py
+++ b/src/limelever/publisher/views.py
@@ -16,7 +16,7 @@
         self._table = table
         self._views: dict[Scope, ScopeView] = {}
         self._subscribers: dict[Scope, int] = {}
-        self._by_service: dict[str, set[Scope]] = {}
+        self._by_service: dict[str, dict[Scope, None]] = {}
         self._dirty: dict[Scope, ScopeView] = {}
 
     def __len__(self) -> int:
@@ -33,7 +33,7 @@
             view = ScopeView(scope, self._table)
             self._views[scope] = view
             for service in scope.services:
-                self._by_service.setdefault(service, set()).add(scope)
+                self._by_service.setdefault(service, {})[scope] = None
         self._subscribers[scope] = self._subscribers.get(scope, 0) + 1
         return view
 
@@ -46,7 +46,7 @@
         del self._views[scope]
         self._dirty.pop(scope, None)
         for service in scope.services:
-            self._by_service[service].discard(scope)
+            self._by_service[service].pop(scope, None)
             if not self._by_service[service]:
                 del self._by_service[service]
 
--- a/src/limelever/relay/endpoint_feed.py
+++ b/src/limelever/relay/endpoint_feed.py
@@ -18,7 +18,7 @@
         self._table = table
         self._scopes: dict[ConnectionId, Scope] = {}
         self._proxies: dict[Scope, dict[ConnectionId, None]] = {}
-        self._by_service: dict[str, set[Scope]] = {}
+        self._by_service: dict[str, dict[Scope, None]] = {}
 
     def join(self, connection: ConnectionId, scope: Scope) -> list[Output]:
         """Send a proxy all endpoints of its scope; changes follow."""
@@ -26,7 +26,7 @@
             self._scopes[connection] = scope
             self._proxies.setdefault(scope, {})[connection] = None
             for service in scope.services:
-                self._by_service.setdefault(service, set()).add(scope)
+                self._by_service.setdefault(service, {})[scope] = None
         update = EndpointUpdate(full=True, endpoints=self._all(scope))
         return [SendMessage(connection, update)]
 
@@ -40,7 +40,7 @@
             return
         del self._proxies[scope]
         for service in scope.services:
-            self._by_service[service].discard(scope)
+            self._by_service[service].pop(scope, None)
             if not self._by_service[service]:
                 del self._by_service[service]
 
