Heed a drain that is told with older news than the proxy holds

A relay that knows an endpoint by another's word holds an older sequence, as sequences alone are not passed on. When it marked the machine from the platform's list, a proxy that had changed over to it from the lease's own relay dropped that news as older; the newer relay's word brought no visible change to the other relay, so nobody told the proxy again.

Change: the proxy heeds a drain before it compares ages, as the relays' table does: it is sticky for the incarnation whatever the order. Ruled out: passing on each sequence, which costs a message a renewal.

Tests: the property on news in any order now also demands that a drained incarnation takes no work; it and a new scenario fail without the change.

--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -22,6 +22,11 @@
   Scenario: Endpoint news in any order gives one view
     Given any order of endpoint news, the newest wins and a drained incarnation stays out
 
+  Scenario: A relay with older news that an endpoint drains is heeded
+    Given an endpoint of which another relay has told newer news
+    Then older news that its incarnation drains takes it out for good
+    And the next incarnation takes work
+
   Scenario: An endpoint whose lease ended comes back with newer news
     Given an endpoint whose lease ended at a relay that hears nothing
     Then news as old as its end does not bring it back
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -165,10 +165,30 @@
         own = {state for age, state in states.items() if age[0] == newest[0]}
         if states[newest] == ENDPOINT_STATE_READY and ENDPOINT_STATE_DRAINING not in own:
             assert len(usable) == 1, states
+        assert not (usable and ENDPOINT_STATE_DRAINING in own), states
 
     check()
 
 
+@given("an endpoint of which another relay has told newer news")
+def told_newer(context: Context) -> None:
+    context.view = view_of([news_of(1, 5, ENDPOINT_STATE_READY)])
+
+
+@then("older news that its incarnation drains takes it out for good")
+def old_drain(context: Context) -> None:
+    context.view.apply(EndpointUpdate(endpoints=[news_of(1, 3, ENDPOINT_STATE_DRAINING)]), 1.0)
+    assert context.view.usable(SERVICE, 1.0) == ()
+    context.view.apply(EndpointUpdate(endpoints=[news_of(1, 6, ENDPOINT_STATE_READY)]), 2.0)
+    assert context.view.usable(SERVICE, 2.0) == ()
+
+
+@then("the next incarnation takes work")
+def next_incarnation(context: Context) -> None:
+    context.view.apply(EndpointUpdate(endpoints=[news_of(2, 1, ENDPOINT_STATE_READY)]), 3.0)
+    assert len(context.view.usable(SERVICE, 3.0)) == 1
+
+
 @given("an endpoint whose lease ended at a relay that hears nothing")
 def ended_lease(context: Context) -> None:
     context.view = view_of([news_of(1, 5, ENDPOINT_STATE_READY)])
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -1,11 +1,11 @@
 """The proxy's view of the endpoints of the services in its scope.
 
 Relays tell of endpoints with updates that may be late, doubled or incomplete. The newer
-(incarnation, sequence) wins, an incarnation that once drained never takes work again, and the
-view is kept when no relay answers. That an endpoint is gone is not for ever: a relay that hears
-nothing ends leases of agents that live on at another relay, whose newer news brings them back.
-An endpoint that a full update no longer names stays usable for a grace period, because a relay
-that just restarted knows only the agents that have come back to it so far.
+(incarnation, sequence) wins; an incarnation that once drained never takes work again, however
+old that news is; and the view is kept when no relay answers. That an endpoint is gone is not for
+ever: a relay that hears nothing ends leases of agents that live on at another relay, whose newer
+news brings them back. An endpoint that a full update no longer names stays usable for a grace
+period, because a relay that just restarted knows only the agents that have come back to it so far.
 """
 
 from __future__ import annotations
@@ -134,11 +134,11 @@
     def _merge(self, endpoint: Endpoint, now: float) -> None:
         key = EndpointKey(endpoint.service, endpoint.instance)
         held = self._services.get(key.service, {}).get(key.instance)
+        if endpoint.state == ENDPOINT_STATE_DRAINING:
+            self.retire(key, endpoint.incarnation)
         age = (endpoint.incarnation, endpoint.sequence)
         if held is not None and age < (held.incarnation, held.sequence):
             return
-        if endpoint.state == ENDPOINT_STATE_DRAINING:
-            self.retire(key, endpoint.incarnation)
         gone_at = self._gone.get(key, NEVER)
         if endpoint.state == ENDPOINT_STATE_GONE:
             _remember(self._gone, key, max(gone_at, age))
