Switch off the matching of answers to calls in the simulator

Cause: no mechanism that pairs answers with calls was switched off, so the wrong-answer checker was shown to work on made-up calls only.

Change: the break answer-matching takes what comes on a link for the oldest call on it.

--- a/src/limelever_lab/simulator/breaks.py
+++ b/src/limelever_lab/simulator/breaks.py
@@ -11,6 +11,7 @@
 from typing import Any
 from unittest import mock
 
+import limelever.proxy.agent_messages
 import limelever.proxy.calls
 import limelever.publisher.scope
 import limelever.publisher.view
@@ -20,13 +21,13 @@
 from limelever.agent.call_service import CallService
 from limelever.agent.drain import Drain, DrainStep
 from limelever.common.errors import Failure, Outcome
-from limelever.common.sansio import Output
+from limelever.common.sansio import ConnectionId, Output
 from limelever.keeper.core import KeeperCore
 from limelever.keeper.rejoin import FORMED
 from limelever.keeper.store import ClaimStore
 from limelever.protocol.config_pb2 import Batch
 from limelever.protocol.replication_pb2 import MemberSet
-from limelever.proxy.call_state import Call
+from limelever.proxy.call_state import Call, CallTable
 from limelever.proxy.calls import CallEngine
 from limelever.proxy.retry_rules import RETRY_KINDS, NextStep, RetrySettings, next_step
 from limelever.publisher.freshness import FreshnessProofs
@@ -190,6 +191,16 @@
     _replace(stack, limelever.proxy.calls, "next_step", blind)
 
 
+def _answer_matching(stack: ExitStack) -> None:
+    """Take what comes on a link for the oldest call on it, whichever call it answers."""
+
+    def oldest(self: CallTable, connection: ConnectionId, _stream: int) -> Call | None:
+        return next(iter(self.on_connection(connection)), None)
+
+    _replace(stack, CallTable, "by_stream", oldest)
+    _replace(stack, limelever.proxy.agent_messages, "_crossed", lambda _message, _attempt: False)
+
+
 def _honest_refusal(stack: ExitStack) -> None:
     """Tell callers the last failure, though an earlier attempt may have run."""
     _replace(stack, limelever.proxy.calls, "final_failure", lambda _call, failure: failure)
@@ -233,6 +244,7 @@
     "keeper-rejoin": _keeper_rejoin,
     "claim-kept": _claim_kept,
     "no-blind-retry": _no_blind_retry,
+    "answer-matching": _answer_matching,
     "honest-refusal": _honest_refusal,
     "drain-refusal": _drain_refusal,
     "drain-waits": _drain_waits,
