Send a link's message at once when nothing waits before it

Cause: every message went through the link's writing task, one switch of tasks and turn of the loop each. Change: on a plain stream with nothing waiting, the task that handles the event writes to the non-blocking socket; what the system does not take goes to the writing task. Order and the bound of send_queue_bytes are kept; errors are met again by the writing task; TLS keeps the task, as trio offers no send there that does not wait. Messages of one turn no longer share a send.

Tests: two scenarios. The first fails without the change; the second holds that other streams keep the task.

--- a/features/steps/transport_link_steps.py
+++ b/features/steps/transport_link_steps.py
@@ -1,4 +1,4 @@
-"""Steps for what a link sends, over a pair of sockets with small buffers."""
+"""Steps for what a link sends at once, over a pair of sockets with small buffers."""
 
 from __future__ import annotations
 
@@ -25,6 +25,7 @@
 class Sending:
     """What became of a link's messages, by the numbers of their streams."""
 
+    early: list[int] = field(default_factory=list)
     received: list[int] = field(default_factory=list)
     waiting_bytes: int = 0
     broken: bool = False
@@ -34,12 +35,14 @@
     return CallBody(stream=number, data=bytes([number % 256]) * BODY_BYTES)
 
 
-def open_link(buffer: int = 0) -> tuple[Link, trio.SocketStream]:
+def open_link(wrapped: bool = False, buffer: int = 0) -> tuple[Link, trio.SocketStream]:
     """Return a link and its peer's stream; a buffer of 0 bytes is the system's own."""
     ours, theirs = trio.socket.socketpair()
     if buffer:
         ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer)
-    link = Link(trio.SocketStream(ours), LinkSettings(send_queue_bytes=BOUND_BYTES))
+    plain = trio.SocketStream(ours)
+    stream = trio.StapledStream(plain, plain) if wrapped else plain
+    link = Link(stream, LinkSettings(send_queue_bytes=BOUND_BYTES))
     link.count_as("test")
     return link, trio.SocketStream(theirs)
 
@@ -64,6 +67,20 @@
     return numbers
 
 
+async def send_before_writing(count: int, wrapped: bool) -> Sending:
+    link, peer = open_link(wrapped)
+    reader, sending = FrameReader(), Sending()
+    for number in range(count):
+        assert link.send(body(number))
+    reader.feed(bytes_here(peer))
+    sending.early = numbers_in(reader)
+    link.finish()
+    await link.write_queued()
+    reader.feed(bytes_here(peer))
+    sending.received = sending.early + numbers_in(reader)
+    return sending
+
+
 async def send_to_slow_reader(count: int) -> Sending:
     """Make room in the system's buffer before each message, while bytes of others still wait.
 
@@ -117,6 +134,11 @@
     return Sending()
 
 
+@when("a link over a {kind} stream sends {count:d} messages before its writing task runs")
+def when_link_sends_early(context, kind, count):
+    context.sending = trio.run(send_before_writing, count, kind == "wrapped")
+
+
 @when("a link sends {count:d} messages while its peer reads slowly")
 def when_peer_reads_slowly(context, count):
     context.sending = trio.run(send_to_slow_reader, count)
@@ -132,6 +154,11 @@
     context.sending = trio.run(send_to_nobody, count)
 
 
+@then("the link's peer had {count:d} messages before the writing task ran")
+def then_peer_had(context, count):
+    assert context.sending.early == list(range(count)), context.sending.early
+
+
 @then("the link's peer has {count:d} messages in order")
 def then_peer_has(context, count):
     assert context.sending.received == list(range(count)), context.sending.received
--- a/features/transport/link_sending.feature
+++ b/features/transport/link_sending.feature
@@ -1,4 +1,14 @@
-Feature: What a link sends is whole, in order and bounded
+Feature: What a link sends at once, and what it leaves to its writing task
+
+  Scenario: Nothing waits for the writing task while the system takes it
+    When a link over a plain stream sends 3 messages before its writing task runs
+    Then the link's peer had 3 messages before the writing task ran
+    And the link's peer has 3 messages in order
+
+  Scenario: Messages over another stream than a plain one are left to the writing task
+    When a link over a wrapped stream sends 3 messages before its writing task runs
+    Then the link's peer had 0 messages before the writing task ran
+    And the link's peer has 3 messages in order
 
   Scenario: A peer that reads slowly gets every message whole and in order
     When a link sends 300 messages while its peer reads slowly
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -14,7 +14,7 @@
 from limelever.common.settings import LinkSettings, seconds
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
 from limelever.transport.metrics import LINK_BYTES, LINK_FRAMES, LINKS_OPEN
-from limelever.transport.streams import detect_dead_machine, reason_of
+from limelever.transport.streams import detect_dead_machine, reason_of, send_without_waiting
 
 PROTOCOL_VERSION = 1
 HELLO_LIMIT_BYTES = 16 * 1024
@@ -69,11 +69,18 @@
         self._reader.limit = self._settings.frame_limit_bytes
 
     def send(self, message: Message) -> bool:
-        """Queue a message; return ``False`` when the peer reads too slowly for the bound."""
+        """Send or queue a message; ``False`` when the peer reads too slowly for the bound."""
         frame = encode_frame(message, self._settings.compress_from_bytes)
+        self._frames_out.inc()
+        if not self._queued_bytes and not self._closing:
+            # Only now: it must not overtake what the writing task still has, also within a send.
+            taken = send_without_waiting(self._stream, frame)
+            self._bytes_out.inc(taken)
+            frame = frame[taken:]
+        if not frame:
+            return True
         self._queued_bytes += len(frame)
         self._outgoing.append(frame)
-        self._frames_out.inc()
         self._wake.set()
         return self._queued_bytes <= self._settings.send_queue_bytes
 
--- a/src/limelever/transport/streams.py
+++ b/src/limelever/transport/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from typing import Any
 
@@ -29,6 +30,19 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
 
 
+def send_without_waiting(stream: trio.abc.Stream, data: bytes) -> int:
+    """Return how many bytes of ``data`` the system took at once; none over TLS, which may wait.
+
+    No other task may be sending. An error counts as nothing taken: the next ``send_all`` meets it.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    try:
+        return os.write(stream.socket.fileno(), data)
+    except OSError:
+        return 0
+
+
 def reason_of(error: BaseException) -> str:
     """Return why a stream broke; trio keeps TLS's own words in the cause."""
     cause = error.__cause__
