Let nothing follow a frame that was cut off within its sending

Cause: found by reading. A link that stops cancels its writing task, possibly within a send, and then flushed what was still queued: behind the beginning of one frame the peer got the bytes of others and would have taken them for its rest.

Change: after such a cancellation the link is closed without the flush; the peer sees a cut frame and the end. Ruled out: finishing the frame within the grace, as what was sent of it is not known.

Test: a new scenario, which fails when the flush is made all the same. features/transport and features/distribution passed.

--- a/features/steps/transport_link_steps.py
+++ b/features/steps/transport_link_steps.py
@@ -19,6 +19,7 @@
 BODY_BYTES = 16384
 BOUND_BYTES = 1 << 20
 MESSAGES_A_TURN = 7
+FIRST_MESSAGES = 100
 
 
 @dataclass
@@ -121,6 +122,28 @@
     return Sending(waiting_bytes=sent - len(bytes_here(peer)))
 
 
+async def cancel_within_send() -> bytes:
+    """Return what the peer gets; it begins to read after the writing task was cancelled."""
+    link, peer = open_link(buffer=SEND_BUFFER_BYTES)
+    received = bytearray()
+
+    async def read_all() -> None:
+        async for part in peer:
+            received.extend(part)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(FIRST_MESSAGES):
+            link.send(body(number))
+        nursery.start_soon(link.write_queued)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    link.send(body(FIRST_MESSAGES))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read_all)
+        await link.flush_and_close()
+    return bytes(received)
+
+
 async def send_to_nobody(count: int) -> Sending:
     link, peer = open_link()
     await peer.aclose()
@@ -149,6 +172,18 @@
     context.sending = trio.run(send_until_refused)
 
 
+@when("a link's writing task is cancelled within a send and the link then flushes and closes")
+def when_cancelled_within_send(context):
+    context.bytes_received = trio.run(cancel_within_send)
+
+
+@then("the link's peer got the beginning of what was sent and nothing else")
+def then_beginning_only(context):
+    sent = b"".join(encode_frame(body(number)) for number in range(FIRST_MESSAGES))
+    assert 0 < len(context.bytes_received) < len(sent)
+    assert sent.startswith(context.bytes_received)
+
+
 @when("a link sends {count:d} messages to a peer that has left")
 def when_peer_has_left(context, count):
     context.sending = trio.run(send_to_nobody, count)
--- a/features/transport/link_sending.feature
+++ b/features/transport/link_sending.feature
@@ -18,6 +18,10 @@
     When a link sends to a peer that reads nothing until a message is one too many
     Then the bytes that wait in the link are over its bound by less than a message
 
+  Scenario: Nothing follows a message that was cut off within its sending
+    When a link's writing task is cancelled within a send and the link then flushes and closes
+    Then the link's peer got the beginning of what was sent and nothing else
+
   Scenario: A peer that has left ends the writing task, and only that
     When a link sends 3 messages to a peer that has left
     Then the link's writing task has ended as broken
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -47,6 +47,7 @@
         self._reader = FrameReader(min(HELLO_LIMIT_BYTES, settings.frame_limit_bytes))
         self._outgoing: list[bytes] = []
         self._queued_bytes = 0
+        self._sending = False
         self._wake = trio.Event()
         self._closing = False
         self._writing_scope = trio.CancelScope()
@@ -112,7 +113,9 @@
         """Send what is queued now; for the hello, before the writing task runs."""
         data = b"".join(self._outgoing)
         self._outgoing.clear()
+        self._sending = True
         await self._stream.send_all(data)
+        self._sending = False
         self._queued_bytes -= len(data)
         self._bytes_out.inc(len(data))
 
@@ -141,13 +144,16 @@
         return decode_payload(payload, self._reader.limit)
 
     async def flush_and_close(self) -> None:
-        """Send what is queued within a short grace, then close."""
+        """Send what is queued within a short grace, then close.
+
+        A writing task that was cancelled within a send may have left part of a frame: nothing
+        may follow that, or the peer would take bytes of one message for another.
+        """
         with trio.move_on_after(_CLOSE_GRACE) as scope:
             scope.shield = True
             try:
-                if self._outgoing:
-                    await self._stream.send_all(b"".join(self._outgoing))
-                    self._outgoing.clear()
+                if not self._sending:
+                    await self.send_pending()
                 await self._stream.aclose()
             except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
                 pass
