--- a/src/limelever_lab/simulator/pool.py
+++ b/src/limelever_lab/simulator/pool.py
@@ -1,8 +1,8 @@
 """Runs many orders over a few worker processes; results come in the order asked.
 
-Some cores put members of sets of strings into messages, in an order that follows Python's
-string hashes. These differ from process to process unless their seed is fixed, and a seed
-would not name a run; so orders run in processes whose hash seed is fixed.
+Workers run under a fixed hash seed: a core that put members of a set of strings into messages
+would do so in another order in each process, and a seed would not name a run. CI compares
+digests under two hash seeds, so that no core comes to depend on this.
 """
 
 from __future__ import annotations
