--- a/features/steps/simulator_seed_steps.py
+++ b/features/steps/simulator_seed_steps.py
@@ -16,6 +16,7 @@
 from limelever_lab.simulator.break_table import first_failures, table_lines
 from limelever_lab.simulator.checkers import Finding, Rule
 from limelever_lab.simulator.faults import Fault, FaultKind
+from limelever_lab.simulator.pairs import all_pairs, first_seeds_of_pairs
 from limelever_lab.simulator.pool import HASH_SEED_VARIABLE, run_all
 from limelever_lab.simulator.result import (
     RunFigures,
@@ -47,6 +48,24 @@
     show(f"{deployment}: {summary(context.results)}")
 
 
+@when(
+    'the simulator runs the first seed of "{deployment}" that draws each pair of faults, '
+    "past seed {last:d}"
+)
+def run_pairs(context: Context, deployment: str, last: int) -> None:
+    context.pairs = first_seeds_of_pairs(deployment)
+    seeds = sorted(seed for seed in context.pairs.values() if seed > last)
+    context.results = list(run_all([RunOrder(seed, deployment) for seed in seeds], WORKERS))
+    show(f"{deployment}, pairs of faults: {summary(context.results)}")
+
+
+@then("every pair of faults was drawn, here or in seeds {first:d} to {last:d}")
+def all_pairs_drawn(context: Context, first: int, last: int) -> None:
+    run = {result.order.seed for result in context.results} | set(range(first, last + 1))
+    drawn = {pair for pair, seed in context.pairs.items() if seed in run}
+    assert drawn == all_pairs(), all_pairs() - drawn
+
+
 @then("no seed broke a rule")
 def no_rule_broken(context: Context) -> None:
     failed = [result for result in context.results if not result.passed]
