--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/ruff check --fix .
 
 protocol: setup
-	$(BIN)/python -m grpc_tools.protoc -I src --python_out=src --mypy_out=quiet:src src/limelever/protocol/*.proto
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src --python_out=src --mypy_out=quiet:src src/limelever/protocol/*.proto
 
 clean:
 	rm -rf $(VENV)
--- a/src/limelever/agent/answers.py
+++ b/src/limelever/agent/answers.py
@@ -46,9 +46,12 @@
 def attempt_failure(event: AttemptFailed) -> Failure:
     """Return the failure that says truly whether the attempt ran.
 
-    No byte sent: NOT RUN, whatever went wrong. Otherwise nothing that claims NOT RUN may pass.
+    The back end's own refusal is believed. No byte sent: NOT RUN, whatever went wrong. Otherwise
+    nothing that claims NOT RUN may pass.
     """
     failure = event.failure
+    if event.refused:
+        return failure
     if not event.sent_any_byte:
         if failure.outcome is Outcome.NOT_RUN:
             return failure
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -8,15 +8,17 @@
 import httpcore
 import trio
 
-from limelever.agent.connections import BackendConnection, BackendConnections
+from limelever.agent.answer_checks import is_of_request, refusal_of, unfounded_promise
+from limelever.agent.connections import BackendConnection, BackendConnections, keep_alive_seconds
 from limelever.agent.headers import request_headers
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import end_to_end
+from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 from limelever.common.sansio import Event
 
 _MILLISECONDS = 1000
+DEFAULT_NAMES = HeaderNames()
 _CLIENT_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -43,9 +45,16 @@
     """
 
     def __init__(
-        self, settings: BackendSettings, nursery: trio.Nursery, post: Callable[[Event], None]
+        self,
+        settings: BackendSettings,
+        nursery: trio.Nursery,
+        post: Callable[[Event], None],
+        names: HeaderNames = DEFAULT_NAMES,
+        instance: bytes = b"",
     ) -> None:
         self._settings = settings
+        self._names = names
+        self._instance = instance
         self._nursery = nursery
         self._post = post
         self._host = str(settings.address).encode()
@@ -112,13 +121,37 @@
     async def _exchange(
         self, output: StartAttempt, connection: BackendConnection, left_ms: int
     ) -> Event:
-        headers = request_headers(output.headers, self._host, output.body, left_ms)
+        headers = request_headers(
+            output.headers, self._host, output.body, left_ms, self._names, self._instance
+        )
         request = self._request(output.target, output.method, headers, output.body)
         answer = await connection.http.handle_async_request(request)
         body = await self._read(answer)
         if isinstance(body, Failure):
             return AttemptFailed(output.attempt, body, sent_any_byte=True)
-        return AttemptAnswered(output.attempt, answer.status, end_to_end(answer.headers), body)
+        connection.keep = min(connection.keep, keep_alive_seconds(answer.headers))
+        return self._judged(output, connection, answer.status, end_to_end(answer.headers), body)
+
+    def _judged(
+        self,
+        output: StartAttempt,
+        connection: BackendConnection,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> Event:
+        """Return what a whole answer means for the attempt."""
+        if not is_of_request(output.headers, headers, self._names):
+            connection.sound = False
+            failure = Failure(ErrorKind.BACKEND_FAILED, "the answer belongs to another request")
+            return AttemptFailed(output.attempt, failure, sent_any_byte=True)
+        refusal = refusal_of(status, headers, self._names)
+        if refusal is not None:
+            return AttemptFailed(output.attempt, refusal, sent_any_byte=True, refused=True)
+        unfounded = unfounded_promise(status, self._names)
+        if unfounded is not None:
+            return AttemptFailed(output.attempt, unfounded, sent_any_byte=True)
+        return AttemptAnswered(output.attempt, status, headers, body)
 
     async def _read(self, answer: httpcore.Response) -> bytes | Failure:
         """Return the whole body; only then may the connection carry another request."""
--- a/src/limelever/agent/connections.py
+++ b/src/limelever/agent/connections.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import httpcore
@@ -16,13 +18,24 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.settings import seconds
 
+KEEP_ALIVE_MARGIN = 1.0
+"""Seconds before the end of a back end's keep-alive time at which a connection is given up."""
 
-@dataclass(frozen=True, slots=True)
+_KEEP_ALIVE = b"keep-alive"
+
+
+@dataclass(slots=True)
 class BackendConnection:
-    """An HTTP/1.1 connection and the stream under it."""
+    """An HTTP/1.1 connection and the stream under it.
+
+    ``keep`` is for how many seconds it may be idle, ``sound`` whether all that came on it belongs
+    to its requests.
+    """
 
     http: httpcore.AsyncHTTP11Connection
     stream: BackendStream
+    keep: float
+    sound: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +43,10 @@
     connection: BackendConnection
     since: float
 
+    def is_over(self, now: float) -> bool:
+        """Return whether the connection was idle for too long to be trusted."""
+        return now - self.since > self.connection.keep
+
 
 class BackendConnections:
     """Connections to one back end, at most as many as the settings allow."""
@@ -69,9 +86,9 @@
         """Keep a connection whose answer was read whole; close any other."""
         self._room.release()
         now = trio.current_time()
-        while self._idle and now - self._idle[0].since > self._keep:
+        while self._idle and self._idle[0].is_over(now):
             self._idle.pop(0).connection.stream.close()
-        if connection.http.is_idle():
+        if connection.http.is_idle() and connection.sound:
             self._idle.append(_Idle(connection, now))
         else:
             connection.stream.close()
@@ -86,7 +103,7 @@
         now = trio.current_time()
         while self._idle:
             idle = self._idle.pop()
-            if now - idle.since <= self._keep and not idle.connection.http.has_expired():
+            if not idle.is_over(now) and not idle.connection.http.has_expired():
                 return idle.connection
             idle.connection.stream.close()
         return None
@@ -99,4 +116,20 @@
             reason = str(error) or "timed out"
             return Failure(ErrorKind.BACKEND_FAILED, f"connection did not open: {reason}")
         stream = BackendStream(tcp)
-        return BackendConnection(httpcore.AsyncHTTP11Connection(self._origin, stream), stream)
+        http = httpcore.AsyncHTTP11Connection(self._origin, stream)
+        return BackendConnection(http, stream, self._keep)
+
+
+def keep_alive_seconds(headers: Iterable[tuple[bytes, bytes]]) -> float:
+    """Return for how long an idle connection may be used again, by the answer's Keep-Alive.
+
+    The back end counts from its last byte: some of its time passes on the way.
+    """
+    for name, value in headers:
+        if name.lower() != _KEEP_ALIVE:
+            continue
+        for part in value.split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.isdigit():
+                return max(0.0, int(number) - KEEP_ALIVE_MARGIN)
+    return math.inf
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -14,6 +14,7 @@
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
+    BackendGone,
     BackendProbed,
     DrainFinished,
     DrainRequested,
@@ -44,6 +45,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    PublishersReceived,
     VersionConfirmed,
 )
 from limelever.subscriber.sealing import Sealer
@@ -130,6 +132,8 @@
         if self._finished:
             return []
         outputs = self._own_event(event, now)
+        if self._finished:
+            return outputs
         outputs.extend(self._registration.handle(event, now))
         outputs.extend(self._subscribed(event, now))
         self._registration.report_load(self._calls.running)
@@ -163,17 +167,23 @@
                 return self._calls.failed(event, now)
             case DeadlineReached():
                 return [*self._calls.expire(now), *self._warm(self._cold_start.expire(now), now)]
-            case ConnectionOpened(connection, peer) if _is_accepted(connection):
-                return self._proxy_opened(connection, peer)
-            case ConnectionClosed(connection) if connection in self._proxies:
-                peer = self._proxies.pop(connection)
-                return self._calls.proxy_gone(connection, peer.name)
+            case ConnectionOpened() | ConnectionClosed():
+                return self._link_event(event)
             case BackendProbed(healthy):
                 return self._warm(self._cold_start.probed(healthy), now)
             case DrainRequested():
                 return self._begin_drain(now)
+            case BackendGone():
+                return self._finish(now)
         return []
 
+    def _link_event(self, event: ConnectionOpened | ConnectionClosed) -> list[Output]:
+        connection = event.connection
+        if isinstance(event, ConnectionOpened):
+            return self._proxy_opened(connection, event.peer) if _is_accepted(connection) else []
+        peer = self._proxies.pop(connection, None)
+        return [] if peer is None else self._calls.proxy_gone(connection, peer.name)
+
     def _proxy_opened(self, connection: ConnectionId, peer: Peer) -> list[Output]:
         if peer.purpose is not Purpose.CALLS:
             return [CloseConnection(connection, f"{peer.purpose.value} is not served here")]
@@ -199,6 +209,8 @@
         for output in self._subscriber.handle(event, now):
             if isinstance(output, ConfigurationInstalled):
                 outputs.extend(self._install(output.version, output.configuration))
+            elif isinstance(output, PublishersReceived):
+                self._registration.replace_relays(output.addresses)
             elif not isinstance(output, _NOTICES):
                 outputs.append(output)
         return outputs
--- a/src/limelever/agent/group_table.py
+++ b/src/limelever/agent/group_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator, Mapping
 
 from limelever.agent.group_queue import GroupQueue
+from limelever.protocol.priorities import priority_weight
 
 POOLED_GROUP = ""
 """Queue that groups without a share use together once too many of them are active."""
@@ -77,7 +78,10 @@
         return whole * group.weight / sum(waiting.values())
 
     def _weight(self, name: str) -> int:
-        return self._weights.get(name, self._default_weight)
+        listed = self._weights.get(name)
+        if listed is not None:
+            return listed
+        return priority_weight(name) or self._default_weight
 
     def _unlisted_full(self) -> bool:
         unlisted = sum(1 for name in self._groups if name not in self._weights)
--- a/src/limelever/agent/headers.py
+++ b/src/limelever/agent/headers.py
@@ -2,27 +2,31 @@
 
 from __future__ import annotations
 
-from limelever.common.http_headers import TIMEOUT_HEADER, Headers, end_to_end
+from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 
 _HOST = b"host"
 _CONTENT_LENGTH = b"content-length"
-_SET_BY_AGENT = frozenset({_CONTENT_LENGTH, TIMEOUT_HEADER, b"expect"})
+_SET_BY_AGENT = frozenset({_CONTENT_LENGTH, b"expect"})
 
 
 def request_headers(
-    headers: Headers, host: bytes, body: bytes, left_ms: int
+    headers: Headers, host: bytes, body: bytes, left_ms: int, names: HeaderNames, instance: bytes
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request to the back end at ``host`` with a whole body.
 
-    ``left_ms`` is how long the caller still waits: a back end that passes it on with its own
-    calls keeps them from outliving the call they serve.
+    ``instance`` is the one that is meant, where the back end knows itself by a name. ``left_ms``
+    is how long the caller still waits: a back end that passes it on with its own calls keeps them
+    from outliving the call they serve.
     """
     passed = end_to_end(headers)
-    kept = [header for header in passed if header[0] not in _SET_BY_AGENT]
+    replaced = _SET_BY_AGENT | {names.timeout, names.target_instance}
+    kept = [header for header in passed if header[0] not in replaced]
     if not any(name == _HOST for name, _ in kept):
         kept.append((_HOST, host))
     stated_length = any(name == _CONTENT_LENGTH for name, _ in passed)
     if body or stated_length:
         kept.append((_CONTENT_LENGTH, str(len(body)).encode()))
-    kept.append((TIMEOUT_HEADER, str(left_ms).encode()))
+    if names.target_instance and instance:
+        kept.append((names.target_instance, instance))
+    kept.append((names.timeout, str(left_ms).encode()))
     return kept
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -57,12 +57,14 @@
 class AttemptFailed(Event):
     """The attempt ended without a whole answer.
 
-    ``sent_any_byte`` is false only when no byte of the request can have reached the back end.
+    ``sent_any_byte`` is false only when no byte of the request can have reached the back end, and
+    ``refused`` true when the back end itself stated that it did not run the request.
     """
 
     attempt: int
     failure: Failure
     sent_any_byte: bool
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,11 @@
     healthy: bool
 
 
+@dataclass(frozen=True, slots=True)
+class BackendGone(Event):
+    """The back end has ended or another has taken its place: nothing more comes of it."""
+
+
 @dataclass(frozen=True, slots=True)
 class DrainRequested(Event):
     """A planned stop begins."""
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -128,7 +128,8 @@
                     finished.set()
 
         runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
-        backend = Backend(settings.backend, nursery, runner.post)
+        names = settings.headers.names()
+        backend = Backend(settings.backend, nursery, runner.post, names, settings.name.encode())
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -90,6 +90,7 @@
         self._incarnation = incarnation
         self._connections = connections
         self._backoff = Backoff(settings.backoff, generator)
+        self._relays = settings.relays
         self._relay = 0
         self._phase = _Phase.HELD_BACK
         self._endpoint = OwnEndpoint(_endpoint_of(settings, incarnation))
@@ -107,7 +108,13 @@
     @property
     def relay(self) -> Address:
         """Return the relay used or tried now."""
-        return self._settings.relays[self._relay]
+        return self._relays[self._relay]
+
+    def replace_relays(self, relays: tuple[Address, ...]) -> None:
+        """Choose among these relays from now on; the one used now stays while it answers."""
+        current = self.relay
+        self._relays = relays if current in relays else (*relays, current)
+        self._relay = self._relays.index(current)
 
     def owns(self, connection: ConnectionId) -> bool:
         """Return whether the link is the one to the relay."""
@@ -220,7 +227,7 @@
 
     def _move(self, now: float, reason: str) -> list[Output]:
         fields: dict[str, object] = {"relay": str(self.relay), "reason": reason}
-        self._relay = (self._relay + 1) % len(self._settings.relays)
+        self._relay = (self._relay + 1) % len(self._relays)
         self._wait(now + self._backoff.next_delay())
         return [LogEvent(events.REGISTRATION_MOVED, fields)]
 
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -10,6 +10,7 @@
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
     Clash,
+    HeaderSettings,
     ProcessSettings,
     between,
     dialled,
@@ -83,3 +84,4 @@
     probe: ProbeSettings = ProbeSettings()
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
+    headers: HeaderSettings = HeaderSettings()
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -23,7 +23,14 @@
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
-PROCESS_ROLES = (Role.SOURCE, Role.RELAY, Role.PROXY, Role.AGENT)
+PROCESS_ROLES = (
+    Role.SOURCE,
+    Role.RELAY,
+    Role.PROXY,
+    Role.AGENT,
+    Role.NODE,
+    Role.CONTROL,
+)
 _SETTINGS_OPTION = "--settings"
 _SET_OPTION = "--set"
 
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -10,6 +11,41 @@
 TIMEOUT_HEADER = b"x-limelever-timeout-ms"
 """How long the sender waits: from callers to proxies, and from agents to back ends."""
 
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """What the mesh calls the headers that it reads and sets itself; in lower case.
+
+    ``timeout`` is described above. ``request_id`` names one sending of a caller's request; a back
+    end that repeats it in its answer is held to it. The mesh sets ``caller_service``, the service
+    beside the proxy that took the request, and ``target_instance``, the instance that is meant:
+    any other refuses the request. A back end states by ``not_run`` that it did not run a request.
+    An empty name stands for a header that is not used. With ``answers_repeat_id`` an answer
+    without the request's own id is no answer to it.
+    """
+
+    timeout: bytes = TIMEOUT_HEADER
+    request_id: bytes = b"x-request-id"
+    caller_service: bytes = b""
+    target_instance: bytes = b""
+    not_run: bytes = b""
+    answers_repeat_id: bool = False
+
+    @property
+    def set_by_mesh(self) -> frozenset[bytes]:
+        """Return the names that no caller may set for a back end."""
+        names = (self.timeout, self.caller_service, self.target_instance)
+        return frozenset(name for name in names if name)
+
+
+def value_of(headers: Headers, name: bytes) -> bytes:
+    """Return the first value of a header, empty when it is absent or the name is empty."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return b""
+
+
 HOP_BY_HOP = frozenset(
     {
         CONNECTION,
--- a/src/limelever/common/sansio.py
+++ b/src/limelever/common/sansio.py
@@ -25,13 +25,18 @@
 
 
 class Role(StrEnum):
-    """Role of a process in the system."""
+    """Role of a process, or of one of the cores that it hosts.
+
+    A node hosts a proxy and an agent, a control process a source and a relay.
+    """
 
     SOURCE = "source"
     RELAY = "relay"
     PROXY = "proxy"
     AGENT = "agent"
     OPERATOR = "operator"
+    NODE = "node"
+    CONTROL = "control"
 
 
 class Purpose(StrEnum):
--- a/src/limelever/common/settings/__init__.py
+++ b/src/limelever/common/settings/__init__.py
@@ -10,6 +10,7 @@
     between,
     dialled,
     distinct,
+    is_address,
     not_empty,
     parse_address,
 )
@@ -18,6 +19,7 @@
 from limelever.common.settings.sections import (
     AcceptedCredential,
     CredentialSettings,
+    HeaderSettings,
     LinkSettings,
     LogSettings,
     ProcessSettings,
@@ -31,6 +33,7 @@
     "Between",
     "Clash",
     "CredentialSettings",
+    "HeaderSettings",
     "LinkSettings",
     "LogSettings",
     "ProcessSettings",
@@ -44,6 +47,7 @@
     "explain",
     "load_settings",
     "not_empty",
+    "is_address",
     "parse_address",
     "read_table",
     "seconds",
--- a/src/limelever/common/settings/checks.py
+++ b/src/limelever/common/settings/checks.py
@@ -60,3 +60,12 @@
     if len(port) > len(str(_LARGEST_PORT)) or int(port) > _LARGEST_PORT:
         raise ValueError(f"port must be between 0 and {_LARGEST_PORT}, is {port}")
     return Address(host.strip("[]"), int(port))
+
+
+def is_address(text: str) -> bool:
+    """Return whether ``text`` is an address as :func:`parse_address` takes it."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -6,11 +6,13 @@
 
 import attrs
 
+from limelever.common.http_headers import HeaderNames
 from limelever.common.sansio import Address, Role
 from limelever.common.settings.checks import between, not_empty
 from limelever.common.settings.problems import Clash
 
 MILLISECONDS = 1000.0
+_NAMES = HeaderNames()
 
 
 def seconds(milliseconds: float) -> float:
@@ -69,6 +71,29 @@
     connections: int = attrs.field(default=4096, validator=between(1, 65536))
 
 
+@attrs.frozen(kw_only=True)
+class HeaderSettings:
+    """Names of the HTTP headers that the mesh reads and sets; see ``HeaderNames``."""
+
+    timeout: str = attrs.field(default=_NAMES.timeout.decode(), validator=not_empty)
+    request_id: str = attrs.field(default=_NAMES.request_id.decode(), validator=not_empty)
+    caller_service: str = ""
+    target_instance: str = ""
+    not_run: str = ""
+    answers_repeat_id: bool = False
+
+    def names(self) -> HeaderNames:
+        """Return the names in lower case, as headers are compared."""
+        return HeaderNames(
+            timeout=self.timeout.lower().encode(),
+            request_id=self.request_id.lower().encode(),
+            caller_service=self.caller_service.lower().encode(),
+            target_instance=self.target_instance.lower().encode(),
+            not_run=self.not_run.lower().encode(),
+            answers_repeat_id=self.answers_repeat_id,
+        )
+
+
 def _all_or_none(*files: str) -> bool:
     return all(files) or not any(files)
 
--- /dev/null
+++ b/src/limelever/control/process.py
@@ -0,0 +1,97 @@
+"""The control process: a source replica and a relay in one, for small sites.
+
+The relay follows the replica beside it, and learns of the other relays from the members of the
+replica's group: each of these has a relay beside it at the same port.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from functools import partial
+
+import trio
+
+from limelever.common.sansio import Role
+from limelever.common.settings import is_address, parse_address
+from limelever.control.settings import ControlSettings, relay_settings, source_settings
+from limelever.relay import process as relay_process
+from limelever.relay.interface import RelaysKnown
+from limelever.source import process as source_process
+from limelever.source.operator_door import RequestChecks
+from limelever.source.process import OperatorDesk, sealer_of
+from limelever.transport.gateway import Gateway, start_gateways
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.runner import CoreRunner
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+class ControlDoor:
+    """What further interfaces of a control process use: checks of requests, and their answers."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.desk = OperatorDesk()
+        self.checks = RequestChecks(sealer_of(source_settings(settings)))
+
+
+Gateways = Callable[[ControlDoor], Sequence[Gateway]]
+
+
+def run(settings: ControlSettings, gateways: Gateways = lambda _: ()) -> int:
+    """Run the process until a planned stop or a failure; return the exit status."""
+    incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+    main = partial(_main, settings, gateways)
+    return run_role(settings, main, incarnation=incarnation)
+
+
+class _Neighbours:
+    """Tells the relay of the other relays, whichever of relay and news comes first."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self._names: frozenset[str] = frozenset()
+        self._relay: CoreRunner | None = None
+
+    def relay_started(self, runner: CoreRunner) -> None:
+        """Take the runner of the relay's core."""
+        self._relay = runner
+        self._tell()
+
+    def members_known(self, names: frozenset[str]) -> None:
+        """Take the names of the replicas, which are their addresses."""
+        self._names = names
+        self._tell()
+
+    def _tell(self) -> None:
+        replicas = [parse_address(name) for name in sorted(self._names) if is_address(name)]
+        if self._relay is not None and replicas:
+            relays = tuple(self._settings.relay_at(replica) for replica in replicas)
+            self._relay.post(RelaysKnown(relays))
+
+
+async def _main(settings: ControlSettings, gateways: Gateways, shell: ProcessShell) -> None:
+    door = ControlDoor(settings)
+    neighbours = _Neighbours(settings)
+    listener = shell.new_listener(Role.RELAY)
+    done = trio.Event()
+    async with trio.open_nursery() as serving:
+        failure = await start_gateways(gateways(door), done, serving)
+        if failure is not None:
+            raise ProcessFailedError(failure)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                relay_process.serve,
+                relay_settings(settings),
+                shell,
+                listener,
+                neighbours.relay_started,
+            )
+            nursery.start_soon(
+                source_process.serve,
+                source_settings(settings),
+                shell,
+                door.desk,
+                neighbours.members_known,
+            )
+        done.set()
--- /dev/null
+++ b/src/limelever/control/settings.py
@@ -0,0 +1,107 @@
+"""Settings of the control process, which hosts a source replica and a relay.
+
+The addresses of other control processes are not listed. They are found through ``seeds``, and all
+use the same ports: that of ``listen`` for links between replicas, that of ``relay_listen`` for
+links to relays.
+"""
+
+from __future__ import annotations
+
+import operator
+from typing import ClassVar
+
+import attrs
+
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import Clash, ProcessSettings, dialled, distinct, not_empty
+from limelever.relay.settings import (
+    DistributionSettings,
+    EndpointSettings,
+    RelaySettings,
+    SubscriptionSettings,
+)
+from limelever.source.operator_service import OperatorToken
+from limelever.source.settings import (
+    PublishingSettings,
+    ReplicationTimes,
+    SecretSettings,
+    SourceSettings,
+)
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings(ProcessSettings):
+    """Settings of one control process.
+
+    Without ``operators`` nobody is let in at ``operator_listen``; without ``secrets.keys`` batches
+    that hold secrets are refused.
+    """
+
+    ROLE: ClassVar[Role] = Role.CONTROL
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(("data_folder",), "a control process needs a data folder", bool),
+        Clash(("listen", "relay_listen"), "must not be relay_listen as well", operator.ne),
+        Clash(
+            ("replication.lease_ms", "replication.election_timeout_ms"),
+            "must not exceed replication.election_timeout_ms",
+            operator.le,
+        ),
+    )
+
+    listen: Address = attrs.field(validator=dialled)
+    relay_listen: Address = attrs.field(validator=dialled)
+    operator_listen: Address
+    operator_advertise: Address | None = attrs.field(default=None, validator=dialled)
+    bootstrap: bool = False
+    seeds: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
+    operators: tuple[OperatorToken, ...] = ()
+    secrets: SecretSettings = SecretSettings(keys=())
+    replication: ReplicationTimes = ReplicationTimes()
+    publishing: PublishingSettings = PublishingSettings()
+    subscription: SubscriptionSettings = SubscriptionSettings()
+    distribution: DistributionSettings = DistributionSettings()
+    endpoints: EndpointSettings = EndpointSettings()
+
+    def relay_at(self, replica: Address) -> Address:
+        """Return where the relay beside a replica is reached."""
+        return Address(replica.host, self.relay_listen.port)
+
+
+def source_settings(settings: ControlSettings) -> SourceSettings:
+    """Return the settings of the source replica within the process."""
+    return SourceSettings(
+        role=Role.SOURCE,
+        name=settings.name,
+        zone=settings.zone,
+        data_folder=settings.data_folder,
+        listen=settings.listen,
+        operator_listen=settings.operator_listen,
+        operator_advertise=settings.operator_advertise,
+        bootstrap=settings.bootstrap,
+        seeds=settings.seeds,
+        operators=settings.operators,
+        secrets=settings.secrets,
+        replication=settings.replication,
+        publishing=settings.publishing,
+        tls=settings.tls,
+        links=settings.links,
+        credentials=settings.credentials,
+    )
+
+
+def relay_settings(settings: ControlSettings) -> RelaySettings:
+    """Return the settings of the relay within the process; it follows the replica beside it."""
+    return RelaySettings(
+        role=Role.RELAY,
+        name=settings.name,
+        zone=settings.zone,
+        listen=settings.relay_listen,
+        sources=(settings.listen,),
+        subscription=settings.subscription,
+        distribution=settings.distribution,
+        endpoints=settings.endpoints,
+        tls=settings.tls,
+        links=settings.links,
+        credentials=settings.credentials,
+    )
--- /dev/null
+++ b/src/limelever/node/agents.py
@@ -0,0 +1,129 @@
+"""The agents that a node runs beside its instance: one for each run of the instance.
+
+A thin shell: ``reports`` decides what a report means. A report that the instance leaves has closed
+the agent's gate when :meth:`InstanceAgents.report` returns, so that it may be acknowledged.
+"""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from dataclasses import dataclass, replace
+from functools import partial
+
+import trio
+
+from limelever.agent.backend import Backend
+from limelever.agent.core import AgentCore
+from limelever.agent.interface import (
+    BackendGone,
+    CancelAttempt,
+    DrainFinished,
+    DrainRequested,
+    StartAttempt,
+)
+from limelever.agent.process import options_from
+from limelever.agent.settings import AgentSettings
+from limelever.common.sansio import Output, Purpose, Role
+from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
+from limelever.node.settings import NodeSettings, agent_settings
+from limelever.transport.process import ProcessShell
+from limelever.transport.runner import CoreRunner
+
+_FLUSH_SECONDS = 0.2
+"""Time that last answers have to leave after the core has finished."""
+
+_NAME_BYTES = 4
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+@dataclass(slots=True)
+class _Agent:
+    """An agent under way; ``finished`` is set once its core has nothing more to do."""
+
+    runner: CoreRunner
+    finished: trio.Event
+
+
+class InstanceAgents:
+    """Starts and ends agents as the instance comes and goes."""
+
+    def __init__(self, settings: NodeSettings, shell: ProcessShell, nursery: trio.Nursery) -> None:
+        self._settings = settings
+        self._shell = shell
+        self._nursery = nursery
+        self._watch = InstanceWatch()
+        self._current: _Agent | None = None
+        self._under_way: set[trio.Event] = set()
+        self._stopping = False
+
+    def report(self, report: InstanceReport) -> None:
+        """Take an instance's report of itself."""
+        match self._watch.reported(report):
+            case ReportOutcome.INSTANCE_STARTED:
+                self._replace(report)
+            case ReportOutcome.INSTANCE_LEAVES:
+                self._drain()
+
+    def instance_ended(self, instance: str) -> None:
+        """Take the word of an instance that it ends."""
+        if self._watch.ended(instance) is ReportOutcome.INSTANCE_LEAVES:
+            self._drain()
+
+    async def stop(self) -> None:
+        """Drain the agent at a planned stop of the node, and wait for what is under way."""
+        self._stopping = True
+        self._drain()
+        while self._under_way:
+            await next(iter(self._under_way)).wait()
+
+    def _drain(self) -> None:
+        if self._current is not None:
+            self._current.runner.post(DrainRequested())
+
+    def _replace(self, report: InstanceReport) -> None:
+        """Start an agent for an instance that took the place of the one before."""
+        if self._current is not None:
+            self._current.runner.post(BackendGone())
+        if self._stopping:
+            return
+        name = f"{report.instance}-{secrets.token_hex(_NAME_BYTES)}"
+        settings = agent_settings(self._settings, report, name)
+        self._nursery.start_soon(partial(self._run, settings, report.instance))
+
+    async def _run(self, settings: AgentSettings, instance: str) -> None:
+        incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+        options = options_from(settings, self._settings.listen)
+        core = AgentCore(options, incarnation, random.Random())
+        finished = trio.Event()
+        self._under_way.add(finished)
+
+        def on_output(output: Output) -> None:
+            match output:
+                case StartAttempt():
+                    backend.start(output)
+                case CancelAttempt(attempt):
+                    backend.cancel(attempt)
+                case DrainFinished():
+                    finished.set()
+
+        listener = self._shell.listener
+        async with trio.open_nursery() as nursery:
+            listener.identity = replace(listener.identity, incarnation=incarnation)
+            runner = self._shell.add_core(core, on_output, accepts=[Purpose.CALLS], role=Role.AGENT)
+            names = settings.headers.names()
+            backend = Backend(settings.backend, nursery, runner.post, names, instance.encode())
+            agent = self._current = _Agent(runner, finished)
+            await nursery.start(runner.run)
+            if self._stopping or not self._watch.is_staying(instance):
+                runner.post(DrainRequested())
+            await finished.wait()
+            if listener.runners.get(Purpose.CALLS) is runner:
+                del listener.runners[Purpose.CALLS]
+            await trio.sleep(_FLUSH_SECONDS)
+            backend.close()
+            nursery.cancel_scope.cancel()
+        if self._current is agent:
+            self._current = None
+        self._under_way.discard(finished)
--- /dev/null
+++ b/src/limelever/node/process.py
@@ -0,0 +1,68 @@
+"""The node process: a proxy and the agent of the instance beside it, for small sites."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from functools import partial
+
+import attrs
+import trio
+
+from limelever.node.agents import InstanceAgents
+from limelever.node.reports import InstanceReport
+from limelever.node.settings import NodeSettings, proxy_settings
+from limelever.proxy import process as proxy_process
+from limelever.transport.gateway import Gateway, start_gateways
+from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+
+
+class NodeDoor:
+    """What further interfaces of a node use: its readiness, and the reports of its instance."""
+
+    def __init__(self, shell: ProcessShell, agents: InstanceAgents) -> None:
+        self._shell = shell
+        self._agents = agents
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers are to come here."""
+        return self._shell.ready
+
+    def report(self, report: InstanceReport) -> None:
+        """Take an instance's report; what follows from it has begun when this returns."""
+        self._agents.report(report)
+
+    def instance_ended(self, instance: str) -> None:
+        """Take the word of an instance that it ends; no call begins there from now on."""
+        self._agents.instance_ended(instance)
+
+
+Gateways = Callable[[NodeDoor], Sequence[Gateway]]
+
+
+def run(settings: NodeSettings, gateways: Gateways = lambda _: ()) -> int:
+    """Run the process until a planned stop or a failure; return the exit status."""
+    return run_role(settings, partial(_main, _spread(settings), gateways))
+
+
+def _spread(settings: NodeSettings) -> NodeSettings:
+    """Put the relays in an order drawn at random, so that not all nodes begin with one."""
+    relays = random.sample(settings.relays, len(settings.relays))
+    return attrs.evolve(settings, relays=tuple(relays))
+
+
+async def _main(settings: NodeSettings, gateways: Gateways, shell: ProcessShell) -> None:
+    done = trio.Event()
+    async with trio.open_nursery() as serving:
+        agents = InstanceAgents(settings, shell, serving)
+        await shell.listen(settings.listen)
+        failure = await start_gateways(gateways(NodeDoor(shell, agents)), done, serving)
+        if failure is not None:
+            raise ProcessFailedError(failure)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(proxy_process.serve, proxy_settings(settings), shell)
+            await shell.stop_requested.wait()
+            await trio.sleep(settings.edge.lame_duck_ms / 1000.0)
+            await agents.stop()
+        done.set()
--- /dev/null
+++ b/src/limelever/node/settings.py
@@ -0,0 +1,97 @@
+"""Settings of the node process, which hosts a proxy and the agent of the back end beside it."""
+
+from __future__ import annotations
+
+import operator
+from typing import ClassVar
+
+import attrs
+
+from limelever.agent.settings import (
+    AgentSettings,
+    BackendSettings,
+    DrainSettings,
+    ProbeSettings,
+    QueueSettings,
+)
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import (
+    Clash,
+    HeaderSettings,
+    ProcessSettings,
+    dialled,
+    distinct,
+    not_empty,
+)
+from limelever.node.reports import InstanceReport
+from limelever.proxy.settings import (
+    BalancingSettings,
+    CallLimitSettings,
+    ConfigurationSettings,
+    EdgeSettings,
+    ProxySettings,
+)
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings(ProcessSettings):
+    """Settings of one node; ``listen`` is where other nodes' proxies reach the agent."""
+
+    ROLE: ClassVar[Role] = Role.NODE
+    CLASHES: ClassVar[tuple[Clash, ...]] = (
+        *ProcessSettings.CLASHES,
+        Clash(("drain.limit_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
+        Clash(("edge.lame_duck_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
+    )
+
+    service: str = attrs.field(validator=not_empty)
+    listen: Address = attrs.field(validator=dialled)
+    relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
+    backend: BackendSettings
+    edge: EdgeSettings
+    calls: CallLimitSettings = CallLimitSettings()
+    balancing: BalancingSettings = BalancingSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
+    queue: QueueSettings = QueueSettings()
+    drain: DrainSettings = DrainSettings()
+    headers: HeaderSettings = HeaderSettings()
+
+
+def proxy_settings(settings: NodeSettings) -> ProxySettings:
+    """Return the settings of the proxy within the process."""
+    return ProxySettings(
+        role=Role.PROXY,
+        name=settings.name,
+        zone=settings.zone,
+        stop_limit_ms=settings.stop_limit_ms,
+        every_service=True,
+        caller_service=settings.service,
+        relays=settings.relays,
+        edge=settings.edge,
+        calls=settings.calls,
+        balancing=settings.balancing,
+        configuration=settings.configuration,
+        headers=settings.headers,
+    )
+
+
+def agent_settings(settings: NodeSettings, report: InstanceReport, name: str) -> AgentSettings:
+    """Return the settings of an agent for the instance that reported itself.
+
+    ``name`` names this run of the agent: one that restarts beside the same instance is another
+    endpoint, so that no clock has to tell which of the two is newer. What the instance reports
+    takes the place of probes.
+    """
+    return AgentSettings(
+        role=Role.AGENT,
+        name=name,
+        zone=settings.zone,
+        service=report.service or settings.service,
+        listen=settings.listen,
+        relays=settings.relays,
+        backend=attrs.evolve(settings.backend, slots=report.slots or settings.backend.slots),
+        probe=ProbeSettings(cold_start_limit_ms=0),
+        queue=settings.queue,
+        drain=settings.drain,
+        headers=settings.headers,
+    )
--- a/src/limelever/protocol/keys.py
+++ b/src/limelever/protocol/keys.py
@@ -15,6 +15,7 @@
     Resource,
     ResourceKey,
     ResourceKind,
+    Route,
 )
 
 SEPARATOR = "/"
@@ -115,12 +116,19 @@
     return Key(kind, name)
 
 
+def services_of(route: Route) -> tuple[str, ...]:
+    """Return the names of the services that a route's calls may go to."""
+    if route.split:
+        return tuple(part.service for part in route.split)
+    return (route.service,)
+
+
 def references_of(resource: Resource) -> frozenset[Key]:
     """Return the keys that must exist for ``resource`` to be usable."""
     match resource.WhichOneof("body"):
         case "route":
             secrets = {secret_key(name) for name in resource.route.secrets}
-            return frozenset(secrets | {service_key(resource.route.service)})
+            return frozenset(secrets | {service_key(name) for name in services_of(resource.route)})
         case "share":
             return frozenset({service_key(resource.share.service)})
         case _:
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -12,7 +12,8 @@
     CallRequest,
 )
 from limelever.proxy.group_limits import GroupLimits, ShareKey
-from limelever.proxy.router import RouteEntry, RouteTable
+from limelever.proxy.router import RouteEntry, RoutePart, RouteTable
+from limelever.proxy.split import Splits
 
 NO_CONFIGURATION_RETRY_AFTER = 1.0
 
@@ -30,6 +31,7 @@
     table: RouteTable | None,
     limits: GroupLimits,
     settings: AdmissionSettings,
+    splits: Splits,
     now: float,
 ) -> Call | Failure:
     """Return the admitted call, counted in ``limits``, or the refusal to answer at once."""
@@ -39,18 +41,19 @@
             "no configuration is held yet",
             retry_after=NO_CONFIGURATION_RETRY_AFTER,
         )
-    route = table.match(request.method, request.target)
+    route = table.match(request.method, request.target, request.host)
     if isinstance(route, Failure):
         return route
-    refusal = _check(request, route)
+    part = splits.choose(route)
+    refusal = _check(request, route, part)
     if refusal is not None:
         return refusal
-    share = ShareKey(route.service, request.group)
-    refusal = limits.admit(share, table.weight(route.service, request.group))
+    share = ShareKey(part.service, request.group)
+    refusal = limits.admit(share, table.weight(part.service, request.group))
     if refusal is not None:
         return refusal
     deadline = now + call_timeout(request, route, settings)
-    return Call(number, request, route, share, deadline)
+    return Call(number, request, route, part, share, deadline)
 
 
 def call_timeout(request: CallRequest, route: RouteEntry, settings: AdmissionSettings) -> float:
@@ -59,9 +62,9 @@
     return min(request.timeout, longest) if request.timeout > 0 else longest
 
 
-def _check(request: CallRequest, route: RouteEntry) -> Failure | None:
-    if route.max_body_bytes and len(request.body) > route.max_body_bytes:
-        reason = f"body of {len(request.body)} bytes, limit {route.max_body_bytes}"
+def _check(request: CallRequest, route: RouteEntry, part: RoutePart) -> Failure | None:
+    if part.max_body_bytes and len(request.body) > part.max_body_bytes:
+        reason = f"body of {len(request.body)} bytes, limit {part.max_body_bytes}"
         return Failure(ErrorKind.BODY_TOO_LARGE, reason)
     if not 0 < len(request.group) <= GROUP_LENGTH_LIMIT:
         reason = f"group name must have 1 to {GROUP_LENGTH_LIMIT} characters"
--- a/src/limelever/proxy/answers.py
+++ b/src/limelever/proxy/answers.py
@@ -17,9 +17,17 @@
 _RAN = (OUTCOME_HEADER, Outcome.RAN.value.encode())
 
 
-def render_answer(answer: CallAnswer | Failure) -> CallAnswer:
-    """Return what goes to the caller for a back end's answer or a failure."""
-    return render_failure(answer) if isinstance(answer, Failure) else render_success(answer)
+def render_answer(answer: CallAnswer | Failure, retry_decimals: int = 0) -> CallAnswer:
+    """Return what goes to the caller for a back end's answer or a failure.
+
+    ``retry_decimals`` is the precision of Retry-After. RFC 9110 knows whole seconds only; callers
+    that read fractions are sent back sooner.
+    """
+    return (
+        render_failure(answer, retry_decimals)
+        if isinstance(answer, Failure)
+        else render_success(answer)
+    )
 
 
 def render_success(answer: CallAnswer) -> CallAnswer:
@@ -33,7 +41,7 @@
     return CallAnswer(answer.status, tuple(headers), answer.body)
 
 
-def render_failure(failure: Failure) -> CallAnswer:
+def render_failure(failure: Failure, retry_decimals: int = 0) -> CallAnswer:
     """Return the HTTP answer of a failure, by the row of its kind in the error table.
 
     Wherever the table says to come back later, the answer names a time.
@@ -53,11 +61,17 @@
         (ERROR_HEADER, failure.kind.value.encode()),
     )
     if failure.retry_after > 0:
-        whole_seconds = max(1, math.ceil(failure.retry_after))
-        headers += ((RETRY_AFTER_HEADER, str(whole_seconds).encode()),)
+        headers += ((RETRY_AFTER_HEADER, _delay(failure.retry_after, retry_decimals)),)
     return CallAnswer(failure.answer.http_status, headers, body)
 
 
+def _delay(seconds: float, decimals: int) -> bytes:
+    """Return a delay rounded up, as Retry-After states it; never 0."""
+    unit = 10**decimals
+    units = max(1, math.ceil(seconds * unit))
+    return f"{units / unit:.{decimals}f}".encode()
+
+
 def _length(answer: CallAnswer) -> Headers:
     """Return the body's length; an answer to HEAD or without a body keeps what it stated."""
     if not answer.body:
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_headers import HeaderNames, Headers
 from limelever.common.sansio import ConnectionId, Output, Peer, SendMessage
 from limelever.protocol.calls_pb2 import CallCancel
 from limelever.proxy.agent_messages import AgentMessages
@@ -24,14 +25,22 @@
 
 _ID_HALF_BYTES = 8
 
+DEFAULT_RESERVED = HeaderNames().set_by_mesh
+"""What callers may not set for a back end where the settings name no headers."""
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptSettings:
-    """Bounds of answers in bytes, and the seconds a call waits for a link to come up."""
+    """Bounds of answers in bytes, and the seconds a call waits for a link to come up.
+
+    ``added_headers`` go with every call, ``reserved_headers`` never come from callers.
+    """
 
     answer_limit_bytes: int = 8 << 20
     assembly_limit_bytes: int = 16 << 20
     dial_wait: float = 0.25
+    added_headers: Headers = ()
+    reserved_headers: frozenset[bytes] = DEFAULT_RESERVED
 
 
 class Attempts:
@@ -59,20 +68,20 @@
         assembly = AnswerAssembly(limits)
         self._ends = AttemptEnds(calls, view, balancer, assembly, outputs)
         self._messages = AgentMessages(calls, self._ends, assembly, outputs)
-        self._secret_names: frozenset[bytes] = frozenset()
+        self._reserved = settings.reserved_headers
 
     def set_secret_names(self, names: frozenset[bytes]) -> None:
         """Name the headers that callers may not set."""
-        self._secret_names = names
+        self._reserved = names | self._settings.reserved_headers
 
     def start(self, call: Call, now: float) -> Failure | None:
         """Begin an attempt on an endpoint not tried yet, or return ``NO_ENDPOINT``."""
-        usable = self._view.usable(call.route.service, now)
+        usable = self._view.usable(call.part.service, now)
         excluded: set[EndpointKey] = set(call.tried)
         while True:
-            entry = self._balancer.pick(usable, now, excluded, call.route.slow_start)
+            entry = self._balancer.pick(usable, now, excluded, call.part.slow_start)
             if entry is None:
-                reason = f"no endpoint of {call.route.service} can take the call"
+                reason = f"no endpoint of {call.part.service} can take the call"
                 return Failure(ErrorKind.NO_ENDPOINT, reason, retry_after=NO_ENDPOINT_RETRY_AFTER)
             if not self._links.is_blocked(entry.address, now):
                 break
@@ -160,7 +169,7 @@
         self._calls.bind_stream(call, attempt)
         if call.wake_at != call.deadline:
             self._calls.wake(call, call.deadline)
-        start = start_message(call, attempt, self._secret_names, now)
+        start = start_message(call, attempt, self._reserved, self._settings.added_headers, now)
         self._outputs.append(SendMessage(link.connection, start))
         self._send_parts(call, attempt)
 
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -13,7 +13,7 @@
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.group_limits import ShareKey
 from limelever.proxy.health import Verdict
-from limelever.proxy.router import RouteEntry
+from limelever.proxy.router import RouteEntry, RoutePart
 
 NOT_SENT = 0
 """Stream of an attempt that waits for its link."""
@@ -57,14 +57,16 @@
 class Call:
     """One call from its admission to its final answer; times in seconds.
 
-    ``may_have_run`` is the first failure of an attempt whose outcome is not NOT RUN: once it is
-    set, no later failure may say that the call was not run. ``wake_at`` is when the call must be
-    looked at next.
+    ``part`` is the service that takes the call, ``arrivals`` counts the attempts that reached a
+    back end, refused there or not. ``may_have_run`` is the first failure of an attempt whose
+    outcome is not NOT RUN: once it is set, no later failure may say that the call was not run.
+    ``wake_at`` is when the call must be looked at next.
     """
 
     number: int
     request: CallRequest
     route: RouteEntry
+    part: RoutePart
     share: ShareKey
     deadline: float
     phase: Phase = Phase.DIALLING
@@ -73,6 +75,7 @@
     attempt: Attempt | None = None
     attempts: int = 0
     redirects: int = 0
+    arrivals: int = 0
     tried: set[EndpointKey] = field(default_factory=set)
     may_have_run: Failure | None = None
     answer: CallAnswer | None = None
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -22,7 +22,8 @@
 class CallRequest:
     """One caller's whole request; header names are in lower case.
 
-    ``timeout`` is in seconds, 0 when the caller named none.
+    ``timeout`` is in seconds, 0 when the caller named none; ``host`` is in lower case, and
+    ``request_id`` the caller's own name for this sending.
     """
 
     method: bytes
@@ -32,6 +33,8 @@
     group: str = DEFAULT_GROUP
     idempotency_key: bytes = b""
     timeout: float = 0.0
+    host: bytes = b""
+    request_id: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -30,6 +30,7 @@
     with_retry_after,
 )
 from limelever.proxy.router import RouteTable
+from limelever.proxy.split import Splits
 
 _NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
 _UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
@@ -68,7 +69,8 @@
         self._limits = limits
         self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._outputs = outputs
-        self._budgets = RetryBudgets()
+        self._budgets = RetryBudgets(settings.retry.fleet_saved)
+        self._splits = Splits(random_source)
         self._table: RouteTable | None = None
 
     @property
@@ -80,19 +82,32 @@
         """Route new calls by this table; those in flight keep their route."""
         self._table = table
         self._attempts.set_secret_names(table.secret_names)
-        self._budgets.keep_only(table.route_names())
+        self._budgets.keep_only(table.services())
+        self._splits.keep_only(table.route_names())
+
+    def share_budgets_between(self, nodes: int) -> None:
+        """Take the number of nodes whose proxies share the retries of a service."""
+        self._budgets.share_between(nodes)
 
     # --- events of the edge -------------------------------------------------------------------
 
     def arrived(self, number: int, request: CallRequest, now: float) -> None:
         """Admit a call and begin it, or refuse it at once."""
-        admitted = admit(number, request, self._table, self._limits, self._settings.admission, now)
+        admitted = admit(
+            number,
+            request,
+            self._table,
+            self._limits,
+            self._settings.admission,
+            self._splits,
+            now,
+        )
         if isinstance(admitted, Failure):
             self._outputs.append(AnswerCall(number, with_retry_after(admitted)))
             return
         self._calls.add(admitted)
         route = admitted.route
-        self._budgets.of(route.name, route.retry_budget_percent).record_fresh_call()
+        self._budgets.of(admitted.part.service, route.retry_budget_percent).record_fresh_call()
         if route.at_most_once:
             self._claims.begin(admitted, now)
         else:
@@ -108,7 +123,7 @@
         if call is None:
             return
         call.caller_gone = True
-        if call.route.at_most_once and call.phase in _UNDER_WAY:
+        if not call.route.repeatable and call.phase in _UNDER_WAY:
             if call.phase is Phase.HANDED_ON:
                 self._attempts.cancel_unless_begun(call)
             return
@@ -192,6 +207,8 @@
         if isinstance(result, CallAnswer):
             self._backend_answered(call, result, now)
             return
+        if result.outcome is not Outcome.NOT_RUN or result.kind is ErrorKind.BACKEND_REFUSED:
+            call.arrivals += 1
         if result.outcome is not Outcome.NOT_RUN and call.may_have_run is None:
             call.may_have_run = result
         if self._may_go_on(call, result, now):
@@ -209,7 +226,8 @@
             return True
         if step is NextStep.GIVE_UP:
             return False
-        return self._budgets.of(call.route.name, call.route.retry_budget_percent).try_take()
+        budget = self._budgets.of(call.part.service, call.route.retry_budget_percent)
+        return not call.arrivals or budget.try_take()
 
     def _backend_answered(self, call: Call, answer: CallAnswer, now: float) -> None:
         if not call.route.at_most_once:
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -44,7 +44,11 @@
 from limelever.proxy.links import AgentLinks
 from limelever.proxy.router import build_route_table
 from limelever.subscriber.core import SubscriberCore
-from limelever.subscriber.notices import ConfigurationInstalled, EndpointsReceived
+from limelever.subscriber.notices import (
+    ConfigurationInstalled,
+    EndpointsReceived,
+    PublishersReceived,
+)
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.settings import SubscriberSettings
 
@@ -120,6 +124,7 @@
             EndpointsReceived: self._merge_endpoints,
             ClaimSettled: self._settle_claim,
             CompletionSettled: self._settle_completion,
+            PublishersReceived: lambda _received, _now: None,
         }
 
     @property
@@ -230,6 +235,7 @@
 
     def _merge_endpoints(self, received: EndpointsReceived, now: float) -> None:
         self._view.apply(received.update, now)
+        self._engine.share_budgets_between(len(self._view.keys()))
 
     def _settle_claim(self, settled: ClaimSettled, now: float) -> None:
         match settled.outcome:
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -14,7 +14,7 @@
 import trio
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import Headers
+from limelever.common.http_headers import HeaderNames, Headers
 from limelever.common.sansio import Address, Event
 from limelever.proxy.answers import render_answer
 from limelever.proxy.call_types import (
@@ -45,6 +45,7 @@
 
 OVERLOAD_RETRY_AFTER = 1.0
 HTTP_1 = "1"
+DEFAULT_NAMES = HeaderNames()
 _CLOSE = (b"connection", b"close")
 
 
@@ -64,8 +65,15 @@
 class Edge:
     """Accepts callers' requests; ``post`` gives events to the core."""
 
-    def __init__(self, settings: EdgeSettings, post: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        post: Callable[[Event], None],
+        names: HeaderNames = DEFAULT_NAMES,
+    ) -> None:
         self._settings = settings
+        self._names = names
+        self._leaving = False
         self._post = post
         self._waiting: dict[int, _Waiting] = {}
         self._last_call = 0
@@ -80,6 +88,10 @@
             waiting.answer = output.answer
             waiting.scope.cancel()
 
+    def leave(self) -> None:
+        """Close each connection after its next answer; new ones are still taken."""
+        self._leaving = True
+
     def stop(self) -> None:
         """Stop listening; requests already in are answered."""
         self._stopping.set()
@@ -114,12 +126,12 @@
             if isinstance(body, Failure):
                 await self._refuse(scope, body, receive, send)
                 return
-            request = parse_request(scope, headers, body)
+            request = parse_request(scope, headers, body, self._names)
             answer = request if isinstance(request, Failure) else await self._call(request, receive)
         finally:
             reserved.release()
         if answer is not None:
-            await self._send(scope, render_answer(answer), send, more=False)
+            await self._send(scope, self._rendered(answer), send, more=False)
 
     async def _call(self, request: CallRequest, receive: Receive) -> CallAnswer | Failure | None:
         """Return the core's answer, or ``None`` when the caller left before."""
@@ -187,18 +199,21 @@
         self, scope: dict[str, Any], failure: Failure, receive: Receive, send: Send
     ) -> None:
         """Answer at once, then read on for a moment: a reset would destroy the answer."""
-        await self._send(scope, render_answer(failure), send, more=True)
+        await self._send(scope, self._rendered(failure), send, more=True)
         with trio.move_on_after(DISCARD_TIMEOUT):
             while (message := await receive())["type"] == "http.request":
                 if not message.get("more_body", False):
                     break
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
+    def _rendered(self, answer: CallAnswer | Failure) -> CallAnswer:
+        return render_answer(answer, self._settings.retry_after_decimals)
+
     async def _send(
         self, scope: dict[str, Any], answer: CallAnswer, send: Send, *, more: bool
     ) -> None:
         headers = answer.headers
-        if self._stopping.is_set() and scope["http_version"].startswith(HTTP_1):
+        if (self._leaving or self._stopping.is_set()) and scope["http_version"].startswith(HTTP_1):
             headers = (*headers, _CLOSE)
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         self._untaken += len(answer.body)
--- a/src/limelever/proxy/headers.py
+++ b/src/limelever/proxy/headers.py
@@ -4,14 +4,14 @@
 
 from collections.abc import Container
 
-from limelever.common.http_headers import TIMEOUT_HEADER, Headers, end_to_end
+from limelever.common.http_headers import Headers, end_to_end
 from limelever.proxy.call_types import (
     ERROR_HEADER,
     GROUP_HEADER,
     OUTCOME_HEADER,
 )
 
-_OWN = frozenset({GROUP_HEADER, TIMEOUT_HEADER, OUTCOME_HEADER, ERROR_HEADER})
+_OWN = frozenset({GROUP_HEADER, OUTCOME_HEADER, ERROR_HEADER})
 _REMOVED_FROM_REQUESTS = _OWN | {b"content-length", b"expect"}
 
 
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from limelever.common.http_headers import Headers
 from limelever.protocol.calls_pb2 import CallBody, CallStart, Header
-from limelever.protocol.config_pb2 import CALL_KIND_AT_MOST_ONCE, CALL_KIND_REPEATABLE
+from limelever.protocol.priorities import PRIORITY_GROUP
 from limelever.proxy.call_state import Attempt, Call
 from limelever.proxy.headers import towards_backend
 
@@ -24,11 +25,13 @@
 
 
 def start_message(
-    call: Call, attempt: Attempt, reserved: frozenset[bytes], now: float
+    call: Call, attempt: Attempt, reserved: frozenset[bytes], added: Headers, now: float
 ) -> CallStart:
-    """Return the first message of an attempt; ``reserved`` headers never come from the caller."""
+    """Return the first message of an attempt; ``reserved`` headers never come from the caller, and
+    ``added`` ones are set here whatever it sent.
+    """
     request, route = call.request, call.route
-    passed = towards_backend(request.headers, route.secret_headers, reserved)
+    passed = towards_backend(request.headers, (*route.secret_headers, *added), reserved)
     whole = len(request.body) <= FIRST_PART_BYTES
     attempt.sent_bytes = min(len(request.body), FIRST_PART_BYTES)
     attempt.credit_bytes = CREDIT_WINDOW_BYTES
@@ -36,9 +39,9 @@
         stream=attempt.stream,
         attempt_id=attempt.attempt_id,
         agent_incarnation=attempt.entry.incarnation,
-        service=route.service,
-        group=request.group,
-        call_kind=CALL_KIND_AT_MOST_ONCE if route.at_most_once else CALL_KIND_REPEATABLE,
+        service=call.part.service,
+        group=group_of(call),
+        call_kind=route.call_kind,
         deadline_left_ms=max(1, int((call.deadline - now) * _MILLISECONDS)),
         method=request.method,
         target=request.target,
@@ -48,6 +51,12 @@
     )
 
 
+def group_of(call: Call) -> str:
+    """Return the group under which the agent queues a call: by priority where its route has one."""
+    priority = call.route.priority
+    return f"{PRIORITY_GROUP}{priority}" if priority else call.request.group
+
+
 def next_parts(call: Call, attempt: Attempt) -> list[CallBody]:
     """Return the parts of the body that the agent's credit allows now."""
     body = call.request.body
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -8,7 +8,8 @@
 import trio
 
 from limelever.common.errors import Failure
-from limelever.common.sansio import Address, Output, Recovered
+from limelever.common.http_headers import Headers
+from limelever.common.sansio import Address, Output, Recovered, Role
 from limelever.common.settings import seconds
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.proxy import events
@@ -34,7 +35,7 @@
 
 def run(settings: ProxySettings) -> int:
     """Run the proxy until a planned stop or a failure; return the exit status."""
-    return run_role(settings, partial(_main, settings))
+    return run_role(settings, partial(serve, settings))
 
 
 def core_settings(settings: ProxySettings) -> ProxyCoreSettings:
@@ -44,6 +45,7 @@
         subscriber=SubscriberSettings(
             publishers=settings.relays,
             services=settings.services,
+            every_service=settings.every_service,
             stale_after=seconds(configuration.stale_after_ms),
             probe_interval=seconds(configuration.probe_interval_ms),
             answer_timeout=seconds(configuration.answer_timeout_ms),
@@ -57,6 +59,8 @@
             answer_limit_bytes=settings.calls.max_answer_bytes,
             assembly_limit_bytes=settings.calls.assembly_bytes,
             dial_wait=seconds(settings.calls.dial_wait_ms),
+            added_headers=_added_headers(settings),
+            reserved_headers=settings.headers.names().set_by_mesh,
         ),
         limits=LimitSettings(
             total=settings.calls.in_flight,
@@ -72,10 +76,20 @@
     )
 
 
+def _added_headers(settings: ProxySettings) -> Headers:
+    """Return the headers that every call carries to its back end."""
+    name = settings.headers.names().caller_service
+    return ((name, settings.caller_service.encode()),) if name else ()
+
+
 def _call_settings(settings: CallLimitSettings) -> CallSettings:
     return CallSettings(
         admission=AdmissionSettings(default_timeout=seconds(settings.default_timeout_ms)),
-        retry=RetrySettings(attempts=settings.attempts, redirects=settings.redirects),
+        retry=RetrySettings(
+            attempts=settings.attempts,
+            redirects=settings.redirects,
+            fleet_saved=settings.fleet_saved_retries,
+        ),
         completion_wait=seconds(settings.completion_wait_ms),
     )
 
@@ -89,7 +103,8 @@
     )
 
 
-async def _main(settings: ProxySettings, shell: ProcessShell) -> None:
+async def serve(settings: ProxySettings, shell: ProcessShell) -> None:
+    """Run the proxy's core and edge within a process until its planned stop is done."""
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
     core = ProxyCore(core_settings(settings), random.Random(), recovered)
@@ -105,14 +120,16 @@
             case StopFinished():
                 finished.set()
 
-    runner = shell.add_core(core, on_output, disk=disk)
-    edge = Edge(settings.edge, runner.post)
+    runner = shell.add_core(core, on_output, disk=disk, role=Role.PROXY)
+    edge = Edge(settings.edge, runner.post, settings.headers.names())
     async with trio.open_nursery() as nursery:
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
+        edge.leave()
+        await trio.sleep(seconds(settings.edge.lame_duck_ms))
         edge.stop()
         await edge_ended.wait()
         runner.post(StopRequested())
--- a/src/limelever/proxy/requests.py
+++ b/src/limelever/proxy/requests.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import TIMEOUT_HEADER, Headers
+from limelever.common.http_headers import HeaderNames, Headers
 from limelever.proxy.call_types import (
     DEFAULT_GROUP,
     GROUP_HEADER,
@@ -18,6 +18,7 @@
 _LONGEST_TIMEOUT_DIGITS = 9
 _HEADER_OVERHEAD = 4
 _CONTENT_LENGTH = b"content-length"
+_HOST = b"host"
 
 
 def headers_size(headers: Headers) -> int:
@@ -33,20 +34,28 @@
     return 0
 
 
-def parse_request(scope: Mapping[str, Any], headers: Headers, body: bytes) -> CallRequest | Failure:
+def parse_request(
+    scope: Mapping[str, Any], headers: Headers, body: bytes, names: HeaderNames
+) -> CallRequest | Failure:
     """Return the call of an ASGI scope and its body, or ``INVALID_REQUEST``."""
     query: bytes = scope["query_string"]
     path: bytes = scope["raw_path"]
     group = DEFAULT_GROUP
     key = b""
+    host = b""
+    request_id = b""
     timeout: float | Failure = 0.0
     for name, value in headers:
         if name == GROUP_HEADER:
             group = value.decode("utf-8", "replace")
         elif name == IDEMPOTENCY_KEY_HEADER:
             key = value
-        elif name == TIMEOUT_HEADER:
-            timeout = _parse_timeout(value)
+        elif name == names.timeout:
+            timeout = _parse_timeout(names.timeout, value)
+        elif name == names.request_id:
+            request_id = value
+        elif name == _HOST:
+            host = value.lower()
     if isinstance(timeout, Failure):
         return timeout
     return CallRequest(
@@ -57,12 +66,14 @@
         group=group,
         idempotency_key=key,
         timeout=timeout,
+        host=host,
+        request_id=request_id,
     )
 
 
-def _parse_timeout(value: bytes) -> float | Failure:
+def _parse_timeout(name: bytes, value: bytes) -> float | Failure:
     """Return the seconds of a timeout header."""
     if value.isdigit() and len(value) <= _LONGEST_TIMEOUT_DIGITS and int(value) > 0:
         return int(value) / _MILLISECONDS
-    reason = f"{TIMEOUT_HEADER.decode()} must be a whole number of milliseconds above 0"
+    reason = f"{name.decode()} must be a whole number of milliseconds above 0"
     return Failure(ErrorKind.INVALID_REQUEST, reason)
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -23,6 +23,7 @@
         ErrorKind.DEADLINE_TOO_SHORT,
         ErrorKind.CONNECTION_LOST,
         ErrorKind.BACKEND_FAILED,
+        ErrorKind.BACKEND_REFUSED,
     }
 )
 """Another endpoint may do better; each retry is paid from the route's budget."""
@@ -42,10 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
-    """Bounds for one call."""
+    """Bounds for one call; a route may name its own ``attempts``.
+
+    ``fleet_saved`` is the number of retries that all proxies together may have saved up for each
+    service; 0 leaves every proxy its own small number.
+    """
 
     attempts: int = 3
     redirects: int = 3
+    fleet_saved: int = 0
 
 
 def next_step(call: Call, failure: Failure, settings: RetrySettings) -> NextStep:
@@ -55,11 +61,12 @@
     """
     if call.caller_gone:
         return NextStep.GIVE_UP
-    if call.route.at_most_once and failure.outcome is not Outcome.NOT_RUN:
+    if not call.route.repeatable and failure.outcome is not Outcome.NOT_RUN:
         return NextStep.GIVE_UP
     if failure.kind in REDIRECT_KINDS and call.redirects < settings.redirects:
         return NextStep.REDIRECT
-    if failure.kind in RETRY_KINDS and call.attempts - call.redirects < settings.attempts:
+    attempts = call.route.attempts or settings.attempts
+    if failure.kind in RETRY_KINDS and call.attempts - call.redirects < attempts:
         return NextStep.RETRY_WITHIN_BUDGET
     return NextStep.GIVE_UP
 
@@ -68,6 +75,8 @@
     """Return what the caller is told: never NOT RUN when an earlier attempt may have run."""
     if call.may_have_run is not None and failure.outcome is Outcome.NOT_RUN:
         failure = call.may_have_run
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN and not call.route.at_most_once:
+        failure = Failure(ErrorKind.BACKEND_FAILED, failure.reason)
     return with_retry_after(failure)
 
 
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -1,4 +1,4 @@
-"""Routes a call by method and path with an immutable table, built whole from one version.
+"""Routes a call by host, method and path with an immutable table, built whole from one version.
 
 The longest path prefix wins. Prefixes match whole path segments: ``/orders`` matches
 ``/orders`` and ``/orders/7`` but not ``/ordersheet``; ``/orders/`` matches only below it.
@@ -12,61 +12,116 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
-from limelever.protocol.config_pb2 import CALL_KIND_AT_MOST_ONCE, Route, Service
+from limelever.protocol.config_pb2 import (
+    CALL_KIND_AT_MOST_ONCE,
+    CALL_KIND_REPEATABLE,
+    CallKind,
+    Route,
+)
 from limelever.proxy.group_limits import DEFAULT_WEIGHT
 from limelever.subscriber.configuration import ConfigurationSet
 
+ANY_HOST = b""
 _ROOT = b"/"
 _DOT_SEGMENTS = frozenset({b".", b".."})
 _MILLISECONDS = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class RoutePart:
+    """A service that takes a part of a route's calls; ``slow_start`` in seconds, 0 = default."""
+
+    service: str
+    weight: int
+    max_body_bytes: int
+    slow_start: float
+
+
 @dataclass(frozen=True, slots=True)
 class RouteEntry:
-    """A route with all that a call on it needs; times in seconds, 0 = the proxy's default."""
+    """A route with all that a call on it needs; times in seconds, 0 = the proxy's default.
+
+    Calls that are not ``repeatable`` go on only after an outcome of NOT RUN; those that are
+    ``at_most_once`` need a claim on the caller's idempotency key besides. ``parts`` holds one
+    service, or those of a split.
+    """
 
     name: str
-    service: str
+    parts: tuple[RoutePart, ...]
     methods: frozenset[bytes]
     at_most_once: bool
+    repeatable: bool
+    call_kind: CallKind.ValueType
     timeout: float
     retry_budget_percent: int
     secret_headers: Headers
-    max_body_bytes: int
-    slow_start: float
+    attempts: int = 0
+    priority: int = 0
 
     def allows(self, method: bytes) -> bool:
         """Return whether the route takes calls with this method."""
         return not self.methods or method in self.methods
 
 
+RoutesByPrefix = Mapping[bytes, tuple[RouteEntry, ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Routes by prefix, group weights by service and group, and the headers of all secrets."""
+    """Routes by host and prefix, group weights by service, and the headers of all secrets.
+
+    A host with routes of its own is not served by those for any host, which stand under ``b""``.
+    """
 
     version: int
-    prefixes: Mapping[bytes, tuple[RouteEntry, ...]]
+    hosts: Mapping[bytes, RoutesByPrefix]
     weights: Mapping[str, Mapping[str, int]]
     secret_names: frozenset[bytes]
 
-    def match(self, method: bytes, target: bytes) -> RouteEntry | Failure:
-        """Return the route of a call, or ``NO_ROUTE``, ``METHOD_NOT_ALLOWED`` and the like."""
+    def match(self, method: bytes, target: bytes, host: bytes = ANY_HOST) -> RouteEntry | Failure:
+        """Return the route of a call, or ``NO_ROUTE``, ``METHOD_NOT_ALLOWED`` and the like.
+
+        ``host`` is the Host header in lower case; a port in it is passed over where no route
+        names one.
+        """
         path = target.partition(b"?")[0]
         if not path.startswith(_ROOT) or _has_dot_segment(path):
             return Failure(ErrorKind.INVALID_REQUEST, "target must be a path without dot segments")
+        prefixes = self._prefixes_at(host)
         for prefix in _prefixes_of(path):
-            entries = self.prefixes.get(prefix)
+            entries = prefixes.get(prefix)
             if entries is not None:
                 return _by_method(entries, method)
         return Failure(ErrorKind.NO_ROUTE, "no route for this path")
 
+    def _prefixes_at(self, host: bytes) -> RoutesByPrefix:
+        for known in (host, _without_port(host)):
+            if known in self.hosts:
+                return self.hosts[known]
+        return self.hosts.get(ANY_HOST, {})
+
     def weight(self, service: str, group: str) -> int:
         """Return the weight of a group's share at a service."""
         return self.weights.get(service, {}).get(group, DEFAULT_WEIGHT)
 
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
-        return frozenset(entry.name for entries in self.prefixes.values() for entry in entries)
+        return frozenset(
+            entry.name
+            for prefixes in self.hosts.values()
+            for entries in prefixes.values()
+            for entry in entries
+        )
+
+    def services(self) -> frozenset[str]:
+        """Return the names of all services that calls are routed to."""
+        return frozenset(
+            part.service
+            for prefixes in self.hosts.values()
+            for entries in prefixes.values()
+            for entry in entries
+            for part in entry.parts
+        )
 
 
 def build_route_table(configuration: ConfigurationSet, version: int) -> RouteTable | Failure:
@@ -75,13 +130,14 @@
     if dangling:
         names = tuple(str(key) for key in dangling)
         return Failure(ErrorKind.DANGLING_REFERENCE, "route table would be incomplete", names)
-    prefixes: dict[bytes, list[RouteEntry]] = {}
+    hosts: dict[bytes, dict[bytes, tuple[RouteEntry, ...]]] = {}
     for route in sorted(configuration.routes.values(), key=lambda route: route.name):
+        prefixes = hosts.setdefault(route.host.encode(), {})
         prefix = route.path_prefix.encode() or _ROOT
-        prefixes.setdefault(prefix, []).append(_entry(route, configuration))
+        prefixes[prefix] = (*prefixes.get(prefix, ()), _entry(route, configuration))
     return RouteTable(
         version=version,
-        prefixes={prefix: tuple(entries) for prefix, entries in prefixes.items()},
+        hosts=hosts,
         weights={
             service: {share.group: share.weight for share in shares}
             for service, shares in configuration.shares.items()
@@ -91,21 +147,40 @@
 
 
 def _entry(route: Route, configuration: ConfigurationSet) -> RouteEntry:
-    service: Service = configuration.services[route.service]
     secrets = [configuration.secrets[name] for name in route.secrets]
     return RouteEntry(
         name=route.name,
-        service=route.service,
+        parts=_parts(route, configuration),
         methods=frozenset(method.upper().encode() for method in route.methods),
         at_most_once=route.call_kind == CALL_KIND_AT_MOST_ONCE,
+        repeatable=route.call_kind == CALL_KIND_REPEATABLE,
+        call_kind=route.call_kind,
         timeout=route.timeout_ms / _MILLISECONDS,
         retry_budget_percent=route.retry_budget_percent,
         secret_headers=tuple((s.header.lower().encode(), s.value) for s in secrets),
-        max_body_bytes=service.max_body_bytes,
-        slow_start=service.slow_start_ms / _MILLISECONDS,
+        attempts=route.attempts,
+        priority=route.priority,
     )
 
 
+def _parts(route: Route, configuration: ConfigurationSet) -> tuple[RoutePart, ...]:
+    weights = {part.service: part.weight for part in route.split} or {route.service: 1}
+    return tuple(
+        RoutePart(
+            service=service,
+            weight=weight,
+            max_body_bytes=configuration.services[service].max_body_bytes,
+            slow_start=configuration.services[service].slow_start_ms / _MILLISECONDS,
+        )
+        for service, weight in weights.items()
+    )
+
+
+def _without_port(host: bytes) -> bytes:
+    name, colon, port = host.rpartition(b":")
+    return name if colon and port.isdigit() else host
+
+
 def _prefixes_of(path: bytes) -> Iterator[bytes]:
     """Yield the prefixes that may match ``path``, longest first."""
     yield path
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -10,6 +10,7 @@
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
     Clash,
+    HeaderSettings,
     ProcessSettings,
     between,
     dialled,
@@ -20,7 +21,11 @@
 
 @attrs.frozen(kw_only=True)
 class EdgeSettings:
-    """The listener for callers; TLS needs both files, or none for cleartext."""
+    """The listener for callers; TLS needs both files, or none for cleartext.
+
+    ``lame_duck_ms`` is how long a planned stop goes on taking calls, not ready and closing each
+    connection after its answer, so that a balancer before it has time to look elsewhere.
+    """
 
     listen: Address
     certificate: str = ""
@@ -31,6 +36,8 @@
     backlog: int = attrs.field(default=512, validator=between(1, 65535))
     connections: int = attrs.field(default=1024, validator=between(1, 65535))
     keep_alive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
+    retry_after_decimals: int = attrs.field(default=0, validator=between(0, 3))
+    lame_duck_ms: int = attrs.field(default=0, validator=between(0, 600000))
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +50,7 @@
     default_timeout_ms: int = attrs.field(default=10000, validator=between(10, 3600000))
     attempts: int = attrs.field(default=3, validator=between(1, 10))
     redirects: int = attrs.field(default=3, validator=between(0, 10))
+    fleet_saved_retries: int = attrs.field(default=0, validator=between(0, 100000))
     dial_wait_ms: int = attrs.field(default=250, validator=between(10, 60000))
     completion_wait_ms: int = attrs.field(default=1000, validator=between(10, 60000))
     max_answer_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 256 << 20))
@@ -72,7 +80,10 @@
 
 @attrs.frozen(kw_only=True)
 class ProxySettings(ProcessSettings):
-    """Settings of one proxy; ``services`` is the scope of its configuration."""
+    """Settings of one proxy; ``services`` is the scope of its configuration.
+
+    ``caller_service`` is the service beside the proxy, of which back ends are told.
+    """
 
     ROLE: ClassVar[Role] = Role.PROXY
     CLASHES: ClassVar[tuple[Clash, ...]] = (
@@ -102,6 +113,11 @@
             "must exceed configuration.probe_interval_ms",
             operator.gt,
         ),
+        Clash(
+            ("services", "every_service"),
+            "name the services, or set every_service",
+            lambda services, every: bool(services) != every,
+        ),
         Clash(
             ("keepers",),
             "must be an odd number of keepers",
@@ -109,10 +125,13 @@
         ),
     )
 
-    services: tuple[str, ...] = attrs.field(validator=[not_empty, distinct])
+    services: tuple[str, ...] = attrs.field(default=(), validator=distinct)
+    every_service: bool = False
+    caller_service: str = ""
     relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
     keepers: tuple[Address, ...] = attrs.field(default=(), validator=[distinct, dialled])
     edge: EdgeSettings
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    headers: HeaderSettings = HeaderSettings()
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -9,6 +9,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.sansio import (
+    Address,
     CloseConnection,
     ConnectionClosed,
     ConnectionFailed,
@@ -26,20 +27,21 @@
     SendMessage,
     Started,
 )
-from limelever.protocol.distribution_pb2 import Heartbeat, RetryLater, Subscribe
+from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater, Subscribe
 from limelever.protocol.endpoints_pb2 import EndpointSyncRequest
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
 from limelever.publisher.notices import FreshnessNeeded
 from limelever.publisher.rollout import ZoneHolders
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.endpoints import Endpoints, EndpointsSettings
-from limelever.relay.interface import PlatformListRead, RelayReady, StopRequested
+from limelever.relay.interface import PlatformListRead, RelayReady, RelaysKnown, StopRequested
 from limelever.relay.rollout_reporter import RolloutReporter
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    PublishersReceived,
     VersionConfirmed,
 )
 from limelever.subscriber.sealing import Sealer
@@ -48,13 +50,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayOptions:
-    """What a relay's core is made of. ``incarnation`` rises with every start of the process."""
+    """What a relay's core is made of. ``incarnation`` rises with every start of the process.
+
+    ``address`` is where others reach it; ``None`` where the relays are listed in all settings.
+    """
 
     name: str
     incarnation: int
     subscriber: SubscriberSettings
     publisher: PublisherSettings
     endpoints: EndpointsSettings
+    address: Address | None = None
 
 
 class RelayCore:
@@ -76,6 +82,8 @@
             options.endpoints, options.name, options.incarnation, connections, generator
         )
         self._reporter = RolloutReporter(options.publisher.report_interval)
+        self._address = options.address
+        self._relays: tuple[Address, ...] = ()
         self._peers: dict[ConnectionId, Peer] = {}
         self._ready = False
         self._stopping = False
@@ -119,6 +127,8 @@
             case PlatformListRead(notices):
                 self._endpoints.take_notices(notices, now)
                 return []
+            case RelaysKnown(addresses):
+                return self._relays_known(addresses, now)
             case StopRequested():
                 return self._stop(now)
         return self._carried_out(self._subscriber.handle(event, now), now)
@@ -172,9 +182,33 @@
                 return self._endpoints.sync_requested(connection, message, now)
             case Purpose.SUBSCRIPTION:
                 outputs = self._carried_out(self._publisher.handle(event, now), now)
-                return [*outputs, *self._admit_to_endpoints(connection, message)]
+                return [
+                    *outputs,
+                    *self._tell_relays(connection, message),
+                    *self._admit_to_endpoints(connection, message),
+                ]
         return []
 
+    def _relays_known(self, addresses: tuple[Address, ...], now: float) -> list[Output]:
+        """Exchange endpoints with all other relays, and name them to the subscribers."""
+        self._relays = addresses
+        others = [address for address in addresses if address != self._address]
+        outputs = self._endpoints.keep_peers(others, now)
+        for connection, peer in self._peers.items():
+            if peer.purpose is Purpose.SUBSCRIPTION and self._publisher.scope_of(connection):
+                outputs.append(SendMessage(connection, self._publishers()))
+        return outputs
+
+    def _tell_relays(self, connection: ConnectionId, message: Message) -> list[Output]:
+        if not self._relays or not isinstance(message, Subscribe):
+            return []
+        if self._publisher.scope_of(connection) is None:
+            return []
+        return [SendMessage(connection, self._publishers())]
+
+    def _publishers(self) -> Publishers:
+        return Publishers(addresses=[str(address) for address in self._relays])
+
     def _admit_to_endpoints(self, connection: ConnectionId, message: Message) -> list[Output]:
         """Send endpoints to a proxy whose subscription was just admitted."""
         if not isinstance(message, Subscribe) or self._peers[connection].role is not Role.PROXY:
@@ -208,7 +242,7 @@
                     if version > self._publisher.version:
                         moved = self._publisher.advance(version, (), (), now)
                         for_shell.extend(self._carried_out(moved, now))
-                case EndpointsReceived():
+                case EndpointsReceived() | PublishersReceived():
                     pass
                 case _:
                     for_shell.append(output)
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -57,17 +57,10 @@
         self._leases = Leases(self.table, settings.lease)
         self._feed = EndpointFeed(self.table)
         self._sync = EndpointSyncServer(self.table, relay, incarnation, settings.heartbeat)
-        self._peers = [
-            PeerRelay(
-                address,
-                self.table,
-                connections,
-                settings.backoff,
-                generator,
-                settings.silent_after,
-            )
-            for address in settings.peers
-        ]
+        self._settings = settings
+        self._connections = connections
+        self._generator = generator
+        self._peers = [self._peer(address) for address in settings.peers]
         self._changed: set[EndpointName] = set()
         self._batch = BatchTimer(settings.batch)
 
@@ -76,6 +69,31 @@
         for peer in self._peers:
             peer.start(now)
 
+    def keep_peers(self, addresses: Iterable[Address], now: float) -> list[Output]:
+        """Exchange endpoints with just these relays from now on."""
+        wanted = list(dict.fromkeys(addresses))
+        dropped = [peer for peer in self._peers if peer.address not in wanted]
+        known = {peer.address: peer for peer in self._peers if peer.address in wanted}
+        for address in wanted:
+            if address not in known:
+                known[address] = self._peer(address)
+                known[address].start(now)
+        self._peers = [known[address] for address in wanted]
+        outputs: list[Output] = []
+        for peer in dropped:
+            outputs.extend(peer.dismiss(now))
+        return outputs
+
+    def _peer(self, address: Address) -> PeerRelay:
+        return PeerRelay(
+            address,
+            self.table,
+            self._connections,
+            self._settings.backoff,
+            self._generator,
+            self._settings.silent_after,
+        )
+
     def stop(self) -> list[Output]:
         """Close the links to the other relays."""
         return [output for peer in self._peers for output in peer.stop()]
--- a/src/limelever/relay/interface.py
+++ b/src/limelever/relay/interface.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from limelever.common.sansio import Event, Output
+from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.endpoints_pb2 import MachineNotice
 
 
@@ -15,6 +15,13 @@
     notices: tuple[MachineNotice, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RelaysKnown(Event):
+    """The addresses of all relays, this one's own included, as they are known now."""
+
+    addresses: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Event):
     """A planned stop: subscribers and agents are told to move at once."""
--- a/src/limelever/relay/peer_relay.py
+++ b/src/limelever/relay/peer_relay.py
@@ -47,7 +47,7 @@
         generator: random.Random,
         silent_after: float,
     ) -> None:
-        self._address = address
+        self.address = address
         self._table = table
         self._connections = connections
         self._backoff = Backoff(backoff, generator)
@@ -77,6 +77,12 @@
         self._dial_at = self._silent_at = None
         return [CloseConnection(connection, "planned stop")] if connection is not None else []
 
+    def dismiss(self, now: float) -> list[Output]:
+        """Stop, and keep the relay's endpoints for the table's grace only."""
+        if self._relay:
+            self._table.doubt_origin(self._relay, (), now)
+        return self.stop()
+
     def take_changed(self) -> list[EndpointName]:
         """Return the endpoints that changed since this was last called."""
         changed, self.changed = self.changed, []
@@ -108,7 +114,7 @@
             return []
         self._dial_at = None
         self._connection = self._connections.draw()
-        return [OpenConnection(self._connection, self._address, Purpose.ENDPOINTS)]
+        return [OpenConnection(self._connection, self.address, Purpose.ENDPOINTS)]
 
     def next_deadline(self) -> float | None:
         """Return when ``on_deadline`` is to be called, or ``None``."""
@@ -169,5 +175,5 @@
             self._lost_at = now
         if self._relay:
             self._table.doubt_origin(self._relay, (), now)
-        fields: dict[str, object] = {"peer": self._relay or str(self._address), "reason": reason}
+        fields: dict[str, object] = {"peer": self._relay or str(self.address), "reason": reason}
         return [LogEvent(events.PEER_LOST, fields)]
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -4,12 +4,13 @@
 
 import random
 import time
+from collections.abc import Callable
 from functools import partial
 
 import trio
 
 from limelever.common.errors import Failure
-from limelever.common.sansio import Output, Purpose, Recovered
+from limelever.common.sansio import Output, Purpose, Recovered, Role
 from limelever.common.settings import seconds
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.core import RelayCore, RelayOptions
@@ -21,6 +22,7 @@
 from limelever.relay.settings import RelaySettings
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.listener import LinkListener
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.runner import CoreRunner
 
@@ -45,6 +47,7 @@
         subscriber=_subscriber_settings(settings),
         publisher=_publisher_settings(settings),
         endpoints=_endpoints_settings(settings),
+        address=settings.listen,
     )
 
 
@@ -91,6 +94,19 @@
 
 
 async def _main(settings: RelaySettings, shell: ProcessShell) -> None:
+    await serve(settings, shell, shell.listener)
+
+
+async def serve(
+    settings: RelaySettings,
+    shell: ProcessShell,
+    listener: LinkListener,
+    on_started: Callable[[CoreRunner], None] = lambda _: None,
+) -> None:
+    """Run a relay within a process until its planned stop; links come by ``listener``.
+
+    ``on_started`` gets the core's runner, for events of the process that hosts it.
+    """
     disk = _open_disk(settings.data_folder)
     core = RelayCore(
         options_from(settings, shell.incarnation),
@@ -104,14 +120,17 @@
             shell.set_ready()
 
     async with trio.open_nursery() as nursery:
-        runner = shell.add_core(core, on_output, accepts=ACCEPTED, disk=disk)
+        runner = shell.add_core(
+            core, on_output, accepts=ACCEPTED, disk=disk, role=Role.RELAY, listener=listener
+        )
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
-        await shell.listen(settings.listen)
+        await shell.listen(settings.listen, listener)
+        on_started(runner)
         _start_polling(settings, runner, nursery)
         await shell.stop_requested.wait()
-        shell.listener.stop()
+        listener.stop()
         runner.post(StopRequested())
         await trio.sleep(_FLUSH_SECONDS)
         nursery.cancel_scope.cancel()
--- a/src/limelever/source/at_rest.py
+++ b/src/limelever/source/at_rest.py
@@ -50,6 +50,18 @@
             raise ValueError(f"needs one key or more of {KEY_BYTES} bytes")
         self._keys = tuple(_derive(key) for key in keys)
 
+    @classmethod
+    def without_keys(cls) -> SecretSealer:
+        """Return a sealer for a group that keeps no secrets: it seals and opens none."""
+        sealer = cls.__new__(cls)
+        sealer._keys = ()
+        return sealer
+
+    @property
+    def can_seal(self) -> bool:
+        """Return whether there is a key to seal with."""
+        return bool(self._keys)
+
     @classmethod
     def from_texts(cls, texts: Sequence[str]) -> SecretSealer | Failure:
         """Return a sealer for base64 keys, or ``INVALID_SETTINGS`` without naming the key."""
--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -22,7 +22,12 @@
 from limelever.publisher.core import PublisherCore
 from limelever.publisher.settings import PublisherSettings
 from limelever.source.at_rest import SecretSealer
-from limelever.source.messages import OperatorAnswer, OperatorRequest, StopRequested
+from limelever.source.messages import (
+    MembersKnown,
+    OperatorAnswer,
+    OperatorRequest,
+    StopRequested,
+)
 from limelever.source.operator_requests import OperatorRequests
 from limelever.source.publication import Publication
 from limelever.source.replication.persistence import RecoveredReplica, recover_replica
@@ -54,6 +59,7 @@
         self._periodic_due = 0.0
         self._reads: dict[int, Callable[[bool], None]] = {}
         self._last_read = 0
+        self._member_names: frozenset[str] = frozenset()
         self._now = 0.0
         self._outputs: list[Output] = []
 
@@ -103,6 +109,7 @@
             case OperatorRequest():
                 self._operators.take(event, now)
             case StopRequested():
+                self._replica.hand_over(now)
                 self._publication.stop()
             case _ if self._publication.concerns(event):
                 self._publication.handle(event)
@@ -111,9 +118,16 @@
             case _:
                 self._replicate(event)
         self._outputs.extend(self._replica.drain())
+        self._tell_members()
         outputs, self._outputs = self._outputs, []
         return outputs
 
+    def _tell_members(self) -> None:
+        names = self._replica.member_names
+        if names != self._member_names:
+            self._member_names = names
+            self._outputs.append(MembersKnown(names))
+
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted."""
         times = (
--- a/src/limelever/source/events.py
+++ b/src/limelever/source/events.py
@@ -28,6 +28,9 @@
     "synced",
     "held",
 )
+LEADERSHIP_HANDED_OVER = define(
+    2016, "leadership-handed-over", Level.INFO, "another replica is asked to lead", "successor"
+)
 SNAPSHOT_TAKEN = define(2020, "snapshot-taken", Level.INFO, "snapshot taken", "index")
 SNAPSHOT_INSTALLED = define(
     2021, "snapshot-installed", Level.INFO, "snapshot of the leader installed", "index", "leader"
--- a/src/limelever/source/messages.py
+++ b/src/limelever/source/messages.py
@@ -12,11 +12,19 @@
     ApplyRequest,
     ChangeMembersRequest,
     GetRequest,
+    GetRevisionRequest,
     RolloutRequest,
     StatusRequest,
 )
 
-OperatorMessage = ApplyRequest | GetRequest | RolloutRequest | StatusRequest | ChangeMembersRequest
+OperatorMessage = (
+    ApplyRequest
+    | GetRequest
+    | GetRevisionRequest
+    | RolloutRequest
+    | StatusRequest
+    | ChangeMembersRequest
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +43,13 @@
     answer: Message | Failure
 
 
+@dataclass(frozen=True, slots=True)
+class MembersKnown(Output):
+    """The names of the group's members, learners included, as this replica knows them now."""
+
+    names: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Event):
-    """A planned stop began: subscribers are sent to another replica."""
+    """A planned stop began: subscribers go to another replica, and so does leadership."""
--- a/src/limelever/source/operator_door.py
+++ b/src/limelever/source/operator_door.py
@@ -14,11 +14,13 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.settings import not_empty
+from limelever.protocol.config_pb2 import Batch
 from limelever.protocol.operators_pb2 import (
     DESCRIPTOR,
     ApplyRequest,
     ChangeMembersRequest,
     GetRequest,
+    GetRevisionRequest,
     RolloutRequest,
     StatusRequest,
 )
@@ -39,6 +41,7 @@
 _REQUESTS: dict[str, type[Message]] = {
     f"/{_SERVICE.full_name}/Apply": ApplyRequest,
     f"/{_SERVICE.full_name}/Get": GetRequest,
+    f"/{_SERVICE.full_name}/GetRevision": GetRevisionRequest,
     f"/{_SERVICE.full_name}/Rollout": RolloutRequest,
     f"/{_SERVICE.full_name}/Status": StatusRequest,
     f"/{_SERVICE.full_name}/ChangeMembers": ChangeMembersRequest,
@@ -89,9 +92,10 @@
         if operator.read_only and is_write(request):
             reason = f"operator {operator.name} may only read"
             return Refusal(Failure(ErrorKind.PERMISSION_DENIED, reason))
-        return self._checked(request)
+        return self.checked(request)
 
-    def _checked(self, request: Message) -> Message | Refusal:
+    def checked(self, request: Message) -> Message | Refusal:
+        """Return a request of sound shape with its secrets sealed, or why it is refused."""
         match request:
             case ApplyRequest(dry_run=True):
                 problems = validate_resources(request.batch)
@@ -105,9 +109,16 @@
             return Refusal(failure_of(problems), problems)
         if not isinstance(request, ApplyRequest):
             return request
+        if not self._sealer.can_seal and _has_secret(request.batch):
+            reason = "secrets are not kept here: the settings hold no sealing key"
+            return Refusal(Failure(ErrorKind.INVALID_REQUEST, reason))
         return ApplyRequest(batch=self._sealer.seal_batch(request.batch), dry_run=request.dry_run)
 
 
+def _has_secret(batch: Batch) -> bool:
+    return any(resource.HasField("secret") for resource in batch.put)
+
+
 def _parsed(method: str, headers: Headers, body: bytes | Failure) -> Message | Failure:
     kind = _REQUESTS.get(method)
     if kind is None:
--- a/src/limelever/source/operator_requests.py
+++ b/src/limelever/source/operator_requests.py
@@ -16,6 +16,8 @@
     ChangeMembersResponse,
     GetRequest,
     GetResponse,
+    GetRevisionRequest,
+    GetRevisionResponse,
     RolloutRequest,
     StatusRequest,
     StatusResponse,
@@ -66,6 +68,9 @@
         if isinstance(request, StatusRequest):
             self._host.answer(event.token, self._status())
             return
+        if isinstance(request, GetRevisionRequest):
+            self._read(event.token, self._revision, now)
+            return
         refusal = self._refusal()
         if refusal is not None:
             self._host.answer(event.token, refusal)
@@ -101,6 +106,10 @@
     # --- writes -----------------------------------------------------------------------------
 
     def _apply(self, token: int, batch: Batch, now: float) -> None:
+        if not self._replica.accepts_writes:
+            failure = self._no_quorum("the group has too few voters to keep a write safe")
+            self._host.answer(token, failure)
+            return
         uncommitted = self._replica.uncommitted
         index = index_of_same(batch, uncommitted)
         if index is None and len(uncommitted) >= self._settings.uncommitted_limit:
@@ -158,6 +167,12 @@
                 response.resources.append(redacted(found))
         return response
 
+    def _revision(self) -> GetRevisionResponse:
+        revision = self._state.revision
+        return GetRevisionResponse(
+            number=revision.number, document=revision.document, version=self._state.version
+        )
+
     def _rollout(self, request: RolloutRequest) -> Message:
         version = request.version or self._state.version
         own = self._publisher.rollout_report()
--- a/src/limelever/source/overlaps.py
+++ b/src/limelever/source/overlaps.py
@@ -25,17 +25,34 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RoutePlace:
+    """Which calls a route may take, but for their method; an empty host stands for any."""
+
+    host: str
+    path_prefix: str
+
+    @classmethod
+    def of(cls, route: Route) -> RoutePlace:
+        """Return the place of ``route``."""
+        return cls(route.host, route.path_prefix)
+
+    def __str__(self) -> str:
+        """Return host and prefix as in a target."""
+        return f"{self.host}{self.path_prefix}"
+
+
 def route_overlaps(routes: Iterable[Route]) -> Iterator[Overlap]:
-    """Yield the pairs of routes that take the same calls: one prefix, and a method in common."""
-    by_prefix: dict[str, list[Route]] = {}
+    """Yield the pairs of routes that take the same calls: one place, and a method in common."""
+    by_place: dict[RoutePlace, list[Route]] = {}
     for route in routes:
-        by_prefix.setdefault(route.path_prefix, []).append(route)
-    for neighbours in by_prefix.values():
+        by_place.setdefault(RoutePlace.of(route), []).append(route)
+    for neighbours in by_place.values():
         for first, second in combinations(neighbours, 2):
             common = _common_methods(first, second)
             if common:
                 keys = (route_key(first.name), route_key(second.name))
-                reason = f"{keys[0]} and {keys[1]} both take {common} at {first.path_prefix}"
+                reason = f"{keys[0]} and {keys[1]} both take {common} at {RoutePlace.of(first)}"
                 yield Overlap(keys, reason)
 
 
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import TypeVar
@@ -12,11 +13,12 @@
 from google.protobuf.message import Message
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import Address, Output, Purpose
+from limelever.common.sansio import Address, Output, Purpose, Role
 from limelever.keeper.core import KeeperCore
 from limelever.source.at_rest import SecretSealer
 from limelever.source.core import SourceCore
 from limelever.source.messages import (
+    MembersKnown,
     OperatorAnswer,
     OperatorMessage,
     OperatorRequest,
@@ -80,36 +82,54 @@
 
 
 async def _main(settings: SourceSettings, shell: ProcessShell) -> None:
-    replica_disk = _open_disk(settings, REPLICA_FOLDER)
-    keeper_disk = _open_disk(settings, KEEPER_FOLDER)
-    sealer = _required(SecretSealer.from_texts(settings.secrets.keys))
+    keeper_disk = open_disk(settings, KEEPER_FOLDER)
+    wall_offset = time.time() - trio.current_time()
+    keeper = KeeperCore(keeper_settings(settings), keeper_disk.recovered, wall_offset)
+    async with trio.open_nursery() as nursery:
+        keeper_runner = shell.add_core(
+            keeper, lambda _: None, accepts=(Purpose.KEEPER,), disk=keeper_disk
+        )
+        await nursery.start(keeper_runner.run)
+        await serve(settings, shell)
+        nursery.cancel_scope.cancel()
+
+
+async def serve(
+    settings: SourceSettings,
+    shell: ProcessShell,
+    desk: OperatorDesk | None = None,
+    on_members: Callable[[frozenset[str]], None] = lambda _: None,
+) -> None:
+    """Run a replica and the operators' service within a process until its planned stop.
+
+    ``desk`` takes requests of further interfaces, ``on_members`` the names of the group's members.
+    """
+    disk = open_disk(settings, REPLICA_FOLDER)
+    sealer = sealer_of(settings)
     core = _required(
         SourceCore.open(
             replication_settings(settings, settings.operator_listen),
             publisher_settings(settings),
-            replica_disk.recovered,
+            disk.recovered,
             random.Random(),
             sealer,
         )
     )
-    wall_offset = time.time() - trio.current_time()
-    keeper = KeeperCore(keeper_settings(settings), keeper_disk.recovered, wall_offset)
-    desk = OperatorDesk()
+    desk = desk or OperatorDesk()
 
     def on_output(output: Output) -> None:
-        if isinstance(output, OperatorAnswer):
-            desk.take(output)
+        match output:
+            case OperatorAnswer():
+                desk.take(output)
+            case MembersKnown(names):
+                on_members(names)
 
     purposes = (Purpose.REPLICATION, Purpose.SUBSCRIPTION)
     async with trio.open_nursery() as nursery:
-        runner = shell.add_core(core, on_output, accepts=purposes, disk=replica_disk)
-        keeper_runner = shell.add_core(
-            keeper, lambda _: None, accepts=(Purpose.KEEPER,), disk=keeper_disk
-        )
+        runner = shell.add_core(core, on_output, accepts=purposes, disk=disk, role=Role.SOURCE)
         desk.runner = runner
         shell.report_version(lambda: core.state.version)
         await nursery.start(runner.run)
-        await nursery.start(keeper_runner.run)
         await shell.listen(settings.listen)
         async with trio.open_nursery() as serving:
             await _serve_operators(settings, shell, desk, sealer, serving)
@@ -120,6 +140,13 @@
         nursery.cancel_scope.cancel()
 
 
+def sealer_of(settings: SourceSettings) -> SecretSealer:
+    """Return the sealer for the keys in the settings, which may be none."""
+    if not settings.secrets.keys:
+        return SecretSealer.without_keys()
+    return _required(SecretSealer.from_texts(settings.secrets.keys))
+
+
 async def _serve_operators(
     settings: SourceSettings,
     shell: ProcessShell,
@@ -143,7 +170,8 @@
         shell.set_ready()
 
 
-def _open_disk(settings: SourceSettings, name: str) -> FolderDisk:
+def open_disk(settings: SourceSettings, name: str) -> FolderDisk:
+    """Open the folder of one of the process's cores, or end the process."""
     return _required(open_folder(Path(settings.data_folder) / name))
 
 
--- a/src/limelever/source/replication/changes.py
+++ b/src/limelever/source/replication/changes.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.settings import is_address
 from limelever.protocol.operators_pb2 import ChangeMembersRequest
 from limelever.protocol.replication_pb2 import JoinRequest, Member, MemberSet
 from limelever.source import events
@@ -54,7 +55,7 @@
         been lost since, ahead of the one in use.
         """
         context = self._context
-        if request.name not in context.settings.peers:
+        if not self._may_join(request.name):
             context.record(events.JOIN_REFUSED, name=request.name)
             return
         if not request.identity:
@@ -67,6 +68,10 @@
         kept = JOIN_INTERVALS_KEPT * context.settings.join_interval
         self._joins[request.name] = _Join(member, context.now + kept)
 
+    def _may_join(self, name: str) -> bool:
+        settings = self._context.settings
+        return is_address(name) if settings.discovers_members else name in settings.peers
+
     def _joining(self) -> list[Member]:
         """Return the replicas that ask for admission now."""
         now = self._context.now
@@ -94,8 +99,36 @@
             known = is_member(members, joining.identity)
             if not known and replaces_a_voter(members, joining.name):
                 return with_learner(members, joining)
+        if self._context.settings.discovers_members:
+            return self._next_discovered_set(members)
         return None
 
+    def _next_discovered_set(self, members: MemberSet) -> MemberSet | None:
+        """Keep the number of voters: promote, then remove the silent, then admit."""
+        settings = self._context.settings
+        ready = [each for each in learners(members) if self._promotion(each) is not None]
+        missing = settings.voters - len(voters(members))
+        if ready and missing > 0:
+            return self._promotion(ready[0])
+        silent = self._silent_voter(members)
+        if silent is not None and (ready or missing < 0):
+            return self._removal(silent)
+        for learner in learners(members):
+            if self._leadership.silent_for(learner) > settings.replace_after:
+                return without(members, learner)
+        for joining in self._joining():
+            if not is_member(members, joining.identity):
+                return with_learner(members, joining)
+        return None
+
+    def _silent_voter(self, members: MemberSet) -> str | None:
+        """Return the voter that has been silent longest, if one was for long enough to go."""
+        silence = {each: self._leadership.silent_for(each) for each in sorted(voters(members))}
+        longest = max(silence, key=lambda each: silence[each], default=None)
+        if longest is None or silence[longest] <= self._context.settings.replace_after:
+            return None
+        return longest
+
     def _promotion(self, identity: str) -> MemberSet | None:
         """Return the set with a learner promoted, unless it lags or could halt the group."""
         lags = self._leadership.matched_index(identity) < self._context.commit_index
--- a/src/limelever/source/replication/elections.py
+++ b/src/limelever/source/replication/elections.py
@@ -10,7 +10,7 @@
 from functools import partial
 
 from limelever.common.sansio import ConnectionId
-from limelever.protocol.replication_pb2 import VoteAnswer, VoteRequest
+from limelever.protocol.replication_pb2 import ElectNow, VoteAnswer, VoteRequest
 from limelever.source import events
 from limelever.source.replication.context import ReplicaContext, ReplicaRole
 from limelever.source.replication.members import is_majority
@@ -34,6 +34,13 @@
         if context.is_voter:
             self._begin_pre_vote()
 
+    def elect_now(self, request: ElectNow) -> None:
+        """Stand for election without a pre-vote: the leader of this term gives way."""
+        context = self._context
+        if request.term == context.term and context.is_voter:
+            context.role = ReplicaRole.CANDIDATE
+            self._campaign()
+
     def _begin_pre_vote(self) -> None:
         context = self._context
         context.role = ReplicaRole.CANDIDATE
--- a/src/limelever/source/replication/joining.py
+++ b/src/limelever/source/replication/joining.py
@@ -14,7 +14,10 @@
 
 from __future__ import annotations
 
-from limelever.common.sansio import ConnectionId
+from collections.abc import Mapping
+
+from limelever.common.sansio import Address, CloseConnection, ConnectionId
+from limelever.common.settings import is_address, parse_address
 from limelever.protocol.replication_pb2 import (
     JOIN_STATE_BOOTSTRAPPED,
     JOIN_STATE_EMPTY,
@@ -42,6 +45,7 @@
         self._context = context
         self._states: dict[str, JoinState.ValueType] = {}
         self._due = 0.0
+        self._told: set[str] = set()
 
     @property
     def wanted(self) -> bool:
@@ -83,10 +87,29 @@
 
     def take_answer(self, answer: JoinRequest) -> None:
         """Take a peer's state and format the disk once enough is known."""
-        if answer.name in self._context.settings.peers:
+        settings = self._context.settings
+        if settings.discovers_members:
+            self._told.update(name for name in answer.members if is_address(name))
+        if settings.discovers_members or answer.name in settings.peers:
             self._states[answer.name] = answer.state
             self._decide()
 
+    def keep_links(self) -> None:
+        """Have links to the members of a group that discovers them.
+
+        A replica that is not a member yet asks the seeds and all whom these named.
+        """
+        context = self._context
+        if not context.settings.discovers_members:
+            return
+        names = {member.name for member in context.members.members}
+        if self.wanted or not names:
+            names |= self._told | context.settings.peers.keys()
+        peers = _addresses(names - {context.settings.name})
+        for connection in context.links.keep(peers, context.now):
+            context.outputs.append(CloseConnection(connection, "not a member any more"))
+        context.outputs.extend(context.links.dial_due(context.now))
+
     def _request(self, answer: bool) -> JoinRequest:
         context = self._context
         return JoinRequest(
@@ -95,6 +118,7 @@
             operator_address=context.settings.operator_address,
             state=self._state(),
             answer=answer,
+            members=[member.name for member in context.members.members] if answer else (),
         )
 
     def _state(self) -> JoinState.ValueType:
@@ -119,8 +143,9 @@
 
     def _may_found(self) -> bool:
         """Return whether a majority of all other replicas said that no group exists."""
-        others = len(self._context.settings.peers)
-        return others == 0 or 2 * len(self._states) > others
+        peers = self._context.settings.peers
+        heard = len(self._states.keys() & peers.keys())
+        return not peers or 2 * heard > len(peers)
 
     def _format(self, suffix: str, first_members: MemberSet) -> None:
         context = self._context
@@ -135,3 +160,8 @@
         context.restart_election_timer()
         context.record(events.DISK_FORMATTED, identity=formatted.identity, bootstrap=founder)
         self._due = context.now
+
+
+def _addresses(names: set[str]) -> Mapping[str, Address]:
+    """Return the addresses that are the names of replicas in a group that discovers them."""
+    return {name: parse_address(name) for name in sorted(names)}
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -8,6 +8,7 @@
 from limelever.protocol.config_pb2 import Batch
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
+    ElectNow,
     LogEntry,
     Member,
     MemberSet,
@@ -123,6 +124,36 @@
         heard_at = self._sender.progress_of(identity).heard_at
         return self._context.now - heard_at < self._context.settings.lease
 
+    def silent_for(self, identity: str) -> float:
+        """Return for how long a member has not answered this leader (seconds)."""
+        if identity == self._context.identity:
+            return 0.0
+        progress = self._sender.progress_of(identity)
+        return self._context.now - max(progress.heard_at, progress.known_since)
+
+    def successor(self) -> Member | None:
+        """Return the voter that lacks least of the log among those heard lately."""
+        context = self._context
+        candidates = [
+            member
+            for member in context.members.members
+            if member.voter
+            and member.identity != context.identity
+            and self.heard_lately(member.identity)
+        ]
+        return max(candidates, key=lambda m: self.matched_index(m.identity), default=None)
+
+    def hand_over(self) -> None:
+        """Ask the best follower to stand for election at once, as before a planned stop."""
+        successor = self.successor() if self.leading else None
+        if successor is None:
+            return
+        connection = self._context.links.connection_to(successor.name)
+        if connection is not None:
+            fields: dict[str, object] = {"successor": successor.identity}
+            self._context.record(events.LEADERSHIP_HANDED_OVER, **fields)
+            self._context.send(connection, ElectNow(term=self._context.term))
+
     def matched_index(self, identity: str) -> int:
         """Return up to which index a member has synced the log, as far as is known."""
         if identity == self._context.identity:
--- a/src/limelever/source/replication/links.py
+++ b/src/limelever/source/replication/links.py
@@ -1,21 +1,31 @@
-"""Links to the other replicas: one dialled to each, redialled with jitter."""
+"""Links to the other replicas: one dialled to each, redialled with jitter.
+
+The peers are those of the settings, or in a group that discovers its members, those named last.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from random import Random
 
 from limelever.common.backoff import Backoff
-from limelever.common.sansio import ConnectionId, DialledConnections, OpenConnection, Purpose
+from limelever.common.sansio import (
+    Address,
+    ConnectionId,
+    DialledConnections,
+    OpenConnection,
+    Purpose,
+)
 from limelever.source.replication.settings import ReplicationSettings
 
 
 class _Dialled:
     """State of the dialled link to one peer."""
 
-    __slots__ = ("backoff", "connection", "due", "open")
+    __slots__ = ("address", "backoff", "connection", "due", "open")
 
-    def __init__(self, backoff: Backoff, due: float) -> None:
+    def __init__(self, address: Address, backoff: Backoff, due: float) -> None:
+        self.address = address
         self.backoff = backoff
         self.connection: ConnectionId | None = None
         self.open = False
@@ -33,17 +43,23 @@
 
     def start(self, now: float) -> None:
         """Make every peer due for a dial."""
-        for name in self._settings.peers:
-            backoff = Backoff(self._settings.backoff, self._random)
-            self._dialled[name] = _Dialled(backoff, now)
+        self.keep(self._settings.peers, now)
+
+    def keep(self, peers: Mapping[str, Address], now: float) -> list[ConnectionId]:
+        """Have links to just these peers; return those to be closed."""
+        for name, address in peers.items():
+            if name not in self._dialled:
+                backoff = Backoff(self._settings.backoff, self._random)
+                self._dialled[name] = _Dialled(address, backoff, now)
+        dropped = [self._dialled.pop(name) for name in self._dialled.keys() - peers.keys()]
+        return [link.connection for link in dropped if link.connection is not None]
 
     def dial_due(self, now: float) -> Iterable[OpenConnection]:
         """Yield the dials whose time has come."""
-        for name, link in self._dialled.items():
+        for link in self._dialled.values():
             if link.connection is None and link.due <= now:
                 link.connection = self._ids.draw()
-                address = self._settings.peers[name]
-                yield OpenConnection(link.connection, address, Purpose.REPLICATION)
+                yield OpenConnection(link.connection, link.address, Purpose.REPLICATION)
 
     def opened(self, connection: ConnectionId) -> str | None:
         """Note that a dialled link is up and return its peer's name."""
--- a/src/limelever/source/replication/members.py
+++ b/src/limelever/source/replication/members.py
@@ -42,6 +42,11 @@
     return 2 * len(voting.intersection(identities)) > len(voting)
 
 
+def majority_size(members: MemberSet) -> int:
+    """Return how many voters make a majority."""
+    return len(voters(members)) // 2 + 1
+
+
 def majority_value(members: MemberSet, values: Mapping[str, int]) -> int:
     """Return the highest value that a majority of the voters has reached (0 when unknown)."""
     reached = sorted((values.get(identity, 0) for identity in voters(members)), reverse=True)
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -13,11 +13,12 @@
 
     ``match_index`` is synced at the follower, by its answer in ``match_round``; ``next_index`` is
     sent next, ahead of the answers; ``acked_round`` is the newest round it echoed; ``heard_at`` is
-    when it last answered; ``snapshot_due`` is when a snapshot may be sent (again). Times in
-    seconds, monotonic.
+    when it last answered; ``known_since`` is when this leader first dealt with it; ``snapshot_due``
+    is when a snapshot may be sent (again). Times in seconds, monotonic.
     """
 
     next_index: int
+    known_since: float = NEVER
     match_index: int = 0
     match_round: int = 0
     acked_round: int = 0
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -24,6 +24,7 @@
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
     AppendRequest,
+    ElectNow,
     InstallSnapshot,
     JoinRequest,
     LogEntry,
@@ -40,6 +41,7 @@
 from limelever.source.replication.forwarded_reads import ForwardedReads
 from limelever.source.replication.joining import Joining
 from limelever.source.replication.leading import Leadership
+from limelever.source.replication.members import majority_size
 from limelever.source.replication.persistence import RecoveredReplica
 from limelever.source.replication.settings import ReplicationSettings
 from limelever.source.replication.status import replica_status
@@ -110,6 +112,25 @@
         """Return the entries whose fate is open."""
         return self._context.log.suffix(self._context.commit_index)
 
+    @property
+    def accepts_writes(self) -> bool:
+        """Return whether a commit reaches as many disks as the group is to lose, and one more.
+
+        A group that is still growing from its seeds would commit with fewer.
+        """
+        context = self._context
+        return majority_size(context.members) > context.settings.voters // 2
+
+    @property
+    def member_names(self) -> frozenset[str]:
+        """Return the names of the members, learners included."""
+        return frozenset(member.name for member in self._context.members.members)
+
+    def hand_over(self, now: float) -> None:
+        """Ask another replica to lead, if this one does; it goes on until that is elected."""
+        self._context.now = now
+        self._leadership.hand_over()
+
     def status(self) -> StatusResponse:
         """Return what operators see of this replica; the configuration version is the host's."""
         return replica_status(self._context, self._leadership.matched_index)
@@ -157,6 +178,7 @@
             case DeadlineReached():
                 self._on_time()
         self._changes.advance()
+        self._joining.keep_links()
         return self.drain()
 
     def drain(self) -> list[Output]:
@@ -227,6 +249,8 @@
             case InstallSnapshot():
                 self._follower.take_snapshot(connection, message)
                 self._reads.on_commit()
+            case ElectNow():
+                self._elections.elect_now(message)
             case ReadIndexRequest():
                 self._leadership.take_read_request(connection, message)
             case ReadIndexAnswer():
--- a/src/limelever/source/replication/sending.py
+++ b/src/limelever/source/replication/sending.py
@@ -30,7 +30,7 @@
         """Return what is known of a follower."""
         known = self._progress.get(identity)
         if known is None:
-            known = Progress(next_index=self._context.log.last_index + 1)
+            known = Progress(self._context.log.last_index + 1, self._context.now)
             self._progress[identity] = known
         return known
 
--- a/src/limelever/source/replication/settings.py
+++ b/src/limelever/source/replication/settings.py
@@ -17,6 +17,10 @@
     begins after a time drawn between ``election_timeout`` and twice that. ``lease`` is how long
     a leader goes on without proof that a majority hears it; at most ``election_timeout``.
     ``bootstrap`` allows an empty disk to found a new group together with empty peers.
+    With ``seeds`` nobody lists the group: a replica's name is then the address of its links, the
+    seeds found the group together, every replica that asks is admitted, and the leader keeps the
+    number of voters at ``voters`` by promoting learners and by removing voters that were silent
+    for ``replace_after`` where a learner is ready to take their place.
     ``snapshot_every`` is in log entries, ``append_bytes`` bounds one append message.
     """
 
@@ -31,6 +35,9 @@
     snapshot_every: int = 4096
     append_bytes: int = 1024 * 1024
     uncommitted_limit: int = 1024
+    seeds: tuple[Address, ...] = ()
+    voters: int = 0
+    replace_after: float = 4.0
     backoff: BackoffSettings = field(default_factory=lambda: BackoffSettings(0.05, 1.0))
 
     def __post_init__(self) -> None:
@@ -41,3 +48,8 @@
             raise ValueError("heartbeat_interval must be at most half of lease")
         if self.name in self.peers:
             raise ValueError("peers must not name the replica itself")
+
+    @property
+    def discovers_members(self) -> bool:
+        """Return whether members are found through seeds, in place of a list of all."""
+        return bool(self.seeds)
--- a/src/limelever/source/resource_set.py
+++ b/src/limelever/source/resource_set.py
@@ -6,7 +6,7 @@
 
 from limelever.protocol.config_pb2 import Resource, Route, Secret, VersionedResource
 from limelever.protocol.keys import Key, secret_key
-from limelever.source.overlaps import Overlap, header_overlaps, route_overlaps
+from limelever.source.overlaps import Overlap, RoutePlace, header_overlaps, route_overlaps
 from limelever.source.references import ReferenceIndex
 
 
@@ -15,7 +15,7 @@
 
     def __init__(self, resources: Iterable[VersionedResource] = ()) -> None:
         self._resources: dict[Key, VersionedResource] = {}
-        self._routes: dict[str, set[Key]] = {}
+        self._routes: dict[RoutePlace, set[Key]] = {}
         self.references = ReferenceIndex()
         for item in resources:
             self.put(item)
@@ -48,7 +48,7 @@
         self._resources[key] = item
         self.references.add(item.resource)
         if item.resource.HasField("route"):
-            self._routes.setdefault(item.resource.route.path_prefix, set()).add(key)
+            self._routes.setdefault(RoutePlace.of(item.resource.route), set()).add(key)
 
     def remove(self, key: Key) -> None:
         """Drop the resource of ``key``, if there is one."""
@@ -57,9 +57,10 @@
             return
         self.references.remove(item.resource)
         if item.resource.HasField("route"):
-            self._routes[item.resource.route.path_prefix].discard(key)
-            if not self._routes[item.resource.route.path_prefix]:
-                del self._routes[item.resource.route.path_prefix]
+            place = RoutePlace.of(item.resource.route)
+            self._routes[place].discard(key)
+            if not self._routes[place]:
+                del self._routes[place]
 
     def overlaps(self, put: Mapping[Key, Resource], deleted: Iterable[Key]) -> Iterator[Overlap]:
         """Yield what would overlap after ``put`` and ``deleted``, where a put resource is in it."""
@@ -77,9 +78,9 @@
         return self._resources[key].resource.route
 
     def _neighbours(self, routes: Iterable[Route]) -> set[Key]:
-        """Return the keys of the held routes that share a prefix with one of ``routes``."""
-        prefixes = {route.path_prefix for route in routes}
-        return {key for prefix in prefixes for key in self._routes.get(prefix, ())}
+        """Return the keys of the held routes that share a place with one of ``routes``."""
+        places = {RoutePlace.of(route) for route in routes}
+        return {key for place in places for key in self._routes.get(place, ())}
 
     def _users_of_secrets(self, put: Mapping[Key, Resource]) -> set[Key]:
         """Return the keys of the held routes that use a secret in ``put``."""
--- a/src/limelever/source/settings.py
+++ b/src/limelever/source/settings.py
@@ -16,6 +16,7 @@
     ProcessSettings,
     between,
     dialled,
+    distinct,
     not_empty,
     seconds,
 )
@@ -53,6 +54,8 @@
     heartbeat_interval_ms: int = attrs.field(default=200, validator=between(5, 30000))
     lease_ms: int = attrs.field(default=1000, validator=between(20, 60000))
     snapshot_every: int = attrs.field(default=4096, validator=between(16, 1 << 24))
+    voters: int = attrs.field(default=5, validator=between(1, 99))
+    replace_after_ms: int = attrs.field(default=4000, validator=between(100, 3600000))
 
 
 @attrs.frozen(kw_only=True)
@@ -81,7 +84,7 @@
 class SecretSettings:
     """Keys that seal secrets at rest: the first seals, any opens."""
 
-    keys: tuple[str, ...] = attrs.field(validator=[not_empty, sealing_key], repr=False)
+    keys: tuple[str, ...] = attrs.field(validator=sealing_key, repr=False)
 
 
 def _are_distinct(peers: Sequence[PeerSettings]) -> bool:
@@ -98,12 +101,19 @@
     CLASHES: ClassVar[tuple[Clash, ...]] = (
         *ProcessSettings.CLASHES,
         Clash(("data_folder",), "a source needs a data folder", bool),
+        Clash(("operators",), "must not be empty", bool),
+        Clash(("secrets.keys",), "must not be empty", bool),
         Clash(
             ("peers", "name"),
             "must not name the replica itself",
             lambda peers, name: name not in [peer.name for peer in peers],
         ),
         Clash(("peers",), "must not name a replica or an address twice", _are_distinct),
+        Clash(
+            ("seeds", "peers"),
+            "must not stand beside peers: the members are listed, or found through seeds",
+            lambda seeds, peers: not (seeds and peers),
+        ),
         Clash(("peers",), "the group must have an odd size", lambda peers: len(peers) % 2 == 0),
         Clash(
             ("operators",),
@@ -126,7 +136,9 @@
     operator_listen: Address
     bootstrap: bool = False
     peers: tuple[PeerSettings, ...] = ()
-    operators: tuple[OperatorToken, ...] = attrs.field(validator=not_empty)
+    seeds: tuple[Address, ...] = attrs.field(default=(), validator=[distinct, dialled])
+    operator_advertise: Address | None = attrs.field(default=None, validator=dialled)
+    operators: tuple[OperatorToken, ...]
     secrets: SecretSettings
     replication: ReplicationTimes = ReplicationTimes()
     publishing: PublishingSettings = PublishingSettings()
@@ -138,11 +150,16 @@
 ) -> ReplicationSettings:
     """Return what the replication core is told."""
     times = settings.replication
+    found = {str(seed): seed for seed in settings.seeds if seed != settings.listen}
+    founds = not settings.seeds or settings.listen in settings.seeds
     return ReplicationSettings(
-        name=settings.name,
-        peers={peer.name: peer.address for peer in settings.peers},
-        operator_address=str(operator_address),
-        bootstrap=settings.bootstrap,
+        name=str(settings.listen) if settings.seeds else settings.name,
+        peers=found or {peer.name: peer.address for peer in settings.peers},
+        seeds=settings.seeds,
+        voters=times.voters if settings.seeds else 0,
+        replace_after=seconds(times.replace_after_ms),
+        operator_address=str(settings.operator_advertise or operator_address),
+        bootstrap=settings.bootstrap and founds,
         election_timeout=seconds(times.election_timeout_ms),
         heartbeat_interval=seconds(times.heartbeat_interval_ms),
         lease=seconds(times.lease_ms),
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.protocol.config_pb2 import Batch, Resource, VersionedResource
+from limelever.protocol.config_pb2 import Batch, Resource, Revision, VersionedResource
 from limelever.protocol.keys import Key
 from limelever.protocol.operators_pb2 import (
     CHANGE_ACTION_CREATE,
@@ -35,6 +35,7 @@
 )
 from limelever.source.request_records import DEFAULT_RECORD_LIMIT, RecordMiss, RequestRecords
 from limelever.source.resource_set import ResourceSet
+from limelever.source.revisions import Revisions
 
 MAX_NAMED = 20
 RULES_WITH_OVERLAPS = 1
@@ -68,11 +69,12 @@
 class ApplyOutcome:
     """What became of a batch.
 
+    ``record`` is ``None`` for a batch that carries a revision, which has records of its own.
     ``answer`` goes to the operator; ``applied`` is ``None`` when nothing changed (refused,
     repeated, or every resource already so).
     """
 
-    record: RequestRecord
+    record: RequestRecord | None
     answer: ApplyResponse | Failure
     applied: AppliedBatch | None
 
@@ -92,6 +94,7 @@
         self._version = 0
         self._resources = ResourceSet()
         self._records = RequestRecords(record_limit)
+        self._revisions = Revisions()
 
     @property
     def version(self) -> int:
@@ -106,8 +109,15 @@
         """Return all resources in the order of their keys; secret values are sealed."""
         return self._resources.in_order()
 
+    @property
+    def revision(self) -> Revision:
+        """Return the operator's newest revision; its number is 0 when there is none."""
+        return self._revisions.current
+
     def apply(self, version: int, batch: Batch, rules: int = CURRENT_RULES) -> ApplyOutcome:
         """Apply the committed ``batch`` whose log index is ``version``, judged by ``rules``."""
+        if batch.HasField("revision"):
+            return self._apply_revision(version, batch, rules)
         found = self._records.find(batch.request_id, version)
         if isinstance(found, RequestRecord):
             return self._repeat(found, batch)
@@ -120,7 +130,8 @@
             outcome = self._refuse(batch, plan)
         else:
             outcome = self._accept(version, batch, plan)
-        self._records.add(outcome.record)
+        if outcome.record is not None:
+            self._records.add(outcome.record)
         return outcome
 
     def dry_run(self, batch: Batch) -> ApplyResponse | Failure:
@@ -137,6 +148,8 @@
             resources=self.resources(),
             requests=self._records.oldest_first(),
             removed_requests_through=self._records.removed_through,
+            revision=self._revisions.current,
+            revisions=self._revisions.oldest_first(),
         )
 
     def restore(self, snapshot: SourceSnapshot) -> None:
@@ -145,6 +158,23 @@
         self._version = snapshot.version
         self._resources = ResourceSet(snapshot.resources)
         self._records.restore(snapshot.requests, snapshot.removed_requests_through)
+        self._revisions.restore(snapshot.revision, snapshot.revisions)
+
+    def _apply_revision(self, version: int, batch: Batch, rules: int) -> ApplyOutcome:
+        """Apply a batch that carries the operator's own number for the state after it."""
+        judged = self._revisions.judge(batch)
+        if isinstance(judged, Failure):
+            return ApplyOutcome(None, judged, None)
+        if judged is not None:
+            repeated = ApplyResponse(version=judged.version, repeated_answer=True)
+            return ApplyOutcome(None, repeated, None)
+        plan = self._judge(batch, rules)
+        if isinstance(plan, Failure):
+            return ApplyOutcome(None, plan, None)
+        applied = self._take(version, plan)
+        self._revisions.take(batch, self._version)
+        answer = ApplyResponse(version=self._version, changes=plan.changes)
+        return ApplyOutcome(None, answer, applied)
 
     def _failure(self, kind: ErrorKind, reason: str, keys: Sequence[Key] = ()) -> Failure:
         named = tuple(str(key) for key in keys[:MAX_NAMED])
@@ -191,7 +221,9 @@
 
     def _plan(self, batch: Batch) -> _Plan | Failure:
         put = {Key.of(resource): resource for resource in batch.put}
-        deleted = tuple(sorted({Key.from_message(key) for key in batch.delete}))
+        named = {Key.from_message(key) for key in batch.delete}
+        left_out = self._resources.keys() - put.keys() if batch.replace else set()
+        deleted = tuple(sorted(named | left_out))
         failure = self._check(batch, put, deleted)
         if failure is not None:
             return failure
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -15,6 +15,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import (
     CALL_KIND_AT_MOST_ONCE,
+    CALL_KIND_ONCE_PER_ATTEMPT,
     CALL_KIND_REPEATABLE,
     Batch,
     Resource,
@@ -29,6 +30,8 @@
 
 MAX_BATCH_BYTES = 1 << 20
 MAX_BATCH_RESOURCES = 1000
+MAX_REPLACEMENT_BYTES = 8 << 20
+MAX_REPLACEMENT_RESOURCES = 20_000
 MAX_WEIGHT = 10_000
 MAX_DURATION_MS = 3_600_000
 MAX_BODY_BYTES = 1 << 30
@@ -38,10 +41,15 @@
 MAX_SECRET_VALUE_BYTES = 4096
 MAX_PERCENT = 100
 MAX_KEY_NAME = 127
+MAX_CONNECTIONS = 65_535
+MAX_ATTEMPTS = 100
+MAX_PRIORITY = 100
+MAX_PARTS = 100
 BATCH_SUBJECT = "batch"
 
 _NAME = re.compile(r"[a-z0-9](?:[a-z0-9._-]{0,61}[a-z0-9])?")
 _PATH_PREFIX = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
+_HOST = re.compile(r"[a-z0-9_](?:[a-z0-9_.-]{0,252})(?::[0-9]{1,5})?")
 _METHOD = re.compile(r"[A-Z]{1,16}")
 _HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
 _HEADER_VALUE = re.compile(rb"[\x21-\x7e](?:[\t\x20-\x7e]*[\x21-\x7e])?")
@@ -58,6 +66,8 @@
         "upgrade",
     }
 )
+_TARGET = re.compile(r"/[\x21-\x7e]{0,511}")
+_CALL_KINDS = (CALL_KIND_REPEATABLE, CALL_KIND_AT_MOST_ONCE, CALL_KIND_ONCE_PER_ATTEMPT)
 _NAME_REASON = "must be 1 to 63 of a-z 0-9 . _ - and begin and end with a letter or digit"
 
 
@@ -81,9 +91,22 @@
     """Return all that is wrong with ``batch``, its request id included; empty = sound."""
     problems = [FieldProblem(BATCH_SUBJECT, field, reason) for field, reason in _batch(batch)]
     wrong_id = validate_request_id(BATCH_SUBJECT, batch.request_id)
+    if batch.HasField("revision"):
+        wrong_id = _revision(batch)
     return (*wrong_id, *problems, *validate_resources(batch))
 
 
+def _revision(batch: Batch) -> tuple[FieldProblem, ...]:
+    """A revision takes the place of the request id: its number tells a resend."""
+    if batch.request_id:
+        reason = "must be empty beside a revision, whose number tells a resend"
+        return (FieldProblem(BATCH_SUBJECT, "request_id", reason),)
+    if batch.revision.number <= batch.revision.base:
+        reason = f"{batch.revision.number} must be above its base, {batch.revision.base}"
+        return (FieldProblem(BATCH_SUBJECT, "revision", reason),)
+    return ()
+
+
 def validate_request_id(subject: str, request_id: str) -> tuple[FieldProblem, ...]:
     """Return what is wrong with the request id of ``subject``; empty = sound."""
     if position_of(request_id) is not None:
@@ -120,12 +143,14 @@
 
 def _batch(batch: Batch) -> Iterator[Finding]:
     count = len(batch.put) + len(batch.delete)
-    if not count:
+    most = MAX_REPLACEMENT_RESOURCES if batch.replace else MAX_BATCH_RESOURCES
+    most_bytes = MAX_REPLACEMENT_BYTES if batch.replace else MAX_BATCH_BYTES
+    if not count and not batch.replace:
         yield "put", "batch changes nothing"
-    if count > MAX_BATCH_RESOURCES:
-        yield "put", f"{count} resources, at most {MAX_BATCH_RESOURCES}"
-    if batch.ByteSize() > MAX_BATCH_BYTES:
-        yield "put", f"{batch.ByteSize()} bytes, at most {MAX_BATCH_BYTES}"
+    if count > most:
+        yield "put", f"{count} resources, at most {most}"
+    if batch.ByteSize() > most_bytes:
+        yield "put", f"{batch.ByteSize()} bytes, at most {most_bytes}"
 
 
 def _duplicates(batch: Batch) -> Iterator[FieldProblem]:
@@ -169,16 +194,24 @@
     yield from _at_most("drain_limit_ms", service.drain_limit_ms, MAX_DURATION_MS)
     yield from _at_most("max_body_bytes", service.max_body_bytes, MAX_BODY_BYTES)
     yield from _at_most("slow_start_ms", service.slow_start_ms, MAX_DURATION_MS)
+    yield from _at_most("max_connections", service.max_connections, MAX_CONNECTIONS)
+    if service.health_path:
+        yield from _target("health_path", service.health_path)
 
 
 def _route(route: Route) -> Iterator[Finding]:
     yield from _name("name", route.name)
-    yield from _name("service", route.service)
+    yield from _services(route)
+    if route.host and not _HOST.fullmatch(route.host):
+        yield "host", "must be a host name in lower case, with a port or without"
     yield from _path_prefix(route.path_prefix)
     yield from _methods(list(route.methods))
-    if route.call_kind not in (CALL_KIND_REPEATABLE, CALL_KIND_AT_MOST_ONCE):
-        yield "call_kind", "must be repeatable or at_most_once"
+    if route.call_kind not in _CALL_KINDS:
+        yield "call_kind", "must be repeatable, at_most_once or once_per_attempt"
     yield from _at_most("timeout_ms", route.timeout_ms, MAX_DURATION_MS)
+    yield from _at_most("attempts", route.attempts, MAX_ATTEMPTS)
+    yield from _at_most("priority", route.priority, MAX_PRIORITY)
+    yield from _at_most("target_latency_ms", route.target_latency_ms, MAX_DURATION_MS)
     yield from _at_most("retry_budget_percent", route.retry_budget_percent, MAX_PERCENT)
     yield from _at_most("secrets", len(route.secrets), MAX_ROUTE_SECRETS)
     if len(set(route.secrets)) != len(route.secrets):
@@ -187,6 +220,28 @@
         yield from _name("secrets", name)
 
 
+def _services(route: Route) -> Iterator[Finding]:
+    """A route names one service, or the parts of a split."""
+    if not route.split:
+        yield from _name("service", route.service)
+        return
+    if route.service:
+        yield "service", "must be empty beside a split"
+    yield from _at_most("split", len(route.split), MAX_PARTS)
+    names = [part.service for part in route.split]
+    if len(set(names)) != len(names):
+        yield "split", "names a service twice"
+    for part in route.split:
+        yield from _name("split", part.service)
+        if not 1 <= part.weight <= MAX_WEIGHT:
+            yield "split", f"weight must be 1 to {MAX_WEIGHT}, is {part.weight}"
+
+
+def _target(field: str, target: str) -> Iterator[Finding]:
+    if not _TARGET.fullmatch(target):
+        yield field, "must begin with / and be visible ASCII of at most 512 characters"
+
+
 def _share(share: Share) -> Iterator[Finding]:
     yield from _name("service", share.service)
     yield from _name("group", share.group)
--- a/src/limelever/source/write_waiters.py
+++ b/src/limelever/source/write_waiters.py
@@ -35,8 +35,10 @@
     """Return the index of an entry that is this very request, sent before.
 
     A request id reused with other content does not count: it gets an entry of its own, and the
-    state machine refuses it there.
+    state machine refuses it there. So does a revision, whose number tells a resend there.
     """
+    if batch.HasField("revision"):
+        return None
     for entry in uncommitted:
         if entry.batch.request_id == batch.request_id:
             return entry.index if fingerprint(entry.batch) == fingerprint(batch) else None
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.sansio import (
+    Address,
     ConnectionClosed,
     ConnectionFailed,
     ConnectionId,
@@ -124,6 +125,10 @@
                 return self._on_deadline(now)
         return []
 
+    def replace_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
+        """Choose among these publishers from now on."""
+        return self._link.replace_publishers(publishers, now)
+
     def probe(self, now: float) -> list[Output]:
         """Prove the set current by an echo that begins now; ends in ``FreshnessProved``."""
         return self._link.probe(now, self._probes_to_source)
@@ -151,9 +156,10 @@
         if self._link.opened_at is None or self._link.subscribed or self._holder.awaits_floor:
             return []
         held = self._holder.latest
+        everything = self._settings.everything or self._settings.every_service
         message = Subscribe(
-            everything=self._settings.everything,
-            services=() if self._settings.everything else self._settings.services,
+            everything=everything,
+            services=() if everything else self._settings.services,
             held_version=held.version,
             digest=held.digest.to_bytes() if held.version else b"",
             version_floor=self._holder.floor,
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -8,6 +8,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import LogEvent, Output
+from limelever.common.settings import is_address, parse_address
 from limelever.protocol.distribution_pb2 import (
     Ack,
     ConfigDelta,
@@ -15,6 +16,7 @@
     FreshnessAnswer,
     Heartbeat,
     InventoryRequest,
+    Publishers,
     Reject,
     RetryLater,
 )
@@ -27,6 +29,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    PublishersReceived,
 )
 from limelever.subscriber.snapshot_writer import SnapshotWriter
 
@@ -50,6 +53,7 @@
             FreshnessAnswer: self._on_freshness_answer,
             RetryLater: self._on_retry_later,
             EndpointUpdate: self._on_endpoints,
+            Publishers: self._on_publishers,
         }
 
     def knows(self, message: Message) -> bool:
@@ -120,6 +124,13 @@
         assert isinstance(message, EndpointUpdate)
         return [EndpointsReceived(message)]
 
+    def _on_publishers(self, message: Message, now: float) -> list[Output]:
+        assert isinstance(message, Publishers)
+        known = tuple(parse_address(text) for text in message.addresses if is_address(text))
+        if not known:
+            return []
+        return [*self._link.replace_publishers(known, now), PublishersReceived(known)]
+
     def _settle(self, now: float) -> list[Output]:
         return self.follow_up(self._holder.settle(self._proved_version()), now)
 
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -10,6 +10,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.sansio import (
+    Address,
     CloseConnection,
     ConnectionId,
     DialledConnections,
@@ -70,6 +71,11 @@
         """Return whether ``connection`` is the current link or the one that may replace it."""
         return connection == self._connection or self.search.owns(connection)
 
+    def replace_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
+        """Choose among these publishers from now on; the link in use stays."""
+        self._choice.replace(publishers)
+        return self.search.publishers_replaced(now)
+
     def start(self, now: float) -> None:
         """Dial at the next deadline."""
         self._timers.dial = now
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from limelever.common.sansio import Output
+from limelever.common.sansio import Address, Output
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.endpoints_pb2 import EndpointUpdate
 from limelever.protocol.keys import Key
@@ -43,3 +43,10 @@
     """The publisher, a relay, sent endpoints on the subscription link."""
 
     update: EndpointUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class PublishersReceived(Output):
+    """The publisher named all publishers of its kind; the subscriber chooses among them now."""
+
+    addresses: tuple[Address, ...]
--- a/src/limelever/subscriber/publisher_choice.py
+++ b/src/limelever/subscriber/publisher_choice.py
@@ -56,6 +56,15 @@
         self._former = self.index
         self.index = index
 
+    def replace(self, publishers: tuple[Address, ...]) -> None:
+        """Take a new list; the publisher followed now stays, for as long as it is of use."""
+        current, preferred = self.current, self.address(self.preferred)
+        known = publishers if current in publishers else (*publishers, current)
+        self._publishers = known
+        self.index = known.index(current)
+        self.preferred = known.index(preferred) if preferred in known else self.index
+        self._former = None
+
     def move_on(self) -> None:
         """Go on to the next publisher, or back to the one left for this one."""
         self.index = self.after(self.index) if self._former is None else self._former
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -70,6 +70,13 @@
         """Return whether ``connection`` was dialled to a candidate."""
         return connection == self._connection
 
+    def publishers_replaced(self, now: float) -> list[Output]:
+        """Give up the candidate under way: its place in the list may be another's now."""
+        outputs = self._drop()
+        self.candidate = self._choice.index
+        self._plan(now)
+        return outputs
+
     def begin(self, goal: Goal, now: float) -> list[Output]:
         """Seek ``goal``, unless that is under way; another goal is given up for it."""
         if goal is self._goal:
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -12,7 +12,8 @@
 class SubscriberSettings:
     """Where a subscriber gets its configuration from, and which part of it.
 
-    ``services`` is the scope; ``everything`` is for relays and replaces it. ``stale_after`` is
+    ``services`` is the scope; ``everything`` is for relays and replaces it, ``every_service`` for
+    proxies that may route to any. ``stale_after`` is
     the age of the publisher's last proof from which another publisher is sought, and
     ``behind_after`` the time for which a publisher may name newer versions without sending
     any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
@@ -25,6 +26,7 @@
     publishers: tuple[Address, ...]
     services: tuple[str, ...] = ()
     everything: bool = False
+    every_service: bool = False
     stale_after: float = 8.0
     behind_after: float = 20.0
     probe_interval: float = 2.0
--- /dev/null
+++ b/src/limelever/transport/gateway.py
@@ -0,0 +1,79 @@
+"""HTTP listeners for interfaces that a process serves beside its own.
+
+An interface is an ASGI application that translates calls into requests of the process's cores. It
+is served over cleartext HTTP/1.1 by the guarded listener until the process is done.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import trio
+from hypercorn.config import Config
+
+from limelever.common.errors import Failure
+from limelever.common.sansio import Address
+from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
+from limelever.transport.http_connection import AsgiApplication
+from limelever.transport.http_guard import (
+    GuardOptions,
+    bound_address,
+    open_listeners,
+    serve_guarded,
+)
+
+CONNECTION_LIMIT = 256
+IDLE_SECONDS = 30
+STOP_LIMIT = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """An application, and the address at which it is served; ``name`` stands in the metrics."""
+
+    name: str
+    address: Address
+    application: AsgiApplication
+
+
+async def serve_gateway(
+    gateway: Gateway,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until ``shutdown``; reports the bound address, or why there is none."""
+    listeners = await open_listeners(gateway.address, None, gateway.name)
+    if isinstance(listeners, Failure):
+        task_status.started(listeners)
+        return
+    task_status.started(bound_address(listeners))
+    options = GuardOptions(
+        listener=gateway.name,
+        connection_limit=CONNECTION_LIMIT,
+        stop_limit=STOP_LIMIT,
+        failed_event=ADMIN_CONNECTION_FAILED,
+        limit_event=ADMIN_CONNECTION_LIMIT,
+    )
+    await serve_guarded(gateway.application, listeners, _config(), options, shutdown)
+
+
+async def start_gateways(
+    gateways: Sequence[Gateway], shutdown: trio.Event, nursery: trio.Nursery
+) -> Failure | None:
+    """Start all listeners in ``nursery``; return the first reason why one could not bind."""
+    for gateway in gateways:
+        bound: Address | Failure = await nursery.start(serve_gateway, gateway, shutdown)
+        if isinstance(bound, Failure):
+            return bound
+    return None
+
+
+def _config() -> Config:
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = IDLE_SECONDS
+    return config
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -7,13 +7,14 @@
 import ssl
 import sys
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
 from functools import partial
 
 import trio
 
 from limelever.common import events
 from limelever.common.errors import Failure
-from limelever.common.sansio import Address, Core, Output, Purpose
+from limelever.common.sansio import Address, Core, Output, Purpose, Role
 from limelever.common.settings import ProcessSettings, seconds
 from limelever.transport.disk_writer import Disk
 from limelever.transport.faults import report_fault
@@ -89,11 +90,17 @@
         *,
         accepts: Iterable[Purpose] = (),
         disk: Disk | None = None,
+        role: Role | None = None,
+        listener: LinkListener | None = None,
     ) -> CoreRunner:
-        """Make the runner of a core; the caller starts its ``run`` in a nursery."""
+        """Make the runner of a core; the caller starts its ``run`` in a nursery.
+
+        ``role`` is what the core is in a process that hosts several; ``listener`` the one on
+        which it accepts links, where the process has another than its first.
+        """
         runner = CoreRunner(
             core,
-            identity=self.link_identity,
+            identity=replace(self.link_identity, role=role or self.settings.role),
             settings=self.settings.links,
             context=self.client_context,
             on_output=on_output,
@@ -101,7 +108,7 @@
             disk=disk,
         )
         for purpose in accepts:
-            self.listener.runners[purpose] = runner
+            (listener or self.listener).runners[purpose] = runner
         return runner
 
     def report_version(self, version: Callable[[], int]) -> None:
@@ -120,9 +127,19 @@
 
         publish_configuration_age(age)
 
-    async def listen(self, address: Address) -> Address:
+    def new_listener(self, role: Role) -> LinkListener:
+        """Make one more listener, for the links of a co-hosted core."""
+        return LinkListener(
+            identity=replace(self.link_identity, role=role),
+            settings=self.settings.links,
+            accepted=self.settings.credentials.accepted,
+            context=self.listener.context,
+        )
+
+    async def listen(self, address: Address, listener: LinkListener | None = None) -> Address:
         """Start accepting links; returns the bound address."""
-        bound = await self.nursery.start(self.listener.serve, address, self.nursery)
+        serve = (listener or self.listener).serve
+        bound = await self.nursery.start(serve, address, self.nursery)
         if isinstance(bound, Failure):
             raise ProcessFailedError(bound)
         assert isinstance(bound, Address)
