Read settings again at SIGHUP and when their file changes

Change: a process reads its settings anew, hands changed ones to the part they belong to (relays of proxies and agents, seeds of replicas), names the others as waiting for a restart, and keeps the old ones where the new don't check out.

--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -45,6 +45,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    PublishersListed,
     PublishersReceived,
     VersionConfirmed,
 )
@@ -169,12 +170,20 @@
                 return [*self._calls.expire(now), *self._warm(self._cold_start.expire(now), now)]
             case ConnectionOpened() | ConnectionClosed():
                 return self._link_event(event)
+            case _:
+                return self._backend_event(event, now)
+        return []
+
+    def _backend_event(self, event: Event, now: float) -> list[Output]:
+        match event:
             case BackendProbed(healthy):
                 return self._warm(self._cold_start.probed(healthy), now)
             case DrainRequested():
                 return self._begin_drain(now)
             case BackendGone():
                 return self._finish(now)
+            case PublishersListed(addresses):
+                self._registration.extend_relays(addresses)
         return []
 
     def _link_event(self, event: ConnectionOpened | ConnectionClosed) -> list[Output]:
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -26,8 +26,10 @@
 from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
 from limelever.storage.folder import FolderDisk, open_folder
+from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 from limelever.transport.runner import CoreRunner
 
 _FLUSH_SECONDS = 0.2
@@ -38,14 +40,14 @@
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
-def run(settings: AgentSettings) -> int:
+def run(settings: AgentSettings, *, source: SettingsFile | None = None) -> int:
     """Run the agent until a planned stop or a failure; return the exit status."""
     disk = open_folder(settings.data_folder) if settings.data_folder else None
     incarnation = draw_incarnation(disk) if not isinstance(disk, Failure) else disk
     main = partial(_main, settings, disk, incarnation)
     if isinstance(incarnation, Failure):
         return run_role(settings, main)
-    return run_role(settings, main, incarnation=incarnation)
+    return run_role(settings, main, incarnation=incarnation, source=source)
 
 
 def draw_incarnation(disk: FolderDisk | None) -> int | Failure:
@@ -132,6 +134,7 @@
         backend = Backend(settings.backend, nursery, runner.post, names, settings.name.encode())
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
+        shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
         nursery.start_soon(_probe, backend, settings.probe, runner)
         shell.set_ready()
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -110,6 +110,10 @@
         """Return the relay used or tried now."""
         return self._relays[self._relay]
 
+    def extend_relays(self, relays: tuple[Address, ...]) -> None:
+        """Choose among these relays besides."""
+        self._relays = tuple(dict.fromkeys((*self._relays, *relays)))
+
     def replace_relays(self, relays: tuple[Address, ...]) -> None:
         """Choose among these relays from now on; the one used now stays while it answers."""
         current = self.relay
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Role
 from limelever.common.settings import (
     ProcessSettings,
@@ -20,6 +21,7 @@
     load_settings,
     read_table,
 )
+from limelever.transport.reload import SettingsFile
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -93,10 +95,25 @@
         print_problems(settings)
         return EXIT_REFUSED
     process = importlib.import_module(f"limelever.{arguments.role.value}.process")
-    status: int = process.run(settings)
+    status: int = process.run(settings, source=_source_of(arguments))
     return status
 
 
+def _source_of(arguments: RoleArguments) -> SettingsFile:
+    """Return where a running process reads its settings again."""
+
+    def read() -> ProcessSettings | Failure:
+        loaded = load_settings(
+            arguments.settings, settings_class(arguments.role), arguments.overrides
+        )
+        if isinstance(loaded, SettingsProblems):
+            reasons = "; ".join(str(problem) for problem in loaded.problems)
+            return Failure(ErrorKind.INVALID_SETTINGS, reasons)
+        return loaded
+
+    return SettingsFile(arguments.settings, read)
+
+
 def print_problems(problems: SettingsProblems) -> None:
     """Print every problem of a settings file on standard error."""
     for problem in problems.problems:
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -50,6 +50,23 @@
 STOP_LIMIT_PASSED = define(
     1005, "stop-limit-passed", Level.WARNING, "planned stop took too long", "limit_ms"
 )
+PROCESS_RELOADED = define(
+    1006,
+    "process-reloaded",
+    Level.INFO,
+    "settings were read again",
+    "reason",
+    "changed",
+    "needs_restart",
+)
+RELOAD_REFUSED = define(
+    1007,
+    "reload-refused",
+    Level.WARNING,
+    "settings were read again and refused; those before stay",
+    "reason",
+    "problem",
+)
 LINK_OPENED = define(1010, "link-opened", Level.DEBUG, "link opened", "peer", "purpose")
 LINK_CLOSED = define(1011, "link-closed", Level.INFO, "link closed", "peer", "purpose", "reason")
 LINK_REFUSED = define(
--- a/src/limelever/control/process.py
+++ b/src/limelever/control/process.py
@@ -22,6 +22,7 @@
 from limelever.source.process import OperatorDesk, sealer_of
 from limelever.transport.gateway import Gateway, start_gateways
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 from limelever.transport.runner import CoreRunner
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -38,11 +39,16 @@
 Gateways = Callable[[ControlDoor], Sequence[Gateway]]
 
 
-def run(settings: ControlSettings, gateways: Gateways = lambda _: ()) -> int:
+def run(
+    settings: ControlSettings,
+    gateways: Gateways = lambda _: (),
+    *,
+    source: SettingsFile | None = None,
+) -> int:
     """Run the process until a planned stop or a failure; return the exit status."""
     incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
     main = partial(_main, settings, gateways)
-    return run_role(settings, main, incarnation=incarnation)
+    return run_role(settings, main, incarnation=incarnation, source=source)
 
 
 class _Neighbours:
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
+import attrs
 import trio
 
 from limelever.agent.backend import Backend
@@ -25,9 +26,10 @@
 )
 from limelever.agent.process import options_from
 from limelever.agent.settings import AgentSettings
-from limelever.common.sansio import Output, Purpose, Role
+from limelever.common.sansio import Address, Output, Purpose, Role
 from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
 from limelever.node.settings import NodeSettings, agent_settings
+from limelever.subscriber.notices import PublishersListed
 from limelever.transport.process import ProcessShell
 from limelever.transport.runner import CoreRunner
 
@@ -57,6 +59,7 @@
         self._current: _Agent | None = None
         self._under_way: set[trio.Event] = set()
         self._stopping = False
+        shell.reloading.handle("relays", self._relays_listed)
 
     def report(self, report: InstanceReport) -> None:
         """Take an instance's report of itself."""
@@ -78,6 +81,11 @@
         while self._under_way:
             await next(iter(self._under_way)).wait()
 
+    def _relays_listed(self, relays: tuple[Address, ...]) -> None:
+        self._settings = attrs.evolve(self._settings, relays=relays)
+        if self._current is not None:
+            self._current.runner.post(PublishersListed(relays))
+
     def _drain(self) -> None:
         if self._current is not None:
             self._current.runner.post(DrainRequested())
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -15,6 +15,7 @@
 from limelever.proxy import process as proxy_process
 from limelever.transport.gateway import Gateway, start_gateways
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 
 
 class NodeDoor:
@@ -41,9 +42,15 @@
 Gateways = Callable[[NodeDoor], Sequence[Gateway]]
 
 
-def run(settings: NodeSettings, gateways: Gateways = lambda _: ()) -> int:
+def run(
+    settings: NodeSettings,
+    gateways: Gateways = lambda _: (),
+    *,
+    source: SettingsFile | None = None,
+) -> int:
     """Run the process until a planned stop or a failure; return the exit status."""
-    return run_role(settings, partial(_main, _spread(settings), gateways))
+    main = partial(_main, _spread(settings), gateways)
+    return run_role(settings, main, source=source)
 
 
 def _spread(settings: NodeSettings) -> NodeSettings:
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -26,16 +26,18 @@
 from limelever.proxy.retry_rules import RetrySettings
 from limelever.proxy.settings import BalancingSettings, CallLimitSettings, ProxySettings
 from limelever.storage.folder import FolderDisk, open_folder
+from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 
 _PERCENT = 100.0
 
 
-def run(settings: ProxySettings) -> int:
+def run(settings: ProxySettings, *, source: SettingsFile | None = None) -> int:
     """Run the proxy until a planned stop or a failure; return the exit status."""
-    return run_role(settings, partial(serve, settings))
+    return run_role(settings, partial(serve, settings), source=source)
 
 
 def core_settings(settings: ProxySettings) -> ProxyCoreSettings:
@@ -125,6 +127,7 @@
     async with trio.open_nursery() as nursery:
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
+        shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -24,6 +24,7 @@
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.listener import LinkListener
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 from limelever.transport.runner import CoreRunner
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -33,10 +34,10 @@
 ACCEPTED = (Purpose.SUBSCRIPTION, Purpose.REGISTRATION, Purpose.ENDPOINTS)
 
 
-def run(settings: RelaySettings) -> int:
+def run(settings: RelaySettings, *, source: SettingsFile | None = None) -> int:
     """Run the relay until a planned stop or a failure; return the exit status."""
     incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
-    return run_role(settings, partial(_main, settings), incarnation=incarnation)
+    return run_role(settings, partial(_main, settings), incarnation=incarnation, source=source)
 
 
 def options_from(settings: RelaySettings, incarnation: int) -> RelayOptions:
--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -26,6 +26,7 @@
     MembersKnown,
     OperatorAnswer,
     OperatorRequest,
+    SeedsListed,
     StopRequested,
 )
 from limelever.source.operator_requests import OperatorRequests
@@ -108,6 +109,8 @@
         match event:
             case OperatorRequest():
                 self._operators.take(event, now)
+            case SeedsListed(seeds):
+                self._replica.seeds_listed(seeds)
             case StopRequested():
                 self._replica.hand_over(now)
                 self._publication.stop()
--- a/src/limelever/source/messages.py
+++ b/src/limelever/source/messages.py
@@ -7,7 +7,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.errors import Failure
-from limelever.common.sansio import Event, Output
+from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.operators_pb2 import (
     ApplyRequest,
     ChangeMembersRequest,
@@ -50,6 +50,13 @@
     names: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsListed(Event):
+    """The settings name these seeds now, by their addresses."""
+
+    seeds: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Event):
     """A planned stop began: subscribers go to another replica, and so does leadership."""
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -22,6 +22,7 @@
     OperatorAnswer,
     OperatorMessage,
     OperatorRequest,
+    SeedsListed,
     StopRequested,
 )
 from limelever.source.operator_service import operator_application, serve_operators
@@ -33,6 +34,7 @@
 )
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.reload import SettingsFile
 from limelever.transport.runner import CoreRunner
 
 T = TypeVar("T")
@@ -43,9 +45,9 @@
 """Time that the last messages of a planned stop have to leave."""
 
 
-def run(settings: SourceSettings) -> int:
+def run(settings: SourceSettings, *, source: SettingsFile | None = None) -> int:
     """Run the source until a planned stop or a failure; return the exit status."""
-    return run_role(settings, partial(_main, settings))
+    return run_role(settings, partial(_main, settings), source=source)
 
 
 class OperatorDesk:
@@ -128,6 +130,7 @@
     async with trio.open_nursery() as nursery:
         runner = shell.add_core(core, on_output, accepts=purposes, disk=disk, role=Role.SOURCE)
         desk.runner = runner
+        shell.reloading.handle("seeds", lambda seeds: runner.post(SeedsListed(seeds)))
         shell.report_version(lambda: core.state.version)
         await nursery.start(runner.run)
         await shell.listen(settings.listen)
--- a/src/limelever/source/replication/joining.py
+++ b/src/limelever/source/replication/joining.py
@@ -94,6 +94,10 @@
             self._states[answer.name] = answer.state
             self._decide()
 
+    def seeds_listed(self, seeds: tuple[Address, ...]) -> None:
+        """Ask these replicas besides."""
+        self._told.update(str(seed) for seed in seeds)
+
     def keep_links(self) -> None:
         """Have links to the members of a group that discovers them.
 
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -8,6 +8,7 @@
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import (
+    Address,
     ConnectionClosed,
     ConnectionFailed,
     ConnectionId,
@@ -126,6 +127,10 @@
         """Return the names of the members, learners included."""
         return frozenset(member.name for member in self._context.members.members)
 
+    def seeds_listed(self, seeds: tuple[Address, ...]) -> None:
+        """Ask these replicas for admission besides, as long as this one has to."""
+        self._joining.seeds_listed(seeds)
+
     def hand_over(self, now: float) -> None:
         """Ask another replica to lead, if this one does; it goes on until that is elected."""
         self._context.now = now
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -8,7 +8,6 @@
 from google.protobuf.message import Message
 
 from limelever.common.sansio import (
-    Address,
     ConnectionClosed,
     ConnectionFailed,
     ConnectionId,
@@ -29,6 +28,7 @@
 from limelever.subscriber.exchange import Exchange
 from limelever.subscriber.holder import Holder
 from limelever.subscriber.link import PublisherLink
+from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.subscriber.snapshot_writer import SnapshotWriter
@@ -123,12 +123,10 @@
                 return [*outputs, *self._subscribe()]
             case DeadlineReached():
                 return self._on_deadline(now)
+            case PublishersListed(addresses):
+                return self._link.extend_publishers(addresses, now)
         return []
 
-    def replace_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
-        """Choose among these publishers from now on."""
-        return self._link.replace_publishers(publishers, now)
-
     def probe(self, now: float) -> list[Output]:
         """Prove the set current by an echo that begins now; ends in ``FreshnessProved``."""
         return self._link.probe(now, self._probes_to_source)
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -76,6 +76,11 @@
         self._choice.replace(publishers)
         return self.search.publishers_replaced(now)
 
+    def extend_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
+        """Choose among these publishers besides."""
+        self._choice.extend(publishers)
+        return self.search.publishers_replaced(now)
+
     def start(self, now: float) -> None:
         """Dial at the next deadline."""
         self._timers.dial = now
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from limelever.common.sansio import Address, Output
+from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.endpoints_pb2 import EndpointUpdate
 from limelever.protocol.keys import Key
@@ -50,3 +50,10 @@
     """The publisher named all publishers of its kind; the subscriber chooses among them now."""
 
     addresses: tuple[Address, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PublishersListed(Event):
+    """The settings name these publishers now; those known otherwise stay known."""
+
+    addresses: tuple[Address, ...]
--- a/src/limelever/subscriber/publisher_choice.py
+++ b/src/limelever/subscriber/publisher_choice.py
@@ -56,6 +56,10 @@
         self._former = self.index
         self.index = index
 
+    def extend(self, publishers: tuple[Address, ...]) -> None:
+        """Know these publishers besides."""
+        self.replace(tuple(dict.fromkeys((*self._publishers, *publishers))))
+
     def replace(self, publishers: tuple[Address, ...]) -> None:
         """Take a new list; the publisher followed now stays, for as long as it is of use."""
         current, preferred = self.current, self.address(self.preferred)
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -26,6 +26,7 @@
     READY,
     publish_configuration_age,
 )
+from limelever.transport.reload import Reloading, SettingsFile
 from limelever.transport.runner import CoreRunner
 from limelever.transport.tls import (
     certificate_kept_current,
@@ -36,6 +37,7 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class ProcessFailedError(Exception):
@@ -57,9 +59,15 @@
     """What a role's main function works with: cores, listeners, stop and readiness."""
 
     def __init__(
-        self, settings: ProcessSettings, nursery: trio.Nursery, incarnation: int, identity: str
+        self,
+        settings: ProcessSettings,
+        nursery: trio.Nursery,
+        incarnation: int,
+        identity: str,
+        source: SettingsFile | None = None,
     ) -> None:
         self.settings = settings
+        self.reloading = Reloading(settings, source)
         self.nursery = nursery
         self.stop_requested = trio.Event()
         self.ready = False
@@ -172,12 +180,18 @@
 
 
 def run_role(
-    settings: ProcessSettings, main: RoleMain, *, incarnation: int = 0, identity: str = ""
+    settings: ProcessSettings,
+    main: RoleMain,
+    *,
+    incarnation: int = 0,
+    identity: str = "",
+    source: SettingsFile | None = None,
 ) -> int:
     """Run a role to its end and return the exit status.
 
     ``main`` builds its cores, serves, waits for ``stop_requested``, finishes what is in
-    flight and returns. SIGTERM and SIGINT request the stop; a second signal ends at once.
+    flight and returns. SIGTERM and SIGINT request the stop; a second one ends at once. SIGHUP has
+    the settings read again from ``source``.
     """
     try:
         configure_logging(settings.log, settings.role.value, settings.name)
@@ -188,7 +202,7 @@
     write_event(events.PROCESS_STARTED, fields)
     status = EXIT_OK
     try:
-        trio.run(_run, settings, main, incarnation, identity)
+        trio.run(_run, settings, main, incarnation, identity, source)
     except BaseException as error:
         status = _report_failure(error)
     write_event(events.PROCESS_STOPPED, {"status": status})
@@ -211,11 +225,18 @@
     return [leaf for child in error.exceptions for leaf in _leaves(child)]
 
 
-async def _run(settings: ProcessSettings, main: RoleMain, incarnation: int, identity: str) -> None:
+async def _run(
+    settings: ProcessSettings,
+    main: RoleMain,
+    incarnation: int,
+    identity: str,
+    source: SettingsFile | None,
+) -> None:
     async with trio.open_nursery() as nursery:
-        shell = ProcessShell(settings, nursery, incarnation, identity)
+        shell = ProcessShell(settings, nursery, incarnation, identity, source)
         nursery.start_soon(shell.wait_failed)
         await nursery.start(_watch_signals, shell)
+        nursery.start_soon(shell.reloading.watch)
         if settings.admin is not None:
             await _start_admin(shell, settings.admin)
         contexts = [shell.client_context, shell.listener.context]
@@ -238,9 +259,12 @@
 async def _watch_signals(
     shell: ProcessShell, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
 ) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+    with trio.open_signal_receiver(*_SIGNALS) as received:
         task_status.started()
         async for number in received:
+            if number == signal.SIGHUP:
+                shell.reloading.reload(signal.Signals(number).name)
+                continue
             if shell.stop_requested.is_set():
                 shell.nursery.cancel_scope.cancel()
                 return
