--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -25,6 +25,7 @@
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
 
 _SHED_STATUS = 503
+_MICROSECONDS = 1_000_000
 _LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
@@ -75,6 +76,7 @@
             queued=self._queue.queued,
             slots=self._limits.queue.slots,
             draining=self.draining,
+            service_us=int(self._queue.service_time * _MICROSECONDS),
         )
 
     def set_weights(self, weights: Mapping[str, int]) -> None:
@@ -241,7 +243,9 @@
 
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
-        queued = QueuedCall(call.number, call.start.group, call.deadline, len(call.body), now)
+        queued = QueuedCall(
+            call.number, call.start.group, call.deadline, len(call.body), now, call.target
+        )
         offered = self._queue.offer(queued, now)
         if isinstance(offered, Failure):
             self._calls.remove(call)
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from enum import Enum, auto
@@ -38,6 +39,7 @@
     body: bytearray = field(default_factory=bytearray)
     stage: CallStage = CallStage.ASSEMBLING
     settled: bool = False
+    target: float = math.inf
 
     @property
     def repeatable(self) -> bool:
@@ -86,13 +88,16 @@
         self._calls: dict[int, Call] = {}
         self._streams: dict[tuple[ConnectionId, int], int] = {}
 
-    def add(self, connection: ConnectionId, start: CallStart, deadline: float) -> Call:
+    def add(
+        self, connection: ConnectionId, start: CallStart, deadline: float, target: float = math.inf
+    ) -> Call:
         """Take in a call whose stream is free."""
         self._last_number += 1
         kept = CallStart()
         kept.CopyFrom(start)
         kept.ClearField("body")
         call = Call(self._last_number, connection, kept, deadline, bytearray(start.body))
+        call.target = target
         self._calls[call.number] = call
         self._streams[(connection, start.stream)] = call.number
         return call
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -79,6 +79,11 @@
         """Return the bytes held by waiting calls."""
         return self._queued_bytes
 
+    @property
+    def service_time(self) -> float:
+        """Return how long a call takes without waiting, in seconds; 0 while nothing is known."""
+        return self._estimate.overall
+
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Take the weights of all groups that have a share; others get the default weight."""
         self._groups.set_weights(weights, self._virtual_time)
--- a/src/limelever/agent/group_queue.py
+++ b/src/limelever/agent/group_queue.py
@@ -11,13 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class QueuedCall:
-    """A call that waits for a slot; times in monotonic seconds, ``size`` in bytes."""
+    """A call that waits for a slot; times in monotonic seconds, ``size`` in bytes.
+
+    An answer after ``target`` is worth less, one after ``deadline`` nothing.
+    """
 
     call: int
     group: str
     deadline: float
     size: int
     arrived_at: float = math.inf
+    target: float = math.inf
 
 
 @dataclass(slots=True)
--- a/src/limelever/agent/intake.py
+++ b/src/limelever/agent/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from limelever.agent import events
@@ -73,7 +74,10 @@
         failure = self._check(connection, start, draining)
         if failure is not None:
             return Refusal(failure)
-        call = self._calls.add(connection, start, now + start.deadline_left_ms / _MILLISECONDS)
+        deadline = now + start.deadline_left_ms / _MILLISECONDS
+        wanted = start.target_left_ms / _MILLISECONDS
+        target = now + wanted if wanted else math.inf
+        call = self._calls.add(connection, start, deadline, target)
         self._assembling[call.number] = call
         self._assembling_bytes += len(call.body)
         return call
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -67,8 +67,13 @@
     return incarnation if failure is None else failure
 
 
-def options_from(settings: AgentSettings, address: Address) -> AgentOptions:
-    """Return the core's options; ``address`` is where proxies reach the agent."""
+def options_from(
+    settings: AgentSettings, address: Address, subscriber: SubscriberSettings | None = None
+) -> AgentOptions:
+    """Return the core's options; ``address`` is where proxies reach the agent.
+
+    ``subscriber`` is how the configuration is kept current where the process has a say in it.
+    """
     queue, drain = settings.queue, settings.drain
     return AgentOptions(
         registration=RegistrationSettings(
@@ -79,7 +84,7 @@
             address=address,
             slots=settings.backend.slots,
         ),
-        subscriber=SubscriberSettings(publishers=settings.relays, services=(settings.service,)),
+        subscriber=subscriber or _subscriber_settings(settings),
         calls=CallLimits(
             queue=QueueLimits(
                 slots=settings.backend.slots,
@@ -100,6 +105,10 @@
     )
 
 
+def _subscriber_settings(settings: AgentSettings) -> SubscriberSettings:
+    return SubscriberSettings(publishers=settings.relays, services=(settings.service,))
+
+
 async def _main(
     settings: AgentSettings,
     disk: FolderDisk | Failure | None,
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -13,6 +13,12 @@
 that were estimated too well start too late to finish.
 """
 
+LONGEST_WAIT_PART_OF_TARGET = 0.8
+"""Part of the time to spare before its target that a call may be expected to wait.
+
+A call that would be late takes a slot from one that would not.
+"""
+
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
@@ -30,6 +36,11 @@
         group.service_time.observe(seconds)
         self._service_time.observe(seconds)
 
+    @property
+    def overall(self) -> float:
+        """Return how long a call of any group takes; 0 while nothing is known."""
+        return self._service_time.mean or 0.0
+
     def service_time(self, group: GroupQueue) -> float:
         """Return how long a call of the group takes; 0 while nothing is known."""
         return group.service_time.mean or self._service_time.mean or 0.0
@@ -41,8 +52,10 @@
 
     def is_too_long(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
         """Return whether a call that would have to wait is better refused at once."""
-        spare = call.deadline - now - self.service_time(group)
-        return self.wait(group) > spare * LONGEST_WAIT_PART
+        finished = now + self.service_time(group)
+        longest = (call.deadline - finished) * LONGEST_WAIT_PART
+        in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
+        return self.wait(group) > min(longest, in_target)
 
     def is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
         """Return whether a call waited so long that it can no longer finish in time.
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -28,7 +28,7 @@
 from limelever.agent.settings import AgentSettings
 from limelever.common.sansio import Address, Output, Purpose, Role
 from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
-from limelever.node.settings import NodeSettings, agent_settings
+from limelever.node.settings import NodeSettings, agent_settings, agent_subscriber
 from limelever.subscriber.notices import PublishersListed
 from limelever.transport.process import ProcessShell
 from limelever.transport.runner import CoreRunner
@@ -102,7 +102,8 @@
 
     async def _run(self, settings: AgentSettings, instance: str) -> None:
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
-        options = options_from(settings, self._settings.listen)
+        subscriber = agent_subscriber(self._settings, settings.service)
+        options = options_from(settings, self._settings.listen, subscriber)
         core = AgentCore(options, incarnation, random.Random())
         finished = trio.Event()
         self._under_way.add(finished)
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -22,6 +22,7 @@
     dialled,
     distinct,
     not_empty,
+    seconds,
 )
 from limelever.node.reports import InstanceReport
 from limelever.proxy.settings import (
@@ -32,6 +33,8 @@
     ProxySettings,
 )
 
+from limelever.subscriber.settings import SubscriberSettings
+
 
 @attrs.frozen(kw_only=True)
 class NodeSettings(ProcessSettings):
@@ -75,6 +78,19 @@
     )
 
 
+def agent_subscriber(settings: NodeSettings, service: str) -> SubscriberSettings:
+    """Return how the agent within the process keeps its configuration current."""
+    configuration = settings.configuration
+    return SubscriberSettings(
+        publishers=settings.relays,
+        services=(service,),
+        stale_after=seconds(configuration.stale_after_ms),
+        probe_interval=seconds(configuration.probe_interval_ms),
+        answer_timeout=seconds(configuration.answer_timeout_ms),
+        search_limit=seconds(configuration.search_limit_ms),
+    )
+
+
 def agent_settings(settings: NodeSettings, report: InstanceReport, name: str) -> AgentSettings:
     """Return the settings of an agent for the instance that reported itself.
 
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from limelever.common.errors import ErrorKind, Failure
@@ -53,7 +54,8 @@
     if refusal is not None:
         return refusal
     deadline = now + call_timeout(request, route, settings)
-    return Call(number, request, route, part, share, deadline)
+    target = now + route.target_latency if route.target_latency else math.inf
+    return Call(number, request, route, part, share, deadline, target)
 
 
 def call_timeout(request: CallRequest, route: RouteEntry, settings: AdmissionSettings) -> float:
--- a/src/limelever/proxy/attempt_ends.py
+++ b/src/limelever/proxy/attempt_ends.py
@@ -13,6 +13,7 @@
 from limelever.proxy.endpoints import EndpointView
 from limelever.proxy.health import Verdict
 
+_MICROSECONDS = 1_000_000
 _FAILED_STATUSES = frozenset({500, 502, 504})
 
 
@@ -66,7 +67,9 @@
 
     def observe(self, attempt: Attempt, load: AgentLoad, now: float) -> None:
         """Take the load that an agent reported."""
-        self._balancer.observe_load(attempt.entry.key, load.in_flight + load.queued, now)
+        reported = load.in_flight + load.queued
+        service_time = load.service_us / _MICROSECONDS
+        self._balancer.observe_load(attempt.entry.key, reported, now, service_time)
         if load.draining:
             self.retire(attempt)
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -25,6 +25,11 @@
 
 _ID_HALF_BYTES = 8
 
+LARGE_BODY_BYTES = 16 * 1024
+LOCAL_PART = 0.5
+LOCAL_PART_LARGE_BODY = 0.9
+"""Parts of the time to its target in which a call may be answered within the own zone."""
+
 DEFAULT_RESERVED = HeaderNames().set_by_mesh
 """What callers may not set for a back end where the settings name no headers."""
 
@@ -79,7 +84,9 @@
         usable = self._view.usable(call.part.service, now)
         excluded: set[EndpointKey] = set(call.tried)
         while True:
-            entry = self._balancer.pick(usable, now, excluded, call.part.slow_start)
+            entry = self._balancer.pick(
+                usable, now, excluded, call.part.slow_start, _local_within(call, now)
+            )
             if entry is None:
                 reason = f"no endpoint of {call.part.service} can take the call"
                 return Failure(ErrorKind.NO_ENDPOINT, reason, retry_after=NO_ENDPOINT_RETRY_AFTER)
@@ -176,3 +183,16 @@
     def _send_parts(self, call: Call, attempt: Attempt) -> None:
         for part in next_parts(call, attempt):
             self._outputs.append(SendMessage(attempt.connection, part))
+
+
+def _local_within(call: Call, now: float) -> float:
+    """Return the seconds within which an answer from the own zone is good enough.
+
+    A part of the time to the call's target is left for estimates that are wrong; a large body may
+    use all of it, for it is dear to send to another zone.
+    """
+    if not call.route.target_latency:
+        return 0.0
+    large = len(call.request.body) >= LARGE_BODY_BYTES
+    part = LOCAL_PART_LARGE_BODY if large else LOCAL_PART
+    return (call.target - now) * part
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -1,4 +1,4 @@
-"""Picks the endpoint for an attempt: two random choices, the less loaded one wins.
+"""Picks the endpoint for an attempt: a few random choices, the earliest expected answer wins.
 
 Own calls in flight count in full, the reported load of others fades with its age, and a cold
 endpoint counts with a part of its slots. The proxy's own zone comes first and spills over when
@@ -17,6 +17,9 @@
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.health import EndpointHealth, HealthSettings, Verdict
 
+NEAR_FULL_SLOWDOWN = 0.3
+"""Part by which a call takes longer at a full endpoint than at an idle one."""
+
 _NOTHING_EXCLUDED: frozenset[EndpointKey] = frozenset()
 
 
@@ -27,7 +30,7 @@
     ``spill_load`` is the load per slot from which a local endpoint counts as full,
     ``ejection_floor`` the part of a set that is never ejected, ``cold_part`` the part of its
     slots with which a cold endpoint begins, and ``foreign_load_limit`` the most that a report
-    may claim, in times of the slots.
+    may claim, in times of the slots. ``choices`` is how many endpoints are compared.
     """
 
     zone: str = ""
@@ -37,6 +40,7 @@
     cold_part: float = 0.1
     load_half_life: float = 2.0
     foreign_load_limit: float = 2.0
+    choices: int = 3
 
 
 class Balancer:
@@ -59,20 +63,22 @@
         now: float,
         excluded: Container[EndpointKey] = _NOTHING_EXCLUDED,
         slow_start: float = 0.0,
+        local_within: float = 0.0,
     ) -> EndpointEntry | None:
         """Return the endpoint for a new attempt, or ``None`` when no usable one is left.
 
-        ``slow_start`` is the service's ramp in seconds; 0 stands for the default.
+        ``slow_start`` is the service's ramp in seconds; 0 stands for the default. A full endpoint
+        of the own zone is still preferred if its answer is expected within ``local_within``
+        seconds: time that the call can spare costs less than bytes between zones.
         """
         ramp = slow_start or self._settings.slow_start
         candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
         if not candidates:
             return None
         local = [entry for entry in candidates if entry.zone == self._settings.zone]
-        spill_load = self._settings.spill_load
-        if local and any(self._load(entry, ramp, now) < spill_load for entry in local):
+        if local and self._keeps_up(local, ramp, now, local_within):
             candidates = local
-        return self._less_loaded_of_two(candidates, ramp, now)
+        return self._earliest_of_some(candidates, ramp, now)
 
     def attempt_started(self, key: EndpointKey) -> None:
         """Count one more own call at the endpoint."""
@@ -97,9 +103,12 @@
             usual = self._usual_latency(peers)
         return health.record(verdict, latency, usual, now, self._health_settings)
 
-    def observe_load(self, key: EndpointKey, reported: int, now: float) -> None:
+    def observe_load(
+        self, key: EndpointKey, reported: int, now: float, service_time: float = 0.0
+    ) -> None:
         """Take the load that came with an answer at ``now``; own calls are not counted twice."""
         health = self._health_of(key)
+        health.service_time = service_time or health.service_time
         health.foreign_load = max(0, reported - health.in_flight)
         health.load_at = now
 
@@ -129,15 +138,39 @@
         ejected.sort(key=lambda entry: self._health_of(entry.key).ejected_until)
         return healthy + ejected[: floor - len(healthy)]
 
-    def _less_loaded_of_two(
+    def _keeps_up(self, local: list[EndpointEntry], ramp: float, now: float, within: float) -> bool:
+        """Return whether an endpoint of the own zone has room, or answers soon enough."""
+        if any(self._load(entry, ramp, now) < self._settings.spill_load for entry in local):
+            return True
+        return any(
+            self._health_of(entry.key).service_time
+            and self._expected_time(entry, ramp, now) <= within
+            for entry in local
+        )
+
+    def _earliest_of_some(
         self, candidates: list[EndpointEntry], ramp: float, now: float
     ) -> EndpointEntry:
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._random.sample(candidates, 2)
-        if self._load(second, ramp, now, 1) < self._load(first, ramp, now, 1):
-            return second
-        return first
+        """Draw a few, so that proxies with the same old news do not all choose one endpoint."""
+        drawn = candidates
+        if len(candidates) > self._settings.choices:
+            drawn = self._random.sample(candidates, self._settings.choices)
+        elif len(candidates) > 1:
+            drawn = self._random.sample(candidates, len(candidates))
+        return min(drawn, key=lambda entry: self._expected_time(entry, ramp, now))
+
+    def _expected_time(self, entry: EndpointEntry, ramp: float, now: float) -> float:
+        """Return how long a further call would take there, waiting included, in seconds.
+
+        Where no endpoint has told how long its calls take, all count alike.
+        """
+        service_time = self._health_of(entry.key).service_time or self._usual_service_time()
+        used = self._load(entry, ramp, now, 1)
+        return service_time * (1.0 + NEAR_FULL_SLOWDOWN * used + max(0.0, used - 1.0))
+
+    def _usual_service_time(self) -> float:
+        known = [health.service_time for health in self._health.values() if health.service_time]
+        return median(known) if known else 1.0
 
     def _load(self, entry: EndpointEntry, ramp: float, now: float, added: int = 0) -> float:
         health = self._health_of(entry.key)
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -69,6 +70,7 @@
     part: RoutePart
     share: ShareKey
     deadline: float
+    target: float = math.inf
     phase: Phase = Phase.DIALLING
     wake_at: float = 0.0
     token: bytes = b""
@@ -76,6 +78,7 @@
     attempts: int = 0
     redirects: int = 0
     arrivals: int = 0
+    second_choice: bool = False
     tried: set[EndpointKey] = field(default_factory=set)
     may_have_run: Failure | None = None
     answer: CallAnswer | None = None
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -70,6 +70,8 @@
         self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._outputs = outputs
         self._budgets = RetryBudgets(settings.retry.fleet_saved)
+        self._second_percent = settings.retry.second_choice_percent
+        self._second_choices = RetryBudgets()
         self._splits = Splits(random_source)
         self._table: RouteTable | None = None
 
@@ -83,6 +85,7 @@
         self._table = table
         self._attempts.set_secret_names(table.secret_names)
         self._budgets.keep_only(table.services())
+        self._second_choices.keep_only(table.services())
         self._splits.keep_only(table.route_names())
 
     def share_budgets_between(self, nodes: int) -> None:
@@ -108,6 +111,8 @@
         self._calls.add(admitted)
         route = admitted.route
         self._budgets.of(admitted.part.service, route.retry_budget_percent).record_fresh_call()
+        if self._second_percent:
+            self._second_choices.of(admitted.part.service, self._second_percent).record_fresh_call()
         if route.at_most_once:
             self._claims.begin(admitted, now)
         else:
@@ -226,8 +231,10 @@
             return True
         if step is NextStep.GIVE_UP:
             return False
-        budget = self._budgets.of(call.part.service, call.route.retry_budget_percent)
-        return not call.arrivals or budget.try_take()
+        if step is NextStep.SECOND_CHOICE:
+            call.second_choice = True
+            return self._second_choices.of(call.part.service, self._second_percent).try_take()
+        return self._budgets.of(call.part.service, call.route.retry_budget_percent).try_take()
 
     def _backend_answered(self, call: Call, answer: CallAnswer, now: float) -> None:
         if not call.route.at_most_once:
--- a/src/limelever/proxy/health.py
+++ b/src/limelever/proxy/health.py
@@ -40,12 +40,14 @@
 class EndpointHealth:
     """Own counters of one endpoint; times in seconds.
 
-    ``foreign_load`` are the calls of other proxies that its last answer, at ``load_at``, told of.
+    ``foreign_load`` are the calls of other proxies that its last answer, at ``load_at``, told of;
+    ``service_time`` is how long a call takes there without waiting, 0 while nobody has told.
     """
 
     in_flight: int = 0
     foreign_load: int = 0
     load_at: float = 0.0
+    service_time: float = 0.0
     latency: float = 0.0
     failures_in_row: int = 0
     slow_in_row: int = 0
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -43,6 +43,7 @@
         group=group_of(call),
         call_kind=route.call_kind,
         deadline_left_ms=max(1, int((call.deadline - now) * _MILLISECONDS)),
+        target_left_ms=target_left_ms(call, now),
         method=request.method,
         target=request.target,
         headers=[Header(name=name, value=value) for name, value in passed],
@@ -51,6 +52,13 @@
     )
 
 
+def target_left_ms(call: Call, now: float) -> int:
+    """Return the milliseconds until an answer is worth less; 0 where the route names no target."""
+    if not call.route.target_latency:
+        return 0
+    return max(1, int((call.target - now) * _MILLISECONDS))
+
+
 def group_of(call: Call) -> str:
     """Return the group under which the agent queues a call: by priority where its route has one."""
     priority = call.route.priority
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -51,6 +51,7 @@
             stale_after=seconds(configuration.stale_after_ms),
             probe_interval=seconds(configuration.probe_interval_ms),
             answer_timeout=seconds(configuration.answer_timeout_ms),
+            search_limit=seconds(configuration.search_limit_ms),
         ),
         keepers=KeeperClientSettings(
             keepers=settings.keepers,
@@ -91,6 +92,7 @@
             attempts=settings.attempts,
             redirects=settings.redirects,
             fleet_saved=settings.fleet_saved_retries,
+            second_choice_percent=settings.second_choice_percent,
         ),
         completion_wait=seconds(settings.completion_wait_ms),
     )
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -28,6 +28,11 @@
 )
 """Another endpoint may do better; each retry is paid from the route's budget."""
 
+AGENT_REFUSALS = frozenset(
+    {ErrorKind.OVERLOADED, ErrorKind.SHARE_EXHAUSTED, ErrorKind.DEADLINE_TOO_SHORT}
+)
+"""An agent found no room; no back end heard of the call."""
+
 _ADVICE_WITH_DELAY = frozenset(
     {RetryAdvice.AFTER_DELAY, RetryAdvice.ELSEWHERE, RetryAdvice.SAME_REQUEST_ID}
 )
@@ -39,6 +44,7 @@
     GIVE_UP = auto()
     REDIRECT = auto()
     RETRY_WITHIN_BUDGET = auto()
+    SECOND_CHOICE = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,12 +52,15 @@
     """Bounds for one call; a route may name its own ``attempts``.
 
     ``fleet_saved`` is the number of retries that all proxies together may have saved up for each
-    service; 0 leaves every proxy its own small number.
+    service; 0 leaves every proxy its own small number. ``second_choice_percent`` of the fresh
+    calls may be tried once more after an agent refused them before any back end had work of
+    them; 0 has these paid like all other retries.
     """
 
     attempts: int = 3
     redirects: int = 3
     fleet_saved: int = 0
+    second_choice_percent: int = 0
 
 
 def next_step(call: Call, failure: Failure, settings: RetrySettings) -> NextStep:
@@ -65,6 +74,8 @@
         return NextStep.GIVE_UP
     if failure.kind in REDIRECT_KINDS and call.redirects < settings.redirects:
         return NextStep.REDIRECT
+    if settings.second_choice_percent and failure.kind in AGENT_REFUSALS and not call.arrivals:
+        return NextStep.GIVE_UP if call.second_choice else NextStep.SECOND_CHOICE
     attempts = call.route.attempts or settings.attempts
     if failure.kind in RETRY_KINDS and call.attempts - call.redirects < attempts:
         return NextStep.RETRY_WITHIN_BUDGET
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -57,6 +57,7 @@
     secret_headers: Headers
     attempts: int = 0
     priority: int = 0
+    target_latency: float = 0.0
 
     def allows(self, method: bytes) -> bool:
         """Return whether the route takes calls with this method."""
@@ -160,6 +161,7 @@
         secret_headers=tuple((s.header.lower().encode(), s.value) for s in secrets),
         attempts=route.attempts,
         priority=route.priority,
+        target_latency=route.target_latency_ms / _MILLISECONDS,
     )
 
 
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -50,6 +50,7 @@
     default_timeout_ms: int = attrs.field(default=10000, validator=between(10, 3600000))
     attempts: int = attrs.field(default=3, validator=between(1, 10))
     redirects: int = attrs.field(default=3, validator=between(0, 10))
+    second_choice_percent: int = attrs.field(default=0, validator=between(0, 100))
     fleet_saved_retries: int = attrs.field(default=0, validator=between(0, 100000))
     dial_wait_ms: int = attrs.field(default=250, validator=between(10, 60000))
     completion_wait_ms: int = attrs.field(default=1000, validator=between(10, 60000))
@@ -76,6 +77,7 @@
     stale_after_ms: int = attrs.field(default=8000, validator=between(100, 3600000))
     probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 600000))
     answer_timeout_ms: int = attrs.field(default=5000, validator=between(50, 600000))
+    search_limit_ms: int = attrs.field(default=240000, validator=between(50, 3600000))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -49,7 +49,7 @@
         connections: DialledConnections,
         generator: random.Random,
     ) -> None:
-        slowest = settings.return_backoff.maximum
+        slowest = min(settings.return_backoff.maximum, settings.search_limit)
         urgent = BackoffSettings(base=settings.backoff.base, maximum=slowest)
         self._backoffs = {
             Goal.PREFERRED: Backoff(settings.return_backoff, generator),
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -18,7 +18,8 @@
     ``behind_after`` the time for which a publisher may name newer versions without sending
     any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
     relays one drawn at random): a subscriber of another goes back to it in the times of
-    ``return_backoff``. With
+    ``return_backoff``; one in place of a stale publisher is sought at most every
+    ``search_limit``. With
     ``persist_snapshot`` the configuration is also kept on disk, at most every
     ``snapshot_delay``.
     """
@@ -31,6 +32,7 @@
     behind_after: float = 20.0
     probe_interval: float = 2.0
     answer_timeout: float = 5.0
+    search_limit: float = 240.0
     backoff: BackoffSettings = BackoffSettings()
     return_backoff: BackoffSettings = BackoffSettings(base=30.0, maximum=240.0)
     persist_snapshot: bool = False
