--- a/features/settings/check.feature
+++ b/features/settings/check.feature
@@ -45,7 +45,7 @@
       | links.connections                  | must be a whole number, is a string                          |
       | links.hello_timeout_ms             | must be a whole number, is true or false                     |
       | log.level                          | must be one of DEBUG, INFO, WARNING, ERROR, is "LOUD"        |
-      | credentials.accepted[0].role       | must be one of source, relay, proxy, agent, operator, is "prince" |
+      | credentials.accepted[0].role       | must be one of source, relay, proxy, agent, operator, node, control, is "prince" |
       | credentials.accepted[0].credential | missing key                                                  |
       | distribution.batch_delay_ms        | must be between 0 and 10000, is 99999                        |
       | endpoints.silent_after_ms          | must exceed endpoints.heartbeat_ms                           |
@@ -101,7 +101,7 @@
     When the settings file is checked
     Then the settings check lists exactly
       | key  | reason                                                 |
-      | role | must be one of source, relay, proxy, agent, is missing |
+      | role | must be one of source, relay, proxy, agent, node, control, is missing |
 
   Scenario Outline: Options that go over the file are checked with it
     Given the sample of agent
--- a/features/settings/samples.feature
+++ b/features/settings/samples.feature
@@ -12,6 +12,8 @@
       | relay  |
       | proxy  |
       | agent  |
+      | node   |
+      | control |
 
   Scenario Outline: Every key is checked for its type and its range
     Then each key of <role> refuses a value of another type by its name
@@ -23,6 +25,8 @@
       | relay  |
       | proxy  |
       | agent  |
+      | node   |
+      | control |
 
   Scenario Outline: A deployment's sample
     Then the deployment <name> has the zones <zones>
--- /dev/null
+++ b/features/source/discovery.feature
@@ -0,0 +1,50 @@
+Feature: A group that finds its members through seeds
+
+  Scenario: Nothing is written before a commit survives the losses that the group is to bear
+    Given a seeded group of 5 of which the 3 seeds run
+    Then the seeded group refuses a write for want of voters
+    When the rest of the seeded group starts
+    Then the seeded group has 5 voters
+    And the seeded group accepts a write
+
+  Scenario: Replicas that are no seeds found nothing
+    Given a seeded group of 5 of which only the others run
+    When the seeded group runs for 10 seconds
+    Then the seeded group has no leader
+
+  Scenario: A machine that is gone gives way to one at another address
+    Given a seeded group of 5
+    When a machine of the seeded group is gone and another comes at a new address
+    Then the seeded group has 5 voters, the new one among them
+    When a machine of the seeded group is gone and another comes at a new address
+    Then the seeded group has 5 voters, the new one among them
+    And the seeded group still holds every write
+
+  Scenario: A machine that is gone stays a voter while nothing can take its place
+    Given a seeded group of 5
+    When a machine of the seeded group is gone
+    And the seeded group runs for 20 seconds
+    Then the seeded group has 5 voters
+
+  Scenario: Two disks are lost right after a write, while all others lose power
+    Given a seeded group of 5
+    When the seeded group accepts a write and loses 2 disks and the power of all
+    Then the seeded group still holds every write
+    And the seeded group has 5 voters
+
+  Scenario: A minority misses writes, then another disk is lost
+    Given a seeded group of 5
+    When 2 replicas of the seeded group are cut off while it accepts a write
+    And another replica of the seeded group loses its disk, and all go dark but those cut off
+    Then the seeded group elects nobody until a replica with the write is back
+    And the seeded group still holds every write
+
+  Scenario: A planned stop hands leadership over at once
+    Given a seeded group of 5
+    When the leader of the seeded group is asked to stop
+    Then another replica of the seeded group leads within 0.5 seconds
+
+  Scenario: Members may be named badly
+    Given a seeded group of 5
+    When a stranger with the name "no address" asks the seeded group to join
+    Then the seeded group has 5 voters
--- a/features/steps/source_process.py
+++ b/features/steps/source_process.py
@@ -70,7 +70,9 @@
     def start(self) -> None:
         self._log = (self._folder / "source.log").open("w")
         command = [sys.executable, ROLE, self.full, "source", "--settings", self._settings]
-        self.process = subprocess.Popen([str(word) for word in command], stderr=self._log)
+        self.process = subprocess.Popen(
+            [str(word) for word in command], stdout=self._log, stderr=self._log
+        )
         assert wait_for(self._leads, PATIENCE), self._lines()
 
     def wait_ended(self) -> Ended:
--- a/features/steps/transport_process_steps.py
+++ b/features/steps/transport_process_steps.py
@@ -35,7 +35,7 @@
     done = subprocess.run(
         [str(word) for word in command], capture_output=True, text=True, timeout=PATIENCE
     )
-    return Ended(done.returncode, done.stderr.splitlines())
+    return Ended(done.returncode, [*done.stdout.splitlines(), *done.stderr.splitlines()])
 
 
 def folder_of(context) -> Path:
--- a/features/steps/transport_tls_process_steps.py
+++ b/features/steps/transport_tls_process_steps.py
@@ -49,7 +49,7 @@
     log = (context.folder / "relay.log").open("w")
     context.add_cleanup(log.close)
     command = [str(LIMELEVER), "relay", "--settings", str(settings)]
-    relay = subprocess.Popen(command, stderr=log)
+    relay = subprocess.Popen(command, stdout=log, stderr=log)
     context.add_cleanup(relay.wait)
     context.add_cleanup(relay.kill)
 
--- a/src/limelever/cli/application.py
+++ b/src/limelever/cli/application.py
@@ -26,6 +26,7 @@
 from limelever.cli.resource_files import read_resources
 from limelever.cli.roles import (
     EXIT_REFUSED,
+    PROCESS_ROLES,
     RoleArguments,
     check_settings,
     print_problems,
@@ -63,7 +64,7 @@
     return run
 
 
-for _role in (Role.SOURCE, Role.RELAY, Role.PROXY, Role.AGENT):
+for _role in PROCESS_ROLES:
     app.command(_role.value)(_role_command(_role))
 
 
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -36,7 +36,7 @@
 
 @attrs.frozen(kw_only=True)
 class LogSettings:
-    """Where log events go; an empty file means standard error."""
+    """Where log events go; an empty file means standard output."""
 
     format: Literal["json", "text"] = "json"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -32,7 +32,6 @@
     EdgeSettings,
     ProxySettings,
 )
-
 from limelever.subscriber.settings import SubscriberSettings
 
 
--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -53,3 +53,10 @@
     "changed certificate files do not fit, the former ones stay in use",
     "reason",
 )
+LOG_LINES_DROPPED = define(
+    1042,
+    "log-lines-dropped",
+    Level.WARNING,
+    "log lines were dropped while their reader did not read",
+    "lines",
+)
--- a/src/limelever/transport/log.py
+++ b/src/limelever/transport/log.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
-from typing import TYPE_CHECKING, TextIO
+from datetime import datetime
+from functools import partial
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from limelever.common.events import CATALOGUE
+from limelever.transport.events import LOG_LINES_DROPPED
+from limelever.transport.log_stream import LogStream
 from limelever.transport.metrics import EVENTS
 
 if TYPE_CHECKING:
@@ -16,6 +21,9 @@
 
     from limelever.common.settings import LogSettings
 
+STANDARD_OUTPUT = 1
+"""Descriptor of the standard output."""
+
 _TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {extra[code]} {message} {extra[text]}"
 
 
@@ -23,13 +31,14 @@
     """Send log events where the settings say, stamped with the process's role and name."""
     logger.remove()
     logger.configure(extra={"role": role, "process": name, "code": 0, "fields": {}, "text": ""})
-    target = settings.file or sys.stderr
+    target = settings.file or sys.stdout
     if settings.format == "text":
         logger.add(target, level=settings.level, format=_TEXT_FORMAT)
         return
-    stream: TextIO = sys.stderr
+    descriptor = STANDARD_OUTPUT
     if settings.file:
-        stream = open(settings.file, "a", buffering=1, encoding="utf-8")  # noqa: SIM115
+        descriptor = os.open(settings.file, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+    stream = LogStream(descriptor, partial(_dropped_line, role, name))
 
     def write_line(message: Message) -> None:
         stream.write(_json_line(message))
@@ -46,6 +55,22 @@
     EVENTS.labels(str(code)).inc()
 
 
+def _dropped_line(role: str, name: str, count: int) -> str:
+    """Return the line that tells of lines dropped while the log's reader did not read."""
+    kind = CATALOGUE[LOG_LINES_DROPPED]
+    line: dict[str, object] = {
+        "time": datetime.now().astimezone().isoformat(timespec="milliseconds"),
+        "level": kind.level.value,
+        "role": role,
+        "process": name,
+        "code": kind.code,
+        "event": kind.name,
+        "message": kind.text,
+        "fields": {"lines": count},
+    }
+    return json.dumps(line) + "\n"
+
+
 def _json_line(message: Message) -> str:
     record = message.record
     extra = record["extra"]
