Live on with a full disk; bound the pauses of all searches by one setting

The test that a full disk ends the source is replaced by one that it lives on, refuses nothing falsely and takes writes again.

--- a/features/steps/source_process.py
+++ b/features/steps/source_process.py
@@ -80,6 +80,11 @@
         self._log.close()
         return Ended(status, self._lines())
 
+    def logged(self, code: int) -> bool:
+        """Return whether the running process has written an event."""
+        self._log.flush()
+        return any(f'"code": {code},' in line for line in self._lines())
+
     def end(self) -> None:
         self.process.kill()
         self.process.wait()
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -122,6 +122,54 @@
         context.refusal = context.disk.perform([AppendLog(99, (b"x" * 50, b"y" * 50))])
 
 
+def full_after(limit):
+    """Return a stand-in for ``os.pwrite`` on a disk with room for ``limit`` bytes."""
+    real, left = os.pwrite, [limit]
+
+    def pwrite(descriptor, data, offset):
+        if left[0] == 0:
+            raise OSError(errno.ENOSPC, "no space")
+        part = bytes(data[: left[0]])
+        left[0] -= len(part)
+        return real(descriptor, part, offset)
+
+    return mock.patch("os.pwrite", pwrite)
+
+
+@when("a data folder's disk is full after {limit:d} more bytes of several writes")
+def _(context, limit):
+    context.rest = [
+        AppendLog(90, (b"a" * 20,)),
+        ReplaceFile(91, "vote", b"newer"),
+        AppendLog(92, (b"b" * 50, b"c" * 50)),
+    ]
+    with full_after(limit):
+        context.refusal = context.disk.perform(context.rest)
+    context.rest = context.rest[context.disk.carried_out :]
+
+
+@when("a data folder's disk is full all the time and gets the rest again")
+def _(context):
+    with full_after(0):
+        context.refusal = context.disk.perform(context.rest)
+    assert context.disk.carried_out == 0
+    assert context.rest
+
+
+@when("a data folder's disk has room again and gets the rest")
+def _(context):
+    assert context.disk.perform(context.rest) is None
+
+
+@then("a data folder holds all of those writes once, also after its process is gone")
+def _(context):
+    context.disk.close()
+    context.disk = _open(context)
+    recovered = context.disk.recovered
+    assert recovered.records[5:] == (b"a" * 20, b"b" * 50, b"c" * 50), recovered.records
+    assert recovered.files["vote"] == b"newer"
+
+
 @when("a data folder's disk is full while a file is replaced")
 def _(context):
     with mock.patch("os.pwrite", side_effect=OSError(errno.ENOSPC, "no space")):
@@ -141,6 +189,11 @@
     assert isinstance(opened, Failure) and opened.kind is ErrorKind(kind), opened
 
 
+@then("a data folder's write is refused as disk-full")
+def _(context):
+    assert context.refusal.kind is ErrorKind.DISK_FULL, context.refusal
+
+
 @then("a data folder's write is refused as {kind} and every later one too")
 def _(context, kind):
     assert context.refusal.kind is ErrorKind(kind), context.refusal
--- a/features/storage/data_folder.feature
+++ b/features/storage/data_folder.feature
@@ -42,7 +42,7 @@
   Scenario Outline: A full disk refuses and half-applies nothing
     Given a data folder with 5 records and a file
     When a data folder's disk is full after <bytes> more bytes
-    Then a data folder's write is refused as disk-full and every later one too
+    Then a data folder's write is refused as disk-full
     Given a data folder's process is gone
     Then a data folder gives back 5 records and the file
 
@@ -55,10 +55,26 @@
   Scenario: A full disk leaves the old file in place
     Given a data folder with 2 records and a file
     When a data folder's disk is full while a file is replaced
-    Then a data folder's write is refused as disk-full and every later one too
+    Then a data folder's write is refused as disk-full
     Given a data folder's process is gone
     Then a data folder gives back 2 records and the file
 
+  Scenario Outline: What a full disk refused is taken once there is room
+    Given a data folder with 5 records and a file
+    When a data folder's disk is full after <bytes> more bytes of several writes
+    Then a data folder's write is refused as disk-full
+    When a data folder's disk is full all the time and gets the rest again
+    Then a data folder's write is refused as disk-full
+    When a data folder's disk has room again and gets the rest
+    Then a data folder holds all of those writes once, also after its process is gone
+
+    Examples:
+      | bytes |
+      | 0     |
+      | 30    |
+      | 70    |
+      | 150   |
+
   Scenario Outline: A disk that fails does not pass for damaged contents
     Given a data folder with 5 records and a file
     And a data folder's process is gone
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -22,6 +23,7 @@
 )
 from limelever.agent.registration import RegistrationSettings
 from limelever.agent.settings import AgentSettings, ProbeSettings
+from limelever.common.backoff import BackoffSettings
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
@@ -105,6 +107,11 @@
     )
 
 
+def with_pauses(options: AgentOptions, pauses: BackoffSettings) -> AgentOptions:
+    """Return the options with these pauses between attempts to register."""
+    return replace(options, registration=replace(options.registration, backoff=pauses))
+
+
 def _subscriber_settings(settings: AgentSettings) -> SubscriberSettings:
     return SubscriberSettings(publishers=settings.relays, services=(settings.service,))
 
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -13,7 +13,7 @@
 that were estimated too well start too late to finish.
 """
 
-LONGEST_WAIT_PART_OF_TARGET = 0.8
+LONGEST_WAIT_PART_OF_TARGET = 0.5
 """Part of the time to spare before its target that a call may be expected to wait.
 
 A call that would be late takes a slot from one that would not.
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -80,3 +80,7 @@
     1015, "send-queue-full", Level.WARNING, "peer reads too slowly, link closed", "peer", "limit"
 )
 DISK_FAILED = define(1020, "disk-failed", Level.ERROR, "disk write failed", "kind", "reason")
+DISK_FULL = define(
+    1021, "disk-full", Level.ERROR, "the disk is full: what needs a write waits until it has room"
+)
+DISK_HAS_ROOM = define(1022, "disk-has-room", Level.INFO, "the disk takes writes again")
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -24,7 +24,7 @@
     DrainRequested,
     StartAttempt,
 )
-from limelever.agent.process import options_from
+from limelever.agent.process import options_from, with_pauses
 from limelever.agent.settings import AgentSettings
 from limelever.common.sansio import Address, Output, Purpose, Role
 from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
@@ -103,7 +103,9 @@
     async def _run(self, settings: AgentSettings, instance: str) -> None:
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
         subscriber = agent_subscriber(self._settings, settings.service)
-        options = options_from(settings, self._settings.listen, subscriber)
+        options = with_pauses(
+            options_from(settings, self._settings.listen, subscriber), subscriber.dialling
+        )
         core = AgentCore(options, incarnation, random.Random())
         finished = trio.Event()
         self._under_way.add(finished)
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -86,7 +86,7 @@
         stale_after=seconds(configuration.stale_after_ms),
         probe_interval=seconds(configuration.probe_interval_ms),
         answer_timeout=seconds(configuration.answer_timeout_ms),
-        search_limit=seconds(configuration.search_limit_ms),
+        longest_pause=seconds(configuration.longest_pause_ms),
     )
 
 
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -51,7 +51,7 @@
             stale_after=seconds(configuration.stale_after_ms),
             probe_interval=seconds(configuration.probe_interval_ms),
             answer_timeout=seconds(configuration.answer_timeout_ms),
-            search_limit=seconds(configuration.search_limit_ms),
+            longest_pause=seconds(configuration.longest_pause_ms),
         ),
         keepers=KeeperClientSettings(
             keepers=settings.keepers,
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -77,7 +77,7 @@
     stale_after_ms: int = attrs.field(default=8000, validator=between(100, 3600000))
     probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 600000))
     answer_timeout_ms: int = attrs.field(default=5000, validator=between(50, 600000))
-    search_limit_ms: int = attrs.field(default=240000, validator=between(50, 3600000))
+    longest_pause_ms: int = attrs.field(default=240000, validator=between(50, 3600000))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from limelever.common.backoff import BackoffSettings
 from limelever.common.errors import Failure
 from limelever.common.sansio import Output, Purpose, Recovered, Role
 from limelever.common.settings import seconds
@@ -87,6 +88,7 @@
         batch=seconds(endpoints.batch_ms),
         heartbeat=seconds(endpoints.heartbeat_ms),
         silent_after=seconds(endpoints.silent_after_ms),
+        backoff=BackoffSettings(maximum=seconds(endpoints.longest_pause_ms)),
         table=TableSettings(
             tombstone=seconds(endpoints.tombstone_ms),
             relay_grace=seconds(endpoints.relay_grace_ms),
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -58,6 +58,7 @@
     silent_after_ms: int = attrs.field(default=6000, validator=between(100, 600000))
     tombstone_ms: int = attrs.field(default=60000, validator=between(1000, 3600000))
     relay_grace_ms: int = attrs.field(default=20000, validator=between(0, 3600000))
+    longest_pause_ms: int = attrs.field(default=8000, validator=between(50, 3600000))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/storage/disk.py
+++ b/src/limelever/storage/disk.py
@@ -29,6 +29,11 @@
     def perform(self, outputs: Sequence[Output]) -> Failure | None:
         """Carry out the disk writes among ``outputs`` in order and sync them.
 
-        Returns ``None`` once all of them are synced. After a failure the disk takes no
-        further write, because what it holds may differ from what the core believes.
+        Returns ``None`` once all of them are synced. After DISK_FULL the writes from number
+        ``carried_out`` on are to be given again, in the same order. After any other failure the
+        disk takes no further write, because what it holds may differ from what the core believes.
         """
+
+    @property
+    def carried_out(self) -> int:
+        """Return how many outputs of the last :meth:`perform` are done, from the first on."""
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -109,6 +109,7 @@
         self._dirty = False
         self._closed = False
         self._failure: Failure | None = None
+        self._carried_out = 0
         self._log = self._open_log()
         os.ftruncate(self._log, self._end)
         os.fsync(self._log)
@@ -130,18 +131,39 @@
     def perform(self, outputs: Sequence[Output]) -> Failure | None:
         """Carry out the disk writes among ``outputs`` in order, with one sync for all appends.
 
-        A write that fails is undone; those before it in the batch stay and are synced.
+        A write that fails is undone; those before it in the batch stay and are synced. A full
+        disk may be tried again with the writes from the refused one on; any other failure is
+        final.
         """
+        self._carried_out = 0
         if self._failure is not None:
             return self._failure
         try:
             for write in outputs:
                 if isinstance(write, DISK_WRITES):
                     self._carry_out(write)
+                self._carried_out += 1
+            self._sync_log()
+        except OSError as error:
+            failure = _failure_of(error)
+            if failure.kind is not ErrorKind.DISK_FULL or not self._keep_those_before():
+                self._failure = failure
+            return failure
+        return None
+
+    @property
+    def carried_out(self) -> int:
+        """Return how many outputs of the last :meth:`perform` are done, from the first on."""
+        return self._carried_out
+
+    def _keep_those_before(self) -> bool:
+        """Sync the writes before a refused one; return whether that went well."""
+        try:
             self._sync_log()
         except OSError as error:
             self._failure = _failure_of(error)
-        return self._failure
+            return False
+        return True
 
     def _carry_out(self, write: DiskWrite) -> None:
         match write:
--- a/src/limelever/storage/memory.py
+++ b/src/limelever/storage/memory.py
@@ -29,6 +29,7 @@
         self._files: dict[str, bytes] = {}
         self._unsynced: list[DiskWrite] = []
         self._failure: Failure | None = None
+        self._carried_out = 0
 
     @property
     def recovered(self) -> Recovered:
@@ -42,10 +43,16 @@
     def perform(self, outputs: Sequence[Output]) -> Failure | None:
         """Carry out and sync the disk writes among ``outputs``."""
         failure = self.begin(outputs)
+        self._carried_out = 0 if failure is not None else len(outputs)
         if failure is None:
             self.finish()
         return failure
 
+    @property
+    def carried_out(self) -> int:
+        """Return how many outputs of the last :meth:`perform` are done: all or none."""
+        return self._carried_out
+
     def begin(self, outputs: Sequence[Output]) -> Failure | None:
         """Start the disk writes among ``outputs``; a crash before ``finish`` may lose them."""
         if self._failure is not None:
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -46,7 +46,7 @@
         self._settings = settings
         self._connections = connections
         self._choice = PublisherChoice(
-            settings.publishers, settings.backoff, generator, spread=settings.everything
+            settings.publishers, settings.dialling, generator, spread=settings.everything
         )
         self.search = PublisherSearch(settings, self._choice, connections, generator)
         self._timers = Timers()
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -49,7 +49,7 @@
         connections: DialledConnections,
         generator: random.Random,
     ) -> None:
-        slowest = min(settings.return_backoff.maximum, settings.search_limit)
+        slowest = min(settings.return_backoff.maximum, settings.longest_pause)
         urgent = BackoffSettings(base=settings.backoff.base, maximum=slowest)
         self._backoffs = {
             Goal.PREFERRED: Backoff(settings.return_backoff, generator),
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -18,8 +18,8 @@
     ``behind_after`` the time for which a publisher may name newer versions without sending
     any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
     relays one drawn at random): a subscriber of another goes back to it in the times of
-    ``return_backoff``; one in place of a stale publisher is sought at most every
-    ``search_limit``. With
+    ``return_backoff``; ``longest_pause`` bounds the wait between two attempts to
+    find a publisher in place of one that is stale or lost. With
     ``persist_snapshot`` the configuration is also kept on disk, at most every
     ``snapshot_delay``.
     """
@@ -32,8 +32,14 @@
     behind_after: float = 20.0
     probe_interval: float = 2.0
     answer_timeout: float = 5.0
-    search_limit: float = 240.0
+    longest_pause: float = 240.0
     backoff: BackoffSettings = BackoffSettings()
     return_backoff: BackoffSettings = BackoffSettings(base=30.0, maximum=240.0)
     persist_snapshot: bool = False
     snapshot_delay: float = 2.0
+
+    @property
+    def dialling(self) -> BackoffSettings:
+        """Return the pauses between dials of lost publishers."""
+        maximum = min(self.backoff.maximum, self.longest_pause)
+        return BackoffSettings(base=min(self.backoff.base, maximum), maximum=maximum)
--- a/src/limelever/transport/disk_writer.py
+++ b/src/limelever/transport/disk_writer.py
@@ -9,7 +9,7 @@
 import trio
 
 from limelever.common import events
-from limelever.common.errors import Failure
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import (
     AppendLog,
     Output,
@@ -29,12 +29,22 @@
     def perform(self, outputs: Sequence[Output]) -> Failure | None:
         """Carry out the writes in order and sync them, or say why not."""
 
+    @property
+    def carried_out(self) -> int:
+        """Return how many outputs of the last :meth:`perform` are done, from the first on."""
+
+
+FULL_RETRY_SECONDS = 0.25
+"""Between attempts to write to a full disk."""
+
 
 class DiskWriter:
     """Writes what is queued while the last writes are synced, all with the next sync.
 
-    ``on_completed`` is told of each write once it is synced. After a failure nothing more is
-    written: what the disk holds may differ from what the core believes.
+    ``on_completed`` is told of each write once it is synced. A full disk is tried again until it
+    has room: meanwhile nothing is reported, and the core goes on with what needs no write. After
+    any other failure nothing more is written: what the disk holds may differ from what the core
+    believes.
     """
 
     def __init__(
@@ -60,11 +70,27 @@
             await self._wake.wait()
             self._wake = trio.Event()
             writes, self._queue = self._queue, []
-            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
+            failure = await self._write(writes)
             if failure is not None:
                 fields: dict[str, object] = {"kind": failure.kind.value, "reason": failure.reason}
                 write_event(events.DISK_FAILED, fields)
                 self._on_failure(failure)
                 return
-            for write in writes:
+
+    async def _write(self, writes: list[DiskWrite]) -> Failure | None:
+        """Carry writes out in order, waiting for room; return a failure that is final."""
+        full = False
+        while writes:
+            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
+            if failure is not None and failure.kind is not ErrorKind.DISK_FULL:
+                return failure
+            done = len(writes) if failure is None else self._disk.carried_out
+            for write in writes[:done]:
                 self._on_completed(WriteCompleted(write.token))
+            writes = writes[done:]
+            if (failure is not None) != full:
+                full = failure is not None
+                write_event(events.DISK_FULL if full else events.DISK_HAS_ROOM, {})
+            if full:
+                await trio.sleep(FULL_RETRY_SECONDS)
+        return None
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -21,7 +21,7 @@
 """Largest frame before the hello is accepted: an unknown peer costs no more memory than this."""
 
 _RECEIVE_CHUNK = 65536
-_CLOSE_GRACE = 2.0
+_CLOSE_GRACE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
