Let short calls wait up to their deadline; keep calls in the zone longer

Change: a call shorter than half of the usual is refused only when its deadline is out of reach; calls stay in their zone up to 0.7 of the time to the target.

--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -19,6 +19,15 @@
 A call that would be late takes a slot from one that would not.
 """
 
+SHORT_CALL_PART = 0.5
+"""Part of the usual service time below which a call counts as short.
+
+To refuse a short call saves little, and other calls often wait for its answer: it may be late.
+"""
+
+LONGEST_WAIT_PART_OF_SHORT_CALLS = 0.9
+"""Part of its spare time that a short call may be expected to wait."""
+
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
@@ -52,7 +61,10 @@
 
     def is_too_long(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
         """Return whether a call that would have to wait is better refused at once."""
-        finished = now + self.service_time(group)
+        service_time = self.service_time(group)
+        finished = now + service_time
+        if service_time < self.overall * SHORT_CALL_PART:
+            return self.wait(group) > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
         longest = (call.deadline - finished) * LONGEST_WAIT_PART
         in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
         return self.wait(group) > min(longest, in_target)
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -26,8 +26,8 @@
 _ID_HALF_BYTES = 8
 
 LARGE_BODY_BYTES = 16 * 1024
-LOCAL_PART = 0.5
-LOCAL_PART_LARGE_BODY = 0.9
+LOCAL_PART = 0.7
+LOCAL_PART_LARGE_BODY = 1.0
 """Parts of the time to its target in which a call may be answered within the own zone."""
 
 DEFAULT_RESERVED = HeaderNames().set_by_mesh
