Log each decision about a request, bounded; limelever explain gathers them

Each attempt, refusal, failure and answer has a line with the request's id, what decided it and the outcome (events 4040-4044, 5050, 5051). Successes are sampled by the id, alike on every process; failures are written up to a rate and counted beyond it.

--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -13,19 +13,22 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from limelever.agent import answers
+from limelever.agent import answers, events
 from limelever.agent.answer_sender import AnswerSender
 from limelever.agent.calls import Call, CallStage, CallTable, Orphaned
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.intake import BodyLimits, CallIntake, Refusal
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt
+from limelever.common.decision_log import DecisionLog, DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
 
 _SHED_STATUS = 503
 _MICROSECONDS = 1_000_000
+_MICROSECONDS_PER_MILLISECOND = 1000
+_MILLISECONDS = 1000
 _LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
@@ -40,6 +43,7 @@
     queue: QueueLimits = QueueLimits()
     max_body_bytes: int = 4 * 1024 * 1024
     assembling_bytes: int = 8 * 1024 * 1024
+    log: DecisionLogSettings = DecisionLogSettings()
 
 
 class CallService:
@@ -53,6 +57,8 @@
         self._queue = FairQueue(limits.queue)
         self._answers = AnswerSender()
         self.draining = False
+        self._log = DecisionLog(limits.log)
+        self._now = 0.0
 
     @property
     def running(self) -> int:
@@ -93,12 +99,13 @@
         self, connection: ConnectionId, peer: str, start: CallStart, now: float
     ) -> list[Output]:
         """Take a call in, or refuse it."""
+        self._now = now
         call = self._intake.open(connection, peer, start, now, self.draining)
         if isinstance(call, Refusal):
             logs: list[Output] = [call.log] if call.log is not None else []
             if call.failure is None:
                 return logs
-            return [self._failed(connection, start, call.failure), *logs]
+            return [*self._failed(connection, start, call.failure), *logs]
         if start.end:
             return self._admit(call, now)
         failure = self._intake.check_body(call)
@@ -134,7 +141,7 @@
             return self._refuse(call, self._with_advice(_GIVEN_UP, call))
         answer = self._failed(connection, call.start, _CANCELLED)
         self._calls.settle(call)
-        return [answer, CancelAttempt(call.number)]
+        return [*answer, CancelAttempt(call.number)]
 
     def proxy_gone(self, connection: ConnectionId, peer: str) -> list[Output]:
         """Drop what the proxy has waiting; cancel what may be repeated, let the rest finish."""
@@ -165,10 +172,12 @@
         settled = call.settled
         self._calls.remove(call)
         outputs = [] if settled else self._answers.send(call, event, self.load())
+        outputs.extend(self._ran(call, event.status, now))
         return [*outputs, *self.start_waiting(now)]
 
     def failed(self, event: AttemptFailed, now: float) -> list[Output]:
         """Answer a failed attempt with what is known about whether it ran."""
+        self._now = now
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
@@ -176,7 +185,7 @@
         outputs: list[Output] = []
         if not call.settled:
             failure = answers.attempt_failure(event)
-            outputs.append(self._failed(call.connection, call.start, failure))
+            outputs.extend(self._failed(call.connection, call.start, failure))
         self._calls.remove(call)
         return [*outputs, *self.start_waiting(now)]
 
@@ -209,7 +218,7 @@
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if not call.settled:
-                outputs.append(self._failed(call.connection, call.start, _CUT_OFF))
+                outputs.extend(self._failed(call.connection, call.start, _CUT_OFF))
                 self._calls.settle(call)
             outputs.append(CancelAttempt(call.number))
         return outputs
@@ -219,11 +228,13 @@
 
         The timer of a busy process fires late: a call past its deadline is refused here first.
         """
+        self._now = now
         outputs = self.expire(now)
         outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         while (queued := self._queue.start_next(now)) is not None:
             call = self._calls.by_number(queued.call)
             assert call is not None
+            call.started_at = now
             outputs.append(call.begin(now))
             outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         return outputs
@@ -249,7 +260,7 @@
         offered = self._queue.offer(queued, now)
         if isinstance(offered, Failure):
             self._calls.remove(call)
-            return [self._failed(call.connection, call.start, offered)]
+            return self._failed(call.connection, call.start, offered)
         call.stage = CallStage.QUEUED
         return [*self._evicted(offered), *self.start_waiting(now)]
 
@@ -263,12 +274,36 @@
 
     def _refuse(self, call: Call, failure: Failure) -> list[Output]:
         self._withdraw(call)
-        return [self._failed(call.connection, call.start, failure)]
+        return self._failed(call.connection, call.start, failure)
 
     def _withdraw(self, call: Call) -> None:
         self._intake.close(call)
         self._queue.remove(call.number)
         self._calls.remove(call)
 
-    def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> Output:
-        return SendMessage(connection, answers.call_failed(start, failure, self.load()))
+    def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> list[Output]:
+        load = self.load()
+        fields: dict[str, object] = {
+            "kind": failure.kind.value,
+            "outcome": failure.outcome.value,
+            "reason": failure.reason,
+            "running": load.in_flight,
+            "queued": load.queued,
+            "slots": load.slots,
+            "service_milliseconds": load.service_us // _MICROSECONDS_PER_MILLISECOND,
+            "draining": load.draining,
+        }
+        lines = self._log.failure(events.CALL_NOT_SERVED, start.request_id, fields, self._now)
+        return [SendMessage(connection, answers.call_failed(start, failure, load)), *lines]
+
+    def _ran(self, call: Call, status: int, now: float) -> list[Output]:
+        if not self._log.follows(call.start.request_id):
+            return []
+        fields: dict[str, object] = {
+            "status": status,
+            "waited_milliseconds": int((call.started_at - call.arrived_at) * _MILLISECONDS),
+            "ran_milliseconds": int((now - call.started_at) * _MILLISECONDS),
+            "running": self._queue.running,
+            "queued": self._queue.queued,
+        }
+        return [*self._log.success(events.CALL_RAN, call.start.request_id, fields)]
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -40,6 +40,8 @@
     stage: CallStage = CallStage.ASSEMBLING
     settled: bool = False
     target: float = math.inf
+    arrived_at: float = 0.0
+    started_at: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -53,3 +53,30 @@
     5040, "drain-started", Level.INFO, "drain began", "running", "queued", "limit_seconds"
 )
 DRAIN_FINISHED = define(5041, "drain-finished", Level.INFO, "drain finished", "cut_off")
+CALL_RAN = define(
+    5050,
+    "call-ran",
+    Level.INFO,
+    "the back end answered a call",
+    "request_id",
+    "status",
+    "waited_milliseconds",
+    "ran_milliseconds",
+    "running",
+    "queued",
+)
+CALL_NOT_SERVED = define(
+    5051,
+    "call-not-served",
+    Level.INFO,
+    "a call was refused or did not get the back end's answer",
+    "request_id",
+    "kind",
+    "outcome",
+    "reason",
+    "running",
+    "queued",
+    "slots",
+    "service_milliseconds",
+    "draining",
+)
--- a/src/limelever/agent/intake.py
+++ b/src/limelever/agent/intake.py
@@ -78,6 +78,7 @@
         wanted = start.target_left_ms / _MILLISECONDS
         target = now + wanted if wanted else math.inf
         call = self._calls.add(connection, start, deadline, target)
+        call.arrived_at = now
         self._assembling[call.number] = call
         self._assembling_bytes += len(call.body)
         return call
--- a/src/limelever/cli/application.py
+++ b/src/limelever/cli/application.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import os
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated
 
@@ -11,6 +13,7 @@
 
 from limelever.cli import operator_commands
 from limelever.cli.connection import Connection, with_connection
+from limelever.cli.explain import Explanation, explain
 from limelever.cli.members import members_app
 from limelever.cli.operator_commands import ApplyOptions
 from limelever.cli.options import (
@@ -25,6 +28,7 @@
 )
 from limelever.cli.resource_files import read_resources
 from limelever.cli.roles import (
+    EXIT_OK,
     EXIT_REFUSED,
     PROCESS_ROLES,
     RoleArguments,
@@ -166,6 +170,34 @@
         return operator_commands.rollout(client, version, wait, readers, as_json)
 
 
+@app.command("explain")
+def explain_request(
+    request_id: Annotated[str, typer.Argument(metavar="REQUEST-ID")],
+    files: Annotated[list[Path], typer.Argument(metavar="LOG-FILE...")],
+    since: Annotated[str, typer.Option(help="Leave out lines before this time (ISO 8601).")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show what the logs of many processes say of one request, and the line that decided.
+
+    Example: limelever explain 9c41d07be2a35f68 node-1.log node-2.log
+    """
+    explanation = explain(request_id, files, since)
+    if as_json:
+        typer.echo(json.dumps(asdict(explanation)))
+    else:
+        _print_explanation(explanation)
+    raise typer.Exit(EXIT_OK if explanation.lines else EXIT_REFUSED)
+
+
+def _print_explanation(explanation: Explanation) -> None:
+    for line in explanation.beliefs:
+        typer.echo(f"believed  {line}")
+    for line in explanation.lines:
+        typer.echo(f"{'decided ' if line is explanation.deciding else '        '}  {line}")
+    if not explanation.lines:
+        typer.echo("no line names this request", err=True)
+
+
 @app.command()
 @with_connection
 def status(connection: Connection, as_json: JsonOption = False) -> int:
--- /dev/null
+++ b/src/limelever/cli/explain.py
@@ -0,0 +1,111 @@
+"""Gathers what the logs of many processes say of one request, and names the line that decided."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from limelever.agent.events import CALL_NOT_SERVED, CALL_RAN
+from limelever.proxy.events import (
+    ATTEMPT_ENDED,
+    ATTEMPT_SENT,
+    CALL_ANSWERED,
+    CALL_FAILED,
+    CALLER_GONE,
+)
+
+_ORDER = (ATTEMPT_SENT, CALL_NOT_SERVED, CALL_RAN, ATTEMPT_ENDED, CALLER_GONE)
+"""Order of lines that bear one time; the caller's answer comes last."""
+
+_DECIDING = (CALL_NOT_SERVED, ATTEMPT_ENDED, CALLER_GONE, CALL_FAILED, CALL_ANSWERED)
+"""Codes of lines that may have decided a request's end, the nearest to the cause first."""
+
+_BELIEFS = frozenset({"configuration-installed", "routes-in-force", "endpoint-ejected"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a process's log."""
+
+    time: str
+    process: str
+    code: int
+    event: str
+    fields: dict[str, Any]
+
+    def __str__(self) -> str:
+        """Return the line as it is shown."""
+        shown = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.time} {self.process} {self.code} {self.event} {shown}"
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """The lines of one request in their order, the deciding one, and what its process believed."""
+
+    lines: tuple[LogLine, ...]
+    deciding: LogLine | None
+    beliefs: tuple[LogLine, ...]
+
+
+def explain(request_id: str, files: Iterable[Path], since: str = "") -> Explanation:
+    """Return what the logs say of ``request_id``; lines before the time ``since`` are left out."""
+    lines: list[LogLine] = []
+    beliefs: dict[tuple[str, str], LogLine] = {}
+    for line in sorted(_read_all(files), key=_position):
+        if line.time < since:
+            continue
+        if line.fields.get("request_id") == request_id:
+            lines.append(line)
+        elif line.event in _BELIEFS and not lines:
+            beliefs[line.process, line.event] = line
+    deciding = _deciding(lines)
+    processes = {line.process for line in lines}
+    held = tuple(line for (process, _), line in beliefs.items() if process in processes)
+    return Explanation(tuple(lines), deciding, held)
+
+
+def _deciding(lines: list[LogLine]) -> LogLine | None:
+    """Return the last line of the kind nearest to the cause, for the end that the caller saw."""
+    ended = next(
+        (line for line in reversed(lines) if line.code in (CALL_FAILED, CALL_ANSWERED)), None
+    )
+    if ended is not None and ended.code == CALL_ANSWERED:
+        return ended
+    for code in _DECIDING:
+        for line in reversed(lines):
+            if line.code == code:
+                return line
+    return lines[-1] if lines else None
+
+
+def _position(line: LogLine) -> tuple[str, int]:
+    return line.time, _ORDER.index(line.code) if line.code in _ORDER else len(_ORDER)
+
+
+def _read_all(files: Iterable[Path]) -> Iterator[LogLine]:
+    for path in files:
+        with path.open(encoding="utf-8", errors="replace") as text:
+            yield from _read(text)
+
+
+def _read(text: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the structured lines; what stands before a line's JSON is passed over."""
+    for raw in text:
+        start = raw.find("{")
+        if start < 0:
+            continue
+        try:
+            record = json.loads(raw[start:])
+            yield LogLine(
+                record["time"],
+                record["process"],
+                record["code"],
+                record["event"],
+                record.get("fields", {}),
+            )
+        except (ValueError, KeyError, TypeError):
+            continue
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -84,3 +84,10 @@
     1021, "disk-full", Level.ERROR, "the disk is full: what needs a write waits until it has room"
 )
 DISK_HAS_ROOM = define(1022, "disk-has-room", Level.INFO, "the disk takes writes again")
+DECISIONS_NOT_LOGGED = define(
+    1023,
+    "decisions-not-logged",
+    Level.WARNING,
+    "lines on failed requests were left out, the rate was too high",
+    "lines",
+)
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.http_headers import HeaderNames
 from limelever.common.sansio import Address, Role
 from limelever.common.settings.checks import between, not_empty
@@ -13,6 +14,8 @@
 
 MILLISECONDS = 1000.0
 _NAMES = HeaderNames()
+_BURST_SECONDS = 4.0
+"""Seconds of the rate of lines on failures that may come at once."""
 
 
 def seconds(milliseconds: float) -> float:
@@ -36,11 +39,21 @@
 
 @attrs.frozen(kw_only=True)
 class LogSettings:
-    """Where log events go; an empty file means standard output."""
+    """Where log events go; an empty file means standard output.
+
+    ``sample_percent`` of the requests are followed in the log, the same on every process.
+    """
 
     format: Literal["json", "text"] = "json"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     file: str = ""
+    sample_percent: int = attrs.field(default=0, validator=between(0, 100))
+    failures_per_second: int = attrs.field(default=50, validator=between(1, 100000))
+
+    def decisions(self) -> DecisionLogSettings:
+        """Return which decisions about requests are written."""
+        rate = float(self.failures_per_second)
+        return DecisionLogSettings(self.sample_percent, rate, _BURST_SECONDS * rate)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -15,6 +15,7 @@
 from limelever.proxy.answer_assembly import AnswerAssembly, AssemblyLimits
 from limelever.proxy.attempt_ends import AttemptEnds
 from limelever.proxy.balancer import Balancer
+from limelever.proxy.call_log import CallLog
 from limelever.proxy.call_state import NOT_SENT, Attempt, AttemptEnded, Call, CallTable, Phase
 from limelever.proxy.endpoints import EndpointKey, EndpointView
 from limelever.proxy.health import Verdict
@@ -74,6 +75,7 @@
         self._ends = AttemptEnds(calls, view, balancer, assembly, outputs)
         self._messages = AgentMessages(calls, self._ends, assembly, outputs)
         self._reserved = settings.reserved_headers
+        self.log: CallLog | None = None
 
     def set_secret_names(self, names: frozenset[bytes]) -> None:
         """Name the headers that callers may not set."""
@@ -98,6 +100,9 @@
         call.attempts += 1
         call.tried.add(entry.key)
         self._balancer.attempt_started(entry.key)
+        if self.log is not None:
+            in_flight = self._balancer.in_flight(entry.key)
+            self.log.attempt_sent(call, entry, len(usable), in_flight, now)
         if link.stage is LinkStage.UP:
             self._send(call, call.attempt, link, now)
             return None
--- /dev/null
+++ b/src/limelever/proxy/call_log.py
@@ -0,0 +1,106 @@
+"""The log lines of the request path: one for each decision about a call, with what decided it."""
+
+from __future__ import annotations
+
+from limelever.common.decision_log import DecisionLog, DecisionLogSettings
+from limelever.common.errors import Failure
+from limelever.common.sansio import Output
+from limelever.proxy import events
+from limelever.proxy.call_state import Call
+from limelever.proxy.call_types import CallAnswer, CallRequest
+from limelever.proxy.endpoints import EndpointEntry
+from limelever.proxy.router import RouteTable
+
+_MILLISECONDS = 1000.0
+
+
+class CallLog:
+    """Appends lines to a core's outputs, as far as the volume allows."""
+
+    def __init__(self, settings: DecisionLogSettings, outputs: list[Output]) -> None:
+        self._log = DecisionLog(settings)
+        self._outputs = outputs
+
+    def not_admitted(
+        self, request: CallRequest, failure: Failure, table: RouteTable | None, now: float
+    ) -> None:
+        """A call was refused before it was routed, or for want of room."""
+        fields: dict[str, object] = {
+            "route": "",
+            "version": table.version if table is not None else 0,
+            "service": "",
+            **_failed(failure),
+            "attempts": 0,
+            "milliseconds": 0,
+        }
+        lines = self._log.failure(events.CALL_FAILED, request.request_id, fields, now)
+        self._outputs.extend(lines)
+
+    def attempt_sent(
+        self, call: Call, entry: EndpointEntry, choices: int, in_flight: int, now: float
+    ) -> None:
+        """An endpoint was chosen."""
+        call.last_instance = entry.key.instance
+        if not self._log.follows(call.request.request_id):
+            return
+        fields: dict[str, object] = {
+            "service": entry.key.service,
+            "instance": entry.key.instance,
+            "zone": entry.zone,
+            "choices": choices,
+            "own_in_flight": in_flight,
+            "endpoint_age": round(now - entry.reported_at, 3),
+            "milliseconds_left": _milliseconds(call.deadline - now),
+        }
+        lines = self._log.success(events.ATTEMPT_SENT, call.request.request_id, fields)
+        self._outputs.extend(lines)
+
+    def attempt_failed(self, call: Call, failure: Failure, goes_on: bool, now: float) -> None:
+        """An attempt brought no answer."""
+        fields: dict[str, object] = {
+            "service": call.part.service,
+            "instance": call.last_instance,
+            "kind": failure.kind.value,
+            "outcome": failure.outcome.value,
+            "reason": failure.reason,
+            "goes_on": goes_on,
+            "milliseconds": _milliseconds(now - call.arrived_at),
+        }
+        lines = self._log.failure(events.ATTEMPT_ENDED, call.request.request_id, fields, now)
+        self._outputs.extend(lines)
+
+    def caller_gone(self, call: Call, now: float) -> None:
+        """The caller left."""
+        fields: dict[str, object] = {"phase": call.phase.name.lower()}
+        lines = self._log.failure(events.CALLER_GONE, call.request.request_id, fields, now)
+        self._outputs.extend(lines)
+
+    def ended(self, call: Call, answer: CallAnswer | Failure, now: float) -> None:
+        """The call has its final answer."""
+        fields: dict[str, object] = {
+            "route": call.route.name,
+            "version": call.version,
+            "service": call.part.service,
+            "attempts": call.attempts,
+            "milliseconds": _milliseconds(now - call.arrived_at),
+        }
+        request_id = call.request.request_id
+        if isinstance(answer, Failure):
+            fields.update(_failed(answer))
+            self._outputs.extend(self._log.failure(events.CALL_FAILED, request_id, fields, now))
+        elif self._log.follows(request_id):
+            fields["status"] = answer.status
+            self._outputs.extend(self._log.success(events.CALL_ANSWERED, request_id, fields))
+
+
+def _failed(failure: Failure) -> dict[str, object]:
+    return {
+        "kind": failure.kind.value,
+        "outcome": failure.outcome.value,
+        "reason": failure.reason,
+        "retry_after": round(failure.retry_after, 3),
+    }
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * _MILLISECONDS)
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -79,6 +79,9 @@
     redirects: int = 0
     arrivals: int = 0
     second_choice: bool = False
+    arrived_at: float = 0.0
+    version: int = 0
+    last_instance: str = ""
     tried: set[EndpointKey] = field(default_factory=set)
     may_have_run: Failure | None = None
     answer: CallAnswer | None = None
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -11,12 +11,14 @@
 
 from google.protobuf.message import Message
 
+from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer
 from limelever.protocol.keeper_pb2 import RecordedAnswer
 from limelever.proxy import claims, events
 from limelever.proxy.admission import AdmissionSettings, admit, call_timeout
 from limelever.proxy.attempts import Attempts
+from limelever.proxy.call_log import CallLog
 from limelever.proxy.call_state import AttemptEnded, Call, CallTable, Phase
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallRequest
 from limelever.proxy.group_limits import GroupLimits
@@ -48,6 +50,7 @@
     retry: RetrySettings = field(default_factory=RetrySettings)
     completion_wait: float = 1.0
     cancel_wait: float = 0.1
+    log: DecisionLogSettings = field(default_factory=DecisionLogSettings)
 
 
 class CallEngine:
@@ -74,6 +77,8 @@
         self._second_choices = RetryBudgets()
         self._splits = Splits(random_source)
         self._table: RouteTable | None = None
+        self._log = CallLog(settings.log, outputs)
+        attempts.log = self._log
 
     @property
     def in_flight(self) -> int:
@@ -106,8 +111,12 @@
             now,
         )
         if isinstance(admitted, Failure):
-            self._outputs.append(AnswerCall(number, with_retry_after(admitted)))
+            refusal = with_retry_after(admitted)
+            self._log.not_admitted(request, refusal, self._table, now)
+            self._outputs.append(AnswerCall(number, refusal))
             return
+        admitted.arrived_at = now
+        admitted.version = self._table.version if self._table is not None else 0
         self._calls.add(admitted)
         route = admitted.route
         self._budgets.of(admitted.part.service, route.retry_budget_percent).record_fresh_call()
@@ -128,6 +137,7 @@
         if call is None:
             return
         call.caller_gone = True
+        self._log.caller_gone(call, now)
         if not call.route.repeatable and call.phase in _UNDER_WAY:
             if call.phase is Phase.HANDED_ON:
                 self._attempts.cancel_unless_begun(call)
@@ -166,20 +176,20 @@
         """Answer a resend with what was recorded for the first sending."""
         call = self._claims.claiming(token)
         if call is not None:
-            self._end(call, claims.replayed(record))
+            self._end(call, claims.replayed(record), now)
 
     def claim_refused(self, token: bytes, failure: Failure, now: float) -> None:
         """Answer a call whose claim was not granted; what a minority granted is given back."""
         call = self._claims.claiming(token)
         if call is not None:
             self._claims.release(token, now)
-            self._end(call, with_retry_after(failure))
+            self._end(call, with_retry_after(failure), now)
 
-    def completion_settled(self, token: bytes, recorded: bool) -> None:
+    def completion_settled(self, token: bytes, recorded: bool, now: float) -> None:
         """Answer a call whose answer the keepers recorded, or could not."""
         call = self._claims.completing(token)
         if call is not None:
-            self._answer_completed(call, recorded)
+            self._answer_completed(call, recorded, now)
 
     # --- time ---------------------------------------------------------------------------------
 
@@ -191,7 +201,7 @@
         """Look at the calls whose time has come."""
         while (call := self._calls.take_due(now)) is not None:
             if call.phase is Phase.COMPLETING:
-                self._answer_completed(call, recorded=False)
+                self._answer_completed(call, False, now)
             elif call.phase is Phase.CANCELLING:
                 self._attempts.abandon(call, self._verdict_of_lateness(call), now)
                 self._finish(call, _NO_ANSWER, now)
@@ -216,7 +226,9 @@
             call.arrivals += 1
         if result.outcome is not Outcome.NOT_RUN and call.may_have_run is None:
             call.may_have_run = result
-        if self._may_go_on(call, result, now):
+        goes_on = self._may_go_on(call, result, now)
+        self._log.attempt_failed(call, result, goes_on, now)
+        if goes_on:
             failure = self._attempts.start(call, now)
             if failure is None:
                 return
@@ -238,16 +250,16 @@
 
     def _backend_answered(self, call: Call, answer: CallAnswer, now: float) -> None:
         if not call.route.at_most_once:
-            self._end(call, answer)
+            self._end(call, answer, now)
             return
         self._calls.wake(call, now + self._settings.completion_wait)
         self._claims.complete(call, answer, now)
 
-    def _answer_completed(self, call: Call, recorded: bool) -> None:
+    def _answer_completed(self, call: Call, recorded: bool, now: float) -> None:
         assert call.answer is not None
         if not recorded:
             self._outputs.append(LogEvent(events.ANSWER_NOT_RECORDED, {"route": call.route.name}))
-        self._end(call, call.answer)
+        self._end(call, call.answer, now)
 
     def _dial_waited(self, call: Call, now: float) -> None:
         self._attempts.abandon(call, Verdict.FAILED, now)
@@ -280,9 +292,10 @@
         """End a call with a failure, and its claim."""
         failure = final_failure(call, failure)
         self._claims.failed(call, failure, now)
-        self._end(call, failure)
+        self._end(call, failure, now)
 
-    def _end(self, call: Call, answer: CallAnswer | Failure) -> None:
+    def _end(self, call: Call, answer: CallAnswer | Failure, now: float) -> None:
+        self._log.ended(call, answer, now)
         self._calls.remove(call)
         self._limits.release(call.share)
         if not call.caller_gone:
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -247,7 +247,7 @@
                 self._engine.claim_refused(settled.token, failure, now)
 
     def _settle_completion(self, settled: CompletionSettled, now: float) -> None:
-        self._engine.completion_settled(settled.token, settled.ok)
+        self._engine.completion_settled(settled.token, settled.ok, now)
 
 
 def _connection_of(event: Event) -> ConnectionId | None:
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -51,3 +51,63 @@
     "client",
     "limit",
 )
+CALL_ANSWERED = define(
+    4040,
+    "call-answered",
+    Level.INFO,
+    "a back end's answer went to the caller",
+    "request_id",
+    "route",
+    "version",
+    "service",
+    "status",
+    "attempts",
+    "milliseconds",
+)
+CALL_FAILED = define(
+    4041,
+    "call-failed",
+    Level.INFO,
+    "the caller got an answer of the proxy's own",
+    "request_id",
+    "route",
+    "version",
+    "service",
+    "kind",
+    "outcome",
+    "reason",
+    "attempts",
+    "retry_after",
+    "milliseconds",
+)
+ATTEMPT_SENT = define(
+    4042,
+    "attempt-sent",
+    Level.INFO,
+    "an endpoint was chosen for a call",
+    "request_id",
+    "service",
+    "instance",
+    "zone",
+    "choices",
+    "own_in_flight",
+    "endpoint_age",
+    "milliseconds_left",
+)
+ATTEMPT_ENDED = define(
+    4043,
+    "attempt-failed",
+    Level.INFO,
+    "an attempt did not bring an answer",
+    "request_id",
+    "service",
+    "instance",
+    "kind",
+    "outcome",
+    "reason",
+    "goes_on",
+    "milliseconds",
+)
+CALLER_GONE = define(
+    4044, "caller-gone", Level.INFO, "the caller left before its answer", "request_id", "phase"
+)
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -44,6 +44,7 @@
         call_kind=route.call_kind,
         deadline_left_ms=max(1, int((call.deadline - now) * _MILLISECONDS)),
         target_left_ms=target_left_ms(call, now),
+        request_id=request.request_id,
         method=request.method,
         target=request.target,
         headers=[Header(name=name, value=value) for name, value in passed],
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -57,7 +58,7 @@
             keepers=settings.keepers,
             completion_wait=seconds(settings.calls.completion_wait_ms),
         ),
-        calls=_call_settings(settings.calls),
+        calls=replace(_call_settings(settings.calls), log=settings.log.decisions()),
         attempts=AttemptSettings(
             answer_limit_bytes=settings.calls.max_answer_bytes,
             assembly_limit_bytes=settings.calls.assembly_bytes,
