--- /dev/null
+++ b/features/agent/answers.feature
@@ -0,0 +1,41 @@
+Feature: An agent says truly what its back end's answer means
+
+  Scenario Outline: An answer of another request, or a promise that was not made, is no answer
+    Given a back end that answers with <answer>
+    When an agent's back-end client sends it a request with the id "one"
+    Then the attempt <ends>
+
+    Examples:
+      | answer                              | ends                               |
+      | 200 and the id                      | is answered with 200               |
+      | 200 and another id                  | fails as backend-failed, unknown   |
+      | 200 and no id                       | fails as backend-failed, unknown   |
+      | 503 and the id, not run             | fails as backend-refused, not run  |
+      | 400 and the id, not run             | fails as backend-refused, not run  |
+      | 421 and the id, not run             | fails as wrong-incarnation, not run |
+      | 503 and the id                      | fails as backend-failed, unknown   |
+      | 429 and the id                      | fails as backend-failed, unknown   |
+      | 500 and the id                      | is answered with 500               |
+
+  Scenario: A connection with an answer of another request is not used again
+    Given a back end that answers with 200 and another id
+    When an agent's back-end client sends it a request with the id "one"
+    And an agent's back-end client sends it a request with the id "two"
+    Then the back end has seen 2 connections
+
+  Scenario: The mesh tells the back end instance, time and id
+    Given a back end that answers with 200 and the id
+    When an agent's back-end client sends it a request with the id "one"
+    Then the back end was told the instance, the time left and the id, once each
+
+  Scenario Outline: Which calls are refused for their expected wait
+    Given a queue whose usual call takes 600 ms, full and with 3 calls waiting
+    Then a call of <service> ms with <target> ms to its target and <deadline> ms to its deadline is <fate>
+
+    Examples:
+      | service | target | deadline | fate    |
+      | 600     | 900    | 5000     | refused |
+      | 600     | 3000   | 5000     | taken   |
+      | 600     | 3000   | 900      | refused |
+      | 50      | 100    | 1000     | taken   |
+      | 50      | 100    | 250      | refused |
--- /dev/null
+++ b/features/platform/formats.feature
@@ -0,0 +1,55 @@
+Feature: The platform's formats become the product's messages
+
+  Scenario: Any configuration is taken over whole, and its document as it was sent
+    Given any sound configuration of the platform, all of it is in the product's batch
+
+  Scenario Outline: A configuration that is <flaw> is refused before anything is written
+    Then the platform's configuration that is <flaw> is refused with 400
+
+    Examples:
+      | flaw                              |
+      | cut short                         |
+      | no object                         |
+      | without a version                 |
+      | of a version that is no number    |
+      | with an empty host                |
+      | with a route type that is unknown |
+      | with a timeout of 0               |
+      | with two routes at one place      |
+      | with a version not above its base |
+      | with a path that is no path       |
+      | with all weights 0                |
+
+  Scenario Outline: A heartbeat that is <flaw> is refused
+    Then the platform's heartbeat that is <flaw> is refused with 400
+
+    Examples:
+      | flaw                  |
+      | cut short             |
+      | without its info      |
+      | without a sequence    |
+      | with a text for slots |
+
+  Scenario: A heartbeat becomes a report
+    Given any heartbeat, the report says what it says
+
+  Scenario: Settings of any deployment become the product's
+    Given the platform's settings of a machine with an instance and of one of the core
+    Then the node and the control process find each other's ports
+    And no field that is unknown matters
+
+  Scenario Outline: An operator's <failure> is answered with <status>
+    Then the platform answers <failure> with <status>
+
+    Examples:
+      | failure            | status |
+      | conflict           | 412    |
+      | dangling-reference | 400    |
+      | overlapping        | 400    |
+      | invalid-request    | 400    |
+      | no-quorum          | 503    |
+      | write-unknown      | 504    |
+      | disk-full          | 507    |
+
+  Scenario: A replica that does not lead sends the operator to the one that does
+    Then the platform answers not-leader with 307 and the leader's address
--- /dev/null
+++ b/features/steps/agent_answer_steps.py
@@ -0,0 +1,149 @@
+"""Steps for what back ends answer, and for refusals by expected wait."""
+
+from __future__ import annotations
+
+import math
+
+import trio
+from behave import given, then, when
+
+from limelever.agent.backend import Backend
+from limelever.agent.group_queue import GroupQueue, QueuedCall
+from limelever.agent.group_table import GroupTable
+from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
+from limelever.agent.settings import BackendSettings
+from limelever.agent.wait_estimate import WaitEstimate
+from limelever.common.errors import ErrorKind
+from limelever.common.http_headers import HeaderNames
+from limelever.common.sansio import Address
+
+NAMES = HeaderNames(
+    timeout=b"x-time",
+    request_id=b"x-id",
+    target_instance=b"x-instance",
+    not_run=b"x-not-run",
+    answers_repeat_id=True,
+)
+PATIENCE = 10
+SLOTS = 6
+
+
+class AnsweringBackEnd:
+    """Answers every request alike and keeps what it was sent."""
+
+    def __init__(self, answer: str) -> None:
+        self.status = int(answer.split()[0])
+        self.answer = answer
+        self.connections = 0
+        self.requests: list[list[bytes]] = []
+
+    async def handle(self, stream):
+        self.connections += 1
+        received = b""
+        while True:
+            data = await stream.receive_some(65536)
+            if not data:
+                return
+            received += data
+            while b"\r\n\r\n" in received:
+                head, _, received = received.partition(b"\r\n\r\n")
+                lines = head.split(b"\r\n")
+                self.requests.append(lines)
+                await stream.send_all(self.respond(lines))
+
+    def respond(self, lines):
+        sent = next(line for line in lines if line.lower().startswith(b"x-id:"))
+        headers = [b"HTTP/1.1 %d Any" % self.status, b"content-length: 2"]
+        if "another id" in self.answer:
+            headers.append(b"x-id: other")
+        elif "the id" in self.answer:
+            headers.append(sent)
+        if "not run" in self.answer:
+            headers.append(b"x-not-run: 1")
+        return b"\r\n".join([*headers, b"", b"ok"])
+
+
+@given("a back end that answers with {answer}")
+def given_back_end(context, answer):
+    context.back_end = AnsweringBackEnd(answer)
+    context.ids = []
+
+
+@when('an agent\'s back-end client sends it a request with the id "{name}"')
+def when_sent(context, name):
+    context.ids.append(name.encode())
+    context.back_end.connections = 0
+    context.back_end.requests.clear()
+    context.events = trio.run(exchange, context.back_end, context.ids)
+
+
+async def exchange(back_end, ids):
+    events = []
+    with trio.fail_after(PATIENCE):
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, back_end.handle, 0)
+            port = listeners[0].socket.getsockname()[1]
+            settings = BackendSettings(address=Address("127.0.0.1", port))
+            backend = Backend(settings, nursery, events.append, NAMES, b"instance-7")
+            for number, request_id in enumerate(ids, start=1):
+                headers = ((b"host", b"h"), (b"x-id", request_id), (b"x-instance", b"forged"))
+                backend.start(StartAttempt(number, "s", b"GET", b"/", headers, b"", 5.0))
+                while len(events) < number:
+                    await trio.sleep(0.005)
+            backend.close()
+            nursery.cancel_scope.cancel()
+    return events
+
+
+@then("the attempt is answered with {status:d}")
+def then_answered(context, status):
+    (event,) = context.events
+    assert isinstance(event, AttemptAnswered) and event.status == status, event
+
+
+@then("the attempt fails as {kind}, {outcome}")
+def then_failed(context, kind, outcome):
+    (event,) = context.events
+    assert isinstance(event, AttemptFailed), event
+    assert event.failure.kind is ErrorKind(kind), event
+    assert event.refused is (outcome == "not run"), event
+    assert event.sent_any_byte
+
+
+@then("the back end has seen {count:d} connections")
+def then_connections(context, count):
+    assert context.back_end.connections == count
+
+
+@then("the back end was told the instance, the time left and the id, once each")
+def then_told(context):
+    (lines,) = context.back_end.requests
+    headers = [line.lower() for line in lines]
+    assert [h for h in headers if h.startswith(b"x-instance:")] == [b"x-instance: instance-7"]
+    assert [h for h in headers if h.startswith(b"x-id:")] == [b"x-id: one"]
+    (left,) = [h for h in headers if h.startswith(b"x-time:")]
+    assert 0 < int(left.split(b":")[1]) <= 5000
+
+
+@given("a queue whose usual call takes {usual:d} ms, full and with {waiting:d} calls waiting")
+def given_queue(context, usual, waiting):
+    context.groups = GroupTable(1, 32)
+    context.estimate = WaitEstimate(SLOTS, context.groups)
+    common = context.groups.open("common", 0.0)
+    for _ in range(50):
+        context.estimate.observe(common, usual / 1000.0)
+    for number in range(waiting):
+        common.append(QueuedCall(number, "common", math.inf, 0, 0.0))
+
+
+@then(
+    "a call of {service:d} ms with {target:d} ms to its target and {deadline:d} ms to its "
+    "deadline is {fate}"
+)
+def then_fate(context, service, target, deadline, fate):
+    group: GroupQueue = context.groups.open("asked", 0.0)
+    for _ in range(50):
+        group.service_time.observe(service / 1000.0)
+    call = QueuedCall(99, "asked", deadline / 1000.0, 0, 0.0, target / 1000.0)
+    refused = context.estimate.is_too_long(group, call, 0.0)
+    assert refused is (fate == "refused"), context.estimate.wait(group)
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,255 @@
+"""Steps for the platform's folder: formats both ways, settings, and kinds of errors."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+from behave import given, then
+from hypothesis import given as examples
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "platform"))
+
+import boot  # noqa: E402
+import calls  # noqa: E402
+import formats  # noqa: E402
+
+from limelever.common.errors import ErrorKind, Failure  # noqa: E402
+from limelever.protocol.config_pb2 import (  # noqa: E402
+    CALL_KIND_ONCE_PER_ATTEMPT,
+    CALL_KIND_REPEATABLE,
+)
+from limelever.source.validation import validate_batch  # noqa: E402
+
+PROPERTY = hypothesis_settings(derandomize=True, database=None, deadline=None, max_examples=100)
+NAMES = st.from_regex(r"[a-z][a-z0-9]{0,8}", fullmatch=True)
+KINDS = {
+    "safe": CALL_KIND_REPEATABLE,
+    "unsafe": CALL_KIND_ONCE_PER_ATTEMPT,
+    "upload": CALL_KIND_ONCE_PER_ATTEMPT,
+}
+
+
+def path_route(name="r-one", prefix="/one/", **changes):
+    route = {
+        "name": name,
+        "pathPrefix": prefix,
+        "routeType": "safe",
+        "timeoutMs": 1500,
+        "targetLatencyMs": 600,
+        "priority": 2,
+        "service": "alpha",
+        "retryAttempts": 2,
+    }
+    route.update(changes)
+    return {key: value for key, value in route.items() if value is not None}
+
+
+def configuration(routes=None, **changes):
+    value = {
+        "version": "r7",
+        "baseVersion": "r5",
+        "services": [{"name": "alpha", "healthPath": "/health", "maxConnections": 130}],
+        "limits": {"maxHeaderBytes": 16384},
+        "virtualHosts": [{"host": "one.example", "pathRoutes": routes or [path_route()]}],
+    }
+    value.update(changes)
+    return value
+
+
+def _no_weights(value):
+    parts = [{"service": "alpha", "weight": 0}]
+    value["virtualHosts"][0]["pathRoutes"] = [path_route(service=None, weightedClusters=parts)]
+
+
+def _first_route(value):
+    return value["virtualHosts"][0]["pathRoutes"][0]
+
+
+FLAWS = {
+    "without a version": lambda value: value.pop("version"),
+    "of a version that is no number": lambda value: value.update(version="rx"),
+    "with an empty host": lambda value: value["virtualHosts"][0].update(host=""),
+    "with a route type that is unknown": lambda value: _first_route(value).update(routeType="?"),
+    "with a timeout of 0": lambda value: _first_route(value).update(timeoutMs=0),
+    "with two routes at one place": lambda value: value["virtualHosts"][0]["pathRoutes"].append(
+        path_route("r-two")
+    ),
+    "with a version not above its base": lambda value: value.update(baseVersion="r7"),
+    "with a path that is no path": lambda value: _first_route(value).update(pathPrefix="one"),
+    "with all weights 0": _no_weights,
+}
+
+
+def flawed(flaw):
+    """Return the body of a configuration with one flaw."""
+    if flaw == "no object":
+        return b"[]"
+    value = configuration()
+    if flaw == "cut short":
+        return json.dumps(value).encode()[:-9]
+    FLAWS[flaw](value)
+    return json.dumps(value).encode()
+
+
+@given("any sound configuration of the platform, all of it is in the product's batch")
+def given_any_configuration(context):
+    routes = st.dictionaries(
+        NAMES,
+        st.tuples(st.sampled_from(sorted(KINDS)), st.integers(1, 9000), st.integers(1, 99)),
+        min_size=1,
+        max_size=6,
+    )
+
+    @PROPERTY
+    @examples(routes, st.integers(1, 10**9), st.integers(0, 4))
+    def check(plan, number, priority):
+        given_routes = [
+            path_route(
+                f"r-{name}",
+                f"/{name}/",
+                routeType=kind,
+                timeoutMs=timeout,
+                priority=priority,
+                service=None,
+                weightedClusters=[
+                    {"service": "alpha", "weight": weight},
+                    {"service": "beta", "weight": 100 - weight},
+                ],
+            )
+            for name, (kind, timeout, weight) in plan.items()
+        ]
+        services = [{"name": "alpha"}, {"name": "beta"}]
+        value = configuration(
+            given_routes, version=f"r{number}", baseVersion=f"r{number - 1}", services=services
+        )
+        body = json.dumps(value).encode()
+        batch = formats.parse_configuration(body)
+        assert not isinstance(batch, Failure), batch
+        assert not validate_batch(batch), validate_batch(batch)
+        assert (batch.revision.number, batch.revision.base) == (number, number - 1)
+        assert batch.replace and batch.revision.document == body
+        held = {item.route.name: item.route for item in batch.put if item.HasField("route")}
+        for name, (kind, timeout, weight) in plan.items():
+            route = held[f"r-{name}"]
+            assert (route.host, route.path_prefix) == ("one.example", f"/{name}/")
+            assert route.call_kind == KINDS[kind] and route.timeout_ms == timeout
+            assert [part.weight for part in route.split] == [weight, 100 - weight]
+            assert (route.priority, route.attempts) == (priority + 1, 2)
+
+    check()
+
+
+@then("the platform's configuration that is {flaw} is refused with 400")
+def then_configuration_refused(context, flaw):
+    batch = formats.parse_configuration(flawed(flaw))
+    if isinstance(batch, Failure):
+        assert calls._refused(batch).status == 400, batch
+    else:
+        assert validate_batch(batch), flaw
+
+
+def heartbeat(**status):
+    info = {"service": "alpha", "version": "v1", "zone": "one", "slots": 6}
+    held = {"state": "ready", "seq": 4, "warmupLeftMs": 0}
+    held.update(status)
+    return {"address": "10.0.0.1:80", "info": info, "status": held}
+
+
+@then("the platform's heartbeat that is {flaw} is refused with 400")
+def then_heartbeat_refused(context, flaw):
+    value = heartbeat()
+    body = None
+    match flaw:
+        case "cut short":
+            body = json.dumps(value).encode()[:-3]
+        case "without its info":
+            del value["info"]
+        case "without a sequence":
+            del value["status"]["seq"]
+        case "with a text for slots":
+            value["info"]["slots"] = "six"
+    report = formats.parse_report("i-1", body or json.dumps(value).encode())
+    assert isinstance(report, Failure) and calls._refused(report).status == 400, report
+
+
+@given("any heartbeat, the report says what it says")
+def given_any_heartbeat(context):
+    @PROPERTY
+    @examples(st.sampled_from(["ready", "draining"]), st.integers(0, 10**6), st.integers(0, 9999))
+    def check(state, sequence, warm_up):
+        body = json.dumps(heartbeat(state=state, seq=sequence, warmupLeftMs=warm_up)).encode()
+        report = formats.parse_report("i-1", body)
+        assert (report.instance, report.service, report.slots) == ("i-1", "alpha", 6)
+        assert report.draining is (state == "draining")
+        assert report.sequence == sequence
+        assert report.warm_up_left == warm_up / 1000.0
+
+    check()
+
+
+COMMON = {
+    "zone": "one",
+    "portRange": "7380,7395",
+    "seeds": "10.1.0.1:8144,10.2.0.1:8144,10.3.0.1:8144",
+    "firstStart": "true",
+    "faultTolerance.machines": "2",
+    "bounds.graceS": "6",
+    "bounds.contactMs": "3000",
+    "bounds.drainMs": "2000",
+    "bounds.budgetSlack": "64",
+}
+
+
+@given("the platform's settings of a machine with an instance and of one of the core")
+def given_settings(context):
+    context.node_fields = {
+        **COMMON,
+        "nodeName": "sidecar-1",
+        "ip": "10.1.0.9",
+        "listenAddrs.outbound": "10.1.0.9:8147",
+        "service": "alpha",
+        "appAddr": "10.1.0.9:8145",
+    }
+    context.control_fields = {
+        **COMMON,
+        "nodeName": "core-1",
+        "ip": "10.1.0.1",
+        "listenAddrs.control": "10.1.0.1:8144",
+        "dataDir": "/data",
+    }
+
+
+@then("the node and the control process find each other's ports")
+def then_ports(context):
+    node = boot.node_settings(context.node_fields)
+    control = boot.control_settings(context.control_fields)
+    assert control.relay_listen in node.relays, (control.relay_listen, node.relays)
+    assert control.listen in control.seeds and control.bootstrap
+    assert control.replication.voters == 5
+    assert node.listen.port == 7380 and node.service == "alpha"
+    assert node.drain.limit_ms <= node.stop_limit_ms < 6000
+
+
+@then("no field that is unknown matters")
+def then_unknown(context):
+    extra = {"something.new": "1,2"}
+    known = boot.node_settings(context.node_fields)
+    assert boot.node_settings({**context.node_fields, **extra}) == known
+
+
+@then("the platform answers {kind} with {status:d}")
+def then_status(context, kind, status):
+    answer = calls._refused(Failure(ErrorKind(kind), "why"))
+    assert answer.status == status, answer
+
+
+@then("the platform answers not-leader with 307 and the leader's address")
+def then_redirected(context):
+    failure = Failure(ErrorKind.NOT_LEADER, "another leads", leader_address="10.2.0.1:8144")
+    answer = calls._refused(failure)
+    assert answer.status == 307
+    assert answer.headers == ((b"location", b"http://10.2.0.1:8144/v1/config"),)
--- a/src/limelever_lab/testrun.py
+++ b/src/limelever_lab/testrun.py
@@ -43,6 +43,7 @@
     ("ruff format", ("ruff", "format", "--check", ".")),
     ("ruff check", ("ruff", "check", ".")),
     ("mypy", ("mypy", "src")),
+    ("mypy platform", ("mypy", "--explicit-package-bases", "platform")),
 )
 
 
