--- /dev/null
+++ b/features/steps/platform_process_steps.py
@@ -0,0 +1,339 @@
+"""Steps that run the platform's processes on loopback, beside a back end of the test's own."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+from behave import given, then, when
+
+from limelever.cli.explain import explain
+
+ROOT = Path(__file__).resolve().parents[2]
+START = ROOT / "platform" / "start.py"
+HOST = "127.0.0.1"
+PATIENCE = 30
+INSTANCE = "i-1"
+DEADLINE_MS = 800
+SLOW_SECONDS = 0.5
+
+
+class BackEnd(ThreadingHTTPServer):
+    """Answers as the platform's instances do, by path."""
+
+    daemon_threads = True
+
+    def __init__(self) -> None:
+        super().__init__((HOST, 0), Handler)
+        self.seen: list[tuple[str, str, str]] = []
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """A caller that has left is no matter of the test."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    """One request at the back end."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):  # noqa: N802
+        attempt = self.headers.get("Limelever-Attempt-Id", "")
+        caller = self.headers.get("Limelever-Caller-Service", "")
+        self.server.seen.append((attempt, self.path, caller))
+        self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        if "slow" in self.path:
+            time.sleep(SLOW_SECONDS)
+        if "drop" in self.path:
+            self.connection.shutdown(socket.SHUT_RDWR)
+            self.close_connection = True
+            return
+        self.send_response(200)
+        self.send_header("Limelever-Attempt-Id", attempt)
+        self.send_header("Content-Length", "4")
+        self.end_headers()
+        self.wfile.write(b"done")
+
+    do_POST = do_GET  # noqa: N815
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+
+class Machine:
+    """A process of the platform with its settings and its log."""
+
+    def __init__(self, context, role, fields):
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        self.log = Path(folder.name) / f"{role}.log"
+        settings = Path(folder.name) / "boot.conf"
+        lines = {**fields, "dataDir": str(Path(folder.name) / "data")}
+        settings.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
+        environment = {**os.environ, "LIMELEVER_SETTINGS": str(settings)}
+        with self.log.open("w") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(START), role], env=environment, stdout=output, stderr=output
+            )
+        context.add_cleanup(self.end)
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as taken:
+        sockets = [taken.enter_context(socket.create_server((HOST, 0))) for _ in range(count)]
+        return [each.getsockname()[1] for each in sockets]
+
+
+def first_of_free_range(count):
+    """Return the first of some ports in a row that are free now."""
+    for first in range(21000, 60000, count):
+        with contextlib.ExitStack() as taken:
+            try:
+                for port in range(first, first + count):
+                    taken.enter_context(socket.create_server((HOST, port)))
+            except OSError:
+                continue
+            return first
+    raise AssertionError("no free ports")
+
+
+def call(port, method, path, body=None, headers=None):
+    connection = http.client.HTTPConnection(HOST, port, timeout=PATIENCE)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.headers, answer.read()
+    except OSError:
+        return 0, {}, b""
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what):
+    deadline = time.monotonic() + PATIENCE
+    while not condition():
+        assert time.monotonic() < deadline, what
+        time.sleep(0.05)
+
+
+@given("a control process and a node of the platform beside a back end with 1 slot")
+def given_machines(context):
+    context.back_end = BackEnd()
+    context.add_cleanup(context.back_end.shutdown)
+    first = first_of_free_range(8)
+    context.outbound, context.ready, context.reports, context.operator = free_ports(4)
+    common = {
+        "zone": "one",
+        "ip": HOST,
+        "seeds": f"{HOST}:{context.operator}",
+        "firstStart": "true",
+        "faultTolerance.machines": "0",
+        "bounds.graceS": "6",
+        "bounds.contactMs": "3000",
+        "bounds.drainMs": "2000",
+        "bounds.budgetSlack": "64",
+    }
+    control = {
+        **common,
+        "nodeName": "core-1",
+        "portRange": f"{first},{first + 3}",
+        "listenAddrs.control": f"{HOST}:{context.operator}",
+    }
+    node = {
+        **common,
+        "nodeName": "sidecar-1",
+        "portRange": f"{first},{first + 7}",
+        "listenAddrs.outbound": f"{HOST}:{context.outbound}",
+        "listenAddrs.ready": f"{HOST}:{context.ready}",
+        "listenAddrs.control": f"{HOST}:{context.reports}",
+        "service": "alpha",
+        "appAddr": f"{HOST}:{context.back_end.server_address[1]}",
+    }
+    context.machines = [start_apart(context, "control", control, 0)]
+    context.machines.append(start_apart(context, "node", node, 1))
+    context.sent = 0
+
+
+def start_apart(context, role, fields, number):
+    """Start a machine; those of one host take metrics ports and link addresses of their own."""
+    host = f"127.0.0.{number + 1}"
+    return Machine(context, role, {**fields, "ip": host})
+
+
+def document(version, base, routes):
+    path_routes = [
+        {
+            "name": f"r-{name}",
+            "pathPrefix": f"/{name}/",
+            "routeType": kind,
+            "timeoutMs": DEADLINE_MS,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "service": "alpha",
+            "retryAttempts": 2,
+        }
+        for name, kind in routes.items()
+    ]
+    value = {
+        "version": f"r{version}",
+        "baseVersion": f"r{base}",
+        "services": [{"name": "alpha", "healthPath": "/health"}],
+        "virtualHosts": [{"host": "one.example", "pathRoutes": path_routes}],
+    }
+    return json.dumps(value).encode()
+
+
+def put(context, version, base, routes):
+    context.document = document(version, base, routes)
+
+    def accepted():
+        return call(context.operator, "PUT", "/v1/config", context.document)[0] == 200
+
+    wait_until(accepted, "the configuration is taken")
+
+
+@when("the platform's configuration is put and the back end reports itself")
+def when_put(context):
+    put(context, 1, 0, {"read": "safe", "write": "unsafe", "old": "safe"})
+    report = {
+        "info": {"service": "alpha", "slots": 1},
+        "status": {"state": "ready", "seq": 1, "warmupLeftMs": 0},
+    }
+    body = json.dumps(report).encode()
+
+    def reported():
+        return call(context.reports, "PUT", f"/v1/instances/{INSTANCE}", body)[0] == 200
+
+    wait_until(reported, "the report is taken")
+    wait_until(lambda: call(context.ready, "GET", "/v1/ready")[0] == 200, "the node is ready")
+
+
+def send(context, path, method="GET"):
+    """Send a request with an id of its own; return its id and the answer."""
+    context.sent += 1
+    name = f"{context.sent:016x}"
+    headers = {
+        "Host": "one.example",
+        "Limelever-Attempt-Id": name,
+        "Limelever-Deadline-Ms": str(DEADLINE_MS),
+        "Limelever-Caller-Service": "forged",
+    }
+    body = b"{}" if method == "POST" else None
+    return name, call(context.outbound, method, path, body, headers)
+
+
+@then("a request through the node is answered by the back end, with the caller's service told")
+def then_served(context):
+    wait_until(lambda: send(context, "/read/1")[1][0] == 200, "a request is served")
+    assert context.back_end.seen[-1][2] == "alpha", context.back_end.seen[-1]
+
+
+@then("the configuration is read back as it was put")
+def then_read_back(context):
+    status, _, body = call(context.operator, "GET", "/v1/config")
+    assert (status, body) == (200, context.document)
+
+
+@when("more slow requests come than the slot can serve in time")
+def when_overloaded(context):
+    results = []
+    for _ in range(3):
+        send(context, "/read/slow")
+
+    def one():
+        begun = time.monotonic()
+        name, (status, headers, _) = send(context, "/read/slow")
+        results.append((name, status, headers, time.monotonic() - begun))
+
+    threads = []
+    for _ in range(8):
+        threads.append(threading.Thread(target=one))
+        threads[-1].start()
+        time.sleep(0.02)
+    for thread in threads:
+        thread.join()
+    context.results = results
+
+
+@then("one of them is refused with a time to come back, before its time is over")
+def then_refused(context):
+    refused = [each for each in context.results if each[1] == 503]
+    assert refused, context.results
+    context.failed_id = min(refused, key=lambda each: each[3])[0]
+    assert all(float(headers["Retry-After"]) > 0 for _, _, headers, _ in refused)
+    assert min(took for *_, took in refused) < DEADLINE_MS / 1000.0 / 2
+
+
+@when("the back end closes the connection on a request that may not run twice")
+def when_dropped(context):
+    context.failed_id, (context.status, _, _) = send(context, "/write/drop", "POST")
+
+
+@then("that request is answered 502 or 504 and reached the back end once")
+def then_unknown(context):
+    assert context.status in (502, 504), context.status
+    assert [name for name, *_ in context.back_end.seen].count(context.failed_id) == 1
+
+
+@when("a request comes for a route that the configuration dropped")
+def when_dropped_route(context):
+    put(context, 2, 1, {"read": "safe", "write": "unsafe"})
+    wait_until(lambda: send(context, "/old/1")[1][0] == 404, "the route is dropped")
+    context.failed_id, (context.status, _, _) = send(context, "/old/1")
+
+
+@then("that request is answered {status:d}")
+def then_status(context, status):
+    assert context.status == status
+
+
+@when("the back end says that it leaves")
+def when_leaves(context):
+    assert call(context.reports, "DELETE", f"/v1/instances/{INSTANCE}")[0] == 200
+
+
+@then("a request is refused as not run, and none reaches the back end any more")
+def then_none_reaches(context):
+    seen = len(context.back_end.seen)
+    context.failed_id, (status, headers, _) = send(context, "/read/1")
+    assert status == 503 and float(headers["Retry-After"]) > 0, status
+    assert len(context.back_end.seen) == seen
+
+
+@then('its id leads to "{event}" with the kinds "{kinds}"')
+def then_explained(context, event, kinds):
+    logs = [machine.log for machine in context.machines]
+
+    def found():
+        return explain(context.failed_id, logs).deciding is not None
+
+    wait_until(found, f"the logs name {context.failed_id}")
+    deciding = explain(context.failed_id, logs).deciding
+    assert deciding.event == event, deciding
+    assert deciding.fields["kind"] in kinds.split(", "), deciding
+
+
+@when("the node is asked to stop")
+def when_stopped(context):
+    context.machines[1].process.send_signal(signal.SIGTERM)
+
+
+@then("it is not ready at once, and ends by itself with status 0")
+def then_stopped(context):
+    wait_until(lambda: call(context.ready, "GET", "/v1/ready")[0] != 200, "not ready")
+    assert context.machines[1].process.wait(PATIENCE) == 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -194,7 +194,7 @@
 COMMON = {
     "zone": "one",
     "portRange": "7380,7395",
-    "seeds": "10.1.0.1:8144,10.2.0.1:8144,10.3.0.1:8144",
+    "seeds": "10.1.0.1:8144,127.0.0.1:8144,10.3.0.1:8144",
     "firstStart": "true",
     "faultTolerance.machines": "2",
     "bounds.graceS": "6",
@@ -249,7 +249,7 @@
 
 @then("the platform answers not-leader with 307 and the leader's address")
 def then_redirected(context):
-    failure = Failure(ErrorKind.NOT_LEADER, "another leads", leader_address="10.2.0.1:8144")
+    failure = Failure(ErrorKind.NOT_LEADER, "another leads", leader_address="127.0.0.1:8144")
     answer = calls._refused(failure)
     assert answer.status == 307
-    assert answer.headers == ((b"location", b"http://10.2.0.1:8144/v1/config"),)
+    assert answer.headers == ((b"location", b"http://127.0.0.1:8144/v1/config"),)
