--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -29,7 +29,7 @@
     Then the back end was told the instance, the time left and the id, once each
 
   Scenario Outline: Which calls are refused for their expected wait
-    Given a queue whose usual call takes 600 ms, full and with 3 calls waiting
+    Given a queue whose slots are full with calls of 600 ms, and 3 more calls of the group waiting
     Then a call of <service> ms with <target> ms to its target and <deadline> ms to its deadline is <fate>
 
     Examples:
@@ -38,4 +38,9 @@
       | 600     | 3000   | 5000     | taken   |
       | 600     | 3000   | 900      | refused |
       | 50      | 100    | 1000     | taken   |
-      | 50      | 100    | 250      | refused |
+      | 50      | 100    | 150      | refused |
+
+  Scenario: Short calls of one route are not judged by the long calls of another
+    Given a queue full with calls of 880 ms on route long, with 4 more waiting, after short calls of 55 ms
+    When a call on route short with 200 ms to its target and 600 ms to its deadline is offered
+    Then it is queued, and starts before the calls of route long
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from limelever.agent.backend import Backend
+from limelever.agent.fair_queue import FairQueue, QueueLimits
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
@@ -16,6 +17,7 @@
 from limelever.common.errors import ErrorKind
 from limelever.common.http_headers import HeaderNames
 from limelever.common.sansio import Address
+from limelever.protocol.priorities import priority_group
 
 NAMES = HeaderNames(
     timeout=b"x-time",
@@ -125,15 +127,17 @@
     assert 0 < int(left.split(b":")[1]) <= 5000
 
 
-@given("a queue whose usual call takes {usual:d} ms, full and with {waiting:d} calls waiting")
+@given(
+    "a queue whose slots are full with calls of {usual:d} ms, and {waiting:d} more calls of the "
+    "group waiting"
+)
 def given_queue(context, usual, waiting):
     context.groups = GroupTable(1, 32)
     context.estimate = WaitEstimate(SLOTS, context.groups)
+    context.waiting = waiting
     common = context.groups.open("common", 0.0)
-    for _ in range(50):
-        context.estimate.observe(common, usual / 1000.0)
-    for number in range(waiting):
-        common.append(QueuedCall(number, "common", math.inf, 0, 0.0))
+    context.usual = usual / 1000.0
+    common.running = SLOTS
 
 
 @then(
@@ -142,8 +146,53 @@
 )
 def then_fate(context, service, target, deadline, fate):
     group: GroupQueue = context.groups.open("asked", 0.0)
+    for number in range(context.waiting):
+        group.append(QueuedCall(number, "asked", math.inf, 0, 0.0))
     for _ in range(50):
-        group.service_time.observe(service / 1000.0)
+        context.estimate.observe("asked", service / 1000.0)
+    for _ in range(50):
+        context.estimate.observe("common", context.usual)
     call = QueuedCall(99, "asked", deadline / 1000.0, 0, 0.0, target / 1000.0)
-    refused = context.estimate.is_too_long(group, call, 0.0)
-    assert refused is (fate == "refused"), context.estimate.wait(group)
+    refused = context.estimate.is_too_long(group, call, 0.0, 0.0)
+    assert refused is (fate == "refused"), context.estimate.wait(group, 0.0)
+
+
+@given(
+    "a queue full with calls of {usual:d} ms on route long, with {waiting:d} more waiting, after "
+    "short calls of {short:d} ms"
+)
+def given_two_routes(context, usual, waiting, short):
+    queue = context.queue = FairQueue(QueueLimits(slots=SLOTS))
+    context.long, context.short = priority_group(2, "long"), priority_group(2, "short")
+    now = 0.0
+    for number in range(50):
+        for group, milliseconds in ((context.long, usual), (context.short, short)):
+            call = number * 2 + (group == context.short)
+            queue.offer(QueuedCall(call, group, math.inf, 0, now), now)
+            assert queue.start_next(now) is not None
+            now += milliseconds / 1000.0
+            queue.finish(call, now, representative=True)
+    for number in range(1000, 1000 + SLOTS + waiting):
+        queue.offer(QueuedCall(number, context.long, math.inf, 0, now), now)
+        queue.start_next(now)
+    context.now = now
+
+
+@when(
+    "a call on route short with {target:d} ms to its target and {deadline:d} ms to its deadline "
+    "is offered"
+)
+def offer_short(context, target, deadline):
+    now = context.now
+    call = QueuedCall(7, context.short, now + deadline / 1000, 0, now, now + target / 1000)
+    context.offered = context.queue.offer(call, now)
+
+
+@then("it is queued, and starts before the calls of route long")
+def then_short_first(context):
+    assert context.offered == (), context.offered
+    now = context.now + 0.1
+    context.queue.finish(1000, now, representative=True)
+    started = context.queue.start_next(now)
+    assert started is not None
+    assert started.group == context.short, started
--- a/features/steps/agent_queue_steps.py
+++ b/features/steps/agent_queue_steps.py
@@ -15,8 +15,9 @@
 from hypothesis import given as examples
 from hypothesis import strategies as st
 
-from limelever.agent.fair_queue import FIRST_CHARGE, FairQueue, QueueLimits
+from limelever.agent.fair_queue import FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
+from limelever.agent.wait_estimate import FIRST_CHARGE
 from limelever.common.errors import Failure, Outcome
 
 
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -15,15 +15,9 @@
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
-from limelever.agent.wait_estimate import MINIMUM_RETRY_AFTER, WaitEstimate
+from limelever.agent.wait_estimate import MINIMUM_CHARGE, MINIMUM_RETRY_AFTER, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
 
-MINIMUM_CHARGE = 0.0005
-"""Least slot time of a call in seconds: calls that end at once must still move the tag."""
-
-FIRST_CHARGE = 0.01
-"""Slot time charged before any call was observed, in seconds; put right when it ends."""
-
 
 @dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -115,7 +109,7 @@
         call = group.pop_oldest()
         self._dequeued(call)
         self._virtual_time = max(self._virtual_time, group.tag)
-        charged = self._expected_cost(group)
+        charged = self._estimate.charge(group)
         group.charge(charged)
         group.running += 1
         self._running[call.call] = _RunningCall(group.name, now, charged)
@@ -133,7 +127,7 @@
         group.running -= 1
         group.charge(seconds - running.charged)
         if representative:
-            self._estimate.observe(group, seconds)
+            self._estimate.observe(group.name, seconds)
         self._groups.forget_if_idle(group, self._virtual_time)
         self._restart_virtual_time_when_idle()
 
@@ -172,7 +166,7 @@
 
     def advice(self, name: str) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
-        return self._estimate.advice(name)
+        return self._estimate.advice(name, self._virtual_time)
 
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call."""
@@ -183,11 +177,11 @@
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
         if self._starts_at_once():
             return None
-        wait = self._estimate.wait(group)
+        wait = self._wait(group)
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", wait)
         service_time = self._estimate.service_time(group)
-        if self._estimate.is_too_long(group, call, now):
+        if self._estimate.is_too_long(group, call, now, self._virtual_time):
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
@@ -209,7 +203,7 @@
             return ()
         if group.queued_bytes + size > self._byte_part(group):
             return self._share_failure(
-                group, "the group's part of the queue's bytes is full", self._estimate.wait(group)
+                group, "the group's part of the queue's bytes is full", self._wait(group)
             )
         evictions: list[Eviction] = []
         while self._queued_bytes + size > limit:
@@ -225,7 +219,7 @@
             ),
         )
         failure = self._share_failure(
-            victim, "gave way to a group below its share", self._estimate.wait(victim)
+            victim, "gave way to a group below its share", self._wait(victim)
         )
         call = victim.pop_newest()
         self._dequeued(call)
@@ -248,8 +242,8 @@
         self._queued_bytes -= call.size
         self._deadlines.remove(call.call)
 
-    def _expected_cost(self, group: GroupQueue) -> float:
-        return max(self._estimate.service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
+    def _wait(self, group: GroupQueue) -> float:
+        return self._estimate.wait(group, self._virtual_time)
 
     def _restart_virtual_time_when_idle(self) -> None:
         if not self._running and not self._group_of:
--- a/src/limelever/agent/group_queue.py
+++ b/src/limelever/agent/group_queue.py
@@ -6,8 +6,6 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from limelever.agent.service_time import ServiceTime
-
 
 @dataclass(frozen=True, slots=True)
 class QueuedCall:
@@ -37,7 +35,6 @@
     tag: float = 0.0
     running: int = 0
     queued_bytes: int = 0
-    service_time: ServiceTime = field(default_factory=ServiceTime)
     calls: OrderedDict[int, QueuedCall] = field(default_factory=OrderedDict)
 
     @property
--- a/src/limelever/agent/group_table.py
+++ b/src/limelever/agent/group_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator, Mapping
 
 from limelever.agent.group_queue import GroupQueue
@@ -61,16 +60,6 @@
         """Return whether no other group has a call waiting or running."""
         return all(other is group or not other.active for other in self._groups.values())
 
-    def calls_ahead_of_next(self, group: GroupQueue) -> int:
-        """Return how many calls start before a further call of the group would, it included."""
-        position = len(group.calls) + 1
-        ahead = position
-        for other in self._groups.values():
-            if other is not group:
-                turns = math.ceil(position * other.weight / group.weight)
-                ahead += min(len(other.calls), turns)
-        return ahead
-
     def part_of(self, group: GroupQueue, whole: int) -> float:
         """Return the group's part of ``whole`` by weight among the groups that wait."""
         waiting = {other.name: other.weight for other in self._groups.values() if other.calls}
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
+import math
+from collections import OrderedDict
+
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
 from limelever.agent.service_time import ServiceTime
 
+MINIMUM_CHARGE = 0.0005
+"""Least slot time of a call in seconds: calls that end at once must still move the tag."""
+
+FIRST_CHARGE = 0.01
+"""Slot time charged before any call was observed, in seconds; put right when it ends."""
+
+GROUPS_REMEMBERED = 256
+"""Groups whose service time is kept; the one observed longest ago is forgotten first."""
+
 LONGEST_WAIT_PART = 0.5
 """Part of a call's spare time that it may be expected to wait.
 
@@ -33,17 +45,25 @@
 
 
 class WaitEstimate:
-    """Estimates for one back end; all times in seconds."""
+    """Estimates for one back end; all times in seconds.
+
+    How long a group's calls take is remembered while the group is idle: a rare short call would
+    otherwise be judged by the long ones of others.
+    """
 
     def __init__(self, slots: int, groups: GroupTable) -> None:
         self._slots = slots
         self._groups = groups
         self._service_time = ServiceTime()
+        self._by_group: OrderedDict[str, ServiceTime] = OrderedDict()
 
-    def observe(self, group: GroupQueue, seconds: float) -> None:
-        """Take how long a call of a group held its slot."""
-        group.service_time.observe(seconds)
+    def observe(self, name: str, seconds: float) -> None:
+        """Take how long a call of the group ``name`` held its slot."""
         self._service_time.observe(seconds)
+        self._by_group.setdefault(name, ServiceTime()).observe(seconds)
+        self._by_group.move_to_end(name)
+        if len(self._by_group) > GROUPS_REMEMBERED:
+            self._by_group.popitem(last=False)
 
     @property
     def overall(self) -> float:
@@ -52,22 +72,52 @@
 
     def service_time(self, group: GroupQueue) -> float:
         """Return how long a call of the group takes; 0 while nothing is known."""
-        return group.service_time.mean or self._service_time.mean or 0.0
+        own = self._by_group.get(group.name)
+        return (own.mean if own is not None else None) or self.overall
+
+    def charge(self, group: GroupQueue) -> float:
+        """Return the slot time to charge for a call of the group when it starts."""
+        return max(self.service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
 
-    def wait(self, group: GroupQueue) -> float:
-        """Return how long a further call of the group would wait for a slot."""
-        ahead = self._groups.calls_ahead_of_next(group)
-        return ahead * (self._service_time.mean or 0.0) / self._slots
+    def wait(self, group: GroupQueue, virtual_time: float) -> float:
+        """Return how long a further call of the group would wait for a slot.
 
-    def is_too_long(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
+        That is the slot time of the calls which fair queueing starts before it, and the time until
+        the next of the running calls ends.
+        """
+        step = self.charge(group) / group.weight
+        start = max(group.tag, virtual_time) + len(group.calls) * step
+        work = len(group.calls) * self.service_time(group)
+        for other in self._groups:
+            if other is not group and other.calls:
+                work += self._started_before(other, start) * self.service_time(other)
+        return (work + self._until_one_ends()) / self._slots
+
+    def _started_before(self, other: GroupQueue, start: float) -> int:
+        """Return how many queued calls of a group have a tag before ``start``."""
+        turns = math.ceil((start - other.tag) * other.weight / self.charge(other))
+        return min(len(other.calls), max(0, turns))
+
+    def _until_one_ends(self) -> float:
+        """Return the mean slot time of the running calls: one of all slots ends in a part of it."""
+        running = sum(group.running for group in self._groups)
+        if not running:
+            return 0.0
+        held = sum(group.running * self.service_time(group) for group in self._groups)
+        return held / running
+
+    def is_too_long(
+        self, group: GroupQueue, call: QueuedCall, now: float, virtual_time: float
+    ) -> bool:
         """Return whether a call that would have to wait is better refused at once."""
+        wait = self.wait(group, virtual_time)
         service_time = self.service_time(group)
         finished = now + service_time
         if service_time < self.overall * SHORT_CALL_PART:
-            return self.wait(group) > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
+            return wait > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
         longest = (call.deadline - finished) * LONGEST_WAIT_PART
         in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
-        return self.wait(group) > min(longest, in_target)
+        return wait > min(longest, in_target)
 
     def is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
         """Return whether a call waited so long that it can no longer finish in time.
@@ -78,8 +128,8 @@
         waited = now > call.arrived_at
         return waited and now + self.service_time(group) > call.deadline
 
-    def advice(self, name: str) -> float:
+    def advice(self, name: str, virtual_time: float) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
         group = self._groups.find(name)
-        wait = 0.0 if group is None else self.wait(group)
+        wait = 0.0 if group is None else self.wait(group, virtual_time)
         return max(wait, MINIMUM_RETRY_AFTER)
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -8,7 +8,7 @@
 
 from limelever.common.http_headers import Headers
 from limelever.protocol.calls_pb2 import CallBody, CallStart, Header
-from limelever.protocol.priorities import PRIORITY_GROUP
+from limelever.protocol.priorities import priority_group
 from limelever.proxy.call_state import Attempt, Call
 from limelever.proxy.headers import towards_backend
 
@@ -61,9 +61,9 @@
 
 
 def group_of(call: Call) -> str:
-    """Return the group under which the agent queues a call: by priority where its route has one."""
-    priority = call.route.priority
-    return f"{PRIORITY_GROUP}{priority}" if priority else call.request.group
+    """Return the group under which the agent queues a call: its route's where that is ranked."""
+    route = call.route
+    return priority_group(route.priority, route.name) if route.priority else call.request.group
 
 
 def next_parts(call: Call, attempt: Attempt) -> list[CallBody]:
