Near the stop limit, answer the calls that no back end has begun; don't wait for a hung disk

Cause: at the stop limit everything is cancelled. A process whose disk hung waited for the write and outlived the grace time. Change: half a second before the limit the proxy takes back what has not begun and answers 503 with a time to come back; begun calls keep the rest of the time. A cancelled writer abandons a write that hangs: nothing of it was acknowledged. Each new scenario fails without its part of the change (the request path's by an import, the disk's by its assertion).

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -126,6 +126,34 @@
     Then call 1 got the answer of its agent
     And the proxy has finished stopping
 
+  Scenario: Near the stop limit, calls that no back end has begun are answered as not run
+    Given a proxy with 2 endpoints and retries for every call
+    When a caller asks the proxy for "/baskets/1"
+    And the proxy is asked to stop
+    And the proxy's stop limit is near
+    Then the agent was told to cancel unless the call had begun
+    When the agent refuses the call as "deadline-too-short"
+    Then the proxy refused call 1 as "deadline-too-short" with a retry time
+    And the proxy has finished stopping
+    And 1 call was handed on
+
+  Scenario: Near the stop limit, a call that a back end has begun still gets its answer
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the proxy is asked to stop
+    And the proxy's stop limit is near
+    And the agent answers the call
+    Then call 1 got the answer of its agent
+    And the proxy has finished stopping
+
+  Scenario: Near the stop limit, a call without a link is answered as not run
+    Given a proxy with one endpoint whose agent accepts no link
+    When a caller asks the proxy for "/orders/1"
+    And the proxy is asked to stop
+    And the proxy's stop limit is near
+    Then the proxy refused call 1 as "draining" with a retry time
+    And the proxy has finished stopping
+
   Scenario: The edge bounds bodies and finishes what is in flight at a stop
     Given an HTTP edge on loopback
     Then a body over the limit is refused with 413
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -33,6 +33,7 @@
 from limelever.proxy.call_types import (
     CallAnswer,
     CallerGone,
+    StopLimitNear,
     StopRequested,
 )
 from limelever.proxy.retry_budget import RetryBudget
@@ -171,6 +172,11 @@
     context.proxy.post(StopRequested())
 
 
+@when("the proxy's stop limit is near")
+def stop_limit_near(context: Context) -> None:
+    context.proxy.post(StopLimitNear())
+
+
 @then('the proxy refused call {call:d} as "{kind}" with a retry time')
 def refused_with_retry_time(context: Context, call: int, kind: str) -> None:
     refusal = context.proxy.refusal(call)
--- a/features/transport/full_disk.feature
+++ b/features/transport/full_disk.feature
@@ -12,3 +12,8 @@
     And that source logs 1022
     When that operator sends the one more service again
     Then that source has it once
+
+  Scenario: A disk that hangs does not hold up a stop
+    Given a disk that takes a write and never ends it
+    When a writer of that disk is cancelled within the write
+    Then the writer has ended, and reported nothing as written
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -119,6 +119,10 @@
         if call.token:
             del self._by_token[call.token]
 
+    def all(self) -> tuple[Call, ...]:
+        """Return the calls in flight."""
+        return tuple(self._calls.values())
+
     def by_number(self, number: int) -> Call | None:
         """Return the call the edge knows by this number."""
         return self._calls.get(number)
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -66,6 +66,11 @@
     """A planned stop began: the edge has stopped listening."""
 
 
+@dataclass(frozen=True, slots=True)
+class StopLimitNear(Event):
+    """The process ends soon: calls that no back end has begun are to be answered NOT RUN now."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerCall(Output):
     """The one final answer of a call."""
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -34,6 +34,7 @@
 from limelever.proxy.router import RouteTable
 from limelever.proxy.split import Splits
 
+_STOPPING = Failure(ErrorKind.DRAINING, "this proxy stops before the call would have begun")
 _NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
 _UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
 
@@ -77,6 +78,7 @@
         self._second_choices = RetryBudgets()
         self._splits = Splits(random_source)
         self._table: RouteTable | None = None
+        self._gives_back = False
         self._log = CallLog(settings.log, outputs)
         attempts.log = self._log
 
@@ -145,6 +147,20 @@
         self._attempts.abandon(call, Verdict.NEUTRAL, now)
         self._finish(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller has gone"), now)
 
+    def give_back_waiting(self, now: float) -> None:
+        """Answer the calls that no back end has begun, and start no further attempts.
+
+        What was handed on is only asked for: its agent knows whether it has begun. A call that
+        has begun keeps the time that is left.
+        """
+        self._gives_back = True
+        for call in self._calls.all():
+            if call.phase is Phase.HANDED_ON:
+                self._attempts.cancel_unless_begun(call)
+            elif call.phase in (Phase.DIALLING, Phase.CLAIMING):
+                self._attempts.abandon(call, Verdict.NEUTRAL, now)
+                self._finish(call, _STOPPING, now)
+
     # --- events of the agents' links ----------------------------------------------------------
 
     def link_opened(self, connection: ConnectionId, peer: Peer, now: float) -> None:
@@ -235,7 +251,7 @@
         self._finish(call, result, now)
 
     def _may_go_on(self, call: Call, failure: Failure, now: float) -> bool:
-        if now >= call.deadline:
+        if self._gives_back or now >= call.deadline:
             return False
         step = next_step(call, failure, self._settings.retry)
         if step is NextStep.REDIRECT:
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -35,6 +35,7 @@
     CallerGone,
     ProxyReady,
     StopFinished,
+    StopLimitNear,
     StopRequested,
 )
 from limelever.proxy.calls import CallEngine, CallSettings
@@ -153,6 +154,8 @@
                 self._engine.caller_gone(call, now)
             case StopRequested():
                 self._stopping = True
+            case StopLimitNear():
+                self._engine.give_back_waiting(now)
             case DeadlineReached():
                 self._deadline_reached(event, now)
             case _:
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -17,7 +17,13 @@
 from limelever.proxy.admission import AdmissionSettings
 from limelever.proxy.attempts import AttemptSettings
 from limelever.proxy.balancer import BalancerSettings
-from limelever.proxy.call_types import AnswerCall, ProxyReady, StopFinished, StopRequested
+from limelever.proxy.call_types import (
+    AnswerCall,
+    ProxyReady,
+    StopFinished,
+    StopLimitNear,
+    StopRequested,
+)
 from limelever.proxy.calls import CallSettings
 from limelever.proxy.core import ProxyCore, ProxyCoreSettings
 from limelever.proxy.edge import Edge
@@ -33,6 +39,9 @@
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
 
+GIVE_BACK_SECONDS = 0.5
+"""Before the stop limit: calls that still wait are answered, and the answers have time to leave."""
+
 _PERCENT = 100.0
 
 
@@ -134,15 +143,25 @@
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
+        give_back_at = trio.current_time() + _give_back_after(settings)
         edge.leave()
         await trio.sleep(seconds(settings.edge.lame_duck_ms))
         edge.stop()
+        with trio.move_on_at(give_back_at):
+            await edge_ended.wait()
+        runner.post(StopLimitNear())
         await edge_ended.wait()
         runner.post(StopRequested())
         await finished.wait()
         nursery.cancel_scope.cancel()
 
 
+def _give_back_after(settings: ProxySettings) -> float:
+    """Return how many seconds after the stop began calls that still wait are given back."""
+    limit, lame_duck = seconds(settings.stop_limit_ms), seconds(settings.edge.lame_duck_ms)
+    return max(lame_duck, limit - GIVE_BACK_SECONDS)
+
+
 async def _start_edge(edge: Edge, settings: ProxySettings, nursery: trio.Nursery) -> trio.Event:
     """Listen for callers; the event returned is set once the last of them was answered."""
     ended = trio.Event()
--- a/src/limelever/transport/disk_writer.py
+++ b/src/limelever/transport/disk_writer.py
@@ -81,7 +81,9 @@
         """Carry writes out in order, waiting for room; return a failure that is final."""
         full = False
         while writes:
-            failure = await trio.to_thread.run_sync(partial(self._disk.perform, writes))
+            # A stop doesn't wait for a disk that hangs: nothing was acknowledged of these writes.
+            perform = partial(self._disk.perform, writes)
+            failure = await trio.to_thread.run_sync(perform, abandon_on_cancel=True)
             if failure is not None and failure.kind is not ErrorKind.DISK_FULL:
                 return failure
             done = len(writes) if failure is None else self._disk.carried_out
