--- a/features/agent/calls.feature
+++ b/features/agent/calls.feature
@@ -49,6 +49,22 @@
     And its slot is busy until the back end's request has ended
     And agent stream 1 has failed with cancelled
 
+  Scenario: A body that awaits credit is asked for when its call can be queued
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets the head of a call with 2 seconds left on agent stream 1, its body to follow
+    Then the agent gave credit on agent stream 1
+    When the body of agent stream 1 follows
+    Then the agent's back end was asked once
+
+  Scenario: A call that would wait too long is refused before its body
+    Given an agent of incarnation 7 with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the agent hears of the answer to agent stream 1 before its timer, 2 seconds later
+    And the agent gets a call on agent stream 2 with 10 seconds left
+    And the agent gets the head of a call with 2 seconds left on agent stream 3, its body to follow
+    Then agent stream 3 has failed with deadline-too-short
+    And the agent gave no credit
+
   Scenario: A cancel that spares what has begun
     Given an agent of incarnation 7 with 1 slots and a proxy
     When the agent gets a call on agent stream 1 with 10 seconds left
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -117,6 +117,20 @@
     When the agent gives credit for 262144 bytes
     Then the agent has the whole upload of 1048576 bytes
 
+  Scenario: A large body goes to another zone only once the agent there asks for it
+    Given a proxy in another zone than its one endpoint
+    When a caller uploads 59904 bytes
+    Then the agent has 0 bytes of the upload
+    When the agent gives credit for 262144 bytes
+    Then the agent has the whole upload of 59904 bytes
+
+  Scenario: A call that is refused in another zone has cost no body
+    Given a proxy in another zone than its one endpoint
+    When a caller uploads 59904 bytes
+    And the agent refuses the call as "deadline-too-short"
+    Then the proxy refused call 1 as "deadline-too-short" with a retry time
+    And the agent has 0 bytes of the upload
+
   Scenario: A planned stop waits for what is in flight
     Given a proxy with one endpoint
     When a caller asks the proxy for "/orders/1"
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -113,6 +113,32 @@
         context.agent.send(part)
 
 
+@when(
+    "the agent gets the head of a call with {seconds:d} seconds left on agent stream {stream:d}, "
+    "its body to follow"
+)
+def send_head(context: Context, seconds: int, stream: int) -> None:
+    head = call_start(stream, end=False, awaits_credit=True, deadline_left_ms=seconds * 1000)
+    context.agent.send(head)
+
+
+@when("the body of agent stream {stream:d} follows")
+def send_body(context: Context, stream: int) -> None:
+    context.agent.send(CallBody(stream=stream, data=b"body", end=True))
+
+
+@then("the agent gave credit on agent stream {stream:d}")
+def gave_credit(context: Context, stream: int) -> None:
+    (credit,) = context.agent.sent(PROXY_LINK, CallCredit)
+    assert credit.stream == stream
+    assert credit.bytes > 0
+
+
+@then("the agent gave no credit")
+def gave_no_credit(context: Context) -> None:
+    assert context.agent.sent(PROXY_LINK, CallCredit) == []
+
+
 @when("the agent hears a cancel of agent stream {stream:d}")
 def send_cancel(context: Context, stream: int) -> None:
     context.agent.send(CallCancel(stream=stream))
--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -70,6 +70,7 @@
     RecordedAnswer,
     Release,
 )
+from limelever.proxy.balancer import BalancerSettings
 from limelever.proxy.call_types import (
     AnswerCall,
     CallAnswer,
@@ -152,7 +153,11 @@
     """Runs a proxy core under virtual time; relay and keepers answer at once, agents on demand."""
 
     def __init__(
-        self, endpoints: int = 1, keepers: FakeKeepers | None = None, seed: int = 1
+        self,
+        endpoints: int = 1,
+        keepers: FakeKeepers | None = None,
+        seed: int = 1,
+        zone: str = "here",
     ) -> None:
         self.now = 100.0
         self.endpoints = endpoints
@@ -172,6 +177,7 @@
         settings = ProxyCoreSettings(
             subscriber=SubscriberSettings(publishers=(RELAY,), services=(SERVICE,)),
             keepers=KeeperClientSettings(keepers=(KEEPER,)),
+            balancer=BalancerSettings(zone=zone),
         )
         self.core = ProxyCore(settings, random.Random(seed), Recovered())
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -51,6 +51,11 @@
     context.proxy = ProxyHost().start()
 
 
+@given("a proxy in another zone than its one endpoint")
+def proxy_elsewhere(context: Context) -> None:
+    context.proxy = ProxyHost(zone="elsewhere").start()
+
+
 @given("a proxy with {count:d} endpoints")
 def proxy_with_many(context: Context, count: int) -> None:
     context.proxy = ProxyHost(count).start()
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -5,7 +5,8 @@
 its proxy cancels is answered as well: the proxy learns whether it had begun.
 
 Bodies in parts: a proxy may send 256 KiB of ``CallBody`` on a stream at once and as much again
-as ``CallCredit`` gives back; long answers go the other way alike, see ``answer_sender``.
+as ``CallCredit`` gives back; long answers go the other way alike, see ``answer_sender``. A proxy
+that awaits credit sends nothing of a body before the queue has room for its call.
 """
 
 from __future__ import annotations
@@ -25,6 +26,9 @@
 from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
 
+FIRST_CREDIT_BYTES = 256 * 1024
+"""What a proxy that awaits credit may send of a body at first."""
+
 _SHED_STATUS = 503
 _MICROSECONDS = 1_000_000
 _MICROSECONDS_PER_MILLISECOND = 1000
@@ -109,7 +113,11 @@
         if start.end:
             return self._admit(call, now)
         failure = self._intake.check_body(call)
-        return [] if failure is None else self._refuse(call, failure)
+        if failure is None and start.awaits_credit:
+            failure = self._queue.check(_queued(call, now), now)
+        if failure is not None:
+            return self._refuse(call, failure)
+        return self._first_credit(connection, start) if start.awaits_credit else []
 
     def body(self, connection: ConnectionId, message: CallBody, now: float) -> list[Output]:
         """Take a part of a body; parts for unknown streams are late and dropped."""
@@ -252,12 +260,13 @@
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
         return replace(failure, retry_after=self._queue.advice(call.start.group))
 
+    def _first_credit(self, connection: ConnectionId, start: CallStart) -> list[Output]:
+        credit = CallCredit(stream=start.stream, bytes=FIRST_CREDIT_BYTES)
+        return [SendMessage(connection, credit)]
+
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
-        queued = QueuedCall(
-            call.number, call.start.group, call.deadline, len(call.body), now, call.target
-        )
-        offered = self._queue.offer(queued, now)
+        offered = self._queue.offer(_queued(call, now), now)
         if isinstance(offered, Failure):
             self._calls.remove(call)
             return self._failed(call.connection, call.start, offered)
@@ -307,3 +316,9 @@
             "queued": self._queue.queued,
         }
         return [*self._log.success(events.CALL_RAN, call.start.request_id, fields)]
+
+
+def _queued(call: Call, now: float) -> QueuedCall:
+    return QueuedCall(
+        call.number, call.start.group, call.deadline, len(call.body), now, call.target
+    )
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -98,6 +98,13 @@
         self._groups.forget_if_idle(group, self._virtual_time)
         return failure
 
+    def check(self, call: QueuedCall, now: float) -> Failure | None:
+        """Return why a call would be refused now; nothing is queued."""
+        group = self._groups.open(call.group, self._virtual_time)
+        failure = self._refusal(group, call, now)
+        self._groups.forget_if_idle(group, self._virtual_time)
+        return failure
+
     def start_next(self, now: float) -> QueuedCall | None:
         """Give a free slot to the group with the lowest tag; ``None`` when there is no such."""
         if self.running >= self._limits.slots or not self._group_of:
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -181,10 +181,22 @@
         self._calls.bind_stream(call, attempt)
         if call.wake_at != call.deadline:
             self._calls.wake(call, call.deadline)
-        start = start_message(call, attempt, self._reserved, self._settings.added_headers, now)
+        start = start_message(
+            call,
+            attempt,
+            self._reserved,
+            self._settings.added_headers,
+            now,
+            hold_body=self._holds_body(call, attempt),
+        )
         self._outputs.append(SendMessage(link.connection, start))
         self._send_parts(call, attempt)
 
+    def _holds_body(self, call: Call, attempt: Attempt) -> bool:
+        """Return whether the agent is asked first: a large body is dear to send between zones."""
+        large = len(call.request.body) >= LARGE_BODY_BYTES
+        return large and not self._balancer.is_local(attempt.entry)
+
     def _send_parts(self, call: Call, attempt: Attempt) -> None:
         for part in next_parts(call, attempt):
             self._outputs.append(SendMessage(attempt.connection, part))
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -75,11 +75,15 @@
         candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
         if not candidates:
             return None
-        local = [entry for entry in candidates if entry.zone == self._settings.zone]
+        local = [entry for entry in candidates if self.is_local(entry)]
         if local and self._keeps_up(local, ramp, now, local_within):
             candidates = local
         return self._earliest_of_some(candidates, ramp, now)
 
+    def is_local(self, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint is in the proxy's own zone."""
+        return entry.zone == self._settings.zone
+
     def attempt_started(self, key: EndpointKey) -> None:
         """Count one more own call at the endpoint."""
         self._health_of(key).in_flight += 1
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -1,7 +1,8 @@
 """The messages that carry a call to an agent: its start, and its body as credit allows.
 
 The agent takes a window of body bytes on a stream at once, and gives credit as it reads on, so
-that a large upload holds up neither the link's other calls nor the agent's memory.
+that a large upload holds up neither the link's other calls nor the agent's memory. A body that is
+held back waits for the agent's first credit: a refused call then costs its head alone.
 """
 
 from __future__ import annotations
@@ -25,16 +26,23 @@
 
 
 def start_message(
-    call: Call, attempt: Attempt, reserved: frozenset[bytes], added: Headers, now: float
+    call: Call,
+    attempt: Attempt,
+    reserved: frozenset[bytes],
+    added: Headers,
+    now: float,
+    *,
+    hold_body: bool = False,
 ) -> CallStart:
     """Return the first message of an attempt; ``reserved`` headers never come from the caller, and
     ``added`` ones are set here whatever it sent.
     """
     request, route = call.request, call.route
+    first_part = 0 if hold_body else FIRST_PART_BYTES
     passed = towards_backend(request.headers, (*route.secret_headers, *added), reserved)
-    whole = len(request.body) <= FIRST_PART_BYTES
-    attempt.sent_bytes = min(len(request.body), FIRST_PART_BYTES)
-    attempt.credit_bytes = CREDIT_WINDOW_BYTES
+    whole = len(request.body) <= first_part
+    attempt.sent_bytes = min(len(request.body), first_part)
+    attempt.credit_bytes = 0 if hold_body else CREDIT_WINDOW_BYTES
     return CallStart(
         stream=attempt.stream,
         attempt_id=attempt.attempt_id,
@@ -48,8 +56,9 @@
         method=request.method,
         target=request.target,
         headers=[Header(name=name, value=value) for name, value in passed],
-        body=request.body if whole else request.body[:FIRST_PART_BYTES],
+        body=request.body if whole else request.body[:first_part],
         end=whole,
+        awaits_credit=hold_body,
     )
 
 
