--- a/features/agent/fair_shares.feature
+++ b/features/agent/fair_shares.feature
@@ -37,3 +37,19 @@
     Then group web had about 3 of 4 attempts
     When the agent gets a body of 2 parts of 600 bytes on agent stream 900
     Then agent stream 900 has failed with body-too-large
+
+  Scenario: Slots that urgent calls usually hold are left to them
+    Given an agent queue with 4 slots where urgent calls held 2 slots of late and long calls wait
+    When no urgent call runs and the waiting long calls are started
+    Then 2 long calls run, and an urgent call that comes now starts at once
+
+  Scenario: Slots that urgent calls no longer use are given to others in time
+    Given an agent queue with 4 slots where urgent calls held 2 slots of late and long calls wait
+    When no urgent call runs and the waiting long calls are started
+    And the queue is looked at whenever it asks for it, for 10 seconds
+    Then 4 long calls run
+
+  Scenario: A slot is always left to the least urgent
+    Given an agent queue with 1 slots where urgent calls held 1 slots of late and long calls wait
+    When no urgent call runs and the waiting long calls are started
+    Then 1 long calls run
--- a/features/steps/agent_queue_steps.py
+++ b/features/steps/agent_queue_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from dataclasses import dataclass, field
 
 from agent_bench import (
@@ -19,6 +20,7 @@
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.wait_estimate import FIRST_CHARGE
 from limelever.common.errors import Failure, Outcome
+from limelever.protocol.priorities import priority_group
 
 
 def parse_weights(text: str) -> dict[str, int]:
@@ -206,3 +208,59 @@
 @then("a call with {left:d} seconds left is queued")
 def check_long(context: Context, left: int) -> None:
     assert context.course.offer("steady", left=left) == ()
+
+
+@given(
+    "an agent queue with {slots:d} slots where urgent calls held {held:d} slots of late and long "
+    "calls wait"
+)
+def given_urgent_history(context: Context, slots: int, held: int) -> None:
+    context.slots = slots
+    context.queue = make_queue({}, slots=slots)
+    context.long, context.urgent = priority_group(3, "long"), priority_group(1, "urgent")
+    context.now = 0.0
+    for number in range(100):
+        for place in range(held):
+            offer_and_start(context, number * held + place, context.urgent)
+        context.now += 0.5
+        for place in range(held):
+            context.queue.finish(number * held + place, context.now, representative=True)
+    for number in range(1000, 1000 + 2 * slots):
+        call = QueuedCall(number, context.long, math.inf, 0, context.now)
+        assert context.queue.offer(call, context.now) == ()
+
+
+def offer_and_start(context: Context, number: int, group: str) -> None:
+    call = QueuedCall(number, group, math.inf, 0, context.now)
+    assert context.queue.offer(call, context.now) == ()
+    started = context.queue.start_next(context.now)
+    assert started is not None
+    assert started.call == number, started
+
+
+@when("no urgent call runs and the waiting long calls are started")
+def start_long(context: Context) -> None:
+    while context.queue.start_next(context.now) is not None:
+        pass
+
+
+@when("the queue is looked at whenever it asks for it, for {seconds:d} seconds")
+def look_when_asked(context: Context, seconds: int) -> None:
+    end = context.now + seconds
+    looks = 0
+    while (due := context.queue.next_deadline()) is not None and due <= end:
+        context.now = due
+        start_long(context)
+        looks += 1
+        assert looks <= 2 * context.slots, "the queue asks again and again"
+
+
+@then("{count:d} long calls run, and an urgent call that comes now starts at once")
+def check_room(context: Context, count: int) -> None:
+    check_running(context, count)
+    offer_and_start(context, 5000, context.urgent)
+
+
+@then("{count:d} long calls run")
+def check_running(context: Context, count: int) -> None:
+    assert context.queue.running == count, context.queue.running
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -167,7 +167,8 @@
             case AttemptFailed():
                 return self._calls.failed(event, now)
             case DeadlineReached():
-                return [*self._calls.expire(now), *self._warm(self._cold_start.expire(now), now)]
+                started = self._calls.start_waiting(now)
+                return [*started, *self._warm(self._cold_start.expire(now), now)]
             case ConnectionOpened() | ConnectionClosed():
                 return self._link_event(event)
             case _:
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -3,20 +3,24 @@
 Start-time fair queueing: each group has a tag in virtual time, the group with the lowest tag
 gets the next free slot, and the tag moves on by the slot time used divided by the weight. The
 slot time is charged by estimate at the start and put right at the end, so a group pays for
-the time it holds slots and not for the number of its calls. It is work-conserving: a free slot
-never waits while any group has a call queued. See docs/design/fair-shares.md.
+the time it holds slots and not for the number of its calls. It is work-conserving but for one
+case: a free slot waits only where more urgent calls usually hold it, see ``slot_use``. See
+docs/design/fair-shares.md.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
+from limelever.agent.slot_use import SlotUse
 from limelever.agent.wait_estimate import MINIMUM_CHARGE, MINIMUM_RETRY_AFTER, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.priorities import priority_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +59,8 @@
         self._running: dict[int, _RunningCall] = {}
         self._deadlines = DeadlineHeap()
         self._estimate = WaitEstimate(limits.slots, self._groups)
+        self._slot_use = SlotUse(limits.slots)
+        self._room_at = math.inf
         self._virtual_time = 0.0
         self._queued_bytes = 0
 
@@ -107,12 +113,18 @@
 
     def start_next(self, now: float) -> QueuedCall | None:
         """Give a free slot to the group with the lowest tag; ``None`` when there is no such."""
-        if self.running >= self._limits.slots or not self._group_of:
+        free = self._limits.slots - self.running
+        self._room_at = math.inf
+        if free <= 0 or not self._group_of:
             return None
         group = min(
-            (group for group in self._groups if group.calls),
+            (g for g in self._groups if g.calls and self._may_start_at(g, free, now) <= now),
             key=lambda candidate: (candidate.tag, candidate.name),
+            default=None,
         )
+        if group is None:
+            self._room_at = min(self._may_start_at(g, free, now) for g in self._groups if g.calls)
+            return None
         call = group.pop_oldest()
         self._dequeued(call)
         self._virtual_time = max(self._virtual_time, group.tag)
@@ -120,6 +132,7 @@
         group.charge(charged)
         group.running += 1
         self._running[call.call] = _RunningCall(group.name, now, charged)
+        self._slot_use.started(priority_of(group.name), now)
         return call
 
     def finish(self, call: int, now: float, representative: bool) -> None:
@@ -132,6 +145,7 @@
         group = self._groups.get(running.group)
         seconds = max(now - running.started_at, MINIMUM_CHARGE)
         group.running -= 1
+        self._slot_use.ended(priority_of(group.name), now)
         group.charge(seconds - running.charged)
         if representative:
             self._estimate.observe(group.name, seconds)
@@ -176,13 +190,16 @@
         return self._estimate.advice(name, self._virtual_time)
 
     def next_deadline(self) -> float | None:
-        """Return the earliest deadline of a waiting call."""
-        return self._deadlines.earliest()
+        """Return the earliest deadline of a waiting call, or when one may take a free slot."""
+        earliest = self._deadlines.earliest()
+        if earliest is None:
+            return None
+        return min(earliest, self._room_at)
 
     def _refusal(self, group: GroupQueue, call: QueuedCall, now: float) -> Failure | None:
         if call.deadline <= now:
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
-        if self._starts_at_once():
+        if self._starts_at_once(group, now):
             return None
         wait = self._wait(group)
         if len(group.calls) >= self._limits.group_calls:
@@ -201,8 +218,12 @@
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
         return Failure(kind, reason, retry_after=max(wait, MINIMUM_RETRY_AFTER))
 
-    def _starts_at_once(self) -> bool:
-        return not self._group_of and self.running < self._limits.slots
+    def _starts_at_once(self, group: GroupQueue, now: float) -> bool:
+        free = self._limits.slots - self.running
+        return not self._group_of and free > 0 and self._may_start_at(group, free, now) <= now
+
+    def _may_start_at(self, group: GroupQueue, free: int, now: float) -> float:
+        return self._slot_use.room_at(priority_of(group.name), free, now)
 
     def _make_room(self, group: GroupQueue, size: int) -> Failure | tuple[Eviction, ...]:
         limit = self._limits.total_bytes
--- a/src/limelever/protocol/priorities.py
+++ b/src/limelever/protocol/priorities.py
@@ -24,11 +24,17 @@
     return f"{PRIORITY_GROUP}{priority}{_SEPARATOR}{route}"
 
 
-def priority_weight(group: str) -> int | None:
-    """Return the weight of a priority's group, or ``None`` for a group that is none."""
+def priority_of(group: str) -> int | None:
+    """Return the priority of a group, or ``None`` for one that is not of prioritised calls."""
     if not group.startswith(PRIORITY_GROUP):
         return None
     number = group.removeprefix(PRIORITY_GROUP).partition(_SEPARATOR)[0]
-    if not number.isdigit():
+    return int(number) if number.isdigit() else None
+
+
+def priority_weight(group: str) -> int | None:
+    """Return the weight of a priority's group, or ``None`` for a group that is none."""
+    priority = priority_of(group)
+    if priority is None:
         return None
-    return int(_FACTOR ** max(0, LAST_DISTINCT_PRIORITY - int(number)))
+    return int(_FACTOR ** max(0, LAST_DISTINCT_PRIORITY - priority))
