--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -62,6 +62,7 @@
         probe_interval=seconds(subscription.probe_interval_ms),
         persist_snapshot=bool(settings.snapshot_keys and settings.data_folder),
         snapshot_delay=seconds(subscription.snapshot_delay_ms),
+        longest_pause=seconds(subscription.longest_pause_ms),
     )
 
 
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -32,6 +32,7 @@
     stale_after_ms: int = attrs.field(default=8000, validator=between(100, 600000))
     probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 60000))
     snapshot_delay_ms: int = attrs.field(default=2000, validator=between(0, 600000))
+    longest_pause_ms: int = attrs.field(default=240000, validator=between(50, 3600000))
 
 
 @attrs.frozen(kw_only=True)
