--- a/features/transport/metrics.feature
+++ b/features/transport/metrics.feature
@@ -25,3 +25,11 @@
       | proof          | age  |
       | 12 seconds ago | 12.0 |
       | never          | inf  |
+
+  Scenario: Calls are counted by route, outcome and time
+    When a call on route metrics-a is answered after 0.2 seconds and one is refused
+    Then the histogram of route metrics-a holds one answered call below 0.25 s and one not run
+
+  Scenario: However many routes there are, the number of series is bounded
+    When calls on 10 more routes than have a series are answered
+    Then at least 10 of them are counted under other routes
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -73,10 +73,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerCall(Output):
-    """The one final answer of a call."""
+    """The one final answer of a call, ``seconds`` after its request was read whole.
+
+    ``route`` is empty for a call that no route matched.
+    """
 
     call: int
     answer: CallAnswer | Failure
+    route: str = ""
+    seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -315,4 +315,5 @@
         self._calls.remove(call)
         self._limits.release(call.share)
         if not call.caller_gone:
-            self._outputs.append(AnswerCall(call.number, answer))
+            seconds = now - call.arrived_at
+            self._outputs.append(AnswerCall(call.number, answer, call.route.name, seconds))
--- a/src/limelever/proxy/metrics.py
+++ b/src/limelever/proxy/metrics.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from prometheus_client import Counter
+from prometheus_client import Counter, Histogram
 
 from limelever.common.errors import Failure
-from limelever.proxy.call_types import CallAnswer
+from limelever.proxy.call_types import AnswerCall
 from limelever.transport.metrics import REGISTRY
 
 ANSWERED = "answered"
@@ -16,12 +16,42 @@
     ("kind",),
     registry=REGISTRY,
 )
+SECONDS = Histogram(
+    "limelever_proxy_call_seconds",
+    "Seconds from a request read whole to its final answer, by route and outcome",
+    ("route", "outcome"),
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
+    registry=REGISTRY,
+)
+ROUTES_LIMIT = 64
+"""Routes with a series of their own: the first that were called."""
+
+NO_ROUTE = "none"
+OTHER_ROUTES = "other"
 _ANSWERED_CALLS = CALLS.labels(ANSWERED)
 
 
-def count_answer(answer: CallAnswer | Failure) -> None:
-    """Count the end of one call."""
+_routes: set[str] = set()
+
+
+def count_answer(ended: AnswerCall) -> None:
+    """Count the end of one call, and the time it took."""
+    answer = ended.answer
     if isinstance(answer, Failure):
         CALLS.labels(answer.kind.value).inc()
+        outcome = answer.outcome.value
     else:
         _ANSWERED_CALLS.inc()
+        outcome = ANSWERED
+    SECONDS.labels(_route_label(ended.route), outcome).observe(ended.seconds)
+
+
+def _route_label(route: str) -> str:
+    """Return the label of a route; the number of labels is bounded."""
+    if not route:
+        return NO_ROUTE
+    if route not in _routes:
+        if len(_routes) >= ROUTES_LIMIT:
+            return OTHER_ROUTES
+        _routes.add(route)
+    return route
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -127,7 +127,7 @@
     def on_output(output: Output) -> None:
         match output:
             case AnswerCall():
-                count_answer(output.answer)
+                count_answer(output)
                 edge.answer(output)
             case ProxyReady():
                 shell.set_ready()
