Refuse a length beside a transfer coding; let an answer end before its connection is closed

Cause: a request with Content-Length and Transfer-Encoding was taken and its connection kept (RFC 9112, section 6.1). The scenario for it found another fault: a client that pipelines behind an answer with 'Connection: close' had hypercorn close the connection in the midst of that answer (BusyResourceError in about 1 of 8 runs on loopback).

--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -212,7 +212,8 @@
 
 @then("that caller is answered with {status:d}")
 def then_caller_status(context, status):
-    assert context.caller.status() == status
+    found = context.caller.status()
+    assert found == status, found
 
 
 @then("the callers' listener logs {code:d}")
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -24,6 +24,13 @@
       | headers of 40 KiB | 431    |
       | a body of 5 MiB   | 413    |
 
+  Scenario: A request whose end is in doubt is refused, and nothing that follows it is read
+    Given a callers' listener
+    When a caller's connection sends a length beside a transfer coding
+    Then that caller is answered with 400
+    And the callers' listener ends that caller's connection
+    And the callers' listener has run nothing
+
   Scenario: Headers that never end cost their connection
     Given a callers' listener that ends idle connections after 200 ms
     When a caller's connection sends half of its headers
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -25,7 +25,12 @@
     CallRequest,
 )
 from limelever.proxy.edge_listener import serve_callers
-from limelever.proxy.requests import declared_length, headers_size, parse_request
+from limelever.proxy.requests import (
+    check_framing,
+    declared_length,
+    headers_size,
+    parse_request,
+)
 from limelever.proxy.settings import EdgeSettings
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -118,6 +123,10 @@
 
     async def _serve_request(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         headers: Headers = tuple((name, value) for name, value in scope["headers"])
+        in_doubt = check_framing(headers)
+        if in_doubt is not None:
+            await self._refuse(scope, in_doubt, receive, send, close=True)
+            return
         reserved = _Reservation(self)
         try:
             body = await self._read_body(headers, receive, reserved)
@@ -196,10 +205,16 @@
         self._buffered += added
 
     async def _refuse(
-        self, scope: dict[str, Any], failure: Failure, receive: Receive, send: Send
+        self,
+        scope: dict[str, Any],
+        failure: Failure,
+        receive: Receive,
+        send: Send,
+        *,
+        close: bool = False,
     ) -> None:
         """Answer at once, then read on for a moment: a reset would destroy the answer."""
-        await self._send(scope, self._rendered(failure), send, more=True)
+        await self._send(scope, self._rendered(failure), send, more=True, close=close)
         with trio.move_on_after(DISCARD_TIMEOUT):
             while (message := await receive())["type"] == "http.request":
                 if not message.get("more_body", False):
@@ -210,10 +225,17 @@
         return render_answer(answer, self._settings.retry_after_decimals)
 
     async def _send(
-        self, scope: dict[str, Any], answer: CallAnswer, send: Send, *, more: bool
+        self,
+        scope: dict[str, Any],
+        answer: CallAnswer,
+        send: Send,
+        *,
+        more: bool,
+        close: bool = False,
     ) -> None:
         headers = answer.headers
-        if (self._leaving or self._stopping.is_set()) and scope["http_version"].startswith(HTTP_1):
+        close = close or self._leaving or self._stopping.is_set()
+        if close and scope["http_version"].startswith(HTTP_1):
             headers = (*headers, _CLOSE)
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         self._untaken += len(answer.body)
--- a/src/limelever/transport/http_connection.py
+++ b/src/limelever/transport/http_connection.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import h11
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
@@ -53,8 +54,19 @@
         if isinstance(event, Updated):
             self._note_idle(event.idle)
             return
+        if isinstance(event, Closed) and self._answer_under_way():
+            return
         await super().protocol_send(event)
 
+    def _answer_under_way(self) -> bool:
+        """Return whether an HTTP/1 answer has begun and not ended; the connection closes after it.
+
+        A client that sends on after an answer said that the connection closes is a breach for
+        which hypercorn closes at once, in the midst of the answer.
+        """
+        connection = getattr(self.protocol.protocol, "connection", None)
+        return getattr(connection, "our_state", None) is h11.SEND_BODY
+
     def _note_idle(self, idle: bool) -> None:
         """Tell the connection's one idle task; hypercorn would start a new one at each request."""
         self.idle_since = trio.current_time() if idle else None
@@ -137,9 +149,13 @@
             raise trio.BrokenResourceError("the client does not take its answer")
 
     async def _close(self) -> None:
-        """Close; TLS says goodbye to the client, which need not listen."""
-        with trio.move_on_after(_CLOSE_SECONDS):
-            await super()._close()
+        """Close after the send under way; TLS says goodbye to the client, which need not listen."""
+        try:
+            with trio.move_on_after(_CLOSE_SECONDS):
+                async with self.send_lock:
+                    await super()._close()
+        finally:
+            await trio.aclose_forcefully(self.stream)
 
 
 def _time_to_send(data: bytes) -> float:
