--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -39,3 +39,20 @@
 
   Scenario: Groups are bounded by their share when the proxy is nearly full
     Given any calls of three groups, the bounds hold and a group under its share finds room
+
+  Scenario Outline: The more bytes a call moves, the longer it may wait for its own zone
+    Given a route with 1 second to its target whose answers have <answer> bytes
+    Then a call on it with a body of <body> bytes may wait <milliseconds> ms for its own zone
+
+    Examples:
+      | answer | body  | milliseconds |
+      | 400    | 0     | 300          |
+      | 5000   | 0     | 700          |
+      | 400    | 60000 | 1000         |
+      | 60000  | 0     | 1000         |
+      | no     | 0     | 700          |
+
+  Scenario: What is known of a route is forgotten with it
+    Given a route with 1 second to its target whose answers have 400 bytes
+    When the configuration no longer holds that route
+    Then a call on it with a body of 0 bytes may wait 700 ms for its own zone
--- /dev/null
+++ b/features/steps/moved_bytes_steps.py
@@ -0,0 +1,36 @@
+"""Steps for how long calls wait for their own zone, by the bytes they move."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from limelever.proxy.moved_bytes import MovedBytes
+
+ROUTE = "lookup"
+NOW = 10.0
+
+
+@given("a route with 1 second to its target whose answers have {answer:S} bytes")
+def given_route(context, answer):
+    context.moved = MovedBytes()
+    if answer != "no":
+        for _ in range(20):
+            context.moved.observe(ROUTE, int(answer))
+
+
+@when("the configuration no longer holds that route")
+def when_gone(context):
+    context.moved.keep_only(frozenset({"another"}))
+
+
+@then("a call on it with a body of {body:d} bytes may wait {milliseconds:d} ms for its own zone")
+def then_may_wait(context, body, milliseconds):
+    call = SimpleNamespace(
+        request=SimpleNamespace(body=bytes(body)),
+        route=SimpleNamespace(name=ROUTE, target_latency=1.0),
+        target=NOW + 1.0,
+    )
+    found = context.moved.local_within(call, NOW)
+    assert round(found * 1000) == milliseconds, found
--- a/src/limelever/proxy/attempt_ends.py
+++ b/src/limelever/proxy/attempt_ends.py
@@ -12,6 +12,7 @@
 from limelever.proxy.call_types import CallAnswer
 from limelever.proxy.endpoints import EndpointView
 from limelever.proxy.health import Verdict
+from limelever.proxy.moved_bytes import MovedBytes
 
 _MICROSECONDS = 1_000_000
 _FAILED_STATUSES = frozenset({500, 502, 504})
@@ -26,18 +27,22 @@
         view: EndpointView,
         balancer: Balancer,
         assembly: AnswerAssembly,
+        moved: MovedBytes,
         outputs: list[Output],
     ) -> None:
         self._calls = calls
         self._view = view
         self._balancer = balancer
         self._assembly = assembly
+        self._moved = moved
         self._outputs = outputs
 
     def succeed(self, call: Call, attempt: Attempt, body: bytes, now: float) -> AttemptEnded:
         """End an attempt with the back end's whole answer."""
         answer = CallAnswer(attempt.status, attempt.headers, body)
         failed = attempt.status in _FAILED_STATUSES
+        if not failed:
+            self._moved.observe(call.route.name, len(body))
         self.close(call, attempt, Verdict.FAILED if failed else Verdict.SUCCEEDED, now)
         return AttemptEnded(call, answer)
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -20,17 +20,13 @@
 from limelever.proxy.endpoints import EndpointKey, EndpointView
 from limelever.proxy.health import Verdict
 from limelever.proxy.links import AgentLink, AgentLinks, LinkStage
+from limelever.proxy.moved_bytes import LARGE_BYTES, MovedBytes
 from limelever.proxy.outgoing import next_parts, start_message
 
 NO_ENDPOINT_RETRY_AFTER = 1.0
 
 _ID_HALF_BYTES = 8
 
-LARGE_BODY_BYTES = 16 * 1024
-LOCAL_PART = 0.7
-LOCAL_PART_LARGE_BODY = 1.0
-"""Parts of the time to its target in which a call may be answered within the own zone."""
-
 DEFAULT_RESERVED = HeaderNames().set_by_mesh
 """What callers may not set for a back end where the settings name no headers."""
 
@@ -72,7 +68,8 @@
         self._last_id = 0
         limits = AssemblyLimits(settings.answer_limit_bytes, settings.assembly_limit_bytes)
         assembly = AnswerAssembly(limits)
-        self._ends = AttemptEnds(calls, view, balancer, assembly, outputs)
+        self._moved = MovedBytes()
+        self._ends = AttemptEnds(calls, view, balancer, assembly, self._moved, outputs)
         self._messages = AgentMessages(calls, self._ends, assembly, outputs)
         self._reserved = settings.reserved_headers
         self.log: CallLog | None = None
@@ -81,13 +78,17 @@
         """Name the headers that callers may not set."""
         self._reserved = names | self._settings.reserved_headers
 
+    def keep_only(self, routes: frozenset[str]) -> None:
+        """Forget what is known of routes that are gone."""
+        self._moved.keep_only(routes)
+
     def start(self, call: Call, now: float) -> Failure | None:
         """Begin an attempt on an endpoint not tried yet, or return ``NO_ENDPOINT``."""
         usable = self._view.usable(call.part.service, now)
         excluded: set[EndpointKey] = set(call.tried)
         while True:
             entry = self._balancer.pick(
-                usable, now, excluded, call.part.slow_start, _local_within(call, now)
+                usable, now, excluded, call.part.slow_start, self._moved.local_within(call, now)
             )
             if entry is None:
                 reason = f"no endpoint of {call.part.service} can take the call"
@@ -194,22 +195,9 @@
 
     def _holds_body(self, call: Call, attempt: Attempt) -> bool:
         """Return whether the agent is asked first: a large body is dear to send between zones."""
-        large = len(call.request.body) >= LARGE_BODY_BYTES
+        large = len(call.request.body) >= LARGE_BYTES
         return large and not self._balancer.is_local(attempt.entry)
 
     def _send_parts(self, call: Call, attempt: Attempt) -> None:
         for part in next_parts(call, attempt):
             self._outputs.append(SendMessage(attempt.connection, part))
-
-
-def _local_within(call: Call, now: float) -> float:
-    """Return the seconds within which an answer from the own zone is good enough.
-
-    A part of the time to the call's target is left for estimates that are wrong; a large body may
-    use all of it, for it is dear to send to another zone.
-    """
-    if not call.route.target_latency:
-        return 0.0
-    large = len(call.request.body) >= LARGE_BODY_BYTES
-    part = LOCAL_PART_LARGE_BODY if large else LOCAL_PART
-    return (call.target - now) * part
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -94,6 +94,7 @@
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
         self._splits.keep_only(table.route_names())
+        self._attempts.keep_only(table.route_names())
 
     def share_budgets_between(self, nodes: int) -> None:
         """Take the number of nodes whose proxies share the retries of a service."""
