Ask for pre-votes sooner while no leader has been heard since the start

Change: until a replica has heard a leader in this life its timer is 0.3 of the usual. A leader that lives is protected by the pre-vote as before. Ruled out: a shorter timeout for all (lossy links and slow machines would depose leaders). The group of five now leads within 1 s in 10 of 10 restarts; the scenario fails without the change.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -19,6 +19,18 @@
     And a replica group accepts 5 writes
     Then a replica group holds the last version on every replica
 
+  Scenario: A group whose replicas all restart leads again within a second
+    Given a replica group of 5
+    And a replica group accepts 3 writes
+    When every replica of a group is killed and starts again at once, 10 times
+    Then a replica group had a leader within 1 second each time
+
+  Scenario: A replica that restarts alone does not unseat the leader
+    Given a replica group of 5
+    And a replica group accepts 1 writes
+    When each follower of a group is killed and starts again at once, one after the other
+    Then a replica group still has the leader it had, in the same term
+
   Scenario: Two leaders never commit in one term and no accepted write is lost
     Then a replica group of 3 keeps its promises under 20 seeds of disorder
     And a replica group of 5 keeps its promises under 6 seeds of disorder
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -238,3 +238,39 @@
     _send_to_publisher(context, FreshnessProbe(nonce=2))
     context.group.run(5)
     assert not _fresh(context, 2)
+
+
+@when("every replica of a group is killed and starts again at once, {count:d} times")
+def _(context, count):
+    group = context.group
+    context.led = []
+    for _ in range(count):
+        for name in list(group.nodes):
+            group.crash(name)
+        for name in list(group.nodes):
+            group.start(name)
+        group.run(1.0)
+        context.led.append(group.leader())
+        group.run(3.0)
+
+
+@then("a replica group had a leader within 1 second each time")
+def _(context):
+    assert all(context.led), context.led
+
+
+@when("each follower of a group is killed and starts again at once, one after the other")
+def _(context):
+    group = context.group
+    context.leader = group.leader()
+    context.term = group.nodes[context.leader].core.replica.term
+    for name in group.others(context.leader):
+        group.crash(name)
+        group.start(name)
+        group.run(2.0)
+
+
+@then("a replica group still has the leader it had, in the same term")
+def _(context):
+    assert context.group.leader() == context.leader
+    assert context.group.nodes[context.leader].core.replica.term == context.term
--- a/src/limelever/source/replication/context.py
+++ b/src/limelever/source/replication/context.py
@@ -41,6 +41,11 @@
 from limelever.source.replication.settings import ReplicationSettings
 from limelever.source.replication.writes import PendingWrites
 
+FIRST_ELECTION_PART = 0.3
+"""Part of the usual time after which a replica that has heard no leader yet asks for pre-votes."""
+
+_NEVER = float("-inf")
+
 
 class ReplicaRole(StrEnum):
     """What a replica is doing in its term."""
@@ -74,7 +79,7 @@
         self.role = ReplicaRole.FOLLOWER
         self.leader = ""
         self.leader_address = ""
-        self.heard_leader_at = float("-inf")
+        self.heard_leader_at = _NEVER
         self.election_deadline = float("inf")
         self.now = 0.0
         self.outputs: list[Output] = []
@@ -103,9 +108,16 @@
         """Write a log event."""
         self.outputs.append(LogEvent(code, fields))
 
-    def restart_election_timer(self) -> None:
-        """Draw the time at which this replica will stand for election unless it hears more."""
+    def restart_election_timer(self, *, may_hurry: bool = False) -> None:
+        """Draw the time at which this replica will stand for election unless it hears more.
+
+        With ``may_hurry`` it is a part of the usual time as long as this process has heard no
+        leader: after a restart of the whole group there is none to wait for, and where there is
+        one, those who hear it refuse the pre-vote.
+        """
         timeout = self.settings.election_timeout
+        if may_hurry and self.heard_leader_at == _NEVER:
+            timeout *= FIRST_ELECTION_PART
         self.election_deadline = self.now + self.random.uniform(timeout, 2 * timeout)
 
     # --- terms ------------------------------------------------------------------------------
--- a/src/limelever/source/replication/elections.py
+++ b/src/limelever/source/replication/elections.py
@@ -30,7 +30,7 @@
         context = self._context
         if context.role is ReplicaRole.LEADER or context.now < context.election_deadline:
             return
-        context.restart_election_timer()
+        context.restart_election_timer(may_hurry=True)
         if context.is_voter:
             self._begin_pre_vote()
 
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -207,7 +207,7 @@
         context = self._context
         context.links.start(context.now)
         context.outputs.extend(context.links.dial_due(context.now))
-        context.restart_election_timer()
+        context.restart_election_timer(may_hurry=True)
         if self._log_is_stale:
             context.reset_disk_log()
         if context.snapshot.last_index > 0:
