--- a/src/limelever_lab/cli.py
+++ b/src/limelever_lab/cli.py
@@ -36,6 +36,9 @@
         "Check the specification of the core protocol.",
     ),
     LabCommand("bench", "limelever_lab.bench.command:bench", "Run an experiment."),
+    LabCommand(
+        "soak", "limelever_lab.soak.command:soak", "Break a fleet at random and check what holds."
+    ),
     LabCommand("report", "limelever_lab.reports.command:report", "Draw kept results."),
     LabCommand("docs-events", "limelever_lab.event_catalogue:docs_events", "Print docs/EVENTS.md."),
     LabCommand("backend", "limelever_lab.standins.commands:backend", "Run a back-end stand-in."),
--- a/src/limelever_lab/fleet/faults.py
+++ b/src/limelever_lab/fleet/faults.py
@@ -16,16 +16,19 @@
 
     KILLED = "kill -9"
     SUSPENDED = "SIGSTOP"
+    STOPPED = "SIGTERM"
     FOLDER_LOST = "data folder removed"
     CUT_OFF = "link cut both ways"
     DEAF = "link cut inwards"
     MUTE = "link cut outwards"
+    RESET = "connections dropped"
 
 
 LINK_FAULTS = {
     Fault.CUT_OFF: NetworkFault.ISOLATE,
     Fault.DEAF: NetworkFault.DEAFEN,
     Fault.MUTE: NetworkFault.MUTE,
+    Fault.RESET: NetworkFault.CUT,
 }
 
 
@@ -51,15 +54,21 @@
             network.strike(LINK_FAULTS[fault], self.name)
         elif fault is Fault.SUSPENDED:
             self.process.suspend()
+        elif fault is Fault.STOPPED:
+            self.process.request_stop()
         else:
             self._kill(fault)
 
-    def recover(self, network: FleetNetwork) -> None:
-        """Undo whatever struck the process; returns once it serves again."""
+    def bring_back(self, network: FleetNetwork) -> None:
+        """Undo whatever struck the process, without waiting until it serves."""
         network.heal()
         self.process.resume()
         if not self.process.running:
             self.process.start()
+
+    def recover(self, network: FleetNetwork) -> None:
+        """Undo whatever struck the process; returns once it serves again."""
+        self.bring_back(network)
         self.wait_up()
 
     def _kill(self, fault: Fault) -> None:
--- a/src/limelever_lab/fleet/probe.py
+++ b/src/limelever_lab/fleet/probe.py
@@ -105,10 +105,10 @@
         if name == "the busiest relay":
             relays = self.fleet.relays
             return [_member_target(max(relays, key=lambda r: subscription_links(r.samples())))]
-        first, _, last = name.rpartition(" ")
-        if first == EVERY:
-            return self._group(last)
-        return [self._group(first)[int(last) - 1]]
+        if name.startswith(EVERY):
+            return self._group(name.removeprefix(EVERY).strip())
+        role, _, number = name.rpartition(" ")
+        return [self._group(role)[int(number) - 1]]
 
     def _group(self, role: str) -> list[Target]:
         """Return all of one role."""
