--- a/src/limelever_lab/simulator/deployments.py
+++ b/src/limelever_lab/simulator/deployments.py
@@ -13,7 +13,7 @@
     Service,
     Share,
 )
-from limelever_lab.simulator.network import Delays
+from limelever_lab.simulator.network_parts import Delays
 
 CALL_TIMEOUT_MS = 4000
 DRAIN_LIMIT_MS = 12000
