Watch the settings file from before it is first read; let SIGHUP pass while a process starts

Cause, by reading: a process took its settings file's first state only once its event loop ran, and had no handler of SIGHUP until then. A change in between was never seen, and a SIGHUP ended the process.

Change: the file's state is taken before the first reading; SIGHUP is ignored until the event loop takes it. The tests wait for the handler in place of a second, and replace the file whole.

--- a/features/steps/transport_reload_steps.py
+++ b/features/steps/transport_reload_steps.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
+import os
 import random
+import re
 import signal
 import subprocess
 import time
+from pathlib import Path
 
 from behave import given, then, when
 from transport_process_steps import LIMELEVER, PATIENCE, folder_of, write_relay_settings
@@ -37,7 +40,6 @@
 
     def __init__(self, context) -> None:
         self.folder = folder_of(context)
-        write_relay_settings(context)
         self.settings = context.settings
         self.log = (self.folder / "log").open("w+")
         command = [str(LIMELEVER), "relay", "--settings", str(self.settings)]
@@ -54,6 +56,21 @@
         records = [json.loads(line) for line in lines if line.startswith("{")]
         return [record for record in records if record["code"] == code]
 
+    def write_settings(self, text: str) -> None:
+        """Replace the settings file, whole at any moment."""
+        new = self.settings.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.settings)
+
+    def wait_for_signal_handler(self, number: signal.Signals) -> None:
+        """Wait until the process takes a signal by a handler of its own."""
+        status = Path(f"/proc/{self.process.pid}/status")
+        mask = 1 << (number - 1)
+        deadline = time.monotonic() + PATIENCE
+        while not int(re.search(r"SigCgt:\s*(\w+)", status.read_text())[1], 16) & mask:
+            assert time.monotonic() < deadline, "the signal is not handled"
+            time.sleep(0.02)
+
     def wait_for(self, code: int, count: int = 1) -> dict:
         deadline = time.monotonic() + PATIENCE
         while len(self.events(code)) < count:
@@ -65,12 +82,34 @@
 
 @given("a running relay")
 def given_running_relay(context):
+    write_relay_settings(context)
     context.relay = RunningRelay(context)
     context.relay.wait_for(1000)
-    time.sleep(1.0)
+    context.relay.wait_for_signal_handler(signal.SIGHUP)
     context.reloads = 0
 
 
+@given("a relay that is about to read its settings for the first time")
+def given_reading_relay(context):
+    """The settings file is a pipe: opening it for writing waits until the process reads it."""
+    write_relay_settings(context)
+    context.first_settings = context.settings.read_text()
+    context.settings.unlink()
+    os.mkfifo(context.settings)
+    context.relay = RunningRelay(context)
+    context.pipe = context.settings.open("w")
+    context.add_cleanup(context.pipe.close)
+    context.reloads = 0
+
+
+@when("it has read its settings and they change before it runs")
+def when_changed_early(context):
+    context.relay.write_settings(context.first_settings.replace("zone-a", "zone-the-other"))
+    context.pipe.write(context.first_settings)
+    context.pipe.close()
+    context.reloads = 1
+
+
 @when("that relay gets SIGHUP")
 def when_hung_up(context):
     context.relay.process.send_signal(signal.SIGHUP)
@@ -80,14 +119,14 @@
 @when("its settings name another zone")
 def when_another_zone(context):
     text = context.relay.settings.read_text().replace("zone-a", "zone-the-other")
-    context.relay.settings.write_text(text)
+    context.relay.write_settings(text)
     context.reloads += 1
 
 
 @when("its settings lose their name")
 def when_nameless(context):
     text = context.relay.settings.read_text().replace('name = "relay-1"\n', "")
-    context.relay.settings.write_text(text)
+    context.relay.write_settings(text)
 
 
 @then("it logs 1006 with nothing changed")
--- a/features/transport/reload.feature
+++ b/features/transport/reload.feature
@@ -8,6 +8,13 @@
     Then it logs 1006 with "zone" changed and waiting for a restart
     And it still runs
 
+  Scenario: What changes while a process starts is not missed, and SIGHUP does not end it
+    Given a relay that is about to read its settings for the first time
+    When that relay gets SIGHUP
+    And it has read its settings and they change before it runs
+    Then it logs 1006 with "zone" changed and waiting for a restart
+    And it still runs
+
   Scenario: Settings that do not check out change nothing
     Given a running relay
     When its settings lose their name
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -21,6 +21,7 @@
     load_settings,
     read_table,
 )
+from limelever.early_signals import ignore_reload_signal
 from limelever.transport.reload import SettingsFile
 
 EXIT_OK = 0
@@ -88,6 +89,8 @@
 
 def run_role(arguments: RoleArguments) -> int:
     """Load a role's settings and run its process to the end; return the exit status."""
+    ignore_reload_signal()
+    source = _source_of(arguments)
     settings = load_settings(
         arguments.settings, settings_class(arguments.role), arguments.overrides
     )
@@ -95,7 +98,7 @@
         print_problems(settings)
         return EXIT_REFUSED
     process = importlib.import_module(f"limelever.{arguments.role.value}.process")
-    status: int = process.run(settings, source=_source_of(arguments))
+    status: int = process.run(settings, source=source)
     return status
 
 
@@ -111,7 +114,7 @@
             return Failure(ErrorKind.INVALID_SETTINGS, reasons)
         return loaded
 
-    return SettingsFile(arguments.settings, read)
+    return SettingsFile.before_reading(arguments.settings, read)
 
 
 def print_problems(problems: SettingsProblems) -> None:
--- a/src/limelever/transport/reload.py
+++ b/src/limelever/transport/reload.py
@@ -25,12 +25,41 @@
 FILE_CHANGED = "the file changed"
 
 
+@dataclass(frozen=True, slots=True)
+class FileStamp:
+    """Tells one state of a file from another."""
+
+    modified_ns: int
+    size: int
+
+    @classmethod
+    def of(cls, path: Path) -> FileStamp | None:
+        """Return the state that the file is in, ``None`` while it can't be read."""
+        try:
+            status = path.stat()
+        except OSError:
+            return None
+        return cls(status.st_mtime_ns, status.st_size)
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsFile:
-    """Where a process's settings come from; ``read`` returns them anew, or why it can't."""
+    """Where a process's settings come from; ``read`` returns them anew, or why it can't.
+
+    ``first_read`` is the file's state before the settings that the process starts with were read:
+    a change that comes while it starts must not pass unseen.
+    """
 
     path: Path
     read: Callable[[], ProcessSettings | Failure]
+    first_read: FileStamp | None
+
+    @classmethod
+    def before_reading(
+        cls, path: Path, read: Callable[[], ProcessSettings | Failure]
+    ) -> SettingsFile:
+        """Return the file in its present state; to be called before the first reading."""
+        return cls(path, read, FileStamp.of(path))
 
 
 class Reloading:
@@ -61,10 +90,10 @@
         """Reload whenever the file changes, until cancelled."""
         if self._source is None:
             return
-        seen = _stamp(self._source.path)
+        seen = self._source.first_read
         while True:
             await trio.sleep(LOOK_SECONDS)
-            stamp = _stamp(self._source.path)
+            stamp = FileStamp.of(self._source.path)
             if stamp not in (seen, None):
                 seen = stamp
                 self.reload(FILE_CHANGED)
@@ -87,12 +116,3 @@
     """Return the names of the settings that differ."""
     names = [attribute.name for attribute in attrs.fields(type(before))]
     return [name for name in names if getattr(before, name) != getattr(after, name)]
-
-
-def _stamp(path: Path) -> tuple[int, int] | None:
-    """Return what tells one state of a file from another, ``None`` while it can't be read."""
-    try:
-        status = path.stat()
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_size
--- a/src/limelever_lab/feature_report.py
+++ b/src/limelever_lab/feature_report.py
@@ -109,13 +109,16 @@
 
 
 def render(results: Sequence[JobResult], known_red: Sequence[KnownRed]) -> str:
-    """Return what a run prints: failures, a table of rooms, known failures, and the counts."""
-    lines = [f"=== {r.name}\n{r.details}" for r in results if r.details]
+    """Return what a run prints: a table of rooms, known failures, failures, and the counts.
+
+    Failures stand last, since of a long output often only the end is kept.
+    """
     width = max(len(result.name) for result in results)
-    lines.append(f"{'room':<{width}} {'passed':>7} {'failed':>7} {'seconds':>8}")
+    lines = [f"{'room':<{width}} {'passed':>7} {'failed':>7} {'seconds':>8}"]
     lines += [f"{r.name:<{width}} {r.passed:>7} {r.failed:>7} {r.seconds:>8.1f}" for r in results]
     lines.append(f"{KNOWN_RED_FILE}: {'' if known_red else 'nothing'}".rstrip())
     lines += [f"passed over: {red.test} | {red.cause} | {red.issue}" for red in known_red]
+    lines += [f"=== {r.name}\n{r.details}" for r in results if r.details]
     passed = sum(result.passed for result in results)
     failed = sum(result.failed for result in results)
     lines.append(f"{passed} passed, {failed} failed")
