Ask a source again while it has no leader, in the test of a full disk

Cause: traced. A leader that could not write for a while steps down and is elected again; the step asked once, at that very moment. Real operators move on and ask again at a 503.

--- a/features/steps/source_process.py
+++ b/features/steps/source_process.py
@@ -5,6 +5,7 @@
 import base64
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import grpc
@@ -101,14 +102,35 @@
             return rpc(request, timeout=RPC_SECONDS, metadata=metadata)
 
     def apply(self, name) -> ApplyResponse:
-        batch = Batch(request_id=f"{name}-request@1", put=[Resource(service=Service(name=name))])
-        return self.call("Apply", ApplyRequest(batch=batch), ApplyResponse)
+        return self.call("Apply", self._request(name), ApplyResponse)
+
+    def call_until_answered(self, method, request, response_class):
+        """Call again while the source says that it can't answer now, as operators do.
+
+        A leader that could not write for a while has stepped down and has to be elected again.
+        """
+        deadline = time.monotonic() + PATIENCE
+        while True:
+            try:
+                return self.call(method, request, response_class)
+            except grpc.RpcError as error:
+                if error.code() != grpc.StatusCode.UNAVAILABLE or time.monotonic() > deadline:
+                    raise
+            time.sleep(0.05)
+
+    def apply_again(self, name) -> ApplyResponse:
+        """Send a change whose outcome is unknown once more, until it is answered."""
+        return self.call_until_answered("Apply", self._request(name), ApplyResponse)
 
     def services(self) -> tuple[int, list[str]]:
         """Return the version and the names of all services."""
-        answer = self.call("Get", GetRequest(), GetResponse)
+        answer = self.call_until_answered("Get", GetRequest(), GetResponse)
         return answer.version, [item.resource.service.name for item in answer.resources]
 
+    def _request(self, name) -> ApplyRequest:
+        put = [Resource(service=Service(name=name))]
+        return ApplyRequest(batch=Batch(request_id=f"{name}-request@1", put=put))
+
     def _channel(self) -> grpc.Channel:
         address = f"127.0.0.1:{self._port}"
         if self._tls is None:
--- a/features/steps/transport_disk_steps.py
+++ b/features/steps/transport_disk_steps.py
@@ -71,7 +71,7 @@
 
 @when("that operator sends the one more service again")
 def when_resent(context):
-    context.source_process.apply("one-more")
+    context.source_process.apply_again("one-more")
 
 
 @then("that source has it once")
