--- a/features/lab/stand_ins.feature
+++ b/features/lab/stand_ins.feature
@@ -46,6 +46,21 @@
     When a link swallows the echo of what is sent on it
     Then the target received all that was sent
 
+  Scenario Outline: A caller whose patience counts from the stop outwaits an outage
+    Given a proxy that is out for 90 seconds of virtual time
+    When a call with a patience of 60 seconds counted from <start> is made and calls stop after 91 seconds
+    Then the call's fate is "<fate>"
+
+    Examples:
+      | start     | fate     |
+      | its start | lost     |
+      | the stop  | answered |
+
+  Scenario: A call that has no answer though everything is back is lost
+    Given a proxy that is out for 1000 seconds of virtual time
+    When a call with a patience of 60 seconds counted from the stop is made and calls stop after 91 seconds
+    Then the call's fate is "lost"
+
   Scenario: The platform list lags
     Given a platform list with a lag of 500 ms
     When the machine "order-1" is marked leaving
--- a/src/limelever_lab/fleet/probe.py
+++ b/src/limelever_lab/fleet/probe.py
@@ -32,6 +32,7 @@
 CALLS_A_SECOND = 40.0
 ABANDON_PERCENT = 5.0
 PATIENCE_SECONDS = 60.0
+"""How long a call may take to be answered once the scenario's faults are over."""
 WARM_UP_SECONDS = 0.5
 LIVENESS_LIMIT_SECONDS = 60.0
 """How long anything that must come about may take; no verdict but that it came about."""
@@ -129,7 +130,11 @@
             targets=self.fleet.targets,
             classes=self.fleet.layout.deployment.calls,
             arrivals=ArrivalSettings(CALLS_A_SECOND, self._seed, ABANDON_PERCENT),
-            caller=CallerSettings(patience=PATIENCE_SECONDS, refusal_patience=PATIENCE_SECONDS),
+            caller=CallerSettings(
+                patience=PATIENCE_SECONDS,
+                refusal_patience=PATIENCE_SECONDS,
+                counts_from_stop=True,
+            ),
         )
         self._load = BackgroundLoad(settings)
         self._watch = VersionWatch([*self.fleet.proxies, *self.fleet.agents])
--- a/src/limelever_lab/load/caller.py
+++ b/src/limelever_lab/load/caller.py
@@ -46,13 +46,16 @@
 
     ``refusal_patience`` is how long it resends a call that was refused as not run, and
     ``unknown_patience`` how long it asks again under the same key once it was told that the
-    outcome is unknown.
+    outcome is unknown. With ``counts_from_stop`` the first two begin only once no further calls
+    are made: a caller then outwaits an outage of any length, and a call is lost only if it has no
+    answer although everything is back.
     """
 
     patience: float = 20.0
     attempt_timeout: float = 5.0
     refusal_patience: float = 0.0
     unknown_patience: float = 3.0
+    counts_from_stop: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,11 @@
         self._targets = targets
         self._pools = pools
         self._settings = settings
+        self._stopped_at: float | None = None
+
+    def stop(self) -> None:
+        """Take note that no further calls are made."""
+        self._stopped_at = trio.current_time()
 
     async def make(self, call: Call) -> CallRecord:
         """Make a call and return its record once its fate is known or patience is at an end."""
@@ -85,19 +93,29 @@
             target = (call.first_target + len(attempts)) % len(self._targets)
             attempts.append(await self._attempt(call, target, first=not attempts))
             waited = trio.current_time() - started
-            if self._ended(call, attempts, waited):
+            if self._ended(call, attempts, waited, self._patience_used(started)):
                 return _record(call, attempts, started, waited)
             await trio.sleep(RESEND_PAUSE_SECONDS)
 
-    def _ended(self, call: Call, attempts: Sequence[Attempt], waited: float) -> bool:
+    def _patience_used(self, started: float) -> float:
+        """Return the seconds that count against a call's patience."""
+        if not self._settings.counts_from_stop:
+            return trio.current_time() - started
+        if self._stopped_at is None:
+            return 0.0
+        return trio.current_time() - max(started, self._stopped_at)
+
+    def _ended(
+        self, call: Call, attempts: Sequence[Attempt], waited: float, patience_used: float
+    ) -> bool:
         last = attempts[-1].outcome
         if last in _FINAL:
             return True
         if last is AttemptOutcome.UNKNOWN and call.call_class.at_most_once:
             return waited >= self._settings.unknown_patience
         if all(attempt.outcome is AttemptOutcome.NOT_RUN for attempt in attempts):
-            return waited >= self._settings.refusal_patience
-        return waited >= self._settings.patience
+            return patience_used >= self._settings.refusal_patience
+        return patience_used >= self._settings.patience
 
     async def _attempt(self, call: Call, target: int, first: bool) -> Attempt:
         limit = call.abandon_after if first and call.abandon_after is not None else None
--- a/src/limelever_lab/load/generator.py
+++ b/src/limelever_lab/load/generator.py
@@ -50,6 +50,7 @@
                     if await self._stopped_within(call.gap):
                         break
                     nursery.start_soon(self._make, caller, call)
+                caller.stop()
 
     async def _stopped_within(self, seconds: float) -> bool:
         with trio.move_on_after(seconds):
