Split platform/ by kind of machine, so that a node no longer imports the source

Cause, by -X importtime: platform/boot.py and calls.py imported the settings and processes of both kinds; of the modules of a node's start a third were the source's, the relay's and the control process's. Change: fields, json_fields and http_calls are shared; node_* and control_*, configuration_format and report_format are imported by the one process that needs them. Nothing else differs.

--- a/features/settings/process_imports.feature
+++ b/features/settings/process_imports.feature
@@ -13,3 +13,12 @@
       | proxy  | httpcore, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
       | relay  | hypercorn, wsproto, zstandard, limelever.source, limelever.proxy, limelever.agent, limelever.keeper, limelever.protocol.operators_pb2 |
       | source | httpcore, zstandard, limelever.relay, limelever.proxy, limelever.agent                                                          |
+
+  Scenario Outline: Modules that a process of the platform must not import
+    When a process imports what the platform's <role> needs to run
+    Then the process has imported none of <modules>
+
+    Examples:
+      | role    | modules                                                           |
+      | node    | limelever.control, limelever.relay, limelever.source              |
+      | control | limelever.agent, limelever.node, limelever.proxy                  |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,9 +13,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "platform"))
 
-import boot  # noqa: E402
-import calls  # noqa: E402
-import formats  # noqa: E402
+from configuration_format import parse_configuration  # noqa: E402
+from control_boot import control_settings  # noqa: E402
+from http_calls import refused  # noqa: E402
+from node_boot import node_settings  # noqa: E402
+from report_format import parse_report  # noqa: E402
 
 from limelever.common.errors import ErrorKind, Failure  # noqa: E402
 from limelever.protocol.config_pb2 import (  # noqa: E402
@@ -127,7 +129,7 @@
             given_routes, version=f"r{number}", baseVersion=f"r{number - 1}", services=services
         )
         body = json.dumps(value).encode()
-        batch = formats.parse_configuration(body)
+        batch = parse_configuration(body)
         assert not isinstance(batch, Failure), batch
         assert not validate_batch(batch), validate_batch(batch)
         assert (batch.revision.number, batch.revision.base) == (number, number - 1)
@@ -145,9 +147,9 @@
 
 @then("the platform's configuration that is {flaw} is refused with 400")
 def then_configuration_refused(context, flaw):
-    batch = formats.parse_configuration(flawed(flaw))
+    batch = parse_configuration(flawed(flaw))
     if isinstance(batch, Failure):
-        assert calls._refused(batch).status == 400, batch
+        assert refused(batch).status == 400, batch
     else:
         assert validate_batch(batch), flaw
 
@@ -172,8 +174,8 @@
             del value["status"]["seq"]
         case "with a text for slots":
             value["info"]["slots"] = "six"
-    report = formats.parse_report("i-1", body or json.dumps(value).encode())
-    assert isinstance(report, Failure) and calls._refused(report).status == 400, report
+    report = parse_report("i-1", body or json.dumps(value).encode())
+    assert isinstance(report, Failure) and refused(report).status == 400, report
 
 
 @given("any heartbeat, the report says what it says")
@@ -182,7 +184,7 @@
     @examples(st.sampled_from(["ready", "draining"]), st.integers(0, 10**6), st.integers(0, 9999))
     def check(state, sequence, warm_up):
         body = json.dumps(heartbeat(state=state, seq=sequence, warmupLeftMs=warm_up)).encode()
-        report = formats.parse_report("i-1", body)
+        report = parse_report("i-1", body)
         assert (report.instance, report.service, report.slots) == ("i-1", "alpha", 6)
         assert report.draining is (state == "draining")
         assert report.sequence == sequence
@@ -225,8 +227,8 @@
 
 @then("the node and the control process find each other's ports")
 def then_ports(context):
-    node = boot.node_settings(context.node_fields)
-    control = boot.control_settings(context.control_fields)
+    node = node_settings(context.node_fields)
+    control = control_settings(context.control_fields)
     assert control.relay_listen in node.relays, (control.relay_listen, node.relays)
     assert control.listen in control.seeds and control.bootstrap
     assert control.replication.voters == 5
@@ -237,19 +239,19 @@
 @then("no field that is unknown matters")
 def then_unknown(context):
     extra = {"something.new": "1,2"}
-    known = boot.node_settings(context.node_fields)
-    assert boot.node_settings({**context.node_fields, **extra}) == known
+    known = node_settings(context.node_fields)
+    assert node_settings({**context.node_fields, **extra}) == known
 
 
 @then("the platform answers {kind} with {status:d}")
 def then_status(context, kind, status):
-    answer = calls._refused(Failure(ErrorKind(kind), "why"))
+    answer = refused(Failure(ErrorKind(kind), "why"))
     assert answer.status == status, answer
 
 
 @then("the platform answers not-leader with 307 and the leader's address")
 def then_redirected(context):
     failure = Failure(ErrorKind.NOT_LEADER, "another leads", leader_address="127.0.0.1:8144")
-    answer = calls._refused(failure)
+    answer = refused(failure)
     assert answer.status == 307
     assert answer.headers == ((b"location", b"http://127.0.0.1:8144/v1/config"),)
--- a/features/steps/settings_import_steps.py
+++ b/features/steps/settings_import_steps.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
 from behave import then, when
 
@@ -30,6 +31,15 @@
 print("\\n".join(sys.modules))
 """
 
+PLATFORM = Path(__file__).resolve().parents[2] / "platform"
+PLATFORM_PROGRAM = """
+import importlib, sys
+sys.path.insert(0, sys.argv[2])
+for part in ("boot", "calls"):
+    importlib.import_module(f"{sys.argv[1]}_{part}")
+print("\\n".join(sys.modules))
+"""
+
 
 def imported_below(modules, names):
     """Return the names of which a module, or one below it, was imported."""
@@ -44,6 +54,13 @@
     assert f"limelever.{role}.process" in context.settings_modules
 
 
+@when("a process imports what the platform's {role} needs to run")
+def step_platform_imports(context, role):
+    command = [sys.executable, "-c", PLATFORM_PROGRAM, role, str(PLATFORM)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    context.settings_modules = set(done.stdout.split())
+
+
 @then("the process has imported none of the modules that no role needs")
 def step_settings_imports_unneeded(context):
     assert not imported_below(context.settings_modules, UNNEEDED)
