Send an answer at once and in one piece; collect garbage less often; tell of lines left out once a second

Change: the head of an HTTP/1 answer leaves with the first part of the body, by a write that doesn't wait where the system takes it; reads have no cancel scope each. What lives as long as the process is kept from the collector, whose threshold is 5000 in place of 700. Event 1023 comes once a second. Which of the parts gave how much was not measured.

--- a/features/steps/log_stream_steps.py
+++ b/features/steps/log_stream_steps.py
@@ -103,6 +103,23 @@
     context.lines = context.log.failure(PROCESS_STARTED, b"id", {}, 6.0)
 
 
+@when("half a second after that {count:d} more fail")
+def when_more_fail(context, count):
+    context.lines = [
+        line for _ in range(count) for line in context.log.failure(PROCESS_STARTED, b"id", {}, 6.5)
+    ]
+
+
+@when("a fifth of a second after that one more fails")
+def when_soon_after(context):
+    context.lines = context.log.failure(PROCESS_STARTED, b"id", {}, 6.7)
+
+
+@when("a second after that one more fails")
+def when_again_later(context):
+    context.lines = context.log.failure(PROCESS_STARTED, b"id", {}, 7.7)
+
+
 @then("its line comes with one that tells of {count:d} left out")
 def then_left_out(context, count):
     own, told = context.lines
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from functools import partial
 from unittest import mock
 
@@ -19,6 +21,9 @@
 STOP_SECONDS = 0.2
 HELD = b"/held"
 LARGE = b"/large"
+EMPTY = b"/empty"
+DATA_SEGMENTS_AT = 152
+"""Where ``tcpi_data_segs_in`` stands in ``tcp_info``."""
 
 
 class EdgeServer:
@@ -53,6 +58,7 @@
             self.held.append(event.call)
             return
         body = bytes(self.answer_bytes) if event.request.target == LARGE else b"answer"
+        body = b"" if event.request.target == EMPTY else body
         headers = ((b"content-length", b"%d" % len(body)),)
         self._edge.answer(AnswerCall(event.call, CallAnswer(200, headers, body)))
 
@@ -184,6 +190,27 @@
     context.caller = ask(context)
 
 
+@when("a caller asks for {target} and reads what comes first")
+def when_reads_first(context, target):
+    context.caller = ask(context, target)
+    context.first_read = context.caller.socket.recv(65536)
+
+
+def data_packets(taken: socket.socket) -> int:
+    """Return how many packets with data came in on a connection (Linux's ``tcp_info``)."""
+    info = taken.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, DATA_SEGMENTS_AT + 4)
+    (count,) = struct.unpack_from("I", info, DATA_SEGMENTS_AT)
+    return count
+
+
+@then("that caller has the head and {part} of the answer, in one packet")
+def then_first_read(context, part):
+    head, _, body = context.first_read.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200"), context.first_read
+    assert data_packets(context.caller.socket) == 1, context.first_read
+    assert body == (b"answer" if part == "the body" else b""), context.first_read
+
+
 @then("the callers' listener has run nothing")
 def then_edge_ran_nothing(context):
     assert context.edge.run == 0, context.edge.run
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -87,3 +87,13 @@
     When a caller asks the callers' listener
     Then that caller is answered with 500
     And the callers' listener logs 1041
+
+  Scenario Outline: An answer leaves in one piece, and its head is not held for a body that waits
+    Given a callers' listener
+    When a caller asks for <target> and reads what comes first
+    Then that caller has the head and <part> of the answer, in one packet
+
+    Examples:
+      | target  | part          |
+      | /orders | the body      |
+      | /empty  | nothing else  |
--- a/features/transport/log_stream.feature
+++ b/features/transport/log_stream.feature
@@ -18,3 +18,9 @@
     Then 20 lines are written
     When a second later one more fails
     Then its line comes with one that tells of 80 left out
+    When half a second after that 100 more fail
+    Then 14 lines are written
+    When a fifth of a second after that one more fails
+    Then 1 lines are written
+    When a second after that one more fails
+    Then its line comes with one that tells of 86 left out
--- a/src/limelever/common/decision_log.py
+++ b/src/limelever/common/decision_log.py
@@ -2,17 +2,21 @@
 
 Successes are sampled by the request's id: every process picks the same requests, and a request
 that is picked is followed whole. Failures are always written, up to a rate; what goes beyond it is
-counted and told of with the next one.
+counted and told of once a second.
 """
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass
 
 from limelever.common.events import DECISIONS_NOT_LOGGED
 from limelever.common.sansio import LogEvent
 
+SECONDS_BETWEEN_COUNTS = 1.0
+"""Between two lines that tell how many were left out."""
+
 _PERCENT = 100
 
 
@@ -33,6 +37,7 @@
         self._tokens = settings.failures_at_once
         self._refilled_at = 0.0
         self._left_out = 0
+        self._told_at = -math.inf
 
     def follows(self, request_id: bytes) -> bool:
         """Return whether the successes of a request are written, alike on every process."""
@@ -56,9 +61,10 @@
             self._left_out += 1
             return []
         lines = [LogEvent(code, {"request_id": _text(request_id), **fields})]
-        if self._left_out:
+        if self._left_out and now - self._told_at >= SECONDS_BETWEEN_COUNTS:
             lines.append(LogEvent(DECISIONS_NOT_LOGGED, {"lines": self._left_out}))
             self._left_out = 0
+            self._told_at = now
         return lines
 
     def _take_token(self, now: float) -> bool:
--- a/src/limelever/transport/http_connection.py
+++ b/src/limelever/transport/http_connection.py
@@ -20,6 +20,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
+from limelever.transport.streams import send_without_waiting
+
 AsgiApplication = Callable[..., Awaitable[None]]
 AsgiMessage = dict[str, Any]
 Send = Callable[[AsgiMessage], Awaitable[None]]
@@ -29,6 +31,7 @@
 """A client that takes what it is sent more slowly, after ``SEND_SECONDS``, is cut off."""
 
 _CLOSE_SECONDS = 2.0
+_RECEIVE_BYTES = 1 << 16
 
 
 class HttpConnection(TCPServer):
@@ -45,6 +48,7 @@
         self.idle_since: float | None = trio.current_time()
         self._became_idle = trio.Event()
         self._sending: set[trio.CancelScope] = set()
+        self._held_head = b""
 
     async def protocol_send(self, event: Event) -> None:
         """Carry out what hypercorn's protocol class asks for."""
@@ -95,6 +99,21 @@
         return self.idle_since == idle_since
 
     async def _send(self, data: bytes) -> None:
+        """Send bytes; the head of an HTTP/1 answer waits for the first part of the body.
+
+        An answer then is one system call and one packet where hypercorn would make three.
+        """
+        if not self._held_head and self._answer_under_way():
+            self._held_head = data
+            return
+        data = self._held_head + data
+        self._held_head = b""
+        if not self.send_lock.locked():
+            data = data[send_without_waiting(self.stream, data) :]
+        if data:
+            await self._send_waiting(data)
+
+    async def _send_waiting(self, data: bytes) -> None:
         limit = _time_to_send(data)
         async with self.send_lock:
             try:
@@ -108,7 +127,15 @@
         await self.protocol.handle(Closed())
 
     async def _read_data(self) -> None:
-        await super()._read_data()
+        """Give hypercorn what the client sends; unlike there, with no timeout for each read."""
+        data = b"any"
+        while data:
+            try:
+                data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+            except (trio.ClosedResourceError, trio.BrokenResourceError):
+                break
+            await self.protocol.handle(RawData(data))
+        await self.protocol.handle(Closed())
         await self.idle_task.stop()
         for scope in self._sending:
             scope.cancel()
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import math
 import signal
 import ssl
@@ -37,6 +38,9 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
+_OBJECTS_BETWEEN_COLLECTIONS = 5000
+"""Objects made and not freed between two collections; Python's own 700 is a call's worth or two."""
+
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -201,6 +205,7 @@
     fields: dict[str, object] = {"role": settings.role.value, "name": settings.name}
     write_event(events.PROCESS_STARTED, fields)
     status = EXIT_OK
+    _spare_collections()
     try:
         trio.run(_run, settings, main, incarnation, identity, source)
     except BaseException as error:
@@ -209,6 +214,15 @@
     return status
 
 
+def _spare_collections() -> None:
+    """Keep the garbage collector from what will live as long as the process.
+
+    Modules, classes and generated code are most of the objects that a full collection looks at.
+    """
+    gc.freeze()
+    gc.set_threshold(_OBJECTS_BETWEEN_COLLECTIONS)
+
+
 def _report_failure(error: BaseException) -> int:
     """Write why the process ends; whatever is not a failure is a fault of the program."""
     for leaf in _leaves(error):
