Leave an agent alone whose dial hangs, while there is another endpoint

A machine that is gone without a word answers no dial, and every call that chose it while the dial hung waited as the first one did. Change: a dial that takes over 50 ms is overdue; its address is chosen only where no other endpoint is left, and a call waits 100 ms in place of 250 ms for a link. Ruled out for now: telling a silent established link by a probe (new message on the wire); a shorter TCP user timeout (would break links that are only choked). Seen to fail: 20 calls after 60 ms of a hanging dial (with the old code only a part of them is handed on).

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -71,6 +71,23 @@
     And 0.2 seconds pass at the proxy
     Then the caller of call 1 was told "deadline-too-short" and outcome "not-run"
 
+  Scenario: A dial that hangs holds up the calls that began it, and no later ones
+    Given a proxy with 2 endpoints, the first of which answers no dial
+    When callers ask until one call waits for the first endpoint's link
+    And 0.06 seconds pass at the proxy
+    And 20 callers ask at that moment
+    Then all 20 of those calls were handed on at once
+    When 0.05 seconds pass at the proxy
+    Then every call was handed on
+
+  Scenario: A dial that hangs is waited for where there is no other endpoint
+    Given a proxy with one endpoint whose agent accepts no link
+    When a caller asks the proxy for "/orders/1"
+    And 0.06 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/2"
+    And the agent's link comes up
+    Then 2 calls were handed on
+
   Scenario: A failure that a back end answers with is passed on, not retried
     Given a proxy with 2 endpoints and retries for every call
     When a caller asks the proxy for "/baskets/1"
--- a/features/steps/lab_caller_steps.py
+++ b/features/steps/lab_caller_steps.py
@@ -52,7 +52,7 @@
 
     async def make():
         pool = OutPool(call, trio.current_time() + context.out_seconds)
-        caller = Caller(("http://proxy",), (pool,), settings)
+        caller = Caller(("http://127.0.0.1",), (pool,), settings)
         async with trio.open_nursery() as nursery:
 
             async def stop_later():
--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -162,6 +162,8 @@
         self.now = 100.0
         self.endpoints = endpoints
         self.accepts_links = True
+        self.silent_ports: set[int] = set()
+        self.hanging: list[OpenConnection] = []
         self.keepers = keepers or FakeKeepers()
         self.answers: dict[int, list[CallAnswer | Failure]] = {}
         self.handed_on: list[tuple[int, CallStart]] = []
@@ -265,8 +267,15 @@
                 self.stopped = True
 
     def _dial(self, output: OpenConnection) -> None:
-        if output.purpose is Purpose.CALLS and not self.accepts_links:
+        if output.purpose is Purpose.CALLS and not self._answers_dial(output.address):
+            self.hanging.append(output)
             return
+        self.accept(output)
+
+    def _answers_dial(self, address: Address) -> bool:
+        return self.accepts_links and address.port not in self.silent_ports
+
+    def accept(self, output: OpenConnection) -> None:
         self.links[output.connection] = output
         peer = Peer(Role.AGENT, "peer", "here", output.purpose, incarnation=1)
         self._events.append(ConnectionOpened(output.connection, peer))
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import given as examples
 from hypothesis import strategies as st
 from proxy_host import (
+    FIRST_AGENT_PORT,
     SERVICE,
     ProxyHost,
     derandomized,
@@ -15,6 +16,7 @@
 
 from limelever.common.errors import ERROR_TABLE, ErrorKind, Failure, RetryAdvice
 from limelever.common.sansio import (
+    DeadlineReached,
     MessageReceived,
 )
 from limelever.protocol.calls_pb2 import (
@@ -68,6 +70,44 @@
     context.proxy.start()
 
 
+@given("a proxy with 2 endpoints, the first of which answers no dial")
+def proxy_with_hanging_dial(context: Context) -> None:
+    context.proxy = ProxyHost(2)
+    context.proxy.silent_ports = {FIRST_AGENT_PORT}
+    context.proxy.start()
+
+
+@when("callers ask until one call waits for the first endpoint's link")
+def ask_until_one_waits(context: Context) -> None:
+    while not context.proxy.hanging:
+        context.proxy.ask("/orders/1")
+
+
+@when("{count:d} callers ask at that moment")
+def many_ask(context: Context, count: int) -> None:
+    context.handed_on_before = len(context.proxy.handed_on)
+    for _ in range(count):
+        context.proxy.ask("/orders/1")
+
+
+@then("all {count:d} of those calls were handed on at once")
+def all_handed_on(context: Context, count: int) -> None:
+    handed_on = len(context.proxy.handed_on) - context.handed_on_before
+    assert handed_on == count, handed_on
+
+
+@then("every call was handed on")
+def every_call_handed_on(context: Context) -> None:
+    assert len(context.proxy.handed_on) == context.proxy.last_call, context.proxy.handed_on
+
+
+@when("the agent's link comes up")
+def link_comes_up(context: Context) -> None:
+    (dial,) = context.proxy.hanging
+    context.proxy.accept(dial)
+    context.proxy.post(DeadlineReached())
+
+
 @given("a proxy with {count:d} endpoints and retries for every call")
 def proxy_with_retries(context: Context, count: int) -> None:
     """Earn the budget of one retry a route with ten answered calls."""
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from google.protobuf.message import Message
@@ -17,7 +18,7 @@
 from limelever.proxy.balancer import Balancer
 from limelever.proxy.call_log import CallLog
 from limelever.proxy.call_state import NOT_SENT, Attempt, AttemptEnded, Call, CallTable, Phase
-from limelever.proxy.endpoints import EndpointKey, EndpointView
+from limelever.proxy.endpoints import EndpointEntry, EndpointKey, EndpointView
 from limelever.proxy.health import Verdict
 from limelever.proxy.links import AgentLink, AgentLinks, LinkStage
 from limelever.proxy.moved_bytes import LARGE_BYTES, MovedBytes
@@ -40,7 +41,7 @@
 
     answer_limit_bytes: int = 8 << 20
     assembly_limit_bytes: int = 16 << 20
-    dial_wait: float = 0.25
+    dial_wait: float = 0.1
     added_headers: Headers = ()
     reserved_headers: frozenset[bytes] = DEFAULT_RESERVED
 
@@ -85,18 +86,11 @@
     def start(self, call: Call, now: float) -> Failure | None:
         """Begin an attempt on an endpoint not tried yet, or return ``NO_ENDPOINT``."""
         usable = self._view.usable(call.part.service, now)
-        excluded: set[EndpointKey] = set(call.tried)
-        while True:
-            entry = self._balancer.pick(
-                usable, now, excluded, call.part.slow_start, self._moved.local_within(call, now)
-            )
-            if entry is None:
-                reason = f"no endpoint of {call.part.service} can take the call"
-                return Failure(ErrorKind.NO_ENDPOINT, reason, retry_after=NO_ENDPOINT_RETRY_AFTER)
-            if not self._links.is_blocked(entry.address, now):
-                break
-            excluded.add(entry.key)
-        link = self._links.acquire(entry.address, self._outputs)
+        entry = self._choose(call, usable, now)
+        if entry is None:
+            reason = f"no endpoint of {call.part.service} can take the call"
+            return Failure(ErrorKind.NO_ENDPOINT, reason, retry_after=NO_ENDPOINT_RETRY_AFTER)
+        link = self._links.acquire(entry.address, self._outputs, now)
         call.attempt = Attempt(entry, self._draw_id(), link.connection, now)
         call.attempts += 1
         call.tried.add(entry.key)
@@ -112,6 +106,24 @@
         self._calls.wake(call, min(call.deadline, now + self._settings.dial_wait))
         return None
 
+    def _choose(
+        self, call: Call, usable: Sequence[EndpointEntry], now: float
+    ) -> EndpointEntry | None:
+        """Return an endpoint not tried yet; one whose dial is overdue only if there is no other."""
+        local_within = self._moved.local_within(call, now)
+        excluded: set[EndpointKey] = set(call.tried)
+        overdue: EndpointEntry | None = None
+        while True:
+            entry = self._balancer.pick(usable, now, excluded, call.part.slow_start, local_within)
+            if entry is None:
+                return overdue
+            excluded.add(entry.key)
+            if self._links.is_blocked(entry.address, now):
+                continue
+            if not self._links.is_overdue(entry.address, now):
+                return entry
+            overdue = overdue or entry
+
     def abandon(self, call: Call, verdict: Verdict, now: float) -> None:
         """End the call's attempt from this side; the agent is told to cancel."""
         attempt = call.attempt
--- a/src/limelever/proxy/links.py
+++ b/src/limelever/proxy/links.py
@@ -1,7 +1,8 @@
 """One multiplexed link to each agent, dialled when first needed and kept.
 
-A failed dial blocks the address for a full-jitter backoff, so that a dead agent costs a call
-no waiting while others are there.
+A failed dial blocks the address for a full-jitter backoff, and one that is overdue is left to the
+calls that wait for it already, so that a dead agent costs a call no waiting while others are
+there. A machine that is gone without a word answers no dial: each would hang to its timeout.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 
 DIAL_BACKOFF = BackoffSettings(base=0.1, maximum=2.0)
 LARGEST_STREAM = 2**32 - 1
+OVERDUE_SECONDS = 0.05
+"""How long a dial usually takes at most, a busy agent's time to answer included."""
 
 
 class LinkStage(Enum):
@@ -43,6 +46,7 @@
     connection: ConnectionId = 0
     incarnation: int = 0
     blocked_until: float = 0.0
+    dialled_at: float = 0.0
     last_stream: int = 0
     waiting: list[int] = field(default_factory=list)
 
@@ -71,7 +75,14 @@
         link = self._by_address.get(address)
         return link is not None and link.stage is LinkStage.IDLE and now < link.blocked_until
 
-    def acquire(self, address: Address, outputs: list[Output]) -> AgentLink:
+    def is_overdue(self, address: Address, now: float) -> bool:
+        """Return whether a dial to an agent takes longer than dials do."""
+        link = self._by_address.get(address)
+        if link is None or link.stage is not LinkStage.DIALLING:
+            return False
+        return now - link.dialled_at > OVERDUE_SECONDS
+
+    def acquire(self, address: Address, outputs: list[Output], now: float) -> AgentLink:
         """Return the link to an agent, dialling it when there is none."""
         link = self._by_address.get(address)
         if link is None:
@@ -81,6 +92,7 @@
             link.stage = LinkStage.IDLE
         if link.stage is LinkStage.IDLE:
             link.stage = LinkStage.DIALLING
+            link.dialled_at = now
             link.connection = self._connections.draw()
             self._by_connection[link.connection] = link
             outputs.append(OpenConnection(link.connection, address, Purpose.CALLS))
