Refuse an HTTP/2 answer whose caller has left, in place of holding its connection

An answer that began after the connection's reader had ended found nobody to cancel it: hypercorn's sending task had ended too, so the answer waited in its flow control for the full time that a client has, 46 s for 1 MiB. It depends on which of two tasks trio runs first. Ruled out: load (the machine was quiet), the gauge (the connections were open).

Change: the connection remembers that its client has left; an answer sent after that breaks at once. The read loop has no made-up first value any more.

The new scenario fails without the change (20 s) and passes with it.

Conclusion: a fault of the product, of HTTP/2 callers only.

--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -75,6 +75,11 @@
     When these callers leave
     Then the callers' listener holds 0 connections
 
+  Scenario: An answer that is made after its caller has left holds no connection
+    Given a listener whose application answers only after its caller has left
+    When a caller over HTTP/2 asks it and leaves
+    Then that listener holds no connection
+
   Scenario: A caller that takes its answer too slowly is cut off
     Given a callers' listener whose callers have 0.2 seconds to take an answer
     When 1 callers over HTTP/2 take nothing of an answer of 1 MiB
--- a/src/limelever/transport/http_connection.py
+++ b/src/limelever/transport/http_connection.py
@@ -48,6 +48,7 @@
         self.idle_since: float | None = trio.current_time()
         self._became_idle = trio.Event()
         self._sending: set[trio.CancelScope] = set()
+        self._client_left = False
         self._held_head = b""
 
     async def protocol_send(self, event: Event) -> None:
@@ -128,13 +129,15 @@
 
     async def _read_data(self) -> None:
         """Give hypercorn what the client sends; unlike there, with no timeout for each read."""
-        data = b"any"
-        while data:
+        while True:
             try:
                 data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
             except (trio.ClosedResourceError, trio.BrokenResourceError):
                 break
             await self.protocol.handle(RawData(data))
+            if not data:
+                break
+        self._client_left = True
         await self.protocol.handle(Closed())
         await self.idle_task.stop()
         for scope in self._sending:
@@ -162,8 +165,11 @@
     async def _send_in_time(self, send: Send, message: AsgiMessage) -> None:
         """Pass a part of an answer to hypercorn, which waits there for HTTP/2's flow control.
 
-        Raises ``trio.BrokenResourceError`` once the client has left or takes it too slowly.
+        Raises ``trio.BrokenResourceError`` once the client has left or takes it too slowly. What
+        is sent after it has left is refused: nobody takes it from hypercorn's buffers any more.
         """
+        if self._client_left:
+            raise trio.BrokenResourceError("the client has left")
         with trio.move_on_after(_time_to_send(message.get("body", b""))) as scope:
             self._sending.add(scope)
             try:
