Let a replica that its group went on without join again under a new identity

Cause: in a group with seeds the leader removes a voter, or a learner, that was silent for replace_after. Such a replica never hears of it, keeps an identity that counts as admitted, and asks for nothing: it stayed out for good, also over restarts, and with it the learner that the next loss needs. Learners too: one cut for 3 s was lost.

Change: a replica that has heard no leader for replace_after asks the others what they know to be committed, and takes a new identity once a committed position at or after its own log's end names members without it (argument in rejoining.py). Ruled out: keeping the identity, emptying the disk, trusting an uncommitted set.

--- a/features/source/discovery.feature
+++ b/features/source/discovery.feature
@@ -48,3 +48,22 @@
     Given a seeded group of 5
     When a stranger with the name "no address" asks the seeded group to join
     Then the seeded group has 5 voters
+
+  Scenario Outline: A replica that the group went on without comes back as another
+    Given a seeded group of 5 <state>
+    When that replica <comes back>
+    Then it is a learner under a new identity
+    And it takes the place of the next machine that is gone
+    And the seeded group still holds every write
+
+    Examples:
+      | state                                            | comes back                                |
+      | that replaced a replica which is cut off         | can be reached again                      |
+      | that replaced a replica which is cut off         | is restarted where it can be reached again |
+      | with a learner that was silent for too long      | can be reached again                      |
+
+  Scenario: A replica that was cut off for long and not replaced keeps its vote
+    Given a seeded group of 5 with a replica that is cut off
+    When that replica can be reached again
+    Then it votes under the identity that it had
+    And the seeded group still holds every write
--- a/src/limelever/source/events.py
+++ b/src/limelever/source/events.py
@@ -41,6 +41,16 @@
 REPLICA_REMOVED = define(
     2031, "replica-removed", Level.WARNING, "this identity is no member any more", "identity"
 )
+REPLICA_REJOINS = define(
+    2033,
+    "replica-rejoins",
+    Level.WARNING,
+    "the group went on without this replica, which asks to join under a new identity",
+    "former",
+    "identity",
+    "committed_term",
+    "committed_index",
+)
 JOIN_REFUSED = define(
     2032, "join-refused", Level.WARNING, "join from a name outside the settings", "name"
 )
--- a/src/limelever/source/replication/joining.py
+++ b/src/limelever/source/replication/joining.py
@@ -22,6 +22,7 @@
     JOIN_STATE_BOOTSTRAPPED,
     JOIN_STATE_EMPTY,
     JOIN_STATE_FORMED,
+    CommittedMembers,
     Formatted,
     JoinRequest,
     JoinState,
@@ -29,14 +30,13 @@
 )
 from limelever.source import events
 from limelever.source.replication.context import ReplicaContext
+from limelever.source.replication.identities import new_identity
 from limelever.source.replication.members import (
     BOOTSTRAP_SUFFIX,
     bootstrap_members,
     is_member,
 )
 
-_RANDOM_BITS = 64
-
 
 class Joining:
     """Formats an empty disk, and asks for admission until this replica is a member."""
@@ -98,16 +98,17 @@
         """Ask these replicas besides."""
         self._told.update(str(seed) for seed in seeds)
 
-    def keep_links(self) -> None:
+    def keep_links(self, *, seek_members: bool) -> None:
         """Have links to the members of a group that discovers them.
 
-        A replica that is not a member yet asks the seeds and all whom these named.
+        A replica that is not a member yet, or that seeks the members because those it knows may
+        have been replaced, asks the seeds and all whom these named.
         """
         context = self._context
         if not context.settings.discovers_members:
             return
         names = {member.name for member in context.members.members}
-        if self.wanted or not names:
+        if self.wanted or seek_members or not names:
             names |= self._told | context.settings.peers.keys()
         peers = _addresses(names - {context.settings.name})
         for connection in context.links.keep(peers, context.now):
@@ -123,6 +124,18 @@
             state=self._state(),
             answer=answer,
             members=[member.name for member in context.members.members] if answer else (),
+            committed=self._committed() if answer else None,
+        )
+
+    def _committed(self) -> CommittedMembers:
+        """Return the members at the last position known to be committed; index 0 for none."""
+        context = self._context
+        index = context.commit_index
+        members = context.log.members_at(index)
+        return CommittedMembers(
+            term=context.log.term_at(index) or 0,
+            index=index,
+            identities=[member.identity for member in members.members],
         )
 
     def _state(self) -> JoinState.ValueType:
@@ -139,11 +152,11 @@
         if context.formatted is not None:
             return
         if JOIN_STATE_FORMED in self._states.values():
-            suffix = f"-{context.random.getrandbits(_RANDOM_BITS):016x}"
-            self._format(suffix, MemberSet())
+            identity = new_identity(context.settings.name, context.random)
+            self._format(identity, MemberSet())
         elif context.settings.bootstrap and self._may_found():
             names = [context.settings.name, *context.settings.peers]
-            self._format(BOOTSTRAP_SUFFIX, bootstrap_members(names))
+            self._format(context.settings.name + BOOTSTRAP_SUFFIX, bootstrap_members(names))
 
     def _may_found(self) -> bool:
         """Return whether a majority of all other replicas said that no group exists."""
@@ -151,12 +164,12 @@
         heard = len(self._states.keys() & peers.keys())
         return not peers or 2 * heard > len(peers)
 
-    def _format(self, suffix: str, first_members: MemberSet) -> None:
+    def _format(self, identity: str, first_members: MemberSet) -> None:
         context = self._context
         name = context.settings.name
         founder = bool(first_members.members)
         formatted = Formatted(
-            identity=name + suffix, name=name, admitted=founder, first_members=first_members
+            identity=identity, name=name, admitted=founder, first_members=first_members
         )
         context.save_formatted(formatted)
         if founder:
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -44,6 +44,7 @@
 from limelever.source.replication.leading import Leadership
 from limelever.source.replication.members import majority_size
 from limelever.source.replication.persistence import RecoveredReplica
+from limelever.source.replication.rejoining import Rejoining
 from limelever.source.replication.settings import ReplicationSettings
 from limelever.source.replication.status import replica_status
 
@@ -65,6 +66,7 @@
         self._follower = Follower(self._context)
         self._reads = ForwardedReads(self._context)
         self._joining = Joining(self._context)
+        self._rejoining = Rejoining(self._context)
         self._changes = MembershipChanges(self._context, self._leadership)
         self._context.on_leadership_lost = self._leadership_lost
 
@@ -183,7 +185,7 @@
             case DeadlineReached():
                 self._on_time()
         self._changes.advance()
-        self._joining.keep_links()
+        self._joining.keep_links(seek_members=self._rejoining.asking)
         return self.drain()
 
     def drain(self) -> list[Output]:
@@ -197,6 +199,7 @@
         times = (
             context.links.next_deadline(),
             self._joining.next_deadline(),
+            self._rejoining.next_deadline(),
             self._leadership.next_deadline(),
             self._reads.next_deadline(),
             context.election_deadline if context.formatted is not None else None,
@@ -213,6 +216,7 @@
         if context.snapshot.last_index > 0:
             context.application.restore(context.snapshot)
         self._joining.start()
+        self._rejoining.start()
 
     def _opened(self, connection: ConnectionId) -> None:
         if self._context.links.opened(connection) is not None:
@@ -222,6 +226,7 @@
         context = self._context
         context.outputs.extend(context.links.dial_due(context.now))
         self._joining.on_time()
+        self._rejoining.on_time()
         self._reads.on_time()
         self._leadership.on_time()
         if context.formatted is not None:
@@ -236,9 +241,11 @@
     def _take_join(self, connection: ConnectionId, message: JoinRequest) -> None:
         if message.answer:
             self._joining.take_answer(message)
+            self._rejoining.take_answer(message.committed)
             return
         self._joining.answer(connection)
-        self._changes.take_join(message)
+        if not message.asks_membership:
+            self._changes.take_join(message)
 
     def _take_formatted(self, connection: ConnectionId, message: Message) -> None:
         match message:
