Check the rule by which a replaced replica comes back in a model of its own

Change: model replacement: a spare learner, any voter may look silent and be removed for it, and a removed replica gives its identity up by the shipped rule. New invariant: no identity that was given up is among the members committed last. Two broken variants: on a set that is not committed, and on a position before the end of the own log.

Conclusion: the return is safe within these bounds; liveness is in no model.

--- a/features/model/check_model.feature
+++ b/features/model/check_model.feature
@@ -12,6 +12,7 @@
       | elections       |
       | commits         |
       | lost-disk       |
+      | replacement     |
       | reader-floor    |
       | operator-writes |
       | claims          |
@@ -21,26 +22,28 @@
     Then the invariant "<invariant>" is refuted by a counterexample
 
     Examples:
-      | model           | variant                | invariant                           |
-      | elections       | vote-not-synced        | one leader a term                   |
-      | elections       | vote-for-shorter-log   | leader holds what is committed      |
-      | elections       | commit-earlier-term    | leader holds what is committed      |
-      | commits         | entry-not-synced       | leader holds what is committed      |
-      | lost-disk       | rejoin-same-identity   | one leader a term                   |
-      | lost-disk       | learner-counts         | one leader a term                   |
-      | lost-disk       | changes-overlap        | leader holds what is committed      |
-      | reader-floor    | reader-without-floor   | reader never goes back              |
-      | reader-floor    | floor-not-synced       | reader never goes back              |
-      | reader-floor    | installed-in-parts     | version held whole or not at all    |
-      | operator-writes | no-request-record      | answers are true                    |
-      | operator-writes | checked-at-proposal    | one winner a version                |
-      | operator-writes | no-record-horizon      | a request is applied at most once   |
-      | claims          | grant-not-synced       | handed on at most once              |
-      | claims          | rejoin-without-copy    | handed on at most once              |
-      | claims          | rejoin-copies-one      | handed on at most once              |
-      | claims          | rejoin-without-wait    | handed on at most once              |
-      | claims          | released-after-hand-on | handed on at most once              |
-      | claims          | later-token-replaces   | handed on at most once              |
+      | model           | variant                    | invariant                         |
+      | elections       | vote-not-synced            | one leader a term                 |
+      | elections       | vote-for-shorter-log       | leader holds what is committed    |
+      | elections       | commit-earlier-term        | leader holds what is committed    |
+      | commits         | entry-not-synced           | leader holds what is committed    |
+      | lost-disk       | rejoin-same-identity       | one leader a term                 |
+      | lost-disk       | learner-counts             | one leader a term                 |
+      | lost-disk       | changes-overlap            | leader holds what is committed    |
+      | replacement     | given-up-on-uncommitted    | a spent identity counts nowhere   |
+      | replacement     | given-up-on-older-position | a spent identity counts nowhere   |
+      | reader-floor    | reader-without-floor       | reader never goes back            |
+      | reader-floor    | floor-not-synced           | reader never goes back            |
+      | reader-floor    | installed-in-parts         | version held whole or not at all  |
+      | operator-writes | no-request-record          | answers are true                  |
+      | operator-writes | checked-at-proposal        | one winner a version              |
+      | operator-writes | no-record-horizon          | a request is applied at most once |
+      | claims          | grant-not-synced           | handed on at most once            |
+      | claims          | rejoin-without-copy        | handed on at most once            |
+      | claims          | rejoin-copies-one          | handed on at most once            |
+      | claims          | rejoin-without-wait        | handed on at most once            |
+      | claims          | released-after-hand-on     | handed on at most once            |
+      | claims          | later-token-replaces       | handed on at most once            |
 
   Scenario: The examples name every model and every variant
     Then the examples of this feature name every model and every variant
--- a/src/limelever_lab/model/catalogue.py
+++ b/src/limelever_lab/model/catalogue.py
@@ -1,6 +1,6 @@
 """The models that are checked, each with its bounds and its broken variants."""
 
-from limelever_lab.model import claims, operator_writes, reader_floor, replication
+from limelever_lab.model import claims, operator_writes, reader_floor, replacement, replication
 from limelever_lab.model.replication import Bounds, Fault
 from limelever_lab.model.specification import Model, Variant
 
@@ -50,6 +50,7 @@
     ELECTIONS,
     COMMITS,
     LOST_DISK,
+    replacement.MODEL,
     reader_floor.MODEL,
     operator_writes.MODEL,
     claims.MODEL,
