--- a/features/source/discovery.feature
+++ b/features/source/discovery.feature
@@ -67,3 +67,7 @@
     When that replica can be reached again
     Then it votes under the identity that it had
     And the seeded group still holds every write
+
+  Scenario: Drawn cuts, deaths, lost disks and machines that come and go leave a whole group
+    When drawn disorder strikes 8 seeded groups, 25 times each
+    Then each was whole again with every write, and replicas came back as others
