Test a write's deadline in virtual time, and give the real client's test a margin that a slow machine keeps

So the test held a threshold of the wall clock, against our rule.

No product code changed.

Conclusion: closed as a find of tests; a client must take its own deadline for an unknown outcome in any case.

--- a/features/operators/service.feature
+++ b/features/operators/service.feature
@@ -43,6 +43,16 @@
     When the gRPC client's write is not answered in time
     Then the status is "UNKNOWN" of kind "write-unknown"
 
+  Scenario Outline: The answer to a write past its deadline leaves time to reach the client
+    When a write with a deadline of <deadline> is not answered, in virtual time
+    Then it is answered as write-unknown after <seconds> seconds
+
+    Examples:
+      | deadline | seconds |
+      | 1S       | 0.9     |
+      | 200m     | 0.16    |
+      | 90S      | 59.9    |
+
   Scenario: A thousand problems still fit the client's limit on trailers
     When the gRPC client applies a batch with 900 malformed routes
     Then the status is "INVALID_ARGUMENT" of kind "invalid-request"
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from pathlib import Path
+from unittest import mock
 
 import grpc
 import h2.config
@@ -27,6 +28,10 @@
     StatusRequest,
     StatusResponse,
 )
+from limelever.source import operator_service
+
+LONG_MARGIN_SECONDS = 10.0
+"""Makes the margin a fifth of the call's time, by which a slow machine may hold the call up."""
 
 
 def serve(context, script=None):
@@ -140,7 +145,8 @@
 @when("the gRPC client's write is not answered in time")
 def when_not_in_time(context):
     context.server.script = lambda request: "hang"
-    call(context, "Apply", apply_request(service("orders")), ApplyResponse, timeout=1)
+    with mock.patch.object(operator_service, "ANSWER_MARGIN_SECONDS", LONG_MARGIN_SECONDS):
+        call(context, "Apply", apply_request(service("orders")), ApplyResponse, timeout=3)
 
 
 @when("the gRPC client applies a batch with {count:d} malformed routes")
