--- a/features/steps/drawn_membership_steps.py
+++ b/features/steps/drawn_membership_steps.py
@@ -13,7 +13,6 @@
 from limelever.source import events
 from limelever.source.replication.settings import ReplicationSettings
 
-TOLERATED = 2
 LARGEST_GROUP = 8
 STEPS = 25
 REPAIR_SECONDS = 60.0
@@ -50,19 +49,23 @@
         self.wait_grown()
         self.founded = True
 
-    def unwell(self):
-        """Return how many voters are down, cut off, behind or under a spent identity."""
+    def bears_one_more(self):
+        """Return whether a majority of the newest voters would be well if one of them were struck.
+
+        Voters that are down, cut off, behind or under a spent identity are not well. With five
+        that are, two may be struck.
+        """
         leader = self.nodes[self.wait_for_leader()].core.replica
-        well = [
-            name
-            for name, identity in self.voters(self.leader()).items()
-            if name in self.nodes
-            and name not in self.isolated
-            and self.nodes[name].core is not None
-            and self.nodes[name].core.replica.identity == identity
-            and self.nodes[name].core.replica.commit_index >= leader.commit_index
-        ]
-        return VOTERS - len(well)
+        voters = [member for member in leader.status().members if member.voter]
+        well = [member for member in voters if self._is_well(member, leader.commit_index)]
+        return 2 * (len(well) - 1) > len(voters)
+
+    def _is_well(self, member, commit_index):
+        node = self.nodes.get(member.name)
+        if node is None or node.core is None or member.name in self.isolated:
+            return False
+        replica = node.core.replica
+        return replica.identity == member.identity and replica.commit_index >= commit_index
 
     def recut(self):
         self.cut = {
@@ -77,7 +80,7 @@
     def strike(self):
         """Do one drawn thing that the group is to bear now, then let some time pass."""
         names = ["write", "heal", "start", "come"]
-        if self.unwell() < TOLERATED:
+        if self.bears_one_more():
             names += ["cut", "die", "wipe", "go"]
         name = self.draw.choice(names)
         getattr(self, f"_{name}")()
