--- a/features/steps/platform_soak.py
+++ b/features/steps/platform_soak.py
@@ -180,7 +180,8 @@
         self._write_settings(first_start=False)
         newcomer.start()
         for other in self.machines:
-            other.send(signal.SIGHUP)
+            if other is not newcomer:
+                other.send(signal.SIGHUP)
 
     def _write_settings(self, first_start: bool) -> None:
         seeds = [machine.control for machine in self.control[:SEEDS]]
