--- a/features/steps/faulty_role.py
+++ b/features/steps/faulty_role.py
@@ -8,17 +8,18 @@
 
 import httpcore
 import trio
-from hypercorn.config import Config
 
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import CredentialSettings, ProcessSettings
 from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
 from limelever.transport.http_guard import (
     GuardOptions,
+    application_service,
     bound_address,
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.http_limits import HttpLimits
 from limelever.transport.process import ProcessShell, run_role
 
 SETTINGS = ProcessSettings(
@@ -62,7 +63,7 @@
 
 
 async def fault_in_http_caller(shell: ProcessShell, at_once: bool = True) -> None:
-    """Post the event that the core fails at from within a request, which hypercorn guards."""
+    """Post the event that the core fails at from within a request, which is guarded."""
     runner = shell.add_core(FaultyCore("request", at_once), lambda output: None)
 
     async def application(scope: Any, receive: Any, send: Any) -> None:
@@ -73,9 +74,8 @@
     address = bound_address(listeners)
     async with trio.open_nursery() as nursery:
         await nursery.start(runner.run)
-        nursery.start_soon(
-            partial(serve_guarded, application, listeners, Config(), OPTIONS, trio.Event())
-        )
+        service = application_service(application, HttpLimits(idle=5.0), 1024)
+        nursery.start_soon(partial(serve_guarded, service, listeners, OPTIONS, trio.Event()))
         async with httpcore.AsyncConnectionPool() as pool:
             await pool.request("GET", f"http://{address}/")
 
--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -118,6 +118,10 @@
             return int(lines[0].split()[1]), body
         return None
 
+    def is_readable(self) -> bool:
+        """Return whether something has come that was not read."""
+        return bool(select.select([self.socket], [], [], 0)[0])
+
     def is_closed_by_server(self) -> bool:
         """Return whether the server has closed, without waiting for it."""
         readable, _, _ = select.select([self.socket], [], [], 0)
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -13,9 +13,9 @@
 
 from limelever.common.sansio import Address
 from limelever.proxy import edge
-from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived
+from limelever.proxy.call_types import AnswerCall, CallAnswer, CallArrived, CallerGone
 from limelever.proxy.settings import EdgeSettings
-from limelever.transport import http_connection, metrics
+from limelever.transport import metrics, send_limits
 
 MEBIBYTE = 1 << 20
 STOP_SECONDS = 0.2
@@ -31,6 +31,7 @@
 
     def __init__(self, faulty: bool = False, **settings: int) -> None:
         self.held: list[int] = []
+        self.gone: list[int] = []
         self.run = 0
         self.targets: list[bytes] = []
         self.answer_bytes = 0
@@ -52,6 +53,8 @@
     def _post(self, event) -> None:
         if self._faulty:
             raise KeyError("the fault of this test")
+        if isinstance(event, CallerGone):
+            self.gone.append(event.call)
         if not isinstance(event, CallArrived):
             return
         self.run += 1
@@ -113,7 +116,7 @@
 @given("a callers' listener whose callers have {limit:g} seconds to take an answer")
 def given_edge_impatient(context, limit):
     for name, value in (("SEND_SECONDS", limit), ("SLOWEST_BYTES_PER_SECOND", 1 << 40)):
-        patch = mock.patch.object(http_connection, name, value)
+        patch = mock.patch.object(send_limits, name, value)
         patch.start()
         context.add_cleanup(patch.stop)
     start_edge(context)
--- a/features/steps/transport_idle_steps.py
+++ b/features/steps/transport_idle_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -10,28 +9,16 @@
 import trio
 import trio.testing
 from behave import then, when
-from hypercorn.config import Config
-from hypercorn.trio.worker_context import WorkerContext
 
-from limelever.transport.http_connection import HttpConnection
+from limelever.transport.asgi import AsgiHandler
+from limelever.transport.http1_connection import Http1Connection
+from limelever.transport.http_limits import HttpLimits
 
 REQUEST = b"GET /orders HTTP/1.1\r\nhost: a\r\n\r\n"
 STATUS_LINE = b"HTTP/1.1 200"
 LONGEST_SECONDS = 100.0
 
 
-class NamedSocket:
-    """What hypercorn asks a connection's socket for: the names of its two ends."""
-
-    family = socket.AF_INET
-
-    def getpeername(self) -> tuple[str, int]:
-        return ("127.0.0.1", 1)
-
-    def getsockname(self) -> tuple[str, int]:
-        return ("127.0.0.1", 2)
-
-
 @dataclass
 class ConnectionTimes:
     """Virtual seconds at which the client saw answers begin, and the connection end."""
@@ -55,19 +42,17 @@
 
 async def watch(idle: float, delay: float, starts: tuple[float, ...]) -> ConnectionTimes:
     client, server = trio.testing.memory_stream_pair()
-    server.socket = NamedSocket()
-    config = Config()
-    config.keep_alive_timeout = idle
-    application = partial(answer_after, delay)
-    connection = HttpConnection(application, config, WorkerContext(None), server)
+    handler = AsgiHandler(partial(answer_after, delay), max_body_bytes=0)
     times = ConnectionTimes()
     with trio.move_on_after(LONGEST_SECONDS):
-        await converse(connection, client, starts, times)
+        async with trio.open_nursery() as nursery:
+            connection = Http1Connection(server, handler, HttpLimits(idle=idle), nursery)
+            await converse(connection, client, starts, times)
     return times
 
 
 async def converse(
-    connection: HttpConnection,
+    connection: Http1Connection,
     client: trio.abc.Stream,
     starts: tuple[float, ...],
     times: ConnectionTimes,
--- a/features/steps/transport_late_answer_steps.py
+++ b/features/steps/transport_late_answer_steps.py
@@ -6,17 +6,18 @@
 import trio.testing
 from behave import given, then, when
 from http_server import HttpClient, HttpServer, ask_over_http2
-from hypercorn.config import Config
 from transport_server import wait_for
 
 from limelever.common.sansio import Address
 from limelever.transport import metrics
 from limelever.transport.http_guard import (
     GuardOptions,
+    application_service,
     bound_address,
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.http_limits import HttpLimits
 
 LISTENER = "late-answers"
 MEBIBYTE = 1 << 20
@@ -37,10 +38,8 @@
 async def serve_late_answers(task_status):
     listeners = await open_listeners(Address("127.0.0.1", 0), None, LISTENER)
     task_status.started(bound_address(listeners))
-    config = Config()
-    config.accesslog = None
-    config.errorlog = None
-    await serve_guarded(answer_late, listeners, config, OPTIONS, trio.Event())
+    service = application_service(answer_late, HttpLimits(idle=5.0), MEBIBYTE)
+    await serve_guarded(service, listeners, OPTIONS, trio.Event())
 
 
 def open_connections():
--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -55,6 +55,7 @@
     """Every kind of error that the system answers with."""
 
     INVALID_REQUEST = "invalid-request"
+    UNKNOWN_CODING = "unknown-coding"
     INVALID_SETTINGS = "invalid-settings"
     UNAUTHENTICATED = "unauthenticated"
     PERMISSION_DENIED = "permission-denied"
@@ -123,6 +124,7 @@
 
 ERROR_TABLE: dict[ErrorKind, ErrorAnswer] = {
     _K.INVALID_REQUEST: _answer(400, _G.INVALID_ARGUMENT, _O.NOT_RUN, _R.NEVER),
+    _K.UNKNOWN_CODING: _answer(501, _G.UNIMPLEMENTED, _O.NOT_RUN, _R.NEVER),
     _K.INVALID_SETTINGS: _answer(500, _G.INVALID_ARGUMENT, _O.NOT_RUN, _R.NEVER),
     _K.UNAUTHENTICATED: _answer(401, _G.UNAUTHENTICATED, _O.NOT_RUN, _R.NEVER),
     _K.PERMISSION_DENIED: _answer(403, _G.PERMISSION_DENIED, _O.NOT_RUN, _R.NEVER),
--- /dev/null
+++ b/src/limelever/common/http_messages.py
@@ -0,0 +1,36 @@
+"""Whole HTTP messages, as listeners and cores pass them to each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limelever.common.http_headers import Headers
+
+HTTP_1_0 = "1.0"
+HTTP_1_1 = "1.1"
+HTTP_2 = "2"
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A request; header names are in lower case, ``version`` is as HTTP/1 writes it.
+
+    ``target`` is as the client sent it, with the query. ``body`` is complete once the request has
+    been read whole. ``keep_alive`` says whether the client keeps the connection for others.
+    """
+
+    method: bytes
+    target: bytes
+    version: str
+    headers: Headers
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -6,6 +6,7 @@
 
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
+from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event, Output
 
 GROUP_HEADER = b"x-limelever-group"
@@ -37,13 +38,8 @@
     request_id: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class CallAnswer:
-    """The back end's whole answer."""
-
-    status: int
-    headers: Headers
-    body: bytes
+CallAnswer = HttpAnswer
+"""The back end's whole answer."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/limelever/proxy/edge_http2.py
@@ -0,0 +1,145 @@
+"""Callers that speak HTTP/2: an ASGI application that gives their requests to the edge."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import trio
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_messages import HttpAnswer, HttpRequest
+from limelever.transport.asgi import Receive, Send
+from limelever.transport.request_checks import check_request
+
+DISCARD_TIMEOUT = 1.0
+"""Seconds for which the rest of a refused body is read, so that the caller sees the refusal."""
+
+
+class CallerEdge(Protocol):
+    """What the application needs of the edge."""
+
+    def begin(self, request: HttpRequest, deliver: Callable[[HttpAnswer], None]) -> int:
+        """Give a whole request to the core; return the call's number."""
+
+    def caller_left(self, number: int) -> None:
+        """Give up a call whose caller has left."""
+
+    def check_head(self, request: HttpRequest) -> Failure | None:
+        """Return why a request is refused before its body is read."""
+
+    def hold_body(self, held: int, added: int) -> Failure | None:
+        """Count bytes of a body, or return why they have no room."""
+
+    def release_body(self, size: int) -> None:
+        """Count bytes of a body that is needed no more."""
+
+    def count_untaken(self, size: int) -> None:
+        """Count bytes of answers not yet taken, or taken when negative."""
+
+    def render(self, failure: Failure) -> HttpAnswer:
+        """Return the answer that tells of a failure."""
+
+
+class _CallerLeftError(Exception):
+    """The caller left before its request was read whole."""
+
+
+class Http2Edge:
+    """Serves the scopes of HTTP/2 requests; ``body_timeout`` (s) bounds the sending of a body."""
+
+    def __init__(self, edge: CallerEdge, body_timeout: float) -> None:
+        self._edge = edge
+        self._body_timeout = body_timeout
+
+    async def application(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] != "http":
+            await send({"type": "websocket.close", "code": 1003})
+            return
+        request = _request_of(scope)
+        refusal = check_request(request) or self._edge.check_head(request)
+        held = 0
+        try:
+            if refusal is None:
+                refusal, held = await self._read_body(request, receive)
+            if refusal is not None:
+                await self._refuse(refusal, receive, send)
+                return
+            answer = await self._call(request, receive)
+        except _CallerLeftError:
+            return
+        finally:
+            self._edge.release_body(held)
+        if answer is not None:
+            await self._send(answer, send, more=False)
+
+    async def _read_body(
+        self, request: HttpRequest, receive: Receive
+    ) -> tuple[Failure | None, int]:
+        """Read the body into the request; return why it is refused, and the bytes counted."""
+        chunks: list[bytes] = []
+        held = 0
+        with trio.move_on_after(self._body_timeout):
+            while True:
+                message = await receive()
+                if message["type"] != "http.request":
+                    self._edge.release_body(held)
+                    raise _CallerLeftError
+                data: bytes = message.get("body", b"")
+                refusal = self._edge.hold_body(held, len(data))
+                if refusal is not None:
+                    return refusal, held
+                held += len(data)
+                chunks.append(data)
+                if not message.get("more_body", False):
+                    request.body = b"".join(chunks)
+                    return None, held
+        late = Failure(ErrorKind.DEADLINE_TOO_SHORT, "the body did not arrive in time")
+        return late, held
+
+    async def _call(self, request: HttpRequest, receive: Receive) -> HttpAnswer | None:
+        """Return the core's answer, or ``None`` when the caller left before."""
+        answers: list[HttpAnswer] = []
+        waiting = trio.CancelScope()
+
+        def deliver(answer: HttpAnswer) -> None:
+            answers.append(answer)
+            waiting.cancel()
+
+        number = self._edge.begin(request, deliver)
+        try:
+            with waiting:
+                while not answers and (await receive())["type"] != "http.disconnect":
+                    pass
+        finally:
+            if not answers:
+                self._edge.caller_left(number)
+        return answers[0] if answers else None
+
+    async def _refuse(self, failure: Failure, receive: Receive, send: Send) -> None:
+        """Answer at once, then read on for a moment: a reset would destroy the answer."""
+        await self._send(self._edge.render(failure), send, more=True)
+        with trio.move_on_after(DISCARD_TIMEOUT):
+            while (message := await receive())["type"] == "http.request":
+                if not message.get("more_body", False):
+                    break
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def _send(self, answer: HttpAnswer, send: Send, *, more: bool) -> None:
+        headers = answer.headers
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        self._edge.count_untaken(len(answer.body))
+        try:
+            await send(start)
+            await send({"type": "http.response.body", "body": answer.body, "more_body": more})
+        finally:
+            self._edge.count_untaken(-len(answer.body))
+
+
+def _request_of(scope: dict[str, Any]) -> HttpRequest:
+    query: bytes = scope["query_string"]
+    path: bytes = scope["raw_path"]
+    headers = tuple((name, value) for name, value in scope["headers"])
+    target = path + b"?" + query if query else path
+    return HttpRequest(scope["method"].encode(), target, scope["http_version"], headers)
--- a/src/limelever/proxy/edge_listener.py
+++ b/src/limelever/proxy/edge_listener.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import trio
-from hypercorn.config import Config
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
-from limelever.common.settings import seconds
 from limelever.proxy import events
 from limelever.proxy.settings import EdgeSettings
-from limelever.transport.http_connection import AsgiApplication
 from limelever.transport.http_guard import (
     GuardOptions,
+    HttpService,
     bound_address,
     open_listeners,
     serve_guarded,
@@ -24,11 +22,10 @@
 )
 
 _HTTP_PROTOCOLS = ("h2", "http/1.1")
-_NO_LIMIT_ON_REQUESTS = 1_000_000_000
 
 
 async def serve_callers(
-    application: AsgiApplication,
+    service: HttpService,
     settings: EdgeSettings,
     stopping: trio.Event,
     stop_limit: float,
@@ -56,17 +53,4 @@
         limit_event=events.EDGE_CONNECTION_LIMIT,
     )
     async with certificate_kept_current([context] if context else [], files):
-        await serve_guarded(application, listeners, _server_config(settings), options, stopping)
-
-
-def _server_config(settings: EdgeSettings) -> Config:
-    config = Config()
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.include_date_header = False
-    config.keep_alive_timeout = seconds(settings.keep_alive_ms)
-    config.keep_alive_max_requests = _NO_LIMIT_ON_REQUESTS
-    config.h11_max_incomplete_size = settings.max_headers_bytes
-    config.h2_max_header_list_size = settings.max_headers_bytes
-    return config
+        await serve_guarded(service, listeners, options, stopping)
--- a/src/limelever/proxy/requests.py
+++ b/src/limelever/proxy/requests.py
@@ -2,31 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any
-
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers
+from limelever.common.http_messages import HttpRequest
 from limelever.proxy.call_types import (
     DEFAULT_GROUP,
     GROUP_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     CallRequest,
 )
-from limelever.proxy.request_checks import origin_form
+from limelever.transport.request_checks import origin_form
 
 _MILLISECONDS = 1000
 _LONGEST_TIMEOUT_DIGITS = 9
-_HEADER_OVERHEAD = 4
 _CONTENT_LENGTH = b"content-length"
 _HOST = b"host"
 
 
-def headers_size(headers: Headers) -> int:
-    """Return the bytes the headers took on the wire, as HTTP/1.1 counts them."""
-    return sum(len(name) + len(value) + _HEADER_OVERHEAD for name, value in headers)
-
-
 def declared_length(headers: Headers) -> int:
     """Return the stated length of the body, 0 when none is stated."""
     for name, value in headers:
@@ -35,18 +27,14 @@
     return 0
 
 
-def parse_request(
-    scope: Mapping[str, Any], headers: Headers, body: bytes, names: HeaderNames
-) -> CallRequest | Failure:
-    """Return the call of an ASGI scope and its body, or ``INVALID_REQUEST``."""
-    query: bytes = scope["query_string"]
-    path = origin_form(scope["raw_path"])
+def parse_request(request: HttpRequest, names: HeaderNames) -> CallRequest | Failure:
+    """Return the call of a whole request, or ``INVALID_REQUEST``."""
     group = DEFAULT_GROUP
     key = b""
     host = b""
     request_id = b""
     timeout: float | Failure = 0.0
-    for name, value in headers:
+    for name, value in request.headers:
         if name == GROUP_HEADER:
             group = value.decode("utf-8", "replace")
         elif name == IDEMPOTENCY_KEY_HEADER:
@@ -60,10 +48,10 @@
     if isinstance(timeout, Failure):
         return timeout
     return CallRequest(
-        method=scope["method"].encode(),
-        target=path + b"?" + query if query else path,
-        headers=headers,
-        body=body,
+        method=request.method,
+        target=origin_form(request.target),
+        headers=request.headers,
+        body=request.body,
         group=group,
         idempotency_key=key,
         timeout=timeout,
--- a/src/limelever/source/operator_listener.py
+++ b/src/limelever/source/operator_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import trio
-from hypercorn.config import Config
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
@@ -12,20 +11,22 @@
     OPERATOR_CONNECTION_FAILED,
     OPERATOR_CONNECTION_LIMIT,
 )
-from limelever.transport.http_connection import AsgiApplication
+from limelever.transport.asgi import AsgiApplication
 from limelever.transport.http_guard import (
     GuardOptions,
+    application_service,
     bound_address,
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.http_limits import HttpLimits
 from limelever.transport.tls import certificate_kept_current, files_of, one_sided_context
 
 DEFAULT_CONNECTION_LIMIT = 128
 DEFAULT_STOP_LIMIT = 10.0
-_IDLE_SECONDS = 60
-_STREAMS_PER_CONNECTION = 32
-_HEADER_LIST_BYTES = 16 * 1024
+_LIMITS = HttpLimits(idle=60.0, streams=32)
+_MAX_BODY_BYTES = 1024
+"""Calls over HTTP/1.1 are none of this interface; they are read only to be refused."""
 
 
 async def serve_operators(
@@ -61,17 +62,6 @@
         limit_event=OPERATOR_CONNECTION_LIMIT,
     )
     async with certificate_kept_current([context] if context else [], files):
-        await serve_guarded(application, listeners, _hypercorn_config(), options, shutdown)
+        service = application_service(application, _LIMITS, _MAX_BODY_BYTES)
+        await serve_guarded(service, listeners, options, shutdown)
     return None
-
-
-def _hypercorn_config() -> Config:
-    config = Config()
-    config.errorlog = None
-    config.accesslog = None
-    config.keep_alive_timeout = _IDLE_SECONDS
-    config.read_timeout = _IDLE_SECONDS
-    config.h2_max_concurrent_streams = _STREAMS_PER_CONNECTION
-    config.h2_max_header_list_size = _HEADER_LIST_BYTES
-    config.include_server_header = False
-    return config
--- a/src/limelever/transport/admin.py
+++ b/src/limelever/transport/admin.py
@@ -6,23 +6,23 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
-from hypercorn.config import Config
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
+from limelever.transport.asgi import AsgiApplication
 from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
-from limelever.transport.http_connection import AsgiApplication
 from limelever.transport.http_guard import (
     GuardOptions,
+    application_service,
     bound_address,
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.http_limits import HttpLimits
 from limelever.transport.metrics import exposition
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -31,7 +31,9 @@
 IDLE_SECONDS = 5.0
 """A poller needs no longer keep-alive, and each idle connection takes one place of the limit."""
 
-_HEADER_LIST_BYTES = 16 * 1024
+_MAX_BODY_BYTES = 1024
+"""No call of this listener has a body; some clients send a short one all the same."""
+
 _STOP_LIMIT = 1.0
 _TEXT = b"text/plain; version=0.0.4; charset=utf-8"
 _READ_METHODS = ("GET", "HEAD")
@@ -86,17 +88,6 @@
         failed_event=ADMIN_CONNECTION_FAILED,
         limit_event=ADMIN_CONNECTION_LIMIT,
     )
-    config = _hypercorn_config(idle_seconds)
-    await serve_guarded(admin_application(is_ready), listeners, config, options, trio.Event())
-
-
-def _hypercorn_config(idle_seconds: float) -> Config:
-    config = Config()
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.keep_alive_timeout = idle_seconds
-    config.read_timeout = math.ceil(idle_seconds)
-    config.h11_max_incomplete_size = _HEADER_LIST_BYTES
-    config.h2_max_header_list_size = _HEADER_LIST_BYTES
-    return config
+    limits = HttpLimits(idle=idle_seconds)
+    service = application_service(admin_application(is_ready), limits, _MAX_BODY_BYTES)
+    await serve_guarded(service, listeners, options, trio.Event())
--- a/src/limelever/transport/gateway.py
+++ b/src/limelever/transport/gateway.py
@@ -10,22 +10,25 @@
 from dataclasses import dataclass
 
 import trio
-from hypercorn.config import Config
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
+from limelever.transport.asgi import AsgiApplication
 from limelever.transport.events import ADMIN_CONNECTION_FAILED, ADMIN_CONNECTION_LIMIT
-from limelever.transport.http_connection import AsgiApplication
 from limelever.transport.http_guard import (
     GuardOptions,
+    application_service,
     bound_address,
     open_listeners,
     serve_guarded,
 )
+from limelever.transport.http_limits import HttpLimits
 
 CONNECTION_LIMIT = 256
-IDLE_SECONDS = 30
+IDLE_SECONDS = 30.0
 STOP_LIMIT = 1.0
+MAX_BODY_BYTES = 32 << 20
+"""Largest body of a call; a configuration of 10,000 routes takes a tenth of it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +58,9 @@
         failed_event=ADMIN_CONNECTION_FAILED,
         limit_event=ADMIN_CONNECTION_LIMIT,
     )
-    await serve_guarded(gateway.application, listeners, _config(), options, shutdown)
+    limits = HttpLimits(idle=IDLE_SECONDS)
+    service = application_service(gateway.application, limits, MAX_BODY_BYTES)
+    await serve_guarded(service, listeners, options, shutdown)
 
 
 async def start_gateways(
@@ -67,13 +72,3 @@
         if isinstance(bound, Failure):
             return bound
     return None
-
-
-def _config() -> Config:
-    config = Config()
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.include_date_header = False
-    config.keep_alive_timeout = IDLE_SECONDS
-    return config
--- /dev/null
+++ b/src/limelever/transport/http1_connection.py
@@ -0,0 +1,370 @@
+"""One HTTP/1.1 connection: a trio shell around the request reader and the pipeline.
+
+A single task reads; answers are written by the task that brings them, in one system call where
+the system takes them at once. One cancel scope, whose deadline moves, bounds idleness, slow
+headers and slow bodies.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Protocol
+
+import trio
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_messages import HTTP_1_1, HttpAnswer, HttpRequest
+from limelever.transport.events import REQUEST_FAULT
+from limelever.transport.faults import fault_fields
+from limelever.transport.http_answers import CONTINUE, encode_answer
+from limelever.transport.http_limits import HttpLimits
+from limelever.transport.http_pipeline import Exchange, Pipeline
+from limelever.transport.http_requests import RequestReader
+from limelever.transport.log import write_event
+from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
+from limelever.transport.send_limits import time_to_send
+from limelever.transport.streams import send_without_waiting
+
+LINGER_SECONDS = 1.0
+"""How long a client has to close after its last answer: a reset would destroy the answer."""
+
+CLOSE_SECONDS = 2.0
+"""How long TLS's goodbye may take."""
+
+HTTP_2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+"""What a client sends first that speaks HTTP/2 without negotiation (RFC 9113, section 3.4)."""
+
+_RECEIVE_BYTES = 1 << 16
+_NO_REQUEST = HttpRequest(b"", b"", HTTP_1_1, ())
+
+
+class RequestHandler(Protocol):
+    """Serves the requests of a listener's connections."""
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether connections are to end with their next answer."""
+
+    def check_head(self, request: HttpRequest) -> Failure | None:
+        """Return why a request is refused before its body is read."""
+
+    def hold_body(self, held: int, added: int) -> Failure | None:
+        """Count ``added`` bytes of a body with ``held`` before, or return why they have no room."""
+
+    def release_body(self, size: int) -> None:
+        """Count bytes of a body that is needed no more."""
+
+    def count_untaken(self, size: int) -> None:
+        """Count bytes of answers not yet taken by their clients, or taken when negative."""
+
+    def render(self, failure: Failure) -> HttpAnswer:
+        """Return the answer that tells of a failure."""
+
+    def serve_request(self, connection: Http1Connection, exchange: Exchange) -> None:
+        """Begin a request; its answer is given to ``connection.answer``, now or later."""
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Give up a request whose client has left."""
+
+
+class Http1Connection:
+    """Serves one connection, and knows since when it is idle."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        handler: RequestHandler,
+        limits: HttpLimits,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.stream = stream
+        self.nursery = nursery
+        self.idle_since: float | None = trio.current_time()
+        self._handler = handler
+        self._limits = limits
+        self._pipeline = Pipeline()
+        self._reader = RequestReader(self, limits.max_head_bytes)
+        self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
+        self._room = trio.Event()
+        self._outgoing: list[bytes] = []
+        self._flushed: trio.Event | None = None
+        self._untaken = 0
+        self._ended = False
+        self._advancing = False
+        self._stopping = False
+        self._broken = False
+        self._handed_over = False
+        self._awaits_continue = False
+        self._body_bytes = 0
+        self._body_ends = math.inf
+
+    async def run(self) -> bytes:
+        """Serve until the connection ends.
+
+        Returns what was received of a client that speaks HTTP/2 from its first bytes: that
+        connection is left open, for another to serve. Otherwise empty.
+        """
+        left = False
+        try:
+            with self._reading:
+                data = await self._receive_first()
+                if data.startswith(HTTP_2_PREFACE):
+                    return self._hand_over(data)
+                left = not data or await self._read(data)
+            if self._body_is_late:
+                await self._refuse_late_body()
+            self._give_up()
+            if not left:
+                await self._finish()
+        finally:
+            self._give_up()
+            self._count_untaken(-self._untaken)
+            self._ended = True
+            if not self._handed_over:
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(self.stream)
+        return b""
+
+    def stop(self) -> None:
+        """End the connection after what is under way, at once when nothing is."""
+        self._stopping = True
+        if self.idle_since is not None:
+            self._reading.cancel()
+
+    def answer(self, exchange: Exchange, answer: HttpAnswer) -> None:
+        """Take the answer of a request under way, and send what is due."""
+        if exchange.answer is not None or self._ended:
+            return
+        self._pipeline.answer(exchange, answer)
+        self._count_untaken(len(answer.body))
+        if not self._pipeline.is_oldest(exchange):
+            exchange.answered_at = trio.current_time()
+        self._advance()
+
+    # --- what the reader has read ---------------------------------------------------------------
+
+    def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
+        """Check a request's head; its body has a limited time."""
+        self.idle_since = None
+        self._body_bytes = 0
+        self._body_ends = trio.current_time() + self._limits.body
+        self._awaits_continue = awaits_continue
+        refusal = self._handler.check_head(request)
+        if refusal is not None:
+            self._awaits_continue = False
+        return refusal
+
+    def body_read(self, size: int) -> Failure | None:
+        """Count the bytes of a body."""
+        refusal = self._handler.hold_body(self._body_bytes, size)
+        if refusal is None:
+            self._body_bytes += size
+        return refusal
+
+    def request_read(self, request: HttpRequest) -> None:
+        """Queue a whole request."""
+        self._body_ends = math.inf
+        self._body_bytes = 0
+        self._awaits_continue = False
+        self._pipeline.add(Exchange(request, last=not request.keep_alive))
+
+    def refused(self, failure: Failure) -> None:
+        """Queue the answer to what can't be read; the connection ends with it."""
+        self.idle_since = None
+        self._body_ends = math.inf
+        self._handler.release_body(self._body_bytes)
+        self._body_bytes = 0
+        answer = self._handler.render(failure)
+        self._count_untaken(len(answer.body))
+        exchange = Exchange(_NO_REQUEST, last=True)
+        self._pipeline.add(exchange)
+        self._pipeline.answer(exchange, answer)
+
+    # --- reading --------------------------------------------------------------------------------
+
+    async def _receive_first(self) -> bytes:
+        """Return the first bytes, or as many as tell whether they begin HTTP/2."""
+        data = b""
+        while HTTP_2_PREFACE.startswith(data):
+            more = await self._receive()
+            if not more:
+                return b""
+            data += more
+        return data
+
+    def _hand_over(self, data: bytes) -> bytes:
+        self._handed_over = True
+        return data
+
+    async def _receive(self) -> bytes:
+        """Return received bytes, empty once the client has left."""
+        try:
+            return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b""
+
+    async def _read(self, data: bytes) -> bool:
+        """Read until the last answer is on its way; return whether the client has left first."""
+        while True:
+            if data:
+                self._reader.feed(data)
+                self._advance()
+            if self._pipeline.closed or self._broken:
+                return False
+            if self._pipeline.full:
+                self._room = trio.Event()
+                await self._room.wait()
+                data = b""
+                continue
+            data = await self._receive()
+            if not data:
+                return True
+
+    @property
+    def _body_is_late(self) -> bool:
+        """Return whether reading ended as a body did not come in time."""
+        given_up = self._pipeline.closed or self._broken
+        return self._reading.cancelled_caught and self._reader.within_body and not given_up
+
+    async def _refuse_late_body(self) -> None:
+        """Refuse a request whose body is late, after the answers to those before it."""
+        reason = "the body did not arrive in time"
+        self._reader.refuse(Failure(ErrorKind.DEADLINE_TOO_SHORT, reason))
+        self._reading = trio.CancelScope()
+        self._advance()
+        if not self._pipeline.closed:
+            with self._reading:
+                await self._read(b"")
+
+    # --- order ----------------------------------------------------------------------------------
+
+    def _advance(self) -> None:
+        """Send the answers that are due and begin the requests that may begin."""
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            ready: list[bytes] = []
+            while self._send_due(ready) or self._begin_next():
+                pass
+        finally:
+            self._advancing = False
+        if ready:
+            self._write(b"".join(ready))
+        self._settle()
+
+    def _send_due(self, ready: list[bytes]) -> bool:
+        leaving = self._stopping or self._handler.leaving
+        exchange = self._pipeline.take_ended(leaving)
+        if exchange is None:
+            return False
+        answer = exchange.answer
+        assert answer is not None
+        self._handler.release_body(len(exchange.request.body))
+        ready.append(encode_answer(exchange.request, answer, close=exchange.last))
+        self._count_untaken(len(ready[-1]) - len(answer.body))
+        if exchange.answered_at:
+            HTTP_IN_ORDER_SECONDS.observe(trio.current_time() - exchange.answered_at)
+        return True
+
+    def _begin_next(self) -> bool:
+        exchange = self._pipeline.take_startable(self._stopping or self._handler.leaving)
+        if exchange is None:
+            return False
+        try:
+            self._handler.serve_request(self, exchange)
+        except Exception as error:
+            write_event(REQUEST_FAULT, fault_fields(error))
+            failure = Failure(ErrorKind.INTERNAL, "fault while the request was served")
+            self.answer(exchange, self._handler.render(failure))
+        return True
+
+    def _settle(self) -> None:
+        """Set what is waited for next: the client's close, a body, or a request."""
+        if self._pipeline.closed:
+            self._reading.cancel()
+            return
+        if not self._pipeline.full:
+            self._room.set()
+        if self._awaits_continue and self._pipeline.empty:
+            self._awaits_continue = False
+            self._count_untaken(len(CONTINUE))
+            self._write(CONTINUE)
+        under_way = not self._pipeline.empty or self._reader.within_body
+        if not under_way and self.idle_since is None and self._flushed is None:
+            self.idle_since = trio.current_time()
+            self._reading.deadline = self.idle_since + self._limits.idle
+            if self._stopping:
+                self._reading.cancel()
+        elif under_way and self._reading.deadline != self._body_ends:
+            self._reading.deadline = self._body_ends
+
+    def _give_up(self) -> None:
+        """Abandon what is under way; its client has left, or never takes the answer."""
+        for exchange in self._pipeline.take_all():
+            if exchange.begun and exchange.answer is None:
+                self._handler.abandon(exchange)
+            self._handler.release_body(len(exchange.request.body))
+        self._handler.release_body(self._body_bytes)
+        self._body_bytes = 0
+
+    # --- writing --------------------------------------------------------------------------------
+
+    def _write(self, data: bytes) -> None:
+        """Send bytes, or leave what the system does not take to a task of its own."""
+        if self._flushed is None:
+            taken = send_without_waiting(self.stream, data)
+            self._count_untaken(-taken)
+            data = data[taken:]
+        if not data:
+            return
+        self._outgoing.append(data)
+        if self._flushed is None:
+            self._flushed = trio.Event()
+            self.nursery.start_soon(self._write_rest, self._flushed)
+
+    async def _write_rest(self, flushed: trio.Event) -> None:
+        while self._outgoing and not self._broken:
+            data = b"".join(self._outgoing)
+            self._outgoing.clear()
+            try:
+                with trio.fail_after(time_to_send(data)):
+                    await self.stream.send_all(data)
+            except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+                self._broken = True
+                self._reading.cancel()
+            self._count_untaken(-len(data))
+        self._flushed = None
+        flushed.set()
+        if not self._broken:
+            self._settle()
+
+    def _count_untaken(self, size: int) -> None:
+        """Count bytes of answers that the client has not taken, until the connection ends."""
+        if not self._ended:
+            self._untaken += size
+            self._handler.count_untaken(size)
+
+    async def _finish(self) -> None:
+        """Wait until the last answer has left and the client has closed."""
+        if self._flushed is not None:
+            await self._flushed.wait()
+        if self._broken:
+            return
+        try:
+            await self._say_goodbye()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    async def _say_goodbye(self) -> None:
+        """Tell the client that nothing follows; give it time to take a last answer."""
+        if not isinstance(self.stream, trio.abc.HalfCloseableStream):
+            with trio.move_on_after(CLOSE_SECONDS):
+                await self.stream.aclose()
+            return
+        await self.stream.send_eof()
+        if not self._pipeline.closed:
+            return
+        with trio.move_on_after(LINGER_SECONDS):
+            while await self.stream.receive_some(_RECEIVE_BYTES):
+                pass
--- a/src/limelever/transport/http_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -1,17 +1,16 @@
-"""One HTTP connection: hypercorn's, mended where a client could hold it open for nothing.
+"""One HTTP/2 connection: hypercorn's, mended where a client could hold it open for nothing.
 
 hypercorn keeps a connection whose client has left until its keep-alive time is over, and for
 ever when HTTP/2's flow control holds an answer back. It sends without a time limit, shielded
 from cancellation: a client that reads nothing would keep its connection and the answer's memory
-for ever, and the process from stopping.
+for ever, and the process from stopping. HTTP/1.1 is served by ``http1_connection``; this module
+is imported when a client first speaks HTTP/2.
 """
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from typing import Any
 
-import h11
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
@@ -20,36 +19,40 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
-from limelever.transport.streams import send_without_waiting
-
-AsgiApplication = Callable[..., Awaitable[None]]
-AsgiMessage = dict[str, Any]
-Send = Callable[[AsgiMessage], Awaitable[None]]
-
-SEND_SECONDS = 30.0
-SLOWEST_BYTES_PER_SECOND = 64 * 1024
-"""A client that takes what it is sent more slowly, after ``SEND_SECONDS``, is cut off."""
+from limelever.transport.asgi import AsgiApplication, AsgiMessage, Send
+from limelever.transport.http_limits import HttpLimits
+from limelever.transport.send_limits import time_to_send
 
 _CLOSE_SECONDS = 2.0
 _RECEIVE_BYTES = 1 << 16
+_NO_LIMIT_ON_REQUESTS = 1_000_000_000
 
 
-class HttpConnection(TCPServer):
+class Http2Connection(TCPServer):
     """Serves one connection, and knows since when it is idle.
 
     It is idle while no request on it is under way: at first, and between two requests.
     """
 
     def __init__(
-        self, application: AsgiApplication, config: Config, context: WorkerContext, stream: Any
+        self,
+        application: AsgiApplication,
+        limits: HttpLimits,
+        stream: Any,
+        received: bytes,
     ) -> None:
         wrapped = ASGIWrapper(self._bounded(application))
-        super().__init__(wrapped, config, context, ConnectionState({}), stream)
+        self._context = WorkerContext(None)
+        super().__init__(wrapped, _config(limits), self._context, ConnectionState({}), stream)
         self.idle_since: float | None = trio.current_time()
+        self._received = received
         self._became_idle = trio.Event()
         self._sending: set[trio.CancelScope] = set()
         self._client_left = False
-        self._held_head = b""
+
+    async def stop(self) -> None:
+        """End the connection after what is under way, at once when nothing is."""
+        await self._context.terminated.set()
 
     async def protocol_send(self, event: Event) -> None:
         """Carry out what hypercorn's protocol class asks for."""
@@ -59,19 +62,8 @@
         if isinstance(event, Updated):
             self._note_idle(event.idle)
             return
-        if isinstance(event, Closed) and self._answer_under_way():
-            return
         await super().protocol_send(event)
 
-    def _answer_under_way(self) -> bool:
-        """Return whether an HTTP/1 answer has begun and not ended; the connection closes after it.
-
-        A client that sends on after an answer said that the connection closes is a breach for
-        which hypercorn closes at once, in the midst of the answer.
-        """
-        connection = getattr(self.protocol.protocol, "connection", None)
-        return getattr(connection, "our_state", None) is h11.SEND_BODY
-
     def _note_idle(self, idle: bool) -> None:
         """Tell the connection's one idle task; hypercorn would start a new one at each request."""
         self.idle_since = trio.current_time() if idle else None
@@ -100,25 +92,9 @@
         return self.idle_since == idle_since
 
     async def _send(self, data: bytes) -> None:
-        """Send bytes; the head of an HTTP/1 answer waits for the first part of the body.
-
-        An answer then is one system call and one packet where hypercorn would make three.
-        """
-        if not self._held_head and self._answer_under_way():
-            self._held_head = data
-            return
-        data = self._held_head + data
-        self._held_head = b""
-        if not self.send_lock.locked():
-            data = data[send_without_waiting(self.stream, data) :]
-        if data:
-            await self._send_waiting(data)
-
-    async def _send_waiting(self, data: bytes) -> None:
-        limit = _time_to_send(data)
         async with self.send_lock:
             try:
-                with trio.fail_after(limit):
+                with trio.fail_after(time_to_send(data)):
                     await self.stream.send_all(data)
                 return
             except trio.TooSlowError:
@@ -129,6 +105,8 @@
 
     async def _read_data(self) -> None:
         """Give hypercorn what the client sends; unlike there, with no timeout for each read."""
+        if self._received:
+            await self.protocol.handle(RawData(self._received))
         while True:
             try:
                 data = bytes(await self.stream.receive_some(_RECEIVE_BYTES))
@@ -144,17 +122,9 @@
             scope.cancel()
 
     def _bounded(self, application: AsgiApplication) -> AsgiApplication:
-        """Return the application with a bound on the time in which its answers are taken.
-
-        HTTP/1 has no flow control of its own to wait for: there the bound of :meth:`_send` does,
-        and a call is spared the price of a second one.
-        """
+        """Return the application with a bound on the time in which its answers are taken."""
 
         async def bounded(scope: dict[str, Any], receive: Any, send: Send) -> None:
-            if scope["http_version"].startswith("1"):
-                await application(scope, receive, send)
-                return
-
             async def send_in_time(message: AsgiMessage) -> None:
                 await self._send_in_time(send, message)
 
@@ -170,7 +140,7 @@
         """
         if self._client_left:
             raise trio.BrokenResourceError("the client has left")
-        with trio.move_on_after(_time_to_send(message.get("body", b""))) as scope:
+        with trio.move_on_after(time_to_send(message.get("body", b""))) as scope:
             self._sending.add(scope)
             try:
                 await send(message)
@@ -191,6 +161,14 @@
             await trio.aclose_forcefully(self.stream)
 
 
-def _time_to_send(data: bytes) -> float:
-    """Return how many seconds a client has to take ``data``."""
-    return SEND_SECONDS + len(data) / SLOWEST_BYTES_PER_SECOND
+def _config(limits: HttpLimits) -> Config:
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    config.keep_alive_timeout = limits.idle
+    config.keep_alive_max_requests = _NO_LIMIT_ON_REQUESTS
+    config.h2_max_concurrent_streams = limits.streams
+    config.h2_max_header_list_size = limits.max_head_bytes
+    return config
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -1,11 +1,12 @@
-"""Serves HTTP by hypercorn on trio, guarded connection by connection.
-
-hypercorn's own ``serve`` runs all connections in one nursery, and a DATA frame for a stream that
-is already answered raises ``KeyError`` there: any client could end the process. So each
-connection is run by hypercorn's connection class inside a guard that closes only that one. The
-guard bounds the number of connections too, which ``serve`` does not: at the limit the connection
-that is idle longest makes room, so that nobody's idle connections lock others out. The price is
-that it uses classes that hypercorn does not list as its interface, so its version is pinned.
+"""Serves HTTP on trio, guarded connection by connection.
+
+The guard bounds the number of connections: at the limit the connection that is idle longest makes
+room, so that nobody's idle connections lock others out. A fault on a connection ends that one only.
+HTTP/1.1 is served by ``http1_connection``. A client that speaks HTTP/2, by TLS's negotiation or
+from its first bytes, is served by hypercorn; hypercorn's own ``serve`` isn't used, as a DATA frame
+for a stream that is already answered raises ``KeyError`` there and would end the process. The
+price is that classes are used that hypercorn does not list as its interface, so its version is
+pinned.
 """
 
 from __future__ import annotations
@@ -14,26 +15,38 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio.worker_context import WorkerContext
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
-from limelever.transport.events import REQUEST_FAULT
-from limelever.transport.faults import fault_fields
-from limelever.transport.http_connection import AsgiApplication, HttpConnection
+from limelever.transport.asgi import AsgiApplication, AsgiHandler, reporting
+from limelever.transport.http1_connection import Http1Connection, RequestHandler
+from limelever.transport.http_limits import HttpLimits
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.streams import client_name, reason_of
 
+if TYPE_CHECKING:
+    from limelever.transport.http2_connection import Http2Connection
+
 Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 
 HANDSHAKE_SECONDS = 10.0
 
+_ALPN_HTTP_2 = "h2"
+
+
+@dataclass(frozen=True, slots=True)
+class HttpService:
+    """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2."""
+
+    handler: RequestHandler
+    application: AsgiApplication
+    limits: HttpLimits
+
 
 @dataclass(frozen=True, slots=True)
 class GuardOptions:
@@ -77,37 +90,69 @@
     return Address(host, port)
 
 
+def application_service(
+    application: AsgiApplication, limits: HttpLimits, max_body_bytes: int
+) -> HttpService:
+    """Return the service of an ASGI application, whichever version its clients speak."""
+    handler = AsgiHandler(application, max_body_bytes)
+    return HttpService(handler, application, limits)
+
+
 async def serve_guarded(
-    application: AsgiApplication,
+    service: HttpService,
     listeners: Sequence[Listener],
-    config: Config,
     options: GuardOptions,
     shutdown: trio.Event,
 ) -> None:
     """Serve until ``shutdown``, then finish what is in flight within ``options.stop_limit``."""
-    guard = _Guard(application, config, options)
     async with trio.open_nursery() as connections:
+        guard = _Guard(service, options, connections)
         async with trio.open_nursery() as accepting:
             serve = partial(trio.serve_listeners, handler_nursery=connections)
             accepting.start_soon(serve, guard.run, list(listeners))
             await shutdown.wait()
             accepting.cancel_scope.cancel()
-        await guard.context.terminated.set()
+        await guard.stop()
         connections.cancel_scope.deadline = trio.current_time() + options.stop_limit
 
 
+class _Place:
+    """One of the listener's connections, from before it is known which protocol it speaks."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.connection: Http1Connection | Http2Connection | None = None
+        self._since = trio.current_time()
+
+    @property
+    def idle_since(self) -> float | None:
+        """Return since when no request is under way, ``None`` while one is."""
+        return self._since if self.connection is None else self.connection.idle_since
+
+
 class _Guard:
-    """Runs hypercorn's side of each connection and keeps its faults to that connection."""
+    """Serves each connection and keeps its faults to it."""
 
-    def __init__(self, application: AsgiApplication, config: Config, options: GuardOptions) -> None:
-        self.context = WorkerContext(None)
-        self._application = _reporting(application)
-        self._config = config
+    def __init__(self, service: HttpService, options: GuardOptions, nursery: trio.Nursery) -> None:
+        self._service = service
+        self._application = reporting(service.application)
         self._options = options
-        self._open: set[HttpConnection] = set()
+        self._nursery = nursery
+        self._open: set[_Place] = set()
+        self._stopping = False
         open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
         open_now.set_function(lambda: float(len(self._open)))
 
+    async def stop(self) -> None:
+        """End each connection after what is under way on it."""
+        self._stopping = True
+        for place in tuple(self._open):
+            connection = place.connection
+            if isinstance(connection, Http1Connection):
+                connection.stop()
+            elif connection is not None:
+                await connection.stop()
+
     async def run(self, stream: Stream) -> None:
         """Serve one connection to its end."""
         replaced = None
@@ -118,18 +163,18 @@
                 await trio.aclose_forcefully(stream)
                 return
             self._open.discard(replaced)
-        connection = HttpConnection(self._application, self._config, self.context, stream)
-        self._open.add(connection)
+        place = _Place(stream)
+        self._open.add(place)
         try:
             if replaced is not None:
                 await trio.aclose_forcefully(replaced.stream)
-            await self._serve(connection)
+            await self._serve(place)
         finally:
-            self._open.discard(connection)
+            self._open.discard(place)
 
-    def _longest_idle(self) -> HttpConnection | None:
+    def _longest_idle(self) -> _Place | None:
         """Return the connection that is idle longest, if any is."""
-        idle = [(c.idle_since, c) for c in self._open if c.idle_since is not None]
+        idle = [(each.idle_since, each) for each in self._open if each.idle_since is not None]
         return min(idle, key=lambda pair: pair[0])[1] if idle else None
 
     def _report_limit(self, stream: Stream) -> None:
@@ -139,39 +184,45 @@
         }
         write_event(self._options.limit_event, fields)
 
-    async def _serve(self, connection: HttpConnection) -> None:
-        client = client_name(connection.stream)
+    async def _serve(self, place: _Place) -> None:
         try:
-            await self._shake_hands(connection.stream)
-            await connection.run()
+            await self._serve_protocol(place)
         except* Exception as group:
-            await trio.aclose_forcefully(connection.stream)
-            fields: dict[str, object] = {"client": client, "reason": _first_reason(group)}
+            fields: dict[str, object] = {
+                "client": client_name(place.stream),
+                "reason": _first_reason(group),
+            }
+            await trio.aclose_forcefully(place.stream)
             write_event(self._options.failed_event, fields)
 
-    async def _shake_hands(self, stream: Any) -> None:
-        """Do TLS's handshake, if there is one; hypercorn would keep its failure to itself."""
+    async def _serve_protocol(self, place: _Place) -> None:
+        stream = place.stream
         if isinstance(stream, trio.SSLStream):
             with trio.fail_after(HANDSHAKE_SECONDS):
                 await stream.do_handshake()
-
-
-def _reporting(application: AsgiApplication) -> AsgiApplication:
-    """Return the application with its faults reported; hypercorn answers 500 in silence.
-
-    A connection that breaks under an answer is its client's matter, not a fault.
-    """
-
-    async def guarded(*arguments: Any) -> None:
-        try:
-            await application(*arguments)
-        except trio.BrokenResourceError:
-            return
-        except Exception as error:
-            write_event(REQUEST_FAULT, fault_fields(error))
-            raise
-
-    return guarded
+            if stream.selected_alpn_protocol() == _ALPN_HTTP_2:
+                await self._serve_http2(place, b"")
+                return
+        service = self._service
+        connection = Http1Connection(stream, service.handler, service.limits, self._nursery)
+        place.connection = connection
+        if self._stopping:
+            connection.stop()
+        preface = await connection.run()
+        if preface:
+            await self._serve_http2(place, preface)
+
+    async def _serve_http2(self, place: _Place, received: bytes) -> None:
+        # hypercorn and h2 are dear to import, and most processes never meet HTTP/2.
+        from limelever.transport.http2_connection import Http2Connection
+
+        connection = Http2Connection(
+            self._application, self._service.limits, place.stream, received
+        )
+        place.connection = connection
+        if self._stopping:
+            await connection.stop()
+        await connection.run()
 
 
 def _first_reason(group: BaseExceptionGroup[BaseException]) -> str:
--- /dev/null
+++ b/src/limelever/transport/http_limits.py
@@ -0,0 +1,28 @@
+"""Bounds of an HTTP listener's connections, whichever version their clients speak."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MAX_HEAD_BYTES = 16 * 1024
+"""Default for listeners of the system's own tools, whose clients send few headers."""
+
+BODY_SECONDS = 30.0
+"""Time a client has to send a body; a body of 64 MiB takes 5 s on a link of 100 Mbit/s."""
+
+STREAMS_PER_CONNECTION = 100
+"""Requests at a time on an HTTP/2 connection, as RFC 9113 (section 6.5.2) recommends at least."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds of a connection, in bytes and seconds.
+
+    ``idle`` covers a head that is not whole as well; ``body`` is the time for one body, and
+    ``streams`` bounds the requests at a time over HTTP/2.
+    """
+
+    idle: float
+    max_head_bytes: int = MAX_HEAD_BYTES
+    body: float = BODY_SECONDS
+    streams: int = STREAMS_PER_CONNECTION
--- /dev/null
+++ b/src/limelever/transport/http_pipeline.py
@@ -0,0 +1,119 @@
+"""The order of the requests of one HTTP/1.1 connection, sans-io (RFC 9112, section 9.3.2).
+
+Requests with safe methods that follow each other are begun at once and may end in any order;
+their answers go out in the order of the requests. Any other request begins after all before it
+have ended, and holds back those behind it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from limelever.common.http_messages import HttpAnswer, HttpRequest
+
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+"""Methods that change nothing (RFC 9110, section 9.2.1); nobody pipelines TRACE."""
+
+DEPTH_LIMIT = 64
+"""Requests of one connection that are read ahead of the oldest unanswered; chosen well above the
+eight or so that known clients send."""
+
+HELD_LIMIT_BYTES = 1 << 20
+"""Bytes of answers that wait for an earlier one; past it no further request is begun."""
+
+
+@dataclass(eq=False, slots=True)
+class Exchange:
+    """A request and, in time, its answer; ``last`` when the connection ends with the answer.
+
+    ``number`` is for whoever serves the request. ``answered_at`` (seconds) is set when the answer
+    has to wait for an earlier one.
+    """
+
+    request: HttpRequest
+    begun: bool = False
+    answer: HttpAnswer | None = None
+    last: bool = False
+    number: int = 0
+    answered_at: float = 0.0
+
+
+class Pipeline:
+    """The exchanges of one connection that have not ended, oldest first."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self._exchanges: deque[Exchange] = deque()
+        self._held_bytes = 0
+
+    @property
+    def empty(self) -> bool:
+        """Return whether no request is under way."""
+        return not self._exchanges
+
+    @property
+    def full(self) -> bool:
+        """Return whether no further request is to be read."""
+        return len(self._exchanges) >= DEPTH_LIMIT
+
+    def add(self, exchange: Exchange) -> None:
+        """Take in a request that was read whole, or one that is answered already."""
+        self._exchanges.append(exchange)
+
+    def answer(self, exchange: Exchange, answer: HttpAnswer) -> None:
+        """Take the answer of an exchange that has begun."""
+        exchange.answer = answer
+        self._held_bytes += len(answer.body)
+
+    def is_oldest(self, exchange: Exchange) -> bool:
+        """Return whether no answer goes out before this exchange's."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
+    def take_all(self) -> list[Exchange]:
+        """Drop and return all exchanges: their client has left."""
+        dropped = list(self._exchanges)
+        self._exchanges.clear()
+        return dropped
+
+    def take_ended(self, leaving: bool) -> Exchange | None:
+        """Return the oldest exchange if it has its answer, and drop it.
+
+        ``leaving`` says that the connection is to end: it does with the answer behind which
+        nothing has begun, and what was read behind it counts as never read.
+        """
+        if self.closed or not self._exchanges or self._exchanges[0].answer is None:
+            return None
+        ended = self._exchanges.popleft()
+        assert ended.answer is not None
+        self._held_bytes -= len(ended.answer.body)
+        ended.last = ended.last or (leaving and not self._any_begun())
+        if ended.last:
+            self.closed = True
+        return ended
+
+    def take_startable(self, leaving: bool) -> Exchange | None:
+        """Return a request that may begin now, marked as begun, or ``None``.
+
+        When the connection is to end, only one with nothing before it begins.
+        """
+        for position, exchange in enumerate(self._exchanges):
+            if not exchange.begun:
+                if not self._may_begin(exchange, position, leaving):
+                    return None
+                exchange.begun = True
+                return exchange
+            if exchange.request.method not in SAFE_METHODS:
+                return None
+        return None
+
+    def _may_begin(self, exchange: Exchange, position: int, leaving: bool) -> bool:
+        if self.closed or exchange.answer is not None or position >= DEPTH_LIMIT:
+            return False
+        if position == 0:
+            return True
+        safe = exchange.request.method in SAFE_METHODS
+        return safe and not leaving and self._held_bytes < HELD_LIMIT_BYTES
+
+    def _any_begun(self) -> bool:
+        return bool(self._exchanges) and self._exchanges[0].begun
--- /dev/null
+++ b/src/limelever/transport/http_requests.py
@@ -0,0 +1,175 @@
+"""Reads HTTP/1 requests from bytes, sans-io, by httptools' compiled parser.
+
+The parser runs without any of its lenient flags. What it lets through and a back end could read
+differently is refused by ``request_checks``; header fields after a body are dropped.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import httptools
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.http_headers import Headers
+from limelever.common.http_messages import HTTP_1_1, HttpRequest
+from limelever.transport.request_checks import check_request
+
+HEADER_OVERHEAD = 4
+"""Bytes of a header line besides name and value: colon, space and line end."""
+
+_EXPECT = (b"expect", b"100-continue")
+_OPTIONAL_SPACE = b" \t"
+_CODING_ERROR = "Invalid `Transfer-Encoding`"
+"""How the parser begins its word of a coding it doesn't know, in the pinned version."""
+
+
+class RequestSink(Protocol):
+    """Takes what the reader has read; a refusal ends the reading."""
+
+    def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
+        """Take a request's head; the client may wait for leave to send the body."""
+
+    def body_read(self, size: int) -> Failure | None:
+        """Take note of ``size`` more bytes of the body."""
+
+    def request_read(self, request: HttpRequest) -> None:
+        """Take a whole request."""
+
+    def refused(self, failure: Failure) -> None:
+        """Take why the request begun last, or what stands in its place, can't be read."""
+
+
+class _RefusedError(Exception):
+    """Leaves the parser from within a callback; the reason is kept by the reader."""
+
+
+def headers_size(headers: Headers) -> int:
+    """Return the bytes the headers took on the wire, as HTTP/1.1 counts them."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
+
+
+def _parser_refusal(error: httptools.HttpParserError) -> Failure:
+    if str(error).startswith(_CODING_ERROR):
+        return Failure(ErrorKind.UNKNOWN_CODING, "chunked is the only transfer coding served")
+    return Failure(ErrorKind.INVALID_REQUEST, f"this is not a request: {error}")
+
+
+class RequestReader:
+    """Reads the requests of one connection; gives each to ``sink`` as soon as it is whole.
+
+    ``ended`` is set once nothing more is read: after a refusal, or after a request that is its
+    client's last.
+    """
+
+    def __init__(self, sink: RequestSink, max_head_bytes: int) -> None:
+        self.ended = False
+        self._sink = sink
+        self._max_head_bytes = max_head_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._request: HttpRequest | None = None
+        self._in_head = False
+        self._head_bytes = 0
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._refusal: Failure | None = None
+
+    @property
+    def within_body(self) -> bool:
+        """Return whether a request's body is awaited."""
+        return self._request is not None
+
+    def feed(self, data: bytes) -> None:
+        """Read bytes of the client; they are dropped once reading has ended."""
+        if self.ended:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        refusal = self._fed(data)
+        if refusal is None and self._in_head and self._head_bytes > self._max_head_bytes:
+            refusal = self._too_long()
+        if refusal is not None:
+            self.refuse(refusal)
+
+    def refuse(self, failure: Failure) -> None:
+        """End the reading and tell why."""
+        self.ended = True
+        self._request = None
+        self._body.clear()
+        self._sink.refused(failure)
+
+    def _fed(self, data: bytes) -> Failure | None:
+        while data and not self.ended:
+            try:
+                self._parser.feed_data(data)
+                return None
+            except httptools.HttpParserUpgrade as upgrade:
+                # No other protocol is offered: what follows is the next request.
+                data = data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as error:
+                if self.ended:
+                    return None
+                if self._refusal is not None:
+                    return self._refusal
+                return _parser_refusal(error)
+        return None
+
+    def _too_long(self) -> Failure:
+        reason = f"headers are over {self._max_head_bytes} bytes"
+        return Failure(ErrorKind.HEADERS_TOO_LARGE, reason)
+
+    def _refuse_within(self, failure: Failure) -> None:
+        self._refusal = failure
+        raise _RefusedError
+
+    # --- the parser's callbacks; their names are httptools' ------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._in_head = True
+        self._head_bytes = 0
+        self._target = b""
+        self._headers = []
+
+    def on_url(self, part: bytes) -> None:
+        """Take a part of the target."""
+        self._target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field; those behind the body are dropped."""
+        if self._in_head:
+            self._headers.append((name.lower(), value.rstrip(_OPTIONAL_SPACE)))
+
+    def on_headers_complete(self) -> None:
+        """Give the head to the sink."""
+        self._in_head = False
+        parser = self._parser
+        headers = tuple(self._headers)
+        if headers_size(headers) + len(self._target) > self._max_head_bytes:
+            self._refuse_within(self._too_long())
+        request = HttpRequest(parser.get_method(), self._target, parser.get_http_version(), headers)
+        request.keep_alive = parser.should_keep_alive() and request.version == HTTP_1_1
+        awaits_continue = _EXPECT in headers and request.version == HTTP_1_1
+        failure = check_request(request) or self._sink.head_read(request, awaits_continue)
+        if failure is not None:
+            self._refuse_within(failure)
+        self._request = request
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        failure = self._sink.body_read(len(part))
+        if failure is not None:
+            self._refuse_within(failure)
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Give the whole request to the sink."""
+        request = self._request
+        assert request is not None
+        self._request = None
+        request.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        self._body.clear()
+        self.ended = not request.keep_alive
+        self._sink.request_read(request)
--- a/src/limelever/transport/metrics.py
+++ b/src/limelever/transport/metrics.py
@@ -8,6 +8,7 @@
     CollectorRegistry,
     Counter,
     Gauge,
+    Histogram,
     ProcessCollector,
     disable_created_metrics,
     generate_latest,
@@ -38,6 +39,12 @@
     ("listener",),
     registry=REGISTRY,
 )
+HTTP_IN_ORDER_SECONDS = Histogram(
+    "limelever_http_in_order_seconds",
+    "Seconds for which ready answers waited for earlier ones of their connection",
+    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
+    registry=REGISTRY,
+)
 EVENTS = Counter("limelever_events", "Log events by their number", ("code",), registry=REGISTRY)
 READY = Gauge("limelever_ready", "1 when the process serves, as /readyz says", registry=REGISTRY)
 CONFIGURATION_VERSION = Gauge(
