Talk to back ends by httptools, and pass on answers that come before a long request was read

Cause: httpcore over h11 took about half of an agent's processor time a call and 3 MB of a node's memory; a back end that answers before it has read a long body was heard only after all was sent.

Change: a sans-io answer reader over httptools' parser; the client sends in one system call where the system takes it, and reads beside the sending where not. An answer without a length that ends with a reset, other codings, a second answer and bytes behind one are told apart in a table of raw answers. Sockets are waited for before they are read, which spares a system call a message. The relay imports its HTTP client only where a list of machines is configured, so that no process of the platform has httpcore, h11 or hypercorn in its memory; the imports' table holds them to it.

--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -44,3 +44,34 @@
     Given a queue full with calls of 880 ms on route long, with 4 more waiting, after short calls of 55 ms
     When a call on route short with 200 ms to its target and 600 ms to its deadline is offered
     Then it is queued, and starts before the calls of route long
+
+  Scenario Outline: Which bytes are a whole answer, and whether their connection may go on
+    When a back end answers a <method> with <bytes>
+    Then the answer <is>, and its connection <goes on>
+
+    Examples:
+      | method | bytes                                       | is            | goes on        |
+      | GET    | a length and the body                       | is whole      | may be kept    |
+      | GET    | chunks                                      | is whole      | may be kept    |
+      | GET    | chunks with a field behind them             | is whole      | may be kept    |
+      | GET    | a length, the body and more                 | is whole      | is given up    |
+      | GET    | a whole answer twice                        | is whole      | is given up    |
+      | GET    | a length, the body and word of its close    | is whole      | is given up    |
+      | GET    | the version 1.0                             | is whole      | is given up    |
+      | GET    | no length, ended by a close                 | is whole      | is given up    |
+      | GET    | no length, ended by a reset                 | is none       | is given up    |
+      | GET    | half of the body, ended by a close          | is none       | is given up    |
+      | GET    | half of the head, ended by a close          | is none       | is given up    |
+      | GET    | half of a chunk, ended by a close           | is none       | is given up    |
+      | GET    | a body over the limit                       | is none       | is given up    |
+      | GET    | two lengths                                 | is none       | is given up    |
+      | GET    | a coding that is not known                  | is none       | is given up    |
+      | GET    | bytes that are not HTTP                     | is none       | is given up    |
+      | GET    | another protocol                            | is none       | is given up    |
+      | GET    | word to go on and then the answer           | is whole      | may be kept    |
+      | GET    | no content                                  | is whole      | may be kept    |
+      | HEAD   | a length and no body                        | is whole      | is given up    |
+
+  Scenario: An answer that comes before the request was read is passed on at once
+    When an attempt sends 8 MiB to a back end that answers first and reads nothing
+    Then the attempt is answered with 200
--- a/features/settings/process_imports.feature
+++ b/features/settings/process_imports.feature
@@ -9,9 +9,9 @@
 
     Examples:
       | role   | modules                                                                                                                        |
-      | agent  | hypercorn, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.proxy, limelever.publisher, limelever.keeper, limelever.protocol.operators_pb2 |
-      | proxy  | httpcore, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
-      | relay  | hypercorn, wsproto, zstandard, limelever.source, limelever.proxy, limelever.agent, limelever.keeper, limelever.protocol.operators_pb2 |
+      | agent  | hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.proxy, limelever.publisher, limelever.keeper, limelever.protocol.operators_pb2 |
+      | proxy  | hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
+      | relay  | hypercorn, httpcore, wsproto, zstandard, limelever.source, limelever.proxy, limelever.agent, limelever.keeper, limelever.protocol.operators_pb2 |
       | source | httpcore, zstandard, limelever.relay, limelever.proxy, limelever.agent                                                          |
 
   Scenario Outline: Modules that a process of the platform must not import
@@ -20,5 +20,5 @@
 
     Examples:
       | role    | modules                                                           |
-      | node    | limelever.control, limelever.relay, limelever.source              |
-      | control | limelever.agent, limelever.node, limelever.proxy                  |
+      | node    | hypercorn, h11, h2, httpcore, wsproto, limelever.control, limelever.relay, limelever.source              |
+      | control | httpcore, limelever.agent, limelever.node, limelever.proxy                  |
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -7,6 +7,7 @@
 import trio
 from behave import given, then, when
 
+from limelever.agent.answer_reader import AnswerReader
 from limelever.agent.backend import Backend
 from limelever.agent.fair_queue import FairQueue, QueueLimits
 from limelever.agent.group_queue import GroupQueue, QueuedCall
@@ -196,3 +197,78 @@
     started = context.queue.start_next(now)
     assert started is not None
     assert started.group == context.short, started
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"content-length: 2\r\n\r\nok"
+CHUNKS = OK + b"transfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n"
+RAW_ANSWERS = {
+    "a length and the body": WHOLE,
+    "chunks": CHUNKS + b"0\r\n\r\n",
+    "chunks with a field behind them": CHUNKS + b"0\r\nx-behind: 9\r\n\r\n",
+    "a length, the body and more": WHOLE + b"more",
+    "a whole answer twice": WHOLE + WHOLE,
+    "a length, the body and word of its close": OK
+    + b"connection: close\r\ncontent-length: 2\r\n\r\nok",
+    "the version 1.0": b"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    "no length": OK + b"x: y\r\n\r\nok",
+    "half of the body": OK + b"content-length: 4\r\n\r\nok",
+    "half of the head": OK + b"content-len",
+    "half of a chunk": CHUNKS + b"5\r\nab",
+    "a body over the limit": OK + b"content-length: 200\r\n\r\n" + bytes(200),
+    "two lengths": OK + b"content-length: 2\r\ncontent-length: 3\r\n\r\nok",
+    "a coding that is not known": OK + b"transfer-encoding: gzip\r\n\r\nok",
+    "bytes that are not HTTP": b"\x00\x01\x02 nothing",
+    "another protocol": b"HTTP/1.1 101 Ok\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+    "word to go on and then the answer": b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE,
+    "no content": b"HTTP/1.1 204 Nothing\r\n\r\n",
+    "a length and no body": OK + b"content-length: 2\r\n\r\n",
+}
+LIMIT_BYTES = 100
+
+
+@when("a back end answers a {method:w} with {raw}")
+def when_raw_answer(context, method, raw):
+    name, _, end = raw.partition(", ended by a ")
+    context.reader = AnswerReader(method.encode(), LIMIT_BYTES)
+    context.reader.feed(RAW_ANSWERS[name])
+    if end == "close":
+        context.reader.closed()
+    elif end == "reset":
+        context.reader.broken("reset")
+
+
+@then("the answer {is_whole}, and its connection {goes_on}")
+def then_reader(context, is_whole, goes_on):
+    reader = context.reader
+    assert (reader.answer is not None) is (is_whole == "is whole"), reader.failure
+    assert (reader.failure is None) is (is_whole == "is whole"), reader.failure
+    assert reader.reusable is (goes_on == "may be kept")
+    if reader.answer is not None:
+        assert reader.answer.body in (b"ok", b""), reader.answer
+
+
+async def answer_before_reading(stream):
+    await stream.send_all(WHOLE.replace(b"\r\n\r\n", b"\r\nx-id: one\r\n\r\n"))
+    await trio.sleep_forever()
+
+
+async def send_large(size):
+    events = []
+    with trio.fail_after(PATIENCE):
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer_before_reading, 0)
+            port = listeners[0].socket.getsockname()[1]
+            settings = BackendSettings(address=Address("127.0.0.1", port))
+            backend = Backend(settings, nursery, events.append, NAMES)
+            headers = ((b"host", b"h"), (b"x-id", b"one"))
+            backend.start(StartAttempt(1, "s", b"POST", b"/", headers, bytes(size), 60.0))
+            while not events:
+                await trio.sleep(0.005)
+            nursery.cancel_scope.cancel()
+    return events
+
+
+@when("an attempt sends {size:d} MiB to a back end that answers first and reads nothing")
+def when_early_answer(context, size):
+    context.events = trio.run(send_large, size << 20)
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -5,27 +5,25 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import httpcore
 import trio
 
 from limelever.agent.answer_checks import is_of_request, refusal_of, unfounded_promise
+from limelever.agent.answer_reader import AnswerReader
 from limelever.agent.connections import BackendConnection, BackendConnections, keep_alive_seconds
-from limelever.agent.headers import request_headers
+from limelever.agent.headers import encode_request, request_headers
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
+from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event
+from limelever.transport.streams import reason_of, receive, send_without_waiting
 
 _MILLISECONDS = 1000
 DEFAULT_NAMES = HeaderNames()
-_CLIENT_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.UnsupportedProtocol,
-    OSError,
-)
+_GET = b"GET"
+_RECEIVE_BYTES = 1 << 16
+_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 @dataclass(slots=True)
@@ -81,15 +79,12 @@
             connection = await self._connections.acquire()
             if isinstance(connection, Failure):
                 return False
-            request = self._request(path.encode(), b"GET", [(b"host", self._host)], b"")
+            request = encode_request(_GET, path.encode(), [(b"host", self._host)], b"")
             try:
-                answer = await connection.http.handle_async_request(request)
-                await self._read(answer)
-            except _CLIENT_ERRORS:
-                return False
+                answer = await self._converse(connection, _GET, request)
             finally:
                 self._connections.release(connection)
-            return bool(200 <= answer.status < 300)
+            return not isinstance(answer, Failure) and 200 <= answer.status < 300
         return False
 
     def close(self) -> None:
@@ -112,9 +107,6 @@
         attempt.sent_any_byte = True
         try:
             return await self._exchange(output, connection, _left_ms(attempt))
-        except _CLIENT_ERRORS as error:
-            failure = Failure(ErrorKind.BACKEND_FAILED, str(error) or type(error).__name__)
-            return AttemptFailed(output.attempt, failure, sent_any_byte=True)
         finally:
             self._connections.release(connection)
 
@@ -124,13 +116,37 @@
         headers = request_headers(
             output.headers, self._host, output.body, left_ms, self._names, self._instance
         )
-        request = self._request(output.target, output.method, headers, output.body)
-        answer = await connection.http.handle_async_request(request)
-        body = await self._read(answer)
-        if isinstance(body, Failure):
-            return AttemptFailed(output.attempt, body, sent_any_byte=True)
+        request = encode_request(output.method, output.target, headers, output.body)
+        answer = await self._converse(connection, output.method, request)
+        if isinstance(answer, Failure):
+            return AttemptFailed(output.attempt, answer, sent_any_byte=True)
         connection.keep = min(connection.keep, keep_alive_seconds(answer.headers))
-        return self._judged(output, connection, answer.status, end_to_end(answer.headers), body)
+        headers_kept = end_to_end(answer.headers)
+        return self._judged(output, connection, answer.status, headers_kept, answer.body)
+
+    async def _converse(
+        self, connection: BackendConnection, method: bytes, request: bytes
+    ) -> HttpAnswer | Failure:
+        """Send a request and return its whole answer.
+
+        An answer may come before a long request is sent whole; the connection is given up then.
+        """
+        reader = AnswerReader(method, self._settings.max_response_bytes)
+        rest = request[send_without_waiting(connection.stream, request) :]
+        if not rest:
+            await _read_answer(connection, reader)
+            connection.reusable = reader.reusable
+        else:
+            async with trio.open_nursery() as nursery:
+                sent = trio.Event()
+                nursery.start_soon(_send_rest, connection, rest, sent)
+                await _read_answer(connection, reader)
+                connection.reusable = reader.reusable and sent.is_set()
+                nursery.cancel_scope.cancel()
+        if reader.answer is not None:
+            return reader.answer
+        assert reader.failure is not None
+        return reader.failure
 
     def _judged(
         self,
@@ -142,7 +158,7 @@
     ) -> Event:
         """Return what a whole answer means for the attempt."""
         if not is_of_request(output.headers, headers, self._names):
-            connection.sound = False
+            connection.reusable = False
             failure = Failure(ErrorKind.BACKEND_FAILED, "the answer belongs to another request")
             return AttemptFailed(output.attempt, failure, sent_any_byte=True)
         refusal = refusal_of(status, headers, self._names)
@@ -153,25 +169,27 @@
             return AttemptFailed(output.attempt, unfounded, sent_any_byte=True)
         return AttemptAnswered(output.attempt, status, headers, body)
 
-    async def _read(self, answer: httpcore.Response) -> bytes | Failure:
-        """Return the whole body; only then may the connection carry another request."""
-        body = bytearray()
-        limit = self._settings.max_response_bytes
-        async for part in answer.aiter_stream():
-            body += part
-            if len(body) > limit:
-                return Failure(ErrorKind.BACKEND_FAILED, f"answer over {limit} bytes")
-        await answer.aclose()
-        return bytes(body)
-
-    def _request(
-        self, target: bytes, method: bytes, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> httpcore.Request:
-        address = self._settings.address
-        url = httpcore.URL(
-            scheme=b"http", host=address.host.encode(), port=address.port, target=target
-        )
-        return httpcore.Request(method, url, headers=headers, content=body)
+
+async def _read_answer(connection: BackendConnection, reader: AnswerReader) -> None:
+    while not reader.ended:
+        try:
+            data = await receive(connection.stream, _RECEIVE_BYTES)
+        except _BROKEN as error:
+            reader.broken(reason_of(error))
+            return
+        if data:
+            reader.feed(data)
+        else:
+            reader.closed()
+
+
+async def _send_rest(connection: BackendConnection, rest: bytes, sent: trio.Event) -> None:
+    """Send the rest of a request; a break is left to the reader, an answer may have come first."""
+    try:
+        await connection.stream.send_all(rest)
+    except _BROKEN:
+        return
+    sent.set()
 
 
 def _left_ms(attempt: _Attempt) -> int:
--- a/src/limelever/agent/connections.py
+++ b/src/limelever/agent/connections.py
@@ -1,8 +1,4 @@
-"""Kept connections to the back end, the last one used first.
-
-httpcore's own pool looks at every connection and every waiting request for each request; its
-time grows with the square of their number. Here a request takes the newest idle connection.
-"""
+"""Kept connections to the back end, the last one used first."""
 
 from __future__ import annotations
 
@@ -10,10 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import httpcore
 import trio
 
-from limelever.agent.backend_stream import BackendStream
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.settings import seconds
@@ -26,16 +20,23 @@
 
 @dataclass(slots=True)
 class BackendConnection:
-    """An HTTP/1.1 connection and the stream under it.
+    """An HTTP/1.1 connection.
 
-    ``keep`` is for how many seconds it may be idle, ``sound`` whether all that came on it belongs
-    to its requests.
+    ``keep`` is for how many seconds it may be idle. ``reusable`` says that its last request was
+    sent whole and answered whole, and that nothing else has come on it.
     """
 
-    http: httpcore.AsyncHTTP11Connection
-    stream: BackendStream
+    stream: trio.SocketStream
     keep: float
-    sound: bool = True
+    reusable: bool = False
+
+    def close(self) -> None:
+        """Close at once; what was not sent is dropped."""
+        self.stream.socket.close()
+
+    def has_expired(self) -> bool:
+        """Return whether something came while the connection was idle: its end, as a rule."""
+        return self.stream.socket.is_readable()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,14 +55,9 @@
     def __init__(self, settings: BackendSettings) -> None:
         self._settings = settings
         self._keep = seconds(settings.keepalive_ms)
-        self._origin = httpcore.Origin(b"http", settings.address.host.encode(), self._port)
         self._room = trio.Semaphore(settings.connections)
         self._idle: list[_Idle] = []
 
-    @property
-    def _port(self) -> int:
-        return self._settings.address.port
-
     async def acquire(self) -> BackendConnection | Failure:
         """Return a connection for one request; ``BACKEND_FAILED`` when none can be opened.
 
@@ -87,37 +83,37 @@
         self._room.release()
         now = trio.current_time()
         while self._idle and self._idle[0].is_over(now):
-            self._idle.pop(0).connection.stream.close()
-        if connection.http.is_idle() and connection.sound:
+            self._idle.pop(0).connection.close()
+        if connection.reusable:
             self._idle.append(_Idle(connection, now))
         else:
-            connection.stream.close()
+            connection.close()
 
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            self._idle.pop().connection.stream.close()
+            self._idle.pop().connection.close()
 
     def _take_idle(self) -> BackendConnection | None:
         """Return the newest idle connection that the back end has not closed."""
         now = trio.current_time()
         while self._idle:
             idle = self._idle.pop()
-            if not idle.is_over(now) and not idle.connection.http.has_expired():
+            if not idle.is_over(now) and not idle.connection.has_expired():
+                idle.connection.reusable = False
                 return idle.connection
-            idle.connection.stream.close()
+            idle.connection.close()
         return None
 
     async def _open(self) -> BackendConnection | Failure:
+        address = self._settings.address
         try:
             with trio.fail_after(seconds(self._settings.connect_timeout_ms)):
-                tcp = await trio.open_tcp_stream(self._settings.address.host, self._port)
+                stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as error:
             reason = str(error) or "timed out"
             return Failure(ErrorKind.BACKEND_FAILED, f"connection did not open: {reason}")
-        stream = BackendStream(tcp)
-        http = httpcore.AsyncHTTP11Connection(self._origin, stream)
-        return BackendConnection(http, stream, self._keep)
+        return BackendConnection(stream, self._keep)
 
 
 def keep_alive_seconds(headers: Iterable[tuple[bytes, bytes]]) -> float:
--- a/src/limelever/agent/headers.py
+++ b/src/limelever/agent/headers.py
@@ -30,3 +30,13 @@
         kept.append((names.target_instance, instance))
     kept.append((names.timeout, str(left_ms).encode()))
     return kept
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    """Return a request's bytes; ``headers`` state the length of its body."""
+    parts = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+    parts += [b"%b: %b\r\n" % header for header in headers]
+    parts += [b"\r\n", body]
+    return b"".join(parts)
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -18,7 +18,6 @@
 from limelever.relay.endpoint_table import TableSettings
 from limelever.relay.endpoints import EndpointsSettings
 from limelever.relay.interface import PlatformListRead, RelayReady, StopRequested
-from limelever.relay.platform_list import poll_machines
 from limelever.relay.sealing import SnapshotSealer
 from limelever.relay.settings import RelaySettings
 from limelever.storage.folder import FolderDisk, open_folder
@@ -144,6 +143,9 @@
     platform = settings.platform_list
     if platform.address is None:
         return
+    # An HTTP client is dear to import, and few sites have such a list.
+    from limelever.relay.platform_list import poll_machines
+
     nursery.start_soon(
         poll_machines,
         platform.address,
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -23,7 +23,7 @@
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
 from limelever.transport.send_limits import time_to_send
-from limelever.transport.streams import send_without_waiting
+from limelever.transport.streams import receive, send_without_waiting
 
 LINGER_SECONDS = 1.0
 """How long a client has to close after its last answer: a reset would destroy the answer."""
@@ -199,7 +199,7 @@
     async def _receive(self) -> bytes:
         """Return received bytes, empty once the client has left."""
         try:
-            return bytes(await self.stream.receive_some(_RECEIVE_BYTES))
+            return await receive(self.stream, _RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
@@ -366,5 +366,5 @@
         if not self._pipeline.closed:
             return
         with trio.move_on_after(LINGER_SECONDS):
-            while await self.stream.receive_some(_RECEIVE_BYTES):
+            while await receive(self.stream, _RECEIVE_BYTES):
                 pass
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -14,7 +14,12 @@
 from limelever.common.settings import LinkSettings, seconds
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
 from limelever.transport.metrics import LINK_BYTES, LINK_FRAMES, LINKS_OPEN
-from limelever.transport.streams import detect_dead_machine, reason_of, send_without_waiting
+from limelever.transport.streams import (
+    detect_dead_machine,
+    reason_of,
+    receive,
+    send_without_waiting,
+)
 
 PROTOCOL_VERSION = 1
 HELLO_LIMIT_BYTES = 16 * 1024
@@ -125,7 +130,7 @@
             message = self.receive_nowait()
             if message is not None:
                 return message
-            data = await self._stream.receive_some(_RECEIVE_CHUNK)
+            data = await receive(self._stream, _RECEIVE_CHUNK)
             if not data:
                 return None
             self._bytes_in.inc(len(data))
--- a/src/limelever/transport/streams.py
+++ b/src/limelever/transport/streams.py
@@ -43,6 +43,27 @@
         return 0
 
 
+async def receive(stream: trio.abc.ReceiveStream, size: int) -> bytes:
+    """Return received bytes, ``size`` at most, empty at the end.
+
+    Raises what trio's streams raise. On a plain socket it first waits until there is something:
+    trio tries at once, which costs a system call where bytes are hardly ever there already.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return bytes(await stream.receive_some(size))
+    while True:
+        descriptor = stream.socket.fileno()
+        if descriptor < 0:
+            raise trio.ClosedResourceError("this stream was closed")
+        await trio.lowlevel.wait_readable(descriptor)
+        try:
+            return os.read(descriptor, size)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+
 def reason_of(error: BaseException) -> str:
     """Return why a stream broke; trio keeps TLS's own words in the cause."""
     cause = error.__cause__
