Expect a call's wait with what more urgent calls take meanwhile

The estimate counted the calls before it in the queue, but not the lookups that come while it waits and are started first; they hold some 4 of 12 slots.

Change: the wait is reckoned with the slots that more urgent calls leave on average, which the queue knows already.

--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -45,6 +45,11 @@
     When a call on route short with 200 ms to its target and 600 ms to its deadline is offered
     Then it is queued, and starts before the calls of route long
 
+  Scenario: A wait is expected with what more urgent calls take meanwhile
+    Given a queue of 12 slots where calls of 20 ms that are more urgent hold 6 slots on average
+    When calls of 150 ms with 500 ms to their target keep coming
+    Then those that are taken start within 225 ms
+
   Scenario Outline: Which bytes are a whole answer, and whether their connection may go on
     When a back end answers a <method> with <bytes>
     Then the answer <is>, and its connection <goes on>
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -15,7 +15,7 @@
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.agent.wait_estimate import WaitEstimate
-from limelever.common.errors import ErrorKind
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames
 from limelever.common.sansio import Address
 from limelever.protocol.priorities import priority_group
@@ -154,8 +154,9 @@
     for _ in range(50):
         context.estimate.observe("common", context.usual)
     call = QueuedCall(99, "asked", deadline / 1000.0, 0, 0.0, target / 1000.0)
-    refused = context.estimate.is_too_long(group, call, 0.0, 0.0)
-    assert refused is (fate == "refused"), context.estimate.wait(group, 0.0)
+    wait = context.estimate.wait(group, 0.0)
+    refused = context.estimate.is_too_long(group, call, 0.0, wait)
+    assert refused is (fate == "refused"), wait
 
 
 @given(
@@ -199,6 +200,64 @@
     assert started.group == context.short, started
 
 
+class UrgentLoad:
+    """Plays a queue in steps of a millisecond, with urgent calls that come evenly."""
+
+    def __init__(self, slots, urgent_ms, urgent_slots):
+        self.queue = FairQueue(QueueLimits(slots=slots))
+        self.urgent_ms, self.gap = urgent_ms, urgent_ms / urgent_slots
+        self.urgent, self.less = priority_group(0, "urgent"), priority_group(1, "less")
+        self.running = []
+        self.service = {}
+        self.arrived = {}
+        self.waits = []
+        self.due = 0.0
+
+    def offer(self, group, service_ms, target, now):
+        number = len(self.service)
+        self.service[number] = service_ms
+        call = QueuedCall(number, group, now + 5.0, 0, now, now + target)
+        if not isinstance(self.queue.offer(call, now), Failure) and group == self.less:
+            self.arrived[number] = now
+
+    def play(self, seconds, less_every_ms, less_ms, target):
+        for millisecond in range(int(seconds * 1000)):
+            now = millisecond / 1000.0
+            for end, number in [each for each in self.running if each[0] <= now]:
+                self.running.remove((end, number))
+                self.queue.finish(number, now, representative=True)
+            if millisecond >= self.due:
+                self.due += self.gap
+                self.offer(self.urgent, self.urgent_ms, 1.0, now)
+            if millisecond % less_every_ms == 0:
+                self.offer(self.less, less_ms, target, now)
+            while (started := self.queue.start_next(now)) is not None:
+                self.running.append((now + self.service[started.call] / 1000.0, started.call))
+                if started.call in self.arrived:
+                    self.waits.append(now - self.arrived[started.call])
+
+
+@given(
+    "a queue of {slots:d} slots where calls of {service:d} ms that are more urgent hold {held:d} "
+    "slots on average"
+)
+def given_urgent_load(context, slots, service, held):
+    context.load = UrgentLoad(slots, service, held)
+
+
+@when("calls of {service:d} ms with {target:d} ms to their target keep coming")
+def when_less_urgent(context, service, target):
+    context.load.play(8.0, less_every_ms=12, less_ms=service, target=target / 1000.0)
+
+
+@then("those that are taken start within {most:d} ms")
+def then_start_within(context, most):
+    waits = sorted(context.load.waits[len(context.load.waits) // 2 :])
+    assert len(waits) > 50, waits
+    late = waits[len(waits) * 9 // 10]
+    assert late * 1000 <= most, late
+
+
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"content-length: 2\r\n\r\nok"
 CHUNKS = OK + b"transfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n"
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -258,7 +258,7 @@
         return outputs
 
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
-        return replace(failure, retry_after=self._queue.advice(call.start.group))
+        return replace(failure, retry_after=self._queue.advice(call.start.group, self._now))
 
     def _first_credit(self, connection: ConnectionId, start: CallStart) -> list[Output]:
         credit = CallCredit(stream=start.stream, bytes=FIRST_CREDIT_BYTES)
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -96,7 +96,7 @@
         group = self._groups.open(call.group, self._virtual_time)
         failure = self._refusal(group, call, now)
         if failure is None:
-            evictions = self._make_room(group, call.size)
+            evictions = self._make_room(group, call.size, now)
             if not isinstance(evictions, Failure):
                 self._append(group, call)
                 return evictions
@@ -185,9 +185,11 @@
                 self.remove(group.oldest.call)
         return tuple(hopeless)
 
-    def advice(self, name: str) -> float:
+    def advice(self, name: str, now: float) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
-        return self._estimate.advice(name, self._virtual_time)
+        group = self._groups.find(name)
+        wait = 0.0 if group is None else self._wait(group, now)
+        return max(wait, MINIMUM_RETRY_AFTER)
 
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call, or when one may take a free slot."""
@@ -201,11 +203,11 @@
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
         if self._starts_at_once(group, now):
             return None
-        wait = self._wait(group)
+        wait = self._wait(group, now)
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", wait)
         service_time = self._estimate.service_time(group)
-        if self._estimate.is_too_long(group, call, now, self._virtual_time):
+        if self._estimate.is_too_long(group, call, now, wait):
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
@@ -225,20 +227,22 @@
     def _may_start_at(self, group: GroupQueue, free: int, now: float) -> float:
         return self._slot_use.room_at(priority_of(group.name), free, now)
 
-    def _make_room(self, group: GroupQueue, size: int) -> Failure | tuple[Eviction, ...]:
+    def _make_room(
+        self, group: GroupQueue, size: int, now: float
+    ) -> Failure | tuple[Eviction, ...]:
         limit = self._limits.total_bytes
         if self._queued_bytes + size <= limit:
             return ()
         if group.queued_bytes + size > self._byte_part(group):
             return self._share_failure(
-                group, "the group's part of the queue's bytes is full", self._wait(group)
+                group, "the group's part of the queue's bytes is full", self._wait(group, now)
             )
         evictions: list[Eviction] = []
         while self._queued_bytes + size > limit:
-            evictions.append(self._evict())
+            evictions.append(self._evict(now))
         return tuple(evictions)
 
-    def _evict(self) -> Eviction:
+    def _evict(self, now: float) -> Eviction:
         victim = max(
             (group for group in self._groups if group.calls),
             key=lambda group: (
@@ -247,7 +251,7 @@
             ),
         )
         failure = self._share_failure(
-            victim, "gave way to a group below its share", self._wait(victim)
+            victim, "gave way to a group below its share", self._wait(victim, now)
         )
         call = victim.pop_newest()
         self._dequeued(call)
@@ -270,8 +274,9 @@
         self._queued_bytes -= call.size
         self._deadlines.remove(call.call)
 
-    def _wait(self, group: GroupQueue) -> float:
-        return self._estimate.wait(group, self._virtual_time)
+    def _wait(self, group: GroupQueue, now: float) -> float:
+        urgent = self._slot_use.held_by_more_urgent(priority_of(group.name), now)
+        return self._estimate.wait(group, self._virtual_time, urgent)
 
     def _restart_virtual_time_when_idle(self) -> None:
         if not self._running and not self._group_of:
--- a/src/limelever/agent/slot_use.py
+++ b/src/limelever/agent/slot_use.py
@@ -54,6 +54,12 @@
         if priority is not None:
             self._by_priority[priority].change(-1, now)
 
+    def held_by_more_urgent(self, priority: int | None, now: float) -> float:
+        """Return how many slots more urgent calls have held of late, on average."""
+        if priority is None:
+            return 0.0
+        return sum(h.average_at(now) for other, h in self._by_priority.items() if other < priority)
+
     def room_at(self, priority: int | None, free: int, now: float) -> float:
         """Return from when on a call may take one of ``free`` slots; ``now`` if it may at once.
 
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -40,6 +40,9 @@
 LONGEST_WAIT_PART_OF_SHORT_CALLS = 0.9
 """Part of its spare time that a short call may be expected to wait."""
 
+LEAST_SLOTS = 1.0
+"""Slots that are counted on for any call, however many more urgent calls hold: see ``slot_use``."""
+
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
@@ -79,11 +82,12 @@
         """Return the slot time to charge for a call of the group when it starts."""
         return max(self.service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
 
-    def wait(self, group: GroupQueue, virtual_time: float) -> float:
+    def wait(self, group: GroupQueue, virtual_time: float, urgent_slots: float = 0.0) -> float:
         """Return how long a further call of the group would wait for a slot.
 
         That is the slot time of the calls which fair queueing starts before it, and the time until
-        the next of the running calls ends.
+        the next of the running calls ends. ``urgent_slots`` is how many slots more urgent calls
+        hold on average: those that come while it waits are started before it.
         """
         step = self.charge(group) / group.weight
         start = max(group.tag, virtual_time) + len(group.calls) * step
@@ -91,7 +95,8 @@
         for other in self._groups:
             if other is not group and other.calls:
                 work += self._started_before(other, start) * self.service_time(other)
-        return (work + self._until_one_ends()) / self._slots
+        slots = max(self._slots - urgent_slots, LEAST_SLOTS)
+        return (work + self._until_one_ends()) / slots
 
     def _started_before(self, other: GroupQueue, start: float) -> int:
         """Return how many queued calls of a group have a tag before ``start``."""
@@ -106,11 +111,8 @@
         held = sum(group.running * self.service_time(group) for group in self._groups)
         return held / running
 
-    def is_too_long(
-        self, group: GroupQueue, call: QueuedCall, now: float, virtual_time: float
-    ) -> bool:
-        """Return whether a call that would have to wait is better refused at once."""
-        wait = self.wait(group, virtual_time)
+    def is_too_long(self, group: GroupQueue, call: QueuedCall, now: float, wait: float) -> bool:
+        """Return whether a call that would wait for ``wait`` seconds is better refused at once."""
         service_time = self.service_time(group)
         finished = now + service_time
         if service_time < self.overall * SHORT_CALL_PART:
@@ -127,9 +129,3 @@
         """
         waited = now > call.arrived_at
         return waited and now + self.service_time(group) > call.deadline
-
-    def advice(self, name: str, virtual_time: float) -> float:
-        """Return after how many seconds a refused caller of a group may find room."""
-        group = self._groups.find(name)
-        wait = 0.0 if group is None else self.wait(group, virtual_time)
-        return max(wait, MINIMUM_RETRY_AFTER)
