Count a call's target from its caller's first request, and leave the queue to the fresh

Hypothesis: under overload half of the calls that take a slot belong to callers that were refused before. Their answers are late whatever happens, and each takes the place of a fresh call that could be answered in time.

Change: a proxy learns what time the callers of a route usually name; one that names less has waited for the difference, and its target is that much nearer. A call past its target waits for a slot for a quarter of a service time at most. Where callers name times of all sizes nothing is concluded.

--- a/features/proxy/overload.feature
+++ b/features/proxy/overload.feature
@@ -49,3 +49,27 @@
     And each group of the mesh bench offers 80 calls a second to zones "ab" for 20 seconds
     Then the mesh bench refuses nothing
     And the slow agent of the mesh bench got less than 10 percent of the calls
+
+  Scenario Outline: Who names less time than is usual has waited for the difference
+    Given callers of a route of whom <usual> in 100 name 2500 ms, and the others any time below
+    When a caller names <named> ms
+    Then it is taken to have waited for <waited> ms
+
+    Examples:
+      | usual | named | waited |
+      | 100   | 2500  | 0      |
+      | 100   | 1900  | 600    |
+      | 50    | 1900  | 600    |
+      | 50    | 4000  | 0      |
+      | 5     | 1900  | 0      |
+
+  Scenario: What is usual follows the callers
+    Given callers of a route of whom 100 in 100 name 2500 ms, and the others any time below
+    When 1500 callers name 1000 ms
+    And a caller names 900 ms
+    Then it is taken to have waited for 100 ms
+
+  Scenario: A caller that comes back leaves the queue to the fresh
+    Given a queue full of calls of 100 ms, in which a fresh call would have to wait for 60 ms
+    Then a call whose target is 300 ms away is taken
+    And a call whose target is past is refused
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -31,6 +31,12 @@
 A call that would be late takes a slot from one that would not.
 """
 
+LONGEST_WAIT_OF_LATE_CALLS = 0.25
+"""Part of the usual service time for which a call may wait that is past its target anyway.
+
+It takes the room that calls leave which can still be answered in time.
+"""
+
 SHORT_CALL_PART = 0.5
 """Part of the usual service time below which a call counts as short.
 
@@ -40,12 +46,12 @@
 LONGEST_WAIT_PART_OF_SHORT_CALLS = 0.9
 """Part of its spare time that a short call may be expected to wait."""
 
-LEAST_SLOTS = 1.0
-"""Slots that are counted on for any call, however many more urgent calls hold: see ``slot_use``."""
-
 MINIMUM_RETRY_AFTER = 0.1
 """Least advice in seconds to a refused caller."""
 
+LEAST_SLOTS = 1.0
+"""Slots that are counted on for any call, however many more urgent calls hold: see ``slot_use``."""
+
 
 class WaitEstimate:
     """Estimates for one back end; all times in seconds.
@@ -119,6 +125,8 @@
             return wait > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
         longest = (call.deadline - finished) * LONGEST_WAIT_PART
         in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
+        if in_target <= 0:
+            in_target = service_time * LONGEST_WAIT_OF_LATE_CALLS
         return wait > min(longest, in_target)
 
     def is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -58,7 +58,8 @@
 class Call:
     """One call from its admission to its final answer; times in seconds.
 
-    ``part`` is the service that takes the call, ``arrivals`` counts the attempts that reached a
+    ``target`` counts from the caller's first request, as far as that is known. ``part`` is the
+    service that takes the call, ``arrivals`` counts the attempts that reached a
     back end, refused there or not. ``may_have_run`` is the first failure of an attempt whose
     outcome is not NOT RUN: once it is set, no later failure may say that the call was not run.
     ``wake_at`` is when the call must be looked at next.
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -23,6 +23,7 @@
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallRequest
 from limelever.proxy.group_limits import GroupLimits
 from limelever.proxy.health import Verdict
+from limelever.proxy.prior_waits import PriorWaits
 from limelever.proxy.retry_budget import RetryBudgets
 from limelever.proxy.retry_rules import (
     NextStep,
@@ -77,6 +78,7 @@
         self._second_percent = settings.retry.second_choice_percent
         self._second_choices = RetryBudgets()
         self._splits = Splits(random_source)
+        self._prior_waits = PriorWaits()
         self._table: RouteTable | None = None
         self._gives_back = False
         self._log = CallLog(settings.log, outputs)
@@ -94,6 +96,7 @@
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
         self._splits.keep_only(table.route_names())
+        self._prior_waits.keep_only(table.route_names())
         self._attempts.keep_only(table.route_names())
 
     def share_budgets_between(self, nodes: int) -> None:
@@ -122,6 +125,7 @@
         admitted.version = self._table.version if self._table is not None else 0
         self._calls.add(admitted)
         route = admitted.route
+        admitted.target -= self._prior_waits.waited(route.name, request.timeout)
         self._budgets.of(admitted.part.service, route.retry_budget_percent).record_fresh_call()
         if self._second_percent:
             self._second_choices.of(admitted.part.service, self._second_percent).record_fresh_call()
