Tell refused callers to come back one after the other, as slots are expected to free

Hypothesis: the advice was the wait of one queue, 0.1 s mostly. Callers used up their tries within half a second of overload, against each other, and ended refused.

Change: an agent promises each refused caller a time of its own, as far apart as a quarter of its slots can take them, 2 s away at the most.

--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -80,3 +80,15 @@
   Scenario: An answer that comes before the request was read is passed on at once
     When an attempt sends 8 MiB to a back end that answers first and reads nothing
     Then the attempt is answered with 200
+
+  Scenario: Refused callers are told to come back one after the other
+    Given a queue of 6 slots that is full of calls of 120 ms
+    When 10 calls are refused at one moment
+    Then each of them was told a later time than the one before, 80 ms later on average
+    When no call is refused for 3 seconds and one is refused then
+    Then that one was told as early a time as the first
+
+  Scenario: Nobody is told to stay away for longer than an overload is foreseen
+    Given a queue of 6 slots that is full of calls of 120 ms
+    When 200 calls are refused at one moment
+    Then none of them was told more than 2 seconds
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -258,6 +258,57 @@
     assert late * 1000 <= most, late
 
 
+@given("a queue of {slots:d} slots that is full of calls of {service:d} ms")
+def given_full_queue(context, slots, service):
+    queue = context.queue = FairQueue(QueueLimits(slots=slots))
+    now = 0.0
+    for number in range(50):
+        queue.offer(QueuedCall(number, "all", math.inf, 0, now), now)
+        assert queue.start_next(now) is not None
+        now += service / 1000.0
+        queue.finish(number, now, representative=True)
+    for number in range(100, 100 + 3 * slots):
+        queue.offer(QueuedCall(number, "all", math.inf, 0, now), now)
+        queue.start_next(now)
+    context.now = now
+
+
+def refused_now(context):
+    now = context.now
+    refusal = context.queue.offer(QueuedCall(999, "all", now + 0.15, 0, now), now)
+    assert isinstance(refusal, Failure), refusal
+    return refusal.retry_after
+
+
+@when("{count:d} calls are refused at one moment")
+def when_refused_together(context, count):
+    context.told = [refused_now(context) for _ in range(count)]
+
+
+@when("no call is refused for {pause:d} seconds and one is refused then")
+def when_refused_later(context, pause):
+    context.now += pause
+    context.told_later = refused_now(context)
+
+
+@then("each of them was told a later time than the one before, {step:d} ms later on average")
+def then_told_later(context, step):
+    told = context.told
+    assert all(later > earlier for earlier, later in zip(told, told[1:], strict=False)), told
+    average = (told[-1] - told[0]) / (len(told) - 1)
+    assert abs(average * 1000 - step) < step / 4, average
+
+
+@then("that one was told as early a time as the first")
+def then_told_early(context):
+    assert abs(context.told_later - context.told[0]) < 0.001, (context.told_later, context.told)
+
+
+@then("none of them was told more than {most:d} seconds")
+def then_told_at_most(context, most):
+    assert max(context.told) <= most + 0.001, max(context.told)
+
+
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"content-length: 2\r\n\r\nok"
 CHUNKS = OK + b"transfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n"
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -17,8 +17,9 @@
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
+from limelever.agent.return_times import ReturnTimes
 from limelever.agent.slot_use import SlotUse
-from limelever.agent.wait_estimate import MINIMUM_CHARGE, MINIMUM_RETRY_AFTER, WaitEstimate
+from limelever.agent.wait_estimate import MINIMUM_CHARGE, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.priorities import priority_of
 
@@ -60,6 +61,7 @@
         self._deadlines = DeadlineHeap()
         self._estimate = WaitEstimate(limits.slots, self._groups)
         self._slot_use = SlotUse(limits.slots)
+        self._returns = ReturnTimes(limits.slots)
         self._room_at = math.inf
         self._virtual_time = 0.0
         self._queued_bytes = 0
@@ -188,8 +190,9 @@
     def advice(self, name: str, now: float) -> float:
         """Return after how many seconds a refused caller of a group may find room."""
         group = self._groups.find(name)
-        wait = 0.0 if group is None else self._wait(group, now)
-        return max(wait, MINIMUM_RETRY_AFTER)
+        if group is None:
+            return self._returns.book(0.0, self._estimate.overall, now)
+        return self._book_return(group, now)
 
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call, or when one may take a free slot."""
@@ -203,22 +206,26 @@
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
         if self._starts_at_once(group, now):
             return None
-        wait = self._wait(group, now)
         if len(group.calls) >= self._limits.group_calls:
-            return self._share_failure(group, "the group's queue is full", wait)
+            return self._share_failure(group, "the group's queue is full", now)
+        wait = self._wait(group, now)
         service_time = self._estimate.service_time(group)
         if self._estimate.is_too_long(group, call, now, wait):
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
-                retry_after=max(wait, MINIMUM_RETRY_AFTER),
+                retry_after=self._book_return(group, now),
             )
         return None
 
-    def _share_failure(self, group: GroupQueue, reason: str, wait: float) -> Failure:
+    def _share_failure(self, group: GroupQueue, reason: str, now: float) -> Failure:
         alone = self._groups.only_active(group)
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
-        return Failure(kind, reason, retry_after=max(wait, MINIMUM_RETRY_AFTER))
+        return Failure(kind, reason, retry_after=self._book_return(group, now))
+
+    def _book_return(self, group: GroupQueue, now: float) -> float:
+        wait = self._wait(group, now)
+        return self._returns.book(wait, self._estimate.service_time(group), now)
 
     def _starts_at_once(self, group: GroupQueue, now: float) -> bool:
         free = self._limits.slots - self.running
@@ -234,9 +241,7 @@
         if self._queued_bytes + size <= limit:
             return ()
         if group.queued_bytes + size > self._byte_part(group):
-            return self._share_failure(
-                group, "the group's part of the queue's bytes is full", self._wait(group, now)
-            )
+            return self._share_failure(group, "the group's part of the queue's bytes is full", now)
         evictions: list[Eviction] = []
         while self._queued_bytes + size > limit:
             evictions.append(self._evict(now))
@@ -250,9 +255,7 @@
                 group.name,
             ),
         )
-        failure = self._share_failure(
-            victim, "gave way to a group below its share", self._wait(victim, now)
-        )
+        failure = self._share_failure(victim, "gave way to a group below its share", now)
         call = victim.pop_newest()
         self._dequeued(call)
         self._groups.forget_if_idle(victim, self._virtual_time)
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -46,9 +46,6 @@
 LONGEST_WAIT_PART_OF_SHORT_CALLS = 0.9
 """Part of its spare time that a short call may be expected to wait."""
 
-MINIMUM_RETRY_AFTER = 0.1
-"""Least advice in seconds to a refused caller."""
-
 LEAST_SLOTS = 1.0
 """Slots that are counted on for any call, however many more urgent calls hold: see ``slot_use``."""
 
