Prefer the own zone by how much later it answers, not by whether a slot is free there

A zone whose only free slots are at a slow instance kept its calls there.

Change: where a route has a target, an endpoint of the own zone is taken if its answer is expected at most 15 in 100 of the call's spare time later than the best of three others. Routes without a target keep to free slots, as before.

--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -30,7 +30,9 @@
     ``spill_load`` is the load per slot from which a local endpoint counts as full,
     ``ejection_floor`` the part of a set that is never ejected, ``cold_part`` the part of its
     slots with which a cold endpoint begins, and ``foreign_load_limit`` the most that a report
-    may claim, in times of the slots. ``choices`` is how many endpoints are compared.
+    may claim, in times of the slots. ``choices`` is how many endpoints are compared. ``local_part``
+    is the part of a call's spare time that it gives up to stay in its zone: bytes between zones
+    cost something, a late answer much more.
     """
 
     zone: str = ""
@@ -41,6 +43,7 @@
     load_half_life: float = 2.0
     foreign_load_limit: float = 2.0
     choices: int = 3
+    local_part: float = 0.15
 
 
 class Balancer:
@@ -67,18 +70,23 @@
     ) -> EndpointEntry | None:
         """Return the endpoint for a new attempt, or ``None`` when no usable one is left.
 
-        ``slow_start`` is the service's ramp in seconds; 0 stands for the default. A full endpoint
-        of the own zone is still preferred if its answer is expected within ``local_within``
-        seconds: time that the call can spare costs less than bytes between zones.
+        ``slow_start`` is the service's ramp in seconds; 0 stands for the default. An endpoint of
+        the own zone is preferred as long as its answer is expected at most a part of
+        ``local_within`` seconds later than that of any other; for a call that has no such time, as
+        long as it has a slot free.
         """
         ramp = slow_start or self._settings.slow_start
         candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
         if not candidates:
             return None
+        earliest = self._earliest_of_some(candidates, ramp, now)
+        if self.is_local(earliest):
+            return earliest
         local = [entry for entry in candidates if self.is_local(entry)]
-        if local and self._keeps_up(local, ramp, now, local_within):
-            candidates = local
-        return self._earliest_of_some(candidates, ramp, now)
+        if not local:
+            return earliest
+        own = self._earliest_of_some(local, ramp, now)
+        return own if self._keeps_up(own, earliest, ramp, now, local_within) else earliest
 
     def is_local(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is in the proxy's own zone."""
@@ -142,15 +150,15 @@
         ejected.sort(key=lambda entry: self._health_of(entry.key).ejected_until)
         return healthy + ejected[: floor - len(healthy)]
 
-    def _keeps_up(self, local: list[EndpointEntry], ramp: float, now: float, within: float) -> bool:
-        """Return whether an endpoint of the own zone has room, or answers soon enough."""
-        if any(self._load(entry, ramp, now) < self._settings.spill_load for entry in local):
-            return True
-        return any(
-            self._health_of(entry.key).service_time
-            and self._expected_time(entry, ramp, now) <= within
-            for entry in local
-        )
+    def _keeps_up(
+        self, own: EndpointEntry, earliest: EndpointEntry, ramp: float, now: float, within: float
+    ) -> bool:
+        """Return whether the own zone's endpoint answers soon enough to be preferred."""
+        if not within or not self._health_of(own.key).service_time:
+            return self._load(own, ramp, now) < self._settings.spill_load
+        spare = max(0.0, within) * self._settings.local_part
+        later = self._expected_time(own, ramp, now) - self._expected_time(earliest, ramp, now)
+        return later <= spare
 
     def _earliest_of_some(
         self, candidates: list[EndpointEntry], ramp: float, now: float
