Keep the route entries that a change leaves alone

Change: a table keeps with each entry the resources it was built from; the next one takes over those whose resources are the same objects. A property holds it against a table built anew. The headers that pass on are found in lists in place of generators.

--- /dev/null
+++ b/features/steps/route_table_steps.py
@@ -0,0 +1,101 @@
+"""Steps for route tables that keep the entries of routes that did not change."""
+
+from __future__ import annotations
+
+from behave import given
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from limelever.protocol.config_pb2 import (
+    CALL_KIND_REPEATABLE,
+    Resource,
+    Route,
+    Secret,
+    Service,
+    VersionedResource,
+)
+from limelever.protocol.keys import Key
+from limelever.proxy.router import build_route_table
+from limelever.subscriber.configuration import EMPTY_CONFIGURATION, ConfigurationSet
+
+SERVICES = ("orders", "baskets")
+NAMES = st.integers(0, 4)
+CHANGES = st.lists(
+    st.one_of(
+        st.tuples(st.just("route"), NAMES, st.integers(0, 3)),
+        st.tuples(st.just("service"), st.integers(0, 1), st.integers(0, 3)),
+        st.tuples(st.just("secret"), st.just(0), st.integers(0, 3)),
+        st.tuples(st.just("remove"), NAMES, st.just(0)),
+    ),
+    max_size=12,
+)
+
+
+def versioned(**body):
+    return VersionedResource(version=1, resource=Resource(**body))
+
+
+def route(number, drawn_value):
+    return Route(
+        name=f"r{number}",
+        host="one.example" if drawn_value % 2 else "",
+        path_prefix=f"/{drawn_value}/",
+        service=SERVICES[drawn_value % 2],
+        call_kind=CALL_KIND_REPEATABLE,
+        timeout_ms=100 + drawn_value,
+        secrets=["key"] if drawn_value == 3 else [],
+    )
+
+
+def changed_by(kind, number, drawn_value):
+    if kind == "route":
+        return versioned(route=route(number, drawn_value))
+    if kind == "service":
+        service = Service(name=SERVICES[number], max_body_bytes=drawn_value)
+        return versioned(service=service)
+    return versioned(secret=Secret(name="key", header="x-key", value=b"%d" % drawn_value))
+
+
+def first_set():
+    resources = [changed_by("service", n, 0) for n in range(2)]
+    resources += [changed_by("secret", 0, 0), *(changed_by("route", n, n) for n in range(4))]
+    return EMPTY_CONFIGURATION.changed((), resources)
+
+
+def after(configuration: ConfigurationSet, kind, number, drawn_value):
+    if kind == "remove":
+        key = Key.of(versioned(route=route(number, 0)).resource)
+        return configuration.changed((key,), ())
+    return configuration.changed((), [changed_by(kind, number, drawn_value)])
+
+
+@given(
+    "any changes of routes, services and secrets, a table built over the former equals one built "
+    "anew"
+)
+def given_any_changes(context):
+    @settings(max_examples=200, deadline=None)
+    @drawn(CHANGES)
+    def check(changes):
+        configuration = first_set()
+        table = build_route_table(configuration, 1)
+        for change in changes:
+            configuration = after(configuration, *change)
+            table = build_route_table(configuration, 1, table)
+            anew = build_route_table(configuration, 1)
+            assert table.hosts == anew.hosts
+            assert table.route_names() == anew.route_names()
+            assert table.services() == anew.services()
+            assert table.secret_names == anew.secret_names
+
+    check()
+
+
+@given("a route that did not change keeps its entry")
+def given_kept(context):
+    configuration = first_set()
+    table = build_route_table(configuration, 1)
+    later = build_route_table(after(configuration, "route", 1, 3), 2, table)
+    assert later.built["r0"].entry is table.built["r0"].entry
+    assert later.built["r1"].entry != table.built["r1"].entry
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -67,12 +67,14 @@
 
     Besides the hop-by-hop ones these are the headers that ``Connection`` names.
     """
-    lowered = tuple((name.lower(), value) for name, value in headers)
-    dropped = HOP_BY_HOP | _named_by_connection(lowered)
-    return tuple(header for header in lowered if header[0] not in dropped)
+    lowered = [(name.lower(), value) for name, value in headers]
+    dropped = HOP_BY_HOP
+    if any([name == CONNECTION for name, _ in lowered]):
+        dropped = dropped | _named_by_connection(lowered)
+    return tuple([header for header in lowered if header[0] not in dropped])
 
 
-def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+def _named_by_connection(headers: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
     return frozenset(
         name.strip().lower()
         for header, value in headers
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -43,7 +43,7 @@
 from limelever.proxy.group_limits import GroupLimits, LimitSettings
 from limelever.proxy.health import HealthSettings
 from limelever.proxy.links import AgentLinks
-from limelever.proxy.router import build_route_table
+from limelever.proxy.router import RouteTable, build_route_table
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
@@ -95,6 +95,7 @@
             sealer,
         )
         self._keepers = KeeperClientCore(settings.keepers, connections, random_source)
+        self._table: RouteTable | None = None
         self._view = EndpointView()
         self._balancer = Balancer(settings.balancer, settings.health, random_source)
         self._links = AgentLinks(connections, random_source)
@@ -222,10 +223,11 @@
         return taken
 
     def _install(self, installed: ConfigurationInstalled, now: float) -> None:
-        table = build_route_table(installed.configuration, installed.version)
+        table = build_route_table(installed.configuration, installed.version, self._table)
         if isinstance(table, Failure):
             self._outputs.append(LogEvent(events.ROUTES_REFUSED, {"reason": str(table)}))
             return
+        self._table = table
         self._engine.set_table(table)
         fields: dict[str, object] = {
             "version": installed.version,
--- a/src/limelever/proxy/headers.py
+++ b/src/limelever/proxy/headers.py
@@ -20,9 +20,9 @@
 
     ``reserved`` are the names that only the proxy may set, on whatever route.
     """
-    passed = tuple(
+    passed = [
         header
         for header in end_to_end(headers)
         if header[0] not in _REMOVED_FROM_REQUESTS and header[0] not in reserved
-    )
-    return passed + added
+    ]
+    return (*passed, *added)
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -15,9 +15,14 @@
 from limelever.protocol.config_pb2 import (
     CALL_KIND_AT_MOST_ONCE,
     CALL_KIND_REPEATABLE,
+    RESOURCE_KIND_ROUTE,
+    RESOURCE_KIND_SECRET,
+    RESOURCE_KIND_SERVICE,
     CallKind,
     Route,
+    VersionedResource,
 )
+from limelever.protocol.keys import Key
 from limelever.proxy.group_limits import DEFAULT_WEIGHT
 from limelever.subscriber.configuration import ConfigurationSet
 
@@ -64,6 +69,28 @@
         return not self.methods or method in self.methods
 
 
+@dataclass(frozen=True, slots=True)
+class BuiltRoute:
+    """A route's entry and where it stands, with the resources that it was built from."""
+
+    entry: RouteEntry
+    host: bytes
+    prefix: bytes
+    route: VersionedResource
+    referred: tuple[tuple[Key, VersionedResource], ...]
+
+    def is_current(
+        self, route: VersionedResource, resources: Mapping[Key, VersionedResource]
+    ) -> bool:
+        """Return whether a table of these resources would have the same entry.
+
+        Resources that a change leaves alone are kept as the same objects.
+        """
+        if route is not self.route:
+            return False
+        return all(resources.get(key) is held for key, held in self.referred)
+
+
 RoutesByPrefix = Mapping[bytes, tuple[RouteEntry, ...]]
 
 
@@ -78,6 +105,7 @@
     hosts: Mapping[bytes, RoutesByPrefix]
     weights: Mapping[str, Mapping[str, int]]
     secret_names: frozenset[bytes]
+    built: Mapping[str, BuiltRoute]
 
     def match(self, method: bytes, target: bytes, host: bytes = ANY_HOST) -> RouteEntry | Failure:
         """Return the route of a call, or ``NO_ROUTE``, ``METHOD_NOT_ALLOWED`` and the like.
@@ -107,35 +135,30 @@
 
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
-        return frozenset(
-            entry.name
-            for prefixes in self.hosts.values()
-            for entries in prefixes.values()
-            for entry in entries
-        )
+        return frozenset(self.built)
 
     def services(self) -> frozenset[str]:
         """Return the names of all services that calls are routed to."""
-        return frozenset(
-            part.service
-            for prefixes in self.hosts.values()
-            for entries in prefixes.values()
-            for entry in entries
-            for part in entry.parts
-        )
+        return frozenset(part.service for each in self.built.values() for part in each.entry.parts)
 
 
-def build_route_table(configuration: ConfigurationSet, version: int) -> RouteTable | Failure:
-    """Build the table of a version, or return ``DANGLING_REFERENCE`` naming what is missing."""
+def build_route_table(
+    configuration: ConfigurationSet, version: int, former: RouteTable | None = None
+) -> RouteTable | Failure:
+    """Build the table of a version, or return ``DANGLING_REFERENCE`` naming what is missing.
+
+    Routes that are as they were in ``former``, with all they refer to, keep their entries.
+    """
     dangling = configuration.dangling()
     if dangling:
         names = tuple(str(key) for key in dangling)
         return Failure(ErrorKind.DANGLING_REFERENCE, "route table would be incomplete", names)
+    built = _built_routes(configuration, {} if former is None else former.built)
     hosts: dict[bytes, dict[bytes, tuple[RouteEntry, ...]]] = {}
-    for route in sorted(configuration.routes.values(), key=lambda route: route.name):
-        prefixes = hosts.setdefault(route.host.encode(), {})
-        prefix = route.path_prefix.encode() or _ROOT
-        prefixes[prefix] = (*prefixes.get(prefix, ()), _entry(route, configuration))
+    for name in sorted(built):
+        route = built[name]
+        prefixes = hosts.setdefault(route.host, {})
+        prefixes[route.prefix] = (*prefixes.get(route.prefix, ()), route.entry)
     return RouteTable(
         version=version,
         hosts=hosts,
@@ -144,6 +167,37 @@
             for service, shares in configuration.shares.items()
         },
         secret_names=frozenset(s.header.lower().encode() for s in configuration.secrets.values()),
+        built=built,
+    )
+
+
+def _built_routes(
+    configuration: ConfigurationSet, former: Mapping[str, BuiltRoute]
+) -> dict[str, BuiltRoute]:
+    resources = configuration.resources
+    built: dict[str, BuiltRoute] = {}
+    for key, held in resources.items():
+        if key.kind != RESOURCE_KIND_ROUTE:
+            continue
+        known = former.get(key.name)
+        if known is None or not known.is_current(held, resources):
+            known = _build_route(held, configuration)
+        built[key.name] = known
+    return built
+
+
+def _build_route(held: VersionedResource, configuration: ConfigurationSet) -> BuiltRoute:
+    route = held.resource.route
+    entry = _entry(route, configuration)
+    keys = [Key(RESOURCE_KIND_SERVICE, part.service) for part in entry.parts]
+    keys += [Key(RESOURCE_KIND_SECRET, name) for name in route.secrets]
+    resources = configuration.resources
+    return BuiltRoute(
+        entry=entry,
+        host=route.host.encode(),
+        prefix=route.path_prefix.encode() or _ROOT,
+        route=held,
+        referred=tuple((key, resources[key]) for key in keys),
     )
 
 
