Compare endpoints by how long calls of the same route take there, and tell short calls by slot time

A load over twice its slots was not believed either.

Change: an agent tells the time of the answered call's route besides; the balancer takes that for the call itself and the mean for what waits before it. Reports are believed up to five times the slots. A call counts as short against the time of the call that holds a slot at a moment drawn at random. A proxy without a configuration advises 0.25 s at first, and as long as it has been without one later on.

--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -45,6 +45,16 @@
     When a call on route short with 200 ms to its target and 600 ms to its deadline is offered
     Then it is queued, and starts before the calls of route long
 
+  Scenario Outline: Short calls count as short however many of them there are
+    Given calls of 20 ms on one route and of 150 ms on another, <short> of 100 on the first
+    Then a call of 20 ms that waits 60 ms is taken with 120 ms to its target and 400 to its deadline
+
+    Examples:
+      | short |
+      | 50    |
+      | 80    |
+      | 95    |
+
   Scenario: A wait is expected with what more urgent calls take meanwhile
     Given a queue of 12 slots where calls of 20 ms that are more urgent hold 6 slots on average
     When calls of 150 ms with 500 ms to their target keep coming
--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -56,3 +56,12 @@
     Given a route with 1 second to its target whose answers have 400 bytes
     When the configuration no longer holds that route
     Then a call on it with a body of 0 bytes may wait 700 ms for its own zone
+
+  Scenario: Endpoints are compared by how long calls of the same route take there
+    Given two endpoints, one flooded with short calls and one with a few long ones
+    Then the balancer sends a short call to the one with few, though its calls take longer on average
+
+  Scenario: Times of routes that are gone are forgotten
+    Given two endpoints, one flooded with short calls and one with a few long ones
+    When the balancer's route "short" is gone
+    Then the balancer holds times of no route but "long"
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -5,6 +5,15 @@
     When a caller asks the proxy for "/orders/1"
     Then the proxy refused call 1 as "no-configuration" with a retry time
 
+  Scenario: The longer a proxy has no configuration, the later callers are told to come back
+    Given a proxy that holds no configuration
+    When a caller asks the proxy for "/orders/1"
+    And 0.6 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/1"
+    And 30.0 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/1"
+    Then the callers were told to come back after 0.25, 0.6 and 1.0 seconds
+
   Scenario: The closest path prefix wins, on whole segments
     Given any routes and paths, the proxy's table agrees with a search through all prefixes
 
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -200,6 +200,30 @@
     assert started.group == context.short, started
 
 
+@given(
+    "calls of {short:d} ms on one route and of {long:d} ms on another, {part:d} of 100 on the first"
+)
+def given_mixed_calls(context, short, long, part):
+    context.estimate = WaitEstimate(SLOTS, GroupTable(1, 32))
+    taken = 0.0
+    for _ in range(300):
+        taken += part / 100
+        is_short = taken >= 1
+        taken -= is_short
+        name, service = ("short", short) if is_short else ("long", long)
+        context.estimate.observe(name, service / 1000)
+
+
+@then(
+    "a call of {service:d} ms that waits {wait:d} ms is taken with {target:d} ms to its target and "
+    "{deadline:d} to its deadline"
+)
+def then_short_taken(context, service, wait, target, deadline):
+    group = GroupQueue("short", 1)
+    call = QueuedCall(1, "short", deadline / 1000, 0, 0.0, target / 1000)
+    assert not context.estimate.is_too_long(group, call, 0.0, wait / 1000), context.estimate.typical
+
+
 class UrgentLoad:
     """Plays a queue in steps of a millisecond, with urgent calls that come evenly."""
 
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -260,3 +260,35 @@
     held[group] += refusal is None
     expected = total >= 20 or bool(total >= 16 and over_share)
     assert (refusal is not None) == expected, (held, group)
+
+
+@given("two endpoints, one flooded with short calls and one with a few long ones")
+def given_two_mixes(context: Context) -> None:
+    endpoints = [agents(1, "here", 12, number)[0] for number in range(2)]
+    context.usable = view_of(endpoints).usable(SERVICE, 0.0)
+    flooded, other = (entry.key for entry in context.usable)
+    balancer = context.balancer = balancer_of()
+    for key, overall, load in ((flooded, 0.025, 40), (other, 0.062, 20)):
+        balancer.observe_load(key, load, 1.0, overall)
+        balancer.observe_route(key, "short", 0.02)
+        balancer.observe_route(key, "long", 0.15)
+    context.other = other
+
+
+@then(
+    "the balancer sends a short call to the one with few, though its calls take longer on average"
+)
+def then_short_to_other(context: Context) -> None:
+    chosen = [context.balancer.pick(context.usable, 1.0, route="short").key for _ in range(20)]
+    assert set(chosen) == {context.other}, chosen
+
+
+@when('the balancer\'s route "{name}" is gone')
+def when_route_gone(context: Context, name: str) -> None:
+    context.balancer.keep_routes(frozenset({"short", "long"} - {name}))
+
+
+@then('the balancer holds times of no route but "{name}"')
+def then_only_route(context: Context, name: str) -> None:
+    held = {n for health in context.balancer._health.values() for n in health.time_by_route}
+    assert held == {name}, held
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -222,6 +222,12 @@
     context.proxy.post(StopLimitNear())
 
 
+@then("the callers were told to come back after {first:g}, {second:g} and {third:g} seconds")
+def check_times_told(context: Context, first: float, second: float, third: float) -> None:
+    answers = [context.proxy.refusal(number) for number in (1, 2, 3)]
+    assert [round(each.retry_after, 6) for each in answers] == [first, second, third], answers
+
+
 @then('the proxy refused call {call:d} as "{kind}" with a retry time')
 def refused_with_retry_time(context: Context, call: int, kind: str) -> None:
     refusal = context.proxy.refusal(call)
--- a/src/limelever/agent/answer_sender.py
+++ b/src/limelever/agent/answer_sender.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from google.protobuf.message import Message
@@ -95,14 +96,20 @@
         """Return the earliest deadline of a call whose answer waits for credit."""
         return min((pending.deadline for pending in self._pending.values()), default=None)
 
-    def expire(self, now: float, load: AgentLoad) -> list[Output]:
-        """Give up answers that were not taken by their call's deadline."""
+    def expire(self, now: float, load_of: Callable[[str], AgentLoad]) -> list[Output]:
+        """Give up answers that were not taken by their call's deadline.
+
+        ``load_of`` returns the load that goes with the answer to a call of a group.
+        """
         failure = Failure(ErrorKind.DEADLINE_EXCEEDED, "the answer was not taken in time")
         late = [pending for pending in self._pending.values() if pending.deadline <= now]
         for pending in late:
             self.drop(pending.connection, pending.start.stream)
         return [
-            SendMessage(each.connection, answers.call_failed(each.start, failure, load))
+            SendMessage(
+                each.connection,
+                answers.call_failed(each.start, failure, load_of(each.start.group)),
+            )
             for each in late
         ]
 
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -79,14 +79,15 @@
         """Return the attempts at the back end and the answers not yet taken whole."""
         return self._queue.running + self._answers.count
 
-    def load(self) -> AgentLoad:
-        """Return the load as sent with every answer."""
+    def load(self, group: str) -> AgentLoad:
+        """Return the load as sent with the answer to a call of a group."""
         return AgentLoad(
             in_flight=self.running,
             queued=self._queue.queued,
             slots=self._limits.queue.slots,
             draining=self.draining,
             service_us=int(self._queue.service_time * _MICROSECONDS),
+            route_service_us=int(self._queue.service_time_of(group) * _MICROSECONDS),
         )
 
     def set_weights(self, weights: Mapping[str, int]) -> None:
@@ -178,8 +179,9 @@
             return []
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
+        load = self.load(call.start.group)
         self._calls.remove(call)
-        outputs = [] if settled else self._answers.send(call, event, self.load())
+        outputs = [] if settled else self._answers.send(call, event, load)
         outputs.extend(self._ran(call, event.status, now))
         return [*outputs, *self.start_waiting(now)]
 
@@ -213,7 +215,7 @@
         assembling = [call.number for call in self._intake.expired(now)]
         outputs = self._refuse_late([*self._queue.take_expired(now), *assembling])
         if self._answers.count:
-            outputs.extend(self._answers.expire(now, self.load()))
+            outputs.extend(self._answers.expire(now, self.load))
         return outputs
 
     def refuse_waiting(self) -> list[Output]:
@@ -291,7 +293,7 @@
         self._calls.remove(call)
 
     def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> list[Output]:
-        load = self.load()
+        load = self.load(start.group)
         fields: dict[str, object] = {
             "kind": failure.kind.value,
             "outcome": failure.outcome.value,
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -86,6 +86,10 @@
         """Return how long a call takes without waiting, in seconds; 0 while nothing is known."""
         return self._estimate.overall
 
+    def service_time_of(self, group: str) -> float:
+        """Return how long a call of a group takes without waiting, in seconds; 0 if unknown."""
+        return self._estimate.service_time_of(group)
+
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Take the weights of all groups that have a share; others get the default weight."""
         self._groups.set_weights(weights, self._virtual_time)
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -38,7 +38,7 @@
 """
 
 SHORT_CALL_PART = 0.5
-"""Part of the usual service time below which a call counts as short.
+"""Part of the typical service time below which a call counts as short.
 
 To refuse a short call saves little, and other calls often wait for its answer: it may be late.
 """
@@ -61,12 +61,15 @@
         self._slots = slots
         self._groups = groups
         self._service_time = ServiceTime()
+        self._weighted = ServiceTime()
         self._by_group: OrderedDict[str, ServiceTime] = OrderedDict()
 
     def observe(self, name: str, seconds: float) -> None:
         """Take how long a call of the group ``name`` held its slot."""
+        own = self._by_group.setdefault(name, ServiceTime())
+        own.observe(seconds)
         self._service_time.observe(seconds)
-        self._by_group.setdefault(name, ServiceTime()).observe(seconds)
+        self._weighted.observe(seconds * (own.mean or seconds))
         self._by_group.move_to_end(name)
         if len(self._by_group) > GROUPS_REMEMBERED:
             self._by_group.popitem(last=False)
@@ -76,9 +79,21 @@
         """Return how long a call of any group takes; 0 while nothing is known."""
         return self._service_time.mean or 0.0
 
+    @property
+    def typical(self) -> float:
+        """Return how long the call that holds a slot takes at a moment drawn at random.
+
+        A mean over calls would follow the many short ones, which hold few slots.
+        """
+        return (self._weighted.mean or 0.0) / (self.overall or 1.0)
+
     def service_time(self, group: GroupQueue) -> float:
         """Return how long a call of the group takes; 0 while nothing is known."""
-        own = self._by_group.get(group.name)
+        return self.service_time_of(group.name)
+
+    def service_time_of(self, name: str) -> float:
+        """Return how long a call of the group ``name`` takes; 0 while nothing is known."""
+        own = self._by_group.get(name)
         return (own.mean if own is not None else None) or self.overall
 
     def charge(self, group: GroupQueue) -> float:
@@ -118,7 +133,7 @@
         """Return whether a call that would wait for ``wait`` seconds is better refused at once."""
         service_time = self.service_time(group)
         finished = now + service_time
-        if service_time < self.overall * SHORT_CALL_PART:
+        if service_time < self.typical * SHORT_CALL_PART:
             return wait > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
         longest = (call.deadline - finished) * LONGEST_WAIT_PART
         in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -16,7 +16,12 @@
 from limelever.proxy.router import RouteEntry, RoutePart, RouteTable
 from limelever.proxy.split import Splits
 
-NO_CONFIGURATION_RETRY_AFTER = 1.0
+FIRST_CONFIGURATION_SECONDS = 0.25
+"""Advice to callers of a proxy that has just started: its first configuration comes within it, by
+the timelines in docs/design/recovery.md."""
+
+LONGEST_CONFIGURATION_WAIT = 1.0
+"""Most seconds of that advice, while no configuration comes: a source elects a leader in less."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,13 +39,17 @@
     settings: AdmissionSettings,
     splits: Splits,
     now: float,
+    without_table: float = 0.0,
 ) -> Call | Failure:
-    """Return the admitted call, counted in ``limits``, or the refusal to answer at once."""
+    """Return the admitted call, counted in ``limits``, or the refusal to answer at once.
+
+    ``without_table`` is for how many seconds calls have come while there was no table.
+    """
     if table is None:
         return Failure(
             ErrorKind.NO_CONFIGURATION,
             "no configuration is held yet",
-            retry_after=NO_CONFIGURATION_RETRY_AFTER,
+            retry_after=_configuration_advice(without_table),
         )
     route = table.match(request.method, request.target, request.host)
     if isinstance(route, Failure):
@@ -58,6 +67,14 @@
     return Call(number, request, route, part, share, deadline, target)
 
 
+def _configuration_advice(without_table: float) -> float:
+    """Return after how many seconds a first configuration may be expected.
+
+    The longer there has been none, the longer it may still take.
+    """
+    return min(max(FIRST_CONFIGURATION_SECONDS, without_table), LONGEST_CONFIGURATION_WAIT)
+
+
 def call_timeout(request: CallRequest, route: RouteEntry, settings: AdmissionSettings) -> float:
     """Return the seconds the call has: the caller's wish, capped by the route's."""
     longest = route.timeout or settings.default_timeout
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -68,7 +68,7 @@
         if isinstance(message, ResponseBody):
             return self._take_part(call, call.attempt, message, now)
         if message.HasField("load"):
-            self._ends.observe(call.attempt, message.load, now)
+            self._ends.observe(call, call.attempt, message.load, now)
         if isinstance(message, CallFailed):
             return self._take_failure(call, call.attempt, message, now)
         call.attempt.status = message.status
--- a/src/limelever/proxy/attempt_ends.py
+++ b/src/limelever/proxy/attempt_ends.py
@@ -70,11 +70,14 @@
             }
             self._outputs.append(LogEvent(events.ENDPOINT_EJECTED, fields))
 
-    def observe(self, attempt: Attempt, load: AgentLoad, now: float) -> None:
-        """Take the load that an agent reported."""
+    def observe(self, call: Call, attempt: Attempt, load: AgentLoad, now: float) -> None:
+        """Take the load that an agent reported with its answer to a call."""
         reported = load.in_flight + load.queued
-        service_time = load.service_us / _MICROSECONDS
-        self._balancer.observe_load(attempt.entry.key, reported, now, service_time)
+        key = attempt.entry.key
+        self._balancer.observe_load(key, reported, now, load.service_us / _MICROSECONDS)
+        if load.route_service_us:
+            seconds = load.route_service_us / _MICROSECONDS
+            self._balancer.observe_route(key, call.route.name, seconds)
         if load.draining:
             self.retire(attempt)
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -82,6 +82,7 @@
     def keep_only(self, routes: frozenset[str]) -> None:
         """Forget what is known of routes that are gone."""
         self._moved.keep_only(routes)
+        self._balancer.keep_routes(routes)
 
     def start(self, call: Call, now: float) -> Failure | None:
         """Begin an attempt on an endpoint not tried yet, or return ``NO_ENDPOINT``."""
@@ -114,7 +115,9 @@
         excluded: set[EndpointKey] = set(call.tried)
         overdue: EndpointEntry | None = None
         while True:
-            entry = self._balancer.pick(usable, now, excluded, call.part.slow_start, local_within)
+            entry = self._balancer.pick(
+                usable, now, excluded, call.part.slow_start, local_within, call.route.name
+            )
             if entry is None:
                 return overdue
             excluded.add(entry.key)
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -41,11 +41,20 @@
     slow_start: float = 10.0
     cold_part: float = 0.1
     load_half_life: float = 2.0
-    foreign_load_limit: float = 2.0
+    foreign_load_limit: float = 5.0
     choices: int = 3
     local_part: float = 0.15
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """What a call asks of an endpoint: its route, the ramp (seconds) of cold ones, and when."""
+
+    route: str
+    ramp: float
+    now: float
+
+
 class Balancer:
     """Chooses endpoints and keeps the proxy's own health view of them."""
 
@@ -67,9 +76,11 @@
         excluded: Container[EndpointKey] = _NOTHING_EXCLUDED,
         slow_start: float = 0.0,
         local_within: float = 0.0,
+        route: str = "",
     ) -> EndpointEntry | None:
         """Return the endpoint for a new attempt, or ``None`` when no usable one is left.
 
+        ``route`` is the call's: its calls may take another time than those of other routes.
         ``slow_start`` is the service's ramp in seconds; 0 stands for the default. An endpoint of
         the own zone is preferred as long as its answer is expected at most a part of
         ``local_within`` seconds later than that of any other; for a call that has no such time, as
@@ -79,14 +90,15 @@
         candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
         if not candidates:
             return None
-        earliest = self._earliest_of_some(candidates, ramp, now)
+        asked = _Asked(route, ramp, now)
+        earliest = self._earliest_of_some(candidates, asked)
         if self.is_local(earliest):
             return earliest
         local = [entry for entry in candidates if self.is_local(entry)]
         if not local:
             return earliest
-        own = self._earliest_of_some(local, ramp, now)
-        return own if self._keeps_up(own, earliest, ramp, now, local_within) else earliest
+        own = self._earliest_of_some(local, asked)
+        return own if self._keeps_up(own, earliest, asked, local_within) else earliest
 
     def is_local(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is in the proxy's own zone."""
@@ -124,6 +136,16 @@
         health.foreign_load = max(0, reported - health.in_flight)
         health.load_at = now
 
+    def observe_route(self, key: EndpointKey, route: str, seconds: float) -> None:
+        """Take how long a call of a route takes at an endpoint, without waiting."""
+        self._health_of(key).time_by_route[route] = seconds
+
+    def keep_routes(self, routes: frozenset[str]) -> None:
+        """Forget what is known of routes that are gone."""
+        for health in self._health.values():
+            for name in health.time_by_route.keys() - routes:
+                del health.time_by_route[name]
+
     def in_flight(self, key: EndpointKey) -> int:
         """Return own calls in flight at the endpoint."""
         health = self._health.get(key)
@@ -151,43 +173,53 @@
         return healthy + ejected[: floor - len(healthy)]
 
     def _keeps_up(
-        self, own: EndpointEntry, earliest: EndpointEntry, ramp: float, now: float, within: float
+        self, own: EndpointEntry, earliest: EndpointEntry, asked: _Asked, within: float
     ) -> bool:
         """Return whether the own zone's endpoint answers soon enough to be preferred."""
-        if not within or not self._health_of(own.key).service_time:
-            return self._load(own, ramp, now) < self._settings.spill_load
+        health = self._health_of(own.key)
+        if not within or not health.service_time:
+            return self._load(own, health, asked) < self._settings.spill_load
         spare = max(0.0, within) * self._settings.local_part
-        later = self._expected_time(own, ramp, now) - self._expected_time(earliest, ramp, now)
+        later = self._expected_time(own, asked) - self._expected_time(earliest, asked)
         return later <= spare
 
-    def _earliest_of_some(
-        self, candidates: list[EndpointEntry], ramp: float, now: float
-    ) -> EndpointEntry:
+    def _earliest_of_some(self, candidates: list[EndpointEntry], asked: _Asked) -> EndpointEntry:
         """Draw a few, so that proxies with the same old news do not all choose one endpoint."""
         drawn = candidates
         if len(candidates) > self._settings.choices:
             drawn = self._random.sample(candidates, self._settings.choices)
         elif len(candidates) > 1:
             drawn = self._random.sample(candidates, len(candidates))
-        return min(drawn, key=lambda entry: self._expected_time(entry, ramp, now))
+        return min(drawn, key=lambda entry: self._expected_time(entry, asked))
 
-    def _expected_time(self, entry: EndpointEntry, ramp: float, now: float) -> float:
+    def _expected_time(self, entry: EndpointEntry, asked: _Asked) -> float:
         """Return how long a further call would take there, waiting included, in seconds.
 
-        Where no endpoint has told how long its calls take, all count alike.
+        It waits for calls of all routes, and then takes the time of its own. Where no endpoint has
+        told how long its calls take, all count alike.
         """
-        service_time = self._health_of(entry.key).service_time or self._usual_service_time()
-        used = self._load(entry, ramp, now, 1)
-        return service_time * (1.0 + NEAR_FULL_SLOWDOWN * used + max(0.0, used - 1.0))
+        health = self._health_of(entry.key)
+        service_time = health.service_time or self._usual_service_time()
+        own_time = health.time_by_route.get(asked.route) or self._usual_time_of(asked.route)
+        used = self._load(entry, health, asked, 1)
+        running = (own_time or service_time) * (1.0 + NEAR_FULL_SLOWDOWN * used)
+        return running + service_time * max(0.0, used - 1.0)
+
+    def _usual_time_of(self, route: str) -> float:
+        """Return how long calls of a route take where that is known, 0 where it isn't."""
+        known = [h.time_by_route[route] for h in self._health.values() if route in h.time_by_route]
+        return median(known) if known else 0.0
 
     def _usual_service_time(self) -> float:
         known = [health.service_time for health in self._health.values() if health.service_time]
         return median(known) if known else 1.0
 
-    def _load(self, entry: EndpointEntry, ramp: float, now: float, added: int = 0) -> float:
-        health = self._health_of(entry.key)
+    def _load(
+        self, entry: EndpointEntry, health: EndpointHealth, asked: _Asked, added: int = 0
+    ) -> float:
         own = health.in_flight + added
-        return (own + self._foreign_load(entry, health, now)) / self._capacity(entry, ramp, now)
+        foreign = self._foreign_load(entry, health, asked.now)
+        return (own + foreign) / self._capacity(entry, asked.ramp, asked.now)
 
     def _foreign_load(self, entry: EndpointEntry, health: EndpointHealth, now: float) -> float:
         claimed, at = health.foreign_load, health.load_at
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -80,6 +80,7 @@
         self._splits = Splits(random_source)
         self._prior_waits = PriorWaits()
         self._table: RouteTable | None = None
+        self._first_untabled: float | None = None
         self._gives_back = False
         self._log = CallLog(settings.log, outputs)
         attempts.log = self._log
@@ -115,6 +116,7 @@
             self._settings.admission,
             self._splits,
             now,
+            self._without_table(now),
         )
         if isinstance(admitted, Failure):
             refusal = with_retry_after(admitted)
@@ -231,6 +233,14 @@
             else:
                 self._deadline_passed(call, now)
 
+    def _without_table(self, now: float) -> float:
+        """Return for how many seconds calls have come while there was no table."""
+        if self._table is not None:
+            return 0.0
+        if self._first_untabled is None:
+            self._first_untabled = now
+        return now - self._first_untabled
+
     # --- steps --------------------------------------------------------------------------------
 
     def _attempt(self, call: Call, now: float) -> None:
--- a/src/limelever/proxy/health.py
+++ b/src/limelever/proxy/health.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -41,7 +41,8 @@
     """Own counters of one endpoint; times in seconds.
 
     ``foreign_load`` are the calls of other proxies that its last answer, at ``load_at``, told of;
-    ``service_time`` is how long a call takes there without waiting, 0 while nobody has told.
+    ``service_time`` is how long a call takes there without waiting, 0 while nobody has told;
+    ``time_by_route`` is the same by the name of the call's route.
     """
 
     in_flight: int = 0
@@ -54,6 +55,7 @@
     successes_in_row: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    time_by_route: dict[str, float] = field(default_factory=dict)
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the endpoint is left out at ``now`` (seconds)."""
