Let only a few calls wait before any was observed

Change: until a first call has ended, calls with a target wait only as long as fewer than half as many wait as there are slots.

--- a/features/agent/answers.feature
+++ b/features/agent/answers.feature
@@ -102,3 +102,15 @@
     Given a queue of 6 slots that is full of calls of 120 ms
     When 200 calls are refused at one moment
     Then none of them was told more than 2 seconds
+
+  Scenario: Before any call was observed only a few wait
+    Given a queue of 12 slots that has just begun
+    When 100 calls with 400 ms to their target come at once
+    Then 12 of them run, 6 wait and 82 were refused with a time to come back
+    When the first of them ends after 200 ms
+    Then a call with 400 ms to its target is judged by that
+
+  Scenario: Calls without a target wait as before
+    Given a queue of 12 slots that has just begun
+    When 40 calls without a target come at once
+    Then 12 of them run, 28 wait and 0 were refused with a time to come back
--- a/features/steps/agent_answer_steps.py
+++ b/features/steps/agent_answer_steps.py
@@ -333,6 +333,55 @@
     assert max(context.told) <= most + 0.001, max(context.told)
 
 
+@given("a queue of {slots:d} slots that has just begun")
+def given_new_queue(context, slots):
+    context.queue = FairQueue(QueueLimits(slots=slots))
+    context.refusals = []
+
+
+def offer_all(context, count, target):
+    for number in range(count):
+        offered = context.queue.offer(QueuedCall(number, "all", 5.0, 0, 0.0, target), 0.0)
+        if isinstance(offered, Failure):
+            context.refusals.append(offered)
+        context.queue.start_next(0.0)
+
+
+@when("{count:d} calls with {target:d} ms to their target come at once")
+def when_many_with_target(context, count, target):
+    offer_all(context, count, target / 1000.0)
+
+
+@when("{count:d} calls without a target come at once")
+def when_many_without_target(context, count):
+    offer_all(context, count, math.inf)
+
+
+@then(
+    "{running:d} of them run, {waiting:d} wait and {refused:d} were refused with a time to come "
+    "back"
+)
+def then_run_and_wait(context, running, waiting, refused):
+    queue = context.queue
+    found = (queue.running, queue.queued, len(context.refusals))
+    assert found == (running, waiting, refused), found
+    assert all(refusal.retry_after > 0 for refusal in context.refusals)
+
+
+@when("the first of them ends after {service:d} ms")
+def when_first_ends(context, service):
+    context.now = service / 1000.0
+    context.queue.finish(0, context.now, representative=True)
+
+
+@then("a call with {target:d} ms to its target is judged by that")
+def then_judged(context, target):
+    now = context.now
+    call = QueuedCall(999, "all", now + 5.0, 0, now, now + target / 1000.0)
+    offered = context.queue.offer(call, now)
+    assert isinstance(offered, Failure) and "about" in offered.reason, offered
+
+
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"content-length: 2\r\n\r\nok"
 CHUNKS = OK + b"transfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n"
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -19,7 +19,7 @@
 from limelever.agent.group_table import GroupTable
 from limelever.agent.return_times import ReturnTimes
 from limelever.agent.slot_use import SlotUse
-from limelever.agent.wait_estimate import MINIMUM_CHARGE, WaitEstimate
+from limelever.agent.wait_estimate import FIRST_SERVICE_TIME, MINIMUM_CHARGE, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.priorities import priority_of
 
@@ -210,6 +210,10 @@
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
         if self._starts_at_once(group, now):
             return None
+        if self._estimate.is_blind(call, self.queued):
+            advice = self._returns.book(0.0, FIRST_SERVICE_TIME, now)
+            reason = "nothing is known yet of how long calls take, and some wait already"
+            return Failure(ErrorKind.DEADLINE_TOO_SHORT, reason, retry_after=advice)
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", now)
         wait = self._wait(group, now)
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -15,6 +15,15 @@
 FIRST_CHARGE = 0.01
 """Slot time charged before any call was observed, in seconds; put right when it ends."""
 
+FIRST_SERVICE_TIME = 0.2
+"""Seconds that a call is taken to hold a slot before any was observed, for advice to callers."""
+
+BLIND_QUEUE_PART = 0.5
+"""Calls that may wait before any call was observed, as a part of the slots.
+
+Targets are set at two service times or more: that many calls still start in time.
+"""
+
 GROUPS_REMEMBERED = 256
 """Groups whose service time is kept; the one observed longest ago is forgotten first."""
 
@@ -141,6 +150,15 @@
             in_target = service_time * LONGEST_WAIT_OF_LATE_CALLS
         return wait > min(longest, in_target)
 
+    def is_blind(self, call: QueuedCall, queued: int) -> bool:
+        """Return whether a call with a target is refused as nothing tells how long it would wait.
+
+        After a restart of everything all callers come at once, to back ends that are cold.
+        """
+        if self.overall or math.isinf(call.target):
+            return False
+        return queued >= self._slots * BLIND_QUEUE_PART
+
     def is_hopeless(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
         """Return whether a call waited so long that it can no longer finish in time.
 
