Don't import cattrs where settings are built in code

Change: the package of settings no longer imports what reads files; those who read them name the module. The table of imports holds the platform's processes to it.

--- a/features/settings/process_imports.feature
+++ b/features/settings/process_imports.feature
@@ -20,5 +20,5 @@
 
     Examples:
       | role    | modules                                                           |
-      | node    | hypercorn, h11, h2, httpcore, wsproto, limelever.control, limelever.relay, limelever.source              |
-      | control | httpcore, limelever.agent, limelever.node, limelever.proxy                  |
+      | node    | cattrs, hypercorn, h11, h2, httpcore, wsproto, limelever.control, limelever.relay, limelever.source              |
+      | control | cattrs, httpcore, limelever.agent, limelever.node, limelever.proxy                  |
--- a/features/steps/settings_sample_steps.py
+++ b/features/steps/settings_sample_steps.py
@@ -14,7 +14,8 @@
 
 from limelever.cli.resource_files import read_resources
 from limelever.cli.roles import check_settings
-from limelever.common.settings import SettingsProblems, check_table
+from limelever.common.settings import SettingsProblems
+from limelever.common.settings.reader import check_table
 from limelever.protocol.config_pb2 import CALL_KIND_AT_MOST_ONCE
 from limelever_lab.fleet.deployment import load_deployment
 from limelever_lab.settings_schema import keys_of
--- a/features/steps/settings_samples.py
+++ b/features/steps/settings_samples.py
@@ -6,7 +6,8 @@
 
 from limelever.cli.roles import settings_class
 from limelever.common.sansio import Role
-from limelever.common.settings import SettingsProblems, check_table
+from limelever.common.settings import SettingsProblems
+from limelever.common.settings.reader import check_table
 
 ETC = Path(__file__).resolve().parents[2] / "etc"
 COMMENTED_KEY = re.compile(r"^# ?(?=[a-z_]+ = )")
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -11,13 +11,8 @@
 from settings_samples import class_of, flat, problems_of, sample_path, sample_table, with_value
 
 from limelever.cli.roles import PROCESS_ROLES, check_settings, settings_class
-from limelever.common.settings import (
-    ProcessSettings,
-    SettingsProblems,
-    check_table,
-    load_settings,
-    read_table,
-)
+from limelever.common.settings import ProcessSettings, SettingsProblems
+from limelever.common.settings.reader import check_table, load_settings, read_table
 
 MARKER = "marker-of-a-secret"
 SECRET_CHANGES = {
--- a/src/limelever/cli/resource_files.py
+++ b/src/limelever/cli/resource_files.py
@@ -10,14 +10,9 @@
 import attrs
 import cattrs
 
-from limelever.common.settings import (
-    SettingsProblem,
-    SettingsProblems,
-    between,
-    explain,
-    read_table,
-    structure,
-)
+from limelever.common.settings import SettingsProblem, SettingsProblems, between
+from limelever.common.settings.reader import read_table
+from limelever.common.settings.structure import explain, structure
 from limelever.protocol.config_pb2 import (
     CALL_KIND_AT_MOST_ONCE,
     CALL_KIND_REPEATABLE,
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -14,13 +14,8 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Role
-from limelever.common.settings import (
-    ProcessSettings,
-    SettingsProblem,
-    SettingsProblems,
-    load_settings,
-    read_table,
-)
+from limelever.common.settings import ProcessSettings, SettingsProblem, SettingsProblems
+from limelever.common.settings.reader import load_settings, read_table
 from limelever.early_signals import ignore_reload_signal
 from limelever.transport.reload import SettingsFile
 
--- a/src/limelever/common/settings/__init__.py
+++ b/src/limelever/common/settings/__init__.py
@@ -3,6 +3,9 @@
 A role's settings are a frozen attrs class derived from :class:`ProcessSettings`. Ranges are
 attrs validators; rules between keys stand in the class's ``CLASHES``. Unknown keys are problems.
 Durations carry their unit in the key's name (``_ms``), sizes end in ``_bytes``.
+
+What reads files (``reader``, ``structure``) isn't imported here: a process whose settings are built
+in code is spared cattrs and the parser.
 """
 
 from limelever.common.settings.checks import (
@@ -15,7 +18,6 @@
     parse_address,
 )
 from limelever.common.settings.problems import Clash, SettingsProblem, SettingsProblems
-from limelever.common.settings.reader import check_table, load_settings, read_table
 from limelever.common.settings.sections import (
     AcceptedCredential,
     CredentialSettings,
@@ -26,7 +28,6 @@
     TlsSettings,
     seconds,
 )
-from limelever.common.settings.structure import explain, structure
 
 __all__ = [
     "AcceptedCredential",
@@ -41,15 +42,10 @@
     "SettingsProblems",
     "TlsSettings",
     "between",
-    "check_table",
     "dialled",
     "distinct",
-    "explain",
-    "load_settings",
     "not_empty",
     "is_address",
     "parse_address",
-    "read_table",
     "seconds",
-    "structure",
 ]
--- a/src/limelever_lab/bench/full_push_process.py
+++ b/src/limelever_lab/bench/full_push_process.py
@@ -10,7 +10,8 @@
 import trio
 
 from limelever.common.sansio import Purpose
-from limelever.common.settings import SettingsProblems, load_settings
+from limelever.common.settings import SettingsProblems
+from limelever.common.settings.reader import load_settings
 from limelever.relay.settings import RelaySettings
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.process import ProcessShell, run_role
--- a/src/limelever_lab/bench_calls/profiled.py
+++ b/src/limelever_lab/bench_calls/profiled.py
@@ -13,7 +13,8 @@
 
 from limelever.agent import process as agent_process
 from limelever.agent.settings import AgentSettings
-from limelever.common.settings import ProcessSettings, load_settings
+from limelever.common.settings import ProcessSettings
+from limelever.common.settings.reader import load_settings
 from limelever.proxy import process as proxy_process
 from limelever.proxy.settings import ProxySettings
 
--- a/src/limelever_lab/fleet/deployment.py
+++ b/src/limelever_lab/fleet/deployment.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from limelever.common.settings import between, not_empty, structure
+from limelever.common.settings import between, not_empty
+from limelever.common.settings.structure import structure
 
 DEPLOYMENTS_FOLDER = Path(__file__).resolve().parents[3] / "etc" / "deployments"
 DEPLOYMENT_NAMES = ("koszyk", "results")
--- a/src/limelever_lab/hollow/process.py
+++ b/src/limelever_lab/hollow/process.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from limelever.common.settings import SettingsProblems, load_settings
+from limelever.common.settings import SettingsProblems
+from limelever.common.settings.reader import load_settings
 from limelever.transport.process import ProcessShell, run_role
 from limelever_lab.hollow.control import ControlServer
 from limelever_lab.hollow.node_set import NodeSet
