--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -164,7 +164,10 @@
         return health
 
     def _healthy(self, usable: Sequence[EndpointEntry], now: float) -> list[EndpointEntry]:
-        healthy = [e for e in usable if not self._health_of(e.key).is_ejected(now)]
+        health = self._health
+        healthy = [
+            e for e in usable if (known := health.get(e.key)) is None or not known.is_ejected(now)
+        ]
         floor = math.ceil(len(usable) * self._settings.ejection_floor)
         if len(healthy) >= floor:
             return healthy
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -14,7 +14,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 from limelever.common.sansio import Address
 from limelever.protocol.endpoints_pb2 import (
@@ -42,9 +42,11 @@
 """``cold_since`` of an endpoint that was there before this proxy knew its table."""
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointKey:
-    """Names one back end instance of a service."""
+class EndpointKey(NamedTuple):
+    """Names one back end instance of a service.
+
+    A named tuple, as its hash is taken several times for each call that is balanced.
+    """
 
     service: str
     instance: str
