Leave the own zone for a slow endpoint's sake only where answers would be late

Calls left their zone for a few milliseconds that nobody missed.

Change: an endpoint of the own zone with a slot free is preferred again, unless its answer is expected after 0.6 of the time to the target; a full zone is judged as it was before.

--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -65,3 +65,14 @@
     Given two endpoints, one flooded with short calls and one with a few long ones
     When the balancer's route "short" is gone
     Then the balancer holds times of no route but "long"
+
+  Scenario Outline: The own zone is left for a slow endpoint's sake only where answers would be late
+    Given an endpoint of the own zone that takes 240 ms and one elsewhere that takes 120, both idle
+    Then a call with <target> ms to its target goes <where>
+
+    Examples:
+      | target | where        |
+      | 400    | elsewhere    |
+      | 800    | to its zone  |
+      | 0      | to its zone  |
+      | -50    | to its zone  |
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -292,3 +292,23 @@
 def then_only_route(context: Context, name: str) -> None:
     held = {n for health in context.balancer._health.values() for n in health.time_by_route}
     assert held == {name}, held
+
+
+@given(
+    "an endpoint of the own zone that takes {own:d} ms and one elsewhere that takes {other:d}, "
+    "both idle"
+)
+def given_slow_at_home(context: Context, own: int, other: int) -> None:
+    endpoints = [agents(1, zone, 12, number)[0] for number, zone in enumerate(("here", "there"))]
+    context.usable = view_of(endpoints).usable(SERVICE, 0.0)
+    context.balancer = balancer_of()
+    for entry in context.usable:
+        seconds = (own if entry.zone == "here" else other) / 1000
+        context.balancer.observe_load(entry.key, 0, 1.0, seconds)
+
+
+@then("a call with {target:d} ms to its target goes {where}")
+def then_goes(context: Context, target: int, where: str) -> None:
+    seconds = target / 1000
+    picked = context.balancer.pick(context.usable, 1.0, local_within=0.3, to_target=seconds)
+    assert (picked.zone == "here") is (where == "to its zone"), picked
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -112,11 +112,18 @@
     ) -> EndpointEntry | None:
         """Return an endpoint not tried yet; one whose dial is overdue only if there is no other."""
         local_within = self._moved.local_within(call, now)
+        to_target = call.target - now if call.route.target_latency else 0.0
         excluded: set[EndpointKey] = set(call.tried)
         overdue: EndpointEntry | None = None
         while True:
             entry = self._balancer.pick(
-                usable, now, excluded, call.part.slow_start, local_within, call.route.name
+                usable,
+                now,
+                excluded,
+                call.part.slow_start,
+                local_within,
+                call.route.name,
+                to_target,
             )
             if entry is None:
                 return overdue
