--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -66,13 +66,23 @@
     When the balancer's route "short" is gone
     Then the balancer holds times of no route but "long"
 
-  Scenario Outline: The own zone is left for a slow endpoint's sake only where answers would be late
-    Given an endpoint of the own zone that takes 240 ms and one elsewhere that takes 120, both idle
-    Then a call with <target> ms to its target goes <where>
+  Scenario Outline: A light call leaves its zone for an earlier answer, any other only when it is full
+    Given an endpoint of the own zone that takes 240 ms and one elsewhere that takes <other>, both idle
+    Then a <kind> call with 400 ms to its target goes <where>
 
     Examples:
-      | target | where        |
-      | 400    | elsewhere    |
-      | 800    | to its zone  |
-      | 0      | to its zone  |
-      | -50    | to its zone  |
+      | other | kind   | where       |
+      | 120   | light  | elsewhere   |
+      | 235   | light  | to its zone |
+      | 120   | usual  | to its zone |
+
+  Scenario Outline: Calls are light by what they move
+    Given a route with 1 second to its target whose answers have <answer> bytes
+    Then a call on it with a body of <body> bytes is <kind>
+
+    Examples:
+      | answer | body  | kind  |
+      | 1500   | 300   | light |
+      | 5000   | 0     | usual |
+      | 400    | 60000 | usual |
+      | no     | 0     | usual |
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -28,6 +28,7 @@
 from limelever.proxy.endpoints import UNLISTED_GRACE, EndpointView
 from limelever.proxy.group_limits import GroupLimits, LimitSettings, ShareKey
 from limelever.proxy.health import HealthSettings, Verdict
+from limelever.proxy.moved_bytes import SMALL_PART, USUAL_PART
 
 
 def view_of(endpoints: list[Endpoint], now: float = 0.0) -> EndpointView:
@@ -307,8 +308,9 @@
         context.balancer.observe_load(entry.key, 0, 1.0, seconds)
 
 
-@then("a call with {target:d} ms to its target goes {where}")
-def then_goes(context: Context, target: int, where: str) -> None:
-    seconds = target / 1000
-    picked = context.balancer.pick(context.usable, 1.0, local_within=0.3, to_target=seconds)
+@then("a {kind:w} call with {target:d} ms to its target goes {where}")
+def then_goes(context: Context, kind: str, target: int, where: str) -> None:
+    within = target / 1000 * (SMALL_PART if kind == "light" else USUAL_PART)
+    balancer = context.balancer
+    picked = balancer.pick(context.usable, 1.0, local_within=within, light=kind == "light")
     assert (picked.zone == "here") is (where == "to its zone"), picked
--- a/features/steps/moved_bytes_steps.py
+++ b/features/steps/moved_bytes_steps.py
@@ -34,3 +34,12 @@
     )
     found = context.moved.local_within(call, NOW)
     assert round(found * 1000) == milliseconds, found
+
+
+@then("a call on it with a body of {body:d} bytes is {kind:w}")
+def then_kind(context, body, kind):
+    call = SimpleNamespace(
+        request=SimpleNamespace(body=bytes(body)),
+        route=SimpleNamespace(name=ROUTE, target_latency=1.0),
+    )
+    assert context.moved.is_light(call) is (kind == "light")
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -112,7 +112,7 @@
     ) -> EndpointEntry | None:
         """Return an endpoint not tried yet; one whose dial is overdue only if there is no other."""
         local_within = self._moved.local_within(call, now)
-        to_target = call.target - now if call.route.target_latency else 0.0
+        light = self._moved.is_light(call)
         excluded: set[EndpointKey] = set(call.tried)
         overdue: EndpointEntry | None = None
         while True:
@@ -123,7 +123,7 @@
                 call.part.slow_start,
                 local_within,
                 call.route.name,
-                to_target,
+                light,
             )
             if entry is None:
                 return overdue
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -30,8 +30,8 @@
     ``spill_load`` is the load per slot from which a local endpoint counts as full,
     ``ejection_floor`` the part of a set that is never ejected, ``cold_part`` the part of its
     slots with which a cold endpoint begins, and ``foreign_load_limit`` the most that a report
-    may claim, in times of the slots. ``choices`` is how many endpoints are compared. An answer
-    that is expected after ``near_target`` of the time to its target is late too often.
+    may claim, in times of the slots. ``choices`` is how many endpoints are compared. ``light_part``
+    is the part of its spare time by which a light call may be later for its zone's sake.
     """
 
     zone: str = ""
@@ -42,7 +42,7 @@
     load_half_life: float = 2.0
     foreign_load_limit: float = 5.0
     choices: int = 3
-    near_target: float = 0.6
+    light_part: float = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
     ramp: float
     now: float
     local_within: float
-    to_target: float
+    light: bool
 
 
 class Balancer:
@@ -78,22 +78,22 @@
         slow_start: float = 0.0,
         local_within: float = 0.0,
         route: str = "",
-        to_target: float = 0.0,
+        light: bool = False,
     ) -> EndpointEntry | None:
         """Return the endpoint for a new attempt, or ``None`` when no usable one is left.
 
         ``route`` is the call's: its calls may take another time than those of other routes.
         ``slow_start`` is the service's ramp in seconds; 0 stands for the default. An endpoint of
-        the own zone is preferred while it has a slot free, unless its answer would come near the
-        target, ``to_target`` seconds from now (0 or less: there is none, or it is past). A full
-        one is still preferred if its answer is expected within ``local_within`` seconds: time that
-        the call can spare costs less than bytes between zones.
+        the own zone is preferred while it has a slot free, and a full one if its answer is expected
+        within ``local_within`` seconds: time that the call can spare costs less than bytes between
+        zones. A ``light`` call moves so few that it is kept in its zone only by an answer that is
+        hardly later than elsewhere.
         """
         ramp = slow_start or self._settings.slow_start
         candidates = [e for e in self._healthy(usable, now) if e.key not in excluded]
         if not candidates:
             return None
-        asked = _Asked(route, ramp, now, local_within, to_target)
+        asked = _Asked(route, ramp, now, local_within, light)
         earliest = self._earliest_of_some(candidates, asked)
         if self.is_local(earliest):
             return earliest
@@ -101,7 +101,7 @@
         if not local:
             return earliest
         own = self._earliest_of_some(local, asked)
-        return own if self._keeps_up(own, asked) else earliest
+        return own if self._keeps_up(own, earliest, asked) else earliest
 
     def is_local(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is in the proxy's own zone."""
@@ -178,14 +178,15 @@
         ejected.sort(key=lambda entry: self._health_of(entry.key).ejected_until)
         return healthy + ejected[: floor - len(healthy)]
 
-    def _keeps_up(self, own: EndpointEntry, asked: _Asked) -> bool:
+    def _keeps_up(self, own: EndpointEntry, earliest: EndpointEntry, asked: _Asked) -> bool:
         """Return whether the own zone's endpoint answers soon enough to be preferred."""
         health = self._health_of(own.key)
+        if asked.light and health.service_time:
+            spare = max(0.0, asked.local_within) * self._settings.light_part
+            later = self._expected_time(own, asked) - self._expected_time(earliest, asked)
+            return later <= spare
         if self._load(own, health, asked) < self._settings.spill_load:
-            if asked.to_target <= 0 or not health.service_time:
-                return True
-            near = asked.to_target * self._settings.near_target
-            return self._expected_time(own, asked) <= near
+            return True
         return bool(health.service_time) and self._expected_time(own, asked) <= asked.local_within
 
     def _earliest_of_some(self, candidates: list[EndpointEntry], asked: _Asked) -> EndpointEntry:
--- a/src/limelever/proxy/moved_bytes.py
+++ b/src/limelever/proxy/moved_bytes.py
@@ -50,6 +50,10 @@
             return 0.0
         return (call.target - now) * self._part(call)
 
+    def is_light(self, call: Call) -> bool:
+        """Return whether a call with a target is known to move few bytes."""
+        return bool(call.route.target_latency) and self._part(call) == SMALL_PART
+
     def _part(self, call: Call) -> float:
         body = len(call.request.body)
         if body >= LARGE_BYTES:
