Read the platform's numbers with fractions, and start without those that aren't needed

Cause: a small twin tells bounds.budgetSlack as 30.714..., which int() doesn't read: each node ended with a traceback. So would any deployment with a bound that isn't whole.

Change: one function reads every number of the settings file, whole or with a fraction, and names the field and what is wrong with it. A number that a process can do without is replaced by a default and logged (1008); a field that it needs ends the start with a numbered line in place of a traceback.

Tests: seven flaws of each number, both ends of needed fields, four starts of the program. 'with fraction', 'missing' and 'empty' failed before (ValueError, KeyError).

--- a/features/platform/formats.feature
+++ b/features/platform/formats.feature
@@ -38,6 +38,39 @@
     Then the node and the control process find each other's ports
     And no field that is unknown matters
 
+  Scenario Outline: A number that is <flaw> keeps no process from starting where it can do without
+    Then a node starts and logs it while one of its numbers is <flaw>: <logged>
+    And a control process starts and logs it while one of its numbers is <flaw>: <logged>
+
+    Examples:
+      | flaw          | logged |
+      | whole         | no     |
+      | with fraction | no     |
+      | missing       | yes    |
+      | empty         | yes    |
+      | no number     | yes    |
+      | below 0       | yes    |
+      | not finite    | yes    |
+
+  Scenario Outline: A field without which no process can serve is named when it is <flaw>
+    Then a node whose needed field is <flaw> says which one
+    And a control process whose needed field is <flaw> says which one
+
+    Examples:
+      | flaw    |
+      | missing |
+      | empty   |
+
+  Scenario Outline: A start with <field> <value> is refused with the field's name, not a traceback
+    Then the program ends with status 1 and a log line that names <field> when it is <value>
+
+    Examples:
+      | field                     | value  |
+      | portRange                 | 7380   |
+      | portRange                 | 1,1    |
+      | seeds                     | a,b    |
+      | listenAddrs.control       | nobody |
+
   Scenario Outline: An operator's <failure> is answered with <status>
     Then the platform answers <failure> with <status>
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
 import sys
+import tempfile
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then
 from hypothesis import given as examples
@@ -15,17 +19,20 @@
 
 from configuration_format import parse_configuration  # noqa: E402
 from control_boot import control_settings  # noqa: E402
+from fields import FieldError  # noqa: E402
 from http_calls import refused  # noqa: E402
 from node_boot import node_settings  # noqa: E402
 from report_format import parse_report  # noqa: E402
 
 from limelever.common.errors import ErrorKind, Failure  # noqa: E402
+from limelever.common.events import PROCESS_FAILED, SETTING_REPLACED  # noqa: E402
 from limelever.protocol.config_pb2 import (  # noqa: E402
     CALL_KIND_ONCE_PER_ATTEMPT,
     CALL_KIND_REPEATABLE,
 )
 from limelever.source.validation import validate_batch  # noqa: E402
 
+START = Path(__file__).resolve().parents[2] / "platform" / "start.py"
 PROPERTY = hypothesis_settings(derandomize=True, database=None, deadline=None, max_examples=100)
 NAMES = st.from_regex(r"[a-z][a-z0-9]{0,8}", fullmatch=True)
 KINDS = {
@@ -243,6 +250,100 @@
     assert node_settings({**context.node_fields, **extra}) == known
 
 
+NUMBER_FLAWS = {
+    "whole": "3000",
+    "with fraction": "3030.714285714285715",
+    "missing": None,
+    "empty": "",
+    "no number": "many",
+    "below 0": "-1",
+    "not finite": "inf",
+}
+NODE_NUMBERS = ("bounds.graceS", "bounds.drainMs", "bounds.budgetSlack")
+CONTROL_NUMBERS = ("bounds.graceS", "bounds.contactMs")
+NODE_NEEDS = ("nodeName", "zone", "ip", "service", "appAddr", "listenAddrs.outbound", "portRange")
+CONTROL_NEEDS = (
+    "nodeName",
+    "zone",
+    "ip",
+    "dataDir",
+    "listenAddrs.control",
+    "portRange",
+    "faultTolerance.machines",
+)
+
+
+def with_flaw(fields, name, flaw):
+    changed = {**fields, name: NUMBER_FLAWS[flaw]}
+    return {key: value for key, value in changed.items() if value is not None}
+
+
+def replaced_settings(build, fields):
+    """Return the log events of settings that were replaced while ``build`` read the fields."""
+    logged = []
+    with mock.patch("fields.write_event", lambda code, values: logged.append((code, values))):
+        build(fields)
+    return [values for code, values in logged if code == SETTING_REPLACED]
+
+
+def check_numbers(build, fields, names, flaw, logged):
+    for name in names:
+        lines = replaced_settings(build, with_flaw(fields, name, flaw))
+        assert len(lines) == (1 if logged == "yes" else 0), (name, lines)
+        assert all(name in line["problem"] for line in lines), lines
+
+
+def check_needs(build, fields, names, flaw):
+    for name in names:
+        try:
+            build(with_flaw(fields, name, flaw))
+        except FieldError as error:
+            assert name in str(error), (name, error)
+        else:
+            raise AssertionError(f"{name} was not missed")
+
+
+@then("a node starts and logs it while one of its numbers is {flaw}: {logged}")
+def then_node_starts(context, flaw, logged):
+    given_settings(context)
+    check_numbers(node_settings, context.node_fields, NODE_NUMBERS, flaw, logged)
+
+
+@then("a control process starts and logs it while one of its numbers is {flaw}: {logged}")
+def then_control_starts(context, flaw, logged):
+    given_settings(context)
+    check_numbers(control_settings, context.control_fields, CONTROL_NUMBERS, flaw, logged)
+
+
+@then("a node whose needed field is {flaw} says which one")
+def then_node_needs(context, flaw):
+    given_settings(context)
+    check_needs(node_settings, context.node_fields, NODE_NEEDS, flaw)
+
+
+@then("a control process whose needed field is {flaw} says which one")
+def then_control_needs(context, flaw):
+    given_settings(context)
+    check_needs(control_settings, context.control_fields, CONTROL_NEEDS, flaw)
+
+
+@then("the program ends with status 1 and a log line that names {field} when it is {value}")
+def then_named(context, field, value):
+    given_settings(context)
+    fields = {**context.control_fields, field: value}
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.conf"
+        path.write_text("".join(f"{name}={each}\n" for name, each in fields.items()))
+        environment = {**os.environ, "LIMELEVER_SETTINGS": str(path)}
+        start = [sys.executable, str(START), "control"]
+        ended = subprocess.run(start, env=environment, capture_output=True, text=True, timeout=60)
+    lines = [json.loads(line) for line in ended.stdout.splitlines()]
+    assert ended.returncode == 1, ended
+    assert not ended.stderr, ended.stderr
+    assert [line["code"] for line in lines] == [PROCESS_FAILED], lines
+    assert field in lines[0]["fields"]["reason"], lines
+
+
 @then("the platform answers {kind} with {status:d}")
 def then_status(context, kind, status):
     answer = refused(Failure(ErrorKind(kind), "why"))
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -67,6 +67,14 @@
     "reason",
     "problem",
 )
+SETTING_REPLACED = define(
+    1008,
+    "setting-replaced",
+    Level.WARNING,
+    "a setting that the process can do without is unusable, its default is in force",
+    "problem",
+    "used",
+)
 LINK_OPENED = define(1010, "link-opened", Level.DEBUG, "link opened", "peer", "purpose")
 LINK_CLOSED = define(1011, "link-closed", Level.INFO, "link closed", "peer", "purpose", "reason")
 LINK_REFUSED = define(
