Ask for bodies in small parts, paced by the receiving machine's link

Cause: up to 256 KiB of a body travelled in a call's first frame and as much again after it. On a link of a few Mbit/s a body of 60 kB holds everything behind it for 0.12 to 0.23 s: lookups, answers, leases, configuration.

Change: a body over 8 KiB waits until its agent asks for it (awaits_credit was so between zones only). The agent asks for parts of 16 ms of its own link, three on their way at once, the shortest body first; a sender that is silent for 0.25 s stops counting. An upload that the link can't bring in time is refused by its head, one that was asked for isn't refused any more when it comes. The link's rate comes from limits.linkMbps; where it isn't known parts of 256 KiB are asked for. Ruled out: pacing by a clock (arrival is clock enough), two connections a link (parts are small).

'A long body follows the agent's credit' counted on 512 KiB sent unasked; it now wants 0 before credit, and the same bytes after it.

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -137,12 +137,19 @@
   Scenario: A long body follows the agent's credit
     Given a proxy with one endpoint
     When a caller uploads 1048576 bytes
+    Then the agent has 0 bytes of the upload
+    When the agent gives credit for 524288 bytes
     Then the agent has 524288 bytes of the upload
     When the agent gives credit for 262144 bytes
     Then the agent has 786432 bytes of the upload
     When the agent gives credit for 262144 bytes
     Then the agent has the whole upload of 1048576 bytes
 
+  Scenario: A short body travels with its call, and is not asked for
+    Given a proxy with one endpoint
+    When a caller uploads 8192 bytes
+    Then the agent has the whole upload of 8192 bytes
+
   Scenario: A large body goes to another zone only once the agent there asks for it
     Given a proxy in another zone than its one endpoint
     When a caller uploads 59904 bytes
--- a/features/steps/agent_bench.py
+++ b/features/steps/agent_bench.py
@@ -72,11 +72,11 @@
 class AgentBench:
     """An agent core with its shell's part played by the test."""
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, link_rate: int = 0) -> None:
         options = AgentOptions(
             REGISTRATION,
             SubscriberSettings(RELAYS, ("orders",)),
-            CallLimits(QueueLimits(slots=slots)),
+            CallLimits(QueueLimits(slots=slots), link_rate=link_rate),
         )
         self.core = AgentCore(options, 7, random.Random(1))
         self.now = 100.0
--- a/features/steps/platform_machines.py
+++ b/features/steps/platform_machines.py
@@ -26,6 +26,7 @@
     "bounds.contactMs": "3000",
     "bounds.drainMs": "2000",
     "bounds.budgetSlack": "64",
+    "limits.linkMbps": "1000.0",
 }
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -210,6 +210,7 @@
     "bounds.contactMs": "3000",
     "bounds.drainMs": "2000",
     "bounds.budgetSlack": "64",
+    "limits.linkMbps": "2.35",
 }
 
 
@@ -259,7 +260,7 @@
     "below 0": "-1",
     "not finite": "inf",
 }
-NODE_NUMBERS = ("bounds.graceS", "bounds.drainMs", "bounds.budgetSlack")
+NODE_NUMBERS = ("bounds.graceS", "bounds.drainMs", "bounds.budgetSlack", "limits.linkMbps")
 CONTROL_NUMBERS = ("bounds.graceS", "bounds.contactMs")
 NODE_NEEDS = ("nodeName", "zone", "ip", "service", "appAddr", "listenAddrs.outbound", "portRange")
 CONTROL_NEEDS = (
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -4,9 +4,8 @@
 back end, and an attempt identifier that was seen before is never handed over again. A call that
 its proxy cancels is answered as well: the proxy learns whether it had begun.
 
-Bodies in parts: a proxy may send 256 KiB of ``CallBody`` on a stream at once and as much again
-as ``CallCredit`` gives back; long answers go the other way alike, see ``answer_sender``. A proxy
-that awaits credit sends nothing of a body before the queue has room for its call.
+Bodies in parts: a proxy sends of a body what ``CallCredit`` asks for, and nothing before the queue
+has room for its call; see ``body_credit``. Long answers go the other way, see ``answer_sender``.
 """
 
 from __future__ import annotations
@@ -26,9 +25,6 @@
 from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
 
-FIRST_CREDIT_BYTES = 256 * 1024
-"""What a proxy that awaits credit may send of a body at first."""
-
 _SHED_STATUS = 503
 _MICROSECONDS = 1_000_000
 _MICROSECONDS_PER_MILLISECOND = 1000
@@ -42,11 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
-    """Bounds of the call service; ``assembling_bytes`` is of bodies not yet whole."""
+    """Bounds of the call service; ``assembling_bytes`` is of bodies not yet whole.
+
+    ``link_rate`` is what the machine's link takes in, in bytes a second; 0 if not known.
+    """
 
     queue: QueueLimits = QueueLimits()
     max_body_bytes: int = 4 * 1024 * 1024
     assembling_bytes: int = 8 * 1024 * 1024
+    link_rate: int = 0
     log: DecisionLogSettings = DecisionLogSettings()
 
 
@@ -56,7 +56,7 @@
     def __init__(self, service: str, incarnation: int, limits: CallLimits) -> None:
         self._limits = limits
         self._calls = CallTable()
-        bodies = BodyLimits(limits.max_body_bytes, limits.assembling_bytes)
+        bodies = BodyLimits(limits.max_body_bytes, limits.assembling_bytes, limits.link_rate)
         self._intake = CallIntake(service, incarnation, bodies, self._calls)
         self._queue = FairQueue(limits.queue)
         self._answers = AnswerSender()
@@ -115,23 +115,32 @@
             return self._admit(call, now)
         failure = self._intake.check_body(call)
         if failure is None and start.awaits_credit:
-            failure = self._queue.check(_queued(call, now), now)
+            whole_after = self._intake.expected_time(start)
+            failure = self._queue.check(_queued(call, now), now, whole_after)
         if failure is not None:
             return self._refuse(call, failure)
-        return self._first_credit(connection, start) if start.awaits_credit else []
+        self._intake.ask_for(call)
+        return []
 
     def body(self, connection: ConnectionId, message: CallBody, now: float) -> list[Output]:
         """Take a part of a body; parts for unknown streams are late and dropped."""
         call = self._calls.by_stream(connection, message.stream)
         if call is None or not self._intake.holds(call):
             return []
-        failure = self._intake.add(call, message)
+        failure = self._intake.add(call, message, now)
         if failure is not None:
             return self._refuse(call, failure)
-        if message.end:
-            return self._admit(call, now)
-        credit = CallCredit(stream=message.stream, bytes=len(message.data))
-        return [SendMessage(connection, credit)]
+        return self._admit(call, now) if message.end else []
+
+    def ask_for_bodies(self, now: float) -> list[Output]:
+        """Let proxies send on what is next of the bodies that are asked for."""
+        outputs: list[Output] = []
+        for grant in self._intake.grants(now):
+            call = self._calls.by_number(grant.call)
+            assert call is not None
+            credit = CallCredit(stream=call.start.stream, bytes=grant.size)
+            outputs.append(SendMessage(call.connection, credit))
+        return outputs
 
     def credit(self, connection: ConnectionId, message: CallCredit) -> list[Output]:
         """Send more of a long answer."""
@@ -262,13 +271,10 @@
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
         return replace(failure, retry_after=self._queue.advice(call.start.group, self._now))
 
-    def _first_credit(self, connection: ConnectionId, start: CallStart) -> list[Output]:
-        credit = CallCredit(stream=start.stream, bytes=FIRST_CREDIT_BYTES)
-        return [SendMessage(connection, credit)]
-
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
-        offered = self._queue.offer(_queued(call, now), now)
+        asked_for = call.start.awaits_credit
+        offered = self._queue.offer(_queued(call, now), now, checked=asked_for)
         if isinstance(offered, Failure):
             self._calls.remove(call)
             return self._failed(call.connection, call.start, offered)
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -135,6 +135,7 @@
         outputs = self._own_event(event, now)
         if self._finished:
             return outputs
+        outputs.extend(self._calls.ask_for_bodies(now))
         outputs.extend(self._registration.handle(event, now))
         outputs.extend(self._subscribed(event, now))
         self._registration.report_load(self._calls.running)
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -94,13 +94,17 @@
         """Take the weights of all groups that have a share; others get the default weight."""
         self._groups.set_weights(weights, self._virtual_time)
 
-    def offer(self, call: QueuedCall, now: float) -> Failure | tuple[Eviction, ...]:
+    def offer(
+        self, call: QueuedCall, now: float, *, checked: bool = False
+    ) -> Failure | tuple[Eviction, ...]:
         """Queue a call, or refuse it at once (NOT RUN) when it cannot make its deadline.
 
-        Returns the calls of other groups that lost their place for it.
+        One that was ``checked`` before its body was asked for is refused only if its deadline has
+        passed: its bytes have been paid for. Returns the calls of other groups that lost their
+        place for it.
         """
         group = self._groups.open(call.group, self._virtual_time)
-        failure = self._refusal(group, call, now)
+        failure = _past_deadline(call, now) if checked else self._refusal(group, call, now)
         if failure is None:
             evictions = self._make_room(group, call.size, now)
             if not isinstance(evictions, Failure):
@@ -110,10 +114,13 @@
         self._groups.forget_if_idle(group, self._virtual_time)
         return failure
 
-    def check(self, call: QueuedCall, now: float) -> Failure | None:
-        """Return why a call would be refused now; nothing is queued."""
+    def check(self, call: QueuedCall, now: float, whole_after: float = 0.0) -> Failure | None:
+        """Return why a call whose body is whole in so many seconds would be refused.
+
+        Nothing is queued.
+        """
         group = self._groups.open(call.group, self._virtual_time)
-        failure = self._refusal(group, call, now)
+        failure = self._refusal(group, call, now, whole_after)
         self._groups.forget_if_idle(group, self._virtual_time)
         return failure
 
@@ -205,24 +212,25 @@
             return None
         return min(earliest, self._room_at)
 
-    def _refusal(self, group: GroupQueue, call: QueuedCall, now: float) -> Failure | None:
-        if call.deadline <= now:
-            return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
-        if self._starts_at_once(group, now):
-            return None
+    def _refusal(
+        self, group: GroupQueue, call: QueuedCall, now: float, whole_after: float = 0.0
+    ) -> Failure | None:
+        failure = _past_deadline(call, now)
+        if failure is not None or (not whole_after and self._starts_at_once(group, now)):
+            return failure
         if self._estimate.is_blind(call, self.queued):
             advice = self._returns.book(0.0, FIRST_SERVICE_TIME, now)
             reason = "nothing is known yet of how long calls take, and some wait already"
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, reason, retry_after=advice)
         if len(group.calls) >= self._limits.group_calls:
             return self._share_failure(group, "the group's queue is full", now)
-        wait = self._wait(group, now)
+        wait = max(whole_after, self._wait(group, now))
         service_time = self._estimate.service_time(group)
         if self._estimate.is_too_long(group, call, now, wait):
             return Failure(
                 ErrorKind.DEADLINE_TOO_SHORT,
                 f"an answer takes about {wait + service_time:.3f} s",
-                retry_after=self._book_return(group, now),
+                retry_after=self._book_return(group, now, whole_after),
             )
         return None
 
@@ -231,8 +239,8 @@
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
         return Failure(kind, reason, retry_after=self._book_return(group, now))
 
-    def _book_return(self, group: GroupQueue, now: float) -> float:
-        wait = self._wait(group, now)
+    def _book_return(self, group: GroupQueue, now: float, whole_after: float = 0.0) -> float:
+        wait = max(whole_after, self._wait(group, now))
         return self._returns.book(wait, self._estimate.service_time(group), now)
 
     def _starts_at_once(self, group: GroupQueue, now: float) -> bool:
@@ -293,3 +301,9 @@
         if not self._running and not self._group_of:
             self._groups.clear()
             self._virtual_time = 0.0
+
+
+def _past_deadline(call: QueuedCall, now: float) -> Failure | None:
+    if call.deadline > now:
+        return None
+    return Failure(ErrorKind.DEADLINE_TOO_SHORT, "the deadline has passed")
--- a/src/limelever/agent/intake.py
+++ b/src/limelever/agent/intake.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from limelever.agent import events
+from limelever.agent.body_credit import BodyCredit, Grant
 from limelever.agent.calls import Call, CallStage, CallTable, RecentAttempts
 from limelever.agent.start_checks import check_attempt, check_body, check_start
 from limelever.common.errors import ErrorKind, Failure
@@ -25,10 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyLimits:
-    """Bounds in bytes: of one body, and of all bodies not yet whole."""
+    """Bounds in bytes: of one body, of all not yet whole, and of the link in bytes a second.
+
+    A ``link_rate`` of 0 stands for a rate that is not known.
+    """
 
     one: int
     assembling: int
+    link_rate: int = 0
 
 
 class CallIntake:
@@ -45,6 +50,7 @@
         self._recent = RecentAttempts()
         self._assembling: dict[int, Call] = {}
         self._assembling_bytes = 0
+        self._credit = BodyCredit(limits.link_rate)
 
     @property
     def assembling(self) -> tuple[Call, ...]:
@@ -83,9 +89,10 @@
         self._assembling_bytes += len(call.body)
         return call
 
-    def add(self, call: Call, message: CallBody) -> Failure | None:
+    def add(self, call: Call, message: CallBody, now: float) -> Failure | None:
         """Take a part of a call's body; return why it finds no room."""
         call.body += message.data
+        self._credit.arrived(call.number, len(message.data), now)
         self._assembling_bytes += len(message.data)
         return self.check_body(call)
 
@@ -100,16 +107,34 @@
 
     def close(self, call: Call) -> None:
         """Let go of a call: its body is whole, or it is refused or given up."""
+        self._credit.remove(call.number)
         if self._assembling.pop(call.number, None) is not None:
             self._assembling_bytes -= len(call.body)
 
+    def expected_time(self, start: CallStart) -> float:
+        """Return how many seconds a body that is asked for now takes until it is here whole."""
+        return self._credit.expected_time(start.body_bytes)
+
+    def ask_for(self, call: Call) -> None:
+        """Ask for a call's body in its turn; one of unknown size is asked for up to the limit."""
+        size = call.start.body_bytes or self._max_body_bytes
+        self._credit.add(call.number, size - len(call.body))
+
+    def grants(self, now: float) -> list[Grant]:
+        """Return which bodies may go on now, and by how much."""
+        return self._credit.grants(now) if self._assembling else []
+
     def holds(self, call: Call) -> bool:
         """Return whether the call's body is not yet whole."""
         return call.stage is CallStage.ASSEMBLING
 
     def next_deadline(self) -> float | None:
-        """Return the earliest deadline of a call whose body is not yet whole."""
-        return min((call.deadline for call in self._assembling.values()), default=None)
+        """Return when a body that is not yet whole must be looked at."""
+        if not self._assembling:
+            return None
+        earliest = min(call.deadline for call in self._assembling.values())
+        stalled = self._credit.next_deadline()
+        return earliest if stalled is None else min(earliest, stalled)
 
     def expired(self, now: float) -> list[Call]:
         """Return the calls whose deadline passed before their body was whole."""
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -97,6 +97,7 @@
             ),
             max_body_bytes=queue.max_body_bytes,
             assembling_bytes=queue.total_bytes,
+            link_rate=queue.link_rate_bytes,
             log=settings.log.decisions(),
         ),
         drain=DrainLimits(
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -43,11 +43,15 @@
 
 @attrs.frozen(kw_only=True)
 class QueueSettings:
-    """Bounds of what waits for a slot and of single bodies."""
+    """Bounds of what waits for a slot and of single bodies.
+
+    ``link_rate_bytes`` is what the machine's link takes in a second; 0 if that is not known.
+    """
 
     group_calls: int = attrs.field(default=64, validator=between(1, 10000))
     total_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 1 << 30))
     max_body_bytes: int = attrs.field(default=4 << 20, validator=between(0, 256 << 20))
+    link_rate_bytes: int = attrs.field(default=0, validator=between(0, 1 << 40))
     default_weight: int = attrs.field(default=1, validator=between(1, 10000))
     unlisted_groups: int = attrs.field(default=32, validator=between(1, 10000))
 
--- a/src/limelever/agent/start_checks.py
+++ b/src/limelever/agent/start_checks.py
@@ -30,7 +30,7 @@
         return Failure(ErrorKind.NO_ENDPOINT, f"this agent serves {service} only")
     if stream_in_use:
         return Failure(ErrorKind.PROTOCOL_VIOLATION, "the stream is in use")
-    if len(start.body) > max_body_bytes:
+    if max(len(start.body), start.body_bytes) > max_body_bytes:
         return _too_large(max_body_bytes)
     return None
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -21,8 +21,8 @@
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey, EndpointView
 from limelever.proxy.health import Verdict
 from limelever.proxy.links import AgentLink, AgentLinks, LinkStage
-from limelever.proxy.moved_bytes import LARGE_BYTES, MovedBytes
-from limelever.proxy.outgoing import next_parts, start_message
+from limelever.proxy.moved_bytes import MovedBytes
+from limelever.proxy.outgoing import start_message
 
 NO_ENDPOINT_RETRY_AFTER = 1.0
 
@@ -204,22 +204,5 @@
         self._calls.bind_stream(call, attempt)
         if call.wake_at != call.deadline:
             self._calls.wake(call, call.deadline)
-        start = start_message(
-            call,
-            attempt,
-            self._reserved,
-            self._settings.added_headers,
-            now,
-            hold_body=self._holds_body(call, attempt),
-        )
+        start = start_message(call, attempt, self._reserved, self._settings.added_headers, now)
         self._outputs.append(SendMessage(link.connection, start))
-        self._send_parts(call, attempt)
-
-    def _holds_body(self, call: Call, attempt: Attempt) -> bool:
-        """Return whether the agent is asked first: a large body is dear to send between zones."""
-        large = len(call.request.body) >= LARGE_BYTES
-        return large and not self._balancer.is_local(attempt.entry)
-
-    def _send_parts(self, call: Call, attempt: Attempt) -> None:
-        for part in next_parts(call, attempt):
-            self._outputs.append(SendMessage(attempt.connection, part))
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -1,8 +1,7 @@
 """The messages that carry a call to an agent: its start, and its body as credit allows.
 
-The agent takes a window of body bytes on a stream at once, and gives credit as it reads on, so
-that a large upload holds up neither the link's other calls nor the agent's memory. A body that is
-held back waits for the agent's first credit: a refused call then costs its head alone.
+A short body travels with the call's first message. A longer one is sent as its agent asks for it,
+in its turn: it holds up no other call on the agent's link, and a refused call costs its head alone.
 """
 
 from __future__ import annotations
@@ -13,15 +12,13 @@
 from limelever.proxy.call_state import Attempt, Call
 from limelever.proxy.headers import towards_backend
 
-FIRST_PART_BYTES = 256 * 1024
-"""Bodies up to this size travel within the first message."""
+UNASKED_BYTES = 8 * 1024
+"""Bodies up to this size travel within the first message; a choice: to ask for one costs a round
+trip and two messages, a short one holds the link for a few milliseconds."""
 
 PART_BYTES = 64 * 1024
 """Largest part of a longer body; other calls' messages go in between."""
 
-CREDIT_WINDOW_BYTES = 256 * 1024
-"""Bytes that may follow the first message before the agent has given any credit."""
-
 _MILLISECONDS = 1000
 
 
@@ -31,18 +28,15 @@
     reserved: frozenset[bytes],
     added: Headers,
     now: float,
-    *,
-    hold_body: bool = False,
 ) -> CallStart:
     """Return the first message of an attempt; ``reserved`` headers never come from the caller, and
     ``added`` ones are set here whatever it sent.
     """
     request, route = call.request, call.route
-    first_part = 0 if hold_body else FIRST_PART_BYTES
     passed = towards_backend(request.headers, (*route.secret_headers, *added), reserved)
-    whole = len(request.body) <= first_part
-    attempt.sent_bytes = min(len(request.body), first_part)
-    attempt.credit_bytes = 0 if hold_body else CREDIT_WINDOW_BYTES
+    size = len(request.body)
+    whole = size <= UNASKED_BYTES
+    attempt.sent_bytes = size if whole else 0
     return CallStart(
         stream=attempt.stream,
         attempt_id=attempt.attempt_id,
@@ -56,9 +50,10 @@
         method=request.method,
         target=request.target,
         headers=[Header(name=name, value=value) for name, value in passed],
-        body=request.body if whole else request.body[:first_part],
+        body=request.body if whole else b"",
         end=whole,
-        awaits_credit=hold_body,
+        awaits_credit=not whole,
+        body_bytes=0 if whole else size,
     )
 
 
--- a/src/limelever_lab/cli.py
+++ b/src/limelever_lab/cli.py
@@ -50,6 +50,11 @@
     LabCommand(
         "network", "limelever_lab.standins.commands:network", "Run slow TCP links that break."
     ),
+    LabCommand(
+        "links",
+        "limelever_lab.links.command:links",
+        "Short calls beside bodies on a machine's link, by the shipped credit core.",
+    ),
     LabCommand("callers", "limelever_lab.load.commands:callers", "Run callers against addresses."),
 )
 
