Tell loads to the proxies of a zone while they are news

Cause: a proxy of a large fleet sends one endpoint a call in 4 to 26 seconds, and hears of its load only with the answer.

Change: agents tell their relay how many calls they have, at changes and at most each 100 ms; a relay gathers these for 100 ms and tells the proxies of the endpoints' own zone in one message of five bytes an endpoint, and the other relays, whose proxies may be of that zone. Other zones' proxies don't hear of them. Ruled out: probes for each call (twice a call's messages), agents telling proxies directly (28 times the messages at a node).

--- a/features/proxy/balancing.feature
+++ b/features/proxy/balancing.feature
@@ -7,6 +7,12 @@
     When the balancer starts 2 calls
     Then some of the balancer's calls are in zone "there"
 
+  Scenario: A load told by a relay steers calls away, until it fades
+    Given endpoints with 2 slots in zones "here, here, here"
+    When relays tell the balancer of a load of 6 at two of them
+    And the balancer starts 2 calls
+    Then all of the balancer's calls are at the third
+
   Scenario: A cold endpoint is ramped up
     Given a warm endpoint and one that has just appeared
     Then the cold endpoint gets less than a third of the calls at first
--- /dev/null
+++ b/features/relay/loads.feature
@@ -0,0 +1,33 @@
+Feature: Loads reach the proxies of their zone while they are news
+
+  Background:
+    Given a mesh of the relays "relay-1" and "relay-2"
+    And a proxy "near" at "relay-1" and a proxy "other-zone" at "relay-2"
+    And the agent "orders-1" registers at "relay-1" with incarnation 5
+
+  Scenario: A load reaches its zone and no other
+    When the agent "orders-1" reports a load of 3
+    And 0.2 seconds pass at the relays
+    Then the proxies "near" have heard the loads "3" of "orders-1"
+    And the proxies "other-zone" have heard the loads "" of "orders-1"
+
+  Scenario: A load reaches proxies of its zone that follow another relay
+    Given a proxy of the zone of "relay-1" at "relay-2"
+    When 2 seconds pass at the relays
+    And the agent "orders-1" reports a load of 3
+    And 0.3 seconds pass at the relays
+    Then the proxies "near, far" have heard the loads "3" of "orders-1"
+
+  Scenario: Many reports at once go out as one, with the newest load
+    When the agent "orders-1" reports a load of 1
+    And 0.05 seconds pass at the relays
+    And the agent "orders-1" reports a load of 2
+    And the agent "orders-1" reports a load of 400
+    And 0.3 seconds pass at the relays
+    Then the proxies "near" have heard the loads "1, 255" of "orders-1"
+
+  Scenario: What is not registered has no load
+    Given the agent "stranger" has a link to "relay-1" and no lease
+    When the agent "stranger" reports a load of 3
+    And 0.2 seconds pass at the relays
+    Then the proxies "near" have heard the loads "" of "stranger"
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -17,6 +17,7 @@
     derandomized,
 )
 
+from limelever.protocol.endpoint_hash import endpoint_hash
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -45,7 +46,8 @@
 @given('endpoints with {slots:d} slots in zones "{zones}"')
 def endpoints_in_zones(context: Context, slots: int, zones: str) -> None:
     endpoints = [agents(1, z, slots, i)[0] for i, z in enumerate(zones.split(", "))]
-    context.usable = view_of(endpoints).usable(SERVICE, 0.0)
+    context.view = view_of(endpoints)
+    context.usable = context.view.usable(SERVICE, 0.0)
     context.balancer = balancer_of()
     context.zones = []
 
@@ -68,6 +70,21 @@
     assert zone in context.zones, context.zones
 
 
+@when("relays tell the balancer of a load of {load:d} at two of them")
+def relays_tell(context: Context, load: int) -> None:
+    for entry in context.usable[:2]:
+        number = endpoint_hash(entry.key.service, entry.key.instance)
+        key = context.view.by_hash(number)
+        assert key == entry.key
+        context.balancer.observe_load(key, load, 0.0)
+
+
+@then("all of the balancer's calls are at the third")
+def all_at_third(context: Context) -> None:
+    third = context.usable[2].key
+    assert context.balancer.in_flight(third) == len(context.zones)
+
+
 @given("a warm endpoint and one that has just appeared")
 def warm_and_cold(context: Context) -> None:
     context.view = view_of(agents(1, slots=40))
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,66 @@
+"""Steps for loads: from agents' reports by way of relays to the proxies of their zone."""
+
+from __future__ import annotations
+
+from agent_bench import AgentBench
+from behave import given, then, when
+from behave.runner import Context
+from relay_steps import ZONES, agent, start_proxy
+
+from limelever.common.sansio import OpenConnection, Purpose, SendMessage
+from limelever.protocol.endpoint_hash import endpoint_hash
+from limelever.protocol.endpoints_pb2 import LoadReport, LoadUpdate
+
+SERVICE = "orders"
+
+
+def numbers(text: str) -> list[int]:
+    return [int(each) for each in text.split(", ") if each]
+
+
+@given('a proxy of the zone of "{zone_of}" at "{relay}"')
+def given_far_proxy(context: Context, zone_of: str, relay: str) -> None:
+    start_proxy(context, "far", relay, zone=ZONES[zone_of])
+
+
+@given('the agent "{name}" has a link to "{relay}" and no lease')
+def given_stranger(context: Context, name: str, relay: str) -> None:
+    stranger = agent(context, name)
+    stranger.connection = next(stranger.connections)
+    address = context.mesh.network.address(relay)
+    dial = OpenConnection(stranger.connection, address, Purpose.REGISTRATION)
+    context.mesh.network.carry_out(name, [dial])
+    context.mesh.network.run(0.01)
+
+
+@when('the agent "{name}" reports a load of {load:d}')
+def reports_load(context: Context, name: str, load: int) -> None:
+    connection = agent(context, name).connection
+    report = SendMessage(connection, LoadReport(load=load))
+    context.mesh.network.carry_out(name, [report])
+    context.mesh.network.run(0.005)
+
+
+@then('the proxies "{names}" have heard the loads "{loads}" of "{instance}"')
+@then('the proxies "{names}" have heard the loads "" of "{instance}"')
+def heard_loads(context: Context, names: str, instance: str, loads: str = "") -> None:
+    number = endpoint_hash(SERVICE, instance)
+    for name in names.split(", "):
+        received = context.mesh.network.nodes[name].received
+        updates = [message for message in received if isinstance(message, LoadUpdate)]
+        told = [
+            load
+            for update in updates
+            for at, load in zip(update.endpoints, update.loads, strict=True)
+            if at == number
+        ]
+        assert told == numbers(loads), (name, told)
+
+
+@then('the agent has reported the loads "{loads}"')
+@then('the agent has reported the loads ""')
+def has_reported(context: Context, loads: str = "") -> None:
+    bench: AgentBench = context.agent
+    sent = [output.message for output in bench.of(SendMessage)]
+    reports = [message.load for message in sent if isinstance(message, LoadReport)]
+    assert reports == numbers(loads), reports
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -45,6 +45,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    LoadsReceived,
     PublishersListed,
     PublishersReceived,
     VersionConfirmed,
@@ -52,7 +53,13 @@
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.settings import SubscriberSettings
 
-_NOTICES = (ConfigurationInstalled, EndpointsReceived, FreshnessProved, VersionConfirmed)
+_NOTICES = (
+    ConfigurationInstalled,
+    EndpointsReceived,
+    FreshnessProved,
+    LoadsReceived,
+    VersionConfirmed,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +145,8 @@
         outputs.extend(self._calls.ask_for_bodies(now))
         outputs.extend(self._registration.handle(event, now))
         outputs.extend(self._subscribed(event, now))
-        self._registration.report_load(self._calls.running)
+        load = self._calls.running + self._calls.waiting
+        outputs.extend(self._registration.report_load(self._calls.running, load, now))
         outputs.extend(self._advance_drain(now))
         return outputs
 
--- /dev/null
+++ b/src/limelever/agent/load_reports.py
@@ -0,0 +1,38 @@
+"""When the agent tells its relay how many calls it has: at changes, and now and then anyway."""
+
+from __future__ import annotations
+
+import math
+
+from limelever.protocol.endpoints_pb2 import LoadReport
+
+LEAST_INTERVAL = 0.1
+"""Seconds between two reports: about a short call's time, so that most calls that another proxy
+sends are known before the next is. A message costs the node and its relay some 0.1 ms each."""
+
+REPEAT_INTERVAL = 0.5
+"""Seconds after which a load that has not changed is told again: readers let it fade."""
+
+
+class LoadReports:
+    """Decides when the load goes out; times in seconds."""
+
+    def __init__(self) -> None:
+        self._load = 0
+        self._told = 0
+        self._told_at = -math.inf
+
+    def take(self, load: int, now: float) -> LoadReport | None:
+        """Take the load as it is now; return the report that is due."""
+        self._load = load
+        due = self.next_deadline()
+        if due is None or now < due:
+            return None
+        self._told, self._told_at = load, now
+        return LoadReport(load=load)
+
+    def next_deadline(self) -> float | None:
+        """Return when a report is due, ``None`` while nothing needs to be told."""
+        if self._load != self._told:
+            return self._told_at + LEAST_INTERVAL
+        return self._told_at + REPEAT_INTERVAL if self._load else None
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -12,6 +12,7 @@
 from enum import Enum, auto
 
 from limelever.agent import events
+from limelever.agent.load_reports import LoadReports
 from limelever.agent.own_endpoint import OwnEndpoint
 from limelever.common.backoff import Backoff, BackoffSettings
 from limelever.common.sansio import (
@@ -95,6 +96,7 @@
         self._phase = _Phase.HELD_BACK
         self._endpoint = OwnEndpoint(_endpoint_of(settings, incarnation))
         self._in_flight = 0
+        self._loads = LoadReports()
         self._connection: ConnectionId | None = None
         self._due: float | None = None
         self._lease = 0.0
@@ -126,7 +128,10 @@
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic)."""
-        return self._due
+        report_due = self._loads.next_deadline() if self.leased else None
+        if self._due is None or report_due is None:
+            return report_due if self._due is None else self._due
+        return min(self._due, report_due)
 
     def begin(self, now: float) -> list[Output]:
         """Register from now on; no effect when that has begun already."""
@@ -134,9 +139,13 @@
             return []
         return self._dial(now)
 
-    def report_load(self, in_flight: int) -> None:
-        """Take the load that the next renewal carries."""
+    def report_load(self, in_flight: int, load: int, now: float) -> list[Output]:
+        """Take the calls that run, for the next renewal, and all that are here, told at changes."""
         self._in_flight = in_flight
+        if not self.leased or self._connection is None:
+            return []
+        report = self._loads.take(load, now)
+        return [SendMessage(self._connection, report)] if report is not None else []
 
     def change_state(self, state: EndpointState.ValueType, now: float) -> list[Output]:
         """Take a new state and tell the relay at once."""
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -48,6 +48,7 @@
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
     EndpointsReceived,
+    LoadsReceived,
     PublishersReceived,
 )
 from limelever.subscriber.sealing import Sealer
@@ -124,6 +125,7 @@
         self._interceptors: dict[type[Output], Callable[[Any, float], None]] = {
             ConfigurationInstalled: self._install,
             EndpointsReceived: self._merge_endpoints,
+            LoadsReceived: self._take_loads,
             ClaimSettled: self._settle_claim,
             CompletionSettled: self._settle_completion,
             PublishersReceived: lambda _received, _now: None,
@@ -242,6 +244,13 @@
         self._view.apply(received.update, now)
         self._engine.share_budgets_between(len(self._view.keys()))
 
+    def _take_loads(self, received: LoadsReceived, now: float) -> None:
+        update = received.update
+        for number, load in zip(update.endpoints, update.loads, strict=False):
+            key = self._view.by_hash(number)
+            if key is not None:
+                self._balancer.observe_load(key, load, now)
+
     def _settle_claim(self, settled: ClaimSettled, now: float) -> None:
         match settled.outcome:
             case ClaimGranted():
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple, TypeVar
 
 from limelever.common.sansio import Address
+from limelever.protocol.endpoint_hash import endpoint_hash
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -90,6 +91,7 @@
         self._retired: OrderedDict[EndpointKey, int] = OrderedDict()
         self._gone: OrderedDict[EndpointKey, tuple[int, int]] = OrderedDict()
         self._usable: dict[str, _Usable] = {}
+        self._by_hash: dict[int, EndpointKey] = {}
         self._seeded = False
 
     def apply(self, update: EndpointUpdate, now: float) -> None:
@@ -121,6 +123,10 @@
             self._store(replace(entry, draining=True))
         return True
 
+    def by_hash(self, number: int) -> EndpointKey | None:
+        """Return the endpoint whose load is told under this number, if it is known."""
+        return self._by_hash.get(number)
+
     def addresses(self) -> frozenset[Address]:
         """Return the addresses of all known endpoints, leaving ones included."""
         return frozenset(
@@ -185,11 +191,14 @@
         return _Usable(tuple(in_grace), min(_grace_end(entry) for entry in in_grace))
 
     def _store(self, entry: EndpointEntry) -> None:
-        self._services.setdefault(entry.key.service, {})[entry.key.instance] = entry
+        key = entry.key
+        self._services.setdefault(key.service, {})[key.instance] = entry
+        self._by_hash[endpoint_hash(key.service, key.instance)] = key
         self._usable.pop(entry.key.service, None)
 
     def _remove(self, key: EndpointKey) -> None:
         self._services.get(key.service, {}).pop(key.instance, None)
+        self._by_hash.pop(endpoint_hash(key.service, key.instance), None)
         self._usable.pop(key.service, None)
 
 
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -41,6 +41,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    LoadsReceived,
     PublishersReceived,
     VersionConfirmed,
 )
@@ -214,7 +215,9 @@
         if not isinstance(message, Subscribe) or self._peers[connection].role is not Role.PROXY:
             return []
         scope = self._publisher.scope_of(connection)
-        return self._endpoints.proxy_joined(connection, scope) if scope is not None else []
+        if scope is None:
+            return []
+        return self._endpoints.proxy_joined(connection, scope, self._peers[connection].zone)
 
     def _on_deadline(self, event: Event, now: float) -> list[Output]:
         outputs = self._carried_out(self._subscriber.handle(event, now), now)
@@ -242,7 +245,7 @@
                     if version > self._publisher.version:
                         moved = self._publisher.advance(version, (), (), now)
                         for_shell.extend(self._carried_out(moved, now))
-                case EndpointsReceived() | PublishersReceived():
+                case EndpointsReceived() | LoadsReceived() | PublishersReceived():
                     pass
                 case _:
                     for_shell.append(output)
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -15,9 +15,15 @@
     DialledConnections,
     Event,
     LogEvent,
+    MessageReceived,
     Output,
 )
-from limelever.protocol.endpoints_pb2 import EndpointSyncRequest, MachineNotice
+from limelever.protocol.endpoints_pb2 import (
+    EndpointSyncRequest,
+    LoadReport,
+    LoadUpdate,
+    MachineNotice,
+)
 from limelever.publisher.batching import BatchTimer
 from limelever.publisher.scope import Scope
 from limelever.relay import events
@@ -26,16 +32,21 @@
 from limelever.relay.endpoint_sync import EndpointSyncServer
 from limelever.relay.endpoint_table import EndpointTable, TableSettings
 from limelever.relay.leases import Leases
+from limelever.relay.load_board import LoadBoard
 from limelever.relay.peer_relay import PeerRelay
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointsSettings:
-    """Durations in seconds. ``batch`` is the least time between two batches of changes."""
+    """Durations in seconds. ``batch`` is the least time between two batches of changes.
+
+    ``load_batch`` is the same for loads: as long as agents wait between two reports.
+    """
 
     peers: tuple[Address, ...] = ()
     lease: float = 6.0
     batch: float = 0.05
+    load_batch: float = 0.1
     heartbeat: float = 2.0
     silent_after: float = 6.0
     table: TableSettings = TableSettings()
@@ -63,6 +74,7 @@
         self._peers = [self._peer(address) for address in settings.peers]
         self._changed: set[EndpointName] = set()
         self._batch = BatchTimer(settings.batch)
+        self._loads = LoadBoard(settings.load_batch)
 
     def start(self, now: float) -> None:
         """Begin to dial the other relays."""
@@ -104,6 +116,9 @@
 
     def handle_peer(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
         """Take an event of a link to another relay."""
+        if isinstance(event, MessageReceived) and isinstance(event.message, LoadUpdate):
+            self._loads.heard(event.message, now)
+            return []
         peer = next(peer for peer in self._peers if peer.owns(connection))
         outputs = peer.handle(event, now)
         self._note(peer.take_changed(), now)
@@ -111,6 +126,9 @@
 
     def from_agent(self, connection: ConnectionId, message: Message, now: float) -> list[Output]:
         """Take a message of a registration link."""
+        if isinstance(message, LoadReport):
+            self._load_reported(connection, message, now)
+            return []
         result = self._leases.handle(connection, message, now)
         self._note(result.changed, now)
         return result.outputs
@@ -121,14 +139,19 @@
         """Answer another relay that asks for this one's endpoints."""
         return self._sync.requested(connection, request, now)
 
-    def proxy_joined(self, connection: ConnectionId, scope: Scope) -> list[Output]:
-        """Send a proxy the endpoints of its scope, and changes from now on."""
+    def proxy_joined(self, connection: ConnectionId, scope: Scope, zone: str) -> list[Output]:
+        """Send a proxy the endpoints of its scope, and changes from now on.
+
+        It hears of loads in its ``zone`` besides.
+        """
+        self._loads.join(connection, zone)
         return self._feed.join(connection, scope)
 
     def closed(self, connection: ConnectionId) -> None:
         """Forget an accepted link that is gone."""
         self._leases.closed(connection)
         self._feed.leave(connection)
+        self._loads.leave(connection)
         self._sync.closed(connection)
 
     def take_notices(self, notices: Iterable[MachineNotice], now: float) -> None:
@@ -148,14 +171,26 @@
         outputs.extend(self._sync.on_deadline(now))
         if self._batch.due(now):
             outputs.extend(self._flush(now))
+        if self._loads.due(now):
+            outputs.extend(self._loads.take(self._sync.peers, now))
         return outputs
 
     def next_deadline(self) -> float | None:
         """Return when ``on_deadline`` is to be called (seconds, monotonic), or ``None``."""
-        deadlines = [self._batch.due_at, self.table.next_deadline(), self._sync.next_deadline()]
+        deadlines = [
+            self._batch.due_at,
+            self._loads.next_deadline(),
+            self.table.next_deadline(),
+            self._sync.next_deadline(),
+        ]
         deadlines.extend(peer.next_deadline() for peer in self._peers)
         return min((at for at in deadlines if at is not None), default=None)
 
+    def _load_reported(self, connection: ConnectionId, report: LoadReport, now: float) -> None:
+        endpoint = self._leases.reporting(connection)
+        if endpoint is not None:
+            self._loads.reported(endpoint, report.load, now)
+
     def _note(self, changed: Iterable[EndpointName], now: float) -> None:
         self._changed.update(changed)
         if self._changed:
--- a/src/limelever/relay/leases.py
+++ b/src/limelever/relay/leases.py
@@ -54,6 +54,10 @@
             return self._renew(connection, message, now)
         return LeaseResult()
 
+    def reporting(self, connection: ConnectionId) -> Endpoint | None:
+        """Return the endpoint that is registered on a link."""
+        return self._registered.get(connection)
+
     def closed(self, connection: ConnectionId) -> None:
         """Forget a link that is gone; the lease runs on, the agent may come back elsewhere."""
         self._registered.pop(connection, None)
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -20,7 +20,7 @@
     Reject,
     RetryLater,
 )
-from limelever.protocol.endpoints_pb2 import EndpointUpdate
+from limelever.protocol.endpoints_pb2 import EndpointUpdate, LoadUpdate
 from limelever.subscriber import events
 from limelever.subscriber.held import inventory_of
 from limelever.subscriber.holder import Holder
@@ -29,6 +29,7 @@
     ConfigurationInstalled,
     EndpointsReceived,
     FreshnessProved,
+    LoadsReceived,
     PublishersReceived,
 )
 from limelever.subscriber.snapshot_writer import SnapshotWriter
@@ -53,6 +54,7 @@
             FreshnessAnswer: self._on_freshness_answer,
             RetryLater: self._on_retry_later,
             EndpointUpdate: self._on_endpoints,
+            LoadUpdate: self._on_loads,
             Publishers: self._on_publishers,
         }
 
@@ -124,6 +126,10 @@
         assert isinstance(message, EndpointUpdate)
         return [EndpointsReceived(message)]
 
+    def _on_loads(self, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, LoadUpdate)
+        return [LoadsReceived(message)]
+
     def _on_publishers(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, Publishers)
         known = tuple(parse_address(text) for text in message.addresses if is_address(text))
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -6,7 +6,7 @@
 
 from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.config_pb2 import VersionedResource
-from limelever.protocol.endpoints_pb2 import EndpointUpdate
+from limelever.protocol.endpoints_pb2 import EndpointUpdate, LoadUpdate
 from limelever.protocol.keys import Key
 from limelever.subscriber.configuration import ConfigurationSet
 
@@ -45,6 +45,13 @@
     update: EndpointUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class LoadsReceived(Output):
+    """The publisher, a relay, told loads of endpoints in this process's zone."""
+
+    update: LoadUpdate
+
+
 @dataclass(frozen=True, slots=True)
 class PublishersReceived(Output):
     """The publisher named all publishers of its kind; the subscriber chooses among them now."""
