Notice a silent back end by the calls that run there, and send calls elsewhere

Proxies leave an endpoint out after three failures in a row of their own: at one call to an instance in 26 s that is never.

Change: once every call that runs has taken three times as long as its kind usually does (and 0.1 s), the agent tries a new connection, with 0.15 s to open. If none opens, what waits and what may be repeated goes back to its proxies, further calls are refused as NOT RUN, and the relay is told a load of 255. It is tried again each 0.25 s. Calls that may not be repeated keep their time. Idle connections are given up with each try, as what made it necessary may have silenced them. Ruled out: health probes (they wait for a slot like calls), ejection by fewer failures (one call a node says too little).

--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -11,18 +11,29 @@
 from limelever.agent.answer_reader import AnswerReader
 from limelever.agent.connections import BackendConnection, BackendConnections, keep_alive_seconds
 from limelever.agent.headers import encode_request, request_headers
-from limelever.agent.interface import AttemptAnswered, AttemptFailed, StartAttempt
+from limelever.agent.interface import (
+    AttemptAnswered,
+    AttemptFailed,
+    BackendChecked,
+    CancelAttempt,
+    CheckBackend,
+    StartAttempt,
+)
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 from limelever.common.http_messages import HttpAnswer
-from limelever.common.sansio import Event
+from limelever.common.sansio import Event, Output
 from limelever.transport.streams import reason_of, receive, send_without_waiting
 
 _MILLISECONDS = 1000
 DEFAULT_NAMES = HeaderNames()
 _GET = b"GET"
 _RECEIVE_BYTES = 1 << 16
+CHECK_SECONDS = 0.15
+"""Time that a connection to the machine's own back end has to open; some hundred times the usual,
+so that a process that is held up is not taken for a silent one."""
+
 _BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -59,6 +70,16 @@
         self._attempts: dict[int, _Attempt] = {}
         self._connections = BackendConnections(settings)
 
+    def carry_out(self, output: Output) -> None:
+        """Do what the core asks of its back end; other outputs are not meant for it."""
+        match output:
+            case StartAttempt():
+                self.start(output)
+            case CancelAttempt(attempt):
+                self.cancel(attempt)
+            case CheckBackend():
+                self._nursery.start_soon(self._check)
+
     def start(self, output: StartAttempt) -> None:
         """Begin an attempt in the background."""
         deadline = trio.current_time() + output.timeout
@@ -91,6 +112,9 @@
         """Close the connections that no attempt uses."""
         self._connections.close()
 
+    async def _check(self) -> None:
+        self._post(BackendChecked(await self._connections.try_new(CHECK_SECONDS)))
+
     async def _run(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
         with attempt.scope:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -19,11 +19,18 @@
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.intake import BodyLimits, CallIntake, Refusal
-from limelever.agent.interface import AttemptAnswered, AttemptFailed, CancelAttempt
+from limelever.agent.interface import (
+    AttemptAnswered,
+    AttemptFailed,
+    CancelAttempt,
+    CheckBackend,
+)
+from limelever.agent.silence import BackendSilence
 from limelever.common.decision_log import DecisionLog, DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.sansio import ConnectionId, Output, SendMessage
+from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
+from limelever.protocol.endpoint_hash import LARGEST_LOAD
 
 _SHED_STATUS = 503
 _MICROSECONDS = 1_000_000
@@ -33,6 +40,8 @@
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
 _GIVEN_UP = Failure(ErrorKind.DEADLINE_TOO_SHORT, "given up before it was run")
+_SILENT = Failure(ErrorKind.CONNECTION_FAILED, "the back end does not answer")
+_FELL_SILENT = Failure(ErrorKind.BACKEND_FAILED, "the back end fell silent while the call ran")
 _TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "too late to finish in time")
 
 
@@ -60,6 +69,7 @@
         self._intake = CallIntake(service, incarnation, bodies, self._calls)
         self._queue = FairQueue(limits.queue)
         self._answers = AnswerSender()
+        self._silence = BackendSilence()
         self.draining = False
         self._log = DecisionLog(limits.log)
         self._now = 0.0
@@ -74,6 +84,11 @@
         """Return the calls taken in and not yet started."""
         return self._queue.queued + self._intake.count
 
+    @property
+    def told_load(self) -> int:
+        """Return the calls that are here, as proxies are to count them."""
+        return LARGEST_LOAD if self._silence.silent else self.running + self.waiting
+
     @property
     def unfinished(self) -> int:
         """Return the attempts at the back end and the answers not yet taken whole."""
@@ -111,6 +126,8 @@
             if call.failure is None:
                 return logs
             return [*self._failed(connection, start, call.failure), *logs]
+        if self._silence.silent:
+            return self._refuse(call, _SILENT)
         if start.end:
             return self._admit(call, now)
         failure = self._intake.check_body(call)
@@ -186,6 +203,7 @@
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
+        self._silence.ended(call.number, answered=True)
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
         load = self.load(call.start.group)
@@ -200,6 +218,7 @@
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
+        self._silence.ended(call.number, answered=event.refused)
         self._queue.finish(call.number, now, representative=False)
         outputs: list[Output] = []
         if not call.settled:
@@ -216,6 +235,7 @@
             self._intake.next_deadline(),
             self._queue.next_deadline(),
             self._answers.next_deadline(),
+            self._silence.next_deadline(),
         )
         return min((each for each in waiting if each is not None), default=None)
 
@@ -227,10 +247,26 @@
             outputs.extend(self._answers.expire(now, self.load))
         return outputs
 
-    def refuse_waiting(self) -> list[Output]:
+    def refuse_waiting(self, reason: Failure = _LEAVING) -> list[Output]:
         """Give every call that has not started back to its proxy."""
         waiting = (*self._calls.in_stage(CallStage.QUEUED), *self._intake.assembling)
-        return [output for call in waiting for output in self._refuse(call, _LEAVING)]
+        return [output for call in waiting for output in self._refuse(call, reason)]
+
+    def backend_checked(self, reached: bool, now: float) -> list[Output]:
+        """Take whether a connection to the back end opened after its calls were overdue.
+
+        Where none did, calls go back to their proxies: those that wait, and those that run and may
+        be repeated. What may not be repeated stays until its deadline: its answer may still come.
+        """
+        self._now = now
+        was_silent = self._silence.silent
+        if self._silence.checked(reached, now):
+            fields: dict[str, object] = {"running": self.running, "queued": self.waiting}
+            log = LogEvent(events.BACKEND_SILENT, fields)
+            return [log, *self.refuse_waiting(_SILENT), *self._give_up_repeatable()]
+        if was_silent and reached:
+            return [LogEvent(events.BACKEND_BACK), *self.start_waiting(now)]
+        return []
 
     def cut_off(self) -> list[Output]:
         """Cancel every running attempt at the end of the drain limit."""
@@ -249,15 +285,28 @@
         """
         self._now = now
         outputs = self.expire(now)
+        if self._silence.take_check(now):
+            outputs.append(CheckBackend())
         outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         while (queued := self._queue.start_next(now)) is not None:
             call = self._calls.by_number(queued.call)
             assert call is not None
             call.started_at = now
+            service_time = self._queue.service_time_of(queued.group)
+            self._silence.started(call.number, service_time, now)
             outputs.append(call.begin(now))
             outputs.extend(self._refuse_late(self._queue.take_hopeless(now)))
         return outputs
 
+    def _give_up_repeatable(self) -> list[Output]:
+        outputs: list[Output] = []
+        for call in self._calls.in_stage(CallStage.RUNNING):
+            if call.repeatable and not call.settled:
+                outputs.extend(self._failed(call.connection, call.start, _FELL_SILENT))
+                self._calls.settle(call)
+                outputs.append(CancelAttempt(call.number))
+        return outputs
+
     # --- parts ------------------------------------------------------------------------------
 
     def _refuse_late(self, numbers: Sequence[int]) -> list[Output]:
--- a/src/limelever/agent/connections.py
+++ b/src/limelever/agent/connections.py
@@ -89,6 +89,24 @@
         else:
             connection.close()
 
+    async def try_new(self, timeout: float) -> bool:
+        """Return whether a new connection opens within ``timeout`` seconds, or is refused.
+
+        The idle ones are given up: what made this necessary may have silenced them as well. The
+        new one is kept.
+        """
+        self.close()
+        address = self._settings.address
+        with trio.move_on_after(timeout):
+            try:
+                stream = await trio.open_tcp_stream(address.host, address.port)
+            except OSError:
+                return True
+            opened = BackendConnection(stream, self._keep)
+            self._idle.append(_Idle(opened, trio.current_time()))
+            return True
+        return False
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -14,6 +14,7 @@
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
+    BackendChecked,
     BackendGone,
     BackendProbed,
     DrainFinished,
@@ -145,8 +146,8 @@
         outputs.extend(self._calls.ask_for_bodies(now))
         outputs.extend(self._registration.handle(event, now))
         outputs.extend(self._subscribed(event, now))
-        load = self._calls.running + self._calls.waiting
-        outputs.extend(self._registration.report_load(self._calls.running, load, now))
+        running, load = self._calls.running, self._calls.told_load
+        outputs.extend(self._registration.report_load(running, load, now))
         outputs.extend(self._advance_drain(now))
         return outputs
 
@@ -186,6 +187,8 @@
 
     def _backend_event(self, event: Event, now: float) -> list[Output]:
         match event:
+            case BackendChecked(reached):
+                return self._calls.backend_checked(reached, now)
             case BackendProbed(healthy):
                 return self._warm(self._cold_start.probed(healthy), now)
             case DrainRequested():
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -21,6 +21,15 @@
 BACKEND_PROBE_CHANGED = define(
     5021, "backend-probe-changed", Level.WARNING, "health probe changed its answer", "healthy"
 )
+BACKEND_SILENT = define(
+    5023,
+    "backend-silent",
+    Level.WARNING,
+    "the back end does not answer, calls go elsewhere until it does",
+    "running",
+    "queued",
+)
+BACKEND_BACK = define(5024, "backend-back", Level.INFO, "the back end answers again")
 COLD_START_LIMIT = define(
     5022,
     "cold-start-limit",
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -36,6 +36,11 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class CheckBackend(Output):
+    """Try whether a new connection to the back end opens; answered by ``BackendChecked``."""
+
+
 @dataclass(frozen=True, slots=True)
 class DrainFinished(Output):
     """The agent may stop; ``cut_off`` attempts were still running at the drain limit."""
@@ -74,6 +79,13 @@
     healthy: bool
 
 
+@dataclass(frozen=True, slots=True)
+class BackendChecked(Event):
+    """Whether a new connection opened, or was at least refused: silence alone says ``False``."""
+
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class BackendGone(Event):
     """The back end has ended or another has taken its place: nothing more comes of it."""
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -16,10 +16,8 @@
 from limelever.agent.fair_queue import QueueLimits
 from limelever.agent.interface import (
     BackendProbed,
-    CancelAttempt,
     DrainFinished,
     DrainRequested,
-    StartAttempt,
 )
 from limelever.agent.registration import RegistrationSettings
 from limelever.agent.settings import AgentSettings, ProbeSettings
@@ -139,13 +137,10 @@
     async with trio.open_nursery() as nursery:
 
         def on_output(output: Output) -> None:
-            match output:
-                case StartAttempt():
-                    backend.start(output)
-                case CancelAttempt(attempt):
-                    backend.cancel(attempt)
-                case DrainFinished():
-                    finished.set()
+            if isinstance(output, DrainFinished):
+                finished.set()
+            else:
+                backend.carry_out(output)
 
         runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
         names = settings.headers.names()
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -19,10 +19,8 @@
 from limelever.agent.core import AgentCore
 from limelever.agent.interface import (
     BackendGone,
-    CancelAttempt,
     DrainFinished,
     DrainRequested,
-    StartAttempt,
 )
 from limelever.agent.process import options_from, with_pauses
 from limelever.agent.settings import AgentSettings
@@ -111,13 +109,10 @@
         self._under_way.add(finished)
 
         def on_output(output: Output) -> None:
-            match output:
-                case StartAttempt():
-                    backend.start(output)
-                case CancelAttempt(attempt):
-                    backend.cancel(attempt)
-                case DrainFinished():
-                    finished.set()
+            if isinstance(output, DrainFinished):
+                finished.set()
+            else:
+                backend.carry_out(output)
 
         listener = self._shell.listener
         async with trio.open_nursery() as nursery:
