--- a/features/steps/transport_peer_steps.py
+++ b/features/steps/transport_peer_steps.py
@@ -45,6 +45,27 @@
     return stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
 
 
+def unacknowledged_ms(stream: trio.SocketStream) -> int:
+    return stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
+@then("both ends of a link give up bytes that are not acknowledged in the time of their settings")
+def then_gives_up(context):
+    server = context.link_server
+    accepted = server.link_of("member")
+    assert unacknowledged_ms(accepted._stream) == LinkSettings().unacknowledged_ms
+
+    async def main():
+        identity = LinkIdentity(Role.AGENT, "dialling", "zone-a", CREDENTIAL)
+        settings = LinkSettings(unacknowledged_ms=1234)
+        link = await dial(server.address, Purpose.REGISTRATION, identity, settings, None)
+        assert isinstance(link, Link), link
+        assert unacknowledged_ms(link._stream) == 1234
+        await link.flush_and_close()
+
+    trio.run(main)
+
+
 @then("both ends of a link ask a silent machine for a sign of life")
 def then_keep_alive(context):
     server = context.link_server
--- a/features/transport/bad_input.feature
+++ b/features/transport/bad_input.feature
@@ -55,6 +55,7 @@
     Given a link server
     And a member's link to the link server
     Then both ends of a link ask a silent machine for a sign of life
+    And both ends of a link give up bytes that are not acknowledged in the time of their settings
 
   Scenario: What came before a malformed frame is not lost
     Given a link server
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -74,12 +74,17 @@
 
 @attrs.frozen(kw_only=True)
 class LinkSettings:
-    """Bounds of links between the system's own processes."""
+    """Bounds of links between the system's own processes.
+
+    A link on which sent bytes stay unacknowledged for ``unacknowledged_ms`` is given up: it may
+    have gone silent for good, or wait much longer than a new one would after a cut.
+    """
 
     frame_limit_bytes: int = attrs.field(default=16 << 20, validator=between(4096, 256 << 20))
     send_queue_bytes: int = attrs.field(default=32 << 20, validator=between(65536, 1 << 30))
     hello_timeout_ms: int = attrs.field(default=3000, validator=between(10, 60000))
     dial_timeout_ms: int = attrs.field(default=3000, validator=between(10, 60000))
+    unacknowledged_ms: int = attrs.field(default=30000, validator=between(200, 600000))
     compress_from_bytes: int = attrs.field(default=0, validator=between(0, 1 << 30))
     connections: int = attrs.field(default=4096, validator=between(1, 65536))
 
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -186,7 +186,7 @@
     reason = "timed out"
     with trio.move_on_after(seconds(settings.dial_timeout_ms)):
         try:
-            stream = await _connect(address, context)
+            stream = await _connect(address, settings, context)
             link = Link(stream, settings)
             link.count_as(purpose.value)
             answer = await _say_hello(link, purpose, identity, context)
@@ -208,9 +208,11 @@
     return Failure(ErrorKind.CONNECTION_FAILED, f"{address}: {reason}")
 
 
-async def _connect(address: Address, context: ssl.SSLContext | None) -> trio.abc.Stream:
+async def _connect(
+    address: Address, settings: LinkSettings, context: ssl.SSLContext | None
+) -> trio.abc.Stream:
     stream = await trio.open_tcp_stream(address.host, address.port)
-    detect_dead_machine(stream)
+    detect_dead_machine(stream, settings.unacknowledged_ms)
     if context is None:
         return stream
     return trio.SSLStream(stream, context, server_hostname=address.host, https_compatible=True)
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -74,7 +74,7 @@
             return
         self._open += 1
         try:
-            detect_dead_machine(accepted)
+            detect_dead_machine(accepted, self.settings.unacknowledged_ms)
             if self.context is not None:
                 stream = trio.SSLStream(
                     accepted, self.context, server_side=True, https_compatible=True
--- a/src/limelever/transport/streams.py
+++ b/src/limelever/transport/streams.py
@@ -13,12 +13,13 @@
 
 _KEEP_ALIVE_INTERVAL_SECONDS = 5
 _KEEP_ALIVE_PROBES = 3
-_UNACKNOWLEDGED_MS = 30_000
 
 
-def detect_dead_machine(stream: trio.SocketStream) -> None:
+def detect_dead_machine(stream: trio.SocketStream, unacknowledged_ms: int) -> None:
     """Let the system close a connection whose other machine is gone without a word.
 
+    What was sent may stay unacknowledged for ``unacknowledged_ms`` milliseconds.
+
     A machine that lost its power or its cable closes nothing: an idle link to it would stand,
     and count against the limit of links, for ever. A process that is only suspended is not
     meant; its machine goes on answering.
@@ -27,7 +28,7 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_SECONDS)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 def send_without_waiting(stream: trio.abc.Stream, data: bytes) -> int:
