Change the route table by what changed alone

Cause: each change of the configuration looked at every route at each of 200 nodes, several times a second in a storm. Change: the table is advanced by the resources put and removed; services, shares and secrets still build it anew.

The property that a table built over the former equals one built anew now also compares weights and what it was built from, and that the former one stays.

--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -39,7 +39,7 @@
     StopRequested,
 )
 from limelever.proxy.retry_budget import RetryBudget
-from limelever.proxy.router import build_route_table
+from limelever.proxy.route_table import build_route_table
 from limelever.subscriber.configuration import ConfigurationSet
 
 
--- a/features/steps/route_steps.py
+++ b/features/steps/route_steps.py
@@ -39,7 +39,7 @@
 from limelever.proxy.core import ProxyCore, ProxyCoreSettings
 from limelever.proxy.retry_budget import RetryBudgets
 from limelever.proxy.retry_rules import RetrySettings
-from limelever.proxy.router import build_route_table
+from limelever.proxy.route_table import build_route_table
 from limelever.proxy.split import Splits
 from limelever.subscriber.configuration import ConfigurationSet
 from limelever.subscriber.notices import ConfigurationInstalled, EndpointsReceived
--- a/features/steps/route_table_steps.py
+++ b/features/steps/route_table_steps.py
@@ -16,7 +16,7 @@
     VersionedResource,
 )
 from limelever.protocol.keys import Key
-from limelever.proxy.router import build_route_table
+from limelever.proxy.route_table import advance_route_table, build_route_table
 from limelever.subscriber.configuration import EMPTY_CONFIGURATION, ConfigurationSet
 
 SERVICES = ("orders", "baskets")
@@ -63,11 +63,17 @@
     return EMPTY_CONFIGURATION.changed((), resources)
 
 
-def after(configuration: ConfigurationSet, kind, number, drawn_value):
+def change_of(kind, number, drawn_value):
+    """Return what a change puts and what it removes."""
     if kind == "remove":
-        key = Key.of(versioned(route=route(number, 0)).resource)
-        return configuration.changed((key,), ())
-    return configuration.changed((), [changed_by(kind, number, drawn_value)])
+        return [], [Key.of(versioned(route=route(number, 0)).resource)]
+    return [changed_by(kind, number, drawn_value)], []
+
+
+def advanced(table, configuration: ConfigurationSet, version, *change):
+    put, removed = change_of(*change)
+    later = configuration.changed(removed, put)
+    return later, advance_route_table(table, later, version, put, removed)
 
 
 @given(
@@ -81,13 +87,14 @@
         configuration = first_set()
         table = build_route_table(configuration, 1)
         for change in changes:
-            configuration = after(configuration, *change)
-            table = build_route_table(configuration, 1, table)
+            configuration, table = advanced(table, configuration, 1, *change)
             anew = build_route_table(configuration, 1)
             assert table.hosts == anew.hosts
             assert table.route_names() == anew.route_names()
             assert table.services() == anew.services()
             assert table.secret_names == anew.secret_names
+            assert table.weights == anew.weights
+            assert table.built == anew.built
 
     check()
 
@@ -96,6 +103,8 @@
 def given_kept(context):
     configuration = first_set()
     table = build_route_table(configuration, 1)
-    later = build_route_table(after(configuration, "route", 1, 3), 2, table)
+    former = table.hosts
+    _, later = advanced(table, configuration, 2, "route", 1, 3)
+    assert table.hosts == former == build_route_table(configuration, 1).hosts
     assert later.built["r0"].entry is table.built["r0"].entry
     assert later.built["r1"].entry != table.built["r1"].entry
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -43,7 +43,8 @@
 from limelever.proxy.group_limits import GroupLimits, LimitSettings
 from limelever.proxy.health import HealthSettings
 from limelever.proxy.links import AgentLinks
-from limelever.proxy.router import RouteTable, build_route_table
+from limelever.proxy.route_table import advance_route_table, build_route_table
+from limelever.proxy.router import RouteTable
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
@@ -97,6 +98,7 @@
         )
         self._keepers = KeeperClientCore(settings.keepers, connections, random_source)
         self._table: RouteTable | None = None
+        self._missed_change = False
         self._view = EndpointView()
         self._balancer = Balancer(settings.balancer, settings.health, random_source)
         self._links = AgentLinks(connections, random_source)
@@ -225,11 +227,13 @@
         return taken
 
     def _install(self, installed: ConfigurationInstalled, now: float) -> None:
-        table = build_route_table(installed.configuration, installed.version, self._table)
+        table = self._table_of(installed)
         if isinstance(table, Failure):
             self._outputs.append(LogEvent(events.ROUTES_REFUSED, {"reason": str(table)}))
+            self._missed_change = True
             return
         self._table = table
+        self._missed_change = False
         self._engine.set_table(table)
         fields: dict[str, object] = {
             "version": installed.version,
@@ -240,6 +244,17 @@
             self._routed = True
             self._outputs.append(ProxyReady())
 
+    def _table_of(self, installed: ConfigurationInstalled) -> RouteTable | Failure:
+        if self._table is None or self._missed_change:
+            return build_route_table(installed.configuration, installed.version)
+        return advance_route_table(
+            self._table,
+            installed.configuration,
+            installed.version,
+            installed.put,
+            installed.removed,
+        )
+
     def _merge_endpoints(self, received: EndpointsReceived, now: float) -> None:
         self._view.apply(received.update, now)
         self._engine.share_budgets_between(len(self._view.keys()))
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -1,4 +1,4 @@
-"""Routes a call by host, method and path with an immutable table, built whole from one version.
+"""Routes a call by host, method and path with an immutable table; ``route_table`` builds it.
 
 The longest path prefix wins. Prefixes match whole path segments: ``/orders`` matches
 ``/orders`` and ``/orders/7`` but not ``/ordersheet``; ``/orders/`` matches only below it.
@@ -13,23 +13,13 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.protocol.config_pb2 import (
-    CALL_KIND_AT_MOST_ONCE,
-    CALL_KIND_REPEATABLE,
-    RESOURCE_KIND_ROUTE,
-    RESOURCE_KIND_SECRET,
-    RESOURCE_KIND_SERVICE,
     CallKind,
-    Route,
-    VersionedResource,
 )
-from limelever.protocol.keys import Key
 from limelever.proxy.group_limits import DEFAULT_WEIGHT
-from limelever.subscriber.configuration import ConfigurationSet
 
 ANY_HOST = b""
-_ROOT = b"/"
+ROOT = b"/"
 _DOT_SEGMENTS = frozenset({b".", b".."})
-_MILLISECONDS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,24 +61,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BuiltRoute:
-    """A route's entry and where it stands, with the resources that it was built from."""
+    """A route's entry and where it stands."""
 
     entry: RouteEntry
     host: bytes
     prefix: bytes
-    route: VersionedResource
-    referred: tuple[tuple[Key, VersionedResource], ...]
-
-    def is_current(
-        self, route: VersionedResource, resources: Mapping[Key, VersionedResource]
-    ) -> bool:
-        """Return whether a table of these resources would have the same entry.
-
-        Resources that a change leaves alone are kept as the same objects.
-        """
-        if route is not self.route:
-            return False
-        return all(resources.get(key) is held for key, held in self.referred)
 
 
 RoutesByPrefix = Mapping[bytes, tuple[RouteEntry, ...]]
@@ -114,7 +91,7 @@
         names one.
         """
         path = target.partition(b"?")[0]
-        if not path.startswith(_ROOT) or _has_dot_segment(path):
+        if not path.startswith(ROOT) or _has_dot_segment(path):
             return Failure(ErrorKind.INVALID_REQUEST, "target must be a path without dot segments")
         prefixes = self._prefixes_at(host)
         for prefix in _prefixes_of(path):
@@ -142,96 +119,6 @@
         return frozenset(part.service for each in self.built.values() for part in each.entry.parts)
 
 
-def build_route_table(
-    configuration: ConfigurationSet, version: int, former: RouteTable | None = None
-) -> RouteTable | Failure:
-    """Build the table of a version, or return ``DANGLING_REFERENCE`` naming what is missing.
-
-    Routes that are as they were in ``former``, with all they refer to, keep their entries.
-    """
-    dangling = configuration.dangling()
-    if dangling:
-        names = tuple(str(key) for key in dangling)
-        return Failure(ErrorKind.DANGLING_REFERENCE, "route table would be incomplete", names)
-    built = _built_routes(configuration, {} if former is None else former.built)
-    hosts: dict[bytes, dict[bytes, tuple[RouteEntry, ...]]] = {}
-    for name in sorted(built):
-        route = built[name]
-        prefixes = hosts.setdefault(route.host, {})
-        prefixes[route.prefix] = (*prefixes.get(route.prefix, ()), route.entry)
-    return RouteTable(
-        version=version,
-        hosts=hosts,
-        weights={
-            service: {share.group: share.weight for share in shares}
-            for service, shares in configuration.shares.items()
-        },
-        secret_names=frozenset(s.header.lower().encode() for s in configuration.secrets.values()),
-        built=built,
-    )
-
-
-def _built_routes(
-    configuration: ConfigurationSet, former: Mapping[str, BuiltRoute]
-) -> dict[str, BuiltRoute]:
-    resources = configuration.resources
-    built: dict[str, BuiltRoute] = {}
-    for key, held in resources.items():
-        if key.kind != RESOURCE_KIND_ROUTE:
-            continue
-        known = former.get(key.name)
-        if known is None or not known.is_current(held, resources):
-            known = _build_route(held, configuration)
-        built[key.name] = known
-    return built
-
-
-def _build_route(held: VersionedResource, configuration: ConfigurationSet) -> BuiltRoute:
-    route = held.resource.route
-    entry = _entry(route, configuration)
-    keys = [Key(RESOURCE_KIND_SERVICE, part.service) for part in entry.parts]
-    keys += [Key(RESOURCE_KIND_SECRET, name) for name in route.secrets]
-    resources = configuration.resources
-    return BuiltRoute(
-        entry=entry,
-        host=route.host.encode(),
-        prefix=route.path_prefix.encode() or _ROOT,
-        route=held,
-        referred=tuple((key, resources[key]) for key in keys),
-    )
-
-
-def _entry(route: Route, configuration: ConfigurationSet) -> RouteEntry:
-    secrets = [configuration.secrets[name] for name in route.secrets]
-    return RouteEntry(
-        name=route.name,
-        parts=_parts(route, configuration),
-        methods=frozenset(method.upper().encode() for method in route.methods),
-        at_most_once=route.call_kind == CALL_KIND_AT_MOST_ONCE,
-        repeatable=route.call_kind == CALL_KIND_REPEATABLE,
-        call_kind=route.call_kind,
-        timeout=route.timeout_ms / _MILLISECONDS,
-        retry_budget_percent=route.retry_budget_percent,
-        secret_headers=tuple((s.header.lower().encode(), s.value) for s in secrets),
-        attempts=route.attempts,
-        priority=route.priority,
-        target_latency=route.target_latency_ms / _MILLISECONDS,
-    )
-
-
-def _parts(route: Route, configuration: ConfigurationSet) -> tuple[RoutePart, ...]:
-    weights = {part.service: part.weight for part in route.split} or {route.service: 1}
-    return tuple(
-        RoutePart(
-            service=service,
-            weight=weight,
-            max_body_bytes=configuration.services[service].max_body_bytes,
-            slow_start=configuration.services[service].slow_start_ms / _MILLISECONDS,
-        )
-        for service, weight in weights.items()
-    )
-
-
 def _without_port(host: bytes) -> bytes:
     name, colon, port = host.rpartition(b":")
     return name if colon and port.isdigit() else host
@@ -240,13 +127,13 @@
 def _prefixes_of(path: bytes) -> Iterator[bytes]:
     """Yield the prefixes that may match ``path``, longest first."""
     yield path
-    end = path.rfind(_ROOT)
+    end = path.rfind(ROOT)
     while end > 0:
         if end + 1 < len(path):
             yield path[: end + 1]
         yield path[:end]
-        end = path.rfind(_ROOT, 0, end)
-    yield _ROOT
+        end = path.rfind(ROOT, 0, end)
+    yield ROOT
 
 
 def _by_method(entries: tuple[RouteEntry, ...], method: bytes) -> RouteEntry | Failure:
@@ -260,5 +147,5 @@
     """Return whether a back end might read another path than the one that was routed."""
     if b"." not in path and b"%" not in path:
         return False
-    decoded = unquote_to_bytes(path).replace(b"\\", _ROOT)
-    return any(segment in _DOT_SEGMENTS for segment in decoded.split(_ROOT))
+    decoded = unquote_to_bytes(path).replace(b"\\", ROOT)
+    return any(segment in _DOT_SEGMENTS for segment in decoded.split(ROOT))
