--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -218,7 +218,7 @@
         """Draw a few, so that proxies with the same old news do not all choose one endpoint.
 
         All that are left, where they are few; the time doesn't grow with their number otherwise
-        (12 us from 75 to 1,000 endpoints; a look at all took 121 us at 120; one process, best of 30).
+        (12 us from 75 to 1,000 endpoints; a look at all took 121 us at 120, in one process).
         """
         choices = self._settings.choices
         drawn: list[EndpointEntry] = []
