--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -389,6 +389,8 @@
             endpoints=EndpointsSettings(
                 peers=tuple(self.network.address(peer) for peer in peers), **endpoints
             ),
+            address=self.network.address(name),
+            zone=zone,
         )
         core = RelayCore(options, random.Random(name), Recovered(files=files), sealer)
         self.network.dark.discard(name)
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -232,7 +232,7 @@
             if isinstance(output, ConfigurationInstalled):
                 outputs.extend(self._install(output.version, output.configuration))
             elif isinstance(output, PublishersReceived):
-                self._registration.replace_relays(output.addresses)
+                outputs.extend(self._registration.replace_relays(output, now))
             elif not isinstance(output, _NOTICES):
                 outputs.append(output)
         return outputs
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -40,10 +40,12 @@
     LeaseGranted,
     LeaseLost,
 )
+from limelever.subscriber.notices import PublishersReceived
 
 RENEWALS_PER_LEASE = 3
 """Two renewals may be lost before the lease ends."""
 
+OWN_ZONE = "another relay is preferred"
 _MILLISECONDS = 1000.0
 _SHORTEST_LEASE = 0.3
 
@@ -116,11 +118,19 @@
         """Choose among these relays besides."""
         self._relays = tuple(dict.fromkeys((*self._relays, *relays)))
 
-    def replace_relays(self, relays: tuple[Address, ...]) -> None:
-        """Choose among these relays from now on; the one used now stays while it answers."""
-        current = self.relay
+    def replace_relays(self, received: PublishersReceived, now: float) -> list[Output]:
+        """Choose among these relays from now on; the one used now stays while it answers.
+
+        But the endpoint is registered where its zone's proxies hear of its load first.
+        """
+        relays, current = received.addresses, self.relay
         self._relays = relays if current in relays else (*relays, current)
         self._relay = self._relays.index(current)
+        if not self.leased or received.preferred in (None, current):
+            return []
+        outputs = self._hang_up(OWN_ZONE)
+        self._relay = self._relays.index(received.preferred)
+        return [*outputs, *self._dial(now)]
 
     def owns(self, connection: ConnectionId) -> bool:
         """Return whether the link is the one to the relay."""
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -14,6 +14,7 @@
     ProbeSettings,
     QueueSettings,
 )
+from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
     Clash,
@@ -88,6 +89,8 @@
         probe_interval=seconds(configuration.probe_interval_ms),
         answer_timeout=seconds(configuration.answer_timeout_ms),
         longest_pause=seconds(configuration.longest_pause_ms),
+        return_backoff=BackoffSettings(base=seconds(configuration.return_after_ms)),
+        zone=settings.zone,
     )
 
 
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from limelever.common.backoff import BackoffSettings
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Address, Output, Recovered, Role
@@ -62,6 +63,8 @@
             probe_interval=seconds(configuration.probe_interval_ms),
             answer_timeout=seconds(configuration.answer_timeout_ms),
             longest_pause=seconds(configuration.longest_pause_ms),
+            return_backoff=BackoffSettings(base=seconds(configuration.return_after_ms)),
+            zone=settings.zone,
         ),
         keepers=KeeperClientSettings(
             keepers=settings.keepers,
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -72,12 +72,17 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigurationSettings:
-    """How the proxy keeps its configuration current."""
+    """How the proxy keeps its configuration current.
+
+    ``return_after_ms`` is the first of the pauses, which double, after which it goes back to the
+    relay that it prefers.
+    """
 
     stale_after_ms: int = attrs.field(default=8000, validator=between(100, 3600000))
     probe_interval_ms: int = attrs.field(default=2000, validator=between(50, 600000))
     answer_timeout_ms: int = attrs.field(default=5000, validator=between(50, 600000))
     longest_pause_ms: int = attrs.field(default=240000, validator=between(50, 3600000))
+    return_after_ms: int = attrs.field(default=30000, validator=between(50, 3600000))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -53,6 +53,8 @@
 class RelayOptions:
     """What a relay's core is made of. ``incarnation`` rises with every start of the process.
 
+    ``zone`` is the relay's own; subscribers hear of it.
+
     ``address`` is where others reach it; ``None`` where the relays are listed in all settings.
     """
 
@@ -62,6 +64,7 @@
     publisher: PublisherSettings
     endpoints: EndpointsSettings
     address: Address | None = None
+    zone: str = ""
 
 
 class RelayCore:
@@ -84,6 +87,9 @@
         )
         self._reporter = RolloutReporter(options.publisher.report_interval)
         self._address = options.address
+        self._zone_of: dict[Address, str] = {}
+        if options.address is not None:
+            self._zone_of[options.address] = options.zone
         self._relays: tuple[Address, ...] = ()
         self._peers: dict[ConnectionId, Peer] = {}
         self._ready = False
@@ -152,7 +158,8 @@
         if self._subscriber.owns(connection):
             return self._carried_out(self._subscriber.handle(event, now), now)
         if self._endpoints.owns(connection):
-            return self._endpoints.handle_peer(connection, event, now)
+            told = self._zone_known(self._endpoints.address_of(connection), peer.zone)
+            return [*told, *self._endpoints.handle_peer(connection, event, now)]
         self._peers[connection] = peer
         if peer.purpose is Purpose.SUBSCRIPTION:
             return self._carried_out(self._publisher.handle(event, now), now)
@@ -194,11 +201,23 @@
         """Exchange endpoints with all other relays, and name them to the subscribers."""
         self._relays = addresses
         others = [address for address in addresses if address != self._address]
-        outputs = self._endpoints.keep_peers(others, now)
-        for connection, peer in self._peers.items():
-            if peer.purpose is Purpose.SUBSCRIPTION and self._publisher.scope_of(connection):
-                outputs.append(SendMessage(connection, self._publishers()))
-        return outputs
+        return [*self._endpoints.keep_peers(others, now), *self._tell_all_of_relays()]
+
+    def _zone_known(self, address: Address, zone: str) -> list[Output]:
+        """Take the zone of another relay, and tell the subscribers if that is news."""
+        if self._zone_of.get(address) == zone:
+            return []
+        self._zone_of[address] = zone
+        return self._tell_all_of_relays()
+
+    def _tell_all_of_relays(self) -> list[Output]:
+        if not self._relays:
+            return []
+        return [
+            SendMessage(connection, self._publishers())
+            for connection, peer in self._peers.items()
+            if peer.purpose is Purpose.SUBSCRIPTION and self._publisher.scope_of(connection)
+        ]
 
     def _tell_relays(self, connection: ConnectionId, message: Message) -> list[Output]:
         if not self._relays or not isinstance(message, Subscribe):
@@ -208,7 +227,10 @@
         return [SendMessage(connection, self._publishers())]
 
     def _publishers(self) -> Publishers:
-        return Publishers(addresses=[str(address) for address in self._relays])
+        return Publishers(
+            addresses=[str(address) for address in self._relays],
+            zones=[self._zone_of.get(address, "") for address in self._relays],
+        )
 
     def _admit_to_endpoints(self, connection: ConnectionId, message: Message) -> list[Output]:
         """Send endpoints to a proxy whose subscription was just admitted."""
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -114,6 +114,10 @@
         """Return whether a dialled link is one to another relay."""
         return any(peer.owns(connection) for peer in self._peers)
 
+    def address_of(self, connection: ConnectionId) -> Address:
+        """Return the address of the relay that a dialled link leads to."""
+        return next(peer.address for peer in self._peers if peer.owns(connection))
+
     def handle_peer(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
         """Take an event of a link to another relay."""
         if isinstance(event, MessageReceived) and isinstance(event.message, LoadUpdate):
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -49,6 +49,7 @@
         publisher=_publisher_settings(settings),
         endpoints=_endpoints_settings(settings),
         address=settings.listen,
+        zone=settings.zone,
     )
 
 
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -173,6 +173,7 @@
             if self._link.search.is_better(event.message, held_version, now):
                 self._holder.forget_unaccepted()
                 return [*self._link.change_over(now), *self._subscribe()]
+            return self._link.search.not_better(event.message, now)
         return self._link.search.failed(now)
 
     def _on_message(self, message: Message, now: float) -> list[Output]:
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -8,7 +8,6 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import LogEvent, Output
-from limelever.common.settings import is_address, parse_address
 from limelever.protocol.distribution_pb2 import (
     Ack,
     ConfigDelta,
@@ -33,6 +32,7 @@
     PublishersReceived,
 )
 from limelever.subscriber.snapshot_writer import SnapshotWriter
+from limelever.subscriber.zone_preference import listed_in, preferred
 
 _MILLISECONDS = 1000.0
 _Handler = Callable[[Message, float], list[Output]]
@@ -132,10 +132,13 @@
 
     def _on_publishers(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, Publishers)
-        known = tuple(parse_address(text) for text in message.addresses if is_address(text))
-        if not known:
+        listed = listed_in(message)
+        if not listed:
             return []
-        return [*self._link.replace_publishers(known, now), PublishersReceived(known)]
+        known = tuple(publisher.address for publisher in listed)
+        own = preferred(listed, self._link.zone)
+        replaced = self._link.replace_publishers(known, own, now)
+        return [*replaced, PublishersReceived(known, own)]
 
     def _settle(self, now: float) -> list[Output]:
         return self.follow_up(self._holder.settle(self._proved_version()), now)
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -71,9 +71,16 @@
         """Return whether ``connection`` is the current link or the one that may replace it."""
         return connection == self._connection or self.search.owns(connection)
 
-    def replace_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
-        """Choose among these publishers from now on; the link in use stays."""
-        self._choice.replace(publishers)
+    @property
+    def zone(self) -> str:
+        """The subscriber's own zone, empty where it has none."""
+        return self._settings.zone
+
+    def replace_publishers(
+        self, publishers: tuple[Address, ...], preferred: Address | None, now: float
+    ) -> list[Output]:
+        """Choose among these publishers from now on; the link in use stays for the time being."""
+        self._choice.replace(publishers, preferred)
         return self.search.publishers_replaced(now)
 
     def extend_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
@@ -113,11 +120,19 @@
         return self.send(message)
 
     def probe(self, now: float, to_source: bool) -> list[Output]:
-        """Ask the publisher how current it is."""
+        """Ask the publisher how current it is, and seek another if it left that unanswered before.
+
+        A publisher that lost its power says nothing more. To seek costs little, to wait until it
+        counts as stale leaves its subscribers behind for longer.
+        """
         if not self.subscribed:
             return []
-        self._timers.probe = now + self._settings.probe_interval
-        return self.send(self.probes.send(now, to_source))
+        waiting_since = self.probes.waiting_since
+        interval = self._settings.probe_interval
+        silent = waiting_since is not None and now - waiting_since >= interval
+        sought = self.search.begin(Goal.CURRENT, now) if silent else []
+        self._timers.probe = now + interval
+        return [*self.send(self.probes.send(now, to_source)), *sought]
 
     def answered(self, answer: FreshnessAnswer, now: float) -> list[Output]:
         """Take the answer to a probe; in place of a stale publisher another is sought."""
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -54,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishersReceived(Output):
-    """The publisher named all publishers of its kind; the subscriber chooses among them now."""
+    """The publisher named all publishers of its kind; the subscriber chooses among them now.
+
+    ``preferred`` is the one for the subscriber's zone, if that is known.
+    """
 
     addresses: tuple[Address, ...]
+    preferred: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/limelever/subscriber/probes.py
+++ b/src/limelever/subscriber/probes.py
@@ -24,10 +24,15 @@
 
 
 class Probes:
-    """Probes sent on the current link, and the proofs that came back."""
+    """Probes sent on the current link, and the proofs that came back.
+
+    ``waiting_since`` is when the first probe was sent that a publisher answers at once, and since
+    which none was answered. One for a proof from the source may rightly take longer.
+    """
 
     def __init__(self) -> None:
         self._nonce = 0
+        self.waiting_since: float | None = None
         self._sent: dict[int, float] = {}
         self._proofs: list[Proof] = []
         self.publisher_fresh_at: float | None = None
@@ -35,6 +40,7 @@
     def forget_link(self) -> None:
         """Drop what belongs to a link that is gone; nonces are never reused."""
         self._sent.clear()
+        self.waiting_since = None
         self._proofs.clear()
         self.publisher_fresh_at = None
 
@@ -42,12 +48,15 @@
         """Return a new probe."""
         self._nonce += 1
         self._sent[self._nonce] = now
+        if not to_source and self.waiting_since is None:
+            self.waiting_since = now
         while len(self._sent) > _KEPT_PROBES:
             del self._sent[next(iter(self._sent))]
         return FreshnessProbe(nonce=self._nonce, to_source=to_source)
 
     def answered(self, answer: FreshnessAnswer) -> None:
         """Take an answer; those to unknown probes count for nothing."""
+        self.waiting_since = None
         sent = self._sent.pop(answer.nonce, None)
         if sent is None or answer.unproved:
             return
--- a/src/limelever/subscriber/publisher_choice.py
+++ b/src/limelever/subscriber/publisher_choice.py
@@ -60,9 +60,12 @@
         """Know these publishers besides."""
         self.replace(tuple(dict.fromkeys((*self._publishers, *publishers))))
 
-    def replace(self, publishers: tuple[Address, ...]) -> None:
-        """Take a new list; the publisher followed now stays, for as long as it is of use."""
-        current, preferred = self.current, self.address(self.preferred)
+    def replace(self, publishers: tuple[Address, ...], preferred: Address | None = None) -> None:
+        """Take a new list; the publisher followed now stays, for as long as it is of use.
+
+        Without a ``preferred`` one the former stays that.
+        """
+        current, preferred = self.current, preferred or self.address(self.preferred)
         known = publishers if current in publishers else (*publishers, current)
         self._publishers = known
         self.index = known.index(current)
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -24,6 +24,12 @@
 from limelever.subscriber.timers import reached
 
 NO_BETTER = "no better publisher"
+CANDIDATE_PATIENCE = 0.5
+"""Seconds for which a candidate that isn't current yet is asked again. A choice: after the loss of
+a leader all relays become current at about the same time, and a dial elsewhere takes as long."""
+
+ASK_INTERVAL = 0.1
+"""Seconds between two questions to such a candidate."""
 
 
 class Goal(Enum):
@@ -63,6 +69,8 @@
         self._goal: Goal | None = None
         self._dial_at: float | None = None
         self._answer_by: float | None = None
+        self._ask_at: float | None = None
+        self._patient_until = 0.0
         self._connection: ConnectionId | None = None
         self.candidate = 0
 
@@ -102,13 +110,15 @@
 
     def next_deadline(self) -> float | None:
         """Return when something is due, or ``None``."""
-        times = (self._dial_at, self._answer_by)
+        times = (self._dial_at, self._answer_by, self._ask_at)
         return min((at for at in times if at is not None), default=None)
 
     def on_deadline(self, now: float) -> list[Output]:
         """Dial the next candidate, or give up on an answer, when it is time."""
         if reached(self._answer_by, now):
             return self.failed(now)
+        if reached(self._ask_at, now) and self._connection is not None:
+            return self._ask(self._connection, now)
         if not reached(self._dial_at, now):
             return []
         self._dial_at = None
@@ -119,8 +129,17 @@
 
     def opened(self, connection: ConnectionId, now: float) -> list[Output]:
         """Ask the candidate how current it is, before anything is given up for it."""
-        self._answer_by = now + self._answer_timeout
-        return [SendMessage(connection, self._probes.send(now, to_source=False))]
+        self._patient_until = now + CANDIDATE_PATIENCE
+        return self._ask(connection, now)
+
+    def not_better(self, message: Message, now: float) -> list[Output]:
+        """Ask a candidate that isn't current once more, or give it up."""
+        asks_on = isinstance(message, FreshnessAnswer) and self._goal is Goal.CURRENT
+        if not asks_on or now >= self._patient_until:
+            return self.failed(now)
+        self._answer_by = None
+        self._ask_at = now + ASK_INTERVAL
+        return []
 
     def failed(self, now: float) -> list[Output]:
         """Give this candidate up and plan the next attempt."""
@@ -144,6 +163,11 @@
         self.end()
         return connection
 
+    def _ask(self, connection: ConnectionId, now: float) -> list[Output]:
+        self._ask_at = None
+        self._answer_by = now + self._answer_timeout
+        return [SendMessage(connection, self._probes.send(now, to_source=False))]
+
     def _next_candidate(self) -> int:
         if self._goal is Goal.PREFERRED:
             return self._choice.preferred
@@ -155,6 +179,6 @@
 
     def _drop(self) -> list[Output]:
         connection, self._connection = self._connection, None
-        self._dial_at = self._answer_by = None
+        self._dial_at = self._answer_by = self._ask_at = None
         self._probes.forget_link()
         return [CloseConnection(connection, NO_BETTER)] if connection is not None else []
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -18,7 +18,8 @@
     ``behind_after`` the time for which a publisher may name newer versions without sending
     any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
     relays one drawn at random): a subscriber of another goes back to it in the times of
-    ``return_backoff``; ``longest_pause`` bounds the wait between two attempts to
+    ``return_backoff``. Once relays tell of their zones, the one for the own ``zone`` is preferred
+    instead. ``longest_pause`` bounds the wait between two attempts to
     find a publisher in place of one that is stale or lost. With
     ``persist_snapshot`` the configuration is also kept on disk, at most every
     ``snapshot_delay``.
@@ -37,6 +38,7 @@
     return_backoff: BackoffSettings = BackoffSettings(base=30.0, maximum=240.0)
     persist_snapshot: bool = False
     snapshot_delay: float = 2.0
+    zone: str = ""
 
     @property
     def dialling(self) -> BackoffSettings:
