--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from hypothesis import settings as hypothesis_settings
+from msgspec.structs import replace
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import (
@@ -196,9 +197,7 @@
     def ask(self, target: str, method: str = "GET", **fields: object) -> int:
         self.last_call += 1
         self.answers[self.last_call] = []
-        request = CallRequest(method.encode(), target.encode(), (), b"")
-        for name, value in fields.items():
-            object.__setattr__(request, name, value)
+        request = replace(CallRequest(method.encode(), target.encode(), (), b""), **fields)
         self.post(CallArrived(self.last_call, request))
         return self.last_call
 
--- a/features/steps/seeded_group_steps.py
+++ b/features/steps/seeded_group_steps.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from behave import given, then, when
+from msgspec.structs import replace
 from replication_group import Group, service_batch
 from replication_node import Node
 
--- a/src/limelever/agent/answer_sender.py
+++ b/src/limelever/agent/answer_sender.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.agent import answers
 from limelever.agent.calls import Call
@@ -29,8 +29,7 @@
 """Bytes of all answers that wait for credit; past it an answer is lost, which its proxy hears."""
 
 
-@dataclass(slots=True)
-class _Pending:
+class _Pending(Struct):
     """The rest of an answer; ``deadline`` is its call's, in monotonic seconds."""
 
     connection: ConnectionId
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
+from msgspec import Struct
 
 from limelever.agent.answer_checks import is_of_request, refusal_of, unfounded_promise
 from limelever.agent.answer_reader import AnswerReader
@@ -37,8 +37,7 @@
 _BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
-@dataclass(slots=True)
-class _Attempt:
+class _Attempt(Struct):
     """A request under way; its scope ends at the attempt's deadline."""
 
     scope: trio.CancelScope
--- a/src/limelever/agent/body_credit.py
+++ b/src/limelever/agent/body_credit.py
@@ -11,7 +11,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 PART_SECONDS = 0.016
 """Time on the link of the part that is asked for at once; a choice: a few round trips."""
@@ -33,16 +34,14 @@
 """After so long without a byte, what was asked of a sender no longer counts as on its way."""
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(Struct, frozen=True):
     """Bytes of a call's body that its proxy may send besides those asked for before."""
 
     call: int
     size: int
 
 
-@dataclass(slots=True)
-class _Body:
+class _Body(Struct):
     """A body on its way; ``left`` are bytes not yet asked for, ``asked`` those not yet here."""
 
     left: int
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -11,7 +11,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from limelever.agent import answers, events
 from limelever.agent.answer_sender import AnswerSender
@@ -45,8 +47,7 @@
 _TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "too late to finish in time")
 
 
-@dataclass(frozen=True, slots=True)
-class CallLimits:
+class CallLimits(Struct, frozen=True):
     """Bounds of the call service; ``assembling_bytes`` is of bodies not yet whole.
 
     ``link_rate`` is what the machine's link takes in, in bytes a second; 0 if not known.
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -4,9 +4,11 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
 from enum import Enum, auto
 
+from msgspec import Struct, field
+from msgspec.structs import asdict
+
 from limelever.agent import events
 from limelever.agent.interface import StartAttempt
 from limelever.common.sansio import ConnectionId, LogEvent
@@ -28,8 +30,7 @@
     RUNNING = auto()
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """One call: ``settled`` once the proxy has its last message or is gone."""
 
     number: int
@@ -64,8 +65,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Orphaned:
+class Orphaned(Struct, frozen=True):
     """What became of the calls of a proxy that is gone."""
 
     dropped: int
--- a/src/limelever/agent/connections.py
+++ b/src/limelever/agent/connections.py
@@ -4,9 +4,9 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import trio
+from msgspec import Struct
 
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
@@ -18,8 +18,7 @@
 _KEEP_ALIVE = b"keep-alive"
 
 
-@dataclass(slots=True)
-class BackendConnection:
+class BackendConnection(Struct):
     """An HTTP/1.1 connection.
 
     ``keep`` is for how many seconds it may be idle. ``reusable`` says that its last request was
@@ -39,8 +38,7 @@
         return self.stream.socket.is_readable()
 
 
-@dataclass(frozen=True, slots=True)
-class _Idle:
+class _Idle(Struct, frozen=True):
     connection: BackendConnection
     since: float
 
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -5,7 +5,8 @@
 import itertools
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.agent import events
 from limelever.agent.call_service import CallLimits, CallService
@@ -63,8 +64,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AgentOptions:
+class AgentOptions(Struct, frozen=True):
     """Settings of the agent core; ``cold_start_limit`` in seconds.
 
     The endpoint is registered once a health probe has passed, or after the cold start limit:
--- a/src/limelever/agent/drain.py
+++ b/src/limelever/agent/drain.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class DrainLimits:
+
+class DrainLimits(Struct, frozen=True):
     """Durations of a drain in seconds, counted from its beginning.
 
     ``limit`` is the time running calls have; ``queue`` the time in which queued calls may
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -12,7 +12,8 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.agent.deadlines import DeadlineHeap
 from limelever.agent.group_queue import GroupQueue, QueuedCall
@@ -24,8 +25,7 @@
 from limelever.protocol.priorities import priority_of
 
 
-@dataclass(frozen=True, slots=True)
-class QueueLimits:
+class QueueLimits(Struct, frozen=True):
     """Bounds of the queue: ``group_calls`` waiting calls a group, ``total_bytes`` in all."""
 
     slots: int = 6
@@ -35,16 +35,14 @@
     unlisted_groups: int = 32
 
 
-@dataclass(frozen=True, slots=True)
-class Eviction:
+class Eviction(Struct, frozen=True):
     """A queued call refused to make room for a group that is below its part of the bytes."""
 
     call: int
     failure: Failure
 
 
-@dataclass(frozen=True, slots=True)
-class _RunningCall:
+class _RunningCall(Struct, frozen=True):
     group: str
     started_at: float
     charged: float
--- a/src/limelever/agent/group_queue.py
+++ b/src/limelever/agent/group_queue.py
@@ -4,11 +4,11 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
+from msgspec import Struct, field
 
-@dataclass(frozen=True, slots=True)
-class QueuedCall:
+
+class QueuedCall(Struct, frozen=True):
     """A call that waits for a slot; times in monotonic seconds, ``size`` in bytes.
 
     An answer after ``target`` is worth less, one after ``deadline`` nothing.
@@ -22,8 +22,7 @@
     target: float = math.inf
 
 
-@dataclass(slots=True)
-class GroupQueue:
+class GroupQueue(Struct):
     """Calls of one group in order of arrival.
 
     ``tag`` is the virtual start time of the group's next call: the slot time charged to the
--- a/src/limelever/agent/intake.py
+++ b/src/limelever/agent/intake.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.agent import events
 from limelever.agent.body_credit import BodyCredit, Grant
@@ -16,16 +17,14 @@
 _MILLISECONDS = 1000.0
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """Why a call is not taken in; without ``failure`` its proxy is to hear nothing."""
 
     failure: Failure | None
     log: LogEvent | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class BodyLimits:
+class BodyLimits(Struct, frozen=True):
     """Bounds in bytes: of one body, of all not yet whole, and of the link in bytes a second.
 
     A ``link_rate`` of 0 stands for a rate that is not known.
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -6,15 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
 
 
-@dataclass(frozen=True, slots=True)
-class StartAttempt(Output):
+class StartAttempt(Output, frozen=True):
     """Send one request to the back end; answered by one ``AttemptAnswered`` or ``AttemptFailed``.
 
     ``timeout`` is in seconds, counted from now.
@@ -29,27 +26,23 @@
     timeout: float
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAttempt(Output):
+class CancelAttempt(Output, frozen=True):
     """Close the request at the back end; the attempt still ends with its one event."""
 
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class CheckBackend(Output):
+class CheckBackend(Output, frozen=True):
     """Try whether a new connection to the back end opens; answered by ``BackendChecked``."""
 
 
-@dataclass(frozen=True, slots=True)
-class DrainFinished(Output):
+class DrainFinished(Output, frozen=True):
     """The agent may stop; ``cut_off`` attempts were still running at the drain limit."""
 
     cut_off: int
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptAnswered(Event):
+class AttemptAnswered(Event, frozen=True):
     """The back end's whole answer."""
 
     attempt: int
@@ -58,8 +51,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptFailed(Event):
+class AttemptFailed(Event, frozen=True):
     """The attempt ended without a whole answer.
 
     ``sent_any_byte`` is false only when no byte of the request can have reached the back end, and
@@ -72,25 +64,21 @@
     refused: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class BackendProbed(Event):
+class BackendProbed(Event, frozen=True):
     """Result of one health probe; holds back the first registration, ends no call."""
 
     healthy: bool
 
 
-@dataclass(frozen=True, slots=True)
-class BackendChecked(Event):
+class BackendChecked(Event, frozen=True):
     """Whether a new connection opened, or was at least refused: silence alone says ``False``."""
 
     reached: bool
 
 
-@dataclass(frozen=True, slots=True)
-class BackendGone(Event):
+class BackendGone(Event, frozen=True):
     """The back end has ended or another has taken its place: nothing more comes of it."""
 
 
-@dataclass(frozen=True, slots=True)
-class DrainRequested(Event):
+class DrainRequested(Event, frozen=True):
     """A planned stop begins."""
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -4,10 +4,10 @@
 
 import random
 import time
-from dataclasses import replace
 from functools import partial
 
 import trio
+from msgspec.structs import replace
 
 from limelever.agent.backend import Backend
 from limelever.agent.call_service import CallLimits
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
+
 from limelever.agent import events
 from limelever.agent.load_reports import LoadReports
 from limelever.agent.own_endpoint import OwnEndpoint
@@ -50,8 +51,7 @@
 _SHORTEST_LEASE = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class RegistrationSettings:
+class RegistrationSettings(Struct, frozen=True):
     """What is registered and where; ``answer_timeout`` in seconds.
 
     The first of ``relays`` is tried first: it is listed first because its zone is the agent's.
--- a/src/limelever/agent/silence.py
+++ b/src/limelever/agent/silence.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 OVERDUE_FACTOR = 3.0
 """Times its usual time after which a call is overdue; of calls whose times are spread by 0.8 of
@@ -25,8 +26,7 @@
 """Seconds between two tries while the silence lasts: how late its end may be noticed."""
 
 
-@dataclass(slots=True)
-class BackendSilence:
+class BackendSilence(Struct):
     """State of one back end; times are seconds of the monotonic clock.
 
     ``silent`` is set once a connection did not open, until one does or an answer comes.
--- a/src/limelever/agent/slot_use.py
+++ b/src/limelever/agent/slot_use.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 AVERAGING_SECONDS = 2.0
 """Time constant of the moving average of the slots held."""
@@ -20,8 +21,7 @@
 """Added to the time at which there is room, so that it has come when it is looked at."""
 
 
-@dataclass(slots=True)
-class _Held:
+class _Held(Struct):
     """Slots that the calls of one priority hold now, and their average until ``at`` (seconds)."""
 
     now: int = 0
--- a/src/limelever/cli/application.py
+++ b/src/limelever/cli/application.py
@@ -5,11 +5,11 @@
 import json
 import os
 from collections.abc import Callable
-from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated
 
 import typer
+from msgspec import to_builtins
 
 from limelever.cli import operator_commands
 from limelever.cli.connection import Connection, with_connection
@@ -183,7 +183,7 @@
     """
     explanation = explain(request_id, files, since)
     if as_json:
-        typer.echo(json.dumps(asdict(explanation)))
+        typer.echo(json.dumps(to_builtins(explanation)))
     else:
         _print_explanation(explanation)
     raise typer.Exit(EXIT_OK if explanation.lines else EXIT_REFUSED)
--- a/src/limelever/cli/client.py
+++ b/src/limelever/cli/client.py
@@ -9,12 +9,12 @@
 import socket
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import grpc
 from google.protobuf.message import Message
 from grpc_status import rpc_status
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
 from limelever.common.sansio import Address
@@ -53,8 +53,7 @@
 _SERVICE_NAME = DESCRIPTOR.services_by_name["Operator"].full_name
 
 
-@dataclass(frozen=True, slots=True)
-class ClientOptions:
+class ClientOptions(Struct, frozen=True):
     """How to reach the source; ``timeout`` is in seconds."""
 
     endpoints: tuple[Address, ...]
--- a/src/limelever/cli/connection.py
+++ b/src/limelever/cli/connection.py
@@ -7,11 +7,11 @@
 import os
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager, closing
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, get_type_hints
 
 import typer
+from msgspec import Struct
 
 from limelever.cli.client import ClientOptions, OperatorClient
 from limelever.common.sansio import Address
@@ -43,8 +43,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class Connection:
+class Connection(Struct, frozen=True):
     """What the command line says of the way to the source; ``timeout`` is in seconds."""
 
     endpoint: EndpointOption = None
--- a/src/limelever/cli/explain.py
+++ b/src/limelever/cli/explain.py
@@ -4,10 +4,11 @@
 
 import json
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from msgspec import Struct
+
 from limelever.agent.events import CALL_NOT_SERVED, CALL_RAN
 from limelever.proxy.events import (
     ATTEMPT_ENDED,
@@ -26,8 +27,7 @@
 _BELIEFS = frozenset({"configuration-installed", "routes-in-force", "endpoint-ejected"})
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(Struct, frozen=True):
     """One line of a process's log."""
 
     time: str
@@ -42,8 +42,7 @@
         return f"{self.time} {self.process} {self.code} {self.event} {shown}"
 
 
-@dataclass(frozen=True, slots=True)
-class Explanation:
+class Explanation(Struct, frozen=True):
     """The lines of one request in their order, the deciding one, and what its process believed."""
 
     lines: tuple[LogLine, ...]
--- a/src/limelever/cli/operator_commands.py
+++ b/src/limelever/cli/operator_commands.py
@@ -4,9 +4,10 @@
 
 import time
 import uuid
-from dataclasses import dataclass
 from functools import partial
 
+from msgspec import Struct
+
 from limelever.cli import output
 from limelever.cli.client import OperatorClient
 from limelever.cli.roles import EXIT_OK, EXIT_REFUSED
@@ -30,8 +31,7 @@
 ROLLOUT_POLL_SECONDS = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class ApplyOptions:
+class ApplyOptions(Struct, frozen=True):
     """How a batch is to be applied; an empty ``request_id`` has one drawn."""
 
     dry_run: bool = False
--- a/src/limelever/cli/roles.py
+++ b/src/limelever/cli/roles.py
@@ -9,9 +9,10 @@
 import importlib
 import sys
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec import Struct
+
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Role
 from limelever.common.settings import ProcessSettings, SettingsProblem, SettingsProblems
@@ -33,8 +34,7 @@
 _SET_OPTION = "--set"
 
 
-@dataclass(frozen=True, slots=True)
-class RoleArguments:
+class RoleArguments(Struct, frozen=True):
     """Command line of a long-running role."""
 
     role: Role
--- a/src/limelever/common/backoff.py
+++ b/src/limelever/common/backoff.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 _LARGEST_EXPONENT = 32
 
 
-@dataclass(frozen=True, slots=True)
-class BackoffSettings:
+class BackoffSettings(Struct, frozen=True):
     """Bounds of the delays, in seconds."""
 
     base: float = 0.2
--- a/src/limelever/common/decision_log.py
+++ b/src/limelever/common/decision_log.py
@@ -9,7 +9,8 @@
 
 import math
 import zlib
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.events import DECISIONS_NOT_LOGGED
 from limelever.common.sansio import LogEvent
@@ -20,8 +21,7 @@
 _PERCENT = 100
 
 
-@dataclass(frozen=True, slots=True)
-class DecisionLogSettings:
+class DecisionLogSettings(Struct, frozen=True):
     """``sample_percent`` of the requests are followed; failures a second, and at once."""
 
     sample_percent: int = 0
--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 
+from msgspec import Struct
+
 
 class GrpcStatus(IntEnum):
     """gRPC status codes, numbered as the published protocol does."""
@@ -101,8 +102,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(frozen=True, slots=True)
-class ErrorAnswer:
+class ErrorAnswer(Struct, frozen=True):
     """How a kind of error is answered at each edge."""
 
     http_status: int
@@ -171,8 +171,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(Struct, frozen=True):
     """A sentinel that stands in place of a result, with its kind and reason.
 
     ``resources`` names the resources the failure is about, ``retry_after`` is in seconds
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 
 class Level(StrEnum):
     """Log level, named as loguru names it."""
@@ -20,8 +21,7 @@
     ERROR = "ERROR"
 
 
-@dataclass(frozen=True, slots=True)
-class EventKind:
+class EventKind(Struct, frozen=True):
     """One kind of log event; ``fields`` names what each occurrence carries."""
 
     code: int
--- a/src/limelever/common/framing.py
+++ b/src/limelever/common/framing.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass, field
 
 from google.protobuf.message import DecodeError, Message
+from msgspec import Struct, field
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.link_pb2 import Frame
@@ -89,8 +89,7 @@
         return Failure(ErrorKind.PROTOCOL_VIOLATION, f"frame does not decompress: {error}")
 
 
-@dataclass(slots=True)
-class FrameReader:
+class FrameReader(Struct):
     """Cuts a byte stream into payloads, one at a time.
 
     It holds one frame of at most ``limit`` bytes and what was fed with its end. A frame over
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -12,8 +13,7 @@
 """How long the sender waits: from callers to proxies, and from agents to back ends."""
 
 
-@dataclass(frozen=True, slots=True)
-class HeaderNames:
+class HeaderNames(Struct, frozen=True):
     """What the mesh calls the headers that it reads and sets itself; in lower case.
 
     ``timeout`` is described above. ``request_id`` names one sending of a caller's request; a back
--- a/src/limelever/common/http_messages.py
+++ b/src/limelever/common/http_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.http_headers import Headers
 
@@ -11,8 +11,7 @@
 HTTP_2 = "2"
 
 
-@dataclass(slots=True)
-class HttpRequest:
+class HttpRequest(Struct):
     """A request; header names are in lower case, ``version`` is as HTTP/1 writes it.
 
     ``target`` is as the client sent it, with the query. ``body`` is complete once the request has
@@ -27,8 +26,7 @@
     keep_alive: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpAnswer(Struct, frozen=True):
     """A whole answer; header names are in lower case."""
 
     status: int
--- a/src/limelever/common/sansio.py
+++ b/src/limelever/common/sansio.py
@@ -13,11 +13,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol, runtime_checkable
 
 from google.protobuf.message import Message
+from msgspec import Struct, field
 
 from limelever.common.errors import Failure
 
@@ -50,8 +50,7 @@
     KEEPER = "keeper"
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
+class Address(Struct, frozen=True):
     """A TCP address: IP number and port."""
 
     host: str
@@ -63,8 +62,7 @@
         return f"{host}:{self.port}"
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
+class Peer(Struct, frozen=True):
     """The other end of a link, as its hello (or answer to ours) states it."""
 
     role: Role
@@ -78,72 +76,60 @@
 # --- events: what a core is told -----------------------------------------------------------
 
 
-class Event:
+class Event(Struct, frozen=True):
     """Base of everything a core is told."""
 
-    __slots__ = ()
 
-
-@dataclass(frozen=True, slots=True)
-class Started(Event):
+class Started(Event, frozen=True):
     """First event of every core; dials and timers begin here."""
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionOpened(Event):
+class ConnectionOpened(Event, frozen=True):
     """A link is up and its credentials were accepted."""
 
     connection: ConnectionId
     peer: Peer
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionFailed(Event):
+class ConnectionFailed(Event, frozen=True):
     """A dial failed; the identifier is spent."""
 
     connection: ConnectionId
     failure: Failure
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionClosed(Event):
+class ConnectionClosed(Event, frozen=True):
     """A link that was open is gone; also follows the core's own ``CloseConnection``."""
 
     connection: ConnectionId
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class MessageReceived(Event):
+class MessageReceived(Event, frozen=True):
     """A message (the body of one frame) arrived on a link."""
 
     connection: ConnectionId
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class WriteCompleted(Event):
+class WriteCompleted(Event, frozen=True):
     """The disk write with this token is synced, and so are all earlier ones."""
 
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class DeadlineReached(Event):
+class DeadlineReached(Event, frozen=True):
     """The time returned by ``next_deadline`` has come."""
 
 
 # --- outputs: what a core asks for ----------------------------------------------------------
 
 
-class Output:
+class Output(Struct, frozen=True):
     """Base of everything a core asks its shell to do."""
 
-    __slots__ = ()
-
 
-@dataclass(frozen=True, slots=True)
-class OpenConnection(Output):
+class OpenConnection(Output, frozen=True):
     """Dial an address; answered by ``ConnectionOpened`` or ``ConnectionFailed``."""
 
     connection: ConnectionId
@@ -151,48 +137,42 @@
     purpose: Purpose
 
 
-@dataclass(frozen=True, slots=True)
-class SendMessage(Output):
+class SendMessage(Output, frozen=True):
     """Send a message on a link; dropped silently when the link is already gone."""
 
     connection: ConnectionId
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class CloseConnection(Output):
+class CloseConnection(Output, frozen=True):
     """Close a link after what was sent on it before; answered by ``ConnectionClosed``."""
 
     connection: ConnectionId
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class AppendLog(Output):
+class AppendLog(Output, frozen=True):
     """Append records to the core's log and sync; answered by ``WriteCompleted``."""
 
     token: int
     records: tuple[bytes, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TruncateLog(Output):
+class TruncateLog(Output, frozen=True):
     """Keep only the first ``keep_records`` records of the log; answered by ``WriteCompleted``."""
 
     token: int
     keep_records: int
 
 
-@dataclass(frozen=True, slots=True)
-class ResetLog(Output):
+class ResetLog(Output, frozen=True):
     """Replace the whole log by these records, atomically; answered by ``WriteCompleted``."""
 
     token: int
     records: tuple[bytes, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ReplaceFile(Output):
+class ReplaceFile(Output, frozen=True):
     """Replace a named file atomically and sync; answered by ``WriteCompleted``."""
 
     token: int
@@ -200,23 +180,20 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class LogEvent(Output):
+class LogEvent(Output, frozen=True):
     """Write a numbered event of ``limelever.common.events`` to the log."""
 
     code: int
     fields: dict[str, object] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class StopProcess(Output):
+class StopProcess(Output, frozen=True):
     """The core cannot go on safely: stop the process with this failure."""
 
     failure: Failure
 
 
-@dataclass(frozen=True, slots=True)
-class Recovered:
+class Recovered(Struct, frozen=True):
     """What a disk gave back at start: the log's records in order, and the named files."""
 
     records: tuple[bytes, ...] = ()
--- a/src/limelever/common/settings/checks.py
+++ b/src/limelever/common/settings/checks.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from limelever.common.sansio import Address
 
 _LARGEST_PORT = 65535
 
 
-@dataclass(frozen=True, slots=True)
-class Between:
+class Between(Struct, frozen=True):
     """An attrs validator for a closed range."""
 
     low: float
--- a/src/limelever/common/settings/problems.py
+++ b/src/limelever/common/settings/problems.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class SettingsProblem:
+
+class SettingsProblem(Struct, frozen=True):
     """One thing wrong with a settings file: which file, which key, and why."""
 
     file: str
@@ -19,15 +19,13 @@
         return f"{self.file}: {self.key}: {self.reason}"
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsProblems:
+class SettingsProblems(Struct, frozen=True):
     """Sentinel returned in place of settings: everything that is wrong with them."""
 
     problems: tuple[SettingsProblem, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Clash:
+class Clash(Struct, frozen=True):
     """A rule between keys.
 
     ``holds`` is given the values of ``keys``, in their order. It is asked only when each of them
--- a/src/limelever/keeper/client.py
+++ b/src/limelever/keeper/client.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 
 from google.protobuf.message import Message
+from msgspec import Struct, field
 
 from limelever.common.sansio import (
     Address,
@@ -35,24 +35,21 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimSettled(Output):
+class ClaimSettled(Output, frozen=True):
     """The outcome of a claim; exactly one follows each ``claim``."""
 
     token: bytes
     outcome: ClaimOutcome
 
 
-@dataclass(frozen=True, slots=True)
-class CompletionSettled(Output):
+class CompletionSettled(Output, frozen=True):
     """Whether a majority has recorded an answer; exactly one follows each ``complete``."""
 
     token: bytes
     ok: bool
 
 
-@dataclass(slots=True)
-class PendingClaim:
+class PendingClaim(Struct):
     """A claim on its way to a majority."""
 
     message: Claim
@@ -60,8 +57,7 @@
     give_up_at: float
 
 
-@dataclass(slots=True)
-class PendingSettlement:
+class PendingSettlement(Struct):
     """A release or completion repeated until the keepers have it, or its window ends."""
 
     message: Release | Complete
--- a/src/limelever/keeper/links.py
+++ b/src/limelever/keeper/links.py
@@ -4,9 +4,9 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.backoff import Backoff
 from limelever.common.sansio import (
@@ -21,8 +21,7 @@
 from limelever.keeper.settings import KeeperClientSettings
 
 
-@dataclass(slots=True)
-class KeeperLink:
+class KeeperLink(Struct):
     """The link to one keeper."""
 
     address: Address
--- a/src/limelever/keeper/other_keepers.py
+++ b/src/limelever/keeper/other_keepers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.sansio import (
     Address,
@@ -20,8 +21,7 @@
 from limelever.protocol.keeper_pb2 import TransferAnswer, TransferRequest
 
 
-@dataclass(slots=True)
-class OtherKeeper:
+class OtherKeeper(Struct):
     """The link to another keeper."""
 
     connection: ConnectionId | None = None
--- a/src/limelever/keeper/rejoin.py
+++ b/src/limelever/keeper/rejoin.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from limelever.common.sansio import Address
 from limelever.keeper.settings import KeeperSettings
@@ -23,8 +23,7 @@
 FORMED = KeeperState.KEEPER_STATE_FORMED
 
 
-@dataclass(slots=True)
-class Copy:
+class Copy(Struct):
     """The records taken so far from one other keeper."""
 
     records: list[KeeperRecord] = field(default_factory=list)
--- a/src/limelever/keeper/settings.py
+++ b/src/limelever/keeper/settings.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import Address
 
 
-@dataclass(frozen=True, slots=True)
-class KeeperSettings:
+class KeeperSettings(Struct, frozen=True):
     """One keeper of a fixed set.
 
     ``others`` are the other keepers' addresses. ``claim_lifetime`` is how long a claim or its
@@ -41,8 +40,7 @@
         return len(self.others) - self.quorum + 2
 
 
-@dataclass(frozen=True, slots=True)
-class KeeperClientSettings:
+class KeeperClientSettings(Struct, frozen=True):
     """A client's view of the keepers.
 
     A claim that has no majority within ``claim_window`` of its start is given up: the safety
--- a/src/limelever/keeper/store.py
+++ b/src/limelever/keeper/store.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
+from msgspec import Struct
 
 from limelever.keeper.settings import KeeperSettings
 from limelever.protocol.keeper_pb2 import (
@@ -26,8 +26,7 @@
 _MILLISECONDS = 1000
 
 
-@dataclass(slots=True)
-class HeldClaim:
+class HeldClaim(Struct):
     """A claim with what is recorded of it; ``expires`` is Unix time in seconds."""
 
     record: KeeperRecord
--- a/src/limelever/keeper/tally.py
+++ b/src/limelever/keeper/tally.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
@@ -12,13 +12,11 @@
 RETRY_AFTER_UNAVAILABLE = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimGranted:
+class ClaimGranted(Struct, frozen=True):
     """A majority granted the claim: the call may be handed on."""
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerRecorded:
+class AnswerRecorded(Struct, frozen=True):
     """The call ran before; this is its answer."""
 
     answer: RecordedAnswer
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -9,11 +9,12 @@
 import random
 import secrets
 import time
-from dataclasses import dataclass, replace
 from functools import partial
 
 import attrs
 import trio
+from msgspec import Struct
+from msgspec.structs import replace
 
 from limelever.agent.backend import Backend
 from limelever.agent.core import AgentCore
@@ -38,8 +39,7 @@
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
-@dataclass(slots=True)
-class _Agent:
+class _Agent(Struct):
     """An agent under way; ``finished`` is set once its core has nothing more to do."""
 
     runner: CoreRunner
--- a/src/limelever/node/reports.py
+++ b/src/limelever/node/reports.py
@@ -7,15 +7,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
+
 RETIRED_LIMIT = 256
 """Identifiers of ended instances that are remembered, so that late reports don't revive them."""
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceReport:
+class InstanceReport(Struct, frozen=True):
     """One report; ``warm_up_left`` in seconds, ``slots`` 0 where the instance names none."""
 
     instance: str
--- a/src/limelever/protocol/keys.py
+++ b/src/limelever/protocol/keys.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import (
@@ -30,8 +31,7 @@
 KIND_OF_TEXT: dict[str, ResourceKind.ValueType] = {text: kind for kind, text in KIND_TEXT.items()}
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Key:
+class Key(Struct, frozen=True, order=True):
     """Kind and name of a resource; hashable and ordered, so that it can key a mapping.
 
     ``name`` of a share is ``service/group``.
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.proxy.call_state import Call
@@ -24,8 +25,7 @@
 """Most seconds of that advice, while no configuration comes: a source elects a leader in less."""
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionSettings:
+class AdmissionSettings(Struct, frozen=True):
     """``default_timeout`` (seconds) is of routes that name none."""
 
     default_timeout: float = 10.0
--- a/src/limelever/proxy/answer_assembly.py
+++ b/src/limelever/proxy/answer_assembly.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.proxy.call_state import Attempt
 
 
-@dataclass(frozen=True, slots=True)
-class AssemblyLimits:
+class AssemblyLimits(Struct, frozen=True):
     """Bounds in bytes: of one answer, and of all answers not yet whole."""
 
     one: int
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -4,9 +4,9 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers
@@ -32,8 +32,7 @@
 """What callers may not set for a back end where the settings name no headers."""
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSettings:
+class AttemptSettings(Struct, frozen=True):
     """Bounds of answers in bytes, and the seconds a call waits for a link to come up.
 
     ``added_headers`` go with every call, ``reserved_headers`` never come from callers.
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -11,7 +11,8 @@
 import math
 import random
 from collections.abc import Container, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.health import EndpointHealth, HealthSettings, Verdict
@@ -26,8 +27,7 @@
 _NOTHING_EXCLUDED: frozenset[EndpointKey] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class BalancerSettings:
+class BalancerSettings(Struct, frozen=True):
     """How endpoints are compared; times in seconds.
 
     ``spill_load`` is the load per slot from which a local endpoint counts as full,
@@ -49,16 +49,14 @@
     light_part: float = 0.15
 
 
-@dataclass(slots=True)
-class _LocalEndpoints:
+class _LocalEndpoints(Struct):
     """The usable endpoints of a service that are in the own zone, kept while ``of`` stands."""
 
     of: Sequence[EndpointEntry]
     local: tuple[EndpointEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class _Asked:
+class _Asked(Struct, frozen=True):
     """What a call asks of an endpoint; times in seconds, see :meth:`Balancer.pick`."""
 
     route: str
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -4,9 +4,10 @@
 
 import heapq
 import math
-from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from msgspec import Struct, field
+
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import ConnectionId
@@ -33,8 +34,7 @@
     COMPLETING = auto()
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """One attempt at one incarnation of one endpoint; ``started_at`` in seconds.
 
     ``verdict_if_run`` is set once the agent was asked to cancel: what the attempt says of its
@@ -54,8 +54,7 @@
     verdict_if_run: Verdict | None = None
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """One call from its admission to its final answer; times in seconds.
 
     ``target`` counts from the caller's first request, as far as that is known. ``part`` is the
@@ -89,8 +88,7 @@
     caller_gone: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(Struct, frozen=True):
     """The end of a call's current attempt."""
 
     call: Call
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
@@ -19,8 +19,7 @@
 IDEMPOTENCY_KEY_LENGTH_LIMIT = 256
 
 
-@dataclass(frozen=True, slots=True)
-class CallRequest:
+class CallRequest(Struct, frozen=True):
     """One caller's whole request; header names are in lower case.
 
     ``timeout`` is in seconds, 0 when the caller named none; ``host`` is in lower case, and
@@ -42,33 +41,28 @@
 """The back end's whole answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class CallArrived(Event):
+class CallArrived(Event, frozen=True):
     """A caller's request has been read whole; ``call`` is drawn by the edge, never reused."""
 
     call: int
     request: CallRequest
 
 
-@dataclass(frozen=True, slots=True)
-class CallerGone(Event):
+class CallerGone(Event, frozen=True):
     """The caller left before its answer; no ``AnswerCall`` follows."""
 
     call: int
 
 
-@dataclass(frozen=True, slots=True)
-class StopRequested(Event):
+class StopRequested(Event, frozen=True):
     """A planned stop began: the edge has stopped listening."""
 
 
-@dataclass(frozen=True, slots=True)
-class StopLimitNear(Event):
+class StopLimitNear(Event, frozen=True):
     """The process ends soon: calls that no back end has begun are to be answered NOT RUN now."""
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerCall(Output):
+class AnswerCall(Output, frozen=True):
     """The one final answer of a call, ``seconds`` after its request was read whole.
 
     ``route`` is empty for a call that no route matched.
@@ -80,11 +74,9 @@
     seconds: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class StopFinished(Output):
+class StopFinished(Output, frozen=True):
     """No call is in flight any more: the process may end."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyReady(Output):
+class ProxyReady(Output, frozen=True):
     """The first configuration is in force: calls can be routed from now on."""
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 
 from google.protobuf.message import Message
+from msgspec import Struct, field
 
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure, Outcome
@@ -40,8 +40,7 @@
 _UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
 
 
-@dataclass(frozen=True, slots=True)
-class CallSettings:
+class CallSettings(Struct, frozen=True):
     """Settings of the request path, in seconds.
 
     ``completion_wait`` bounds the recording of an answer; ``cancel_wait`` is how long past its
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -5,9 +5,10 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
+
 from limelever.common.errors import Failure
 from limelever.common.sansio import (
     ConnectionClosed,
@@ -59,8 +60,7 @@
 """Seconds between looks for links and health records that are no longer used."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyCoreSettings:
+class ProxyCoreSettings(Struct, frozen=True):
     """Settings of all parts of the core."""
 
     subscriber: SubscriberSettings
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -13,9 +13,11 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 from typing import NamedTuple, TypeVar
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from limelever.common.sansio import Address
 from limelever.protocol.endpoint_hash import endpoint_hash
 from limelever.protocol.endpoints_pb2 import (
@@ -53,8 +55,7 @@
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointEntry:
+class EndpointEntry(Struct, frozen=True):
     """What the proxy knows of one endpoint.
 
     ``cold_since`` is when this incarnation was first seen (seconds), ``reported_load`` the
@@ -75,8 +76,7 @@
     unlisted_since: float | None = None
 
 
-@dataclass(slots=True)
-class _Usable:
+class _Usable(Struct):
     """Cached usable endpoints of a service, valid until ``until`` (seconds)."""
 
     entries: tuple[EndpointEntry, ...]
--- a/src/limelever/proxy/group_limits.py
+++ b/src/limelever/proxy/group_limits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 
@@ -14,16 +14,14 @@
 """Weight of a group for which the service has no share."""
 
 
-@dataclass(frozen=True, slots=True)
-class ShareKey:
+class ShareKey(Struct, frozen=True):
     """A group's calls at one service."""
 
     service: str
     group: str
 
 
-@dataclass(frozen=True, slots=True)
-class LimitSettings:
+class LimitSettings(Struct, frozen=True):
     """Bounds in calls; ``near`` is the part of ``total`` from which shares are enforced."""
 
     total: int = 1024
@@ -31,8 +29,7 @@
     retry_after: float = 0.5
 
 
-@dataclass(slots=True)
-class _Held:
+class _Held(Struct):
     weight: int
     in_flight: int = 0
 
--- a/src/limelever/proxy/health.py
+++ b/src/limelever/proxy/health.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 
 class Verdict(StrEnum):
     """What the end of an attempt says about its endpoint."""
@@ -19,8 +20,7 @@
     NEUTRAL = "neutral"
 
 
-@dataclass(frozen=True, slots=True)
-class HealthSettings:
+class HealthSettings(Struct, frozen=True):
     """When an endpoint is left out; times in seconds.
 
     ``slow_factor`` is how many times slower than the set an attempt must be to count as slow.
@@ -36,8 +36,7 @@
     latency_weight: float = 0.1
 
 
-@dataclass(slots=True)
-class EndpointHealth:
+class EndpointHealth(Struct):
     """Own counters of one endpoint; times in seconds.
 
     ``foreign_load`` are the calls of other proxies that its last answer, at ``load_at``, told of;
--- a/src/limelever/proxy/links.py
+++ b/src/limelever/proxy/links.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from msgspec import Struct, field
+
 from limelever.common.backoff import Backoff, BackoffSettings
 from limelever.common.sansio import (
     Address,
@@ -36,8 +37,7 @@
     UP = auto()
 
 
-@dataclass(slots=True)
-class AgentLink:
+class AgentLink(Struct):
     """The link to one agent; ``incarnation`` is what the agent named when it accepted."""
 
     address: Address
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 from functools import partial
 
 import trio
+from msgspec.structs import replace
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.errors import Failure
--- a/src/limelever/proxy/retry_budget.py
+++ b/src/limelever/proxy/retry_budget.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 DEFAULT_PERCENT = 10
 """Retries as a part of fresh calls, in percent, where the route names none."""
@@ -16,8 +16,7 @@
 _SAVED_RETRIES_LIMIT = 20
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(Struct):
     """Tokens in hundredths of a retry; at most a few retries are saved up for a burst."""
 
     percent: int = DEFAULT_PERCENT
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from enum import Enum, auto
 
+from msgspec import Struct
+from msgspec.structs import replace
+
 from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
 from limelever.proxy.call_state import Call
 
@@ -47,8 +49,7 @@
     SECOND_CHOICE = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class RetrySettings:
+class RetrySettings(Struct, frozen=True):
     """Bounds for one call; a route may name its own ``attempts``.
 
     ``fleet_saved`` is the number of retries that all proxies together may have saved up for each
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 from urllib.parse import unquote_to_bytes
 
+from msgspec import Struct
+
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.protocol.config_pb2 import (
@@ -22,8 +23,7 @@
 _DOT_SEGMENTS = frozenset({b".", b".."})
 
 
-@dataclass(frozen=True, slots=True)
-class RoutePart:
+class RoutePart(Struct, frozen=True):
     """A service that takes a part of a route's calls; ``slow_start`` in seconds, 0 = default."""
 
     service: str
@@ -32,8 +32,7 @@
     slow_start: float
 
 
-@dataclass(frozen=True, slots=True)
-class RouteEntry:
+class RouteEntry(Struct, frozen=True):
     """A route with all that a call on it needs; times in seconds, 0 = the proxy's default.
 
     Calls that are not ``repeatable`` go on only after an outcome of NOT RUN; those that are
@@ -59,8 +58,7 @@
         return not self.methods or method in self.methods
 
 
-@dataclass(frozen=True, slots=True)
-class BuiltRoute:
+class BuiltRoute(Struct, frozen=True):
     """A route's entry and where it stands."""
 
     entry: RouteEntry
@@ -71,8 +69,7 @@
 RoutesByPrefix = Mapping[bytes, tuple[RouteEntry, ...]]
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """Routes by host and prefix, group weights by service, and the headers of all secrets.
 
     A host with routes of its own is not served by those for any host, which stand under ``b""``.
--- a/src/limelever/publisher/freshness.py
+++ b/src/limelever/publisher/freshness.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.sansio import ConnectionId
 from limelever.publisher.notices import FreshnessNeeded
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingProbe:
+class WaitingProbe(Struct, frozen=True):
     """A subscriber's probe that waits for a proof begun after it arrived."""
 
     connection: ConnectionId
--- a/src/limelever/publisher/notices.py
+++ b/src/limelever/publisher/notices.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from limelever.common.sansio import Output
 
 
-@dataclass(frozen=True, slots=True)
-class FreshnessNeeded(Output):
+class FreshnessNeeded(Output, frozen=True):
     """The host shall prove the publisher's configuration current.
 
     The proof must begin after this output: the source asks for a read index and waits until it
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -4,7 +4,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.protocol.config_pb2 import (
     RESOURCE_KIND_ROUTE,
@@ -19,8 +20,7 @@
 unchanged since."""
 
 
-@dataclass(frozen=True, slots=True)
-class Step:
+class Step(Struct, frozen=True):
     """One move of the table, with what it changed as it was before."""
 
     from_version: int
--- a/src/limelever/publisher/rollout.py
+++ b/src/limelever/publisher/rollout.py
@@ -4,13 +4,13 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.protocol.distribution_pb2 import RolloutEntry, RolloutReport
 
 
-@dataclass(frozen=True, slots=True)
-class VersionHolders:
+class VersionHolders(Struct, frozen=True):
     """Number of proxies and agents of one zone in which ``version`` is in force."""
 
     zone: str
@@ -18,8 +18,7 @@
     holders: int
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneHolders:
+class ZoneHolders(Struct, frozen=True):
     """Proxies and agents of one zone that hold at least a version, and those that lag."""
 
     zone: str
--- a/src/limelever/publisher/scope.py
+++ b/src/limelever/publisher/scope.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.protocol.config_pb2 import (
     RESOURCE_KIND_SECRET,
@@ -23,8 +24,7 @@
 Closure = Mapping[Key, VersionedResource]
 
 
-@dataclass(frozen=True, slots=True)
-class Scope:
+class Scope(Struct, frozen=True):
     """The services a subscriber named, or everything; subscribers of one scope share a view."""
 
     services: frozenset[str] = frozenset()
@@ -38,8 +38,7 @@
         return cls(frozenset(subscribe.services))
 
 
-@dataclass(frozen=True, slots=True)
-class ScopeDifference:
+class ScopeDifference(Struct, frozen=True):
     """What separates a scope's earlier closure from its current one.
 
     ``put`` entered or changed, ``removed`` left, ``former`` are the earlier values of both.
--- a/src/limelever/publisher/session.py
+++ b/src/limelever/publisher/session.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from msgspec import Struct, field
+
 from limelever.common.sansio import ConnectionId, Peer, Role
 from limelever.publisher.rollout import VersionHolders
 from limelever.publisher.scope import Scope
@@ -19,8 +20,7 @@
     FOLLOWING = auto()
 
 
-@dataclass(slots=True)
-class Session:
+class Session(Struct):
     """One subscriber.
 
     ``sent_version`` is the version whose closure it was last sent, ``told_version`` the last
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class PublisherSettings:
+class PublisherSettings(Struct, frozen=True):
     """Bounds and intervals of a publisher.
 
     ``batch_delay`` is the least time between two batches of changes: one alone goes out at
--- a/src/limelever/publisher/view.py
+++ b/src/limelever/publisher/view.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.digest import SetDigest, resource_hash, short_hash
@@ -24,8 +25,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Refreshed:
+class Refreshed(Struct, frozen=True):
     """What a refresh brought: for subscribers at ``from_version`` or later, ``delta``.
 
     Without a delta nothing in scope changed, unless ``changed`` is set: then the window did
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -4,9 +4,9 @@
 
 import itertools
 import random
-from dataclasses import dataclass
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.sansio import (
     Address,
@@ -49,8 +49,7 @@
 from limelever.subscriber.settings import SubscriberSettings
 
 
-@dataclass(frozen=True, slots=True)
-class RelayOptions:
+class RelayOptions(Struct, frozen=True):
     """What a relay's core is made of. ``incarnation`` rises with every start of the process.
 
     ``zone`` is the relay's own; subscribers hear of it.
--- a/src/limelever/relay/endpoint_entry.py
+++ b/src/limelever/relay/endpoint_entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
@@ -16,8 +16,7 @@
 """Origin of the endpoints whose agents hold their lease at this relay."""
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class EndpointName:
+class EndpointName(Struct, frozen=True, order=True):
     """Names one back end instance of a service."""
 
     service: str
@@ -29,8 +28,7 @@
         return cls(endpoint.service, endpoint.instance)
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Rank:
+class Rank(Struct, frozen=True, order=True):
     """Orders notions of one endpoint: the newer wins, and among equals the worse state."""
 
     incarnation: int
@@ -43,8 +41,7 @@
         return cls(endpoint.incarnation, endpoint.sequence, endpoint.state)
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """An endpoint, or the tombstone of one that is gone.
 
     ``origin`` is the relay that holds its lease (``OWN`` for this one). ``expires_at``
--- a/src/limelever/relay/endpoint_table.py
+++ b/src/limelever/relay/endpoint_table.py
@@ -8,7 +8,9 @@
 
 from collections import defaultdict
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
@@ -29,8 +31,7 @@
 from limelever.relay.expiry import Expiry
 
 
-@dataclass(frozen=True, slots=True)
-class TableSettings:
+class TableSettings(Struct, frozen=True):
     """Durations in seconds: of tombstones, and of a lost relay's endpoints."""
 
     tombstone: float = 60.0
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -4,9 +4,9 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import (
@@ -36,8 +36,7 @@
 from limelever.relay.peer_relay import PeerRelay
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsSettings:
+class EndpointsSettings(Struct, frozen=True):
     """Durations in seconds. ``batch`` is the least time between two batches of changes.
 
     ``load_batch`` is the same for loads: as long as agents wait between two reports.
--- a/src/limelever/relay/interface.py
+++ b/src/limelever/relay/interface.py
@@ -2,31 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.endpoints_pb2 import MachineNotice
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformListRead(Event):
+class PlatformListRead(Event, frozen=True):
     """The platform's list of machines was read: those leaving or dead, and no others."""
 
     notices: tuple[MachineNotice, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RelaysKnown(Event):
+class RelaysKnown(Event, frozen=True):
     """The addresses of all relays, this one's own included, as they are known now."""
 
     addresses: tuple[Address, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StopRequested(Event):
+class StopRequested(Event, frozen=True):
     """A planned stop: subscribers and agents are told to move at once."""
 
 
-@dataclass(frozen=True, slots=True)
-class RelayReady(Output):
+class RelayReady(Output, frozen=True):
     """The relay holds a configuration and serves subscribers."""
--- a/src/limelever/relay/leases.py
+++ b/src/limelever/relay/leases.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from google.protobuf.message import Message
+from msgspec import Struct, field
 
 from limelever.common.sansio import (
     CloseConnection,
@@ -30,8 +29,7 @@
 UNKNOWN_LEASE = "no lease is held on this link"
 
 
-@dataclass(slots=True)
-class LeaseResult:
+class LeaseResult(Struct):
     """What a message led to: outputs, and the endpoints others need to hear of."""
 
     outputs: list[Output] = field(default_factory=list)
--- a/src/limelever/source/at_rest.py
+++ b/src/limelever/source/at_rest.py
@@ -13,12 +13,12 @@
 import binascii
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives.ciphers.aead import AESSIV
 from cryptography.hazmat.primitives.kdf.hkdf import HKDF
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import Batch, Resource, VersionedResource
@@ -35,8 +35,7 @@
 SEALING_OVERHEAD_BYTES = _HEADER_BYTES + _TAG_BYTES
 
 
-@dataclass(frozen=True, slots=True)
-class _SealingKey:
+class _SealingKey(Struct, frozen=True):
     identifier: bytes
     cipher: AESSIV
 
--- a/src/limelever/source/grpc_asgi.py
+++ b/src/limelever/source/grpc_asgi.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure, GrpcStatus
 from limelever.source import grpc_wire
@@ -20,8 +20,7 @@
 _HTTP_OK = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """A failure that answers a call, with the fields at fault."""
 
     failure: Failure
--- a/src/limelever/source/messages.py
+++ b/src/limelever/source/messages.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from google.protobuf.message import Message
 
 from limelever.common.errors import Failure
@@ -27,36 +25,31 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorRequest(Event):
+class OperatorRequest(Event, frozen=True):
     """A checked request of an operator, its secrets sealed; ``token`` names it in the answer."""
 
     token: int
     request: OperatorMessage
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorAnswer(Output):
+class OperatorAnswer(Output, frozen=True):
     """The answer to the request ``token``; each request gets one."""
 
     token: int
     answer: Message | Failure
 
 
-@dataclass(frozen=True, slots=True)
-class MembersKnown(Output):
+class MembersKnown(Output, frozen=True):
     """The names of the group's members, learners included, as this replica knows them now."""
 
     names: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class SeedsListed(Event):
+class SeedsListed(Event, frozen=True):
     """The settings name these seeds now, by their addresses."""
 
     seeds: tuple[Address, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class StopRequested(Event):
+class StopRequested(Event, frozen=True):
     """A planned stop began: subscribers go to another replica, and so does leadership."""
--- a/src/limelever/source/operator_service.py
+++ b/src/limelever/source/operator_service.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
 
 import trio
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.protocol.operators_pb2 import ApplyRequest, GetResponse
@@ -57,8 +57,7 @@
 _HTTP_UNSUPPORTED_MEDIA_TYPE = 415
 
 
-@dataclass(frozen=True, slots=True)
-class _Call:
+class _Call(Struct, frozen=True):
     method: str
     client: str
     headers: dict[bytes, bytes]
--- a/src/limelever/source/overlaps.py
+++ b/src/limelever/source/overlaps.py
@@ -8,25 +8,24 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from itertools import combinations
 
+from msgspec import Struct
+
 from limelever.protocol.config_pb2 import Route, Secret
 from limelever.protocol.keys import Key, route_key, secret_key
 
 ANY_METHOD = "any method"
 
 
-@dataclass(frozen=True, slots=True)
-class Overlap:
+class Overlap(Struct, frozen=True):
     """Resources that can't stand together, all sides, and why."""
 
     keys: tuple[Key, ...]
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class RoutePlace:
+class RoutePlace(Struct, frozen=True):
     """Which calls a route may take, but for their method; an empty host stands for any."""
 
     host: str
--- a/src/limelever/source/replication/changes.py
+++ b/src/limelever/source/replication/changes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.settings import is_address
@@ -32,8 +32,7 @@
 JOIN_INTERVALS_KEPT = 4
 
 
-@dataclass(frozen=True, slots=True)
-class _Join:
+class _Join(Struct, frozen=True):
     """A replica that asks for admission, and until when its request stands."""
 
     member: Member
--- a/src/limelever/source/replication/forwarded_reads.py
+++ b/src/limelever/source/replication/forwarded_reads.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.sansio import ConnectionId
 from limelever.protocol.replication_pb2 import ReadIndexAnswer, ReadIndexRequest
 from limelever.source.replication.context import ReplicaContext
 
 
-@dataclass(slots=True)
-class _Forwarded:
+class _Forwarded(Struct):
     token: int
     deadline: float
     index: int | None = None
--- a/src/limelever/source/replication/persistence.py
+++ b/src/limelever/source/replication/persistence.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from google.protobuf.message import DecodeError
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Recovered
@@ -19,8 +18,7 @@
 SNAPSHOT_FILE = "snapshot"
 
 
-@dataclass(frozen=True, slots=True)
-class RecoveredReplica:
+class RecoveredReplica(Struct, frozen=True):
     """A replica's durable state; ``formatted`` is ``None`` for an empty disk.
 
     ``log_is_stale`` says that the disk's log reaches back behind the snapshot, because a crash
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 NEVER = float("-inf")
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """One follower as its leader sees it.
 
     ``match_index`` is synced at the follower, by its answer in ``match_round``; ``next_index`` is
--- a/src/limelever/source/replication/reads.py
+++ b/src/limelever/source/replication/reads.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Called with the index that the reader must have applied, or with None when nothing was proved.
 ReadAnswer = Callable[[int | None], None]
 
 
-@dataclass(slots=True)
-class _Flight:
+class _Flight(Struct):
     round_number: int
     answers: list[ReadAnswer]
 
--- a/src/limelever/source/replication/settings.py
+++ b/src/limelever/source/replication/settings.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import Address
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicationSettings:
+class ReplicationSettings(Struct, frozen=True):
     """One replica's name, its peers and the timing of the group.
 
     ``peers`` maps the names of the other replicas to their replication addresses. An election
--- a/src/limelever/source/replication/writes.py
+++ b/src/limelever/source/replication/writes.py
@@ -4,11 +4,11 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from msgspec import Struct
 
-@dataclass(frozen=True, slots=True)
-class _Waiting:
+
+class _Waiting(Struct, frozen=True):
     token: int
     action: Callable[[], None]
 
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import Batch, Resource, Revision, VersionedResource
@@ -56,8 +57,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AppliedBatch:
+class AppliedBatch(Struct, frozen=True):
     """What an accepted batch changed: the resources put and the keys removed."""
 
     version: int
@@ -65,8 +65,7 @@
     removed: tuple[Key, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ApplyOutcome:
+class ApplyOutcome(Struct, frozen=True):
     """What became of a batch.
 
     ``record`` is ``None`` for a batch that carries a revision, which has records of its own.
@@ -79,8 +78,7 @@
     applied: AppliedBatch | None
 
 
-@dataclass(frozen=True, slots=True)
-class _Plan:
+class _Plan(Struct, frozen=True):
     put: dict[Key, Resource]
     deleted: tuple[Key, ...]
     changes: tuple[Change, ...]
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -10,7 +10,8 @@
 import re
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import (
@@ -71,8 +72,7 @@
 _NAME_REASON = "must be 1 to 63 of a-z 0-9 . _ - and begin and end with a letter or digit"
 
 
-@dataclass(frozen=True, slots=True)
-class FieldProblem:
+class FieldProblem(Struct, frozen=True):
     """One thing wrong with a batch: which resource, which field, and why."""
 
     resource: str
--- a/src/limelever/storage/records.py
+++ b/src/limelever/storage/records.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
 
 import google_crc32c
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 
@@ -21,8 +21,7 @@
 SECTOR_SIZE = 512
 
 
-@dataclass(frozen=True, slots=True)
-class Scan:
+class Scan(Struct, frozen=True):
     """Whole records of a log, the byte offset at which each begins, and where they end."""
 
     records: tuple[bytes, ...]
--- a/src/limelever/subscriber/held.py
+++ b/src/limelever/subscriber/held.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from msgspec import Struct
+from msgspec.structs import replace
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import VersionedResource
@@ -17,8 +18,7 @@
 from limelever.subscriber.configuration import EMPTY_CONFIGURATION, ConfigurationSet
 
 
-@dataclass(frozen=True, slots=True)
-class HeldSet:
+class HeldSet(Struct, frozen=True):
     """A configuration, the version at which it is right, and its digest."""
 
     version: int
--- a/src/limelever/subscriber/holder.py
+++ b/src/limelever/subscriber/holder.py
@@ -9,7 +9,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import LogEvent, Output, Recovered, ReplaceFile
@@ -30,8 +31,7 @@
 from limelever.subscriber.snapshot_file import SNAPSHOT_FILE, decode_snapshot
 
 
-@dataclass(frozen=True, slots=True)
-class AwaitingFloor:
+class AwaitingFloor(Struct, frozen=True):
     """An accepted set that comes into force once the write of its floor is synced."""
 
     token: int
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.endpoints_pb2 import EndpointUpdate, LoadUpdate
@@ -11,8 +9,7 @@
 from limelever.subscriber.configuration import ConfigurationSet
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationInstalled(Output):
+class ConfigurationInstalled(Output, frozen=True):
     """A version is in force from now on: swap ``configuration`` in by one assignment.
 
     ``put`` and ``removed`` are what differs from the set installed before.
@@ -24,36 +21,31 @@
     removed: tuple[Key, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class VersionConfirmed(Output):
+class VersionConfirmed(Output, frozen=True):
     """The set installed is also right at this later version: nothing in scope changed."""
 
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class FreshnessProved(Output):
+class FreshnessProved(Output, frozen=True):
     """The set installed was current at time ``at`` (seconds, monotonic)."""
 
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsReceived(Output):
+class EndpointsReceived(Output, frozen=True):
     """The publisher, a relay, sent endpoints on the subscription link."""
 
     update: EndpointUpdate
 
 
-@dataclass(frozen=True, slots=True)
-class LoadsReceived(Output):
+class LoadsReceived(Output, frozen=True):
     """The publisher, a relay, told loads of endpoints in this process's zone."""
 
     update: LoadUpdate
 
 
-@dataclass(frozen=True, slots=True)
-class PublishersReceived(Output):
+class PublishersReceived(Output, frozen=True):
     """The publisher named all publishers of its kind; the subscriber chooses among them now.
 
     ``preferred`` is the one for the subscriber's zone, if that is known.
@@ -63,8 +55,7 @@
     preferred: Address | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class PublishersListed(Event):
+class PublishersListed(Event, frozen=True):
     """The settings name these publishers now; those known otherwise stay known."""
 
     addresses: tuple[Address, ...]
--- a/src/limelever/subscriber/probes.py
+++ b/src/limelever/subscriber/probes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe
 
@@ -15,8 +15,7 @@
 _KEPT_PROBES = 32
 
 
-@dataclass(frozen=True, slots=True)
-class Proof:
+class Proof(Struct, frozen=True):
     """The publisher was current at ``at``, and its version was then ``version``."""
 
     at: float
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import Address
 
 
-@dataclass(frozen=True, slots=True)
-class SubscriberSettings:
+class SubscriberSettings(Struct, frozen=True):
     """Where a subscriber gets its configuration from, and which part of it.
 
     ``services`` is the scope; ``everything`` is for relays and replaces it, ``every_service`` for
--- a/src/limelever/subscriber/timers.py
+++ b/src/limelever/subscriber/timers.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True)
-class Timers:
+class Timers(Struct):
     """When to dial, probe, give up on an answer, look at staleness.
 
     ``behind`` is when a publisher that names newer versions and sends none is left.
--- a/src/limelever/subscriber/zone_preference.py
+++ b/src/limelever/subscriber/zone_preference.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import zlib
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.sansio import Address
 from limelever.common.settings import is_address, parse_address
 from limelever.protocol.distribution_pb2 import Publishers
 
 
-@dataclass(frozen=True, slots=True)
-class ListedPublisher:
+class ListedPublisher(Struct, frozen=True):
     """A relay, and its zone where that is known."""
 
     address: Address
--- a/src/limelever/transport/gateway.py
+++ b/src/limelever/transport/gateway.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import trio
+from msgspec import Struct
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
@@ -31,8 +31,7 @@
 """Largest body of a call; a configuration of 10,000 routes takes a tenth of it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Gateway:
+class Gateway(Struct, frozen=True):
     """An application, and the address at which it is served; ``name`` stands in the metrics."""
 
     name: str
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -13,11 +13,11 @@
 
 import ssl
 from collections.abc import Sequence
-from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import trio
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
@@ -39,8 +39,7 @@
 _ALPN_HTTP_2 = "h2"
 
 
-@dataclass(frozen=True, slots=True)
-class HttpService:
+class HttpService(Struct, frozen=True):
     """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2."""
 
     handler: RequestHandler
@@ -48,8 +47,7 @@
     limits: HttpLimits
 
 
-@dataclass(frozen=True, slots=True)
-class GuardOptions:
+class GuardOptions(Struct, frozen=True):
     """Bounds of a guarded listener, and the events it writes.
 
     ``listener`` names it in the metrics. ``failed_event`` carries ``client`` and ``reason``,
--- a/src/limelever/transport/http_limits.py
+++ b/src/limelever/transport/http_limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 MAX_HEAD_BYTES = 16 * 1024
 """Default for listeners of the system's own tools, whose clients send few headers."""
@@ -14,8 +14,7 @@
 """Requests at a time on an HTTP/2 connection, as RFC 9113 (section 6.5.2) recommends at least."""
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
+class HttpLimits(Struct, frozen=True):
     """Bounds of a connection, in bytes and seconds.
 
     ``idle`` covers a head that is not whole as well; ``body`` is the time for one body, and
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from limelever.common.http_messages import HttpAnswer, HttpRequest
 
@@ -22,8 +23,7 @@
 """Bytes of answers that wait for an earlier one; past it no further request is begun."""
 
 
-@dataclass(eq=False, slots=True)
-class Exchange:
+class Exchange(Struct, eq=False):
     """A request and, in time, its answer; ``last`` when the connection ends with the answer.
 
     ``number`` is for whoever serves the request. ``answered_at`` (seconds) is set when the answer
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import ssl
-from dataclasses import dataclass
 
 import trio
 from google.protobuf.message import Message
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.framing import FrameReader, decode_payload, encode_frame
@@ -29,8 +29,7 @@
 _CLOSE_GRACE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class LinkIdentity:
+class LinkIdentity(Struct, frozen=True):
     """How this process names itself in hellos and answers to them."""
 
     role: Role
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import ssl
-from dataclasses import dataclass, field
 
 import trio
+from msgspec import Struct, field
 
 from limelever.common import events
 from limelever.common.errors import ErrorKind, Failure
@@ -21,8 +21,7 @@
 _BACKLOG = 1024
 
 
-@dataclass(slots=True)
-class LinkListener:
+class LinkListener(Struct):
     """Accepts links on one address, for one or more cores."""
 
     identity: LinkIdentity
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -8,10 +8,10 @@
 import ssl
 import sys
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import replace
 from functools import partial
 
 import trio
+from msgspec.structs import replace
 
 from limelever.common import events
 from limelever.common.errors import Failure
--- a/src/limelever/transport/reload.py
+++ b/src/limelever/transport/reload.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import attrs
 import trio
+from msgspec import Struct
 
 from limelever.common import events
 from limelever.common.errors import Failure
@@ -25,8 +25,7 @@
 FILE_CHANGED = "the file changed"
 
 
-@dataclass(frozen=True, slots=True)
-class FileStamp:
+class FileStamp(Struct, frozen=True):
     """Tells one state of a file from another."""
 
     modified_ns: int
@@ -42,8 +41,7 @@
         return cls(status.st_mtime_ns, status.st_size)
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsFile:
+class SettingsFile(Struct, frozen=True):
     """Where a process's settings come from; ``read`` returns them anew, or why it can't.
 
     ``first_read`` is the file's state before the settings that the process starts with were read:
--- a/src/limelever/transport/tls.py
+++ b/src/limelever/transport/tls.py
@@ -10,9 +10,9 @@
 import ssl
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import trio
+from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.settings import TlsSettings
@@ -25,8 +25,7 @@
 Stamp = tuple[tuple[int, int], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class CertificateFiles:
+class CertificateFiles(Struct, frozen=True):
     """A certificate chain and its private key, as PEM files."""
 
     certificate: str
--- a/src/limelever_lab/hollow/agent_node.py
+++ b/src/limelever_lab/hollow/agent_node.py
@@ -4,7 +4,6 @@
 
 import itertools
 import random
-from dataclasses import dataclass
 
 from limelever.agent.registration import Registration, RegistrationSettings
 from limelever.common.sansio import DialledConnections, Event, Output, Recovered, Started
@@ -20,8 +19,7 @@
 _NOTICES = (ConfigurationInstalled, EndpointsReceived, FreshnessProved, VersionConfirmed)
 
 
-@dataclass(frozen=True, slots=True)
-class Restart(Event):
+class Restart(Event, frozen=True):
     """Leave the endpoint table and come back at once as the next incarnation."""
 
 
--- a/src/limelever_lab/hollow/proxy_node.py
+++ b/src/limelever_lab/hollow/proxy_node.py
@@ -4,7 +4,6 @@
 
 import itertools
 import random
-from dataclasses import dataclass
 
 from limelever.common.sansio import DialledConnections, Event, Output, Recovered, Started
 from limelever.proxy.endpoints import EndpointView
@@ -20,20 +19,17 @@
 from limelever.subscriber.settings import SubscriberSettings
 
 
-@dataclass(frozen=True, slots=True)
-class VersionInForce(Output):
+class VersionInForce(Output, frozen=True):
     """From now on this version is in force at the node."""
 
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class Detach(Event):
+class Detach(Event, frozen=True):
     """Close the link and dial no more; what is held stays in force."""
 
 
-@dataclass(frozen=True, slots=True)
-class Attach(Event):
+class Attach(Event, frozen=True):
     """Dial again, as a process does that comes back with what it held."""
 
 
