--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -73,6 +73,7 @@
             Admission(
                 settings.admission_rate, settings.admission_burst, settings.retry_after_limit
             ),
+            settings.hold_empty,
         )
         self._batch = BatchTimer(settings.batch_delay)
         self._handlers: dict[type[Message], _Handler] = {
@@ -96,9 +97,9 @@
     def load(
         self, version: int, resources: Iterable[VersionedResource], now: float
     ) -> list[Output]:
-        """Hold a whole set at ``version``; until then every subscriber is told to come back."""
-        self._subscribing.loaded = True
-        return self._moved(self._table.load(version, resources), now)
+        """Hold a whole set at ``version``; until then subscribers wait or are sent away."""
+        outputs = self._moved(self._table.load(version, resources), now)
+        return [*outputs, *self._subscribing.load(now)]
 
     def advance(
         self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key], now: float
@@ -121,6 +122,7 @@
             case ConnectionClosed(connection):
                 self._sessions.remove(connection)
                 self._proofs.forget(connection)
+                self._subscribing.forget(connection)
             case DeadlineReached():
                 return self._on_deadline(now)
         return []
@@ -170,6 +172,7 @@
             self._batch.due_at,
             self._heartbeats.next_deadline(),
             self._proofs.next_deadline(),
+            self._subscribing.next_deadline(),
         )
         return min((at for at in deadlines if at is not None), default=None)
 
@@ -194,6 +197,7 @@
         if self._batch.due(now):
             outputs.extend(self._flush(now))
         outputs.extend(self._heartbeats.on_deadline(self.version, now))
+        outputs.extend(self._subscribing.expire(now))
         needed = self._proofs.begin_if_waited_for(now)
         return [*outputs, needed] if needed else outputs
 
--- a/src/limelever/publisher/notices.py
+++ b/src/limelever/publisher/notices.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from limelever.common.sansio import Output
+from limelever.common.sansio import ConnectionId, Output
+
+
+class SubscriberAdmitted(Output, frozen=True):
+    """A subscriber was answered: from now on it has a scope."""
+
+    connection: ConnectionId
 
 
 class FreshnessNeeded(Output, frozen=True):
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -13,8 +13,9 @@
     ``window`` is the number of versions kept for deltas. ``outstanding`` bounds the deltas sent
     to one subscriber and not yet acknowledged. ``admission_rate`` (a second) and
     ``admission_burst`` bound the subscriptions answered with configuration; those turned away
-    are spread over at most ``retry_after_limit``. ``heartbeat_interval`` is the least time
-    between two heartbeats that tell of new versions; in quiet one goes out each
+    are spread over at most ``retry_after_limit``. A publisher that holds nothing yet lets
+    subscribers wait for ``hold_empty`` before it sends them away. ``heartbeat_interval`` is the
+    least time between two heartbeats that tell of new versions; in quiet one goes out each
     ``keep_alive_interval``.
     """
 
@@ -26,6 +27,7 @@
     admission_rate: float = 400.0
     admission_burst: float = 800.0
     retry_after_limit: float = 30.0
+    hold_empty: float = 0.0
     proof_timeout: float = 2.0
     report_interval: float = 1.0
     proves_itself: bool = True
--- a/src/limelever/publisher/subscribing.py
+++ b/src/limelever/publisher/subscribing.py
@@ -4,7 +4,15 @@
 
 import math
 
-from limelever.common.sansio import CloseConnection, LogEvent, Output, SendMessage
+from msgspec import Struct
+
+from limelever.common.sansio import (
+    CloseConnection,
+    ConnectionId,
+    LogEvent,
+    Output,
+    SendMessage,
+)
 from limelever.protocol.distribution_pb2 import (
     Inventory,
     InventoryRequest,
@@ -13,6 +21,7 @@
 )
 from limelever.publisher import events
 from limelever.publisher.admission import CONFIGURATION_COST, UP_TO_DATE_COST, Admission
+from limelever.publisher.notices import SubscriberAdmitted
 from limelever.publisher.resources import ResourceTable
 from limelever.publisher.scope import Scope
 from limelever.publisher.sender import Sender
@@ -26,13 +35,32 @@
 _MILLISECONDS = 1000
 
 
+class _Held(Struct, frozen=True):
+    """A subscriber that waits until the publisher holds something, at most until ``until``."""
+
+    session: Session
+    message: Subscribe
+    until: float
+
+
 class Subscribing:
-    """Admits subscribers and brings each to the publisher's version at the least cost."""
+    """Admits subscribers and brings each to the publisher's version at the least cost.
+
+    Those that come before the publisher holds anything may wait: after a restart of all, each sent
+    away would come back at a time of its own, later than need be.
+    """
 
     def __init__(
-        self, table: ResourceTable, sessions: Sessions, sender: Sender, admission: Admission
+        self,
+        table: ResourceTable,
+        sessions: Sessions,
+        sender: Sender,
+        admission: Admission,
+        hold_empty: float = 0.0,
     ) -> None:
-        self.loaded = False
+        self._loaded = False
+        self._hold_empty = hold_empty
+        self._held: dict[ConnectionId, _Held] = {}
         self._table = table
         self._sessions = sessions
         self._sender = sender
@@ -42,8 +70,8 @@
         """Answer the first message on a link."""
         if session.state is not SessionState.OPENED:
             return self._out_of_turn(session, "Subscribe")
-        if not self.loaded:
-            return _turn_away(session, PUBLISHER_EMPTY)
+        if not self._loaded:
+            return self._hold(session, message, now)
         floor = max(message.version_floor, message.held_version)
         if floor > self._table.version:
             return [self._log_behind(session, floor), *_turn_away(session, PUBLISHER_BEHIND)]
@@ -53,6 +81,37 @@
             return _turn_away(session, OVER_ADMISSION_RATE, delay)
         return self._answer(session, message)
 
+    def load(self, now: float) -> list[Output]:
+        """Answer those who waited: the publisher holds a set from now on."""
+        self._loaded = True
+        held, self._held = self._held, {}
+        return [
+            output
+            for each in held.values()
+            for output in self.subscribe(each.session, each.message, now)
+        ]
+
+    def expire(self, now: float) -> list[Output]:
+        """Send those away who have waited for long enough."""
+        over = [each for each in self._held.values() if each.until <= now]
+        for each in over:
+            del self._held[each.session.connection]
+        return [output for each in over for output in _turn_away(each.session, PUBLISHER_EMPTY)]
+
+    def forget(self, connection: ConnectionId) -> None:
+        """Forget a subscriber whose link is gone."""
+        self._held.pop(connection, None)
+
+    def next_deadline(self) -> float | None:
+        """Return when the first of those who wait is to be sent away."""
+        return min((each.until for each in self._held.values()), default=None)
+
+    def _hold(self, session: Session, message: Subscribe, now: float) -> list[Output]:
+        if not self._hold_empty:
+            return _turn_away(session, PUBLISHER_EMPTY)
+        self._held[session.connection] = _Held(session, message, now + self._hold_empty)
+        return []
+
     def compare(self, session: Session, inventory: Inventory) -> list[Output]:
         """Answer an inventory with only what differs from it."""
         if session.state is not SessionState.COMPARING:
@@ -68,8 +127,10 @@
         view = self._sessions.join(session, Scope.of(message))
         outputs = self._sender.flush_view(view)
         if message.held_version == 0 and self._table.version > 0:
-            return [*outputs, *self._sender.send(session, view.snapshot())]
-        return [*outputs, *self._bring_up(session, view, message.digest)]
+            outputs.extend(self._sender.send(session, view.snapshot()))
+        else:
+            outputs.extend(self._bring_up(session, view, message.digest))
+        return [*outputs, SubscriberAdmitted(session.connection)]
 
     def _bring_up(self, session: Session, view: ScopeView, digest: bytes) -> list[Output]:
         if digest == view.digest or self._table.version == 0:
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -27,10 +27,10 @@
     SendMessage,
     Started,
 )
-from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater, Subscribe
+from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater
 from limelever.protocol.endpoints_pb2 import EndpointSyncRequest
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
-from limelever.publisher.notices import FreshnessNeeded
+from limelever.publisher.notices import FreshnessNeeded, SubscriberAdmitted
 from limelever.publisher.rollout import ZoneHolders
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.endpoints import Endpoints, EndpointsSettings
@@ -188,12 +188,7 @@
             case Purpose.ENDPOINTS if isinstance(message, EndpointSyncRequest):
                 return self._endpoints.sync_requested(connection, message, now)
             case Purpose.SUBSCRIPTION:
-                outputs = self._carried_out(self._publisher.handle(event, now), now)
-                return [
-                    *outputs,
-                    *self._tell_relays(connection, message),
-                    *self._admit_to_endpoints(connection, message),
-                ]
+                return self._carried_out(self._publisher.handle(event, now), now)
         return []
 
     def _relays_known(self, addresses: tuple[Address, ...], now: float) -> list[Output]:
@@ -218,27 +213,23 @@
             if peer.purpose is Purpose.SUBSCRIPTION and self._publisher.scope_of(connection)
         ]
 
-    def _tell_relays(self, connection: ConnectionId, message: Message) -> list[Output]:
-        if not self._relays or not isinstance(message, Subscribe):
-            return []
-        if self._publisher.scope_of(connection) is None:
-            return []
-        return [SendMessage(connection, self._publishers())]
-
     def _publishers(self) -> Publishers:
         return Publishers(
             addresses=[str(address) for address in self._relays],
             zones=[self._zone_of.get(address, "") for address in self._relays],
         )
 
-    def _admit_to_endpoints(self, connection: ConnectionId, message: Message) -> list[Output]:
-        """Send endpoints to a proxy whose subscription was just admitted."""
-        if not isinstance(message, Subscribe) or self._peers[connection].role is not Role.PROXY:
-            return []
-        scope = self._publisher.scope_of(connection)
-        if scope is None:
+    def _admit(self, connection: ConnectionId) -> list[Output]:
+        """Tell a subscriber of the other relays, and a proxy of its endpoints besides."""
+        peer, scope = self._peers.get(connection), self._publisher.scope_of(connection)
+        if peer is None or scope is None:
             return []
-        return self._endpoints.proxy_joined(connection, scope, self._peers[connection].zone)
+        told: list[Output] = []
+        if self._relays:
+            told.append(SendMessage(connection, self._publishers()))
+        if peer.role is Role.PROXY:
+            told.extend(self._endpoints.proxy_joined(connection, scope, peer.zone))
+        return told
 
     def _on_deadline(self, event: Event, now: float) -> list[Output]:
         outputs = self._carried_out(self._subscriber.handle(event, now), now)
@@ -255,6 +246,8 @@
         for_shell: list[Output] = []
         for output in outputs:
             match output:
+                case SubscriberAdmitted(connection):
+                    for_shell.extend(self._admit(connection))
                 case FreshnessNeeded():
                     for_shell.extend(self._carried_out(self._subscriber.probe(now), now))
                 case FreshnessProved(at):
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -76,6 +76,7 @@
         admission_rate=distribution.admission_rate,
         admission_burst=distribution.admission_burst,
         retry_after_limit=seconds(distribution.retry_after_limit_ms),
+        hold_empty=seconds(distribution.hold_empty_ms),
         report_interval=seconds(distribution.report_interval_ms),
         proves_itself=False,
     )
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -46,6 +46,7 @@
     admission_rate: int = attrs.field(default=400, validator=between(1, 100000))
     admission_burst: int = attrs.field(default=800, validator=between(1, 100000))
     retry_after_limit_ms: int = attrs.field(default=30000, validator=between(100, 600000))
+    hold_empty_ms: int = attrs.field(default=0, validator=between(0, 10000))
     report_interval_ms: int = attrs.field(default=1000, validator=between(50, 60000))
 
 
--- a/src/limelever/source/core.py
+++ b/src/limelever/source/core.py
@@ -61,6 +61,7 @@
         self._reads: dict[int, Callable[[bool], None]] = {}
         self._last_read = 0
         self._member_names: frozenset[str] = frozenset()
+        self._known_leader = ""
         self._now = 0.0
         self._outputs: list[Output] = []
 
@@ -122,6 +123,7 @@
                 self._replicate(event)
         self._outputs.extend(self._replica.drain())
         self._tell_members()
+        self._load_at_new_leader()
         outputs, self._outputs = self._outputs, []
         return outputs
 
@@ -131,6 +133,15 @@
             self._member_names = names
             self._outputs.append(MembersKnown(names))
 
+    def _load_at_new_leader(self) -> None:
+        """Load the publisher as soon as there is a leader to prove the state current."""
+        leader = self._replica.leader
+        if leader == self._known_leader:
+            return
+        self._known_leader = leader
+        if leader and not self._publication.loaded:
+            self._publication.begin_load()
+
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted."""
         times = (
--- a/src/limelever/source/publication.py
+++ b/src/limelever/source/publication.py
@@ -18,7 +18,7 @@
 )
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.publisher.core import PublisherCore
-from limelever.publisher.notices import FreshnessNeeded
+from limelever.publisher.notices import FreshnessNeeded, SubscriberAdmitted
 from limelever.source.at_rest import SecretSealer
 from limelever.source.state import AppliedBatch, StateMachine
 
@@ -119,7 +119,7 @@
         for output in outputs:
             if isinstance(output, FreshnessNeeded):
                 self._prove_fresh(output.began)
-            else:
+            elif not isinstance(output, SubscriberAdmitted):
                 self._host.emit(output)
 
     def _prove_fresh(self, began: float) -> None:
--- a/src/limelever/source/settings.py
+++ b/src/limelever/source/settings.py
@@ -67,6 +67,7 @@
     window: int = attrs.field(default=4096, validator=between(1, 1 << 20))
     admission_rate: float = attrs.field(default=100.0, validator=between(0.1, 100000.0))
     admission_burst: float = attrs.field(default=200.0, validator=between(1.0, 100000.0))
+    hold_empty_ms: int = attrs.field(default=0, validator=between(0, 10000))
 
 
 @attrs.frozen(kw_only=True)
@@ -176,6 +177,7 @@
         window=publishing.window,
         admission_rate=publishing.admission_rate,
         admission_burst=publishing.admission_burst,
+        hold_empty=seconds(publishing.hold_empty_ms),
     )
 
 
--- a/src/limelever_lab/cli.py
+++ b/src/limelever_lab/cli.py
@@ -55,6 +55,11 @@
         "limelever_lab.links.command:links",
         "Short calls beside bodies on a machine's link, by the shipped credit core.",
     ),
+    LabCommand(
+        "timeline",
+        "limelever_lab.timeline.command:timeline",
+        "Steps of a recovery, from the logs of all processes.",
+    ),
     LabCommand("callers", "limelever_lab.load.commands:callers", "Run callers against addresses."),
 )
 
