--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -27,17 +27,15 @@
     CancelAttempt,
     CheckBackend,
 )
+from limelever.agent.replies import Replies
 from limelever.agent.silence import BackendSilence
-from limelever.common.decision_log import DecisionLog, DecisionLogSettings
+from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
-from limelever.protocol.calls_pb2 import AgentLoad, CallBody, CallCancel, CallCredit, CallStart
+from limelever.protocol.calls_pb2 import CallBody, CallCancel, CallCredit, CallStart
 from limelever.protocol.endpoint_hash import LARGEST_LOAD
 
 _SHED_STATUS = 503
-_MICROSECONDS = 1_000_000
-_MICROSECONDS_PER_MILLISECOND = 1000
-_MILLISECONDS = 1000
 _LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
@@ -71,9 +69,16 @@
         self._queue = FairQueue(limits.queue)
         self._answers = AnswerSender()
         self._silence = BackendSilence()
-        self.draining = False
-        self._log = DecisionLog(limits.log)
-        self._now = 0.0
+        self._replies = Replies(self._queue, limits.queue.slots, limits.log)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the back end is leaving: no call is taken in any more."""
+        return self._replies.draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self._replies.draining = draining
 
     @property
     def running(self) -> int:
@@ -102,17 +107,6 @@
         """Return the attempts at the back end and the answers not yet taken whole."""
         return self._queue.running + self._answers.count
 
-    def load(self, group: str) -> AgentLoad:
-        """Return the load as sent with the answer to a call of a group."""
-        return AgentLoad(
-            in_flight=self.running,
-            queued=self._queue.queued,
-            slots=self._limits.queue.slots,
-            draining=self.draining,
-            service_us=int(self._queue.service_time * _MICROSECONDS),
-            route_service_us=int(self._queue.service_time_of(group) * _MICROSECONDS),
-        )
-
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Take the groups' weights."""
         self._queue.set_weights(weights)
@@ -127,13 +121,13 @@
         self, connection: ConnectionId, peer: str, start: CallStart, now: float
     ) -> list[Output]:
         """Take a call in, or refuse it."""
-        self._now = now
+        self._replies.now = now
         call = self._intake.open(connection, peer, start, now, self.draining)
         if isinstance(call, Refusal):
             logs: list[Output] = [call.log] if call.log is not None else []
             if call.failure is None:
                 return logs
-            return [*self._failed(connection, start, call.failure), *logs]
+            return [*self._replies.failed(connection, start, call.failure), *logs]
         if self._silence.silent:
             return self._refuse(call, _SILENT)
         if start.end:
@@ -182,7 +176,7 @@
             return []
         if call.stage is not CallStage.RUNNING:
             return self._refuse(call, self._with_advice(_GIVEN_UP, call))
-        answer = self._failed(connection, call.start, _CANCELLED)
+        answer = self._replies.failed(connection, call.start, _CANCELLED)
         self._calls.settle(call)
         return [*answer, CancelAttempt(call.number)]
 
@@ -214,15 +208,15 @@
         self._silence.ended(call.number, answered=True)
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
-        load = self.load(call.start.group)
+        load = self._replies.load(call.start.group)
         self._calls.remove(call)
         outputs = [] if settled else self._answers.send(call, event, load)
-        outputs.extend(self._ran(call, event.status, now))
+        outputs.extend(self._replies.ran(call, event.status, now))
         return [*outputs, *self.start_waiting(now)]
 
     def failed(self, event: AttemptFailed, now: float) -> list[Output]:
         """Answer a failed attempt with what is known about whether it ran."""
-        self._now = now
+        self._replies.now = now
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
@@ -231,7 +225,7 @@
         outputs: list[Output] = []
         if not call.settled:
             failure = answers.attempt_failure(event)
-            outputs.extend(self._failed(call.connection, call.start, failure))
+            outputs.extend(self._replies.failed(call.connection, call.start, failure))
         self._calls.remove(call)
         return [*outputs, *self.start_waiting(now)]
 
@@ -252,7 +246,7 @@
         assembling = [call.number for call in self._intake.expired(now)]
         outputs = self._refuse_late([*self._queue.take_expired(now), *assembling])
         if self._answers.count:
-            outputs.extend(self._answers.expire(now, self.load))
+            outputs.extend(self._answers.expire(now, self._replies.load))
         return outputs
 
     def refuse_waiting(self, reason: Failure = _LEAVING) -> list[Output]:
@@ -266,7 +260,7 @@
         Where none did, calls go back to their proxies: those that wait, and those that run and may
         be repeated. What may not be repeated stays until its deadline: its answer may still come.
         """
-        self._now = now
+        self._replies.now = now
         was_silent = self._silence.silent
         if self._silence.checked(reached, now):
             fields: dict[str, object] = {"running": self.running, "queued": self.waiting}
@@ -281,7 +275,7 @@
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if not call.settled:
-                outputs.extend(self._failed(call.connection, call.start, _CUT_OFF))
+                outputs.extend(self._replies.failed(call.connection, call.start, _CUT_OFF))
                 self._calls.settle(call)
             outputs.append(CancelAttempt(call.number))
         return outputs
@@ -291,7 +285,7 @@
 
         The timer of a busy process fires late: a call past its deadline is refused here first.
         """
-        self._now = now
+        self._replies.now = now
         outputs = self.expire(now)
         if self._silence.take_check(now):
             outputs.append(CheckBackend())
@@ -310,7 +304,7 @@
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if call.repeatable and not call.settled:
-                outputs.extend(self._failed(call.connection, call.start, _FELL_SILENT))
+                outputs.extend(self._replies.failed(call.connection, call.start, _FELL_SILENT))
                 self._calls.settle(call)
                 outputs.append(CancelAttempt(call.number))
         return outputs
@@ -326,7 +320,7 @@
         return outputs
 
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
-        return replace(failure, retry_after=self._queue.advice(call.start.group, self._now))
+        return replace(failure, retry_after=self._queue.advice(call.start.group, self._replies.now))
 
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
@@ -334,7 +328,7 @@
         offered = self._queue.offer(_queued(call, now), now, checked=asked_for)
         if isinstance(offered, Failure):
             self._calls.remove(call)
-            return self._failed(call.connection, call.start, offered)
+            return self._replies.failed(call.connection, call.start, offered)
         call.stage = CallStage.QUEUED
         return [*self._evicted(offered), *self.start_waiting(now)]
 
@@ -348,40 +342,13 @@
 
     def _refuse(self, call: Call, failure: Failure) -> list[Output]:
         self._withdraw(call)
-        return self._failed(call.connection, call.start, failure)
+        return self._replies.failed(call.connection, call.start, failure)
 
     def _withdraw(self, call: Call) -> None:
         self._intake.close(call)
         self._queue.remove(call.number)
         self._calls.remove(call)
 
-    def _failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> list[Output]:
-        load = self.load(start.group)
-        fields: dict[str, object] = {
-            "kind": failure.kind.value,
-            "outcome": failure.outcome.value,
-            "reason": failure.reason,
-            "running": load.in_flight,
-            "queued": load.queued,
-            "slots": load.slots,
-            "service_milliseconds": load.service_us // _MICROSECONDS_PER_MILLISECOND,
-            "draining": load.draining,
-        }
-        lines = self._log.failure(events.CALL_NOT_SERVED, start.request_id, fields, self._now)
-        return [SendMessage(connection, answers.call_failed(start, failure, load)), *lines]
-
-    def _ran(self, call: Call, status: int, now: float) -> list[Output]:
-        if not self._log.follows(call.start.request_id):
-            return []
-        fields: dict[str, object] = {
-            "status": status,
-            "waited_milliseconds": int((call.started_at - call.arrived_at) * _MILLISECONDS),
-            "ran_milliseconds": int((now - call.started_at) * _MILLISECONDS),
-            "running": self._queue.running,
-            "queued": self._queue.queued,
-        }
-        return [*self._log.success(events.CALL_RAN, call.start.request_id, fields)]
-
 
 def _queued(call: Call, now: float) -> QueuedCall:
     return QueuedCall(
--- /dev/null
+++ b/src/limelever/agent/replies.py
@@ -0,0 +1,66 @@
+"""What an agent tells proxies besides answers (refusals, failures, load), and its log lines."""
+
+from __future__ import annotations
+
+from limelever.agent import answers, events
+from limelever.agent.calls import Call
+from limelever.agent.fair_queue import FairQueue
+from limelever.common.decision_log import DecisionLog, DecisionLogSettings
+from limelever.common.errors import Failure
+from limelever.common.sansio import ConnectionId, Output, SendMessage
+from limelever.protocol.calls_pb2 import AgentLoad, CallStart
+
+_MICROSECONDS = 1_000_000
+_MICROSECONDS_PER_MILLISECOND = 1000
+_MILLISECONDS = 1000
+
+
+class Replies:
+    """Builds them from the state of the queue; ``now`` is the time of the event under way."""
+
+    def __init__(self, queue: FairQueue, slots: int, log: DecisionLogSettings) -> None:
+        self._queue = queue
+        self._slots = slots
+        self._log = DecisionLog(log)
+        self.draining = False
+        self.now = 0.0
+
+    def load(self, group: str) -> AgentLoad:
+        """Return the load as sent with the answer to a call of a group."""
+        return AgentLoad(
+            in_flight=self._queue.running,
+            queued=self._queue.queued,
+            slots=self._slots,
+            draining=self.draining,
+            service_us=int(self._queue.service_time * _MICROSECONDS),
+            route_service_us=int(self._queue.service_time_of(group) * _MICROSECONDS),
+        )
+
+    def failed(self, connection: ConnectionId, start: CallStart, failure: Failure) -> list[Output]:
+        """Tell a proxy that its call was refused or failed, and the log, as its rate allows."""
+        load = self.load(start.group)
+        fields: dict[str, object] = {
+            "kind": failure.kind.value,
+            "outcome": failure.outcome.value,
+            "reason": failure.reason,
+            "running": load.in_flight,
+            "queued": load.queued,
+            "slots": load.slots,
+            "service_milliseconds": load.service_us // _MICROSECONDS_PER_MILLISECOND,
+            "draining": load.draining,
+        }
+        lines = self._log.failure(events.CALL_NOT_SERVED, start.request_id, fields, self.now)
+        return [SendMessage(connection, answers.call_failed(start, failure, load)), *lines]
+
+    def ran(self, call: Call, status: int, now: float) -> list[Output]:
+        """Return the log line of a call that the back end answered, if its request is followed."""
+        if not self._log.follows(call.start.request_id):
+            return []
+        fields: dict[str, object] = {
+            "status": status,
+            "waited_milliseconds": int((call.started_at - call.arrived_at) * _MILLISECONDS),
+            "ran_milliseconds": int((now - call.started_at) * _MILLISECONDS),
+            "running": self._queue.running,
+            "queued": self._queue.queued,
+        }
+        return [*self._log.success(events.CALL_RAN, call.start.request_id, fields)]
