Ask the instance who it is where a node starts beside it

Change: once the configuration names the service's health path, the node asks there until a report has come; an answer that names the instance counts as a report older than any of its own. Who isn't well isn't taken in, so that what has begun to leave stays out. Header names are settings.

--- /dev/null
+++ b/features/steps/health_answer_steps.py
@@ -0,0 +1,33 @@
+"""Steps for what a health probe's answer says of the instance."""
+
+from __future__ import annotations
+
+from behave import then
+
+from limelever.agent.health_answer import FoundInstance, instance_in
+from limelever.common.http_headers import HeaderNames
+from limelever.common.http_messages import HttpAnswer
+
+NAMES = HeaderNames(instance=b"limelever-instance-id", load=b"limelever-server-load")
+ID = (b"Limelever-Instance-Id", b"i-1")
+LOAD = (b"Limelever-Server-Load", b"3,0,8")
+ANSWERS = {
+    "with id and load": (200, (ID, LOAD)),
+    "with an id alone": (200, (ID,)),
+    "with a load that is no list": (200, (ID, (b"Limelever-Server-Load", b"much"))),
+    "with id and load, but not well": (503, (ID, LOAD)),
+    "without an id": (200, (LOAD,)),
+}
+
+
+@then("a health answer {what} names {instance} with {slots:d} slots")
+def names_instance(context, what, instance, slots):
+    status, headers = ANSWERS[what]
+    found = instance_in(HttpAnswer(status, headers, b""), NAMES)
+    assert found == FoundInstance(instance, slots), found
+
+
+@then("a health answer {what} names nobody")
+def names_nobody(context, what):
+    status, headers = ANSWERS[what]
+    assert instance_in(HttpAnswer(status, headers, b""), NAMES) is None
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -25,6 +25,7 @@
 HOST = "127.0.0.1"
 PATIENCE = 30
 INSTANCE = "i-1"
+HEALTH_PATH = "/health"
 DEADLINE_MS = 800
 SLOW_SECONDS = 0.5
 
@@ -61,6 +62,9 @@
             return
         self.send_response(200)
         self.send_header("Limelever-Attempt-Id", attempt)
+        if self.path == HEALTH_PATH:
+            self.send_header("Limelever-Instance-Id", INSTANCE)
+            self.send_header("Limelever-Server-Load", "0,0,1")
         self.send_header("Content-Length", "4")
         self.end_headers()
         self.wfile.write(b"done")
@@ -81,12 +85,19 @@
         settings = Path(folder.name) / "boot.conf"
         lines = {**fields, "dataDir": str(Path(folder.name) / "data")}
         settings.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
-        environment = {**os.environ, "LIMELEVER_SETTINGS": str(settings)}
-        with self.log.open("w") as output:
+        self.role, self.settings = role, settings
+        self.start()
+        context.add_cleanup(self.end)
+
+    def start(self):
+        environment = {**os.environ, "LIMELEVER_SETTINGS": str(self.settings)}
+        with self.log.open("a") as output:
             self.process = subprocess.Popen(
-                [sys.executable, str(START), role], env=environment, stdout=output, stderr=output
+                [sys.executable, str(START), self.role],
+                env=environment,
+                stdout=output,
+                stderr=output,
             )
-        context.add_cleanup(self.end)
 
     def end(self):
         self.process.kill()
@@ -192,7 +203,7 @@
     value = {
         "version": f"r{version}",
         "baseVersion": f"r{base}",
-        "services": [{"name": "alpha", "healthPath": "/health"}],
+        "services": [{"name": "alpha", "healthPath": HEALTH_PATH}],
         "virtualHosts": [{"host": "one.example", "pathRoutes": path_routes}],
     }
     return json.dumps(value).encode()
@@ -243,6 +254,13 @@
     assert context.back_end.seen[-1][2] == "alpha", context.back_end.seen[-1]
 
 
+@when("the node is killed and started again, and the back end reports nothing")
+def when_restarted(context):
+    node = context.machines[1]
+    node.end()
+    node.start()
+
+
 @then("the configuration is read back as it was put")
 def then_read_back(context):
     status, _, body = call(context.operator, "GET", "/v1/config")
--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -11,6 +11,7 @@
 from limelever.agent.answer_reader import AnswerReader
 from limelever.agent.connections import BackendConnection, BackendConnections, keep_alive_seconds
 from limelever.agent.headers import encode_request, request_headers
+from limelever.agent.health_answer import FoundInstance, instance_in
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
@@ -95,21 +96,31 @@
 
     async def probe(self, path: str, timeout: float) -> bool:
         """Return whether a health probe is answered with a 2xx status within ``timeout``."""
+        answer = await self._ask(path, timeout)
+        return answer is not None and 200 <= answer.status < 300
+
+    async def find_instance(self, path: str, timeout: float) -> FoundInstance | None:
+        """Return the instance that answers a health probe, if it is well and names itself."""
+        answer = await self._ask(path, timeout)
+        return instance_in(answer, self._names) if answer is not None else None
+
+    def close(self) -> None:
+        """Close the connections that no attempt uses."""
+        self._connections.close()
+
+    async def _ask(self, path: str, timeout: float) -> HttpAnswer | None:
+        """Return the answer to a health probe, ``None`` if there is none within ``timeout``."""
         with trio.move_on_after(timeout):
             connection = await self._connections.acquire()
             if isinstance(connection, Failure):
-                return False
+                return None
             request = encode_request(_GET, path.encode(), [(b"host", self._host)], b"")
             try:
                 answer = await self._converse(connection, _GET, request)
             finally:
                 self._connections.release(connection)
-            return not isinstance(answer, Failure) and 200 <= answer.status < 300
-        return False
-
-    def close(self) -> None:
-        """Close the connections that no attempt uses."""
-        self._connections.close()
+            return None if isinstance(answer, Failure) else answer
+        return None
 
     async def _check(self) -> None:
         self._post(BackendChecked(await self._connections.try_new(CHECK_SECONDS)))
--- /dev/null
+++ b/src/limelever/agent/health_answer.py
@@ -0,0 +1,34 @@
+"""What a back end's answer to a health probe says of it."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from limelever.common.http_headers import HeaderNames, Headers, value_of
+from limelever.common.http_messages import HttpAnswer
+
+_SLOTS_PLACE = 2
+"""Place of the slots among the numbers of the load header, from 0 on."""
+
+
+class FoundInstance(Struct, frozen=True):
+    """The instance that answered; ``slots`` 0 where it doesn't tell."""
+
+    instance: str
+    slots: int = 0
+
+
+def instance_in(answer: HttpAnswer, names: HeaderNames) -> FoundInstance | None:
+    """Return the instance that answered that it is well; ``None`` for any other answer."""
+    headers = tuple((name.lower(), value) for name, value in answer.headers)
+    instance = value_of(headers, names.instance).decode("ascii", "replace")
+    if not 200 <= answer.status < 300 or not instance:
+        return None
+    return FoundInstance(instance, _slots_in(headers, names))
+
+
+def _slots_in(headers: Headers, names: HeaderNames) -> int:
+    numbers = value_of(headers, names.load).split(b",")
+    if len(numbers) <= _SLOTS_PLACE or not numbers[_SLOTS_PLACE].strip().isdigit():
+        return 0
+    return int(numbers[_SLOTS_PLACE])
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -21,7 +21,9 @@
     beside the proxy that took the request, and ``target_instance``, the instance that is meant:
     any other refuses the request. A back end states by ``not_run`` that it did not run a request.
     An empty name stands for a header that is not used. With ``answers_repeat_id`` an answer
-    without the request's own id is no answer to it.
+    without the request's own id is no answer to it. An answer to a health probe names the back
+    end's instance by ``instance`` and tells its slots by ``load`` (calls that run, calls that wait
+    and slots, joined by commas).
     """
 
     timeout: bytes = TIMEOUT_HEADER
@@ -29,6 +31,8 @@
     caller_service: bytes = b""
     target_instance: bytes = b""
     not_run: bytes = b""
+    instance: bytes = b""
+    load: bytes = b""
     answers_repeat_id: bool = False
 
     @property
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -98,6 +98,8 @@
     caller_service: str = ""
     target_instance: str = ""
     not_run: str = ""
+    instance: str = ""
+    load: str = ""
     answers_repeat_id: bool = False
 
     def names(self) -> HeaderNames:
@@ -108,6 +110,8 @@
             caller_service=self.caller_service.lower().encode(),
             target_instance=self.target_instance.lower().encode(),
             not_run=self.not_run.lower().encode(),
+            instance=self.instance.lower().encode(),
+            load=self.load.lower().encode(),
             answers_repeat_id=self.answers_repeat_id,
         )
 
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -18,6 +18,7 @@
 
 from limelever.agent.backend import Backend
 from limelever.agent.core import AgentCore
+from limelever.agent.health_answer import FoundInstance
 from limelever.agent.interface import (
     BackendGone,
     DrainFinished,
@@ -35,6 +36,15 @@
 _FLUSH_SECONDS = 0.2
 """Time that last answers have to leave after the core has finished."""
 
+LOOK_TIMEOUT = 0.3
+"""Seconds that the instance has to say who it is: a probe may wait there for a slot like a call."""
+
+LOOK_INTERVAL = 0.1
+"""Seconds between two such questions; its report comes within one to two seconds anyway."""
+
+BEFORE_ANY_REPORT = -1
+"""Sequence of what was found by asking: every report of the instance itself is newer."""
+
 _NAME_BYTES = 4
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
@@ -57,6 +67,7 @@
         self._current: _Agent | None = None
         self._under_way: set[trio.Event] = set()
         self._stopping = False
+        self._looking = False
         shell.reloading.handle("relays", self._relays_listed)
 
     def report(self, report: InstanceReport) -> None:
@@ -72,6 +83,15 @@
         if self._watch.ended(instance) is ReportOutcome.INSTANCE_LEAVES:
             self._drain()
 
+    def look_for_instance(self, path: str) -> None:
+        """Ask the instance at ``path`` who it is, until it has reported itself.
+
+        A node that restarts beside its instance would have it idle until its next report.
+        """
+        if not self._watch.instance and not self._looking:
+            self._looking = True
+            self._nursery.start_soon(self._look, path)
+
     async def stop(self) -> None:
         """Drain the agent at a planned stop of the node, and wait for what is under way."""
         self._stopping = True
@@ -84,6 +104,24 @@
         if self._current is not None:
             self._current.runner.post(PublishersListed(relays))
 
+    async def _look(self, path: str) -> None:
+        settings = self._settings
+        names = settings.headers.names()
+        backend = Backend(settings.backend, self._nursery, lambda _: None, names)
+        found: FoundInstance | None = None
+        while found is None and not self._watch.instance and not self._stopping:
+            found = await backend.find_instance(path, LOOK_TIMEOUT)
+            if found is None:
+                await trio.sleep(LOOK_INTERVAL)
+        backend.close()
+        self._looking = False
+        if found is not None and not self._watch.instance and not self._stopping:
+            self.report(
+                InstanceReport(
+                    found.instance, settings.service, BEFORE_ANY_REPORT, slots=found.slots
+                )
+            )
+
     def _drain(self) -> None:
         if self._current is not None:
             self._current.runner.post(DrainRequested())
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -68,7 +68,9 @@
         if failure is not None:
             raise ProcessFailedError(failure)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(proxy_process.serve, proxy_settings(settings), shell)
+            nursery.start_soon(
+                proxy_process.serve, proxy_settings(settings), shell, agents.look_for_instance
+            )
             await shell.stop_requested.wait()
             await trio.sleep(settings.edge.lame_duck_ms / 1000.0)
             await agents.stop()
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -78,5 +78,11 @@
     """No call is in flight any more: the process may end."""
 
 
+class HealthPathKnown(Output, frozen=True):
+    """The configuration names this path for health probes of the service beside the proxy."""
+
+    path: str
+
+
 class ProxyReady(Output, frozen=True):
     """The first configuration is in force: calls can be routed from now on."""
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -27,6 +27,8 @@
 from limelever.keeper.client import ClaimSettled, CompletionSettled, KeeperClientCore
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.keeper.tally import AnswerRecorded, ClaimGranted
+from limelever.protocol.config_pb2 import RESOURCE_KIND_SERVICE
+from limelever.protocol.keys import Key
 from limelever.proxy import events
 from limelever.proxy.attempts import Attempts, AttemptSettings
 from limelever.proxy.balancer import Balancer, BalancerSettings
@@ -34,6 +36,7 @@
 from limelever.proxy.call_types import (
     CallArrived,
     CallerGone,
+    HealthPathKnown,
     ProxyReady,
     StopFinished,
     StopLimitNear,
@@ -61,7 +64,7 @@
 
 
 class ProxyCoreSettings(Struct, frozen=True):
-    """Settings of all parts of the core."""
+    """Settings of all parts of the core; ``own_service`` is the service beside the proxy."""
 
     subscriber: SubscriberSettings
     keepers: KeeperClientSettings
@@ -70,6 +73,7 @@
     limits: LimitSettings = field(default_factory=LimitSettings)
     balancer: BalancerSettings = field(default_factory=BalancerSettings)
     health: HealthSettings = field(default_factory=HealthSettings)
+    own_service: str = ""
 
 
 class ProxyCore:
@@ -121,6 +125,8 @@
             random_source,
             self._outputs,
         )
+        self._own_service = settings.own_service
+        self._health_path = ""
         self._routed = False
         self._stopping = False
         self._sweep_at = 0.0
@@ -240,10 +246,19 @@
             "routes": len(table.route_names()),
         }
         self._outputs.append(LogEvent(events.ROUTES_IN_FORCE, fields))
+        self._tell_health_path(installed)
         if not self._routed:
             self._routed = True
             self._outputs.append(ProxyReady())
 
+    def _tell_health_path(self, installed: ConfigurationInstalled) -> None:
+        key = Key(RESOURCE_KIND_SERVICE, self._own_service)
+        held = installed.configuration.resources.get(key)
+        path = held.resource.service.health_path if held is not None else ""
+        if path and path != self._health_path:
+            self._health_path = path
+            self._outputs.append(HealthPathKnown(path))
+
     def _table_of(self, installed: ConfigurationInstalled) -> RouteTable | Failure:
         if self._table is None or self._missed_change:
             return build_route_table(installed.configuration, installed.version)
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from functools import partial
 
 import trio
@@ -20,6 +21,7 @@
 from limelever.proxy.balancer import BalancerSettings
 from limelever.proxy.call_types import (
     AnswerCall,
+    HealthPathKnown,
     ProxyReady,
     StopFinished,
     StopLimitNear,
@@ -83,6 +85,7 @@
             near=settings.calls.share_from_percent / _PERCENT,
             retry_after=seconds(settings.calls.retry_after_ms),
         ),
+        own_service=settings.caller_service,
         balancer=_balancer_settings(settings.zone, settings.balancing),
         health=HealthSettings(
             failures_to_eject=settings.balancing.failures_to_eject,
@@ -120,8 +123,15 @@
     )
 
 
-async def serve(settings: ProxySettings, shell: ProcessShell) -> None:
-    """Run the proxy's core and edge within a process until its planned stop is done."""
+async def serve(
+    settings: ProxySettings,
+    shell: ProcessShell,
+    on_health_path: Callable[[str], None] = lambda _: None,
+) -> None:
+    """Run the proxy's core and edge within a process until its planned stop is done.
+
+    ``on_health_path`` gets the path for health probes of the service beside the proxy.
+    """
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
     core = ProxyCore(core_settings(settings), random.Random(), recovered)
@@ -134,6 +144,8 @@
                 edge.answer(output)
             case ProxyReady():
                 shell.set_ready()
+            case HealthPathKnown(path):
+                on_health_path(path)
             case StopFinished():
                 finished.set()
 
