Ask up to three further endpoints for a body that nobody has asked for

Change: a refusal by head costs its head alone, so three more are asked, outside of the budget for second choices; what reached a back end is limited as before. Test: features/proxy/ routes.feature.

--- a/features/proxy/routes.feature
+++ b/features/proxy/routes.feature
@@ -35,6 +35,11 @@
     When 100 calls are refused by every agent they reach
     Then at most 70 of them were tried twice and none thrice
 
+  Scenario: An upload whose body nobody has asked for tries four endpoints, without a budget
+    Given a proxy with 50 percent of second choices and no retries saved
+    When an upload of 20000 bytes is refused by every agent it reaches
+    Then it was tried at 4 endpoints, each another one, and no byte of its body was sent
+
   Scenario: What all proxies may save up is shared by their number
     Given retry budgets with 38 saved retries for the fleet
     When the fleet has 12 nodes
--- a/features/steps/route_steps.py
+++ b/features/steps/route_steps.py
@@ -167,9 +167,9 @@
         self.answers = []
         self.number = 0
 
-    def call(self):
+    def call(self, body=b""):
         self.number += 1
-        request = CallRequest(method=b"POST", target=b"/", headers=(), body=b"", timeout=5.0)
+        request = CallRequest(method=b"POST", target=b"/", headers=(), body=body, timeout=5.0)
         self.feed(CallArrived(self.number, request))
 
     def feed(self, event):
@@ -223,7 +223,7 @@
 @given("a proxy with {percent:d} percent of second choices and no retries saved")
 def given_second_choices(context, percent):
     retry = RetrySettings(second_choice_percent=percent)
-    context.proxy = Proxy(retry, call_kind=CALL_KIND_REPEATABLE)
+    context.proxy = Proxy(retry, agents=6, call_kind=CALL_KIND_REPEATABLE)
 
 
 @when("{count:d} calls are refused by every agent they reach")
@@ -238,6 +238,20 @@
         context.tries.append(len(context.proxy.starts) - before)
 
 
+@when("an upload of {size:d} bytes is refused by every agent it reaches")
+def when_upload_refused(context, size):
+    context.proxy.call(bytes(size))
+    while not context.proxy.answers:
+        context.proxy.fail_last(ErrorKind.DEADLINE_TOO_SHORT)
+
+
+@then("it was tried at {count:d} endpoints, each another one, and no byte of its body was sent")
+def then_tried_at(context, count):
+    starts = context.proxy.starts
+    assert len({start.connection for start in starts}) == len(starts) == count, starts
+    assert not any(start.message.body for start in starts)
+
+
 @then("at most {most:d} of them were tried twice and none thrice")
 def then_second_choices(context, most):
     assert max(context.tries) == 2, context.tries
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -58,7 +58,8 @@
     """One call from its admission to its final answer; times in seconds.
 
     ``target`` counts from the caller's first request, as far as that is known. ``part`` is the
-    service that takes the call, ``arrivals`` counts the attempts that reached a
+    service that takes the call, ``further_choices`` counts the endpoints that were asked after an
+    agent's refusal, ``arrivals`` counts the attempts that reached a
     back end, refused there or not. ``may_have_run`` is the first failure of an attempt whose
     outcome is not NOT RUN: once it is set, no later failure may say that the call was not run.
     ``wake_at`` is when the call must be looked at next.
@@ -78,7 +79,7 @@
     attempts: int = 0
     redirects: int = 0
     arrivals: int = 0
-    second_choice: bool = False
+    further_choices: int = 0
     arrived_at: float = 0.0
     version: int = 0
     last_instance: str = ""
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -273,8 +273,11 @@
             return True
         if step is NextStep.GIVE_UP:
             return False
+        if step is NextStep.ASK_ANOTHER:
+            call.further_choices += 1
+            return True
         if step is NextStep.SECOND_CHOICE:
-            call.second_choice = True
+            call.further_choices += 1
             return self._second_choices.of(call.part.service, self._second_percent).try_take()
         return self._budgets.of(call.part.service, call.route.retry_budget_percent).try_take()
 
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -9,6 +9,7 @@
 
 from limelever.common.errors import ErrorKind, Failure, Outcome, RetryAdvice
 from limelever.proxy.call_state import Call
+from limelever.proxy.outgoing import UNASKED_BYTES
 
 DEFAULT_RETRY_AFTER = 1.0
 """Seconds a caller is asked to wait when the refusal named no time."""
@@ -30,6 +31,10 @@
 )
 """Another endpoint may do better; each retry is paid from the route's budget."""
 
+CHOICES_OF_HELD_BODIES = 3
+"""Further endpoints that are asked for a call whose body waits to be asked for: each costs its head
+alone, and which of them has room on its link is not known here. A choice."""
+
 AGENT_REFUSALS = frozenset(
     {ErrorKind.OVERLOADED, ErrorKind.SHARE_EXHAUSTED, ErrorKind.DEADLINE_TOO_SHORT}
 )
@@ -47,6 +52,7 @@
     REDIRECT = auto()
     RETRY_WITHIN_BUDGET = auto()
     SECOND_CHOICE = auto()
+    ASK_ANOTHER = auto()
 
 
 class RetrySettings(Struct, frozen=True):
@@ -76,13 +82,22 @@
     if failure.kind in REDIRECT_KINDS and call.redirects < settings.redirects:
         return NextStep.REDIRECT
     if settings.second_choice_percent and failure.kind in AGENT_REFUSALS and not call.arrivals:
-        return NextStep.GIVE_UP if call.second_choice else NextStep.SECOND_CHOICE
+        return _after_refusal(call)
     attempts = call.route.attempts or settings.attempts
     if failure.kind in RETRY_KINDS and call.attempts - call.redirects < attempts:
         return NextStep.RETRY_WITHIN_BUDGET
     return NextStep.GIVE_UP
 
 
+def _after_refusal(call: Call) -> NextStep:
+    """Return what follows when an agent had no room: no back end heard of the call."""
+    if len(call.request.body) > UNASKED_BYTES:
+        if call.further_choices < CHOICES_OF_HELD_BODIES:
+            return NextStep.ASK_ANOTHER
+        return NextStep.GIVE_UP
+    return NextStep.GIVE_UP if call.further_choices else NextStep.SECOND_CHOICE
+
+
 def final_failure(call: Call, failure: Failure) -> Failure:
     """Return what the caller is told: never NOT RUN when an earlier attempt may have run."""
     if call.may_have_run is not None and failure.outcome is Outcome.NOT_RUN:
