Let a node's agent use the configuration of the proxy beside it

Cause: each node held two subscriptions, for its proxy and for its agent: each change, each proof of freshness and each list of relays came twice, over links of 2 Mbit/s and mostly between zones.

Change: a node's agent has no subscription; the proxy's core says what is in force and which relays there are, and the node hands it on. An agent in a process of its own subscribes as before.

Tests: features/node/reports.feature.

--- a/features/node/reports.feature
+++ b/features/node/reports.feature
@@ -25,3 +25,11 @@
     When the agent's back end is gone
     Then those that ran have an unknown outcome, those that waited were not run
     And the agent has nothing more to do
+
+  Scenario: An agent takes the configuration and the relays from the proxy of its process
+    Given an agent without a subscription of its own, registered at "10.0.0.1"
+    When its process shares a configuration with a largest body of 100 bytes
+    Then a call with a body of 101 bytes is refused there, and one of 100 is not
+    When its process shares relays of which "10.0.0.2" is preferred
+    Then the agent registers at "10.0.0.2"
+    And it has never subscribed
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -18,8 +18,10 @@
     BackendChecked,
     BackendGone,
     BackendProbed,
+    ConfigurationShared,
     DrainFinished,
     DrainRequested,
+    RelaysShared,
 )
 from limelever.agent.registration import Registration, RegistrationSettings
 from limelever.common.sansio import (
@@ -67,12 +69,14 @@
 class AgentOptions(Struct, frozen=True):
     """Settings of the agent core; ``cold_start_limit`` in seconds.
 
+    Without a ``subscriber`` the process around the core gives it the configuration.
+
     The endpoint is registered once a health probe has passed, or after the cold start limit:
     probes lag and mislead, so they may delay the registration and never prevent it.
     """
 
     registration: RegistrationSettings
-    subscriber: SubscriberSettings
+    subscriber: SubscriberSettings | None
     calls: CallLimits = CallLimits()
     drain: DrainLimits = DrainLimits()
     cold_start_limit: float = 30.0
@@ -96,14 +100,16 @@
         self._options = options
         self._service = options.registration.service
         self._registration = Registration(options.registration, incarnation, connections, generator)
-        self._subscriber = SubscriberCore(
-            options.subscriber,
-            connections,
-            itertools.count(1),
-            generator,
-            recovered or Recovered(),
-            sealer,
-        )
+        self._subscriber: SubscriberCore | None = None
+        if options.subscriber is not None:
+            self._subscriber = SubscriberCore(
+                options.subscriber,
+                connections,
+                itertools.count(1),
+                generator,
+                recovered or Recovered(),
+                sealer,
+            )
         self._calls = CallService(self._service, incarnation, options.calls)
         self._drain_limit = options.drain.limit
         self._proxies: dict[ConnectionId, Peer] = {}
@@ -119,12 +125,12 @@
     @property
     def version(self) -> int:
         """Return the configuration version in force; 0 when there is none."""
-        return self._subscriber.version
+        return self._subscriber.version if self._subscriber is not None else 0
 
     @property
     def fresh_at(self) -> float | None:
         """When the configuration was last known to be current (seconds, monotonic), or ``None``."""
-        return self._subscriber.fresh_at
+        return self._subscriber.fresh_at if self._subscriber is not None else None
 
     @property
     def running(self) -> int:
@@ -158,7 +164,7 @@
         deadlines = [
             self._calls.next_deadline(),
             self._registration.next_deadline(),
-            self._subscriber.next_deadline(),
+            self._subscriber.next_deadline() if self._subscriber is not None else None,
             self._cold_start.next_deadline(),
         ]
         if self._drain is not None:
@@ -197,6 +203,10 @@
                 return self._finish(now)
             case PublishersListed(addresses):
                 self._registration.extend_relays(addresses)
+            case ConfigurationShared(version, configuration):
+                return self._install(version, configuration)
+            case RelaysShared(received):
+                return self._registration.replace_relays(received, now)
         return []
 
     def _link_event(self, event: ConnectionOpened | ConnectionClosed) -> list[Output]:
@@ -227,6 +237,8 @@
         return []
 
     def _subscribed(self, event: Event, now: float) -> list[Output]:
+        if self._subscriber is None:
+            return []
         outputs: list[Output] = []
         for output in self._subscriber.handle(event, now):
             if isinstance(output, ConfigurationInstalled):
@@ -287,7 +299,8 @@
         cut_off = self._calls.running
         outputs = [*self._calls.refuse_waiting(), *self._calls.cut_off()]
         outputs.extend(self._registration.end(now))
-        outputs.extend(self._subscriber.stop(now))
+        if self._subscriber is not None:
+            outputs.extend(self._subscriber.stop(now))
         outputs.extend(CloseConnection(each, "the agent stops") for each in self._proxies)
         outputs.append(LogEvent(events.DRAIN_FINISHED, {"cut_off": cut_off}))
         outputs.append(DrainFinished(cut_off))
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -9,6 +9,8 @@
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
+from limelever.subscriber.configuration import ConfigurationSet
+from limelever.subscriber.notices import PublishersReceived
 
 
 class StartAttempt(Output, frozen=True):
@@ -76,6 +78,19 @@
     reached: bool
 
 
+class ConfigurationShared(Event, frozen=True):
+    """A configuration that the process keeps for itself is in force, and serves its agent too."""
+
+    version: int
+    configuration: ConfigurationSet
+
+
+class RelaysShared(Event, frozen=True):
+    """The process was told of the relays, on a subscription that serves its agent too."""
+
+    received: PublishersReceived
+
+
 class BackendGone(Event, frozen=True):
     """The back end has ended or another has taken its place: nothing more comes of it."""
 
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -68,11 +68,11 @@
 
 
 def options_from(
-    settings: AgentSettings, address: Address, subscriber: SubscriberSettings | None = None
+    settings: AgentSettings, address: Address, subscriber: SubscriberSettings | None
 ) -> AgentOptions:
     """Return the core's options; ``address`` is where proxies reach the agent.
 
-    ``subscriber`` is how the configuration is kept current where the process has a say in it.
+    Without a ``subscriber`` the process gives the core its own configuration.
     """
     queue, drain = settings.queue, settings.drain
     return AgentOptions(
@@ -84,7 +84,7 @@
             address=address,
             slots=settings.backend.slots,
         ),
-        subscriber=subscriber or _subscriber_settings(settings),
+        subscriber=subscriber,
         calls=CallLimits(
             queue=QueueLimits(
                 slots=settings.backend.slots,
@@ -128,7 +128,7 @@
         raise ProcessFailedError(incarnation)
     bound = await shell.listen(settings.listen)
     core = AgentCore(
-        options_from(settings, settings.advertise or bound),
+        options_from(settings, settings.advertise or bound, _subscriber_settings(settings)),
         incarnation,
         random.Random(),
         disk.recovered if disk is not None else Recovered(),
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -21,15 +21,18 @@
 from limelever.agent.health_answer import FoundInstance
 from limelever.agent.interface import (
     BackendGone,
+    ConfigurationShared,
     DrainFinished,
     DrainRequested,
+    RelaysShared,
 )
 from limelever.agent.process import options_from, with_pauses
 from limelever.agent.settings import AgentSettings
-from limelever.common.sansio import Address, Output, Purpose, Role
+from limelever.common.sansio import Address, Event, Output, Purpose, Role
 from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
-from limelever.node.settings import NodeSettings, agent_settings, agent_subscriber
-from limelever.subscriber.notices import PublishersListed
+from limelever.node.settings import NodeSettings, agent_settings, dialling_pauses
+from limelever.proxy.call_types import ConfigurationInForce, HealthPathKnown
+from limelever.subscriber.notices import PublishersListed, PublishersReceived
 from limelever.transport.process import ProcessShell
 from limelever.transport.runner import CoreRunner
 
@@ -68,6 +71,7 @@
         self._under_way: set[trio.Event] = set()
         self._stopping = False
         self._looking = False
+        self._shared: dict[type[Event], ConfigurationShared | RelaysShared] = {}
         shell.reloading.handle("relays", self._relays_listed)
 
     def report(self, report: InstanceReport) -> None:
@@ -83,7 +87,22 @@
         if self._watch.ended(instance) is ReportOutcome.INSTANCE_LEAVES:
             self._drain()
 
-    def look_for_instance(self, path: str) -> None:
+    def told_by_proxy(self, output: Output) -> None:
+        """Take what the proxy of the process says: the agent needs no subscription of its own."""
+        match output:
+            case HealthPathKnown(path):
+                self._look_for_instance(path)
+            case ConfigurationInForce(version, configuration):
+                self._share(ConfigurationShared(version, configuration))
+            case PublishersReceived():
+                self._share(RelaysShared(output))
+
+    def _share(self, event: ConfigurationShared | RelaysShared) -> None:
+        self._shared[type(event)] = event
+        if self._current is not None:
+            self._current.runner.post(event)
+
+    def _look_for_instance(self, path: str) -> None:
         """Ask the instance at ``path`` who it is, until it has reported itself.
 
         A node that restarts beside its instance would have it idle until its next report.
@@ -138,9 +157,8 @@
 
     async def _run(self, settings: AgentSettings, instance: str) -> None:
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
-        subscriber = agent_subscriber(self._settings, settings.service)
         options = with_pauses(
-            options_from(settings, self._settings.listen, subscriber), subscriber.dialling
+            options_from(settings, self._settings.listen, None), dialling_pauses(self._settings)
         )
         core = AgentCore(options, incarnation, random.Random())
         finished = trio.Event()
@@ -160,6 +178,8 @@
             backend = Backend(settings.backend, nursery, runner.post, names, instance.encode())
             agent = self._current = _Agent(runner, finished)
             await nursery.start(runner.run)
+            for event in self._shared.values():
+                runner.post(event)
             if self._stopping or not self._watch.is_staying(instance):
                 runner.post(DrainRequested())
             await finished.wait()
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -69,7 +69,7 @@
             raise ProcessFailedError(failure)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                proxy_process.serve, proxy_settings(settings), shell, agents.look_for_instance
+                proxy_process.serve, proxy_settings(settings), shell, agents.told_by_proxy
             )
             await shell.stop_requested.wait()
             await trio.sleep(settings.edge.lame_duck_ms / 1000.0)
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -79,19 +79,10 @@
     )
 
 
-def agent_subscriber(settings: NodeSettings, service: str) -> SubscriberSettings:
-    """Return how the agent within the process keeps its configuration current."""
-    configuration = settings.configuration
-    return SubscriberSettings(
-        publishers=settings.relays,
-        services=(service,),
-        stale_after=seconds(configuration.stale_after_ms),
-        probe_interval=seconds(configuration.probe_interval_ms),
-        answer_timeout=seconds(configuration.answer_timeout_ms),
-        longest_pause=seconds(configuration.longest_pause_ms),
-        return_backoff=BackoffSettings(base=seconds(configuration.return_after_ms)),
-        zone=settings.zone,
-    )
+def dialling_pauses(settings: NodeSettings) -> BackoffSettings:
+    """Return the pauses between the agent's attempts to register at a relay."""
+    longest = seconds(settings.configuration.longest_pause_ms)
+    return SubscriberSettings(settings.relays, longest_pause=longest).dialling
 
 
 def agent_settings(settings: NodeSettings, report: InstanceReport, name: str) -> AgentSettings:
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -8,6 +8,7 @@
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event, Output
+from limelever.subscriber.configuration import ConfigurationSet
 
 GROUP_HEADER = b"x-limelever-group"
 OUTCOME_HEADER = b"x-limelever-outcome"
@@ -78,6 +79,13 @@
     """No call is in flight any more: the process may end."""
 
 
+class ConfigurationInForce(Output, frozen=True):
+    """The proxy routes by this configuration now; others in its process may use it too."""
+
+    version: int
+    configuration: ConfigurationSet
+
+
 class HealthPathKnown(Output, frozen=True):
     """The configuration names this path for health probes of the service beside the proxy."""
 
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -36,6 +36,7 @@
 from limelever.proxy.call_types import (
     CallArrived,
     CallerGone,
+    ConfigurationInForce,
     HealthPathKnown,
     ProxyReady,
     StopFinished,
@@ -54,7 +55,6 @@
     ConfigurationInstalled,
     EndpointsReceived,
     LoadsReceived,
-    PublishersReceived,
 )
 from limelever.subscriber.sealing import Sealer
 from limelever.subscriber.settings import SubscriberSettings
@@ -136,7 +136,6 @@
             LoadsReceived: self._take_loads,
             ClaimSettled: self._settle_claim,
             CompletionSettled: self._settle_completion,
-            PublishersReceived: lambda _received, _now: None,
         }
 
     @property
@@ -246,6 +245,7 @@
             "routes": len(table.route_names()),
         }
         self._outputs.append(LogEvent(events.ROUTES_IN_FORCE, fields))
+        self._outputs.append(ConfigurationInForce(installed.version, installed.configuration))
         self._tell_health_path(installed)
         if not self._routed:
             self._routed = True
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -21,7 +21,6 @@
 from limelever.proxy.balancer import BalancerSettings
 from limelever.proxy.call_types import (
     AnswerCall,
-    HealthPathKnown,
     ProxyReady,
     StopFinished,
     StopLimitNear,
@@ -126,11 +125,12 @@
 async def serve(
     settings: ProxySettings,
     shell: ProcessShell,
-    on_health_path: Callable[[str], None] = lambda _: None,
+    tell_host: Callable[[Output], None] = lambda _: None,
 ) -> None:
     """Run the proxy's core and edge within a process until its planned stop is done.
 
-    ``on_health_path`` gets the path for health probes of the service beside the proxy.
+    ``tell_host`` gets what the core says to the process around it: configurations, relays, and the
+    path for health probes of the service beside the proxy.
     """
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
@@ -144,10 +144,10 @@
                 edge.answer(output)
             case ProxyReady():
                 shell.set_ready()
-            case HealthPathKnown(path):
-                on_health_path(path)
             case StopFinished():
                 finished.set()
+            case _:
+                tell_host(output)
 
     runner = shell.add_core(core, on_output, disk=disk, role=Role.PROXY)
     edge = Edge(settings.edge, runner.post, settings.headers.names())
--- a/src/limelever_lab/simulator/observer.py
+++ b/src/limelever_lab/simulator/observer.py
@@ -74,7 +74,7 @@
         core = node.core
         if isinstance(core, SourceCore):
             self._observe_source(node, core)
-        elif isinstance(core, RelayCore | ProxyCore | AgentCore):
+        elif isinstance(core, RelayCore | ProxyCore | AgentCore) and core._subscriber is not None:
             self._observe_subscriber(node, core._subscriber)
         if isinstance(core, AgentCore) and isinstance(event, Started):
             life = node.life
