Refuse a hello whose purpose ended while it was waited for, in place of ending the process

The listener took down which purposes are served, waited for the hello, and looked the core up after it; the node's agent had ended in between, as its instance was replaced.

Change: the purposes are looked at when the hello has come, from the listener's own table; nothing else runs between that and the look-up. Test: features/transport/bad_input.feature, which ended the server before.

--- a/features/steps/transport_peer_steps.py
+++ b/features/steps/transport_peer_steps.py
@@ -6,8 +6,9 @@
 
 import trio
 from behave import then, when
-from transport_server import CREDENTIAL, PlainClient, hello
+from transport_server import CREDENTIAL, PlainClient, hello, wait_for
 
+from limelever.common.errors import ErrorKind
 from limelever.common.framing import encode_frame
 from limelever.common.sansio import Purpose, Role
 from limelever.common.settings import LinkSettings
@@ -38,6 +39,30 @@
         client.send(of_a_later_version(CallBody(stream=1)))
 
 
+@when("another connection opens, and the purpose of its coming hello ends meanwhile")
+def when_purpose_ends(context):
+    server = context.link_server
+    context.late = PlainClient(server.address)
+    context.add_cleanup(context.late.close)
+    assert wait_for(lambda: server.listener.open_links == 2)
+    server.end_purpose(Purpose.REGISTRATION)
+    context.late.send(encode_frame(hello("late")))
+
+
+@then("that hello is refused as permission-denied")
+def then_hello_refused(context):
+    answer = context.late.receive()
+    assert isinstance(answer, HelloAnswer) and not answer.accepted, answer
+    assert answer.kind == ErrorKind.PERMISSION_DENIED.value, answer
+
+
+@then("the link server still has the member's link")
+def then_still_linked(context):
+    server = context.link_server
+    server.send("member", CallBody(stream=1), 1)
+    assert isinstance(context.member.receive(), CallBody)
+
+
 def seconds_of_silence(stream: trio.SocketStream) -> int:
     """Return after how many seconds of silence the other machine is asked, 0 for never."""
     if not stream.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE):
--- a/features/steps/transport_server.py
+++ b/features/steps/transport_server.py
@@ -8,6 +8,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import trio
@@ -144,6 +145,10 @@
 
         trio.from_thread.run_sync(post, trio_token=self._token)
 
+    def end_purpose(self, purpose: Purpose) -> None:
+        end = partial(self.listener.runners.pop, purpose)
+        trio.from_thread.run_sync(end, trio_token=self._token)
+
     async def _serve(self) -> None:
         self._token = trio.lowlevel.current_trio_token()
         identity = LinkIdentity(Role.RELAY, "relay-1", "zone-a", "unused")
@@ -157,7 +162,7 @@
             on_output=lambda output: None,
             on_failure=lambda failure: None,
         )
-        listener = LinkListener(
+        self.listener = listener = LinkListener(
             identity=identity,
             settings=self._settings,
             accepted=(
--- a/features/transport/bad_input.feature
+++ b/features/transport/bad_input.feature
@@ -51,6 +51,13 @@
     When a member of a later version opens a link and sends 5 messages
     Then the link server's core has the other member's 5 messages
 
+  Scenario: A purpose that ends while a peer says its hello is refused, and ends nothing else
+    Given a link server
+    And a member's link to the link server
+    When another connection opens, and the purpose of its coming hello ends meanwhile
+    Then that hello is refused as permission-denied
+    And the link server still has the member's link
+
   Scenario: A machine that is gone without a word does not hold its link for ever
     Given a link server
     And a member's link to the link server
--- a/src/limelever/transport/hello.py
+++ b/src/limelever/transport/hello.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from collections.abc import Collection
 
 import trio
 from google.protobuf.message import Message
@@ -19,9 +20,13 @@
     identity: LinkIdentity,
     settings: LinkSettings,
     accepted: tuple[AcceptedCredential, ...],
-    purposes: frozenset[Purpose],
+    purposes: Collection[Purpose],
 ) -> Link | Failure:
-    """Read and answer a hello; return the link with its peer, or why it was refused."""
+    """Read and answer a hello; return the link with its peer, or why it was refused.
+
+    ``purposes`` are those served when the hello has come: a live view, as one may end while it is
+    waited for. Nothing else runs between that and the return.
+    """
     link = Link(stream, settings)
     link.count_as("hello")
     verdict: Peer | Failure = Failure(ErrorKind.PROTOCOL_VIOLATION, "no hello in time")
@@ -50,7 +55,7 @@
 def judge_hello(
     message: Message | Failure | None,
     accepted: tuple[AcceptedCredential, ...],
-    purposes: frozenset[Purpose],
+    purposes: Collection[Purpose],
 ) -> Peer | Failure:
     """Check protocol, credential and purpose of a hello, in constant time per credential."""
     if isinstance(message, Failure):
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -32,6 +32,11 @@
     _open: int = 0
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    @property
+    def open_links(self) -> int:
+        """Return the connections open now, those that have not said their hello included."""
+        return self._open
+
     async def serve(
         self,
         address: Address,
@@ -86,8 +91,8 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve(self, stream: trio.abc.Stream, client: str) -> None:
-        purposes = frozenset(self.runners)
-        link = await accept(stream, self.identity, self.settings, self.accepted, purposes)
+        served = self.runners.keys()
+        link = await accept(stream, self.identity, self.settings, self.accepted, served)
         if isinstance(link, Failure):
             _refused(client, link)
             return
