Tell loads to those relays alone that have proxies of the zone

Since subscribers meet at their zone's relay hardly any of it is wanted there.

Change: relays tell each other of which zones they have proxies, and loads go to those alone. Test: features/relay/loads.feature; the scenario of a proxy at another relay stays.

--- a/features/relay/loads.feature
+++ b/features/relay/loads.feature
@@ -18,6 +18,22 @@
     And 0.3 seconds pass at the relays
     Then the proxies "near, far" have heard the loads "3" of "orders-1"
 
+  Scenario: Relays tell loads to those relays alone that have proxies of the zone
+    When 2 seconds pass at the relays
+    And the agent "orders-1" reports a load of 3
+    And 0.3 seconds pass at the relays
+    Then "relay-2" has heard no loads from "relay-1"
+    Given a proxy of the zone of "relay-1" at "relay-2"
+    When 2 seconds pass at the relays
+    And the agent "orders-1" reports a load of 4
+    And 0.3 seconds pass at the relays
+    Then "relay-2" has heard the loads "4" from "relay-1"
+    When the proxy "far" leaves
+    And 3 seconds pass at the relays
+    And the agent "orders-1" reports a load of 5
+    And 0.3 seconds pass at the relays
+    Then "relay-2" has heard the loads "4" from "relay-1"
+
   Scenario: Many reports at once go out as one, with the newest load
     When the agent "orders-1" reports a load of 1
     And 0.05 seconds pass at the relays
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -64,3 +64,23 @@
     sent = [output.message for output in bench.of(SendMessage)]
     reports = [message.load for message in sent if isinstance(message, LoadReport)]
     assert reports == numbers(loads), reports
+
+
+@when('the proxy "{name}" leaves')
+def proxy_leaves(context: Context, name: str) -> None:
+    context.mesh.network.kill(name)
+
+
+def loads_heard(context: Context, relay: str) -> list[int]:
+    received = context.mesh.network.nodes[relay].received
+    return [load for each in received if isinstance(each, LoadUpdate) for load in each.loads]
+
+
+@then('"{relay}" has heard no loads from "{other}"')
+def heard_none(context: Context, relay: str, other: str) -> None:
+    assert loads_heard(context, relay) == []
+
+
+@then('"{relay}" has heard the loads "{loads}" from "{other}"')
+def heard_from(context: Context, relay: str, loads: str, other: str) -> None:
+    assert loads_heard(context, relay) == numbers(loads)
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -28,7 +28,7 @@
     Started,
 )
 from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater
-from limelever.protocol.endpoints_pb2 import EndpointSyncRequest
+from limelever.protocol.endpoints_pb2 import EndpointSyncRequest, LoadInterest
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
 from limelever.publisher.notices import FreshnessNeeded, SubscriberAdmitted
 from limelever.publisher.rollout import ZoneHolders
@@ -185,6 +185,8 @@
         match peer.purpose if peer is not None else None:
             case Purpose.REGISTRATION:
                 return self._endpoints.from_agent(connection, message, now)
+            case Purpose.ENDPOINTS if isinstance(message, LoadInterest):
+                self._endpoints.loads_wanted(connection, message)
             case Purpose.ENDPOINTS if isinstance(message, EndpointSyncRequest):
                 return self._endpoints.sync_requested(connection, message, now)
             case Purpose.SUBSCRIPTION:
--- a/src/limelever/relay/endpoint_sync.py
+++ b/src/limelever/relay/endpoint_sync.py
@@ -24,11 +24,6 @@
         self._peers: dict[ConnectionId, None] = {}
         self._told = 0
 
-    @property
-    def peers(self) -> tuple[ConnectionId, ...]:
-        """The links of the relays that ask for this one's endpoints."""
-        return tuple(self._peers)
-
     def requested(
         self, connection: ConnectionId, request: EndpointSyncRequest, now: float
     ) -> list[Output]:
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -12,14 +12,17 @@
 from limelever.common.sansio import (
     Address,
     ConnectionId,
+    ConnectionOpened,
     DialledConnections,
     Event,
     LogEvent,
     MessageReceived,
     Output,
+    SendMessage,
 )
 from limelever.protocol.endpoints_pb2 import (
     EndpointSyncRequest,
+    LoadInterest,
     LoadReport,
     LoadUpdate,
     MachineNotice,
@@ -74,6 +77,7 @@
         self._changed: set[EndpointName] = set()
         self._batch = BatchTimer(settings.batch)
         self._loads = LoadBoard(settings.load_batch)
+        self._told_zones: frozenset[str] = frozenset()
 
     def start(self, now: float) -> None:
         """Begin to dial the other relays."""
@@ -125,6 +129,8 @@
         peer = next(peer for peer in self._peers if peer.owns(connection))
         outputs = peer.handle(event, now)
         self._note(peer.take_changed(), now)
+        if isinstance(event, ConnectionOpened):
+            outputs.append(SendMessage(connection, LoadInterest(zones=sorted(self._told_zones))))
         return outputs
 
     def from_agent(self, connection: ConnectionId, message: Message, now: float) -> list[Output]:
@@ -148,7 +154,7 @@
         It hears of loads in its ``zone`` besides.
         """
         self._loads.join(connection, zone)
-        return self._feed.join(connection, scope)
+        return [*self._feed.join(connection, scope), *self._tell_interest()]
 
     def closed(self, connection: ConnectionId) -> None:
         """Forget an accepted link that is gone."""
@@ -175,7 +181,8 @@
         if self._batch.due(now):
             outputs.extend(self._flush(now))
         if self._loads.due(now):
-            outputs.extend(self._loads.take(self._sync.peers, now))
+            outputs.extend(self._loads.take(now))
+        outputs.extend(self._tell_interest())
         return outputs
 
     def next_deadline(self) -> float | None:
@@ -189,6 +196,20 @@
         deadlines.extend(peer.next_deadline() for peer in self._peers)
         return min((at for at in deadlines if at is not None), default=None)
 
+    def loads_wanted(self, connection: ConnectionId, interest: LoadInterest) -> None:
+        """Take from another relay whose loads it wants: those of its proxies' zones."""
+        self._loads.wanted(connection, interest.zones)
+
+    def _tell_interest(self) -> list[Output]:
+        """Tell the other relays of which zones there are proxies here, when that has changed."""
+        zones = self._loads.zones
+        if zones == self._told_zones:
+            return []
+        self._told_zones = zones
+        interest = LoadInterest(zones=sorted(zones))
+        links = (peer.open_connection for peer in self._peers)
+        return [SendMessage(link, interest) for link in links if link is not None]
+
     def _load_reported(self, connection: ConnectionId, report: LoadReport, now: float) -> None:
         endpoint = self._leases.reporting(connection)
         if endpoint is not None:
--- a/src/limelever/relay/load_board.py
+++ b/src/limelever/relay/load_board.py
@@ -23,15 +23,26 @@
         self._foreign: dict[str, dict[int, int]] = {}
         self._zone_of: dict[ConnectionId, str] = {}
         self._proxies: dict[str, dict[ConnectionId, None]] = {}
+        self._wanted_by: dict[ConnectionId, frozenset[str]] = {}
         self._batch = BatchTimer(interval)
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """The zones of the proxies here."""
+        return frozenset(self._proxies)
+
+    def wanted(self, relay: ConnectionId, zones: Iterable[str]) -> None:
+        """Take the zones whose loads another relay wants."""
+        self._wanted_by[relay] = frozenset(zones)
+
     def join(self, proxy: ConnectionId, zone: str) -> None:
         """Tell a proxy the loads of its zone from now on."""
         self._zone_of[proxy] = zone
         self._proxies.setdefault(zone, {})[proxy] = None
 
     def leave(self, proxy: ConnectionId) -> None:
-        """Forget a proxy whose link is gone."""
+        """Forget a proxy or a relay whose link is gone."""
+        self._wanted_by.pop(proxy, None)
         zone = self._zone_of.pop(proxy, None)
         if zone is None:
             return
@@ -59,8 +70,8 @@
         """Return when loads are to be told."""
         return self._batch.due_at
 
-    def take(self, peers: Iterable[ConnectionId], now: float) -> list[Output]:
-        """Return the messages to the proxies, and to the relays that ask for this one's agents."""
+    def take(self, now: float) -> list[Output]:
+        """Return the messages to the proxies, and to the relays that have some of a zone."""
         own, self._own = self._own, {}
         foreign, self._foreign = self._foreign, {}
         self._batch.taken()
@@ -68,7 +79,8 @@
         outputs: list[Output] = []
         for zone, loads in own.items():
             update = _update(zone, loads)
-            outputs.extend(SendMessage(peer, update) for peer in peers)
+            wanting = [relay for relay, zones in self._wanted_by.items() if zone in zones]
+            outputs.extend(SendMessage(relay, update) for relay in wanting)
         for zone in own.keys() | foreign.keys():
             if zone in self._proxies:
                 update = _update(zone, {**foreign.get(zone, {}), **own.get(zone, {})})
--- a/src/limelever/relay/peer_relay.py
+++ b/src/limelever/relay/peer_relay.py
@@ -67,6 +67,11 @@
         """Return whether the link is the one to this relay."""
         return connection == self._connection
 
+    @property
+    def open_connection(self) -> ConnectionId | None:
+        """The link to the relay while it is open."""
+        return self._connection if self._silent_at is not None else None
+
     def start(self, now: float) -> None:
         """Dial at the next deadline."""
         self._dial_at = now
