Don't refuse a body that is here at once by an estimate of the back end alone

Cause: an agent with a free slot takes a call without asking its estimate, as one that is too high would never be put right otherwise. With a body that is still to come this was passed over whenever the body took any time at all, 0.2 ms on a fast link too.

Change: the time on the link counts from a quarter of the call's usual time on. Ruled out: counting it only where it alone makes a call late (an upload on a slow link is then begun that can't be in time, the scenario on it fails).

--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -214,8 +214,11 @@
         self, group: GroupQueue, call: QueuedCall, now: float, whole_after: float = 0.0
     ) -> Failure | None:
         failure = _past_deadline(call, now)
-        if failure is not None or (not whole_after and self._starts_at_once(group, now)):
+        if failure is not None:
             return failure
+        held_up = self._estimate.is_held_up_by_link(group, call, now, whole_after)
+        if not held_up and self._starts_at_once(group, now):
+            return None
         if self._estimate.is_blind(call, self.queued):
             advice = self._returns.book(0.0, FIRST_SERVICE_TIME, now)
             reason = "nothing is known yet of how long calls take, and some wait already"
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -46,6 +46,12 @@
 It takes the room that calls leave which can still be answered in time.
 """
 
+COUNTED_LINK_PART = 0.25
+"""Part of the usual service time below which the time of a body on the link decides nothing.
+
+A choice: as long as calls may wait that are past their target anyway.
+"""
+
 SHORT_CALL_PART = 0.5
 """Part of the typical service time below which a call counts as short.
 
@@ -150,6 +156,17 @@
             in_target = service_time * LONGEST_WAIT_OF_LATE_CALLS
         return wait > min(longest, in_target)
 
+    def is_held_up_by_link(
+        self, group: GroupQueue, call: QueuedCall, now: float, whole_after: float
+    ) -> bool:
+        """Return whether a call is better refused for the time of its body on the link.
+
+        A time that is short against the call's own decides nothing: an estimate of the back end
+        that is too high would refuse calls that find a free slot, and never be put right.
+        """
+        counts = whole_after > self.service_time(group) * COUNTED_LINK_PART
+        return counts and self.is_too_long(group, call, now, whole_after)
+
     def is_blind(self, call: QueuedCall, queued: int) -> bool:
         """Return whether a call with a target is refused as nothing tells how long it would wait.
 
