Show two faults by tests that fail: calls cut at the end of a stop, a route told as missing

Two nodes of the platform, of which one has the instance. The other is asked for two pipelined reads that the instance holds, for an upload that it holds, and for one whose agent is frozen, and is asked to stop: the callers' connections are closed at the stop limit with no byte of an answer (with a second SIGTERM: at once). A proxy whose relay has been silent for 9 s refuses a path as no-route.

--- /dev/null
+++ b/features/platform/stop_limit.feature
@@ -0,0 +1,24 @@
+@fleet
+Feature: No caller is left without an answer when a node stops
+  Symptom: a node that stopped under load closed two uploads' connections without an answer, 5.11 s after it was asked
+  to. Sequence: the uploads came whole 1.2 s before the stop; half a second before the stop limit the node asked the
+  agents to give back what had not begun; at the limit both calls were still open. Cause: the limit cancelled all
+  tasks, and nothing answered what was open. What settled it: with an agent that is held up, or an instance that takes
+  longer than the stop, callers got not one byte before the close, and the log ended with stop-limit-passed; a second
+  SIGTERM cut them at once.
+
+  Scenario: Calls that are open at the end of a stop are answered
+    Given a control process, and two nodes of the platform of which one has an instance
+    When the other node is asked for two reads in a row that the instance holds, and to stop
+    Then each of its callers is told that the outcome is not known
+    And that node ended by itself with status 0, within its limit
+
+    When that node has started again
+    And the other node is asked for an upload that the instance holds, and to stop 2 times
+    Then each of its callers is told that the outcome is not known
+    And that node ended by itself with status 0, within its limit
+
+    When that node has started again
+    And the other node is asked for an upload while the instance's node is frozen, and to stop
+    Then each of its callers is told that the outcome is not known
+    And that node ended by itself with status 0, within its limit
--- a/features/steps/platform_traffic.py
+++ b/features/steps/platform_traffic.py
@@ -240,7 +240,7 @@
     return int(json.loads(body)["version"].removeprefix("r"))
 
 
-def document(number: int, base: int) -> bytes:
+def document(number: int, base: int, timeout_ms: int = DEADLINE_MS) -> bytes:
     """Return a configuration whose only changing route is that of its own number."""
     kinds = {READ: "safe", WRITE: "unsafe", f"v{number}": "safe"}
     routes = [
@@ -248,7 +248,7 @@
             "name": f"r-{name}",
             "pathPrefix": f"/{name}/",
             "routeType": kind,
-            "timeoutMs": DEADLINE_MS,
+            "timeoutMs": timeout_ms,
             "targetLatencyMs": 400,
             "priority": 1,
             "service": SERVICE,
--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -163,6 +163,7 @@
         self.now = 100.0
         self.endpoints = endpoints
         self.accepts_links = True
+        self.relay_answers = True
         self.silent_ports: set[int] = set()
         self.hanging: list[OpenConnection] = []
         self.keepers = keepers or FakeKeepers()
@@ -284,6 +285,8 @@
             self._events.append(MessageReceived(connection, reply))  # type: ignore[arg-type]
 
         match message:
+            case Subscribe() | FreshnessProbe() if not self.relay_answers:
+                return
             case Subscribe():
                 resources = mesh_resources()
                 digest = SetDigest.of(resources).to_bytes()
