--- a/src/limelever/proxy/call_log.py
+++ b/src/limelever/proxy/call_log.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Sequence
+
 from limelever.common.decision_log import DecisionLog, DecisionLogSettings
 from limelever.common.errors import Failure
-from limelever.common.sansio import Output
+from limelever.common.sansio import LogEvent, Output
 from limelever.proxy import events
-from limelever.proxy.call_state import Call
+from limelever.proxy.call_state import Call, Phase
 from limelever.proxy.call_types import CallAnswer, CallRequest
 from limelever.proxy.endpoints import EndpointEntry
 from limelever.proxy.router import RouteTable
@@ -22,9 +25,17 @@
         self._outputs = outputs
 
     def not_admitted(
-        self, request: CallRequest, failure: Failure, table: RouteTable | None, now: float
+        self,
+        request: CallRequest,
+        failure: Failure,
+        table: RouteTable | None,
+        proved_at: float | None,
+        now: float,
     ) -> None:
-        """A call was refused before it was routed, or for want of room."""
+        """A call was refused before it was routed, or for want of room.
+
+        ``proved_at`` is when the table was last known to be current, ``None`` for never.
+        """
         fields: dict[str, object] = {
             "route": "",
             "version": table.version if table is not None else 0,
@@ -33,6 +44,8 @@
             "attempts": 0,
             "milliseconds": 0,
         }
+        if proved_at is not None:
+            fields["configuration_age_milliseconds"] = _milliseconds(now - proved_at)
         lines = self._log.failure(events.CALL_FAILED, request.request_id, fields, now)
         self._outputs.extend(lines)
 
@@ -93,6 +106,15 @@
             self._outputs.extend(self._log.success(events.CALL_ANSWERED, request_id, fields))
 
 
+def open_calls(calls: Sequence[Call], now: float) -> LogEvent:
+    """Return the line on calls that are open though the process is about to end."""
+    phases = Counter(call.phase for call in calls)
+    oldest = min(call.arrived_at for call in calls)
+    fields: dict[str, object] = {phase.name.lower(): phases[phase] for phase in Phase}
+    fields["oldest_milliseconds"] = _milliseconds(now - oldest)
+    return LogEvent(events.CALLS_OPEN_AT_STOP, fields)
+
+
 def _failed(failure: Failure) -> dict[str, object]:
     return {
         "kind": failure.kind.value,
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -18,7 +18,7 @@
 from limelever.proxy import claims, events
 from limelever.proxy.admission import AdmissionSettings, admit, call_timeout
 from limelever.proxy.attempts import Attempts
-from limelever.proxy.call_log import CallLog
+from limelever.proxy.call_log import CallLog, open_calls
 from limelever.proxy.call_state import AttemptEnded, Call, CallTable, Phase
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallRequest
 from limelever.proxy.group_limits import GroupLimits
@@ -79,6 +79,7 @@
         self._splits = Splits(random_source)
         self._prior_waits = PriorWaits()
         self._table: RouteTable | None = None
+        self._table_proved_at: float | None = None
         self._first_untabled: float | None = None
         self._gives_back = False
         self._log = CallLog(settings.log, outputs)
@@ -99,6 +100,10 @@
         self._prior_waits.keep_only(table.route_names())
         self._attempts.keep_only(table.route_names())
 
+    def table_proved(self, at: float) -> None:
+        """Take the time at which the table was known to be current (seconds, monotonic)."""
+        self._table_proved_at = at
+
     def share_budgets_between(self, nodes: int) -> None:
         """Take the number of nodes whose proxies share the retries of a service."""
         self._budgets.share_between(nodes)
@@ -119,7 +124,7 @@
         )
         if isinstance(admitted, Failure):
             refusal = with_retry_after(admitted)
-            self._log.not_admitted(request, refusal, self._table, now)
+            self._log.not_admitted(request, refusal, self._table, self._table_proved_at, now)
             self._outputs.append(AnswerCall(number, refusal))
             return
         admitted.arrived_at = now
@@ -160,7 +165,10 @@
         has begun keeps the time that is left.
         """
         self._gives_back = True
-        for call in self._calls.all():
+        open_now = self._calls.all()
+        if open_now:
+            self._outputs.append(open_calls(open_now, now))
+        for call in open_now:
             if call.phase is Phase.HANDED_ON:
                 self._attempts.cancel_unless_begun(call)
             elif call.phase in (Phase.DIALLING, Phase.CLAIMING):
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -54,6 +54,7 @@
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
     EndpointsReceived,
+    FreshnessProved,
     LoadsReceived,
 )
 from limelever.subscriber.sealing import Sealer
@@ -132,6 +133,7 @@
         self._sweep_at = 0.0
         self._interceptors: dict[type[Output], Callable[[Any, float], None]] = {
             ConfigurationInstalled: self._install,
+            FreshnessProved: self._take_proof,
             EndpointsReceived: self._merge_endpoints,
             LoadsReceived: self._take_loads,
             ClaimSettled: self._settle_claim,
@@ -270,6 +272,11 @@
             installed.removed,
         )
 
+    def _take_proof(self, proved: FreshnessProved, _now: float) -> None:
+        """Take that the configuration held was current; a table of an earlier one was not."""
+        if not self._missed_change:
+            self._engine.table_proved(proved.at)
+
     def _merge_endpoints(self, received: EndpointsReceived, now: float) -> None:
         self._view.apply(received.update, now)
         self._engine.share_budgets_between(len(self._view.keys()))
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -32,6 +32,18 @@
 LATE_ANSWER_DROPPED = define(
     4021, "late-answer-dropped", Level.DEBUG, "answer matches no attempt in flight", "stream"
 )
+CALLS_OPEN_AT_STOP = define(
+    4022,
+    "calls-open-at-stop",
+    Level.WARNING,
+    "calls were still open near the limit of a planned stop, by what they wait for",
+    "claiming",
+    "dialling",
+    "handed_on",
+    "cancelling",
+    "completing",
+    "oldest_milliseconds",
+)
 EDGE_LISTENING = define(
     4030, "edge-listening", Level.INFO, "listening for callers", "address", "tls"
 )
@@ -79,6 +91,7 @@
     "attempts",
     "retry_after",
     "milliseconds",
+    "configuration_age_milliseconds",
 )
 ATTEMPT_SENT = define(
     4042,
