Tell a caller that a route is missing only by a configuration that is proved current

Cause: a proxy took the absence of a route in its table for a fact, however long ago the table had been proved current; between the acknowledgement of a change and its arrival a caller of the new route got 404, after which it doesn't come back.

Change: a refusal that a newer configuration may turn into service (no-route, method-not-allowed) is told only while the proof of the configuration is younger than stale_after; else the caller is told stale (503, not run) with a time to come back. What has a route is served as before: a node that is cut off goes on.

Ruled out: to refuse everything by a configuration that isn't proved, which would take service from the callers of a node that is cut off from control; to hold the call until a proof comes, which may be long.

--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -25,10 +25,19 @@
 """Most seconds of that advice, while no configuration comes: a source elects a leader in less."""
 
 
+_DECIDED_BY_TABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.METHOD_NOT_ALLOWED})
+"""Refusals that a newer configuration may turn into service."""
+
+
 class AdmissionSettings(Struct, frozen=True):
-    """``default_timeout`` (seconds) is of routes that name none."""
+    """Settings in seconds.
+
+    ``default_timeout`` is of routes that name none. ``stale_after`` is how old the proof of the
+    configuration may be by which a caller is told that there is no route.
+    """
 
     default_timeout: float = 10.0
+    stale_after: float = 8.0
 
 
 def admit(
@@ -67,8 +76,27 @@
     return Call(number, request, route, part, share, deadline, target)
 
 
+def unless_unproved(
+    refusal: Failure, proved_at: float | None, settings: AdmissionSettings, now: float
+) -> Failure:
+    """Return the refusal, or ``STALE`` where it rests on a table that may be out of date.
+
+    A change that was acknowledged may not have come yet: a caller that is told that a route isn't
+    there gives up for good, one that is told to come back is served. ``proved_at`` is when the
+    table was last known to be current, ``None`` for never.
+    """
+    if refusal.kind not in _DECIDED_BY_TABLE:
+        return refusal
+    age = math.inf if proved_at is None else now - proved_at
+    if age < settings.stale_after:
+        return refusal
+    reason = f"{refusal.reason}, by a configuration that is not proved current"
+    advice = _configuration_advice(age - settings.stale_after)
+    return Failure(ErrorKind.STALE, reason, retry_after=advice)
+
+
 def _configuration_advice(without_table: float) -> float:
-    """Return after how many seconds a first configuration may be expected.
+    """Return after how many seconds a first or a current configuration may be expected.
 
     The longer there has been none, the longer it may still take.
     """
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -16,7 +16,12 @@
 from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer
 from limelever.protocol.keeper_pb2 import RecordedAnswer
 from limelever.proxy import claims, events
-from limelever.proxy.admission import AdmissionSettings, admit, call_timeout
+from limelever.proxy.admission import (
+    AdmissionSettings,
+    admit,
+    call_timeout,
+    unless_unproved,
+)
 from limelever.proxy.attempts import Attempts
 from limelever.proxy.call_log import CallLog, open_calls
 from limelever.proxy.call_state import AttemptEnded, Call, CallTable, Phase
@@ -123,7 +128,8 @@
             self._without_table(now),
         )
         if isinstance(admitted, Failure):
-            refusal = with_retry_after(admitted)
+            proved_at, admission = self._table_proved_at, self._settings.admission
+            refusal = with_retry_after(unless_unproved(admitted, proved_at, admission, now))
             self._log.not_admitted(request, refusal, self._table, self._table_proved_at, now)
             self._outputs.append(AnswerCall(number, refusal))
             return
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -7,7 +7,6 @@
 from functools import partial
 
 import trio
-from msgspec.structs import replace
 
 from limelever.common.backoff import BackoffSettings
 from limelever.common.errors import Failure
@@ -33,7 +32,7 @@
 from limelever.proxy.health import HealthSettings
 from limelever.proxy.metrics import count_answer
 from limelever.proxy.retry_rules import RetrySettings
-from limelever.proxy.settings import BalancingSettings, CallLimitSettings, ProxySettings
+from limelever.proxy.settings import BalancingSettings, ProxySettings
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
@@ -71,7 +70,7 @@
             keepers=settings.keepers,
             completion_wait=seconds(settings.calls.completion_wait_ms),
         ),
-        calls=replace(_call_settings(settings.calls), log=settings.log.decisions()),
+        calls=_call_settings(settings),
         attempts=AttemptSettings(
             answer_limit_bytes=settings.calls.max_answer_bytes,
             assembly_limit_bytes=settings.calls.assembly_bytes,
@@ -100,16 +99,21 @@
     return ((name, settings.caller_service.encode()),) if name else ()
 
 
-def _call_settings(settings: CallLimitSettings) -> CallSettings:
+def _call_settings(settings: ProxySettings) -> CallSettings:
+    calls = settings.calls
     return CallSettings(
-        admission=AdmissionSettings(default_timeout=seconds(settings.default_timeout_ms)),
+        admission=AdmissionSettings(
+            default_timeout=seconds(calls.default_timeout_ms),
+            stale_after=seconds(settings.configuration.stale_after_ms),
+        ),
         retry=RetrySettings(
-            attempts=settings.attempts,
-            redirects=settings.redirects,
-            fleet_saved=settings.fleet_saved_retries,
-            second_choice_percent=settings.second_choice_percent,
+            attempts=calls.attempts,
+            redirects=calls.redirects,
+            fleet_saved=calls.fleet_saved_retries,
+            second_choice_percent=calls.second_choice_percent,
         ),
-        completion_wait=seconds(settings.completion_wait_ms),
+        completion_wait=seconds(calls.completion_wait_ms),
+        log=settings.log.decisions(),
     )
 
 
