Answer what is open before a stop ends, and take a second SIGTERM for what it is

Cause: at its stop limit a process cancelled all its tasks. Half a second before, the proxy asked the agents to give back what had not begun; a call whose agent said nothing, or whose back end took longer than the stop, was left open, and its caller's connection closed without an answer. A second SIGTERM did the same at once.

Change: a fifth of a second before the limit each call that is still open gets its final answer: 502 with an unknown outcome where it was handed on, 503 and NOT RUN where it was not, the answer itself where only its record is awaited. Agents are left as they are and let run on what may not be repeated. Calls that arrive in the last half second are refused at once. Another SIGTERM during a stop changes nothing; SIGINT ends at once, as a person at a terminal expects.

Ruled out: to give back earlier whatever waits, which takes answers from callers that would have had them; to cancel at the agents, which breaks off work that may not run again.

features/platform/stop_limit.feature fails without it, and passes.

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -201,6 +201,33 @@
     Then the proxy refused call 1 as "draining" with a retry time
     And the proxy has finished stopping
 
+  Scenario: Near the stop limit, a call that arrives is refused at once
+    Given a proxy with one endpoint
+    When the proxy is asked to stop
+    And the proxy's stop limit is near
+    And a caller asks the proxy for "/orders/1"
+    Then the proxy refused call 1 as "draining" with a retry time
+    And 0 calls were handed on
+
+  Scenario: At the stop limit, a call whose agent says nothing is answered as unknown
+    Given a proxy with 2 endpoints and retries for every call
+    When a caller asks the proxy for "/baskets/1"
+    And the proxy is asked to stop
+    And the proxy's stop limit is near
+    And the proxy's stop limit is reached
+    Then the caller of call 1 was told "backend-failed" and outcome "unknown"
+    And the agent was told to cancel unless the call had begun
+    And 1 call was handed on
+    And the proxy has finished stopping
+
+  Scenario: At the stop limit, a call that waits for its claim or its link is answered as not run
+    Given a proxy with one endpoint whose agent accepts no link
+    When a caller asks the proxy for "/orders/1"
+    And the proxy is asked to stop
+    And the proxy's stop limit is reached
+    Then the proxy refused call 1 as "draining" with a retry time
+    And the proxy has finished stopping
+
   Scenario: The edge bounds bodies and finishes what is in flight at a stop
     Given an HTTP edge on loopback
     Then a body over the limit is refused with 413
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -36,6 +36,7 @@
     CallAnswer,
     CallerGone,
     StopLimitNear,
+    StopLimitReached,
     StopRequested,
 )
 from limelever.proxy.retry_budget import RetryBudget
@@ -222,6 +223,11 @@
     context.proxy.post(StopLimitNear())
 
 
+@when("the proxy's stop limit is reached")
+def stop_limit_reached(context: Context) -> None:
+    context.proxy.post(StopLimitReached())
+
+
 @then("the callers were told to come back after {first:g}, {second:g} and {third:g} seconds")
 def check_times_told(context: Context, first: float, second: float, third: float) -> None:
     answers = [context.proxy.refusal(number) for number in (1, 2, 3)]
--- a/features/steps/stop_limit_steps.py
+++ b/features/steps/stop_limit_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import signal
 import socket
 import tempfile
@@ -86,10 +87,11 @@
                 self.answers += part
         except OSError:
             return
+        finally:
+            self._socket.close()
 
     def ended(self):
         self._reader.join(PATIENCE_SECONDS)
-        self._socket.close()
         return self.answers
 
 
@@ -188,8 +190,7 @@
 
 @then("each of its callers is told that the outcome is not known")
 def check_told(context):
-    lines = context.answers.split(b"\r\n")
-    statuses = [line.split()[1] for line in lines if line.startswith(b"HTTP/1.1 ")]
+    statuses = re.findall(rb"HTTP/1\.1 (\d+) ", context.answers)
     assert len(statuses) == context.expected, context.answers
     assert all(status in UNKNOWN_STATUSES for status in statuses), statuses
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -143,6 +143,11 @@
             self._outputs.append(SendMessage(attempt.connection, message))
         self._ends.close(call, attempt, verdict, now)
 
+    def let_go(self, call: Call, now: float) -> None:
+        """End the call's attempt from this side, and leave the agent as it is."""
+        if call.attempt is not None:
+            self._ends.close(call, call.attempt, Verdict.NEUTRAL, now)
+
     def request_cancel(self, call: Call, verdict: Verdict) -> None:
         """Ask the agent to cancel the call's attempt and to say whether it had begun.
 
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -63,6 +63,10 @@
     """The process ends soon: calls that no back end has begun are to be answered NOT RUN now."""
 
 
+class StopLimitReached(Event, frozen=True):
+    """The process ends: each call still open is to have its final answer now."""
+
+
 class AnswerCall(Output, frozen=True):
     """The one final answer of a call, ``seconds`` after its request was read whole.
 
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -41,6 +41,7 @@
 from limelever.proxy.split import Splits
 
 _STOPPING = Failure(ErrorKind.DRAINING, "this proxy stops before the call would have begun")
+_CUT_BY_STOP = Failure(ErrorKind.OUTCOME_UNKNOWN, "this proxy stops before the answer came")
 _NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
 _UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
 
@@ -117,19 +118,9 @@
 
     def arrived(self, number: int, request: CallRequest, now: float) -> None:
         """Admit a call and begin it, or refuse it at once."""
-        admitted = admit(
-            number,
-            request,
-            self._table,
-            self._limits,
-            self._settings.admission,
-            self._splits,
-            now,
-            self._without_table(now),
-        )
+        admitted = self._admit(number, request, now)
         if isinstance(admitted, Failure):
-            proved_at, admission = self._table_proved_at, self._settings.admission
-            refusal = with_retry_after(unless_unproved(admitted, proved_at, admission, now))
+            refusal = with_retry_after(admitted)
             self._log.not_admitted(request, refusal, self._table, self._table_proved_at, now)
             self._outputs.append(AnswerCall(number, refusal))
             return
@@ -181,6 +172,21 @@
                 self._attempts.abandon(call, Verdict.NEUTRAL, now)
                 self._finish(call, _STOPPING, now)
 
+    def end_open(self, now: float) -> None:
+        """Give each call that is still open its final answer: the process ends.
+
+        A connection that closes without one leaves its caller to guess what happened. Of a call
+        that was handed on it isn't known whether it ran. Its agent hears of it by the end of the
+        link, and lets run on what may not be repeated.
+        """
+        for call in self._calls.all():
+            if call.phase is Phase.COMPLETING:
+                self._answer_completed(call, False, now)
+                continue
+            handed_on = call.phase in (Phase.HANDED_ON, Phase.CANCELLING)
+            self._attempts.let_go(call, now)
+            self._finish(call, _CUT_BY_STOP if handed_on else _STOPPING, now)
+
     # --- events of the agents' links ----------------------------------------------------------
 
     def link_opened(self, connection: ConnectionId, peer: Peer, now: float) -> None:
@@ -254,6 +260,24 @@
             self._first_untabled = now
         return now - self._first_untabled
 
+    def _admit(self, number: int, request: CallRequest, now: float) -> Call | Failure:
+        if self._gives_back:
+            return _STOPPING
+        admission = self._settings.admission
+        admitted = admit(
+            number,
+            request,
+            self._table,
+            self._limits,
+            admission,
+            self._splits,
+            now,
+            self._without_table(now),
+        )
+        if isinstance(admitted, Failure):
+            return unless_unproved(admitted, self._table_proved_at, admission, now)
+        return admitted
+
     # --- steps --------------------------------------------------------------------------------
 
     def _attempt(self, call: Call, now: float) -> None:
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -41,6 +41,7 @@
     ProxyReady,
     StopFinished,
     StopLimitNear,
+    StopLimitReached,
     StopRequested,
 )
 from limelever.proxy.calls import CallEngine, CallSettings
@@ -168,6 +169,8 @@
                 self._stopping = True
             case StopLimitNear():
                 self._engine.give_back_waiting(now)
+            case StopLimitReached():
+                self._engine.end_open(now)
             case DeadlineReached():
                 self._deadline_reached(event, now)
             case _:
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -23,6 +23,7 @@
     ProxyReady,
     StopFinished,
     StopLimitNear,
+    StopLimitReached,
     StopRequested,
 )
 from limelever.proxy.calls import CallSettings
@@ -41,7 +42,10 @@
 from limelever.transport.reload import SettingsFile
 
 GIVE_BACK_SECONDS = 0.5
-"""Before the stop limit: calls that still wait are answered, and the answers have time to leave."""
+"""Before the stop limit: calls that no back end has begun are asked back and answered."""
+
+LAST_ANSWERS_SECONDS = 0.2
+"""Before the stop limit: whatever is still open is answered, and the answers have time to leave."""
 
 _PERCENT = 100.0
 
@@ -162,25 +166,22 @@
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
         await shell.stop_requested.wait()
-        give_back_at = trio.current_time() + _give_back_after(settings)
+        limit_at = trio.current_time() + seconds(settings.stop_limit_ms)
         edge.leave()
         await trio.sleep(seconds(settings.edge.lame_duck_ms))
         edge.stop()
-        with trio.move_on_at(give_back_at):
+        with trio.move_on_at(limit_at - GIVE_BACK_SECONDS):
             await edge_ended.wait()
         runner.post(StopLimitNear())
+        with trio.move_on_at(limit_at - LAST_ANSWERS_SECONDS):
+            await edge_ended.wait()
+        runner.post(StopLimitReached())
         await edge_ended.wait()
         runner.post(StopRequested())
         await finished.wait()
         nursery.cancel_scope.cancel()
 
 
-def _give_back_after(settings: ProxySettings) -> float:
-    """Return how many seconds after the stop began calls that still wait are given back."""
-    limit, lame_duck = seconds(settings.stop_limit_ms), seconds(settings.edge.lame_duck_ms)
-    return max(lame_duck, limit - GIVE_BACK_SECONDS)
-
-
 async def _start_edge(edge: Edge, settings: ProxySettings, nursery: trio.Nursery) -> trio.Event:
     """Listen for callers; the event returned is set once the last of them was answered."""
     ended = trio.Event()
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -194,8 +194,8 @@
     """Run a role to its end and return the exit status.
 
     ``main`` builds its cores, serves, waits for ``stop_requested``, finishes what is in
-    flight and returns. SIGTERM and SIGINT request the stop; a second one ends at once. SIGHUP has
-    the settings read again from ``source``.
+    flight and returns. SIGTERM and SIGINT request the stop; SIGINT during a stop ends at once.
+    SIGHUP has the settings read again from ``source``.
     """
     try:
         configure_logging(settings.log, settings.role.value, settings.name)
@@ -280,8 +280,11 @@
                 shell.reloading.reload(signal.Signals(number).name)
                 continue
             if shell.stop_requested.is_set():
-                shell.nursery.cancel_scope.cancel()
-                return
+                if number == signal.SIGINT:
+                    shell.nursery.cancel_scope.cancel()
+                    return
+                # Whoever manages the process may ask twice: callers keep their answers.
+                continue
             write_event(events.PROCESS_STOPPING, {"reason": signal.Signals(number).name})
             shell.ready = False
             shell.stop_requested.set()
