--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 
 from msgspec import Struct
 
@@ -25,6 +26,8 @@
 """Most seconds of that advice, while no configuration comes: a source elects a leader in less."""
 
 
+STOPPING = Failure(ErrorKind.DRAINING, "this proxy stops before the call would have begun")
+
 _DECIDED_BY_TABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.METHOD_NOT_ALLOWED})
 """Refusals that a newer configuration may turn into service."""
 
@@ -40,40 +43,77 @@
     stale_after: float = 8.0
 
 
-def admit(
-    number: int,
-    request: CallRequest,
-    table: RouteTable | None,
-    limits: GroupLimits,
-    settings: AdmissionSettings,
-    splits: Splits,
-    now: float,
-    without_table: float = 0.0,
-) -> Call | Failure:
-    """Return the admitted call, counted in ``limits``, or the refusal to answer at once.
+class CallAdmission:
+    """Decides about calls that arrive, by the table held and by when that was proved current."""
+
+    def __init__(
+        self, settings: AdmissionSettings, limits: GroupLimits, random_source: random.Random
+    ) -> None:
+        self._settings = settings
+        self._limits = limits
+        self._splits = Splits(random_source)
+        self._table: RouteTable | None = None
+        self._first_untabled: float | None = None
+        self._stopping = False
+        self.proved_at: float | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the configuration version of the table, 0 while there is none."""
+        return self._table.version if self._table is not None else 0
+
+    def set_table(self, table: RouteTable) -> None:
+        """Route calls by this table from now on."""
+        self._table = table
+        self._splits.keep_only(table.route_names())
+
+    def table_proved(self, at: float) -> None:
+        """Take the time at which the table was known to be current (seconds, monotonic)."""
+        self.proved_at = at
+
+    def stop(self) -> None:
+        """Admit no call any more: the process ends before it could be served."""
+        self._stopping = True
+
+    def admit(self, number: int, request: CallRequest, now: float) -> Call | Failure:
+        """Return the admitted call, counted in the limits, or the refusal to answer at once."""
+        if self._stopping:
+            return STOPPING
+        if self._table is None:
+            return self._without_table(now)
+        route = self._table.match(request.method, request.target, request.host)
+        if isinstance(route, Failure):
+            return unless_unproved(route, self.proved_at, self._settings, now)
+        part = self._splits.choose(route)
+        refusal = _check(request, route, part)
+        if refusal is not None:
+            return refusal
+        share = ShareKey(part.service, request.group)
+        refusal = self._limits.admit(share, self._table.weight(part.service, request.group))
+        if refusal is not None:
+            return refusal
+        deadline = now + call_timeout(request, route, self._settings)
+        target = now + route.target_latency if route.target_latency else math.inf
+        return Call(
+            number,
+            request,
+            route,
+            part,
+            share,
+            deadline,
+            target,
+            arrived_at=now,
+            version=self._table.version,
+        )
 
-    ``without_table`` is for how many seconds calls have come while there was no table.
-    """
-    if table is None:
+    def _without_table(self, now: float) -> Failure:
+        if self._first_untabled is None:
+            self._first_untabled = now
         return Failure(
             ErrorKind.NO_CONFIGURATION,
             "no configuration is held yet",
-            retry_after=_configuration_advice(without_table),
+            retry_after=_configuration_advice(now - self._first_untabled),
         )
-    route = table.match(request.method, request.target, request.host)
-    if isinstance(route, Failure):
-        return route
-    part = splits.choose(route)
-    refusal = _check(request, route, part)
-    if refusal is not None:
-        return refusal
-    share = ShareKey(part.service, request.group)
-    refusal = limits.admit(share, table.weight(part.service, request.group))
-    if refusal is not None:
-        return refusal
-    deadline = now + call_timeout(request, route, settings)
-    target = now + route.target_latency if route.target_latency else math.inf
-    return Call(number, request, route, part, share, deadline, target)
 
 
 def unless_unproved(
--- a/src/limelever/proxy/call_log.py
+++ b/src/limelever/proxy/call_log.py
@@ -12,7 +12,6 @@
 from limelever.proxy.call_state import Call, Phase
 from limelever.proxy.call_types import CallAnswer, CallRequest
 from limelever.proxy.endpoints import EndpointEntry
-from limelever.proxy.router import RouteTable
 
 _MILLISECONDS = 1000.0
 
@@ -28,17 +27,18 @@
         self,
         request: CallRequest,
         failure: Failure,
-        table: RouteTable | None,
+        version: int,
         proved_at: float | None,
         now: float,
     ) -> None:
         """A call was refused before it was routed, or for want of room.
 
-        ``proved_at`` is when the table was last known to be current, ``None`` for never.
+        ``version`` is of the table held, 0 for none; ``proved_at`` is when that was last known to
+        be current, ``None`` for never.
         """
         fields: dict[str, object] = {
             "route": "",
-            "version": table.version if table is not None else 0,
+            "version": version,
             "service": "",
             **_failed(failure),
             "attempts": 0,
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -17,10 +17,10 @@
 from limelever.protocol.keeper_pb2 import RecordedAnswer
 from limelever.proxy import claims, events
 from limelever.proxy.admission import (
+    STOPPING,
     AdmissionSettings,
-    admit,
+    CallAdmission,
     call_timeout,
-    unless_unproved,
 )
 from limelever.proxy.attempts import Attempts
 from limelever.proxy.call_log import CallLog, open_calls
@@ -38,9 +38,7 @@
     with_retry_after,
 )
 from limelever.proxy.router import RouteTable
-from limelever.proxy.split import Splits
 
-_STOPPING = Failure(ErrorKind.DRAINING, "this proxy stops before the call would have begun")
 _CUT_BY_STOP = Failure(ErrorKind.OUTCOME_UNKNOWN, "this proxy stops before the answer came")
 _NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
 _UNDER_WAY = frozenset({Phase.HANDED_ON, Phase.CANCELLING, Phase.COMPLETING})
@@ -77,16 +75,13 @@
         self._calls = calls
         self._attempts = attempts
         self._limits = limits
+        self._admission = CallAdmission(settings.admission, limits, random_source)
         self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._outputs = outputs
         self._budgets = RetryBudgets(settings.retry.fleet_saved)
         self._second_percent = settings.retry.second_choice_percent
         self._second_choices = RetryBudgets()
-        self._splits = Splits(random_source)
         self._prior_waits = PriorWaits()
-        self._table: RouteTable | None = None
-        self._table_proved_at: float | None = None
-        self._first_untabled: float | None = None
         self._gives_back = False
         self._log = CallLog(settings.log, outputs)
         attempts.log = self._log
@@ -98,17 +93,16 @@
 
     def set_table(self, table: RouteTable) -> None:
         """Route new calls by this table; those in flight keep their route."""
-        self._table = table
+        self._admission.set_table(table)
         self._attempts.set_secret_names(table.secret_names)
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
-        self._splits.keep_only(table.route_names())
         self._prior_waits.keep_only(table.route_names())
         self._attempts.keep_only(table.route_names())
 
     def table_proved(self, at: float) -> None:
         """Take the time at which the table was known to be current (seconds, monotonic)."""
-        self._table_proved_at = at
+        self._admission.table_proved(at)
 
     def share_budgets_between(self, nodes: int) -> None:
         """Take the number of nodes whose proxies share the retries of a service."""
@@ -118,14 +112,13 @@
 
     def arrived(self, number: int, request: CallRequest, now: float) -> None:
         """Admit a call and begin it, or refuse it at once."""
-        admitted = self._admit(number, request, now)
+        admission = self._admission
+        admitted = admission.admit(number, request, now)
         if isinstance(admitted, Failure):
             refusal = with_retry_after(admitted)
-            self._log.not_admitted(request, refusal, self._table, self._table_proved_at, now)
+            self._log.not_admitted(request, refusal, admission.version, admission.proved_at, now)
             self._outputs.append(AnswerCall(number, refusal))
             return
-        admitted.arrived_at = now
-        admitted.version = self._table.version if self._table is not None else 0
         self._calls.add(admitted)
         route = admitted.route
         admitted.target -= self._prior_waits.waited(route.name, request.timeout)
@@ -162,6 +155,7 @@
         has begun keeps the time that is left.
         """
         self._gives_back = True
+        self._admission.stop()
         open_now = self._calls.all()
         if open_now:
             self._outputs.append(open_calls(open_now, now))
@@ -170,7 +164,7 @@
                 self._attempts.cancel_unless_begun(call)
             elif call.phase in (Phase.DIALLING, Phase.CLAIMING):
                 self._attempts.abandon(call, Verdict.NEUTRAL, now)
-                self._finish(call, _STOPPING, now)
+                self._finish(call, STOPPING, now)
 
     def end_open(self, now: float) -> None:
         """Give each call that is still open its final answer: the process ends.
@@ -185,7 +179,7 @@
                 continue
             handed_on = call.phase in (Phase.HANDED_ON, Phase.CANCELLING)
             self._attempts.let_go(call, now)
-            self._finish(call, _CUT_BY_STOP if handed_on else _STOPPING, now)
+            self._finish(call, _CUT_BY_STOP if handed_on else STOPPING, now)
 
     # --- events of the agents' links ----------------------------------------------------------
 
@@ -252,32 +246,6 @@
             else:
                 self._deadline_passed(call, now)
 
-    def _without_table(self, now: float) -> float:
-        """Return for how many seconds calls have come while there was no table."""
-        if self._table is not None:
-            return 0.0
-        if self._first_untabled is None:
-            self._first_untabled = now
-        return now - self._first_untabled
-
-    def _admit(self, number: int, request: CallRequest, now: float) -> Call | Failure:
-        if self._gives_back:
-            return _STOPPING
-        admission = self._settings.admission
-        admitted = admit(
-            number,
-            request,
-            self._table,
-            self._limits,
-            admission,
-            self._splits,
-            now,
-            self._without_table(now),
-        )
-        if isinstance(admitted, Failure):
-            return unless_unproved(admitted, self._table_proved_at, admission, now)
-        return admitted
-
     # --- steps --------------------------------------------------------------------------------
 
     def _attempt(self, call: Call, now: float) -> None:
