Say the last words of a stop where it is cut, and let calls have their time until then

Change: the shell says the last words itself, synchronously, before it cancels. The limit is announced by the clock, whatever the edge does. set_ready does nothing during a stop. The node ends its agent 0.2 s before the limit, so that proxies are told.

--- a/features/platform/stop_limit.feature
+++ b/features/platform/stop_limit.feature
@@ -10,15 +10,31 @@
   Scenario: Calls that are open at the end of a stop are answered
     Given a control process, and two nodes of the platform of which one has an instance
     When the other node is asked for two reads in a row that the instance holds, and to stop
-    Then each of its callers is told that the outcome is not known
+    Then each of its callers is told that the outcome is not known, when the time is nearly over
     And that node ended by itself with status 0, within its limit
 
     When that node has started again
     And the other node is asked for an upload that the instance holds, and to stop 2 times
-    Then each of its callers is told that the outcome is not known
+    Then each of its callers is told that the outcome is not known, when the time is nearly over
     And that node ended by itself with status 0, within its limit
 
     When that node has started again
     And the other node is asked for an upload while the instance's node is frozen, and to stop
-    Then each of its callers is told that the outcome is not known
+    Then each of its callers is told that the outcome is not known, when the time is nearly over
     And that node ended by itself with status 0, within its limit
+
+  Scenario: A node that is held up over its limit still has the last word
+    A process that was held up finds all its deadlines passed at once. The last answers came from a task beside the one
+    that cut everything off: 2 of 8 runs left the caller without a byte.
+    Given a control process, and two nodes of the platform of which one has an instance
+    When the other node is asked for an upload that the instance holds, and to stop, and is frozen over its limit
+    Then each of its callers is told that the outcome is not known, when the time is nearly over
+    And that node ended by itself with status 0
+
+  Scenario: A call that may not be repeated has its time though its caller has left
+    Given a control process, and two nodes of the platform of which one has an instance
+    When the caller of an upload that the instance holds leaves, and the other node is asked to stop
+    Then that node goes on past the time in which it takes calls
+    When the instance lets the upload go
+    Then that node ended by itself with status 0, within its limit
+    And it did not find a call open near its limit
--- a/features/steps/platform_machines.py
+++ b/features/steps/platform_machines.py
@@ -25,6 +25,7 @@
     "bounds.graceS": str(GRACE_SECONDS),
     "bounds.contactMs": "3000",
     "bounds.drainMs": "2000",
+    "bounds.configApplyMs": "2000",
     "bounds.budgetSlack": "64",
     "limits.linkMbps": "1000.0",
 }
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -209,6 +209,7 @@
     "bounds.graceS": "6",
     "bounds.contactMs": "3000",
     "bounds.drainMs": "2000",
+    "bounds.configApplyMs": "2000",
     "bounds.budgetSlack": "64",
     "limits.linkMbps": "2.35",
 }
@@ -260,7 +261,13 @@
     "below 0": "-1",
     "not finite": "inf",
 }
-NODE_NUMBERS = ("bounds.graceS", "bounds.drainMs", "bounds.budgetSlack", "limits.linkMbps")
+NODE_NUMBERS = (
+    "bounds.graceS",
+    "bounds.drainMs",
+    "bounds.configApplyMs",
+    "bounds.budgetSlack",
+    "limits.linkMbps",
+)
 CONTROL_NUMBERS = ("bounds.graceS", "bounds.contactMs")
 NODE_NEEDS = ("nodeName", "zone", "ip", "service", "appAddr", "listenAddrs.outbound", "portRange")
 CONTROL_NEEDS = (
--- a/features/steps/stop_limit_steps.py
+++ b/features/steps/stop_limit_steps.py
@@ -35,7 +35,14 @@
 
 BETWEEN_SIGNALS_SECONDS = 0.2
 STOP_LIMIT_PASSED = "stop-limit-passed"
-UNKNOWN_STATUSES = (b"502", b"504")
+CALLS_OPEN_AT_STOP = "calls-open-at-stop"
+STOP_LIMIT_SECONDS = 0.9 * GRACE_SECONDS
+LAME_DUCK_SECONDS = 0.47 * STOP_LIMIT_SECONDS
+LEAST_TIME_OF_CALLS = 0.8 * GRACE_SECONDS
+"""Seconds after SIGTERM before which no open call is given up."""
+
+FROZEN_FROM, FROZEN_UNTIL = STOP_LIMIT_SECONDS - 0.4, STOP_LIMIT_SECONDS + 0.1
+UNKNOWN_ANSWER = re.compile(rb"HTTP/1\.1 502 [^{]*x-limelever-outcome: unknown")
 
 
 class AloneControl(ControlMachine):
@@ -76,6 +83,7 @@
 
     def __init__(self, node, data):
         self.answers = b""
+        self.answered_at = 0.0
         self._socket = socket.create_connection((node.ip, OUTBOUND_PORT), PATIENCE_SECONDS)
         self._socket.sendall(data)
         self._reader = threading.Thread(target=self._read)
@@ -84,6 +92,7 @@
     def _read(self):
         try:
             while part := self._socket.recv(65536):
+                self.answered_at = self.answered_at or time.monotonic()
                 self.answers += part
         except OSError:
             return
@@ -94,6 +103,9 @@
         self._reader.join(PATIENCE_SECONDS)
         return self.answers
 
+    def leave(self):
+        self._socket.shutdown(socket.SHUT_RDWR)
+
 
 def request(kind, name, body=b""):
     method = "POST" if kind == WRITE else "GET"
@@ -159,44 +171,111 @@
 def upload_to_frozen(context):
     context.second.send(signal.SIGSTOP)
     context.expected = 1
-    ask_and_stop(context, request(WRITE, "upload", bytes(UPLOAD_BYTES)))
+    connection = Connection(context.first, request(WRITE, "upload", bytes(UPLOAD_BYTES)))
+    time.sleep(HELD_UNTIL_SEEN)
+    stop_and_wait(context, connection)
 
 
 @when("the other node is asked for two reads in a row that the instance holds, and to stop")
 def reads_held(context):
     context.runs.hold()
     context.expected = 2
-    ask_and_stop(context, request(READ, "first") + request(READ, "second"))
+    connection = send_held(context, request(READ, "first") + request(READ, "second"), 2)
+    stop_and_wait(context, connection)
 
 
 @when("the other node is asked for an upload that the instance holds, and to stop {times:d} times")
 def upload_held(context, times):
+    stop_and_wait(context, hold_upload(context), times)
+
+
+@when(
+    "the other node is asked for an upload that the instance holds, and to stop, "
+    "and is frozen over its limit"
+)
+def upload_held_over_the_limit(context):
+    connection = hold_upload(context)
+    asked_at = time.monotonic()
+    context.first.send(signal.SIGTERM)
+    time.sleep(asked_at + FROZEN_FROM - time.monotonic())
+    context.first.send(signal.SIGSTOP)
+    time.sleep(asked_at + FROZEN_UNTIL - time.monotonic())
+    context.first.send(signal.SIGCONT)
+    wait_for_end(context, connection, asked_at)
+
+
+@when("the caller of an upload that the instance holds leaves, and the other node is asked to stop")
+def caller_leaves(context):
+    hold_upload(context).leave()
+    context.asked_at = time.monotonic()
+    context.first.send(signal.SIGTERM)
+
+
+@then("that node goes on past the time in which it takes calls")
+def check_goes_on(context):
+    time.sleep(LAME_DUCK_SECONDS + HELD_UNTIL_SEEN)
+    assert context.first.running
+
+
+@when("the instance lets the upload go")
+def instance_lets_go(context):
+    context.runs.let_go()
+    context.status = context.first.process.wait(PATIENCE_SECONDS)
+    context.seconds = time.monotonic() - context.asked_at
+
+
+def hold_upload(context):
     context.runs.hold()
     context.expected = 1
-    ask_and_stop(context, request(WRITE, "upload", bytes(UPLOAD_BYTES)), times)
+    return send_held(context, request(WRITE, "upload", bytes(UPLOAD_BYTES)), 1)
 
 
-def ask_and_stop(context, data, times=1):
+def send_held(context, data, calls):
+    """Send requests, and wait until the instance has begun them."""
+    begun = context.runs.by_id.total()
     connection = Connection(context.first, data)
-    time.sleep(HELD_UNTIL_SEEN)
+    wait_until(lambda: context.runs.by_id.total() == begun + calls, "the instance runs them")
+    return connection
+
+
+def stop_and_wait(context, connection, times=1):
     asked_at = time.monotonic()
     for _ in range(times):
         context.first.send(signal.SIGTERM)
         time.sleep(BETWEEN_SIGNALS_SECONDS)
+    wait_for_end(context, connection, asked_at)
+
+
+def wait_for_end(context, connection, asked_at):
     context.status = context.first.process.wait(PATIENCE_SECONDS)
     context.seconds = time.monotonic() - asked_at
     context.answers = connection.ended()
+    context.answered_after = connection.answered_at - asked_at
 
 
-@then("each of its callers is told that the outcome is not known")
+@then("each of its callers is told that the outcome is not known, when the time is nearly over")
 def check_told(context):
-    statuses = re.findall(rb"HTTP/1\.1 (\d+) ", context.answers)
-    assert len(statuses) == context.expected, context.answers
-    assert all(status in UNKNOWN_STATUSES for status in statuses), statuses
+    answers = UNKNOWN_ANSWER.findall(context.answers)
+    assert len(answers) == context.expected, context.answers
+    assert context.answers.count(b"HTTP/1.1 ") == context.expected, context.answers
+    assert context.answered_after > LEAST_TIME_OF_CALLS, context.answered_after
+
+
+@then("that node ended by itself with status 0")
+def check_status(context):
+    assert context.status == 0, context.status
 
 
 @then("that node ended by itself with status 0, within its limit")
 def check_ended(context):
-    assert context.status == 0 and context.seconds < GRACE_SECONDS, vars(context.first)
-    passed = [e for e in context.first.events() if e.get("event") == STOP_LIMIT_PASSED]
-    assert not passed, passed
+    assert context.status == 0 and context.seconds < GRACE_SECONDS, context.seconds
+    assert not events_of(context, STOP_LIMIT_PASSED)
+
+
+@then("it did not find a call open near its limit")
+def check_none_open(context):
+    assert not events_of(context, CALLS_OPEN_AT_STOP)
+
+
+def events_of(context, name):
+    return [event for event in context.first.events() if event.get("event") == name]
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -20,6 +20,7 @@
     BackendProbed,
     ConfigurationShared,
     DrainFinished,
+    DrainLimitReached,
     DrainRequested,
     RelaysShared,
 )
@@ -199,7 +200,7 @@
                 return self._warm(self._cold_start.probed(healthy), now)
             case DrainRequested():
                 return self._begin_drain(now)
-            case BackendGone():
+            case BackendGone() | DrainLimitReached():
                 return self._finish(now)
             case PublishersListed(addresses):
                 self._registration.extend_relays(addresses)
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -97,3 +97,7 @@
 
 class DrainRequested(Event, frozen=True):
     """A planned stop begins."""
+
+
+class DrainLimitReached(Event, frozen=True):
+    """The process ends now, whatever time the drain would have left."""
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -23,6 +23,7 @@
     BackendGone,
     ConfigurationShared,
     DrainFinished,
+    DrainLimitReached,
     DrainRequested,
     RelaysShared,
 )
@@ -118,6 +119,11 @@
         while self._under_way:
             await next(iter(self._under_way)).wait()
 
+    def cut_off(self) -> None:
+        """Tell the proxies whose calls still run that they are given up: the process ends."""
+        if self._current is not None:
+            self._current.runner.post(DrainLimitReached())
+
     def _relays_listed(self, relays: tuple[Address, ...]) -> None:
         self._settings = attrs.evolve(self._settings, relays=relays)
         if self._current is not None:
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -9,12 +9,18 @@
 import attrs
 import trio
 
+from limelever.common.settings import seconds
 from limelever.node.agents import InstanceAgents
 from limelever.node.reports import InstanceReport
 from limelever.node.settings import NodeSettings, proxy_settings
 from limelever.proxy import process as proxy_process
 from limelever.transport.gateway import Gateway, start_gateways
-from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.process import (
+    LAST_WORDS_SECONDS,
+    ProcessFailedError,
+    ProcessShell,
+    run_role,
+)
 from limelever.transport.reload import SettingsFile
 
 
@@ -72,6 +78,8 @@
                 proxy_process.serve, proxy_settings(settings), shell, agents.told_by_proxy
             )
             await shell.stop_requested.wait()
-            await trio.sleep(settings.edge.lame_duck_ms / 1000.0)
-            await agents.stop()
+            await trio.sleep(seconds(settings.edge.lame_duck_ms))
+            with trio.move_on_at(shell.stop_limit_at - LAST_WORDS_SECONDS):
+                await agents.stop()
+            agents.cut_off()
         done.set()
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -28,8 +28,15 @@
 
 STOPPING = Failure(ErrorKind.DRAINING, "this proxy stops before the call would have begun")
 
-_DECIDED_BY_TABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.METHOD_NOT_ALLOWED})
-"""Refusals that a newer configuration may turn into service."""
+_DECIDED_BY_TABLE = frozenset(
+    {
+        ErrorKind.NO_ROUTE,
+        ErrorKind.METHOD_NOT_ALLOWED,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.IDEMPOTENCY_KEY_MISSING,
+    }
+)
+"""Refusals for good that a newer configuration may turn into service."""
 
 
 class AdmissionSettings(Struct, frozen=True):
@@ -87,7 +94,7 @@
         part = self._splits.choose(route)
         refusal = _check(request, route, part)
         if refusal is not None:
-            return refusal
+            return unless_unproved(refusal, self.proved_at, self._settings, now)
         share = ShareKey(part.service, request.group)
         refusal = self._limits.admit(share, self._table.weight(part.service, request.group))
         if refusal is not None:
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -38,14 +38,18 @@
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
-from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
+from limelever.transport.process import (
+    LAST_WORDS_SECONDS,
+    ProcessFailedError,
+    ProcessShell,
+    run_role,
+)
 from limelever.transport.reload import SettingsFile
+from limelever.transport.runner import CoreRunner
 
 GIVE_BACK_SECONDS = 0.5
-"""Before the stop limit: calls that no back end has begun are asked back and answered."""
-
-LAST_ANSWERS_SECONDS = 0.2
-"""Before the stop limit: whatever is still open is answered, and the answers have time to leave."""
+"""Before the stop limit, calls that no back end has begun are asked back and answered: a choice, a
+round trip to a busy agent comes before the last words."""
 
 _PERCENT = 100.0
 
@@ -165,23 +169,26 @@
         shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
+        shell.last_words.append(lambda: runner.post(StopLimitReached()))
         await shell.stop_requested.wait()
-        limit_at = trio.current_time() + seconds(settings.stop_limit_ms)
+        nursery.start_soon(_announce_limit, shell.stop_limit_at, runner)
         edge.leave()
         await trio.sleep(seconds(settings.edge.lame_duck_ms))
         edge.stop()
-        with trio.move_on_at(limit_at - GIVE_BACK_SECONDS):
-            await edge_ended.wait()
-        runner.post(StopLimitNear())
-        with trio.move_on_at(limit_at - LAST_ANSWERS_SECONDS):
-            await edge_ended.wait()
-        runner.post(StopLimitReached())
         await edge_ended.wait()
         runner.post(StopRequested())
         await finished.wait()
         nursery.cancel_scope.cancel()
 
 
+async def _announce_limit(limit_at: float, runner: CoreRunner) -> None:
+    """Tell the core in time that the process ends at ``limit_at`` (seconds, monotonic)."""
+    await trio.sleep_until(limit_at - GIVE_BACK_SECONDS)
+    runner.post(StopLimitNear())
+    await trio.sleep_until(limit_at - LAST_WORDS_SECONDS)
+    runner.post(StopLimitReached())
+
+
 async def _start_edge(edge: Edge, settings: ProxySettings, nursery: trio.Nursery) -> trio.Event:
     """Listen for callers; the event returned is set once the last of them was answered."""
     ended = trio.Event()
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -100,6 +100,7 @@
             "TLS needs certificate and key, or none",
             lambda certificate, key: bool(certificate) == bool(key),
         ),
+        Clash(("edge.lame_duck_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
         Clash(
             ("edge.max_body_bytes", "edge.buffered_bytes"),
             "must not exceed edge.buffered_bytes",
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -41,6 +41,10 @@
 _OBJECTS_BETWEEN_COLLECTIONS = 5000
 """Objects made and not freed between two collections; Python's own 700 is a call's worth or two."""
 
+LAST_WORDS_SECONDS = 0.2
+"""Before the limit of a stop, whoever still waits is answered: a choice, some round trips and turns
+of a busy process, so that the answers leave before the process does."""
+
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -74,6 +78,8 @@
         self.reloading = Reloading(settings, source)
         self.nursery = nursery
         self.stop_requested = trio.Event()
+        self.stop_limit_at = math.inf
+        self.last_words: list[Callable[[], None]] = []
         self.ready = False
         READY.set_function(lambda: float(self.ready))
         self.incarnation = incarnation
@@ -158,8 +164,8 @@
         return bound
 
     def set_ready(self) -> None:
-        """Say that the process serves."""
-        if not self.ready:
+        """Say that the process serves, unless it stops."""
+        if not self.ready and not self.stop_requested.is_set():
             self.ready = True
             fields: dict[str, object] = {
                 "role": self.settings.role.value,
@@ -167,6 +173,23 @@
             }
             write_event(events.PROCESS_READY, fields)
 
+    def begin_stop(self) -> None:
+        """Begin the planned stop; it has ``stop_limit_ms`` from now on."""
+        self.ready = False
+        self.stop_limit_at = trio.current_time() + seconds(self.settings.stop_limit_ms)
+        self.stop_requested.set()
+        self.nursery.start_soon(_enforce_stop_limit, self)
+
+    def cut(self) -> None:
+        """End the process at once, after the last words to whoever still waits.
+
+        They are said here and not by tasks of their own: a process that was held up finds all its
+        deadlines passed at once, and which of its tasks runs first is not known.
+        """
+        for say in self.last_words:
+            say()
+        self.nursery.cancel_scope.cancel()
+
     def fail(self, failure: Failure) -> None:
         """End the process with a failure; the first one given is reported."""
         if self._failure is None:
@@ -281,17 +304,15 @@
                 continue
             if shell.stop_requested.is_set():
                 if number == signal.SIGINT:
-                    shell.nursery.cancel_scope.cancel()
+                    shell.cut()
                     return
-                # Whoever manages the process may ask twice: callers keep their answers.
+                # Whoever manages the process may ask twice: what is under way keeps its time.
                 continue
             write_event(events.PROCESS_STOPPING, {"reason": signal.Signals(number).name})
-            shell.ready = False
-            shell.stop_requested.set()
-            shell.nursery.start_soon(_enforce_stop_limit, shell)
+            shell.begin_stop()
 
 
 async def _enforce_stop_limit(shell: ProcessShell) -> None:
-    await trio.sleep(seconds(shell.settings.stop_limit_ms))
+    await trio.sleep_until(shell.stop_limit_at)
     write_event(events.STOP_LIMIT_PASSED, {"limit_ms": shell.settings.stop_limit_ms})
-    shell.nursery.cancel_scope.cancel()
+    shell.cut()
