Test what a proxy's core tells at the limit of a stop and by an unproved configuration

A call past its deadline at the limit, an order without its key, a refusal that no configuration changes, and the age that the core takes from the settings; each of these could be left out before without a failing scenario.

--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -220,7 +220,17 @@
     And 1 call was handed on
     And the proxy has finished stopping
 
-  Scenario: At the stop limit, a call that waits for its claim or its link is answered as not run
+  Scenario: At the stop limit, a call whose deadline has passed is answered once, as unknown
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 2.0 seconds pass at the proxy
+    And the proxy is asked to stop
+    And the proxy's stop limit is reached
+    And the agent answers the call
+    Then the caller of call 1 was told "backend-failed" and outcome "unknown"
+    And the proxy has finished stopping
+
+  Scenario: At the stop limit, a call that waits for its link is answered as not run
     Given a proxy with one endpoint whose agent accepts no link
     When a caller asks the proxy for "/orders/1"
     And the proxy is asked to stop
--- a/features/proxy/unproved_configuration.feature
+++ b/features/proxy/unproved_configuration.feature
@@ -12,6 +12,24 @@
     Then the proxy refused call 1 as "stale" with a retry time
     And the caller of call 1 was told "stale" and outcome "not-run"
 
+  Scenario: A key that a route asks for, while the configuration is not proved current
+    Given a proxy with one endpoint
+    When the proxy's relay falls silent
+    And 9.0 seconds pass at the proxy
+    And a caller places an order without a key
+    Then the proxy refused call 1 as "stale" with a retry time
+
+  Scenario: A refusal that no configuration changes
+    Given a proxy with one endpoint
+    When the proxy's relay falls silent
+    And 9.0 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/../admin"
+    Then the proxy refused call 1 as "invalid-request"
+
+  Scenario: A proxy takes the age from its settings
+    Given settings of a proxy whose configuration.stale_after_ms is 1300
+    Then its core tells of a missing route by a proof of at most 1.3 seconds
+
   Scenario: A path without a route, once the configuration is proved current again
     Given a proxy with one endpoint
     When the proxy's relay falls silent
--- a/features/steps/unproved_configuration_steps.py
+++ b/features/steps/unproved_configuration_steps.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from behave import when
+from behave import given, then, when
 from behave.runner import Context
 
+from limelever.common.sansio import Address, Role
+from limelever.proxy.process import core_settings
+from limelever.proxy.settings import ConfigurationSettings, EdgeSettings, ProxySettings
+
 
 @when("the proxy's relay falls silent")
 def relay_falls_silent(context: Context) -> None:
@@ -14,3 +18,24 @@
 @when("the proxy's relay speaks again")
 def relay_speaks_again(context: Context) -> None:
     context.proxy.relay_answers = True
+
+
+@given("settings of a proxy whose configuration.stale_after_ms is {milliseconds:d}")
+def given_proxy_settings(context: Context, milliseconds: int) -> None:
+    here = Address("127.0.0.1", 1)
+    context.settings = ProxySettings(
+        role=Role.PROXY,
+        name="proxy-1",
+        zone="one",
+        services=("orders",),
+        relays=(here,),
+        edge=EdgeSettings(listen=here),
+        configuration=ConfigurationSettings(stale_after_ms=milliseconds, probe_interval_ms=500),
+    )
+
+
+@then("its core tells of a missing route by a proof of at most {seconds:f} seconds")
+def check_core_settings(context: Context, seconds: float) -> None:
+    settings = core_settings(context.settings)
+    assert settings.calls.admission.stale_after == seconds, settings.calls.admission
+    assert settings.subscriber.stale_after == seconds, settings.subscriber
