Soak the platform's processes with callers that keep connections, under strikes that overlap

Callers now keep connections while a node stops, pipeline, send bodies and wait longer than a stop takes; strikes come in series that overlap, changes in quick succession, two at once among them.

--- /dev/null
+++ b/features/steps/journal_instances.py
@@ -0,0 +1,87 @@
+"""Instances beside nodes that take as long as a request says, and keep a journal of their work."""
+
+from __future__ import annotations
+
+import threading
+import time
+import zlib
+from collections import defaultdict
+from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler
+
+from platform_machines import NodeMachine
+from platform_traffic import OK, Instance
+
+MILLISECONDS = 1000
+LATE = 504
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One run of a request at an instance, in monotonic seconds; it isn't given up half-way."""
+
+    instance: str
+    path: str
+    begun_at: float
+    ends_at: float
+
+
+class Journal:
+    """What all instances worked on, by request."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._by_request: dict[str, list[Work]] = defaultdict(list)
+
+    def note(self, request: str, work: Work) -> None:
+        with self._lock:
+            self._by_request[request].append(work)
+
+    def of(self, request: str) -> list[Work]:
+        with self._lock:
+            return list(self._by_request.get(request, ()))
+
+
+def answer_to(request: str, body: bytes) -> bytes:
+    """Return the whole answer to a request: its id, and what arrived of its body."""
+    return f"{request} {len(body)} {zlib.crc32(body)}".encode()
+
+
+class JournalInstance(Instance):
+    """An instance that keeps a journal."""
+
+    def __init__(self, machine: NodeMachine, journal: Journal) -> None:
+        self.journal, self.name = journal, machine.name
+        super().__init__(machine, runs=None)
+        self.RequestHandlerClass = JournalHandler
+
+
+class JournalHandler(BaseHTTPRequestHandler):
+    """One request; the last part of its path is how many milliseconds it takes.
+
+    It stops at the deadline that it is given, and says so.
+    """
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):  # noqa: N802
+        request = self.headers.get("Limelever-Attempt-Id", "")
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        asked = int(self.path.rsplit("/", 1)[1])
+        left = int(self.headers["Limelever-Deadline-Ms"])
+        seconds = min(asked, left) / MILLISECONDS
+        begun_at = time.monotonic()
+        work = Work(self.server.name, self.path, begun_at, begun_at + seconds)
+        self.server.journal.note(request, work)
+        time.sleep(seconds)
+        answer = answer_to(request, body)
+        self.send_response(OK if asked < left else LATE)
+        self.send_header("Limelever-Attempt-Id", request)
+        self.send_header("Content-Length", str(len(answer)))
+        self.end_headers()
+        self.wfile.write(answer)
+
+    do_POST = do_GET  # noqa: N815
+
+    def log_message(self, *arguments):
+        """Print nothing."""
--- /dev/null
+++ b/features/steps/strike_log.py
@@ -0,0 +1,67 @@
+"""What was done to which machine, and when: what the promises are judged by."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+
+STOP, RELOAD, START, SETTINGS = "SIGTERM", "SIGHUP", "start", "settings"
+KILL, PAUSE = "SIGKILL", "SIGSTOP"
+UNPLANNED = frozenset({KILL, PAUSE})
+
+
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """Something done to a machine, at a moment in monotonic seconds."""
+
+    at: float
+    machine: str
+    what: str
+    is_control: bool
+
+
+class StrikeLog:
+    """Strikes by time; unplanned ones last until what they struck is back."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._strikes: list[Strike] = []
+        self._unplanned: dict[str, float] = {}
+        self._unplanned_over: list[tuple[float, float]] = []
+
+    def note(self, machine, what: str) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._strikes.append(Strike(now, machine.name, what, machine.role == "control"))
+            if what in UNPLANNED:
+                self._unplanned[machine.name] = now
+        print(f"{now:10.3f}  {what} {machine.name}", flush=True)
+
+    def is_out(self, machine) -> bool:
+        """Return whether something unplanned came to a machine that isn't back."""
+        with self._lock:
+            return machine.name in self._unplanned
+
+    def unplanned_over(self, machine) -> None:
+        """Note that a machine is back after an unplanned strike."""
+        now = time.monotonic()
+        with self._lock:
+            self._unplanned_over.append((self._unplanned.pop(machine.name), now))
+
+    def had_unplanned(self, begin: float, end: float) -> bool:
+        """Return whether any machine was struck by something unplanned in a span."""
+        with self._lock:
+            if any(at <= end for at in self._unplanned.values()):
+                return True
+            return any(first <= end and last >= begin for first, last in self._unplanned_over)
+
+    def of(self, machine: str, begin: float, end: float) -> list[Strike]:
+        """Return the strikes of a machine in a span."""
+        with self._lock:
+            return [s for s in self._strikes if s.machine == machine and begin <= s.at <= end]
+
+    def of_control(self, begin: float, end: float) -> list[Strike]:
+        """Return the strikes of control machines in a span."""
+        with self._lock:
+            return [s for s in self._strikes if s.is_control and begin <= s.at <= end]
