Name each added route once, and overload half of the rounds

Half of the rounds now bring more work than the instances have slots for, so that requests wait at nodes when these are stopped.

--- a/features/steps/kept_callers.py
+++ b/features/steps/kept_callers.py
@@ -26,9 +26,11 @@
 LEAST_BODY_BYTES, MOST_BODY_BYTES = 20_000, 200_000
 MOST_PIPELINED = 3
 USUAL_WORK_MS, LONG_WORK_MS = 20, 5500
-SHARE_OF_LONG_WORK = {False: 0.05, True: 0.4}
-"""Of requests, for callers that aren't patient and those that are."""
+SHARES_OF_LONG_WORK = {False: (0.05, 0.4), True: (0.4, 0.9)}
+"""By whether a round is overloaded: of requests of callers that aren't patient and those that are.
+Overloaded, more work comes than the instances have slots for, and requests wait at the nodes."""
 
+SHARE_OF_OVERLOAD = 0.5
 SMALL_BODY = b"{}"
 SHARE_TO_ANY_NODE = 0.1
 SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.02, 0.3
@@ -85,6 +87,8 @@
     """Threads, some for each node, each with one connection that it keeps."""
 
     def __init__(self, nodes: list[NodeMachine], for_each: int, seed: int, round_: int) -> None:
+        self._overloaded = random.Random(f"load-{seed}-{round_}").random() < SHARE_OF_OVERLOAD
+        print(f"overloaded: {self._overloaded}", flush=True)
         self.ended: list[Exchange] = []
         self.unasked: list[str] = []
         self.connections = 0
@@ -107,7 +111,9 @@
 
     def _run(self, home: NodeMachine, number: int, seed: str) -> None:
         draw = random.Random(seed)
-        caller = Caller(draw, HABITS[number % len(HABITS)], f"{self._round:02x}{number:04x}")
+        habit = HABITS[number % len(HABITS)]
+        long_share = SHARES_OF_LONG_WORK[self._overloaded][habit == PATIENT]
+        caller = Caller(draw, habit, f"{self._round:02x}{number:04x}", long_share)
         while not self._over.is_set():
             node = self._target(home, draw)
             try:
@@ -145,8 +151,9 @@
 class Caller:
     """Draws what one caller sends."""
 
-    def __init__(self, draw: random.Random, habit: str, prefix: str) -> None:
+    def __init__(self, draw: random.Random, habit: str, prefix: str, long_share: float) -> None:
         self._draw, self._habit, self._prefix = draw, habit, prefix
+        self._long_share = long_share
         self._count = 0
 
     def pause(self) -> float:
@@ -162,7 +169,7 @@
         kind = {PIPELINING: READ, UPLOADING: UPLOAD}.get(habit) or draw.choice((READ, WRITE))
         is_patient = habit == PATIENT or draw.random() < 0.5
         work = USUAL_WORK_MS
-        if draw.random() < SHARE_OF_LONG_WORK[habit == PATIENT]:
+        if draw.random() < self._long_share:
             work = draw.randint(USUAL_WORK_MS, LONG_WORK_MS)
         self._count += 1
         return Exchange(
--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 import threading
@@ -92,6 +93,7 @@
         self._thread: threading.Thread | None = None
         self._lock = threading.Lock()
         self._news = RouteNews({}, {}, {}, {})
+        self._names = itertools.count(1)
         self._taken: list[tuple[float, int]] = []
         self.current = Change(0, 0, ())
         self.broken: list[str] = []
@@ -131,7 +133,7 @@
 
     def change(self) -> None:
         """Put one change, which must be taken."""
-        change = self._next("a")
+        change = self._next()
         if self._put(change, self._draw.getrandbits(32)) == OK:
             self._take(change)
         else:
@@ -139,7 +141,7 @@
 
     def race(self) -> None:
         """Put two changes on the same version at once, of which just one must be taken."""
-        first, second = self._next("a"), self._next("b")
+        first, second = self._next(), self._next()
         if self._draw.random() < 0.5:
             second = replace(second, number=first.number)
         seeds = self._draw.getrandbits(32), self._draw.getrandbits(32)
@@ -168,9 +170,10 @@
         if number == self.current.number and answer.body != self.current.document():
             self.broken.append(f"a read of r{number} gave another document")
 
-    def _next(self, operator: str) -> Change:
+    def _next(self) -> Change:
+        """Return a change to put; its route's name is used once, its number maybe again."""
         number = self.current.number + self._draw.randint(1, LARGEST_STEP)
-        routes = (*self.current.routes, f"p{number}{operator}")[-KEPT_ROUTES:]
+        routes = (*self.current.routes, f"p{next(self._names)}")[-KEPT_ROUTES:]
         return Change(number, self.current.number, routes)
 
     def _take(self, change: Change) -> None:
