--- /dev/null
+++ b/features/platform/kept_connections_audit.feature
@@ -0,0 +1,54 @@
+Feature: The audit of requests on kept connections
+  The soak of kept connections judges requests from outside, by what callers, instances and the
+  strikes tell. Here it gets single requests whose verdict is known.
+
+  Scenario Outline: A connection that ends without an answer
+    Given a request sent <sent> s after SIGTERM to its node, and closed <closed> s after it
+    And an instance that <ran>
+    And <unplanned> of another machine
+    Then the request counts as <verdict>
+
+    Examples: Read and not answered
+      | sent | closed | ran                          | unplanned | verdict            |
+      | -1.0 | 5.1    | never got it                 | nothing   | broken             |
+      | 1.0  | 1.5    | never got it                 | nothing   | broken             |
+      | 1.0  | 1.1    | was at work from 1.0 to 1.05 | nothing   | broken             |
+      | 1.0  | 5.1    | was at work from 1.0 to 4.0  | nothing   | broken             |
+      | 1.0  | 4.5    | was at work from 1.0 to 8.0  | nothing   | broken             |
+      | 3.5  | 5.1    | was at work from 3.5 to 8.0  | nothing   | broken             |
+      | 1.0  | 1.5    | never got it                 | SIGKILL 4.0 to 3.5 s before it | broken |
+
+    Examples: Allowed
+      | sent | closed | ran                          | unplanned | verdict            |
+      | 1.0  | 1.1    | never got it                 | nothing   | not read           |
+      | 1.0  | 5.1    | was at work from 1.0 to 8.0  | nothing   | at work at the end |
+      | -4.0 | 4.0    | never got it                 | nothing   | late               |
+      | 1.0  | 1.5    | never got it                 | SIGKILL 2.5 to 2.0 s before it | unplanned |
+
+  Scenario Outline: An answer
+    Given a request of kind <kind> that was answered <status> and ran <runs> times
+    Then the request counts as <verdict>
+
+    Examples:
+      | kind   | status | runs | verdict |
+      | read   | 200    | 2    | kept    |
+      | write  | 200    | 1    | kept    |
+      | write  | 503    | 0    | kept    |
+      | upload | 502    | 1    | kept    |
+      | write  | 200    | 2    | broken  |
+      | upload | 504    | 2    | broken  |
+      | write  | 503    | 1    | broken  |
+      | upload | 429    | 1    | broken  |
+      | read   | 200    | 0    | broken  |
+      | read   | 404    | 0    | broken  |
+
+  Scenario: An answer that belongs to another request
+    Given a request of kind read that was answered 200 and ran 1 times
+    And whose answer names another
+    Then the request counts as broken
+
+  Scenario: Plans strike two control machines at most, and each machine ends running
+    When the plans of 300 seeds are drawn for 5 control machines and 6 nodes
+    Then no round strikes more than 2 control machines but by turns
+    And each machine is started after its last stop and resumed after its last pause
+    And the plans hold every kind of step
--- a/features/steps/strike_log.py
+++ b/features/steps/strike_log.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 STOP, RELOAD, START, SETTINGS = "SIGTERM", "SIGHUP", "start", "settings"
@@ -24,14 +25,15 @@
 class StrikeLog:
     """Strikes by time; unplanned ones last until what they struck is back."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._lock = threading.Lock()
         self._strikes: list[Strike] = []
         self._unplanned: dict[str, float] = {}
         self._unplanned_over: list[tuple[float, float]] = []
 
     def note(self, machine, what: str) -> None:
-        now = time.monotonic()
+        now = self._clock()
         with self._lock:
             self._strikes.append(Strike(now, machine.name, what, machine.role == "control"))
             if what in UNPLANNED:
@@ -45,7 +47,7 @@
 
     def unplanned_over(self, machine) -> None:
         """Note that a machine is back after an unplanned strike."""
-        now = time.monotonic()
+        now = self._clock()
         with self._lock:
             self._unplanned_over.append((self._unplanned.pop(machine.name), now))
 
