--- a/features/steps/route_questions.py
+++ b/features/steps/route_questions.py
@@ -14,7 +14,7 @@
 
 CONTACT_SECONDS = 3.0
 STRETCH_SECONDS = 5.0
-"""As much longer a change may take while control machines are struck; a bound of the platform."""
+"""As much longer a change may take while control machines stop or start; a bound of the platform."""
 
 PAUSE_SECONDS = 0.1
 MISSING = 404
@@ -78,14 +78,14 @@
 
     def _bound(self, now: float) -> float:
         """Return how long a change may take now, in seconds."""
-        struck = self._strikes.of_control(now - CONTACT_SECONDS, now)
+        struck = self._strikes.control_disrupted(now - CONTACT_SECONDS, now)
         return APPLY_SECONDS + (STRETCH_SECONDS if struck else 0.0)
 
     def _was_calm(self, node: NodeMachine, begun: float) -> bool:
         now = time.monotonic()
         if self._strikes.had_unplanned(begun - CONTACT_SECONDS, now):
             return False
-        return not self._strikes.of(node.name, begun - CONTACT_SECONDS, now)
+        return not self._strikes.disrupted(node.name, begun - CONTACT_SECONDS, now)
 
     def _status(self, node: NodeMachine, route: str) -> int:
         request = f"ff{next(self._count):014x}"
--- a/features/steps/strike_log.py
+++ b/features/steps/strike_log.py
@@ -10,6 +10,8 @@
 STOP, RELOAD, START, SETTINGS = "SIGTERM", "SIGHUP", "start", "settings"
 KILL, PAUSE = "SIGKILL", "SIGSTOP"
 UNPLANNED = frozenset({KILL, PAUSE})
+DISRUPTIONS = UNPLANNED | {STOP, START}
+"""After these a machine isn't calm; after a reload or other settings it is."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,12 @@
         with self._lock:
             return [s for s in self._strikes if s.machine == machine and begin <= s.at <= end]
 
-    def of_control(self, begin: float, end: float) -> list[Strike]:
-        """Return the strikes of control machines in a span."""
+    def disrupted(self, machine: str, begin: float, end: float) -> bool:
+        """Return whether a machine was stopped, started, killed or paused in a span."""
+        return any(strike.what in DISRUPTIONS for strike in self.of(machine, begin, end))
+
+    def control_disrupted(self, begin: float, end: float) -> bool:
+        """Return whether any control machine was, in a span."""
         with self._lock:
-            return [s for s in self._strikes if s.is_control and begin <= s.at <= end]
+            of_control = [s for s in self._strikes if s.is_control and begin <= s.at <= end]
+        return any(strike.what in DISRUPTIONS for strike in of_control)
