--- a/features/steps/kept_callers.py
+++ b/features/steps/kept_callers.py
@@ -20,7 +20,7 @@
 """The longer one is longer than a stop takes."""
 
 PATIENCE_SECONDS = 2.0
-"""Beyond a request's deadline: then the caller closes the connection."""
+"""Beyond the deadlines of a request and those before it: then the caller closes the connection."""
 
 SEND_SECONDS = 2.0
 LEAST_BODY_BYTES, MOST_BODY_BYTES = 20_000, 200_000
@@ -201,13 +201,14 @@
     sent_at = time.monotonic()
     for each in exchanges:
         each.sent_at = sent_at if was_sent else 0.0
-    kept_open = was_sent
+    kept_open, longest_ms = was_sent, 0
     for each in exchanges:
+        longest_ms = max(longest_ms, each.deadline_ms)
         if not kept_open and each.behind:
             each.ended_at, each.end = time.monotonic(), CLOSED if was_sent else UNSENT
             continue
         each.first_in_line_at = time.monotonic()
-        reply = connection.read(sent_at + each.deadline_ms / MILLISECONDS + PATIENCE_SECONDS)
+        reply = connection.read(sent_at + longest_ms / MILLISECONDS + PATIENCE_SECONDS)
         if was_sent or reply.end == WHOLE:
             each.take(reply)
         kept_open = kept_open and reply.end == WHOLE and not reply.closes
--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -36,6 +36,8 @@
 SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.0, 0.6
 RETRY_SECONDS = 0.1
 LARGEST_STEP = 3
+LONG_SECONDS = 4.0
+"""Changes that take longer are printed; without disruption the platform gives them as long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,11 +197,17 @@
         while time.monotonic() < begun + ORDER_LIMIT_SECONDS:
             status = self._ask(draw, "PUT", body).status
             if status == OK or (status // 100 == 4 and status not in NOT_RUN):
-                self.longest_seconds = max(self.longest_seconds, time.monotonic() - begun)
+                self._note_time(change, begun)
                 return status
             time.sleep(RETRY_SECONDS)
         return 0
 
+    def _note_time(self, change: Change, begun: float) -> None:
+        seconds = time.monotonic() - begun
+        self.longest_seconds = max(self.longest_seconds, seconds)
+        if seconds > LONG_SECONDS:
+            print(f"{begun:10.3f}  r{change.number} took {seconds:.3f} s", flush=True)
+
     def _ask(self, draw: random.Random, method: str, body: bytes | None = None) -> Answer:
         host = draw.choice(self._machines).ip
         for _ in range(3):
--- a/features/steps/route_questions.py
+++ b/features/steps/route_questions.py
@@ -14,7 +14,7 @@
 
 CONTACT_SECONDS = 3.0
 STRETCH_SECONDS = 5.0
-"""As much longer a change may take while control machines stop or start; a bound of the platform."""
+"""As much longer a change may take beside a disrupted control machine; a bound of the platform."""
 
 PAUSE_SECONDS = 0.1
 MISSING = 404
