--- a/features/platform/kept_connections_soak.feature
+++ b/features/platform/kept_connections_soak.feature
@@ -11,4 +11,4 @@
 
     Examples:
       | seed | rounds | nodes |
-      | 1    | 2      | 4     |
+      | 333  | 3      | 4     |
