--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -37,7 +37,7 @@
 RETRY_SECONDS = 0.1
 LARGEST_STEP = 3
 LONG_SECONDS = 4.0
-"""Changes that take longer are printed; without disruption the platform gives them as long."""
+"""Changes that take longer are printed, as are refused ones; undisrupted the platform gives as long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,22 +191,29 @@
     def _put(self, change: Change, seed: int) -> int:
         """Put a change until its answer is clear, and return that; 0 if none came in time."""
         draw, body, begun = random.Random(seed), change.document(), time.monotonic()
+        tried: list[str] = []
         with self._lock:
             for route in set(self.current.routes) - set(change.routes):
                 self._news.drop_sent_at.setdefault(route, begun)
         while time.monotonic() < begun + ORDER_LIMIT_SECONDS:
-            status = self._ask(draw, "PUT", body).status
+            answer = self._ask(draw, "PUT", body)
+            status = answer.status
             if status == OK or (status // 100 == 4 and status not in NOT_RUN):
-                self._note_time(change, begun)
+                self._note_time(change, begun, tried, answer)
                 return status
+            tried.append(f"{time.monotonic() - begun:.3f} {status}")
             time.sleep(RETRY_SECONDS)
+        self._note_time(change, begun, tried, Answer(0))
         return 0
 
-    def _note_time(self, change: Change, begun: float) -> None:
+    def _note_time(self, change: Change, begun: float, tried: list[str], answer: Answer) -> None:
         seconds = time.monotonic() - begun
         self.longest_seconds = max(self.longest_seconds, seconds)
-        if seconds > LONG_SECONDS:
-            print(f"{begun:10.3f}  r{change.number} took {seconds:.3f} s", flush=True)
+        if seconds > LONG_SECONDS or answer.status != OK:
+            told = f"r{change.number} on r{change.base} at {begun:.3f}: {answer.status}"
+            print(
+                f"{told} after {seconds:.3f} s, {answer.body[:200]!r}, before: {tried}", flush=True
+            )
 
     def _ask(self, draw: random.Random, method: str, body: bytes | None = None) -> Answer:
         host = draw.choice(self._machines).ip
