--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -31,6 +31,7 @@
 
 AFTER_CALLS_SECONDS = 1.0
 POLL_SECONDS = 0.1
+INTERNAL_FAULT = "internal-fault"
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,10 +134,16 @@
             f"{changes.changes} changes, {changes.races} of them of two at once; "
             f"the longest took {changes.longest_seconds:.1f} s; {changes.reads} reads",
             f"{self.questions.judged} direct requests judged",
+            f"faults logged: {dict(self._faults())}",
             f"longest stop {self.strikes.longest_stop_seconds:.1f} s",
             f"{len(self.broken)} promises broken",
         ]
 
+    def _faults(self) -> Counter[str]:
+        """Return how many faults of the program each machine's processes have logged."""
+        events = ((machine.name, event) for machine in self.machines for event in machine.events())
+        return Counter(name for name, event in events if event.get("event") == INTERNAL_FAULT)
+
     def _settle(self) -> None:
         """With all back: five vote, a change is taken, and each node is ready and serves by it."""
         self._wait("five replicas vote", self._is_whole)
--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -37,7 +37,7 @@
 RETRY_SECONDS = 0.1
 LARGEST_STEP = 3
 LONG_SECONDS = 4.0
-"""Changes that take longer are printed, as are refused ones; undisrupted the platform gives as long."""
+"""Changes that take longer are printed; undisrupted the platform gives them as long."""
 
 
 @dataclass(frozen=True, slots=True)
