--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -136,10 +136,11 @@
     def change(self) -> None:
         """Put one change, which must be taken."""
         change = self._next()
-        if self._put(change, self._draw.getrandbits(32)) == OK:
+        status = self._put(change, self._draw.getrandbits(32))
+        if status == OK:
             self._take(change)
         else:
-            self.broken.append(f"change r{change.number} was not taken")
+            self.broken.append(f"change r{change.number} on r{change.base} got {status} in the end")
 
     def race(self) -> None:
         """Put two changes on the same version at once, of which just one must be taken."""
@@ -209,7 +210,7 @@
     def _note_time(self, change: Change, begun: float, tried: list[str], answer: Answer) -> None:
         seconds = time.monotonic() - begun
         self.longest_seconds = max(self.longest_seconds, seconds)
-        if seconds > LONG_SECONDS or answer.status != OK:
+        if seconds > LONG_SECONDS or answer.status not in (OK, LOST_RACE):
             told = f"r{change.number} on r{change.base} at {begun:.3f}: {answer.status}"
             print(
                 f"{told} after {seconds:.3f} s, {answer.body[:200]!r}, before: {tried}", flush=True
