--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -46,3 +46,10 @@
       | main                          |
       | HTTP caller                   |
       | deadline after an HTTP caller |
+
+  Scenario: A link that is lost as the process ends is no fault of the program
+    Symptom: a planned stop logged an internal fault, and ended with status 1 at times. Sequence: a runner was
+    cancelled, its links closed, and the core asked for another. Cause: the dial was started in a nursery that had
+    ended. What settled it: RuntimeError, "Nursery is closed to new arrivals", in the logs of four stops of one run.
+    When a link is lost just as the runner of a core that dials anew has ended
+    Then that runner has reported no fault
--- a/src/limelever/transport/runner.py
+++ b/src/limelever/transport/runner.py
@@ -82,6 +82,11 @@
             nursery.start_soon(self._timer.run)
             self.post(Started())
             task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # What is posted from now on is dropped: a nursery that ends starts nothing.
+                self._stopped = True
 
     def post(self, event: Event) -> None:
         """Give the core an event; safe to call from within ``on_output``.
