--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -230,6 +230,25 @@
     Then the caller of call 1 was told "backend-failed" and outcome "unknown"
     And the proxy has finished stopping
 
+  Scenario: At the stop limit, an answer whose record the keepers have not confirmed goes out
+    Given a proxy with one endpoint
+    When a caller places an order with key "k1"
+    And the keepers confirm no record
+    And the agent answers the call
+    And the proxy is asked to stop
+    And the proxy's stop limit is reached
+    Then call 1 got the answer of its agent
+    And the proxy has finished stopping
+
+  Scenario: A call whose caller has left runs on while the proxy stops, until the limit
+    Given a proxy with one endpoint
+    When a caller places an order with key "k1"
+    And the caller of call 1 leaves
+    And the proxy is asked to stop
+    Then the proxy has not finished stopping
+    When the agent answers the call
+    Then the proxy has finished stopping
+
   Scenario: At the stop limit, a call that waits for its link is answered as not run
     Given a proxy with one endpoint whose agent accepts no link
     When a caller asks the proxy for "/orders/1"
--- a/features/steps/proxy_host.py
+++ b/features/steps/proxy_host.py
@@ -164,6 +164,7 @@
         self.endpoints = endpoints
         self.accepts_links = True
         self.relay_answers = True
+        self.keepers_confirm = True
         self.silent_ports: set[int] = set()
         self.hanging: list[OpenConnection] = []
         self.keepers = keepers or FakeKeepers()
@@ -280,13 +281,18 @@
         peer = Peer(Role.AGENT, "peer", "here", output.purpose, incarnation=1)
         self._events.append(ConnectionOpened(output.connection, peer))
 
+    def _is_ignored(self, message: object) -> bool:
+        if isinstance(message, Complete):
+            return not self.keepers_confirm
+        return isinstance(message, Subscribe | FreshnessProbe) and not self.relay_answers
+
     def _deliver(self, connection: int, message: object) -> None:
         def answer(reply: object) -> None:
             self._events.append(MessageReceived(connection, reply))  # type: ignore[arg-type]
 
+        if self._is_ignored(message):
+            return
         match message:
-            case Subscribe() | FreshnessProbe() if not self.relay_answers:
-                return
             case Subscribe():
                 resources = mesh_resources()
                 digest = SetDigest.of(resources).to_bytes()
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -223,6 +223,11 @@
     context.proxy.post(StopLimitNear())
 
 
+@when("the keepers confirm no record")
+def keepers_confirm_none(context: Context) -> None:
+    context.proxy.keepers_confirm = False
+
+
 @when("the proxy's stop limit is reached")
 def stop_limit_reached(context: Context) -> None:
     context.proxy.post(StopLimitReached())
--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -53,3 +53,11 @@
     ended. What settled it: RuntimeError, "Nursery is closed to new arrivals", in the logs of four stops of one run.
     When a link is lost just as the runner of a core that dials anew has ended
     Then that runner has reported no fault
+
+  Scenario: A process whose stop has begun does not turn ready
+    When a process is said to be ready after its stop began
+    Then that process does not say that it is ready
+
+  Scenario: The last words of a process come before its cut
+    When a process that has last words is cut
+    Then they were said once, before anything was cancelled
