--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -35,9 +35,6 @@
 from limelever.proxy.call_types import (
     CallAnswer,
     CallerGone,
-    StopLimitNear,
-    StopLimitReached,
-    StopRequested,
 )
 from limelever.proxy.retry_budget import RetryBudget
 from limelever.proxy.route_table import build_route_table
@@ -203,36 +200,11 @@
     context.proxy.refuse(*context.proxy.open[-1], ErrorKind(kind))
 
 
-@then("the agent was told to cancel unless the call had begun")
-def told_to_cancel_unless_begun(context: Context) -> None:
-    assert context.proxy.cancels == 0 and context.proxy.cancels_unless_begun == 1
-
-
 @when("the agent's link is lost")
 def agent_link_lost(context: Context) -> None:
     context.proxy.lose(context.proxy.open[-1][0])
 
 
-@when("the proxy is asked to stop")
-def stop_proxy(context: Context) -> None:
-    context.proxy.post(StopRequested())
-
-
-@when("the proxy's stop limit is near")
-def stop_limit_near(context: Context) -> None:
-    context.proxy.post(StopLimitNear())
-
-
-@when("the keepers confirm no record")
-def keepers_confirm_none(context: Context) -> None:
-    context.proxy.keepers_confirm = False
-
-
-@when("the proxy's stop limit is reached")
-def stop_limit_reached(context: Context) -> None:
-    context.proxy.post(StopLimitReached())
-
-
 @then("the callers were told to come back after {first:g}, {second:g} and {third:g} seconds")
 def check_times_told(context: Context, first: float, second: float, third: float) -> None:
     answers = [context.proxy.refusal(number) for number in (1, 2, 3)]
@@ -321,16 +293,6 @@
         proxy.answer(*proxy.open[-1])
 
 
-@then("the proxy has not finished stopping")
-def not_stopped(context: Context) -> None:
-    assert not context.proxy.stopped
-
-
-@then("the proxy has finished stopping")
-def stopped(context: Context) -> None:
-    assert context.proxy.stopped
-
-
 @given("any routes and paths, the proxy's table agrees with a search through all prefixes")
 def closest_prefix(context: Context) -> None:
     path = st.lists(st.sampled_from(["a", "b", "aa"]), max_size=4).map(lambda p: "/" + "/".join(p))
