Answer operators whose requests a stopping replica will not take up any more

Cause, by reading: the core of a control process ends 0.2 s after SIGTERM, its operators' interface a second later; what waited or came in between got no answer, and since a runner that has ended drops events not even the refusal of a replica that doesn't lead. A request before the core had started failed an assertion. Change: the desk in between answers these at once: a write under way as write-unknown, all others as draining (503).

--- a/src/limelever/control/process.py
+++ b/src/limelever/control/process.py
@@ -18,8 +18,9 @@
 from limelever.relay import process as relay_process
 from limelever.relay.interface import RelaysKnown
 from limelever.source import process as source_process
+from limelever.source.operator_desk import OperatorDesk
 from limelever.source.operator_door import RequestChecks
-from limelever.source.process import OperatorDesk, sealer_of
+from limelever.source.process import sealer_of
 from limelever.transport.gateway import Gateway, start_gateways
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -10,9 +10,8 @@
 from typing import TypeVar
 
 import trio
-from google.protobuf.message import Message
 
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Output, Purpose, Role
 from limelever.keeper.core import KeeperCore
 from limelever.source.at_rest import SecretSealer
@@ -20,11 +19,10 @@
 from limelever.source.messages import (
     MembersKnown,
     OperatorAnswer,
-    OperatorMessage,
-    OperatorRequest,
     SeedsListed,
     StopRequested,
 )
+from limelever.source.operator_desk import OperatorDesk
 from limelever.source.operator_service import operator_application, serve_operators
 from limelever.source.settings import (
     SourceSettings,
@@ -35,7 +33,6 @@
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
-from limelever.transport.runner import CoreRunner
 
 T = TypeVar("T")
 REPLICA_FOLDER = "replica"
@@ -50,39 +47,6 @@
     return run_role(settings, partial(_main, settings), source=source)
 
 
-class OperatorDesk:
-    """Passes operators' requests to the core and its answers back."""
-
-    def __init__(self) -> None:
-        self._waiting: dict[int, trio.Event] = {}
-        self._answers: dict[int, Message | Failure] = {}
-        self._last_token = 0
-        self.runner: CoreRunner | None = None
-
-    async def ask(self, request: Message) -> Message | Failure:
-        """Give the core a request and wait for its answer."""
-        assert self.runner is not None
-        if not isinstance(request, OperatorMessage):
-            return Failure(ErrorKind.INVALID_REQUEST, f"no request: {request.DESCRIPTOR.name}")
-        self._last_token += 1
-        token = self._last_token
-        answered = self._waiting[token] = trio.Event()
-        try:
-            self.runner.post(OperatorRequest(token, request))
-            await answered.wait()
-            return self._answers[token]
-        finally:
-            del self._waiting[token]
-            self._answers.pop(token, None)
-
-    def take(self, answer: OperatorAnswer) -> None:
-        """Wake the one who waits for this answer, if it still does."""
-        answered = self._waiting.get(answer.token)
-        if answered is not None:
-            self._answers[answer.token] = answer.answer
-            answered.set()
-
-
 async def _main(settings: SourceSettings, shell: ProcessShell) -> None:
     keeper_disk = open_disk(settings, KEEPER_FOLDER)
     wall_offset = time.time() - trio.current_time()
@@ -129,7 +93,7 @@
     purposes = (Purpose.REPLICATION, Purpose.SUBSCRIPTION)
     async with trio.open_nursery() as nursery:
         runner = shell.add_core(core, on_output, accepts=purposes, disk=disk, role=Role.SOURCE)
-        desk.runner = runner
+        desk.open(runner)
         shell.reloading.handle("seeds", lambda seeds: runner.post(SeedsListed(seeds)))
         shell.report_version(lambda: core.state.version)
         await nursery.start(runner.run)
@@ -140,6 +104,7 @@
             await shell.stop_requested.wait()
         runner.post(StopRequested())
         await trio.sleep(_FLUSH_SECONDS)
+        desk.close()
         nursery.cancel_scope.cancel()
 
 
