Let a stopping node's own answer in place of an instance at work break a promise

Cause: own 5xx answers after SIGTERM, given while an instance was at work on the request, were printed only. Change: one before the last sixth of the grace time breaks a promise, unless the instance is beside another node that was stopping by then too: that is a known open matter, counted apart and printed. Stops of the process before the one that the caller spoke to excuse nothing any more.

--- a/features/platform/kept_connections_audit.feature
+++ b/features/platform/kept_connections_audit.feature
@@ -47,6 +47,46 @@
     And whose answer names another
     Then the request counts as broken
 
+  Scenario Outline: An answer of the node's own while an instance is at work
+    Given a request sent <sent> s after SIGTERM to its node, and answered <status> <answered> s after it
+    And an instance beside <instance> that was at work from <begun> to <ends>
+    And <strikes> to the instance's node
+    Then the request counts as <verdict>
+
+    Examples: In place of an instance that could have answered
+      | sent | status | answered | instance | begun | ends | strikes                     | verdict |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | nothing                     | broken  |
+      | 0.2  | 503    | 0.6      | b        | 0.2   | 1.8  | nothing                     | broken  |
+      | -2.0 | 504    | 4.9      | b        | -2.0  | 5.2  | nothing                     | broken  |
+      | 0.2  | 502    | 0.6      | a        | 0.2   | 1.8  | nothing                     | broken  |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGTERM at -5.0, start at 0 | broken  |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGTERM at 0.7              | broken  |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGHUP at 0.3               | broken  |
+
+    Examples: Allowed
+      | sent | status | answered | instance | begun | ends | strikes                     | verdict              |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGTERM at 0.4              | in place, also stopping |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGTERM at -1.0             | in place, also stopping |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGTERM at 0.3, start at 0.5 | in place, also stopping |
+      | 0.2  | 502    | 5.1      | b        | 0.2   | 5.7  | nothing                     | kept                 |
+      | -4.0 | 504    | 4.0      | b        | -4.0  | 4.5  | nothing                     | kept                 |
+      | 0.2  | 504    | 1.8      | b        | 0.2   | 1.8  | nothing                     | kept                 |
+      | 0.2  | 200    | 0.6      | b        | 0.2   | 1.8  | nothing                     | kept                 |
+      | 0.2  | 502    | 0.6      | b        | 0.2   | 1.8  | SIGKILL at 0.4              | kept                 |
+      | -1.0 | 502    | -0.5     | b        | -1.0  | 0.5  | nothing                     | kept                 |
+
+  Scenario: An answer of a process that began after the one that was stopped
+    Given a request sent 0.2 s after SIGTERM to its node, and answered 502 0.6 s after it
+    And an instance beside b that was at work from 0.2 to 1.8
+    And a connection that was opened after the node was started again
+    Then the request counts as kept
+
+  Scenario: An end without an answer isn't excused by the stop of the process before
+    Given a request sent 1.0 s after SIGTERM to its node, and closed 5.1 s after it
+    And an instance that was at work from 1.0 to 8.0
+    And a connection that was opened after the node was started again
+    Then the request counts as broken
+
   Scenario: Plans strike two control machines at most, and each machine ends running
     When the plans of 300 seeds are drawn for 5 control machines and 6 nodes
     Then no round strikes more than 2 control machines but by turns
--- a/features/steps/answer_audit.py
+++ b/features/steps/answer_audit.py
@@ -5,6 +5,9 @@
 came to any machine from ``CONTACT_SECONDS`` before it to its end. Two ends are allowed, counted
 apart: at the request's deadline, and within the last sixth of the grace time while an instance is
 at work on it.
+
+A stopping node's own 5xx in place of an instance at work breaks a promise until that last sixth. It
+is allowed, counted apart, where the instance is beside another node that was stopping too.
 """
 
 from __future__ import annotations
@@ -16,7 +19,7 @@
 from kept_connection import SILENT, WHOLE
 from platform_machines import GRACE_SECONDS
 from platform_traffic import NOT_RUN, OK, WRITE
-from strike_log import STOP, StrikeLog
+from strike_log import START, STOP, StrikeLog
 
 READ_SECONDS = 0.2
 """As long as a node may take to read what was sent to it; a bound of the platform."""
@@ -53,9 +56,8 @@
         self._check_runs(exchange, runs)
         if exchange.end != WHOLE:
             self._check_end(exchange, runs)
-        elif self._answered_in_place(exchange, runs):
-            self.counts["own answers in place of an instance at work, after SIGTERM"] += 1
-            print(f"in place of an instance at work: {self._told(exchange, runs)}", flush=True)
+        else:
+            self._check_answer(exchange, runs)
 
     def _check_runs(self, exchange: Exchange, runs: list[Work]) -> None:
         refused = exchange.end == WHOLE and exchange.status in NOT_RUN
@@ -88,42 +90,65 @@
         else:
             self._break("was not answered", exchange, runs)
 
+    def _check_answer(self, exchange: Exchange, runs: list[Work]) -> None:
+        """Judge a stopping node's own 5xx: no instance that could have answered is at work."""
+        at_work = [run for run in runs if run.ends_at > exchange.ended_at + CLOCK_SECONDS]
+        if not at_work or not self._answered_while_stopping(exchange):
+            return
+        if all(self._other_stops(exchange, run) for run in at_work):
+            self.counts["own answers in place of an instance whose node was stopping too"] += 1
+            print(f"in place, both stopping: {self._told(exchange, runs)}", flush=True)
+        else:
+            self._break("was answered in place of an instance at work", exchange, runs)
+
     def _in_last_part(self, exchange: Exchange, runs: list[Work]) -> bool:
         return any(
             exchange.sent_at <= stop + LAST_PLANNED_SEND_SECONDS
             and stop + LAST_PART_SECONDS <= exchange.ended_at <= stop + LAST_END_SECONDS
             and any(run.ends_at >= stop + LAST_PART_SECONDS for run in runs)
-            for stop in self._stops(exchange)
+            for stop in self._stops(exchange)[:1]
         )
 
-    def _answered_in_place(self, exchange: Exchange, runs: list[Work]) -> bool:
-        """Return whether a stopping node gave its own answer while an instance was at work."""
+    def _answered_while_stopping(self, exchange: Exchange) -> bool:
+        """Return whether a 5xx came after SIGTERM, before the last part, with nothing unplanned."""
         if exchange.status // 100 != 5 or exchange.ended_at >= _deadline(exchange) - CLOCK_SECONDS:
             return False
-        at_work = any(run.ends_at > exchange.ended_at + CLOCK_SECONDS for run in runs)
-        stops = [stop for stop in self._stops(exchange) if exchange.ended_at < stop + GRACE_SECONDS]
-        unplanned = self._strikes.had_unplanned(
-            exchange.sent_at - CONTACT_SECONDS, exchange.ended_at
-        )
-        last_part = any(exchange.ended_at >= stop + LAST_PART_SECONDS for stop in stops)
-        return bool(at_work and stops and not unplanned and not last_part)
+        stops = self._stops(exchange)
+        if not stops or exchange.ended_at >= stops[0] + LAST_PART_SECONDS:
+            return False
+        since = exchange.sent_at - CONTACT_SECONDS
+        return not self._strikes.had_unplanned(since, exchange.ended_at)
+
+    def _other_stops(self, exchange: Exchange, run: Work) -> bool:
+        """Return whether a run was beside another node, which was stopping by the answer's time."""
+        if run.instance == exchange.node:
+            return False
+        return bool(self._stops_of(run.instance, run.begun_at, exchange.ended_at))
 
     def _stops(self, exchange: Exchange) -> list[float]:
-        """Return when the node was asked to stop, shortly before the request's end."""
-        strikes = self._strikes.of(
-            exchange.node, exchange.ended_at - LAST_END_SECONDS, exchange.ended_at
+        """Return when the process that a caller spoke to was asked to stop, first time first."""
+        return self._stops_of(exchange.node, exchange.opened_at, exchange.ended_at)
+
+    def _stops_of(self, machine: str, running_at: float, until: float) -> list[float]:
+        """Return when the process that a machine had at a time was asked to stop, until another."""
+        strikes = self._strikes.of(machine, until - LAST_END_SECONDS, until)
+        started_at = max(
+            (each.at for each in strikes if each.what == START and each.at <= running_at),
+            default=0.0,
         )
-        return [strike.at for strike in strikes if strike.what == STOP]
+        return [each.at for each in strikes if each.what == STOP and each.at > started_at]
 
     def _break(self, what: str, exchange: Exchange, runs: list[Work]) -> None:
         self.counts[f"broken: {what}"] += 1
         self.broken.append(f"{what}: {self._told(exchange, runs)}")
 
     def _told(self, exchange: Exchange, runs: list[Work]) -> str:
-        strikes = self._strikes.of(
-            exchange.node, exchange.sent_at - LAST_END_SECONDS, exchange.ended_at
-        )
-        told = [f"{strike.what} {strike.at - exchange.sent_at:+.3f}" for strike in strikes]
+        begin = exchange.sent_at - LAST_END_SECONDS
+        told = [
+            f"{strike.machine} {strike.what} {strike.at - exchange.sent_at:+.3f}"
+            for name in dict.fromkeys((exchange.node, *(run.instance for run in runs)))
+            for strike in self._strikes.of(name, begin, exchange.ended_at)
+        ]
         ran = [
             f"{run.instance} {run.begun_at - exchange.sent_at:+.3f} to "
             f"{run.ends_at - exchange.sent_at:+.3f}"
--- a/features/steps/kept_audit_steps.py
+++ b/features/steps/kept_audit_steps.py
@@ -19,6 +19,7 @@
     "at work at the end": "unanswered, instance at work in the last sixth of the grace time",
     "late": "unanswered, ended at the deadline",
     "unplanned": "unanswered beside something unplanned",
+    "in place, also stopping": "own answers in place of an instance whose node was stopping too",
 }
 NODE, OTHER = SimpleNamespace(name="a", role="node"), SimpleNamespace(name="b", role="node")
 
@@ -41,6 +42,40 @@
     context.strikes.note(NODE, STOP)
 
 
+@given(
+    "a request sent {sent:g} s after SIGTERM to its node, and answered {status:d} "
+    "{answered:g} s after it"
+)
+def given_own_answer(context, sent, status, answered):
+    sent_at = STOP_AT + sent
+    times = {"sent_at": sent_at, "first_in_line_at": sent_at, "ended_at": STOP_AT + answered}
+    exchange = exchange_of(WRITE, end=WHOLE, status=status, received=100, **times)
+    exchange.opened_at = sent_at
+    prepare(context, exchange)
+    context.strikes.note(NODE, STOP)
+
+
+@given("an instance beside {node} that was at work from {begun:g} to {ends:g}")
+def given_run_beside(context, node, begun, ends):
+    work = Work(node, context.exchange.path, STOP_AT + begun, STOP_AT + ends)
+    context.journal.note("1", work)
+
+
+@given("{strikes} to the instance's node")
+def given_strikes(context, strikes):
+    for strike in strikes.split(", ") if strikes != "nothing" else ():
+        what, at = strike.split(" at ")
+        context.now = STOP_AT + float(at)
+        context.strikes.note(OTHER, what)
+
+
+@given("a connection that was opened after the node was started again")
+def given_started_again(context):
+    context.now = STOP_AT + 0.1
+    context.strikes.note(NODE, START)
+    context.exchange.opened_at = context.exchange.sent_at
+
+
 @given("an instance that never got it")
 def given_not_run(context):
     pass
