Let a fault that a process logs break a promise of the soak

Cause: faults of the program were counted and printed, and a soak passed with them. Change: each internal-fault, request-fault and process-failed of any process breaks a promise, with what it says.

--- a/features/platform/kept_connections_audit.feature
+++ b/features/platform/kept_connections_audit.feature
@@ -87,6 +87,18 @@
     And a connection that was opened after the node was started again
     Then the request counts as broken
 
+  Scenario Outline: What a process logs
+    Given a process that logged <event>
+    Then this counts as <verdict>
+
+    Examples:
+      | event             | verdict |
+      | internal-fault    | broken  |
+      | request-fault     | broken  |
+      | process-failed    | broken  |
+      | process-stopped   | kept    |
+      | stop-limit-passed | kept    |
+
   Scenario: Plans strike two control machines at most, and each machine ends running
     When the plans of 300 seeds are drawn for 5 control machines and 6 nodes
     Then no round strikes more than 2 control machines but by turns
--- a/features/steps/kept_audit_steps.py
+++ b/features/steps/kept_audit_steps.py
@@ -10,6 +10,7 @@
 from kept_callers import Exchange
 from kept_connection import CLOSED, WHOLE
 from platform_traffic import WRITE
+from process_faults import logged_faults
 from strike_log import KILL, PAUSE, RELOAD, SETTINGS, START, STOP, StrikeLog
 from strike_series import RESUME, WAIT_STOPPED, Plans
 
@@ -123,6 +124,17 @@
         assert audit.counts[COUNTED[verdict]] == 1, audit.counts
 
 
+@given("a process that logged {event}")
+def given_logged(context, event):
+    line = {"event": event, "fields": {"error": "it broke", "status": 0}}
+    context.broken = logged_faults("a", [line])
+
+
+@then("this counts as {verdict}")
+def then_this_counts(context, verdict):
+    assert bool(context.broken) == (verdict == "broken"), context.broken
+
+
 @when("the plans of {seeds:d} seeds are drawn for {control:d} control machines and {nodes:d} nodes")
 def when_drawn(context, seeds, control, nodes):
     context.rounds = [Plans(seed, control, nodes).next() for seed in range(seeds)]
--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -18,6 +18,7 @@
 from machine_strikes import MachineStrikes
 from platform_machines import ControlMachine, Machine, NodeMachine, committed_voters
 from platform_traffic import OK, READ, is_ready, send
+from process_faults import logged_faults
 from quick_changes import QuickChanges
 from route_questions import RouteQuestions
 from strike_log import StrikeLog
@@ -31,7 +32,6 @@
 
 AFTER_CALLS_SECONDS = 1.0
 POLL_SECONDS = 0.1
-INTERNAL_FAULT = "internal-fault"
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +82,7 @@
             *self.changes.broken,
             *self.questions.broken,
             *self.strikes.broken,
+            *self._faults(),
             *self._more_broken,
             *self._not_back,
         ]
@@ -134,15 +135,14 @@
             f"{changes.changes} changes, {changes.races} of them of two at once; "
             f"the longest took {changes.longest_seconds:.1f} s; {changes.reads} reads",
             f"{self.questions.judged} direct requests judged",
-            f"faults logged: {dict(self._faults())}",
+            f"{len(self._faults())} faults logged",
             f"longest stop {self.strikes.longest_stop_seconds:.1f} s",
             f"{len(self.broken)} promises broken",
         ]
 
-    def _faults(self) -> Counter[str]:
-        """Return how many faults of the program each machine's processes have logged."""
-        events = ((machine.name, event) for machine in self.machines for event in machine.events())
-        return Counter(name for name, event in events if event.get("event") == INTERNAL_FAULT)
+    def _faults(self) -> list[str]:
+        """Return the faults that all machines' processes have logged."""
+        return [line for each in self.machines for line in logged_faults(each.name, each.events())]
 
     def _settle(self) -> None:
         """With all back: five vote, a change is taken, and each node is ready and serves by it."""
