Ask nodes 4 s after SIGTERM whether they are still ready

Cause: nothing in the soak noticed a node that goes on to call itself ready during its stop. Change: more than a quarter of the nodes that were sent SIGTERM in a round and still answer ready 4 s later break a promise; each is printed. Of the audit's new scenarios 4 fail without it.

--- a/features/platform/kept_connections_audit.feature
+++ b/features/platform/kept_connections_audit.feature
@@ -99,6 +99,22 @@
       | process-stopped   | kept    |
       | stop-limit-passed | kept    |
 
+  Scenario Outline: Nodes that are ready long after SIGTERM
+    Given <asked> nodes that were sent SIGTERM, of which <ready> still answer ready, and <gone> are gone
+    And <struck> were struck by something unplanned then
+    Then this counts as <verdict>
+
+    Examples:
+      | asked | ready | gone | struck | verdict |
+      | 1     | 1     | 0    | 0      | broken  |
+      | 3     | 1     | 2    | 0      | broken  |
+      | 8     | 3     | 0    | 0      | broken  |
+      | 4     | 1     | 0    | 0      | kept    |
+      | 4     | 1     | 3    | 0      | kept    |
+      | 8     | 0     | 8    | 0      | kept    |
+      | 4     | 2     | 0    | 0      | broken  |
+      | 4     | 2     | 0    | 4      | kept    |
+
   Scenario: Plans strike two control machines at most, and each machine ends running
     When the plans of 300 seeds are drawn for 5 control machines and 6 nodes
     Then no round strikes more than 2 control machines but by turns
--- a/features/steps/kept_audit_steps.py
+++ b/features/steps/kept_audit_steps.py
@@ -11,6 +11,7 @@
 from kept_connection import CLOSED, WHOLE
 from platform_traffic import WRITE
 from process_faults import logged_faults
+from stopped_readiness import StoppedReadiness
 from strike_log import KILL, PAUSE, RELOAD, SETTINGS, START, STOP, StrikeLog
 from strike_series import RESUME, WAIT_STOPPED, Plans
 
@@ -130,6 +131,36 @@
     context.broken = logged_faults("a", [line])
 
 
+@given(
+    "{asked:d} nodes that were sent SIGTERM, of which {ready:d} still answer ready, "
+    "and {gone:d} are gone"
+)
+def given_stopping(context, asked, ready, gone):
+    context.strikes = StrikeLog()
+    context.nodes = [
+        SimpleNamespace(
+            name=f"n{n}", role="node", is_ready=n < ready, process=process(n >= asked - gone)
+        )
+        for n in range(asked)
+    ]
+    context.readiness = StoppedReadiness(context.strikes, lambda node: node.is_ready, after=0.05)
+    for node in context.nodes:
+        context.strikes.note(node, STOP)
+        context.readiness.watch(node)
+
+
+def process(is_gone):
+    return SimpleNamespace(poll=lambda: 0 if is_gone else None)
+
+
+@given("{struck:d} were struck by something unplanned then")
+def given_struck(context, struck):
+    for node in context.nodes[:struck]:
+        context.strikes.note(node, KILL)
+    context.readiness.judge()
+    context.broken = context.readiness.broken
+
+
 @then("this counts as {verdict}")
 def then_this_counts(context, verdict):
     assert bool(context.broken) == (verdict == "broken"), context.broken
--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -82,6 +82,7 @@
             *self.changes.broken,
             *self.questions.broken,
             *self.strikes.broken,
+            *self.strikes.readiness.broken,
             *self._faults(),
             *self._more_broken,
             *self._not_back,
@@ -116,6 +117,7 @@
             self.changes.stop()
             self.questions.stop()
             callers.stop()
+        self.strikes.readiness.judge()
         time.sleep(AFTER_CALLS_SECONDS)
         for exchange in callers.ended:
             self.audit.check(exchange)
@@ -127,7 +129,7 @@
 
     def report(self) -> list[str]:
         """Return what was done and seen, as lines."""
-        changes = self.changes
+        changes, readiness = self.changes, self.strikes.readiness
         return [
             f"seed {self.seed}, {self._rounds} rounds, {len(self.nodes)} nodes",
             f"strikes: {dict(Counter(self.strikes.counts).most_common())}",
@@ -135,6 +137,7 @@
             f"{changes.changes} changes, {changes.races} of them of two at once; "
             f"the longest took {changes.longest_seconds:.1f} s; {changes.reads} reads",
             f"{self.questions.judged} direct requests judged",
+            f"{readiness.ready} of {readiness.asked} nodes ready 4 s after SIGTERM",
             f"{len(self._faults())} faults logged",
             f"longest stop {self.strikes.longest_stop_seconds:.1f} s",
             f"{len(self.broken)} promises broken",
--- a/features/steps/machine_strikes.py
+++ b/features/steps/machine_strikes.py
@@ -9,6 +9,7 @@
 import time
 
 from platform_machines import GRACE_SECONDS, Machine
+from stopped_readiness import StoppedReadiness
 from strike_log import KILL, PAUSE, RELOAD, SETTINGS, START, STOP, StrikeLog
 from strike_series import RESUME, WAIT_STOPPED, Series, Step
 
@@ -33,6 +34,7 @@
         self.broken: list[str] = []
         self.counts: dict[str, int] = {}
         self.longest_stop_seconds = 0.0
+        self.readiness = StoppedReadiness(strikes)
 
     def play(self, all_series: list[Series]) -> None:
         """Play all series at once, to their ends."""
@@ -71,11 +73,14 @@
     def _stop(self, machine: Machine) -> None:
         if not machine.running:
             return
+        is_first = machine.name not in self._stop_at
         self._stop_at.setdefault(machine.name, time.monotonic())
         if not self._has_begun(machine):
             self._early.add(machine.name)
         self._strikes.note(machine, STOP)
         machine.send(signal.SIGTERM)
+        if is_first and machine in self._nodes:
+            self.readiness.watch(machine)
 
     def _has_begun(self, machine: Machine) -> bool:
         """Return whether the process has said that it started: before, SIGTERM just ends it."""
--- a/features/steps/strike_log.py
+++ b/features/steps/strike_log.py
@@ -69,6 +69,10 @@
         """Return whether a machine was stopped, started, killed or paused in a span."""
         return any(strike.what in DISRUPTIONS for strike in self.of(machine, begin, end))
 
+    def unplanned_of(self, machine: str, begin: float, end: float) -> bool:
+        """Return whether something unplanned came to a machine in a span."""
+        return any(strike.what in UNPLANNED for strike in self.of(machine, begin, end))
+
     def control_disrupted(self, begin: float, end: float) -> bool:
         """Return whether any control machine was, in a span."""
         with self._lock:
