--- a/features/steps/machine_strikes.py
+++ b/features/steps/machine_strikes.py
@@ -7,6 +7,7 @@
 import subprocess
 import threading
 import time
+from datetime import UTC, datetime, timedelta
 
 from platform_machines import GRACE_SECONDS, Machine
 from stopped_readiness import StoppedReadiness
@@ -18,6 +19,7 @@
 
 SEEDS = 3
 PROCESS_STARTED = "process-started"
+STOP_EVENTS = frozenset({"process-stopping", "stop-limit-passed", "process-stopped"})
 
 
 class MachineStrikes:
@@ -94,7 +96,10 @@
             self.broken.append(f"{machine.name} did not stop within {STOP_SECONDS} s")
             machine.kill()
             return
-        self.longest_stop_seconds = max(self.longest_stop_seconds, time.monotonic() - begun)
+        seconds = time.monotonic() - begun
+        self.longest_stop_seconds = max(self.longest_stop_seconds, seconds)
+        if seconds > GRACE_SECONDS:
+            print(f"{machine.name} stopped in {seconds:.3f} s: {_last_words(machine, seconds)}")
         allowed = (0, -signal.SIGTERM) if machine.name in self._early else (0,)
         self._early.discard(machine.name)
         if status not in allowed:
@@ -131,5 +136,16 @@
         self._strikes.unplanned_over(machine)
 
 
+def _last_words(machine: Machine, seconds: float) -> list[str]:
+    """Return when a process that has just ended logged how its stop went, from SIGTERM on."""
+    asked_at = datetime.now(UTC) - timedelta(seconds=seconds)
+    events = [(datetime.fromisoformat(each["time"]), each["event"]) for each in machine.events()]
+    return [
+        f"{event} {(at - asked_at).total_seconds():+.3f}"
+        for at, event in events
+        if event in STOP_EVENTS and at >= asked_at
+    ]
+
+
 def _starts(machine: Machine) -> int:
     return sum(event.get("event") == PROCESS_STARTED for event in machine.events())
