--- a/features/environment.py
+++ b/features/environment.py
@@ -1,11 +1,11 @@
-"""Hooks of behave: known failures are passed over, and features of a fleet get one."""
+"""Hooks of behave: known failures are passed over, and the probes get a fleet."""
 
 from pathlib import Path
 
 from limelever_lab.known_red import read_known_red
 
 ROOT = Path(__file__).resolve().parents[1]
-FLEET_TAG = "fleet"
+PROBES = ROOT / "features" / "probes"
 PROBED_DEPLOYMENT = "koszyk"
 
 
@@ -17,7 +17,7 @@
 
 
 def before_feature(context, feature):
-    if FLEET_TAG in feature.tags:
+    if PROBES in Path(feature.filename).resolve().parents:
         from limelever_lab.fleet.probe import ProbedFleet
 
         context.probed_fleet = ProbedFleet(PROBED_DEPLOYMENT)
