Print which processes of a soak wait for a core

Change: each half second the soak reads what the system counts for its processes, and prints those that waited for most of it, and its own delay.

--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from answer_audit import AnswerAudit
+from core_waits import CoreWaits
 from journal_instances import Journal, JournalInstance
 from kept_callers import KeptCallers
 from loopback_networks import LoopbackNetwork
@@ -61,6 +62,7 @@
         self.changes = QuickChanges(self.control, seed)
         self.questions = RouteQuestions(self.nodes, self.changes, self.strike_log, seed)
         self.strikes = MachineStrikes(self.control, self.nodes, self.strike_log, seed)
+        self._core_waits = CoreWaits(self.machines)
         self._plans = Plans(seed, VOTERS, size.nodes)
         self._rounds = 0
         self._more_broken: list[str] = []
@@ -89,6 +91,7 @@
         ]
 
     def start(self) -> None:
+        self._core_waits.start()
         for machine in self.machines:
             self.strikes.write_settings(machine, first_start=True)
             machine.start()
@@ -98,6 +101,7 @@
         self._settle()
 
     def close(self) -> None:
+        self._core_waits.stop()
         for machine in self.machines:
             machine.kill()
         for instance in self.instances:
