--- a/features/steps/kept_audit_steps.py
+++ b/features/steps/kept_audit_steps.py
@@ -10,6 +10,8 @@
 from kept_callers import Exchange
 from kept_connection import CLOSED, WHOLE
 from platform_traffic import WRITE
+from process_faults import logged_faults
+from stopped_readiness import StoppedReadiness
 from strike_log import KILL, PAUSE, RELOAD, SETTINGS, START, STOP, StrikeLog
 from strike_series import RESUME, WAIT_STOPPED, Plans
 
@@ -19,6 +21,7 @@
     "at work at the end": "unanswered, instance at work in the last sixth of the grace time",
     "late": "unanswered, ended at the deadline",
     "unplanned": "unanswered beside something unplanned",
+    "in place, also stopping": "own answers in place of an instance whose node was stopping too",
 }
 NODE, OTHER = SimpleNamespace(name="a", role="node"), SimpleNamespace(name="b", role="node")
 
@@ -41,6 +44,40 @@
     context.strikes.note(NODE, STOP)
 
 
+@given(
+    "a request sent {sent:g} s after SIGTERM to its node, and answered {status:d} "
+    "{answered:g} s after it"
+)
+def given_own_answer(context, sent, status, answered):
+    sent_at = STOP_AT + sent
+    times = {"sent_at": sent_at, "first_in_line_at": sent_at, "ended_at": STOP_AT + answered}
+    exchange = exchange_of(WRITE, end=WHOLE, status=status, received=100, **times)
+    exchange.opened_at = sent_at
+    prepare(context, exchange)
+    context.strikes.note(NODE, STOP)
+
+
+@given("an instance beside {node} that was at work from {begun:g} to {ends:g}")
+def given_run_beside(context, node, begun, ends):
+    work = Work(node, context.exchange.path, STOP_AT + begun, STOP_AT + ends)
+    context.journal.note("1", work)
+
+
+@given("{strikes} to the instance's node")
+def given_strikes(context, strikes):
+    for strike in strikes.split(", ") if strikes != "nothing" else ():
+        what, at = strike.split(" at ")
+        context.now = STOP_AT + float(at)
+        context.strikes.note(OTHER, what)
+
+
+@given("a connection that was opened after the node was started again")
+def given_started_again(context):
+    context.now = STOP_AT + 0.1
+    context.strikes.note(NODE, START)
+    context.exchange.opened_at = context.exchange.sent_at
+
+
 @given("an instance that never got it")
 def given_not_run(context):
     pass
@@ -88,6 +125,47 @@
         assert audit.counts[COUNTED[verdict]] == 1, audit.counts
 
 
+@given("a process that logged {event}")
+def given_logged(context, event):
+    line = {"event": event, "fields": {"error": "it broke", "status": 0}}
+    context.broken = logged_faults("a", [line])
+
+
+@given(
+    "{asked:d} nodes that were sent SIGTERM, of which {ready:d} still answer ready, "
+    "and {gone:d} are gone"
+)
+def given_stopping(context, asked, ready, gone):
+    context.strikes = StrikeLog()
+    context.nodes = [
+        SimpleNamespace(
+            name=f"n{n}", role="node", is_ready=n < ready, process=process(n >= asked - gone)
+        )
+        for n in range(asked)
+    ]
+    context.readiness = StoppedReadiness(context.strikes, lambda node: node.is_ready, after=0.05)
+    for node in context.nodes:
+        context.strikes.note(node, STOP)
+        context.readiness.watch(node)
+
+
+def process(is_gone):
+    return SimpleNamespace(poll=lambda: 0 if is_gone else None)
+
+
+@given("{struck:d} were struck by something unplanned then")
+def given_struck(context, struck):
+    for node in context.nodes[:struck]:
+        context.strikes.note(node, KILL)
+    context.readiness.judge()
+    context.broken = context.readiness.broken
+
+
+@then("this counts as {verdict}")
+def then_this_counts(context, verdict):
+    assert bool(context.broken) == (verdict == "broken"), context.broken
+
+
 @when("the plans of {seeds:d} seeds are drawn for {control:d} control machines and {nodes:d} nodes")
 def when_drawn(context, seeds, control, nodes):
     context.rounds = [Plans(seed, control, nodes).next() for seed in range(seeds)]
--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -12,12 +12,14 @@
 from pathlib import Path
 
 from answer_audit import AnswerAudit
+from core_waits import CoreWaits
 from journal_instances import Journal, JournalInstance
 from kept_callers import KeptCallers
 from loopback_networks import LoopbackNetwork
 from machine_strikes import MachineStrikes
 from platform_machines import ControlMachine, Machine, NodeMachine, committed_voters
 from platform_traffic import OK, READ, is_ready, send
+from process_faults import logged_faults
 from quick_changes import QuickChanges
 from route_questions import RouteQuestions
 from strike_log import StrikeLog
@@ -31,7 +33,6 @@
 
 AFTER_CALLS_SECONDS = 1.0
 POLL_SECONDS = 0.1
-INTERNAL_FAULT = "internal-fault"
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,7 @@
         self.changes = QuickChanges(self.control, seed)
         self.questions = RouteQuestions(self.nodes, self.changes, self.strike_log, seed)
         self.strikes = MachineStrikes(self.control, self.nodes, self.strike_log, seed)
+        self._core_waits = CoreWaits(self.machines)
         self._plans = Plans(seed, VOTERS, size.nodes)
         self._rounds = 0
         self._more_broken: list[str] = []
@@ -82,11 +84,14 @@
             *self.changes.broken,
             *self.questions.broken,
             *self.strikes.broken,
+            *self.strikes.readiness.broken,
+            *self._faults(),
             *self._more_broken,
             *self._not_back,
         ]
 
     def start(self) -> None:
+        self._core_waits.start()
         for machine in self.machines:
             self.strikes.write_settings(machine, first_start=True)
             machine.start()
@@ -96,6 +101,7 @@
         self._settle()
 
     def close(self) -> None:
+        self._core_waits.stop()
         for machine in self.machines:
             machine.kill()
         for instance in self.instances:
@@ -115,6 +121,7 @@
             self.changes.stop()
             self.questions.stop()
             callers.stop()
+        self.strikes.readiness.judge()
         time.sleep(AFTER_CALLS_SECONDS)
         for exchange in callers.ended:
             self.audit.check(exchange)
@@ -126,7 +133,7 @@
 
     def report(self) -> list[str]:
         """Return what was done and seen, as lines."""
-        changes = self.changes
+        changes, readiness = self.changes, self.strikes.readiness
         return [
             f"seed {self.seed}, {self._rounds} rounds, {len(self.nodes)} nodes",
             f"strikes: {dict(Counter(self.strikes.counts).most_common())}",
@@ -134,15 +141,15 @@
             f"{changes.changes} changes, {changes.races} of them of two at once; "
             f"the longest took {changes.longest_seconds:.1f} s; {changes.reads} reads",
             f"{self.questions.judged} direct requests judged",
-            f"faults logged: {dict(self._faults())}",
+            f"{readiness.ready} of {readiness.asked} nodes ready 4 s after SIGTERM",
+            f"{len(self._faults())} faults logged",
             f"longest stop {self.strikes.longest_stop_seconds:.1f} s",
             f"{len(self.broken)} promises broken",
         ]
 
-    def _faults(self) -> Counter[str]:
-        """Return how many faults of the program each machine's processes have logged."""
-        events = ((machine.name, event) for machine in self.machines for event in machine.events())
-        return Counter(name for name, event in events if event.get("event") == INTERNAL_FAULT)
+    def _faults(self) -> list[str]:
+        """Return the faults that all machines' processes have logged."""
+        return [line for each in self.machines for line in logged_faults(each.name, each.events())]
 
     def _settle(self) -> None:
         """With all back: five vote, a change is taken, and each node is ready and serves by it."""
--- a/features/steps/machine_strikes.py
+++ b/features/steps/machine_strikes.py
@@ -7,8 +7,10 @@
 import subprocess
 import threading
 import time
+from datetime import UTC, datetime, timedelta
 
 from platform_machines import GRACE_SECONDS, Machine
+from stopped_readiness import StoppedReadiness
 from strike_log import KILL, PAUSE, RELOAD, SETTINGS, START, STOP, StrikeLog
 from strike_series import RESUME, WAIT_STOPPED, Series, Step
 
@@ -17,6 +19,7 @@
 
 SEEDS = 3
 PROCESS_STARTED = "process-started"
+STOP_EVENTS = frozenset({"process-stopping", "stop-limit-passed", "process-stopped"})
 
 
 class MachineStrikes:
@@ -33,6 +36,7 @@
         self.broken: list[str] = []
         self.counts: dict[str, int] = {}
         self.longest_stop_seconds = 0.0
+        self.readiness = StoppedReadiness(strikes)
 
     def play(self, all_series: list[Series]) -> None:
         """Play all series at once, to their ends."""
@@ -71,11 +75,14 @@
     def _stop(self, machine: Machine) -> None:
         if not machine.running:
             return
+        is_first = machine.name not in self._stop_at
         self._stop_at.setdefault(machine.name, time.monotonic())
         if not self._has_begun(machine):
             self._early.add(machine.name)
         self._strikes.note(machine, STOP)
         machine.send(signal.SIGTERM)
+        if is_first and machine in self._nodes:
+            self.readiness.watch(machine)
 
     def _has_begun(self, machine: Machine) -> bool:
         """Return whether the process has said that it started: before, SIGTERM just ends it."""
@@ -89,7 +96,10 @@
             self.broken.append(f"{machine.name} did not stop within {STOP_SECONDS} s")
             machine.kill()
             return
-        self.longest_stop_seconds = max(self.longest_stop_seconds, time.monotonic() - begun)
+        seconds = time.monotonic() - begun
+        self.longest_stop_seconds = max(self.longest_stop_seconds, seconds)
+        if seconds > GRACE_SECONDS:
+            print(f"{machine.name} stopped in {seconds:.3f} s: {_last_words(machine, seconds)}")
         allowed = (0, -signal.SIGTERM) if machine.name in self._early else (0,)
         self._early.discard(machine.name)
         if status not in allowed:
@@ -126,5 +136,16 @@
         self._strikes.unplanned_over(machine)
 
 
+def _last_words(machine: Machine, seconds: float) -> list[str]:
+    """Return when a process that has just ended logged how its stop went, from SIGTERM on."""
+    asked_at = datetime.now(UTC) - timedelta(seconds=seconds)
+    events = [(datetime.fromisoformat(each["time"]), each["event"]) for each in machine.events()]
+    return [
+        f"{event} {(at - asked_at).total_seconds():+.3f}"
+        for at, event in events
+        if event in STOP_EVENTS and at >= asked_at
+    ]
+
+
 def _starts(machine: Machine) -> int:
     return sum(event.get("event") == PROCESS_STARTED for event in machine.events())
