Let a second SIGTERM change nothing until the process has gone

Change: what the receiver gives SIGTERM back to ends the process only where no planned stop is under way, and after the loop SIGTERM is ignored. Both scenarios fail without it.

--- a/features/steps/faulty_role.py
+++ b/features/steps/faulty_role.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import atexit
+import os
+import signal
 import sys
 from functools import partial
 from typing import Any
@@ -80,7 +83,30 @@
             await pool.request("GET", f"http://{address}/")
 
 
+def ask_to_stop() -> None:
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+async def stop_and_again(shell: ProcessShell, when_to_ask_again: str) -> None:
+    """Stop as planned, with a second SIGTERM after the signals' receiver has closed."""
+    if when_to_ask_again == "exit":
+        atexit.register(ask_to_stop)
+    ask_to_stop()
+    await shell.stop_requested.wait()
+    if when_to_ask_again == "loop":
+        trio.lowlevel.add_instrument(AskAtTheEnd())
+
+
+class AskAtTheEnd(trio.abc.Instrument):
+    """Asks once more as the event loop ends."""
+
+    def after_run(self) -> None:
+        ask_to_stop()
+
+
 PLACES = {
+    "second SIGTERM at the loop's end": partial(stop_and_again, when_to_ask_again="loop"),
+    "second SIGTERM at the process's exit": partial(stop_and_again, when_to_ask_again="exit"),
     "core": fault_in_core,
     "main": fault_in_main,
     "HTTP caller": fault_in_http_caller,
--- a/features/steps/transport_process_steps.py
+++ b/features/steps/transport_process_steps.py
@@ -106,6 +106,11 @@
     context.ended = run(LIMELEVER, "agent", "--settings", context.settings)
 
 
+@when("a role with a second SIGTERM at {place} is run")
+def when_asked_again(context, place):
+    context.ended = run(sys.executable, FAULTY_ROLE, f"second SIGTERM at {place}")
+
+
 @when("a role with a fault in its {place} is run")
 def when_faulty_role(context, place):
     context.ended = run(sys.executable, FAULTY_ROLE, place)
--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -61,3 +61,15 @@
   Scenario: The last words of a process come before its cut
     When a process that has last words is cut
     Then they were said once, before anything was cancelled
+
+  Scenario Outline: A second SIGTERM changes nothing until the process has gone
+    Symptom: a control process ended a planned stop with status -15. Sequence: SIGTERM, and again 0.30 s later (soak of
+    kept connections, seed 416). Cause: trio gives the signals back as the event loop ends, so that from then on a
+    second SIGTERM ended the process by the signal. What settled it: process-stopping without process-stopped.
+    When a role with a second SIGTERM at <place> is run
+    Then that process exits with 0
+
+    Examples:
+      | place              |
+      | the loop's end     |
+      | the process's exit |
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -4,6 +4,7 @@
 
 import gc
 import math
+import os
 import signal
 import ssl
 import sys
@@ -233,6 +234,8 @@
         trio.run(_run, settings, main, incarnation, identity, source)
     except BaseException as error:
         status = _report_failure(error)
+    # Not by a function: Python gives those back as it ends.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     write_event(events.PROCESS_STOPPED, {"status": status})
     return status
 
@@ -296,6 +299,8 @@
 async def _watch_signals(
     shell: ProcessShell, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
 ) -> None:
+    # The receiver gives SIGTERM back to this as it closes, before the event loop has ended.
+    signal.signal(signal.SIGTERM, partial(_end_unless_stopping, shell))
     with trio.open_signal_receiver(*_SIGNALS) as received:
         task_status.started()
         async for number in received:
@@ -312,6 +317,13 @@
             shell.begin_stop()
 
 
+def _end_unless_stopping(shell: ProcessShell, number: int, _: object) -> None:
+    """Take SIGTERM while the receiver is closed: it ends the process, but for a planned stop."""
+    if not shell.stop_requested.is_set():
+        signal.signal(number, signal.SIG_DFL)
+        os.kill(os.getpid(), number)
+
+
 async def _enforce_stop_limit(shell: ProcessShell) -> None:
     await trio.sleep_until(shell.stop_limit_at)
     write_event(events.STOP_LIMIT_PASSED, {"limit_ms": shell.settings.stop_limit_ms})
