--- a/features/platform/stop_limit.feature
+++ b/features/platform/stop_limit.feature
@@ -23,7 +23,7 @@
     Then each of its callers is told that the outcome is not known, when the time is nearly over
     And that node ended by itself with status 0, within its limit
 
-  Scenario: A node that is held up over its limit still has the last word
+  Scenario: A node that is held up over its limit still answers its callers
     A process that was held up finds all its deadlines passed at once. The last answers came from a task beside the one
     that cut everything off: 2 of 8 runs left the caller without a byte.
     Given a control process, and two nodes of the platform of which one has an instance
--- a/features/steps/stopping_shell_steps.py
+++ b/features/steps/stopping_shell_steps.py
@@ -16,7 +16,7 @@
     """What a stopping shell did, in its order."""
 
     was_ready: bool = False
-    words: list[str] = field(default_factory=list)
+    called: list[str] = field(default_factory=list)
 
 
 async def stop_then_set_ready(seen):
@@ -28,11 +28,11 @@
         nursery.cancel_scope.cancel()
 
 
-async def cut_with_last_words(seen):
+async def abort_with_callback(seen):
     async with trio.open_nursery() as nursery:
         shell = ProcessShell(SETTINGS, nursery, 0, "")
-        shell.last_words.append(lambda: seen.words.append(f"{nursery.cancel_scope.cancel_called}"))
-        shell.cut()
+        shell.on_abort.append(lambda: seen.called.append(f"{nursery.cancel_scope.cancel_called}"))
+        shell.abort()
 
 
 @when("a process is said to be ready after its stop began")
@@ -46,12 +46,12 @@
     assert not context.seen.was_ready
 
 
-@when("a process that has last words is cut")
-def when_cut(context):
+@when("a process with a callback for its abortion is aborted")
+def when_aborted(context):
     context.seen = SeenByShell()
-    trio.run(cut_with_last_words, context.seen)
+    trio.run(abort_with_callback, context.seen)
 
 
-@then("they were said once, before anything was cancelled")
-def then_said(context):
-    assert context.seen.words == ["False"], context.seen.words
+@then("that callback was called once, before anything was cancelled")
+def then_called(context):
+    assert context.seen.called == ["False"], context.seen.called
--- a/features/transport/process.feature
+++ b/features/transport/process.feature
@@ -58,9 +58,9 @@
     When a process is said to be ready after its stop began
     Then that process does not say that it is ready
 
-  Scenario: The last words of a process come before its cut
-    When a process that has last words is cut
-    Then they were said once, before anything was cancelled
+  Scenario: A process that is aborted answers whoever waits before it cancels its tasks
+    When a process with a callback for its abortion is aborted
+    Then that callback was called once, before anything was cancelled
 
   Scenario Outline: A second SIGTERM changes nothing until the process has gone
     Symptom: a control process ended a planned stop with status -15. Sequence: SIGTERM, and again 0.30 s later (soak of
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -16,7 +16,7 @@
 from limelever.proxy import process as proxy_process
 from limelever.transport.gateway import Gateway, start_gateways
 from limelever.transport.process import (
-    LAST_WORDS_SECONDS,
+    FINAL_ANSWERS_SECONDS,
     ProcessFailedError,
     ProcessShell,
     run_role,
@@ -79,7 +79,7 @@
             )
             await shell.stop_requested.wait()
             await trio.sleep(seconds(settings.edge.lame_duck_ms))
-            with trio.move_on_at(shell.stop_limit_at - LAST_WORDS_SECONDS):
+            with trio.move_on_at(shell.stop_limit_at - FINAL_ANSWERS_SECONDS):
                 await agents.stop()
             agents.cut_off()
         done.set()
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -39,7 +39,7 @@
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
 from limelever.transport.process import (
-    LAST_WORDS_SECONDS,
+    FINAL_ANSWERS_SECONDS,
     ProcessFailedError,
     ProcessShell,
     run_role,
@@ -49,7 +49,7 @@
 
 GIVE_BACK_SECONDS = 0.5
 """Before the stop limit, calls that no back end has begun are asked back and answered: a choice, a
-round trip to a busy agent comes before the last words."""
+round trip to a busy agent comes before the final answers."""
 
 _PERCENT = 100.0
 
@@ -169,7 +169,7 @@
         shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
         edge_ended = await _start_edge(edge, settings, nursery)
-        shell.last_words.append(lambda: runner.post(StopLimitReached()))
+        shell.on_abort.append(lambda: runner.post(StopLimitReached()))
         await shell.stop_requested.wait()
         nursery.start_soon(_announce_limit, shell.stop_limit_at, runner)
         edge.leave()
@@ -185,7 +185,7 @@
     """Tell the core in time that the process ends at ``limit_at`` (seconds, monotonic)."""
     await trio.sleep_until(limit_at - GIVE_BACK_SECONDS)
     runner.post(StopLimitNear())
-    await trio.sleep_until(limit_at - LAST_WORDS_SECONDS)
+    await trio.sleep_until(limit_at - FINAL_ANSWERS_SECONDS)
     runner.post(StopLimitReached())
 
 
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -42,7 +42,7 @@
 _OBJECTS_BETWEEN_COLLECTIONS = 5000
 """Objects made and not freed between two collections; Python's own 700 is a call's worth or two."""
 
-LAST_WORDS_SECONDS = 0.2
+FINAL_ANSWERS_SECONDS = 0.2
 """Before the limit of a stop, whoever still waits is answered: a choice, some round trips and turns
 of a busy process, so that the answers leave before the process does."""
 
@@ -80,7 +80,7 @@
         self.nursery = nursery
         self.stop_requested = trio.Event()
         self.stop_limit_at = math.inf
-        self.last_words: list[Callable[[], None]] = []
+        self.on_abort: list[Callable[[], None]] = []
         self.ready = False
         READY.set_function(lambda: float(self.ready))
         self.incarnation = incarnation
@@ -181,14 +181,14 @@
         self.stop_requested.set()
         self.nursery.start_soon(_enforce_stop_limit, self)
 
-    def cut(self) -> None:
-        """End the process at once, after the last words to whoever still waits.
+    def abort(self) -> None:
+        """End the process at once, after the callbacks of ``on_abort`` answered whoever waits.
 
-        They are said here and not by tasks of their own: a process that was held up finds all its
-        deadlines passed at once, and which of its tasks runs first is not known.
+        They are called here and are no tasks of their own: a process that was held up finds all
+        its deadlines passed at once, and which of its tasks runs first is not known.
         """
-        for say in self.last_words:
-            say()
+        for answer_open in self.on_abort:
+            answer_open()
         self.nursery.cancel_scope.cancel()
 
     def fail(self, failure: Failure) -> None:
@@ -309,7 +309,7 @@
                 continue
             if shell.stop_requested.is_set():
                 if number == signal.SIGINT:
-                    shell.cut()
+                    shell.abort()
                     return
                 # Whoever manages the process may ask twice: what is under way keeps its time.
                 continue
@@ -327,4 +327,4 @@
 async def _enforce_stop_limit(shell: ProcessShell) -> None:
     await trio.sleep_until(shell.stop_limit_at)
     write_event(events.STOP_LIMIT_PASSED, {"limit_ms": shell.settings.stop_limit_ms})
-    shell.cut()
+    shell.abort()
