--- a/features/steps/platform_traffic.py
+++ b/features/steps/platform_traffic.py
@@ -227,13 +227,18 @@
             self.broken.append(f"a read gave r{version_of(answer.body)}, r{least} was taken")
 
     def _ask(self, method: str, body: bytes | None = None) -> Answer:
-        host, port = self.draw.choice(self.machines).ip, CONTROL_PORT
-        for _ in range(3):
-            answer = ask(host, port, method, "/v1/config", body, limit=2.0)
-            if answer.status != 307:
-                return answer
-            host = answer.location.removeprefix("http://").split(":")[0]
-        return Answer(0)
+        return ask_control(self.draw.choice(self.machines), method, body)
+
+
+def ask_control(machine: ControlMachine, method: str, body: bytes | None = None) -> Answer:
+    """Give an operator's call to a machine, and follow to the one that it names."""
+    host = machine.ip
+    for _ in range(3):
+        answer = ask(host, CONTROL_PORT, method, "/v1/config", body, limit=2.0)
+        if answer.status != 307:
+            return answer
+        host = answer.location.removeprefix("http://").split(":")[0]
+    return Answer(0)
 
 
 def version_of(body: bytes) -> int:
@@ -243,6 +248,11 @@
 def document(number: int, base: int, timeout_ms: int = DEADLINE_MS) -> bytes:
     """Return a configuration whose only changing route is that of its own number."""
     kinds = {READ: "safe", WRITE: "unsafe", f"v{number}": "safe"}
+    return document_of(number, base, kinds, timeout_ms)
+
+
+def document_of(number: int, base: int, kinds: dict[str, str], timeout_ms: int) -> bytes:
+    """Return a configuration with a route for each name, of the kind given."""
     routes = [
         {
             "name": f"r-{name}",
--- a/features/steps/quick_changes.py
+++ b/features/steps/quick_changes.py
@@ -3,24 +3,23 @@
 from __future__ import annotations
 
 import itertools
-import json
 import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
 
-from platform_machines import CONTROL_PORT, SERVICE, ControlMachine
+from platform_machines import ControlMachine
 from platform_traffic import (
     APPLY_SECONDS,
-    HOST_NAME,
     NOT_RUN,
     OK,
     ORDER_LIMIT_SECONDS,
     READ,
     WRITE,
     Answer,
-    ask,
+    ask_control,
+    document_of,
     version_of,
 )
 
@@ -54,26 +53,7 @@
 
     def document(self) -> bytes:
         kinds = {**LASTING, **dict.fromkeys(self.routes, "safe")}
-        routes = [
-            {
-                "name": f"r-{name}",
-                "pathPrefix": f"/{name}/",
-                "routeType": kind,
-                "timeoutMs": ROUTE_TIMEOUT_MS,
-                "targetLatencyMs": 400,
-                "priority": 1,
-                "service": SERVICE,
-                "retryAttempts": 2,
-            }
-            for name, kind in kinds.items()
-        ]
-        value = {
-            "version": f"r{self.number}",
-            "baseVersion": f"r{self.base}",
-            "services": [{"name": SERVICE, "healthPath": "/health"}],
-            "virtualHosts": [{"host": HOST_NAME, "pathRoutes": routes}],
-        }
-        return json.dumps(value).encode()
+        return document_of(self.number, self.base, kinds, ROUTE_TIMEOUT_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,7 +143,7 @@
         """Read at some machine: never older than what was taken ``APPLY_SECONDS`` ago."""
         before = time.monotonic() - APPLY_SECONDS
         least = max((number for at, number in self._taken if at < before), default=0)
-        answer = self._ask(self._draw, "GET")
+        answer = ask_control(self._draw.choice(self._machines), "GET")
         if answer.status != OK:
             return
         self.reads += 1
@@ -197,7 +177,7 @@
             for route in set(self.current.routes) - set(change.routes):
                 self._news.drop_sent_at.setdefault(route, begun)
         while time.monotonic() < begun + ORDER_LIMIT_SECONDS:
-            answer = self._ask(draw, "PUT", body)
+            answer = ask_control(draw.choice(self._machines), "PUT", body)
             status = answer.status
             if status == OK or (status // 100 == 4 and status not in NOT_RUN):
                 self._note_time(change, begun, tried, answer)
@@ -215,12 +195,3 @@
             print(
                 f"{told} after {seconds:.3f} s, {answer.body[:200]!r}, before: {tried}", flush=True
             )
-
-    def _ask(self, draw: random.Random, method: str, body: bytes | None = None) -> Answer:
-        host = draw.choice(self._machines).ip
-        for _ in range(3):
-            answer = ask(host, CONTROL_PORT, method, "/v1/config", body, limit=2.0)
-            if answer.status != 307:
-                return answer
-            host = answer.location.removeprefix("http://").split(":")[0]
-        return Answer(0)
