--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -4,8 +4,6 @@
 
 import gc
 import math
-import os
-import signal
 import ssl
 import sys
 from collections.abc import Awaitable, Callable, Iterable
@@ -28,6 +26,11 @@
     READY,
     publish_configuration_age,
 )
+from limelever.transport.process_signals import (
+    enforce_stop_limit,
+    ignore_sigterm,
+    watch_signals,
+)
 from limelever.transport.reload import Reloading, SettingsFile
 from limelever.transport.runner import CoreRunner
 from limelever.transport.tls import (
@@ -46,8 +49,6 @@
 """Before the limit of a stop, whoever still waits is answered: a choice, some round trips and turns
 of a busy process, so that the answers leave before the process does."""
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
 
 class ProcessFailedError(Exception):
     """Ends the process; carries the failure that is its reason."""
@@ -179,7 +180,7 @@
         self.ready = False
         self.stop_limit_at = trio.current_time() + seconds(self.settings.stop_limit_ms)
         self.stop_requested.set()
-        self.nursery.start_soon(_enforce_stop_limit, self)
+        self.nursery.start_soon(enforce_stop_limit, self)
 
     def abort(self) -> None:
         """End the process at once, after the callbacks of ``on_abort`` answered whoever waits.
@@ -234,8 +235,7 @@
         trio.run(_run, settings, main, incarnation, identity, source)
     except BaseException as error:
         status = _report_failure(error)
-    # Not by a function: Python gives those back as it ends.
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    ignore_sigterm()
     write_event(events.PROCESS_STOPPED, {"status": status})
     return status
 
@@ -275,7 +275,7 @@
     async with trio.open_nursery() as nursery:
         shell = ProcessShell(settings, nursery, incarnation, identity, source)
         nursery.start_soon(shell.wait_failed)
-        await nursery.start(_watch_signals, shell)
+        await nursery.start(watch_signals, shell)
         nursery.start_soon(shell.reloading.watch)
         if settings.admin is not None:
             await _start_admin(shell, settings.admin)
@@ -294,37 +294,3 @@
     bound: Address | Failure = await shell.nursery.start(serve)
     if isinstance(bound, Failure):
         raise ProcessFailedError(bound)
-
-
-async def _watch_signals(
-    shell: ProcessShell, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-) -> None:
-    # The receiver gives SIGTERM back to this as it closes, before the event loop has ended.
-    signal.signal(signal.SIGTERM, partial(_end_unless_stopping, shell))
-    with trio.open_signal_receiver(*_SIGNALS) as received:
-        task_status.started()
-        async for number in received:
-            if number == signal.SIGHUP:
-                shell.reloading.reload(signal.Signals(number).name)
-                continue
-            if shell.stop_requested.is_set():
-                if number == signal.SIGINT:
-                    shell.abort()
-                    return
-                # Whoever manages the process may ask twice: what is under way keeps its time.
-                continue
-            write_event(events.PROCESS_STOPPING, {"reason": signal.Signals(number).name})
-            shell.begin_stop()
-
-
-def _end_unless_stopping(shell: ProcessShell, number: int, _: object) -> None:
-    """Take SIGTERM while the receiver is closed: it ends the process, but for a planned stop."""
-    if not shell.stop_requested.is_set():
-        signal.signal(number, signal.SIG_DFL)
-        os.kill(os.getpid(), number)
-
-
-async def _enforce_stop_limit(shell: ProcessShell) -> None:
-    await trio.sleep_until(shell.stop_limit_at)
-    write_event(events.STOP_LIMIT_PASSED, {"limit_ms": shell.settings.stop_limit_ms})
-    shell.abort()
