--- a/features/platform/formats.feature
+++ b/features/platform/formats.feature
@@ -29,6 +29,27 @@
       | without its info      |
       | without a sequence    |
       | with a text for slots |
+      | without an address    |
+      | without a zone        |
+      | without a version     |
+      | without its warm-up   |
+      | of an unknown state   |
+      | born at a text        |
+      | born at a fraction    |
+      | with a half character |
+
+  Scenario: A heartbeat of any shape is a report or is refused, and raises nothing
+    Given any bytes and any JSON as a heartbeat, each is a whole report or refused with 400
+
+  Scenario Outline: A heartbeat whose instance has the identifier <identifier> is refused
+    Then the platform's heartbeat of the instance <identifier> is refused with 400
+
+    Examples:
+      | identifier        |
+      | with a line break |
+      | with a space      |
+      | without a letter  |
+      | that is too long  |
 
   Scenario: A heartbeat becomes a report
     Given any heartbeat, the report says what it says
--- a/features/platform/node_start.feature
+++ b/features/platform/node_start.feature
@@ -16,5 +16,23 @@
       | with id and load                   | names i-1 with 8 slots |
       | with an id alone                   | names i-1 with 0 slots |
       | with a load that is no list        | names i-1 with 0 slots |
+      | with a load of too many digits     | names i-1 with 0 slots |
       | with id and load, but not well     | names nobody           |
       | without an id                      | names nobody           |
+
+  Scenario: An instance that starts again under its identifier is used, and others take nobody's place
+    Given a control process and a node of the platform beside a back end with 1 slot
+    When the platform's configuration is put and the back end reports itself
+    And the back end, born at 1000, says report 40
+    And the back end, born at 2000, says report 1
+    Then another endpoint is registered for it
+    And a request through the node is answered by the back end, with the caller's service told
+    When the back end, born at 1000, says late that it leaves and ends
+    And reports come that name no instance beside the node
+    Then a request through the node is answered by the back end, with the caller's service told
+    And one line of the node's log tells of them
+    When the back end, born at 2000, says late that it leaves and ends
+    Then a request through the node fails for want of an endpoint
+    When the back end, born at 3000, says report 1
+    Then another endpoint is registered for it
+    And a request through the node is answered by the back end, with the caller's service told
--- a/features/steps/crashing_instances.py
+++ b/features/steps/crashing_instances.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import itertools
-import json
 import socket
 import threading
 import time
@@ -12,8 +11,16 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from journal_instances import Journal
-from platform_machines import CONTROL_PORT, INSTANCE_PORT, OUTBOUND_PORT, SERVICE, NodeMachine
-from platform_traffic import HEARTBEAT_SECONDS, HOST_NAME, OK, SLOTS, WORK_SECONDS, ask
+from platform_machines import CONTROL_PORT, INSTANCE_PORT, OUTBOUND_PORT, NodeMachine
+from platform_traffic import (
+    HEARTBEAT_SECONDS,
+    HOST_NAME,
+    OK,
+    SLOTS,
+    WORK_SECONDS,
+    ask,
+    heartbeat,
+)
 
 DEADLY = "deadly"
 """A path that holds it ends each instance that begins to run it."""
@@ -143,10 +150,8 @@
 
     def _report(self) -> None:
         machine = self.owner.machine
-        info = {"service": SERVICE, "slots": SLOTS, "zone": machine.zone, "version": "v1"}
         for number in itertools.count(1):
-            status = {"state": "ready", "seq": number, "warmupLeftMs": 0}
-            body = json.dumps({"info": info, "status": status}).encode()
+            body = heartbeat(machine, SLOTS, number)
             path = f"/v1/instances/{self.id}"
             ask(machine.ip, CONTROL_PORT, "PUT", path, body, limit=1.0)
             if self._ended.wait(HEARTBEAT_SECONDS):
--- a/features/steps/health_answer_steps.py
+++ b/features/steps/health_answer_steps.py
@@ -15,6 +15,10 @@
     "with id and load": (200, (ID, LOAD)),
     "with an id alone": (200, (ID,)),
     "with a load that is no list": (200, (ID, (b"Limelever-Server-Load", b"much"))),
+    "with a load of too many digits": (
+        200,
+        (ID, (b"Limelever-Server-Load", b"0,0," + b"9" * 5000)),
+    ),
     "with id and load, but not well": (503, (ID, LOAD)),
     "without an id": (200, (LOAD,)),
 }
--- a/features/steps/node_report_steps.py
+++ b/features/steps/node_report_steps.py
@@ -26,7 +26,12 @@
     SendMessage,
     Started,
 )
-from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
+from limelever.node.reports import (
+    BIRTH_UNKNOWN,
+    InstanceReport,
+    InstanceWatch,
+    ReportOutcome,
+)
 from limelever.protocol.calls_pb2 import CallFailed, CallStart
 from limelever.protocol.config_pb2 import CALL_KIND_ONCE_PER_ATTEMPT
 from limelever.subscriber.settings import SubscriberSettings
@@ -36,8 +41,8 @@
 PROXY = 1
 
 
-def report(instance, sequence, draining=False):
-    return InstanceReport(instance, "orders", sequence, draining)
+def report(instance, sequence, draining=False, born=BIRTH_UNKNOWN):
+    return InstanceReport(instance, "orders", sequence, draining, born=born)
 
 
 @given("any order of reports, an instance starts once and never comes back once it left")
@@ -110,6 +115,95 @@
     assert context.outcome is ReportOutcome.INSTANCE_LEAVES
 
 
+@given('an instance "{instance}", born at {born:d}, whose report {sequence:d} has come')
+def given_born(context, instance, born, sequence):
+    context.watch = InstanceWatch()
+    outcome = context.watch.reported(report(instance, sequence, born=born))
+    assert outcome is ReportOutcome.INSTANCE_STARTED
+
+
+@given('an instance "{instance}" that was found by asking')
+def given_found(context, instance):
+    context.watch = InstanceWatch()
+    assert context.watch.reported(report(instance, -1)) is ReportOutcome.INSTANCE_STARTED
+
+
+@when('"{instance}", born at {born:d}, says report {sequence:d}')
+def when_born_reports(context, instance, born, sequence):
+    context.outcome = context.watch.reported(report(instance, sequence, born=born))
+
+
+@when('"{instance}", born at {born:d}, says reports {sequences}')
+def when_born_reports_several(context, instance, born, sequences):
+    for sequence in map(int, sequences.split(", ")):
+        context.outcome = context.watch.reported(report(instance, sequence, born=born))
+
+
+@when('"{instance}", born at {born:d}, says late that it leaves')
+def when_born_leaves(context, instance, born):
+    context.outcome = context.watch.reported(report(instance, 1, draining=True, born=born))
+
+
+@when('"{instance}", born at {born:d}, says late that it ends')
+def when_born_ends(context, instance, born):
+    context.outcome = context.watch.ended(instance, born)
+
+
+@when('"{instance}" says report {sequence:d} without a birth')
+def when_reports_unborn(context, instance, sequence):
+    context.outcome = context.watch.reported(report(instance, sequence))
+
+
+@when('"{instance}" says without a birth that it ends')
+def when_ends_unborn(context, instance):
+    context.outcome = context.watch.ended(instance)
+
+
+@then("a run starts")
+def then_starts(context):
+    assert context.outcome is ReportOutcome.INSTANCE_STARTED, context.outcome
+
+
+@then("the run before is over and none takes its place")
+def then_over(context):
+    assert context.outcome is ReportOutcome.INSTANCE_ENDED, context.outcome
+    assert not context.watch.is_staying(context.watch.instance)
+
+
+@then('"{instance}", born at {born:d}, is staying')
+def then_staying(context, instance, born):
+    assert context.watch.is_staying(instance, born)
+
+
+@given("any order of reports of runs, no run starts after a later one or after its end")
+def given_any_runs(context):
+    words = st.tuples(
+        st.integers(1, 4),
+        st.integers(0, 5),
+        st.sampled_from(["ready", "draining", "ended"]),
+    )
+
+    @PROPERTY
+    @examples(st.lists(words, max_size=30))
+    def check(plan):
+        watch = InstanceWatch()
+        newest, left = 0, set()
+        for born, sequence, word in plan:
+            if word == "ended":
+                outcome = watch.ended("a", born)
+            else:
+                outcome = watch.reported(report("a", sequence, word == "draining", born))
+            if outcome is ReportOutcome.INSTANCE_STARTED:
+                assert born > newest and born not in left
+            newest = max(newest, born)
+            if word != "ready":
+                left.add(born)
+            staying = [each for each in range(1, 5) if watch.is_staying("a", each)]
+            assert staying == ([] if newest in left else [newest]), (staying, newest, left)
+
+    check()
+
+
 @given("an agent with calls running and waiting")
 def given_agent(context):
     registration = RegistrationSettings(
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -196,19 +196,26 @@
     wait_until(accepted, "the configuration is taken")
 
 
-@when("the platform's configuration is put and the back end reports itself")
-def when_put(context):
-    put(context, 1, 0, {"read": "safe", "write": "unsafe", "old": "safe"})
+def heartbeat(context, **fields):
+    """Return what the back end reports of itself, but for these fields."""
     report = {
-        "info": {"service": "alpha", "slots": 1},
+        "address": f"{HOST}:{context.back_end.server_address[1]}",
+        "info": {"service": "alpha", "version": "v1", "zone": "one", "slots": 1},
         "status": {"state": "ready", "seq": 1, "warmupLeftMs": 0},
     }
+    return {**report, **fields}
+
+
+def tell(context, report, instance=INSTANCE):
+    """Send a report; return the status of the answer."""
     body = json.dumps(report).encode()
+    return call(context.reports, "PUT", f"/v1/instances/{instance}", body)[0]
 
-    def reported():
-        return call(context.reports, "PUT", f"/v1/instances/{INSTANCE}", body)[0] == 200
 
-    wait_until(reported, "the report is taken")
+@when("the platform's configuration is put and the back end reports itself")
+def when_put(context):
+    put(context, 1, 0, {"read": "safe", "write": "unsafe", "old": "safe"})
+    wait_until(lambda: tell(context, heartbeat(context)) == 200, "the report is taken")
     wait_until(lambda: call(context.ready, "GET", "/v1/ready")[0] == 200, "the node is ready")
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -22,7 +22,6 @@
 from fields import FieldError  # noqa: E402
 from http_calls import refused  # noqa: E402
 from node_boot import node_settings  # noqa: E402
-from report_format import parse_report  # noqa: E402
 
 from limelever.common.errors import ErrorKind, Failure  # noqa: E402
 from limelever.common.events import PROCESS_FAILED, SETTING_REPLACED  # noqa: E402
@@ -161,45 +160,6 @@
         assert validate_batch(batch), flaw
 
 
-def heartbeat(**status):
-    info = {"service": "alpha", "version": "v1", "zone": "one", "slots": 6}
-    held = {"state": "ready", "seq": 4, "warmupLeftMs": 0}
-    held.update(status)
-    return {"address": "10.0.0.1:80", "info": info, "status": held}
-
-
-@then("the platform's heartbeat that is {flaw} is refused with 400")
-def then_heartbeat_refused(context, flaw):
-    value = heartbeat()
-    body = None
-    match flaw:
-        case "cut short":
-            body = json.dumps(value).encode()[:-3]
-        case "without its info":
-            del value["info"]
-        case "without a sequence":
-            del value["status"]["seq"]
-        case "with a text for slots":
-            value["info"]["slots"] = "six"
-    report = parse_report("i-1", body or json.dumps(value).encode())
-    assert isinstance(report, Failure) and refused(report).status == 400, report
-
-
-@given("any heartbeat, the report says what it says")
-def given_any_heartbeat(context):
-    @PROPERTY
-    @examples(st.sampled_from(["ready", "draining"]), st.integers(0, 10**6), st.integers(0, 9999))
-    def check(state, sequence, warm_up):
-        body = json.dumps(heartbeat(state=state, seq=sequence, warmupLeftMs=warm_up)).encode()
-        report = parse_report("i-1", body)
-        assert (report.instance, report.service, report.slots) == ("i-1", "alpha", 6)
-        assert report.draining is (state == "draining")
-        assert report.sequence == sequence
-        assert report.warm_up_left == warm_up / 1000.0
-
-    check()
-
-
 COMMON = {
     "zone": "one",
     "portRange": "7380,7395",
@@ -213,18 +173,19 @@
     "bounds.budgetSlack": "64",
     "limits.linkMbps": "2.35",
 }
+NODE_FIELDS = {
+    **COMMON,
+    "nodeName": "sidecar-1",
+    "ip": "10.1.0.9",
+    "listenAddrs.outbound": "10.1.0.9:8147",
+    "service": "alpha",
+    "appAddr": "10.1.0.9:8145",
+}
 
 
 @given("the platform's settings of a machine with an instance and of one of the core")
 def given_settings(context):
-    context.node_fields = {
-        **COMMON,
-        "nodeName": "sidecar-1",
-        "ip": "10.1.0.9",
-        "listenAddrs.outbound": "10.1.0.9:8147",
-        "service": "alpha",
-        "appAddr": "10.1.0.9:8145",
-    }
+    context.node_fields = dict(NODE_FIELDS)
     context.control_fields = {
         **COMMON,
         "nodeName": "core-1",
--- a/features/steps/platform_traffic.py
+++ b/features/steps/platform_traffic.py
@@ -69,6 +69,16 @@
             self.by_id[request] += 1
 
 
+def heartbeat(machine: NodeMachine, slots: int, number: int) -> bytes:
+    """Return the body of an instance's report of this number, as it takes work."""
+    report = {
+        "address": f"{machine.ip}:{INSTANCE_PORT}",
+        "info": {"service": SERVICE, "slots": slots, "zone": machine.zone, "version": "v1"},
+        "status": {"state": "ready", "seq": number, "warmupLeftMs": 0},
+    }
+    return json.dumps(report).encode()
+
+
 class Instance(ThreadingHTTPServer):
     """An instance beside a node: runs requests, and reports itself by heartbeats."""
 
@@ -92,10 +102,8 @@
         self.server_close()
 
     def _report(self) -> None:
-        info = {"service": SERVICE, "slots": SLOTS, "zone": self._machine.zone, "version": "v1"}
         for number in itertools.count(1):
-            status = {"state": "ready", "seq": number, "warmupLeftMs": 0}
-            body = json.dumps({"info": info, "status": status}).encode()
+            body = heartbeat(self._machine, SLOTS, number)
             path = f"/v1/instances/i-{self._machine.name}"
             ask(self._machine.ip, CONTROL_PORT, "PUT", path, body, limit=1.0)
             if self._over.wait(HEARTBEAT_SECONDS):
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -98,3 +98,11 @@
     "service_milliseconds",
     "draining",
 )
+REPORT_REFUSED = define(
+    5060,
+    "report-refused",
+    Level.WARNING,
+    "reports of instances that can't be the one here, or can't be read, were refused",
+    "reason",
+    "refused",
+)
--- a/src/limelever/agent/health_answer.py
+++ b/src/limelever/agent/health_answer.py
@@ -10,6 +10,9 @@
 _SLOTS_PLACE = 2
 """Place of the slots among the numbers of the load header, from 0 on."""
 
+_SLOTS_DIGITS = 9
+"""Digits of a number of slots that is believed; the language converts no more than 4,300."""
+
 
 class FoundInstance(Struct, frozen=True):
     """The instance that answered; ``slots`` 0 where it doesn't tell."""
@@ -29,6 +32,7 @@
 
 def _slots_in(headers: Headers, names: HeaderNames) -> int:
     numbers = value_of(headers, names.load).split(b",")
-    if len(numbers) <= _SLOTS_PLACE or not numbers[_SLOTS_PLACE].strip().isdigit():
+    slots = numbers[_SLOTS_PLACE].strip() if len(numbers) > _SLOTS_PLACE else b""
+    if not slots.isdigit() or len(slots) > _SLOTS_DIGITS:
         return 0
-    return int(numbers[_SLOTS_PLACE])
+    return int(slots)
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -18,13 +18,16 @@
     not_empty,
 )
 
+MOST_SLOTS = 1024
+"""Calls that a back end may run at once; a choice, far above what is in use."""
+
 
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The back end beside the agent and how it is reached."""
 
     address: Address = attrs.field(validator=dialled)
-    slots: int = attrs.field(default=6, validator=between(1, 1024))
+    slots: int = attrs.field(default=6, validator=between(1, MOST_SLOTS))
     connections: int = attrs.field(default=130, validator=between(1, 4096))
     connect_timeout_ms: int = attrs.field(default=1000, validator=between(10, 60000))
     keepalive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -29,6 +29,7 @@
 )
 from limelever.agent.process import options_from, with_pauses
 from limelever.agent.settings import AgentSettings
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Event, Output, Purpose, Role
 from limelever.node.reports import InstanceReport, InstanceWatch, ReportOutcome
 from limelever.node.settings import NodeSettings, agent_settings, dialling_pauses
@@ -75,17 +76,22 @@
         self._shared: dict[type[Event], ConfigurationShared | RelaysShared] = {}
         shell.reloading.handle("relays", self._relays_listed)
 
-    def report(self, report: InstanceReport) -> None:
-        """Take an instance's report of itself."""
+    def report(self, report: InstanceReport) -> Failure | None:
+        """Take an instance's report of itself; return why it names no instance beside this node."""
+        if failure := self._stranger(report):
+            return failure
         match self._watch.reported(report):
             case ReportOutcome.INSTANCE_STARTED:
                 self._replace(report)
             case ReportOutcome.INSTANCE_LEAVES:
                 self._drain()
+            case ReportOutcome.INSTANCE_ENDED:
+                self._end_current()
+        return None
 
-    def instance_ended(self, instance: str) -> None:
+    def instance_ended(self, instance: str, born: int) -> None:
         """Take the word of an instance that it ends."""
-        if self._watch.ended(instance) is ReportOutcome.INSTANCE_LEAVES:
+        if self._watch.ended(instance, born) is ReportOutcome.INSTANCE_LEAVES:
             self._drain()
 
     def told_by_proxy(self, output: Output) -> None:
@@ -147,21 +153,35 @@
                 )
             )
 
+    def _stranger(self, report: InstanceReport) -> Failure | None:
+        """Return why an instance can't be the one beside this node, whose place it would take."""
+        here = self._settings.backend.address
+        if report.address not in (None, here):
+            return Failure(ErrorKind.INVALID_REQUEST, f"the instance here has the address {here}")
+        shared = self._shared.get(ConfigurationShared)
+        named = shared.configuration.services if isinstance(shared, ConfigurationShared) else ()
+        if report.service != self._settings.service and report.service not in named:
+            return Failure(ErrorKind.INVALID_REQUEST, "the service is not known")
+        return None
+
     def _drain(self) -> None:
         if self._current is not None:
             self._current.runner.post(DrainRequested())
 
     def _replace(self, report: InstanceReport) -> None:
         """Start an agent for an instance that took the place of the one before."""
-        if self._current is not None:
-            self._current.runner.post(BackendGone())
+        self._end_current()
         if self._stopping:
             return
         name = f"{report.instance}-{secrets.token_hex(_NAME_BYTES)}"
         settings = agent_settings(self._settings, report, name)
-        self._nursery.start_soon(partial(self._run, settings, report.instance))
+        self._nursery.start_soon(partial(self._run, settings, report.instance, report.born))
+
+    def _end_current(self) -> None:
+        if self._current is not None:
+            self._current.runner.post(BackendGone())
 
-    async def _run(self, settings: AgentSettings, instance: str) -> None:
+    async def _run(self, settings: AgentSettings, instance: str, born: int) -> None:
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
         options = with_pauses(
             options_from(settings, self._settings.listen, None), dialling_pauses(self._settings)
@@ -186,7 +206,7 @@
             await nursery.start(runner.run)
             for event in self._shared.values():
                 runner.post(event)
-            if self._stopping or not self._watch.is_staying(instance):
+            if self._stopping or not self._watch.is_staying(instance, born):
                 runner.post(DrainRequested())
             await finished.wait()
             if listener.runners.get(Purpose.CALLS) is runner:
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -9,12 +10,15 @@
 import attrs
 import trio
 
+from limelever.agent.events import REPORT_REFUSED
+from limelever.common.errors import Failure
 from limelever.common.settings import seconds
 from limelever.node.agents import InstanceAgents
 from limelever.node.reports import InstanceReport
 from limelever.node.settings import NodeSettings, proxy_settings
 from limelever.proxy import process as proxy_process
 from limelever.transport.gateway import Gateway, start_gateways
+from limelever.transport.log import write_event
 from limelever.transport.process import (
     FINAL_ANSWERS_SECONDS,
     ProcessFailedError,
@@ -23,6 +27,9 @@
 )
 from limelever.transport.reload import SettingsFile
 
+REFUSED_LOG_INTERVAL = 10.0
+"""Seconds between two log lines on refused reports: a writer that goes on floods no log."""
+
 
 class NodeDoor:
     """What further interfaces of a node use: its readiness, and the reports of its instance."""
@@ -30,19 +37,34 @@
     def __init__(self, shell: ProcessShell, agents: InstanceAgents) -> None:
         self._shell = shell
         self._agents = agents
+        self._refused = 0
+        self._next_log_at = -math.inf
 
     @property
     def ready(self) -> bool:
         """Return whether callers are to come here."""
         return self._shell.ready
 
-    def report(self, report: InstanceReport) -> None:
-        """Take an instance's report; what follows from it has begun when this returns."""
-        self._agents.report(report)
+    def report(self, report: InstanceReport | Failure) -> Failure | None:
+        """Take an instance's report; what follows from it has begun when this returns.
+
+        Returns why it names no instance to use, as it may come from elsewhere or be unreadable.
+        """
+        failure = report if isinstance(report, Failure) else self._agents.report(report)
+        if failure is not None:
+            self._log_refused(failure)
+        return failure
 
-    def instance_ended(self, instance: str) -> None:
+    def instance_ended(self, instance: str, born: int) -> None:
         """Take the word of an instance that it ends; no call begins there from now on."""
-        self._agents.instance_ended(instance)
+        self._agents.instance_ended(instance, born)
+
+    def _log_refused(self, failure: Failure) -> None:
+        self._refused += 1
+        now = trio.current_time()
+        if now >= self._next_log_at:
+            write_event(REPORT_REFUSED, {"reason": failure.reason, "refused": self._refused})
+            self._next_log_at = now + REFUSED_LOG_INTERVAL
 
 
 Gateways = Callable[[NodeDoor], Sequence[Gateway]]
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from limelever.agent.settings import (
+    MOST_SLOTS,
     AgentSettings,
     BackendSettings,
     DrainSettings,
@@ -90,8 +91,9 @@
 
     ``name`` names this run of the agent: one that restarts beside the same instance is another
     endpoint, so that no clock has to tell which of the two is newer. What the instance reports
-    takes the place of probes.
+    takes the place of probes; of slots, no more than the settings could name are used.
     """
+    slots = min(report.slots or settings.backend.slots, MOST_SLOTS)
     return AgentSettings(
         role=Role.AGENT,
         name=name,
@@ -100,7 +102,7 @@
         log=settings.log,
         listen=settings.listen,
         relays=settings.relays,
-        backend=attrs.evolve(settings.backend, slots=report.slots or settings.backend.slots),
+        backend=attrs.evolve(settings.backend, slots=slots),
         probe=ProbeSettings(cold_start_limit_ms=0),
         queue=settings.queue,
         drain=settings.drain,
