--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -8,7 +8,8 @@
 from behave import given, then
 from behave.runner import Context
 
-from limelever_lab.timeline.steps import Reached, reached_after, read_lines
+from limelever_lab.logs import read_lines
+from limelever_lab.timeline.steps import Reached, reached_after
 
 LOSS = 1_000_000.0
 
--- a/src/limelever_lab/cli.py
+++ b/src/limelever_lab/cli.py
@@ -60,6 +60,11 @@
         "limelever_lab.timeline.command:timeline",
         "Steps of a recovery, from the logs of all processes.",
     ),
+    LabCommand(
+        "losses",
+        "limelever_lab.losses.command:losses",
+        "Where a day's worth was lost, from its report and logs.",
+    ),
     LabCommand("callers", "limelever_lab.load.commands:callers", "Run callers against addresses."),
 )
 
--- a/src/limelever_lab/timeline/command.py
+++ b/src/limelever_lab/timeline/command.py
@@ -7,7 +7,8 @@
 
 import typer
 
-from limelever_lab.timeline.steps import Reached, largest_start, reached_after, read_lines
+from limelever_lab.logs import read_lines
+from limelever_lab.timeline.steps import Reached, largest_start, reached_after
 
 ROW = "{:<26} {:>9} {:>8} {:>8} {:>8}"
 HEADINGS = ("step", "processes", "first", "half", "9 in 10")
--- a/src/limelever_lab/timeline/steps.py
+++ b/src/limelever_lab/timeline/steps.py
@@ -2,22 +2,12 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import datetime
 
-NODE_ROLES = frozenset({"node", "proxy", "agent"})
-
-
-@dataclass(frozen=True, slots=True)
-class Line:
-    """One log line: ``at`` in seconds since the epoch."""
+from limelever_lab.logs import Line
 
-    at: float
-    process: str
-    role: str
-    event: str
+NODE_ROLES = frozenset({"node", "proxy", "agent"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,26 +46,6 @@
     most: float
 
 
-def read_lines(text: Iterable[str]) -> Iterator[Line]:
-    """Return the log lines within a text; what stands before a line's JSON is passed over."""
-    for each in text:
-        line = _parsed(each)
-        if line is not None:
-            yield line
-
-
-def _parsed(text: str) -> Line | None:
-    start = text.find('{"time"')
-    if start < 0:
-        return None
-    try:
-        fields = json.loads(text[start:])
-        at = datetime.fromisoformat(fields["time"]).timestamp()
-        return Line(at, fields["process"], fields["role"], fields["event"])
-    except (ValueError, KeyError):
-        return None
-
-
 def reached_after(lines: Iterable[Line], loss: float) -> list[Reached]:
     """Return when each step was reached after a loss at ``loss`` (seconds since the epoch)."""
     firsts: dict[Step, dict[str, float]] = {step: {} for step in STEPS}
