--- a/features/settings/process_imports.feature
+++ b/features/settings/process_imports.feature
@@ -9,8 +9,8 @@
 
     Examples:
       | role   | modules                                                                                                                        |
-      | agent  | loguru, asyncio, multiprocessing, hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.proxy, limelever.publisher, limelever.keeper, limelever.protocol.operators_pb2 |
-      | proxy  | loguru, asyncio, multiprocessing, hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
+      | agent  | prometheus_client, loguru, asyncio, multiprocessing, hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.proxy, limelever.publisher, limelever.keeper, limelever.protocol.operators_pb2 |
+      | proxy  | prometheus_client, loguru, asyncio, multiprocessing, hypercorn, h11, h2, httpcore, wsproto, cryptography, zstandard, limelever.source, limelever.relay, limelever.agent, limelever.publisher, limelever.protocol.operators_pb2 |
       | relay  | hypercorn, httpcore, wsproto, zstandard, limelever.source, limelever.proxy, limelever.agent, limelever.keeper, limelever.protocol.operators_pb2 |
       | source | httpcore, zstandard, limelever.relay, limelever.proxy, limelever.agent                                                          |
 
@@ -20,5 +20,5 @@
 
     Examples:
       | role    | modules                                                           |
-      | node    | loguru, asyncio, multiprocessing, cattrs, hypercorn, h11, h2, httpcore, wsproto, limelever.control, limelever.relay, limelever.source              |
-      | control | loguru, multiprocessing, cattrs, httpcore, limelever.agent, limelever.node, limelever.proxy                  |
+      | node    | prometheus_client, loguru, asyncio, multiprocessing, cattrs, hypercorn, h11, h2, httpcore, wsproto, limelever.control, limelever.relay, limelever.source              |
+      | control | prometheus_client, loguru, multiprocessing, cattrs, httpcore, limelever.agent, limelever.node, limelever.proxy                  |
--- a/features/steps/proxy_metrics_steps.py
+++ b/features/steps/proxy_metrics_steps.py
@@ -7,7 +7,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.proxy.call_types import AnswerCall, CallAnswer
 from limelever.proxy.metrics import OTHER_ROUTES, ROUTES_LIMIT, count_answer
-from limelever.transport.metrics import REGISTRY
+from limelever.transport.exposition import REGISTRY
 
 OK = CallAnswer(200, (), b"")
 
--- a/features/steps/transport_metrics_steps.py
+++ b/features/steps/transport_metrics_steps.py
@@ -17,6 +17,7 @@
 from limelever.common.sansio import Role
 from limelever.common.settings import CredentialSettings, ProcessSettings
 from limelever.transport import metrics
+from limelever.transport.exposition import REGISTRY, exposition
 from limelever.transport.process import ProcessShell
 
 PAGE = Path(__file__).resolve().parents[2] / "docs" / "operators" / "metrics.md"
@@ -28,7 +29,11 @@
 
 def exposed_names() -> set[str]:
     """Return the names under which a scrape finds the metrics of all roles."""
-    families = [*metrics.REGISTRY.collect(), *metrics.CONFIGURATION_AGE.collect()]
+    metrics.CONFIGURATION_AGE.published = True
+    try:
+        families = list(REGISTRY.collect())
+    finally:
+        metrics.CONFIGURATION_AGE.published = False
     return {f"{f.name}_total" if f.type == "counter" else f.name for f in families}
 
 
@@ -42,7 +47,7 @@
 
 def counted_events(code: int) -> float:
     key = (EVENTS, (("code", str(code)),))
-    return samples(metrics.exposition().decode()).get(key, 0.0)
+    return samples(exposition().decode()).get(key, 0.0)
 
 
 def scrape(context) -> dict[tuple, float]:
@@ -97,11 +102,11 @@
             proved = trio.current_time()
             shell.report_freshness(lambda: None if context.seconds_ago is None else proved)
             await trio.sleep(context.seconds_ago or 0)
-            text = metrics.exposition().decode()
+            text = exposition().decode()
             context.age = samples(text)[(AGE, ())]
 
     try:
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     finally:
-        metrics.REGISTRY.unregister(metrics.CONFIGURATION_AGE)
+        metrics.CONFIGURATION_AGE.published = False
     assert math.isclose(context.age, float(age)), context.age
--- a/src/limelever/proxy/metrics.py
+++ b/src/limelever/proxy/metrics.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from prometheus_client import Counter, Histogram
-
 from limelever.common.errors import Failure
 from limelever.proxy.call_types import AnswerCall
-from limelever.transport.metrics import REGISTRY
+from limelever.transport.instruments import Counter, Histogram
 
 ANSWERED = "answered"
 
@@ -14,14 +12,12 @@
     "limelever_proxy_calls",
     "Calls by how they ended: answered, or the kind of the failure",
     ("kind",),
-    registry=REGISTRY,
 )
 SECONDS = Histogram(
     "limelever_proxy_call_seconds",
     "Seconds from a request read whole to its final answer, by route and outcome",
     ("route", "outcome"),
-    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
-    registry=REGISTRY,
+    bounds=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
 )
 ROUTES_LIMIT = 64
 """Routes with a series of their own: the first that were called."""
--- a/src/limelever/transport/admin.py
+++ b/src/limelever/transport/admin.py
@@ -23,7 +23,6 @@
     serve_guarded,
 )
 from limelever.transport.http_limits import HttpLimits
-from limelever.transport.metrics import exposition
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -58,7 +57,7 @@
     if method not in _READ_METHODS:
         return 405, b"only GET\n"
     if path == "/metrics":
-        return 200, exposition()
+        return 200, _exposition()
     if path == "/healthz":
         return 200, b"ok\n"
     if path == "/readyz":
@@ -66,6 +65,12 @@
     return 404, b"not found\n"
 
 
+def _exposition() -> bytes:
+    from limelever.transport.exposition import exposition  # costs a start, see ``instruments``
+
+    return exposition()
+
+
 async def serve_admin(
     address: Address,
     is_ready: Callable[[], bool],
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -139,7 +139,7 @@
         self._open: set[_Place] = set()
         self._stopping = False
         open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
-        open_now.set_function(lambda: float(len(self._open)))
+        open_now.function = lambda: float(len(self._open))
 
     async def stop(self) -> None:
         """End each connection after what is under way on it."""
--- a/src/limelever/transport/metrics.py
+++ b/src/limelever/transport/metrics.py
@@ -4,56 +4,36 @@
 
 from collections.abc import Callable
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    ProcessCollector,
-    disable_created_metrics,
-    generate_latest,
-)
-
-# A creation time for each sample of each counter would nearly double the answer to a scrape.
-disable_created_metrics()  # type: ignore[no-untyped-call]
-
-REGISTRY = CollectorRegistry()
-ProcessCollector(registry=REGISTRY)
+from limelever.transport.instruments import Counter, Gauge, Histogram
 
 LINK_BYTES = Counter(
     "limelever_link_bytes",
     "Bytes on links between the system's own processes",
     ("purpose", "direction"),
-    registry=REGISTRY,
 )
 LINK_FRAMES = Counter(
     "limelever_link_frames",
     "Frames on links between the system's own processes",
     ("purpose", "direction"),
-    registry=REGISTRY,
 )
-LINKS_OPEN = Gauge("limelever_links_open", "Links open now", ("purpose",), registry=REGISTRY)
+LINKS_OPEN = Gauge("limelever_links_open", "Links open now", ("purpose",))
 HTTP_CONNECTIONS_OPEN = Gauge(
-    "limelever_http_connections_open",
-    "Connections open now at an HTTP listener",
-    ("listener",),
-    registry=REGISTRY,
+    "limelever_http_connections_open", "Connections open now at an HTTP listener", ("listener",)
 )
 HTTP_IN_ORDER_SECONDS = Histogram(
     "limelever_http_in_order_seconds",
     "Seconds for which ready answers waited for earlier ones of their connection",
-    buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
-    registry=REGISTRY,
+    bounds=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
 )
-EVENTS = Counter("limelever_events", "Log events by their number", ("code",), registry=REGISTRY)
-READY = Gauge("limelever_ready", "1 when the process serves, as /readyz says", registry=REGISTRY)
+EVENTS = Counter("limelever_events", "Log events by their number", ("code",))
+READY = Gauge("limelever_ready", "1 when the process serves, as /readyz says")
 CONFIGURATION_VERSION = Gauge(
-    "limelever_configuration_version", "Configuration version in force here", registry=REGISTRY
+    "limelever_configuration_version", "Configuration version in force here"
 )
 CONFIGURATION_AGE = Gauge(
     "limelever_configuration_age_seconds",
     "Seconds since the configuration in force was last proved current",
-    registry=None,
+    published=False,
 )
 
 
@@ -63,10 +43,5 @@
     Only processes that take a configuration from others publish it: at a source it would read
     0 for ever, also when the source is cut off. Infinity says that nothing was proved yet.
     """
-    CONFIGURATION_AGE.set_function(age)
-    REGISTRY.register(CONFIGURATION_AGE)
-
-
-def exposition() -> bytes:
-    """Return all metrics in the text format of Prometheus."""
-    return generate_latest(REGISTRY)
+    CONFIGURATION_AGE.only.function = age
+    CONFIGURATION_AGE.published = True
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -84,7 +84,7 @@
         self.stop_limit_at = math.inf
         self.on_abort: list[Callable[[], None]] = []
         self.ready = False
-        READY.set_function(lambda: float(self.ready))
+        READY.only.function = lambda: float(self.ready)
         self.incarnation = incarnation
         self.link_identity = LinkIdentity(
             role=settings.role,
@@ -134,7 +134,7 @@
 
     def report_version(self, version: Callable[[], int]) -> None:
         """Give /metrics the configuration version in force in this process."""
-        CONFIGURATION_VERSION.set_function(version)
+        CONFIGURATION_VERSION.only.function = version
 
     def report_freshness(self, fresh_at: Callable[[], float | None]) -> None:
         """Give /metrics the age of the configuration in force.
--- a/src/limelever_lab/hollow/sample.py
+++ b/src/limelever_lab/hollow/sample.py
@@ -61,15 +61,9 @@
 
 def _count(purpose: str) -> PurposeCount:
     """Read the process's own counters of a purpose."""
-    samples = {
-        (sample.name, sample.labels["direction"]): sample.value
-        for family in (*LINK_BYTES.collect(), *LINK_FRAMES.collect())
-        for sample in family.samples
-        if sample.labels.get("purpose") == purpose
-    }
     return PurposeCount(
-        bytes_in=samples.get(("limelever_link_bytes_total", "in"), 0.0),
-        bytes_out=samples.get(("limelever_link_bytes_total", "out"), 0.0),
-        frames_in=samples.get(("limelever_link_frames_total", "in"), 0.0),
-        frames_out=samples.get(("limelever_link_frames_total", "out"), 0.0),
+        bytes_in=LINK_BYTES.labels(purpose, "in").value,
+        bytes_out=LINK_BYTES.labels(purpose, "out").value,
+        frames_in=LINK_FRAMES.labels(purpose, "in").value,
+        frames_out=LINK_FRAMES.labels(purpose, "out").value,
     )
