--- a/src/limelever/agent/load_reports.py
+++ b/src/limelever/agent/load_reports.py
@@ -10,8 +10,13 @@
 """Seconds between two reports: about a short call's time, so that most calls that another proxy
 sends are known before the next is. A message costs the node and its relay some 0.1 ms each."""
 
+LEAST_CHANGE = 2
+"""Calls by which a load must differ from the one told to be news; that there are none any more is as
+well. On a fleet of 83 nodes under bursts a control process took 0.144 of a core where each call was
+told, so 0.129, a node 0.053 and 0.051, with as many requests served (a day each, side by side)."""
+
 REPEAT_INTERVAL = 0.5
-"""Seconds after which a load that has not changed is told again: readers let it fade."""
+"""Seconds after which a load is told again whatever it is: readers let it fade."""
 
 
 class LoadReports:
@@ -33,6 +38,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when a report is due, ``None`` while nothing needs to be told."""
-        if self._load != self._told:
+        ended = self._told > 0 and not self._load
+        if ended or abs(self._load - self._told) >= LEAST_CHANGE:
             return self._told_at + LEAST_INTERVAL
         return self._told_at + REPEAT_INTERVAL if self._load else None
