--- /dev/null
+++ b/features/steps/rollout_order_steps.py
@@ -0,0 +1,153 @@
+"""Steps for orders of rollouts at a control process, on the shipped state machine."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import trio
+from behave import given, then, when
+
+from limelever.common.errors import Failure
+from limelever.control import rollouts as orders
+from limelever.control.rollouts import RolloutDesk, completed, rolled_back
+from limelever.protocol.config_pb2 import (
+    ROLLOUT_STATE_RUNNING,
+    Batch,
+    Resource,
+    Revision,
+    Service,
+)
+from limelever.protocol.endpoints_pb2 import ENDPOINT_STATE_READY, Endpoint
+from limelever.protocol.keys import Key, rollout_key
+from limelever.protocol.operators_pb2 import ApplyRequest, GetResponse
+from limelever.source.state import StateMachine
+
+SERVICE = "orders"
+ORDERED_AT_MS = 1_000_000
+
+
+class StateDesk:
+    """Answers as a leader does, by a state machine; other changes come between, if wanted."""
+
+    def __init__(self):
+        self.state = StateMachine()
+        self.index = 0
+        self.changes_between = 0
+        self.commit(self.configuration())
+
+    def configuration(self):
+        put = [Resource(service=Service(name=SERVICE))]
+        number = self.index + 1
+        base = self.state.revision.number
+        return Batch(replace=True, put=put, revision=Revision(number=number, base=base))
+
+    def commit(self, batch):
+        self.index += 1
+        return self.state.apply(self.index, batch).answer
+
+    async def ask(self, request):
+        if isinstance(request, ApplyRequest):
+            if self.changes_between:
+                self.changes_between -= 1
+                other = Service(name=f"other-{self.index}")
+                name = f"another-change-{self.index}@{self.index}"
+                self.commit(Batch(request_id=name, put=[Resource(service=other)]))
+            return self.commit(request.batch)
+        response = GetResponse(version=self.state.version)
+        for key in request.keys:
+            found = self.state.get(Key.from_message(key))
+            if found is None:
+                response.missing.append(key)
+            else:
+                response.resources.append(found)
+        return response
+
+
+class Unchecked:
+    """Takes each request as it is."""
+
+    def checked(self, request):
+        return request
+
+
+@given('a control process with a service whose back ends are of "{version}"')
+def given_control(context, version):
+    context.desk = StateDesk()
+    ready = Endpoint(service=SERVICE, version=version, state=ENDPOINT_STATE_READY)
+    context.rollouts = RolloutDesk(context.desk, Unchecked(), lambda service: [ready])
+
+
+def order(context, target, seconds, service=SERVICE, after_ms=0):
+    context.ordered = (target, seconds)
+    context.committed = context.desk.index
+    with mock.patch.object(orders, "unix_ms", lambda: ORDERED_AT_MS + after_ms):
+        context.result = trio.run(context.rollouts.order, service, target, seconds * 1000)
+
+
+def end(context, ended):
+    trio.run(context.rollouts.change, SERVICE, lambda held: ended(held, "over"))
+
+
+@when(
+    'a rollout to "{target}" in {seconds:d} seconds is ordered while the configuration changes '
+    "{count:d} times"
+)
+def when_ordered_in_storm(context, target, seconds, count):
+    context.desk.changes_between = count
+    order(context, target, seconds)
+
+
+@when('a rollout to "{target}" in {seconds:d} seconds is ordered')
+def when_ordered(context, target, seconds):
+    order(context, target, seconds)
+
+
+@when('a rollout to "{target}" in {seconds:d} seconds is ordered and ends completed')
+def when_completed(context, target, seconds):
+    order(context, target, seconds)
+    end(context, completed)
+
+
+@when('a rollout to "{target}" in {seconds:d} seconds is ordered and ends rolled back')
+def when_rolled_back(context, target, seconds):
+    order(context, target, seconds)
+    end(context, rolled_back)
+
+
+@when("the same rollout is ordered again")
+def when_again(context):
+    order(context, *context.ordered, after_ms=1000)
+
+
+@when("the same rollout is ordered again after {seconds:d} seconds")
+def when_again_later(context, seconds):
+    order(context, *context.ordered, after_ms=seconds * 1000)
+
+
+@when("a rollout of a service that is not known is ordered")
+def when_unknown(context):
+    order(context, "v2", 12, service="nobody")
+
+
+def held(context):
+    return context.desk.state.get(rollout_key(SERVICE)).resource.rollout
+
+
+@then('it is running from "{baseline}" to "{target}"')
+def then_running(context, baseline, target):
+    rollout = held(context)
+    assert not isinstance(context.result, Failure), context.result
+    assert (rollout.baseline, rollout.target) == (baseline, target), rollout
+    assert rollout.state == ROLLOUT_STATE_RUNNING and not rollout.permille, rollout
+
+
+@then("nothing was committed for it")
+def then_nothing(context):
+    assert not isinstance(context.result, Failure), context.result
+    assert context.desk.index == context.committed
+
+
+@then('it is refused as "{kind}", and the one to "{target}" stands')
+def then_refused(context, kind, target):
+    assert isinstance(context.result, Failure) and context.result.kind.value == kind, context.result
+    assert held(context).target == target
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -32,6 +32,7 @@
     CancelAttempt,
 )
 from limelever.agent.replies import Replies, crash_log
+from limelever.agent.version_tally import VersionCount
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
@@ -39,6 +40,7 @@
 from limelever.protocol.endpoint_hash import LARGEST_LOAD
 
 _SHED_STATUS = 503
+_FIRST_FAILED_STATUS = 500
 _LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
 _CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
 _CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
@@ -66,7 +68,12 @@
     """Calls of all proxies at one incarnation of one instance; sans-io component."""
 
     def __init__(
-        self, service: str, incarnation: int, limits: CallLimits, generator: random.Random
+        self,
+        service: str,
+        incarnation: int,
+        limits: CallLimits,
+        generator: random.Random,
+        versions: VersionCount | None = None,
     ) -> None:
         self._limits = limits
         self._calls = CallTable()
@@ -75,6 +82,7 @@
         self._queue = FairQueue(limits.queue)
         self._answers = AnswerSender()
         self.backend = BackendWatch(generator)
+        self.versions = versions or VersionCount(service, "", "")
         self._replies = Replies(self._queue, limits.queue.slots, limits.log)
 
     @property
@@ -212,6 +220,8 @@
         if call is None:
             return []
         self.backend.answered(call.number)
+        ran, failed = now - call.started_at, event.status >= _FIRST_FAILED_STATUS
+        self.versions.ended(call.start.group, ran, failed, now)
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
         load = self._replies.load(call.start.group)
@@ -226,6 +236,8 @@
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
+        if _failed_at_backend(event):
+            self.versions.ended(call.start.group, now - call.started_at, True, now)
         self._queue.finish(call.number, now, representative=False)
         failure = answers.attempt_failure(event)
         if self.backend.failed(event, failure, call, now):
@@ -372,6 +384,13 @@
         self._calls.remove(call)
 
 
+def _failed_at_backend(event: AttemptFailed) -> bool:
+    """Return whether the back end is to blame that an attempt brought no answer."""
+    return (
+        event.sent_any_byte and not event.refused and event.failure.kind is not ErrorKind.CANCELLED
+    )
+
+
 def _queued(call: Call, now: float) -> QueuedCall:
     return QueuedCall(
         call.number, call.start.group, call.deadline, len(call.body), now, call.target
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -23,8 +23,10 @@
     DrainLimitReached,
     DrainRequested,
     RelaysShared,
+    VersionKnown,
 )
 from limelever.agent.registration import Registration, RegistrationSettings
+from limelever.agent.version_tally import VersionCount
 from limelever.common.sansio import (
     CloseConnection,
     ConnectionClosed,
@@ -113,7 +115,11 @@
                 recovered or Recovered(),
                 sealer,
             )
-        self._calls = CallService(self._service, incarnation, options.calls, generator)
+        named = options.registration
+        self._versions = VersionCount(self._service, named.instance, named.version)
+        self._calls = CallService(
+            self._service, incarnation, options.calls, generator, self._versions
+        )
         self._drain_limit = options.drain.limit
         self._proxies: dict[ConnectionId, Peer] = {}
         self._drain: Drain | None = None
@@ -155,6 +161,8 @@
         outputs.extend(self._calls.ask_for_bodies(now))
         outputs.extend(self._registration.tell_crashes(self._calls.backend.take_news(), now))
         outputs.extend(self._registration.handle(event, now))
+        tally = self._versions.take_news(now)
+        outputs.extend(self._registration.tell_tally(tally) if tally is not None else [])
         outputs.extend(self._subscribed(event, now))
         running, load = self._calls.running, self._calls.told_load
         outputs.extend(self._registration.report_load(running, load, now))
@@ -212,6 +220,9 @@
                 self._registration.extend_relays(addresses)
             case ConfigurationShared(version, configuration):
                 return self._install(version, configuration)
+            case VersionKnown(version, warm_up_left):
+                self._versions.take_version(version, warm_up_left, now)
+                return self._registration.take_version(version)
             case RelaysShared(received):
                 return self._registration.replace_relays(received, now)
         return []
@@ -263,6 +274,7 @@
         wanted = seconds(service.drain_limit_ms) if service else 0.0
         self._drain_limit = min(own_limit, wanted) if wanted else own_limit
         shares = configuration.shares.get(self._service, ())
+        self._versions.follow(configuration.rollouts.get(self._service))
         self._calls.set_weights({share.group: share.weight for share in shares})
         fields: dict[str, object] = {"version": version, "groups": len(shares)}
         return [LogEvent(events.SHARES_CHANGED, fields)]
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -118,3 +118,13 @@
 
 class DrainLimitReached(Event, frozen=True):
     """The process ends now, whatever time the drain would have left."""
+
+
+class VersionKnown(Event, frozen=True):
+    """The version of the back end's software has become known after the agent's start.
+
+    ``warm_up_left`` is for how many seconds the back end is slow after its own start.
+    """
+
+    version: str
+    warm_up_left: float = 0.0
--- a/src/limelever/agent/load_reports.py
+++ b/src/limelever/agent/load_reports.py
@@ -11,9 +11,9 @@
 sends are known before the next is. A message costs the node and its relay some 0.1 ms each."""
 
 LEAST_CHANGE = 2
-"""Calls by which a load must differ from the one told to be news; that there are none any more is as
-well. On a fleet of 83 nodes under bursts a control process took 0.144 of a core where each call was
-told, so 0.129, a node 0.053 and 0.051, with as many requests served (a day each, side by side)."""
+"""Calls by which a load must differ from the one told to be news; that there are none any more is
+as well. On a fleet of 83 nodes under bursts a control process took 0.144 of a core while each call
+was told, so 0.129, a node 0.053 and 0.051, with as many requests served (a day each)."""
 
 REPEAT_INTERVAL = 0.5
 """Seconds after which a load is told again whatever it is: readers let it fade."""
--- a/src/limelever/agent/own_endpoint.py
+++ b/src/limelever/agent/own_endpoint.py
@@ -21,6 +21,10 @@
         self.state: EndpointState.ValueType = ENDPOINT_STATE_READY
         self._endpoint = endpoint
 
+    def take_version(self, version: str) -> None:
+        """Name the version of the back end's software from now on."""
+        self._endpoint.version = version
+
     def register(self, in_flight: int) -> Register:
         """Return the message that registers the endpoint whole."""
         endpoint = self._endpoint
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -83,6 +83,7 @@
             zone=settings.zone,
             address=address,
             slots=settings.backend.slots,
+            version=settings.version,
         ),
         subscriber=subscriber,
         calls=CallLimits(
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -43,6 +43,7 @@
     EndpointState,
     LeaseGranted,
     LeaseLost,
+    VersionTally,
 )
 from limelever.subscriber.notices import PublishersReceived
 
@@ -58,7 +59,7 @@
 
 
 class RegistrationSettings(Struct, frozen=True):
-    """What is registered and where; ``answer_timeout`` in seconds.
+    """What is registered and where; ``answer_timeout`` in seconds, ``version`` of the software.
 
     The first of ``relays`` is tried first: it is listed first because its zone is the agent's.
     """
@@ -69,6 +70,7 @@
     zone: str
     address: Address
     slots: int
+    version: str = ""
     answer_timeout: float = 3.0
     backoff: BackoffSettings = BackoffSettings()
 
@@ -173,6 +175,18 @@
         self._untold.clear()
         return [SendMessage(connection, each) for each in told]
 
+    def tell_tally(self, tally: VersionTally) -> list[Output]:
+        """Tell the relay how the calls of a version under trial have ended."""
+        if not self.leased or self._connection is None:
+            return []
+        return [SendMessage(self._connection, tally)]
+
+    def take_version(self, version: str) -> list[Output]:
+        """Tell the version of the back end's software, which was not known before."""
+        self._endpoint.take_version(version)
+        registered = self._phase in (_Phase.LEASED, _Phase.REGISTERING)
+        return [self._register()] if registered else []
+
     def change_state(self, state: EndpointState.ValueType, now: float) -> list[Output]:
         """Take a new state and tell the relay at once."""
         self._endpoint.state = state
@@ -299,4 +313,5 @@
         host=settings.address.host,
         port=settings.address.port,
         slots=settings.slots,
+        version=settings.version,
     )
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -84,6 +84,7 @@
     )
 
     service: str = attrs.field(validator=not_empty)
+    version: str = ""
     listen: Address
     advertise: Address | None = attrs.field(default=None, validator=dialled)
     relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
--- a/src/limelever/control/process.py
+++ b/src/limelever/control/process.py
@@ -14,9 +14,14 @@
 
 from limelever.common.sansio import Role
 from limelever.common.settings import is_address, parse_address
+from limelever.control.rollout_driver import RolloutDriver
+from limelever.control.rollouts import RolloutDesk
 from limelever.control.settings import ControlSettings, relay_settings, source_settings
+from limelever.protocol.endpoints_pb2 import Endpoint
 from limelever.relay import process as relay_process
+from limelever.relay.core import RelayCore
 from limelever.relay.interface import RelaysKnown
+from limelever.rollout.steps import Limits
 from limelever.source import process as source_process
 from limelever.source.operator_desk import OperatorDesk
 from limelever.source.operator_door import RequestChecks
@@ -30,13 +35,22 @@
 
 
 class ControlDoor:
-    """What further interfaces of a control process use: checks of requests, and their answers."""
+    """What further interfaces of a control process use: checks of requests, and their answers.
+
+    ``relay`` is the core of the relay beside the replica, once it has started.
+    """
 
     def __init__(self, settings: ControlSettings) -> None:
         self.desk = OperatorDesk()
         self.checks = RequestChecks(sealer_of(source_settings(settings)))
+        self.relay: RelayCore | None = None
+        self.rollouts = RolloutDesk(self.desk, self.checks, self._endpoints_of)
+
+    def _endpoints_of(self, service: str) -> list[Endpoint]:
+        return self.relay.endpoints.table.of_service(service) if self.relay is not None else []
 
 
+PERCENT = 100.0
 Gateways = Callable[[ControlDoor], Sequence[Gateway]]
 
 
@@ -81,7 +95,14 @@
     door = ControlDoor(settings)
     neighbours = _Neighbours(settings)
     listener = shell.new_listener(Role.RELAY)
+    limits = Limits(exposed_part=settings.rollout.exposed_percent / PERCENT)
+    driver = RolloutDriver(door.rollouts, lambda: door.relay, limits)
     done = trio.Event()
+
+    def relay_started(runner: CoreRunner, core: RelayCore) -> None:
+        door.relay = core
+        neighbours.relay_started(runner)
+
     async with trio.open_nursery() as serving:
         failure = await start_gateways(gateways(door), done, serving)
         if failure is not None:
@@ -92,8 +113,9 @@
                 relay_settings(settings),
                 shell,
                 listener,
-                neighbours.relay_started,
+                relay_started,
             )
+            nursery.start_soon(driver.run)
             nursery.start_soon(
                 source_process.serve,
                 source_settings(settings),
--- a/src/limelever/control/settings.py
+++ b/src/limelever/control/settings.py
@@ -13,7 +13,14 @@
 import attrs
 
 from limelever.common.sansio import Address, Role
-from limelever.common.settings import Clash, ProcessSettings, dialled, distinct, not_empty
+from limelever.common.settings import (
+    Clash,
+    ProcessSettings,
+    between,
+    dialled,
+    distinct,
+    not_empty,
+)
 from limelever.relay.settings import (
     DistributionSettings,
     EndpointSettings,
@@ -29,6 +36,13 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class RolloutSettings:
+    """Rollouts of versions: the part of a service's calls that a bad one may get in its time."""
+
+    exposed_percent: int = attrs.field(default=10, validator=between(1, 100))
+
+
 @attrs.frozen(kw_only=True)
 class ControlSettings(ProcessSettings):
     """Settings of one control process.
@@ -62,6 +76,7 @@
     subscription: SubscriptionSettings = SubscriptionSettings()
     distribution: DistributionSettings = DistributionSettings()
     endpoints: EndpointSettings = EndpointSettings()
+    rollout: RolloutSettings = RolloutSettings()
 
     def relay_at(self, replica: Address) -> Address:
         """Return where the relay beside a replica is reached."""
--- a/src/limelever/node/agents.py
+++ b/src/limelever/node/agents.py
@@ -26,6 +26,7 @@
     DrainLimitReached,
     DrainRequested,
     RelaysShared,
+    VersionKnown,
 )
 from limelever.agent.process import options_from, with_pauses
 from limelever.agent.settings import AgentSettings
@@ -59,6 +60,7 @@
 
     runner: CoreRunner
     finished: trio.Event
+    version: str
 
 
 class InstanceAgents:
@@ -87,6 +89,8 @@
                 self._drain()
             case ReportOutcome.INSTANCE_ENDED:
                 self._end_current()
+            case ReportOutcome.NOTHING_NEW:
+                self._name_version(report)
         return None
 
     def instance_ended(self, instance: str, born: int) -> None:
@@ -164,6 +168,15 @@
             return Failure(ErrorKind.INVALID_REQUEST, "the service is not known")
         return None
 
+    def _name_version(self, report: InstanceReport) -> None:
+        """Tell an agent whose instance was found by asking which version it is of."""
+        current = self._current
+        if current is None or current.version or not report.version:
+            return
+        if self._watch.is_staying(report.instance, report.born):
+            current.version = report.version
+            current.runner.post(VersionKnown(report.version, report.warm_up_left))
+
     def _drain(self) -> None:
         if self._current is not None:
             self._current.runner.post(DrainRequested())
@@ -175,13 +188,14 @@
             return
         name = f"{report.instance}-{secrets.token_hex(_NAME_BYTES)}"
         settings = agent_settings(self._settings, report, name)
-        self._nursery.start_soon(partial(self._run, settings, report.instance, report.born))
+        self._nursery.start_soon(partial(self._run, settings, report))
 
     def _end_current(self) -> None:
         if self._current is not None:
             self._current.runner.post(BackendGone())
 
-    async def _run(self, settings: AgentSettings, instance: str, born: int) -> None:
+    async def _run(self, settings: AgentSettings, report: InstanceReport) -> None:
+        instance, warm_up_left = report.instance, report.warm_up_left
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
         options = with_pauses(
             options_from(settings, self._settings.listen, None), dialling_pauses(self._settings)
@@ -202,11 +216,13 @@
             runner = self._shell.add_core(core, on_output, accepts=[Purpose.CALLS], role=Role.AGENT)
             names = settings.headers.names()
             backend = Backend(settings.backend, nursery, runner.post, names, instance.encode())
-            agent = self._current = _Agent(runner, finished)
+            agent = self._current = _Agent(runner, finished, settings.version)
             await nursery.start(runner.run)
+            if settings.version:
+                runner.post(VersionKnown(settings.version, warm_up_left))
             for event in self._shared.values():
                 runner.post(event)
-            if self._stopping or not self._watch.is_staying(instance, born):
+            if self._stopping or not self._watch.is_staying(instance, report.born):
                 runner.post(DrainRequested())
             await finished.wait()
             if listener.runners.get(Purpose.CALLS) is runner:
--- a/src/limelever/node/reports.py
+++ b/src/limelever/node/reports.py
@@ -30,7 +30,8 @@
     """One report.
 
     ``warm_up_left`` is in seconds, ``slots`` 0 where the instance names none, ``born`` the Unix
-    time of the run's start in milliseconds. Without an ``address`` it is the node's own instance.
+    time of the run's start in milliseconds, ``version`` that of its software, empty where it isn't
+    known. Without an ``address`` it is the node's own instance.
     """
 
     instance: str
@@ -41,6 +42,7 @@
     warm_up_left: float = 0.0
     born: int = BIRTH_UNKNOWN
     address: Address | None = None
+    version: str = ""
 
 
 class ReportOutcome(Enum):
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -99,6 +99,7 @@
         name=name,
         zone=settings.zone,
         service=report.service or settings.service,
+        version=report.version,
         log=settings.log,
         listen=settings.listen,
         relays=settings.relays,
--- a/src/limelever/protocol/keys.py
+++ b/src/limelever/protocol/keys.py
@@ -8,6 +8,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_ROLLOUT,
     RESOURCE_KIND_ROUTE,
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
@@ -27,6 +28,7 @@
     RESOURCE_KIND_ROUTE: "route",
     RESOURCE_KIND_SHARE: "share",
     RESOURCE_KIND_SECRET: "secret",
+    RESOURCE_KIND_ROLLOUT: "rollout",
 }
 KIND_OF_TEXT: dict[str, ResourceKind.ValueType] = {text: kind for kind, text in KIND_TEXT.items()}
 
@@ -52,6 +54,8 @@
                 return share_key(resource.share.service, resource.share.group)
             case "secret":
                 return cls(RESOURCE_KIND_SECRET, resource.secret.name)
+            case "rollout":
+                return rollout_key(resource.rollout.service)
             case _:
                 return cls(RESOURCE_KIND_UNSPECIFIED, "")
 
@@ -89,6 +93,11 @@
     return Key(RESOURCE_KIND_SECRET, name)
 
 
+def rollout_key(service: str) -> Key:
+    """Return the key of the newest rollout of a service."""
+    return Key(RESOURCE_KIND_ROLLOUT, service)
+
+
 def key_of(resource: Resource) -> ResourceKey:
     """Return the protobuf key of ``resource``."""
     return Key.of(resource).to_message()
@@ -131,5 +140,7 @@
             return frozenset(secrets | {service_key(name) for name in services_of(resource.route)})
         case "share":
             return frozenset({service_key(resource.share.service)})
+        case "rollout":
+            return frozenset({service_key(resource.rollout.service)})
         case _:
             return frozenset()
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -23,6 +23,7 @@
 from limelever.proxy.links import AgentLink, AgentLinks, LinkStage
 from limelever.proxy.moved_bytes import MovedBytes
 from limelever.proxy.outgoing import start_message
+from limelever.proxy.version_gate import VersionGate
 
 NO_ENDPOINT_RETRY_AFTER = 1.0
 
@@ -53,6 +54,7 @@
         settings: AttemptSettings,
         calls: CallTable,
         view: EndpointView,
+        gate: VersionGate,
         balancer: Balancer,
         links: AgentLinks,
         random_source: random.Random,
@@ -61,6 +63,7 @@
         self._settings = settings
         self._calls = calls
         self._view = view
+        self._gate = gate
         self._balancer = balancer
         self._links = links
         self._outputs = outputs
@@ -88,7 +91,8 @@
 
         ``known_depth`` is how often in a row back ends have ended under the call's request.
         """
-        usable = self._view.usable(call.part.service, now)
+        service = call.part.service
+        usable = self._gate.let(service, self._view.usable(service, now))
         entry = self._choose(call, usable, now)
         if entry is None:
             reason = f"no endpoint of {call.part.service} can take the call"
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -52,6 +52,7 @@
 from limelever.proxy.quarantine import CrashNewsFound, Quarantine
 from limelever.proxy.route_table import advance_route_table, build_route_table
 from limelever.proxy.router import RouteTable
+from limelever.proxy.version_gate import VersionGate
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
@@ -108,6 +109,7 @@
         self._table: RouteTable | None = None
         self._missed_change = False
         self._view = EndpointView()
+        self._gate = VersionGate(random_source)
         self._balancer = Balancer(settings.balancer, settings.health, random_source)
         self._links = AgentLinks(connections, random_source)
         self._calls = CallTable()
@@ -115,6 +117,7 @@
             settings.attempts,
             self._calls,
             self._view,
+            self._gate,
             self._balancer,
             self._links,
             random_source,
@@ -252,6 +255,7 @@
         self._table = table
         self._missed_change = False
         self._engine.set_table(table)
+        self._gate.set_rollouts(installed.configuration.rollouts)
         fields: dict[str, object] = {
             "version": installed.version,
             "routes": len(table.route_names()),
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -58,9 +58,9 @@
 class EndpointEntry(Struct, frozen=True):
     """What the proxy knows of one endpoint.
 
-    ``cold_since`` is when this incarnation was first seen (seconds), ``reported_load`` the
-    calls a relay told of at ``reported_at``, ``unlisted_since`` the time of the full update
-    that first left it out.
+    ``version`` is of the back end's software, empty where not known. ``cold_since`` is when this
+    incarnation was first seen (seconds), ``reported_load`` the calls a relay told of at
+    ``reported_at``, ``unlisted_since`` the time of the full update that first left it out.
     """
 
     key: EndpointKey
@@ -74,6 +74,7 @@
     reported_load: int = 0
     reported_at: float = 0.0
     unlisted_since: float | None = None
+    version: str = ""
 
 
 class _Usable(Struct):
@@ -174,6 +175,7 @@
             cold_since=cold_since,
             reported_load=endpoint.in_flight,
             reported_at=now,
+            version=endpoint.version,
         )
 
     def _mark_unlisted(self, listed: Iterable[Endpoint], now: float) -> None:
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_ROLLOUT,
     RESOURCE_KIND_ROUTE,
     RESOURCE_KIND_SHARE,
     VersionedResource,
@@ -130,12 +131,14 @@
 
 
 def service_of(versioned: VersionedResource) -> str | None:
-    """Return the service that a route or a share belongs to, or ``None`` for other kinds."""
+    """Return the service that a route, a share or a rollout is of; ``None`` for other kinds."""
     kind = Key.of(versioned.resource).kind
     if kind == RESOURCE_KIND_ROUTE:
         return versioned.resource.route.service
     if kind == RESOURCE_KIND_SHARE:
         return versioned.resource.share.service
+    if kind == RESOURCE_KIND_ROLLOUT:
+        return versioned.resource.rollout.service
     return None
 
 
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from collections.abc import Mapping
 
 from google.protobuf.message import Message
 from msgspec import Struct
@@ -27,6 +28,7 @@
     SendMessage,
     Started,
 )
+from limelever.protocol.config_pb2 import Rollout
 from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater
 from limelever.protocol.endpoints_pb2 import CrashNews, EndpointSyncRequest, LoadInterest
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
@@ -94,6 +96,7 @@
         self._peers: dict[ConnectionId, Peer] = {}
         self._ready = False
         self._stopping = False
+        self._rollouts: Mapping[str, Rollout] = {}
 
     @property
     def version(self) -> int:
@@ -110,6 +113,11 @@
         """The endpoint table and all that feeds it."""
         return self._endpoints
 
+    @property
+    def rollouts(self) -> Mapping[str, Rollout]:
+        """The newest rollouts of services' versions in the configuration held, by service."""
+        return self._rollouts
+
     def rollout(self, version: int) -> tuple[ZoneHolders, ...]:
         """Return how many of the relay's subscribers hold ``version``, by zone."""
         return self._publisher.rollout(version)
@@ -276,6 +284,7 @@
         return for_shell
 
     def _publish(self, installed: ConfigurationInstalled, now: float) -> list[Output]:
+        self._rollouts = installed.configuration.rollouts
         if not self._ready or installed.version == self._publisher.version:
             resources = installed.configuration.resources.values()
             outputs = self._publisher.load(installed.version, resources, now)
--- a/src/limelever/relay/endpoint_entry.py
+++ b/src/limelever/relay/endpoint_entry.py
@@ -74,16 +74,19 @@
     """Return whether proxies and peers need to hear of ``offered``; a sequence alone does not."""
     if held is None:
         return offered.state != ENDPOINT_STATE_GONE
-    former = (held.incarnation, held.state, held.host, held.port, held.slots, held.zone)
-    latter = (
-        offered.incarnation,
-        offered.state,
-        offered.host,
-        offered.port,
-        offered.slots,
-        offered.zone,
+    return _visible(held) != _visible(offered)
+
+
+def _visible(endpoint: Endpoint) -> tuple[int, int, str, int, int, str, str]:
+    return (
+        endpoint.incarnation,
+        endpoint.state,
+        endpoint.host,
+        endpoint.port,
+        endpoint.slots,
+        endpoint.zone,
+        endpoint.version,
     )
-    return former != latter
 
 
 def held_back(state: EndpointState.ValueType, drained: bool) -> EndpointState.ValueType:
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -27,6 +27,7 @@
     LoadReport,
     LoadUpdate,
     MachineNotice,
+    VersionTally,
 )
 from limelever.publisher.batching import BatchTimer
 from limelever.publisher.scope import Scope
@@ -39,6 +40,7 @@
 from limelever.relay.leases import Leases
 from limelever.relay.load_board import LoadBoard
 from limelever.relay.peer_relay import PeerRelay
+from limelever.relay.tally_board import TallyBoard
 
 
 class EndpointsSettings(Struct, frozen=True):
@@ -81,6 +83,7 @@
         self._loads = LoadBoard(settings.load_batch)
         self._told_zones: frozenset[str] = frozenset()
         self._crashes = CrashBoard()
+        self.tallies = TallyBoard()
 
     def start(self, now: float) -> None:
         """Begin to dial the other relays."""
@@ -132,6 +135,9 @@
         if isinstance(event, MessageReceived) and isinstance(event.message, CrashNews):
             self._crashes.heard(event.message, now)
             return []
+        if isinstance(event, MessageReceived) and isinstance(event.message, VersionTally):
+            self.tallies.heard(event.message)
+            return []
         peer = next(peer for peer in self._peers if peer.owns(connection))
         outputs = peer.handle(event, now)
         self._note(peer.take_changed(), now)
@@ -147,6 +153,8 @@
         if isinstance(message, CrashNews):
             self._crashes.heard(message, now)
             return []
+        if isinstance(message, VersionTally):
+            return self.tallies.from_agent(message)
         result = self._leases.handle(connection, message, now)
         self._note(result.changed, now)
         return result.outputs
@@ -155,7 +163,7 @@
         self, connection: ConnectionId, request: EndpointSyncRequest, now: float
     ) -> list[Output]:
         """Answer another relay that asks for this one's endpoints, and tell it of crashes."""
-        told = self._crashes.join(connection, now)
+        told = [*self._crashes.join(connection, now), *self.tallies.join(connection)]
         return [*self._sync.requested(connection, request, now), *told]
 
     def proxy_told(self, news: CrashNews, now: float) -> None:
@@ -179,6 +187,7 @@
         self._feed.leave(connection)
         self._loads.leave(connection)
         self._crashes.leave(connection)
+        self.tallies.leave(connection)
         self._sync.closed(connection)
 
     def take_notices(self, notices: Iterable[MachineNotice], now: float) -> None:
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -106,11 +106,11 @@
     settings: RelaySettings,
     shell: ProcessShell,
     listener: LinkListener,
-    on_started: Callable[[CoreRunner], None] = lambda _: None,
+    on_started: Callable[[CoreRunner, RelayCore], None] = lambda _, __: None,
 ) -> None:
     """Run a relay within a process until its planned stop; links come by ``listener``.
 
-    ``on_started`` gets the core's runner, for events of the process that hosts it.
+    ``on_started`` gets the core and its runner, for the process that hosts it.
     """
     disk = _open_disk(settings.data_folder)
     core = RelayCore(
@@ -132,7 +132,7 @@
         shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
         await shell.listen(settings.listen, listener)
-        on_started(runner)
+        on_started(runner, core)
         _start_polling(settings, runner, nursery)
         await shell.stop_requested.wait()
         listener.stop()
--- a/src/limelever/source/state.py
+++ b/src/limelever/source/state.py
@@ -8,13 +8,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
-from limelever.protocol.config_pb2 import Batch, Resource, Revision, VersionedResource
-from limelever.protocol.keys import Key
+from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_SERVICE,
+    Batch,
+    Resource,
+    Revision,
+    VersionedResource,
+)
+from limelever.protocol.keys import Key, rollout_key
 from limelever.protocol.operators_pb2 import (
     CHANGE_ACTION_CREATE,
     CHANGE_ACTION_DELETE,
@@ -220,7 +226,7 @@
     def _plan(self, batch: Batch) -> _Plan | Failure:
         put = {Key.of(resource): resource for resource in batch.put}
         named = {Key.from_message(key) for key in batch.delete}
-        left_out = self._resources.keys() - put.keys() if batch.replace else set()
+        left_out = self._left_out(put) if batch.replace else set()
         deleted = tuple(sorted(named | left_out))
         failure = self._check(batch, put, deleted)
         if failure is not None:
@@ -229,6 +235,11 @@
         changes += [Change(action=CHANGE_ACTION_DELETE, key=key.to_message()) for key in deleted]
         return _Plan(put, deleted, tuple(changes))
 
+    def _left_out(self, put: Mapping[Key, Resource]) -> set[Key]:
+        """Return what a batch that replaces all leaves out; a service keeps its rollout."""
+        kept = {rollout_key(key.name) for key in put if key.kind == RESOURCE_KIND_SERVICE}
+        return self._resources.keys() - put.keys() - kept
+
     def _action(self, key: Key, resource: Resource) -> ChangeAction.ValueType:
         if key not in self._resources:
             return CHANGE_ACTION_CREATE
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -18,8 +18,12 @@
     CALL_KIND_AT_MOST_ONCE,
     CALL_KIND_ONCE_PER_ATTEMPT,
     CALL_KIND_REPEATABLE,
+    ROLLOUT_STATE_COMPLETED,
+    ROLLOUT_STATE_ROLLED_BACK,
+    ROLLOUT_STATE_RUNNING,
     Batch,
     Resource,
+    Rollout,
     Route,
     Secret,
     Service,
@@ -41,6 +45,8 @@
 MAX_ROUTE_SECRETS = 16
 MAX_SECRET_VALUE_BYTES = 4096
 MAX_PERCENT = 100
+MAX_PERMILLE = 1000
+MAX_REASON = 512
 MAX_KEY_NAME = 127
 MAX_CONNECTIONS = 65_535
 MAX_ATTEMPTS = 100
@@ -69,8 +75,10 @@
     }
 )
 _DIGEST = re.compile(r"[0-9a-f]{16}")
+_VERSION = re.compile(r"[\x21-\x7e]{1,64}")
 _TARGET = re.compile(r"/[\x21-\x7e]{0,511}")
 _CALL_KINDS = (CALL_KIND_REPEATABLE, CALL_KIND_AT_MOST_ONCE, CALL_KIND_ONCE_PER_ATTEMPT)
+_ROLLOUT_STATES = (ROLLOUT_STATE_RUNNING, ROLLOUT_STATE_COMPLETED, ROLLOUT_STATE_ROLLED_BACK)
 _NAME_REASON = "must be 1 to 63 of a-z 0-9 . _ - and begin and end with a letter or digit"
 
 
@@ -187,8 +195,10 @@
             yield from _share(resource.share)
         case "secret":
             yield from _secret(resource.secret)
+        case "rollout":
+            yield from _rollout(resource.rollout)
         case _:
-            yield "body", "must be a service, a route, a share or a secret"
+            yield "body", "must be a service, a route, a share, a secret or a rollout"
 
 
 def _service(service: Service) -> Iterator[Finding]:
@@ -267,6 +277,22 @@
         yield "value", "must be visible ASCII, with spaces or tabs only inside"
 
 
+def _rollout(rollout: Rollout) -> Iterator[Finding]:
+    yield from _name("service", rollout.service)
+    for field, version in (("target", rollout.target), ("baseline", rollout.baseline)):
+        if not _VERSION.fullmatch(version) and (version or field == "target"):
+            yield field, "must be visible ASCII of 1 to 64 characters"
+    if rollout.target == rollout.baseline:
+        yield "target", "must differ from the baseline"
+    if rollout.state not in _ROLLOUT_STATES:
+        yield "state", "must be running, completed or rolled_back"
+    yield from _at_most("permille", rollout.permille, MAX_PERMILLE)
+    yield from _at_most("duration_ms", rollout.duration_ms, MAX_DURATION_MS)
+    if not rollout.duration_ms:
+        yield "duration_ms", "must be above 0"
+    yield from _at_most("reason", len(rollout.reason), MAX_REASON)
+
+
 def _name(field: str, name: str) -> Iterator[Finding]:
     if not _NAME.fullmatch(name):
         yield field, _NAME_REASON
--- a/src/limelever/subscriber/configuration.py
+++ b/src/limelever/subscriber/configuration.py
@@ -7,10 +7,12 @@
 from types import MappingProxyType
 
 from limelever.protocol.config_pb2 import (
+    RESOURCE_KIND_ROLLOUT,
     RESOURCE_KIND_ROUTE,
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
     RESOURCE_KIND_SHARE,
+    Rollout,
     Route,
     Secret,
     Service,
@@ -103,6 +105,15 @@
             if key.kind == RESOURCE_KIND_SECRET
         }
 
+    @cached_property
+    def rollouts(self) -> Mapping[str, Rollout]:
+        """The newest rollouts by the name of their service."""
+        return {
+            key.name: held.resource.rollout
+            for key, held in self._resources.items()
+            if key.kind == RESOURCE_KIND_ROLLOUT
+        }
+
     def dangling(self) -> tuple[Key, ...]:
         """Return the keys that resources of the set refer to and that the set lacks, sorted."""
         return self._references.dangling
