--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -42,7 +42,7 @@
 LIMITS = Limits(0.1)
 GOOD = Verdict(Finding.GOOD, "good")
 LOOK = 0.1
-SEEDS = 100
+SEEDS = 50
 LEAST_CALLS, MOST_CALLS = 60, 600
 SPEEDS = (0.6, 0.7, 1.0, 1.4, 1.6)
 """Times of the work at instances of one service, as parts of the usual."""
