--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -31,8 +31,7 @@
 
 
 def in_order_count():
-    samples = HTTP_IN_ORDER_SECONDS.collect()[0].samples
-    return next(s.value for s in samples if s.name.endswith("_count"))
+    return sum(HTTP_IN_ORDER_SECONDS.only.counts)
 
 
 def answer_held(context, positions):
--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -224,7 +224,7 @@
 @then("the callers' listener holds {count:d} connections")
 def then_edge_holds(context, count):
     held = metrics.HTTP_CONNECTIONS_OPEN.labels("callers")
-    assert wait_for(lambda: held.collect()[0].samples[0].value == count), held.collect()
+    assert wait_for(lambda: held.read() == count), held.read()
 
 
 @then("the callers' listener has not logged {code:d}")
--- a/features/steps/transport_late_answer_steps.py
+++ b/features/steps/transport_late_answer_steps.py
@@ -43,7 +43,7 @@
 
 
 def open_connections():
-    return metrics.HTTP_CONNECTIONS_OPEN.labels(LISTENER).collect()[0].samples[0].value
+    return metrics.HTTP_CONNECTIONS_OPEN.labels(LISTENER).read()
 
 
 @given("a listener whose application answers only after its caller has left")
--- a/src/limelever/agent/load_reports.py
+++ b/src/limelever/agent/load_reports.py
@@ -4,6 +4,7 @@
 
 import math
 
+from limelever.protocol.endpoint_hash import LARGEST_LOAD
 from limelever.protocol.endpoints_pb2 import LoadReport
 
 LEAST_INTERVAL = 0.1
@@ -20,7 +21,10 @@
 
 
 class LoadReports:
-    """Decides when the load goes out; times in seconds."""
+    """Decides when the load goes out; times in seconds.
+
+    That a back end has fallen silent, and that it is back, is told at once.
+    """
 
     def __init__(self) -> None:
         self._load = 0
@@ -38,6 +42,8 @@
 
     def next_deadline(self) -> float | None:
         """Return when a report is due, ``None`` while nothing needs to be told."""
+        if self._load != self._told and LARGEST_LOAD in (self._load, self._told):
+            return -math.inf
         ended = self._told > 0 and not self._load
         if ended or abs(self._load - self._told) >= LEAST_CHANGE:
             return self._told_at + LEAST_INTERVAL
