--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -38,6 +38,7 @@
     "safe": CALL_KIND_REPEATABLE,
     "unsafe": CALL_KIND_ONCE_PER_ATTEMPT,
     "upload": CALL_KIND_ONCE_PER_ATTEMPT,
+    "download": CALL_KIND_REPEATABLE,
 }
 
 
