Know callers by their tenants' keys: resource, table, admission, header, the platform's tenants

Cause: a deployment's configuration names tenants with keys; nothing read them, so that callers' keys reached back ends, their tenants' names did not, and unknown keys were served.

Proxies hold all tenants and look each call up when it arrives; 401 only by a table proved current, and not at all by one older than tenants.revoked_after_ms where that is set. The key ends at the proxy, the agent names the tenant. A tenant's priority goes before the route's. A change of tenants builds no route again. The place for limits by tenant is CallAdmission.admit, behind `tenant = self._tenant(...)`.

--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -149,9 +149,7 @@
     async def _exchange(
         self, output: StartAttempt, connection: BackendConnection, left_ms: int
     ) -> Event:
-        headers = request_headers(
-            output.headers, self._host, output.body, left_ms, self._names, self._instance
-        )
+        headers = request_headers(output, self._host, left_ms, self._names, self._instance)
         request = encode_request(output.method, output.target, headers, output.body)
         answer = await self._converse(connection, output.method, request)
         if isinstance(answer, Failure):
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -66,6 +66,7 @@
             headers=tuple((header.name, header.value) for header in start.headers),
             body=body,
             timeout=self.deadline - now,
+            tenant=start.tenant,
         )
 
     def suspected(self) -> Suspected:
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -18,7 +18,8 @@
 class StartAttempt(Output, frozen=True):
     """Send one request to the back end; answered by one ``AttemptAnswered`` or ``AttemptFailed``.
 
-    ``timeout`` is in seconds, counted from now.
+    ``timeout`` is in seconds, counted from now. ``tenant`` is the name of the caller's tenant,
+    empty for none.
     """
 
     attempt: int
@@ -28,6 +29,7 @@
     headers: Headers
     body: bytes
     timeout: float
+    tenant: str = ""
 
 
 class CancelAttempt(Output, frozen=True):
--- a/src/limelever/cli/output.py
+++ b/src/limelever/cli/output.py
@@ -1,4 +1,4 @@
-"""What the operators' commands print: lines of text, or JSON. Secret values never appear."""
+"""What the operators' commands print: text or JSON, without secret values and tenants' keys."""
 
 from __future__ import annotations
 
@@ -58,11 +58,14 @@
 
 
 def resource_value(versioned: VersionedResource) -> dict[str, Any]:
-    """Return a resource as JSON values, without a secret's value."""
+    """Return a resource as JSON values, without a secret's value; of keys their number is shown."""
     safe = redacted(versioned)
     body: Message = getattr(safe.resource, safe.resource.WhichOneof("body") or "service")
     values = message_value(body)
     values.pop("value", None)
+    digests = values.pop("key_digests", None)
+    if digests is not None:
+        values["keys"] = len(digests)
     key = Key.of(safe.resource)
     return {"key": str(key), "version": safe.version, **values}
 
--- a/src/limelever/cli/resource_files.py
+++ b/src/limelever/cli/resource_files.py
@@ -1,4 +1,4 @@
-"""Files of resources: TOML with service, route, share and secret tables, into a batch."""
+"""Files of resources: TOML with service, route, share, secret and tenant tables, into a batch."""
 
 from __future__ import annotations
 
@@ -22,7 +22,9 @@
     Secret,
     Service,
     Share,
+    Tenant,
 )
+from limelever.protocol.tenant_keys import LONGEST_KEY, digest_of, is_well_formed
 from limelever.source.validation import validate_resources
 
 _LARGEST_UINT32 = (1 << 32) - 1
@@ -53,6 +55,7 @@
     timeout_ms: int = attrs.field(default=0, validator=_unsigned)
     secrets: tuple[str, ...] = ()
     retry_budget_percent: int = attrs.field(default=0, validator=_unsigned)
+    public: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +78,17 @@
     value_env: str | None = None
 
 
+@attrs.frozen(kw_only=True)
+class TenantTable:
+    """A ``[[tenant]]`` table; its keys leave the file as digests only."""
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    priority: int = attrs.field(default=0, validator=_unsigned)
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class ResourceFile:
     """A whole file of resources."""
@@ -83,6 +97,7 @@
     route: tuple[RouteTable, ...] = ()
     share: tuple[ShareTable, ...] = ()
     secret: tuple[SecretTable, ...] = ()
+    tenant: tuple[TenantTable, ...] = ()
 
 
 def read_resources(path: Path, environment: Mapping[str, str]) -> Batch | SettingsProblems:
@@ -104,6 +119,12 @@
             continue
         body = Secret(name=secret.name, header=secret.header, value=value)
         batch.put.append(Resource(secret=body))
+    for index, tenant in enumerate(content.tenant):
+        if all(is_well_formed(key.encode()) for key in tenant.keys):
+            batch.put.append(_tenant(tenant))
+            continue
+        reason = f"a key must be visible ASCII of 1 to {LONGEST_KEY} characters"
+        problems.append(SettingsProblem(str(path), f"tenant[{index}].keys", reason))
     problems += [
         SettingsProblem(str(path), f"{problem.resource}: {problem.field}", problem.reason)
         for problem in validate_resources(batch)
@@ -128,6 +149,18 @@
     return [Resource(share=Share(**attrs.asdict(table))) for table in content.share]
 
 
+def _tenant(table: TenantTable) -> Resource:
+    return Resource(
+        tenant=Tenant(
+            name=table.name,
+            key_digests=[digest_of(key.encode()) for key in table.keys],
+            priority=table.priority,
+            rate_per_s=table.rate_per_s,
+            burst=table.burst,
+        )
+    )
+
+
 def _secret_value(secret: SecretTable, folder: Path, environment: Mapping[str, str]) -> bytes | str:
     """Return the value as bytes, or the reason there is none as text."""
     given = [secret.value, secret.value_file, secret.value_env]
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -23,7 +23,8 @@
     An empty name stands for a header that is not used. With ``answers_repeat_id`` an answer
     without the request's own id is no answer to it. An answer to a health probe names the back
     end's instance by ``instance`` and tells its slots by ``load`` (calls that run, calls that wait
-    and slots, joined by commas).
+    and slots, joined by commas). Where the configuration has tenants, callers show their keys by
+    ``authorization``, behind the word ``key_scheme`` if there is one, and the mesh sets ``tenant``.
     """
 
     timeout: bytes = TIMEOUT_HEADER
@@ -34,11 +35,14 @@
     instance: bytes = b""
     load: bytes = b""
     answers_repeat_id: bool = False
+    tenant: bytes = b""
+    authorization: bytes = b"authorization"
+    key_scheme: bytes = b"bearer"
 
     @property
     def set_by_mesh(self) -> frozenset[bytes]:
         """Return the names that no caller may set for a back end."""
-        names = (self.timeout, self.caller_service, self.target_instance)
+        names = (self.timeout, self.caller_service, self.target_instance, self.tenant)
         return frozenset(name for name in names if name)
 
 
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -101,6 +101,9 @@
     instance: str = ""
     load: str = ""
     answers_repeat_id: bool = False
+    tenant: str = ""
+    authorization: str = attrs.field(default=_NAMES.authorization.decode(), validator=not_empty)
+    key_scheme: str = "Bearer"
 
     def names(self) -> HeaderNames:
         """Return the names in lower case, as headers are compared."""
@@ -113,6 +116,9 @@
             instance=self.instance.lower().encode(),
             load=self.load.lower().encode(),
             answers_repeat_id=self.answers_repeat_id,
+            tenant=self.tenant.lower().encode(),
+            authorization=self.authorization.lower().encode(),
+            key_scheme=self.key_scheme.lower().encode(),
         )
 
 
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -28,11 +28,13 @@
 )
 from limelever.node.reports import InstanceReport
 from limelever.proxy.settings import (
+    REVOCATION_CLASH,
     BalancingSettings,
     CallLimitSettings,
     ConfigurationSettings,
     EdgeSettings,
     ProxySettings,
+    TenantSettings,
 )
 from limelever.subscriber.settings import SubscriberSettings
 
@@ -46,6 +48,7 @@
         *ProcessSettings.CLASHES,
         Clash(("drain.limit_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
         Clash(("edge.lame_duck_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
+        REVOCATION_CLASH,
     )
 
     service: str = attrs.field(validator=not_empty)
@@ -59,6 +62,7 @@
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
     headers: HeaderSettings = HeaderSettings()
+    tenants: TenantSettings = TenantSettings()
 
 
 def proxy_settings(settings: NodeSettings) -> ProxySettings:
@@ -77,6 +81,7 @@
         balancing=settings.balancing,
         configuration=settings.configuration,
         headers=settings.headers,
+        tenants=settings.tenants,
     )
 
 
--- a/src/limelever/protocol/keys.py
+++ b/src/limelever/protocol/keys.py
@@ -13,6 +13,7 @@
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
     RESOURCE_KIND_SHARE,
+    RESOURCE_KIND_TENANT,
     RESOURCE_KIND_UNSPECIFIED,
     Resource,
     ResourceKey,
@@ -29,6 +30,7 @@
     RESOURCE_KIND_SHARE: "share",
     RESOURCE_KIND_SECRET: "secret",
     RESOURCE_KIND_ROLLOUT: "rollout",
+    RESOURCE_KIND_TENANT: "tenant",
 }
 KIND_OF_TEXT: dict[str, ResourceKind.ValueType] = {text: kind for kind, text in KIND_TEXT.items()}
 
@@ -56,6 +58,8 @@
                 return cls(RESOURCE_KIND_SECRET, resource.secret.name)
             case "rollout":
                 return rollout_key(resource.rollout.service)
+            case "tenant":
+                return tenant_key(resource.tenant.name)
             case _:
                 return cls(RESOURCE_KIND_UNSPECIFIED, "")
 
@@ -98,6 +102,11 @@
     return Key(RESOURCE_KIND_ROLLOUT, service)
 
 
+def tenant_key(name: str) -> Key:
+    """Return the key of the tenant ``name``."""
+    return Key(RESOURCE_KIND_TENANT, name)
+
+
 def key_of(resource: Resource) -> ResourceKey:
     """Return the protobuf key of ``resource``."""
     return Key.of(resource).to_message()
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -1,11 +1,11 @@
-"""Admits a call or says at once why not: route, body size, idempotency key, time and limits."""
+"""Admits a call or says at once why not: route, tenant, body, idempotency key, time and limits."""
 
 from __future__ import annotations
 
 import math
 import random
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.proxy.call_state import Call
@@ -14,9 +14,11 @@
     IDEMPOTENCY_KEY_LENGTH_LIMIT,
     CallRequest,
 )
+from limelever.proxy.caller_keys import KeyHeader, tenant_of
 from limelever.proxy.group_limits import GroupLimits, ShareKey
 from limelever.proxy.router import RouteEntry, RoutePart, RouteTable
 from limelever.proxy.split import Splits
+from limelever.proxy.tenants import TenantEntry
 
 FIRST_CONFIGURATION_SECONDS = 0.25
 """Advice to callers of a proxy that has just started: its first configuration comes within it, by
@@ -34,6 +36,7 @@
         ErrorKind.METHOD_NOT_ALLOWED,
         ErrorKind.BODY_TOO_LARGE,
         ErrorKind.IDEMPOTENCY_KEY_MISSING,
+        ErrorKind.UNAUTHENTICATED,
     }
 )
 """Refusals for good that a newer configuration may turn into service."""
@@ -43,11 +46,15 @@
     """Settings in seconds.
 
     ``default_timeout`` is of routes that name none. ``stale_after`` is how old the proof of the
-    configuration may be by which a caller is told that there is no route.
+    configuration may be by which a caller is told that there is no route. ``revoked_after`` is how
+    old it may be by which a key lets a caller in, as the key may have been taken away since; 0 sets
+    no bound. ``key_header`` is where callers show their keys.
     """
 
     default_timeout: float = 10.0
     stale_after: float = 8.0
+    revoked_after: float = 0.0
+    key_header: KeyHeader = field(default_factory=KeyHeader)
 
 
 class CallAdmission:
@@ -91,6 +98,9 @@
         route = self._table.match(request.method, request.target, request.host)
         if isinstance(route, Failure):
             return unless_unproved(route, self.proved_at, self._settings, now)
+        tenant = self._tenant(self._table, route, request, now)
+        if isinstance(tenant, Failure):
+            return unless_unproved(tenant, self.proved_at, self._settings, now)
         part = self._splits.choose(route)
         refusal = _check(request, route, part)
         if refusal is not None:
@@ -111,8 +121,30 @@
             target,
             arrived_at=now,
             version=self._table.version,
+            tenant=tenant.name if tenant is not None else "",
+            rank=self._table.ranks.rank(route.priority, tenant.priority if tenant else 0),
         )
 
+    def _tenant(
+        self, table: RouteTable, route: RouteEntry, request: CallRequest, now: float
+    ) -> TenantEntry | Failure | None:
+        """Return the tenant whose call it is, ``None`` where none is asked for."""
+        if not table.tenants or route.public:
+            return None
+        tenant = tenant_of(request.headers, self._settings.key_header, table.tenants)
+        if isinstance(tenant, Failure):
+            return tenant
+        return self._if_not_revoked(tenant, now)
+
+    def _if_not_revoked(self, tenant: TenantEntry, now: float) -> TenantEntry | Failure:
+        """Return the tenant, or ``STALE`` where its key may have been taken away unheard."""
+        bound = self._settings.revoked_after
+        age = _age(self.proved_at, now)
+        if not bound or age < bound:
+            return tenant
+        reason = "the key is known, but by a configuration that is not proved current"
+        return Failure(ErrorKind.STALE, reason, retry_after=_configuration_advice(age - bound))
+
     def _without_table(self, now: float) -> Failure:
         if self._first_untabled is None:
             self._first_untabled = now
@@ -134,7 +166,7 @@
     """
     if refusal.kind not in _DECIDED_BY_TABLE:
         return refusal
-    age = math.inf if proved_at is None else now - proved_at
+    age = _age(proved_at, now)
     if age < settings.stale_after:
         return refusal
     reason = f"{refusal.reason}, by a configuration that is not proved current"
@@ -142,6 +174,11 @@
     return Failure(ErrorKind.STALE, reason, retry_after=advice)
 
 
+def _age(proved_at: float | None, now: float) -> float:
+    """Return how many seconds ago the table was known to be current."""
+    return math.inf if proved_at is None else now - proved_at
+
+
 def _configuration_advice(without_table: float) -> float:
     """Return after how many seconds a first or a current configuration may be expected.
 
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -37,6 +37,7 @@
     """Bounds of answers in bytes, and the seconds a call waits for a link to come up.
 
     ``added_headers`` go with every call, ``reserved_headers`` never come from callers.
+    ``key_header`` is where they show their keys.
     """
 
     answer_limit_bytes: int = 8 << 20
@@ -44,6 +45,7 @@
     dial_wait: float = 0.1
     added_headers: Headers = ()
     reserved_headers: frozenset[bytes] = DEFAULT_RESERVED
+    key_header: bytes = HeaderNames().authorization
 
 
 class Attempts:
@@ -77,9 +79,11 @@
         self._reserved = settings.reserved_headers
         self.log: CallLog | None = None
 
-    def set_secret_names(self, names: frozenset[bytes]) -> None:
-        """Name the headers that callers may not set."""
+    def set_secret_names(self, names: frozenset[bytes], *, callers_show_keys: bool) -> None:
+        """Name the headers that callers may not set; a key that they show ends at the proxy."""
         self._reserved = names | self._settings.reserved_headers
+        if callers_show_keys:
+            self._reserved |= {self._settings.key_header}
 
     def keep_only(self, routes: frozenset[str]) -> None:
         """Forget what is known of routes that are gone."""
--- a/src/limelever/proxy/call_log.py
+++ b/src/limelever/proxy/call_log.py
@@ -97,6 +97,8 @@
             "attempts": call.attempts,
             "milliseconds": _milliseconds(now - call.arrived_at),
         }
+        if call.tenant:
+            fields["tenant"] = call.tenant
         request_id = call.request.request_id
         if isinstance(answer, Failure):
             fields.update(_failed(answer))
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -65,7 +65,8 @@
     back end, refused there or not. ``may_have_run`` is the first failure of an attempt whose
     outcome is not NOT RUN: once it is set, no later failure may say that the call was not run.
     ``wake_at`` is when the call must be looked at next, ``head_digest`` that of its request without
-    the body once somebody needed it.
+    the body once somebody needed it. ``tenant`` is the name of the tenant whose key the caller
+    showed, empty for none, ``rank`` its place among calls at one back end, 0 for none.
     """
 
     number: int
@@ -91,6 +92,8 @@
     answer: CallAnswer | None = None
     caller_gone: bool = False
     head_digest: int = 0
+    tenant: str = ""
+    rank: int = 0
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -97,7 +97,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Route new calls by this table; those in flight keep their route."""
         self._admission.set_table(table)
-        self._attempts.set_secret_names(table.secret_names)
+        self._attempts.set_secret_names(table.secret_names, callers_show_keys=bool(table.tenants))
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
         self._prior_waits.keep_only(table.route_names())
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -52,6 +52,7 @@
 from limelever.proxy.quarantine import CrashNewsFound, Quarantine
 from limelever.proxy.route_table import advance_route_table, build_route_table
 from limelever.proxy.router import RouteTable
+from limelever.proxy.tenants import NO_TENANTS
 from limelever.proxy.version_gate import VersionGate
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
@@ -252,6 +253,7 @@
             self._outputs.append(LogEvent(events.ROUTES_REFUSED, {"reason": str(table)}))
             self._missed_change = True
             return
+        self._tell_tenants(table)
         self._table = table
         self._missed_change = False
         self._engine.set_table(table)
@@ -267,6 +269,15 @@
             self._routed = True
             self._outputs.append(ProxyReady())
 
+    def _tell_tenants(self, table: RouteTable) -> None:
+        former = self._table.tenants if self._table is not None else NO_TENANTS
+        if table.tenants != former:
+            fields: dict[str, object] = {
+                "tenants": len(table.tenants.by_name),
+                "keys": len(table.tenants.by_digest),
+            }
+            self._outputs.append(LogEvent(events.TENANTS_IN_FORCE, fields))
+
     def _tell_health_path(self, installed: ConfigurationInstalled) -> None:
         key = Key(RESOURCE_KIND_SERVICE, self._own_service)
         held = installed.configuration.resources.get(key)
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -91,6 +91,7 @@
     "status",
     "attempts",
     "milliseconds",
+    "tenant",
 )
 CALL_FAILED = define(
     4041,
@@ -108,6 +109,7 @@
     "retry_after",
     "milliseconds",
     "configuration_age_milliseconds",
+    "tenant",
 )
 ATTEMPT_SENT = define(
     4042,
@@ -140,3 +142,6 @@
 CALLER_GONE = define(
     4044, "caller-gone", Level.INFO, "the caller left before its answer", "request_id", "phase"
 )
+TENANTS_IN_FORCE = define(
+    4250, "tenants-in-force", Level.INFO, "tenants or their keys have changed", "tenants", "keys"
+)
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -55,6 +55,7 @@
         awaits_credit=not whole,
         body_bytes=0 if whole else size,
         known_depth=attempt.known_depth,
+        tenant=call.tenant,
     )
 
 
@@ -66,9 +67,8 @@
 
 
 def group_of(call: Call) -> str:
-    """Return the group under which the agent queues a call: its route's where that is ranked."""
-    route = call.route
-    return priority_group(route.priority, route.name) if route.priority else call.request.group
+    """Return the group under which the agent queues a call: its route's where it is ranked."""
+    return priority_group(call.rank, call.route.name) if call.rank else call.request.group
 
 
 def next_parts(call: Call, attempt: Attempt) -> list[CallBody]:
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -26,6 +26,7 @@
     StopLimitReached,
     StopRequested,
 )
+from limelever.proxy.caller_keys import KeyHeader
 from limelever.proxy.calls import CallSettings
 from limelever.proxy.core import ProxyCore, ProxyCoreSettings
 from limelever.proxy.edge import Edge
@@ -85,6 +86,7 @@
             dial_wait=seconds(settings.calls.dial_wait_ms),
             added_headers=_added_headers(settings),
             reserved_headers=settings.headers.names().set_by_mesh,
+            key_header=settings.headers.names().authorization,
         ),
         limits=LimitSettings(
             total=settings.calls.in_flight,
@@ -109,10 +111,13 @@
 
 def _call_settings(settings: ProxySettings) -> CallSettings:
     calls = settings.calls
+    names = settings.headers.names()
     return CallSettings(
         admission=AdmissionSettings(
             default_timeout=seconds(calls.default_timeout_ms),
             stale_after=seconds(settings.configuration.stale_after_ms),
+            revoked_after=seconds(settings.tenants.revoked_after_ms),
+            key_header=KeyHeader(names.authorization, names.key_scheme),
         ),
         retry=RetrySettings(
             attempts=calls.attempts,
--- a/src/limelever/proxy/router.py
+++ b/src/limelever/proxy/router.py
@@ -17,6 +17,8 @@
     CallKind,
 )
 from limelever.proxy.group_limits import DEFAULT_WEIGHT
+from limelever.proxy.ranks import Ranks
+from limelever.proxy.tenants import NO_TENANTS, TenantTable
 
 ANY_HOST = b""
 ROOT = b"/"
@@ -41,7 +43,7 @@
 
     Calls that are not ``repeatable`` go on only after an outcome of NOT RUN; those that are
     ``at_most_once`` need a claim on the caller's idempotency key besides. ``parts`` holds one
-    service, or those of a split.
+    service, or those of a split. Those on a ``public`` route need no tenant's key.
     """
 
     name: str
@@ -56,6 +58,7 @@
     attempts: int = 0
     priority: int = 0
     target_latency: float = 0.0
+    public: bool = False
 
     def allows(self, method: bytes) -> bool:
         """Return whether the route takes calls with this method."""
@@ -74,7 +77,7 @@
 
 
 class RouteTable(Struct, frozen=True):
-    """Routes by host and prefix, group weights by service, and the headers of all secrets.
+    """Routes by host and prefix, group weights by service, the headers of all secrets, and tenants.
 
     A host with routes of its own is not served by those for any host, which stand under ``b""``.
     """
@@ -84,6 +87,8 @@
     weights: Mapping[str, Mapping[str, int]]
     secret_names: frozenset[bytes]
     built: Mapping[str, BuiltRoute]
+    tenants: TenantTable = NO_TENANTS
+    ranks: Ranks = Ranks()
 
     def match(self, method: bytes, target: bytes, host: bytes = ANY_HOST) -> RouteEntry | Failure:
         """Return the route of a call, or ``NO_ROUTE``, ``METHOD_NOT_ALLOWED`` and the like.
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -85,6 +85,29 @@
     return_after_ms: int = attrs.field(default=30000, validator=between(50, 3600000))
 
 
+@attrs.frozen(kw_only=True)
+class TenantSettings:
+    """Tenants' keys at a proxy that can't prove its configuration current.
+
+    ``revoked_after_ms`` is how old the proof may be by which a key is let in; 0 lets it in however
+    old that is.
+    """
+
+    revoked_after_ms: int = attrs.field(default=0, validator=between(0, 3600000))
+
+
+def keys_outlive_a_probe(revoked_after_ms: int, probe_interval_ms: int) -> bool:
+    """Return whether proofs come often enough for keys to be let in by them."""
+    return not revoked_after_ms or revoked_after_ms > probe_interval_ms
+
+
+REVOCATION_CLASH = Clash(
+    ("tenants.revoked_after_ms", "configuration.probe_interval_ms"),
+    "must be 0 or exceed configuration.probe_interval_ms",
+    keys_outlive_a_probe,
+)
+
+
 @attrs.frozen(kw_only=True)
 class ProxySettings(ProcessSettings):
     """Settings of one proxy; ``services`` is the scope of its configuration.
@@ -121,6 +144,7 @@
             "must exceed configuration.probe_interval_ms",
             operator.gt,
         ),
+        REVOCATION_CLASH,
         Clash(
             ("services", "every_service"),
             "name the services, or set every_service",
@@ -143,3 +167,4 @@
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
     headers: HeaderSettings = HeaderSettings()
+    tenants: TenantSettings = TenantSettings()
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -11,6 +11,7 @@
     RESOURCE_KIND_ROLLOUT,
     RESOURCE_KIND_ROUTE,
     RESOURCE_KIND_SHARE,
+    RESOURCE_KIND_TENANT,
     VersionedResource,
 )
 from limelever.protocol.digest import SetDigest, resource_hash
@@ -43,6 +44,7 @@
         self._steps: deque[Step] = deque(maxlen=window)
         self._by_service: dict[str, dict[Key, None]] = {}
         self._by_secret: dict[str, dict[Key, None]] = {}
+        self._tenants: dict[Key, None] = {}
 
     @property
     def resources(self) -> Mapping[Key, VersionedResource]:
@@ -61,6 +63,10 @@
         """Return the keys of the routes that need ``secret``."""
         return self._by_secret.get(secret, ())
 
+    def tenants(self) -> Iterable[Key]:
+        """Return the keys of all tenants."""
+        return self._tenants
+
     def load(self, version: int, resources: Iterable[VersionedResource]) -> Step:
         """Replace the whole set; the step holds just what differs."""
         incoming = {Key.of(versioned.resource): versioned for versioned in resources}
@@ -121,6 +127,8 @@
             self._by_service.setdefault(service, {})[key] = None
         for secret in secrets_of(versioned):
             self._by_secret.setdefault(secret.name, {})[key] = None
+        if key.kind == RESOURCE_KIND_TENANT:
+            self._tenants[key] = None
 
     def _unindex(self, key: Key, versioned: VersionedResource) -> None:
         service = service_of(versioned)
@@ -128,6 +136,7 @@
             _discard(self._by_service, service, key)
         for secret in secrets_of(versioned):
             _discard(self._by_secret, secret.name, key)
+        self._tenants.pop(key, None)
 
 
 def service_of(versioned: VersionedResource) -> str | None:
--- a/src/limelever/publisher/scope.py
+++ b/src/limelever/publisher/scope.py
@@ -6,9 +6,11 @@
 
 from msgspec import Struct
 
+from limelever.common.sansio import Role
 from limelever.protocol.config_pb2 import (
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
+    RESOURCE_KIND_TENANT,
     VersionedResource,
 )
 from limelever.protocol.distribution_pb2 import Subscribe
@@ -25,17 +27,22 @@
 
 
 class Scope(Struct, frozen=True):
-    """The services a subscriber named, or everything; subscribers of one scope share a view."""
+    """The services a subscriber named, or everything; subscribers of one scope share a view.
+
+    ``tenants`` are all in scope or none: any caller may come to any proxy, and agents look at
+    no key.
+    """
 
     services: frozenset[str] = frozenset()
     everything: bool = False
+    tenants: bool = False
 
     @classmethod
-    def of(cls, subscribe: Subscribe) -> Scope:
-        """Return the scope that a ``Subscribe`` asks for."""
+    def of(cls, subscribe: Subscribe, role: Role) -> Scope:
+        """Return the scope that a ``Subscribe`` of a process of this role asks for."""
         if subscribe.everything:
             return cls(everything=True)
-        return cls(frozenset(subscribe.services))
+        return cls(frozenset(subscribe.services), tenants=role is Role.PROXY)
 
 
 class ScopeDifference(Struct, frozen=True):
@@ -52,8 +59,8 @@
 def closure_now(scope: Scope, table: ResourceTable) -> Closure:
     """Return the scope's resources at the table's version.
 
-    These are the services named, the routes to them, their shares, and the secrets those
-    routes need: nothing else.
+    These are the services named, the routes to them, their shares, the secrets those routes
+    need, and the tenants where the scope has them: nothing else.
     """
     if scope.everything:
         return table.resources
@@ -61,6 +68,8 @@
     keys = [service_key(name) for name in services]
     for name in services:
         keys.extend(table.dependents_of_service(name))
+    if scope.tenants:
+        keys.extend(table.tenants())
     found = {key: held for key in keys if (held := table.get(key)) is not None}
     for versioned in list(found.values()):
         for secret in secrets_of(versioned):
@@ -127,6 +136,11 @@
     return services
 
 
+def touches_tenants(step: Step) -> bool:
+    """Return whether a step may have changed a tenant."""
+    return any(key.kind == RESOURCE_KIND_TENANT for key in step.before)
+
+
 def _services_of(routes: Iterable[Key], table: ResourceTable) -> dict[str, None]:
     held = [table.get(route) for route in routes]
     return {route.resource.route.service: None for route in held if route is not None}
@@ -135,6 +149,8 @@
 def _belongs(key: Key, versioned: VersionedResource, scope: Scope) -> bool:
     if key.kind == RESOURCE_KIND_SERVICE:
         return key.name in scope.services
+    if key.kind == RESOURCE_KIND_TENANT:
+        return scope.tenants
     return service_of(versioned) in scope.services
 
 
--- a/src/limelever/source/overlaps.py
+++ b/src/limelever/source/overlaps.py
@@ -1,6 +1,6 @@
-"""Routes that take the same calls, and secrets that set the same header on one route.
+"""Routes that take the same calls, secrets that set one header on a route, tenants with one key.
 
-Either would leave it to chance which one a proxy uses, so both are refused. Within one batch the
+Each would leave it to chance which one a proxy uses, so all are refused. Within one batch the
 shape check finds them; against the state, and against an operator who was faster, the state
 machine does.
 """
@@ -12,8 +12,8 @@
 
 from msgspec import Struct
 
-from limelever.protocol.config_pb2 import Route, Secret
-from limelever.protocol.keys import Key, route_key, secret_key
+from limelever.protocol.config_pb2 import Route, Secret, Tenant
+from limelever.protocol.keys import Key, route_key, secret_key, tenant_key
 
 ANY_METHOD = "any method"
 
@@ -70,3 +70,17 @@
         if header == secrets[second].header.lower():
             keys = (route_key(route.name), secret_key(first), secret_key(second))
             yield Overlap(keys, f"{keys[1]} and {keys[2]} both set {header} on {keys[0]}")
+
+
+def key_overlaps(tenants: Iterable[Tenant]) -> Iterator[Overlap]:
+    """Yield the pairs of tenants that have a key in common, each pair once."""
+    holders: dict[bytes, str] = {}
+    found: dict[tuple[str, str], None] = {}
+    for tenant in tenants:
+        for digest in dict.fromkeys(tenant.key_digests):
+            holder = holders.setdefault(digest, tenant.name)
+            if holder != tenant.name:
+                found[holder, tenant.name] = None
+    for first, second in found:
+        keys = (tenant_key(first), tenant_key(second))
+        yield Overlap(keys, f"{keys[0]} and {keys[1]} have a key in common")
--- a/src/limelever/source/resource_set.py
+++ b/src/limelever/source/resource_set.py
@@ -1,12 +1,18 @@
-"""The resources of the state machine, with indexes of who refers to whom and of prefixes."""
+"""The resources of the state machine, with indexes of references, prefixes and keys."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Mapping, Set
 
-from limelever.protocol.config_pb2 import Resource, Route, Secret, VersionedResource
+from limelever.protocol.config_pb2 import Resource, Route, Secret, Tenant, VersionedResource
 from limelever.protocol.keys import Key, secret_key
-from limelever.source.overlaps import Overlap, RoutePlace, header_overlaps, route_overlaps
+from limelever.source.overlaps import (
+    Overlap,
+    RoutePlace,
+    header_overlaps,
+    key_overlaps,
+    route_overlaps,
+)
 from limelever.source.references import ReferenceIndex
 
 
@@ -16,6 +22,7 @@
     def __init__(self, resources: Iterable[VersionedResource] = ()) -> None:
         self._resources: dict[Key, VersionedResource] = {}
         self._routes: dict[RoutePlace, set[Key]] = {}
+        self._key_holders: dict[bytes, Key] = {}
         self.references = ReferenceIndex()
         for item in resources:
             self.put(item)
@@ -49,6 +56,8 @@
         self.references.add(item.resource)
         if item.resource.HasField("route"):
             self._routes.setdefault(RoutePlace.of(item.resource.route), set()).add(key)
+        for digest in _key_digests(item):
+            self._key_holders[digest] = key
 
     def remove(self, key: Key) -> None:
         """Drop the resource of ``key``, if there is one."""
@@ -61,6 +70,9 @@
             self._routes[place].discard(key)
             if not self._routes[place]:
                 del self._routes[place]
+        for digest in _key_digests(item):
+            if self._key_holders.get(digest) == key:
+                del self._key_holders[digest]
 
     def overlaps(self, put: Mapping[Key, Resource], deleted: Iterable[Key]) -> Iterator[Overlap]:
         """Yield what would overlap after ``put`` and ``deleted``, where a put resource is in it."""
@@ -73,10 +85,22 @@
         users = [self._route(key) for key in self._users_of_secrets(put) - gone]
         for route in [*routes, *sorted(users, key=lambda r: r.name)]:
             yield from header_overlaps(route, self._secrets_of(route, put))
+        tenants = [resource.tenant for resource in put.values() if resource.HasField("tenant")]
+        others = [self._tenant(key) for key in sorted(self._holders_of_keys(tenants) - gone)]
+        yield from key_overlaps([*others, *tenants])
 
     def _route(self, key: Key) -> Route:
         return self._resources[key].resource.route
 
+    def _tenant(self, key: Key) -> Tenant:
+        return self._resources[key].resource.tenant
+
+    def _holders_of_keys(self, tenants: Iterable[Tenant]) -> set[Key]:
+        """Return the keys of the held tenants that have a key of one of ``tenants``."""
+        digests = (digest for tenant in tenants for digest in tenant.key_digests)
+        holders = self._key_holders
+        return {holders[digest] for digest in digests if digest in holders}
+
     def _neighbours(self, routes: Iterable[Route]) -> set[Key]:
         """Return the keys of the held routes that share a place with one of ``routes``."""
         places = {RoutePlace.of(route) for route in routes}
@@ -97,3 +121,8 @@
             elif held is not None:
                 secrets[name] = held.resource.secret
         return secrets
+
+
+def _key_digests(item: VersionedResource) -> Iterable[bytes]:
+    """Return the digests of a tenant's keys; other resources have none."""
+    return item.resource.tenant.key_digests if item.resource.HasField("tenant") else ()
--- a/src/limelever/source/validation.py
+++ b/src/limelever/source/validation.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import Counter
 from collections.abc import Iterator
@@ -28,9 +29,10 @@
     Secret,
     Service,
     Share,
+    Tenant,
 )
 from limelever.protocol.keys import KIND_TEXT, SEPARATOR, Key
-from limelever.source.overlaps import header_overlaps, route_overlaps
+from limelever.source.overlaps import header_overlaps, key_overlaps, route_overlaps
 from limelever.source.request_records import position_of
 
 MAX_BATCH_BYTES = 1 << 20
@@ -53,6 +55,9 @@
 MAX_PRIORITY = 100
 MAX_PARTS = 100
 MAX_RELEASED_REQUESTS = 64
+MAX_TENANT_KEYS = 64
+MAX_TENANT_RATE = 1e9
+KEY_DIGEST_BYTES = 32
 BATCH_SUBJECT = "batch"
 
 _NAME = re.compile(r"[a-z0-9](?:[a-z0-9._-]{0,61}[a-z0-9])?")
@@ -183,6 +188,9 @@
     for route in routes:
         for overlap in header_overlaps(route, secrets):
             yield FieldProblem(str(overlap.keys[0]), "secrets", overlap.reason)
+    tenants = [resource.tenant for resource in batch.put if resource.HasField("tenant")]
+    for overlap in key_overlaps(tenants):
+        yield FieldProblem(str(overlap.keys[0]), "key_digests", overlap.reason)
 
 
 def _resource(resource: Resource) -> Iterator[Finding]:
@@ -197,8 +205,10 @@
             yield from _secret(resource.secret)
         case "rollout":
             yield from _rollout(resource.rollout)
+        case "tenant":
+            yield from _tenant(resource.tenant)
         case _:
-            yield "body", "must be a service, a route, a share, a secret or a rollout"
+            yield "body", "must be a service, a route, a share, a secret, a rollout or a tenant"
 
 
 def _service(service: Service) -> Iterator[Finding]:
@@ -293,6 +303,20 @@
     yield from _at_most("reason", len(rollout.reason), MAX_REASON)
 
 
+def _tenant(tenant: Tenant) -> Iterator[Finding]:
+    yield from _name("name", tenant.name)
+    digests = tenant.key_digests
+    yield from _at_most("key_digests", len(digests), MAX_TENANT_KEYS)
+    if any(len(digest) != KEY_DIGEST_BYTES for digest in digests):
+        yield "key_digests", f"must be digests of {KEY_DIGEST_BYTES} bytes"
+    if len(set(digests)) != len(digests):
+        yield "key_digests", "names a key twice"
+    yield from _at_most("priority", tenant.priority, MAX_PRIORITY)
+    for field, value in (("rate_per_s", tenant.rate_per_s), ("burst", tenant.burst)):
+        if math.isnan(value) or not 0 <= value <= MAX_TENANT_RATE:
+            yield field, f"must be a number from 0 to {MAX_TENANT_RATE:.0f}"
+
+
 def _name(field: str, name: str) -> Iterator[Finding]:
     if not _NAME.fullmatch(name):
         yield field, _NAME_REASON
--- a/src/limelever/subscriber/configuration.py
+++ b/src/limelever/subscriber/configuration.py
@@ -12,11 +12,13 @@
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
     RESOURCE_KIND_SHARE,
+    RESOURCE_KIND_TENANT,
     Rollout,
     Route,
     Secret,
     Service,
     Share,
+    Tenant,
     VersionedResource,
 )
 from limelever.protocol.keys import Key
@@ -114,6 +116,15 @@
             if key.kind == RESOURCE_KIND_ROLLOUT
         }
 
+    @cached_property
+    def tenants(self) -> Mapping[str, Tenant]:
+        """Tenants by name."""
+        return {
+            key.name: held.resource.tenant
+            for key, held in self._resources.items()
+            if key.kind == RESOURCE_KIND_TENANT
+        }
+
     def dangling(self) -> tuple[Key, ...]:
         """Return the keys that resources of the set refer to and that the set lacks, sorted."""
         return self._references.dangling
