Test tenants: keys, revocation, ranks, whose key it is, scopes, the platform's formats, the command line

Cause: the part had no tests.

The harness's truth of a proxy's scope has the tenants, as the rule is new.

--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -122,3 +122,19 @@
 
   Scenario: Long-running roles don't pay for the operators' libraries
     Then starting a role imports neither grpc, typer nor rich
+
+  Scenario: Tenants of a file go to the source as digests, and are shown without keys
+    Given a source that the command line reaches
+    When the operator applies a file with the tenant "north" and the keys "first-key second-key"
+    Then the command ends with 0 and prints "tenant/north"
+    When the operator runs "get"
+    Then the command ends with 0 and prints "priority=1 rate_per_s=300.0 burst=2.5 keys=2"
+    When the operator runs "get --json"
+    Then the command ends with 0 and prints ""keys": 2"
+    And neither a key nor a digest of "first-key second-key" was printed
+
+  Scenario: A bad key in a file is refused without being repeated
+    Given a source that the command line reaches
+    When the operator applies a file with the tenant "north" and the keys "first-kêy"
+    Then the command ends with 1 and prints "a key must be visible ASCII"
+    And neither a key nor a digest of "first-kêy" was printed
--- a/features/distribution/scope.feature
+++ b/features/distribution/scope.feature
@@ -78,3 +78,17 @@
 
   Scenario: From any version to any other the delta equals the snapshot
     Then random histories reach the same scope by delta as by snapshot
+
+  Scenario: Proxies hold all tenants whatever their services, agents none
+    Given an agent "agent-1" of the services "orders"
+    When 1 seconds pass in the distribution
+    And the source puts "tenant/north" alone
+    And the source puts "tenant/south" alone
+    And 2 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "route/place, secret/till, service/orders, share/orders/north, tenant/north, tenant/south"
+    And the reader "agent-1" holds just "route/place, secret/till, service/orders, share/orders/north"
+    And the reader "agent-1" is at the source's version
+    And the reader "agent-1" was sent 1 sets or deltas
+    When the source deletes "tenant/north"
+    And 1 seconds pass in the distribution
+    Then the reader "proxy-1" holds just "route/place, secret/till, service/orders, share/orders/north, tenant/south"
--- a/features/operators/state_machine.feature
+++ b/features/operators/state_machine.feature
@@ -117,3 +117,43 @@
   Scenario: Secrets at rest open under their own name and key only
     When a secret value is sealed
     Then it opens under its name with an older key and fails under another name or damaged
+
+  Scenario: A key that another tenant has is refused, with both named and no key told
+    When a batch puts the tenant "north" with the keys "one two"
+    And a batch puts the tenant "south" with the keys "three two"
+    Then the batch is refused as "overlapping" naming "tenant/north, tenant/south"
+    And the refusal holds neither a key nor a digest of "one two three"
+
+  Scenario: A key moves between tenants in one batch, and is free once its tenant is gone
+    When a batch puts the tenant "north" with the keys "one two"
+    And a batch moves the key "two" from the tenant "north" to the tenant "south"
+    Then the batch is accepted in its own version
+    When a batch deletes "tenant/north"
+    And a batch puts the tenant "south" with the keys "one two"
+    Then the batch is accepted in its own version
+
+  Scenario: A state from a snapshot knows whose a key is
+    When a batch puts the tenant "north" with the keys "one two"
+    And the state machine is restored from its snapshot
+    And a batch puts the tenant "south" with the keys "two"
+    Then the batch is refused as "overlapping" naming "tenant/north, tenant/south"
+
+  Scenario Outline: A tenant that is <flaw> is refused at the door
+    Then a tenant that is <flaw> has just the problem of its <field>
+
+    Examples:
+      | flaw                         | field       |
+      | without a name               | name        |
+      | with a digest of 31 bytes    | key_digests |
+      | with an empty digest         | key_digests |
+      | with a key twice             | key_digests |
+      | with 65 keys                 | key_digests |
+      | of a negative rate           | rate_per_s  |
+      | of a rate that is no number  | rate_per_s  |
+      | of an endless rate           | rate_per_s  |
+      | of a negative burst          | burst       |
+      | of a burst that is no number | burst       |
+      | of a priority of 101         | priority    |
+
+  Scenario: Two tenants of one batch with one key are refused at the door
+    Then a batch of the tenants "north" and "south" with the key "one" each has just one problem
--- a/features/platform/formats.feature
+++ b/features/platform/formats.feature
@@ -19,6 +19,38 @@
       | with a version not above its base |
       | with a path that is no path       |
       | with all weights 0                |
+      | with one key at two tenants       |
+      | with one key twice at a tenant    |
+      | with an empty key                 |
+      | with a key that has a space       |
+      | with a key that is no ASCII       |
+      | with a key of half a character    |
+      | with a key that is a number       |
+      | with keys that are no list        |
+      | with a tenant's name twice        |
+      | with a tenant without a name      |
+      | with a negative rate              |
+      | with a rate that is no number     |
+      | with a rate that is a text        |
+      | with a burst that is a truth      |
+      | with tenants that are no list     |
+      | with a public mark that is a text |
+
+  Scenario: Tenants are taken over with digests in place of keys, and public routes as such
+    Given a configuration of the platform with any tenants, all of them are in the product's batch
+
+  Scenario: A refusal of a key doesn't repeat it
+    Then no refusal of a configuration with a bad key repeats the key
+
+  Scenario Outline: A machine that is cut off lets keys in as the platform's bounds say
+    Then a machine with <strict> revocation within <bound> ms lets keys in for <taken> ms after a proof
+
+    Examples:
+      | strict | bound | taken |
+      | false  | 5000  | 0     |
+      | no     | 5000  | 0     |
+      | true   | 5000  | 4000  |
+      | true   | 2500  | 2000  |
 
   Scenario Outline: A heartbeat that is <flaw> is refused
     Then the platform's heartbeat that is <flaw> is refused with 400
--- a/features/proxy/routes.feature
+++ b/features/proxy/routes.feature
@@ -46,5 +46,5 @@
     Then 3 retries can be taken at once and no more
 
   Scenario: A table that keeps what did not change is the table built anew
-    Given any changes of routes, services and secrets, a table built over the former equals one built anew
+    Given any changes of routes, services, secrets and tenants, a table built over the former equals one built anew
     And a route that did not change keeps its entry
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -19,6 +19,7 @@
     StatusResponse,
     ZoneRollout,
 )
+from limelever.protocol.tenant_keys import digest_of
 
 WRONG_RESOURCES = """
 [[service]]
@@ -35,6 +36,24 @@
 """
 
 
+TENANTS = """
+[[service]]
+name = "stock"
+[[route]]
+name = "stock"
+service = "stock"
+path_prefix = "/stock"
+call_kind = "repeatable"
+public = true
+[[tenant]]
+name = "{name}"
+keys = {keys}
+priority = 1
+rate_per_s = 300
+burst = 2.5
+"""
+
+
 def start_source(context, script=None):
     server = OperatorServer(script)
     context.add_cleanup(server.stop)
@@ -234,3 +253,18 @@
     done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True)
     assert done.returncode == 0, done.stderr
     assert "absent.toml" in done.stderr
+
+
+@when('the operator applies a file with the tenant "{name}" and the keys "{keys}"')
+def when_applies_tenant(context, name, keys):
+    path = folder_of(context) / "tenants.toml"
+    path.write_text(TENANTS.format(name=name, keys=keys.split()))
+    run_command(context, ["apply", str(path)])
+
+
+@then('neither a key nor a digest of "{keys}" was printed')
+def then_no_key_printed(context, keys):
+    for key in keys.split():
+        digest = digest_of(key.encode())
+        assert key not in context.printed
+        assert digest.hex() not in context.printed and str(digest) not in context.printed
--- a/features/steps/distribution_harness.py
+++ b/features/steps/distribution_harness.py
@@ -366,12 +366,12 @@
         for version, put, removed in self.changes[host.publisher.version :]:
             self.network.carry_out(name, host.apply(version, put, removed, now))
 
-    def add_reader(self, name, settings, zone="zone-a"):
+    def add_reader(self, name, settings, zone="zone-a", role=Role.PROXY):
         node = self.network.nodes.get(name)
         files = dict(node.files) if node is not None else {}
         host = ReaderHost(settings, files, seed=name)
         self.network.dark.discard(name)
-        self.network.add(name, host, Role.PROXY, zone)
+        self.network.add(name, host, role, zone)
         self.readers.setdefault(name, []).append(host)
         return host
 
@@ -415,6 +415,7 @@
                 body.service.name in services
                 or body.route.service in services
                 or body.share.service in services
+                or body.HasField("tenant")
             ):
                 found[key] = versioned
         needed = {name for v in found.values() for name in v.resource.route.secrets}
--- a/features/steps/distribution_property_steps.py
+++ b/features/steps/distribution_property_steps.py
@@ -39,6 +39,8 @@
     st.tuples(st.just("secret"), st.sampled_from(SECRETS)),
     st.tuples(st.just("share"), st.sampled_from(SERVICES), st.integers(1, 9)),
     st.tuples(st.just("unshare"), st.sampled_from(SERVICES)),
+    st.tuples(st.just("tenant"), st.integers(0, 2), st.integers(0, 3)),
+    st.tuples(st.just("untenant"), st.integers(0, 2)),
 )
 
 
@@ -55,6 +57,10 @@
             return [resource(f"share/{service}/g", weight=weight)], []
         case ("unshare", service):
             return [], [Key.of(resource(f"share/{service}/g"))]
+        case ("tenant", number, priority):
+            return [resource(f"tenant/t{number}", priority=priority)], []
+        case ("untenant", number):
+            return [], [Key.of(resource(f"tenant/t{number}"))]
     raise AssertionError(change)
 
 
@@ -65,9 +71,11 @@
         st.lists(CHANGES, min_size=1, max_size=12),
         st.sampled_from([("s0",), ("s1", "s2"), ("s0", "missing")]),
         st.booleans(),
+        st.booleans(),
     )
-    def check(changes, services, everything):
-        scope = Scope(everything=True) if everything else Scope(frozenset(services))
+    def check(changes, services, everything, tenants):
+        some = Scope(frozenset(services), tenants=tenants)
+        scope = Scope(everything=True) if everything else some
         table = ResourceTable(window=64)
         table.load(1, [VersionedResource(resource=body, version=1) for body in BASE])
         closures = {1: dict(closure_now(scope, table))}
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -21,6 +21,7 @@
     Heartbeat,
     InventoryRequest,
 )
+from limelever.protocol.keys import Key
 from limelever.publisher.settings import PublisherSettings
 from limelever.subscriber import events
 
@@ -52,6 +53,13 @@
     context.mesh.add_reader(name, reader_settings(context.mesh, services, "source"))
 
 
+@given('an agent "{name}" of the services "{services}"')
+def step_agent(context, name, services):
+    context.services[name] = services
+    settings = reader_settings(context.mesh, services, "source")
+    context.mesh.add_reader(name, settings, role=Role.AGENT)
+
+
 @given('a reader "{name}" that may choose of "{publishers}" and uses "{services}"')
 def step_reader_at(context, name, services, publishers):
     context.services[name] = services
@@ -116,6 +124,11 @@
         context.mesh.network.run(gap)
 
 
+@when('the source deletes "{text}"')
+def step_delete(context, text):
+    context.mesh.apply((), [Key.of(build(text))])
+
+
 @when('the source puts "{text}" alone')
 def step_put(context, text):
     context.mesh.apply([build(text)])
@@ -257,6 +270,11 @@
     assert dict(host.held) == context.mesh.scope_of(names(context.services[name]))
 
 
+@then('the reader "{name}" is at the source\'s version')
+def step_at_version(context, name):
+    assert reader(context, name).subscriber.version == context.mesh.version
+
+
 @then('the reader "{name}" was sent {count:d} sets or deltas')
 def step_was_sent(context, name, count):
     sent = configuration_messages(context.mesh.network.nodes[name])
--- a/features/steps/operator_random_batches.py
+++ b/features/steps/operator_random_batches.py
@@ -5,7 +5,7 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies
 from operator_log import RECORD_LIMIT, Log
-from operator_resources import key_message, route, secret, service, share
+from operator_resources import key_message, route, secret, service, share, tenant
 
 from limelever.protocol.config_pb2 import Batch
 from limelever.protocol.keys import Key, parse_key, references_of
@@ -15,8 +15,10 @@
 HEADERS = strategies.sampled_from(["X-Key", "x-key", "x-other"])
 PREFIXES = strategies.sampled_from(["/a", "/b"])
 METHODS = strategies.sampled_from([(), ("GET",), ("POST",), ("GET", "PUT")])
+KEYS = strategies.lists(strategies.sampled_from("wxyz"), unique=True, max_size=3)
 PUTS = strategies.one_of(
     NAMES.map(service),
+    strategies.builds(lambda name, keys: tenant(name, *keys), NAMES, KEYS),
     strategies.builds(share, NAMES, NAMES, strategies.integers(1, 3)),
     strategies.builds(secret, NAMES, strategies.sampled_from([b"x", b"y"]), header=HEADERS),
     strategies.builds(route, NAMES, NAMES, NAMES, NAMES, prefix=PREFIXES, methods=METHODS),
@@ -26,7 +28,9 @@
     *(secret(name, header=f"x-{name}") for name in "abc"),
 ]
 """Where random batches begin: without it most are refused for what they refer to."""
-DELETES = strategies.builds("{}/{}".format, strategies.sampled_from(["service", "secret"]), NAMES)
+DELETES = strategies.builds(
+    "{}/{}".format, strategies.sampled_from(["service", "secret", "tenant"]), NAMES
+)
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.lists(PUTS, max_size=4),
@@ -70,6 +74,8 @@
     held = {Key.of(item.resource): item.resource for item in log.state.resources()}
     assert all(references_of(resource) <= held.keys() for resource in held.values())
     check_no_overlap(held)
+    digests = [digest for each in held.values() for digest in each.tenant.key_digests]
+    assert len(set(digests)) == len(digests), "a key has two tenants"
 
 
 def check_no_overlap(held):
--- a/features/steps/operator_state_steps.py
+++ b/features/steps/operator_state_steps.py
@@ -4,13 +4,15 @@
 from hypothesis import settings as hypothesis_settings
 from operator_log import RECORD_LIMIT, Log
 from operator_random_batches import random_batches
-from operator_resources import SECRET_VALUE, route, secret, service, share
+from operator_resources import SECRET_VALUE, route, secret, service, share, tenant
 
 from limelever.common.errors import Failure, Outcome
-from limelever.protocol.config_pb2 import Batch
+from limelever.protocol.config_pb2 import Batch, Resource, Tenant
 from limelever.protocol.keys import parse_key
+from limelever.protocol.tenant_keys import digest_of
 from limelever.source.at_rest import SecretSealer
 from limelever.source.state import StateMachine
+from limelever.source.validation import validate_resources
 
 
 @given('a state machine with the service "orders", the secret "key" and the route "orders" to both')
@@ -219,3 +221,56 @@
     for name, sealed in (("other", context.sealed), ("key", damaged), ("key", b"")):
         failure = sealer.open(name, sealed)
         assert isinstance(failure, Failure) and failure.kind.value == "data-damaged"
+
+
+@when('a batch puts the tenant "{name}" with the keys "{keys}"')
+def when_put_tenant(context, name, keys):
+    context.log.apply([tenant(name, *keys.split())])
+
+
+@when('a batch moves the key "{key}" from the tenant "{former}" to the tenant "{later}"')
+def when_move_key(context, key, former, later):
+    context.log.apply([tenant(later, key), tenant(former)])
+
+
+@when("the state machine is restored from its snapshot")
+def when_restored(context):
+    snapshot = context.log.state.snapshot()
+    context.log.state = StateMachine(RECORD_LIMIT)
+    context.log.state.restore(snapshot)
+
+
+@then('the refusal holds neither a key nor a digest of "{keys}"')
+def then_no_key(context, keys):
+    text = str(context.log.outcome)
+    for key in keys.split():
+        digest = digest_of(key.encode())
+        assert f"'{key}'" not in text and digest.hex() not in text and str(digest) not in text
+
+
+NAN, ENDLESS = float("nan"), float("inf")
+TENANT_FLAWS = {
+    "without a name": tenant(""),
+    "with a digest of 31 bytes": Resource(tenant=Tenant(name="north", key_digests=[bytes(31)])),
+    "with an empty digest": Resource(tenant=Tenant(name="north", key_digests=[b""])),
+    "with a key twice": tenant("north", "one", "one"),
+    "with 65 keys": tenant("north", *(f"key-{number}" for number in range(65))),
+    "of a negative rate": tenant("north", rate_per_s=-1.0),
+    "of a rate that is no number": tenant("north", rate_per_s=NAN),
+    "of an endless rate": tenant("north", rate_per_s=ENDLESS),
+    "of a negative burst": tenant("north", burst=-0.5),
+    "of a burst that is no number": tenant("north", burst=NAN),
+    "of a priority of 101": tenant("north", priority=101),
+}
+
+
+@then("a tenant that is {flaw} has just the problem of its {field}")
+def then_tenant_problem(context, flaw, field):
+    problems = validate_resources(Batch(put=[TENANT_FLAWS[flaw]]))
+    assert [problem.field for problem in problems] == [field], problems
+
+
+@then('a batch of the tenants "{one}" and "{two}" with the key "{key}" each has just one problem')
+def then_shared_key_problem(context, one, two, key):
+    (problem,) = validate_resources(Batch(put=[tenant(one, key), tenant(two, key)]))
+    assert (problem.resource, problem.field) == (f"tenant/{one}", "key_digests"), problem
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+from hashlib import sha256
 from pathlib import Path
 from unittest import mock
 
@@ -78,6 +79,12 @@
     return value["virtualHosts"][0]["pathRoutes"][0]
 
 
+def _tenants(*changes):
+    """Return a flaw: tenants that are sound but for the changes."""
+    tenants = [{"name": f"tenant{number}", **change} for number, change in enumerate(changes)]
+    return lambda value: value.update(tenants=tenants)
+
+
 FLAWS = {
     "without a version": lambda value: value.pop("version"),
     "of a version that is no number": lambda value: value.update(version="rx"),
@@ -90,6 +97,22 @@
     "with a version not above its base": lambda value: value.update(baseVersion="r7"),
     "with a path that is no path": lambda value: _first_route(value).update(pathPrefix="one"),
     "with all weights 0": _no_weights,
+    "with one key at two tenants": _tenants({"apiKeys": ["k1"]}, {"apiKeys": ["k2", "k1"]}),
+    "with one key twice at a tenant": _tenants({"apiKeys": ["k1", "k1"]}),
+    "with an empty key": _tenants({"apiKeys": [""]}),
+    "with a key that has a space": _tenants({"apiKeys": ["bad key"]}),
+    "with a key that is no ASCII": _tenants({"apiKeys": ["b\u00e4d"]}),
+    "with a key of half a character": _tenants({"apiKeys": ["\ud800"]}),
+    "with a key that is a number": _tenants({"apiKeys": [17]}),
+    "with keys that are no list": _tenants({"apiKeys": "k1"}),
+    "with a tenant's name twice": _tenants({"name": "north"}, {"name": "north"}),
+    "with a tenant without a name": _tenants({"name": None}),
+    "with a negative rate": _tenants({"ratePerS": -1}),
+    "with a rate that is no number": _tenants({"ratePerS": float("nan")}),
+    "with a rate that is a text": _tenants({"ratePerS": "many"}),
+    "with a burst that is a truth": _tenants({"burst": True}),
+    "with tenants that are no list": lambda value: value.update(tenants={"name": "north"}),
+    "with a public mark that is a text": lambda value: _first_route(value).update(public="yes"),
 }
 
 
@@ -152,6 +175,70 @@
     check()
 
 
+@given("a configuration of the platform with any tenants, all of them are in the product's batch")
+def given_any_tenants(context):
+    keys = st.from_regex(r"[a-z0-9]{1,24}", fullmatch=True)
+    numbers = st.one_of(st.none(), st.integers(0, 9000), st.floats(0, 9000))
+    plans = st.lists(
+        st.tuples(st.lists(keys, max_size=2, unique=True), numbers, numbers, st.integers(0, 9)),
+        max_size=5,
+        unique_by=lambda plan: tuple(plan[0]),
+    )
+
+    @PROPERTY
+    @examples(plans, st.sampled_from([None, False, True]))
+    def check(plans, public):
+        tenants = [
+            {
+                "name": f"tenant{number}",
+                "apiKeys": [f"{key}.{number}" for key in found],
+                "priority": priority,
+                **{
+                    name: value
+                    for name, value in (("ratePerS", rate), ("burst", burst))
+                    if value is not None
+                },
+            }
+            for number, (found, rate, burst, priority) in enumerate(plans)
+        ]
+        value = configuration([path_route(public=public)], tenants=tenants)
+        batch = parse_configuration(json.dumps(value).encode())
+        assert not isinstance(batch, Failure), batch
+        assert not validate_batch(batch), validate_batch(batch)
+        (route,) = [item.route for item in batch.put if item.HasField("route")]
+        assert route.public is bool(public)
+        held = {item.tenant.name: item.tenant for item in batch.put if item.HasField("tenant")}
+        assert len(held) == len(tenants)
+        for each in tenants:
+            found = held[each["name"]]
+            digests = [sha256(key.encode()).digest() for key in each["apiKeys"]]
+            assert list(found.key_digests) == digests
+            assert found.rate_per_s == each.get("ratePerS", 0)
+            assert found.burst == each.get("burst", 0)
+            assert found.priority == each["priority"] + 1
+
+    check()
+
+
+@then("no refusal of a configuration with a bad key repeats the key")
+def then_key_not_repeated(context):
+    for key in ("let me in", "let-me-in\n", "let-m\u00ea-in", "let-me-in" * 100):
+        value = configuration(tenants=[{"name": "north", "apiKeys": [key]}])
+        failure = parse_configuration(json.dumps(value).encode())
+        assert isinstance(failure, Failure) and "let" not in failure.reason, failure
+
+
+@then(
+    "a machine with {strict} revocation within {bound:d} ms lets keys in for {taken:d} ms after "
+    "a proof"
+)
+def then_revoked_after(context, strict, bound, taken):
+    fields = {**NODE_FIELDS, "bounds.revokeMs": str(bound)}
+    if strict != "no":
+        fields["bounds.revokeStrict"] = strict
+    assert node_settings(fields).tenants.revoked_after_ms == taken
+
+
 @then("the platform's configuration that is {flaw} is refused with 400")
 def then_configuration_refused(context, flaw):
     batch = parse_configuration(flawed(flaw))
--- a/features/steps/route_table_steps.py
+++ b/features/steps/route_table_steps.py
@@ -13,6 +13,7 @@
     Route,
     Secret,
     Service,
+    Tenant,
     VersionedResource,
 )
 from limelever.protocol.keys import Key
@@ -26,7 +27,9 @@
         st.tuples(st.just("route"), NAMES, st.integers(0, 3)),
         st.tuples(st.just("service"), st.integers(0, 1), st.integers(0, 3)),
         st.tuples(st.just("secret"), st.just(0), st.integers(0, 3)),
+        st.tuples(st.just("tenant"), st.integers(0, 1), st.integers(0, 3)),
         st.tuples(st.just("remove"), NAMES, st.just(0)),
+        st.tuples(st.just("remove tenant"), st.integers(0, 1), st.just(0)),
     ),
     max_size=12,
 )
@@ -45,6 +48,7 @@
         call_kind=CALL_KIND_REPEATABLE,
         timeout_ms=100 + drawn_value,
         secrets=["key"] if drawn_value == 3 else [],
+        priority=drawn_value,
     )
 
 
@@ -54,6 +58,11 @@
     if kind == "service":
         service = Service(name=SERVICES[number], max_body_bytes=drawn_value)
         return versioned(service=service)
+    if kind == "tenant":
+        digests = [bytes([number, drawn_value]) * 16]
+        return versioned(
+            tenant=Tenant(name=f"t{number}", key_digests=digests, priority=drawn_value)
+        )
     return versioned(secret=Secret(name="key", header="x-key", value=b"%d" % drawn_value))
 
 
@@ -67,6 +76,8 @@
     """Return what a change puts and what it removes."""
     if kind == "remove":
         return [], [Key.of(versioned(route=route(number, 0)).resource)]
+    if kind == "remove tenant":
+        return [], [Key.of(changed_by("tenant", number, 0).resource)]
     return [changed_by(kind, number, drawn_value)], []
 
 
@@ -77,8 +88,8 @@
 
 
 @given(
-    "any changes of routes, services and secrets, a table built over the former equals one built "
-    "anew"
+    "any changes of routes, services, secrets and tenants, a table built over the former equals "
+    "one built anew"
 )
 def given_any_changes(context):
     @settings(max_examples=200, deadline=None)
@@ -95,6 +106,8 @@
             assert table.secret_names == anew.secret_names
             assert table.weights == anew.weights
             assert table.built == anew.built
+            assert table.tenants == anew.tenants
+            assert table.ranks == anew.ranks
 
     check()
 
