Shorten a core's sleep in place instead of waking its timer's task

Cause: each deadline that came nearer set an event, so that the task ran one turn of the loop only to sleep again; a deadline that was met cost one more, a checkpoint.

Change: the scope around the sleep gets the nearer deadline. Each sleep lets others run, one for a past deadline too, so the checkpoint goes; a scenario holds this. A deadline put off is left until the earlier one comes, as before: to move it would cost a push on trio's heap for each call.

Test: three nearer deadlines took 7 runs of the task before and take 3 now (start, deadline, end).

--- a/src/limelever/transport/timer.py
+++ b/src/limelever/transport/timer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -15,34 +16,29 @@
     ) -> None:
         self._next_deadline = next_deadline
         self._on_deadline = on_deadline
-        self._wake = trio.Event()
-        self._armed: float | None = None
+        self._sleep = trio.CancelScope()
         self._stopped = False
 
     def arm(self) -> None:
-        """Look at the next deadline: it may be earlier than the one that is waited for."""
+        """Look at the next deadline: it may be earlier than the one that is waited for.
+
+        The sleep is shortened in place: to wake the task for it would cost a turn of the loop.
+        """
         deadline = self._next_deadline()
-        if deadline is None:
-            return
-        if self._armed is None or deadline < self._armed:
-            self._wake.set()
+        if deadline is not None and deadline < self._sleep.deadline:
+            self._sleep.deadline = deadline
 
     def stop(self) -> None:
         """Ask for no deadline any more."""
         self._stopped = True
 
     async def run(self) -> None:
-        """Keep time until cancelled or stopped."""
+        """Keep time until cancelled or stopped; each sleep lets other tasks run, a late one too."""
         while not self._stopped:
-            self._wake = trio.Event()
-            self._armed = self._next_deadline()
-            if self._armed is None:
-                await self._wake.wait()
-                continue
-            with trio.move_on_at(self._armed):
-                await self._wake.wait()
-                continue
+            deadline = self._next_deadline()
+            self._sleep = trio.CancelScope(deadline=math.inf if deadline is None else deadline)
+            with self._sleep:
+                await trio.sleep_forever()
             deadline = self._next_deadline()
             if deadline is not None and deadline <= trio.current_time():
                 self._on_deadline()
-            await trio.lowlevel.checkpoint()
