Write a frame around its message's bytes instead of copying the message into one

Cause: a frame was made as a message, which copies every field of its body, nested headers included, before a byte is written; and a frame read asked twice for the name of its body.

Change: tag and length before the message's own bytes. A step holds that they are the bytes that protobuf writes, for each kind of body and around the steps of the length.

--- a/features/steps/transport_framing_steps.py
+++ b/features/steps/transport_framing_steps.py
@@ -5,6 +5,7 @@
 import zstandard
 from behave import then
 from google.protobuf.message import Message
+from google.protobuf.message_factory import GetMessageClass
 from hypothesis import given as for_all
 from hypothesis import settings as property_settings
 from hypothesis import strategies as st
@@ -46,6 +47,28 @@
     check()
 
 
+@then("a frame around any message has the bytes that protobuf writes for it")
+def then_as_protobuf_writes(context):
+    bodies = {f.message_type.full_name: f for f in Frame.DESCRIPTOR.fields if f.message_type}
+
+    def check(message, field_name):
+        frame = Frame()
+        getattr(frame, field_name).CopyFrom(message)
+        assert encode_frame(message)[LENGTH_PREFIX.size :] == frame.SerializeToString()
+
+    for field in bodies.values():
+        check(GetMessageClass(field.message_type)(), field.name)
+
+    @for_examples
+    @for_all(MESSAGES)
+    def check_drawn(message):
+        check(message, bodies[message.DESCRIPTOR.full_name].name)
+
+    check_drawn()
+    for size in (0, 100, 127, 128, 16383, 16384, 1 << 21):
+        check(CallBody(data=b"x" * size), "call_body")
+
+
 @then("any bytes are read as frames or refused, never a fault")
 def then_any_bytes(context):
     @for_examples
--- a/features/transport/framing.feature
+++ b/features/transport/framing.feature
@@ -5,3 +5,4 @@
     And any bytes are read as frames or refused, never a fault
     And any bytes within a frame are a message or a failure, never a fault
     And a reader never keeps more than its limit and one chunk
+    And a frame around any message has the bytes that protobuf writes for it
--- a/src/limelever/common/framing.py
+++ b/src/limelever/common/framing.py
@@ -19,8 +19,26 @@
 NO_COMPRESSION = 0
 _COMPRESSION_LEVEL = 3
 
-_BODY_FIELD = {
-    field.message_type.full_name: field.name
+_LENGTH_DELIMITED = 2
+"""Protobuf's wire type of a field that holds a message."""
+
+_TAG_BITS = 3
+_VARINT_BITS = 7
+_VARINT_LIMIT = 1 << _VARINT_BITS
+
+
+def _varint(number: int) -> bytes:
+    """Return a number as protobuf writes it: seven bits a byte, the lowest first."""
+    encoded = bytearray()
+    while number >= _VARINT_LIMIT:
+        encoded.append(number & (_VARINT_LIMIT - 1) | _VARINT_LIMIT)
+        number >>= _VARINT_BITS
+    encoded.append(number)
+    return bytes(encoded)
+
+
+_BODY_TAG = {
+    field.message_type.full_name: _varint(field.number << _TAG_BITS | _LENGTH_DELIMITED)
     for field in Frame.DESCRIPTOR.fields
     if field.message_type is not None
 }
@@ -30,11 +48,11 @@
     """Return the bytes of a frame around ``message``.
 
     ``compress_from`` is the size from which a frame is compressed; ``NO_COMPRESSION`` turns
-    compression off.
+    compression off. The frame is written around the message's own bytes: to make it as a message
+    would copy every field of the body first.
     """
-    frame = Frame()
-    getattr(frame, _BODY_FIELD[message.DESCRIPTOR.full_name]).CopyFrom(message)
-    payload = frame.SerializeToString()
+    body = message.SerializeToString()
+    payload = _BODY_TAG[message.DESCRIPTOR.full_name] + _varint(len(body)) + body
     if compress_from and len(payload) >= compress_from:
         payload = Frame(compressed=_compress(payload)).SerializeToString()
     return LENGTH_PREFIX.pack(len(payload)) + payload
@@ -45,14 +63,15 @@
     frame = _parse(payload)
     if isinstance(frame, Failure):
         return frame
-    if frame.WhichOneof("body") == "compressed":
+    name = frame.WhichOneof("body")
+    if name == "compressed":
         inflated = _decompress(frame.compressed, limit)
         if isinstance(inflated, Failure):
             return inflated
         frame = _parse(inflated)
         if isinstance(frame, Failure):
             return frame
-    name = frame.WhichOneof("body")
+        name = frame.WhichOneof("body")
     if name is None or name == "compressed":
         return Failure(ErrorKind.PROTOCOL_VIOLATION, "frame without a known body")
     body: Message = getattr(frame, name)
