--- a/src/limelever/agent/answers.py
+++ b/src/limelever/agent/answers.py
@@ -8,7 +8,6 @@
     AgentLoad,
     CallFailed,
     CallStart,
-    Header,
     ResponseStart,
 )
 
@@ -38,15 +37,17 @@
 
 def first_part(start: CallStart, answer: AttemptAnswered, load: AgentLoad) -> ResponseStart:
     """Return the first message of a back end's whole answer; a short one is within it."""
-    return ResponseStart(
+    message = ResponseStart(
         stream=start.stream,
         attempt_id=start.attempt_id,
         status=answer.status,
-        headers=[Header(name=name, value=value) for name, value in answer.headers],
         body=answer.body[:FIRST_PART_BYTES],
         end=len(answer.body) <= FIRST_PART_BYTES,
         load=load,
     )
+    for name, value in answer.headers:
+        message.headers.add(name=name, value=value)
+    return message
 
 
 def attempt_failure(event: AttemptFailed) -> Failure:
--- a/src/limelever/proxy/outgoing.py
+++ b/src/limelever/proxy/outgoing.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from limelever.common.http_headers import Headers
-from limelever.protocol.calls_pb2 import CallBody, CallStart, Header
+from limelever.protocol.calls_pb2 import CallBody, CallStart
 from limelever.protocol.priorities import priority_group
 from limelever.proxy.call_state import Attempt, Call
 from limelever.proxy.headers import towards_backend
@@ -37,7 +37,7 @@
     size = len(request.body)
     whole = size <= UNASKED_BYTES
     attempt.sent_bytes = size if whole else 0
-    return CallStart(
+    message = CallStart(
         stream=attempt.stream,
         attempt_id=attempt.attempt_id,
         agent_incarnation=attempt.entry.incarnation,
@@ -49,13 +49,15 @@
         request_id=request.request_id,
         method=request.method,
         target=request.target,
-        headers=[Header(name=name, value=value) for name, value in passed],
         body=request.body if whole else b"",
         end=whole,
         awaits_credit=not whole,
         body_bytes=0 if whole else size,
         known_depth=attempt.known_depth,
     )
+    for name, value in passed:
+        message.headers.add(name=name, value=value)
+    return message
 
 
 def target_left_ms(call: Call, now: float) -> int:
