Make a log line's record without a search for the caller, and keep its encoder

Cause: the library's log walks the stack for a file and a line that no line of ours names, and json.dumps with a default makes an encoder each time.

Microseconds a line of a failed attempt with five fields, written to /dev/null as JSON, best of 9 x 5,000, three pairs in turn: 19.1, 24.1 and 16.9 before, 15.2, 18.3 and 9.7 after.

--- a/src/limelever/transport/log.py
+++ b/src/limelever/transport/log.py
@@ -48,11 +48,18 @@
 def write_event(code: int, fields: dict[str, object]) -> None:
     """Write one numbered event and count it; ``code`` stands in the catalogue."""
     kind = CATALOGUE[code]
-    LOGGER.log(_LEVELS[kind.level.value], kind.text, extra={"kind": kind, "fields": fields})
+    level = _LEVELS[kind.level.value]
+    if LOGGER.isEnabledFor(level):
+        # Not by ``log``, which looks for the caller's line through the stack: no line names it.
+        extra = {"kind": kind, "fields": fields}
+        LOGGER.handle(
+            LOGGER.makeRecord(LOGGER.name, level, "", 0, kind.text, (), None, None, extra)
+        )
     EVENTS.labels(str(code)).inc()
 
 
 _LEVELS = logging.getLevelNamesMapping()
+_ENCODER = json.JSONEncoder(default=str)
 
 
 class _JsonLines(logging.Handler):
@@ -114,4 +121,4 @@
     }
     if fields:
         line["fields"] = fields
-    return json.dumps(line, default=str) + "\n"
+    return _ENCODER.encode(line) + "\n"
