Find the earliest of few unset times by a plain loop

Each event asks the core for its next deadline; generators within min took most of that. No decision changes.

--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -7,6 +7,7 @@
 
 from google.protobuf.message import Message
 
+from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     ConnectionClosed,
     ConnectionFailed,
@@ -142,8 +143,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic), or ``None``."""
-        times = (self._link.next_deadline(), self._snapshots.due_at)
-        return min((at for at in times if at is not None), default=None)
+        return earliest(self._link.next_deadline(), self._snapshots.due_at)
 
     @property
     def _probes_to_source(self) -> bool:
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -9,6 +9,7 @@
 
 from google.protobuf.message import Message
 
+from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     Address,
     CloseConnection,
@@ -196,8 +197,7 @@
 
     def next_deadline(self) -> float | None:
         """Return the earliest time at which something is due, or ``None``."""
-        times = (self._timers.next_deadline(), self.search.next_deadline())
-        return min((at for at in times if at is not None), default=None)
+        return earliest(self._timers.next_deadline(), self.search.next_deadline())
 
     def _dial(self) -> OpenConnection:
         self._timers.dial = None
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import Message
 
 from limelever.common.backoff import Backoff, BackoffSettings
+from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     CloseConnection,
     ConnectionId,
@@ -110,8 +111,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when something is due, or ``None``."""
-        times = (self._dial_at, self._answer_by, self._ask_at)
-        return min((at for at in times if at is not None), default=None)
+        return earliest(self._dial_at, self._answer_by, self._ask_at)
 
     def on_deadline(self, now: float) -> list[Output]:
         """Dial the next candidate, or give up on an answer, when it is time."""
--- a/src/limelever/subscriber/timers.py
+++ b/src/limelever/subscriber/timers.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from limelever.common.deadlines import earliest
+
 
 class Timers(Struct):
     """When to dial, probe, give up on an answer, look at staleness.
@@ -23,8 +25,7 @@
 
     def next_deadline(self) -> float | None:
         """Return the earliest of them, or ``None``."""
-        times = (self.dial, self.probe, self.answer, self.stale, self.behind)
-        return min((at for at in times if at is not None), default=None)
+        return earliest(self.dial, self.probe, self.answer, self.stale, self.behind)
 
 
 def reached(at: float | None, now: float) -> bool:
