--- a/src/limelever/agent/backend_watch.py
+++ b/src/limelever/agent/backend_watch.py
@@ -13,6 +13,7 @@
 from limelever.agent.crash_watch import CrashWatch, Finding, HeldCall
 from limelever.agent.interface import AttemptFailed, BackendReach, CheckBackend
 from limelever.agent.silence import BackendSilence
+from limelever.common.deadlines import earliest
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.endpoints_pb2 import CrashNews
 from limelever.quarantine.evidence import Evidence, Suspected
@@ -122,8 +123,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when a connection is to be tried, ``None`` while there is no need."""
-        waiting = (self._silence.next_deadline(), self._crashes.next_deadline())
-        return min((each for each in waiting if each is not None), default=None)
+        return earliest(self._silence.next_deadline(), self._crashes.next_deadline())
 
     def _report(self, suspects: Sequence[Suspected], now: float) -> int:
         crash = self._generator.getrandbits(CRASH_BITS)
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -33,6 +33,7 @@
 )
 from limelever.agent.replies import Replies, crash_log
 from limelever.agent.version_tally import VersionCount
+from limelever.common.deadlines import earliest
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
@@ -248,13 +249,12 @@
 
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a call or answer that waits."""
-        waiting = (
+        return earliest(
             self._intake.next_deadline(),
             self._queue.next_deadline(),
             self._answers.next_deadline(),
             self.backend.next_deadline(),
         )
-        return min((each for each in waiting if each is not None), default=None)
 
     def expire(self, now: float) -> list[Output]:
         """Refuse the calls whose deadline passed while they waited, and drop late answers."""
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -27,6 +27,7 @@
 )
 from limelever.agent.registration import Registration, RegistrationSettings
 from limelever.agent.version_tally import VersionCount
+from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     CloseConnection,
     ConnectionClosed,
@@ -182,7 +183,7 @@
         if self._drain is not None:
             drain = self._drain
             deadlines.append(drain.next_deadline(self._calls.unfinished, self._calls.waiting))
-        return min((each for each in deadlines if each is not None), default=None)
+        return earliest(*deadlines)
 
     def _own_event(self, event: Event, now: float) -> list[Output]:
         match event:
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct, field
 
+from limelever.common.deadlines import earliest
 from limelever.common.errors import Failure
 from limelever.common.sansio import (
     ConnectionClosed,
@@ -188,13 +189,12 @@
 
     def next_deadline(self) -> float | None:
         """Return when ``DeadlineReached`` is wanted (seconds, monotonic)."""
-        times = (
+        return earliest(
             self._engine.next_deadline(),
             self._subscriber.next_deadline(),
             self._keepers.next_deadline(),
             self._sweep_at,
         )
-        return min(time for time in times if time is not None)
 
     def _link_event(self, event: Event, now: float) -> None:
         connection = _connection_of(event)
