Let callers come back at once whose request a back end turned away with slots free

Cause: a service that refused half of its requests at random had callers told to come back after 1 s, the default where a refusal names no time; within a target of 0.3 s each of them was late, however soon a next try would have been served.

Change: the agent beside the back end names the time: at once where it has slots free and nobody waits, otherwise when there is room for a caller that it refuses itself. Ruled out: more retries by the mesh, as the budget of the called service also carries the calls of repeated runs.

Both scenarios of the feature fail without it.

--- /dev/null
+++ b/features/steps/turned_away_steps.py
@@ -0,0 +1,34 @@
+"""Steps for requests that a back end turns away unrun."""
+
+from __future__ import annotations
+
+from agent_bench import PROXY_LINK
+from behave import then, when
+from behave.runner import Context
+
+from limelever.agent.interface import AttemptFailed
+from limelever.common.errors import ErrorKind, Failure
+from limelever.protocol.calls_pb2 import CallFailed
+
+REFUSED = Failure(ErrorKind.BACKEND_REFUSED, "the back end refused the request with 503")
+
+
+@when("the back end turns agent stream {stream:d} away")
+def turn_away(context: Context, stream: int) -> None:
+    attempt = context.agent.attempt_of(stream)
+    context.agent.tell(AttemptFailed(attempt, REFUSED, sent_any_byte=True, refused=True))
+
+
+def told_ms(context: Context, stream: int) -> int:
+    sent = context.agent.sent(PROXY_LINK, CallFailed)
+    return next(message.retry_after_ms for message in sent if message.stream == stream)
+
+
+@then("agent stream {stream:d} is told to come back after at most {milliseconds:d} ms")
+def told_at_most(context: Context, stream: int, milliseconds: int) -> None:
+    assert 0 < told_ms(context, stream) <= milliseconds
+
+
+@then("agent stream {stream:d} is told to come back after at least {milliseconds:d} ms")
+def told_at_least(context: Context, stream: int, milliseconds: int) -> None:
+    assert told_ms(context, stream) >= milliseconds
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -241,6 +241,9 @@
             self.versions.ended(call.start.group, now - call.started_at, True, now)
         self._queue.finish(call.number, now, representative=False)
         failure = answers.attempt_failure(event)
+        if failure.kind is ErrorKind.BACKEND_REFUSED:
+            advice = self._queue.advice_of_turned_away(call.start.group, now)
+            failure = replace(failure, retry_after=advice)
         if self.backend.failed(event, failure, call, now):
             return self.start_waiting(now)
         return [*self._end(call, failure), *self.start_waiting(now)]
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -20,6 +20,7 @@
 from limelever.agent.group_table import GroupTable
 from limelever.agent.return_times import ReturnTimes
 from limelever.agent.slot_use import SlotUse
+from limelever.agent.turned_away import AT_ONCE, has_room
 from limelever.agent.wait_estimate import FIRST_SERVICE_TIME, MINIMUM_CHARGE, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
 from limelever.protocol.priorities import priority_of
@@ -203,6 +204,12 @@
             return self._returns.book(0.0, self._estimate.overall, now)
         return self._book_return(group, now)
 
+    def advice_of_turned_away(self, name: str, now: float) -> float:
+        """Return after how many seconds a caller whom the back end turned away may come back."""
+        if has_room(self.running, self.queued, self._limits.slots):
+            return AT_ONCE
+        return self.advice(name, now)
+
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of a waiting call, or when one may take a free slot."""
         earliest = self._deadlines.earliest()
