--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -75,6 +75,7 @@
     STALE = "stale"
     OVERLOADED = "overloaded"
     SHARE_EXHAUSTED = "share-exhausted"
+    RATE_LIMITED = "rate-limited"
     NO_ENDPOINT = "no-endpoint"
     NO_CONFIGURATION = "no-configuration"
     DRAINING = "draining"
@@ -145,6 +146,7 @@
     _K.STALE: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
     _K.OVERLOADED: _answer(503, _G.RESOURCE_EXHAUSTED, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.SHARE_EXHAUSTED: _answer(429, _G.RESOURCE_EXHAUSTED, _O.NOT_RUN, _R.AFTER_DELAY),
+    _K.RATE_LIMITED: _answer(429, _G.RESOURCE_EXHAUSTED, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.NO_ENDPOINT: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.NO_CONFIGURATION: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.DRAINING: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
--- /dev/null
+++ b/src/limelever/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of tenants over all proxies together: pure decisions and counts."""
--- /dev/null
+++ b/src/limelever/proxy/tenant_limits.py
@@ -0,0 +1,151 @@
+"""Refuses calls of tenants beyond their limits over all proxies, and tells what was let in.
+
+What is let in or refused goes to the relay in small sums, whose news say which part of what is
+asked may be let in. A proxy that has just joined a relay tells it of the whole window.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.limits.gate import Gate
+from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL, SILENT_AFTER
+from limelever.limits.rules import Limit, LimitRules
+from limelever.limits.tenant_hash import tenant_hash
+from limelever.protocol.limits_pb2 import LimitNews, TenantUse
+from limelever.proxy.tenants import TenantEntry
+
+REPORT_INTERVAL = 0.1
+"""Seconds between two reports."""
+
+_FEW_CALLS = 2
+"""Calls that need no report before the quiet interval is over."""
+
+
+class TenantLimits:
+    """The limits as one proxy holds them; times in seconds, monotonic.
+
+    Without a tenant that has a limit it asks for no deadline and reports nothing.
+    """
+
+    def __init__(self, rules: LimitRules, random_source: random.Random) -> None:
+        self._rules = rules
+        self._random = random_source
+        self._gates: dict[int, Gate] = {}
+        self._hash_of: dict[str, int] = {}
+        self._nodes = 0
+        self._fleet = 0
+        self._fleet_at = 0.0
+        self._news_at: float | None = None
+        self._told: frozenset[int] = frozenset()
+        self._unsent: dict[int, list[int]] = {}
+        self._unsent_calls = 0
+        self._report_at = 0.0
+        self._quiet_at = 0.0
+
+    def __bool__(self) -> bool:
+        return bool(self._gates)
+
+    def set_tenants(self, by_name: Mapping[str, TenantEntry]) -> None:
+        """Take the tenants of the configuration now in force; what was used stays counted."""
+        gates: dict[int, Gate] = {}
+        self._hash_of = {}
+        for name, tenant in by_name.items():
+            if tenant.rate <= 0:
+                continue
+            number = self._hash_of[name] = tenant_hash(name)
+            limit = Limit(tenant.rate, tenant.burst)
+            held = self._gates.get(number)
+            gates[number] = held or Gate(limit, self._rules, self._random)
+            gates[number].limit = limit
+        self._gates = gates
+        self._unsent = {number: use for number, use in self._unsent.items() if number in gates}
+
+    def nodes_known(self, nodes: int) -> None:
+        """Take how many nodes there are, as far as a proxy knows without a relay's news."""
+        self._nodes = nodes
+
+    def admit(self, tenant: TenantEntry, now: float) -> Failure | None:
+        """Count a call of a tenant; return why it is refused, or nothing."""
+        number = self._hash_of.get(tenant.name)
+        if number is None:
+            return None
+        gate = self._gates[number]
+        admitted = gate.try_admit(self._in_touch(now), self._fleet_size(), now)
+        self._note(number, admitted)
+        return None if admitted else self._refusal(tenant, gate, now)
+
+    def take_news(self, news: LimitNews, now: float) -> None:
+        """Take what the relay tells; it replaces what was told before."""
+        if news.proxies >= self._fleet or now - self._fleet_at > MEMORY:
+            self._fleet, self._fleet_at = news.proxies, now
+        self._news_at = now
+        for number in self._told.difference(news.tenants):
+            if number in self._gates:
+                self._gates[number].free()
+        self._told = frozenset(news.tenants)
+        for number, permille in zip(news.tenants, news.permille, strict=False):
+            if number in self._gates:
+                self._gates[number].told(permille, now)
+
+    def joined(self, now: float) -> TenantUse | None:
+        """Return the window's use, for a relay that is followed from now on."""
+        if not self._gates:
+            return None
+        self._sent(now)
+        use = TenantUse(fleet=self._fleet)
+        for number, gate in self._gates.items():
+            for age, slot in gate.use.slots(now):
+                use.tenants.append(number)
+                use.admitted.append(slot.admitted)
+                use.refused.append(slot.refused)
+                use.ages_ms.append(int(age * 1000) + 1)
+        return use
+
+    def report(self, now: float) -> TenantUse | None:
+        """Return what is to be told now, if anything."""
+        deadline = self.next_deadline()
+        if deadline is None or now < deadline:
+            return None
+        use = TenantUse(tenants=self._unsent)
+        use.admitted.extend(admitted for admitted, _ in self._unsent.values())
+        if any(refused for _, refused in self._unsent.values()):
+            use.refused.extend(refused for _, refused in self._unsent.values())
+        self._sent(now)
+        return use
+
+    def next_deadline(self) -> float | None:
+        """Return when ``report`` is to be called, or ``None``."""
+        if not self._gates:
+            return None
+        return self._report_at if self._unsent_calls >= _FEW_CALLS else self._quiet_at
+
+    def _sent(self, now: float) -> None:
+        self._unsent = {}
+        self._unsent_calls = 0
+        self._report_at = now + REPORT_INTERVAL
+        self._quiet_at = now + QUIET_INTERVAL
+
+    def _note(self, number: int, admitted: bool) -> None:
+        use = self._unsent.setdefault(number, [0, 0])
+        use[0 if admitted else 1] += 1
+        self._unsent_calls += 1
+
+    def _in_touch(self, now: float) -> bool:
+        return self._news_at is not None and now - self._news_at <= SILENT_AFTER
+
+    def _fleet_size(self) -> int:
+        return self._fleet or self._nodes
+
+    def _refusal(self, tenant: TenantEntry, gate: Gate, now: float) -> Failure:
+        in_touch, fleet = self._in_touch(now), self._fleet_size()
+        known = "no news" if self._news_at is None else f"news {now - self._news_at:.1f} s old"
+        reason = (
+            f"tenant {tenant.name} is at its limit of {tenant.rate:g} calls a second and"
+            f" {tenant.burst:g} more ({gate.use.admitted(now)} calls here in the last"
+            f" {self._rules.window:g} s, {known})"
+        )
+        wait = gate.wait(in_touch, fleet, now)
+        return Failure(ErrorKind.RATE_LIMITED, reason, retry_after=wait)
--- /dev/null
+++ b/src/limelever/relay/use_to_tell.py
@@ -0,0 +1,57 @@
+"""Use of limits that other relays have not been told yet: telling bit by bit is dear."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from msgspec import Struct
+
+from limelever.limits.in_touch import QUIET_INTERVAL
+from limelever.limits.rules import Limit, LimitRules
+from limelever.protocol.limits_pb2 import TenantUse
+
+_UNTOLD_PART = 0.004
+"""Part of a limit's calls that one relay may keep to itself for as long: five of them keep less
+than a fifth of the margin that a limit may be passed by."""
+
+
+class _Untold(Struct):
+    admitted: int = 0
+    refused: int = 0
+
+
+class UseToTell:
+    """What came since it was last told; times in seconds."""
+
+    def __init__(self) -> None:
+        self._untold: dict[int, _Untold] = {}
+        self._all_at = 0.0
+        self._proxies = 0
+
+    def add(self, tenant: int, admitted: int, refused: int) -> None:
+        """Take calls of a tenant."""
+        untold = self._untold.setdefault(tenant, _Untold())
+        untold.admitted += admitted
+        untold.refused += refused
+
+    def take(
+        self, rules: LimitRules, limits: Mapping[int, Limit], proxies: int, now: float
+    ) -> TenantUse | None:
+        """Return what is to be told now, with the number of proxies that it stands for."""
+        everything = now - self._all_at >= QUIET_INTERVAL
+        use = TenantUse(proxies=proxies)
+        for tenant, untold in list(self._untold.items()):
+            limit = limits.get(tenant)
+            least = _UNTOLD_PART * rules.calls(limit) if limit is not None else 0.0
+            if everything or untold.admitted + untold.refused > least:
+                del self._untold[tenant]
+                use.tenants.append(tenant)
+                use.admitted.append(untold.admitted)
+                use.refused.append(untold.refused)
+        if not any(use.refused):
+            use.ClearField("refused")
+        if everything:
+            self._all_at = now
+        changed = proxies != self._proxies
+        self._proxies = proxies
+        return use if everything or use.tenants or changed else None
