--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -10,6 +10,7 @@
 
 import random
 
+from limelever.limits.in_touch import SILENT_AFTER
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import SLOT, UseWindow
 
@@ -17,7 +18,7 @@
 """Times its equal part, or its use of late, that a proxy lets in untold: what callers of two zones
 need that find the third one gone, with room to spare."""
 
-_UNTOLD_CALLS = 4.0
+_UNTOLD_CALLS = 3.0
 _UNTOLD_PART = 0.1
 """Calls at once above that, and besides the part of the proxy's equal part of a window."""
 
@@ -25,6 +26,15 @@
 _TOLD_CALLS = 2.0
 """The same for a tenant near its limit: less, since its relay tells of room as soon as there is."""
 
+_FIRST_PART = 0.75
+_FIRST_PART_NEAR = 0.5
+"""Parts of its equal part to which a proxy keeps at first when it is out of touch: for a tenant of
+which it was told that it is near its limit, less."""
+
+_LATER_PART = 0.9
+"""Part of what may never be passed that proxies out of touch use later, when all that was let in
+before has left the window."""
+
 _DRAW_WINDOWS = 4
 """Windows between two draws of whether the fraction of a call is let in out of touch."""
 
@@ -45,6 +55,7 @@
         self._fill = 0.0
         self._tokens = _UNTOLD_CALLS
         self._filled_at: float | None = None
+        self._alone = 0
         self._credit = random_source.random()
         self._fraction = random_source.random()
         self._drawn_at = 0.0
@@ -60,15 +71,19 @@
         """Take that the tenant is not near its limit."""
         self._told = False
 
-    def try_admit(self, in_touch: bool, fleet: int, now: float) -> bool:
-        """Count a call that is asked for, and return whether it is let in."""
-        equal = self._rules.aim(self.limit) / max(1, fleet)
-        if not in_touch:
-            admitted = self._within_equal_part(equal, now)
+    def try_admit(self, silent: float, fleet: int, now: float) -> bool:
+        """Count a call that is asked for, and return whether it is let in.
+
+        ``silent`` are the seconds since the relay's last news, of a ``fleet`` of so many proxies.
+        """
+        equal = self._rules.aim(self.limit) / fleet
+        if silent <= SILENT_AFTER:
+            self._alone = 0
+        if silent > SILENT_AFTER:
+            admitted = self._out_of_touch(equal, fleet, silent, now)
+            self._alone += int(admitted)
         elif self._told:
-            admitted = self._within_told_part() and self._take_token(
-                self._fill, _TOLD_CALLS + self._fill * SLOT, now
-            )
+            admitted = self._within_told_part() and self._take_told_token(equal, now)
         else:
             usual = max(equal, self.use.admitted(now)) / self._rules.window
             most = _UNTOLD_CALLS + _UNTOLD_PART * equal
@@ -76,18 +91,30 @@
         self.use.add(now, int(admitted), int(not admitted))
         return admitted
 
-    def wait(self, in_touch: bool, fleet: int, now: float) -> float:
+    def wait(self, silent: float, fleet: int) -> float:
         """Return after how many seconds there is room for a call that was refused."""
         window = self._rules.window
-        equal = self._rules.aim(self.limit) / max(1, fleet)
-        rate = self._fill if in_touch and self._told else equal / window
+        equal = self._rules.aim(self.limit) / fleet
+        rate = self._fill if self._told and silent <= SILENT_AFTER else equal / window
         return min(window, max(SHORTEST_WAIT, 1 / rate)) if rate > 0 else window
 
-    def _within_equal_part(self, equal: float, now: float) -> bool:
+    def _out_of_touch(self, equal: float, fleet: int, silent: float, now: float) -> bool:
+        """Return whether a call is within the own part, which nobody else hands out.
+
+        For a window, what other proxies used beyond their parts still counts: it goes by what was
+        told last, and by less than its part, or by its part of the slack, which helps small tenants.
+        """
         if now - self._drawn_at > _DRAW_WINDOWS * self._rules.window:
             self._drawn_at = now
             self._fraction = self._random.random()
-        return self.use.admitted(now) + 1 <= equal + self._fraction
+        used = self.use.admitted(now) + 1 - self._fraction
+        if silent > SILENT_AFTER + self._rules.window:
+            return used <= _LATER_PART * self._rules.most(self.limit) / fleet
+        if self._told:
+            return used <= _FIRST_PART_NEAR * equal and self._within_told_part()
+        if used <= _FIRST_PART * equal:
+            return True
+        return self._alone + 1 - self._fraction <= self._rules.slack / fleet
 
     def _within_told_part(self) -> bool:
         self._credit = min(2.0, self._credit + min(1.0, self._part))
@@ -96,6 +123,12 @@
         self._credit -= 1.0
         return True
 
+    def _take_told_token(self, equal: float, now: float) -> bool:
+        if self._part < 1.0:
+            return self._take_token(self._fill, _TOLD_CALLS + self._fill * SLOT, now)
+        fill = max(self._fill, equal / self._rules.window)
+        return self._take_token(fill, _UNTOLD_CALLS + fill * SLOT, now)
+
     def _take_token(self, fill: float, most: float, now: float) -> bool:
         since = now if self._filled_at is None else self._filled_at
         self._filled_at = now
--- a/src/limelever/limits/plan.py
+++ b/src/limelever/limits/plan.py
@@ -17,8 +17,8 @@
 """Seconds ahead for which the room is planned: two rounds of news."""
 
 _STEEPEST = 1.25
-"""Most that is planned, as a part of what the limit allows on average: without it, all the room of
-a tenant that was quiet would be given out at once, over and over, each time a window later."""
+"""Most that is planned for a tenant beyond its limit, as a part of what that allows on average:
+without it, what it got at once at first would be given out at once again, each window anew."""
 
 LARGEST_PERMILLE = 60_000
 
@@ -28,9 +28,10 @@
 
     ``aim`` are the calls that the proxies whose use this is may let in within ``window`` seconds.
     """
-    room = max(0.0, aim - use.admitted(now))
-    leaving = use.leaving(now, HORIZON)
-    planned = max(room / HORIZON, min((room + leaving) / HORIZON, _STEEPEST * aim / window))
+    room = max(0.0, aim - use.admitted(now) + use.leaving(now, HORIZON))
+    planned = room / HORIZON
+    if use.asked(now) > aim:
+        planned = min(planned, _STEEPEST * aim / window)
     asked = use.asked_rate(now)
     if planned >= asked * LARGEST_PERMILLE / 1000:
         return LARGEST_PERMILLE
--- a/src/limelever/limits/rules.py
+++ b/src/limelever/limits/rules.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-_MARGIN_USED = 0.25
+_MARGIN_USED = 0.1
 """Part of the promised margin that is aimed at: the rest is for use that is not yet known."""
 
 
--- a/src/limelever/proxy/tenant_limits.py
+++ b/src/limelever/proxy/tenant_limits.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.limits.gate import Gate
-from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL, SILENT_AFTER
+from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.tenant_hash import tenant_hash
 from limelever.protocol.limits_pb2 import LimitNews, TenantUse
@@ -73,7 +74,7 @@
         if number is None:
             return None
         gate = self._gates[number]
-        admitted = gate.try_admit(self._in_touch(now), self._fleet_size(), now)
+        admitted = gate.try_admit(self._silent(now), self._fleet_size(), now)
         self._note(number, admitted)
         return None if admitted else self._refusal(tenant, gate, now)
 
@@ -133,19 +134,19 @@
         use[0 if admitted else 1] += 1
         self._unsent_calls += 1
 
-    def _in_touch(self, now: float) -> bool:
-        return self._news_at is not None and now - self._news_at <= SILENT_AFTER
+    def _silent(self, now: float) -> float:
+        return now - self._news_at if self._news_at is not None else math.inf
 
     def _fleet_size(self) -> int:
-        return self._fleet or self._nodes
+        return max(1, self._fleet or self._nodes)
 
     def _refusal(self, tenant: TenantEntry, gate: Gate, now: float) -> Failure:
-        in_touch, fleet = self._in_touch(now), self._fleet_size()
-        known = "no news" if self._news_at is None else f"news {now - self._news_at:.1f} s old"
+        silent = self._silent(now)
+        known = f"news {silent:.1f} s old" if math.isfinite(silent) else "no news"
         reason = (
             f"tenant {tenant.name} is at its limit of {tenant.rate:g} calls a second and"
             f" {tenant.burst:g} more ({gate.use.admitted(now)} calls here in the last"
             f" {self._rules.window:g} s, {known})"
         )
-        wait = gate.wait(in_touch, fleet, now)
+        wait = gate.wait(silent, self._fleet_size())
         return Failure(ErrorKind.RATE_LIMITED, reason, retry_after=wait)
