--- a/features/steps/limits_fleet.py
+++ b/features/steps/limits_fleet.py
@@ -53,11 +53,24 @@
     usual: float
     sends: float
     weights: tuple[float, ...] = (1.0, 1.0, 1.0)
+    by: Proxy | None = None
     admitted: list[float] = field(default_factory=list)
     asked: deque[float] = field(default_factory=deque)
-    refused: int = 0
+    refused_at: list[float] = field(default_factory=list)
     wronged: int = 0
 
+    @property
+    def refused(self) -> int:
+        return len(self.refused_at)
+
+    def forget(self) -> None:
+        self.admitted.clear()
+        self.refused_at.clear()
+        self.wronged = 0
+
+    def limit_to(self, rate: float, burst: float) -> None:
+        self.entry = TenantEntry(self.entry.name, 0, rate, burst)
+
 
 @dataclass
 class Traffic:
@@ -297,8 +310,7 @@
                 self._call(tenant)
 
     def _call(self, tenant: Tenant) -> None:
-        zone = self.random.choices(ZONES, tenant.weights)[0]
-        proxy = self.random.choice([each for each in self.proxies if each.zone == zone])
+        proxy = tenant.by or self._drawn(tenant)
         window = self.rules.window
         tenant.asked.append(self.now)
         while tenant.asked[0] <= self.now - window:
@@ -307,10 +319,14 @@
         if refusal is None:
             tenant.admitted.append(self.now)
             return
-        tenant.refused += 1
+        tenant.refused_at.append(self.now)
         if len(tenant.asked) <= tenant.entry.rate * window + tenant.entry.burst:
             tenant.wronged += 1
 
+    def _drawn(self, tenant: Tenant) -> Proxy:
+        zone = self.random.choices(ZONES, tenant.weights)[0]
+        return self.random.choice([each for each in self.proxies if each.zone == zone])
+
 
 def _poisson(mean: float, source: random.Random) -> int:
     """Draw how many calls come in a step in which ``mean`` are expected."""
--- a/src/limelever/common/settings/__init__.py
+++ b/src/limelever/common/settings/__init__.py
@@ -25,6 +25,7 @@
     LinkSettings,
     LogSettings,
     ProcessSettings,
+    TenantLimitSettings,
     TlsSettings,
     seconds,
 )
@@ -40,6 +41,7 @@
     "ProcessSettings",
     "SettingsProblem",
     "SettingsProblems",
+    "TenantLimitSettings",
     "TlsSettings",
     "between",
     "dialled",
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -11,8 +11,10 @@
 from limelever.common.sansio import Address, Role
 from limelever.common.settings.checks import between, not_empty
 from limelever.common.settings.problems import Clash
+from limelever.limits.rules import LimitRules
 
 MILLISECONDS = 1000.0
+_PERCENT = 100.0
 _NAMES = HeaderNames()
 _BURST_SECONDS = 4.0
 """Seconds of the rate of lines on failures that may come at once."""
@@ -142,3 +144,16 @@
     log: LogSettings = LogSettings()
     credentials: CredentialSettings = CredentialSettings()
     links: LinkSettings = LinkSettings()
+
+
+@attrs.frozen(kw_only=True)
+class TenantLimitSettings:
+    """What tenants' limits mean over all proxies together."""
+
+    window_ms: int = attrs.field(default=5000, validator=between(1000, 60000))
+    over_percent: int = attrs.field(default=10, validator=between(0, 100))
+    slack: int = attrs.field(default=20, validator=between(0, 100000))
+
+    def rules(self) -> LimitRules:
+        """Return the rules that the settings stand for."""
+        return LimitRules(seconds(self.window_ms), self.over_percent / _PERCENT, self.slack)
--- a/src/limelever/control/settings.py
+++ b/src/limelever/control/settings.py
@@ -16,6 +16,7 @@
 from limelever.common.settings import (
     Clash,
     ProcessSettings,
+    TenantLimitSettings,
     between,
     dialled,
     distinct,
@@ -77,6 +78,7 @@
     distribution: DistributionSettings = DistributionSettings()
     endpoints: EndpointSettings = EndpointSettings()
     rollout: RolloutSettings = RolloutSettings()
+    limits: TenantLimitSettings = TenantLimitSettings()
 
     def relay_at(self, replica: Address) -> Address:
         """Return where the relay beside a replica is reached."""
@@ -116,6 +118,7 @@
         subscription=settings.subscription,
         distribution=settings.distribution,
         endpoints=settings.endpoints,
+        limits=settings.limits,
         tls=settings.tls,
         links=settings.links,
         credentials=settings.credentials,
--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -14,19 +14,19 @@
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import SLOT, UseWindow
 
-_UNTOLD_GROWTH = 3.0
+_UNTOLD_GROWTH = 2.5
 """Times its equal part, or its use of late, that a proxy lets in untold: what callers of two zones
 need that find the third one gone, with room to spare."""
 
 _UNTOLD_CALLS = 3.0
 _UNTOLD_PART = 0.1
-"""Calls at once above that, and besides the part of the proxy's equal part of a window."""
+"""Calls at once above that, and besides the part of what it lets in, or may, in a window."""
 
 _TOLD_GROWTH = 1.25
 _TOLD_CALLS = 2.0
 """The same for a tenant near its limit: less, since its relay tells of room as soon as there is."""
 
-_FIRST_PART = 0.75
+_FIRST_PART = 0.7
 _FIRST_PART_NEAR = 0.5
 """Parts of its equal part to which a proxy keeps at first when it is out of touch: for a tenant of
 which it was told that it is near its limit, less."""
@@ -85,9 +85,9 @@
         elif self._told:
             admitted = self._within_told_part() and self._take_told_token(equal, now)
         else:
-            usual = max(equal, self.use.admitted(now)) / self._rules.window
-            most = _UNTOLD_CALLS + _UNTOLD_PART * equal
-            admitted = self._take_token(_UNTOLD_GROWTH * usual, most, now)
+            usual = max(equal, self.use.admitted(now))
+            fill = _UNTOLD_GROWTH * usual / self._rules.window
+            admitted = self._take_token(fill, _UNTOLD_CALLS + _UNTOLD_PART * usual, now)
         self.use.add(now, int(admitted), int(not admitted))
         return admitted
 
@@ -102,7 +102,7 @@
         """Return whether a call is within the own part, which nobody else hands out.
 
         For a window, what other proxies used beyond their parts still counts: it goes by what was
-        told last, and by less than its part, or by its part of the slack, which helps small tenants.
+        told last, and by less than its part, or by its part of the slack, for small tenants.
         """
         if now - self._drawn_at > _DRAW_WINDOWS * self._rules.window:
             self._drawn_at = now
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -21,6 +21,7 @@
     Clash,
     HeaderSettings,
     ProcessSettings,
+    TenantLimitSettings,
     dialled,
     distinct,
     not_empty,
@@ -56,6 +57,7 @@
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    limits: TenantLimitSettings = TenantLimitSettings()
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
     headers: HeaderSettings = HeaderSettings()
@@ -76,6 +78,7 @@
         calls=settings.calls,
         balancing=settings.balancing,
         configuration=settings.configuration,
+        limits=settings.limits,
         headers=settings.headers,
     )
 
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -27,6 +27,7 @@
 from limelever.keeper.client import ClaimSettled, CompletionSettled, KeeperClientCore
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.keeper.tally import AnswerRecorded, ClaimGranted
+from limelever.limits.rules import LimitRules
 from limelever.protocol.config_pb2 import RESOURCE_KIND_SERVICE
 from limelever.protocol.keys import Key
 from limelever.proxy import events
@@ -48,10 +49,12 @@
 from limelever.proxy.endpoints import EndpointView
 from limelever.proxy.group_limits import GroupLimits, LimitSettings
 from limelever.proxy.health import HealthSettings
+from limelever.proxy.limit_reports import LimitReports
 from limelever.proxy.links import AgentLinks
 from limelever.proxy.quarantine import CrashNewsFound, Quarantine
 from limelever.proxy.route_table import advance_route_table, build_route_table
 from limelever.proxy.router import RouteTable
+from limelever.proxy.tenant_limits import TenantLimits
 from limelever.proxy.version_gate import VersionGate
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
@@ -59,6 +62,7 @@
     CrashNewsReceived,
     EndpointsReceived,
     FreshnessProved,
+    LimitNewsReceived,
     LoadsReceived,
 )
 from limelever.subscriber.sealing import Sealer
@@ -78,6 +82,7 @@
     limits: LimitSettings = field(default_factory=LimitSettings)
     balancer: BalancerSettings = field(default_factory=BalancerSettings)
     health: HealthSettings = field(default_factory=HealthSettings)
+    tenant_limits: LimitRules = field(default_factory=LimitRules)
     own_service: str = ""
 
 
@@ -106,6 +111,8 @@
             sealer,
         )
         self._keepers = KeeperClientCore(settings.keepers, connections, random_source)
+        self._tenant_limits = TenantLimits(settings.tenant_limits, random_source)
+        self._limit_reports = LimitReports(self._tenant_limits, self._subscriber)
         self._table: RouteTable | None = None
         self._missed_change = False
         self._view = EndpointView()
@@ -145,6 +152,7 @@
             EndpointsReceived: self._merge_endpoints,
             LoadsReceived: self._take_loads,
             CrashNewsReceived: self._take_crash_news,
+            LimitNewsReceived: self._take_limit_news,
             CrashNewsFound: self._tell_crash_news,
             ClaimSettled: self._settle_claim,
             CompletionSettled: self._settle_completion,
@@ -184,6 +192,7 @@
                 self._deadline_reached(event, now)
             case _:
                 self._link_event(event, now)
+                self._outputs.extend(self._limit_reports.due(now))
         return self._take_outputs(now)
 
     def next_deadline(self) -> float | None:
@@ -192,6 +201,7 @@
             self._engine.next_deadline(),
             self._subscriber.next_deadline(),
             self._keepers.next_deadline(),
+            self._limit_reports.next_deadline(),
             self._sweep_at,
         )
         return min(time for time in times if time is not None)
@@ -221,6 +231,7 @@
         self._engine.wake(now)
         self._outputs.extend(self._keepers.tick(now))
         self._outputs.extend(self._subscriber.handle(event, now))
+        self._outputs.extend(self._limit_reports.due(now))
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_INTERVAL
             busy = self._calls.busy_connections()
@@ -294,6 +305,7 @@
     def _merge_endpoints(self, received: EndpointsReceived, now: float) -> None:
         self._view.apply(received.update, now)
         self._engine.share_budgets_between(len(self._view.keys()))
+        self._tenant_limits.nodes_known(len(self._view.keys()))
 
     def _take_loads(self, received: LoadsReceived, now: float) -> None:
         update = received.update
@@ -306,6 +318,9 @@
         if self._quarantine.take(received.news, now):
             self._engine.give_back_quarantined(now)
 
+    def _take_limit_news(self, received: LimitNewsReceived, now: float) -> None:
+        self._tenant_limits.take_news(received.news, now)
+
     def _tell_crash_news(self, found: CrashNewsFound, _now: float) -> None:
         self._outputs.extend(self._subscriber.send_up(found.news))
 
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -91,6 +91,7 @@
             near=settings.calls.share_from_percent / _PERCENT,
             retry_after=seconds(settings.calls.retry_after_ms),
         ),
+        tenant_limits=settings.limits.rules(),
         own_service=settings.caller_service,
         balancer=_balancer_settings(settings.zone, settings.balancing),
         health=HealthSettings(
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -12,6 +12,7 @@
     Clash,
     HeaderSettings,
     ProcessSettings,
+    TenantLimitSettings,
     between,
     dialled,
     distinct,
@@ -142,4 +143,5 @@
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    limits: TenantLimitSettings = TenantLimitSettings()
     headers: HeaderSettings = HeaderSettings()
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -28,15 +28,18 @@
     SendMessage,
     Started,
 )
+from limelever.limits.rules import LimitRules
 from limelever.protocol.config_pb2 import Rollout
 from limelever.protocol.distribution_pb2 import Heartbeat, Publishers, RetryLater
 from limelever.protocol.endpoints_pb2 import CrashNews, EndpointSyncRequest, LoadInterest
+from limelever.protocol.limits_pb2 import TenantUse
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
 from limelever.publisher.notices import FreshnessNeeded, SubscriberAdmitted
 from limelever.publisher.rollout import ZoneHolders
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.endpoints import Endpoints, EndpointsSettings
 from limelever.relay.interface import PlatformListRead, RelayReady, RelaysKnown, StopRequested
+from limelever.relay.limit_exchange import LimitExchange
 from limelever.relay.rollout_reporter import RolloutReporter
 from limelever.subscriber.core import SubscriberCore
 from limelever.subscriber.notices import (
@@ -44,6 +47,7 @@
     CrashNewsReceived,
     EndpointsReceived,
     FreshnessProved,
+    LimitNewsReceived,
     LoadsReceived,
     PublishersReceived,
     VersionConfirmed,
@@ -67,6 +71,7 @@
     endpoints: EndpointsSettings
     address: Address | None = None
     zone: str = ""
+    limits: LimitRules = LimitRules()
 
 
 class RelayCore:
@@ -87,6 +92,7 @@
         self._endpoints = Endpoints(
             options.endpoints, options.name, options.incarnation, connections, generator
         )
+        self._limits = LimitExchange(options.limits)
         self._reporter = RolloutReporter(options.publisher.report_interval)
         self._address = options.address
         self._zone_of: dict[Address, str] = {}
@@ -156,6 +162,7 @@
             self._subscriber.next_deadline(),
             self._publisher.next_deadline(),
             self._endpoints.next_deadline(),
+            self._limits.next_deadline(),
             self._reporter.next_at,
         )
         return min((at for at in deadlines if at is not None), default=None)
@@ -177,9 +184,11 @@
         if self._subscriber.owns(connection):
             return self._carried_out(self._subscriber.handle(event, now), now)
         if self._endpoints.owns(connection):
+            self._limits.relay_lost(self._endpoints.address_of(connection))
             return self._endpoints.handle_peer(connection, event, now)
         self._peers.pop(connection, None)
         self._endpoints.closed(connection)
+        self._limits.closed(connection)
         return self._carried_out(self._publisher.handle(event, now), now)
 
     def _on_message(
@@ -189,6 +198,7 @@
             outputs = self._carried_out(self._subscriber.handle(event, now), now)
             return [*outputs, *self._publish_nothing(message, now)]
         if self._endpoints.owns(connection):
+            self._limits.relay_told(self._endpoints.address_of(connection), message, now)
             return self._endpoints.handle_peer(connection, event, now)
         peer = self._peers.get(connection)
         match peer.purpose if peer is not None else None:
@@ -197,9 +207,12 @@
             case Purpose.ENDPOINTS if isinstance(message, LoadInterest):
                 self._endpoints.loads_wanted(connection, message)
             case Purpose.ENDPOINTS if isinstance(message, EndpointSyncRequest):
-                return self._endpoints.sync_requested(connection, message, now)
+                synced = self._endpoints.sync_requested(connection, message, now)
+                return [*synced, *self._limits.relay_joined(connection, now)]
             case Purpose.SUBSCRIPTION if isinstance(message, CrashNews):
                 self._endpoints.proxy_told(message, now)
+            case Purpose.SUBSCRIPTION if peer is not None and isinstance(message, TenantUse):
+                self._limits.proxy_told(connection, peer, message, now)
             case Purpose.SUBSCRIPTION:
                 return self._carried_out(self._publisher.handle(event, now), now)
         return []
@@ -248,6 +261,7 @@
         outputs = self._carried_out(self._subscriber.handle(event, now), now)
         outputs.extend(self._carried_out(self._publisher.handle(event, now), now))
         outputs.extend(self._endpoints.on_deadline(now))
+        outputs.extend(self._limits.on_deadline(now))
         if self._reporter.due(now) and self._subscriber.subscribed:
             counts = self._publisher.rollout_report()
             report = self._reporter.changed(counts, self._subscriber.connection)
@@ -276,6 +290,7 @@
                     CrashNewsReceived()
                     | EndpointsReceived()
                     | LoadsReceived()
+                    | LimitNewsReceived()
                     | PublishersReceived()
                 ):
                     pass
@@ -285,6 +300,7 @@
 
     def _publish(self, installed: ConfigurationInstalled, now: float) -> list[Output]:
         self._rollouts = installed.configuration.rollouts
+        self._limits.configured(installed, now)
         if not self._ready or installed.version == self._publisher.version:
             resources = installed.configuration.resources.values()
             outputs = self._publisher.load(installed.version, resources, now)
--- a/src/limelever/relay/limit_board.py
+++ b/src/limelever/relay/limit_board.py
@@ -65,9 +65,10 @@
             del self._own[tenant]
 
     def join(self, proxy: ConnectionId, name: str) -> None:
-        """Tell a proxy news from now on."""
-        self._proxies[proxy] = name
-        self._news_at = 0.0
+        """Tell a proxy news from now on, the first within a moment."""
+        if self._proxies.get(proxy) != name:
+            self._proxies[proxy] = name
+            self._news_at = 0.0
 
     def join_relay(self, relay: ConnectionId, now: float) -> list[Output]:
         """Tell another relay the window's use of the proxies here, and what comes from now on."""
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -50,6 +50,7 @@
         endpoints=_endpoints_settings(settings),
         address=settings.listen,
         zone=settings.zone,
+        limits=settings.limits.rules(),
     )
 
 
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -11,6 +11,7 @@
 from limelever.common.settings import (
     Clash,
     ProcessSettings,
+    TenantLimitSettings,
     between,
     dialled,
     distinct,
@@ -100,3 +101,4 @@
     distribution: DistributionSettings = DistributionSettings()
     endpoints: EndpointSettings = EndpointSettings()
     platform_list: PlatformListSettings = PlatformListSettings()
+    limits: TenantLimitSettings = TenantLimitSettings()
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -20,6 +20,7 @@
     RetryLater,
 )
 from limelever.protocol.endpoints_pb2 import CrashNews, EndpointUpdate, LoadUpdate
+from limelever.protocol.limits_pb2 import LimitNews
 from limelever.subscriber import events
 from limelever.subscriber.held import inventory_of
 from limelever.subscriber.holder import Holder
@@ -29,6 +30,7 @@
     CrashNewsReceived,
     EndpointsReceived,
     FreshnessProved,
+    LimitNewsReceived,
     LoadsReceived,
     PublishersReceived,
 )
@@ -57,6 +59,7 @@
             EndpointUpdate: self._on_endpoints,
             LoadUpdate: self._on_loads,
             CrashNews: self._on_crash_news,
+            LimitNews: self._on_limit_news,
             Publishers: self._on_publishers,
         }
 
@@ -136,6 +139,10 @@
         assert isinstance(message, CrashNews)
         return [CrashNewsReceived(message)]
 
+    def _on_limit_news(self, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, LimitNews)
+        return [LimitNewsReceived(message)]
+
     def _on_publishers(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, Publishers)
         listed = listed_in(message)
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -6,6 +6,7 @@
 from limelever.protocol.config_pb2 import VersionedResource
 from limelever.protocol.endpoints_pb2 import CrashNews, EndpointUpdate, LoadUpdate
 from limelever.protocol.keys import Key
+from limelever.protocol.limits_pb2 import LimitNews
 from limelever.subscriber.configuration import ConfigurationSet
 
 
@@ -51,6 +52,12 @@
     news: CrashNews
 
 
+class LimitNewsReceived(Output, frozen=True):
+    """The publisher, a relay, told of tenants near their limits."""
+
+    news: LimitNews
+
+
 class PublishersReceived(Output, frozen=True):
     """The publisher named all publishers of its kind; the subscriber chooses among them now.
 
