--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -29,11 +29,13 @@
 )
 from limelever.node.reports import InstanceReport
 from limelever.proxy.settings import (
+    REVOCATION_CLASH,
     BalancingSettings,
     CallLimitSettings,
     ConfigurationSettings,
     EdgeSettings,
     ProxySettings,
+    TenantSettings,
 )
 from limelever.subscriber.settings import SubscriberSettings
 
@@ -47,6 +49,7 @@
         *ProcessSettings.CLASHES,
         Clash(("drain.limit_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
         Clash(("edge.lame_duck_ms", "stop_limit_ms"), "must not exceed stop_limit_ms", operator.le),
+        REVOCATION_CLASH,
     )
 
     service: str = attrs.field(validator=not_empty)
@@ -61,6 +64,7 @@
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
     headers: HeaderSettings = HeaderSettings()
+    tenants: TenantSettings = TenantSettings()
 
 
 def proxy_settings(settings: NodeSettings) -> ProxySettings:
@@ -80,6 +84,7 @@
         configuration=settings.configuration,
         limits=settings.limits,
         headers=settings.headers,
+        tenants=settings.tenants,
     )
 
 
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -39,6 +39,7 @@
     with_retry_after,
 )
 from limelever.proxy.router import RouteTable
+from limelever.proxy.tenant_limits import TenantLimits
 
 _CUT_BY_STOP = Failure(ErrorKind.OUTCOME_UNKNOWN, "this proxy stops before the answer came")
 _NO_ANSWER = Failure(ErrorKind.DEADLINE_EXCEEDED, "no answer within the deadline")
@@ -68,6 +69,7 @@
         calls: CallTable,
         attempts: Attempts,
         limits: GroupLimits,
+        tenant_limits: TenantLimits,
         keepers: claims.KeeperClient,
         quarantine: Quarantine,
         random_source: random.Random,
@@ -77,7 +79,8 @@
         self._calls = calls
         self._attempts = attempts
         self._limits = limits
-        self._admission = CallAdmission(settings.admission, limits, random_source)
+        self._tenant_limits = tenant_limits
+        self._admission = CallAdmission(settings.admission, limits, tenant_limits, random_source)
         self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._quarantine = quarantine
         self._outputs = outputs
@@ -97,7 +100,7 @@
     def set_table(self, table: RouteTable) -> None:
         """Route new calls by this table; those in flight keep their route."""
         self._admission.set_table(table)
-        self._attempts.set_secret_names(table.secret_names)
+        self._attempts.set_secret_names(table.secret_names, callers_show_keys=bool(table.tenants))
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
         self._prior_waits.keep_only(table.route_names())
@@ -369,6 +372,8 @@
         self._calls.remove(call)
         self._quarantine.ended(call)
         self._limits.release(call.share)
+        if call.tenant and isinstance(answer, Failure) and answer.outcome is Outcome.NOT_RUN:
+            self._tenant_limits.give_back(call.tenant, call.arrived_at, now)
         if not call.caller_gone:
             seconds = now - call.arrived_at
             self._outputs.append(AnswerCall(call.number, answer, call.route.name, seconds))
--- a/src/limelever/proxy/tenant_limits.py
+++ b/src/limelever/proxy/tenant_limits.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Mapping
 
+from msgspec import Struct
+
 from limelever.common.errors import ErrorKind, Failure
 from limelever.limits.gate import Gate
 from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL
@@ -25,6 +27,13 @@
 """Calls that need no report before the quiet interval is over."""
 
 
+class _Unsent(Struct):
+    """Calls not yet told; more may have been given back than were let in since."""
+
+    admitted: int = 0
+    refused: int = 0
+
+
 class TenantLimits:
     """The limits as one proxy holds them; times in seconds, monotonic.
 
@@ -41,7 +50,7 @@
         self._fleet_at = 0.0
         self._news_at: float | None = None
         self._told: frozenset[int] = frozenset()
-        self._unsent: dict[int, list[int]] = {}
+        self._unsent: dict[int, _Unsent] = {}
         self._unsent_calls = 0
         self._report_at = 0.0
         self._quiet_at = 0.0
@@ -78,6 +87,18 @@
         self._note(number, admitted)
         return None if admitted else self._refusal(tenant, gate, now)
 
+    def give_back(self, name: str, admitted_at: float, now: float) -> None:
+        """Count a call that was let in no more, since it wasn't run.
+
+        Otherwise the calls that a full fleet refuses, and that come again, would fill the limit of
+        a tenant that keeps well below it.
+        """
+        number = self._hash_of.get(name)
+        if number is not None and now - admitted_at < self._rules.window:
+            self._gates[number].use.add(admitted_at, -1, 0)
+            self._unsent.setdefault(number, _Unsent()).admitted -= 1
+            self._unsent_calls += 1
+
     def take_news(self, news: LimitNews, now: float) -> None:
         """Take what the relay tells; it replaces what was told before."""
         if news.proxies >= self._fleet or now - self._fleet_at > MEMORY:
@@ -96,11 +117,12 @@
         if not self._gates:
             return None
         self._sent(now)
+        self._unsent = {}
         use = TenantUse(fleet=self._fleet)
         for number, gate in self._gates.items():
             for age, slot in gate.use.slots(now):
                 use.tenants.append(number)
-                use.admitted.append(slot.admitted)
+                use.admitted.append(max(0, slot.admitted))
                 use.refused.append(slot.refused)
                 use.ages_ms.append(int(age * 1000) + 1)
         return use
@@ -110,11 +132,17 @@
         deadline = self.next_deadline()
         if deadline is None or now < deadline:
             return None
-        use = TenantUse(tenants=self._unsent)
-        use.admitted.extend(admitted for admitted, _ in self._unsent.values())
-        if any(refused for _, refused in self._unsent.values()):
-            use.refused.extend(refused for _, refused in self._unsent.values())
         self._sent(now)
+        use = TenantUse()
+        for number, unsent in list(self._unsent.items()):
+            if unsent.admitted < 0:
+                continue
+            del self._unsent[number]
+            use.tenants.append(number)
+            use.admitted.append(unsent.admitted)
+            use.refused.append(unsent.refused)
+        if not any(use.refused):
+            use.ClearField("refused")
         return use
 
     def next_deadline(self) -> float | None:
@@ -124,14 +152,16 @@
         return self._report_at if self._unsent_calls >= _FEW_CALLS else self._quiet_at
 
     def _sent(self, now: float) -> None:
-        self._unsent = {}
         self._unsent_calls = 0
         self._report_at = now + REPORT_INTERVAL
         self._quiet_at = now + QUIET_INTERVAL
 
     def _note(self, number: int, admitted: bool) -> None:
-        use = self._unsent.setdefault(number, [0, 0])
-        use[0 if admitted else 1] += 1
+        unsent = self._unsent.setdefault(number, _Unsent())
+        if admitted:
+            unsent.admitted += 1
+        else:
+            unsent.refused += 1
         self._unsent_calls += 1
 
     def _silent(self, now: float) -> float:
