--- a/features/proxy/rate_limits.feature
+++ b/features/proxy/rate_limits.feature
@@ -78,3 +78,16 @@
     When no tenant of the fleet of limits has a limit
     And 3 seconds pass in the fleet of limits
     Then nothing was said in the fleet of limits in the last 2 seconds
+
+  Scenario: The part of what is asked alone, without counting what ran, passes limits
+    Given 60 proxies and 5 relays that go by the part of what is asked alone
+    When 6 seconds pass in the fleet of limits
+    And the tenants "0, 2" send 7 times their usual for 8 seconds
+    Then the tenants "0, 2" have passed their limits by more than the rule allows
+
+  Scenario: Leases of rates keep limits, and refuse small tenants that are far below theirs
+    Given 60 proxies and 5 relays that lease out rates
+    When 6 seconds pass in the fleet of limits
+    And the tenants "0, 2" send 7 times their usual for 8 seconds
+    Then no tenant has passed its limit by more than the rule allows
+    And more than 20 in 1000 calls of the tenants "4, 5" were refused below their limits
--- a/features/steps/limits_fleet.py
+++ b/features/steps/limits_fleet.py
@@ -232,13 +232,15 @@
         if not usable:
             proxy.joins_at = self.now + 0.4
             return
-        near = [relay for relay in usable if relay.zone == proxy.zone]
-        relay = proxy.relay = self.random.choice(near or usable)
+        relay = proxy.relay = self.random.choice(self._near(proxy, usable))
         relay.board.join(self._link(proxy, relay), proxy.name)
         use = proxy.limits.joined(self.now)
         if use is not None:
             self._send_up(proxy, relay, use)
 
+    def _near(self, proxy: Proxy, usable: list[Relay]) -> list[Relay]:
+        return [relay for relay in usable if relay.zone == proxy.zone] or usable
+
     def _send_up(self, proxy: Proxy, relay: Relay, use: TenantUse) -> None:
         link = self._link(proxy, relay)
 
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from limits_fleet import LimitsFleet, Tenant, Traffic, power_law
+from limits_ways import FractionBoard, FractionLimits, LeaseBoard, LeaseFleet, LeaseLimits
 
 from limelever.limits.rules import Limit
 
@@ -29,6 +30,18 @@
     context.fleet = LimitsFleet(1, power_law(count, TOTAL), proxies, times)
 
 
+@given("60 proxies and 5 relays that go by the part of what is asked alone")
+def given_fraction_fleet(context: Context) -> None:
+    tenants = power_law(6, TOTAL)
+    context.fleet = LimitsFleet(1, tenants, make=FractionLimits, make_board=FractionBoard)
+
+
+@given("60 proxies and 5 relays that lease out rates")
+def given_lease_fleet(context: Context) -> None:
+    tenants = power_law(6, TOTAL)
+    context.fleet = LeaseFleet(1, tenants, make=LeaseLimits, make_board=LeaseBoard)
+
+
 @when("{seconds:g} seconds pass in the fleet of limits")
 def pass_seconds(context: Context, seconds: float) -> None:
     context.fleet.run(seconds)
@@ -128,6 +141,13 @@
     keep_limits(context.fleet)
 
 
+@then('the tenants "{names}" have passed their limits by more than the rule allows')
+def limits_passed(context: Context, names: str) -> None:
+    for tenant in chosen(context, names):
+        over = context.fleet.over_the_bound(tenant)
+        assert over > 0, (tenant.entry, over)
+
+
 @then("no tenant has passed its limit in any window since then by more than the rule allows")
 def limits_kept_since(context: Context) -> None:
     keep_limits(context.fleet, context.since)
--- a/src/limelever/relay/limit_board.py
+++ b/src/limelever/relay/limit_board.py
@@ -123,7 +123,8 @@
             del self._heard_at[sender]
 
     def _tell_relays(self, proxies: int, now: float) -> list[Output]:
-        use = self._to_tell.take(self._rules, self._limits, proxies, now)
+        relays = len(self._relays) + 1
+        use = self._to_tell.take(self._rules, self._limits, proxies, relays, now)
         return [SendMessage(relay, use) for relay in self._relays] if use is not None else []
 
     def _tell_proxies(self, now: float) -> list[Output]:
--- a/src/limelever/relay/use_to_tell.py
+++ b/src/limelever/relay/use_to_tell.py
@@ -10,9 +10,9 @@
 from limelever.limits.rules import Limit, LimitRules
 from limelever.protocol.limits_pb2 import TenantUse
 
-_UNTOLD_PART = 0.004
-"""Part of a limit's calls that one relay may keep to itself for as long: five of them keep less
-than a fifth of the margin that a limit may be passed by."""
+_UNTOLD_PART = 0.02
+"""Part of a limit's calls that all relays together may keep to themselves for as long: a fifth of
+the usual margin by which a limit may be passed."""
 
 
 class _Untold(Struct):
@@ -35,14 +35,22 @@
         untold.refused += refused
 
     def take(
-        self, rules: LimitRules, limits: Mapping[int, Limit], proxies: int, now: float
+        self,
+        rules: LimitRules,
+        limits: Mapping[int, Limit],
+        proxies: int,
+        relays: int,
+        now: float,
     ) -> TenantUse | None:
-        """Return what is to be told now, with the number of proxies that it stands for."""
+        """Return what is to be told now, with the number of proxies that it stands for.
+
+        ``relays`` are all that share what may stay untold.
+        """
         everything = now - self._all_at >= QUIET_INTERVAL
         use = TenantUse(proxies=proxies)
         for tenant, untold in list(self._untold.items()):
             limit = limits.get(tenant)
-            least = _UNTOLD_PART * rules.calls(limit) if limit is not None else 0.0
+            least = _UNTOLD_PART / relays * rules.calls(limit) if limit is not None else 0.0
             if everything or untold.admitted + untold.refused > least:
                 del self._untold[tenant]
                 use.tenants.append(tenant)
