--- a/features/steps/limits_ways.py
+++ b/features/steps/limits_ways.py
@@ -40,7 +40,7 @@
         news = LimitNews(proxies=self._in_touch.fleet)
         for tenant, limit in self._limits.items():
             use = self._others.with_own(tenant, self._own.get(tenant))
-            asked = use.asked_rate(now) if use is not None else 0.0
+            asked = use.asked_rate(now)
             allowed = self._rules.aim(limit) / self._rules.window
             if asked > allowed:
                 news.tenants.append(tenant)
--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -19,7 +19,7 @@
 need that find the third one gone, with room to spare."""
 
 _UNTOLD_CALLS = 3.0
-_UNTOLD_PART = 0.1
+_UNTOLD_PART = 0.07
 """Calls at once above that, and besides the part of what it lets in, or may, in a window."""
 
 _TOLD_GROWTH = 1.25
--- a/src/limelever/limits/plan.py
+++ b/src/limelever/limits/plan.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from limelever.limits.use_window import UseWindow
 
 NEAR = 0.7
@@ -38,6 +40,11 @@
     return int(1000 * planned / asked)
 
 
-def must_be_told(use: UseWindow, aim: float, now: float) -> bool:
-    """Return whether proxies must be told of a tenant: near its limit, or refused of late."""
-    return use.admitted(now) > NEAR * aim or use.was_refused(now)
+def must_be_told(parts: Sequence[UseWindow], aim: float, now: float) -> bool:
+    """Return whether proxies must be told of a tenant: near its limit, or refused of late.
+
+    Its use is the sum of ``parts``.
+    """
+    if sum(use.admitted(now) for use in parts) > NEAR * aim:
+        return True
+    return any(use.was_refused(now) for use in parts)
--- a/src/limelever/limits/use_window.py
+++ b/src/limelever/limits/use_window.py
@@ -30,12 +30,15 @@
         self._length = int(window / SLOT) + 1
         self._slots: dict[int, SlotUse] = {}
         self._admitted = 0
+        self._dropped = -self._length
 
     def add(self, at: float, admitted: int, refused: int) -> None:
         """Count calls at a time within the window."""
         self._add(int(at // SLOT), admitted, refused)
 
     def _add(self, slot: int, admitted: int, refused: int) -> None:
+        if slot <= self._dropped:
+            return
         use = self._slots.setdefault(slot, SlotUse())
         use.admitted += admitted
         use.refused += refused
@@ -92,5 +95,8 @@
 
     def _drop_old(self, now: float) -> None:
         oldest = int(now // SLOT) - self._length
+        if oldest == self._dropped:
+            return
+        self._dropped = oldest
         for slot in [slot for slot in self._slots if slot <= oldest]:
             self._admitted -= self._slots.pop(slot).admitted
--- a/src/limelever/relay/limit_board.py
+++ b/src/limelever/relay/limit_board.py
@@ -14,7 +14,7 @@
 
 from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.limits.in_touch import QUIET_INTERVAL, SILENT_AFTER, ProxiesInTouch
-from limelever.limits.plan import allowed_permille, must_be_told
+from limelever.limits.plan import allowed_permille
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import UseWindow
 from limelever.protocol.limits_pb2 import LimitNews, TenantUse
@@ -138,11 +138,10 @@
         news = LimitNews(proxies=self._in_touch.fleet)
         part = self._in_touch.part
         for tenant, limit in self._limits.items():
-            use = self._others.with_own(tenant, self._own.get(tenant))
-            if use is None or use.is_empty(now):
-                continue
+            own = self._own.get(tenant)
             aim = self._rules.aim(limit) * part
-            if must_be_told(use, aim, now):
+            if self._others.must_be_told(tenant, own, aim, now):
+                use = self._others.with_own(tenant, own)
                 news.tenants.append(tenant)
                 news.permille.append(allowed_permille(use, aim, self._rules.window, now))
         return news
--- a/src/limelever/relay/use_of_relays.py
+++ b/src/limelever/relay/use_of_relays.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 
 from limelever.limits.in_touch import SILENT_AFTER
+from limelever.limits.plan import must_be_told
 from limelever.limits.use_window import UseWindow
 
 
@@ -26,6 +27,7 @@
         self._window = window
         self._told: dict[str, _Told] = {}
         self._sums: dict[int, UseWindow] = {}
+        self._cleaned_at = 0.0
 
     @property
     def proxies(self) -> int:
@@ -71,20 +73,23 @@
                 self._silent(address)
             if now - told.at > self._window:
                 del self._told[address]
-                continue
-            for tenant in [each for each, use in told.windows.items() if use.is_empty(now)]:
-                del told.windows[tenant]
-        for tenant in [tenant for tenant, use in self._sums.items() if use.is_empty(now)]:
-            del self._sums[tenant]
-
-    def with_own(self, tenant: int, own: UseWindow | None) -> UseWindow | None:
+        if now >= self._cleaned_at + self._window:
+            self._cleaned_at = now
+            for told in self._told.values():
+                _drop_empty(told.windows, now)
+            _drop_empty(self._sums, now)
+
+    def must_be_told(self, tenant: int, own: UseWindow | None, aim: float, now: float) -> bool:
+        """Return whether proxies must be told of a tenant's use here and at all in touch."""
+        parts = [use for use in (own, self._sums.get(tenant)) if use is not None]
+        return must_be_told(parts, aim, now)
+
+    def with_own(self, tenant: int, own: UseWindow | None) -> UseWindow:
         """Return the use at the proxies of this relay and of all in touch."""
-        others = self._sums.get(tenant)
-        if own is None or others is None:
-            return own or others
         both = UseWindow(self._window)
-        both.add_all(own)
-        both.add_all(others)
+        for use in (own, self._sums.get(tenant)):
+            if use is not None:
+                both.add_all(use)
         return both
 
     def _sum(self, tenant: int) -> UseWindow:
@@ -92,3 +97,8 @@
         if held is None:
             held = self._sums[tenant] = UseWindow(self._window)
         return held
+
+
+def _drop_empty(windows: dict[int, UseWindow], now: float) -> None:
+    for tenant in [tenant for tenant, use in windows.items() if use.is_empty(now)]:
+        del windows[tenant]
--- a/src/limelever/relay/use_to_tell.py
+++ b/src/limelever/relay/use_to_tell.py
@@ -15,6 +15,13 @@
 the usual margin by which a limit may be passed."""
 
 
+_UNTOLD_SLACK = 0.25
+"""The same part of the slack, on which small tenants live."""
+
+LONGEST = 1.0
+"""Seconds after which whatever is left is told."""
+
+
 class _Untold(Struct):
     admitted: int = 0
     refused: int = 0
@@ -26,6 +33,7 @@
     def __init__(self) -> None:
         self._untold: dict[int, _Untold] = {}
         self._all_at = 0.0
+        self._told_at = 0.0
         self._proxies = 0
 
     def add(self, tenant: int, admitted: int, refused: int) -> None:
@@ -46,11 +54,11 @@
 
         ``relays`` are all that share what may stay untold.
         """
-        everything = now - self._all_at >= QUIET_INTERVAL
+        everything = now - self._all_at >= LONGEST
         use = TenantUse(proxies=proxies)
         for tenant, untold in list(self._untold.items()):
             limit = limits.get(tenant)
-            least = _UNTOLD_PART / relays * rules.calls(limit) if limit is not None else 0.0
+            least = _least(rules, limit, relays) if limit is not None else 0.0
             if everything or untold.admitted + untold.refused > least:
                 del self._untold[tenant]
                 use.tenants.append(tenant)
@@ -60,6 +68,14 @@
             use.ClearField("refused")
         if everything:
             self._all_at = now
-        changed = proxies != self._proxies
+        is_news = bool(use.tenants) or proxies != self._proxies
         self._proxies = proxies
-        return use if everything or use.tenants or changed else None
+        if not is_news and now - self._told_at < QUIET_INTERVAL:
+            return None
+        self._told_at = now
+        return use
+
+
+def _least(rules: LimitRules, limit: Limit, relays: int) -> float:
+    """Return the calls that one relay may keep to itself."""
+    return (_UNTOLD_PART * rules.calls(limit) + _UNTOLD_SLACK * rules.slack) / relays
