Test what two switched-off mechanisms showed untested: a moved key's index, digests in answers of get

Change: a scenario for each, and that a proxy's core takes header, word and bound from its settings.

--- a/features/operators/service.feature
+++ b/features/operators/service.feature
@@ -12,6 +12,10 @@
     Then the status is "FAILED_PRECONDITION" of kind "dangling-reference"
     And the rich details name the resource "service/gone"
 
+  Scenario: A tenant is read back without its keys' digests, their number alone shows
+    When the gRPC client applies the tenant "north" with the keys "one two" and reads it back
+    Then the answer holds 2 empty digests, and the state those of "one two"
+
   Scenario: Every problem of a malformed batch is listed at once
     When the gRPC client applies a batch with three malformed fields
     Then the status is "INVALID_ARGUMENT" of kind "invalid-request"
--- a/features/operators/state_machine.feature
+++ b/features/operators/state_machine.feature
@@ -132,6 +132,12 @@
     And a batch puts the tenant "south" with the keys "one two"
     Then the batch is accepted in its own version
 
+  Scenario: A key that has moved is known as its new tenant's, in whatever order the batch named them
+    When a batch puts the tenant "south" with the keys "one"
+    And a batch moves the key "one" from the tenant "south" to the tenant "north"
+    And a batch puts the tenant "east" with the keys "one"
+    Then the batch is refused as "overlapping" naming "tenant/east, tenant/north"
+
   Scenario: A state from a snapshot knows whose a key is
     When a batch puts the tenant "north" with the keys "one two"
     And the state machine is restored from its snapshot
--- a/features/proxy/tenants.feature
+++ b/features/proxy/tenants.feature
@@ -127,3 +127,10 @@
     When a caller shows "Token lost-key" on the route "desk"
     Then the proxy's log tells of 2 tenants with 2 keys, and why the key was refused
     And no line of the log holds a key or its digest
+
+  Scenario: A proxy takes the header, the word before the key and the bound from its settings
+    Given settings of a proxy with the header "X-Key", the word "Token" and a bound of 4000 ms
+    Then its core reads keys so, lets them in for 4 seconds and passes neither key nor tenant on
+
+  Scenario: A bound that no proof can meet is refused
+    Then settings of a proxy with a bound of 500 ms and a probe each 500 ms have a clash
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -13,7 +13,7 @@
 from google.rpc.error_details_pb2 import BadRequest, ResourceInfo
 from grpc_status import rpc_status
 from operator_client import call, open_channel
-from operator_resources import SECRET_VALUE, route, secret, service
+from operator_resources import SECRET_VALUE, route, secret, service, tenant
 from operator_server import READ_ONLY_TOKEN, OperatorServer
 
 from limelever.cli.error_page import render
@@ -93,6 +93,20 @@
     assert f"{info.resource_type}/{info.resource_name}".endswith(name.capitalize()), info
 
 
+@when('the gRPC client applies the tenant "{name}" with the keys "{keys}" and reads it back')
+def when_apply_tenant(context, name, keys):
+    call(context, "Apply", apply_request(tenant(name, *keys.split())), ApplyResponse)
+    context.read = call(context, "Get", GetRequest(), GetResponse)
+
+
+@then('the answer holds {count:d} empty digests, and the state those of "{keys}"')
+def then_digests(context, count, keys):
+    (read,) = context.read.resources
+    assert list(read.resource.tenant.key_digests) == [b""] * count
+    held = context.server.state.get(parse_key(f"tenant/{read.resource.tenant.name}"))
+    assert held.resource == tenant("north", *keys.split())
+
+
 @when("the gRPC client applies a batch with three malformed fields")
 def when_three_malformed(context):
     bad = Route(name="bad", service="UPPER", path_prefix="no-slash", methods=["get"], call_kind=1)
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -13,13 +13,25 @@
 from limelever.agent.headers import request_headers
 from limelever.agent.interface import StartAttempt
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import Address, Role
+from limelever.common.settings import HeaderSettings
+from limelever.node.settings import NodeSettings
 from limelever.protocol.config_pb2 import Service
 from limelever.protocol.keys import Key
 from limelever.protocol.tenant_keys import digest_of
 from limelever.proxy import events
 from limelever.proxy.caller_keys import KeyHeader, tenant_of
+from limelever.proxy.process import core_settings
 from limelever.proxy.ranks import NO_RANK, Ranks
 from limelever.proxy.route_table import advance_route_table, build_route_table
+from limelever.proxy.settings import (
+    REVOCATION_CLASH,
+    ConfigurationSettings,
+    EdgeSettings,
+    ProxySettings,
+    TenantSettings,
+    keys_outlive_a_probe,
+)
 from limelever.proxy.tenants import NO_TENANTS, advance_tenant_table
 from limelever.subscriber.configuration import EMPTY_CONFIGURATION
 
@@ -273,3 +285,42 @@
     assert Key.of(TENANTS[0].resource).name not in text
     for key in KEYS:
         assert key not in text and digest_of(key.encode()).hex() not in text
+
+
+def proxy_settings(headers, bound_ms, probe_ms):
+    here = Address("127.0.0.1", 1)
+    return ProxySettings(
+        role=Role.PROXY,
+        name="proxy-1",
+        zone="one",
+        services=("orders",),
+        relays=(here,),
+        edge=EdgeSettings(listen=here),
+        headers=headers,
+        tenants=TenantSettings(revoked_after_ms=bound_ms),
+        configuration=ConfigurationSettings(probe_interval_ms=probe_ms),
+    )
+
+
+@given('settings of a proxy with the header "{name}", the word "{word}" and a bound of {ms:d} ms')
+def given_settings(context, name, word, ms):
+    headers = HeaderSettings(authorization=name, key_scheme=word, tenant="X-Tenant")
+    context.settings = core_settings(proxy_settings(headers, ms, probe_ms=500))
+
+
+@then(
+    "its core reads keys so, lets them in for {bound:g} seconds and passes neither key nor tenant "
+    "on"
+)
+def then_core_settings(context, bound):
+    admission, attempts = context.settings.calls.admission, context.settings.attempts
+    assert admission.key_header == KeyHeader(b"x-key", b"token")
+    assert admission.revoked_after == bound
+    assert attempts.key_header == b"x-key" and b"x-tenant" in attempts.reserved_headers
+
+
+@then("settings of a proxy with a bound of {bound:d} ms and a probe each {probe:d} ms have a clash")
+def then_clash(context, bound, probe):
+    assert REVOCATION_CLASH in ProxySettings.CLASHES and REVOCATION_CLASH in NodeSettings.CLASHES
+    assert not keys_outlive_a_probe(bound, probe)
+    assert keys_outlive_a_probe(bound + 1, probe) and keys_outlive_a_probe(0, probe)
