--- a/features/proxy/tenants.feature
+++ b/features/proxy/tenants.feature
@@ -127,6 +127,12 @@
     When a caller shows "Token lost-key" on the route "desk"
     Then the proxy's log tells of 2 tenants with 2 keys, and why the key was refused
     And no line of the log holds a key or its digest
+    When a caller shows "Token north-key" on the route "desk"
+    And the call's time is over
+    Then the line on the call's end names the tenant "north"
+    When a caller shows nothing on the route "open"
+    And the call's time is over
+    Then the line on the call's end names no tenant
 
   Scenario: A proxy takes the header, the word before the key and the bound from its settings
     Given settings of a proxy with the header "X-Key", the word "Token" and a bound of 4000 ms
@@ -134,3 +140,6 @@
 
   Scenario: A bound that no proof can meet is refused
     Then settings of a proxy with a bound of 500 ms and a probe each 500 ms have a clash
+
+  Scenario: A caller without a key is told which scheme is asked for
+    Then the answer to an unknown key names the scheme "token", any other refusal none
--- a/features/steps/tenant_proxy.py
+++ b/features/steps/tenant_proxy.py
@@ -8,6 +8,7 @@
 from limelever.common.sansio import (
     Address,
     ConnectionOpened,
+    DeadlineReached,
     LogEvent,
     OpenConnection,
     Peer,
@@ -127,6 +128,10 @@
         )
         self._take(self.core.handle(CallArrived(self.number, request), self.now))
 
+    def wait(self, seconds):
+        self.now += seconds
+        self._take(self.core.handle(DeadlineReached(), self.now))
+
     def _take(self, outputs):
         for output in outputs:
             if isinstance(output, OpenConnection):
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -20,6 +20,7 @@
 from limelever.protocol.keys import Key
 from limelever.protocol.tenant_keys import digest_of
 from limelever.proxy import events
+from limelever.proxy.answers import CHALLENGE_HEADER, render_answer
 from limelever.proxy.caller_keys import KeyHeader, tenant_of
 from limelever.proxy.process import core_settings
 from limelever.proxy.ranks import NO_RANK, Ranks
@@ -324,3 +325,27 @@
     assert REVOCATION_CLASH in ProxySettings.CLASHES and REVOCATION_CLASH in NodeSettings.CLASHES
     assert not keys_outlive_a_probe(bound, probe)
     assert keys_outlive_a_probe(bound + 1, probe) and keys_outlive_a_probe(0, probe)
+
+
+@then('the answer to an unknown key names the scheme "{scheme}", any other refusal none')
+def then_challenge(context, scheme):
+    for kind in ErrorKind:
+        headers = dict(render_answer(Failure(kind, "for a test"), 0, scheme.encode()).headers)
+        expected = scheme.encode() if kind is ErrorKind.UNAUTHENTICATED else None
+        assert headers.get(CHALLENGE_HEADER) == expected, kind
+    unauthenticated = Failure(ErrorKind.UNAUTHENTICATED, "for a test")
+    assert CHALLENGE_HEADER not in dict(render_answer(unauthenticated).headers)
+
+
+@when("the call's time is over")
+def when_time_over(context):
+    context.proxy.logs.clear()
+    context.proxy.wait(5.0)
+    context.proxy.wait(1.0)
+
+
+@then('the line on the call\'s end names the tenant "{name}"')
+@then("the line on the call's end names no tenant")
+def then_line_names(context, name=None):
+    (line,) = [log for log in context.proxy.logs if log.code == events.CALL_FAILED]
+    assert line.fields.get("tenant") == name, line
--- a/src/limelever/proxy/answers.py
+++ b/src/limelever/proxy/answers.py
@@ -5,26 +5,30 @@
 import json
 import math
 
-from limelever.common.errors import Failure, Outcome
+from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.http_headers import Headers
 from limelever.proxy.call_types import ERROR_HEADER, OUTCOME_HEADER, CallAnswer
 from limelever.proxy.retry_rules import with_retry_after
 
 RETRY_AFTER_HEADER = b"retry-after"
 CONTENT_LENGTH_HEADER = b"content-length"
+CHALLENGE_HEADER = b"www-authenticate"
 _MILLISECONDS = 1000
 _JSON = (b"content-type", b"application/json")
 _RAN = (OUTCOME_HEADER, Outcome.RAN.value.encode())
 
 
-def render_answer(answer: CallAnswer | Failure, retry_decimals: int = 0) -> CallAnswer:
+def render_answer(
+    answer: CallAnswer | Failure, retry_decimals: int = 0, challenge: bytes = b""
+) -> CallAnswer:
     """Return what goes to the caller for a back end's answer or a failure.
 
     ``retry_decimals`` is the precision of Retry-After. RFC 9110 knows whole seconds only; callers
-    that read fractions are sent back sooner.
+    that read fractions are sent back sooner. ``challenge`` is the scheme of the key that a caller
+    without one is asked for, empty for none.
     """
     return (
-        render_failure(answer, retry_decimals)
+        render_failure(answer, retry_decimals, challenge)
         if isinstance(answer, Failure)
         else render_success(answer)
     )
@@ -41,7 +45,7 @@
     return CallAnswer(answer.status, tuple(headers), answer.body)
 
 
-def render_failure(failure: Failure, retry_decimals: int = 0) -> CallAnswer:
+def render_failure(failure: Failure, retry_decimals: int = 0, challenge: bytes = b"") -> CallAnswer:
     """Return the HTTP answer of a failure, by the row of its kind in the error table.
 
     Wherever the table says to come back later, the answer names a time.
@@ -62,6 +66,8 @@
     )
     if failure.retry_after > 0:
         headers += ((RETRY_AFTER_HEADER, _delay(failure.retry_after, retry_decimals)),)
+    if failure.kind is ErrorKind.UNAUTHENTICATED and challenge:
+        headers += ((CHALLENGE_HEADER, challenge),)
     return CallAnswer(failure.answer.http_status, headers, body)
 
 
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -74,8 +74,11 @@
         """Pass the core's answer to the request that waits for it."""
         deliver = self._waiting.pop(output.call, None)
         if deliver is not None:
-            answer = render_answer(output.answer, self._settings.retry_after_decimals)
-            deliver(answer)
+            deliver(self._rendered(output.answer))
+
+    def _rendered(self, answer: HttpAnswer | Failure) -> HttpAnswer:
+        decimals = self._settings.retry_after_decimals
+        return render_answer(answer, decimals, self._names.key_scheme)
 
     def leave(self) -> None:
         """Close each connection after its next answer; new ones are still taken."""
@@ -153,7 +156,7 @@
 
     def render(self, failure: Failure) -> HttpAnswer:
         """Return the answer that tells of a failure."""
-        return render_answer(failure, self._settings.retry_after_decimals)
+        return self._rendered(failure)
 
     def serve_request(self, connection: Http1Connection, exchange: Exchange) -> None:
         """Begin a request of an HTTP/1.1 connection."""
