--- a/features/proxy/rate_limits.feature
+++ b/features/proxy/rate_limits.feature
@@ -8,8 +8,8 @@
     And the tenants "0, 5" send 7 times their usual for 8 seconds
     Then no tenant has passed its limit by more than the rule allows
     And the tenants "0, 5" got at least 90 percent of their limits in the last 5 seconds
+    And the tenants "0, 5" got at least 90 percent of what they were owed each second
     And at most 1 in 1000 calls of the tenants "1, 2, 3, 4" was refused
-    And at most 10 in 1000 calls of the tenants "0, 5" were refused below their limits
 
   Scenario: Whoever is below its limit is refused nothing, wherever its callers are
     When 6 seconds pass in the fleet of limits
@@ -55,6 +55,7 @@
     And 6 seconds pass in the fleet of limits
     Then no tenant has passed its limit by more than the rule allows
     And the tenants "0, 5" got at least 80 percent of their limits in the last 5 seconds
+    And all relays have told that limits are parted, and that they are whole again
 
   Scenario: No proxy reaches a relay while tenants are hot, and the cut heals
     When 6 seconds pass in the fleet of limits
--- a/features/steps/limits_fleet.py
+++ b/features/steps/limits_fleet.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from limelever.common.sansio import LogEvent, SendMessage
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.tenant_hash import tenant_hash
 from limelever.protocol.limits_pb2 import LimitNews, TenantUse
@@ -54,6 +55,9 @@
     sends: float
     weights: tuple[float, ...] = (1.0, 1.0, 1.0)
     by: Proxy | None = None
+    bucket: float = 0.0
+    filled_at: float = 0.0
+    owed: list[float] = field(default_factory=list)
     admitted: list[float] = field(default_factory=list)
     asked: deque[float] = field(default_factory=deque)
     refused_at: list[float] = field(default_factory=list)
@@ -63,6 +67,15 @@
     def refused(self) -> int:
         return len(self.refused_at)
 
+    def ask(self, now: float) -> None:
+        """Note whether a call is owed: one bucket that knew of all calls would let it in."""
+        earned = self.entry.rate * (now - self.filled_at)
+        self.bucket = min(self.entry.burst, self.bucket + earned)
+        self.filled_at = now
+        if self.bucket >= 1:
+            self.bucket -= 1
+            self.owed.append(now)
+
     def forget(self) -> None:
         self.admitted.clear()
         self.refused_at.clear()
@@ -95,6 +108,7 @@
         self.delay, self.loss = 0.002, 0.0
         self.cuts: set[frozenset[str]] = set()
         self.traffic = Traffic()
+        self.logs: list[int] = []
         self._make, self._make_board = make, make_board
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -255,7 +269,9 @@
             self._carry(relay, relay.board.on_deadline(self.now))
 
     def _carry(self, relay: Relay, outputs: list) -> None:
-        for output in outputs:
+        self.logs.extend(each.code for each in outputs if isinstance(each, LogEvent))
+        sent = [output for output in outputs if isinstance(output, SendMessage)]
+        for output in sent:
             if isinstance(output.message, LimitNews):
                 self._news(relay, output.connection, output.message)
             else:
@@ -314,6 +330,7 @@
     def _call(self, tenant: Tenant) -> None:
         proxy = tenant.by or self._drawn(tenant)
         window = self.rules.window
+        tenant.ask(self.now)
         tenant.asked.append(self.now)
         while tenant.asked[0] <= self.now - window:
             tenant.asked.popleft()
--- a/features/steps/limits_ways.py
+++ b/features/steps/limits_ways.py
@@ -39,8 +39,8 @@
     def _plan(self, now: float) -> LimitNews:
         news = LimitNews(proxies=self._in_touch.fleet)
         for tenant, limit in self._limits.items():
-            use = self._others.with_own(tenant, self._own.get(tenant))
-            asked = use.asked_rate(now)
+            parts = self._others.with_own(tenant, self._own.get(tenant))
+            asked = sum(use.asked_rate(now) for use in parts)
             allowed = self._rules.aim(limit) / self._rules.window
             if asked > allowed:
                 news.tenants.append(tenant)
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 
 from behave import given, then, when
 from behave.runner import Context
@@ -13,6 +14,7 @@
 from limits_ways import FractionBoard, FractionLimits, LeaseBoard, LeaseFleet, LeaseLimits
 
 from limelever.limits.rules import Limit
+from limelever.relay.events import LIMITS_PARTED, LIMITS_WHOLE
 
 TOTAL = 300.0
 """Calls a second of all tenants together."""
@@ -173,6 +175,15 @@
         assert got >= percent / 100 * calls, (tenant.entry, got, calls)
 
 
+@then('the tenants "{names}" got at least {percent:d} percent of what they were owed each second')
+def got_each_second(context: Context, names: str, percent: int) -> None:
+    for tenant in chosen(context, names):
+        got = Counter(int(at) for at in tenant.admitted)
+        owed = Counter(int(at) for at in tenant.owed)
+        served = sum((got & owed).values())
+        assert served >= percent / 100 * sum(owed.values()), (tenant.entry, served, owed)
+
+
 @then('at most {count:d} in 1000 calls of the tenants "{names}" was refused')
 def refused(context: Context, count: int, names: str) -> None:
     for tenant in chosen(context, names):
@@ -205,6 +216,13 @@
     assert not late, late
 
 
+@then("all relays have told that limits are parted, and that they are whole again")
+def relays_told(context: Context) -> None:
+    told = [event for event in context.fleet.logs if event in (LIMITS_PARTED, LIMITS_WHOLE)]
+    relays = len(context.fleet.relays)
+    assert told == [LIMITS_PARTED] * relays + [LIMITS_WHOLE] * relays, told
+
+
 @then("nothing was said in the fleet of limits in the last 2 seconds")
 def nothing_said(context: Context) -> None:
     assert context.fleet.traffic.messages == 0, context.fleet.traffic
--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -11,6 +11,7 @@
 import random
 
 from limelever.limits.in_touch import SILENT_AFTER
+from limelever.limits.plan import HORIZON
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import SLOT, UseWindow
 
@@ -35,6 +36,9 @@
 """Part of what may never be passed that proxies out of touch use later, when all that was let in
 before has left the window."""
 
+_LATE_CAUTION = 0.5
+"""Part of all that while news are later than they were planned for: they may not come at all."""
+
 _DRAW_WINDOWS = 4
 """Windows between two draws of whether the fraction of a call is let in out of touch."""
 
@@ -77,17 +81,13 @@
         ``silent`` are the seconds since the relay's last news, of a ``fleet`` of so many proxies.
         """
         equal = self._rules.aim(self.limit) / fleet
-        if silent <= SILENT_AFTER:
-            self._alone = 0
         if silent > SILENT_AFTER:
             admitted = self._out_of_touch(equal, fleet, silent, now)
             self._alone += int(admitted)
-        elif self._told:
-            admitted = self._within_told_part() and self._take_told_token(equal, now)
         else:
-            usual = max(equal, self.use.admitted(now))
-            fill = _UNTOLD_GROWTH * usual / self._rules.window
-            admitted = self._take_token(fill, _UNTOLD_CALLS + _UNTOLD_PART * usual, now)
+            self._alone = 0
+            caution = 1.0 if silent <= HORIZON else _LATE_CAUTION
+            admitted = self._in_touch(equal, caution, now)
         self.use.add(now, int(admitted), int(not admitted))
         return admitted
 
@@ -116,17 +116,25 @@
             return True
         return self._alone + 1 - self._fraction <= self._rules.slack / fleet
 
-    def _within_told_part(self) -> bool:
-        self._credit = min(2.0, self._credit + min(1.0, self._part))
+    def _within_told_part(self, caution: float = 1.0) -> bool:
+        self._credit = min(2.0, self._credit + min(1.0, caution * self._part))
         if self._credit < 1.0:
             return False
         self._credit -= 1.0
         return True
 
-    def _take_told_token(self, equal: float, now: float) -> bool:
+    def _in_touch(self, equal: float, caution: float, now: float) -> bool:
+        """Return whether a call is within what was told, or within what may be let in untold."""
+        if not self._told:
+            usual = max(equal, self.use.admitted(now))
+            fill = caution * _UNTOLD_GROWTH * usual / self._rules.window
+            return self._take_token(fill, _UNTOLD_CALLS + _UNTOLD_PART * usual, now)
+        if not self._within_told_part(caution):
+            return False
+        fill = caution * self._fill
         if self._part < 1.0:
-            return self._take_token(self._fill, _TOLD_CALLS + self._fill * SLOT, now)
-        fill = max(self._fill, equal / self._rules.window)
+            return self._take_token(fill, _TOLD_CALLS + fill * SLOT, now)
+        fill = max(fill, equal / self._rules.window)
         return self._take_token(fill, _UNTOLD_CALLS + fill * SLOT, now)
 
     def _take_token(self, fill: float, most: float, now: float) -> bool:
--- a/src/limelever/limits/in_touch.py
+++ b/src/limelever/limits/in_touch.py
@@ -46,6 +46,11 @@
         """Return the most proxies that were reached for a while within the memory."""
         return self._most[0].proxies if self._most else 0
 
+    @property
+    def reached(self) -> int:
+        """Return how many proxies are reached."""
+        return self._reached
+
     @property
     def part(self) -> float:
         """Return the part of the fleet that is reached."""
--- a/src/limelever/limits/plan.py
+++ b/src/limelever/limits/plan.py
@@ -1,14 +1,15 @@
 """How much of what a tenant asks the fleet may let in now, by what it let in of late.
 
 Answers the load of one tenant that sends many times its usual from all zones at once. Each proxy
-lets in the same part of what it is asked, so that what a tenant gets follows its callers, and what
-was let in too much before the news came is taken back within the window.
+lets in the same part of what it is asked, so that what a tenant gets follows its callers, and
+what was let in too much before the news came is taken back at once.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
+from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import UseWindow
 
 NEAR = 0.7
@@ -18,33 +19,37 @@
 HORIZON = 0.5
 """Seconds ahead for which the room is planned: two rounds of news."""
 
-_STEEPEST = 1.25
-"""Most that is planned for a tenant beyond its limit, as a part of what that allows on average:
-without it, what it got at once at first would be given out at once again, each window anew."""
+_NEAR_SLACK = 0.25
+"""Part of the slack, in calls a second, by which a tenant's asking may pass its rate untold: the
+calls of small tenants come in clumps."""
 
 LARGEST_PERMILLE = 60_000
 
 
-def allowed_permille(use: UseWindow, aim: float, window: float, now: float) -> int:
+def allowed_permille(use: UseWindow, level: float, rate: float, aim: float, now: float) -> int:
     """Return the part of what is asked that may be let in, in permille; 0 for nothing.
 
-    ``aim`` are the calls that the proxies whose use this is may let in within ``window`` seconds.
+    ``level`` are the calls that may come at once, below 0 where too many have, and ``rate`` those
+    a second. ``aim`` bounds the calls of the window.
     """
     room = max(0.0, aim - use.admitted(now) + use.leaving(now, HORIZON))
-    planned = room / HORIZON
-    if use.asked(now) > aim:
-        planned = min(planned, _STEEPEST * aim / window)
+    planned = min(room / HORIZON, max(0.0, rate + level / HORIZON))
     asked = use.asked_rate(now)
     if planned >= asked * LARGEST_PERMILLE / 1000:
         return LARGEST_PERMILLE
     return int(1000 * planned / asked)
 
 
-def must_be_told(parts: Sequence[UseWindow], aim: float, now: float) -> bool:
+def must_be_told(
+    parts: Sequence[UseWindow], rules: LimitRules, limit: Limit, aim: float, now: float
+) -> bool:
     """Return whether proxies must be told of a tenant: near its limit, or refused of late.
 
     Its use is the sum of ``parts``.
     """
     if sum(use.admitted(now) for use in parts) > NEAR * aim:
         return True
-    return any(use.was_refused(now) for use in parts)
+    if any(use.was_refused(now) for use in parts):
+        return True
+    asked = sum(use.asked_rate(now) for use in parts)
+    return asked > limit.rate + _NEAR_SLACK * rules.slack
--- a/src/limelever/limits/rules.py
+++ b/src/limelever/limits/rules.py
@@ -7,6 +7,9 @@
 _MARGIN_USED = 0.1
 """Part of the promised margin that is aimed at: the rest is for use that is not yet known."""
 
+_SLACK_USED = 0.25
+"""Part of the slack that may come at once: the calls of small tenants come in clumps."""
+
 
 class Limit(Struct, frozen=True):
     """A tenant's limit: ``rate`` in calls a second, ``burst`` in calls above that."""
@@ -33,6 +36,11 @@
         """Return the calls that may never be passed in any window."""
         return self.calls(limit) * (1 + self.over) + self.slack
 
+    def burst(self, limit: Limit) -> float:
+        """Return the calls that the fleet lets in at once at most, as far as it knows."""
+        extra = self.aim(limit) - self.calls(limit)
+        return limit.burst + extra + _SLACK_USED * self.slack
+
     def aim(self, limit: Limit) -> float:
         """Return the calls that the fleet lets in at most in a window, as far as it knows."""
         calls = self.calls(limit)
--- a/src/limelever/limits/use_window.py
+++ b/src/limelever/limits/use_window.py
@@ -32,6 +32,16 @@
         self._admitted = 0
         self._dropped = -self._length
 
+    @property
+    def length(self) -> int:
+        """Return the slots of the window, the current one included."""
+        return self._length
+
+    def admitted_in(self, slot: int) -> int:
+        """Return the calls let in within one slot."""
+        use = self._slots.get(slot)
+        return use.admitted if use is not None else 0
+
     def add(self, at: float, admitted: int, refused: int) -> None:
         """Count calls at a time within the window."""
         self._add(int(at // SLOT), admitted, refused)
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -145,3 +145,12 @@
 TENANTS_IN_FORCE = define(
     4250, "tenants-in-force", Level.INFO, "tenants or their keys have changed", "tenants", "keys"
 )
+LIMITS_ALONE = define(
+    4060,
+    "limits-alone",
+    Level.WARNING,
+    "no news of tenants' limits: calls are let in by the proxy's own part of each",
+)
+LIMITS_SHARED = define(
+    4061, "limits-shared", Level.INFO, "news of tenants' limits are there, all proxies share them"
+)
--- a/src/limelever/proxy/limit_reports.py
+++ b/src/limelever/proxy/limit_reports.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from limelever.common.sansio import ConnectionId, Output
+from limelever.common.sansio import ConnectionId, LogEvent, Output
+from limelever.proxy import events
 from limelever.proxy.tenant_limits import TenantLimits
 from limelever.subscriber.core import SubscriberCore
 
@@ -14,9 +15,20 @@
         self._limits = limits
         self._subscriber = subscriber
         self._told: ConnectionId | None = None
+        self._alone = False
 
     def due(self, now: float) -> list[Output]:
-        """Return the reports that are to go out now."""
+        """Return the reports that are to go out now, and whether the relay's news stay away."""
+        return [*self._reports(now), *self._told_alone(now)]
+
+    def _told_alone(self, now: float) -> list[Output]:
+        alone = self._limits.alone(now)
+        if alone == self._alone:
+            return []
+        self._alone = alone
+        return [LogEvent(events.LIMITS_ALONE if alone else events.LIMITS_SHARED, {})]
+
+    def _reports(self, now: float) -> list[Output]:
         if not self._limits or not self._subscriber.subscribed:
             self._told = None
             return []
--- a/src/limelever/proxy/tenant_limits.py
+++ b/src/limelever/proxy/tenant_limits.py
@@ -14,7 +14,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.limits.gate import Gate
-from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL
+from limelever.limits.in_touch import MEMORY, QUIET_INTERVAL, SILENT_AFTER
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.tenant_hash import tenant_hash
 from limelever.protocol.limits_pb2 import LimitNews, TenantUse
@@ -145,6 +145,10 @@
             use.ClearField("refused")
         return use
 
+    def alone(self, now: float) -> bool:
+        """Return whether the proxy keeps to its own part of each limit, hearing of no other."""
+        return bool(self._gates) and SILENT_AFTER < self._silent(now) < math.inf
+
     def next_deadline(self) -> float | None:
         """Return when ``report`` is to be called, or ``None``."""
         if not self._gates:
@@ -179,4 +183,5 @@
             f" {self._rules.window:g} s, {known})"
         )
         wait = gate.wait(silent, self._fleet_size())
-        return Failure(ErrorKind.RATE_LIMITED, reason, retry_after=wait)
+        about = (f"tenant/{tenant.name}",)
+        return Failure(ErrorKind.RATE_LIMITED, reason, resources=about, retry_after=wait)
--- a/src/limelever/relay/events.py
+++ b/src/limelever/relay/events.py
@@ -33,3 +33,14 @@
     "request",
     "crashes",
 )
+LIMITS_PARTED = define(
+    3210,
+    "limits-parted",
+    Level.WARNING,
+    "proxies are out of touch: their part of tenants' limits is left to them",
+    "proxies",
+    "fleet",
+)
+LIMITS_WHOLE = define(
+    3211, "limits-whole", Level.INFO, "all proxies that share limits are in touch", "fleet"
+)
--- a/src/limelever/relay/limit_board.py
+++ b/src/limelever/relay/limit_board.py
@@ -12,12 +12,14 @@
 
 from msgspec import Struct
 
-from limelever.common.sansio import ConnectionId, Output, SendMessage
+from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.limits.in_touch import QUIET_INTERVAL, SILENT_AFTER, ProxiesInTouch
-from limelever.limits.plan import allowed_permille
+from limelever.limits.level import BurstLevel
+from limelever.limits.plan import allowed_permille, must_be_told
 from limelever.limits.rules import Limit, LimitRules
 from limelever.limits.use_window import UseWindow
 from limelever.protocol.limits_pb2 import LimitNews, TenantUse
+from limelever.relay import events
 from limelever.relay.use_of_relays import UseOfRelays
 from limelever.relay.use_to_tell import UseToTell
 
@@ -48,10 +50,12 @@
         self._proxies: dict[ConnectionId, str] = {}
         self._relays: dict[ConnectionId, None] = {}
         self._heard_at: dict[str, float] = {}
+        self._levels: dict[int, BurstLevel] = {}
         self._in_touch = ProxiesInTouch()
         self._to_tell = UseToTell()
         self._news = LimitNews()
         self._news_at = 0.0
+        self._parted = False
         self.next_at: float | None = None
 
     def set_limits(self, limits: Mapping[int, Limit], now: float) -> None:
@@ -110,7 +114,18 @@
         self._forget_silent(now)
         own = self._own_reached(now)
         self._in_touch.note(own + self._others.proxies, now)
-        return [*self._tell_relays(own, now), *self._tell_proxies(now)]
+        return [*self._tell_relays(own, now), *self._tell_proxies(now), *self._logs()]
+
+    def _logs(self) -> list[Output]:
+        """Tell operators when part of each limit is held back, and when no longer."""
+        parted = self._in_touch.part < 1.0
+        if parted == self._parted:
+            return []
+        self._parted = parted
+        fields: dict[str, object] = {"fleet": self._in_touch.fleet}
+        if not parted:
+            return [LogEvent(events.LIMITS_WHOLE, fields)]
+        return [LogEvent(events.LIMITS_PARTED, {"proxies": self._in_touch.reached, **fields})]
 
     def _own_reached(self, now: float) -> int:
         heard = (self._heard_at.get(f"proxy {name}") for name in self._proxies.values())
@@ -138,14 +153,24 @@
         news = LimitNews(proxies=self._in_touch.fleet)
         part = self._in_touch.part
         for tenant, limit in self._limits.items():
-            own = self._own.get(tenant)
+            parts = self._others.with_own(tenant, self._own.get(tenant))
             aim = self._rules.aim(limit) * part
-            if self._others.must_be_told(tenant, own, aim, now):
-                use = self._others.with_own(tenant, own)
+            if must_be_told(parts, self._rules, limit, aim, now):
                 news.tenants.append(tenant)
-                news.permille.append(allowed_permille(use, aim, self._rules.window, now))
+                news.permille.append(self._permille(tenant, limit, parts, now))
+            else:
+                self._levels.pop(tenant, None)
         return news
 
+    def _permille(self, tenant: int, limit: Limit, parts: list[UseWindow], now: float) -> int:
+        use = UseWindow(self._rules.window)
+        for each in parts:
+            use.add_all(each)
+        part = self._in_touch.part
+        rate, most = limit.rate * part, self._rules.burst(limit) * part
+        level = self._levels.setdefault(tenant, BurstLevel()).now(use, rate, most, now)
+        return allowed_permille(use, level, rate, self._rules.aim(limit) * part, now)
+
     def _news_in(self, sender: str, use: TenantUse, now: float) -> Iterable[ToldUse]:
         """Yield what the sender tells that is not counted yet."""
         known_until = self._heard_at.get(sender, 0.0)
--- a/src/limelever/relay/use_of_relays.py
+++ b/src/limelever/relay/use_of_relays.py
@@ -9,7 +9,6 @@
 from msgspec import Struct, field
 
 from limelever.limits.in_touch import SILENT_AFTER
-from limelever.limits.plan import must_be_told
 from limelever.limits.use_window import UseWindow
 
 
@@ -79,18 +78,9 @@
                 _drop_empty(told.windows, now)
             _drop_empty(self._sums, now)
 
-    def must_be_told(self, tenant: int, own: UseWindow | None, aim: float, now: float) -> bool:
-        """Return whether proxies must be told of a tenant's use here and at all in touch."""
-        parts = [use for use in (own, self._sums.get(tenant)) if use is not None]
-        return must_be_told(parts, aim, now)
-
-    def with_own(self, tenant: int, own: UseWindow | None) -> UseWindow:
-        """Return the use at the proxies of this relay and of all in touch."""
-        both = UseWindow(self._window)
-        for use in (own, self._sums.get(tenant)):
-            if use is not None:
-                both.add_all(use)
-        return both
+    def with_own(self, tenant: int, own: UseWindow | None) -> list[UseWindow]:
+        """Return the use at the proxies of this relay, and that at all others in touch."""
+        return [use for use in (own, self._sums.get(tenant)) if use is not None]
 
     def _sum(self, tenant: int) -> UseWindow:
         held = self._sums.get(tenant)
