--- a/features/proxy/rate_limits.feature
+++ b/features/proxy/rate_limits.feature
@@ -65,6 +65,13 @@
     And 6 seconds pass in the fleet of limits
     Then no tenant has passed its limit by more than the rule allows
 
+  Scenario: Tenants have just become hot when no proxy reaches a relay any more
+    When 6 seconds pass in the fleet of limits
+    And the tenants "0, 2, 5" send 7 times their usual for 0.4 seconds
+    And no proxy reaches a relay of the fleet of limits
+    And 8 seconds pass in the fleet of limits
+    Then no tenant has passed its limit by more than the rule allows
+
   Scenario: All is restarted while a tenant is hot
     When 6 seconds pass in the fleet of limits
     And the tenants "0, 5" send 7 times their usual for 6 seconds
--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -36,7 +36,7 @@
 """Part of what may never be passed that proxies out of touch use later, when all that was let in
 before has left the window."""
 
-_LATE_CAUTION = 0.5
+_LATE_CAUTION = 0.3
 """Part of all that while news are later than they were planned for: they may not come at all."""
 
 _DRAW_WINDOWS = 4
