--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -18,6 +18,7 @@
 from limelever.proxy.group_limits import GroupLimits, ShareKey
 from limelever.proxy.router import RouteEntry, RoutePart, RouteTable
 from limelever.proxy.split import Splits
+from limelever.proxy.tenant_limits import TenantLimits
 from limelever.proxy.tenants import TenantEntry
 
 FIRST_CONFIGURATION_SECONDS = 0.25
@@ -61,10 +62,15 @@
     """Decides about calls that arrive, by the table held and by when that was proved current."""
 
     def __init__(
-        self, settings: AdmissionSettings, limits: GroupLimits, random_source: random.Random
+        self,
+        settings: AdmissionSettings,
+        limits: GroupLimits,
+        tenant_limits: TenantLimits,
+        random_source: random.Random,
     ) -> None:
         self._settings = settings
         self._limits = limits
+        self._tenant_limits = tenant_limits
         self._splits = Splits(random_source)
         self._table: RouteTable | None = None
         self._first_untabled: float | None = None
@@ -105,9 +111,14 @@
         refusal = _check(request, route, part)
         if refusal is not None:
             return unless_unproved(refusal, self.proved_at, self._settings, now)
+        if tenant is not None:
+            refusal = self._tenant_limits.admit(tenant, now)
+            if refusal is not None:
+                return refusal
         share = ShareKey(part.service, request.group)
         refusal = self._limits.admit(share, self._table.weight(part.service, request.group))
         if refusal is not None:
+            self._not_run(tenant, now)
             return refusal
         deadline = now + call_timeout(request, route, self._settings)
         target = now + route.target_latency if route.target_latency else math.inf
@@ -125,6 +136,10 @@
             rank=self._table.ranks.rank(route.priority, tenant.priority if tenant else 0),
         )
 
+    def _not_run(self, tenant: TenantEntry | None, now: float) -> None:
+        if tenant is not None:
+            self._tenant_limits.give_back(tenant.name, now, now)
+
     def _tenant(
         self, table: RouteTable, route: RouteEntry, request: CallRequest, now: float
     ) -> TenantEntry | Failure | None:
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -12,6 +12,7 @@
     Clash,
     HeaderSettings,
     ProcessSettings,
+    TenantLimitSettings,
     between,
     dialled,
     distinct,
@@ -166,5 +167,6 @@
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
+    limits: TenantLimitSettings = TenantLimitSettings()
     headers: HeaderSettings = HeaderSettings()
     tenants: TenantSettings = TenantSettings()
