Send long answers in parts at the link's rate; refuse what would be late before it runs

Cause: downloads of 90 kB from machines of 6 Mbit/s were pushed whole. On a link that is asked for as much as it takes, lookups with 0.3 s to live waited behind all that was on its way, and each download came after its target.

Change: the agent, which knows the rate of its link (queue.link_rate_bytes), sends answers above 8 KiB in parts of 16 ms of the link, the one whose target is first first, late ones last; short answers go at once and wait for two parts at most. It learns the usual size of a group's answers and refuses a call, NOT RUN and with the time, whose answer would be through after its target. Where the rate is 0, and for answers up to 8 KiB, all is as before.

The proxy, its messages and the shape of what is sent are as they were.

--- a/src/limelever/agent/answers.py
+++ b/src/limelever/agent/answers.py
@@ -36,15 +36,20 @@
     )
 
 
-def first_part(start: CallStart, answer: AttemptAnswered, load: AgentLoad) -> ResponseStart:
+def first_part(
+    start: CallStart,
+    answer: AttemptAnswered,
+    load: AgentLoad,
+    part_bytes: int = FIRST_PART_BYTES,
+) -> ResponseStart:
     """Return the first message of a back end's whole answer; a short one is within it."""
     return ResponseStart(
         stream=start.stream,
         attempt_id=start.attempt_id,
         status=answer.status,
         headers=[Header(name=name, value=value) for name, value in answer.headers],
-        body=answer.body[:FIRST_PART_BYTES],
-        end=len(answer.body) <= FIRST_PART_BYTES,
+        body=answer.body[:part_bytes],
+        end=len(answer.body) <= part_bytes,
         load=load,
     )
 
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -17,6 +17,7 @@
 from msgspec.structs import replace
 
 from limelever.agent import answers, events
+from limelever.agent.answer_link import AnswerLink, AnswerTimes
 from limelever.agent.answer_sender import AnswerSender
 from limelever.agent.answers import NO_CRASH
 from limelever.agent.backend_watch import BackendWatch, Seen
@@ -54,7 +55,7 @@
 class CallLimits(Struct, frozen=True):
     """Bounds of the call service; ``assembling_bytes`` is of bodies not yet whole.
 
-    ``link_rate`` is what the machine's link takes in, in bytes a second; 0 if not known.
+    ``link_rate`` is what the machine's link takes either way, in bytes a second; 0 if not known.
     """
 
     queue: QueueLimits = QueueLimits()
@@ -80,7 +81,8 @@
         bodies = BodyLimits(limits.max_body_bytes, limits.assembling_bytes, limits.link_rate)
         self._intake = CallIntake(service, incarnation, bodies, self._calls)
         self._queue = FairQueue(limits.queue)
-        self._answers = AnswerSender()
+        self._link = AnswerLink(limits.link_rate)
+        self._answers = AnswerSender(self._link)
         self.backend = BackendWatch(generator)
         self.versions = versions or VersionCount(service, "", "")
         self._replies = Replies(self._queue, limits.queue.slots, limits.log)
@@ -144,6 +146,10 @@
             return [*self._replies.failed(connection, start, call.failure), *logs]
         if self.backend.silent:
             return self._refuse(call, _SILENT)
+        held_up = self._held_up_by_link(call, now)
+        if held_up is not None:
+            return self._refuse(call, held_up)
+        self._link.expect(call.number, start.group)
         if start.end:
             return self._admit(call, now)
         failure = self._intake.check_body(call)
@@ -175,6 +181,10 @@
             outputs.append(SendMessage(call.connection, credit))
         return outputs
 
+    def send_on(self, now: float) -> list[Output]:
+        """Send the parts of long answers whose turn it is on the link."""
+        return self._answers.send_on(now) if self._answers.count else []
+
     def credit(self, connection: ConnectionId, message: CallCredit) -> list[Output]:
         """Send more of a long answer."""
         return self._answers.credit(connection, message.stream, message.bytes)
@@ -224,9 +234,12 @@
         self.versions.ended(call.start.group, ran, failed, now)
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
+        self._replies.now = now
+        self._forget(call)
+        if not failed:
+            self._link.observe(call.start.group, len(event.body))
         load = self._replies.load(call.start.group)
-        self._calls.remove(call)
-        outputs = [] if settled else self._answers.send(call, event, load)
+        outputs = [] if settled else self._answers.send(call, event, load, now)
         outputs.extend(self._replies.ran(call, event.status, now))
         return [*outputs, *self.start_waiting(now)]
 
@@ -331,7 +344,7 @@
     def _end(self, call: Call, failure: Failure, crash: int = NO_CRASH) -> list[Output]:
         """Forget a call that the back end did not answer; its proxy is told if it still waits."""
         settled = call.settled
-        self._calls.remove(call)
+        self._forget(call)
         return [] if settled else self._replies.failed(call.connection, call.start, failure, crash)
 
     def _give_up_repeatable(self) -> list[Output]:
@@ -361,7 +374,7 @@
         asked_for = call.start.awaits_credit
         offered = self._queue.offer(_queued(call, now), now, checked=asked_for)
         if isinstance(offered, Failure):
-            self._calls.remove(call)
+            self._forget(call)
             return self._replies.failed(call.connection, call.start, offered)
         call.stage = CallStage.QUEUED
         return [*self._evicted(offered), *self.start_waiting(now)]
@@ -381,8 +394,23 @@
     def _withdraw(self, call: Call) -> None:
         self._intake.close(call)
         self._queue.remove(call.number)
+        self._forget(call)
+
+    def _forget(self, call: Call) -> None:
+        self._link.settle(call.number)
         self._calls.remove(call)
 
+    def _held_up_by_link(self, call: Call, now: float) -> Failure | None:
+        """Return why a call's answer would be through the link too late; NOT RUN."""
+        group = call.start.group
+        service_time = self._queue.service_time_of(group)
+        times = AnswerTimes(call.target, call.deadline, service_time)
+        late = self._link.too_late_by(group, times, now)
+        if not late:
+            return None
+        reason = "the link has no room for the answer in time"
+        return Failure(ErrorKind.DEADLINE_TOO_SHORT, reason, retry_after=late)
+
 
 def _failed_at_backend(event: AttemptFailed) -> bool:
     """Return whether the back end is to blame that an attempt brought no answer."""
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -159,6 +159,7 @@
         if self._finished:
             return outputs
         outputs.extend(self._calls.ask_for_bodies(now))
+        outputs.extend(self._calls.send_on(now))
         outputs.extend(self._registration.tell_crashes(self._calls.backend.take_news(), now))
         outputs.extend(self._registration.handle(event, now))
         tally = self._versions.take_news(now)
--- a/src/limelever_lab/links/__init__.py
+++ b/src/limelever_lab/links/__init__.py
@@ -1,1 +1,1 @@
-"""Experiment: short calls beside bodies on one machine's link, with the shipped credit core."""
+"""Experiment: short calls beside bodies and answers on one link, with the shipped cores."""
--- /dev/null
+++ b/src/limelever_lab/links/answer_model.py
@@ -0,0 +1,176 @@
+"""A machine's link under long and short answers: what is sent is delivered in order, at its rate.
+
+Long answers leave by the agent's core for its link, or all at once as soon as they are ready. The
+core is the shipped one; arrivals, sizes and times at the back end are drawn from a seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from limelever.agent.answer_link import AnswerLink, AnswerTimes
+from limelever_lab.bench.quantiles import Quantiles
+
+SHORT_ANSWER_BYTES = 600
+"""Size of a short answer on the wire: its head, its body and the link's own."""
+
+LONG, SHORT = "long", "short"
+_UNBOUNDED = 1 << 40
+
+
+class Leaving(Enum):
+    """How long answers leave."""
+
+    PUSHED = auto()
+    PACED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLoad:
+    """What a link is given; rates in bytes and calls a second, times in seconds."""
+
+    rate: int = 750_000
+    asked: float = 0.8
+    answer_bytes: int = 90_000
+    short_answers: float = 20.0
+    service_time: float = 0.13
+    target: float = 1.0
+    deadline: float = 2.5
+    seconds: float = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOutcome:
+    """Seconds from ready to the last byte for short answers, from arrival on for long ones.
+
+    ``in_target`` is a part of all long calls that came, ``refused`` too.
+    """
+
+    short: Quantiles
+    long: Quantiles
+    in_target: float
+    refused: float
+
+
+class _Step(Enum):
+    SHORT_ANSWER = auto()
+    CALL = auto()
+    READY = auto()
+    TURN = auto()
+
+
+@dataclass(order=True, slots=True)
+class _Event:
+    at: float
+    order: int
+    step: _Step = field(compare=False)
+    call: int = field(default=0, compare=False)
+    size: int = field(default=0, compare=False)
+
+
+class AnswerModel:
+    """One run of a seed under virtual time."""
+
+    def __init__(self, load: AnswerLoad, leaving: Leaving, seed: int) -> None:
+        self._load = load
+        self._leaving = leaving
+        self._random = random.Random(seed)
+        self._link = AnswerLink(load.rate)
+        self._began: dict[int, float] = {}
+        self._left: dict[int, int] = {}
+        self._events: list[_Event] = []
+        self._numbers = itertools.count(1)
+        self._free_at = 0.0
+        self._turn_at = math.inf
+        self._short: list[float] = []
+        self._long: list[float] = []
+        self._calls = 0
+        self._refused = 0
+
+    def run(self) -> AnswerOutcome:
+        """Play the run to its end."""
+        load = self._load
+        for at in self._arrivals(load.short_answers):
+            self._plan(at, _Step.SHORT_ANSWER)
+        for at in self._arrivals(load.rate * load.asked / load.answer_bytes):
+            self._plan(at, _Step.CALL, call=next(self._numbers))
+        while self._events:
+            self._happen(heapq.heappop(self._events))
+        in_target = sum(seconds <= load.target for seconds in self._long)
+        return AnswerOutcome(
+            Quantiles.of(self._short),
+            Quantiles.of(self._long),
+            in_target / self._calls,
+            self._refused / self._calls,
+        )
+
+    def _arrivals(self, rate: float) -> Iterator[float]:
+        at = self._random.expovariate(rate)
+        while at < self._load.seconds:
+            yield at
+            at += self._random.expovariate(rate)
+
+    def _plan(self, at: float, step: _Step, call: int = 0, size: int = 0) -> None:
+        heapq.heappush(self._events, _Event(at, next(self._numbers), step, call, size))
+
+    def _happen(self, event: _Event) -> None:
+        match event.step:
+            case _Step.SHORT_ANSWER:
+                self._link.sent_at_once(SHORT_ANSWER_BYTES, event.at)
+                self._short.append(self._deliver(event.at, SHORT_ANSWER_BYTES) - event.at)
+            case _Step.CALL:
+                self._come(event)
+            case _Step.READY:
+                self._ready(event)
+            case _Step.TURN:
+                self._turn_at = math.inf
+                self._take_turns(event.at)
+
+    def _deliver(self, now: float, size: int) -> float:
+        """Put bytes behind what is on the link; return when the last of them is there."""
+        self._free_at = max(now, self._free_at) + size / self._load.rate
+        return self._free_at
+
+    def _come(self, event: _Event) -> None:
+        load, now = self._load, event.at
+        self._calls += 1
+        times = AnswerTimes(now + load.target, now + load.deadline, load.service_time)
+        if self._leaving is Leaving.PACED and self._link.too_late_by(LONG, times, now):
+            self._refused += 1
+            return
+        self._began[event.call] = now
+        self._link.expect(event.call, LONG)
+        size = max(1, round(load.answer_bytes * self._random.uniform(0.2, 1.8)))
+        seconds = load.service_time * self._random.uniform(0.5, 1.5)
+        self._plan(now + seconds, _Step.READY, event.call, size)
+
+    def _ready(self, event: _Event) -> None:
+        self._link.settle(event.call)
+        self._link.observe(LONG, event.size)
+        if self._leaving is Leaving.PUSHED:
+            self._end(event.call, self._deliver(event.at, event.size))
+            return
+        self._left[event.call] = event.size
+        target = self._began[event.call] + self._load.target
+        self._link.add(event.call, event.size, _UNBOUNDED, target)
+        self._take_turns(event.at)
+
+    def _take_turns(self, now: float) -> None:
+        for part in self._link.parts(now):
+            there = self._deliver(now, part.size)
+            self._left[part.answer] -= part.size
+            if not self._left[part.answer]:
+                self._end(part.answer, there)
+        turn = self._link.next_turn()
+        if turn is not None and turn < self._turn_at:
+            self._turn_at = turn
+            self._plan(turn, _Step.TURN)
+
+    def _end(self, call: int, there: float) -> None:
+        self._long.append(there - self._began.pop(call))
