Let tenants take turns by their rates within a group's queue

Calls of one route waited in order of arrival. One tenant that sends many times its usual so filled the queue of each agent, and the calls of the others waited behind its own or were refused for the wait.

Within a group the waiting calls of tenants now take turns by the rate that the configuration gives each (start-time fair queueing, counted by calls as those of a route take alike; a second's turns may be saved up, so that uneven arrivals cost nobody below its part). The wait that is expected of a call is that of its own tenant's turn, and in a full queue the newest call of the tenant furthest over its part gives way. Equal turns were ruled out: where all ask for too much they would serve a large tenant a small part of its calls, and nobody may be served less than a quarter as often as all. Queues of each tenant beside each other as groups were ruled out too: they would turn the weights between routes around.

The installing of a configuration in the agent's tests moved to their bench, unchanged.

--- a/features/steps/agent_bench.py
+++ b/features/steps/agent_bench.py
@@ -24,15 +24,25 @@
     Output,
     Peer,
     Purpose,
+    ReplaceFile,
     Role,
     SendMessage,
     Started,
+    WriteCompleted,
 )
 from limelever.protocol.calls_pb2 import (
     CallStart,
 )
 from limelever.protocol.config_pb2 import (
     CALL_KIND_REPEATABLE,
+    Resource,
+    VersionedResource,
+)
+from limelever.protocol.digest import SetDigest
+from limelever.protocol.distribution_pb2 import (
+    ConfigSnapshot,
+    FreshnessAnswer,
+    FreshnessProbe,
 )
 from limelever.protocol.endpoints_pb2 import (
     LeaseGranted,
@@ -110,6 +120,20 @@
         grant = LeaseGranted(lease_ms=6000, incarnation=7)
         self.tell(MessageReceived(self.relay_link, grant))
 
+    def install(self, *resources: Resource) -> None:
+        (dial,) = (o for o in self.of(OpenConnection) if o.purpose is Purpose.SUBSCRIPTION)
+        versioned = [VersionedResource(resource=resource, version=3) for resource in resources]
+        digest = SetDigest.of(versioned).to_bytes()
+        snapshot = ConfigSnapshot(version=3, resources=versioned, digest=digest)
+        self.tell(ConnectionOpened(dial.connection, RELAY))
+        self.tell(MessageReceived(dial.connection, snapshot))
+        while self.core.version == 0:
+            for probe in self.sent(dial.connection, FreshnessProbe):
+                answer = FreshnessAnswer(nonce=probe.nonce, version=3)
+                self.tell(MessageReceived(dial.connection, answer))
+            for write in self.of(ReplaceFile):
+                self.tell(WriteCompleted(write.token))
+
     def of(self, kind: type[Output]) -> list[Output]:
         return [output for output in self.outputs if isinstance(output, kind)]
 
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -8,7 +8,6 @@
     CASES,
     FAR,
     PROXY_LINK,
-    RELAY,
     AgentBench,
     call_start,
 )
@@ -30,14 +29,8 @@
 from limelever.common.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from limelever.common.sansio import (
     ConnectionClosed,
-    ConnectionOpened,
-    MessageReceived,
-    OpenConnection,
     Output,
-    Purpose,
-    ReplaceFile,
     SendMessage,
-    WriteCompleted,
 )
 from limelever.protocol.calls_pb2 import (
     CallBody,
@@ -53,13 +46,6 @@
     Resource,
     Service,
     Share,
-    VersionedResource,
-)
-from limelever.protocol.digest import SetDigest
-from limelever.protocol.distribution_pb2 import (
-    ConfigSnapshot,
-    FreshnessAnswer,
-    FreshnessProbe,
 )
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
@@ -379,24 +365,9 @@
 
 @when("configuration gives group {group:S} weight {weight:d} and bodies {size:d} bytes")
 def install(context: Context, group: str, weight: int, size: int) -> None:
-    agent = context.agent
-    (dial,) = (o for o in agent.of(OpenConnection) if o.purpose is Purpose.SUBSCRIPTION)
     share = Share(service="orders", group=group, weight=weight)
     service = Service(name="orders", max_body_bytes=size)
-    resources = [
-        VersionedResource(resource=resource, version=3)
-        for resource in (Resource(share=share), Resource(service=service))
-    ]
-    digest = SetDigest.of(resources).to_bytes()
-    snapshot = ConfigSnapshot(version=3, resources=resources, digest=digest)
-    agent.tell(ConnectionOpened(dial.connection, RELAY))
-    agent.tell(MessageReceived(dial.connection, snapshot))
-    while agent.core.version == 0:
-        for probe in agent.sent(dial.connection, FreshnessProbe):
-            answer = FreshnessAnswer(nonce=probe.nonce, version=3)
-            agent.tell(MessageReceived(dial.connection, answer))
-        for write in agent.of(ReplaceFile):
-            agent.tell(WriteCompleted(write.token))
+    context.agent.install(Resource(share=share), Resource(service=service))
 
 
 @when("groups {first:S} and {second:S} keep {count:d} calls waiting for {rounds:d} answers")
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -125,6 +125,10 @@
         """Take the groups' weights."""
         self._queue.set_weights(weights)
 
+    def set_tenant_rates(self, rates: Mapping[str, float]) -> None:
+        """Take the tenants' rates in calls a second."""
+        self._queue.set_tenant_rates(rates)
+
     def set_max_body(self, service_limit: int) -> None:
         """Take the service's own body limit in bytes; 0 leaves the process's limit."""
         self._intake.set_max_body(service_limit)
@@ -393,5 +397,11 @@
 
 def _queued(call: Call, now: float) -> QueuedCall:
     return QueuedCall(
-        call.number, call.start.group, call.deadline, len(call.body), now, call.target
+        call=call.number,
+        group=call.start.group,
+        deadline=call.deadline,
+        size=len(call.body),
+        arrived_at=now,
+        target=call.target,
+        tenant=call.start.tenant,
     )
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -276,6 +276,7 @@
         shares = configuration.shares.get(self._service, ())
         self._versions.follow(configuration.rollouts.get(self._service))
         self._calls.set_weights({share.group: share.weight for share in shares})
+        self._calls.set_tenant_rates(configuration.tenant_rates)
         fields: dict[str, object] = {"version": version, "groups": len(shares)}
         return [LogEvent(events.SHARES_CHANGED, fields)]
 
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -36,7 +36,7 @@
 
 
 class Eviction(Struct, frozen=True):
-    """A queued call refused to make room for a group that is below its part of the bytes."""
+    """A queued call refused to make room for a group or a tenant that is below its part."""
 
     call: int
     failure: Failure
@@ -92,20 +92,25 @@
         """Take the weights of all groups that have a share; others get the default weight."""
         self._groups.set_weights(weights, self._virtual_time)
 
+    def set_tenant_rates(self, rates: Mapping[str, float]) -> None:
+        """Take the tenants' rates in calls a second, by which they share each group's turns."""
+        self._groups.tenant_rates.replace(rates)
+
     def offer(
         self, call: QueuedCall, now: float, *, checked: bool = False
     ) -> Failure | tuple[Eviction, ...]:
         """Queue a call, or refuse it at once (NOT RUN) when it cannot make its deadline.
 
         One that was ``checked`` before its body was asked for is refused only if its deadline has
-        passed: its bytes have been paid for. Returns the calls of other groups that lost their
-        place for it.
+        passed: its bytes have been paid for. Returns the calls of other groups and tenants that
+        lost their place for it.
         """
         group = self._groups.open(call.group, self._virtual_time)
         failure = _past_deadline(call, now) if checked else self._refusal(group, call, now)
         if failure is None:
             evictions = self._make_room(group, call.size, now)
             if not isinstance(evictions, Failure):
+                evictions += self._make_place(group, call.tenant, now)
                 self._append(group, call)
                 return evictions
             failure = evictions
@@ -136,7 +141,7 @@
         if group is None:
             self._room_at = min(self._may_start_at(g, free, now) for g in self._groups if g.calls)
             return None
-        call = group.pop_oldest()
+        call = group.pop_next()
         self._dequeued(call)
         self._virtual_time = max(self._virtual_time, group.tag)
         charged = self._estimate.charge(group)
@@ -191,9 +196,9 @@
             return ()
         hopeless: list[int] = []
         for group in tuple(self._groups):
-            while group.calls and self._estimate.is_hopeless(group, group.oldest, now):
-                hopeless.append(group.oldest.call)
-                self.remove(group.oldest.call)
+            while group.calls and self._estimate.is_hopeless(group, group.next_call, now):
+                hopeless.append(group.next_call.call)
+                self.remove(group.next_call.call)
         return tuple(hopeless)
 
     def advice(self, name: str, now: float) -> float:
@@ -223,9 +228,9 @@
             advice = self._returns.book(0.0, FIRST_SERVICE_TIME, now)
             reason = "nothing is known yet of how long calls take, and some wait already"
             return Failure(ErrorKind.DEADLINE_TOO_SHORT, reason, retry_after=advice)
-        if len(group.calls) >= self._limits.group_calls:
+        if self._is_full(group) and group.turns.gives_way(call.tenant) is None:
             return self._share_failure(group, "the group's queue is full", now)
-        wait = max(whole_after, self._wait(group, now))
+        wait = max(whole_after, self._wait(group, now, call.tenant))
         service_time = self._estimate.service_time(group)
         if self._estimate.is_too_long(group, call, now, wait):
             return Failure(
@@ -235,6 +240,9 @@
             )
         return None
 
+    def _is_full(self, group: GroupQueue) -> bool:
+        return len(group.calls) >= self._limits.group_calls
+
     def _share_failure(self, group: GroupQueue, reason: str, now: float) -> Failure:
         alone = self._groups.only_active(group)
         kind = ErrorKind.OVERLOADED if alone else ErrorKind.SHARE_EXHAUSTED
@@ -264,6 +272,16 @@
             evictions.append(self._evict(now))
         return tuple(evictions)
 
+    def _make_place(self, group: GroupQueue, tenant: str, now: float) -> tuple[Eviction, ...]:
+        """Take a call of the tenant with most waiting out of a full group."""
+        number = group.turns.gives_way(tenant) if self._is_full(group) else None
+        if number is None:
+            return ()
+        failure = self._share_failure(group, "gave way to a tenant with fewer calls waiting", now)
+        self._dequeued(group.calls[number])
+        group.remove(number)
+        return (Eviction(number, failure),)
+
     def _evict(self, now: float) -> Eviction:
         victim = max(
             (group for group in self._groups if group.calls),
@@ -294,9 +312,9 @@
         self._queued_bytes -= call.size
         self._deadlines.remove(call.call)
 
-    def _wait(self, group: GroupQueue, now: float) -> float:
+    def _wait(self, group: GroupQueue, now: float, tenant: str = "") -> float:
         urgent = self._slot_use.held_by_more_urgent(priority_of(group.name), now)
-        return self._estimate.wait(group, self._virtual_time, urgent)
+        return self._estimate.wait(group, self._virtual_time, urgent, tenant)
 
     def _restart_virtual_time_when_idle(self) -> None:
         if not self._running and not self._group_of:
--- a/src/limelever/agent/group_queue.py
+++ b/src/limelever/agent/group_queue.py
@@ -7,6 +7,8 @@
 
 from msgspec import Struct, field
 
+from limelever.agent.tenant_turns import TenantRates, TenantTurns
+
 
 class QueuedCall(Struct, frozen=True):
     """A call that waits for a slot; times in monotonic seconds, ``size`` in bytes.
@@ -20,10 +22,15 @@
     size: int
     arrived_at: float = math.inf
     target: float = math.inf
+    tenant: str = ""
+
+
+def _own_turns() -> TenantTurns:
+    return TenantTurns(TenantRates())
 
 
 class GroupQueue(Struct):
-    """Calls of one group in order of arrival.
+    """Calls of one group in order of arrival, with the turns of their tenants.
 
     ``tag`` is the virtual start time of the group's next call: the slot time charged to the
     group so far, divided by its weight.
@@ -35,6 +42,7 @@
     running: int = 0
     queued_bytes: int = 0
     calls: OrderedDict[int, QueuedCall] = field(default_factory=OrderedDict)
+    turns: TenantTurns = field(default_factory=_own_turns)
 
     @property
     def active(self) -> bool:
@@ -42,30 +50,33 @@
         return bool(self.calls) or self.running > 0
 
     @property
-    def oldest(self) -> QueuedCall:
-        """Return the call that waited longest; raises ``StopIteration`` without any."""
-        return next(iter(self.calls.values()))
+    def next_call(self) -> QueuedCall:
+        """Return the call whose turn it is; raises ``ValueError`` without any."""
+        return self.calls[self.turns.next_call]
 
     def append(self, call: QueuedCall) -> None:
         """Put a call at the end."""
         self.calls[call.call] = call
+        self.turns.add(call.call, call.tenant)
         self.queued_bytes += call.size
 
-    def pop_oldest(self) -> QueuedCall:
-        """Take the call that waited longest."""
-        _, call = self.calls.popitem(last=False)
+    def pop_next(self) -> QueuedCall:
+        """Take the call whose turn it is."""
+        call = self.calls.pop(self.turns.next_call)
+        self.turns.served(call.call, call.tenant)
         self.queued_bytes -= call.size
         return call
 
     def pop_newest(self) -> QueuedCall:
         """Take the call that arrived last."""
-        _, call = self.calls.popitem(last=True)
-        self.queued_bytes -= call.size
+        call = next(reversed(self.calls.values()))
+        self.remove(call.call)
         return call
 
     def remove(self, call: int) -> None:
         """Take one call out, wherever it stands."""
         removed = self.calls.pop(call)
+        self.turns.remove(call, removed.tenant)
         self.queued_bytes -= removed.size
 
     def charge(self, seconds: float) -> None:
--- a/src/limelever/agent/group_table.py
+++ b/src/limelever/agent/group_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 
 from limelever.agent.group_queue import GroupQueue
+from limelever.agent.tenant_turns import TenantRates, TenantTurns
 from limelever.protocol.priorities import priority_weight
 
 POOLED_GROUP = ""
@@ -19,6 +20,7 @@
         self._unlisted_limit = unlisted_groups
         self._weights: dict[str, int] = {}
         self._groups: dict[str, GroupQueue] = {}
+        self.tenant_rates = TenantRates()
 
     def __iter__(self) -> Iterator[GroupQueue]:
         return iter(self._groups.values())
@@ -43,7 +45,8 @@
             name = POOLED_GROUP
         group = self._groups.get(name)
         if group is None:
-            group = GroupQueue(name, self._weight(name), virtual_time)
+            turns = TenantTurns(self.tenant_rates)
+            group = GroupQueue(name, self._weight(name), virtual_time, turns=turns)
             self._groups[name] = group
         return group
 
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -115,16 +115,19 @@
         """Return the slot time to charge for a call of the group when it starts."""
         return max(self.service_time(group) or FIRST_CHARGE, MINIMUM_CHARGE)
 
-    def wait(self, group: GroupQueue, virtual_time: float, urgent_slots: float = 0.0) -> float:
-        """Return how long a further call of the group would wait for a slot.
+    def wait(
+        self, group: GroupQueue, virtual_time: float, urgent_slots: float = 0.0, tenant: str = ""
+    ) -> float:
+        """Return how long a further call of a tenant in the group would wait for a slot.
 
         That is the slot time of the calls which fair queueing starts before it, and the time until
         the next of the running calls ends. ``urgent_slots`` is how many slots more urgent calls
         hold on average: those that come while it waits are started before it.
         """
         step = self.charge(group) / group.weight
-        start = max(group.tag, virtual_time) + len(group.calls) * step
-        work = len(group.calls) * self.service_time(group)
+        ahead = group.turns.ahead(tenant)
+        start = max(group.tag, virtual_time) + ahead * step
+        work = ahead * self.service_time(group)
         for other in self._groups:
             if other is not group and other.calls:
                 work += self._started_before(other, start) * self.service_time(other)
--- a/src/limelever/subscriber/configuration.py
+++ b/src/limelever/subscriber/configuration.py
@@ -12,6 +12,7 @@
     RESOURCE_KIND_SECRET,
     RESOURCE_KIND_SERVICE,
     RESOURCE_KIND_SHARE,
+    RESOURCE_KIND_TENANT,
     Rollout,
     Route,
     Secret,
@@ -114,6 +115,15 @@
             if key.kind == RESOURCE_KIND_ROLLOUT
         }
 
+    @cached_property
+    def tenant_rates(self) -> Mapping[str, float]:
+        """What each tenant may ask for, in requests a second; 0 for no limit."""
+        return {
+            key.name: held.resource.tenant.rate_per_s
+            for key, held in self._resources.items()
+            if key.kind == RESOURCE_KIND_TENANT
+        }
+
     def dangling(self) -> tuple[Key, ...]:
         """Return the keys that resources of the set refer to and that the set lacks, sorted."""
         return self._references.dangling
