Tell callers who come back from fresh ones where their patience differs

A caller who comes back after a refusal is late: its target counts from its first request. It was told by the time that most callers of a route name.

Fresh callers' times lie together above a gap, as who comes back was told to stay away. `named_times` looks for that gap in the times counted; without one all count as fresh, as before. Ruled out: the longest time named with a fixed margin, which takes the impatient for returning callers.

Three of the new examples in features/proxy/overload.feature fail without it.

--- a/features/proxy/overload.feature
+++ b/features/proxy/overload.feature
@@ -69,6 +69,34 @@
     And a caller names 900 ms
     Then it is taken to have waited for 100 ms
 
+  Scenario Outline: Callers of different patience who come back are told by the gap
+    Each caller of a site waited for a time of its own, 85 to 100 in 100 of the longest. No time was
+    usual, so that nobody counted as one that had come back: a third of the calls under an overload,
+    past their target, took the slots of fresh ones, and half of the answers were late.
+    Given callers of a route with a patience of 1770 to 2084 ms, of whom <back> in 100 come back after a third of it
+    When a caller names <named> ms
+    Then it is taken to have waited for <least> to <most> ms
+
+    Examples:
+      | back | named | least | most |
+      | 0    | 1800  | 0     | 0    |
+      | 0    | 1300  | 550   | 700  |
+      | 50   | 1775  | 0     | 0    |
+      | 50   | 2084  | 0     | 0    |
+      | 50   | 1300  | 550   | 700  |
+      | 70   | 1200  | 650   | 800  |
+
+  Scenario Outline: Times without a gap say nothing of who has come back
+    Given callers of a route with a patience of 1 to 2500 ms, of whom 0 in 100 come back after a third of it
+    When a caller names <named> ms
+    Then it is taken to have waited for 0 to 0 ms
+
+    Examples:
+      | named |
+      | 2400  |
+      | 1000  |
+      | 300   |
+
   Scenario: A caller that comes back leaves the queue to the fresh
     Given a queue full of calls of 100 ms, in which a fresh call would have to wait for 60 ms
     Then a call whose target is 300 ms away is taken
--- a/features/steps/prior_wait_steps.py
+++ b/features/steps/prior_wait_steps.py
@@ -28,6 +28,20 @@
         context.waits.waited(ROUTE, milliseconds / 1000)
 
 
+@given(
+    "callers of a route with a patience of {least:d} to {most:d} ms, of whom {back:d} in 100 come "
+    "back after a third of it"
+)
+def given_patient_callers(context, least, most, back):
+    context.waits = PriorWaits()
+    drawn = random.Random(SEED)
+    for _ in range(CALLS):
+        milliseconds = drawn.randint(least, most)
+        if drawn.randrange(100) < back:
+            milliseconds = milliseconds * 2 // 3
+        context.waits.waited(ROUTE, milliseconds / 1000)
+
+
 @when("{count:d} callers name {named:d} ms")
 def when_callers_name(context, count, named):
     for _ in range(count):
@@ -39,6 +53,11 @@
     context.waited = context.waits.waited(ROUTE, named / 1000)
 
 
+@then("it is taken to have waited for {least:d} to {most:d} ms")
+def then_waited_about(context, least, most):
+    assert least <= context.waited * 1000 <= most, context.waited
+
+
 @then("it is taken to have waited for {waited:d} ms")
 def then_waited(context, waited):
     assert round(context.waited * 1000) == waited, context.waited
--- a/src/limelever/proxy/prior_waits.py
+++ b/src/limelever/proxy/prior_waits.py
@@ -2,8 +2,10 @@
 
 A caller that comes back after a refusal names the time it still waits: less than it named at
 first. What most callers of a route name is taken as what a fresh one does; who names less has
-waited for the difference. Its target counts from its first request, so it may be past already:
-then the call takes what room the fresh ones leave, since their answers can still come in time.
+waited for the difference. Where callers differ in patience, what lies above a gap is what fresh
+ones name, see ``named_times``. The target of a call counts from its caller's first request, so it
+may be past already: then the call takes what room the fresh ones leave, since their answers can
+still come in time.
 
 Where callers name times of all sizes nothing is known, and all count as fresh.
 """
@@ -12,6 +14,8 @@
 
 from collections import Counter
 
+from limelever.proxy.named_times import FreshTimes, fresh_times
+
 SAMPLES_PER_GENERATION = 256
 """Calls of a route after which what was counted weighs half; some seconds of a busy route."""
 
@@ -21,19 +25,27 @@
 LEAST_USUAL_PART = 0.25
 """Part of the calls that must name one time; below it there is no usual one."""
 
+LEAST_SAMPLES_OF_BAND = 64
+"""Calls of a route before a gap between its callers' times is looked for."""
+
+SAMPLES_PER_LOOK = 16
+"""Calls of a route between two such looks."""
+
 _MILLISECONDS = 1000
 
 
 class _Named:
     """The times that a route's callers named of late, in milliseconds."""
 
-    __slots__ = ("_counts", "_since_halved", "_total", "usual")
+    __slots__ = ("_counts", "_fresh", "_look_at", "_since_halved", "_total", "usual")
 
     def __init__(self) -> None:
         self.usual = 0
         self._counts: Counter[int] = Counter()
         self._total = 0
         self._since_halved = 0
+        self._look_at = LEAST_SAMPLES_OF_BAND
+        self._fresh: FreshTimes | None = None
 
     def add(self, milliseconds: int) -> None:
         count = self._counts[milliseconds] = self._counts[milliseconds] + 1
@@ -44,18 +56,33 @@
         elif milliseconds != self.usual and count > self._counts[self.usual]:
             self.usual = milliseconds
 
+    def waited(self, milliseconds: int) -> float:
+        """Return how much less a caller names than a fresh one, 0 where that is not known."""
+        if self._one_is_usual:
+            return max(0, self.usual - milliseconds)
+        fresh = self._look()
+        if fresh is None or milliseconds >= fresh.least:
+            return 0.0
+        return fresh.mean - milliseconds
+
     @property
-    def known(self) -> bool:
-        """Return whether most callers name one time."""
+    def _one_is_usual(self) -> bool:
         if self._total < LEAST_SAMPLES:
             return False
         return self._counts[self.usual] >= self._total * LEAST_USUAL_PART
 
+    def _look(self) -> FreshTimes | None:
+        if self._total >= self._look_at:
+            self._look_at = self._total + SAMPLES_PER_LOOK
+            self._fresh = fresh_times(self._counts, LEAST_USUAL_PART)
+        return self._fresh
+
     def _halve(self) -> None:
         self._since_halved = 0
         halved = {named: count // 2 for named, count in self._counts.items() if count > 1}
         self._counts = Counter(halved)
         self._total = sum(halved.values())
+        self._look_at = max(LEAST_SAMPLES_OF_BAND, self._total)
         self.usual = max(halved, key=halved.__getitem__, default=0)
 
 
@@ -77,9 +104,7 @@
         if known is None:
             known = self._by_route[route] = _Named()
         known.add(milliseconds)
-        if not known.known:
-            return 0.0
-        return max(0, known.usual - milliseconds) / _MILLISECONDS
+        return known.waited(milliseconds) / _MILLISECONDS
 
     def keep_only(self, routes: frozenset[str]) -> None:
         """Forget routes that are gone."""
