--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -278,6 +278,8 @@
         shares = configuration.shares.get(self._service, ())
         self._versions.follow(configuration.rollouts.get(self._service))
         self._calls.set_weights({share.group: share.weight for share in shares})
+        tenants = configuration.tenants.values()
+        self._calls.set_tenant_rates({each.name: each.rate_per_s for each in tenants})
         fields: dict[str, object] = {"version": version, "groups": len(shares)}
         return [LogEvent(events.SHARES_CHANGED, fields)]
 
