--- a/features/steps/tenant_turns_steps.py
+++ b/features/steps/tenant_turns_steps.py
@@ -242,7 +242,8 @@
     }
     limits = CallLimits(QueueLimits(slots=1))
     service = CallService("orders", 7, limits, random.Random(1))
-    service.set_tenant_rates(ConfigurationSet(resources).tenant_rates)
+    tenants = ConfigurationSet(resources).tenants.values()
+    service.set_tenant_rates({each.name: each.rate_per_s for each in tenants})
     outputs: list[Output] = []
     for stream in range(1, 2 * count + 1):
         start = call_start(stream, tenant=("hot", "small")[stream % 2], deadline_left_ms=900_000)
