Close a plain connection without a turn of the loop

Cause: a client's connection was closed by a cancelled wait within a shielded scope, which costs two turns of the loop and two scopes.

Change: a plain socket is closed in place, as trio's own stream closes it, without the checkpoints around; TLS and any other stream as before. trio's own close after the handler, one run more, would need an accept loop of our own: left.

--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -23,7 +23,7 @@
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
 from limelever.transport.send_limits import time_to_send
-from limelever.transport.streams import receive, send_without_waiting
+from limelever.transport.streams import close_at_once, receive, send_without_waiting
 
 LINGER_SECONDS = 1.0
 """How long a client has to close after its last answer: a reset would destroy the answer."""
@@ -121,8 +121,7 @@
             self._count_untaken(-self._untaken)
             self._ended = True
             if not self._handed_over:
-                with trio.CancelScope(shield=True):
-                    await trio.aclose_forcefully(self.stream)
+                await close_at_once(self.stream)
         return b""
 
     def stop(self) -> None:
--- a/src/limelever/transport/streams.py
+++ b/src/limelever/transport/streams.py
@@ -65,6 +65,18 @@
             raise trio.BrokenResourceError(str(error)) from error
 
 
+async def close_at_once(stream: trio.abc.AsyncResource) -> None:
+    """Close without a word to the other end, whether or not the task is cancelled.
+
+    On a plain socket this takes no turn of the loop; trio's own way takes one or two.
+    """
+    if isinstance(stream, trio.SocketStream):
+        stream.socket.close()
+        return
+    with trio.CancelScope(shield=True):
+        await trio.aclose_forcefully(stream)
+
+
 def reason_of(error: BaseException) -> str:
     """Return why a stream broke; trio keeps TLS's own words in the cause."""
     cause = error.__cause__
