Let the accept loop close what it accepted without a turn of the loop

Cause: trio's accept loop closes each connection once more after its handler: two turns for a plain socket that is closed already, beside the two of the handler's own.

Change: the loop gets connections whose own close is that of streams.close_at_once; handlers get the stream as before. An accept loop of our own was ruled out: trio's waits when descriptors run out.

Test: two scenarios took 2 turns each with the stream's own close and take none.

--- a/features/steps/transport_closing_steps.py
+++ b/features/steps/transport_closing_steps.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 import trio.testing
 from behave import given, then, when
 
+from limelever.transport.accepting import Accepted
 from limelever.transport.streams import close_at_once, receive
 
 
@@ -31,15 +34,32 @@
 
 @when("it is closed at once")
 def when_closed(context):
-    trio.run(close, context, False)
+    trio.run(close, context, close_at_once, False)
 
 
 @when("it is closed at once by a task that is cancelled")
 def when_closed_cancelled(context):
-    trio.run(close, context, True)
+    trio.run(close, context, close_at_once, True)
+
+
+@when("its handler has closed it and the accept loop closes what it accepted")
+def when_closed_twice(context):
+    async def close_twice(stream: trio.SocketStream) -> None:
+        await close_at_once(stream)
+        await trio.aclose_forcefully(Accepted(stream))
+
+    trio.run(close, context, close_twice, False)
+
+
+@when("its handler has left it open and the accept loop closes what it accepted")
+def when_left_open(context):
+    async def close_accepted(stream: trio.SocketStream) -> None:
+        await trio.aclose_forcefully(Accepted(stream))
+
+    trio.run(close, context, close_accepted, False)
 
 
-async def close(context, cancelled: bool) -> None:
+async def close(context, way: Callable[..., Awaitable[None]], cancelled: bool) -> None:
     ours, theirs = trio.socket.socketpair()
     plain, other = trio.SocketStream(ours), trio.SocketStream(theirs)
     context.waiter_error = None
@@ -58,7 +78,7 @@
         with trio.CancelScope() as scope:
             if cancelled:
                 scope.cancel()
-            await close_at_once(trio.StapledStream(plain, plain) if context.wrapped else plain)
+            await way(trio.StapledStream(plain, plain) if context.wrapped else plain)
         context.turns = turns.count
         trio.lowlevel.remove_instrument(turns)
     with trio.fail_after(5):
--- a/features/transport/closing.feature
+++ b/features/transport/closing.feature
@@ -19,3 +19,15 @@
     Given a connection over a wrapped socket
     When it is closed at once by a task that is cancelled
     Then its other end reads the end
+
+  Scenario: The accept loop's own close after a handler's takes no turn either
+    Given a connection over a plain socket
+    When its handler has closed it and the accept loop closes what it accepted
+    Then it took 0 turns of the loop
+    And its other end reads the end
+
+  Scenario: The accept loop closes a connection that its handler has left open
+    Given a connection over a plain socket
+    When its handler has left it open and the accept loop closes what it accepted
+    Then it took 0 turns of the loop
+    And its other end reads the end
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -21,6 +21,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
+from limelever.transport.accepting import Accepted, AcceptingListener
 from limelever.transport.asgi import AsgiApplication, AsgiHandler, reporting
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
 from limelever.transport.http_limits import HttpLimits
@@ -107,7 +108,7 @@
         guard = _Guard(service, options, connections)
         async with trio.open_nursery() as accepting:
             serve = partial(trio.serve_listeners, handler_nursery=connections)
-            accepting.start_soon(serve, guard.run, list(listeners))
+            accepting.start_soon(serve, guard.run, [AcceptingListener(each) for each in listeners])
             await shutdown.wait()
             accepting.cancel_scope.cancel()
         await guard.stop()
@@ -151,8 +152,9 @@
             elif connection is not None:
                 await connection.stop()
 
-    async def run(self, stream: Stream) -> None:
+    async def run(self, accepted: Accepted[Stream]) -> None:
         """Serve one connection to its end."""
+        stream = accepted.stream
         replaced = None
         if len(self._open) >= self._options.connection_limit:
             replaced = self._longest_idle()
