--- a/features/platform/formats.feature
+++ b/features/platform/formats.feature
@@ -52,6 +52,17 @@
       | true   | 5000  | 4000  |
       | true   | 2500  | 2000  |
 
+  Scenario Outline: The platform's bounds say what tenants' limits mean, alike to all machines
+    Then limits whose quotaOver is <over> and quotaSlack <slack> allow <over_percent> percent and <calls> calls more in <window> ms
+
+    Examples:
+      | over | slack | over_percent | calls | window |
+      | 0.1  | 20    | 10           | 20    | 5000   |
+      | 0.29 | 0     | 29           | 0     | 5000   |
+      | many | -1    | 10           | 20    | 5000   |
+      | 7    | 1e9   | 100          | 100000 | 5000  |
+      | none | none  | 10           | 20    | 5000   |
+
   Scenario Outline: A heartbeat that is <flaw> is refused
     Then the platform's heartbeat that is <flaw> is refused with 400
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -239,6 +239,20 @@
     assert node_settings(fields).tenants.revoked_after_ms == taken
 
 
+@then(
+    "limits whose quotaOver is {over} and quotaSlack {slack} allow {over_percent:d} percent and "
+    "{calls:d} calls more in {window:d} ms"
+)
+def then_limits_mean(context, over, slack, over_percent, calls, window):
+    given_settings(context)
+    quota = {"bounds.quotaWindowS": "5", "bounds.quotaOver": over, "bounds.quotaSlack": slack}
+    if over == "none":
+        quota = {}
+    node = node_settings({**context.node_fields, **quota}).limits
+    assert (node.over_percent, node.slack, node.window_ms) == (over_percent, calls, window), node
+    assert control_settings({**context.control_fields, **quota}).limits == node
+
+
 @then("the platform's configuration that is {flaw} is refused with 400")
 def then_configuration_refused(context, flaw):
     batch = parse_configuration(flawed(flaw))
--- a/src/limelever/limits/plan.py
+++ b/src/limelever/limits/plan.py
@@ -35,6 +35,8 @@
     room = max(0.0, aim - use.admitted(now) + use.leaving(now, HORIZON))
     planned = min(room / HORIZON, max(0.0, rate + level / HORIZON))
     asked = use.asked_rate(now)
+    if planned <= 0.0:
+        return 0
     if planned >= asked * LARGEST_PERMILLE / 1000:
         return LARGEST_PERMILLE
     return int(1000 * planned / asked)
