--- a/features/proxy/rate_limits.feature
+++ b/features/proxy/rate_limits.feature
@@ -65,13 +65,19 @@
     And 6 seconds pass in the fleet of limits
     Then no tenant has passed its limit by more than the rule allows
 
-  Scenario: Tenants have just become hot when no proxy reaches a relay any more
+  Scenario Outline: Tenants have just become hot when no proxy reaches a relay any more
+    Given the fleet of limits is drawn from seed <seed>
     When 6 seconds pass in the fleet of limits
-    And the tenants "0, 2, 5" send 7 times their usual for 0.4 seconds
+    And the tenants "0, 2, 5" send 7 times their usual for <hot> seconds
     And no proxy reaches a relay of the fleet of limits
     And 8 seconds pass in the fleet of limits
     Then no tenant has passed its limit by more than the rule allows
 
+    Examples:
+      | seed | hot |
+      | 1    | 0.4 |
+      | 5    | 0.3 |
+
   Scenario: All is restarted while a tenant is hot
     When 6 seconds pass in the fleet of limits
     And the tenants "0, 5" send 7 times their usual for 6 seconds
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -38,6 +38,11 @@
     context.fleet = LimitsFleet(1, tenants, make=FractionLimits, make_board=FractionBoard)
 
 
+@given("the fleet of limits is drawn from seed {seed:d}")
+def given_seed(context: Context, seed: int) -> None:
+    context.fleet = LimitsFleet(seed, power_law(len(context.fleet.tenants), TOTAL))
+
+
 @given("60 proxies and 5 relays that lease out rates")
 def given_lease_fleet(context: Context) -> None:
     tenants = power_law(6, TOTAL)
