Give what a tenant at its limit may do to calls that can be answered in time

Cause: callers whom a limit had refused came back late and were let in by the same part as fresh ones; each took the place of a fresh call, which then came back late itself.

Change: while its relay tells that less may be let in than is asked, a proxy refuses a tenant's calls whose target has passed already, and counts them neither as let in nor as asked. What is known of callers' earlier waits is looked up at admission for that. With room, or without news, late calls are let in as before.

The scenario fails without it.

--- a/features/proxy/tenant_refusals.feature
+++ b/features/proxy/tenant_refusals.feature
@@ -30,3 +30,12 @@
     And it is asked for 30 calls that are all run
     Then it has let 48 calls in
     And it refuses the next one
+
+  Scenario: What a tenant at its limit may do goes to calls that can be answered in time
+    # Callers whom a limit had refused came back late, took the place of fresh ones, and these came
+    # back late in their turn: a tenant over its limit got half of it in late answers.
+    Given a tenant that asks for twice what its relay lets in
+    When for 5 seconds each fresh call is followed by one that comes back late
+    Then half of the fresh calls are let in, and none that comes back late
+    When its relay tells that there is room again
+    Then a call that comes back late is let in
--- a/features/steps/tenant_refusal_steps.py
+++ b/features/steps/tenant_refusal_steps.py
@@ -101,3 +101,43 @@
     refusal = context.limits.admit(context.tenant, NOW)
     assert refusal is not None and refusal.kind is ErrorKind.RATE_LIMITED
     assert refusal.retry_after > 0 and "north" in refusal.reason
+
+
+@given("a tenant that asks for twice what its relay lets in")
+def given_halved(context: Context) -> None:
+    context.tenant = TenantEntry("north", 0, 50.0, 50.0)
+    context.limits = TenantLimits(LimitRules(), random.Random(1))
+    context.limits.set_tenants({"north": context.tenant})
+    context.now = NOW
+    context.news = LimitNews(proxies=1, tenants=[tenant_hash("north")], permille=[500])
+    context.limits.take_news(context.news, NOW)
+
+
+@when("for {seconds:d} seconds each fresh call is followed by one that comes back late")
+def ask_fresh_and_late(context: Context, seconds: int) -> None:
+    context.fresh = context.let_in_fresh = context.let_in_late = 0
+    for index in range(seconds * 100):
+        context.now = NOW + index / 100
+        if index % 20 == 0:
+            context.limits.take_news(context.news, context.now)
+        context.fresh += 1
+        fresh = context.limits.admit(context.tenant, context.now)
+        late = context.limits.admit(context.tenant, context.now, is_late=True)
+        context.let_in_fresh += fresh is None
+        context.let_in_late += late is None
+
+
+@then("half of the fresh calls are let in, and none that comes back late")
+def check_fresh_first(context: Context) -> None:
+    assert 0.4 <= context.let_in_fresh / context.fresh <= 0.5, context.let_in_fresh
+    assert context.let_in_late == 0, context.let_in_late
+
+
+@when("its relay tells that there is room again")
+def tell_room(context: Context) -> None:
+    context.limits.take_news(LimitNews(proxies=1), context.now)
+
+
+@then("a call that comes back late is let in")
+def check_late_let_in(context: Context) -> None:
+    assert context.limits.admit(context.tenant, context.now, is_late=True) is None
--- a/src/limelever/limits/gate.py
+++ b/src/limelever/limits/gate.py
@@ -75,6 +75,14 @@
         """Take that the tenant is not near its limit."""
         self._told = False
 
+    def is_short(self, silent: float) -> bool:
+        """Return whether less may be let in than is asked, by news that still count.
+
+        What is let in then are calls that can be answered in time: a call that comes back late
+        takes the place of a fresh one, which would come back late in its turn.
+        """
+        return self._told and self._part < 1.0 and silent <= SILENT_AFTER
+
     def try_admit(self, silent: float, fleet: int, now: float) -> bool:
         """Count a call that is asked for, and return whether it is let in.
 
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -16,6 +16,7 @@
 )
 from limelever.proxy.caller_keys import KeyHeader, tenant_of
 from limelever.proxy.group_limits import GroupLimits, ShareKey
+from limelever.proxy.prior_waits import PriorWaits
 from limelever.proxy.router import RouteEntry, RoutePart, RouteTable
 from limelever.proxy.split import Splits
 from limelever.proxy.tenant_limits import TenantLimits
@@ -72,6 +73,7 @@
         self._limits = limits
         self._tenant_limits = tenant_limits
         self._splits = Splits(random_source)
+        self._prior_waits = PriorWaits()
         self._table: RouteTable | None = None
         self._first_untabled: float | None = None
         self._stopping = False
@@ -86,6 +88,7 @@
         """Route calls by this table from now on."""
         self._table = table
         self._splits.keep_only(table.route_names())
+        self._prior_waits.keep_only(table.route_names())
 
     def table_proved(self, at: float) -> None:
         """Take the time at which the table was known to be current (seconds, monotonic)."""
@@ -111,8 +114,10 @@
         refusal = _check(request, route, part)
         if refusal is not None:
             return unless_unproved(refusal, self.proved_at, self._settings, now)
+        target = now + route.target_latency if route.target_latency else math.inf
+        target -= self._prior_waits.waited(route.name, request.timeout)
         if tenant is not None:
-            refusal = self._tenant_limits.admit(tenant, now)
+            refusal = self._tenant_limits.admit(tenant, now, is_late=target <= now)
             if refusal is not None:
                 return refusal
         share = ShareKey(part.service, request.group)
@@ -121,7 +126,6 @@
             self._not_run(tenant, now)
             return refusal
         deadline = now + call_timeout(request, route, self._settings)
-        target = now + route.target_latency if route.target_latency else math.inf
         return Call(
             number,
             request,
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -28,7 +28,6 @@
 from limelever.proxy.call_types import AnswerCall, CallAnswer, CallRequest
 from limelever.proxy.group_limits import GroupLimits
 from limelever.proxy.health import Verdict
-from limelever.proxy.prior_waits import PriorWaits
 from limelever.proxy.quarantine import Quarantine
 from limelever.proxy.retry_budget import RetryBudgets
 from limelever.proxy.retry_rules import (
@@ -87,7 +86,6 @@
         self._budgets = RetryBudgets(settings.retry.fleet_saved)
         self._second_percent = settings.retry.second_choice_percent
         self._second_choices = RetryBudgets()
-        self._prior_waits = PriorWaits()
         self._gives_back = False
         self._log = CallLog(settings.log, outputs)
         attempts.log = self._log
@@ -103,7 +101,6 @@
         self._attempts.set_secret_names(table.secret_names, callers_show_keys=bool(table.tenants))
         self._budgets.keep_only(table.services())
         self._second_choices.keep_only(table.services())
-        self._prior_waits.keep_only(table.route_names())
         self._attempts.keep_only(table.route_names())
 
     def table_proved(self, at: float) -> None:
@@ -131,7 +128,6 @@
             self._end(admitted, quarantined, now)
             return
         route = admitted.route
-        admitted.target -= self._prior_waits.waited(route.name, request.timeout)
         self._budgets.of(admitted.part.service, route.retry_budget_percent).record_fresh_call()
         if self._second_percent:
             self._second_choices.of(admitted.part.service, self._second_percent).record_fresh_call()
--- a/src/limelever/proxy/tenant_limits.py
+++ b/src/limelever/proxy/tenant_limits.py
@@ -77,12 +77,17 @@
         """Take how many nodes there are, as far as a proxy knows without a relay's news."""
         self._nodes = nodes
 
-    def admit(self, tenant: TenantEntry, now: float) -> Failure | None:
-        """Count a call of a tenant; return why it is refused, or nothing."""
+    def admit(self, tenant: TenantEntry, now: float, *, is_late: bool = False) -> Failure | None:
+        """Count a call of a tenant; return why it is refused, or nothing.
+
+        One that ``is_late`` whatever happens is let in only where its tenant has room to spare.
+        """
         number = self._hash_of.get(tenant.name)
         if number is None:
             return None
         gate = self._gates[number]
+        if is_late and gate.is_short(self._silent(now)):
+            return self._refusal(tenant, gate, now)
         admitted = gate.try_admit(self._silent(now), self._fleet_size(), now)
         self._note(number, admitted)
         return None if admitted else self._refusal(tenant, gate, now)
