Tell how long work takes at an instance now to its zone, and place calls by it

Cause: instances that share their machines take two and a half times as long for some tenths of a second. They say so on each answer, in the fourth figure of the load header, which nobody read; means over calls come too late for it.

Change: the agent reads the figure from answers (the header is passed on as before), believes it for 0.5 s, sends it with its own answers, and tells its relay when it changes by half of the usual time; the relay tells the zone's proxies, a byte an endpoint. A proxy's expected time of an endpoint is multiplied by it while it is news (it halves in 0.3 s). Nothing of it is sent where no header tells it. Ruled out: own times of a proxy or an agent, which come later than such noise lives.

--- a/src/limelever/agent/backend.py
+++ b/src/limelever/agent/backend.py
@@ -20,6 +20,7 @@
     CheckBackend,
     StartAttempt,
 )
+from limelever.agent.load_header import pace_in
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
@@ -206,7 +207,8 @@
         unfounded = unfounded_promise(status, self._names)
         if unfounded is not None:
             return AttemptFailed(output.attempt, unfounded, sent_any_byte=True)
-        return AttemptAnswered(output.attempt, status, headers, body)
+        pace = pace_in(headers, self._names)
+        return AttemptAnswered(output.attempt, status, headers, body, pace)
 
 
 async def _read_answer(connection: BackendConnection, reader: AnswerReader) -> None:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -118,6 +118,10 @@
         load = self.running + self.waiting
         return load if load > self._limits.queue.slots // 2 else 0
 
+    def pace(self, now: float) -> int:
+        """Return how long work takes at the back end now, 1000 as usual; 0 if not known."""
+        return self._replies.pace.now(now)
+
     @property
     def unfinished(self) -> int:
         """Return the attempts at the back end and the answers not yet taken whole."""
@@ -235,6 +239,7 @@
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
         settled = call.settled
         self._replies.now = now
+        self._replies.pace.observe(event.pace_permille, now)
         self._forget(call)
         if not failed:
             self._link.observe(call.start.group, len(event.body))
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -166,7 +166,8 @@
         outputs.extend(self._registration.tell_tally(tally) if tally is not None else [])
         outputs.extend(self._subscribed(event, now))
         running, load = self._calls.running, self._calls.told_load
-        outputs.extend(self._registration.report_load(running, load, now))
+        pace = self._calls.pace(now)
+        outputs.extend(self._registration.report_load(running, load, now, pace))
         outputs.extend(self._advance_drain(now))
         return outputs
 
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -52,12 +52,16 @@
 
 
 class AttemptAnswered(Event, frozen=True):
-    """The back end's whole answer."""
+    """The back end's whole answer, and how long it says that work takes there now.
+
+    ``pace_permille`` is 1000 as usual, 0 if not told.
+    """
 
     attempt: int
     status: int
     headers: Headers
     body: bytes
+    pace_permille: int = 0
 
 
 class AttemptFailed(Event, frozen=True):
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -158,12 +158,15 @@
             return []
         return self._dial(now)
 
-    def report_load(self, in_flight: int, load: int, now: float) -> list[Output]:
-        """Take the calls that run, for the next renewal, and all that are here, told at changes."""
+    def report_load(self, in_flight: int, load: int, now: float, pace: int = 0) -> list[Output]:
+        """Take the calls that run, for the next renewal, and all that are here, told at changes.
+
+        So is the ``pace``, how long work takes at the back end now, in thousandths of the usual.
+        """
         self._in_flight = in_flight
         if not self.leased or self._connection is None:
             return []
-        report = self._loads.take(load, now)
+        report = self._loads.take(load, now, pace)
         return [SendMessage(self._connection, report)] if report is not None else []
 
     def tell_crashes(self, news: Sequence[CrashNews], now: float) -> list[Output]:
--- a/src/limelever/proxy/attempt_ends.py
+++ b/src/limelever/proxy/attempt_ends.py
@@ -74,6 +74,7 @@
         reported = load.in_flight + load.queued
         key = attempt.entry.key
         self._balancer.observe_load(key, reported, now, load.service_us / _MICROSECONDS)
+        self._balancer.observe_pace(key, load.pace_permille, now)
         if load.route_service_us:
             seconds = load.route_service_us / _MICROSECONDS
             self._balancer.observe_route(key, call.route.name, seconds)
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -16,6 +16,7 @@
 
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.health import EndpointHealth, HealthSettings, Verdict
+from limelever.proxy.paces import Paces
 from limelever.proxy.usual_times import UsualTimes
 from limelever.proxy.zone_loads import ZoneLoads
 
@@ -85,6 +86,7 @@
         self._local: dict[str, _LocalEndpoints] = {}
         self._usual = UsualTimes()
         self._zone_loads = ZoneLoads()
+        self._paces = Paces()
 
     def pick(
         self,
@@ -162,6 +164,10 @@
         health.foreign_load = max(0, reported - health.in_flight)
         health.load_at = now
 
+    def observe_pace(self, key: EndpointKey, permille: int, now: float) -> None:
+        """Take how long work takes at the endpoint now, 1000 as usual; 0 is no news."""
+        self._paces.told(key, permille, now)
+
     def observe_zone_load(self, key: EndpointKey, load: int, now: float) -> None:
         """Take a load that a relay told of an endpoint in the own zone."""
         self._zone_loads.told(key, load)
@@ -187,6 +193,7 @@
     def keep_only(self, keys: frozenset[EndpointKey]) -> None:
         """Forget endpoints that are gone and have no call in flight."""
         self._zone_loads.keep_only(keys)
+        self._paces.keep_only(keys)
         for key in self._health.keys() - keys:
             if not self._health[key].in_flight:
                 del self._health[key]
@@ -276,7 +283,8 @@
         own_time = health.time_by_route.get(asked.route) or self._usual.of_route(asked.route)
         used = self._load(entry, health, asked, 1)
         running = (own_time or service_time) * (1.0 + NEAR_FULL_SLOWDOWN * used)
-        return running + service_time * max(0.0, used - 1.0)
+        usual = running + service_time * max(0.0, used - 1.0)
+        return usual * self._paces.factor(entry.key, asked.now)
 
     def _load(
         self, entry: EndpointEntry, health: EndpointHealth, asked: _Asked, added: int = 0
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -28,6 +28,7 @@
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.keeper.tally import AnswerRecorded, ClaimGranted
 from limelever.protocol.config_pb2 import RESOURCE_KIND_SERVICE
+from limelever.protocol.endpoint_news import unpack
 from limelever.protocol.keys import Key
 from limelever.proxy import events
 from limelever.proxy.attempts import Attempts, AttemptSettings
@@ -296,11 +297,11 @@
         self._engine.share_budgets_between(len(self._view.keys()))
 
     def _take_loads(self, received: LoadsReceived, now: float) -> None:
-        update = received.update
-        for number, load in zip(update.endpoints, update.loads, strict=False):
-            key = self._view.by_hash(number)
+        for told in unpack(received.update):
+            key = self._view.by_hash(told.number)
             if key is not None:
-                self._balancer.observe_zone_load(key, load, now)
+                self._balancer.observe_zone_load(key, told.news.load, now)
+                self._balancer.observe_pace(key, told.news.pace_permille, now)
 
     def _take_crash_news(self, received: CrashNewsReceived, now: float) -> None:
         if self._quarantine.take(received.news, now):
--- a/src/limelever/relay/endpoints.py
+++ b/src/limelever/relay/endpoints.py
@@ -243,7 +243,7 @@
     def _load_reported(self, connection: ConnectionId, report: LoadReport, now: float) -> None:
         endpoint = self._leases.reporting(connection)
         if endpoint is not None:
-            self._loads.reported(endpoint, report.load, now)
+            self._loads.reported(endpoint, report, now)
 
     def _note(self, changed: Iterable[EndpointName], now: float) -> None:
         self._changed.update(changed)
--- a/src/limelever/relay/load_board.py
+++ b/src/limelever/relay/load_board.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterable
 
 from limelever.common.sansio import ConnectionId, Output, SendMessage
-from limelever.protocol.endpoint_hash import LARGEST_LOAD, endpoint_hash
-from limelever.protocol.endpoints_pb2 import Endpoint, LoadUpdate
+from limelever.protocol.endpoint_hash import endpoint_hash
+from limelever.protocol.endpoint_news import EndpointNews, news_of, pack, unpack
+from limelever.protocol.endpoints_pb2 import Endpoint, LoadReport, LoadUpdate
 from limelever.publisher.batching import BatchTimer
 
 
@@ -19,8 +20,8 @@
     """Loads by zone that were reported since they were last told; times in seconds."""
 
     def __init__(self, interval: float) -> None:
-        self._own: dict[str, dict[int, int]] = {}
-        self._foreign: dict[str, dict[int, int]] = {}
+        self._own: dict[str, dict[int, EndpointNews]] = {}
+        self._foreign: dict[str, dict[int, EndpointNews]] = {}
         self._zone_of: dict[ConnectionId, str] = {}
         self._proxies: dict[str, dict[ConnectionId, None]] = {}
         self._wanted_by: dict[ConnectionId, frozenset[str]] = {}
@@ -50,16 +51,16 @@
         if not self._proxies[zone]:
             del self._proxies[zone]
 
-    def reported(self, endpoint: Endpoint, load: int, now: float) -> None:
-        """Take the load that an agent told this relay."""
+    def reported(self, endpoint: Endpoint, report: LoadReport, now: float) -> None:
+        """Take what an agent told this relay."""
         number = endpoint_hash(endpoint.service, endpoint.instance)
-        self._own.setdefault(endpoint.zone, {})[number] = min(load, LARGEST_LOAD)
+        self._own.setdefault(endpoint.zone, {})[number] = news_of(report)
         self._batch.note(now)
 
     def heard(self, update: LoadUpdate, now: float) -> None:
         """Take the loads that another relay told."""
-        loads = zip(update.endpoints, update.loads, strict=False)
-        self._foreign.setdefault(update.zone, {}).update(loads)
+        told = {each.number: each.news for each in unpack(update)}
+        self._foreign.setdefault(update.zone, {}).update(told)
         self._batch.note(now)
 
     def due(self, now: float) -> bool:
@@ -78,15 +79,11 @@
         self._batch.sent(now)
         outputs: list[Output] = []
         for zone, loads in own.items():
-            update = _update(zone, loads)
+            update = pack(zone, loads)
             wanting = [relay for relay, zones in self._wanted_by.items() if zone in zones]
             outputs.extend(SendMessage(relay, update) for relay in wanting)
         for zone in own.keys() | foreign.keys():
             if zone in self._proxies:
-                update = _update(zone, {**foreign.get(zone, {}), **own.get(zone, {})})
+                update = pack(zone, {**foreign.get(zone, {}), **own.get(zone, {})})
                 outputs.extend(SendMessage(proxy, update) for proxy in self._proxies[zone])
         return outputs
-
-
-def _update(zone: str, loads: dict[int, int]) -> LoadUpdate:
-    return LoadUpdate(zone=zone, endpoints=loads.keys(), loads=bytes(loads.values()))
