Lab: losses by tenant; refusals by key, by limit and for the answer's link apart

Change: steps `key`, `limit` and `answer` of their own, and a table of the 20 tenants with most calls not served, by step. The line on a refusal by a limit (`call-failed`) now has the field `tenant`, as the lines of routed calls have; before, the name stood in the reason's text only. The reason of a refusal for the link is a constant, by which the lab knows it. Ruled out: reading the name out of the reason; counting `call-not-served`, which agents write of attempts that another instance may have served.

Seen failing first: the scenario of three steps, the one of bounded rows, and the one of the tenant's line (its fields held no `tenant`). In a log of before this change refusals by a limit are counted by step and not by tenant.

--- a/features/proxy/tenants.feature
+++ b/features/proxy/tenants.feature
@@ -26,6 +26,14 @@
   Scenario: Any header gets a defined answer
     Given any bytes as the header of a key, the answer is a tenant or a refusal that doesn't repeat them
 
+  Scenario: The line on a refusal by a limit names the tenant whose limit it was
+    Losses could not be told by tenant: only the reason's text said whose call was refused.
+    Given a proxy whose configuration has a limit of 1 call for the tenant "north", proved current
+    When a caller shows "Token north-key" on the route "desk" 50 times
+    Then the last call is refused as "rate-limited", and its line names the tenant "north"
+    When a caller shows "Token lost-key" on the route "desk"
+    Then the last call is refused as "unauthenticated", and its line names no tenant
+
   Scenario: The key ends at the proxy, and no caller names its tenant
     Given a proxy whose configuration has the tenants "north" and "south", proved current
     When a caller shows "Token north-key" and the tenant "south" on the route "desk"
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import tempfile
 from datetime import UTC, datetime
@@ -10,6 +11,7 @@
 from behave import given, then, when
 from typer.testing import CliRunner
 
+from limelever.agent.answer_link import NO_ROOM
 from limelever_lab.cli import build_app
 
 BEGIN = 1_000_000.0
@@ -22,9 +24,17 @@
     return f"{after - LEAD:8.3f} {process} {json.dumps(line)}"
 
 
-def failed(after, kind, attempts, route="basket"):
+def failed(after, kind, attempts, route="basket", reason="", **more):
     return log_line(
-        after, "n-1", "call-failed", route=route, kind=kind, outcome="not-run", attempts=attempts
+        after,
+        "n-1",
+        "call-failed",
+        route=route,
+        kind=kind,
+        outcome="not-run",
+        reason=reason,
+        attempts=attempts,
+        **more,
     )
 
 
@@ -116,6 +126,68 @@
     assert ["basket", "1", "100", "20", "30", "40", "10"] in context.rows
 
 
+def add_to_log(context, *lines):
+    context.log.write_text("\n".join([context.log.read_text(), *lines]))
+
+
+@given("its callers show keys of tenants, some unknown, some of tenants at their limit")
+def given_tenants(context):
+    limited = {"kind": "rate-limited", "attempts": 0, "route": ""}
+    add_to_log(
+        context,
+        failed(12.0, **limited, tenant="greedy"),
+        failed(12.1, **limited, tenant="greedy"),
+        failed(12.2, **limited, tenant="small"),
+        failed(12.3, "unauthenticated", 0, route=""),
+        failed(12.4, "deadline-too-short", 1, reason=NO_ROOM, tenant="small"),
+        failed(12.5, "deadline-too-short", 1, route="stock", tenant="small"),
+        failed(12.6, "no-endpoint", 0, route="stock", tenant="small"),
+    )
+
+
+@then("it tells refusals by key, by limit and for the answer's link as steps of their own")
+def then_refusals(context):
+    assert ["2", "rate-limited", "never", "offered", "limit", "3"] in context.rows
+    assert ["2", "unauthenticated", "never", "offered", "key", "1"] in context.rows
+    assert ["2", "basket", "refused", "answer", "1"] in context.rows
+    assert ["2", "stock", "refused", "queue", "1"] in context.rows
+
+
+def tenant_rows(context):
+    """Return the rows by tenant, each a mapping of its headings."""
+    headings = next(row for row in context.rows if row[:1] == ["tenant"])
+    below = context.rows[context.rows.index(headings) + 1 :]
+    rows = itertools.takewhile(bool, below)
+    return [dict(zip(headings, row, strict=True)) for row in rows]
+
+
+@then("it tells the calls of each tenant that were not served by step, the most first")
+def then_by_tenant(context):
+    rows = tenant_rows(context)
+    assert [(row["tenant"], row["calls"]) for row in rows] == [("small", "4"), ("greedy", "2")]
+    small, greedy = rows
+    assert greedy["limit"] == "2" and greedy["queue"] == "0", greedy
+    assert all(small[step] == "1" for step in ("limit", "answer", "queue", "edge")), small
+
+
+@given("{count:d} tenants had calls that were not served")
+def given_many_tenants(context, count):
+    for number in range(count):
+        line = failed(12.0, "deadline-too-short", 1, tenant=f"t-{number}")
+        add_to_log(context, *[line] * (number + 1))
+
+
+@then("it has rows for the {count:d} tenants with most of them")
+def then_bounded(context, count):
+    names = [row["tenant"] for row in tenant_rows(context)]
+    assert names == [f"t-{number}" for number in range(49, 49 - count, -1)], names
+
+
+@then("it says nothing of tenants")
+def then_no_tenants(context):
+    assert not any(row[:1] == ["tenant"] for row in context.rows)
+
+
 @when("the laboratory is asked with a log that holds nothing")
 def when_empty(context):
     context.log.write_text("no log line\n")
--- a/features/steps/tenant_proxy.py
+++ b/features/steps/tenant_proxy.py
@@ -49,9 +49,9 @@
     return VersionedResource(version=1, resource=Resource(**body))
 
 
-def tenant(name, *keys, priority=0):
+def tenant(name, *keys, priority=0, **limit):
     digests = [digest_of(key.encode()) for key in keys]
-    return versioned(tenant=Tenant(name=name, key_digests=digests, priority=priority))
+    return versioned(tenant=Tenant(name=name, key_digests=digests, priority=priority, **limit))
 
 
 def route(name, public=False, priority=0):
--- a/features/steps/tenant_steps.py
+++ b/features/steps/tenant_steps.py
@@ -54,6 +54,26 @@
     context.proved = False
 
 
+@given('a proxy whose configuration has a limit of 1 call for the tenant "north", proved current')
+def given_limit(context):
+    context.proxy = TenantProxy((tenant("north", "north-key", rate_per_s=1, burst=1),))
+
+
+@when('a caller shows {shown} on the route "{route_name}" {count:d} times')
+def when_shows_often(context, shown, route_name, count):
+    for _ in range(count):
+        context.proxy.call(route_name, headers_of(shown))
+
+
+@then('the last call is refused as "{kind}", and its line names the tenant "{name}"')
+@then('the last call is refused as "{kind}", and its line names no tenant')
+def then_line_names(context, kind, name=None):
+    failure = the_refusal(context.proxy)
+    line = [each for each in context.proxy.logs if each.code == events.CALL_FAILED][-1]
+    assert failure.kind is ErrorKind(kind) and line.fields["kind"] == kind, failure
+    assert line.fields.get("tenant") == name, line.fields
+
+
 @given("a proxy whose configuration has no tenants, proved current")
 def given_no_tenants(context):
     context.proxy = TenantProxy(())
--- a/src/limelever/agent/answer_link.py
+++ b/src/limelever/agent/answer_link.py
@@ -31,6 +31,9 @@
 LEAST_PART_BYTES = 4096
 """Smallest part, whatever the link: each costs a message."""
 
+NO_ROOM = "the link has no room for the answer in time"
+"""Reason of a refusal for the link, by which logs tell it from one for want of a slot."""
+
 USED_PART = 0.9
 """Part of the link that answers may take: frames cost some hundredths, and calls and news of the
 same machine leave there as well."""
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -17,7 +17,7 @@
 from msgspec.structs import replace
 
 from limelever.agent import answers, events
-from limelever.agent.answer_link import AnswerLink, AnswerTimes
+from limelever.agent.answer_link import NO_ROOM, AnswerLink, AnswerTimes
 from limelever.agent.answer_sender import AnswerSender
 from limelever.agent.answers import NO_CRASH
 from limelever.agent.backend_watch import BackendWatch, Seen
@@ -411,8 +411,7 @@
         late = self._link.too_late_by(group, times, now)
         if not late:
             return None
-        reason = "the link has no room for the answer in time"
-        return Failure(ErrorKind.DEADLINE_TOO_SHORT, reason, retry_after=late)
+        return Failure(ErrorKind.DEADLINE_TOO_SHORT, NO_ROOM, retry_after=late)
 
 
 def _failed_at_backend(event: AttemptFailed) -> bool:
--- a/src/limelever/proxy/call_log.py
+++ b/src/limelever/proxy/call_log.py
@@ -8,6 +8,7 @@
 from limelever.common.decision_log import DecisionLog, DecisionLogSettings
 from limelever.common.errors import Failure
 from limelever.common.sansio import LogEvent, Output
+from limelever.protocol.keys import tenant_key
 from limelever.proxy import events
 from limelever.proxy.call_state import Call, Phase
 from limelever.proxy.call_types import CallAnswer, CallRequest
@@ -44,6 +45,7 @@
             "attempts": 0,
             "milliseconds": 0,
         }
+        fields.update(_limited_tenant(failure))
         if proved_at is not None:
             fields["configuration_age_milliseconds"] = _milliseconds(now - proved_at)
         lines = self._log.failure(events.CALL_FAILED, request.request_id, fields, now)
@@ -126,5 +128,12 @@
     }
 
 
+def _limited_tenant(failure: Failure) -> dict[str, object]:
+    """Return the name of the tenant that a refusal is about, as the lines of its calls have it."""
+    prefix = str(tenant_key(""))
+    names = [each.removeprefix(prefix) for each in failure.resources if each.startswith(prefix)]
+    return {"tenant": names[0]} if names else {}
+
+
 def _milliseconds(seconds: float) -> int:
     return int(seconds * _MILLISECONDS)
--- a/src/limelever_lab/losses/command.py
+++ b/src/limelever_lab/losses/command.py
@@ -9,10 +9,10 @@
 
 import typer
 
-from limelever_lab.logs import read_lines
+from limelever_lab.logs import Line, read_lines
 from limelever_lab.losses.day import DayFigures, Ends
+from limelever_lab.losses.steps import Step, losses_by_tenant, times
 from limelever_lab.losses.steps import losses as count_losses
-from limelever_lab.losses.steps import times
 
 PLATFORM = Path(__file__).resolve().parents[3] / "platform"
 SMALLEST_COST = 0.0005
@@ -21,6 +21,9 @@
 MOST_LOSSES = 40
 """Rows of losses by window, the largest first."""
 
+MOST_TENANTS = 20
+"""Rows of tenants, those with most calls not served first."""
+
 MOST_WINDOWS = 12
 """Windows shown, those with most requests not answered in time first."""
 
@@ -30,7 +33,7 @@
     log: Annotated[Path | None, typer.Option(help="Log lines of the day's processes.")] = None,
     lead: Annotated[float, typer.Option(help="Seconds of the log before traffic began.")] = 0.0,
 ) -> None:
-    """Print where the worth of a day was lost: by measure, kind, window and step."""
+    """Print where the worth of a day was lost: by measure, kind, window, step and tenant."""
     _print_day(_reader()(report))
     if log is not None:
         _print_steps(log, lead)
@@ -73,6 +76,21 @@
     for loss, calls in count_losses(lines, begin).most_common(MOST_LOSSES):
         place = f"{loss.second:<12} {loss.route:<16} {loss.end:<14} {loss.step.value:<8}"
         typer.echo(f"{place} {calls:>6}")
+    _print_tenants(lines)
+    _print_times(lines)
+
+
+def _print_tenants(lines: Sequence[Line]) -> None:
+    lost = losses_by_tenant(lines)
+    if not lost:
+        return
+    typer.echo(f"\n{'tenant':<20} {'calls':>7} " + " ".join(f"{each.value:>7}" for each in Step))
+    for tenant, steps in list(lost.items())[:MOST_TENANTS]:
+        shown = " ".join(f"{steps[each]:>7}" for each in Step)
+        typer.echo(f"{tenant:<20} {steps.total():>7} {shown}")
+
+
+def _print_times(lines: Sequence[Line]) -> None:
     headings = ("calls", "total", "queue", "work", "nested", "path")
     typer.echo(f"\n{'mean ms by route':<16} " + " ".join(f"{each:>8}" for each in headings))
     for each in times(lines):
--- a/src/limelever_lab/losses/steps.py
+++ b/src/limelever_lab/losses/steps.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from limelever.agent.answer_link import NO_ROOM
 from limelever.common.errors import ErrorKind, Outcome
 from limelever_lab.logs import Line
 
@@ -16,15 +17,22 @@
 
 
 class Step(StrEnum):
-    """Where on its way a call was when it ended."""
+    """Where on its way a call was when it ended; ``ANSWER``: no room on the link for its answer."""
 
     EDGE = "edge"
+    KEY = "key"
+    LIMIT = "limit"
     CHOICE = "choice"
     LINK = "link"
     QUEUE = "queue"
+    ANSWER = "answer"
     SLOT = "slot"
 
 
+_EDGE_STEPS = {
+    ErrorKind.UNAUTHENTICATED: Step.KEY,
+    ErrorKind.RATE_LIMITED: Step.LIMIT,
+}
 _STEPS = {
     ErrorKind.NO_ENDPOINT: Step.CHOICE,
     ErrorKind.CONNECTION_FAILED: Step.LINK,
@@ -71,14 +79,32 @@
     return counted
 
 
+def losses_by_tenant(lines: Iterable[Line]) -> dict[str, Counter[Step]]:
+    """Count by step the calls of each tenant that ended without a back end's answer, most first."""
+    counted: defaultdict[str, Counter[Step]] = defaultdict(Counter)
+    for line in lines:
+        if line.event == "call-failed" and line.fields.get("tenant"):
+            counted[line.fields["tenant"]][_step(line)] += 1
+    return dict(sorted(counted.items(), key=lambda each: (-each[1].total(), each[0])))
+
+
 def _loss(line: Line, begin: float) -> Loss:
     fields = line.fields
     second = int((line.at - begin) // WINDOW_SECONDS * WINDOW_SECONDS)
     if not fields["attempts"]:
-        return Loss(second, fields["route"] or fields["kind"], "never offered", Step.EDGE)
+        return Loss(second, fields["route"] or fields["kind"], "never offered", _step(line))
     end = "refused" if fields["outcome"] == Outcome.NOT_RUN.value else "failed"
-    step = _STEPS.get(ErrorKind(fields["kind"]), Step.EDGE)
-    return Loss(second, fields["route"], end, step)
+    return Loss(second, fields["route"], end, _step(line))
+
+
+def _step(line: Line) -> Step:
+    fields = line.fields
+    kind = ErrorKind(fields["kind"])
+    if not fields["attempts"]:
+        return _EDGE_STEPS.get(kind, Step.EDGE)
+    if fields["reason"] == NO_ROOM:
+        return Step.ANSWER
+    return _STEPS.get(kind, Step.EDGE)
 
 
 def times(lines: Sequence[Line]) -> list[Times]:
