Lab: a call that its back end refused was lost at the back end

Cause: `limelever-lab losses` showed calls refused with 503 by their back end as lost at the step "edge", as if no attempt had been made.

Change: their step is `slot`, as of calls that their back end failed. The added row of the scenario was seen failing before.

--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -70,6 +70,7 @@
                 failed(12.5, "deadline-too-short", 2),
                 failed(13.9, "deadline-too-short", 1),
                 failed(14.1, "no-configuration", 0, route=""),
+                failed(14.2, "backend-refused", 2),
                 log_line(
                     15.0, "n-1", "call-answered", request_id="a", route="basket", milliseconds=100
                 ),
@@ -119,6 +120,7 @@
 def then_steps(context):
     assert ["2", "basket", "refused", "queue", "2"] in context.rows
     assert ["4", "no-configuration", "never", "offered", "edge", "1"] in context.rows
+    assert ["4", "basket", "refused", "slot", "1"] in context.rows
 
 
 @then("it divides the time of an answered call into queue, work, nested calls and the path")
--- a/src/limelever_lab/losses/steps.py
+++ b/src/limelever_lab/losses/steps.py
@@ -40,6 +40,7 @@
     ErrorKind.DEADLINE_TOO_SHORT: Step.QUEUE,
     ErrorKind.OVERLOADED: Step.QUEUE,
     ErrorKind.BACKEND_FAILED: Step.SLOT,
+    ErrorKind.BACKEND_REFUSED: Step.SLOT,
     ErrorKind.DEADLINE_EXCEEDED: Step.SLOT,
 }
 
