The platform's soak learns tenants, keys that come and go, a limit and downloads

Cause: the soak struck the fleet under calls of one kind of caller; nothing that strikes a machine was ever judged by who may call and how often.

Change: each configuration has three tenants, one with a limit, and three keys that are given out, taken away and passed on. Callers show these, unknown keys or none, and name tenants themselves; some reads are downloads of 100 kB. New checks: no request runs by a key that no configuration held; an instance is told a tenant that had the key, and never a key; steady keys and public routes are never denied; after a round each node goes by the newest keys; the limit holds in every 5 s; no log holds a key. The checks there were stay, for every request but one: a 401 to a key that isn't in all configurations is allowed, and must not have run. Strikes are drawn as before.

--- a/features/steps/platform_soak.py
+++ b/features/steps/platform_soak.py
@@ -15,6 +15,8 @@
 from collections import Counter
 from pathlib import Path
 
+from keyed_audit import UNKNOWN_KEY, KeyedAudit
+from keyed_calls import KeyedCallers, KeyedInstance, KeyedRuns, key_headers
 from loopback_networks import LoopbackNetwork
 from platform_machines import (
     GRACE_SECONDS,
@@ -23,17 +25,8 @@
     NodeMachine,
     committed_voters,
 )
-from platform_traffic import (
-    OK,
-    READ,
-    Callers,
-    Instance,
-    Operator,
-    Runs,
-    broken_by_calls,
-    is_ready,
-    send,
-)
+from platform_tenants import STEADY_TENANTS, TenantOperator, TenantPlan
+from platform_traffic import OK, READ, is_ready, send
 
 VOTERS, NODES, SEEDS, ZONES = 5, 4, 3, 2
 TOLERATED = 2
@@ -62,12 +55,14 @@
         self.broken: list[str] = []
         self.struck: Counter[str] = Counter()
         self.answered = 0
-        self.runs = Runs()
+        self.runs = KeyedRuns()
         self.control = [self._new(ControlMachine, "core") for _ in range(VOTERS)]
         self.nodes = [self._new(NodeMachine, "sidecar") for _ in range(NODES)]
         self.gone: list[Machine] = []
-        self.instances = [Instance(node, self.runs) for node in self.nodes]
-        self.operator = Operator(self.control, random.Random(seed))
+        self.instances = [KeyedInstance(node, self.runs) for node in self.nodes]
+        self.plan = TenantPlan(seed)
+        self.operator = TenantOperator(self.control, random.Random(seed), plan=self.plan)
+        self.audit = KeyedAudit(self.plan, self.runs)
         self.spent: set[str] = set()
         self._seed = seed
 
@@ -98,7 +93,8 @@
     # --- rounds -------------------------------------------------------------------------------
 
     def run_round(self) -> None:
-        callers = Callers(self.nodes, CALLERS, self._seed + sum(self.struck.values()))
+        seed = self._seed + sum(self.struck.values())
+        callers = KeyedCallers(self.nodes, CALLERS, seed, self.plan)
         try:
             self._carry_out(self._agenda())
             self._settle()
@@ -106,11 +102,12 @@
             callers.stop()
         time.sleep(1.0)
         self.answered += sum(each.answer.status == OK for each in callers.sent)
-        self.broken += broken_by_calls(callers.sent, self.runs.by_id)
+        self.broken += self.audit.broken(callers.sent, self.operator.newest + 1)
+        self.broken += self.audit.in_logs([*self.machines, *self.gone])
         self.broken += self.operator.broken
         if not any(each.answer.status == OK for each in callers.sent):
             self.broken.append("no request was answered")
-        self.runs.by_id.clear()
+        self.runs.clear()
 
     def _agenda(self):
         """Return what happens in a round, by time: faults, and what brings their machines back."""
@@ -199,6 +196,7 @@
         for node in self.nodes:
             self._wait(f"{node.name} is ready", lambda node=node: is_ready(node))
             self._wait(f"{node.name} serves by r{newest}", lambda node=node: self._serves(node))
+            self._ask_by_wandering_keys(node)
         for machine in self.machines:
             if not machine.running:
                 self.broken.append(f"{machine.name} ended by itself: {machine.process.poll()}")
@@ -211,7 +209,21 @@
     def _serves(self, node) -> bool:
         newest = self.operator.newest
         request = f"probe-{newest}-{node.name}"
-        return send(node, request, READ, f"/v{newest}/{request}").status == OK
+        shown = key_headers(self.plan.key_of(STEADY_TENANTS[0]))
+        return send(node, request, READ, f"/v{newest}/{request}", shown).status == OK
+
+    def _ask_by_wandering_keys(self, node) -> None:
+        """A node that serves by the newest configuration lets its keys in, and no others."""
+        newest = self.operator.newest
+        holders = self.plan.holders_at(newest)
+        for number, key in enumerate(self.plan.wandering):
+            request = f"key-{number}-{newest}-{node.name}"
+            answer = send(node, request, READ, f"/{READ}/{request}", key_headers(key))
+            told = {each.tenant for each in self.runs.told(request)}
+            if key not in holders and (told or answer.status == OK):
+                self.broken.append(f"{node.name} let {key} in by r{newest}: {answer}")
+            if key in holders and (answer.status == UNKNOWN_KEY or told - {holders[key]}):
+                self.broken.append(f"{node.name}, {key} by r{newest}: {answer}, told {told}")
 
     def _wait(self, what, condition) -> None:
         end = time.monotonic() + SETTLE_SECONDS
--- a/features/steps/platform_soak_steps.py
+++ b/features/steps/platform_soak_steps.py
@@ -37,6 +37,7 @@
     soak = context.soak
     print(f"seed {context.seed}: {dict(soak.struck)}, {soak.operator.newest} changes,")
     print(f"{soak.answered} requests answered, {len(soak.broken)} promises broken")
+    print(f"ends by kind and status: {dict(sorted(soak.audit.counts.items()))}")
     if soak.broken:
         kept = KEPT / f"platform-soak-{context.seed}"
         shutil.copytree(soak._folder, kept, dirs_exist_ok=True)
--- a/features/steps/platform_traffic.py
+++ b/features/steps/platform_traffic.py
@@ -31,7 +31,10 @@
 CALLER_PAUSE_SECONDS = 0.05
 APPLY_SECONDS = 2.0
 ORDER_LIMIT_SECONDS = 60.0
-READ, WRITE = "read", "write"
+READ, WRITE, DOWNLOAD = "read", "write", "download"
+DOWNLOAD_PARTS = 6000
+"""Some 100 kB: what an instance hands out for a download."""
+
 NOT_RUN = frozenset({408, 421, 429, 503})
 OK = 200
 
@@ -69,6 +72,11 @@
             self.by_id[request] += 1
 
 
+def body_of(request: str, kind: str) -> bytes:
+    """Return the whole answer to a request."""
+    return request.encode() * (DOWNLOAD_PARTS if kind == DOWNLOAD else 1)
+
+
 def heartbeat(machine: NodeMachine, slots: int, number: int) -> bytes:
     """Return the body of an instance's report of this number, as it takes work."""
     report = {
@@ -120,7 +128,7 @@
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
         self.server.runs.note(request)
         time.sleep(WORK_SECONDS)
-        body = request.encode()
+        body = body_of(request, self.path.split("/")[1])
         self.send_response(OK)
         self.send_header("Limelever-Attempt-Id", request)
         self.send_header("Content-Length", str(len(body)))
@@ -143,13 +151,15 @@
     answer: Answer
 
 
-def send(node: NodeMachine, request: str, kind: str, path: str) -> Answer:
+def send(node: NodeMachine, request: str, kind: str, path: str, more=None) -> Answer:
+    """Send a request to a node, with the headers ``more`` besides the usual ones."""
     headers = {
+        **(more or {}),
         "Host": HOST_NAME,
         "Limelever-Attempt-Id": request,
         "Limelever-Deadline-Ms": str(DEADLINE_MS),
     }
-    method, body = ("GET", None) if kind == READ else ("POST", b"{}")
+    method, body = ("POST", b"{}") if kind == WRITE else ("GET", None)
     return ask(node.ip, OUTBOUND_PORT, method, path, body, headers)
 
 
@@ -176,11 +186,15 @@
         for count in itertools.count():
             request = f"{number:02x}{count:014x}"
             node, kind = draw.choice(self._nodes), draw.choice((READ, WRITE))
-            answer = send(node, request, kind, f"/{kind}/{request}")
-            self.sent.append(Sent(request, kind, node.name, answer))
+            self.sent.append(self.send(node, request, kind))
             if self._over.wait(CALLER_PAUSE_SECONDS):
                 return
 
+    def send(self, node: NodeMachine, request: str, kind: str) -> Sent:
+        """Send one request, and return how it ended."""
+        answer = send(node, request, kind, f"/{kind}/{request}")
+        return Sent(request, kind, node.name, answer)
+
 
 def broken_by_calls(sent: list[Sent], runs: Counter[str]) -> list[str]:
     """Return each promise to callers that a request shows to be broken."""
@@ -192,7 +206,8 @@
             broken.append(f"{each} ran {ran} times")
         if status in NOT_RUN and each.kind == WRITE and ran:
             broken.append(f"{each} was refused as not run, and ran")
-        if status == OK and (not ran or each.answer.body != each.request.encode()):
+        whole = body_of(each.request, each.kind)
+        if status == OK and (not ran or each.answer.body != whole):
             broken.append(f"{each} has another's answer, or ran {ran} times")
         if status // 100 in (3, 4) and status not in NOT_RUN:
             broken.append(f"{each} was denied")
@@ -212,7 +227,7 @@
     def change(self) -> None:
         """Put the next version until it is taken, as an operator does."""
         number = self.newest + 1
-        body = document(number, self.newest)
+        body = self.document(number)
         end = time.monotonic() + ORDER_LIMIT_SECONDS
         while time.monotonic() < end:
             answer = self._ask("PUT", body)
@@ -226,6 +241,10 @@
             time.sleep(0.1)
         self.broken.append(f"change r{number} was not taken within {ORDER_LIMIT_SECONDS} s")
 
+    def document(self, number: int) -> bytes:
+        """Return the next configuration."""
+        return document(number, self.newest)
+
     def read(self) -> None:
         """Read at some machine: never older than what was acknowledged ``APPLY_SECONDS`` ago."""
         before = time.monotonic() - APPLY_SECONDS
