--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -164,7 +164,7 @@
         failure = self._intake.check_body(call)
         if failure is None and start.awaits_credit:
             whole_after = self._intake.expected_time(start)
-            failure = self._queue.check(self._queued(call, now), now, whole_after)
+            failure = self._queue.check(_queued(call, now), now, whole_after)
         if failure is not None:
             return self._refuse(call, failure)
         self._intake.ask_for(call)
@@ -384,24 +384,13 @@
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
         asked_for = call.start.awaits_credit
-        offered = self._queue.offer(self._queued(call, now), now, checked=asked_for)
+        offered = self._queue.offer(_queued(call, now), now, checked=asked_for)
         if isinstance(offered, Failure):
             self._forget(call)
             return self._replies.failed(call.connection, call.start, offered)
         call.stage = CallStage.QUEUED
         return [*self._evicted(offered), *self.start_waiting(now)]
 
-    def _queued(self, call: Call, now: float) -> QueuedCall:
-        return QueuedCall(
-            call=call.number,
-            group=self._queue.group_of(call.start.group, call.target, now),
-            deadline=call.deadline,
-            size=len(call.body),
-            arrived_at=now,
-            target=call.target,
-            tenant=call.start.tenant,
-        )
-
     def _evicted(self, evictions: tuple[Eviction, ...]) -> list[Output]:
         outputs: list[Output] = []
         for eviction in evictions:
@@ -439,3 +428,15 @@
     return (
         event.sent_any_byte and not event.refused and event.failure.kind is not ErrorKind.CANCELLED
     )
+
+
+def _queued(call: Call, now: float) -> QueuedCall:
+    return QueuedCall(
+        call=call.number,
+        group=call.start.group,
+        deadline=call.deadline,
+        size=len(call.body),
+        arrived_at=now,
+        target=call.target,
+        tenant=call.start.tenant,
+    )
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -23,7 +23,7 @@
 from limelever.agent.turned_away import AT_ONCE, has_room
 from limelever.agent.wait_estimate import FIRST_SERVICE_TIME, MINIMUM_CHARGE, WaitEstimate
 from limelever.common.errors import ErrorKind, Failure
-from limelever.protocol.priorities import is_late_group, late_group, priority_of
+from limelever.protocol.priorities import priority_of
 
 
 class QueueLimits(Struct, frozen=True):
@@ -89,14 +89,6 @@
         """Return how long a call of a group takes without waiting, in seconds; 0 if unknown."""
         return self._estimate.service_time_of(group)
 
-    def group_of(self, name: str, target: float, now: float) -> str:
-        """Return the group in which a call for a group is queued, if it comes now.
-
-        One that is past its target as it comes can't be answered in time any more. It takes what
-        the others leave, and keeps no slot from one that can.
-        """
-        return late_group(name) if self._estimate.is_late(name, target, now) else name
-
     def set_weights(self, weights: Mapping[str, int]) -> None:
         """Take the weights of all groups that have a share; others get the default weight."""
         self._groups.set_weights(weights, self._virtual_time)
@@ -137,17 +129,14 @@
         return failure
 
     def start_next(self, now: float) -> QueuedCall | None:
-        """Give a free slot to the group with the lowest tag; ``None`` when there is no such.
-
-        Late calls come after all others.
-        """
+        """Give a free slot to the group with the lowest tag; ``None`` when there is no such."""
         free = self._limits.slots - self.running
         self._room_at = math.inf
         if free <= 0 or not self._group_of:
             return None
         group = min(
             (g for g in self._groups if g.calls and self._may_start_at(g, free, now) <= now),
-            key=lambda candidate: (is_late_group(candidate.name), candidate.tag, candidate.name),
+            key=lambda candidate: (candidate.tag, candidate.name),
             default=None,
         )
         if group is None:
@@ -323,7 +312,7 @@
         group.append(call)
         self._group_of[call.call] = group.name
         self._queued_bytes += call.size
-        self._deadlines.add(call.call, self._estimate.waits_until(group, call))
+        self._deadlines.add(call.call, call.deadline)
 
     def _dequeued(self, call: QueuedCall) -> None:
         del self._group_of[call.call]
--- a/src/limelever/agent/group_table.py
+++ b/src/limelever/agent/group_table.py
@@ -6,7 +6,7 @@
 
 from limelever.agent.group_queue import GroupQueue
 from limelever.agent.tenant_turns import TenantRates, TenantTurns
-from limelever.protocol.priorities import is_late_group, priority_weight
+from limelever.protocol.priorities import priority_weight
 
 POOLED_GROUP = ""
 """Queue that groups without a share use together once too many of them are active."""
@@ -76,9 +76,5 @@
         return priority_weight(name) or self._default_weight
 
     def _unlisted_full(self) -> bool:
-        """Return whether no further group without a share gets a queue of its own.
-
-        Late calls of a route don't take the place of another route.
-        """
-        unlisted = (name for name in self._groups if name not in self._weights)
-        return sum(not is_late_group(name) for name in unlisted) >= self._unlisted_limit
+        unlisted = sum(1 for name in self._groups if name not in self._weights)
+        return unlisted >= self._unlisted_limit
--- a/src/limelever/agent/wait_estimate.py
+++ b/src/limelever/agent/wait_estimate.py
@@ -8,7 +8,6 @@
 from limelever.agent.group_queue import GroupQueue, QueuedCall
 from limelever.agent.group_table import GroupTable
 from limelever.agent.service_time import ServiceTime
-from limelever.protocol.priorities import is_late_group, timed_as
 
 MINIMUM_CHARGE = 0.0005
 """Least slot time of a call in seconds: calls that end at once must still move the tag."""
@@ -82,7 +81,6 @@
 
     def observe(self, name: str, seconds: float) -> None:
         """Take how long a call of the group ``name`` held its slot."""
-        name = timed_as(name)
         own = self._by_group.setdefault(name, ServiceTime())
         own.observe(seconds)
         self._service_time.observe(seconds)
@@ -110,7 +108,7 @@
 
     def service_time_of(self, name: str) -> float:
         """Return how long a call of the group ``name`` takes; 0 while nothing is known."""
-        own = self._by_group.get(timed_as(name))
+        own = self._by_group.get(name)
         return (own.mean if own is not None else None) or self.overall
 
     def charge(self, group: GroupQueue) -> float:
@@ -131,15 +129,11 @@
         start = max(group.tag, virtual_time) + ahead * step
         work = ahead * self.service_time(group)
         for other in self._groups:
-            if other is not group and other.calls and not self._gives_way(other, group):
+            if other is not group and other.calls:
                 work += self._started_before(other, start) * self.service_time(other)
         slots = max(self._slots - urgent_slots, LEAST_SLOTS)
         return (work + self._until_one_ends()) / slots
 
-    def _gives_way(self, other: GroupQueue, group: GroupQueue) -> bool:
-        """Return whether a group's calls are started after those of another, whatever its tag."""
-        return is_late_group(other.name) and not is_late_group(group.name)
-
     def _started_before(self, other: GroupQueue, start: float) -> int:
         """Return how many queued calls of a group have a tag before ``start``."""
         turns = math.ceil((start - other.tag) * other.weight / self.charge(other))
@@ -157,7 +151,7 @@
         """Return whether a call that would wait for ``wait`` seconds is better refused at once."""
         service_time = self.service_time(group)
         finished = now + service_time
-        if self._is_short(service_time):
+        if service_time < self.typical * SHORT_CALL_PART:
             return wait > (call.deadline - finished) * LONGEST_WAIT_PART_OF_SHORT_CALLS
         longest = (call.deadline - finished) * LONGEST_WAIT_PART
         in_target = (call.target - finished) * LONGEST_WAIT_PART_OF_TARGET
@@ -165,28 +159,6 @@
             in_target = service_time * LONGEST_WAIT_OF_LATE_CALLS
         return wait > min(longest, in_target)
 
-    def is_late(self, name: str, target: float, now: float) -> bool:
-        """Return whether a call of a group would miss its target even if it started now.
-
-        A short call never counts as late: others wait for its answer, and it takes little.
-        """
-        service_time = self.service_time_of(name)
-        return now + service_time > target and not self._is_short(service_time)
-
-    def waits_until(self, group: GroupQueue, call: QueuedCall) -> float:
-        """Return when a call that has not started is given back.
-
-        A late call isn't held for longer than it could expect to wait: those that come meanwhile
-        go before it, and another endpoint may have room.
-        """
-        if not is_late_group(group.name):
-            return call.deadline
-        longest = self.service_time(group) * LONGEST_WAIT_OF_LATE_CALLS
-        return min(call.deadline, call.arrived_at + longest)
-
-    def _is_short(self, service_time: float) -> bool:
-        return service_time < self.typical * SHORT_CALL_PART
-
     def is_held_up_by_link(
         self, group: GroupQueue, call: QueuedCall, now: float, whole_after: float
     ) -> bool:
--- a/src/limelever/protocol/priorities.py
+++ b/src/limelever/protocol/priorities.py
@@ -18,9 +18,6 @@
 
 _FACTOR = 4
 
-LATE_PRIORITY = 1_000_000
-"""Priority of calls that are past their target as they come: behind any that a route may have."""
-
 
 def priority_group(priority: int, route: str) -> str:
     """Return the group under which the calls of a prioritised route are queued."""
@@ -35,28 +32,6 @@
     return int(number) if number.isdigit() else None
 
 
-def late_group(group: str) -> str:
-    """Return the group for a late call of a prioritised group; any other group stays as it is."""
-    if priority_of(group) is None:
-        return group
-    return priority_group(LATE_PRIORITY, group.partition(_SEPARATOR)[2])
-
-
-def is_late_group(group: str) -> bool:
-    """Return whether a group is of late calls."""
-    return priority_of(group) == LATE_PRIORITY
-
-
-def timed_as(group: str) -> str:
-    """Return the name under which the time of a group's calls is kept.
-
-    Calls of one route take alike, however urgent they are.
-    """
-    if priority_of(group) is None:
-        return group
-    return f"{PRIORITY_GROUP}{_SEPARATOR}{group.partition(_SEPARATOR)[2]}"
-
-
 def priority_weight(group: str) -> int | None:
     """Return the weight of a priority's group, or ``None`` for a group that is none."""
     priority = priority_of(group)
