Give the agent's own failures a module, and a call its place in the queue

Why a call ends without the back end's answer stands in agent/failures.py, who is to blame for a failed attempt with the attempt, and how a call waits with the call. Nothing is decided otherwise.

--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -16,7 +16,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from limelever.agent import answers, events
+from limelever.agent import answers, events, failures
 from limelever.agent.answer_link import NO_ROOM, AnswerLink, AnswerTimes
 from limelever.agent.answer_sender import AnswerSender
 from limelever.agent.answers import NO_CRASH
@@ -24,7 +24,6 @@
 from limelever.agent.calls import Call, CallStage, CallTable, Orphaned
 from limelever.agent.crash_watch import HeldCall
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
-from limelever.agent.group_queue import QueuedCall
 from limelever.agent.intake import BodyLimits, CallIntake, Refusal
 from limelever.agent.interface import (
     AttemptAnswered,
@@ -43,14 +42,6 @@
 
 _SHED_STATUS = 503
 _FIRST_FAILED_STATUS = 500
-_LEAVING = Failure(ErrorKind.DRAINING, "the back end is leaving")
-_CUT_OFF = Failure(ErrorKind.BACKEND_FAILED, "cut off at the drain limit")
-_CANCELLED = Failure(ErrorKind.CANCELLED, "cancelled while it ran")
-_GIVEN_UP = Failure(ErrorKind.DEADLINE_TOO_SHORT, "given up before it was run")
-_CRASHED = Failure(ErrorKind.BACKEND_CRASHED, "the back end's process has ended")
-_SILENT = Failure(ErrorKind.CONNECTION_FAILED, "the back end does not answer")
-_FELL_SILENT = Failure(ErrorKind.BACKEND_FAILED, "the back end fell silent while the call ran")
-_TOO_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "too late to finish in time")
 
 
 class CallLimits(Struct, frozen=True):
@@ -154,7 +145,7 @@
                 return logs
             return [*self._replies.failed(connection, start, call.failure), *logs]
         if self.backend.silent:
-            return self._refuse(call, _SILENT)
+            return self._refuse(call, failures.SILENT)
         held_up = self._held_up_by_link(call, now)
         if held_up is not None:
             return self._refuse(call, held_up)
@@ -164,7 +155,7 @@
         failure = self._intake.check_body(call)
         if failure is None and start.awaits_credit:
             whole_after = self._intake.expected_time(start)
-            failure = self._queue.check(_queued(call, now), now, whole_after)
+            failure = self._queue.check(call.queued(now), now, whole_after)
         if failure is not None:
             return self._refuse(call, failure)
         self._intake.ask_for(call)
@@ -208,8 +199,8 @@
             self._answers.drop(connection, message.stream)
             return []
         if call.stage is not CallStage.RUNNING:
-            return self._refuse(call, self._with_advice(_GIVEN_UP, call))
-        answer = self._replies.failed(connection, call.start, _CANCELLED)
+            return self._refuse(call, self._with_advice(failures.GIVEN_UP, call))
+        answer = self._replies.failed(connection, call.start, failures.CANCELLED)
         self._calls.settle(call)
         return [*answer, CancelAttempt(call.number)]
 
@@ -259,7 +250,7 @@
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
-        if _failed_at_backend(event):
+        if event.by_backend:
             self.versions.ended(call.start.group, now - call.started_at, True, now)
         self._queue.finish(call.number, now, representative=False)
         failure = answers.attempt_failure(event)
@@ -289,7 +280,7 @@
             outputs.extend(self._answers.expire(now, self._replies.load))
         return outputs
 
-    def refuse_waiting(self, reason: Failure = _LEAVING) -> list[Output]:
+    def refuse_waiting(self, reason: Failure = failures.LEAVING) -> list[Output]:
         """Give every call that has not started back to its proxy."""
         waiting = (*self._calls.in_stage(CallStage.QUEUED), *self._intake.assembling)
         return [output for call in waiting for output in self._refuse(call, reason)]
@@ -309,7 +300,7 @@
         if seen.fell_silent:
             fields: dict[str, object] = {"running": self.running, "queued": self.waiting}
             outputs.append(LogEvent(events.BACKEND_SILENT, fields))
-            return [*outputs, *self.refuse_waiting(_SILENT), *self._give_up_repeatable()]
+            return [*outputs, *self.refuse_waiting(failures.SILENT), *self._give_up_repeatable()]
         if seen.is_back:
             outputs.append(LogEvent(events.BACKEND_BACK))
         return outputs if self.backend.silent else [*outputs, *self.start_waiting(now)]
@@ -319,7 +310,7 @@
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if not call.settled:
-                outputs.extend(self._replies.failed(call.connection, call.start, _CUT_OFF))
+                outputs.extend(self._replies.failed(call.connection, call.start, failures.CUT_OFF))
                 self._calls.settle(call)
             outputs.append(CancelAttempt(call.number))
         return outputs
@@ -346,11 +337,11 @@
     def _ended(self, seen: Seen) -> list[Output]:
         """Tell under which requests the back end's process ended, and give back what waits."""
         log = crash_log(seen.crash, seen.suspects, self.waiting)
-        return [log, *self.refuse_waiting(_SILENT)]
+        return [log, *self.refuse_waiting(failures.SILENT)]
 
     def _end_held(self, held: HeldCall, crash: int) -> list[Output]:
         call = self._calls.by_number(held.call)
-        failure = _CRASHED if crash else held.failure
+        failure = failures.CRASHED if crash else held.failure
         return [] if call is None else self._end(call, failure, crash)
 
     def _end(self, call: Call, failure: Failure, crash: int = NO_CRASH) -> list[Output]:
@@ -363,7 +354,9 @@
         outputs: list[Output] = []
         for call in self._calls.in_stage(CallStage.RUNNING):
             if call.repeatable and not call.settled:
-                outputs.extend(self._replies.failed(call.connection, call.start, _FELL_SILENT))
+                outputs.extend(
+                    self._replies.failed(call.connection, call.start, failures.FELL_SILENT)
+                )
                 self._calls.settle(call)
                 outputs.append(CancelAttempt(call.number))
         return outputs
@@ -375,7 +368,7 @@
         for number in numbers:
             call = self._calls.by_number(number)
             assert call is not None
-            outputs.extend(self._refuse(call, self._with_advice(_TOO_LATE, call)))
+            outputs.extend(self._refuse(call, self._with_advice(failures.TOO_LATE, call)))
         return outputs
 
     def _with_advice(self, failure: Failure, call: Call) -> Failure:
@@ -384,7 +377,7 @@
     def _admit(self, call: Call, now: float) -> list[Output]:
         self._intake.close(call)
         asked_for = call.start.awaits_credit
-        offered = self._queue.offer(_queued(call, now), now, checked=asked_for)
+        offered = self._queue.offer(call.queued(now), now, checked=asked_for)
         if isinstance(offered, Failure):
             self._forget(call)
             return self._replies.failed(call.connection, call.start, offered)
@@ -421,22 +414,3 @@
         if not late:
             return None
         return Failure(ErrorKind.DEADLINE_TOO_SHORT, NO_ROOM, retry_after=late)
-
-
-def _failed_at_backend(event: AttemptFailed) -> bool:
-    """Return whether the back end is to blame that an attempt brought no answer."""
-    return (
-        event.sent_any_byte and not event.refused and event.failure.kind is not ErrorKind.CANCELLED
-    )
-
-
-def _queued(call: Call, now: float) -> QueuedCall:
-    return QueuedCall(
-        call=call.number,
-        group=call.start.group,
-        deadline=call.deadline,
-        size=len(call.body),
-        arrived_at=now,
-        target=call.target,
-        tenant=call.start.tenant,
-    )
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -10,6 +10,7 @@
 from msgspec.structs import asdict
 
 from limelever.agent import events
+from limelever.agent.group_queue import QueuedCall
 from limelever.agent.interface import StartAttempt
 from limelever.common.sansio import ConnectionId, LogEvent
 from limelever.protocol.calls_pb2 import CallStart
@@ -52,6 +53,18 @@
         """Return whether the call may run more than once."""
         return bool(self.start.call_kind == CALL_KIND_REPEATABLE)
 
+    def queued(self, now: float) -> QueuedCall:
+        """Return the call as it waits for a slot from now on."""
+        return QueuedCall(
+            call=self.number,
+            group=self.start.group,
+            deadline=self.deadline,
+            size=len(self.body),
+            arrived_at=now,
+            target=self.target,
+            tenant=self.start.tenant,
+        )
+
     def begin(self, now: float) -> StartAttempt:
         """Hand the call to the back end, which shares the body's bytes from now on."""
         self.stage = CallStage.RUNNING
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -8,7 +8,7 @@
 
 from enum import Enum
 
-from limelever.common.errors import Failure
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
 from limelever.subscriber.configuration import ConfigurationSet
@@ -80,6 +80,12 @@
     refused: bool = False
     connection_ended: bool = False
 
+    @property
+    def by_backend(self) -> bool:
+        """Whether the back end is to blame that the attempt brought no answer."""
+        cancelled = self.failure.kind is ErrorKind.CANCELLED
+        return self.sent_any_byte and not self.refused and not cancelled
+
 
 class BackendProbed(Event, frozen=True):
     """Result of one health probe; holds back the first registration, ends no call."""
