--- a/src/limelever_lab/links/answer_model.py
+++ b/src/limelever_lab/links/answer_model.py
@@ -6,16 +6,13 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
-import random
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from limelever.agent.answer_link import AnswerLink, AnswerTimes
 from limelever_lab.bench.quantiles import Quantiles
+from limelever_lab.links.course import Event, LinkCourse
 
 SHORT_ANSWER_BYTES = 600
 """Size of a short answer on the wire: its head, its body and the link's own."""
@@ -65,28 +62,16 @@
     TURN = auto()
 
 
-@dataclass(order=True, slots=True)
-class _Event:
-    at: float
-    order: int
-    step: _Step = field(compare=False)
-    call: int = field(default=0, compare=False)
-    size: int = field(default=0, compare=False)
-
-
 class AnswerModel:
     """One run of a seed under virtual time."""
 
     def __init__(self, load: AnswerLoad, leaving: Leaving, seed: int) -> None:
         self._load = load
         self._leaving = leaving
-        self._random = random.Random(seed)
+        self._course = LinkCourse(load.rate, load.seconds, seed)
         self._link = AnswerLink(load.rate)
         self._began: dict[int, float] = {}
         self._left: dict[int, int] = {}
-        self._events: list[_Event] = []
-        self._numbers = itertools.count(1)
-        self._free_at = 0.0
         self._turn_at = math.inf
         self._short: list[float] = []
         self._long: list[float] = []
@@ -96,12 +81,12 @@
     def run(self) -> AnswerOutcome:
         """Play the run to its end."""
         load = self._load
-        for at in self._arrivals(load.short_answers):
-            self._plan(at, _Step.SHORT_ANSWER)
-        for at in self._arrivals(load.rate * load.asked / load.answer_bytes):
-            self._plan(at, _Step.CALL, call=next(self._numbers))
-        while self._events:
-            self._happen(heapq.heappop(self._events))
+        for at in self._course.arrivals(load.short_answers):
+            self._course.plan(at, _Step.SHORT_ANSWER)
+        for at in self._course.arrivals(load.rate * load.asked / load.answer_bytes):
+            self._course.plan(at, _Step.CALL, call=self._course.draw_number())
+        for event in self._course.events(math.inf):
+            self._happen(event)
         in_target = sum(seconds <= load.target for seconds in self._long)
         return AnswerOutcome(
             Quantiles.of(self._short),
@@ -110,20 +95,11 @@
             self._refused / self._calls,
         )
 
-    def _arrivals(self, rate: float) -> Iterator[float]:
-        at = self._random.expovariate(rate)
-        while at < self._load.seconds:
-            yield at
-            at += self._random.expovariate(rate)
-
-    def _plan(self, at: float, step: _Step, call: int = 0, size: int = 0) -> None:
-        heapq.heappush(self._events, _Event(at, next(self._numbers), step, call, size))
-
-    def _happen(self, event: _Event) -> None:
+    def _happen(self, event: Event) -> None:
         match event.step:
             case _Step.SHORT_ANSWER:
                 self._link.sent_at_once(SHORT_ANSWER_BYTES, event.at)
-                self._short.append(self._deliver(event.at, SHORT_ANSWER_BYTES) - event.at)
+                self._short.append(self._course.deliver(event.at, SHORT_ANSWER_BYTES) - event.at)
             case _Step.CALL:
                 self._come(event)
             case _Step.READY:
@@ -132,12 +108,7 @@
                 self._turn_at = math.inf
                 self._take_turns(event.at)
 
-    def _deliver(self, now: float, size: int) -> float:
-        """Put bytes behind what is on the link; return when the last of them is there."""
-        self._free_at = max(now, self._free_at) + size / self._load.rate
-        return self._free_at
-
-    def _come(self, event: _Event) -> None:
+    def _come(self, event: Event) -> None:
         load, now = self._load, event.at
         self._calls += 1
         times = AnswerTimes(now + load.target, now + load.deadline, load.service_time)
@@ -146,15 +117,15 @@
             return
         self._began[event.call] = now
         self._link.expect(event.call, LONG)
-        size = max(1, round(load.answer_bytes * self._random.uniform(0.2, 1.8)))
-        seconds = load.service_time * self._random.uniform(0.5, 1.5)
-        self._plan(now + seconds, _Step.READY, event.call, size)
+        size = max(1, round(load.answer_bytes * self._course.random.uniform(0.2, 1.8)))
+        seconds = load.service_time * self._course.random.uniform(0.5, 1.5)
+        self._course.plan(now + seconds, _Step.READY, event.call, size)
 
-    def _ready(self, event: _Event) -> None:
+    def _ready(self, event: Event) -> None:
         self._link.settle(event.call)
         self._link.observe(LONG, event.size)
         if self._leaving is Leaving.PUSHED:
-            self._end(event.call, self._deliver(event.at, event.size))
+            self._end(event.call, self._course.deliver(event.at, event.size))
             return
         self._left[event.call] = event.size
         target = self._began[event.call] + self._load.target
@@ -163,14 +134,14 @@
 
     def _take_turns(self, now: float) -> None:
         for part in self._link.parts(now):
-            there = self._deliver(now, part.size)
+            there = self._course.deliver(now, part.size)
             self._left[part.answer] -= part.size
             if not self._left[part.answer]:
                 self._end(part.answer, there)
         turn = self._link.next_turn()
         if turn is not None and turn < self._turn_at:
             self._turn_at = turn
-            self._plan(turn, _Step.TURN)
+            self._course.plan(turn, _Step.TURN)
 
     def _end(self, call: int, there: float) -> None:
         self._long.append(there - self._began.pop(call))
--- a/src/limelever_lab/links/model.py
+++ b/src/limelever_lab/links/model.py
@@ -6,15 +6,12 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
-import random
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from limelever.agent.body_credit import BodyCredit, Grant
 from limelever_lab.bench.quantiles import Quantiles
+from limelever_lab.links.course import Event, LinkCourse
 
 SHORT_CALL_BYTES = 600
 """Size of a call without a body on the wire: its head and the link's own."""
@@ -65,54 +62,33 @@
     ARRIVED = auto()
 
 
-@dataclass(order=True, slots=True)
-class _Event:
-    at: float
-    order: int
-    step: _Step = field(compare=False)
-    call: int = field(default=0, compare=False)
-    size: int = field(default=0, compare=False)
-
-
 class LinkModel:
     """One run of a seed under virtual time."""
 
     def __init__(self, load: LinkLoad, sending: Sending, seed: int) -> None:
         self._load = load
         self._sending = sending
-        self._random = random.Random(seed)
+        self._course = LinkCourse(load.rate, load.seconds, seed)
         self._credit = BodyCredit(load.rate)
         self._bodies: dict[int, _Body] = {}
-        self._events: list[_Event] = []
-        self._numbers = itertools.count()
-        self._free_at = 0.0
         self._short: list[float] = []
         self._whole: list[float] = []
 
     def run(self) -> LinkOutcome:
         """Play the run to its end."""
         load = self._load
-        for at in self._arrivals(load.short_calls):
-            self._plan(at, _Step.SHORT_CALL)
-        for at in self._arrivals(load.rate * load.used_by_bodies / load.body_bytes):
-            self._plan(at, _Step.BODY, call=next(self._numbers))
-        while self._events and self._events[0].at < load.seconds:
-            self._happen(heapq.heappop(self._events))
+        for at in self._course.arrivals(load.short_calls):
+            self._course.plan(at, _Step.SHORT_CALL)
+        for at in self._course.arrivals(load.rate * load.used_by_bodies / load.body_bytes):
+            self._course.plan(at, _Step.BODY, call=self._course.draw_number())
+        for event in self._course.events(load.seconds):
+            self._happen(event)
         return LinkOutcome(Quantiles.of(self._short), Quantiles.of(self._whole), len(self._bodies))
 
-    def _arrivals(self, rate: float) -> Iterator[float]:
-        at = self._random.expovariate(rate)
-        while at < self._load.seconds:
-            yield at
-            at += self._random.expovariate(rate)
-
-    def _plan(self, at: float, step: _Step, call: int = 0, size: int = 0) -> None:
-        heapq.heappush(self._events, _Event(at, next(self._numbers), step, call, size))
-
-    def _happen(self, event: _Event) -> None:
+    def _happen(self, event: Event) -> None:
         match event.step:
             case _Step.SHORT_CALL:
-                self._short.append(self._deliver(event.at, SHORT_CALL_BYTES) - event.at)
+                self._short.append(self._course.deliver(event.at, SHORT_CALL_BYTES) - event.at)
             case _Step.BODY:
                 self._begin(event)
             case _Step.CREDIT:
@@ -120,13 +96,8 @@
             case _Step.ARRIVED:
                 self._take(event)
 
-    def _deliver(self, now: float, size: int) -> float:
-        """Put bytes behind what is on the link; return when the last of them is here."""
-        self._free_at = max(now, self._free_at) + size / self._load.rate
-        return self._free_at
-
-    def _begin(self, event: _Event) -> None:
-        size = max(1, round(self._load.body_bytes * self._random.uniform(0.4, 1.6)))
+    def _begin(self, event: Event) -> None:
+        size = max(1, round(self._load.body_bytes * self._course.random.uniform(0.4, 1.6)))
         self._bodies[event.call] = _Body(event.at, size)
         if self._sending is Sending.PUSHED:
             self._send(event.at, event.call, size)
@@ -137,12 +108,12 @@
     def _grant(self, now: float) -> None:
         grants: list[Grant] = self._credit.grants(now)
         for grant in grants:
-            self._plan(now + self._load.round_trip, _Step.CREDIT, grant.call, grant.size)
+            self._course.plan(now + self._load.round_trip, _Step.CREDIT, grant.call, grant.size)
 
     def _send(self, now: float, call: int, size: int) -> None:
-        self._plan(self._deliver(now, size), _Step.ARRIVED, call, size)
+        self._course.plan(self._course.deliver(now, size), _Step.ARRIVED, call, size)
 
-    def _take(self, event: _Event) -> None:
+    def _take(self, event: Event) -> None:
         body = self._bodies[event.call]
         body.missing -= event.size
         if self._sending is Sending.BY_CREDIT:
