--- a/src/limelever/agent/pace.py
+++ b/src/limelever/agent/pace.py
@@ -9,7 +9,7 @@
 import math
 
 FRESH_SECONDS = 0.5
-"""Age from which a pace counts as not known; a choice: some calls' time."""
+"""Age from which a pace counts as not known: some calls' time."""
 
 LARGEST_PERMILLE = 10_000
 """Largest pace that is believed: more than that is a fault of another kind."""
--- a/src/limelever/proxy/paces.py
+++ b/src/limelever/proxy/paces.py
@@ -7,8 +7,8 @@
 from limelever.proxy.endpoints import EndpointKey
 
 HALF_LIFE = 0.3
-"""Seconds after which half of a pace's difference from the usual is believed; a choice: paces
-change many times a second."""
+"""Seconds after which half of a pace's difference from the usual is believed: paces change many
+times a second."""
 
 FORGOTTEN = 3.0
 """Seconds after which nothing is left of it."""
