Let a test's nodes answer only after the strikes that it is about

A test process that is held up between the two has them looked at unstruck.

Change: the nodes' answers wait for the strikes. The verdicts asked for are the same.

--- a/features/steps/kept_audit_steps.py
+++ b/features/steps/kept_audit_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from types import SimpleNamespace
 
 from answer_audit import AnswerAudit
@@ -16,6 +17,7 @@
 from strike_series import RESUME, WAIT_STOPPED, Plans
 
 STOP_AT = 1000.0
+ANSWER_SECONDS = 10.0
 COUNTED = {
     "not read": "unanswered, not counted as read",
     "at work at the end": "unanswered, instance at work in the last sixth of the grace time",
@@ -136,6 +138,11 @@
     "and {gone:d} are gone"
 )
 def given_stopping(context, asked, ready, gone):
+    # A test process that was held up for 50 ms here had nodes looked at before the strikes of the
+    # next step, so that they counted as ready: the nodes answer only after those.
+    def answer_once_struck(node):
+        return context.struck.wait(ANSWER_SECONDS) and node.is_ready
+
     context.strikes = StrikeLog()
     context.nodes = [
         SimpleNamespace(
@@ -143,7 +150,8 @@
         )
         for n in range(asked)
     ]
-    context.readiness = StoppedReadiness(context.strikes, lambda node: node.is_ready, after=0.05)
+    context.struck = threading.Event()
+    context.readiness = StoppedReadiness(context.strikes, answer_once_struck, after=0.05)
     for node in context.nodes:
         context.strikes.note(node, STOP)
         context.readiness.watch(node)
@@ -157,6 +165,7 @@
 def given_struck(context, struck):
     for node in context.nodes[:struck]:
         context.strikes.note(node, KILL)
+    context.struck.set()
     context.readiness.judge()
     context.broken = context.readiness.broken
 
