--- a/features/steps/lab_test_run_steps.py
+++ b/features/steps/lab_test_run_steps.py
@@ -64,10 +64,16 @@
 
 @given("a known red file of {count:d} lines")
 def step_known_red_file(context, count):
-    lines = "".join(f"scenario {number} | cause | #{number}\n" for number in range(count))
+    lines = "".join(f"scenario {number} | cause | {number}\n" for number in range(count))
     (scratch(context) / KNOWN_RED_FILE).write_text(lines)
 
 
+@given('a known red file of the lines "{lines}"')
+def step_known_red_lines(context, lines):
+    text = lines.replace(" /", " |").replace("; ", "\n")
+    (scratch(context) / KNOWN_RED_FILE).write_text(f"{text}\n")
+
+
 @then("reading it gives a reason")
 def step_known_red_refused(context):
     assert isinstance(read_known_red(scratch(context)), str)
