--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -1,4 +1,4 @@
-"""Which HTTP headers pass on: the one list of hop-by-hop headers, for either end of the mesh."""
+"""Names of the HTTP headers that the mesh uses, and the one list of hop-by-hop headers."""
 
 from __future__ import annotations
 
@@ -10,22 +10,28 @@
 
 CONNECTION = b"connection"
 TIMEOUT_HEADER = b"x-limelever-timeout-ms"
-"""How long the sender waits: from callers to proxies, and from agents to back ends."""
+"""How long the sender waits; from callers to proxies, and from agents to back ends."""
 
 
 class HeaderNames(Struct, frozen=True):
-    """What the mesh calls the headers that it reads and sets itself; in lower case.
-
-    ``timeout`` is described above. ``request_id`` names one sending of a caller's request; a back
-    end that repeats it in its answer is held to it. The mesh sets ``caller_service``, the service
-    beside the proxy that took the request, and ``target_instance``, the instance that is meant:
-    any other refuses the request. A back end states by ``not_run`` that it did not run a request.
-    An empty name stands for a header that is not used. With ``answers_repeat_id`` an answer
-    without the request's own id is no answer to it. An answer to a health probe names the back
-    end's instance by ``instance`` and tells its slots by ``load`` (calls that run, calls that wait
-    and slots, joined by commas), and its remaining warm-up time in milliseconds by ``warm_up``.
-    Where the configuration has tenants, callers show their keys by ``authorization``, behind the
-    word ``key_scheme`` if there is one, and the mesh sets ``tenant``.
+    """Names of the headers that the mesh reads and sets, in lower case; empty if not used.
+
+    Requests:
+
+    - ``timeout``: how long the sender waits, in milliseconds.
+    - ``request_id``: identifies one attempt of a caller. With ``answers_repeat_id`` a response
+      without the request's own identifier does not belong to it.
+    - ``caller_service``, set by the mesh: the service beside the proxy that received the request.
+    - ``target_instance``, set by the mesh: the instance meant; any other refuses the request.
+    - ``authorization``: the caller's API key, after the word ``key_scheme`` if there is one.
+    - ``tenant``, set by the mesh: the tenant that holds the key.
+
+    Responses of a back end:
+
+    - ``not_run``: the request was not run.
+    - ``instance``: the back end's identifier, in responses to health probes.
+    - ``load``: running calls, waiting calls and slots, separated by commas.
+    - ``warm_up``: the remaining warm-up time in milliseconds.
     """
 
     timeout: bytes = TIMEOUT_HEADER
@@ -49,7 +55,7 @@
 
 
 def value_of(headers: Headers, name: bytes) -> bytes:
-    """Return the first value of a header, empty when it is absent or the name is empty."""
+    """Return the first value of a header; empty if it is absent or the name is empty."""
     for known, value in headers:
         if known == name:
             return value
@@ -69,13 +75,13 @@
         b"upgrade",
     }
 )
-"""Headers that concern one HTTP connection only (RFC 9110, section 7.6.1)."""
+"""Headers of a single HTTP connection (RFC 9110, section 7.6.1)."""
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers, names in lower case, without those that concern one connection.
+    """Return the headers, names in lower case, without those of a single connection.
 
-    Besides the hop-by-hop ones these are the headers that ``Connection`` names.
+    These are the hop-by-hop headers and those that ``Connection`` names.
     """
     lowered = [(name.lower(), value) for name, value in headers]
     dropped = HOP_BY_HOP
