Log and measure what instances state in their responses

Cause: an instance can state a limit and that it is leaving, and neither logs nor metrics show it, so that the hypotheses of the incident can't be told apart: no process reads the headers, each heeds them alone, or calls go past the agent's count. Change: the headers have names in the settings; the agent reads them from complete responses, from refusals by the instance and from health responses, and logs each change (5150, 5151), an invalid value once (5152) and a leave (5153); the limit is a gauge. Nothing acts on it yet.

--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -19,6 +19,7 @@
     parse_instance_identity,
     parse_probe,
 )
+from limelever.agent.instance_signals import parse_signals
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
@@ -141,15 +142,19 @@
         if output.close_idle:
             self._pool.close()
         result = await self._pool.check_connect(CHECK_TIMEOUT_SECONDS)
-        requests = None
         if result is ConnectResult.OPENED and output.asks_load and self.health_path:
-            requests = await self._ask_load()
-        self._post(BackendChecked(result, requests))
+            self._post(await self._ask_load(result))
+        else:
+            self._post(BackendChecked(result))
 
-    async def _ask_load(self) -> int | None:
-        """Return how many requests the backend states in its response to a health request."""
+    async def _ask_load(self, result: ConnectResult) -> BackendChecked:
+        """Return the result of a check with what the response to a health request states."""
         response = await self._send_probe(self.health_path, CHECK_TIMEOUT_SECONDS)
-        return None if response is None else parse_requests(response.headers, self._names)
+        if response is None:
+            return BackendChecked(result)
+        headers = tuple((name.lower(), value) for name, value in response.headers)
+        requests = parse_requests(headers, self._names)
+        return BackendChecked(result, requests, parse_signals(headers, self._names))
 
     async def _run_attempt(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
@@ -225,14 +230,18 @@
             failure = Failure(ErrorKind.BACKEND_FAILED, "response belongs to another request")
             return AttemptFailed(output.attempt, failure, sent_any_byte=True)
         refusal = backend_refusal(status, headers, self._names)
+        signals = parse_signals(headers, self._names)
         if refusal is not None:
-            return AttemptFailed(output.attempt, refusal, sent_any_byte=True, refused=True)
+            stated = signals if refusal.kind is ErrorKind.BACKEND_REFUSED else None
+            return AttemptFailed(
+                output.attempt, refusal, sent_any_byte=True, refused=True, signals=stated
+            )
         unconfirmed = unconfirmed_refusal(status, self._names)
         if unconfirmed is not None:
-            return AttemptFailed(output.attempt, unconfirmed, sent_any_byte=True)
+            return AttemptFailed(output.attempt, unconfirmed, sent_any_byte=True, signals=signals)
         pace = parse_pace(headers, self._names)
         requests = parse_requests(headers, self._names)
-        return AttemptAnswered(output.attempt, status, headers, body, pace, requests)
+        return AttemptAnswered(output.attempt, status, headers, body, pace, requests, signals)
 
 
 async def _read_response(connection: BackendConnection, parser: ResponseParser) -> None:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -24,7 +24,9 @@
 from limelever.agent.calls import Call, CallStage, CallTable, OrphanedCalls
 from limelever.agent.crash_detector import HeldCall
 from limelever.agent.fair_queue import Eviction, FairQueue, QueueLimits
+from limelever.agent.instance_limit import BY_HEALTH_RESPONSE, BY_RESPONSE, InstanceLimit
 from limelever.agent.instance_load import InstanceLoad
+from limelever.agent.instance_signals import InstanceSignals
 from limelever.agent.interface import (
     AttemptAnswered,
     AttemptFailed,
@@ -92,6 +94,8 @@
         self._instance = InstanceLoad(
             limits.queue.slots, counts_former_calls=limits.counts_former_calls
         )
+        self.instance_limit = InstanceLimit()
+        self._leaving = False
         self.versions = versions or VersionOutcomeCounter(service, "", "")
         self._reporter = CallReporter(self._queue, limits.queue.slots, limits.log, self.warm_up)
 
@@ -267,6 +271,7 @@
         self.backend.answered(call.number)
         self._instance.call_ended(call.number)
         lost = self._instance.response_received(event.requests, now)
+        leaving = self._observe_signals(event.signals, call, now)
         ran, failed = now - call.started_at, event.status >= _FIRST_SERVER_ERROR_STATUS
         self.versions.record_call(call.start.group, ran, failed, now)
         self._queue.finish(call.number, now, representative=event.status != _SHED_STATUS)
@@ -279,7 +284,7 @@
         load = self._reporter.agent_load(call.start.group)
         outputs = [] if settled else self._responses.send(call, event, load, now)
         outputs.extend(self._reporter.call_answered(call, event.status, now))
-        return [*outputs, *self._cancel_lost(lost, now), *self.start_waiting(now)]
+        return [*leaving, *outputs, *self._cancel_lost(lost, now), *self.start_waiting(now)]
 
     def attempt_failed(self, event: AttemptFailed, now: float) -> list[Output]:
         """Report a failed attempt to the proxy, with whether it may have run."""
@@ -290,6 +295,8 @@
         if event.backend_at_fault:
             self.versions.record_call(call.start.group, now - call.started_at, True, now)
         self._instance.call_ended(call.number)
+        signals = event.signals
+        leaving = [] if signals is None else self._observe_signals(signals, call, now)
         self._queue.finish(call.number, now, representative=False)
         failure = self._attempt_failure(event, call)
         if failure.kind is ErrorKind.BACKEND_REFUSED:
@@ -298,8 +305,9 @@
         if event.unreachable:
             self.warm_up.unconfirm()
         if self.backend.failed(event, failure, call, now):
-            return self.start_waiting(now)
-        return [*self._finish_unanswered(call, failure), *self.start_waiting(now)]
+            return [*leaving, *self.start_waiting(now)]
+        ended = self._finish_unanswered(call, failure)
+        return [*leaving, *ended, *self.start_waiting(now)]
 
     # --- time and drain ---------------------------------------------------------------------
 
@@ -355,6 +363,7 @@
         elif result.result is ConnectResult.REFUSED:
             self.warm_up.unconfirm()
         outputs = self._report_crash(outcome) if outcome.crash else []
+        outputs.extend(self.health_stated(result.signals, now))
         if result.requests is not None:
             lost = self._instance.health_response_received(result.requests, now)
             outputs.extend(self._cancel_lost(lost, now))
@@ -372,6 +381,11 @@
             outputs.append(LogEvent(events.BACKEND_BACK))
         return outputs if self.backend.silent else [*outputs, *self.start_waiting(now)]
 
+    def health_stated(self, signals: InstanceSignals, now: float) -> list[Output]:
+        """Apply what a health response states of the instance."""
+        self.instance_limit.observe_health(signals, now)
+        return self._note_leaving(signals, BY_HEALTH_RESPONSE)
+
     def cancel_running(self) -> list[Output]:
         """Cancel every running attempt because the agent stops."""
         outputs: list[Output] = []
@@ -461,6 +475,21 @@
             return call.cancellation.if_sent
         return self._with_retry_advice(call.cancellation.if_unsent, call)
 
+    def _observe_signals(self, signals: InstanceSignals, call: Call, now: float) -> list[Output]:
+        self.instance_limit.observe_response(signals, call.started_at, now)
+        return self._note_leaving(signals, BY_RESPONSE)
+
+    def _note_leaving(self, signals: InstanceSignals, source: str) -> list[Output]:
+        if self._leaving or not signals.leaving:
+            return []
+        self._leaving = True
+        fields: dict[str, object] = {
+            "running": self.running,
+            "queued": self.waiting,
+            "source": source,
+        }
+        return [LogEvent(events.INSTANCE_LEAVING, fields)]
+
     # --- helpers ----------------------------------------------------------------------------
 
     def _refuse_late(self, numbers: Sequence[int]) -> list[Output]:
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -176,6 +176,7 @@
         if self._finished:
             return outputs
         outputs.extend(self._calls.warm_up.take_outputs(now))
+        outputs.extend(self._calls.instance_limit.take_outputs())
         outputs.extend(self._calls.grant_body_credit(now))
         outputs.extend(self._calls.send_paced_responses(now))
         outputs.extend(
@@ -235,7 +236,9 @@
             case BackendChecked():
                 return self._calls.backend_checked(event, now)
             case BackendProbed(healthy):
-                return self._register_when_warm(self._cold_start.observe_probe(healthy), now)
+                stated = self._calls.health_stated(event.signals, now)
+                registered = self._register_when_warm(self._cold_start.observe_probe(healthy), now)
+                return [*stated, *registered]
             case DrainRequested():
                 return self._begin_drain(now)
             case BackendGone():
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -141,6 +141,40 @@
     "seconds",
     "running",
 )
+INSTANCE_LIMIT_CHANGED = define(
+    5150,
+    "instance-limit-changed",
+    Level.INFO,
+    "the instance states how many calls a second it takes; `former` 0: no limit before",
+    "former",
+    "calls_per_s",
+    "source",
+)
+INSTANCE_LIMIT_ENDED = define(
+    5151,
+    "instance-limit-ended",
+    Level.INFO,
+    "the instance no longer states a limit on its calls",
+    "former",
+    "calls_per_s",
+    "source",
+)
+INSTANCE_LIMIT_INVALID = define(
+    5152,
+    "instance-limit-invalid",
+    Level.WARNING,
+    "the instance states a limit that is not a number from 0 on; the limit stays as it was",
+    "value",
+)
+INSTANCE_LEAVING = define(
+    5153,
+    "instance-leaving",
+    Level.INFO,
+    "the instance states that it is leaving",
+    "running",
+    "queued",
+    "source",
+)
 REPORT_REFUSED = define(
     5060,
     "report-refused",
--- a/src/limelever/agent/health_response.py
+++ b/src/limelever/agent/health_response.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from limelever.agent.instance_signals import NO_SIGNALS, InstanceSignals, parse_signals
 from limelever.agent.load_header import parse_slots
 from limelever.common.http_headers import HeaderNames, Headers, value_of
 from limelever.common.http_messages import HttpAnswer
@@ -30,6 +31,7 @@
 
     healthy: bool
     warm_up_left: float | None = None
+    signals: InstanceSignals = NO_SIGNALS
 
 
 def parse_instance_identity(answer: HttpAnswer, names: HeaderNames) -> InstanceIdentity | None:
@@ -42,9 +44,10 @@
 
 
 def parse_probe(answer: HttpAnswer, names: HeaderNames) -> ProbeResult:
-    """Return whether a health response is positive, and the warm-up that it states."""
+    """Return whether a health response is positive, and what it states."""
     headers = tuple((name.lower(), value) for name, value in answer.headers)
-    return ProbeResult(200 <= answer.status < 300, parse_warm_up(headers, names))
+    healthy = 200 <= answer.status < 300
+    return ProbeResult(healthy, parse_warm_up(headers, names), parse_signals(headers, names))
 
 
 def parse_warm_up(headers: Headers, names: HeaderNames) -> float | None:
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -8,6 +8,7 @@
 
 from enum import Enum
 
+from limelever.agent.instance_signals import NO_SIGNALS, InstanceSignals
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Event, Output
@@ -66,6 +67,12 @@
     refused: int
 
 
+class InstanceLimitChanged(Output, frozen=True):
+    """The instance takes this many calls per second from all proxies together; 0 for no limit."""
+
+    calls_per_s: float
+
+
 class AttemptAnswered(Event, frozen=True):
     """The back end's complete response.
 
@@ -80,6 +87,7 @@
     body: bytes
     pace_permille: int = 0
     requests: int | None = None
+    signals: InstanceSignals = NO_SIGNALS
 
 
 class AttemptFailed(Event, frozen=True):
@@ -87,7 +95,8 @@
 
     ``sent_any_byte`` is false only if no byte of the request can have reached the back end.
     ``refused`` is true if the back end stated that it did not run the request, and
-    ``connection_ended`` if the back end closed the connection before it responded.
+    ``connection_ended`` if the back end closed the connection before it responded. ``signals`` are
+    those of a refusal by the instance itself, ``None`` without one.
     """
 
     attempt: int
@@ -95,6 +104,7 @@
     sent_any_byte: bool
     refused: bool = False
     connection_ended: bool = False
+    signals: InstanceSignals | None = None
 
     @property
     def backend_at_fault(self) -> bool:
@@ -120,6 +130,7 @@
 
     healthy: bool
     warm_up_left: float | None = None
+    signals: InstanceSignals = NO_SIGNALS
 
 
 class WarmUpReported(Event, frozen=True):
@@ -148,11 +159,13 @@
     """Result of the connection check that ``CheckBackend`` requested.
 
     ``requests`` is how many requests run or wait at the back end by its response to a health
-    request on the new connection, ``None`` if it sent none or did not state it.
+    request on the new connection, ``None`` if it sent none or did not state it. ``signals`` are
+    those of the same response.
     """
 
     result: ConnectResult
     requests: int | None = None
+    signals: InstanceSignals = NO_SIGNALS
 
 
 class ConfigurationShared(Event, frozen=True):
--- a/src/limelever/agent/metrics.py
+++ b/src/limelever/agent/metrics.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from limelever.agent.interface import CallsLimited
-from limelever.transport.instruments import Counter
+from limelever.agent.interface import CallsLimited, InstanceLimitChanged
+from limelever.common.sansio import Output
+from limelever.transport.instruments import Counter, Gauge
 
 INSTANCE_CONNECTIONS_LOST = Counter(
     "limelever_instance_connections_lost",
@@ -14,10 +15,21 @@
     "Calls that the limit of a warming back end has delayed or refused",
     ("effect",),
 )
+INSTANCE_LIMIT = Gauge(
+    "limelever_agent_instance_limit",
+    "Calls a second that the instance takes by its own statement; 0 without a limit.",
+)
 _DELAYED, _REFUSED = LIMITED_CALLS.labels("delayed"), LIMITED_CALLS.labels("refused")
 
 
-def count_limited(limited: CallsLimited) -> None:
-    """Count the calls that the limit has affected."""
-    _DELAYED.inc(limited.delayed)
-    _REFUSED.inc(limited.refused)
+def record(output: Output) -> bool:
+    """Update the metrics by an output of the agent core; return whether it is only for them."""
+    match output:
+        case CallsLimited(delayed, refused):
+            _DELAYED.inc(delayed)
+            _REFUSED.inc(refused)
+        case InstanceLimitChanged(calls_per_s):
+            INSTANCE_LIMIT.only.set(calls_per_s)
+        case _:
+            return False
+    return True
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -16,11 +16,10 @@
 from limelever.agent.fair_queue import QueueLimits
 from limelever.agent.interface import (
     BackendProbed,
-    CallsLimited,
     DrainFinished,
     DrainRequested,
 )
-from limelever.agent.metrics import count_limited
+from limelever.agent.metrics import record
 from limelever.agent.registration import RegistrationSettings
 from limelever.agent.settings import AgentSettings, ProbeSettings
 from limelever.common.backoff import BackoffSettings
@@ -152,9 +151,7 @@
         def on_output(output: Output) -> None:
             if isinstance(output, DrainFinished):
                 finished.set()
-            elif isinstance(output, CallsLimited):
-                count_limited(output)
-            else:
+            elif not record(output):
                 backend.carry_out(output)
 
         runner = shell.add_core(core, on_output, accepts=[Purpose.CALLS], disk=disk)
@@ -184,5 +181,5 @@
 async def _probe(backend: BackendClient, settings: ProbeSettings, runner: CoreRunner) -> None:
     while True:
         result = await backend.probe(settings.path, seconds(settings.timeout_ms))
-        runner.post(BackendProbed(result.healthy, result.warm_up_left))
+        runner.post(BackendProbed(result.healthy, result.warm_up_left, result.signals))
         await trio.sleep(seconds(settings.interval_ms))
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -32,6 +32,8 @@
     - ``instance``: the back end's identifier, in responses to health probes.
     - ``load``: running calls, waiting calls and slots, separated by commas.
     - ``warm_up``: the remaining warm-up time in milliseconds.
+    - ``limit``, any of these: the calls per second that the back end takes from all proxies.
+    - ``leaving``, any of these: 1 if the back end is about to end and takes no new calls.
     """
 
     timeout: bytes = TIMEOUT_HEADER
@@ -42,6 +44,8 @@
     instance: bytes = b""
     load: bytes = b""
     warm_up: bytes = b""
+    limit: tuple[bytes, ...] = ()
+    leaving: tuple[bytes, ...] = ()
     answers_repeat_id: bool = False
     tenant: bytes = b""
     authorization: bytes = b"authorization"
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -105,6 +105,8 @@
     instance: str = ""
     load: str = ""
     warm_up: str = ""
+    limit: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
     answers_repeat_id: bool = False
     tenant: str = ""
     authorization: str = attrs.field(default=_NAMES.authorization.decode(), validator=not_empty)
@@ -121,6 +123,8 @@
             instance=self.instance.lower().encode(),
             load=self.load.lower().encode(),
             warm_up=self.warm_up.lower().encode(),
+            limit=_lower(self.limit),
+            leaving=_lower(self.leaving),
             answers_repeat_id=self.answers_repeat_id,
             tenant=self.tenant.lower().encode(),
             authorization=self.authorization.lower().encode(),
@@ -128,6 +132,10 @@
         )
 
 
+def _lower(names: tuple[str, ...]) -> tuple[bytes, ...]:
+    return tuple(name.lower().encode() for name in names)
+
+
 def _all_or_none(*files: str) -> bool:
     return all(files) or not any(files)
 
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -21,7 +21,6 @@
 from limelever.agent.core import AgentCore, AgentOptions
 from limelever.agent.interface import (
     BackendGone,
-    CallsLimited,
     ConfigurationShared,
     DrainFinished,
     DrainLimitReached,
@@ -29,7 +28,7 @@
     RelaysShared,
     VersionKnown,
 )
-from limelever.agent.metrics import count_limited
+from limelever.agent.metrics import record
 from limelever.agent.process import (
     build_agent_options,
     with_registration_backoff,
@@ -250,9 +249,7 @@
         def on_output(output: Output) -> None:
             if isinstance(output, DrainFinished):
                 finished.set()
-            elif isinstance(output, CallsLimited):
-                count_limited(output)
-            else:
+            elif not record(output):
                 backend.carry_out(output)
 
         listener = self._shell.listener
