Let the start limiter keep a second limit, stated by the back end

The token bucket and the count in a span move to a class of their own, with rate, burst, span and calls in a span as inputs. The limiter has one for the warm-up and one for a limit that the back end states; both may apply at once.

--- a/src/limelever/agent/start_limiter.py
+++ b/src/limelever/agent/start_limiter.py
@@ -1,26 +1,32 @@
-"""Limits the calls started at a warming back end, exactly and in any span of one second.
+"""Limits the calls started at a back end: while it warms up, and to the limit that it states.
 
-Made for a back end that has just started, or turned cold at full rate, while its callers send
-several times what it can handle. Callers need the answers that a cold back end can give, and an
-early refusal for the rest: another endpoint or a later retry can serve them.
+Made for a back end that has just started, turned cold at full rate or states that it takes fewer
+calls, while its callers send several times what it can handle. Callers need the answers that the
+back end can give, and an early refusal for the rest: another endpoint or a later retry can serve
+them. Both limits are exact, see ``start_rate``, and may apply at once.
 
-The limit is ``calls_per_s * over_percent / 100 + slack`` calls in a second. A token bucket refills
-at the steady rate ``calls_per_s * over_percent / 100``, since a back end that is sent the limit in
-each second fails. Its burst leaves room for two seconds of refill, so that calls which take up to a
-second to reach the back end arrive within the limit. The bucket begins empty, so that the calls of
-a former process and of this one together are no more than those of one bucket.
+The limit of a warming back end is ``calls_per_s * over_percent / 100 + slack`` calls in a second. A
+token bucket refills at the steady rate ``calls_per_s * over_percent / 100``, since a back end that
+is sent the limit in each second fails. Its burst leaves room for two seconds of refill, so that
+calls which take up to a second to reach the back end arrive within the limit. Starts are counted in
+every state, so that the calls of the last second are known when the back end turns cold.
 
-Starts are counted in every state, so that the calls of the last second are known when the back end
-turns cold.
+A stated limit is kept at its rate, with a burst of ``STATED_BURST_SECONDS``: calls that arrive
+together need not wait while the back end has been idle.
 """
 
 from __future__ import annotations
 
 import math
-from collections import deque
 
 from msgspec import Struct
 
+from limelever.agent.start_rate import (
+    TIMER_MARGIN_SECONDS,
+    TOKEN_TOLERANCE,
+    RateLimit,
+    StartRate,
+)
 from limelever.agent.warm_up_state import StartLimit, WarmUpState
 
 SPAN_SECONDS = 1.05
@@ -29,16 +35,12 @@
 BURST_RATIO = 2 / 3
 """Largest part of the limit that the bucket lets through in a second."""
 
-TIMER_MARGIN_SECONDS = 0.001
-"""Added to the time of the next start, so that a timer set to it never fires early."""
+STATED_BURST_SECONDS = 0.25
+"""Time whose calls may be started at once under a limit that the back end states."""
 
 MAX_DELAY_SECONDS = 3600.0
 """Longest delay sent to callers, for rates of less than a call an hour."""
 
-_TOKEN_TOLERANCE = 1e-6
-_MIN_STARTS_KEPT = 64
-"""Start times kept while there is no limit yet, or a low one that may be raised."""
-
 
 class StartLimits(Struct, frozen=True):
     """How far a warming back end's rate may be exceeded; ``report_interval`` is in seconds."""
@@ -53,7 +55,18 @@
 
     def calls_in_span(self, calls_per_s: float) -> int:
         """Return the largest number of calls in a second, at least 1."""
-        return max(1, math.floor(self.steady_rate(calls_per_s) + self.slack + _TOKEN_TOLERANCE))
+        return max(1, math.floor(self.steady_rate(calls_per_s) + self.slack + TOKEN_TOLERANCE))
+
+    def rate_limit(self, calls_per_s: float) -> RateLimit:
+        """Return the limit of a warming back end; none for a rate of 0."""
+        if not calls_per_s:
+            return RateLimit()
+        return RateLimit(
+            self.steady_rate(calls_per_s),
+            self.burst(calls_per_s),
+            SPAN_SECONDS,
+            self.calls_in_span(calls_per_s),
+        )
 
     def burst(self, calls_per_s: float) -> float:
         """Return the bucket's size in calls, at least 1."""
@@ -63,30 +76,53 @@
 
 
 class LimitedCalls(Struct):
-    """Calls that the limit has affected since they were last taken."""
+    """Calls that a limit has affected since they were last taken."""
 
     delayed: int = 0
     refused: int = 0
 
 
+class _AffectedCalls:
+    """Counts the calls that one limit holds back; ``blocked_at`` is when it last did."""
+
+    def __init__(self) -> None:
+        self.blocked_at = -math.inf
+        self._counts = LimitedCalls()
+
+    def call_left(self, arrived_at: float, *, started: bool) -> None:
+        if arrived_at > self.blocked_at:
+            return
+        if started:
+            self._counts.delayed += 1
+        else:
+            self._counts.refused += 1
+
+    def call_rejected(self) -> None:
+        self._counts.refused += 1
+
+    def take(self) -> LimitedCalls | None:
+        counts = self._counts
+        if not counts.delayed and not counts.refused:
+            return None
+        self._counts = LimitedCalls()
+        return counts
+
+
 class StartLimiter:
     """Decides when the next call may be started; times are monotonic seconds.
 
-    With ``held`` no call is started before :meth:`configure`, as the limit is not known until then.
+    With ``held`` no call is started before :meth:`configure`, as the limit of a warming back end
+    is not known until then.
     """
 
     def __init__(self, limits: StartLimits, state: WarmUpState, *, held: bool = False) -> None:
         self._limits = limits
         self._state = state
         self._held = held
-        self._rate = 0.0
-        self._burst = 0.0
-        self._calls_in_span = 1
-        self._tokens = 0.0
-        self._filled_at = 0.0
-        self._starts: deque[float] = deque(maxlen=_MIN_STARTS_KEPT)
-        self._blocked_at = -math.inf
-        self._counts = LimitedCalls()
+        self._warming, self._stated = StartRate(), StartRate()
+        self._by_warm_up, self._by_statement = _AffectedCalls(), _AffectedCalls()
+        self.stated_limit = 0.0
+        """Calls per second that the back end takes by its own statement, 0 for no limit."""
 
     @classmethod
     def without_limit(cls) -> StartLimiter:
@@ -94,63 +130,64 @@
         limits = StartLimits()
         return cls(limits, WarmUpState(limits.report_interval))
 
+    @property
+    def limits_warm_up(self) -> bool:
+        """Return whether the service has a limit for warming back ends."""
+        return self._warming.enabled
+
     @property
     def enabled(self) -> bool:
-        """Return whether the service has a limit."""
-        return self._rate > 0
+        """Return whether any limit may apply."""
+        return self._warming.enabled or self._stated.enabled
 
     def configure(self, calls_per_s: float, now: float) -> bool:
         """Set the service's limit, 0 for none; return whether more calls may start now.
 
         The bucket is empty when the limit comes into force.
         """
-        rate = self._limits.steady_rate(calls_per_s)
-        changed = self._held or rate != self._rate
-        self._held = False
-        if rate == self._rate:
-            return changed
-        self._fill(now)
-        if not rate:
-            self._tokens = 0.0
-        self._rate, self._burst = rate, self._limits.burst(calls_per_s) if rate else 0.0
-        self._tokens = min(self._tokens, self._burst)
-        self._calls_in_span = self._limits.calls_in_span(calls_per_s)
-        self._starts = deque(self._starts, maxlen=max(self._calls_in_span, _MIN_STARTS_KEPT))
-        return changed
+        was_held, self._held = self._held, False
+        return self._warming.set_limit(self._limits.rate_limit(calls_per_s), now) or was_held
+
+    def set_stated(self, calls_per_s: float, now: float) -> None:
+        """Set the limit that the back end states, 0 for none."""
+        self.stated_limit = calls_per_s
+        burst = max(1.0, calls_per_s * STATED_BURST_SECONDS)
+        self._stated.set_limit(RateLimit(calls_per_s, burst) if calls_per_s else RateLimit(), now)
 
     def started(self, now: float) -> None:
         """Count a call that is started now."""
-        self._starts.append(now)
         self._state.call_started(now)
-        if self._rate:
-            self._fill(now)
-            self._tokens = max(0.0, self._tokens - 1)
+        self._warming.started(now)
+        self._stated.started(now)
 
     def blocked(self, now: float) -> None:
-        """Record that the limit alone keeps a waiting call from being started."""
-        self._blocked_at = now
+        """Record that limits alone keep a waiting call from being started."""
+        if self._stated.start_of(1, now) > now:
+            self._by_statement.blocked_at = now
+        if self._warming_start(1, now) > now:
+            self._by_warm_up.blocked_at = now
 
     def call_left(self, arrived_at: float, *, started: bool) -> None:
-        """Count a call that leaves the queue, if the limit has held it back since its arrival."""
-        if arrived_at > self._blocked_at:
-            return
-        if started:
-            self._counts.delayed += 1
-        else:
-            self._counts.refused += 1
+        """Count a call that leaves the queue, if a limit has held it back since its arrival."""
+        self._by_warm_up.call_left(arrived_at, started=started)
+        self._by_statement.call_left(arrived_at, started=started)
 
     def call_rejected(self, now: float) -> None:
         """Count a call that is rejected at its arrival, if the back end warms up."""
-        if self.retry_interval(now):
-            self._counts.refused += 1
+        if self._warming_interval(now):
+            self._by_warm_up.call_rejected()
 
-    def take_counts(self) -> LimitedCalls | None:
-        """Return the calls affected since the last time, ``None`` if there are none."""
-        counts = self._counts
-        if not counts.delayed and not counts.refused:
-            return None
-        self._counts = LimitedCalls()
-        return counts
+    def call_over_stated_limit(self) -> None:
+        """Count a call that is rejected because of the limit that the back end states."""
+        self._by_statement.call_rejected()
+
+    def take_warm_up_counts(self) -> LimitedCalls | None:
+        """Return the calls that the warm-up has affected since the last time, if any."""
+        return self._by_warm_up.take()
+
+    def take_stated_counts(self) -> LimitedCalls | None:
+        """Return the calls that the stated limit has affected since the last time, if any."""
+        return self._by_statement.take()
 
     def available_at(self, now: float) -> float:
         """Return when the next call may start; ``now`` if immediately.
@@ -159,46 +196,37 @@
         """
         if self._held:
             return math.inf
-        return self._start_of(1, now) if self._rate else now
+        return max(self._warming_start(1, now), self._stated.start_of(1, now))
 
     def delay(self, ahead: int, now: float) -> float:
-        """Return how long a call waits for the limit, in seconds, after ``ahead`` other calls."""
-        if not self._rate:
-            return 0.0
-        return min(self._start_of(ahead + 1, now) - now, MAX_DELAY_SECONDS)
+        """Return how long a call waits for the limits, in seconds, after ``ahead`` other calls."""
+        return max(self.warm_up_delay(ahead, now), self.stated_delay(ahead, now))
+
+    def warm_up_delay(self, ahead: int, now: float) -> float:
+        """Return how long a call waits because the back end may be warming up."""
+        return min(self._warming_start(ahead + 1, now) - now, MAX_DELAY_SECONDS)
+
+    def stated_delay(self, ahead: int, now: float) -> float:
+        """Return how long a call waits because of the limit that the back end states."""
+        return min(self._stated.start_of(ahead + 1, now) - now, MAX_DELAY_SECONDS)
 
     def retry_interval(self, now: float) -> float:
-        """Return the seconds between two starts; 0 while the back end isn't warming up."""
-        if not self._rate or self._state.at(now).limit is not StartLimit.BUCKET:
-            return 0.0
-        return 1 / self._rate
+        """Return the seconds between two starts; 0 while no limit applies."""
+        return max(self._warming_interval(now), self._stated.interval)
+
+    def _warming_interval(self, now: float) -> float:
+        cold = self._warming.enabled and self._state.at(now).limit is StartLimit.BUCKET
+        return self._warming.interval if cold else 0.0
 
-    def _start_of(self, number: int, now: float) -> float:
-        """Return when the ``number``-th call from now on may start."""
+    def _warming_start(self, number: int, now: float) -> float:
+        """Return when the ``number``-th call from now on may start by the warm-up."""
+        if not self._warming.enabled:
+            return now
         state = self._state.at(now)
         if state.limit is StartLimit.NONE:
             return now
-        start = self._span_start(number, now)
+        start = self._warming.span_start(number, now)
         if state.limit is StartLimit.SPAN:
             return start
-        start = max(start, self._bucket_start(number, now))
+        start = max(start, self._warming.bucket_start(number, now))
         return min(start, now + state.left + TIMER_MARGIN_SECONDS) if state.known else start
-
-    def _bucket_start(self, number: int, now: float) -> float:
-        self._fill(now)
-        missing = number - self._tokens
-        if missing <= _TOKEN_TOLERANCE:
-            return now
-        return now + missing / self._rate + TIMER_MARGIN_SECONDS
-
-    def _span_start(self, number: int, now: float) -> float:
-        """Return when the ``number``-th call may start by the calls in a span alone."""
-        spans, position = divmod(number - 1, self._calls_in_span)
-        index = len(self._starts) - self._calls_in_span + position
-        free_at = self._starts[index] + SPAN_SECONDS if index >= 0 else now
-        return max(now, free_at) + spans * SPAN_SECONDS
-
-    def _fill(self, now: float) -> None:
-        added = max(0.0, now - self._filled_at) * self._rate
-        self._tokens = min(self._burst, self._tokens + added)
-        self._filled_at = now
--- a/src/limelever/agent/warm_up.py
+++ b/src/limelever/agent/warm_up.py
@@ -63,14 +63,14 @@
 
     def next_deadline(self) -> float | None:
         """Return when the next event is needed; ``None`` without a limit."""
-        return self._state.next_tick() if self.limiter.enabled else None
+        return self._state.next_tick() if self.limiter.limits_warm_up else None
 
     def left_ms(self, now: float) -> int:
         """Return the remaining warm-up time to report to proxies, in milliseconds; 0 if warm.
 
         While it isn't known, it is the service's whole warm-up time.
         """
-        if not self.limiter.enabled:
+        if not self.limiter.limits_warm_up:
             return 0
         state = self._state.at(now)
         if state.limit is not StartLimit.BUCKET:
@@ -79,13 +79,13 @@
 
     def take_outputs(self, now: float) -> list[Output]:
         """Return what is to be logged and counted."""
-        counts = self.limiter.take_counts()
+        counts = self.limiter.take_warm_up_counts()
         counted = [] if counts is None else [CallsLimited(counts.delayed, counts.refused)]
         return [*self._changes(now), *counted]
 
     def _changes(self, now: float) -> list[LogEvent]:
         """Return the event to log if the state has changed between warm, warming and not known."""
-        if not self.limiter.enabled:
+        if not self.limiter.limits_warm_up:
             self._logged = None
             return []
         state, logged = self._state.at(now), self._logged
