Keep the limit that an instance states, over all proxies together

Nothing was turned away, and the load didn't change when the limit was named. Cause: no process read the header; it was passed on like any other. It is of the class of statements that a single response makes and that the whole fleet has to act on. Ruled out: each machine heeding it alone (the load of 12 machines didn't fall at all), and paths past the agent's count (there was no strike before the first break).

Change: the agent, which all calls of an instance pass, starts calls within the limit, in the limiter that also keeps warm-ups. A lower limit holds at once; a higher one or none needs a response to a call from after the last statement, as responses overlap. Queued calls that can't be started in time are refused when the limit comes into force. Refusals have a kind of their own, instance-limited, that costs neither health nor retry budget; older proxies get it as overloaded. Proxies hear the limit and their share of it in each answer, and of relays, and send calls where there is room. They keep it by run of the instance, not by agent, and state it with each call, so that an agent that has restarted knows it before it starts one.

Why it works: the count is where all calls pass, begins empty after a restart, and what it forgets comes with the calls that are to be counted.

--- a/features/relay/endpoints.feature
+++ b/features/relay/endpoints.feature
@@ -152,3 +152,10 @@
     When the agent "orders-1" tells "relay-1" that it warms up for 0 more milliseconds
     Then the proxy "proxy-2" sees "orders-1" with 0 milliseconds of warm-up left
     And the proxy "proxy-2" received 2 more endpoint updates
+
+  # Guards against a limit that reaches proxies only with their own calls.
+  Scenario: Proxies are told of the limit of an instance
+    When the agent "orders-1" registers at "relay-1" again and states a limit of 12.5 a second
+    Then the proxies "proxy-1, proxy-2" see a limit of 12.5 for "orders-1"
+    When the agent "orders-1" registers at "relay-1" again and states a limit of 0 a second
+    Then the proxies "proxy-1, proxy-2" see a limit of 0 for "orders-1"
--- a/features/steps/instance_statement_steps.py
+++ b/features/steps/instance_statement_steps.py
@@ -104,6 +104,7 @@
 @then("no instance got more than its limit allows from the nodes that had passed it on")
 def within_limit(context: Context) -> None:
     broken = context.audit.over_limit()
+    print(f"most in a span: {[context.audit.most_in_span(each) for each in context.instances]}")
     assert not broken, broken
 
 
@@ -113,6 +114,7 @@
     end = max(each.ended_at for each in context.callers.ended)
     got = sum(begun <= each.at <= end for one in context.instances for each in one.arrivals)
     takes = context.limit * len(context.instances) * (end - begun)
+    print(f"{got} requests of {takes:.0f} that the instances take")
     assert got >= takes * percent / 100, f"{got} of {takes:.0f}"
 
 
@@ -120,6 +122,8 @@
 def refused_at_once(context: Context, seconds: float) -> None:
     refused = [each for each in settled(context) if each.status == REFUSED]
     assert refused, "nothing was refused"
+    slowest = max(each.ended_at - each.sent_at for each in refused)
+    print(f"{len(refused)} of {len(settled(context))} refused, the slowest after {slowest:.3f} s")
     late = [each for each in refused if each.ended_at - each.sent_at > seconds]
     assert not late, f"{len(late)} of {len(refused)}: {late[:3]}"
     assert all(each.retry_after > 0 for each in refused)
@@ -135,6 +139,7 @@
 def others_serve(context: Context, percent: int) -> None:
     sent = settled(context)
     served = sum(each.status == OK for each in sent)
+    print(f"{served} of {len(sent)} served")
     assert sent and served >= len(sent) * percent / 100, f"{served} of {len(sent)}"
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -157,6 +157,34 @@
     context.mesh.network.run(1.0)
 
 
+@when('the agent "{name}" registers at "{relay}" again and states a limit of {limit:g} a second')
+def step_register_limited(context, name, relay, limit):
+    agent(context, name).stated = {"limit": limit}
+    step_register_elsewhere(context, name, relay)
+    context.mesh.network.run(1.0)
+
+
+@then('the proxies "{names}" see a limit of {limit:g} for "{instance}"')
+def step_see_limit(context, names, limit, instance):
+    for name in names.split(", "):
+        endpoint = proxy(context, name).endpoints[instance]
+        assert endpoint.HasField("limit") and endpoint.limit == limit, endpoint
+
+
+@when('the agent "{name}" states to "{relay}" that its instance "{run}" is leaving')
+def step_register_leaving(context, name, relay, run):
+    agent(context, name).stated = {"run": run, "leaving": True}
+    step_register_elsewhere(context, name, relay)
+    context.mesh.network.run(1.0)
+
+
+@when('the agent "{name}" registers at "{relay}" beside the instance "{run}"')
+def step_register_beside(context, name, relay, run):
+    agent(context, name).stated = {"run": run}
+    agent(context, name).register(relay, ZONES[relay], 5)
+    context.mesh.network.run(1.0)
+
+
 @then('the proxy "{name}" sees "{instance}" with {left_ms:d} milliseconds of warm-up left')
 def step_see_warming(context, name, instance, left_ms):
     endpoint = proxy(context, name).endpoints[instance]
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from limelever.agent.version_outcomes import VersionOutcomeCounter
+from limelever.common.instance_runs import InstanceRun
 from limelever.common.sansio import Address
 from limelever.protocol.config_pb2 import (
     CALL_KIND_REPEATABLE,
@@ -255,7 +256,8 @@
 
 def entry(name, version):
     key, address = EndpointKey("orders", name), Address("127.0.0.1", 1)
-    return EndpointEntry(key, "a", 1, 1, address, 6, False, 0.0, version=version)
+    run = InstanceRun(*key)
+    return EndpointEntry(key, "a", 1, 1, address, 6, False, 0.0, run, version=version)
 
 
 @given('a service with endpoints of versions "v1" and "v2", and one of unknown version')
--- a/features/steps/scripted_agent.py
+++ b/features/steps/scripted_agent.py
@@ -30,6 +30,7 @@
         self.mesh, self.name, self.incarnation = mesh, name, incarnation
         self.sequence = 0
         self.warm_up_left_ms = 0
+        self.stated = {}
         self.connections = itertools.count(2, 2)
         self.connection = 0
         mesh.network.add(name, DeadCore(), Role.AGENT)
@@ -54,6 +55,7 @@
             state=ENDPOINT_STATE_READY,
             region=region,
             warm_up_left_ms=self.warm_up_left_ms,
+            **self.stated,
         )
         self._send(Register(endpoint=endpoint))
 
--- a/features/steps/statement_audit.py
+++ b/features/steps/statement_audit.py
@@ -67,6 +67,19 @@
                 times.append(arrival.at)
         return sorted(times)
 
+    def most_in_span(self, instance: StatingInstance) -> int:
+        """Return the most counted requests that came to an instance in a span."""
+        times = self.counted(instance)
+        first = next((each.at for each in instance.statements if each.limit is not None), 0.0)
+        ends = [bisect.bisect_right(times, begun + SPAN_SECONDS) for begun in times]
+        spans = zip(times, ends, strict=True)
+        counts = [
+            end - number
+            for number, (begun, end) in enumerate(spans)
+            if begun >= first + SETTLE_SECONDS
+        ]
+        return max(counts, default=0)
+
     def _worst_span(self, instance: StatingInstance) -> str:
         """Return the span that exceeds its allowance most; each begins at a request."""
         worst, found = 0.0, ""
@@ -103,7 +116,7 @@
         return {node: sorted(times) for node, times in passed.items()}
 
     def _told_at(self, passed: Sequence[float], node: str, at: float) -> float | None:
-        """Return when the node passed on the statement first after its last strike before ``at``."""
+        """Return when the node first passed on the statement after its last strike by ``at``."""
         last_strike = max((each for each in self.strikes.get(node, ()) if each <= at), default=0.0)
         first = bisect.bisect_right(passed, last_strike)
         return passed[first] if first < len(passed) and passed[first] <= at else None
--- a/features/steps/warm_up_harness.py
+++ b/features/steps/warm_up_harness.py
@@ -73,6 +73,7 @@
         self.warm_at = 0.0
         super().__init__(slots, held=held)
         self.add_proxy()
+        self.proxies = {PROXY_CONNECTION}
         if not held:
             self.configure(calls_per_s)
 
@@ -88,7 +89,7 @@
                 self.starts.append(self.now)
                 heapq.heappush(self._answers, (self.now + self.work_seconds, output.attempt))
             if isinstance(output, SendMessage) and isinstance(output.message, CallFailed):
-                assert output.connection == PROXY_CONNECTION
+                assert output.connection in self.proxies
                 self.refusals.append((self.now, output.message))
         self._tell_ends(outputs)
 
--- a/src/limelever/agent/call_messages.py
+++ b/src/limelever/agent/call_messages.py
@@ -26,16 +26,19 @@
     """Return the message for a refused or failed call.
 
     ``crash`` is the number of the back end crash that ended the call, if any. A refusal by a zone
-    drain is sent as ``OVERLOADED``, with a flag: older proxies don't know a kind of its own, and
-    they retry this one elsewhere without giving up the endpoint or counting it as failed.
+    drain or by the instance's limit is sent as ``OVERLOADED``, with a flag: older proxies don't
+    know a kind of its own, and they retry this one elsewhere without giving up the endpoint or
+    counting it as failed.
     """
     zone_drained = failure.kind is ErrorKind.ZONE_DRAINED
-    kind = ErrorKind.OVERLOADED if zone_drained else failure.kind
+    instance_limited = failure.kind is ErrorKind.INSTANCE_LIMITED
+    kind = ErrorKind.OVERLOADED if zone_drained or instance_limited else failure.kind
     return CallFailed(
         stream=start.stream,
         attempt_id=start.attempt_id,
         kind=kind.value,
         zone_drained=zone_drained,
+        instance_limited=instance_limited,
         reason=failure.reason,
         retry_after_ms=round(failure.retry_after * _MILLISECONDS_PER_SECOND),
         load=load,
--- a/src/limelever/agent/call_reporter.py
+++ b/src/limelever/agent/call_reporter.py
@@ -7,6 +7,8 @@
 from limelever.agent import call_messages, events
 from limelever.agent.calls import Call
 from limelever.agent.fair_queue import FairQueue
+from limelever.agent.instance_limit import InstanceLimit
+from limelever.agent.limit_shares import LimitShares
 from limelever.agent.pace import PaceTracker
 from limelever.agent.warm_up import WarmUp
 from limelever.common.decision_log import DecisionLog, DecisionLogSettings
@@ -29,20 +31,28 @@
     """Builds reports from the state of the queue; ``now`` is the time of the current event."""
 
     def __init__(
-        self, queue: FairQueue, slots: int, log: DecisionLogSettings, warm_up: WarmUp
+        self,
+        queue: FairQueue,
+        slots: int,
+        log: DecisionLogSettings,
+        warm_up: WarmUp,
+        limit: InstanceLimit,
     ) -> None:
         self._queue = queue
         self._warm_up = warm_up
+        self._limit = limit
+        self.limit_shares = LimitShares()
         self.pace = PaceTracker()
         self._slots = slots
         self._log = DecisionLog(log)
         self.draining = False
+        self.leaving = False
         self.zone_drained = False
         self.now = 0.0
 
     def agent_load(self, group: str) -> AgentLoad:
         """Return the load that is sent with the answer to a call of a group."""
-        return AgentLoad(
+        load = AgentLoad(
             in_flight=self._queue.running,
             queued=self._reported_queue(),
             slots=self._slots,
@@ -52,6 +62,11 @@
             pace_permille=self.pace.current(self.now),
             warm_up_left_ms=self._warm_up.left_ms(self.now),
         )
+        limit = self._limit.reported
+        if limit is not None:
+            load.limit = limit
+            load.limit_share = self.limit_shares.share_of(limit, self.now)
+        return load
 
     def _reported_queue(self) -> int:
         queued = self._queue.queued
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -31,6 +31,7 @@
     AttemptAnswered,
     AttemptFailed,
     BackendChecked,
+    CallsLimited,
     CancelAttempt,
     ConnectResult,
 )
@@ -95,9 +96,10 @@
             limits.queue.slots, counts_former_calls=limits.counts_former_calls
         )
         self.instance_limit = InstanceLimit()
-        self._leaving = False
         self.versions = versions or VersionOutcomeCounter(service, "", "")
-        self._reporter = CallReporter(self._queue, limits.queue.slots, limits.log, self.warm_up)
+        self._reporter = CallReporter(
+            self._queue, limits.queue.slots, limits.log, self.warm_up, self.instance_limit
+        )
 
     @property
     def draining(self) -> bool:
@@ -108,6 +110,11 @@
     def draining(self, draining: bool) -> None:
         self._reporter.draining = draining
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the instance has stated that it is leaving."""
+        return self._reporter.leaving
+
     @property
     def zone_drained(self) -> bool:
         """Return whether the instance's zone is drained and new calls are refused."""
@@ -167,6 +174,14 @@
     ) -> list[Output]:
         """Accept or refuse a call."""
         self._reporter.now = now
+        self._reporter.limit_shares.call_received(connection, now)
+        learned = self.instance_limit.learn_from_proxy(start.known_limit, peer, now)
+        refused = self._apply_limit(now) if learned else []
+        return [*refused, *self._accept(connection, peer, start, now)]
+
+    def _accept(
+        self, connection: ConnectionId, peer: str, start: CallStart, now: float
+    ) -> list[Output]:
         call = self._receiver.accept(connection, peer, start, now, self.draining)
         if isinstance(call, Rejection):
             logs: list[Output] = [call.log] if call.log is not None else []
@@ -247,6 +262,7 @@
         """
         dropped = left_running = 0
         outputs: list[Output] = []
+        self._reporter.limit_shares.closed(connection)
         self._responses.drop_connection(connection)
         for call in self._calls.of_connection(connection):
             if call.stage is not CallStage.RUNNING:
@@ -309,6 +325,14 @@
         ended = self._finish_unanswered(call, failure)
         return [*leaving, *ended, *self.start_waiting(now)]
 
+    def take_limit_outputs(self) -> list[Output]:
+        """Return what is to be logged and measured of the limit that the instance states."""
+        outputs = self.instance_limit.take_outputs()
+        counts = self.warm_up.limiter.take_stated_counts()
+        if counts is not None:
+            outputs.append(CallsLimited(counts.delayed, counts.refused, by_statement=True))
+        return outputs
+
     # --- time and drain ---------------------------------------------------------------------
 
     def next_deadline(self) -> float | None:
@@ -383,8 +407,9 @@
 
     def health_stated(self, signals: InstanceSignals, now: float) -> list[Output]:
         """Apply what a health response states of the instance."""
-        self.instance_limit.observe_health(signals, now)
-        return self._note_leaving(signals, BY_HEALTH_RESPONSE)
+        changed = self.instance_limit.observe_health(signals, now)
+        refused = self._apply_limit(now) if changed else []
+        return [*self._note_leaving(signals, BY_HEALTH_RESPONSE), *refused]
 
     def cancel_running(self) -> list[Output]:
         """Cancel every running attempt because the agent stops."""
@@ -476,13 +501,25 @@
         return self._with_retry_advice(call.cancellation.if_unsent, call)
 
     def _observe_signals(self, signals: InstanceSignals, call: Call, now: float) -> list[Output]:
-        self.instance_limit.observe_response(signals, call.started_at, now)
-        return self._note_leaving(signals, BY_RESPONSE)
+        changed = self.instance_limit.observe_response(signals, call.started_at, now)
+        refused = self._apply_limit(now) if changed else []
+        return [*self._note_leaving(signals, BY_RESPONSE), *refused]
+
+    def _apply_limit(self, now: float) -> list[Output]:
+        """Enforce a changed limit, and refuse the queued calls that it keeps from starting."""
+        self.warm_up.limiter.set_stated(self.instance_limit.calls_per_s, now)
+        outputs: list[Output] = []
+        for number in self._queue.pop_unstartable(now):
+            call = self._calls.by_number(number)
+            assert call is not None
+            failure = self._with_retry_advice(failures.LIMIT_EXCEEDED, call)
+            outputs.extend(self._refuse(call, failure))
+        return outputs
 
     def _note_leaving(self, signals: InstanceSignals, source: str) -> list[Output]:
-        if self._leaving or not signals.leaving:
+        if self.leaving or not signals.leaving:
             return []
-        self._leaving = True
+        self._reporter.leaving = True
         fields: dict[str, object] = {
             "running": self.running,
             "queued": self.waiting,
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -176,7 +176,7 @@
         if self._finished:
             return outputs
         outputs.extend(self._calls.warm_up.take_outputs(now))
-        outputs.extend(self._calls.instance_limit.take_outputs())
+        outputs.extend(self._calls.take_limit_outputs())
         outputs.extend(self._calls.grant_body_credit(now))
         outputs.extend(self._calls.send_paced_responses(now))
         outputs.extend(
@@ -190,6 +190,7 @@
         pace = self._calls.pace(now)
         outputs.extend(self._registration.report_load(running, load, now, pace))
         outputs.extend(self._registration.set_warm_up(self._calls.warm_up.left_ms(now)))
+        outputs.extend(self._registration.set_limit(self._calls.instance_limit.reported, now))
         outputs.extend(self._advance_drain(now))
         return outputs
 
--- a/src/limelever/agent/endpoint_messages.py
+++ b/src/limelever/agent/endpoint_messages.py
@@ -31,6 +31,17 @@
         self._endpoint.warm_up_left_ms = left_ms
         return changed
 
+    def set_limit(self, limit: float | None) -> bool:
+        """Set the limit that the instance states, ``None`` if not known; return if it changed."""
+        if limit is None or not self.limit_differs(limit):
+            return False
+        self._endpoint.limit = limit
+        return True
+
+    def limit_differs(self, limit: float | None) -> bool:
+        """Return whether a limit is another one than was stated; at first that is none."""
+        return limit is not None and limit != self._endpoint.limit
+
     def register(self, in_flight: int) -> Register:
         """Return a message that registers the complete endpoint."""
         endpoint = self._endpoint
--- a/src/limelever/agent/failures.py
+++ b/src/limelever/agent/failures.py
@@ -21,6 +21,9 @@
 NO_RESPONSE_ON_CONNECTION = Failure(
     ErrorKind.CONNECTION_LOST, "the back end no longer responds on the connection of the call"
 )
+LIMIT_EXCEEDED = Failure(
+    ErrorKind.INSTANCE_LIMITED, "cannot be started in time within the limit of the instance"
+)
 CANNOT_MEET_DEADLINE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "cannot finish in time")
 
 
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -228,6 +228,34 @@
                 self._give_up(group.next_call.number)
         return tuple(infeasible)
 
+    def pop_unstartable(self, now: float) -> tuple[int, ...]:
+        """Remove and return the calls that the limits on starts keep from starting in time."""
+        kept = 0
+        unstartable: list[int] = []
+        for group, call in self._in_expected_order():
+            starts_at = now + self._starts.delay(kept, now)
+            if starts_at > self._estimator.latest_start(group, call):
+                unstartable.append(call.number)
+            else:
+                kept += 1
+        for number in unstartable:
+            self._give_up(number)
+        return tuple(unstartable)
+
+    def _in_expected_order(self) -> list[tuple[GroupQueue, QueuedCall]]:
+        """Return the waiting calls in the order in which fair queueing is expected to start them.
+
+        The calls of each group are taken in their order of arrival.
+        """
+        tagged: list[tuple[float, str, int, GroupQueue, QueuedCall]] = []
+        for group in self._groups:
+            step = self._estimator.expected_charge(group) / group.weight
+            tag = max(group.start_tag, self._virtual_time)
+            for position, call in enumerate(group.calls.values()):
+                tagged.append((tag + position * step, group.name, position, group, call))
+        tagged.sort(key=lambda entry: entry[:3])
+        return [(group, call) for *_, group, call in tagged]
+
     def _give_up(self, number: int) -> None:
         """Remove a waiting call that is too late."""
         call = self._groups.get(self._group_of[number]).calls[number]
@@ -274,6 +302,14 @@
             return self._share_exceeded(group, "group queue is full", now)
         wait = max(body_delay, self._wait(group, now, call.tenant))
         service_time = self._estimator.service_time(group)
+        if self._exceeds_stated_limit(group, call, now):
+            self._starts.call_over_stated_limit()
+            return Failure(
+                ErrorKind.INSTANCE_LIMITED,
+                f"the instance takes {self._starts.stated_limit:g} calls a second, "
+                f"expected time to response of about {wait + service_time:.3f} s is too long",
+                retry_after=self._reserve_retry(group, now, body_delay),
+            )
         if self._estimator.exceeds_wait_limit(group, call, now, wait):
             self._starts.call_rejected(now)
             return Failure(
@@ -283,6 +319,14 @@
             )
         return None
 
+    def _exceeds_stated_limit(self, group: GroupQueue, call: QueuedCall, now: float) -> bool:
+        """Return whether a call would wait too long for the limit that the back end states."""
+        if not self._starts.stated_limit:
+            return False
+        ahead = self._estimator.calls_ahead(group, self._virtual_time, call.tenant)
+        wait = self._starts.stated_delay(ahead, now)
+        return self._estimator.exceeds_wait_limit(group, call, now, wait)
+
     def _is_full(self, group: GroupQueue) -> bool:
         return len(group.calls) >= self._limits.group_calls
 
--- a/src/limelever/agent/instance_limit.py
+++ b/src/limelever/agent/instance_limit.py
@@ -3,6 +3,9 @@
 Responses overlap, so the time at which one arrives does not tell when it was sent. A lower limit
 therefore holds at once. A higher one, or none, holds only by a response to a call that was started
 after the last response with the current limit had arrived.
+
+An agent that has just started beside a running instance learns its limit from the proxies, which
+send the one they last heard with each call, until the instance has responded to a call.
 """
 
 from __future__ import annotations
@@ -10,7 +13,7 @@
 import math
 
 from limelever.agent import events
-from limelever.agent.instance_signals import InstanceSignals
+from limelever.agent.instance_signals import HIGHEST_LIMIT, LOWEST_LIMIT, InstanceSignals
 from limelever.agent.interface import InstanceLimitChanged
 from limelever.common.sansio import LogEvent, Output
 
@@ -30,6 +33,11 @@
         self._invalid = ""
         self._outputs: list[Output] = []
 
+    @property
+    def reported(self) -> float | None:
+        """Return the limit to report to proxies; ``None`` while it is not known."""
+        return self.calls_per_s if self.known or self.calls_per_s else None
+
     def observe_response(self, signals: InstanceSignals, started_at: float, now: float) -> bool:
         """Apply the response to a call; return whether the limit has changed."""
         first, self.known = not self.known, True
@@ -41,6 +49,17 @@
             return False
         return self._set(limit, BY_RESPONSE, now)
 
+    def learn_from_proxy(self, limit: float, proxy: str, now: float) -> bool:
+        """Apply the limit that a proxy has sent, 0 for none; return whether the limit has changed.
+
+        The lowest one holds, until the instance has responded.
+        """
+        if self.known or not LOWEST_LIMIT <= limit <= HIGHEST_LIMIT:
+            return False
+        if self.calls_per_s and limit >= self.calls_per_s:
+            return False
+        return self._set(limit, f"proxy {proxy}", now)
+
     def observe_health(self, signals: InstanceSignals, now: float) -> bool:
         """Apply a health response; one without a limit does not end that of the calls."""
         if self._is_invalid(signals) or not signals.limit:
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -61,10 +61,14 @@
 
 
 class CallsLimited(Output, frozen=True):
-    """The limit on calls to a warming back end has delayed or refused this many calls."""
+    """A limit on starts has delayed or refused this many calls.
+
+    It is the limit of a warming back end, or with ``by_statement`` the one that it states.
+    """
 
     delayed: int
     refused: int
+    by_statement: bool = False
 
 
 class InstanceLimitChanged(Output, frozen=True):
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -124,6 +124,12 @@
     return replace(options, calls=replace(options.calls, counts_former_calls=False))
 
 
+def with_run(options: AgentOptions, instance: str, started_at_ms: int) -> AgentOptions:
+    """Return the options for an agent beside this run of an instance."""
+    registration = replace(options.registration, run=instance, run_started_ms=started_at_ms)
+    return replace(options, registration=registration)
+
+
 def _subscriber_settings(settings: AgentSettings) -> SubscriberSettings:
     return SubscriberSettings(publishers=settings.relays, services=(settings.service,))
 
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from collections.abc import Sequence
@@ -18,6 +19,7 @@
 from limelever.agent.endpoint_messages import EndpointMessages
 from limelever.agent.load_reports import LoadReporter
 from limelever.common.backoff import Backoff, BackoffSettings
+from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     Address,
     CloseConnection,
@@ -53,6 +55,10 @@
 MAX_PENDING_CRASH_REPORTS = 8
 """Crash reports kept until there is a lease; proxies report the same crashes too."""
 
+LIMIT_REPORT_INTERVAL_SECONDS = 1.0
+"""Minimum time between two reports of the instance's limit, which may change with each response.
+Proxies that call the instance learn the limit from its agent."""
+
 PREFERRED_RELAY_AVAILABLE = "another relay is preferred"
 _MILLISECONDS_PER_SECOND = 1000.0
 _MIN_LEASE_SECONDS = 0.3
@@ -63,6 +69,8 @@
 
     Relays are tried in order; those of the agent's own zone come first. ``answer_timeout`` is in
     seconds, ``version`` is that of the back end's software, and ``region`` is empty if unknown.
+    ``run`` is the back end's own identifier, empty if unknown, and ``run_started_ms`` the Unix time
+    of its start, 0 if unknown.
     """
 
     relays: tuple[Address, ...]
@@ -73,6 +81,8 @@
     slots: int
     version: str = ""
     region: str = ""
+    run: str = ""
+    run_started_ms: int = 0
     answer_timeout: float = 3.0
     backoff: BackoffSettings = BackoffSettings()
 
@@ -113,6 +123,8 @@
         self._due: float | None = None
         self._lease = 0.0
         self._granted_at = 0.0
+        self._limit_reported_at = -math.inf
+        self._limit_due: float | None = None
         self._pending_crash_reports: deque[CrashNews] = deque(maxlen=MAX_PENDING_CRASH_REPORTS)
 
     @property
@@ -151,9 +163,7 @@
     def next_deadline(self) -> float | None:
         """Return when the next ``DeadlineReached`` is needed (monotonic seconds)."""
         report_due = self._load_reports.next_deadline() if self.leased else None
-        if self._due is None or report_due is None:
-            return report_due if self._due is None else self._due
-        return min(self._due, report_due)
+        return earliest(self._due, report_due, self._limit_due)
 
     def start(self, now: float) -> list[Output]:
         """Start registering; no effect if already started."""
@@ -197,6 +207,18 @@
         """Set the remaining warm-up time, and register it if the back end became warm or cold."""
         return self._register_again() if self._endpoint.set_warm_up(left_ms) else []
 
+    def set_limit(self, limit: float | None, now: float) -> list[Output]:
+        """Set the limit that the instance states, and register it, but not too often."""
+        self._limit_due = None
+        report_at = self._limit_reported_at + LIMIT_REPORT_INTERVAL_SECONDS
+        if now < report_at:
+            self._limit_due = report_at if self._endpoint.limit_differs(limit) else None
+            return []
+        if not self._endpoint.set_limit(limit):
+            return []
+        self._limit_reported_at = now
+        return self._register_again()
+
     def _register_again(self) -> list[Output]:
         registered = self._phase in (_Phase.LEASED, _Phase.REGISTERING)
         return [self._register()] if registered else []
@@ -329,4 +351,6 @@
         slots=settings.slots,
         version=settings.version,
         region=settings.region,
+        run=settings.run,
+        run_started_ms=settings.run_started_ms,
     )
--- a/src/limelever/common/errors.py
+++ b/src/limelever/common/errors.py
@@ -81,6 +81,7 @@
     NO_CONFIGURATION = "no-configuration"
     DRAINING = "draining"
     ZONE_DRAINED = "zone-drained"
+    INSTANCE_LIMITED = "instance-limited"
     WRONG_INCARNATION = "wrong-incarnation"
     CONNECTION_FAILED = "connection-failed"
     CONNECTION_LOST = "connection-lost"
@@ -154,6 +155,7 @@
     _K.NO_CONFIGURATION: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.DRAINING: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
     _K.ZONE_DRAINED: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.AFTER_DELAY),
+    _K.INSTANCE_LIMITED: _answer(503, _G.RESOURCE_EXHAUSTED, _O.NOT_RUN, _R.AFTER_DELAY),
     _K.WRONG_INCARNATION: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
     _K.CONNECTION_FAILED: _answer(503, _G.UNAVAILABLE, _O.NOT_RUN, _R.ELSEWHERE),
     _K.CONNECTION_LOST: _answer(502, _G.UNKNOWN, _O.UNKNOWN, _R.AFTER_DELAY),
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -32,6 +32,7 @@
 from limelever.agent.process import (
     build_agent_options,
     with_registration_backoff,
+    with_run,
     without_former_calls,
 )
 from limelever.agent.settings import AgentSettings
@@ -234,6 +235,7 @@
             build_agent_options(settings, self._settings.listen, None),
             registration_backoff(self._settings),
         )
+        options = with_run(options, report.instance, report.started_at_ms)
         if not self._is_first_agent or not may_have_former_calls(report):
             options = without_former_calls(options)
         self._is_first_agent = False
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -136,6 +136,8 @@
     """Parse an error kind; an unknown one becomes ``INTERNAL``, whose outcome is unknown."""
     if message.zone_drained:
         return ErrorKind.ZONE_DRAINED
+    if message.instance_limited:
+        return ErrorKind.INSTANCE_LIMITED
     try:
         return ErrorKind(message.kind)
     except ValueError:
--- a/src/limelever/proxy/attempt_completion.py
+++ b/src/limelever/proxy/attempt_completion.py
@@ -76,6 +76,9 @@
         self._balancer.observe_load(key, reported, now, load.service_us / _MICROSECONDS)
         self._balancer.observe_slowdown(key, load.pace_permille, now)
         self._balancer.warming.observe(key, load.warm_up_left_ms, now)
+        if load.HasField("limit"):
+            run = attempt.entry.run
+            self._balancer.limited.answered(run, load.limit, load.limit_share, now)
         if load.route_service_us:
             seconds = load.route_service_us / _MICROSECONDS
             self._balancer.observe_route(key, call.route.name, seconds)
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -132,6 +132,7 @@
         call.attempts += 1
         call.tried.add(entry.key)
         self._balancer.attempt_started(entry.key)
+        self._balancer.limited.call_sent(entry.run, now)
         call.place = self._region_usage.attempt_started(
             service, self._balancer.place_of(entry), now
         )
@@ -150,6 +151,10 @@
         """Return whether an untried endpoint with a responsive link may take the call."""
         return self._chooser.has_responsive_alternative(call, now)
 
+    def has_room(self, call: Call, now: float) -> bool:
+        """Return whether the limit of an untried endpoint has room for a call of this proxy."""
+        return self._chooser.has_room(call, now)
+
     def abandon(self, call: Call, verdict: Verdict, now: float) -> None:
         """End the call's attempt and tell the agent to cancel it."""
         attempt = call.attempt
@@ -249,4 +254,5 @@
         if call.wake_at != call.deadline:
             self._calls.schedule(call, call.deadline)
         start = build_call_start(call, attempt, self._reserved, self._settings.added_headers, now)
+        start.known_limit = self._balancer.limited.limit_of(attempt.entry.run)
         self._outputs.append(SendMessage(link.connection, start))
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -18,6 +18,7 @@
 from limelever.proxy.endpoints import EndpointEntry, EndpointKey
 from limelever.proxy.health import EndpointHealth, HealthSettings, Verdict
 from limelever.proxy.latency_averages import LatencyAverages
+from limelever.proxy.limited_endpoints import LimitedEndpoints
 from limelever.proxy.region_spill import NO_LIMIT, RegionSpill, RegionSplit, RegionSplitter
 from limelever.proxy.region_usage import Place
 from limelever.proxy.slowdown_factors import SlowdownFactors
@@ -99,6 +100,7 @@
         self._slowdowns = SlowdownFactors()
         self._regions = RegionSplitter(settings.region)
         self.warming = WarmingEndpoints()
+        self.limited = LimitedEndpoints()
 
     def pick(
         self,
@@ -119,7 +121,8 @@
         seconds, to save traffic between zones. A ``small`` call saves little of it, and stays in
         its zone only if its answer is later by at most ``small_call_slack`` of the budget.
         ``spill`` decides whether the call leaves the proxy's region.
-        A warming endpoint is used only if no warm one can respond in time.
+        A warming endpoint, or one whose limit has no room for a call of this proxy, is used only if
+        no other one can respond in time.
         """
         if not usable:
             return None
@@ -136,10 +139,13 @@
             route, effective_slow_start, now, local_budget, small, zone_load, split is not None
         )
         warming = self.warming.among(usable, now)
-        if warming:
-            warm = self._pick(usable, split, {*warming, *excluded}, ejected, request, spill)
-            if warm is not None and self._responds_in_time(warm, request):
-                return warm
+        full = self.limited.without_room(usable, now)
+        for avoided in ({*warming, *full}, full) if warming and full else (warming or full,):
+            if not avoided:
+                continue
+            ready = self._pick(usable, split, {*avoided, *excluded}, ejected, request, spill)
+            if ready is not None and self._responds_in_time(ready, request):
+                return ready
         return self._pick(usable, split, excluded, ejected, request, spill)
 
     def _pick(
@@ -376,7 +382,8 @@
         load = self._load(entry, health, request, 1)
         execution_time = (route_time or service_time) * (1.0 + FULL_LOAD_SLOWDOWN * load)
         baseline = execution_time + service_time * max(0.0, load - 1.0)
-        return baseline * self._slowdowns.factor(entry.key, request.now)
+        limit_wait = self.limited.wait(entry.run, request.now)
+        return baseline * self._slowdowns.factor(entry.key, request.now) + limit_wait
 
     def _load(
         self, entry: EndpointEntry, health: EndpointHealth, request: _PickRequest, added: int = 0
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -342,6 +342,8 @@
             return False
         if failure.kind is ErrorKind.BACKEND_CRASHED and not self._quarantine.may_retry(call):
             return False
+        if failure.kind is ErrorKind.INSTANCE_LIMITED and not self._attempts.has_room(call, now):
+            return False
         step = next_step(call, failure, self._settings.retry)
         if step is NextStep.REDIRECT:
             call.redirects += 1
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -11,6 +11,7 @@
 
 from limelever.common.deadlines import earliest
 from limelever.common.errors import Failure
+from limelever.common.instance_runs import InstanceRun
 from limelever.common.regions import Regions
 from limelever.common.sansio import (
     ConnectionClosed,
@@ -363,6 +364,9 @@
 
     def _update_endpoints(self, received: EndpointsReceived, now: float) -> None:
         self._endpoints.apply(received.update, now)
+        for endpoint in received.update.endpoints:
+            if endpoint.HasField("limit"):
+                self._balancer.limited.reported(InstanceRun.of(endpoint), endpoint.limit, now)
         self._engine.set_node_count(len(self._endpoints.keys()))
         self._tenant_limits.set_node_count(len(self._endpoints.keys()))
 
--- a/src/limelever/proxy/endpoint_choice.py
+++ b/src/limelever/proxy/endpoint_choice.py
@@ -123,3 +123,10 @@
             and self._links.is_responsive(entry, now)
             for entry in self._rules.candidates(call, now).usable
         )
+
+    def has_room(self, call: Call, now: float) -> bool:
+        """Return whether the limit of an untried endpoint has room for a call of this proxy."""
+        return any(
+            entry.key not in call.tried and not self._balancer.limited.wait(entry.run, now)
+            for entry in self._rules.candidates(call, now).usable
+        )
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -18,6 +18,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from limelever.common.instance_runs import InstanceRun
 from limelever.common.regions import NO_REGION, NO_REGIONS, Regions
 from limelever.common.sansio import Address
 from limelever.protocol.endpoint_hash import endpoint_hash
@@ -63,7 +64,8 @@
     this incarnation was first seen, or when the drain of its zone ended. ``reported_load`` is the
     number of calls that a relay reported at ``reported_at``. ``unlisted_since`` is when a full
     update first omitted the endpoint. ``region`` is the one that the agent stated, or else the one
-    of the zone. ``warm_at`` is when its warm-up ends, as last reported.
+    of the zone. ``warm_at`` is when its warm-up ends, as last reported. ``run`` is the run of the
+    instance.
     """
 
     key: EndpointKey
@@ -74,6 +76,7 @@
     slots: int
     draining: bool
     cold_since: float
+    run: InstanceRun
     reported_load: int = 0
     reported_at: float = 0.0
     unlisted_since: float | None = None
@@ -185,6 +188,7 @@
         cold_since = now if self._is_seeded else ALREADY_WARM
         if known is not None and known.incarnation == endpoint.incarnation:
             cold_since = known.cold_since
+        run = InstanceRun.of(endpoint)
         retired = self._retired.get(key, -1) >= endpoint.incarnation
         return EndpointEntry(
             key=key,
@@ -195,6 +199,7 @@
             slots=max(1, endpoint.slots),
             draining=retired or endpoint.state == ENDPOINT_STATE_DRAINING,
             cold_since=cold_since,
+            run=run,
             reported_load=endpoint.in_flight,
             reported_at=now,
             version=endpoint.version,
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -21,6 +21,7 @@
         ErrorKind.DRAINING,
         ErrorKind.WRONG_INCARNATION,
         ErrorKind.CONNECTION_FAILED,
+        ErrorKind.INSTANCE_LIMITED,
     }
 )
 """Failures before the back end got any work: a redirect adds no load and costs no retry budget."""
--- a/src/limelever/relay/endpoint_entry.py
+++ b/src/limelever/relay/endpoint_entry.py
@@ -78,7 +78,7 @@
     return _visible_fields(current) != _visible_fields(update)
 
 
-def _visible_fields(endpoint: Endpoint) -> tuple[int, int, str, int, int, str, str, str, bool]:
+def _visible_fields(endpoint: Endpoint) -> tuple[object, ...]:
     return (
         endpoint.incarnation,
         endpoint.state,
@@ -89,6 +89,9 @@
         endpoint.version,
         endpoint.region,
         endpoint.warm_up_left_ms > 0,
+        endpoint.run,
+        endpoint.HasField("limit"),
+        endpoint.limit,
     )
 
 
--- a/src/limelever_lab/losses/steps.py
+++ b/src/limelever_lab/losses/steps.py
@@ -36,6 +36,7 @@
 _STEPS = {
     ErrorKind.NO_ENDPOINT: Step.CHOICE,
     ErrorKind.ZONE_DRAINED: Step.CHOICE,
+    ErrorKind.INSTANCE_LIMITED: Step.QUEUE,
     ErrorKind.CONNECTION_FAILED: Step.LINK,
     ErrorKind.CONNECTION_LOST: Step.LINK,
     ErrorKind.DEADLINE_TOO_SHORT: Step.QUEUE,
