Send no calls to a run of an instance that has stated that it is leaving

What callers saw: an instance that states that it is leaving went on getting requests for as long as it reported that it is ready. Cause: no process read the header, of the same class as the limit. Change: the agent drains at the first response that states it, tells proxies with each response and relays by its registration. A proxy retires the run of the instance by its own knowledge, and relays mark each agent beside that run as draining: a report that says ready, or an agent that has restarted, doesn't undo it. A new run is free of it. An agent process of its own ends once it has drained.

Why it works: the proxy that passes the statement on learns of it with the same message, and keeps it by run, so that it needs neither the relay nor the former agent.

--- a/features/agent/instance_limit.feature
+++ b/features/agent/instance_limit.feature
@@ -101,3 +101,11 @@
     And it counts calls that the limit has delayed and refused
     And its responses state the limit, and a share of it for each proxy
     And its registration states the limit, at most once a second
+
+  # Guards against an instance that goes on getting calls after it has stated that it is leaving.
+  Scenario: The instance states that it is leaving
+    Given a registered agent whose instance states no limit
+    When the instance states that it is leaving
+    Then the response says so to the proxy, and the registration to the relay
+    And a further call is refused as draining, not run
+    And queued calls are refused within the time for them
--- a/features/proxy/instance_limits.feature
+++ b/features/proxy/instance_limits.feature
@@ -1,4 +1,4 @@
-Feature: Calls go to instances whose limit has room
+Feature: Calls go to instances whose limit has room, and to none that is leaving
 
   # Guards against a limited instance that gets calls which others could have run.
   Scenario: One of eight instances states a limit
@@ -37,10 +37,31 @@
     Then the next call states the limit of 0
 
   # Guards against a relay's older report, and against one that is never heard.
-  Scenario: A relay reports a limit
+  Scenario: A relay reports a limit and a leave
     Given a proxy with 1 endpoint of the run "i-1"
     When a relay reports a limit of 4 a second for it
     Then the next call states the limit of 4
     When an answer states a limit of 6 a second
     And a relay reports a limit of 4 a second for it
     Then the next call states the limit of 6
+    When a relay reports that the instance is leaving
+    Then the next call finds no endpoint
+
+  # Guards against an instance that is used again after it has stated that it is leaving.
+  Scenario: The agent beside a leaving instance restarts
+    Given a proxy with 1 endpoint of the run "i-1"
+    When an answer states that the instance is leaving
+    Then the next call finds no endpoint
+    When another agent registers beside the run "i-1"
+    Then the next call finds no endpoint
+    When another agent registers beside the run "i-2"
+    Then the next call is sent to it
+
+  # Guards against a run that is taken for a former one of the same identifier.
+  Scenario: An instance starts again under its identifier
+    Given a proxy with 1 endpoint of the run "i-1" started at 1000
+    When an answer states that the instance is leaving
+    And another agent registers beside the run "i-1" started at 1000
+    Then the next call finds no endpoint
+    When another agent registers beside the run "i-1" started at 2000
+    Then the next call is sent to it
--- a/features/relay/endpoints.feature
+++ b/features/relay/endpoints.feature
@@ -159,3 +159,12 @@
     Then the proxies "proxy-1, proxy-2" see a limit of 12.5 for "orders-1"
     When the agent "orders-1" registers at "relay-1" again and states a limit of 0 a second
     Then the proxies "proxy-1, proxy-2" see a limit of 0 for "orders-1"
+
+  # Guards against an agent that restarts beside a leaving instance and gets calls of other proxies.
+  Scenario: A new agent beside an instance that has stated that it is leaving
+    When the agent "orders-1" states to "relay-1" that its instance "i-1" is leaving
+    Then the proxies "proxy-1, proxy-2" see "orders-1" as "draining"
+    When the agent "orders-2" registers at "relay-2" beside the instance "i-1"
+    Then the proxies "proxy-1, proxy-2" see "orders-2" as "draining"
+    When the agent "orders-3" registers at "relay-2" beside the instance "i-2"
+    Then the proxies "proxy-1, proxy-2" see "orders-3" as "ready"
--- a/src/limelever/agent/call_reporter.py
+++ b/src/limelever/agent/call_reporter.py
@@ -61,6 +61,7 @@
             route_service_us=int(self._queue.service_time_of(group) * _MICROSECONDS_PER_SECOND),
             pace_permille=self.pace.current(self.now),
             warm_up_left_ms=self._warm_up.left_ms(self.now),
+            leaving=self.leaving,
         )
         limit = self._limit.reported
         if limit is not None:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -519,7 +519,7 @@
     def _note_leaving(self, signals: InstanceSignals, source: str) -> list[Output]:
         if self.leaving or not signals.leaving:
             return []
-        self._reporter.leaving = True
+        self._reporter.leaving = self._reporter.draining = True
         fields: dict[str, object] = {
             "running": self.running,
             "queued": self.waiting,
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -177,6 +177,8 @@
             return outputs
         outputs.extend(self._calls.warm_up.take_outputs(now))
         outputs.extend(self._calls.take_limit_outputs())
+        if self._calls.leaving:
+            outputs.extend(self._begin_drain(now))
         outputs.extend(self._calls.grant_body_credit(now))
         outputs.extend(self._calls.send_paced_responses(now))
         outputs.extend(
@@ -369,6 +371,8 @@
             "queued": self._calls.waiting,
             "limit_seconds": self._drain_limit,
         }
+        if self._calls.leaving:
+            self._registration.set_leaving()
         state_report = self._registration.change_state(ENDPOINT_STATE_DRAINING, now)
         return [LogEvent(events.DRAIN_STARTED, fields), *state_report]
 
--- a/src/limelever/agent/endpoint_messages.py
+++ b/src/limelever/agent/endpoint_messages.py
@@ -42,6 +42,15 @@
         """Return whether a limit is another one than was stated; at first that is none."""
         return limit is not None and limit != self._endpoint.limit
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the instance has stated that it is leaving."""
+        return self._endpoint.leaving
+
+    def set_leaving(self) -> None:
+        """Record that the instance has stated that it is leaving."""
+        self._endpoint.leaving = True
+
     def register(self, in_flight: int) -> Register:
         """Return a message that registers the complete endpoint."""
         endpoint = self._endpoint
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -175,15 +175,19 @@
         shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
         nursery.start_soon(_probe, backend, settings.probe, runner)
+        nursery.start_soon(_drain_when_stopped, shell, runner)
         shell.set_ready()
-        await shell.stop_requested.wait()
-        runner.post(DrainRequested())
         await finished.wait()
         await trio.sleep(_FLUSH_SECONDS)
         backend.close()
         nursery.cancel_scope.cancel()
 
 
+async def _drain_when_stopped(shell: ProcessShell, runner: CoreRunner) -> None:
+    await shell.stop_requested.wait()
+    runner.post(DrainRequested())
+
+
 async def _probe(backend: BackendClient, settings: ProbeSettings, runner: CoreRunner) -> None:
     while True:
         result = await backend.probe(settings.path, seconds(settings.timeout_ms))
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -219,6 +219,10 @@
         self._limit_reported_at = now
         return self._register_again()
 
+    def set_leaving(self) -> None:
+        """Record that the instance has stated that it is leaving, for the next change of state."""
+        self._endpoint.set_leaving()
+
     def _register_again(self) -> list[Output]:
         registered = self._phase in (_Phase.LEASED, _Phase.REGISTERING)
         return [self._register()] if registered else []
@@ -226,9 +230,9 @@
     def change_state(self, state: EndpointState.ValueType, now: float) -> list[Output]:
         """Change the endpoint's state and report it at once."""
         self._endpoint.state = state
-        if self._phase is _Phase.LEASED:
+        if self._phase is _Phase.LEASED and not self._endpoint.leaving:
             return self._renew(now)
-        if self._phase is _Phase.REGISTERING:
+        if self._phase in (_Phase.LEASED, _Phase.REGISTERING):
             return [self._register()]
         return []
 
--- a/src/limelever/proxy/attempt_completion.py
+++ b/src/limelever/proxy/attempt_completion.py
@@ -82,9 +82,18 @@
         if load.route_service_us:
             seconds = load.route_service_us / _MICROSECONDS
             self._balancer.observe_route(key, call.route.name, seconds)
+        if load.leaving:
+            self._retire_run(attempt)
         if load.draining:
             self.retire(attempt)
 
+    def _retire_run(self, attempt: Attempt) -> None:
+        """Send no further work to the run of the instance, by whichever agent."""
+        if self._view.retire_run(attempt.entry.run):
+            key = attempt.entry.key
+            fields: dict[str, object] = {"service": key.service, "instance": key.instance}
+            self._outputs.append(LogEvent(events.INSTANCE_LEAVING, fields))
+
     def retire(self, attempt: Attempt) -> None:
         """Send no further work to the incarnation that ran an attempt."""
         key = attempt.entry.key
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -18,7 +18,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from limelever.common.instance_runs import InstanceRun
+from limelever.common.instance_runs import InstanceRun, RunMemory
 from limelever.common.regions import NO_REGION, NO_REGIONS, Regions
 from limelever.common.sansio import Address
 from limelever.protocol.endpoint_hash import endpoint_hash
@@ -105,6 +105,7 @@
         self._removed: OrderedDict[EndpointKey, tuple[int, int]] = OrderedDict()
         self._usable: dict[str, _Usable] = {}
         self._by_hash: dict[int, EndpointKey] = {}
+        self._leaving_runs: RunMemory[bool] = RunMemory()
         self._is_seeded = False
 
     def apply(self, update: EndpointUpdate, now: float) -> None:
@@ -137,6 +138,19 @@
             self._store(replace(entry, draining=True))
         return True
 
+    def retire_run(self, run: InstanceRun) -> bool:
+        """Send no more work to a run that is leaving, by whichever agent.
+
+        Return ``False`` if it was retired before.
+        """
+        if self._leaving_runs.get(run) is not None:
+            return False
+        self._leaving_runs.put(run, True)
+        for entry in tuple(self._services.get(run.service, {}).values()):
+            if entry.run.is_same(run):
+                self._store(replace(entry, draining=True))
+        return True
+
     def restart_ramps(self, zones: Container[str], now: float) -> None:
         """Treat the endpoints of ``zones`` as new: they may have turned cold without calls."""
         for entries in self._services.values():
@@ -170,6 +184,8 @@
         known = self._services.get(key.service, {}).get(key.instance)
         if endpoint.state == ENDPOINT_STATE_DRAINING:
             self.retire(key, endpoint.incarnation)
+        if endpoint.leaving:
+            self.retire_run(InstanceRun.of(endpoint))
         revision = (endpoint.incarnation, endpoint.sequence)
         if known is not None and revision < (known.incarnation, known.sequence):
             return
@@ -189,7 +205,8 @@
         if known is not None and known.incarnation == endpoint.incarnation:
             cold_since = known.cold_since
         run = InstanceRun.of(endpoint)
-        retired = self._retired.get(key, -1) >= endpoint.incarnation
+        leaving = self._leaving_runs.get(run) is not None
+        retired = leaving or self._retired.get(key, -1) >= endpoint.incarnation
         return EndpointEntry(
             key=key,
             zone=endpoint.zone,
--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -199,6 +199,14 @@
     "zone",
     "version",
 )
+INSTANCE_LEAVING = define(
+    4290,
+    "instance-leaving",
+    Level.INFO,
+    "an instance states that it is leaving: its process gets no further call from this proxy",
+    "service",
+    "instance",
+)
 LIMITS_ALONE = define(
     4060,
     "limits-alone",
--- a/src/limelever/relay/endpoint_entry.py
+++ b/src/limelever/relay/endpoint_entry.py
@@ -90,6 +90,7 @@
         endpoint.region,
         endpoint.warm_up_left_ms > 0,
         endpoint.run,
+        endpoint.leaving,
         endpoint.HasField("limit"),
         endpoint.limit,
     )
--- a/src/limelever/relay/endpoint_table.py
+++ b/src/limelever/relay/endpoint_table.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from limelever.common.instance_runs import InstanceRun, RunMemory
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -48,6 +49,7 @@
         self._names_by_instance: defaultdict[str, set[EndpointName]] = defaultdict(set)
         self._names_by_origin: defaultdict[str, set[EndpointName]] = defaultdict(set)
         self._notice_by_instance: dict[str, MachineNotice] = {}
+        self._leaving_runs: RunMemory[bool] = RunMemory()
         self._expiry_queue = ExpiryQueue()
         self._last_local_change = 0
         self._last_removed_change = 0
@@ -102,8 +104,10 @@
         same_incarnation = (
             current is not None and current.endpoint.incarnation == endpoint.incarnation
         )
+        leaving = self._remember_leaving(endpoint)
         drained = current is not None and same_incarnation and current.drained
         drained = drained or self._has_notice(endpoint) or endpoint.state == ENDPOINT_STATE_DRAINING
+        drained = drained or leaving
         stored = stored_copy(endpoint, effective_state(endpoint.state, drained))
         if stored.state == ENDPOINT_STATE_GONE:
             expires_at = now + self._settings.tombstone
@@ -196,6 +200,13 @@
         notice = self._notice_by_instance.get(endpoint.instance)
         return notice is not None and endpoint.incarnation <= notice.observed_incarnation
 
+    def _remember_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether the instance has stated that it is leaving, to this agent or another."""
+        run = InstanceRun.of(endpoint)
+        if endpoint.leaving:
+            self._leaving_runs.put(run, True)
+        return self._leaving_runs.get(run) is not None
+
     def _live_endpoints(self, names: Iterable[EndpointName]) -> list[Endpoint]:
         entries = [self._entries[name] for name in sorted(names)]
         return [entry.endpoint for entry in entries if not entry.is_tombstone]
