Take a health response for a lost call only where it has counted calls before

What callers saw: slow calls that their instance was running ended with 502 and an unknown outcome after 0.36 to 0.51 s, and the calls behind them were sent to its one slot and ended with 504. Cause: when all running calls are overdue, the agent asks the health path for the load, and took a call for lost if two answers stated fewer requests than it had sent. One instance whose health path leaves running calls out (a path of its own thread, a figure of a former process, none at all) was enough. Change: health responses are evidence only at an instance whose health responses have counted all running calls before. What follows where they never do is what held without a health path: the call keeps its deadline. Ending a call that runs is the worse error.

A scenario that expected the first answers of an instance to end a call now has the instance count a slow call first: its bound is the same, and the case that it no longer covers is refused by the new ones.

--- a/features/agent/lost_connections.feature
+++ b/features/agent/lost_connections.feature
@@ -61,14 +61,41 @@
 
   Scenario: If no running call responds, the load is asked for over a new connection
     Given calls to the instance take 0.1 seconds
+    And health responses of the instance have counted a slow call
     When the agent gets a call on agent stream 90 with 10 seconds left
-    And 0.5 seconds pass at the agent
+    And 0.7 seconds pass at the agent
     Then the agent has asked the instance for its load 1 times
     When the instance states 0 requests in its health response
     And 0.3 seconds pass at the agent
     And the instance states 0 requests in its health response
     Then the connection of agent stream 90 has been given up, and logged
 
+  Scenario Outline: Health responses that have never counted a running call end none
+    Guards against calls that are cut while the instance runs them, as its health path states no load of its calls.
+    Given calls to the instance take 0.1 seconds
+    When the agent gets <calls> calls with 10 seconds left
+    And the instance states <stated> requests in each health response for 5 seconds
+    Then no attempt has been cancelled
+
+    Examples:
+      | calls | stated |
+      | 1     | 0      |
+      | 3     | 0      |
+      | 3     | 2      |
+
+  Scenario: A health response that states a call too few for a moment ends none
+    Guards against a figure that is late.
+    Given calls to the instance take 0.1 seconds
+    And health responses of the instance have counted a slow call
+    When the agent gets a call on agent stream 90 with 10 seconds left
+    And 0.7 seconds pass at the agent
+    And the instance states 0 requests in its health response
+    And 0.3 seconds pass at the agent
+    And the instance states 1 requests in its health response
+    And 0.3 seconds pass at the agent
+    And the instance states 0 requests in its health response
+    Then no attempt has been cancelled
+
   Scenario: A call that is only slow causes few health requests
     Given calls to the instance take 0.1 seconds
     When the agent gets a call on agent stream 90 with 10 seconds left
--- a/features/steps/lost_connection_steps.py
+++ b/features/steps/lost_connection_steps.py
@@ -26,6 +26,7 @@
 from limelever.common.sansio import Address, Event, LogEvent
 
 FIRST_STREAM = 100
+SLOW_STREAM = 95
 NAMES = HeaderNames(load=b"x-load")
 
 
@@ -77,6 +78,17 @@
         context.agent.handle(AttemptFailed(output.attempt, failure, True))
 
 
+@given("health responses of the instance have counted a slow call")
+def given_counted(context: Context) -> None:
+    agent: AgentHarness = context.agent
+    agent.send(call_start(SLOW_STREAM, deadline_left_ms=10_000))
+    agent.advance(0.5)
+    agent.handle(BackendChecked(ConnectResult.OPENED, 1))
+    attempt = attempt_at(agent, SLOW_STREAM)
+    agent.handle(AttemptAnswered(attempt, 200, (), b"", requests=0))
+    agent.outputs = [each for each in agent.outputs if not isinstance(each, CheckBackend)]
+
+
 @when("the instance states {requests:d} requests in its health response")
 def health_response(context: Context, requests: int) -> None:
     context.agent.handle(BackendChecked(ConnectResult.OPENED, requests))
--- a/src/limelever/agent/instance_load.py
+++ b/src/limelever/agent/instance_load.py
@@ -4,6 +4,11 @@
 connection. Their load header then states fewer requests than the agent has sent. After a restart of
 the agent the header states more: calls of the former agent still occupy slots.
 
+The health path of an instance may state another load than its responses to calls, or none. Health
+responses are therefore evidence of a lost call only at an instance whose health responses have
+counted all running calls before: ending a call that runs is worse than one that waits for its
+deadline.
+
 Made for instances of 1 to some tens of slots whose only caller is the agent; the work for each
 response is proportional to the calls in progress.
 """
@@ -60,6 +65,7 @@
         self._least_deficit = 0
         self._lone_responses = 0
         self._never_counts_own = False
+        self._health_counts_calls = False
         self._counting = counts_former_calls
         self._counts_until = math.inf
         self._former_calls: int | None = None
@@ -99,7 +105,10 @@
 
     def health_response_received(self, stated: int, now: float) -> tuple[int, ...]:
         """Return the calls that are lost according to the response to a health request."""
-        return self._find_lost(stated, now)
+        sent = self._sent(now)
+        if sent and stated >= sent:
+            self._health_counts_calls = True
+        return self._find_lost(stated, now) if self._health_counts_calls else ()
 
     def occupied(self, now: float) -> int:
         """Return the number of slots that calls of a former agent may occupy.
@@ -146,9 +155,13 @@
         elif not self._calls and not self._never_counts_own:
             self._lone_responses += 1
 
+    def _sent(self, now: float) -> int:
+        """Return the calls in progress that the instance must have received."""
+        return sum(now - each.started_at > CONFIRM_SECONDS for each in self._calls.values())
+
     def _find_lost(self, stated: int, now: float) -> tuple[int, ...]:
         """Return the most overdue calls, as many as the instance has stated too few for a while."""
-        sent = sum(now - each.started_at > CONFIRM_SECONDS for each in self._calls.values())
+        sent = self._sent(now)
         overdue = sorted((c.overdue_at, n) for n, c in self._calls.items() if c.overdue_at <= now)
         deficit = min(sent - stated, len(overdue))
         if deficit <= 0:
