Tell an agent the health path that its node learns after the agent's start

What was seen: of one scenario, some runs asked the instance's health path during slow calls and others never did. Cause: a node passed the health path to an agent only when it started the agent. An instance that reports itself before its node has a configuration gets an agent without one, which never asks for the load and so never finds a lost call. Change: the node sets the path at the running agent too.

Before: the new scenario in features/platform/node_start.feature failed: five quick requests and one of 0.5 s, no request on the health path.

--- a/features/platform/node_start.feature
+++ b/features/platform/node_start.feature
@@ -62,3 +62,10 @@
   Scenario: A report that comes while the node starts waits in place of being refused
     Then a node opens its address for reports before it imports the product
     And without a usable address the early listener is left out
+
+  # Guards against an agent that never asks for the load, as it started before the health path was known.
+  Scenario: An instance reports itself before the configuration is put
+    Given a control process and a node of the platform beside a back end with 1 slot
+    When the back end reports itself, and then the platform's configuration is put
+    And a request takes 0.5 seconds after quick ones
+    Then the back end was asked on its health path during that request
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -231,6 +231,27 @@
     wait_until(lambda: call(context.ready, "GET", "/v1/ready")[0] == 200, "the node is ready")
 
 
+@when("the back end reports itself, and then the platform's configuration is put")
+def when_reported_first(context):
+    wait_until(lambda: tell(context, heartbeat(context)) == 200, "the report is taken")
+    put(context, 1, 0, {"read": "safe"})
+    wait_until(lambda: call(context.ready, "GET", "/v1/ready")[0] == 200, "the node is ready")
+
+
+@when("a request takes 0.5 seconds after quick ones")
+def when_slow(context):
+    for _ in range(5):
+        wait_until(lambda: send(context, "/read/1")[1][0] == 200, "a request is served")
+    context.slow_id, _ = send(context, "/read/slow")
+
+
+@then("the back end was asked on its health path during that request")
+def then_asked(context):
+    attempts = [attempt for attempt, *_ in context.back_end.seen]
+    later = context.back_end.seen[attempts.index(context.slow_id) + 1 :]
+    assert HEALTH_PATH in [path for _, path, _ in later], context.back_end.seen
+
+
 def send(context, path, method="GET"):
     """Send a request with an id of its own; return its id and the answer."""
     context.sent += 1
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -68,6 +68,7 @@
     """A running agent; ``finished`` is set once its core has nothing more to do."""
 
     runner: CoreRunner
+    backend: BackendClient
     finished: trio.Event
     version: str
 
@@ -128,7 +129,7 @@
         """Use the local proxy's output, so that the agent needs no subscription of its own."""
         match output:
             case HealthPathChanged(path):
-                self._health_path = path
+                self._set_health_path(path)
                 self._tracker.can_identify = True
                 self._identify_if_unknown(path)
             case ConfigurationApplied(version, configuration):
@@ -136,6 +137,11 @@
             case PublishersReceived():
                 self._forward(RelaysShared(output))
 
+    def _set_health_path(self, path: str) -> None:
+        self._health_path = path
+        if self._agent is not None:
+            self._agent.backend.health_path = path
+
     def _forward(self, event: ConfigurationShared | RelaysShared) -> None:
         self._shared_events[type(event)] = event
         if self._agent is not None:
@@ -267,7 +273,7 @@
                 instance.encode(),
                 self._health_path,
             )
-            agent = self._agent = _RunningAgent(runner, finished, settings.version)
+            agent = self._agent = _RunningAgent(runner, backend, finished, settings.version)
             await nursery.start(runner.run)
             if settings.version:
                 runner.post(VersionKnown(settings.version, warm_up_left))
