Learn service times from calls that end without a response

What callers saw: calls behind slow ones waited until their deadline (504 after 0.80 s) in place of a refusal at once. Cause: only answered calls counted for the service time. Where slow calls end without a response, by their deadline, by callers who leave or as connections that were taken for lost, the estimate stays at that of the fast calls before, and what can't be served in time is admitted. That holds whoever is at fault for the missing responses. Change: from the second call of a group in a row without a response on, its time counts as a service time if it is above the estimate; a response ends the row. A single one is more often a lost response.

Before: three of the four new examples in features/agent/lost_connections.feature failed, with no call refused. Now they pass, and a single lost call still changes nothing; features/agent 260 scenarios passed.

--- a/features/agent/lost_connections.feature
+++ b/features/agent/lost_connections.feature
@@ -103,6 +103,20 @@
     Then the agent has asked the instance for its load 3 times
     And no attempt has been cancelled
 
+  Scenario Outline: After calls that ended without a response, what can't be served is refused at once
+    Guards against an estimate that never learns that calls are slow, and callers who wait until their deadline.
+    Given calls to the instance take 0.01 seconds
+    When <calls> calls with 0.8 seconds left end without a response, <reason>
+    And 8 calls with 0.8 seconds left, who want their response in 0.4 seconds, arrive at once
+    Then at least <refused> of them are refused at once, not run, with different times above 0
+
+    Examples:
+      | calls | reason                                       | refused |
+      | 6     | as their connections were taken for lost     | 2       |
+      | 6     | as their deadline passed                     | 2       |
+      | 6     | as their callers had left                    | 2       |
+      | 1     | as their connections were taken for lost     | 0       |
+
   Scenario: A new agent sends one call until it knows how many slots are taken
     Guards against requests that an instance full of a former agent's calls can't queue.
     Given a new agent with 3 slots beside an instance that states its load
--- a/features/steps/lost_connection_steps.py
+++ b/features/steps/lost_connection_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import trio
-from agent_harness import AgentHarness, call_start
+from agent_harness import PROXY_CONNECTION, AgentHarness, call_start
 from behave import given, then, when
 from behave.runner import Context
 
@@ -24,9 +24,11 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames
 from limelever.common.sansio import Address, Event, LogEvent
+from limelever.protocol.calls_pb2 import CallCancel, CallFailed
 
 FIRST_STREAM = 100
 SLOW_STREAM = 95
+UNANSWERED_STREAM, TARGET_STREAM = 300, 400
 NAMES = HeaderNames(load=b"x-load")
 
 
@@ -71,6 +73,49 @@
     answer_calls(context, count, None)
 
 
+LEFT, DEADLINE, LOST = "callers had left", "deadline passed", "taken for lost"
+
+
+@when("{count:d} calls with {left:g} seconds left end without a response, as their {reason}")
+def end_unanswered(context: Context, count: int, left: float, reason: str) -> None:
+    agent: AgentHarness = context.agent
+    for number in range(count):
+        stream = UNANSWERED_STREAM + number
+        agent.send(call_start(stream, deadline_left_ms=round(left * 1000)))
+        agent.advance(left / 2)
+        attempt = attempt_at(agent, stream)
+        kind = ErrorKind.CANCELLED
+        if DEADLINE in reason:
+            agent.advance(left / 2)
+            kind = ErrorKind.DEADLINE_EXCEEDED
+        elif LEFT in reason:
+            agent.send(CallCancel(stream=stream))
+        else:
+            agent.outputs.extend(agent.core._calls._cancel_lost((attempt,), agent.now))
+        agent.handle(AttemptFailed(attempt, Failure(kind, "ended"), True))
+
+
+@when(
+    "{count:d} calls with {left:g} seconds left, who want their response in {target:g} seconds, "
+    "arrive at once"
+)
+def arrive_with_target(context: Context, count: int, left: float, target: float) -> None:
+    agent: AgentHarness = context.agent
+    context.refused_before = len(agent.sent(PROXY_CONNECTION, CallFailed))
+    for number in range(count):
+        times = {"deadline_left_ms": round(left * 1000), "target_left_ms": round(target * 1000)}
+        agent.send(call_start(TARGET_STREAM + number, **times))
+
+
+@then("at least {least:d} of them are refused at once, not run, with different times above 0")
+def refused_with_times(context: Context, least: int) -> None:
+    refused = context.agent.sent(PROXY_CONNECTION, CallFailed)[context.refused_before :]
+    times = [each.retry_after_ms for each in refused]
+    assert len(refused) >= least, refused
+    assert all(each.kind == ErrorKind.DEADLINE_TOO_SHORT for each in refused), refused
+    assert min(times, default=1) > 0 and len(set(times)) == len(times), times
+
+
 @when("its cancelled attempt has ended")
 def end_cancelled(context: Context) -> None:
     failure = Failure(ErrorKind.CANCELLED, "attempt cancelled")
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -313,7 +313,8 @@
         self._instance.call_ended(call.number)
         signals = event.signals
         leaving = [] if signals is None else self._observe_signals(signals, call, now)
-        self._queue.finish(call.number, now, representative=False)
+        unanswered = _is_unanswered(event, call)
+        self._queue.finish(call.number, now, representative=False, unanswered=unanswered)
         failure = self._attempt_failure(event, call)
         if failure.kind is ErrorKind.BACKEND_REFUSED:
             advice = self._queue.retry_after_backend_refusal(call.start.group, now)
@@ -584,3 +585,10 @@
         if not late:
             return None
         return Failure(ErrorKind.DEADLINE_TOO_SHORT, NO_LINK_CAPACITY, retry_after=late)
+
+
+def _is_unanswered(event: AttemptFailed, call: Call) -> bool:
+    """Return whether an attempt ended before a response that the back end might still have sent."""
+    if not event.sent_any_byte or call.cancellation is failures.BY_UNRESPONSIVENESS:
+        return False
+    return event.failure.kind in (ErrorKind.CANCELLED, ErrorKind.DEADLINE_EXCEEDED)
--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -178,11 +178,14 @@
         self._starts.started(now)
         return call
 
-    def finish(self, call: int, now: float, representative: bool) -> None:
+    def finish(
+        self, call: int, now: float, representative: bool, *, unanswered: bool = False
+    ) -> None:
         """Free a call's slot and charge the time it actually held it.
 
         ``representative`` is false for failed and shed calls: they are charged, but left out of the
-        service time estimate.
+        service time estimate. A call that ended ``unanswered``, by its deadline or a cancellation,
+        would have taken longer.
         """
         running = self._running.pop(call)
         group = self._groups.get(running.group)
@@ -192,6 +195,8 @@
         group.charge(seconds - running.charged_seconds)
         if representative:
             self._estimator.observe(group.name, seconds)
+        elif unanswered:
+            self._estimator.observe_unanswered(group.name, seconds)
         self._groups.remove_if_idle(group, self._virtual_time)
         self._reset_when_idle()
 
--- a/src/limelever/agent/wait_estimator.py
+++ b/src/limelever/agent/wait_estimator.py
@@ -21,6 +21,12 @@
 MAX_QUEUE_RATIO_UNKNOWN = 0.5
 """Maximum number of waiting calls, as a ratio of the slots, while service time is unknown."""
 
+UNANSWERED_CALLS_TO_LEARN = 2
+"""Calls of a group in a row without a response from which their times are taken as service times.
+
+A single one is more often a lost response than a slow call.
+"""
+
 MAX_TRACKED_GROUPS = 256
 """Maximum number of groups with a service time; the least recently observed is evicted."""
 
@@ -69,9 +75,27 @@
         # Product of a call's service time and its group's average, in square seconds.
         self._second_moment = ServiceTimeAverage()
         self._by_group: OrderedDict[str, ServiceTimeAverage] = OrderedDict()
+        self._unanswered: dict[str, int] = {}
 
     def observe(self, name: str, seconds: float) -> None:
         """Record how long a call of the group ``name`` held its slot."""
+        self._unanswered.pop(name, None)
+        self._add(name, seconds)
+
+    def observe_unanswered(self, name: str, seconds: float) -> None:
+        """Record how long a call held its slot that ended without a response.
+
+        The time is a lower bound: if several calls in a row have no response, the estimate must
+        not stay at that of the faster calls before.
+        """
+        count = self._unanswered.get(name, 0) + 1
+        if name not in self._unanswered and len(self._unanswered) >= MAX_TRACKED_GROUPS:
+            self._unanswered.clear()
+        self._unanswered[name] = count
+        if count >= UNANSWERED_CALLS_TO_LEARN and seconds > self.service_time_of(name):
+            self._add(name, seconds)
+
+    def _add(self, name: str, seconds: float) -> None:
         own = self._by_group.setdefault(name, ServiceTimeAverage())
         own.observe(seconds)
         self._overall.observe(seconds)
