--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
@@ -29,6 +30,7 @@
 HEALTH_PATH = "/health"
 DEADLINE_MS = 800
 SLOW_SECONDS = 0.5
+SLOTS = 1
 
 
 class BackEnd(ThreadingHTTPServer):
@@ -42,6 +44,7 @@
         self.instance = INSTANCE
         self.times: list[float] = []
         self._lock = threading.Lock()
+        self._requests = 0
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def note(self, attempt: str, path: str, caller: str) -> None:
@@ -50,6 +53,23 @@
             self.seen.append((attempt, path, caller))
             self.times.append(time.monotonic())
 
+    @contextmanager
+    def working(self):
+        """Count a request for as long as it is worked on or waits."""
+        with self._lock:
+            self._requests += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._requests -= 1
+
+    @property
+    def load(self) -> str:
+        """Return the load header: requests running, waiting, and slots."""
+        running = min(SLOTS, self._requests)
+        return f"{running},{self._requests - running},{SLOTS}"
+
     def handle_error(self, request, client_address):
         """A caller that has left is no matter of the test."""
 
@@ -65,7 +85,8 @@
         self.server.note(attempt, self.path, caller)
         self.rfile.read(int(self.headers.get("Content-Length") or 0))
         if "slow" in self.path:
-            time.sleep(SLOW_SECONDS)
+            with self.server.working():
+                time.sleep(SLOW_SECONDS)
         if "drop" in self.path:
             self.connection.shutdown(socket.SHUT_RDWR)
             self.close_connection = True
@@ -74,7 +95,7 @@
         self.send_header("Limelever-Attempt-Id", attempt)
         if self.path == HEALTH_PATH:
             self.send_header("Limelever-Instance-Id", self.server.instance)
-            self.send_header("Limelever-Server-Load", "0,0,1")
+            self.send_header("Limelever-Server-Load", self.server.load)
         self.send_header("Content-Length", "4")
         self.end_headers()
         self.wfile.write(b"done")
