--- a/features/steps/kept_callers.py
+++ b/features/steps/kept_callers.py
@@ -61,6 +61,7 @@
     received: int = 0
     status: int = 0
     is_own: bool = True
+    headers: dict[str, str] = field(default_factory=dict, repr=False)
 
     @property
     def path(self) -> str:
@@ -79,6 +80,7 @@
     def take(self, reply: Reply) -> None:
         self.ended_at = time.monotonic()
         self.end, self.received, self.status = reply.end, reply.received, reply.status
+        self.headers = reply.headers
         if reply.end == WHOLE and reply.status == 200:
             self.is_own = reply.body == answer_to(self.request, self.body)
 
--- a/features/steps/kept_soak.py
+++ b/features/steps/kept_soak.py
@@ -129,12 +129,16 @@
         time.sleep(AFTER_CALLS_SECONDS)
         for exchange in callers.ended:
             self.audit.check(exchange)
+        self.callers_stopped(callers)
         self.audit.counts["connections"] += callers.connections
         self.more_broken += callers.unasked
         if not any(each.status == OK for each in callers.ended):
             self.more_broken.append("no request was answered")
         self._settle()
 
+    def callers_stopped(self, callers: KeptCallers) -> None:
+        """Judge more of the round's requests."""
+
     def report(self) -> list[str]:
         """Return what was done and seen, as lines."""
         changes, readiness = self.changes, self.strikes.readiness
--- a/features/steps/kept_soak_steps.py
+++ b/features/steps/kept_soak_steps.py
@@ -10,6 +10,7 @@
 from deadly_soak import DeadlySoak
 from kept_soak import KeptSoak, Size
 from loopback_networks import LoopbackNetwork
+from statement_soak import StatementSoak
 
 KEPT = Path(tempfile.gettempdir())
 SHOWN = 5
@@ -31,6 +32,14 @@
     start_soak(context, DeadlySoak, nodes, seed)
 
 
+@given(
+    "five control machines and {nodes:d} nodes whose instances state limits and leaves, seed "
+    "{seed:d}"
+)
+def given_stating_fleet(context, nodes, seed):
+    start_soak(context, StatementSoak, nodes, seed)
+
+
 def start_soak(context, kind, nodes, seed):
     given = context.config.userdata
     network = LoopbackNetwork.take()
