Let running calls end by their deadlines while their instance is leaving

Cause: the drain that begins when an instance states that it is leaving had the limit of a planned stop, 5.4 s on the platform, though neither the instance nor the node ends by then: a call of 6 s started just before would have been cut. Found by reading the new code, not seen. Change: such a drain has no limit of its own; a planned stop of the process shortens it.

--- a/features/agent/instance_limit.feature
+++ b/features/agent/instance_limit.feature
@@ -109,3 +109,15 @@
     Then the response says so to the proxy, and the registration to the relay
     And a further call is refused as draining, not run
     And queued calls are refused within the time for them
+
+  # Guards against calls that are cut although the instance and the node go on.
+  Scenario Outline: A long call runs while the instance states that it is leaving
+    Given a registered agent whose instance states no limit
+    When a call of 60 seconds is started, and the instance states that it is leaving
+    And 50 seconds pass, <after>
+    Then the long call is <end>
+
+    Examples:
+      | after                                      | end      |
+      | and the node goes on                       | answered |
+      | and the node is asked to stop after 10     | cut      |
--- a/features/steps/instance_limit_steps.py
+++ b/features/steps/instance_limit_steps.py
@@ -18,6 +18,8 @@
     AttemptFailed,
     BackendProbed,
     CallsLimited,
+    CancelAttempt,
+    DrainRequested,
     InstanceLimitChanged,
     StartAttempt,
 )
@@ -97,6 +99,7 @@
     assert limited, refused[:3]
     assert all(ErrorKind(kind) is ErrorKind.INSTANCE_LIMITED for _ in limited)
     assert all(each.kind == ErrorKind.OVERLOADED and each.retry_after_ms for each in limited)
+    assert any("calls a second" in each.reason for each in limited), limited[0].reason
 
 
 @when(
@@ -373,3 +376,36 @@
     load.run(2.1)
     assert not load.core.waiting
     assert most_in_a_second(load.starts, load.now - 0.1) == 0
+
+
+@when("a call of {seconds:g} seconds is started, and the instance states that it is leaving")
+def long_call_leaving(context: Context, seconds: float) -> None:
+    load = context.load
+    context.long_call = load.start_one(seconds)
+    context.long_stream = load.next_stream - 1
+    load.leaving = True
+    load.call()
+    load.run(0.5)
+
+
+@when("{seconds:g} seconds pass, and the node goes on")
+def pass_time(context: Context, seconds: float) -> None:
+    context.load.run(seconds)
+
+
+@when("{seconds:g} seconds pass, and the node is asked to stop after {stop:g}")
+def stop_meanwhile(context: Context, seconds: float, stop: float) -> None:
+    context.load.run(stop)
+    context.load.handle(DrainRequested())
+    context.load.run(seconds - stop)
+
+
+@then("the long call is {end}")
+def long_call_end(context: Context, end: str) -> None:
+    load = context.load
+    cut = [e for e in load.outputs_of(CancelAttempt) if e.attempt == context.long_call]
+    load.run(15.0)
+    answered = [
+        e for e in load.sent(PROXY_CONNECTION, ResponseStart) if e.stream == context.long_stream
+    ]
+    assert (bool(answered), bool(cut)) == (end == "answered", end == "cut"), (answered, cut)
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -85,6 +85,10 @@
 )
 
 
+LEAVING_LIMIT_SECONDS = 3600.0
+"""Limit of a drain that the instance itself has begun; its running calls end by their deadlines."""
+
+
 class AgentOptions(Struct, frozen=True):
     """Settings of the agent core.
 
@@ -177,8 +181,8 @@
             return outputs
         outputs.extend(self._calls.warm_up.take_outputs(now))
         outputs.extend(self._calls.take_limit_outputs())
-        if self._calls.leaving:
-            outputs.extend(self._begin_drain(now))
+        if self._calls.leaving and self._drain is None:
+            outputs.extend(self._begin_drain(now, LEAVING_LIMIT_SECONDS))
         outputs.extend(self._calls.grant_body_credit(now))
         outputs.extend(self._calls.send_paced_responses(now))
         outputs.extend(
@@ -243,7 +247,7 @@
                 registered = self._register_when_warm(self._cold_start.observe_probe(healthy), now)
                 return [*stated, *registered]
             case DrainRequested():
-                return self._begin_drain(now)
+                return self._begin_drain(now, self._drain_limit)
             case BackendGone():
                 self._calls.backend.replaced(now)
                 return self._finish(now)
@@ -359,17 +363,19 @@
 
     # --- drain ------------------------------------------------------------------------------
 
-    def _begin_drain(self, now: float) -> list[Output]:
+    def _begin_drain(self, now: float, limit: float) -> list[Output]:
+        """Begin to drain for at most ``limit`` seconds, or shorten the drain that has begun."""
         if self._drain is not None:
+            self._drain.end_by(now + limit)
             return []
         limits = self._options.drain
-        self._drain = Drain(DrainLimits(self._drain_limit, limits.queue, limits.linger), now)
+        self._drain = Drain(DrainLimits(limit, limits.queue, limits.linger), now)
         self._calls.draining = True
         self._calls.backend.serves_until = now + limits.queue
         fields: dict[str, object] = {
             "running": self._calls.running,
             "queued": self._calls.waiting,
-            "limit_seconds": self._drain_limit,
+            "limit_seconds": limit,
         }
         if self._calls.leaving:
             self._registration.set_leaving()
--- a/src/limelever/agent/drain.py
+++ b/src/limelever/agent/drain.py
@@ -43,6 +43,11 @@
         """Record that a call was refused, so that the agent lingers."""
         self._last_refusal_at = now
 
+    def end_by(self, limit_at: float) -> None:
+        """Shorten the drain to ``limit_at``, if that is earlier."""
+        self._limit_at = min(self._limit_at, limit_at)
+        self._refuse_queued_at = min(self._refuse_queued_at, self._limit_at)
+
     def next_step(self, now: float, running: int, waiting: int) -> DrainStep:
         """Return the action at ``now`` with this many calls running and waiting."""
         if now >= self._limit_at:
