End the work of an instance's former run in the soak of statements

Traced by its logs: the instance stated its leave at 43.775 s and a new run took its place 4.0 s later, at which the node ended the former run's agent and its one running call (drain-finished, cut_off 1). The stand-in's former run worked on all the same, although its process had ended. Now its work ends with it, as in the soak of deadly requests, and its connections break.

--- a/features/steps/statement_soak.py
+++ b/features/steps/statement_soak.py
@@ -64,8 +64,9 @@
         return self.runs_so_far[-1]
 
     def renew(self) -> None:
-        """End the run; another one begins at once."""
+        """End the run, and its work with it; another one begins at once."""
         former = self.run.name
+        self.work.instance_ended(self.name)
         name = f"i-{self._machine.name}-{next(self._numbers)}"
         self.runs_so_far.append(Run(name))
         path = f"/v1/instances/{former}"
@@ -109,6 +110,11 @@
         self.send_header("Content-Length", "0")
         self.end_headers()
 
+    def send_response(self, code, message=None):
+        if self.run is not self.server.run:
+            raise ConnectionAbortedError("the process of this run has ended")
+        super().send_response(code, message)
+
     def end_headers(self):
         stated = self.run.statements[-1]
         self.send_header(INSTANCE_HEADER, self.run.name)
