Send no limit where no proxy can know of any, and forget limits that are unused

Agents stated a limit of 0 with each response, 9 bytes that nobody needs unless a limit was heard of before; they now do so only then. Proxies kept the limits of ended instances for good, and looked through a service's endpoints for each call because of them; they now drop those that no call could have gone to for 60 s. Queued calls are held against the stated limit alone when it comes into force.

--- a/src/limelever/agent/fair_queue.py
+++ b/src/limelever/agent/fair_queue.py
@@ -234,11 +234,11 @@
         return tuple(infeasible)
 
     def pop_unstartable(self, now: float) -> tuple[int, ...]:
-        """Remove and return the calls that the limits on starts keep from starting in time."""
+        """Remove and return the calls that the stated limit keeps from starting in time."""
         kept = 0
         unstartable: list[int] = []
         for group, call in self._in_expected_order():
-            starts_at = now + self._starts.delay(kept, now)
+            starts_at = now + self._starts.stated_delay(kept, now)
             if starts_at > self._estimator.latest_start(group, call):
                 unstartable.append(call.number)
             else:
--- a/src/limelever/agent/instance_limit.py
+++ b/src/limelever/agent/instance_limit.py
@@ -22,25 +22,27 @@
 
 
 class InstanceLimit:
-    """The limit of one instance in calls per second, 0 for none; times are monotonic seconds."""
+    """The limit of one instance in calls per second, 0 for none; times are monotonic seconds.
+
+    It is known once the instance has responded to a call of this agent.
+    """
 
     def __init__(self) -> None:
         self.calls_per_s = 0.0
-        self.known = False
-        """Whether the instance has responded to a call of this agent."""
-
+        self._known = False
         self._stated_at = -math.inf
+        self._concerns_proxies = False
         self._invalid = ""
         self._outputs: list[Output] = []
 
     @property
     def reported(self) -> float | None:
-        """Return the limit to report to proxies; ``None`` while it is not known."""
-        return self.calls_per_s if self.known or self.calls_per_s else None
+        """Return the limit to report; ``None`` if no proxy can know of any, which saves bytes."""
+        return self.calls_per_s if self._concerns_proxies else None
 
     def observe_response(self, signals: InstanceSignals, started_at: float, now: float) -> bool:
         """Apply the response to a call; return whether the limit has changed."""
-        first, self.known = not self.known, True
+        first, self._known = not self._known, True
         if self._is_invalid(signals):
             return False
         limit, current = signals.limit, self.calls_per_s
@@ -54,7 +56,10 @@
 
         The lowest one holds, until the instance has responded.
         """
-        if self.known or not LOWEST_LIMIT <= limit <= HIGHEST_LIMIT:
+        if not LOWEST_LIMIT <= limit <= HIGHEST_LIMIT:
+            return False
+        self._concerns_proxies = True
+        if self._known:
             return False
         if self.calls_per_s and limit >= self.calls_per_s:
             return False
@@ -84,6 +89,7 @@
         kind = events.INSTANCE_LIMIT_CHANGED if limit else events.INSTANCE_LIMIT_ENDED
         self._outputs += [LogEvent(kind, fields), InstanceLimitChanged(limit)]
         self.calls_per_s = limit
+        self._concerns_proxies = True
         return True
 
     def _is_invalid(self, signals: InstanceSignals) -> bool:
--- a/src/limelever/agent/instance_signals.py
+++ b/src/limelever/agent/instance_signals.py
@@ -1,8 +1,8 @@
 """Parses what an instance states of itself in the headers of its responses.
 
 An instance may state a limit, the calls per second that it takes from all proxies together, and
-that it is leaving. Both hold for as long as it states them; a response without the header states
-that there is none.
+that it is leaving. A limit holds for as long as it is stated: a response without it states that
+there is none. A leave holds for the rest of the instance's run.
 """
 
 from __future__ import annotations
--- a/src/limelever/common/instance_runs.py
+++ b/src/limelever/common/instance_runs.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from msgspec import Struct
@@ -73,6 +74,11 @@
         if len(self._by_name) > MAX_RUNS:
             self._by_name.popitem(last=False)
 
+    def drop(self, is_unused: Callable[[ValueT], bool]) -> None:
+        """Remove the values that are unused."""
+        for name in [name for name, entry in self._by_name.items() if is_unused(entry.value)]:
+            del self._by_name[name]
+
     def remove(self, run: InstanceRun) -> None:
         """Remove the value of a run, if there is one."""
         if self.get(run) is not None:
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -140,9 +140,7 @@
         )
         warming = self.warming.among(usable, now)
         full = self.limited.without_room(usable, now)
-        for avoided in ({*warming, *full}, full) if warming and full else (warming or full,):
-            if not avoided:
-                continue
+        for avoided in _avoided_endpoints(warming, full):
             ready = self._pick(usable, split, {*avoided, *excluded}, ejected, request, spill)
             if ready is not None and self._responds_in_time(ready, request):
                 return ready
@@ -261,8 +259,9 @@
         health = self._health.get(key)
         return health.in_flight if health else 0
 
-    def keep_only(self, keys: frozenset[EndpointKey]) -> None:
+    def keep_only(self, keys: frozenset[EndpointKey], now: float) -> None:
         """Drop the state of all endpoints but these and those with calls in flight."""
+        self.limited.drop_unused(now)
         self._zone_loads.keep_only(keys)
         self.warming.keep_only(keys)
         self._slowdowns.keep_only(keys)
@@ -427,3 +426,14 @@
         if age >= slow_start:
             return float(entry.slots)
         return entry.slots * max(self._settings.initial_capacity, age / slow_start)
+
+
+def _avoided_endpoints(
+    warming: frozenset[EndpointKey], full: frozenset[EndpointKey]
+) -> list[frozenset[EndpointKey]]:
+    """Return what to avoid, in turn, as long as another endpoint responds in time.
+
+    A warming endpoint is preferred to one whose limit has no room.
+    """
+    candidates = (warming | full, full) if full else (warming,)
+    return [avoided for avoided in dict.fromkeys(candidates) if avoided]
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -266,7 +266,7 @@
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             busy = self._calls.busy_connections()
             self._links.close_unused(self._endpoints.addresses(), busy, self._outputs)
-            self._balancer.keep_only(self._endpoints.keys())
+            self._balancer.keep_only(self._endpoints.keys(), now)
             self._quarantine.expire(now)
 
     def _drain_outputs(self, now: float) -> list[Output]:
--- a/src/limelever/proxy/limited_endpoints.py
+++ b/src/limelever/proxy/limited_endpoints.py
@@ -22,6 +22,10 @@
 ANSWER_PRECEDENCE_SECONDS = 2.0
 """Time after an answer in which a relay's report, which may be older, doesn't replace its limit."""
 
+UNUSED_SECONDS = 60.0
+"""Time after which the limit of a run is dropped if its endpoint was not considered for a call.
+Covers the restart of its agent."""
+
 _NONE: frozenset[EndpointKey] = frozenset()
 
 
@@ -72,6 +76,10 @@
         elif known is None or known.limit != limit:
             self._by_run.put(run, _Limit(limit, limit, -math.inf, 1.0, now))
 
+    def drop_unused(self, now: float) -> None:
+        """Drop the limits of runs that no call could have gone to for a while."""
+        self._by_run.drop(lambda known: known.filled_at + UNUSED_SECONDS < now)
+
     def limit_of(self, run: InstanceRun) -> float:
         """Return the last known limit of a run, 0 for none."""
         known = self._by_run.get(run) if self._by_run else None
