--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -103,3 +103,30 @@
 def then_says_so(context):
     assert context.result.exit_code == 1
     assert "no line names this request" in context.result.output
+
+
+@given(
+    "the logs of the agents tell of a limit of agent-1, a leave of its instance, and a limit of "
+    "agent-2 that ended"
+)
+def given_limits(context):
+    changed = {"former": 0.0, "calls_per_s": 12.5, "source": "response"}
+    ended = {"former": 12.5, "calls_per_s": 0.0, "source": "response"}
+    earlier = {
+        "agent-1": [(5150, "instance-limit-changed", changed), (5153, "instance-leaving", {})],
+        "agent-2": [
+            (5150, "instance-limit-changed", changed),
+            (5151, "instance-limit-ended", ended),
+        ],
+    }
+    for name, lines in earlier.items():
+        (path,) = (Path(file) for file in context.files if name in file)
+        texts = [line(0, name, code, event, fields) for code, event, fields in lines]
+        path.write_text("\n".join(texts) + "\n" + path.read_text())
+
+
+@then("what agent-1 believed holds the limit and the leave, and what agent-2 believed does not")
+def then_believed(context):
+    believed = {(each["process"], each["event"]) for each in context.json["beliefs"]}
+    assert {("agent-1", "instance-limit-changed"), ("agent-1", "instance-leaving")} <= believed
+    assert not [each for each in believed if each[0] == "agent-2"], believed
--- a/src/limelever/cli/explain.py
+++ b/src/limelever/cli/explain.py
@@ -26,8 +26,12 @@
 _DECIDING = (CALL_NOT_SERVED, ATTEMPT_FAILED, CALLER_GONE, CALL_FAILED, CALL_ANSWERED)
 """Codes of lines that may have decided a request's end, the nearest to the cause first."""
 
-_BELIEFS = frozenset({"configuration-installed", "routes-in-force", "endpoint-ejected"})
+_LIMIT_CHANGED = "instance-limit-changed"
+_BELIEFS = frozenset(
+    {"configuration-installed", "routes-in-force", "endpoint-ejected", _LIMIT_CHANGED}
+)
 _DRAIN_BEGAN = frozenset({proxy_events.ZONE_DRAIN_BEGAN, agent_events.ZONE_DRAIN_BEGAN})
+_INSTANCE_LEAVING = frozenset({proxy_events.INSTANCE_LEAVING, agent_events.INSTANCE_LEAVING})
 _DRAIN_ENDED = frozenset({proxy_events.ZONE_DRAIN_ENDED, agent_events.ZONE_DRAIN_ENDED})
 
 
@@ -72,10 +76,14 @@
 
 
 def _note_belief(beliefs: dict[tuple[str, str], LogLine], line: LogLine) -> None:
-    """Keep what a process last learned of a matter; of zone drains those that haven't ended."""
+    """Keep what a process last learned of a matter; of drains and limits, if they haven't ended."""
     zone = f"zone-drain {line.fields.get('zone')}"
     if line.event in _BELIEFS:
         beliefs[line.process, line.event] = line
+    elif line.code == agent_events.INSTANCE_LIMIT_ENDED:
+        beliefs.pop((line.process, _LIMIT_CHANGED), None)
+    elif line.code in _INSTANCE_LEAVING:
+        beliefs[line.process, f"{line.event} {line.fields.get('instance', '')}"] = line
     elif line.code in _DRAIN_BEGAN:
         beliefs[line.process, zone] = line
     elif line.code in _DRAIN_ENDED:
