--- a/features/agent/instance_limit.feature
+++ b/features/agent/instance_limit.feature
@@ -20,7 +20,7 @@
     Given an agent whose instance states no limit and takes 0.5 seconds for a call
     When 40 calls with 3 seconds left arrive, and the instance states a limit of 2 a second
     Then those that can't be started in time are refused at once as "instance-limited"
-    And the refused callers are told different times
+    And the refused callers get different times
 
   # Guards against responses that overlap: one that was sent before the limit doesn't end it.
   Scenario: A response to a call from before the limit arrives late
--- a/features/cli/explain.feature
+++ b/features/cli/explain.feature
@@ -21,6 +21,6 @@
   # Guards against a refusal whose cause stands only in a line that names no request.
   Scenario: A request that is refused by the limit of its instance
     Given the logs of a proxy and two agents in which a request is refused by agents that are full
-    And the logs of the agents tell of a limit of agent-1, a leave of its instance, and a limit of agent-2 that ended
+    And the logs of the agents hold a limit of agent-1, a leave of its instance, and a limit of agent-2 that ended
     When limelever explain is asked for that request
     Then what agent-1 believed holds the limit and the leave, and what agent-2 believed does not
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -106,7 +106,7 @@
 
 
 @given(
-    "the logs of the agents tell of a limit of agent-1, a leave of its instance, and a limit of "
+    "the logs of the agents hold a limit of agent-1, a leave of its instance, and a limit of "
     "agent-2 that ended"
 )
 def given_limits(context):
--- a/features/steps/instance_limit_steps.py
+++ b/features/steps/instance_limit_steps.py
@@ -131,7 +131,7 @@
     assert waiting and not late, (waiting, late)
 
 
-@then("the refused callers are told different times")
+@then("the refused callers get different times")
 def different_times(context: Context) -> None:
     times = [each.retry_after_ms for _, each in context.load.refusals[context.refused_before :]]
     assert len(set(times)) >= min(len(times), 4), times
--- a/features/steps/statement_audit.py
+++ b/features/steps/statement_audit.py
@@ -48,9 +48,9 @@
                 sent = self._sent.get(arrival.request)
                 if sent is None:
                     continue
-                told_at = self._told_at(passed.get(sent.node, ()), sent.node, arrival.at)
-                if told_at is not None and sent.sent_at > told_at + LEAVE_SECONDS:
-                    late = sent.sent_at - told_at
+                passed_at = self._first_passed_on(passed.get(sent.node, ()), sent.node, arrival.at)
+                if passed_at is not None and sent.sent_at > passed_at + LEAVE_SECONDS:
+                    late = sent.sent_at - passed_at
                     broken.append(f"{instance.name} got {arrival.request} of {sent.node}, {late=}")
         return broken
 
@@ -62,8 +62,8 @@
             sent = self._sent.get(arrival.request)
             if sent is None:
                 continue
-            told_at = self._told_at(passed.get(sent.node, ()), sent.node, arrival.at)
-            if told_at is not None and told_at + HEARD_SECONDS <= arrival.at:
+            passed_at = self._first_passed_on(passed.get(sent.node, ()), sent.node, arrival.at)
+            if passed_at is not None and passed_at + HEARD_SECONDS <= arrival.at:
                 times.append(arrival.at)
         return sorted(times)
 
@@ -114,7 +114,7 @@
                 passed.setdefault(each.node, []).append(each.ended_at)
         return {node: sorted(times) for node, times in passed.items()}
 
-    def _told_at(self, passed: Sequence[float], node: str, at: float) -> float | None:
+    def _first_passed_on(self, passed: Sequence[float], node: str, at: float) -> float | None:
         """Return when the node first passed on the statement after its last strike by ``at``."""
         last_strike = max((each for each in self.strikes.get(node, ()) if each <= at), default=0.0)
         first = bisect.bisect_right(passed, last_strike)
