--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,9 @@
 """``configApplyMs``."""
 
 RUN_SECONDS = 105.0
+ATTEMPT_SECONDS = 35.0
+START_SECONDS = 5.0
+READ_SECONDS = 2.0
 HELD, BROKEN, UNFIT = 0, 1, 2
 LEAD_SECONDS = 5.0
 """How long a machine leads before the trouble."""
@@ -37,7 +40,7 @@
         if not trouble:
             return self.calm()
         played = False
-        while time.monotonic() + 30.0 < self.until:
+        while time.monotonic() + ATTEMPT_SECONDS < self.until:
             status = self.attempt()
             if status == BROKEN:
                 return BROKEN
@@ -148,11 +151,14 @@
         starts = {machine.name: machine.starts() for machine in others}
         for machine in others:
             self.core.restart(machine)
+        until = time.monotonic() + START_SECONDS
         while all(machine.starts() == starts[machine.name] for machine in others):
+            if time.monotonic() > until:
+                return UNFIT
             time.sleep(0.002)
         leader.freeze()
         frozen_at = self.record.note(f"{leader.name} is frozen, all others start")
-        changed = self.operator.change(others, 12.0)
+        changed = self.operator.change(others, 6.0)
         for machine in others:
             machine.freeze()
         leader.wake()
@@ -162,7 +168,8 @@
             return UNFIT
         time.sleep(APPLY_SECONDS + 0.2)
         broken = False
-        for _ in range(20):
+        until = time.monotonic() + READ_SECONDS
+        while time.monotonic() < until:
             broken = self.judge(leader, self.operator.read(leader)) or broken
             time.sleep(0.1)
         return BROKEN if broken else HELD
