--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 from pathlib import Path
@@ -11,6 +10,7 @@
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from core_machines import Core, Machine, Operator, Record  # noqa: E402
+from runs import BROKEN, HELD, UNFIT, run_case  # noqa: E402
 
 APPLY_SECONDS = 2.0
 """``configApplyMs``."""
@@ -19,7 +19,6 @@
 ATTEMPT_SECONDS = 35.0
 START_SECONDS = 5.0
 READ_SECONDS = 2.0
-HELD, BROKEN, UNFIT = 0, 1, 2
 LEAD_SECONDS = 5.0
 """How long a machine leads before the trouble."""
 
@@ -48,6 +47,10 @@
             self.wake_all()
         return HELD if played else UNFIT
 
+    def close(self) -> None:
+        """End all processes."""
+        self.core.close()
+
     def begin(self) -> bool:
         """Start the core and wait until it has five voters and a configuration."""
         self.core.start()
@@ -175,19 +178,5 @@
         return BROKEN if broken else HELD
 
 
-def main() -> int:
-    """Run the case and say how it ended."""
-    record = Record(HERE / "record.txt")
-    case = Case(record)
-    try:
-        status = case.run(trouble=os.environ.get("TROUBLE", "1") != "0")
-    finally:
-        case.core.close()
-    words = {HELD: "the rule held", BROKEN: "CONFIG is broken", UNFIT: "the case couldn't run"}
-    record.note(words[status])
-    print(words[status])
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, "CONFIG", Case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import os
 import sys
-import threading
 import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from core_machines import Core, Operator, Record  # noqa: E402
-from nodes import Client, Instance, add_nodes, wait_until  # noqa: E402
+from core_machines import Record  # noqa: E402
+from nodes import Client, Deployment, Instance, send_for, wait_until  # noqa: E402
+from runs import BROKEN, HELD, UNFIT, run_case  # noqa: E402
 
 DRAIN_SECONDS = 2.0
 """``drainMs``."""
@@ -23,8 +22,8 @@
 LATE_SECONDS = 2.5
 """How late the heartbeat is."""
 
-HELD, BROKEN, UNFIT = 0, 1, 2
 CLIENTS = 6
+WORK_SECONDS = 0.3
 
 
 class Case:
@@ -32,27 +31,17 @@
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.core = Core(record)
-        self.operator = Operator(record)
-        self.nodes = add_nodes(self.core, 3)
-        self.instances = [Instance(node, record, work_seconds=0.3) for node in self.nodes]
+        self.deployment = Deployment(record, 3, WORK_SECONDS)
 
     def run(self, *, trouble: bool) -> int:
         """Play it; return the exit status."""
-        self.core.start()
-        for node in self.nodes:
-            node.write(self.core.seeds, first_start=True)
-            node.start()
-        if not self.operator.change(self.core.machines, 25.0):
+        if not self.deployment.begin():
             return UNFIT
-        if not wait_until(lambda: all(node.is_ready() for node in self.nodes), 20.0):
-            return UNFIT
-        for instance in self.instances:
-            instance.begin_heartbeats()
-        time.sleep(4.0)
-        clients = [Client(self.nodes[0], self.record, f"c{n}") for n in range(CLIENTS)]
-        self.send(clients, 1.0)
-        leaving = self.instances[2]
+        node = self.deployment.nodes[0]
+        clients = [Client(node, self.record, f"c{n}") for n in range(CLIENTS)]
+        for thread in send_for(clients, 1.0):
+            thread.join()
+        leaving = self.deployment.instances[2]
         if not leaving.reached:
             self.record.note("no request reached the instance while it took work")
             return UNFIT
@@ -73,7 +62,7 @@
             machine.kill()
             self.record.note(f"{machine.name} is killed")
             time.sleep(0.5)
-            machine.write(self.core.seeds, first_start=False)
+            machine.write(self.deployment.core.seeds, first_start=False)
             machine.start()
         started_at = self.record.note(f"{machine.name} runs")
         if not wait_until(machine.is_ready, 15.0):
@@ -87,7 +76,7 @@
         in_touch_at = max(started_at + CONTACT_SECONDS, gone_at + DRAIN_SECONDS) + 0.2
         time.sleep(max(0.0, in_touch_at - time.monotonic()))
         judged_from = self.record.note("all machines are in touch")
-        threads = self.begin(clients, 3.0)
+        threads = send_for(clients, 3.0)
         time.sleep(2.5)
         leaving.end()
         self.record.note(f"{leaving.identifier} ends")
@@ -116,45 +105,10 @@
         )
         return BROKEN if wrong else HELD
 
-    def begin(self, clients: list[Client], seconds: float) -> list[threading.Thread]:
-        """Let the clients send for some seconds."""
-        until = time.monotonic() + seconds
-
-        def send(client: Client) -> None:
-            while time.monotonic() < until:
-                client.ask()
-                time.sleep(0.05)
-
-        threads = [threading.Thread(target=send, args=(client,)) for client in clients]
-        for thread in threads:
-            thread.start()
-        return threads
-
-    def send(self, clients: list[Client], seconds: float) -> None:
-        """Let the clients send for some seconds and wait for the end of it."""
-        for thread in self.begin(clients, seconds):
-            thread.join()
-
     def close(self) -> None:
         """End everything."""
-        self.core.close()
-        for instance in self.instances:
-            instance.end()
-
-
-def main() -> int:
-    """Run the case and say how it ended."""
-    record = Record(HERE / "record.txt")
-    case = Case(record)
-    try:
-        status = case.run(trouble=os.environ.get("TROUBLE", "1") != "0")
-    finally:
-        case.close()
-    words = {HELD: "the rule held", BROKEN: "DRAIN is broken", UNFIT: "the case couldn't run"}
-    record.note(words[status])
-    print(words[status])
-    return status
+        self.deployment.close()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, "DRAIN", Case))
--- a/review/standins/nodes.py
+++ b/review/standins/nodes.py
@@ -5,13 +5,15 @@
 import http.client
 import itertools
 import json
+import random
 import threading
 import time
 import uuid
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
-from core_machines import CONTROL_PORT, Core, Machine, Record
+from core_machines import CONTROL_PORT, Core, Machine, Operator, Record
 
 READY_PORT, INSTANCE_PORT, INBOUND_PORT, OUTBOUND_PORT = 8141, 8145, 8146, 8147
 SERVICE, HOST = "huvo11a", "ficu95.example"
@@ -50,16 +52,6 @@
             connection.close()
 
 
-def add_nodes(core: Core, count: int, zone: str = "zone-a") -> list[NodeMachine]:
-    """Add machines with instances to the deployment, not started yet."""
-    nodes = [
-        NodeMachine(core.folder, f"side-{n}", f"{core.prefix}.{100 + n}", zone)
-        for n in range(1, count + 1)
-    ]
-    core.others.extend(nodes)
-    return nodes
-
-
 class Instance(ThreadingHTTPServer):
     """An instance beside a node: runs requests, and reports itself by heartbeats."""
 
@@ -73,6 +65,8 @@
         self.leaving = self.ended = False
         self.reached: list[tuple[float, str]] = []
         self.spoiled: list[tuple[str, str]] = []
+        self.may_spoil: Callable[[], bool] = lambda: True
+        self.running = 0
         self._lock = threading.Lock()
         self._numbers = itertools.count(1)
         self._quiet = threading.Event()
@@ -81,10 +75,14 @@
     def handle_error(self, request, client_address):  # noqa: ANN001
         """A node that has left is no matter of the instance."""
 
-    def note(self, request: str) -> None:
-        """Note that a request has reached this instance."""
+    def work(self, request: str) -> None:
+        """Run a request."""
         with self._lock:
             self.reached.append((time.monotonic(), request))
+            self.running += 1
+        time.sleep(self.work_seconds)
+        with self._lock:
+            self.running -= 1
 
     def begin_heartbeats(self) -> None:
         """Report about every ``heartbeatMs``."""
@@ -153,8 +151,7 @@
         if target != instance.identifier:
             self._answer(421, b"", not_run=True)
             return
-        instance.note(request)
-        time.sleep(instance.work_seconds)
+        instance.work(request)
         if instance.ended:
             self.close_connection = True
             return
@@ -184,7 +181,7 @@
     def _spoil(self) -> None:
         """Put wrong bytes into one answer, if that is wanted."""
         instance = self.server
-        if instance.spoiled:
+        if instance.spoiled and instance.may_spoil():
             name, value = instance.spoiled.pop()
             instance.record.note(f"{instance.identifier} spoils the answer to a request")
             self.send_header(name, value)
@@ -255,3 +252,53 @@
             return False
         time.sleep(0.05)
     return True
+
+
+class Deployment:
+    """A core, and machines of one service with an instance each."""
+
+    def __init__(self, record: Record, count: int, work_seconds: float) -> None:
+        self.record = record
+        self.core = Core(record)
+        self.operator = Operator(record)
+        self.nodes = [
+            NodeMachine(self.core.folder, f"side-{n}", f"{self.core.prefix}.{100 + n}", "zone-a")
+            for n in range(1, count + 1)
+        ]
+        self.core.others.extend(self.nodes)
+        self.instances = [Instance(node, record, work_seconds) for node in self.nodes]
+
+    def begin(self) -> bool:
+        """Start all and have a configuration taken; return whether all nodes are ready."""
+        self.core.start()
+        for node in self.nodes:
+            node.write(self.core.seeds, first_start=True)
+            node.start()
+        if not self.operator.change(self.core.machines, 25.0):
+            return False
+        if not wait_until(lambda: all(node.is_ready() for node in self.nodes), 20.0):
+            return False
+        for instance in self.instances:
+            instance.begin_heartbeats()
+        time.sleep(4.0)
+        return True
+
+    def close(self) -> None:
+        """End all processes and instances."""
+        self.core.close()
+        for instance in self.instances:
+            instance.end()
+
+
+def send_for(clients: list[Client], seconds: float) -> list[threading.Thread]:
+    """Let the clients send for some seconds, with a drawn pause after each answer."""
+    until = time.monotonic() + seconds
+
+    def send(client: Client) -> None:
+        while time.monotonic() < until:
+            time.sleep(random.uniform(0.0, 0.2) if client.ask().status else 0.5)
+
+    threads = [threading.Thread(target=send, args=(client,)) for client in clients]
+    for thread in threads:
+        thread.start()
+    return threads
