Log how an instance is found, from what its leave is learned, and how late a call was sent

Neither the report that made a node take an instance for a running one was logged, nor the one that ended it; a call's line didn't say whether its instance was draining, nor how long the call had waited for a connection after the decision.

Change: events 5061 instance-found and 5062 leave-learned; 5050 and 5051 carry draining_milliseconds, 5050 unsent_milliseconds; each call that ends during a drain is logged. No decision changes.

--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -6,6 +6,7 @@
 
 import trio
 from msgspec import Struct
+from msgspec.structs import replace
 
 from limelever.agent.connection_pool import (
     BackendConnection,
@@ -51,11 +52,16 @@
 
 
 class _Attempt(Struct):
-    """A request in progress; its cancel scope expires at the attempt's deadline."""
+    """A request in progress; its cancel scope expires at the attempt's deadline.
+
+    ``unsent_for`` is the time in seconds until its first byte was sent.
+    """
 
     scope: trio.CancelScope
+    started_at: float
     cancelled: bool = False
     sent_any_byte: bool = False
+    unsent_for: float = 0.0
 
 
 class BackendClient:
@@ -98,8 +104,8 @@
 
     def start(self, output: StartAttempt) -> None:
         """Start an attempt in the background."""
-        deadline = trio.current_time() + output.timeout
-        attempt = _Attempt(trio.CancelScope(deadline=deadline))
+        now = trio.current_time()
+        attempt = _Attempt(trio.CancelScope(deadline=now + output.timeout), now)
         self._attempts[output.attempt] = attempt
         self._nursery.start_soon(self._run_attempt, output, attempt)
 
@@ -170,15 +176,18 @@
         if isinstance(connection, Failure):
             return AttemptFailed(output.attempt, connection, sent_any_byte=False)
         attempt.sent_any_byte = True
+        attempt.unsent_for = trio.current_time() - attempt.started_at
         try:
-            return await self._send_attempt(output, connection, _remaining_ms(attempt))
+            return await self._send_attempt(output, connection, attempt)
         finally:
             self._pool.release(connection)
 
     async def _send_attempt(
-        self, output: StartAttempt, connection: BackendConnection, remaining_ms: int
+        self, output: StartAttempt, connection: BackendConnection, attempt: _Attempt
     ) -> Event:
-        headers = request_headers(output, self._host, remaining_ms, self._names, self._instance)
+        headers = request_headers(
+            output, self._host, _remaining_ms(attempt), self._names, self._instance
+        )
         request = encode_request(output.method, output.target, headers, output.body)
         response = await self._round_trip(connection, output.method, request)
         if isinstance(response, Failure):
@@ -187,9 +196,12 @@
             )
         connection.max_idle = min(connection.max_idle, keep_alive_seconds(response.headers))
         end_to_end_headers = end_to_end(response.headers)
-        return self._classify_response(
+        event = self._classify_response(
             output, connection, response.status, end_to_end_headers, response.body
         )
+        if isinstance(event, AttemptAnswered):
+            return replace(event, unsent_for=attempt.unsent_for)
+        return event
 
     async def _round_trip(
         self, connection: BackendConnection, method: bytes, request: bytes
--- a/src/limelever/agent/call_reporter.py
+++ b/src/limelever/agent/call_reporter.py
@@ -8,6 +8,7 @@
 from limelever.agent.calls import Call
 from limelever.agent.fair_queue import FairQueue
 from limelever.agent.instance_limit import InstanceLimit
+from limelever.agent.interface import AttemptAnswered
 from limelever.agent.limit_shares import LimitShares
 from limelever.agent.pace import PaceTracker
 from limelever.agent.warm_up import WarmUp
@@ -45,11 +46,27 @@
         self.pace = PaceTracker()
         self._slots = slots
         self._log = DecisionLog(log)
-        self.draining = False
+        self.draining_since: float | None = None
         self.leaving = False
         self.zone_drained = False
         self.now = 0.0
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the instance is draining."""
+        return self.draining_since is not None
+
+    def drain_began(self, now: float) -> None:
+        """Record the start of a drain, unless it has begun before."""
+        if self.draining_since is None:
+            self.draining_since = now
+
+    def _draining_milliseconds(self) -> int:
+        """Return how long the instance has been draining, 0 if it is not."""
+        if self.draining_since is None:
+            return 0
+        return int((self.now - self.draining_since) * _MILLISECONDS_PER_SECOND)
+
     def agent_load(self, group: str) -> AgentLoad:
         """Return the load that is sent with the answer to a call of a group."""
         load = AgentLoad(
@@ -91,6 +108,7 @@
             "slots": load.slots,
             "service_milliseconds": load.service_us // _MICROSECONDS_PER_MILLISECOND,
             "draining": load.draining,
+            "draining_milliseconds": self._draining_milliseconds(),
         }
         lines = self._log.failure(events.CALL_NOT_SERVED, start.request_id, fields, self.now)
         message = call_messages.call_failed(start, failure, load, crash)
@@ -100,20 +118,28 @@
             outputs.append(LogEvent(events.ZONE_DRAIN_REFUSED, {"group": start.group}))
         return outputs
 
-    def call_answered(self, call: Call, status: int, now: float) -> list[Output]:
-        """Return the log event of an answered call, if its request is sampled for logging."""
-        if not self._log.follows(call.start.request_id):
+    def call_answered(self, call: Call, event: AttemptAnswered, now: float) -> list[Output]:
+        """Return the log event of an answered call.
+
+        Calls are sampled for logging, but each one that ends during a drain is logged.
+        """
+        request_id = call.start.request_id
+        if not self.draining and not self._log.follows(request_id):
             return []
         fields: dict[str, object] = {
-            "status": status,
+            "status": event.status,
             "waited_milliseconds": int(
                 (call.started_at - call.arrived_at) * _MILLISECONDS_PER_SECOND
             ),
             "ran_milliseconds": int((now - call.started_at) * _MILLISECONDS_PER_SECOND),
+            "unsent_milliseconds": int(event.unsent_for * _MILLISECONDS_PER_SECOND),
             "running": self._queue.running,
             "queued": self._queue.queued,
+            "draining_milliseconds": self._draining_milliseconds(),
         }
-        return [*self._log.success(events.CALL_RAN, call.start.request_id, fields)]
+        if self.draining:
+            return [*self._log.failure(events.CALL_RAN, request_id, fields, now)]
+        return [*self._log.success(events.CALL_RAN, request_id, fields)]
 
 
 def crash_event(crash: int, suspects: Sequence[SuspectRequest], queued: int) -> LogEvent:
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -106,9 +106,9 @@
         """Return whether the instance is draining and refuses new calls."""
         return self._reporter.draining
 
-    @draining.setter
-    def draining(self, draining: bool) -> None:
-        self._reporter.draining = draining
+    def drain_began(self, now: float) -> None:
+        """Refuse new calls from now on."""
+        self._reporter.drain_began(now)
 
     @property
     def leaving(self) -> bool:
@@ -299,7 +299,7 @@
             self._pacer.observe(call.start.group, len(event.body))
         load = self._reporter.agent_load(call.start.group)
         outputs = [] if settled else self._responses.send(call, event, load, now)
-        outputs.extend(self._reporter.call_answered(call, event.status, now))
+        outputs.extend(self._reporter.call_answered(call, event, now))
         return [*leaving, *outputs, *self._cancel_lost(lost, now), *self.start_waiting(now)]
 
     def attempt_failed(self, event: AttemptFailed, now: float) -> list[Output]:
@@ -410,7 +410,7 @@
         """Apply what a health response states of the instance."""
         changed = self.instance_limit.observe_health(signals, now)
         refused = self._apply_limit(now) if changed else []
-        return [*self._note_leaving(signals, BY_HEALTH_RESPONSE), *refused]
+        return [*self._note_leaving(signals, BY_HEALTH_RESPONSE, now), *refused]
 
     def cancel_running(self) -> list[Output]:
         """Cancel every running attempt because the agent stops."""
@@ -504,7 +504,7 @@
     def _observe_signals(self, signals: InstanceSignals, call: Call, now: float) -> list[Output]:
         changed = self.instance_limit.observe_response(signals, call.started_at, now)
         refused = self._apply_limit(now) if changed else []
-        return [*self._note_leaving(signals, BY_RESPONSE), *refused]
+        return [*self._note_leaving(signals, BY_RESPONSE, now), *refused]
 
     def _apply_limit(self, now: float) -> list[Output]:
         """Enforce a changed limit, and refuse the queued calls that it keeps from starting."""
@@ -517,10 +517,11 @@
             outputs.extend(self._refuse(call, failure))
         return outputs
 
-    def _note_leaving(self, signals: InstanceSignals, source: str) -> list[Output]:
+    def _note_leaving(self, signals: InstanceSignals, source: str, now: float) -> list[Output]:
         if self.leaving or not signals.leaving:
             return []
-        self._reporter.leaving = self._reporter.draining = True
+        self._reporter.leaving = True
+        self._reporter.drain_began(now)
         fields: dict[str, object] = {
             "running": self.running,
             "queued": self.waiting,
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -370,7 +370,7 @@
             return []
         limits = self._options.drain
         self._drain = Drain(DrainLimits(limit, limits.queue, limits.linger), now)
-        self._calls.draining = True
+        self._calls.drain_began(now)
         self._calls.backend.serves_until = now + limits.queue
         fields: dict[str, object] = {
             "running": self._calls.running,
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -115,8 +115,10 @@
     "status",
     "waited_milliseconds",
     "ran_milliseconds",
+    "unsent_milliseconds",
     "running",
     "queued",
+    "draining_milliseconds",
 )
 CALL_NOT_SERVED = define(
     5051,
@@ -132,6 +134,7 @@
     "slots",
     "service_milliseconds",
     "draining",
+    "draining_milliseconds",
 )
 CONNECTION_LOST = define(
     5140,
@@ -183,6 +186,26 @@
     "reason",
     "refused",
 )
+INSTANCE_FOUND = define(
+    5061,
+    "instance-found",
+    Level.INFO,
+    "an instance was found beside the node, an agent is started for it",
+    "instance",
+    "source",
+    "sequence",
+    "started_at_ms",
+)
+LEAVE_LEARNED = define(
+    5062,
+    "leave-learned",
+    Level.INFO,
+    "the instance beside the node leaves or has ended",
+    "instance",
+    "source",
+    "started_at_ms",
+    "was_active",
+)
 WARM_UP_STARTED = define(
     5120,
     "warm-up-started",
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -82,7 +82,8 @@
 
     ``pace_permille`` is the service time that the back end reports, in thousandths of its usual
     one; 0 if not reported. ``requests`` is how many requests run or wait at the back end by its own
-    statement, ``None`` if not reported.
+    statement, ``None`` if not reported. ``unsent_for`` is the time in seconds until the request was
+    sent, which had to wait for a connection.
     """
 
     attempt: int
@@ -92,6 +93,7 @@
     pace_permille: int = 0
     requests: int | None = None
     signals: InstanceSignals = NO_SIGNALS
+    unsent_for: float = 0.0
 
 
 class AttemptFailed(Event, frozen=True):
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -19,6 +19,7 @@
 
 from limelever.agent.backend_client import BackendClient
 from limelever.agent.core import AgentCore, AgentOptions
+from limelever.agent.events import INSTANCE_FOUND, LEAVE_LEARNED
 from limelever.agent.interface import (
     BackendGone,
     ConfigurationShared,
@@ -51,6 +52,7 @@
 from limelever.protocol.config_pb2 import Service
 from limelever.proxy.call_types import ConfigurationApplied, HealthPathChanged
 from limelever.subscriber.notices import PublishersListed, PublishersReceived
+from limelever.transport.log import write_event
 from limelever.transport.process import ProcessShell
 from limelever.transport.runner import CoreRunner
 
@@ -60,6 +62,9 @@
 PROBED_SEQUENCE = -1
 """Sequence number for an instance found by a probe; each of the instance's own reports is newer."""
 
+BY_PROBE, BY_REPORT, BY_END = "probe", "report", "end"
+"""Sources of what the node knows of its instance, as they are logged."""
+
 _NAME_SUFFIX_BYTES = 4
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
@@ -100,9 +105,20 @@
         services = self._configured_services()
         if failure := report_refusal(report, self._settings, services, is_active=is_active):
             return failure
+        if report.draining and not self._tracker.has_left(report.instance, report.started_at_ms):
+            self._log_leave(report.instance, report.started_at_ms, BY_REPORT)
         self._apply(self._tracker.handle_report(report), report)
         return None
 
+    def _log_leave(self, instance: str, started_at_ms: int, source: str) -> None:
+        fields: dict[str, object] = {
+            "instance": instance,
+            "source": source,
+            "started_at_ms": started_at_ms,
+            "was_active": self._tracker.is_active(instance, started_at_ms),
+        }
+        write_event(LEAVE_LEARNED, fields)
+
     def _apply(self, outcome: ReportOutcome, report: InstanceReport) -> None:
         match outcome:
             case ReportOutcome.INSTANCE_STARTED:
@@ -122,6 +138,8 @@
 
     def instance_ended(self, instance: str, started_at_ms: int) -> None:
         """Record that an instance has ended, and drain its agent."""
+        if not self._tracker.has_left(instance, started_at_ms):
+            self._log_leave(instance, started_at_ms, BY_END)
         if self._tracker.handle_end(instance, started_at_ms) is ReportOutcome.INSTANCE_DRAINING:
             self._drain_agent()
 
@@ -228,10 +246,20 @@
         if self._stopping:
             return
         self._service = report.service
+        self._log_found(report)
         name = f"{report.instance}-{secrets.token_hex(_NAME_SUFFIX_BYTES)}"
         settings = agent_settings(self._settings, report, name)
         self._nursery.start_soon(partial(self._run_agent, settings, report))
 
+    def _log_found(self, report: InstanceReport) -> None:
+        fields: dict[str, object] = {
+            "instance": report.instance,
+            "source": BY_PROBE if report.sequence == PROBED_SEQUENCE else BY_REPORT,
+            "sequence": report.sequence,
+            "started_at_ms": report.started_at_ms,
+        }
+        write_event(INSTANCE_FOUND, fields)
+
     def _end_agent(self) -> None:
         if self._agent is not None:
             self._agent.runner.post(BackendGone())
--- a/src/limelever/node/reports.py
+++ b/src/limelever/node/reports.py
@@ -102,6 +102,12 @@
         """Return whether this is the tracked run and it is not draining."""
         return self._is_tracked(instance, started_at_ms) and not self._draining
 
+    def has_left(self, instance: str, started_at_ms: int = START_TIME_UNKNOWN) -> bool:
+        """Return whether this run is known to be draining or to have ended."""
+        if self._is_tracked(instance, started_at_ms):
+            return self._draining
+        return self._has_ended(instance, started_at_ms)
+
     def handle_report(self, report: InstanceReport) -> ReportOutcome:
         """Update the state from a report."""
         if self._has_ended(report.instance, report.started_at_ms):
