Check at the write whether a draining instance may still get a call

Cause: the agent decided once, when it took a call from its queue. A call that then waited for a connection was sent whenever that opened, up to its deadline; and an agent that stood still for longer than the drain's time for queued calls handled the next answer before its timer, and started a queued call then.

Evidence: both new tests failed before the change. A second call waits for the only connection of a back end that responds after 1.5 s: it was sent at 1.5 s, though starts had ended at 1 s. A call queued at the start of a drain was started 3 s after it, where 2 s are allowed.

Change: the core refuses what is queued as soon as any event comes after the time for starts, and tells the client of the back end when starts end. The client checks right before the first byte, and ends what is still waiting for a connection at that time as not run, so that proxies send it elsewhere at once.

--- a/features/agent/drain.feature
+++ b/features/agent/drain.feature
@@ -30,3 +30,26 @@
     And 26 seconds pass at the agent
     Then the drain has finished with 1 calls cancelled
     And agent stream 1 has failed with backend-failed
+
+  # Guards against a queued call that a process which stood still starts after the drain's time for it.
+  Scenario: No queued call is started late by a process that stood still
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 20 seconds left
+    And the agent gets a call on agent stream 2 with 20 seconds left
+    And the agent is asked to drain
+    And agent stream 1 is answered 3 seconds later, before the agent's timer fires
+    Then agent stream 1 has its answer
+    And agent stream 2 has failed with draining
+    And the agent's back end received one request
+
+  # Guards against a call that is sent to an instance whose drain began while it waited for a connection.
+  Scenario Outline: A call that waits for a connection isn't sent after the drain's time for it
+    Given a back end with one connection, which responds after 1.5 seconds
+    When two calls are sent to it, and <limit>
+    Then it received <received> requests, and the second call <end>
+
+    Examples:
+      | limit                                           | received | end                                     |
+      | it takes calls for as long as they come         | 2        | was answered                            |
+      | it takes no calls that are sent after 1 second  | 1        | was refused as draining after 1 second  |
+      | it takes no calls that are sent after 2 seconds | 2        | was answered                            |
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -13,6 +14,7 @@
     BackendConnectionPool,
     keep_alive_seconds,
 )
+from limelever.agent.failures import DRAINING
 from limelever.agent.headers import encode_request, request_headers
 from limelever.agent.health_response import (
     InstanceIdentity,
@@ -28,6 +30,7 @@
     CancelAttempt,
     CheckBackend,
     ConnectResult,
+    LimitStarts,
     StartAttempt,
 )
 from limelever.agent.load_header import parse_pace, parse_requests
@@ -54,12 +57,14 @@
 class _Attempt(Struct):
     """A request in progress; its cancel scope expires at the attempt's deadline.
 
-    ``unsent_for`` is the time in seconds until its first byte was sent.
+    ``unsent_for`` is the time in seconds until its first byte was sent. ``late`` is set if it was
+    still unsent when starts ended.
     """
 
     scope: trio.CancelScope
     started_at: float
     cancelled: bool = False
+    late: bool = False
     sent_any_byte: bool = False
     unsent_for: float = 0.0
 
@@ -89,6 +94,7 @@
         self._host = str(settings.address).encode()
         self._attempts: dict[int, _Attempt] = {}
         self._pool = BackendConnectionPool(settings)
+        self._starts_until = math.inf
 
     def carry_out(self, output: Output) -> None:
         """Execute an output of the agent core; outputs not meant for the backend are ignored."""
@@ -101,6 +107,8 @@
                     INSTANCE_CONNECTIONS_LOST.only.inc()
             case CheckBackend():
                 self._nursery.start_soon(self._check, output)
+            case LimitStarts(within):
+                self._limit_starts(trio.current_time() + within)
 
     def start(self, output: StartAttempt) -> None:
         """Start an attempt in the background."""
@@ -162,6 +170,19 @@
         requests = parse_requests(headers, self._names)
         return BackendChecked(result, requests, parse_signals(headers, self._names))
 
+    def _limit_starts(self, until: float) -> None:
+        if until < self._starts_until:
+            self._starts_until = until
+            self._nursery.start_soon(self._end_unsent, until)
+
+    async def _end_unsent(self, at: float) -> None:
+        """End the attempts that are still waiting for a connection at this time."""
+        await trio.sleep_until(at)
+        for attempt in self._attempts.values():
+            if not attempt.sent_any_byte:
+                attempt.late = True
+                attempt.scope.cancel()
+
     async def _run_attempt(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
         with attempt.scope:
@@ -175,6 +196,9 @@
         connection = await self._pool.acquire()
         if isinstance(connection, Failure):
             return AttemptFailed(output.attempt, connection, sent_any_byte=False)
+        if trio.current_time() >= self._starts_until:
+            self._pool.release(connection)
+            return AttemptFailed(output.attempt, DRAINING, sent_any_byte=False)
         attempt.sent_any_byte = True
         attempt.unsent_for = trio.current_time() - attempt.started_at
         try:
@@ -284,6 +308,8 @@
 
 
 def _interruption(attempt: _Attempt) -> Failure:
+    if attempt.late:
+        return DRAINING
     if attempt.cancelled:
         return Failure(ErrorKind.CANCELLED, "attempt cancelled")
     return Failure(ErrorKind.DEADLINE_EXCEEDED, "backend did not respond before the deadline")
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 
@@ -92,6 +93,7 @@
         self._pacer = ResponsePacer(limits.link_rate)
         self._responses = ResponseSender(self._pacer)
         self.backend = BackendMonitor(generator)
+        self._starts_until = math.inf
         self._instance = InstanceLoad(
             limits.queue.slots, counts_former_calls=limits.counts_former_calls
         )
@@ -106,9 +108,10 @@
         """Return whether the instance is draining and refuses new calls."""
         return self._reporter.draining
 
-    def drain_began(self, now: float) -> None:
-        """Refuse new calls from now on."""
+    def drain_began(self, now: float, starts_until: float) -> None:
+        """Refuse new calls from now on, and start queued ones until ``starts_until`` only."""
         self._reporter.drain_began(now)
+        self._starts_until = starts_until
 
     @property
     def leaving(self) -> bool:
@@ -434,6 +437,8 @@
         self._reporter.now = now
         outputs = self.expire(now)
         outputs.extend(self.backend.take_check(now))
+        if now >= self._starts_until:
+            return [*outputs, *self.refuse_waiting()]
         self._queue.occupied = self._instance.occupied(now)
         outputs.extend(self._refuse_late(self._queue.pop_infeasible(now)))
         while not self.backend.undecided and (queued := self._queue.start_next(now)) is not None:
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -26,6 +26,7 @@
     DrainFinished,
     DrainLimitReached,
     DrainRequested,
+    LimitStarts,
     RelaysShared,
     VersionKnown,
 )
@@ -370,7 +371,7 @@
             return []
         limits = self._options.drain
         self._drain = Drain(DrainLimits(limit, limits.queue, limits.linger), now)
-        self._calls.drain_began(now)
+        self._calls.drain_began(now, now + limits.queue)
         self._calls.backend.serves_until = now + limits.queue
         fields: dict[str, object] = {
             "running": self._calls.running,
@@ -380,7 +381,8 @@
         if self._calls.leaving:
             self._registration.set_leaving()
         state_report = self._registration.change_state(ENDPOINT_STATE_DRAINING, now)
-        return [LogEvent(events.DRAIN_STARTED, fields), *state_report]
+        starts = LimitStarts(limits.queue)
+        return [LogEvent(events.DRAIN_STARTED, fields), starts, *state_report]
 
     def _advance_drain(self, now: float) -> list[Output]:
         if self._drain is None:
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -54,6 +54,15 @@
     asks_load: bool = False
 
 
+class LimitStarts(Output, frozen=True):
+    """Send no request to the back end later than ``within`` seconds from now.
+
+    Attempts that are still waiting for a connection then end as failed with ``DRAINING``.
+    """
+
+    within: float
+
+
 class DrainFinished(Output, frozen=True):
     """The agent may stop; ``cut_off`` attempts were still running and were cancelled."""
 
