Remember a leave that comes while a probe is to identify the instance

Callers saw: an instance whose draining report had been acknowledged could be registered as a ready one, and get requests until its next report.

Cause: a report of an instance that is not the tracked one, and that may be a late one, only started a probe. If it said that the instance drains, that was acknowledged and dropped; the probe for an earlier report then found the instance and started an agent for it.

Evidence: the new scenario, "The leave of an instance that a probe is still to identify holds", failed for a draining report (the probe started the run) and for an end (the former run's agent stayed).

Change: runs that have left are kept in one record, whether they drain or have ended (common/departed_runs.py). A leave is entered there before anything else is decided; a probe that finds such a run ends the former one's agent and starts none.

--- a/features/node/reports.feature
+++ b/features/node/reports.feature
@@ -169,3 +169,22 @@
       | 2.3 s     | impossible |
       | 0 s       | possible   |
       | no mention | possible   |
+
+  # Guards against an instance that is used though its leave was acknowledged, as a probe had still to identify it.
+  Scenario Outline: The leave of an instance that a probe is still to identify holds
+    Given an instance "two" whose report 3 has arrived
+    And probes can identify the instance
+    When "one" sends report 9 without a start time
+    Then a probe is needed
+    When "one" <leaves> without a start time
+    Then it has no effect on the agent
+    When the probe finds "one"
+    Then the previous run has ended and no run is active
+    When "one" sends report 10 without a start time
+    Then it has no effect on the agent
+    And no run is active
+
+    Examples:
+      | leaves                   |
+      | reports that it drains   |
+      | reports its end          |
--- a/features/steps/heartbeat_steps.py
+++ b/features/steps/heartbeat_steps.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 from platform_steps import NODE_FIELDS, PROPERTY  # platform_steps makes platform/ importable
 
+from limelever.common.departed_runs import START_TIME_UNKNOWN
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address
-from limelever.node.reports import START_TIME_UNKNOWN
 from limelever.node.settings import agent_settings
 
 # isort: split
--- a/features/steps/node_report_steps.py
+++ b/features/steps/node_report_steps.py
@@ -15,6 +15,7 @@
 from limelever.agent.fair_queue import QueueLimits
 from limelever.agent.interface import BackendGone, DrainFinished
 from limelever.agent.registration import RegistrationSettings
+from limelever.common.departed_runs import START_TIME_UNKNOWN
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.sansio import (
     Address,
@@ -27,7 +28,6 @@
     Started,
 )
 from limelever.node.reports import (
-    START_TIME_UNKNOWN,
     InstanceReport,
     InstanceTracker,
     ReportOutcome,
@@ -165,6 +165,16 @@
     context.outcome = context.tracker.handle_end(instance)
 
 
+@when('"{instance:S}" reports that it drains without a start time')
+def when_drains_without_start(context, instance):
+    context.outcome = context.tracker.handle_report(report(instance, 1, draining=True))
+
+
+@then("no run is active")
+def then_none_active(context):
+    assert not any(context.tracker.is_active(instance) for instance in ("one", "two"))
+
+
 @when('"{instance:S}" of service "{service:S}" sends report {sequence:d} without a start time')
 def when_other_service_reports(context, instance, service, sequence):
     late = replace(report(instance, sequence), service=service)
--- a/src/limelever/node/reports.py
+++ b/src/limelever/node/reports.py
@@ -11,18 +11,16 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from enum import Enum, auto
 
 from msgspec import Struct
+from msgspec.structs import replace
 
+from limelever.common.departed_runs import START_TIME_UNKNOWN, DepartedRun, DepartedRuns
 from limelever.common.sansio import Address
 
-MAX_ENDED_INSTANCES = 256
-"""Identifiers of ended instances that are kept, so that late reports don't start them again."""
-
-START_TIME_UNKNOWN = 0
-"""Start time of a run that didn't report one; it matches any run of its identifier."""
+MAX_DEPARTED_RUNS = 256
+"""Runs that have left and are remembered, so that late reports don't start them again."""
 
 TAKEOVER_REPORTS = 3
 """Reports in a row, without one of the tracked instance in between, after which an instance that is
@@ -84,8 +82,7 @@
         self._instance = ""
         self._started_at_ms = START_TIME_UNKNOWN
         self._sequence = -1
-        self._draining = False
-        self._ended_runs: OrderedDict[str, int] = OrderedDict()
+        self._departed = DepartedRuns(MAX_DEPARTED_RUNS)
         self._candidate = _TakeoverCandidate()
         self.can_identify = False
 
@@ -120,7 +117,7 @@
             return ReportOutcome.NO_CHANGE
         self._sequence = max(self._sequence, report.sequence)
         if report.draining and not self._draining:
-            self._draining = True
+            self._departed.add(DepartedRun(self._instance, self._started_at_ms))
             return ReportOutcome.INSTANCE_DRAINING
         return ReportOutcome.NO_CHANGE
 
@@ -129,9 +126,12 @@
 
         ``found`` is empty if the probe found no instance; several reports in a row decide then.
         """
-        known = report.instance == self._instance
-        if known or self._has_ended(report.instance, report.started_at_ms):
+        if report.instance == self._instance:
             return ReportOutcome.NO_CHANGE
+        if self._has_ended(report.instance, report.started_at_ms):
+            if found != report.instance:
+                return ReportOutcome.NO_CHANGE
+            return self._track(replace(report, draining=True))
         if found == report.instance or (not found and self._candidate.is_confirmed_by(report)):
             return self._track(report)
         return ReportOutcome.NO_CHANGE
@@ -141,14 +141,19 @@
         if self._has_ended(instance, started_at_ms):
             return ReportOutcome.NO_CHANGE
         if instance != self._instance:
-            self._mark_ended(instance, started_at_ms)
+            self._departed.add(DepartedRun(instance, started_at_ms))
             return ReportOutcome.NO_CHANGE
         was_draining = self._draining
-        self._mark_ended(instance, max(started_at_ms, self._started_at_ms))
+        self._departed.add(DepartedRun(instance, max(started_at_ms, self._started_at_ms)))
         self._instance, self._started_at_ms = "", START_TIME_UNKNOWN
-        self._sequence, self._draining = -1, False
+        self._sequence = -1
         return ReportOutcome.NO_CHANGE if was_draining else ReportOutcome.INSTANCE_DRAINING
 
+    @property
+    def _draining(self) -> bool:
+        """Whether the tracked run has left."""
+        return bool(self._instance) and self._departed.has(self._instance, self._started_at_ms)
+
     def _is_tracked(self, instance: str, started_at_ms: int) -> bool:
         if not instance or instance != self._instance:
             return False
@@ -161,14 +166,17 @@
         """Return whether this run has ended or a later run of its identifier is known."""
         if instance == self._instance:
             return START_TIME_UNKNOWN < started_at_ms < self._started_at_ms
-        last_started_at_ms = self._ended_runs.get(instance)
-        if last_started_at_ms is None:
-            return False
-        return not START_TIME_UNKNOWN < last_started_at_ms < started_at_ms
+        return self._departed.has(instance, started_at_ms)
 
     def _handle_other_run(self, report: InstanceReport) -> ReportOutcome:
-        """Track another run, unless the report seems to be a late one of a former instance."""
+        """Track another run, unless the report seems to be a late one of a former instance.
+
+        That it is draining is remembered in any case: the report is acknowledged.
+        """
         if self._may_be_late(report):
+            if report.draining:
+                self._departed.add(DepartedRun(report.instance, report.started_at_ms))
+                return ReportOutcome.NO_CHANGE
             if self.can_identify:
                 return ReportOutcome.IDENTITY_UNCONFIRMED
             if not self._candidate.is_confirmed_by(report):
@@ -186,21 +194,16 @@
     def _track(self, report: InstanceReport) -> ReportOutcome:
         was_active = bool(self._instance) and not self._draining
         if self._instance and self._instance != report.instance:
-            self._mark_ended(self._instance, self._started_at_ms)
+            self._departed.add(DepartedRun(self._instance, self._started_at_ms))
         self._candidate.reset()
-        self._ended_runs.pop(report.instance, None)
         self._instance, self._started_at_ms = report.instance, report.started_at_ms
         self._sequence = report.sequence
-        self._draining = report.draining
-        if not report.draining:
+        if report.draining:
+            self._departed.add(DepartedRun(report.instance, report.started_at_ms))
+        else:
             return ReportOutcome.INSTANCE_STARTED
         return ReportOutcome.INSTANCE_ENDED if was_active else ReportOutcome.NO_CHANGE
 
-    def _mark_ended(self, instance: str, started_at_ms: int) -> None:
-        self._ended_runs[instance] = started_at_ms
-        while len(self._ended_runs) > MAX_ENDED_INSTANCES:
-            self._ended_runs.popitem(last=False)
-
 
 class _TakeoverCandidate:
     """Counts the reports of an instance that may be a former one.
