--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -1,4 +1,4 @@
-"""What a subscriber does with its publisher's messages, and what follows from a version held."""
+"""Handles the messages of a subscriber's publisher, and acknowledges installed versions."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 class Exchange:
-    """Brings what the publisher sends into the holder, and answers it. Times are seconds."""
+    """Passes the publisher's messages to the holder, and replies to them; times in seconds."""
 
     def __init__(self, link: PublisherLink, holder: Holder, snapshots: SnapshotWriter) -> None:
         self._link = link
@@ -64,20 +64,20 @@
         }
 
     def knows(self, message: Message) -> bool:
-        """Return whether the message is one that publishers send."""
+        """Return whether publishers send messages of this type."""
         return type(message) in self._handlers
 
     def take(self, message: Message, now: float) -> list[Output]:
-        """Take a message that it knows."""
+        """Handle a message of a known type."""
         return self._handlers[type(message)](message, now)
 
     def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
-        """Give the link up, and with it what it brought and was not accepted."""
+        """Close the link, and discard what it has delivered without being accepted."""
         self._holder.forget_unaccepted()
         return self._link.leave(reason, now, retry_after)
 
     def follow_up(self, outputs: list[Output], now: float) -> list[Output]:
-        """Add what follows from outputs of the holder: acknowledgement, snapshot, freshness."""
+        """Add the acknowledgements, snapshots and freshness that outputs of the holder lead to."""
         followed = list(outputs)
         for output in outputs:
             if isinstance(output, ConfigurationInstalled):
@@ -96,7 +96,7 @@
         return self._taken(message.version, self._holder.take_snapshot(message), now)
 
     def _taken(self, version: int, failure: Failure | None, now: float) -> list[Output]:
-        """Go on with a version that checked out, or refuse it whole."""
+        """Continue with a valid version, or reject it as a whole."""
         if failure is None:
             self._link.awaits_snapshot = False
             return self._settle(now)
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -1,4 +1,4 @@
-"""Outputs of the subscriber that are meant for the core around it, not for the shell."""
+"""Outputs of the subscriber for the core that contains it; the process never sees them."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 
 
 class ConfigurationInstalled(Output, frozen=True):
-    """A version is in force from now on: swap ``configuration`` in by one assignment.
+    """A version is in force: ``configuration`` replaces the former one in a single assignment.
 
-    ``put`` and ``removed`` are what differs from the set installed before.
+    ``put`` and ``removed`` are the differences from the set that was installed before.
     """
 
     version: int
@@ -23,45 +23,45 @@
 
 
 class VersionConfirmed(Output, frozen=True):
-    """The set installed is also right at this later version: nothing in scope changed."""
+    """The installed set is valid at this later version too: nothing in its scope changed."""
 
     version: int
 
 
 class FreshnessProved(Output, frozen=True):
-    """The set installed was current at time ``at`` (seconds, monotonic)."""
+    """The installed set was current at time ``at`` (seconds, monotonic)."""
 
     at: float
 
 
 class EndpointsReceived(Output, frozen=True):
-    """The publisher, a relay, sent endpoints on the subscription link."""
+    """The relay sent endpoints on the subscription link."""
 
     update: EndpointUpdate
 
 
 class LoadsReceived(Output, frozen=True):
-    """The publisher, a relay, told loads of endpoints in this process's zone."""
+    """The relay sent loads of endpoints in this process's zone."""
 
     update: LoadUpdate
 
 
 class CrashNewsReceived(Output, frozen=True):
-    """The publisher, a relay, told of requests under which back ends have ended."""
+    """The relay sent requests that were running when back ends crashed."""
 
     news: CrashNews
 
 
 class LimitNewsReceived(Output, frozen=True):
-    """The publisher, a relay, told of tenants near their limits."""
+    """The relay sent the use of tenants that are near their limits."""
 
     news: LimitNews
 
 
 class PublishersReceived(Output, frozen=True):
-    """The publisher named all publishers of its kind; the subscriber chooses among them now.
+    """The publisher listed all publishers of its kind, from which the subscriber chooses.
 
-    ``preferred`` is the one for the subscriber's zone, if that is known.
+    ``preferred`` is the one for the subscriber's zone, if known.
     """
 
     addresses: tuple[Address, ...]
@@ -69,6 +69,6 @@
 
 
 class PublishersListed(Event, frozen=True):
-    """The settings name these publishers now; those known otherwise stay known."""
+    """The settings list these publishers; those learned in other ways are kept."""
 
     addresses: tuple[Address, ...]
