--- /dev/null
+++ b/features/platform/acknowledged_leave.feature
@@ -0,0 +1,21 @@
+@fleet
+Feature: An acknowledged leave holds, whatever becomes of the process that has acknowledged it
+  # Guards against a node that takes its instance for a ready one after a restart, by a report from before the leave or by
+  # a wrong health response.
+
+  Scenario Outline: An instance <leaves>, and <processes> killed right after the acknowledgement
+    Given a control process and three nodes of the platform with instances that leave
+    When an instance, whose health responses <health>, <leaves> under 6 callers
+    And <processes> killed <delay> seconds after the acknowledgement, and started again
+    And a report from before the leave arrives <late>
+    Then the leave was acknowledged within 1 second
+    And no request reached the instance later than 2 seconds after the acknowledgement and 3 seconds after its node's start
+    And the other instances have served all the time
+
+    Examples:
+      | leaves                    | health        | processes         | delay | late          |
+      | says that it has ended    | turn negative | its node is       | 0.3   | 2.5 s late    |
+      | says that it has ended    | stay positive | its node is       | 0.0   | 2.5 s late    |
+      | says that it is draining  | stay positive | its node is       | 0.0   | never         |
+      | says that it has ended    | stay positive | all processes are | 0.0   | 2.5 s late    |
+      | says that it is draining  | stay positive | all processes are | 0.0   | 2.5 s late    |
--- /dev/null
+++ b/features/steps/acknowledged_leave_steps.py
@@ -0,0 +1,107 @@
+"""Steps for instances that leave while the processes that acknowledge it are killed."""
+
+from __future__ import annotations
+
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+from instance_statement_steps import start_fleet, wait_until
+from leaving_instances import DRAINING, ENDED, LeavingInstance
+from platform_traffic import OK, is_ready
+from stating_instances import StatedCallers
+
+NODES = 3
+PAUSE_SECONDS = 0.02
+DOWN_SECONDS = 0.5
+LEAVE_SECONDS = 2.0
+"""Time after an acknowledged leave in which requests may still come."""
+
+SETTLE_SECONDS = 3.0
+"""Time after a node's start from which on requests through it count."""
+
+JUDGED_SECONDS = 4.0
+
+
+@given("a control process and three nodes of the platform with instances that leave")
+def given_fleet(context: Context) -> None:
+    start_fleet(context, NODES, LeavingInstance)
+
+
+@when(
+    "an instance, whose health responses {health}, says that it {leaves} under {callers:d} callers"
+)
+def leave(context: Context, health: str, leaves: str, callers: int) -> None:
+    context.leaving = context.instances[-1]
+    context.leaving.health_stays_positive = health == "stay positive"
+    context.callers = StatedCallers(context.nodes, callers // NODES, PAUSE_SECONDS)
+    context.add_cleanup(context.callers.stop)
+    time.sleep(1.0)
+    assert context.leaving.arrivals, "the instance has got no request while it took work"
+    context.late_report = context.leaving.report()
+    context.composed_at = time.monotonic()
+    how = DRAINING if leaves == "is draining" else ENDED
+    context.status, context.took = context.leaving.leave(how)
+    context.acknowledged_at = time.monotonic()
+
+
+@when("{processes} killed {delay:g} seconds after the acknowledgement, and started again")
+def kill(context: Context, processes: str, delay: float) -> None:
+    time.sleep(delay)
+    struck = [context.nodes[-1]]
+    if processes == "all processes are":
+        struck = [context.control, *context.nodes]
+    for machine in struck:
+        machine.kill()
+    time.sleep(DOWN_SECONDS)
+    for machine in struck:
+        machine.start()
+    context.started_at = time.monotonic()
+
+
+@when("a report from before the leave arrives never")
+def no_report(context: Context) -> None:
+    finish(context)
+
+
+@when("a report from before the leave arrives {seconds:g} s late")
+def late_report(context: Context, seconds: float) -> None:
+    time.sleep(max(0.0, context.composed_at + seconds - time.monotonic()))
+    wait_until(lambda: context.leaving.send(context.late_report) == OK, "the report is taken")
+    finish(context)
+
+
+def finish(context: Context) -> None:
+    """Let the callers send on until enough can be judged."""
+    wait_until(lambda: all(is_ready(node) for node in context.nodes), "the nodes are ready")
+    counted = max(context.acknowledged_at + LEAVE_SECONDS, context.started_at + SETTLE_SECONDS)
+    context.counted_from = counted
+    time.sleep(max(0.0, counted + JUDGED_SECONDS - time.monotonic()))
+    context.callers.stop()
+
+
+@then("the leave was acknowledged within {seconds:g} second")
+def acknowledged(context: Context, seconds: float) -> None:
+    print(f"the acknowledgement took {context.took:.3f} s")
+    assert context.status == OK, context.status
+    assert context.took < seconds, context.took
+
+
+@then(
+    "no request reached the instance later than 2 seconds after the acknowledgement and 3 seconds "
+    "after its node's start"
+)
+def none_reached(context: Context) -> None:
+    late = [each for each in context.leaving.arrivals if each.at > context.counted_from]
+    seconds = [round(each.at - context.acknowledged_at, 2) for each in late]
+    assert not late, f"{len(late)} requests, {seconds[:5]} s after the acknowledgement"
+
+
+@then("the other instances have served all the time")
+def others_served(context: Context) -> None:
+    begun = context.counted_from
+    for instance in context.instances[:-1]:
+        assert any(each.at > begun for each in instance.arrivals), instance.name
+    sent = [each for each in context.callers.ended if each.sent_at > begun]
+    served = [each for each in sent if each.status == OK]
+    assert len(served) == len(sent), f"{len(served)} of {len(sent)} served"
--- a/features/steps/instance_statement_steps.py
+++ b/features/steps/instance_statement_steps.py
@@ -5,13 +5,14 @@
 import random
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from behave import given, then, when
 from behave.runner import Context
 from loopback_networks import LoopbackNetwork
 from platform_machines import NodeMachine
-from platform_traffic import OK, Operator, is_ready
+from platform_traffic import OK, Instance, Operator, is_ready
 from statement_audit import SETTLE_SECONDS, StatementAudit
 from stating_instances import StatedCallers, StatingInstance, ask
 from stop_limit_steps import AloneControl
@@ -25,6 +26,13 @@
 
 @given("a control process and four nodes of the platform with an instance each")
 def given_fleet(context: Context) -> None:
+    start_fleet(context, NODES, StatingInstance)
+
+
+def start_fleet(
+    context: Context, count: int, instance_of: Callable[[NodeMachine], Instance]
+) -> None:
+    """Start a control process and nodes, and wait until all instances serve."""
     network = LoopbackNetwork.take()
     context.add_cleanup(network.close)
     folder = tempfile.TemporaryDirectory()
@@ -33,13 +41,14 @@
     control = AloneControl(root, "core-1", network.address(1), "zone-0")
     context.nodes = [
         NodeMachine(root, f"sidecar-{number}", network.address(number), f"zone-{number % ZONES}")
-        for number in range(2, 2 + NODES)
+        for number in range(2, 2 + count)
     ]
+    context.control = control
     for machine in (control, *context.nodes):
         machine.write_settings([control.control], first_start=True)
         machine.start()
         context.add_cleanup(machine.kill)
-    context.instances = [StatingInstance(node) for node in context.nodes]
+    context.instances = [instance_of(node) for node in context.nodes]
     for instance in context.instances:
         context.add_cleanup(instance.end)
     Operator([control], random.Random(1)).change()
--- a/features/steps/platform_traffic.py
+++ b/features/steps/platform_traffic.py
@@ -77,12 +77,14 @@
     return request.encode() * (DOWNLOAD_PARTS if kind == DOWNLOAD else 1)
 
 
-def heartbeat(machine: NodeMachine, slots: int, number: int, warm_up_left_ms: int = 0) -> bytes:
-    """Return the body of an instance's report of this number, as it takes work."""
+def heartbeat(
+    machine: NodeMachine, slots: int, number: int, warm_up_left_ms: int = 0, state: str = "ready"
+) -> bytes:
+    """Return the body of an instance's report of this number, by default as it takes work."""
     report = {
         "address": f"{machine.ip}:{INSTANCE_PORT}",
         "info": {"service": SERVICE, "slots": slots, "zone": machine.zone, "version": "v1"},
-        "status": {"state": "ready", "seq": number, "warmupLeftMs": warm_up_left_ms},
+        "status": {"state": state, "seq": number, "warmupLeftMs": warm_up_left_ms},
     }
     return json.dumps(report).encode()
 
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -523,7 +523,11 @@
         return outputs
 
     def _note_leaving(self, signals: InstanceSignals, source: str, now: float) -> list[Output]:
-        if self.leaving or not signals.leaving:
+        return self.run_departed(source, now) if signals.leaving else []
+
+    def run_departed(self, source: str, now: float) -> list[Output]:
+        """Refuse new calls for good, since the run of the instance has left."""
+        if self.leaving:
             return []
         self._reporter.leaving = True
         self._reporter.drain_began(now)
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -86,6 +86,9 @@
 )
 
 
+BY_NODE, BY_RELAY = "node", "relay"
+"""Sources of a leave, as they are logged."""
+
 LEAVING_LIMIT_SECONDS = 3600.0
 """Limit of a drain that the instance itself has begun; its running calls end by their deadlines."""
 
@@ -182,14 +185,16 @@
             return outputs
         outputs.extend(self._calls.warm_up.take_outputs(now))
         outputs.extend(self._calls.take_limit_outputs())
-        if self._calls.leaving and self._drain is None:
-            outputs.extend(self._begin_drain(now, LEAVING_LIMIT_SECONDS))
+        outputs.extend(self._begin_drain_of_run(now))
         outputs.extend(self._calls.grant_body_credit(now))
         outputs.extend(self._calls.send_paced_responses(now))
         outputs.extend(
             self._registration.report_crashes(self._calls.backend.take_crash_news(), now)
         )
         outputs.extend(self._registration.handle(event, now))
+        if self._registration.run_departed:
+            outputs.extend(self._run_departed(BY_RELAY, now))
+            outputs.extend(self._begin_drain_of_run(now))
         tally = self._versions.take_report(now)
         outputs.extend(self._registration.report_version_tally(tally) if tally is not None else [])
         outputs.extend(self._handle_subscription(event, now))
@@ -247,8 +252,9 @@
                 stated = self._calls.health_stated(event.signals, now)
                 registered = self._register_when_warm(self._cold_start.observe_probe(healthy), now)
                 return [*stated, *registered]
-            case DrainRequested():
-                return self._begin_drain(now, self._drain_limit)
+            case DrainRequested(run_departed):
+                departed = self._run_departed(BY_NODE, now) if run_departed else []
+                return [*departed, *self._begin_drain(now, self._drain_limit)]
             case BackendGone():
                 self._calls.backend.replaced(now)
                 return self._finish(now)
@@ -364,6 +370,20 @@
 
     # --- drain ------------------------------------------------------------------------------
 
+    def _run_departed(self, source: str, now: float) -> list[Output]:
+        """Refuse new calls, as the run has left; a drain that has begun before is reported anew."""
+        departed = self._calls.run_departed(source, now)
+        if departed and self._drain is not None:
+            self._registration.set_leaving()
+            departed.extend(self._registration.change_state(ENDPOINT_STATE_DRAINING, now))
+        return departed
+
+    def _begin_drain_of_run(self, now: float) -> list[Output]:
+        """Begin to drain if the run has left."""
+        if not self._calls.leaving or self._drain is not None:
+            return []
+        return self._begin_drain(now, LEAVING_LIMIT_SECONDS)
+
     def _begin_drain(self, now: float, limit: float) -> list[Output]:
         """Begin to drain for at most ``limit`` seconds, or shorten the drain that has begun."""
         if self._drain is not None:
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -206,6 +206,15 @@
     "started_at_ms",
     "was_active",
 )
+LEAVE_ACKNOWLEDGED = define(
+    5063,
+    "leave-acknowledged",
+    Level.INFO,
+    "the leave of the instance is answered; `stored`: a relay keeps it beyond this process",
+    "instance",
+    "stored",
+    "milliseconds",
+)
 WARM_UP_STARTED = define(
     5120,
     "warm-up-started",
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -201,7 +201,12 @@
 
 
 class DrainRequested(Event, frozen=True):
-    """Start a graceful shutdown."""
+    """Start a graceful shutdown.
+
+    ``run_departed`` is set if the run of the instance has left, in place of the agent alone.
+    """
+
+    run_departed: bool = False
 
 
 class DrainLimitReached(Event, frozen=True):
--- a/src/limelever/agent/registration.py
+++ b/src/limelever/agent/registration.py
@@ -125,6 +125,8 @@
         self._granted_at = 0.0
         self._limit_reported_at = -math.inf
         self._limit_due: float | None = None
+        self.run_departed = False
+        """Whether the relay knows that the run of the instance has left."""
         self._pending_crash_reports: deque[CrashNews] = deque(maxlen=MAX_PENDING_CRASH_REPORTS)
 
     @property
@@ -279,6 +281,7 @@
     def _lease_granted(self, message: LeaseGranted, now: float) -> list[Output]:
         if message.incarnation != self._incarnation:
             return []
+        self.run_departed = message.run_departed
         first = self._phase is not _Phase.LEASED
         self._phase = _Phase.LEASED
         self._lease = max(message.lease_ms / _MILLISECONDS_PER_SECOND, _MIN_LEASE_SECONDS)
--- a/src/limelever/control/process.py
+++ b/src/limelever/control/process.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Sequence
 from functools import partial
+from pathlib import Path
 
 import trio
 
@@ -118,12 +119,12 @@
         if failure is not None:
             raise ProcessFailedError(failure)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
+            serve_relay = partial(
                 relay_process.serve,
-                relay_settings(settings),
-                shell,
-                listener,
-                relay_started,
+                departures_folder=Path(settings.data_folder) / relay_process.DEPARTURES_NAME,
+            )
+            nursery.start_soon(
+                serve_relay, relay_settings(settings), shell, listener, relay_started
             )
             nursery.start_soon(driver.run)
             nursery.start_soon(
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -37,9 +37,11 @@
     without_former_calls,
 )
 from limelever.agent.settings import AgentSettings
-from limelever.common.errors import Failure
+from limelever.common.departed_runs import DepartedRun
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Event, Output, Purpose, Role
 from limelever.node.identification import InstanceIdentifier
+from limelever.node.leaves import Leaves
 from limelever.node.report_checks import report_refusal
 from limelever.node.reports import (
     InstanceReport,
@@ -50,7 +52,11 @@
 from limelever.node.settings import NodeSettings, agent_settings, registration_backoff
 from limelever.node.warm_up_news import WarmUpNews
 from limelever.protocol.config_pb2 import Service
-from limelever.proxy.call_types import ConfigurationApplied, HealthPathChanged
+from limelever.proxy.call_types import (
+    ConfigurationApplied,
+    HealthPathChanged,
+    RunDepartureStored,
+)
 from limelever.subscriber.notices import PublishersListed, PublishersReceived
 from limelever.transport.log import write_event
 from limelever.transport.process import ProcessShell
@@ -88,6 +94,7 @@
         self._tracker = InstanceTracker()
         self._agent: _RunningAgent | None = None
         self._warm_up = WarmUpNews()
+        self._leaves = Leaves()
         self._unfinished: set[trio.Event] = set()
         self._stopping = False
         self._is_first_agent = True
@@ -108,8 +115,25 @@
         if report.draining and not self._tracker.has_left(report.instance, report.started_at_ms):
             self._log_leave(report.instance, report.started_at_ms, BY_REPORT)
         self._apply(self._tracker.handle_report(report), report)
+        if report.draining:
+            self._leaves.announce(DepartedRun(report.instance, report.started_at_ms))
         return None
 
+    async def confirm_leave(self, instance: str, started_at_ms: int) -> Failure | None:
+        """Wait until a relay has stored the run's leave; return why it can't be acknowledged.
+
+        A stopping process whose proxy has ended reaches no relay. Its successor, which the instance
+        calls next, doesn't know of the leave.
+        """
+        stored = await self._leaves.wait_stored(DepartedRun(instance, started_at_ms))
+        if stored or not self._shell.stop_requested.is_set():
+            return None
+        return Failure(ErrorKind.DRAINING, "the process stops, and no relay has stored the leave")
+
+    def proxy_started(self, runner: CoreRunner) -> None:
+        """Use the proxy of this process to report leaves."""
+        self._leaves.proxy_started(runner.post)
+
     def _log_leave(self, instance: str, started_at_ms: int, source: str) -> None:
         fields: dict[str, object] = {
             "instance": instance,
@@ -124,7 +148,7 @@
             case ReportOutcome.INSTANCE_STARTED:
                 self._start_agent(report)
             case ReportOutcome.INSTANCE_DRAINING:
-                self._drain_agent()
+                self._drain_agent(run_departed=True)
             case ReportOutcome.INSTANCE_ENDED:
                 self._end_agent()
             case ReportOutcome.NO_CHANGE:
@@ -141,7 +165,8 @@
         if not self._tracker.has_left(instance, started_at_ms):
             self._log_leave(instance, started_at_ms, BY_END)
         if self._tracker.handle_end(instance, started_at_ms) is ReportOutcome.INSTANCE_DRAINING:
-            self._drain_agent()
+            self._drain_agent(run_departed=True)
+        self._leaves.announce(DepartedRun(instance, started_at_ms))
 
     def handle_proxy_output(self, output: Output) -> None:
         """Use the local proxy's output, so that the agent needs no subscription of its own."""
@@ -154,6 +179,8 @@
                 self._forward(ConfigurationShared(version, configuration))
             case PublishersReceived():
                 self._forward(RelaysShared(output))
+            case RunDepartureStored(run):
+                self._leaves.stored(run)
 
     def _set_health_path(self, path: str) -> None:
         self._health_path = path
@@ -236,9 +263,9 @@
             agent.version = report.version
             agent.runner.post(VersionKnown(report.version, report.warm_up_left or 0.0))
 
-    def _drain_agent(self) -> None:
+    def _drain_agent(self, *, run_departed: bool = False) -> None:
         if self._agent is not None:
-            self._agent.runner.post(DrainRequested())
+            self._agent.runner.post(DrainRequested(run_departed))
 
     def _start_agent(self, report: InstanceReport) -> None:
         """Start an agent for a new run of the instance, and end the agent of the previous run."""
@@ -251,6 +278,9 @@
         settings = agent_settings(self._settings, report, name)
         self._nursery.start_soon(partial(self._run_agent, settings, report))
 
+    def _is_active(self, report: InstanceReport) -> bool:
+        return self._tracker.is_active(report.instance, report.started_at_ms)
+
     def _log_found(self, report: InstanceReport) -> None:
         fields: dict[str, object] = {
             "instance": report.instance,
@@ -310,8 +340,9 @@
                 runner.post(news)
             for event in self._shared_events.values():
                 runner.post(event)
-            if self._stopping or not self._tracker.is_active(instance, report.started_at_ms):
-                runner.post(DrainRequested())
+            departed = self._tracker.has_left(instance, report.started_at_ms)
+            if departed or self._stopping or not self._is_active(report):
+                runner.post(DrainRequested(departed))
             await finished.wait()
             if listener.runners.get(Purpose.CALLS) is runner:
                 del listener.runners[Purpose.CALLS]
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -45,20 +45,26 @@
         """Return whether the node accepts requests."""
         return self._shell.ready
 
-    def handle_report(self, report: InstanceReport | Failure) -> Failure | None:
+    async def handle_report(self, report: InstanceReport | Failure) -> Failure | None:
         """Apply an instance's report; log it if it is refused or could not be read.
 
         Returns why the report is refused, or ``None``. When this returns for a draining report, the
-        agent accepts no more calls.
+        agent accepts no more calls, nor does another agent of the run after a restart of the node.
         """
         failure = report if isinstance(report, Failure) else self._supervisor.handle_report(report)
         if failure is not None:
             self._log_refused(failure)
+        elif isinstance(report, InstanceReport) and report.draining:
+            return await self._supervisor.confirm_leave(report.instance, report.started_at_ms)
         return failure
 
-    def instance_ended(self, instance: str, started_at_ms: int) -> None:
-        """Record that an instance has ended; its agent accepts no more calls."""
+    async def instance_ended(self, instance: str, started_at_ms: int) -> Failure | None:
+        """Record that an instance has ended; its agents accept no more calls.
+
+        Returns why the end can't be acknowledged, or ``None``.
+        """
         self._supervisor.instance_ended(instance, started_at_ms)
+        return await self._supervisor.confirm_leave(instance, started_at_ms)
 
     def _log_refused(self, failure: Failure) -> None:
         self._refused_count += 1
@@ -100,7 +106,11 @@
             raise ProcessFailedError(failure)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                proxy_process.serve, proxy_settings(settings), shell, supervisor.handle_proxy_output
+                proxy_process.serve,
+                proxy_settings(settings),
+                shell,
+                supervisor.handle_proxy_output,
+                supervisor.proxy_started,
             )
             await shell.stop_requested.wait()
             await trio.sleep(seconds(settings.edge.lame_duck_ms))
--- a/src/limelever/protocol/feature_level.py
+++ b/src/limelever/protocol/feature_level.py
@@ -23,7 +23,9 @@
 """Level from which a build reads zone drains."""
 LINK_PROBE_LEVEL = 2
 """Level from which an agent answers link probes; no record needs it."""
-CURRENT_LEVEL = LINK_PROBE_LEVEL
+DEPARTED_RUNS_LEVEL = 3
+"""Level from which a relay stores departed runs; no record needs it."""
+CURRENT_LEVEL = DEPARTED_RUNS_LEVEL
 """Level of this build."""
 
 _LEVEL_OF_BODY = {"zone_drain": ZONE_DRAIN_LEVEL}
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from limelever.common.departed_runs import DepartedRun
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HttpAnswer
@@ -99,6 +100,18 @@
     path: str
 
 
+class RunDeparted(Event, frozen=True):
+    """The run of the instance beside the proxy has left; the relay is to store that."""
+
+    run: DepartedRun
+
+
+class RunDepartureStored(Output, frozen=True):
+    """A relay has stored that the run has left."""
+
+    run: DepartedRun
+
+
 class ProxyReady(Output, frozen=True):
     """The first configuration was applied; calls can be routed from now on."""
 
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -47,12 +47,14 @@
     HealthPathChanged,
     ProxyReady,
     ReportSuspects,
+    RunDeparted,
     StopFinished,
     StopLimitNear,
     StopLimitReached,
     StopRequested,
 )
 from limelever.proxy.calls import CallEngine, CallSettings
+from limelever.proxy.departure_reporter import DepartureReporter
 from limelever.proxy.endpoints import EndpointView
 from limelever.proxy.group_limits import GroupLimits, LimitSettings
 from limelever.proxy.health import HealthSettings
@@ -71,6 +73,7 @@
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
     CrashNewsReceived,
+    DeparturesStored,
     EndpointsReceived,
     FreshnessProved,
     LimitNewsReceived,
@@ -130,6 +133,7 @@
         self._keepers = KeeperClientCore(settings.keepers, connections, random_source)
         self._tenant_limits = TenantLimits(settings.tenant_limits, random_source)
         self._limit_reports = LimitUsageReporter(self._tenant_limits, self._subscriber)
+        self._departures = DepartureReporter(self._subscriber)
         self._table: RouteTable | None = None
         self._rebuild_needed = False
         self._endpoints = EndpointView(settings.regions)
@@ -180,6 +184,7 @@
             LoadsReceived: self._update_loads,
             CrashNewsReceived: self._handle_crash_news,
             LimitNewsReceived: self._handle_limit_news,
+            DeparturesStored: self._handle_departures_stored,
             SendCrashNews: self._forward_crash_news,
             ReportSuspects: self._report_suspects,
             ClaimSettled: self._handle_claim_outcome,
@@ -211,6 +216,8 @@
                 self._engine.message_received(connection, message, now)
             case CallerGone(call):
                 self._engine.caller_gone(call, now)
+            case RunDeparted(run):
+                self._outputs.extend(self._departures.announce(run))
             case StopRequested():
                 self._stopping = True
             case StopLimitNear():
@@ -242,7 +249,9 @@
         elif connection is not None and self._keepers.owns(connection):
             self._outputs.extend(self._keepers.handle(event, now))
         else:
+            self._departures.observe(event)
             self._outputs.extend(self._subscriber.handle(event, now))
+            self._outputs.extend(self._departures.poll())
         if isinstance(event, Started):
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             self._outputs.extend(self._keepers.start(now))
@@ -387,6 +396,9 @@
     def _handle_limit_news(self, received: LimitNewsReceived, now: float) -> None:
         self._tenant_limits.apply_news(received.news, now)
 
+    def _handle_departures_stored(self, received: DeparturesStored, _now: float) -> None:
+        self._outputs.extend(self._departures.stored(received.stored))
+
     def _report_suspects(self, report: ReportSuspects, _now: float) -> None:
         numbers = self._endpoints.hashes_at(report.addresses)[:MAX_REPORTED]
         self._outputs.extend(self._subscriber.send_up(LoadUpdate(suspects=numbers)))
--- a/src/limelever/proxy/endpoints.py
+++ b/src/limelever/proxy/endpoints.py
@@ -18,7 +18,8 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from limelever.common.instance_runs import InstanceRun, RunMemory
+from limelever.common.departed_runs import DepartedRun, DepartedRuns
+from limelever.common.instance_runs import InstanceRun
 from limelever.common.regions import NO_REGION, NO_REGIONS, Regions
 from limelever.common.sansio import Address
 from limelever.protocol.endpoint_hash import endpoint_hash
@@ -105,7 +106,7 @@
         self._removed: OrderedDict[EndpointKey, tuple[int, int]] = OrderedDict()
         self._usable: dict[str, _Usable] = {}
         self._by_hash: dict[int, EndpointKey] = {}
-        self._leaving_runs: RunMemory[bool] = RunMemory()
+        self._departed = DepartedRuns()
         self._is_seeded = False
 
     def apply(self, update: EndpointUpdate, now: float) -> None:
@@ -143,9 +144,8 @@
 
         Return ``False`` if it was retired before.
         """
-        if self._leaving_runs.get(run) is not None:
+        if not self._departed.add(DepartedRun(run.instance, run.started_at_ms)):
             return False
-        self._leaving_runs.put(run, True)
         for entry in tuple(self._services.get(run.service, {}).values()):
             if entry.run.is_same(run):
                 self._store(replace(entry, draining=True))
@@ -205,7 +205,7 @@
         if known is not None and known.incarnation == endpoint.incarnation:
             cold_since = known.cold_since
         run = InstanceRun.of(endpoint)
-        leaving = self._leaving_runs.get(run) is not None
+        leaving = self._departed.has(run.instance, run.started_at_ms)
         retired = leaving or self._retired.get(key, -1) >= endpoint.incarnation
         return EndpointEntry(
             key=key,
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -149,11 +149,13 @@
     settings: ProxySettings,
     shell: ProcessShell,
     notify_host: Callable[[Output], None] = lambda _: None,
+    on_started: Callable[[CoreRunner], None] = lambda _: None,
 ) -> None:
     """Run the proxy's core and edge within a process until a planned stop has finished.
 
     ``notify_host`` receives the core's outputs for the surrounding process: configurations, relays
-    and the health probe path of the service beside the proxy.
+    the health probe path of the service beside the proxy, and the departed runs that are stored.
+    ``on_started`` is called with the core's runner once it runs.
     """
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
@@ -184,6 +186,7 @@
         shell.report_freshness(lambda: core.fresh_at)
         shell.reloading.handle("relays", lambda relays: runner.post(PublishersListed(relays)))
         await nursery.start(runner.run)
+        on_started(runner)
         edge_ended = await _start_edge(edge, settings, nursery)
         shell.on_abort.append(lambda: runner.post(StopLimitReached()))
         await shell.stop_requested.wait()
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -39,14 +39,23 @@
     EndpointSyncRequest,
     LoadInterest,
     LoadUpdate,
+    RunsDeparted,
 )
+from limelever.protocol.feature_level import UNSTATED_LEVEL
 from limelever.protocol.limits_pb2 import TenantUse
 from limelever.publisher.core import PLANNED_STOP, PublisherCore
 from limelever.publisher.notices import FreshnessNeeded, SubscriberAdmitted
 from limelever.publisher.rollout import ZoneHolders
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.endpoint_exchange import EndpointExchange, EndpointExchangeSettings
-from limelever.relay.interface import PlatformListRead, RelayReady, RelaysKnown, StopRequested
+from limelever.relay.interface import (
+    DeparturesRecovered,
+    DeparturesWritten,
+    PlatformListRead,
+    RelayReady,
+    RelaysKnown,
+    StopRequested,
+)
 from limelever.relay.limit_exchange import LimitExchange
 from limelever.relay.rollout_reporter import RolloutReporter
 from limelever.subscriber.core import SubscriberCore
@@ -153,9 +162,8 @@
                 return self._on_message(connection, message, event, now)
             case DeadlineReached():
                 return self._on_deadline(event, now)
-            case PlatformListRead(notices):
-                self._endpoints.apply_machine_notices(notices, now)
-                return []
+            case PlatformListRead() | DeparturesRecovered() | DeparturesWritten():
+                return self._endpoints.handle_host_event(event, now)
             case RelaysKnown(addresses):
                 return self._on_relays_known(addresses, now)
             case StopRequested():
@@ -215,12 +223,11 @@
             case Purpose.ENDPOINTS if isinstance(message, LoadInterest):
                 self._endpoints.set_load_interest(connection, message)
             case Purpose.ENDPOINTS if isinstance(message, EndpointSyncRequest):
-                synced = self._endpoints.handle_sync_request(connection, message, now)
+                level = peer.feature_level if peer is not None else UNSTATED_LEVEL
+                synced = self._endpoints.handle_sync_request(connection, message, now, level)
                 return [*synced, *self._limits.add_relay(connection, now)]
-            case Purpose.SUBSCRIPTION if isinstance(message, CrashNews):
-                self._endpoints.merge_crashes(message, now)
-            case Purpose.SUBSCRIPTION if isinstance(message, LoadUpdate):
-                self._endpoints.merge_suspects(connection, message, now)
+            case Purpose.SUBSCRIPTION if isinstance(message, CrashNews | LoadUpdate | RunsDeparted):
+                return self._endpoints.handle_proxy_message(connection, message, now)
             case Purpose.SUBSCRIPTION if peer is not None and isinstance(message, TenantUse):
                 self._limits.handle_proxy_report(connection, peer, message, now)
             case Purpose.SUBSCRIPTION:
--- /dev/null
+++ b/src/limelever/relay/departure_disk.py
@@ -0,0 +1,90 @@
+"""Keeps a relay's departed runs in a folder of their own, so that no other write waits for it.
+
+The relay works on without the folder if it can't be used: the runs are then kept in memory only.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import trio
+from google.protobuf.message import DecodeError
+from msgspec import Struct
+
+from limelever.common.departed_runs import DepartedRun
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import ReplaceFile, WriteCompleted
+from limelever.protocol.departures import departures_of
+from limelever.protocol.endpoints_pb2 import RunsDeparted
+from limelever.relay.events import DEPARTURES_NOT_KEPT
+from limelever.relay.interface import DeparturesRecovered, DeparturesWritten, WriteDepartures
+from limelever.storage.folder import FolderDisk, open_folder
+from limelever.transport.disk_writer import DiskWriter
+from limelever.transport.log import write_event
+from limelever.transport.runner import CoreRunner
+
+FILE_NAME = "departed-runs"
+
+
+class DepartureDisk:
+    """Reads and writes departed runs for a relay's core; without a ``folder`` it keeps none."""
+
+    def __init__(self, folder: Path | None, runner: CoreRunner) -> None:
+        self._folder = folder
+        self._runner = runner
+        self._writer: DiskWriter | None = None
+        self._last_token = 0
+
+    async def run(self) -> None:
+        """Open the folder, give the core what it holds, and write until cancelled."""
+        opened = await self._open()
+        recovered: tuple[DepartedRun, ...] = ()
+        if isinstance(opened, _OpenFolder):
+            recovered = opened.runs
+            self._writer = DiskWriter(opened.disk, self._completed, self._failed)
+        elif opened is not None:
+            write_event(DEPARTURES_NOT_KEPT, {"reason": str(opened)})
+        self._runner.post(DeparturesRecovered(recovered))
+        if self._writer is not None:
+            await self._writer.run()
+
+    def write(self, output: WriteDepartures) -> None:
+        """Write the departed runs; answered by ``DeparturesWritten``."""
+        self._last_token = output.token
+        if self._writer is None:
+            self._runner.post(DeparturesWritten(output.token))
+        else:
+            self._writer.queue(ReplaceFile(output.token, FILE_NAME, output.content))
+
+    async def _open(self) -> _OpenFolder | Failure | None:
+        """Open the folder in a worker thread, as its disk may hang."""
+        if self._folder is None:
+            return None
+        return await trio.to_thread.run_sync(_open, self._folder, abandon_on_cancel=True)
+
+    def _completed(self, completed: WriteCompleted) -> None:
+        self._runner.post(DeparturesWritten(completed.token))
+
+    def _failed(self, failure: Failure) -> None:
+        write_event(DEPARTURES_NOT_KEPT, {"reason": str(failure)})
+        self._writer = None
+        self._runner.post(DeparturesWritten(self._last_token))
+
+
+class _OpenFolder(Struct, frozen=True):
+    disk: FolderDisk
+    runs: tuple[DepartedRun, ...]
+
+
+def _open(folder: Path) -> _OpenFolder | Failure:
+    """Open the folder and read the departed runs; blocks."""
+    disk = open_folder(folder)
+    if isinstance(disk, Failure):
+        return disk
+    message = RunsDeparted()
+    try:
+        message.ParseFromString(disk.recovered.files.get(FILE_NAME, b""))
+    except DecodeError as error:
+        disk.close()
+        return Failure(ErrorKind.DATA_DAMAGED, f"{FILE_NAME} can't be read: {error}")
+    return _OpenFolder(disk, tuple(departures_of(message)))
--- a/src/limelever/relay/endpoint_entry.py
+++ b/src/limelever/relay/endpoint_entry.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from limelever.common.departed_runs import DepartedRun
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -62,6 +63,11 @@
         return self.endpoint.state == ENDPOINT_STATE_GONE
 
 
+def run_of(endpoint: Endpoint) -> DepartedRun:
+    """Return the run beside an endpoint; without an identifier, each endpoint is one."""
+    return DepartedRun(endpoint.run or endpoint.instance, endpoint.run_started_ms)
+
+
 def stored_copy(endpoint: Endpoint, state: EndpointState.ValueType) -> Endpoint:
     """Return a copy with ``state`` and without the reported load, which is not replicated."""
     stored = Endpoint()
--- a/src/limelever/relay/endpoint_exchange.py
+++ b/src/limelever/relay/endpoint_exchange.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from limelever.common.backoff import BackoffSettings
+from limelever.common.departed_runs import DepartedRun
 from limelever.common.sansio import (
     Address,
     ConnectionId,
@@ -24,23 +25,31 @@
     Output,
     SendMessage,
 )
+from limelever.protocol.departures import departures_of
 from limelever.protocol.endpoints_pb2 import (
     CrashNews,
     EndpointSyncRequest,
     LoadInterest,
     LoadReport,
     LoadUpdate,
-    MachineNotice,
+    RunsDeparted,
     VersionTally,
 )
+from limelever.protocol.feature_level import DEPARTED_RUNS_LEVEL, UNSTATED_LEVEL
 from limelever.publisher.batching import BatchTimer
 from limelever.publisher.scope import Scope
 from limelever.relay import events
 from limelever.relay.crash_broadcast import CrashBroadcaster
+from limelever.relay.departures import DepartureStore
 from limelever.relay.endpoint_entry import EndpointName
 from limelever.relay.endpoint_feed import EndpointFeed
 from limelever.relay.endpoint_sync import EndpointSyncServer
 from limelever.relay.endpoint_table import EndpointTable, TableSettings
+from limelever.relay.interface import (
+    DeparturesRecovered,
+    DeparturesWritten,
+    PlatformListRead,
+)
 from limelever.relay.leases import Leases
 from limelever.relay.load_broadcast import LoadBroadcaster
 from limelever.relay.peer_relay import PeerRelay
@@ -91,6 +100,7 @@
         self._announced_zones: frozenset[str] = frozenset()
         self._crashes = CrashBroadcaster()
         self.tallies = TallyStore()
+        self._departures = DepartureStore()
 
     def start(self, now: float) -> None:
         """Start dialling the other relays."""
@@ -145,9 +155,12 @@
         if isinstance(event, MessageReceived) and isinstance(event.message, VersionTally):
             self.tallies.merge(event.message)
             return []
+        if isinstance(event, MessageReceived) and isinstance(event.message, RunsDeparted):
+            return self._merge_departures(departures_of(event.message), now, forward=False)
         peer = next(peer for peer in self._peers if peer.owns(connection))
         outputs = peer.handle(event, now)
         self._queue_changes(peer.take_changed(), now)
+        outputs.extend(self._departures_learned(forward=False))
         if isinstance(event, ConnectionOpened):
             outputs.append(
                 SendMessage(connection, LoadInterest(zones=sorted(self._announced_zones)))
@@ -168,26 +181,81 @@
             return self.tallies.merge_from_agent(message)
         result = self._leases.handle(connection, message, now)
         self._queue_changes(result.changed, now)
-        return result.outputs
+        return [*result.outputs, *self._departures_learned(forward=True)]
+
+    def handle_proxy_message(
+        self, proxy: ConnectionId, message: CrashNews | LoadUpdate | RunsDeparted, now: float
+    ) -> list[Output]:
+        """Handle a message on a proxy's subscription link.
+
+        A proxy reports endpoints that it finds silent, crashes of back ends, and the runs beside it
+        that have left, which are confirmed to it once they are stored.
+        """
+        match message:
+            case LoadUpdate():
+                self._loads.merge_suspects(proxy, message.suspects, now)
+            case CrashNews():
+                self._crashes.merge(message, now)
+            case RunsDeparted():
+                runs = departures_of(message)
+                self._departures.confirm(proxy, runs)
+                return self._merge_departures(runs, now, forward=True)
+        return []
+
+    def handle_host_event(
+        self, event: PlatformListRead | DeparturesRecovered | DeparturesWritten, now: float
+    ) -> list[Output]:
+        """Handle an event of the process: a list of machines, or departed runs on disk."""
+        match event:
+            case PlatformListRead(notices):
+                self._queue_changes(self.table.apply_machine_notices(notices, now), now)
+            case DeparturesRecovered(runs):
+                self._departures.recovered()
+                return self._merge_departures(runs, now, forward=True)
+            case DeparturesWritten(token):
+                confirmed = self._departures.written(token)
+                return [*confirmed, *self._departures.write(self.table.departed_runs)]
+        return []
+
+    def _merge_departures(
+        self, runs: Iterable[DepartedRun], now: float, *, forward: bool
+    ) -> list[Output]:
+        for run in runs:
+            self._queue_changes(self.table.run_departed(run, now), now)
+        return self._departures_learned(forward=forward)
+
+    def _departures_learned(self, *, forward: bool) -> list[Output]:
+        """Store the leaves that the table has learned, and notify the agents beside those runs."""
+        runs = self.table.take_new_departures()
+        agents = [output for run in runs for output in self._leases.run_departed(run)]
+        return [
+            *agents,
+            *self._departures.learned(runs, forward=forward),
+            *self._departures.write(self.table.departed_runs),
+        ]
 
     def handle_sync_request(
-        self, connection: ConnectionId, request: EndpointSyncRequest, now: float
+        self,
+        connection: ConnectionId,
+        request: EndpointSyncRequest,
+        now: float,
+        feature_level: int = UNSTATED_LEVEL,
     ) -> list[Output]:
-        """Send another relay the endpoints that it lacks, the crash history and the tallies."""
+        """Send another relay the endpoints that it lacks, and the state that all relays share.
+
+        That is the crash history, the tallies and the departed runs, if the relay's build at
+        ``feature_level`` reads these.
+        """
+        departures: list[Output] = []
+        if feature_level >= DEPARTED_RUNS_LEVEL:
+            departures = self._departures.add_relay(connection, self.table.departed_runs)
         full_state = [
+            *departures,
             *self._crashes.subscribe(connection, now),
             *self.tallies.add_relay(connection),
         ]
         return [*self._sync.handle_request(connection, request, now), *full_state]
 
-    def merge_suspects(self, proxy: ConnectionId, update: LoadUpdate, now: float) -> None:
-        """Merge the endpoints that a proxy finds silent."""
-        self._loads.merge_suspects(proxy, update.suspects, now)
-
-    def merge_crashes(self, update: CrashNews, now: float) -> None:
-        """Merge an update of the crash history from a proxy."""
-        self._crashes.merge(update, now)
-
     def add_proxy(
         self, connection: ConnectionId, scope: Scope, zone: str, now: float
     ) -> list[Output]:
@@ -211,10 +279,7 @@
         self._crashes.unsubscribe(connection)
         self.tallies.remove_relay(connection)
         self._sync.remove_peer(connection)
-
-    def apply_machine_notices(self, notices: Iterable[MachineNotice], now: float) -> None:
-        """Apply the platform's list of leaving and dead machines."""
-        self._queue_changes(self.table.apply_machine_notices(notices, now), now)
+        self._departures.connection_closed(connection)
 
     def on_deadline(self, now: float) -> list[Output]:
         """Run the timers that are due."""
--- a/src/limelever/relay/endpoint_table.py
+++ b/src/limelever/relay/endpoint_table.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from limelever.common.instance_runs import InstanceRun, RunMemory
+from limelever.common.departed_runs import DepartedRun, DepartedRuns
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_GONE,
@@ -27,6 +27,7 @@
     Precedence,
     effective_state,
     is_visible_change,
+    run_of,
     stored_copy,
 )
 from limelever.relay.expiry_queue import ExpiryQueue
@@ -49,7 +50,9 @@
         self._names_by_instance: defaultdict[str, set[EndpointName]] = defaultdict(set)
         self._names_by_origin: defaultdict[str, set[EndpointName]] = defaultdict(set)
         self._notice_by_instance: dict[str, MachineNotice] = {}
-        self._leaving_runs: RunMemory[bool] = RunMemory()
+        self._names_by_run: defaultdict[str, set[EndpointName]] = defaultdict(set)
+        self._departed = DepartedRuns()
+        self._new_departures: list[DepartedRun] = []
         self._expiry_queue = ExpiryQueue()
         self._last_local_change = 0
         self._last_removed_change = 0
@@ -97,24 +100,57 @@
     ) -> list[EndpointName]:
         """Merge the state of an endpoint from its agent (``LOCAL_ORIGIN``) or another relay."""
         name = EndpointName.of(endpoint)
+        changed = self.run_departed(run_of(endpoint), now) if endpoint.leaving else []
         current = self._entries.get(name)
         if current is not None and Precedence.of(endpoint) <= Precedence.of(current.endpoint):
             self._renew(name, current, origin, expires_at)
-            return self._apply_outdated_drain(name, endpoint)
+            return [*changed, *self._apply_outdated_drain(name, endpoint)]
         same_incarnation = (
             current is not None and current.endpoint.incarnation == endpoint.incarnation
         )
-        leaving = self._remember_leaving(endpoint)
+        departed = self.has_departed(endpoint)
         drained = current is not None and same_incarnation and current.drained
         drained = drained or self._has_notice(endpoint) or endpoint.state == ENDPOINT_STATE_DRAINING
-        drained = drained or leaving
+        drained = drained or departed
         stored = stored_copy(endpoint, effective_state(endpoint.state, drained))
+        stored.leaving = departed
         if stored.state == ENDPOINT_STATE_GONE:
             expires_at = now + self._settings.tombstone
-        return self._store(name, EndpointEntry(stored, origin, expires_at, drained))
+        entry = EndpointEntry(stored, origin, expires_at, drained)
+        return [*changed, *self._store(name, entry)]
+
+    @property
+    def departed_runs(self) -> tuple[DepartedRun, ...]:
+        """The runs that have left and are remembered."""
+        return tuple(self._departed)
+
+    def has_departed(self, endpoint: Endpoint) -> bool:
+        """Return whether the run beside an endpoint has left."""
+        run = run_of(endpoint)
+        return self._departed.has(run.instance, run.started_at_ms)
+
+    def run_departed(self, run: DepartedRun, now: float) -> list[EndpointName]:
+        """Drain all endpoints of a run that has left, and those that register from now on."""
+        if not self._departed.add(run, now):
+            return []
+        self._new_departures.append(run)
+        changed: list[EndpointName] = []
+        for name in sorted(self._names_by_run.get(run.instance, ())):
+            entry = self._entries[name]
+            if not entry.is_tombstone and self.has_departed(entry.endpoint):
+                endpoint = stored_copy(entry.endpoint, ENDPOINT_STATE_DRAINING)
+                endpoint.leaving = True
+                changed.extend(self._store(name, replace(entry, endpoint=endpoint, drained=True)))
+        return changed
+
+    def take_new_departures(self) -> list[DepartedRun]:
+        """Return the runs whose leave was learned since the last call."""
+        departures, self._new_departures = self._new_departures, []
+        return departures
 
     def expire(self, now: float) -> list[EndpointName]:
         """End expired leases and grace periods, and remove expired tombstones."""
+        self._departed.expire(now)
         changed: list[EndpointName] = []
         for name in self._expiry_queue.pop_due(now, self._expires_at):
             entry = self._entries[name]
@@ -200,13 +236,6 @@
         notice = self._notice_by_instance.get(endpoint.instance)
         return notice is not None and endpoint.incarnation <= notice.observed_incarnation
 
-    def _remember_leaving(self, endpoint: Endpoint) -> bool:
-        """Return whether the instance has stated that it is leaving, to this agent or another."""
-        run = InstanceRun.of(endpoint)
-        if endpoint.leaving:
-            self._leaving_runs.put(run, True)
-        return self._leaving_runs.get(run) is not None
-
     def _live_endpoints(self, names: Iterable[EndpointName]) -> list[Endpoint]:
         entries = [self._entries[name] for name in sorted(names)]
         return [entry.endpoint for entry in entries if not entry.is_tombstone]
@@ -246,6 +275,7 @@
         self._names_by_origin[entry.origin].add(name)
         self._names_by_service[name.service].add(name)
         self._names_by_instance[name.instance].add(name)
+        self._names_by_run[run_of(entry.endpoint).instance].add(name)
         if entry.expires_at is not None:
             self._expiry_queue.schedule(name, entry.expires_at)
 
@@ -255,6 +285,7 @@
             (self._names_by_origin, entry.origin),
             (self._names_by_service, name.service),
             (self._names_by_instance, name.instance),
+            (self._names_by_run, run_of(entry.endpoint).instance),
         )
         for index, key in indexes:
             index[key].discard(name)
--- a/src/limelever/relay/events.py
+++ b/src/limelever/relay/events.py
@@ -55,3 +55,18 @@
 LIMITS_WHOLE = define(
     3211, "limits-whole", Level.INFO, "all proxies that share limits are reachable", "fleet"
 )
+RUN_DEPARTED = define(
+    3212,
+    "run-departed",
+    Level.INFO,
+    "a run of an instance has left: its endpoints are drained, whichever agent is beside it",
+    "instance",
+    "started_at_ms",
+)
+DEPARTURES_NOT_KEPT = define(
+    3213,
+    "departures-not-kept",
+    Level.WARNING,
+    "the folder for departed runs can't be used: they are kept in memory only",
+    "reason",
+)
--- a/src/limelever/relay/interface.py
+++ b/src/limelever/relay/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limelever.common.departed_runs import DepartedRun
 from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.endpoints_pb2 import MachineNotice
 
@@ -22,5 +23,24 @@
     """A planned stop: subscribers and agents are asked to change to another relay at once."""
 
 
+class DeparturesRecovered(Event, frozen=True):
+    """The disk holds these departed runs from an earlier life of the relay, or there is no disk."""
+
+    runs: tuple[DepartedRun, ...]
+
+
+class DeparturesWritten(Event, frozen=True):
+    """The write of departed runs with this token is synced."""
+
+    token: int
+
+
+class WriteDepartures(Output, frozen=True):
+    """Write the departed runs to disk; answered by ``DeparturesWritten``."""
+
+    token: int
+    content: bytes
+
+
 class RelayReady(Output, frozen=True):
     """The relay holds a configuration and serves subscribers."""
--- a/src/limelever/relay/leases.py
+++ b/src/limelever/relay/leases.py
@@ -5,6 +5,7 @@
 from google.protobuf.message import Message
 from msgspec import Struct, field
 
+from limelever.common.departed_runs import DepartedRun
 from limelever.common.sansio import (
     CloseConnection,
     ConnectionId,
@@ -21,7 +22,7 @@
     Register,
 )
 from limelever.relay import events
-from limelever.relay.endpoint_entry import LOCAL_ORIGIN, EndpointName
+from limelever.relay.endpoint_entry import LOCAL_ORIGIN, EndpointName, run_of
 from limelever.relay.endpoint_table import EndpointTable
 
 _MS_PER_SECOND = 1000
@@ -90,10 +91,23 @@
         if endpoint.state == ENDPOINT_STATE_GONE:
             self._endpoint_by_link.pop(connection, None)
             return LeaseResult(changed=changed)
+        return LeaseResult([self._granted(connection, endpoint)], changed)
+
+    def _granted(self, connection: ConnectionId, endpoint: Endpoint) -> Output:
         granted = LeaseGranted(
-            lease_ms=int(self._lease_duration * _MS_PER_SECOND), incarnation=endpoint.incarnation
+            lease_ms=int(self._lease_duration * _MS_PER_SECOND),
+            incarnation=endpoint.incarnation,
+            run_departed=self._table.has_departed(endpoint),
         )
-        return LeaseResult([SendMessage(connection, granted)], changed)
+        return SendMessage(connection, granted)
+
+    def run_departed(self, run: DepartedRun) -> list[Output]:
+        """Notify the agents beside a run that it has left."""
+        return [
+            self._granted(connection, endpoint)
+            for connection, endpoint in self._endpoint_by_link.items()
+            if run_of(endpoint).instance == run.instance and self._table.has_departed(endpoint)
+        ]
 
 
 def _refuse(connection: ConnectionId, endpoint: Endpoint) -> LeaseResult:
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 
 import trio
 
@@ -15,9 +16,15 @@
 from limelever.common.settings import seconds
 from limelever.publisher.settings import PublisherSettings
 from limelever.relay.core import RelayCore, RelayOptions
+from limelever.relay.departure_disk import DepartureDisk
 from limelever.relay.endpoint_exchange import EndpointExchangeSettings
 from limelever.relay.endpoint_table import TableSettings
-from limelever.relay.interface import PlatformListRead, RelayReady, StopRequested
+from limelever.relay.interface import (
+    PlatformListRead,
+    RelayReady,
+    StopRequested,
+    WriteDepartures,
+)
 from limelever.relay.sealing import SnapshotSealer
 from limelever.relay.settings import RelaySettings
 from limelever.storage.folder import FolderDisk, open_folder
@@ -31,6 +38,9 @@
 _STOP_FLUSH_SECONDS = 0.2
 """Time to send the last messages of a planned stop."""
 
+DEPARTURES_NAME = "departures"
+"""Folder of the departed runs in the relay's data folder."""
+
 ACCEPTED_PURPOSES = (Purpose.SUBSCRIPTION, Purpose.REGISTRATION, Purpose.ENDPOINTS)
 
 
@@ -100,7 +110,8 @@
 
 
 async def _main(settings: RelaySettings, shell: ProcessShell) -> None:
-    await serve(settings, shell, shell.listener)
+    folder = Path(settings.data_folder) / DEPARTURES_NAME if settings.data_folder else None
+    await serve(settings, shell, shell.listener, departures_folder=folder)
 
 
 async def serve(
@@ -108,10 +119,13 @@
     shell: ProcessShell,
     listener: LinkListener,
     on_started: Callable[[CoreRunner, RelayCore], None] = lambda _, __: None,
+    *,
+    departures_folder: Path | None = None,
 ) -> None:
     """Run a relay within a process until its planned stop, accepting links from ``listener``.
 
-    ``on_started`` is called with the runner and the core once the relay listens.
+    ``on_started`` is called with the runner and the core once the relay listens. Without a
+    ``departures_folder`` the runs that have left are kept in memory only.
     """
     disk = _open_disk(settings.data_folder)
     core = RelayCore(
@@ -124,6 +138,8 @@
     def on_output(output: Output) -> None:
         if isinstance(output, RelayReady):
             shell.set_ready()
+        elif isinstance(output, WriteDepartures):
+            departures.write(output)
 
     async with trio.open_nursery() as nursery:
         runner = shell.add_core(
@@ -134,9 +150,11 @@
             role=Role.RELAY,
             listener=listener,
         )
+        departures = DepartureDisk(departures_folder, runner)
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
         await nursery.start(runner.run)
+        nursery.start_soon(departures.run)
         await shell.listen(settings.listen, listener)
         on_started(runner, core)
         _start_polling(settings, runner, nursery)
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -19,7 +19,12 @@
     Reject,
     RetryLater,
 )
-from limelever.protocol.endpoints_pb2 import CrashNews, EndpointUpdate, LoadUpdate
+from limelever.protocol.endpoints_pb2 import (
+    CrashNews,
+    EndpointUpdate,
+    LoadUpdate,
+    RunsDepartedStored,
+)
 from limelever.protocol.limits_pb2 import LimitNews
 from limelever.subscriber import events
 from limelever.subscriber.held import inventory_of
@@ -28,6 +33,7 @@
 from limelever.subscriber.notices import (
     ConfigurationInstalled,
     CrashNewsReceived,
+    DeparturesStored,
     EndpointsReceived,
     FreshnessProved,
     LimitNewsReceived,
@@ -60,6 +66,7 @@
             LoadUpdate: self._on_loads,
             CrashNews: self._on_crash_news,
             LimitNews: self._on_limit_news,
+            RunsDepartedStored: self._on_departures_stored,
             Publishers: self._on_publishers,
         }
 
@@ -143,6 +150,10 @@
         assert isinstance(message, LimitNews)
         return [LimitNewsReceived(message)]
 
+    def _on_departures_stored(self, message: Message, _now: float) -> list[Output]:
+        assert isinstance(message, RunsDepartedStored)
+        return [DeparturesStored(message)]
+
     def _on_publishers(self, message: Message, now: float) -> list[Output]:
         assert isinstance(message, Publishers)
         listed = listed_in(message)
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -4,7 +4,12 @@
 
 from limelever.common.sansio import Address, Event, Output
 from limelever.protocol.config_pb2 import VersionedResource
-from limelever.protocol.endpoints_pb2 import CrashNews, EndpointUpdate, LoadUpdate
+from limelever.protocol.endpoints_pb2 import (
+    CrashNews,
+    EndpointUpdate,
+    LoadUpdate,
+    RunsDepartedStored,
+)
 from limelever.protocol.keys import Key
 from limelever.protocol.limits_pb2 import LimitNews
 from limelever.subscriber.configuration import ConfigurationSet
@@ -52,6 +57,12 @@
     news: CrashNews
 
 
+class DeparturesStored(Output, frozen=True):
+    """The relay has stored these departed runs."""
+
+    stored: RunsDepartedStored
+
+
 class LimitNewsReceived(Output, frozen=True):
     """The relay sent the use of tenants that are near their limits."""
 
