Test the storing of departed runs, and a leave that no relay hears at first

The test of a call that waits for a connection took whichever of two tasks came first for the first call; the second is now sent once the first has arrived.

--- a/features/agent/drain.feature
+++ b/features/agent/drain.feature
@@ -53,3 +53,13 @@
       | it takes calls for as long as they come         | 2        | was answered                            |
       | it takes no calls that are sent after 1 second  | 1        | was refused as draining after 1 second  |
       | it takes no calls that are sent after 2 seconds | 2        | was answered                            |
+
+  # Guards against a new agent of a run that has left, whose node doesn't know of it.
+  Scenario: An agent drains when its relay knows that the run beside it has left
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 10 seconds left
+    And the relay tells the agent that its run has departed
+    And the agent gets a call on agent stream 2 with 10 seconds left
+    Then agent stream 2 has failed with draining
+    And the agent's back end received one request
+    And the agent registers as draining and leaving
--- a/features/platform/acknowledged_leave.feature
+++ b/features/platform/acknowledged_leave.feature
@@ -19,3 +19,14 @@
       | says that it is draining  | stay positive | its node is       | 0.0   | never         |
       | says that it has ended    | stay positive | all processes are | 0.0   | 2.5 s late    |
       | says that it is draining  | stay positive | all processes are | 0.0   | 2.5 s late    |
+
+  # Guards against a leave that is forgotten, as no relay could be reached when it was acknowledged.
+  Scenario: An instance leaves while its node reaches no relay, which restarts later
+    Given a control process and three nodes of the platform with instances that leave
+    When the control process is killed
+    And an instance, whose health responses stay positive, says that it has ended under 6 callers
+    And the control process is started, and takes the leave
+    And its node is killed 0 seconds after the acknowledgement, and started again
+    And a report from before the leave arrives 2.5 s late
+    Then the leave was acknowledged within 1 second
+    And no request reached the instance later than 2 seconds after the acknowledgement and 3 seconds after its node's start
--- a/features/steps/acknowledged_leave_steps.py
+++ b/features/steps/acknowledged_leave_steps.py
@@ -21,6 +21,7 @@
 """Time after a node's start from which on requests through it count."""
 
 JUDGED_SECONDS = 4.0
+RUN_DEPARTED = "run-departed"
 
 
 @given("a control process and three nodes of the platform with instances that leave")
@@ -71,6 +72,21 @@
     finish(context)
 
 
+@when("the control process is killed")
+def kill_control(context: Context) -> None:
+    context.control.kill()
+
+
+@when("the control process is started, and takes the leave")
+def start_control(context: Context) -> None:
+    context.control.start()
+    wait_until(lambda: learned(context), "the relay learns the leave")
+
+
+def learned(context: Context) -> bool:
+    return any(each.get("event") == RUN_DEPARTED for each in context.control.events())
+
+
 def finish(context: Context) -> None:
     """Let the callers send on until enough can be judged."""
     wait_until(lambda: all(is_ready(node) for node in context.nodes), "the nodes are ready")
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -13,7 +13,8 @@
 from limelever.agent.interface import AttemptAnswered, AttemptFailed, LimitStarts, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind
-from limelever.common.sansio import Address, Event
+from limelever.common.sansio import Address, Event, MessageReceived
+from limelever.protocol.endpoints_pb2 import ENDPOINT_STATE_DRAINING, LeaseGranted, Register
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 TIMEOUT_SECONDS = 30.0
@@ -45,6 +46,8 @@
         client = BackendClient(BackendSettings(address=address, connections=1), nursery, post)
         for attempt in (1, 2):
             client.start(StartAttempt(attempt, "orders", b"GET", b"/", (), b"", TIMEOUT_SECONDS))
+            while not received:
+                await trio.sleep(0.001)
         if limit is not None:
             client.carry_out(LimitStarts(limit))
         for _ in range(2):
@@ -92,3 +95,15 @@
     assert isinstance(event, AttemptFailed), event
     assert event.failure.kind is ErrorKind.DRAINING and not event.sent_any_byte, event
     assert abs(at - seconds) < 0.1, at
+
+
+@when("the relay tells the agent that its run has departed")
+def run_departed(context: Context) -> None:
+    granted = LeaseGranted(lease_ms=6000, incarnation=7, run_departed=True)
+    context.agent.handle(MessageReceived(context.agent.relay_connection, granted))
+
+
+@then("the agent registers as draining and leaving")
+def registers_leaving(context: Context) -> None:
+    last = context.agent.sent(context.agent.relay_connection, Register)[-1]
+    assert last.endpoint.state == ENDPOINT_STATE_DRAINING and last.endpoint.leaving, last
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -38,10 +38,10 @@
 )
 from limelever.agent.settings import AgentSettings
 from limelever.common.departed_runs import DepartedRun
-from limelever.common.errors import ErrorKind, Failure
+from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Event, Output, Purpose, Role
 from limelever.node.identification import InstanceIdentifier
-from limelever.node.leaves import Leaves
+from limelever.node.leaves import Leaves, unstored_refusal
 from limelever.node.report_checks import report_refusal
 from limelever.node.reports import (
     InstanceReport,
@@ -120,15 +120,9 @@
         return None
 
     async def confirm_leave(self, instance: str, started_at_ms: int) -> Failure | None:
-        """Wait until a relay has stored the run's leave; return why it can't be acknowledged.
-
-        A stopping process whose proxy has ended reaches no relay. Its successor, which the instance
-        calls next, doesn't know of the leave.
-        """
+        """Wait until a relay has stored the run's leave; return why it can't be acknowledged."""
         stored = await self._leaves.wait_stored(DepartedRun(instance, started_at_ms))
-        if stored or not self._shell.stop_requested.is_set():
-            return None
-        return Failure(ErrorKind.DRAINING, "the process stops, and no relay has stored the leave")
+        return unstored_refusal(stored=stored, stopping=self._shell.stop_requested.is_set())
 
     def proxy_started(self, runner: CoreRunner) -> None:
         """Use the proxy of this process to report leaves."""
--- a/src/limelever/node/leaves.py
+++ b/src/limelever/node/leaves.py
@@ -14,6 +14,7 @@
 
 from limelever.agent.events import LEAVE_ACKNOWLEDGED
 from limelever.common.departed_runs import DepartedRun
+from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Event
 from limelever.proxy.call_types import RunDeparted
 from limelever.transport.log import write_event
@@ -71,3 +72,14 @@
         }
         write_event(LEAVE_ACKNOWLEDGED, fields)
         return stored.is_set()
+
+
+def unstored_refusal(*, stored: bool, stopping: bool) -> Failure | None:
+    """Return why a leave is not acknowledged, or ``None``.
+
+    A stopping process whose proxy has ended reaches no relay any more. Its successor, which the
+    instance calls next, takes the leave.
+    """
+    if stored or not stopping:
+        return None
+    return Failure(ErrorKind.DRAINING, "the process stops, and no relay has stored the leave")
