Report a leave that a proxy learns from an answer to its relay

A node that reaches no relay acknowledges a leave from its memory. If it is killed before it reaches one, only the proxies that have had an answer since know of it, each for itself.

Change: a proxy that learns from an agent's answer that a run has left reports that to its relay like the node does, until a relay has stored it.

--- a/features/steps/kept_soak_steps.py
+++ b/features/steps/kept_soak_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from deadly_soak import DeadlySoak
 from kept_soak import KeptSoak, Size
+from leave_soak import LeaveSoak
 from loopback_networks import LoopbackNetwork
 from statement_soak import StatementSoak
 
@@ -40,6 +41,11 @@
     start_soak(context, StatementSoak, nodes, seed)
 
 
+@given("five control machines and {nodes:d} nodes whose instances leave, seed {seed:d}")
+def given_leaving_fleet(context, nodes, seed):
+    start_soak(context, LeaveSoak, nodes, seed)
+
+
 def start_soak(context, kind, nodes, seed):
     given = context.config.userdata
     network = LoopbackNetwork.take()
--- a/features/steps/strike_log.py
+++ b/features/steps/strike_log.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 STOP, RELOAD, START, SETTINGS = "SIGTERM", "SIGHUP", "start", "settings"
 KILL, PAUSE = "SIGKILL", "SIGSTOP"
@@ -29,12 +30,16 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
+        self.before_strike: Callable[[Any, str], None] = lambda machine, what: None
+        """Called with the machine and what is about to be done to it."""
         self._lock = threading.Lock()
         self._strikes: list[Strike] = []
         self._unplanned: dict[str, float] = {}
         self._unplanned_over: list[tuple[float, float]] = []
+        self._outages: list[tuple[str, float, float]] = []
 
     def note(self, machine, what: str) -> None:
+        self.before_strike(machine, what)
         now = self._clock()
         with self._lock:
             self._strikes.append(Strike(now, machine.name, what, machine.role == "control"))
@@ -51,7 +56,9 @@
         """Note that a machine is back after an unplanned strike."""
         now = self._clock()
         with self._lock:
-            self._unplanned_over.append((self._unplanned.pop(machine.name), now))
+            begun = self._unplanned.pop(machine.name)
+            self._unplanned_over.append((begun, now))
+            self._outages.append((machine.name, begun, now))
 
     def had_unplanned(self, begin: float, end: float) -> bool:
         """Return whether any machine was struck by something unplanned in a span."""
@@ -69,6 +76,15 @@
         """Return whether a machine was stopped, started, killed or paused in a span."""
         return any(strike.what in DISRUPTIONS for strike in self.of(machine, begin, end))
 
+    def was_out(self, machine: str, begin: float, end: float) -> bool:
+        """Return whether a machine was killed or paused and not back in some part of a span."""
+        with self._lock:
+            over = [(first, last) for name, first, last in self._outages if name == machine]
+            still = self._unplanned.get(machine)
+        if still is not None and still <= end:
+            return True
+        return any(first <= end and last >= begin for first, last in over)
+
     def unplanned_of(self, machine: str, begin: float, end: float) -> bool:
         """Return whether something unplanned came to a machine in a span."""
         return any(strike.what in UNPLANNED for strike in self.of(machine, begin, end))
--- a/src/limelever/proxy/attempt_completion.py
+++ b/src/limelever/proxy/attempt_completion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limelever.common.departed_runs import DepartedRun
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import LogEvent, Output
 from limelever.protocol.calls_pb2 import AgentLoad
@@ -9,7 +10,7 @@
 from limelever.proxy.answer_assembly import AnswerAssembly
 from limelever.proxy.balancer import Balancer
 from limelever.proxy.call_state import NOT_SENT, Attempt, AttemptEnded, Call, CallTable
-from limelever.proxy.call_types import CallAnswer
+from limelever.proxy.call_types import CallAnswer, ReportDeparture
 from limelever.proxy.endpoints import EndpointView
 from limelever.proxy.health import Verdict
 from limelever.proxy.transfer_size import TransferSizes
@@ -89,7 +90,9 @@
 
     def _retire_run(self, attempt: Attempt) -> None:
         """Send no further work to the run of the instance, by whichever agent."""
-        if self._view.retire_run(attempt.entry.run):
+        run = attempt.entry.run
+        if self._view.retire_run(run):
+            self._outputs.append(ReportDeparture(DepartedRun(run.instance, run.started_at_ms)))
             key = attempt.entry.key
             fields: dict[str, object] = {"service": key.service, "instance": key.instance}
             self._outputs.append(LogEvent(events.INSTANCE_LEAVING, fields))
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -106,6 +106,12 @@
     run: DepartedRun
 
 
+class ReportDeparture(Output, frozen=True):
+    """Report to the relay that a run has left, as an agent's answer stated."""
+
+    run: DepartedRun
+
+
 class RunDepartureStored(Output, frozen=True):
     """A relay has stored that the run has left."""
 
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -46,6 +46,7 @@
     ConfigurationApplied,
     HealthPathChanged,
     ProxyReady,
+    ReportDeparture,
     ReportSuspects,
     RunDeparted,
     StopFinished,
@@ -186,6 +187,7 @@
             LimitNewsReceived: self._handle_limit_news,
             DeparturesStored: self._handle_departures_stored,
             SendCrashNews: self._forward_crash_news,
+            ReportDeparture: self._report_departure,
             ReportSuspects: self._report_suspects,
             ClaimSettled: self._handle_claim_outcome,
             CompletionSettled: self._handle_completion,
@@ -399,6 +401,10 @@
     def _handle_departures_stored(self, received: DeparturesStored, _now: float) -> None:
         self._outputs.extend(self._departures.stored(received.stored))
 
+    def _report_departure(self, report: ReportDeparture, _now: float) -> None:
+        """Have the relay store a leave that its node may have lost before it could report it."""
+        self._outputs.extend(self._departures.announce(report.run))
+
     def _report_suspects(self, report: ReportSuspects, _now: float) -> None:
         numbers = self._endpoints.hashes_at(report.addresses)[:MAX_REPORTED]
         self._outputs.extend(self._subscriber.send_up(LoadUpdate(suspects=numbers)))
