--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -49,7 +49,8 @@
 _GET = b"GET"
 _RECEIVE_BYTES = 1 << 16
 CHECK_TIMEOUT_SECONDS = 0.15
-"""Timeout of a connection check on the local machine; long enough for a busy backend process."""
+"""Timeout of a connection check on the local machine, some hundred times the usual duration, so
+that a busy backend process is not taken for an unresponsive one."""
 
 _CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
--- a/src/limelever/agent/body_credit.py
+++ b/src/limelever/agent/body_credit.py
@@ -17,7 +17,8 @@
 """Transmission time of one chunk."""
 
 MAX_CHUNKS_IN_FLIGHT = 3
-"""Maximum number of chunks in flight over all bodies, to cover the round trip time."""
+"""Maximum number of chunks in flight over all bodies, to cover the round trip time: one is being
+transferred, one requested, and one is a reserve for a sender that is slow to respond."""
 
 MAX_CHUNKS_PER_BODY = 2
 """Maximum number of chunks in flight per body, so that a stalled sender leaves room for others."""
--- a/src/limelever/agent/liveness.py
+++ b/src/limelever/agent/liveness.py
@@ -14,7 +14,8 @@
 from limelever.agent.interface import ConnectResult
 
 OVERDUE_FACTOR = 3.0
-"""Multiple of its usual service time after which a call is overdue."""
+"""Multiple of its usual service time after which a call is overdue. Of calls whose service times
+have a lognormal spread of 0.8, 3 to 4 in 100 are, but seldom all that run at once."""
 
 OVERDUE_MARGIN_SECONDS = 0.1
 """Added to the limit, so that a delay of the agent's own process makes no call overdue."""
--- a/src/limelever/agent/load_reports.py
+++ b/src/limelever/agent/load_reports.py
@@ -8,10 +8,14 @@
 from limelever.protocol.endpoints_pb2 import LoadReport
 
 MIN_INTERVAL_SECONDS = 0.1
-"""Minimum time between two reports; each costs CPU time at the relay and the zone's proxies."""
+"""Minimum time between two reports; each costs CPU time at the relay and the zone's proxies. It is
+about the duration of a short call, so that most calls of one proxy are known before the next one
+chooses an endpoint."""
 
 MIN_LOAD_CHANGE = 2
-"""Minimum change of the load in calls that triggers a report; a change to 0 always does."""
+"""Minimum change of the load in calls that triggers a report; a change to 0 always does. Reporting
+each call took a control process 0.144 instead of 0.129 of a core in a fleet of 83 nodes under
+bursts, and served no more requests."""
 
 MIN_PACE_CHANGE_PERMILLE = 500
 """Minimum change of the pace that triggers a report."""
--- a/src/limelever/agent/pace.py
+++ b/src/limelever/agent/pace.py
@@ -12,7 +12,7 @@
 """Age from which a reported pace counts as unknown."""
 
 MAX_PERMILLE = 10_000
-"""Upper bound for reported values."""
+"""Upper bound for reported values; a larger one indicates a fault of another kind."""
 
 
 class PaceTracker:
--- a/src/limelever/agent/response_pacer.py
+++ b/src/limelever/agent/response_pacer.py
@@ -18,7 +18,8 @@
 from limelever.agent.response_sizes import ResponseSizes
 
 MAX_UNPACED_BYTES = 8 * 1024
-"""Responses up to this size are sent immediately."""
+"""Responses up to this size are sent immediately, as headers and link overhead are a large part of
+them."""
 
 CHUNK_SECONDS = 0.016
 """Transmission time of one chunk."""
--- a/src/limelever/agent/retry_schedule.py
+++ b/src/limelever/agent/retry_schedule.py
@@ -10,7 +10,8 @@
 """Ratio of the slots on which retries are scheduled."""
 
 MAX_RETRY_SECONDS = 2.0
-"""Maximum retry delay, unless the expected wait for a slot is longer."""
+"""Maximum retry delay, unless the expected wait for a slot is longer. An overload that lasts longer
+cannot be predicted."""
 
 MIN_RETRY_SECONDS = 0.1
 """Minimum retry delay."""
--- a/src/limelever/agent/version_outcomes.py
+++ b/src/limelever/agent/version_outcomes.py
@@ -9,7 +9,8 @@
 from limelever.rollout.tally import Tally
 
 REPORT_INTERVAL_SECONDS = 0.2
-"""Minimum time between two reports; delays the detection of a bad version by as much."""
+"""Minimum time between two reports; delays the detection of a bad version by as much. Each back end
+of a service that is rolled out sends up to five small messages a second."""
 
 
 class VersionOutcomeCounter:
--- a/src/limelever/agent/wait_estimator.py
+++ b/src/limelever/agent/wait_estimator.py
@@ -37,7 +37,8 @@
 """
 
 MAX_WAIT_RATIO_TO_TARGET = 0.5
-"""Maximum expected wait as a ratio of the slack before a call's target."""
+"""Maximum expected wait as a ratio of the slack before a call's target. A call that misses its
+target takes a slot from one that would not."""
 
 MAX_WAIT_RATIO_PAST_TARGET = 0.25
 """Maximum expected wait, as a ratio of the service time, of a call that misses its target anyway.
@@ -46,7 +47,9 @@
 """
 
 MIN_BODY_DELAY_RATIO = 0.25
-"""Ratio of the service time below which the transfer time of a body is ignored."""
+"""Ratio of the service time below which the transfer time of a body is ignored. Otherwise an
+estimated service time that is too high would reject calls that find a free slot, and never be
+corrected."""
 
 SHORT_CALL_RATIO = 0.5
 """Ratio of the time-weighted service time below which a call counts as short.
--- a/src/limelever/proxy/balancer.py
+++ b/src/limelever/proxy/balancer.py
@@ -40,9 +40,10 @@
     ``spill_load`` is the load per slot from which a local endpoint counts as full.
     ``ejection_floor`` is the fraction of a service's endpoints that always stays in use.
     ``initial_capacity`` is the fraction of its slots that a cold endpoint starts with.
-    ``max_reported_load`` caps reported loads, as a multiple of the slots. ``choices`` is how many
-    endpoints are compared. ``small_call_slack`` is the fraction of its latency budget by which a
-    small call may be slower to stay in its zone.
+    ``max_reported_load`` caps reported loads, as a multiple of the slots; with 2, an instance with
+    50 calls at 12 slots appeared half as loaded as it was. ``choices`` is how many endpoints are
+    compared. ``small_call_slack`` is the fraction of its latency budget by which a small call may
+    be slower to stay in its zone.
     """
 
     zone: str = ""
--- a/src/limelever/proxy/caller_timeouts.py
+++ b/src/limelever/proxy/caller_timeouts.py
@@ -15,7 +15,8 @@
 """Number of equal histogram steps up to the longest timeout."""
 
 GAP_STEPS = 2
-"""Number of consecutive sparse steps that form a gap."""
+"""Number of consecutive sparse steps that form a gap. The timeouts of new callers alone show no
+gap."""
 
 SPARSE_FRACTION = 0.2
 """Fraction of the average count of the steps above, below which a step is sparse."""
--- a/src/limelever/proxy/retry_rules.py
+++ b/src/limelever/proxy/retry_rules.py
@@ -41,7 +41,7 @@
 
 MAX_FURTHER_AGENTS_FOR_LARGE_BODY = 3
 """Further agents to try for a call whose body is sent only on the agent's request: each refusal
-costs just the head of the call."""
+costs just the head of the call, and which agents have capacity on their link is not known here."""
 
 AGENT_REFUSAL_KINDS = frozenset(
     {ErrorKind.OVERLOADED, ErrorKind.SHARE_EXHAUSTED, ErrorKind.DEADLINE_TOO_SHORT}
--- a/src/limelever/quarantine/crash_history.py
+++ b/src/limelever/quarantine/crash_history.py
@@ -21,7 +21,7 @@
 from limelever.quarantine.policy import QUARANTINE_THRESHOLD, retention
 
 MAX_REQUESTS = 1024
-"""Requests remembered; bounds memory and the size of a full update."""
+"""Requests remembered: 0.8 MB of memory with two crashes each, and 43 kB for a full update."""
 
 MAX_CRASHES = 16
 """Crashes remembered for each request; more don't prolong a quarantine."""
--- a/src/limelever/rollout/canary_analysis.py
+++ b/src/limelever/rollout/canary_analysis.py
@@ -23,7 +23,8 @@
 
 TOLERATED_BAD_FRACTION = 0.04
 """Fraction of bad answers tolerated beyond the baseline's; allows for differences in speed between
-instances."""
+instances. Where speeds differ by a factor of 2.5, some 3 in 100 calls of the slowest exceed the
+99th percentile of all."""
 
 MIN_BAD_ANSWERS = 4
 """Bad answers required to find a version suspect or bad, as two or three may have a common
@@ -37,10 +38,12 @@
 routes."""
 
 SUSPECT_THRESHOLD = math.log(100.0)
-"""Negative log probability from which a version is suspect and not promoted at its deadline."""
+"""Negative log probability from which a version is suspect and not promoted at its deadline. To
+promote a bad version costs more than to order a good one again."""
 
 MIN_ANSWERS = 60
-"""Answers of a version required to promote it."""
+"""Answers of a version required to promote it. With three times the tolerated bad answers a version
+is suspected after about as many."""
 
 
 class Finding(Enum):
--- a/src/limelever/rollout/progression.py
+++ b/src/limelever/rollout/progression.py
@@ -15,7 +15,8 @@
 """All calls, in permille."""
 
 MIN_CANARY_PERMILLE = 25
-"""Least fraction of the calls in the canary step, in permille."""
+"""Least fraction of the calls in the canary step, in permille; on a busy service some tens of calls
+a second."""
 
 CANARY_EXPOSURE_FRACTION = 0.5
 """Fraction of the exposure limit that the canary step may use; the rest is for the last step, in
