--- a/src/limelever/protocol/priorities.py
+++ b/src/limelever/protocol/priorities.py
@@ -1,9 +1,9 @@
-"""Priorities of routes: which group a call is queued under, and the weight of such a group.
+"""Maps priorities of routes to queueing groups and their weights.
 
-The groups share the slots of a back end like any others, with weights so far apart that the more
-urgent are served first in practice and the least urgent still get through. Each route has a group
-of its own: routes of one priority take equal parts of the slot time, so that the short calls of
-one don't stand behind the long calls of another.
+The groups share the slots of a back end by weighted fair queueing. Their weights differ so much
+that urgent calls are served first in practice, without starving the least urgent ones. Each route
+has its own group: routes of one priority get equal shares of the slot time, so that short calls of
+one route are not delayed by long calls of another.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 _SEPARATOR = "/"
 
 LAST_DISTINCT_PRIORITY = 5
-"""Priorities from here on weigh the same."""
+"""This and all lower priorities have the same weight."""
 
 _FACTOR = 4
 
