Bound each number from outside before it is parsed, and let no response end a process

Callers saw: kept connections of a node closed without an answer, though their calls ran at sound instances, after one instance had sent one spoiled header.

Cause: Python raises an error for integers of more than 4,300 digits, and for digits such as the superscript two, which str.isdigit accepts. The timeout in an instance's Keep-Alive header and the number in a caller's group header were parsed unchecked. Nothing caught the error in the task that reads a response, so the process ended with the calls of all its callers.

Change: common/numbers.py is the one parser of numbers from headers. An error in reading a response is logged as an internal fault and fails that call alone.

--- a/features/steps/agent_backend_steps.py
+++ b/features/steps/agent_backend_steps.py
@@ -4,22 +4,33 @@
 
 from dataclasses import dataclass
 from functools import partial
+from unittest import mock
 
 import trio
 import trio.testing
 from behave import then, when
 from behave.runner import Context
+from hypothesis import given as examples
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from limelever.agent.backend_client import BackendClient
+from limelever.agent.connection_pool import keep_alive_seconds
+from limelever.agent.health_response import parse_instance_identity, parse_probe
 from limelever.agent.interface import (
     AttemptAnswered,
     StartAttempt,
 )
+from limelever.agent.load_header import parse_requests
 from limelever.agent.settings import BackendSettings
+from limelever.common.http_headers import HeaderNames
+from limelever.common.http_messages import HttpAnswer
+from limelever.common.numbers import parse_count
 from limelever.common.sansio import (
     Address,
     Event,
 )
+from limelever.protocol.priorities import PRIORITY_GROUP, priority_of
 
 ANSWERS = {
     b"/ok": b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
@@ -28,6 +39,26 @@
 }
 
 
+MANY_DIGITS = b"9" * 5000
+SPOILED = {
+    b"/long-keep-alive": b"keep-alive: timeout=" + MANY_DIGITS,
+    b"/long-load": b"x-load: " + b",".join([MANY_DIGITS] * 4),
+    b"/long-limit": b"x-limit: " + MANY_DIGITS,
+    b"/odd-keep-alive": b"keep-alive: timeout=\xb2, max",
+}
+ANSWERS |= {
+    target: b"HTTP/1.1 200 OK\r\n" + header + b"\r\ncontent-length: 2\r\n\r\nok"
+    for target, header in SPOILED.items()
+}
+READ_HEADERS = HeaderNames(
+    instance=b"x-instance",
+    load=b"x-load",
+    warm_up=b"x-warm-up",
+    limit=(b"x-limit",),
+    leaving=(b"x-leaving",),
+)
+
+
 async def serve_one(arrived: trio.Event, stream: trio.SocketStream) -> None:
     request = await stream.receive_some(65536)
     arrived.set()
@@ -57,7 +88,7 @@
             nursery.start_soon(trio.serve_listeners, serve, [listener])
         address = Address("127.0.0.1", port)
         backend = BackendClient(
-            BackendSettings(address=address, max_response_bytes=1024), nursery, post
+            BackendSettings(address=address, max_response_bytes=1024), nursery, post, READ_HEADERS
         )
         timeout = 30.0
         backend.start(StartAttempt(1, "orders", b"GET", target.encode(), (), b"", timeout))
@@ -80,6 +111,47 @@
     context.event = trio.run(attempt_at, target, clock, clock=clock)
 
 
+@when("reading the response to an attempt raises an error")
+def run_faulty_attempt(context: Context) -> None:
+    with mock.patch("limelever.agent.backend_client.keep_alive_seconds", side_effect=KeyError):
+        run_attempt(context, "/ok")
+
+
+@then("for any values of the headers that are read, health probes have a result")
+def probe_spoiled(context: Context) -> None:
+    digits = st.integers(0, 6000).map(lambda count: b"9" * count)
+    values = st.one_of(digits, st.binary(max_size=40), st.lists(digits, max_size=5).map(b",".join))
+    names = (b"x-instance", b"x-load", b"x-warm-up", b"x-limit", b"x-leaving", b"keep-alive")
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @examples(st.lists(st.tuples(st.sampled_from(names), values), max_size=6))
+    def check(headers: list[tuple[bytes, bytes]]) -> None:
+        response = HttpAnswer(200, tuple(headers), b"")
+        assert parse_probe(response, READ_HEADERS).healthy
+        parse_instance_identity(response, READ_HEADERS)
+        parse_requests(response.headers, READ_HEADERS)
+        assert keep_alive_seconds(response.headers) >= 0
+
+    check()
+
+
+NAMED_TEXTS = {
+    "5000 digits": "9" * 5000,
+    "superscript two": "\u00b2",
+    "Arabic digit two": "\u0662",
+    "nothing": "",
+}
+
+
+@then("the text {text} is the number {number:S}")
+def check_number(context: Context, text: str, number: str) -> None:
+    expected = None if number == "none" else int(number)
+    given = NAMED_TEXTS.get(text, text)
+    assert parse_count(given) == expected, parse_count(given)
+    assert parse_count(given.encode()) == expected
+    assert priority_of(f"{PRIORITY_GROUP}{given}/orders") == expected
+
+
 @then("the attempt has ended as {end}")
 def check_end(context: Context, end: str) -> None:
     event = context.event
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -42,6 +42,7 @@
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event, Output
+from limelever.transport.faults import report_fault
 from limelever.transport.streams import reason_of, receive, send_without_waiting
 
 _MILLISECONDS = 1000
@@ -128,12 +129,24 @@
     async def probe(self, path: str, timeout: float) -> ProbeResult:
         """Return whether a health probe gets a 2xx response within ``timeout`` seconds."""
         response = await self._send_probe(path, timeout)
-        return ProbeResult(False) if response is None else parse_probe(response, self._names)
+        if response is None:
+            return ProbeResult(False)
+        try:
+            return parse_probe(response, self._names)
+        except Exception as error:
+            _unreadable(error)
+            return ProbeResult(False)
 
     async def find_instance(self, path: str, timeout: float) -> InstanceIdentity | None:
         """Return the healthy instance that responds to a health probe, if it names itself."""
         response = await self._send_probe(path, timeout)
-        return parse_instance_identity(response, self._names) if response is not None else None
+        if response is None:
+            return None
+        try:
+            return parse_instance_identity(response, self._names)
+        except Exception as error:
+            _unreadable(error)
+            return None
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -168,8 +181,12 @@
         if response is None:
             return BackendChecked(result)
         headers = tuple((name.lower(), value) for name, value in response.headers)
-        requests = parse_requests(headers, self._names)
-        return BackendChecked(result, requests, parse_signals(headers, self._names))
+        try:
+            requests = parse_requests(headers, self._names)
+            return BackendChecked(result, requests, parse_signals(headers, self._names))
+        except Exception as error:
+            _unreadable(error)
+            return BackendChecked(result)
 
     def _limit_starts(self, until: float) -> None:
         if until < self._starts_until:
@@ -187,7 +204,10 @@
     async def _run_attempt(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
         with attempt.scope:
-            event = await self._connect_and_send(output, attempt)
+            try:
+                event = await self._connect_and_send(output, attempt)
+            except Exception as error:
+                event = AttemptFailed(output.attempt, _unreadable(error), attempt.sent_any_byte)
         if event is None:
             event = AttemptFailed(output.attempt, _interruption(attempt), attempt.sent_any_byte)
         del self._attempts[output.attempt]
@@ -308,6 +328,12 @@
     return max(1, int(remaining * _MILLISECONDS))
 
 
+def _unreadable(error: Exception) -> Failure:
+    """Log a fault in reading a response: it fails one call, not the process with all others."""
+    fault = report_fault(error)
+    return Failure(ErrorKind.BACKEND_FAILED, f"response cannot be read: {fault.reason}")
+
+
 def _interruption(attempt: _Attempt) -> Failure:
     if attempt.late:
         return DRAINING
--- a/src/limelever/agent/connection_pool.py
+++ b/src/limelever/agent/connection_pool.py
@@ -13,6 +13,7 @@
 from limelever.agent.interface import ConnectResult
 from limelever.agent.settings import BackendSettings
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.numbers import parse_count
 from limelever.common.settings import seconds
 
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
@@ -170,6 +171,7 @@
             continue
         for part in value.split(b","):
             key, _, number = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
-                return max(0.0, int(number) - KEEP_ALIVE_MARGIN_SECONDS)
+            timeout = parse_count(number)
+            if key.lower() == b"timeout" and timeout is not None:
+                return max(0.0, timeout - KEEP_ALIVE_MARGIN_SECONDS)
     return math.inf
--- a/src/limelever/agent/health_response.py
+++ b/src/limelever/agent/health_response.py
@@ -8,9 +8,7 @@
 from limelever.agent.load_header import parse_slots
 from limelever.common.http_headers import HeaderNames, Headers, value_of
 from limelever.common.http_messages import HttpAnswer
-
-_MAX_DIGITS = 9
-"""Longest number accepted; 9 digits of milliseconds are 11 days."""
+from limelever.common.numbers import parse_count
 
 _MILLISECONDS = 1000
 
@@ -55,7 +53,5 @@
 
     Header names are in lower case; the header's value is in whole milliseconds.
     """
-    value = value_of(headers, names.warm_up).strip()
-    if not value.isdigit() or len(value) > _MAX_DIGITS:
-        return None
-    return int(value) / _MILLISECONDS
+    left_ms = parse_count(value_of(headers, names.warm_up).strip())
+    return None if left_ms is None else left_ms / _MILLISECONDS
--- a/src/limelever/agent/load_header.py
+++ b/src/limelever/agent/load_header.py
@@ -7,23 +7,19 @@
 from __future__ import annotations
 
 from limelever.common.http_headers import HeaderNames, Headers, value_of
+from limelever.common.numbers import parse_count
 
 _SLOTS_INDEX = 2
 _PACE_INDEX = 3
 
-_MAX_DIGITS = 9
-"""Longest number accepted; Python limits the length of integers it parses from text."""
-
 _PERMILLE_PER_PERCENT = 10
 
 
 def parse_requests(headers: Headers, names: HeaderNames) -> int | None:
     """Return how many requests run or wait at the backend; ``None`` if not stated."""
     counts = value_of(headers, names.load).split(b",")[:_SLOTS_INDEX]
-    numbers = [count.strip() for count in counts]
-    if len(numbers) < _SLOTS_INDEX or not all(_is_number(each) for each in numbers):
-        return None
-    return sum(map(int, numbers))
+    numbers = [number for each in counts if (number := parse_count(each.strip())) is not None]
+    return sum(numbers) if len(numbers) == _SLOTS_INDEX else None
 
 
 def parse_slots(headers: Headers, names: HeaderNames) -> int:
@@ -39,8 +35,4 @@
 def _parse_number(headers: Headers, names: HeaderNames, index: int) -> int:
     numbers = value_of(headers, names.load).split(b",")
     number = numbers[index].strip() if len(numbers) > index else b""
-    return int(number) if _is_number(number) else 0
-
-
-def _is_number(text: bytes) -> bool:
-    return text.isdigit() and len(text) <= _MAX_DIGITS
+    return parse_count(number) or 0
--- a/src/limelever/protocol/priorities.py
+++ b/src/limelever/protocol/priorities.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from limelever.common.numbers import parse_count
+
 PRIORITY_GROUP = "priority-"
 """Prefix of the groups of prioritised calls; priority, separator and route follow."""
 
@@ -29,7 +31,7 @@
     if not group.startswith(PRIORITY_GROUP):
         return None
     number = group.removeprefix(PRIORITY_GROUP).partition(_SEPARATOR)[0]
-    return int(number) if number.isdigit() else None
+    return parse_count(number)
 
 
 def priority_weight(group: str) -> int | None:
--- a/src/limelever/proxy/request_parsing.py
+++ b/src/limelever/proxy/request_parsing.py
@@ -5,6 +5,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers
 from limelever.common.http_messages import HttpRequest
+from limelever.common.numbers import HIGHEST_COUNT, parse_count
 from limelever.proxy.call_types import (
     DEFAULT_GROUP,
     GROUP_HEADER,
@@ -14,16 +15,19 @@
 from limelever.transport.request_checks import origin_form
 
 _MILLISECONDS = 1000
-_MAX_TIMEOUT_DIGITS = 9
 _CONTENT_LENGTH = b"content-length"
 _HOST = b"host"
 
 
 def declared_length(headers: Headers) -> int:
-    """Return the Content-Length, 0 if there is no valid one."""
+    """Return the Content-Length, 0 if there is no valid one; a longer number counts as the highest.
+
+    Any body of that length is refused.
+    """
     for name, value in headers:
         if name == _CONTENT_LENGTH and value.isdigit():
-            return int(value)
+            length = parse_count(value)
+            return HIGHEST_COUNT if length is None else length
     return 0
 
 
@@ -62,7 +66,8 @@
 
 def _parse_timeout(name: bytes, value: bytes) -> float | Failure:
     """Parse a timeout header in milliseconds and return seconds."""
-    if value.isdigit() and len(value) <= _MAX_TIMEOUT_DIGITS and int(value) > 0:
-        return int(value) / _MILLISECONDS
+    timeout_ms = parse_count(value)
+    if timeout_ms:
+        return timeout_ms / _MILLISECONDS
     reason = f"{name.decode()} must be a whole number of milliseconds above 0"
     return Failure(ErrorKind.INVALID_REQUEST, reason)
