Refuse calls to a run that has left for some seconds, and bring tests to level 3

Callers' proxies that their relay couldn't notify met a closed port in place of a refusal as draining: an agent beside a run that has left finished 0.5 s after the leave on the platform, and the acknowledgement of a leave that no relay can store now takes as long. The agent now stays for 3 s at least; the instance serves on for as long.

--- a/features/agent/drain.feature
+++ b/features/agent/drain.feature
@@ -63,3 +63,13 @@
     Then agent stream 2 has failed with draining
     And the agent's back end received one request
     And the agent registers as draining and leaving
+
+  # Guards against a proxy that meets no agent, as it hasn't heard of the leave when the agent has finished.
+  Scenario: Calls to a run that has left are refused as draining for some seconds
+    Given a registered agent with 1 slots and a proxy
+    When the relay tells the agent that its run has departed
+    And 2.8 seconds pass at the agent
+    And the agent gets a call on agent stream 1 with 10 seconds left
+    Then agent stream 1 has failed with draining
+    When 3.5 seconds pass at the agent
+    Then the drain has finished with 0 calls cancelled
--- a/features/source/feature_level.feature
+++ b/features/source/feature_level.feature
@@ -20,7 +20,7 @@
   Scenario: A seeded group is at its level while it grows
     Given a seeded group of 5
     Then the group accepts a zone drain
-    And every member set in the log was of level 2
+    And every member set in the log was of level 3
 
   Scenario: Members that are down, elections and restarts don't take the level away
     Given a group founded by 3 replicas of this build
@@ -38,7 +38,7 @@
     And the group still accepts a service
     When the last member runs this build as well
     Then the refused request is accepted when it is sent again, and runs once
-    And the group's level 2 is in the log of every member
+    And the group's level 3 is in the log of every member
 
   Scenario: The level of an older group outlives a snapshot
     Given a group of 3 whose disks an older build wrote
@@ -97,8 +97,8 @@
     Then every disk of the group is marked with level 1
 
   Scenario: A disk marked by a later build is refused with the reason
-    Given a disk that is marked with level 3
-    Then it is refused as holding records of level 3
+    Given a disk that is marked with level 4
+    Then it is refused as holding records of level 4
 
   Scenario: A member of a build that reads all records, but is not of this level, holds back nothing
     Given a group founded by 3 replicas of this build
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -93,6 +93,11 @@
 """Limit of a drain that the instance itself has begun; its running calls end by their deadlines."""
 
 
+DEPARTED_LINGER_SECONDS = 3.0
+"""Minimum time for which calls to a run that has left are refused as draining. Proxies that their
+relay has not notified learn it from these refusals, and the instance serves on for some seconds."""
+
+
 class AgentOptions(Struct, frozen=True):
     """Settings of the agent core.
 
@@ -390,7 +395,8 @@
             self._drain.end_by(now + limit)
             return []
         limits = self._options.drain
-        self._drain = Drain(DrainLimits(limit, limits.queue, limits.linger), now)
+        linger = DEPARTED_LINGER_SECONDS if self._calls.leaving else 0.0
+        self._drain = Drain(DrainLimits(limit, limits.queue, max(limits.linger, linger)), now)
         self._calls.drain_began(now, now + limits.queue)
         self._calls.backend.serves_until = now + limits.queue
         fields: dict[str, object] = {
