--- a/src/limelever/source/replication/follower.py
+++ b/src/limelever/source/replication/follower.py
@@ -1,4 +1,4 @@
-"""A follower's duties: take the leader's entries and snapshots, answer once they are synced."""
+"""Appends the leader's entries and snapshots, and replies once they are synced."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 
 class Follower:
-    """Takes appends and snapshots of the leader of the current term."""
+    """Handles appends and snapshots from the leader of the current term."""
 
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
 
     def take_append(self, connection: ConnectionId, request: AppendRequest) -> None:
-        """Take entries that follow what this log holds, or say from where to try."""
+        """Append entries that follow this log, or reply with the index to try from."""
         if not self._accepts(request.term, request.leader, request.leader_operator_address):
             self._answer(connection, request.round, False, 0)
             return
@@ -41,7 +41,7 @@
         self._answer_synced(connection, request.round, True, match)
 
     def take_snapshot(self, connection: ConnectionId, request: InstallSnapshot) -> None:
-        """Take a snapshot unless as much is committed here already."""
+        """Install a snapshot, unless its entries are committed here already."""
         if not self._accepts(request.term, request.leader, ""):
             self._answer(connection, request.round, False, 0)
             return
@@ -61,7 +61,7 @@
         return True
 
     def _take_entries(self, entries: Sequence[LogEntry]) -> bool:
-        """Append what is new, cutting what conflicts; return whether the log is sound."""
+        """Append new entries and truncate conflicting ones; return whether the log is sound."""
         context = self._context
         for position, entry in enumerate(entries):
             held = context.log.term_at(entry.index)
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -1,4 +1,4 @@
-"""A leader's duties: append, count what is synced, commit, prove that it leads."""
+"""The leader: appends and commits entries, and proves its leadership by rounds of messages."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class Leadership:
-    """Leads while the context's role is leader; all else is dropped."""
+    """State of a leader; its messages are dropped while the context has another role."""
 
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
@@ -45,8 +45,8 @@
     def may_change_members(self) -> bool:
         """Return whether an entry of this term and the last member set are committed.
 
-        Without the first, two leaders' single changes could take effect side by side and their
-        majorities miss each other.
+        Without the former, single changes of two leaders could take effect concurrently, with
+        majorities that do not overlap.
         """
         committed = self._context.commit_index
         return (
@@ -56,7 +56,7 @@
         )
 
     def begin(self) -> None:
-        """Lead from now on: an entry of the new term lets earlier ones commit."""
+        """Become the leader; an entry of the new term allows earlier ones to be committed."""
         context = self._context
         context.role = ReplicaRole.LEADER
         context.leader = context.identity
@@ -71,18 +71,18 @@
         self._begin_round()
 
     def lost(self) -> None:
-        """Drop what only a leader may answer."""
+        """Fail the requests that only a leader may answer."""
         self._sender = LogSender(self._context)
         self._reads.fail_all()
 
     # --- entries ----------------------------------------------------------------------------
 
     def propose(self, batch: Batch, rules: int) -> int:
-        """Append a batch, to be judged by the state machine's ``rules``; return its index."""
+        """Append a batch, which the state machine validates by ``rules``; return its index."""
         return self._append(LogEntry(batch=batch, rules=rules))
 
     def change_members(self, members: MemberSet) -> int:
-        """Append a member set, in effect at once, and return its index."""
+        """Append a member set, which takes effect immediately; return its index."""
         return self._append(LogEntry(members=members))
 
     def _append(self, entry: LogEntry) -> int:
@@ -100,7 +100,7 @@
             self._commit()
 
     def _commit(self) -> None:
-        """Commit up to the newest entry of this term that a majority has synced."""
+        """Commit up to the newest entry of this term that a majority has synced to disk."""
         context = self._context
         matches = {name: progress.match_index for name, progress in self._sender.progress.items()}
         matches[context.identity] = self._own_match
@@ -118,21 +118,21 @@
     # --- followers --------------------------------------------------------------------------
 
     def heard_lately(self, identity: str) -> bool:
-        """Return whether a member answered within the lease; this replica always did."""
+        """Return whether a member replied within the lease; always true for this replica."""
         if identity == self._context.identity:
             return True
         heard_at = self._sender.progress_of(identity).heard_at
         return self._context.now - heard_at < self._context.settings.lease
 
     def silent_for(self, identity: str) -> float:
-        """Return for how long a member has not answered this leader (seconds)."""
+        """Return the time in seconds since a member last replied to this leader."""
         if identity == self._context.identity:
             return 0.0
         progress = self._sender.progress_of(identity)
         return self._context.now - max(progress.heard_at, progress.known_since)
 
     def successor(self) -> Member | None:
-        """Return the voter that lacks least of the log among those heard lately."""
+        """Return the voter with the most complete log among those heard within the lease."""
         context = self._context
         candidates = [
             member
@@ -144,7 +144,7 @@
         return max(candidates, key=lambda m: self.matched_index(m.identity), default=None)
 
     def hand_over(self) -> None:
-        """Ask the best follower to stand for election at once, as before a planned stop."""
+        """Ask the best follower to start an election at once, for instance before a planned stop."""
         successor = self.successor() if self.leading else None
         if successor is None:
             return
@@ -155,14 +155,14 @@
             self._context.send(connection, ElectNow(term=self._context.term))
 
     def matched_index(self, identity: str) -> int:
-        """Return up to which index a member has synced the log, as far as is known."""
+        """Return the highest index that a member is known to have synced."""
         if identity == self._context.identity:
             return self._own_match
         known = self._sender.progress.get(identity)
         return known.match_index if known is not None else 0
 
     def take_answer(self, answer: AppendAnswer) -> None:
-        """Take a follower's answer; one of another term proves nothing."""
+        """Handle a follower's reply; one of another term proves nothing."""
         context = self._context
         context.adopt_term(answer.term)
         member = self._member(answer.follower)
@@ -193,7 +193,7 @@
     # --- rounds and reads -------------------------------------------------------------------
 
     def on_time(self) -> None:
-        """Send heartbeats when due; step down when no majority was heard within the lease."""
+        """Send heartbeats when due; step down if no majority was heard within the lease."""
         context = self._context
         if not self.leading:
             return
@@ -218,7 +218,7 @@
         self._check_rounds()
 
     def _check_rounds(self) -> None:
-        """Prove the newest round that a majority echoed, and answer the reads it proves."""
+        """Prove the newest round echoed by a majority, and answer the reads that depend on it."""
         if not self.leading:
             return
         context = self._context
@@ -231,7 +231,7 @@
             self._begin_round()
 
     def read(self, answer: ReadAnswer) -> None:
-        """Prove a read: ``answer`` gets an index that covers all committed before now."""
+        """Prove a read: ``answer`` receives an index that covers everything committed before."""
         self._reads.add(answer)
         if self._reads.wants_round:
             self._begin_round()
