Let a reply carry the term of its request, and count none of a former term

Callers saw: reads of the configuration answered with an older version, more than two seconds after a newer one had been acknowledged, by a leader that was cut off.

Cause: a reply to an append waits for its sync and carried the follower's term at that time. Replies to requests of a former leadership, sent after a vote for the leader's new term, counted in the new one, and their round numbers were ahead of its own: each new round was proved by a majority at once, so that lease and reads no longer needed one. match_index was taken from them as well.

Change: AppendAnswer states the request's term, and the leader drops replies to another term than its own. An older build states none; its replies count as before.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -101,3 +101,12 @@
     When a replica group has a relay that probes a follower
     Then a replica group proves the follower fresh
     And a replica group does not prove the follower fresh once it is cut off
+
+  # Guards against a leader that is cut off and still serves reads, by replies to its former leadership.
+  Scenario: Replies to requests of a former term prove nothing to a leader that is elected again
+    When a replica group starts a replica alone that holds 3 entries of term 2
+    Then a replica group commits nothing by a follower's reply to a request of term 2
+    And a replica group's leader that hears nothing else steps down within its lease
+
+  Scenario: A reply repeats the term and the round of its request
+    Then a replica that syncs an append late, and has voted since, replies with the append's term
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from behave import given, then, when
-from replication_group import Group, events, service_batch
+from replication_group import SEALER, Group, events, service_batch
+from replication_node import RecordingCore
 
 from limelever.common.sansio import (
     AppendLog,
     ConnectionClosed,
+    ConnectionOpened,
     MessageReceived,
+    Peer,
+    Purpose,
+    Recovered,
     ReplaceFile,
+    Role,
+    SendMessage,
+    Started,
     TruncateLog,
+    WriteCompleted,
 )
 from limelever.protocol.distribution_pb2 import FreshnessAnswer, FreshnessProbe, Subscribe
 from limelever.protocol.operators_pb2 import (
@@ -18,11 +29,14 @@
 )
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
+    AppendRequest,
     Formatted,
     HardState,
     LogEntry,
     VoteAnswer,
+    VoteRequest,
 )
+from limelever.publisher.settings import PublisherSettings
 from limelever.source.messages import StopRequested
 from limelever.source.replication.members import bootstrap_members
 
@@ -136,6 +150,57 @@
     assert replica.commit_index == commit, replica.commit_index
 
 
+@then("a replica group commits nothing by a follower's reply to a request of term {term:d}")
+def _(context, term):
+    node = context.group.nodes["a"]
+    replica = node.core.replica
+    answer = AppendAnswer(
+        term=replica.term,
+        follower="b-first",
+        success=True,
+        match_index=4,
+        round=900,
+        request_term=term,
+    )
+    assert replica.term > term
+    context.group.deliver(node, node.life, MessageReceived(9, answer))
+    assert replica.commit_index == 0, replica.commit_index
+
+
+@then("a replica group's leader that hears nothing else steps down within its lease")
+def _(context):
+    replica = context.group.nodes["a"].core.replica
+    context.group.run(2)
+    assert not replica.leading
+
+
+@then("a replica that syncs an append late, and has voted since, replies with the append's term")
+def _(context):
+    group = Group(3)
+    members = bootstrap_members(group.nodes)
+    formatted = Formatted(identity="a-first", name="a", admitted=True, first_members=members)
+    files = {"formatted": formatted.SerializeToString()}
+    settings = group.settings("a")
+    core = RecordingCore.open(
+        settings, PublisherSettings(), Recovered((), files), Random(1), SEALER
+    )
+    peer = Peer(Role.SOURCE, "b", "zone", Purpose.REPLICATION, "b-first")
+    append = AppendRequest(term=2, leader="b-first", round=7)
+    append.entries.add(index=1, term=2, no_operation={})
+    vote = VoteRequest(term=3, candidate="c-first", last_index=9, last_term=2)
+    outputs = []
+    for event in (Started(), ConnectionOpened(1, peer)):
+        outputs.extend(core.handle(event, 0.0))
+    for now, message in ((0.1, append), (9.0, vote)):
+        outputs.extend(core.handle(MessageReceived(1, message), now))
+    writes = [each.token for each in outputs if isinstance(each, AppendLog | ReplaceFile)]
+    for token in writes:
+        outputs.extend(core.handle(WriteCompleted(token), 9.1))
+    sent = [each.message for each in outputs if isinstance(each, SendMessage)]
+    (reply,) = [each for each in sent if isinstance(each, AppendAnswer)]
+    assert (reply.term, reply.request_term, reply.round) == (3, 2, 7), reply
+
+
 @when("a replica group loses a follower's process")
 def _(context):
     context.down = context.group.others(context.leader)[0]
--- a/src/limelever/source/replication/follower.py
+++ b/src/limelever/source/replication/follower.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from functools import partial
 
+from msgspec import Struct
+
 from limelever.common.sansio import ConnectionId
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
@@ -15,6 +17,17 @@
 from limelever.source.replication.context import ReplicaContext, ReplicaRole
 
 
+class _Echo(Struct, frozen=True):
+    """What a reply repeats of its request. Rounds are numbered anew in each term."""
+
+    term: int
+    round: int
+
+    @classmethod
+    def of(cls, request: AppendRequest | InstallSnapshot) -> _Echo:
+        return cls(request.term, request.round)
+
+
 class Follower:
     """Handles appends and snapshots from the leader of the current term."""
 
@@ -24,7 +37,7 @@
     def take_append(self, connection: ConnectionId, request: AppendRequest) -> None:
         """Append entries that follow this log, or reply with the index to try from."""
         if not self._accepts(request.term, request.leader, request.leader_operator_address):
-            self._answer(connection, request.round, False, 0)
+            self._answer(connection, _Echo.of(request), False, 0)
             return
         log = self._context.log
         matches = request.previous_index < log.base_index or (
@@ -32,22 +45,22 @@
         )
         if not matches:
             hint = min(request.previous_index - 1, log.last_index)
-            self._answer_synced(connection, request.round, False, max(hint, 0))
+            self._answer_synced(connection, _Echo.of(request), False, max(hint, 0))
             return
         if not self._take_entries(request.entries):
             return
         match = max(request.previous_index + len(request.entries), log.base_index)
         self._context.commit_to(min(request.commit_index, match))
-        self._answer_synced(connection, request.round, True, match)
+        self._answer_synced(connection, _Echo.of(request), True, match)
 
     def take_snapshot(self, connection: ConnectionId, request: InstallSnapshot) -> None:
         """Install a snapshot, unless its entries are committed here already."""
         if not self._accepts(request.term, request.leader, ""):
-            self._answer(connection, request.round, False, 0)
+            self._answer(connection, _Echo.of(request), False, 0)
             return
         if request.snapshot.last_index > self._context.commit_index:
             self._context.install(request.snapshot)
-        self._answer_synced(connection, request.round, True, request.snapshot.last_index)
+        self._answer_synced(connection, _Echo.of(request), True, request.snapshot.last_index)
 
     def _accepts(self, term: int, leader: str, address: str) -> bool:
         context = self._context
@@ -77,20 +90,19 @@
         return True
 
     def _answer_synced(
-        self, connection: ConnectionId, round_number: int, success: bool, match: int
+        self, connection: ConnectionId, echo: _Echo, success: bool, match: int
     ) -> None:
-        answer = partial(self._answer, connection, round_number, success, match)
+        answer = partial(self._answer, connection, echo, success, match)
         self._context.writes.when_synced(answer)
 
-    def _answer(
-        self, connection: ConnectionId, round_number: int, success: bool, match: int
-    ) -> None:
+    def _answer(self, connection: ConnectionId, echo: _Echo, success: bool, match: int) -> None:
         context = self._context
         message = AppendAnswer(
             term=context.term,
             follower=context.identity,
             success=success,
             match_index=match,
-            round=round_number,
+            round=echo.round,
+            request_term=echo.term,
         )
         context.send(connection, message)
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -144,7 +144,7 @@
         return max(candidates, key=lambda m: self.matched_index(m.identity), default=None)
 
     def hand_over(self) -> None:
-        """Ask the best follower to start an election at once, for instance before a planned stop."""
+        """Ask the best follower to start an election at once, as before a planned stop."""
         successor = self.successor() if self.leading else None
         if successor is None:
             return
@@ -166,7 +166,8 @@
         context = self._context
         context.adopt_term(answer.term)
         member = self._member(answer.follower)
-        if not self.leading or answer.term != context.term or member is None:
+        requested_in = answer.request_term or answer.term  # older builds state none
+        if not self.leading or {answer.term, requested_in} != {context.term} or member is None:
             return
         progress = self._sender.progress_of(answer.follower)
         progress.heard_at = context.now
