--- a/src/limelever/cli/explain.py
+++ b/src/limelever/cli/explain.py
@@ -1,4 +1,4 @@
-"""Gathers what the logs of many processes say of one request, and names the line that decided."""
+"""Collects the log lines of one request from many processes, and finds the deciding one."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 )
 
 _ORDER = (ATTEMPT_SENT, CALL_NOT_SERVED, CALL_RAN, ATTEMPT_FAILED, CALLER_GONE)
-"""Order of lines that bear one time; the caller's answer comes last."""
+"""Order of lines with the same time; the caller's answer comes last."""
 
 _DECIDING = (CALL_NOT_SERVED, ATTEMPT_FAILED, CALLER_GONE, CALL_FAILED, CALL_ANSWERED)
-"""Codes of lines that may have decided a request's end, the nearest to the cause first."""
+"""Codes of lines that may state why a request ended, the closest to the cause first."""
 
 _LIMIT_CHANGED = "instance-limit-changed"
 _BELIEFS = frozenset(
@@ -36,7 +36,7 @@
 
 
 class LogLine(Struct, frozen=True):
-    """One line of a process's log."""
+    """A line of a process's log."""
 
     time: str
     process: str
@@ -45,13 +45,13 @@
     fields: dict[str, Any]
 
     def __str__(self) -> str:
-        """Return the line as it is shown."""
+        """Return the line as displayed."""
         shown = " ".join(f"{key}={value}" for key, value in self.fields.items())
         return f"{self.time} {self.process} {self.code} {self.event} {shown}"
 
 
 class Explanation(Struct, frozen=True):
-    """The lines of one request in their order, the deciding one, and what its process believed."""
+    """A request's lines in order, the deciding one, and what its processes knew at that time."""
 
     lines: tuple[LogLine, ...]
     deciding: LogLine | None
@@ -59,7 +59,7 @@
 
 
 def explain(request_id: str, files: Iterable[Path], since: str = "") -> Explanation:
-    """Return what the logs say of ``request_id``; lines before the time ``since`` are left out."""
+    """Return the explanation of ``request_id``; lines before the time ``since`` are ignored."""
     lines: list[LogLine] = []
     beliefs: dict[tuple[str, str], LogLine] = {}
     for line in sorted(_read_all(files), key=_position):
@@ -76,7 +76,7 @@
 
 
 def _note_belief(beliefs: dict[tuple[str, str], LogLine], line: LogLine) -> None:
-    """Keep what a process last learned of a matter; of drains and limits, if they haven't ended."""
+    """Keep the last line of a process on each matter; drains and limits only until they end."""
     zone = f"zone-drain {line.fields.get('zone')}"
     if line.event in _BELIEFS:
         beliefs[line.process, line.event] = line
@@ -91,7 +91,7 @@
 
 
 def _deciding(lines: list[LogLine]) -> LogLine | None:
-    """Return the last line of the kind nearest to the cause, for the end that the caller saw."""
+    """Return the last line of the kind closest to the cause of the end that the caller saw."""
     ended = next(
         (line for line in reversed(lines) if line.code in (CALL_FAILED, CALL_ANSWERED)), None
     )
@@ -115,7 +115,7 @@
 
 
 def _read(text: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the structured lines; what stands before a line's JSON is passed over."""
+    """Yield the structured lines; text before a line's JSON is skipped."""
     for raw in text:
         start = raw.find("{")
         if start < 0:
