--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -113,7 +113,12 @@
     changed = {"former": 0.0, "calls_per_s": 12.5, "source": "response"}
     ended = {"former": 12.5, "calls_per_s": 0.0, "source": "response"}
     earlier = {
-        "agent-1": [(5150, "instance-limit-changed", changed), (5153, "instance-leaving", {})],
+        "agent-1": [
+            (5150, "instance-limit-changed", changed),
+            (5062, "leave-learned", {"instance": "i-1", "source": "end"}),
+            (5063, "leave-acknowledged", {"instance": "i-1", "stored": True}),
+            (5153, "instance-leaving", {}),
+        ],
         "agent-2": [
             (5150, "instance-limit-changed", changed),
             (5151, "instance-limit-ended", ended),
@@ -128,5 +133,6 @@
 @then("what agent-1 believed holds the limit and the leave, and what agent-2 believed does not")
 def then_believed(context):
     believed = {(each["process"], each["event"]) for each in context.json["beliefs"]}
-    assert {("agent-1", "instance-limit-changed"), ("agent-1", "instance-leaving")} <= believed
+    events = ("instance-limit-changed", "leave-learned", "leave-acknowledged", "instance-leaving")
+    assert {("agent-1", event) for event in events} <= believed, believed
     assert not [each for each in believed if each[0] == "agent-2"], believed
--- a/src/limelever/cli/explain.py
+++ b/src/limelever/cli/explain.py
@@ -31,7 +31,14 @@
     {"configuration-installed", "routes-in-force", "endpoint-ejected", _LIMIT_CHANGED}
 )
 _DRAIN_BEGAN = frozenset({proxy_events.ZONE_DRAIN_BEGAN, agent_events.ZONE_DRAIN_BEGAN})
-_INSTANCE_LEAVING = frozenset({proxy_events.INSTANCE_LEAVING, agent_events.INSTANCE_LEAVING})
+_INSTANCE_LEAVING = frozenset(
+    {
+        proxy_events.INSTANCE_LEAVING,
+        agent_events.INSTANCE_LEAVING,
+        agent_events.LEAVE_LEARNED,
+        agent_events.LEAVE_ACKNOWLEDGED,
+    }
+)
 _DRAIN_ENDED = frozenset({proxy_events.ZONE_DRAIN_ENDED, agent_events.ZONE_DRAIN_ENDED})
 
 
