Show a group that is killed in its first start and never begins, and list it

The review's further finding as a scenario: with all replicas killed before a disk is formatted and started again with other settings, no leader is elected. It stays open: an empty disk may found a group only with the settings of the first start, as later lists of seeds may differ, and two lists would found two groups.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -110,3 +110,9 @@
 
   Scenario: A reply repeats the term and the round of its request
     Then a replica that syncs an append late, and has voted since, replies with the append's term
+
+  # Guards against a group that never begins, as its processes were killed in their first start.
+  Scenario: Replicas that are all killed in their first start found a group when they start again
+    Given a replica group of 3 whose processes are killed before any has formatted its disk
+    When all replicas start again, with settings that no longer name the first start
+    Then a replica group elects a leader
--- a/features/steps/replication_group.py
+++ b/features/steps/replication_group.py
@@ -29,6 +29,9 @@
 class Group(VirtualNetwork):
     """Replicas of one log, their lives and disorder, and the checks of every step."""
 
+    bootstrap = True
+    """Whether replicas start with the settings of the group's first start."""
+
     # --- lives --------------------------------------------------------------------------------
 
     def settings(self, name):
@@ -37,7 +40,7 @@
             name,
             others,
             operator_address=self.operator_addresses.get(name, f"{name}:2"),
-            bootstrap=True,
+            bootstrap=self.bootstrap,
             snapshot_every=self.snapshot_every,
         )
 
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -201,6 +201,21 @@
     assert (reply.term, reply.request_term, reply.round) == (3, 2, 7), reply
 
 
+@given("a replica group of {size:d} whose processes are killed before any has formatted its disk")
+def _(context, size):
+    context.group = Group(size)
+    for name in context.group.nodes:
+        context.group.start(name)
+        context.group.crash(name)
+
+
+@when("all replicas start again, with settings that no longer name the first start")
+def _(context):
+    context.group.bootstrap = False
+    for name in context.group.nodes:
+        context.group.start(name)
+
+
 @when("a replica group loses a follower's process")
 def _(context):
     context.down = context.group.others(context.leader)[0]
