Keep the version that an instance reports while its agent is starting

Callers saw: no call served by an instance during a rollout until its next report, after its node had found it by a probe.

Cause: the version in a report was passed to the agent that was running at that time. Between the finding and the agent's start there was none, or the former run's, and the version was dropped or went to the wrong agent. An instance of unknown version gets no calls during a rollout.

Change: the tracker of the instance keeps the version of the tracked run, and an agent that starts takes it; a running one takes only that of its own run.

--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -76,11 +76,15 @@
 
 
 class _RunningAgent(Struct):
-    """A running agent; ``finished`` is set once its core has nothing more to do."""
+    """A running agent; ``finished`` is set once its core has nothing more to do.
+
+    ``report`` is the one that started it, and ``version`` that of its instance's software.
+    """
 
     runner: CoreRunner
     backend: BackendClient
     finished: trio.Event
+    report: InstanceReport
     version: str
 
 
@@ -253,7 +257,7 @@
         agent = self._agent
         if agent is None or agent.version or not report.version:
             return
-        if self._tracker.is_active(report.instance, report.started_at_ms):
+        if self._is_active(report) and self._is_tracked(agent.report):
             agent.version = report.version
             agent.runner.post(VersionKnown(report.version, report.warm_up_left or 0.0))
 
@@ -275,6 +279,9 @@
     def _is_active(self, report: InstanceReport) -> bool:
         return self._tracker.is_active(report.instance, report.started_at_ms)
 
+    def _is_tracked(self, report: InstanceReport) -> bool:
+        return self._tracker.is_tracked(report.instance, report.started_at_ms)
+
     def _log_found(self, report: InstanceReport) -> None:
         fields: dict[str, object] = {
             "instance": report.instance,
@@ -325,12 +332,15 @@
                 instance.encode(),
                 self._health_path,
             )
-            agent = self._agent = _RunningAgent(runner, backend, finished, settings.version)
+            # Reports of the run may have come since the one that started its agent.
+            version = self._tracker.version if self._is_tracked(report) else settings.version
+            agent = _RunningAgent(runner, backend, finished, report, version)
+            self._agent = agent
             await nursery.start(runner.run)
-            if settings.version:
-                runner.post(VersionKnown(settings.version, warm_up_left))
+            if version:
+                runner.post(VersionKnown(version, warm_up_left))
             news = self._warm_up.latest
-            if news is not None and self._tracker.is_tracked(instance, report.started_at_ms):
+            if news is not None and self._is_tracked(report):
                 runner.post(news)
             for event in self._shared_events.values():
                 runner.post(event)
--- a/src/limelever/node/reports.py
+++ b/src/limelever/node/reports.py
@@ -82,6 +82,7 @@
         self._instance = ""
         self._started_at_ms = START_TIME_UNKNOWN
         self._sequence = -1
+        self._version = ""
         self._departed = DepartedRuns(MAX_DEPARTED_RUNS)
         self._candidate = _TakeoverCandidate()
         self.can_identify = False
@@ -91,6 +92,11 @@
         """Return the identifier of the tracked instance, empty if there is none."""
         return self._instance
 
+    @property
+    def version(self) -> str:
+        """Return the software version that the tracked run has reported, empty if unknown."""
+        return self._version
+
     def is_tracked(self, instance: str, started_at_ms: int = START_TIME_UNKNOWN) -> bool:
         """Return whether this is the tracked run."""
         return self._is_tracked(instance, started_at_ms)
@@ -112,6 +118,7 @@
         if not self._is_tracked(report.instance, report.started_at_ms):
             return self._handle_other_run(report)
         self._candidate.reset()
+        self._version = self._version or report.version
         self._started_at_ms = max(self._started_at_ms, report.started_at_ms)
         if report.sequence <= self._sequence and not report.draining:
             return ReportOutcome.NO_CHANGE
@@ -197,7 +204,7 @@
             self._departed.add(DepartedRun(self._instance, self._started_at_ms))
         self._candidate.reset()
         self._instance, self._started_at_ms = report.instance, report.started_at_ms
-        self._sequence = report.sequence
+        self._sequence, self._version = report.sequence, report.version
         if report.draining:
             self._departed.add(DepartedRun(report.instance, report.started_at_ms))
         else:
