Judge the acknowledgement of a leave by nodes that are ready

The soak's check counted a leave as missed that came while its node was still starting. The rule on acknowledgements is about a steady state. A row of leave_audit.feature shows it.

--- a/features/platform/leave_audit.feature
+++ b/features/platform/leave_audit.feature
@@ -16,13 +16,14 @@
       | sidecar-3 | 0.3    | 3.2 | "3.20 s after its leave"   |
 
   Scenario Outline: A leave is not acknowledged
-    Given an instance that says at 0 s that it leaves, which "sidecar-1" does not acknowledge
+    Given an instance that says at 0 s that it leaves, which "sidecar-1", <state>, does not acknowledge
     When "<machine>" is struck at <struck> s
     Then the check of the acknowledgements says <verdict>
 
     Examples:
-      | machine   | struck | verdict            |
-      | sidecar-2 | 0.0    | "not acknowledged" |
-      | sidecar-1 | 0.5    | nothing            |
-      | sidecar-1 | -3.5   | "not acknowledged" |
-      | core-1    | -1.0   | nothing            |
+      | state     | machine   | struck | verdict            |
+      | ready     | sidecar-2 | 0.0    | "not acknowledged" |
+      | ready     | sidecar-1 | 0.5    | nothing            |
+      | ready     | sidecar-1 | -3.5   | "not acknowledged" |
+      | not ready | sidecar-1 | -3.5   | nothing            |
+      | ready     | core-1    | -1.0   | nothing            |
--- a/features/steps/leave_audit.py
+++ b/features/steps/leave_audit.py
@@ -19,13 +19,17 @@
 
 @dataclass
 class LeavingRun:
-    """One process of an instance beside ``node``; times are monotonic seconds."""
+    """One process of an instance beside ``node``; times are monotonic seconds.
+
+    ``node_was_ready`` is whether the node said so right before the instance said that it leaves.
+    """
 
     name: str
     node: str
     arrivals: list[Arrival] = field(default_factory=list)
     how: str = ""
     said_at: float | None = None
+    node_was_ready: bool = True
     acknowledged_at: float | None = None
 
 
@@ -55,10 +59,13 @@
         ]
 
     def not_acknowledged(self) -> list[str]:
-        """Return the leaves that a calm node did not acknowledge beside calm control machines."""
+        """Return the leaves that a calm node did not acknowledge beside calm control machines.
+
+        A node is calm if it was ready and not struck shortly before.
+        """
         broken = []
         for run in self.runs:
-            if run.said_at is None or run.acknowledged_at is not None:
+            if run.said_at is None or run.acknowledged_at is not None or not run.node_was_ready:
                 continue
             span = (run.said_at - CONTACT_SECONDS, run.said_at + ANSWER_SECONDS)
             struck = self.strikes.disrupted(run.node, *span)
--- a/features/steps/leave_audit_steps.py
+++ b/features/steps/leave_audit_steps.py
@@ -33,9 +33,10 @@
     given_run(context, 0.0, node)
 
 
-@given('an instance that says at 0 s that it leaves, which "{node}" does not acknowledge')
-def given_unacknowledged(context: Context, node: str) -> None:
+@given('an instance that says at 0 s that it leaves, which "{node}", {state}, does not acknowledge')
+def given_unacknowledged(context: Context, node: str, state: str) -> None:
     given_run(context, None, node)
+    context.run.node_was_ready = state == "ready"
 
 
 @when(
--- a/features/steps/leave_soak.py
+++ b/features/steps/leave_soak.py
@@ -15,7 +15,7 @@
 from leaving_instances import DRAINING, ENDED
 from loopback_networks import LoopbackNetwork
 from platform_machines import CONTROL_PORT, Machine, NodeMachine
-from platform_traffic import HEARTBEAT_SECONDS, OK, SLOTS, ask, heartbeat
+from platform_traffic import HEARTBEAT_SECONDS, OK, SLOTS, ask, heartbeat, is_ready
 from stating_instances import HEALTH_PATH, Arrival
 from strike_log import KILL, PAUSE, STOP
 
@@ -74,6 +74,7 @@
         leaving.reports = how == DRAINING and draw.random() < SHARE_THAT_REPORT_ON
         leaving.state = DRAINING
         late = self._body(leaving, "ready")
+        leaving.run.node_was_ready = is_ready(self._machine)
         leaving.run.said_at = time.monotonic()
         body = self._body(leaving, DRAINING) if how == DRAINING else None
         status = self._call("PUT" if body else "DELETE", leaving.run.name, body)
