--- a/src/limelever/node/leaves.py
+++ b/src/limelever/node/leaves.py
@@ -28,7 +28,7 @@
 
 
 class Leaves:
-    """The leaves that this process has learned; ``post`` sends events to the core of its proxy."""
+    """The leaves that this process has learned, and whether a relay has stored them."""
 
     def __init__(self) -> None:
         self._post: Callable[[Event], None] | None = None
--- a/src/limelever/relay/departures.py
+++ b/src/limelever/relay/departures.py
@@ -54,7 +54,7 @@
         self._confirmations = [each for each in self._confirmations if each.node != connection]
 
     def learned(self, runs: Iterable[DepartedRun], *, forward: bool) -> list[Output]:
-        """Log newly departed runs, write them to disk, and forward them to the other relays."""
+        """Log newly departed runs, have them written, and forward them to the other relays."""
         runs = tuple(runs)
         if not runs:
             return []
