--- a/features/agent/drain.feature
+++ b/features/agent/drain.feature
@@ -58,7 +58,7 @@
   Scenario: An agent drains when its relay knows that the run beside it has left
     Given a registered agent with 1 slots and a proxy
     When the agent gets a call on agent stream 1 with 10 seconds left
-    And the relay tells the agent that its run has departed
+    And the relay notifies the agent that its run has departed
     And the agent gets a call on agent stream 2 with 10 seconds left
     Then agent stream 2 has failed with draining
     And the agent's back end received one request
@@ -67,7 +67,7 @@
   # Guards against a proxy that meets no agent, as it hasn't heard of the leave when the agent has finished.
   Scenario: Calls to a run that has left are refused as draining for some seconds
     Given a registered agent with 1 slots and a proxy
-    When the relay tells the agent that its run has departed
+    When the relay notifies the agent that its run has departed
     And 2.8 seconds pass at the agent
     And the agent gets a call on agent stream 1 with 10 seconds left
     Then agent stream 1 has failed with draining
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -97,7 +97,7 @@
     assert abs(at - seconds) < 0.1, at
 
 
-@when("the relay tells the agent that its run has departed")
+@when("the relay notifies the agent that its run has departed")
 def run_departed(context: Context) -> None:
     granted = LeaseGranted(lease_ms=6000, incarnation=7, run_departed=True)
     context.agent.handle(MessageReceived(context.agent.relay_connection, granted))
