--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -194,7 +194,7 @@
     # --- rounds and reads -------------------------------------------------------------------
 
     def on_time(self) -> None:
-        """Send heartbeats when due; step down if no majority was heard within the lease."""
+        """Send heartbeats when due; step down if no majority replied within the lease."""
         context = self._context
         if not self.leading:
             return
@@ -219,13 +219,13 @@
         self._check_rounds()
 
     def _check_rounds(self) -> None:
-        """Prove the newest round echoed by a majority, and answer the reads that depend on it."""
+        """Prove the newest round that a majority acknowledged, and answer the reads it proves."""
         if not self.leading:
             return
         context = self._context
-        echoed = {name: progress.acked_round for name, progress in self._sender.progress.items()}
-        echoed[context.identity] = self._rounds.current
-        self._rounds.prove(majority_value(context.members, echoed))
+        acked = {name: progress.acked_round for name, progress in self._sender.progress.items()}
+        acked[context.identity] = self._rounds.current
+        self._rounds.prove(majority_value(context.members, acked))
         if context.commit_index >= self._first_index:
             self._reads.round_proved(self._rounds.proved, context.commit_index)
         if self._reads.wants_round:
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -1,4 +1,4 @@
-"""What a leader knows of each follower, and what majorities follow from it."""
+"""A leader's state of each follower, and the rounds that a majority of them has acknowledged."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 
 class Progress(Struct):
-    """One follower as its leader sees it.
+    """State of one follower at its leader.
 
-    ``match_index`` is synced at the follower, by its answer in ``match_round``; ``next_index`` is
-    sent next, ahead of the answers; ``acked_round`` is the newest round it echoed; ``heard_at`` is
-    when it last answered; ``known_since`` is when this leader first dealt with it; ``snapshot_due``
-    is when a snapshot may be sent (again). Times in seconds, monotonic.
+    ``match_index`` is synced at the follower, by its reply in ``match_round``; ``next_index`` is
+    sent next, ahead of the replies; ``acked_round`` is the newest round it has acknowledged;
+    ``heard_at`` is when it last replied; ``known_since`` is when this leader first sent to it;
+    ``snapshot_due`` is when a snapshot may be sent (again). Times in seconds, monotonic.
     """
 
     next_index: int
@@ -25,7 +25,7 @@
     snapshot_due: float = NEVER
 
     def take_success(self, match_index: int, round_number: int) -> None:
-        """Note what the follower has synced, by its answer in a round."""
+        """Record what the follower has synced, by its reply in a round."""
         if match_index >= self.match_index:
             self.match_index = match_index
             self.match_round = max(self.match_round, round_number)
@@ -34,9 +34,9 @@
     def take_refusal(self, hint: int, round_number: int) -> bool:
         """Go back to the last index worth trying; return whether that is behind what was synced.
 
-        Behind it, a refusal of no later round is an old one and is dropped. One of a later round
-        says that the follower's disk was rolled back. Its entries must not count for a majority
-        any more, and are sent again: with the old count kept, each refusal would bring another.
+        Behind it, a refusal of no later round is outdated and is dropped. One of a later round
+        means that the follower's disk was rolled back. Its entries must not count for a majority
+        any more, and are sent again: if they counted on, each refusal would lead to another.
         """
         behind = hint < self.match_index
         if behind and round_number <= self.match_round:
@@ -49,8 +49,8 @@
 class Rounds:
     """Numbers the leader's rounds of messages and remembers when each began.
 
-    A majority that echoed round *r* heard this leader after round *r* began: that proves it was
-    still the leader at that time, without comparing clocks.
+    A majority that acknowledged round *r* followed this leader after round *r* began. That proves
+    that it was still the leader at that time, without comparing clocks.
     """
 
     def __init__(self, now: float) -> None:
@@ -66,7 +66,7 @@
         return self.current
 
     def prove(self, round_number: int) -> bool:
-        """Note that a majority echoed ``round_number``; return whether that is news."""
+        """Record that a majority acknowledged a round; return whether it was not proved before."""
         if round_number <= self.proved:
             return False
         self.proved_at = self._began[round_number]
--- a/src/limelever/source/replication/sending.py
+++ b/src/limelever/source/replication/sending.py
@@ -1,4 +1,4 @@
-"""What a leader sends each follower: the log from where it is, a snapshot, or a heartbeat."""
+"""Sends each follower the log entries that it lacks, a snapshot, or a heartbeat."""
 
 from __future__ import annotations
 
@@ -13,24 +13,24 @@
 
 
 class LogSender:
-    """Sends the log and knows how far each follower is, for one leadership.
+    """Sends the log and tracks each follower's progress, for one leadership.
 
-    ``round_number`` goes with every message: a follower's echo proves when it was heard.
+    ``round_number`` is in every message, and a follower's reply repeats it.
     """
 
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
         self._progress: dict[str, Progress] = {}
-        self._told_below: set[str] = set()
+        self._logged_below: set[str] = set()
         self.round_number = 0
 
     @property
     def progress(self) -> Mapping[str, Progress]:
-        """Return what is known of the followers, by identity."""
+        """Return the state of the followers, by identity."""
         return self._progress
 
     def progress_of(self, identity: str) -> Progress:
-        """Return what is known of a follower."""
+        """Return the state of a follower."""
         known = self._progress.get(identity)
         if known is None:
             known = Progress(self._context.log.last_index + 1, self._context.now)
@@ -64,10 +64,10 @@
         """
         context = self._context
         if not context.is_below_log(member.name):
-            self._told_below.discard(member.identity)
+            self._logged_below.discard(member.identity)
             return True
-        if member.identity not in self._told_below:
-            self._told_below.add(member.identity)
+        if member.identity not in self._logged_below:
+            self._logged_below.add(member.identity)
             context.record(
                 events.MEMBER_BELOW_LEVEL,
                 identity=member.identity,
@@ -77,7 +77,7 @@
         return False
 
     def has_more_for(self, progress: Progress) -> bool:
-        """Return whether something is left to send; a snapshot under way is left to arrive."""
+        """Return whether something is left to send, other than a snapshot that is under way."""
         log = self._context.log
         if progress.next_index <= log.base_index:
             return self._context.now >= progress.snapshot_due
