Drop replies to rounds that a leader has not begun

A leader's process ends, and with it its relay, by replies of a majority of followers that repeat a round which the leader has never begun.

Cause: the leader looked the round up where it keeps the times at which its rounds began. Followers whose build states no term of a request can repeat the round of a former, longer leadership in the new term; a faulty peer any number.

Evidence: the new scenario ended with KeyError: 100 in Rounds.prove before.

Change: a reply counts only if its round has begun, whatever its build. It is then a reply to this process, and can prove no more than what was sent.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -108,6 +108,12 @@
     Then a replica group commits nothing by a follower's reply to a request of term 2
     And a replica group's leader that hears nothing else steps down within its lease
 
+  # Guards against a leader whose process ends by a reply to a round that it has never begun.
+  Scenario: Replies to rounds that were never begun prove nothing and end no leader
+    When a replica group starts a replica alone that holds 3 entries of term 2
+    And a replica group's followers reply to round 100
+    Then a replica group's leader that hears nothing else steps down within its lease
+
   Scenario: A reply repeats the term and the round of its request
     Then a replica that syncs an append late, and has voted since, replies with the append's term
 
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -128,6 +128,13 @@
         ]
     )
     group.start("a")
+    elect_lone_replica(group)
+    assert node.core.replica.term == term + 1
+
+
+def elect_lone_replica(group):
+    """Let replica a, whose peers don't run, win an election by votes in the name of b."""
+    node = group.nodes["a"]
     replica = node.core.replica
     while not replica.leading:
         group.run(0.05)
@@ -136,7 +143,27 @@
             vote.term = replica.term + pre_vote
             group.deliver(node, node.life, MessageReceived(9, vote))
     group.run(0.02)
-    assert replica.leading and replica.term == term + 1
+    assert replica.leading
+
+
+def reply_as(group, follower, round_number, *, request_term=0):
+    """Have the lone replica a receive a follower's reply in its term."""
+    node = group.nodes["a"]
+    reply = AppendAnswer(
+        term=node.core.replica.term,
+        follower=follower,
+        success=True,
+        round=round_number,
+        request_term=request_term,
+    )
+    group.deliver(node, node.life, MessageReceived(9, reply))
+
+
+@when("a replica group's followers reply to round {number:d}")
+def _(context, number):
+    for follower in ("b-first", "c-first"):
+        term = context.group.nodes["a"].core.replica.term
+        reply_as(context.group, follower, number, request_term=term)
 
 
 @then("a replica group commits up to {commit:d} once a follower holds entry {match:d}")
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -166,8 +166,7 @@
         context = self._context
         context.adopt_term(answer.term)
         member = self._member(answer.follower)
-        requested_in = answer.request_term or answer.term  # older builds state none
-        if not self.leading or {answer.term, requested_in} != {context.term} or member is None:
+        if not self.leading or member is None or not self._is_current(answer):
             return
         progress = self._sender.progress_of(answer.follower)
         progress.heard_at = context.now
@@ -181,6 +180,12 @@
             self._sender.send(member)
         self._check_rounds()
 
+    def _is_current(self, answer: AppendAnswer) -> bool:
+        """Return whether a reply is to a request of this leadership."""
+        term = self._context.term
+        requested_in = answer.request_term or answer.term  # older builds state none
+        return {answer.term, requested_in} == {term} and self._rounds.has_begun(answer.round)
+
     def _take_refusal(self, answer: AppendAnswer, progress: Progress) -> None:
         synced = progress.match_index
         if progress.take_refusal(answer.match_index, answer.round):
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -65,6 +65,10 @@
         self._began[self.current] = now
         return self.current
 
+    def has_begun(self, round_number: int) -> bool:
+        """Return whether a round of this number has begun."""
+        return round_number <= self.current
+
     def prove(self, round_number: int) -> bool:
         """Record that a majority acknowledged a round; return whether it was not proved before."""
         if round_number <= self.proved:
