Drop replies that state more than the leader's log holds

A leader of three commits an entry that it alone has on disk, by one reply that states an index beyond its log.

Cause: the index of a reply was taken as it came, and the highest index that a majority states is what is committed.

Change: such a reply is dropped. A follower's log can't agree with the leader's beyond its end, and no request names such an entry.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -114,6 +114,12 @@
     And a replica group's followers reply to round 100
     Then a replica group's leader that hears nothing else steps down within its lease
 
+  # Guards against a leader that commits or counts by an index that its log doesn't have.
+  Scenario: Replies that state more than the leader's log holds prove nothing
+    When a replica group starts a replica alone that holds 3 entries of term 2
+    And a replica group's followers reply that they hold entry 100
+    Then a replica group's leader that hears nothing else steps down within its lease
+
   Scenario: A reply repeats the term and the round of its request
     Then a replica that syncs an append late, and has voted since, replies with the append's term
 
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -146,13 +146,14 @@
     assert replica.leading
 
 
-def reply_as(group, follower, round_number, *, request_term=0):
+def reply_as(group, follower, round_number, *, request_term=0, match=0):
     """Have the lone replica a receive a follower's reply in its term."""
     node = group.nodes["a"]
     reply = AppendAnswer(
         term=node.core.replica.term,
         follower=follower,
         success=True,
+        match_index=match,
         round=round_number,
         request_term=request_term,
     )
@@ -166,6 +167,14 @@
         reply_as(context.group, follower, number, request_term=term)
 
 
+@when("a replica group's followers reply that they hold entry {index:d}")
+def _(context, index):
+    replica = context.group.nodes["a"].core.replica
+    for follower in ("b-first", "c-first"):
+        reply_as(context.group, follower, 1, request_term=replica.term, match=index)
+    assert replica.commit_index == 0, replica.commit_index
+
+
 @then("a replica group commits up to {commit:d} once a follower holds entry {match:d}")
 def _(context, commit, match):
     node = context.group.nodes["a"]
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -168,6 +168,8 @@
         member = self._member(answer.follower)
         if not self.leading or member is None or not self._is_current(answer):
             return
+        if answer.match_index > context.log.last_index:
+            return  # no request has stated an entry beyond this log
         progress = self._sender.progress_of(answer.follower)
         progress.heard_at = context.now
         progress.acked_round = max(progress.acked_round, answer.round)
