Use no round's number twice in the life of a leader's process

Reads of the configuration are proved by nobody but the leader itself, where the followers run a build that states no term in its replies. Builds are mixed in each upgrade, forward and back.

Cause: rounds were numbered from 1 in each leadership, and a reply without the term of its request counts for the follower's term at the time it is sent. A reply to the former leadership, read late by a leader that is elected again, repeats a number that has begun anew, and proves that round and its reads.

Evidence: the new scenario failed before: the read asked in the new term was proved ([True]) by replies to rounds of the former term.

Change: the numbers go on through all leaderships of a process, the first entry of a term has a round of its own, and a reply counts only if its round began in the present leadership. That holds for the index that it states and for refusals as well, and needs nothing of the follower's build. Replies to a former process are lost with its links.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -120,6 +120,15 @@
     And a replica group's followers reply that they hold entry 100
     Then a replica group's leader that hears nothing else steps down within its lease
 
+  # Guards against a read that late replies to a former leadership prove, of followers whose build states no term.
+  Scenario: Replies of an earlier build to requests of a former term prove no read to a leader that is elected again
+    When a replica group starts a replica alone that holds 3 entries of term 2
+    And a replica group's leader leads for 3 seconds by a follower's replies, and is elected again
+    And a replica group's leader commits an entry of its term, and is asked for a read
+    And a replica group's follower of an earlier build replies to all rounds of the former term
+    Then a replica group proves no read at its leader
+    And a replica group's leader that hears nothing else steps down within its lease
+
   Scenario: A reply repeats the term and the round of its request
     Then a replica that syncs an append late, and has voted since, replies with the append's term
 
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -175,6 +175,54 @@
     assert replica.commit_index == 0, replica.commit_index
 
 
+@when(
+    "a replica group's leader leads for {seconds:d} seconds by a follower's replies, "
+    "and is elected again"
+)
+def _(context, seconds):
+    group = context.group
+    replica = group.nodes["a"].core.replica
+    former, end = replica.term, group.now + seconds
+    context.former_rounds = []
+    while group.now < end:
+        group.run(0.1)
+        context.former_rounds.append(newest_round(group))
+        reply_as(group, "b-first", newest_round(group), request_term=former)
+    assert replica.leading and replica.term == former
+    group.run(2)
+    assert not replica.leading
+    elect_lone_replica(group)
+    assert replica.term > former
+
+
+def newest_round(group):
+    """Return the number of the newest round that replica a has begun."""
+    return group.nodes["a"].core.replica._leadership._rounds.current
+
+
+@when("a replica group's leader commits an entry of its term, and is asked for a read")
+def _(context):
+    group = context.group
+    core = group.nodes["a"].core
+    held = core.replica._context.log.last_index
+    reply_as(group, "b-first", newest_round(group), request_term=core.replica.term, match=held)
+    assert core.replica.commit_index == held
+    context.proofs = []
+    core.read_proved = lambda token, proved: context.proofs.append(proved)
+    core.replica.read(1, group.now)
+
+
+@when("a replica group's follower of an earlier build replies to all rounds of the former term")
+def _(context):
+    for number in context.former_rounds:
+        reply_as(context.group, "b-first", number)
+
+
+@then("a replica group proves no read at its leader")
+def _(context):
+    assert True not in context.proofs, context.proofs
+
+
 @then("a replica group commits up to {commit:d} once a follower holds entry {match:d}")
 def _(context, commit, match):
     node = context.group.nodes["a"]
--- a/src/limelever/source/replication/elections.py
+++ b/src/limelever/source/replication/elections.py
@@ -111,8 +111,8 @@
     def _count_votes(self) -> None:
         """Win with a majority, once this replica's own vote is synced and all writes before it.
 
-        A vote that comes after that must not begin a second leadership in the same term: the
-        rounds of both would bear the same numbers.
+        A vote that comes after that must not begin a second leadership in the same term, which
+        would forget the progress of the followers.
         """
         own = self._context.identity in self._votes
         if own and is_majority(self._context.members, self._votes):
--- a/src/limelever/source/replication/follower.py
+++ b/src/limelever/source/replication/follower.py
@@ -18,7 +18,7 @@
 
 
 class _Echo(Struct, frozen=True):
-    """What a reply repeats of its request. Rounds are numbered anew in each term."""
+    """What a reply repeats of its request."""
 
     term: int
     round: int
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -30,7 +30,7 @@
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
         self._sender = LogSender(context)
-        self._rounds = Rounds(0.0)
+        self._rounds = Rounds()
         self._reads = LeaderReads()
         self._own_match = 0
         self._first_index = 0
@@ -63,8 +63,9 @@
         context.leader_address = context.settings.operator_address
         context.election_deadline = float("inf")
         context.record(events.LEADER_ELECTED, term=context.term)
+        self._rounds.begin_leadership(context.now)
         self._sender = LogSender(context)
-        self._rounds = Rounds(context.now)
+        self._sender.round_number = self._rounds.begin(context.now)
         self._own_match = 0
         self._first_index = context.log.last_index + 1
         self._append(LogEntry(no_operation=NoOperation()))
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -51,14 +51,26 @@
 
     A majority that acknowledged round *r* followed this leader after round *r* began. That proves
     that it was still the leader at that time, without comparing clocks.
+
+    No number is used twice in the life of a process, so that late replies to a former leadership
+    don't count, even those of builds that state no term. Replies to a former process are lost with
+    its links.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         self.current = 0
         self.proved = 0
-        self.proved_at = now
+        self.proved_at = NEVER
+        self._first = 1
         self._began: dict[int, float] = {}
 
+    def begin_leadership(self, now: float) -> None:
+        """Let no earlier round prove anything any more."""
+        self._first = self.current + 1
+        self.proved = self.current
+        self.proved_at = now
+        self._began.clear()
+
     def begin(self, now: float) -> int:
         """Begin the next round and return its number."""
         self.current += 1
@@ -66,8 +78,8 @@
         return self.current
 
     def has_begun(self, round_number: int) -> bool:
-        """Return whether a round of this number has begun."""
-        return round_number <= self.current
+        """Return whether a round of this leadership has this number."""
+        return self._first <= round_number <= self.current
 
     def prove(self, round_number: int) -> bool:
         """Record that a majority acknowledged a round; return whether it was not proved before."""
