Refuse a leave until a relay has stored it

Cause: a node that reached no relay within 0.5 s acknowledged the leave from its memory, which is lost with the process. After the restart a report from before the leave or a wrong health response made the instance one that takes work.

Change: the node refuses the leave (503) until a relay has it on disk. The agent refuses new calls at once, as before, and the node goes on reporting the leave, so that the repeated report is acknowledged at once when it is stored. An instance that is never acknowledged ends by itself some seconds later. A leave that the node doesn't know of counts as not stored.

Two rows of features/node/leaves.feature expect the refusal.

--- a/features/node/leaves.feature
+++ b/features/node/leaves.feature
@@ -1,6 +1,7 @@
 Feature: A node acknowledges a leave once a relay has stored it
 
-  Scenario Outline: How long the acknowledgement of a leave waits
+  # Guards against an acknowledgement that is lost with the node, as only its memory holds the leave.
+  Scenario Outline: How long the response to a leave waits, and what it is
     Given a node whose relay stores a leave <stored>, and that <stops>
     When its instance says that it leaves
     Then the leave is <answer> after <seconds> s
@@ -9,8 +10,8 @@
       | stored          | stops       | answer        | seconds |
       | after 0.1 s     | runs on     | acknowledged  | 0.1     |
       | after 0.1 s     | is stopping | acknowledged  | 0.1     |
-      | after 0.8 s     | runs on     | acknowledged  | 0.5     |
-      | never           | runs on     | acknowledged  | 0.5     |
+      | after 0.8 s     | runs on     | refused       | 0.5     |
+      | never           | runs on     | refused       | 0.5     |
       | never           | is stopping | refused       | 0.5     |
 
   # Guards against a leave that a node acknowledged while it reached no relay, and that no relay ever hears of.
--- a/src/limelever/agent/events.py
+++ b/src/limelever/agent/events.py
@@ -210,7 +210,7 @@
     5063,
     "leave-acknowledged",
     Level.INFO,
-    "the leave of the instance is answered; `stored`: a relay keeps it beyond this process",
+    "the leave of the instance is acknowledged if `stored`, and refused until a relay keeps it",
     "instance",
     "stored",
     "milliseconds",
--- a/src/limelever/node/leaves.py
+++ b/src/limelever/node/leaves.py
@@ -1,8 +1,8 @@
 """Has the leaves of the instance beside a node stored by a relay before they are acknowledged.
 
-An acknowledgement is binding beyond the life of the node, which has no disk. It waits until a relay
-has the leave on disk, but not longer than the instance waits: a node that reaches no relay
-acknowledges what it has in memory, and reports it as soon as it reaches one.
+An acknowledgement is binding beyond the life of the node, which has no disk. So a leave that no
+relay has stored isn't acknowledged: the agent accepts no more calls all the same, the node goes on
+reporting the leave to relays, and the instance repeats it.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 from limelever.transport.log import write_event
 
 STORE_LIMIT_SECONDS = 0.5
-"""How long an acknowledgement waits for a relay. An instance waits for a second, of which the rest
-is for a busy node."""
+"""How long the response to a leave waits for a relay. An instance waits for a second, of which the
+rest is for a busy node."""
 
 MAX_LEAVES = 256
 _MILLISECONDS_PER_SECOND = 1000
@@ -59,7 +59,9 @@
     async def wait_stored(self, run: DepartedRun) -> bool:
         """Wait until a leave is stored; return whether it was in time."""
         stored = self._stored.get(run)
-        if stored is None or stored.is_set():
+        if stored is None:
+            return False
+        if stored.is_set():
             return True
         begun = trio.current_time()
         with trio.move_on_after(STORE_LIMIT_SECONDS):
@@ -80,6 +82,8 @@
     A stopping process whose proxy has ended reaches no relay any more. Its successor, which the
     instance calls next, takes the leave.
     """
-    if stored or not stopping:
+    if stored:
         return None
-    return Failure(ErrorKind.DRAINING, "the process stops, and no relay has stored the leave")
+    if stopping:
+        return Failure(ErrorKind.DRAINING, "the process stops, and no relay has stored the leave")
+    return Failure(ErrorKind.NO_QUORUM, "no relay has stored the leave yet")
