Confirm no leave that a relay's disk has refused

A leave that is acknowledged while the disk of the node's relay is full or fails is lost when both processes are killed.

Cause: a relay whose folder of departed runs couldn't be opened, or failed at a write, went on in memory and reported each write as done, so that it confirmed leaves which no disk held. A disk that was full at the relay's start counted as unusable for the life of the process.

Change: a write is reported once it is on disk. A full disk is opened again until it has room. A relay that is set to keep no data reports its writes as before.

--- a/features/relay/departures.feature
+++ b/features/relay/departures.feature
@@ -27,6 +27,18 @@
     And the write is done
     Then the relay confirms "i-1" to node 3
 
+  # Guards against leaves that a relay confirms although its disk has refused them.
+  Scenario Outline: A relay whose folder of departed runs <state> reports <reported>
+    When departed runs are written to a folder that <state>
+    Then the writes reported as done are <reported>
+
+    Examples:
+      | state                           | reported |
+      | can be used                     | 1, 2     |
+      | can't be opened                 | none     |
+      | is full for 3 s                 | 1, 2     |
+      | fails at the second write       | 1        |
+
   # Guards against a first write that replaces the runs which the disk still holds.
   Scenario: Nothing is written before the disk has been read
     Given a relay whose disk has not been read
--- a/src/limelever/relay/departure_disk.py
+++ b/src/limelever/relay/departure_disk.py
@@ -1,6 +1,7 @@
 """Keeps a relay's departed runs in a folder of their own, so that no other write waits for it.
 
-The relay works on without the folder if it can't be used: the runs are then kept in memory only.
+The relay works on without the folder if it can't be used. It keeps the runs in memory then, and
+reports no write as done: other relays have to store them.
 """
 
 from __future__ import annotations
@@ -26,18 +27,24 @@
 FILE_NAME = "departed-runs"
 
 
+FULL_RETRY_SECONDS = 1.0
+"""Between attempts to open the folder on a full disk."""
+
+
 class DepartureDisk:
-    """Reads and writes departed runs for a relay's core; without a ``folder`` it keeps none."""
+    """Reads and writes departed runs for a relay's core.
+
+    Without a ``folder`` it keeps none, and reports each write as done at once.
+    """
 
     def __init__(self, folder: Path | None, runner: CoreRunner) -> None:
         self._folder = folder
         self._runner = runner
         self._writer: DiskWriter | None = None
-        self._last_token = 0
 
     async def run(self) -> None:
         """Open the folder, give the core what it holds, and write until cancelled."""
-        opened = await self._open()
+        opened = await self._open_when_there_is_room()
         recovered: tuple[DepartedRun, ...] = ()
         if isinstance(opened, _OpenFolder):
             recovered = opened.runs
@@ -49,13 +56,21 @@
             await self._writer.run()
 
     def write(self, output: WriteDepartures) -> None:
-        """Write the departed runs; answered by ``DeparturesWritten``."""
-        self._last_token = output.token
-        if self._writer is None:
+        """Write the departed runs; answered by ``DeparturesWritten`` once they are on disk."""
+        if self._folder is None:
             self._runner.post(DeparturesWritten(output.token))
-        else:
+        elif self._writer is not None:
             self._writer.queue(ReplaceFile(output.token, FILE_NAME, output.content))
 
+    async def _open_when_there_is_room(self) -> _OpenFolder | Failure | None:
+        opened = await self._open()
+        if isinstance(opened, Failure) and opened.kind is ErrorKind.DISK_FULL:
+            write_event(DEPARTURES_NOT_KEPT, {"reason": str(opened)})
+        while isinstance(opened, Failure) and opened.kind is ErrorKind.DISK_FULL:
+            await trio.sleep(FULL_RETRY_SECONDS)
+            opened = await self._open()
+        return opened
+
     async def _open(self) -> _OpenFolder | Failure | None:
         """Open the folder in a worker thread, as its disk may hang."""
         if self._folder is None:
@@ -68,7 +83,6 @@
     def _failed(self, failure: Failure) -> None:
         write_event(DEPARTURES_NOT_KEPT, {"reason": str(failure)})
         self._writer = None
-        self._runner.post(DeparturesWritten(self._last_token))
 
 
 class _OpenFolder(Struct, frozen=True):
--- a/src/limelever/relay/events.py
+++ b/src/limelever/relay/events.py
@@ -67,6 +67,6 @@
     3213,
     "departures-not-kept",
     Level.WARNING,
-    "the folder for departed runs can't be used: they are kept in memory only",
+    "the folder for departed runs can't be used: other relays have to store them",
     "reason",
 )
