Confirm a leave once any relay has it on disk

Callers saw: nothing yet. Instances would wait for an acknowledgement for as long as the disk of their node's relay is slow, full or failed, now that a leave isn't acknowledged from memory.

Cause: a relay confirmed a leave by its own disk alone, though the others store it at the same time.

Evidence: five new scenarios failed before; the first of them waits for the relay's own write while another relay has the run.

Change: a relay confirms to the relay that has forwarded a leave once its own disk has it, and that relay confirms it to the node. What another relay has stored counts for as long as the link to it, and never as the own disk's. The message is one that relays of level 3 read; those that make no use of it ignore it.

--- a/features/relay/departures.feature
+++ b/features/relay/departures.feature
@@ -27,6 +27,54 @@
     And the write is done
     Then the relay confirms "i-1" to node 3
 
+  # Guards against leaves that nobody acknowledges as the disk of the node's relay is slow or full.
+  Scenario: A leave is confirmed once the disk of another relay has it
+    Given a relay whose disk holds no departed runs
+    And another relay of feature level 3 connects
+    When node 1 reports that run "i-1" has left
+    Then the relay confirms nothing to node 1
+    When the other relay confirms that it has stored "i-1"
+    Then the relay confirms "i-1" to node 1
+    When the write is done
+    Then the relay confirms "i-1" to node 1
+
+  Scenario: A leave that another relay has stored is confirmed at once
+    Given a relay whose disk holds no departed runs
+    And another relay of feature level 3 connects
+    And the other relay confirms that it has stored "i-1"
+    When node 1 reports that run "i-1" has left
+    Then the relay confirms "i-1" to node 1
+
+  # Guards against an acknowledgement by the disk of a relay that may have been replaced.
+  Scenario: What another relay has stored counts for as long as its link
+    Given a relay whose disk holds no departed runs
+    And another relay of feature level 3 connects
+    And the other relay confirms that it has stored "i-1"
+    And the link to the other relay is lost
+    When node 1 reports that run "i-1" has left
+    Then the relay confirms nothing to node 1
+    When the write is done
+    Then the relay confirms "i-1" to node 1
+
+  # Guards against two relays that confirm a leave by each other, while no disk has it.
+  Scenario: A forwarded leave is confirmed to its relay by the own disk only
+    Given a relay whose disk holds no departed runs
+    And another relay of feature level 3 connects
+    When another relay reports that run "i-1", started at 0, has left
+    And the other relay confirms that it has stored "i-1"
+    Then the relay confirms nothing to the relay that has reported it
+    When the write is done
+    Then the relay confirms "i-1" to the relay that has reported it
+
+  Scenario: A relay that is to keep leaves in memory confirms them to nodes, and to no relay
+    Given a relay that has no disk
+    When another relay reports that run "i-1", started at 0, has left
+    And node 1 reports that run "i-1" has left
+    And the write is done
+    And the write is done
+    Then the relay confirms "i-1" to node 1
+    And the relay confirms nothing to the relay that has reported it
+
   # Guards against leaves that a relay confirms although its disk has refused them.
   Scenario Outline: A relay whose folder of departed runs <state> reports <reported>
     When departed runs are written to a folder that <state>
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -19,7 +19,7 @@
     Role,
     SendMessage,
 )
-from limelever.protocol.departures import departures_message, departures_of
+from limelever.protocol.departures import departures_message, departures_of, stored_message
 from limelever.protocol.endpoints_pb2 import (
     ENDPOINT_STATE_DRAINING,
     ENDPOINT_STATE_READY,
@@ -104,6 +104,25 @@
     context.relay.recover()
 
 
+@given("a relay that has no disk")
+def given_no_disk(context: Context) -> None:
+    context.relay = DepartureRelay()
+    recovered = DeparturesRecovered((), has_disk=False)
+    context.relay.add(context.relay.exchange.handle_host_event(recovered, context.relay.now))
+
+
+@given('the other relay confirms that it has stored "{run}"')
+@when('the other relay confirms that it has stored "{run}"')
+def relay_confirms(context: Context, run: str) -> None:
+    message = stored_message([DepartedRun(run)])
+    context.relay.add(context.relay.exchange.handle_stored(RELAY_LINK, message))
+
+
+@given("the link to the other relay is lost")
+def relay_lost(context: Context) -> None:
+    context.relay.exchange.connection_closed(RELAY_LINK)
+
+
 @when('node {node:d} reports that run "{run}" has left')
 def report(context: Context, node: int, run: str) -> None:
     context.relay.report(node, DepartedRun(run))
@@ -115,6 +134,7 @@
 
 
 @given('another relay reports that run "{run}", started at {started:d}, has left')
+@when('another relay reports that run "{run}", started at {started:d}, has left')
 def relay_reports(context: Context, run: str, started: int) -> None:
     relay = context.relay
     message = departures_message([DepartedRun(run, started)])
@@ -166,6 +186,21 @@
     assert [departures_of(each) for each in stored] == [[DepartedRun(run)]], stored
 
 
+@then("the relay confirms nothing to node {node:d}")
+def confirms_nothing(context: Context, node: int) -> None:
+    assert not context.relay.sent(node, RunsDepartedStored)
+
+
+@then('the relay confirms "{run}" to the relay that has reported it')
+def confirms_to_relay(context: Context, run: str) -> None:
+    confirms(context, run, context.relay.peer_link)
+
+
+@then("the relay confirms nothing to the relay that has reported it")
+def confirms_nothing_to_relay(context: Context) -> None:
+    confirms_nothing(context, context.relay.peer_link)
+
+
 @given('an agent beside run "{run}", started at {started:d}, on link {link:d}')
 @when('an agent beside run "{run}", started at {started:d}, registers on link {link:d}')
 def register(context: Context, run: str, started: int, link: int) -> None:
@@ -195,6 +230,7 @@
     assert not context.relay.sent(link, LeaseGranted)[-1].run_departed
 
 
+@given("another relay of feature level {level:d} connects")
 @when("another relay of feature level {level:d} connects")
 def relay_connects(context: Context, level: int) -> None:
     relay = context.relay
--- a/src/limelever/relay/core.py
+++ b/src/limelever/relay/core.py
@@ -40,6 +40,7 @@
     LoadInterest,
     LoadUpdate,
     RunsDeparted,
+    RunsDepartedStored,
 )
 from limelever.protocol.feature_level import UNSTATED_LEVEL
 from limelever.protocol.limits_pb2 import TenantUse
@@ -226,6 +227,8 @@
                 level = peer.feature_level if peer is not None else UNSTATED_LEVEL
                 synced = self._endpoints.handle_sync_request(connection, message, now, level)
                 return [*synced, *self._limits.add_relay(connection, now)]
+            case Purpose.ENDPOINTS if isinstance(message, RunsDepartedStored):
+                return self._endpoints.handle_stored(connection, message)
             case Purpose.SUBSCRIPTION if isinstance(message, CrashNews | LoadUpdate | RunsDeparted):
                 return self._endpoints.handle_proxy_message(connection, message, now)
             case Purpose.SUBSCRIPTION if peer is not None and isinstance(message, TenantUse):
--- a/src/limelever/relay/departure_disk.py
+++ b/src/limelever/relay/departure_disk.py
@@ -51,7 +51,7 @@
             self._writer = DiskWriter(opened.disk, self._completed, self._failed)
         elif opened is not None:
             write_event(DEPARTURES_NOT_KEPT, {"reason": str(opened)})
-        self._runner.post(DeparturesRecovered(recovered))
+        self._runner.post(DeparturesRecovered(recovered, self._folder is not None))
         if self._writer is not None:
             await self._writer.run()
 
--- a/src/limelever/relay/endpoint_exchange.py
+++ b/src/limelever/relay/endpoint_exchange.py
@@ -16,6 +16,8 @@
 from limelever.common.departed_runs import DepartedRun
 from limelever.common.sansio import (
     Address,
+    ConnectionClosed,
+    ConnectionFailed,
     ConnectionId,
     ConnectionOpened,
     DialledConnections,
@@ -33,6 +35,7 @@
     LoadReport,
     LoadUpdate,
     RunsDeparted,
+    RunsDepartedStored,
     VersionTally,
 )
 from limelever.protocol.feature_level import DEPARTED_RUNS_LEVEL, UNSTATED_LEVEL
@@ -156,7 +159,11 @@
             self.tallies.merge(event.message)
             return []
         if isinstance(event, MessageReceived) and isinstance(event.message, RunsDeparted):
-            return self._merge_departures(departures_of(event.message), now, forward=False)
+            runs = departures_of(event.message)
+            self._departures.confirm_to_relay(connection, runs)
+            return self._merge_departures(runs, now, forward=False)
+        if isinstance(event, ConnectionClosed | ConnectionFailed):
+            self._departures.connection_closed(connection)
         peer = next(peer for peer in self._peers if peer.owns(connection))
         outputs = peer.handle(event, now)
         self._queue_changes(peer.take_changed(), now)
@@ -198,10 +205,14 @@
                 self._crashes.merge(message, now)
             case RunsDeparted():
                 runs = departures_of(message)
-                self._departures.confirm(proxy, runs)
-                return self._merge_departures(runs, now, forward=True)
+                confirmed = self._departures.confirm_to_node(proxy, runs)
+                return [*confirmed, *self._merge_departures(runs, now, forward=True)]
         return []
 
+    def handle_stored(self, relay: ConnectionId, message: RunsDepartedStored) -> list[Output]:
+        """Handle another relay's confirmation that it has departed runs on disk."""
+        return self._departures.stored_by_relay(relay, departures_of(message))
+
     def handle_host_event(
         self, event: PlatformListRead | DeparturesRecovered | DeparturesWritten, now: float
     ) -> list[Output]:
@@ -209,8 +220,8 @@
         match event:
             case PlatformListRead(notices):
                 self._queue_changes(self.table.apply_machine_notices(notices, now), now)
-            case DeparturesRecovered(runs):
-                self._departures.recovered()
+            case DeparturesRecovered(runs, has_disk):
+                self._departures.recovered(has_disk=has_disk)
                 return self._merge_departures(runs, now, forward=True)
             case DeparturesWritten(token):
                 confirmed = self._departures.written(token)
--- a/src/limelever/relay/interface.py
+++ b/src/limelever/relay/interface.py
@@ -24,9 +24,13 @@
 
 
 class DeparturesRecovered(Event, frozen=True):
-    """The disk holds these departed runs from an earlier life of the relay, or there is no disk."""
+    """The disk holds these departed runs from an earlier life of the relay.
+
+    ``has_disk`` is false for a relay that is to keep them in memory only.
+    """
 
     runs: tuple[DepartedRun, ...]
+    has_disk: bool = True
 
 
 class DeparturesWritten(Event, frozen=True):
