--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -1,4 +1,4 @@
-"""One replica: passes each event to the duty that it concerns."""
+"""One replica: passes each event to the component that handles it."""
 
 from __future__ import annotations
 
@@ -113,7 +113,7 @@
 
     @property
     def uncommitted(self) -> list[LogEntry]:
-        """Return the entries whose fate is open."""
+        """Return the entries that are not committed yet."""
         return self._context.log.suffix(self._context.commit_index)
 
     @property
@@ -146,7 +146,7 @@
     # --- requests of the host ---------------------------------------------------------------
 
     def propose(self, batch: Batch, rules: int, now: float) -> int:
-        """Append a batch at the leader and return its index; fate is told through ``apply``.
+        """Append a batch at the leader and return its index; ``apply`` follows once it commits.
 
         ``rules`` are the state machine's, by which every replica is to judge the batch.
         """
@@ -164,7 +164,7 @@
         return writable_level(self._context)
 
     def read(self, token: int, now: float) -> None:
-        """Prove a read; the application is told through ``read_proved``."""
+        """Prove a read; the result is passed to the application's ``read_proved``."""
         self._context.now = now
         application = self._context.application
         if self.leading:
@@ -180,7 +180,7 @@
     # --- events -----------------------------------------------------------------------------
 
     def handle(self, event: Event, now: float) -> list[Output]:
-        """Take an event of a replication link, the disk or the clock."""
+        """Handle an event of a replication link, the disk or the clock."""
         self._context.now = now
         match event:
             case Started():
@@ -205,7 +205,7 @@
         return outputs
 
     def next_deadline(self) -> float | None:
-        """Return when ``DeadlineReached`` is wanted."""
+        """Return when ``DeadlineReached`` is due."""
         context = self._context
         times = (
             context.links.next_deadline(),
