Drop messages of a term that no election can reach

A replica that has received the highest term there is, in whatever message, ends at its next election, and again after each start, as the term is on its disk by then.

Cause: a replica adopts the term of any message, and an election adds one to it, which the field can't hold.

Evidence: the five rows of the new scenario outline ended with ValueError (value out of range) in the election.

Change: a replica drops messages of a term above 2^63.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -114,6 +114,20 @@
     And a replica group's followers reply to round 100
     Then a replica group's leader that hears nothing else steps down within its lease
 
+  # Guards against a replica whose process ends at its next election, as a peer has stated the highest term there is.
+  Scenario Outline: A message of a term that no election reaches ends no replica
+    Given a replica group of 3
+    When a replica group's leader receives <message> of the highest term
+    Then a replica group accepts a write by the same leader in the same term
+
+    Examples:
+      | message             |
+      | a refused vote      |
+      | a vote request      |
+      | a reply             |
+      | an append           |
+      | a snapshot          |
+
   # Guards against a leader that commits or counts by an index that its log doesn't have.
   Scenario: Replies that state more than the leader's log holds prove nothing
     When a replica group starts a replica alone that holds 3 entries of term 2
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -32,6 +32,7 @@
     AppendRequest,
     Formatted,
     HardState,
+    InstallSnapshot,
     LogEntry,
     VoteAnswer,
     VoteRequest,
@@ -195,6 +196,32 @@
     assert replica.term > former
 
 
+HIGHEST_TERM = 2**64 - 1
+MESSAGES = {
+    "a refused vote": VoteAnswer(term=HIGHEST_TERM),
+    "a vote request": VoteRequest(term=HIGHEST_TERM, candidate="b-first", last_index=99),
+    "a reply": AppendAnswer(term=HIGHEST_TERM, follower="b-first"),
+    "an append": AppendRequest(term=HIGHEST_TERM, leader="b-first"),
+    "a snapshot": InstallSnapshot(term=HIGHEST_TERM, leader="b-first"),
+}
+
+
+@when("a replica group's leader receives {message} of the highest term")
+def _(context, message):
+    group = context.group
+    node = group.nodes[context.leader]
+    context.term = node.core.replica.term
+    group.deliver(node, node.life, MessageReceived(next(iter(node.links)), MESSAGES[message]))
+
+
+@then("a replica group accepts a write by the same leader in the same term")
+def _(context):
+    group = context.group
+    group.accept(service_batch("after", "after"))
+    assert group.leader() == context.leader
+    assert group.nodes[context.leader].core.replica.term == context.term
+
+
 def newest_round(group):
     """Return the number of the newest round that replica a has begun."""
     return group.nodes["a"].core.replica._leadership._rounds.current
--- a/src/limelever/source/replication/replica.py
+++ b/src/limelever/source/replication/replica.py
@@ -49,6 +49,10 @@
 from limelever.source.replication.settings import ReplicationSettings
 from limelever.source.replication.status import replica_status
 
+MAX_TERM = 2**63
+"""Highest term that is taken from a message. Elections raise the term by one, so that no group
+reaches it; a replica that adopted the highest value of the field could not stand for election."""
+
 
 class Replica:
     """A replica of the source's log; sans-io, composed into the source's core."""
@@ -246,7 +250,7 @@
     def _take(self, connection: ConnectionId, message: Message) -> None:
         if isinstance(message, JoinRequest):
             self._take_join(connection, message)
-        elif self._context.formatted is not None:
+        elif self._context.formatted is not None and _has_possible_term(message):
             self._take_formatted(connection, message)
 
     def _take_join(self, connection: ConnectionId, message: JoinRequest) -> None:
@@ -278,3 +282,8 @@
                 self._leadership.take_read_request(connection, message)
             case ReadIndexAnswer():
                 self._reads.take_answer(message)
+
+
+def _has_possible_term(message: Message) -> bool:
+    """Return whether a message states a term that elections can have reached, or none."""
+    return int(getattr(message, "term", 0)) <= MAX_TERM
