Note when the test process of the soak of leaves stands still, and each step of an arrival

A late arrival now states when its connection was accepted and its first line and last byte were read, for how long its newest bytes had lain in the socket (TCP_INFO), and each time since the acknowledgement at which the test's process stood still, with its processor time and its wait for one.

The checks and their bounds are as before.

--- a/features/steps/journal_instances.py
+++ b/features/steps/journal_instances.py
@@ -82,7 +82,7 @@
 
     def do_GET(self):  # noqa: N802
         request = self.headers.get("Limelever-Attempt-Id", "")
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        body = self.read_body()
         asked = int(self.path.rsplit("/", 1)[1])
         left = int(self.headers["Limelever-Deadline-Ms"])
         seconds = min(asked, left) / MILLISECONDS
@@ -99,5 +99,8 @@
 
     do_POST = do_GET  # noqa: N815
 
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
     def log_message(self, *arguments):
         """Print nothing."""
--- a/features/steps/leave_audit.py
+++ b/features/steps/leave_audit.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from arrival_times import TimedArrival
+from pause_record import PauseRecord
 from stating_instances import Arrival
 from strike_log import StrikeLog
 
@@ -40,6 +42,7 @@
     runs: Iterable[LeavingRun]
     homes: Mapping[str, str]
     strikes: StrikeLog
+    pauses: PauseRecord = field(default_factory=PauseRecord)
 
     def arrived_late(self) -> list[str]:
         """Return the requests that reached a run too late after its leave was acknowledged.
@@ -50,6 +53,7 @@
         return [
             f"{run.name} ({run.how}) got {arrival.request} of {self.homes[arrival.request]} "
             f"{arrival.at - acknowledged_at:.2f} s after its leave was acknowledged"
+            f"{self._explanation(acknowledged_at, arrival)}"
             for run in self.runs
             if (acknowledged_at := run.acknowledged_at) is not None
             for arrival in run.arrivals
@@ -58,6 +62,13 @@
             and self._counts(run, arrival)
         ]
 
+    def _explanation(self, acknowledged_at: float, arrival: Arrival) -> str:
+        """Return what tells a late request from one that the test process was late to read."""
+        pauses = self.pauses.between(acknowledged_at, arrival.at)
+        stood_still = ", ".join(map(str, pauses)) or "never"
+        times = arrival.times if isinstance(arrival, TimedArrival) else "times not noted"
+        return f" at {acknowledged_at:.2f} ({times}; the test process stood still: {stood_still})"
+
     def not_acknowledged(self) -> list[str]:
         """Return the leaves that a calm node did not acknowledge beside calm control machines.
 
--- a/features/steps/leave_soak.py
+++ b/features/steps/leave_soak.py
@@ -8,15 +8,17 @@
 import time
 from dataclasses import dataclass, field
 
+from arrival_times import ArrivalTimes, TimedArrival
 from journal_instances import Journal, JournalHandler, JournalInstance
 from kept_callers import KeptCallers
 from kept_soak import KeptSoak, Size
 from leave_audit import LeaveAudit, LeavingRun
 from leaving_instances import DRAINING, ENDED
 from loopback_networks import LoopbackNetwork
+from pause_record import PauseRecord
 from platform_machines import CONTROL_PORT, Machine, NodeMachine
 from platform_traffic import HEARTBEAT_SECONDS, OK, SLOTS, ask, heartbeat, is_ready
-from stating_instances import HEALTH_PATH, Arrival
+from stating_instances import HEALTH_PATH
 from strike_log import KILL, PAUSE, STOP
 
 MISDIRECTED, UNHEALTHY = 421, 503
@@ -111,6 +113,20 @@
 class LeavingJournalHandler(JournalHandler):
     """Turns away what is meant for another run; health responses may be wrong."""
 
+    def setup(self):
+        self.times = ArrivalTimes(time.monotonic())
+        super().setup()
+
+    def parse_request(self):
+        self.times = ArrivalTimes(self.times.accepted_at)
+        self.times.first_line_read(self.connection)
+        return super().parse_request()
+
+    def read_body(self):
+        body = super().read_body()
+        self.times.last_byte_at = time.monotonic()
+        return body
+
     def do_GET(self):  # noqa: N802
         self.current = self.server.current
         name = self.current.run.name
@@ -121,7 +137,8 @@
             self.rfile.read(int(self.headers.get("Content-Length") or 0))
             self.refuse(MISDIRECTED, name, request)
         else:
-            self.current.run.arrivals.append(Arrival(time.monotonic(), request))
+            arrival = TimedArrival(time.monotonic(), request, self.times)
+            self.current.run.arrivals.append(arrival)
             super().do_GET()
 
     do_POST = do_GET  # noqa: N815
@@ -151,6 +168,15 @@
         self._strike_draw = random.Random(f"leaves-before-strikes-{seed}")
         self.strike_log.before_strike = self._leave_before_strike
         self.leaves = self.acknowledged = self.struck = 0
+        self.pauses = PauseRecord()
+
+    def start(self) -> None:
+        self.pauses.start()
+        super().start()
+
+    def close(self) -> None:
+        self.pauses.stop()
+        super().close()
 
     def new_instance(self, node: NodeMachine):
         return LeavingJournalInstance(node, self.journal, self.seed)
@@ -175,7 +201,7 @@
         runs = [run for instance in self.instances for run in instance.runs_so_far]
         left = [run for run in runs if run.said_at is not None]
         homes = {each.request: each.node for each in callers.ended}
-        audit = LeaveAudit(left, homes, self.strike_log)
+        audit = LeaveAudit(left, homes, self.strike_log, self.pauses)
         self.leaves = len(left)
         self.acknowledged = sum(run.acknowledged_at is not None for run in left)
         self.struck = sum(audit.was_struck(run) for run in left)
@@ -186,6 +212,7 @@
             *super().report(),
             f"{self.leaves} leaves, {self.acknowledged} acknowledged, the node of {self.struck} "
             "was struck while the instance served on",
+            f"the test process stood still: {', '.join(map(str, self.pauses.pauses)) or 'never'}",
         ]
 
     def _play(self, instance: LeavingJournalInstance, over: threading.Event) -> None:
