Expect a leave to be refused while the control process is held up, in the test of explanations

That is the case in which a leave isn't acknowledged any more. The step expects 503 now, and once the control process goes on the repeated leave has to be acknowledged.

Measured: features/platform/explaining.feature passes.

--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -364,9 +364,12 @@
 
 @when("the control process is held up and the back end says that it leaves")
 def when_leaves(context):
-    """Keep the news from the node's proxy, so that its agent refuses what still comes."""
+    """Keep the leave from the node's proxy, so that its agent refuses what still comes.
+
+    Nothing can store the leave either, so that it isn't acknowledged.
+    """
     context.machines[0].process.send_signal(signal.SIGSTOP)
-    assert call(context.reports, "DELETE", f"/v1/instances/{INSTANCE}")[0] == 200
+    assert call(context.reports, "DELETE", f"/v1/instances/{INSTANCE}")[0] == 503
 
 
 @when("the control process goes on, until requests find no endpoint")
@@ -379,6 +382,11 @@
 
     wait_until(heard, "the proxy hears that the instance leaves")
 
+    def acknowledged():
+        return call(context.reports, "DELETE", f"/v1/instances/{INSTANCE}")[0] == 200
+
+    wait_until(acknowledged, "the repeated leave is acknowledged")
+
 
 @then("a request is refused as not run, and none reaches the back end any more")
 def then_none_reaches(context):
