Wait for each write in the test of a relay's folder, in place of virtual time

The test's clock jumped after 0.05 s without a task, while the disk's thread was still writing on a busy machine, so that it ended before the second write was done. It waits for each write or for the disk's failure now, and reads the folder back as before.

--- a/features/relay/departures.feature
+++ b/features/relay/departures.feature
@@ -84,7 +84,7 @@
       | state                           | reported |
       | can be used                     | 1, 2     |
       | can't be opened                 | none     |
-      | is full for 3 s                 | 1, 2     |
+      | is full at first                | 1, 2     |
       | fails at the second write       | 1        |
 
   # Guards against a first write that replaces the runs which the disk still holds.
--- a/features/steps/departure_disk_steps.py
+++ b/features/steps/departure_disk_steps.py
@@ -1,4 +1,4 @@
-"""Steps for a relay's folder of departed runs on a disk that is full or fails; virtual time."""
+"""Steps for a relay's folder of departed runs on a disk that is full or fails."""
 
 from __future__ import annotations
 
@@ -15,11 +15,16 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.relay import departure_disk
 from limelever.relay.departure_disk import FILE_NAME, DepartureDisk
-from limelever.relay.interface import DeparturesWritten, WriteDepartures
+from limelever.relay.interface import (
+    DeparturesRecovered,
+    DeparturesWritten,
+    WriteDepartures,
+)
 from limelever.storage.folder import FILES_NAME, FolderDisk
 
-FULL_SECONDS = 3.0
-RUN_SECONDS = 10.0
+FULL_ATTEMPTS = 3
+SHORT_RETRY_SECONDS = 0.02
+LIMIT_SECONDS = 60.0
 
 
 class Reported:
@@ -27,33 +32,56 @@
 
     def __init__(self) -> None:
         self.tokens: list[int] = []
+        self.recovered = trio.Event()
+        self.written = trio.Event()
 
     def post(self, event: object) -> None:
-        if isinstance(event, DeparturesWritten):
+        if isinstance(event, DeparturesRecovered):
+            self.recovered.set()
+        elif isinstance(event, DeparturesWritten):
             self.tokens.append(event.token)
+            self.written.set()
 
 
 async def write_twice(folder: Path, reported: Reported) -> None:
+    """Write twice, one after the other, until both are reported or the disk has failed."""
     disk = DepartureDisk(folder, reported)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(disk.run)
-        await trio.sleep(FULL_SECONDS + 2)
+    ended = trio.Event()
+
+    async def run_disk() -> None:
+        await disk.run()
+        ended.set()
+
+    async def write(token: int) -> None:
+        reported.written = trio.Event()
+        disk.write(WriteDepartures(token, b"runs"))
+        await reported.written.wait()
+
+    async def write_all() -> None:
         for token in (1, 2):
-            disk.write(WriteDepartures(token, b"runs"))
-            await trio.sleep(1)
-        await trio.sleep(RUN_SECONDS)
-        nursery.cancel_scope.cancel()
+            await write(token)
+        ended.set()
+
+    with trio.fail_after(LIMIT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_disk)
+            await reported.recovered.wait()
+            nursery.start_soon(write_all)
+            await ended.wait()
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
 
 
 def full_at_first(real):
-    """Return ``open_folder`` for a disk that is full for some seconds."""
+    """Return ``open_folder`` for a disk that is full at the first attempts."""
+    attempts = []
 
     def open_folder(folder):
-        if open_folder.full and trio.from_thread.run_sync(trio.current_time) < FULL_SECONDS:
+        attempts.append(folder)
+        if len(attempts) <= FULL_ATTEMPTS:
             return Failure(ErrorKind.DISK_FULL, "disk: no space left on device")
         return real(folder)
 
-    open_folder.full = True
     return open_folder
 
 
@@ -74,19 +102,21 @@
 def write(context: Context, state: str) -> None:
     context.reported = Reported()
     opening, performing = departure_disk.open_folder, FolderDisk.perform
+    retry = departure_disk.FULL_RETRY_SECONDS
     with tempfile.TemporaryDirectory() as parent:
         folder = Path(parent) / "departures"
         if state == "can't be opened":
             folder.write_text("a file in its place")
         if state.startswith("is full"):
             departure_disk.open_folder = full_at_first(opening)
+            departure_disk.FULL_RETRY_SECONDS = SHORT_RETRY_SECONDS
         if state.startswith("fails"):
             FolderDisk.perform = failing_later(performing)
-        clock = trio.testing.MockClock(autojump_threshold=0.05)
         try:
-            trio.run(write_twice, folder, context.reported, clock=clock)
+            trio.run(write_twice, folder, context.reported)
         finally:
             departure_disk.open_folder, FolderDisk.perform = opening, performing
+            departure_disk.FULL_RETRY_SECONDS = retry
         context.kept = (folder / FILES_NAME / FILE_NAME).exists()
 
 
