--- a/features/steps/cpu_wait_monitor.py
+++ b/features/steps/cpu_wait_monitor.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import os
-import threading
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
+from background_thread import BackgroundThread
 from platform_machines import Machine
 
 SAMPLE_INTERVAL_SECONDS = 0.5
@@ -44,21 +44,13 @@
         return cls(int(ran) / NANOSECONDS, int(waited) / NANOSECONDS, state)
 
 
-class CpuWaitMonitor:
+class CpuWaitMonitor(BackgroundThread):
     """Samples the processes of all machines until it is stopped."""
 
     def __init__(self, machines: Sequence[Machine]) -> None:
+        super().__init__()
         self._machines = machines
-        self._stopped = threading.Event()
         self._last: dict[int, CpuSample] = {}
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self) -> None:
-        self._thread.start()
-
-    def stop(self) -> None:
-        self._stopped.set()
-        self._thread.join()
 
     def _run(self) -> None:
         sampled_at = time.monotonic()
--- a/features/steps/leave_audit.py
+++ b/features/steps/leave_audit.py
@@ -63,7 +63,7 @@
         ]
 
     def _explanation(self, acknowledged_at: float, arrival: Arrival) -> str:
-        """Return what tells a late request from one that the test process was late to read."""
+        """Return the times that show whether the request or the test process was late."""
         pauses = self.pauses.between(acknowledged_at, arrival.at)
         stood_still = ", ".join(map(str, pauses)) or "never"
         times = arrival.times if isinstance(arrival, TimedArrival) else "times not noted"
--- a/features/steps/pause_record.py
+++ b/features/steps/pause_record.py
@@ -1,12 +1,13 @@
-"""Records when the test process itself stood still, and what Linux tells of the reason."""
+"""Records when the test process itself stood still, and the reason as far as Linux reports it."""
 
 from __future__ import annotations
 
-import threading
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
+from background_thread import BackgroundThread
+
 TICK_SECONDS = 0.02
 RECORDED_SECONDS = 0.2
 NANOSECONDS = 1_000_000_000
@@ -34,20 +35,12 @@
         )
 
 
-class PauseRecord:
+class PauseRecord(BackgroundThread):
     """Notes each tick of a thread that comes late."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.pauses: list[Pause] = []
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def start(self) -> None:
-        self._thread.start()
-
-    def stop(self) -> None:
-        self._stopped.set()
-        self._thread.join()
 
     def between(self, begin: float, end: float) -> list[Pause]:
         """Return the pauses that overlap a span."""
