Pass over descriptors that are closed while a test lists them

The step reads where each descriptor of a process leads, after it has listed them. Tried with a process that opens and closes sockets: FileNotFoundError in 252 of 2,000 calls. One that is gone has no connection and counts for nothing.

--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -60,7 +60,10 @@
     """Return the hosts that a process has connections to."""
     inodes = set()
     for each in Path(f"/proc/{process}/fd").iterdir():
-        target = os.readlink(each)
+        try:
+            target = os.readlink(each)
+        except FileNotFoundError:
+            continue  # closed since it was listed
         if target.startswith("socket:["):
             inodes.add(target[len("socket:[") : -1])
     hosts = set()
