--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -1,8 +1,8 @@
-"""One HTTP/1.1 connection: a trio shell around the request reader and the pipeline.
+"""One HTTP/1.1 connection: a trio shell around the request parser and the pipeline.
 
-A single task reads; answers are written by the task that brings them, in one system call where
-the system takes them at once. One cancel scope, whose deadline moves, bounds idleness, slow
-headers and slow bodies.
+A single task receives. Responses are written by the task that delivers them, in one system call if
+the socket buffer has room. One cancel scope with a moving deadline limits idle time, slow headers
+and slow bodies.
 """
 
 from __future__ import annotations
@@ -26,13 +26,13 @@
 from limelever.transport.streams import close_at_once, receive, send_without_waiting
 
 LINGER_SECONDS = 1.0
-"""How long a client has to close after its last answer: a reset would destroy the answer."""
+"""Time for a client to close after its last response, which a reset could discard."""
 
 CLOSE_SECONDS = 2.0
-"""How long TLS's goodbye may take."""
+"""Time limit of the TLS closing handshake."""
 
 HTTP_2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-"""What a client sends first that speaks HTTP/2 without negotiation (RFC 9113, section 3.4)."""
+"""First bytes of a client with prior knowledge of HTTP/2 (RFC 9113, section 3.4)."""
 
 _RECEIVE_BYTES = 1 << 16
 _NO_REQUEST = HttpRequest(b"", b"", HTTP_1_1, ())
@@ -49,26 +49,26 @@
         """Return why a request is refused before its body is read."""
 
     def hold_body(self, held: int, added: int) -> Failure | None:
-        """Count ``added`` bytes of a body with ``held`` before, or return why they have no room."""
+        """Count ``added`` bytes of a body of ``held`` bytes, or return why they exceed a limit."""
 
     def release_body(self, size: int) -> None:
-        """Count bytes of a body that is needed no more."""
+        """Release the counted bytes of a body."""
 
     def count_untaken(self, size: int) -> None:
-        """Count bytes of answers not yet taken by their clients, or taken when negative."""
+        """Count response bytes that clients have not read yet; negative once they have."""
 
     def render(self, failure: Failure) -> HttpAnswer:
-        """Return the answer that tells of a failure."""
+        """Return the response for a failure."""
 
     def serve_request(self, connection: Http1Connection, exchange: Exchange) -> None:
-        """Begin a request; its answer is given to ``connection.answer``, now or later."""
+        """Start a request; its response is passed to ``connection.answer``, now or later."""
 
     def abandon(self, exchange: Exchange) -> None:
-        """Give up a request whose client has left."""
+        """Cancel a request whose client has disconnected."""
 
 
 class Http1Connection:
-    """Serves one connection, and knows since when it is idle."""
+    """Serves one connection; ``idle_since`` is ``None`` while a request is in progress."""
 
     def __init__(
         self,
@@ -101,8 +101,8 @@
     async def run(self) -> bytes:
         """Serve until the connection ends.
 
-        Returns what was received of a client that speaks HTTP/2 from its first bytes: that
-        connection is left open, for another to serve. Otherwise empty.
+        Returns the bytes received from a client that speaks HTTP/2; its connection is left open.
+        Otherwise returns no bytes.
         """
         left = False
         try:
@@ -125,13 +125,13 @@
         return b""
 
     def stop(self) -> None:
-        """End the connection after what is under way, at once when nothing is."""
+        """Close the connection after the requests in progress."""
         self._stopping = True
         if self.idle_since is not None:
             self._reading.cancel()
 
     def answer(self, exchange: Exchange, answer: HttpAnswer) -> None:
-        """Take the answer of a request under way, and send what is due."""
+        """Accept the response to a request in progress, and send what is due."""
         if exchange.answer is not None or self._ended:
             return
         self._pipeline.answer(exchange, answer)
@@ -140,10 +140,10 @@
             exchange.answered_at = trio.current_time()
         self._advance()
 
-    # --- what the reader has read ---------------------------------------------------------------
+    # --- callbacks of the request parser --------------------------------------------------------
 
     def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
-        """Check a request's head; its body has a limited time."""
+        """Check a request's head and start the time limit of its body."""
         self.idle_since = None
         self._body_bytes = 0
         self._body_ends = trio.current_time() + self._limits.body
@@ -161,14 +161,14 @@
         return refusal
 
     def request_read(self, request: HttpRequest) -> None:
-        """Queue a whole request."""
+        """Queue a complete request."""
         self._body_ends = math.inf
         self._body_bytes = 0
         self._awaits_continue = False
         self._pipeline.add(Exchange(request, last=not request.keep_alive))
 
     def refused(self, failure: Failure) -> None:
-        """Queue the answer to what can't be read; the connection ends with it."""
+        """Queue the response to an invalid request, which ends the connection."""
         self.idle_since = None
         self._body_ends = math.inf
         self._handler.release_body(self._body_bytes)
@@ -182,7 +182,7 @@
     # --- reading --------------------------------------------------------------------------------
 
     async def _receive_first(self) -> bytes:
-        """Return the first bytes, or as many as tell whether they begin HTTP/2."""
+        """Return the first bytes, enough to recognize HTTP/2."""
         data = b""
         while HTTP_2_PREFACE.startswith(data):
             more = await self._receive()
@@ -196,14 +196,14 @@
         return data
 
     async def _receive(self) -> bytes:
-        """Return received bytes, empty once the client has left."""
+        """Return received bytes, empty once the client has disconnected."""
         try:
             return await receive(self.stream, _RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
     async def _read(self, data: bytes) -> bool:
-        """Read until the last answer is on its way; return whether the client has left first."""
+        """Receive until the last response is queued; return whether the client left before that."""
         while True:
             if data:
                 self._reader.feed(data)
@@ -221,12 +221,12 @@
 
     @property
     def _body_is_late(self) -> bool:
-        """Return whether reading ended as a body did not come in time."""
+        """Return whether receiving ended because a body exceeded its time limit."""
         given_up = self._pipeline.closed or self._broken
         return self._reading.cancelled_caught and self._reader.within_body and not given_up
 
     async def _refuse_late_body(self) -> None:
-        """Refuse a request whose body is late, after the answers to those before it."""
+        """Refuse a request whose body is late, after the responses to earlier requests."""
         reason = "the body did not arrive in time"
         self._reader.refuse(Failure(ErrorKind.DEADLINE_TOO_SHORT, reason))
         self._reading = trio.CancelScope()
@@ -238,7 +238,7 @@
     # --- order ----------------------------------------------------------------------------------
 
     def _advance(self) -> None:
-        """Send the answers that are due and begin the requests that may begin."""
+        """Send the responses that are due and start the requests that may start."""
         if self._advancing:
             return
         self._advancing = True
@@ -279,7 +279,7 @@
         return True
 
     def _settle(self) -> None:
-        """Set what is waited for next: the client's close, a body, or a request."""
+        """Update the deadline for the next event: the close, a body, or a request."""
         if self._pipeline.closed:
             self._reading.cancel()
             return
@@ -299,7 +299,7 @@
             self._reading.deadline = self._body_ends
 
     def _give_up(self) -> None:
-        """Abandon what is under way; its client has left, or never takes the answer."""
+        """Cancel the requests in progress: the client cannot receive their responses."""
         for exchange in self._pipeline.take_all():
             if exchange.begun and exchange.answer is None:
                 self._handler.abandon(exchange)
@@ -310,7 +310,7 @@
     # --- writing --------------------------------------------------------------------------------
 
     def _write(self, data: bytes) -> None:
-        """Send bytes, or leave what the system does not take to a task of its own."""
+        """Send bytes; a separate task sends what does not fit into the socket buffer."""
         if self._flushed is None:
             taken = send_without_waiting(self.stream, data)
             self._count_untaken(-taken)
@@ -339,13 +339,13 @@
             self._settle()
 
     def _count_untaken(self, size: int) -> None:
-        """Count bytes of answers that the client has not taken, until the connection ends."""
+        """Count response bytes that the client has not read, until the connection ends."""
         if not self._ended:
             self._untaken += size
             self._handler.count_untaken(size)
 
     async def _finish(self) -> None:
-        """Wait until the last answer has left and the client has closed."""
+        """Wait until the last response is sent and the client has closed."""
         if self._flushed is not None:
             await self._flushed.wait()
         if self._broken:
@@ -356,7 +356,7 @@
             return
 
     async def _say_goodbye(self) -> None:
-        """Tell the client that nothing follows; give it time to take a last answer."""
+        """Send end of stream, and give the client time to read the last response."""
         if not isinstance(self.stream, trio.abc.HalfCloseableStream):
             with trio.move_on_after(CLOSE_SECONDS):
                 await self.stream.aclose()
--- a/src/limelever/transport/http_answers.py
+++ b/src/limelever/transport/http_answers.py
@@ -1,4 +1,4 @@
-"""Writes HTTP/1.1 answers (RFC 9112)."""
+"""Encodes HTTP/1.1 responses (RFC 9112)."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from limelever.common.http_messages import HttpAnswer, HttpRequest
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-"""Gives a client leave to send the body that it holds back."""
+"""Asks a client that sent ``Expect: 100-continue`` for its body."""
 
 _HEAD = b"HEAD"
 _CONTENT_LENGTH = b"content-length"
@@ -19,9 +19,9 @@
 
 
 def encode_answer(request: HttpRequest, answer: HttpAnswer, *, close: bool) -> bytes:
-    """Return the bytes of the answer to a request, with its length stated.
+    """Return the encoded response to a request, with its content length.
 
-    ``close`` says that the connection ends with it. An answer to HEAD has no body.
+    ``close`` is set if the connection ends with it. A response to HEAD has no body.
     """
     parts = [_status_line(answer.status)]
     stated = False
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -1,7 +1,7 @@
-"""Reads HTTP/1 requests from bytes, sans-io, by httptools' compiled parser.
+"""Sans-I/O parser for HTTP/1 requests, based on httptools.
 
-The parser runs without any of its lenient flags. What it lets through and a back end could read
-differently is refused by ``request_checks``; header fields after a body are dropped.
+None of the parser's lenient flags is set. Requests that it accepts although a back end could parse
+them differently are refused by ``request_checks``. Trailer fields are dropped.
 """
 
 from __future__ import annotations
@@ -21,31 +21,31 @@
 _EXPECT = (b"expect", b"100-continue")
 _OPTIONAL_SPACE = b" \t"
 _CODING_ERROR = "Invalid `Transfer-Encoding`"
-"""How the parser begins its word of a coding it doesn't know, in the pinned version."""
+"""Prefix of the parser's error for an unknown coding, in the pinned version."""
 
 
 class RequestSink(Protocol):
-    """Takes what the reader has read; a refusal ends the reading."""
+    """Receives what the reader has parsed; a returned failure ends the parsing."""
 
     def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
-        """Take a request's head; the client may wait for leave to send the body."""
+        """Handle a request's head; ``awaits_continue`` if the client expects 100 Continue."""
 
     def body_read(self, size: int) -> Failure | None:
-        """Take note of ``size`` more bytes of the body."""
+        """Count ``size`` more bytes of the body."""
 
     def request_read(self, request: HttpRequest) -> None:
-        """Take a whole request."""
+        """Handle a complete request."""
 
     def refused(self, failure: Failure) -> None:
-        """Take why the request begun last, or what stands in its place, can't be read."""
+        """Handle the reason why the current request cannot be parsed."""
 
 
 class _RefusedError(Exception):
-    """Leaves the parser from within a callback; the reason is kept by the reader."""
+    """Aborts httptools from a callback; the reader keeps the reason."""
 
 
 def headers_size(headers: Headers) -> int:
-    """Return the bytes the headers took on the wire, as HTTP/1.1 counts them."""
+    """Return the size of the headers in bytes, as HTTP/1.1 encodes them."""
     return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
 
 
@@ -56,10 +56,9 @@
 
 
 class RequestReader:
-    """Reads the requests of one connection; gives each to ``sink`` as soon as it is whole.
+    """Parses the requests of one connection and passes each complete one to ``sink``.
 
-    ``ended`` is set once nothing more is read: after a refusal, or after a request that is its
-    client's last.
+    ``ended`` is set after a refusal and after the client's last request.
     """
 
     def __init__(self, sink: RequestSink, max_head_bytes: int) -> None:
@@ -77,11 +76,11 @@
 
     @property
     def within_body(self) -> bool:
-        """Return whether a request's body is awaited."""
+        """Return whether a request's body is incomplete."""
         return self._request is not None
 
     def feed(self, data: bytes) -> None:
-        """Read bytes of the client; they are dropped once reading has ended."""
+        """Parse bytes received from the client; they are dropped once ``ended`` is set."""
         if self.ended:
             return
         if self._in_head:
@@ -93,7 +92,7 @@
             self.refuse(refusal)
 
     def refuse(self, failure: Failure) -> None:
-        """End the reading and tell why."""
+        """End the parsing with a failure."""
         self.ended = True
         self._request = None
         self._body.clear()
@@ -105,7 +104,7 @@
                 self._parser.feed_data(data)
                 return None
             except httptools.HttpParserUpgrade as upgrade:
-                # No other protocol is offered: what follows is the next request.
+                # No other protocol is offered: the next request follows.
                 data = data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserError as error:
@@ -124,7 +123,7 @@
         self._refusal = failure
         raise _RefusedError
 
-    # --- the parser's callbacks; their names are httptools' ------------------------------------
+    # --- httptools callbacks ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -134,16 +133,16 @@
         self._headers = []
 
     def on_url(self, part: bytes) -> None:
-        """Take a part of the target."""
+        """Add a part of the target."""
         self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header field; those behind the body are dropped."""
+        """Add a header field; trailer fields are dropped."""
         if self._in_head:
             self._headers.append((name.lower(), value.rstrip(_OPTIONAL_SPACE)))
 
     def on_headers_complete(self) -> None:
-        """Give the head to the sink."""
+        """Pass the head to the sink."""
         self._in_head = False
         parser = self._parser
         headers = tuple(self._headers)
@@ -158,14 +157,14 @@
         self._request = request
 
     def on_body(self, part: bytes) -> None:
-        """Take a part of the body."""
+        """Add a part of the body."""
         failure = self._sink.body_read(len(part))
         if failure is not None:
             self._refuse_within(failure)
         self._body.append(part)
 
     def on_message_complete(self) -> None:
-        """Give the whole request to the sink."""
+        """Pass the complete request to the sink."""
         request = self._request
         assert request is not None
         self._request = None
