Read the body of a request that offers another protocol

Cause: the binding of the parser skips the body behind a valid offer (it returns 1 from on_headers_complete) and stops behind the head; the reader gave the rest to a new parser as the next request.

Change: the new parser is first given the framing of the request, so that it reads the body. The offer is ignored (RFC 9110, section 7.8), on all listeners, which share the reader. HTTP2-Settings is a header of one connection. Ruled out: refusing the offer, which RFC 9110 lets a server ignore, and clients send it by default.

--- a/features/steps/transport_edge_steps.py
+++ b/features/steps/transport_edge_steps.py
@@ -34,6 +34,7 @@
         self.gone: list[int] = []
         self.run = 0
         self.targets: list[bytes] = []
+        self.requests: list[tuple[bytes, bytes, bytes]] = []
         self.answer_bytes = 0
         self._faulty = faulty
         listen = Address("127.0.0.1", 0)
@@ -58,7 +59,9 @@
         if not isinstance(event, CallArrived):
             return
         self.run += 1
-        self.targets.append(event.request.target)
+        request = event.request
+        self.targets.append(request.target)
+        self.requests.append((request.method, request.target, bytes(request.body)))
         if event.request.target == HELD:
             self.held.append(event.call)
             return
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -69,6 +69,7 @@
 HOP_BY_HOP = frozenset(
     {
         CONNECTION,
+        b"http2-settings",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
@@ -79,7 +80,7 @@
         b"upgrade",
     }
 )
-"""Headers of a single HTTP connection (RFC 9110, section 7.6.1)."""
+"""Headers of a single HTTP connection (RFC 9110, section 7.6.1, and RFC 7540, section 3.2.1)."""
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -19,6 +19,7 @@
 """Bytes of a header line besides name and value: colon, space and line end."""
 
 _EXPECT = (b"expect", b"100-continue")
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _OPTIONAL_SPACE = b" \t"
 _CODING_ERROR = "Invalid `Transfer-Encoding`"
 """Prefix of the parser's error for an unknown coding, in the pinned version."""
@@ -49,6 +50,16 @@
     return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
 
 
+def _is_framed(headers: Headers) -> bool:
+    return any(name in _FRAMING for name, _ in headers)
+
+
+def _framing_head(headers: Headers) -> bytes:
+    """Return a request head whose body is framed as that of a request with these headers."""
+    framing = [b"%b: %b\r\n" % header for header in headers if header[0] in _FRAMING]
+    return b"".join((b"POST / HTTP/1.1\r\n", *framing, b"\r\n"))
+
+
 def _parser_refusal(error: httptools.HttpParserError) -> Failure:
     if str(error).startswith(_CODING_ERROR):
         return Failure(ErrorKind.UNKNOWN_CODING, "chunked is the only transfer coding served")
@@ -68,6 +79,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request: HttpRequest | None = None
         self._in_head = False
+        self._resuming = False
+        self._body_skipped = False
         self._head_bytes = 0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -104,9 +117,9 @@
                 self._parser.feed_data(data)
                 return None
             except httptools.HttpParserUpgrade as upgrade:
-                # No other protocol is offered: the next request follows.
                 data = data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
+                self._resume_body()
             except httptools.HttpParserError as error:
                 if self.ended:
                     return None
@@ -115,6 +128,17 @@
                 return _parser_refusal(error)
         return None
 
+    def _resume_body(self) -> None:
+        """Let the new parser expect the body of a request that offered another protocol.
+
+        The offer is ignored (RFC 9110, section 7.8), but the previous parser skipped the body.
+        """
+        if self._request is None:
+            return
+        self._resuming = True
+        self._parser.feed_data(_framing_head(self._request.headers))
+        self._resuming = False
+
     def _too_long(self) -> Failure:
         reason = f"headers are over {self._max_head_bytes} bytes"
         return Failure(ErrorKind.HEADERS_TOO_LARGE, reason)
@@ -126,7 +150,11 @@
     # --- httptools callbacks ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
+        """Begin a request, unless the previous one was its client's last."""
+        if self._resuming:
+            return
+        if self.ended:
+            raise _RefusedError
         self._in_head = True
         self._head_bytes = 0
         self._target = b""
@@ -134,7 +162,8 @@
 
     def on_url(self, part: bytes) -> None:
         """Add a part of the target."""
-        self._target += part
+        if not self._resuming:
+            self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailer fields are dropped."""
@@ -143,6 +172,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sink."""
+        if self._resuming:
+            return
         self._in_head = False
         parser = self._parser
         headers = tuple(self._headers)
@@ -155,6 +186,7 @@
         if failure is not None:
             self._refuse_within(failure)
         self._request = request
+        self._body_skipped = parser.should_upgrade() and _is_framed(headers)
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
@@ -165,6 +197,9 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
+        if self._body_skipped:
+            self._body_skipped = False
+            return
         request = self._request
         assert request is not None
         self._request = None
