Release received bodies without the garbage collector

Callers saw: ordinary downloads took nodes over their memory; what these nodes were doing was lost (503, 502, closed connections).

Cause: ResponseParser and httptools' parser refer to each other, so that the parts of each response and its joined body waited for a full collection, which processes here hardly make. RequestReader and its parser are such a pair as well: a connection that ended within a body kept it.

Change: both release parser and body when they have finished, when the connection ends and when a call is cancelled; a connection also drops what it had not sent.

--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -256,6 +256,19 @@
         A response may arrive before the request is sent completely; the connection is closed then.
         """
         parser = ResponseParser(method, self._settings.max_response_bytes)
+        try:
+            await self._exchange(connection, request, parser)
+        finally:
+            parser.close()
+        connection.ended = parser.connection_ended
+        if parser.response is not None:
+            return parser.response
+        assert parser.failure is not None
+        return parser.failure
+
+    async def _exchange(
+        self, connection: BackendConnection, request: bytes, parser: ResponseParser
+    ) -> None:
         unsent = request[send_without_waiting(connection.stream, request) :]
         if not unsent:
             await _read_response(connection, parser)
@@ -267,11 +280,6 @@
                 await _read_response(connection, parser)
                 connection.reusable = parser.reusable and sent.is_set()
                 nursery.cancel_scope.cancel()
-        connection.ended = parser.connection_ended
-        if parser.response is not None:
-            return parser.response
-        assert parser.failure is not None
-        return parser.failure
 
     def _classify_response(
         self,
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -52,6 +52,9 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes received from the backend."""
+        if self.finished:
+            self.reusable = False
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -61,6 +64,17 @@
                 self.reusable = False
             elif self.failure is None:
                 self._fail(f"invalid HTTP response: {error}")
+        if self.finished:
+            self.close()
+
+    def close(self) -> None:
+        """Release the received body.
+
+        The parser and this object refer to each other, so that the body would otherwise be kept
+        until a garbage collection.
+        """
+        self._parser = httptools.HttpResponseParser(None)
+        self._body.clear()
 
     def handle_close(self) -> None:
         """Handle end of stream; it completes a response that has no length."""
@@ -79,11 +93,13 @@
             self._fail(f"connection failed: {reason}")
 
     def _fail(self, reason: str) -> None:
+        self._body.clear()
         self.reusable = False
         self.failure = Failure(ErrorKind.BACKEND_FAILED, reason)
 
     def _complete(self) -> None:
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        self._body.clear()
         self.response = HttpAnswer(self._status, tuple(self._headers), body)
 
     # --- httptools callbacks ----------------------------------------------------------------
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -118,6 +118,8 @@
                 await self._finish()
         finally:
             self._give_up()
+            self._reader.close()
+            self._outgoing.clear()
             self._count_untaken(-self._untaken)
             self._ended = True
             if not self._handed_over:
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -106,10 +106,19 @@
 
     def refuse(self, failure: Failure) -> None:
         """End the parsing with a failure."""
+        self.close()
+        self._sink.refused(failure)
+
+    def close(self) -> None:
+        """End the parsing and release the received body.
+
+        The parser and this object refer to each other, so that the body would otherwise be kept
+        until a garbage collection.
+        """
         self.ended = True
         self._request = None
         self._body.clear()
-        self._sink.refused(failure)
+        self._parser = httptools.HttpRequestParser(None)
 
     def _fed(self, data: bytes) -> Failure | None:
         while data and not self.ended:
