Hold each body once at each step of its way

Cause: a body was joined from its parts, which were still there; a running call held it, the encoded request with it, and the slice that the socket had not taken; an answer was copied into its encoded form and into what had not been sent; queued messages of calls were kept beside their frames. Besides, glibc raises its threshold for blocks that it returns to the system to the largest block freed, so that a node kept up to 64 MB of bodies that were gone.

--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 from msgspec import Struct
@@ -15,7 +15,7 @@
     keep_alive_seconds,
 )
 from limelever.agent.failures import DRAINING
-from limelever.agent.headers import encode_request, request_headers
+from limelever.agent.headers import encode_request_head, request_headers
 from limelever.agent.health_response import (
     InstanceIdentity,
     ProbeResult,
@@ -43,7 +43,7 @@
 from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event, Output
 from limelever.transport.faults import report_fault
-from limelever.transport.streams import reason_of, receive, send_without_waiting
+from limelever.transport.streams import reason_of, receive, send_parts_without_waiting
 
 _MILLISECONDS = 1000
 DEFAULT_NAMES = HeaderNames()
@@ -158,9 +158,9 @@
             connection = await self._pool.acquire()
             if isinstance(connection, Failure):
                 return None
-            request = encode_request(_GET, path.encode(), [(b"host", self._host)], b"")
+            head = encode_request_head(_GET, path.encode(), [(b"host", self._host)])
             try:
-                response = await self._round_trip(connection, _GET, request)
+                response = await self._round_trip(connection, _GET, head, b"")
             finally:
                 self._pool.release(connection)
             return None if isinstance(response, Failure) else response
@@ -233,8 +233,8 @@
         headers = request_headers(
             output, self._host, _remaining_ms(attempt), self._names, self._instance
         )
-        request = encode_request(output.method, output.target, headers, output.body)
-        response = await self._round_trip(connection, output.method, request)
+        head = encode_request_head(output.method, output.target, headers)
+        response = await self._round_trip(connection, output.method, head, output.body)
         if isinstance(response, Failure):
             return AttemptFailed(
                 output.attempt, response, sent_any_byte=True, connection_ended=connection.ended
@@ -249,7 +249,7 @@
         return event
 
     async def _round_trip(
-        self, connection: BackendConnection, method: bytes, request: bytes
+        self, connection: BackendConnection, method: bytes, head: bytes, body: bytes
     ) -> HttpAnswer | Failure:
         """Send a request and return its complete response.
 
@@ -257,7 +257,7 @@
         """
         parser = ResponseParser(method, self._settings.max_response_bytes)
         try:
-            await self._exchange(connection, request, parser)
+            await self._exchange(connection, head, body, parser)
         finally:
             parser.close()
         connection.ended = parser.connection_ended
@@ -267,9 +267,9 @@
         return parser.failure
 
     async def _exchange(
-        self, connection: BackendConnection, request: bytes, parser: ResponseParser
+        self, connection: BackendConnection, head: bytes, body: bytes, parser: ResponseParser
     ) -> None:
-        unsent = request[send_without_waiting(connection.stream, request) :]
+        unsent = send_parts_without_waiting(connection.stream, (head, body))
         if not unsent:
             await _read_response(connection, parser)
             connection.reusable = parser.reusable
@@ -322,10 +322,13 @@
             parser.handle_close()
 
 
-async def _send_unsent(connection: BackendConnection, unsent: bytes, sent: trio.Event) -> None:
+async def _send_unsent(
+    connection: BackendConnection, unsent: Sequence[memoryview], sent: trio.Event
+) -> None:
     """Send the rest of a request; errors are left to the reading side."""
     try:
-        await connection.stream.send_all(unsent)
+        for part in unsent:
+            await connection.stream.send_all(part)
     except _CONNECTION_ERRORS:
         return
     sent.set()
--- a/src/limelever/agent/call_receiver.py
+++ b/src/limelever/agent/call_receiver.py
@@ -94,7 +94,7 @@
 
     def add(self, call: Call, message: CallBody, now: float) -> Failure | None:
         """Append a part of a call's body; return a failure if it exceeds a limit."""
-        call.body += message.data
+        call.body.append(message.data)
         self._credit.received(call.number, len(message.data), now)
         self._assembling_bytes += len(message.data)
         return self.check_body(call)
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -13,6 +13,7 @@
 from limelever.agent.failures import Cancellation
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.interface import StartAttempt
+from limelever.common.body_buffer import BodyBuffer
 from limelever.common.sansio import ConnectionId, LogEvent
 from limelever.protocol.calls_pb2 import CallStart
 from limelever.protocol.config_pb2 import CALL_KIND_REPEATABLE
@@ -46,7 +47,7 @@
     connection: ConnectionId
     start: CallStart
     deadline: float
-    body: bytearray = field(default_factory=bytearray)
+    body: BodyBuffer = field(default_factory=BodyBuffer)
     sent_body: bytes = b""
     stage: CallStage = CallStage.ASSEMBLING
     settled: bool = False
@@ -75,9 +76,8 @@
     def start_attempt(self, now: float) -> StartAttempt:
         """Mark the call as running and return its attempt, which takes over the body."""
         self.stage = CallStage.RUNNING
-        start, body = self.start, bytes(self.body)
+        start, body = self.start, self.body.take()
         self.sent_body = body
-        self.body.clear()
         return StartAttempt(
             attempt=self.number,
             service=start.service,
@@ -129,7 +129,7 @@
         head = CallStart()
         head.CopyFrom(start)
         head.ClearField("body")
-        call = Call(self._last_number, connection, head, deadline, bytearray(start.body))
+        call = Call(self._last_number, connection, head, deadline, BodyBuffer(start.body))
         call.target = target
         self._calls[call.number] = call
         self._streams[(connection, start.stream)] = call.number
--- a/src/limelever/agent/headers.py
+++ b/src/limelever/agent/headers.py
@@ -36,11 +36,8 @@
     return headers
 
 
-def encode_request(
-    method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
-) -> bytes:
-    """Return the encoded request; ``headers`` must include the length of the body."""
+def encode_request_head(method: bytes, target: bytes, headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the encoded head of a request; ``headers`` must include the length of the body."""
     parts = [b"%b %b HTTP/1.1\r\n" % (method, target)]
     parts += [b"%b: %b\r\n" % header for header in headers]
-    parts += [b"\r\n", body]
-    return b"".join(parts)
+    return b"".join((*parts, b"\r\n"))
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from limelever.common.body_buffer import BodyBuffer
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import value_of
 from limelever.common.http_messages import HttpAnswer
@@ -42,8 +43,7 @@
         self._in_head = False
         self._until_close = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
 
     @property
     def finished(self) -> bool:
@@ -98,9 +98,7 @@
         self.failure = Failure(ErrorKind.BACKEND_FAILED, reason)
 
     def _complete(self) -> None:
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        self._body.clear()
-        self.response = HttpAnswer(self._status, tuple(self._headers), body)
+        self.response = HttpAnswer(self._status, tuple(self._headers), self._body.take())
 
     # --- httptools callbacks ----------------------------------------------------------------
 
@@ -135,8 +133,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
-        self._body_bytes += len(part)
-        if self._body_bytes > self._max_bytes:
+        if len(self._body) + len(part) > self._max_bytes:
             self._fail(f"response body exceeds {self._max_bytes} bytes")
             raise _StopParsingError
         self._body.append(part)
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -93,14 +93,17 @@
     def _add_body(
         self, call: Call, attempt: Attempt, data: bytes, end: bool, now: float
     ) -> AttemptEnded | None:
-        if end and not attempt.body:
+        if end and not attempt.body.size:
             return self._completer.succeed(call, attempt, data, now)
         overflow = self._assembly.add(attempt, data)
         if overflow is not None:
             message = CallCancel(stream=attempt.stream)
             self._outputs.append(SendMessage(attempt.connection, message))
             return self._completer.fail(call, overflow.kind, overflow.reason, now)
-        return self._completer.succeed(call, attempt, bytes(attempt.body), now) if end else None
+        if not end:
+            return None
+        self._assembly.release(attempt)
+        return self._completer.succeed(call, attempt, attempt.body.take(), now)
 
     def _handle_failure(
         self, call: Call, attempt: Attempt, message: CallFailed, now: float
--- a/src/limelever/proxy/answer_assembly.py
+++ b/src/limelever/proxy/answer_assembly.py
@@ -31,7 +31,7 @@
         ):
             reason = f"answer of at least {size} bytes exceeds the answer buffer"
             return Failure(ErrorKind.BACKEND_FAILED, reason)
-        attempt.body += data
+        attempt.body.append(data)
         self._buffered_bytes += len(data)
         return None
 
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct, field
 
+from limelever.common.body_buffer import BodyBuffer
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import ConnectionId
@@ -59,7 +60,7 @@
     credit_bytes: int = 0
     status: int = 0
     headers: Headers = ()
-    body: bytearray = field(default_factory=bytearray)
+    body: BodyBuffer = field(default_factory=BodyBuffer)
     verdict_if_run: Verdict | None = None
 
 
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import Protocol
 
 import trio
@@ -23,7 +24,7 @@
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
 from limelever.transport.send_limits import time_to_send
-from limelever.transport.streams import close_at_once, receive, send_without_waiting
+from limelever.transport.streams import close_at_once, receive, send_parts_without_waiting
 
 LINGER_SECONDS = 1.0
 """Time for a client to close after its last response, which a reset could discard."""
@@ -35,6 +36,7 @@
 """First bytes of a client with prior knowledge of HTTP/2 (RFC 9113, section 3.4)."""
 
 _RECEIVE_BYTES = 1 << 16
+_SEND_BYTES = 1 << 18
 _NO_REQUEST = HttpRequest(b"", b"", HTTP_1_1, ())
 
 
@@ -86,7 +88,7 @@
         self._reader = RequestReader(self, limits.max_head_bytes)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
         self._room = trio.Event()
-        self._outgoing: list[bytes] = []
+        self._outgoing: deque[memoryview] = deque()
         self._flushed: trio.Event | None = None
         self._untaken = 0
         self._ended = False
@@ -251,7 +253,7 @@
         finally:
             self._advancing = False
         if ready:
-            self._write(b"".join(ready))
+            self._write(ready)
         self._settle()
 
     def _send_due(self, ready: list[bytes]) -> bool:
@@ -262,8 +264,9 @@
         answer = exchange.answer
         assert answer is not None
         self._handler.release_body(len(exchange.request.body))
-        ready.append(encode_answer(exchange.request, answer, close=exchange.last))
-        self._count_untaken(len(ready[-1]) - len(answer.body))
+        head, body = encode_answer(exchange.request, answer, close=exchange.last)
+        ready += (head, body)
+        self._count_untaken(len(head) + len(body) - len(answer.body))
         if exchange.answered_at:
             HTTP_IN_ORDER_SECONDS.observe(trio.current_time() - exchange.answered_at)
         return True
@@ -290,7 +293,7 @@
         if self._awaits_continue and self._pipeline.empty:
             self._awaits_continue = False
             self._count_untaken(len(CONTINUE))
-            self._write(CONTINUE)
+            self._write([CONTINUE])
         under_way = not self._pipeline.empty or self._reader.within_body
         if not under_way and self.idle_since is None and self._flushed is None:
             self.idle_since = trio.current_time()
@@ -311,26 +314,24 @@
 
     # --- writing --------------------------------------------------------------------------------
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, parts: list[bytes]) -> None:
         """Send bytes; a separate task sends what does not fit into the socket buffer."""
-        if self._flushed is None:
-            taken = send_without_waiting(self.stream, data)
-            self._count_untaken(-taken)
-            data = data[taken:]
-        if not data:
+        if self._flushed is not None:
+            self._outgoing.extend(memoryview(part) for part in parts if part)
             return
-        self._outgoing.append(data)
-        if self._flushed is None:
+        unsent = send_parts_without_waiting(self.stream, parts)
+        self._count_untaken(sum(map(len, unsent)) - sum(map(len, parts)))
+        if unsent:
+            self._outgoing.extend(unsent)
             self._flushed = trio.Event()
             self.nursery.start_soon(self._write_rest, self._flushed)
 
     async def _write_rest(self, flushed: trio.Event) -> None:
         while self._outgoing and not self._broken:
-            data = b"".join(self._outgoing)
-            self._outgoing.clear()
+            data = self._outgoing.popleft()
             try:
-                with trio.fail_after(time_to_send(data)):
-                    await self.stream.send_all(data)
+                with trio.fail_after(time_to_send(len(data))):
+                    await self._send_all(data)
             except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
                 self._broken = True
                 self._reading.cancel()
@@ -340,6 +341,12 @@
         if not self._broken:
             self._settle()
 
+    async def _send_all(self, data: memoryview) -> None:
+        """Send bytes in parts: over TLS, a copy of each part is encrypted whole."""
+        while data:
+            await self.stream.send_all(data[:_SEND_BYTES])
+            data = data[_SEND_BYTES:]
+
     def _count_untaken(self, size: int) -> None:
         """Count response bytes that the client has not read, until the connection ends."""
         if not self._ended:
--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -94,7 +94,7 @@
     async def _send(self, data: bytes) -> None:
         async with self.send_lock:
             try:
-                with trio.fail_after(time_to_send(data)):
+                with trio.fail_after(time_to_send(len(data))):
                     await self.stream.send_all(data)
                 return
             except trio.TooSlowError:
@@ -140,7 +140,7 @@
         """
         if self._client_left:
             raise trio.BrokenResourceError("the client has left")
-        with trio.move_on_after(time_to_send(message.get("body", b""))) as scope:
+        with trio.move_on_after(time_to_send(len(message.get("body", b"")))) as scope:
             self._sending.add(scope)
             try:
                 await send(message)
--- a/src/limelever/transport/http_answers.py
+++ b/src/limelever/transport/http_answers.py
@@ -18,8 +18,8 @@
 }
 
 
-def encode_answer(request: HttpRequest, answer: HttpAnswer, *, close: bool) -> bytes:
-    """Return the encoded response to a request, with its content length.
+def encode_answer(request: HttpRequest, answer: HttpAnswer, *, close: bool) -> tuple[bytes, bytes]:
+    """Return the encoded head of the response to a request, with its content length, and the body.
 
     ``close`` is set if the connection ends with it. A response to HEAD has no body.
     """
@@ -34,9 +34,7 @@
     if close:
         parts.append(_CLOSE)
     parts.append(b"\r\n")
-    if not bare:
-        parts.append(answer.body)
-    return b"".join(parts)
+    return b"".join(parts), b"" if bare else answer.body
 
 
 def _status_line(status: int) -> bytes:
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from limelever.common.body_buffer import BodyBuffer
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HTTP_1_1, HttpRequest
@@ -84,7 +85,7 @@
         self._head_bytes = 0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = BodyBuffer()
         self._refusal: Failure | None = None
 
     @property
@@ -212,7 +213,6 @@
         request = self._request
         assert request is not None
         self._request = None
-        request.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        self._body.clear()
+        request.body = self._body.take()
         self.ended = not request.keep_alive
         self._sink.request_read(request)
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -12,6 +12,7 @@
 from limelever.common.framing import FrameReader, decode_payload, encode_frame
 from limelever.common.sansio import Address, Peer, Purpose, Role
 from limelever.common.settings import LinkSettings, seconds
+from limelever.protocol.calls_pb2 import CallBody
 from limelever.protocol.feature_level import CURRENT_LEVEL
 from limelever.protocol.link_pb2 import Hello, HelloAnswer
 from limelever.transport.metrics import LINK_BYTES, LINK_FRAMES, LINKS_OPEN
@@ -96,7 +97,7 @@
         self._queued_bytes += len(frame)
         self._outgoing.append(frame)
         if self.purpose in _PURPOSES_WITH_UNSENT:
-            self._unsent.append(message)
+            self._unsent.append(_without_data(message))
         self._wake.set()
         return self._queued_bytes <= self._settings.send_queue_bytes
 
@@ -195,6 +196,13 @@
         LINKS_OPEN.labels(self.purpose).dec()
 
 
+def _without_data(message: Message) -> Message:
+    """Return a part of a call's body without its bytes, which the queued frame holds."""
+    if isinstance(message, CallBody):
+        return CallBody(stream=message.stream, end=message.end)
+    return message
+
+
 async def dial(
     address: Address,
     purpose: Purpose,
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -16,6 +16,7 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Core, Output, Purpose, Role
 from limelever.common.settings import ProcessSettings, seconds
+from limelever.transport.allocator import return_large_blocks
 from limelever.transport.clock import BootTimeClock
 from limelever.transport.disk_writer import Disk
 from limelever.transport.faults import report_fault
@@ -232,6 +233,7 @@
     write_event(events.PROCESS_STARTED, fields)
     status = EXIT_OK
     _spare_collections()
+    return_large_blocks()
     try:
         trio.run(_run, settings, main, incarnation, identity, source, clock=BootTimeClock())
     except BaseException as error:
--- a/src/limelever/transport/send_limits.py
+++ b/src/limelever/transport/send_limits.py
@@ -9,6 +9,6 @@
 """A client that takes what it is sent more slowly, after ``SEND_SECONDS``, is cut off."""
 
 
-def time_to_send(data: bytes) -> float:
-    """Return how many seconds a client has to take ``data``."""
-    return SEND_SECONDS + len(data) / SLOWEST_BYTES_PER_SECOND
+def time_to_send(size: int) -> float:
+    """Return how many seconds a client has to take ``size`` bytes."""
+    return SEND_SECONDS + size / SLOWEST_BYTES_PER_SECOND
--- a/src/limelever/transport/streams.py
+++ b/src/limelever/transport/streams.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+from collections.abc import Sequence
 from typing import Any
 
 import trio
@@ -31,6 +32,22 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
+_JOINED_BYTES = 64 * 1024
+"""Messages up to this size are copied together, to be sent with one system call."""
+
+
+def send_parts_without_waiting(stream: trio.abc.Stream, parts: Sequence[bytes]) -> list[memoryview]:
+    """Send the parts of a message in order, and return views of what did not fit at once."""
+    if sum(map(len, parts)) <= _JOINED_BYTES:
+        parts = (b"".join(parts),)
+    unsent: list[memoryview] = []
+    for part in parts:
+        taken = 0 if unsent else send_without_waiting(stream, part)
+        if taken < len(part):
+            unsent.append(memoryview(part)[taken:])
+    return unsent
+
+
 def send_without_waiting(stream: trio.abc.Stream, data: bytes) -> int:
     """Return how many bytes of ``data`` the system took at once; none over TLS, which may wait.
 
