--- /dev/null
+++ b/features/steps/body_instances.py
@@ -0,0 +1,58 @@
+"""Instances that take uploads of any size, and answer with as many bytes as a path names."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from platform_machines import NodeMachine
+from platform_traffic import OK, Instance, InstanceHandler, Runs
+
+HEALTH_PATH = "/health"
+PART_BYTES = 1 << 20
+WORK_SECONDS = 0.05
+
+
+class BodyInstance(Instance):
+    """The instance beside a node."""
+
+    def __init__(self, machine: NodeMachine) -> None:
+        self.name = machine.name
+        self.arrivals: list[str] = []
+        self.uploads: list[str] = []
+        self._lock = threading.Lock()
+        super().__init__(machine, Runs())
+        self.RequestHandlerClass = BodyHandler
+
+
+class BodyHandler(InstanceHandler):
+    """Serves ``/read/SIZE`` and uploads."""
+
+    def do_GET(self):  # noqa: N802
+        request = self.headers.get("Limelever-Attempt-Id", "")
+        if self.path != HEALTH_PATH:
+            self.server.arrivals.append(request)
+            time.sleep(WORK_SECONDS)
+        self.answer(request, bytes(self._wanted_bytes()))
+
+    def do_POST(self):  # noqa: N802
+        request = self.headers.get("Limelever-Attempt-Id", "")
+        left = int(self.headers["Content-Length"])
+        while left:
+            left -= len(self.rfile.read(min(left, PART_BYTES)))
+        self.server.uploads.append(request)
+        time.sleep(WORK_SECONDS)
+        self.answer(request, b"taken")
+
+    def _wanted_bytes(self) -> int:
+        name = self.path.rpartition("/")[2]
+        return int(name) if name.isdigit() else 0
+
+    def answer(self, request: str, body: bytes) -> None:
+        """Send a whole answer."""
+        self.send_response(OK)
+        self.send_header("Limelever-Attempt-Id", request)
+        self.send_header("Limelever-Instance-Id", f"i-{self.server.name}")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
--- a/features/steps/held_once_steps.py
+++ b/features/steps/held_once_steps.py
@@ -83,6 +83,7 @@
 class IncompleteAnswer:
     def __init__(self):
         self.body = BodyBuffer()
+        self.held_bytes = 0
 
 
 def assemble_answer():
--- a/features/steps/proxy_harness.py
+++ b/features/steps/proxy_harness.py
@@ -9,6 +9,7 @@
 from hypothesis import settings as hypothesis_settings
 from msgspec.structs import replace
 
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.regions import NO_REGIONS, Regions
 from limelever.common.sansio import (
@@ -78,6 +79,7 @@
     RecordedAnswer,
     Release,
 )
+from limelever.proxy.attempts import AttemptSettings
 from limelever.proxy.balancer import BalancerSettings
 from limelever.proxy.call_types import (
     AnswerCall,
@@ -173,6 +175,8 @@
         calls: CallSettings | None = None,
         agent_level: int = UNSTATED_LEVEL,
         link_silence: float = DEFAULT_SILENCE_SECONDS,
+        attempts: AttemptSettings | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self.now = 100.0
         self.endpoints = endpoints
@@ -207,10 +211,11 @@
             keepers=KeeperClientSettings(keepers=(KEEPER,)),
             balancer=BalancerSettings(zone=zone, region=regions.own),
             calls=calls or CallSettings(),
+            attempts=attempts or AttemptSettings(),
             regions=regions,
             link_silence=link_silence,
         )
-        self.core = ProxyCore(settings, random.Random(seed), Recovered())
+        self.core = ProxyCore(settings, random.Random(seed), Recovered(), budget=budget)
 
     def start(self) -> ProxyHarness:
         self.post(Started())
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import trio
 from msgspec import Struct
@@ -31,6 +31,7 @@
     CheckBackend,
     ConnectResult,
     LimitStarts,
+    RequestSent,
     StartAttempt,
 )
 from limelever.agent.load_header import parse_pace, parse_requests
@@ -38,6 +39,7 @@
 from limelever.agent.response_checks import backend_refusal, matches_request, unconfirmed_refusal
 from limelever.agent.response_parser import ResponseParser
 from limelever.agent.settings import BackendSettings
+from limelever.common.byte_budget import SMALL_BYTES, ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 from limelever.common.http_messages import HttpAnswer
@@ -49,6 +51,9 @@
 DEFAULT_NAMES = HeaderNames()
 _GET = b"GET"
 _RECEIVE_BYTES = 1 << 16
+MAX_PROBE_RESPONSE_BYTES = 64 * 1024
+"""Longest body of a response to a health probe; its headers are what counts."""
+
 CHECK_TIMEOUT_SECONDS = 0.15
 """Timeout of a connection check on the local machine, some hundred times the usual duration, so
 that a busy backend process is not taken for an unresponsive one."""
@@ -60,13 +65,17 @@
     """A request in progress; its cancel scope expires at the attempt's deadline.
 
     ``unsent_for`` is the time in seconds until its first byte was sent. ``late`` is set if it was
-    still unsent when starts ended.
+    still unsent when starts ended. ``held_bytes`` is what the budget holds for the response,
+    and ``body`` that of the request until it is sent.
     """
 
     scope: trio.CancelScope
     started_at: float
     cancelled: bool = False
     late: bool = False
+    held_bytes: int = 0
+    number: int = 0
+    body: bytes = b""
     sent_any_byte: bool = False
     unsent_for: float = 0.0
 
@@ -86,8 +95,14 @@
         names: HeaderNames = DEFAULT_NAMES,
         instance: bytes = b"",
         health_path: str = "",
+        budget: ByteBudget | None = None,
     ) -> None:
         self._settings = settings
+        self._budget = budget or ByteBudget()
+        self._max_response_bytes = settings.max_response_bytes
+        if self._budget.limit:
+            ceiling = self._budget.ceiling(Use.RESPONSE)
+            self._max_response_bytes = min(settings.max_response_bytes, ceiling)
         self.health_path = health_path
         self._names = names
         self._instance = instance
@@ -115,7 +130,10 @@
     def start(self, output: StartAttempt) -> None:
         """Start an attempt in the background."""
         now = trio.current_time()
-        attempt = _Attempt(trio.CancelScope(deadline=now + output.timeout), now)
+        scope = trio.CancelScope(deadline=now + output.timeout)
+        attempt = _Attempt(scope, now, number=output.attempt, body=output.body)
+        if len(output.body) > SMALL_BYTES:
+            output = replace(output, body=b"")
         self._attempts[output.attempt] = attempt
         self._nursery.start_soon(self._run_attempt, output, attempt)
 
@@ -154,14 +172,17 @@
 
     async def _send_probe(self, path: str, timeout: float) -> HttpAnswer | None:
         """Return the response to a health probe, ``None`` if there is none within ``timeout``."""
-        with trio.move_on_after(timeout):
+        with trio.move_on_after(timeout) as scope:
             connection = await self._pool.acquire()
             if isinstance(connection, Failure):
                 return None
             head = encode_request_head(_GET, path.encode(), [(b"host", self._host)])
+            parser = ResponseParser(_GET, MAX_PROBE_RESPONSE_BYTES)
+            probe = _Attempt(scope, trio.current_time())
             try:
-                response = await self._round_trip(connection, _GET, head, b"")
+                response = await self._round_trip(connection, head, parser, probe)
             finally:
+                self._budget.release(Use.RESPONSE, probe.held_bytes)
                 self._pool.release(connection)
             return None if isinstance(response, Failure) else response
         return None
@@ -212,6 +233,7 @@
             event = AttemptFailed(output.attempt, _interruption(attempt), attempt.sent_any_byte)
         del self._attempts[output.attempt]
         self._post(event)
+        self._budget.release(Use.RESPONSE, attempt.held_bytes)
 
     async def _connect_and_send(self, output: StartAttempt, attempt: _Attempt) -> Event:
         connection = await self._pool.acquire()
@@ -231,10 +253,16 @@
         self, output: StartAttempt, connection: BackendConnection, attempt: _Attempt
     ) -> Event:
         headers = request_headers(
-            output, self._host, _remaining_ms(attempt), self._names, self._instance
+            output,
+            self._host,
+            _remaining_ms(attempt),
+            self._names,
+            self._instance,
+            len(attempt.body),
         )
         head = encode_request_head(output.method, output.target, headers)
-        response = await self._round_trip(connection, output.method, head, output.body)
+        parser = ResponseParser(output.method, self._max_response_bytes)
+        response = await self._round_trip(connection, head, parser, attempt)
         if isinstance(response, Failure):
             return AttemptFailed(
                 output.attempt, response, sent_any_byte=True, connection_ended=connection.ended
@@ -249,15 +277,18 @@
         return event
 
     async def _round_trip(
-        self, connection: BackendConnection, method: bytes, head: bytes, body: bytes
+        self,
+        connection: BackendConnection,
+        head: bytes,
+        parser: ResponseParser,
+        attempt: _Attempt,
     ) -> HttpAnswer | Failure:
         """Send a request and return its complete response.
 
         A response may arrive before the request is sent completely; the connection is closed then.
         """
-        parser = ResponseParser(method, self._settings.max_response_bytes)
         try:
-            await self._exchange(connection, head, body, parser)
+            await self._exchange(connection, head, parser, attempt)
         finally:
             parser.close()
         connection.ended = parser.connection_ended
@@ -267,20 +298,81 @@
         return parser.failure
 
     async def _exchange(
-        self, connection: BackendConnection, head: bytes, body: bytes, parser: ResponseParser
+        self,
+        connection: BackendConnection,
+        head: bytes,
+        parser: ResponseParser,
+        attempt: _Attempt,
     ) -> None:
-        unsent = send_parts_without_waiting(connection.stream, (head, body))
+        unsent = send_parts_without_waiting(connection.stream, (head, attempt.body))
         if not unsent:
-            await _read_response(connection, parser)
+            self._release_body(attempt)
+            await self._read_response(connection, parser, attempt)
             connection.reusable = parser.reusable
         else:
             async with trio.open_nursery() as nursery:
                 sent = trio.Event()
-                nursery.start_soon(_send_unsent, connection, unsent, sent)
-                await _read_response(connection, parser)
+                nursery.start_soon(self._send_unsent, connection, unsent, sent, attempt)
+                await self._read_response(connection, parser, attempt)
                 connection.reusable = parser.reusable and sent.is_set()
                 nursery.cancel_scope.cancel()
 
+    async def _send_unsent(
+        self,
+        connection: BackendConnection,
+        unsent: list[memoryview],
+        sent: trio.Event,
+        attempt: _Attempt,
+    ) -> None:
+        """Send the rest of a request; errors are left to the reading side."""
+        try:
+            while unsent:
+                await connection.stream.send_all(unsent[0])
+                del unsent[0]
+        except _CONNECTION_ERRORS:
+            return
+        sent.set()
+        self._release_body(attempt)
+
+    def _release_body(self, attempt: _Attempt) -> None:
+        """Drop the body of a request that was sent: an agent never sends it again."""
+        is_large = len(attempt.body) > SMALL_BYTES
+        attempt.body = b""
+        if is_large:
+            self._post(RequestSent(attempt.number))
+
+    async def _read_response(
+        self, connection: BackendConnection, parser: ResponseParser, attempt: _Attempt
+    ) -> None:
+        """Receive a response; nothing is received while the budget has no room for its body."""
+        while not parser.finished:
+            if parser.room_bytes > attempt.held_bytes:
+                await self._hold(attempt, parser.room_bytes)
+            try:
+                data = await receive(connection.stream, _RECEIVE_BYTES)
+            except _CONNECTION_ERRORS as error:
+                parser.handle_error(reason_of(error))
+                return
+            if data:
+                parser.feed(data)
+            else:
+                parser.handle_close()
+
+    async def _hold(self, attempt: _Attempt, size: int) -> None:
+        """Hold ``size`` bytes for the response of an attempt, as soon as the budget has room."""
+        added = size - attempt.held_bytes
+        if not self._budget.take(Use.RESPONSE, added, attempt.held_bytes):
+            granted = trio.Event()
+            waiter = self._budget.wait(Use.RESPONSE, added, granted.set)
+            try:
+                await granted.wait()
+            except trio.Cancelled:
+                if granted.is_set():
+                    attempt.held_bytes = size
+                self._budget.withdraw(waiter)
+                raise
+        attempt.held_bytes = size
+
     def _classify_response(
         self,
         output: StartAttempt,
@@ -309,31 +401,6 @@
         return AttemptAnswered(output.attempt, status, headers, body, pace, requests, signals)
 
 
-async def _read_response(connection: BackendConnection, parser: ResponseParser) -> None:
-    while not parser.finished:
-        try:
-            data = await receive(connection.stream, _RECEIVE_BYTES)
-        except _CONNECTION_ERRORS as error:
-            parser.handle_error(reason_of(error))
-            return
-        if data:
-            parser.feed(data)
-        else:
-            parser.handle_close()
-
-
-async def _send_unsent(
-    connection: BackendConnection, unsent: Sequence[memoryview], sent: trio.Event
-) -> None:
-    """Send the rest of a request; errors are left to the reading side."""
-    try:
-        for part in unsent:
-            await connection.stream.send_all(part)
-    except _CONNECTION_ERRORS:
-        return
-    sent.set()
-
-
 def _remaining_ms(attempt: _Attempt) -> int:
     remaining = attempt.scope.deadline - trio.current_time()
     return max(1, int(remaining * _MILLISECONDS))
--- a/src/limelever/agent/call_messages.py
+++ b/src/limelever/agent/call_messages.py
@@ -53,13 +53,15 @@
     body_bytes: int = MAX_INLINE_BODY_BYTES,
 ) -> ResponseStart:
     """Return the first message of a response, with at most ``body_bytes`` of its body."""
+    size = len(response.body)
     message = ResponseStart(
         stream=start.stream,
         attempt_id=start.attempt_id,
         status=response.status,
         body=response.body[:body_bytes],
-        end=len(response.body) <= body_bytes,
+        end=size <= body_bytes,
         load=load,
+        body_bytes=size if size > body_bytes else 0,
     )
     for name, value in response.headers:
         message.headers.add(name=name, value=value)
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -35,12 +35,14 @@
     CallsLimited,
     CancelAttempt,
     ConnectResult,
+    RequestSent,
 )
 from limelever.agent.response_pacer import NO_LINK_CAPACITY, CallTiming, ResponsePacer
 from limelever.agent.response_sender import ResponseSender
 from limelever.agent.start_limiter import StartLimits
 from limelever.agent.version_outcomes import VersionOutcomeCounter
 from limelever.agent.warm_up import WarmUp
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.deadlines import earliest
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
@@ -83,15 +85,17 @@
         limits: CallLimits,
         generator: random.Random,
         versions: VersionOutcomeCounter | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._limits = limits
-        self._calls = CallTable()
+        budget = budget or ByteBudget()
+        self._calls = CallTable(budget)
         bodies = BodyLimits(limits.max_body_bytes, limits.assembling_bytes, limits.link_rate)
-        self._receiver = CallReceiver(service, incarnation, bodies, self._calls)
+        self._receiver = CallReceiver(service, incarnation, bodies, self._calls, budget)
         self.warm_up = WarmUp(limits.starts, held=limits.held)
         self._queue = FairQueue(limits.queue, self.warm_up.limiter)
         self._pacer = ResponsePacer(limits.link_rate)
-        self._responses = ResponseSender(self._pacer)
+        self._responses = ResponseSender(self._pacer, budget=budget)
         self.backend = BackendMonitor(generator)
         self._starts_until = math.inf
         self._instance = InstanceLoad(
@@ -205,10 +209,8 @@
         if failure is None and start.awaits_credit:
             body_time = self._receiver.transfer_time(start)
             failure = self._queue.check(call.queue_entry(now), now, body_time)
-        if failure is not None:
-            return self._refuse(call, failure)
-        self._receiver.request_body(call)
-        return []
+        failure = failure or self._receiver.request_body(call, now)
+        return [] if failure is None else self._refuse(call, failure)
 
     def body(self, connection: ConnectionId, message: CallBody, now: float) -> list[Output]:
         """Append a chunk of a request body; ignore chunks of calls that have ended already."""
@@ -282,6 +284,12 @@
 
     # --- from the back end ------------------------------------------------------------------
 
+    def request_sent(self, event: RequestSent) -> None:
+        """Release the body of a call that the back end has received."""
+        call = self._calls.by_number(event.attempt)
+        if call is not None:
+            self._calls.release_body(call)
+
     def attempt_answered(self, event: AttemptAnswered, now: float) -> list[Output]:
         """Forward the back end's response; a 503 is excluded from the service time estimate."""
         call = self._calls.by_number(event.attempt)
@@ -353,6 +361,8 @@
         """Refuse waiting calls and fail pending responses whose deadline has passed."""
         assembling = [call.number for call in self._receiver.expired(now)]
         outputs = self._refuse_late([*self._queue.pop_expired(now), *assembling])
+        for call in self._receiver.starved(now):
+            outputs.extend(self._refuse(call, failures.BUFFERS_FULL))
         if self._responses.count:
             outputs.extend(self._responses.expire(now, self._reporter.agent_load))
         return outputs
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -14,11 +14,12 @@
 from limelever.agent.group_queue import QueuedCall
 from limelever.agent.interface import StartAttempt
 from limelever.common.body_buffer import BodyBuffer
+from limelever.common.byte_budget import ByteBudget, Use
 from limelever.common.sansio import ConnectionId, LogEvent
 from limelever.protocol.calls_pb2 import CallStart
 from limelever.protocol.config_pb2 import CALL_KIND_REPEATABLE
 from limelever.quarantine.crash_history import SuspectRequest
-from limelever.quarantine.fingerprint import Fingerprint
+from limelever.quarantine.fingerprint import Fingerprint, RequestHash, head_digest
 
 ATTEMPT_GENERATION_SECONDS = 30.0
 """Length of a generation; attempt identifiers are remembered for one to two of them."""
@@ -41,6 +42,8 @@
     ``settled`` is set once the last message was sent to the proxy, or the proxy has disconnected.
     ``target`` is when the caller would like the response, ``deadline`` when it stops waiting.
     ``cancellation`` is set once a running attempt was cancelled, until that attempt has ended.
+    ``held_bytes`` is what the process's budget holds for the body, before and after it arrives.
+    ``body_hash`` stands for a large body, and ``sent_body`` is a small one, once the call runs.
     """
 
     number: int
@@ -48,6 +51,8 @@
     start: CallStart
     deadline: float
     body: BodyBuffer = field(default_factory=BodyBuffer)
+    held_bytes: int = 0
+    body_hash: RequestHash | None = None
     sent_body: bytes = b""
     stage: CallStage = CallStage.ASSEMBLING
     settled: bool = False
@@ -77,7 +82,8 @@
         """Mark the call as running and return its attempt, which takes over the body."""
         self.stage = CallStage.RUNNING
         start, body = self.start, self.body.take()
-        self.sent_body = body
+        if self.body_hash is None:
+            self.sent_body = body
         return StartAttempt(
             attempt=self.number,
             service=start.service,
@@ -89,10 +95,18 @@
             tenant=start.tenant,
         )
 
+    def begin_hash(self) -> None:
+        """Compute the fingerprint as the body arrives, so that it need not be kept."""
+        start = self.start
+        self.body_hash = RequestHash(head_digest(start.service, start.method, start.target))
+
     def as_suspect(self) -> SuspectRequest:
         """Return the request's fingerprint, to be reported if the back end crashes."""
         start = self.start
-        fingerprint = Fingerprint.of(start.service, start.method, start.target, self.sent_body)
+        if self.body_hash is not None:
+            fingerprint = self.body_hash.fingerprint
+        else:
+            fingerprint = Fingerprint.of(start.service, start.method, start.target, self.sent_body)
         return SuspectRequest(fingerprint, start.known_depth)
 
 
@@ -116,7 +130,8 @@
 class CallTable:
     """Calls indexed by number and by connection and stream."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._budget = budget or ByteBudget()
         self._last_number = 0
         self._calls: dict[int, Call] = {}
         self._streams: dict[tuple[ConnectionId, int], int] = {}
@@ -150,10 +165,16 @@
         self._streams.pop((call.connection, call.start.stream), None)
 
     def remove(self, call: Call) -> None:
-        """Settle and remove a call."""
+        """Settle and remove a call, and release its body."""
         self.settle(call)
+        self.release_body(call)
         self._calls.pop(call.number, None)
 
+    def release_body(self, call: Call) -> None:
+        """Release what the budget holds for the call's body."""
+        self._budget.release(Use.CALL, call.held_bytes)
+        call.held_bytes = 0
+
     def of_connection(self, connection: ConnectionId) -> tuple[Call, ...]:
         """Return the unsettled calls of a connection."""
         calls = self._calls.values()
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -28,10 +28,12 @@
     DrainRequested,
     LimitStarts,
     RelaysShared,
+    RequestSent,
     VersionKnown,
 )
 from limelever.agent.registration import Registration, RegistrationSettings
 from limelever.agent.version_outcomes import VersionOutcomeCounter
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.deadlines import earliest
 from limelever.common.sansio import (
     CloseConnection,
@@ -127,6 +129,7 @@
         generator: random.Random,
         recovered: Recovered | None = None,
         sealer: Sealer | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         connections = DialledConnections()
         self._options = options
@@ -147,7 +150,7 @@
             self._service, registration.instance, registration.version
         )
         self._calls = CallService(
-            self._service, incarnation, options.calls, generator, self._versions
+            self._service, incarnation, options.calls, generator, self._versions, budget
         )
         self._drain_limit = options.drain.limit
         self._proxies: dict[ConnectionId, Peer] = {}
@@ -234,6 +237,8 @@
                 self._calls.agent_started(now)
             case MessageReceived(connection, message) if connection in self._proxies:
                 return self._handle_proxy_message(connection, message, now)
+            case RequestSent():
+                self._calls.request_sent(event)
             case AttemptAnswered():
                 return self._calls.attempt_answered(event, now)
             case AttemptFailed():
--- a/src/limelever/agent/failures.py
+++ b/src/limelever/agent/failures.py
@@ -24,6 +24,9 @@
 LIMIT_EXCEEDED = Failure(
     ErrorKind.INSTANCE_LIMITED, "cannot be started in time within the limit of the instance"
 )
+BUFFERS_FULL = Failure(
+    ErrorKind.OVERLOADED, "the agent has no room for the request body", retry_after=0.5
+)
 CANNOT_MEET_DEADLINE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "cannot finish in time")
 
 
--- a/src/limelever/agent/headers.py
+++ b/src/limelever/agent/headers.py
@@ -11,7 +11,12 @@
 
 
 def request_headers(
-    request: StartAttempt, host: bytes, remaining_ms: int, names: HeaderNames, instance: bytes
+    request: StartAttempt,
+    host: bytes,
+    remaining_ms: int,
+    names: HeaderNames,
+    instance: bytes,
+    body_bytes: int = 0,
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request with a complete body to the back end at ``host``.
 
@@ -20,14 +25,13 @@
     added here, as the tenant is a field of its own between proxy and agent.
     """
     forwarded = end_to_end(request.headers)
-    body = request.body
     replaced = _SET_BY_AGENT | {names.timeout, names.target_instance, names.tenant}
     headers = [header for header in forwarded if header[0] not in replaced]
     if not any(name == _HOST for name, _ in headers):
         headers.append((_HOST, host))
     stated_length = any(name == _CONTENT_LENGTH for name, _ in forwarded)
-    if body or stated_length:
-        headers.append((_CONTENT_LENGTH, str(len(body)).encode()))
+    if body_bytes or stated_length:
+        headers.append((_CONTENT_LENGTH, str(body_bytes).encode()))
     if names.target_instance and instance:
         headers.append((names.target_instance, instance))
     if names.tenant and request.tenant:
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -86,6 +86,12 @@
     calls_per_s: float
 
 
+class RequestSent(Event, frozen=True):
+    """The large body of an attempt's request was sent, and is no longer held."""
+
+    attempt: int
+
+
 class AttemptAnswered(Event, frozen=True):
     """The back end's complete response.
 
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -23,12 +23,14 @@
 from limelever.agent.registration import RegistrationSettings
 from limelever.agent.settings import AgentSettings, ProbeSettings
 from limelever.common.backoff import BackoffSettings
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.metrics import publish_body_bytes
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
 from limelever.transport.runner import CoreRunner
@@ -68,6 +70,12 @@
     return incarnation if failure is None else failure
 
 
+def body_budget(settings: AgentSettings) -> ByteBudget:
+    """Return the budget for the bodies that an agent process holds."""
+    largest = max(settings.queue.max_body_bytes, settings.backend.max_response_bytes)
+    return ByteBudget(settings.bodies.total_bytes, largest)
+
+
 def build_agent_options(
     settings: AgentSettings, address: Address, subscriber: SubscriberSettings | None
 ) -> AgentOptions:
@@ -145,11 +153,14 @@
     if isinstance(incarnation, Failure):
         raise ProcessFailedError(incarnation)
     bound = await shell.listen(settings.listen)
+    budget = body_budget(settings)
+    publish_body_bytes(budget)
     core = AgentCore(
         build_agent_options(settings, settings.advertise or bound, _subscriber_settings(settings)),
         incarnation,
         random.Random(),
         disk.recovered if disk is not None else Recovered(),
+        budget=budget,
     )
     finished = trio.Event()
     async with trio.open_nursery() as nursery:
@@ -169,6 +180,7 @@
             names,
             settings.name.encode(),
             settings.probe.path,
+            budget,
         )
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -5,9 +5,11 @@
 import httptools
 
 from limelever.common.body_buffer import BodyBuffer
+from limelever.common.byte_budget import SMALL_BYTES
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import value_of
 from limelever.common.http_messages import HttpAnswer
+from limelever.common.numbers import parse_count
 
 _HEAD = b"HEAD"
 _CHUNKED = b"chunked"
@@ -15,6 +17,9 @@
 _TRANSFER_ENCODING = b"transfer-encoding"
 _OPTIONAL_SPACE = b" \t"
 _FIRST_FINAL_STATUS = 200
+_UNSTATED_STEP_BYTES = 1 << 20
+"""Room for a body without a stated length; a longer one gets room for the largest body."""
+
 _SWITCHING_PROTOCOLS = 101
 _NO_BODY = frozenset({204, 304})
 
@@ -42,9 +47,20 @@
         self._status = 0
         self._in_head = False
         self._until_close = False
+        self._stated_bytes: int | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = BodyBuffer()
 
+    @property
+    def room_bytes(self) -> int:
+        """Return the size of the body for which there must be room before more is received."""
+        if self._stated_bytes is not None:
+            return self._stated_bytes
+        received = len(self._body)
+        if received < SMALL_BYTES:
+            return received
+        return _UNSTATED_STEP_BYTES if received < _UNSTATED_STEP_BYTES else self._max_bytes
+
     @property
     def finished(self) -> bool:
         """Return whether a response or a failure is available."""
@@ -128,8 +144,10 @@
         if self._method == _HEAD:
             self._complete()
             raise _StopParsingError
-        framed = coding or value_of(headers, _CONTENT_LENGTH) or self._status in _NO_BODY
-        self._until_close = not framed
+        stated = value_of(headers, _CONTENT_LENGTH)
+        if stated:
+            self._stated_bytes = parse_count(stated)
+        self._until_close = not (coding or stated or self._status in _NO_BODY)
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
--- a/src/limelever/agent/response_sender.py
+++ b/src/limelever/agent/response_sender.py
@@ -2,8 +2,8 @@
 
 The first message carries up to 256 KiB of a response and another 256 KiB follow at once; the rest
 is sent as ``CallCredit`` allows. If the link rate is known, the first message of a long response
-has no body, and ``ResponsePacer`` schedules the body in chunks. The total of unsent bytes is
-bounded, so a proxy that stops reading cannot exhaust the agent's memory.
+has no body, and ``ResponsePacer`` schedules the body in chunks. Unsent bytes are held in the
+process's budget, which bounds what is read from the back end.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from limelever.agent.calls import Call
 from limelever.agent.interface import AttemptAnswered
 from limelever.agent.response_pacer import ResponsePacer
+from limelever.common.byte_budget import ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, Output, SendMessage
 from limelever.protocol.calls_pb2 import AgentLoad, CallStart, ResponseBody
@@ -28,7 +29,7 @@
 """Maximum size of one body message, so that messages of other calls can interleave."""
 
 MAX_PENDING_BYTES = 16 * 1024 * 1024
-"""Maximum total of unsent bytes; responses beyond it are dropped and reported as failed."""
+"""Maximum total of unsent bytes without a budget; responses beyond it are reported as failed."""
 
 UNPACED = 0
 """Pacer key of a response that is not paced."""
@@ -54,9 +55,15 @@
 class ResponseSender:
     """Responses that have not been sent completely."""
 
-    def __init__(self, pacer: ResponsePacer, limit_bytes: int = MAX_PENDING_BYTES) -> None:
+    def __init__(
+        self,
+        pacer: ResponsePacer,
+        limit_bytes: int = MAX_PENDING_BYTES,
+        budget: ByteBudget | None = None,
+    ) -> None:
         self._pacer = pacer
-        self._limit = limit_bytes
+        self._budget = budget or ByteBudget()
+        self._limit = self._budget.limit or limit_bytes
         self._pending: dict[tuple[ConnectionId, int], _PendingResponse] = {}
         self._paced: dict[int, _PendingResponse] = {}
         self._pending_bytes = 0
@@ -92,7 +99,7 @@
             return [first]
         pending = _PendingResponse(call.connection, call.start, unsent, call.deadline)
         self._pending[(call.connection, call.start.stream)] = pending
-        self._pending_bytes += len(unsent)
+        self._count_pending(len(unsent))
         if not paced:
             return [first, *self._chunks(pending)]
         pending.pacer_key = call.number
@@ -125,7 +132,7 @@
         """Drop the rest of a response that its proxy no longer wants."""
         pending = self._pending.pop((connection, stream), None)
         if pending is not None:
-            self._pending_bytes -= len(pending.unsent)
+            self._count_pending(-len(pending.unsent))
             self._stop_pacing(pending)
 
     def drop_connection(self, connection: ConnectionId) -> None:
@@ -167,7 +174,7 @@
             size = min(MAX_CHUNK_BYTES, pending.credit, len(pending.unsent))
             data, pending.unsent = bytes(pending.unsent[:size]), pending.unsent[size:]
             pending.credit -= size
-            self._pending_bytes -= size
+            self._count_pending(-size)
             end = not pending.unsent
             message: Message = ResponseBody(stream=pending.start.stream, data=data, end=end)
             outputs.append(SendMessage(pending.connection, message))
@@ -176,6 +183,14 @@
             self._stop_pacing(pending)
         return outputs
 
+    def _count_pending(self, size: int) -> None:
+        """Add to the unsent bytes; negative once they are sent or dropped."""
+        self._pending_bytes += size
+        if size > 0:
+            self._budget.charge(Use.RESPONSE, size)
+        else:
+            self._budget.release(Use.RESPONSE, -size)
+
     def _stop_pacing(self, pending: _PendingResponse) -> None:
         """Remove a response from the pacer."""
         if self._paced.pop(pending.pacer_key, None) is not None:
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -10,6 +10,7 @@
 from limelever.agent.start_limiter import StartLimits
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
+    BodySettings,
     Clash,
     HeaderSettings,
     ProcessSettings,
@@ -120,6 +121,7 @@
     advertise: Address | None = attrs.field(default=None, validator=dialled)
     relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
     backend: BackendSettings
+    bodies: BodySettings = BodySettings()
     probe: ProbeSettings = ProbeSettings()
     queue: QueueSettings = QueueSettings()
     drain: DrainSettings = DrainSettings()
--- /dev/null
+++ b/src/limelever/common/byte_budget.py
@@ -0,0 +1,149 @@
+"""One limit on the bytes of request and response bodies that a process holds.
+
+Decides under bursts of large uploads and downloads, slow clients and slow back ends, which bodies a
+process takes in now, and which wait. Callers need a process that stays within its memory, as its
+end loses the calls of all others, and small calls that pass beside large ones.
+
+- A use may fill the limit up to its ceiling only. What a call holds at one step is released as it
+  reaches the next, so later steps have higher ceilings and can always go on.
+- Each ceiling has room for the largest body, so that no body is too large for an idle process.
+- Small bodies may use the whole limit.
+- Waiting bodies are taken in by their step, the latest first, then in order of arrival. No large
+  one passes a waiting one of the same step, and together they wait for one ceiling's worth only.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from msgspec import Struct
+
+UNLIMITED = 0
+
+SMALL_BYTES = 64 * 1024
+"""Bodies up to this size may use the whole limit."""
+
+
+class Use(StrEnum):
+    """The step of a call at which a body is held, in the order in which a call reaches them.
+
+    ``REQUEST``: a caller's request at its proxy, kept for further attempts; ``CALL``: a request at
+    an agent; ``RESPONSE``: a back end's response at its agent; ``ANSWER``: a response at the
+    caller's proxy.
+    """
+
+    REQUEST = "request"
+    CALL = "call"
+    RESPONSE = "response"
+    ANSWER = "answer"
+
+
+_ORDER = {use: position for position, use in enumerate(Use)}
+_CEILING_PERCENT = {Use.REQUEST: 50, Use.CALL: 75, Use.RESPONSE: 85, Use.ANSWER: 95}
+_HIGHEST_CEILING_PERCENT = 95
+_PERCENT = 100
+
+
+class Waiter(Struct, eq=False):
+    """Bytes that are waited for; ``granted`` is called once they are taken."""
+
+    use: Use
+    size: int
+    granted: Callable[[], None]
+
+
+class ByteBudget:
+    """The bytes held by use, within ``limit`` bytes; ``largest`` is the size of the largest body.
+
+    With the limit ``UNLIMITED`` bytes are counted only.
+    """
+
+    def __init__(self, limit: int = UNLIMITED, largest: int = 0) -> None:
+        self.limit = limit
+        self.waits = dict.fromkeys(Use, 0)
+        self._used = dict.fromkeys(Use, 0)
+        self._total = 0
+        self._waiting: list[Waiter] = []
+        highest = limit * _HIGHEST_CEILING_PERCENT // _PERCENT
+        self._ceilings = {
+            use: max(limit * percent // _PERCENT, min(largest + SMALL_BYTES, highest))
+            for use, percent in _CEILING_PERCENT.items()
+        }
+
+    def used(self, use: Use) -> int:
+        """Return the bytes held for a use."""
+        return self._used[use]
+
+    def waiting_bytes(self, use: Use) -> int:
+        """Return the bytes that are waited for by :meth:`wait` for a use."""
+        return sum(waiter.size for waiter in self._waiting if waiter.use is use)
+
+    def ceiling(self, use: Use) -> int:
+        """Return up to which total a use may fill the limit, if there is one."""
+        return self._ceilings[use]
+
+    def can_ever_take(self, use: Use, size: int) -> bool:
+        """Return whether an idle process could take ``size`` bytes."""
+        return not self.limit or size <= self._ceilings[use]
+
+    def can_wait(self, use: Use, size: int, waiting: int | None = None) -> bool:
+        """Return whether ``size`` bytes may wait behind those that do, or ``waiting`` of them.
+
+        They may not if bytes of earlier steps leave no room for them: those may be released only
+        once calls go on.
+        """
+        ahead = self.waiting_bytes(use) if waiting is None else waiting
+        earlier = sum(held for each, held in self._used.items() if _ORDER[each] < _ORDER[use])
+        return max(ahead, earlier) + size <= self._ceilings[use]
+
+    def take(self, use: Use, size: int, held: int = 0) -> bool:
+        """Hold ``size`` bytes of a body of which ``held`` are held already; false if too many."""
+        is_large = held + size > SMALL_BYTES
+        if is_large and any(_ORDER[waiter.use] >= _ORDER[use] for waiter in self._waiting):
+            return False
+        if not self._has_room(use, size, is_large=is_large):
+            return False
+        self.charge(use, size)
+        return True
+
+    def charge(self, use: Use, size: int) -> None:
+        """Hold bytes that are here already, whatever the limit."""
+        self._used[use] += size
+        self._total += size
+
+    def release(self, use: Use, size: int) -> None:
+        """Release held bytes, and grant what waits for them."""
+        self._used[use] -= size
+        self._total -= size
+        if self._waiting and size:
+            self._grant_waiting()
+
+    def wait(self, use: Use, size: int, granted: Callable[[], None]) -> Waiter:
+        """Take ``size`` bytes once there is room; ``granted`` is called then.
+
+        For bytes that :meth:`take` has just refused.
+        """
+        waiter = Waiter(use, size, granted)
+        self.waits[use] += 1
+        self._waiting.append(waiter)
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Wait no longer."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+            self._grant_waiting()
+
+    def _has_room(self, use: Use, size: int, *, is_large: bool) -> bool:
+        ceiling = self._ceilings[use] if is_large else self.limit
+        return not self.limit or self._total + size <= ceiling
+
+    def _grant_waiting(self) -> None:
+        """Grant the waiting bytes in their order, up to the first that has no room."""
+        for waiter in sorted(self._waiting, key=lambda each: -_ORDER[each.use]):
+            if not self._has_room(waiter.use, waiter.size, is_large=True):
+                return
+            self._waiting.remove(waiter)
+            self.charge(waiter.use, waiter.size)
+            waiter.granted()
--- a/src/limelever/common/settings/__init__.py
+++ b/src/limelever/common/settings/__init__.py
@@ -20,6 +20,7 @@
 from limelever.common.settings.problems import Clash, SettingsProblem, SettingsProblems
 from limelever.common.settings.sections import (
     AcceptedCredential,
+    BodySettings,
     CredentialSettings,
     HeaderSettings,
     LinkSettings,
@@ -33,6 +34,7 @@
 __all__ = [
     "AcceptedCredential",
     "Between",
+    "BodySettings",
     "Clash",
     "CredentialSettings",
     "HeaderSettings",
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -93,6 +93,13 @@
     connections: int = attrs.field(default=4096, validator=between(1, 65536))
 
 
+@attrs.frozen(kw_only=True)
+class BodySettings:
+    """Limit on the request and response bodies that a process holds; see ``ByteBudget``."""
+
+    total_bytes: int = attrs.field(default=256 << 20, validator=between(1 << 20, 1 << 40))
+
+
 @attrs.frozen(kw_only=True)
 class HeaderSettings:
     """Names of the HTTP headers that the mesh reads and sets; see ``HeaderNames``."""
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -37,6 +37,7 @@
     without_former_calls,
 )
 from limelever.agent.settings import AgentSettings
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.departed_runs import DepartedRun
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Event, Output, Purpose, Role
@@ -91,8 +92,15 @@
 class AgentSupervisor:
     """Starts, drains and ends agents as the instance starts, drains and ends."""
 
-    def __init__(self, settings: NodeSettings, shell: ProcessShell, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        shell: ProcessShell,
+        nursery: trio.Nursery,
+        budget: ByteBudget | None = None,
+    ) -> None:
         self._settings = settings
+        self._budget = budget or ByteBudget()
         self._shell = shell
         self._nursery = nursery
         self._tracker = InstanceTracker()
@@ -309,7 +317,8 @@
     async def _run_agent(self, settings: AgentSettings, report: InstanceReport) -> None:
         instance, warm_up_left = report.instance, report.warm_up_left or 0.0
         incarnation = time.time_ns() // _NANOSECONDS_PER_MILLISECOND
-        core = AgentCore(self._agent_options(settings, report), incarnation, random.Random())
+        options = self._agent_options(settings, report)
+        core = AgentCore(options, incarnation, random.Random(), budget=self._budget)
         finished = trio.Event()
         self._unfinished.add(finished)
 
@@ -331,6 +340,7 @@
                 header_names,
                 instance.encode(),
                 self._health_path,
+                self._budget,
             )
             # Reports of the run may have come since the one that started its agent.
             version = self._tracker.version if self._is_tracked(report) else settings.version
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -11,6 +11,7 @@
 import trio
 
 from limelever.agent.events import REPORT_REFUSED
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import Failure
 from limelever.common.settings import seconds
 from limelever.node.agent_supervisor import AgentSupervisor
@@ -94,10 +95,22 @@
     return attrs.evolve(settings, relays=tuple(relays))
 
 
+def body_budget(settings: NodeSettings) -> ByteBudget:
+    """Return the one budget for the bodies that the proxy and the agent of a node hold."""
+    largest = max(
+        settings.edge.max_body_bytes,
+        settings.calls.max_answer_bytes,
+        settings.queue.max_body_bytes,
+        settings.backend.max_response_bytes,
+    )
+    return ByteBudget(settings.bodies.total_bytes, largest)
+
+
 async def _main(settings: NodeSettings, gateways: GatewayFactory, shell: ProcessShell) -> None:
     stopped = trio.Event()
     async with trio.open_nursery() as gateway_nursery:
-        supervisor = AgentSupervisor(settings, shell, gateway_nursery)
+        budget = body_budget(settings)
+        supervisor = AgentSupervisor(settings, shell, gateway_nursery, budget)
         await shell.listen(settings.listen)
         failure = await start_gateways(
             gateways(NodeInterface(shell, supervisor)), stopped, gateway_nursery
@@ -111,6 +124,7 @@
                 shell,
                 supervisor.handle_proxy_output,
                 supervisor.proxy_started,
+                budget,
             )
             await shell.stop_requested.wait()
             await trio.sleep(seconds(settings.edge.lame_duck_ms))
--- a/src/limelever/node/settings.py
+++ b/src/limelever/node/settings.py
@@ -19,6 +19,7 @@
 from limelever.common.backoff import BackoffSettings
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
+    BodySettings,
     Clash,
     HeaderSettings,
     ProcessSettings,
@@ -61,6 +62,7 @@
     relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
     backend: BackendSettings
     edge: EdgeSettings
+    bodies: BodySettings = BodySettings()
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
@@ -86,6 +88,7 @@
         caller_service=settings.service,
         relays=settings.relays,
         edge=settings.edge,
+        bodies=settings.bodies,
         calls=settings.calls,
         balancing=settings.balancing,
         configuration=settings.configuration,
@@ -122,6 +125,7 @@
         listen=settings.listen,
         relays=settings.relays,
         backend=attrs.evolve(settings.backend, slots=slots),
+        bodies=settings.bodies,
         probe=ProbeSettings(cold_start_limit_ms=0),
         queue=settings.queue,
         drain=settings.drain,
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -72,6 +72,10 @@
             return self._handle_failure(call, call.attempt, message, now)
         call.attempt.status = message.status
         call.attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
+        if not message.end:
+            failure = self._assembly.begin(call.attempt, message.body_bytes)
+            if failure is not None:
+                return self._abort(call, call.attempt, failure, now)
         return self._add_body(call, call.attempt, message.body, message.end, now)
 
     def _handle_body(
@@ -79,10 +83,29 @@
     ) -> AttemptEnded | None:
         ended = self._add_body(call, attempt, message.data, message.end, now)
         if ended is None:
-            credit = CallCredit(stream=message.stream, bytes=len(message.data))
-            self._outputs.append(SendMessage(attempt.connection, credit))
+            attempt.owed_credit += len(message.data)
+            self._give_credit(attempt)
         return ended
 
+    def resume_answers(self, now: float) -> None:
+        """Let agents go on with the answers for which there is room now."""
+        for attempt in self._assembly.take_startable(now):
+            self._give_credit(attempt)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`resume_answers` is due (seconds, monotonic), or ``None``."""
+        return self._assembly.next_deadline()
+
+    def _give_credit(self, attempt: Attempt) -> None:
+        if attempt.owed_credit and self._assembly.may_continue(attempt):
+            credit = CallCredit(stream=attempt.stream, bytes=attempt.owed_credit)
+            attempt.owed_credit = 0
+            self._outputs.append(SendMessage(attempt.connection, credit))
+
+    def _abort(self, call: Call, attempt: Attempt, failure: Failure, now: float) -> AttemptEnded:
+        self._outputs.append(SendMessage(attempt.connection, CallCancel(stream=attempt.stream)))
+        return self._completer.fail(call, failure.kind, failure.reason, now)
+
     def _handle_credit(self, connection: ConnectionId, message: CallCredit) -> None:
         call = self._calls.by_stream(connection, message.stream)
         if call is not None and call.attempt is not None:
@@ -97,9 +120,7 @@
             return self._completer.succeed(call, attempt, data, now)
         overflow = self._assembly.add(attempt, data)
         if overflow is not None:
-            message = CallCancel(stream=attempt.stream)
-            self._outputs.append(SendMessage(attempt.connection, message))
-            return self._completer.fail(call, overflow.kind, overflow.reason, now)
+            return self._abort(call, attempt, overflow, now)
         if not end:
             return None
         self._assembly.release(attempt)
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import Message
 from msgspec import Struct
 
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers
 from limelever.common.sansio import ConnectionId, Output, Peer, SendMessage
@@ -68,6 +69,7 @@
         reported: ReportedSuspects,
         random_source: random.Random,
         outputs: list[Output],
+        budget: ByteBudget | None = None,
     ) -> None:
         self._settings = settings
         self._calls = calls
@@ -79,7 +81,7 @@
         self._id_prefix = random_source.randbytes(_ID_HALF_BYTES)
         self._last_id = 0
         limits = AssemblyLimits(settings.answer_limit_bytes, settings.assembly_limit_bytes)
-        assembly = AnswerAssembly(limits)
+        assembly = AnswerAssembly(limits, budget)
         self._region_filter = RegionFilter(outputs)
         self._region_usage = RegionUsageLog(outputs)
         self._transfer_sizes = TransferSizes()
@@ -232,6 +234,14 @@
         """Handle a message from an agent; return the end of an attempt if it completed one."""
         return self._messages.handle(connection, message, now)
 
+    def resume_answers(self, now: float) -> None:
+        """Let agents go on with the answers for which the budget has room now."""
+        self._messages.resume_answers(now)
+
+    def next_deadline(self) -> float | None:
+        """Return when :meth:`resume_answers` is due (seconds, monotonic), or ``None``."""
+        return self._messages.next_deadline()
+
     def _next_attempt_id(self) -> bytes:
         self._last_id += 1
         return self._id_prefix + self._last_id.to_bytes(_ID_HALF_BYTES, "big")
--- a/src/limelever/proxy/call_state.py
+++ b/src/limelever/proxy/call_state.py
@@ -47,7 +47,9 @@
 
     ``known_depth`` is the number of consecutive back-end crashes attributed to the request when the
     attempt started. ``verdict_if_run`` is set when the agent is asked to cancel at the deadline: it
-    is the verdict on the endpoint if the back end had started the call.
+    is the verdict on the endpoint if the back end had started the call. ``answer_bytes`` is the
+    stated size of the answer, ``held_bytes`` what the process's budget holds for it, and
+    ``owed_credit`` the bytes of it for which no credit was given yet.
     """
 
     entry: EndpointEntry
@@ -61,6 +63,9 @@
     status: int = 0
     headers: Headers = ()
     body: BodyBuffer = field(default_factory=BodyBuffer)
+    answer_bytes: int = 0
+    held_bytes: int = 0
+    owed_credit: int = 0
     verdict_if_run: Verdict | None = None
 
 
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct, field
 
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.deadlines import earliest
 from limelever.common.errors import Failure
 from limelever.common.instance_runs import InstanceRun
@@ -120,6 +121,7 @@
         random_source: random.Random,
         recovered: Recovered,
         sealer: Sealer | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._outputs: list[Output] = []
         connections = DialledConnections()
@@ -157,7 +159,9 @@
             self._reported_suspects,
             random_source,
             self._outputs,
+            budget,
         )
+        self._attempts = attempts
         self._quarantine = Quarantine(random_source, self._outputs)
         self._engine = CallEngine(
             settings.calls,
@@ -237,6 +241,7 @@
         """Return when ``DeadlineReached`` must be delivered next (seconds, monotonic)."""
         return earliest(
             self._engine.next_deadline(),
+            self._attempts.next_deadline(),
             self._silent_links.next_deadline(),
             self._subscriber.next_deadline(),
             self._keepers.next_deadline(),
@@ -269,6 +274,7 @@
 
     def _deadline_reached(self, event: Event, now: float) -> None:
         self._engine.wake(now)
+        self._attempts.resume_answers(now)
         self._silent_links.wake(now)
         self._outputs.extend(self._keepers.tick(now))
         self._outputs.extend(self._subscriber.handle(event, now))
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -12,9 +12,11 @@
 
 import trio
 
+from limelever.common.byte_budget import ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import HeaderNames
+from limelever.common.http_headers import HeaderNames, value_of
 from limelever.common.http_messages import HttpAnswer, HttpRequest
+from limelever.common.numbers import parse_count
 from limelever.common.sansio import Address, Event
 from limelever.common.settings import seconds
 from limelever.proxy.answer_rendering import render_answer
@@ -22,7 +24,9 @@
 from limelever.proxy.edge_http2 import Http2Edge
 from limelever.proxy.edge_listener import serve_callers
 from limelever.proxy.request_parsing import declared_length, parse_request
+from limelever.proxy.request_room import RequestRooms
 from limelever.proxy.settings import EdgeSettings
+from limelever.transport.body_room import BodyRoom
 from limelever.transport.http1_connection import Http1Connection
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
@@ -32,12 +36,18 @@
 """Seconds within which a caller must send its request body."""
 
 PENDING_ANSWERS_LIMIT_BYTES = 32 * 1024 * 1024
-"""Limit on answer bytes that callers have not read yet; above it, new calls are refused.
+"""Limit on answer bytes that callers have not read yet, without a budget of the process.
+
+Above the limit, new calls are refused.
 
 The listener eventually disconnects callers that read nothing.
 """
 
+LONGEST_WAIT_RATIO = 0.5
+"""Part of a caller's time for which its body may wait for room; the rest is for the call."""
+
 OVERLOAD_RETRY_AFTER_SECONDS = 1.0
+_MILLISECONDS = 1000.0
 DEFAULT_NAMES = HeaderNames()
 
 Deliver = Callable[[HttpAnswer], None]
@@ -54,14 +64,16 @@
         settings: EdgeSettings,
         post: Callable[[Event], None],
         names: HeaderNames = DEFAULT_NAMES,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self._budget = budget or ByteBudget()
+        self._rooms = RequestRooms(self._budget, settings.max_body_bytes, settings.buffered_bytes)
         self._settings = settings
         self._names = names
         self._lame_duck = False
         self._post = post
         self._pending: dict[int, Deliver] = {}
         self._last_call = 0
-        self._buffered_body_bytes = 0
         self._pending_answer_bytes = 0
         self._stopping = trio.Event()
 
@@ -131,28 +143,22 @@
 
     # --- handler interface of the listener -------------------------------------------------
 
-    def check_head(self, request: HttpRequest) -> Failure | None:
-        """Return the failure if a request is refused before its body is read."""
-        if self._pending_answer_bytes > PENDING_ANSWERS_LIMIT_BYTES:
+    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
+        """Return room for a request's body, or why it is refused before its body is read."""
+        if self._pending_answer_bytes > self._pending_answers_limit:
             reason = "too many answer bytes are waiting for callers to read them"
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_AFTER_SECONDS)
-        declared = declared_length(request.headers)
-        return self._check_body(declared, declared)
-
-    def hold_body(self, held: int, added: int) -> Failure | None:
-        """Count ``added`` more bytes of a body of ``held`` bytes; return a failure over a limit."""
-        refusal = self._check_body(held + added, added)
-        if refusal is None:
-            self._buffered_body_bytes += added
-        return refusal
-
-    def release_body(self, size: int) -> None:
-        """Release the counted bytes of a body."""
-        self._buffered_body_bytes -= size
+        time = self._time_of(request)
+        stated = declared_length(request.headers)
+        return self._rooms.open(stated, time * LONGEST_WAIT_RATIO, BODY_TIMEOUT_SECONDS)
 
     def count_untaken(self, size: int) -> None:
         """Add to the count of answer bytes not yet read by callers; negative once they are."""
         self._pending_answer_bytes += size
+        if size > 0:
+            self._budget.charge(Use.ANSWER, size)
+        else:
+            self._budget.release(Use.ANSWER, -size)
 
     def render(self, failure: Failure) -> HttpAnswer:
         """Return the HTTP response for a failure."""
@@ -166,11 +172,14 @@
         """Cancel a request whose caller disconnected."""
         self.caller_disconnected(exchange.number)
 
-    def _check_body(self, size: int, added: int) -> Failure | None:
-        if size > self._settings.max_body_bytes:
-            limit = self._settings.max_body_bytes
-            return Failure(ErrorKind.BODY_TOO_LARGE, f"request body exceeds {limit} bytes")
-        if self._buffered_body_bytes + added > self._settings.buffered_bytes:
-            reason = "request body buffers of the proxy are full"
-            return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_AFTER_SECONDS)
-        return None
+    @property
+    def _pending_answers_limit(self) -> int:
+        """Return the ceiling of the budget, which answers are taken from, if there is one."""
+        return self._budget.ceiling(Use.ANSWER) or PENDING_ANSWERS_LIMIT_BYTES
+
+    def _time_of(self, request: HttpRequest) -> float:
+        """Return how long the caller waits at most for the request's body to be received."""
+        stated = parse_count(value_of(request.headers, self._names.timeout))
+        if not stated:
+            return BODY_TIMEOUT_SECONDS
+        return min(BODY_TIMEOUT_SECONDS, stated / _MILLISECONDS)
--- a/src/limelever/proxy/edge_http2.py
+++ b/src/limelever/proxy/edge_http2.py
@@ -7,9 +7,11 @@
 
 import trio
 
+from limelever.common.body_buffer import BodyBuffer
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_messages import HttpAnswer, HttpRequest
 from limelever.transport.asgi import Receive, Send
+from limelever.transport.body_room import BodyRoom
 from limelever.transport.request_checks import check_request
 
 DISCARD_TIMEOUT_SECONDS = 1.0
@@ -25,14 +27,8 @@
     def caller_disconnected(self, number: int) -> None:
         """Cancel a call whose caller disconnected."""
 
-    def check_head(self, request: HttpRequest) -> Failure | None:
-        """Return the failure if a request is refused before its body is read."""
-
-    def hold_body(self, held: int, added: int) -> Failure | None:
-        """Count more bytes of a body; return a failure over a limit."""
-
-    def release_body(self, size: int) -> None:
-        """Release the counted bytes of a body."""
+    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
+        """Return room for a request's body, or why it is refused before its body is read."""
 
     def count_untaken(self, size: int) -> None:
         """Add to the count of answer bytes not yet read by callers."""
@@ -58,45 +54,47 @@
             await send({"type": "websocket.close", "code": 1003})
             return
         request = _request_of(scope)
-        refusal = check_request(request) or self._edge.check_head(request)
-        held = 0
+        room = check_request(request) or self._edge.open_body(request)
+        if isinstance(room, Failure):
+            await self._refuse(room, receive, send)
+            return
         try:
-            if refusal is None:
-                refusal, held = await self._read_body(request, receive)
+            refusal = await self._read_body(request, room, receive)
             if refusal is not None:
+                room.release()
                 await self._refuse(refusal, receive, send)
                 return
             answer = await self._await_answer(request, receive)
         except _CallerDisconnectedError:
             return
         finally:
-            self._edge.release_body(held)
+            room.release()
         if answer is not None:
             await self._send(answer, send, more=False)
 
     async def _read_body(
-        self, request: HttpRequest, receive: Receive
-    ) -> tuple[Failure | None, int]:
-        """Read the body into the request; return the refusal, if any, and the bytes counted."""
-        chunks: list[bytes] = []
-        held = 0
+        self, request: HttpRequest, room: BodyRoom, receive: Receive
+    ) -> Failure | None:
+        """Read the body into the request; return the refusal, if any."""
+        body = BodyBuffer()
         with trio.move_on_after(self._body_timeout):
             while True:
+                refusal = await room.wait() if room.must_wait else None
+                if refusal is not None:
+                    return refusal
                 message = await receive()
                 if message["type"] != "http.request":
-                    self._edge.release_body(held)
                     raise _CallerDisconnectedError
                 data: bytes = message.get("body", b"")
-                refusal = self._edge.hold_body(held, len(data))
+                refusal = room.add(len(data))
                 if refusal is not None:
-                    return refusal, held
-                held += len(data)
-                chunks.append(data)
+                    return refusal
+                body.append(data)
                 if not message.get("more_body", False):
-                    request.body = b"".join(chunks)
-                    return None, held
-        timed_out = Failure(ErrorKind.DEADLINE_TOO_SHORT, "request body did not arrive in time")
-        return timed_out, held
+                    room.finish()
+                    request.body = body.take()
+                    return None
+        return Failure(ErrorKind.DEADLINE_TOO_SHORT, "request body did not arrive in time")
 
     async def _await_answer(self, request: HttpRequest, receive: Receive) -> HttpAnswer | None:
         """Return the core's answer, or ``None`` if the caller disconnected first."""
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -9,6 +9,7 @@
 import trio
 
 from limelever.common.backoff import BackoffSettings
+from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import Failure
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Address, Output, Recovered, Role
@@ -41,6 +42,7 @@
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.log import write_event
+from limelever.transport.metrics import publish_body_bytes
 from limelever.transport.process import (
     FINAL_ANSWERS_SECONDS,
     ProcessFailedError,
@@ -107,6 +109,12 @@
     )
 
 
+def body_budget(settings: ProxySettings) -> ByteBudget:
+    """Return the budget for the bodies that a proxy process holds."""
+    largest = max(settings.edge.max_body_bytes, settings.calls.max_answer_bytes)
+    return ByteBudget(settings.bodies.total_bytes, largest)
+
+
 def _added_headers(settings: ProxySettings) -> Headers:
     """Return the headers added to every call to a back end."""
     name = settings.headers.names().caller_service
@@ -150,16 +158,20 @@
     shell: ProcessShell,
     notify_host: Callable[[Output], None] = lambda _: None,
     on_started: Callable[[CoreRunner], None] = lambda _: None,
+    budget: ByteBudget | None = None,
 ) -> None:
     """Run the proxy's core and edge within a process until a planned stop has finished.
 
     ``notify_host`` receives the core's outputs for the surrounding process: configurations, relays
     the health probe path of the service beside the proxy, and the departed runs that are stored.
-    ``on_started`` is called with the core's runner once it runs.
+    ``on_started`` is called with the core's runner once it runs. ``budget`` is that of the
+    surrounding process, for the bodies that it holds.
     """
+    budget = budget or body_budget(settings)
+    publish_body_bytes(budget)
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
-    core = ProxyCore(core_settings(settings), random.Random(), recovered)
+    core = ProxyCore(core_settings(settings), random.Random(), recovered, budget=budget)
     finished = trio.Event()
 
     def on_output(output: Output) -> None:
@@ -180,7 +192,7 @@
                 notify_host(output)
 
     runner = shell.add_core(core, on_output, disk=disk, role=Role.PROXY)
-    edge = Edge(settings.edge, runner.post, settings.headers.names())
+    edge = Edge(settings.edge, runner.post, settings.headers.names(), budget)
     async with trio.open_nursery() as nursery:
         shell.report_version(lambda: core.version)
         shell.report_freshness(lambda: core.fresh_at)
--- a/src/limelever/proxy/settings.py
+++ b/src/limelever/proxy/settings.py
@@ -9,6 +9,7 @@
 
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
+    BodySettings,
     Clash,
     HeaderSettings,
     ProcessSettings,
@@ -182,6 +183,7 @@
     relays: tuple[Address, ...] = attrs.field(validator=[not_empty, distinct, dialled])
     keepers: tuple[Address, ...] = attrs.field(default=(), validator=[distinct, dialled])
     edge: EdgeSettings
+    bodies: BodySettings = BodySettings()
     calls: CallLimitSettings = CallLimitSettings()
     balancing: BalancingSettings = BalancingSettings()
     configuration: ConfigurationSettings = ConfigurationSettings()
--- a/src/limelever/quarantine/fingerprint.py
+++ b/src/limelever/quarantine/fingerprint.py
@@ -42,6 +42,24 @@
     return int.from_bytes(blake2b(body, digest_size=_DIGEST_BYTES, key=key).digest(), "big")
 
 
+class RequestHash:
+    """Computes the digest of a whole request from its body's parts as they pass."""
+
+    def __init__(self, head: int) -> None:
+        self._head = head
+        key = head.to_bytes(_DIGEST_BYTES, "big")
+        self._hash = blake2b(digest_size=_DIGEST_BYTES, key=key)
+
+    def update(self, part: bytes) -> None:
+        """Add a part of the body."""
+        self._hash.update(part)
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return the digests of the request up to here."""
+        return Fingerprint(int.from_bytes(self._hash.digest(), "big"), self._head)
+
+
 def format_digest(digest: int) -> str:
     """Return a digest in hexadecimal, as in logs and operator commands."""
     return f"{digest:016x}"
--- a/src/limelever/transport/asgi.py
+++ b/src/limelever/transport/asgi.py
@@ -11,6 +11,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HttpAnswer, HttpRequest
+from limelever.transport.body_room import BodyPool, BodyRoom, PooledRoom
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http1_connection import Http1Connection
@@ -50,7 +51,7 @@
 
     def __init__(self, application: AsgiApplication, max_body_bytes: int) -> None:
         self._application = application
-        self._max_body_bytes = max_body_bytes
+        self._bodies = BodyPool(max_body_bytes, total_bytes=max_body_bytes)
         self._conversations: dict[Exchange, _Conversation] = {}
 
     @property
@@ -58,19 +59,9 @@
         """Connections are kept as long as their clients like."""
         return False
 
-    def check_head(self, request: HttpRequest) -> Failure | None:
-        """Take any request; its body is bounded while it is read."""
-        return None
-
-    def hold_body(self, held: int, added: int) -> Failure | None:
-        """Return why a body is too large."""
-        if held + added <= self._max_body_bytes:
-            return None
-        limit = self._max_body_bytes
-        return Failure(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes")
-
-    def release_body(self, size: int) -> None:
-        """Do nothing: bodies are bounded each for itself."""
+    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
+        """Return room within the largest body: all bodies together are no longer than that."""
+        return PooledRoom(self._bodies)
 
     def count_untaken(self, size: int) -> None:
         """Do nothing: the answers of applications are not bounded in all."""
--- /dev/null
+++ b/src/limelever/transport/body_room.py
@@ -0,0 +1,74 @@
+"""Room for the body of one request, which listeners ask for before they receive it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from limelever.common.errors import ErrorKind, Failure
+
+
+class BodyRoom(Protocol):
+    """Room for one body; the listener receives no more of the body while it has to wait."""
+
+    @property
+    def must_wait(self) -> bool:
+        """Return whether there is no room yet for more of the body."""
+
+    async def wait(self) -> Failure | None:
+        """Wait until there is room; return a failure if there is none in time."""
+
+    def add(self, size: int) -> Failure | None:
+        """Count ``size`` received bytes; return a failure over a limit."""
+
+    def finish(self) -> None:
+        """Release the room for bytes that have not arrived, as the body is complete."""
+
+    def release(self) -> None:
+        """Release the counted bytes, and the room for those that have not arrived."""
+
+
+class BodyPool:
+    """A limit on one body, and on all bodies of a listener together; nothing waits for it."""
+
+    def __init__(self, max_body_bytes: int, total_bytes: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.total_bytes = total_bytes
+        self.held_bytes = 0
+
+
+class PooledRoom:
+    """Room for one body in a :class:`BodyPool`."""
+
+    def __init__(self, pool: BodyPool) -> None:
+        self._pool = pool
+        self._size = 0
+
+    @property
+    def must_wait(self) -> bool:
+        """Bodies over the limit are refused at once."""
+        return False
+
+    async def wait(self) -> Failure | None:
+        """Do nothing."""
+        return None
+
+    def add(self, size: int) -> Failure | None:
+        """Count received bytes; return a failure over a limit."""
+        pool = self._pool
+        if self._size + size > pool.max_body_bytes:
+            reason = f"body is over {pool.max_body_bytes} bytes"
+            return Failure(ErrorKind.BODY_TOO_LARGE, reason)
+        if pool.held_bytes + size > pool.total_bytes:
+            reason = f"bodies of all requests are over {pool.total_bytes} bytes"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=1.0)
+        self._size += size
+        pool.held_bytes += size
+        return None
+
+    def finish(self) -> None:
+        """Do nothing: room is counted as bytes arrive."""
+
+    def release(self) -> None:
+        """Release the counted bytes."""
+        self._pool.held_bytes -= self._size
+        self._size = 0
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -15,6 +15,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_messages import HTTP_1_1, HttpAnswer, HttpRequest
+from limelever.transport.body_room import BodyRoom
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http_answers import CONTINUE, encode_answer
@@ -47,14 +48,8 @@
     def leaving(self) -> bool:
         """Return whether connections are to end with their next answer."""
 
-    def check_head(self, request: HttpRequest) -> Failure | None:
-        """Return why a request is refused before its body is read."""
-
-    def hold_body(self, held: int, added: int) -> Failure | None:
-        """Count ``added`` bytes of a body of ``held`` bytes, or return why they exceed a limit."""
-
-    def release_body(self, size: int) -> None:
-        """Release the counted bytes of a body."""
+    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
+        """Return the room for a request's body, or why it is refused before its body is read."""
 
     def count_untaken(self, size: int) -> None:
         """Count response bytes that clients have not read yet; negative once they have."""
@@ -97,7 +92,7 @@
         self._broken = False
         self._handed_over = False
         self._awaits_continue = False
-        self._body_bytes = 0
+        self._body_room: BodyRoom | None = None
         self._body_ends = math.inf
 
     async def run(self) -> bytes:
@@ -149,34 +144,34 @@
     def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
         """Check a request's head and start the time limit of its body."""
         self.idle_since = None
-        self._body_bytes = 0
         self._body_ends = trio.current_time() + self._limits.body
+        room = self._handler.open_body(request)
+        if isinstance(room, Failure):
+            return room
+        self._body_room = room
         self._awaits_continue = awaits_continue
-        refusal = self._handler.check_head(request)
-        if refusal is not None:
-            self._awaits_continue = False
-        return refusal
+        return None
 
     def body_read(self, size: int) -> Failure | None:
         """Count the bytes of a body."""
-        refusal = self._handler.hold_body(self._body_bytes, size)
-        if refusal is None:
-            self._body_bytes += size
-        return refusal
+        assert self._body_room is not None
+        return self._body_room.add(size)
 
     def request_read(self, request: HttpRequest) -> None:
         """Queue a complete request."""
         self._body_ends = math.inf
-        self._body_bytes = 0
         self._awaits_continue = False
-        self._pipeline.add(Exchange(request, last=not request.keep_alive))
+        room, self._body_room = self._body_room, None
+        if room is not None:
+            room.finish()
+        self._pipeline.add(Exchange(request, last=not request.keep_alive, room=room))
 
     def refused(self, failure: Failure) -> None:
         """Queue the response to an invalid request, which ends the connection."""
         self.idle_since = None
         self._body_ends = math.inf
-        self._handler.release_body(self._body_bytes)
-        self._body_bytes = 0
+        self._awaits_continue = False
+        self._release_room()
         answer = self._handler.render(failure)
         self._count_untaken(len(answer.body))
         exchange = Exchange(_NO_REQUEST, last=True)
@@ -219,10 +214,28 @@
                 await self._room.wait()
                 data = b""
                 continue
+            if self._must_wait:
+                await self._wait_for_room()
+                data = b""
+                continue
             data = await self._receive()
             if not data:
                 return True
 
+    @property
+    def _must_wait(self) -> bool:
+        return self._body_room is not None and self._body_room.must_wait
+
+    async def _wait_for_room(self) -> None:
+        """Receive nothing until there is room for the body, or refuse the request."""
+        assert self._body_room is not None
+        failure = await self._body_room.wait()
+        if failure is not None:
+            self._reader.refuse(failure)
+            self._advance()
+        else:
+            self._settle()
+
     @property
     def _body_is_late(self) -> bool:
         """Return whether receiving ended because a body exceeded its time limit."""
@@ -263,7 +276,8 @@
             return False
         answer = exchange.answer
         assert answer is not None
-        self._handler.release_body(len(exchange.request.body))
+        if exchange.room is not None:
+            exchange.room.release()
         head, body = encode_answer(exchange.request, answer, close=exchange.last)
         ready += (head, body)
         self._count_untaken(len(head) + len(body) - len(answer.body))
@@ -290,7 +304,7 @@
             return
         if not self._pipeline.full:
             self._room.set()
-        if self._awaits_continue and self._pipeline.empty:
+        if self._awaits_continue and self._pipeline.empty and not self._must_wait:
             self._awaits_continue = False
             self._count_untaken(len(CONTINUE))
             self._write([CONTINUE])
@@ -308,9 +322,15 @@
         for exchange in self._pipeline.take_all():
             if exchange.begun and exchange.answer is None:
                 self._handler.abandon(exchange)
-            self._handler.release_body(len(exchange.request.body))
-        self._handler.release_body(self._body_bytes)
-        self._body_bytes = 0
+            if exchange.room is not None:
+                exchange.room.release()
+        self._release_room()
+
+    def _release_room(self) -> None:
+        """Release the room of a body that is not complete."""
+        if self._body_room is not None:
+            self._body_room.release()
+            self._body_room = None
 
     # --- writing --------------------------------------------------------------------------------
 
--- a/src/limelever/transport/metrics.py
+++ b/src/limelever/transport/metrics.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
+from limelever.common.byte_budget import ByteBudget, Use
 from limelever.transport.instruments import Counter, Gauge, Histogram
 
 LINK_BYTES = Counter(
@@ -25,6 +27,16 @@
     "Seconds for which ready answers waited for earlier ones of their connection",
     bounds=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0),
 )
+BODY_BYTES = Gauge(
+    "limelever_body_bytes",
+    "Bytes of request and response bodies held now, or waited for, by step of their call",
+    ("use", "state"),
+)
+BODY_WAITS = Gauge(
+    "limelever_body_waits",
+    "Bodies that had to wait for room, by step of their call, since the process started",
+    ("use",),
+)
 EVENTS = Counter("limelever_events", "Log events by their number", ("code",))
 READY = Gauge("limelever_ready", "1 when the process serves, as /readyz says")
 CONFIGURATION_VERSION = Gauge(
@@ -42,6 +54,14 @@
 )
 
 
+def publish_body_bytes(budget: ByteBudget) -> None:
+    """Publish what a process holds in its budget for bodies."""
+    for use in Use:
+        BODY_BYTES.labels(use.value, "held").function = partial(budget.used, use)
+        BODY_BYTES.labels(use.value, "waiting").function = partial(budget.waiting_bytes, use)
+        BODY_WAITS.labels(use.value).function = partial(budget.waits.__getitem__, use)
+
+
 def publish_group_feature_level(level: Callable[[], int]) -> None:
     """Publish the feature level of the group, as this replica knows it; for sources alone."""
     GROUP_FEATURE_LEVEL.only.function = level
