Give up responses that do not end

Callers saw: instances whose answers do not end, in a head or a body, took nodes over their memory, with all calls there; for the other forms callers got 504 at their deadline although the node knew at once.

Cause: only the body of a response was bounded, and its stated length was compared when the bytes had come. Fields and parts of a name or value were kept as they came; chunk extensions, trailers and informational responses were read as long as the call lasted.

Change: backend.max_response_head_bytes (64 KiB) bounds the head with the informational responses before it, and what comes between two parts of a body; a stated length over the bound fails at the head. Such a response is one failed attempt of unknown outcome, whose connection is closed. Health responses have 1 MiB at most. Requests of callers have the same bound on chunk extensions and trailers, which had none.

--- a/features/platform/memory.feature
+++ b/features/platform/memory.feature
@@ -18,3 +18,10 @@
     When 4 callers upload 64 MiB at once, 1 times
     Then each upload was served or truly refused, and some were served
     And no node was over 300 MB, nor over 60 MB in the end
+
+  Scenario: Answers of instances that do not end, of each kind, beside sound calls
+    Given a control process and two nodes of the platform with 300 MB each
+    When 6 callers are sent answers without end for 8 seconds, and others sound ones
+    Then no answer without end was taken for a whole one
+    And sound calls were served in between
+    And no node was over 300 MB, nor over 60 MB in the end
--- a/features/steps/body_instances.py
+++ b/features/steps/body_instances.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 
+from endless_parts import AFTER_HEAD, WITHOUT_HEAD, endless
 from platform_machines import NodeMachine
 from platform_traffic import OK, Instance, InstanceHandler, Runs
 
 HEALTH_PATH = "/health"
 PART_BYTES = 1 << 20
 WORK_SECONDS = 0.05
+ENDLESS = {f"endless-{n}": part for n, part in enumerate((*AFTER_HEAD, *WITHOUT_HEAD))}
+"""The part of an answer that does not end, by the last segment of a path."""
 
 
 class BodyInstance(Instance):
@@ -30,6 +34,10 @@
 
     def do_GET(self):  # noqa: N802
         request = self.headers.get("Limelever-Attempt-Id", "")
+        part = ENDLESS.get(self.path.rpartition("/")[2])
+        if part is not None:
+            self.send_endless(part, request)
+            return
         if self.path != HEALTH_PATH:
             self.server.arrivals.append(request)
             time.sleep(WORK_SECONDS)
@@ -44,6 +52,14 @@
         time.sleep(WORK_SECONDS)
         self.answer(request, b"taken")
 
+    def send_endless(self, part: str, request: str) -> None:
+        """Send an answer that doesn't end, until the node closes the connection."""
+        head = f"HTTP/1.1 200 OK\r\nLimelever-Attempt-Id: {request}\r\n".encode()
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            for data in endless(part, head):
+                self.wfile.write(data)
+
     def _wanted_bytes(self) -> int:
         name = self.path.rpartition("/")[2]
         return int(name) if name.isdigit() else 0
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import threading
 import time
@@ -10,7 +11,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from body_instances import BodyInstance
+from body_instances import ENDLESS, BodyInstance
 from instance_statement_steps import start_fleet, wait_until
 from platform_machines import OUTBOUND_PORT, NodeMachine
 from platform_traffic import HOST_NAME, NOT_RUN, OK, Answer, ask, ask_control, document_of
@@ -19,6 +20,7 @@
 LOOK_SECONDS = 0.02
 DEADLINE_MS, TARGET_MS = 8000, 4000
 REST_SECONDS = 1.0
+SOUND_PAUSE_SECONDS = 0.05
 KINDS = {"read": "safe", "up": "upload"}
 
 
@@ -135,6 +137,49 @@
         assert runs[request] == (answer.status == OK), (request, answer.status, runs[request])
 
 
+@when(
+    "{callers:d} callers are sent answers without end for {seconds:d} seconds, "
+    "and others sound ones"
+)
+def when_endless(context: Context, callers: int, seconds: int) -> None:
+    context.answers, context.sound = [], []
+    end = time.monotonic() + seconds
+
+    def ask_endless(number: int) -> None:
+        paths = itertools.cycle(list(ENDLESS)[number:] + list(ENDLESS)[:number])
+        for count, path in enumerate(paths):
+            if time.monotonic() > end:
+                return
+            node = context.nodes[0]
+            answer = send(node, f"endless-{number}-{count}", "GET", f"/read/{path}", None)
+            context.answers.append((path, answer.status))
+
+    def ask_sound() -> None:
+        for count in itertools.count():
+            if time.monotonic() > end:
+                return
+            answer = send(context.nodes[0], f"sound-{count}", "GET", "/read/100", None)
+            context.sound.append(answer.status)
+            time.sleep(SOUND_PAUSE_SECONDS)
+
+    threads = [threading.Thread(target=ask_endless, args=(number,)) for number in range(callers)]
+    run_all([*threads, threading.Thread(target=ask_sound)])
+
+
+@then("no answer without end was taken for a whole one")
+def then_not_whole(context: Context) -> None:
+    print(f"answers without end: {Counter(context.answers)}")
+    print(f"sound ones by status: {Counter(context.sound)}; peaks: {context.watch.peak_mb}")
+    assert len({path for path, _ in context.answers}) == len(ENDLESS), context.answers
+    assert all(status != OK for _, status in context.answers)
+
+
+@then("sound calls were served in between")
+def then_sound(context: Context) -> None:
+    served = context.sound.count(OK)
+    assert served > len(context.sound) / 2, Counter(context.sound)
+
+
 @then("no node was over {most:d} MB, nor over {rest:d} MB in the end")
 def then_memory(context: Context, most: int, rest: int) -> None:
     time.sleep(REST_SECONDS)
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -51,7 +51,7 @@
 DEFAULT_NAMES = HeaderNames()
 _GET = b"GET"
 _RECEIVE_BYTES = 1 << 16
-MAX_PROBE_RESPONSE_BYTES = 64 * 1024
+MAX_PROBE_RESPONSE_BYTES = 1 << 20
 """Longest body of a response to a health probe; its headers are what counts."""
 
 CHECK_TIMEOUT_SECONDS = 0.15
@@ -177,7 +177,7 @@
             if isinstance(connection, Failure):
                 return None
             head = encode_request_head(_GET, path.encode(), [(b"host", self._host)])
-            parser = ResponseParser(_GET, MAX_PROBE_RESPONSE_BYTES)
+            parser = self._parser(_GET, MAX_PROBE_RESPONSE_BYTES)
             probe = _Attempt(scope, trio.current_time())
             try:
                 response = await self._round_trip(connection, head, parser, probe)
@@ -261,7 +261,7 @@
             len(attempt.body),
         )
         head = encode_request_head(output.method, output.target, headers)
-        parser = ResponseParser(output.method, self._max_response_bytes)
+        parser = self._parser(output.method, self._max_response_bytes)
         response = await self._round_trip(connection, head, parser, attempt)
         if isinstance(response, Failure):
             return AttemptFailed(
@@ -276,6 +276,9 @@
             return replace(event, unsent_for=attempt.unsent_for)
         return event
 
+    def _parser(self, method: bytes, max_bytes: int) -> ResponseParser:
+        return ResponseParser(method, max_bytes, self._settings.max_response_head_bytes)
+
     async def _round_trip(
         self,
         connection: BackendConnection,
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import NoReturn
+
 import httptools
 
 from limelever.common.body_buffer import BodyBuffer
 from limelever.common.byte_budget import SMALL_BYTES
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import value_of
+from limelever.common.http_headers import headers_size, value_of
 from limelever.common.http_messages import HttpAnswer
 from limelever.common.numbers import parse_count
 
@@ -17,6 +19,9 @@
 _TRANSFER_ENCODING = b"transfer-encoding"
 _OPTIONAL_SPACE = b" \t"
 _FIRST_FINAL_STATUS = 200
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+"""Default limit on what a back end sends beside the body of a response."""
+
 _UNSTATED_STEP_BYTES = 1 << 20
 """Room for a body without a stated length; a longer one gets room for the largest body."""
 
@@ -31,18 +36,24 @@
 class ResponseParser:
     """Parses the response to one request, skipping informational (1xx) responses.
 
+    A body has ``max_bytes`` at most. ``max_head_bytes`` bounds the head with the informational
+    responses before it, and what comes between two parts of a body: chunk extensions and trailers.
     ``response`` is set once it is complete, ``failure`` if it is invalid or incomplete.
     ``reusable`` then tells whether the connection can carry another request: no surplus data was
     received and neither side closes it.
     """
 
-    def __init__(self, method: bytes, max_bytes: int) -> None:
+    def __init__(
+        self, method: bytes, max_bytes: int, max_head_bytes: int = MAX_RESPONSE_HEAD_BYTES
+    ) -> None:
         self.response: HttpAnswer | None = None
         self.failure: Failure | None = None
         self.connection_ended = False
         self.reusable = False
         self._method = method
         self._max_bytes = max_bytes
+        self._max_head_bytes = max_head_bytes
+        self._overhead_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._status = 0
         self._in_head = False
@@ -71,6 +82,7 @@
         if self.finished:
             self.reusable = False
             return
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -80,9 +92,22 @@
                 self.reusable = False
             elif self.failure is None:
                 self._fail(f"invalid HTTP response: {error}")
+        if not self.finished:
+            self._count_overhead(len(data), body_grew=len(self._body) > body_bytes)
         if self.finished:
             self.close()
 
+    def _count_overhead(self, size: int, *, body_grew: bool) -> None:
+        """Fail a response that has sent too much without a part of its body."""
+        self._overhead_bytes = 0 if body_grew else self._overhead_bytes + size
+        if self._overhead_bytes > self._max_head_bytes:
+            where = "head" if self._in_head or not self._is_final else "chunks or trailers"
+            self._fail(f"response {where} exceeds {self._max_head_bytes} bytes")
+
+    @property
+    def _is_final(self) -> bool:
+        return self._status >= _FIRST_FINAL_STATUS
+
     def close(self) -> None:
         """Release the received body.
 
@@ -113,6 +138,11 @@
         self.reusable = False
         self.failure = Failure(ErrorKind.BACKEND_FAILED, reason)
 
+    def _abort(self, reason: str) -> NoReturn:
+        """Fail from within a callback of the parser."""
+        self._fail(reason)
+        raise _StopParsingError
+
     def _complete(self) -> None:
         self.response = HttpAnswer(self._status, tuple(self._headers), self._body.take())
 
@@ -134,31 +164,34 @@
         """Determine the body framing (RFC 9112, section 6.3)."""
         self._in_head = False
         self._status = self._parser.get_status_code()
-        if self._status < _FIRST_FINAL_STATUS:
+        if not self._is_final:
             return
+        self._overhead_bytes = 0
         headers = tuple(self._headers)
+        if headers_size(headers) > self._max_head_bytes:
+            self._abort(f"response head exceeds {self._max_head_bytes} bytes")
         coding = value_of(headers, _TRANSFER_ENCODING).lower()
         if coding not in (b"", _CHUNKED):
-            self._fail("unsupported transfer coding in response")
-            raise _StopParsingError
+            self._abort("unsupported transfer coding in response")
         if self._method == _HEAD:
             self._complete()
             raise _StopParsingError
         stated = value_of(headers, _CONTENT_LENGTH)
         if stated:
             self._stated_bytes = parse_count(stated)
+            if self._stated_bytes is None or self._stated_bytes > self._max_bytes:
+                self._abort(f"response body exceeds {self._max_bytes} bytes")
         self._until_close = not (coding or stated or self._status in _NO_BODY)
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
         if len(self._body) + len(part) > self._max_bytes:
-            self._fail(f"response body exceeds {self._max_bytes} bytes")
-            raise _StopParsingError
+            self._abort(f"response body exceeds {self._max_bytes} bytes")
         self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is informational."""
-        if self._status < _FIRST_FINAL_STATUS:
+        if not self._is_final:
             if self._status == _SWITCHING_PROTOCOLS:
                 self._fail("backend switched protocols")
             return
--- a/src/limelever/agent/settings.py
+++ b/src/limelever/agent/settings.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from limelever.agent.response_parser import MAX_RESPONSE_HEAD_BYTES
 from limelever.agent.start_limiter import StartLimits
 from limelever.common.sansio import Address, Role
 from limelever.common.settings import (
@@ -44,6 +45,9 @@
     connect_timeout_ms: int = attrs.field(default=1000, validator=between(10, 60000))
     keepalive_ms: int = attrs.field(default=30000, validator=between(0, 3600000))
     max_response_bytes: int = attrs.field(default=8 << 20, validator=between(1024, 256 << 20))
+    max_response_head_bytes: int = attrs.field(
+        default=MAX_RESPONSE_HEAD_BYTES, validator=between(1024, 1 << 20)
+    )
     counts_former_calls: bool = False
 
 
--- a/src/limelever/common/http_headers.py
+++ b/src/limelever/common/http_headers.py
@@ -58,6 +58,15 @@
         return frozenset(name for name in names if name)
 
 
+HEADER_OVERHEAD = 4
+"""Bytes of a header line besides name and value: colon, space and line end."""
+
+
+def headers_size(headers: Headers) -> int:
+    """Return the size of the headers in bytes, as HTTP/1.1 encodes them."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
+
+
 def value_of(headers: Headers, name: bytes) -> bytes:
     """Return the first value of a header; empty if it is absent or the name is empty."""
     for known, value in headers:
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -12,13 +12,10 @@
 
 from limelever.common.body_buffer import BodyBuffer
 from limelever.common.errors import ErrorKind, Failure
-from limelever.common.http_headers import Headers
+from limelever.common.http_headers import Headers, headers_size
 from limelever.common.http_messages import HTTP_1_1, HttpRequest
 from limelever.transport.request_checks import check_request
 
-HEADER_OVERHEAD = 4
-"""Bytes of a header line besides name and value: colon, space and line end."""
-
 _EXPECT = (b"expect", b"100-continue")
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _OPTIONAL_SPACE = b" \t"
@@ -46,11 +43,6 @@
     """Aborts httptools from a callback; the reader keeps the reason."""
 
 
-def headers_size(headers: Headers) -> int:
-    """Return the size of the headers in bytes, as HTTP/1.1 encodes them."""
-    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
-
-
 def _is_framed(headers: Headers) -> bool:
     return any(name in _FRAMING for name, _ in headers)
 
@@ -83,6 +75,7 @@
         self._resuming = False
         self._body_skipped = False
         self._head_bytes = 0
+        self._overhead_bytes = 0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = BodyBuffer()
@@ -99,9 +92,18 @@
             return
         if self._in_head:
             self._head_bytes += len(data)
+        request, body_bytes = self._request, len(self._body)
         refusal = self._fed(data)
+        in_same_body = request is not None and request is self._request
+        if in_same_body and len(self._body) == body_bytes:
+            self._overhead_bytes += len(data)
+        else:
+            self._overhead_bytes = 0
         if refusal is None and self._in_head and self._head_bytes > self._max_head_bytes:
             refusal = self._too_long()
+        elif refusal is None and self._overhead_bytes > self._max_head_bytes:
+            reason = f"chunk extensions or trailers are over {self._max_head_bytes} bytes"
+            refusal = Failure(ErrorKind.HEADERS_TOO_LARGE, reason)
         if refusal is not None:
             self.refuse(refusal)
 
