--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -1,4 +1,4 @@
-"""The publisher's full set of resources, its indexes, and the window of its last versions."""
+"""The publisher's resources with their indexes, and the window of its last versions."""
 
 from __future__ import annotations
 
@@ -19,12 +19,11 @@
 from limelever.protocol.keys import Key, secret_key
 
 Overlay = Mapping[Key, VersionedResource | None]
-"""What resources were at an earlier version: ``None`` stands for absent, a missing key for
-unchanged since."""
+"""Resources at an earlier version: ``None`` means absent, a missing key unchanged since."""
 
 
 class Step(Struct, frozen=True):
-    """One move of the table, with what it changed as it was before."""
+    """One change of the table, with the former values of what it changed."""
 
     from_version: int
     to_version: int
@@ -32,10 +31,10 @@
 
 
 class ResourceTable:
-    """Every resource at the current version; can tell what an earlier version held.
+    """Every resource at the current version, and what changed since earlier ones.
 
-    The window keeps the former values of what changed, not whole sets: its cost is the changes
-    alone, and any scope's earlier closure follows from it.
+    The window keeps the former values of what changed, not whole sets; the earlier closure of any
+    scope follows from them.
     """
 
     def __init__(self, window: int) -> None:
@@ -62,7 +61,7 @@
         return self._by_service.get(service, ())
 
     def routes_with_secret(self, secret: str) -> Iterable[Key]:
-        """Return the keys of the routes that need ``secret``."""
+        """Return the keys of the routes that use ``secret``."""
         return self._by_secret.get(secret, ())
 
     def tenants(self) -> Iterable[Key]:
@@ -74,7 +73,7 @@
         return self._zone_drains
 
     def load(self, version: int, resources: Iterable[VersionedResource]) -> Step:
-        """Replace the whole set; the step holds just what differs."""
+        """Replace the whole set; the step holds only what differs."""
         incoming = {Key.of(versioned.resource): versioned for versioned in resources}
         removed = [key for key in self._resources if key not in incoming]
         return self.advance(version, incoming.values(), removed)
@@ -82,7 +81,7 @@
     def advance(
         self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key]
     ) -> Step:
-        """Move on to ``version`` and return the step."""
+        """Advance to ``version`` and return the step."""
         before: dict[Key, VersionedResource | None] = {}
         for key in removed:
             self._note(before, key, None)
@@ -94,10 +93,10 @@
         return step
 
     def overlay_at(self, version: int) -> Overlay | None:
-        """Return what was different at ``version``, or ``None`` when the window is too short.
+        """Return what was different at ``version``, or ``None`` if the window is too short.
 
-        For a version within a step (a relay may have skipped it) the overlay is that of the
-        step's start; the caller compares digests before it relies on the result.
+        For a version within a step, which a relay may have skipped, the overlay is that of the
+        step's start; the caller compares digests before relying on the result.
         """
         if version >= self.version:
             return {}
@@ -161,7 +160,7 @@
 
 
 def secrets_of(versioned: VersionedResource) -> tuple[Key, ...]:
-    """Return the keys of the secrets that a route needs; empty for other kinds."""
+    """Return the keys of the secrets that a route uses; empty for other kinds."""
     return tuple(secret_key(name) for name in dict.fromkeys(versioned.resource.route.secrets))
 
 
