Bound the former values that publishers keep by their memory

Operators saw: some 65 changes of a configuration of 1,680 routes took all control processes over their 296 MB within seconds of each other (Fault); no acknowledged change was lost.

Cause: a publisher keeps the former values of what its last versions changed, for deltas. The bound was a number of versions, 4,096 at the source and 1,024 at the relay of each process; such a change keeps some 2 MB at each.

--- a/features/distribution/reconnect.feature
+++ b/features/distribution/reconnect.feature
@@ -36,6 +36,22 @@
     Then the reader "proxy-3" holds the source's version
     And the reader "proxy-3" was asked for its inventory and sent no second snapshot
 
+  Scenario: Beyond the bytes of the window only what differs is sent
+    Given a window of 4096 bytes at the source
+    And a reader "proxy-3" of the services "orders"
+    When 1 seconds pass in the distribution
+    And the link of "proxy-3" is cut without a word
+    And the source makes 40 changes to the route "place" and its neighbours
+    And the link of "proxy-3" is mended
+    And 40 seconds pass in the distribution
+    Then the reader "proxy-3" holds the source's version
+    And the reader "proxy-3" was asked for its inventory and sent no second snapshot
+
+  Scenario: Many large changes do not fill the memory of a publisher
+    When 200 versions change each of 100 routes, with a window of 1 MB
+    Then the former values that are kept are within the window
+    And the last versions can be told from each other, and the first ones can't
+
   Scenario: A reader at a version that the publisher skipped is asked what it holds
     Given a publisher that went from version 1 to 5 by two changes at once
     When a reader that saw the first of them at version 3 subscribes
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -7,6 +7,7 @@
     build,
     configuration_messages,
     names,
+    resource,
 )
 from distribution_readers import check_monotone, reader_settings
 
@@ -22,6 +23,7 @@
     InventoryRequest,
 )
 from limelever.protocol.keys import Key
+from limelever.publisher.resources import ResourceTable
 from limelever.publisher.settings import PublisherSettings
 from limelever.subscriber import events
 
@@ -94,6 +96,32 @@
     replace_source(context, window=count)
 
 
+@given("a window of {size:d} bytes at the source")
+def step_window_bytes(context, size):
+    replace_source(context, window_bytes=size)
+
+
+@when("{versions:d} versions change each of {routes:d} routes, with a window of {size:d} MB")
+def step_large_changes(context, versions, routes, size):
+    context.window_bytes = size * 1_000_000
+    context.kept = ResourceTable(window=4096, window_bytes=context.window_bytes)
+    for version in range(1, versions + 1):
+        bodies = [resource(f"route/r{n}", timeout_ms=version) for n in range(routes)]
+        put = [VersionedResource(resource=body, version=version) for body in bodies]
+        context.kept.advance(version, put, [])
+
+
+@then("the former values that are kept are within the window")
+def step_within_window(context):
+    assert 0 < context.kept.window_size <= context.window_bytes, context.kept.window_size
+
+
+@then("the last versions can be told from each other, and the first ones can't")
+def step_last_versions(context):
+    assert context.kept.overlay_at(context.kept.version - 3) is not None
+    assert context.kept.overlay_at(1) is None
+
+
 @given("a batch delay of {delay:g} seconds at the source")
 def step_batch_delay(context, delay):
     replace_source(context, batch_delay=delay)
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -58,7 +58,7 @@
 
     def __init__(self, settings: PublisherSettings) -> None:
         self._settings = settings
-        self._table = ResourceTable(settings.window)
+        self._table = ResourceTable(settings.window, settings.window_bytes)
         self._views = ScopeViews(self._table)
         self._sessions = Sessions(self._views)
         self._proofs = FreshnessProofs(settings.proof_timeout)
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -22,26 +22,40 @@
 """Resources at an earlier version: ``None`` means absent, a missing key unchanged since."""
 
 
+UNLIMITED_BYTES = 1 << 62
+
+_VALUE_OVERHEAD_BYTES = 1024
+"""Memory of a kept value beside its content: the objects of its message, its key and its entry."""
+
+
 class Step(Struct, frozen=True):
-    """One change of the table, with the former values of what it changed."""
+    """One change of the table, with the former values of what it changed.
+
+    ``size`` is an estimate of the memory of these values, in bytes.
+    """
 
     from_version: int
     to_version: int
     before: Overlay
+    size: int = 0
 
 
 class ResourceTable:
     """Every resource at the current version, and what changed since earlier ones.
 
     The window keeps the former values of what changed, not whole sets; the earlier closure of any
-    scope follows from them.
+    scope follows from them. It has ``window`` versions at most, and ``window_bytes`` of values, but
+    always the last version. A subscriber behind it gets the whole set.
     """
 
-    def __init__(self, window: int) -> None:
+    def __init__(self, window: int, window_bytes: int = UNLIMITED_BYTES) -> None:
         self.version = 0
+        self.window_size = 0
+        self._window = window
+        self._window_bytes = window_bytes
         self.digest = SetDigest()
         self._resources: dict[Key, VersionedResource] = {}
-        self._steps: deque[Step] = deque(maxlen=window)
+        self._steps: deque[Step] = deque()
         self._by_service: dict[str, dict[Key, None]] = {}
         self._by_secret: dict[str, dict[Key, None]] = {}
         self._tenants: dict[Key, None] = {}
@@ -87,11 +101,20 @@
             self._note(before, key, None)
         for versioned in put:
             self._note(before, Key.of(versioned.resource), versioned)
-        step = Step(self.version, version, before)
+        step = Step(self.version, version, before, sum(map(_memory_of, before.values())))
         self._steps.append(step)
+        self.window_size += step.size
+        self._shorten_window()
         self.version = version
         return step
 
+    def _shorten_window(self) -> None:
+        """Drop the oldest steps beyond the limits."""
+        while len(self._steps) > 1 and (
+            len(self._steps) > self._window or self.window_size > self._window_bytes
+        ):
+            self.window_size -= self._steps.popleft().size
+
     def overlay_at(self, version: int) -> Overlay | None:
         """Return what was different at ``version``, or ``None`` if the window is too short.
 
@@ -147,6 +170,11 @@
         self._zone_drains.pop(key, None)
 
 
+def _memory_of(versioned: VersionedResource | None) -> int:
+    content = 0 if versioned is None else versioned.ByteSize()
+    return content + _VALUE_OVERHEAD_BYTES
+
+
 def service_of(versioned: VersionedResource) -> str | None:
     """Return the service that a route, a share or a rollout is of; ``None`` for other kinds."""
     kind = Key.of(versioned.resource).kind
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -83,6 +83,7 @@
         batch_delay=seconds(distribution.batch_delay_ms),
         heartbeat_interval=seconds(distribution.heartbeat_ms),
         window=distribution.window_versions,
+        window_bytes=distribution.window_bytes,
         outstanding=distribution.outstanding_deltas,
         admission_rate=distribution.admission_rate,
         admission_burst=distribution.admission_burst,
--- a/src/limelever/relay/settings.py
+++ b/src/limelever/relay/settings.py
@@ -43,6 +43,7 @@
     batch_delay_ms: int = attrs.field(default=50, validator=between(0, 10000))
     heartbeat_ms: int = attrs.field(default=3000, validator=between(50, 60000))
     window_versions: int = attrs.field(default=1024, validator=between(1, 1 << 20))
+    window_bytes: int = attrs.field(default=64 << 20, validator=between(1 << 16, 1 << 40))
     outstanding_deltas: int = attrs.field(default=4, validator=between(1, 1024))
     admission_rate: int = attrs.field(default=400, validator=between(1, 100000))
     admission_burst: int = attrs.field(default=800, validator=between(1, 100000))
--- a/src/limelever/source/settings.py
+++ b/src/limelever/source/settings.py
@@ -65,6 +65,7 @@
     batch_delay_ms: int = attrs.field(default=20, validator=between(0, 60000))
     heartbeat_interval_ms: int = attrs.field(default=1000, validator=between(50, 60000))
     window: int = attrs.field(default=4096, validator=between(1, 1 << 20))
+    window_bytes: int = attrs.field(default=64 << 20, validator=between(1 << 16, 1 << 40))
     admission_rate: float = attrs.field(default=100.0, validator=between(0.1, 100000.0))
     admission_burst: float = attrs.field(default=200.0, validator=between(1.0, 100000.0))
     hold_empty_ms: int = attrs.field(default=0, validator=between(0, 10000))
@@ -175,6 +176,7 @@
         batch_delay=seconds(publishing.batch_delay_ms),
         heartbeat_interval=seconds(publishing.heartbeat_interval_ms),
         window=publishing.window,
+        window_bytes=publishing.window_bytes,
         admission_rate=publishing.admission_rate,
         admission_burst=publishing.admission_burst,
         hold_empty=seconds(publishing.hold_empty_ms),
