--- a/features/node/body_budget.feature
+++ b/features/node/body_budget.feature
@@ -32,6 +32,16 @@
     And 1.1 seconds pass without an end of the first
     Then the second call is refused as overloaded, and never gets credit
 
+  Scenario: An agent whose instance is gone leaves nothing in the budget of its process
+    Given an agent with a budget of 100 MB and a proxy
+    When the agent runs a call with a body of 40 MB, and sends a response of 20 MB
+    And the agent's instance is gone
+    Then nothing is held in the budget
+
+  Scenario: A cancelled back-end client leaves nothing in the budget of its process
+    When a back-end client is cancelled within a response of 20 MiB
+    Then nothing is held in the budget
+
   Scenario: A proxy lets no answer come for which it has no room
     Given a proxy with a budget of 100 MB, which waits for 2 answers
     When both answers begin, each of 60 MB
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -17,12 +17,13 @@
 from limelever.agent.call_service import CallLimits
 from limelever.agent.core import AgentCore, AgentOptions
 from limelever.agent.fair_queue import QueueLimits
-from limelever.agent.interface import StartAttempt
+from limelever.agent.interface import AttemptAnswered, BackendGone, StartAttempt
 from limelever.agent.settings import BackendSettings
 from limelever.common.byte_budget import SMALL_BYTES, ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Started
 from limelever.protocol.calls_pb2 import (
+    CallBody,
     CallCancel,
     CallCredit,
     CallFailed,
@@ -211,6 +212,57 @@
     assert streams_of(context, CallCredit) == {1}
 
 
+@when("the agent runs a call with a body of {size:d} MB, and sends a response of {answer:d} MB")
+def when_runs(context, size, answer):
+    agent = context.agent
+    for stream in (1, 2):
+        agent.send(
+            call_start(stream, end=False, awaits_credit=True, body_bytes=size * MEGABYTE // stream)
+        )
+        part = bytes(MEGABYTE)
+        for number in range(size // stream):
+            end = number == size // stream - 1
+            agent.send(CallBody(stream=stream, data=part, end=end))
+    first, _ = agent.outputs_of(StartAttempt)
+    agent.handle(AttemptAnswered(first.attempt, 200, (), bytes(answer * MEGABYTE)))
+    assert context.budget.used(Use.CALL) and context.budget.used(Use.RESPONSE)
+
+
+@when("the agent's instance is gone")
+def when_gone(context):
+    context.agent.handle(BackendGone())
+
+
+@then("nothing is held in the budget")
+def then_nothing_held(context):
+    assert all(context.budget.used(use) == 0 for use in Use), context.budget.used(Use.RESPONSE)
+
+
+@when("a back-end client is cancelled within a response of {size:d} MiB")
+def when_client_cancelled(context, size):
+    context.budget = ByteBudget(100 * MEGABYTE, LARGEST)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (size * MEBIBYTE)
+
+    async def respond(stream):
+        await stream.receive_some(4096)
+        await stream.send_all(head + bytes(MEBIBYTE))
+        await trio.sleep_forever()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, respond, 0)
+            address = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+            backend = BackendSettings(address=address, max_response_bytes=LARGEST)
+            client = BackendClient(backend, nursery, lambda event: None, budget=context.budget)
+            client.start(StartAttempt(1, "s", b"GET", b"/", (), b"", 10.0))
+            with trio.fail_after(10):
+                while context.budget.used(Use.RESPONSE) < size * MEBIBYTE:
+                    await trio.sleep(0.005)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 class CreditHarness(ProxyHarness):
     """A proxy whose agents record the credit that they are given."""
 
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -224,16 +224,18 @@
 
     async def _run_attempt(self, output: StartAttempt, attempt: _Attempt) -> None:
         event: Event | None = None
-        with attempt.scope:
-            try:
-                event = await self._connect_and_send(output, attempt)
-            except Exception as error:
-                event = AttemptFailed(output.attempt, _unreadable(error), attempt.sent_any_byte)
-        if event is None:
-            event = AttemptFailed(output.attempt, _interruption(attempt), attempt.sent_any_byte)
-        del self._attempts[output.attempt]
-        self._post(event)
-        self._budget.release(Use.RESPONSE, attempt.held_bytes)
+        try:
+            with attempt.scope:
+                try:
+                    event = await self._connect_and_send(output, attempt)
+                except Exception as error:
+                    event = AttemptFailed(output.attempt, _unreadable(error), attempt.sent_any_byte)
+            if event is None:
+                event = AttemptFailed(output.attempt, _interruption(attempt), attempt.sent_any_byte)
+            del self._attempts[output.attempt]
+            self._post(event)
+        finally:
+            self._budget.release(Use.RESPONSE, attempt.held_bytes)
 
     async def _connect_and_send(self, output: StartAttempt, attempt: _Attempt) -> Event:
         connection = await self._pool.acquire()
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -425,6 +425,11 @@
         refused = self._apply_limit(now) if changed else []
         return [*self._note_leaving(signals, BY_HEALTH_RESPONSE, now), *refused]
 
+    def release_bodies(self) -> None:
+        """Release what the budget of the process holds for calls, as the agent ends."""
+        self._calls.release_bodies()
+        self._responses.drop_all()
+
     def cancel_running(self) -> list[Output]:
         """Cancel every running attempt because the agent stops."""
         outputs: list[Output] = []
--- a/src/limelever/agent/calls.py
+++ b/src/limelever/agent/calls.py
@@ -175,6 +175,11 @@
         self._budget.release(Use.CALL, call.held_bytes)
         call.held_bytes = 0
 
+    def release_bodies(self) -> None:
+        """Release what the budget holds for the bodies of all calls."""
+        for call in self._calls.values():
+            self.release_body(call)
+
     def of_connection(self, connection: ConnectionId) -> tuple[Call, ...]:
         """Return the unsettled calls of a connection."""
         calls = self._calls.values()
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -436,6 +436,7 @@
         if self._subscriber is not None:
             outputs.extend(self._subscriber.stop(now))
         outputs.extend(CloseConnection(each, "the agent stops") for each in self._proxies)
+        self._calls.release_bodies()
         outputs.append(LogEvent(events.DRAIN_FINISHED, {"cut_off": cut_off}))
         outputs.append(DrainFinished(cut_off))
         return outputs
--- a/src/limelever/agent/response_sender.py
+++ b/src/limelever/agent/response_sender.py
@@ -141,6 +141,11 @@
             if owner == connection:
                 self.drop(owner, stream)
 
+    def drop_all(self) -> None:
+        """Drop the rest of all responses."""
+        for connection, stream in tuple(self._pending):
+            self.drop(connection, stream)
+
     def next_deadline(self) -> float | None:
         """Return the earliest deadline of an incomplete response or the next send time."""
         if not self._pending:
