Bound the unread responses of a process's own interfaces

Read, on the code before: an interface for operators or instances counted no response, so that clients on 256 connections that read nothing of a large configuration could fill its process. Further requests are refused with 503 once 32 MiB wait to be read.

--- a/features/steps/upgrade_offer_steps.py
+++ b/features/steps/upgrade_offer_steps.py
@@ -91,7 +91,11 @@
 
 @given("an interface of a process that returns each body")
 def given_interface(context):
-    gateway = Gateway("test", Address("127.0.0.1", 0), return_body)
+    serve_interface(context, return_body)
+
+
+def serve_interface(context, application):
+    gateway = Gateway("test", Address("127.0.0.1", 0), application)
 
     async def serve(task_status):
         await serve_gateway(gateway, trio.Event(), task_status)
--- /dev/null
+++ b/features/transport/interface_limits.feature
@@ -0,0 +1,13 @@
+Feature: The clients of a process's own interfaces can't fill its memory
+
+  Scenario: Bodies of all connections together are bounded
+    Given an interface of a process that returns each body
+    When 40 clients of that interface each send 1 MiB of a body of 2 MiB
+    Then some of them are refused with 503
+    And that interface serves another client once these have left
+
+  Scenario: Responses that nobody reads are bounded
+    Given an interface of a process that returns 12 MiB for a request without a body
+    When 4 clients of that interface ask, and read nothing
+    Then another client is refused with 503
+    And that interface serves another client once these have left
--- a/src/limelever/transport/asgi.py
+++ b/src/limelever/transport/asgi.py
@@ -11,7 +11,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HttpAnswer, HttpRequest
-from limelever.transport.body_room import BodyPool, BodyRoom, PooledRoom
+from limelever.transport.body_room import RETRY_AFTER_SECONDS, BodyPool, BodyRoom, PooledRoom
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http1_connection import Http1Connection
@@ -23,6 +23,9 @@
 Send = Callable[[AsgiMessage], Awaitable[None]]
 AsgiApplication = Callable[..., Awaitable[None]]
 
+LEAST_TOTAL_BYTES = 32 << 20
+"""Bytes of all bodies, and of all responses that clients have not read, for each listener."""
+
 _TEXT = (b"content-type", b"text/plain; charset=utf-8")
 _DISCONNECT = "http.disconnect"
 _FAULT = Failure(ErrorKind.INTERNAL, "fault while the request was served")
@@ -51,7 +54,9 @@
 
     def __init__(self, application: AsgiApplication, max_body_bytes: int) -> None:
         self._application = application
-        self._bodies = BodyPool(max_body_bytes, total_bytes=max_body_bytes)
+        total_bytes = max(max_body_bytes, LEAST_TOTAL_BYTES)
+        self._bodies = BodyPool(max_body_bytes, total_bytes)
+        self._untaken_bytes = 0
         self._conversations: dict[Exchange, _Conversation] = {}
 
     @property
@@ -60,11 +65,15 @@
         return False
 
     def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
-        """Return room within the largest body: all bodies together are no longer than that."""
+        """Return room within the limit on all bodies, or why the request is refused."""
+        if self._untaken_bytes > self._bodies.total_bytes:
+            reason = "too many bytes of responses wait for clients to read them"
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER_SECONDS)
         return PooledRoom(self._bodies)
 
     def count_untaken(self, size: int) -> None:
-        """Do nothing: the answers of applications are not bounded in all."""
+        """Add to the count of response bytes; above the limit, further requests are refused."""
+        self._untaken_bytes += size
 
     def render(self, failure: Failure) -> HttpAnswer:
         """Return a line of text."""
--- a/src/limelever/transport/body_room.py
+++ b/src/limelever/transport/body_room.py
@@ -6,6 +6,8 @@
 
 from limelever.common.errors import ErrorKind, Failure
 
+RETRY_AFTER_SECONDS = 1.0
+
 
 class BodyRoom(Protocol):
     """Room for one body; the listener receives no more of the body while it has to wait."""
@@ -60,7 +62,7 @@
             return Failure(ErrorKind.BODY_TOO_LARGE, reason)
         if pool.held_bytes + size > pool.total_bytes:
             reason = f"bodies of all requests are over {pool.total_bytes} bytes"
-            return Failure(ErrorKind.OVERLOADED, reason, retry_after=1.0)
+            return Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER_SECONDS)
         self._size += size
         pool.held_bytes += size
         return None
