Let bodies that have begun and small ones pass in the budget

Read: a small body that waited was held to the ceiling of large ones, and a body in chunks that had begun waited behind a new large one which needed the room that the former held, until one of them was refused.

Change: small bodies wait by the whole limit and first; bodies of which a part is here go before new ones. Evidence: the scenario "A body in chunks that has begun goes on before a new one" of features/node/body_budget.feature.

--- a/features/node/body_budget.feature
+++ b/features/node/body_budget.feature
@@ -9,6 +9,11 @@
     Then 1 of them is held, 1 waits and 1 is refused
     And a request of 60 kB is held
 
+  Scenario: A body in chunks that has begun goes on before a new one
+    Given a budget of 100 MB for bodies of up to 64 MiB
+    When a body in chunks has 40 MB, another one of 64 MB waits, and the first goes on
+    Then the body in chunks is read whole
+
   Scenario: A request whose body never comes gives its room to others
     Given a budget of 100 MB for bodies of up to 64 MiB
     When a request of 64 MB is announced of which nothing comes, and another one follows
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -105,6 +105,28 @@
     assert size * 1000 <= SMALL_BYTES
 
 
+@when("a body in chunks has {size:d} MB, another one of {other:d} MB waits, and the first goes on")
+def when_chunks(context, size, other):
+    async def run():
+        (chunked,) = await open_rooms(context, [0])
+        context.waited = []
+        for megabyte in range(size + 5):
+            if megabyte == size:
+                (waiting,) = await open_rooms(context, [other * MEGABYTE])
+                assert waiting.must_wait
+            for _ in range(20):
+                assert chunked.add(MEGABYTE // 20) is None
+                context.waited.append(chunked.must_wait)
+        chunked.finish()
+
+    trio.run(run)
+
+
+@then("the body in chunks is read whole")
+def then_chunks_read(context):
+    assert not any(context.waited)
+
+
 @when("a request of {size:d} MB is announced of which nothing comes, and another one follows")
 def when_announced(context, size):
     async def run():
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -368,7 +368,7 @@
         added = size - attempt.held_bytes
         if not self._budget.take(Use.RESPONSE, added, attempt.held_bytes):
             granted = trio.Event()
-            waiter = self._budget.wait(Use.RESPONSE, added, granted.set)
+            waiter = self._budget.wait(Use.RESPONSE, added, granted.set, attempt.held_bytes)
             try:
                 await granted.wait()
             except trio.Cancelled:
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -7,9 +7,10 @@
 - A use may fill the limit up to its ceiling only. What a call holds at one step is released as it
   reaches the next, so later steps have higher ceilings and can always go on.
 - Each ceiling has room for the largest body, so that no body is too large for an idle process.
-- Small bodies may use the whole limit.
-- Waiting bodies are taken in by their step, the latest first, then in order of arrival. No large
-  one passes a waiting one of the same step, and together they wait for one ceiling's worth only.
+- Small bodies may use the whole limit, and pass large ones that wait.
+- Waiting bodies are taken in by their step, the latest first, then those of which a part is here,
+  then in order of arrival. A new large one passes none of the same step, and together they wait for
+  one ceiling's worth only.
 """
 
 from __future__ import annotations
@@ -46,11 +47,25 @@
 
 
 class Waiter(Struct, eq=False):
-    """Bytes that are waited for; ``granted`` is called once they are taken."""
+    """Bytes that are waited for; ``granted`` is called once they are taken.
+
+    ``held`` are those of the same body that are held already.
+    """
 
     use: Use
     size: int
     granted: Callable[[], None]
+    held: int = 0
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether the ceiling of the use applies."""
+        return self.held + self.size > SMALL_BYTES
+
+    @property
+    def rank(self) -> tuple[bool, int, bool]:
+        """Return the position among those that wait, the lowest first."""
+        return self.is_large, -_ORDER[self.use], not self.held
 
 
 class ByteBudget:
@@ -100,7 +115,8 @@
     def take(self, use: Use, size: int, held: int = 0) -> bool:
         """Hold ``size`` bytes of a body of which ``held`` are held already; false if too many."""
         is_large = held + size > SMALL_BYTES
-        if is_large and any(_ORDER[waiter.use] >= _ORDER[use] for waiter in self._waiting):
+        is_new = is_large and not held
+        if is_new and any(_ORDER[waiter.use] >= _ORDER[use] for waiter in self._waiting):
             return False
         if not self._has_room(use, size, is_large=is_large):
             return False
@@ -119,12 +135,12 @@
         if self._waiting and size:
             self._grant_waiting()
 
-    def wait(self, use: Use, size: int, granted: Callable[[], None]) -> Waiter:
+    def wait(self, use: Use, size: int, granted: Callable[[], None], held: int = 0) -> Waiter:
         """Take ``size`` bytes once there is room; ``granted`` is called then.
 
         For bytes that :meth:`take` has just refused.
         """
-        waiter = Waiter(use, size, granted)
+        waiter = Waiter(use, size, granted, held)
         self.waits[use] += 1
         self._waiting.append(waiter)
         return waiter
@@ -141,8 +157,8 @@
 
     def _grant_waiting(self) -> None:
         """Grant the waiting bytes in their order, up to the first that has no room."""
-        for waiter in sorted(self._waiting, key=lambda each: -_ORDER[each.use]):
-            if not self._has_room(waiter.use, waiter.size, is_large=True):
+        for waiter in sorted(self._waiting, key=lambda each: each.rank):
+            if not self._has_room(waiter.use, waiter.size, is_large=waiter.is_large):
                 return
             self._waiting.remove(waiter)
             self.charge(waiter.use, waiter.size)
--- a/src/limelever/proxy/request_room.py
+++ b/src/limelever/proxy/request_room.py
@@ -121,7 +121,7 @@
             return None
         if not self._budget.can_wait(Use.REQUEST, size):
             return _NO_ROOM
-        self._waiter = self._budget.wait(Use.REQUEST, size, self._grant)
+        self._waiter = self._budget.wait(Use.REQUEST, size, self._grant, self._held)
         return None
 
     def _grant(self) -> None:
