Keep room in the budget for each step of a call

Read: at the ceilings of 75, 85 and 95 % two nodes that are callers and servers of each other could each fill theirs with responses, and have no room for the other's answers until the deadlines; on machines of 200 MB requests could fill the room of calls.

--- a/features/node/body_budget.feature
+++ b/features/node/body_budget.feature
@@ -9,8 +9,19 @@
     Then 1 of them is held, 1 waits and 1 is refused
     And a request of 60 kB is held
 
+  Scenario Outline: What fills the room of one step leaves room for the next
+    Given a budget of 177 MB for bodies of up to 64 MiB
+    When bodies of 20 MB at the step "<step>" fill what they may
+    Then a body of 20 MB is taken at the step "<next>"
+
+    Examples:
+      | step     | next     |
+      | request  | call     |
+      | call     | response |
+      | response | answer   |
+
   Scenario: A body in chunks that has begun goes on before a new one
-    Given a budget of 100 MB for bodies of up to 64 MiB
+    Given a budget of 200 MB for bodies of up to 64 MiB
     When a body in chunks has 40 MB, another one of 64 MB waits, and the first goes on
     Then the body in chunks is read whole
 
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -49,7 +49,7 @@
         strategies.randoms(use_true_random=False),
     )
     def check(bodies, draw):
-        budget = ByteBudget(100 * MEGABYTE, 30 * MEGABYTE)
+        budget = ByteBudget(100 * MEGABYTE)
         held, waiting = [], []
 
         def granted(use, size):
@@ -76,7 +76,7 @@
 
 @given("a budget of {size:d} MB for bodies of up to 64 MiB")
 def given_budget(context, size):
-    context.budget = ByteBudget(size * MEGABYTE, LARGEST)
+    context.budget = ByteBudget(size * MEGABYTE)
     context.rooms = RequestRooms(context.budget, LARGEST, 1 << 30)
 
 
@@ -105,6 +105,17 @@
     assert size * 1000 <= SMALL_BYTES
 
 
+@when('bodies of {size:d} MB at the step "{step}" fill what they may')
+def when_filled(context, size, step):
+    while context.budget.take(Use(step), size * MEGABYTE):
+        continue
+
+
+@then('a body of {size:d} MB is taken at the step "{step}"')
+def then_next_taken(context, size, step):
+    assert context.budget.take(Use(step), size * MEGABYTE), context.budget.used(Use(step))
+
+
 @when("a body in chunks has {size:d} MB, another one of {other:d} MB waits, and the first goes on")
 def when_chunks(context, size, other):
     async def run():
@@ -166,7 +177,7 @@
 @given("an agent with a budget of {size:d} MB and a proxy")
 def given_agent(context, size):
     context.agent = AgentHarness(6)
-    context.budget = ByteBudget(size * MEGABYTE, 50 * MEGABYTE)
+    context.budget = ByteBudget(size * MEGABYTE)
     limits = CallLimits(
         QueueLimits(slots=6, total_bytes=1 << 30),
         max_body_bytes=LARGEST,
@@ -262,7 +273,7 @@
 
 @when("a back-end client is cancelled within a response of {size:d} MiB")
 def when_client_cancelled(context, size):
-    context.budget = ByteBudget(100 * MEGABYTE, LARGEST)
+    context.budget = ByteBudget(100 * MEGABYTE)
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (size * MEBIBYTE)
 
     async def respond(stream):
@@ -302,7 +313,7 @@
 
 @given("a proxy with a budget of {size:d} MB, which waits for {count:d} answers")
 def given_proxy(context, size, count):
-    context.proxy = CreditHarness(ByteBudget(size * MEGABYTE, LARGEST))
+    context.proxy = CreditHarness(ByteBudget(size * MEGABYTE))
     context.proxy.start()
     for number in range(count):
         context.proxy.ask(f"/orders/{number}")
@@ -357,7 +368,7 @@
 )
 def when_back_end_sends(context, count, size, most):
     body = bytes(size * MEBIBYTE)
-    budget = ByteBudget(most * MEGABYTE, size * MEBIBYTE)
+    budget = ByteBudget(most * MEGABYTE)
     context.received, context.peak = [], 0
 
     async def respond(stream):
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -101,8 +101,8 @@
         self._budget = budget or ByteBudget()
         self._max_response_bytes = settings.max_response_bytes
         if self._budget.limit:
-            ceiling = self._budget.ceiling(Use.RESPONSE)
-            self._max_response_bytes = min(settings.max_response_bytes, ceiling)
+            largest = self._budget.largest
+            self._max_response_bytes = min(settings.max_response_bytes, largest)
         self.health_path = health_path
         self._names = names
         self._instance = instance
--- a/src/limelever/agent/headers.py
+++ b/src/limelever/agent/headers.py
@@ -20,7 +20,8 @@
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request with a complete body to the back end at ``host``.
 
-    ``instance`` is the name of the target instance, empty if unknown. ``remaining_ms`` is how long
+    ``body_bytes`` is the size of the body. ``instance`` is the name of the target instance, empty
+    if unknown. ``remaining_ms`` is how long
     the caller still waits; a back end can pass it on to limit its own calls. The tenant header is
     added here, as the tenant is a field of its own between proxy and agent.
     """
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -70,12 +70,6 @@
     return incarnation if failure is None else failure
 
 
-def body_budget(settings: AgentSettings) -> ByteBudget:
-    """Return the budget for the bodies that an agent process holds."""
-    largest = max(settings.queue.max_body_bytes, settings.backend.max_response_bytes)
-    return ByteBudget(settings.bodies.total_bytes, largest)
-
-
 def build_agent_options(
     settings: AgentSettings, address: Address, subscriber: SubscriberSettings | None
 ) -> AgentOptions:
@@ -153,7 +147,7 @@
     if isinstance(incarnation, Failure):
         raise ProcessFailedError(incarnation)
     bound = await shell.listen(settings.listen)
-    budget = body_budget(settings)
+    budget = ByteBudget(settings.bodies.total_bytes)
     publish_body_bytes(budget)
     core = AgentCore(
         build_agent_options(settings, settings.advertise or bound, _subscriber_settings(settings)),
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -5,8 +5,9 @@
 end loses the calls of all others, and small calls that pass beside large ones.
 
 - A use may fill the limit up to its ceiling only. What a call holds at one step is released as it
-  reaches the next, so later steps have higher ceilings and can always go on.
-- Each ceiling has room for the largest body, so that no body is too large for an idle process.
+  reaches the next, here or at another process, so each step keeps a part of the limit that earlier
+  ones can't fill: processes that wait for each other go on.
+- An idle process takes a body of any size, up to the highest ceiling.
 - Small bodies may use the whole limit, and pass large ones that wait.
 - Waiting bodies are taken in by their step, the latest first, then those of which a part is here,
   then in order of arrival. A new large one passes none of the same step, and together they wait for
@@ -41,8 +42,11 @@
 
 
 _ORDER = {use: position for position, use in enumerate(Use)}
-_CEILING_PERCENT = {Use.REQUEST: 50, Use.CALL: 75, Use.RESPONSE: 85, Use.ANSWER: 95}
+_CEILING_PERCENT = {Use.REQUEST: 40, Use.CALL: 60, Use.RESPONSE: 75, Use.ANSWER: 95}
 _HIGHEST_CEILING_PERCENT = 95
+_IDLE_PERCENT = 10
+"""A process that holds less is idle."""
+
 _PERCENT = 100
 
 
@@ -69,21 +73,22 @@
 
 
 class ByteBudget:
-    """The bytes held by use, within ``limit`` bytes; ``largest`` is the size of the largest body.
+    """The bytes held by use, within ``limit`` bytes.
 
-    With the limit ``UNLIMITED`` bytes are counted only.
+    With the limit ``UNLIMITED`` bytes are counted only. ``largest`` is the size of the largest body
+    that an idle process takes.
     """
 
-    def __init__(self, limit: int = UNLIMITED, largest: int = 0) -> None:
+    def __init__(self, limit: int = UNLIMITED) -> None:
         self.limit = limit
         self.waits = dict.fromkeys(Use, 0)
         self._used = dict.fromkeys(Use, 0)
         self._total = 0
         self._waiting: list[Waiter] = []
-        highest = limit * _HIGHEST_CEILING_PERCENT // _PERCENT
+        self.largest = limit * _HIGHEST_CEILING_PERCENT // _PERCENT
+        self._idle = limit * _IDLE_PERCENT // _PERCENT
         self._ceilings = {
-            use: max(limit * percent // _PERCENT, min(largest + SMALL_BYTES, highest))
-            for use, percent in _CEILING_PERCENT.items()
+            use: limit * percent // _PERCENT for use, percent in _CEILING_PERCENT.items()
         }
 
     def used(self, use: Use) -> int:
@@ -94,13 +99,9 @@
         """Return the bytes that are waited for by :meth:`wait` for a use."""
         return sum(waiter.size for waiter in self._waiting if waiter.use is use)
 
-    def ceiling(self, use: Use) -> int:
-        """Return up to which total a use may fill the limit, if there is one."""
-        return self._ceilings[use]
-
-    def can_ever_take(self, use: Use, size: int) -> bool:
+    def can_ever_take(self, size: int) -> bool:
         """Return whether an idle process could take ``size`` bytes."""
-        return not self.limit or size <= self._ceilings[use]
+        return not self.limit or size <= self.largest
 
     def can_wait(self, use: Use, size: int, waiting: int | None = None) -> bool:
         """Return whether ``size`` bytes may wait behind those that do, or ``waiting`` of them.
@@ -110,6 +111,8 @@
         """
         ahead = self.waiting_bytes(use) if waiting is None else waiting
         earlier = sum(held for each, held in self._used.items() if _ORDER[each] < _ORDER[use])
+        if size > self._ceilings[use]:
+            return not ahead and earlier <= self._idle and size <= self.largest
         return max(ahead, earlier) + size <= self._ceilings[use]
 
     def take(self, use: Use, size: int, held: int = 0) -> bool:
@@ -152,8 +155,13 @@
             self._grant_waiting()
 
     def _has_room(self, use: Use, size: int, *, is_large: bool) -> bool:
-        ceiling = self._ceilings[use] if is_large else self.limit
-        return not self.limit or self._total + size <= ceiling
+        if not self.limit:
+            return True
+        if not is_large:
+            return self._total + size <= self.limit
+        if self._total + size <= self._ceilings[use]:
+            return True
+        return self._total <= self._idle and size <= self.largest
 
     def _grant_waiting(self) -> None:
         """Grant the waiting bytes in their order, up to the first that has no room."""
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -95,21 +95,10 @@
     return attrs.evolve(settings, relays=tuple(relays))
 
 
-def body_budget(settings: NodeSettings) -> ByteBudget:
-    """Return the one budget for the bodies that the proxy and the agent of a node hold."""
-    largest = max(
-        settings.edge.max_body_bytes,
-        settings.calls.max_answer_bytes,
-        settings.queue.max_body_bytes,
-        settings.backend.max_response_bytes,
-    )
-    return ByteBudget(settings.bodies.total_bytes, largest)
-
-
 async def _main(settings: NodeSettings, gateways: GatewayFactory, shell: ProcessShell) -> None:
     stopped = trio.Event()
     async with trio.open_nursery() as gateway_nursery:
-        budget = body_budget(settings)
+        budget = ByteBudget(settings.bodies.total_bytes)
         supervisor = AgentSupervisor(settings, shell, gateway_nursery, budget)
         await shell.listen(settings.listen)
         failure = await start_gateways(
--- a/src/limelever/proxy/answer_assembly.py
+++ b/src/limelever/proxy/answer_assembly.py
@@ -37,7 +37,7 @@
 
     def begin(self, attempt: Attempt, size: int) -> Failure | None:
         """Hold room for an answer of ``size`` bytes, now or later; 0 if the size is not known."""
-        if size > self._limits.answer_bytes or not self._budget.can_ever_take(Use.ANSWER, size):
+        if size > self._limits.answer_bytes or not self._budget.can_ever_take(size):
             return _too_large(size)
         attempt.answer_bytes = size
         overtakes = bool(self._waiting) and size > SMALL_BYTES
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -174,8 +174,7 @@
 
     @property
     def _pending_answers_limit(self) -> int:
-        """Return the ceiling of the budget, which answers are taken from, if there is one."""
-        return self._budget.ceiling(Use.ANSWER) or PENDING_ANSWERS_LIMIT_BYTES
+        return self._budget.largest or PENDING_ANSWERS_LIMIT_BYTES
 
     def _time_of(self, request: HttpRequest) -> float:
         """Return how long the caller waits at most for the request's body to be received."""
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -109,12 +109,6 @@
     )
 
 
-def body_budget(settings: ProxySettings) -> ByteBudget:
-    """Return the budget for the bodies that a proxy process holds."""
-    largest = max(settings.edge.max_body_bytes, settings.calls.max_answer_bytes)
-    return ByteBudget(settings.bodies.total_bytes, largest)
-
-
 def _added_headers(settings: ProxySettings) -> Headers:
     """Return the headers added to every call to a back end."""
     name = settings.headers.names().caller_service
@@ -167,7 +161,7 @@
     ``on_started`` is called with the core's runner once it runs. ``budget`` is that of the
     surrounding process, for the bodies that it holds.
     """
-    budget = budget or body_budget(settings)
+    budget = budget or ByteBudget(settings.bodies.total_bytes)
     publish_body_bytes(budget)
     disk = _open_disk(settings.data_folder)
     recovered = disk.recovered if disk is not None else Recovered()
