Discard what a refused caller still sends until it is silent

Cause: one second after its last response a connection was closed, with bytes unread: the system resets it then, and a reset destroys the response.

Change: the second counts from the last bytes, for ten seconds at most. Evidence: "A client that still sends a body which was refused reads the refusal" of features/transport/interface_limits.feature; before, a broken pipe.

--- a/features/steps/interface_limit_steps.py
+++ b/features/steps/interface_limit_steps.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import socket
+import time
 
 from behave import given, then, when
 from http_server import HttpClient
+from transport_edge_steps import connect as connect_caller
 from transport_server import wait_for
 from upgrade_offer_steps import serve_interface
 
 MEBIBYTE = 1 << 20
 REFUSED, SERVED = 503, 200
 LOOK_SECONDS = 0.5
+SEND_PAUSE_SECONDS = 0.05
 
 
 @given("an interface of a process that returns {size:d} MiB for a request without a body")
@@ -59,6 +62,17 @@
         client.ask("GET", "/")
 
 
+@when("a caller sends a body over the limit for {seconds:g} seconds, and then reads")
+def when_sends_on(context, seconds):
+    context.caller = connect_caller(context)
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % (64 * MEBIBYTE)
+    context.caller.send(head)
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        context.caller.socket.sendall(bytes(MEBIBYTE // 4))
+        time.sleep(SEND_PAUSE_SECONDS)
+
+
 def status_of_another(context):
     client = HttpClient(context.interface.address)
     try:
--- a/features/transport/interface_limits.feature
+++ b/features/transport/interface_limits.feature
@@ -6,6 +6,11 @@
     Then some of them are refused with 503
     And that interface serves another client once these have left
 
+  Scenario: A client that still sends a body which was refused reads the refusal
+    Given a callers' listener
+    When a caller sends a body over the limit for 2.5 seconds, and then reads
+    Then that caller is answered with 413
+
   Scenario: Responses that nobody reads are bounded
     Given an interface of a process that returns 12 MiB for a request without a body
     When 4 clients of that interface ask, and read nothing
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -28,7 +28,11 @@
 from limelever.transport.streams import close_at_once, receive, send_parts_without_waiting
 
 LINGER_SECONDS = 1.0
-"""Time for a client to close after its last response, which a reset could discard."""
+"""Silence of a client after its last response until the connection is closed. Bytes that it still
+sends, such as a refused body, are discarded: a reset could discard the response."""
+
+LONGEST_LINGER_SECONDS = 10.0
+"""Limit on the time for which bytes are discarded."""
 
 CLOSE_SECONDS = 2.0
 """Time limit of the TLS closing handshake."""
@@ -393,6 +397,10 @@
         await self.stream.send_eof()
         if not self._pipeline.closed:
             return
-        with trio.move_on_after(LINGER_SECONDS):
-            while await receive(self.stream, _RECEIVE_BYTES):
-                pass
+        with trio.move_on_after(LONGEST_LINGER_SECONDS):
+            data = b"any"
+            while data:
+                with trio.move_on_after(LINGER_SECONDS) as silence:
+                    data = await receive(self.stream, _RECEIVE_BYTES)
+                if silence.cancelled_caught:
+                    return
