--- a/src/limelever/agent/call_receiver.py
+++ b/src/limelever/agent/call_receiver.py
@@ -14,7 +14,7 @@
     validate_call_start,
 )
 from limelever.agent.calls import Call, CallStage, CallTable, RecentAttempts
-from limelever.common.byte_budget import SMALL_BYTES, ByteBudget, Use
+from limelever.common.byte_budget import POLL_SECONDS, SMALL_BYTES, ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent
 from limelever.protocol.calls_pb2 import CallBody, CallStart
@@ -24,9 +24,6 @@
 LONGEST_WAIT_RATIO = 0.5
 """Part of a call's time for which its body may wait for the budget; the rest is for the call."""
 
-BUDGET_POLL_SECONDS = 0.01
-"""Interval at which waiting bodies are tried: other components of the process release bytes too."""
-
 
 class Rejection(Struct, frozen=True):
     """Why a call is rejected; without ``failure`` nothing is sent to its proxy."""
@@ -206,7 +203,7 @@
             return None
         earliest = min(call.deadline for call in self._assembling.values())
         if self._waiting:
-            earliest = min(earliest, self._polled_at + BUDGET_POLL_SECONDS)
+            earliest = min(earliest, self._polled_at + POLL_SECONDS)
         stalled = self._credit.next_deadline()
         return earliest if stalled is None else min(earliest, stalled)
 
--- a/src/limelever/agent/response_sender.py
+++ b/src/limelever/agent/response_sender.py
@@ -191,10 +191,7 @@
     def _count_pending(self, size: int) -> None:
         """Add to the unsent bytes; negative once they are sent or dropped."""
         self._pending_bytes += size
-        if size > 0:
-            self._budget.charge(Use.RESPONSE, size)
-        else:
-            self._budget.release(Use.RESPONSE, -size)
+        self._budget.count(Use.RESPONSE, size)
 
     def _stop_pacing(self, pending: _PendingResponse) -> None:
         """Remove a response from the pacer."""
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -27,6 +27,10 @@
 """Bodies up to this size may use the whole limit."""
 
 
+POLL_SECONDS = 0.01
+"""Interval at which sans-I/O components try again what has to wait: others release bytes too."""
+
+
 class Use(StrEnum):
     """The step of a call at which a body is held, in the order in which a call reaches them.
 
@@ -131,6 +135,13 @@
         self._used[use] += size
         self._total += size
 
+    def count(self, use: Use, size: int) -> None:
+        """Hold bytes that are here already, or release them if ``size`` is negative."""
+        if size > 0:
+            self.charge(use, size)
+        else:
+            self.release(use, -size)
+
     def release(self, use: Use, size: int) -> None:
         """Release held bytes, and grant what waits for them."""
         self._used[use] -= size
--- a/src/limelever/proxy/answer_assembly.py
+++ b/src/limelever/proxy/answer_assembly.py
@@ -10,13 +10,10 @@
 
 from msgspec import Struct
 
-from limelever.common.byte_budget import SMALL_BYTES, ByteBudget, Use
+from limelever.common.byte_budget import POLL_SECONDS, SMALL_BYTES, ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.proxy.call_state import Attempt
 
-BUDGET_POLL_SECONDS = 0.01
-"""Interval at which waiting answers are tried, as other components release bytes too."""
-
 
 class AssemblyLimits(Struct, frozen=True):
     """Limits on the bytes of one answer, and of all incomplete answers together."""
@@ -83,7 +80,7 @@
 
     def next_deadline(self) -> float | None:
         """Return when waiting answers are to be tried again (seconds, monotonic)."""
-        return self._polled_at + BUDGET_POLL_SECONDS if self._waiting else None
+        return self._polled_at + POLL_SECONDS if self._waiting else None
 
     def _make_room(self, attempt: Attempt, size: int) -> bool:
         """Hold the bytes that are here; those of a waiting answer are within its first window."""
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -155,10 +155,7 @@
     def count_untaken(self, size: int) -> None:
         """Add to the count of answer bytes not yet read by callers; negative once they are."""
         self._pending_answer_bytes += size
-        if size > 0:
-            self._budget.charge(Use.ANSWER, size)
-        else:
-            self._budget.release(Use.ANSWER, -size)
+        self._budget.count(Use.ANSWER, size)
 
     def render(self, failure: Failure) -> HttpAnswer:
         """Return the HTTP response for a failure."""
