Move the exchange of a request and its response out of the back-end client

No behaviour changes: agent/backend_exchange.py sends a request, drops its body and receives the response within the budget; the client keeps attempts, probes and what a response means.

--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -4,11 +4,13 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 import trio
 from msgspec import Struct
 from msgspec.structs import replace
 
+from limelever.agent.backend_exchange import BackendExchange
 from limelever.agent.connection_pool import (
     BackendConnection,
     BackendConnectionPool,
@@ -39,18 +41,16 @@
 from limelever.agent.response_checks import backend_refusal, matches_request, unconfirmed_refusal
 from limelever.agent.response_parser import ResponseParser
 from limelever.agent.settings import BackendSettings
-from limelever.common.byte_budget import SMALL_BYTES, ByteBudget, Use
+from limelever.common.byte_budget import SMALL_BYTES, ByteBudget
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HeaderNames, Headers, end_to_end
 from limelever.common.http_messages import HttpAnswer
 from limelever.common.sansio import Event, Output
 from limelever.transport.faults import report_fault
-from limelever.transport.streams import reason_of, receive, send_parts_without_waiting
 
 _MILLISECONDS = 1000
 DEFAULT_NAMES = HeaderNames()
 _GET = b"GET"
-_RECEIVE_BYTES = 1 << 16
 MAX_PROBE_RESPONSE_BYTES = 1 << 20
 """Longest body of a response to a health probe; its headers are what counts."""
 
@@ -58,24 +58,19 @@
 """Timeout of a connection check on the local machine, some hundred times the usual duration, so
 that a busy backend process is not taken for an unresponsive one."""
 
-_CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
-
 
 class _Attempt(Struct):
     """A request in progress; its cancel scope expires at the attempt's deadline.
 
     ``unsent_for`` is the time in seconds until its first byte was sent. ``late`` is set if it was
-    still unsent when starts ended. ``held_bytes`` is what the budget holds for the response,
-    and ``body`` that of the request until it is sent.
+    still unsent when starts ended.
     """
 
     scope: trio.CancelScope
     started_at: float
+    exchange: BackendExchange
     cancelled: bool = False
     late: bool = False
-    held_bytes: int = 0
-    number: int = 0
-    body: bytes = b""
     sent_any_byte: bool = False
     unsent_for: float = 0.0
 
@@ -131,7 +126,8 @@
         """Start an attempt in the background."""
         now = trio.current_time()
         scope = trio.CancelScope(deadline=now + output.timeout)
-        attempt = _Attempt(scope, now, number=output.attempt, body=output.body)
+        sent = partial(self._post, RequestSent(output.attempt))
+        attempt = _Attempt(scope, now, BackendExchange(self._budget, output.body, sent))
         if len(output.body) > SMALL_BYTES:
             output = replace(output, body=b"")
         self._attempts[output.attempt] = attempt
@@ -172,17 +168,17 @@
 
     async def _send_probe(self, path: str, timeout: float) -> HttpAnswer | None:
         """Return the response to a health probe, ``None`` if there is none within ``timeout``."""
-        with trio.move_on_after(timeout) as scope:
+        with trio.move_on_after(timeout):
             connection = await self._pool.acquire()
             if isinstance(connection, Failure):
                 return None
             head = encode_request_head(_GET, path.encode(), [(b"host", self._host)])
             parser = self._parser(_GET, MAX_PROBE_RESPONSE_BYTES)
-            probe = _Attempt(scope, trio.current_time())
+            exchange = BackendExchange(self._budget, b"", lambda: None)
             try:
-                response = await self._round_trip(connection, head, parser, probe)
+                response = await exchange.round_trip(connection, head, parser)
             finally:
-                self._budget.release(Use.RESPONSE, probe.held_bytes)
+                exchange.release()
                 self._pool.release(connection)
             return None if isinstance(response, Failure) else response
         return None
@@ -235,7 +231,7 @@
             del self._attempts[output.attempt]
             self._post(event)
         finally:
-            self._budget.release(Use.RESPONSE, attempt.held_bytes)
+            attempt.exchange.release()
 
     async def _connect_and_send(self, output: StartAttempt, attempt: _Attempt) -> Event:
         connection = await self._pool.acquire()
@@ -260,11 +256,11 @@
             _remaining_ms(attempt),
             self._names,
             self._instance,
-            len(attempt.body),
+            attempt.exchange.body_bytes,
         )
         head = encode_request_head(output.method, output.target, headers)
         parser = self._parser(output.method, self._max_response_bytes)
-        response = await self._round_trip(connection, head, parser, attempt)
+        response = await attempt.exchange.round_trip(connection, head, parser)
         if isinstance(response, Failure):
             return AttemptFailed(
                 output.attempt, response, sent_any_byte=True, connection_ended=connection.ended
@@ -281,103 +277,6 @@
     def _parser(self, method: bytes, max_bytes: int) -> ResponseParser:
         return ResponseParser(method, max_bytes, self._settings.max_response_head_bytes)
 
-    async def _round_trip(
-        self,
-        connection: BackendConnection,
-        head: bytes,
-        parser: ResponseParser,
-        attempt: _Attempt,
-    ) -> HttpAnswer | Failure:
-        """Send a request and return its complete response.
-
-        A response may arrive before the request is sent completely; the connection is closed then.
-        """
-        try:
-            await self._exchange(connection, head, parser, attempt)
-        finally:
-            parser.close()
-        connection.ended = parser.connection_ended
-        if parser.response is not None:
-            return parser.response
-        assert parser.failure is not None
-        return parser.failure
-
-    async def _exchange(
-        self,
-        connection: BackendConnection,
-        head: bytes,
-        parser: ResponseParser,
-        attempt: _Attempt,
-    ) -> None:
-        unsent = send_parts_without_waiting(connection.stream, (head, attempt.body))
-        if not unsent:
-            self._release_body(attempt)
-            await self._read_response(connection, parser, attempt)
-            connection.reusable = parser.reusable
-        else:
-            async with trio.open_nursery() as nursery:
-                sent = trio.Event()
-                nursery.start_soon(self._send_unsent, connection, unsent, sent, attempt)
-                await self._read_response(connection, parser, attempt)
-                connection.reusable = parser.reusable and sent.is_set()
-                nursery.cancel_scope.cancel()
-
-    async def _send_unsent(
-        self,
-        connection: BackendConnection,
-        unsent: list[memoryview],
-        sent: trio.Event,
-        attempt: _Attempt,
-    ) -> None:
-        """Send the rest of a request; errors are left to the reading side."""
-        try:
-            while unsent:
-                await connection.stream.send_all(unsent[0])
-                del unsent[0]
-        except _CONNECTION_ERRORS:
-            return
-        sent.set()
-        self._release_body(attempt)
-
-    def _release_body(self, attempt: _Attempt) -> None:
-        """Drop the body of a request that was sent: an agent never sends it again."""
-        is_large = len(attempt.body) > SMALL_BYTES
-        attempt.body = b""
-        if is_large:
-            self._post(RequestSent(attempt.number))
-
-    async def _read_response(
-        self, connection: BackendConnection, parser: ResponseParser, attempt: _Attempt
-    ) -> None:
-        """Receive a response; nothing is received while the budget has no room for its body."""
-        while not parser.finished:
-            if parser.room_bytes > attempt.held_bytes:
-                await self._hold(attempt, parser.room_bytes)
-            try:
-                data = await receive(connection.stream, _RECEIVE_BYTES)
-            except _CONNECTION_ERRORS as error:
-                parser.handle_error(reason_of(error))
-                return
-            if data:
-                parser.feed(data)
-            else:
-                parser.handle_close()
-
-    async def _hold(self, attempt: _Attempt, size: int) -> None:
-        """Hold ``size`` bytes for the response of an attempt, as soon as the budget has room."""
-        added = size - attempt.held_bytes
-        if not self._budget.take(Use.RESPONSE, added, attempt.held_bytes):
-            granted = trio.Event()
-            waiter = self._budget.wait(Use.RESPONSE, added, granted.set, attempt.held_bytes)
-            try:
-                await granted.wait()
-            except trio.Cancelled:
-                if granted.is_set():
-                    attempt.held_bytes = size
-                self._budget.withdraw(waiter)
-                raise
-        attempt.held_bytes = size
-
     def _classify_response(
         self,
         output: StartAttempt,
