--- a/features/platform/formats.feature
+++ b/features/platform/formats.feature
@@ -189,3 +189,15 @@
       | flaw        | region | reason                    |
       | isn't known | east   | no zone is in region east |
       | is empty    |        | empty region name         |
+
+  Scenario Outline: What a process may hold for others fits into the memory of its machine
+    Then with <memory> MB a node may hold <bodies> MB of bodies
+    And with <memory> MB a control process may keep <values> MB of former values at each publisher
+
+    Examples:
+      | memory  | bodies | values |
+      | 300     | 177    | 30     |
+      | 200     | 102    | 20     |
+      | 64      | 8      | 6.4    |
+      | 9000    | 1000   | 900    |
+      | missing | 177    | 29.6   |
