--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import os
 import subprocess
 import sys
@@ -58,6 +59,30 @@
     context.disk.close()
 
 
+@then(
+    "a data folder opens with its {synced:d} records whichever of {count:d} later writes is lost "
+    "before its sync"
+)
+def _(context, synced, count):
+    log = context.folder / LOG_NAME
+    sound = log.read_bytes()
+    later = [encode_record(f"later {number}".encode() * 100) for number in range(count)]
+    refused = []
+    for kept in itertools.product((False, True), repeat=count):
+        parts = [
+            part if is_kept else bytes(len(part)) for part, is_kept in zip(later, kept, strict=True)
+        ]
+        log.write_bytes(sound + b"".join(parts))
+        disk = open_folder(context.folder)
+        if isinstance(disk, Failure):
+            refused.append((kept, disk.reason))
+            continue
+        disk.close()
+        whole = kept.index(False) if False in kept else count
+        assert len(disk.recovered.records) == synced + whole, kept
+    assert not refused, refused
+
+
 @when("a data folder's log is cut by {count:d} bytes")
 def _(context, count):
     log = context.folder / LOG_NAME
--- a/features/storage/data_folder.feature
+++ b/features/storage/data_folder.feature
@@ -29,6 +29,11 @@
       | log        |
       | files/vote |
 
+  Scenario: Any of the writes since the last sync may be lost with the power, also those before others
+    Given a data folder with 5 records and a file
+    When a data folder's process is gone
+    Then a data folder opens with its 5 records whichever of 3 later writes is lost before its sync
+
   Scenario: A log that is gone beside its files is refused
     Given a data folder with 5 records and a file
     When a data folder's process is gone
