--- a/features/platform/acknowledged_leave.feature
+++ b/features/platform/acknowledged_leave.feature
@@ -12,7 +12,7 @@
     And no request reached the instance later than 2 seconds after the acknowledgement and 3 seconds after its node's start
     And the other instances have served <share> requests
 
-    Examples:
+    Examples: Kills
       | leaves                    | health        | processes         | delay | late          | share                 |
       | says that it has ended    | turn negative | its node is       | 0.3   | 2.5 s late    | at least 95 of 100    |
       | says that it has ended    | stay positive | its node is       | 0.0   | 2.5 s late    | at least 95 of 100    |
