--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -31,7 +31,7 @@
     ResponseStart,
 )
 from limelever.proxy.attempts import AttemptSettings
-from limelever.proxy.request_room import RequestRooms
+from limelever.proxy.request_reservation import RequestReservations
 
 MEGABYTE = 1_000_000
 MEBIBYTE = 1 << 20
@@ -77,30 +77,30 @@
 @given("a budget of {size:d} MB for bodies of up to 64 MiB")
 def given_budget(context, size):
     context.budget = ByteBudget(size * MEGABYTE)
-    context.rooms = RequestRooms(context.budget, LARGEST, 1 << 30)
+    context.reservations = RequestReservations(context.budget, LARGEST, 1 << 30)
 
 
-async def open_rooms(context, sizes, longest_wait=1.0):
-    return [context.rooms.open(size, longest_wait, 30.0) for size in sizes]
+async def open_reservations(context, sizes, longest_wait=1.0):
+    return [context.reservations.open(size, longest_wait, 30.0) for size in sizes]
 
 
 @when("{count:d} requests of {size:d} MB come to the proxy")
 def when_requests(context, count, size):
-    context.opened = trio.run(open_rooms, context, [size * MEGABYTE] * count)
+    context.opened = trio.run(open_reservations, context, [size * MEGABYTE] * count)
 
 
 @then("{held:d} of them is held, {waiting:d} waits and {refused:d} is refused")
-def then_rooms(context, held, waiting, refused):
+def then_reservations(context, held, waiting, refused):
     failures = [each for each in context.opened if isinstance(each, Failure)]
-    rooms = [each for each in context.opened if not isinstance(each, Failure)]
+    opened = [each for each in context.opened if not isinstance(each, Failure)]
     assert all(each.kind is ErrorKind.OVERLOADED for each in failures), failures
-    found = (sum(not r.must_wait for r in rooms), sum(r.must_wait for r in rooms), len(failures))
+    found = (sum(not r.must_wait for r in opened), sum(r.must_wait for r in opened), len(failures))
     assert found == (held, waiting, refused), found
 
 
 @then("a request of {size:d} kB is held")
 def then_small_held(context, size):
-    (room,) = trio.run(open_rooms, context, [size * 1000])
+    (room,) = trio.run(open_reservations, context, [size * 1000])
     assert not isinstance(room, Failure) and not room.must_wait
     assert size * 1000 <= SMALL_BYTES
 
@@ -119,11 +119,11 @@
 @when("a body in chunks has {size:d} MB, another one of {other:d} MB waits, and the first goes on")
 def when_chunks(context, size, other):
     async def run():
-        (chunked,) = await open_rooms(context, [0])
+        (chunked,) = await open_reservations(context, [0])
         context.waited = []
         for megabyte in range(size + 5):
             if megabyte == size:
-                (waiting,) = await open_rooms(context, [other * MEGABYTE])
+                (waiting,) = await open_reservations(context, [other * MEGABYTE])
                 assert waiting.must_wait
             for _ in range(20):
                 assert chunked.add(MEGABYTE // 20) is None
@@ -141,10 +141,10 @@
 @when("a request of {size:d} MB is announced of which nothing comes, and another one follows")
 def when_announced(context, size):
     async def run():
-        rooms = await open_rooms(context, [size * MEGABYTE] * 2, longest_wait=5.0)
-        assert not rooms[0].must_wait and rooms[1].must_wait
+        opened = await open_reservations(context, [size * MEGABYTE] * 2, longest_wait=5.0)
+        assert not opened[0].must_wait and opened[1].must_wait
         began = trio.current_time()
-        context.outcome = await rooms[1].wait()
+        context.outcome = await opened[1].wait()
         context.waited = trio.current_time() - began
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
@@ -158,10 +158,10 @@
 @when("a request of {size:d} MB is held, and another one with {seconds:g} second to go follows")
 def when_held(context, size, seconds):
     async def run():
-        rooms = await open_rooms(context, [size * MEGABYTE] * 2, longest_wait=seconds / 2)
-        rooms[0].add(size * MEGABYTE)
+        opened = await open_reservations(context, [size * MEGABYTE] * 2, longest_wait=seconds / 2)
+        opened[0].add(size * MEGABYTE)
         began = trio.current_time()
-        context.outcome = await rooms[1].wait()
+        context.outcome = await opened[1].wait()
         context.waited = trio.current_time() - began
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
--- a/src/limelever/agent/backend_client.py
+++ b/src/limelever/agent/backend_client.py
@@ -33,7 +33,7 @@
     CheckBackend,
     ConnectResult,
     LimitStarts,
-    RequestSent,
+    RequestBodySent,
     StartAttempt,
 )
 from limelever.agent.load_header import parse_pace, parse_requests
@@ -126,7 +126,7 @@
         """Start an attempt in the background."""
         now = trio.current_time()
         scope = trio.CancelScope(deadline=now + output.timeout)
-        sent = partial(self._post, RequestSent(output.attempt))
+        sent = partial(self._post, RequestBodySent(output.attempt))
         attempt = _Attempt(scope, now, BackendExchange(self._budget, output.body, sent))
         if len(output.body) > SMALL_BYTES:
             output = replace(output, body=b"")
--- a/src/limelever/agent/backend_exchange.py
+++ b/src/limelever/agent/backend_exchange.py
@@ -97,10 +97,10 @@
             self._large_body_sent()
 
     async def _receive(self, connection: BackendConnection, parser: ResponseParser) -> None:
-        """Receive the response; nothing is received while the budget has no room for its body."""
+        """Receive the response; nothing is received until its body is reserved."""
         while not parser.finished:
-            if parser.room_bytes > self._held_bytes:
-                await self._hold(parser.room_bytes)
+            if parser.required_bytes > self._held_bytes:
+                await self._hold(parser.required_bytes)
             try:
                 data = await receive(connection.stream, _RECEIVE_BYTES)
             except CONNECTION_ERRORS as error:
@@ -112,7 +112,7 @@
                 parser.handle_close()
 
     async def _hold(self, size: int) -> None:
-        """Hold ``size`` bytes for the response, as soon as the budget has room."""
+        """Reserve ``size`` bytes for the response, as soon as the budget allows."""
         added = size - self._held_bytes
         if not self._budget.take(Use.RESPONSE, added, self._held_bytes):
             granted = trio.Event()
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -35,7 +35,7 @@
     CallsLimited,
     CancelAttempt,
     ConnectResult,
-    RequestSent,
+    RequestBodySent,
 )
 from limelever.agent.response_pacer import NO_LINK_CAPACITY, CallTiming, ResponsePacer
 from limelever.agent.response_sender import ResponseSender
@@ -284,7 +284,7 @@
 
     # --- from the back end ------------------------------------------------------------------
 
-    def request_sent(self, event: RequestSent) -> None:
+    def request_body_sent(self, event: RequestBodySent) -> None:
         """Release the body of a call that the back end has received."""
         call = self._calls.by_number(event.attempt)
         if call is not None:
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -28,7 +28,7 @@
     DrainRequested,
     LimitStarts,
     RelaysShared,
-    RequestSent,
+    RequestBodySent,
     VersionKnown,
 )
 from limelever.agent.registration import Registration, RegistrationSettings
@@ -237,8 +237,8 @@
                 self._calls.agent_started(now)
             case MessageReceived(connection, message) if connection in self._proxies:
                 return self._handle_proxy_message(connection, message, now)
-            case RequestSent():
-                self._calls.request_sent(event)
+            case RequestBodySent():
+                self._calls.request_body_sent(event)
             case AttemptAnswered():
                 return self._calls.attempt_answered(event, now)
             case AttemptFailed():
--- a/src/limelever/agent/interface.py
+++ b/src/limelever/agent/interface.py
@@ -86,7 +86,7 @@
     calls_per_s: float
 
 
-class RequestSent(Event, frozen=True):
+class RequestBodySent(Event, frozen=True):
     """The large body of an attempt's request was sent, and is no longer held."""
 
     attempt: int
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -22,8 +22,8 @@
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 """Default limit on what a back end sends beside the body of a response."""
 
-_UNSTATED_STEP_BYTES = 1 << 20
-"""Room for a body without a stated length; a longer one gets room for the largest body."""
+_UNKNOWN_LENGTH_BYTES = 1 << 20
+"""Reservation for a body of unknown length; one that exceeds it may become the largest body."""
 
 _SWITCHING_PROTOCOLS = 101
 _NO_BODY = frozenset({204, 304})
@@ -58,19 +58,19 @@
         self._status = 0
         self._in_head = False
         self._until_close = False
-        self._stated_bytes: int | None = None
+        self._declared_bytes: int | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = BodyBuffer()
 
     @property
-    def room_bytes(self) -> int:
-        """Return the size of the body for which there must be room before more is received."""
-        if self._stated_bytes is not None:
-            return self._stated_bytes
+    def required_bytes(self) -> int:
+        """Return how many bytes have to be reserved before more are received."""
+        if self._declared_bytes is not None:
+            return self._declared_bytes
         received = len(self._body)
         if received < SMALL_BYTES:
             return received
-        return _UNSTATED_STEP_BYTES if received < _UNSTATED_STEP_BYTES else self._max_bytes
+        return _UNKNOWN_LENGTH_BYTES if received < _UNKNOWN_LENGTH_BYTES else self._max_bytes
 
     @property
     def finished(self) -> bool:
@@ -176,12 +176,12 @@
         if self._method == _HEAD:
             self._complete()
             raise _StopParsingError
-        stated = value_of(headers, _CONTENT_LENGTH)
-        if stated:
-            self._stated_bytes = parse_count(stated)
-            if self._stated_bytes is None or self._stated_bytes > self._max_bytes:
+        declared = value_of(headers, _CONTENT_LENGTH)
+        if declared:
+            self._declared_bytes = parse_count(declared)
+            if self._declared_bytes is None or self._declared_bytes > self._max_bytes:
                 self._abort(f"response body exceeds {self._max_bytes} bytes")
-        self._until_close = not (coding or stated or self._status in _NO_BODY)
+        self._until_close = not (coding or declared or self._status in _NO_BODY)
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body."""
--- a/src/limelever/agent/response_sender.py
+++ b/src/limelever/agent/response_sender.py
@@ -191,7 +191,7 @@
     def _count_pending(self, size: int) -> None:
         """Add to the unsent bytes; negative once they are sent or dropped."""
         self._pending_bytes += size
-        self._budget.count(Use.RESPONSE, size)
+        self._budget.adjust(Use.RESPONSE, size)
 
     def _stop_pacing(self, pending: _PendingResponse) -> None:
         """Remove a response from the pacer."""
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -135,7 +135,7 @@
         self._used[use] += size
         self._total += size
 
-    def count(self, use: Use, size: int) -> None:
+    def adjust(self, use: Use, size: int) -> None:
         """Hold bytes that are here already, or release them if ``size`` is negative."""
         if size > 0:
             self.charge(use, size)
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -24,9 +24,9 @@
 from limelever.proxy.edge_http2 import Http2Edge
 from limelever.proxy.edge_listener import serve_callers
 from limelever.proxy.request_parsing import declared_length, parse_request
-from limelever.proxy.request_room import RequestRooms
+from limelever.proxy.request_reservation import RequestReservations
 from limelever.proxy.settings import EdgeSettings
-from limelever.transport.body_room import BodyRoom
+from limelever.transport.body_reservation import BodyReservation
 from limelever.transport.http1_connection import Http1Connection
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
@@ -44,7 +44,7 @@
 """
 
 LONGEST_WAIT_RATIO = 0.5
-"""Part of a caller's time for which its body may wait for room; the rest is for the call."""
+"""Part of a caller's time for which its body may wait; the rest is for the call."""
 
 OVERLOAD_RETRY_AFTER_SECONDS = 1.0
 _MILLISECONDS = 1000.0
@@ -67,7 +67,9 @@
         budget: ByteBudget | None = None,
     ) -> None:
         self._budget = budget or ByteBudget()
-        self._rooms = RequestRooms(self._budget, settings.max_body_bytes, settings.buffered_bytes)
+        self._reservations = RequestReservations(
+            self._budget, settings.max_body_bytes, settings.buffered_bytes
+        )
         self._settings = settings
         self._names = names
         self._lame_duck = False
@@ -143,19 +145,19 @@
 
     # --- handler interface of the listener -------------------------------------------------
 
-    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
-        """Return room for a request's body, or why it is refused before its body is read."""
+    def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
+        """Reserve memory for a request's body, or return why the request is refused."""
         if self._pending_answer_bytes > self._pending_answers_limit:
             reason = "too many answer bytes are waiting for callers to read them"
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=OVERLOAD_RETRY_AFTER_SECONDS)
         time = self._time_of(request)
-        stated = declared_length(request.headers)
-        return self._rooms.open(stated, time * LONGEST_WAIT_RATIO, BODY_TIMEOUT_SECONDS)
+        declared = declared_length(request.headers)
+        return self._reservations.open(declared, time * LONGEST_WAIT_RATIO, BODY_TIMEOUT_SECONDS)
 
     def count_untaken(self, size: int) -> None:
         """Add to the count of answer bytes not yet read by callers; negative once they are."""
         self._pending_answer_bytes += size
-        self._budget.count(Use.ANSWER, size)
+        self._budget.adjust(Use.ANSWER, size)
 
     def render(self, failure: Failure) -> HttpAnswer:
         """Return the HTTP response for a failure."""
@@ -175,7 +177,7 @@
 
     def _time_of(self, request: HttpRequest) -> float:
         """Return how long the caller waits at most for the request's body to be received."""
-        stated = parse_count(value_of(request.headers, self._names.timeout))
-        if not stated:
+        timeout_ms = parse_count(value_of(request.headers, self._names.timeout))
+        if not timeout_ms:
             return BODY_TIMEOUT_SECONDS
-        return min(BODY_TIMEOUT_SECONDS, stated / _MILLISECONDS)
+        return min(BODY_TIMEOUT_SECONDS, timeout_ms / _MILLISECONDS)
--- a/src/limelever/proxy/edge_http2.py
+++ b/src/limelever/proxy/edge_http2.py
@@ -11,7 +11,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_messages import HttpAnswer, HttpRequest
 from limelever.transport.asgi import Receive, Send
-from limelever.transport.body_room import BodyRoom
+from limelever.transport.body_reservation import BodyReservation
 from limelever.transport.request_checks import check_request
 
 DISCARD_TIMEOUT_SECONDS = 1.0
@@ -27,8 +27,8 @@
     def caller_disconnected(self, number: int) -> None:
         """Cancel a call whose caller disconnected."""
 
-    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
-        """Return room for a request's body, or why it is refused before its body is read."""
+    def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
+        """Reserve memory for a request's body, or return why the request is refused."""
 
     def count_untaken(self, size: int) -> None:
         """Add to the count of answer bytes not yet read by callers."""
@@ -54,44 +54,44 @@
             await send({"type": "websocket.close", "code": 1003})
             return
         request = _request_of(scope)
-        room = check_request(request) or self._edge.open_body(request)
-        if isinstance(room, Failure):
-            await self._refuse(room, receive, send)
+        reservation = check_request(request) or self._edge.reserve_body(request)
+        if isinstance(reservation, Failure):
+            await self._refuse(reservation, receive, send)
             return
         try:
-            refusal = await self._read_body(request, room, receive)
+            refusal = await self._read_body(request, reservation, receive)
             if refusal is not None:
-                room.release()
+                reservation.release()
                 await self._refuse(refusal, receive, send)
                 return
             answer = await self._await_answer(request, receive)
         except _CallerDisconnectedError:
             return
         finally:
-            room.release()
+            reservation.release()
         if answer is not None:
             await self._send(answer, send, more=False)
 
     async def _read_body(
-        self, request: HttpRequest, room: BodyRoom, receive: Receive
+        self, request: HttpRequest, reservation: BodyReservation, receive: Receive
     ) -> Failure | None:
         """Read the body into the request; return the refusal, if any."""
         body = BodyBuffer()
         with trio.move_on_after(self._body_timeout):
             while True:
-                refusal = await room.wait() if room.must_wait else None
+                refusal = await reservation.wait() if reservation.must_wait else None
                 if refusal is not None:
                     return refusal
                 message = await receive()
                 if message["type"] != "http.request":
                     raise _CallerDisconnectedError
                 data: bytes = message.get("body", b"")
-                refusal = room.add(len(data))
+                refusal = reservation.add(len(data))
                 if refusal is not None:
                     return refusal
                 body.append(data)
                 if not message.get("more_body", False):
-                    room.finish()
+                    reservation.finish()
                     request.body = body.take()
                     return None
         return Failure(ErrorKind.DEADLINE_TOO_SHORT, "request body did not arrive in time")
--- a/src/limelever/proxy/request_room.py
+++ b/src/limelever/proxy/request_reservation.py
@@ -1,9 +1,10 @@
-"""Room in the process's budget for the bodies of callers' requests.
+"""Reservations in the process's budget for the bodies of callers' requests.
 
-Decides under bursts of uploads and slow callers. A body of stated length is received once there is
-room for all of it, so that bodies which have begun can finish; one in chunks gets room step by
-step. Callers that wait are not read from. Each wait is bounded, so that a refusal leaves time to
-try elsewhere, and a body whose bytes do not come gives its room to those that wait.
+Decides under bursts of uploads and slow callers which bodies are received. A body of declared
+length is received once all of it is reserved, so that bodies which have begun can finish; for a
+chunked one bytes are reserved in steps. Nothing is received from callers that wait. Each wait is
+bounded, so that a refused caller has time to try elsewhere, and a body that stalls loses what it
+has reserved but not received.
 """
 
 from __future__ import annotations
@@ -14,10 +15,10 @@
 from limelever.common.errors import ErrorKind, Failure
 
 STEP_BYTES = 1 << 20
-"""Room that a body in chunks gets at a time."""
+"""Bytes that are reserved for a chunked body at a time."""
 
 STALL_SECONDS = 1.0
-"""How far a body may fall behind the pace at which it would arrive in its time."""
+"""How far a body may fall behind the rate at which it would arrive within its time limit."""
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -28,17 +29,19 @@
 )
 
 
-class RequestRoom:
-    """Room for one body; times in seconds, monotonic.
+class RequestReservation:
+    """The reservation for one body; times in seconds, monotonic.
 
-    ``stated`` is its length, 0 if unknown. It waits until ``latest`` at most, and has ``time`` to
-    arrive.
+    ``declared`` is the length of the body, 0 if unknown. It waits until ``latest`` at most, and has
+    ``time`` to arrive.
     """
 
-    def __init__(self, rooms: RequestRooms, stated: int, latest: float, time: float) -> None:
-        self._rooms = rooms
-        self._budget = rooms.budget
-        self._stated = stated
+    def __init__(
+        self, reservations: RequestReservations, declared: int, latest: float, time: float
+    ) -> None:
+        self._reservations = reservations
+        self._budget = reservations.budget
+        self._declared = declared
         self._latest = latest
         self._time = time
         self._received = 0
@@ -49,19 +52,19 @@
 
     @property
     def must_wait(self) -> bool:
-        """Return whether there is no room yet for more of the body."""
+        """Return whether more bytes have to be reserved before more are received."""
         return self._waiter is not None
 
     def begin(self) -> Failure | None:
-        """Take the room for a stated length, or wait for it; a failure if that makes no sense."""
-        if not self._stated or self._take(self._stated):
+        """Reserve the declared length or begin to wait; return a failure if it cannot wait."""
+        if not self._declared or self._take(self._declared):
             return None
-        self._rooms.reclaim()
-        return self._take_or_wait(self._stated)
+        self._reservations.reclaim()
+        return self._take_or_wait(self._declared)
 
     def add(self, size: int) -> Failure | None:
         """Count received bytes; return a failure over a limit."""
-        failure = self._rooms.count(self._received, size)
+        failure = self._reservations.count_received(self._received, size)
         if failure is not None:
             return failure
         self._received += size
@@ -76,38 +79,38 @@
             return None
         if self._take(STEP_BYTES):
             return None
-        self._rooms.reclaim()
+        self._reservations.reclaim()
         return self._take_or_wait(STEP_BYTES)
 
     async def wait(self) -> Failure | None:
-        """Wait until there is room; return a failure if there is none in time."""
+        """Wait until bytes are reserved; return a failure if none are in time."""
         while self._waiter is not None and trio.current_time() < self._latest:
             granted = self._granted = trio.Event()
             with trio.move_on_at(min(self._latest, trio.current_time() + STALL_SECONDS)):
                 await granted.wait()
-            self._rooms.reclaim()
+            self._reservations.reclaim()
         return None if self._waiter is None else _NO_ROOM
 
     def finish(self) -> None:
-        """Release the room beyond the received bytes, as the body is complete."""
-        self._rooms.remove(self)
+        """Release what is reserved beyond the received bytes, as the body is complete."""
+        self._reservations.remove(self)
         self._withdraw()
         self._shrink()
 
     def release(self) -> None:
-        """Release the received bytes, and the room for those that have not arrived."""
-        self._rooms.remove(self)
+        """Release everything that is reserved."""
+        self._reservations.remove(self)
         self._withdraw()
-        self._rooms.count(0, -self._received)
+        self._reservations.count_received(0, -self._received)
         self._received = 0
         self._shrink()
 
     def reclaim(self, now: float) -> None:
-        """Release the room for bytes that are late: the body goes on as one of unknown length."""
-        if self._waiter is None and self._received < self._stated:
-            expected = self._stated * (now - self._began_at - STALL_SECONDS) / self._time
+        """Release what a stalled body has not received; it continues as one of unknown length."""
+        if self._waiter is None and self._received < self._declared:
+            expected = self._declared * (now - self._began_at - STALL_SECONDS) / self._time
             if self._received < expected:
-                self._stated = 0
+                self._declared = 0
                 self._shrink()
 
     def _take(self, size: int) -> bool:
@@ -126,8 +129,8 @@
 
     def _grant(self) -> None:
         assert self._waiter is not None
-        # What was received meanwhile is part of a stated length.
-        surplus = self._held if self._stated else 0
+        # The declared length includes the bytes received while waiting.
+        surplus = self._held if self._declared else 0
         self._held += self._waiter.size - surplus
         self._waiter = None
         if self._granted is not None:
@@ -145,30 +148,30 @@
         self._budget.release(Use.REQUEST, surplus)
 
 
-class RequestRooms:
-    """The bodies of callers' requests that a proxy receives or holds."""
+class RequestReservations:
+    """The reservations for all bodies of callers' requests."""
 
     def __init__(self, budget: ByteBudget, max_body_bytes: int, total_bytes: int) -> None:
         self.budget = budget
         self._max_body_bytes = max_body_bytes
         self._total_bytes = total_bytes
         self._received_bytes = 0
-        self._incomplete: set[RequestRoom] = set()
+        self._incomplete: set[RequestReservation] = set()
 
-    def open(self, stated: int, longest_wait: float, time: float) -> RequestRoom | Failure:
-        """Return room for a body, or a failure if it is refused before it is received."""
-        failure = self._check(stated, stated)
+    def open(self, declared: int, longest_wait: float, time: float) -> RequestReservation | Failure:
+        """Return the reservation for a body, or why its request is refused."""
+        failure = self._check(declared, declared)
         if failure is not None:
             return failure
-        room = RequestRoom(self, stated, trio.current_time() + longest_wait, time)
-        failure = room.begin()
+        reservation = RequestReservation(self, declared, trio.current_time() + longest_wait, time)
+        failure = reservation.begin()
         if failure is not None:
             return failure
-        if stated:
-            self._incomplete.add(room)
-        return room
+        if declared:
+            self._incomplete.add(reservation)
+        return reservation
 
-    def count(self, held: int, added: int) -> Failure | None:
+    def count_received(self, held: int, added: int) -> Failure | None:
         """Count bytes added to a body of ``held`` bytes; return a failure over a limit."""
         failure = self._check(held + added, added)
         if failure is None:
@@ -184,12 +187,12 @@
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER_SECONDS)
         return None
 
-    def remove(self, room: RequestRoom) -> None:
-        """Forget a body that is complete or no longer wanted."""
-        self._incomplete.discard(room)
+    def remove(self, reservation: RequestReservation) -> None:
+        """Remove the reservation of a body that is complete or no longer wanted."""
+        self._incomplete.discard(reservation)
 
     def reclaim(self) -> None:
-        """Release the room for bytes that are late."""
+        """Release what stalled bodies have reserved but not received."""
         now = trio.current_time()
-        for room in tuple(self._incomplete):
-            room.reclaim(now)
+        for reservation in tuple(self._incomplete):
+            reservation.reclaim(now)
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -17,7 +17,7 @@
     ``admission_rate`` (a second) and ``admission_burst`` bound the subscriptions answered with
     configuration; those turned away are spread over at most ``retry_after_limit``. A publisher that
     holds nothing yet lets subscribers wait for ``hold_empty`` before it sends them away.
-    ``heartbeat_interval`` is the least time between two heartbeats that tell of new versions;
+    ``heartbeat_interval`` is the least time between two heartbeats that announce new versions;
     in quiet one goes out each ``keep_alive_interval``.
     """
 
--- a/src/limelever/transport/asgi.py
+++ b/src/limelever/transport/asgi.py
@@ -11,7 +11,12 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import Headers
 from limelever.common.http_messages import HttpAnswer, HttpRequest
-from limelever.transport.body_room import RETRY_AFTER_SECONDS, BodyPool, BodyRoom, PooledRoom
+from limelever.transport.body_reservation import (
+    RETRY_AFTER_SECONDS,
+    BodyPool,
+    BodyReservation,
+    PooledReservation,
+)
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http1_connection import Http1Connection
@@ -64,12 +69,12 @@
         """Connections are kept as long as their clients like."""
         return False
 
-    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
-        """Return room within the limit on all bodies, or why the request is refused."""
+    def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
+        """Reserve memory within the limit on all bodies, or return why the request is refused."""
         if self._untaken_bytes > self._bodies.total_bytes:
             reason = "too many bytes of responses wait for clients to read them"
             return Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER_SECONDS)
-        return PooledRoom(self._bodies)
+        return PooledReservation(self._bodies)
 
     def count_untaken(self, size: int) -> None:
         """Add to the count of response bytes; above the limit, further requests are refused."""
--- a/src/limelever/transport/body_room.py
+++ b/src/limelever/transport/body_reservation.py
@@ -1,4 +1,4 @@
-"""Room for the body of one request, which listeners ask for before they receive it."""
+"""Reservations of memory for the bodies of requests, made before a listener receives them."""
 
 from __future__ import annotations
 
@@ -9,28 +9,28 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
-class BodyRoom(Protocol):
-    """Room for one body; the listener receives no more of the body while it has to wait."""
+class BodyReservation(Protocol):
+    """The reservation for one body; the listener receives nothing while it has to wait."""
 
     @property
     def must_wait(self) -> bool:
-        """Return whether there is no room yet for more of the body."""
+        """Return whether more bytes have to be reserved before more are received."""
 
     async def wait(self) -> Failure | None:
-        """Wait until there is room; return a failure if there is none in time."""
+        """Wait until bytes are reserved; return a failure if none are in time."""
 
     def add(self, size: int) -> Failure | None:
         """Count ``size`` received bytes; return a failure over a limit."""
 
     def finish(self) -> None:
-        """Release the room for bytes that have not arrived, as the body is complete."""
+        """Release what is reserved beyond the received bytes, as the body is complete."""
 
     def release(self) -> None:
-        """Release the counted bytes, and the room for those that have not arrived."""
+        """Release everything that is reserved."""
 
 
 class BodyPool:
-    """A limit on one body, and on all bodies of a listener together; nothing waits for it."""
+    """A limit on one body, and on all bodies of a listener together, without waiting."""
 
     def __init__(self, max_body_bytes: int, total_bytes: int) -> None:
         self.max_body_bytes = max_body_bytes
@@ -38,8 +38,8 @@
         self.held_bytes = 0
 
 
-class PooledRoom:
-    """Room for one body in a :class:`BodyPool`."""
+class PooledReservation:
+    """A reservation in a :class:`BodyPool`, made as bytes arrive."""
 
     def __init__(self, pool: BodyPool) -> None:
         self._pool = pool
@@ -47,7 +47,7 @@
 
     @property
     def must_wait(self) -> bool:
-        """Bodies over the limit are refused at once."""
+        """Return false: bodies over the limit are refused at once."""
         return False
 
     async def wait(self) -> Failure | None:
@@ -68,7 +68,7 @@
         return None
 
     def finish(self) -> None:
-        """Do nothing: room is counted as bytes arrive."""
+        """Do nothing: only received bytes are counted."""
 
     def release(self) -> None:
         """Release the counted bytes."""
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -15,7 +15,7 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_messages import HTTP_1_1, HttpAnswer, HttpRequest
-from limelever.transport.body_room import BodyRoom
+from limelever.transport.body_reservation import BodyReservation
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.http_answers import CONTINUE, encode_answer
@@ -52,8 +52,8 @@
     def leaving(self) -> bool:
         """Return whether connections are to end with their next answer."""
 
-    def open_body(self, request: HttpRequest) -> BodyRoom | Failure:
-        """Return the room for a request's body, or why it is refused before its body is read."""
+    def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
+        """Reserve memory for a request's body, or return why the request is refused."""
 
     def count_untaken(self, size: int) -> None:
         """Count response bytes that clients have not read yet; negative once they have."""
@@ -96,7 +96,7 @@
         self._broken = False
         self._handed_over = False
         self._awaits_continue = False
-        self._body_room: BodyRoom | None = None
+        self._body_reservation: BodyReservation | None = None
         self._body_ends = math.inf
 
     async def run(self) -> bytes:
@@ -149,33 +149,33 @@
         """Check a request's head and start the time limit of its body."""
         self.idle_since = None
         self._body_ends = trio.current_time() + self._limits.body
-        room = self._handler.open_body(request)
-        if isinstance(room, Failure):
-            return room
-        self._body_room = room
+        reservation = self._handler.reserve_body(request)
+        if isinstance(reservation, Failure):
+            return reservation
+        self._body_reservation = reservation
         self._awaits_continue = awaits_continue
         return None
 
     def body_read(self, size: int) -> Failure | None:
         """Count the bytes of a body."""
-        assert self._body_room is not None
-        return self._body_room.add(size)
+        assert self._body_reservation is not None
+        return self._body_reservation.add(size)
 
     def request_read(self, request: HttpRequest) -> None:
         """Queue a complete request."""
         self._body_ends = math.inf
         self._awaits_continue = False
-        room, self._body_room = self._body_room, None
-        if room is not None:
-            room.finish()
-        self._pipeline.add(Exchange(request, last=not request.keep_alive, room=room))
+        reservation, self._body_reservation = self._body_reservation, None
+        if reservation is not None:
+            reservation.finish()
+        self._pipeline.add(Exchange(request, last=not request.keep_alive, reservation=reservation))
 
     def refused(self, failure: Failure) -> None:
         """Queue the response to an invalid request, which ends the connection."""
         self.idle_since = None
         self._body_ends = math.inf
         self._awaits_continue = False
-        self._release_room()
+        self._release_reservation()
         answer = self._handler.render(failure)
         self._count_untaken(len(answer.body))
         exchange = Exchange(_NO_REQUEST, last=True)
@@ -219,7 +219,7 @@
                 data = b""
                 continue
             if self._must_wait:
-                await self._wait_for_room()
+                await self._await_reservation()
                 data = b""
                 continue
             data = await self._receive()
@@ -228,12 +228,12 @@
 
     @property
     def _must_wait(self) -> bool:
-        return self._body_room is not None and self._body_room.must_wait
+        return self._body_reservation is not None and self._body_reservation.must_wait
 
-    async def _wait_for_room(self) -> None:
-        """Receive nothing until there is room for the body, or refuse the request."""
-        assert self._body_room is not None
-        failure = await self._body_room.wait()
+    async def _await_reservation(self) -> None:
+        """Receive nothing until the body is reserved, or refuse the request."""
+        assert self._body_reservation is not None
+        failure = await self._body_reservation.wait()
         if failure is not None:
             self._reader.refuse(failure)
             self._advance()
@@ -280,8 +280,8 @@
             return False
         answer = exchange.answer
         assert answer is not None
-        if exchange.room is not None:
-            exchange.room.release()
+        if exchange.reservation is not None:
+            exchange.reservation.release()
         head, body = encode_answer(exchange.request, answer, close=exchange.last)
         ready += (head, body)
         self._count_untaken(len(head) + len(body) - len(answer.body))
@@ -326,15 +326,15 @@
         for exchange in self._pipeline.take_all():
             if exchange.begun and exchange.answer is None:
                 self._handler.abandon(exchange)
-            if exchange.room is not None:
-                exchange.room.release()
-        self._release_room()
-
-    def _release_room(self) -> None:
-        """Release the room of a body that is not complete."""
-        if self._body_room is not None:
-            self._body_room.release()
-            self._body_room = None
+            if exchange.reservation is not None:
+                exchange.reservation.release()
+        self._release_reservation()
+
+    def _release_reservation(self) -> None:
+        """Release the reservation of a body that is not complete."""
+        if self._body_reservation is not None:
+            self._body_reservation.release()
+            self._body_reservation = None
 
     # --- writing --------------------------------------------------------------------------------
 
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from limelever.common.http_messages import HttpAnswer, HttpRequest
-from limelever.transport.body_room import BodyRoom
+from limelever.transport.body_reservation import BodyReservation
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods that change nothing (RFC 9110, section 9.2.1); nobody pipelines TRACE."""
@@ -27,8 +27,8 @@
 class Exchange(Struct, eq=False):
     """A request and, in time, its answer; ``last`` when the connection ends with the answer.
 
-    ``number`` is for whoever serves the request, and ``room`` holds its body. ``answered_at``
-    (seconds) is set when the answer has to wait for an earlier one.
+    ``number`` is set by the handler of the request, and ``reservation`` is that of its body.
+    ``answered_at`` (seconds) is set when the answer has to wait for an earlier one.
     """
 
     request: HttpRequest
@@ -36,7 +36,7 @@
     answer: HttpAnswer | None = None
     last: bool = False
     number: int = 0
-    room: BodyRoom | None = None
+    reservation: BodyReservation | None = None
     answered_at: float = 0.0
 
 
