--- a/src/limelever/agent/call_receiver.py
+++ b/src/limelever/agent/call_receiver.py
@@ -33,7 +33,7 @@
 
 
 class _WaitingBody(Struct):
-    """A body that is not requested yet, for which the budget has no room before ``until``."""
+    """A body that cannot be reserved yet; the call is refused at ``until``."""
 
     call: Call
     size: int
@@ -186,7 +186,7 @@
         return True
 
     def _request_waiting(self, now: float) -> None:
-        """Request the bodies that waited for the budget, in their order."""
+        """Request the waiting bodies in their order, as far as they can be reserved."""
         self._polled_at = now
         for number, waiting in tuple(self._waiting.items()):
             if not self._request(waiting.call, waiting.size):
@@ -212,7 +212,7 @@
         return [call for call in self._assembling.values() if call.deadline <= now]
 
     def starved(self, now: float) -> list[Call]:
-        """Return the calls whose body has waited for too long, or would wait in vain."""
+        """Return the calls whose body has waited for too long, or can no longer be reserved."""
         return [
             each.call
             for each in self._waiting.values()
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -28,7 +28,7 @@
 
 
 POLL_SECONDS = 0.01
-"""Interval at which sans-I/O components try again what has to wait: others release bytes too."""
+"""Interval at which sans-I/O components retry: other components release bytes without notice."""
 
 
 class Use(StrEnum):
@@ -49,13 +49,13 @@
 _CEILING_PERCENT = {Use.REQUEST: 40, Use.CALL: 60, Use.RESPONSE: 75, Use.ANSWER: 95}
 _HIGHEST_CEILING_PERCENT = 95
 _IDLE_PERCENT = 10
-"""A process that holds less is idle."""
+"""Percentage of the limit below which a process counts as idle."""
 
 _PERCENT = 100
 
 
 class Waiter(Struct, eq=False):
-    """Bytes that are waited for; ``granted`` is called once they are taken.
+    """A wait for bytes; ``granted`` is called once they are taken.
 
     ``held`` are those of the same body that are held already.
     """
@@ -72,7 +72,7 @@
 
     @property
     def rank(self) -> tuple[bool, int, bool]:
-        """Return the position among those that wait, the lowest first."""
+        """Return the sort key of the waits, the first to be granted being the lowest."""
         return self.is_large, -_ORDER[self.use], not self.held
 
 
@@ -100,7 +100,7 @@
         return self._used[use]
 
     def waiting_bytes(self, use: Use) -> int:
-        """Return the bytes that are waited for by :meth:`wait` for a use."""
+        """Return the total of the waits for a use."""
         return sum(waiter.size for waiter in self._waiting if waiter.use is use)
 
     def can_ever_take(self, size: int) -> bool:
@@ -131,12 +131,12 @@
         return True
 
     def charge(self, use: Use, size: int) -> None:
-        """Hold bytes that are here already, whatever the limit."""
+        """Hold bytes that were received already, whatever the limit."""
         self._used[use] += size
         self._total += size
 
     def adjust(self, use: Use, size: int) -> None:
-        """Hold bytes that are here already, or release them if ``size`` is negative."""
+        """Hold bytes that were received already, or release them if ``size`` is negative."""
         if size > 0:
             self.charge(use, size)
         else:
@@ -150,7 +150,7 @@
             self._grant_waiting()
 
     def wait(self, use: Use, size: int, granted: Callable[[], None], held: int = 0) -> Waiter:
-        """Take ``size`` bytes once there is room; ``granted`` is called then.
+        """Take ``size`` bytes as soon as they are available; ``granted`` is called then.
 
         For bytes that :meth:`take` has just refused.
         """
@@ -160,7 +160,7 @@
         return waiter
 
     def withdraw(self, waiter: Waiter) -> None:
-        """Wait no longer."""
+        """Cancel a wait."""
         if waiter in self._waiting:
             self._waiting.remove(waiter)
             self._grant_waiting()
@@ -175,7 +175,7 @@
         return self._total <= self._idle and size <= self.largest
 
     def _grant_waiting(self) -> None:
-        """Grant the waiting bytes in their order, up to the first that has no room."""
+        """Grant the waits in their order, up to the first that does not fit."""
         for waiter in sorted(self._waiting, key=lambda each: each.rank):
             if not self._has_room(waiter.use, waiter.size, is_large=waiter.is_large):
                 return
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -88,7 +88,7 @@
         return ended
 
     def resume_answers(self, now: float) -> None:
-        """Let agents go on with the answers for which there is room now."""
+        """Give agents credit for the answers that are reserved now."""
         for attempt in self._assembly.take_startable(now):
             self._give_credit(attempt)
 
--- a/src/limelever/proxy/answer_assembly.py
+++ b/src/limelever/proxy/answer_assembly.py
@@ -33,7 +33,7 @@
         self._polled_at = -math.inf
 
     def begin(self, attempt: Attempt, size: int) -> Failure | None:
-        """Hold room for an answer of ``size`` bytes, now or later; 0 if the size is not known."""
+        """Reserve ``size`` bytes for an answer, now or later; 0 if the size is not known."""
         if size > self._limits.answer_bytes or not self._budget.can_ever_take(size):
             return _too_large(size)
         attempt.answer_bytes = size
@@ -68,7 +68,7 @@
         return id(attempt) not in self._waiting
 
     def take_startable(self, now: float) -> list[Attempt]:
-        """Return the attempts whose answer had to wait and for which there is room now."""
+        """Return the attempts whose answer had to wait and is reserved now."""
         self._polled_at = now
         startable = []
         for key, attempt in tuple(self._waiting.items()):
@@ -83,7 +83,7 @@
         return self._polled_at + POLL_SECONDS if self._waiting else None
 
     def _make_room(self, attempt: Attempt, size: int) -> bool:
-        """Hold the bytes that are here; those of a waiting answer are within its first window."""
+        """Hold received bytes; those of a waiting answer are within its first window."""
         if size <= attempt.held_bytes:
             return True
         if self.may_continue(attempt):
--- a/src/limelever/proxy/attempts.py
+++ b/src/limelever/proxy/attempts.py
@@ -235,7 +235,7 @@
         return self._messages.handle(connection, message, now)
 
     def resume_answers(self, now: float) -> None:
-        """Let agents go on with the answers for which the budget has room now."""
+        """Give agents credit for the answers that are reserved now."""
         self._messages.resume_answers(now)
 
     def next_deadline(self) -> float | None:
--- a/src/limelever/transport/allocator.py
+++ b/src/limelever/transport/allocator.py
@@ -12,7 +12,7 @@
 
 
 def return_large_blocks() -> None:
-    """Keep the allocator from holding on to the memory of bodies that are gone.
+    """Let the allocator return the memory of released bodies to the system.
 
     glibc raises its threshold to the size of the largest block that was freed, up to 32 MiB, and
     keeps twice as much. Other C libraries have no such setting.
