--- /dev/null
+++ b/features/steps/power_loss_steps.py
@@ -0,0 +1,231 @@
+"""Steps for data folders that lose power between two syncs."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from random import Random
+
+from behave import given, then, when
+from power_loss import FolderRecorder, lay_out
+
+from limelever.common.errors import ErrorKind, Failure
+from limelever.common.sansio import (
+    AppendLog,
+    Output,
+    ReplaceFile,
+    ResetLog,
+    TruncateLog,
+)
+from limelever.storage.folder import LOG_NAME, FolderDisk, open_folder
+
+Held = tuple[tuple[bytes, ...], tuple[tuple[str, bytes], ...]]
+
+LATER = tuple(f"later {number} ".encode() * 15 for number in range(3))
+LONG = b"a long record " * 120
+BATCHES = {
+    "one append": [AppendLog(9, (LONG,))],
+    "one append of several records": [AppendLog(9, LATER)],
+    "three appends": [AppendLog(9, (record,)) for record in LATER],
+    "a truncation, then an append": [TruncateLog(9, 3), AppendLog(10, (b"record X",))],
+    "an append, a file, an append": [
+        AppendLog(9, LATER[:1]),
+        ReplaceFile(10, "vote", b"second"),
+        AppendLog(11, LATER[1:]),
+    ],
+    "a reset, then an append": [ResetLog(9, LATER[:2]), AppendLog(10, LATER[2:])],
+}
+
+
+def held_by(disk: FolderDisk) -> Held:
+    return disk.recovered.records, tuple(sorted(disk.recovered.files.items()))
+
+
+def after(held: Held, write: Output) -> Held:
+    records, files = held
+    match write:
+        case AppendLog():
+            return (*records, *write.records), files
+        case TruncateLog():
+            return records[: write.keep_records], files
+        case ResetLog():
+            return tuple(write.records), files
+        case ReplaceFile():
+            return records, tuple(sorted({**dict(files), write.name: write.content}.items()))
+    raise TypeError(write)
+
+
+def allowed_after(held: Held, batch: list[Output]) -> set[Held]:
+    """Return what a disk may hold once power was lost in a batch: what it did up to a point."""
+    allowed = {held}
+    for write in batch:
+        if isinstance(write, AppendLog):
+            for count in range(len(write.records)):
+                allowed.add(((*held[0], *write.records[:count]), held[1]))
+        held = after(held, write)
+        allowed.add(held)
+    return allowed
+
+
+def drawn_batch(random: Random, held: Held, number: int) -> list[Output]:
+    """Draw writes that are given to a disk together."""
+    batch: list[Output] = []
+    for _ in range(random.randrange(1, 5)):
+        count = len(held[0])
+        sizes = [random.choice((1, 20, 300, 1300)) for _ in range(random.randrange(1, 4))]
+        records = tuple(random.randbytes(size) for size in sizes)
+        ways = [AppendLog(number, records)] * 4 + [ReplaceFile(number, "vote", records[0])]
+        if count:
+            keep = random.randrange(count)
+            ways += [TruncateLog(number, keep), ResetLog(number, held[0][keep:])]
+        write = random.choice(ways)
+        batch.append(write)
+        held = after(held, write)
+    return batch
+
+
+class PowerLossTrial:
+    """A folder that is written to, and a second one that holds what a loss of power left of it."""
+
+    def __init__(self, scratch: Path) -> None:
+        self.folder = scratch / "data"
+        self.left = scratch / "left"
+        opened = open_folder(self.folder)
+        assert isinstance(opened, FolderDisk)
+        self.disk = opened
+        self.held: Held = ((), ())
+
+    def write(self, batch: list[Output]) -> None:
+        assert self.disk.perform(batch) is None
+        for write in batch:
+            self.held = after(self.held, write)
+
+    def reopened(self) -> Held | Failure:
+        disk = open_folder(self.left)
+        if isinstance(disk, Failure):
+            return disk
+        disk.close()
+        return held_by(disk)
+
+
+def new_trial(context) -> PowerLossTrial:
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    return PowerLossTrial(Path(temporary.name))
+
+
+@given("a data folder that has synced {count:d} records, each by itself, and a file")
+def given_folder(context, count):
+    context.trial = new_trial(context)
+    for number in range(count):
+        context.trial.write([AppendLog(number, (f"record {number}".encode(),))])
+    context.trial.write([ReplaceFile(count, "vote", b"first")])
+
+
+@then("whatever a loss of power leaves of {batch}, all that was synced is given back")
+def then_all_states(context, batch):
+    trial, writes = context.trial, BATCHES[batch]
+    recorder = FolderRecorder(trial.folder)
+    allowed = allowed_after(trial.held, writes)
+    images: set[tuple] = set()
+
+    def note_images() -> None:
+        images.update(tuple(sorted(image.items())) for image in recorder.every_image())
+
+    recorder.on_change = note_images
+    with recorder.recording():
+        assert trial.disk.perform(writes) is None
+    wrong = []
+    for image in sorted(images):
+        lay_out(trial.left, dict(image), trial.folder)
+        found = trial.reopened()
+        if found not in allowed:
+            wrong.append(found)
+    assert len(images) > 10, len(images)
+    assert not wrong, f"{len(wrong)} of {len(images)} states, such as {wrong[0]}"
+
+
+@then(
+    "drawn writes are given back up to a point after two losses of power, for seeds 0 to {last:d}"
+)
+def then_drawn(context, last):
+    wrong = {}
+    for seed in range(last + 1):
+        found = _lose_power_twice(new_trial(context), Random(seed))
+        if found is not None:
+            wrong[seed] = found
+    assert not wrong, f"{len(wrong)} of {last + 1} seeds: {wrong}"
+
+
+def _lose_power_twice(trial: PowerLossTrial, random: Random) -> str | None:
+    """Lose power in a drawn batch and in the recovery; return what was wrong then."""
+    for number in range(random.randrange(4)):
+        trial.write(drawn_batch(random, trial.held, number))
+    batch = drawn_batch(random, trial.held, 9)
+    allowed = allowed_after(trial.held, batch)
+    image = _drawn_image(trial.folder, random, lambda: trial.disk.perform(batch))
+    lay_out(trial.left, image, trial.folder)
+    second = trial.folder.parent / "second"
+    lay_out(second, image, trial.folder)
+    image = _drawn_image(second, random, lambda: open_folder(second))
+    lay_out(trial.left, image, second)
+    disk = open_folder(trial.left)
+    if isinstance(disk, Failure):
+        return disk.reason
+    if held_by(disk) not in allowed:
+        return f"holds {held_by(disk)}"
+    expected = held_by(disk)
+    assert disk.perform(batch) is None
+    for write in batch:
+        expected = after(expected, write)
+    disk.close()
+    found = trial.reopened()
+    return None if found == expected else f"after further writes: {found}"
+
+
+def _drawn_image(folder: Path, random: Random, act) -> dict[Path, bytes]:
+    """Return a state that a loss of power leaves at one of the calls of ``act``."""
+    recorder = FolderRecorder(folder)
+    images = [recorder.images(random)]
+    recorder.on_change = lambda: images.append(recorder.images(random))
+    with recorder.recording():
+        result = act()
+    assert not isinstance(result, Failure), result
+    if isinstance(result, FolderDisk):
+        result.close()
+    return random.choice(images)
+
+
+@when("power is lost while a further record is written")
+def when_lost(context):
+    trial, random = context.trial, Random(1)
+    batch = [AppendLog(99, (LONG,))]
+    recorder = FolderRecorder(trial.folder)
+    images = []
+    recorder.on_change = lambda: images.append(recorder.images(random))
+    with recorder.recording():
+        assert trial.disk.perform(batch) is None
+    lay_out(trial.left, images[0], trial.folder)
+
+
+@when("a data folder's process is killed after its last record was marked as synced")
+def when_killed(context):
+    trial = context.trial
+    trial.disk.mark_synced()
+    image = {path: path.read_bytes() for path in trial.folder.rglob("*") if path.is_file()}
+    lay_out(trial.left, image, trial.folder)
+
+
+@then("a flipped byte in any of its first {count:d} records is refused as damage")
+def then_flipped(context, count):
+    trial = context.trial
+    log = trial.left / LOG_NAME
+    sound = log.read_bytes()
+    end = sound.index(trial.held[0][count - 1]) + len(trial.held[0][count - 1])
+    for position in range(end):
+        log.write_bytes(sound[:position] + bytes([sound[position] ^ 0x55]) + sound[position + 1 :])
+        found = trial.reopened()
+        is_refused = isinstance(found, Failure) and found.kind is ErrorKind.DATA_DAMAGED
+        assert is_refused, (position, found)
+    log.write_bytes(sound)
+    assert not isinstance(trial.reopened(), Failure)
