Write events on what a data folder holds as it is opened, and on a missing leader

What operators saw: a control process that ends at each start with an event whose reason is a text like any other, and replicas without a leader that write nothing at all. The hypotheses on the configuration that could not be read back can't be told apart by that. 1024 and 1025 name the folder, its kind of refusal and what was cut; 2017 says how many voters support an election and how many are reached. No behaviour changes.

--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -30,6 +30,7 @@
 from limelever.storage.folder import FolderDisk, open_folder
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.data_folder import report_opening
 from limelever.transport.metrics import publish_body_bytes
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
@@ -142,6 +143,8 @@
     incarnation: int | Failure,
     shell: ProcessShell,
 ) -> None:
+    if disk is not None:
+        report_opening(settings.data_folder, disk)
     if isinstance(disk, Failure):
         raise ProcessFailedError(disk)
     if isinstance(incarnation, Failure):
--- a/src/limelever/common/events.py
+++ b/src/limelever/common/events.py
@@ -92,6 +92,26 @@
     1021, "disk-full", Level.ERROR, "the disk is full: what needs a write waits until it has room"
 )
 DISK_HAS_ROOM = define(1022, "disk-has-room", Level.INFO, "the disk takes writes again")
+DATA_FOLDER_OPENED = define(
+    1024,
+    "data-folder-opened",
+    Level.INFO,
+    "data folder opened; what was not synced is cut",
+    "cut_bytes",
+    "records",
+    "log_bytes",
+    "files",
+    "folder",
+)
+DATA_FOLDER_REFUSED = define(
+    1025,
+    "data-folder-refused",
+    Level.ERROR,
+    "data folder can't be used",
+    "kind",
+    "folder",
+    "reason",
+)
 DECISIONS_NOT_LOGGED = define(
     1023,
     "decisions-not-logged",
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -38,9 +38,10 @@
 from limelever.proxy.metrics import DRAINED_ZONES, SUSPECT_LINKS, count_answer
 from limelever.proxy.retry_rules import RetrySettings
 from limelever.proxy.settings import ProxySettings
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import FolderDisk
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.data_folder import open_data_folder
 from limelever.transport.log import write_event
 from limelever.transport.metrics import publish_body_bytes
 from limelever.transport.process import (
@@ -234,7 +235,7 @@
     """Open the disk that persists the highest configuration version, if a folder is set."""
     if not data_folder:
         return None
-    opened = open_folder(data_folder)
+    opened = open_data_folder(data_folder)
     if isinstance(opened, Failure):
         raise ProcessFailedError(opened)
     return opened
--- a/src/limelever/relay/departure_disk.py
+++ b/src/limelever/relay/departure_disk.py
@@ -20,6 +20,7 @@
 from limelever.relay.events import DEPARTURES_NOT_KEPT
 from limelever.relay.interface import DeparturesRecovered, DeparturesWritten, WriteDepartures
 from limelever.storage.folder import FolderDisk, open_folder
+from limelever.transport.data_folder import report_opening
 from limelever.transport.disk_writer import DiskWriter
 from limelever.transport.log import write_event
 from limelever.transport.runner import CoreRunner
@@ -93,6 +94,7 @@
 def _open(folder: Path) -> _OpenFolder | Failure:
     """Open the folder and read the departed runs; blocks."""
     disk = open_folder(folder)
+    report_opening(folder, disk)
     if isinstance(disk, Failure):
         return disk
     message = RunsDeparted()
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -27,8 +27,9 @@
 )
 from limelever.relay.sealing import SnapshotSealer
 from limelever.relay.settings import RelaySettings
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import FolderDisk
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.data_folder import open_data_folder
 from limelever.transport.listener import LinkListener
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
@@ -195,7 +196,7 @@
 def _open_disk(data_folder: str) -> FolderDisk | None:
     if not data_folder:
         return None
-    opened = open_folder(data_folder)
+    opened = open_data_folder(data_folder)
     if isinstance(opened, Failure):
         raise ProcessFailedError(opened)
     return opened
--- a/src/limelever/source/events.py
+++ b/src/limelever/source/events.py
@@ -31,6 +31,18 @@
 LEADERSHIP_HANDED_OVER = define(
     2016, "leadership-handed-over", Level.INFO, "another replica is asked to lead", "successor"
 )
+LEADER_MISSING = define(
+    2017,
+    "leader-missing",
+    Level.WARNING,
+    "no leader is known, and too few voters support an election",
+    "supporters",
+    "voters",
+    "links",
+    "term",
+    "last_index",
+    "last_term",
+)
 SNAPSHOT_TAKEN = define(2020, "snapshot-taken", Level.INFO, "snapshot taken", "index")
 SNAPSHOT_INSTALLED = define(
     2021, "snapshot-installed", Level.INFO, "snapshot of the leader installed", "index", "leader"
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -30,7 +30,8 @@
     publisher_settings,
     replication_settings,
 )
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import FolderDisk
+from limelever.transport.data_folder import open_data_folder
 from limelever.transport.metrics import publish_group_feature_level
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
@@ -148,7 +149,7 @@
 
 def open_disk(settings: SourceSettings, name: str) -> FolderDisk:
     """Open the folder of one of the process's cores, or end the process."""
-    return _required(open_folder(Path(settings.data_folder) / name))
+    return _required(open_data_folder(Path(settings.data_folder) / name))
 
 
 def _required(value: T | Failure) -> T:
--- a/src/limelever/source/replication/elections.py
+++ b/src/limelever/source/replication/elections.py
@@ -15,6 +15,9 @@
 from limelever.source.replication.context import ReplicaContext, ReplicaRole
 from limelever.source.replication.members import is_majority
 
+REPORT_INTERVAL_SECONDS = 1.0
+"""Time between two events on a missing leader."""
+
 
 class Elections:
     """Stands for election and votes; calls ``won`` when a majority has voted for this one.
@@ -29,6 +32,7 @@
         self._pre_votes: set[str] = set()
         self._votes: set[str] = set()
         self._syncing_term: int | None = None
+        self._reported_at = float("-inf")
 
     def on_time(self) -> None:
         """Stand for election when the timer has run out."""
@@ -47,12 +51,31 @@
 
     def _begin_pre_vote(self) -> None:
         context = self._context
+        if self._pre_votes:
+            self._report_missing_leader()
         context.role = ReplicaRole.CANDIDATE
         context.leader, context.leader_address = "", ""
         self._pre_votes = {context.identity}
         self._ask(context.term + 1, pre_vote=True)
         self._count_pre_votes()
 
+    def _report_missing_leader(self) -> None:
+        """Record how far the last pre-vote went, which did not lead to an election."""
+        context = self._context
+        if context.now < self._reported_at + REPORT_INTERVAL_SECONDS:
+            return
+        self._reported_at = context.now
+        voters = [member for member in context.members.members if member.voter]
+        context.record(
+            events.LEADER_MISSING,
+            supporters=len(self._pre_votes),
+            voters=len(voters),
+            links=len(context.links.open_connections()),
+            term=context.term,
+            last_index=context.log.last_index,
+            last_term=context.log.last_term,
+        )
+
     def _campaign(self) -> None:
         context = self._context
         context.role = ReplicaRole.CANDIDATE
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -98,7 +98,10 @@
 
 
 class FolderDisk:
-    """A :class:`~limelever.storage.disk.Disk` in a locked folder; made by ``open_folder``."""
+    """A :class:`~limelever.storage.disk.Disk` in a locked folder; made by ``open_folder``.
+
+    ``log_bytes`` is the size of the log as opened, ``cut_bytes`` that of what was cut from it.
+    """
 
     def __init__(self, folder: Path, lock: int, scan: Scan, files: dict[str, bytes]) -> None:
         self._folder = folder
@@ -110,7 +113,9 @@
         self._closed = False
         self._failure: Failure | None = None
         self._carried_out = 0
+        self.log_bytes = scan.end
         self._log = self._open_log()
+        self.cut_bytes = os.fstat(self._log).st_size - self._end
         os.ftruncate(self._log, self._end)
         os.fsync(self._log)
         sync_folder(folder)
--- /dev/null
+++ b/src/limelever/storage/synced_length.py
@@ -0,0 +1,83 @@
+"""A file beside the log that states how many of the log's first bytes are synced.
+
+The marks in the log prove all batches but the last one. This file covers the last one, unless
+power is lost: it is written without a sync, after the log was synced. What it states is withdrawn
+with a sync before the log is cut or replaced, so that it is never more than what is true.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import struct
+from pathlib import Path
+
+import google_crc32c
+
+from limelever.storage.atomic import sync_folder, write_all
+
+FILE_NAME = "synced"
+_LENGTH = struct.Struct(">Q")
+_CHECKSUM = struct.Struct(">I")
+_NONE = 0
+
+
+def read_synced_length(folder: Path) -> int | None:
+    """Return the bytes stated to be synced, or ``None`` if only builds without marks wrote here.
+
+    Raises ``OSError`` as the system reports it.
+    """
+    path = folder / FILE_NAME
+    if not path.exists():
+        return None
+    data = path.read_bytes()
+    length, checksum = data[: _LENGTH.size], data[_LENGTH.size :]
+    if checksum != _CHECKSUM.pack(google_crc32c.value(length)):
+        return _NONE
+    return int(_LENGTH.unpack(length)[0])
+
+
+class SyncedLength:
+    """Writes the file; its existence says that the log's batches have marks from now on."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._descriptor: int | None = None
+        self._is_stated = True
+
+    def make(self) -> None:
+        """Make the file, for a log of which everything is synced; raises ``OSError``."""
+        if self._descriptor is not None:
+            return
+        path = self._folder / FILE_NAME
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            os.fsync(descriptor)
+            sync_folder(self._folder)
+        except OSError:
+            os.close(descriptor)
+            raise
+        self._descriptor = descriptor
+
+    def state(self, length: int) -> None:
+        """State that ``length`` bytes of the log are synced; without effect on a full disk."""
+        if self._descriptor is None:
+            return
+        data = _LENGTH.pack(length)
+        self._is_stated = True
+        with contextlib.suppress(OSError):
+            write_all(self._descriptor, 0, data + _CHECKSUM.pack(google_crc32c.value(data)))
+
+    def withdraw(self) -> None:
+        """State nothing, before synced bytes of the log are given up; raises ``OSError``."""
+        if self._descriptor is None or not self._is_stated:
+            return
+        os.ftruncate(self._descriptor, 0)
+        os.fsync(self._descriptor)
+        self._is_stated = False
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
