Open a data folder after any loss of power, with all that was synced

Cause: the scan of the log took everything that doesn't check out for damage to synced bytes, but for a clean cut or zeros up to the end. A loss of power may leave any part of the writes since the last sync: later ones without earlier ones, and records without a sector in their middle. A cut of the log that wasn't synced could also leave the records that were cut behind those written next.

The first record of each batch now ends in a mark with its own offset, which proves that all before it was synced, and lasts as long as the batch. The last batch is covered by a statement beside the log that needs no sync and is withdrawn before the log is cut. What nothing proves is cut; damage to what is proved is refused: each byte of the synced records is flipped in turn, after a loss of power and without one. The property on flipped bytes of a log without marks stands unchanged. Earlier builds skip the marks, which are an unknown field to them, and their folders are judged as before until this build has opened them.

--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -17,7 +17,11 @@
     ResetLog,
     TruncateLog,
 )
+from limelever.protocol.keeper_pb2 import KeeperRecord
+from limelever.protocol.replication_pb2 import LogEntry
 from limelever.storage.folder import LOG_NAME, FolderDisk, open_folder
+from limelever.storage.records import encode_record
+from limelever.storage.sync_marks import with_mark
 
 Held = tuple[tuple[bytes, ...], tuple[tuple[str, bytes], ...]]
 
@@ -229,3 +233,46 @@
         assert is_refused, (position, found)
     log.write_bytes(sound)
     assert not isinstance(trial.reopened(), Failure)
+
+
+@then("a record with a mark is read as without it by a build that knows no marks")
+def then_read_without_marks(context):
+    messages = (LogEntry(index=3, term=2, rules=1), KeeperRecord(expires_unix_ms=7))
+    for message in messages:
+        for sound in (message, type(message)()):
+            read = type(sound).FromString(with_mark(sound.SerializeToString(), 100))
+            read.DiscardUnknownFields()
+            assert read == sound, (read, sound)
+
+
+@when("a build without marks writes {count:d} records to the data folder")
+def when_earlier_writes(context, count):
+    trial = context.trial
+    trial.disk.close()
+    records = tuple(f"of an earlier build {number}".encode() for number in range(count))
+    with (trial.folder / LOG_NAME).open("ab") as log:
+        log.write(b"".join(map(encode_record, records)))
+    trial.held = (*trial.held[0], *records), trial.held[1]
+
+
+@then("all {count:d} records are given back, also after a further one")
+def then_all_given_back(context, count):
+    trial = context.trial
+    for expected in (count, count + 1):
+        disk = open_folder(trial.folder)
+        assert isinstance(disk, FolderDisk), disk
+        assert held_by(disk) == trial.held and len(trial.held[0]) == expected
+        trial.disk = disk
+        trial.write([AppendLog(99, (b"a further one",))])
+        disk.close()
+
+
+@given("a data folder of a build without marks with {count:d} records and a file")
+def given_earlier_folder(context, count):
+    trial = context.trial = new_trial(context)
+    records = tuple(f"record {number}".encode() for number in range(count))
+    trial.write([ReplaceFile(0, "vote", b"first")])
+    image = {trial.folder / "files" / "vote": (trial.folder / "files" / "vote").read_bytes()}
+    image[trial.folder / LOG_NAME] = b"".join(map(encode_record, records))
+    lay_out(trial.left, image, trial.folder)
+    trial.held = records, trial.held[1]
--- a/features/storage/power_loss.feature
+++ b/features/storage/power_loss.feature
@@ -17,3 +17,26 @@
   # Guards against a recovery that a second loss of power turns into damage.
   Scenario: Power is lost in drawn writes, and again during the recovery
     Then drawn writes are given back up to a point after two losses of power, for seeds 0 to 299
+
+  # Guards against a recovery that drops acknowledged records because their bytes are damaged.
+  Scenario: Damage to what was synced before a later write is refused after a loss of power
+    Given a data folder that has synced 6 records, each by itself, and a file
+    When power is lost while a further record is written
+    Then a flipped byte in any of its first 5 records is refused as damage
+
+  Scenario: Damage to the last record is refused if no power was lost
+    Given a data folder that has synced 6 records, each by itself, and a file
+    When a data folder's process is killed after its last record was marked as synced
+    Then a flipped byte in any of its first 6 records is refused as damage
+
+  # Guards against an upgrade that can't be taken back, or whose records are lost by taking it back.
+  Scenario: Builds without marks read records that have them, and write on behind them
+    Given a data folder that has synced 3 records, each by itself, and a file
+    Then a record with a mark is read as without it by a build that knows no marks
+    When a build without marks writes 2 records to the data folder
+    Then all 5 records are given back, also after a further one
+
+  # Guards against damage that passes for unsynced writes in a folder of a build without marks.
+  Scenario: Damage in a folder that only a build without marks has written is refused
+    Given a data folder of a build without marks with 5 records and a file
+    Then a flipped byte in any of its first 5 records is refused as damage
--- a/src/limelever/storage/disk.py
+++ b/src/limelever/storage/disk.py
@@ -37,3 +37,6 @@
     @property
     def carried_out(self) -> int:
         """Return how many outputs of the last :meth:`perform` are done, from the first on."""
+
+    def mark_synced(self) -> None:
+        """Note that all writes are synced; called when none has been given for a while."""
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -23,6 +23,8 @@
 from limelever.storage.atomic import replace_file, sync_folder, write_all
 from limelever.storage.disk import DISK_WRITES, DiskWrite
 from limelever.storage.records import Scan, encode_record, scan_records
+from limelever.storage.sync_marks import with_mark
+from limelever.storage.synced_length import SyncedLength, read_synced_length
 
 LOG_NAME = "log"
 FILES_NAME = "files"
@@ -33,9 +35,9 @@
 def open_folder(path: Path | str) -> FolderDisk | Failure:
     """Lock the data folder at ``path`` (made when missing), check it and return its disk.
 
-    Fails with DATA_FOLDER_IN_USE when another process holds it, with DATA_DAMAGED when synced
-    bytes do not check out, and with DISK_FAILED when the folder can't be read or written, of
-    which nothing follows for its contents; a torn tail of the log is cut.
+    Fails with DATA_FOLDER_IN_USE when another process holds it, with DATA_DAMAGED when bytes that
+    are proved to have been synced do not check out, and with DISK_FAILED when the folder can't be
+    read or written, of which nothing follows for its contents; what was not synced is cut.
     """
     folder = Path(path)
     try:
@@ -77,7 +79,7 @@
         data = entry.read_bytes()
         scan = scan_records(data)
         if isinstance(scan, Failure) or len(scan.records) != 1 or scan.end != len(data):
-            return Failure(ErrorKind.DATA_DAMAGED, f"file {entry.name} does not check out")
+            return Failure(ErrorKind.DATA_DAMAGED, f"file {entry} does not check out")
         files[entry.name] = scan.records[0]
     return files
 
@@ -86,10 +88,13 @@
     log = folder / LOG_NAME
     if not log.exists():
         if has_files:
-            return Failure(ErrorKind.DATA_DAMAGED, "the log is missing beside files that exist")
+            reason = f"{log} is missing beside files that exist"
+            return Failure(ErrorKind.DATA_DAMAGED, reason)
         return Scan((), (), 0)
-    data = log.read_bytes()
-    return scan_records(data)
+    scan = scan_records(log.read_bytes(), read_synced_length(folder))
+    if isinstance(scan, Failure):
+        return Failure(scan.kind, f"{log}: {scan.reason}")
+    return scan
 
 
 def _failure_of(error: OSError) -> Failure:
@@ -114,11 +119,22 @@
         self._failure: Failure | None = None
         self._carried_out = 0
         self.log_bytes = scan.end
+        self._synced_length = SyncedLength(folder)
         self._log = self._open_log()
         self.cut_bytes = os.fstat(self._log).st_size - self._end
         os.ftruncate(self._log, self._end)
         os.fsync(self._log)
         sync_folder(folder)
+        self._begin_marks()
+
+    def _begin_marks(self) -> None:
+        """State that the log is synced; on a full disk the first write does it."""
+        try:
+            self._synced_length.make()
+        except OSError as error:
+            if error.errno not in _FULL_ERRORS:
+                raise
+        self._synced_length.state(self._end)
 
     @property
     def recovered(self) -> Recovered:
@@ -129,7 +145,9 @@
         """Release the folder; the disk takes no write afterwards."""
         if self._closed:
             return
+        self.mark_synced()
         self._closed = True
+        self._synced_length.close()
         os.close(self._log)
         os.close(self._lock)
 
@@ -144,6 +162,7 @@
         if self._failure is not None:
             return self._failure
         try:
+            self._synced_length.make()
             for write in outputs:
                 if isinstance(write, DISK_WRITES):
                     self._carry_out(write)
@@ -161,6 +180,11 @@
         """Return how many outputs of the last :meth:`perform` are done, from the first on."""
         return self._carried_out
 
+    def mark_synced(self) -> None:
+        """State that the whole log is synced, so that damage to its last batch is noticed."""
+        if self._failure is None and not self._dirty:
+            self._synced_length.state(self._end)
+
     def _keep_those_before(self) -> bool:
         """Sync the writes before a refused one; return whether that went well."""
         try:
@@ -183,7 +207,10 @@
                 replace_file(self._folder / FILES_NAME, write.name, encode_record(write.content))
 
     def _append(self, records: Sequence[bytes]) -> None:
-        encoded = [encode_record(record) for record in records]
+        if not records:
+            return
+        first = records[0] if self._dirty else with_mark(records[0], self._end)
+        encoded = [encode_record(record) for record in (first, *records[1:])]
         try:
             write_all(self._log, self._end, b"".join(encoded))
         except OSError:
@@ -196,13 +223,16 @@
     def _truncate(self, keep_records: int) -> None:
         if keep_records >= len(self._offsets):
             return
+        self._synced_length.withdraw()
         self._end = self._offsets[keep_records]
         del self._offsets[keep_records:]
         os.ftruncate(self._log, self._end)
         self._dirty = True
+        self._sync_log()  # without it, records that were cut could follow those written next
 
     def _reset(self, records: Sequence[bytes]) -> None:
         self._sync_log()
+        self._synced_length.withdraw()
         encoded = [encode_record(record) for record in records]
         replace_file(self._folder, LOG_NAME, b"".join(encoded))
         os.close(self._log)
--- a/src/limelever/storage/memory.py
+++ b/src/limelever/storage/memory.py
@@ -53,6 +53,9 @@
         """Return how many outputs of the last :meth:`perform` are done: all or none."""
         return self._carried_out
 
+    def mark_synced(self) -> None:
+        """Do nothing: a simulated disk has no damage to notice."""
+
     def begin(self, outputs: Sequence[Output]) -> Failure | None:
         """Start the disk writes among ``outputs``; a crash before ``finish`` may lose them."""
         if self._failure is not None:
--- a/src/limelever/storage/records.py
+++ b/src/limelever/storage/records.py
@@ -4,6 +4,9 @@
 of the payload, and the payload. The length has a checksum of its own so that a damaged length
 in the middle of a log can't pass for a record that a crash cut short: that mistake would
 silently drop every acknowledged record behind it.
+
+A loss of power may leave any part of the writes since the last sync, so that a record that does not
+check out is damage only where something proves that it was synced.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 from msgspec import Struct
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.storage.sync_marks import marked_records, without_mark
 
 _LENGTH = struct.Struct(">I")
 _CHECKSUMS = struct.Struct(">II")
@@ -36,12 +40,12 @@
     return length + checksums + payload
 
 
-def scan_records(data: bytes) -> Scan | Failure:
-    """Return the whole records of ``data`` up to a torn tail, or a failure for damage.
+def scan_records(data: bytes, synced_length: int | None = None) -> Scan | Failure:
+    """Return the whole records of ``data`` up to what was not synced, or a failure for damage.
 
-    A tail is torn when it is shorter than a sound header promises, or when it reads as zeros
-    from a sector boundary to the end (the file had grown before its bytes were written).
-    Everything else that does not check out is damage: those bytes had been synced.
+    ``synced_length`` is how many bytes are stated to be synced. ``None`` is for a log written by
+    builds without marks. There a tail is torn when it is shorter than a sound header promises, or
+    when it reads as zeros from a sector boundary to the end, and everything else is damage.
     """
     records: list[bytes] = []
     offsets: list[int] = []
@@ -49,17 +53,30 @@
     while position < len(data):
         payload = _payload_at(data, position)
         if payload is None:
-            if _is_torn(data, position):
+            proof = _proof_of_sync(data, position, synced_length)
+            if proof is None:
                 break
-            return Failure(
-                ErrorKind.DATA_DAMAGED, f"record {len(records)} at byte {position} is damaged"
-            )
-        records.append(payload)
+            reason = f"record {len(records)} at byte {position} of {len(data)} is damaged: {proof}"
+            return Failure(ErrorKind.DATA_DAMAGED, reason)
+        records.append(without_mark(payload, position))
         offsets.append(position)
         position += HEADER_SIZE + len(payload)
     return Scan(tuple(records), tuple(offsets), position)
 
 
+def _proof_of_sync(data: bytes, position: int, synced_length: int | None) -> str | None:
+    """Return what proves that the bytes at ``position`` were synced, if anything does."""
+    for begin, end in marked_records(data, position + 1):
+        payload = _payload_at(data, begin)
+        if payload is not None and begin + HEADER_SIZE + len(payload) == end:
+            return f"it was synced before byte {begin} was written"
+    if synced_length is None:
+        return None if _is_torn(data, position) else "it is neither cut short nor zeros"
+    if position < synced_length <= len(data):
+        return f"{synced_length} bytes were synced"
+    return None
+
+
 def _sound_length(data: bytes, position: int) -> int | None:
     """Return the payload length in the header at ``position`` when its checksum holds."""
     if len(data) - position < HEADER_SIZE:
--- a/src/limelever/transport/disk_writer.py
+++ b/src/limelever/transport/disk_writer.py
@@ -33,6 +33,12 @@
     def carried_out(self) -> int:
         """Return how many outputs of the last :meth:`perform` are done, from the first on."""
 
+    def mark_synced(self) -> None:
+        """Note that all writes are synced; called when none has been given for a while."""
+
+
+IDLE_SECONDS = 1.0
+"""Time without writes after which the disk notes that all of them are synced."""
 
 FULL_RETRY_SECONDS = 0.25
 """Between attempts to write to a full disk."""
@@ -58,6 +64,7 @@
         self._on_failure = on_failure
         self._queue: list[DiskWrite] = []
         self._wake = trio.Event()
+        self._has_written = False
 
     def queue(self, write: DiskWrite) -> None:
         """Let a write follow those that are queued already."""
@@ -67,7 +74,7 @@
     async def run(self) -> None:
         """Write until cancelled, or until the disk fails."""
         while True:
-            await self._wake.wait()
+            await self._wait_for_writes()
             self._wake = trio.Event()
             writes, self._queue = self._queue, []
             failure = await self._write(writes)
@@ -77,9 +84,19 @@
                 self._on_failure(failure)
                 return
 
+    async def _wait_for_writes(self) -> None:
+        if self._has_written:
+            with trio.move_on_after(IDLE_SECONDS):
+                await self._wake.wait()
+                return
+            self._has_written = False
+            await trio.to_thread.run_sync(self._disk.mark_synced, abandon_on_cancel=True)
+        await self._wake.wait()
+
     async def _write(self, writes: list[DiskWrite]) -> Failure | None:
         """Carry writes out in order, waiting for room; return a failure that is final."""
         full = False
+        self._has_written = True
         while writes:
             # A stop doesn't wait for a disk that hangs: nothing was acknowledged of these writes.
             perform = partial(self._disk.perform, writes)
