Treat a failed sync as final also if the system reports a full disk

What callers could see: a change that was confirmed is gone after a restart.

Cause: a sync that fails with ENOSPC was taken for a refused write. The log was synced once more, which succeeds without what the first sync dropped, and the batch was reported as written. A folder whose sync failed after its log had been renamed left the disk writing to the former, unnamed log.

Both scenarios failed before: the refusal was disk-full, after which the writes go on. Now the disk takes no further write, the process ends, and its next start reads what is there. A full disk that refuses a write is still waited for.

--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -5,6 +5,7 @@
 import errno
 import itertools
 import os
+import stat
 import subprocess
 import sys
 import tempfile
@@ -207,6 +208,32 @@
         context.refusal = context.disk.perform([AppendLog(99, (b"x",))])
 
 
+@when("one sync of a data folder fails by {name}")
+def _(context, name):
+    real, errors = os.fsync, [OSError(getattr(errno, name), name)]
+
+    def fsync(descriptor):
+        if errors:
+            raise errors.pop()
+        real(descriptor)
+
+    with mock.patch("os.fsync", fsync):
+        context.refusal = context.disk.perform([AppendLog(99, (b"x",))])
+
+
+@when("the sync of a data folder itself fails by {name} as its log is replaced")
+def _(context, name):
+    real = os.fsync
+
+    def fsync(descriptor):
+        if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+            raise OSError(getattr(errno, name), name)
+        real(descriptor)
+
+    with mock.patch("os.fsync", fsync):
+        context.refusal = context.disk.perform([ResetLog(99, (b"x",))])
+
+
 @then("a data folder that can't be read for {name} refuses to open as {kind}")
 def _(context, name, kind):
     with mock.patch("pathlib.Path.read_bytes", side_effect=OSError(getattr(errno, name), name)):
--- a/features/storage/data_folder.feature
+++ b/features/storage/data_folder.feature
@@ -94,6 +94,18 @@
       | EIO    |
       | EACCES |
 
+  # Guards against writes that are reported as synced although the sync that failed has lost them.
+  Scenario: A sync that fails for want of room is final, as what it did not write may be gone
+    Given a data folder with 5 records and a file
+    When one sync of a data folder fails by ENOSPC
+    Then a data folder's write is refused as disk-failed and every later one too
+
+  # Guards against records that are written to a log which has no name any more.
+  Scenario: A log that was replaced without its folder being synced takes no further record
+    Given a data folder with 5 records and a file
+    When the sync of a data folder itself fails by ENOSPC as its log is replaced
+    Then a data folder's write is refused as disk-failed and every later one too
+
   Scenario: A log is cut, appended to and reset
     Given a data folder with 5 records and a file
     When a data folder's log is cut to 2 records, appended to and reset
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -20,7 +20,7 @@
     ResetLog,
     TruncateLog,
 )
-from limelever.storage.atomic import replace_file, sync_folder, write_all
+from limelever.storage.atomic import replace_file, sync, sync_folder, write_all
 from limelever.storage.disk import DISK_WRITES, DiskWrite
 from limelever.storage.records import Scan, encode_record, scan_records
 from limelever.storage.sync_marks import with_mark
@@ -248,7 +248,7 @@
 
     def _sync_log(self) -> None:
         if self._dirty:
-            os.fsync(self._log)
+            sync(self._log)
             self._dirty = False
 
     def _open_log(self) -> int:
