Sync the folders that lead to a new data folder

What operators could see: a replica whose data folder is gone after its first loss of power, with all that it had confirmed.

Cause: a data folder and its parents were made and never synced as names, only what is in them. It is synced now before the folder takes its first write, as are those above it that were made on the way.

--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import tempfile
 from pathlib import Path
 from random import Random
+from unittest import mock
 
 from behave import given, then, when
 from power_loss import FolderRecorder, lay_out
@@ -276,3 +278,39 @@
     image[trial.folder / LOG_NAME] = b"".join(map(encode_record, records))
     lay_out(trial.left, image, trial.folder)
     trial.held = records, trial.held[1]
+
+
+@given("a folder for data in which {made} is made by a process that ends before it opens it")
+def given_base(context, made):
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    context.base = Path(temporary.name)
+    if made != "nothing":
+        (context.base / made).mkdir(parents=True)
+
+
+@when("a data folder is opened at {path}")
+def when_opened_at(context, path):
+    context.synced_with = {}
+    real = os.fsync
+
+    def fsync(descriptor):
+        folder = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        if folder.is_dir():
+            context.synced_with[folder] = {entry.name for entry in folder.iterdir()}
+        real(descriptor)
+
+    context.opened_at = context.base / path
+    with mock.patch("os.fsync", fsync):
+        disk = open_folder(context.opened_at)
+    assert isinstance(disk, FolderDisk), disk
+    disk.close()
+
+
+@then("each folder from {first} to it was synced once the next one was made")
+def then_way_synced(context, first):
+    folder = context.opened_at / "files"
+    while folder != context.base / first:
+        names = context.synced_with.get(folder.parent, set())
+        assert folder.name in names, (folder, context.synced_with)
+        folder = folder.parent
--- a/features/storage/power_loss.feature
+++ b/features/storage/power_loss.feature
@@ -40,3 +40,15 @@
   Scenario: Damage in a folder that only a build without marks has written is refused
     Given a data folder of a build without marks with 5 records and a file
     Then a flipped byte in any of its first 5 records is refused as damage
+
+  # Guards against a whole data folder that is gone after the first loss of power.
+  Scenario Outline: The folders that lead to a new data folder are synced before it takes a write
+    Given a folder for data in which <made> is made by a process that ends before it opens it
+    When a data folder is opened at a/b/replica
+    Then each folder from <first> to it was synced once the next one was made
+
+    Examples: Folders
+      | made        | first |
+      | nothing     | .     |
+      | a           | a     |
+      | a/b/replica | a/b   |
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -41,7 +41,7 @@
     """
     folder = Path(path)
     try:
-        (folder / FILES_NAME).mkdir(parents=True, exist_ok=True)
+        _make_folders(folder)
         lock = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     except OSError as error:
         return _failure_of(error)
@@ -56,6 +56,16 @@
     return opened
 
 
+def _make_folders(folder: Path) -> None:
+    """Make a data folder and its parents, and sync the names of those that may be new."""
+    files = folder / FILES_NAME
+    made = [each for each in (files, *files.parents) if not each.exists()]
+    files.mkdir(parents=True, exist_ok=True)
+    if not (folder / LOG_NAME).exists():
+        for parent in {folder.parent, *(each.parent for each in made)}:
+            sync_folder(parent)
+
+
 def _open_locked(folder: Path, lock: int) -> FolderDisk | Failure:
     try:
         files = _read_files(folder / FILES_NAME)
