--- a/features/steps/departure_disk_steps.py
+++ b/features/steps/departure_disk_steps.py
@@ -20,7 +20,7 @@
     DeparturesWritten,
     WriteDepartures,
 )
-from limelever.storage.folder import FILES_NAME, FolderDisk
+from limelever.storage.folder_disk import FILES_NAME, FolderDisk
 
 FULL_ATTEMPTS = 3
 SHORT_RETRY_SECONDS = 0.02
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -20,7 +20,8 @@
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import AppendLog, Recovered, ReplaceFile, ResetLog, TruncateLog
-from limelever.storage.folder import LOG_NAME, FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import LOG_NAME, FolderDisk
 from limelever.storage.memory import MemoryDisk
 from limelever.storage.records import encode_record, scan_records
 
--- a/features/steps/transport_process_steps.py
+++ b/features/steps/transport_process_steps.py
@@ -12,7 +12,8 @@
 
 from behave import given, then, when
 
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import FolderDisk
 
 PATIENCE = 30
 LIMELEVER = Path(sys.executable).parent / "limelever"
--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -27,7 +27,8 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import FolderDisk
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.data_folder import report_opening
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -38,7 +38,7 @@
 from limelever.proxy.metrics import DRAINED_ZONES, SUSPECT_LINKS, count_answer
 from limelever.proxy.retry_rules import RetrySettings
 from limelever.proxy.settings import ProxySettings
-from limelever.storage.folder import FolderDisk
+from limelever.storage.folder_disk import FolderDisk
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.data_folder import open_data_folder
--- a/src/limelever/relay/departure_disk.py
+++ b/src/limelever/relay/departure_disk.py
@@ -19,7 +19,8 @@
 from limelever.protocol.endpoints_pb2 import RunsDeparted
 from limelever.relay.events import DEPARTURES_NOT_KEPT
 from limelever.relay.interface import DeparturesRecovered, DeparturesWritten, WriteDepartures
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import FolderDisk
 from limelever.transport.data_folder import report_opening
 from limelever.transport.disk_writer import DiskWriter
 from limelever.transport.log import write_event
--- a/src/limelever/relay/process.py
+++ b/src/limelever/relay/process.py
@@ -27,7 +27,7 @@
 )
 from limelever.relay.sealing import SnapshotSealer
 from limelever.relay.settings import RelaySettings
-from limelever.storage.folder import FolderDisk
+from limelever.storage.folder_disk import FolderDisk
 from limelever.subscriber.settings import SubscriberSettings
 from limelever.transport.data_folder import open_data_folder
 from limelever.transport.listener import LinkListener
--- a/src/limelever/source/process.py
+++ b/src/limelever/source/process.py
@@ -30,7 +30,7 @@
     publisher_settings,
     replication_settings,
 )
-from limelever.storage.folder import FolderDisk
+from limelever.storage.folder_disk import FolderDisk
 from limelever.transport.data_folder import open_data_folder
 from limelever.transport.metrics import publish_group_feature_level
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
--- a/src/limelever/transport/data_folder.py
+++ b/src/limelever/transport/data_folder.py
@@ -6,7 +6,8 @@
 
 from limelever.common import events
 from limelever.common.errors import Failure
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import FolderDisk
 from limelever.transport.log import write_event
 
 
