Let the simulator's disk lose parts of unsynced writes as a loss of power may

The disk in memory kept a prefix of what wasn't synced, which no rule for torn tails has to refuse: the simulator could not see that a log was refused whose nothing synced was lost.

--- a/features/steps/power_loss.py
+++ b/features/steps/power_loss.py
@@ -16,15 +16,7 @@
 from random import Random
 from unittest import mock
 
-SECTOR_BYTES = 512
-
-
-@dataclass
-class FileWrite:
-    """Bytes written at an offset, or with ``data`` of ``None`` a cut to ``offset`` bytes."""
-
-    offset: int
-    data: bytes | None
+from limelever.storage.torn_writes import FileWrite, applied, drawn_parts, sector_parts
 
 
 @dataclass
@@ -44,30 +36,6 @@
     is_creation: bool
 
 
-def applied(content: bytes, writes: list[FileWrite]) -> bytes:
-    """Return the content of a file after writes; a gap reads as zeros."""
-    image = bytearray(content)
-    for write in writes:
-        if write.data is None:
-            del image[write.offset :]
-            image.extend(bytes(write.offset - len(image)))
-            continue
-        end = write.offset + len(write.data)
-        image.extend(bytes(max(0, end - len(image))))
-        image[write.offset : end] = write.data
-    return bytes(image)
-
-
-def sector_parts(write: FileWrite) -> list[FileWrite]:
-    """Return the parts of a write in each sector of the file."""
-    parts, offset, data = [], write.offset, write.data or b""
-    while data:
-        size = SECTOR_BYTES - offset % SECTOR_BYTES
-        parts.append(FileWrite(offset, data[:size]))
-        offset, data = offset + size, data[size:]
-    return parts
-
-
 def outcomes(write: FileWrite) -> Iterator[list[FileWrite]]:
     """Yield what may be left of a write: each cut of it, and each subset of its sectors."""
     yield []
@@ -81,16 +49,6 @@
         yield [part for number, part in enumerate(parts) if chosen >> number & 1]
 
 
-def drawn_outcome(write: FileWrite, random: Random) -> list[FileWrite]:
-    """Draw what is left of a write."""
-    way = random.randrange(4)
-    if way < 2 or write.data is None:
-        return [write] if way % 2 else []
-    if way == 2:
-        return [FileWrite(write.offset, write.data[: random.randrange(len(write.data) + 1)])]
-    return [part for part in sector_parts(write) if random.random() < 0.5]
-
-
 class FolderRecorder:
     """The state of a folder on disk, followed through the calls of :meth:`recording`."""
 
@@ -116,7 +74,7 @@
         """Draw a state that a loss of power may leave at this moment."""
         contents = {}
         for inode, file in self.files.items():
-            kept = [part for write in file.pending for part in drawn_outcome(write, random)]
+            kept = [part for write in file.pending for part in drawn_parts(write, random)]
             contents[inode] = applied(file.synced, kept)
         return self._named(contents, random)
 
--- a/src/limelever/storage/memory.py
+++ b/src/limelever/storage/memory.py
@@ -1,4 +1,4 @@
-"""A disk in memory for simulation: it can lose what is not synced, tear a write, or be lost."""
+"""A disk in memory for simulation: it can lose what is not synced, tear writes, or be lost."""
 
 from __future__ import annotations
 
@@ -15,6 +15,12 @@
     TruncateLog,
 )
 from limelever.storage.disk import DISK_WRITES, DiskWrite
+from limelever.storage.records import SECTOR_SIZE, encode_record, scan_records
+from limelever.storage.sync_marks import with_mark
+from limelever.storage.torn_writes import FileWrite, applied, drawn_parts
+
+_KEPT_RENAMES = 0.5
+"""Probability that a change of names which was not synced survives."""
 
 
 class MemoryDisk:
@@ -70,13 +76,23 @@
         self._unsynced.clear()
 
     def crash(self, random: Random, torn: bool) -> None:
-        """Drop what is not synced; with ``torn``, a prefix of it drawn at random survives."""
-        if torn and self._unsynced:
-            whole = random.randrange(len(self._unsynced) + 1)
-            for write in self._unsynced[:whole]:
+        """Drop what is not synced; with ``torn``, what a loss of power leaves of it survives.
+
+        The loss comes after some of the writes were issued. Those that are no appends sync what
+        comes before them.
+        """
+        issued = random.randrange(len(self._unsynced) + 1) if torn else 0
+        appends: list[AppendLog] = []
+        for position, write in enumerate(self._unsynced[:issued]):
+            if isinstance(write, AppendLog):
+                appends.append(write)
+                continue
+            for append in appends:
+                self._apply(append)
+            appends.clear()
+            if position < issued - 1 or random.random() < _KEPT_RENAMES:
                 self._apply(write)
-            if whole < len(self._unsynced):
-                self._tear(self._unsynced[whole], random)
+        self._records.extend(_left_of(appends, random))
         self._unsynced.clear()
 
     def lose(self) -> None:
@@ -85,12 +101,6 @@
         self._files.clear()
         self._unsynced.clear()
 
-    def _tear(self, write: DiskWrite, random: Random) -> None:
-        """Keep some leading records of an append; the other writes are atomic."""
-        if isinstance(write, AppendLog):
-            kept = random.randrange(len(write.records) + 1)
-            self._records.extend(write.records[:kept])
-
     def _apply(self, write: DiskWrite) -> None:
         match write:
             case AppendLog():
@@ -101,3 +111,21 @@
                 self._records[:] = write.records
             case ReplaceFile():
                 self._files[write.name] = write.content
+
+
+def _left_of(appends: Sequence[AppendLog], random: Random) -> tuple[bytes, ...]:
+    """Return the records that are read back from appends of which some bytes are missing."""
+    begin = random.randrange(SECTOR_SIZE)
+    end = begin
+    left: list[FileWrite] = [FileWrite(0, bytes(begin))]
+    for append in appends:
+        payloads = list(append.records)
+        if payloads and end == begin:
+            payloads[0] = with_mark(payloads[0], 0)
+        data = b"".join(map(encode_record, payloads))
+        left.extend(drawn_parts(FileWrite(end, data), random))
+        end += len(data)
+    scan = scan_records(applied(b"", left)[begin:], synced_length=0)
+    if isinstance(scan, Failure):
+        raise ValueError(f"a disk that lost power is refused: {scan}")
+    return scan.records
