Show that acknowledged changes can't be read back after a loss of power

Operators got no configuration, or none in time, after all control machines had lost power and two of them their disks.

Real control processes record what they do to their data folders, so that the test knows which writes no sync has covered when all are killed at one moment. It leaves of them what a loss of power may, empties up to two disks and starts all again, which may be interrupted by further losses of power.

--- /dev/null
+++ b/features/steps/power_loss_fleet_steps.py
@@ -0,0 +1,52 @@
+"""Steps for losses of power; behave's ``-D seed=N -D rounds=N`` draw others."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from loopback_networks import LoopbackNetwork
+from power_loss_fleet import PowerLossFleet
+from torn_append import SLOW_SYNCS, lose_power_in_append
+
+KEPT = Path(tempfile.gettempdir())
+
+
+@given("five control machines of the platform on recorded disks, seed {seed:d}")
+def given_fleet(context, seed):
+    network = LoopbackNetwork.take()
+    context.add_cleanup(network.close)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    context.seed = int(context.config.userdata.get("seed", seed))
+    context.fleet = PowerLossFleet(context.folder, context.seed, network)
+    context.add_cleanup(context.fleet.close)
+
+
+@when("all lose power while one appends, whose append is torn, and two others lose their disks")
+def when_append_is_torn(context):
+    context.fleet.start(SLOW_SYNCS)
+    lose_power_in_append(context.fleet, disks=2)
+
+
+@when("all lose power {rounds:d} times amid changes, and some their disks")
+def when_power_is_lost(context, rounds):
+    context.fleet.start()
+    for _ in range(int(context.config.userdata.get("rounds", rounds))):
+        if not context.fleet.broken:
+            context.fleet.run_round()
+
+
+@then("each time the newest acknowledged configuration was read back, and never an older one")
+def then_read_back(context):
+    fleet = context.fleet
+    broken = fleet.broken + fleet.operator.broken
+    print(f"seed {context.seed}: {fleet.operator.newest} changes, {dict(fleet.counts)}")
+    print(fleet.seen)
+    if broken:
+        kept = KEPT / f"power-loss-{context.seed}"
+        shutil.copytree(context.folder, kept, dirs_exist_ok=True)
+        raise AssertionError(f"seed {context.seed}, logs in {kept}: {broken[:5]}")
