--- a/src/limelever/agent/process.py
+++ b/src/limelever/agent/process.py
@@ -27,9 +27,11 @@
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Output, Purpose, Recovered, ReplaceFile
 from limelever.common.settings import seconds
-from limelever.storage.folder import FolderDisk, open_folder
+from limelever.storage.folder import open_folder
+from limelever.storage.folder_disk import FolderDisk
 from limelever.subscriber.notices import PublishersListed
 from limelever.subscriber.settings import SubscriberSettings
+from limelever.transport.data_folder import report_opening
 from limelever.transport.metrics import publish_body_bytes
 from limelever.transport.process import ProcessFailedError, ProcessShell, run_role
 from limelever.transport.reload import SettingsFile
@@ -142,6 +144,8 @@
     incarnation: int | Failure,
     shell: ProcessShell,
 ) -> None:
+    if disk is not None:
+        report_opening(settings.data_folder, disk)
     if isinstance(disk, Failure):
         raise ProcessFailedError(disk)
     if isinstance(incarnation, Failure):
