Sync the names of files that a killed process left, before they are read

What operators could see: a confirmed configuration that comes back older. A replica that was killed between the rename of its vote and the sync of the folder reads the new vote at its next start and answers with it; a loss of power before the next vote takes the rename back, and it votes a second time in the same term.

Cause: opening a data folder synced it and its log, but not the folder of the named files. Two of four scenarios of restarted_process.feature failed before and hold now. That the users' second case was this one is not shown.

--- a/src/limelever/storage/folder_disk.py
+++ b/src/limelever/storage/folder_disk.py
@@ -58,6 +58,8 @@
         self.cut_bytes = os.fstat(self._log).st_size - self._end
         os.ftruncate(self._log, self._end)
         os.fsync(self._log)
+        # What a killed process renamed and didn't sync was read: it must not be taken back.
+        sync_folder(folder / FILES_NAME)
         sync_folder(folder)
         self._begin_marks()
 
