--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -23,7 +23,7 @@
 
     Fails with DATA_FOLDER_IN_USE when another process holds it, with DATA_DAMAGED when bytes that
     are proved to have been synced do not check out, and with DISK_FAILED when the folder can't be
-    read or written, of which nothing follows for its contents; what was not synced is cut.
+    read or written, which says nothing about its contents; what was not synced is cut.
     """
     folder = Path(path)
     try:
--- a/src/limelever/transport/disk_writer.py
+++ b/src/limelever/transport/disk_writer.py
@@ -1,4 +1,4 @@
-"""Carries out a core's disk writes in a worker thread, in order, many to one sync."""
+"""Carries out a core's disk writes in a worker thread, in order, with one sync for many."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 class DiskWriter:
     """Writes what is queued while the last writes are synced, all with the next sync.
 
-    ``on_completed`` is told of each write once it is synced. A full disk is tried again until it
+    ``on_completed`` is called for each write once it is synced. A full disk is tried again until it
     has room: meanwhile nothing is reported, and the core goes on with what needs no write. After
     any other failure nothing more is written: what the disk holds may differ from what the core
     believes.
