Fail a response whose head begins no HTTP response

What callers saw: an instance that answered `HTTP/1.1 000 X` with the body `ok`, and 200 with `hi` behind it, gave its caller one 200 with the body `okhi`; alone, the 000 was waited behind until the deadline. 600 and 999 were passed on, and so were the version 0.9 or 2.0 and RTSP/1.0 (httptools takes them); a health probe counted 0.9 and RTSP as healthy.

Cause: whatever had a status below 200 passed for an informational response: its body stayed in the buffer of the final response, its head was dropped. A 100 that states a length had what follows as its body, here a whole response, which passed for the answer. Nothing looked at the version or at a status above 599.

Change: the head decides. HTTP/1.0 or 1.1, and 200 to 599, or 1xx without a body and not 101: anything else ends the attempt at once as backend-failed, whose outcome is unknown, and the connection is closed. Health probes and load checks use the same parser. The first bytes of the first response have to be the protocol's name, as httptools doesn't tell it.

--- a/features/agent/responses.feature
+++ b/features/agent/responses.feature
@@ -87,6 +87,51 @@
       | GET    | no content                                  | is complete   | is reusable    |
       | HEAD   | a length and no body                        | is complete   | is closed      |
 
+  Scenario Outline: What is no final response is neither passed on nor waited behind
+    A head of status 000 passed for an informational one: its body was put before the next response's, under status 200.
+    When an instance answers with <head> and a body, and nothing more
+    Then the attempt fails as backend-failed, unknown
+    And the instance's connection was closed at once
+
+    Examples: Heads
+      | head                           |
+      | HTTP/1.1 000 Nothing           |
+      | HTTP/1.1 099 Less              |
+      | HTTP/1.1 600 More              |
+      | HTTP/1.1 999 More              |
+      | HTTP/0.9 200 OK                |
+      | HTTP/2.0 200 OK                |
+      | RTSP/1.0 200 OK                |
+      | HTTP/1.1 100 Continue          |
+      | HTTP/1.1 101 Switching         |
+      | HTTP/1.1 103 Early Hints       |
+
+  Scenario Outline: A response behind something that is none is not taken for the request's
+    When a back end answers a <method> with <bytes>
+    Then the response is rejected, and its connection is closed
+
+    Examples: Bytes
+      | method | bytes                                        |
+      | GET    | status 000 and a body, then a response       |
+      | GET    | status 000 without a body, then a response   |
+      | HEAD   | status 000 without a body, then a response   |
+      | HEAD   | status 999                                   |
+      | GET    | 100 Continue, then status 000                |
+      | GET    | 100 Continue whose body is a response        |
+      | GET    | 100 Continue whose chunks are a response     |
+      | GET    | status 101, then a response                  |
+
+  Scenario Outline: A health probe takes no invalid response for a healthy instance
+    Then a health probe that gets <head> finds the instance <state>
+
+    Examples: Heads of health responses
+      | head                 | state     |
+      | HTTP/1.1 200 OK      | healthy   |
+      | HTTP/1.0 200 OK      | healthy   |
+      | HTTP/1.1 000 Nothing | unhealthy |
+      | HTTP/0.9 200 OK      | unhealthy |
+      | RTSP/1.0 200 OK      | unhealthy |
+
   Scenario: A response that arrives before the request was read is passed on immediately
     When an attempt sends 8 MiB to a back end that answers without reading it
     Then the attempt is answered with 200
--- a/features/steps/agent_response_steps.py
+++ b/features/steps/agent_response_steps.py
@@ -389,6 +389,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 COMPLETE = OK + b"content-length: 2\r\n\r\nok"
+CONTINUE, NO_STATUS = b"HTTP/1.1 100 Continue\r\n", b"HTTP/1.1 000 Nothing\r\n"
 CHUNKS = OK + b"transfer-encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n"
 RAW_RESPONSES = {
     "a length and the body": COMPLETE,
@@ -408,9 +409,20 @@
     "an unknown transfer coding": OK + b"transfer-encoding: gzip\r\n\r\nok",
     "bytes that are not HTTP": b"\x00\x01\x02 nothing",
     "a protocol upgrade": b"HTTP/1.1 101 Ok\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
-    "100 Continue and then the response": b"HTTP/1.1 100 Continue\r\n\r\n" + COMPLETE,
+    "100 Continue and then the response": CONTINUE + b"\r\n" + COMPLETE,
     "no content": b"HTTP/1.1 204 Nothing\r\n\r\n",
     "a length and no body": OK + b"content-length: 2\r\n\r\n",
+    "status 000 and a body, then a response": NO_STATUS + b"content-length: 2\r\n\r\nok" + COMPLETE,
+    "status 000 without a body, then a response": NO_STATUS + b"\r\n" + COMPLETE,
+    "status 999": b"HTTP/1.1 999 More\r\ncontent-length: 2\r\n\r\n",
+    "100 Continue, then status 000": CONTINUE + b"\r\n" + NO_STATUS + b"\r\n" + COMPLETE,
+    "100 Continue whose body is a response": CONTINUE
+    + b"content-length: %d\r\n\r\n" % len(COMPLETE)
+    + COMPLETE,
+    "100 Continue whose chunks are a response": CONTINUE
+    + b"transfer-encoding: chunked\r\n\r\n"
+    + COMPLETE,
+    "status 101, then a response": b"HTTP/1.1 101 Ok\r\n\r\n" + COMPLETE,
 }
 LIMIT_BYTES = 100
 
--- a/src/limelever/agent/response_parser.py
+++ b/src/limelever/agent/response_parser.py
@@ -6,11 +6,12 @@
 
 import httptools
 
+from limelever.agent.response_head import PROTOCOL, extend_start, head_fault
 from limelever.common.body_buffer import BodyBuffer
 from limelever.common.byte_budget import SMALL_BYTES
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import headers_size, value_of
-from limelever.common.http_messages import HttpAnswer
+from limelever.common.http_messages import FINAL_STATUSES, HttpAnswer
 from limelever.common.numbers import parse_count
 
 _HEAD = b"HEAD"
@@ -18,14 +19,12 @@
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
 _OPTIONAL_SPACE = b" \t"
-_FIRST_FINAL_STATUS = 200
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 """Default limit on what a back end sends beside the body of a response."""
 
 _UNKNOWN_LENGTH_BYTES = 1 << 20
 """Reservation for a body of unknown length; one that exceeds it may become the largest body."""
 
-_SWITCHING_PROTOCOLS = 101
 _NO_BODY = frozenset({204, 304})
 
 
@@ -56,6 +55,7 @@
         self._overhead_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._status = 0
+        self._start = b""
         self._in_head = False
         self._until_close = False
         self._declared_bytes: int | None = None
@@ -84,7 +84,10 @@
             return
         body_bytes = len(self._body)
         try:
+            self._check_start(data)
             self._parser.feed_data(data)
+        except _StopParsingError:
+            pass
         except httptools.HttpParserUpgrade:
             self._fail("backend switched protocols")
         except httptools.HttpParserError as error:
@@ -104,9 +107,16 @@
             where = "head" if self._in_head or not self._is_final else "chunks or trailers"
             self._fail(f"response {where} exceeds {self._max_head_bytes} bytes")
 
+    def _check_start(self, data: bytes) -> None:
+        """Fail what does not begin with the protocol's name; the parser takes others as well."""
+        if len(self._start) < len(PROTOCOL):
+            self._start = extend_start(self._start, data)
+            if not PROTOCOL.startswith(self._start):
+                self._abort("bytes that are no HTTP response")
+
     @property
     def _is_final(self) -> bool:
-        return self._status >= _FIRST_FINAL_STATUS
+        return self._status in FINAL_STATUSES
 
     def close(self) -> None:
         """Release the received body.
@@ -164,10 +174,13 @@
         """Determine the body framing (RFC 9112, section 6.3)."""
         self._in_head = False
         self._status = self._parser.get_status_code()
+        headers = tuple(self._headers)
+        fault = head_fault(self._parser.get_http_version(), self._status, headers)
+        if fault:
+            self._abort(fault)
         if not self._is_final:
             return
         self._overhead_bytes = 0
-        headers = tuple(self._headers)
         if headers_size(headers) > self._max_head_bytes:
             self._abort(f"response head exceeds {self._max_head_bytes} bytes")
         coding = value_of(headers, _TRANSFER_ENCODING).lower()
@@ -192,8 +205,6 @@
     def on_message_complete(self) -> None:
         """Complete the response, unless it is informational."""
         if not self._is_final:
-            if self._status == _SWITCHING_PROTOCOLS:
-                self._fail("backend switched protocols")
             return
         self._complete()
         self.reusable = self._parser.should_keep_alive()
--- a/src/limelever/common/http_messages.py
+++ b/src/limelever/common/http_messages.py
@@ -10,6 +10,9 @@
 HTTP_1_1 = "1.1"
 HTTP_2 = "2"
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses that end an exchange (RFC 9110, section 15); 1xx come before them, no others exist."""
+
 
 class HttpRequest(Struct):
     """A request; header names are in lower case, ``version`` is as HTTP/1 writes it.
