--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -190,6 +190,40 @@
     Then call 1 got an answer with status 503
     And 1 call was sent to an agent
 
+  Scenario Outline: A status that no final response has is never passed on to a caller
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the agent answers the call with status <status>
+    Then call 1 failed as "backend-failed" with outcome "unknown"
+
+    Examples: Statuses
+      | status     |
+      | 0          |
+      | 100        |
+      | 199        |
+      | 600        |
+      | 4294967295 |
+
+  Scenario Outline: A status that no final response has ends the attempt before its body
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the agent begins an answer with status <status>
+    Then call 1 failed as "backend-failed" with outcome "unknown"
+    And the agent was told to cancel
+
+    Examples: Statuses
+      | status |
+      | 0      |
+      | 600    |
+
+  Scenario: A recorded answer whose status no final response has is not replayed
+    Given a proxy with one endpoint
+    When a caller places an order with key "k"
+    And the agent answers the call
+    And the keepers hold the answer with status 0
+    And a caller places an order with key "k"
+    Then call 2 failed as "answer-not-kept" with outcome "ran"
+
   Scenario: A refusal by the agent is passed on to the caller
     Given a proxy with one endpoint
     When a caller asks the proxy for "/orders/1"
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -191,6 +191,19 @@
     context.proxy.reply(connection, answer)
 
 
+@when("the agent begins an answer with status {status:d}")
+def agent_begins_answer(context: Context, status: int) -> None:
+    connection, start = context.proxy.open_attempts[-1]
+    head = ResponseStart(stream=start.stream, attempt_id=start.attempt_id, status=status)
+    context.proxy.post(MessageReceived(connection, head))
+
+
+@when("the keepers hold the answer with status {status:d}")
+def recorded_status(context: Context, status: int) -> None:
+    for answer in context.proxy.keepers.answers.values():
+        answer.status = status
+
+
 @then("call {call:d} got an answer with status {status:d}")
 def answered_with(context: Context, call: int, status: int) -> None:
     assert context.proxy.final_answer(call).status == status
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -11,6 +11,7 @@
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.http_headers import end_to_end
+from limelever.common.http_messages import FINAL_STATUSES
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import (
     CallCancel,
@@ -70,13 +71,21 @@
             self._completer.record_load(call, call.attempt, message.load, now)
         if isinstance(message, CallFailed):
             return self._handle_failure(call, call.attempt, message, now)
-        call.attempt.status = message.status
-        call.attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
+        if message.status not in FINAL_STATUSES:
+            failure = Failure(ErrorKind.BACKEND_FAILED, f"agent sent the status {message.status}")
+            return self._abort(call, call.attempt, failure, now)
+        return self._handle_start(call, call.attempt, message, now)
+
+    def _handle_start(
+        self, call: Call, attempt: Attempt, message: ResponseStart, now: float
+    ) -> AttemptEnded | None:
+        attempt.status = message.status
+        attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
         if not message.end:
-            failure = self._assembly.begin(call.attempt, message.body_bytes)
+            failure = self._assembly.begin(attempt, message.body_bytes)
             if failure is not None:
-                return self._abort(call, call.attempt, failure, now)
-        return self._add_body(call, call.attempt, message.body, message.end, now)
+                return self._abort(call, attempt, failure, now)
+        return self._add_body(call, attempt, message.body, message.end, now)
 
     def _handle_body(
         self, call: Call, attempt: Attempt, message: ResponseBody, now: float
--- a/src/limelever/proxy/claims.py
+++ b/src/limelever/proxy/claims.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
+from limelever.common.http_messages import FINAL_STATUSES
 from limelever.common.sansio import Output
 from limelever.protocol.calls_pb2 import Header
 from limelever.protocol.keeper_pb2 import RecordedAnswer
@@ -125,6 +126,9 @@
         return Failure(
             ErrorKind.ANSWER_NOT_KEPT, "the call already ran, but its answer was too large to store"
         )
+    if record.status not in FINAL_STATUSES:
+        reason = f"the call already ran, but its answer was recorded with status {record.status}"
+        return Failure(ErrorKind.ANSWER_NOT_KEPT, reason)
     headers = tuple((header.name, header.value) for header in record.headers)
     return CallAnswer(record.status, (*headers, REPLAYED_HEADER), record.body)
 
