Refuse calls at once that may outlast a planned stop

What callers saw: in the planned stop of one node, in calm, requests that came late were passed on and cut off 0.2 s before the limit, while their instances were at work. Uploads begun before SIGTERM whose last byte came 2.7 to 4.8 s after it (grace 6 s, instances of 1 and 2.5 s, 8 s left): 14 of 60 had 502, unknown, at 5.2 s, and 10 of them ran to their end, 4 were running when the trial ended. Under mixed callers one request of 47, sent 2.13 s after SIGTERM, fared alike.

Cause: until half a second before the limit a stopping proxy took whatever came, whatever time that had; the listener closes after 2.5 s, but the bodies of requests on open connections end when they end.

Change: from SIGTERM on, a call whose deadline comes after the proxy's last answers is refused as draining (503, NOT RUN, Retry-After, the connection closes), unless calls of its route have lately ended in less time than is left. That exception ends with the listener: then only a deadline within the stop is taken, and the deadline gives it an answer. A call that was under way keeps its time.

The new scenario of features/platform/stop_limit.feature and three of features/proxy/request_path.feature failed with the rule switched off.

--- a/features/platform/stop_limit.feature
+++ b/features/platform/stop_limit.feature
@@ -28,6 +28,15 @@
     Then each of its callers is told that its call was not run, when the time is nearly over
     And that node ended by itself with status 0, within its limit
 
+  Scenario: What comes late in a stop and need not end within it is refused truly at once
+    An upload whose last byte came after the listener had closed was passed on, and cut off while its instance was at work.
+    Given a control process, and two nodes of the platform of which one has an instance
+    When callers begin uploads, the other node is asked to stop, and their last bytes come 1.3 seconds later
+    Then the upload with 8000 ms left was refused at once as not run, and its connection closed
+    And the upload with 900 ms left was answered by the instance
+    And the instance has run no other upload
+    And that node ended by itself with status 0, within its limit
+
   Scenario: A node that is held up over its limit still answers its callers
     A process that was held up finds all its deadlines passed at once. The last answers came from a task beside the one
     that cut everything off: 2 of 8 runs left the caller without a byte.
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -293,6 +293,58 @@
     Then call 1 got the answer of its agent
     And the proxy has finished stopping
 
+  Scenario: A call that comes during a stop, and need not end within it, is refused at once
+    Such calls were taken until half a second before the limit, and cut off while their instance was at work.
+    Given a proxy with one endpoint
+    When the proxy's stop begins, with 1.5 seconds for answers, and it listens for 0.5
+    And a caller that waits 1600 ms asks for "/orders/1"
+    And a caller asks the proxy for "/orders/2"
+    Then the proxy refused call 1 as "draining" with a retry time
+    And the proxy refused call 2 as "draining" with a retry time
+    And 0 calls were sent to agents
+    When a caller that waits 1400 ms asks for "/orders/3"
+    And 0.2 seconds pass at the proxy
+    And a caller that waits 1400 ms asks for "/orders/4"
+    Then the proxy refused call 4 as "draining" with a retry time
+    When the agent answers the call
+    Then call 3 got the answer of its agent
+
+  Scenario: A call whose route has lately answered in less time is taken while a stopping proxy listens
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 0.8 seconds pass at the proxy
+    And the agent answers the call
+    And a caller asks the proxy for "/orders/2"
+    And the agent answers the call
+    And the proxy's stop begins, with 1.5 seconds for answers, and it listens for 1.0
+    And 0.5 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/3"
+    And 0.3 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/4"
+    Then the proxy refused call 4 as "draining" with a retry time
+    When the agent answers the call
+    Then call 3 got the answer of its agent
+
+  Scenario: Once a stopping proxy has closed its listener, only a call's deadline counts
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And 0.1 seconds pass at the proxy
+    And the agent answers the call
+    And the proxy's stop begins, with 1.5 seconds for answers, and it listens for 0.5
+    And 0.6 seconds pass at the proxy
+    And a caller asks the proxy for "/orders/2"
+    And a caller that waits 800 ms asks for "/orders/3"
+    Then the proxy refused call 2 as "draining" with a retry time
+    When the agent answers the call
+    Then call 3 got the answer of its agent
+
+  Scenario: A call that is under way when a stop begins keeps its time
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the proxy's stop begins, with 1.5 seconds for answers, and it listens for 0.5
+    And the agent answers the call
+    Then call 1 got the answer of its agent
+
   Scenario: Near the stop limit, calls that no back end has started are answered as not run
     Given a proxy with 2 endpoints and retries left in its budget
     When a caller asks the proxy for "/baskets/1"
--- a/features/steps/proxy_stop_steps.py
+++ b/features/steps/proxy_stop_steps.py
@@ -5,7 +5,12 @@
 from behave import then, when
 from behave.runner import Context
 
-from limelever.proxy.call_types import StopLimitNear, StopLimitReached, StopRequested
+from limelever.proxy.call_types import (
+    StopBegan,
+    StopLimitNear,
+    StopLimitReached,
+    StopRequested,
+)
 
 
 @when("the proxy is asked to stop")
@@ -13,6 +18,14 @@
     context.proxy.post(StopRequested())
 
 
+@when(
+    "the proxy's stop begins, with {seconds:g} seconds for answers, and it listens for {listens:g}"
+)
+def begin_stop(context: Context, seconds: float, listens: float) -> None:
+    now = context.proxy.now
+    context.proxy.post(StopBegan(now + seconds, now + listens))
+
+
 @when("the proxy's stop limit is near")
 def stop_limit_near(context: Context) -> None:
     context.proxy.post(StopLimitNear())
--- a/features/steps/stop_limit_steps.py
+++ b/features/steps/stop_limit_steps.py
@@ -105,15 +105,18 @@
         self._reader.join(PATIENCE_SECONDS)
         return self.answers
 
+    def send(self, data):
+        self._socket.sendall(data)
+
     def leave(self):
         self._socket.shutdown(socket.SHUT_RDWR)
 
 
-def request(kind, name, body=b""):
+def request(kind, name, body=b"", deadline_ms=DEADLINE_MS):
     method = "POST" if kind == WRITE else "GET"
     head = (
         f"{method} /{kind}/{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-        f"Limelever-Attempt-Id: {name}\r\nLimelever-Deadline-Ms: {DEADLINE_MS}\r\n"
+        f"Limelever-Attempt-Id: {name}\r\nLimelever-Deadline-Ms: {deadline_ms}\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
--- /dev/null
+++ b/src/limelever/common/stop_rule.py
@@ -0,0 +1,48 @@
+"""Decides which calls a stopping process still takes: those that end before its last answers."""
+
+from __future__ import annotations
+
+import math
+
+PERIOD_SECONDS = 60.0
+"""The longest times of one to two periods count: long enough for a rare slow call, and short enough
+to forget a back end that was slow once."""
+
+
+class StopRule:
+    """Rule for the calls that come during a planned stop.
+
+    A call that is still running when the process gives its last answers is cut off, and its caller
+    can't tell whether it ran. So a call is taken only if its deadline comes before, or if calls of
+    its kind have lately ended in less time. The latter counts only while the process listens:
+    what comes afterwards is rare, and nothing corrects the choice any more.
+    """
+
+    def __init__(self) -> None:
+        self._answers_until = math.inf
+        self._listens_until = math.inf
+        self._recent: dict[str, float] = {}
+        self._former: dict[str, float] = {}
+        self._next_period_at = -math.inf
+
+    def begin(self, answers_until: float, listens_until: float) -> None:
+        """Apply the rule from now on; both times are in monotonic seconds."""
+        self._answers_until = answers_until
+        self._listens_until = listens_until
+
+    def record(self, kind: str, duration: float, now: float) -> None:
+        """Record how long a call of a kind took, in seconds."""
+        if now >= self._next_period_at:
+            self._former, self._recent = self._recent, {}
+            self._next_period_at = now + PERIOD_SECONDS
+        if duration > self._recent.get(kind, 0.0):
+            self._recent[kind] = duration
+
+    def refuses(self, kind: str, deadline: float, now: float) -> bool:
+        """Return whether a call with this deadline may outlast the stop."""
+        if deadline <= self._answers_until:
+            return False
+        if now >= self._listens_until:
+            return True
+        longest = max(self._recent.get(kind, 0.0), self._former.get(kind, 0.0))
+        return not longest or now + longest > self._answers_until
--- a/src/limelever/proxy/admission.py
+++ b/src/limelever/proxy/admission.py
@@ -11,6 +11,7 @@
 from msgspec import Struct, field
 
 from limelever.common.errors import ErrorKind, Failure
+from limelever.common.stop_rule import StopRule
 from limelever.proxy.allowed_regions import allowed_regions, region_refusal
 from limelever.proxy.api_key_auth import ApiKeyHeader, authenticate
 from limelever.proxy.call_state import Call
@@ -30,7 +31,6 @@
 MAX_CONFIGURATION_RETRY_SECONDS = 1.0
 """Longest such delay; the configuration source elects a new leader in less time."""
 
-
 PROXY_STOPPING = Failure(ErrorKind.DRAINING, "the proxy is shutting down; the call was not started")
 
 _TABLE_DEPENDENT_KINDS = frozenset(
@@ -44,7 +44,6 @@
 )
 """Permanent refusals that a newer configuration may reverse."""
 
-
 _DESTINATION_KINDS = frozenset(
     {ErrorKind.BODY_TOO_LARGE, ErrorKind.OVERLOADED, ErrorKind.SHARE_EXHAUSTED, ErrorKind.STALE}
 )
@@ -81,6 +80,7 @@
         limits: GroupLimits,
         tenant_limits: TenantLimits,
         random_source: random.Random,
+        stop_rule: StopRule,
     ) -> None:
         self._settings = settings
         self._limits = limits
@@ -90,6 +90,7 @@
         self._table: RouteTable | None = None
         self._without_table_since: float | None = None
         self._stopping = False
+        self._stop_rule = stop_rule
         self.confirmed_at: float | None = None
 
     @property
@@ -145,6 +146,9 @@
         )
         if refusal is not None:
             return refusal_or_stale(refusal, self.confirmed_at, self._settings, now)
+        deadline = now + call_timeout(request, route, self._settings)
+        if self._stop_rule.refuses(route.name, deadline, now):
+            return PROXY_STOPPING
         target = now + route.target_latency if route.target_latency else math.inf
         target -= self._prior_waits.observe(route.name, request.timeout)
         if tenant is not None:
@@ -156,7 +160,6 @@
         if refusal is not None:
             self._refund_tenant(tenant, now)
             return refusal
-        deadline = now + call_timeout(request, route, self._settings)
         return Call(
             number,
             request,
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -15,6 +15,7 @@
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer
+from limelever.common.stop_rule import StopRule
 from limelever.protocol.keeper_pb2 import RecordedAnswer
 from limelever.proxy import claims, events
 from limelever.proxy.admission import (
@@ -86,7 +87,10 @@
         self._attempts = attempts
         self._limits = limits
         self._tenant_limits = tenant_limits
-        self._admission = CallAdmission(settings.admission, limits, tenant_limits, random_source)
+        self._stop_rule = StopRule()
+        self._admission = CallAdmission(
+            settings.admission, limits, tenant_limits, random_source, self._stop_rule
+        )
         self._claims = claims.CallClaims(keepers, calls, random_source, outputs)
         self._quarantine = quarantine
         self._outputs = outputs
@@ -168,6 +172,10 @@
         self._attempts.abandon(call, Verdict.NEUTRAL, now)
         self._fail(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller disconnected"), now)
 
+    def stop_began(self, answers_until: float, listens_until: float) -> None:
+        """Refuse new calls that may outlast the stop (seconds, monotonic); see ``StopRule``."""
+        self._stop_rule.begin(answers_until, listens_until)
+
     def cancel_queued_calls(self, now: float) -> None:
         """Answer the calls that no back end has started, and start no further attempts.
 
@@ -416,6 +424,8 @@
 
     def _end(self, call: Call, answer: CallAnswer | Failure, now: float) -> None:
         self._log.ended(call, answer, now)
+        if not isinstance(answer, Failure) or answer.outcome is not Outcome.NOT_RUN:
+            self._stop_rule.record(call.route.name, now - call.arrived_at, now)
         self._calls.remove(call)
         self._quarantine.release_trial(call)
         self._limits.release(call.share)
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -50,6 +50,7 @@
     ReportDeparture,
     ReportSuspects,
     RunDeparted,
+    StopBegan,
     StopFinished,
     StopLimitNear,
     StopLimitReached,
@@ -224,6 +225,8 @@
                 self._engine.caller_gone(call, now)
             case RunDeparted(run):
                 self._outputs.extend(self._departures.announce(run))
+            case StopBegan(answers_until, listens_until):
+                self._engine.stop_began(answers_until, listens_until)
             case StopRequested():
                 self._stopping = True
             case StopLimitNear():
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -24,6 +24,7 @@
     AnswerCall,
     ConfigurationApplied,
     ProxyReady,
+    StopBegan,
     StopFinished,
     StopLimitNear,
     StopLimitReached,
@@ -196,9 +197,11 @@
         edge_ended = await _start_edge(edge, settings, nursery)
         shell.on_abort.append(lambda: runner.post(StopLimitReached()))
         await shell.stop_requested.wait()
+        listens_until = trio.current_time() + seconds(settings.edge.lame_duck_ms)
+        runner.post(StopBegan(shell.stop_limit_at - FINAL_ANSWERS_SECONDS, listens_until))
         nursery.start_soon(_announce_stop_limit, shell.stop_limit_at, runner)
         edge.start_lame_duck()
-        await trio.sleep(seconds(settings.edge.lame_duck_ms))
+        await trio.sleep_until(listens_until)
         edge.stop()
         await edge_ended.wait()
         runner.post(StopRequested())
