Refuse calls for the instance of a stopping node that may outlast its stop

What callers saw: a node that stops serves its instance for other nodes for 2.5 s more (grace 6 s), then drains and cancels what still runs 5.2 s after SIGTERM.

Cause: the agent took every call until its drain, and started queued ones for a second longer, whatever time was left.

Change: from SIGTERM on the agent refuses calls that may outlast the stop, by the proxies' rule, as draining (NOT RUN); as the drain begins it refuses such queued ones. Proxies try these elsewhere at no cost. An agent that refuses just long calls doesn't report that it drains; proxies no longer retire an endpoint for a refusal whose load says so.

The new scenarios of features/agent/drain.feature (2), features/platform/stop_limit.feature and features/proxy/request_path.feature failed before. features/agent 326 of 326, node 64 of 64, proxy 325 of 325.

--- a/features/agent/drain.feature
+++ b/features/agent/drain.feature
@@ -31,6 +31,34 @@
     Then the drain has finished with 1 calls cancelled
     And agent stream 1 has failed with backend-failed
 
+  # Guards against calls that are taken during a stop and cut off at its end, while their instance is at work.
+  Scenario: A call that may outlast the stop of its agent is refused at once
+    Given a registered agent with 1 slots and a proxy
+    When the agent's stop begins, with 5 seconds for answers, and it takes calls for 2
+    And the agent gets a call on agent stream 9 with 10 seconds left
+    Then agent stream 9 has failed with draining
+    And the failure on agent stream 9 does not say that the agent is draining
+    When the agent gets a call on agent stream 1 with 4 seconds left
+    And 1 seconds pass at the agent
+    And the agent's back end answers agent stream 1
+    And the agent gets a call on agent stream 2 with 10 seconds left
+    And the agent's back end answers agent stream 2
+    Then agent streams 1 and 2 have their answers
+
+  # Guards against queued calls that are started as the drain of a stop begins, and cut off at its end.
+  Scenario: A queued call that may outlast the stop is refused as the agent begins to drain
+    Given a registered agent with 1 slots and a proxy
+    When the agent gets a call on agent stream 1 with 4 seconds left
+    And the agent gets a call on agent stream 9 with 10 seconds left
+    And the agent gets a call on agent stream 2 with 3 seconds left
+    And the agent's stop begins, with 5 seconds for answers, and it takes calls for 1
+    And 1.1 seconds pass at the agent
+    And the agent is asked to drain
+    Then agent stream 9 has failed with draining
+    When the agent's back end answers agent stream 1
+    And the agent's back end answers agent stream 2
+    Then agent streams 1 and 2 have their answers
+
   # Guards against a queued call that a process which stood still starts after the drain's time for it.
   Scenario: No queued call is started late by a process that stood still
     Given a registered agent with 1 slots and a proxy
--- a/features/platform/stop_limit.feature
+++ b/features/platform/stop_limit.feature
@@ -37,6 +37,12 @@
     And the instance has run no other upload
     And that node ended by itself with status 0, within its limit
 
+  Scenario: A node that stops takes no call of others for its instance that it may have to cut off
+    Given a control process, and two nodes of the platform of which one has an instance
+    When the instance's node is asked to stop, and the other node for an upload that the instance would hold
+    Then that upload was refused at once as not run, and the instance has not run it
+    And the instance's node ended by itself with status 0
+
   Scenario: A node that is held up over its limit still answers its callers
     A process that was held up finds all its deadlines passed at once. The last answers came from a task beside the one
     that cut everything off: 2 of 8 runs left the caller without a byte.
--- a/features/proxy/request_path.feature
+++ b/features/proxy/request_path.feature
@@ -254,6 +254,15 @@
     Then call 1 got the answer of its agent
     And the draining agent gets no further call
 
+  Scenario: An agent that refuses a call as draining, and takes others, keeps getting calls
+    Given a proxy with one endpoint
+    When a caller asks the proxy for "/orders/1"
+    And the agent refuses the call as draining, but takes others
+    Then the proxy refused call 1 as "draining" with a retry time
+    When a caller asks the proxy for "/orders/2"
+    And the agent answers the call
+    Then call 2 got the answer of its agent
+
   Scenario: A long body is sent within the agent's credit
     Given a proxy with one endpoint
     When a caller uploads 1048576 bytes
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -32,6 +32,7 @@
     Output,
     SendMessage,
 )
+from limelever.common.stop_rule import StopBegan
 from limelever.protocol.calls_pb2 import (
     CallBody,
     CallCancel,
@@ -403,6 +404,22 @@
     assert abs(started - len(starts) * part / whole) <= 2, (started, len(starts))
 
 
+@when(
+    "the agent's stop begins, with {answers:d} seconds for answers, "
+    "and it takes calls for {listens:d}"
+)
+def begin_stop(context: Context, answers: int, listens: int) -> None:
+    now = context.agent.now
+    context.agent.handle(StopBegan(now + answers, now + listens))
+
+
+@then("the failure on agent stream {stream:d} does not say that the agent is draining")
+def check_not_draining(context: Context, stream: int) -> None:
+    failed = context.agent.sent(PROXY_CONNECTION, CallFailed)
+    (load,) = [each.load for each in failed if each.stream == stream]
+    assert load.slots and not load.draining, load
+
+
 @when("the agent is asked to drain")
 def request_drain(context: Context) -> None:
     context.agent.handle(DrainRequested())
@@ -426,6 +443,12 @@
     assert [message.stream for message in answered] == [stream]
 
 
+@then("agent streams 1 and 2 have their answers")
+def check_both_answered(context: Context) -> None:
+    answered = context.agent.sent(PROXY_CONNECTION, ResponseStart)
+    assert [message.stream for message in answered] == [1, 2]
+
+
 @then("the drain has finished with {count:d} calls cancelled")
 def check_drained(context: Context, count: int) -> None:
     assert [output.cut_off for output in context.agent.outputs_of(DrainFinished)] == [count]
--- a/features/steps/late_upload_steps.py
+++ b/features/steps/late_upload_steps.py
@@ -76,3 +76,39 @@
 def none_other(context):
     ran = [name for name in context.runs.by_id if name.startswith("late-")]
     assert ran == [f"late-{SHORT_MS}"], ran
+
+
+@when(
+    "the instance's node is asked to stop, "
+    "and the other node for an upload that the instance would hold"
+)
+def upload_to_stopping(context):
+    context.runs.hold()
+    context.second.process.terminate()
+    time.sleep(AT_ONCE_SECONDS)
+    whole = request(WRITE, "to-stopping", bytes(UPLOAD_BYTES), LONG_MS)
+    context.uploads = {LONG_MS: LateUpload("to-stopping", Connection(context.first, whole))}
+    context.uploads[LONG_MS].sent_at = time.monotonic()
+
+
+@then("that upload was refused at once as not run, and the instance has not run it")
+def refused_and_not_run(context):
+    upload = context.uploads[LONG_MS]
+    assert wait_for_answer(upload.connection), "no answer"
+    took = upload.connection.answered_at - upload.sent_at
+    assert NOT_RUN_ANSWER.match(upload.connection.answers), upload.connection.answers
+    assert took < AT_ONCE_SECONDS, took
+    assert not context.runs.by_id[upload.name]
+    upload.connection.leave()
+
+
+def wait_for_answer(connection: Connection) -> bool:
+    end = time.monotonic() + PATIENCE_SECONDS
+    while not connection.answers and time.monotonic() < end:
+        time.sleep(0.02)
+    return bool(connection.answers)
+
+
+@then("the instance's node ended by itself with status 0")
+def instances_node_ended(context):
+    assert context.second.process.wait(PATIENCE_SECONDS) == 0
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -21,6 +21,7 @@
 )
 from limelever.protocol.calls_pb2 import (
     CallCredit,
+    CallFailed,
     CallStart,
     ResponseBody,
     ResponseStart,
@@ -214,6 +215,15 @@
     context.proxy.refuse(*context.proxy.open_attempts[-1], ErrorKind(kind))
 
 
+@when("the agent refuses the call as draining, but takes others")
+def agent_refuses_one(context: Context) -> None:
+    connection, start = context.proxy.open_attempts[-1]
+    kind = ErrorKind.DRAINING.value
+    failed = CallFailed(stream=start.stream, attempt_id=start.attempt_id, kind=kind)
+    failed.load.slots = 1
+    context.proxy.reply(connection, failed)
+
+
 @when("the agent's link is lost")
 def agent_link_lost(context: Context) -> None:
     context.proxy.close_link(context.proxy.open_attempts[-1][0])
--- a/features/steps/proxy_stop_steps.py
+++ b/features/steps/proxy_stop_steps.py
@@ -5,12 +5,8 @@
 from behave import then, when
 from behave.runner import Context
 
-from limelever.proxy.call_types import (
-    StopBegan,
-    StopLimitNear,
-    StopLimitReached,
-    StopRequested,
-)
+from limelever.common.stop_rule import StopBegan
+from limelever.proxy.call_types import StopLimitNear, StopLimitReached, StopRequested
 
 
 @when("the proxy is asked to stop")
--- a/src/limelever/agent/call_service.py
+++ b/src/limelever/agent/call_service.py
@@ -47,6 +47,7 @@
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
+from limelever.common.stop_rule import StopBegan, StopRule
 from limelever.protocol.calls_pb2 import CallBody, CallCancel, CallCredit, CallStart
 from limelever.protocol.endpoint_hash import LARGEST_LOAD
 
@@ -98,6 +99,7 @@
         self._responses = ResponseSender(self._pacer, budget=budget)
         self.backend = BackendMonitor(generator)
         self._starts_until = math.inf
+        self._stop_rule = StopRule()
         self._instance = InstanceLoad(
             limits.queue.slots, counts_former_calls=limits.counts_former_calls
         )
@@ -117,6 +119,10 @@
         self._reporter.drain_began(now)
         self._starts_until = starts_until
 
+    def stop_began(self, stop: StopBegan) -> None:
+        """Refuse new calls that may outlast the stop of the process."""
+        self._stop_rule.begin(stop)
+
     @property
     def leaving(self) -> bool:
         """Return whether the instance has stated that it is leaving."""
@@ -199,6 +205,8 @@
             return self._refuse(call, failures.ZONE_DRAINED)
         if self.backend.silent:
             return self._refuse(call, failures.BACKEND_UNRESPONSIVE)
+        if self._outlasts_stop(call, now):
+            return self._refuse(call, failures.STOPS_BEFORE_DEADLINE)
         link_failure = self._check_response_link(call, now)
         if link_failure is not None:
             return self._refuse(call, link_failure)
@@ -295,6 +303,7 @@
         call = self._calls.by_number(event.attempt)
         if call is None:
             return []
+        self._stop_rule.record(call.start.group, now - call.arrived_at, now)
         self.backend.answered(call.number)
         self._instance.call_ended(call.number)
         lost = self._instance.response_received(event.requests, now)
@@ -372,6 +381,16 @@
         waiting = (*self._calls.in_stage(CallStage.QUEUED), *self._receiver.assembling)
         return [output for call in waiting for output in self._refuse(call, reason)]
 
+    def refuse_outlasting(self, now: float) -> list[Output]:
+        """Refuse the calls that have not been started and may outlast the stop of the process."""
+        waiting = (*self._calls.in_stage(CallStage.QUEUED), *self._receiver.assembling)
+        late = [call for call in waiting if self._outlasts_stop(call, now)]
+        reason = failures.STOPS_BEFORE_DEADLINE
+        return [output for call in late for output in self._refuse(call, reason)]
+
+    def _outlasts_stop(self, call: Call, now: float) -> bool:
+        return self._stop_rule.refuses(call.start.group, call.deadline, now)
+
     def zone_drain_began(self, now: float) -> list[Output]:
         """Refuse queued calls and from now on new ones; running calls finish.
 
--- a/src/limelever/agent/core.py
+++ b/src/limelever/agent/core.py
@@ -53,6 +53,7 @@
     Started,
 )
 from limelever.common.settings import seconds
+from limelever.common.stop_rule import StopBegan
 from limelever.protocol.calls_pb2 import (
     CallBody,
     CallCancel,
@@ -239,6 +240,8 @@
                 return self._handle_proxy_message(connection, message, now)
             case RequestBodySent():
                 self._calls.request_body_sent(event)
+            case StopBegan():
+                self._calls.stop_began(event)
             case AttemptAnswered():
                 return self._calls.attempt_answered(event, now)
             case AttemptFailed():
@@ -412,8 +415,9 @@
         if self._calls.leaving:
             self._registration.set_leaving()
         state_report = self._registration.change_state(ENDPOINT_STATE_DRAINING, now)
+        refused = self._calls.refuse_outlasting(now)
         starts = LimitStarts(limits.queue)
-        return [LogEvent(events.DRAIN_STARTED, fields), starts, *state_report]
+        return [LogEvent(events.DRAIN_STARTED, fields), starts, *state_report, *refused]
 
     def _advance_drain(self, now: float) -> list[Output]:
         if self._drain is None:
--- a/src/limelever/agent/failures.py
+++ b/src/limelever/agent/failures.py
@@ -7,6 +7,9 @@
 from limelever.common.errors import ErrorKind, Failure
 
 DRAINING = Failure(ErrorKind.DRAINING, "the instance is draining")
+STOPS_BEFORE_DEADLINE = Failure(
+    ErrorKind.DRAINING, "the agent stops before the deadline of the call"
+)
 ZONE_DRAINED = Failure(
     ErrorKind.ZONE_DRAINED, "the zone of the instance is drained", retry_after=1.0
 )
--- a/src/limelever/common/stop_rule.py
+++ b/src/limelever/common/stop_rule.py
@@ -4,11 +4,24 @@
 
 import math
 
+from limelever.common.sansio import Event
+
 PERIOD_SECONDS = 60.0
 """The longest times of one to two periods count: long enough for a rare slow call, and short enough
 to forget a back end that was slow once."""
 
 
+class StopBegan(Event, frozen=True):
+    """A planned stop has begun: new calls that may outlast it are refused.
+
+    The last answers are given at ``answers_until``, and calls are accepted until
+    ``listens_until`` (seconds, monotonic).
+    """
+
+    answers_until: float
+    listens_until: float
+
+
 class StopRule:
     """Rule for the calls that come during a planned stop.
 
@@ -19,16 +32,14 @@
     """
 
     def __init__(self) -> None:
-        self._answers_until = math.inf
-        self._listens_until = math.inf
+        self._stop = StopBegan(math.inf, math.inf)
         self._recent: dict[str, float] = {}
         self._former: dict[str, float] = {}
         self._next_period_at = -math.inf
 
-    def begin(self, answers_until: float, listens_until: float) -> None:
-        """Apply the rule from now on; both times are in monotonic seconds."""
-        self._answers_until = answers_until
-        self._listens_until = listens_until
+    def begin(self, stop: StopBegan) -> None:
+        """Apply the rule from now on."""
+        self._stop = stop
 
     def record(self, kind: str, duration: float, now: float) -> None:
         """Record how long a call of a kind took, in seconds."""
@@ -40,9 +51,9 @@
 
     def refuses(self, kind: str, deadline: float, now: float) -> bool:
         """Return whether a call with this deadline may outlast the stop."""
-        if deadline <= self._answers_until:
+        if deadline <= self._stop.answers_until:
             return False
-        if now >= self._listens_until:
+        if now >= self._stop.listens_until:
             return True
         longest = max(self._recent.get(kind, 0.0), self._former.get(kind, 0.0))
-        return not longest or now + longest > self._answers_until
+        return not longest or now + longest > self._stop.answers_until
--- a/src/limelever/node/agent_supervisor.py
+++ b/src/limelever/node/agent_supervisor.py
@@ -41,6 +41,7 @@
 from limelever.common.departed_runs import DepartedRun
 from limelever.common.errors import Failure
 from limelever.common.sansio import Address, Event, Output, Purpose, Role
+from limelever.common.stop_rule import StopBegan
 from limelever.node.identification import InstanceIdentifier
 from limelever.node.leaves import Leaves, unstored_refusal
 from limelever.node.report_checks import report_refusal
@@ -76,6 +77,10 @@
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
+_SharedEvent = ConfigurationShared | RelaysShared | StopBegan
+"""Events for whichever agent runs; an agent that starts later gets the last of each."""
+
+
 class _RunningAgent(Struct):
     """A running agent; ``finished`` is set once its core has nothing more to do.
 
@@ -115,7 +120,7 @@
         self._confirming = False
         self._service = settings.service
         self._identifier = InstanceIdentifier(settings, nursery)
-        self._shared_events: dict[type[Event], ConfigurationShared | RelaysShared] = {}
+        self._shared_events: dict[type[Event], _SharedEvent] = {}
         shell.reloading.handle("relays", self._relays_changed)
 
     def handle_report(self, report: InstanceReport) -> Failure | None:
@@ -193,7 +198,7 @@
         if self._agent is not None:
             self._agent.backend.health_path = path
 
-    def _forward(self, event: ConfigurationShared | RelaysShared) -> None:
+    def _forward(self, event: _SharedEvent) -> None:
         self._shared_events[type(event)] = event
         if self._agent is not None:
             self._agent.runner.post(event)
@@ -207,6 +212,10 @@
             self._identifying = True
             self._nursery.start_soon(self._identify, path)
 
+    def stop_began(self, stop: StopBegan) -> None:
+        """Have the agents refuse calls that may outlast the stop of the node."""
+        self._forward(stop)
+
     async def stop(self) -> None:
         """Drain the agent at a planned stop of the node, and wait for all agents to finish."""
         self._stopping = True
--- a/src/limelever/node/process.py
+++ b/src/limelever/node/process.py
@@ -14,6 +14,7 @@
 from limelever.common.byte_budget import ByteBudget
 from limelever.common.errors import Failure
 from limelever.common.settings import seconds
+from limelever.common.stop_rule import StopBegan
 from limelever.node.agent_supervisor import AgentSupervisor
 from limelever.node.reports import InstanceReport
 from limelever.node.settings import NodeSettings, proxy_settings
@@ -116,8 +117,11 @@
                 budget,
             )
             await shell.stop_requested.wait()
-            await trio.sleep(seconds(settings.edge.lame_duck_ms))
-            with trio.move_on_at(shell.stop_limit_at - FINAL_ANSWERS_SECONDS):
+            answers_until = shell.stop_limit_at - FINAL_ANSWERS_SECONDS
+            listens_until = trio.current_time() + seconds(settings.edge.lame_duck_ms)
+            supervisor.stop_began(StopBegan(answers_until, listens_until))
+            await trio.sleep_until(listens_until)
+            with trio.move_on_at(answers_until):
                 await supervisor.stop()
             supervisor.abort_calls()
         stopped.set()
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -145,7 +145,7 @@
         )
         if failure.kind is ErrorKind.ZONE_DRAINED:
             call.refused_zones.add(attempt.entry.zone)
-        if failure.kind in (ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION):
+        if _is_gone(message, failure):
             self._completer.retire(attempt)
         if attempt.status and failure.outcome is Outcome.NOT_RUN:
             failure = Failure(ErrorKind.BACKEND_FAILED, f"answer aborted: {failure.reason}")
@@ -165,6 +165,13 @@
     return isinstance(message, ResponseStart) and bool(attempt.status)
 
 
+def _is_gone(message: CallFailed, failure: Failure) -> bool:
+    """Return whether the agent takes no further calls; a stopping one may refuse just long ones."""
+    if failure.kind is ErrorKind.DRAINING:
+        return message.load.draining or not message.HasField("load")
+    return failure.kind is ErrorKind.WRONG_INCARNATION
+
+
 def _error_kind(message: CallFailed) -> ErrorKind:
     """Parse an error kind; an unknown one becomes ``INTERNAL``, whose outcome is unknown."""
     if message.zone_drained:
--- a/src/limelever/proxy/call_types.py
+++ b/src/limelever/proxy/call_types.py
@@ -57,17 +57,6 @@
     call: int
 
 
-class StopBegan(Event, frozen=True):
-    """A planned stop has begun: new calls that may outlast it are refused.
-
-    The last answers are given at ``answers_until``, and callers are accepted until
-    ``listens_until`` (seconds, monotonic).
-    """
-
-    answers_until: float
-    listens_until: float
-
-
 class StopRequested(Event, frozen=True):
     """A planned stop has begun and the edge has stopped listening."""
 
--- a/src/limelever/proxy/calls.py
+++ b/src/limelever/proxy/calls.py
@@ -15,7 +15,7 @@
 from limelever.common.decision_log import DecisionLogSettings
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.sansio import ConnectionId, LogEvent, Output, Peer
-from limelever.common.stop_rule import StopRule
+from limelever.common.stop_rule import StopBegan, StopRule
 from limelever.protocol.keeper_pb2 import RecordedAnswer
 from limelever.proxy import claims, events
 from limelever.proxy.admission import (
@@ -172,9 +172,9 @@
         self._attempts.abandon(call, Verdict.NEUTRAL, now)
         self._fail(call, Failure(ErrorKind.DEADLINE_TOO_SHORT, "caller disconnected"), now)
 
-    def stop_began(self, answers_until: float, listens_until: float) -> None:
-        """Refuse new calls that may outlast the stop (seconds, monotonic); see ``StopRule``."""
-        self._stop_rule.begin(answers_until, listens_until)
+    def stop_began(self, stop: StopBegan) -> None:
+        """Refuse new calls that may outlast the stop."""
+        self._stop_rule.begin(stop)
 
     def cancel_queued_calls(self, now: float) -> None:
         """Answer the calls that no back end has started, and start no further attempts.
--- a/src/limelever/proxy/core.py
+++ b/src/limelever/proxy/core.py
@@ -28,6 +28,7 @@
     Recovered,
     Started,
 )
+from limelever.common.stop_rule import StopBegan
 from limelever.keeper.client import ClaimSettled, CompletionSettled, KeeperClientCore
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.keeper.tally import AnswerRecorded, ClaimGranted
@@ -50,7 +51,6 @@
     ReportDeparture,
     ReportSuspects,
     RunDeparted,
-    StopBegan,
     StopFinished,
     StopLimitNear,
     StopLimitReached,
@@ -225,8 +225,8 @@
                 self._engine.caller_gone(call, now)
             case RunDeparted(run):
                 self._outputs.extend(self._departures.announce(run))
-            case StopBegan(answers_until, listens_until):
-                self._engine.stop_began(answers_until, listens_until)
+            case StopBegan():
+                self._engine.stop_began(event)
             case StopRequested():
                 self._stopping = True
             case StopLimitNear():
--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -14,6 +14,7 @@
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Address, Output, Recovered, Role
 from limelever.common.settings import seconds
+from limelever.common.stop_rule import StopBegan
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.proxy import events
 from limelever.proxy.admission import AdmissionSettings
@@ -24,7 +25,6 @@
     AnswerCall,
     ConfigurationApplied,
     ProxyReady,
-    StopBegan,
     StopFinished,
     StopLimitNear,
     StopLimitReached,
