Refuse what was read behind others when its connection ends

What callers saw: in a planned stop a connection closes with the answer behind which nothing has begun.

Cause: Pipeline took them for never read. Their caller can't tell whether they ran.

Change: when nothing more begins on a connection, what was read and not begun is refused in its place as draining (503, NOT RUN, Retry-After), and the last of these answers closes. Nothing of it runs, as before.

--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -135,7 +135,15 @@
 @then("only the last of these answers said that the connection ends")
 def then_only_last_closes(context):
     heads = context.received.split(b"HTTP/1.1 ")[1:]
-    assert [b"connection: close" in head for head in heads] == [False, False, False, True]
+    closing = [b"connection: close" in head for head in heads]
+    assert len(heads) > 1 and closing == [False] * (len(heads) - 1) + [True], heads
+
+
+@then("the refused ones were told not run, with a time to come back")
+def then_told_not_run(context):
+    refused = context.received.split(b"HTTP/1.1 ")[2:]
+    assert all(b"x-limelever-outcome: not-run" in head for head in refused), refused
+    assert all(b"retry-after: " in head for head in refused), refused
 
 
 @then("the callers' listener has given up {count:d} requests")
@@ -165,9 +173,12 @@
         self.pipeline = Pipeline()
         self.added = []
         self.sent = []
+        self.refused = []
         self.leaving = False
 
     def add(self, method):
+        if self.pipeline.closed:
+            return
         exchange = Exchange(HttpRequest(method, b"/", HTTP_1_1, ()))
         self.added.append(exchange)
         self.pipeline.add(exchange)
@@ -187,9 +198,13 @@
             return False
         assert ended is self.added[len(self.sent)], "answers go out in order"
         self.sent.append(ended)
+        for unbegun in self.pipeline.unbegun_at_end():
+            assert self.leaving and not unbegun.begun
+            self.pipeline.answer(unbegun, HttpAnswer(503, (), b""))
+            self.refused.append(unbegun)
         if ended.last:
-            begun = [e for e in self.added if e.begun]
-            assert len(begun) == len(self.sent), "what has begun is answered before the close"
+            assert len(self.added) == len(self.sent), "what was read is answered before the close"
+            assert not any(e.begun for e in self.refused), "what was refused never begins"
         return True
 
     def begin_one(self):
@@ -216,7 +231,7 @@
 
 
 @then(
-    "drawn pipelines answer in order, begin nothing behind a write, and close after the last begun"
+    "drawn pipelines answer in order, begin nothing behind a write, and close after the last read"
 )
 def then_drawn(context):
     @settings(max_examples=300, deadline=None)
--- a/features/transport/pipelining.feature
+++ b/features/transport/pipelining.feature
@@ -32,13 +32,16 @@
     When that caller leaves
     Then the callers' listener has given up 4 requests
 
-  Scenario: What waits behind an answer that closes the connection is never run
+  Scenario: What waits behind others on a connection that is to end is refused as not run
+    It was read, and the connection closed without an answer to it.
     Given a callers' listener
     When a caller sends GET /held, POST /held and GET /held in one piece
     Then the callers' listener runs 1 requests at once
     When the callers' listener begins to leave
     And the oldest of these requests is answered
-    Then that caller gets the statuses 200, and the connection ends
+    Then that caller gets the statuses 200, 503 and 503, and the connection ends
+    And only the last of these answers said that the connection ends
+    And the refused ones were told not run, with a time to come back
     And the callers' listener has run 1 requests
 
   Scenario: What had begun when the listener leaves is answered, and only the last answer closes
@@ -74,4 +77,4 @@
     Then that caller gets the status 200 and then 100
 
   Scenario: Any interleaving of answers, requests and stops keeps the order
-    Then drawn pipelines answer in order, begin nothing behind a write, and close after the last begun
+    Then drawn pipelines answer in order, begin nothing behind a write, and close after the last read
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -43,6 +43,9 @@
 _RECEIVE_BYTES = 1 << 16
 _SEND_BYTES = 1 << 18
 _NO_REQUEST = HttpRequest(b"", b"", HTTP_1_1, ())
+_CONNECTION_ENDS = Failure(
+    ErrorKind.DRAINING, "the connection ends before the request behind others was begun"
+)
 
 
 class RequestHandler(Protocol):
@@ -278,6 +281,8 @@
         exchange = self._pipeline.take_ended(leaving)
         if exchange is None:
             return False
+        for unbegun in self._pipeline.unbegun_at_end():
+            self._refuse(unbegun)
         answer = exchange.answer
         assert answer is not None
         if exchange.reservation is not None:
@@ -289,6 +294,11 @@
             HTTP_IN_ORDER_SECONDS.observe(trio.current_time() - exchange.answered_at)
         return True
 
+    def _refuse(self, exchange: Exchange) -> None:
+        answer = self._handler.render(_CONNECTION_ENDS)
+        self._pipeline.answer(exchange, answer)
+        self._count_untaken(len(answer.body))
+
     def _begin_next(self) -> bool:
         exchange = self._pipeline.take_startable(self._stopping or self._handler.leaving)
         if exchange is None:
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self._ending = False
         self._exchanges: deque[Exchange] = deque()
         self._held_bytes = 0
 
@@ -80,19 +81,26 @@
     def take_ended(self, leaving: bool) -> Exchange | None:
         """Return the oldest exchange if it has its answer, and drop it.
 
-        ``leaving`` says that the connection is to end: it does with the answer behind which
-        nothing has begun, and what was read behind it counts as never read.
+        ``leaving`` says that the connection is to end: nothing more begins behind an answer
+        behind which nothing has begun. The last answer to what was read ends the connection.
         """
         if self.closed or not self._exchanges or self._exchanges[0].answer is None:
             return None
         ended = self._exchanges.popleft()
         assert ended.answer is not None
         self._held_bytes -= len(ended.answer.body)
-        ended.last = ended.last or (leaving and not self._any_begun())
+        self._ending = self._ending or (leaving and not self._any_begun())
+        ended.last = ended.last or (self._ending and not self._exchanges)
         if ended.last:
             self.closed = True
         return ended
 
+    def unbegun_at_end(self) -> list[Exchange]:
+        """Return the requests that will not begin, as the connection ends; they are refused."""
+        if not self._ending or self.closed:
+            return []
+        return [each for each in self._exchanges if each.answer is None]
+
     def take_startable(self, leaving: bool) -> Exchange | None:
         """Return a request that may begin now, marked as begun, or ``None``.
 
@@ -109,7 +117,7 @@
         return None
 
     def _may_begin(self, exchange: Exchange, position: int, leaving: bool) -> bool:
-        if self.closed or exchange.answer is not None or position >= DEPTH_LIMIT:
+        if self.closed or self._ending or exchange.answer is not None or position >= DEPTH_LIMIT:
             return False
         if position == 0:
             return True
