--- a/features/steps/stop_limit_steps.py
+++ b/features/steps/stop_limit_steps.py
@@ -30,6 +30,7 @@
 PATIENCE_SECONDS = 30.0
 DEADLINE_MS = 8000
 UPLOAD_BYTES = 60_000
+READS = ("first", "second")
 HELD_UNTIL_SEEN = 0.3
 """Seconds that a call has to reach the other node before the stop begins."""
 
@@ -190,7 +191,7 @@
 def reads_held(context):
     context.runs.hold()
     context.expected = 2
-    connection = send_held(context, request(READ, "first") + request(READ, "second"), 2)
+    connection = send_held(context, b"".join(request(READ, name) for name in READS), READS)
     stop_and_wait(context, connection)
 
 
@@ -237,14 +238,18 @@
 def hold_upload(context):
     context.runs.hold()
     context.expected = 1
-    return send_held(context, request(WRITE, "upload", bytes(UPLOAD_BYTES)), 1)
+    return send_held(context, request(WRITE, "upload", bytes(UPLOAD_BYTES)), ("upload",))
 
 
-def send_held(context, data, calls):
-    """Send requests, and wait until the instance has begun them."""
-    begun = context.runs.by_id.total()
+def send_held(context, data, names):
+    """Send requests, and wait until the instance has begun each of them once more."""
+    runs = context.runs.by_id
+    wanted = {name: runs[name] + 1 for name in names}
     connection = Connection(context.first, data)
-    wait_until(lambda: context.runs.by_id.total() == begun + calls, "the instance runs them")
+    wait_until(
+        lambda: all(runs[name] == count for name, count in wanted.items()),
+        f"the instance runs {wanted}",
+    )
     return connection
 
 
