--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -21,6 +21,7 @@
 )
 from limelever.protocol.calls_pb2 import (
     CallCredit,
+    CallFailed,
     CallStart,
     ResponseBody,
     ResponseStart,
@@ -191,6 +192,19 @@
     context.proxy.reply(connection, answer)
 
 
+@when("the agent begins an answer with status {status:d}")
+def agent_begins_answer(context: Context, status: int) -> None:
+    connection, start = context.proxy.open_attempts[-1]
+    head = ResponseStart(stream=start.stream, attempt_id=start.attempt_id, status=status)
+    context.proxy.post(MessageReceived(connection, head))
+
+
+@when("the keepers hold the answer with status {status:d}")
+def recorded_status(context: Context, status: int) -> None:
+    for answer in context.proxy.keepers.answers.values():
+        answer.status = status
+
+
 @then("call {call:d} got an answer with status {status:d}")
 def answered_with(context: Context, call: int, status: int) -> None:
     assert context.proxy.final_answer(call).status == status
@@ -201,6 +215,15 @@
     context.proxy.refuse(*context.proxy.open_attempts[-1], ErrorKind(kind))
 
 
+@when("the agent refuses the call as draining, but takes others")
+def agent_refuses_one(context: Context) -> None:
+    connection, start = context.proxy.open_attempts[-1]
+    kind = ErrorKind.DRAINING.value
+    failed = CallFailed(stream=start.stream, attempt_id=start.attempt_id, kind=kind)
+    failed.load.slots = 1
+    context.proxy.reply(connection, failed)
+
+
 @when("the agent's link is lost")
 def agent_link_lost(context: Context) -> None:
     context.proxy.close_link(context.proxy.open_attempts[-1][0])
--- a/src/limelever/proxy/agent_messages.py
+++ b/src/limelever/proxy/agent_messages.py
@@ -11,6 +11,7 @@
 
 from limelever.common.errors import ErrorKind, Failure, Outcome
 from limelever.common.http_headers import end_to_end
+from limelever.common.http_messages import FINAL_STATUSES
 from limelever.common.sansio import ConnectionId, LogEvent, Output, SendMessage
 from limelever.protocol.calls_pb2 import (
     CallCancel,
@@ -70,13 +71,21 @@
             self._completer.record_load(call, call.attempt, message.load, now)
         if isinstance(message, CallFailed):
             return self._handle_failure(call, call.attempt, message, now)
-        call.attempt.status = message.status
-        call.attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
+        if message.status not in FINAL_STATUSES:
+            failure = Failure(ErrorKind.BACKEND_FAILED, f"agent sent the status {message.status}")
+            return self._abort(call, call.attempt, failure, now)
+        return self._handle_start(call, call.attempt, message, now)
+
+    def _handle_start(
+        self, call: Call, attempt: Attempt, message: ResponseStart, now: float
+    ) -> AttemptEnded | None:
+        attempt.status = message.status
+        attempt.headers = end_to_end((h.name, h.value) for h in message.headers)
         if not message.end:
-            failure = self._assembly.begin(call.attempt, message.body_bytes)
+            failure = self._assembly.begin(attempt, message.body_bytes)
             if failure is not None:
-                return self._abort(call, call.attempt, failure, now)
-        return self._add_body(call, call.attempt, message.body, message.end, now)
+                return self._abort(call, attempt, failure, now)
+        return self._add_body(call, attempt, message.body, message.end, now)
 
     def _handle_body(
         self, call: Call, attempt: Attempt, message: ResponseBody, now: float
@@ -136,7 +145,7 @@
         )
         if failure.kind is ErrorKind.ZONE_DRAINED:
             call.refused_zones.add(attempt.entry.zone)
-        if failure.kind in (ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION):
+        if _is_gone(message, failure):
             self._completer.retire(attempt)
         if attempt.status and failure.outcome is Outcome.NOT_RUN:
             failure = Failure(ErrorKind.BACKEND_FAILED, f"answer aborted: {failure.reason}")
@@ -156,6 +165,13 @@
     return isinstance(message, ResponseStart) and bool(attempt.status)
 
 
+def _is_gone(message: CallFailed, failure: Failure) -> bool:
+    """Return whether the agent takes no further calls; a stopping one may refuse just long ones."""
+    if failure.kind is ErrorKind.DRAINING:
+        return message.load.draining or not message.HasField("load")
+    return failure.kind is ErrorKind.WRONG_INCARNATION
+
+
 def _error_kind(message: CallFailed) -> ErrorKind:
     """Parse an error kind; an unknown one becomes ``INTERNAL``, whose outcome is unknown."""
     if message.zone_drained:
