Carry out a truncation again that a full disk refused

What operators could see: a replica that is refused as damaged, or holds records that were cut behind those written next.

Cause: the disk took note of the new end before it cut the file. The cut that a full disk refused was then taken for done when it was given again, and reported as synced.

--- /dev/null
+++ b/features/storage/disk_trials.feature
@@ -0,0 +1,13 @@
+Feature: A data folder keeps what was acknowledged through drawn troubles
+
+  # Guards against what only several troubles together lose, such as a retry after a full disk.
+  Scenario: Drawn writes amid full disks, kills and losses of power
+    Then drawn writes amid full disks, kills and losses of power lose nothing, for seeds 0 to 199
+
+  # Guards against records that were cut and come back, or stand behind the ones written next.
+  Scenario: A truncation on a full disk
+    Then a truncation that a full disk refuses is carried out once there is room
+
+  # Guards against a rule for torn tails under which damage passes for one.
+  Scenario: Drawn damage
+    Then drawn damage to what is proved to have been synced is refused, for seeds 0 to 99
--- a/src/limelever/storage/folder_disk.py
+++ b/src/limelever/storage/folder_disk.py
@@ -160,9 +160,10 @@
         if keep_records >= len(self._offsets):
             return
         self._synced_length.withdraw()
-        self._end = self._offsets[keep_records]
+        end = self._offsets[keep_records]
+        os.ftruncate(self._log, end)
+        self._end = end
         del self._offsets[keep_records:]
-        os.ftruncate(self._log, self._end)
         self._dirty = True
         self._sync_log()  # without it, records that were cut could follow those written next
 
