State the synced length of a log durably as it is opened

The statement is now written before the sync that made the file anyway, so that it also covers a folder of an earlier build from its first opening on; failed syncs are final here too; nothing is stated while a write is under way.

--- a/features/storage/disk_trials.feature
+++ b/features/storage/disk_trials.feature
@@ -11,3 +11,7 @@
   # Guards against a rule for torn tails under which damage passes for one.
   Scenario: Drawn damage
     Then drawn damage to what is proved to have been synced is refused, for seeds 0 to 99
+
+  # Guards against a replica that starts empty because its log is gone.
+  Scenario: A log that is gone
+    Then a log that is missing beside the statement of its length is refused
--- a/src/limelever/storage/folder.py
+++ b/src/limelever/storage/folder.py
@@ -82,12 +82,13 @@
 
 def _read_log(folder: Path, has_files: bool) -> Scan | Failure:
     log = folder / LOG_NAME
+    synced_length = read_synced_length(folder)
     if not log.exists():
-        if has_files:
+        if has_files or synced_length is not None:
             reason = f"{log} is missing beside files that exist"
             return Failure(ErrorKind.DATA_DAMAGED, reason)
         return Scan((), (), 0)
-    scan = scan_records(log.read_bytes(), read_synced_length(folder))
+    scan = scan_records(log.read_bytes(), synced_length)
     if isinstance(scan, Failure):
         return Failure(scan.kind, f"{log}: {scan.reason}")
     return scan
--- a/src/limelever/storage/folder_disk.py
+++ b/src/limelever/storage/folder_disk.py
@@ -27,12 +27,12 @@
 
 LOG_NAME = "log"
 FILES_NAME = "files"
-_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 def failure_of(error: OSError) -> Failure:
     """Return the failure for an error of the disk, DISK_FULL or DISK_FAILED."""
-    kind = ErrorKind.DISK_FULL if error.errno in _FULL_ERRORS else ErrorKind.DISK_FAILED
+    kind = ErrorKind.DISK_FULL if error.errno in FULL_ERRORS else ErrorKind.DISK_FAILED
     return Failure(kind, f"disk: {error.strerror or error}")
 
 
@@ -52,25 +52,26 @@
         self._closed = False
         self._failure: Failure | None = None
         self._carried_out = 0
+        self._performing = False
         self.log_bytes = scan.end
         self._synced_length = SyncedLength(folder)
         self._log = self._open_log()
         self.cut_bytes = os.fstat(self._log).st_size - self._end
+        self._cut_and_sync()
+
+    def _cut_and_sync(self) -> None:
+        """Cut what was not synced, and sync all that was read."""
         os.ftruncate(self._log, self._end)
-        os.fsync(self._log)
+        sync(self._log)
         # What a killed process renamed and didn't sync was read: it must not be taken back.
-        sync_folder(folder / FILES_NAME)
-        sync_folder(folder)
-        self._begin_marks()
-
-    def _begin_marks(self) -> None:
-        """State that the log is synced; on a full disk the first write does it."""
+        sync_folder(self._folder / FILES_NAME)
+        sync_folder(self._folder)
         try:
-            self._synced_length.make()
+            self._synced_length.make(self._end)
         except OSError as error:
-            if error.errno not in _FULL_ERRORS:
+            if error.errno not in FULL_ERRORS:
                 raise
-        self._synced_length.state(self._end)
+            # The first write makes it.
 
     @property
     def recovered(self) -> Recovered:
@@ -97,8 +98,14 @@
         self._carried_out = 0
         if self._failure is not None:
             return self._failure
+        self._performing = True
+        failure = self._carry_out_all(outputs)
+        self._performing = False
+        return failure
+
+    def _carry_out_all(self, outputs: Sequence[Output]) -> Failure | None:
         try:
-            self._synced_length.make()
+            self._synced_length.make(self._end)
             for write in outputs:
                 if isinstance(write, DISK_WRITES):
                     self._carry_out(write)
@@ -118,7 +125,7 @@
 
     def mark_synced(self) -> None:
         """State that the whole log is synced, so that damage to its last batch is noticed."""
-        if self._failure is None and not self._dirty:
+        if self._failure is None and not self._dirty and not self._performing:
             self._synced_length.state(self._end)
 
     def _keep_those_before(self) -> bool:
@@ -177,6 +184,7 @@
         self._offsets.clear()
         self._end = 0
         self._note(encoded)
+        self._synced_length.state(self._end)
 
     def _note(self, encoded: Sequence[bytes]) -> None:
         for record in encoded:
--- a/src/limelever/storage/synced_length.py
+++ b/src/limelever/storage/synced_length.py
@@ -1,8 +1,9 @@
 """A file beside the log that states how many of the log's first bytes are synced.
 
-The marks in the log prove all batches but the last one. This file covers the last one, unless
-power is lost: it is written without a sync, after the log was synced. What it states is withdrawn
-with a sync before the log is cut or replaced, so that it is never more than what is true.
+The marks in the log prove all batches but the last one. This file covers what was there as the log
+was opened, and later the last batch, unless power is lost: then it is written without a sync, after
+the log was synced. What it states is withdrawn with a sync before the log is cut or replaced. A
+build without this file may cut the log below what it states; the next opening replaces that.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 import google_crc32c
 
-from limelever.storage.atomic import sync_folder, write_all
+from limelever.storage.atomic import sync, sync_folder, write_all
 
 FILE_NAME = "synced"
 _LENGTH = struct.Struct(">Q")
@@ -45,14 +46,18 @@
         self._descriptor: int | None = None
         self._is_stated = True
 
-    def make(self) -> None:
-        """Make the file, for a log of which everything is synced; raises ``OSError``."""
+    def make(self, length: int) -> None:
+        """Make the file unless it is made, and state with a sync that ``length`` bytes are synced.
+
+        What an earlier process stated is replaced. Raises ``OSError``.
+        """
         if self._descriptor is not None:
             return
         path = self._folder / FILE_NAME
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            os.fsync(descriptor)
+            write_all(descriptor, 0, _encoded(length))
+            sync(descriptor)
             sync_folder(self._folder)
         except OSError:
             os.close(descriptor)
@@ -63,17 +68,16 @@
         """State that ``length`` bytes of the log are synced; without effect on a full disk."""
         if self._descriptor is None:
             return
-        data = _LENGTH.pack(length)
         self._is_stated = True
         with contextlib.suppress(OSError):
-            write_all(self._descriptor, 0, data + _CHECKSUM.pack(google_crc32c.value(data)))
+            write_all(self._descriptor, 0, _encoded(length))
 
     def withdraw(self) -> None:
         """State nothing, before synced bytes of the log are given up; raises ``OSError``."""
         if self._descriptor is None or not self._is_stated:
             return
         os.ftruncate(self._descriptor, 0)
-        os.fsync(self._descriptor)
+        sync(self._descriptor)
         self._is_stated = False
 
     def close(self) -> None:
@@ -81,3 +85,8 @@
         if self._descriptor is not None:
             os.close(self._descriptor)
             self._descriptor = None
+
+
+def _encoded(length: int) -> bytes:
+    data = _LENGTH.pack(length)
+    return data + _CHECKSUM.pack(google_crc32c.value(data))
