Close the files of a data folder that can't be opened

A relay tries its folder again each second while its disk is full, and each attempt left a descriptor open. The scenario fails without the change.

--- a/features/storage/disk_trials.feature
+++ b/features/storage/disk_trials.feature
@@ -12,6 +12,10 @@
   Scenario: Drawn damage
     Then drawn damage to what is proved to have been synced is refused, for seeds 0 to 99
 
+  # Guards against a process that runs out of descriptors while it tries a folder again.
+  Scenario: Refused openings
+    Then refused openings of a damaged folder leave no descriptor open
+
   # Guards against a replica that starts empty because its log is gone.
   Scenario: A log that is gone
     Then a log that is missing beside the statement of its length is refused
--- a/src/limelever/storage/folder_disk.py
+++ b/src/limelever/storage/folder_disk.py
@@ -56,8 +56,13 @@
         self.log_bytes = scan.end
         self._synced_length = SyncedLength(folder)
         self._log = self._open_log()
-        self.cut_bytes = os.fstat(self._log).st_size - self._end
-        self._cut_and_sync()
+        try:
+            self.cut_bytes = os.fstat(self._log).st_size - self._end
+            self._cut_and_sync()
+        except OSError:
+            os.close(self._log)
+            self._synced_length.close()
+            raise
 
     def _cut_and_sync(self) -> None:
         """Cut what was not synced, and sync all that was read."""
