Report a missing leader only for the election that is under way

The first election after a leader was lost could report the supporters of one from before that leader, and tell operators of a missing leader at once. A scenario holds what the event says, which no test did.

--- a/features/source/replication.feature
+++ b/features/source/replication.feature
@@ -19,6 +19,14 @@
     And a replica group accepts 5 writes
     Then a replica group holds the last version on every replica
 
+  # Guards against a group without a leader whose logs say nothing.
+  Scenario: A replica that can't be elected reports how many support it and are reached
+    Given a replica group of 3
+    When a replica group accepts 3 writes
+    Then no replica of a group has reported a missing leader
+    When all replicas of a group but the leader are killed, and it is started again
+    Then it reports a missing leader with 1 supporter of 3 voters and 0 links
+
   Scenario: A group whose replicas all restart leads again within a second
     Given a replica group of 5
     And a replica group accepts 3 writes
--- a/src/limelever/source/replication/elections.py
+++ b/src/limelever/source/replication/elections.py
@@ -32,6 +32,7 @@
         self._pre_votes: set[str] = set()
         self._votes: set[str] = set()
         self._syncing_term: int | None = None
+        self._asked_at = float("-inf")
         self._reported_at = float("-inf")
 
     def on_time(self) -> None:
@@ -51,8 +52,9 @@
 
     def _begin_pre_vote(self) -> None:
         context = self._context
-        if self._pre_votes:
+        if self._pre_votes and context.heard_leader_at < self._asked_at:
             self._report_missing_leader()
+        self._asked_at = context.now
         context.role = ReplicaRole.CANDIDATE
         context.leader, context.leader_address = "", ""
         self._pre_votes = {context.identity}
