Reserve memory for the heads of a listener's requests

A crowd of heads within the limit on their size took a process over its memory: a field of 4 bytes takes about 100 when it is parsed, and again in the call that is made of it, and nothing bounded the heads of all connections together.

A head is now a reservation, by its bytes and 256 bytes for each field, from its first byte until its request's response is sent. The heads of a listener have 8 MiB, and those of callers a fifth of the budget of bodies if that is more; they are taken from that budget. Without room the oldest large head that is not whole is refused with 503 (not run), which ends its connection; without one the head that grows is refused. Requests that have begun keep their memory. Heads of up to 8 KiB a connection are always read, and a lone head of any size within its limit. A limit on the number of fields was not taken: one that stops the crowd refuses a single legal head of 4,096 fields.

Every HTTP/1.1 listener is covered: callers, instances, operators, readiness, metrics.

The scenarios of head_memory.feature fail without the limit, without the victim, with no allowance for small heads, and with none for a lone head (each tried).

--- /dev/null
+++ b/features/transport/head_memory.feature
@@ -0,0 +1,21 @@
+Feature: The heads of a listener's requests share a limit on memory
+
+  Scenario: A large head that is not whole makes room for another
+    Given a listener with memory for one head of 400 short fields
+    When a client sends such a head but for its end, and then another client a whole one
+    Then the first client is refused with 503, and the second is served
+
+  Scenario: A request that has begun keeps its memory
+    Given a listener with memory for one head of 400 short fields
+    When a client sends such a head, and another client a second one before the response
+    Then the first client is served, and the second is refused with 503
+
+  Scenario: Small heads are read beside a large one that fills the memory
+    Given a listener with memory for one head of 400 short fields
+    When a client sends such a head but for its end, and then another client a small one
+    Then the second client is served, and the first may still end its head
+
+  Scenario: An idle listener reads a head that is larger than its memory
+    Given a listener with memory for one head of 400 short fields
+    When a client sends a head of 2000 short fields
+    Then it is served, and no memory for heads is held
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -27,6 +27,7 @@
 from limelever.proxy.request_reservation import RequestReservations
 from limelever.proxy.settings import EdgeSettings
 from limelever.transport.body_reservation import BodyReservation
+from limelever.transport.head_reservation import HeadPool
 from limelever.transport.http1_connection import Http1Connection
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
@@ -116,7 +117,8 @@
             max_head_bytes=self._settings.max_headers_bytes,
             body=BODY_TIMEOUT_SECONDS,
         )
-        service = HttpService(self, Http2Edge(self, BODY_TIMEOUT_SECONDS).application, limits)
+        application = Http2Edge(self, BODY_TIMEOUT_SECONDS).application
+        service = HttpService(self, application, limits, HeadPool.within(self._budget))
         await serve_callers(service, self._settings, self._stopping, stop_limit, task_status)
 
     def submit(self, request: HttpRequest, deliver: Deliver) -> int:
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -18,6 +18,7 @@
 from limelever.transport.body_reservation import BodyReservation
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
+from limelever.transport.head_reservation import HeadPool, HeadReservations
 from limelever.transport.http_answers import CONTINUE, encode_answer
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.http_pipeline import Exchange, Pipeline
@@ -77,6 +78,7 @@
         handler: RequestHandler,
         limits: HttpLimits,
         nursery: trio.Nursery,
+        heads: HeadPool | None = None,
     ) -> None:
         self.stream = stream
         self.nursery = nursery
@@ -84,7 +86,8 @@
         self._handler = handler
         self._limits = limits
         self._pipeline = Pipeline()
-        self._reader = RequestReader(self, limits.max_head_bytes)
+        self._heads = HeadReservations(heads or HeadPool(), self._lose_head)
+        self._reader = RequestReader(self, limits.max_head_bytes, self._heads)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
         self._room = trio.Event()
         self._outgoing: deque[memoryview] = deque()
@@ -97,6 +100,7 @@
         self._handed_over = False
         self._awaits_continue = False
         self._body_reservation: BodyReservation | None = None
+        self._head_bytes = 0
         self._body_ends = math.inf
 
     async def run(self) -> bytes:
@@ -148,6 +152,7 @@
     def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
         """Check a request's head and start the time limit of its body."""
         self.idle_since = None
+        self._head_bytes = self._heads.complete()
         self._body_ends = trio.current_time() + self._limits.body
         reservation = self._handler.reserve_body(request)
         if isinstance(reservation, Failure):
@@ -168,7 +173,9 @@
         reservation, self._body_reservation = self._body_reservation, None
         if reservation is not None:
             reservation.finish()
-        self._pipeline.add(Exchange(request, last=not request.keep_alive, reservation=reservation))
+        exchange = Exchange(request, last=not request.keep_alive, reservation=reservation)
+        exchange.head_bytes, self._head_bytes = self._head_bytes, 0
+        self._pipeline.add(exchange)
 
     def refused(self, failure: Failure) -> None:
         """Queue the response to an invalid request, which ends the connection."""
@@ -176,12 +183,20 @@
         self._body_ends = math.inf
         self._awaits_continue = False
         self._release_reservation()
+        self._heads.drop()
+        self._heads.release(self._head_bytes)
+        self._head_bytes = 0
         answer = self._handler.render(failure)
         self._count_untaken(len(answer.body))
         exchange = Exchange(_NO_REQUEST, last=True)
         self._pipeline.add(exchange)
         self._pipeline.answer(exchange, answer)
 
+    def _lose_head(self, failure: Failure) -> None:
+        """Refuse the request whose head is being received, after those before it."""
+        self._reader.refuse(failure)
+        self._advance()
+
     # --- reading --------------------------------------------------------------------------------
 
     async def _receive_first(self) -> bytes:
@@ -282,6 +297,7 @@
         assert answer is not None
         if exchange.reservation is not None:
             exchange.reservation.release()
+        self._heads.release(exchange.head_bytes)
         head, body = encode_answer(exchange.request, answer, close=exchange.last)
         ready += (head, body)
         self._count_untaken(len(head) + len(body) - len(answer.body))
@@ -329,6 +345,7 @@
             if exchange.reservation is not None:
                 exchange.reservation.release()
         self._release_reservation()
+        self._heads.close()
 
     def _release_reservation(self) -> None:
         """Release the reservation of a body that is not complete."""
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -17,12 +17,13 @@
 from typing import TYPE_CHECKING, Any
 
 import trio
-from msgspec import Struct
+from msgspec import Struct, field
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address
 from limelever.transport.accepting import Accepted, AcceptingListener
 from limelever.transport.asgi import AsgiApplication, AsgiHandler, reporting
+from limelever.transport.head_reservation import HeadPool
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.log import write_event
@@ -41,11 +42,15 @@
 
 
 class HttpService(Struct, frozen=True):
-    """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2."""
+    """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2.
+
+    ``heads`` bounds the memory of the heads of HTTP/1.1.
+    """
 
     handler: RequestHandler
     application: AsgiApplication
     limits: HttpLimits
+    heads: HeadPool = field(default_factory=HeadPool)
 
 
 class GuardOptions(Struct, frozen=True):
@@ -204,7 +209,9 @@
                 await self._serve_http2(place, b"")
                 return
         service = self._service
-        connection = Http1Connection(stream, service.handler, service.limits, self._nursery)
+        connection = Http1Connection(
+            stream, service.handler, service.limits, self._nursery, service.heads
+        )
         place.connection = connection
         if self._stopping:
             connection.stop()
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -27,7 +27,8 @@
 class Exchange(Struct, eq=False):
     """A request and, in time, its answer; ``last`` when the connection ends with the answer.
 
-    ``number`` is set by the handler of the request, and ``reservation`` is that of its body.
+    ``number`` is set by the handler of the request, ``reservation`` is that of its body, and
+    ``head_bytes`` are reserved for its head.
     ``answered_at`` (seconds) is set when the answer has to wait for an earlier one.
     """
 
@@ -37,6 +38,7 @@
     last: bool = False
     number: int = 0
     reservation: BodyReservation | None = None
+    head_bytes: int = 0
     answered_at: float = 0.0
 
 
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -14,6 +14,7 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import HEADER_OVERHEAD
 from limelever.common.http_messages import HTTP_1_1, HttpRequest
+from limelever.transport.head_reservation import HeadPool, HeadReservations
 from limelever.transport.request_checks import check_request
 from limelever.transport.request_framing import framing_head, is_framed
 
@@ -61,8 +62,11 @@
     no larger than what the limit leaves, empty lines before a request included.
     """
 
-    def __init__(self, sink: RequestSink, max_head_bytes: int) -> None:
+    def __init__(
+        self, sink: RequestSink, max_head_bytes: int, heads: HeadReservations | None = None
+    ) -> None:
         self.ended = False
+        self._heads = heads or HeadReservations(HeadPool(), self.refuse)
         self._sink = sink
         self._max_head_bytes = max_head_bytes
         self._parser = httptools.HttpRequestParser(self)
@@ -129,7 +133,9 @@
             self._received_bytes = 0
             return None
         self._received_bytes += len(data)
-        return self._too_long() if self._received_bytes >= self._max_received else None
+        if self._received_bytes >= self._max_received:
+            return self._too_long()
+        return self._heads.grow(self._received_bytes, len(self._headers))
 
     def _count_body_overhead(self, size: int, any_body: bool) -> Failure | None:
         """Count bytes that added nothing to the body: chunk extensions and trailers."""
@@ -140,10 +146,13 @@
         return Failure(ErrorKind.HEADERS_TOO_LARGE, reason)
 
     def _count_field(self, size: int) -> None:
-        """Count parsed bytes of a head; abort the parsing over the limit."""
+        """Count parsed bytes of a head; abort the parsing over the limit or without memory."""
         self._field_bytes += size
         if self._field_bytes > self._max_head_bytes:
             self._refuse_within(self._too_long())
+        failure = self._heads.grow(self._field_bytes, len(self._headers))
+        if failure is not None:
+            self._refuse_within(failure)
 
     def _fed(self, data: bytes) -> Failure | None:
         while data and not self.ended:
