Limit the time for a request's head

A client that sent a head byte by byte, or empty lines, kept its connection and the memory of its head for the whole idle time (120 s at a node), and behind a request in progress for as long as that took: the idle time was the only limit.

Nothing that the client sends moves this deadline.

--- a/features/steps/transport_head_steps.py
+++ b/features/steps/transport_head_steps.py
@@ -1,19 +1,27 @@
-"""Steps for the bounds of a request's head, at the parser."""
+"""Steps for the bounds of a request's head, at the parser and on a connection."""
 
 from __future__ import annotations
 
 import tracemalloc
+from functools import partial
+from typing import Any
 
+import trio
+import trio.testing
 from behave import given, then, when
 
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.http_headers import headers_size
 from limelever.common.http_messages import HttpRequest
+from limelever.transport.asgi import AsgiHandler
+from limelever.transport.http1_connection import Http1Connection
+from limelever.transport.http_limits import HttpLimits
 from limelever.transport.http_requests import RequestReader
 
 START = b"GET / HTTP/1.1\r\nhost: a\r\n"
 WHOLE = START + b"\r\n"
 LARGEST_HEAD_BYTES = 512
+LONGEST_SECONDS = 1000.0
 
 
 class RecordingSink:
@@ -108,3 +116,63 @@
 @then("it is read each time")
 def then_read(context):
     assert all(len(sink.requests) == 1 and not sink.failures for sink in context.sinks)
+
+
+async def answer_nothing(scope: Any, receive: Any, send: Any) -> None:
+    raise AssertionError("no request was whole")
+
+
+async def send_each_second(stream: trio.abc.SendStream, first: bytes, part: bytes) -> None:
+    """Send until the connection ends."""
+    try:
+        await stream.send_all(first)
+        while True:
+            await trio.sleep(1)
+            await stream.send_all(part)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
+
+
+async def time_of_end(idle: float, head: float, first: bytes, part: bytes) -> float:
+    """Return when the client saw the connection end."""
+    client, server = trio.testing.memory_stream_pair()
+    handler = AsgiHandler(answer_nothing, max_body_bytes=0)
+    ended_at = -1.0
+    with trio.move_on_after(LONGEST_SECONDS):
+        async with trio.open_nursery() as nursery:
+            limits = HttpLimits(idle=idle, head=head)
+            connection = Http1Connection(server, handler, limits, nursery)
+            nursery.start_soon(connection.run)
+            nursery.start_soon(send_each_second, client, first, part)
+            while await client.receive_some(65536):
+                pass
+            ended_at = trio.current_time()
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+    return ended_at
+
+
+def run_slow(context, idle: float, head: float, first: bytes, part: bytes) -> None:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    context.ended_at = trio.run(partial(time_of_end, idle, head, first, part), clock=clock)
+
+
+@when(
+    "a connection of {idle:d} idle seconds, and {head:d} for a head, "
+    "receives a byte of a head each second"
+)
+def when_slow_head(context, idle, head):
+    run_slow(context, idle, head, START, b"x")
+
+
+@when(
+    "a connection of {idle:d} idle seconds, and {head:d} for a head, "
+    "receives an empty line each second"
+)
+def when_slow_lines(context, idle, head):
+    run_slow(context, idle, head, b"\r\n", b"\r\n")
+
+
+@then("the connection ended at {end:d} seconds")
+def then_ended(context, end):
+    assert context.ended_at == end, context.ended_at
--- a/features/transport/heads.feature
+++ b/features/transport/heads.feature
@@ -28,3 +28,11 @@
   Scenario: A head of the largest size is read, however it is cut
     When a head of the largest size is received in two parts, cut anywhere
     Then it is read each time
+
+  Scenario: A head that arrives slowly does not outlive the time for a head
+    When a connection of 60 idle seconds, and 20 for a head, receives a byte of a head each second
+    Then the connection ended at 20 seconds
+
+  Scenario: Empty lines do not extend the time for a head
+    When a connection of 60 idle seconds, and 20 for a head, receives an empty line each second
+    Then the connection ended at 20 seconds
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -101,6 +101,7 @@
         self._awaits_continue = False
         self._body_reservation: BodyReservation | None = None
         self._head_bytes = 0
+        self._head_ends = math.inf
         self._body_ends = math.inf
 
     async def run(self) -> bytes:
@@ -116,8 +117,8 @@
                 if data.startswith(HTTP_2_PREFACE):
                     return self._hand_over(data)
                 left = not data or await self._read(data)
-            if self._body_is_late:
-                await self._refuse_late_body()
+            if self._is_late:
+                await self._refuse_late()
             self._give_up()
             if not left:
                 await self._finish()
@@ -153,6 +154,7 @@
         """Check a request's head and start the time limit of its body."""
         self.idle_since = None
         self._head_bytes = self._heads.complete()
+        self._head_ends = math.inf
         self._body_ends = trio.current_time() + self._limits.body
         reservation = self._handler.reserve_body(request)
         if isinstance(reservation, Failure):
@@ -180,7 +182,7 @@
     def refused(self, failure: Failure) -> None:
         """Queue the response to an invalid request, which ends the connection."""
         self.idle_since = None
-        self._body_ends = math.inf
+        self._head_ends = self._body_ends = math.inf
         self._awaits_continue = False
         self._release_reservation()
         self._heads.drop()
@@ -225,6 +227,8 @@
         while True:
             if data:
                 self._reader.feed(data)
+                if self._reader.within_head and self._head_ends == math.inf:
+                    self._head_ends = trio.current_time() + self._limits.head
                 self._advance()
             if self._pipeline.closed or self._broken:
                 return False
@@ -256,14 +260,17 @@
             self._settle()
 
     @property
-    def _body_is_late(self) -> bool:
-        """Return whether receiving ended because a body exceeded its time limit."""
+    def _is_late(self) -> bool:
+        """Return whether receiving ended because a head or body exceeded its time limit."""
         given_up = self._pipeline.closed or self._broken
-        return self._reading.cancelled_caught and self._reader.within_body and not given_up
+        if given_up or not self._reading.cancelled_caught:
+            return False
+        return self._reader.within_body or trio.current_time() >= self._head_ends
 
-    async def _refuse_late_body(self) -> None:
-        """Refuse a request whose body is late, after the responses to earlier requests."""
-        reason = "the body did not arrive in time"
+    async def _refuse_late(self) -> None:
+        """Refuse a request that is late, after the responses to earlier requests."""
+        part = "body" if self._reader.within_body else "head"
+        reason = f"the {part} did not arrive in time"
         self._reader.refuse(Failure(ErrorKind.DEADLINE_TOO_SHORT, reason))
         self._reading = trio.CancelScope()
         self._advance()
@@ -329,13 +336,15 @@
             self._count_untaken(len(CONTINUE))
             self._write([CONTINUE])
         under_way = not self._pipeline.empty or self._reader.within_body
-        if not under_way and self.idle_since is None and self._flushed is None:
-            self.idle_since = trio.current_time()
-            self._reading.deadline = self.idle_since + self._limits.idle
-            if self._stopping:
-                self._reading.cancel()
-        elif under_way and self._reading.deadline != self._body_ends:
-            self._reading.deadline = self._body_ends
+        deadline = min(self._head_ends, self._body_ends)
+        if not under_way and self._flushed is None:
+            if self.idle_since is None:
+                self.idle_since = trio.current_time()
+                if self._stopping:
+                    self._reading.cancel()
+            deadline = min(deadline, self.idle_since + self._limits.idle)
+        if self._reading.deadline != deadline:
+            self._reading.deadline = deadline
 
     def _give_up(self) -> None:
         """Cancel the requests in progress: the client cannot receive their responses."""
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -83,6 +83,11 @@
         self._body = BodyBuffer()
         self._refusal: Failure | None = None
 
+    @property
+    def within_head(self) -> bool:
+        """Return whether a request's head is incomplete; empty lines before one begin it."""
+        return self._in_head or self._received_bytes > 0
+
     @property
     def within_body(self) -> bool:
         """Return whether a request's body is incomplete."""
