--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -1,14 +1,12 @@
 """One HTTP/1.1 connection: a trio shell around the request parser and the pipeline.
 
-A single task receives. Responses are written by the task that delivers them, in one system call if
-the socket buffer has room. One cancel scope with a moving deadline limits idle time, slow headers
-and slow bodies.
+A single task receives; ``http1_writer`` sends the responses. One cancel scope with a moving
+deadline limits idle time, slow headers and slow bodies.
 """
 
 from __future__ import annotations
 
 import math
-from collections import deque
 from typing import Protocol
 
 import trio
@@ -19,14 +17,14 @@
 from limelever.transport.events import REQUEST_FAULT
 from limelever.transport.faults import fault_fields
 from limelever.transport.head_reservation import HeadPool, HeadReservations
+from limelever.transport.http1_writer import ResponseWriter
 from limelever.transport.http_answers import CONTINUE, encode_answer
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.http_pipeline import Exchange, Pipeline
 from limelever.transport.http_requests import RequestReader
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
-from limelever.transport.send_limits import time_to_send
-from limelever.transport.streams import close_at_once, receive, send_parts_without_waiting
+from limelever.transport.streams import close_at_once, receive
 
 LINGER_SECONDS = 1.0
 """Silence of a client after its last response until the connection is closed. Bytes that it still
@@ -42,7 +40,6 @@
 """First bytes of a client with prior knowledge of HTTP/2 (RFC 9113, section 3.4)."""
 
 _RECEIVE_BYTES = 1 << 16
-_SEND_BYTES = 1 << 18
 _NO_REQUEST = HttpRequest(b"", b"", HTTP_1_1, ())
 
 
@@ -90,13 +87,11 @@
         self._reader = RequestReader(self, limits.max_head_bytes, self._heads)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
         self._room = trio.Event()
-        self._outgoing: deque[memoryview] = deque()
-        self._flushed: trio.Event | None = None
+        self._writer = ResponseWriter(stream, nursery, self)
         self._untaken = 0
         self._ended = False
         self._advancing = False
         self._stopping = False
-        self._broken = False
         self._handed_over = False
         self._awaits_continue = False
         self._body_reservation: BodyReservation | None = None
@@ -125,8 +120,8 @@
         finally:
             self._give_up()
             self._reader.close()
-            self._outgoing.clear()
-            self._count_untaken(-self._untaken)
+            self._writer.close()
+            self.count_untaken(-self._untaken)
             self._ended = True
             if not self._handed_over:
                 await close_at_once(self.stream)
@@ -143,7 +138,7 @@
         if exchange.answer is not None or self._ended:
             return
         self._pipeline.answer(exchange, answer)
-        self._count_untaken(len(answer.body))
+        self.count_untaken(len(answer.body))
         if not self._pipeline.is_oldest(exchange):
             exchange.answered_at = trio.current_time()
         self._advance()
@@ -189,7 +184,7 @@
         self._heads.release(self._head_bytes)
         self._head_bytes = 0
         answer = self._handler.render(failure)
-        self._count_untaken(len(answer.body))
+        self.count_untaken(len(answer.body))
         exchange = Exchange(_NO_REQUEST, last=True)
         self._pipeline.add(exchange)
         self._pipeline.answer(exchange, answer)
@@ -230,7 +225,7 @@
                 if self._reader.within_head and self._head_ends == math.inf:
                     self._head_ends = trio.current_time() + self._limits.head
                 self._advance()
-            if self._pipeline.closed or self._broken:
+            if self._pipeline.closed or self._writer.broken:
                 return False
             if self._pipeline.full:
                 self._room = trio.Event()
@@ -262,7 +257,7 @@
     @property
     def _is_late(self) -> bool:
         """Return whether receiving ended because a head or body exceeded its time limit."""
-        given_up = self._pipeline.closed or self._broken
+        given_up = self._pipeline.closed or self._writer.broken
         if given_up or not self._reading.cancelled_caught:
             return False
         return self._reader.within_body or trio.current_time() >= self._head_ends
@@ -292,7 +287,7 @@
         finally:
             self._advancing = False
         if ready:
-            self._write(ready)
+            self._writer.write(ready)
         self._settle()
 
     def _send_due(self, ready: list[bytes]) -> bool:
@@ -307,7 +302,7 @@
         self._heads.release(exchange.head_bytes)
         head, body = encode_answer(exchange.request, answer, close=exchange.last)
         ready += (head, body)
-        self._count_untaken(len(head) + len(body) - len(answer.body))
+        self.count_untaken(len(head) + len(body) - len(answer.body))
         if exchange.answered_at:
             HTTP_IN_ORDER_SECONDS.observe(trio.current_time() - exchange.answered_at)
         return True
@@ -333,11 +328,11 @@
             self._room.set()
         if self._awaits_continue and self._pipeline.empty and not self._must_wait:
             self._awaits_continue = False
-            self._count_untaken(len(CONTINUE))
-            self._write([CONTINUE])
+            self.count_untaken(len(CONTINUE))
+            self._writer.write([CONTINUE])
         under_way = not self._pipeline.empty or self._reader.within_body
         deadline = min(self._head_ends, self._body_ends)
-        if not under_way and self._flushed is None:
+        if not under_way and not self._writer.is_waiting:
             if self.idle_since is None:
                 self.idle_since = trio.current_time()
                 if self._stopping:
@@ -362,52 +357,28 @@
             self._body_reservation.release()
             self._body_reservation = None
 
-    # --- writing --------------------------------------------------------------------------------
+    # --- callbacks of the writer ----------------------------------------------------------------
 
-    def _write(self, parts: list[bytes]) -> None:
-        """Send bytes; a separate task sends what does not fit into the socket buffer."""
-        if self._flushed is not None:
-            self._outgoing.extend(memoryview(part) for part in parts if part)
-            return
-        unsent = send_parts_without_waiting(self.stream, parts)
-        self._count_untaken(sum(map(len, unsent)) - sum(map(len, parts)))
-        if unsent:
-            self._outgoing.extend(unsent)
-            self._flushed = trio.Event()
-            self.nursery.start_soon(self._write_rest, self._flushed)
-
-    async def _write_rest(self, flushed: trio.Event) -> None:
-        while self._outgoing and not self._broken:
-            data = self._outgoing.popleft()
-            try:
-                with trio.fail_after(time_to_send(len(data))):
-                    await self._send_all(data)
-            except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
-                self._broken = True
-                self._reading.cancel()
-            self._count_untaken(-len(data))
-        self._flushed = None
-        flushed.set()
-        if not self._broken:
-            self._settle()
-
-    async def _send_all(self, data: memoryview) -> None:
-        """Send bytes in parts: over TLS, a copy of each part is encrypted whole."""
-        while data:
-            await self.stream.send_all(data[:_SEND_BYTES])
-            data = data[_SEND_BYTES:]
-
-    def _count_untaken(self, size: int) -> None:
+    def count_untaken(self, size: int) -> None:
         """Count response bytes that the client has not read, until the connection ends."""
         if not self._ended:
             self._untaken += size
             self._handler.count_untaken(size)
 
+    def all_written(self) -> None:
+        """Update the deadline."""
+        self._settle()
+
+    def write_failed(self) -> None:
+        """End the connection."""
+        self._reading.cancel()
+
+    # --- end ------------------------------------------------------------------------------------
+
     async def _finish(self) -> None:
         """Wait until the last response is sent and the client has closed."""
-        if self._flushed is not None:
-            await self._flushed.wait()
-        if self._broken:
+        await self._writer.wait_flushed()
+        if self._writer.broken:
             return
         try:
             await self._say_goodbye()
--- /dev/null
+++ b/src/limelever/transport/http1_writer.py
@@ -0,0 +1,89 @@
+"""Writes the responses of one HTTP/1.1 connection.
+
+They are written by the task that delivers them, in one system call if the socket buffer has room.
+A separate task sends what does not fit.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+import trio
+
+from limelever.transport.send_limits import time_to_send
+from limelever.transport.streams import send_parts_without_waiting
+
+_SEND_BYTES = 1 << 18
+
+
+class WriterOwner(Protocol):
+    """The connection whose responses are written."""
+
+    def count_untaken(self, size: int) -> None:
+        """Count response bytes that the client has not read yet; negative once it has."""
+
+    def all_written(self) -> None:
+        """Handle that nothing is left to be sent."""
+
+    def write_failed(self) -> None:
+        """Handle that the client cannot receive responses, or does not read them in time."""
+
+
+class ResponseWriter:
+    """Sends bytes in order; ``broken`` is set once the client cannot receive any more."""
+
+    def __init__(self, stream: trio.abc.Stream, nursery: trio.Nursery, owner: WriterOwner) -> None:
+        self.broken = False
+        self._stream = stream
+        self._nursery = nursery
+        self._owner = owner
+        self._outgoing: deque[memoryview] = deque()
+        self._flushed: trio.Event | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether bytes wait to be sent."""
+        return self._flushed is not None
+
+    async def wait_flushed(self) -> None:
+        """Wait until nothing is left to be sent, or the client cannot receive any more."""
+        if self._flushed is not None:
+            await self._flushed.wait()
+
+    def write(self, parts: list[bytes]) -> None:
+        """Send bytes; a separate task sends what does not fit into the socket buffer."""
+        if self._flushed is not None:
+            self._outgoing.extend(memoryview(part) for part in parts if part)
+            return
+        unsent = send_parts_without_waiting(self._stream, parts)
+        self._owner.count_untaken(sum(map(len, unsent)) - sum(map(len, parts)))
+        if unsent:
+            self._outgoing.extend(unsent)
+            self._flushed = trio.Event()
+            self._nursery.start_soon(self._write_rest, self._flushed)
+
+    def close(self) -> None:
+        """Drop what is left to be sent."""
+        self._outgoing.clear()
+
+    async def _write_rest(self, flushed: trio.Event) -> None:
+        while self._outgoing and not self.broken:
+            data = self._outgoing.popleft()
+            try:
+                with trio.fail_after(time_to_send(len(data))):
+                    await self._send_all(data)
+            except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+                self.broken = True
+                self._owner.write_failed()
+            self._owner.count_untaken(-len(data))
+        self._flushed = None
+        flushed.set()
+        if not self.broken:
+            self._owner.all_written()
+
+    async def _send_all(self, data: memoryview) -> None:
+        """Send bytes in parts: over TLS, a copy of each part is encrypted whole."""
+        while data:
+            await self._stream.send_all(data[:_SEND_BYTES])
+            data = data[_SEND_BYTES:]
--- a/src/limelever/transport/http_requests.py
+++ b/src/limelever/transport/http_requests.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import httptools
 
 from limelever.common.body_buffer import BodyBuffer
@@ -17,6 +15,7 @@
 from limelever.transport.head_reservation import HeadPool, HeadReservations
 from limelever.transport.request_checks import check_request
 from limelever.transport.request_framing import framing_head, is_framed
+from limelever.transport.request_sink import RequestSink
 
 _EXPECT = (b"expect", b"100-continue")
 _OPTIONAL_SPACE = b" \t"
@@ -24,22 +23,6 @@
 """Prefix of the parser's error for an unknown coding, in the pinned version."""
 
 
-class RequestSink(Protocol):
-    """Receives what the reader has parsed; a returned failure ends the parsing."""
-
-    def head_read(self, request: HttpRequest, awaits_continue: bool) -> Failure | None:
-        """Handle a request's head; ``awaits_continue`` if the client expects 100 Continue."""
-
-    def body_read(self, size: int) -> Failure | None:
-        """Count ``size`` more bytes of the body."""
-
-    def request_read(self, request: HttpRequest) -> None:
-        """Handle a complete request."""
-
-    def refused(self, failure: Failure) -> None:
-        """Handle the reason why the current request cannot be parsed."""
-
-
 REQUEST_LINE_BYTES = 64
 """Allowance for method, version and line ends, which ``max_head_bytes`` does not cover."""
 
