Bound the responses that clients do not read

Clients that sent many small requests and read no responses took a process over its memory: a connection's responses that wait for the socket had no bound of their own, and were counted without the objects that hold them.

A connection with 64 KiB of unread responses, 256 bytes for each part included, is not received from until they are read. The unread responses of a listener have 8 MiB, those of callers what the budget of bodies has for them; over that the connection closes whose client has read nothing for the longest time, if that is 5 s.

--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -32,6 +32,7 @@
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.http_pipeline import Exchange
+from limelever.transport.unread_responses import UnreadPool
 
 BODY_TIMEOUT_SECONDS = 30.0
 """Seconds within which a caller must send its request body."""
@@ -118,7 +119,8 @@
             body=BODY_TIMEOUT_SECONDS,
         )
         application = Http2Edge(self, BODY_TIMEOUT_SECONDS).application
-        service = HttpService(self, application, limits, HeadPool.within(self._budget))
+        unread = UnreadPool(self._pending_answers_limit)
+        service = HttpService(self, application, limits, HeadPool.within(self._budget), unread)
         await serve_callers(service, self._settings, self._stopping, stop_limit, task_status)
 
     def submit(self, request: HttpRequest, deliver: Deliver) -> int:
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -25,6 +25,7 @@
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
 from limelever.transport.streams import close_at_once, receive
+from limelever.transport.unread_responses import UnreadPool
 
 LINGER_SECONDS = 1.0
 """Silence of a client after its last response until the connection is closed. Bytes that it still
@@ -76,6 +77,7 @@
         limits: HttpLimits,
         nursery: trio.Nursery,
         heads: HeadPool | None = None,
+        unread: UnreadPool | None = None,
     ) -> None:
         self.stream = stream
         self.nursery = nursery
@@ -87,7 +89,7 @@
         self._reader = RequestReader(self, limits.max_head_bytes, self._heads)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
         self._room = trio.Event()
-        self._writer = ResponseWriter(stream, nursery, self)
+        self._writer = ResponseWriter(stream, nursery, self, unread)
         self._untaken = 0
         self._ended = False
         self._advancing = False
@@ -232,6 +234,10 @@
                 await self._room.wait()
                 data = b""
                 continue
+            if self._writer.must_wait:
+                await self._writer.wait_flushed()
+                data = b""
+                continue
             if self._must_wait:
                 await self._await_reservation()
                 data = b""
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -29,6 +29,7 @@
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.streams import client_name, reason_of
+from limelever.transport.unread_responses import UnreadPool
 
 if TYPE_CHECKING:
     from limelever.transport.http2_connection import Http2Connection
@@ -44,13 +45,14 @@
 class HttpService(Struct, frozen=True):
     """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2.
 
-    ``heads`` bounds the memory of the heads of HTTP/1.1.
+    ``heads`` and ``unread`` bound the memory of the heads and the unread responses of HTTP/1.1.
     """
 
     handler: RequestHandler
     application: AsgiApplication
     limits: HttpLimits
     heads: HeadPool = field(default_factory=HeadPool)
+    unread: UnreadPool = field(default_factory=UnreadPool)
 
 
 class GuardOptions(Struct, frozen=True):
@@ -210,7 +212,12 @@
                 return
         service = self._service
         connection = Http1Connection(
-            stream, service.handler, service.limits, self._nursery, service.heads
+            stream,
+            service.handler,
+            service.limits,
+            self._nursery,
+            service.heads,
+            service.unread,
         )
         place.connection = connection
         if self._stopping:
