--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -23,6 +23,22 @@
     "client",
     "limit",
 )
+HEADS_WITHOUT_ROOM = define(
+    1033,
+    "heads-without-room",
+    Level.WARNING,
+    "requests were refused as the listener had no room for their headers",
+    "refused",
+    "held_bytes",
+)
+UNREAD_CLOSED = define(
+    1034,
+    "unread-closed",
+    Level.WARNING,
+    "connection closed, its client read no responses while too many were unread",
+    "silent_s",
+    "unread_bytes",
+)
 INTERNAL_FAULT = define(
     1040,
     "internal-fault",
--- a/src/limelever/transport/head_reservation.py
+++ b/src/limelever/transport/head_reservation.py
@@ -9,11 +9,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
+import trio
+
 from limelever.common.byte_budget import ByteBudget, Use
 from limelever.common.errors import ErrorKind, Failure
 from limelever.transport.body_reservation import RETRY_AFTER_SECONDS
+from limelever.transport.events import HEADS_WITHOUT_ROOM
+from limelever.transport.log import write_event
 
 FIELD_BYTES = 256
 """Memory of a parsed header field besides its text, in the request and in the call made of it."""
@@ -26,6 +31,7 @@
 
 _PART_OF_BUDGET = 0.2
 _STEP_BYTES = 1024
+_LOG_INTERVAL_SECONDS = 1.0
 _NO_ROOM = Failure(
     ErrorKind.OVERLOADED,
     "the listener has no room for the request's headers",
@@ -43,6 +49,8 @@
         self._total_bytes = total_bytes
         self._budget = budget or ByteBudget()
         self._incomplete: dict[HeadReservations, None] = {}
+        self._refused = 0
+        self._next_log_at = -math.inf
 
     @classmethod
     def within(cls, budget: ByteBudget) -> HeadPool:
@@ -57,6 +65,7 @@
             return True
         while not self._has_taken(reservations, size):
             oldest = next(iter(self._incomplete), None)
+            self._report_refused()
             if oldest is None or oldest is reservations:
                 return False
             oldest.lose()
@@ -72,6 +81,16 @@
         self.held_bytes += size
         return True
 
+    def _report_refused(self) -> None:
+        """Count a refused head, and log the count from time to time."""
+        self._refused += 1
+        now = trio.current_time()
+        if now >= self._next_log_at:
+            fields: dict[str, object] = {"refused": self._refused, "held_bytes": self.held_bytes}
+            write_event(HEADS_WITHOUT_ROOM, fields)
+            self._refused = 0
+            self._next_log_at = now + _LOG_INTERVAL_SECONDS
+
     def release(self, size: int) -> None:
         """Release bytes."""
         self.held_bytes -= size
--- a/src/limelever/transport/unread_responses.py
+++ b/src/limelever/transport/unread_responses.py
@@ -11,6 +11,9 @@
 
 import trio
 
+from limelever.transport.events import UNREAD_CLOSED
+from limelever.transport.log import write_event
+
 DEFAULT_TOTAL_BYTES = 8 << 20
 """Memory for the unread responses of a listener."""
 
@@ -45,9 +48,16 @@
         self.held_bytes += size
         self._waiting.add(responses)
         if self.held_bytes > self._total_bytes:
-            longest = min(self._waiting, key=lambda each: each.read_at)
-            if trio.current_time() - longest.read_at >= STALL_SECONDS:
-                longest.abort()
+            self._close_stalled()
+
+    def _close_stalled(self) -> None:
+        longest = min(self._waiting, key=lambda each: each.read_at)
+        silent = trio.current_time() - longest.read_at
+        if silent >= STALL_SECONDS:
+            self._waiting.discard(longest)
+            fields: dict[str, object] = {"silent_s": silent, "unread_bytes": self.held_bytes}
+            write_event(UNREAD_CLOSED, fields)
+            longest.abort()
 
     def remove(self, size: int) -> None:
         """Release bytes that were read, or dropped."""
