Bound the heads that one connection sends one behind the other

A single connection that pipelined large heads on an otherwise idle listener was let past the limit on the memory of all heads, up to the 64 requests that are read ahead. The exception for a lone head compared the heads of other connections only. It now holds for the first head on the listener, whichever connection sends it.

The new scenario failed before (200 and 200 in place of 200 and 503).

--- a/features/steps/transport_head_memory_steps.py
+++ b/features/steps/transport_head_memory_steps.py
@@ -109,3 +109,13 @@
 def then_served(context):
     assert context.statuses == [[200]], context.statuses
     assert context.pool.held_bytes == 0, context.pool.held_bytes
+
+
+@when("a client sends such a head, and a second one on the same connection")
+def when_same_connection(context):
+    run(context, [context.head + END, context.head + END])
+
+
+@then("its first request is served, and its second refused with 503")
+def then_served_and_refused(context):
+    assert context.statuses == [[200, 503]], context.statuses
--- a/features/transport/head_memory.feature
+++ b/features/transport/head_memory.feature
@@ -19,3 +19,8 @@
     Given a listener with memory for one head of 400 short fields
     When a client sends a head of 2000 short fields
     Then it is served, and no memory for heads is held
+
+  Scenario: Heads that one connection sends one behind the other share the memory as well
+    Given a listener with memory for one head of 400 short fields
+    When a client sends such a head, and a second one on the same connection
+    Then its first request is served, and its second refused with 503
--- a/src/limelever/transport/head_reservation.py
+++ b/src/limelever/transport/head_reservation.py
@@ -73,7 +73,7 @@
         return True
 
     def _has_taken(self, reservations: HeadReservations, size: int) -> bool:
-        others = self.held_bytes - reservations.held_bytes
+        others = self.held_bytes - reservations.current_bytes
         if others and self.held_bytes + size > self._total_bytes:
             return False
         if not self._budget.take(Use.REQUEST, size):
@@ -104,31 +104,31 @@
 class HeadReservations:
     """The reservations for the heads of one connection's requests.
 
-    ``refuse`` is called when the head that is being received has to make room; it calls
-    :meth:`drop`.
+    ``current_bytes`` are those of the head that is being received. ``refuse`` is called when it has
+    to make room; it calls :meth:`drop`.
     """
 
     def __init__(self, pool: HeadPool, refuse: Callable[[Failure], None]) -> None:
         self.held_bytes = 0
         self._pool = pool
         self._refuse = refuse
-        self._current_bytes = 0
+        self.current_bytes = 0
 
     def grow(self, size: int, fields: int) -> Failure | None:
         """Reserve memory for a head of which ``size`` bytes and ``fields`` have been received."""
-        missing = size + fields * FIELD_BYTES - self._current_bytes
+        missing = size + fields * FIELD_BYTES - self.current_bytes
         if missing <= 0:
             return None
         missing += -missing % _STEP_BYTES
         if not self._pool.take(self, missing):
             return _NO_ROOM
-        self._current_bytes += missing
+        self.current_bytes += missing
         self.held_bytes += missing
         return None
 
     def complete(self) -> int:
         """Return the bytes reserved for the head, which is whole and keeps them."""
-        size, self._current_bytes = self._current_bytes, 0
+        size, self.current_bytes = self.current_bytes, 0
         self._pool.forget(self)
         return size
 
