--- a/features/steps/disk_trial.py
+++ b/features/steps/disk_trial.py
@@ -82,6 +82,8 @@
                 disk = self._write(disk, drawn_batch(self.random, self.acknowledged, number))
                 if self.faults:
                     break
+            self._killed_at, self._recorder.full_rate = 0, 0.0
+            disk.close()
         return self.faults
 
     def _write(self, disk: FolderDisk, batch: list[Output]) -> FolderDisk:
--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -36,7 +36,9 @@
 def new_trial(context) -> PowerLossTrial:
     temporary = tempfile.TemporaryDirectory()
     context.add_cleanup(temporary.cleanup)
-    return PowerLossTrial(Path(temporary.name))
+    trial = PowerLossTrial(Path(temporary.name))
+    context.add_cleanup(trial.disk.close)
+    return trial
 
 
 @given("a data folder that has synced {count:d} records, each by itself, and a file")
@@ -89,6 +91,7 @@
     batch = drawn_batch(random, trial.held, 9)
     allowed = allowed_after(trial.held, batch)
     image = _drawn_image(trial.folder, random, lambda: trial.disk.perform(batch))
+    trial.disk.close()
     lay_out(trial.left, image, trial.folder)
     second = trial.folder.parent / "second"
     lay_out(second, image, trial.folder)
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -27,10 +27,12 @@
 from limelever.proxy.request_reservation import RequestReservations
 from limelever.proxy.settings import EdgeSettings
 from limelever.transport.body_reservation import BodyReservation
+from limelever.transport.head_reservation import HeadPool
 from limelever.transport.http1_connection import Http1Connection
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.http_pipeline import Exchange
+from limelever.transport.unread_responses import UnreadPool
 
 BODY_TIMEOUT_SECONDS = 30.0
 """Seconds within which a caller must send its request body."""
@@ -116,7 +118,9 @@
             max_head_bytes=self._settings.max_headers_bytes,
             body=BODY_TIMEOUT_SECONDS,
         )
-        service = HttpService(self, Http2Edge(self, BODY_TIMEOUT_SECONDS).application, limits)
+        application = Http2Edge(self, BODY_TIMEOUT_SECONDS).application
+        unread = UnreadPool(self._pending_answers_limit)
+        service = HttpService(self, application, limits, HeadPool.within(self._budget), unread)
         await serve_callers(service, self._settings, self._stopping, stop_limit, task_status)
 
     def submit(self, request: HttpRequest, deliver: Deliver) -> int:
