Test a loss of power after a kill between a rename and its sync

A control machine that had been killed and was back for seconds refused its folder after a loss of power, and with two disks lost nothing was read back.

Evidence: on a follower killed between the two, 2 s of running, a loss of power and two disks lost gave no configuration in 15 s; the process ended 33 times ("entries between 32 and 49 miss").

A data folder is now followed through kills, which leave writes unsynced for the next process: the last change in a record may not have been made.

--- a/features/steps/power_loss_fleet.py
+++ b/features/steps/power_loss_fleet.py
@@ -1,27 +1,32 @@
 """Control machines that lose power at one moment, in rounds, while an operator changes them.
 
-Each round writes without pause to slow disks, one of which may be full for a while, and ends in a
-loss of power at every machine; up to two disks are lost as well, and power may be lost again during
-the recovery. All start again, and the newest configuration that was acknowledged has to be read
-back, and never an older one.
+Each round writes without pause to slow disks, one of which may be full for a while; processes may
+be killed and started again. It ends in a loss of power at every machine; up to two disks are lost
+as well, and power may be lost again during the recovery. All start again, and the newest
+configuration that was acknowledged has to be read back, and never an older one.
 """
 
 from __future__ import annotations
 
 import random
-import threading
 import time
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from pathlib import Path
 
+from continuous_changes import Changes, RoutesOperator
 from loopback_networks import LoopbackNetwork
 from platform_machines import committed_voters
-from platform_traffic import OK, Operator, ask_control, version_of
+from platform_traffic import OK, ask_control, version_of
 from recorded_machine import ALL_LOST, DRAWN, RecordedMachine
 
 VOTERS, SEEDS, TOLERATED = 5, 3, 2
+ROUTES = (0, 300)
+"""Routes of a configuration that stay: it takes two sectors, or over a hundred."""
+
+KILLED_BEFORE = 0.4
+"""Part of the rounds in which processes are killed and started again before the loss of power."""
+
 RECOVER_SECONDS = 15.0
 """``bounds.recoverS``."""
 
@@ -32,49 +37,12 @@
 SYNCS = (0.002, 0.01, 0.04, 0.15)
 """Times of a sync, from a fast disk's to a slow one's."""
 
-NEXT_CHANGE_SECONDS, NEXT_CHANGE_POLL_SECONDS = 2.0, 0.0005
 LATEST_LOSS_SECONDS = 2.5
 """Latest loss of power during a recovery; by then disks that were lost are replaced."""
 
 POLL_SECONDS = 0.05
 
 
-@dataclass
-class Changes:
-    """An operator that changes the configuration without pause, until it is stopped."""
-
-    operator: Operator
-    over: threading.Event = field(default_factory=threading.Event)
-
-    def __enter__(self) -> Changes:
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.over.set()
-        self._thread.join()
-
-    def _run(self) -> None:
-        while not self.over.is_set():
-            number = self.operator.newest + 1
-            answer = ask_control(
-                self.operator.draw.choice(self.operator.machines),
-                "PUT",
-                self.operator.document(number),
-            )
-            if answer.status == OK:
-                self.operator.newest = number
-            else:
-                time.sleep(POLL_SECONDS)
-
-    def await_next(self) -> None:
-        """Wait until the next change is acknowledged, or for a while."""
-        newest, end = self.operator.newest, time.monotonic() + NEXT_CHANGE_SECONDS
-        while self.operator.newest == newest and time.monotonic() < end:
-            time.sleep(NEXT_CHANGE_POLL_SECONDS)
-
-
 class PowerLossFleet:
     """Five control machines, and what was seen after each loss of power."""
 
@@ -84,7 +52,8 @@
             RecordedMachine(folder, f"core-{number}", network.address(number), f"zone-{number % 2}")
             for number in range(1, VOTERS + 1)
         ]
-        self.operator = Operator(self.machines, random.Random(seed))
+        routes = random.Random(f"routes-{seed}").choice(ROUTES)
+        self.operator = RoutesOperator(self.machines, random.Random(seed), routes=routes)
         self.broken: list[str] = []
         self.seen: list[str] = []
         self.counts: Counter[str] = Counter()
@@ -133,17 +102,29 @@
             if full is not None:
                 full.full.touch()
             time.sleep(draw.uniform(0.05, 0.8))
+            if draw.random() < KILLED_BEFORE:
+                self._kill_and_restart(draw.sample(self.machines, draw.randint(1, VOTERS)))
             if draw.random() < 0.5:
                 changes.await_next()
-            self._kill_all()
+            self.kill_all()
+
+    def _kill_and_restart(self, machines: list[RecordedMachine]) -> None:
+        """Kill processes, which are started again before power is lost."""
+        for machine in machines:
+            machine.process.kill()
+        for machine in machines:
+            machine.end()
+            machine.start_again(self.draw.choice(SYNCS))
+        self.counts["kills before"] += len(machines)
+        time.sleep(self.draw.uniform(0.1, LATEST_LOSS_SECONDS))
 
     def kill_amid_changes(self, seconds: float) -> None:
         """Kill all processes after changes of that long."""
         with Changes(self.operator):
             time.sleep(seconds)
-            self._kill_all()
+            self.kill_all()
 
-    def _kill_all(self) -> None:
+    def kill_all(self) -> None:
         for machine in self.machines:
             machine.process.kill()
         for machine in self.machines:
@@ -198,7 +179,8 @@
         """Start a process that has ended, with what its disk holds, as the platform does."""
         if not machine.running:
             self.counts["ends by itself"] += 1
-            machine.start_on_disk(SYNCS[0])
+            machine.end()
+            machine.start_again(SYNCS[0])
 
     def _check_version(self, machine: RecordedMachine, version: int, what: str) -> None:
         newest = self.operator.newest
--- a/features/steps/power_loss_fleet_steps.py
+++ b/features/steps/power_loss_fleet_steps.py
@@ -10,6 +10,7 @@
 from loopback_networks import LoopbackNetwork
 from power_loss_fleet import PowerLossFleet
 from torn_append import SLOW_SYNCS, lose_power_in_append
+from unsynced_rename import SYNC_SECONDS, lose_power_after_kill
 
 KEPT = Path(tempfile.gettempdir())
 
@@ -32,6 +33,12 @@
     lose_power_in_append(context.fleet, disks=2)
 
 
+@when("one is killed as it renames a snapshot, all lose power later, and two others their disks")
+def when_rename_is_lost(context):
+    context.fleet.start([SYNC_SECONDS])
+    lose_power_after_kill(context.fleet, disks=2)
+
+
 @when("all lose power {rounds:d} times amid changes, and some their disks")
 def when_power_is_lost(context, rounds):
     context.fleet.start()
--- a/features/steps/recorded_folder.py
+++ b/features/steps/recorded_folder.py
@@ -8,6 +8,9 @@
 
 from power_loss import FileWrite, FolderRecorder, RecordedFile, applied
 
+NOTED_AFTER = ("open", "sync")
+"""Calls that are noted once they are done."""
+
 
 class RecordedFolder(FolderRecorder):
     """The state of a folder on disk, followed through the calls that a process has recorded."""
@@ -27,12 +30,19 @@
             self.names[path] = self._current[path] = number
 
     def follow(self, record: Path) -> None:
-        """Repeat the calls of a record whose last line may be cut."""
-        for line in record.read_bytes().splitlines(keepends=True):
-            if not line.endswith(b"\n"):
-                return
-            call = json.loads(line)
-            getattr(self, f"_follow_{call['call']}")(call)
+        """Repeat the calls of a record; its last line may be cut, its last change not be made."""
+        lines = record.read_bytes().splitlines(keepends=True)
+        calls = [json.loads(line) for line in lines if line.endswith(b"\n")]
+        for call in calls[:-1]:
+            self._follow_call(call)
+        if calls and (calls[-1]["call"] in NOTED_AFTER or self.present() != self._actual()):
+            self._follow_call(calls[-1])
+
+    def _follow_call(self, call: dict) -> None:
+        getattr(self, f"_follow_{call['call']}")(call)
+
+    def _actual(self) -> dict[Path, bytes]:
+        return {path: path.read_bytes() for path in self.folder.rglob("*") if path.is_file()}
 
     def present(self) -> dict[Path, bytes]:
         """Return what the folder holds while there is power."""
--- a/features/steps/recorded_machine.py
+++ b/features/steps/recorded_machine.py
@@ -22,18 +22,27 @@
     def data(self) -> Path:
         return self.folder / "data"
 
+    @property
+    def record(self) -> Path:
+        return self.folder / "record"
+
     @property
     def full(self) -> Path:
         return self.folder / "full"
 
     def start_on_disk(self, sync_seconds: float) -> None:
-        """Start on a disk that takes this long for a sync."""
+        """Start on a disk that takes this long for a sync, with all that it holds synced."""
         self.data.mkdir(exist_ok=True)
         self.recorded = RecordedFolder(self.data)
+        self.start_again(sync_seconds)
+
+    def start_again(self, sync_seconds: float) -> None:
+        """Start after the process has ended, with the power on."""
+        self.record.write_bytes(b"")  # the process may be killed before it begins its own
         variables = {
             DATA_FOLDER: str(self.data),
             FULL_FILE: str(self.full),
-            RECORD_FILE: str(self.folder / "record"),
+            RECORD_FILE: str(self.record),
             SYNC_SECONDS: str(sync_seconds),
         }
         self.start_as(Path(__file__).with_name("recorded_start.py"), variables)
@@ -42,7 +51,7 @@
         """Kill the process, and read its record."""
         self.kill()
         self.full.unlink(missing_ok=True)
-        self.recorded.follow(self.folder / "record")
+        self.recorded.follow(self.record)
 
     def lose_power(self, draw: random.Random, left: str) -> int:
         """Leave on the disk what a loss of power may, and return how many writes were unsynced."""
@@ -51,6 +60,7 @@
         if left == ALL_LOST:
             for file in folder.files.values():
                 file.pending.clear()
+            folder.changes.clear()
         lay_out_folders(self.data, folder.images(draw))
         return len(unsynced)
 
