Lose no disk in the disorder while an identity without a disk votes

The disorder loses a disk only while a group is whole, but called a group of three whole in which the identity of a lost disk still voted beside its successor: with the successor's disk lost too, two of four voters were gone, more than a group of three bears, and it never had a leader again.

A group now also has to come down to just the voters that run to be called whole in the end, which is stricter.

--- a/features/steps/replication_disorder_steps.py
+++ b/features/steps/replication_disorder_steps.py
@@ -35,16 +35,18 @@
 
 
 def _whole(group):
-    """Return whether all replicas run, are voters by the leader's account and are caught up."""
+    """Return whether all replicas run and are caught up, and just they vote for the leader.
+
+    While an identity whose disk was lost still votes, the group can't bear another loss.
+    """
     leader = group.leader()
     if leader is None or group.cut or any(node.core is None for node in group.nodes.values()):
         return False
     replica = group.nodes[leader].core.replica
-    identities = group.voters(leader)
-    return all(
-        identities.get(name) == node.core.replica.identity
-        and node.core.replica.commit_index == replica.commit_index
-        for name, node in group.nodes.items()
+    voting = {member.identity for member in replica.status().members if member.voter}
+    replicas = [node.core.replica for node in group.nodes.values()]
+    return voting == {each.identity for each in replicas} and all(
+        each.commit_index == replica.commit_index for each in replicas
     )
 
 
