Ask for admission until it is committed

A control machine whose disk had been lost never voted again: with it the group had one vote less for ever, and the next loss of two disks would have left no majority to read a configuration back from.

Cause: a replica stopped asking once its own log named it a learner, committed or not. If the leader is lost before that entry is committed, the next leader doesn't know the replica: it sends to the spent identity of the same name, drops the replies of the new one, and never has the entry cut that keeps the replica from asking.

A replica now asks until the committed members name it.

--- a/features/source/discovery.feature
+++ b/features/source/discovery.feature
@@ -68,6 +68,13 @@
     Then it votes under the identity that it had
     And the seeded group still holds every write
 
+  # Guards against a replica that never asks again after an admission which was not committed.
+  Scenario: A replica whose admission was lost with the leader is admitted by the next
+    Given a seeded group of 5 whose leader admitted a replica and was replaced before the commit
+    When that replica can be reached again
+    Then it is admitted as a learner under the identity that it had
+    And the seeded group still holds every write
+
   Scenario: Drawn cuts, deaths, lost disks and machines that come and go leave a whole group
     When drawn disorder strikes 8 seeded groups, 25 times each
     Then each was whole again with every write, and replicas came back as others
--- a/src/limelever/source/replication/joining.py
+++ b/src/limelever/source/replication/joining.py
@@ -51,12 +51,16 @@
 
     @property
     def wanted(self) -> bool:
-        """Return whether this replica has yet to be admitted to a group."""
+        """Return whether this replica has yet to be admitted to a group, by a committed change.
+
+        The next leader may not know of an admission that is only in the log.
+        """
         context = self._context
         formatted = context.formatted
         if formatted is None:
             return True
-        return not formatted.admitted and not is_member(context.members, context.identity)
+        committed = context.log.members_at(context.commit_index)
+        return not formatted.admitted and not is_member(committed, context.identity)
 
     def start(self) -> None:
         """Begin to ask, or found a group of one when there are no peers."""
