--- a/src/limelever/proxy/process.py
+++ b/src/limelever/proxy/process.py
@@ -14,6 +14,7 @@
 from limelever.common.http_headers import Headers
 from limelever.common.sansio import Address, Output, Recovered, Role
 from limelever.common.settings import seconds
+from limelever.common.stop_rule import StopBegan
 from limelever.keeper.settings import KeeperClientSettings
 from limelever.proxy import events
 from limelever.proxy.admission import AdmissionSettings
@@ -197,9 +198,11 @@
         edge_ended = await _start_edge(edge, settings, nursery)
         shell.on_abort.append(lambda: runner.post(StopLimitReached()))
         await shell.stop_requested.wait()
+        listens_until = trio.current_time() + seconds(settings.edge.lame_duck_ms)
+        runner.post(StopBegan(shell.stop_limit_at - FINAL_ANSWERS_SECONDS, listens_until))
         nursery.start_soon(_announce_stop_limit, shell.stop_limit_at, runner)
         edge.start_lame_duck()
-        await trio.sleep(seconds(settings.edge.lame_duck_ms))
+        await trio.sleep_until(listens_until)
         edge.stop()
         await edge_ended.wait()
         runner.post(StopRequested())
