Test answers without end with a crowd of callers, and a byte at a time

The test on real processes had 6 callers. Now 6 and 48 callers are sent each of the twelve kinds (heads, chunks, bodies) as fast as they are taken, and 48 a byte at a time; besides what stood, each kind has to be given up with 502 at least once, and kinds other than bodies always before the deadline. The fast scenarios keep their deadlines of 8 s.

--- a/features/platform/memory.feature
+++ b/features/platform/memory.feature
@@ -19,9 +19,21 @@
     Then each upload was served or truly refused, and some were served
     And no node was over 300 MB, nor over 60 MB in the end
 
-  Scenario: Answers of instances that do not end, of each kind, beside sound calls
+  Scenario Outline: Answers of instances that do not end, of each kind, beside sound calls
     Given a control process and two nodes of the platform with 300 MB each
-    When 6 callers are sent answers without end for 8 seconds, and others sound ones
+    When <callers> callers are sent answers without end for 8 seconds, as fast as taken, and others sound ones
     Then no answer without end was taken for a whole one
+    And each kind was given up, those that are no bodies always before the deadline
     And sound calls were served in between
     And no node was over 300 MB, nor over 60 MB in the end
+
+    Examples: Callers
+      | callers |
+      | 6       |
+      | 48      |
+
+  Scenario: Answers of instances that do not end, a byte at a time, beside sound calls
+    Given a control process and two nodes of the platform with 300 MB each
+    When 48 callers are sent answers without end for 8 seconds, a byte at a time, and others sound ones
+    Then no answer without end was taken for a whole one
+    And no node was over 300 MB, nor over 60 MB in the end
--- a/features/steps/body_instances.py
+++ b/features/steps/body_instances.py
@@ -24,6 +24,7 @@
         self.name = machine.name
         self.arrivals: list[str] = []
         self.uploads: list[str] = []
+        self.byte_pause = 0.0
         self._lock = threading.Lock()
         super().__init__(machine, Runs())
         self.RequestHandlerClass = BodyHandler
@@ -58,7 +59,17 @@
         self.close_connection = True
         with contextlib.suppress(OSError):
             for data in endless(part, head):
-                self.wfile.write(data)
+                self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        """Send bytes, each for itself if the instance has a pause between them."""
+        pause = self.server.byte_pause
+        if not pause:
+            self.wfile.write(data)
+            return
+        for number in range(len(data)):
+            self.wfile.write(data[number : number + 1])
+            time.sleep(pause)
 
     def _wanted_bytes(self) -> int:
         name = self.path.rpartition("/")[2]
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -19,6 +19,9 @@
 MEBIBYTE = 1 << 20
 LOOK_SECONDS = 0.02
 DEADLINE_MS, TARGET_MS = 8000, 4000
+SLOW_DEADLINE_MS = 2000
+BACKEND_FAILED = 502
+BYTE_SECONDS = 0.002
 REST_SECONDS = 1.0
 SOUND_PAUSE_SECONDS = 0.05
 KINDS = {"read": "safe", "up": "upload"}
@@ -63,13 +66,20 @@
     context.add_cleanup(context.watch.stop)
 
 
-def send(node: NodeMachine, request: str, method: str, path: str, body: bytes | None) -> Answer:
+def send(
+    node: NodeMachine,
+    request: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    deadline_ms: int = DEADLINE_MS,
+) -> Answer:
     headers = {
         "Host": HOST_NAME,
         "Limelever-Attempt-Id": request,
-        "Limelever-Deadline-Ms": str(DEADLINE_MS),
+        "Limelever-Deadline-Ms": str(deadline_ms),
     }
-    limit = DEADLINE_MS / 1000 + 1
+    limit = deadline_ms / 1000 + 1
     return ask(node.ip, OUTBOUND_PORT, method, path, body, headers, limit=limit)
 
 
@@ -138,10 +148,14 @@
 
 
 @when(
-    "{callers:d} callers are sent answers without end for {seconds:d} seconds, "
+    "{callers:d} callers are sent answers without end for {seconds:d} seconds, {speed}, "
     "and others sound ones"
 )
-def when_endless(context: Context, callers: int, seconds: int) -> None:
+def when_endless(context: Context, callers: int, seconds: int, speed: str) -> None:
+    slow = speed == "a byte at a time"
+    deadline_ms = SLOW_DEADLINE_MS if slow else DEADLINE_MS
+    for instance in context.instances:
+        instance.byte_pause = BYTE_SECONDS if slow else 0.0
     context.answers, context.sound = [], []
     end = time.monotonic() + seconds
 
@@ -151,7 +165,8 @@
             if time.monotonic() > end:
                 return
             node = context.nodes[0]
-            answer = send(node, f"endless-{number}-{count}", "GET", f"/read/{path}", None)
+            request = f"endless-{number}-{count}"
+            answer = send(node, request, "GET", f"/read/{path}", None, deadline_ms)
             context.answers.append((path, answer.status))
 
     def ask_sound() -> None:
@@ -174,6 +189,15 @@
     assert all(status != OK for _, status in context.answers)
 
 
+@then("each kind was given up, those that are no bodies always before the deadline")
+def then_given_up(context: Context) -> None:
+    given_up = {path for path, status in context.answers if status == BACKEND_FAILED}
+    assert given_up == set(ENDLESS), given_up
+    heads = [each for each in context.answers if "body" not in ENDLESS[each[0]]]
+    late = [each for each in heads if each[1] not in (BACKEND_FAILED, *NOT_RUN)]
+    assert not late, Counter(late)
+
+
 @then("sound calls were served in between")
 def then_sound(context: Context) -> None:
     served = context.sound.count(OK)
