--- a/features/steps/instance_statement_steps.py
+++ b/features/steps/instance_statement_steps.py
@@ -30,7 +30,10 @@
 
 
 def start_fleet(
-    context: Context, count: int, instance_of: Callable[[NodeMachine], Instance]
+    context: Context,
+    count: int,
+    instance_of: Callable[[NodeMachine], Instance],
+    node_of: type[NodeMachine] = NodeMachine,
 ) -> None:
     """Start a control process and nodes, and wait until all instances serve."""
     network = LoopbackNetwork.take()
@@ -40,7 +43,7 @@
     root = Path(folder.name)
     control = AloneControl(root, "core-1", network.address(1), "zone-0")
     context.nodes = [
-        NodeMachine(root, f"sidecar-{number}", network.address(number), f"zone-{number % ZONES}")
+        node_of(root, f"sidecar-{number}", network.address(number), f"zone-{number % ZONES}")
         for number in range(2, 2 + count)
     ]
     context.control = control
