--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -1,10 +1,10 @@
-"""One HTTP/2 connection: hypercorn's, mended where a client could hold it open for nothing.
+"""One HTTP/2 connection: hypercorn's, with time limits on clients that read nothing.
 
-hypercorn keeps a connection whose client has left until its keep-alive time is over, and for
-ever when HTTP/2's flow control holds an answer back. It sends without a time limit, shielded
-from cancellation: a client that reads nothing would keep its connection and the answer's memory
-for ever, and the process from stopping. HTTP/1.1 is served by ``http1_connection``; this module
-is imported when a client first speaks HTTP/2.
+hypercorn keeps a connection whose client has disconnected until its keep-alive time is over, and
+without end when flow control holds a response back. It sends without a time limit, shielded from
+cancellation: a client that reads nothing would keep its connection and the response's memory, and
+would keep the process from stopping. HTTP/1.1 is served by ``http1_connection``; this module is
+imported when a client first speaks HTTP/2.
 """
 
 from __future__ import annotations
@@ -29,9 +29,7 @@
 
 
 class Http2Connection(TCPServer):
-    """Serves one connection, and knows since when it is idle.
-
-    It is idle while no request on it is under way: at first, and between two requests.
+    """Serves one connection; ``idle_since`` is ``None`` while a request is in progress.
     """
 
     def __init__(
@@ -51,11 +49,11 @@
         self._client_left = False
 
     async def stop(self) -> None:
-        """End the connection after what is under way, at once when nothing is."""
+        """Close the connection after the requests in progress, at once if there are none."""
         await self._context.terminated.set()
 
     async def protocol_send(self, event: Event) -> None:
-        """Carry out what hypercorn's protocol class asks for."""
+        """Handle an event of hypercorn's protocol class."""
         if isinstance(event, RawData):
             await self._send(event.data)
             return
@@ -65,20 +63,20 @@
         await super().protocol_send(event)
 
     def _note_idle(self, idle: bool) -> None:
-        """Tell the connection's one idle task; hypercorn would start a new one at each request."""
+        """Notify the connection's idle task; hypercorn would start a new one for each request."""
         self.idle_since = trio.current_time() if idle else None
         if idle:
             self._became_idle.set()
 
     async def _idle_timeout(self) -> None:
-        """Close the connection once it was idle for long enough, or is idle at a stop."""
+        """Close the connection after its idle timeout, or when it is idle at a stop."""
         while not await self._idle_to_the_end():
             pass
         with trio.CancelScope(shield=True):
             await self._initiate_server_close()
 
     async def _idle_to_the_end(self) -> bool:
-        """Wait through one time of idleness; return whether the connection is to be closed."""
+        """Wait for the end of one idle period; return whether to close the connection."""
         idle_since = self.idle_since
         if idle_since is None:
             self._became_idle = trio.Event()
@@ -104,7 +102,7 @@
         await self.protocol.handle(Closed())
 
     async def _read_data(self) -> None:
-        """Give hypercorn what the client sends; unlike there, with no timeout for each read."""
+        """Pass received bytes to hypercorn; unlike there, without a timeout for each read."""
         if self._received:
             await self.protocol.handle(RawData(self._received))
         while True:
@@ -122,7 +120,7 @@
             scope.cancel()
 
     def _bounded(self, application: AsgiApplication) -> AsgiApplication:
-        """Return the application with a bound on the time in which its answers are taken."""
+        """Return the application with a time limit on sending each part of a response."""
 
         async def bounded(scope: dict[str, Any], receive: Any, send: Send) -> None:
             async def send_in_time(message: AsgiMessage) -> None:
@@ -133,10 +131,10 @@
         return bounded
 
     async def _send_in_time(self, send: Send, message: AsgiMessage) -> None:
-        """Pass a part of an answer to hypercorn, which waits there for HTTP/2's flow control.
+        """Pass a part of a response to hypercorn, which waits for HTTP/2's flow control.
 
-        Raises ``trio.BrokenResourceError`` once the client has left or takes it too slowly. What
-        is sent after it has left is refused: nobody takes it from hypercorn's buffers any more.
+        Raises ``trio.BrokenResourceError`` if the client reads too slowly or has disconnected:
+        nothing would empty hypercorn's buffers any more.
         """
         if self._client_left:
             raise trio.BrokenResourceError("the client has left")
@@ -152,7 +150,7 @@
             raise trio.BrokenResourceError("the client does not take its answer")
 
     async def _close(self) -> None:
-        """Close after the send under way; TLS says goodbye to the client, which need not listen."""
+        """Close after the current send; the client need not answer TLS's closing alert."""
         try:
             with trio.move_on_after(_CLOSE_SECONDS):
                 async with self.send_lock:
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -1,4 +1,4 @@
-"""Listens for links and gives each to the core that serves its purpose."""
+"""Listens for links and passes each to the core that serves its purpose."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
     @property
     def open_links(self) -> int:
-        """Return the connections open now, those that have not said their hello included."""
+        """Return the number of open connections, including those without a hello yet."""
         return self._open
 
     async def serve(
@@ -43,7 +43,7 @@
         nursery: trio.Nursery,
         task_status: trio.TaskStatus[Address | Failure] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listen until :meth:`stop`; reports the bound address, or why it could not bind.
+        """Listen until :meth:`stop`; reports the bound address, or the failure to bind.
 
         Links run in ``nursery``, so that they outlive the listener at a planned stop.
         """
@@ -65,7 +65,7 @@
             )
 
     def stop(self) -> None:
-        """Stop accepting; open links go on."""
+        """Stop accepting; open links are kept."""
         self._scope.cancel()
 
     async def _handle(self, accepted: trio.SocketStream) -> None:
