Limit the connections for links that have not said hello, and close the oldest of them

What callers would see: 600 strangers that connect to a port of the links between nodes and say nothing take 600 descriptors of the process; 4,096 of them, the limit on all links, keep members out until their time for a hello is over, and come again then.

The cause: a connection counts against the limit of links from its first moment, and none makes room. links.hello_connections, 1,024 by default, limits those without a whole hello; the one that has waited longest is closed for the next one (event 1033, at most once a second). A member says its hello within the round trip, and a listener's queue holds 1,024 connections, so that members don't meet the limit. Before the hello a link reads no more than a hello's limit at once. The time for the hello already runs from the accepted connection to the whole hello: bytes that dribble don't restart it.

A scenario of bad_input.feature has the order: the oldest goes first, and a member is served. Weighed: refusing the newest, which would keep members out.

--- a/features/steps/transport_server.py
+++ b/features/steps/transport_server.py
@@ -116,7 +116,9 @@
 class LinkServer:
     """A listener for registrations, with the shipped listener, links and runner."""
 
-    def __init__(self, connections: int = 16, tls: TlsSettings | None = None) -> None:
+    def __init__(
+        self, connections: int = 16, tls: TlsSettings | None = None, hello_connections: int = 1024
+    ) -> None:
         self.core = RecordingCore()
         self.log = EventLog()
         self._tls = tls or TlsSettings()
@@ -124,6 +126,7 @@
             frame_limit_bytes=FRAME_LIMIT,
             hello_timeout_ms=HELLO_TIMEOUT_MS,
             connections=connections,
+            hello_connections=hello_connections,
         )
         self._ready = threading.Event()
         self._thread = threading.Thread(target=trio.run, args=(self._serve,), daemon=True)
--- a/features/transport/bad_input.feature
+++ b/features/transport/bad_input.feature
@@ -82,6 +82,15 @@
     And the link server grew by less than 20 MiB meanwhile
     And the link server still serves a member
 
+  # Connections that say no hello would take the places of members for as long as they come again.
+  Scenario: Strangers without a hello make room for each other and for members, the oldest first
+    Given a link server with 64 connections, 3 of which may be without a hello
+    When 5 strangers connect one after the other and say nothing
+    Then the link server has closed the first 2 strangers without an answer
+    And the link server logs 1033
+    And the link server still serves a member
+    And the last 2 strangers get an answer when their time is over
+
   Scenario: A peer that reads too slowly is cut off at the bound, the others go on
     Given a link server
     And a member's link to the link server
--- a/src/limelever/common/settings/sections.py
+++ b/src/limelever/common/settings/sections.py
@@ -91,6 +91,7 @@
     unacknowledged_ms: int = attrs.field(default=30000, validator=between(200, 600000))
     compress_from_bytes: int = attrs.field(default=0, validator=between(0, 1 << 30))
     connections: int = attrs.field(default=4096, validator=between(1, 65536))
+    hello_connections: int = attrs.field(default=1024, validator=between(1, 65536))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -23,6 +23,14 @@
     "client",
     "limit",
 )
+HELLO_LIMIT = define(
+    1033,
+    "hello-limit",
+    Level.WARNING,
+    "connection that had not sent a hello closed, limit reached; at most one line a second",
+    "client",
+    "limit",
+)
 INTERNAL_FAULT = define(
     1040,
     "internal-fault",
--- a/src/limelever/transport/links.py
+++ b/src/limelever/transport/links.py
@@ -153,7 +153,7 @@
             message = self.receive_nowait()
             if message is not None:
                 return message
-            data = await receive(self._stream, _RECEIVE_CHUNK)
+            data = await receive(self._stream, min(_RECEIVE_CHUNK, self._reader.limit))
             if not data:
                 return None
             self._bytes_in.inc(len(data))
--- a/src/limelever/transport/listener.py
+++ b/src/limelever/transport/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import ssl
 
 import trio
@@ -11,14 +12,16 @@
 from limelever.common.errors import ErrorKind, Failure
 from limelever.common.sansio import Address, Purpose
 from limelever.common.settings import AcceptedCredential, LinkSettings
-from limelever.transport.events import LINK_LIMIT
+from limelever.transport.events import HELLO_LIMIT, LINK_LIMIT
 from limelever.transport.hello import accept
-from limelever.transport.links import LinkIdentity
+from limelever.transport.links import Link, LinkIdentity
 from limelever.transport.log import write_event
 from limelever.transport.runner import CoreRunner
 from limelever.transport.streams import client_name, detect_dead_machine, reason_of
 
 _BACKLOG = 1024
+_REPORT_SECONDS = 1.0
+"""Least time between two events of dropped connections, of which there may be thousands."""
 
 
 class LinkListener(Struct):
@@ -30,6 +33,9 @@
     context: ssl.SSLContext | None
     runners: dict[Purpose, CoreRunner] = field(default_factory=dict)
     _open: int = 0
+    _newcomers: dict[trio.abc.Stream, None] = field(default_factory=dict)
+    _dropped: set[trio.abc.Stream] = field(default_factory=set)
+    _reported_at: float = -math.inf
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -77,22 +83,42 @@
             await trio.aclose_forcefully(stream)
             return
         self._open += 1
+        self._newcomers[accepted] = None
         try:
+            if len(self._newcomers) > self.settings.hello_connections:
+                await self._drop_oldest()
             detect_dead_machine(accepted, self.settings.unacknowledged_ms)
             if self.context is not None:
                 stream = trio.SSLStream(
                     accepted, self.context, server_side=True, https_compatible=True
                 )
-            await self._serve(stream, client)
+            link = await accept(
+                stream, self.identity, self.settings, self.accepted, self.runners.keys()
+            )
+            self._newcomers.pop(accepted, None)
+            await self._serve(link, client)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            _refused(client, Failure(ErrorKind.CONNECTION_LOST, reason_of(error)))
+            if accepted not in self._dropped:
+                _refused(client, Failure(ErrorKind.CONNECTION_LOST, reason_of(error)))
         finally:
             self._open -= 1
+            self._newcomers.pop(accepted, None)
+            self._dropped.discard(accepted)
             await trio.aclose_forcefully(stream)
 
-    async def _serve(self, stream: trio.abc.Stream, client: str) -> None:
-        served = self.runners.keys()
-        link = await accept(stream, self.identity, self.settings, self.accepted, served)
+    async def _drop_oldest(self) -> None:
+        """Close the connection that has waited longest for its hello."""
+        oldest = next(iter(self._newcomers))
+        del self._newcomers[oldest]
+        self._dropped.add(oldest)
+        now = trio.current_time()
+        if now >= self._reported_at + _REPORT_SECONDS:
+            self._reported_at = now
+            limit = self.settings.hello_connections
+            write_event(HELLO_LIMIT, {"client": client_name(oldest), "limit": limit})
+        await trio.aclose_forcefully(oldest)
+
+    async def _serve(self, link: Link | Failure, client: str) -> None:
         if isinstance(link, Failure):
             _refused(client, link)
             return
