Enforce the limit on header lists over HTTP/2 while they are decoded

What callers would see: a client's request holds a header list of 64 KiB, where 16 or 32 KiB are announced and HTTP/1.1 refuses more; by HPACK a few hundred bytes name such a list. hypercorn announces the setting, but h2's decoder keeps its default of 64 KiB: h2 takes over only a setting that changes later. The decoder now has the announced limit, and ends the connection at the field that passes it.

--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -1,4 +1,7 @@
-"""hypercorn's HTTP/2 with limits on what a client can make it hold."""
+"""hypercorn's HTTP/2 with limits on what a client can make it hold.
+
+hypercorn announces the limit on header lists, but leaves h2's own in force.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +31,8 @@
         report: Callable[[str], None],
     ) -> None:
         super().__init__(*arguments)
+        connection = self.connection
+        connection.decoder.max_header_list_size = self.config.h2_max_header_list_size
         self._guard = guard
         self._report = report
 
