Ignore the priorities that HTTP/2 clients ask for

What callers would see: nothing by itself. A client may name 1,000 streams that don't exist by PRIORITY frames, and each takes a place in hypercorn's tree for as long as the connection lasts; one more is an error in the tree and ends the connection, for a client of the old scheme as well. RFC 9113 (section 5.3.2) has deprecated the scheme and lets servers ignore it. All streams weigh the same, as they did for clients that ask for nothing.

--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -1,6 +1,7 @@
 """hypercorn's HTTP/2 with limits on what a client can make it hold.
 
-hypercorn announces the limit on header lists, but leaves h2's own in force.
+hypercorn announces the limit on header lists, but leaves h2's own in force. PRIORITY is ignored, as
+RFC 9113 (section 5.3.2) allows: all streams weigh the same.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 import trio
 from h2.errors import ErrorCodes
+from h2.events import PriorityUpdated
 from h2.exceptions import ProtocolError
 from hypercorn.events import Closed, Event, RawData
 from hypercorn.protocol.h2 import H2Protocol
@@ -55,3 +57,6 @@
             self.connection.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
         await self._flush()
         await self.send(Closed())
+
+    async def _priority_updated(self, event: PriorityUpdated) -> None:
+        """Ignore the order that a client asks for."""
