Remember fewer closed streams of an HTTP/2 connection

What callers would see: nothing by itself. h2 remembers how the last 65,536 streams of a connection were closed, some megabytes for each connection that lives long or resets its requests. 2,048 are enough to tell a late frame for a closed stream from a wrong one: a connection has at most 100 streams at a time.

--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -14,11 +14,15 @@
 from h2.errors import ErrorCodes
 from h2.events import PriorityUpdated
 from h2.exceptions import ProtocolError
+from h2.utilities import SizeLimitDict
 from hypercorn.events import Closed, Event, RawData
 from hypercorn.protocol.h2 import H2Protocol
 
 from limelever.transport.http2_frames import FrameGuard
 
+_CLOSED_STREAMS = 2048
+"""Closed streams that a connection remembers; h2's 65,536 take some megabytes."""
+
 
 class Http2Protocol(H2Protocol):
     """The protocol of one connection.
@@ -35,6 +39,7 @@
         super().__init__(*arguments)
         connection = self.connection
         connection.decoder.max_header_list_size = self.config.h2_max_header_list_size
+        connection._closed_streams = SizeLimitDict(size_limit=_CLOSED_STREAMS)
         self._guard = guard
         self._report = report
 
