Free the memory of HTTP/2 connections when they end

What callers would see: a process that grows while clients open connections over HTTP/2 that are closed at once for what they send. h2's connection refers to itself by its table of handlers, so that its memory, and that of what it holds, waits for a garbage collection, which is rare in these processes. The cycle is broken at the end of a connection.

--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -92,6 +92,7 @@
             pass
         finally:
             await self._close()
+            protocol.dispose()
 
     async def stop(self) -> None:
         """Close the connection after the requests in progress, at once if there are none."""
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -63,5 +63,9 @@
         await self._flush()
         await self.send(Closed())
 
+    def dispose(self) -> None:
+        """Break the cycle of h2's connection, whose memory would wait for a garbage collection."""
+        self.connection._frame_dispatch_table.clear()
+
     async def _priority_updated(self, event: PriorityUpdated) -> None:
         """Ignore the order that a client asks for."""
