Start no request over HTTP/2 that its client has reset already

What callers would see: a node that answers nobody for half a minute after 150 clients sent requests that they reset at once, and a control process over its memory. Each such request was started, with a task, and its call reached the core; what the clients had sent ahead was worked off after they had left.

Requests that clients cancel beside served ones don't end their connection: http2_limits.feature.

--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -12,7 +12,8 @@
 
 import trio
 from h2.errors import ErrorCodes
-from h2.events import PriorityUpdated, RequestReceived
+from h2.events import DataReceived, PriorityUpdated, RequestReceived, StreamReset
+from h2.events import Event as ReceivedEvent
 from h2.exceptions import ProtocolError
 from h2.utilities import SizeLimitDict
 from hypercorn.events import Closed, Event, RawData
@@ -90,6 +91,21 @@
         await self._flush()
         await self.send(Closed())
 
+    async def _handle_events(self, events: list[ReceivedEvent]) -> None:
+        """Handle what was received, but start no request that is reset already."""
+        ended = {event.stream_id for event in events if isinstance(event, StreamReset)}
+        begun = {event.stream_id for event in events if isinstance(event, RequestReceived)}
+        dropped = ended & begun
+        for event in events:
+            if isinstance(event, DataReceived) and event.stream_id in dropped:
+                # Its bytes count in the connection's window.
+                assert event.flow_controlled_length is not None
+                self.connection.acknowledge_received_data(
+                    event.flow_controlled_length, event.stream_id
+                )
+        left = [event for event in events if getattr(event, "stream_id", None) not in dropped]
+        await super()._handle_events(left if dropped else events)
+
     async def _create_stream(self, request: RequestReceived) -> None:
         stream = request.stream_id
         assert stream is not None and request.headers is not None
