Pass responses over HTTP/2 on in parts

What callers would see: a node that 60 clients take over its memory by asking for responses that they don't read, with windows of 0. hypercorn copies what it is given into the stream's buffer at once, so that a response that waits is held twice, and the budget of bodies counts it once. It is now given parts of 32 KiB, and takes the next when the client reads.

--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, cast
 
 import trio
@@ -34,6 +34,9 @@
 _CLOSE_SECONDS = 2.0
 _RECEIVE_BYTES = 1 << 14
 
+_SEND_BYTES = 1 << 15
+"""Part of a response that is copied into its stream's buffer at a time."""
+
 _NO_LIMIT_ON_REQUESTS = 1_000_000_000
 
 
@@ -201,7 +204,8 @@
         with trio.move_on_after(time_to_send(len(message.get("body", b"")))) as scope:
             self._sending.add(scope)
             try:
-                await send(message)
+                for part in _parts_of(message):
+                    await send(part)
             finally:
                 self._sending.discard(scope)
         if scope.cancelled_caught:
@@ -219,6 +223,18 @@
             await trio.aclose_forcefully(self.stream)
 
 
+def _parts_of(message: AsgiMessage) -> Iterator[AsgiMessage]:
+    """Yield a message of a response in parts that are small enough to be copied."""
+    body: bytes = message.get("body", b"")
+    more = message.get("more_body", False)
+    if len(body) <= _SEND_BYTES:
+        yield message
+        return
+    for start in range(0, len(body), _SEND_BYTES):
+        end = start + _SEND_BYTES
+        yield {**message, "body": body[start:end], "more_body": more or end < len(body)}
+
+
 def _config(limits: HttpLimits) -> Config:
     config = Config()
     config.accesslog = None
