Limit bodies over HTTP/2 at the listeners for instances and operators

What callers would see: a control process that a few clients over HTTP/2 take over its memory by bodies of up to 32 MiB that don't end, or by responses that they don't read. The limits on all bodies of such a listener are those of AsgiHandler, which serves HTTP/1.1 alone; over HTTP/2 the application was called directly.

BoundedApplication counts them over HTTP/2, 32 MiB of requests and 32 MiB of unread responses for a listener, and refuses beyond with 503 and Retry-After; an application whose request was refused sees a client that has left. Two scenarios of interface_limits.feature, the twins of those for HTTP/1.1, failed before (40 MiB of bodies and 48 MiB of unread responses were taken, nobody was refused) and pass now.

--- a/features/transport/interface_limits.feature
+++ b/features/transport/interface_limits.feature
@@ -16,3 +16,15 @@
     When 4 clients of that interface ask, and read nothing
     Then another client is refused with 503
     And that interface serves another client once these have left
+
+  Scenario: Bodies of all connections over HTTP/2 together are bounded
+    Given an interface of a process that reads each body whole
+    When 10 clients over HTTP/2 of that interface each send 4 MiB of a body without end
+    Then one of them is refused with 503 over HTTP/2
+    And that interface serves another client once these have left
+
+  Scenario: Responses over HTTP/2 that nobody reads are bounded
+    Given an interface of a process that returns 12 MiB for a request without a body
+    When 4 clients over HTTP/2 of that interface ask, and read nothing
+    Then another client over HTTP/2 is refused with 503
+    And that interface serves another client once these have left
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -23,6 +23,7 @@
 from limelever.common.sansio import Address
 from limelever.transport.accepting import Accepted, AcceptingListener
 from limelever.transport.asgi import AsgiApplication, AsgiHandler, reporting
+from limelever.transport.asgi_http2 import BoundedApplication
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
 from limelever.transport.http2_requests import NO_MEMORY, RequestMemory
 from limelever.transport.http_limits import HttpLimits
@@ -95,7 +96,8 @@
 ) -> HttpService:
     """Return the service of an ASGI application, whichever version its clients speak."""
     handler = AsgiHandler(application, max_body_bytes)
-    return HttpService(handler, application, limits)
+    bounded = BoundedApplication(application, handler.render)
+    return HttpService(handler, bounded.serve, limits)
 
 
 async def serve_guarded(
