Count the calls that requests behind others become

Cause: one receive of 64 KiB holds some 900 such requests, which are all begun, and each was counted by its head alone, as 1 KiB, while a call takes some 10.

A request that comes behind others of its connection now takes 8 KiB more from the listener's memory for heads, and is refused (503, not run) without room. Clients that send one request at a time never meet it, as before.

--- a/features/steps/transport_head_memory_steps.py
+++ b/features/steps/transport_head_memory_steps.py
@@ -119,3 +119,23 @@
 @then("its first request is served, and its second refused with 503")
 def then_served_and_refused(context):
     assert context.statuses == [[200, 503]], context.statuses
+
+
+@when("a client sends {count:d} small requests in one piece")
+def when_many_small(context, count):
+    run(context, [(START + END) * count])
+
+
+@then(
+    "its first requests are served, and one behind them refused with {status:d}, "
+    "before {count:d} are begun"
+)
+def then_few_begun(context, status, count):
+    (statuses,) = context.statuses
+    assert statuses[-1] == status and set(statuses[:-1]) == {200}, statuses
+    assert len(statuses) < count, len(statuses)
+
+
+@then("no memory for heads is held")
+def then_none_held(context):
+    assert context.pool.held_bytes == 0, context.pool.held_bytes
--- a/features/transport/head_memory.feature
+++ b/features/transport/head_memory.feature
@@ -24,3 +24,10 @@
     Given a listener with memory for one head of 400 short fields
     When a client sends such a head, and a second one on the same connection
     Then its first request is served, and its second refused with 503
+
+  # Guards against thousands of calls that are begun for a few receives of small requests.
+  Scenario: Small requests that are sent behind others take the memory of the calls that they become
+    Given a listener with memory for one head of 400 short fields
+    When a client sends 200 small requests in one piece
+    Then its first requests are served, and one behind them refused with 503, before 20 are begun
+    And no memory for heads is held
--- a/src/limelever/transport/head_reservation.py
+++ b/src/limelever/transport/head_reservation.py
@@ -23,6 +23,13 @@
 FIELD_BYTES = 256
 """Memory of a parsed header field besides its text, in the request and in the call made of it."""
 
+PIPELINED_BYTES = 8 * 1024
+"""Memory of a request besides its head while others of its connection are in progress.
+
+One receive holds hundreds of small requests, and each becomes a call. Requests that come alone are
+bounded by the number of connections.
+"""
+
 SMALL_BYTES = 8 * 1024
 """Heads of one connection up to this size are always read: that of a request of 25 fields."""
 
@@ -116,7 +123,9 @@
 
     def grow(self, size: int, fields: int) -> Failure | None:
         """Reserve memory for a head of which ``size`` bytes and ``fields`` have been received."""
-        missing = size + fields * FIELD_BYTES - self.current_bytes
+        has_others = self.held_bytes > self.current_bytes
+        cost = size + fields * FIELD_BYTES + (PIPELINED_BYTES if has_others else 0)
+        missing = cost - self.current_bytes
         if missing <= 0:
             return None
         missing += -missing % _STEP_BYTES
