Free the header lists of HTTP/2 requests before responses are sent

What callers would see: a node or a control process that some 60 clients take over its memory by requests of many short or indexed fields, though the open requests are within their limit.

The cause: the library's event of a request keeps the decoded header list until all events of what was received are handled and the bytes to send are sent. One receive of 16 KiB decodes to about 1.1 MB of fields (67 kB for each request of 900 indexed fields, tracemalloc). Sending gives way to other tasks, so that all connections whose bytes had arrived held their lists at the same time, those of refused requests included. The list is dropped once its request is begun or refused; what the request keeps is counted.

http2_limits.feature: when bytes are sent, no event has a header list.

--- a/features/steps/http2_limit_steps.py
+++ b/features/steps/http2_limit_steps.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import gc
 from functools import partial
 from unittest import mock
 
 from behave import given, then, when
+from h2.events import RequestReceived
 from http2_caller import CANCEL, Http2Caller
 from hyperframe.frame import (
     DataFrame,
@@ -24,6 +26,7 @@
 from transport_edge_steps import HELD, start_edge
 from transport_server import wait_for
 
+from limelever.transport.http2_connection import Http2Connection
 from limelever.transport.http2_frames import MAX_FRAME_BYTES, FrameGuard
 from limelever.transport.http2_requests import RequestMemory, memory_of
 
@@ -122,12 +125,29 @@
     check()
 
 
+def watch_header_lists(context) -> list[int]:
+    """Return a list to which each sending adds the number of received header lists in memory."""
+    numbers: list[int] = []
+    send = Http2Connection._send
+
+    async def counted_send(self, data):
+        events = (each for each in gc.get_objects() if isinstance(each, RequestReceived))
+        numbers.append(sum(1 for event in events if event.headers))
+        await send(self, data)
+
+    patch = mock.patch.object(Http2Connection, "_send", counted_send)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    return numbers
+
+
 @given("an edge with memory for {count:d} requests over HTTP/2")
 def given_edge(context, count):
     memory = partial(RequestMemory, count * memory_of(()) + memory_of(()) // 2)
     patch = mock.patch("limelever.transport.http_guard.RequestMemory", memory)
     patch.start()
     context.add_cleanup(patch.stop)
+    context.header_lists = watch_header_lists(context)
     start_edge(context)
     context.caller = Http2Caller(context.edge.server.address)
     context.add_cleanup(context.caller.close)
@@ -150,6 +170,11 @@
     assert wait_for(lambda: context.edge.run == run)
 
 
+@then("no received header list was in memory while bytes were sent")
+def then_freed(context):
+    assert context.header_lists and not any(context.header_lists), context.header_lists
+
+
 @when("the held requests are answered")
 def when_released(context):
     context.edge.release()
--- a/features/transport/http2_limits.feature
+++ b/features/transport/http2_limits.feature
@@ -37,6 +37,14 @@
     When the held requests are answered
     Then the caller's next request over HTTP/2 is served
 
+  # A refusal that waits to be sent would keep the header list of each connection's client.
+  Scenario: The header lists of refused requests over HTTP/2 are freed before the refusals are sent
+    Given an edge with memory for 2 requests over HTTP/2
+    When a caller over HTTP/2 sends 3 requests at once whose answers are held
+    And it sends one more with its body
+    Then the last two are answered 503, and 2 requests were run
+    And no received header list was in memory while bytes were sent
+
   # Callers cancel what they no longer need.
   Scenario: A connection whose client resets many of its requests beside served ones is kept
     Given an edge with memory for 10 requests over HTTP/2
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -107,6 +107,13 @@
         await super()._handle_events(left if dropped else events)
 
     async def _create_stream(self, request: RequestReceived) -> None:
+        try:
+            await self._run_or_refuse(request)
+        finally:
+            # The event is kept until all bytes are sent, which may have to wait for the client.
+            request.headers = []
+
+    async def _run_or_refuse(self, request: RequestReceived) -> None:
         stream = request.stream_id
         assert stream is not None and request.headers is not None
         methods = [value.upper() for name, value in request.headers if name == b":method"]
