--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -1,7 +1,6 @@
 """Serves HTTP on trio, guarded connection by connection.
 
-The guard bounds the number of connections: at the limit the connection that is idle longest makes
-room, so that nobody's idle connections lock others out. A fault on a connection ends that one only.
+The guard bounds the number of connections. A fault on a connection ends that one only.
 HTTP/1.1 is served by ``http1_connection``. A client that speaks HTTP/2, by TLS's negotiation or
 from its first bytes, is served by hypercorn; hypercorn's own ``serve`` isn't used, as a DATA frame
 for a stream that is already answered raises ``KeyError`` there and would end the process. The
@@ -14,7 +13,7 @@
 import ssl
 from collections.abc import Sequence
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import trio
 from msgspec import Struct, field
@@ -30,13 +29,10 @@
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
+from limelever.transport.open_connections import OpenConnection, OpenConnections, Stream
 from limelever.transport.streams import client_name, reason_of
 from limelever.transport.unread_responses import UnreadPool
 
-if TYPE_CHECKING:
-    from limelever.transport.http2_connection import Http2Connection
-
-Stream = trio.SocketStream | trio.SSLStream[trio.SocketStream]
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
 
 HANDSHAKE_SECONDS = 10.0
@@ -125,20 +121,6 @@
         connections.cancel_scope.deadline = trio.current_time() + options.stop_limit
 
 
-class _Place:
-    """One of the listener's connections, from before it is known which protocol it speaks."""
-
-    def __init__(self, stream: Stream) -> None:
-        self.stream = stream
-        self.connection: Http1Connection | Http2Connection | None = None
-        self._since = trio.current_time()
-
-    @property
-    def idle_since(self) -> float | None:
-        """Return since when no request is under way, ``None`` while one is."""
-        return self._since if self.connection is None else self.connection.idle_since
-
-
 class _Guard:
     """Serves each connection and keeps its faults to it."""
 
@@ -147,7 +129,7 @@
         self._application = reporting(service.application)
         self._options = options
         self._nursery = nursery
-        self._open: set[_Place] = set()
+        self._open = OpenConnections(options.connection_limit, self._report_limit)
         self._stopping = False
         self._requests = RequestMemory()
         open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
@@ -156,66 +138,42 @@
     async def stop(self) -> None:
         """End each connection after what is under way on it."""
         self._stopping = True
-        for place in tuple(self._open):
-            connection = place.connection
-            if isinstance(connection, Http1Connection):
-                connection.stop()
-            elif connection is not None:
-                await connection.stop()
+        await self._open.stop()
 
     async def run(self, accepted: Accepted[Stream]) -> None:
         """Serve one connection to its end."""
-        stream = accepted.stream
-        replaced = None
-        if len(self._open) >= self._options.connection_limit:
-            replaced = self._longest_idle()
-            self._report_limit(stream if replaced is None else replaced.stream)
-            if replaced is None:
-                await trio.aclose_forcefully(stream)
-                return
-            self._open.discard(replaced)
-        place = _Place(stream)
-        self._open.add(place)
+        connection = OpenConnection(accepted.stream)
         try:
-            if replaced is not None:
-                await trio.aclose_forcefully(replaced.stream)
-            await self._serve(place)
+            if await self._open.admit(connection):
+                await self._serve(connection)
         finally:
-            self._open.discard(place)
-
-    def _longest_idle(self) -> _Place | None:
-        """Return the connection that is idle longest, if any is."""
-        idle = [(each.idle_since, each) for each in self._open if each.idle_since is not None]
-        return min(idle, key=lambda pair: pair[0])[1] if idle else None
-
-    def _report_limit(self, stream: Stream) -> None:
-        fields: dict[str, object] = {
-            "client": client_name(stream),
-            "limit": self._options.connection_limit,
-        }
+            self._open.discard(connection)
+
+    def _report_limit(self, closed: OpenConnection, limit: int) -> None:
+        fields: dict[str, object] = {"client": client_name(closed.stream), "limit": limit}
         write_event(self._options.limit_event, fields)
 
-    async def _serve(self, place: _Place) -> None:
+    async def _serve(self, connection: OpenConnection) -> None:
         try:
-            await self._serve_protocol(place)
+            await self._serve_protocol(connection)
         except* Exception as group:
-            client = client_name(place.stream)
-            await trio.aclose_forcefully(place.stream)
+            client = client_name(connection.stream)
+            await trio.aclose_forcefully(connection.stream)
             self._report_failure(client, _first_reason(group))
 
     def _report_failure(self, client: str, reason: str) -> None:
         write_event(self._options.failed_event, {"client": client, "reason": reason})
 
-    async def _serve_protocol(self, place: _Place) -> None:
-        stream = place.stream
+    async def _serve_protocol(self, connection: OpenConnection) -> None:
+        stream = connection.stream
         if isinstance(stream, trio.SSLStream):
             with trio.fail_after(HANDSHAKE_SECONDS):
                 await stream.do_handshake()
             if stream.selected_alpn_protocol() == _ALPN_HTTP_2:
-                await self._serve_http2(place, b"")
+                await self._serve_http2(connection, b"")
                 return
         service = self._service
-        connection = Http1Connection(
+        http1 = Http1Connection(
             stream,
             service.handler,
             service.limits,
@@ -223,30 +181,30 @@
             service.heads,
             service.unread,
         )
-        place.connection = connection
+        connection.served_by = http1
         if self._stopping:
-            connection.stop()
-        preface = await connection.run()
+            http1.stop()
+        preface = await http1.run()
         if preface:
-            await self._serve_http2(place, preface)
+            await self._serve_http2(connection, preface)
 
-    async def _serve_http2(self, place: _Place, received: bytes) -> None:
+    async def _serve_http2(self, connection: OpenConnection, received: bytes) -> None:
         # hypercorn and h2 are dear to import, and most processes never meet HTTP/2.
         from limelever.transport.http2_connection import Http2Connection
 
-        connection = Http2Connection(
+        http2 = Http2Connection(
             self._application,
             self._service.limits,
-            place.stream,
+            connection.stream,
             received,
             self._requests,
             partial(self._service.handler.render, NO_MEMORY),
-            partial(self._report_failure, client_name(place.stream)),
+            partial(self._report_failure, client_name(connection.stream)),
         )
-        place.connection = connection
+        connection.served_by = http2
         if self._stopping:
-            await connection.stop()
-        await connection.run()
+            await http2.stop()
+        await http2.run()
 
 
 def _first_reason(group: BaseExceptionGroup[BaseException]) -> str:
