Limit the connections over HTTP/2 of a listener

What callers would see: a node that some thousand HTTP/2 clients take over its memory, idle or with a header block that doesn't end, within all limits of a connection.

The cause: a connection over HTTP/2 costs many times that of another, some 46 kB when idle, and 64 kB more for the header block that the library keeps until it is whole; only the number of all connections was limited, to 3,000. Now a listener has 256 over HTTP/2; at the limit the one that is idle longest makes room, as at the other limit. The users' clients speak HTTP/1.1, and one connection carries a whole client process's requests.

--- a/features/platform/protocol_crowds.feature
+++ b/features/platform/protocol_crowds.feature
@@ -24,6 +24,13 @@
       | empty DATA frames without end                   | 150   |
       | responses that are not read                     | 60    |
 
+  # Each connection has a cost of its own besides what its client sends.
+  Scenario: Many HTTP/2 clients whose header blocks do not end
+    Given a control process and a node of the platform with 120 MB of memory
+    When 1000 HTTP/2 clients send a header block that does not end to the listener for callers
+    Then the process lives, and stayed within 100 MB and 1200 descriptors
+    And an ordinary request, a reading of the configuration and of the readiness are answered
+
   Scenario Outline: HTTP/2 clients of the control interface: <form>
     Given a control process and a node of the platform with 120 MB of memory
     When <crowd> HTTP/2 clients send <form> to the listener for control interface
--- a/features/steps/http2_caller.py
+++ b/features/steps/http2_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
 import h2.connection
@@ -64,6 +65,12 @@
                 return NO_STATUS
         return self.statuses[stream]
 
+    def is_open(self) -> bool:
+        """Return whether the edge answers a request, rather than having closed."""
+        with contextlib.suppress(OSError):
+            return self.status(self.send("/")) != NO_STATUS
+        return False
+
     def _receive(self) -> bool:
         """Handle what the edge sent; return whether the connection goes on."""
         data = self._client.socket.recv(65536)
--- a/features/steps/http2_limit_steps.py
+++ b/features/steps/http2_limit_steps.py
@@ -193,3 +193,28 @@
 @then("the caller's next request over HTTP/2 is served")
 def then_next(context):
     assert context.caller.status(context.caller.send("/")) == OK
+
+
+@given("a callers' listener with {count:d} connections over HTTP/2")
+def given_http2_connections(context, count):
+    patch = mock.patch("limelever.transport.http_guard.HTTP2_CONNECTIONS", count)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    start_edge(context)
+
+
+@when("{count:d} callers over HTTP/2 are each served and keep their connections")
+def when_http2_kept(context, count):
+    context.callers = []
+    for _ in range(count):
+        caller = Http2Caller(context.edge.server.address)
+        context.add_cleanup(caller.close)
+        assert caller.status(caller.send("/")) == OK
+        context.callers.append(caller)
+
+
+@then("only the first of these callers over HTTP/2 has lost its connection")
+def then_first_http2_lost(context):
+    assert not context.callers[0].is_open()
+    for caller in context.callers[1:]:
+        assert caller.status(caller.send("/")) == OK
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -84,6 +84,14 @@
     And the callers' listener logs 4032
     And only the first of these callers has lost its connection
 
+  # A connection over HTTP/2 costs many times the memory of another.
+  Scenario: At the limit on connections over HTTP/2 the one that is idle longest makes room
+    Given a callers' listener with 2 connections over HTTP/2
+    When 3 callers over HTTP/2 are each served and keep their connections
+    Then the callers' listener logs 4032
+    And only the first of these callers over HTTP/2 has lost its connection
+    And the callers' listener answers another caller
+
   Scenario: A call in flight is never cut to make room
     Given a callers' listener with 2 connections
     When 2 callers have a call in flight
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -26,7 +26,7 @@
 from limelever.transport.head_reservation import HeadPool
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
 from limelever.transport.http2_requests import NO_MEMORY, RequestMemory
-from limelever.transport.http_limits import HttpLimits
+from limelever.transport.http_limits import HTTP2_CONNECTIONS, HttpLimits
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.open_connections import OpenConnection, OpenConnections, Stream
@@ -130,6 +130,7 @@
         self._options = options
         self._nursery = nursery
         self._open = OpenConnections(options.connection_limit, self._report_limit)
+        self._over_http2 = OpenConnections(HTTP2_CONNECTIONS, self._report_limit)
         self._stopping = False
         self._requests = RequestMemory()
         open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
@@ -189,6 +190,13 @@
             await self._serve_http2(connection, preface)
 
     async def _serve_http2(self, connection: OpenConnection, received: bytes) -> None:
+        try:
+            if await self._over_http2.admit(connection):
+                await self._run_http2(connection, received)
+        finally:
+            self._over_http2.discard(connection)
+
+    async def _run_http2(self, connection: OpenConnection, received: bytes) -> None:
         # hypercorn and h2 are dear to import, and most processes never meet HTTP/2.
         from limelever.transport.http2_connection import Http2Connection
 
--- a/src/limelever/transport/http_limits.py
+++ b/src/limelever/transport/http_limits.py
@@ -16,6 +16,12 @@
 STREAMS_PER_CONNECTION = 100
 """Requests at a time on an HTTP/2 connection, as RFC 9113 (section 6.5.2) recommends at least."""
 
+HTTP2_CONNECTIONS = 256
+"""Connections over HTTP/2 at a listener, of up to some 110 kB each with an incomplete header block.
+
+One connection carries the requests of a whole client process.
+"""
+
 
 class HttpLimits(Struct, frozen=True):
     """Bounds of a connection, in bytes and seconds.
