Free the memory of connections when they end, not at a garbage collection

What callers would see: clients whose connections are closed and that connect again take a node or a control process over its memory, though never more than 60 are open.

The cause: an ended connection and its reader, reservations and writer, and over HTTP/2 the library's protocol and the application's wrapper, refer to each other. Some 100 to 1,500 objects for each connection over HTTP/2 (19 to 150 kB of containers alone) and some ten over HTTP/1.1 were kept until a collection of old objects, of which there may be a hundred collections of young ones before.

The connection drops what refers back to it when it has ended; a writer that ends later finds it ended.

released_bodies.feature: 5 connections over HTTP/2 that end in each of four ways, and those of its five scenarios over HTTP/1.1, leave no object of their modules to a collection; all nine failed before.

--- a/features/steps/released_body_steps.py
+++ b/features/steps/released_body_steps.py
@@ -6,11 +6,14 @@
 import gc
 import socket
 import sys
+from collections import Counter
 from collections.abc import Iterator
 
 import trio
 from behave import then, when
+from hpack import Encoder
 from http_server import HttpClient
+from hyperframe.frame import HeadersFrame, SettingsFrame
 from transport_edge_steps import LARGE, EdgeServer
 from transport_server import wait_for
 
@@ -26,6 +29,9 @@
 TIMEOUT_SECONDS = 10.0
 SHORT_TIMEOUT_SECONDS = 0.3
 BODY = bytes(MEBIBYTE)
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+REQUEST_FIELDS = [(":method", "POST"), (":path", "/"), (":scheme", "http"), (":authority", "a")]
+CONNECTION_MODULES = ("h2.", "hpack.", "hypercorn.", "limelever.")
 
 
 @contextlib.contextmanager
@@ -150,7 +156,44 @@
     client.socket.recv(1)
 
 
+def send_headers(client: HttpClient, fields: int, streams: int, *flags: str) -> None:
+    """Send the heads of requests over HTTP/2."""
+    block = Encoder().encode([*REQUEST_FIELDS, *(("a", "b") for _ in range(fields))])
+    frames = (
+        HeadersFrame(2 * number + 1, block, flags=("END_HEADERS", *flags))
+        for number in range(streams)
+    )
+    client.send(PREFACE + SettingsFrame(0).serialize())
+    client.send(b"".join(frame.serialize() for frame in frames))
+
+
+def be_served_over_http2(client: HttpClient) -> None:
+    send_headers(client, 1, 1, "END_STREAM")
+    while client.socket.recv(65536).find(b"answer") < 0:
+        pass
+
+
+def leave_within_requests(client: HttpClient) -> None:
+    send_headers(client, fields=1, streams=10)
+    client.socket.recv(65536)
+
+
+def exceed_header_list(client: HttpClient) -> None:
+    send_headers(client, fields=4000, streams=1)
+    client.wait_closed()
+
+
+def break_frame(client: HttpClient) -> None:
+    send_headers(client, fields=1, streams=1)
+    client.send(HeadersFrame(3, b"\xff" * 8, flags=("END_HEADERS",)).serialize())
+    client.wait_closed()
+
+
 ACTS = {
+    "are served over HTTP/2 and leave": be_served_over_http2,
+    "leave within requests over HTTP/2": leave_within_requests,
+    "exceed the limit on headers over HTTP/2": exceed_header_list,
+    "break a frame over HTTP/2": break_frame,
     "send requests of 1 MiB and leave": send_request,
     "leave within a body of 1 MiB": leave_within_body,
     "send a body over the limit": send_over_limit,
@@ -182,3 +225,10 @@
 def then_nothing_held(context):
     held = bodies_held_by(context.garbage)
     assert not held, held
+
+
+@then("no object of a connection awaits a collection")
+def then_no_object(context):
+    names = (f"{type(each).__module__}.{type(each).__name__}" for each in context.garbage)
+    kept = Counter(name for name in names if name.startswith(CONNECTION_MODULES))
+    assert not kept, kept
--- a/features/transport/released_bodies.feature
+++ b/features/transport/released_bodies.feature
@@ -17,6 +17,7 @@
   Scenario Outline: A caller's request is not kept after its connection
     When <count> callers <act>, without garbage collections
     Then no object that awaits a collection holds a body
+    And no object of a connection awaits a collection
 
     Examples:
       | count | act                                  |
@@ -25,3 +26,15 @@
       | 5     | send a body over the limit           |
       | 5     | leave before they have read 4 MiB    |
       | 5     | send a chunked body of 1 MiB         |
+
+  # Connections of clients that come and go would fill the memory until a collection of old objects.
+  Scenario Outline: Nothing of a connection over HTTP/2 is kept after its end
+    When <count> callers <act>, without garbage collections
+    Then no object of a connection awaits a collection
+
+    Examples:
+      | count | act                                     |
+      | 5     | are served over HTTP/2 and leave        |
+      | 5     | leave within requests over HTTP/2       |
+      | 5     | exceed the limit on headers over HTTP/2 |
+      | 5     | break a frame over HTTP/2               |
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -128,6 +128,8 @@
             self._writer.close()
             self.count_untaken(-self._untaken)
             self._ended = True
+            # They refer back to the connection, and would be kept until a garbage collection.
+            del self._reader, self._heads, self._writer
             if not self._handed_over:
                 await close_at_once(self.stream)
         return b""
@@ -382,8 +384,9 @@
             self._handler.count_untaken(size)
 
     def all_written(self) -> None:
-        """Update the deadline."""
-        self._settle()
+        """Update the deadline, unless the connection has ended."""
+        if not self._ended:
+            self._settle()
 
     def write_failed(self) -> None:
         """End the connection."""
--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -66,6 +66,13 @@
 
     async def run(self) -> None:
         """Serve until the connection ends; TLS has agreed on the protocol already."""
+        try:
+            await self._run()
+        finally:
+            # It refers back to the connection, which would be kept until a garbage collection.
+            del self.app
+
+    async def _run(self) -> None:
         tls = isinstance(self.stream, trio.SSLStream)
         socket = (self.stream.transport_stream if tls else self.stream).socket
         try:
@@ -102,6 +109,7 @@
         finally:
             await self._close()
             protocol.dispose()
+            del self.protocol
 
     async def stop(self) -> None:
         """Close the connection after the requests in progress, at once if there are none."""
