--- a/features/platform/protocol_crowds.feature
+++ b/features/platform/protocol_crowds.feature
@@ -1,4 +1,4 @@
-@fleet
+@crowd
 Feature: Clients that break the limits of HTTP/2 or of links end no process by memory or descriptors
 
   Scenario Outline: HTTP/2 clients of the callers' listener: <form>
--- a/features/platform/unruly_clients.feature
+++ b/features/platform/unruly_clients.feature
@@ -1,4 +1,4 @@
-@fleet
+@crowd
 Feature: Clients outside the limits end no process
 
   The connections are few, as the settings state a machine with little memory.
--- a/src/limelever_lab/testrun.py
+++ b/src/limelever_lab/testrun.py
@@ -1,10 +1,10 @@
 """Runs every check of the repository: formatter, linter, types and all features.
 
 Called by ``make test``, and so by CI. At most five jobs run at once, two of them with a fleet of
-processes, so that they fit on eight cores; what they print comes in a fixed order. The last line
-is ``N passed, N failed``: each of formatter, linter and type checker counts as one, and so does
-each scenario. Scenarios named in ``KNOWN-RED.txt`` are passed over and printed; one that is
-skipped in any other way counts as failed.
+processes and one with a crowd of clients, so that they fit on eight cores; what they print comes in
+a fixed order. The last line is ``N passed, N failed``: each of formatter, linter and type checker
+counts as one, and so does each scenario. Scenarios named in ``KNOWN-RED.txt`` are passed over and
+printed; one that is skipped in any other way counts as failed.
 """
 
 from __future__ import annotations
@@ -33,12 +33,16 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FLEET_JOBS_AT_ONCE = 2
-OTHER_JOBS_AT_ONCE = 3
+CROWD_JOBS_AT_ONCE = 1
+OTHER_JOBS_AT_ONCE = 2
 JOB_LIMIT_SECONDS = 450
 LATE_STATUS = 124
 FLEET_TAG = "@fleet"
+CROWD_TAG = "@crowd"
+"""A feature with crowds of clients that break limits; two at once would slow each other down."""
 SLOW_TAG = "@slow"
 """A feature that takes minutes: a job by itself, and begun first, so that none runs on alone."""
+TAGS = (FLEET_TAG, CROWD_TAG, SLOW_TAG)
 CHECKS = (
     ("ruff format", ("ruff", "format", "--check", ".")),
     ("ruff check", ("ruff", "check", ".")),
@@ -49,12 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Room:
-    """Features that run as one job: a folder's, or one that is slow or has a fleet of its own."""
+    """Features that run as one job: a folder's, or a feature with a tag."""
 
     name: str
     features: tuple[Path, ...]
-    has_fleet: bool = False
-    is_slow: bool = False
+    tag: str = ""
 
 
 def run_command(arguments: Sequence[str], limit: float = JOB_LIMIT_SECONDS) -> CommandResult:
@@ -98,7 +101,7 @@
     folders = {path.parent for path in (ROOT / "features").rglob("*.feature")}
     for folder in sorted(folders):
         rooms += _rooms_of(folder)
-    return sorted(rooms, key=lambda room: (not room.is_slow, room.name))
+    return sorted(rooms, key=lambda room: (room.tag != SLOW_TAG, room.name))
 
 
 def _rooms_of(folder: Path) -> list[Room]:
@@ -106,10 +109,9 @@
     rooms: list[Room] = []
     rest: list[Path] = []
     for path in sorted(folder.glob("*.feature")):
-        tags = path.read_text().split()
-        has_fleet, is_slow = FLEET_TAG in tags, SLOW_TAG in tags
-        if has_fleet or is_slow:
-            rooms.append(Room(f"{name}/{path.stem}", (path,), has_fleet, is_slow))
+        tag = path.read_text().split()[0]
+        if tag in TAGS:
+            rooms.append(Room(f"{name}/{path.stem}", (path,), tag))
         else:
             rest.append(path)
     return [Room(name, tuple(rest)), *rooms] if rest else rooms
@@ -130,13 +132,14 @@
     """Run all jobs and return their results in a fixed order."""
     with (
         ThreadPoolExecutor(FLEET_JOBS_AT_ONCE) as with_fleet,
-        ThreadPoolExecutor(OTHER_JOBS_AT_ONCE) as without,
+        ThreadPoolExecutor(CROWD_JOBS_AT_ONCE) as with_crowd,
+        ThreadPoolExecutor(OTHER_JOBS_AT_ONCE) as others,
     ):
+        by_tag = {FLEET_TAG: with_fleet, CROWD_TAG: with_crowd, SLOW_TAG: others}
         rooms = [
-            (with_fleet if room.has_fleet else without).submit(run_room, room, known_red)
-            for room in find_rooms()
+            by_tag.get(room.tag, others).submit(run_room, room, known_red) for room in find_rooms()
         ]
-        checks = [without.submit(run_check, name, command) for name, command in CHECKS]
+        checks = [others.submit(run_check, name, command) for name, command in CHECKS]
         results = [job.result() for job in (*checks, *rooms)]
     return [*results, check_known_red(known_red, results)]
 
