--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -139,8 +139,8 @@
     assert len(heads) > 1 and closing == [False] * (len(heads) - 1) + [True], heads
 
 
-@then("the refused ones were told not run, with a time to come back")
-def then_told_not_run(context):
+@then("the refused requests are marked as not run, with a Retry-After header")
+def then_marked_not_run(context):
     refused = context.received.split(b"HTTP/1.1 ")[2:]
     assert all(b"x-limelever-outcome: not-run" in head for head in refused), refused
     assert all(b"retry-after: " in head for head in refused), refused
--- a/features/transport/pipelining.feature
+++ b/features/transport/pipelining.feature
@@ -41,7 +41,7 @@
     And the oldest of these requests is answered
     Then that caller gets the statuses 200, 503 and 503, and the connection ends
     And only the last of these answers said that the connection ends
-    And the refused ones were told not run, with a time to come back
+    And the refused requests are marked as not run, with a Retry-After header
     And the callers' listener has run 1 requests
 
   Scenario: What had begun when the listener leaves is answered, and only the last answer closes
--- a/src/limelever/common/stop_rule.py
+++ b/src/limelever/common/stop_rule.py
@@ -27,8 +27,8 @@
 
     A call that is still running when the process gives its last answers is cut off, and its caller
     can't tell whether it ran. So a call is taken only if its deadline comes before, or if calls of
-    its kind have lately ended in less time. The latter counts only while the process listens:
-    what comes afterwards is rare, and nothing corrects the choice any more.
+    its kind recently ended in less time. The latter counts only while the process listens: later
+    calls are too rare to correct a wrong estimate.
     """
 
     def __init__(self) -> None:
--- a/src/limelever/storage/sync_marks.py
+++ b/src/limelever/storage/sync_marks.py
@@ -49,8 +49,7 @@
 def marked_records(data: bytes, position: int) -> list[tuple[int, int]]:
     """Return begin and end of what may be records with a mark, from ``position`` on.
 
-    The mark itself is checked by nothing but its position: whoever reads the record has to verify
-    its checksums.
+    Only the offset in the mark is checked: the caller has to verify the checksums of the records.
     """
     found: list[tuple[int, int]] = []
     begin = data.find(_PREFIX, position)
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -45,8 +45,8 @@
 class Http2Protocol(H2Protocol):
     """The protocol of one connection.
 
-    ``refuse`` returns the response of a request that isn't run as ``memory`` has no room for it;
-    whoever runs the others releases their memory.
+    ``refuse`` returns the response of a request that isn't run as ``memory`` has no room for it.
+    The application releases the memory of each request that it runs.
     ``report`` is called with the reason before a connection is closed for what its client sends.
     """
 
@@ -84,7 +84,7 @@
             await self._end(self._guard.reason)
 
     async def _end(self, reason: str) -> None:
-        """Close the connection; the client is told that it asks for too much."""
+        """Close the connection with the error code ENHANCE_YOUR_CALM."""
         self._report(reason)
         with suppress(ProtocolError):
             self.connection.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -197,7 +197,7 @@
             self._over_http2.discard(connection)
 
     async def _run_http2(self, connection: OpenConnection, received: bytes) -> None:
-        # hypercorn and h2 are dear to import, and most processes never meet HTTP/2.
+        # Importing hypercorn and h2 is slow, and most processes never serve HTTP/2.
         from limelever.transport.http2_connection import Http2Connection
 
         http2 = Http2Connection(
--- a/src/limelever/transport/log_stream.py
+++ b/src/limelever/transport/log_stream.py
@@ -1,7 +1,7 @@
-"""Writes log lines to a descriptor without ever waiting for whoever reads them.
+"""Writes log lines to a descriptor without blocking on its reader.
 
-A pipe that nobody reads fills up. What it does not take is held up to a bound; lines beyond that
-are dropped, counted, and told of once there is room again.
+Lines that don't fit into a full pipe are buffered up to a limit. Lines beyond it are dropped and
+counted, and the count is logged once there is room again.
 """
 
 from __future__ import annotations
@@ -12,11 +12,11 @@
 from collections.abc import Callable
 
 HELD_BYTES_LIMIT = 256 * 1024
-"""Bytes of lines that wait for a full pipe."""
+"""Bytes of lines that are buffered for a full pipe."""
 
 
 class LogStream:
-    """Lines to one descriptor; ``dropped_line`` makes the line that tells of dropped ones."""
+    """Lines to one descriptor; ``dropped_line`` formats the line that reports dropped ones."""
 
     def __init__(self, descriptor: int, dropped_line: Callable[[int], str]) -> None:
         self._descriptor = descriptor
--- a/src/limelever/transport/process.py
+++ b/src/limelever/transport/process.py
@@ -48,8 +48,8 @@
 """Objects made and not freed between two collections; Python's own 700 is a call's worth or two."""
 
 FINAL_ANSWERS_SECONDS = 0.2
-"""Before the limit of a stop, whoever still waits is answered: a choice, some round trips and turns
-of a busy process, so that the answers leave before the process does."""
+"""Time before the limit of a stop at which open requests are answered, so that the responses are
+sent before the process ends."""
 
 
 class ProcessFailedError(Exception):
@@ -185,7 +185,7 @@
         self.nursery.start_soon(enforce_stop_limit, self)
 
     def abort(self) -> None:
-        """End the process at once, after the callbacks of ``on_abort`` answered whoever waits.
+        """End the process at once, after the callbacks of ``on_abort`` answered all open requests.
 
         They are called here and are no tasks of their own: a process that was held up finds all
         its deadlines passed at once, and which of its tasks runs first is not known.
--- a/src/limelever/transport/process_signals.py
+++ b/src/limelever/transport/process_signals.py
@@ -52,7 +52,7 @@
             elif number == signal.SIGINT:
                 process.abort()
                 return
-            # Another SIGTERM changes nothing: whoever manages the process may ask twice.
+            # A process manager may send SIGTERM more than once.
 
 
 def ignore_sigterm() -> None:
