Reword docstrings, comments and log texts of the publisher

The docstrings used words that the field doesn't: herds, news, turns to come back at, subscribers that are told or sent away. They now say admission, retry time, heartbeat, refuse, batch, downstream and upstream.

No test quotes these texts. Identifiers, reasons of failures and texts on the wire stay.

--- a/src/limelever/publisher/__init__.py
+++ b/src/limelever/publisher/__init__.py
@@ -1,1 +1,1 @@
-"""The publishing end of configuration distribution, shared by source and relay."""
+"""The publisher side of configuration distribution, shared by source and relay."""
--- a/src/limelever/publisher/admission.py
+++ b/src/limelever/publisher/admission.py
@@ -1,4 +1,4 @@
-"""Admission of reconnects: a token bucket whose refusals come with a turn to come back at."""
+"""Admission control of reconnecting subscribers: a token bucket that assigns retry times."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 
 class Admission:
-    """Bounds the subscriptions answered a second; times and delays are in seconds.
+    """Limits the subscriptions answered per second; times and delays are in seconds.
 
-    Those turned away queue up in time: each refusal is given the next free turn, so that a herd
-    comes back spread over as long as the publisher needs for it, without any randomness here.
+    Each refusal is assigned the next free time slot, so that the retries of many subscribers are
+    spread over the time that the publisher needs for them, without randomness.
     """
 
     def __init__(self, rate: float, burst: float, retry_after_limit: float) -> None:
@@ -22,7 +22,7 @@
         self._next_turn = 0.0
 
     def admit(self, cost: float, now: float) -> float | None:
-        """Return ``None`` when admitted, else the delay after which to come back."""
+        """Return ``None`` when admitted, else the delay after which to retry."""
         self._refill(now)
         if self._tokens >= cost:
             self._tokens -= cost
--- a/src/limelever/publisher/core.py
+++ b/src/limelever/publisher/core.py
@@ -52,8 +52,8 @@
 class PublisherCore:
     """Component of the source's and the relay's core; sans-io like them.
 
-    The host passes on every event of links with purpose ``subscription`` that it accepted,
-    carries out or passes on the outputs, and answers ``FreshnessNeeded``.
+    The host passes on every event of accepted links with purpose ``subscription``, carries out or
+    passes on the outputs, and handles ``FreshnessNeeded``.
     """
 
     def __init__(self, settings: PublisherSettings) -> None:
@@ -86,7 +86,7 @@
         }
 
     def __len__(self) -> int:
-        """Return how many subscribers have an open link."""
+        """Return the number of subscribers with an open link."""
         return len(self._sessions)
 
     @property
@@ -97,20 +97,20 @@
     def load(
         self, version: int, resources: Iterable[VersionedResource], now: float
     ) -> list[Output]:
-        """Hold a whole set at ``version``; until then subscribers wait or are sent away."""
+        """Load a whole set at ``version``; before the first one subscribers wait or are refused."""
         outputs = self._moved(self._table.load(version, resources), now)
         return [*outputs, *self._subscribing.load(now)]
 
     def advance(
         self, version: int, put: Iterable[VersionedResource], removed: Iterable[Key], now: float
     ) -> list[Output]:
-        """Move on to ``version``, which must be higher; at most one batch a ``batch_delay``."""
+        """Advance to a higher ``version``; sends at most one batch per ``batch_delay``."""
         if version <= self._table.version:
             raise ValueError(f"version {version} does not follow {self._table.version}")
         return self._moved(self._table.advance(version, put, removed), now)
 
     def handle(self, event: Event, now: float) -> list[Output]:
-        """Take a link event, a message or ``DeadlineReached``; others are ignored."""
+        """Handle a link event, a message or ``DeadlineReached``; other events are ignored."""
         if not _leaves_counts(event):
             self._sessions.counts_changed()
         match event:
@@ -128,7 +128,7 @@
         return []
 
     def proved_fresh(self, began: float, now: float) -> list[Output]:
-        """Note that the set held was current at time ``began``; answers those who asked."""
+        """Record that the set held was current at time ``began``; answers the waiting probes."""
         outputs: list[Output] = []
         for probe in self._proofs.proved(began):
             session = self._sessions.get(probe.connection)
@@ -144,7 +144,7 @@
         return rollout.by_zone(self._sessions.holders(self.version), version)
 
     def rollout_report(self) -> RolloutReport:
-        """Return the counts of all subscribers below, for the publisher above."""
+        """Return the counts of all downstream subscribers, for the upstream publisher."""
         return rollout.to_report(self._sessions.holders(self.version))
 
     def relays(self) -> tuple[str, ...]:
@@ -159,7 +159,7 @@
         return session.scope
 
     def shut_down(self, now: float) -> list[Output]:
-        """Tell every subscriber to move to another publisher at once, and close its link."""
+        """Ask every subscriber to change to another publisher at once, and close its link."""
         outputs: list[Output] = []
         for session in self._sessions:
             outputs.append(SendMessage(session.connection, RetryLater(reason=PLANNED_STOP)))
@@ -246,7 +246,7 @@
 
 
 def _leaves_counts(event: Event) -> bool:
-    """Return whether rollout counts stay as they are; probes are most of the traffic."""
+    """Return whether an event can't change the rollout counts; most messages are probes."""
     if isinstance(event, MessageReceived):
         return isinstance(event.message, FreshnessProbe)
     return isinstance(event, DeadlineReached)
--- a/src/limelever/publisher/events.py
+++ b/src/limelever/publisher/events.py
@@ -8,7 +8,7 @@
     3000, "subscribed", Level.DEBUG, "subscriber admitted", "peer", "held_version", "answer"
 )
 SUBSCRIBER_TURNED_AWAY = define(
-    3001, "subscriber-turned-away", Level.INFO, "subscriber told to come back", "peer", "reason"
+    3001, "subscriber-turned-away", Level.INFO, "subscriber asked to retry later", "peer", "reason"
 )
 PUBLISHER_BEHIND = define(
     3002,
@@ -26,11 +26,11 @@
     3004, "subscriber-slow", Level.INFO, "deltas are merged for a slow subscriber", "peer"
 )
 SUBSCRIBER_MISBEHAVED = define(
-    3005, "subscriber-misbehaved", Level.WARNING, "message out of turn", "peer", "message"
+    3005, "subscriber-misbehaved", Level.WARNING, "unexpected message", "peer", "message"
 )
 VERSION_PUBLISHED = define(
     3006, "version-published", Level.INFO, "version sent to subscribers", "version", "subscribers"
 )
 SNAPSHOT_SENT = define(
-    3007, "snapshot-sent", Level.DEBUG, "a subscriber is sent its whole scope", "peer", "version"
+    3007, "snapshot-sent", Level.DEBUG, "snapshot sent to a subscriber", "peer", "version"
 )
--- a/src/limelever/publisher/freshness.py
+++ b/src/limelever/publisher/freshness.py
@@ -1,4 +1,4 @@
-"""Proof that the publisher is current: probes gathered, one proof under way at a time."""
+"""Proof that the publisher is current: one at a time, shared by all waiting probes."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class FreshnessProofs:
-    """Gathers probes into few proofs: a storm of them costs the source one read index.
+    """Batches probes, so that many at once cost the source a single read index.
 
     Times are seconds of the host's monotonic clock.
     """
@@ -30,15 +30,15 @@
         self._began: float | None = None
 
     def wait(self, probe: WaitingProbe) -> None:
-        """Add a probe."""
+        """Add a probe that the next proof answers."""
         self._waiting.append(probe)
 
     def forget(self, connection: ConnectionId) -> None:
-        """Drop the probes of a link that is gone."""
+        """Remove the probes of a closed link."""
         self._waiting = [probe for probe in self._waiting if probe.connection != connection]
 
     def begin(self, now: float) -> FreshnessNeeded | None:
-        """Begin a proof, unless one is under way that has not timed out."""
+        """Begin a proof, unless one is in progress that has not timed out."""
         if self._began is not None and now < self._began + self._timeout:
             return None
         self._token += 1
@@ -50,7 +50,7 @@
         return self.begin(now) if self._waiting else None
 
     def proved(self, at: float) -> list[WaitingProbe]:
-        """Note a proof begun at ``at`` and return the probes that it answers."""
+        """Record a proof begun at ``at`` and return the probes that it answers."""
         if self._began is not None and at >= self._began:
             self._began = None
         if self.proved_at is None or at > self.proved_at:
@@ -64,7 +64,7 @@
         return None if self.proved_at is None else max(0.0, now - self.proved_at)
 
     def next_deadline(self) -> float | None:
-        """Return when a proof under way is to be begun again for those who wait."""
+        """Return when the proof in progress times out for the waiting probes, or ``None``."""
         if self._began is None or not self._waiting:
             return None
         return self._began + self._timeout
--- a/src/limelever/publisher/heartbeats.py
+++ b/src/limelever/publisher/heartbeats.py
@@ -1,7 +1,7 @@
-"""Heartbeats: at which version a subscriber's scope is right, when that is news to it.
+"""Heartbeats: the version at which a subscriber's scope is valid, sent when it has changed.
 
-Quiet links carry the subscribers' probes and their answers; from here they get one keep-alive
-in a long while, by which a machine that vanished without a word is found out.
+Idle links carry the subscribers' probes and their answers. The publisher adds an infrequent
+keep-alive, which detects machines that went away without closing their links.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 
 class Heartbeats:
-    """Tells of a new version at once after a pause, then at most once an ``interval``.
+    """Announces a new version at once after a pause, then at most once per ``interval``.
 
     Both durations and all times are in seconds.
     """
@@ -31,12 +31,12 @@
         self._keep_alive_at: float | None = None
 
     def start(self, now: float) -> None:
-        """Begin the interval of keep-alives, unless it has begun."""
+        """Start the keep-alive interval, unless it has been started."""
         if self._keep_alive_at is None:
             self._keep_alive_at = now + self._keep_alive
 
     def version_moved(self, now: float) -> None:
-        """Note that subscribers may have to be told of a version."""
+        """Record that a version may have to be announced to subscribers."""
         self._news.note(now)
 
     def next_deadline(self) -> float | None:
@@ -60,7 +60,7 @@
         return [self._told(session, heartbeat) for session in untold]
 
     def tell(self, session: Session, version: int) -> list[Output]:
-        """Tell one subscriber at once that its scope is right at ``version``, if that is news."""
+        """Send a heartbeat at once, unless the subscriber knows ``version`` or is outdated."""
         if session.told_version == version or not self._in_step(session):
             return []
         return [self._told(session, Heartbeat(version=version))]
@@ -84,7 +84,7 @@
 
 
 def freshness_answer(nonce: int, version: int, age: float | None) -> FreshnessAnswer:
-    """Return the answer to a probe; ``age`` in seconds, ``None`` when never proved."""
+    """Return the answer to a probe; ``age`` is in seconds, ``None`` without any proof."""
     if age is None:
         return FreshnessAnswer(nonce=nonce, version=version, unproved=True)
     return FreshnessAnswer(nonce=nonce, version=version, age_ms=_age_ms(age))
--- a/src/limelever/publisher/notices.py
+++ b/src/limelever/publisher/notices.py
@@ -1,4 +1,4 @@
-"""Outputs of the publisher that are meant for the core around it, not for the shell."""
+"""Outputs of the publisher for the core that contains it; the shell never gets them."""
 
 from __future__ import annotations
 
@@ -6,18 +6,18 @@
 
 
 class SubscriberAdmitted(Output, frozen=True):
-    """A subscriber was answered: from now on it has a scope."""
+    """A subscriber was admitted, and has a scope from now on."""
 
     connection: ConnectionId
 
 
 class FreshnessNeeded(Output, frozen=True):
-    """The host shall prove the publisher's configuration current.
+    """Asks the host to prove that the publisher's configuration is current.
 
-    The proof must begin after this output: the source asks for a read index and waits until it
-    has applied it, a relay probes its own publisher. When it succeeds the host calls
-    ``PublisherCore.proved_fresh(began, now)`` with ``began`` (seconds, monotonic) as given
-    here; when it fails the host does nothing, and the publisher asks again after a while.
+    The proof must begin after this output: the source requests a read index and waits until it
+    has applied it, a relay probes its own publisher. On success the host calls
+    ``PublisherCore.proved_fresh(began, now)`` with ``began`` (seconds, monotonic) as given here.
+    On failure it does nothing: the publisher asks again after ``proof_timeout`` while probes wait.
     """
 
     token: int
--- a/src/limelever/publisher/resources.py
+++ b/src/limelever/publisher/resources.py
@@ -1,4 +1,4 @@
-"""The publisher's resources with their indexes, and the window of its last versions."""
+"""The publisher's resources with their indexes, and the window of recent versions."""
 
 from __future__ import annotations
 
@@ -25,11 +25,11 @@
 UNLIMITED_BYTES = 1 << 62
 
 _VALUE_OVERHEAD_BYTES = 1024
-"""Memory of a kept value beside its content: the objects of its message, its key and its entry."""
+"""Memory of a kept value in addition to its content: message objects, key and dictionary entry."""
 
 
 class Step(Struct, frozen=True):
-    """One change of the table, with the former values of what it changed.
+    """One change of the table, with the former values of the changed resources.
 
     ``size`` is an estimate of the memory of these values, in bytes.
     """
@@ -41,11 +41,12 @@
 
 
 class ResourceTable:
-    """Every resource at the current version, and what changed since earlier ones.
+    """Every resource at the current version, and the changes since earlier versions.
 
-    The window keeps the former values of what changed, not whole sets; the earlier closure of any
-    scope follows from them. It has ``window`` versions at most, and ``window_bytes`` of values, but
-    always the last version. A subscriber behind it gets the whole set.
+    The window keeps the former values of changed resources, from which the earlier closure of any
+    scope is computed. It holds at most ``window`` versions and ``window_bytes`` of values, but
+    always the last version. A subscriber at a version before the window gets a snapshot, or is
+    asked for its inventory.
     """
 
     def __init__(self, window: int, window_bytes: int = UNLIMITED_BYTES) -> None:
@@ -71,7 +72,7 @@
         return self._resources.get(key)
 
     def dependents_of_service(self, service: str) -> Iterable[Key]:
-        """Return the keys of the routes to ``service`` and of its shares."""
+        """Return the keys of the routes to ``service``, its shares and its rollout."""
         return self._by_service.get(service, ())
 
     def routes_with_secret(self, secret: str) -> Iterable[Key]:
@@ -87,7 +88,7 @@
         return self._zone_drains
 
     def load(self, version: int, resources: Iterable[VersionedResource]) -> Step:
-        """Replace the whole set; the step holds only what differs."""
+        """Replace the whole set; the step holds only the differences."""
         incoming = {Key.of(versioned.resource): versioned for versioned in resources}
         removed = [key for key in self._resources if key not in incoming]
         return self.advance(version, incoming.values(), removed)
@@ -109,14 +110,14 @@
         return step
 
     def _shorten_window(self) -> None:
-        """Drop the oldest steps beyond the limits."""
+        """Remove the oldest steps beyond the limits."""
         while len(self._steps) > 1 and (
             len(self._steps) > self._window or self.window_size > self._window_bytes
         ):
             self.window_size -= self._steps.popleft().size
 
     def overlay_at(self, version: int) -> Overlay | None:
-        """Return what was different at ``version``, or ``None`` if the window is too short.
+        """Return how the resources at ``version`` differ, or ``None`` for one before the window.
 
         For a version within a step, which a relay may have skipped, the overlay is that of the
         step's start; the caller compares digests before relying on the result.
@@ -176,7 +177,7 @@
 
 
 def service_of(versioned: VersionedResource) -> str | None:
-    """Return the service that a route, a share or a rollout is of; ``None`` for other kinds."""
+    """Return the service of a route, share or rollout; ``None`` for other kinds."""
     kind = Key.of(versioned.resource).kind
     if kind == RESOURCE_KIND_ROUTE:
         return versioned.resource.route.service
--- a/src/limelever/publisher/rollout.py
+++ b/src/limelever/publisher/rollout.py
@@ -11,7 +11,7 @@
 
 
 class VersionHolders(Struct, frozen=True):
-    """Number of proxies and agents of one zone in which ``version`` is in force."""
+    """Number of proxies and agents of one zone at which ``version`` is in force."""
 
     zone: str
     version: int
@@ -19,7 +19,7 @@
 
 
 class ZoneHolders(Struct, frozen=True):
-    """Proxies and agents of one zone that hold at least a version, and those that lag."""
+    """Numbers of proxies and agents of one zone that hold at least a version, or lag behind it."""
 
     zone: str
     in_force: int
@@ -28,7 +28,7 @@
 
 
 def merge(counts: Iterable[VersionHolders]) -> tuple[VersionHolders, ...]:
-    """Return the counts with those of one zone and version added up, sorted."""
+    """Return the counts summed by zone and version, sorted."""
     totals: Counter[tuple[str, int]] = Counter()
     for count in counts:
         totals[(count.zone, count.version)] += count.holders
@@ -55,7 +55,7 @@
 
 
 def to_report(counts: Iterable[VersionHolders]) -> RolloutReport:
-    """Return the message in which a relay reports its counts up the tree."""
+    """Return the message in which a relay reports its counts upstream."""
     return RolloutReport(
         entries=[
             RolloutEntry(zone=count.zone, version=count.version, holders=count.holders)
--- a/src/limelever/publisher/scope.py
+++ b/src/limelever/publisher/scope.py
@@ -1,4 +1,4 @@
-"""Scopes: which part of the configuration a subscriber gets, and the closure of its needs."""
+"""Scopes: the part of the configuration that a subscriber gets, with its dependencies."""
 
 from __future__ import annotations
 
@@ -35,9 +35,10 @@
 class Scope(Struct, frozen=True):
     """The services a subscriber named, or everything; subscribers of one scope share a view.
 
-    ``tenants`` are all in scope or none: any caller may come to any proxy, and agents look at
-    no key. ``level`` is the feature level of the subscriber, at most the highest that a record
-    needs: kinds above it are out of scope, and subscribers of all higher levels share a view.
+    ``tenants`` is whether all tenants are in scope or none: any caller may use any proxy, and
+    agents don't check API keys. ``level`` is the feature level of the subscriber, at most the
+    highest that a record needs: kinds above it are out of scope, and subscribers of all higher
+    levels share a view.
     """
 
     services: frozenset[str] = frozenset()
@@ -60,20 +61,21 @@
         return self.everything and self.level >= HIGHEST_RECORD_LEVEL
 
     def reads(self, versioned: VersionedResource) -> bool:
-        """Return whether subscribers of this scope read resources of this kind."""
+        """Return whether subscribers of this scope support resources of this kind."""
         return level_of_resource(versioned.resource) <= self.level
 
 
 EVERYTHING_SCOPES = tuple(
     Scope(everything=True, level=level) for level in range(UNSTATED_LEVEL, HIGHEST_RECORD_LEVEL + 1)
 )
-"""The scopes of those that ask for everything, one for each level."""
+"""The scopes of subscribers to everything, one per feature level."""
 
 
 class ScopeDifference(Struct, frozen=True):
-    """What separates a scope's earlier closure from its current one.
+    """Difference between an earlier closure of a scope and its current one.
 
-    ``put`` entered or changed, ``removed`` left, ``former`` are the earlier values of both.
+    ``put`` are the resources added or changed, ``removed`` the keys removed, ``former`` the
+    earlier values of both.
     """
 
     put: tuple[VersionedResource, ...]
@@ -84,8 +86,8 @@
 def closure_now(scope: Scope, table: ResourceTable) -> Closure:
     """Return the scope's resources at the table's version.
 
-    These are the services named, the routes to them, their shares, the secrets those routes
-    need, the tenants where the scope has them, and all zone drains: nothing else.
+    These are the services named, the routes to them, their shares and rollouts, the secrets that
+    the routes use, the tenants if they are in scope, and all zone drains.
     """
     if scope.is_whole:
         return table.resources
@@ -122,8 +124,8 @@
 ) -> Closure:
     """Return the scope's resources at the earlier version that ``overlay`` describes.
 
-    A route or share whose value did not change since was in the scope then as it is now, so
-    only the current closure and the overlay need to be looked at.
+    A resource other than a secret that has not changed since was in the scope then too, so only
+    the current closure and the overlay are examined.
     """
     found = {
         key: held
@@ -144,14 +146,14 @@
 def difference(
     scope: Scope, table: ResourceTable, current: Closure, overlay: Overlay
 ) -> ScopeDifference:
-    """Return what separates the earlier version of ``overlay`` from the current closure."""
+    """Return the difference between the earlier version of ``overlay`` and the current closure."""
     if scope.everything:
         return _difference_of_everything(scope, current, overlay)
     return compare(closure_before(scope, table, current, overlay), current)
 
 
 def compare(earlier: Closure, current: Closure) -> ScopeDifference:
-    """Return what separates two closures; a value is unchanged when it is the same object."""
+    """Return the difference between two closures; a value is unchanged if it is the same object."""
     return ScopeDifference(
         put=tuple(held for key, held in current.items() if earlier.get(key) is not held),
         removed=tuple(key for key in earlier if key not in current),
--- a/src/limelever/publisher/sender.py
+++ b/src/limelever/publisher/sender.py
@@ -1,4 +1,4 @@
-"""Sends versions to subscribers: shared deltas, merged ones for the slow, snapshots."""
+"""Sends versions to subscribers: shared deltas, merged deltas for slow ones, and snapshots."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class Sender:
-    """Brings subscribers that follow a scope to the publisher's version."""
+    """Updates subscribers that follow a scope to the publisher's version."""
 
     def __init__(
         self, table: ResourceTable, sessions: Sessions, views: ScopeViews, outstanding: int
@@ -33,7 +33,7 @@
         self._outstanding = outstanding
 
     def flush(self) -> list[Output]:
-        """Send what has changed in every scope since the last flush."""
+        """Send the changes of every scope since the last flush."""
         outputs: list[Output] = []
         for view in self._views.take_dirty():
             outputs.extend(self._publish(view))
@@ -46,14 +46,14 @@
         return outputs
 
     def flush_view(self, view: ScopeView) -> list[Output]:
-        """Send what has changed in one scope, ahead of the others."""
+        """Send the changes of one scope ahead of the others."""
         if not view.dirty:
             return []
         self._views.clean(view.scope)
         return self._publish(view)
 
     def follow(self, session: Session) -> list[Output]:
-        """Let an up-to-date subscriber follow: a heartbeat tells it the version."""
+        """Let an up-to-date subscriber follow its scope, and send it the version in a heartbeat."""
         session.state = SessionState.FOLLOWING
         session.sent_version = self._table.version
         session.told_version = self._table.version
@@ -61,7 +61,7 @@
         return [SendMessage(session.connection, Heartbeat(version=self._table.version))]
 
     def send(self, session: Session, message: ConfigDelta | ConfigSnapshot) -> list[Output]:
-        """Send a delta or a snapshot to the publisher's version."""
+        """Send a delta or a snapshot that leads to the publisher's version."""
         session.sent(self._table.version)
         sent = SendMessage(session.connection, message)
         if isinstance(message, ConfigDelta):
@@ -70,7 +70,7 @@
         return [sent, LogEvent(events.SNAPSHOT_SENT, fields)]
 
     def catch_up(self, session: Session) -> list[Output]:
-        """Send a subscriber that had been slow what it missed, as one delta."""
+        """Send a subscriber that was slow the changes it missed, as one delta or a snapshot."""
         if session.state is not SessionState.FOLLOWING or self._is_slow(session):
             return []
         view = self._views.get(session.scope)
@@ -80,7 +80,7 @@
         return self.send(session, delta if delta is not None else view.snapshot())
 
     def rejected(self, session: Session) -> list[Output]:
-        """Answer a refused version with the whole set, or give up on the subscriber."""
+        """Answer a rejected version with a snapshot, or close the link after too many of them."""
         session.rejections += 1
         session.unacknowledged.clear()
         if session.rejections > REJECTION_LIMIT:
--- a/src/limelever/publisher/session.py
+++ b/src/limelever/publisher/session.py
@@ -1,4 +1,4 @@
-"""What the publisher knows of one subscriber."""
+"""State that the publisher keeps of one subscriber."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class SessionState(Enum):
-    """How far a subscription has come."""
+    """Phase of a subscription."""
 
     OPENED = auto()
     COMPARING = auto()
@@ -23,8 +23,8 @@
 class Session(Struct):
     """One subscriber.
 
-    ``sent_version`` is the version whose closure it was last sent, ``told_version`` the last
-    one it was told of by any message, ``in_force`` the last one known to be in force there.
+    ``sent_version`` is the version of the closure sent last, ``told_version`` the last one that
+    any message announced, ``in_force`` the last one known to be in force at the subscriber.
     ``unacknowledged`` are the versions sent and not yet acknowledged.
     """
 
@@ -42,18 +42,18 @@
 
     @property
     def counts_in_rollout(self) -> bool:
-        """Whether the subscriber is one that a rollout is about, not a publisher itself."""
+        """Whether the subscriber is a proxy or an agent, not a publisher itself."""
         return self.peer.role in (Role.PROXY, Role.AGENT)
 
     def sent(self, version: int) -> None:
-        """Note that a delta or snapshot to ``version`` was sent."""
+        """Record that a delta or snapshot to ``version`` was sent."""
         self.state = SessionState.FOLLOWING
         self.sent_version = version
         self.told_version = version
         self.unacknowledged.append(version)
 
     def acknowledge(self, version: int) -> None:
-        """Note that ``version`` is in force at the subscriber."""
+        """Record that ``version`` is in force at the subscriber."""
         while self.unacknowledged and self.unacknowledged[0] <= version:
             self.unacknowledged.popleft()
         self.in_force = max(self.in_force, min(version, self.sent_version))
--- a/src/limelever/publisher/sessions.py
+++ b/src/limelever/publisher/sessions.py
@@ -1,4 +1,4 @@
-"""All subscribers of a publisher, and the counts of what is in force at them."""
+"""All subscribers of a publisher, and counts of the versions in force at them."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Sessions:
-    """Subscribers by link, and those that follow a scope."""
+    """Subscribers by link and by scope."""
 
     def __init__(self, views: ScopeViews) -> None:
         self._views = views
@@ -28,7 +28,7 @@
         return len(self._sessions)
 
     def open(self, connection: ConnectionId, peer: Peer) -> None:
-        """Add a subscriber whose link is up."""
+        """Add a subscriber whose link has opened."""
         self._sessions[connection] = Session(connection, peer)
 
     def get(self, connection: ConnectionId) -> Session | None:
@@ -36,14 +36,14 @@
         return self._sessions.get(connection)
 
     def join(self, session: Session, scope: Scope) -> ScopeView:
-        """Let an admitted subscriber join its scope."""
+        """Add an admitted subscriber to a scope, and return the scope's view."""
         session.scope = scope
         session.state = SessionState.COMPARING
         self._by_scope.setdefault(scope, {})[session.connection] = session
         return self._views.join(scope)
 
     def remove(self, connection: ConnectionId) -> Session | None:
-        """Drop the subscriber on a link that is gone."""
+        """Remove and return the subscriber of a closed link, if it is known."""
         session = self._sessions.pop(connection, None)
         if session is None or session.state is SessionState.OPENED:
             return session
@@ -64,17 +64,18 @@
         return tuple(s for s in members if s.state is SessionState.FOLLOWING)
 
     def holders(self, version: int) -> tuple[VersionHolders, ...]:
-        """Return the counts of this publisher's own subscribers and those relays reported.
+        """Return the counts of the publisher's own subscribers and those reported by relays.
 
         ``version`` is the publisher's own: a subscriber that acknowledged the last change of
-        its scope holds that, whatever else has changed since. Kept until ``counts_changed``.
+        its scope counts as holding it, as later changes are outside of its scope. The result is
+        cached until ``counts_changed``.
         """
         if self._holders is None:
             self._holders = self._count_holders(version)
         return self._holders
 
     def counts_changed(self) -> None:
-        """Note that the holders are to be counted anew."""
+        """Invalidate the cached counts."""
         self._holders = None
 
     def _count_holders(self, version: int) -> tuple[VersionHolders, ...]:
--- a/src/limelever/publisher/settings.py
+++ b/src/limelever/publisher/settings.py
@@ -8,17 +8,17 @@
 
 
 class PublisherSettings(Struct, frozen=True):
-    """Bounds and intervals of a publisher.
+    """Limits and intervals of a publisher.
 
-    ``batch_delay`` is the least time between two batches of changes: one alone goes out at
-    once, those that follow are gathered. It trades convergence time for control bytes.
+    ``batch_delay`` is the minimum time between two batches of changes: the first change after a
+    pause is sent at once, later ones are batched. It trades convergence time for control traffic.
     ``window`` is the number of versions kept for deltas, within ``window_bytes`` of memory.
-    ``outstanding`` bounds the deltas sent to one subscriber and not yet acknowledged.
-    ``admission_rate`` (a second) and ``admission_burst`` bound the subscriptions answered with
-    configuration; those turned away are spread over at most ``retry_after_limit``. A publisher that
-    holds nothing yet lets subscribers wait for ``hold_empty`` before it sends them away.
-    ``heartbeat_interval`` is the least time between two heartbeats that announce new versions;
-    in quiet one goes out each ``keep_alive_interval``.
+    ``outstanding`` limits the deltas sent to one subscriber and not yet acknowledged.
+    ``admission_rate`` (per second) and ``admission_burst`` limit the subscriptions answered with
+    configuration; the retries of refused ones are spread over at most ``retry_after_limit``. A
+    publisher without configuration lets subscribers wait for ``hold_empty`` before it refuses them.
+    ``heartbeat_interval`` is the minimum time between two heartbeats that announce new versions;
+    a keep-alive is sent every ``keep_alive_interval``.
     """
 
     batch_delay: float = 0.05
--- a/src/limelever/publisher/subscribing.py
+++ b/src/limelever/publisher/subscribing.py
@@ -1,4 +1,4 @@
-"""The first exchange with a subscriber: nothing, a delta, an inventory, a snapshot, or later."""
+"""Admission of subscribers, and their update from the version that they hold."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 class _Held(Struct, frozen=True):
-    """A subscriber that waits until the publisher holds something, at most until ``until``."""
+    """A subscription that waits, at most until ``until``, for the publisher's first set."""
 
     session: Session
     message: Subscribe
@@ -44,10 +44,10 @@
 
 
 class Subscribing:
-    """Admits subscribers and brings each to the publisher's version at the least cost.
+    """Admits subscribers and updates each to the publisher's version at the lowest cost.
 
-    Those that come before the publisher holds anything may wait: after a restart of all, each sent
-    away would come back at a time of its own, later than need be.
+    Subscribers may wait while the publisher has no configuration: after a restart of the whole
+    system, retries at times of their own would take longer.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         return self._answer(session, message)
 
     def load(self, now: float) -> list[Output]:
-        """Answer those who waited: the publisher holds a set from now on."""
+        """Answer the waiting subscribers: the publisher holds a set from now on."""
         self._loaded = True
         held, self._held = self._held, {}
         return [
@@ -92,18 +92,18 @@
         ]
 
     def expire(self, now: float) -> list[Output]:
-        """Send those away who have waited for long enough."""
+        """Refuse the subscribers whose wait has ended."""
         over = [each for each in self._held.values() if each.until <= now]
         for each in over:
             del self._held[each.session.connection]
         return [output for each in over for output in _turn_away(each.session, PUBLISHER_EMPTY)]
 
     def forget(self, connection: ConnectionId) -> None:
-        """Forget a subscriber whose link is gone."""
+        """Remove a waiting subscriber whose link has closed."""
         self._held.pop(connection, None)
 
     def next_deadline(self) -> float | None:
-        """Return when the first of those who wait is to be sent away."""
+        """Return when the first waiting subscriber is to be refused, or ``None``."""
         return min((each.until for each in self._held.values()), default=None)
 
     def _hold(self, session: Session, message: Subscribe, now: float) -> list[Output]:
@@ -113,7 +113,7 @@
         return []
 
     def compare(self, session: Session, inventory: Inventory) -> list[Output]:
-        """Answer an inventory with only what differs from it."""
+        """Answer an inventory with a delta of the differences from it."""
         if session.state is not SessionState.COMPARING:
             return self._out_of_turn(session, "Inventory")
         view = self._sessions.view_of(session)
--- a/src/limelever/publisher/view.py
+++ b/src/limelever/publisher/view.py
@@ -1,7 +1,7 @@
-"""Shared scope views: what one scope holds, and the messages that bring subscribers there.
+"""Shared views of scopes: the resources of a scope, and the messages that update subscribers.
 
-All subscribers that named the same services share one view: a version's delta is worked out
-and built once, however many of them there are.
+All subscribers of the same scope share one view, so that the delta of a version is computed and
+built once for all of them.
 """
 
 from __future__ import annotations
@@ -26,10 +26,10 @@
 
 
 class Refreshed(Struct, frozen=True):
-    """What a refresh brought: for subscribers at ``from_version`` or later, ``delta``.
+    """Result of a refresh: the ``delta`` for subscribers at ``from_version`` or later.
 
-    Without a delta nothing in scope changed, unless ``changed`` is set: then the window did
-    not reach back, and a snapshot is due.
+    Without a delta nothing in scope changed, unless ``changed`` is set: then the window does not
+    reach back far enough, and a snapshot is needed.
     """
 
     from_version: int
@@ -38,11 +38,11 @@
 
 
 class ScopeView:
-    """One scope at the table's version, unless ``dirty``: then ``refresh`` brings it there.
+    """One scope at the table's version; while ``dirty``, it is outdated until ``refresh``.
 
-    ``changed_version`` is the version from which the closure has been what it is (for a new
-    view the version at which it was made), ``unchanged_through`` the last one at which it
-    still was, once the view is dirty.
+    ``changed_version`` is the version of the closure's last change (for a new view the version at
+    its creation). ``unchanged_through`` is, while dirty, the last version known to have the same
+    closure.
     """
 
     def __init__(self, scope: Scope, table: ResourceTable) -> None:
@@ -63,13 +63,13 @@
         return self._digest.to_bytes()
 
     def mark_dirty(self, unchanged_through: int) -> None:
-        """Note that a later version touches the scope."""
+        """Record that a version after ``unchanged_through`` may change the closure."""
         if not self.dirty:
             self.dirty = True
             self.unchanged_through = unchanged_through
 
     def refresh(self) -> Refreshed:
-        """Bring a dirty view to the table's version."""
+        """Update a dirty view to the table's version."""
         from_version = self.changed_version
         found = self._advance_members()
         self.dirty = False
@@ -99,7 +99,7 @@
         return digest.to_bytes()
 
     def snapshot(self) -> ConfigSnapshot:
-        """Return the whole closure."""
+        """Return the message with the whole closure."""
         self._expire_messages()
         if self._snapshot is None:
             self._snapshot = ConfigSnapshot(
@@ -110,7 +110,7 @@
         return self._snapshot
 
     def delta_over(self, inventory: Inventory, held_version: int) -> ConfigDelta:
-        """Return only what differs from what a subscriber says it holds."""
+        """Return a delta of the differences from a subscriber's inventory."""
         held = {Key.from_message(entry.key): entry.hash for entry in inventory.entries}
         put = tuple(
             versioned
@@ -121,9 +121,10 @@
         return self._build(held_version, ScopeDifference(put, removed, ()))
 
     def _advance_members(self) -> ScopeDifference | None:
-        """Take over the table's closure; return what changed, ``None`` beyond the window.
+        """Update the closure; return the difference, or ``None`` beyond the window.
 
-        The closure of everything is the table's own mapping, so its earlier state is gone.
+        The closure of everything is the table's own mapping, so its earlier state is only
+        available from the window.
         """
         if self.scope.is_whole:
             self._digest = self._table.digest.copy()
--- a/src/limelever/publisher/views.py
+++ b/src/limelever/publisher/views.py
@@ -1,4 +1,4 @@
-"""All scope views of a publisher, found by scope and by the services they name."""
+"""All scope views of a publisher, indexed by scope and by service."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class ScopeViews:
-    """Makes a view for the first subscriber of a scope and drops it after the last."""
+    """Creates a view for the first subscriber of a scope and removes it after the last."""
 
     def __init__(self, table: ResourceTable) -> None:
         self._table = table
@@ -33,7 +33,7 @@
         return self._views[scope]
 
     def join(self, scope: Scope) -> ScopeView:
-        """Count one more subscriber of ``scope`` and return its view."""
+        """Add a subscriber to ``scope`` and return its view."""
         view = self._views.get(scope)
         if view is None:
             view = ScopeView(scope, self._table)
@@ -44,7 +44,7 @@
         return view
 
     def leave(self, scope: Scope) -> None:
-        """Count one subscriber of ``scope`` less."""
+        """Remove a subscriber from ``scope``."""
         self._subscribers[scope] -= 1
         if self._subscribers[scope]:
             return
@@ -57,7 +57,7 @@
                 del self._by_service[service]
 
     def mark(self, step: Step) -> None:
-        """Mark the views that a step may have changed."""
+        """Mark the views that a step may have changed as dirty."""
         if not step.before:
             return
         for scope in EVERYTHING_SCOPES:
@@ -72,13 +72,13 @@
                     self._mark(scope, step.from_version)
 
     def take_dirty(self) -> Iterable[ScopeView]:
-        """Return the marked views, which the caller refreshes."""
+        """Remove and return the marked views; the caller refreshes them."""
         dirty = tuple(self._dirty.values())
         self._dirty.clear()
         return dirty
 
     def clean(self, scope: Scope) -> None:
-        """Forget the mark of one scope, whose view the caller refreshes."""
+        """Remove the mark of one scope; the caller refreshes its view."""
         self._dirty.pop(scope, None)
 
     def _mark(self, scope: Scope, unchanged_through: int) -> None:
