Reword docstrings, comments and log texts of the subscriber

The docstrings used words that the field doesn't: publishers that are sought, left in silence or proved of use, herds with one aim, sets that check out, patience as a choice. They now say search, timeout, candidate, probe, fallback, valid and round-robin order. A docstring that named the time of staleness as an action of PublisherLink.answered follows the code: only the answer of a current publisher has an effect.

No test quotes these texts. Identifiers, reasons of failures and texts on the wire stay.

--- a/src/limelever/subscriber/__init__.py
+++ b/src/limelever/subscriber/__init__.py
@@ -1,1 +1,1 @@
-"""The subscribing end of configuration distribution, shared by relay, proxy and agent."""
+"""The subscriber side of configuration distribution, shared by relay, proxy and agent."""
--- a/src/limelever/subscriber/configuration.py
+++ b/src/limelever/subscriber/configuration.py
@@ -28,10 +28,9 @@
 
 
 class ConfigurationSet:
-    """Resources of one version; never changed after it was built.
+    """Immutable set of the resources of one version.
 
-    The lookups are built at first use, so that a relay, which only passes resources on, does
-    not pay for them.
+    The lookups are built at first use, as relays only forward resources and need none.
     """
 
     def __init__(self, resources: Mapping[Key, VersionedResource]) -> None:
@@ -41,17 +40,17 @@
     def _owning(
         cls, resources: dict[Key, VersionedResource], references: ReferenceIndex
     ) -> ConfigurationSet:
-        """Return a set that keeps ``resources`` itself, which nobody else may change."""
+        """Return a set that takes ownership of ``resources`` instead of copying them."""
         built = cls.__new__(cls)
         built._resources = resources
         built._references = references
         return built
 
     def changed(self, removed: Iterable[Key], put: Iterable[VersionedResource]) -> ConfigurationSet:
-        """Return the set without ``removed`` and then with ``put``; this one stays as it is.
+        """Return a copy of the set without ``removed`` and then with ``put``.
 
-        The tables are copied as they are, without a look at what is in them; beyond that the
-        cost goes by the change alone.
+        The tables are copied without examining their items; any other cost depends only on the
+        size of the change.
         """
         resources = self._resources.copy()
         references = self._references.copy()
@@ -137,7 +136,7 @@
         }
 
     def dangling(self) -> tuple[Key, ...]:
-        """Return the keys that resources of the set refer to and that the set lacks, sorted."""
+        """Return the keys that resources refer to and that are missing from the set, sorted."""
         return self._references.dangling
 
     @cached_property
--- a/src/limelever/subscriber/core.py
+++ b/src/limelever/subscriber/core.py
@@ -1,4 +1,4 @@
-"""The subscriber: holds a configuration, keeps it current and never lets it go backward."""
+"""The subscriber: holds a configuration, keeps it current and never installs a lower version."""
 
 from __future__ import annotations
 
@@ -41,10 +41,10 @@
 class SubscriberCore:
     """Component of the relay's, the proxy's and the agent's core; sans-io like them.
 
-    The host passes on every event (those of foreign links and writes are ignored) and acts on
+    The host passes on every event (those of other links and writes are ignored) and handles
     ``ConfigurationInstalled``, ``VersionConfirmed``, ``FreshnessProved`` and
     ``EndpointsReceived`` among the outputs; all others go to the shell. ``connections`` and
-    ``tokens`` are shared with the rest of the host's core; tokens rise.
+    ``tokens`` are shared with the rest of the host's core; tokens increase.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
 
     @property
     def version(self) -> int:
-        """The version at which the installed set is known to be right; 0 when none is held."""
+        """The version at which the installed set is known to be valid; 0 when none is held."""
         return self._holder.version
 
     @property
@@ -87,15 +87,15 @@
 
     @property
     def connection(self) -> ConnectionId | None:
-        """The link to the publisher that is followed, or ``None``."""
+        """The link to the current publisher, or ``None``."""
         return self._link.connection
 
     def owns(self, connection: ConnectionId) -> bool:
-        """Return whether a dialled link is this subscriber's, also one that is being dialled."""
+        """Return whether a link, open or being dialled, belongs to this subscriber."""
         return self._link.owns(connection)
 
     def handle(self, event: Event, now: float) -> list[Output]:
-        """Take one event at ``now`` (seconds, monotonic)."""
+        """Handle one event at ``now`` (seconds, monotonic)."""
         match event:
             case (
                 ConnectionOpened(connection)
@@ -129,15 +129,15 @@
         return []
 
     def probe(self, now: float) -> list[Output]:
-        """Prove the set current by an echo that begins now; ends in ``FreshnessProved``."""
+        """Send a freshness probe; ``FreshnessProved`` follows once it proves the set current."""
         return self._link.probe(now, self._probes_to_source)
 
     def send_up(self, message: Message) -> list[Output]:
-        """Send the publisher a message of the host's, such as a rollout report."""
+        """Send the publisher a message of the host, such as a rollout report."""
         return self._link.send(message)
 
     def stop(self, now: float) -> list[Output]:
-        """Close the link and dial no more."""
+        """Close the link and stop dialling."""
         self._holder.forget_unaccepted()
         return self._link.stop()
 
@@ -150,7 +150,7 @@
         return self._settings.everything or not self._holder.floor_known
 
     def _subscribe(self) -> list[Output]:
-        """Subscribe, unless a floor is being written: what is held is not yet in force then."""
+        """Subscribe, unless a floor is being written: the latest set is not in force until then."""
         if self._link.opened_at is None or self._link.subscribed or self._holder.awaits_floor:
             return []
         held = self._holder.latest
@@ -165,7 +165,7 @@
         return self._link.subscribe(message)
 
     def _on_candidate(self, connection: ConnectionId, event: Event, now: float) -> list[Output]:
-        """Take an event of the link to a candidate, which is not yet followed."""
+        """Handle an event of the link to a candidate publisher."""
         if isinstance(event, ConnectionOpened):
             return self._link.search.opened(connection, now)
         if isinstance(event, MessageReceived):
--- a/src/limelever/subscriber/events.py
+++ b/src/limelever/subscriber/events.py
@@ -8,16 +8,16 @@
     3100, "configuration-installed", Level.INFO, "a version is in force", "version", "resources"
 )
 VERSION_REFUSED = define(
-    3101, "version-refused", Level.WARNING, "a version did not check out", "version", "reason"
+    3101, "version-refused", Level.WARNING, "received version rejected", "version", "reason"
 )
 PUBLISHER_LEFT = define(
-    3102, "publisher-left", Level.INFO, "another publisher is sought", "publisher", "reason"
+    3102, "publisher-left", Level.INFO, "changing to another publisher", "publisher", "reason"
 )
 PUBLISHER_STALE = define(
     3103,
     "publisher-stale",
     Level.WARNING,
-    "the publisher has not been proved current for too long",
+    "the publisher has no recent proof of being current",
     "publisher",
     "age_seconds",
 )
--- a/src/limelever/subscriber/exchange.py
+++ b/src/limelever/subscriber/exchange.py
@@ -48,7 +48,7 @@
 
 
 class Exchange:
-    """Passes the publisher's messages to the holder, and replies to them; times in seconds."""
+    """Passes the publisher's messages to the holder, and replies to them; times are in seconds."""
 
     def __init__(self, link: PublisherLink, holder: Holder, snapshots: SnapshotWriter) -> None:
         self._link = link
@@ -79,12 +79,12 @@
         return self._handlers[type(message)](message, now)
 
     def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
-        """Close the link, and discard what it has delivered without being accepted."""
+        """Close the link, and discard a received set that is not accepted."""
         self._holder.forget_unaccepted()
         return self._link.leave(reason, now, retry_after)
 
     def follow_up(self, outputs: list[Output], now: float) -> list[Output]:
-        """Add the acknowledgements, snapshots and freshness that outputs of the holder lead to."""
+        """Add the acknowledgements, snapshots and proofs that result from outputs of the holder."""
         followed = list(outputs)
         for output in outputs:
             if isinstance(output, ConfigurationInstalled):
--- a/src/limelever/subscriber/floor_file.py
+++ b/src/limelever/subscriber/floor_file.py
@@ -17,7 +17,7 @@
     """Return the floor, or ``None`` when there is no file or it is damaged.
 
     A damaged floor counts as a missing one: the subscriber then accepts its first version only
-    from a publisher proved current, which is safe whatever the floor was.
+    from a publisher proved current, which is safe for any floor.
     """
     if content is None:
         return None
--- a/src/limelever/subscriber/held.py
+++ b/src/limelever/subscriber/held.py
@@ -1,4 +1,4 @@
-"""Sets as a subscriber holds them, and the building of a new one aside, checked as a whole."""
+"""Sets that a subscriber holds; a new one is built separately and validated as a whole."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 
 
 class HeldSet(Struct, frozen=True):
-    """A configuration, the version at which it is right, and its digest."""
+    """A configuration, the version at which it is valid, and its digest."""
 
     version: int
     configuration: ConfigurationSet
     digest: SetDigest
 
     def at(self, version: int) -> HeldSet:
-        """Return the same set, known to be right at a later version too."""
+        """Return the same set at a later version at which it is valid too."""
         return replace(self, version=version)
 
 
@@ -34,14 +34,14 @@
 
 
 def from_snapshot(snapshot: ConfigSnapshot) -> HeldSet | Failure:
-    """Build the set of a snapshot, or say why it does not check out."""
+    """Return the set of a snapshot, or the reason why it is invalid."""
     resources = {Key.of(versioned.resource): versioned for versioned in snapshot.resources}
     digest = SetDigest.of(resources.values())
     return _checked(HeldSet(snapshot.version, ConfigurationSet(resources), digest), snapshot.digest)
 
 
 def from_delta(held: HeldSet, delta: ConfigDelta) -> HeldSet | Failure:
-    """Build the set that ``delta`` makes of ``held``, or say why it does not check out."""
+    """Return the set that ``delta`` makes of ``held``, or the reason why it is invalid."""
     if delta.from_version > held.version:
         reason = f"delta from version {delta.from_version}, held is {held.version}"
         return Failure(ErrorKind.PROTOCOL_VIOLATION, reason)
@@ -55,14 +55,14 @@
 
 
 def touched_keys(delta: ConfigDelta) -> dict[Key, None]:
-    """Return the keys that ``delta`` may change, in its order and each once."""
+    """Return the keys that ``delta`` may change, in its order and without duplicates."""
     removed = (Key.from_message(message) for message in delta.remove)
     put = (Key.of(versioned.resource) for versioned in delta.put)
     return dict.fromkeys((*removed, *put))
 
 
 def inventory_of(held: HeldSet) -> Inventory:
-    """Return what a subscriber tells a publisher that asks what it holds."""
+    """Return the keys and hashes of the resources of a set."""
     return Inventory(
         entries=[
             InventoryEntry(key=key.to_message(), hash=short_hash(versioned))
@@ -72,7 +72,7 @@
 
 
 def to_snapshot(held: HeldSet) -> ConfigSnapshot:
-    """Return the message form of a set."""
+    """Return a set as a snapshot message."""
     return ConfigSnapshot(
         version=held.version,
         resources=held.configuration.resources.values(),
--- a/src/limelever/subscriber/holder.py
+++ b/src/limelever/subscriber/holder.py
@@ -1,8 +1,8 @@
-"""What the subscriber holds: the floor on disk, versions accepted, the version in force.
+"""State of the subscriber: the floor on disk, accepted versions and the version in force.
 
-A version is accepted when it checks out, is not below the floor and, where no floor is known,
-was proved current. Its number is then written to the floor file, and only when that write is
-synced does the version come into force: after a restart nothing lower is accepted.
+A version is accepted when it is valid, not below the floor and, without a known floor, proved
+current. Its number is then written to the floor file, and the version comes into force only once
+that write is synced, so that no lower version is accepted after a restart.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
 
 
 class Holder:
-    """Keeps the sets of one subscriber; knows nothing of links and times."""
+    """Keeps the sets of one subscriber, independent of links and time."""
 
     def __init__(self, tokens: Iterator[int], recovered: Recovered, sealer: Sealer | None) -> None:
         self._tokens = tokens
@@ -62,11 +62,11 @@
 
     @property
     def version(self) -> int:
-        """The version at which the set in force is known to be right; 0 for none."""
+        """The version at which the set in force is known to be valid; 0 for none."""
         return self.in_force.version if self.in_force is not None else 0
 
     def start(self) -> list[Output]:
-        """Bring the set found on disk into force where that is safe."""
+        """Install the set found on disk if that is safe."""
         outputs: list[Output] = []
         if not self.floor_known:
             outputs.append(LogEvent(events.FLOOR_MISSING))
@@ -76,7 +76,7 @@
         return [*outputs, *self.settle(None)]
 
     def take_delta(self, delta: ConfigDelta) -> Failure | None:
-        """Build the set a delta leads to; a failure leaves everything as it was."""
+        """Apply a delta to the latest set; a failure changes nothing."""
         refusal = self._refuse_lower(delta.to_version)
         failure = refusal or self._take(from_delta(self.latest, delta))
         if failure is None and self._touched is not None:
@@ -84,7 +84,7 @@
         return failure
 
     def take_snapshot(self, snapshot: ConfigSnapshot) -> Failure | None:
-        """Build the set of a snapshot; a failure leaves everything as it was."""
+        """Replace the latest set with that of a snapshot; a failure changes nothing."""
         refusal = self._refuse_lower(snapshot.version)
         failure = refusal or self._take(from_snapshot(snapshot))
         if failure is None:
@@ -92,27 +92,27 @@
         return failure
 
     def confirm(self, version: int) -> None:
-        """Note that the latest set is also right at ``version``.
+        """Record that the latest set is also valid at ``version``.
 
-        The floor follows on disk: a set may be the same at two versions and another between
-        them, so that a restart with the lower floor could bring back what was gone.
+        The floor on disk is raised too: a set may be equal at two versions and differ between
+        them, so that a restart with the lower floor could bring removed resources back.
         """
         if version > self.latest.version:
             self.latest = self.latest.at(version)
             self._accepted = False
 
     def settle(self, proved_version: int | None) -> list[Output]:
-        """Accept the latest set if it may be.
+        """Accept the latest set if the floor or a proof allows it.
 
         ``proved_version`` is a version that the publisher held when it was proved current
-        after the link opened, or ``None``: it stands in for a floor that is not known.
+        after the link opened, or ``None``. It replaces an unknown floor.
         """
         if self._accepted or not self._acceptable(proved_version):
             return []
         return self._accept()
 
     def write_completed(self, token: int) -> list[Output]:
-        """Bring into force the last accepted set whose floor is synced by this write."""
+        """Install the last accepted set whose floor is synced by this write."""
         ready: HeldSet | None = None
         while self._awaiting and self._awaiting[0].token <= token:
             ready = self._awaiting.popleft().held
@@ -122,7 +122,7 @@
         return self._install(ready)
 
     def forget_unaccepted(self) -> None:
-        """Go back to the last settled set when a link is gone before the latest was accepted."""
+        """Revert to the last settled set unless the latest is accepted, as its link has closed."""
         if not self._accepted:
             self.latest = self._settled
 
@@ -192,8 +192,8 @@
     ) -> Iterable[Key]:
         """Return every key in which ``held`` may differ from the set in force until now.
 
-        Deltas beyond ``held`` may have been taken already, or been forgotten since: the keys
-        are dropped only when the latest set comes into force, so that none is missed.
+        Later deltas than ``held`` may have been applied already, or discarded since: the keys
+        are cleared only when the latest set comes into force, so that none is missed.
         """
         touched = self._touched
         if held.configuration is self.latest.configuration:
--- a/src/limelever/subscriber/link.py
+++ b/src/limelever/subscriber/link.py
@@ -1,6 +1,6 @@
-"""The subscriber's link to a publisher: dialling, silence, staleness, moving on.
+"""The subscriber's link to a publisher: dialling, timeouts, staleness, change of publisher.
 
-Whatever happens here, the set held stays in force. Times are seconds.
+The set held stays in force in all of these cases. Times are in seconds.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 
 
 class PublisherLink:
-    """At most one link at a time, to one of the publishers."""
+    """The link to the current publisher, at most one at a time."""
 
     def __init__(
         self,
@@ -80,12 +80,12 @@
     def replace_publishers(
         self, publishers: tuple[Address, ...], preferred: Address | None, now: float
     ) -> list[Output]:
-        """Choose among these publishers from now on; the link in use stays for the time being."""
+        """Replace the list of publishers; the link in use is kept."""
         self._choice.replace(publishers, preferred)
         return self.search.publishers_replaced(now)
 
     def extend_publishers(self, publishers: tuple[Address, ...], now: float) -> list[Output]:
-        """Choose among these publishers besides."""
+        """Add publishers to the list; the link in use is kept."""
         self._choice.extend(publishers)
         return self.search.publishers_replaced(now)
 
@@ -94,13 +94,13 @@
         self._timers.dial = now
 
     def opened(self, now: float) -> None:
-        """Note that the link is up."""
+        """Record that the link has opened."""
         self._opened_at = now
         self._timers.answer = now + self._settings.answer_timeout
         self._timers.stale = now + self._settings.stale_after
 
     def heard(self) -> bool:
-        """Note that the publisher has answered; return whether this is its first answer."""
+        """Record that the publisher has answered; return whether this is its first answer."""
         first = self._timers.answer is not None
         self._timers.answer = None
         return first
@@ -114,17 +114,17 @@
     def subscribe(self, message: Subscribe) -> list[Output]:
         """Send the subscription. The first probe follows the first answer.
 
-        A publisher that turns the subscriber away closes the link; anything it had not read by
-        then would make the system reset the link and lose the advice when to come back.
+        A publisher that refuses the subscriber closes the link. Data that it had not read by then
+        would make the operating system reset the connection, and the retry delay would be lost.
         """
         self.subscribed = True
         return self.send(message)
 
     def probe(self, now: float, to_source: bool) -> list[Output]:
-        """Ask the publisher how current it is, and seek another if it left that unanswered before.
+        """Send a freshness probe, and search for another publisher if an earlier one has no answer.
 
-        A publisher that lost its power says nothing more. To seek costs little, to wait until it
-        counts as stale leaves its subscribers behind for longer.
+        A publisher that lost power never answers. A search is cheap, while waiting until the
+        publisher counts as stale would leave its subscribers outdated for longer.
         """
         if not self.subscribed:
             return []
@@ -136,7 +136,7 @@
         return [*self.send(self.probes.send(now, to_source)), *sought]
 
     def answered(self, answer: FreshnessAnswer, now: float) -> list[Output]:
-        """Take the answer to a probe; in place of a stale publisher another is sought."""
+        """Handle the answer to a probe; that of a current publisher postpones its staleness."""
         self.probes.answered(answer)
         proved_at = self.probes.publisher_fresh_at
         if proved_at is None or now - proved_at >= self._settings.stale_after:
@@ -146,9 +146,9 @@
         return self.search.followed_is_current(now)
 
     def compare(self, publisher_version: int, held_version: int, now: float) -> None:
-        """Watch that the publisher sends what it says it has.
+        """Start or stop the timeout of a publisher that names newer versions than it sends.
 
-        It may believe that versions are on their way which were lost with their link's state.
+        It may count versions as sent that were lost with the state of their link.
         """
         progressed = held_version > self._held_version
         self._held_version = held_version
@@ -158,7 +158,7 @@
             self._timers.behind = now + self._settings.behind_after
 
     def leave(self, reason: str, now: float, retry_after: float = 0.0) -> list[Output]:
-        """Give the link up and dial the next publisher after a delay."""
+        """Close the link and dial the next publisher after a delay."""
         advice = 0.0 if self._choice.on_trial else retry_after
         outputs = [self._left(reason), *self._close_all(reason)]
         self._choice.move_on()
@@ -166,7 +166,7 @@
         return outputs
 
     def change_over(self, now: float) -> list[Output]:
-        """Follow the candidate that has proved current, by the link on which it did."""
+        """Change to the candidate that has proved current, and use its link."""
         candidate, connection = self.search.candidate, self.search.take()
         outputs = [self._left(BETTER_FOUND), *self._close_all(BETTER_FOUND)]
         self._choice.change_over(candidate)
@@ -175,12 +175,12 @@
         return outputs
 
     def stop(self) -> list[Output]:
-        """Close the link and dial no more."""
+        """Close the link and stop dialling."""
         self._timers.dial = None
         return self._close_all(STOPPING)
 
     def on_deadline(self, now: float, to_source: bool) -> list[Output]:
-        """Do what is due at ``now``."""
+        """Handle the timers that are due at ``now``."""
         outputs: list[Output] = []
         if reached(self._timers.probe, now):
             outputs.extend(self.probe(now, to_source))
@@ -196,7 +196,7 @@
         return outputs
 
     def next_deadline(self) -> float | None:
-        """Return the earliest time at which something is due, or ``None``."""
+        """Return when the earliest timer is due, or ``None``."""
         return earliest(self._timers.next_deadline(), self.search.next_deadline())
 
     def _dial(self) -> OpenConnection:
@@ -217,7 +217,7 @@
         return closed
 
     def _stale(self, now: float) -> list[Output]:
-        """Seek a publisher that is current; what the stale one sends is taken until then."""
+        """Search for a current publisher; messages of the stale one are handled until then."""
         self._timers.stale = None
         proved_at = self.probes.publisher_fresh_at
         reference = proved_at if proved_at is not None else self._opened_at
--- a/src/limelever/subscriber/notices.py
+++ b/src/limelever/subscriber/notices.py
@@ -1,4 +1,4 @@
-"""Outputs of the subscriber for the core that contains it; the process never sees them."""
+"""Outputs of the subscriber for the core that contains it, and an event that lists publishers."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 
 
 class CrashNewsReceived(Output, frozen=True):
-    """The relay sent requests that were running when back ends crashed."""
+    """The relay sent the requests that were running when back ends crashed."""
 
     news: CrashNews
 
@@ -64,13 +64,13 @@
 
 
 class LimitNewsReceived(Output, frozen=True):
-    """The relay sent the use of tenants that are near their limits."""
+    """The relay sent the usage of tenants that are near their limits."""
 
     news: LimitNews
 
 
 class PublishersReceived(Output, frozen=True):
-    """The publisher listed all publishers of its kind, from which the subscriber chooses.
+    """The publisher sent the list of publishers from which the subscriber selects.
 
     ``preferred`` is the one for the subscriber's zone, if known.
     """
--- a/src/limelever/subscriber/probes.py
+++ b/src/limelever/subscriber/probes.py
@@ -1,7 +1,7 @@
-"""Freshness by echo: how old the publisher's proof is, by this process's clock alone.
+"""Freshness probes: the age of the publisher's proof, measured by this process's clock alone.
 
-An answer's age counts from the moment its probe was *sent*, so that a delay on the way can
-only make the publisher look older, never fresher. Times are seconds.
+The age in an answer counts from the time at which its probe was *sent*, so that a delay in
+transit can only overstate the age of the proof. Times are in seconds.
 """
 
 from __future__ import annotations
@@ -23,10 +23,10 @@
 
 
 class Probes:
-    """Probes sent on the current link, and the proofs that came back.
+    """Probes sent on the current link, and the proofs received.
 
-    ``waiting_since`` is when the first probe was sent that a publisher answers at once, and since
-    which none was answered. One for a proof from the source may rightly take longer.
+    ``waiting_since`` is when the first probe since the last answer was sent. Probes to the source
+    don't count, as their answers may take longer.
     """
 
     def __init__(self) -> None:
@@ -37,7 +37,7 @@
         self.publisher_fresh_at: float | None = None
 
     def forget_link(self) -> None:
-        """Drop what belongs to a link that is gone; nonces are never reused."""
+        """Reset the state of a closed link; nonces are never reused."""
         self._sent.clear()
         self.waiting_since = None
         self._proofs.clear()
@@ -54,7 +54,7 @@
         return FreshnessProbe(nonce=self._nonce, to_source=to_source)
 
     def answered(self, answer: FreshnessAnswer) -> None:
-        """Take an answer; those to unknown probes count for nothing."""
+        """Handle an answer; answers to unknown probes prove nothing."""
         self.waiting_since = None
         sent = self._sent.pop(answer.nonce, None)
         if sent is None or answer.unproved:
--- a/src/limelever/subscriber/publisher_choice.py
+++ b/src/limelever/subscriber/publisher_choice.py
@@ -1,4 +1,4 @@
-"""Which publisher to dial next, and when."""
+"""Selection of the publisher to dial next, and of the delay until then."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 class PublisherChoice:
-    """Goes round the publishers, from the preferred one on.
+    """Selects publishers in round-robin order, beginning with the preferred one.
 
-    That is the first listed, as its zone is the own; ``spread`` draws one at random, for
-    subscribers to whom all are alike.
+    The preferred one is the first in the list, which is in the subscriber's zone. With ``spread``
+    it is drawn at random, for subscribers without a preference.
     """
 
     def __init__(
@@ -30,40 +30,40 @@
 
     @property
     def current(self) -> Address:
-        """The publisher that is followed or to be dialled."""
+        """The publisher in use or to be dialled."""
         return self.address(self.index)
 
     @property
     def away(self) -> bool:
-        """Whether another than the preferred publisher is followed."""
+        """Whether a publisher other than the preferred one is in use."""
         return self.index != self.preferred
 
     @property
     def on_trial(self) -> bool:
-        """Whether the publisher was changed over to and has not yet proved of use."""
+        """Whether a change to the current publisher has not succeeded yet."""
         return self._former is not None
 
     def address(self, index: int) -> Address:
-        """Return the address of a publisher by its place in the list."""
+        """Return the address of a publisher by its index in the list."""
         return self._publishers[index]
 
     def after(self, index: int) -> int:
-        """Return the place after ``index``; the first follows on the last."""
+        """Return the index after ``index``, wrapping around at the end of the list."""
         return (index + 1) % len(self._publishers)
 
     def change_over(self, index: int) -> None:
-        """Follow another publisher; until it proves of use the way back is kept."""
+        """Change to another publisher; until that succeeds, the former one is the fallback."""
         self._former = self.index
         self.index = index
 
     def extend(self, publishers: tuple[Address, ...]) -> None:
-        """Know these publishers besides."""
+        """Add publishers to the list."""
         self.replace(tuple(dict.fromkeys((*self._publishers, *publishers))))
 
     def replace(self, publishers: tuple[Address, ...], preferred: Address | None = None) -> None:
-        """Take a new list; the publisher followed now stays, for as long as it is of use.
+        """Replace the list; the current publisher is kept, and added to it if missing.
 
-        Without a ``preferred`` one the former stays that.
+        Without ``preferred`` the former preferred one is kept if it is listed.
         """
         current, preferred = self.current, preferred or self.address(self.preferred)
         known = publishers if current in publishers else (*publishers, current)
@@ -73,7 +73,7 @@
         self._former = None
 
     def move_on(self) -> None:
-        """Go on to the next publisher, or back to the one left for this one."""
+        """Advance to the next publisher, or return to the fallback of an unsuccessful change."""
         self.index = self.after(self.index) if self._former is None else self._former
         self._former = None
 
@@ -82,6 +82,6 @@
         return self._backoff.next_delay(retry_after)
 
     def succeeded(self) -> None:
-        """Note that the current publisher is of use."""
+        """Record that the current publisher is usable."""
         self._former = None
         self._backoff.reset()
--- a/src/limelever/subscriber/reference_index.py
+++ b/src/limelever/subscriber/reference_index.py
@@ -1,4 +1,4 @@
-"""How often each key is referred to in a set, and which of those keys the set lacks."""
+"""Reference counts of the keys in a set, and the referenced keys that are missing from it."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 class ReferenceIndex:
-    """Counts references by the key they lead to; a change costs what it touches.
+    """Counts references by target key; the cost of an update depends on the size of the change.
 
-    After ``replace`` of everything that changes, ``settle`` looks only at the keys that came,
-    went or are newly referred to, and at those that dangled before: no other can dangle.
+    After ``replace`` of each changed resource, ``settle`` examines only the keys that were added,
+    removed or newly referenced, and those that dangled before: no other can dangle.
     """
 
     def __init__(self) -> None:
@@ -39,7 +39,7 @@
     def replace(
         self, key: Key, former: VersionedResource | None, current: VersionedResource | None
     ) -> None:
-        """Note that ``key`` stood for ``former`` and now does for ``current``."""
+        """Record that the resource of ``key`` changes; ``None`` means that there is none."""
         self._touched[key] = None
         if former is not None:
             self._release(former)
@@ -47,7 +47,7 @@
             self._refer(current)
 
     def settle(self, resources: Container[Key]) -> None:
-        """Find what dangles once ``resources`` hold everything that was replaced."""
+        """Update ``dangling`` once ``resources`` contain all replacements."""
         candidates = {**self._touched, **dict.fromkeys(self.dangling)}
         missing = [key for key in candidates if key in self._counts and key not in resources]
         self.dangling = tuple(sorted(missing))
--- a/src/limelever/subscriber/sealing.py
+++ b/src/limelever/subscriber/sealing.py
@@ -1,4 +1,4 @@
-"""Sealing of what a subscriber keeps on disk: the interface its host injects."""
+"""Encryption of a subscriber's files: the interface that its host implements."""
 
 from __future__ import annotations
 
--- a/src/limelever/subscriber/search.py
+++ b/src/limelever/subscriber/search.py
@@ -1,4 +1,4 @@
-"""The search for a better publisher, beside the link in use."""
+"""Search for a better publisher while the link in use is kept."""
 
 from __future__ import annotations
 
@@ -26,27 +26,27 @@
 
 NO_BETTER = "no better publisher"
 CANDIDATE_PATIENCE = 0.5
-"""Seconds for which a candidate that isn't current yet is asked again. A choice: after the loss of
-a leader all relays become current at about the same time, and a dial elsewhere takes as long."""
+"""Seconds for which a candidate that isn't current yet is probed again. After the loss of a leader
+all relays become current at about the same time, and dialling another takes as long."""
 
 ASK_INTERVAL = 0.1
-"""Seconds between two questions to such a candidate."""
+"""Seconds between two probes of such a candidate."""
 
 
 class Goal(Enum):
-    """What is sought: the preferred publisher, or any that is current in place of a stale one."""
+    """Target of a search: the preferred publisher, or any current one to replace a stale one."""
 
     PREFERRED = auto()
     CURRENT = auto()
 
 
 class PublisherSearch:
-    """Dials one candidate at a time and asks it how current it is.
+    """Dials one candidate at a time and probes how current it is.
 
     The link in use is kept until a candidate has proved that it is neither stale nor behind:
-    in an outage of the source a reader goes on with what its publisher has, endpoints
-    included. Full jitter spreads a herd with one aim over the whole bound, which doubles with
-    every attempt. Times are seconds of the monotonic clock.
+    during an outage of the source, subscribers continue to use the configuration and endpoints of
+    their publisher. Full jitter spreads simultaneous attempts of many subscribers over the whole
+    maximum delay, which doubles with every attempt. Times are seconds of the monotonic clock.
     """
 
     def __init__(
@@ -80,14 +80,14 @@
         return connection == self._connection
 
     def publishers_replaced(self, now: float) -> list[Output]:
-        """Give up the candidate under way: its place in the list may be another's now."""
+        """Abandon the current candidate, as its index in the list may have changed."""
         outputs = self._drop()
         self.candidate = self._choice.index
         self._plan(now)
         return outputs
 
     def begin(self, goal: Goal, now: float) -> list[Output]:
-        """Seek ``goal``, unless that is under way; another goal is given up for it."""
+        """Search for ``goal``, in place of another goal, unless that is in progress already."""
         if goal is self._goal:
             return []
         outputs = self.end()
@@ -97,12 +97,12 @@
         return outputs
 
     def end(self) -> list[Output]:
-        """Seek nothing any more."""
+        """End the search."""
         self._goal = None
         return self._drop()
 
     def followed_is_current(self, now: float) -> list[Output]:
-        """Note that the publisher followed is current; only the preferred one is better."""
+        """Record that the publisher in use is current; only the preferred one is better."""
         self._backoffs[Goal.CURRENT].reset()
         if self._choice.away:
             return self.begin(Goal.PREFERRED, now)
@@ -110,11 +110,11 @@
         return self.end()
 
     def next_deadline(self) -> float | None:
-        """Return when something is due, or ``None``."""
+        """Return when ``on_deadline`` is to be called, or ``None``."""
         return earliest(self._dial_at, self._answer_by, self._ask_at)
 
     def on_deadline(self, now: float) -> list[Output]:
-        """Dial the next candidate, or give up on an answer, when it is time."""
+        """Dial the next candidate, probe it again or time out its answer, when that is due."""
         if reached(self._answer_by, now):
             return self.failed(now)
         if reached(self._ask_at, now) and self._connection is not None:
@@ -128,12 +128,12 @@
         return [OpenConnection(self._connection, address, Purpose.SUBSCRIPTION)]
 
     def opened(self, connection: ConnectionId, now: float) -> list[Output]:
-        """Ask the candidate how current it is, before anything is given up for it."""
+        """Probe the candidate; the link in use is kept until it has answered."""
         self._patient_until = now + CANDIDATE_PATIENCE
         return self._ask(connection, now)
 
     def not_better(self, message: Message, now: float) -> list[Output]:
-        """Ask a candidate that isn't current once more, or give it up."""
+        """Schedule another probe of a candidate that isn't current, or abandon it."""
         asks_on = isinstance(message, FreshnessAnswer) and self._goal is Goal.CURRENT
         if not asks_on or now >= self._patient_until:
             return self.failed(now)
@@ -142,13 +142,13 @@
         return []
 
     def failed(self, now: float) -> list[Output]:
-        """Give this candidate up and plan the next attempt."""
+        """Abandon this candidate and plan the next attempt."""
         outputs = self._drop()
         self._plan(now)
         return outputs
 
     def is_better(self, message: Message, held_version: int, now: float) -> bool:
-        """Return whether a message shows a candidate that is current and not behind."""
+        """Return whether a message proves that the candidate is current and not behind."""
         if not isinstance(message, FreshnessAnswer):
             return False
         self._probes.answered(message)
@@ -158,7 +158,7 @@
         return message.version >= held_version
 
     def take(self) -> ConnectionId | None:
-        """End the search; return the candidate's link, which is the caller's from now on."""
+        """End the search; return the candidate's link, which the caller owns from now on."""
         connection, self._connection = self._connection, None
         self.end()
         return connection
--- a/src/limelever/subscriber/settings.py
+++ b/src/limelever/subscriber/settings.py
@@ -12,16 +12,14 @@
     """Where a subscriber gets its configuration from, and which part of it.
 
     ``services`` is the scope; ``everything`` is for relays and replaces it, ``every_service`` for
-    proxies that may route to any. ``stale_after`` is
-    the age of the publisher's last proof from which another publisher is sought, and
-    ``behind_after`` the time for which a publisher may name newer versions without sending
-    any: longer than any publisher's batch delay. The first of ``publishers`` is preferred (for
-    relays one drawn at random): a subscriber of another goes back to it in the times of
-    ``return_backoff``. Once relays tell of their zones, the one for the own ``zone`` is preferred
-    instead. ``longest_pause`` bounds the wait between two attempts to
-    find a publisher in place of one that is stale or lost. With
-    ``persist_snapshot`` the configuration is also kept on disk, at most every
-    ``snapshot_delay``.
+    proxies that may route to any. ``stale_after`` is the age of the publisher's last proof from
+    which another publisher is searched for, and ``behind_after`` the time for which a publisher may
+    name newer versions without sending any: longer than any publisher's batch delay. The first of
+    ``publishers`` is preferred (for relays, one drawn at random): a subscriber of another one
+    attempts to return to it with ``return_backoff``. Once relays report their zones, the relay for
+    the subscriber's ``zone`` is preferred instead. ``longest_pause`` limits the delay between two
+    attempts to replace a publisher that is stale or lost. With ``persist_snapshot`` the
+    configuration is also written to disk, at most once per ``snapshot_delay``.
     """
 
     publishers: tuple[Address, ...]
@@ -41,6 +39,6 @@
 
     @property
     def dialling(self) -> BackoffSettings:
-        """Return the pauses between dials of lost publishers."""
+        """Return the backoff between dials after a publisher is lost."""
         maximum = min(self.backoff.maximum, self.longest_pause)
         return BackoffSettings(base=min(self.backoff.base, maximum), maximum=maximum)
--- a/src/limelever/subscriber/snapshot_file.py
+++ b/src/limelever/subscriber/snapshot_file.py
@@ -1,4 +1,4 @@
-"""The snapshot file from which a relay starts: its whole set, sealed as it holds secrets."""
+"""The snapshot file from which a relay starts: its whole set, encrypted as it has secrets."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def decode_snapshot(content: bytes, sealer: Sealer) -> HeldSet | Failure:
-    """Return the set in the snapshot file, or why it can't be used."""
+    """Return the set in the snapshot file, or the reason why it is unusable."""
     plain = sealer.unseal(content)
     if isinstance(plain, Failure):
         return plain
--- a/src/limelever/subscriber/snapshot_writer.py
+++ b/src/limelever/subscriber/snapshot_writer.py
@@ -1,4 +1,4 @@
-"""When the set in force is written to disk as a sealed snapshot."""
+"""Writes the set in force to disk as an encrypted snapshot."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class SnapshotWriter:
-    """Writes at most one snapshot in ``delay`` seconds; without a sealer it writes none."""
+    """Writes at most one snapshot per ``delay`` seconds, and none without a sealer."""
 
     def __init__(self, delay: float, sealer: Sealer | None, tokens: Iterator[int]) -> None:
         self._delay = delay
@@ -21,12 +21,12 @@
         self.due_at: float | None = None
 
     def plan(self, now: float) -> None:
-        """Plan a snapshot, unless one is planned."""
+        """Schedule a snapshot, unless one is scheduled."""
         if self._sealer is not None and self.due_at is None:
             self.due_at = now + self._delay
 
     def on_deadline(self, held: HeldSet | None, now: float) -> list[Output]:
-        """Write the set in force when it is time."""
+        """Write the set in force if a snapshot is due."""
         if not reached(self.due_at, now):
             return []
         self.due_at = None
--- a/src/limelever/subscriber/timers.py
+++ b/src/limelever/subscriber/timers.py
@@ -1,4 +1,4 @@
-"""The timers of a subscriber's link: each a time or unset, in seconds of the monotonic clock."""
+"""Timers of a subscriber's link, in seconds of the monotonic clock; ``None`` if unset."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 
 class Timers(Struct):
-    """When to dial, probe, give up on an answer, look at staleness.
+    """When to dial, to send a probe, to time out an answer, and to count a publisher as stale.
 
-    ``behind`` is when a publisher that names newer versions and sends none is left.
+    ``behind`` is when the link to a publisher that names newer versions and sends none is closed.
     """
 
     dial: float | None = None
@@ -24,7 +24,7 @@
         self.probe = self.answer = self.stale = self.behind = None
 
     def next_deadline(self) -> float | None:
-        """Return the earliest of them, or ``None``."""
+        """Return the earliest timer, or ``None`` if all are unset."""
         return earliest(self.dial, self.probe, self.answer, self.stale, self.behind)
 
 
--- a/src/limelever/subscriber/zone_preference.py
+++ b/src/limelever/subscriber/zone_preference.py
@@ -1,4 +1,4 @@
-"""Which relay a subscriber of a zone prefers, from the list that relays tell."""
+"""Selection of the relay that the subscribers of a zone prefer, from the list sent by relays."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def listed_in(message: Publishers) -> tuple[ListedPublisher, ...]:
-    """Return the relays that a message lists; what is no address is passed over."""
+    """Return the relays that a message lists; invalid addresses are ignored."""
     zones = [*message.zones, *("" for _ in message.addresses)]
     pairs = zip(message.addresses, zones, strict=False)
     return tuple(ListedPublisher(parse_address(at), zone) for at, zone in pairs if is_address(at))
@@ -28,9 +28,9 @@
 def preferred(listed: tuple[ListedPublisher, ...], zone: str) -> Address | None:
     """Return the relay that all subscribers of a zone prefer, ``None`` while zones aren't known.
 
-    One in their zone, or else the one with the highest hash with it (rendezvous hashing: Thaler
-    and Ravishankar, 1998), so that they all meet at one relay and the zones without one spread.
-    What crosses zones then goes to a relay once, not to each node.
+    It is one in their zone if there is any, selected by rendezvous hashing (Thaler and
+    Ravishankar, 1998): all subscribers of a zone use the same relay, and zones without a relay are
+    distributed over the relays. Traffic between zones then goes to one relay, not to each node.
     """
     if not zone or not all(publisher.zone for publisher in listed):
         return None
