--- a/src/limelever/keeper/__init__.py
+++ b/src/limelever/keeper/__init__.py
@@ -1,1 +1,1 @@
-"""Keepers of claims on idempotency keys, on machines with disks."""
+"""Keepers, which store claims on idempotency keys on disk."""
--- a/src/limelever/keeper/client.py
+++ b/src/limelever/keeper/client.py
@@ -1,7 +1,7 @@
-"""The client of the keepers: claims, releases and completions by majority.
+"""Client of the keepers: claims, releases and completions by majority.
 
-A component of the proxy core: the host passes it the events of KEEPER links and the time, and
-takes ``ClaimSettled`` and ``CompletionSettled`` out of the outputs.
+A component of the proxy core: the host passes on the events of KEEPER links and the time, and
+handles ``ClaimSettled`` and ``CompletionSettled`` among the outputs.
 """
 
 from __future__ import annotations
@@ -50,7 +50,7 @@
 
 
 class PendingClaim(Struct):
-    """A claim on its way to a majority."""
+    """A claim whose outcome is not decided."""
 
     message: Claim
     tally: ClaimTally
@@ -58,7 +58,7 @@
 
 
 class PendingSettlement(Struct):
-    """A release or completion repeated until the keepers have it, or its window ends."""
+    """A release or completion, resent until all keepers confirm it or its window ends."""
 
     message: Release | Complete
     give_up_at: float
@@ -84,10 +84,10 @@
         self._requests: dict[int, bytes] = {}
         self._last_request = 0
 
-    # --- what the host asks -----------------------------------------------------------------
+    # --- requests of the host ---------------------------------------------------------------
 
     def claim(self, token: bytes, key: bytes, fingerprint: bytes, now: float) -> list[Output]:
-        """Ask all keepers for a claim; a ``ClaimSettled`` follows within the claim window."""
+        """Send a claim to all keepers; a ``ClaimSettled`` follows within the claim window."""
         message = Claim(
             request=self._draw_request(token), key=key, token=token, fingerprint=fingerprint
         )
@@ -97,7 +97,7 @@
         return self._links.broadcast(message)
 
     def release(self, token: bytes, now: float) -> list[Output]:
-        """Give a claim up whose call was not run; repeated until the keepers have it."""
+        """Release the claim of a call that was not run; resent until all keepers confirm it."""
         claim = self._keys.pop(token, None)
         if claim is None:
             return []
@@ -117,7 +117,7 @@
         return self._settle(token, message, now, announce_at=now + self._settings.completion_wait)
 
     def forget(self, token: bytes) -> None:
-        """Leave a claim as it is: the call's outcome is not known."""
+        """Leave the claim at the keepers, as the outcome of the call is unknown."""
         self._keys.pop(token, None)
 
     # --- events and time --------------------------------------------------------------------
@@ -131,7 +131,7 @@
         return self._links.owns(connection)
 
     def handle(self, event: Event, now: float) -> list[Output]:
-        """Take an event of a keeper's link."""
+        """Handle an event of a link to a keeper."""
         match event:
             case ConnectionOpened(connection, _):
                 return self._links.opened(connection, self._waiting(connection))
@@ -142,7 +142,7 @@
         return []
 
     def next_deadline(self) -> float | None:
-        """Return when a claim is given up, a message repeated or a keeper dialled."""
+        """Return when a claim times out, a message is resent or a keeper dialled, or ``None``."""
         times = self._links.dial_times()
         times.extend(claim.give_up_at for claim in self._claims.values())
         for pending in self._settlements.values():
@@ -152,7 +152,7 @@
         return min(times, default=None)
 
     def tick(self, now: float) -> list[Output]:
-        """Do what is due."""
+        """Handle all deadlines that have been reached."""
         outputs = self._links.dial_due(now)
         for token, claim in list(self._claims.items()):
             if now >= claim.give_up_at:
@@ -162,7 +162,7 @@
         return outputs
 
     def _waiting(self, connection: ConnectionId) -> list[Message]:
-        """Return what the keeper at the other end of a link has not answered."""
+        """Return the messages that the keeper at the other end of a link has not answered."""
         keeper = self._links.address_of(connection)
         claims = self._claims.values()
         waiting: list[Message] = [c.message for c in claims if not c.tally.has_answer_of(keeper)]
--- a/src/limelever/keeper/core.py
+++ b/src/limelever/keeper/core.py
@@ -1,7 +1,7 @@
 """The keeper core: grants claims on idempotency keys, one vote of a fixed set of keepers.
 
-Every grant, release and completion is synced before it is answered. Answers to one connection
-may overtake each other; they carry the request's number.
+Every grant, release and completion is synced before it is answered. Answers on one connection may
+be reordered; they carry the request's number.
 """
 
 from __future__ import annotations
@@ -56,7 +56,7 @@
 
 
 class KeeperCore:
-    """One keeper. ``wall_offset`` turns the monotonic time of events into Unix time."""
+    """One keeper. ``wall_offset`` converts the monotonic time of events into Unix time."""
 
     def __init__(self, settings: KeeperSettings, recovered: Recovered, wall_offset: float) -> None:
         self._settings = settings
@@ -81,12 +81,12 @@
         return self._rejoin.state == FORMED
 
     def next_deadline(self) -> float | None:
-        """Return when to poll the others or to forget what has expired."""
+        """Return when to poll the other keepers or to remove expired claims, or ``None``."""
         times = [time for time in (self._poll_at, self._expire_at) if time is not None]
         return min(times, default=None)
 
     def handle(self, event: Event, now: float) -> Sequence[Output]:
-        """Take one event."""
+        """Handle one event."""
         match event:
             case Started():
                 return self._start(now)
@@ -192,7 +192,7 @@
             return self._sync(record, self._claim_answer(connection, claim, answer))
         outputs = [self._claim_answer(connection, claim, judged)]
         if judged.state == ClaimState.CLAIM_STATE_GRANTED:
-            # The grant may still be on its way to the disk: answer after a sync of its own.
+            # The grant may not be synced yet, so the answer waits for another sync.
             return self._sync(None, outputs[0])
         if judged.state == ClaimState.CLAIM_STATE_FULL and not self._full_reported:
             self._full_reported = True
--- a/src/limelever/keeper/links.py
+++ b/src/limelever/keeper/links.py
@@ -1,4 +1,4 @@
-"""The links of a client of the keepers: one to each, dialled again when lost."""
+"""Links of a client to the keepers: one to each, redialled when lost."""
 
 from __future__ import annotations
 
@@ -60,11 +60,11 @@
         return connection in self._by_connection
 
     def address_of(self, connection: ConnectionId) -> Address:
-        """Return the keeper at the other end of a link."""
+        """Return the address of the keeper at the other end of a link."""
         return self._by_connection[connection].address
 
     def dial_due(self, now: float) -> list[Output]:
-        """Dial the keepers whose time has come."""
+        """Dial the keepers that are due."""
         outputs: list[Output] = []
         for link in self._links.values():
             if link.connection is None and now >= link.dial_at:
@@ -78,14 +78,14 @@
         return [link.dial_at for link in self._links.values() if link.connection is None]
 
     def opened(self, connection: ConnectionId, waiting: Iterable[Message]) -> list[Output]:
-        """Note that a link is up, and send what its keeper has not had."""
+        """Record that a link has opened, and send its keeper the ``waiting`` messages."""
         link = self._by_connection[connection]
         link.open = True
         link.backoff.reset()
         return [SendMessage(connection, message) for message in waiting]
 
     def lost(self, connection: ConnectionId, now: float) -> None:
-        """Note that a link is gone; it is dialled again after a delay."""
+        """Record that a link is lost; it is redialled after a delay."""
         link = self._by_connection.pop(connection)
         link.connection = None
         link.open = False
@@ -94,7 +94,7 @@
     def broadcast(
         self, message: Message, besides: frozenset[Address] = frozenset()
     ) -> list[Output]:
-        """Send a message to every keeper whose link is up."""
+        """Send a message to every keeper with an open link, except those in ``besides``."""
         return [
             SendMessage(link.connection, message)
             for link in self._links.values()
--- a/src/limelever/keeper/other_keepers.py
+++ b/src/limelever/keeper/other_keepers.py
@@ -1,4 +1,4 @@
-"""A keeper's links to the others, used only until it votes."""
+"""Links of a keeper to the other keepers, used only until it votes."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class OtherKeepers:
-    """Asks the others for their states and, after a lost disk, for their claims."""
+    """Requests the states of the other keepers and, after the loss of a disk, their claims."""
 
     def __init__(self, addresses: Iterable[Address], rejoin: Rejoin, rejoin_wait: float) -> None:
         self._rejoin = rejoin
@@ -39,7 +39,7 @@
         self._others = {address: OtherKeeper() for address in addresses}
 
     def poll(self, now: float) -> list[Output]:
-        """Dial the others, or ask those whose links are up."""
+        """Dial the other keepers, or send requests on the open links."""
         outputs: list[Output] = []
         for address, other in self._others.items():
             if other.connection is None:
@@ -52,7 +52,7 @@
         return outputs
 
     def opened(self, connection: ConnectionId) -> list[Output]:
-        """Ask for the state of the keeper at the other end, if the link is one of these."""
+        """Request the state of the keeper at the other end, if the link is one of these."""
         for other in self._others.values():
             if other.connection == connection:
                 other.open = True
@@ -60,7 +60,7 @@
         return []
 
     def lost(self, connection: ConnectionId) -> None:
-        """Forget a link that is gone, and an unfinished copy with it."""
+        """Reset a lost link, and discard an unfinished copy."""
         for address, other in self._others.items():
             if other.connection == connection:
                 other.connection = None
@@ -71,7 +71,7 @@
     def answered(
         self, connection: ConnectionId, answer: TransferAnswer, now: float
     ) -> list[Output]:
-        """Take a state, or a part of a copy, and ask for the next part."""
+        """Handle a state or a part of a copy, and request the next part."""
         outputs: list[Output] = []
         for address, other in self._others.items():
             if other.connection != connection:
--- a/src/limelever/keeper/rejoin.py
+++ b/src/limelever/keeper/rejoin.py
@@ -1,13 +1,13 @@
-"""How a keeper with an empty disk comes to vote: the first start, and after a lost disk.
+"""Start of voting of a keeper with an empty disk: a first start, or the loss of its disk.
 
 At a first start every keeper is empty. EMPTY becomes PREPARED once every other keeper was
 seen empty or prepared, and PREPARED becomes FORMED once every other was seen prepared or
 formed. A formed keeper therefore proves that each keeper was once prepared, so an empty one
 beside a formed one has lost its disk.
 
-A lost disk is a lost vote. The keeper first waits until no claim begun before the loss can
-still gather votes (``rejoin_wait`` exceeds every client's claim window), then copies what
-enough formed keepers hold, and only then votes.
+A keeper that lost its disk has lost its earlier votes. It first waits until all claims begun before
+the loss have timed out (``rejoin_wait`` exceeds every client's claim window), then copies the
+records of enough formed keepers, and only then votes.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class Copy(Struct):
-    """The records taken so far from one other keeper."""
+    """The records received so far from one other keeper."""
 
     records: list[KeeperRecord] = field(default_factory=list)
     complete: bool = False
@@ -41,7 +41,7 @@
         self._wait_until: float | None = None
 
     def saw(self, other: Address, state: KeeperState.ValueType, now: float) -> bool:
-        """Take note of another keeper's state; return whether a lost disk was just noticed."""
+        """Record another keeper's state; return whether a lost disk was detected by it."""
         self._seen[other] = state
         if self.state == EMPTY and state == FORMED and self._wait_until is None:
             self._wait_until = now + self._settings.rejoin_wait
@@ -49,7 +49,7 @@
         return False
 
     def next_state(self) -> KeeperState.ValueType:
-        """Return the state this keeper may take now (synced before it is told to anyone)."""
+        """Return the state that this keeper may enter; it must be synced before it is reported."""
         others = [self._seen.get(address) for address in self._settings.others]
         if self.state == EMPTY and all(state in (EMPTY, PREPARED) for state in others):
             return PREPARED
@@ -58,26 +58,26 @@
         return self.state
 
     def wants_copy(self, other: Address, now: float) -> bool:
-        """Return whether the records of a formed keeper are to be asked for."""
+        """Return whether to request the records of another keeper."""
         if self.state != EMPTY or self._wait_until is None or now < self._wait_until:
             return False
         copy = self._copies.get(other)
         return self._seen.get(other) == FORMED and (copy is None or not copy.complete)
 
     def copied(self, other: Address, records: list[KeeperRecord], last: bool) -> None:
-        """Take a part of another keeper's records."""
+        """Add a part of another keeper's records."""
         copy = self._copies.setdefault(other, Copy())
         copy.records.extend(records)
         copy.complete = last
 
     def abandon(self, other: Address) -> None:
-        """Drop an unfinished copy: the other keeper's picture went with the link."""
+        """Discard an unfinished copy, as the other keeper's snapshot is dropped with the link."""
         copy = self._copies.get(other)
         if copy is not None and not copy.complete:
             del self._copies[other]
 
     def finished(self) -> list[KeeperRecord] | None:
-        """Return all copied records once enough keepers were copied from."""
+        """Return all copied records once enough copies are complete, or ``None``."""
         complete = [copy for copy in self._copies.values() if copy.complete]
         if self.state != EMPTY or len(complete) < self._settings.copies_needed:
             return None
--- a/src/limelever/keeper/settings.py
+++ b/src/limelever/keeper/settings.py
@@ -32,20 +32,21 @@
 
     @property
     def copies_needed(self) -> int:
-        """Return how many other keepers must be copied from after a lost disk.
+        """Return from how many other keepers to copy after the loss of a disk.
 
         Every majority that this keeper may have completed with its forgotten vote has
-        ``quorum - 1`` members among the others; the copies must meet each such set.
+        ``quorum - 1`` members among the others; the copies must intersect each such set.
         """
         return len(self.others) - self.quorum + 2
 
 
 class KeeperClientSettings(Struct, frozen=True):
-    """A client's view of the keepers.
+    """Addresses of the keepers, and timeouts of a client.
 
     A claim that has no majority within ``claim_window`` of its start is given up: the safety
-    of a keeper's rejoin rests on this bound. ``settle_window`` bounds releases and
-    completions, ``resend_interval`` their repetition.
+    of a keeper's rejoin depends on this limit. Releases and completions are resent every
+    ``resend_interval`` for at most ``settle_window``, and a completion is reported within
+    ``completion_wait``.
     """
 
     keepers: tuple[Address, ...]
--- a/src/limelever/keeper/store.py
+++ b/src/limelever/keeper/store.py
@@ -1,8 +1,8 @@
-"""The claims a keeper holds: pure state, rebuilt from the records of its log.
+"""Claims that a keeper holds: state in memory, rebuilt from the records of its log.
 
-A claim is held by one token. It ends by the release of its own token, by expiry, or turns
-into a recorded answer. The tokens of released claims are remembered for as long as a late
-copy of the claim itself could still arrive, so that the copy is not granted.
+A claim is held by one token. It ends when its token is released, when it expires, or when it is
+completed with a recorded answer. The tokens of released claims are kept until they expire, so that
+a delayed duplicate of a claim is not granted.
 """
 
 from __future__ import annotations
@@ -27,14 +27,14 @@
 
 
 class HeldClaim(Struct):
-    """A claim with what is recorded of it; ``expires`` is Unix time in seconds."""
+    """A claim's record and its size in bytes; ``expires`` is Unix time in seconds."""
 
     record: KeeperRecord
     size: int
 
     @property
     def expires(self) -> float:
-        """Return the time at which the claim is forgotten."""
+        """Return the time at which the claim expires."""
         return self.record.expires_unix_ms / _MILLISECONDS
 
 
@@ -51,16 +51,16 @@
         self._bytes = 0
 
     def __len__(self) -> int:
-        """Return how many claims are held."""
+        """Return the number of claims held."""
         return len(self._claims)
 
     @property
     def size(self) -> int:
-        """Return the bytes of all records held."""
+        """Return the size of the records of all claims, in bytes."""
         return self._bytes
 
     def is_full(self) -> bool:
-        """Return whether a new claim would pass a bound."""
+        """Return whether a limit has been reached, so that no new claim is granted."""
         return len(self._claims) >= self._claims_limit or self._bytes >= self._bytes_limit
 
     def judge(self, claim: Claim) -> ClaimAnswer | None:
@@ -84,7 +84,7 @@
         return ClaimAnswer(state=state, fingerprint=record.fingerprint)
 
     def grant(self, claim: Claim, wall: float) -> KeeperRecord:
-        """Take the claim and return the record to sync."""
+        """Grant the claim and return the record to sync."""
         record = KeeperRecord(
             key=claim.key,
             token=claim.token,
@@ -95,7 +95,7 @@
         return record
 
     def release(self, release: Release, wall: float) -> KeeperRecord | None:
-        """Forget a claim of this token; return the record to sync, ``None`` if none is due."""
+        """Release a claim of this token; return the record to sync, ``None`` if there is none."""
         if release.token in self._released:
             return None
         held = self._claims.get(release.key)
@@ -111,10 +111,10 @@
         return record
 
     def complete(self, complete: Complete, wall: float) -> KeeperRecord | None:
-        """Record the answer of a claim that had its majority; ``None`` if it is recorded.
+        """Record the answer of a claim that had a majority; return ``None`` if one is recorded.
 
-        A claim of another token under the same key lost its race (two tokens cannot both have
-        a majority) and gives way.
+        A claim of another token on the same key is replaced, as two tokens can't both have a
+        majority.
         """
         held = self._claims.get(complete.key)
         if held is not None and held.record.completed:
@@ -131,7 +131,7 @@
         return record
 
     def apply(self, record: KeeperRecord) -> None:
-        """Take one record of the log, or of another keeper's transfer."""
+        """Apply one record of the log, or of another keeper's transfer."""
         held = self._claims.get(record.key)
         if record.released:
             self._released[record.token] = record
@@ -147,11 +147,11 @@
         self._bytes += size
 
     def merge(self, records: Iterable[KeeperRecord]) -> None:
-        """Take another keeper's records after a lost disk.
+        """Merge another keeper's records after the loss of a disk.
 
-        Where two keepers hold different tokens, either may have had this one's forgotten
-        vote, so the claim is contested: nobody is granted it, and no release of one token
-        frees it.
+        Where two keepers hold different tokens, either may have had the lost vote of this one, so
+        the claim is contested: it is granted to no token, and the release of a token does not
+        end it.
         """
         for record in records:
             if record.released or record.completed:
@@ -175,7 +175,7 @@
         self.apply(contested)
 
     def expire(self, wall: float) -> None:
-        """Forget what has outlived its time."""
+        """Remove expired claims and released tokens."""
         now = wall * _MILLISECONDS
         for key in [k for k, held in self._claims.items() if held.record.expires_unix_ms <= now]:
             self._drop(key)
@@ -183,7 +183,7 @@
             del self._released[token]
 
     def replay(self, records: Sequence[bytes]) -> int | None:
-        """Apply the records of a log; return the place of one that does not parse."""
+        """Apply the records of a log; return the index of one that does not parse, or ``None``."""
         for index, data in enumerate(records):
             try:
                 self.apply(KeeperRecord.FromString(data))
@@ -192,11 +192,11 @@
         return None
 
     def serialized(self) -> tuple[bytes, ...]:
-        """Return the records of all claims as they go to the log."""
+        """Return all records in the form in which the log stores them."""
         return tuple(record.SerializeToString() for record in self.records())
 
     def records(self) -> Iterator[KeeperRecord]:
-        """Return everything held, as records."""
+        """Return the records of released tokens and of all claims."""
         yield from self._released.values()
         for held in self._claims.values():
             yield held.record
--- a/src/limelever/keeper/tally.py
+++ b/src/limelever/keeper/tally.py
@@ -13,11 +13,11 @@
 
 
 class ClaimGranted(Struct, frozen=True):
-    """A majority granted the claim: the call may be handed on."""
+    """A majority granted the claim: the call may be forwarded."""
 
 
 class AnswerRecorded(Struct, frozen=True):
-    """The call ran before; this is its answer."""
+    """The call has run already; ``answer`` is what was recorded of it."""
 
     answer: RecordedAnswer
 
@@ -26,7 +26,7 @@
 
 
 class ClaimTally:
-    """The answers to one claim, at most one a keeper."""
+    """The answers to one claim, at most one per keeper."""
 
     def __init__(self, quorum: int, keepers: frozenset[Address], fingerprint: bytes) -> None:
         self._quorum = quorum
@@ -40,9 +40,9 @@
         return keeper in self._answers
 
     def take(self, keeper: Address, answer: ClaimAnswer) -> ClaimOutcome | None:
-        """Take an answer; return the outcome once it is decided.
+        """Count an answer; return the outcome once it is decided.
 
-        A keeper's first answer stands: a later one to the same request adds no vote.
+        Only a keeper's first answer counts; later ones to the same request are ignored.
         """
         if keeper not in self._keepers or keeper in self._answers:
             return None
--- a/src/limelever/keeper/transfers.py
+++ b/src/limelever/keeper/transfers.py
@@ -1,4 +1,4 @@
-"""Pictures of a keeper's claims, sent in parts to others that lost theirs."""
+"""Snapshots of a keeper's records, sent in parts to keepers that lost their disk."""
 
 from __future__ import annotations
 
@@ -15,20 +15,20 @@
 
 
 class Transfers:
-    """Answers transfer requests; a picture is that of its first part, however long it takes."""
+    """Answers transfer requests; all parts are of the snapshot taken for the first part."""
 
     def __init__(self, store: ClaimStore) -> None:
         self._store = store
         self._pictures: dict[ConnectionId, list[KeeperRecord]] = {}
 
     def forget(self, connection: ConnectionId) -> None:
-        """Drop the picture for a link that is gone."""
+        """Remove the snapshot of a closed link."""
         self._pictures.pop(connection, None)
 
     def answer(
         self, connection: ConnectionId, request: TransferRequest, state: KeeperState.ValueType
     ) -> TransferAnswer:
-        """Return the part asked for, with this keeper's state."""
+        """Return the requested part, with this keeper's state."""
         if request.after == 0:
             self._pictures[connection] = list(self._store.records())
         picture = self._pictures.get(connection, [])
