Grant waits for bytes in one loop

What callers would see: a node whose process ends, and with it all its requests, when uploads within the limits wait for room: process-failed after internal-fault (1040), `ValueError: list.remove(x): x not in list`.

The cause: the budget granted waits along a sorted copy of their list. A granted upload releases the bytes that had come with its head, which are a part of what it reserved; the release granted later waits of the same copy, and the outer loop granted them again. Releasing what makes room for several such waits ended the process. Now one loop grants the first wait of the list as it is, until one does not fit; what is released meanwhile is left to it, also when hundreds wait.

--- a/features/node/body_budget.feature
+++ b/features/node/body_budget.feature
@@ -3,6 +3,12 @@
   Scenario: Bursts of bodies of any size never exceed the budget, and none waits for ever
     Then drawn bodies are held within the budget, and all of them are taken in the end
 
+  # A wait that is granted releases what had come with the head, and so grants others.
+  Scenario: Uploads that began to arrive while they wait are all taken when there is room for them
+    Given a budget of 200 MB for bodies of up to 64 MiB
+    When 300 uploads of 200 kB wait of which 16 kB have arrived, and the room for all is released
+    Then all of them are held, and nothing beyond them
+
   Scenario: Small bodies pass large ones that wait
     Given a budget of 200 MB for bodies of up to 64 MiB
     When 3 requests of 64 MB come to the proxy
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -89,6 +89,28 @@
     context.opened = trio.run(open_reservations, context, [size * MEGABYTE] * count)
 
 
+@when(
+    "{count:d} uploads of {size:d} kB wait of which {arrived:d} kB have arrived, and the room for"
+    " all is released"
+)
+def when_uploads_wait(context, count, size, arrived):
+    async def run():
+        context.budget.charge(Use.REQUEST, context.budget.limit)
+        context.opened = await open_reservations(context, [size * 1000] * count)
+        assert all(each.must_wait for each in context.opened)
+        assert not any(each.add(arrived * 1000) for each in context.opened)
+        context.budget.release(Use.REQUEST, context.budget.limit)
+
+    context.bytes = count * size * 1000
+    trio.run(run)
+
+
+@then("all of them are held, and nothing beyond them")
+def then_all_held(context):
+    assert not any(each.must_wait for each in context.opened)
+    assert context.budget.used(Use.REQUEST) == context.bytes, context.budget.used(Use.REQUEST)
+
+
 @then("{held:d} of them is held, {waiting:d} waits and {refused:d} is refused")
 def then_reservations(context, held, waiting, refused):
     failures = [each for each in context.opened if isinstance(each, Failure)]
--- a/src/limelever/common/byte_budget.py
+++ b/src/limelever/common/byte_budget.py
@@ -18,6 +18,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from operator import attrgetter
 
 from msgspec import Struct
 
@@ -89,6 +90,7 @@
         self._used = dict.fromkeys(Use, 0)
         self._total = 0
         self._waiting: list[Waiter] = []
+        self._granting = False
         self.largest = limit * _HIGHEST_CEILING_PERCENT // _PERCENT
         self._idle = limit * _IDLE_PERCENT // _PERCENT
         self._ceilings = {
@@ -175,10 +177,23 @@
         return self._total <= self._idle and size <= self.largest
 
     def _grant_waiting(self) -> None:
-        """Grant the waits in their order, up to the first that does not fit."""
-        for waiter in sorted(self._waiting, key=lambda each: each.rank):
-            if not self._has_room(waiter.use, waiter.size, is_large=waiter.is_large):
-                return
-            self._waiting.remove(waiter)
-            self.charge(waiter.use, waiter.size)
-            waiter.granted()
+        """Grant the waits in their order, up to the first that does not fit.
+
+        What is granted may release bytes: the loop in progress grants these too.
+        """
+        if self._granting:
+            return
+        self._granting = True
+        try:
+            while self._waiting and self._has_granted(min(self._waiting, key=attrgetter("rank"))):
+                pass
+        finally:
+            self._granting = False
+
+    def _has_granted(self, waiter: Waiter) -> bool:
+        if not self._has_room(waiter.use, waiter.size, is_large=waiter.is_large):
+            return False
+        self._waiting.remove(waiter)
+        self.charge(waiter.use, waiter.size)
+        waiter.granted()
+        return True
