Refuse tunnels over HTTP/2 before anything is kept of them

What callers would see: a node or a control process that one HTTP/2 connection takes over its memory, by requests for a tunnel (CONNECT with a protocol, RFC 8441), or 250 connections by 100 of them each.

The cause: these went past the limit on open requests, as the application ends them at once. But the library keeps the stream of each that it refuses itself, without an end, and a task, buffers and a handshake of one that is open; and each restored the connection's allowance of frames. Now they are refused with 400, as over HTTP/1.1, without a task or a stream, and the server doesn't announce that it takes them.

http2_limits.feature: 50 requests for a tunnel in each of four forms are answered 400 and leave no stream; all four failed before, with 403 or with 50 streams. service.feature read until the connection was closed because of data after such a request; the connection now stays, so the client ends it itself.

--- a/features/steps/http2_caller.py
+++ b/features/steps/http2_caller.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 
+import h2.config
 import h2.connection
 import h2.events
 from http_server import HttpClient
@@ -20,7 +21,8 @@
     def __init__(self, address) -> None:
         self._client = HttpClient(address)
         self._client.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._protocol = h2.connection.H2Connection()
+        config = h2.config.H2Configuration(validate_outbound_headers=False)
+        self._protocol = h2.connection.H2Connection(config)
         self._protocol.initiate_connection()
         self.statuses: dict[int, int] = {}
         self._ended: set[int] = set()
@@ -38,6 +40,14 @@
         self._flush()
         return stream
 
+    def connect(self, *fields: tuple[str, str], end_stream: bool = True) -> int:
+        """Ask for a tunnel; return the stream."""
+        stream = self._protocol.get_next_available_stream_id()
+        names = {":method": "CONNECT", ":path": "/", ":scheme": "http", ":authority": "a"}
+        self._protocol.send_headers(stream, [*names.items(), *fields], end_stream=end_stream)
+        self._flush()
+        return stream
+
     def begin_upload(self, size: int) -> int:
         """Send a part of a body that does not end, as windows allow; return the stream."""
         stream = self._protocol.get_next_available_stream_id()
--- a/features/steps/http2_limit_steps.py
+++ b/features/steps/http2_limit_steps.py
@@ -28,6 +28,7 @@
 
 from limelever.transport.http2_connection import Http2Connection
 from limelever.transport.http2_frames import MAX_FRAME_BYTES, FrameGuard
+from limelever.transport.http2_protocol import Http2Protocol
 from limelever.transport.http2_requests import RequestMemory, memory_of
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
@@ -175,6 +176,23 @@
     assert context.header_lists and not any(context.header_lists), context.header_lists
 
 
+@when("a caller over HTTP/2 sends {count:d} requests for a tunnel {how}")
+def when_tunnels(context, count, how):
+    protocol = "other" if how == "of an unknown protocol" else "websocket"
+    version = [] if how == "without a version" else [("sec-websocket-version", "13")]
+    ends = how != "that do not end"
+    fields = [(":protocol", protocol), *version]
+    context.streams = [context.caller.connect(*fields, end_stream=ends) for _ in range(count)]
+
+
+@then("each is answered {status:d}, and the listener holds no stream of them")
+def then_no_stream(context, status):
+    answered = [context.caller.status(stream) for stream in context.streams]
+    assert answered == [status] * len(answered), answered
+    protocols = [each for each in gc.get_objects() if isinstance(each, Http2Protocol)]
+    assert protocols and not any(each.streams for each in protocols)
+
+
 @when("the held requests are answered")
 def when_released(context):
     context.edge.release()
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -183,6 +183,7 @@
         time.sleep(0.3)
         client.send_data(1, b"late")
         s.sendall(client.data_to_send())
+        s.shutdown(socket.SHUT_WR)
         s.settimeout(5)
         while s.recv(65536):
             pass
--- a/features/transport/http2_limits.feature
+++ b/features/transport/http2_limits.feature
@@ -45,6 +45,20 @@
     Then the last two are answered 503, and 2 requests were run
     And no received header list was in memory while bytes were sent
 
+  # No application serves WebSockets; the library keeps what it refuses of them.
+  Scenario Outline: Requests for a tunnel over HTTP/2 are refused, and nothing of them is kept
+    Given an edge with memory for 2 requests over HTTP/2
+    When a caller over HTTP/2 sends 50 requests for a tunnel <how>
+    Then each is answered 400, and the listener holds no stream of them
+    And the caller's next request over HTTP/2 is served
+
+    Examples:
+      | how                    |
+      | of a WebSocket         |
+      | of an unknown protocol |
+      | without a version      |
+      | that do not end        |
+
   # Callers cancel what they no longer need.
   Scenario: A connection whose client resets many of its requests beside served ones is kept
     Given an edge with memory for 10 requests over HTTP/2
--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -23,6 +23,7 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 
+from limelever.common.errors import Failure
 from limelever.common.http_messages import HttpAnswer
 from limelever.transport.asgi import AsgiApplication, AsgiMessage, Send
 from limelever.transport.http2_frames import FrameGuard
@@ -50,7 +51,7 @@
         stream: Any,
         received: bytes,
         memory: RequestMemory,
-        refuse: Callable[[], HttpAnswer],
+        render: Callable[[Failure], HttpAnswer],
         report: Callable[[str], None],
     ) -> None:
         wrapped = ASGIWrapper(self._bounded(application))
@@ -62,7 +63,7 @@
         self._sending: set[trio.CancelScope] = set()
         self._client_left = False
         self._guard = FrameGuard(limits.max_head_bytes, trio.current_time())
-        self._memory, self._refuse, self._report = memory, refuse, report
+        self._memory, self._render, self._report = memory, render, report
 
     async def run(self) -> None:
         """Serve until the connection ends; TLS has agreed on the protocol already."""
@@ -93,7 +94,7 @@
             self.protocol_send,
             guard=self._guard,
             memory=self._memory,
-            refuse=self._refuse,
+            render=self._render,
             report=self._report,
         )
         # The wrapper would only add the ways to change from HTTP/1.1.
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -15,6 +15,7 @@
 from h2.events import DataReceived, PriorityUpdated, RequestReceived, StreamReset
 from h2.events import Event as ReceivedEvent
 from h2.exceptions import ProtocolError
+from h2.settings import SettingCodes
 from h2.utilities import SizeLimitDict
 from hypercorn.events import Closed, Event, RawData
 from hypercorn.protocol.events import Event as StreamEvent
@@ -22,9 +23,11 @@
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.utils import filter_pseudo_headers
 
+from limelever.common.errors import Failure
 from limelever.common.http_messages import HttpAnswer
 from limelever.transport.http2_frames import FrameGuard
-from limelever.transport.http2_requests import RequestMemory, memory_of
+from limelever.transport.http2_requests import NO_MEMORY, RequestMemory, memory_of
+from limelever.transport.request_checks import NO_TUNNELS
 
 _BODY_HEADERS = frozenset({b"content-length", b"connection"})
 
@@ -45,8 +48,8 @@
 class Http2Protocol(H2Protocol):
     """The protocol of one connection.
 
-    ``refuse`` returns the response of a request that isn't run as ``memory`` has no room for it.
-    The application releases the memory of each request that it runs.
+    ``render`` returns the response of a request that isn't run, as ``memory`` has no room for it or
+    as it asks for a tunnel. The application releases the memory of each request that it runs.
     ``report`` is called with the reason before a connection is closed for what its client sends.
     """
 
@@ -55,17 +58,18 @@
         *arguments: Any,
         guard: FrameGuard,
         memory: RequestMemory,
-        refuse: Callable[[], HttpAnswer],
+        render: Callable[[Failure], HttpAnswer],
         report: Callable[[str], None],
     ) -> None:
         super().__init__(*arguments)
         connection = self.connection
         connection.decoder.max_header_list_size = self.config.h2_max_header_list_size
+        del connection.local_settings[SettingCodes.ENABLE_CONNECT_PROTOCOL]
         connection._closed_streams = SizeLimitDict(size_limit=_CLOSED_STREAMS)
         self._guard = guard
         self._memory = memory
         self._refused: list[int] = []
-        self._refuse = refuse
+        self._render = render
         self._report = report
 
     async def handle(self, event: Event) -> None:
@@ -118,12 +122,11 @@
         assert stream is not None and request.headers is not None
         methods = [value.upper() for name, value in request.headers if name == b":method"]
         if b"CONNECT" in methods:
-            # Only for WebSockets, which no application serves: they end at once.
-            await super()._create_stream(request)
+            self._answer_at_once(stream, NO_TUNNELS)
             return
         size = memory_of(filter_pseudo_headers(request.headers))
         if not self._memory.take(size):
-            self._answer_at_once(stream)
+            self._answer_at_once(stream, NO_MEMORY)
             return
         try:
             await super()._create_stream(request)
@@ -132,11 +135,11 @@
             self._memory.release(size)
             raise
 
-    def _answer_at_once(self, stream: int) -> None:
+    def _answer_at_once(self, stream: int, failure: Failure) -> None:
         """Refuse a request by headers alone, without a task; its body is not awaited."""
         self._refused.append(stream)
         self.streams[stream] = cast(HTTPStream, _RefusedStream())
-        answer = self._refuse()
+        answer = self._render(failure)
         headers = [(b":status", b"%d" % answer.status)]
         headers += [each for each in answer.headers if each[0].lower() not in _BODY_HEADERS]
         with suppress(ProtocolError):
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -25,7 +25,7 @@
 from limelever.transport.asgi_http2 import BoundedApplication
 from limelever.transport.head_reservation import HeadPool
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
-from limelever.transport.http2_requests import NO_MEMORY, RequestMemory
+from limelever.transport.http2_requests import RequestMemory
 from limelever.transport.http_limits import HTTP2_CONNECTIONS, HttpLimits
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
@@ -206,7 +206,7 @@
             connection.stream,
             received,
             self._requests,
-            partial(self._service.handler.render, NO_MEMORY),
+            self._service.handler.render,
             partial(self._report_failure, client_name(connection.stream)),
         )
         connection.served_by = http2
--- a/src/limelever/transport/request_checks.py
+++ b/src/limelever/transport/request_checks.py
@@ -23,6 +23,8 @@
 _HOST_VALUE = re.compile(rb"(\[[0-9a-fA-F:.]+\]|[0-9A-Za-z._~!$&'()*+,;=%-]*)(:[0-9]*)?")
 """A host as in RFC 3986, section 3.2.2: a name, an IPv4 or a bracketed IPv6 address, a port."""
 
+NO_TUNNELS = Failure(ErrorKind.INVALID_REQUEST, "CONNECT is not served")
+
 
 def check_request(request: HttpRequest) -> Failure | None:
     """Return why a request is in doubt, by its head, or ``None``.
@@ -48,7 +50,7 @@
     if request.version not in _SERVED_VERSIONS:
         return "this version of HTTP is not served"
     if request.method == _CONNECT:
-        return "CONNECT is not served"
+        return NO_TUNNELS.reason
     return _framing_doubt(request) or _target_doubt(request)
 
 
