Print the text of errors that end a step in the run of all checks

Cause: behave's JSON formatter writes the message of a step only when its status is "failed". The report has the step's name, which counts as a reason, so that the end of the output isn't printed either.

Change: the run of all checks writes its report by a formatter of its own, which adds the message of every step that has one.

Evidence: the new scenario runs a step that raises ValueError of 60 lines.

--- a/features/lab/test_run.feature
+++ b/features/lab/test_run.feature
@@ -42,6 +42,13 @@
     Then "Traceback" is shown, and "broken" is not
     And 0 passed and 1 failed
 
+  # Guards against an error of which only the step's name is printed.
+  Scenario: A step that ends in an error is shown with all of its text
+    Given a folder of features with a step that raises ValueError of 60 lines
+    When the folder runs as a room
+    Then each line of the error is shown, and the step that raised it
+    And 0 passed and 1 failed
+
   Scenario: The last line gives the counts, after the known failures
     When rooms with 3 passed and 1 failed scenarios are printed
     Then the last lines are "KNOWN-RED.txt:", the known failure and "3 passed, 1 failed"
--- a/features/steps/lab_test_run_steps.py
+++ b/features/steps/lab_test_run_steps.py
@@ -18,9 +18,16 @@
 )
 from limelever_lab.fleet.fleet import wait_until
 from limelever_lab.known_red import KNOWN_RED_FILE, KnownRed, read_known_red
-from limelever_lab.testrun import LATE_STATUS, ROOT, run_command
+from limelever_lab.testrun import LATE_STATUS, ROOT, Room, run_command, run_room
 
 END_LIMIT_SECONDS = 30
+RAISING_STEP = """from behave import when
+
+
+@when("it acts")
+def act(context):
+    raise ValueError("{text}")
+"""
 
 
 @given('a report with a scenario that is "{status}"')
@@ -110,6 +117,31 @@
     assert other not in context.counted.details, context.counted
 
 
+@given("a folder of features with a step that raises ValueError of {count:d} lines")
+def step_raising_feature(context, count):
+    context.lines = [f"line {number} of {count}" for number in range(1, count + 1)]
+    steps = scratch(context) / "steps"
+    steps.mkdir()
+    text = "\\n".join(context.lines)
+    code = RAISING_STEP.format(text=text)
+    (steps / "steps.py").write_text(code)
+    feature = scratch(context) / "raising.feature"
+    feature.write_text("Feature: Errors\n  Scenario: It raises\n    When it acts\n")
+    context.room = Room("raising", (feature,))
+
+
+@when("the folder runs as a room")
+def step_run_room(context):
+    context.counted = run_room(context.room, ())
+
+
+@then("each line of the error is shown, and the step that raised it")
+def step_error_shown(context):
+    details = context.counted.details
+    missing = [text for text in (*context.lines, "When it acts") if text not in details]
+    assert not missing, (missing, details)
+
+
 @when("rooms with {passed:d} passed and {failed:d} failed scenarios are printed")
 def step_print_rooms(context, passed, failed):
     rooms = [JobResult("one", passed, 0, seconds=1.0), JobResult("two", 0, failed, seconds=2.5)]
--- a/src/limelever_lab/testrun.py
+++ b/src/limelever_lab/testrun.py
@@ -37,6 +37,7 @@
 JOB_LIMIT_SECONDS = 450
 LATE_STATUS = 124
 FLEET_TAG = "@fleet"
+REPORT_FORMAT = "limelever_lab.report_formatter:ReportFormatter"
 SLOW_TAG = "@slow"
 """A feature that takes minutes: a job by itself, and begun first, so that none runs on alone."""
 CHECKS = (
@@ -120,7 +121,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         report = Path(scratch) / "report.json"
         paths = [str(path) for path in room.features]
-        command = ["behave", "--no-color", "-f", "json", "-o", str(report), "-f", "plain", *paths]
+        outputs = ["-f", REPORT_FORMAT, "-o", str(report), "-f", "plain"]
+        command = ["behave", "--no-color", *outputs, *paths]
         result = run_command(command)
         scenarios = read_report(report)
     return count_scenarios(room.name, scenarios or (), result, known_red)
