Name the seed and the round of an error during losses of power

What was seen: an error within the rounds of "All control machines lose power at drawn moments" gave neither seed nor round, the text of a failed assertion came without its traceback, and the logs were lost with the scenario's folder: they were kept only by the last step, which is not reached then.

Change: an error of the start or of a round, failed assertions among them, is raised on with the seed, the round and where the logs are kept. The processes are killed before the logs are copied.

--- a/features/steps/power_loss_fleet_steps.py
+++ b/features/steps/power_loss_fleet_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import shutil
 import tempfile
 from pathlib import Path
@@ -27,6 +28,24 @@
     context.add_cleanup(context.fleet.close)
 
 
+@contextlib.contextmanager
+def named_errors(context, what):
+    """Say of an error, or a failed assertion, in which round of which seed it came; keep logs."""
+    try:
+        yield
+    except Exception as error:
+        context.fleet.close()  # files that vanish during the copy would hide the error
+        where = f"seed {context.seed}, {what}, logs in {keep_logs(context)}"
+        raise RuntimeError(where) from error
+
+
+def keep_logs(context):
+    """Copy the folder of all machines to where it outlives the scenario; return where."""
+    kept = KEPT / f"power-loss-{context.seed}"
+    shutil.copytree(context.folder, kept, dirs_exist_ok=True)
+    return kept
+
+
 @when("all lose power while one appends, whose append is torn, and two others lose their disks")
 def when_append_is_torn(context):
     context.fleet.start(SLOW_SYNCS)
@@ -41,10 +60,13 @@
 
 @when("all lose power {rounds:d} times amid changes, and some their disks")
 def when_power_is_lost(context, rounds):
-    context.fleet.start()
-    for _ in range(int(context.config.userdata.get("rounds", rounds))):
+    rounds = int(context.config.userdata.get("rounds", rounds))
+    with named_errors(context, "start"):
+        context.fleet.start()
+    for number in range(1, rounds + 1):
         if not context.fleet.broken:
-            context.fleet.run_round()
+            with named_errors(context, f"round {number} of {rounds}"):
+                context.fleet.run_round()
 
 
 @then("each time the newest acknowledged configuration was read back, and never an older one")
@@ -54,6 +76,4 @@
     print(f"seed {context.seed}: {fleet.operator.newest} changes, {dict(fleet.counts)}")
     print(fleet.seen)
     if broken:
-        kept = KEPT / f"power-loss-{context.seed}"
-        shutil.copytree(context.folder, kept, dirs_exist_ok=True)
-        raise AssertionError(f"seed {context.seed}, logs in {kept}: {broken[:5]}")
+        raise AssertionError(f"seed {context.seed}, logs in {keep_logs(context)}: {broken[:5]}")
