Answer heartbeats at once with what is synced

What callers saw: with slow disks at the control machines no configuration was read back or taken, as leaders stepped down in turn ("no majority heard within the lease").

Cause: a follower's reply to an append, also to a heartbeat that brings nothing, waited for all writes drawn before it. That reply is the leader's proof that it is followed. With a write in each sync a reply waits for up to two, so that syncs of more than half the lease end a leadership, though all replicas follow.

Change: a heartbeat that agrees with the log is answered at once if term, vote and identity are synced, and states the log only up to the first entry with a write that isn't. A second reply follows once the rest is synced. No field is new: a leader of an earlier build takes the lower index as it takes a repeated reply.

Why it is right: a commit counts match_index alone, which never exceeds what is synced; a round proves that the follower's synced term is the leader's, as before. A voter whose disk hangs would pass for one that is heard, and would not be replaced: heard_at counts only refusals, replies with all synced that was sent, and replies with more than before.

Replies whose request is of another term, which a leader drops, are not compared: the code before let one state a higher term before that was synced. A cut alone untracked fails none: an append of the same event always covers it.

--- a/features/source/slow_disks.feature
+++ b/features/source/slow_disks.feature
@@ -101,3 +101,43 @@
     Given a replica group of 3
     When a follower stands for election while the disks of the others sync in 3 s
     Then that follower leads in the term for which it stood
+
+  # Guards against leaders that step down in turn because replies to heartbeats wait for syncs.
+  Scenario Outline: A leader goes on while disks sync more slowly than its lease lasts
+    When groups of <size> write every 0.1 s for 20 s, for 5 seeds, with an election timeout of 0.7 s and syncs of <sync> s
+    Then no leader has stepped down, and the writes of the first half are accepted
+
+    Examples:
+      | size | sync |
+      | 3    | 0.15 |
+      | 3    | 0.5  |
+      | 3    | 2.0  |
+      | 5    | 0.15 |
+      | 5    | 0.5  |
+      | 5    | 2.0  |
+
+  # Guards against a reply that leaves before what it states is synced.
+  Scenario: Each reply to an append states what its sender's disk holds
+    Then groups of 5 state no more than is synced under 20 seeds of disorder, with syncs of up to 1 s
+    And groups of 3 state no more than is synced under 20 seeds of disorder, with syncs of up to 1 s
+
+  # Guards against a voter that follows with a disk that hangs and is never replaced.
+  Scenario: A follower whose disk hangs counts as silent once it has something to sync
+    Given a replica group of 3
+    When the disk of one follower hangs for 3 s while writes go on
+    Then its leader has heard nothing of its disk for that long, and lately of the other
+    But the leader has led without a break, and leads with the other's disk hanging as well
+
+  # Guards against a heartbeat's reply that states a term, an entry or a snapshot before it is synced.
+  Scenario Outline: A heartbeat is answered at once with what is synced, and with the rest later
+    Given a replica group of 3
+    When a follower whose disk hangs is sent <what>, and then a heartbeat
+    Then it replies at once with <stated>
+    And once its disk syncs it replies to each with all
+
+    Examples:
+      | what          | stated             |
+      | an entry      | what it held       |
+      | other entries | what it kept       |
+      | a snapshot    | no entry           |
+      | a higher term | no reply           |
--- a/features/steps/replication_disorder_steps.py
+++ b/features/steps/replication_disorder_steps.py
@@ -11,7 +11,7 @@
 )
 
 
-def _disturb(group, random, may_lose):
+def disturb(group, random, may_lose):
     """Do one thing that fails in the field; a lost disk only while nothing else is wrong."""
     name = random.choice(list(group.nodes))
     node = group.nodes[name]
@@ -28,7 +28,7 @@
         group.start(name)
 
 
-def _write_somewhere(group, random, number):
+def write_somewhere(group, random, number):
     running = [name for name, node in group.nodes.items() if node.core]
     if running:
         group.ask(random.choice(running), service_batch(f"chaos{number}", f"s{number}"))
@@ -56,9 +56,9 @@
         group = Group(size, seed=seed, loss=0.05, snapshot_every=30)
         group.found()
         for number in range(40):
-            _disturb(group, group.random, may_lose=_whole(group))
+            disturb(group, group.random, may_lose=_whole(group))
             for part in range(3):
-                _write_somewhere(group, group.random, number * 3 + part)
+                write_somewhere(group, group.random, number * 3 + part)
                 group.run(group.random.uniform(0.05, 0.8))
         accepted = [a.version for a in group.answers.values() if isinstance(a, ApplyResponse)]
         group.loss = 0.0
--- a/src/limelever/source/replication/context.py
+++ b/src/limelever/source/replication/context.py
@@ -49,6 +49,9 @@
 Each attempt that fails doubles it: where messages are slow, votes take longer than that.
 """
 
+FIRST_INDEX = 1
+"""Index of the first entry of a group's log."""
+
 _NEVER = float("-inf")
 _FOREVER = float("inf")
 
@@ -176,12 +179,14 @@
     def save_hard_state(self) -> None:
         """Write term and vote; what depends on them waits for ``writes.when_synced``."""
         state = HardState(term=self.term, voted_for=self.voted_for)
-        self._replace(HARD_STATE_FILE, state.SerializeToString())
+        content = state.SerializeToString()
+        self.outputs.append(ReplaceFile(self.writes.draw_state(), HARD_STATE_FILE, content))
 
     def save_formatted(self, formatted: Formatted) -> None:
         """Write the replica's identity."""
         self.formatted = formatted
-        self._replace(FORMATTED_FILE, encode_identity(formatted, self._marked_level))
+        content = encode_identity(formatted, self._marked_level)
+        self.outputs.append(ReplaceFile(self.writes.draw_state(), FORMATTED_FILE, content))
 
     def _mark_level(self, level: int) -> None:
         """Mark the disk before it holds a record that an older build would misread."""
@@ -194,34 +199,32 @@
         self.log.append(entries)
         self._mark_level(self.log.feature_level)
         records = tuple(entry.SerializeToString() for entry in entries)
-        self.outputs.append(AppendLog(self.writes.draw(), records))
+        self.outputs.append(AppendLog(self.writes.draw_log(entries[0].index), records))
 
     def cut_from(self, index: int) -> None:
         """Drop entries that were never committed, from ``index`` on."""
         self.record(events.LOG_CUT, from_index=index, term=self.term)
         self.log.cut_from(index)
         keep = self.log.last_index - self.log.base_index
-        self.outputs.append(TruncateLog(self.writes.draw(), keep))
+        self.outputs.append(TruncateLog(self.writes.draw_log(index), keep))
 
     def reset_disk_log(self) -> None:
         """Let the disk's log hold just the entries after the snapshot."""
         entries = self.log.suffix(self.log.base_index)
         records = tuple(entry.SerializeToString() for entry in entries)
-        self.outputs.append(ResetLog(self.writes.draw(), records))
+        self.outputs.append(ResetLog(self.writes.draw_log(FIRST_INDEX), records))
 
     def save_snapshot(self, snapshot: SourceSnapshot) -> None:
         """Write a snapshot, then drop the entries that it covers (in this order)."""
         self._mark_level(snapshot.feature_level)
         self.snapshot = snapshot
-        self._replace(SNAPSHOT_FILE, snapshot.SerializeToString())
+        content = snapshot.SerializeToString()
+        self.outputs.append(ReplaceFile(self.writes.draw_log(FIRST_INDEX), SNAPSHOT_FILE, content))
         self.log.rebase(
             snapshot.last_index, snapshot.last_term, snapshot.members, snapshot.feature_level
         )
         self.reset_disk_log()
 
-    def _replace(self, name: str, content: bytes) -> None:
-        self.outputs.append(ReplaceFile(self.writes.draw(), name, content))
-
     # --- commit -----------------------------------------------------------------------------
 
     def commit_to(self, index: int) -> None:
--- a/src/limelever/source/replication/follower.py
+++ b/src/limelever/source/replication/follower.py
@@ -1,4 +1,9 @@
-"""Appends the leader's entries and snapshots, and replies once they are synced."""
+"""Appends the leader's entries and snapshots, and replies by what is synced.
+
+A reply waits for the writes before it. One to a heartbeat is also sent at once if term and identity
+are synced, and states no more of the log than is: it proves that the leader is followed, which
+otherwise would step down when syncs at its followers take longer than its lease.
+"""
 
 from __future__ import annotations
 
@@ -51,7 +56,10 @@
             return
         match = max(request.previous_index + len(request.entries), log.base_index)
         self._context.commit_to(min(request.commit_index, match))
-        self._answer_synced(connection, _Echo.of(request), True, match)
+        if request.entries:
+            self._answer_synced(connection, _Echo.of(request), True, match)
+        else:
+            self._answer_heartbeat(connection, _Echo.of(request), match)
 
     def take_snapshot(self, connection: ConnectionId, request: InstallSnapshot) -> None:
         """Install a snapshot, unless its entries are committed here already."""
@@ -89,6 +97,16 @@
             break
         return True
 
+    def _answer_heartbeat(self, connection: ConnectionId, echo: _Echo, match: int) -> None:
+        """Follow the leader at once, with as much of the log up to ``match`` as is synced."""
+        context = self._context
+        follows = context.writes.state_is_synced
+        synced = context.writes.synced_index(context.log.last_index)
+        if follows:
+            self._answer(connection, echo, True, min(match, synced))
+        if not follows or synced < match:
+            self._answer_synced(connection, echo, True, match)
+
     def _answer_synced(
         self, connection: ConnectionId, echo: _Echo, success: bool, match: int
     ) -> None:
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -119,14 +119,14 @@
     # --- followers --------------------------------------------------------------------------
 
     def heard_lately(self, identity: str) -> bool:
-        """Return whether a member replied within the lease; always true for this replica."""
+        """Return whether a member's disk was heard of within the lease; true for this replica."""
         if identity == self._context.identity:
             return True
         heard_at = self._sender.progress_of(identity).heard_at
         return self._context.now - heard_at < self._context.settings.lease
 
     def silent_for(self, identity: str) -> float:
-        """Return the time in seconds since a member last replied to this leader."""
+        """Return the time in seconds since a member's disk was last heard of by this leader."""
         if identity == self._context.identity:
             return 0.0
         progress = self._sender.progress_of(identity)
@@ -172,10 +172,9 @@
         if answer.match_index > context.log.last_index:
             return  # no request has stated an entry beyond this log
         progress = self._sender.progress_of(answer.follower)
-        progress.heard_at = context.now
         progress.acked_round = max(progress.acked_round, answer.round)
         if answer.success:
-            progress.take_success(answer.match_index, answer.round)
+            progress.take_success(answer.match_index, answer.round, context.now)
             self._commit()
         else:
             self._take_refusal(answer, progress)
@@ -191,6 +190,7 @@
 
     def _take_refusal(self, answer: AppendAnswer, progress: Progress) -> None:
         synced = progress.match_index
+        progress.heard_at = self._context.now
         if progress.take_refusal(answer.match_index, answer.round):
             fields = {"identity": answer.follower, "synced": synced, "held": answer.match_index}
             self._context.record(events.FOLLOWER_ROLLED_BACK, **fields)
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -12,8 +12,9 @@
 
     ``match_index`` is synced at the follower, by its reply in ``match_round``; ``next_index`` is
     sent next, ahead of the replies; ``acked_round`` is the newest round it has acknowledged;
-    ``heard_at`` is when it last replied; ``known_since`` is when this leader first sent to it;
-    ``snapshot_due`` is when a snapshot may be sent (again). Times in seconds, monotonic.
+    ``heard_at`` is when it last refused, or replied with all synced that it was sent, or with more
+    than before; ``known_since`` is when this leader first sent to it; ``snapshot_due`` is when a
+    snapshot may be sent (again). Times in seconds, monotonic.
     """
 
     next_index: int
@@ -24,8 +25,13 @@
     heard_at: float = NEVER
     snapshot_due: float = NEVER
 
-    def take_success(self, match_index: int, round_number: int) -> None:
-        """Record what the follower has synced, by its reply in a round."""
+    def take_success(self, match_index: int, round_number: int, now: float) -> None:
+        """Record what the follower has synced, by its reply in a round.
+
+        One that follows while its disk syncs nothing isn't heard: it helps to commit nothing.
+        """
+        if match_index > self.match_index or match_index >= self.next_index - 1:
+            self.heard_at = now
         if match_index >= self.match_index:
             self.match_index = match_index
             self.match_round = max(self.match_round, round_number)
