Test that bytes stated as synced prove nothing after a cut

What callers would see: a control machine that refuses its folder as damaged after a loss of power, if the statement of synced bytes outlived the log it was made for.

Cause: no test failed without the withdrawal of the statement before a log is replaced, nor without its sync. The folders of the scenarios so far state 0 bytes, and what is written behind a cut is seldom longer than the log was.

Change: a folder that states all its records as synced is cut or replaced, then appended to beyond that; each state that a loss of power may leave has to open.

--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -49,6 +49,11 @@
     context.trial.write([ReplaceFile(count, "vote", b"first")])
 
 
+@given("the data folder states that all its records are synced")
+def given_statement(context):
+    context.trial.disk.mark_synced()
+
+
 @then("whatever a loss of power leaves of {batch}, all that was synced is given back")
 def then_all_states(context, batch):
     trial, writes = context.trial, BATCHES[batch]
--- a/features/steps/power_loss_trial.py
+++ b/features/steps/power_loss_trial.py
@@ -25,6 +25,8 @@
         AppendLog(11, LATER[1:]),
     ],
     "a reset, then an append": [ResetLog(9, LATER[:2]), AppendLog(10, LATER[2:])],
+    "a truncation, then a long append": [TruncateLog(9, 3), AppendLog(10, (LONG[:300],))],
+    "a reset, then a long append": [ResetLog(9, LATER[:1]), AppendLog(10, (LONG[:300],))],
 }
 
 
--- a/features/storage/power_loss.feature
+++ b/features/storage/power_loss.feature
@@ -14,6 +14,17 @@
       | an append, a file, an append  |
       | a reset, then an append       |
 
+  # Guards against bytes stated as synced before a cut that prove damage to what was written after it.
+  Scenario Outline: What was stated as synced proves nothing once the log is cut or replaced
+    Given a data folder that has synced 5 records, each by itself, and a file
+    And the data folder states that all its records are synced
+    Then whatever a loss of power leaves of <batch>, all that was synced is given back
+
+    Examples: Writes
+      | batch                            |
+      | a truncation, then a long append |
+      | a reset, then a long append      |
+
   # Guards against a recovery that a second loss of power turns into damage.
   Scenario: Power is lost in drawn writes, and again during the recovery
     Then drawn writes are given back up to a point after two losses of power, for seeds 0 to 299
