--- a/src/limelever_lab/testrun.py
+++ b/src/limelever_lab/testrun.py
@@ -42,6 +42,7 @@
 """A feature with crowds of clients that break limits; two at once would slow each other down."""
 SLOW_TAG = "@slow"
 """A feature that takes minutes: a job by itself, and begun first, so that none runs on alone."""
+REPORT_FORMAT = "limelever_lab.report_formatter:ReportFormatter"
 TAGS = (FLEET_TAG, CROWD_TAG, SLOW_TAG)
 CHECKS = (
     ("ruff format", ("ruff", "format", "--check", ".")),
@@ -122,7 +123,8 @@
     with tempfile.TemporaryDirectory() as scratch:
         report = Path(scratch) / "report.json"
         paths = [str(path) for path in room.features]
-        command = ["behave", "--no-color", "-f", "json", "-o", str(report), "-f", "plain", *paths]
+        outputs = ["-f", REPORT_FORMAT, "-o", str(report), "-f", "plain"]
+        command = ["behave", "--no-color", *outputs, *paths]
         result = run_command(command)
         scenarios = read_report(report)
     return count_scenarios(room.name, scenarios or (), result, known_red)
