Limit the rate of the events of closed connections

What was seen: each connection that broke the protocol, or was closed at the limit on connections, wrote a line (1031, 1032, 2502, 2503, 4031, 4032). Clients open as many connections as they like, so a crowd decides how much a process logs.

Cause: the events of a guarded listener had no limit on their rate, unlike `heads-without-room` and `call-failed`.

Change: ten lines a second for each event of a listener; the next line has in the new field `connections` how many there were since the line before. The metric of events counts each connection as before.

Ten lines and not one: with one, features/transport/tls.feature failed (two of its rows), as it expects the reasons of two clients that fail within a second.

Not covered: `link-limit` (1030), `link-refused` (1012) and `unread-closed` (1034) are still written once a connection.

--- a/src/limelever/proxy/events.py
+++ b/src/limelever/proxy/events.py
@@ -83,6 +83,7 @@
     "caller's connection was closed after a protocol error",
     "client",
     "reason",
+    "connections",
 )
 EDGE_CONNECTION_LIMIT = define(
     4032,
@@ -91,6 +92,7 @@
     "caller's connection was closed because the connection limit is reached",
     "client",
     "limit",
+    "connections",
 )
 CALL_ANSWERED = define(
     4040,
--- a/src/limelever/source/operator_events.py
+++ b/src/limelever/source/operator_events.py
@@ -29,6 +29,7 @@
     "operator's connection broke the protocol and was closed",
     "client",
     "reason",
+    "connections",
 )
 OPERATOR_CONNECTION_LIMIT = define(
     2503,
@@ -37,6 +38,7 @@
     "operator's connection closed, limit reached",
     "client",
     "limit",
+    "connections",
 )
 OPERATOR_CALL_FAILED = define(
     2504,
--- a/src/limelever/transport/events.py
+++ b/src/limelever/transport/events.py
@@ -14,6 +14,7 @@
     "connection to the admin listener broke the protocol and was closed",
     "client",
     "reason",
+    "connections",
 )
 ADMIN_CONNECTION_LIMIT = define(
     1032,
@@ -22,6 +23,7 @@
     "connection to the admin listener closed, limit reached",
     "client",
     "limit",
+    "connections",
 )
 HEADS_WITHOUT_ROOM = define(
     1033,
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -27,9 +27,9 @@
 from limelever.transport.http1_connection import Http1Connection, RequestHandler
 from limelever.transport.http2_requests import NO_MEMORY, RequestMemory
 from limelever.transport.http_limits import HTTP2_CONNECTIONS, HttpLimits
-from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.open_connections import OpenConnection, OpenConnections, Stream
+from limelever.transport.repeated_event import RepeatedEvent
 from limelever.transport.streams import client_name, reason_of
 from limelever.transport.unread_responses import UnreadPool
 
@@ -57,8 +57,8 @@
     """Bounds of a guarded listener, and the events it writes.
 
     ``listener`` names it in the metrics. ``failed_event`` carries ``client`` and ``reason``,
-    ``limit_event`` ``client`` and ``limit``. ``stop_limit`` is how many seconds the connections
-    have at a stop.
+    ``limit_event`` ``client`` and ``limit``, and both ``connections``. ``stop_limit`` is how many
+    seconds the connections have at a stop.
     """
 
     listener: str
@@ -131,6 +131,8 @@
         self._nursery = nursery
         self._open = OpenConnections(options.connection_limit, self._report_limit)
         self._over_http2 = OpenConnections(HTTP2_CONNECTIONS, self._report_limit)
+        self._failed = RepeatedEvent(options.failed_event)
+        self._limit_reached = RepeatedEvent(options.limit_event)
         self._stopping = False
         self._requests = RequestMemory()
         open_now = HTTP_CONNECTIONS_OPEN.labels(options.listener)
@@ -151,8 +153,7 @@
             self._open.discard(connection)
 
     def _report_limit(self, closed: OpenConnection, limit: int) -> None:
-        fields: dict[str, object] = {"client": client_name(closed.stream), "limit": limit}
-        write_event(self._options.limit_event, fields)
+        self._limit_reached.write({"client": client_name(closed.stream), "limit": limit})
 
     async def _serve(self, connection: OpenConnection) -> None:
         try:
@@ -163,7 +164,7 @@
             self._report_failure(client, _first_reason(group))
 
     def _report_failure(self, client: str, reason: str) -> None:
-        write_event(self._options.failed_event, {"client": client, "reason": reason})
+        self._failed.write({"client": client, "reason": reason})
 
     async def _serve_protocol(self, connection: OpenConnection) -> None:
         stream = connection.stream
--- a/src/limelever/transport/log.py
+++ b/src/limelever/transport/log.py
@@ -55,6 +55,11 @@
         LOGGER.handle(
             LOGGER.makeRecord(LOGGER.name, level, "", 0, kind.text, (), None, None, extra)
         )
+    count_event(code)
+
+
+def count_event(code: int) -> None:
+    """Count a numbered event without a line of its own."""
     EVENTS.labels(str(code)).inc()
 
 
