Limit the requests in progress behind others of their connections

What callers saw: beside 200 connections that send many small requests and read no responses, requests on a connection of their own that was kept open got 503 or waited, and new connections got no answer in 5 s.

Cause: each connection may have 64 requests in progress, and a listener had no limit on all of them: 12,800 calls for 200 connections. All calls pass the same queues and the same link, so a caller that sends one waits for all that were begun before it.

Change: at most 256 requests of a listener are in progress behind others of their connections. The oldest request of a connection is always begun, so nothing waits for the room of others: what finds none is begun when it has become the oldest.

What remains: new connections still wait, as one is accepted in a turn of the loop.

--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -169,8 +169,8 @@
 class DrawnPipeline:
     """A pipeline under drawn steps, and what must hold of it after each."""
 
-    def __init__(self):
-        self.pipeline = Pipeline()
+    def __init__(self, pipeline=None):
+        self.pipeline = pipeline or Pipeline()
         self.added = []
         self.sent = []
         self.refused = []
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -24,6 +24,7 @@
 from limelever.transport.http_requests import RequestReader
 from limelever.transport.log import write_event
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
+from limelever.transport.pipelined_requests import PipelinedRequests
 from limelever.transport.streams import close_at_once, receive
 from limelever.transport.unread_responses import UnreadPool
 
@@ -81,13 +82,14 @@
         nursery: trio.Nursery,
         heads: HeadPool | None = None,
         unread: UnreadPool | None = None,
+        behind: PipelinedRequests | None = None,
     ) -> None:
         self.stream = stream
         self.nursery = nursery
         self.idle_since: float | None = trio.current_time()
         self._handler = handler
         self._limits = limits
-        self._pipeline = Pipeline()
+        self._pipeline = Pipeline(behind)
         self._heads = HeadReservations(heads or HeadPool(), self._lose_head)
         self._reader = RequestReader(self, limits.max_head_bytes, self._heads)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -29,6 +29,7 @@
 from limelever.transport.http_limits import HTTP2_CONNECTIONS, HttpLimits
 from limelever.transport.metrics import HTTP_CONNECTIONS_OPEN
 from limelever.transport.open_connections import OpenConnection, OpenConnections, Stream
+from limelever.transport.pipelined_requests import PipelinedRequests
 from limelever.transport.repeated_event import RepeatedEvent
 from limelever.transport.streams import client_name, reason_of
 from limelever.transport.unread_responses import UnreadPool
@@ -43,7 +44,8 @@
 class HttpService(Struct, frozen=True):
     """What serves requests: ``handler`` those of HTTP/1.1, ``application`` those of HTTP/2.
 
-    ``heads`` and ``unread`` bound the memory of the heads and the unread responses of HTTP/1.1.
+    ``heads`` and ``unread`` bound the memory of the heads and the unread responses of HTTP/1.1,
+    ``pipelined`` its requests in progress behind others.
     """
 
     handler: RequestHandler
@@ -51,6 +53,7 @@
     limits: HttpLimits
     heads: HeadPool = field(default_factory=HeadPool)
     unread: UnreadPool = field(default_factory=UnreadPool)
+    pipelined: PipelinedRequests = field(default_factory=PipelinedRequests)
 
 
 class GuardOptions(Struct, frozen=True):
@@ -182,6 +185,7 @@
             self._nursery,
             service.heads,
             service.unread,
+            service.pipelined,
         )
         connection.served_by = http1
         if self._stopping:
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -1,8 +1,8 @@
 """The order of the requests of one HTTP/1.1 connection, sans-io (RFC 9112, section 9.3.2).
 
-Requests with safe methods that follow each other are begun at once and may end in any order;
-their answers go out in the order of the requests. Any other request begins after all before it
-have ended, and holds back those behind it.
+Requests with safe methods that follow each other are begun at once, within the listener's limit on
+requests behind others, and may end in any order; their answers go out in the order of the requests.
+Any other request begins after all before it have ended, and holds back those behind it.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from limelever.common.http_messages import HttpAnswer, HttpRequest
 from limelever.transport.body_reservation import BodyReservation
+from limelever.transport.pipelined_requests import PipelinedRequests
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods that change nothing (RFC 9110, section 9.2.1); nobody pipelines TRACE."""
@@ -28,12 +29,13 @@
     """A request and, in time, its answer; ``last`` when the connection ends with the answer.
 
     ``number`` is set by the handler of the request, ``reservation`` is that of its body, and
-    ``head_bytes`` are reserved for its head.
+    ``head_bytes`` are reserved for its head. ``behind`` says that it was begun behind others.
     ``answered_at`` (seconds) is set when the answer has to wait for an earlier one.
     """
 
     request: HttpRequest
     begun: bool = False
+    behind: bool = False
     answer: HttpAnswer | None = None
     last: bool = False
     number: int = 0
@@ -45,8 +47,9 @@
 class Pipeline:
     """The exchanges of one connection that have not ended, oldest first."""
 
-    def __init__(self) -> None:
+    def __init__(self, behind: PipelinedRequests | None = None) -> None:
         self.closed = False
+        self._behind = behind or PipelinedRequests()
         self._ending = False
         self._exchanges: deque[Exchange] = deque()
         self._held_bytes = 0
@@ -68,6 +71,7 @@
     def answer(self, exchange: Exchange, answer: HttpAnswer) -> None:
         """Take the answer of an exchange that has begun."""
         exchange.answer = answer
+        self._end_behind(exchange)
         self._held_bytes += len(answer.body)
 
     def is_oldest(self, exchange: Exchange) -> bool:
@@ -78,6 +82,8 @@
         """Drop and return all exchanges: their client has left."""
         dropped = list(self._exchanges)
         self._exchanges.clear()
+        for exchange in dropped:
+            self._end_behind(exchange)
         return dropped
 
     def take_ended(self, leaving: bool) -> Exchange | None:
@@ -113,6 +119,9 @@
                 if not self._may_begin(exchange, position, leaving):
                     return None
                 exchange.begun = True
+                if position:
+                    exchange.behind = True
+                    self._behind.begin()
                 return exchange
             if exchange.request.method not in SAFE_METHODS:
                 return None
@@ -124,7 +133,13 @@
         if position == 0:
             return True
         safe = exchange.request.method in SAFE_METHODS
-        return safe and not leaving and self._held_bytes < HELD_LIMIT_BYTES
+        has_room = self._behind.has_room and self._held_bytes < HELD_LIMIT_BYTES
+        return safe and not leaving and has_room
+
+    def _end_behind(self, exchange: Exchange) -> None:
+        if exchange.behind:
+            exchange.behind = False
+            self._behind.end()
 
     def _any_begun(self) -> bool:
         return bool(self._exchanges) and self._exchanges[0].begun
