Begin no pipelined request while the client has responses to read

What callers saw: a process that ran out of memory. One connection that pipelined reads of a large configuration and read nothing, or 200 that pipelined requests which the handler refuses, took it over its machine's memory.

Cause: the limit on unread responses stopped receiving only. One receive holds some 900 small requests; all of them were begun, or refused by the handler, whatever waited for the client. Responses were written only after the whole batch, and the reservations of their heads had been released.

Change: a request is begun only while the responses of its connection that are queued, unread or waiting for an earlier one are within 64 KiB. The responses of a batch are flushed before more requests are begun, and the writer goes on with the pipeline once the client has read. The oldest request waits for the writer alone, so what waits always has a callback to come: the oldest response, or the client's reading. Requests that have begun are answered as before. Answers that wait for an earlier one count against the same limit, which was 1 MiB for them.

--- a/features/platform/unruly_clients.feature
+++ b/features/platform/unruly_clients.feature
@@ -37,3 +37,15 @@
       | 100   | requests whose responses are not read | callers   |
       | 100   | requests whose responses are not read | operators |
       | 32    | requests whose responses are not read | metrics   |
+
+  Scenario Outline: Pipelined requests whose responses are not read end no process
+    Given a control process and a node of the platform with 100 MB each
+    And a configuration of 1500 routes in force
+    When <count> connections send <form> to the listener for <listener>
+    Then the process lives, within its memory and with at most 400 open descriptors
+    And an ordinary request is answered
+
+    Examples: Responses
+      | count | form                                                    | listener  |
+      | 200   | refused requests whose responses are not read           | callers   |
+      | 1     | reads of the configuration whose responses are not read | operators |
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -12,7 +12,13 @@
 
 from limelever.common.http_messages import HTTP_1_1, HttpAnswer, HttpRequest
 from limelever.proxy.call_types import AnswerCall, CallAnswer
-from limelever.transport.http_pipeline import DEPTH_LIMIT, SAFE_METHODS, Exchange, Pipeline
+from limelever.transport.http_pipeline import (
+    DEPTH_LIMIT,
+    SAFE_METHODS,
+    UNREAD_LIMIT_BYTES,
+    Exchange,
+    Pipeline,
+)
 from limelever.transport.metrics import HTTP_IN_ORDER_SECONDS
 
 GET = b"GET /held HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -175,6 +181,7 @@
         self.sent = []
         self.refused = []
         self.leaving = False
+        self.unread_bytes = 0
 
     def add(self, method):
         if self.pipeline.closed:
@@ -186,7 +193,8 @@
     def answer(self, choice):
         waiting = [e for e in self.added if e.begun and e.answer is None]
         if waiting:
-            self.pipeline.answer(waiting[choice % len(waiting)], HttpAnswer(200, (), b"x"))
+            body = bytes(choice * UNREAD_LIMIT_BYTES // 9)
+            self.pipeline.answer(waiting[choice % len(waiting)], HttpAnswer(200, (), body))
 
     def settle(self):
         while self.end_one() or self.begin_one():
@@ -208,7 +216,7 @@
         return True
 
     def begin_one(self):
-        exchange = self.pipeline.take_startable(self.leaving)
+        exchange = self.pipeline.take_startable(self.leaving, self.unread_bytes)
         if exchange is None:
             return False
         assert not self.pipeline.closed
@@ -217,14 +225,26 @@
         assert not before or not unsafe, "a write runs alone"
         assert not (before and self.leaving), "nothing begins behind another when leaving"
         assert len(before) < DEPTH_LIMIT
+        held_bytes = sum(len(e.answer.body) for e in before if e.answer is not None)
+        assert self.unread_bytes + held_bytes <= UNREAD_LIMIT_BYTES, "the client has enough to read"
         return True
 
+    def read_and_answer_all(self):
+        self.unread_bytes = 0
+        self.settle()
+        while len(self.sent) < len(self.added):
+            sent = len(self.sent)
+            self.answer(0)
+            self.settle()
+            assert len(self.sent) > sent or any(e.answer for e in self.added[sent:]), "stuck"
+
 
 STEPS = strategies.lists(
     strategies.one_of(
         strategies.tuples(strategies.just("add"), METHODS),
         strategies.tuples(strategies.just("answer"), strategies.integers(0, 9)),
         strategies.tuples(strategies.just("leave"), strategies.none()),
+        strategies.tuples(strategies.just("unread"), strategies.integers(0, 2)),
     ),
     max_size=60,
 )
@@ -243,8 +263,11 @@
                 drawn_pipeline.add(value)
             elif step == "answer":
                 drawn_pipeline.answer(value)
+            elif step == "unread":
+                drawn_pipeline.unread_bytes = value * UNREAD_LIMIT_BYTES * 2 // 3
             else:
                 drawn_pipeline.leaving = True
             drawn_pipeline.settle()
+        drawn_pipeline.read_and_answer_all()
 
     check()
--- a/features/steps/unruly_client_steps.py
+++ b/features/steps/unruly_client_steps.py
@@ -13,7 +13,20 @@
 from instance_statement_steps import wait_until
 from loopback_networks import LoopbackNetwork
 from platform_machines import CONTROL_PORT, OUTBOUND_PORT, READY_PORT, Machine, NodeMachine
-from platform_traffic import OK, READ, Instance, Operator, Runs, ask, ask_control, is_ready, send
+from platform_traffic import (
+    DEADLINE_MS,
+    OK,
+    READ,
+    WRITE,
+    Instance,
+    Operator,
+    Runs,
+    ask,
+    ask_control,
+    document_of,
+    is_ready,
+    send,
+)
 from stop_limit_steps import AloneControl
 from unruly_clients import FORMS, send_unruly
 
@@ -105,6 +118,15 @@
     wait_until(lambda: is_served(context), "a request is served")
 
 
+@given("a configuration of {count:d} routes in force")
+def given_routes(context: Context, count: int) -> None:
+    kinds = {READ: "safe", WRITE: "unsafe"}
+    kinds |= {f"x{number}": "safe" for number in range(count - len(kinds))}
+    document = document_of(2, 1, kinds, DEADLINE_MS)
+    assert ask_control(context.control, "PUT", document).status == OK
+    wait_until(lambda: is_served(context), "a request is served")
+
+
 def is_served(context: Context) -> bool:
     request = f"ordinary-{time.monotonic_ns()}"
     return send(context.node, request, READ, f"/{READ}/{request}").status == OK
--- a/features/steps/unruly_clients.py
+++ b/features/steps/unruly_clients.py
@@ -20,6 +20,8 @@
 SHORT_LINES = b"a:\r\n" * (HEAD_BYTES // 4)
 DIFFERENT_LINES = b"".join(b"%03x:%03x\r\n" % (number, number) for number in range(HEAD_BYTES // 9))
 REQUEST = START + END
+INVALID_DEADLINE = b"GET /x HTTP/1.1\r\nHost:one.example\r\nLimelever-Deadline-Ms:x\r\n\r\n"
+CONFIG_READ = f"GET /v1/config HTTP/1.1\r\nHost: {HOST_NAME}\r\n\r\n".encode()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,10 @@
     "a target without end": Form(b"GET /", b"x" * PART_BYTES),
     "empty lines without end": Form(b"", b"\r\n" * (PART_BYTES // 2)),
     "requests whose responses are not read": Form(b"", REQUEST * 64, reads=False),
+    "refused requests whose responses are not read": Form(b"", INVALID_DEADLINE * 900, reads=False),
+    "reads of the configuration whose responses are not read": Form(
+        b"", CONFIG_READ * 256, reads=False
+    ),
 }
 
 
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -292,16 +292,13 @@
             return
         self._advancing = True
         try:
-            ready: list[bytes] = []
-            while self._send_due(ready) or self._begin_next():
+            while self._send_due() or self._begin_next() or self._writer.flush():
                 pass
         finally:
             self._advancing = False
-        if ready:
-            self._writer.write(ready)
         self._settle()
 
-    def _send_due(self, ready: list[bytes]) -> bool:
+    def _send_due(self) -> bool:
         leaving = self._stopping or self._handler.leaving
         exchange = self._pipeline.take_ended(leaving)
         if exchange is None:
@@ -314,7 +311,7 @@
             exchange.reservation.release()
         self._heads.release(exchange.head_bytes)
         head, body = encode_answer(exchange.request, answer, close=exchange.last)
-        ready += (head, body)
+        self._writer.queue((head, body))
         self.count_untaken(len(head) + len(body) - len(answer.body))
         if exchange.answered_at:
             HTTP_IN_ORDER_SECONDS.observe(trio.current_time() - exchange.answered_at)
@@ -326,7 +323,8 @@
         self.count_untaken(len(answer.body))
 
     def _begin_next(self) -> bool:
-        exchange = self._pipeline.take_startable(self._stopping or self._handler.leaving)
+        leaving = self._stopping or self._handler.leaving
+        exchange = self._pipeline.take_startable(leaving, self._writer.unread_bytes)
         if exchange is None:
             return False
         try:
@@ -384,9 +382,9 @@
             self._handler.count_untaken(size)
 
     def all_written(self) -> None:
-        """Update the deadline, unless the connection has ended."""
+        """Begin requests that waited for the client to read, unless the connection has ended."""
         if not self._ended:
-            self._settle()
+            self._advance()
 
     def write_failed(self) -> None:
         """End the connection."""
--- a/src/limelever/transport/http1_writer.py
+++ b/src/limelever/transport/http1_writer.py
@@ -7,17 +7,16 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from typing import Protocol
 
 import trio
 
+from limelever.transport.http_pipeline import UNREAD_LIMIT_BYTES
 from limelever.transport.send_limits import time_to_send
 from limelever.transport.streams import send_parts_without_waiting
 from limelever.transport.unread_responses import PART_BYTES, UnreadPool
 
-MOST_UNREAD_BYTES = 64 * 1024
-"""Memory of unread responses above which no further request is received."""
-
 _SEND_BYTES = 1 << 18
 
 
@@ -34,6 +33,10 @@
         """Handle that the client cannot receive responses, or does not read them in time."""
 
 
+def _memory_of(parts: Iterable[bytes | memoryview]) -> int:
+    return sum(len(part) + PART_BYTES for part in parts)
+
+
 class ResponseWriter:
     """Sends bytes in order; ``broken`` is set once the client cannot receive any more.
 
@@ -51,6 +54,8 @@
         self.read_at = trio.current_time()
         self._unread = unread or UnreadPool()
         self._unread_bytes = 0
+        self._queued: list[bytes] = []
+        self._queued_bytes = 0
         self._sending = trio.CancelScope()
         self._stream = stream
         self._nursery = nursery
@@ -71,7 +76,25 @@
     @property
     def must_wait(self) -> bool:
         """Return whether the client has to read responses before it may send requests."""
-        return self._unread_bytes > MOST_UNREAD_BYTES
+        return self._unread_bytes > UNREAD_LIMIT_BYTES
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return the memory of the responses that are queued, or that the client has not read."""
+        return self._unread_bytes + self._queued_bytes
+
+    def queue(self, parts: tuple[bytes, ...]) -> None:
+        """Add parts that the next flush writes together."""
+        self._queued += parts
+        self._queued_bytes += _memory_of(parts)
+
+    def flush(self) -> bool:
+        """Write what is queued; return whether anything was."""
+        if not self._queued:
+            return False
+        queued, self._queued, self._queued_bytes = self._queued, [], 0
+        self.write(queued)
+        return True
 
     def write(self, parts: list[bytes]) -> None:
         """Send bytes; a separate task sends what does not fit into the socket buffer."""
@@ -100,7 +123,7 @@
 
     def _append(self, parts: list[memoryview]) -> None:
         self._outgoing.extend(parts)
-        size = sum(len(part) + PART_BYTES for part in parts)
+        size = _memory_of(parts)
         self._unread_bytes += size
         self._unread.add(self, size)
 
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -2,7 +2,7 @@
 
 Requests with safe methods that follow each other are begun at once and may end in any order;
 their answers go out in the order of the requests. Any other request begins after all before it
-have ended, and holds back those behind it.
+have ended, and holds back those behind it. None begins while the client has too much to read.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 DEPTH_LIMIT = 64
 """Requests of one connection read ahead of the oldest unanswered; a choice, not measured."""
 
-HELD_LIMIT_BYTES = 1 << 20
-"""Bytes of answers that wait for an earlier one; past it no further request is begun."""
+UNREAD_LIMIT_BYTES = 64 * 1024
+"""Bytes of unread answers, sent or waiting for an earlier one, above which no request is begun."""
 
 
 class Exchange(Struct, eq=False):
@@ -103,14 +103,17 @@
             return []
         return [each for each in self._exchanges if each.answer is None]
 
-    def take_startable(self, leaving: bool) -> Exchange | None:
+    def take_startable(self, leaving: bool, unread_bytes: int = 0) -> Exchange | None:
         """Return a request that may begin now, marked as begun, or ``None``.
 
-        When the connection is to end, only one with nothing before it begins.
+        When the connection is to end, only one with nothing before it begins. ``unread_bytes`` of
+        answers have been taken for sending, and the client has not read them.
         """
+        if unread_bytes > UNREAD_LIMIT_BYTES:
+            return None
         for position, exchange in enumerate(self._exchanges):
             if not exchange.begun:
-                if not self._may_begin(exchange, position, leaving):
+                if not self._may_begin(exchange, position, leaving, unread_bytes):
                     return None
                 exchange.begun = True
                 return exchange
@@ -118,13 +121,15 @@
                 return None
         return None
 
-    def _may_begin(self, exchange: Exchange, position: int, leaving: bool) -> bool:
+    def _may_begin(
+        self, exchange: Exchange, position: int, leaving: bool, unread_bytes: int
+    ) -> bool:
         if self.closed or self._ending or exchange.answer is not None or position >= DEPTH_LIMIT:
             return False
         if position == 0:
             return True
         safe = exchange.request.method in SAFE_METHODS
-        return safe and not leaving and self._held_bytes < HELD_LIMIT_BYTES
+        return safe and not leaving and unread_bytes + self._held_bytes <= UNREAD_LIMIT_BYTES
 
     def _any_begun(self) -> bool:
         return bool(self._exchanges) and self._exchanges[0].begun
