Run at most four requests of a connection at once for an application

What callers saw: one connection that pipelined reads of a configuration of 253 KB to a control process and read nothing took it over its memory.

Cause: up to 64 requests of one connection were in progress together. For callers the process's budget bounds their answers; the responses of an ASGI application (control interface, readiness, metrics) have no such bound, and are counted only when they are whole.

Evidence: on streams in virtual time 64 of 200 requests with responses of 100,000 bytes were begun with nothing read; the new scenario and the property of features/transport/unread_responses.feature failed before and pass.

Change: each handler states how many requests of a connection may be in progress: 4 for applications; for callers 64, the read-ahead limit, as before. The others begin in order as those before them are answered. No client that waits for its response meets this. features/transport: 252 scenarios passed.

--- a/features/steps/transport_unread_pipeline_steps.py
+++ b/features/steps/transport_unread_pipeline_steps.py
@@ -34,12 +34,12 @@
 
     def __init__(self) -> None:
         super().__init__(self._answer, max_body_bytes=0)
-        self.begun = self.ended = self.most_at_once = 0
+        self.begun = self.ended = self.most_in_progress = 0
         self.ended_bytes = self.read_bytes = self.most_unread_at_begin = 0
 
     def serve_request(self, connection, exchange) -> None:
         self.begun += 1
-        self.most_at_once = max(self.most_at_once, self.begun - self.ended)
+        self.most_in_progress = max(self.most_in_progress, self.begun - self.ended)
         unread = self.ended_bytes - self.read_bytes
         self.most_unread_at_begin = max(self.most_unread_at_begin, unread)
         super().serve_request(connection, exchange)
@@ -201,6 +201,7 @@
         assert client.ended, "the connection ends once the client has left"
         handler = client.handler
         assert handler.begun == handler.ended == len(requests)
+        assert handler.most_in_progress <= MOST_AT_ONCE, handler.most_in_progress
         assert handler.most_unread_at_begin <= UNREAD_LIMIT_BYTES, handler.most_unread_at_begin
         assert client.unread.held_bytes == 0
 
--- a/features/transport/unread_responses.feature
+++ b/features/transport/unread_responses.feature
@@ -24,5 +24,11 @@
     Then at most 128 requests were begun meanwhile
     And all are answered in order once the client reads
 
+  Scenario: A few requests of a connection run at once
+    Given an application whose responses have 100000 bytes
+    When a client pipelines 200 requests and reads nothing for 10 seconds
+    Then at most 4 requests were begun meanwhile
+    And all are answered in order once the client reads
+
   Scenario: Any pipeline that is read late is answered whole
     Then drawn pipelines are answered whole and in order, however late they are read
--- a/src/limelever/proxy/edge.py
+++ b/src/limelever/proxy/edge.py
@@ -31,7 +31,7 @@
 from limelever.transport.http1_connection import Http1Connection
 from limelever.transport.http_guard import HttpService
 from limelever.transport.http_limits import HttpLimits
-from limelever.transport.http_pipeline import Exchange
+from limelever.transport.http_pipeline import DEPTH_LIMIT, Exchange
 from limelever.transport.unread_responses import UnreadPool
 
 BODY_TIMEOUT_SECONDS = 30.0
@@ -86,6 +86,11 @@
         """Whether connections are closed after their next answer."""
         return self._lame_duck or self._stopping.is_set()
 
+    @property
+    def most_at_once(self) -> int:
+        """As many calls as are read ahead; the process's budget bounds their answers."""
+        return DEPTH_LIMIT
+
     def answer(self, output: AnswerCall) -> None:
         """Send the core's answer to the caller that waits for it."""
         deliver = self._pending.pop(output.call, None)
--- a/src/limelever/transport/asgi.py
+++ b/src/limelever/transport/asgi.py
@@ -31,6 +31,9 @@
 LEAST_TOTAL_BYTES = 32 << 20
 """Bytes of all bodies, and of all responses that clients have not read, for each listener."""
 
+MOST_AT_ONCE = 4
+"""Requests of one connection in progress at once: no limit bounds the size of their responses."""
+
 _TEXT = (b"content-type", b"text/plain; charset=utf-8")
 _DISCONNECT = "http.disconnect"
 _FAULT = Failure(ErrorKind.INTERNAL, "fault while the request was served")
@@ -69,6 +72,11 @@
         """Connections are kept as long as their clients like."""
         return False
 
+    @property
+    def most_at_once(self) -> int:
+        """Responses may be large, and are counted only once they are whole."""
+        return MOST_AT_ONCE
+
     def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
         """Reserve memory within the limit on all bodies, or return why the request is refused."""
         if self._untaken_bytes > self._bodies.total_bytes:
--- a/src/limelever/transport/http1_connection.py
+++ b/src/limelever/transport/http1_connection.py
@@ -54,6 +54,10 @@
     def leaving(self) -> bool:
         """Return whether connections are to end with their next answer."""
 
+    @property
+    def most_at_once(self) -> int:
+        """Return how many requests of one connection may be in progress at once."""
+
     def reserve_body(self, request: HttpRequest) -> BodyReservation | Failure:
         """Reserve memory for a request's body, or return why the request is refused."""
 
@@ -87,7 +91,7 @@
         self.idle_since: float | None = trio.current_time()
         self._handler = handler
         self._limits = limits
-        self._pipeline = Pipeline()
+        self._pipeline = Pipeline(handler.most_at_once)
         self._heads = HeadReservations(heads or HeadPool(), self._lose_head)
         self._reader = RequestReader(self, limits.max_head_bytes, self._heads)
         self._reading = trio.CancelScope(deadline=trio.current_time() + limits.idle)
--- a/src/limelever/transport/http_pipeline.py
+++ b/src/limelever/transport/http_pipeline.py
@@ -43,11 +43,15 @@
 
 
 class Pipeline:
-    """The exchanges of one connection that have not ended, oldest first."""
+    """The exchanges of one connection that have not ended, oldest first.
 
-    def __init__(self) -> None:
+    At most ``most_at_once`` of them have begun.
+    """
+
+    def __init__(self, most_at_once: int = DEPTH_LIMIT) -> None:
         self.closed = False
         self._ending = False
+        self._most_at_once = most_at_once
         self._exchanges: deque[Exchange] = deque()
         self._held_bytes = 0
 
@@ -124,7 +128,9 @@
     def _may_begin(
         self, exchange: Exchange, position: int, leaving: bool, unread_bytes: int
     ) -> bool:
-        if self.closed or self._ending or exchange.answer is not None or position >= DEPTH_LIMIT:
+        if self.closed or self._ending or exchange.answer is not None:
+            return False
+        if position >= self._most_at_once:
             return False
         if position == 0:
             return True
