--- a/features/steps/pipelining_crowd_steps.py
+++ b/features/steps/pipelining_crowd_steps.py
@@ -94,7 +94,7 @@
         self.pipelines = [self._new() for _ in range(PIPELINES)]
 
     def _new(self) -> DrawnPipeline:
-        return DrawnPipeline(Pipeline(self.requests))
+        return DrawnPipeline(Pipeline(behind=self.requests))
 
     def step(self, number, name, value):
         drawn_pipeline = self.pipelines[number]
