Log HTTP/2 connections that are closed for a breach of the protocol

What operators saw: nothing. A connection whose client sent a frame that HTTP/2 forbids, or a frame or header block over its limit, was closed without the event that docs/operators/limits.md promises (4031, 2502 or 1031).

The cause: hypercorn catches h2's errors on received bytes and closes in silence. Only a KeyError of its own, for data on an answered stream, reached the guard, which logged it.

The protocol class now receives the bytes itself, and reports h2's error as it reports the frames' limits, before the same GOAWAY and close.

edge.feature: the scenario of the numbered event has two more forms, data on a stream that was never opened and a broken frame.

--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -14,6 +14,7 @@
 import h2.connection
 import h2.events
 import trio
+from hyperframe.frame import DataFrame, SettingsFrame
 from transport_server import PATIENCE, EventLog
 
 from limelever.common.sansio import Address
@@ -197,6 +198,9 @@
 
 SENDINGS: dict[str, Callable[[HttpClient], None]] = {
     "data on an answered HTTP/2 stream": send_data_on_answered_stream,
+    "data on an HTTP/2 stream that was never opened": lambda client: client.send(
+        HTTP2_PREFACE + SettingsFrame(0).serialize() + DataFrame(1, b"data").serialize()
+    ),
     "half of its headers": lambda client: client.send(b"GET / HTTP/1.1\r\nhost: a\r\nx-"),
     "half of its body": lambda client: client.send(
         b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nhalf"
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -7,11 +7,12 @@
     And the callers' listener answers another caller
 
     Examples:
-      | bytes                             |
-      | data on an answered HTTP/2 stream |
-      | bytes that are not HTTP           |
-      | headers of 1 MiB                  |
-      | a broken HTTP/2 frame             |
+      | bytes                                          |
+      | data on an answered HTTP/2 stream              |
+      | data on an HTTP/2 stream that was never opened |
+      | bytes that are not HTTP                        |
+      | headers of 1 MiB                               |
+      | a broken HTTP/2 frame                          |
 
   Scenario Outline: What is too large is refused with the status that says so
     Given a callers' listener
@@ -72,11 +73,17 @@
     And the callers' listener has run nothing
     And the callers' listener answers another caller
 
-  Scenario: The protocol's breach is a numbered event
+  Scenario Outline: The protocol's breach is a numbered event
     Given a callers' listener
-    When a caller's connection sends data on an answered HTTP/2 stream
+    When a caller's connection sends <bytes>
     Then the callers' listener logs 4031
 
+    Examples:
+      | bytes                                          |
+      | data on an answered HTTP/2 stream              |
+      | data on an HTTP/2 stream that was never opened |
+      | a broken HTTP/2 frame                          |
+
   Scenario: At the limit the connection that is idle longest makes room
     Given a callers' listener with 8 connections
     When 8 callers are each answered and keep their connections
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -76,13 +76,24 @@
         for part in self._guard.parts(event.data, trio.current_time()):
             if self.closed:
                 return
-            await super().handle(RawData(part))
+            await self._receive(part)
             for stream in self._refused:
                 self.streams.pop(stream, None)
             self._refused.clear()
         if self._guard.reason is not None and not self.closed:
             await self._end(self._guard.reason)
 
+    async def _receive(self, data: bytes) -> None:
+        """Handle bytes; unlike in hypercorn, a breach of the protocol is reported."""
+        try:
+            events = self.connection.receive_data(data)
+        except ProtocolError as error:
+            self._report(f"{type(error).__name__}: {error}")
+            await self._flush()
+            await self.send(Closed())
+        else:
+            await self._handle_events(events)
+
     async def _end(self, reason: str) -> None:
         """Close the connection with the error code ENHANCE_YOUR_CALM."""
         self._report(reason)
