Drop data that arrives on an HTTP/2 stream whose response has ended

What callers saw: a client with several calls on one connection sends a large body, is refused with 413, and has data of that body still on its way when the response has ended. The whole connection was closed, and its other calls got no answer.

The cause: hypercorn forgets a stream when its response has ended, and looks the stream up for each DATA frame (KeyError). RFC 9113 lets a server end its response before the request has ended (section 8.1), and the client may send data until it ends its own side (section 5.1, half-closed): such data is no breach.

Streams that aren't open any more now drop what arrives. hypercorn acknowledges the bytes as it does those of open streams, so that the connection's window doesn't shrink. The lookup itself decides, not a check before: a stream may end while earlier events of the same receive are handled.

On the tests: the form "data on an answered HTTP/2 stream" of edge.feature, admin.feature and metrics.feature, and a scenario of operators/service.feature, took this legal data for a breach that costs the connection and logs 4031 or 1031. They are replaced by - a body that goes on for 1 MiB after its refusal, 16 times the window: the call in flight beside it and the next call are answered, and 4031 isn't logged; the client of the operators' service, whose next request is answered on the same connection.

--- a/features/operators/service.feature
+++ b/features/operators/service.feature
@@ -61,8 +61,13 @@
     When the gRPC client applies a batch with 900 malformed routes
     Then the status is "INVALID_ARGUMENT" of kind "invalid-request"
 
-  Scenario: A frame for an answered stream costs that connection only
+  Scenario: Data on an answered stream costs no other call, on its connection or another
     When a raw HTTP/2 client sends data on a stream that is already answered
+    Then that client's next request is answered on the same connection
+    And the gRPC client still gets its status
+
+  Scenario: Data on a stream that was never opened costs that connection only
+    When a raw HTTP/2 client sends data on a stream that was never opened
     Then the gRPC client still gets its status
 
   Scenario: A planned stop answers the call in flight
--- a/features/steps/http2_caller.py
+++ b/features/steps/http2_caller.py
@@ -8,6 +8,7 @@
 import h2.connection
 import h2.events
 from http_server import HttpClient
+from hyperframe.frame import DataFrame
 
 CANCEL = 8
 FRAME_BYTES = 1 << 14
@@ -23,6 +24,7 @@
         self._protocol = h2.connection.H2Connection()
         self._protocol.initiate_connection()
         self.statuses: dict[int, int] = {}
+        self.resets: dict[int, int] = {}
         self._ended: set[int] = set()
 
     def close(self) -> None:
@@ -54,6 +56,35 @@
                 break
         return stream
 
+    def announce(self, size: int) -> int:
+        """Send the head of a request with a body of this size; return the stream."""
+        stream = self._protocol.get_next_available_stream_id()
+        fields = {":method": "POST", ":path": "/", ":scheme": "http", ":authority": "a"}
+        self._protocol.send_headers(stream, [*fields.items(), ("content-length", str(size))])
+        self._flush()
+        return stream
+
+    def send_body(self, stream: int, size: int) -> None:
+        """Send a part of a body that does not end, as windows allow."""
+        while size:
+            part = min(size, self._protocol.local_flow_control_window(stream), FRAME_BYTES)
+            if part:
+                self._protocol.send_data(stream, bytes(part))
+                self._flush()
+                size -= part
+            else:
+                assert self._receive(), "the server closed"
+
+    def send_after_end(self, stream: int) -> None:
+        """Send data on a stream that this side has ended."""
+        self._client.send(DataFrame(stream, b"late").serialize())
+
+    def reset_code(self, stream: int) -> int:
+        """Read until the server resets a stream; return the error code."""
+        while stream not in self.resets:
+            assert self._receive(), "the server closed"
+        return self.resets[stream]
+
     def reset(self, stream: int) -> None:
         self._protocol.reset_stream(stream, CANCEL)
         self._flush()
@@ -84,6 +115,8 @@
             self.statuses[event.stream_id] = int(dict(event.headers)[b":status"])
         elif isinstance(event, h2.events.StreamEnded):
             self._ended.add(event.stream_id)
+        elif isinstance(event, h2.events.StreamReset):
+            self.resets[event.stream_id] = event.error_code
 
     def _flush(self) -> None:
         self._client.send(self._protocol.data_to_send())
--- a/features/steps/http_server.py
+++ b/features/steps/http_server.py
@@ -6,7 +6,6 @@
 import select
 import socket
 import threading
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -21,8 +20,6 @@
 from limelever.transport.admin import serve_admin
 
 HEADERS_OF_1_MIB = b"GET / HTTP/1.1\r\nhost: a\r\n" + b"x-long: " + b"x" * (1 << 20) + b"\r\n\r\n"
-LATE_PARTS = 100
-LATE_PART_SECONDS = 0.05
 HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 BROKEN_HTTP2_FRAME = HTTP2_PREFACE + b"\x00\x00\x04\x04\x00\x00\x00\x00\x00\xff\xff\xff\xff"
 
@@ -164,40 +161,7 @@
     return protocol
 
 
-def send_data_on_answered_stream(client: HttpClient) -> None:
-    """Ask over HTTP/2, await the whole answer, and only then send a body, until that is a breach.
-
-    The listener may have yet to forget the stream when the first part comes.
-    """
-    protocol = ask_over_http2(client, "/healthz", ("content-length", str(1 << 30)))
-    while not _ends_stream(protocol.receive_data(client.socket.recv(65536))):
-        client.send(protocol.data_to_send())
-    for _ in range(LATE_PARTS):
-        protocol.send_data(1, b"late")
-        client.send(protocol.data_to_send())
-        if _closes_within(client, LATE_PART_SECONDS):
-            return
-
-
-def _closes_within(client: HttpClient, seconds: float) -> bool:
-    """Read for some time; return whether the server closed in it."""
-    end = time.monotonic() + seconds
-    while (left := end - time.monotonic()) > 0:
-        readable, _, _ = select.select([client.socket], [], [], left)
-        try:
-            if readable and not client.socket.recv(65536):
-                return True
-        except ConnectionError:
-            return True
-    return False
-
-
-def _ends_stream(events: list[h2.events.Event]) -> bool:
-    return any(isinstance(event, h2.events.StreamEnded) for event in events)
-
-
 SENDINGS: dict[str, Callable[[HttpClient], None]] = {
-    "data on an answered HTTP/2 stream": send_data_on_answered_stream,
     "data on an HTTP/2 stream that was never opened": lambda client: client.send(
         HTTP2_PREFACE + SettingsFrame(0).serialize() + DataFrame(1, b"data").serialize()
     ),
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -12,6 +12,8 @@
 from behave import given, then, when
 from google.rpc.error_details_pb2 import BadRequest, ResourceInfo
 from grpc_status import rpc_status
+from h2.events import StreamEnded
+from hyperframe.frame import DataFrame
 from operator_client import call, open_channel
 from operator_resources import SECRET_VALUE, route, secret, service, tenant
 from operator_server import READ_ONLY_TOKEN, OperatorServer
@@ -169,23 +171,52 @@
     call(context, "Apply", apply_request(*routes), ApplyResponse)
 
 
+def connect_raw(context):
+    """Return a cleartext connection, and the HTTP/2 protocol of a client on it."""
+    address = context.server.address
+    connection = socket.create_connection((address.host, address.port))
+    connection.settimeout(5)
+    context.add_cleanup(connection.close)
+    client = h2.connection.H2Connection(h2.config.H2Configuration(validate_outbound_headers=False))
+    client.initiate_connection()
+    return connection, client
+
+
 @when("a raw HTTP/2 client sends data on a stream that is already answered")
 def when_late_data(context):
     call(context, "Get", GetRequest(), GetResponse)
-    config = h2.config.H2Configuration(validate_outbound_headers=False)
-    client = h2.connection.H2Connection(config)
-    client.initiate_connection()
+    connection, client = connect_raw(context)
     names = {":method": "CONNECT", ":protocol": "websocket", ":authority": "a", ":path": "/"}
     headers = [*names.items(), (":scheme", "http"), ("sec-websocket-version", "13")]
-    with socket.create_connection((context.server.address.host, context.server.address.port)) as s:
-        client.send_headers(1, headers)
-        s.sendall(client.data_to_send())
-        time.sleep(0.3)
-        client.send_data(1, b"late")
-        s.sendall(client.data_to_send())
-        s.settimeout(5)
-        while s.recv(65536):
-            pass
+    client.send_headers(1, headers)
+    connection.sendall(client.data_to_send())
+    time.sleep(0.3)
+    client.send_data(1, b"late")
+    connection.sendall(client.data_to_send())
+    context.raw_connection, context.raw_client = connection, client
+
+
+@then("that client's next request is answered on the same connection")
+def then_next_answered(context):
+    connection, client = context.raw_connection, context.raw_client
+    names = {":method": "GET", ":scheme": "http", ":authority": "a", ":path": "/"}
+    client.send_headers(3, list(names.items()), end_stream=True)
+    connection.sendall(client.data_to_send())
+    ended = False
+    while not ended:
+        data = connection.recv(65536)
+        assert data, "the server closed"
+        events = client.receive_data(data)
+        ended = any(isinstance(each, StreamEnded) and each.stream_id == 3 for each in events)
+
+
+@when("a raw HTTP/2 client sends data on a stream that was never opened")
+def when_unopened_data(context):
+    call(context, "Get", GetRequest(), GetResponse)
+    connection, client = connect_raw(context)
+    connection.sendall(client.data_to_send() + DataFrame(1, b"data").serialize())
+    while connection.recv(65536):
+        pass
 
 
 @then("the gRPC client still gets its status")
--- a/features/transport/admin.feature
+++ b/features/transport/admin.feature
@@ -7,15 +7,15 @@
     And the admin listener answers /healthz with 200
 
     Examples:
-      | bytes                             |
-      | data on an answered HTTP/2 stream |
-      | bytes that are not HTTP           |
-      | headers of 1 MiB                  |
-      | a broken HTTP/2 frame             |
+      | bytes                                          |
+      | data on an HTTP/2 stream that was never opened |
+      | bytes that are not HTTP                        |
+      | headers of 1 MiB                               |
+      | a broken HTTP/2 frame                          |
 
   Scenario: The protocol's breach is a numbered event
     Given an admin listener
-    When an admin client sends data on an answered HTTP/2 stream
+    When an admin client sends data on an HTTP/2 stream that was never opened
     Then the admin listener logs 1031
 
   Scenario: Connections are bounded
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -8,12 +8,30 @@
 
     Examples:
       | bytes                                          |
-      | data on an answered HTTP/2 stream              |
       | data on an HTTP/2 stream that was never opened |
       | bytes that are not HTTP                        |
       | headers of 1 MiB                               |
       | a broken HTTP/2 frame                          |
 
+  # RFC 9113, section 8.1: a server may end its response before the request has ended.
+  Scenario: A body that goes on after its refusal costs no other call of its connection
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight beside a body of 1 GiB that was refused with 413
+    And it sends 1024 KiB of that body all the same
+    Then its call in flight is answered, and its next one
+    And the callers' listener has not logged 4031
+
+  Scenario: Data behind the end of a request costs that call only
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight beside another on which it sends data behind the end
+    Then the other call is reset with STREAM_CLOSED
+    And its call in flight is answered, and its next one
+
+  Scenario: Data on a stream that both sides have ended costs no other call of its connection
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight, and sends data on the stream of one that has ended
+    Then its call in flight is answered, and its next one
+
   Scenario Outline: What is too large is refused with the status that says so
     Given a callers' listener
     When a caller asks with <what>
@@ -80,7 +98,6 @@
 
     Examples:
       | bytes                                          |
-      | data on an answered HTTP/2 stream              |
       | data on an HTTP/2 stream that was never opened |
       | a broken HTTP/2 frame                          |
 
--- a/features/transport/metrics.feature
+++ b/features/transport/metrics.feature
@@ -9,7 +9,7 @@
   Scenario: Every event is counted under its number
     Given an admin listener
     And the count of event 1031 so far
-    When an admin client sends data on an answered HTTP/2 stream
+    When an admin client sends data on an HTTP/2 stream that was never opened
     Then the admin listener logs 1031
     And /metrics counts one more event 1031
 
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -20,6 +20,7 @@
 from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.protocol.ws_stream import WSStream
 from hypercorn.utils import filter_pseudo_headers
 
 from limelever.common.http_messages import HttpAnswer
@@ -33,8 +34,8 @@
 """Closed streams that a connection remembers; h2's 65,536 take some megabytes."""
 
 
-class _RefusedStream:
-    """Drops what was received together with the head of a refused request."""
+class _AnsweredStream:
+    """Drops what arrives of a request that is refused, or whose response has ended."""
 
     idle = True
 
@@ -42,6 +43,13 @@
         """Ignore a part of the request."""
 
 
+class _Streams(dict[int, HTTPStream | WSStream]):
+    """Streams by number; a client may send data on one that is answered until it ends it."""
+
+    def __missing__(self, stream: int) -> HTTPStream:
+        return cast(HTTPStream, _AnsweredStream())
+
+
 class Http2Protocol(H2Protocol):
     """The protocol of one connection.
 
@@ -62,6 +70,7 @@
         connection = self.connection
         connection.decoder.max_header_list_size = self.config.h2_max_header_list_size
         connection._closed_streams = SizeLimitDict(size_limit=_CLOSED_STREAMS)
+        self.streams = _Streams()
         self._guard = guard
         self._memory = memory
         self._refused: list[int] = []
@@ -146,7 +155,7 @@
     def _answer_at_once(self, stream: int) -> None:
         """Refuse a request by headers alone, without a task; its body is not awaited."""
         self._refused.append(stream)
-        self.streams[stream] = cast(HTTPStream, _RefusedStream())
+        self.streams[stream] = cast(HTTPStream, _AnsweredStream())
         answer = self._refuse()
         headers = [(b":status", b"%d" % answer.status)]
         headers += [each for each in answer.headers if each[0].lower() not in _BODY_HEADERS]
