Wait for no application that leaves the parts of an HTTP/2 request unread

What callers saw: a request over HTTP/2 whose body has more than ten frames, and which its application answers without reading them: no other call of its connection is answered any more, and the connection keeps its place among the listener's 256 and its descriptor when the client has left.

The cause: hypercorn passes the parts of a request through a queue of ten, and waits while it is full, also when the application has ended. The connection's only reader waits there, and so does whatever adds "the client has left", among them the task of the request itself. That wait also gives way while the streams of a closed connection are closed one by one: a request that ends meanwhile begins a response of its own (500, as it has none) whose end nobody sends any more.

RequestTasks starts the applications with a queue that is closed when the application has ended, which drops further parts and wakes the reader, and that is closed for adding when the client leaves: the application reads what came before, and then that the client has left. Neither waits.

edge.feature: a body of 20 frames that is answered unread, beside another call, and a request that ends without an answer while the 40 streams of its connection are closed.

--- a/features/steps/http2_caller.py
+++ b/features/steps/http2_caller.py
@@ -75,6 +75,16 @@
             else:
                 assert self._receive(), "the server closed"
 
+    def send_in_frames(self, path: str, count: int) -> int:
+        """Send a request whose body has so many frames, all at once; return the stream."""
+        stream = self._protocol.get_next_available_stream_id()
+        fields = {":method": "POST", ":path": path, ":scheme": "http", ":authority": "a"}
+        self._protocol.send_headers(stream, list(fields.items()))
+        for number in range(1, count + 1):
+            self._protocol.send_data(stream, b"part", end_stream=number == count)
+        self._flush()
+        return stream
+
     def send_after_end(self, stream: int) -> None:
         """Send data on a stream that this side has ended."""
         self._client.send(DataFrame(stream, b"late").serialize())
--- a/features/steps/transport_late_answer_steps.py
+++ b/features/steps/transport_late_answer_steps.py
@@ -35,11 +35,16 @@
     await send({"type": "http.response.body", "body": bytes(MEBIBYTE), "more_body": False})
 
 
-async def serve_late_answers(task_status):
-    listeners = await open_listeners(Address("127.0.0.1", 0), None, LISTENER)
-    task_status.started(bound_address(listeners))
-    service = application_service(answer_late, HttpLimits(idle=5.0), MEBIBYTE)
-    await serve_guarded(service, listeners, OPTIONS, trio.Event())
+def serve_application(application):
+    """Return what serves an application on a guarded listener."""
+
+    async def serve(task_status):
+        listeners = await open_listeners(Address("127.0.0.1", 0), None, LISTENER)
+        task_status.started(bound_address(listeners))
+        service = application_service(application, HttpLimits(idle=5.0), MEBIBYTE)
+        await serve_guarded(service, listeners, OPTIONS, trio.Event())
+
+    return serve
 
 
 def open_connections():
@@ -48,7 +53,7 @@
 
 @given("a listener whose application answers only after its caller has left")
 def given_late_answers(context):
-    context.late_answers = HttpServer(serve_late_answers)
+    context.late_answers = HttpServer(serve_application(answer_late))
     context.add_cleanup(context.late_answers.stop)
 
 
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -141,6 +141,18 @@
     When a caller over HTTP/2 asks it and leaves
     Then that listener holds no connection
 
+  Scenario: A request that ends without an answer while its caller leaves holds no connection
+    Given a listener whose application ends a request without an answer while its callers leave
+    When a caller over HTTP/2 has many requests in progress and leaves
+    Then that listener holds no connection
+
+  Scenario: A body over HTTP/2 that is answered unread holds up nothing
+    Given a listener whose application answers without reading a body
+    When a caller over HTTP/2 sends a body in 20 frames
+    Then that caller is answered over HTTP/2, and its next request as well
+    When that caller leaves
+    Then that listener holds no connection
+
   Scenario: A caller that takes its answer too slowly is cut off
     Given a callers' listener whose callers have 0.2 seconds to take an answer
     When 1 callers over HTTP/2 take nothing of an answer of 1 MiB
--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -17,7 +17,6 @@
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol import ProtocolWrapper
-from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
@@ -28,6 +27,7 @@
 from limelever.transport.http2_frames import FrameGuard
 from limelever.transport.http2_protocol import Http2Protocol
 from limelever.transport.http2_requests import RequestMemory, memory_of
+from limelever.transport.http2_tasks import RequestTasks
 from limelever.transport.http_limits import HttpLimits
 from limelever.transport.send_limits import time_to_send
 
@@ -80,7 +80,7 @@
             server = parse_socket_addr(socket.family, socket.getsockname())
         except OSError:
             return
-        tasks = TaskGroup()
+        tasks = RequestTasks()
         protocol = Http2Protocol(
             self.app,
             self.config,
