End an HTTP/2 connection whose request has no answer when its client has left

What callers saw: connections that stay open for good after their clients have left. Each keeps its descriptor and its place among the listener's 256, until nobody speaks HTTP/2 with the listener any more.

The cause: hypercorn answers 500 for an application that has ended without an answer, as ours do when the client has left, and waits until that response is sent. The task that sends ends with the connection. A request whose application had ended before waits for it without end, for example one that waited for its turn to send behind a response that the client didn't read. The waits of applications that send have been cancelled at the client's leaving already; this one belongs to no application.

The connection's tasks now cancel that wait as well when the client has left, and begin none after it. Applications are not cancelled: they learn that the client has left, and end by themselves.

--- a/features/steps/http2_caller.py
+++ b/features/steps/http2_caller.py
@@ -7,6 +7,7 @@
 
 import h2.connection
 import h2.events
+from h2.settings import SettingCodes
 from http_server import HttpClient
 from hyperframe.frame import DataFrame
 
@@ -56,6 +57,12 @@
                 break
         return stream
 
+    def open_windows(self, size: int) -> None:
+        """Let the server send so many bytes of responses unread."""
+        self._protocol.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: size})
+        self._protocol.increment_flow_control_window(size)
+        self._flush()
+
     def announce(self, size: int) -> int:
         """Send the head of a request with a body of this size; return the stream."""
         stream = self._protocol.get_next_available_stream_id()
--- a/features/steps/transport_unanswered_steps.py
+++ b/features/steps/transport_unanswered_steps.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import threading
+
 import trio
 import trio.testing
 from behave import given, then, when
 from http2_caller import Http2Caller
 from http_server import HttpServer
 from transport_late_answer_steps import serve_application
-from transport_server import wait_for
+from transport_server import PATIENCE, wait_for
 
 STREAMS = 40
+LARGE_BYTES = 64 << 20
+BLOCKED_SECONDS = 0.05
 OK = 200
 
 
@@ -42,6 +46,32 @@
     caller.close()
 
 
+@given("a listener whose application ends a request without an answer while another is sent")
+def given_unanswered_behind(context):
+    context.ended = threading.Event()
+
+    async def application(scope, receive, send):
+        if scope["path"] != "/large":
+            await trio.testing.wait_all_tasks_blocked(BLOCKED_SECONDS)
+            context.ended.set()
+            return
+        await send({"type": "http.response.start", "status": OK, "headers": ()})
+        await send({"type": "http.response.body", "body": bytes(LARGE_BYTES), "more_body": False})
+
+    context.late_answers = HttpServer(serve_application(application))
+    context.add_cleanup(context.late_answers.stop)
+
+
+@when("a caller over HTTP/2 reads nothing of a large answer, asks that request too and leaves")
+def when_reads_nothing(context):
+    caller = Http2Caller(context.late_answers.address)
+    caller.open_windows(LARGE_BYTES)
+    caller.send("/large")
+    caller.send("/")
+    assert context.ended.wait(PATIENCE)
+    caller.close()
+
+
 @given("a listener whose application answers without reading a body")
 def given_unread(context):
     async def application(scope, receive, send):
--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -146,6 +146,11 @@
     When a caller over HTTP/2 has many requests in progress and leaves
     Then that listener holds no connection
 
+  Scenario: A request that ends without an answer behind one that its caller doesn't read
+    Given a listener whose application ends a request without an answer while another is sent
+    When a caller over HTTP/2 reads nothing of a large answer, asks that request too and leaves
+    Then that listener holds no connection
+
   Scenario: A body over HTTP/2 that is answered unread holds up nothing
     Given a listener whose application answers without reading a body
     When a caller over HTTP/2 sends a body in 20 frames
--- a/src/limelever/transport/http2_connection.py
+++ b/src/limelever/transport/http2_connection.py
@@ -98,7 +98,7 @@
         )
         # The wrapper would only add the ways to change from HTTP/1.1.
         self.protocol = cast(ProtocolWrapper, protocol)
-        self._task_group = tasks
+        self._task_group = self._tasks = tasks
         try:
             async with tasks:
                 await protocol.initiate()
@@ -182,6 +182,7 @@
         await self.idle_task.stop()
         for scope in self._sending:
             scope.cancel()
+        self._tasks.stop_waiting()
 
     def _bounded(self, application: AsgiApplication) -> AsgiApplication:
         """Return the application with a time limit on sending each part of a response.
--- a/src/limelever/transport/http2_tasks.py
+++ b/src/limelever/transport/http2_tasks.py
@@ -1,7 +1,8 @@
 """Tasks of an HTTP/2 connection's requests.
 
 hypercorn waits without end to pass a request's next part to an application that has ended without
-reading what came before, and to tell it that the client has left.
+reading what came before, and to tell it that the client has left. It also waits without end to
+send the response of an application that has ended without one, when the connection has ended.
 """
 
 from __future__ import annotations
@@ -20,6 +21,17 @@
 class RequestTasks(TaskGroup):
     """Runs each request in a task that reads the request's parts from a queue."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._over = False
+        self._ending: set[trio.CancelScope] = set()
+
+    def stop_waiting(self) -> None:
+        """End the waits for responses to be sent whole: the connection is over."""
+        self._over = True
+        for scope in self._ending:
+            scope.cancel()
+
     async def spawn_app(
         self, app: AsgiApplication, config: Config, scope: Any, send: Callable[..., Any]
     ) -> Callable[[Any], Awaitable[None]]:
@@ -32,10 +44,27 @@
             finally:
                 queue.abandon()
 
+        async def send_or_end(message: AsgiMessage | None) -> None:
+            if message is None:
+                await self._end(send)
+            else:
+                await send(message)
+
         threads = (trio.to_thread.run_sync, trio.from_thread.run)
-        self.spawn(_handle, run, config, scope, queue.receive, send, *threads)
+        self.spawn(_handle, run, config, scope, queue.receive, send_or_end, *threads)
         return queue.put
 
+    async def _end(self, send: Callable[[None], Awaitable[None]]) -> None:
+        """End a request whose application has ended; its response may have to be sent yet."""
+        if self._over:
+            return
+        with trio.CancelScope() as scope:
+            self._ending.add(scope)
+            try:
+                await send(None)
+            finally:
+                self._ending.discard(scope)
+
 
 class _PartQueue:
     """Parts of a request that its application hasn't read."""
