Limit the time for the body of a request over HTTP/2 at every listener

What callers saw: 256 quiet connections over HTTP/2 that each hold one request whose body never ends lock the control interface's other clients out: a connection with a request in progress never makes room for another.

The cause: over HTTP/1.1 each listener limits the time for a body (limits.body, 30 s); over HTTP/2 only the callers' listener did, in its own application.

BoundedApplication, which serves the requests of the other listeners over HTTP/2, now refuses a body that does not end within that limit by 503, as over HTTP/1.1: to the application the client has left, so that nothing is run. The connection is idle then and makes room. Only the time for which the application waits for the client counts, as flow control holds a client back whose application is busy.

interface_limits.feature: two clients of two allowed connections begin bodies that don't end; each is refused with 503, nothing is run, and a third client is served.

--- a/features/transport/interface_limits.feature
+++ b/features/transport/interface_limits.feature
@@ -28,3 +28,10 @@
     When 4 clients over HTTP/2 of that interface ask, and read nothing
     Then another client over HTTP/2 is refused with 503
     And that interface serves another client once these have left
+
+  # A connection with a request in progress never makes room for another.
+  Scenario: A body over HTTP/2 that never ends is refused, and its connection makes room
+    Given an interface with 2 connections over HTTP/2 whose clients have 0.2 seconds to send a body
+    When 2 clients over HTTP/2 of that interface each begin a body that does not end
+    Then each of them is refused with 503 over HTTP/2, and none was run
+    And another client over HTTP/2 of that interface is served
--- a/src/limelever/transport/asgi_http2.py
+++ b/src/limelever/transport/asgi_http2.py
@@ -25,25 +25,32 @@
     BodyPool,
     PooledReservation,
 )
+from limelever.transport.http_limits import BODY_SECONDS
 
 _DISCARD_SECONDS = 1.0
 """How long the rest of a refused body is read, so that the client receives the refusal."""
 
 _DISCONNECT = {"type": "http.disconnect"}
+_LATE = Failure(ErrorKind.DEADLINE_TOO_SHORT, "the body did not arrive in time")
 
 
 class BoundedApplication:
-    """Serves an application's requests while all bodies together are within a limit."""
+    """Serves an application's requests while all bodies together are within a limit.
+
+    A client has ``body_seconds`` to send a body.
+    """
 
     def __init__(
         self,
         application: AsgiApplication,
         render: Callable[[Failure], HttpAnswer],
         total_bytes: int = LEAST_TOTAL_BYTES,
+        body_seconds: float = BODY_SECONDS,
     ) -> None:
         self._application = application
         self._render = render
         self._bodies = BodyPool(total_bytes, total_bytes)
+        self._body_seconds = body_seconds
         self._unread_bytes = 0
 
     async def serve(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -56,7 +63,7 @@
             failure = Failure(ErrorKind.OVERLOADED, reason, retry_after=RETRY_AFTER_SECONDS)
             await self._refuse(failure, receive, send)
             return
-        body = _CountedBody(receive, PooledReservation(self._bodies))
+        body = _CountedBody(receive, PooledReservation(self._bodies), self._body_seconds)
         try:
             await self._application(scope, body.receive, self._counting(send))
         finally:
@@ -89,17 +96,34 @@
 
 
 class _CountedBody:
-    """A request's body, counted as it arrives; a refused one looks like one of a lost client."""
+    """A request's body, counted as it arrives; a refused one looks like one of a lost client.
+
+    Only the time for which the application waits for the client counts against ``seconds``.
+    """
 
-    def __init__(self, receive: Receive, reservation: PooledReservation) -> None:
+    def __init__(self, receive: Receive, reservation: PooledReservation, seconds: float) -> None:
         self.reservation = reservation
         self.refusal: Failure | None = None
         self._receive = receive
+        self._seconds_left = seconds
+        self._ended = False
 
     async def receive(self) -> AsgiMessage:
         """Return the next part of the body, or that the client has disconnected."""
-        if self.refusal is not None:
-            return dict(_DISCONNECT)
-        message = await self._receive()
-        self.refusal = self.reservation.add(len(message.get("body", b"")))
-        return message if self.refusal is None else dict(_DISCONNECT)
+        if self.refusal is None:
+            message = await (self._receive() if self._ended else self._receive_in_time())
+            if self.refusal is None:
+                return message
+        return dict(_DISCONNECT)
+
+    async def _receive_in_time(self) -> AsgiMessage:
+        """Return the next part of the body; note why the body is refused, if it is."""
+        since = trio.current_time()
+        with trio.move_on_after(self._seconds_left):
+            message = await self._receive()
+            self._seconds_left -= trio.current_time() - since
+            self._ended = not message.get("more_body", False)
+            self.refusal = self.reservation.add(len(message.get("body", b"")))
+            return message
+        self.refusal = _LATE
+        return dict(_DISCONNECT)
--- a/src/limelever/transport/http_guard.py
+++ b/src/limelever/transport/http_guard.py
@@ -99,7 +99,7 @@
 ) -> HttpService:
     """Return the service of an ASGI application, whichever version its clients speak."""
     handler = AsgiHandler(application, max_body_bytes)
-    bounded = BoundedApplication(application, handler.render)
+    bounded = BoundedApplication(application, handler.render, body_seconds=limits.body)
     return HttpService(handler, bounded.serve, limits)
 
 
