--- a/features/transport/edge.feature
+++ b/features/transport/edge.feature
@@ -7,11 +7,30 @@
     And the callers' listener answers another caller
 
     Examples:
-      | bytes                             |
-      | data on an answered HTTP/2 stream |
-      | bytes that are not HTTP           |
-      | headers of 1 MiB                  |
-      | a broken HTTP/2 frame             |
+      | bytes                                          |
+      | data on an HTTP/2 stream that was never opened |
+      | bytes that are not HTTP                        |
+      | headers of 1 MiB                               |
+      | a broken HTTP/2 frame                          |
+
+  # RFC 9113, section 8.1: a server may end its response before the request has ended.
+  Scenario: A body that goes on after its refusal costs no other call of its connection
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight beside a body of 1 GiB that was refused with 413
+    And it sends 1024 KiB of that body all the same
+    Then its call in flight is answered, and its next one
+    And the callers' listener has not logged 4031
+
+  Scenario: Data behind the end of a request costs that call only
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight beside another on which it sends data behind the end
+    Then the other call is reset with STREAM_CLOSED
+    And its call in flight is answered, and its next one
+
+  Scenario: Data on a stream that both sides have ended costs no other call of its connection
+    Given a callers' listener
+    When a caller over HTTP/2 has a call in flight, and sends data on the stream of one that has ended
+    Then its call in flight is answered, and its next one
 
   Scenario Outline: What is too large is refused with the status that says so
     Given a callers' listener
@@ -72,11 +91,16 @@
     And the callers' listener has run nothing
     And the callers' listener answers another caller
 
-  Scenario: The protocol's breach is a numbered event
+  Scenario Outline: The protocol's breach is a numbered event
     Given a callers' listener
-    When a caller's connection sends data on an answered HTTP/2 stream
+    When a caller's connection sends <bytes>
     Then the callers' listener logs 4031
 
+    Examples:
+      | bytes                                          |
+      | data on an HTTP/2 stream that was never opened |
+      | a broken HTTP/2 frame                          |
+
   Scenario: At the limit the connection that is idle longest makes room
     Given a callers' listener with 8 connections
     When 8 callers are each answered and keep their connections
@@ -117,6 +141,23 @@
     When a caller over HTTP/2 asks it and leaves
     Then that listener holds no connection
 
+  Scenario: A request that ends without an answer while its caller leaves holds no connection
+    Given a listener whose application ends a request without an answer while its callers leave
+    When a caller over HTTP/2 has many requests in progress and leaves
+    Then that listener holds no connection
+
+  Scenario: A request that ends without an answer behind one that its caller doesn't read
+    Given a listener whose application ends a request without an answer while another is sent
+    When a caller over HTTP/2 reads nothing of a large answer, asks that request too and leaves
+    Then that listener holds no connection
+
+  Scenario: A body over HTTP/2 that is answered unread holds up nothing
+    Given a listener whose application answers without reading a body
+    When a caller over HTTP/2 sends a body in 20 frames
+    Then that caller is answered over HTTP/2, and its next request as well
+    When that caller leaves
+    Then that listener holds no connection
+
   Scenario: A caller that takes its answer too slowly is cut off
     Given a callers' listener whose callers have 0.2 seconds to take an answer
     When 1 callers over HTTP/2 take nothing of an answer of 1 MiB
--- a/src/limelever/transport/http2_protocol.py
+++ b/src/limelever/transport/http2_protocol.py
@@ -21,6 +21,7 @@
 from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.h2 import H2Protocol
 from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.protocol.ws_stream import WSStream
 from hypercorn.utils import filter_pseudo_headers
 
 from limelever.common.errors import Failure
@@ -36,8 +37,8 @@
 """Closed streams that a connection remembers; h2's 65,536 take some megabytes."""
 
 
-class _RefusedStream:
-    """Drops what was received together with the head of a refused request."""
+class _AnsweredStream:
+    """Drops what arrives of a request that is refused, or whose response has ended."""
 
     idle = True
 
@@ -45,6 +46,13 @@
         """Ignore a part of the request."""
 
 
+class _Streams(dict[int, HTTPStream | WSStream]):
+    """Streams by number; a client may send data on one that is answered until it ends it."""
+
+    def __missing__(self, stream: int) -> HTTPStream:
+        return cast(HTTPStream, _AnsweredStream())
+
+
 class Http2Protocol(H2Protocol):
     """The protocol of one connection.
 
@@ -66,6 +74,7 @@
         connection.decoder.max_header_list_size = self.config.h2_max_header_list_size
         del connection.local_settings[SettingCodes.ENABLE_CONNECT_PROTOCOL]
         connection._closed_streams = SizeLimitDict(size_limit=_CLOSED_STREAMS)
+        self.streams = _Streams()
         self._guard = guard
         self._memory = memory
         self._refused: list[int] = []
@@ -80,13 +89,24 @@
         for part in self._guard.parts(event.data, trio.current_time()):
             if self.closed:
                 return
-            await super().handle(RawData(part))
+            await self._receive(part)
             for stream in self._refused:
                 self.streams.pop(stream, None)
             self._refused.clear()
         if self._guard.reason is not None and not self.closed:
             await self._end(self._guard.reason)
 
+    async def _receive(self, data: bytes) -> None:
+        """Handle bytes; unlike in hypercorn, a breach of the protocol is reported."""
+        try:
+            events = self.connection.receive_data(data)
+        except ProtocolError as error:
+            self._report(f"{type(error).__name__}: {error}")
+            await self._flush()
+            await self.send(Closed())
+        else:
+            await self._handle_events(events)
+
     async def _end(self, reason: str) -> None:
         """Close the connection with the error code ENHANCE_YOUR_CALM."""
         self._report(reason)
@@ -138,7 +158,7 @@
     def _answer_at_once(self, stream: int, failure: Failure) -> None:
         """Refuse a request by headers alone, without a task; its body is not awaited."""
         self._refused.append(stream)
-        self.streams[stream] = cast(HTTPStream, _RefusedStream())
+        self.streams[stream] = cast(HTTPStream, _AnsweredStream())
         answer = self._render(failure)
         headers = [(b":status", b"%d" % answer.status)]
         headers += [each for each in answer.headers if each[0].lower() not in _BODY_HEADERS]
