--- a/features/source/slow_disks.feature
+++ b/features/source/slow_disks.feature
@@ -141,3 +141,10 @@
       | other entries | what it kept       |
       | a snapshot    | no entry           |
       | a higher term | no reply           |
+
+  # Guards against a replica that counts for a majority although its disk takes no snapshot.
+  Scenario: A follower with an empty log whose disk hangs within its first snapshot counts as silent
+    Given a replica group of 3 of which one founder was down until the others have a snapshot
+    When its disk hangs for 20 s as soon as it has the snapshot in memory
+    Then its leader has heard nothing of its disk for that long, and lately of the other
+    And the leader refuses to remove the other follower, and takes the next write
--- a/features/steps/slow_heartbeat_steps.py
+++ b/features/steps/slow_heartbeat_steps.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from behave import then, when
+from behave import given, then, when
 from replication_disorder_steps import disturb, write_somewhere
 from replication_group import events, service_batch
 from slow_disk_group import PLATFORM_ELECTION_SECONDS, SlowDiskGroup, SlowDisks
 
 from limelever.common.errors import Failure
 from limelever.common.sansio import MessageReceived
-from limelever.protocol.operators_pb2 import ApplyResponse
+from limelever.protocol.operators_pb2 import ApplyResponse, ChangeMembersRequest
 from limelever.protocol.replication_pb2 import (
     AppendAnswer,
     AppendRequest,
@@ -247,3 +247,43 @@
     context.group.begin_write(context.node)
     context.group.run(0.1)
     assert stated(context)[before:] == [context.all] * context.requests, stated(context)
+
+
+@given("a replica group of {size:d} of which one founder was down until the others have a snapshot")
+def given_late_founder(context, size):
+    group = context.group = SlowDiskGroup(size, 1, PLATFORM_ELECTION_SECONDS, SlowDisks(0.005))
+    group.snapshot_every = 7
+    for name in group.nodes:
+        group.start(name)
+    context.hung = list(group.nodes)[-1]
+    founder = group.nodes[context.hung]
+    while founder.core.replica._context.formatted is None or founder.writing:
+        group.step()
+    group.crash(context.hung)
+    for number in range(2 * group.snapshot_every):
+        group.accept(service_batch(f"w{number}", f"s{number}"))
+
+
+@when("its disk hangs for {seconds:g} s as soon as it has the snapshot in memory")
+def when_hangs_within_snapshot(context, seconds):
+    group, founder = context.group, context.group.nodes[context.hung]
+    group.start(context.hung)
+    while not founder.core.replica._context.log.base_index:
+        group.step()
+    founder.hung = True
+    context.seconds = seconds
+    group.run(seconds)
+    context.leader = group.leader()
+    (context.sound,) = set(group.nodes) - {context.leader, context.hung}
+
+
+@then("the leader refuses to remove the other follower, and takes the next write")
+def then_not_removed(context):
+    group, leader = context.group, context.leader
+    sound = group.voters(leader)[context.sound]
+    refused = group.ask(leader, ChangeMembersRequest(remove=sound))
+    group.run(2.0)
+    assert isinstance(group.answers[refused], Failure), group.answers[refused]
+    written = group.ask(leader, service_batch("after", "after"))
+    group.run(2.0)
+    assert isinstance(group.answers.get(written), ApplyResponse), group.answers.get(written)
--- a/src/limelever/source/replication/leading.py
+++ b/src/limelever/source/replication/leading.py
@@ -174,7 +174,8 @@
         progress = self._sender.progress_of(answer.follower)
         progress.acked_round = max(progress.acked_round, answer.round)
         if answer.success:
-            progress.take_success(answer.match_index, answer.round, context.now)
+            base = context.log.base_index
+            progress.take_success(answer.match_index, answer.round, context.now, base)
             self._commit()
         else:
             self._take_refusal(answer, progress)
--- a/src/limelever/source/replication/progress.py
+++ b/src/limelever/source/replication/progress.py
@@ -25,12 +25,16 @@
     heard_at: float = NEVER
     snapshot_due: float = NEVER
 
-    def take_success(self, match_index: int, round_number: int, now: float) -> None:
+    def take_success(
+        self, match_index: int, round_number: int, now: float, base_index: int
+    ) -> None:
         """Record what the follower has synced, by its reply in a round.
 
         One that follows while its disk syncs nothing isn't heard: it helps to commit nothing.
+        ``base_index`` is the last of the leader's snapshot, which it may be installing.
         """
-        if match_index > self.match_index or match_index >= self.next_index - 1:
+        sent = max(self.next_index - 1, base_index)
+        if match_index > self.match_index or match_index >= sent:
             self.heard_at = now
         if match_index >= self.match_index:
             self.match_index = match_index
